--- /dev/null
+++ b/cli/src/main.rs
@@ -0,0 +1,3 @@
+//! The heatherring command.
+
+fn main() {}
--- /dev/null
+++ b/lib/src/lib.rs
@@ -0,0 +1,11 @@
+//! The decisions of heatherring: state machines without input or output.
+//!
+//! Nothing in this crate opens a socket or a file, reads a clock or draws ambient
+//! randomness. Time comes in as an argument, randomness as a seed, and what is to be
+//! done goes out as values, so that every decision can be replayed in a test.
+
+pub mod clock;
+pub mod id;
+pub mod manifest;
+pub mod raft_message;
+pub mod view;
--- /dev/null
+++ b/server/src/lib.rs
@@ -0,0 +1,10 @@
+//! The sockets, files and timers round the decisions of heatherring.
+//!
+//! Each task owns its sockets and its state; tasks talk by messages. Decisions are
+//! made by the core (`heatherring-lib`); this crate carries them out.
+
+/// Code generated from `server/proto/heatherring.proto` by `tools/proto-gen`.
+#[allow(missing_docs, clippy::all, clippy::pedantic)]
+#[rustfmt::skip]
+#[path = "generated/heatherring.v1.rs"]
+pub mod proto;
--- /dev/null
+++ b/testutils/src/lib.rs
@@ -0,0 +1,1 @@
+//! Stand-ins for what surrounds heatherring.
