--- /dev/null
+++ b/cli/src/commands/mod.rs
@@ -0,0 +1,50 @@
+//! The subcommands, one module each.
+//!
+//! A module offers `command()`, its part of the command line, and `run()`. To add
+//! one, declare the module and add a line to [`SUBCOMMANDS`].
+
+mod version;
+
+use clap::ArgMatches;
+use clap::Command;
+
+use crate::cli_error::CliError;
+
+/// Ties a subcommand's arguments to what runs it.
+struct Subcommand {
+    command: fn() -> Command,
+    run: fn(&ArgMatches) -> Result<(), CliError>,
+}
+
+/// All subcommands, in the order of the help text.
+const SUBCOMMANDS: &[Subcommand] = &[Subcommand {
+    command: version::command,
+    run: version::run,
+}];
+
+/// Returns the whole command line.
+pub fn command() -> Command {
+    let root = Command::new("heatherring")
+        .about("Steers traffic from callers across regions to backend servers")
+        .version(env!("CARGO_PKG_VERSION"))
+        .subcommand_required(true)
+        .arg_required_else_help(true);
+    SUBCOMMANDS.iter().fold(root, |root, subcommand| {
+        root.subcommand((subcommand.command)())
+    })
+}
+
+/// Runs the subcommand that was asked for.
+///
+/// # Errors
+///
+/// Returns what the subcommand ended with.
+pub fn run(matches: &ArgMatches) -> Result<(), CliError> {
+    let Some((name, sub_matches)) = matches.subcommand() else {
+        return Ok(());
+    };
+    SUBCOMMANDS
+        .iter()
+        .find(|subcommand| (subcommand.command)().get_name() == name)
+        .map_or(Ok(()), |subcommand| (subcommand.run)(sub_matches))
+}
--- /dev/null
+++ b/cli/src/commands/version.rs
@@ -0,0 +1,21 @@
+//! `heatherring version`: prints the version of the program.
+
+use clap::ArgMatches;
+use clap::Command;
+
+use crate::cli_error::CliError;
+
+/// Returns the arguments of the subcommand.
+pub fn command() -> Command {
+    Command::new("version").about("Prints the version of the program")
+}
+
+/// Prints the version.
+#[expect(
+    clippy::unnecessary_wraps,
+    reason = "all subcommands share one signature"
+)]
+pub fn run(_matches: &ArgMatches) -> Result<(), CliError> {
+    println!("heatherring {}", env!("CARGO_PKG_VERSION"));
+    Ok(())
+}
--- a/cli/src/main.rs
+++ b/cli/src/main.rs
@@ -1,3 +1,26 @@
-//! The heatherring command.
+//! The `heatherring` command: arguments in, exit code out. All logic lives in the
+//! libraries.
 
-fn main() {}
+mod cli_error;
+mod commands;
+
+use std::process::ExitCode;
+
+use crate::cli_error::CliError;
+
+fn main() -> ExitCode {
+    let matches = commands::command().get_matches();
+    match commands::run(&matches) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(err) => report(&err),
+    }
+}
+
+/// Prints the error and its hint, and picks the exit code.
+fn report(err: &CliError) -> ExitCode {
+    eprintln!("{err}");
+    if let Some(hint) = err.hint() {
+        eprintln!("hint: {hint}");
+    }
+    ExitCode::from(err.exit_code())
+}
