--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -5,7 +5,14 @@
 //! done goes out as values, so that every decision can be replayed in a test.
 
 pub mod clock;
+pub mod config_fault;
+pub mod config_text;
 pub mod id;
 pub mod manifest;
+pub mod manifest_check;
+pub mod manifest_text;
 pub mod raft_message;
+pub mod settings;
+pub mod settings_check;
+pub mod settings_text;
 pub mod view;
--- /dev/null
+++ b/lib/src/settings.rs
@@ -0,0 +1,241 @@
+//! The settings with which a control replica or an entry VM is started.
+//!
+//! These are the types. `settings_text` reads them from JSON with comments, checks
+//! them and reports each fault with its file, line and column.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::time::Duration;
+
+use schemars::JsonSchema;
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::id::PlaceName;
+use crate::id::RegionName;
+use crate::id::VmName;
+
+/// Holds the settings of a control replica.
+#[derive(Clone, Debug, Deserialize, Eq, JsonSchema, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct ControlSettings {
+    /// Names the VM in reports and in the audit trail.
+    pub vm: VmName,
+    /// The place that the VM stands in.
+    pub place: PlaceName,
+    /// The region of that place.
+    pub region: RegionName,
+    /// Where other replicas, entry VMs and operators reach this replica (gRPC).
+    #[schemars(extend("format" = "socket-address"))]
+    pub listen: SocketAddr,
+    /// The folder that holds everything that must survive a restart. Formatted by
+    /// `control init`, `control join` or `control repair`.
+    #[schemars(length(min = 1))]
+    pub data_folder: PathBuf,
+    /// Intervals of the agreement among replicas, and of sessions.
+    #[serde(default)]
+    pub timing: ControlTiming,
+    /// A snapshot is written, and the log before it dropped, every so many log positions.
+    #[serde(default = "default_snapshot_every")]
+    #[schemars(range(min = 1))]
+    pub snapshot_every: u64,
+    /// What is logged.
+    #[serde(default)]
+    pub log: LogSettings,
+}
+
+const fn default_snapshot_every() -> u64 {
+    1_000
+}
+
+/// Holds the intervals of the agreement among control replicas and of sessions.
+///
+/// They must be the same on all replicas of a cluster.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, JsonSchema, PartialEq, Serialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct ControlTiming {
+    /// Time between a leader's heartbeats, in milliseconds.
+    #[schemars(range(min = 1))]
+    pub heartbeat_ms: u32,
+    /// Shortest silence of a leader after which a follower stands for election, in
+    /// milliseconds; more than two heartbeats.
+    #[schemars(range(min = 1))]
+    pub election_min_ms: u32,
+    /// Longest such silence, in milliseconds; more than the shortest.
+    #[schemars(range(min = 1))]
+    pub election_max_ms: u32,
+    /// Time for which a granted session lease runs at an entry VM, in milliseconds;
+    /// outlasts an ordinary election with its margin.
+    #[schemars(range(min = 1))]
+    pub session_lease_ms: u32,
+    /// Time by which control counts a lease longer than the entry VM does, in
+    /// milliseconds. It covers the difference in the rate of their clocks.
+    #[schemars(range(min = 1))]
+    pub session_margin_ms: u32,
+}
+
+impl Default for ControlTiming {
+    fn default() -> Self {
+        Self {
+            heartbeat_ms: 100,
+            election_min_ms: 600,
+            election_max_ms: 1_200,
+            session_lease_ms: 3_000,
+            session_margin_ms: 500,
+        }
+    }
+}
+
+impl ControlTiming {
+    /// Returns the time between a leader's heartbeats.
+    #[must_use]
+    pub const fn heartbeat(&self) -> Duration {
+        Duration::from_millis(self.heartbeat_ms as u64)
+    }
+
+    /// Returns the shortest silence of a leader that starts an election.
+    #[must_use]
+    pub const fn election_min(&self) -> Duration {
+        Duration::from_millis(self.election_min_ms as u64)
+    }
+
+    /// Returns the longest silence of a leader that a follower waits for.
+    #[must_use]
+    pub const fn election_max(&self) -> Duration {
+        Duration::from_millis(self.election_max_ms as u64)
+    }
+
+    /// Returns the time for which a session lease runs at the entry VM.
+    #[must_use]
+    pub const fn session_lease(&self) -> Duration {
+        Duration::from_millis(self.session_lease_ms as u64)
+    }
+
+    /// Returns the time by which control counts a lease longer.
+    #[must_use]
+    pub const fn session_margin(&self) -> Duration {
+        Duration::from_millis(self.session_margin_ms as u64)
+    }
+}
+
+/// Holds the settings of an entry VM.
+#[derive(Clone, Debug, Deserialize, Eq, JsonSchema, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct EntrySettings {
+    /// Names the VM; unique among the entry VMs of a deployment.
+    pub vm: VmName,
+    /// The place that the VM stands in.
+    pub place: PlaceName,
+    /// The region of that place.
+    pub region: RegionName,
+    /// Addresses to listen on.
+    pub listen: EntryListen,
+    /// Addresses of control replicas, tried in order.
+    #[schemars(length(min = 1), extend("items" = {"type": "string", "format": "socket-address"}))]
+    pub control: Vec<SocketAddr>,
+    /// Bounds on what one peer may cost.
+    #[serde(default)]
+    pub limits: EntryLimits,
+    /// What is logged.
+    #[serde(default)]
+    pub log: LogSettings,
+    /// Where metrics go; without it none are sent.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub metrics: Option<MetricsSettings>,
+}
+
+/// Holds the addresses that an entry VM listens on.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, JsonSchema, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct EntryListen {
+    /// For callers' look-ups and requests (HTTP/1.1 and 2).
+    #[schemars(extend("format" = "socket-address"))]
+    pub callers: SocketAddr,
+    /// For announcements of backend servers (HTTP/1.1).
+    #[schemars(extend("format" = "socket-address"))]
+    pub backend_servers: SocketAddr,
+    /// For messages of other entry VMs (gRPC).
+    #[schemars(extend("format" = "socket-address"))]
+    pub peers: SocketAddr,
+    /// For requests that other entry VMs forward (HTTP/2).
+    #[schemars(extend("format" = "socket-address"))]
+    pub forward: SocketAddr,
+}
+
+/// Bounds what one peer of an entry VM may cost.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, JsonSchema, PartialEq, Serialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct EntryLimits {
+    /// Bytes of a request's head.
+    #[schemars(range(min = 8_192, max = 1_048_576))]
+    pub max_header_bytes: u32,
+    /// Bytes of a request's body.
+    #[schemars(range(min = 1))]
+    pub max_body_bytes: u32,
+    /// Connections open at one listener.
+    #[schemars(range(min = 1))]
+    pub max_connections: u32,
+    /// Time within which a request's head must arrive, in milliseconds.
+    #[schemars(range(min = 1))]
+    pub header_timeout_ms: u32,
+}
+
+impl Default for EntryLimits {
+    fn default() -> Self {
+        Self {
+            max_header_bytes: 16_384,
+            max_body_bytes: 1_048_576,
+            max_connections: 4_096,
+            header_timeout_ms: 5_000,
+        }
+    }
+}
+
+impl EntryLimits {
+    /// Returns the time within which a request's head must arrive.
+    #[must_use]
+    pub const fn header_timeout(&self) -> Duration {
+        Duration::from_millis(self.header_timeout_ms as u64)
+    }
+}
+
+/// Says what is logged.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, JsonSchema, PartialEq, Serialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct LogSettings {
+    /// The least severe level that is logged.
+    pub level: LogLevel,
+}
+
+/// Grades log records by severity.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, JsonSchema, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum LogLevel {
+    /// Failures that someone must look at.
+    Error,
+    /// Something unexpected that the process copes with.
+    Warn,
+    /// Events worth knowing in ordinary operation.
+    #[default]
+    Info,
+    /// Decisions on single requests.
+    Debug,
+    /// Every step.
+    Trace,
+}
+
+/// Says where metrics go.
+#[derive(Clone, Debug, Deserialize, Eq, JsonSchema, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct MetricsSettings {
+    /// The `StatsD` server (UDP).
+    #[schemars(extend("format" = "socket-address"))]
+    pub statsd: SocketAddr,
+    /// Put before each metric's name.
+    #[serde(default = "default_metrics_prefix")]
+    pub prefix: String,
+}
+
+fn default_metrics_prefix() -> String {
+    "heatherring".to_owned()
+}
