--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod manifest;
 pub mod manifest_check;
 pub mod manifest_text;
+pub mod outcome;
 pub mod raft_message;
 pub mod settings;
 pub mod settings_check;
