--- /dev/null
+++ b/cli/src/logging.rs
@@ -0,0 +1,57 @@
+//! Logging: JSON lines on standard error.
+
+use heatherring_lib::settings::LogLevel;
+use logforth::append::Stderr;
+use logforth::filter::rustlog::RustLogFilterBuilder;
+use logforth::layout::JsonLayout;
+use logforth::record::Level;
+use logforth::record::LevelFilter;
+use snafu::ResultExt;
+use snafu::Snafu;
+
+/// Crates whose records follow the level setting; the libraries' own records are kept
+/// to warnings, since they may hold parts of requests.
+const OWN_CRATES: [&str; 3] = ["heatherring", "heatherring_lib", "heatherring_server"];
+
+/// Tells why logging couldn't be set up.
+#[derive(Debug, Snafu)]
+pub enum LoggingError {
+    /// The process has a logger already.
+    #[snafu(display("logging was set up twice: {source}"))]
+    Twice {
+        /// What the library said.
+        source: logforth::Error,
+    },
+}
+
+/// Sends log records of `level` and above to standard error, one JSON object a line.
+///
+/// # Errors
+///
+/// Fails if the process has a logger already.
+pub fn start(level: LogLevel) -> Result<(), LoggingError> {
+    let own_level = LevelFilter::MoreSevereEqual(severity(level));
+    let libraries =
+        RustLogFilterBuilder::from_spec("").filter_level(LevelFilter::MoreSevereEqual(Level::Warn));
+    let filter = OWN_CRATES.iter().fold(libraries, |filter, own_crate| {
+        filter.filter_module(*own_crate, own_level)
+    });
+    logforth::starter_log::builder()
+        .dispatch(|dispatch| {
+            dispatch
+                .filter(filter.build())
+                .append(Stderr::default().with_layout(JsonLayout::default()))
+        })
+        .try_apply()
+        .context(TwiceSnafu)
+}
+
+const fn severity(level: LogLevel) -> Level {
+    match level {
+        LogLevel::Error => Level::Error,
+        LogLevel::Warn => Level::Warn,
+        LogLevel::Info => Level::Info,
+        LogLevel::Debug => Level::Debug,
+        LogLevel::Trace => Level::Trace,
+    }
+}
--- a/cli/src/main.rs
+++ b/cli/src/main.rs
@@ -3,6 +3,7 @@
 
 mod cli_error;
 mod commands;
+mod logging;
 
 use std::process::ExitCode;
 
