--- a/lib/src/raft_message.rs
+++ b/lib/src/raft_message.rs
@@ -44,6 +44,9 @@
     pub voters: BTreeMap<ReplicaId, ReplicaInfo>,
     /// Replicas that receive the log and don't count.
     pub learners: BTreeMap<ReplicaId, ReplicaInfo>,
+    /// New replicas with the ones that they replace. The old one is removed as soon as
+    /// the new one votes.
+    pub replacements: BTreeMap<ReplicaId, ReplicaId>,
 }
 
 /// Tells where a replica is.
@@ -121,6 +124,9 @@
         last_index: Revision,
         /// Term of that position.
         last_term: Term,
+        /// Whether the leader itself asked the sender to stand. Such a request is
+        /// answered even by replicas that hear the leader.
+        handover: bool,
     },
     /// Answers a request for a vote.
     VoteReply {
@@ -174,4 +180,6 @@
         /// Whether the whole snapshot is durable.
         installed: bool,
     },
+    /// Asks the receiver, which has the whole log, to take leadership over at once.
+    TimeoutNow,
 }
