--- /dev/null
+++ b/server/src/data_folder.rs
@@ -0,0 +1,246 @@
+//! The data folder of a control replica: its files, its lock and its identity.
+
+use std::fmt::Debug;
+use std::fs;
+use std::fs::File;
+use std::fs::OpenOptions;
+use std::io;
+use std::io::Write as _;
+use std::path::Path;
+use std::path::PathBuf;
+
+use heatherring_lib::id::ClusterId;
+use heatherring_lib::id::ReplicaId;
+use rustix::fs::FlockOperation;
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::record_codec::decode_frame;
+use crate::record_codec::encode_frame;
+
+/// Name of the file that holds the identity; its presence makes a folder formatted.
+pub const IDENTITY_FILE: &str = "identity";
+
+/// Name of the file that is locked while a process uses the folder.
+pub const LOCK_FILE: &str = "lock";
+
+/// Ending of files that are being written; they mean nothing until they are renamed.
+pub const TEMPORARY_ENDING: &str = ".tmp";
+
+/// Version of the files' format.
+pub const FORMAT_VERSION: u32 = 1;
+
+/// Identifies the life of a data folder. Written once, when the folder is formatted.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Identity {
+    /// Version of the files' format.
+    pub format: u32,
+    /// The cluster that the replica belongs to.
+    pub cluster: ClusterId,
+    /// The replica.
+    pub replica: ReplicaId,
+}
+
+impl Identity {
+    /// Encodes the identity as the content of its file.
+    ///
+    /// # Panics
+    ///
+    /// Never: the encoding of an identity can't fail.
+    #[must_use]
+    pub fn encode(&self) -> Vec<u8> {
+        let body = postcard::to_stdvec(self).expect("an identity encodes");
+        let mut buf = Vec::new();
+        encode_frame(0, &body, &mut buf);
+        buf
+    }
+
+    /// Reads the content of an identity file; `None` if it is damaged.
+    #[must_use]
+    pub fn decode(content: &[u8]) -> Option<Self> {
+        let frame = decode_frame(content).ok()?;
+        if frame.length != content.len() {
+            return None;
+        }
+        postcard::from_bytes(frame.body).ok()
+    }
+}
+
+/// Does what the log needs of a folder with files in it.
+///
+/// What was written lasts only once it was synced: a file's bytes by [`Disk::sync`],
+/// the creation, renaming and removal of files by [`Disk::sync_folder`].
+pub trait Disk: Debug + Send + 'static {
+    /// Lists the names of all files.
+    ///
+    /// # Errors
+    ///
+    /// Returns what the operating system reported.
+    fn list(&self) -> io::Result<Vec<String>>;
+
+    /// Reads a whole file.
+    ///
+    /// # Errors
+    ///
+    /// Returns what the operating system reported.
+    fn read(&self, name: &str) -> io::Result<Vec<u8>>;
+
+    /// Creates a file, or empties it, and writes and syncs its content.
+    ///
+    /// # Errors
+    ///
+    /// Returns what the operating system reported.
+    fn write_whole(&mut self, name: &str, content: &[u8]) -> io::Result<()>;
+
+    /// Appends to an existing file.
+    ///
+    /// # Errors
+    ///
+    /// Returns what the operating system reported.
+    fn append(&mut self, name: &str, bytes: &[u8]) -> io::Result<()>;
+
+    /// Makes what was appended to a file durable.
+    ///
+    /// # Errors
+    ///
+    /// Returns what the operating system reported.
+    fn sync(&mut self, name: &str) -> io::Result<()>;
+
+    /// Cuts a file to a length and syncs it.
+    ///
+    /// # Errors
+    ///
+    /// Returns what the operating system reported.
+    fn cut(&mut self, name: &str, length: u64) -> io::Result<()>;
+
+    /// Renames a file.
+    ///
+    /// # Errors
+    ///
+    /// Returns what the operating system reported.
+    fn rename(&mut self, from: &str, to: &str) -> io::Result<()>;
+
+    /// Removes a file.
+    ///
+    /// # Errors
+    ///
+    /// Returns what the operating system reported.
+    fn remove(&mut self, name: &str) -> io::Result<()>;
+
+    /// Makes the creation, renaming and removal of files durable.
+    ///
+    /// # Errors
+    ///
+    /// Returns what the operating system reported.
+    fn sync_folder(&mut self) -> io::Result<()>;
+}
+
+/// Writes a file so that it is either there whole or not at all.
+///
+/// # Errors
+///
+/// Returns what the operating system reported.
+pub fn write_atomically<D: Disk>(disk: &mut D, name: &str, content: &[u8]) -> io::Result<()> {
+    let temporary = format!("{name}{TEMPORARY_ENDING}");
+    disk.write_whole(&temporary, content)?;
+    disk.rename(&temporary, name)?;
+    disk.sync_folder()
+}
+
+/// Keeps files in a folder of the operating system, locked against other processes.
+#[derive(Debug)]
+pub struct FolderDisk {
+    folder: PathBuf,
+    handle: File,
+    open: Option<(String, File)>,
+    _lock: File,
+}
+
+impl FolderDisk {
+    /// Opens a folder and locks it.
+    ///
+    /// Two processes on one folder would both append to the log and both vote under
+    /// one identity. The second one is refused here: the lock lives as long as the
+    /// process that holds it, also when that process is killed.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error of kind [`io::ErrorKind::WouldBlock`] if another process holds
+    /// the lock, otherwise what the operating system reported.
+    pub fn open(folder: &Path) -> io::Result<Self> {
+        let handle = File::open(folder)?;
+        let lock = OpenOptions::new()
+            .create(true)
+            .truncate(false)
+            .write(true)
+            .open(folder.join(LOCK_FILE))?;
+        rustix::fs::flock(&lock, FlockOperation::NonBlockingLockExclusive)?;
+        Ok(Self {
+            folder: folder.to_path_buf(),
+            handle,
+            open: None,
+            _lock: lock,
+        })
+    }
+
+    fn opened(&mut self, name: &str) -> io::Result<&mut File> {
+        let reusable = self.open.as_ref().is_some_and(|(open, _)| open == name);
+        if !reusable {
+            let file = OpenOptions::new()
+                .append(true)
+                .open(self.folder.join(name))?;
+            self.open = Some((name.to_owned(), file));
+        }
+        self.open
+            .as_mut()
+            .map(|(_, file)| file)
+            .ok_or_else(|| io::ErrorKind::NotFound.into())
+    }
+}
+
+impl Disk for FolderDisk {
+    fn list(&self) -> io::Result<Vec<String>> {
+        let mut names = Vec::new();
+        for item in fs::read_dir(&self.folder)? {
+            names.push(item?.file_name().to_string_lossy().into_owned());
+        }
+        names.sort();
+        Ok(names)
+    }
+
+    fn read(&self, name: &str) -> io::Result<Vec<u8>> {
+        fs::read(self.folder.join(name))
+    }
+
+    fn write_whole(&mut self, name: &str, content: &[u8]) -> io::Result<()> {
+        let mut file = File::create(self.folder.join(name))?;
+        file.write_all(content)?;
+        file.sync_all()
+    }
+
+    fn append(&mut self, name: &str, bytes: &[u8]) -> io::Result<()> {
+        self.opened(name)?.write_all(bytes)
+    }
+
+    fn sync(&mut self, name: &str) -> io::Result<()> {
+        self.opened(name)?.sync_data()
+    }
+
+    fn cut(&mut self, name: &str, length: u64) -> io::Result<()> {
+        let file = self.opened(name)?;
+        file.set_len(length)?;
+        file.sync_all()
+    }
+
+    fn rename(&mut self, from: &str, to: &str) -> io::Result<()> {
+        fs::rename(self.folder.join(from), self.folder.join(to))
+    }
+
+    fn remove(&mut self, name: &str) -> io::Result<()> {
+        fs::remove_file(self.folder.join(name))
+    }
+
+    fn sync_folder(&mut self) -> io::Result<()> {
+        self.handle.sync_all()
+    }
+}
--- a/server/src/lib.rs
+++ b/server/src/lib.rs
@@ -8,3 +8,9 @@
 #[rustfmt::skip]
 #[path = "generated/heatherring.v1.rs"]
 pub mod proto;
+
+pub mod data_folder;
+pub mod log_disk;
+pub mod log_record;
+pub mod log_replay;
+pub mod record_codec;
--- /dev/null
+++ b/server/src/log_disk.rs
@@ -0,0 +1,415 @@
+//! The write-ahead log and the snapshots of a control replica.
+//!
+//! The log is a sequence of segments, each a file of frames (see `record_codec`). A
+//! snapshot is a file of its own; a marker in the log makes it count. Segments that a
+//! snapshot has made superfluous are deleted, oldest first.
+
+use std::borrow::Cow;
+use std::io;
+use std::time::Duration;
+use std::time::Instant;
+
+use heatherring_lib::id::Revision;
+use heatherring_lib::raft_message::HardState;
+use heatherring_lib::raft_message::LogEntry;
+use heatherring_lib::raft_message::LogWrite;
+use heatherring_lib::raft_message::Snapshot;
+use snafu::ResultExt;
+use snafu::Snafu;
+use snafu::ensure;
+
+use crate::data_folder::Disk;
+use crate::data_folder::FORMAT_VERSION;
+use crate::data_folder::IDENTITY_FILE;
+use crate::data_folder::Identity;
+use crate::data_folder::TEMPORARY_ENDING;
+use crate::data_folder::write_atomically;
+use crate::log_record::LogRecord;
+use crate::log_record::SegmentHead;
+use crate::log_record::SnapshotMark;
+use crate::log_record::segment_name;
+use crate::log_record::segment_number;
+use crate::log_record::snapshot_name;
+use crate::log_replay::DamagedLog;
+use crate::log_replay::Replayed;
+use crate::log_replay::replay;
+use crate::record_codec::encode_frame;
+
+/// Size of a segment after which the next one is begun.
+const SEGMENT_BYTES: u64 = 8 * 1024 * 1024;
+
+/// Tells why the disk can't be used.
+#[derive(Debug, Snafu)]
+#[snafu(visibility(pub))]
+pub enum DiskError {
+    /// The folder was never formatted.
+    #[snafu(display(
+        "the data folder isn't formatted\nhint: `heatherring control init` makes a new cluster; \
+         `heatherring control join` adds this replica to one"
+    ))]
+    Unformatted,
+    /// The folder holds files already.
+    #[snafu(display(
+        "the data folder isn't empty: it holds {name}\nhint: name an empty folder; a folder \
+         that was in use is never formatted again"
+    ))]
+    NotEmpty {
+        /// One of the files.
+        name: String,
+    },
+    /// Another process uses the folder.
+    #[snafu(display("the data folder is in use by another process"))]
+    Locked,
+    /// What the log holds can't be trusted.
+    #[snafu(display(
+        "{source}\nhint: this replica may have forgotten votes or entries that it \
+         acknowledged; move the folder away and replace the replica with \
+         `heatherring control repair`"
+    ))]
+    Damaged {
+        /// What is damaged.
+        source: DamagedLog,
+    },
+    /// Reading failed.
+    #[snafu(display("could not read the data folder"))]
+    Read {
+        /// What the operating system reported.
+        source: io::Error,
+    },
+    /// Writing or syncing failed.
+    #[snafu(display("could not write to the data folder"))]
+    Write {
+        /// What the operating system reported.
+        source: io::Error,
+    },
+    /// An earlier write or sync failed.
+    #[snafu(display("an earlier write to the data folder failed"))]
+    Stopped,
+}
+
+/// Holds what a replica finds on its disk when it starts.
+#[derive(Debug, Eq, PartialEq)]
+pub struct Recovered {
+    /// The identity of the data folder.
+    pub identity: Identity,
+    /// Term and vote.
+    pub hard_state: HardState,
+    /// The latest snapshot.
+    pub snapshot: Option<Snapshot>,
+    /// The entries after it.
+    pub entries: Vec<LogEntry>,
+}
+
+/// Writes the log of one replica.
+#[derive(Debug)]
+pub struct LogDisk<D> {
+    disk: D,
+    identity: Identity,
+    hard_state: HardState,
+    snapshot: Option<SnapshotMark>,
+    next_index: Revision,
+    segments: Vec<Segment>,
+    segment_bytes: u64,
+    next_frame: u64,
+    failed: bool,
+    last_sync: Duration,
+}
+
+/// Holds what is known of one segment file.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub(crate) struct Segment {
+    /// Numbers the segments from 1.
+    pub(crate) number: u64,
+    /// The highest position that was appended to it; 0 if none was.
+    pub(crate) highest: Revision,
+}
+
+/// Formats an empty folder: first the log, then, as the last step, the identity.
+///
+/// A crash in the middle leaves a folder without identity, which counts as unformatted
+/// and which the next attempt begins anew.
+///
+/// # Errors
+///
+/// Returns [`DiskError::NotEmpty`] if the folder holds anything but remains of such an
+/// attempt, and [`DiskError::Read`] or [`DiskError::Write`] if the folder fails.
+pub fn format<D: Disk>(
+    mut disk: D,
+    identity: Identity,
+    writes: &[LogWrite],
+) -> Result<D, DiskError> {
+    ensure_empty(&disk)?;
+    for name in disk.list().context(ReadSnafu)? {
+        if is_log_file(&name) || name.ends_with(TEMPORARY_ENDING) {
+            disk.remove(&name).context(WriteSnafu)?;
+        }
+    }
+    let mut log = LogDisk {
+        disk,
+        identity,
+        hard_state: HardState::default(),
+        snapshot: None,
+        next_index: Revision(1),
+        segments: Vec::new(),
+        segment_bytes: 0,
+        next_frame: 0,
+        failed: false,
+        last_sync: Duration::ZERO,
+    };
+    log.begin_segment().context(WriteSnafu)?;
+    log.write(writes)?;
+    write_atomically(&mut log.disk, IDENTITY_FILE, &identity.encode()).context(WriteSnafu)?;
+    Ok(log.disk)
+}
+
+/// Checks that a folder may be formatted.
+///
+/// # Errors
+///
+/// Returns [`DiskError::NotEmpty`] if it may not, [`DiskError::Read`] if that can't be
+/// found out.
+pub fn ensure_empty<D: Disk>(disk: &D) -> Result<(), DiskError> {
+    let names = disk.list().context(ReadSnafu)?;
+    let formatted = names.iter().any(|name| name == IDENTITY_FILE);
+    for name in names {
+        let remains = is_log_file(&name) || name.ends_with(TEMPORARY_ENDING);
+        let harmless = name == crate::data_folder::LOCK_FILE || (remains && !formatted);
+        ensure!(harmless, NotEmptySnafu { name });
+    }
+    Ok(())
+}
+
+fn is_log_file(name: &str) -> bool {
+    segment_number(name).is_some() || name.starts_with("snapshot-")
+}
+
+impl<D: Disk> LogDisk<D> {
+    /// Opens a formatted folder and reads it back.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`DiskError::Unformatted`], [`DiskError::Damaged`],
+    /// [`DiskError::Read`], or [`DiskError::Write`] if a torn tail can't be cut off.
+    pub fn open(mut disk: D) -> Result<(Self, Recovered), DiskError> {
+        let names = disk.list().context(ReadSnafu)?;
+        let formatted = names.iter().any(|name| name == IDENTITY_FILE);
+        ensure!(formatted, UnformattedSnafu);
+        let content = disk.read(IDENTITY_FILE).context(ReadSnafu)?;
+        let identity = Identity::decode(&content)
+            .filter(|identity| identity.format == FORMAT_VERSION)
+            .ok_or(DamagedLog::Identity)
+            .context(DamagedSnafu)?;
+        let replayed = replay(&disk, &identity, &names)?;
+        remove_remains(&mut disk, &names, replayed.snapshot.as_ref())?;
+        if let Some((name, length)) = &replayed.torn {
+            log::warn!(file = name.as_str(), length; "cutting off a write that a crash interrupted");
+            disk.cut(name, *length).context(WriteSnafu)?;
+        }
+        Ok(Self::start(disk, identity, replayed))
+    }
+
+    fn start(disk: D, identity: Identity, replayed: Replayed) -> (Self, Recovered) {
+        let snapshot = replayed.snapshot.as_ref().map(|snapshot| SnapshotMark {
+            index: snapshot.index,
+            term: snapshot.term,
+        });
+        let log = Self {
+            disk,
+            identity,
+            hard_state: replayed.hard_state,
+            snapshot,
+            next_index: replayed.next_index,
+            segments: replayed.segments,
+            segment_bytes: replayed.segment_bytes,
+            next_frame: replayed.next_frame,
+            failed: false,
+            last_sync: Duration::ZERO,
+        };
+        let recovered = Recovered {
+            identity,
+            hard_state: replayed.hard_state,
+            snapshot: replayed.snapshot,
+            entries: replayed.entries,
+        };
+        (log, recovered)
+    }
+
+    /// Makes records durable, in order, under one sync.
+    ///
+    /// After a failed write or sync nobody knows what the disk holds: the operating
+    /// system may have dropped the pages and report success the next time. The log
+    /// therefore takes no more writes, and the process must stop without sending.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`DiskError::Write`] for the failure and [`DiskError::Stopped`] ever after.
+    pub fn write(&mut self, writes: &[LogWrite]) -> Result<(), DiskError> {
+        ensure!(!self.failed, StoppedSnafu);
+        let result = self.write_all(writes);
+        self.failed = result.is_err();
+        result.context(WriteSnafu)
+    }
+
+    /// Returns the time that the latest sync took.
+    #[must_use]
+    pub const fn last_sync(&self) -> Duration {
+        self.last_sync
+    }
+
+    /// Returns the disk, as a test wants it back.
+    #[must_use]
+    pub fn into_disk(self) -> D {
+        self.disk
+    }
+
+    fn write_all(&mut self, writes: &[LogWrite]) -> io::Result<()> {
+        let mut records = Vec::with_capacity(writes.len());
+        for write in writes {
+            match write {
+                LogWrite::HardState(state) => {
+                    self.hard_state = *state;
+                    records.push(LogRecord::HardState(*state));
+                }
+                LogWrite::Truncate(from) => {
+                    self.next_index = self.next_index.min(*from);
+                    records.push(LogRecord::Truncate(*from));
+                }
+                LogWrite::Append(entry) => {
+                    self.next_index = entry.index.next();
+                    self.raise_highest(entry.index);
+                    records.push(LogRecord::Append(Cow::Borrowed(entry)));
+                }
+                LogWrite::Snapshot(snapshot) => {
+                    self.write_frame(&records)?;
+                    records.clear();
+                    self.write_snapshot(snapshot)?;
+                }
+            }
+        }
+        self.write_frame(&records)?;
+        if self.segment_bytes >= SEGMENT_BYTES {
+            self.seal_and_begin_segment()?;
+        }
+        Ok(())
+    }
+
+    fn raise_highest(&mut self, index: Revision) {
+        if let Some(segment) = self.segments.last_mut() {
+            segment.highest = segment.highest.max(index);
+        }
+    }
+
+    fn current_name(&self) -> io::Result<String> {
+        let last = self.segments.last().ok_or(io::ErrorKind::NotFound)?;
+        Ok(segment_name(last.number))
+    }
+
+    fn write_frame(&mut self, records: &[LogRecord<'_>]) -> io::Result<()> {
+        if records.is_empty() {
+            return Ok(());
+        }
+        let body = postcard::to_stdvec(records).map_err(io::Error::other)?;
+        let mut buf = Vec::with_capacity(body.len() + crate::record_codec::HEADER_BYTES);
+        encode_frame(self.next_frame, &body, &mut buf);
+        let name = self.current_name()?;
+        let begun = Instant::now();
+        self.disk.append(&name, &buf)?;
+        self.disk.sync(&name)?;
+        self.last_sync = begun.elapsed();
+        self.next_frame += 1;
+        self.segment_bytes += buf.len() as u64;
+        Ok(())
+    }
+
+    /// Writes a snapshot, then the marker that makes it count, then deletes what it
+    /// replaces. A crash between any two of these leaves a file without marker, which
+    /// is removed, or a file too many, which is deleted after the next snapshot.
+    fn write_snapshot(&mut self, snapshot: &Snapshot) -> io::Result<()> {
+        let mark = SnapshotMark {
+            index: snapshot.index,
+            term: snapshot.term,
+        };
+        if self.snapshot == Some(mark) {
+            return Ok(());
+        }
+        let body = postcard::to_stdvec(snapshot).map_err(io::Error::other)?;
+        let mut content = Vec::with_capacity(body.len() + crate::record_codec::HEADER_BYTES);
+        encode_frame(snapshot.index.0, &body, &mut content);
+        write_atomically(&mut self.disk, &snapshot_name(mark), &content)?;
+        self.write_frame(&[LogRecord::Snapshot(mark)])?;
+        let replaced = self.snapshot.replace(mark);
+        self.next_index = self.next_index.max(mark.index.next());
+        self.seal_and_begin_segment()?;
+        if let Some(old) = replaced {
+            self.disk.remove(&snapshot_name(old))?;
+        }
+        self.delete_old_segments(mark)
+    }
+
+    /// Seals the current segment, so that a missing successor is noticed, and begins it.
+    fn seal_and_begin_segment(&mut self) -> io::Result<()> {
+        let sealed = self.current_name()?;
+        let seal_frame = self.next_frame;
+        self.next_frame += 1;
+        self.begin_segment()?;
+        let body = postcard::to_stdvec(&[LogRecord::Sealed]).map_err(io::Error::other)?;
+        let mut buf = Vec::new();
+        encode_frame(seal_frame, &body, &mut buf);
+        self.disk.append(&sealed, &buf)?;
+        self.disk.sync(&sealed)
+    }
+
+    fn begin_segment(&mut self) -> io::Result<()> {
+        let number = self.segments.last().map_or(1, |last| last.number + 1);
+        let head = SegmentHead {
+            format: FORMAT_VERSION,
+            cluster: self.identity.cluster,
+            replica: self.identity.replica,
+            number,
+            next_index: self.next_index,
+            hard_state: self.hard_state,
+            snapshot: self.snapshot,
+        };
+        let body = postcard::to_stdvec(&[LogRecord::Head(head)]).map_err(io::Error::other)?;
+        let mut content = Vec::new();
+        encode_frame(self.next_frame, &body, &mut content);
+        write_atomically(&mut self.disk, &segment_name(number), &content)?;
+        self.next_frame += 1;
+        self.segment_bytes = content.len() as u64;
+        self.segments.push(Segment {
+            number,
+            highest: Revision(0),
+        });
+        Ok(())
+    }
+
+    fn delete_old_segments(&mut self, mark: SnapshotMark) -> io::Result<()> {
+        while self.segments.len() > 1 && self.segments[0].highest <= mark.index {
+            self.disk.remove(&segment_name(self.segments[0].number))?;
+            self.disk.sync_folder()?;
+            self.segments.remove(0);
+        }
+        Ok(())
+    }
+}
+
+/// Removes files that a crash left and that mean nothing.
+fn remove_remains<D: Disk>(
+    disk: &mut D,
+    names: &[String],
+    snapshot: Option<&Snapshot>,
+) -> Result<(), DiskError> {
+    let current = snapshot.map(|snapshot| {
+        snapshot_name(SnapshotMark {
+            index: snapshot.index,
+            term: snapshot.term,
+        })
+    });
+    for name in names {
+        let unmarked = name.starts_with("snapshot-") && Some(name) != current.as_ref();
+        if unmarked || name.ends_with(TEMPORARY_ENDING) {
+            disk.remove(name).context(WriteSnafu)?;
+        }
+    }
+    Ok(())
+}
