settings: required choice of security between processes

Without a default nobody leaves the protocols open by accident: either TLS with certificates of the deployment's authority on both ends, or open_loopback in plain words.

--- a/lib/src/settings.rs
+++ b/lib/src/settings.rs
@@ -35,6 +35,8 @@
     /// Intervals of the agreement among replicas, and of sessions.
     #[serde(default)]
     pub timing: ControlTiming,
+    /// How other processes and operators prove that they belong to the deployment.
+    pub security: Security,
     /// A snapshot is written, and the log before it dropped, every so many log positions.
     #[serde(default = "default_snapshot_every")]
     #[schemars(range(min = 1))]
@@ -133,6 +135,8 @@
     /// Addresses of control replicas, tried in order.
     #[schemars(length(min = 1), extend("items" = {"type": "string", "format": "socket-address"}))]
     pub control: Vec<SocketAddr>,
+    /// How other processes and operators prove that they belong to the deployment.
+    pub security: Security,
     /// Bounds on what one peer may cost.
     #[serde(default)]
     pub limits: EntryLimits,
@@ -239,3 +243,28 @@
 fn default_metrics_prefix() -> String {
     "heatherring".to_owned()
 }
+
+/// Says how the system's processes and its operators prove that they belong together.
+///
+/// There is no default: leaving the protocols open must be an explicit choice.
+#[derive(Clone, Debug, Deserialize, Eq, JsonSchema, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Security {
+    /// Nobody proves anything. Allowed only while every address listened on and
+    /// connected to is a loopback address.
+    OpenLoopback,
+    /// Both ends of every connection show a certificate of the deployment's authority.
+    Tls(TlsFiles),
+}
+
+/// Names the files of one process's TLS identity, all in PEM.
+#[derive(Clone, Debug, Deserialize, Eq, JsonSchema, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct TlsFiles {
+    /// Certificates of the deployment's authority.
+    pub authority_file: PathBuf,
+    /// This process's certificate, made out to the DNS name `heatherring`.
+    pub certificate_file: PathBuf,
+    /// The key of that certificate.
+    pub key_file: PathBuf,
+}
