--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -4,19 +4,29 @@
 //! randomness. Time comes in as an argument, randomness as a seed, and what is to be
 //! done goes out as values, so that every decision can be replayed in a test.
 
+pub mod admission;
+pub mod announcement;
 pub mod clock;
 pub mod config_fault;
 pub mod config_text;
+pub mod drain;
 pub mod id;
+pub mod link_budget;
+pub mod load_digest;
+pub mod lookup;
 pub mod manifest;
 pub mod manifest_check;
 pub mod manifest_text;
 pub mod outcome;
+pub mod ownership;
 pub mod raft;
 pub mod raft_config;
 pub mod raft_effects;
 pub mod raft_message;
+pub mod refusal;
+pub mod retry_budget;
 pub mod settings;
 pub mod settings_check;
 pub mod settings_text;
+pub mod steering;
 pub mod view;
--- /dev/null
+++ b/lib/src/ownership.rs
@@ -0,0 +1,150 @@
+//! Which session of an entry VM owns the backend servers of a service at a place.
+//!
+//! All backend servers of one (service, place) have the same owner, so that one queue
+//! and one count stand before them and the place's limits need no sharing. The owner
+//! is found by rendezvous hashing, so a session that comes or goes moves only what it
+//! gains or owned.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::id::BackendName;
+use crate::id::PlaceName;
+use crate::id::Revision;
+use crate::id::ServiceName;
+use crate::id::SessionId;
+use crate::id::VmName;
+use crate::view::ControlView;
+use crate::view::EntrySession;
+
+/// Names the backend servers of one service at one place.
+#[derive(Clone, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
+pub struct Group {
+    /// The service.
+    pub service: ServiceName,
+    /// The place.
+    pub place: PlaceName,
+}
+
+impl Group {
+    /// Names the group of `service` at `place`.
+    #[must_use]
+    pub const fn new(service: ServiceName, place: PlaceName) -> Self {
+        Self { service, place }
+    }
+}
+
+/// Tells the new owner of a group what the old one may still have in flight there.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Release {
+    /// The group that was given up.
+    pub group: Group,
+    /// The session that gave it up.
+    pub from: SessionId,
+    /// The revision that took the group from it.
+    pub revision: Revision,
+    /// Counts the releases of this session; a later one replaces an earlier one.
+    pub serial: u64,
+    /// What may still run.
+    pub in_flight: Vec<ReleasedWork>,
+    /// False if the old owner didn't know itself what its own predecessor had left.
+    pub complete: bool,
+}
+
+/// Describes one request that an old owner still has in flight.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct ReleasedWork {
+    /// The backend server that runs it.
+    pub backend: BackendName,
+    /// Time left until its deadline when the release was made, in milliseconds.
+    pub left_ms: u32,
+}
+
+impl ReleasedWork {
+    /// Describes a request with the deadline `until`, rounded up.
+    #[must_use]
+    pub fn new(backend: BackendName, now: Instant, until: Instant) -> Self {
+        let left = until.saturating_duration_since(now) + Duration::from_millis(1);
+        let left_ms = u32::try_from(left.as_millis()).unwrap_or(u32::MAX);
+        Self { backend, left_ms }
+    }
+}
+
+/// Returns the owner of the backend servers of `service` at `place`, if any session
+/// may own some.
+#[must_use]
+pub fn owner<'v>(
+    view: &'v ControlView,
+    service: &ServiceName,
+    place: &PlaceName,
+) -> Option<&'v EntrySession> {
+    eligible(view, place)
+        .into_iter()
+        .max_by_key(|session| rank(service, place, session))
+}
+
+/// Returns the sessions that may own backend servers at `place`: those of the place
+/// that aren't leaving; if there are none, those of its region; else all.
+#[must_use]
+pub fn eligible<'v>(view: &'v ControlView, place: &PlaceName) -> Vec<&'v EntrySession> {
+    let staying = || view.sessions.values().filter(|session| !session.leaving);
+    let near: Vec<_> = staying().filter(|s| s.info.place == *place).collect();
+    if !near.is_empty() {
+        return near;
+    }
+    let region = view
+        .manifest
+        .as_ref()
+        .and_then(|in_force| in_force.manifest.places.get(place))
+        .map(|place| &place.region);
+    let regional: Vec<_> = staying()
+        .filter(|s| Some(&s.info.region) == region)
+        .collect();
+    if !regional.is_empty() {
+        return regional;
+    }
+    staying().collect()
+}
+
+/// Returns the groups that `session` owns in `view`, in order.
+#[must_use]
+pub fn groups_of(view: &ControlView, session: SessionId) -> Vec<Group> {
+    let Some(in_force) = &view.manifest else {
+        return Vec::new();
+    };
+    let mut groups = Vec::new();
+    for (name, service) in &in_force.manifest.services {
+        for place in service.limits.keys() {
+            if owner(view, name, place).is_some_and(|owner| owner.id == session) {
+                groups.push(Group::new(name.clone(), place.clone()));
+            }
+        }
+    }
+    groups
+}
+
+fn rank(service: &ServiceName, place: &PlaceName, session: &EntrySession) -> (u64, SessionId) {
+    let score = rendezvous_score(&[service.as_str(), place.as_str()], &session.info.vm);
+    (score, session.id)
+}
+
+/// Scores `vm` for a key by rendezvous hashing; the highest score wins.
+///
+/// The first 64 bits of BLAKE3 over the parts, each closed by a zero byte so that no
+/// two lists of parts read the same.
+#[must_use]
+pub fn rendezvous_score(key: &[&str], vm: &VmName) -> u64 {
+    let mut hasher = blake3::Hasher::new();
+    for part in key {
+        hasher.update(part.as_bytes());
+        hasher.update(&[0]);
+    }
+    hasher.update(vm.as_str().as_bytes());
+    let digest = hasher.finalize();
+    let mut first = [0; 8];
+    first.copy_from_slice(&digest.as_bytes()[..8]);
+    u64::from_le_bytes(first)
+}
