--- a/testutils/src/lib.rs
+++ b/testutils/src/lib.rs
@@ -1,1 +1,16 @@
-//! Stand-ins for what surrounds heatherring.
+//! Stand-ins for what surrounds heatherring: backend servers, callers, slow and cut
+//! links, a cluster of real processes, and the check of what all of them recorded.
+
+mod announcer;
+pub mod caller;
+pub mod cluster;
+pub mod echo;
+pub mod fake_backend_server;
+pub mod ledger;
+pub mod loopback;
+pub mod machine_clock;
+pub mod process;
+pub mod relay;
+pub mod request_history;
+pub mod service_time;
+pub mod wait;
