ticket, action_record: keys of actions and what is recorded of them

A key holds its ticket, so each entry VM learns from a resend alone which session may dispatch it and which one keeps the second record. Whether a key is valid depends on its text and the deployment only: that makes refusing an invalid one a proof of "not run".

--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -4,6 +4,7 @@
 //! randomness. Time comes in as an argument, randomness as a seed, and what is to be
 //! done goes out as values, so that every decision can be replayed in a test.
 
+pub mod action_record;
 pub mod admission;
 pub mod announcement;
 pub mod clock;
@@ -29,4 +30,6 @@
 pub mod settings_check;
 pub mod settings_text;
 pub mod steering;
+pub mod ticket;
 pub mod view;
+pub mod wall_anchor;
