--- a/lib/src/admission.rs
+++ b/lib/src/admission.rs
@@ -17,10 +17,10 @@
 use crate::id::Revision;
 use crate::id::SessionId;
 use crate::load_digest::GroupLoad;
+use crate::outcome::NotRun;
+use crate::outcome::NotRunReason;
 use crate::ownership::Group;
 use crate::ownership::Release;
-use crate::refusal::Refusal;
-use crate::refusal::RefusalReason;
 use crate::view::ControlView;
 
 new_key_type! {
@@ -57,7 +57,7 @@
     /// It waits; an [`Effect`] with its token follows.
     Queued,
     /// It is not run.
-    Refused(Refusal),
+    Refused(NotRun),
 }
 
 /// Tells where to send a request. The slot is taken until [`Admission::finish`].
@@ -106,7 +106,7 @@
         /// The request.
         token: RequestToken,
         /// Why, and when to come back.
-        refusal: Refusal,
+        refusal: NotRun,
     },
     /// Send a release to the new owner.
     Release {
@@ -203,10 +203,8 @@
     /// Decides what becomes of a request.
     pub fn offer(&mut self, now: Instant, offer: Offer) -> Verdict {
         let _ = (now, offer, self.session);
-        Verdict::Refused(Refusal {
-            reason: RefusalReason::NoBackendServer,
-            retry_after: Duration::from_secs(1),
-        })
+        let not_run = NotRun::proved(NotRunReason::NoBackendServer);
+        Verdict::Refused(not_run.with_retry_after(Duration::from_secs(1)))
     }
 
     /// Notes how a dispatch ended and returns what may be dispatched now.
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -24,7 +24,6 @@
 pub mod raft_config;
 pub mod raft_effects;
 pub mod raft_message;
-pub mod refusal;
 pub mod retry_budget;
 pub mod settings;
 pub mod settings_check;
--- a/lib/src/lookup.rs
+++ b/lib/src/lookup.rs
@@ -8,7 +8,8 @@
 use crate::id::Revision;
 use crate::id::ServiceName;
 use crate::id::SessionId;
-use crate::refusal::Refusal;
+use crate::outcome::NotRun;
+use crate::outcome::NotRunReason;
 use crate::view::ControlView;
 use crate::view::EntrySession;
 
@@ -63,11 +64,9 @@
         service: &ServiceName,
         origin: &PlaceName,
         caller: u64,
-    ) -> Result<LookupAnswer, Refusal> {
+    ) -> Result<LookupAnswer, NotRun> {
         let _ = (now, service, origin, caller);
-        Err(Refusal {
-            reason: crate::refusal::RefusalReason::NoLease,
-            retry_after: Duration::from_secs(1),
-        })
+        let not_run = NotRun::proved(NotRunReason::NoManifest);
+        Err(not_run.with_retry_after(Duration::from_secs(1)))
     }
 }
--- a/lib/src/steering.rs
+++ b/lib/src/steering.rs
@@ -9,9 +9,9 @@
 use crate::id::ServiceName;
 use crate::id::SessionId;
 use crate::load_digest::LoadDigest;
+use crate::outcome::NotRunReason;
 use crate::ownership;
 use crate::ownership::Group;
-use crate::refusal::RefusalReason;
 use crate::view::ControlView;
 
 /// Describes a request that is to be steered.
@@ -94,7 +94,7 @@
     }
 
     /// Notes that `candidate` refused a request.
-    pub fn note_refused(&mut self, now: Instant, candidate: &Candidate, reason: RefusalReason) {
+    pub fn note_refused(&mut self, now: Instant, candidate: &Candidate, reason: NotRunReason) {
         let _ = (now, candidate, reason);
     }
 
