--- /dev/null
+++ b/lib/src/control_state.rs
@@ -0,0 +1,442 @@
+//! The replicated state: what the positions of the log do, on every replica alike.
+//!
+//! Nothing here depends on anything but the log, so replicas that have applied the
+//! same positions hold equal states.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use serde::Deserialize;
+use serde::Serialize;
+use snafu::ResultExt;
+use snafu::Snafu;
+use snafu::ensure;
+
+use crate::audit::AuditEvent;
+use crate::audit::AuditTrail;
+use crate::command::Command;
+use crate::command::CommandKind;
+use crate::command::MembershipChange;
+use crate::command::MembershipRequest;
+use crate::command::Submission;
+use crate::encoding;
+use crate::encoding::EncodingError;
+use crate::id::ReplicaId;
+use crate::id::Revision;
+use crate::id::SessionId;
+use crate::id::VmName;
+use crate::manifest_delta::DeltaError;
+use crate::manifest_delta::ManifestDelta;
+use crate::manifest_delta::encode_manifest;
+use crate::raft_message::Membership;
+use crate::submission_history::SubmissionAnswer;
+use crate::submission_history::SubmissionHistory;
+use crate::view::ControlView;
+use crate::view::EntryInfo;
+use crate::view::EntrySession;
+use crate::view::ManifestChange;
+use crate::view::ManifestInForce;
+use crate::view::ViewChange;
+use crate::view::ViewChangeKind;
+use crate::view_log::ViewLog;
+
+/// Numbers the encoding of snapshots.
+const SNAPSHOT_FORMAT: u8 = 1;
+
+/// Names the replicas themselves in the audit trail.
+const CONTROL: &str = "control";
+
+/// Tells why a log position couldn't be applied. A replica that gets one must stop:
+/// its state and the log don't belong together.
+#[derive(Debug, Snafu)]
+pub enum ControlStateError {
+    /// The position doesn't follow the last one.
+    #[snafu(display("position {found} came where {expected} was next"))]
+    OutOfOrder {
+        /// The position that is next.
+        expected: Revision,
+        /// The position that came.
+        found: Revision,
+    },
+    /// A manifest couldn't be encoded.
+    #[snafu(display("the manifest of position {index} can't be encoded"))]
+    Manifest {
+        /// The position.
+        index: Revision,
+        /// The cause.
+        source: DeltaError,
+    },
+    /// A snapshot couldn't be encoded or decoded.
+    #[snafu(display("the snapshot can't be encoded or decoded"))]
+    Snapshot {
+        /// The cause.
+        source: EncodingError,
+    },
+}
+
+/// Answers a command.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Response {
+    /// Answers a submission.
+    Submission(SubmissionAnswer),
+    /// The session was opened.
+    SessionOpened(SessionId),
+    /// The command did what it says, or that had been done before.
+    Done,
+    /// The session isn't open, any more or yet.
+    UnknownSession,
+}
+
+/// Holds what applying a command gave.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Applied {
+    /// The answer for the one who proposed it.
+    pub response: Response,
+    /// What changed for entry VMs; nothing, or one change.
+    pub view_changes: Vec<ViewChange>,
+}
+
+/// Tells how an entry VM gets from the revision that it has applied to the newest.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum ViewUpdate {
+    /// By these changes, in order; by none, if it is up to date.
+    Changes(Vec<ViewChange>),
+    /// By the whole view.
+    Whole(ControlView),
+    /// Not by this replica, which is behind the entry. It must answer that it isn't
+    /// current: serving its view would take the entry back to an older manifest.
+    ReplicaBehind,
+}
+
+/// Holds the replicated state after one log position.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct ControlState {
+    /// The last position applied.
+    revision: Revision,
+    /// What entry VMs see; its revision is that of the last change that they see.
+    view: ControlView,
+    view_log: ViewLog,
+    history: SubmissionHistory,
+    audit: AuditTrail,
+    /// Replicas to be removed once the new one votes, by the new one.
+    replacements: BTreeMap<ReplicaId, ReplicaId>,
+    /// Wall clock of the last command.
+    wall_ms: u64,
+}
+
+impl ControlState {
+    /// Applies the command at position `index`.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if `index` isn't the next position or the command can't be
+    /// applied; the replica must stop then.
+    pub fn apply(
+        &mut self,
+        index: Revision,
+        command: &Command,
+    ) -> Result<Applied, ControlStateError> {
+        self.advance(index)?;
+        self.wall_ms = command.wall_ms;
+        match &command.kind {
+            CommandKind::SubmitManifest(submission) => self.submit(submission),
+            CommandKind::OpenSession(info) => Ok(self.open_session(info)),
+            CommandKind::MarkLeaving(session) => Ok(self.mark_leaving(*session)),
+            CommandKind::LapseSession(session) => Ok(self.lapse_session(*session)),
+            CommandKind::CloseSession(session) => Ok(self.close_session(*session)),
+            CommandKind::RequestMembership(request) => Ok(self.request_membership(request)),
+        }
+    }
+
+    /// Applies a position that holds no command for the state.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if `index` isn't the next position.
+    pub fn apply_noop(&mut self, index: Revision) -> Result<(), ControlStateError> {
+        self.advance(index)
+    }
+
+    /// Applies a position that changes the replicas.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if `index` isn't the next position.
+    pub fn apply_membership(
+        &mut self,
+        index: Revision,
+        membership: &Membership,
+    ) -> Result<(), ControlStateError> {
+        self.advance(index)?;
+        let is_member = |replica: &ReplicaId| {
+            membership.voters.contains_key(replica) || membership.learners.contains_key(replica)
+        };
+        // The request is committed before the replica joins, so a new replica that isn't
+        // a member yet keeps its plan; one whose predecessor is gone needs none.
+        self.replacements.retain(|_, replaced| is_member(replaced));
+        self.record(
+            CONTROL,
+            AuditEvent::MembershipChanged {
+                voters: membership.voters.keys().copied().collect(),
+                learners: membership.learners.keys().copied().collect(),
+            },
+        );
+        Ok(())
+    }
+
+    fn advance(&mut self, index: Revision) -> Result<(), ControlStateError> {
+        let expected = self.revision.next();
+        ensure!(
+            index == expected,
+            OutOfOrderSnafu {
+                expected,
+                found: index
+            }
+        );
+        self.revision = index;
+        Ok(())
+    }
+
+    fn submit(&mut self, submission: &Submission) -> Result<Applied, ControlStateError> {
+        let version = submission.version();
+        let digest = submission.digest;
+        let known = self.history.answer(version, digest);
+        match known {
+            None => self.accept(submission),
+            // A resend changes nothing, so it leaves no record either: a pipeline that
+            // repeats itself must not push everything else out of the audit trail.
+            Some(answer @ SubmissionAnswer::Accepted { .. }) => Ok(answered(answer)),
+            Some(answer @ SubmissionAnswer::VersionConflict { winner }) => {
+                let event = AuditEvent::ManifestConflict {
+                    version,
+                    digest,
+                    winner,
+                };
+                self.record(&submission.operator, event);
+                Ok(answered(answer))
+            }
+            Some(answer @ SubmissionAnswer::StaleVersion { current }) => {
+                let event = AuditEvent::ManifestStale {
+                    version,
+                    digest,
+                    current,
+                };
+                self.record(&submission.operator, event);
+                Ok(answered(answer))
+            }
+        }
+    }
+
+    fn accept(&mut self, submission: &Submission) -> Result<Applied, ControlStateError> {
+        let revision = self.revision;
+        let digest = submission.digest;
+        let in_force = Arc::new(ManifestInForce {
+            revision,
+            digest,
+            manifest: submission.manifest.clone(),
+        });
+        let change = manifest_change(self.view.manifest.as_deref(), &in_force)
+            .context(ManifestSnafu { index: revision })?;
+        self.view.manifest = Some(in_force);
+        self.history.accept(revision, self.wall_ms, submission);
+        let event = AuditEvent::ManifestAccepted {
+            version: submission.version(),
+            digest,
+        };
+        self.record(&submission.operator, event);
+        let response = Response::Submission(SubmissionAnswer::Accepted { revision });
+        Ok(self.changed(response, ViewChangeKind::Manifest(change)))
+    }
+
+    fn open_session(&mut self, info: &EntryInfo) -> Applied {
+        let id = SessionId(self.revision.0);
+        let session = EntrySession {
+            id,
+            info: info.clone(),
+            leaving: false,
+        };
+        self.view.sessions.insert(id, session.clone());
+        self.record_session(&session, |session, vm| AuditEvent::SessionOpened {
+            session,
+            vm,
+        });
+        self.changed(
+            Response::SessionOpened(id),
+            ViewChangeKind::SessionOpened(session),
+        )
+    }
+
+    fn mark_leaving(&mut self, id: SessionId) -> Applied {
+        let Some(session) = self.view.sessions.get_mut(&id) else {
+            return unchanged(Response::UnknownSession);
+        };
+        if session.leaving {
+            return unchanged(Response::Done);
+        }
+        session.leaving = true;
+        let session = session.clone();
+        self.record_session(&session, |session, vm| AuditEvent::SessionLeaving {
+            session,
+            vm,
+        });
+        self.changed(Response::Done, ViewChangeKind::SessionLeaving(id))
+    }
+
+    fn lapse_session(&mut self, id: SessionId) -> Applied {
+        let Some(session) = self.view.sessions.remove(&id) else {
+            return unchanged(Response::UnknownSession);
+        };
+        let event = AuditEvent::SessionLapsed {
+            session: id,
+            vm: session.info.vm,
+        };
+        self.record(CONTROL, event);
+        self.changed(Response::Done, ViewChangeKind::SessionLapsed(id))
+    }
+
+    fn close_session(&mut self, id: SessionId) -> Applied {
+        let Some(session) = self.view.sessions.remove(&id) else {
+            return unchanged(Response::UnknownSession);
+        };
+        self.record_session(&session, |session, vm| AuditEvent::SessionClosed {
+            session,
+            vm,
+        });
+        self.changed(Response::Done, ViewChangeKind::SessionClosed(id))
+    }
+
+    fn request_membership(&mut self, request: &MembershipRequest) -> Applied {
+        if let MembershipChange::Add {
+            replica,
+            replaces: Some(replaced),
+            ..
+        } = &request.change
+        {
+            self.replacements.insert(*replica, *replaced);
+        }
+        let event = AuditEvent::MembershipRequested(request.change.clone());
+        self.record(&request.operator, event);
+        unchanged(Response::Done)
+    }
+
+    fn record(&mut self, who: &str, event: AuditEvent) {
+        self.audit.push(self.revision, self.wall_ms, who, event);
+    }
+
+    fn record_session(
+        &mut self,
+        session: &EntrySession,
+        event: impl FnOnce(SessionId, VmName) -> AuditEvent,
+    ) {
+        let vm = &session.info.vm;
+        self.record(vm.as_str(), event(session.id, vm.clone()));
+    }
+
+    fn changed(&mut self, response: Response, kind: ViewChangeKind) -> Applied {
+        let change = ViewChange {
+            revision: self.revision,
+            kind,
+        };
+        self.view.revision = change.revision;
+        self.view_log.push(change.clone());
+        Applied {
+            response,
+            view_changes: vec![change],
+        }
+    }
+
+    /// Returns the last position applied.
+    #[must_use]
+    pub const fn revision(&self) -> Revision {
+        self.revision
+    }
+
+    /// Returns what entry VMs see. Its revision is that of the last change that they
+    /// see, which may be lower than [`Self::revision`].
+    #[must_use]
+    pub const fn view(&self) -> &ControlView {
+        &self.view
+    }
+
+    /// Returns how an entry VM gets on from `applied`; 0 stands for no view at all.
+    #[must_use]
+    pub fn update_from(&self, applied: Revision) -> ViewUpdate {
+        if applied > self.view.revision {
+            return ViewUpdate::ReplicaBehind;
+        }
+        if applied == Revision::default() {
+            return ViewUpdate::Whole(self.view.clone());
+        }
+        match self.view_log.after(applied) {
+            Some(changes) => ViewUpdate::Changes(changes),
+            None => ViewUpdate::Whole(self.view.clone()),
+        }
+    }
+
+    /// Returns the accepted manifests of the recent past.
+    #[must_use]
+    pub const fn history(&self) -> &SubmissionHistory {
+        &self.history
+    }
+
+    /// Returns the audit trail.
+    #[must_use]
+    pub const fn audit(&self) -> &AuditTrail {
+        &self.audit
+    }
+
+    /// Returns which replica is to be removed once `replica` votes.
+    #[must_use]
+    pub fn replaced_by(&self, replica: ReplicaId) -> Option<ReplicaId> {
+        self.replacements.get(&replica).copied()
+    }
+
+    /// Encodes the state for a snapshot.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if serialization fails.
+    pub fn encode_snapshot(&self) -> Result<Vec<u8>, ControlStateError> {
+        encoding::encode(SNAPSHOT_FORMAT, self).context(SnapshotSnafu)
+    }
+
+    /// Decodes the state of a snapshot.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the bytes aren't a state of a known format.
+    pub fn decode_snapshot(encoded: &[u8]) -> Result<Self, ControlStateError> {
+        encoding::decode(SNAPSHOT_FORMAT, encoded).context(SnapshotSnafu)
+    }
+}
+
+const fn unchanged(response: Response) -> Applied {
+    Applied {
+        response,
+        view_changes: Vec::new(),
+    }
+}
+
+const fn answered(answer: SubmissionAnswer) -> Applied {
+    unchanged(Response::Submission(answer))
+}
+
+/// Picks the smaller of the whole manifest and its difference to the one before.
+fn manifest_change(
+    base: Option<&ManifestInForce>,
+    target: &Arc<ManifestInForce>,
+) -> Result<ManifestChange, DeltaError> {
+    let whole = ManifestChange::Whole(Arc::clone(target));
+    let Some(base) = base else {
+        return Ok(whole);
+    };
+    let delta = ManifestDelta::between(&base.manifest, &target.manifest)?.encode()?;
+    if delta.len() >= encode_manifest(&target.manifest)?.len() {
+        return Ok(whole);
+    }
+    Ok(ManifestChange::Delta {
+        base: base.digest,
+        digest: target.digest,
+        delta,
+    })
+}
--- /dev/null
+++ b/lib/src/list_delta.rs
@@ -0,0 +1,111 @@
+//! The difference of two lists whose order matters.
+
+use serde::Deserialize;
+use serde::Serialize;
+use snafu::OptionExt;
+use snafu::Snafu;
+
+/// How far ahead the two lists are searched for the next item in common.
+///
+/// Bounds the work to a few hundred comparisons per item that differs. Lists that
+/// differ over longer stretches get a larger delta, never a wrong one.
+const LOOK_AHEAD: usize = 128;
+
+/// Tells why a delta doesn't fit a list.
+#[derive(Debug, Snafu)]
+pub enum ListDeltaError {
+    /// The delta reaches past the list's end.
+    #[snafu(display("the delta reaches past the end of its base of {length} items"))]
+    PastEnd {
+        /// Number of items in the list.
+        length: usize,
+    },
+}
+
+/// Holds the steps that turn one list into another. Items after the last step are kept.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct ListDelta<T> {
+    steps: Vec<Step<T>>,
+}
+
+/// Keeps some items, then skips some and inserts others.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+struct Step<T> {
+    keep: usize,
+    skip: usize,
+    insert: Vec<T>,
+}
+
+impl<T: Clone + PartialEq> ListDelta<T> {
+    /// Computes what turns `base` into `target`.
+    #[must_use]
+    pub fn between(base: &[T], target: &[T]) -> Self {
+        // An edit in one stretch, however long, is found by its common ends alone.
+        let kept_end = common_suffix(base, target);
+        let mut base = &base[..base.len() - kept_end];
+        let mut target = &target[..target.len() - kept_end];
+        let mut steps = Vec::new();
+        while base != target {
+            let keep = common_prefix(base, target);
+            base = &base[keep..];
+            target = &target[keep..];
+            let (skip, insert) = differing_prefix(base, target);
+            steps.push(Step {
+                keep,
+                skip,
+                insert: target[..insert].to_vec(),
+            });
+            base = &base[skip..];
+            target = &target[insert..];
+        }
+        Self { steps }
+    }
+
+    /// Applies the steps to `base`.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if a step reaches past the end of `base`.
+    pub fn apply(&self, base: &[T]) -> Result<Vec<T>, ListDeltaError> {
+        let length = base.len();
+        let mut rest = base;
+        let mut result = Vec::with_capacity(length);
+        for step in &self.steps {
+            let (kept, after_kept) = rest
+                .split_at_checked(step.keep)
+                .context(PastEndSnafu { length })?;
+            result.extend_from_slice(kept);
+            result.extend_from_slice(&step.insert);
+            rest = after_kept
+                .get(step.skip..)
+                .context(PastEndSnafu { length })?;
+        }
+        result.extend_from_slice(rest);
+        Ok(result)
+    }
+}
+
+fn common_prefix<T: PartialEq>(base: &[T], target: &[T]) -> usize {
+    base.iter().zip(target).take_while(|(a, b)| a == b).count()
+}
+
+fn common_suffix<T: PartialEq>(base: &[T], target: &[T]) -> usize {
+    let pairs = base.iter().rev().zip(target.iter().rev());
+    pairs.take_while(|(a, b)| a == b).count()
+}
+
+/// Returns how many items of `base` and of `target` come before the next item that
+/// they have in common, as near as possible; everything, if none is in reach.
+fn differing_prefix<T: PartialEq>(base: &[T], target: &[T]) -> (usize, usize) {
+    for distance in 1..LOOK_AHEAD {
+        let meets = |(skip, insert): &(usize, usize)| match (base.get(*skip), target.get(*insert)) {
+            (Some(a), Some(b)) => a == b,
+            _ => false,
+        };
+        let candidates = [(distance, distance), (distance, 0), (0, distance)];
+        if let Some(found) = candidates.into_iter().find(meets) {
+            return found;
+        }
+    }
+    (base.len().min(LOOK_AHEAD), target.len().min(LOOK_AHEAD))
+}
--- a/lib/src/view.rs
+++ b/lib/src/view.rs
@@ -9,14 +9,21 @@
 
 use serde::Deserialize;
 use serde::Serialize;
+use snafu::OptionExt;
+use snafu::ResultExt;
+use snafu::Snafu;
+use snafu::ensure;
 
 use crate::id::ContentDigest;
+use crate::id::ManifestVersion;
 use crate::id::PlaceName;
 use crate::id::RegionName;
 use crate::id::Revision;
 use crate::id::SessionId;
 use crate::id::VmName;
 use crate::manifest::Manifest;
+use crate::manifest_delta::DeltaError;
+use crate::manifest_delta::ManifestDelta;
 
 /// Tells where an entry VM is and how it is reached.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
@@ -110,3 +117,162 @@
         delta: Vec<u8>,
     },
 }
+
+/// Tells why a change couldn't be applied to a view.
+#[derive(Debug, Snafu)]
+pub enum ViewError {
+    /// The change is part of the view already, or older.
+    #[snafu(display("change {change} isn't newer than view {view}"))]
+    NotNewer {
+        /// Revision of the change.
+        change: Revision,
+        /// Revision of the view.
+        view: Revision,
+    },
+    /// A delta came although the view holds no manifest.
+    #[snafu(display("change {change} is a delta, and the view holds no manifest"))]
+    MissingBase {
+        /// Revision of the change.
+        change: Revision,
+    },
+    /// A delta was made from another manifest than the view's.
+    #[snafu(display("the delta applies to {expected}; the view holds {found}"))]
+    WrongBase {
+        /// Digest of the manifest that the delta applies to.
+        expected: ContentDigest,
+        /// Digest of the manifest in the view.
+        found: ContentDigest,
+    },
+    /// A delta couldn't be read or gave another manifest than expected.
+    #[snafu(display("the manifest of change {change} can't be restored"))]
+    Delta {
+        /// Revision of the change.
+        change: Revision,
+        /// The cause.
+        source: DeltaError,
+    },
+    /// A manifest came whose version doesn't exceed that of the view's.
+    #[snafu(display("manifest version {change} isn't above version {view}"))]
+    ManifestNotNewer {
+        /// Version in the change.
+        change: ManifestVersion,
+        /// Version in the view.
+        view: ManifestVersion,
+    },
+    /// The change concerns a session that the view doesn't hold.
+    #[snafu(display("session {session} isn't part of the view"))]
+    UnknownSession {
+        /// The session.
+        session: SessionId,
+    },
+    /// The change opens a session that the view holds already.
+    #[snafu(display("session {session} is part of the view already"))]
+    DuplicateSession {
+        /// The session.
+        session: SessionId,
+    },
+}
+
+impl ControlView {
+    /// Applies one change.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error, and leaves the view as it was, if the change isn't newer than
+    /// the view or doesn't fit it. The holder then asks control for the whole view.
+    pub fn apply(&mut self, change: &ViewChange) -> Result<(), ViewError> {
+        // Replies that overtake each other, or come from a replica that is behind,
+        // would otherwise bring back an older manifest or a session that is gone.
+        ensure!(
+            change.revision > self.revision,
+            NotNewerSnafu {
+                change: change.revision,
+                view: self.revision
+            }
+        );
+        match &change.kind {
+            ViewChangeKind::Manifest(manifest) => {
+                let manifest = self.changed_manifest(change.revision, manifest)?;
+                self.manifest = Some(manifest);
+            }
+            ViewChangeKind::SessionOpened(session) => self.open(session)?,
+            ViewChangeKind::SessionLeaving(session) => self.mark_leaving(*session)?,
+            ViewChangeKind::SessionLapsed(session) | ViewChangeKind::SessionClosed(session) => {
+                self.remove(*session)?;
+            }
+        }
+        self.revision = change.revision;
+        Ok(())
+    }
+
+    fn changed_manifest(
+        &self,
+        revision: Revision,
+        change: &ManifestChange,
+    ) -> Result<Arc<ManifestInForce>, ViewError> {
+        let next = match change {
+            ManifestChange::Whole(whole) => Arc::clone(whole),
+            ManifestChange::Delta {
+                base,
+                digest,
+                delta,
+            } => {
+                let held = self
+                    .manifest
+                    .as_ref()
+                    .context(MissingBaseSnafu { change: revision })?;
+                ensure!(
+                    held.digest == *base,
+                    WrongBaseSnafu {
+                        expected: *base,
+                        found: held.digest
+                    }
+                );
+                let manifest = ManifestDelta::decode(delta)
+                    .and_then(|delta| delta.apply(&held.manifest))
+                    .context(DeltaSnafu { change: revision })?;
+                Arc::new(ManifestInForce {
+                    revision,
+                    digest: *digest,
+                    manifest,
+                })
+            }
+        };
+        if let Some(held) = &self.manifest {
+            ensure!(
+                next.manifest.version > held.manifest.version,
+                ManifestNotNewerSnafu {
+                    change: next.manifest.version,
+                    view: held.manifest.version
+                }
+            );
+        }
+        Ok(next)
+    }
+
+    fn open(&mut self, session: &EntrySession) -> Result<(), ViewError> {
+        let id = session.id;
+        ensure!(
+            !self.sessions.contains_key(&id),
+            DuplicateSessionSnafu { session: id }
+        );
+        self.sessions.insert(id, session.clone());
+        Ok(())
+    }
+
+    fn mark_leaving(&mut self, session: SessionId) -> Result<(), ViewError> {
+        let held = self
+            .sessions
+            .get_mut(&session)
+            .context(UnknownSessionSnafu { session })?;
+        held.leaving = true;
+        Ok(())
+    }
+
+    fn remove(&mut self, session: SessionId) -> Result<(), ViewError> {
+        self.sessions
+            .remove(&session)
+            .context(UnknownSessionSnafu { session })?;
+        Ok(())
+    }
+}
--- /dev/null
+++ b/lib/src/view_log.rs
@@ -0,0 +1,62 @@
+//! The recent changes of the view, so that entry VMs can resume from an older one.
+
+use std::collections::VecDeque;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::id::Revision;
+use crate::view::ManifestChange;
+use crate::view::ViewChange;
+use crate::view::ViewChangeKind;
+
+/// Number of changes kept.
+pub const VIEW_LOG_CAPACITY: usize = 1_024;
+
+/// Number of whole manifests kept among the changes. An entry that would need more of
+/// them is better served with the whole view.
+pub const WHOLE_MANIFEST_CAPACITY: usize = 4;
+
+/// Holds the latest changes, in log order.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct ViewLog {
+    changes: VecDeque<ViewChange>,
+    /// Revision of the last change that was dropped.
+    floor: Revision,
+}
+
+impl ViewLog {
+    /// Adds a change; the oldest give way beyond the capacities.
+    pub(crate) fn push(&mut self, change: ViewChange) {
+        self.changes.push_back(change);
+        while self.overflows() {
+            if let Some(dropped) = self.changes.pop_front() {
+                self.floor = dropped.revision;
+            }
+        }
+    }
+
+    fn overflows(&self) -> bool {
+        let whole = self.changes.iter().filter(|change| is_whole(change));
+        self.changes.len() > VIEW_LOG_CAPACITY || whole.count() > WHOLE_MANIFEST_CAPACITY
+    }
+
+    /// Returns the changes after `revision`, or `None` if some of them were dropped.
+    #[must_use]
+    pub fn after(&self, revision: Revision) -> Option<Vec<ViewChange>> {
+        if revision < self.floor {
+            return None;
+        }
+        let start = self
+            .changes
+            .partition_point(|change| change.revision <= revision);
+        Some(self.changes.range(start..).cloned().collect())
+    }
+}
+
+const fn is_whole(change: &ViewChange) -> bool {
+    matches!(
+        change.kind,
+        ViewChangeKind::Manifest(ManifestChange::Whole(_))
+    )
+}
