--- /dev/null
+++ b/server/src/backend_pool.rs
@@ -0,0 +1,338 @@
+//! Connections to backend servers, kept for reuse.
+//!
+//! One task owns the idle connections of all backend servers that this entry VM owns
+//! and counts the open ones. A new connection costs a backend server about 1 ms, so
+//! the one used last is handed out first.
+//!
+//! A connection whose answer was abandoned or broke off is never handed out again:
+//! what is left of that answer would be read as the next caller's. Such a connection
+//! is dropped, which closes its socket and thereby cancels the work behind it; only a
+//! connection whose answer was read to its last byte can come back.
+
+use std::collections::HashMap;
+use std::collections::HashSet;
+use std::net::SocketAddr;
+use std::time::Duration;
+use std::time::Instant;
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::client::conn::http1;
+use hyper::client::conn::http1::SendRequest;
+use hyper_util::rt::TokioIo;
+use snafu::ResultExt;
+use snafu::Snafu;
+use tokio::net::TcpStream;
+use tokio::sync::mpsc;
+use tokio::sync::oneshot;
+use tokio_util::task::AbortOnDropHandle;
+
+/// Time after which an idle connection is closed rather than used again. Backend
+/// servers close idle connections on their own, and a request that meets such a close
+/// halfway has an unknown fate.
+const MAX_IDLE: Duration = Duration::from_secs(15);
+
+/// Time between two sweeps of idle connections.
+const SWEEP_INTERVAL: Duration = Duration::from_secs(5);
+
+/// Longest time for which a connection attempt may hold a request up.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Tells why no connection to a backend server could be had. No byte of a request has
+/// been sent in any of these cases.
+#[derive(Debug, Snafu)]
+pub enum ConnectError {
+    /// All connections that the limit allows are open.
+    #[snafu(display("all {limit} connections to {address} are in use"))]
+    LimitReached {
+        /// The backend server's address.
+        address: SocketAddr,
+        /// The limit on connections.
+        limit: u32,
+    },
+    /// The connection wasn't taken in time.
+    #[snafu(display("{address} took too long to accept a connection"))]
+    ConnectTimeout {
+        /// The backend server's address.
+        address: SocketAddr,
+    },
+    /// The connection was refused or the server can't be reached.
+    #[snafu(display("can't connect to {address}"))]
+    Connect {
+        /// The backend server's address.
+        address: SocketAddr,
+        /// What the operating system said.
+        source: std::io::Error,
+    },
+    /// The connection broke before it could carry a request.
+    #[snafu(display("the connection to {address} broke while it was set up"))]
+    Handshake {
+        /// The backend server's address.
+        address: SocketAddr,
+        /// What the HTTP library said.
+        source: hyper::Error,
+    },
+    /// The pool has ended with its process.
+    #[snafu(display("the process is stopping"))]
+    PoolGone,
+}
+
+/// Holds an open connection; dropping it closes the socket at once.
+#[derive(Debug)]
+pub struct BackendConnection {
+    address: SocketAddr,
+    sender: SendRequest<Full<Bytes>>,
+    reused: bool,
+    /// Ends the task that drives the connection, and with it the socket.
+    _driver: AbortOnDropHandle<()>,
+}
+
+impl BackendConnection {
+    /// Returns the side that sends requests.
+    pub fn sender(&mut self) -> &mut SendRequest<Full<Bytes>> {
+        &mut self.sender
+    }
+
+    /// Returns whether an earlier request used this connection.
+    #[must_use]
+    pub const fn is_reused(&self) -> bool {
+        self.reused
+    }
+}
+
+/// Counts one open connection until it is dropped.
+#[derive(Debug)]
+struct ConnectionPermit {
+    address: SocketAddr,
+    tx: mpsc::UnboundedSender<PoolMessage>,
+}
+
+impl Drop for ConnectionPermit {
+    fn drop(&mut self) {
+        // A failed send means that the pool has ended: nobody counts any more.
+        let _ = self.tx.send(PoolMessage::Closed(self.address));
+    }
+}
+
+#[derive(Debug)]
+enum Checkout {
+    Reuse(BackendConnection),
+    Connect(ConnectionPermit),
+    LimitReached,
+}
+
+#[derive(Debug)]
+enum PoolMessage {
+    Checkout {
+        address: SocketAddr,
+        limit: u32,
+        reply: oneshot::Sender<Checkout>,
+    },
+    Return(BackendConnection),
+    Closed(SocketAddr),
+    Retain(HashSet<SocketAddr>),
+}
+
+/// Reaches the pool's task.
+#[derive(Clone, Debug)]
+pub struct BackendPool {
+    tx: mpsc::UnboundedSender<PoolMessage>,
+}
+
+impl BackendPool {
+    /// Starts the pool's task, which ends with the last handle to it.
+    #[must_use]
+    pub fn spawn() -> Self {
+        let (tx, rx) = mpsc::unbounded_channel();
+        let task = PoolTask {
+            weak_tx: tx.downgrade(),
+            servers: HashMap::new(),
+        };
+        tokio::spawn(task.run(rx));
+        Self { tx }
+    }
+
+    /// Takes an idle connection to `address`, or opens one within `limit`.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the limit is reached or the server doesn't take the connection. The
+    /// request can't have reached the backend server then.
+    pub async fn connect(
+        &self,
+        address: SocketAddr,
+        limit: u32,
+    ) -> Result<BackendConnection, ConnectError> {
+        loop {
+            match self.check_out(address, limit).await? {
+                Checkout::Reuse(mut connection) => {
+                    // The driver may not have seen the end of the last exchange yet.
+                    if connection.sender.ready().await.is_ok() {
+                        return Ok(connection);
+                    }
+                }
+                Checkout::Connect(permit) => return open(permit).await,
+                Checkout::LimitReached => return LimitReachedSnafu { address, limit }.fail(),
+            }
+        }
+    }
+
+    /// Gives a connection back whose answer was read to its last byte.
+    pub fn give_back(&self, connection: BackendConnection) {
+        // A failed send drops, and so closes, the connection.
+        let _ = self.tx.send(PoolMessage::Return(connection));
+    }
+
+    /// Closes the idle connections to all addresses but `addresses`, so that the new
+    /// owner of a backend server finds its connection limit free.
+    pub fn retain(&self, addresses: HashSet<SocketAddr>) {
+        let _ = self.tx.send(PoolMessage::Retain(addresses));
+    }
+
+    async fn check_out(&self, address: SocketAddr, limit: u32) -> Result<Checkout, ConnectError> {
+        let (reply, answer) = oneshot::channel();
+        let message = PoolMessage::Checkout {
+            address,
+            limit,
+            reply,
+        };
+        self.tx.send(message).ok().ok_or(ConnectError::PoolGone)?;
+        answer.await.ok().ok_or(ConnectError::PoolGone)
+    }
+}
+
+async fn open(permit: ConnectionPermit) -> Result<BackendConnection, ConnectError> {
+    let address = permit.address;
+    let connecting = TcpStream::connect(address);
+    let stream = tokio::time::timeout(CONNECT_TIMEOUT, connecting)
+        .await
+        .ok()
+        .ok_or(ConnectError::ConnectTimeout { address })?
+        .context(ConnectSnafu { address })?;
+    // Without this a small request may wait for the acknowledgement of the one before.
+    stream.set_nodelay(true).context(ConnectSnafu { address })?;
+    let (sender, connection) = http1::handshake(TokioIo::new(stream))
+        .await
+        .context(HandshakeSnafu { address })?;
+    let driver = tokio::spawn(async move {
+        let _permit = permit;
+        // Whoever waits for the answer sees the same error.
+        let _ = connection.await;
+    });
+    Ok(BackendConnection {
+        address,
+        sender,
+        reused: false,
+        _driver: AbortOnDropHandle::new(driver),
+    })
+}
+
+#[derive(Debug)]
+struct IdleConnection {
+    since: Instant,
+    connection: BackendConnection,
+}
+
+impl IdleConnection {
+    fn is_usable(&self, now: Instant) -> bool {
+        !self.connection.sender.is_closed() && now.duration_since(self.since) < MAX_IDLE
+    }
+}
+
+#[derive(Debug, Default)]
+struct ServerPool {
+    open: u32,
+    idle: Vec<IdleConnection>,
+}
+
+/// The state of the pool's task.
+struct PoolTask {
+    /// Weak, or the pool's own handle would keep the pool alive for ever.
+    weak_tx: mpsc::WeakUnboundedSender<PoolMessage>,
+    servers: HashMap<SocketAddr, ServerPool>,
+}
+
+impl PoolTask {
+    async fn run(mut self, mut rx: mpsc::UnboundedReceiver<PoolMessage>) {
+        let mut sweep = tokio::time::interval(SWEEP_INTERVAL);
+        loop {
+            tokio::select! {
+                message = rx.recv() => match message {
+                    Some(message) => self.handle(message),
+                    None => return,
+                },
+                _ = sweep.tick() => self.sweep(),
+            }
+        }
+    }
+
+    fn handle(&mut self, message: PoolMessage) {
+        match message {
+            PoolMessage::Checkout {
+                address,
+                limit,
+                reply,
+            } => self.check_out(address, limit, reply),
+            PoolMessage::Return(connection) => self.take_back(connection),
+            PoolMessage::Closed(address) => self.note_closed(address),
+            PoolMessage::Retain(addresses) => self.retain(&addresses),
+        }
+    }
+
+    fn check_out(&mut self, address: SocketAddr, limit: u32, reply: oneshot::Sender<Checkout>) {
+        let now = Instant::now();
+        let server = self.servers.entry(address).or_default();
+        while let Some(idle) = server.idle.pop() {
+            if idle.is_usable(now) {
+                // A requester that has gone drops, and so closes, the connection.
+                let _ = reply.send(Checkout::Reuse(idle.connection));
+                return;
+            }
+        }
+        if server.open >= limit {
+            let _ = reply.send(Checkout::LimitReached);
+            return;
+        }
+        let Some(tx) = self.weak_tx.upgrade() else {
+            return;
+        };
+        server.open += 1;
+        let _ = reply.send(Checkout::Connect(ConnectionPermit { address, tx }));
+    }
+
+    fn take_back(&mut self, mut connection: BackendConnection) {
+        connection.reused = true;
+        let Some(server) = self.servers.get_mut(&connection.address) else {
+            return;
+        };
+        server.idle.push(IdleConnection {
+            since: Instant::now(),
+            connection,
+        });
+    }
+
+    fn note_closed(&mut self, address: SocketAddr) {
+        let Some(server) = self.servers.get_mut(&address) else {
+            return;
+        };
+        server.open = server.open.saturating_sub(1);
+        if server.open == 0 {
+            self.servers.remove(&address);
+        }
+    }
+
+    fn retain(&mut self, addresses: &HashSet<SocketAddr>) {
+        for (address, server) in &mut self.servers {
+            if !addresses.contains(address) {
+                server.idle.clear();
+            }
+        }
+    }
+
+    fn sweep(&mut self) {
+        let now = Instant::now();
+        for server in self.servers.values_mut() {
+            server.idle.retain(|idle| idle.is_usable(now));
+        }
+    }
+}
--- /dev/null
+++ b/server/src/header.rs
@@ -0,0 +1,95 @@
+//! Names of the headers that carry heatherring's own information.
+
+use std::time::Duration;
+
+use http::HeaderMap;
+use http::HeaderName;
+use http::header;
+
+/// What is left of the deadline, in milliseconds.
+pub const DEADLINE_MS: HeaderName = HeaderName::from_static("heatherring-deadline-ms");
+
+/// Identifies a request through all hops.
+pub const REQUEST_ID: HeaderName = HeaderName::from_static("heatherring-request-id");
+
+/// Whether a request was answered, not run, or has an unknown outcome.
+pub const OUTCOME: HeaderName = HeaderName::from_static("heatherring-outcome");
+
+/// The caller's key of an action.
+pub const IDEMPOTENCY_KEY: HeaderName = HeaderName::from_static("idempotency-key");
+
+/// The place of the caller; between entry VMs only.
+pub const ORIGIN_PLACE: HeaderName = HeaderName::from_static("heatherring-origin-place");
+
+/// The service asked for; between entry VMs only.
+pub const SERVICE: HeaderName = HeaderName::from_static("heatherring-service");
+
+/// The operation that matched; between entry VMs only.
+pub const OPERATION: HeaderName = HeaderName::from_static("heatherring-operation");
+
+/// Times that a request has been forwarded; between entry VMs only.
+pub const HOPS: HeaderName = HeaderName::from_static("heatherring-hops");
+
+/// The session of the entry VM that forwards; between entry VMs only.
+pub const SESSION: HeaderName = HeaderName::from_static("heatherring-session");
+
+/// The place that is to serve a forwarded request; between entry VMs only.
+pub const TARGET_PLACE: HeaderName = HeaderName::from_static("heatherring-target-place");
+
+const OWN_PREFIX: &str = "heatherring-";
+
+const HOP_BY_HOP: [HeaderName; 8] = [
+    header::CONNECTION,
+    header::PROXY_AUTHENTICATE,
+    header::PROXY_AUTHORIZATION,
+    header::TE,
+    header::TRAILER,
+    header::TRANSFER_ENCODING,
+    header::UPGRADE,
+    HeaderName::from_static("keep-alive"),
+];
+
+/// Removes the headers that concern a single connection only (RFC 9110, 7.6.1), among
+/// them those that `Connection` names.
+pub fn remove_hop_by_hop(headers: &mut HeaderMap) {
+    let named: Vec<HeaderName> = headers
+        .get_all(header::CONNECTION)
+        .iter()
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|value| value.split(','))
+        .filter_map(|name| name.trim().parse().ok())
+        .collect();
+    for name in named {
+        headers.remove(name);
+    }
+    for name in &HOP_BY_HOP {
+        headers.remove(name);
+    }
+}
+
+/// Removes heatherring's own headers, which nobody outside may set for it.
+pub fn remove_own(headers: &mut HeaderMap) {
+    let own: Vec<HeaderName> = headers
+        .keys()
+        .filter(|name| name.as_str().starts_with(OWN_PREFIX))
+        .cloned()
+        .collect();
+    for name in own {
+        headers.remove(name);
+    }
+}
+
+/// Reads a header that holds a number.
+///
+/// `None` stands for a missing header, `Some(None)` for one that is no number.
+#[must_use]
+pub fn number(headers: &HeaderMap, name: &HeaderName) -> Option<Option<u64>> {
+    let value = headers.get(name)?;
+    Some(value.to_str().ok().and_then(|text| text.parse().ok()))
+}
+
+/// Converts a time to whole milliseconds, rounded down.
+#[must_use]
+pub fn whole_ms(time: Duration) -> u64 {
+    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
+}
