--- /dev/null
+++ b/server/src/dispatcher.rs
@@ -0,0 +1,195 @@
+//! Sends one admitted request to one backend server.
+//!
+//! The line between "not run" and "may have run" is crossed in one place, right before
+//! the request is handed to the connection.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+use std::time::Instant;
+
+use bytes::Bytes;
+use heatherring_lib::outcome::Attempt;
+use heatherring_lib::outcome::NotRunReason;
+use heatherring_lib::outcome::Outcome;
+use heatherring_lib::outcome::Refusal;
+use heatherring_lib::outcome::UnknownReason;
+use heatherring_lib::outcome::Unsent;
+use http::HeaderMap;
+use http::HeaderValue;
+use http::Method;
+use http::Request;
+use http::Response;
+use http::Uri;
+use http::header as http_header;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use http_body_util::Limited;
+use hyper::body::Body;
+use hyper::body::Incoming;
+
+use crate::backend_pool::BackendConnection;
+use crate::backend_pool::BackendPool;
+use crate::header;
+
+/// Bytes of a refusal's body that are read so that the connection can be used again.
+const MAX_REFUSAL_BODY: usize = 4_096;
+
+/// Time for which such a body is waited for.
+const REFUSAL_BODY_TIMEOUT: Duration = Duration::from_millis(20);
+
+/// Holds a request as it is sent on: its body is whole, so that a slow caller never
+/// holds a slot while it uploads, and so that an idempotent request can be sent again.
+#[derive(Clone, Debug)]
+pub struct OutgoingRequest {
+    /// The method.
+    pub method: Method,
+    /// Path and query as the backend server sees them, starting with a slash.
+    pub path: String,
+    /// The caller's headers, without hop-by-hop ones and heatherring's own.
+    pub headers: HeaderMap,
+    /// The whole body.
+    pub body: Bytes,
+    /// Identifies the request through all hops.
+    pub request_id: String,
+    /// When an answer stops being of use.
+    pub deadline: Instant,
+}
+
+/// Names the backend server to send to.
+#[derive(Clone, Copy, Debug)]
+pub struct BackendTarget {
+    /// Its address.
+    pub address: SocketAddr,
+    /// The bound on connections to it.
+    pub max_connections: u32,
+}
+
+/// Holds the head of a backend server's answer, the body to come and its connection.
+#[derive(Debug)]
+pub struct BackendAnswer {
+    /// Head and body.
+    pub response: Response<Incoming>,
+    /// What the body comes from; to be given back once the body is whole.
+    pub connection: BackendConnection,
+}
+
+/// Permits a dispatch; asked right before the first byte is sent.
+///
+/// A process that was frozen between admission and dispatch wakes up with a lease that
+/// is over, and another entry VM may own the backend server by then. The check on
+/// arrival can't see that; this one does.
+pub trait DispatchGate: Send + Sync {
+    /// Returns why nothing may be dispatched now, if so.
+    fn closed(&self) -> Option<NotRunReason>;
+}
+
+/// Sends `req` to the backend server and waits for the head of the answer.
+pub async fn dispatch(
+    pool: &BackendPool,
+    target: BackendTarget,
+    req: &OutgoingRequest,
+    gate: &dyn DispatchGate,
+    mut attempt: Attempt<Unsent>,
+    now: Instant,
+) -> Outcome<BackendAnswer> {
+    loop {
+        let connecting = pool.connect(target.address, target.max_connections);
+        let deadline = req.deadline.into();
+        let mut connection = match tokio::time::timeout_at(deadline, connecting).await {
+            Ok(Ok(connection)) => connection,
+            Ok(Err(error)) => {
+                log::info!(event = "backend_unreachable", request_id = req.request_id.as_str(), address = target.address.to_string().as_str(), error = error.to_string().as_str(); "no connection to the backend server");
+                return attempt.refuse(NotRunReason::BackendUnreachable).into();
+            }
+            Err(_) => return attempt.refuse(NotRunReason::DeadlineTooShort).into(),
+        };
+        if let Some(reason) = gate.closed() {
+            return attempt.refuse(reason).into();
+        }
+        let Some(message) = to_message(target.address, req, now) else {
+            return attempt.refuse(NotRunReason::MalformedRequest).into();
+        };
+        let reused = connection.is_reused();
+        let sent = attempt.sending();
+        let answering = connection.sender().try_send_request(message);
+        match tokio::time::timeout_at(deadline, answering).await {
+            Ok(Ok(response)) => return read_head(pool, sent, response, connection).await,
+            Ok(Err(mut error)) => match error.take_message() {
+                // The server closed an idle connection before it took the request.
+                Some(unwritten) if reused => attempt = sent.handed_back(&unwritten),
+                Some(unwritten) => {
+                    let unsent = sent.handed_back(&unwritten);
+                    return unsent.refuse(NotRunReason::BackendUnreachable).into();
+                }
+                None => return sent.lost(UnknownReason::ConnectionLost).into(),
+            },
+            // Dropping the connection cancels the work at the backend server.
+            Err(_) => return sent.lost(UnknownReason::DeadlinePassed).into(),
+        }
+    }
+}
+
+fn to_message(
+    address: SocketAddr,
+    req: &OutgoingRequest,
+    now: Instant,
+) -> Option<Request<Full<Bytes>>> {
+    let uri: Uri = req.path.parse().ok()?;
+    let mut message = Request::new(Full::new(req.body.clone()));
+    *message.method_mut() = req.method.clone();
+    *message.uri_mut() = uri;
+    *message.headers_mut() = req.headers.clone();
+    let headers = message.headers_mut();
+    let host = HeaderValue::from_str(&address.to_string()).ok()?;
+    headers.insert(http_header::HOST, host);
+    let left = req.deadline.saturating_duration_since(now);
+    headers.insert(header::DEADLINE_MS, header::whole_ms(left).into());
+    let request_id = HeaderValue::from_str(&req.request_id).ok()?;
+    headers.insert(header::REQUEST_ID, request_id);
+    Some(message)
+}
+
+async fn read_head(
+    pool: &BackendPool,
+    sent: Attempt<heatherring_lib::outcome::MayHaveRun>,
+    response: Response<Incoming>,
+    connection: BackendConnection,
+) -> Outcome<BackendAnswer> {
+    let status = response.status().as_u16();
+    let outcome = response
+        .headers()
+        .get(header::OUTCOME)
+        .and_then(|value| value.to_str().ok());
+    if let Some(refusal) = Refusal::of_backend_server(status, outcome) {
+        drain(pool, response, connection).await;
+        return sent.refused(refusal).into();
+    }
+    if !is_framed(&response) {
+        return sent.lost(UnknownReason::ConnectionLost).into();
+    }
+    sent.answered(BackendAnswer {
+        response,
+        connection,
+    })
+}
+
+/// Returns whether the end of the body is marked. A body that ends when the connection
+/// closes looks whole when the backend server dies in the middle of it, so that such
+/// an answer is never passed on.
+fn is_framed(response: &Response<Incoming>) -> bool {
+    let body = response.body();
+    body.is_end_stream()
+        || body.size_hint().exact().is_some()
+        || response
+            .headers()
+            .contains_key(http_header::TRANSFER_ENCODING)
+}
+
+/// Reads the rest of a refusal, so that shedding doesn't cost a new connection each.
+async fn drain(pool: &BackendPool, response: Response<Incoming>, connection: BackendConnection) {
+    let body = Limited::new(response.into_body(), MAX_REFUSAL_BODY);
+    let reading = tokio::time::timeout(REFUSAL_BODY_TIMEOUT, body.collect());
+    if matches!(reading.await, Ok(Ok(_))) {
+        pool.give_back(connection);
+    }
+}
--- a/server/src/header.rs
+++ b/server/src/header.rs
@@ -33,6 +33,12 @@
 /// The session of the entry VM that forwards; between entry VMs only.
 pub const SESSION: HeaderName = HeaderName::from_static("heatherring-session");
 
+/// Why a forwarded request was refused; between entry VMs only.
+pub const REASON: HeaderName = HeaderName::from_static("heatherring-reason");
+
+/// When to come back after a refusal, in milliseconds; between entry VMs only.
+pub const RETRY_AFTER_MS: HeaderName = HeaderName::from_static("heatherring-retry-after-ms");
+
 /// The place that is to serve a forwarded request; between entry VMs only.
 pub const TARGET_PLACE: HeaderName = HeaderName::from_static("heatherring-target-place");
 
--- a/server/src/http_server.rs
+++ b/server/src/http_server.rs
@@ -147,9 +147,7 @@
                 async move { Ok::<_, Infallible>(handler.handle(peer, req).await) }
             }
         });
-        let connection = self
-            .builder
-            .serve_connection(TokioIo::new(stream), service);
+        let connection = self.builder.serve_connection(TokioIo::new(stream), service);
         let mut connection = std::pin::pin!(connection);
         let first_head = tokio::time::sleep(self.header_timeout);
         let mut first_head = std::pin::pin!(first_head);
--- a/server/src/lib.rs
+++ b/server/src/lib.rs
@@ -9,8 +9,15 @@
 #[path = "generated/heatherring.v1.rs"]
 pub mod proto;
 
+pub mod answer_body;
+pub mod backend_pool;
 pub mod data_folder;
+pub mod dispatcher;
+pub mod header;
+pub mod http_server;
 pub mod log_disk;
 pub mod log_record;
 pub mod log_replay;
+pub mod metrics;
 pub mod record_codec;
+pub mod refusal;
--- a/server/src/refusal.rs
+++ b/server/src/refusal.rs
@@ -1,8 +1,16 @@
 //! Final answers to requests that weren't served, in their typed form.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use bytes::Bytes;
+use heatherring_lib::outcome::NotRun;
+use heatherring_lib::outcome::NotRunReason;
+use heatherring_lib::outcome::OUTCOME_NOT_RUN;
+use heatherring_lib::outcome::OUTCOME_UNKNOWN;
+use heatherring_lib::outcome::Unknown;
+use heatherring_lib::outcome::UnknownReason;
+use http::HeaderMap;
 use http::HeaderValue;
 use http::Response;
 use http::StatusCode;
@@ -15,172 +23,194 @@
 use crate::answer_body::AnswerBody;
 use crate::header;
 
-/// Tells whether a request that got no answer may have run.
-#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
-#[serde(rename_all = "snake_case")]
-pub enum RefusalOutcome {
-    /// It is proved that the request didn't run and won't.
-    NotRun,
-    /// The request may have run; it won't be run again.
-    Unknown,
+/// When to come back after a refusal whose cause has no time of its own.
+pub const DEFAULT_RETRY_AFTER: Duration = Duration::from_secs(1);
+
+/// Holds why a request got no answer.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Refused {
+    /// It wasn't run.
+    NotRun(NotRun),
+    /// It may have run.
+    Unknown(Unknown),
+}
+
+impl From<NotRun> for Refused {
+    fn from(not_run: NotRun) -> Self {
+        Self::NotRun(not_run)
+    }
 }
 
-impl RefusalOutcome {
-    /// Returns the outcome as it stands in the header.
+impl From<Unknown> for Refused {
+    fn from(unknown: Unknown) -> Self {
+        Self::Unknown(unknown)
+    }
+}
+
+impl Refused {
+    /// Returns the value of the outcome header.
     #[must_use]
-    pub const fn as_str(self) -> &'static str {
+    pub const fn outcome(&self) -> &'static str {
         match self {
-            Self::NotRun => "not_run",
-            Self::Unknown => "unknown",
+            Self::NotRun(_) => OUTCOME_NOT_RUN,
+            Self::Unknown(_) => OUTCOME_UNKNOWN,
         }
     }
-}
 
-/// Names the reasons for which a request is refused.
-#[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, PartialEq, Serialize)]
-#[serde(rename_all = "snake_case")]
-pub enum RefusalReason {
-    /// The path is neither a look-up nor a request to a service.
-    NotFound,
-    /// The manifest has no such service.
-    UnknownService,
-    /// The service has no operation for this method and path.
-    UnknownOperation,
-    /// The method isn't allowed here.
-    MethodNotAllowed,
-    /// A header of the request can't be read.
-    BadHeader,
-    /// The body is larger than allowed.
-    BodyTooLarge,
-    /// The body broke off or didn't arrive in time.
-    BodyIncomplete,
-    /// An action came without a key.
-    KeyRequired,
-    /// The key can't be read, or its ticket has a wrong form.
-    BadKey,
-    /// The key was used before with another content.
-    KeyConflict,
-    /// The ticket has expired; what became of its actions isn't known any more.
-    TicketExpired,
-    /// The entry VM has no lease or no manifest: it serves nothing.
-    NoLease,
-    /// The entry VM is stopping.
-    Stopping,
-    /// No backend server of the service can be reached.
-    NoBackendServer,
-    /// Everything that could answer in time is busy.
-    Overloaded,
-    /// A cap on shifts, or a limit of a link, allows no more just now.
-    ShiftCap,
-    /// What was to serve it is being drained.
-    Draining,
-    /// The deadline passed before the request could be dispatched.
-    DeadlinePassed,
-    /// The backend server refused before running the request.
-    RefusedByBackendServer,
-    /// The backend server, or the entry VM in between, broke off.
-    BrokenOff,
-    /// No answer came within the deadline.
-    DeadlineExceeded,
-    /// The record of the action couldn't be made or read.
-    RecordUnavailable,
-}
+    /// Returns the reason as it stands in the JSON body.
+    #[must_use]
+    pub const fn reason(&self) -> &'static str {
+        match self {
+            Self::NotRun(not_run) => not_run.reason().as_str(),
+            Self::Unknown(unknown) => unknown.reason().as_str(),
+        }
+    }
+
+    /// Returns the status of the answer.
+    #[must_use]
+    pub fn status(&self) -> StatusCode {
+        let status = match self {
+            Self::NotRun(not_run) => not_run.reason().status(),
+            Self::Unknown(unknown) => unknown.reason().status(),
+        };
+        StatusCode::from_u16(status).unwrap_or(StatusCode::SERVICE_UNAVAILABLE)
+    }
 
-impl RefusalReason {
-    fn status(self, outcome: RefusalOutcome) -> StatusCode {
-        match (self, outcome) {
-            (Self::DeadlineExceeded, RefusalOutcome::Unknown) => StatusCode::GATEWAY_TIMEOUT,
-            (_, RefusalOutcome::Unknown) => StatusCode::BAD_GATEWAY,
-            (Self::NotFound | Self::UnknownService | Self::UnknownOperation, _) => {
-                StatusCode::NOT_FOUND
+    /// Returns when to come back; `None` where the request itself is at fault or may
+    /// have run, so that sending it again is of no use.
+    #[must_use]
+    pub fn retry_after(&self) -> Option<Duration> {
+        match self {
+            Self::NotRun(not_run) if self.status() == StatusCode::SERVICE_UNAVAILABLE => {
+                Some(not_run.retry_after().unwrap_or(DEFAULT_RETRY_AFTER))
             }
-            (Self::MethodNotAllowed, _) => StatusCode::METHOD_NOT_ALLOWED,
-            (Self::BadHeader | Self::BadKey | Self::BodyIncomplete, _) => StatusCode::BAD_REQUEST,
-            (Self::BodyTooLarge, _) => StatusCode::PAYLOAD_TOO_LARGE,
-            (Self::KeyRequired, _) => StatusCode::PRECONDITION_REQUIRED,
-            (Self::KeyConflict, _) => StatusCode::CONFLICT,
-            _ => StatusCode::SERVICE_UNAVAILABLE,
+            _ => None,
         }
     }
 }
 
 /// Holds a refusal as it is written into the body of the answer.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
-pub struct Refusal {
-    /// Whether the request may have run.
-    pub outcome: RefusalOutcome,
-    /// Why it is refused.
-    pub reason: RefusalReason,
+pub struct RefusalBody {
+    /// `not_run` or `unknown`.
+    pub outcome: String,
+    /// Why, in snake case.
+    pub reason: String,
     /// The reason, for people.
     pub message: String,
     /// When to come back, in milliseconds; 0 where coming back is of no use.
     pub retry_after_ms: u64,
     /// Addresses of other entry VMs that may serve the request.
-    pub entries: Vec<String>,
+    pub entries: Vec<SocketAddr>,
     /// Identifies the request in the logs of all VMs that saw it.
     pub request_id: String,
 }
 
-impl Refusal {
-    /// Refuses a request that is proved not to have run.
-    #[must_use]
-    pub fn not_run(reason: RefusalReason, message: impl Into<String>, retry: Duration) -> Self {
-        Self::new(RefusalOutcome::NotRun, reason, message, retry)
+/// Builds the answer to a caller. It is sent at once, whatever is left of the deadline.
+///
+/// # Panics
+///
+/// Panics if the refusal can't be written as JSON, which its type rules out.
+#[must_use]
+pub fn to_caller(
+    refused: &Refused,
+    request_id: &str,
+    entries: Vec<SocketAddr>,
+) -> Response<AnswerBody> {
+    let retry_after = refused.retry_after();
+    let body = RefusalBody {
+        outcome: refused.outcome().to_owned(),
+        reason: refused.reason().to_owned(),
+        message: message(refused),
+        retry_after_ms: retry_after.map_or(0, header::whole_ms),
+        entries,
+        request_id: request_id.to_owned(),
+    };
+    let content = serde_json::to_vec(&body).expect("a refusal has only text and numbers");
+    let mut response = Response::new(answer_body::full(Bytes::from(content)));
+    *response.status_mut() = refused.status();
+    let headers = response.headers_mut();
+    headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    headers.insert(header::OUTCOME, HeaderValue::from_static(refused.outcome()));
+    if let Some(retry_after) = retry_after {
+        // Seconds are the header's unit; rounding down would bring the caller back too
+        // early, and 0 at once.
+        let seconds = header::whole_ms(retry_after).div_ceil(1_000).max(1);
+        headers.insert(RETRY_AFTER, HeaderValue::from(seconds));
     }
-
-    /// Reports a request that may have run.
-    #[must_use]
-    pub fn unknown(reason: RefusalReason, message: impl Into<String>, retry: Duration) -> Self {
-        Self::new(RefusalOutcome::Unknown, reason, message, retry)
+    if let Ok(request_id) = HeaderValue::from_str(request_id) {
+        headers.insert(header::REQUEST_ID, request_id);
     }
+    response
+}
 
-    fn new(
-        outcome: RefusalOutcome,
-        reason: RefusalReason,
-        message: impl Into<String>,
-        retry: Duration,
-    ) -> Self {
-        Self {
-            outcome,
-            reason,
-            message: message.into(),
-            retry_after_ms: u64::try_from(retry.as_millis()).unwrap_or(u64::MAX),
-            entries: Vec::new(),
-            request_id: String::new(),
+fn message(refused: &Refused) -> String {
+    let reason = refused.reason().replace('_', " ");
+    match refused {
+        Refused::NotRun(_) => format!("the request was not run: {reason}"),
+        Refused::Unknown(_) => {
+            format!("the request may have run and will not be run again: {reason}")
         }
     }
+}
 
-    /// Returns the status of the answer.
-    #[must_use]
-    pub fn status(&self) -> StatusCode {
-        self.reason.status(self.outcome)
+/// Builds the answer to another entry VM, which reads it with [`from_entry`].
+#[must_use]
+pub fn to_entry(refused: &Refused) -> Response<AnswerBody> {
+    let mut response = Response::new(answer_body::empty());
+    *response.status_mut() = refused.status();
+    let headers = response.headers_mut();
+    headers.insert(header::OUTCOME, HeaderValue::from_static(refused.outcome()));
+    headers.insert(header::REASON, HeaderValue::from_static(refused.reason()));
+    if let Some(retry_after) = refused.retry_after() {
+        let millis = HeaderValue::from(header::whole_ms(retry_after));
+        headers.insert(header::RETRY_AFTER_MS, millis);
     }
+    response
+}
 
-    /// Builds the answer. It is made at once, whatever is left of the deadline.
-    ///
-    /// # Panics
-    ///
-    /// Panics if the refusal can't be written as JSON, which its type rules out.
-    #[must_use]
-    pub fn into_response(self) -> Response<AnswerBody> {
-        let content = serde_json::to_vec(&self).expect("a refusal has only text and numbers");
-        let mut response = Response::new(answer_body::full(Bytes::from(content)));
-        *response.status_mut() = self.status();
-        let headers = response.headers_mut();
-        headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
-        headers.insert(
-            header::OUTCOME,
-            HeaderValue::from_static(self.outcome.as_str()),
-        );
-        if self.retry_after_ms > 0 {
-            // Seconds are the header's unit; rounding down would bring the caller
-            // back too early.
-            let seconds = self.retry_after_ms.div_ceil(1_000);
-            headers.insert(RETRY_AFTER, HeaderValue::from(seconds));
+/// Holds what another entry VM said in place of an answer.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum EntryRefusal {
+    /// It proves that nothing ran.
+    NotRun {
+        /// Why.
+        reason: NotRunReason,
+        /// When to come back.
+        retry_after: Option<Duration>,
+    },
+    /// The request may have run there.
+    Unknown(UnknownReason),
+}
+
+/// Reads the refusal of another entry VM; `None` for an answer.
+///
+/// A refusal with an unreadable reason counts as "unknown": "not run" needs proof.
+#[must_use]
+pub fn from_entry(headers: &HeaderMap) -> Option<EntryRefusal> {
+    let text = |name| {
+        headers
+            .get(name)
+            .and_then(|value: &HeaderValue| value.to_str().ok())
+    };
+    let reason = text(header::REASON).unwrap_or_default();
+    match text(header::OUTCOME) {
+        Some(OUTCOME_NOT_RUN) => {
+            let Some(reason) = NotRunReason::parse(reason) else {
+                return Some(EntryRefusal::Unknown(UnknownReason::OwnerLost));
+            };
+            let retry_after = header::number(headers, &header::RETRY_AFTER_MS)
+                .flatten()
+                .map(Duration::from_millis);
+            Some(EntryRefusal::NotRun {
+                reason,
+                retry_after,
+            })
         }
-        if let Ok(request_id) = HeaderValue::from_str(&self.request_id) {
-            headers.insert(header::REQUEST_ID, request_id);
+        Some(OUTCOME_UNKNOWN) => {
+            let reason = UnknownReason::parse(reason).unwrap_or(UnknownReason::OwnerLost);
+            Some(EntryRefusal::Unknown(reason))
         }
-        response
+        _ => None,
     }
 }
