--- a/server/src/peer_security.rs
+++ b/server/src/peer_security.rs
@@ -227,6 +227,10 @@
     /// # Errors
     ///
     /// Fails if the peer isn't of the deployment, breaks off or is silent.
+    ///
+    /// # Panics
+    ///
+    /// Never: [`CERTIFICATE_NAME`] is a valid DNS name.
     pub async fn connect(
         &self,
         stream: TcpStream,
