manifest, settings: report every fault with its line, column and what is allowed

A text is checked against the JSON Schema of its type, which finds every fault of form in one pass; serde alone stops at the first and lets a map's key stand twice. Checks across fields follow, with paths that are resolved to positions in the syntax tree.

--- a/lib/src/config_text.rs
+++ b/lib/src/config_text.rs
@@ -1,47 +1,60 @@
 //! Reads JSON with comments into typed values.
 
-use jsonc_parser::ParseOptions;
-use jsonc_parser::errors::ParseError;
+use schemars::JsonSchema;
 use serde::de::DeserializeOwned;
+use serde_json::Value as Json;
 
+use crate::config_document::Document;
+use crate::config_document::PARSE_OPTIONS;
+use crate::config_document::syntax_fault;
 use crate::config_fault::ConfigFault;
 use crate::config_fault::ConfigFaults;
 use crate::config_fault::ConfigProblem;
-use crate::config_fault::Position;
+use crate::config_path::ConfigPath;
+use crate::config_schema;
 
-/// Allows comments and trailing commas beside strict JSON, and nothing else.
-const PARSE_OPTIONS: ParseOptions = ParseOptions {
-    allow_comments: true,
-    allow_loose_object_property_names: false,
-    allow_trailing_commas: true,
-    allow_missing_commas: false,
-    allow_single_quoted_strings: false,
-    allow_hexadecimal_numbers: false,
-    allow_unary_plus_numbers: false,
-    allow_bare_decimal_point_numbers: false,
-    allow_non_finite_numbers: false,
-    allow_extended_string_escapes: false,
-};
+/// Ties a problem to the value that has it.
+pub type LocatedProblem = (ConfigPath, ConfigProblem);
 
-/// Reads a value; `file` names the text in faults.
+/// Returns the JSON Schema of a type.
+#[must_use]
+pub fn schema_of<T: JsonSchema>() -> Json {
+    schemars::schema_for!(T).to_value()
+}
+
+/// Reads a value and checks it; `file` names the text in faults.
+///
+/// `check` looks at values together. It sees only a value whose form is right.
 ///
 /// # Errors
 ///
-/// Returns every fault that was found, each with its line and column.
-pub fn read<T: DeserializeOwned>(file: &str, text: &str) -> Result<T, ConfigFaults> {
-    jsonc_parser::parse_to_serde_value(text, &PARSE_OPTIONS)
-        .map_err(|error| ConfigFaults(vec![syntax_fault(file, &error)]))
+/// Returns every fault that was found, each with its line and column, in the order of
+/// the text. Faults of form hide those that `check` would find.
+pub fn read<T>(
+    file: &str,
+    text: &str,
+    check: impl FnOnce(&T) -> Vec<LocatedProblem>,
+) -> Result<T, ConfigFaults>
+where
+    T: DeserializeOwned + JsonSchema,
+{
+    let document = Document::parse(file, text)?;
+    faultless(config_schema::check(&document, &schema_of::<T>()))?;
+    let value = jsonc_parser::parse_to_serde_value(text, &PARSE_OPTIONS)
+        .map_err(|error| syntax_fault(file, &error))?;
+    let problems = check(&value).into_iter();
+    faultless(
+        problems
+            .map(|(path, problem)| document.fault(&path, problem))
+            .collect(),
+    )?;
+    Ok(value)
 }
 
-fn syntax_fault(file: &str, error: &ParseError) -> ConfigFault {
-    ConfigFault {
-        file: file.to_owned(),
-        position: Position {
-            line: error.line_display(),
-            column: error.column_display(),
-        },
-        problem: ConfigProblem::Syntax {
-            message: error.kind().to_string(),
-        },
+fn faultless(mut faults: Vec<ConfigFault>) -> Result<(), ConfigFaults> {
+    if faults.is_empty() {
+        return Ok(());
     }
+    faults.sort_by_key(|fault| fault.position);
+    Err(ConfigFaults(faults))
 }
--- a/lib/src/id.rs
+++ b/lib/src/id.rs
@@ -13,6 +13,7 @@
             Clone, Debug, Deserialize, Eq, Hash, JsonSchema, Ord, PartialEq, PartialOrd, Serialize,
         )]
         #[serde(transparent)]
+        #[schemars(extend("format" = "name"))]
         pub struct $name(String);
 
         impl $name {
--- a/lib/src/manifest.rs
+++ b/lib/src/manifest.rs
@@ -59,10 +59,13 @@
 #[serde(deny_unknown_fields)]
 pub struct Service {
     /// Operations, tried in order; the first whose method and path prefix match holds.
+    #[schemars(length(min = 1))]
     pub operations: Vec<Operation>,
     /// Bound on the slots believed of one backend server, whatever it announces.
+    #[schemars(range(min = 1))]
     pub max_slots_per_backend: u32,
     /// Bound on the connections held to one backend server by the whole system.
+    #[schemars(range(min = 1))]
     pub max_connections_per_backend: u32,
     /// What each place can bear; a place that isn't named serves nothing.
     pub limits: BTreeMap<PlaceName, PlaceLimit>,
@@ -90,6 +93,7 @@
 #[serde(deny_unknown_fields)]
 pub struct Operation {
     /// Names the operation in reports.
+    #[schemars(extend("format" = "name"))]
     pub name: String,
     /// HTTP method in capitals.
     pub method: String,
@@ -98,6 +102,7 @@
     /// Whether running it twice is harmless. Operations that aren't run at most once.
     pub idempotent: bool,
     /// Time from arrival within which an answer is of use, in milliseconds.
+    #[schemars(range(min = 1, max = 600_000))]
     pub deadline_ms: u32,
 }
 
@@ -126,6 +131,7 @@
     /// Where the requests are served.
     pub to: Scope,
     /// Share of what `to` can bear, 0 to 100.
+    #[schemars(range(max = 100))]
     pub percent: u8,
 }
 
@@ -174,11 +180,13 @@
 
 /// Holds the settings of look-ups.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, JsonSchema, PartialEq, Serialize)]
-#[serde(deny_unknown_fields)]
+#[serde(deny_unknown_fields, default)]
 pub struct LookUps {
     /// Time for which a caller may cache an answer, in milliseconds.
+    #[schemars(range(min = 1, max = 3_600_000))]
     pub cache_ms: u32,
     /// Time for which an action's ticket may be used, in milliseconds.
+    #[schemars(range(min = 1, max = 86_400_000))]
     pub ticket_ms: u32,
 }
 
@@ -300,6 +308,7 @@
         fn json_schema(_: &mut SchemaGenerator) -> Schema {
             json_schema!({
                 "type": "string",
+                "format": "block-prefix",
                 "description": "An address and a prefix length, as in 10.1.0.0/16.",
             })
         }
--- a/lib/src/manifest_check.rs
+++ b/lib/src/manifest_check.rs
@@ -1,11 +1,401 @@
-//! Checks of a manifest that look at more than one field.
+//! Checks of a manifest that look at more than one value.
+
+use std::collections::BTreeSet;
+use std::collections::HashSet;
 
 use snafu::Snafu;
 
+use crate::config_fault::ConfigProblem;
+use crate::config_fault::did_you_mean;
+use crate::config_path::ConfigPath;
+use crate::config_text::LocatedProblem;
+use crate::id::PlaceName;
+use crate::id::RegionName;
+use crate::id::ServiceName;
+use crate::manifest::BlockPrefix;
+use crate::manifest::Drain;
+use crate::manifest::LookUps;
+use crate::manifest::Manifest;
+use crate::manifest::Operation;
+use crate::manifest::Scope;
+use crate::manifest::Service;
+use crate::manifest::ShiftCap;
+use crate::nearest_name::nearest_name;
+
+/// Methods that callers may use.
+const METHODS: [&str; 6] = ["GET", "HEAD", "POST", "PUT", "PATCH", "DELETE"];
+
 /// Tells what doesn't fit in a manifest, and what is allowed.
 #[derive(Clone, Debug, Eq, PartialEq, Snafu)]
 pub enum ManifestProblem {
-    /// Versions start at 1.
+    /// Versions start at 1; 0 stands for none.
     #[snafu(display("the version is 0; allowed are versions from 1 up"))]
     VersionZero,
+    /// The manifest has no places.
+    #[snafu(display("there are no places; allowed is at least 1"))]
+    NoPlaces,
+    /// A place is named that isn't described.
+    #[snafu(display("unknown place \"{place}\"{}; allowed are the names under \"places\"", did_you_mean(nearest.as_ref())))]
+    UnknownPlace {
+        /// The name.
+        place: PlaceName,
+        /// The known place whose name is nearest, if one is near.
+        nearest: Option<String>,
+    },
+    /// A region is named that no place belongs to.
+    #[snafu(display("unknown region \"{region}\"{}; allowed are the regions of the places", did_you_mean(nearest.as_ref())))]
+    UnknownRegion {
+        /// The name.
+        region: RegionName,
+        /// The known region whose name is nearest, if one is near.
+        nearest: Option<String>,
+    },
+    /// A service could be asked for but never served.
+    #[snafu(display("service {service} has no limits; allowed is at least 1 place"))]
+    NoLimits {
+        /// The service.
+        service: ServiceName,
+    },
+    /// Some slots of a backend server could never be used.
+    #[snafu(display(
+        "max_connections_per_backend is {connections}; allowed is at least max_slots_per_backend, {slots}"
+    ))]
+    FewerConnectionsThanSlots {
+        /// Bound on connections.
+        connections: u32,
+        /// Bound on slots.
+        slots: u32,
+    },
+    /// Two operations of a service have the same name.
+    #[snafu(display("operation \"{name}\" is described already; allowed is each name once"))]
+    OperationTwice {
+        /// The name.
+        name: String,
+    },
+    /// An earlier operation takes every request that this one describes.
+    #[snafu(display(
+        "operation \"{name}\" is never reached, since \"{earlier}\" before it matches all its \
+         requests; allowed is the longer prefix first"
+    ))]
+    OperationUnreachable {
+        /// The operation.
+        name: String,
+        /// The one before it.
+        earlier: String,
+    },
+    /// The method is none that callers may use.
+    #[snafu(display("method \"{method}\" isn't known; allowed are {}", METHODS.join(", ")))]
+    UnknownMethod {
+        /// The method.
+        method: String,
+    },
+    /// No path starts with this prefix.
+    #[snafu(display(
+        "no path starts with \"{path_prefix}\"; allowed are prefixes that start with \"/\" and \
+         have no '?', '#' or white space"
+    ))]
+    PathPrefixNeverMatches {
+        /// The prefix.
+        path_prefix: String,
+    },
+    /// A cap whose ends make every request no shift.
+    #[snafu(display(
+        "no request is a shift from {from} to {to}; allowed are ends of which the second \
+         doesn't hold the first"
+    ))]
+    CapNeverApplies {
+        /// Where the callers are.
+        from: String,
+        /// Where the requests are served.
+        to: String,
+    },
+    /// Two caps have the same ends.
+    #[snafu(display("the shift from {from} to {to} has a cap already; allowed is one"))]
+    CapTwice {
+        /// Where the callers are.
+        from: String,
+        /// Where the requests are served.
+        to: String,
+    },
+    /// A link leads to where it starts.
+    #[snafu(display("the link leads from {region} to itself; allowed are two regions"))]
+    LinkToItself {
+        /// The region.
+        region: RegionName,
+    },
+    /// Two limits are for the same link.
+    #[snafu(display("the link from {from} to {to} has a limit already; allowed is one"))]
+    LinkTwice {
+        /// Where the link starts.
+        from: RegionName,
+        /// Where it leads.
+        to: RegionName,
+    },
+    /// Two drains plan the same.
+    #[snafu(display("this drain is planned already; allowed is once"))]
+    DrainTwice,
+    /// Two blocks are the same.
+    #[snafu(display("block {block} is given already; allowed is once"))]
+    BlockTwice {
+        /// The block.
+        block: BlockPrefix,
+    },
+    /// A caller could use a cached look-up whose ticket is over.
+    #[snafu(display("ticket_ms is {ticket_ms}; allowed is at least cache_ms, {cache_ms}"))]
+    TicketShorterThanCache {
+        /// Time for which a ticket may be used.
+        ticket_ms: u32,
+        /// Time for which an answer may be cached.
+        cache_ms: u32,
+    },
+}
+
+/// Finds what doesn't fit in a manifest.
+#[must_use]
+pub fn check(manifest: &Manifest) -> Vec<LocatedProblem> {
+    let mut checker = Checker::new(manifest);
+    checker.version_and_places();
+    for (name, service) in &manifest.services {
+        checker.service(name, service);
+    }
+    checker.shift_caps();
+    checker.links();
+    checker.drains();
+    checker.client_blocks();
+    checker.look_ups(manifest.look_ups);
+    checker.problems
+}
+
+struct Checker<'a> {
+    manifest: &'a Manifest,
+    regions: BTreeSet<&'a RegionName>,
+    problems: Vec<LocatedProblem>,
+}
+
+impl<'a> Checker<'a> {
+    fn new(manifest: &'a Manifest) -> Self {
+        Self {
+            manifest,
+            regions: manifest
+                .places
+                .values()
+                .map(|place| &place.region)
+                .collect(),
+            problems: Vec::new(),
+        }
+    }
+
+    fn add(&mut self, path: ConfigPath, problem: ManifestProblem) {
+        self.problems
+            .push((path, ConfigProblem::Manifest { problem }));
+    }
+
+    fn version_and_places(&mut self) {
+        let root = ConfigPath::root();
+        if self.manifest.version.0 == 0 {
+            self.add(root.field("version"), ManifestProblem::VersionZero);
+        }
+        if self.manifest.places.is_empty() {
+            self.add(root.field("places"), ManifestProblem::NoPlaces);
+        }
+    }
+
+    fn place(&mut self, path: ConfigPath, place: &PlaceName) {
+        if self.manifest.places.contains_key(place) {
+            return;
+        }
+        let known = self.manifest.places.keys().map(PlaceName::as_str);
+        let problem = ManifestProblem::UnknownPlace {
+            place: place.clone(),
+            nearest: nearest_name(place.as_str(), known).map(str::to_owned),
+        };
+        self.add(path, problem);
+    }
+
+    fn region(&mut self, path: ConfigPath, region: &RegionName) {
+        if self.regions.contains(region) {
+            return;
+        }
+        let known = self.regions.iter().map(|known| known.as_str());
+        let problem = ManifestProblem::UnknownRegion {
+            region: region.clone(),
+            nearest: nearest_name(region.as_str(), known).map(str::to_owned),
+        };
+        self.add(path, problem);
+    }
+
+    fn scope(&mut self, path: &ConfigPath, scope: &Scope) {
+        match scope {
+            Scope::Any => {}
+            Scope::Region(region) => self.region(path.field("region"), region),
+            Scope::Place(place) => self.place(path.field("place"), place),
+        }
+    }
+
+    fn service(&mut self, name: &ServiceName, service: &Service) {
+        let path = ConfigPath::root().field("services").field(name.as_str());
+        if service.limits.is_empty() {
+            let problem = ManifestProblem::NoLimits {
+                service: name.clone(),
+            };
+            self.add(path.field("limits"), problem);
+        }
+        if service.max_connections_per_backend < service.max_slots_per_backend {
+            let problem = ManifestProblem::FewerConnectionsThanSlots {
+                connections: service.max_connections_per_backend,
+                slots: service.max_slots_per_backend,
+            };
+            self.add(path.field("max_connections_per_backend"), problem);
+        }
+        for place in service.limits.keys() {
+            self.place(path.field("limits").key(place.as_str()), place);
+        }
+        for (index, operation) in service.operations.iter().enumerate() {
+            let path = path.field("operations").item(index);
+            self.operation(&path, operation, &service.operations[..index]);
+        }
+    }
+
+    fn operation(&mut self, path: &ConfigPath, operation: &Operation, earlier: &[Operation]) {
+        if !METHODS.contains(&operation.method.as_str()) {
+            let problem = ManifestProblem::UnknownMethod {
+                method: operation.method.clone(),
+            };
+            self.add(path.field("method"), problem);
+        }
+        if !prefix_matches_some_path(&operation.path_prefix) {
+            let problem = ManifestProblem::PathPrefixNeverMatches {
+                path_prefix: operation.path_prefix.clone(),
+            };
+            self.add(path.field("path_prefix"), problem);
+        }
+        if earlier.iter().any(|other| other.name == operation.name) {
+            let problem = ManifestProblem::OperationTwice {
+                name: operation.name.clone(),
+            };
+            self.add(path.field("name"), problem);
+        }
+        if let Some(other) = earlier.iter().find(|other| hides(other, operation)) {
+            let problem = ManifestProblem::OperationUnreachable {
+                name: operation.name.clone(),
+                earlier: other.name.clone(),
+            };
+            self.add(path.field("path_prefix"), problem);
+        }
+    }
+
+    fn shift_caps(&mut self) {
+        let path = ConfigPath::root().field("shift_caps");
+        let mut seen: BTreeSet<(&Scope, &Scope)> = BTreeSet::new();
+        for (index, cap) in self.manifest.shift_caps.iter().enumerate() {
+            let path = path.item(index);
+            self.scope(&path.field("from"), &cap.from);
+            self.scope(&path.field("to"), &cap.to);
+            let from = described(&cap.from);
+            let to = described(&cap.to);
+            if !seen.insert((&cap.from, &cap.to)) {
+                self.add(path, ManifestProblem::CapTwice { from, to });
+            } else if never_shifts(cap, self.manifest) {
+                self.add(path, ManifestProblem::CapNeverApplies { from, to });
+            }
+        }
+    }
+
+    fn links(&mut self) {
+        let path = ConfigPath::root().field("links");
+        let mut seen: BTreeSet<(&RegionName, &RegionName)> = BTreeSet::new();
+        for (index, link) in self.manifest.links.iter().enumerate() {
+            let path = path.item(index);
+            self.region(path.field("from"), &link.from);
+            self.region(path.field("to"), &link.to);
+            if link.from == link.to {
+                let region = link.to.clone();
+                self.add(path.field("to"), ManifestProblem::LinkToItself { region });
+            }
+            if !seen.insert((&link.from, &link.to)) {
+                let problem = ManifestProblem::LinkTwice {
+                    from: link.from.clone(),
+                    to: link.to.clone(),
+                };
+                self.add(path, problem);
+            }
+        }
+    }
+
+    fn drains(&mut self) {
+        let path = ConfigPath::root().field("drains");
+        for (index, drain) in self.manifest.drains.iter().enumerate() {
+            let path = path.item(index);
+            if let Drain::Place(place) = drain {
+                self.place(path.field("place"), place);
+            }
+            if self.manifest.drains[..index].contains(drain) {
+                self.add(path, ManifestProblem::DrainTwice);
+            }
+        }
+    }
+
+    fn client_blocks(&mut self) {
+        let path = ConfigPath::root().field("client_blocks");
+        let mut seen: HashSet<BlockPrefix> = HashSet::new();
+        for (index, client_block) in self.manifest.client_blocks.iter().enumerate() {
+            if !self.manifest.places.contains_key(&client_block.place) {
+                self.place(path.item(index).field("place"), &client_block.place);
+            }
+            if !seen.insert(client_block.block) {
+                let problem = ManifestProblem::BlockTwice {
+                    block: client_block.block,
+                };
+                self.add(path.item(index).field("block"), problem);
+            }
+        }
+    }
+
+    fn look_ups(&mut self, look_ups: LookUps) {
+        if look_ups.ticket_ms < look_ups.cache_ms {
+            let problem = ManifestProblem::TicketShorterThanCache {
+                ticket_ms: look_ups.ticket_ms,
+                cache_ms: look_ups.cache_ms,
+            };
+            let path = ConfigPath::root().field("look_ups").field("ticket_ms");
+            self.add(path, problem);
+        }
+    }
+}
+
+fn prefix_matches_some_path(prefix: &str) -> bool {
+    let clean = |c: char| !c.is_whitespace() && !c.is_control() && c != '?' && c != '#';
+    prefix.starts_with('/') && prefix.chars().all(clean)
+}
+
+/// Tells whether `earlier` matches every request that `later` matches.
+fn hides(earlier: &Operation, later: &Operation) -> bool {
+    earlier.method == later.method && later.path_prefix.starts_with(&earlier.path_prefix)
+}
+
+/// Tells whether every caller of the cap's `from` already stands in its `to`.
+fn never_shifts(cap: &ShiftCap, manifest: &Manifest) -> bool {
+    let region_of = |place: &PlaceName| manifest.places.get(place).map(|place| &place.region);
+    match (&cap.from, &cap.to) {
+        (Scope::Any, _) | (_, Scope::Any) => false,
+        (Scope::Region(from), Scope::Region(to)) => from == to,
+        (Scope::Place(from), Scope::Place(to)) => from == to,
+        (Scope::Place(from), Scope::Region(to)) => region_of(from) == Some(to),
+        (Scope::Region(from), Scope::Place(to)) => {
+            let mut members = manifest
+                .places
+                .iter()
+                .filter(|(_, place)| place.region == *from);
+            let known = region_of(to) == Some(from);
+            known && members.all(|(name, _)| name == to)
+        }
+    }
+}
+
+fn described(scope: &Scope) -> String {
+    match scope {
+        Scope::Any => "any place".to_owned(),
+        Scope::Region(region) => format!("region {region}"),
+        Scope::Place(place) => format!("place {place}"),
+    }
 }
--- a/lib/src/manifest_text.rs
+++ b/lib/src/manifest_text.rs
@@ -3,6 +3,7 @@
 use crate::config_fault::ConfigFaults;
 use crate::config_text;
 use crate::manifest::Manifest;
+use crate::manifest_check;
 
 /// Reads and checks a manifest; `file` names the text in faults.
 ///
@@ -10,5 +11,5 @@
 ///
 /// Returns every fault that was found, each with its line and column.
 pub fn read_manifest(file: &str, text: &str) -> Result<Manifest, ConfigFaults> {
-    config_text::read(file, text)
+    config_text::read(file, text, manifest_check::check)
 }
--- a/lib/src/settings_check.rs
+++ b/lib/src/settings_check.rs
@@ -1,13 +1,27 @@
-//! Checks of settings that look at more than one field.
+//! Checks of settings that look at more than one value.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
 
 use snafu::Snafu;
 
+use crate::config_fault::ConfigProblem;
+use crate::config_path::ConfigPath;
+use crate::config_text::LocatedProblem;
+use crate::id::PlaceName;
+use crate::id::RegionName;
+use crate::manifest::Manifest;
+use crate::settings::ControlSettings;
+use crate::settings::ControlTiming;
+use crate::settings::EntryListen;
+use crate::settings::EntrySettings;
+
 /// Tells what doesn't fit in settings, and what is allowed.
 #[derive(Clone, Debug, Eq, PartialEq, Snafu)]
 pub enum SettingsProblem {
-    /// A follower would stand for election after too few heartbeats.
+    /// A follower would stand for election after one lost heartbeat.
     #[snafu(display(
-        "election_min_ms is {election_min_ms}; allowed is more than two heartbeats, which are {} ms",
+        "election_min_ms is {election_min_ms}; allowed is more than two heartbeats, {} ms",
         2 * u64::from(*heartbeat_ms)
     ))]
     ElectionTooShort {
@@ -16,4 +30,189 @@
         /// Time between heartbeats.
         heartbeat_ms: u32,
     },
+    /// All followers would stand for election at once, and none would win.
+    #[snafu(display(
+        "election_max_ms is {election_max_ms}; allowed is more than election_min_ms, {election_min_ms} ms"
+    ))]
+    ElectionRangeEmpty {
+        /// The value.
+        election_max_ms: u32,
+        /// The other end of the range.
+        election_min_ms: u32,
+    },
+    /// Entry VMs would stop serving at each ordinary election.
+    #[snafu(display(
+        "session_lease_ms is {session_lease_ms}; allowed is more than election_max_ms and \
+         session_margin_ms together, {least_ms} ms"
+    ))]
+    LeaseTooShort {
+        /// The value.
+        session_lease_ms: u32,
+        /// The sum that it must exceed.
+        least_ms: u64,
+    },
+    /// Two listeners would take the same port.
+    #[snafu(display("{address} is listened on as {other} already; allowed is each address once"))]
+    ListenerTwice {
+        /// The address.
+        address: SocketAddr,
+        /// The field that has it first.
+        other: &'static str,
+    },
+    /// A control replica is named twice.
+    #[snafu(display("{address} is named already; allowed is each replica once"))]
+    ControlTwice {
+        /// The address.
+        address: SocketAddr,
+    },
+    /// Nobody can connect to port 0.
+    #[snafu(display("{address} has port 0; allowed are ports from 1 to 65535"))]
+    PortZero {
+        /// The address.
+        address: SocketAddr,
+    },
+    /// Others would be told an address that they can't connect to.
+    #[snafu(display(
+        "{address} names no single address; allowed is the address at which others reach this VM"
+    ))]
+    Unspecified {
+        /// The address.
+        address: SocketAddr,
+    },
+    /// The manifest doesn't have the place of the VM.
+    #[snafu(display("the manifest has no place {place}; allowed are its places"))]
+    PlaceNotInManifest {
+        /// The place of the settings.
+        place: PlaceName,
+    },
+    /// The manifest has the place in another region.
+    #[snafu(display(
+        "the manifest has {place} in region {expected}, not {region}; allowed is {expected}"
+    ))]
+    RegionMismatch {
+        /// The place.
+        place: PlaceName,
+        /// The region of the settings.
+        region: RegionName,
+        /// The region of the manifest.
+        expected: RegionName,
+    },
+}
+
+/// Checks the settings of a control replica.
+#[must_use]
+pub fn check_control(settings: &ControlSettings) -> Vec<LocatedProblem> {
+    let mut problems = check_timing(&settings.timing);
+    let listen = ConfigPath::root().field("listen");
+    problems.extend(check_listener(listen, settings.listen));
+    problems
+}
+
+/// Checks the settings of an entry VM.
+#[must_use]
+pub fn check_entry(settings: &EntrySettings) -> Vec<LocatedProblem> {
+    let mut problems = check_listeners(&settings.listen);
+    problems.extend(check_control_addresses(&settings.control));
+    problems
+}
+
+/// Checks that a manifest has a VM's place in the VM's region.
+///
+/// Ownership of backend servers goes by place and region, so a VM that names another
+/// region than the manifest would own what it shouldn't.
+#[must_use]
+pub fn check_place(
+    place: &PlaceName,
+    region: &RegionName,
+    manifest: &Manifest,
+) -> Option<SettingsProblem> {
+    let Some(known) = manifest.places.get(place) else {
+        return Some(SettingsProblem::PlaceNotInManifest {
+            place: place.clone(),
+        });
+    };
+    (known.region != *region).then(|| SettingsProblem::RegionMismatch {
+        place: place.clone(),
+        region: region.clone(),
+        expected: known.region.clone(),
+    })
+}
+
+fn check_timing(timing: &ControlTiming) -> Vec<LocatedProblem> {
+    let path = ConfigPath::root().field("timing");
+    let mut problems = Vec::new();
+    if u64::from(timing.election_min_ms) <= 2 * u64::from(timing.heartbeat_ms) {
+        let problem = SettingsProblem::ElectionTooShort {
+            election_min_ms: timing.election_min_ms,
+            heartbeat_ms: timing.heartbeat_ms,
+        };
+        problems.push(located(path.field("election_min_ms"), problem));
+    }
+    if timing.election_max_ms <= timing.election_min_ms {
+        let problem = SettingsProblem::ElectionRangeEmpty {
+            election_max_ms: timing.election_max_ms,
+            election_min_ms: timing.election_min_ms,
+        };
+        problems.push(located(path.field("election_max_ms"), problem));
+    }
+    let least_ms = u64::from(timing.election_max_ms) + u64::from(timing.session_margin_ms);
+    if u64::from(timing.session_lease_ms) <= least_ms {
+        let problem = SettingsProblem::LeaseTooShort {
+            session_lease_ms: timing.session_lease_ms,
+            least_ms,
+        };
+        problems.push(located(path.field("session_lease_ms"), problem));
+    }
+    problems
+}
+
+fn check_listeners(listen: &EntryListen) -> Vec<LocatedProblem> {
+    let listeners = [
+        ("callers", listen.callers),
+        ("backend_servers", listen.backend_servers),
+        ("peers", listen.peers),
+        ("forward", listen.forward),
+    ];
+    let path = ConfigPath::root().field("listen");
+    let mut first_names: BTreeMap<SocketAddr, &'static str> = BTreeMap::new();
+    let mut problems = Vec::new();
+    for (name, address) in listeners {
+        problems.extend(check_listener(path.field(name), address));
+        if let Some(other) = first_names.get(&address) {
+            let problem = SettingsProblem::ListenerTwice { address, other };
+            problems.push(located(path.field(name), problem));
+        } else {
+            first_names.insert(address, name);
+        }
+    }
+    problems
+}
+
+/// The address that a process listens on is also the one that it tells others.
+fn check_listener(path: ConfigPath, address: SocketAddr) -> Option<LocatedProblem> {
+    if address.ip().is_unspecified() {
+        return Some(located(path, SettingsProblem::Unspecified { address }));
+    }
+    check_port(path, address)
+}
+
+fn check_control_addresses(addresses: &[SocketAddr]) -> Vec<LocatedProblem> {
+    let path = ConfigPath::root().field("control");
+    let mut problems = Vec::new();
+    for (index, address) in addresses.iter().enumerate() {
+        problems.extend(check_port(path.item(index), *address));
+        if addresses[..index].contains(address) {
+            let problem = SettingsProblem::ControlTwice { address: *address };
+            problems.push(located(path.item(index), problem));
+        }
+    }
+    problems
+}
+
+fn check_port(path: ConfigPath, address: SocketAddr) -> Option<LocatedProblem> {
+    (address.port() == 0).then(|| located(path, SettingsProblem::PortZero { address }))
+}
+
+fn located(path: ConfigPath, problem: SettingsProblem) -> LocatedProblem {
+    (path, ConfigProblem::Settings { problem })
 }
--- /dev/null
+++ b/lib/tests/test_settings.rs
@@ -0,0 +1,108 @@
+//! Reading settings: defaults, checks across fields, and the samples.
+
+mod common;
+
+use common::expect_fault;
+use heatherring_lib::manifest_text::read_manifest;
+use heatherring_lib::settings::ControlTiming;
+use heatherring_lib::settings_check::check_place;
+use heatherring_lib::settings_text::read_control_settings;
+use heatherring_lib::settings_text::read_entry_settings;
+use rstest::rstest;
+
+const CONTROL: &str = include_str!("../../samples/control-1.jsonc");
+const ENTRY: &str = include_str!("../../samples/entry-1.jsonc");
+const KYUSHU: &str = include_str!("../../samples/kyushu.jsonc");
+
+#[rstest]
+#[case(CONTROL)]
+#[case(include_str!("../../samples/control-2.jsonc"))]
+#[case(include_str!("../../samples/control-3.jsonc"))]
+fn test_settings_control_samples_fit_the_manifest(#[case] text: &str) {
+    let settings = read_control_settings("s.jsonc", text).unwrap();
+    let manifest = read_manifest("m.jsonc", KYUSHU).unwrap();
+    let problem = check_place(&settings.place, &settings.region, &manifest);
+    assert_eq!(problem, None);
+    assert_eq!(settings.timing, ControlTiming::default());
+}
+
+#[rstest]
+#[case(ENTRY)]
+#[case(include_str!("../../samples/entry-2.jsonc"))]
+#[case(include_str!("../../samples/entry-3.jsonc"))]
+#[case(include_str!("../../samples/entry-4.jsonc"))]
+fn test_settings_entry_samples_fit_the_manifest(#[case] text: &str) {
+    let settings = read_entry_settings("s.jsonc", text).unwrap();
+    let manifest = read_manifest("m.jsonc", KYUSHU).unwrap();
+    let problem = check_place(&settings.place, &settings.region, &manifest);
+    assert_eq!(problem, None);
+}
+
+#[test]
+fn test_settings_region_mismatch_is_reported() {
+    let settings = read_entry_settings("s.jsonc", ENTRY).unwrap();
+    let manifest = KYUSHU.replace(
+        "\"fko-hakata\": {\"region\": \"fukuoka\"}",
+        "\"fko-hakata\": {\"region\": \"kumamoto\"}",
+    );
+    let manifest = read_manifest("m.jsonc", &manifest).unwrap();
+    let problem = check_place(&settings.place, &settings.region, &manifest).unwrap();
+    assert_eq!(
+        problem.to_string(),
+        "the manifest has fko-hakata in region kumamoto, not fukuoka; allowed is kumamoto"
+    );
+}
+
+macro_rules! fault_cases {
+    ($($name:ident: $read:ident, $sample:ident, $from:literal => $to:literal, $expected:literal;)*) => {
+        $(
+            #[test]
+            fn $name() {
+                expect_fault($sample, $from, $to, $expected, |text| $read("f", text).map(drop));
+            }
+        )*
+    };
+}
+
+// `^` marks where the fault must be reported.
+fault_cases! {
+    test_settings_address_without_port: read_control_settings, CONTROL,
+        r#""127.0.0.11:7400""# => r#"^"127.0.0.11""#,
+        r#""127.0.0.11" isn't allowed here; allowed is an IP address with a port, as in 127.0.0.1:7000"#;
+    test_settings_address_of_all_interfaces: read_control_settings, CONTROL,
+        r#""127.0.0.11:7400""# => r#"^"0.0.0.0:7400""#,
+        r"0.0.0.0:7400 names no single address; allowed is the address at which others reach this VM";
+    test_settings_port_zero: read_control_settings, CONTROL,
+        r#""127.0.0.11:7400""# => r#"^"127.0.0.11:0""#,
+        r"127.0.0.11:0 has port 0; allowed are ports from 1 to 65535";
+    test_settings_data_folder_empty: read_control_settings, CONTROL,
+        r#""data/control-1""# => r#"^"""#,
+        r#""" isn't allowed here; allowed is a string that isn't empty"#;
+    test_settings_election_too_short: read_control_settings, CONTROL,
+        r#""vm""# => r#""timing": {"election_min_ms": ^200}, "vm""#,
+        r"election_min_ms is 200; allowed is more than two heartbeats, 200 ms";
+    test_settings_election_range_empty: read_control_settings, CONTROL,
+        r#""vm""# => r#""timing": {"election_max_ms": ^600}, "vm""#,
+        r"election_max_ms is 600; allowed is more than election_min_ms, 600 ms";
+    test_settings_lease_shorter_than_an_election: read_control_settings, CONTROL,
+        r#""vm""# => r#""timing": ^{"election_max_ms": 2500}, "vm""#,
+        r"session_lease_ms is 3000; allowed is more than election_max_ms and session_margin_ms together, 3000 ms";
+    test_settings_unknown_level: read_control_settings, CONTROL,
+        r#""vm""# => r#""log": {"level": ^"verbose"}, "vm""#,
+        r#""verbose" isn't allowed here; allowed is one of "error", "warn", "info", "debug", "trace""#;
+    test_settings_no_control: read_entry_settings, ENTRY,
+        r#"["127.0.0.11:7400", "127.0.0.12:7400", "127.0.0.13:7400"]"# => r"^[]",
+        r"the array has 0; allowed is at least 1 element";
+    test_settings_control_twice: read_entry_settings, ENTRY,
+        r#""127.0.0.12:7400""# => r#"^"127.0.0.11:7400""#,
+        r"127.0.0.11:7400 is named already; allowed is each replica once";
+    test_settings_listener_twice: read_entry_settings, ENTRY,
+        r#""127.0.0.21:7483""# => r#"^"127.0.0.21:7480""#,
+        r"127.0.0.21:7480 is listened on as callers already; allowed is each address once";
+    test_settings_metrics_of_wrong_kind: read_entry_settings, ENTRY,
+        r#""vm""# => r#""metrics": ^"on", "vm""#,
+        r"found a string; allowed is an object";
+    test_settings_null_for_a_required_field: read_entry_settings, ENTRY,
+        r#""entry-1""# => r"^null",
+        r"found null; allowed is a name of 1 to 63 letters, digits, '-', '_' and '.', which starts with a letter or digit";
+}
