--- a/lib/src/settings_check.rs
+++ b/lib/src/settings_check.rs
@@ -15,6 +15,7 @@
 use crate::settings::ControlTiming;
 use crate::settings::EntryListen;
 use crate::settings::EntrySettings;
+use crate::settings::Security;
 
 /// Tells what doesn't fit in settings, and what is allowed.
 #[derive(Clone, Debug, Eq, PartialEq, Snafu)]
@@ -79,6 +80,15 @@
         /// The address.
         address: SocketAddr,
     },
+    /// Without proof of identity anyone who can connect could submit manifests.
+    #[snafu(display(
+        "{address} is no loopback address, and security is open_loopback; allowed beyond \
+         loopback is {{\"tls\": ..}}"
+    ))]
+    OpenBeyondLoopback {
+        /// The address.
+        address: SocketAddr,
+    },
     /// The manifest doesn't have the place of the VM.
     #[snafu(display("the manifest has no place {place}; allowed are its places"))]
     PlaceNotInManifest {
@@ -104,7 +114,8 @@
 pub fn check_control(settings: &ControlSettings) -> Vec<LocatedProblem> {
     let mut problems = check_timing(&settings.timing);
     let listen = ConfigPath::root().field("listen");
-    problems.extend(check_listener(listen, settings.listen));
+    problems.extend(check_listener(listen.clone(), settings.listen));
+    problems.extend(check_open(&settings.security, listen, settings.listen));
     problems
 }
 
@@ -113,6 +124,18 @@
 pub fn check_entry(settings: &EntrySettings) -> Vec<LocatedProblem> {
     let mut problems = check_listeners(&settings.listen);
     problems.extend(check_control_addresses(&settings.control));
+    let listen = ConfigPath::root().field("listen");
+    for (name, address) in listeners(&settings.listen) {
+        problems.extend(check_open(&settings.security, listen.field(name), address));
+    }
+    let control = ConfigPath::root().field("control");
+    for (index, address) in settings.control.iter().enumerate() {
+        problems.extend(check_open(
+            &settings.security,
+            control.item(index),
+            *address,
+        ));
+    }
     problems
 }
 
@@ -166,17 +189,20 @@
     problems
 }
 
-fn check_listeners(listen: &EntryListen) -> Vec<LocatedProblem> {
-    let listeners = [
+const fn listeners(listen: &EntryListen) -> [(&'static str, SocketAddr); 4] {
+    [
         ("callers", listen.callers),
         ("backend_servers", listen.backend_servers),
         ("peers", listen.peers),
         ("forward", listen.forward),
-    ];
+    ]
+}
+
+fn check_listeners(listen: &EntryListen) -> Vec<LocatedProblem> {
     let path = ConfigPath::root().field("listen");
     let mut first_names: BTreeMap<SocketAddr, &'static str> = BTreeMap::new();
     let mut problems = Vec::new();
-    for (name, address) in listeners {
+    for (name, address) in listeners(listen) {
         problems.extend(check_listener(path.field(name), address));
         if let Some(other) = first_names.get(&address) {
             let problem = SettingsProblem::ListenerTwice { address, other };
@@ -209,6 +235,17 @@
     problems
 }
 
+/// An address of all interfaces is reported as such, and not a second time here.
+fn check_open(
+    security: &Security,
+    path: ConfigPath,
+    address: SocketAddr,
+) -> Option<LocatedProblem> {
+    let open = *security == Security::OpenLoopback;
+    let beyond = !address.ip().is_loopback() && !address.ip().is_unspecified();
+    (open && beyond).then(|| located(path, SettingsProblem::OpenBeyondLoopback { address }))
+}
+
 fn check_port(path: ConfigPath, address: SocketAddr) -> Option<LocatedProblem> {
     (address.port() == 0).then(|| located(path, SettingsProblem::PortZero { address }))
 }
