--- a/lib/src/action_record.rs
+++ b/lib/src/action_record.rs
@@ -66,11 +66,12 @@
     /// Returns the refusal. It proves "not run" because every process refuses the
     /// same text of the same request for good.
     pub const fn not_run(&self) -> NotRun {
-        NotRun::proved(match self {
+        let reason = match self {
             Self::NoSeparator | Self::RandomPart => NotRunReason::KeyMalformed,
             Self::InvalidTicket { .. } => NotRunReason::TicketInvalid,
             Self::OtherService { .. } => NotRunReason::TicketOfOtherService,
-        })
+        };
+        NotRun::proved(reason)
     }
 }
 
--- /dev/null
+++ b/lib/src/action_store.rs
@@ -0,0 +1,212 @@
+//! Bounded memory for records of actions.
+
+use std::collections::BTreeSet;
+use std::collections::HashMap;
+
+use slotmap::SlotMap;
+use slotmap::new_key_type;
+
+use crate::action_record::ActionEnd;
+use crate::action_record::ActionId;
+use crate::action_record::ActionKey;
+use crate::outcome::UnknownReason;
+
+new_key_type! {
+    /// Finds one record of an action.
+    pub struct ActionSlot;
+}
+
+/// Bounds what a process keeps of actions.
+#[derive(Clone, Copy, Debug)]
+pub struct ActionLimits {
+    /// Records, running ones and fences included.
+    pub max_records: usize,
+    /// Bytes of stored answers.
+    pub max_answer_bytes: usize,
+    /// How far ahead of this process's clock a ticket may expire, in milliseconds: the
+    /// longest life of a ticket plus the clocks' difference that is put up with.
+    pub max_ahead_ms: u64,
+    /// Time after a ticket's end for which its records still answer, in milliseconds,
+    /// as long as there is room.
+    pub retention_ms: u64,
+}
+
+impl Default for ActionLimits {
+    fn default() -> Self {
+        Self {
+            max_records: 65_536,
+            max_answer_bytes: 32 * 1_024 * 1_024,
+            max_ahead_ms: 15 * 60 * 1_000,
+            retention_ms: 5 * 60 * 1_000,
+        }
+    }
+}
+
+/// Tells whether a ticket is still good by this process's clock.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum TicketAge {
+    Live,
+    Expired,
+    AheadOfClock,
+}
+
+/// Tells that every record must be kept and there is no room for another.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) struct StoreFull;
+
+#[derive(Debug)]
+pub(crate) struct Stored<R> {
+    id: ActionId,
+    expires_unix_ms: u64,
+    answer_bytes: usize,
+    /// Set while the action is under way; such a record outlives its ticket.
+    pinned: bool,
+    pub(crate) record: R,
+}
+
+/// Keeps records by their action.
+///
+/// No record goes before its ticket has expired by the clock of the process that holds
+/// it, whose time never steps back. Both state machines answer a key without a record
+/// with "not run" only while its ticket is live. So no process forgets that a key was
+/// recorded and then says that it never ran.
+#[derive(Debug)]
+pub(crate) struct ActionStore<R> {
+    limits: ActionLimits,
+    stored: SlotMap<ActionSlot, Stored<R>>,
+    by_id: HashMap<ActionId, ActionSlot>,
+    /// Records that may go, by the end of their tickets.
+    by_expiry: BTreeSet<(u64, ActionSlot)>,
+    answer_bytes: usize,
+}
+
+impl<R> ActionStore<R> {
+    pub(crate) fn new(limits: ActionLimits) -> Self {
+        Self {
+            limits,
+            stored: SlotMap::with_key(),
+            by_id: HashMap::new(),
+            by_expiry: BTreeSet::new(),
+            answer_bytes: 0,
+        }
+    }
+
+    pub(crate) fn len(&self) -> usize {
+        self.stored.len()
+    }
+
+    pub(crate) fn answer_bytes(&self) -> usize {
+        self.answer_bytes
+    }
+
+    pub(crate) fn age(&self, now_unix_ms: u64, key: &ActionKey) -> TicketAge {
+        let expires = key.expires_unix_ms();
+        if expires <= now_unix_ms {
+            TicketAge::Expired
+        } else if expires > now_unix_ms.saturating_add(self.limits.max_ahead_ms) {
+            TicketAge::AheadOfClock
+        } else {
+            TicketAge::Live
+        }
+    }
+
+    pub(crate) fn find(&self, id: &ActionId) -> Option<ActionSlot> {
+        self.by_id.get(id).copied()
+    }
+
+    pub(crate) fn get(&self, slot: ActionSlot) -> Option<&R> {
+        self.stored.get(slot).map(|stored| &stored.record)
+    }
+
+    pub(crate) fn get_mut(&mut self, slot: ActionSlot) -> Option<&mut R> {
+        self.stored.get_mut(slot).map(|stored| &mut stored.record)
+    }
+
+    /// Adds a record, dropping the oldest ones whose tickets have expired if it must.
+    pub(crate) fn insert(
+        &mut self,
+        now_unix_ms: u64,
+        key: &ActionKey,
+        record: R,
+    ) -> Result<ActionSlot, StoreFull> {
+        self.purge(now_unix_ms);
+        if self.stored.len() >= self.limits.max_records {
+            self.drop_oldest_expired(now_unix_ms)?;
+        }
+        let id = key.id();
+        let expires_unix_ms = key.expires_unix_ms();
+        let slot = self.stored.insert(Stored {
+            id,
+            expires_unix_ms,
+            answer_bytes: 0,
+            pinned: false,
+            record,
+        });
+        self.by_id.insert(id, slot);
+        self.by_expiry.insert((expires_unix_ms, slot));
+        Ok(slot)
+    }
+
+    /// Keeps the record whatever its age, until [`ActionStore::unpin`].
+    pub(crate) fn pin(&mut self, slot: ActionSlot) {
+        if let Some(stored) = self.stored.get_mut(slot) {
+            stored.pinned = true;
+            self.by_expiry.remove(&(stored.expires_unix_ms, slot));
+        }
+    }
+
+    pub(crate) fn unpin(&mut self, slot: ActionSlot) {
+        if let Some(stored) = self.stored.get_mut(slot) {
+            stored.pinned = false;
+            self.by_expiry.insert((stored.expires_unix_ms, slot));
+        }
+    }
+
+    /// Counts the answer in `end` against the bound, and replaces it when it can't be
+    /// kept: the action ran, so the record must say so even without the answer.
+    pub(crate) fn admit_answer(&mut self, slot: ActionSlot, end: ActionEnd) -> ActionEnd {
+        let ActionEnd::Answer(answer) = &end else {
+            return end;
+        };
+        let size = answer.size();
+        let room = self.limits.max_answer_bytes - self.answer_bytes;
+        let Some(stored) = self.stored.get_mut(slot) else {
+            return end;
+        };
+        if size > room {
+            return ActionEnd::Unknown(UnknownReason::AnswerNotKept);
+        }
+        stored.answer_bytes += size;
+        self.answer_bytes += size;
+        end
+    }
+
+    /// Drops records whose retention is over.
+    pub(crate) fn purge(&mut self, now_unix_ms: u64) {
+        let retention_ms = self.limits.retention_ms;
+        while let Some(&(expires, slot)) = self.by_expiry.first() {
+            if expires.saturating_add(retention_ms) > now_unix_ms {
+                return;
+            }
+            self.remove(slot);
+        }
+    }
+
+    fn drop_oldest_expired(&mut self, now_unix_ms: u64) -> Result<(), StoreFull> {
+        let &(expires, slot) = self.by_expiry.first().ok_or(StoreFull)?;
+        if expires > now_unix_ms {
+            return Err(StoreFull);
+        }
+        self.remove(slot);
+        Ok(())
+    }
+
+    fn remove(&mut self, slot: ActionSlot) {
+        let Some(stored) = self.stored.remove(slot) else {
+            return;
+        };
+        self.by_id.remove(&stored.id);
+        self.by_expiry.remove(&(stored.expires_unix_ms, slot));
+        self.answer_bytes -= stored.answer_bytes;
+    }
+}
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -4,7 +4,10 @@
 //! randomness. Time comes in as an argument, randomness as a seed, and what is to be
 //! done goes out as values, so that every decision can be replayed in a test.
 
+pub mod action_backup;
+pub mod action_primary;
 pub mod action_record;
+pub mod action_store;
 pub mod admission;
 pub mod announcement;
 pub mod audit;
