testutils: caller, cluster of processes, request history and its checks

Callers' records and the backend servers' ledgers are joined by nonce, so that a run whose key got lost, or a "not run" that did run, shows up.

--- a/testutils/src/announcer.rs
+++ b/testutils/src/announcer.rs
@@ -93,23 +93,21 @@
             let mode = self.behaviour.borrow().load_report;
             let truth = self.ledger.in_use(&self.config.backend).await;
             let in_flight = reports.reported(mode, truth);
-            let pause = if mode == LoadReport::Vanished && phase != Phase::Leaving {
-                RETRY_PAUSE
+            let silent = mode == LoadReport::Vanished && phase != Phase::Leaving;
+            let taken = if silent {
+                None
             } else {
-                match self.announce(&client, owner, phase, in_flight).await {
-                    Some(taken) => {
-                        if phase == Phase::Leaving {
-                            self.leaving_taken.send_replace(true);
-                        }
-                        owner = taken.owner.map(|owner| owner.address);
-                        Duration::from_millis(taken.repeat_ms)
-                    }
-                    None => {
-                        owner = None;
-                        RETRY_PAUSE
-                    }
-                }
+                self.announce(&client, owner, phase, in_flight).await
             };
+            let pause = taken
+                .as_ref()
+                .map_or(RETRY_PAUSE, |taken| Duration::from_millis(taken.repeat_ms));
+            if taken.is_some() && phase == Phase::Leaving {
+                self.leaving_taken.send_replace(true);
+            }
+            owner = taken
+                .and_then(|taken| taken.owner)
+                .map(|owner| owner.address);
             let changed = timeout(pause, self.phase.changed()).await;
             if matches!(changed, Ok(Err(_))) || self.leaving_taken.is_closed() {
                 return;
--- a/testutils/src/fake_backend_server.rs
+++ b/testutils/src/fake_backend_server.rs
@@ -220,6 +220,9 @@
             ledger,
             behaviour: behaviour_rx,
         };
+        server
+            .ledger
+            .note(&server.identity, LedgerEventKind::Started);
         let mut tasks = JoinSet::new();
         tasks.spawn(announcer.run());
         tasks.spawn(serve(
--- a/testutils/src/ledger.rs
+++ b/testutils/src/ledger.rs
@@ -41,6 +41,8 @@
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(rename_all = "snake_case")]
 pub enum LedgerEventKind {
+    /// The backend server's process started; nothing of an earlier life runs any more.
+    Started,
     /// A request began to run.
     Start(Asked),
     /// A request stopped running.
--- a/testutils/src/lib.rs
+++ b/testutils/src/lib.rs
@@ -4,6 +4,9 @@
 mod announcer;
 pub mod caller;
 pub mod cluster;
+pub mod cluster_error;
+pub mod cluster_operator;
+pub mod cluster_plan;
 pub mod echo;
 pub mod fake_backend_server;
 pub mod ledger;
