--- a/server/src/backend_pool.rs
+++ b/server/src/backend_pool.rs
@@ -10,7 +10,6 @@
 //! connection whose answer was read to its last byte can come back.
 
 use std::collections::HashMap;
-use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::time::Duration;
 use std::time::Instant;
@@ -130,7 +129,7 @@
     },
     Return(BackendConnection),
     Closed(SocketAddr),
-    Retain(HashSet<SocketAddr>),
+    Disconnect(SocketAddr),
 }
 
 /// Reaches the pool's task.
@@ -183,10 +182,10 @@
         let _ = self.tx.send(PoolMessage::Return(connection));
     }
 
-    /// Closes the idle connections to all addresses but `addresses`, so that the new
-    /// owner of a backend server finds its connection limit free.
-    pub fn retain(&self, addresses: HashSet<SocketAddr>) {
-        let _ = self.tx.send(PoolMessage::Retain(addresses));
+    /// Closes the idle connections to `address`, so that the new owner of the backend
+    /// server finds its connection limit free.
+    pub fn disconnect(&self, address: SocketAddr) {
+        let _ = self.tx.send(PoolMessage::Disconnect(address));
     }
 
     async fn check_out(&self, address: SocketAddr, limit: u32) -> Result<Checkout, ConnectError> {
@@ -275,7 +274,7 @@
             } => self.check_out(address, limit, reply),
             PoolMessage::Return(connection) => self.take_back(connection),
             PoolMessage::Closed(address) => self.note_closed(address),
-            PoolMessage::Retain(addresses) => self.retain(&addresses),
+            PoolMessage::Disconnect(address) => self.disconnect(address),
         }
     }
 
@@ -321,11 +320,9 @@
         }
     }
 
-    fn retain(&mut self, addresses: &HashSet<SocketAddr>) {
-        for (address, server) in &mut self.servers {
-            if !addresses.contains(address) {
-                server.idle.clear();
-            }
+    fn disconnect(&mut self, address: SocketAddr) {
+        if let Some(server) = self.servers.get_mut(&address) {
+            server.idle.clear();
         }
     }
 
--- /dev/null
+++ b/server/src/control_session.rs
@@ -0,0 +1,383 @@
+//! An entry VM's session with control.
+//!
+//! One task calls `Session.Sync` in a loop and applies what comes back in log order. It
+//! asks one replica at a time and moves to the next when that one can't prove that it
+//! is current or doesn't answer.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use heatherring_lib::clock::Clock;
+use heatherring_lib::entry_lease::EntryLease;
+use heatherring_lib::id::ClusterId;
+use heatherring_lib::id::Revision;
+use heatherring_lib::id::SessionId;
+use heatherring_lib::view::ControlView;
+use heatherring_lib::view::EntryInfo;
+use heatherring_lib::view::ViewChange;
+use heatherring_lib::view::ViewError;
+use snafu::ResultExt;
+use snafu::Snafu;
+use snafu::ensure;
+use tokio::sync::mpsc;
+use tokio::sync::watch;
+use tonic::transport::Channel;
+
+use crate::entry_state::EntryState;
+use crate::proto::SyncOutcome;
+use crate::proto::SyncReply;
+use crate::proto::SyncRequest;
+use crate::proto::session_client::SessionClient;
+
+/// Time for which control may hold a call back while nothing is new. A silent replica
+/// costs this and [`CALL_MARGIN`] before another is asked, which must leave a good part
+/// of the lease for finding a new leader.
+const SYNC_WAIT: Duration = Duration::from_millis(500);
+
+/// Time beyond the wait after which a call counts as lost.
+const CALL_MARGIN: Duration = Duration::from_millis(500);
+
+/// Time for which a call may take to connect.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
+
+/// Pause before another replica is asked. Without it, an entry VM would ask the
+/// replicas in a tight loop during an election.
+const RETRY_PAUSE: Duration = Duration::from_millis(50);
+
+/// Time for which the end of the session is reported at most.
+const CLOSE_BOUND: Duration = Duration::from_secs(2);
+
+/// Tells what the process wants of its session.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum SessionWish {
+    /// To serve.
+    #[default]
+    Serve,
+    /// To own nothing any more and to be named in no look-up.
+    Leave,
+    /// To end: everything is finished.
+    Close,
+}
+
+/// Tells the tasks that own decisions what control said, in order.
+#[derive(Clone, Debug)]
+pub enum ControlEvent {
+    /// A session was opened with this view.
+    Opened {
+        /// The session.
+        session: SessionId,
+        /// The whole view.
+        view: Arc<ControlView>,
+    },
+    /// The view changed by one position of the log.
+    Changed(Arc<ControlView>),
+    /// The view came whole; changes between may have gone unseen.
+    Replaced(Arc<ControlView>),
+    /// A revision is settled.
+    Settled(Revision),
+    /// The lease runs until this moment.
+    Extended(Instant),
+    /// The session is lost, and with it everything owned.
+    Lost,
+}
+
+/// Tells why a reply of control wasn't taken.
+#[derive(Debug, Snafu)]
+enum SyncError {
+    /// The replica can't be reached or doesn't answer in time.
+    #[snafu(display("{replica} doesn't answer: {status}"))]
+    Call {
+        replica: SocketAddr,
+        status: tonic::Status,
+    },
+    /// No answer came in time.
+    #[snafu(display("{replica} doesn't answer in time"))]
+    Timeout { replica: SocketAddr },
+    /// The replica can't prove that it is current.
+    #[snafu(display("{replica} has no quorum"))]
+    NoQuorum { replica: SocketAddr },
+    /// The replica belongs to another set of control replicas.
+    #[snafu(display("{replica} belongs to another cluster"))]
+    OtherCluster { replica: SocketAddr },
+    /// A part of the reply can't be read.
+    #[snafu(display("a reply of control can't be read: {source}"))]
+    Decode { source: postcard::Error },
+    /// The view is older than the one held.
+    #[snafu(display("control sent revision {found}, and {held} is known already"))]
+    OlderView { found: Revision, held: Revision },
+    /// A change doesn't fit the view.
+    #[snafu(display("a change of control doesn't fit the view: {source}"))]
+    Apply { source: ViewError },
+}
+
+/// Runs the session until it is closed.
+#[derive(Debug)]
+pub struct ControlSession {
+    info: EntryInfo,
+    replicas: Vec<SocketAddr>,
+    current: usize,
+    client: Option<SessionClient<Channel>>,
+    clock: Arc<dyn Clock>,
+    state: EntryState,
+    need_whole: bool,
+    publish: watch::Sender<EntryState>,
+    events: mpsc::UnboundedSender<ControlEvent>,
+    wish: watch::Receiver<SessionWish>,
+}
+
+impl ControlSession {
+    /// Prepares a session of the entry VM `info` with the control replicas.
+    #[must_use]
+    pub fn new(
+        info: EntryInfo,
+        replicas: Vec<SocketAddr>,
+        clock: Arc<dyn Clock>,
+        publish: watch::Sender<EntryState>,
+        events: mpsc::UnboundedSender<ControlEvent>,
+        wish: watch::Receiver<SessionWish>,
+    ) -> Self {
+        Self {
+            info,
+            replicas,
+            current: 0,
+            client: None,
+            clock,
+            state: EntryState::default(),
+            need_whole: true,
+            publish,
+            events,
+            wish,
+        }
+    }
+
+    /// Keeps the session until [`SessionWish::Close`] has been reported.
+    pub async fn run(mut self) {
+        let mut close_by = None;
+        loop {
+            let wish = *self.wish.borrow_and_update();
+            if wish == SessionWish::Close {
+                let by = *close_by.get_or_insert_with(|| self.clock.now() + CLOSE_BOUND);
+                if self.state.lease.session().is_none() || self.clock.now() >= by {
+                    return;
+                }
+            }
+            let request = self.request(wish);
+            let sent_at = self.clock.now();
+            let mut wish_changes = self.wish.clone();
+            let result = tokio::select! {
+                result = self.call(request) => result,
+                // The call may be held back for long; what is wished for is told at
+                // once. A reply that is lost thereby is asked for again.
+                Ok(()) = wish_changes.changed() => continue,
+            };
+            let taken = match result {
+                Ok(reply) => self.take(wish, &reply, sent_at),
+                Err(error) => Err(error),
+            };
+            if let Err(error) = taken {
+                self.fail(&error).await;
+            }
+        }
+    }
+
+    fn request(&self, wish: SessionWish) -> SyncRequest {
+        let session = self.state.lease.session();
+        let fresh = session.is_none() || self.need_whole;
+        let leaving_told = self.is_leaving_in_view();
+        let hurry = fresh || (wish == SessionWish::Leave && !leaving_told);
+        let wait = if hurry { Duration::ZERO } else { SYNC_WAIT };
+        let applied = if fresh {
+            Revision::default()
+        } else {
+            self.state.view.revision
+        };
+        SyncRequest {
+            cluster_id: self
+                .state
+                .cluster
+                .map_or_else(Vec::new, |cluster| cluster.0.to_vec()),
+            entry_encoded: postcard::to_stdvec(&self.info).unwrap_or_default(),
+            session: session.unwrap_or_default().0,
+            applied_revision: applied.0,
+            known_settled: self.state.settled.0,
+            wait_ms: u32::try_from(wait.as_millis()).unwrap_or(u32::MAX),
+            leaving: wish != SessionWish::Serve,
+            closing: wish == SessionWish::Close,
+        }
+    }
+
+    fn is_leaving_in_view(&self) -> bool {
+        self.state
+            .lease
+            .session()
+            .and_then(|id| self.state.view.sessions.get(&id))
+            .is_some_and(|session| session.leaving)
+    }
+
+    async fn call(&mut self, request: SyncRequest) -> Result<SyncReply, SyncError> {
+        let replica = self.replicas[self.current];
+        let mut client = self.client(replica);
+        let bound = SYNC_WAIT + CALL_MARGIN;
+        match tokio::time::timeout(bound, client.sync(request)).await {
+            Ok(Ok(reply)) => Ok(reply.into_inner()),
+            Ok(Err(status)) => CallSnafu { replica, status }.fail(),
+            Err(_) => TimeoutSnafu { replica }.fail(),
+        }
+    }
+
+    fn client(&mut self, replica: SocketAddr) -> SessionClient<Channel> {
+        if let Some(client) = &self.client {
+            return client.clone();
+        }
+        let channel = crate::grpc_channel::open(replica, CONNECT_TIMEOUT);
+        let client = SessionClient::new(channel).max_decoding_message_size(usize::MAX);
+        self.client = Some(client.clone());
+        client
+    }
+
+    async fn fail(&mut self, error: &SyncError) {
+        log::warn!(event = "control_silent", vm = self.info.vm.as_str(), error = error.to_string().as_str(); "asking another control replica");
+        self.client = None;
+        self.current = (self.current + 1) % self.replicas.len();
+        tokio::time::sleep(RETRY_PAUSE).await;
+    }
+
+    fn take(
+        &mut self,
+        wish: SessionWish,
+        reply: &SyncReply,
+        sent_at: Instant,
+    ) -> Result<(), SyncError> {
+        let replica = self.replicas[self.current];
+        match reply.outcome() {
+            SyncOutcome::Granted => {}
+            SyncOutcome::SessionLost => {
+                self.lose();
+                return Ok(());
+            }
+            SyncOutcome::NoQuorum | SyncOutcome::Unspecified => {
+                return NoQuorumSnafu { replica }.fail();
+            }
+        }
+        self.check_cluster(replica, &reply.cluster_id)?;
+        if wish == SessionWish::Close {
+            self.lose();
+            return Ok(());
+        }
+        self.take_grant(reply, sent_at)
+    }
+
+    fn check_cluster(&mut self, replica: SocketAddr, cluster: &[u8]) -> Result<(), SyncError> {
+        let Ok(bytes) = <[u8; 16]>::try_from(cluster) else {
+            return OtherClusterSnafu { replica }.fail();
+        };
+        let cluster = ClusterId(bytes);
+        if *self.state.cluster.get_or_insert(cluster) == cluster {
+            Ok(())
+        } else {
+            OtherClusterSnafu { replica }.fail()
+        }
+    }
+
+    /// Drops everything that the session stood for, before another one is opened.
+    fn lose(&mut self) {
+        let Some(session) = self.state.lease.session() else {
+            return;
+        };
+        log::warn!(event = "session_ended", vm = self.info.vm.as_str(), session = session.0; "the session is over");
+        self.state.lease.lost(session);
+        self.need_whole = true;
+        self.state.settled = Revision::default();
+        self.publish.send_replace(self.state.clone());
+        self.tell(ControlEvent::Lost);
+    }
+
+    fn take_grant(&mut self, reply: &SyncReply, sent_at: Instant) -> Result<(), SyncError> {
+        let session = SessionId(reply.session);
+        let lease = Duration::from_millis(reply.lease_ms.into());
+        let opening = self.state.lease == EntryLease::NoSession;
+        // A grant without a view that belongs to it must not let anything be served.
+        if opening && reply.view_encoded.is_empty() {
+            self.need_whole = true;
+            return Ok(());
+        }
+        self.take_view(reply, session, opening)?;
+        if opening {
+            self.state.lease.opened(session, sent_at, lease);
+            log::info!(event = "session_opened", vm = self.info.vm.as_str(), session = session.0, revision = self.state.view.revision.0; "control opened a session");
+        }
+        let now = self.clock.now();
+        self.state.lease.renewed(session, sent_at, lease, now);
+        if let Some(until) = self.state.lease.expires_at() {
+            self.tell(ControlEvent::Extended(until));
+        }
+        let settled = Revision(reply.settled_revision);
+        if settled > self.state.settled {
+            self.state.settled = settled;
+            self.tell(ControlEvent::Settled(settled));
+        }
+        self.publish.send_replace(self.state.clone());
+        Ok(())
+    }
+
+    fn take_view(
+        &mut self,
+        reply: &SyncReply,
+        session: SessionId,
+        opening: bool,
+    ) -> Result<(), SyncError> {
+        if !reply.view_encoded.is_empty() {
+            let view: ControlView =
+                postcard::from_bytes(&reply.view_encoded).context(DecodeSnafu)?;
+            self.replace_view(view, session, opening)?;
+        }
+        for encoded in &reply.changes_encoded {
+            let change: ViewChange = postcard::from_bytes(encoded).context(DecodeSnafu)?;
+            self.apply(&change)?;
+        }
+        Ok(())
+    }
+
+    fn replace_view(
+        &mut self,
+        view: ControlView,
+        session: SessionId,
+        opening: bool,
+    ) -> Result<(), SyncError> {
+        // A view older than the one held would bring back an older manifest.
+        let held = self.state.view.revision;
+        let found = view.revision;
+        ensure!(found >= held, OlderViewSnafu { found, held });
+        self.need_whole = false;
+        self.state.view = Arc::new(view);
+        let view = Arc::clone(&self.state.view);
+        self.tell(if opening {
+            ControlEvent::Opened { session, view }
+        } else {
+            ControlEvent::Replaced(view)
+        });
+        Ok(())
+    }
+
+    fn apply(&mut self, change: &ViewChange) -> Result<(), SyncError> {
+        // Resent after a reply that was lost on its way.
+        if change.revision <= self.state.view.revision {
+            return Ok(());
+        }
+        let mut view = ControlView::clone(&self.state.view);
+        if let Err(source) = view.apply(change) {
+            self.need_whole = true;
+            return Err(SyncError::Apply { source });
+        }
+        self.state.view = Arc::new(view);
+        self.tell(ControlEvent::Changed(Arc::clone(&self.state.view)));
+        Ok(())
+    }
+
+    fn tell(&self, event: ControlEvent) {
+        // Nobody listens any more only when the process ends.
+        let _ = self.events.send(event);
+    }
+}
--- /dev/null
+++ b/server/src/peer_client.rs
@@ -0,0 +1,217 @@
+//! Messages to other entry VMs.
+//!
+//! One task owns the channels. A slow peer gets only the newest digest; releases are
+//! kept until they are delivered or their session is gone.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use heatherring_lib::id::SessionId;
+use heatherring_lib::id::VmName;
+use heatherring_lib::load_digest::LoadDigest;
+use heatherring_lib::ownership::Release;
+use heatherring_lib::view::ControlView;
+use tokio::sync::mpsc;
+use tokio::sync::oneshot;
+use tokio::sync::watch;
+use tokio_util::task::AbortOnDropHandle;
+use tonic::transport::Channel;
+
+use crate::grpc_channel;
+use crate::proto::DigestRequest;
+use crate::proto::ReleaseRequest;
+use crate::proto::peer_client::PeerClient;
+
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Time after which a message to a peer counts as lost.
+const CALL_TIMEOUT: Duration = Duration::from_millis(1_000);
+
+/// Pause after a failed message.
+const RETRY_PAUSE: Duration = Duration::from_millis(100);
+
+/// Tells the owner of decisions how long a peer's answer took.
+pub type RoundTrips = mpsc::UnboundedSender<(SessionId, Duration)>;
+
+#[derive(Debug)]
+enum Message {
+    View(SessionId, Arc<ControlView>),
+    Digest(Arc<DigestRequest>),
+    Release(SessionId, Release),
+    Channel(SessionId, oneshot::Sender<Option<Channel>>),
+}
+
+/// Reaches the task.
+#[derive(Clone, Debug)]
+pub struct PeerClients {
+    tx: mpsc::UnboundedSender<Message>,
+}
+
+impl PeerClients {
+    /// Starts the task of the entry VM `vm`.
+    #[must_use]
+    pub fn spawn(vm: VmName, round_trips: RoundTrips) -> Self {
+        let (tx, rx) = mpsc::unbounded_channel();
+        let task = PeerTask {
+            vm,
+            round_trips,
+            own: SessionId::default(),
+            peers: BTreeMap::new(),
+        };
+        tokio::spawn(task.run(rx));
+        Self { tx }
+    }
+
+    /// Follows the sessions of a view; `own` is this process's.
+    pub fn apply_view(&self, own: SessionId, view: Arc<ControlView>) {
+        self.tell(Message::View(own, view));
+    }
+
+    /// Sends a digest to all peers; a newer one replaces one that still waits.
+    pub fn send_digest(&self, digest: &LoadDigest) {
+        let Ok(digest_encoded) = postcard::to_stdvec(digest) else {
+            return;
+        };
+        let request = DigestRequest {
+            vm: String::new(),
+            session: digest.session.0,
+            digest_encoded,
+        };
+        self.tell(Message::Digest(Arc::new(request)));
+    }
+
+    /// Sends a release to a new owner, until it is delivered.
+    pub fn send_release(&self, to: SessionId, release: Release) {
+        self.tell(Message::Release(to, release));
+    }
+
+    /// Returns the channel to the entry VM of a session, if the view has it.
+    pub async fn channel(&self, session: SessionId) -> Option<Channel> {
+        let (reply, answer) = oneshot::channel();
+        self.tell(Message::Channel(session, reply));
+        answer.await.ok().flatten()
+    }
+
+    fn tell(&self, message: Message) {
+        let _ = self.tx.send(message);
+    }
+}
+
+#[derive(Debug)]
+struct Peer {
+    channel: Channel,
+    digest: watch::Sender<Option<Arc<DigestRequest>>>,
+    releases: mpsc::UnboundedSender<ReleaseRequest>,
+    _digests: AbortOnDropHandle<()>,
+    _releases: AbortOnDropHandle<()>,
+}
+
+struct PeerTask {
+    vm: VmName,
+    round_trips: RoundTrips,
+    own: SessionId,
+    peers: BTreeMap<SessionId, Peer>,
+}
+
+impl PeerTask {
+    async fn run(mut self, mut rx: mpsc::UnboundedReceiver<Message>) {
+        while let Some(message) = rx.recv().await {
+            match message {
+                Message::View(own, view) => self.apply_view(own, &view),
+                Message::Digest(request) => self.send_digest(&request),
+                Message::Release(to, release) => self.send_release(to, &release),
+                Message::Channel(session, reply) => {
+                    let channel = self.peers.get(&session).map(|peer| peer.channel.clone());
+                    let _ = reply.send(channel);
+                }
+            }
+        }
+    }
+
+    fn apply_view(&mut self, own: SessionId, view: &ControlView) {
+        self.own = own;
+        self.peers
+            .retain(|session, _| *session != own && view.sessions.contains_key(session));
+        for (id, session) in &view.sessions {
+            if *id == own || self.peers.contains_key(id) {
+                continue;
+            }
+            let channel = grpc_channel::open(session.info.peers, CONNECT_TIMEOUT);
+            let peer = self.start(*id, channel);
+            self.peers.insert(*id, peer);
+        }
+    }
+
+    fn start(&self, id: SessionId, channel: Channel) -> Peer {
+        let (digest, digest_rx) = watch::channel(None);
+        let (releases, releases_rx) = mpsc::unbounded_channel();
+        let client = PeerClient::new(channel.clone());
+        let digests = send_digests(client.clone(), id, digest_rx, self.round_trips.clone());
+        let sending = send_releases(client, releases_rx);
+        Peer {
+            channel,
+            digest,
+            releases,
+            _digests: AbortOnDropHandle::new(tokio::spawn(digests)),
+            _releases: AbortOnDropHandle::new(tokio::spawn(sending)),
+        }
+    }
+
+    fn send_digest(&self, request: &Arc<DigestRequest>) {
+        for peer in self.peers.values() {
+            peer.digest.send_replace(Some(Arc::clone(request)));
+        }
+    }
+
+    fn send_release(&self, to: SessionId, release: &Release) {
+        let Some(peer) = self.peers.get(&to) else {
+            return;
+        };
+        let Ok(encoded) = postcard::to_stdvec(release) else {
+            return;
+        };
+        let request = ReleaseRequest {
+            vm: self.vm.as_str().to_owned(),
+            session: self.own.0,
+            revision: release.revision.0,
+            releases_encoded: vec![encoded],
+        };
+        let _ = peer.releases.send(request);
+    }
+}
+
+async fn send_digests(
+    mut client: PeerClient<Channel>,
+    session: SessionId,
+    mut digests: watch::Receiver<Option<Arc<DigestRequest>>>,
+    round_trips: RoundTrips,
+) {
+    while digests.changed().await.is_ok() {
+        let Some(request) = digests.borrow_and_update().clone() else {
+            continue;
+        };
+        let sent = tokio::time::Instant::now();
+        let call = client.digest(DigestRequest::clone(&request));
+        if matches!(tokio::time::timeout(CALL_TIMEOUT, call).await, Ok(Ok(_))) {
+            let _ = round_trips.send((session, sent.elapsed()));
+        } else {
+            tokio::time::sleep(RETRY_PAUSE).await;
+        }
+    }
+}
+
+async fn send_releases(
+    mut client: PeerClient<Channel>,
+    mut releases: mpsc::UnboundedReceiver<ReleaseRequest>,
+) {
+    while let Some(request) = releases.recv().await {
+        loop {
+            let call = client.release(request.clone());
+            if matches!(tokio::time::timeout(CALL_TIMEOUT, call).await, Ok(Ok(_))) {
+                break;
+            }
+            tokio::time::sleep(RETRY_PAUSE).await;
+        }
+    }
+}
--- a/server/src/refusal.rs
+++ b/server/src/refusal.rs
@@ -4,10 +4,14 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use heatherring_lib::outcome::Attempt;
+use heatherring_lib::outcome::MayHaveRun;
 use heatherring_lib::outcome::NotRun;
 use heatherring_lib::outcome::NotRunReason;
+use heatherring_lib::outcome::OUTCOME_ANSWER;
 use heatherring_lib::outcome::OUTCOME_NOT_RUN;
 use heatherring_lib::outcome::OUTCOME_UNKNOWN;
+use heatherring_lib::outcome::Refusal as EntryRefusal;
 use heatherring_lib::outcome::Unknown;
 use heatherring_lib::outcome::UnknownReason;
 use http::HeaderMap;
@@ -169,48 +173,36 @@
     response
 }
 
-/// Holds what another entry VM said in place of an answer.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum EntryRefusal {
-    /// It proves that nothing ran.
-    NotRun {
-        /// Why.
-        reason: NotRunReason,
-        /// When to come back.
-        retry_after: Option<Duration>,
-    },
-    /// The request may have run there.
-    Unknown(UnknownReason),
-}
-
-/// Reads the refusal of another entry VM; `None` for an answer.
+/// Ends an attempt with the refusal that another entry VM sent, if `headers` are those
+/// of one.
 ///
 /// A refusal with an unreadable reason counts as "unknown": "not run" needs proof.
-#[must_use]
-pub fn from_entry(headers: &HeaderMap) -> Option<EntryRefusal> {
+///
+/// # Errors
+///
+/// Hands the attempt back if the headers are those of an answer.
+pub fn from_entry(
+    headers: &HeaderMap,
+    attempt: Attempt<MayHaveRun>,
+) -> Result<Refused, Attempt<MayHaveRun>> {
     let text = |name| {
         headers
             .get(name)
             .and_then(|value: &HeaderValue| value.to_str().ok())
     };
+    let outcome = text(header::OUTCOME);
+    if outcome == Some(OUTCOME_ANSWER) {
+        return Err(attempt);
+    }
     let reason = text(header::REASON).unwrap_or_default();
-    match text(header::OUTCOME) {
-        Some(OUTCOME_NOT_RUN) => {
-            let Some(reason) = NotRunReason::parse(reason) else {
-                return Some(EntryRefusal::Unknown(UnknownReason::OwnerLost));
-            };
-            let retry_after = header::number(headers, &header::RETRY_AFTER_MS)
-                .flatten()
-                .map(Duration::from_millis);
-            Some(EntryRefusal::NotRun {
-                reason,
-                retry_after,
-            })
-        }
-        Some(OUTCOME_UNKNOWN) => {
-            let reason = UnknownReason::parse(reason).unwrap_or(UnknownReason::OwnerLost);
-            Some(EntryRefusal::Unknown(reason))
-        }
-        _ => None,
+    let retry_after = header::number(headers, &header::RETRY_AFTER_MS)
+        .flatten()
+        .map(Duration::from_millis);
+    let refusal = NotRunReason::parse(reason)
+        .and_then(|reason| EntryRefusal::of_entry(outcome, reason, retry_after));
+    if let Some(refusal) = refusal {
+        return Ok(attempt.refused(refusal).into());
     }
+    let reason = UnknownReason::parse(reason).unwrap_or(UnknownReason::OwnerLost);
+    Ok(attempt.lost(reason).into())
 }
