--- /dev/null
+++ b/server/src/announce_listener.rs
@@ -0,0 +1,155 @@
+//! Takes announcements of backend servers and passes them on to the owner.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use heatherring_lib::announcement::Announcement;
+use heatherring_lib::announcement::AnnouncementReply;
+use heatherring_lib::announcement::OwnerAddress;
+use heatherring_lib::outcome::Attempt;
+use heatherring_lib::outcome::NotRunReason;
+use heatherring_lib::ownership;
+use heatherring_lib::view::EntrySession;
+use http::HeaderValue;
+use http::Method;
+use http::Request;
+use http::Response;
+use http::StatusCode;
+use http::header::CONTENT_TYPE;
+use hyper::body::Incoming;
+use serde::Serialize;
+
+use crate::answer_body;
+use crate::answer_body::AnswerBody;
+use crate::entry_context::EntryContext;
+use crate::entry_status;
+use crate::http_server::Handler;
+use crate::proto::AnnounceRequest;
+use crate::proto::peer_client::PeerClient;
+use crate::refusal;
+use crate::request_body;
+
+const ANNOUNCE_PATH: &str = "/announce";
+const STATUS_PATH: &str = "/status";
+
+/// Bytes of an announcement.
+const MAX_ANNOUNCEMENT_BYTES: u32 = 4_096;
+
+/// Time within which an announcement must have arrived whole.
+const READ_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Time for which the owner's answer is waited for.
+const PASS_ON_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Answers backend servers, and operators who ask for the status.
+#[derive(Clone, Debug)]
+pub struct AnnounceHandler {
+    cx: Arc<EntryContext>,
+}
+
+impl AnnounceHandler {
+    /// Answers with what `cx` holds.
+    #[must_use]
+    pub const fn new(cx: Arc<EntryContext>) -> Self {
+        Self { cx }
+    }
+}
+
+impl Handler for AnnounceHandler {
+    async fn handle(&self, _peer: SocketAddr, req: Request<Incoming>) -> Response<AnswerBody> {
+        match (req.method(), req.uri().path()) {
+            (&Method::POST, ANNOUNCE_PATH) => self.announce(req).await,
+            (&Method::GET, STATUS_PATH) => {
+                json(StatusCode::OK, &entry_status::collect(&self.cx).await)
+            }
+            _ => json(StatusCode::NOT_FOUND, &Problem::new("no such path")),
+        }
+    }
+}
+
+#[derive(Serialize)]
+struct Problem {
+    message: String,
+}
+
+impl Problem {
+    fn new(message: impl Into<String>) -> Self {
+        Self {
+            message: message.into(),
+        }
+    }
+}
+
+impl AnnounceHandler {
+    async fn announce(&self, req: Request<Incoming>) -> Response<AnswerBody> {
+        let by = self.cx.now() + READ_TIMEOUT;
+        let body = match request_body::read(req.into_body(), MAX_ANNOUNCEMENT_BYTES, by).await {
+            Ok(body) => body,
+            Err(reason) => return self.refuse(reason),
+        };
+        let announcement: Announcement = match serde_json::from_slice(&body) {
+            Ok(announcement) => announcement,
+            Err(error) => {
+                return json(StatusCode::BAD_REQUEST, &Problem::new(error.to_string()));
+            }
+        };
+        let state = self.cx.state.read();
+        if self.cx.state.live_session().is_none() {
+            return self.refuse(NotRunReason::LeaseLapsed);
+        }
+        let Some(manifest) = state.manifest() else {
+            return self.refuse(NotRunReason::NoManifest);
+        };
+        if let Err(error) = announcement.check(manifest) {
+            return json(StatusCode::BAD_REQUEST, &Problem::new(error.to_string()));
+        }
+        let owner = ownership::owner(&state.view, &announcement.service, &announcement.place);
+        let Some(owner) = owner else {
+            return json(StatusCode::OK, &AnnouncementReply::new(None));
+        };
+        if state.lease.session() == Some(owner.id) {
+            self.cx.admission.announce(announcement).await;
+        } else {
+            self.pass_on(owner, &announcement).await;
+        }
+        let address = OwnerAddress {
+            vm: owner.info.vm.clone(),
+            address: owner.info.backend_servers,
+        };
+        json(StatusCode::OK, &AnnouncementReply::new(Some(address)))
+    }
+
+    /// Passes the announcement on. A failure isn't reported: the server announces to
+    /// the owner itself next, and to others when that fails.
+    async fn pass_on(&self, owner: &EntrySession, announcement: &Announcement) {
+        let Some(channel) = self.cx.peers.channel(owner.id).await else {
+            return;
+        };
+        let Ok(announcement_encoded) = postcard::to_stdvec(announcement) else {
+            return;
+        };
+        let mut client = PeerClient::new(channel);
+        let call = client.announce(AnnounceRequest {
+            announcement_encoded,
+        });
+        if !matches!(tokio::time::timeout(PASS_ON_TIMEOUT, call).await, Ok(Ok(_))) {
+            log::warn!(event = "announcement_not_passed_on", backend = announcement.backend.as_str(), owner = owner.info.vm.as_str(); "the owner doesn't answer");
+        }
+    }
+
+    fn refuse(&self, reason: NotRunReason) -> Response<AnswerBody> {
+        let not_run = Attempt::new().refuse(reason);
+        let entries = self.cx.state.other_entries(&self.cx.info);
+        refusal::to_caller(&not_run.into(), "", entries)
+    }
+}
+
+fn json(status: StatusCode, body: &impl Serialize) -> Response<AnswerBody> {
+    let content = serde_json::to_vec(body).unwrap_or_default();
+    let mut response = Response::new(answer_body::full(content));
+    *response.status_mut() = status;
+    let value = HeaderValue::from_static("application/json");
+    response.headers_mut().insert(CONTENT_TYPE, value);
+    response
+}
--- /dev/null
+++ b/server/src/caller_listener.rs
@@ -0,0 +1,299 @@
+//! Takes callers' look-ups and requests.
+
+use std::net::IpAddr;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use heatherring_lib::id::PlaceName;
+use heatherring_lib::id::ServiceName;
+use heatherring_lib::outcome::Attempt;
+use heatherring_lib::outcome::NotRun;
+use heatherring_lib::outcome::NotRunReason;
+use heatherring_lib::outcome::Outcome;
+use heatherring_lib::view::EntrySession;
+use heatherring_lib::view::ManifestInForce;
+use http::HeaderMap;
+use http::HeaderValue;
+use http::Method;
+use http::Request;
+use http::Response;
+use http::header::CACHE_CONTROL;
+use http::header::CONTENT_TYPE;
+use http::request::Parts;
+use hyper::body::Incoming;
+use serde::Serialize;
+
+use crate::answer_body;
+use crate::answer_body::AnswerBody;
+use crate::caller_place;
+use crate::dispatcher::OutgoingRequest;
+use crate::entry_context::EntryContext;
+use crate::header;
+use crate::http_server::Handler;
+use crate::refusal;
+use crate::refusal::Refused;
+use crate::request_body;
+use crate::request_path;
+use crate::request_path::ServiceRequest;
+
+const LOOK_UP_PREFIX: &str = "/lookup/";
+const SERVICE_PREFIX: &str = "/svc/";
+
+/// Answers callers.
+#[derive(Clone, Debug)]
+pub struct CallerHandler {
+    cx: Arc<EntryContext>,
+}
+
+impl CallerHandler {
+    /// Answers with what `cx` holds.
+    #[must_use]
+    pub const fn new(cx: Arc<EntryContext>) -> Self {
+        Self { cx }
+    }
+}
+
+impl Handler for CallerHandler {
+    async fn handle(&self, peer: SocketAddr, req: Request<Incoming>) -> Response<AnswerBody> {
+        let request_id = self.cx.request_ids.draw();
+        let arrived = self.cx.now();
+        let result = self.answer(peer, &request_id, arrived, req).await;
+        let mut response = match result {
+            Ok(response) => response,
+            Err(refused) => {
+                log::debug!(event = "refused", request_id = request_id.as_str(), outcome = refused.outcome(), reason = refused.reason(); "a caller's request got no answer");
+                let entries = self.cx.state.other_entries(&self.cx.info);
+                refusal::to_caller(&refused, &request_id, entries)
+            }
+        };
+        if let Ok(value) = HeaderValue::from_str(&request_id) {
+            response.headers_mut().insert(header::REQUEST_ID, value);
+        }
+        response
+    }
+}
+
+impl CallerHandler {
+    async fn answer(
+        &self,
+        peer: SocketAddr,
+        request_id: &str,
+        arrived: Instant,
+        req: Request<Incoming>,
+    ) -> Result<Response<AnswerBody>, Refused> {
+        let path = req.uri().path().to_owned();
+        if let Some(service) = path.strip_prefix(LOOK_UP_PREFIX) {
+            if req.method() != Method::GET {
+                return Err(refuse(NotRunReason::OperationUnknown).into());
+            }
+            return self.look_up(peer.ip(), service).await.map_err(Into::into);
+        }
+        let request = self.read(peer.ip(), request_id, arrived, req).await?;
+        into_result(crate::action_path::run(&self.cx, &request).await)
+    }
+
+    /// Checks the request and reads its body.
+    async fn read(
+        &self,
+        peer: IpAddr,
+        request_id: &str,
+        arrived: Instant,
+        req: Request<Incoming>,
+    ) -> Result<ServiceRequest, NotRun> {
+        if self.cx.state.live_session().is_none() {
+            return Err(refuse(NotRunReason::LeaseLapsed));
+        }
+        let state = self.cx.state.read();
+        let in_force = state
+            .view
+            .manifest
+            .clone()
+            .ok_or_else(|| refuse(NotRunReason::NoManifest))?;
+        let (parts, body) = req.into_parts();
+        let target = Target::parse(&parts, &in_force)?;
+        let deadline = arrived + deadline(&parts.headers, target.deadline)?;
+        let max_bytes = self.cx.limits.max_body_bytes;
+        let body = request_body::read(body, max_bytes, deadline)
+            .await
+            .map_err(refuse)?;
+        let origin = caller_place::find(&in_force.manifest, peer)
+            .unwrap_or_else(|| self.cx.info.place.clone());
+        let mut headers = parts.headers;
+        header::remove_hop_by_hop(&mut headers);
+        header::remove_own(&mut headers);
+        Ok(ServiceRequest {
+            service: target.service,
+            in_force,
+            operation: target.operation,
+            origin,
+            hops: 0,
+            outgoing: OutgoingRequest {
+                method: parts.method,
+                path: target.path,
+                headers,
+                body,
+                request_id: request_id.to_owned(),
+                deadline,
+            },
+        })
+    }
+
+    async fn look_up(&self, peer: IpAddr, service: &str) -> Result<Response<AnswerBody>, NotRun> {
+        let state = self.cx.state.read();
+        if !state.lease.is_valid(self.cx.now()) {
+            return Err(refuse(NotRunReason::LeaseLapsed));
+        }
+        let manifest = state
+            .manifest()
+            .ok_or_else(|| refuse(NotRunReason::NoManifest))?;
+        let service = ServiceName::new(service);
+        if !manifest.services.contains_key(&service) {
+            return Err(refuse(NotRunReason::ServiceUnknown));
+        }
+        let origin = self.origin(manifest, peer);
+        let caller = caller_place::digest(peer);
+        let answer = self
+            .cx
+            .admission
+            .look_up(service.clone(), origin, caller)
+            .await?;
+        let ticket = crate::action_path::ticket(&self.cx, &state, &service, &answer.entry);
+        let ticket_ms = manifest.look_ups.ticket_ms;
+        let body = LookUpBody {
+            service: &service,
+            entry: NamedEntry::of(&answer.entry),
+            backups: answer.backups.iter().map(NamedEntry::of).collect(),
+            cache_ms: header::whole_ms(answer.cache),
+            ticket_ms: ticket.as_ref().map(|_| ticket_ms),
+            ticket,
+        };
+        Ok(to_response(&body, answer.cache))
+    }
+
+    fn origin(&self, manifest: &heatherring_lib::manifest::Manifest, peer: IpAddr) -> PlaceName {
+        caller_place::find(manifest, peer).unwrap_or_else(|| self.cx.info.place.clone())
+    }
+}
+
+fn refuse(reason: NotRunReason) -> NotRun {
+    Attempt::new().refuse(reason)
+}
+
+/// Parts the three endings into an answer and a refusal.
+///
+/// # Errors
+///
+/// Returns "not run" and "unknown" as errors.
+pub fn into_result(
+    outcome: Outcome<Response<AnswerBody>>,
+) -> Result<Response<AnswerBody>, Refused> {
+    match outcome {
+        Outcome::Answer(response) => Ok(response),
+        Outcome::NotRun(not_run) => Err(not_run.into()),
+        Outcome::Unknown(unknown) => Err(unknown.into()),
+    }
+}
+
+/// Holds what a request asks for.
+struct Target {
+    service: ServiceName,
+    operation: usize,
+    /// Path and query as the backend server sees them.
+    path: String,
+    deadline: Duration,
+}
+
+impl Target {
+    fn parse(parts: &Parts, in_force: &ManifestInForce) -> Result<Self, NotRun> {
+        let below = parts
+            .uri
+            .path()
+            .strip_prefix(SERVICE_PREFIX)
+            .ok_or_else(|| refuse(NotRunReason::ServiceUnknown))?;
+        let (service, rest) = below.split_once('/').unwrap_or((below, ""));
+        let service = ServiceName::new(service);
+        let found = in_force
+            .manifest
+            .services
+            .get(&service)
+            .ok_or_else(|| refuse(NotRunReason::ServiceUnknown))?;
+        if has_dot_segment(rest) {
+            return Err(refuse(NotRunReason::MalformedRequest));
+        }
+        let mut path = format!("/{rest}");
+        let operation = request_path::find_operation(found, parts.method.as_str(), &path)
+            .ok_or_else(|| refuse(NotRunReason::OperationUnknown))?;
+        if let Some(query) = parts.uri.query() {
+            path.push('?');
+            path.push_str(query);
+        }
+        let deadline_ms = found.operations[operation].deadline_ms;
+        Ok(Self {
+            service,
+            operation,
+            path,
+            deadline: Duration::from_millis(deadline_ms.into()),
+        })
+    }
+}
+
+/// Returns whether a path holds `.` or `..` as a segment, also percent-encoded.
+///
+/// A backend server may resolve them, and would then run another operation than the
+/// one that was matched: an action could run under the name of an idempotent read.
+fn has_dot_segment(path: &str) -> bool {
+    path.split('/').any(|segment| {
+        let decoded = segment.replace("%2e", ".").replace("%2E", ".");
+        decoded == "." || decoded == ".."
+    })
+}
+
+/// Returns the time to the deadline: the operation's, or a shorter one of the caller.
+fn deadline(headers: &HeaderMap, longest: Duration) -> Result<Duration, NotRun> {
+    match header::number(headers, &header::DEADLINE_MS) {
+        None => Ok(longest),
+        Some(Some(ms)) => Ok(longest.min(Duration::from_millis(ms))),
+        Some(None) => Err(refuse(NotRunReason::MalformedRequest)),
+    }
+}
+
+#[derive(Serialize)]
+struct LookUpBody<'a> {
+    service: &'a ServiceName,
+    entry: NamedEntry<'a>,
+    backups: Vec<NamedEntry<'a>>,
+    cache_ms: u64,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    ticket: Option<String>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    ticket_ms: Option<u32>,
+}
+
+#[derive(Serialize)]
+struct NamedEntry<'a> {
+    vm: &'a str,
+    address: SocketAddr,
+}
+
+impl<'a> NamedEntry<'a> {
+    fn of(session: &'a EntrySession) -> Self {
+        Self {
+            vm: session.info.vm.as_str(),
+            address: session.info.callers,
+        }
+    }
+}
+
+fn to_response(body: &LookUpBody<'_>, cache: Duration) -> Response<AnswerBody> {
+    let content = serde_json::to_vec(body).unwrap_or_default();
+    let mut response = Response::new(answer_body::full(content));
+    let headers = response.headers_mut();
+    headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    let max_age = format!("max-age={}", cache.as_secs());
+    if let Ok(value) = HeaderValue::from_str(&max_age) {
+        headers.insert(CACHE_CONTROL, value);
+    }
+    response
+}
--- a/server/src/control_session.rs
+++ b/server/src/control_session.rs
@@ -26,6 +26,9 @@
 use tonic::transport::Channel;
 
 use crate::entry_state::EntryState;
+use crate::grpc_channel;
+use crate::peer_security::PeerSecurity;
+use crate::peer_security::PeerSecurityError;
 use crate::proto::SyncOutcome;
 use crate::proto::SyncReply;
 use crate::proto::SyncRequest;
@@ -92,6 +95,9 @@
         replica: SocketAddr,
         status: tonic::Status,
     },
+    /// The replica's address isn't allowed.
+    #[snafu(display("{source}"))]
+    Security { source: PeerSecurityError },
     /// No answer came in time.
     #[snafu(display("{replica} doesn't answer in time"))]
     Timeout { replica: SocketAddr },
@@ -116,6 +122,7 @@
 #[derive(Debug)]
 pub struct ControlSession {
     info: EntryInfo,
+    security: PeerSecurity,
     replicas: Vec<SocketAddr>,
     current: usize,
     client: Option<SessionClient<Channel>>,
@@ -132,6 +139,7 @@
     #[must_use]
     pub fn new(
         info: EntryInfo,
+        security: PeerSecurity,
         replicas: Vec<SocketAddr>,
         clock: Arc<dyn Clock>,
         publish: watch::Sender<EntryState>,
@@ -140,6 +148,7 @@
     ) -> Self {
         Self {
             info,
+            security,
             replicas,
             current: 0,
             client: None,
@@ -218,7 +227,7 @@
 
     async fn call(&mut self, request: SyncRequest) -> Result<SyncReply, SyncError> {
         let replica = self.replicas[self.current];
-        let mut client = self.client(replica);
+        let mut client = self.client(replica)?;
         let bound = SYNC_WAIT + CALL_MARGIN;
         match tokio::time::timeout(bound, client.sync(request)).await {
             Ok(Ok(reply)) => Ok(reply.into_inner()),
@@ -227,14 +236,15 @@
         }
     }
 
-    fn client(&mut self, replica: SocketAddr) -> SessionClient<Channel> {
+    fn client(&mut self, replica: SocketAddr) -> Result<SessionClient<Channel>, SyncError> {
         if let Some(client) = &self.client {
-            return client.clone();
+            return Ok(client.clone());
         }
-        let channel = crate::grpc_channel::open(replica, CONNECT_TIMEOUT);
+        let channel =
+            grpc_channel::open(&self.security, replica, CONNECT_TIMEOUT).context(SecuritySnafu)?;
         let client = SessionClient::new(channel).max_decoding_message_size(usize::MAX);
         self.client = Some(client.clone());
-        client
+        Ok(client)
     }
 
     async fn fail(&mut self, error: &SyncError) {
--- a/server/src/dispatcher.rs
+++ b/server/src/dispatcher.rs
@@ -98,7 +98,7 @@
         let mut connection = match tokio::time::timeout_at(deadline, connecting).await {
             Ok(Ok(connection)) => connection,
             Ok(Err(error)) => {
-                log::info!(event = "backend_unreachable", request_id = req.request_id.as_str(), address = target.address.to_string().as_str(), error = error.to_string().as_str(); "no connection to the backend server");
+                log::debug!(event = "backend_unreachable", request_id = req.request_id.as_str(), address = target.address.to_string().as_str(), error = error.to_string().as_str(); "no connection to the backend server");
                 return attempt.refuse(NotRunReason::BackendUnreachable).into();
             }
             Err(_) => return attempt.refuse(NotRunReason::DeadlineTooShort).into(),
--- a/server/src/entry_process.rs
+++ b/server/src/entry_process.rs
@@ -2,17 +2,56 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use heatherring_lib::clock::Clock;
 use heatherring_lib::settings::EntrySettings;
+use heatherring_lib::view::EntryInfo;
 use snafu::ResultExt;
 use snafu::Snafu;
 use tokio::net::TcpListener;
+use tokio::sync::mpsc;
+use tokio::sync::watch;
+use tokio::task::JoinHandle;
+use tokio_stream::wrappers::TcpListenerStream;
+use tokio_util::sync::CancellationToken;
 
+use crate::admission_task::AdmissionTask;
+use crate::announce_listener::AnnounceHandler;
+use crate::backend_pool::BackendPool;
+use crate::caller_listener::CallerHandler;
+use crate::control_session::ControlSession;
+use crate::control_session::SessionWish;
+use crate::entry_context::EntryContext;
+use crate::entry_context::RequestIds;
+use crate::entry_state::EntryState;
+use crate::entry_state::EntryStateReader;
+use crate::forward_client::ForwardClients;
+use crate::forward_listener::ForwardHandler;
+use crate::http_server;
+use crate::http_server::Admittance;
+use crate::http_server::Handler;
+use crate::http_server::HttpBounds;
 use crate::metrics;
 use crate::metrics::MetricsError;
+use crate::peer_client::PeerClients;
+use crate::peer_security::PeerSecurity;
+use crate::peer_security::PeerSecurityError;
+use crate::peer_service::PeerService;
+use crate::proto::peer_server::PeerServer;
 use crate::shutdown::Shutdown;
 
+/// Time for which a planned stop waits until every entry VM knows that this one leaves.
+/// Control may be silent for longer; then callers are better served by ending.
+const LEAVE_BOUND: Duration = Duration::from_secs(10);
+
+/// Time for which a planned stop waits for what is in flight, beyond the longest
+/// deadline in the manifest.
+const FINISH_MARGIN: Duration = Duration::from_secs(5);
+
+/// Time for which the end of the session is waited for.
+const CLOSE_BOUND: Duration = Duration::from_secs(3);
+
 /// Tells why an entry VM can't start.
 #[derive(Debug, Snafu)]
 pub enum EntryError {
@@ -26,6 +65,12 @@
         /// What the operating system said.
         source: std::io::Error,
     },
+    /// The security settings can't be used: a fault of the settings.
+    #[snafu(display("{source}"))]
+    Security {
+        /// Why.
+        source: PeerSecurityError,
+    },
     /// Metrics can't be sent.
     #[snafu(display("can't send metrics: {source}"))]
     Metrics {
@@ -64,18 +109,264 @@
 
 /// Runs an entry VM until `shutdown` asks it to stop and it has finished everything.
 ///
+/// A planned stop first tells control that the entry VM leaves, so that it owns nothing
+/// and is named in no look-up any more. It serves on until look-up answers that callers
+/// have cached are over, finishes what is in flight, closes its session and ends. A
+/// second request to stop ends the waiting.
+///
 /// # Errors
 ///
-/// Fails if a listener can't be bound; nothing has been started then.
+/// Fails if a listener can't be bound or the settings' security can't be set up;
+/// nothing has been started then.
 pub async fn run_entry(
     settings: EntrySettings,
     clock: Arc<dyn Clock>,
     mut shutdown: Shutdown,
 ) -> Result<(), EntryError> {
+    let security = PeerSecurity::from_settings(&settings.security).context(SecuritySnafu)?;
+    let metrics = metrics::open_metrics(settings.metrics.as_ref()).context(MetricsSnafu)?;
+    let grpc_server = security.grpc_server().context(SecuritySnafu)?;
     let listeners = Listeners::bind(&settings).await?;
-    let _metrics = metrics::open_metrics(settings.metrics.as_ref()).context(MetricsSnafu)?;
-    let _ = clock;
+    log::info!(event = "entry_started", vm = settings.vm.as_str(), callers = settings.listen.callers.to_string().as_str(); "the entry VM listens");
+    let running = Running::start(&settings, clock, security, metrics, listeners, grpc_server);
     shutdown.requested().await;
-    drop(listeners);
+    running.stop(shutdown).await;
+    log::info!(event = "entry_ended", vm = settings.vm.as_str(); "the entry VM has finished");
     Ok(())
 }
+
+/// Holds the tasks of a running entry VM.
+struct Running {
+    cx: Arc<EntryContext>,
+    wish: watch::Sender<SessionWish>,
+    session: JoinHandle<()>,
+    /// Ends what takes requests of callers and other entry VMs.
+    stop_requests: CancellationToken,
+    callers: JoinHandle<()>,
+    forward: JoinHandle<()>,
+    /// Ends what takes messages.
+    stop_messages: CancellationToken,
+    backend_servers: JoinHandle<()>,
+    peers: JoinHandle<()>,
+}
+
+impl Running {
+    fn start(
+        settings: &EntrySettings,
+        clock: Arc<dyn Clock>,
+        security: PeerSecurity,
+        metrics: metrics::Metrics,
+        listeners: Listeners,
+        grpc_server: tonic::transport::Server,
+    ) -> Self {
+        let info = entry_info(settings);
+        let (publish, state) = watch::channel(EntryState::default());
+        let (events, events_rx) = mpsc::unbounded_channel();
+        let (wish, wish_rx) = watch::channel(SessionWish::Serve);
+        let (round_trips, mut round_trips_rx) = mpsc::unbounded_channel();
+        let pool = BackendPool::spawn();
+        let peers = PeerClients::spawn(info.vm.clone(), security.clone(), round_trips);
+        let (admission_task, admission) = AdmissionTask::new(
+            Arc::clone(&clock),
+            events_rx,
+            pool.clone(),
+            peers.clone(),
+            rand::random(),
+        );
+        tokio::spawn(admission_task.run());
+        tokio::spawn({
+            let admission = admission.clone();
+            async move {
+                while let Some((session, round_trip)) = round_trips_rx.recv().await {
+                    admission.note_round_trip(session, round_trip);
+                }
+            }
+        });
+        let session = ControlSession::new(
+            info.clone(),
+            security.clone(),
+            settings.control.clone(),
+            Arc::clone(&clock),
+            publish,
+            events,
+            wish_rx,
+        );
+        let cx = Arc::new(EntryContext {
+            info,
+            limits: settings.limits,
+            clock: Arc::clone(&clock),
+            state: EntryStateReader::new(state, clock),
+            admission,
+            pool,
+            forward: ForwardClients::spawn(security.clone()),
+            peers,
+            metrics,
+            request_ids: RequestIds::new(rand::random()),
+        });
+        let stop_requests = CancellationToken::new();
+        let stop_messages = CancellationToken::new();
+        let bounds = HttpBounds {
+            max_connections: settings.limits.max_connections as usize,
+            max_header_bytes: settings.limits.max_header_bytes as usize,
+            header_timeout: settings.limits.header_timeout(),
+        };
+        let callers = spawn_server(
+            listeners.callers,
+            Admittance::Anybody,
+            bounds,
+            CallerHandler::new(Arc::clone(&cx)),
+            &stop_requests,
+        );
+        let forward = spawn_server(
+            listeners.forward,
+            Admittance::Deployment(security),
+            bounds,
+            ForwardHandler::new(Arc::clone(&cx)),
+            &stop_requests,
+        );
+        let backend_servers = spawn_server(
+            listeners.backend_servers,
+            Admittance::Anybody,
+            bounds,
+            AnnounceHandler::new(Arc::clone(&cx)),
+            &stop_messages,
+        );
+        let peers = spawn_peer_server(
+            grpc_server,
+            listeners.peers,
+            PeerService::new(Arc::clone(&cx)),
+            &stop_messages,
+        );
+        Self {
+            cx,
+            wish,
+            session: tokio::spawn(session.run()),
+            stop_requests,
+            callers,
+            forward,
+            stop_messages,
+            backend_servers,
+            peers,
+        }
+    }
+
+    async fn stop(self, mut shutdown: Shutdown) {
+        log::info!(event = "entry_leaving", vm = self.cx.info.vm.as_str(); "a planned stop begins");
+        self.wish.send_replace(SessionWish::Leave);
+        tokio::select! {
+            () = self.finish() => {}
+            () = shutdown.insisted() => {
+                log::warn!(event = "entry_stop_forced", vm = self.cx.info.vm.as_str(); "asked to stop twice: what is in flight is cut off");
+            }
+        }
+        self.wish.send_replace(SessionWish::Close);
+        let _ = tokio::time::timeout(CLOSE_BOUND, self.session).await;
+        self.stop_messages.cancel();
+        self.backend_servers.abort();
+        self.peers.abort();
+        self.callers.abort();
+        self.forward.abort();
+    }
+
+    async fn finish(&self) {
+        let bound = self.cx.now() + LEAVE_BOUND;
+        let _ = tokio::time::timeout_at(bound.into(), self.until_known_everywhere()).await;
+        tokio::time::sleep(self.cache_time()).await;
+        self.stop_requests.cancel();
+        let bound = self.cx.now() + self.longest_deadline() + FINISH_MARGIN;
+        let _ = tokio::time::timeout_at(bound.into(), self.until_finished()).await;
+    }
+
+    /// Waits until no entry VM names this one in a look-up or forwards to it.
+    async fn until_known_everywhere(&self) {
+        let mut state = self.cx.state.clone();
+        let mut leaving_since = None;
+        loop {
+            let read = state.read();
+            let Some(session) = read.lease.session() else {
+                return;
+            };
+            let own = read.view.sessions.get(&session);
+            if own.is_none_or(|own| own.leaving) {
+                let since = *leaving_since.get_or_insert(read.view.revision);
+                if read.settled >= since {
+                    return;
+                }
+            }
+            state.changed().await;
+        }
+    }
+
+    fn cache_time(&self) -> Duration {
+        let state = self.cx.state.read();
+        let cache_ms = state.manifest().map_or(0, |found| found.look_ups.cache_ms);
+        Duration::from_millis(cache_ms.into())
+    }
+
+    fn longest_deadline(&self) -> Duration {
+        let state = self.cx.state.read();
+        let longest = state
+            .manifest()
+            .into_iter()
+            .flat_map(|manifest| manifest.services.values())
+            .flat_map(|service| &service.operations)
+            .map(|operation| operation.deadline_ms)
+            .max();
+        Duration::from_millis(longest.unwrap_or(0).into())
+    }
+
+    async fn until_finished(&self) {
+        const POLL: Duration = Duration::from_millis(10);
+        while !(self.callers.is_finished() && self.forward.is_finished()) {
+            tokio::time::sleep(POLL).await;
+        }
+        while !self.cx.admission.status().await.idle {
+            tokio::time::sleep(POLL).await;
+        }
+    }
+}
+
+fn entry_info(settings: &EntrySettings) -> EntryInfo {
+    EntryInfo {
+        vm: settings.vm.clone(),
+        place: settings.place.clone(),
+        region: settings.region.clone(),
+        callers: settings.listen.callers,
+        backend_servers: settings.listen.backend_servers,
+        peers: settings.listen.peers,
+        forward: settings.listen.forward,
+    }
+}
+
+fn spawn_server<H: Handler>(
+    listener: TcpListener,
+    admittance: Admittance,
+    bounds: HttpBounds,
+    handler: H,
+    stop: &CancellationToken,
+) -> JoinHandle<()> {
+    tokio::spawn(http_server::serve(
+        listener,
+        admittance,
+        bounds,
+        handler,
+        stop.clone(),
+    ))
+}
+
+fn spawn_peer_server(
+    mut server: tonic::transport::Server,
+    listener: TcpListener,
+    service: PeerService,
+    stop: &CancellationToken,
+) -> JoinHandle<()> {
+    let stop = stop.clone();
+    let router = server.add_service(PeerServer::new(service));
+    tokio::spawn(async move {
+        let incoming = TcpListenerStream::new(listener);
+        let serving = router.serve_with_incoming_shutdown(incoming, stop.cancelled_owned());
+        if let Err(error) = serving.await {
+            log::error!(event = "peers_listener_failed", error = error.to_string().as_str(); "messages of other entry VMs can't be taken");
+        }
+    })
+}
--- a/server/src/entry_state.rs
+++ b/server/src/entry_state.rs
@@ -11,6 +11,7 @@
 use heatherring_lib::manifest::Manifest;
 use heatherring_lib::outcome::NotRunReason;
 use heatherring_lib::view::ControlView;
+use heatherring_lib::view::EntryInfo;
 use heatherring_lib::view::EntrySession;
 use tokio::sync::watch;
 
@@ -83,17 +84,17 @@
     /// Returns where else callers may ask: entry VMs of the same place first, then of
     /// the region, then others.
     #[must_use]
-    pub fn other_entries(&self, own: &EntrySession) -> Vec<SocketAddr> {
+    pub fn other_entries(&self, own: &EntryInfo) -> Vec<SocketAddr> {
         let state = self.rx.borrow();
         let mut others: Vec<&EntrySession> = state
             .view
             .sessions
             .values()
-            .filter(|session| !session.leaving && session.info.vm != own.info.vm)
+            .filter(|session| !session.leaving && session.info.vm != own.vm)
             .collect();
         others.sort_by_key(|session| {
-            let other_place = session.info.place != own.info.place;
-            let other_region = session.info.region != own.info.region;
+            let other_place = session.info.place != own.place;
+            let other_region = session.info.region != own.region;
             (other_region, other_place)
         });
         others
--- /dev/null
+++ b/server/src/entry_status.rs
@@ -0,0 +1,52 @@
+//! What an entry VM tells operators of itself.
+
+use heatherring_lib::load_digest::GroupLoad;
+use serde::Serialize;
+
+use crate::entry_context::EntryContext;
+use crate::header;
+
+/// Holds an entry VM's status as it is written in JSON.
+#[derive(Clone, Debug, Serialize)]
+pub struct EntryStatus {
+    /// The VM's name.
+    pub vm: String,
+    /// The session with control; 0 without one.
+    pub session: u64,
+    /// What is left of the lease, in milliseconds.
+    pub lease_left_ms: u64,
+    /// The last revision applied.
+    pub revision: u64,
+    /// The last revision that all entry VMs have applied.
+    pub settled_revision: u64,
+    /// The version of the manifest in force; 0 without one.
+    pub manifest_version: u64,
+    /// Entry VMs that have a session.
+    pub entries: usize,
+    /// Requests that wait for a slot here.
+    pub waiting: usize,
+    /// What each group that this entry VM owns can take.
+    pub owned: Vec<GroupLoad>,
+}
+
+/// Collects the status.
+pub async fn collect(cx: &EntryContext) -> EntryStatus {
+    let admission = cx.admission.status().await;
+    let state = cx.state.read();
+    let lease_left = state
+        .lease
+        .expires_at()
+        .map(|until| until.saturating_duration_since(cx.now()))
+        .unwrap_or_default();
+    EntryStatus {
+        vm: cx.info.vm.as_str().to_owned(),
+        session: state.lease.session().unwrap_or_default().0,
+        lease_left_ms: header::whole_ms(lease_left),
+        revision: state.view.revision.0,
+        settled_revision: state.settled.0,
+        manifest_version: state.manifest().map_or(0, |manifest| manifest.version.0),
+        entries: state.view.sessions.len(),
+        waiting: admission.waiting,
+        owned: admission.loads,
+    }
+}
--- /dev/null
+++ b/server/src/forward_client.rs
@@ -0,0 +1,327 @@
+//! Sends requests on to other entry VMs, over one multiplexed HTTP/2 connection each.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+use std::time::Instant;
+
+use bytes::Bytes;
+use heatherring_lib::id::PlaceName;
+use heatherring_lib::id::ServiceName;
+use heatherring_lib::id::SessionId;
+use heatherring_lib::outcome::Attempt;
+use heatherring_lib::outcome::NotRunReason;
+use heatherring_lib::outcome::Outcome;
+use heatherring_lib::outcome::UnknownReason;
+use heatherring_lib::outcome::Unsent;
+use http::HeaderValue;
+use http::Request;
+use http::Response;
+use http::Uri;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::client::conn::http2;
+use hyper::client::conn::http2::SendRequest;
+use hyper_util::rt::TokioExecutor;
+use hyper_util::rt::TokioIo;
+use hyper_util::rt::TokioTimer;
+use snafu::ResultExt;
+use snafu::Snafu;
+use tokio::net::TcpStream;
+use tokio::sync::mpsc;
+use tokio::sync::oneshot;
+
+use crate::answer_body;
+use crate::answer_body::AnswerBody;
+use crate::answer_body::AnswerEnd;
+use crate::dispatcher::OutgoingRequest;
+use crate::header;
+use crate::http_server::CONNECTION_WINDOW;
+use crate::http_server::STREAM_WINDOW;
+use crate::peer_security::PeerSecurity;
+use crate::peer_security::PeerSecurityError;
+use crate::refusal;
+use crate::refusal::Refused;
+
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Time between pings, and how long their answer may take. A peer that is cut off or
+/// frozen is noticed by the missing answer, and its requests end as "unknown" then.
+const KEEP_ALIVE_INTERVAL: Duration = Duration::from_secs(1);
+const KEEP_ALIVE_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Time beyond the deadline for which the owner's own last word is waited for. It
+/// often proves "not run" where the first entry VM could only say "unknown".
+const LAST_WORD: Duration = Duration::from_millis(100);
+
+/// Tells why another entry VM can't be reached. No byte of a request has been sent.
+#[derive(Clone, Debug, Snafu)]
+pub enum ForwardError {
+    /// The connection failed.
+    #[snafu(display("can't connect to {address}: {message}"))]
+    Connect {
+        /// The address.
+        address: SocketAddr,
+        /// What failed.
+        message: String,
+    },
+    /// The process is stopping.
+    #[snafu(display("the process is stopping"))]
+    Stopping,
+}
+
+/// Tells what a forwarded request asks of the other entry VM.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum ForwardPurpose {
+    /// To run it at the group of this place, which it owns.
+    Owned {
+        /// The place.
+        place: PlaceName,
+    },
+    /// To take an action as the primary of its ticket.
+    Primary,
+}
+
+/// Holds what travels with a forwarded request.
+#[derive(Clone, Debug)]
+pub struct ForwardHead {
+    /// The service.
+    pub service: ServiceName,
+    /// The operation's name.
+    pub operation: String,
+    /// The place of the caller.
+    pub origin: PlaceName,
+    /// The session that is asked; another life of the same VM refuses.
+    pub session: SessionId,
+    /// Times that the request has been forwarded, this one included.
+    pub hops: u32,
+    /// What is asked.
+    pub purpose: ForwardPurpose,
+}
+
+type Sender = SendRequest<Full<Bytes>>;
+type SenderResult = Result<Sender, ForwardError>;
+
+#[derive(Debug)]
+enum Message {
+    Connect(SocketAddr, oneshot::Sender<SenderResult>),
+    Connected(SocketAddr, SenderResult),
+}
+
+/// Reaches the task that owns the connections.
+#[derive(Clone, Debug)]
+pub struct ForwardClients {
+    tx: mpsc::UnboundedSender<Message>,
+}
+
+impl ForwardClients {
+    /// Starts the task, which ends with the last handle to it.
+    #[must_use]
+    pub fn spawn(security: PeerSecurity) -> Self {
+        let (tx, rx) = mpsc::unbounded_channel();
+        let task = ForwardTask {
+            weak_tx: tx.downgrade(),
+            security,
+            peers: HashMap::new(),
+        };
+        tokio::spawn(task.run(rx));
+        Self { tx }
+    }
+
+    /// Sends a request to the entry VM at `address` and waits for the answer's head.
+    pub async fn send(
+        &self,
+        address: SocketAddr,
+        forward: &ForwardHead,
+        req: &OutgoingRequest,
+        attempt: Attempt<Unsent>,
+        now: Instant,
+    ) -> Outcome<Response<AnswerBody>> {
+        let deadline = req.deadline.into();
+        let mut sender = match tokio::time::timeout_at(deadline, self.connect(address)).await {
+            Ok(Ok(sender)) => sender,
+            Ok(Err(error)) => {
+                log::debug!(event = "owner_unreachable", request_id = req.request_id.as_str(), error = error.to_string().as_str(); "another entry VM can't be reached");
+                return attempt.refuse(NotRunReason::OwnerUnreachable).into();
+            }
+            Err(_) => return attempt.refuse(NotRunReason::DeadlineTooShort).into(),
+        };
+        let Some(message) = to_message(address, forward, req, now) else {
+            return attempt.refuse(NotRunReason::MalformedRequest).into();
+        };
+        let sent = attempt.sending();
+        let answering = sender.try_send_request(message);
+        let response = match tokio::time::timeout_at(deadline + LAST_WORD, answering).await {
+            Ok(Ok(response)) => response,
+            Ok(Err(mut error)) => {
+                return match error.take_message() {
+                    Some(unwritten) => {
+                        let unsent = sent.handed_back(&unwritten);
+                        unsent.refuse(NotRunReason::OwnerUnreachable).into()
+                    }
+                    None => sent.lost(UnknownReason::OwnerLost).into(),
+                };
+            }
+            Err(_) => return sent.lost(UnknownReason::DeadlinePassed).into(),
+        };
+        match refusal::from_entry(response.headers(), sent) {
+            Ok(Refused::NotRun(not_run)) => not_run.into(),
+            Ok(Refused::Unknown(unknown)) => unknown.into(),
+            Err(sent) => sent.answered(to_response(response, req.deadline)),
+        }
+    }
+
+    async fn connect(&self, address: SocketAddr) -> SenderResult {
+        let (reply, answer) = oneshot::channel();
+        let message = Message::Connect(address, reply);
+        self.tx.send(message).ok().ok_or(ForwardError::Stopping)?;
+        answer.await.unwrap_or(Err(ForwardError::Stopping))
+    }
+}
+
+fn to_message(
+    address: SocketAddr,
+    forward: &ForwardHead,
+    req: &OutgoingRequest,
+    now: Instant,
+) -> Option<Request<Full<Bytes>>> {
+    let uri: Uri = format!("http://{address}{}", req.path).parse().ok()?;
+    let mut message = Request::new(Full::new(req.body.clone()));
+    *message.method_mut() = req.method.clone();
+    *message.uri_mut() = uri;
+    *message.headers_mut() = req.headers.clone();
+    let text = |text: &str| HeaderValue::from_str(text).ok();
+    let headers = message.headers_mut();
+    headers.insert(header::SERVICE, text(forward.service.as_str())?);
+    headers.insert(header::OPERATION, text(&forward.operation)?);
+    headers.insert(header::ORIGIN_PLACE, text(forward.origin.as_str())?);
+    headers.insert(header::SESSION, forward.session.0.into());
+    headers.insert(header::HOPS, forward.hops.into());
+    headers.insert(header::REQUEST_ID, text(&req.request_id)?);
+    if let ForwardPurpose::Owned { place } = &forward.purpose {
+        headers.insert(header::TARGET_PLACE, text(place.as_str())?);
+    }
+    let left = req.deadline.saturating_duration_since(now);
+    headers.insert(header::DEADLINE_MS, header::whole_ms(left).into());
+    Some(message)
+}
+
+fn to_response(response: Response<Incoming>, deadline: Instant) -> Response<AnswerBody> {
+    let (head, body) = response.into_parts();
+    let body = answer_body::relay(body, deadline, Box::new(NothingHeld));
+    Response::from_parts(head, body)
+}
+
+/// Ends an answer of which this entry VM holds no slot.
+struct NothingHeld;
+
+impl AnswerEnd for NothingHeld {
+    fn whole(self: Box<Self>) {}
+
+    fn broken(self: Box<Self>) {}
+}
+
+#[derive(Debug)]
+enum PeerConnection {
+    Open(Sender),
+    Opening(Vec<oneshot::Sender<SenderResult>>),
+}
+
+struct ForwardTask {
+    /// Weak, or the task would keep itself alive for ever.
+    weak_tx: mpsc::WeakUnboundedSender<Message>,
+    security: PeerSecurity,
+    peers: HashMap<SocketAddr, PeerConnection>,
+}
+
+impl ForwardTask {
+    async fn run(mut self, mut rx: mpsc::UnboundedReceiver<Message>) {
+        while let Some(message) = rx.recv().await {
+            match message {
+                Message::Connect(address, reply) => self.connect(address, reply),
+                Message::Connected(address, result) => self.note_connected(address, &result),
+            }
+        }
+    }
+
+    fn connect(&mut self, address: SocketAddr, reply: oneshot::Sender<SenderResult>) {
+        match self.peers.get_mut(&address) {
+            Some(PeerConnection::Open(sender)) if !sender.is_closed() => {
+                let _ = reply.send(Ok(sender.clone()));
+            }
+            Some(PeerConnection::Opening(waiting)) => waiting.push(reply),
+            _ => self.open(address, reply),
+        }
+    }
+
+    fn open(&mut self, address: SocketAddr, reply: oneshot::Sender<SenderResult>) {
+        let Some(tx) = self.weak_tx.upgrade() else {
+            return;
+        };
+        let opening = PeerConnection::Opening(vec![reply]);
+        self.peers.insert(address, opening);
+        let security = self.security.clone();
+        tokio::spawn(async move {
+            let result = open(&security, address)
+                .await
+                .map_err(|error| ForwardError::Connect {
+                    address,
+                    message: error.to_string(),
+                });
+            let _ = tx.send(Message::Connected(address, result));
+        });
+    }
+
+    fn note_connected(&mut self, address: SocketAddr, result: &SenderResult) {
+        let waiting = match self.peers.remove(&address) {
+            Some(PeerConnection::Opening(waiting)) => waiting,
+            Some(PeerConnection::Open(_)) | None => Vec::new(),
+        };
+        if let Ok(sender) = result {
+            let open = PeerConnection::Open(sender.clone());
+            self.peers.insert(address, open);
+        }
+        for reply in waiting {
+            let _ = reply.send(result.clone());
+        }
+    }
+}
+
+#[derive(Debug, Snafu)]
+enum OpenError {
+    #[snafu(display("it didn't answer in time"))]
+    Timeout,
+    #[snafu(display("{source}"))]
+    Socket { source: std::io::Error },
+    #[snafu(display("{source}"))]
+    Security { source: PeerSecurityError },
+    #[snafu(display("{source}"))]
+    Handshake { source: hyper::Error },
+}
+
+async fn open(security: &PeerSecurity, address: SocketAddr) -> Result<Sender, OpenError> {
+    tokio::time::timeout(CONNECT_TIMEOUT, open_unbounded(security, address))
+        .await
+        .unwrap_or_else(|_| TimeoutSnafu.fail())
+}
+
+async fn open_unbounded(security: &PeerSecurity, address: SocketAddr) -> Result<Sender, OpenError> {
+    security.check_address(address).context(SecuritySnafu)?;
+    let stream = TcpStream::connect(address).await.context(SocketSnafu)?;
+    stream.set_nodelay(true).context(SocketSnafu)?;
+    let stream = security.connect(stream).await.context(SecuritySnafu)?;
+    let (sender, connection) = http2::Builder::new(TokioExecutor::new())
+        .timer(TokioTimer::new())
+        .initial_stream_window_size(STREAM_WINDOW)
+        .initial_connection_window_size(CONNECTION_WINDOW)
+        .keep_alive_interval(KEEP_ALIVE_INTERVAL)
+        .keep_alive_timeout(KEEP_ALIVE_TIMEOUT)
+        .handshake(TokioIo::new(stream))
+        .await
+        .context(HandshakeSnafu)?;
+    tokio::spawn(async move {
+        // Whoever waits for an answer sees the same error.
+        let _ = connection.await;
+    });
+    Ok(sender)
+}
--- /dev/null
+++ b/server/src/forward_listener.rs
@@ -0,0 +1,178 @@
+//! Takes requests that other entry VMs forward.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use heatherring_lib::id::PlaceName;
+use heatherring_lib::id::ServiceName;
+use heatherring_lib::id::SessionId;
+use heatherring_lib::outcome::Attempt;
+use heatherring_lib::outcome::NotRun;
+use heatherring_lib::outcome::NotRunReason;
+use heatherring_lib::outcome::Outcome;
+use heatherring_lib::ownership::Group;
+use http::HeaderMap;
+use http::HeaderName;
+use http::Request;
+use http::Response;
+use hyper::body::Incoming;
+
+use crate::answer_body::AnswerBody;
+use crate::caller_listener::into_result;
+use crate::dispatcher::OutgoingRequest;
+use crate::entry_context::EntryContext;
+use crate::forward_client::ForwardHead;
+use crate::forward_client::ForwardPurpose;
+use crate::header;
+use crate::http_server::Handler;
+use crate::owner_path;
+use crate::owner_path::SteeredRequest;
+use crate::refusal;
+use crate::refusal::Refused;
+use crate::request_body;
+use crate::request_path::MAX_HOPS;
+use crate::request_path::ServiceRequest;
+
+/// Answers other entry VMs.
+#[derive(Clone, Debug)]
+pub struct ForwardHandler {
+    cx: Arc<EntryContext>,
+}
+
+impl ForwardHandler {
+    /// Answers with what `cx` holds.
+    #[must_use]
+    pub const fn new(cx: Arc<EntryContext>) -> Self {
+        Self { cx }
+    }
+}
+
+impl Handler for ForwardHandler {
+    async fn handle(&self, _peer: SocketAddr, req: Request<Incoming>) -> Response<AnswerBody> {
+        let arrived = self.cx.now();
+        match self.answer(arrived, req).await {
+            Ok(response) => response,
+            Err(refused) => refusal::to_entry(&refused),
+        }
+    }
+}
+
+impl ForwardHandler {
+    async fn answer(
+        &self,
+        arrived: Instant,
+        req: Request<Incoming>,
+    ) -> Result<Response<AnswerBody>, Refused> {
+        let (parts, body) = req.into_parts();
+        let head = parse(&parts.headers).ok_or_else(|| refuse(NotRunReason::MalformedRequest))?;
+        let deadline = arrived + left(&parts.headers);
+        // A request meant for an earlier life of this VM must not be taken by this one.
+        if self.cx.state.live_session() != Some(head.session) {
+            return Err(refuse(NotRunReason::NotOwner).into());
+        }
+        if head.hops > MAX_HOPS {
+            return Err(refuse(NotRunReason::TooManyHops).into());
+        }
+        let max_bytes = self.cx.limits.max_body_bytes;
+        let body = request_body::read(body, max_bytes, deadline)
+            .await
+            .map_err(refuse)?;
+        let request_id = text(&parts.headers, &header::REQUEST_ID)
+            .unwrap_or_default()
+            .to_owned();
+        let path = parts
+            .uri
+            .path_and_query()
+            .map_or_else(|| "/".to_owned(), ToString::to_string);
+        let mut headers = parts.headers;
+        header::remove_hop_by_hop(&mut headers);
+        header::remove_own(&mut headers);
+        let outgoing = OutgoingRequest {
+            method: parts.method,
+            path,
+            headers,
+            body,
+            request_id,
+            deadline,
+        };
+        into_result(self.run(head, outgoing).await)
+    }
+
+    async fn run(
+        &self,
+        head: ForwardHead,
+        outgoing: OutgoingRequest,
+    ) -> Outcome<Response<AnswerBody>> {
+        // Views differ for a moment after a manifest; the sender may know a newer one.
+        let Some(req) = self.to_service_request(&head, outgoing) else {
+            return refuse(NotRunReason::NotOwner).into();
+        };
+        match head.purpose {
+            ForwardPurpose::Owned { place } => {
+                let steered = SteeredRequest {
+                    group: Group::new(req.service.clone(), place),
+                    origin: req.origin.clone(),
+                    operation: req.operation,
+                    idempotent: req.operation().is_some_and(|found| found.idempotent),
+                };
+                owner_path::run(&self.cx, &steered, &req.outgoing, Attempt::new()).await
+            }
+            ForwardPurpose::Primary => crate::action_path::run(&self.cx, &req).await,
+        }
+    }
+
+    fn to_service_request(
+        &self,
+        head: &ForwardHead,
+        outgoing: OutgoingRequest,
+    ) -> Option<ServiceRequest> {
+        let in_force = self.cx.state.read().view.manifest.clone()?;
+        let service = in_force.manifest.services.get(&head.service)?;
+        let operation = service
+            .operations
+            .iter()
+            .position(|operation| operation.name == head.operation)?;
+        Some(ServiceRequest {
+            service: head.service.clone(),
+            in_force,
+            operation,
+            origin: head.origin.clone(),
+            hops: head.hops,
+            outgoing,
+        })
+    }
+}
+
+fn refuse(reason: NotRunReason) -> NotRun {
+    Attempt::new().refuse(reason)
+}
+
+fn text<'a>(headers: &'a HeaderMap, name: &HeaderName) -> Option<&'a str> {
+    headers.get(name)?.to_str().ok()
+}
+
+fn parse(headers: &HeaderMap) -> Option<ForwardHead> {
+    let purpose = match text(headers, &header::TARGET_PLACE) {
+        Some(place) => ForwardPurpose::Owned {
+            place: PlaceName::new(place),
+        },
+        None => ForwardPurpose::Primary,
+    };
+    let hops = header::number(headers, &header::HOPS)??;
+    Some(ForwardHead {
+        service: ServiceName::new(text(headers, &header::SERVICE)?),
+        operation: text(headers, &header::OPERATION)?.to_owned(),
+        origin: PlaceName::new(text(headers, &header::ORIGIN_PLACE)?),
+        session: SessionId(header::number(headers, &header::SESSION)??),
+        hops: u32::try_from(hops).ok()?,
+        purpose,
+    })
+}
+
+/// Returns what is left of the deadline; a missing one leaves nothing.
+fn left(headers: &HeaderMap) -> Duration {
+    let ms = header::number(headers, &header::DEADLINE_MS).flatten();
+    Duration::from_millis(ms.unwrap_or(0))
+}
--- a/server/src/grpc_channel.rs
+++ b/server/src/grpc_channel.rs
@@ -4,7 +4,9 @@
 use std::time::Duration;
 
 use tonic::transport::Channel;
-use tonic::transport::Endpoint;
+
+use crate::peer_security::PeerSecurity;
+use crate::peer_security::PeerSecurityError;
 
 /// Time between pings on a channel, and how long their answer may take.
 const KEEP_ALIVE_INTERVAL: Duration = Duration::from_secs(5);
@@ -12,16 +14,19 @@
 
 /// Returns a channel that connects when it is first used, and again after a break.
 ///
-/// # Panics
+/// # Errors
 ///
-/// Never in practice: an IP address and a port always make a valid URI.
-#[must_use]
-pub fn open(address: SocketAddr, connect_timeout: Duration) -> Channel {
-    Endpoint::from_shared(format!("http://{address}"))
-        .expect("an IP address and a port make a valid URI")
+/// Fails if the address isn't allowed without proof of belonging.
+pub fn open(
+    security: &PeerSecurity,
+    address: SocketAddr,
+    connect_timeout: Duration,
+) -> Result<Channel, PeerSecurityError> {
+    let endpoint = security
+        .endpoint(address)?
         .connect_timeout(connect_timeout)
         .tcp_nodelay(true)
         .http2_keep_alive_interval(KEEP_ALIVE_INTERVAL)
-        .keep_alive_timeout(KEEP_ALIVE_TIMEOUT)
-        .connect_lazy()
+        .keep_alive_timeout(KEEP_ALIVE_TIMEOUT);
+    Ok(endpoint.connect_lazy())
 }
--- a/server/src/http_server.rs
+++ b/server/src/http_server.rs
@@ -18,6 +18,8 @@
 use hyper_util::rt::TokioIo;
 use hyper_util::rt::TokioTimer;
 use hyper_util::server::conn::auto;
+use tokio::io::AsyncRead;
+use tokio::io::AsyncWrite;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 use tokio::sync::OwnedSemaphorePermit;
@@ -26,10 +28,18 @@
 use tokio_util::task::TaskTracker;
 
 use crate::answer_body::AnswerBody;
+use crate::peer_security::PeerSecurity;
 
 /// Streams that one HTTP/2 connection may have open.
 const MAX_STREAMS: u32 = 1_024;
 
+/// Bytes that may be under way on an HTTP/2 stream before the receiver has read them;
+/// wide enough for the delay between regions.
+pub const STREAM_WINDOW: u32 = 1 << 20;
+
+/// The same for a whole HTTP/2 connection.
+pub const CONNECTION_WINDOW: u32 = 1 << 24;
+
 /// Time between pings on an HTTP/2 connection, and how long their answer may take. A
 /// peer that vanished without a word is noticed by the missing answer.
 const KEEP_ALIVE_INTERVAL: Duration = Duration::from_secs(5);
@@ -50,6 +60,15 @@
     pub header_timeout: Duration,
 }
 
+/// Tells who may connect to a listener.
+#[derive(Clone, Debug)]
+pub enum Admittance {
+    /// Anybody, in the clear.
+    Anybody,
+    /// Processes of the deployment.
+    Deployment(PeerSecurity),
+}
+
 /// Answers requests. Clones share what they need through messages.
 pub trait Handler: Clone + Send + Sync + 'static {
     /// Answers one request of the peer at `peer`. The future is dropped when the peer
@@ -65,6 +84,7 @@
 /// it has begun.
 pub async fn serve<H: Handler>(
     listener: TcpListener,
+    admittance: Admittance,
     bounds: HttpBounds,
     handler: H,
     stop: CancellationToken,
@@ -90,6 +110,7 @@
             continue;
         };
         let connection = Connection {
+            admittance: admittance.clone(),
             builder: Arc::clone(&builder),
             handler: handler.clone(),
             peer,
@@ -116,12 +137,15 @@
         .timer(TokioTimer::new())
         .max_header_list_size(u32::try_from(bounds.max_header_bytes).unwrap_or(u32::MAX))
         .max_concurrent_streams(MAX_STREAMS)
+        .initial_stream_window_size(STREAM_WINDOW)
+        .initial_connection_window_size(CONNECTION_WINDOW)
         .keep_alive_interval(KEEP_ALIVE_INTERVAL)
         .keep_alive_timeout(KEEP_ALIVE_TIMEOUT);
     builder
 }
 
 struct Connection<H> {
+    admittance: Admittance,
     builder: Arc<auto::Builder<TokioExecutor>>,
     handler: H,
     peer: SocketAddr,
@@ -136,6 +160,18 @@
         if stream.set_nodelay(true).is_err() {
             return;
         }
+        match &self.admittance {
+            Admittance::Anybody => self.serve(stream).await,
+            Admittance::Deployment(security) => match security.accept(stream).await {
+                Ok(stream) => self.serve(stream).await,
+                Err(error) => {
+                    log::warn!(event = "peer_refused", peer = self.peer.to_string().as_str(), error = error.to_string().as_str(); "a peer couldn't prove that it belongs here");
+                }
+            },
+        }
+    }
+
+    async fn serve(&self, stream: impl AsyncRead + AsyncWrite + Send + Unpin + 'static) {
         let begun = Arc::new(AtomicBool::new(false));
         let service = service_fn({
             let begun = Arc::clone(&begun);
--- /dev/null
+++ b/server/src/owner_path.rs
@@ -0,0 +1,187 @@
+//! Runs a request at a backend server that this entry VM owns.
+
+use std::sync::Arc;
+use std::time::Instant;
+
+use heatherring_lib::admission::Ending;
+use heatherring_lib::id::PlaceName;
+use heatherring_lib::outcome::Attempt;
+use heatherring_lib::outcome::NotRun;
+use heatherring_lib::outcome::NotRunReason;
+use heatherring_lib::outcome::OUTCOME_ANSWER;
+use heatherring_lib::outcome::Outcome;
+use heatherring_lib::outcome::Unknown;
+use heatherring_lib::outcome::UnknownReason;
+use heatherring_lib::outcome::Unsent;
+use heatherring_lib::ownership::Group;
+use heatherring_lib::retry_budget::MAX_TRIES;
+use http::HeaderValue;
+use http::Response;
+
+use crate::admission_task::DispatchGuard;
+use crate::admission_task::SlotRequest;
+use crate::answer_body;
+use crate::answer_body::AnswerBody;
+use crate::answer_body::AnswerEnd;
+use crate::backend_pool::BackendConnection;
+use crate::backend_pool::BackendPool;
+use crate::dispatcher;
+use crate::dispatcher::BackendAnswer;
+use crate::dispatcher::BackendTarget;
+use crate::dispatcher::OutgoingRequest;
+use crate::entry_context::EntryContext;
+use crate::header;
+
+/// Describes a request as steering and admission see it.
+#[derive(Clone, Debug)]
+pub struct SteeredRequest {
+    /// The group that it is sent to.
+    pub group: Group,
+    /// The place of its caller.
+    pub origin: PlaceName,
+    /// Position of its operation in the service's list.
+    pub operation: usize,
+    /// Whether running it twice is harmless.
+    pub idempotent: bool,
+}
+
+/// Runs a request at one of the group's backend servers. The answer's body carries the
+/// slot, which is given back with its last byte.
+///
+/// A backend server that refuses, or can't be reached, is no reason to refuse the
+/// caller: nothing ran, so another one of the group is tried within the retry budget.
+pub async fn run(
+    cx: &Arc<EntryContext>,
+    steered: &SteeredRequest,
+    req: &OutgoingRequest,
+    mut attempt: Attempt<Unsent>,
+) -> Outcome<Response<AnswerBody>> {
+    let mut tries = 1;
+    loop {
+        let not_run = match run_once(cx, steered, req, attempt).await {
+            Outcome::NotRun(not_run) => not_run,
+            other => return other,
+        };
+        let another_may_take_it = matches!(
+            not_run.reason(),
+            NotRunReason::BackendRefused | NotRunReason::BackendUnreachable
+        );
+        if !another_may_take_it || tries >= MAX_TRIES || !cx.admission.try_again().await {
+            return not_run.into();
+        }
+        tries += 1;
+        attempt = not_run.try_again();
+    }
+}
+
+async fn run_once(
+    cx: &Arc<EntryContext>,
+    steered: &SteeredRequest,
+    req: &OutgoingRequest,
+    attempt: Attempt<Unsent>,
+) -> Outcome<Response<AnswerBody>> {
+    let offer = SlotRequest {
+        group: steered.group.clone(),
+        operation: steered.operation,
+        origin: steered.origin.clone(),
+        deadline: req.deadline,
+        idempotent: steered.idempotent,
+    };
+    let guard = match cx.admission.offer(offer).await {
+        Ok(guard) => guard,
+        Err(not_run) => return not_run.into(),
+    };
+    let Some(target) = target(cx, steered, &guard) else {
+        return attempt.refuse(NotRunReason::ServiceUnknown).into();
+    };
+    let gate = cx.state.gate(guard.session());
+    let now = cx.now();
+    let outcome = dispatcher::dispatch(&cx.pool, target, req, &gate, attempt, now).await;
+    log_dispatch(req, &guard, &outcome);
+    match outcome {
+        Outcome::Answer(answer) => Outcome::Answer(to_response(cx, req.deadline, guard, answer)),
+        Outcome::NotRun(not_run) => {
+            guard.ended(ending_of_not_run(not_run));
+            not_run.into()
+        }
+        Outcome::Unknown(unknown) => {
+            guard.ended(ending_of_unknown(unknown));
+            unknown.into()
+        }
+    }
+}
+
+fn target(
+    cx: &EntryContext,
+    steered: &SteeredRequest,
+    guard: &DispatchGuard,
+) -> Option<BackendTarget> {
+    let state = cx.state.read();
+    let service = state.manifest()?.services.get(&steered.group.service)?;
+    Some(BackendTarget {
+        address: guard.dispatch().address,
+        max_connections: service.max_connections_per_backend,
+    })
+}
+
+fn log_dispatch(req: &OutgoingRequest, guard: &DispatchGuard, outcome: &Outcome<BackendAnswer>) {
+    let outcome = match outcome {
+        Outcome::Answer(_) => OUTCOME_ANSWER,
+        Outcome::NotRun(not_run) => not_run.reason().as_str(),
+        Outcome::Unknown(unknown) => unknown.reason().as_str(),
+    };
+    log::debug!(event = "dispatched", request_id = req.request_id.as_str(), backend = guard.dispatch().backend.as_str(), outcome = outcome; "a backend server was asked");
+}
+
+const fn ending_of_not_run(not_run: NotRun) -> Ending {
+    match not_run.reason() {
+        NotRunReason::BackendRefused => Ending::ShedByServer,
+        NotRunReason::BackendUnreachable => Ending::NotConnected,
+        _ => Ending::Cancelled,
+    }
+}
+
+const fn ending_of_unknown(unknown: Unknown) -> Ending {
+    match unknown.reason() {
+        UnknownReason::DeadlinePassed => Ending::Cancelled,
+        _ => Ending::Failed,
+    }
+}
+
+fn to_response(
+    cx: &EntryContext,
+    deadline: Instant,
+    guard: DispatchGuard,
+    answer: BackendAnswer,
+) -> Response<AnswerBody> {
+    let (mut head, body) = answer.response.into_parts();
+    header::remove_hop_by_hop(&mut head.headers);
+    header::remove_own(&mut head.headers);
+    head.headers
+        .insert(header::OUTCOME, HeaderValue::from_static(OUTCOME_ANSWER));
+    let end = OwnedAnswerEnd {
+        guard,
+        connection: answer.connection,
+        pool: cx.pool.clone(),
+    };
+    Response::from_parts(head, answer_body::relay(body, deadline, Box::new(end)))
+}
+
+/// Gives the slot and the connection back. Dropped without a call, it cancels both.
+struct OwnedAnswerEnd {
+    guard: DispatchGuard,
+    connection: BackendConnection,
+    pool: BackendPool,
+}
+
+impl AnswerEnd for OwnedAnswerEnd {
+    fn whole(self: Box<Self>) {
+        self.pool.give_back(self.connection);
+        self.guard.answered();
+    }
+
+    fn broken(self: Box<Self>) {
+        drop(self.connection);
+        self.guard.ended(Ending::Failed);
+    }
+}
--- a/server/src/peer_client.rs
+++ b/server/src/peer_client.rs
@@ -19,6 +19,7 @@
 use tonic::transport::Channel;
 
 use crate::grpc_channel;
+use crate::peer_security::PeerSecurity;
 use crate::proto::DigestRequest;
 use crate::proto::ReleaseRequest;
 use crate::proto::peer_client::PeerClient;
@@ -26,7 +27,7 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 
 /// Time after which a message to a peer counts as lost.
-const CALL_TIMEOUT: Duration = Duration::from_millis(1_000);
+const CALL_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// Pause after a failed message.
 const RETRY_PAUSE: Duration = Duration::from_millis(100);
@@ -51,10 +52,11 @@
 impl PeerClients {
     /// Starts the task of the entry VM `vm`.
     #[must_use]
-    pub fn spawn(vm: VmName, round_trips: RoundTrips) -> Self {
+    pub fn spawn(vm: VmName, security: PeerSecurity, round_trips: RoundTrips) -> Self {
         let (tx, rx) = mpsc::unbounded_channel();
         let task = PeerTask {
             vm,
+            security,
             round_trips,
             own: SessionId::default(),
             peers: BTreeMap::new(),
@@ -109,6 +111,7 @@
 
 struct PeerTask {
     vm: VmName,
+    security: PeerSecurity,
     round_trips: RoundTrips,
     own: SessionId,
     peers: BTreeMap<SessionId, Peer>,
@@ -137,9 +140,15 @@
             if *id == own || self.peers.contains_key(id) {
                 continue;
             }
-            let channel = grpc_channel::open(session.info.peers, CONNECT_TIMEOUT);
-            let peer = self.start(*id, channel);
-            self.peers.insert(*id, peer);
+            match grpc_channel::open(&self.security, session.info.peers, CONNECT_TIMEOUT) {
+                Ok(channel) => {
+                    let peer = self.start(*id, channel);
+                    self.peers.insert(*id, peer);
+                }
+                Err(error) => {
+                    log::error!(event = "peer_refused", peer = session.info.vm.as_str(), error = error.to_string().as_str(); "can't talk to another entry VM");
+                }
+            }
         }
     }
 
--- /dev/null
+++ b/server/src/request_body.rs
@@ -0,0 +1,44 @@
+//! Reads the whole body of a request, within bounds.
+//!
+//! A request is offered for a slot only once its body is whole. Slots are few, and a
+//! caller that uploads slowly would otherwise hold one for as long as it likes; a whole
+//! body also lets an idempotent request be sent a second time, and lets an action's key
+//! be compared with its content.
+
+use std::time::Instant;
+
+use bytes::Bytes;
+use heatherring_lib::outcome::NotRunReason;
+use http_body_util::BodyExt;
+use http_body_util::LengthLimitError;
+use http_body_util::Limited;
+use hyper::body::Body;
+use hyper::body::Incoming;
+
+/// Reads a body of at most `max_bytes` until `deadline`.
+///
+/// # Errors
+///
+/// Returns why the request can't be run: the body is too large, broke off or came too
+/// late.
+pub async fn read(
+    body: Incoming,
+    max_bytes: u32,
+    deadline: Instant,
+) -> Result<Bytes, NotRunReason> {
+    if body.is_end_stream() {
+        return Ok(Bytes::new());
+    }
+    // What is announced as too large isn't read at all.
+    if body.size_hint().lower() > u64::from(max_bytes) {
+        return Err(NotRunReason::BodyTooLarge);
+    }
+    let limited = Limited::new(body, max_bytes as usize);
+    let reading = tokio::time::timeout_at(deadline.into(), limited.collect());
+    match reading.await {
+        Ok(Ok(collected)) => Ok(collected.to_bytes()),
+        Ok(Err(error)) if error.is::<LengthLimitError>() => Err(NotRunReason::BodyTooLarge),
+        Ok(Err(_)) => Err(NotRunReason::MalformedRequest),
+        Err(_) => Err(NotRunReason::DeadlineTooShort),
+    }
+}
--- /dev/null
+++ b/server/src/request_path.rs
@@ -0,0 +1,294 @@
+//! The way of a request from the entry VM that took it to a backend server's owner.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use heatherring_lib::id::PlaceName;
+use heatherring_lib::id::ServiceName;
+use heatherring_lib::manifest::Operation;
+use heatherring_lib::manifest::Service;
+use heatherring_lib::outcome::Attempt;
+use heatherring_lib::outcome::Idempotent;
+use heatherring_lib::outcome::NotRun;
+use heatherring_lib::outcome::NotRunReason;
+use heatherring_lib::outcome::Outcome;
+use heatherring_lib::outcome::Unknown;
+use heatherring_lib::outcome::Unsent;
+use heatherring_lib::retry_budget::MAX_TRIES;
+use heatherring_lib::steering::Candidate;
+use heatherring_lib::view::ManifestInForce;
+use http::Response;
+
+use crate::admission_task::CandidateFailure;
+use crate::answer_body::AnswerBody;
+use crate::dispatcher::OutgoingRequest;
+use crate::entry_context::EntryContext;
+use crate::forward_client::ForwardHead;
+use crate::forward_client::ForwardPurpose;
+use crate::owner_path;
+use crate::owner_path::SteeredRequest;
+
+/// Times that a request may be forwarded: to the primary of its ticket, and from there
+/// to the owner of a backend server.
+pub const MAX_HOPS: u32 = 2;
+
+/// Time for which a request waits for a newer view after owners said that they are
+/// none. Views of entry VMs differ for some milliseconds after each change; refusing
+/// at once would fail requests at every planned stop.
+const VIEW_WAIT: Duration = Duration::from_millis(300);
+
+/// Times that a request waits for a newer view.
+const MAX_VIEW_WAITS: u32 = 3;
+
+/// Holds a request to a service, with its operation and whole body.
+#[derive(Clone, Debug)]
+pub struct ServiceRequest {
+    /// The service.
+    pub service: ServiceName,
+    /// The manifest under which the operation was found.
+    pub in_force: Arc<ManifestInForce>,
+    /// Position of the operation in the service's list.
+    pub operation: usize,
+    /// The place of the caller.
+    pub origin: PlaceName,
+    /// Times that the request has been forwarded so far.
+    pub hops: u32,
+    /// What is sent on.
+    pub outgoing: OutgoingRequest,
+}
+
+impl ServiceRequest {
+    /// Returns the operation.
+    #[must_use]
+    pub fn operation(&self) -> Option<&Operation> {
+        let service = self.in_force.manifest.services.get(&self.service)?;
+        service.operations.get(self.operation)
+    }
+
+    fn steered(&self, candidate: &Candidate) -> SteeredRequest {
+        SteeredRequest {
+            group: candidate.group.clone(),
+            origin: self.origin.clone(),
+            operation: self.operation,
+            idempotent: self.operation().is_some_and(|found| found.idempotent),
+        }
+    }
+}
+
+/// Finds the operation of a request: the first whose method and path prefix match.
+#[must_use]
+pub fn find_operation(service: &Service, method: &str, path: &str) -> Option<usize> {
+    service.operations.iter().position(|operation| {
+        operation.method == method && path.starts_with(&operation.path_prefix)
+    })
+}
+
+/// Follows one request over its tries.
+struct Journey<'a> {
+    cx: &'a Arc<EntryContext>,
+    req: &'a ServiceRequest,
+    tries: usize,
+    /// The first refusal: that of the owner which steering liked best.
+    refusal: Option<NotRun>,
+    /// Set once a try may have run. "Not run" can't be said any more from then on.
+    may_have_run: Option<Unknown>,
+}
+
+/// Tells how a round over the candidates ended.
+enum Round {
+    /// With what the caller is told.
+    Over(Outcome<Response<AnswerBody>>),
+    /// With owners that know another view; the request is unsent.
+    ViewsDiffer(Attempt<Unsent>),
+    /// With no candidate left.
+    Exhausted(Attempt<Unsent>),
+}
+
+/// Runs a request at the best owner that takes it.
+///
+/// Only a proved "not run" leads to another try, within the retry budget; a request
+/// that may have run is sent again only if it is idempotent, and once.
+pub async fn run(
+    cx: &Arc<EntryContext>,
+    req: &ServiceRequest,
+    mut attempt: Attempt<Unsent>,
+) -> Outcome<Response<AnswerBody>> {
+    let mut journey = Journey {
+        cx,
+        req,
+        tries: 0,
+        refusal: None,
+        may_have_run: None,
+    };
+    let mut state = cx.state.clone();
+    for _ in 0..MAX_VIEW_WAITS {
+        attempt = match journey.round(attempt).await {
+            Round::Over(outcome) => return outcome,
+            Round::Exhausted(attempt) => return journey.give_up(attempt),
+            Round::ViewsDiffer(attempt) => attempt,
+        };
+        let wait_until = (cx.now() + VIEW_WAIT).min(req.outgoing.deadline);
+        let waiting = tokio::time::timeout_at(wait_until.into(), state.changed());
+        if waiting.await.is_err() {
+            break;
+        }
+        journey.tries = 0;
+    }
+    journey.give_up(attempt)
+}
+
+impl Journey<'_> {
+    async fn round(&mut self, mut attempt: Attempt<Unsent>) -> Round {
+        if self.cx.state.live_session().is_none() {
+            return Round::Over(attempt.refuse(NotRunReason::LeaseLapsed).into());
+        }
+        let left = self
+            .req
+            .outgoing
+            .deadline
+            .saturating_duration_since(self.cx.now());
+        let service = self.req.service.clone();
+        let origin = self.req.origin.clone();
+        let candidates = self.cx.admission.steer(service, origin, left).await;
+        let mut views_differ = false;
+        for candidate in candidates {
+            if !self.may_try().await {
+                break;
+            }
+            let not_run = match self.run_at(&candidate, attempt).await {
+                Outcome::Answer(answer) => return Round::Over(Outcome::Answer(answer)),
+                Outcome::NotRun(not_run) => not_run,
+                Outcome::Unknown(unknown) => match self.note_unknown(unknown) {
+                    Some(again) => {
+                        attempt = again;
+                        continue;
+                    }
+                    None => return Round::Over(unknown.into()),
+                },
+            };
+            if !another_may_take_it(not_run.reason()) {
+                return Round::Over(self.refused(not_run));
+            }
+            views_differ |= view_may_be_old(not_run.reason());
+            self.refusal.get_or_insert(not_run);
+            attempt = not_run.try_again();
+        }
+        if views_differ {
+            Round::ViewsDiffer(attempt)
+        } else {
+            Round::Exhausted(attempt)
+        }
+    }
+
+    async fn may_try(&mut self) -> bool {
+        let first = self.tries == 0;
+        self.tries += 1;
+        first || (self.tries <= MAX_TRIES && self.cx.admission.try_again().await)
+    }
+
+    async fn run_at(
+        &self,
+        candidate: &Candidate,
+        attempt: Attempt<Unsent>,
+    ) -> Outcome<Response<AnswerBody>> {
+        let cx = self.cx;
+        cx.admission.note_sent(candidate.clone());
+        let own = cx.state.live_session() == Some(candidate.owner);
+        let outcome = if own {
+            let steered = self.req.steered(candidate);
+            owner_path::run(cx, &steered, &self.req.outgoing, attempt).await
+        } else {
+            self.forward(candidate, attempt).await
+        };
+        if let Some(failure) = failure(&outcome) {
+            cx.admission.note_failed(candidate.clone(), failure);
+        }
+        outcome
+    }
+
+    async fn forward(
+        &self,
+        candidate: &Candidate,
+        attempt: Attempt<Unsent>,
+    ) -> Outcome<Response<AnswerBody>> {
+        let hops = self.req.hops + 1;
+        if hops > MAX_HOPS {
+            return attempt.refuse(NotRunReason::TooManyHops).into();
+        }
+        let Some(owner) = self.cx.state.session(candidate.owner) else {
+            return attempt.refuse(NotRunReason::NotOwner).into();
+        };
+        let Some(operation) = self.req.operation() else {
+            return attempt.refuse(NotRunReason::OperationUnknown).into();
+        };
+        let head = ForwardHead {
+            service: self.req.service.clone(),
+            operation: operation.name.clone(),
+            origin: self.req.origin.clone(),
+            session: candidate.owner,
+            hops,
+            purpose: ForwardPurpose::Owned {
+                place: candidate.group.place.clone(),
+            },
+        };
+        let address = owner.info.forward;
+        let now = self.cx.now();
+        let forward = &self.cx.forward;
+        forward
+            .send(address, &head, &self.req.outgoing, attempt, now)
+            .await
+    }
+
+    /// Returns a further attempt if the request may be sent again after it may have run.
+    fn note_unknown(&mut self, unknown: Unknown) -> Option<Attempt<Unsent>> {
+        let first_time = self.may_have_run.replace(unknown).is_none();
+        let permission = self.req.operation().and_then(Idempotent::of)?;
+        first_time.then(|| unknown.try_again(permission))
+    }
+
+    fn refused(&self, not_run: NotRun) -> Outcome<Response<AnswerBody>> {
+        match self.may_have_run {
+            Some(unknown) => unknown.into(),
+            None => not_run.into(),
+        }
+    }
+
+    fn give_up(&self, attempt: Attempt<Unsent>) -> Outcome<Response<AnswerBody>> {
+        let not_run = self
+            .refusal
+            .unwrap_or_else(|| attempt.refuse(NotRunReason::NoBackendServer));
+        self.refused(not_run)
+    }
+}
+
+/// Returns whether another owner may take what was refused for this reason.
+const fn another_may_take_it(reason: NotRunReason) -> bool {
+    !matches!(
+        reason,
+        NotRunReason::MalformedRequest
+            | NotRunReason::BodyTooLarge
+            | NotRunReason::ServiceUnknown
+            | NotRunReason::OperationUnknown
+            | NotRunReason::Cancelled
+    )
+}
+
+/// Returns whether the refusal may come from a view that is older or newer than this
+/// entry VM's.
+const fn view_may_be_old(reason: NotRunReason) -> bool {
+    matches!(
+        reason,
+        NotRunReason::NotOwner | NotRunReason::OwnerUnreachable | NotRunReason::Leaving
+    )
+}
+
+fn failure<A>(outcome: &Outcome<A>) -> Option<CandidateFailure> {
+    match outcome {
+        Outcome::Answer(_) => None,
+        Outcome::NotRun(not_run) if not_run.reason() == NotRunReason::OwnerUnreachable => {
+            Some(CandidateFailure::Unreachable)
+        }
+        Outcome::NotRun(not_run) => Some(CandidateFailure::Refused(not_run.reason())),
+        Outcome::Unknown(_) => Some(CandidateFailure::Unreachable),
+    }
+}
