--- a/lib/src/raft.rs
+++ b/lib/src/raft.rs
@@ -1,28 +1,84 @@
 //! One replica of the agreement: a state machine without input or output.
+//!
+//! The protocol is Raft (Ongaro and Ousterhout, "In Search of an Understandable
+//! Consensus Algorithm", 2014; Ongaro's dissertation, 2014). The modules beside this
+//! one each hold a part: `raft_election` the votes, `raft_follower` what a leader
+//! sends, `raft_replication` what a leader does, `raft_membership` the changes of
+//! the set of replicas.
 
+use std::collections::BTreeSet;
+use std::time::Duration;
 use std::time::Instant;
 
+use rand::Rng;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+
 use crate::id::ReplicaId;
 use crate::id::Revision;
 use crate::id::Term;
 use crate::raft_config::DurableState;
 use crate::raft_config::RaftConfig;
 use crate::raft_config::RaftError;
+use crate::raft_effects::Answer;
 use crate::raft_effects::Effects;
 use crate::raft_effects::Input;
+use crate::raft_effects::Refusal;
 use crate::raft_effects::ReplicaProgress;
 use crate::raft_effects::Role;
+use crate::raft_effects::RoleChange;
+use crate::raft_effects::Token;
+use crate::raft_follower::IncomingSnapshot;
+use crate::raft_leader::LeaderState;
+use crate::raft_log::RaftLog;
 use crate::raft_message::HardState;
+use crate::raft_message::LogWrite;
 use crate::raft_message::Membership;
+use crate::raft_message::Message;
+use crate::raft_message::MessageKind;
+use crate::raft_pending::PendingProposals;
+use crate::raft_progress::LeaderCx;
+
+/// Time after which a replica that doesn't campaign asks for its next tick.
+const IDLE_WAKE: Duration = Duration::from_mins(1);
 
 /// Holds one replica of the agreement.
 #[derive(Debug)]
 pub struct Raft {
-    cfg: RaftConfig,
-    hard_state: HardState,
-    membership: Membership,
-    last_index: Revision,
-    now: Instant,
+    pub(crate) cfg: RaftConfig,
+    pub(crate) hard_state: HardState,
+    pub(crate) log: RaftLog,
+    pub(crate) commit: Revision,
+    pub(crate) role: RoleState,
+    /// When a voter that isn't the leader campaigns.
+    pub(crate) election_deadline: Instant,
+    pub(crate) pending: PendingProposals,
+    pub(crate) incoming: Option<IncomingSnapshot>,
+    pub(crate) now: Instant,
+    rng: ChaCha8Rng,
+}
+
+/// Holds what belongs to one role only.
+#[derive(Debug)]
+pub(crate) enum RoleState {
+    Follower(FollowerState),
+    PreCandidate(Ballot),
+    Candidate(Ballot),
+    Leader(LeaderState),
+}
+
+/// Holds the leader that a follower knows.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct FollowerState {
+    pub leader: Option<ReplicaId>,
+    pub heard_at: Option<Instant>,
+}
+
+/// Holds the votes of a candidacy.
+#[derive(Debug)]
+pub(crate) struct Ballot {
+    pub granted: BTreeSet<ReplicaId>,
+    pub began_at: Instant,
 }
 
 impl Raft {
@@ -34,30 +90,63 @@
     ///
     /// Returns an error if the settings or the durable records contradict themselves.
     pub fn new(cfg: RaftConfig, durable: DurableState, now: Instant) -> Result<Self, RaftError> {
-        Ok(Self {
+        cfg.check()?;
+        let hard_state = durable.hard_state;
+        let log = RaftLog::new(durable)?;
+        let rng = ChaCha8Rng::seed_from_u64(cfg.seed);
+        let mut raft = Self {
+            commit: log.snapshot_index(),
             cfg,
-            hard_state: durable.hard_state,
-            membership: Membership::default(),
-            last_index: {
-                let last = durable.last_index();
-                drop(durable);
-                last
-            },
+            hard_state,
+            log,
+            role: RoleState::Follower(FollowerState::default()),
+            election_deadline: now,
+            pending: PendingProposals::default(),
+            incoming: None,
             now,
-        })
+            rng,
+        };
+        raft.restart_election_timer();
+        Ok(raft)
     }
 
     /// Takes one input and returns what is to be done.
     pub fn step(&mut self, now: Instant, input: Input) -> Effects {
-        drop(input);
-        self.now = now;
-        Effects::default()
+        let mut fx = Effects::default();
+        let before = self.role_change();
+        self.now = self.now.max(now);
+        self.check_lost_time(&mut fx);
+        match input {
+            Input::Tick => self.on_tick(&mut fx),
+            Input::Message { from, message } => self.on_message(from, message, &mut fx),
+            Input::Propose { token, command } => self.on_propose(token, command, &mut fx),
+            Input::ReadBarrier { token } => self.on_read_barrier(token, &mut fx),
+            Input::ChangeMembership { token, change } => {
+                self.on_change_membership(token, change, &mut fx);
+            }
+            Input::Compact { index, data } => self.on_compact(index, data, &mut fx),
+            Input::StepDown => self.on_step_down(&mut fx),
+        }
+        self.pending.expire(self.now, &mut fx.answers);
+        let after = self.role_change();
+        if after != before {
+            fx.role_changed = Some(after);
+        }
+        fx
     }
 
     /// Returns when the next [`Input::Tick`] is due.
     #[must_use]
     pub fn next_wake(&self) -> Instant {
-        self.now + self.cfg.heartbeat
+        let own = match &self.role {
+            RoleState::Leader(leader) => leader.next_heartbeat,
+            _ if self.is_voter() => self.election_deadline,
+            _ => self.now + IDLE_WAKE,
+        };
+        match self.pending.expires() {
+            Some(expires) => own.min(expires),
+            None => own,
+        }
     }
 
     /// Returns the replica's identity.
@@ -69,13 +158,23 @@
     /// Returns what the replica does at present.
     #[must_use]
     pub fn role(&self) -> Role {
-        Role::Learner
+        match &self.role {
+            RoleState::Follower(_) if self.is_voter() => Role::Follower,
+            RoleState::Follower(_) => Role::Learner,
+            RoleState::PreCandidate(_) => Role::PreCandidate,
+            RoleState::Candidate(_) => Role::Candidate,
+            RoleState::Leader(_) => Role::Leader,
+        }
     }
 
     /// Returns the leader of the present term, as far as it is known.
     #[must_use]
     pub fn leader(&self) -> Option<ReplicaId> {
-        None
+        match &self.role {
+            RoleState::Follower(follower) => follower.leader,
+            RoleState::PreCandidate(_) | RoleState::Candidate(_) => None,
+            RoleState::Leader(_) => Some(self.cfg.id),
+        }
     }
 
     /// Returns the present term.
@@ -87,24 +186,255 @@
     /// Returns the replicas in force: the latest in the log, committed or not.
     #[must_use]
     pub fn membership(&self) -> &Membership {
-        &self.membership
+        self.log.membership()
+    }
+
+    /// Returns whether the replicas in force are committed.
+    #[must_use]
+    pub fn membership_is_committed(&self) -> bool {
+        self.log.membership_index() <= self.commit
     }
 
     /// Returns the last position of the log.
     #[must_use]
     pub fn last_index(&self) -> Revision {
-        self.last_index
+        self.log.last().index
     }
 
     /// Returns the last position known to be committed.
     #[must_use]
     pub fn commit(&self) -> Revision {
-        Revision(0)
+        self.commit
+    }
+
+    /// Returns the position of the latest snapshot; 0 without one.
+    #[must_use]
+    pub fn snapshot_index(&self) -> Revision {
+        self.log.snapshot_index()
     }
 
     /// Returns how far each other replica has got; empty unless this one leads.
     #[must_use]
     pub fn progress(&self) -> Vec<ReplicaProgress> {
-        Vec::new()
+        let RoleState::Leader(leader) = &self.role else {
+            return Vec::new();
+        };
+        let members = leader
+            .peers
+            .iter()
+            .filter(|(id, _)| self.membership().contains(**id));
+        members
+            .map(|(id, peer)| ReplicaProgress {
+                id: *id,
+                voter: self.membership().voters.contains_key(id),
+                matched: peer.matched,
+                last_heard: peer.last_heard,
+                snapshot: peer.snapshot_progress(),
+            })
+            .collect()
+    }
+
+    pub(crate) fn is_voter(&self) -> bool {
+        self.membership().voters.contains_key(&self.cfg.id)
+    }
+
+    fn role_change(&self) -> RoleChange {
+        RoleChange {
+            role: self.role(),
+            term: self.term(),
+            leader: self.leader(),
+        }
+    }
+
+    /// Ends roles whose time is over before anything else of a step happens.
+    ///
+    /// A process that was frozen wakes up with its old role and with messages that
+    /// waited in its buffers. Without this it would go on as leader on the strength of
+    /// answers from before the freeze, although another leader may have taken over.
+    fn check_lost_time(&mut self, fx: &mut Effects) {
+        match &self.role {
+            RoleState::Leader(leader) => {
+                let contact = leader.quorum_contact(self.membership(), self.now);
+                if self.now >= contact + self.cfg.election_max {
+                    self.follow(None, &Refusal::NoQuorum, fx);
+                }
+            }
+            RoleState::PreCandidate(_) | RoleState::Candidate(_) => {
+                if self.now >= self.election_deadline {
+                    self.start_pre_vote(fx);
+                }
+            }
+            RoleState::Follower(_) => {}
+        }
+    }
+
+    fn on_tick(&mut self, fx: &mut Effects) {
+        if matches!(self.role, RoleState::Leader(_)) {
+            self.on_leader_tick(fx);
+        } else if self.now >= self.election_deadline {
+            self.start_pre_vote(fx);
+        }
     }
+
+    fn on_message(&mut self, from: ReplicaId, message: Message, fx: &mut Effects) {
+        if from == self.cfg.id {
+            return;
+        }
+        let Message { term, kind } = message;
+        match kind {
+            MessageKind::PreVote {
+                last_index,
+                last_term,
+            } => self.on_pre_vote(from, term, (last_term, last_index), fx),
+            MessageKind::PreVoteReply { granted } => {
+                self.on_pre_vote_reply(from, term, granted, fx);
+            }
+            MessageKind::Vote {
+                last_index,
+                last_term,
+                handover,
+            } => self.on_vote(from, term, (last_term, last_index), handover, fx),
+            kind => self.on_message_of_term(from, term, kind, fx),
+        }
+    }
+
+    /// Handles the messages of a term that was voted on.
+    fn on_message_of_term(
+        &mut self,
+        from: ReplicaId,
+        term: Term,
+        kind: MessageKind,
+        fx: &mut Effects,
+    ) {
+        if term < self.term() {
+            self.on_old_term(from, &kind, fx);
+            return;
+        }
+        if term > self.term() {
+            self.enter_term(term, fx);
+        }
+        match kind {
+            MessageKind::VoteReply { granted } => self.on_vote_reply(from, granted, fx),
+            MessageKind::TimeoutNow => self.on_timeout_now(fx),
+            MessageKind::AppendReply {
+                matched,
+                index,
+                barrier,
+            } => self.on_append_reply(from, matched, index, barrier, fx),
+            MessageKind::SnapshotReply {
+                index,
+                received,
+                installed,
+            } => self.on_snapshot_reply(from, index, received, installed, fx),
+            kind => self.on_leader_message(from, kind, fx),
+        }
+    }
+
+    /// Tells a leader of an earlier term that its time is over.
+    fn on_old_term(&mut self, from: ReplicaId, kind: &MessageKind, fx: &mut Effects) {
+        let barrier = match kind {
+            MessageKind::Append { barrier, .. } => *barrier,
+            MessageKind::SnapshotChunk { .. } => 0,
+            _ => return,
+        };
+        let kind = MessageKind::AppendReply {
+            matched: false,
+            index: self.last_index().next(),
+            barrier,
+        };
+        self.send(from, kind, fx);
+    }
+
+    pub(crate) fn send(&self, to: ReplicaId, kind: MessageKind, fx: &mut Effects) {
+        let term = self.term();
+        fx.sends.push((to, Message { term, kind }));
+    }
+
+    /// Enters a later term as a follower that knows no leader yet.
+    pub(crate) fn enter_term(&mut self, term: Term, fx: &mut Effects) {
+        self.set_hard_state(term, None, fx);
+        self.follow(None, &Refusal::NotLeader { leader: None }, fx);
+    }
+
+    /// Becomes a follower in the present term; reads that wait are refused.
+    pub(crate) fn follow(
+        &mut self,
+        leader: Option<ReplicaId>,
+        read_refusal: &Refusal,
+        fx: &mut Effects,
+    ) {
+        let follower = FollowerState {
+            leader,
+            heard_at: leader.map(|_| self.now),
+        };
+        let former = std::mem::replace(&mut self.role, RoleState::Follower(follower));
+        if let RoleState::Leader(mut leader) = former {
+            leader.refuse_reads(read_refusal, fx);
+            self.pending
+                .leadership_lost(self.now + self.cfg.election_max * 2);
+            self.restart_election_timer();
+        }
+    }
+
+    pub(crate) fn set_hard_state(
+        &mut self,
+        term: Term,
+        voted_for: Option<ReplicaId>,
+        fx: &mut Effects,
+    ) {
+        self.hard_state = HardState { term, voted_for };
+        fx.writes.push(LogWrite::HardState(self.hard_state));
+    }
+
+    pub(crate) fn restart_election_timer(&mut self) {
+        let timeout = self
+            .rng
+            .random_range(self.cfg.election_min..=self.cfg.election_max);
+        self.election_deadline = self.now + timeout;
+    }
+
+    /// Hands out the entries up to `index` as committed and answers who waits for them.
+    pub(crate) fn commit_through(&mut self, index: Revision, fx: &mut Effects) {
+        while self.commit < index {
+            let next = self.commit.next();
+            let Some(entry) = self.log.entry(next) else {
+                return;
+            };
+            self.commit = next;
+            self.pending.commit(entry, &mut fx.answers);
+            fx.committed.push(entry.clone());
+        }
+    }
+
+    fn on_compact(&mut self, index: Revision, data: Vec<u8>, fx: &mut Effects) {
+        if index > self.commit {
+            return;
+        }
+        if let Some(snapshot) = self.log.compact(index, data) {
+            let snapshot = snapshot.as_ref().clone();
+            fx.writes.push(LogWrite::Snapshot(snapshot));
+        }
+    }
+
+    /// Runs `act` on the leader's state; does nothing in another role.
+    pub(crate) fn lead<T>(
+        &mut self,
+        act: impl FnOnce(&mut LeaderState, &LeaderCx) -> T,
+    ) -> Option<T> {
+        let RoleState::Leader(leader) = &mut self.role else {
+            return None;
+        };
+        let cx = LeaderCx {
+            cfg: &self.cfg,
+            term: self.hard_state.term,
+            log: &self.log,
+            commit: self.commit,
+            now: self.now,
+        };
+        Some(act(leader, &cx))
+    }
+}
+
+pub(crate) fn refuse(token: Token, reason: Refusal, fx: &mut Effects) {
+    fx.answers.push(Answer::Refused { token, reason });
 }
--- a/lib/src/raft_config.rs
+++ b/lib/src/raft_config.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use snafu::Snafu;
+use snafu::ensure;
 
 use crate::id::ReplicaId;
 use crate::id::Revision;
@@ -36,8 +37,28 @@
     pub seed: u64,
 }
 
+impl RaftConfig {
+    pub(crate) fn check(&self) -> Result<(), RaftError> {
+        let ordered = self.heartbeat < self.election_min && self.election_min < self.election_max;
+        ensure!(
+            ordered && !self.heartbeat.is_zero(),
+            TimeoutsSnafu {
+                heartbeat: self.heartbeat,
+                election_min: self.election_min,
+                election_max: self.election_max,
+            }
+        );
+        ensure!(
+            self.max_append_bytes > 0 && self.snapshot_chunk_bytes > 0,
+            ZeroSizeSnafu
+        );
+        Ok(())
+    }
+}
+
 /// Tells why a replica can't start.
 #[derive(Clone, Debug, Eq, PartialEq, Snafu)]
+#[snafu(visibility(pub(crate)))]
 pub enum RaftError {
     /// The timeouts don't leave room for a heartbeat to arrive.
     #[snafu(display(
--- a/lib/src/raft_effects.rs
+++ b/lib/src/raft_effects.rs
@@ -150,7 +150,8 @@
     /// Too many proposals wait for their commitment.
     #[snafu(display("too many proposals wait"))]
     Busy,
-    /// An earlier membership change isn't committed yet.
+    /// An earlier membership change isn't committed yet, or the leader was elected just
+    /// now and can't know.
     #[snafu(display("an earlier membership change is not committed yet"))]
     ChangePending,
     /// The membership change isn't possible.
@@ -159,7 +160,7 @@
         /// What is wrong with it.
         problem: ChangeProblem,
     },
-    /// A later leader replaced the entry: it is not in the log and never will be.
+    /// A later leader's entry is committed in its place: it never will be.
     #[snafu(display("a later leader replaced the entry"))]
     Overwritten,
     /// Leadership was lost while the entry was in the log: it may be committed or not.
--- /dev/null
+++ b/lib/src/raft_election.rs
@@ -0,0 +1,209 @@
+//! Pre-votes, votes and the end of an election.
+
+use crate::id::ReplicaId;
+use crate::id::Revision;
+use crate::id::Term;
+use crate::raft::Ballot;
+use crate::raft::Raft;
+use crate::raft::RoleState;
+use crate::raft_effects::Effects;
+use crate::raft_leader::LeaderState;
+use crate::raft_message::LogPayload;
+use crate::raft_message::Message;
+use crate::raft_message::MessageKind;
+
+/// Term and index of the last position of a log, in the order in which logs compare.
+type LogEnd = (Term, Revision);
+
+impl Raft {
+    /// Asks whether a candidacy would find a majority.
+    ///
+    /// Without this, a replica that was cut off would come back with a term that it
+    /// raised many times, and depose a leader that everyone else follows.
+    pub(crate) fn start_pre_vote(&mut self, fx: &mut Effects) {
+        self.restart_election_timer();
+        if !self.is_voter() {
+            return;
+        }
+        let ballot = self.own_ballot();
+        self.role = RoleState::PreCandidate(ballot);
+        let (last_term, last_index) = self.log_end();
+        let message = Message {
+            term: Term(self.term().0 + 1),
+            kind: MessageKind::PreVote {
+                last_index,
+                last_term,
+            },
+        };
+        self.send_to_voters(&message, fx);
+        self.count_pre_votes(fx);
+    }
+
+    /// Stands for election in the next term.
+    fn start_vote(&mut self, handover: bool, fx: &mut Effects) {
+        self.restart_election_timer();
+        let term = Term(self.term().0 + 1);
+        self.set_hard_state(term, Some(self.cfg.id), fx);
+        let ballot = self.own_ballot();
+        self.role = RoleState::Candidate(ballot);
+        let (last_term, last_index) = self.log_end();
+        let kind = MessageKind::Vote {
+            last_index,
+            last_term,
+            handover,
+        };
+        self.send_to_voters(&Message { term, kind }, fx);
+        self.count_votes(fx);
+    }
+
+    fn own_ballot(&self) -> Ballot {
+        Ballot {
+            granted: [self.cfg.id].into(),
+            began_at: self.now,
+        }
+    }
+
+    fn log_end(&self) -> LogEnd {
+        let last = self.log.last();
+        (last.term, last.index)
+    }
+
+    fn send_to_voters(&self, message: &Message, fx: &mut Effects) {
+        let others = self.membership().voters.keys();
+        let others = others.filter(|id| **id != self.cfg.id);
+        fx.sends.extend(others.map(|id| (*id, message.clone())));
+    }
+
+    fn has_majority(&self, ballot: &Ballot) -> bool {
+        let voters = &self.membership().voters;
+        let granted = ballot.granted.iter().filter(|id| voters.contains_key(id));
+        granted.count() >= self.membership().majority()
+    }
+
+    fn count_pre_votes(&mut self, fx: &mut Effects) {
+        if let RoleState::PreCandidate(ballot) = &self.role
+            && self.has_majority(ballot)
+        {
+            self.start_vote(false, fx);
+        }
+    }
+
+    fn count_votes(&mut self, fx: &mut Effects) {
+        if let RoleState::Candidate(ballot) = &self.role
+            && self.has_majority(ballot)
+        {
+            let contact = ballot.began_at;
+            self.start_leading(contact, fx);
+        }
+    }
+
+    fn start_leading(&mut self, contact: std::time::Instant, fx: &mut Effects) {
+        let last = self.last_index();
+        let leader = LeaderState::new(self.cfg.id, self.membership(), last, contact, self.now);
+        self.role = RoleState::Leader(leader);
+        self.pending.leadership_won();
+        self.incoming = None;
+        self.append_as_leader(LogPayload::Noop, fx);
+        self.lead(|leader, cx| leader.begin_round(cx, fx));
+        self.after_append(fx);
+    }
+
+    pub(crate) fn on_pre_vote(
+        &mut self,
+        from: ReplicaId,
+        term: Term,
+        log_end: LogEnd,
+        fx: &mut Effects,
+    ) {
+        let granted = term > self.term() && self.would_vote(log_end) && !self.hears_leader();
+        let kind = MessageKind::PreVoteReply { granted };
+        let term = if granted { term } else { self.term() };
+        fx.sends.push((from, Message { term, kind }));
+    }
+
+    /// Returns whether this replica may vote for a log that ends at `log_end`.
+    ///
+    /// A replica with an empty log was never a voter; it doesn't vote.
+    fn would_vote(&self, log_end: LogEnd) -> bool {
+        let own_end = self.log_end();
+        own_end.1 > Revision(0) && log_end >= own_end
+    }
+
+    /// Returns whether a leader was heard so lately that no election is due.
+    fn hears_leader(&self) -> bool {
+        let heard_at = match &self.role {
+            RoleState::Follower(follower) => follower.heard_at,
+            RoleState::Leader(leader) => Some(leader.quorum_contact(self.membership(), self.now)),
+            RoleState::PreCandidate(_) | RoleState::Candidate(_) => None,
+        };
+        heard_at.is_some_and(|at| self.now < at + self.cfg.election_min)
+    }
+
+    pub(crate) fn on_pre_vote_reply(
+        &mut self,
+        from: ReplicaId,
+        term: Term,
+        granted: bool,
+        fx: &mut Effects,
+    ) {
+        if !granted {
+            if term > self.term() {
+                self.enter_term(term, fx);
+            }
+            return;
+        }
+        let stood_for = Term(self.term().0 + 1);
+        if let RoleState::PreCandidate(ballot) = &mut self.role
+            && term == stood_for
+        {
+            ballot.granted.insert(from);
+            self.count_pre_votes(fx);
+        }
+    }
+
+    pub(crate) fn on_vote(
+        &mut self,
+        from: ReplicaId,
+        term: Term,
+        log_end: LogEnd,
+        handover: bool,
+        fx: &mut Effects,
+    ) {
+        if !handover && self.hears_leader() {
+            return;
+        }
+        if term > self.term() {
+            self.enter_term(term, fx);
+        }
+        let free = self.hard_state.voted_for.is_none_or(|id| id == from);
+        let granted = term == self.term() && free && self.would_vote(log_end);
+        if granted {
+            self.grant_vote(from, fx);
+        }
+        self.send(from, MessageKind::VoteReply { granted }, fx);
+    }
+
+    fn grant_vote(&mut self, to: ReplicaId, fx: &mut Effects) {
+        if self.hard_state.voted_for.is_none() {
+            self.set_hard_state(self.term(), Some(to), fx);
+        }
+        self.restart_election_timer();
+    }
+
+    pub(crate) fn on_vote_reply(&mut self, from: ReplicaId, granted: bool, fx: &mut Effects) {
+        if !granted {
+            return;
+        }
+        if let RoleState::Candidate(ballot) = &mut self.role {
+            ballot.granted.insert(from);
+            self.count_votes(fx);
+        }
+    }
+
+    /// Takes leadership over, as the leader asks.
+    pub(crate) fn on_timeout_now(&mut self, fx: &mut Effects) {
+        if self.is_voter() && matches!(self.role, RoleState::Follower(_)) {
+            self.start_vote(true, fx);
+        }
+    }
+}
--- /dev/null
+++ b/lib/src/raft_follower.rs
@@ -0,0 +1,283 @@
+//! What a follower or learner does with the appends and snapshots of its leader.
+
+use std::sync::Arc;
+
+use crate::id::ReplicaId;
+use crate::id::Revision;
+use crate::id::Term;
+use crate::raft::FollowerState;
+use crate::raft::Raft;
+use crate::raft::RoleState;
+use crate::raft_effects::Effects;
+use crate::raft_effects::Refusal;
+use crate::raft_log::Position;
+use crate::raft_message::LogEntry;
+use crate::raft_message::LogWrite;
+use crate::raft_message::Membership;
+use crate::raft_message::MessageKind;
+use crate::raft_message::Snapshot;
+
+/// Holds the parts of a snapshot that arrived so far.
+///
+/// It belongs to one leader, since another leader may encode the same state otherwise.
+#[derive(Debug)]
+pub(crate) struct IncomingSnapshot {
+    leader_term: Term,
+    snapshot: Snapshot,
+}
+
+/// Holds one part of a snapshot.
+#[derive(Debug)]
+struct SnapshotPart {
+    at: Position,
+    membership: Membership,
+    offset: u64,
+    data: Vec<u8>,
+    last: bool,
+}
+
+/// Holds one append.
+#[derive(Debug)]
+struct Append {
+    previous: Position,
+    entries: Vec<LogEntry>,
+    commit: Revision,
+    barrier: u64,
+}
+
+impl Raft {
+    /// Handles what only the leader of the present term sends.
+    pub(crate) fn on_leader_message(
+        &mut self,
+        from: ReplicaId,
+        kind: MessageKind,
+        fx: &mut Effects,
+    ) {
+        if matches!(self.role, RoleState::Leader(_)) {
+            // There is one leader a term, so this message is forged or damaged.
+            return;
+        }
+        self.hear_leader(from, fx);
+        match kind {
+            MessageKind::Append {
+                previous_index: index,
+                previous_term: term,
+                entries,
+                commit,
+                barrier,
+            } => {
+                let append = Append {
+                    previous: Position { index, term },
+                    entries,
+                    commit,
+                    barrier,
+                };
+                self.on_append(from, append, fx);
+            }
+            MessageKind::SnapshotChunk {
+                index,
+                snapshot_term: term,
+                membership,
+                offset,
+                data,
+                last,
+            } => {
+                let part = SnapshotPart {
+                    at: Position { index, term },
+                    membership,
+                    offset,
+                    data,
+                    last,
+                };
+                self.on_snapshot_part(from, part, fx);
+            }
+            _ => {}
+        }
+    }
+
+    fn hear_leader(&mut self, leader: ReplicaId, fx: &mut Effects) {
+        match &mut self.role {
+            RoleState::Follower(FollowerState {
+                leader: Some(known),
+                heard_at,
+            }) if *known == leader => *heard_at = Some(self.now),
+            _ => {
+                let reason = Refusal::NotLeader {
+                    leader: Some(leader),
+                };
+                self.follow(Some(leader), &reason, fx);
+            }
+        }
+        self.restart_election_timer();
+    }
+
+    fn on_append(&mut self, from: ReplicaId, append: Append, fx: &mut Effects) {
+        if !is_continuous(&append) {
+            return;
+        }
+        let barrier = append.barrier;
+        let append = self.skip_committed(append);
+        let previous = append.previous;
+        if self.log.term_at(previous.index) != Some(previous.term) {
+            let index = self.retry_position(previous.index);
+            let matched = false;
+            let kind = MessageKind::AppendReply {
+                matched,
+                index,
+                barrier,
+            };
+            self.send(from, kind, fx);
+            return;
+        }
+        let last = Revision(previous.index.0 + append.entries.len() as u64);
+        for entry in append.entries {
+            self.take_entry(entry, fx);
+        }
+        self.commit_through(append.commit.min(last), fx);
+        let matched = true;
+        let kind = MessageKind::AppendReply {
+            matched,
+            index: last,
+            barrier,
+        };
+        self.send(from, kind, fx);
+    }
+
+    /// Leaves out what is committed here. Any leader's log holds the same there, so it
+    /// matches, also where this replica has compacted it.
+    fn skip_committed(&self, mut append: Append) -> Append {
+        if append.previous.index >= self.commit {
+            return append;
+        }
+        append.entries.retain(|entry| entry.index > self.commit);
+        append.previous = Position {
+            index: self.commit,
+            term: self.log.term_at(self.commit).unwrap_or_default(),
+        };
+        append
+    }
+
+    /// Returns the position from which the leader should try again: past the end of a
+    /// log that is too short, else the start of the conflicting term, so that a long
+    /// conflict costs one round trip a term and not one an entry.
+    fn retry_position(&self, index: Revision) -> Revision {
+        let last = self.last_index();
+        if index > last {
+            return last.next();
+        }
+        self.log.first_of_term(index, self.commit.next())
+    }
+
+    fn take_entry(&mut self, entry: LogEntry, fx: &mut Effects) {
+        let here = self.log.term_at(entry.index);
+        if here == Some(entry.term) {
+            return;
+        }
+        if here.is_some() {
+            self.truncate(entry.index, fx);
+        }
+        fx.writes.push(LogWrite::Append(entry.clone()));
+        self.log.append(entry);
+    }
+
+    fn truncate(&mut self, from: Revision, fx: &mut Effects) {
+        self.log.truncate(from);
+        fx.writes.push(LogWrite::Truncate(from));
+    }
+
+    fn on_snapshot_part(&mut self, from: ReplicaId, part: SnapshotPart, fx: &mut Effects) {
+        let index = part.at.index;
+        if self.log.term_at(index) == Some(part.at.term) {
+            // The log holds the position, so everything before it equals the leader's.
+            self.commit_through(index, fx);
+        }
+        if index <= self.commit {
+            self.incoming = None;
+            self.send_snapshot_reply(from, index, 0, true, fx);
+            return;
+        }
+        let last = part.last;
+        let complete = self.collect(part) && last;
+        let received = self.received();
+        if complete && let Some(incoming) = self.incoming.take() {
+            self.install(incoming.snapshot, fx);
+        }
+        self.send_snapshot_reply(from, index, received, complete, fx);
+    }
+
+    /// Adds a part to what arrived so far; returns whether it was the next one.
+    fn collect(&mut self, part: SnapshotPart) -> bool {
+        let leader_term = self.term();
+        let same = self.incoming.as_ref().is_some_and(|incoming| {
+            incoming.leader_term == leader_term
+                && incoming.snapshot.index == part.at.index
+                && incoming.snapshot.term == part.at.term
+        });
+        if !same {
+            self.incoming = Some(IncomingSnapshot {
+                leader_term,
+                snapshot: Snapshot {
+                    index: part.at.index,
+                    term: part.at.term,
+                    membership: part.membership,
+                    data: Vec::new(),
+                },
+            });
+        }
+        let is_next = part.offset == self.received();
+        if is_next && let Some(incoming) = &mut self.incoming {
+            incoming.snapshot.data.extend(part.data);
+        }
+        is_next
+    }
+
+    fn received(&self) -> u64 {
+        self.incoming
+            .as_ref()
+            .map_or(0, |incoming| incoming.snapshot.data.len() as u64)
+    }
+
+    fn install(&mut self, snapshot: Snapshot, fx: &mut Effects) {
+        let first_after_commit = self.commit.next();
+        if self.last_index() >= first_after_commit {
+            // What follows the committed part conflicts with the snapshot.
+            fx.writes.push(LogWrite::Truncate(first_after_commit));
+        }
+        self.pending.cover(snapshot.index, &mut fx.answers);
+        fx.writes.push(LogWrite::Snapshot(snapshot.clone()));
+        self.commit = snapshot.index;
+        self.log.restore(Arc::new(snapshot.clone()));
+        fx.committed.clear();
+        fx.restored = Some(snapshot);
+    }
+
+    fn send_snapshot_reply(
+        &self,
+        to: ReplicaId,
+        index: Revision,
+        received: u64,
+        installed: bool,
+        fx: &mut Effects,
+    ) {
+        let kind = MessageKind::SnapshotReply {
+            index,
+            received,
+            installed,
+        };
+        self.send(to, kind, fx);
+    }
+}
+
+/// Returns whether the entries follow each other and the position before them. A
+/// message that doesn't is damaged; taking it in would leave a gap in the log.
+fn is_continuous(append: &Append) -> bool {
+    let mut before = append.previous;
+    append.entries.iter().all(|entry| {
+        let follows = entry.index == before.index.next() && entry.term >= before.term;
+        before = Position {
+            index: entry.index,
+            term: entry.term,
+        };
+        follows
+    })
+}
--- /dev/null
+++ b/lib/src/raft_leader.rs
@@ -0,0 +1,297 @@
+//! What a replica holds while it leads: the progress of the others, the rounds of
+//! heartbeats, the reads that wait for them, and a hand-over under way.
+
+use std::collections::BTreeMap;
+use std::collections::VecDeque;
+use std::time::Instant;
+
+use crate::id::ReplicaId;
+use crate::id::Revision;
+use crate::raft_effects::Answer;
+use crate::raft_effects::Effects;
+use crate::raft_effects::Refusal;
+use crate::raft_effects::Token;
+use crate::raft_message::Membership;
+use crate::raft_message::Message;
+use crate::raft_message::MessageKind;
+use crate::raft_progress::LeaderCx;
+use crate::raft_progress::Progress;
+
+/// Bound on the rounds that a majority hasn't answered before reads wait for the next
+/// heartbeat instead of beginning a round of their own.
+const MAX_OPEN_ROUNDS: u64 = 16;
+
+/// Bound on the reads that wait.
+const MAX_WAITING_READS: usize = 16_384;
+
+/// Holds the state of a leader.
+#[derive(Debug)]
+pub(crate) struct LeaderState {
+    pub peers: BTreeMap<ReplicaId, Progress>,
+    /// Position of the entry that this leader appended first. Until it is committed,
+    /// the leader doesn't know all that is committed.
+    pub term_start: Revision,
+    pub next_heartbeat: Instant,
+    pub handover: Option<Handover>,
+    /// No hand-over begins by itself before this time.
+    pub handover_pause: Instant,
+    own_id: ReplicaId,
+    round: u64,
+    rounds: VecDeque<Round>,
+    reads: Vec<PendingRead>,
+}
+
+/// Holds a round of heartbeats that replicas may still answer.
+#[derive(Clone, Copy, Debug)]
+struct Round {
+    number: u64,
+    began_at: Instant,
+}
+
+/// Holds a read that waits for proof that this replica still leads.
+#[derive(Debug)]
+struct PendingRead {
+    token: Token,
+    /// What is needed; nothing until the first entry of the term is committed.
+    proof: Option<ReadProof>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct ReadProof {
+    index: Revision,
+    round: u64,
+}
+
+/// Holds a hand-over of leadership under way.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Handover {
+    pub target: ReplicaId,
+    pub deadline: Instant,
+}
+
+impl LeaderState {
+    /// Begins to lead. `contact` is when the replica stood for election: what its
+    /// voters granted is not newer than that.
+    pub fn new(
+        own_id: ReplicaId,
+        membership: &Membership,
+        last: Revision,
+        contact: Instant,
+        now: Instant,
+    ) -> Self {
+        let mut leader = Self {
+            peers: BTreeMap::new(),
+            term_start: last.next(),
+            next_heartbeat: now,
+            handover: None,
+            handover_pause: now,
+            own_id,
+            round: 0,
+            rounds: VecDeque::new(),
+            reads: Vec::new(),
+        };
+        leader.add_peers(membership, last, contact);
+        leader
+    }
+
+    /// Begins to serve the members that aren't served yet.
+    pub fn add_peers(&mut self, membership: &Membership, last: Revision, contact: Instant) {
+        for id in membership.ids() {
+            if id != self.own_id {
+                let progress = self
+                    .peers
+                    .entry(id)
+                    .or_insert_with(|| Progress::new(last.next(), contact));
+                progress.departs_at = None;
+            }
+        }
+    }
+
+    /// Ends serving replicas that were removed some time ago.
+    pub fn drop_departed(&mut self, membership: &Membership, cx: &LeaderCx) {
+        let stay = cx.cfg.election_max * 4;
+        self.peers.retain(|id, progress| {
+            if membership.contains(*id) {
+                return true;
+            }
+            let departs_at = *progress.departs_at.get_or_insert(cx.now + stay);
+            cx.now < departs_at
+        });
+    }
+
+    /// Begins a round of heartbeats.
+    pub fn begin_round(&mut self, cx: &LeaderCx, fx: &mut Effects) {
+        self.round += 1;
+        self.rounds.push_back(Round {
+            number: self.round,
+            began_at: cx.now,
+        });
+        let oldest_useful = cx.cfg.election_max * 2;
+        while let Some(first) = self.rounds.front() {
+            if cx.now < first.began_at + oldest_useful {
+                break;
+            }
+            self.rounds.pop_front();
+        }
+        self.next_heartbeat = cx.now + cx.cfg.heartbeat;
+        for (id, progress) in &mut self.peers {
+            progress.send_heartbeat(*id, self.round, cx, fx);
+        }
+        self.send_timeout_now(cx, fx);
+    }
+
+    /// Sends each replica what it lacks.
+    pub fn replicate_all(&mut self, cx: &LeaderCx, fx: &mut Effects) {
+        for (id, progress) in &mut self.peers {
+            progress.replicate(*id, self.round, cx, fx);
+        }
+    }
+
+    /// Sends one replica what it lacks.
+    pub fn replicate(&mut self, to: ReplicaId, cx: &LeaderCx, fx: &mut Effects) {
+        if let Some(progress) = self.peers.get_mut(&to) {
+            progress.replicate(to, self.round, cx, fx);
+        }
+    }
+
+    /// Takes in that a replica answered a round.
+    ///
+    /// The contact counts from when the round began, not from when the answer came: an
+    /// answer that lay in a buffer while this process was frozen proves nothing about
+    /// the time since.
+    pub fn on_round_answer(&mut self, from: ReplicaId, number: u64) {
+        let began_at = self.began_at(number);
+        let Some(progress) = self.peers.get_mut(&from) else {
+            return;
+        };
+        if let Some(began_at) = began_at {
+            progress.acked_round = progress.acked_round.max(number);
+            progress.contact = progress.contact.max(began_at);
+        }
+    }
+
+    fn began_at(&self, number: u64) -> Option<Instant> {
+        let oldest = self.rounds.front()?.number;
+        let offset = usize::try_from(number.checked_sub(oldest)?).ok()?;
+        self.rounds.get(offset).map(|round| round.began_at)
+    }
+
+    /// Returns the time at which a majority surely followed this leader.
+    pub fn quorum_contact(&self, membership: &Membership, now: Instant) -> Instant {
+        membership
+            .quorum_value(|id| self.peers.get(&id).map_or(now, |peer| peer.contact))
+            .unwrap_or(now)
+    }
+
+    /// Returns the last position that a majority holds durably. The leader counts
+    /// itself: its records are synced before any effect of this step is carried out.
+    pub fn quorum_match(&self, membership: &Membership, last: Revision) -> Revision {
+        membership
+            .quorum_value(|id| self.peers.get(&id).map_or(last, |peer| peer.matched))
+            .unwrap_or_default()
+    }
+
+    /// Returns the latest round that a majority answered.
+    fn quorum_round(&self, membership: &Membership) -> u64 {
+        membership
+            .quorum_value(|id| {
+                self.peers
+                    .get(&id)
+                    .map_or(self.round, |peer| peer.acked_round)
+            })
+            .unwrap_or(0)
+    }
+
+    /// Takes a read in. It is answered once a majority has answered a round that
+    /// begins after this moment.
+    pub fn read(&mut self, token: Token, fx: &mut Effects) {
+        if self.reads.len() >= MAX_WAITING_READS {
+            let reason = Refusal::Busy;
+            fx.answers.push(Answer::Refused { token, reason });
+            return;
+        }
+        self.reads.push(PendingRead { token, proof: None });
+    }
+
+    /// Starts rounds that reads need, and answers the reads that are proved.
+    pub fn drive_reads(&mut self, membership: &Membership, cx: &LeaderCx, fx: &mut Effects) {
+        if self.reads.is_empty() || cx.commit < self.term_start {
+            return;
+        }
+        for read in &mut self.reads {
+            read.proof.get_or_insert(ReadProof {
+                index: cx.commit,
+                round: self.round + 1,
+            });
+        }
+        let wanted = self.reads.iter().any(|read| read.needs_after(self.round));
+        let open = self.round - self.quorum_round(membership).min(self.round);
+        if wanted && open < MAX_OPEN_ROUNDS {
+            self.begin_round(cx, fx);
+        }
+        self.answer_reads(membership, fx);
+    }
+
+    fn answer_reads(&mut self, membership: &Membership, fx: &mut Effects) {
+        let proved = self.quorum_round(membership);
+        self.reads.retain(|read| match read.proof {
+            Some(proof) if proof.round <= proved => {
+                fx.answers.push(Answer::ReadReady {
+                    token: read.token,
+                    index: proof.index,
+                });
+                false
+            }
+            _ => true,
+        });
+    }
+
+    /// Refuses the reads that wait, since leadership ends.
+    pub fn refuse_reads(&mut self, reason: &Refusal, fx: &mut Effects) {
+        fx.answers
+            .extend(self.reads.drain(..).map(|read| Answer::Refused {
+                token: read.token,
+                reason: reason.clone(),
+            }));
+    }
+
+    /// Returns the live voter that has most of the log, other than this replica.
+    pub fn handover_target(&self, membership: &Membership, cx: &LeaderCx) -> Option<ReplicaId> {
+        let candidates = self.peers.iter().filter(|(id, progress)| {
+            membership.voters.contains_key(id) && progress.is_live(cx.now, cx.cfg)
+        });
+        candidates
+            .max_by_key(|(_, progress)| progress.matched)
+            .map(|(id, _)| *id)
+    }
+
+    /// Asks the target of a hand-over to stand, once it has the whole log.
+    pub fn send_timeout_now(&self, cx: &LeaderCx, fx: &mut Effects) {
+        let Some(handover) = self.handover else {
+            return;
+        };
+        let Some(progress) = self.peers.get(&handover.target) else {
+            return;
+        };
+        if progress.matched == cx.log.last().index {
+            let kind = MessageKind::TimeoutNow;
+            let term = cx.term;
+            fx.sends.push((handover.target, Message { term, kind }));
+        }
+    }
+
+    /// Returns how many voters of a membership answer, this replica included.
+    pub fn live_voters(&self, membership: &Membership, cx: &LeaderCx) -> usize {
+        let is_live = |id: &ReplicaId| match self.peers.get(id) {
+            Some(progress) => progress.is_live(cx.now, cx.cfg),
+            None => *id == self.own_id,
+        };
+        membership.voters.keys().filter(|id| is_live(id)).count()
+    }
+}
+
+impl PendingRead {
+    fn needs_after(&self, round: u64) -> bool {
+        self.proof.is_some_and(|proof| proof.round > round)
+    }
+}
--- /dev/null
+++ b/lib/src/raft_log.rs
@@ -0,0 +1,238 @@
+//! The replicated log of one replica: a snapshot, the entries after it, and the
+//! memberships that they hold.
+
+use std::collections::VecDeque;
+use std::sync::Arc;
+
+use crate::id::Revision;
+use crate::id::Term;
+use crate::raft_config::DurableState;
+use crate::raft_config::GapSnafu;
+use crate::raft_config::RaftError;
+use crate::raft_config::TermOrderSnafu;
+use crate::raft_message::LogEntry;
+use crate::raft_message::LogPayload;
+use crate::raft_message::Membership;
+use crate::raft_message::Snapshot;
+
+/// Entries before a snapshot that stay in memory, so that a replica which is only a
+/// little behind needs no snapshot.
+const TRAILING_ENTRIES: u64 = 256;
+
+/// Holds the log in memory, as it is on disk once the writes so far are synced.
+#[derive(Debug)]
+pub(crate) struct RaftLog {
+    snapshot: Option<Arc<Snapshot>>,
+    /// The position before the first entry held.
+    base: Position,
+    entries: VecDeque<LogEntry>,
+    /// Memberships with the positions that hold them, in order. The first is that of
+    /// the snapshot, and is never dropped.
+    memberships: Vec<(Revision, Membership)>,
+}
+
+/// Names a position of the log.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub(crate) struct Position {
+    pub index: Revision,
+    pub term: Term,
+}
+
+impl RaftLog {
+    /// Takes the log over from the disk.
+    pub fn new(durable: DurableState) -> Result<Self, RaftError> {
+        let mut log = Self {
+            snapshot: None,
+            base: Position::default(),
+            entries: VecDeque::new(),
+            memberships: vec![(Revision(0), Membership::default())],
+        };
+        if let Some(snapshot) = durable.snapshot {
+            log.restore(Arc::new(snapshot));
+        }
+        for entry in durable.entries {
+            log.check_next(&entry)?;
+            log.append(entry);
+        }
+        let last = log.last();
+        if last.term > durable.hard_state.term {
+            return TermOrderSnafu {
+                index: last.index,
+                found: last.term,
+                before: durable.hard_state.term,
+            }
+            .fail();
+        }
+        Ok(log)
+    }
+
+    fn check_next(&self, entry: &LogEntry) -> Result<(), RaftError> {
+        let last = self.last();
+        let expected = last.index.next();
+        if entry.index != expected {
+            return GapSnafu {
+                expected,
+                found: entry.index,
+            }
+            .fail();
+        }
+        if entry.term < last.term {
+            return TermOrderSnafu {
+                index: entry.index,
+                found: entry.term,
+                before: last.term,
+            }
+            .fail();
+        }
+        Ok(())
+    }
+
+    /// Returns the last position.
+    pub fn last(&self) -> Position {
+        self.entries.back().map_or(self.base, |entry| Position {
+            index: entry.index,
+            term: entry.term,
+        })
+    }
+
+    /// Returns the term of a position, unless it is compacted or not there yet.
+    pub fn term_at(&self, index: Revision) -> Option<Term> {
+        if index == self.base.index {
+            return Some(self.base.term);
+        }
+        self.entry(index).map(|entry| entry.term)
+    }
+
+    /// Returns the entry at a position, unless it is compacted or not there yet.
+    pub fn entry(&self, index: Revision) -> Option<&LogEntry> {
+        let offset = index.0.checked_sub(self.base.index.0 + 1)?;
+        self.entries.get(usize::try_from(offset).ok()?)
+    }
+
+    /// Returns copies of entries from a position on, up to a number of bytes but at
+    /// least one, if there is one.
+    pub fn batch(&self, from: Revision, max_bytes: usize) -> Vec<LogEntry> {
+        let mut batch = Vec::new();
+        let mut bytes = 0;
+        let mut index = from;
+        while let Some(entry) = self.entry(index) {
+            bytes += payload_bytes(&entry.payload);
+            if bytes > max_bytes && !batch.is_empty() {
+                break;
+            }
+            batch.push(entry.clone());
+            index = index.next();
+        }
+        batch
+    }
+
+    /// Returns the first position that has the same term as `index`, without going
+    /// below `floor`.
+    pub fn first_of_term(&self, index: Revision, floor: Revision) -> Revision {
+        let term = self.term_at(index);
+        let mut first = index;
+        while first > floor {
+            let before = Revision(first.0 - 1);
+            if self.term_at(before) != term {
+                break;
+            }
+            first = before;
+        }
+        first
+    }
+
+    /// Appends an entry after the last one.
+    pub fn append(&mut self, entry: LogEntry) {
+        debug_assert_eq!(entry.index, self.last().index.next());
+        if let LogPayload::Membership(membership) = &entry.payload {
+            self.memberships.push((entry.index, membership.clone()));
+        }
+        self.entries.push_back(entry);
+    }
+
+    /// Drops all entries from a position on, and with them the memberships that they
+    /// put in force.
+    pub fn truncate(&mut self, from: Revision) {
+        let kept = from.0.saturating_sub(self.base.index.0 + 1);
+        self.entries.truncate(usize::try_from(kept).unwrap_or(0));
+        while self.memberships.len() > 1 && self.membership_index() >= from {
+            self.memberships.pop();
+        }
+    }
+
+    /// Replaces everything up to `index` by a snapshot and returns it. Returns nothing
+    /// if the position is compacted already or not in the log.
+    pub fn compact(&mut self, index: Revision, data: Vec<u8>) -> Option<Arc<Snapshot>> {
+        if index <= self.snapshot_index() {
+            return None;
+        }
+        let term = self.term_at(index)?;
+        let in_force = self.memberships.iter().rposition(|(at, _)| *at <= index)?;
+        self.memberships.drain(..in_force);
+        let snapshot = Arc::new(Snapshot {
+            index,
+            term,
+            membership: self.memberships.first()?.1.clone(),
+            data,
+        });
+        self.snapshot = Some(snapshot.clone());
+        self.drop_old_entries();
+        Some(snapshot)
+    }
+
+    fn drop_old_entries(&mut self) {
+        let keep_after = self.snapshot_index().0.saturating_sub(TRAILING_ENTRIES);
+        while let Some(first) = self.entries.front() {
+            if first.index.0 > keep_after {
+                break;
+            }
+            self.base = Position {
+                index: first.index,
+                term: first.term,
+            };
+            self.entries.pop_front();
+        }
+    }
+
+    /// Replaces the whole log by a snapshot.
+    pub fn restore(&mut self, snapshot: Arc<Snapshot>) {
+        self.entries.clear();
+        self.base = Position {
+            index: snapshot.index,
+            term: snapshot.term,
+        };
+        self.memberships = vec![(snapshot.index, snapshot.membership.clone())];
+        self.snapshot = Some(snapshot);
+    }
+
+    /// Returns the latest snapshot.
+    pub fn snapshot(&self) -> Option<&Arc<Snapshot>> {
+        self.snapshot.as_ref()
+    }
+
+    /// Returns the position of the latest snapshot; 0 without one.
+    pub fn snapshot_index(&self) -> Revision {
+        self.snapshot
+            .as_ref()
+            .map_or(Revision(0), |snapshot| snapshot.index)
+    }
+
+    /// Returns the membership in force.
+    pub fn membership(&self) -> &Membership {
+        &self.memberships[self.memberships.len() - 1].1
+    }
+
+    /// Returns the position that put the membership in force.
+    pub fn membership_index(&self) -> Revision {
+        self.memberships[self.memberships.len() - 1].0
+    }
+}
+
+fn payload_bytes(payload: &LogPayload) -> usize {
+    /// Stands for the encoding around a command, and for a small membership.
+    const ENTRY_OVERHEAD_BYTES: usize = 64;
+    match payload {
+        LogPayload::Command(command) => command.len() + ENTRY_OVERHEAD_BYTES,
+        LogPayload::Noop | LogPayload::Membership(_) => ENTRY_OVERHEAD_BYTES,
+    }
+}
--- /dev/null
+++ b/lib/src/raft_membership.rs
@@ -0,0 +1,204 @@
+//! Changes of the set of replicas, one replica at a time.
+//!
+//! A membership is in force from when it is appended, and is rolled back if the entry
+//! is replaced. Two memberships that follow each other differ by one voter, so any two
+//! of their majorities share a replica.
+
+use crate::id::ReplicaId;
+use crate::raft::Raft;
+use crate::raft::RoleState;
+use crate::raft::refuse;
+use crate::raft_effects::ChangeProblem;
+use crate::raft_effects::Effects;
+use crate::raft_effects::MembershipChange;
+use crate::raft_effects::Refusal;
+use crate::raft_effects::Token;
+use crate::raft_leader::LeaderState;
+use crate::raft_message::LogPayload;
+use crate::raft_message::Membership;
+use crate::raft_message::ReplicaInfo;
+use crate::raft_progress::LeaderCx;
+
+/// Names a change that the leader makes by itself.
+#[derive(Clone, Copy, Debug)]
+enum DueChange {
+    RemoveReplaced(ReplicaId),
+    Promote(ReplicaId),
+}
+
+impl Raft {
+    pub(crate) fn on_change_membership(
+        &mut self,
+        token: Token,
+        change: MembershipChange,
+        fx: &mut Effects,
+    ) {
+        if let Some(reason) = self.change_refusal() {
+            refuse(token, reason, fx);
+            return;
+        }
+        match self.changed_membership(change) {
+            Ok(membership) => {
+                let payload = LogPayload::Membership(membership);
+                self.append_proposal(token, payload, fx);
+            }
+            Err(problem) => {
+                if problem == ChangeProblem::LeaderHandsOver {
+                    self.start_handover(fx);
+                }
+                refuse(token, Refusal::InvalidChange { problem }, fx);
+            }
+        }
+    }
+
+    /// Returns why no membership change can be taken now.
+    fn change_refusal(&self) -> Option<Refusal> {
+        if let Some(reason) = self.proposal_refusal() {
+            return Some(reason);
+        }
+        (!self.may_change_membership()).then_some(Refusal::ChangePending)
+    }
+
+    /// Returns whether the last membership change is committed and the leader has
+    /// committed an entry of its own term.
+    ///
+    /// Without the second condition, a leader could change the membership while an
+    /// earlier leader's change, which it doesn't know, is committed by others; the two
+    /// differ by more than one voter and their majorities need not meet.
+    fn may_change_membership(&self) -> bool {
+        let RoleState::Leader(leader) = &self.role else {
+            return false;
+        };
+        self.membership_is_committed() && self.commit >= leader.term_start
+    }
+
+    fn changed_membership(
+        &mut self,
+        change: MembershipChange,
+    ) -> Result<Membership, ChangeProblem> {
+        match change {
+            MembershipChange::AddLearner { id, info, replaces } => {
+                with_learner(self.membership(), id, info, replaces)
+            }
+            MembershipChange::Remove(id) => self.without(id),
+        }
+    }
+
+    /// Returns the membership without a replica, if enough voters that answer remain.
+    fn without(&mut self, id: ReplicaId) -> Result<Membership, ChangeProblem> {
+        let present = self.membership();
+        if !present.contains(id) {
+            return Err(ChangeProblem::NotMember { id });
+        }
+        let was_voter = present.voters.contains_key(&id);
+        let membership = without(present, id);
+        if !was_voter {
+            return Ok(membership);
+        }
+        if membership.voters.is_empty() {
+            return Err(ChangeProblem::LastVoter);
+        }
+        self.check_live_majority(&membership)?;
+        if id == self.cfg.id {
+            return Err(ChangeProblem::LeaderHandsOver);
+        }
+        Ok(membership)
+    }
+
+    fn check_live_majority(&mut self, membership: &Membership) -> Result<(), ChangeProblem> {
+        let live = self.lead(|leader, cx| leader.live_voters(membership, cx));
+        let live = live.unwrap_or(0);
+        let needed = membership.majority();
+        if live < needed {
+            return Err(ChangeProblem::WouldLoseQuorum { live, needed });
+        }
+        Ok(())
+    }
+
+    /// Makes the change that is due by itself, if there is one: the removal of a
+    /// replaced replica, else the promotion of a learner that has caught up.
+    pub(crate) fn drive_membership(&mut self, fx: &mut Effects) {
+        if !self.may_change_membership() || self.proposal_refusal().is_some() {
+            return;
+        }
+        let due = self.lead(due_change).flatten();
+        let membership = match due {
+            None => return,
+            Some(DueChange::Promote(id)) => self.promoted(id),
+            Some(DueChange::RemoveReplaced(id)) => self.without(id),
+        };
+        match membership {
+            Ok(membership) => {
+                self.append_as_leader(LogPayload::Membership(membership), fx);
+                self.after_append(fx);
+            }
+            Err(ChangeProblem::LeaderHandsOver) => self.hand_over_by_itself(fx),
+            // Tried again when the next answer arrives.
+            Err(_) => {}
+        }
+    }
+
+    fn promoted(&mut self, id: ReplicaId) -> Result<Membership, ChangeProblem> {
+        let mut membership = self.membership().clone();
+        let info = membership.learners.remove(&id);
+        let info = info.ok_or(ChangeProblem::NotMember { id })?;
+        membership.voters.insert(id, info);
+        self.check_live_majority(&membership)?;
+        Ok(membership)
+    }
+
+    fn hand_over_by_itself(&mut self, fx: &mut Effects) {
+        let paused = self.lead(|leader, cx| cx.now < leader.handover_pause);
+        if paused == Some(false) {
+            self.start_handover(fx);
+        }
+    }
+}
+
+fn with_learner(
+    present: &Membership,
+    id: ReplicaId,
+    info: ReplicaInfo,
+    replaces: Option<ReplicaId>,
+) -> Result<Membership, ChangeProblem> {
+    if present.contains(id) {
+        return Err(ChangeProblem::AlreadyMember { id });
+    }
+    let mut membership = present.clone();
+    membership.learners.insert(id, info);
+    if let Some(replaced) = replaces {
+        if !present.contains(replaced) {
+            return Err(ChangeProblem::NotMember { id: replaced });
+        }
+        if present.replacements.values().any(|old| *old == replaced) {
+            return Err(ChangeProblem::AlreadyReplaced { id: replaced });
+        }
+        membership.replacements.insert(id, replaced);
+    }
+    Ok(membership)
+}
+
+fn without(present: &Membership, id: ReplicaId) -> Membership {
+    let mut membership = present.clone();
+    membership.voters.remove(&id);
+    membership.learners.remove(&id);
+    membership
+        .replacements
+        .retain(|new, old| *new != id && *old != id);
+    membership
+}
+
+fn due_change(leader: &mut LeaderState, cx: &LeaderCx) -> Option<DueChange> {
+    let membership = cx.log.membership();
+    let mut replacements = membership.replacements.iter();
+    let replaced = replacements.find(|(new, _)| membership.voters.contains_key(new));
+    if let Some((_, old)) = replaced {
+        return Some(DueChange::RemoveReplaced(*old));
+    }
+    let mut learners = membership.learners.keys();
+    let caught_up = learners.find(|id| {
+        let progress = leader.peers.get_mut(id);
+        progress.is_some_and(|progress| progress.has_caught_up(cx))
+    });
+    caught_up.map(|id| DueChange::Promote(*id))
+}
--- a/lib/src/raft_message.rs
+++ b/lib/src/raft_message.rs
@@ -49,6 +49,39 @@
     pub replacements: BTreeMap<ReplicaId, ReplicaId>,
 }
 
+impl Membership {
+    /// Returns whether a replica is a voter or a learner.
+    #[must_use]
+    pub fn contains(&self, id: ReplicaId) -> bool {
+        self.voters.contains_key(&id) || self.learners.contains_key(&id)
+    }
+
+    /// Returns the identities of all voters and learners.
+    pub fn ids(&self) -> impl Iterator<Item = ReplicaId> {
+        self.voters.keys().chain(self.learners.keys()).copied()
+    }
+
+    /// Returns where a voter or learner is.
+    #[must_use]
+    pub fn info(&self, id: ReplicaId) -> Option<&ReplicaInfo> {
+        self.voters.get(&id).or_else(|| self.learners.get(&id))
+    }
+
+    /// Returns how many voters are a majority.
+    #[must_use]
+    pub fn majority(&self) -> usize {
+        self.voters.len() / 2 + 1
+    }
+
+    /// Returns the highest value that a majority of the voters has reached; nothing
+    /// without voters.
+    pub fn quorum_value<T: Ord>(&self, value: impl Fn(ReplicaId) -> T) -> Option<T> {
+        let mut values: Vec<T> = self.voters.keys().map(|id| value(*id)).collect();
+        values.sort_unstable_by(|a, b| b.cmp(a));
+        values.into_iter().nth(self.majority() - 1)
+    }
+}
+
 /// Tells where a replica is.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct ReplicaInfo {
--- /dev/null
+++ b/lib/src/raft_replication.rs
@@ -0,0 +1,205 @@
+//! What a leader does: it appends, counts what a majority holds, proves reads and
+//! hands over.
+
+use crate::id::ReplicaId;
+use crate::id::Revision;
+use crate::raft::Raft;
+use crate::raft::RoleState;
+use crate::raft::refuse;
+use crate::raft_effects::Effects;
+use crate::raft_effects::Refusal;
+use crate::raft_effects::Token;
+use crate::raft_leader::Handover;
+use crate::raft_message::LogEntry;
+use crate::raft_message::LogPayload;
+use crate::raft_message::LogWrite;
+
+/// Bound on the proposals that wait for their commitment.
+const MAX_PENDING_PROPOSALS: usize = 4_096;
+
+impl Raft {
+    /// Appends an entry to the leader's log and returns its position.
+    pub(crate) fn append_as_leader(&mut self, payload: LogPayload, fx: &mut Effects) -> Revision {
+        let index = self.last_index().next();
+        let entry = LogEntry {
+            index,
+            term: self.term(),
+            payload,
+        };
+        fx.writes.push(LogWrite::Append(entry.clone()));
+        self.log.append(entry);
+        index
+    }
+
+    /// Sends what was appended, and commits it where no other voter is needed.
+    pub(crate) fn after_append(&mut self, fx: &mut Effects) {
+        self.lead(|leader, cx| {
+            leader.add_peers(cx.log.membership(), cx.log.last().index, cx.now);
+            leader.replicate_all(cx, fx);
+        });
+        self.advance_commit(fx);
+    }
+
+    /// Commits what a majority holds.
+    ///
+    /// Only an entry of the leader's own term is committed by counting; it commits the
+    /// ones before it. An older entry may be on a majority and still be replaced, by a
+    /// leader whose log ends with a term between the two.
+    pub(crate) fn advance_commit(&mut self, fx: &mut Effects) {
+        let RoleState::Leader(leader) = &self.role else {
+            return;
+        };
+        let held = leader.quorum_match(self.membership(), self.last_index());
+        let countable = self.log.term_at(held) == Some(self.term());
+        if held <= self.commit || !countable {
+            return;
+        }
+        self.commit_through(held, fx);
+        self.drive_membership(fx);
+        self.lead(|leader, cx| leader.replicate_all(cx, fx));
+        self.drive_reads(fx);
+    }
+
+    fn drive_reads(&mut self, fx: &mut Effects) {
+        self.lead(|leader, cx| leader.drive_reads(cx.log.membership(), cx, fx));
+    }
+
+    pub(crate) fn on_append_reply(
+        &mut self,
+        from: ReplicaId,
+        matched: bool,
+        index: Revision,
+        barrier: u64,
+        fx: &mut Effects,
+    ) {
+        self.lead(|leader, cx| {
+            leader.on_round_answer(from, barrier);
+            let Some(progress) = leader.peers.get_mut(&from) else {
+                return;
+            };
+            progress.last_heard = Some(cx.now);
+            if !matched {
+                progress.on_mismatch(index);
+            } else if index <= cx.log.last().index {
+                progress.on_match(index);
+            }
+        });
+        self.after_reply(from, fx);
+    }
+
+    pub(crate) fn on_snapshot_reply(
+        &mut self,
+        from: ReplicaId,
+        index: Revision,
+        received: u64,
+        installed: bool,
+        fx: &mut Effects,
+    ) {
+        self.lead(|leader, cx| {
+            if let Some(progress) = leader.peers.get_mut(&from)
+                && index <= cx.log.last().index
+            {
+                progress.last_heard = Some(cx.now);
+                progress.on_snapshot_reply(index, received, installed);
+            }
+        });
+        self.after_reply(from, fx);
+    }
+
+    fn after_reply(&mut self, from: ReplicaId, fx: &mut Effects) {
+        self.advance_commit(fx);
+        self.lead(|leader, cx| {
+            leader.replicate(from, cx, fx);
+            if leader.handover.is_some_and(|it| it.target == from) {
+                leader.send_timeout_now(cx, fx);
+            }
+        });
+        self.drive_reads(fx);
+        self.drive_membership(fx);
+    }
+
+    pub(crate) fn on_leader_tick(&mut self, fx: &mut Effects) {
+        self.end_late_handover();
+        self.lead(|leader, cx| {
+            if cx.now >= leader.next_heartbeat {
+                leader.begin_round(cx, fx);
+            }
+            leader.drop_departed(cx.log.membership(), cx);
+            leader.replicate_all(cx, fx);
+        });
+        self.drive_reads(fx);
+        self.drive_membership(fx);
+    }
+
+    pub(crate) fn on_propose(&mut self, token: Token, command: Vec<u8>, fx: &mut Effects) {
+        if let Some(reason) = self.proposal_refusal() {
+            refuse(token, reason, fx);
+            return;
+        }
+        let payload = LogPayload::Command(command);
+        self.append_proposal(token, payload, fx);
+    }
+
+    pub(crate) fn append_proposal(&mut self, token: Token, payload: LogPayload, fx: &mut Effects) {
+        let index = self.append_as_leader(payload, fx);
+        self.pending.insert(index, self.term(), token);
+        self.after_append(fx);
+    }
+
+    /// Returns why no proposal can be taken now. The log doesn't hold it then.
+    pub(crate) fn proposal_refusal(&self) -> Option<Refusal> {
+        let RoleState::Leader(leader) = &self.role else {
+            let leader = self.leader();
+            return Some(Refusal::NotLeader { leader });
+        };
+        if leader.handover.is_some() {
+            return Some(Refusal::HandingOver);
+        }
+        let contact = leader.quorum_contact(self.membership(), self.now);
+        if self.now >= contact + self.cfg.election_min {
+            return Some(Refusal::NoQuorum);
+        }
+        if self.pending.len() >= MAX_PENDING_PROPOSALS {
+            return Some(Refusal::Busy);
+        }
+        None
+    }
+
+    pub(crate) fn on_read_barrier(&mut self, token: Token, fx: &mut Effects) {
+        if !matches!(self.role, RoleState::Leader(_)) {
+            let leader = self.leader();
+            refuse(token, Refusal::NotLeader { leader }, fx);
+            return;
+        }
+        self.lead(|leader, _| leader.read(token, fx));
+        self.drive_reads(fx);
+    }
+
+    pub(crate) fn on_step_down(&mut self, fx: &mut Effects) {
+        self.start_handover(fx);
+    }
+
+    /// Begins to hand over to the most caught-up live voter, if there is one.
+    pub(crate) fn start_handover(&mut self, fx: &mut Effects) {
+        self.lead(|leader, cx| {
+            if leader.handover.is_some() {
+                return;
+            }
+            let deadline = cx.now + cx.cfg.election_max;
+            leader.handover = leader
+                .handover_target(cx.log.membership(), cx)
+                .map(|target| Handover { target, deadline });
+            leader.send_timeout_now(cx, fx);
+        });
+    }
+
+    /// Takes proposals again if the target didn't take over in time.
+    fn end_late_handover(&mut self) {
+        self.lead(|leader, cx| {
+            if leader.handover.is_some_and(|it| cx.now >= it.deadline) {
+                leader.handover = None;
+                leader.handover_pause = cx.now + cx.cfg.election_max * 4;
+            }
+        });
+    }
+}
--- /dev/null
+++ b/lib/tests/raft_network/checker.rs
@@ -0,0 +1,190 @@
+//! What must hold after every step, whatever fails.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+
+use heatherring_lib::id::ReplicaId;
+use heatherring_lib::id::Revision;
+use heatherring_lib::id::Term;
+use heatherring_lib::raft::Raft;
+use heatherring_lib::raft_config::DurableState;
+use heatherring_lib::raft_effects::Answer;
+use heatherring_lib::raft_effects::Role;
+use heatherring_lib::raft_effects::Token;
+use heatherring_lib::raft_message::LogEntry;
+use heatherring_lib::raft_message::LogPayload;
+use heatherring_lib::raft_message::LogWrite;
+use heatherring_lib::raft_message::Membership;
+
+use super::Machine;
+
+/// Holds what was seen so far.
+#[derive(Debug, Default)]
+pub struct Checker {
+    leaders: BTreeMap<Term, ReplicaId>,
+    /// Entries by position and term, with the term before each.
+    entries: BTreeMap<(Revision, Term), (Term, LogEntry)>,
+    /// What replicas applied.
+    pub committed: BTreeMap<Revision, LogEntry>,
+    committed_tokens: BTreeSet<u64>,
+    absent_tokens: BTreeSet<u64>,
+    /// Where each read must not fall behind.
+    reads: BTreeMap<Token, Revision>,
+    /// Elections that were won.
+    pub elections: u64,
+}
+
+impl Checker {
+    /// Checks one leader a term, and that a leader holds all that is committed.
+    pub fn on_role(&mut self, raft: &Raft, written: &DurableState) {
+        if raft.role() != Role::Leader {
+            return;
+        }
+        let known = self.leaders.insert(raft.term(), raft.id());
+        match known {
+            Some(other) => assert_eq!(other, raft.id(), "two leaders in {}", raft.term()),
+            None => self.on_elected(raft, written),
+        }
+    }
+
+    fn on_elected(&mut self, raft: &Raft, written: &DurableState) {
+        self.elections += 1;
+        let compacted = written.snapshot.as_ref().map(|snapshot| snapshot.index);
+        let mut held = written.entries.iter();
+        for (index, entry) in self.committed.range(compacted.unwrap_or_default().next()..) {
+            let here = held.next();
+            assert_eq!(
+                here,
+                Some(entry),
+                "leader {} of {} lacks committed {index}",
+                raft.id(),
+                raft.term()
+            );
+        }
+    }
+
+    /// Checks that logs which agree on a position agree on all before it, and that
+    /// memberships change by one voter at a time.
+    pub fn on_write(&mut self, replica: ReplicaId, before: &DurableState, write: &LogWrite) {
+        match write {
+            LogWrite::Append(entry) => self.on_append(before, entry),
+            LogWrite::Truncate(from) => {
+                let last_committed = before.snapshot.as_ref().map(|snapshot| snapshot.index);
+                assert!(
+                    *from > last_committed.unwrap_or_default(),
+                    "{replica} truncates its snapshot"
+                );
+            }
+            LogWrite::HardState(hard_state) => {
+                let old = before.hard_state;
+                assert!(hard_state.term >= old.term, "{replica} steps back a term");
+                let changed = hard_state.term == old.term
+                    && old.voted_for.is_some()
+                    && old.voted_for != hard_state.voted_for;
+                assert!(!changed, "{replica} votes twice in {}", old.term);
+            }
+            LogWrite::Snapshot(_) => {}
+        }
+    }
+
+    fn on_append(&mut self, before: &DurableState, entry: &LogEntry) {
+        let of_snapshot = before.snapshot.as_ref().map(|snapshot| snapshot.term);
+        let of_entries = before.entries.last().map(|entry| entry.term);
+        let previous_term = of_entries.or(of_snapshot).unwrap_or_default();
+        let known = self
+            .entries
+            .entry((entry.index, entry.term))
+            .or_insert_with(|| (previous_term, entry.clone()));
+        assert_eq!(known, &(previous_term, entry.clone()), "logs don't match");
+        if let LogPayload::Membership(membership) = &entry.payload {
+            check_single_step(&membership_of(before), membership);
+        }
+    }
+
+    /// Checks that no position is applied with two contents, and that nothing is
+    /// committed which was said to be absent.
+    pub fn on_applied(&mut self, entry: &LogEntry) {
+        let known = self
+            .committed
+            .entry(entry.index)
+            .or_insert_with(|| entry.clone());
+        assert_eq!(known, entry, "{} was applied otherwise", entry.index);
+        if let LogPayload::Command(command) = &entry.payload {
+            let token: u64 = postcard::from_bytes(command).unwrap();
+            assert!(
+                !self.absent_tokens.contains(&token),
+                "command {token} is committed after it was refused as absent"
+            );
+            self.committed_tokens.insert(token);
+        }
+    }
+
+    /// Checks that a restored state is the one that the log up to it gives.
+    pub fn on_restored(&self, machine: &Machine) {
+        let entries = self.committed.range(..=machine.applied);
+        let mut tokens = Vec::new();
+        for (_, entry) in entries {
+            if let LogPayload::Command(command) = &entry.payload {
+                tokens.push(postcard::from_bytes::<u64>(command).unwrap());
+            }
+        }
+        assert_eq!(machine.tokens, tokens, "restored state differs");
+    }
+
+    /// Notes how much was committed anywhere when a read began.
+    pub fn on_read(&mut self, token: Token) {
+        self.reads.insert(token, self.last_committed());
+    }
+
+    pub fn last_committed(&self) -> Revision {
+        let last = self.committed.last_key_value();
+        last.map_or(Revision(0), |(index, _)| *index)
+    }
+
+    /// Checks what a requester is told.
+    pub fn on_answer(&mut self, answer: &Answer) {
+        match answer {
+            Answer::Committed { index, .. } => {
+                assert!(
+                    self.committed.contains_key(index),
+                    "{index} is answered before it is applied"
+                );
+            }
+            Answer::ReadReady { token, index } => {
+                let floor = self.reads[token];
+                assert!(*index >= floor, "read at {index} misses {floor}");
+            }
+            Answer::Refused { token, reason } if reason.is_proved_absent() => {
+                assert!(
+                    !self.committed_tokens.contains(&token.0),
+                    "command {token:?} is committed and refused as absent: {reason}"
+                );
+                self.absent_tokens.insert(token.0);
+            }
+            Answer::Refused { .. } => {}
+        }
+    }
+}
+
+fn membership_of(durable: &DurableState) -> Membership {
+    let in_log = durable
+        .entries
+        .iter()
+        .rev()
+        .find_map(|entry| match &entry.payload {
+            LogPayload::Membership(membership) => Some(membership),
+            LogPayload::Noop | LogPayload::Command(_) => None,
+        });
+    let of_snapshot = durable
+        .snapshot
+        .as_ref()
+        .map(|snapshot| &snapshot.membership);
+    in_log.or(of_snapshot).cloned().unwrap_or_default()
+}
+
+fn check_single_step(before: &Membership, after: &Membership) {
+    let before: BTreeSet<_> = before.voters.keys().collect();
+    let after: BTreeSet<_> = after.voters.keys().collect();
+    let changed = before.symmetric_difference(&after).count();
+    assert!(changed <= 1, "{before:?} becomes {after:?} in one step");
+}
--- /dev/null
+++ b/lib/tests/raft_network/mod.rs
@@ -0,0 +1,563 @@
+//! Replicas in one thread, joined by a network in memory that delays, loses, doubles
+//! and reorders messages, with disks in memory that forget what wasn't synced.
+//!
+//! Every step is checked by [`checker::Checker`].
+
+// Each test binary uses another part of this module.
+#![allow(dead_code)]
+
+pub mod checker;
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::net::Ipv4Addr;
+use std::net::SocketAddr;
+use std::time::Duration;
+use std::time::Instant;
+
+use heatherring_lib::id::ReplicaId;
+use heatherring_lib::id::Revision;
+use heatherring_lib::id::VmName;
+use heatherring_lib::raft::Raft;
+use heatherring_lib::raft_config::DurableState;
+use heatherring_lib::raft_config::RaftConfig;
+use heatherring_lib::raft_config::bootstrap_writes;
+use heatherring_lib::raft_effects::Answer;
+use heatherring_lib::raft_effects::Effects;
+use heatherring_lib::raft_effects::Input;
+use heatherring_lib::raft_effects::MembershipChange;
+use heatherring_lib::raft_effects::Role;
+use heatherring_lib::raft_effects::Token;
+use heatherring_lib::raft_message::LogEntry;
+use heatherring_lib::raft_message::LogPayload;
+use heatherring_lib::raft_message::Message;
+use heatherring_lib::raft_message::ReplicaInfo;
+use heatherring_lib::raft_message::Snapshot;
+use rand::Rng;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+
+use self::checker::Checker;
+
+/// Shortest election timeout of the replicas under test.
+pub const ELECTION_MIN: Duration = Duration::from_millis(150);
+/// Longest election timeout of the replicas under test.
+pub const ELECTION_MAX: Duration = Duration::from_millis(300);
+const HEARTBEAT: Duration = Duration::from_millis(30);
+
+/// Tells how the network treats messages.
+#[derive(Clone, Copy, Debug)]
+pub struct Weather {
+    /// Messages lost, in percent.
+    pub loss: u8,
+    /// Messages doubled, in percent.
+    pub doubled: u8,
+    /// Longest delay of a message, in milliseconds.
+    pub max_delay_ms: u64,
+    /// Longest time until a sync is done, in milliseconds.
+    pub max_sync_ms: u64,
+}
+
+impl Weather {
+    pub const CALM: Self = Self {
+        loss: 0,
+        doubled: 0,
+        max_delay_ms: 5,
+        max_sync_ms: 2,
+    };
+}
+
+/// Holds the replicated state of one replica: the tokens of the commands, in order.
+#[derive(Clone, Debug, Default)]
+pub struct Machine {
+    pub applied: Revision,
+    pub tokens: Vec<u64>,
+}
+
+impl Machine {
+    fn of_snapshot(snapshot: Option<&Snapshot>) -> Self {
+        snapshot.map_or_else(Self::default, |snapshot| Self {
+            applied: snapshot.index,
+            tokens: postcard::from_bytes(&snapshot.data).unwrap(),
+        })
+    }
+
+    fn apply(&mut self, entry: &LogEntry) {
+        assert_eq!(entry.index, self.applied.next(), "applied out of order");
+        self.applied = entry.index;
+        if let LogPayload::Command(command) = &entry.payload {
+            self.tokens.push(postcard::from_bytes(command).unwrap());
+        }
+    }
+}
+
+/// Holds one replica, its disk and what its process has in memory.
+#[derive(Debug)]
+pub struct Node {
+    pub raft: Option<Raft>,
+    /// What was synced.
+    pub disk: DurableState,
+    /// What the disk holds once everything written so far is synced.
+    pub written: DurableState,
+    pub machine: Machine,
+    buffered: Effects,
+    sync_at: Option<Duration>,
+    frozen_until: Duration,
+    /// Set once the data folder is gone.
+    pub lost: bool,
+}
+
+#[derive(Debug)]
+struct Delivery {
+    from: ReplicaId,
+    to: ReplicaId,
+    message: Message,
+}
+
+/// Holds all replicas and the network among them.
+#[derive(Debug)]
+pub struct Network {
+    pub nodes: BTreeMap<ReplicaId, Node>,
+    pub checker: Checker,
+    pub weather: Weather,
+    pub answers: BTreeMap<Token, Answer>,
+    pub messages: u64,
+    pub steps: u64,
+    base: Instant,
+    now: Duration,
+    cuts: BTreeSet<(ReplicaId, ReplicaId)>,
+    queue: BTreeMap<(Duration, u64), Delivery>,
+    sequence: u64,
+    next_token: u64,
+    rng: ChaCha8Rng,
+}
+
+pub fn id(number: u64) -> ReplicaId {
+    ReplicaId(number)
+}
+
+pub fn info(number: u64) -> ReplicaInfo {
+    ReplicaInfo {
+        vm: VmName::new(format!("control-{number}")),
+        address: SocketAddr::from((Ipv4Addr::LOCALHOST, 1)),
+    }
+}
+
+pub fn config(number: u64, seed: u64) -> RaftConfig {
+    RaftConfig {
+        id: id(number),
+        heartbeat: HEARTBEAT,
+        election_min: ELECTION_MIN,
+        election_max: ELECTION_MAX,
+        max_append_bytes: 512,
+        snapshot_chunk_bytes: 64,
+        seed: seed.wrapping_mul(1_000).wrapping_add(number),
+    }
+}
+
+impl Network {
+    /// Starts one bootstrapped replica, number 1.
+    pub fn new(seed: u64) -> Self {
+        let mut network = Self {
+            nodes: BTreeMap::new(),
+            checker: Checker::default(),
+            weather: Weather::CALM,
+            answers: BTreeMap::new(),
+            messages: 0,
+            steps: 0,
+            base: Instant::now(),
+            now: Duration::ZERO,
+            cuts: BTreeSet::new(),
+            queue: BTreeMap::new(),
+            sequence: 0,
+            next_token: 1,
+            rng: ChaCha8Rng::seed_from_u64(seed),
+        };
+        let mut disk = DurableState::default();
+        for write in bootstrap_writes(id(1), info(1)) {
+            network.checker.on_write(id(1), &disk, &write);
+            disk.apply(write).unwrap();
+        }
+        network.add_node(1, disk);
+        network
+    }
+
+    /// Starts replica 1 and brings in others until there are `size` voters.
+    pub fn with_voters(seed: u64, size: u64) -> Self {
+        let mut network = Self::new(seed);
+        for number in 2..=size {
+            network.join(number, None);
+            network.run_until("the replica votes", |network| {
+                network.voters().contains(&id(number))
+            });
+        }
+        network.run(ELECTION_MAX);
+        network
+    }
+
+    /// Starts an empty replica and asks the leader to take it in, until it does.
+    pub fn join(&mut self, number: u64, replaces: Option<u64>) {
+        self.add_node(number, DurableState::default());
+        self.run_until("the replica is a learner", |network| {
+            let Some(leader) = network.leader() else {
+                return false;
+            };
+            let raft = network.nodes[&leader].raft.as_ref().unwrap();
+            if raft.membership().contains(id(number)) {
+                return true;
+            }
+            let change = MembershipChange::AddLearner {
+                id: id(number),
+                info: info(number),
+                replaces: replaces.map(id),
+            };
+            network.change_membership(leader, change);
+            false
+        });
+    }
+
+    /// Adds a replica's process with what its disk holds.
+    pub fn add_node(&mut self, number: u64, disk: DurableState) {
+        let node = Node {
+            raft: None,
+            written: disk.clone(),
+            disk,
+            machine: Machine::default(),
+            buffered: Effects::default(),
+            sync_at: None,
+            frozen_until: Duration::ZERO,
+            lost: false,
+        };
+        self.nodes.insert(id(number), node);
+        self.restart(id(number));
+    }
+
+    pub fn time(&self) -> Instant {
+        self.base + self.now
+    }
+
+    pub fn elapsed(&self) -> Duration {
+        self.now
+    }
+
+    /// Returns the leader of the highest term, if its process runs.
+    pub fn leader(&self) -> Option<ReplicaId> {
+        self.rafts()
+            .filter(|raft| raft.role() == Role::Leader)
+            .max_by_key(|raft| raft.term())
+            .map(Raft::id)
+    }
+
+    pub fn raft(&self, replica: ReplicaId) -> &Raft {
+        self.nodes[&replica]
+            .raft
+            .as_ref()
+            .expect("the process runs")
+    }
+
+    pub fn rafts(&self) -> impl Iterator<Item = &Raft> {
+        self.nodes.values().filter_map(|node| node.raft.as_ref())
+    }
+
+    /// Returns the voters as the leader knows them.
+    pub fn voters(&self) -> BTreeSet<ReplicaId> {
+        self.leader().map_or_else(BTreeSet::new, |leader| {
+            let membership = self.raft(leader).membership();
+            membership.voters.keys().copied().collect()
+        })
+    }
+
+    /// Hands one input to a running replica and keeps what it wants done for its sync.
+    pub fn step(&mut self, replica: ReplicaId, input: Input) {
+        let now = self.time();
+        let Some(node) = self.nodes.get_mut(&replica) else {
+            return;
+        };
+        let Some(raft) = &mut node.raft else {
+            return;
+        };
+        self.steps += 1;
+        let fx = raft.step(now, input);
+        for write in &fx.writes {
+            self.checker.on_write(replica, &node.written, write);
+            node.written.apply(write.clone()).unwrap();
+        }
+        self.checker.on_role(raft, &node.written);
+        node.buffered.append(fx);
+        if !node.buffered.is_empty() && node.sync_at.is_none() {
+            let delay = self.rng.random_range(0..=self.weather.max_sync_ms);
+            node.sync_at = Some(self.now + Duration::from_millis(delay));
+        }
+    }
+
+    fn sync(&mut self, replica: ReplicaId) {
+        let node = self.nodes.get_mut(&replica).unwrap();
+        node.sync_at = None;
+        let fx = std::mem::take(&mut node.buffered);
+        for write in fx.writes {
+            node.disk.apply(write).unwrap();
+        }
+        if let Some(snapshot) = &fx.restored {
+            node.machine = Machine::of_snapshot(Some(snapshot));
+            self.checker.on_restored(&node.machine);
+        }
+        for entry in &fx.committed {
+            node.machine.apply(entry);
+            self.checker.on_applied(entry);
+        }
+        for answer in fx.answers {
+            self.checker.on_answer(&answer);
+            let token = token_of(&answer);
+            assert!(
+                self.answers.insert(token, answer).is_none(),
+                "{token:?} was answered twice"
+            );
+        }
+        for (to, message) in fx.sends {
+            self.send(replica, to, message);
+        }
+    }
+
+    fn send(&mut self, from: ReplicaId, to: ReplicaId, message: Message) {
+        self.messages += 1;
+        if self.cuts.contains(&(from, to)) || self.percent(self.weather.loss) {
+            return;
+        }
+        if self.percent(self.weather.doubled) {
+            self.enqueue(from, to, message.clone());
+        }
+        self.enqueue(from, to, message);
+    }
+
+    fn percent(&mut self, percent: u8) -> bool {
+        self.rng.random_range(0..100) < percent
+    }
+
+    fn enqueue(&mut self, from: ReplicaId, to: ReplicaId, message: Message) {
+        let delay = self.rng.random_range(1..=self.weather.max_delay_ms.max(1));
+        self.sequence += 1;
+        let key = (self.now + Duration::from_millis(delay), self.sequence);
+        self.queue.insert(key, Delivery { from, to, message });
+    }
+
+    /// Lets time pass.
+    pub fn run(&mut self, span: Duration) {
+        let end = self.now + span;
+        while let Some(due) = self.next_event().filter(|due| *due <= end) {
+            self.now = due;
+            self.handle_due();
+        }
+        self.now = end;
+    }
+
+    /// Lets time pass until `done`; fails after a minute of the replicas' time.
+    pub fn run_until(&mut self, what: &str, mut done: impl FnMut(&mut Self) -> bool) {
+        let deadline = self.now + Duration::from_mins(1);
+        while !done(self) {
+            assert!(self.now < deadline, "in vain: {what}; {}", self.summary());
+            self.run(Duration::from_millis(10));
+        }
+    }
+
+    fn next_event(&self) -> Option<Duration> {
+        let delivery = self.queue.keys().next().map(|(at, _)| *at);
+        let nodes = self.nodes.values().filter_map(|node| self.node_due(node));
+        delivery.into_iter().chain(nodes).min()
+    }
+
+    fn node_due(&self, node: &Node) -> Option<Duration> {
+        let raft = node.raft.as_ref()?;
+        let wake = raft.next_wake().saturating_duration_since(self.base);
+        let due = node.sync_at.map_or(wake, |sync_at| sync_at.min(wake));
+        // A step that is due at once happens a little later, as by a timer.
+        Some(due.max(self.now).max(node.frozen_until))
+    }
+
+    fn handle_due(&mut self) {
+        let ids: Vec<_> = self.nodes.keys().copied().collect();
+        for replica in ids {
+            let node = &self.nodes[&replica];
+            if node.frozen_until > self.now || node.raft.is_none() {
+                continue;
+            }
+            if node.sync_at.is_some_and(|at| at <= self.now) {
+                self.sync(replica);
+            }
+            if self.raft(replica).next_wake() <= self.time() {
+                self.step(replica, Input::Tick);
+                let woken = self.raft(replica).next_wake() > self.time();
+                assert!(woken, "{replica} wants a tick again at once");
+            }
+        }
+        while let Some(next) = self.queue.first_entry() {
+            if next.key().0 > self.now {
+                return;
+            }
+            let delivery = next.remove();
+            self.deliver(delivery);
+        }
+    }
+
+    fn deliver(&mut self, delivery: Delivery) {
+        let Delivery { from, to, message } = delivery;
+        let Some(node) = self.nodes.get(&to) else {
+            return;
+        };
+        if node.frozen_until > self.now {
+            // The message waits in the buffer of the frozen process's socket.
+            self.sequence += 1;
+            let key = (node.frozen_until, self.sequence);
+            self.queue.insert(key, Delivery { from, to, message });
+            return;
+        }
+        if !self.cuts.contains(&(from, to)) {
+            self.step(to, Input::Message { from, message });
+        }
+    }
+
+    pub fn propose(&mut self, replica: ReplicaId) -> Token {
+        let token = self.token();
+        let command = postcard::to_stdvec(&token.0).unwrap();
+        self.step(replica, Input::Propose { token, command });
+        token
+    }
+
+    pub fn read(&mut self, replica: ReplicaId) -> Token {
+        let token = self.token();
+        self.checker.on_read(token);
+        self.step(replica, Input::ReadBarrier { token });
+        token
+    }
+
+    pub fn change_membership(&mut self, replica: ReplicaId, change: MembershipChange) -> Token {
+        let token = self.token();
+        self.step(replica, Input::ChangeMembership { token, change });
+        token
+    }
+
+    fn token(&mut self) -> Token {
+        let token = Token(self.next_token);
+        self.next_token += 1;
+        token
+    }
+
+    /// Proposes at the leader, whoever that is, until a proposal is committed.
+    pub fn commit_one(&mut self) -> Revision {
+        let mut token = None;
+        let mut committed = Revision(0);
+        self.run_until("a proposal is committed", |network| {
+            let answer = token.and_then(|token| network.answers.get(&token));
+            if let Some(Answer::Committed { index, .. }) = answer {
+                committed = *index;
+                return true;
+            }
+            if (token.is_none() || answer.is_some())
+                && let Some(leader) = network.leader()
+            {
+                token = Some(network.propose(leader));
+            }
+            false
+        });
+        committed
+    }
+
+    /// Compacts the log of a replica up to what it has applied.
+    pub fn compact(&mut self, replica: ReplicaId) {
+        let node = &self.nodes[&replica];
+        let index = node.machine.applied;
+        let data = postcard::to_stdvec(&node.machine.tokens).unwrap();
+        self.step(replica, Input::Compact { index, data });
+    }
+
+    /// Ends a process without warning. Of what it wrote and didn't sync, any first part
+    /// may have reached the disk all the same.
+    pub fn crash(&mut self, replica: ReplicaId) {
+        let Some(node) = self.nodes.get_mut(&replica) else {
+            return;
+        };
+        node.raft = None;
+        node.sync_at = None;
+        let unsynced = std::mem::take(&mut node.buffered).writes;
+        let kept = self.rng.random_range(0..=unsynced.len());
+        for write in unsynced.into_iter().take(kept) {
+            node.disk.apply(write).unwrap();
+        }
+    }
+
+    /// Starts a process from what its disk holds; does nothing if it runs.
+    pub fn restart(&mut self, replica: ReplicaId) {
+        let now = self.time();
+        let seed = self.rng.random();
+        let Some(node) = self.nodes.get_mut(&replica) else {
+            return;
+        };
+        if node.raft.is_some() || node.lost {
+            return;
+        }
+        node.written = node.disk.clone();
+        node.machine = Machine::of_snapshot(node.disk.snapshot.as_ref());
+        let raft = Raft::new(config(replica.0, seed), node.disk.clone(), now);
+        node.raft = Some(raft.unwrap());
+    }
+
+    /// Ends a process and loses its data folder, and with it the identity.
+    pub fn lose_disk(&mut self, replica: ReplicaId) {
+        self.crash(replica);
+        if let Some(node) = self.nodes.get_mut(&replica) {
+            node.disk = DurableState::default();
+            node.lost = true;
+        }
+    }
+
+    /// Stops a process for a while; its messages wait.
+    pub fn freeze(&mut self, replica: ReplicaId, span: Duration) {
+        if let Some(node) = self.nodes.get_mut(&replica) {
+            node.frozen_until = self.now + span;
+        }
+    }
+
+    pub fn cut(&mut self, from: ReplicaId, to: ReplicaId) {
+        self.cuts.insert((from, to));
+    }
+
+    /// Cuts a replica off from all others, in both directions.
+    pub fn isolate(&mut self, replica: ReplicaId) {
+        let others: Vec<_> = self.nodes.keys().copied().collect();
+        for other in others {
+            self.cut(replica, other);
+            self.cut(other, replica);
+        }
+    }
+
+    pub fn heal(&mut self) {
+        self.cuts.clear();
+        self.weather = Weather::CALM;
+    }
+
+    pub fn summary(&self) -> String {
+        let line = |node: &Node| {
+            node.raft.as_ref().map(|raft| {
+                format!(
+                    "{}: {:?} {} last {} commit {} voters {:?} learners {:?}",
+                    raft.id(),
+                    raft.role(),
+                    raft.term(),
+                    raft.last_index(),
+                    raft.commit(),
+                    raft.membership().voters.keys(),
+                    raft.membership().learners.keys(),
+                )
+            })
+        };
+        let lines: Vec<_> = self.nodes.values().filter_map(line).collect();
+        lines.join("; ")
+    }
+}
+
+pub fn token_of(answer: &Answer) -> Token {
+    match answer {
+        Answer::Committed { token, .. }
+        | Answer::ReadReady { token, .. }
+        | Answer::Refused { token, .. } => *token,
+    }
+}
--- /dev/null
+++ b/lib/tests/test_raft.rs
@@ -0,0 +1,132 @@
+//! Directed tests of the agreement: one for each trap that a simple version falls into.
+
+mod raft_network;
+
+use std::time::Duration;
+
+use heatherring_lib::raft_effects::Answer;
+use heatherring_lib::raft_effects::Refusal;
+use heatherring_lib::raft_effects::Role;
+
+use self::raft_network::ELECTION_MAX;
+use self::raft_network::Network;
+use self::raft_network::id;
+
+#[test]
+fn test_raft_single_replica_commits_alone() {
+    let mut network = Network::new(1);
+    network.commit_one();
+    let read = network.read(id(1));
+    network.run(Duration::from_millis(10));
+    assert!(matches!(network.answers[&read], Answer::ReadReady { .. }));
+}
+
+#[test]
+fn test_raft_replicas_join_and_vote() {
+    let mut network = Network::with_voters(2, 3);
+    assert_eq!(network.voters(), [id(1), id(2), id(3)].into());
+    network.commit_one();
+}
+
+#[test]
+fn test_raft_isolated_leader_answers_no_read() {
+    // Symptom: an operator reads an old manifest as the current one.
+    // Sequence: the leader is cut off; the others elect another one and commit; a read
+    // arrives at the old leader, which still believes that it leads.
+    // Cause: a leader that answers reads from its own state alone.
+    let mut network = Network::with_voters(3, 3);
+    let old = network.leader().unwrap();
+    network.isolate(old);
+    let early = network.read(old);
+    network.run(ELECTION_MAX * 4);
+    let late = network.read(old);
+    network.commit_one();
+    assert_ne!(network.leader(), Some(old));
+    for read in [early, late] {
+        assert!(matches!(network.answers[&read], Answer::Refused { .. }));
+    }
+}
+
+#[test]
+fn test_raft_isolated_leader_refuses_proposals_as_absent() {
+    // Symptom: an operator is told nothing, or that an unaccepted manifest is accepted.
+    // Sequence: the leader is cut off for longer than an election takes.
+    // Cause: a leader that takes proposals without knowing of a majority.
+    let mut network = Network::with_voters(4, 3);
+    let old = network.leader().unwrap();
+    network.isolate(old);
+    network.run(ELECTION_MAX * 2);
+    let token = network.propose(old);
+    network.run(Duration::from_millis(10));
+    let Answer::Refused { reason, .. } = &network.answers[&token] else {
+        panic!("accepted: {:?}", network.answers[&token]);
+    };
+    assert!(reason.is_proved_absent(), "{reason}");
+}
+
+#[test]
+fn test_raft_returning_replica_deposes_nobody() {
+    // Symptom: a working leader is replaced whenever a cut heals.
+    // Sequence: a follower is cut off for many election timeouts and comes back.
+    // Cause: candidacies that raise the term without asking first.
+    let mut network = Network::with_voters(5, 3);
+    let leader = network.leader().unwrap();
+    let term = network.raft(leader).term();
+    let follower = if leader == id(2) { id(3) } else { id(2) };
+    network.isolate(follower);
+    network.run(ELECTION_MAX * 20);
+    network.heal();
+    network.run(ELECTION_MAX * 4);
+    assert_eq!(network.leader(), Some(leader));
+    assert_eq!(network.raft(leader).term(), term);
+    assert_eq!(network.raft(follower).role(), Role::Follower);
+}
+
+#[test]
+fn test_raft_second_voter_lost_after_repair_loses_nothing() {
+    // Symptom: an accepted manifest is gone after a repair.
+    // Sequence: one replica's disk is lost, a new one takes its place, and as soon as
+    // the old one is out of the membership a second disk is lost.
+    // Cause: counting the new replica before it has the log durably.
+    let mut network = Network::with_voters(6, 3);
+    let before = network.commit_one();
+    network.lose_disk(id(3));
+    network.commit_one();
+    network.join(4, Some(3));
+    network.run_until("the lost replica is removed", |network| {
+        network.voters() == [id(1), id(2), id(4)].into()
+    });
+    network.run_until("the removal is committed", |network| {
+        let leader = network.leader();
+        leader.is_some_and(|leader| network.raft(leader).membership_is_committed())
+    });
+    network.lose_disk(id(2));
+    let after = network.commit_one();
+    assert!(after > before);
+    let leader = network.leader().unwrap();
+    assert!(network.raft(leader).commit() >= after);
+}
+
+#[test]
+fn test_raft_frozen_leader_wakes() {
+    // Symptom: a process that was stopped and continued answers with an old state.
+    // Sequence: the leader freezes, the others go on, it wakes with messages in its
+    // buffers and gets a read and a proposal before anything else.
+    // Cause: trusting answers that were given before the freeze.
+    let mut network = Network::with_voters(7, 3);
+    let old = network.leader().unwrap();
+    network.freeze(old, ELECTION_MAX * 5);
+    network.run(ELECTION_MAX * 4);
+    assert_eq!(network.raft(old).role(), Role::Leader);
+    let read = network.read(old);
+    let proposal = network.propose(old);
+    network.run(ELECTION_MAX * 2);
+    let Answer::Refused { reason, .. } = &network.answers[&read] else {
+        panic!("served: {:?}", network.answers[&read]);
+    };
+    assert!(matches!(reason, Refusal::NotLeader { .. }), "{reason}");
+    let Answer::Refused { reason, .. } = &network.answers[&proposal] else {
+        panic!("accepted: {:?}", network.answers[&proposal]);
+    };
+    assert!(reason.is_proved_absent(), "{reason}");
+}
