--- /dev/null
+++ b/testutils/tests/test_relay.rs
@@ -0,0 +1,35 @@
+//! Shows that a relay holds bytes back and lets them go.
+
+use std::net::SocketAddr;
+
+use heatherring_testutils::loopback::LoopbackBlock;
+use heatherring_testutils::loopback::SERVICE_PORT;
+use heatherring_testutils::relay::Link;
+use heatherring_testutils::relay::Relay;
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+
+#[tokio::test]
+async fn test_relay_cut_and_mended() {
+    let mut block = LoopbackBlock::claim().unwrap();
+    let target = SocketAddr::new(block.next_vm(), SERVICE_PORT);
+    let listener = TcpListener::bind(target).await.unwrap();
+    let relay = Relay::start(block.next_relay(), target, Link::default());
+    let relay = relay.await.unwrap();
+    let mut near = TcpStream::connect(relay.address()).await.unwrap();
+    let (mut far, _) = listener.accept().await.unwrap();
+    relay.modify(|link| link.cut_towards_target = true);
+    near.write_all(b"to").await.unwrap();
+    // The other direction still works.
+    far.write_all(b"from").await.unwrap();
+    let mut buf = [0; 4];
+    near.read_exact(&mut buf).await.unwrap();
+    assert_eq!(&buf, b"from");
+    let early = far.try_read(&mut buf);
+    assert_eq!(early.unwrap_err().kind(), std::io::ErrorKind::WouldBlock);
+    relay.set(Link::default());
+    far.read_exact(&mut buf[..2]).await.unwrap();
+    assert_eq!(&buf[..2], b"to");
+}
