--- /dev/null
+++ b/cli/src/commands/control.rs
@@ -0,0 +1,214 @@
+//! `heatherring control`: runs a control replica, and formats its data folder.
+
+use std::error::Error;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::sync::Arc;
+
+use clap::Arg;
+use clap::ArgMatches;
+use clap::Command;
+use clap::value_parser;
+use heatherring_lib::clock::SystemClock;
+use heatherring_lib::id::ReplicaId;
+use heatherring_lib::settings::ControlSettings;
+use heatherring_lib::settings_text::read_control_settings;
+use heatherring_server::control_format;
+use heatherring_server::control_format::FormatError;
+use heatherring_server::control_process::ControlError;
+use heatherring_server::control_process::run_control;
+use heatherring_server::data_folder::Identity;
+use heatherring_server::shutdown::Shutdown;
+use tokio::runtime::Runtime;
+
+use crate::cli_error::CliError;
+use crate::logging;
+
+/// Returns the arguments of the subcommand.
+pub fn command() -> Command {
+    Command::new("control")
+        .about("Runs a control replica, or formats its data folder")
+        .after_help(
+            "Without a subcommand the replica runs until SIGTERM or Ctrl-C.\n\n\
+             Examples:\n  \
+             heatherring control init --settings control-1.jsonc\n  \
+             heatherring control --settings control-1.jsonc\n  \
+             heatherring control join --settings control-2.jsonc --control 10.0.0.1:7000",
+        )
+        .args_conflicts_with_subcommands(true)
+        .subcommand_negates_reqs(true)
+        .arg(settings_arg())
+        .subcommand(init_command())
+        .subcommand(join_command())
+        .subcommand(repair_command())
+}
+
+fn init_command() -> Command {
+    Command::new("init")
+        .about("Makes a new cluster of one replica; done once in the life of a deployment")
+        .arg(settings_arg())
+}
+
+fn join_command() -> Command {
+    Command::new("join")
+        .about("Adds this replica to a running cluster and formats its empty data folder")
+        .arg(settings_arg())
+        .arg(control_arg())
+        .arg(operator_arg())
+}
+
+fn repair_command() -> Command {
+    Command::new("repair")
+        .about("Joins in the place of a replica whose disk was lost or damaged")
+        .long_about(
+            "Joins in the place of a replica whose disk was lost or damaged. The data folder \
+             must be empty; the replica gets a fresh identity, and the one that it replaces is \
+             removed once the new one has caught up.",
+        )
+        .arg(settings_arg())
+        .arg(control_arg())
+        .arg(operator_arg())
+        .arg(
+            Arg::new("replaces")
+                .long("replaces")
+                .value_name("REPLICA")
+                .help("The lost replica's identity, as `heatherring status` shows it")
+                .value_parser(value_parser!(u64))
+                .required(true),
+        )
+}
+
+fn settings_arg() -> Arg {
+    Arg::new("settings")
+        .long("settings")
+        .value_name("FILE")
+        .help("The replica's settings, JSON with comments")
+        .value_parser(value_parser!(PathBuf))
+        .required(true)
+}
+
+fn control_arg() -> Arg {
+    Arg::new("control")
+        .long("control")
+        .alias("via")
+        .value_name("ADDRESSES")
+        .help("Addresses of replicas of the cluster, tried in order")
+        .value_parser(value_parser!(SocketAddr))
+        .value_delimiter(',')
+        .required(true)
+}
+
+fn operator_arg() -> Arg {
+    Arg::new("operator")
+        .long("operator")
+        .value_name("NAME")
+        .help("Who asks, for the audit trail")
+        .default_value("operator")
+}
+
+/// Runs the replica or one of the subcommands.
+pub fn run(matches: &ArgMatches) -> Result<(), CliError> {
+    match matches.subcommand() {
+        Some(("init", matches)) => run_init(matches),
+        Some((_, matches)) => run_join(matches),
+        None => run_replica(matches),
+    }
+}
+
+fn run_init(matches: &ArgMatches) -> Result<(), CliError> {
+    let settings = read_settings(matches)?;
+    let identity = control_format::init(&settings).map_err(format_error)?;
+    print_formatted(&identity);
+    Ok(())
+}
+
+fn run_join(matches: &ArgMatches) -> Result<(), CliError> {
+    let settings = read_settings(matches)?;
+    let control: Vec<SocketAddr> = matches
+        .get_many("control")
+        .unwrap_or_default()
+        .copied()
+        .collect();
+    let replaces = matches
+        .try_get_one::<u64>("replaces")
+        .ok()
+        .flatten()
+        .map(|id| ReplicaId(*id));
+    let operator = matches
+        .get_one::<String>("operator")
+        .map_or("", String::as_str);
+    let joining = control_format::join(&settings, &control, replaces, operator);
+    let identity = runtime()?.block_on(joining).map_err(format_error)?;
+    print_formatted(&identity);
+    Ok(())
+}
+
+fn run_replica(matches: &ArgMatches) -> Result<(), CliError> {
+    let settings = read_settings(matches)?;
+    logging::start(settings.log.level).map_err(internal)?;
+    runtime()?.block_on(async {
+        let shutdown = Shutdown::on_signals().map_err(internal)?;
+        let replica = run_control(settings, Arc::new(SystemClock), shutdown);
+        replica.await.map_err(control_error)
+    })
+}
+
+fn print_formatted(identity: &Identity) {
+    println!(
+        "formatted: cluster {}, replica {}",
+        identity.cluster, identity.replica
+    );
+}
+
+fn read_settings(matches: &ArgMatches) -> Result<ControlSettings, CliError> {
+    let Some(path) = matches.get_one::<PathBuf>("settings") else {
+        return Err(user("--settings is missing"));
+    };
+    let file = path.display().to_string();
+    let text = std::fs::read_to_string(path).map_err(|source| user(format!("{file}: {source}")))?;
+    read_control_settings(&file, &text).map_err(|faults| user(faults.to_string()))
+}
+
+fn runtime() -> Result<Runtime, CliError> {
+    Runtime::new().map_err(internal)
+}
+
+fn user(message: impl Into<String>) -> CliError {
+    CliError::User {
+        message: message.into(),
+        hint: None,
+    }
+}
+
+fn internal(source: impl Error + Send + Sync + 'static) -> CliError {
+    CliError::Internal {
+        source: Box::new(source),
+    }
+}
+
+fn format_error(error: FormatError) -> CliError {
+    let message = error.to_string();
+    match error {
+        FormatError::Folder { source, .. } if !source.is_user_error() => internal(source),
+        FormatError::Folder { .. } | FormatError::Security { .. } | FormatError::NoAddress => {
+            user(message)
+        }
+        FormatError::Refused { .. } => CliError::Refused {
+            message,
+            hint: None,
+        },
+        FormatError::Connect { .. }
+        | FormatError::NoAnswer { .. }
+        | FormatError::ClusterIdentity => CliError::Unavailable {
+            message,
+            hint: None,
+        },
+    }
+}
+
+fn control_error(error: ControlError) -> CliError {
+    if error.is_user_error() {
+        return user(error.to_string());
+    }
+    internal(error)
+}
--- a/cli/src/commands/mod.rs
+++ b/cli/src/commands/mod.rs
@@ -3,6 +3,7 @@
 //! A module offers `command()`, its part of the command line, and `run()`. To add
 //! one, declare the module and add a line to [`SUBCOMMANDS`].
 
+mod control;
 mod version;
 
 use clap::ArgMatches;
@@ -17,10 +18,16 @@
 }
 
 /// All subcommands, in the order of the help text.
-const SUBCOMMANDS: &[Subcommand] = &[Subcommand {
-    command: version::command,
-    run: version::run,
-}];
+const SUBCOMMANDS: &[Subcommand] = &[
+    Subcommand {
+        command: control::command,
+        run: control::run,
+    },
+    Subcommand {
+        command: version::command,
+        run: version::run,
+    },
+];
 
 /// Returns the whole command line.
 pub fn command() -> Command {
--- /dev/null
+++ b/server/src/control_node.rs
@@ -0,0 +1,629 @@
+//! The task that owns a control replica: the agreement, its disk and the state.
+//!
+//! The task drains its queue, steps each request, makes all records of these steps
+//! durable under one sync, and only then sends, applies and answers.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use heatherring_lib::clock::Clock;
+use heatherring_lib::clock::unix_ms;
+use heatherring_lib::command::Command;
+use heatherring_lib::command::CommandKind;
+use heatherring_lib::control_state::ControlState;
+use heatherring_lib::control_state::ControlStateError;
+use heatherring_lib::control_state::Response;
+use heatherring_lib::encoding::EncodingError;
+use heatherring_lib::id::Revision;
+use heatherring_lib::raft::Raft;
+use heatherring_lib::raft_config::RaftConfig;
+use heatherring_lib::raft_config::RaftError;
+use heatherring_lib::raft_effects::Answer;
+use heatherring_lib::raft_effects::Effects;
+use heatherring_lib::raft_effects::Input;
+use heatherring_lib::raft_effects::Refusal;
+use heatherring_lib::raft_effects::Role;
+use heatherring_lib::raft_effects::RoleChange;
+use heatherring_lib::raft_effects::Token;
+use heatherring_lib::raft_message::LogEntry;
+use heatherring_lib::raft_message::LogPayload;
+use heatherring_lib::raft_message::LogWrite;
+use heatherring_lib::raft_message::Snapshot;
+use heatherring_lib::settings::ControlTiming;
+use slotmap::SlotMap;
+use snafu::ResultExt;
+use snafu::Snafu;
+use tokio::sync::mpsc;
+use tokio::sync::oneshot;
+use tokio::task::JoinError;
+
+use crate::data_folder::Disk;
+use crate::data_folder::Identity;
+use crate::log_disk::DiskError;
+use crate::log_disk::LogDisk;
+use crate::log_disk::Recovered;
+use crate::node_pending::Pending;
+use crate::node_pending::PendingKey;
+use crate::node_pending::Waiter;
+use crate::node_pending::key_of;
+use crate::node_pending::token_of;
+use crate::node_request::Committed;
+use crate::node_request::NodeError;
+use crate::node_request::NodeRequest;
+use crate::peer_links::PeerLinks;
+use crate::session_desk::HeldSync;
+use crate::session_desk::SessionDesk;
+use crate::session_desk::Verdict;
+use crate::status_report::status_reply;
+
+/// Requests that one turn takes, all under one sync.
+const MAX_BATCH: usize = 256;
+
+/// Bound on the commands of one append, in bytes.
+const MAX_APPEND_BYTES: usize = 512 << 10;
+
+/// Size of the parts in which a snapshot travels, in bytes.
+const SNAPSHOT_CHUNK_BYTES: usize = 256 << 10;
+
+/// Tells why the replica stopped. It can't go on after any of these.
+#[derive(Debug, Snafu)]
+pub enum ControlNodeError {
+    /// The disk failed.
+    #[snafu(display("{source}"))]
+    Disk {
+        /// How.
+        source: DiskError,
+    },
+    /// The disk's task was aborted.
+    #[snafu(display("the task that writes to the disk was aborted"))]
+    DiskTask {
+        /// How.
+        source: JoinError,
+    },
+    /// The durable records contradict themselves or the settings.
+    #[snafu(display("{source}"))]
+    Agreement {
+        /// How.
+        source: RaftError,
+    },
+    /// A log position can't be applied.
+    #[snafu(display("{source}"))]
+    State {
+        /// Why.
+        source: ControlStateError,
+    },
+    /// A command can't be encoded or decoded.
+    #[snafu(display("position {index} of the log can't be read"))]
+    Command {
+        /// The position.
+        index: Revision,
+        /// Why.
+        source: EncodingError,
+    },
+}
+
+/// Holds the settings of the task.
+#[derive(Clone, Copy, Debug)]
+pub struct NodeConfig {
+    /// Intervals of the agreement and of sessions.
+    pub timing: ControlTiming,
+    /// Log positions after which a snapshot is taken.
+    pub snapshot_every: u64,
+    /// Seed of the election timeouts.
+    pub seed: u64,
+}
+
+/// Owns a control replica.
+#[derive(Debug)]
+pub struct ControlNode<D> {
+    cfg: NodeConfig,
+    identity: Identity,
+    clock: Arc<dyn Clock>,
+    raft: Raft,
+    /// Away while a blocking thread writes.
+    disk: Option<LogDisk<D>>,
+    state: ControlState,
+    sessions: SessionDesk,
+    links: PeerLinks,
+    effects: Effects,
+    pending: SlotMap<PendingKey, Pending>,
+    /// Requests for the next read barrier.
+    waiting: Vec<Waiter>,
+    barrier_in_flight: bool,
+    /// Requests whose barrier was passed for a position that isn't applied yet.
+    parked: Vec<(Revision, Vec<Waiter>)>,
+    snapshot_index: Revision,
+    leaving: Option<Leaving>,
+}
+
+/// Says how far a planned stop has got.
+#[derive(Clone, Copy, Debug)]
+struct Leaving {
+    deadline: Instant,
+    ask_again_at: Instant,
+}
+
+impl<D: Disk> ControlNode<D> {
+    /// Starts a replica from what its disk held.
+    ///
+    /// # Errors
+    ///
+    /// Returns a [`ControlNodeError`] if that contradicts itself or the settings.
+    pub fn new(
+        cfg: NodeConfig,
+        clock: Arc<dyn Clock>,
+        disk: LogDisk<D>,
+        recovered: Recovered,
+        links: PeerLinks,
+    ) -> Result<Self, ControlNodeError> {
+        let identity = recovered.identity;
+        let durable = recovered.durable;
+        let state = match &durable.snapshot {
+            Some(snapshot) => ControlState::decode_snapshot(&snapshot.data).context(StateSnafu)?,
+            None => ControlState::default(),
+        };
+        let raft_cfg = RaftConfig {
+            id: identity.replica,
+            heartbeat: cfg.timing.heartbeat(),
+            election_min: cfg.timing.election_min(),
+            election_max: cfg.timing.election_max(),
+            max_append_bytes: MAX_APPEND_BYTES,
+            snapshot_chunk_bytes: SNAPSHOT_CHUNK_BYTES,
+            seed: cfg.seed,
+        };
+        let raft = Raft::new(raft_cfg, durable, clock.now()).context(AgreementSnafu)?;
+        Ok(Self {
+            cfg,
+            identity,
+            clock,
+            raft,
+            disk: Some(disk),
+            snapshot_index: state.revision(),
+            state,
+            sessions: SessionDesk::new(&cfg.timing),
+            links,
+            effects: Effects::default(),
+            pending: SlotMap::with_key(),
+            waiting: Vec::new(),
+            barrier_in_flight: false,
+            parked: Vec::new(),
+            leaving: None,
+        })
+    }
+
+    /// Serves requests until it is asked to leave or all handles are gone.
+    ///
+    /// # Errors
+    ///
+    /// Returns a [`ControlNodeError`] if the replica can't go on. The process must stop
+    /// then, without sending anything of the step that failed.
+    pub async fn run(
+        mut self,
+        mut rx: mpsc::Receiver<NodeRequest>,
+    ) -> Result<(), ControlNodeError> {
+        loop {
+            let pause = self.next_wake().saturating_duration_since(self.clock.now());
+            match tokio::time::timeout(pause, rx.recv()).await {
+                Ok(None) => return Ok(()),
+                Ok(Some(request)) => self.take_batch(request, &mut rx),
+                Err(_) => {}
+            }
+            // Messages come before the tick: a process that was frozen finds the leader's
+            // heartbeats in its queue, and must not stand for election in spite of them.
+            self.step(Input::Tick);
+            self.propose_lapses();
+            self.continue_leaving();
+            self.settle().await?;
+            if self.has_left() {
+                self.release_all();
+                return Ok(());
+            }
+        }
+    }
+
+    fn next_wake(&self) -> Instant {
+        let wakes = [
+            Some(self.raft.next_wake()),
+            self.sessions.next_wake(),
+            self.leaving.map(|leaving| leaving.ask_again_at),
+        ];
+        let earliest = wakes.into_iter().flatten().min();
+        earliest.unwrap_or_else(|| self.clock.now())
+    }
+
+    fn take_batch(&mut self, first: NodeRequest, rx: &mut mpsc::Receiver<NodeRequest>) {
+        self.take(first);
+        for _ in 1..MAX_BATCH {
+            let Ok(request) = rx.try_recv() else { return };
+            self.take(request);
+        }
+    }
+
+    fn take(&mut self, request: NodeRequest) {
+        match request {
+            NodeRequest::Message {
+                from,
+                address,
+                message,
+            } => {
+                if let Some(address) = address {
+                    self.links.name(from, address);
+                }
+                self.step(Input::Message { from, message });
+            }
+            NodeRequest::Propose { command, reply } => {
+                self.propose(command, Pending::Command(reply));
+            }
+            NodeRequest::ChangeMembership {
+                operator,
+                change,
+                reply,
+            } => self.change_membership(operator, change, reply),
+            NodeRequest::Read(read) => self.waiting.push(Waiter::Read(read)),
+            NodeRequest::Status(reply) => self.waiting.push(Waiter::Status(reply)),
+            NodeRequest::Sync { call, reply } => {
+                let received_at = self.clock.now();
+                let held = HeldSync::new(Box::new(call), reply, received_at);
+                self.waiting.push(Waiter::Sync(held));
+            }
+            NodeRequest::Leave => self.begin_leaving(),
+        }
+    }
+
+    fn step(&mut self, input: Input) {
+        let effects = self.raft.step(self.clock.now(), input);
+        self.effects.append(effects);
+    }
+
+    fn propose(&mut self, kind: CommandKind, pending: Pending) {
+        let command = Command {
+            wall_ms: unix_ms(self.clock.wall()),
+            kind,
+        };
+        let Ok(command) = command.encode() else {
+            // Every command is made of values that encode, so this is never reached;
+            // dropping `pending` tells the asker that the outcome is unknown.
+            return;
+        };
+        let token = token_of(self.pending.insert(pending));
+        self.step(Input::Propose { token, command });
+    }
+
+    fn change_membership(
+        &mut self,
+        operator: String,
+        change: heatherring_lib::raft_effects::MembershipChange,
+        reply: oneshot::Sender<Result<Revision, NodeError>>,
+    ) {
+        let request = crate::node_pending::audit_request(operator, &change);
+        self.propose(CommandKind::RequestMembership(request), Pending::Unattended);
+        let token = token_of(self.pending.insert(Pending::Membership(reply)));
+        self.step(Input::ChangeMembership { token, change });
+    }
+
+    fn propose_lapses(&mut self) {
+        if self.raft.role() != Role::Leader {
+            return;
+        }
+        for session in self.sessions.lapsed(self.clock.now()) {
+            log::warn!(session = session.0; "the lease of an entry VM's session ran out");
+            self.propose(CommandKind::LapseSession(session), Pending::Unattended);
+        }
+    }
+
+    /// Carries out effects until there are none: answers may cause further proposals.
+    async fn settle(&mut self) -> Result<(), ControlNodeError> {
+        loop {
+            self.begin_barrier();
+            if self.effects.is_empty() {
+                break;
+            }
+            let effects = std::mem::take(&mut self.effects);
+            self.carry_out(effects).await?;
+            self.compact()?;
+        }
+        let now = self.clock.now();
+        self.sessions.answer_held(now, &self.state);
+        Ok(())
+    }
+
+    /// Starts one quorum round for all requests that wait for one. Requests that come
+    /// meanwhile wait for the next round, which begins after they arrived.
+    fn begin_barrier(&mut self) {
+        if self.barrier_in_flight || self.waiting.is_empty() {
+            return;
+        }
+        let waiters = std::mem::take(&mut self.waiting);
+        let token = token_of(self.pending.insert(Pending::Barrier(waiters)));
+        self.barrier_in_flight = true;
+        self.step(Input::ReadBarrier { token });
+    }
+
+    async fn carry_out(&mut self, effects: Effects) -> Result<(), ControlNodeError> {
+        self.write(effects.writes).await?;
+        for (to, message) in effects.sends {
+            self.links.send(self.raft.membership(), to, message);
+        }
+        if let Some(change) = effects.role_changed {
+            self.change_role(change);
+        }
+        if let Some(snapshot) = effects.restored {
+            self.restore(&snapshot)?;
+        }
+        let mut responses = BTreeMap::new();
+        for entry in effects.committed {
+            let index = entry.index;
+            if let Some(response) = self.apply(entry)? {
+                responses.insert(index, response);
+            }
+        }
+        for answer in effects.answers {
+            self.answer(answer, &mut responses);
+        }
+        self.serve_parked();
+        Ok(())
+    }
+
+    async fn write(&mut self, writes: Vec<LogWrite>) -> Result<(), ControlNodeError> {
+        if writes.is_empty() {
+            return Ok(());
+        }
+        let Some(mut disk) = self.disk.take() else {
+            return Err(DiskError::Stopped).context(DiskSnafu);
+        };
+        let writing = tokio::task::spawn_blocking(move || {
+            let result = disk.write(&writes);
+            (disk, result)
+        });
+        let (disk, result) = writing.await.context(DiskTaskSnafu)?;
+        result.context(DiskSnafu)?;
+        self.disk = Some(disk);
+        Ok(())
+    }
+
+    fn change_role(&mut self, change: RoleChange) {
+        log::info!(
+            role:? = change.role,
+            term = change.term.0,
+            leader = change.leader.map_or(0, |leader| leader.0);
+            "role changed"
+        );
+        if change.role != Role::Leader {
+            let leader = self.leader_link();
+            self.sessions.stop(leader.as_deref());
+        }
+    }
+
+    fn restore(&mut self, snapshot: &Snapshot) -> Result<(), ControlNodeError> {
+        self.state = ControlState::decode_snapshot(&snapshot.data).context(StateSnafu)?;
+        self.snapshot_index = snapshot.index;
+        log::info!(revision = snapshot.index.0; "took over a snapshot from the leader");
+        Ok(())
+    }
+
+    fn apply(&mut self, entry: LogEntry) -> Result<Option<Response>, ControlNodeError> {
+        let index = entry.index;
+        let response = match entry.payload {
+            LogPayload::Noop => {
+                self.state.apply_noop(index).context(StateSnafu)?;
+                None
+            }
+            LogPayload::Membership(membership) => {
+                self.state
+                    .apply_membership(index, &membership)
+                    .context(StateSnafu)?;
+                self.links.retain_members(self.raft.membership());
+                None
+            }
+            LogPayload::Command(encoded) => {
+                let command = Command::decode(&encoded).context(CommandSnafu { index })?;
+                let applied = self.state.apply(index, &command).context(StateSnafu)?;
+                self.sessions
+                    .applied(self.clock.now(), &command.kind, &applied);
+                Some(applied.response)
+            }
+        };
+        let own_term = self.raft.role() == Role::Leader && entry.term == self.raft.term();
+        if own_term {
+            // The first entry of its own term: from here on the leader's state includes
+            // everything that its predecessors committed.
+            self.sessions.start(self.clock.now(), &self.state);
+        }
+        Ok(response)
+    }
+
+    /// Takes a snapshot once enough positions have been applied since the last one.
+    fn compact(&mut self) -> Result<(), ControlNodeError> {
+        let applied = self.state.revision();
+        let since = applied.0.saturating_sub(self.snapshot_index.0);
+        if since < self.cfg.snapshot_every {
+            return Ok(());
+        }
+        let data = self.state.encode_snapshot().context(StateSnafu)?;
+        self.snapshot_index = applied;
+        log::info!(revision = applied.0, bytes = data.len(); "taking a snapshot");
+        self.step(Input::Compact {
+            index: applied,
+            data,
+        });
+        Ok(())
+    }
+
+    fn answer(&mut self, answer: Answer, responses: &mut BTreeMap<Revision, Response>) {
+        match answer {
+            Answer::Committed { token, index } => {
+                self.committed(token, index, responses.remove(&index));
+            }
+            Answer::ReadReady { token, index } => self.passed_barrier(token, index),
+            Answer::Refused { token, reason } => self.refused(token, &reason),
+        }
+    }
+
+    fn committed(&mut self, token: Token, revision: Revision, response: Option<Response>) {
+        let Some(pending) = self.pending.remove(key_of(token)) else {
+            return;
+        };
+        let response = response.unwrap_or(Response::Done);
+        // Whoever asked may have gone away meanwhile; then nobody takes the answer.
+        match pending {
+            Pending::Command(reply) => {
+                let _ = reply.send(Ok(Committed { revision, response }));
+            }
+            Pending::Membership(reply) => {
+                let _ = reply.send(Ok(revision));
+            }
+            Pending::Session(held) => self.sessions.committed(held, &response, &self.state),
+            Pending::Barrier(_) | Pending::Unattended => {}
+        }
+    }
+
+    fn refused(&mut self, token: Token, reason: &Refusal) {
+        let Some(pending) = self.pending.remove(key_of(token)) else {
+            return;
+        };
+        match pending {
+            Pending::Command(reply) => {
+                let _ = reply.send(Err(self.error(reason)));
+            }
+            Pending::Membership(reply) => {
+                let _ = reply.send(Err(self.error(reason)));
+            }
+            Pending::Session(held) => held.not_current(self.leader_link()),
+            Pending::Barrier(waiters) => {
+                self.barrier_in_flight = false;
+                for waiter in waiters {
+                    self.refuse_waiter(waiter, reason);
+                }
+            }
+            Pending::Unattended => {}
+        }
+    }
+
+    fn refuse_waiter(&mut self, waiter: Waiter, reason: &Refusal) {
+        match waiter {
+            Waiter::Read(read) => read(Err(self.error(reason))),
+            Waiter::Status(reply) => {
+                let status = self.status(false);
+                let _ = reply.send((status, self.leader_link()));
+            }
+            Waiter::Sync(held) => held.not_current(self.leader_link()),
+        }
+    }
+
+    fn error(&mut self, reason: &Refusal) -> NodeError {
+        NodeError::Refused {
+            reason: reason.clone(),
+            leader: self.leader_link(),
+        }
+    }
+
+    fn leader_link(&mut self) -> Option<Box<crate::node_request::LeaderLink>> {
+        let leader = self.raft.leader()?;
+        let link = self.links.leader_link(self.raft.membership(), leader)?;
+        Some(Box::new(link))
+    }
+
+    fn passed_barrier(&mut self, token: Token, index: Revision) {
+        let Some(Pending::Barrier(waiters)) = self.pending.remove(key_of(token)) else {
+            return;
+        };
+        self.barrier_in_flight = false;
+        self.parked.push((index, waiters));
+    }
+
+    fn serve_parked(&mut self) {
+        let applied = self.state.revision();
+        for (index, waiters) in std::mem::take(&mut self.parked) {
+            if index > applied {
+                self.parked.push((index, waiters));
+                continue;
+            }
+            for waiter in waiters {
+                self.serve(waiter);
+            }
+        }
+    }
+
+    fn serve(&mut self, waiter: Waiter) {
+        match waiter {
+            Waiter::Read(read) => read(Ok(&self.state)),
+            Waiter::Status(reply) => {
+                let status = self.status(true);
+                let _ = reply.send((status, None));
+            }
+            Waiter::Sync(held) => self.serve_sync(held),
+        }
+    }
+
+    fn serve_sync(&mut self, held: HeldSync) {
+        match self.sessions.admit(held, &self.state) {
+            Verdict::Done => {}
+            Verdict::Propose(command, held) => self.propose(*command, Pending::Session(held)),
+        }
+    }
+
+    fn status(&self, current: bool) -> crate::proto::StatusReply {
+        status_reply(
+            self.identity.cluster,
+            &self.raft,
+            &self.state,
+            self.sessions.tracker(),
+            self.clock.now(),
+            current,
+        )
+    }
+
+    fn begin_leaving(&mut self) {
+        let now = self.clock.now();
+        self.leaving = Some(Leaving {
+            deadline: now + self.leave_within(),
+            ask_again_at: now,
+        });
+    }
+
+    fn leave_within(&self) -> Duration {
+        self.cfg.timing.election_max() * 3
+    }
+
+    /// Asks for the hand-over, again and again while this replica still leads.
+    fn continue_leaving(&mut self) {
+        let now = self.clock.now();
+        let Some(leaving) = &mut self.leaving else {
+            return;
+        };
+        if now < leaving.ask_again_at {
+            return;
+        }
+        leaving.ask_again_at = now + self.cfg.timing.election_min();
+        if self.raft.role() == Role::Leader {
+            self.step(Input::StepDown);
+        }
+    }
+
+    fn has_left(&self) -> bool {
+        let Some(leaving) = &self.leaving else {
+            return false;
+        };
+        let alone = self.raft.membership().voters.len() <= 1;
+        let handed_over = self.raft.role() != Role::Leader || alone;
+        let answered = !self.pending.values().any(Pending::is_awaited);
+        (handed_over && answered) || self.clock.now() >= leaving.deadline
+    }
+
+    /// Lets go of requests that still wait, so that askers turn to another replica.
+    fn release_all(&mut self) {
+        let leader = self.leader_link();
+        self.sessions.stop(leader.as_deref());
+        let reason = Refusal::HandingOver;
+        for waiter in std::mem::take(&mut self.waiting) {
+            self.refuse_waiter(waiter, &reason);
+        }
+        for (_, waiters) in std::mem::take(&mut self.parked) {
+            for waiter in waiters {
+                self.refuse_waiter(waiter, &reason);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/server/src/control_process.rs
@@ -0,0 +1,238 @@
+//! The process of a control replica: starts and stops its tasks.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::sync::Arc;
+use std::time::Duration;
+
+use heatherring_lib::clock::Clock;
+use heatherring_lib::settings::ControlSettings;
+use snafu::ResultExt;
+use snafu::Snafu;
+use tokio::net::TcpListener;
+use tokio::sync::oneshot;
+use tokio::task::JoinError;
+use tokio::task::JoinHandle;
+use tonic::transport::Server;
+use tonic::transport::server::TcpIncoming;
+
+use crate::control_node::ControlNode;
+use crate::control_node::ControlNodeError;
+use crate::control_node::NodeConfig;
+use crate::data_folder::FolderDisk;
+use crate::data_folder::Identity;
+use crate::log_disk::DiskError;
+use crate::log_disk::LogDisk;
+use crate::node_request::NodeHandle;
+use crate::operator_service::OperatorService;
+use crate::peer_channel::PeerChannels;
+use crate::peer_links::MAX_MESSAGE_BYTES;
+use crate::peer_links::PeerLinks;
+use crate::peer_security::PeerSecurity;
+use crate::peer_security::PeerSecurityError;
+use crate::proto::operator_server::OperatorServer;
+use crate::proto::replication_server::ReplicationServer;
+use crate::proto::session_server::SessionServer;
+use crate::replication_service::ReplicationService;
+use crate::session_service::SessionService;
+use crate::shutdown::Shutdown;
+
+/// Largest manifest that is taken, in bytes.
+const MAX_MANIFEST_BYTES: usize = 16 << 20;
+
+/// Largest request of an entry VM, in bytes.
+const MAX_SYNC_BYTES: usize = 64 << 10;
+
+/// Time for which answers may still be under way once the replica has stopped.
+const FINISH_WITHIN: Duration = Duration::from_secs(3);
+
+/// Tells why a control replica can't start or go on.
+#[derive(Debug, Snafu)]
+#[snafu(visibility(pub(crate)))]
+pub enum ControlError {
+    /// The data folder can't be used.
+    #[snafu(display("data folder {}: {source}", folder.display()))]
+    Folder {
+        /// The folder.
+        folder: PathBuf,
+        /// Why.
+        source: DiskError,
+    },
+    /// The address of the settings can't be listened on.
+    #[snafu(display("can't listen on {address}: {source}"))]
+    Listen {
+        /// The address.
+        address: SocketAddr,
+        /// What the operating system said.
+        source: std::io::Error,
+    },
+    /// The certificates of the settings can't be used.
+    #[snafu(display("{source}"))]
+    Security {
+        /// Why.
+        source: PeerSecurityError,
+    },
+    /// The replica stopped.
+    #[snafu(display("the replica stopped: {source}"))]
+    Node {
+        /// Why.
+        source: ControlNodeError,
+    },
+    /// The server failed.
+    #[snafu(display("the server failed: {source}"))]
+    Server {
+        /// How.
+        source: tonic::transport::Error,
+    },
+    /// A task panicked.
+    #[snafu(display("a task of the replica was aborted: {source}"))]
+    Task {
+        /// How.
+        source: JoinError,
+    },
+}
+
+impl ControlError {
+    /// Returns whether the settings or the state of the folder are at fault, rather
+    /// than the program or its VM.
+    #[must_use]
+    pub const fn is_user_error(&self) -> bool {
+        match self {
+            Self::Folder { source, .. } => source.is_user_error(),
+            Self::Listen { .. } | Self::Security { .. } => true,
+            Self::Node { .. } | Self::Server { .. } | Self::Task { .. } => false,
+        }
+    }
+}
+
+/// Runs a control replica until `shutdown` asks it to stop.
+///
+/// A planned stop hands leadership over, answers what waits and ends the connections;
+/// the second request of `shutdown` skips what is left of that.
+///
+/// # Errors
+///
+/// Fails if the replica can't start, in which case nothing has been started, or if it
+/// can't go on, for instance after a failed sync.
+pub async fn run_control(
+    settings: ControlSettings,
+    clock: Arc<dyn Clock>,
+    mut shutdown: Shutdown,
+) -> Result<(), ControlError> {
+    let security = PeerSecurity::from_settings(&settings.security).context(SecuritySnafu)?;
+    let listener = TcpListener::bind(settings.listen)
+        .await
+        .context(ListenSnafu {
+            address: settings.listen,
+        })?;
+    let folder = &settings.data_folder;
+    let (disk, recovered) = FolderDisk::open(folder)
+        .map_err(DiskError::from_open)
+        .and_then(LogDisk::open)
+        .context(FolderSnafu { folder })?;
+    let identity = recovered.identity;
+    let cfg = NodeConfig {
+        timing: settings.timing,
+        snapshot_every: settings.snapshot_every,
+        seed: rand::random(),
+    };
+    let links = PeerLinks::new(
+        identity.cluster,
+        identity.replica,
+        settings.listen,
+        PeerChannels::new(security.clone()),
+    );
+    let node = ControlNode::new(cfg, clock, disk, recovered, links).context(NodeSnafu)?;
+    let (handle, rx) = NodeHandle::channel();
+    let mut node = tokio::spawn(node.run(rx));
+    let (stop_server, server_stopped) = oneshot::channel();
+    let builder = security.grpc_server().context(SecuritySnafu)?;
+    let services = Services::new(&settings, identity, &handle);
+    let mut server = services.serve(builder, listener, server_stopped);
+    log::info!(
+        vm = settings.vm.as_str(),
+        replica = identity.replica.0,
+        cluster:% = identity.cluster,
+        listen:% = settings.listen;
+        "control replica started"
+    );
+    tokio::select! {
+        result = &mut node => return node_result(result),
+        result = &mut server => return server_result(result),
+        () = shutdown.requested() => {}
+    }
+    log::info!("planned stop: handing over");
+    handle.leave().await;
+    tokio::select! {
+        result = &mut node => node_result(result)?,
+        () = shutdown.insisted() => return Ok(()),
+    }
+    // The server may have ended by itself; then nobody listens to this.
+    let _ = stop_server.send(());
+    tokio::select! {
+        result = &mut server => server_result(result)?,
+        () = shutdown.insisted() => {}
+        () = tokio::time::sleep(FINISH_WITHIN) => log::warn!("some connections did not end in time"),
+    }
+    log::info!("control replica stopped");
+    Ok(())
+}
+
+fn node_result(
+    result: Result<Result<(), ControlNodeError>, JoinError>,
+) -> Result<(), ControlError> {
+    result.context(TaskSnafu)?.context(NodeSnafu)
+}
+
+type ServerResult = Result<(), tonic::transport::Error>;
+
+fn server_result(result: Result<ServerResult, JoinError>) -> Result<(), ControlError> {
+    result.context(TaskSnafu)?.context(ServerSnafu)
+}
+
+/// Holds what the replica's listener offers.
+struct Services {
+    replication: ReplicationServer<ReplicationService>,
+    operators: OperatorServer<OperatorService>,
+    sessions: SessionServer<SessionService>,
+}
+
+impl Services {
+    fn new(settings: &ControlSettings, identity: Identity, node: &NodeHandle) -> Self {
+        let replication = ReplicationService::new(identity, node.clone());
+        let operators = OperatorService::new(identity.cluster, node.clone());
+        let sessions = SessionService::new(identity.cluster, settings.timing, node.clone());
+        Self {
+            replication: ReplicationServer::new(replication)
+                .max_decoding_message_size(MAX_MESSAGE_BYTES)
+                .max_encoding_message_size(MAX_MESSAGE_BYTES),
+            operators: OperatorServer::new(operators)
+                .max_decoding_message_size(MAX_MANIFEST_BYTES)
+                .max_encoding_message_size(MAX_MESSAGE_BYTES),
+            sessions: SessionServer::new(sessions)
+                .max_decoding_message_size(MAX_SYNC_BYTES)
+                .max_encoding_message_size(MAX_MESSAGE_BYTES),
+        }
+    }
+
+    fn serve(
+        self,
+        mut builder: Server,
+        listener: TcpListener,
+        stopped: oneshot::Receiver<()>,
+    ) -> JoinHandle<ServerResult> {
+        let router = builder
+            .add_service(self.replication)
+            .add_service(self.operators)
+            .add_service(self.sessions);
+        let incoming = TcpIncoming::from(listener).with_nodelay(Some(true));
+        tokio::spawn(async move {
+            router
+                .serve_with_incoming_shutdown(incoming, async {
+                    // Both a message and a dropped sender mean that the process ends.
+                    let _ = stopped.await;
+                })
+                .await
+        })
+    }
+}
--- /dev/null
+++ b/server/src/leader_relay.rs
@@ -0,0 +1,71 @@
+//! Passes requests on from a follower to its leader, once.
+
+use std::time::Duration;
+
+use tonic::Code;
+use tonic::Request;
+use tonic::Status;
+use tonic::metadata::MetadataMap;
+use tonic::metadata::MetadataValue;
+
+use crate::node_request::LeaderLink;
+use crate::peer_channel::PASSED_ON;
+use crate::peer_links::MAX_MESSAGE_BYTES;
+use crate::proto::operator_client::OperatorClient;
+use crate::proto::session_client::SessionClient;
+use tonic::transport::Channel;
+
+/// Time for which a follower waits for its leader's answer, beyond what the request
+/// itself asks to wait.
+pub const RELAY_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// Returns whether another replica has passed the request on already.
+#[must_use]
+pub fn is_passed_on(metadata: &MetadataMap) -> bool {
+    metadata.contains_key(PASSED_ON)
+}
+
+/// Wraps a request for the leader and marks it as passed on.
+#[must_use]
+pub fn pass_on<T>(message: T, timeout: Duration) -> Request<T> {
+    let mut request = Request::new(message);
+    request
+        .metadata_mut()
+        .insert(PASSED_ON, MetadataValue::from_static("1"));
+    request.set_timeout(timeout);
+    request
+}
+
+/// Returns a client of the leader's operator service.
+#[must_use]
+pub fn operator_client(leader: &LeaderLink) -> OperatorClient<Channel> {
+    OperatorClient::new(leader.channel.clone())
+        .max_decoding_message_size(MAX_MESSAGE_BYTES)
+        .max_encoding_message_size(MAX_MESSAGE_BYTES)
+}
+
+/// Returns a client of the leader's session service.
+#[must_use]
+pub fn session_client(leader: &LeaderLink) -> SessionClient<Channel> {
+    SessionClient::new(leader.channel.clone())
+        .max_decoding_message_size(MAX_MESSAGE_BYTES)
+        .max_encoding_message_size(MAX_MESSAGE_BYTES)
+}
+
+/// Returns whether a failed call surely never reached the leader's process: the
+/// connection couldn't be established.
+#[must_use]
+pub fn never_arrived(status: &Status) -> bool {
+    status.code() == Code::Unavailable && has_connect_error(status)
+}
+
+fn has_connect_error(status: &Status) -> bool {
+    let mut source = std::error::Error::source(status);
+    while let Some(error) = source {
+        if let Some(io) = error.downcast_ref::<std::io::Error>() {
+            return io.kind() == std::io::ErrorKind::ConnectionRefused;
+        }
+        source = error.source();
+    }
+    false
+}
--- a/server/src/log_disk.rs
+++ b/server/src/log_disk.rs
@@ -10,8 +10,8 @@
 use std::time::Instant;
 
 use heatherring_lib::id::Revision;
+use heatherring_lib::raft_config::DurableState;
 use heatherring_lib::raft_message::HardState;
-use heatherring_lib::raft_message::LogEntry;
 use heatherring_lib::raft_message::LogWrite;
 use heatherring_lib::raft_message::Snapshot;
 use snafu::ResultExt;
@@ -60,6 +60,12 @@
     /// Another process uses the folder.
     #[snafu(display("the data folder is in use by another process"))]
     Locked,
+    /// There is no such folder.
+    #[snafu(display(
+        "there is no such folder\nhint: `heatherring control init` makes it for a new cluster, \
+         `heatherring control join` for a replica of an existing one"
+    ))]
+    MissingFolder,
     /// What the log holds can't be trusted.
     #[snafu(display(
         "{source}\nhint: this replica may have forgotten votes or entries that it \
@@ -71,13 +77,13 @@
         source: DamagedLog,
     },
     /// Reading failed.
-    #[snafu(display("could not read the data folder"))]
+    #[snafu(display("could not read: {source}"))]
     Read {
         /// What the operating system reported.
         source: io::Error,
     },
     /// Writing or syncing failed.
-    #[snafu(display("could not write to the data folder"))]
+    #[snafu(display("could not write: {source}"))]
     Write {
         /// What the operating system reported.
         source: io::Error,
@@ -87,17 +93,35 @@
     Stopped,
 }
 
+impl DiskError {
+    /// Tells why a folder couldn't be opened.
+    #[must_use]
+    pub fn from_open(source: io::Error) -> Self {
+        match source.kind() {
+            io::ErrorKind::WouldBlock => Self::Locked,
+            io::ErrorKind::NotFound => Self::MissingFolder,
+            _ => Self::Read { source },
+        }
+    }
+
+    /// Returns whether the choice or the state of the folder is at fault, rather than
+    /// the disk.
+    #[must_use]
+    pub const fn is_user_error(&self) -> bool {
+        match self {
+            Self::Unformatted | Self::NotEmpty { .. } | Self::Locked | Self::MissingFolder => true,
+            Self::Damaged { .. } | Self::Read { .. } | Self::Write { .. } | Self::Stopped => false,
+        }
+    }
+}
+
 /// Holds what a replica finds on its disk when it starts.
-#[derive(Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Recovered {
     /// The identity of the data folder.
     pub identity: Identity,
-    /// Term and vote.
-    pub hard_state: HardState,
-    /// The latest snapshot.
-    pub snapshot: Option<Snapshot>,
-    /// The entries after it.
-    pub entries: Vec<LogEntry>,
+    /// Term, vote, snapshot and entries.
+    pub durable: DurableState,
 }
 
 /// Writes the log of one replica.
@@ -227,9 +251,11 @@
         };
         let recovered = Recovered {
             identity,
-            hard_state: replayed.hard_state,
-            snapshot: replayed.snapshot,
-            entries: replayed.entries,
+            durable: DurableState {
+                hard_state: replayed.hard_state,
+                snapshot: replayed.snapshot,
+                entries: replayed.entries,
+            },
         };
         (log, recovered)
     }
--- a/server/src/log_replay.rs
+++ b/server/src/log_replay.rs
@@ -196,8 +196,7 @@
             offset += frame.length;
         }
         self.segment_bytes = offset as u64;
-        let headed = offset > 0;
-        ensure!(headed, MissingSnafu { file });
+        ensure!(offset > 0, MissingSnafu { file });
         Ok(())
     }
 
@@ -235,7 +234,7 @@
         for record in records {
             match record {
                 LogRecord::Head(head) if offset == 0 => {
-                    self.head(identity, segment, number, &head)?;
+                    self.head(identity, segment, &head)?;
                 }
                 _ if offset == 0 || self.sealed => return None,
                 record => self.record(record)?,
@@ -249,13 +248,7 @@
         Some(())
     }
 
-    fn head(
-        &mut self,
-        identity: &Identity,
-        segment: u64,
-        number: u64,
-        head: &SegmentHead,
-    ) -> Option<()> {
+    fn head(&mut self, identity: &Identity, segment: u64, head: &SegmentHead) -> Option<()> {
         let own = head.format == FORMAT_VERSION
             && head.cluster == identity.cluster
             && head.replica == identity.replica
--- /dev/null
+++ b/server/src/operator_service.rs
@@ -0,0 +1,244 @@
+//! Requests of operators and their pipelines.
+
+use heatherring_lib::audit::AuditRecord;
+use heatherring_lib::command::CommandKind;
+use heatherring_lib::command::Submission;
+use heatherring_lib::control_state::ControlState;
+use heatherring_lib::id::ClusterId;
+use heatherring_lib::id::ManifestVersion;
+use heatherring_lib::id::Revision;
+use heatherring_lib::manifest_text::read_manifest;
+use heatherring_lib::submission_history::AcceptedManifest;
+use tonic::Request;
+use tonic::Response;
+use tonic::Status;
+use tonic::metadata::MetadataMap;
+
+use crate::leader_relay::RELAY_TIMEOUT;
+use crate::leader_relay::is_passed_on;
+use crate::leader_relay::operator_client;
+use crate::leader_relay::pass_on;
+use crate::membership_request::membership_change;
+use crate::membership_request::membership_reply;
+use crate::node_request::LeaderLink;
+use crate::node_request::NodeError;
+use crate::node_request::NodeHandle;
+use crate::proto::AuditReply;
+use crate::proto::AuditRequest;
+use crate::proto::ChangeMembershipReply;
+use crate::proto::ChangeMembershipRequest;
+use crate::proto::HistoryReply;
+use crate::proto::HistoryRequest;
+use crate::proto::ManifestRecord;
+use crate::proto::ShowReply;
+use crate::proto::ShowRequest;
+use crate::proto::StatusReply;
+use crate::proto::StatusRequest;
+use crate::proto::SubmitReply;
+use crate::proto::SubmitRequest;
+use crate::proto::operator_server::Operator;
+use crate::submit_reply::invalid_reply;
+use crate::submit_reply::refused_reply;
+use crate::submit_reply::relay_failed_reply;
+use crate::submit_reply::submission_reply;
+
+/// Records that one reply holds at most.
+const MAX_RECORDS: u32 = 1_000;
+
+/// Names the submitted text in the problems of a manifest.
+const MANIFEST_NAME: &str = "manifest";
+
+/// Answers operators.
+#[derive(Clone, Debug)]
+pub struct OperatorService {
+    cluster: ClusterId,
+    node: NodeHandle,
+}
+
+impl OperatorService {
+    /// Creates the service of a replica.
+    #[must_use]
+    pub const fn new(cluster: ClusterId, node: NodeHandle) -> Self {
+        Self { cluster, node }
+    }
+}
+
+/// Returns the leader to pass a refused request on to, unless it was passed on before.
+fn relay_to<'a>(error: &'a NodeError, metadata: &MetadataMap) -> Option<&'a LeaderLink> {
+    error.leader().filter(|_| !is_passed_on(metadata))
+}
+
+fn unavailable(error: &NodeError) -> Status {
+    Status::unavailable(format!(
+        "this replica can't prove that it is current: {error}"
+    ))
+}
+
+/// Calls the leader's copy of a method with a request that was refused here, or fails.
+macro_rules! relay_or_fail {
+    ($error:expr, $metadata:expr, $method:ident, $request:expr) => {
+        match relay_to(&$error, &$metadata) {
+            Some(leader) => {
+                let request = pass_on($request, RELAY_TIMEOUT);
+                operator_client(leader).$method(request).await
+            }
+            None => Err(unavailable(&$error)),
+        }
+    };
+}
+
+#[tonic::async_trait]
+impl Operator for OperatorService {
+    async fn submit(
+        &self,
+        request: Request<SubmitRequest>,
+    ) -> Result<Response<SubmitReply>, Status> {
+        let (metadata, _, request) = request.into_parts();
+        let manifest = match read_manifest(MANIFEST_NAME, &request.manifest) {
+            Ok(manifest) => manifest,
+            Err(faults) => return Ok(Response::new(invalid_reply(&request.manifest, &faults))),
+        };
+        let submission =
+            Submission::new(request.manifest.clone(), manifest, request.operator.clone());
+        let (version, digest) = (submission.version(), submission.digest);
+        let command = CommandKind::SubmitManifest(Box::new(submission));
+        let error = match self.node.propose(command).await {
+            Ok(committed) => {
+                return Ok(Response::new(submission_reply(version, digest, &committed)));
+            }
+            Err(error) => error,
+        };
+        let reply = match relay_to(&error, &metadata) {
+            Some(leader) if error.is_proved_absent() => {
+                let passed_on = pass_on(request, RELAY_TIMEOUT);
+                match operator_client(leader).submit(passed_on).await {
+                    Ok(reply) => reply.into_inner(),
+                    Err(status) => relay_failed_reply(version, digest, &status),
+                }
+            }
+            _ => refused_reply(version, digest, &error),
+        };
+        Ok(Response::new(reply))
+    }
+
+    async fn show(&self, request: Request<ShowRequest>) -> Result<Response<ShowReply>, Status> {
+        let (metadata, _, request) = request.into_parts();
+        let version = ManifestVersion(request.version);
+        match self.node.read(move |state| show(state, version)).await {
+            Ok(reply) => Ok(Response::new(reply)),
+            Err(error) => relay_or_fail!(error, metadata, show, request),
+        }
+    }
+
+    async fn history(
+        &self,
+        request: Request<HistoryRequest>,
+    ) -> Result<Response<HistoryReply>, Status> {
+        let (metadata, _, request) = request.into_parts();
+        let limit = limit(request.limit);
+        match self.node.read(move |state| history(state, limit)).await {
+            Ok(reply) => Ok(Response::new(reply)),
+            Err(error) => relay_or_fail!(error, metadata, history, request),
+        }
+    }
+
+    async fn status(
+        &self,
+        request: Request<StatusRequest>,
+    ) -> Result<Response<StatusReply>, Status> {
+        let passed_on = is_passed_on(request.metadata());
+        let (own, leader) = self
+            .node
+            .status()
+            .await
+            .map_err(|error| Status::unavailable(error.to_string()))?;
+        if let Some(leader) = leader.filter(|_| !passed_on) {
+            let request = pass_on(StatusRequest {}, RELAY_TIMEOUT);
+            // A report that isn't current is still of use when the leader is silent.
+            if let Ok(reply) = operator_client(&leader).status(request).await
+                && reply.get_ref().current
+            {
+                return Ok(reply);
+            }
+        }
+        Ok(Response::new(own))
+    }
+
+    async fn audit(&self, request: Request<AuditRequest>) -> Result<Response<AuditReply>, Status> {
+        let (metadata, _, request) = request.into_parts();
+        let after = Revision(request.after_revision);
+        let limit = limit(request.limit);
+        match self
+            .node
+            .read(move |state| audit(state, after, limit))
+            .await
+        {
+            Ok(reply) => Ok(Response::new(reply)),
+            Err(error) => relay_or_fail!(error, metadata, audit, request),
+        }
+    }
+
+    async fn change_membership(
+        &self,
+        request: Request<ChangeMembershipRequest>,
+    ) -> Result<Response<ChangeMembershipReply>, Status> {
+        let (metadata, _, request) = request.into_parts();
+        let change = membership_change(&request)?;
+        let operator = request.operator.clone();
+        match self.node.change_membership(operator, change).await {
+            Err(error) if error.leader().is_some() && error.is_proved_absent() => {
+                relay_or_fail!(error, metadata, change_membership, request)
+            }
+            outcome => Ok(Response::new(membership_reply(self.cluster, outcome))),
+        }
+    }
+}
+
+fn limit(asked: u32) -> usize {
+    let limit = if asked == 0 { MAX_RECORDS } else { asked };
+    limit.min(MAX_RECORDS) as usize
+}
+
+fn show(state: &ControlState, version: ManifestVersion) -> ShowReply {
+    let history = state.history();
+    let record = if version == ManifestVersion(0) {
+        history.latest()
+    } else {
+        history.get(version)
+    };
+    let Some(record) = record else {
+        return ShowReply::default();
+    };
+    let text = history.text(record.version);
+    ShowReply {
+        found: text.is_some(),
+        version: record.version.0,
+        digest: record.digest.to_string(),
+        revision: record.revision.0,
+        manifest: text.unwrap_or_default().to_owned(),
+    }
+}
+
+fn history(state: &ControlState, limit: usize) -> HistoryReply {
+    let newest = state.history().newest_first().take(limit);
+    HistoryReply {
+        records: newest.map(manifest_record).collect(),
+    }
+}
+
+fn manifest_record(accepted: &AcceptedManifest) -> ManifestRecord {
+    ManifestRecord {
+        version: accepted.version.0,
+        digest: accepted.digest.to_string(),
+        revision: accepted.revision.0,
+        operator: accepted.operator.clone(),
+        accepted_unix_ms: accepted.wall_ms,
+    }
+}
+
+fn audit(state: &ControlState, after: Revision, limit: usize) -> AuditReply {
+    let records = state.audit().after(after).take(limit);
+    AuditReply {
+        records: records.map(AuditRecord::to_json_line).collect(),
+    }
+}
--- /dev/null
+++ b/server/src/session_service.rs
@@ -0,0 +1,138 @@
+//! Sessions of entry VMs with control.
+
+use std::time::Duration;
+
+use heatherring_lib::control_state::ViewUpdate;
+use heatherring_lib::id::ClusterId;
+use heatherring_lib::id::Revision;
+use heatherring_lib::id::SessionId;
+use heatherring_lib::settings::ControlTiming;
+use heatherring_lib::view::EntryInfo;
+use serde::Serialize;
+use tonic::Request;
+use tonic::Response;
+use tonic::Status;
+
+use crate::leader_relay::is_passed_on;
+use crate::leader_relay::pass_on;
+use crate::leader_relay::session_client;
+use crate::node_request::LeaderLink;
+use crate::node_request::NodeHandle;
+use crate::node_request::SyncAnswer;
+use crate::node_request::SyncCall;
+use crate::proto::SyncOutcome;
+use crate::proto::SyncReply;
+use crate::proto::SyncRequest;
+use crate::proto::session_server::Session;
+
+/// Answers entry VMs.
+#[derive(Clone, Debug)]
+pub struct SessionService {
+    cluster: ClusterId,
+    timing: ControlTiming,
+    node: NodeHandle,
+}
+
+impl SessionService {
+    /// Creates the service of a replica.
+    #[must_use]
+    pub const fn new(cluster: ClusterId, timing: ControlTiming, node: NodeHandle) -> Self {
+        Self {
+            cluster,
+            timing,
+            node,
+        }
+    }
+
+    fn check_cluster(&self, request: &SyncRequest) -> Result<(), Status> {
+        let first_contact = request.cluster_id.is_empty();
+        if first_contact || request.cluster_id == self.cluster.0 {
+            return Ok(());
+        }
+        log::warn!("refused an entry VM of another cluster");
+        Err(Status::failed_precondition("another cluster"))
+    }
+
+    async fn ask_leader(&self, leader: &LeaderLink, request: SyncRequest) -> SyncReply {
+        let wait = Duration::from_millis(request.wait_ms.into());
+        // Longer silence than an election's means that the leader is gone.
+        let timeout = wait + self.timing.election_max();
+        let passed_on = pass_on(request, timeout);
+        match session_client(leader).sync(passed_on).await {
+            Ok(reply) => reply.into_inner(),
+            Err(status) => {
+                log::debug!(leader = leader.replica.0, error:% = status.message(); "the leader did not answer");
+                self.reply(SyncOutcome::NoQuorum)
+            }
+        }
+    }
+
+    fn reply(&self, outcome: SyncOutcome) -> SyncReply {
+        SyncReply {
+            outcome: outcome.into(),
+            cluster_id: self.cluster.0.to_vec(),
+            ..SyncReply::default()
+        }
+    }
+
+    fn granted(
+        &self,
+        session: SessionId,
+        settled: Revision,
+        update: ViewUpdate,
+    ) -> Result<SyncReply, Status> {
+        let mut reply = self.reply(SyncOutcome::Granted);
+        reply.session = session.0;
+        reply.lease_ms = self.timing.session_lease_ms;
+        reply.settled_revision = settled.0;
+        match update {
+            ViewUpdate::Whole(view) => reply.view_encoded = encode(&view)?,
+            ViewUpdate::Changes(changes) => {
+                reply.changes_encoded = changes.iter().map(encode).collect::<Result<_, _>>()?;
+            }
+            ViewUpdate::ReplicaBehind => return Ok(self.reply(SyncOutcome::NoQuorum)),
+        }
+        Ok(reply)
+    }
+}
+
+fn encode<T: Serialize>(value: &T) -> Result<Vec<u8>, Status> {
+    postcard::to_stdvec(value).map_err(|source| Status::internal(source.to_string()))
+}
+
+fn sync_call(request: &SyncRequest) -> Result<SyncCall, Status> {
+    let entry: EntryInfo = postcard::from_bytes(&request.entry_encoded)
+        .map_err(|_| Status::invalid_argument("entry_encoded can't be decoded"))?;
+    Ok(SyncCall {
+        entry,
+        session: (request.session != 0).then_some(SessionId(request.session)),
+        applied: Revision(request.applied_revision),
+        known_settled: Revision(request.known_settled),
+        wait: Duration::from_millis(request.wait_ms.into()),
+        leaving: request.leaving,
+        closing: request.closing,
+    })
+}
+
+#[tonic::async_trait]
+impl Session for SessionService {
+    async fn sync(&self, request: Request<SyncRequest>) -> Result<Response<SyncReply>, Status> {
+        let passed_on = is_passed_on(request.metadata());
+        let request = request.into_inner();
+        self.check_cluster(&request)?;
+        let answer = self.node.sync(sync_call(&request)?).await;
+        let reply = match answer {
+            Ok(SyncAnswer::Granted {
+                session,
+                settled,
+                update,
+            }) => self.granted(session, settled, update)?,
+            Ok(SyncAnswer::Lost) => self.reply(SyncOutcome::SessionLost),
+            Ok(SyncAnswer::NotCurrent {
+                leader: Some(leader),
+            }) if !passed_on => self.ask_leader(&leader, request).await,
+            Ok(SyncAnswer::NotCurrent { .. }) | Err(_) => self.reply(SyncOutcome::NoQuorum),
+        };
+        Ok(Response::new(reply))
+    }
+}
--- /dev/null
+++ b/server/src/status_report.rs
@@ -0,0 +1,116 @@
+//! Reports on a control replica, its peers and the entry VMs.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+use std::time::Instant;
+
+use heatherring_lib::control_state::ControlState;
+use heatherring_lib::id::ClusterId;
+use heatherring_lib::id::ReplicaId;
+use heatherring_lib::id::Revision;
+use heatherring_lib::raft::Raft;
+use heatherring_lib::raft_effects::ReplicaProgress;
+use heatherring_lib::raft_message::ReplicaInfo;
+use heatherring_lib::session_tracker::SessionTracker;
+use heatherring_lib::view::EntrySession;
+
+use crate::proto::EntryStatus;
+use crate::proto::ReplicaStatus;
+use crate::proto::StatusReply;
+
+/// Composes the report; `tracker` is there at the leader only.
+#[must_use]
+pub fn status_reply(
+    cluster: ClusterId,
+    raft: &Raft,
+    state: &ControlState,
+    tracker: Option<&SessionTracker>,
+    now: Instant,
+    current: bool,
+) -> StatusReply {
+    let accepted = state.history().latest();
+    let settled = tracker.map(|tracker| tracker.settled_revision(state));
+    StatusReply {
+        cluster_id: cluster.0.to_vec(),
+        replica: raft.id().0,
+        leader: raft.leader().unwrap_or_default().0,
+        term: raft.term().0,
+        revision: state.revision().0,
+        manifest_version: accepted.map_or(0, |accepted| accepted.version.0),
+        manifest_digest: accepted.map_or_else(String::new, |a| a.digest.to_string()),
+        manifest_revision: accepted.map_or(0, |accepted| accepted.revision.0),
+        settled_revision: settled.unwrap_or_default().0,
+        replicas: replicas(raft, now),
+        entries: entries(state, tracker, now),
+        current,
+    }
+}
+
+fn replicas(raft: &Raft, now: Instant) -> Vec<ReplicaStatus> {
+    let progress: BTreeMap<ReplicaId, ReplicaProgress> = raft
+        .progress()
+        .into_iter()
+        .map(|progress| (progress.id, progress))
+        .collect();
+    let membership = raft.membership();
+    let voters = membership.voters.iter().map(|member| (member, true));
+    let learners = membership.learners.iter().map(|member| (member, false));
+    voters
+        .chain(learners)
+        .map(|((id, info), voter)| {
+            let own = (*id == raft.id()).then(|| raft.last_index());
+            replica(*id, info, voter, progress.get(id), own, now)
+        })
+        .collect()
+}
+
+fn replica(
+    id: ReplicaId,
+    info: &ReplicaInfo,
+    voter: bool,
+    progress: Option<&ReplicaProgress>,
+    own: Option<Revision>,
+    now: Instant,
+) -> ReplicaStatus {
+    let matched = own.or(progress.map(|progress| progress.matched));
+    let heard = progress.and_then(|progress| progress.last_heard);
+    ReplicaStatus {
+        replica: id.0,
+        vm: info.vm.to_string(),
+        address: info.address.to_string(),
+        voter,
+        matched_revision: matched.unwrap_or_default().0,
+        last_heard_ms: heard.map_or(0, |at| millis(now.saturating_duration_since(at))),
+    }
+}
+
+fn entries(
+    state: &ControlState,
+    tracker: Option<&SessionTracker>,
+    now: Instant,
+) -> Vec<EntryStatus> {
+    let sessions = state.view().sessions.values();
+    sessions
+        .map(|session| entry(session, tracker, now))
+        .collect()
+}
+
+fn entry(session: &EntrySession, tracker: Option<&SessionTracker>, now: Instant) -> EntryStatus {
+    let id = session.id;
+    let applied = tracker.and_then(|tracker| tracker.acknowledged(id));
+    let left = tracker.and_then(|tracker| tracker.lease_left(id, now));
+    EntryStatus {
+        vm: session.info.vm.to_string(),
+        place: session.info.place.to_string(),
+        region: session.info.region.to_string(),
+        session: id.0,
+        callers_address: session.info.callers.to_string(),
+        leaving: session.leaving,
+        applied_revision: applied.unwrap_or_default().0,
+        lease_left_ms: left.map_or(0, millis),
+    }
+}
+
+fn millis(duration: Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/server/src/submit_reply.rs
@@ -0,0 +1,101 @@
+//! Answers to submitted manifests.
+
+use heatherring_lib::config_fault::ConfigFaults;
+use heatherring_lib::control_state::Response;
+use heatherring_lib::id::ContentDigest;
+use heatherring_lib::id::ManifestVersion;
+use heatherring_lib::submission_history::SubmissionAnswer;
+use tonic::Status;
+
+use crate::leader_relay::never_arrived;
+use crate::node_request::Committed;
+use crate::node_request::NodeError;
+use crate::proto::SubmitOutcome;
+use crate::proto::SubmitReply;
+
+fn reply(outcome: SubmitOutcome, version: ManifestVersion, digest: ContentDigest) -> SubmitReply {
+    SubmitReply {
+        outcome: outcome.into(),
+        version: version.0,
+        digest: digest.to_string(),
+        ..SubmitReply::default()
+    }
+}
+
+/// Answers a text that is no manifest.
+#[must_use]
+pub fn invalid_reply(text: &str, faults: &ConfigFaults) -> SubmitReply {
+    let digest = ContentDigest::of(text.as_bytes());
+    let mut reply = reply(SubmitOutcome::Invalid, ManifestVersion(0), digest);
+    reply.problems = faults.0.iter().map(ToString::to_string).collect();
+    reply
+}
+
+/// Answers a submission that was committed, with what the state made of it.
+#[must_use]
+pub fn submission_reply(
+    version: ManifestVersion,
+    digest: ContentDigest,
+    committed: &Committed,
+) -> SubmitReply {
+    let Response::Submission(answer) = &committed.response else {
+        let mut unknown = reply(SubmitOutcome::Unknown, version, digest);
+        "the outcome was not recorded; ask again".clone_into(&mut unknown.reason);
+        return unknown;
+    };
+    match answer {
+        SubmissionAnswer::Accepted { revision } => {
+            let mut accepted = reply(SubmitOutcome::Accepted, version, digest);
+            accepted.revision = revision.0;
+            accepted
+        }
+        SubmissionAnswer::VersionConflict { winner } => {
+            let mut conflict = reply(SubmitOutcome::VersionConflict, version, digest);
+            conflict.winner_digest = winner.to_string();
+            conflict
+        }
+        SubmissionAnswer::StaleVersion { current } => {
+            let mut stale = reply(SubmitOutcome::StaleVersion, version, digest);
+            stale.current_version = current.0;
+            stale
+        }
+    }
+}
+
+/// Answers a submission that this replica couldn't get committed.
+///
+/// "Not accepted" is said only of a copy that is proved never to enter the log. A copy
+/// that may still be committed is answered "unknown": an operator who takes that for a
+/// refusal and edits the manifest under the same version would race with himself.
+#[must_use]
+pub fn refused_reply(
+    version: ManifestVersion,
+    digest: ContentDigest,
+    error: &NodeError,
+) -> SubmitReply {
+    let outcome = if error.is_proved_absent() {
+        SubmitOutcome::NotAccepted
+    } else {
+        SubmitOutcome::Unknown
+    };
+    let mut refused = reply(outcome, version, digest);
+    refused.reason = error.to_string();
+    refused
+}
+
+/// Answers a submission that was passed on and not answered.
+#[must_use]
+pub fn relay_failed_reply(
+    version: ManifestVersion,
+    digest: ContentDigest,
+    status: &Status,
+) -> SubmitReply {
+    let outcome = if never_arrived(status) {
+        SubmitOutcome::NotAccepted
+    } else {
+        SubmitOutcome::Unknown
+    };
+    let mut failed = reply(outcome, version, digest);
+    failed.reason = format!("the leader did not answer: {}", status.message());
+    failed
+}
