--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod admission;
 pub mod announcement;
 pub mod audit;
+pub mod client_block_table;
 pub mod clock;
 pub mod command;
 mod config_document;
