--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -31,6 +31,7 @@
 pub mod manifest;
 pub mod manifest_check;
 pub mod manifest_delta;
+pub mod manifest_summary;
 pub mod manifest_text;
 pub mod nearest_name;
 pub mod outcome;
--- a/lib/src/manifest.rs
+++ b/lib/src/manifest.rs
@@ -4,6 +4,7 @@
 //! and reports each fault with its file, line and column.
 
 use std::collections::BTreeMap;
+use std::fmt;
 use std::net::IpAddr;
 
 use schemars::JsonSchema;
@@ -118,6 +119,16 @@
     Place(PlaceName),
 }
 
+impl fmt::Display for Scope {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Any => f.write_str("any place"),
+            Self::Region(region) => write!(f, "region {region}"),
+            Self::Place(place) => write!(f, "place {place}"),
+        }
+    }
+}
+
 /// Caps the requests that are served in `to` for callers whose place is in `from`.
 ///
 /// The cap is `percent` of what `to` can bear: the sum of `max_per_second` over the
--- a/lib/src/manifest_check.rs
+++ b/lib/src/manifest_check.rs
@@ -291,8 +291,8 @@
             let path = path.item(index);
             self.scope(&path.field("from"), &cap.from);
             self.scope(&path.field("to"), &cap.to);
-            let from = described(&cap.from);
-            let to = described(&cap.to);
+            let from = cap.from.to_string();
+            let to = cap.to.to_string();
             if !seen.insert((&cap.from, &cap.to)) {
                 self.add(path, ManifestProblem::CapTwice { from, to });
             } else if never_shifts(cap, self.manifest) {
@@ -391,11 +391,3 @@
         }
     }
 }
-
-fn described(scope: &Scope) -> String {
-    match scope {
-        Scope::Any => "any place".to_owned(),
-        Scope::Region(region) => format!("region {region}"),
-        Scope::Place(place) => format!("place {place}"),
-    }
-}
--- a/server/src/lib.rs
+++ b/server/src/lib.rs
@@ -47,6 +47,7 @@
 pub mod peer_client;
 pub mod peer_links;
 pub mod peer_service;
+pub mod operator_client;
 pub mod record_codec;
 pub mod refusal;
 pub mod replication_service;
