--- a/cli/src/commands/mod.rs
+++ b/cli/src/commands/mod.rs
@@ -4,6 +4,7 @@
 //! one, declare the module and add a line to [`SUBCOMMANDS`].
 
 mod control;
+mod entry;
 mod version;
 
 use clap::ArgMatches;
@@ -23,6 +24,10 @@
         command: control::command,
         run: control::run,
     },
+    Subcommand {
+        command: entry::command,
+        run: entry::run,
+    },
     Subcommand {
         command: version::command,
         run: version::run,
--- a/server/src/entry_process.rs
+++ b/server/src/entry_process.rs
@@ -79,6 +79,17 @@
     },
 }
 
+impl EntryError {
+    /// Returns whether the settings are at fault, rather than the program or its VM.
+    #[must_use]
+    pub const fn is_user_error(&self) -> bool {
+        match self {
+            Self::Listen { .. } | Self::Security { .. } => true,
+            Self::Metrics { .. } => false,
+        }
+    }
+}
+
 /// Holds the bound listeners of an entry VM.
 struct Listeners {
     callers: TcpListener,
