--- a/testutils/src/wait.rs
+++ b/testutils/src/wait.rs
@@ -25,10 +25,10 @@
 /// # Errors
 ///
 /// Returns an error if it gives none within [`BOUND`].
-pub async fn wait_for<T, F>(what: &str, mut condition: impl FnMut() -> F) -> Result<T, NeverTrue>
-where
-    F: Future<Output = Option<T>>,
-{
+pub async fn wait_for<T>(
+    what: &str,
+    mut condition: impl AsyncFnMut() -> Option<T>,
+) -> Result<T, NeverTrue> {
     let begun = Instant::now();
     loop {
         if let Some(value) = condition().await {
