--- a/lib/src/admission.rs
+++ b/lib/src/admission.rs
@@ -3,157 +3,139 @@
 //! One [`Admission`] holds all groups that a session owns. The shell gives it every
 //! event with the time, and carries out the [`Effect`]s that come back.
 
-use std::net::SocketAddr;
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::Duration;
 use std::time::Instant;
 
-use slotmap::new_key_type;
+use slotmap::SlotMap;
 
+pub use crate::admission_event::Dispatch;
+pub use crate::admission_event::DispatchKey;
+pub use crate::admission_event::Effect;
+pub use crate::admission_event::Ending;
+pub use crate::admission_event::Offer;
+pub use crate::admission_event::RequestToken;
+pub use crate::admission_event::Verdict;
+pub use crate::admission_event::ViewStep;
 use crate::announcement::Announcement;
 use crate::announcement::AnnouncementError;
+use crate::backend_registry::DEADLINE_GRACE;
+use crate::backend_registry::HeldSlot;
+use crate::backend_registry::Placed;
+use crate::group_admission::Decision;
+use crate::group_admission::GroupAdmission;
+use crate::group_admission::GroupContext;
+use crate::group_admission::Step;
 use crate::id::BackendName;
 use crate::id::PlaceName;
 use crate::id::Revision;
 use crate::id::SessionId;
 use crate::load_digest::GroupLoad;
+use crate::manifest::Drain;
 use crate::outcome::NotRun;
 use crate::outcome::NotRunReason;
+use crate::ownership;
 use crate::ownership::Group;
 use crate::ownership::Release;
+use crate::ownership::ReleasedBackend;
+use crate::ownership::ReleasedWork;
+use crate::retry_advice::RetryAdvice;
+use crate::shift_budget::Sharing;
+use crate::shift_budget::Shift;
+use crate::shift_budget::ShiftBudgets;
+use crate::tenure::Gained;
 use crate::view::ControlView;
 
-new_key_type! {
-    /// Identifies a dispatch, from the moment it takes a slot until it is finished.
-    pub struct DispatchKey;
-}
+/// Time between two calls of [`Admission::tick`], by which slots that come free without
+/// a [`Admission::finish`] are used: held ones, ramps, pauses that end.
+pub const TICK_INTERVAL: Duration = Duration::from_millis(20);
 
-/// Identifies a request towards the shell; the shell draws it, unique in its process.
-#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
-pub struct RequestToken(pub u64);
-
-/// Describes a request that asks for a slot.
-#[derive(Clone, Debug)]
-pub struct Offer {
-    /// Identifies the request in later effects.
-    pub token: RequestToken,
-    /// The group that it was steered to.
-    pub group: Group,
-    /// Position of its operation in the service's list.
-    pub operation: usize,
-    /// The place of its caller.
-    pub origin: PlaceName,
-    /// Time until which an answer is of use.
-    pub deadline: Instant,
-    /// Whether running it twice is harmless.
-    pub idempotent: bool,
-}
+/// Time to come back after when the session's lease is over.
+const LEASE_WAIT: Duration = Duration::from_secs(1);
 
-/// Tells at once what becomes of an offered request.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub enum Verdict {
-    /// Send it now.
-    Dispatch(Dispatch),
-    /// It waits; an [`Effect`] with its token follows.
-    Queued,
-    /// It is not run.
-    Refused(NotRun),
-}
+/// Releases kept that came before the view that they belong to.
+const MAX_EARLY_RELEASES: usize = 4_096;
 
-/// Tells where to send a request. The slot is taken until [`Admission::finish`].
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub struct Dispatch {
-    /// Identifies the dispatch.
-    pub key: DispatchKey,
-    /// The backend server.
-    pub backend: BackendName,
-    /// Its address.
-    pub address: SocketAddr,
-    /// Time at which the shell cancels the request by dropping its connection.
-    pub deadline: Instant,
+/// Holds the admission of all groups that one session owns.
+#[derive(Debug)]
+pub struct Admission {
+    session: SessionId,
+    lease_until: Option<Instant>,
+    view: Arc<ControlView>,
+    has_view: bool,
+    settled: Revision,
+    groups: BTreeMap<Group, GroupAdmission>,
+    dispatches: SlotMap<DispatchKey, Dispatched>,
+    waiting: HashMap<RequestToken, Group>,
+    given_up: BTreeMap<Group, GivenUp>,
+    early_releases: BTreeMap<Group, EarlyRelease>,
+    release_serial: u64,
+    shifts: ShiftBudgets,
+    advice: RetryAdvice,
+    drains: CarriedOutDrains,
 }
 
-/// Tells how a dispatch ended.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum Ending {
-    /// The whole answer came; `latency` counts from the dispatch.
-    Answered {
-        /// Time from the dispatch to the last byte of the answer.
-        latency: Duration,
-    },
-    /// The connection could not be made, so nothing was sent.
-    NotConnected,
-    /// The connection broke or the answer was faulty; the request may still run.
-    Failed,
-    /// The backend server refused it before running it.
-    ShedByServer,
-    /// The shell dropped the connection: the caller is gone or the deadline passed.
-    Cancelled,
+/// Records a dispatch until it is finished.
+#[derive(Debug)]
+struct Dispatched {
+    offer: Offer,
+    backend: BackendName,
+    began: Instant,
+    /// The revision by which the session owned the group; a later ownership counts the
+    /// dispatch as held.
+    gained: Revision,
 }
 
-/// Tells the shell what to do.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub enum Effect {
-    /// Send a request that waited.
-    Dispatch {
-        /// The request.
-        token: RequestToken,
-        /// Where to.
-        dispatch: Dispatch,
-    },
-    /// Refuse a request that waited.
-    Refuse {
-        /// The request.
-        token: RequestToken,
-        /// Why, and when to come back.
-        refusal: NotRun,
-    },
-    /// Send a release to the new owner.
-    Release {
-        /// The new owner's session.
-        to: SessionId,
-        /// What to send.
-        release: Release,
-    },
-    /// Close idle connections to a backend server: it leaves, lapsed or moved away.
-    Disconnect {
-        /// The backend server.
-        backend: BackendName,
-        /// Its address.
-        address: SocketAddr,
-    },
+/// Records a group that another session owns now, while own work is in flight there.
+#[derive(Debug)]
+struct GivenUp {
+    to: SessionId,
+    revision: Revision,
+    complete: bool,
+    /// What may still run besides own dispatches.
+    held: Vec<HeldSlot>,
 }
 
-/// Tells how a view came about.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum ViewStep {
-    /// It differs from the last one by a single change of the log.
-    OneChange,
-    /// It came whole, so changes between may have gone unseen.
-    Whole,
+#[derive(Debug)]
+struct EarlyRelease {
+    heard: Instant,
+    release: Release,
 }
 
-/// Holds the admission of all groups that one session owns.
-#[derive(Debug)]
-pub struct Admission {
-    session: SessionId,
-    lease_until: Option<Instant>,
-    view: Arc<ControlView>,
+/// Holds what is drained by plan and not held back.
+#[derive(Debug, Default)]
+struct CarriedOutDrains {
+    places: BTreeSet<PlaceName>,
+    backends: BTreeSet<BackendName>,
 }
 
 impl Admission {
-    /// Starts the admission of a session; `seed` spreads retries and probes.
+    /// Starts the admission of a session; `seed` spreads the return of refused callers.
     #[must_use]
     pub fn new(session: SessionId, seed: u64) -> Self {
-        let _ = seed;
         Self {
             session,
             lease_until: None,
             view: Arc::default(),
+            has_view: false,
+            settled: Revision::default(),
+            groups: BTreeMap::new(),
+            dispatches: SlotMap::with_key(),
+            waiting: HashMap::new(),
+            given_up: BTreeMap::new(),
+            early_releases: BTreeMap::new(),
+            release_serial: 0,
+            shifts: ShiftBudgets::new(session, Sharing::Owners),
+            advice: RetryAdvice::new(seed),
+            drains: CarriedOutDrains::default(),
         }
     }
 
-    /// Notes that the session's lease runs until `until`.
+    /// Notes that the session's lease runs until `until`. Without a lease nothing is
+    /// dispatched: a frozen process that wakes up may have been replaced as owner.
     pub fn extend_lease(&mut self, until: Instant) {
         self.lease_until = self.lease_until.max(Some(until));
     }
@@ -166,24 +148,70 @@
         view: &Arc<ControlView>,
         step: ViewStep,
     ) -> Vec<Effect> {
-        let _ = (now, step);
-        self.view = Arc::clone(view);
-        Vec::new()
+        let before = std::mem::replace(&mut self.view, Arc::clone(view));
+        let owned: BTreeSet<Group> = ownership::groups_of(view, self.session)
+            .into_iter()
+            .collect();
+        let mut effects = self.give_up_unless(now, &owned);
+        self.shifts.apply_view(view, step == ViewStep::Whole);
+        // While no manifest was in force, nobody can have dispatched anything.
+        let first_manifest =
+            self.has_view && step == ViewStep::OneChange && before.manifest.is_none();
+        let seen_until = if self.has_view {
+            before.revision
+        } else {
+            Revision(self.session.0.saturating_sub(1))
+        };
+        self.has_view = true;
+        for group in owned {
+            self.own(now, group, seen_until, first_manifest);
+        }
+        self.early_releases
+            .retain(|_, early| early.release.revision > view.revision);
+        self.keep_only_planned_drains();
+        effects.extend(self.settle(now, self.settled));
+        effects
     }
 
     /// Notes that `revision` is settled, as control said.
     pub fn settle(&mut self, now: Instant, revision: Revision) -> Vec<Effect> {
-        let _ = (now, revision);
-        Vec::new()
+        self.settled = self.settled.max(revision);
+        let settled = self.settled.min(self.view.revision);
+        self.shifts.settle(now, settled);
+        for group in self.groups.values_mut() {
+            group.settle(now, settled);
+        }
+        self.pump_all(now)
     }
 
     /// Takes an old owner's release.
     pub fn take_release(&mut self, now: Instant, release: &Release) -> Vec<Effect> {
-        let _ = (now, release);
-        Vec::new()
+        if !release.complete || release.from == self.session {
+            return Vec::new();
+        }
+        let heard = now;
+        if let Some(owned) = self.groups.get_mut(&release.group) {
+            // One from before this ownership tells nothing about the owners since.
+            if release.revision > owned.seen_until() {
+                owned.take_release(now, heard, release);
+                self.announce_released(heard, release);
+            }
+        } else if self.early_releases.len() < MAX_EARLY_RELEASES {
+            let order = |release: &Release| (release.revision, release.serial);
+            let early = EarlyRelease {
+                heard,
+                release: release.clone(),
+            };
+            let known = self.early_releases.get(&release.group);
+            if known.is_none_or(|known| order(&known.release) < order(release)) {
+                self.early_releases.insert(release.group.clone(), early);
+            }
+        }
+        self.pump_all(now)
     }
 
-    /// Takes the announcement of a backend server that this session owns.
+    /// Takes the announcement of a backend server that this session owns; one of
+    /// another owner's is checked only.
     ///
     /// # Errors
     ///
@@ -193,54 +221,394 @@
         now: Instant,
         announcement: &Announcement,
     ) -> Result<Vec<Effect>, AnnouncementError> {
-        if let Some(in_force) = &self.view.manifest {
-            announcement.check(&in_force.manifest)?;
+        let mut effects = self.take_announcement(now, announcement)?;
+        let name = Group::new(announcement.service.clone(), announcement.place.clone());
+        effects.extend(self.pump_group(now, &name));
+        Ok(effects)
+    }
+
+    /// Carries out planned drains, and those alone. What is still planned stays drained
+    /// even if it would be held back now, so that a drain doesn't flap.
+    pub fn carry_out_drains(&mut self, drains: &[Drain]) {
+        for drain in drains {
+            match drain {
+                Drain::Place(place) => {
+                    self.drains.places.insert(place.clone());
+                }
+                Drain::BackendServer(backend) => {
+                    self.drains.backends.insert(backend.clone());
+                }
+                Drain::Vm(_) => {}
+            }
         }
-        let _ = now;
-        Ok(Vec::new())
+        self.keep_only_planned_drains();
     }
 
     /// Decides what becomes of a request.
     pub fn offer(&mut self, now: Instant, offer: Offer) -> Verdict {
-        let _ = (now, offer, self.session);
-        let not_run = NotRun::proved(NotRunReason::NoBackendServer);
-        Verdict::Refused(not_run.with_retry_after(Duration::from_secs(1)))
+        match self.decide(now, &offer) {
+            Ok(Decision::Place(placed)) => Verdict::Dispatch(self.dispatch(now, offer, placed)),
+            Ok(Decision::Wait) => {
+                self.waiting.insert(offer.token, offer.group);
+                Verdict::Queued
+            }
+            Err(not_run) => Verdict::Refused(not_run),
+        }
     }
 
     /// Notes how a dispatch ended and returns what may be dispatched now.
     pub fn finish(&mut self, now: Instant, key: DispatchKey, ending: Ending) -> Vec<Effect> {
-        let _ = (now, key, ending);
-        Vec::new()
+        let Some(done) = self.dispatches.remove(key) else {
+            return Vec::new();
+        };
+        let name = done.offer.group.clone();
+        let Some(group) = self.groups.get_mut(&name) else {
+            return self.release_again(now, &name);
+        };
+        if group.gained() == done.gained {
+            group.finish(now, &done.offer, &done.backend, done.began, ending);
+        }
+        self.pump_group(now, &name)
     }
 
     /// Drops a request that waits; its caller is gone. Returns whether it waited.
     pub fn cancel(&mut self, now: Instant, token: RequestToken) -> bool {
-        let _ = (now, token);
-        false
+        let Some(name) = self.waiting.remove(&token) else {
+            return false;
+        };
+        self.with_group(now, &name, |group, cx| group.cancel(cx, token))
+            .unwrap_or(false)
     }
 
-    /// Lets time pass: lapses, expiries, ramps. To be called at [`Self::next_tick`].
+    /// Lets time pass: lapses, expiries, ramps. To be called at [`Self::next_tick`] and
+    /// each [`TICK_INTERVAL`].
     pub fn tick(&mut self, now: Instant) -> Vec<Effect> {
-        let _ = now;
-        Vec::new()
+        let mut effects = Vec::new();
+        for group in self.groups.values_mut() {
+            effects.extend(group.forget(now).into_iter().map(disconnect));
+        }
+        effects.extend(self.pump_all(now));
+        effects
     }
 
-    /// Returns the time at which [`Self::tick`] has something to do.
+    /// Returns the earliest deadline of what waits.
     #[must_use]
     pub fn next_tick(&self) -> Option<Instant> {
-        None
+        self.groups
+            .values()
+            .filter_map(GroupAdmission::earliest_deadline)
+            .min()
     }
 
     /// Returns what each owned group can take, for a digest.
     pub fn loads(&mut self, now: Instant) -> Vec<GroupLoad> {
-        let _ = now;
-        Vec::new()
+        let view = Arc::clone(&self.view);
+        let Some(in_force) = &view.manifest else {
+            return Vec::new();
+        };
+        let manifest = &in_force.manifest;
+        let mut loads: Vec<_> = self.groups.values_mut().map(|g| g.load(now)).collect();
+        for load in &mut loads {
+            let full = |origin: &&PlaceName| {
+                let shift = Shift {
+                    manifest,
+                    service: &load.group.service,
+                    origin,
+                    place: &load.group.place,
+                };
+                self.shifts.check(now, shift).is_err()
+            };
+            load.full_origins = manifest.places.keys().filter(full).cloned().collect();
+        }
+        loads
     }
 
     /// Tells whether nothing is dispatched and nothing waits, so that a leaving entry
     /// may end.
     #[must_use]
     pub fn is_idle(&self) -> bool {
-        true
+        self.dispatches.is_empty() && self.waiting.is_empty()
+    }
+
+    fn take_announcement(
+        &mut self,
+        made: Instant,
+        announcement: &Announcement,
+    ) -> Result<Vec<Effect>, AnnouncementError> {
+        let view = Arc::clone(&self.view);
+        let Some(in_force) = &view.manifest else {
+            return Ok(Vec::new());
+        };
+        let service = announcement.check(&in_force.manifest)?;
+        let name = Group::new(announcement.service.clone(), announcement.place.clone());
+        let Some(group) = self.groups.get_mut(&name) else {
+            return Ok(Vec::new());
+        };
+        let slots = announcement.believed_slots(service);
+        let stopped = group.announce(made, announcement, slots);
+        self.mark_drained();
+        let gone = stopped.then(|| Effect::Disconnect {
+            backend: announcement.backend.clone(),
+            address: announcement.address,
+        });
+        Ok(gone.into_iter().collect())
+    }
+
+    fn decide(&mut self, now: Instant, offer: &Offer) -> Result<Decision, NotRun> {
+        if !self.has_lease(now) {
+            return Err(refused(NotRunReason::LeaseLapsed, LEASE_WAIT));
+        }
+        if self.view.manifest.is_none() {
+            return Err(refused(NotRunReason::NoManifest, LEASE_WAIT));
+        }
+        self.with_group(now, &offer.group, |group, cx| group.offer(cx, offer))
+            .unwrap_or_else(|| Err(refused(NotRunReason::NotOwner, TICK_INTERVAL)))
+    }
+
+    fn dispatch(&mut self, now: Instant, offer: Offer, placed: Placed) -> Dispatch {
+        let deadline = offer.deadline;
+        let gained = self
+            .groups
+            .get(&offer.group)
+            .map_or_else(Revision::default, GroupAdmission::gained);
+        let key = self.dispatches.insert(Dispatched {
+            offer,
+            backend: placed.backend.clone(),
+            began: now,
+            gained,
+        });
+        Dispatch {
+            key,
+            backend: placed.backend,
+            address: placed.address,
+            deadline,
+        }
+    }
+
+    fn pump_all(&mut self, now: Instant) -> Vec<Effect> {
+        let names: Vec<Group> = self.groups.keys().cloned().collect();
+        names
+            .iter()
+            .flat_map(|name| self.pump_group(now, name))
+            .collect()
+    }
+
+    fn pump_group(&mut self, now: Instant, name: &Group) -> Vec<Effect> {
+        let has_lease = self.has_lease(now);
+        let steps = self.with_group(now, name, |group, cx| {
+            if has_lease {
+                group.pump(cx)
+            } else {
+                group.refuse_all(cx, NotRunReason::LeaseLapsed)
+            }
+        });
+        self.carry_out(now, steps.unwrap_or_default())
+    }
+
+    fn carry_out(&mut self, now: Instant, steps: Vec<Step>) -> Vec<Effect> {
+        steps
+            .into_iter()
+            .map(|step| match step {
+                Step::Place(offer, placed) => {
+                    let token = offer.token;
+                    self.waiting.remove(&token);
+                    Effect::Dispatch {
+                        token,
+                        dispatch: self.dispatch(now, offer, placed),
+                    }
+                }
+                Step::Refuse(token, refusal) => {
+                    self.waiting.remove(&token);
+                    Effect::Refuse { token, refusal }
+                }
+            })
+            .collect()
+    }
+
+    fn with_group<T>(
+        &mut self,
+        now: Instant,
+        name: &Group,
+        act: impl FnOnce(&mut GroupAdmission, &mut GroupContext<'_>) -> T,
+    ) -> Option<T> {
+        let group = self.groups.get_mut(name)?;
+        let in_force = self.view.manifest.as_ref()?;
+        let mut cx = GroupContext {
+            now,
+            manifest: &in_force.manifest,
+            shifts: &mut self.shifts,
+            advice: &mut self.advice,
+        };
+        Some(act(group, &mut cx))
+    }
+
+    fn own(&mut self, now: Instant, name: Group, seen_until: Revision, first_manifest: bool) {
+        let view = Arc::clone(&self.view);
+        let Some(service) = view
+            .manifest
+            .as_ref()
+            .and_then(|in_force| in_force.manifest.services.get(&name.service))
+        else {
+            return;
+        };
+        if let Some(group) = self.groups.get_mut(&name) {
+            group.apply_settings(service, view.revision);
+            return;
+        }
+        let gained = Gained {
+            revision: view.revision,
+            seen_until,
+            nothing_before: first_manifest,
+        };
+        let mut group = GroupAdmission::new(name.clone(), service, gained);
+        for dispatched in self.dispatches.values() {
+            if dispatched.offer.group == name {
+                group.hold(HeldSlot {
+                    backend: dispatched.backend.clone(),
+                    until: dispatched.offer.deadline + DEADLINE_GRACE,
+                    from: None,
+                });
+            }
+        }
+        self.given_up.remove(&name);
+        let early = self
+            .early_releases
+            .remove(&name)
+            .filter(|early| early.release.revision > seen_until);
+        if let Some(early) = &early {
+            group.take_release(now, early.heard, &early.release);
+        }
+        self.groups.insert(name, group);
+        if let Some(early) = &early {
+            self.announce_released(early.heard, &early.release);
+        }
+    }
+
+    fn announce_released(&mut self, heard: Instant, release: &Release) {
+        for backend in &release.backends {
+            let age = Duration::from_millis(u64::from(backend.age_ms));
+            let made = heard.checked_sub(age).unwrap_or(heard);
+            // What doesn't fit the manifest in force is left for the server to repeat.
+            let _ = self.take_announcement(made, &backend.announcement);
+        }
+    }
+
+    fn give_up_unless(&mut self, now: Instant, owned: &BTreeSet<Group>) -> Vec<Effect> {
+        let lost: Vec<Group> = self
+            .groups
+            .keys()
+            .filter(|name| !owned.contains(*name))
+            .cloned()
+            .collect();
+        lost.iter()
+            .flat_map(|name| self.give_up(now, name))
+            .collect()
+    }
+
+    fn give_up(&mut self, now: Instant, name: &Group) -> Vec<Effect> {
+        let steps = self.with_group(now, name, |group, cx| {
+            group.refuse_all(cx, NotRunReason::NotOwner)
+        });
+        let Some(group) = self.groups.remove(name) else {
+            return Vec::new();
+        };
+        let mut effects = self.carry_out(now, steps.unwrap_or_default());
+        effects.extend(group.backends().map(disconnect));
+        let owner = ownership::owner(&self.view, &name.service, &name.place);
+        let Some(to) = owner.map(|owner| owner.id).filter(|id| *id != self.session) else {
+            return effects;
+        };
+        let given_up = GivenUp {
+            to,
+            revision: self.view.revision,
+            complete: group.knows_all(now),
+            held: group.held(now).cloned().collect(),
+        };
+        let backends = group.announcements(now);
+        effects.push(self.release(now, name, &given_up, backends));
+        self.given_up.insert(name.clone(), given_up);
+        effects
+    }
+
+    /// Tells the new owner that nothing of this session is in flight any more, once
+    /// that is so.
+    fn release_again(&mut self, now: Instant, name: &Group) -> Vec<Effect> {
+        if self.dispatches.values().any(|d| d.offer.group == *name) {
+            return Vec::new();
+        }
+        let Some(given_up) = self.given_up.remove(name) else {
+            return Vec::new();
+        };
+        vec![self.release(now, name, &given_up, Vec::new())]
+    }
+
+    fn release(
+        &mut self,
+        now: Instant,
+        name: &Group,
+        given_up: &GivenUp,
+        backends: Vec<ReleasedBackend>,
+    ) -> Effect {
+        let held = given_up
+            .held
+            .iter()
+            .filter(|held| now < held.until)
+            .map(|held| ReleasedWork::new(held.backend.clone(), now, held.until));
+        let own = self.dispatches.values().filter(|d| d.offer.group == *name);
+        let dispatched = own.map(|dispatched| {
+            let until = dispatched.offer.deadline + DEADLINE_GRACE;
+            ReleasedWork::new(dispatched.backend.clone(), now, until)
+        });
+        self.release_serial += 1;
+        Effect::Release {
+            to: given_up.to,
+            release: Release {
+                group: name.clone(),
+                from: self.session,
+                revision: given_up.revision,
+                serial: self.release_serial,
+                in_flight: held.chain(dispatched).collect(),
+                backends,
+                complete: given_up.complete,
+            },
+        }
+    }
+
+    fn keep_only_planned_drains(&mut self) {
+        let view = Arc::clone(&self.view);
+        let planned: &[Drain] = view
+            .manifest
+            .as_ref()
+            .map_or(&[], |in_force| &in_force.manifest.drains);
+        let is_planned = |drain: Drain| planned.contains(&drain);
+        self.drains
+            .places
+            .retain(|place| is_planned(Drain::Place(place.clone())));
+        self.drains
+            .backends
+            .retain(|backend| is_planned(Drain::BackendServer(backend.clone())));
+        self.mark_drained();
+    }
+
+    fn mark_drained(&mut self) {
+        for (name, group) in &mut self.groups {
+            let place = self.drains.places.contains(&name.place);
+            group.set_drained(place, &self.drains.backends);
+        }
+    }
+
+    fn has_lease(&self, now: Instant) -> bool {
+        self.lease_until.is_some_and(|until| now < until)
+    }
+}
+
+fn refused(reason: NotRunReason, retry_after: Duration) -> NotRun {
+    NotRun::proved(reason).with_retry_after(retry_after)
+}
+
+fn disconnect(gone: Placed) -> Effect {
+    Effect::Disconnect {
+        backend: gone.backend,
+        address: gone.address,
     }
 }
--- /dev/null
+++ b/lib/src/group_admission.rs
@@ -0,0 +1,549 @@
+//! What the owner of one group lets through to its backend servers.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+use std::time::Instant;
+
+use crate::admission_event::Ending;
+use crate::admission_event::Offer;
+use crate::admission_event::RequestToken;
+use crate::announcement::Announcement;
+use crate::backend_registry::BackendRegistry;
+use crate::backend_registry::HeldSlot;
+use crate::backend_registry::LAPSE;
+use crate::backend_registry::Placed;
+use crate::id::BackendName;
+use crate::id::Revision;
+use crate::load_digest::GroupLoad;
+use crate::manifest::Manifest;
+use crate::manifest::PlaceLimit;
+use crate::manifest::Service;
+use crate::outcome::NotRun;
+use crate::outcome::NotRunReason;
+use crate::ownership::Group;
+use crate::ownership::Release;
+use crate::ownership::ReleasedBackend;
+use crate::rate_meter::RateMeter;
+use crate::retry_advice::RetryAdvice;
+use crate::service_time::ServiceTimes;
+use crate::settled_share::SettledShare;
+use crate::shift_budget::Shift;
+use crate::shift_budget::ShiftBudgets;
+use crate::tenure::Gained;
+use crate::tenure::Tenure;
+use crate::usage_window::UsageWindow;
+use crate::wait_queue::WaitQueue;
+use crate::warm_up::OriginRamps;
+
+/// Requests that may wait for each slot. A request thus waits for about this many
+/// service times at most; more would make good answers late under overload, less would
+/// refuse what a short burst brings (figures in docs/design/admission.md).
+const QUEUED_PER_SLOT: usize = 2;
+
+/// Time to come back after when no backend server takes work.
+const NO_SERVER_WAIT: Duration = Duration::from_millis(500);
+
+/// Time to come back after when ownership isn't settled.
+const UNSETTLED_WAIT: Duration = Duration::from_millis(200);
+
+/// Holds what several groups decide with together.
+#[derive(Debug)]
+pub struct GroupContext<'a> {
+    /// The time.
+    pub now: Instant,
+    /// The manifest in force.
+    pub manifest: &'a Manifest,
+    /// The shares of the caps on shifts.
+    pub shifts: &'a mut ShiftBudgets,
+    /// Spreads the return of refused callers.
+    pub advice: &'a mut RetryAdvice,
+}
+
+/// Tells what becomes of an offered request.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Decision {
+    /// It runs at this server.
+    Place(Placed),
+    /// It waits.
+    Wait,
+}
+
+/// Tells what becomes of a request that waited.
+#[derive(Clone, Debug)]
+pub enum Step {
+    /// It runs at this server.
+    Place(Offer, Placed),
+    /// It is refused.
+    Refuse(RequestToken, NotRun),
+}
+
+/// Holds the settings of a group, from the manifest.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+struct GroupSettings {
+    limit: PlaceLimit,
+    warm_up: Duration,
+}
+
+/// Holds the admission of one group.
+#[derive(Debug)]
+pub struct GroupAdmission {
+    group: Group,
+    settings: GroupSettings,
+    /// Longest deadline of any request dispatched under a manifest seen so far.
+    longest_deadline: Duration,
+    gained: Gained,
+    tenure: Tenure,
+    registry: BackendRegistry,
+    queue: WaitQueue,
+    times: ServiceTimes,
+    origins: OriginRamps,
+    rate: UsageWindow,
+    rate_share: SettledShare,
+    arrivals: RateMeter,
+    refusals: RateMeter,
+    place_drained: bool,
+}
+
+impl GroupAdmission {
+    /// Starts with the moment at which this session became the owner.
+    #[must_use]
+    pub fn new(group: Group, service: &Service, gained: Gained) -> Self {
+        let limit = place_limit(service, &group);
+        let rate = u64::from(limit.max_per_second);
+        let mut rate_share = if gained.nothing_before {
+            SettledShare::with_base(rate)
+        } else {
+            SettledShare::default()
+        };
+        rate_share.set(gained.revision, rate);
+        Self {
+            settings: GroupSettings {
+                limit,
+                warm_up: Duration::from_millis(u64::from(service.warm_up_ms)),
+            },
+            group,
+            longest_deadline: longest_deadline(service),
+            gained,
+            tenure: Tenure::begin(gained),
+            registry: BackendRegistry::default(),
+            queue: WaitQueue::default(),
+            times: ServiceTimes::default(),
+            origins: OriginRamps::default(),
+            rate: UsageWindow::default(),
+            rate_share,
+            arrivals: RateMeter::default(),
+            refusals: RateMeter::default(),
+            place_drained: false,
+        }
+    }
+
+    /// Returns the revision by which this session owns the group.
+    #[must_use]
+    pub const fn gained(&self) -> Revision {
+        self.gained.revision
+    }
+
+    /// Returns the revision up to which this session had seen the owners before.
+    #[must_use]
+    pub const fn seen_until(&self) -> Revision {
+        self.gained.seen_until
+    }
+
+    /// Takes a new manifest's settings.
+    pub fn apply_settings(&mut self, service: &Service, revision: Revision) {
+        self.settings = GroupSettings {
+            limit: place_limit(service, &self.group),
+            warm_up: Duration::from_millis(u64::from(service.warm_up_ms)),
+        };
+        self.longest_deadline = self.longest_deadline.max(longest_deadline(service));
+        let rate = u64::from(self.settings.limit.max_per_second);
+        self.rate_share.set(revision, rate);
+    }
+
+    /// Marks what is drained by plan.
+    pub fn set_drained(&mut self, place: bool, backends: &BTreeSet<BackendName>) {
+        self.place_drained = place;
+        self.registry.set_drained(backends);
+    }
+
+    /// Notes that `revision` is settled.
+    pub fn settle(&mut self, now: Instant, revision: Revision) {
+        self.tenure.settle(now, revision, self.longest_deadline);
+        self.rate_share.settle(now, revision);
+    }
+
+    /// Takes what an old owner has left in flight, heard of at `heard`.
+    pub fn take_release(&mut self, now: Instant, heard: Instant, release: &Release) {
+        self.registry.drop_held_from(release.from);
+        for work in &release.in_flight {
+            self.registry.hold(HeldSlot {
+                backend: work.backend.clone(),
+                until: heard + Duration::from_millis(u64::from(work.left_ms)),
+                from: Some(release.from),
+            });
+        }
+        self.tenure.note_told(now);
+    }
+
+    /// Counts a request of an earlier ownership by this session.
+    pub fn hold(&mut self, held: HeldSlot) {
+        self.registry.hold(held);
+    }
+
+    /// Takes an announcement with the slots that are believed of it; returns whether
+    /// the server has just stopped taking new work.
+    pub fn announce(&mut self, now: Instant, announcement: &Announcement, slots: u32) -> bool {
+        let newly_owner = self.counts_new_as_warm(now);
+        self.registry
+            .announce(now, announcement, slots, newly_owner)
+    }
+
+    /// Decides what becomes of a request.
+    ///
+    /// # Errors
+    ///
+    /// Returns a refusal if the request is not to be run.
+    pub fn offer(&mut self, cx: &mut GroupContext<'_>, offer: &Offer) -> Result<Decision, NotRun> {
+        self.arrivals.note(cx.now);
+        let decision = self.decide(cx, offer);
+        if decision.is_err() {
+            self.refusals.note(cx.now);
+        }
+        decision
+    }
+
+    fn decide(&mut self, cx: &mut GroupContext<'_>, offer: &Offer) -> Result<Decision, NotRun> {
+        self.check_open(cx, offer)?;
+        if self.tenure.active_since(cx.now).is_none() {
+            return self.wait_for_tenure(cx, offer);
+        }
+        self.check_budgets(cx, offer)?;
+        let usable = self.usable(cx.now);
+        if usable == 0 {
+            return Err(self.refuse(cx, NotRunReason::NoBackendServer, NO_SERVER_WAIT));
+        }
+        let needed = self.times.needed(cx.now, offer.operation);
+        if cx.now + needed > offer.deadline {
+            return Err(self.refuse(cx, NotRunReason::DeadlineTooShort, Duration::ZERO));
+        }
+        // What waits already has had its turn: it is pumped whenever a slot comes free.
+        if let Some(placed) = self.try_place(cx, offer) {
+            self.charge(cx, offer);
+            return Ok(Decision::Place(placed));
+        }
+        let wait = self.expected_wait(cx.now);
+        if self.queue.len() >= queue_limit(usable) {
+            return Err(self.refuse(cx, NotRunReason::Overloaded, wait));
+        }
+        if cx.now + wait + needed > offer.deadline {
+            return Err(self.refuse(cx, NotRunReason::DeadlineTooShort, wait));
+        }
+        Ok(self.enqueue(cx, offer))
+    }
+
+    /// Lets a request wait for the change of owner to be over, so that a planned one
+    /// refuses nothing that has the time.
+    fn wait_for_tenure(
+        &mut self,
+        cx: &mut GroupContext<'_>,
+        offer: &Offer,
+    ) -> Result<Decision, NotRun> {
+        let wait = self.tenure.wait(cx.now).unwrap_or(UNSETTLED_WAIT);
+        let needed = self.times.needed(cx.now, offer.operation);
+        let in_time = cx.now + wait + needed <= offer.deadline;
+        if !in_time || self.queue.len() >= queue_limit(self.settings.limit.max_in_flight) {
+            return Err(self.refuse(cx, NotRunReason::NotOwner, wait));
+        }
+        Ok(self.enqueue(cx, offer))
+    }
+
+    fn enqueue(&mut self, cx: &mut GroupContext<'_>, offer: &Offer) -> Decision {
+        self.rate.reserve(1);
+        cx.shifts.reserve(shift(cx.manifest, offer));
+        self.queue.push(offer.clone());
+        Decision::Wait
+    }
+
+    /// Dispatches what waits and has a slot, and refuses what can't be in time.
+    pub fn pump(&mut self, cx: &mut GroupContext<'_>) -> Vec<Step> {
+        self.tenure.tick(cx.now);
+        let mut steps = self.expire(cx);
+        if self.tenure.active_since(cx.now).is_none() {
+            return steps;
+        }
+        while let Some(step) = self.place_next(cx) {
+            steps.push(step);
+        }
+        steps
+    }
+
+    /// Refuses everything that waits, as this session no longer owns the group or may
+    /// not dispatch.
+    pub fn refuse_all(&mut self, cx: &mut GroupContext<'_>, reason: NotRunReason) -> Vec<Step> {
+        let waiting = self.queue.take_unless(|_| false);
+        waiting
+            .into_iter()
+            .map(|offer| {
+                self.unreserve(cx, &offer);
+                Step::Refuse(offer.token, self.refuse(cx, reason, UNSETTLED_WAIT))
+            })
+            .collect()
+    }
+
+    /// Drops a request that waits; returns whether it did.
+    pub fn cancel(&mut self, cx: &mut GroupContext<'_>, token: RequestToken) -> bool {
+        let Some(offer) = self.queue.remove(token) else {
+            return false;
+        };
+        self.unreserve(cx, &offer);
+        true
+    }
+
+    /// Notes how a dispatch ended that began at `began`.
+    pub fn finish(
+        &mut self,
+        now: Instant,
+        offer: &Offer,
+        backend: &BackendName,
+        began: Instant,
+        ending: Ending,
+    ) {
+        self.registry.finish(now, backend, offer.deadline, ending);
+        self.origins.end(now, &offer.origin);
+        match ending {
+            Ending::Answered { latency } => self.times.add(now, offer.operation, latency),
+            Ending::Cancelled => {
+                let elapsed = now.saturating_duration_since(began);
+                self.times.add_at_least(now, offer.operation, elapsed);
+            }
+            Ending::NotConnected | Ending::Failed | Ending::ShedByServer => {}
+        }
+    }
+
+    /// Forgets what has lapsed; returns the servers that are gone.
+    pub fn forget(&mut self, now: Instant) -> Vec<Placed> {
+        self.registry.forget(now)
+    }
+
+    /// Returns what may still run here of others' and cancelled work.
+    pub fn held(&self, now: Instant) -> impl Iterator<Item = &HeldSlot> {
+        self.registry.held(now)
+    }
+
+    /// Returns all backend servers.
+    pub fn backends(&self) -> impl Iterator<Item = Placed> {
+        self.registry.all()
+    }
+
+    /// Returns the last announcements of the backend servers, with their ages.
+    #[must_use]
+    pub fn announcements(&self, now: Instant) -> Vec<ReleasedBackend> {
+        self.registry.announcements(now)
+    }
+
+    /// Tells whether this session can say all that is in flight here.
+    #[must_use]
+    pub fn knows_all(&self, now: Instant) -> bool {
+        self.tenure.knows_all(now)
+    }
+
+    /// Tells whether nothing waits.
+    #[must_use]
+    pub fn is_queue_empty(&self) -> bool {
+        self.queue.is_empty()
+    }
+
+    /// Returns the earliest deadline of what waits.
+    #[must_use]
+    pub fn earliest_deadline(&self) -> Option<Instant> {
+        self.queue.earliest_deadline()
+    }
+
+    /// Returns what the group can take.
+    pub fn load(&mut self, now: Instant) -> GroupLoad {
+        let open = self.tenure.active_since(now).is_some() && !self.place_drained;
+        let usable = if open { self.usable(now) } else { 0 };
+        let believed = self.registry.believed(now);
+        let warm = usable * 100 / believed.max(usable).max(1);
+        GroupLoad {
+            group: self.group.clone(),
+            slots: usable,
+            in_flight: self.registry.taken(now),
+            queued: to_u32(self.queue.len()),
+            arrivals_per_second: to_whole(self.arrivals.per_second(now)),
+            expected_wait_ms: to_ms(self.expected_wait(now)),
+            service_ms: to_ms(self.times.mean()),
+            warm_percent: u8::try_from(warm).unwrap_or(100),
+            full_origins: Vec::new(),
+        }
+    }
+
+    fn check_open(&mut self, cx: &mut GroupContext<'_>, offer: &Offer) -> Result<(), NotRun> {
+        if cx.now >= offer.deadline {
+            return Err(self.refuse(cx, NotRunReason::DeadlineTooShort, Duration::ZERO));
+        }
+        if self.place_drained {
+            return Err(self.refuse(cx, NotRunReason::NoBackendServer, NO_SERVER_WAIT));
+        }
+        Ok(())
+    }
+
+    fn check_budgets(&mut self, cx: &mut GroupContext<'_>, offer: &Offer) -> Result<(), NotRun> {
+        if let Err(wait) = cx.shifts.check(cx.now, shift(cx.manifest, offer)) {
+            return Err(self.refuse(cx, NotRunReason::ShiftCap, wait));
+        }
+        let limit = self.rate_share.limit(cx.now);
+        if !self.rate.has_room(cx.now, 1, limit) {
+            let wait = self.rate.wait(cx.now);
+            return Err(self.refuse(cx, NotRunReason::PlaceLimit, wait));
+        }
+        Ok(())
+    }
+
+    fn expire(&mut self, cx: &mut GroupContext<'_>) -> Vec<Step> {
+        let late: Vec<Offer> = {
+            let times = &self.times;
+            self.queue.take_unless(|offer| {
+                cx.now + times.needed(cx.now, offer.operation) <= offer.deadline
+            })
+        };
+        late.into_iter()
+            .map(|offer| {
+                self.unreserve(cx, &offer);
+                let wait = self.expected_wait(cx.now);
+                let refusal = self.refuse(cx, NotRunReason::DeadlineTooShort, wait);
+                Step::Refuse(offer.token, refusal)
+            })
+            .collect()
+    }
+
+    fn place_next(&mut self, cx: &mut GroupContext<'_>) -> Option<Step> {
+        if self.queue.is_empty() || !self.place_has_room(cx.now) {
+            return None;
+        }
+        let rate_limit = self.rate_share.limit(cx.now);
+        if !self.rate.may_use_reserved(cx.now, 1, rate_limit) {
+            return None;
+        }
+        let slots = self.usable(cx.now);
+        let warm_up = self.settings.warm_up;
+        let (registry, origins) = (&mut self.registry, &mut self.origins);
+        let mut placed = None;
+        let offer = self.queue.take_first(|offer| {
+            let admitted = origins.admits(cx.now, &offer.origin, warm_up, slots, false)
+                && cx
+                    .shifts
+                    .may_use_reserved(cx.now, shift(cx.manifest, offer));
+            if admitted {
+                placed = registry.place(cx.now, warm_up, offer.idempotent);
+            }
+            placed.is_some()
+        })?;
+        self.unreserve(cx, &offer);
+        self.charge(cx, &offer);
+        Some(Step::Place(offer, placed?))
+    }
+
+    fn try_place(&mut self, cx: &GroupContext<'_>, offer: &Offer) -> Option<Placed> {
+        if !self.place_has_room(cx.now) {
+            return None;
+        }
+        let slots = self.usable(cx.now);
+        let warm_up = self.settings.warm_up;
+        let newly_owner = self.counts_new_as_warm(cx.now);
+        self.origins
+            .admits(cx.now, &offer.origin, warm_up, slots, newly_owner)
+            .then(|| self.registry.place(cx.now, warm_up, offer.idempotent))?
+    }
+
+    fn charge(&mut self, cx: &mut GroupContext<'_>, offer: &Offer) {
+        self.rate.add(cx.now, 1);
+        cx.shifts.charge(cx.now, shift(cx.manifest, offer));
+        self.origins.begin(cx.now, &offer.origin);
+    }
+
+    fn unreserve(&mut self, cx: &mut GroupContext<'_>, offer: &Offer) {
+        self.rate.unreserve(1);
+        cx.shifts.unreserve(shift(cx.manifest, offer));
+    }
+
+    fn place_has_room(&self, now: Instant) -> bool {
+        self.registry.taken(now) < self.settings.limit.max_in_flight
+    }
+
+    fn usable(&self, now: Instant) -> u32 {
+        self.registry
+            .usable(now, self.settings.warm_up)
+            .min(self.settings.limit.max_in_flight)
+    }
+
+    fn expected_wait(&self, now: Instant) -> Duration {
+        let usable = self.usable(now);
+        if usable == 0 {
+            return NO_SERVER_WAIT;
+        }
+        let free = usable.saturating_sub(self.registry.taken(now));
+        let ahead = (to_u32(self.queue.len()) + 1).saturating_sub(free);
+        self.times.mean() * ahead / usable
+    }
+
+    fn counts_new_as_warm(&self, now: Instant) -> bool {
+        self.tenure
+            .active_since(now)
+            .is_none_or(|since| now < since + LAPSE)
+    }
+
+    fn refuse(
+        &mut self,
+        cx: &mut GroupContext<'_>,
+        reason: NotRunReason,
+        wait: Duration,
+    ) -> NotRun {
+        let refused = self.refusals.per_second(cx.now);
+        let served = (self.arrivals.per_second(cx.now) - refused).max(0.0);
+        NotRun::proved(reason).with_retry_after(cx.advice.after(wait, refused, served))
+    }
+}
+
+fn shift<'a>(manifest: &'a Manifest, offer: &'a Offer) -> Shift<'a> {
+    Shift {
+        manifest,
+        service: &offer.group.service,
+        origin: &offer.origin,
+        place: &offer.group.place,
+    }
+}
+
+fn place_limit(service: &Service, group: &Group) -> PlaceLimit {
+    let nothing = PlaceLimit {
+        max_in_flight: 0,
+        max_per_second: 0,
+    };
+    service.limits.get(&group.place).copied().unwrap_or(nothing)
+}
+
+fn longest_deadline(service: &Service) -> Duration {
+    let longest = service.operations.iter().map(|op| op.deadline_ms).max();
+    Duration::from_millis(u64::from(longest.unwrap_or(0)))
+}
+
+fn queue_limit(usable: u32) -> usize {
+    usable as usize * QUEUED_PER_SLOT
+}
+
+fn to_u32(count: usize) -> u32 {
+    u32::try_from(count).unwrap_or(u32::MAX)
+}
+
+fn to_ms(duration: Duration) -> u32 {
+    u32::try_from(duration.as_millis()).unwrap_or(u32::MAX)
+}
+
+#[expect(
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "rates are positive and far below the bound"
+)]
+fn to_whole(rate: f64) -> u32 {
+    rate.round() as u32
+}
--- a/lib/src/link_budget.rs
+++ b/lib/src/link_budget.rs
@@ -1,55 +1,166 @@
 //! How many bytes an entry may send to another region.
+//!
+//! The sessions of the sending region share the link's limit equally. What an answer
+//! weighs is known only once it was sent, so it may be charged in arrears; what exceeds
+//! the share is then missing from the following windows.
 
-use std::sync::Arc;
+use std::collections::BTreeMap;
 use std::time::Duration;
 use std::time::Instant;
 
 use crate::id::RegionName;
 use crate::id::Revision;
 use crate::id::SessionId;
+use crate::settled_share::SettledShare;
+use crate::settled_share::split;
+use crate::usage_window::UsageWindow;
+use crate::usage_window::WINDOW;
 use crate::view::ControlView;
 
+const BYTES_PER_KILOBYTE: u64 = 1_000;
+
+/// Stands for the share of a link without a limit.
+const NO_LIMIT: u64 = u64::MAX;
+
 /// Holds this session's shares of the links out of its region.
 #[derive(Debug)]
 pub struct LinkBudgets {
     session: SessionId,
-    view: Arc<ControlView>,
+    links: BTreeMap<RegionName, LinkBudget>,
+    has_view: bool,
+}
+
+#[derive(Debug)]
+struct LinkBudget {
+    share: SettledShare,
+    usage: UsageWindow,
+    owed: u64,
+    paid_until: Option<Instant>,
 }
 
 impl LinkBudgets {
     /// Starts with no share of anything.
     #[must_use]
-    pub fn new(session: SessionId) -> Self {
+    pub const fn new(session: SessionId) -> Self {
         Self {
             session,
-            view: Arc::default(),
+            links: BTreeMap::new(),
+            has_view: false,
         }
     }
 
-    /// Applies a view.
-    pub fn apply_view(&mut self, now: Instant, view: &Arc<ControlView>) {
-        let _ = (now, self.session);
-        self.view = Arc::clone(view);
+    /// Applies a view. `unseen_changes` says that changes between the last view and
+    /// this one may have gone unseen.
+    pub fn apply_view(&mut self, view: &ControlView, unseen_changes: bool) {
+        let shares = self.shares(view);
+        let from_nothing = unseen_changes || !self.has_view;
+        for (region, share) in &shares {
+            let link = self
+                .links
+                .entry(region.clone())
+                .or_insert_with(|| LinkBudget {
+                    share: SettledShare::with_base(NO_LIMIT),
+                    usage: UsageWindow::default(),
+                    owed: 0,
+                    paid_until: None,
+                });
+            if from_nothing {
+                link.share.reset(view.revision, *share);
+            } else {
+                link.share.set(view.revision, *share);
+            }
+        }
+        for (region, link) in &mut self.links {
+            if !shares.contains_key(region) {
+                link.share.set(view.revision, NO_LIMIT);
+            }
+        }
+        self.has_view = true;
     }
 
     /// Notes that `revision` is settled.
     pub fn settle(&mut self, now: Instant, revision: Revision) {
-        let _ = (now, revision);
+        self.links.retain(|_, link| {
+            link.share.settle(now, revision);
+            link.share.limit(now) != NO_LIMIT
+        });
     }
 
-    /// Takes `bytes` out of the share of the link to `to`.
+    /// Takes `bytes` out of the share of the link to `to`. A body that is larger than
+    /// the share should be sent in pieces; a larger piece goes only into an empty
+    /// window, and its excess is owed.
     ///
     /// # Errors
     ///
     /// Returns the time after which it may be tried again if the share is used up.
     pub fn try_send(&mut self, now: Instant, to: &RegionName, bytes: u64) -> Result<(), Duration> {
-        let _ = (now, to, bytes);
+        let Some(link) = self.links.get_mut(to) else {
+            return Ok(());
+        };
+        let limit = link.share.limit(now);
+        link.pay(now, limit);
+        let oversized = bytes > limit && limit > 0 && link.usage.used(now) == 0;
+        if link.owed > 0 || !(oversized || link.usage.has_room(now, bytes, limit)) {
+            return Err(link.usage.wait(now));
+        }
+        link.charge(now, bytes, limit);
         Ok(())
     }
 
     /// Charges bytes that are sent already, as an answer's; what exceeds the share is
-    /// taken from the following windows.
+    /// owed and taken from the following windows.
     pub fn charge(&mut self, now: Instant, to: &RegionName, bytes: u64) {
-        let _ = (now, to, bytes);
+        if let Some(link) = self.links.get_mut(to) {
+            let limit = link.share.limit(now);
+            link.pay(now, limit);
+            link.charge(now, bytes, limit);
+        }
+    }
+
+    fn shares(&self, view: &ControlView) -> BTreeMap<RegionName, u64> {
+        let mut shares = BTreeMap::new();
+        let (Some(in_force), Some(own)) = (&view.manifest, view.sessions.get(&self.session)) else {
+            return shares;
+        };
+        let region = &own.info.region;
+        let senders: Vec<SessionId> = view
+            .sessions
+            .values()
+            .filter(|session| session.info.region == *region)
+            .map(|session| session.id)
+            .collect();
+        let rank = senders.iter().position(|id| *id == self.session);
+        let links = &in_force.manifest.links;
+        for link in links.iter().filter(|link| link.from == *region) {
+            let total = u64::from(link.max_kilobytes_per_second) * BYTES_PER_KILOBYTE;
+            let parts = split(total, &vec![1; senders.len()]);
+            let share = rank.map_or(0, |rank| parts[rank]);
+            shares
+                .entry(link.to.clone())
+                .and_modify(|known: &mut u64| *known = share.min(*known))
+                .or_insert(share);
+        }
+        shares
+    }
+}
+
+impl LinkBudget {
+    fn charge(&mut self, now: Instant, bytes: u64, limit: u64) {
+        let fits = self.usage.room(now, limit).min(bytes);
+        self.usage.add(now, fits);
+        self.owed = self.owed.saturating_add(bytes - fits);
+    }
+
+    /// Moves what is owed into windows that have room, one window after the other.
+    fn pay(&mut self, now: Instant, limit: u64) {
+        if self.owed == 0 || self.paid_until.is_some_and(|until| now < until) {
+            return;
+        }
+        let fits = self.usage.room(now, limit).min(self.owed);
+        if fits > 0 {
+            self.usage.add(now, fits);
+            self.owed -= fits;
+            self.paid_until = Some(now + WINDOW / 10);
+        }
     }
 }
--- a/lib/src/lookup.rs
+++ b/lib/src/lookup.rs
@@ -1,18 +1,34 @@
 //! Which entry VM a caller is told to use.
+//!
+//! Callers keep the answer for a while, so a look-up moves traffic by itself: one that
+//! names an entry in another region than the caller's counts against the shift caps.
 
 use std::sync::Arc;
 use std::time::Duration;
 use std::time::Instant;
 
 use crate::id::PlaceName;
+use crate::id::RegionName;
 use crate::id::Revision;
 use crate::id::ServiceName;
 use crate::id::SessionId;
+use crate::manifest::Drain;
+use crate::manifest::Manifest;
 use crate::outcome::NotRun;
 use crate::outcome::NotRunReason;
+use crate::ownership::rendezvous_score;
+use crate::shift_budget::Sharing;
+use crate::shift_budget::Shift;
+use crate::shift_budget::ShiftBudgets;
 use crate::view::ControlView;
 use crate::view::EntrySession;
 
+/// Entries named beside the one to use.
+const MAX_BACKUPS: usize = 3;
+
+/// Time after which a caller may look up again when no entry can be named.
+const RETRY_AFTER: Duration = Duration::from_secs(1);
+
 /// Names the entry that a caller is to use, and whom to ask when that fails.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct LookupAnswer {
@@ -27,8 +43,16 @@
 /// Answers look-ups of one session.
 #[derive(Debug)]
 pub struct Lookups {
-    session: SessionId,
     view: Arc<ControlView>,
+    shifts: ShiftBudgets,
+}
+
+/// Tells how far an entry is from a caller; nearer ones order first.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+enum Distance {
+    SamePlace,
+    SameRegion,
+    OtherRegion,
 }
 
 impl Lookups {
@@ -36,20 +60,21 @@
     #[must_use]
     pub fn new(session: SessionId) -> Self {
         Self {
-            session,
             view: Arc::default(),
+            shifts: ShiftBudgets::new(session, Sharing::AllSessions),
         }
     }
 
-    /// Applies a view.
-    pub fn apply_view(&mut self, now: Instant, view: &Arc<ControlView>) {
-        let _ = (now, self.session);
+    /// Applies a view. `unseen_changes` says that changes between the last view and
+    /// this one may have gone unseen.
+    pub fn apply_view(&mut self, view: &Arc<ControlView>, unseen_changes: bool) {
         self.view = Arc::clone(view);
+        self.shifts.apply_view(view, unseen_changes);
     }
 
     /// Notes that `revision` is settled.
     pub fn settle(&mut self, now: Instant, revision: Revision) {
-        let _ = (now, revision);
+        self.shifts.settle(now, revision);
     }
 
     /// Returns the entry to name to a caller at `origin`; `caller` spreads callers over
@@ -65,8 +90,96 @@
         origin: &PlaceName,
         caller: u64,
     ) -> Result<LookupAnswer, NotRun> {
-        let _ = (now, service, origin, caller);
-        let not_run = NotRun::proved(NotRunReason::NoManifest);
-        Err(not_run.with_retry_after(Duration::from_secs(1)))
+        let view = Arc::clone(&self.view);
+        let Some(in_force) = &view.manifest else {
+            return Err(refused(NotRunReason::NoManifest, RETRY_AFTER));
+        };
+        let manifest = &in_force.manifest;
+        if !manifest.services.contains_key(service) {
+            return Err(NotRun::proved(NotRunReason::ServiceUnknown));
+        }
+        let mut near_first = by_distance(&view, manifest, origin, caller);
+        if near_first.is_empty() {
+            return Err(refused(NotRunReason::Leaving, RETRY_AFTER));
+        }
+        let (distance, entry) = near_first.remove(0);
+        if distance == Distance::OtherRegion {
+            self.charge(now, manifest, service, origin, entry)?;
+        }
+        let backups = near_first
+            .iter()
+            .take(MAX_BACKUPS)
+            .map(|(_, session)| (*session).clone())
+            .collect();
+        Ok(LookupAnswer {
+            entry: entry.clone(),
+            backups,
+            cache: Duration::from_millis(u64::from(manifest.look_ups.cache_ms)),
+        })
+    }
+
+    fn charge(
+        &mut self,
+        now: Instant,
+        manifest: &Manifest,
+        service: &ServiceName,
+        origin: &PlaceName,
+        entry: &EntrySession,
+    ) -> Result<(), NotRun> {
+        let shift = Shift {
+            manifest,
+            service,
+            origin,
+            place: &entry.info.place,
+        };
+        self.shifts
+            .check(now, shift)
+            .map_err(|wait| refused(NotRunReason::ShiftCap, wait))?;
+        self.shifts.charge(now, shift);
+        Ok(())
     }
 }
+
+fn refused(reason: NotRunReason, retry_after: Duration) -> NotRun {
+    NotRun::proved(reason).with_retry_after(retry_after)
+}
+
+/// Returns the entries that may be named, nearest first, within one distance in the
+/// caller's own order.
+fn by_distance<'v>(
+    view: &'v ControlView,
+    manifest: &Manifest,
+    origin: &PlaceName,
+    caller: u64,
+) -> Vec<(Distance, &'v EntrySession)> {
+    let region = manifest.places.get(origin).map(|place| &place.region);
+    let key = caller.to_string();
+    let mut sessions: Vec<_> = view
+        .sessions
+        .values()
+        .filter(|session| !session.leaving && !is_drained(manifest, session))
+        .map(|session| (distance(session, origin, region), session))
+        .collect();
+    sessions.sort_by_cached_key(|(distance, session)| {
+        let score = rendezvous_score(&[&key], &session.info.vm);
+        (*distance, std::cmp::Reverse(score), session.id)
+    });
+    sessions
+}
+
+fn distance(session: &EntrySession, origin: &PlaceName, region: Option<&RegionName>) -> Distance {
+    if session.info.place == *origin {
+        Distance::SamePlace
+    } else if Some(&session.info.region) == region {
+        Distance::SameRegion
+    } else {
+        Distance::OtherRegion
+    }
+}
+
+fn is_drained(manifest: &Manifest, session: &EntrySession) -> bool {
+    manifest
+        .drains
+        .iter()
+        .any(|drain| matches!(drain, Drain::Vm(vm) if *vm == session.info.vm))
+}
--- a/lib/src/ownership.rs
+++ b/lib/src/ownership.rs
@@ -11,6 +11,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::announcement::Announcement;
 use crate::id::BackendName;
 use crate::id::PlaceName;
 use crate::id::Revision;
@@ -38,7 +39,7 @@
 }
 
 /// Tells the new owner of a group what the old one may still have in flight there.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct Release {
     /// The group that was given up.
     pub group: Group,
@@ -50,10 +51,21 @@
     pub serial: u64,
     /// What may still run.
     pub in_flight: Vec<ReleasedWork>,
+    /// The backend servers, so that the new owner need not wait to hear of them.
+    pub backends: Vec<ReleasedBackend>,
     /// False if the old owner didn't know itself what its own predecessor had left.
     pub complete: bool,
 }
 
+/// Passes a backend server's last announcement on.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct ReleasedBackend {
+    /// The announcement.
+    pub announcement: Announcement,
+    /// Its age when the release was made, in milliseconds.
+    pub age_ms: u32,
+}
+
 /// Describes one request that an old owner still has in flight.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct ReleasedWork {
--- /dev/null
+++ b/lib/src/rate_meter.rs
@@ -0,0 +1,42 @@
+//! How many events happen a second.
+
+use std::time::Duration;
+use std::time::Instant;
+
+const PERIOD: Duration = Duration::from_secs(1);
+
+/// Counts events over the last second, from two periods of one second.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct RateMeter {
+    start: Option<Instant>,
+    current: u32,
+    previous: u32,
+}
+
+impl RateMeter {
+    /// Counts one event.
+    pub fn note(&mut self, now: Instant) {
+        self.turn(now);
+        self.current += 1;
+    }
+
+    /// Returns the events of the last second, taking the older period's as even.
+    pub fn per_second(&mut self, now: Instant) -> f64 {
+        self.turn(now);
+        let start = self.start.unwrap_or(now);
+        let into = now.saturating_duration_since(start).as_secs_f64() / PERIOD.as_secs_f64();
+        f64::from(self.current) + f64::from(self.previous) * (1.0 - into).max(0.0)
+    }
+
+    fn turn(&mut self, now: Instant) {
+        let start = *self.start.get_or_insert(now);
+        let passed = now.saturating_duration_since(start);
+        if passed >= 2 * PERIOD {
+            (self.start, self.current, self.previous) = (Some(now), 0, 0);
+        } else if passed >= PERIOD {
+            self.start = Some(start + PERIOD);
+            self.previous = self.current;
+            self.current = 0;
+        }
+    }
+}
--- /dev/null
+++ b/lib/src/shift_budget.rs
@@ -0,0 +1,283 @@
+//! How many requests of callers elsewhere a session may let through.
+//!
+//! A cap on shifts holds for all owners of backend servers at its far end together.
+//! Each has a share in proportion to what the places that it owns can bear. Requests
+//! are counted where they are dispatched, by their caller's place.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+use std::time::Instant;
+
+use crate::id::PlaceName;
+use crate::id::Revision;
+use crate::id::ServiceName;
+use crate::id::SessionId;
+use crate::manifest::Manifest;
+use crate::manifest::Scope;
+use crate::manifest::Service;
+use crate::manifest::ShiftCap;
+use crate::ownership;
+use crate::settled_share::SettledShare;
+use crate::settled_share::split;
+use crate::usage_window::UsageWindow;
+use crate::view::ControlView;
+
+/// Tells who shares a cap.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Sharing {
+    /// The owners of backend servers, for requests.
+    Owners,
+    /// All sessions equally, for look-ups.
+    AllSessions,
+}
+
+/// Holds one session's shares of all caps.
+#[derive(Debug)]
+pub struct ShiftBudgets {
+    session: SessionId,
+    sharing: Sharing,
+    caps: BTreeMap<CapKey, CapBudget>,
+    /// False until a view was applied: then caps that weren't in it were no limit.
+    has_view: bool,
+}
+
+/// Identifies a cap over the manifests that change its percentage.
+#[derive(Clone, Debug, Eq, Ord, PartialEq, PartialOrd)]
+struct CapKey {
+    service: ServiceName,
+    from: Scope,
+    to: Scope,
+}
+
+#[derive(Debug)]
+struct CapBudget {
+    share: SettledShare,
+    usage: UsageWindow,
+}
+
+/// Stands for the share of a cap that isn't in the manifest.
+const NO_CAP: u64 = u64::MAX;
+
+impl ShiftBudgets {
+    /// Starts with no share of any cap.
+    #[must_use]
+    pub const fn new(session: SessionId, sharing: Sharing) -> Self {
+        Self {
+            session,
+            sharing,
+            caps: BTreeMap::new(),
+            has_view: false,
+        }
+    }
+
+    /// Applies a view. `unseen_changes` says that changes between the last view and
+    /// this one may have gone unseen.
+    pub fn apply_view(&mut self, view: &ControlView, unseen_changes: bool) {
+        let shares = self.shares(view);
+        let from_nothing = unseen_changes || !self.has_view;
+        for (key, share) in &shares {
+            let budget = self.caps.entry(key.clone()).or_insert_with(|| CapBudget {
+                share: SettledShare::with_base(NO_CAP),
+                usage: UsageWindow::default(),
+            });
+            if from_nothing {
+                budget.share.reset(view.revision, *share);
+            } else {
+                budget.share.set(view.revision, *share);
+            }
+        }
+        for (key, budget) in &mut self.caps {
+            if !shares.contains_key(key) {
+                budget.share.set(view.revision, NO_CAP);
+            }
+        }
+        self.has_view = true;
+    }
+
+    /// Notes that `revision` is settled, and forgets caps that are gone for good.
+    pub fn settle(&mut self, now: Instant, revision: Revision) {
+        self.caps.retain(|_, budget| {
+            budget.share.settle(now, revision);
+            budget.share.limit(now) != NO_CAP
+        });
+    }
+
+    /// Tells whether a request of a caller at `origin` may be served at `place` now.
+    ///
+    /// # Errors
+    ///
+    /// Returns the time after which there may be room, if a cap is used up.
+    pub fn check(&mut self, now: Instant, shift: Shift<'_>) -> Result<(), Duration> {
+        for budget in self.matching(shift) {
+            let limit = budget.share.limit(now);
+            if !budget.usage.has_room(now, 1, limit) {
+                return Err(budget.usage.wait(now));
+            }
+        }
+        Ok(())
+    }
+
+    /// Tells whether a request that room was set aside for may be served now.
+    pub fn may_use_reserved(&mut self, now: Instant, shift: Shift<'_>) -> bool {
+        self.matching(shift).all(|budget| {
+            let limit = budget.share.limit(now);
+            budget.usage.may_use_reserved(now, 1, limit)
+        })
+    }
+
+    /// Sets room aside for a request that waits.
+    pub fn reserve(&mut self, shift: Shift<'_>) {
+        self.matching(shift)
+            .for_each(|budget| budget.usage.reserve(1));
+    }
+
+    /// Gives back the room of a request that waited.
+    pub fn unreserve(&mut self, shift: Shift<'_>) {
+        self.matching(shift)
+            .for_each(|budget| budget.usage.unreserve(1));
+    }
+
+    /// Counts a request.
+    pub fn charge(&mut self, now: Instant, shift: Shift<'_>) {
+        self.matching(shift)
+            .for_each(|budget| budget.usage.add(now, 1));
+    }
+
+    fn matching<'b>(
+        &'b mut self,
+        shift: Shift<'b>,
+    ) -> impl Iterator<Item = &'b mut CapBudget> + 'b {
+        self.caps
+            .iter_mut()
+            .filter(move |(key, _)| {
+                key.service == *shift.service && covers(shift.manifest, &key.from, &key.to, shift)
+            })
+            .map(|(_, budget)| budget)
+    }
+
+    fn shares(&self, view: &ControlView) -> BTreeMap<CapKey, u64> {
+        let mut shares = BTreeMap::new();
+        let Some(in_force) = &view.manifest else {
+            return shares;
+        };
+        let manifest = &in_force.manifest;
+        for (name, service) in &manifest.services {
+            for cap in &manifest.shift_caps {
+                let share = self.share_of(view, manifest, name, service, cap);
+                let key = CapKey {
+                    service: name.clone(),
+                    from: cap.from.clone(),
+                    to: cap.to.clone(),
+                };
+                // Two caps between the same ends: the lower one holds.
+                shares
+                    .entry(key)
+                    .and_modify(|known: &mut u64| *known = share.min(*known))
+                    .or_insert(share);
+            }
+        }
+        shares
+    }
+
+    fn share_of(
+        &self,
+        view: &ControlView,
+        manifest: &Manifest,
+        name: &ServiceName,
+        service: &Service,
+        cap: &ShiftCap,
+    ) -> u64 {
+        let far = far_places(manifest, service, cap);
+        let total = requests_per_second(cap, &far);
+        match self.sharing {
+            Sharing::Owners => {
+                let weights: Vec<u64> = far.iter().map(|(_, rate)| *rate).collect();
+                let parts = split(total, &weights);
+                far.iter()
+                    .zip(parts)
+                    .filter(|((place, _), _)| self.owns(view, name, place))
+                    .map(|(_, part)| part)
+                    .sum()
+            }
+            Sharing::AllSessions => {
+                let weights = vec![1; view.sessions.len()];
+                let rank = view.sessions.keys().position(|id| *id == self.session);
+                rank.map_or(0, |rank| split(total, &weights)[rank])
+            }
+        }
+    }
+
+    fn owns(&self, view: &ControlView, service: &ServiceName, place: &PlaceName) -> bool {
+        ownership::owner(view, service, place).is_some_and(|owner| owner.id == self.session)
+    }
+}
+
+/// Describes where a request comes from and where it is to be served.
+#[derive(Clone, Copy, Debug)]
+pub struct Shift<'a> {
+    /// The manifest that says which places belong to which region.
+    pub manifest: &'a Manifest,
+    /// The service.
+    pub service: &'a ServiceName,
+    /// The caller's place.
+    pub origin: &'a PlaceName,
+    /// The place that is to serve it.
+    pub place: &'a PlaceName,
+}
+
+/// Returns the requests a second that `cap` allows all sessions together.
+#[must_use]
+pub fn allowed_per_second(manifest: &Manifest, service: &Service, cap: &ShiftCap) -> u64 {
+    requests_per_second(cap, &far_places(manifest, service, cap))
+}
+
+fn requests_per_second(cap: &ShiftCap, far: &[(PlaceName, u64)]) -> u64 {
+    let bearable: u64 = far.iter().map(|(_, rate)| *rate).sum();
+    bearable * u64::from(cap.percent) / 100
+}
+
+/// Returns the places at the far end of `cap` with what the service may put on them.
+fn far_places(manifest: &Manifest, service: &Service, cap: &ShiftCap) -> Vec<(PlaceName, u64)> {
+    service
+        .limits
+        .iter()
+        .filter(|(place, _)| match &cap.to {
+            Scope::Any => cap.from == Scope::Any || !contains(manifest, &cap.from, place),
+            to => contains(manifest, to, place),
+        })
+        .map(|(place, limit)| (place.clone(), u64::from(limit.max_per_second)))
+        .collect()
+}
+
+/// Tells whether a cap counts a shift.
+#[must_use]
+pub fn cap_covers(cap: &ShiftCap, shift: Shift<'_>) -> bool {
+    covers(shift.manifest, &cap.from, &cap.to, shift)
+}
+
+/// `Any` at one end means any place outside the other end; at both ends, any place
+/// other than the caller's.
+fn covers(manifest: &Manifest, from: &Scope, to: &Scope, shift: Shift<'_>) -> bool {
+    let Shift { origin, place, .. } = shift;
+    match (from, to) {
+        (Scope::Any, Scope::Any) => origin != place,
+        (Scope::Any, to) => contains(manifest, to, place) && !contains(manifest, to, origin),
+        (from, Scope::Any) => contains(manifest, from, origin) && !contains(manifest, from, place),
+        (from, to) => {
+            contains(manifest, from, origin)
+                && contains(manifest, to, place)
+                && !contains(manifest, to, origin)
+        }
+    }
+}
+
+fn contains(manifest: &Manifest, scope: &Scope, place: &PlaceName) -> bool {
+    match scope {
+        Scope::Any => true,
+        Scope::Place(name) => name == place,
+        Scope::Region(region) => manifest
+            .places
+            .get(place)
+            .is_some_and(|known| known.region == *region),
+    }
+}
--- /dev/null
+++ b/lib/src/tenure.rs
@@ -0,0 +1,125 @@
+//! From when on a session may dispatch to a group that it owns.
+//!
+//! Two sessions may hold different views and each believe that it is the owner. The
+//! one with the older view may dispatch until it learns better, so the other one waits
+//! until its revision is settled: then nobody acts on an older view. What the old owner
+//! had in flight may still run then. Either the old owner has told what that is, by a
+//! release, or it is gone and the new owner waits until every deadline is over.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use crate::backend_registry::DEADLINE_GRACE;
+use crate::id::Revision;
+
+/// Tells how this session became the owner of a group.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Gained {
+    /// The revision of the view under which it found itself the owner.
+    pub revision: Revision,
+    /// The revision up to which it had seen the owners before. Only releases of later
+    /// revisions tell about those who owned the group since.
+    pub seen_until: Revision,
+    /// Whether it is sure that nobody dispatched anything before.
+    pub nothing_before: bool,
+}
+
+/// Follows one session's ownership of one group.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Tenure {
+    /// Another session may still dispatch.
+    Unsettled {
+        /// The revision under which this session became the owner.
+        gained: Revision,
+        /// Whether it is known what the old owner had left in flight.
+        told: bool,
+    },
+    /// Nobody else dispatches any more, but unknown work may still run.
+    Clearing {
+        /// Time at which it is over.
+        until: Instant,
+    },
+    /// This session dispatches.
+    Active {
+        /// Since when.
+        since: Instant,
+    },
+}
+
+impl Tenure {
+    /// Begins an ownership.
+    #[must_use]
+    pub const fn begin(gained: Gained) -> Self {
+        Self::Unsettled {
+            gained: gained.revision,
+            told: gained.nothing_before,
+        }
+    }
+
+    /// Notes that `settled` is settled; `longest` is the longest deadline of any
+    /// request that may have been dispatched before.
+    pub fn settle(&mut self, now: Instant, settled: Revision, longest: Duration) {
+        let Self::Unsettled { gained, told } = *self else {
+            return;
+        };
+        if settled < gained {
+            return;
+        }
+        *self = if told {
+            Self::Active { since: now }
+        } else {
+            Self::Clearing {
+                until: now + longest + DEADLINE_GRACE,
+            }
+        };
+    }
+
+    /// Notes that the old owner has told what it had left in flight.
+    pub fn note_told(&mut self, now: Instant) {
+        match self {
+            Self::Unsettled { told, .. } => *told = true,
+            Self::Clearing { .. } => *self = Self::Active { since: now },
+            Self::Active { .. } => {}
+        }
+    }
+
+    /// Lets time pass.
+    pub fn tick(&mut self, now: Instant) {
+        if let Self::Clearing { until } = *self
+            && now >= until
+        {
+            *self = Self::Active { since: until };
+        }
+    }
+
+    /// Tells since when this session may dispatch, if it may.
+    #[must_use]
+    pub fn active_since(&self, now: Instant) -> Option<Instant> {
+        match *self {
+            Self::Active { since } => Some(since),
+            Self::Clearing { until } if now >= until => Some(until),
+            _ => None,
+        }
+    }
+
+    /// Returns the time until dispatching may begin, as far as it is known.
+    #[must_use]
+    pub fn wait(&self, now: Instant) -> Option<Duration> {
+        match *self {
+            Self::Unsettled { .. } => None,
+            Self::Clearing { until } => Some(until.saturating_duration_since(now)),
+            Self::Active { .. } => Some(Duration::ZERO),
+        }
+    }
+
+    /// Tells whether this session can say what is in flight, its own and its
+    /// predecessors' work.
+    #[must_use]
+    pub fn knows_all(&self, now: Instant) -> bool {
+        match *self {
+            Self::Unsettled { told, .. } => told,
+            Self::Clearing { until } => now >= until,
+            Self::Active { .. } => true,
+        }
+    }
+}
--- /dev/null
+++ b/lib/src/usage_window.rs
@@ -0,0 +1,134 @@
+//! How much was used within the last window of time.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+use std::time::Instant;
+
+/// Length of the window over which caps and limits hold.
+pub const WINDOW: Duration = Duration::from_secs(1);
+
+/// Time by which two uses may come closer together on their way to where they are
+/// counted. Without it, a use just after a window could arrive within it; a count at
+/// the backend servers would show it.
+pub const ARRIVAL_JITTER: Duration = Duration::from_millis(50);
+
+/// Time for which a use counts.
+const COUNTED_FOR: Duration = WINDOW.saturating_add(ARRIVAL_JITTER);
+
+/// Uses that are closer together than this are counted as one, at the time of the
+/// later one, which bounds the memory of a window.
+const BUCKET: Duration = Duration::from_millis(2);
+
+/// Parts of the window among which use is spread.
+const PARTS: u32 = 5;
+
+/// Multiple of the even spread that one part may hold.
+const BURST: u64 = 2;
+
+/// Counts uses over a sliding window.
+#[derive(Clone, Debug, Default)]
+pub struct UsageWindow {
+    buckets: VecDeque<Bucket>,
+    sum: u64,
+    reserved: u64,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Bucket {
+    first: Instant,
+    last: Instant,
+    amount: u64,
+}
+
+impl UsageWindow {
+    /// Tells whether `amount` more fits under `limit`, beside what is reserved.
+    ///
+    /// Use is also spread within the window: a part of it holds no more than twice its
+    /// even share. Otherwise a limit that is reached would let everything through at
+    /// the start of each window and nothing in the rest of it.
+    pub fn has_room(&mut self, now: Instant, amount: u64, limit: u64) -> bool {
+        self.forget(now);
+        let whole = self.sum + self.reserved + amount <= limit;
+        whole && self.recent(now) + amount <= part_limit(limit).max(amount)
+    }
+
+    /// Tells whether `amount` that is reserved may be used now.
+    pub fn may_use_reserved(&mut self, now: Instant, amount: u64, limit: u64) -> bool {
+        self.forget(now);
+        self.sum + amount <= limit && self.recent(now) + amount <= part_limit(limit).max(amount)
+    }
+
+    /// Returns what still fits under `limit`.
+    pub fn room(&mut self, now: Instant, limit: u64) -> u64 {
+        self.forget(now);
+        limit.saturating_sub(self.sum + self.reserved)
+    }
+
+    /// Returns the time until something that counts now is forgotten.
+    #[must_use]
+    pub fn wait(&self, now: Instant) -> Duration {
+        self.buckets.front().map_or(COUNTED_FOR, |bucket| {
+            (bucket.last + COUNTED_FOR).saturating_duration_since(now)
+        })
+    }
+
+    /// Counts a use.
+    pub fn add(&mut self, now: Instant, amount: u64) {
+        self.forget(now);
+        self.sum += amount;
+        match self.buckets.back_mut() {
+            Some(bucket) if now < bucket.first + BUCKET => {
+                bucket.last = bucket.last.max(now);
+                bucket.amount += amount;
+            }
+            _ => self.buckets.push_back(Bucket {
+                first: now,
+                last: now,
+                amount,
+            }),
+        }
+    }
+
+    /// Sets room aside for a use that comes later.
+    pub fn reserve(&mut self, amount: u64) {
+        self.reserved += amount;
+    }
+
+    /// Gives back room that was set aside.
+    pub fn unreserve(&mut self, amount: u64) {
+        self.reserved = self.reserved.saturating_sub(amount);
+    }
+
+    /// Returns what counts now, without what is reserved.
+    pub fn used(&mut self, now: Instant) -> u64 {
+        self.forget(now);
+        self.sum
+    }
+
+    fn recent(&self, now: Instant) -> u64 {
+        let part = COUNTED_FOR / PARTS;
+        self.buckets
+            .iter()
+            .rev()
+            .take_while(|bucket| now < bucket.last + part)
+            .map(|bucket| bucket.amount)
+            .sum()
+    }
+
+    fn forget(&mut self, now: Instant) {
+        while let Some(bucket) = self.buckets.front() {
+            if now < bucket.last + COUNTED_FOR {
+                return;
+            }
+            self.sum -= bucket.amount;
+            self.buckets.pop_front();
+        }
+    }
+}
+
+fn part_limit(limit: u64) -> u64 {
+    limit
+        .saturating_mul(BURST)
+        .div_ceil(u64::from(PARTS))
+        .max(1)
+}
