steering: nearest place first, diverted by pressure

Refusals raise a group's pressure at once; digests, which may be old, move it slowly, so that entries which see the same old digest don't swing together.

--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -40,6 +40,7 @@
 pub mod nearest_name;
 pub mod outcome;
 pub mod ownership;
+pub mod pressure;
 pub mod raft;
 pub mod raft_config;
 pub mod raft_effects;
--- /dev/null
+++ b/lib/src/pressure.rs
@@ -0,0 +1,190 @@
+//! How hard it is to get a request served by one group, as one entry sees it.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+use std::time::Instant;
+
+use crate::id::PlaceName;
+use crate::id::SessionId;
+use crate::load_digest::DIGEST_LAPSE;
+use crate::load_digest::GroupLoad;
+use crate::outcome::NotRunReason;
+
+/// Use of the slots, queue included, that pressure steers for. Just below the point
+/// from which requests wait.
+const TARGET_USE: f64 = 0.9;
+
+/// Change of pressure a second for each unit by which use differs from the target.
+///
+/// Use answers to pressure after the digest's delay *d*, by about one unit for one of
+/// pressure, at most two. Such a loop is stable while gain times *d* stays below π/2,
+/// and settles without much overshoot below half of that: with 0.25 and two units, up
+/// to digests that are two to three seconds old.
+const GAIN: f64 = 0.25;
+
+/// Largest difference from the target that counts.
+const LARGEST_ERROR: f64 = 1.0;
+
+/// Share of the way to full pressure that a refusal goes.
+const REFUSAL_STEP: f64 = 0.05;
+
+/// Time in which pressure halves when nothing is heard of the group.
+const FORGETTING: Duration = Duration::from_secs(2);
+
+/// Time for which a group isn't asked after it couldn't be reached.
+const UNREACHABLE_PAUSE: Duration = Duration::from_millis(500);
+
+/// Time for which a group isn't asked for an origin whose shift it has refused.
+const SHIFT_PAUSE: Duration = Duration::from_millis(100);
+
+/// Time for which a digest's hint at a used-up shift is believed.
+const HINT_LAPSE: Duration = Duration::from_millis(500);
+
+/// Holds what one entry knows of one group.
+#[derive(Debug, Default)]
+pub struct Outlook {
+    owner: Option<SessionId>,
+    load: Option<HeardLoad>,
+    pressure: f64,
+    updated: Option<Instant>,
+    unreachable_until: Option<Instant>,
+    closed_origins: BTreeMap<PlaceName, Instant>,
+    sent_since_heard: u32,
+}
+
+#[derive(Debug)]
+struct HeardLoad {
+    at: Instant,
+    load: GroupLoad,
+}
+
+impl Outlook {
+    /// Takes the owner's digest.
+    pub fn take_load(&mut self, now: Instant, owner: SessionId, load: &GroupLoad) {
+        self.update(now);
+        self.owner = Some(owner);
+        self.sent_since_heard = 0;
+        self.load = Some(HeardLoad {
+            at: now,
+            load: load.clone(),
+        });
+    }
+
+    /// Forgets what another owner told.
+    pub fn follow_owner(&mut self, owner: SessionId) {
+        if self.owner.is_some_and(|known| known != owner) {
+            self.load = None;
+            self.unreachable_until = None;
+        }
+        self.owner = Some(owner);
+    }
+
+    /// Notes that a request was sent.
+    pub fn note_sent(&mut self) {
+        self.sent_since_heard = self.sent_since_heard.saturating_add(1);
+    }
+
+    /// Notes that a request was refused.
+    pub fn note_refused(&mut self, now: Instant, origin: &PlaceName, reason: NotRunReason) {
+        self.update(now);
+        match reason {
+            NotRunReason::ShiftCap | NotRunReason::LinkLimit => {
+                self.closed_origins
+                    .insert(origin.clone(), now + SHIFT_PAUSE);
+            }
+            NotRunReason::NoBackendServer => self.pressure = 1.0,
+            NotRunReason::Overloaded
+            | NotRunReason::DeadlineTooShort
+            | NotRunReason::PlaceLimit
+            | NotRunReason::BackendRefused
+            | NotRunReason::BackendUnreachable => {
+                self.pressure += REFUSAL_STEP * (1.0 - self.pressure);
+            }
+            // The others tell nothing about the group's load.
+            _ => {}
+        }
+    }
+
+    /// Notes that the owner couldn't be reached.
+    pub fn note_unreachable(&mut self, now: Instant) {
+        self.unreachable_until = Some(now + UNREACHABLE_PAUSE);
+    }
+
+    /// Returns the pressure, from 0 to 1.
+    pub fn pressure(&mut self, now: Instant) -> f64 {
+        self.update(now);
+        self.pressure
+    }
+
+    /// Tells whether a request from `origin` has any chance.
+    #[must_use]
+    pub fn is_open(&self, now: Instant, origin: &PlaceName) -> bool {
+        let reachable = self.unreachable_until.is_none_or(|until| now >= until);
+        let unclosed = self
+            .closed_origins
+            .get(origin)
+            .is_none_or(|until| now >= *until);
+        let hinted = self
+            .fresh_load(now, HINT_LAPSE)
+            .is_some_and(|load| load.full_origins.contains(origin));
+        let has_slots = self
+            .fresh_load(now, DIGEST_LAPSE)
+            .is_none_or(|load| load.slots > 0);
+        reachable && unclosed && !hinted && has_slots
+    }
+
+    /// Returns the slots that are likely free, what this entry has sent since the
+    /// digest taken off, and discounted by the digest's age.
+    #[must_use]
+    pub fn likely_free(&self, now: Instant) -> f64 {
+        let Some(heard) = &self.load else {
+            return 0.0;
+        };
+        let used = heard.load.in_flight + heard.load.queued + self.sent_since_heard;
+        let free = heard.load.slots.saturating_sub(used);
+        f64::from(free) * GroupLoad::confidence(now.saturating_duration_since(heard.at))
+    }
+
+    /// Returns the time that a request needs there, the wait for a slot included.
+    #[must_use]
+    pub fn expected_time(&self) -> Duration {
+        self.load.as_ref().map_or(Duration::ZERO, |heard| {
+            let ms = heard
+                .load
+                .expected_wait_ms
+                .saturating_add(heard.load.service_ms);
+            Duration::from_millis(u64::from(ms))
+        })
+    }
+
+    fn fresh_load(&self, now: Instant, lapse: Duration) -> Option<&GroupLoad> {
+        let heard = self.load.as_ref()?;
+        (now.saturating_duration_since(heard.at) < lapse).then_some(&heard.load)
+    }
+
+    /// Moves the pressure by the time passed: as far as the digest is trusted, towards
+    /// the target use; as far as it isn't, towards nothing.
+    fn update(&mut self, now: Instant) {
+        let last = *self.updated.get_or_insert(now);
+        let passed = now.saturating_duration_since(last).as_secs_f64();
+        self.updated = Some(last.max(now));
+        let (error, trust) = self.load.as_ref().map_or((0.0, 0.0), |heard| {
+            let age = now.saturating_duration_since(heard.at);
+            (heard.error(), GroupLoad::confidence(age))
+        });
+        let halvings = passed * (1.0 - trust) / FORGETTING.as_secs_f64();
+        let forgotten = self.pressure * 0.5_f64.powf(halvings);
+        self.pressure = (forgotten + GAIN * error * trust * passed).clamp(0.0, 1.0);
+    }
+}
+
+impl HeardLoad {
+    fn error(&self) -> f64 {
+        if self.load.slots == 0 {
+            return LARGEST_ERROR;
+        }
+        let used = f64::from(self.load.in_flight) + f64::from(self.load.queued);
+        let error = used / f64::from(self.load.slots) - TARGET_USE;
+        error.clamp(-LARGEST_ERROR, LARGEST_ERROR)
+    }
+}
--- a/lib/src/steering.rs
+++ b/lib/src/steering.rs
@@ -1,10 +1,20 @@
 //! Where an entry sends a request: which owners, in which order.
+//!
+//! The nearest place that serves the service comes first. Requests are diverted from it
+//! only as far as its *pressure* exceeds that of another place. Pressure follows
+//! refusals, which are known at once, and digests, which may be old; digests move it
+//! slowly, so that entries that all see the same old digest don't move their traffic to
+//! and fro together.
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
 use std::time::Instant;
 
+use rand::Rng;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+
 use crate::id::PlaceName;
 use crate::id::ServiceName;
 use crate::id::SessionId;
@@ -12,7 +22,21 @@
 use crate::outcome::NotRunReason;
 use crate::ownership;
 use crate::ownership::Group;
+use crate::pressure::Outlook;
 use crate::view::ControlView;
+use crate::view::EntrySession;
+
+/// Round trip assumed to an entry VM in the same region, until one is measured.
+const NEAR_ROUND_TRIP: Duration = Duration::from_millis(2);
+
+/// Round trip assumed to an entry VM in another region, until one is measured.
+const FAR_ROUND_TRIP: Duration = Duration::from_millis(100);
+
+/// Round trips that differ by less than this count as equally far.
+const ROUND_TRIP_STEP: Duration = Duration::from_millis(10);
+
+/// Difference of pressure below which nothing is diverted.
+const HYSTERESIS: f64 = 0.05;
 
 /// Describes a request that is to be steered.
 #[derive(Clone, Copy, Debug)]
@@ -32,34 +56,83 @@
     pub group: Group,
     /// The session that owns it.
     pub owner: SessionId,
+    /// The place of the caller.
+    pub origin: PlaceName,
 }
 
 /// Holds what an entry knows of the other owners, and chooses among them.
 #[derive(Debug)]
 pub struct Steering {
+    session: SessionId,
     view: Arc<ControlView>,
     round_trips: BTreeMap<SessionId, Duration>,
+    outlooks: BTreeMap<Group, Outlook>,
+    serials: BTreeMap<SessionId, u64>,
+    rng: ChaCha8Rng,
+}
+
+/// Orders places by their distance from the caller; nearer ones order first.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+enum Tier {
+    Origin,
+    Region,
+    /// Elsewhere, by steps of [`ROUND_TRIP_STEP`].
+    Away(u128),
+}
+
+#[derive(Debug)]
+struct RatedCandidate {
+    candidate: Candidate,
+    tier: Tier,
+    pressure: f64,
+    /// Chance among those of the same tier.
+    weight: f64,
 }
 
 impl Steering {
     /// Starts with no digest; `seed` drives the choice among near-equal owners.
     #[must_use]
     pub fn new(session: SessionId, seed: u64) -> Self {
-        let _ = (session, seed);
         Self {
+            session,
             view: Arc::default(),
             round_trips: BTreeMap::new(),
+            outlooks: BTreeMap::new(),
+            serials: BTreeMap::new(),
+            rng: ChaCha8Rng::seed_from_u64(seed),
         }
     }
 
     /// Applies a view.
     pub fn apply_view(&mut self, view: &Arc<ControlView>) {
         self.view = Arc::clone(view);
+        let lives = |session: &SessionId| view.sessions.contains_key(session);
+        self.round_trips.retain(|session, _| lives(session));
+        self.serials.retain(|session, _| lives(session));
+        self.outlooks.retain(|group, outlook| {
+            let owner = ownership::owner(view, &group.service, &group.place);
+            if let Some(owner) = owner {
+                outlook.follow_owner(owner.id);
+            }
+            owner.is_some()
+        });
     }
 
     /// Takes another owner's digest (or this session's own).
     pub fn take_digest(&mut self, now: Instant, digest: &LoadDigest) {
-        let _ = (now, digest);
+        let serial = self.serials.entry(digest.session).or_default();
+        if digest.serial <= *serial {
+            return;
+        }
+        *serial = digest.serial;
+        for load in &digest.loads {
+            let group = &load.group;
+            let owner = ownership::owner(&self.view, &group.service, &group.place);
+            if owner.is_some_and(|owner| owner.id == digest.session) {
+                let outlook = self.outlooks.entry(group.clone()).or_default();
+                outlook.take_load(now, digest.session, load);
+            }
+        }
     }
 
     /// Notes a measured round trip to another session's entry VM.
@@ -70,36 +143,111 @@
     /// Returns the owners to try, best first. Empty when nothing can take the request
     /// in time.
     pub fn candidates(&mut self, now: Instant, req: SteeringRequest<'_>) -> Vec<Candidate> {
-        let _ = now;
-        let Some(in_force) = &self.view.manifest else {
-            return Vec::new();
-        };
-        let Some(service) = in_force.manifest.services.get(req.service) else {
-            return Vec::new();
-        };
-        service
-            .limits
-            .keys()
-            .filter_map(|place| {
-                let owner = ownership::owner(&self.view, req.service, place)?.id;
-                let group = Group::new(req.service.clone(), place.clone());
-                Some(Candidate { group, owner })
-            })
-            .collect()
+        let mut rated = self.rate(now, req);
+        // Each one draws its place within its tier, likelier in front with more free
+        // slots; one draw for all would send every entry to the same one.
+        for option in &mut rated {
+            let draw: f64 = self.rng.random();
+            option.weight = draw.powf(1.0 / (1.0 + option.weight));
+        }
+        rated.sort_by(|a, b| a.tier.cmp(&b.tier).then(b.weight.total_cmp(&a.weight)));
+        self.divert(&mut rated);
+        rated.into_iter().map(|option| option.candidate).collect()
     }
 
     /// Notes that a request was sent to `candidate`; digests don't show it yet.
-    pub fn note_sent(&mut self, now: Instant, candidate: &Candidate) {
-        let _ = (now, candidate);
+    pub fn note_sent(&mut self, candidate: &Candidate) {
+        self.outlook(candidate).note_sent();
     }
 
     /// Notes that `candidate` refused a request.
     pub fn note_refused(&mut self, now: Instant, candidate: &Candidate, reason: NotRunReason) {
-        let _ = (now, candidate, reason);
+        self.outlook(candidate)
+            .note_refused(now, &candidate.origin, reason);
     }
 
     /// Notes that `candidate` couldn't be reached.
     pub fn note_unreachable(&mut self, now: Instant, candidate: &Candidate) {
-        let _ = (now, candidate);
+        self.outlook(candidate).note_unreachable(now);
+    }
+
+    /// Returns the pressure that this entry sees at a group, from 0 to 1.
+    pub fn pressure(&mut self, now: Instant, group: &Group) -> f64 {
+        self.outlooks
+            .get_mut(group)
+            .map_or(0.0, |outlook| outlook.pressure(now))
+    }
+
+    fn outlook(&mut self, candidate: &Candidate) -> &mut Outlook {
+        self.outlooks.entry(candidate.group.clone()).or_default()
+    }
+
+    fn rate(&mut self, now: Instant, req: SteeringRequest<'_>) -> Vec<RatedCandidate> {
+        let view = Arc::clone(&self.view);
+        let Some(in_force) = &view.manifest else {
+            return Vec::new();
+        };
+        let Some(service) = in_force.manifest.services.get(req.service) else {
+            return Vec::new();
+        };
+        let places = &in_force.manifest.places;
+        let region = |place: &PlaceName| places.get(place).map(|place| &place.region);
+        let mut rated = Vec::new();
+        for place in service.limits.keys() {
+            let Some(owner) = ownership::owner(&view, req.service, place) else {
+                continue;
+            };
+            let round_trip = self.round_trip(owner);
+            let group = Group::new(req.service.clone(), place.clone());
+            let outlook = self.outlooks.entry(group.clone()).or_default();
+            let in_time = round_trip + outlook.expected_time() <= req.left;
+            if !in_time || !outlook.is_open(now, req.origin) {
+                continue;
+            }
+            let tier = if place == req.origin {
+                Tier::Origin
+            } else if region(place) == region(req.origin) {
+                Tier::Region
+            } else {
+                Tier::Away(round_trip.as_millis() / ROUND_TRIP_STEP.as_millis())
+            };
+            rated.push(RatedCandidate {
+                pressure: outlook.pressure(now),
+                weight: outlook.likely_free(now),
+                candidate: Candidate {
+                    group,
+                    owner: owner.id,
+                    origin: req.origin.clone(),
+                },
+                tier,
+            });
+        }
+        rated
+    }
+
+    /// Moves a farther candidate to the front, with the chance by which the pressure of
+    /// the one in front exceeds its own.
+    fn divert(&mut self, rated: &mut [RatedCandidate]) {
+        for position in 1..rated.len() {
+            let excess = rated[0].pressure - rated[position].pressure;
+            if excess > HYSTERESIS && self.rng.random::<f64>() < excess {
+                rated[..=position].rotate_right(1);
+                return;
+            }
+        }
+    }
+
+    fn round_trip(&self, owner: &EntrySession) -> Duration {
+        if owner.id == self.session {
+            return Duration::ZERO;
+        }
+        let own = self.view.sessions.get(&self.session);
+        let same_region = own.is_some_and(|own| own.info.region == owner.info.region);
+        let assumed = if same_region {
+            NEAR_ROUND_TRIP
+        } else {
+            FAR_ROUND_TRIP
+        };
+        self.round_trips.get(&owner.id).copied().unwrap_or(assumed)
     }
 }
