--- a/lib/src/admission.rs
+++ b/lib/src/admission.rs
@@ -49,9 +49,13 @@
 use crate::tenure::Gained;
 use crate::view::ControlView;
 
-/// Time between two calls of [`Admission::tick`], by which slots that come free without
-/// a [`Admission::finish`] are used: held ones, ramps, pauses that end.
-pub const TICK_INTERVAL: Duration = Duration::from_millis(20);
+/// Time between two calls of [`Admission::tick`] while requests wait, by which slots are
+/// used that come free without a [`Admission::finish`]: held ones, ramps, pauses that
+/// end; and by which requests are refused that can't be answered in time any more.
+const TICK_INTERVAL: Duration = Duration::from_millis(20);
+
+/// Time between two calls of [`Admission::tick`] while nothing waits.
+const IDLE_TICK_INTERVAL: Duration = Duration::from_millis(200);
 
 /// Time to come back after when the session's lease is over.
 const LEASE_WAIT: Duration = Duration::from_secs(1);
@@ -64,6 +68,7 @@
 pub struct Admission {
     session: SessionId,
     lease_until: Option<Instant>,
+    last_tick: Option<Instant>,
     view: Arc<ControlView>,
     has_view: bool,
     settled: Revision,
@@ -119,6 +124,7 @@
         Self {
             session,
             lease_until: None,
+            last_tick: None,
             view: Arc::default(),
             has_view: false,
             settled: Revision::default(),
@@ -148,12 +154,13 @@
         view: &Arc<ControlView>,
         step: ViewStep,
     ) -> Vec<Effect> {
+        self.last_tick.get_or_insert(now);
         let before = std::mem::replace(&mut self.view, Arc::clone(view));
         let owned: BTreeSet<Group> = ownership::groups_of(view, self.session)
             .into_iter()
             .collect();
         let mut effects = self.give_up_unless(now, &owned);
-        self.shifts.apply_view(view, step == ViewStep::Whole);
+        self.shifts.apply_view(view, step);
         // While no manifest was in force, nobody can have dispatched anything.
         let first_manifest =
             self.has_view && step == ViewStep::OneChange && before.manifest.is_none();
@@ -280,9 +287,9 @@
             .unwrap_or(false)
     }
 
-    /// Lets time pass: lapses, expiries, ramps. To be called at [`Self::next_tick`] and
-    /// each [`TICK_INTERVAL`].
+    /// Lets time pass: lapses, expiries, ramps. To be called at [`Self::next_tick`].
     pub fn tick(&mut self, now: Instant) -> Vec<Effect> {
+        self.last_tick = Some(now);
         let mut effects = Vec::new();
         for group in self.groups.values_mut() {
             effects.extend(group.forget(now).into_iter().map(disconnect));
@@ -291,13 +298,18 @@
         effects
     }
 
-    /// Returns the earliest deadline of what waits.
+    /// Returns the time at which [`Self::tick`] is due.
     #[must_use]
     pub fn next_tick(&self) -> Option<Instant> {
-        self.groups
-            .values()
-            .filter_map(GroupAdmission::earliest_deadline)
-            .min()
+        if self.groups.is_empty() {
+            return None;
+        }
+        let interval = if self.waiting.is_empty() {
+            IDLE_TICK_INTERVAL
+        } else {
+            TICK_INTERVAL
+        };
+        self.last_tick.map(|last| last + interval)
     }
 
     /// Returns what each owned group can take, for a digest.
--- a/lib/src/group_admission.rs
+++ b/lib/src/group_admission.rs
@@ -347,18 +347,6 @@
         self.tenure.knows_all(now)
     }
 
-    /// Tells whether nothing waits.
-    #[must_use]
-    pub fn is_queue_empty(&self) -> bool {
-        self.queue.is_empty()
-    }
-
-    /// Returns the earliest deadline of what waits.
-    #[must_use]
-    pub fn earliest_deadline(&self) -> Option<Instant> {
-        self.queue.earliest_deadline()
-    }
-
     /// Returns what the group can take.
     pub fn load(&mut self, now: Instant) -> GroupLoad {
         let open = self.tenure.active_since(now).is_some() && !self.place_drained;
--- a/lib/src/link_budget.rs
+++ b/lib/src/link_budget.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use crate::admission_event::ViewStep;
 use crate::id::RegionName;
 use crate::id::Revision;
 use crate::id::SessionId;
@@ -49,11 +50,10 @@
         }
     }
 
-    /// Applies a view. `unseen_changes` says that changes between the last view and
-    /// this one may have gone unseen.
-    pub fn apply_view(&mut self, view: &ControlView, unseen_changes: bool) {
+    /// Applies a view.
+    pub fn apply_view(&mut self, view: &ControlView, step: ViewStep) {
         let shares = self.shares(view);
-        let from_nothing = unseen_changes || !self.has_view;
+        let from_nothing = step == ViewStep::Whole || !self.has_view;
         for (region, share) in &shares {
             let link = self
                 .links
--- a/lib/src/lookup.rs
+++ b/lib/src/lookup.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use crate::admission_event::ViewStep;
 use crate::id::PlaceName;
 use crate::id::RegionName;
 use crate::id::Revision;
@@ -65,11 +66,10 @@
         }
     }
 
-    /// Applies a view. `unseen_changes` says that changes between the last view and
-    /// this one may have gone unseen.
-    pub fn apply_view(&mut self, view: &Arc<ControlView>, unseen_changes: bool) {
+    /// Applies a view.
+    pub fn apply_view(&mut self, view: &Arc<ControlView>, step: ViewStep) {
         self.view = Arc::clone(view);
-        self.shifts.apply_view(view, unseen_changes);
+        self.shifts.apply_view(view, step);
     }
 
     /// Notes that `revision` is settled.
--- a/lib/src/pressure.rs
+++ b/lib/src/pressure.rs
@@ -49,7 +49,9 @@
     updated: Option<Instant>,
     unreachable_until: Option<Instant>,
     closed_origins: BTreeMap<PlaceName, Instant>,
-    sent_since_heard: u32,
+    /// Requests sent lately and likely running still, at `sent_at`.
+    sent: f64,
+    sent_at: Option<Instant>,
 }
 
 #[derive(Debug)]
@@ -63,7 +65,6 @@
     pub fn take_load(&mut self, now: Instant, owner: SessionId, load: &GroupLoad) {
         self.update(now);
         self.owner = Some(owner);
-        self.sent_since_heard = 0;
         self.load = Some(HeardLoad {
             at: now,
             load: load.clone(),
@@ -80,8 +81,9 @@
     }
 
     /// Notes that a request was sent.
-    pub fn note_sent(&mut self) {
-        self.sent_since_heard = self.sent_since_heard.saturating_add(1);
+    pub fn note_sent(&mut self, now: Instant) {
+        self.sent = self.sent_now(now) + 1.0;
+        self.sent_at = Some(now);
     }
 
     /// Notes that a request was refused.
@@ -140,9 +142,9 @@
         let Some(heard) = &self.load else {
             return 0.0;
         };
-        let used = heard.load.in_flight + heard.load.queued + self.sent_since_heard;
-        let free = heard.load.slots.saturating_sub(used);
-        f64::from(free) * GroupLoad::confidence(now.saturating_duration_since(heard.at))
+        let used = f64::from(heard.load.in_flight) + f64::from(heard.load.queued);
+        let free = f64::from(heard.load.slots) - used - self.sent_now(now);
+        free.max(0.0) * GroupLoad::confidence(now.saturating_duration_since(heard.at))
     }
 
     /// Returns the time that a request needs there, the wait for a slot included.
@@ -157,6 +159,17 @@
         })
     }
 
+    /// Fades what was sent by the group's service time, of which the digest knows the
+    /// more the longer ago it was.
+    fn sent_now(&self, now: Instant) -> f64 {
+        let (Some(at), Some(heard)) = (self.sent_at, &self.load) else {
+            return 0.0;
+        };
+        let passed = now.saturating_duration_since(at).as_secs_f64();
+        let service = f64::from(heard.load.service_ms.max(1)) / 1_000.0;
+        self.sent * (-passed / service).exp()
+    }
+
     fn fresh_load(&self, now: Instant, lapse: Duration) -> Option<&GroupLoad> {
         let heard = self.load.as_ref()?;
         (now.saturating_duration_since(heard.at) < lapse).then_some(&heard.load)
--- a/lib/src/shift_budget.rs
+++ b/lib/src/shift_budget.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use crate::admission_event::ViewStep;
 use crate::id::PlaceName;
 use crate::id::Revision;
 use crate::id::ServiceName;
@@ -70,11 +71,10 @@
         }
     }
 
-    /// Applies a view. `unseen_changes` says that changes between the last view and
-    /// this one may have gone unseen.
-    pub fn apply_view(&mut self, view: &ControlView, unseen_changes: bool) {
+    /// Applies a view.
+    pub fn apply_view(&mut self, view: &ControlView, step: ViewStep) {
         let shares = self.shares(view);
-        let from_nothing = unseen_changes || !self.has_view;
+        let from_nothing = step == ViewStep::Whole || !self.has_view;
         for (key, share) in &shares {
             let budget = self.caps.entry(key.clone()).or_insert_with(|| CapBudget {
                 share: SettledShare::with_base(NO_CAP),
--- a/lib/src/steering.rs
+++ b/lib/src/steering.rs
@@ -156,8 +156,8 @@
     }
 
     /// Notes that a request was sent to `candidate`; digests don't show it yet.
-    pub fn note_sent(&mut self, candidate: &Candidate) {
-        self.outlook(candidate).note_sent();
+    pub fn note_sent(&mut self, now: Instant, candidate: &Candidate) {
+        self.outlook(candidate).note_sent(now);
     }
 
     /// Notes that `candidate` refused a request.
--- a/lib/src/wait_queue.rs
+++ b/lib/src/wait_queue.rs
@@ -6,7 +6,6 @@
 //! bring, comes late for its caller.
 
 use std::collections::VecDeque;
-use std::time::Instant;
 
 use crate::admission_event::Offer;
 use crate::admission_event::RequestToken;
@@ -64,10 +63,4 @@
         self.waiting = kept;
         taken
     }
-
-    /// Returns the earliest deadline among those that wait.
-    #[must_use]
-    pub fn earliest_deadline(&self) -> Option<Instant> {
-        self.waiting.iter().map(|offer| offer.deadline).min()
-    }
 }
--- a/server/src/admission_task.rs
+++ b/server/src/admission_task.rs
@@ -354,7 +354,7 @@
 
     fn apply_view(&mut self, now: Instant, view: &Arc<ControlView>, step: ViewStep) -> Vec<Effect> {
         self.steering.apply_view(view);
-        self.lookups.apply_view(now, view);
+        self.lookups.apply_view(view, step);
         self.admission.apply_view(now, view, step)
     }
 
