--- a/lib/src/action_backup.rs
+++ b/lib/src/action_backup.rs
@@ -136,17 +136,10 @@
         if *fingerprint != record.fingerprint {
             return Err(RecordRefusal::Conflict);
         }
-        match (state, record.state) {
-            (RecordState::Intent, RecordState::Ended(end)) => {
-                self.end(slot, end);
-                Ok(())
-            }
-            // The primary gave the key up before this copy of its intent arrived.
-            (RecordState::Ended(ActionEnd::NotRun(_)), RecordState::Intent) => {
-                Err(RecordRefusal::Fenced)
-            }
-            (RecordState::Intent | RecordState::Ended(_), _) => Ok(()),
+        if let (RecordState::Intent, RecordState::Ended(end)) = (state, record.state) {
+            self.end(slot, end);
         }
+        Ok(())
     }
 
     fn end(&mut self, slot: ActionSlot, end: ActionEnd) {
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -68,6 +68,7 @@
 pub mod tenure;
 pub mod ticket;
 pub mod usage_window;
+pub mod ticket_issue;
 pub mod view;
 pub mod view_log;
 pub mod wait_queue;
--- /dev/null
+++ b/lib/src/ticket_issue.rs
@@ -0,0 +1,99 @@
+//! Which sessions a new ticket names.
+
+use crate::action_record::ActionKey;
+use crate::id::ServiceName;
+use crate::id::SessionId;
+use crate::ticket::Ticket;
+use crate::ticket::TicketClaims;
+use crate::ticket::TicketSecret;
+use crate::ticket::TicketSession;
+use crate::view::ControlView;
+use crate::view::EntrySession;
+
+/// Holds what a look-up brings along for a ticket.
+#[derive(Clone, Copy, Debug)]
+pub struct TicketRequest<'a> {
+    /// The service that was looked up.
+    pub service: &'a ServiceName,
+    /// The session that the look-up names.
+    pub primary: SessionId,
+    /// Drawn at random.
+    pub nonce: u64,
+    /// The issuer's time, in milliseconds since the Unix epoch.
+    pub now_unix_ms: u64,
+}
+
+/// Issues a ticket, or none when no second process of the region can record actions.
+///
+/// The life of a ticket comes from the manifest.
+#[must_use]
+pub fn issue_ticket(
+    view: &ControlView,
+    request: &TicketRequest<'_>,
+    secret: &TicketSecret,
+) -> Option<Ticket> {
+    let look_ups = &view.manifest.as_ref()?.manifest.look_ups;
+    let primary = view.sessions.get(&request.primary)?;
+    if primary.leaving {
+        return None;
+    }
+    let backup = choose_backup(view, primary, request.nonce)?;
+    let life_ms = u64::from(look_ups.ticket_ms);
+    let claims = TicketClaims {
+        service: request.service.clone(),
+        region: primary.info.region.clone(),
+        primary: ticket_session(primary),
+        backup: ticket_session(backup),
+        nonce: request.nonce,
+        expires_unix_ms: request.now_unix_ms.saturating_add(life_ms),
+    };
+    Some(Ticket::issue(claims, secret))
+}
+
+/// Chooses the session that keeps the second record: in another place of the region,
+/// so that losing one place doesn't lose both records; else on another VM of the place.
+/// The nonce spreads tickets over the candidates.
+#[must_use]
+pub fn choose_backup<'a>(
+    view: &'a ControlView,
+    primary: &EntrySession,
+    nonce: u64,
+) -> Option<&'a EntrySession> {
+    let in_region = |session: &&EntrySession| {
+        let info = &session.info;
+        !session.leaving && info.region == primary.info.region && info.vm != primary.info.vm
+    };
+    let candidates: Vec<&EntrySession> = view.sessions.values().filter(in_region).collect();
+    let elsewhere: Vec<&EntrySession> = candidates
+        .iter()
+        .copied()
+        .filter(|session| session.info.place != primary.info.place)
+        .collect();
+    pick(&elsewhere, nonce).or_else(|| pick(&candidates, nonce))
+}
+
+fn pick<'a>(candidates: &[&'a EntrySession], nonce: u64) -> Option<&'a EntrySession> {
+    let count = u64::try_from(candidates.len()).ok()?;
+    let index = usize::try_from(nonce.checked_rem(count)?).ok()?;
+    candidates.get(index).copied()
+}
+
+fn ticket_session(session: &EntrySession) -> TicketSession {
+    TicketSession {
+        session: session.id,
+        vm: session.info.vm.clone(),
+    }
+}
+
+/// Finds the session that an action is to be sent to, if the view still has it.
+#[must_use]
+pub fn primary_of<'a>(view: &'a ControlView, key: &ActionKey) -> Option<&'a EntrySession> {
+    view.sessions.get(&key.ticket().claims().primary.session)
+}
+
+/// Finds the session that is asked when the primary can't be reached, if the view
+/// still has it.
+#[must_use]
+pub fn backup_of<'a>(view: &'a ControlView, key: &ActionKey) -> Option<&'a EntrySession> {
+    view.sessions.get(&key.ticket().claims().backup.session)
+}
--- /dev/null
+++ b/lib/tests/test_action_primary.rs
@@ -0,0 +1,205 @@
+//! Cases of the primary's and the backup's records that random orders hit too seldom.
+
+#[path = "common/action_sample.rs"]
+mod action_sample;
+
+use std::sync::Arc;
+
+use heatherring_lib::action_backup::ActionBackup;
+use heatherring_lib::action_primary::ActionPrimary;
+use heatherring_lib::action_primary::Arrival;
+use heatherring_lib::action_primary::BackupReply;
+use heatherring_lib::action_record::ActionEnd;
+use heatherring_lib::action_record::ActionQuery;
+use heatherring_lib::action_record::BackupRecord;
+use heatherring_lib::action_record::RecordRefusal;
+use heatherring_lib::action_record::RecordState;
+use heatherring_lib::action_record::StoredAnswer;
+use heatherring_lib::action_store::ActionLimits;
+use heatherring_lib::action_store::ActionSlot;
+use heatherring_lib::outcome::NotRunReason;
+use heatherring_lib::outcome::UnknownReason;
+use rstest::fixture;
+use rstest::rstest;
+
+use crate::action_sample::BACKUP;
+use crate::action_sample::PRIMARY;
+use crate::action_sample::key;
+use crate::action_sample::query;
+
+const NOW_MS: u64 = 1_000_000;
+const SOON_MS: u64 = NOW_MS + 100;
+const LATE_MS: u64 = NOW_MS + 1_000;
+
+const LIMITS: ActionLimits = ActionLimits {
+    max_records: 2,
+    max_answer_bytes: 100,
+    max_ahead_ms: 10_000,
+    retention_ms: 50,
+};
+
+#[fixture]
+fn primary() -> ActionPrimary {
+    let mut primary = ActionPrimary::new(LIMITS);
+    primary.add_session(PRIMARY);
+    primary
+}
+
+#[fixture]
+fn backup() -> ActionBackup {
+    let mut backup = ActionBackup::new(LIMITS);
+    backup.add_session(BACKUP);
+    backup
+}
+
+fn asked(random_part: &str, expires_unix_ms: u64) -> ActionQuery {
+    query(&key(random_part, expires_unix_ms), b"body")
+}
+
+fn answer(size: usize) -> ActionEnd {
+    ActionEnd::Answer(Arc::new(StoredAnswer {
+        status: 200,
+        headers: Vec::new(),
+        body: vec![b'x'; size],
+    }))
+}
+
+fn arrive(primary: &mut ActionPrimary, now_ms: u64, query: &ActionQuery) -> Arrival {
+    primary.arrive(now_ms, &query.key, query.fingerprint)
+}
+
+fn start(primary: &mut ActionPrimary, query: &ActionQuery) -> ActionSlot {
+    match arrive(primary, NOW_MS, query) {
+        Arrival::Start { slot, .. } => slot,
+        other => panic!("expected a start, got {other:?}"),
+    }
+}
+
+fn run(primary: &mut ActionPrimary, query: &ActionQuery) -> ActionSlot {
+    let slot = start(primary, query);
+    let reply = primary.backup_replied(slot, Ok(()));
+    assert!(matches!(reply, BackupReply::Dispatch(_)));
+    slot
+}
+
+#[track_caller]
+fn expect_end(arrival: &Arrival, expected: &ActionEnd) {
+    match arrival {
+        Arrival::Ended(end) => assert_eq!(end, expected),
+        other => panic!("expected {expected:?}, got {other:?}"),
+    }
+}
+
+// Symptom: an action runs after its caller was told "not run" because memory was full.
+// Sequence: the store is full of live records, a third key is refused; the records'
+// tickets end and make room; a delayed copy of the refused request arrives.
+// Cause: a refusal for want of memory that isn't remembered.
+#[rstest]
+fn test_action_primary_full_store_refuses_for_good(mut primary: ActionPrimary) {
+    for random_part in ["a", "b"] {
+        let slot = run(&mut primary, &asked(random_part, SOON_MS));
+        primary.ended(slot, answer(1)).expect("the run has ended");
+    }
+    let refused = asked("c", LATE_MS);
+    let full = ActionEnd::NotRun(NotRunReason::ActionStoreFull);
+    expect_end(&arrive(&mut primary, NOW_MS, &refused), &full);
+    expect_end(&arrive(&mut primary, SOON_MS, &refused), &full);
+    let newer = asked("d", LATE_MS + 1);
+    let arrival = arrive(&mut primary, SOON_MS, &newer);
+    assert!(matches!(arrival, Arrival::Start { .. }), "{arrival:?}");
+}
+
+// Symptom: callers of a long action wait for nothing.
+// Sequence: the ticket ends and its retention passes while the action runs.
+// Cause: a record under way that goes by age.
+#[rstest]
+fn test_action_primary_running_record_outlives_its_ticket(mut primary: ActionPrimary) {
+    let long = asked("a", SOON_MS);
+    let slot = run(&mut primary, &long);
+    primary.purge(LATE_MS);
+    assert!(
+        matches!(arrive(&mut primary, LATE_MS, &long), Arrival::Wait(waiting) if waiting == slot)
+    );
+    let ended = primary.ended(slot, answer(1)).expect("the record is there");
+    assert_eq!(ended.end, answer(1));
+}
+
+#[rstest]
+fn test_action_primary_expired_answers_as_long_as_found(mut primary: ActionPrimary) {
+    let action = asked("a", SOON_MS);
+    let slot = run(&mut primary, &action);
+    primary.ended(slot, answer(1)).expect("the run has ended");
+    expect_end(&arrive(&mut primary, SOON_MS + 1, &action), &answer(1));
+    primary.purge(LATE_MS);
+    let expired = ActionEnd::Unknown(UnknownReason::TicketExpired);
+    expect_end(&arrive(&mut primary, LATE_MS, &action), &expired);
+}
+
+// Symptom: memory grows with the size of answers.
+// Sequence: answers above the bound of the store.
+// Cause: a bound on records that doesn't count bytes.
+#[rstest]
+fn test_action_primary_answer_beyond_memory_is_told_once(mut primary: ActionPrimary) {
+    let action = asked("a", SOON_MS);
+    let slot = run(&mut primary, &action);
+    let ended = primary.ended(slot, answer(101)).expect("the run has ended");
+    assert_eq!(ended.end, answer(101));
+    let not_kept = ActionEnd::Unknown(UnknownReason::AnswerNotKept);
+    expect_end(&arrive(&mut primary, NOW_MS, &action), &not_kept);
+    assert_eq!(primary.answer_bytes(), 0);
+}
+
+#[rstest]
+fn test_action_primary_ticket_ahead_of_clock(mut primary: ActionPrimary) {
+    let far = asked("a", NOW_MS + LIMITS.max_ahead_ms + 1);
+    let ahead = ActionEnd::Unknown(UnknownReason::TicketAheadOfClock);
+    expect_end(&arrive(&mut primary, NOW_MS, &far), &ahead);
+}
+
+// Symptom: an action that was refused before it was recorded runs later.
+// Sequence: the process leaves and refuses; a delayed copy arrives.
+// Cause: a refusal without a record.
+#[rstest]
+fn test_action_primary_early_refusal_is_final(mut primary: ActionPrimary) {
+    let action = asked("a", SOON_MS);
+    let refused = ActionEnd::NotRun(NotRunReason::Leaving);
+    expect_end(
+        &primary.refuse(NOW_MS, &action, NotRunReason::Leaving),
+        &refused,
+    );
+    expect_end(&arrive(&mut primary, NOW_MS, &action), &refused);
+}
+
+#[rstest]
+fn test_action_backup_fence_refuses_a_late_intent(mut backup: ActionBackup) {
+    let action = asked("a", SOON_MS);
+    let fenced = ActionEnd::NotRun(NotRunReason::KeyFenced);
+    assert_eq!(backup.resolve(NOW_MS, &action), fenced);
+    let intent = BackupRecord {
+        key: action.key,
+        fingerprint: action.fingerprint,
+        state: RecordState::Intent,
+    };
+    assert_eq!(backup.record(NOW_MS, intent), Err(RecordRefusal::Fenced));
+}
+
+#[rstest]
+fn test_action_backup_full_of_fences_is_unknown(mut backup: ActionBackup) {
+    for random_part in ["a", "b"] {
+        let end = backup.resolve(NOW_MS, &asked(random_part, SOON_MS));
+        assert_eq!(end, ActionEnd::NotRun(NotRunReason::KeyFenced));
+    }
+    let full = ActionEnd::Unknown(UnknownReason::ActionStoreFull);
+    assert_eq!(backup.resolve(NOW_MS, &asked("c", SOON_MS)), full);
+}
+
+// Symptom: a restarted backup says "not run" of an action that its former life recorded.
+// Sequence: intent recorded, backup restarts with a new session, someone resolves.
+// Cause: a ticket that names a VM rather than one life of its process.
+#[rstest]
+fn test_action_backup_of_another_life_is_unknown() {
+    let mut restarted = ActionBackup::new(LIMITS);
+    restarted.add_session(heatherring_lib::id::SessionId(80));
+    let unreachable = ActionEnd::Unknown(UnknownReason::RecordsUnreachable);
+    assert_eq!(restarted.resolve(NOW_MS, &asked("a", SOON_MS)), unreachable);
+}
--- /dev/null
+++ b/lib/tests/test_ticket_issue.rs
@@ -0,0 +1,61 @@
+//! Which sessions tickets name.
+
+use std::net::SocketAddr;
+
+use heatherring_lib::id::PlaceName;
+use heatherring_lib::id::RegionName;
+use heatherring_lib::id::SessionId;
+use heatherring_lib::id::VmName;
+use heatherring_lib::ticket_issue::choose_backup;
+use heatherring_lib::view::ControlView;
+use heatherring_lib::view::EntryInfo;
+use heatherring_lib::view::EntrySession;
+
+const ADDRESS: SocketAddr = SocketAddr::new(std::net::IpAddr::V4(std::net::Ipv4Addr::LOCALHOST), 1);
+
+fn session(id: u64, region: &str, place: &str, leaving: bool) -> EntrySession {
+    let info = EntryInfo {
+        vm: VmName::new(format!("vm-{id}")),
+        place: PlaceName::new(place),
+        region: RegionName::new(region),
+        callers: ADDRESS,
+        backend_servers: ADDRESS,
+        peers: ADDRESS,
+        forward: ADDRESS,
+    };
+    EntrySession {
+        id: SessionId(id),
+        info,
+        leaving,
+    }
+}
+
+fn backup_among(others: &[EntrySession]) -> Option<u64> {
+    let primary = session(1, "almaty", "alm-a", false);
+    let mut view = ControlView::default();
+    for other in others.iter().chain([&primary]) {
+        view.sessions.insert(other.id, other.clone());
+    }
+    choose_backup(&view, &primary, 5).map(|backup| backup.id.0)
+}
+
+macro_rules! backups {
+    ($($name:ident $expected:expr, [$($other:expr),*];)*) => {
+        $(
+            #[test]
+            fn $name() {
+                assert_eq!(backup_among(&[$($other),*]), $expected);
+            }
+        )*
+    };
+}
+
+backups! {
+    test_ticket_backup_in_another_place Some(3),
+        [session(2, "almaty", "alm-a", false), session(3, "almaty", "alm-b", false)];
+    test_ticket_backup_on_another_vm_of_the_place Some(2),
+        [session(2, "almaty", "alm-a", false), session(3, "astana", "ast-a", false)];
+    test_ticket_backup_that_leaves_is_passed_over Some(2),
+        [session(2, "almaty", "alm-a", false), session(3, "almaty", "alm-b", true)];
+    test_ticket_backup_none None, [session(3, "astana", "ast-a", false)];
+}
