--- a/server/src/control_node.rs
+++ b/server/src/control_node.rs
@@ -23,6 +23,7 @@
 use heatherring_lib::raft_effects::Answer;
 use heatherring_lib::raft_effects::Effects;
 use heatherring_lib::raft_effects::Input;
+use heatherring_lib::raft_effects::MembershipChange;
 use heatherring_lib::raft_effects::Refusal;
 use heatherring_lib::raft_effects::Role;
 use heatherring_lib::raft_effects::RoleChange;
@@ -47,12 +48,15 @@
 use crate::node_pending::Pending;
 use crate::node_pending::PendingKey;
 use crate::node_pending::Waiter;
+use crate::node_pending::audit_request;
 use crate::node_pending::key_of;
 use crate::node_pending::token_of;
 use crate::node_request::Committed;
+use crate::node_request::LeaderLink;
 use crate::node_request::NodeError;
 use crate::node_request::NodeRequest;
 use crate::peer_links::PeerLinks;
+use crate::proto::StatusReply;
 use crate::session_desk::HeldSync;
 use crate::session_desk::SessionDesk;
 use crate::session_desk::Verdict;
@@ -294,15 +298,29 @@
     fn change_membership(
         &mut self,
         operator: String,
-        change: heatherring_lib::raft_effects::MembershipChange,
+        change: MembershipChange,
         reply: oneshot::Sender<Result<Revision, NodeError>>,
     ) {
-        let request = crate::node_pending::audit_request(operator, &change);
+        if self.has_added(&change) {
+            // A resend whose first answer was lost.
+            let _ = reply.send(Ok(self.state.revision()));
+            return;
+        }
+        let request = audit_request(operator, &change);
         self.propose(CommandKind::RequestMembership(request), Pending::Unattended);
         let token = token_of(self.pending.insert(Pending::Membership(reply)));
         self.step(Input::ChangeMembership { token, change });
     }
 
+    fn has_added(&self, change: &MembershipChange) -> bool {
+        let MembershipChange::AddLearner { id, info, .. } = change else {
+            return false;
+        };
+        let membership = self.raft.membership();
+        let known = membership.learners.get(id).or(membership.voters.get(id));
+        self.raft.role() == Role::Leader && known == Some(info)
+    }
+
     fn propose_lapses(&mut self) {
         if self.raft.role() != Role::Leader {
             return;
@@ -519,7 +537,7 @@
         }
     }
 
-    fn leader_link(&mut self) -> Option<Box<crate::node_request::LeaderLink>> {
+    fn leader_link(&mut self) -> Option<Box<LeaderLink>> {
         let leader = self.raft.leader()?;
         let link = self.links.leader_link(self.raft.membership(), leader)?;
         Some(Box::new(link))
@@ -564,7 +582,7 @@
         }
     }
 
-    fn status(&self, current: bool) -> crate::proto::StatusReply {
+    fn status(&self, current: bool) -> StatusReply {
         status_reply(
             self.identity.cluster,
             &self.raft,
--- a/server/src/log_disk.rs
+++ b/server/src/log_disk.rs
@@ -334,8 +334,8 @@
         if records.is_empty() {
             return Ok(());
         }
-        let body = postcard::to_stdvec(records).map_err(io::Error::other)?;
-        let mut buf = Vec::with_capacity(body.len() + crate::record_codec::HEADER_BYTES);
+        let body = encode_records(records)?;
+        let mut buf = Vec::with_capacity(body.len() + crate::record_codec::FRAME_BYTES);
         encode_frame(self.next_frame, &body, &mut buf);
         let name = self.current_name()?;
         let begun = Instant::now();
@@ -359,7 +359,7 @@
             return Ok(());
         }
         let body = postcard::to_stdvec(snapshot).map_err(io::Error::other)?;
-        let mut content = Vec::with_capacity(body.len() + crate::record_codec::HEADER_BYTES);
+        let mut content = Vec::with_capacity(body.len() + crate::record_codec::FRAME_BYTES);
         encode_frame(snapshot.index.0, &body, &mut content);
         write_atomically(&mut self.disk, &snapshot_name(mark), &content)?;
         self.write_frame(&[LogRecord::Snapshot(mark)])?;
@@ -378,7 +378,7 @@
         let seal_frame = self.next_frame;
         self.next_frame += 1;
         self.begin_segment()?;
-        let body = postcard::to_stdvec(&[LogRecord::Sealed]).map_err(io::Error::other)?;
+        let body = encode_records(&[LogRecord::Sealed])?;
         let mut buf = Vec::new();
         encode_frame(seal_frame, &body, &mut buf);
         self.disk.append(&sealed, &buf)?;
@@ -396,7 +396,7 @@
             hard_state: self.hard_state,
             snapshot: self.snapshot,
         };
-        let body = postcard::to_stdvec(&[LogRecord::Head(head)]).map_err(io::Error::other)?;
+        let body = encode_records(&[LogRecord::Head(head)])?;
         let mut content = Vec::new();
         encode_frame(self.next_frame, &body, &mut content);
         write_atomically(&mut self.disk, &segment_name(number), &content)?;
@@ -419,6 +419,10 @@
     }
 }
 
+fn encode_records(records: &[LogRecord<'_>]) -> io::Result<Vec<u8>> {
+    postcard::to_stdvec(records).map_err(io::Error::other)
+}
+
 /// Removes files that a crash left and that mean nothing.
 fn remove_remains<D: Disk>(
     disk: &mut D,
--- a/server/src/record_codec.rs
+++ b/server/src/record_codec.rs
@@ -6,11 +6,18 @@
 use crc32fast::Hasher;
 use snafu::Snafu;
 
-/// Marks the start of a frame.
+/// Marks the start and the end of a frame. None of its bytes is zero, so that zeros in
+/// its place mean that nothing was written there.
 const MAGIC: u32 = 0x4852_4c31;
 
 /// Bytes of a frame before its body: magic, length, number, body checksum, header checksum.
-pub const HEADER_BYTES: usize = 24;
+const HEADER_BYTES: usize = 24;
+
+/// Bytes of a frame after its body.
+const TRAILER_BYTES: usize = 4;
+
+/// Bytes of a frame besides its body.
+pub const FRAME_BYTES: usize = HEADER_BYTES + TRAILER_BYTES;
 
 /// The smallest unit that a disk writes as a whole.
 const SECTOR_BYTES: usize = 512;
@@ -67,6 +74,7 @@
     let header_checksum = crc32fast::hash(&buf[start..]);
     buf.extend_from_slice(&header_checksum.to_le_bytes());
     buf.extend_from_slice(body);
+    buf.extend_from_slice(&MAGIC.to_le_bytes());
 }
 
 fn body_checksum(number: u64, body: &[u8]) -> u32 {
@@ -104,12 +112,14 @@
     }
     let body_length = u32_at(header, 4) as usize;
     let number = u64_at(header, 8);
-    let length = HEADER_BYTES + body_length;
+    let body_end = HEADER_BYTES + body_length;
+    let length = body_end + TRAILER_BYTES;
     if bytes.len() < length {
         return Err(FrameError::Short);
     }
-    let body = &bytes[HEADER_BYTES..length];
-    if body_checksum(number, body) != u32_at(header, 16) {
+    let body = &bytes[HEADER_BYTES..body_end];
+    let intact = body_checksum(number, body) == u32_at(header, 16);
+    if !intact || u32_at(bytes, body_end) != MAGIC {
         return Err(FrameError::Body);
     }
     Ok(Frame {
@@ -133,30 +143,32 @@
     if has_frame_after(&file[offset..]) {
         return Tail::Damaged;
     }
-    match error {
-        FrameError::Short => Tail::Torn,
-        FrameError::Header => torn_if_sector_missing(file, offset, offset + HEADER_BYTES),
-        FrameError::Body => torn_if_sector_missing(file, offset, file.len()),
-    }
+    let missing = *error == FrameError::Short || has_unwritten_part(file, offset);
+    if missing { Tail::Torn } else { Tail::Damaged }
 }
 
 fn has_frame_after(bytes: &[u8]) -> bool {
     (1..bytes.len()).any(|start| decode_frame(&bytes[start..]).is_ok())
 }
 
-fn torn_if_sector_missing(file: &[u8], start: usize, end: usize) -> Tail {
-    if file[start..].iter().all(|byte| *byte == 0) {
-        return Tail::Torn;
+/// Returns whether a part of the last frame, from one sector's boundary to the next,
+/// was never written.
+fn has_unwritten_part(file: &[u8], offset: usize) -> bool {
+    let frame = &file[offset..];
+    let is_zero = |part: &[u8]| part.iter().all(|byte| *byte == 0);
+    if is_zero(frame) || is_zero(&frame[..TRAILER_BYTES]) {
+        return true;
     }
-    let end = end.min(file.len());
-    let mut position = start;
-    while position < end {
+    let mut position = offset;
+    while position < file.len() {
         let sector_end = (position / SECTOR_BYTES + 1) * SECTOR_BYTES;
         let part = &file[position..sector_end.min(file.len())];
-        if part.len() >= MISSING_BYTES && part.iter().all(|byte| *byte == 0) {
-            return Tail::Torn;
+        let at_end = sector_end >= file.len();
+        let least = if at_end { TRAILER_BYTES } else { MISSING_BYTES };
+        if part.len() >= least && is_zero(part) {
+            return true;
         }
         position = sector_end;
     }
-    Tail::Damaged
+    false
 }
