--- a/lib/src/settings.rs
+++ b/lib/src/settings.rs
@@ -28,6 +28,11 @@
     /// Where other replicas, entry VMs and operators reach this replica (gRPC).
     #[schemars(extend("format" = "socket-address"))]
     pub listen: SocketAddr,
+    /// Where others reach this replica, if that isn't `listen`, as behind an address
+    /// translation.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    #[schemars(extend("format" = "socket-address"))]
+    pub advertise: Option<SocketAddr>,
     /// The folder that holds everything that must survive a restart. Formatted by
     /// `control init`, `control join` or `control repair`.
     #[schemars(length(min = 1))]
@@ -46,6 +51,14 @@
     pub log: LogSettings,
 }
 
+impl ControlSettings {
+    /// Returns where others reach this replica.
+    #[must_use]
+    pub fn advertised(&self) -> SocketAddr {
+        self.advertise.unwrap_or(self.listen)
+    }
+}
+
 const fn default_snapshot_every() -> u64 {
     1_000
 }
@@ -132,6 +145,10 @@
     pub region: RegionName,
     /// Addresses to listen on.
     pub listen: EntryListen,
+    /// Where others reach the listeners, if that isn't `listen`, as behind an address
+    /// translation.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub advertise: Option<EntryListen>,
     /// Addresses of control replicas, tried in order.
     #[schemars(length(min = 1), extend("items" = {"type": "string", "format": "socket-address"}))]
     pub control: Vec<SocketAddr>,
@@ -148,7 +165,15 @@
     pub metrics: Option<MetricsSettings>,
 }
 
-/// Holds the addresses that an entry VM listens on.
+impl EntrySettings {
+    /// Returns where others reach the listeners.
+    #[must_use]
+    pub fn advertised(&self) -> EntryListen {
+        self.advertise.unwrap_or(self.listen)
+    }
+}
+
+/// Holds the addresses of an entry VM's listeners.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, JsonSchema, PartialEq, Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct EntryListen {
--- a/lib/src/settings_check.rs
+++ b/lib/src/settings_check.rs
@@ -116,6 +116,11 @@
     let listen = ConfigPath::root().field("listen");
     problems.extend(check_listener(listen.clone(), settings.listen));
     problems.extend(check_open(&settings.security, listen, settings.listen));
+    if let Some(address) = settings.advertise {
+        let advertise = ConfigPath::root().field("advertise");
+        problems.extend(check_listener(advertise.clone(), address));
+        problems.extend(check_open(&settings.security, advertise, address));
+    }
     problems
 }
 
@@ -128,6 +133,11 @@
     for (name, address) in listeners(&settings.listen) {
         problems.extend(check_open(&settings.security, listen.field(name), address));
     }
+    for (name, address) in settings.advertise.iter().flat_map(listeners) {
+        let advertise = ConfigPath::root().field("advertise").field(name);
+        problems.extend(check_listener(advertise.clone(), address));
+        problems.extend(check_open(&settings.security, advertise, address));
+    }
     let control = ConfigPath::root().field("control");
     for (index, address) in settings.control.iter().enumerate() {
         problems.extend(check_open(
--- a/lib/tests/test_settings.rs
+++ b/lib/tests/test_settings.rs
@@ -75,6 +75,10 @@
     test_settings_open_beyond_loopback: read_control_settings, CONTROL,
         r#""127.0.0.11:7400""# => r#"^"10.0.0.1:7400""#,
         r#"10.0.0.1:7400 is no loopback address, and security is open_loopback; allowed beyond loopback is {"tls": ..}"#;
+    // Others connect to what is advertised, so it must not open the protocols either.
+    test_settings_advertised_beyond_loopback: read_control_settings, CONTROL,
+        r#""vm""# => r#""advertise": ^"10.0.0.1:7400", "vm""#,
+        r#"10.0.0.1:7400 is no loopback address, and security is open_loopback; allowed beyond loopback is {"tls": ..}"#;
     test_settings_port_zero: read_control_settings, CONTROL,
         r#""127.0.0.11:7400""# => r#"^"127.0.0.11:0""#,
         r"127.0.0.11:0 has port 0; allowed are ports from 1 to 65535";
--- a/server/src/control_format.rs
+++ b/server/src/control_format.rs
@@ -202,7 +202,7 @@
 fn own_info(settings: &ControlSettings) -> ReplicaInfo {
     ReplicaInfo {
         vm: settings.vm.clone(),
-        address: settings.listen,
+        address: settings.advertised(),
     }
 }
 
--- a/server/src/control_process.rs
+++ b/server/src/control_process.rs
@@ -139,7 +139,7 @@
     let links = PeerLinks::new(
         identity.cluster,
         identity.replica,
-        settings.listen,
+        settings.advertised(),
         PeerChannels::new(security.clone()),
     );
     let node = ControlNode::new(cfg, clock, disk, recovered, links).context(NodeSnafu)?;
--- a/server/src/entry_process.rs
+++ b/server/src/entry_process.rs
@@ -338,14 +338,15 @@
 }
 
 fn entry_info(settings: &EntrySettings) -> EntryInfo {
+    let advertised = settings.advertised();
     EntryInfo {
         vm: settings.vm.clone(),
         place: settings.place.clone(),
         region: settings.region.clone(),
-        callers: settings.listen.callers,
-        backend_servers: settings.listen.backend_servers,
-        peers: settings.listen.peers,
-        forward: settings.listen.forward,
+        callers: advertised.callers,
+        backend_servers: advertised.backend_servers,
+        peers: advertised.peers,
+        forward: advertised.forward,
     }
 }
 
