raft: simulation with random faults

Random cuts, losses, crashes with unsynced writes dropped, frozen processes, lost disks and membership changes, with the invariants checked after each step. The seed is fixed; HEATHERRING_SEED and HEATHERRING_CASES take others.

--- a/lib/src/raft_config.rs
+++ b/lib/src/raft_config.rs
@@ -133,6 +133,21 @@
         Ok(())
     }
 
+    /// Returns the membership in force: the latest in the log, committed or not.
+    #[must_use]
+    pub fn membership(&self) -> Membership {
+        let in_log = self
+            .entries
+            .iter()
+            .rev()
+            .find_map(|entry| match &entry.payload {
+                LogPayload::Membership(membership) => Some(membership),
+                LogPayload::Noop | LogPayload::Command(_) => None,
+            });
+        let of_snapshot = self.snapshot.as_ref().map(|snapshot| &snapshot.membership);
+        in_log.or(of_snapshot).cloned().unwrap_or_default()
+    }
+
     /// Returns the last position held; 0 when there is none.
     #[must_use]
     pub fn last_index(&self) -> Revision {
--- a/lib/tests/raft_network/checker.rs
+++ b/lib/tests/raft_network/checker.rs
@@ -97,7 +97,7 @@
             .or_insert_with(|| (previous_term, entry.clone()));
         assert_eq!(known, &(previous_term, entry.clone()), "logs don't match");
         if let LogPayload::Membership(membership) = &entry.payload {
-            check_single_step(&membership_of(before), membership);
+            check_single_step(&before.membership(), membership);
         }
     }
 
@@ -166,22 +166,6 @@
     }
 }
 
-fn membership_of(durable: &DurableState) -> Membership {
-    let in_log = durable
-        .entries
-        .iter()
-        .rev()
-        .find_map(|entry| match &entry.payload {
-            LogPayload::Membership(membership) => Some(membership),
-            LogPayload::Noop | LogPayload::Command(_) => None,
-        });
-    let of_snapshot = durable
-        .snapshot
-        .as_ref()
-        .map(|snapshot| &snapshot.membership);
-    in_log.or(of_snapshot).cloned().unwrap_or_default()
-}
-
 fn check_single_step(before: &Membership, after: &Membership) {
     let before: BTreeSet<_> = before.voters.keys().collect();
     let after: BTreeSet<_> = after.voters.keys().collect();
--- /dev/null
+++ b/lib/tests/test_raft_simulation.rs
@@ -0,0 +1,279 @@
+//! Random faults against the agreement, with its invariants checked after each step.
+//!
+//! The seed is fixed, so that every run gives the same verdict. `HEATHERRING_SEED`
+//! takes another one and `HEATHERRING_CASES` runs more cases.
+
+mod raft_network;
+
+use std::cell::RefCell;
+use std::env;
+use std::time::Duration;
+
+use heatherring_lib::id::ReplicaId;
+use heatherring_lib::raft_config::DurableState;
+use heatherring_lib::raft_effects::Input;
+use heatherring_lib::raft_effects::MembershipChange;
+use proptest::prelude::any;
+use proptest::prelude::prop;
+use proptest::prelude::prop_oneof;
+use proptest::strategy::Strategy;
+use proptest::test_runner::Config;
+use proptest::test_runner::RngAlgorithm;
+use proptest::test_runner::TestRng;
+use proptest::test_runner::TestRunner;
+
+use self::raft_network::ELECTION_MAX;
+use self::raft_network::Network;
+use self::raft_network::Weather;
+use self::raft_network::id;
+
+const DEFAULT_SEED: u64 = 20_260;
+const DEFAULT_CASES: u32 = 96;
+const MAX_REPLICAS: usize = 10;
+
+/// Names one fault or request. Numbers choose among the replicas that there are.
+#[derive(Clone, Debug)]
+enum Event {
+    Propose(u8),
+    Read(u8),
+    Crash(u8),
+    Restart(u8),
+    CutOneWay(u8, u8),
+    Isolate(u8),
+    Heal,
+    Storm(Weather),
+    Freeze(u8, u16),
+    Compact(u8),
+    StepDown,
+    LoseDisk(u8),
+    Add,
+    Remove(u8),
+}
+
+/// Holds a run and the repairs that an operator still has to make.
+struct Simulation {
+    network: Network,
+    /// New replicas that aren't members yet, with what they replace.
+    joining: Vec<(ReplicaId, Option<ReplicaId>)>,
+    next_number: u64,
+}
+
+/// Counts what the cases did, to show that they did something.
+#[derive(Debug, Default)]
+struct Totals {
+    steps: u64,
+    messages: u64,
+    elections: u64,
+    committed: u64,
+    answers: usize,
+}
+
+impl Totals {
+    fn add(&mut self, network: &Network) {
+        self.steps += network.steps;
+        self.messages += network.messages;
+        self.elections += network.checker.elections;
+        self.committed += network.checker.last_committed().0;
+        self.answers += network.answers.len();
+    }
+}
+
+fn event() -> impl Strategy<Value = Event> {
+    let pick = any::<u8>;
+    prop_oneof![
+        8 => pick().prop_map(Event::Propose),
+        6 => pick().prop_map(Event::Read),
+        3 => pick().prop_map(Event::Crash),
+        4 => pick().prop_map(Event::Restart),
+        3 => (pick(), pick()).prop_map(|(from, to)| Event::CutOneWay(from, to)),
+        2 => pick().prop_map(Event::Isolate),
+        2 => prop::strategy::Just(Event::Heal),
+        2 => storm().prop_map(Event::Storm),
+        2 => (pick(), 0..1_500_u16).prop_map(|(node, ms)| Event::Freeze(node, ms)),
+        2 => pick().prop_map(Event::Compact),
+        1 => prop::strategy::Just(Event::StepDown),
+        1 => pick().prop_map(Event::LoseDisk),
+        1 => prop::strategy::Just(Event::Add),
+        1 => pick().prop_map(Event::Remove),
+    ]
+}
+
+fn storm() -> impl Strategy<Value = Weather> {
+    (0..30_u8, 0..20_u8, 1..100_u64, 0..30_u64).prop_map(|(loss, doubled, delay, sync)| Weather {
+        loss,
+        doubled,
+        max_delay_ms: delay,
+        max_sync_ms: sync,
+    })
+}
+
+impl Simulation {
+    fn new(seed: u64) -> Self {
+        Self {
+            network: Network::with_voters(seed, 3),
+            joining: Vec::new(),
+            next_number: 4,
+        }
+    }
+
+    fn pick(&self, number: u8) -> ReplicaId {
+        let offset = usize::from(number) % self.network.nodes.len();
+        *self.network.nodes.keys().nth(offset).unwrap()
+    }
+
+    fn apply(&mut self, event: &Event) {
+        match event {
+            Event::Propose(node) => {
+                self.network.propose(self.pick(*node));
+                if let Some(leader) = self.network.leader() {
+                    self.network.propose(leader);
+                }
+            }
+            Event::Read(node) => {
+                self.network.read(self.pick(*node));
+                if let Some(leader) = self.network.leader() {
+                    self.network.read(leader);
+                }
+            }
+            Event::Crash(node) => self.network.crash(self.pick(*node)),
+            Event::Restart(node) => self.network.restart(self.pick(*node)),
+            Event::CutOneWay(from, to) => self.network.cut(self.pick(*from), self.pick(*to)),
+            Event::Isolate(node) => self.network.isolate(self.pick(*node)),
+            Event::Heal => self.network.heal(),
+            Event::Storm(weather) => self.network.weather = *weather,
+            Event::Freeze(node, ms) => {
+                let span = Duration::from_millis(u64::from(*ms));
+                self.network.freeze(self.pick(*node), span);
+            }
+            Event::Compact(node) => self.network.compact(self.pick(*node)),
+            Event::StepDown => {
+                if let Some(leader) = self.network.leader() {
+                    self.network.step(leader, Input::StepDown);
+                }
+            }
+            Event::LoseDisk(node) => self.lose_disk(self.pick(*node)),
+            Event::Add => self.add(None),
+            Event::Remove(node) => self.remove(self.pick(*node)),
+        }
+        self.request_joins();
+    }
+
+    /// Loses a voter's disk, unless an earlier loss isn't repaired everywhere yet: a
+    /// second loss before the repair is done takes committed entries with it.
+    fn lose_disk(&mut self, victim: ReplicaId) {
+        let lost = |replica: &ReplicaId| self.network.nodes[replica].lost;
+        let disks = self.network.nodes.values().filter(|node| !node.lost);
+        let repaired = disks.map(|node| node.disk.membership()).all(|membership| {
+            membership.voters.len() >= 3 && !membership.voters.keys().any(lost)
+                || membership.voters.is_empty()
+        });
+        if repaired && !lost(&victim) && self.has_room() {
+            self.network.lose_disk(victim);
+            self.add(Some(victim));
+        }
+    }
+
+    fn has_room(&self) -> bool {
+        self.network.nodes.len() < MAX_REPLICAS
+    }
+
+    fn add(&mut self, replaces: Option<ReplicaId>) {
+        if self.has_room() {
+            let number = self.next_number;
+            self.next_number += 1;
+            self.network.add_node(number, DurableState::default());
+            self.joining.push((id(number), replaces));
+        }
+    }
+
+    /// Asks for a removal, unless it could leave two voters: if one of these loses its
+    /// disk at the same moment, there is no quorum any more, whatever the protocol.
+    fn remove(&mut self, replica: ReplicaId) {
+        if self.network.voters().len() > 3
+            && let Some(leader) = self.network.leader()
+        {
+            let change = MembershipChange::Remove(replica);
+            self.network.change_membership(leader, change);
+        }
+    }
+
+    /// Asks the leader to take in the replicas that aren't members yet, as an operator
+    /// repeats a command that wasn't answered.
+    fn request_joins(&mut self) {
+        let Some(leader) = self.network.leader() else {
+            return;
+        };
+        let membership = self.network.raft(leader).membership().clone();
+        for (joining, replaces) in self.joining.clone() {
+            if membership.contains(joining) || self.network.nodes[&joining].lost {
+                continue;
+            }
+            let change = MembershipChange::AddLearner {
+                id: joining,
+                info: raft_network::info(joining.0),
+                replaces: replaces.filter(|old| membership.contains(*old)),
+            };
+            self.network.change_membership(leader, change);
+        }
+    }
+
+    /// Ends all faults and checks that the replicas agree again.
+    fn recover(&mut self) {
+        self.network.heal();
+        self.network.run(Duration::from_millis(1_500));
+        let all: Vec<_> = self.network.nodes.keys().copied().collect();
+        for replica in all {
+            self.network.restart(replica);
+        }
+        self.network.commit_one();
+        self.network.run(ELECTION_MAX * 2);
+        let last = self.network.commit_one();
+        self.network
+            .run_until("all members have all entries", |network| {
+                let Some(leader) = network.leader() else {
+                    return false;
+                };
+                let membership = network.raft(leader).membership().clone();
+                let mut members = membership.ids().filter(|id| !network.nodes[id].lost);
+                members.all(|id| network.nodes[&id].machine.applied >= last)
+            });
+    }
+}
+
+fn from_env<T: std::str::FromStr>(name: &str, default: T) -> T {
+    let value = env::var(name).ok();
+    value.and_then(|text| text.parse().ok()).unwrap_or(default)
+}
+
+#[test]
+fn test_raft_simulation_random_faults() {
+    let seed = from_env("HEATHERRING_SEED", DEFAULT_SEED);
+    let cases = from_env("HEATHERRING_CASES", DEFAULT_CASES);
+    println!("HEATHERRING_SEED={seed} HEATHERRING_CASES={cases}");
+    let config = Config {
+        cases,
+        failure_persistence: None,
+        max_shrink_iters: 4_000,
+        ..Config::default()
+    };
+    let mut bytes = [0; 32];
+    bytes[..8].copy_from_slice(&seed.to_le_bytes());
+    let rng = TestRng::from_seed(RngAlgorithm::ChaCha, &bytes);
+    let mut runner = TestRunner::new_with_rng(config, rng);
+    let events = prop::collection::vec((event(), 0..400_u64), 10..80);
+    let totals = RefCell::new(Totals::default());
+    let result = runner.run(&(any::<u64>(), events), |(case_seed, events)| {
+        let mut simulation = Simulation::new(case_seed);
+        for (event, pause_ms) in events {
+            simulation.apply(&event);
+            simulation.network.run(Duration::from_millis(pause_ms));
+        }
+        simulation.recover();
+        totals.borrow_mut().add(&simulation.network);
+        Ok(())
+    });
+    println!("{:?}", totals.borrow());
+    if let Err(err) = result {
+        panic!("{err}");
+    }
+}
