cli: check, manifest, status, audit, schema and completions

Each fault of input is one line with what is allowed; refused, unavailable and unknown have exit codes of their own.

--- a/cli/src/cli_error.rs
+++ b/cli/src/cli_error.rs
@@ -50,6 +50,48 @@
 }
 
 impl CliError {
+    /// Makes an error of input that is at fault; one line a fault.
+    pub fn user(message: impl Into<String>) -> Self {
+        Self::User {
+            message: message.into(),
+            hint: None,
+        }
+    }
+
+    /// Makes an error of a request that the cluster refused for good.
+    pub fn refused(message: impl Into<String>) -> Self {
+        Self::Refused {
+            message: message.into(),
+            hint: None,
+        }
+    }
+
+    /// Makes an error of an answer that nobody could give.
+    pub fn unavailable(message: impl Into<String>) -> Self {
+        Self::Unavailable {
+            message: message.into(),
+            hint: None,
+        }
+    }
+
+    /// Makes an error of the program or its VM.
+    pub fn internal(source: impl Error + Send + Sync + 'static) -> Self {
+        Self::Internal {
+            source: Box::new(source),
+        }
+    }
+
+    /// Adds what the user can do; a fault of the program takes none.
+    pub fn with_hint(mut self, text: impl Into<String>) -> Self {
+        match &mut self {
+            Self::User { hint, .. }
+            | Self::Refused { hint, .. }
+            | Self::Unavailable { hint, .. } => *hint = Some(text.into()),
+            Self::Internal { .. } => {}
+        }
+        self
+    }
+
     /// Returns the exit code, as documented in docs/cli.md.
     pub const fn exit_code(&self) -> u8 {
         match self {
--- a/cli/src/commands/mod.rs
+++ b/cli/src/commands/mod.rs
@@ -3,8 +3,15 @@
 //! A module offers `command()`, its part of the command line, and `run()`. To add
 //! one, declare the module and add a line to [`SUBCOMMANDS`].
 
+mod audit;
+mod check;
+mod completions;
 mod control;
 mod entry;
+mod manifest;
+mod manifest_submit;
+mod schema;
+mod status;
 mod version;
 
 use clap::ArgMatches;
@@ -28,6 +35,30 @@
         command: entry::command,
         run: entry::run,
     },
+    Subcommand {
+        command: check::command,
+        run: check::run,
+    },
+    Subcommand {
+        command: manifest::command,
+        run: manifest::run,
+    },
+    Subcommand {
+        command: status::command,
+        run: status::run,
+    },
+    Subcommand {
+        command: audit::command,
+        run: audit::run,
+    },
+    Subcommand {
+        command: schema::command,
+        run: schema::run,
+    },
+    Subcommand {
+        command: completions::command,
+        run: completions::run,
+    },
     Subcommand {
         command: version::command,
         run: version::run,
--- a/cli/src/main.rs
+++ b/cli/src/main.rs
@@ -3,7 +3,12 @@
 
 mod cli_error;
 mod commands;
+mod control_access;
+mod input;
 mod logging;
+mod manifest_source;
+mod output;
+mod wall_text;
 
 use std::process::ExitCode;
 
--- a/lib/src/config_fault.rs
+++ b/lib/src/config_fault.rs
@@ -136,6 +136,15 @@
     /// The text has no value.
     #[snafu(display("the text is empty; allowed is an object"))]
     Empty,
+    /// The text is neither settings nor a manifest.
+    #[snafu(display(
+        "this is neither settings nor a manifest; allowed is an object with one of {}",
+        quoted(telling)
+    ))]
+    UnknownKind {
+        /// Fields by which they are told apart.
+        telling: Vec<String>,
+    },
     /// A value is of the wrong kind.
     #[snafu(display("found {found}; allowed is {allowed}"))]
     WrongKind {
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod command;
 mod config_document;
 pub mod config_fault;
+pub mod config_kind;
 pub mod config_path;
 pub mod config_schema;
 pub mod config_text;
--- a/server/src/operator_client.rs
+++ b/server/src/operator_client.rs
@@ -4,6 +4,7 @@
 //! until one gives a final answer or the time is up. Submissions are idempotent, so an
 //! answer that was lost is asked for again.
 
+use std::error::Error;
 use std::fmt;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -90,7 +91,7 @@
 #[derive(Debug, Snafu)]
 pub enum AttemptEnding {
     /// No connection came about, so nothing was sent.
-    #[snafu(display("can't connect ({source})"))]
+    #[snafu(display("can't connect ({})", innermost(source)))]
     NotConnected {
         /// What the library said.
         source: tonic::transport::Error,
@@ -335,6 +336,15 @@
     }
 }
 
+/// Returns the first cause: the library's own text is only "transport error".
+fn innermost(error: &tonic::transport::Error) -> String {
+    let mut cause: &dyn Error = error;
+    while let Some(source) = cause.source() {
+        cause = source;
+    }
+    cause.to_string()
+}
+
 /// Sorts a failed call. Only codes that the server gives before it does anything count
 /// as "not done"; whatever the transport may have produced counts as a lost answer.
 fn judge_status<T>(
