drain: planned drains held back where too little would be left

Owners decide with each digest, in the manifest's order, by the load that all owners tell. A drain once carried out stays so while it is planned.

--- a/lib/src/admission.rs
+++ b/lib/src/admission.rs
@@ -25,6 +25,9 @@
 use crate::backend_registry::DEADLINE_GRACE;
 use crate::backend_registry::HeldSlot;
 use crate::backend_registry::Placed;
+use crate::drain;
+use crate::drain::DrainDecision;
+use crate::drain::DrainInputs;
 use crate::group_admission::Decision;
 use crate::group_admission::GroupAdmission;
 use crate::group_admission::GroupContext;
@@ -80,7 +83,8 @@
     release_serial: u64,
     shifts: ShiftBudgets,
     advice: RetryAdvice,
-    drains: CarriedOutDrains,
+    /// Planned drains that aren't held back.
+    drains: Vec<Drain>,
 }
 
 /// Records a dispatch until it is finished.
@@ -110,13 +114,6 @@
     release: Release,
 }
 
-/// Holds what is drained by plan and not held back.
-#[derive(Debug, Default)]
-struct CarriedOutDrains {
-    places: BTreeSet<PlaceName>,
-    backends: BTreeSet<BackendName>,
-}
-
 impl Admission {
     /// Starts the admission of a session; `seed` spreads the return of refused callers.
     #[must_use]
@@ -136,7 +133,7 @@
             release_serial: 0,
             shifts: ShiftBudgets::new(session, Sharing::Owners),
             advice: RetryAdvice::new(seed),
-            drains: CarriedOutDrains::default(),
+            drains: Vec::new(),
         }
     }
 
@@ -234,21 +231,43 @@
         Ok(effects)
     }
 
-    /// Carries out planned drains, and those alone. What is still planned stays drained
-    /// even if it would be held back now, so that a drain doesn't flap.
-    pub fn carry_out_drains(&mut self, drains: &[Drain]) {
-        for drain in drains {
-            match drain {
-                Drain::Place(place) => {
-                    self.drains.places.insert(place.clone());
-                }
-                Drain::BackendServer(backend) => {
-                    self.drains.backends.insert(backend.clone());
-                }
-                Drain::Vm(_) => {}
-            }
+    /// Decides which planned drains are carried out, by what the owners of other groups
+    /// tell (`others`) and this one's own loads. To be called with each digest.
+    ///
+    /// What was carried out stays so while it is planned, even if it would be held back
+    /// now: a drain that comes and goes would be worse than a late one.
+    pub fn decide_drains(&mut self, now: Instant, others: Vec<GroupLoad>) -> Vec<DrainDecision> {
+        let view = Arc::clone(&self.view);
+        let Some(in_force) = &view.manifest else {
+            return Vec::new();
+        };
+        if in_force.manifest.drains.is_empty() {
+            return Vec::new();
         }
-        self.keep_only_planned_drains();
+        let own = self.groups.values_mut().map(|group| group.load(now));
+        let loads: BTreeMap<Group, GroupLoad> = others
+            .into_iter()
+            .chain(own)
+            .map(|load| (load.group.clone(), load))
+            .collect();
+        let backends: BTreeMap<BackendName, Group> = self
+            .groups
+            .iter()
+            .flat_map(|(name, group)| group.backends().map(|b| (b.backend, name.clone())))
+            .collect();
+        let decisions = drain::decide(DrainInputs {
+            manifest: &in_force.manifest,
+            loads: &loads,
+            backends: &backends,
+            carried_out: &self.drains,
+        });
+        self.drains = decisions
+            .iter()
+            .filter(|decision| decision.held_back.is_none())
+            .map(|decision| decision.drain.clone())
+            .collect();
+        self.mark_drained();
+        decisions
     }
 
     /// Decides what becomes of a request.
@@ -592,20 +611,13 @@
             .manifest
             .as_ref()
             .map_or(&[], |in_force| &in_force.manifest.drains);
-        let is_planned = |drain: Drain| planned.contains(&drain);
-        self.drains
-            .places
-            .retain(|place| is_planned(Drain::Place(place.clone())));
-        self.drains
-            .backends
-            .retain(|backend| is_planned(Drain::BackendServer(backend.clone())));
+        self.drains.retain(|drain| planned.contains(drain));
         self.mark_drained();
     }
 
     fn mark_drained(&mut self) {
         for (name, group) in &mut self.groups {
-            let place = self.drains.places.contains(&name.place);
-            group.set_drained(place, &self.drains.backends);
+            group.set_drained(&name.place, &self.drains);
         }
     }
 
--- a/lib/src/backend_registry.rs
+++ b/lib/src/backend_registry.rs
@@ -5,7 +5,6 @@
 //! freeze and lie, and a lie must not take a server out of service.
 
 use std::collections::BTreeMap;
-use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::time::Duration;
 use std::time::Instant;
@@ -19,6 +18,7 @@
 use crate::circuit::Flow;
 use crate::id::BackendName;
 use crate::id::SessionId;
+use crate::manifest::Drain;
 use crate::ownership::ReleasedBackend;
 use crate::warm_up::Ramp;
 
@@ -131,9 +131,9 @@
     }
 
     /// Marks the servers that are drained by plan.
-    pub fn set_drained(&mut self, drained: &BTreeSet<BackendName>) {
+    pub fn set_drained(&mut self, drains: &[Drain]) {
         for (name, server) in &mut self.servers {
-            server.drained = drained.contains(name);
+            server.drained = drains.contains(&Drain::BackendServer(name.clone()));
         }
     }
 
--- a/lib/src/group_admission.rs
+++ b/lib/src/group_admission.rs
@@ -1,6 +1,5 @@
 //! What the owner of one group lets through to its backend servers.
 
-use std::collections::BTreeSet;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -13,8 +12,10 @@
 use crate::backend_registry::LAPSE;
 use crate::backend_registry::Placed;
 use crate::id::BackendName;
+use crate::id::PlaceName;
 use crate::id::Revision;
 use crate::load_digest::GroupLoad;
+use crate::manifest::Drain;
 use crate::manifest::Manifest;
 use crate::manifest::PlaceLimit;
 use crate::manifest::Service;
@@ -161,9 +162,9 @@
     }
 
     /// Marks what is drained by plan.
-    pub fn set_drained(&mut self, place: bool, backends: &BTreeSet<BackendName>) {
-        self.place_drained = place;
-        self.registry.set_drained(backends);
+    pub fn set_drained(&mut self, place: &PlaceName, drains: &[Drain]) {
+        self.place_drained = drains.contains(&Drain::Place(place.clone()));
+        self.registry.set_drained(drains);
     }
 
     /// Notes that `revision` is settled.
--- a/lib/src/pressure.rs
+++ b/lib/src/pressure.rs
@@ -159,6 +159,12 @@
         })
     }
 
+    /// Returns the owner's last digest, unless it has lapsed.
+    #[must_use]
+    pub fn load(&self, now: Instant) -> Option<&GroupLoad> {
+        self.fresh_load(now, DIGEST_LAPSE)
+    }
+
     /// Fades what was sent by the group's service time, of which the digest knows the
     /// more the longer ago it was.
     fn sent_now(&self, now: Instant) -> f64 {
--- a/lib/src/steering.rs
+++ b/lib/src/steering.rs
@@ -18,6 +18,7 @@
 use crate::id::PlaceName;
 use crate::id::ServiceName;
 use crate::id::SessionId;
+use crate::load_digest::GroupLoad;
 use crate::load_digest::LoadDigest;
 use crate::outcome::NotRunReason;
 use crate::ownership;
@@ -171,6 +172,16 @@
         self.outlook(candidate).note_unreachable(now);
     }
 
+    /// Returns what the owners have told of their groups lately.
+    #[must_use]
+    pub fn known_loads(&self, now: Instant) -> Vec<GroupLoad> {
+        self.outlooks
+            .values()
+            .filter_map(|outlook| outlook.load(now))
+            .cloned()
+            .collect()
+    }
+
     /// Returns the pressure that this entry sees at a group, from 0 to 1.
     pub fn pressure(&mut self, now: Instant, group: &Group) -> f64 {
         self.outlooks
--- a/server/src/admission_task.rs
+++ b/server/src/admission_task.rs
@@ -371,6 +371,8 @@
             loads: self.admission.loads(now),
         };
         self.steering.take_digest(now, &digest);
+        let known = self.steering.known_loads(now);
+        self.admission.decide_drains(now, known);
         digest
     }
 }
