--- a/testutils/src/relay.rs
+++ b/testutils/src/relay.rs
@@ -3,7 +3,9 @@
 //! A cut holds the bytes back rather than closing the connection, as a partition does:
 //! neither end learns of it, and what was under way arrives after the cut is mended.
 
+use std::collections::BTreeMap;
 use std::io;
+use std::net::IpAddr;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -71,11 +73,25 @@
     },
 }
 
+/// Holds the links of one relay: that of each source that was set apart, and that of
+/// all others.
+#[derive(Clone, Debug, Default)]
+struct Links {
+    others: Link,
+    by_source: BTreeMap<IpAddr, Link>,
+}
+
+impl Links {
+    fn of(&self, source: IpAddr) -> &Link {
+        self.by_source.get(&source).unwrap_or(&self.others)
+    }
+}
+
 /// Relays connections to a target until it is dropped.
 #[derive(Debug)]
 pub struct Relay {
     address: SocketAddr,
-    link: watch::Sender<Link>,
+    links: watch::Sender<Links>,
     _tasks: JoinSet<()>,
 }
 
@@ -107,12 +123,15 @@
     ) -> Result<Self, RelayError> {
         let listener = TcpListener::bind(address).await;
         let listener = listener.context(ListenSnafu { address })?;
-        let (link, link_rx) = watch::channel(link);
+        let (links, links_rx) = watch::channel(Links {
+            others: link,
+            by_source: BTreeMap::new(),
+        });
         let mut tasks = JoinSet::new();
-        tasks.spawn(accept(listener, target, link_rx));
+        tasks.spawn(accept(listener, target, links_rx));
         Ok(Self {
             address,
-            link,
+            links,
             _tasks: tasks,
         })
     }
@@ -123,24 +142,36 @@
         self.address
     }
 
-    /// Changes what happens to bytes from now on.
+    /// Changes what happens to bytes from now on, whichever source connects.
     pub fn set(&self, link: Link) {
-        self.link.send_replace(link);
+        self.links.send_replace(Links {
+            others: link,
+            by_source: BTreeMap::new(),
+        });
+    }
+
+    /// Changes what happens to bytes of connections from `source` from now on.
+    pub fn set_from(&self, source: IpAddr, link: Link) {
+        self.links.send_modify(|links| {
+            links.by_source.insert(source, link);
+        });
     }
 
-    /// Changes a part of what happens to bytes from now on.
+    /// Changes a part of what happens to bytes from now on, except of sources that were
+    /// set apart.
     pub fn modify(&self, change: impl FnOnce(&mut Link)) {
-        self.link.send_modify(change);
+        self.links.send_modify(|links| change(&mut links.others));
     }
 }
 
-async fn accept(listener: TcpListener, target: SocketAddr, link: watch::Receiver<Link>) {
+async fn accept(listener: TcpListener, target: SocketAddr, links: watch::Receiver<Links>) {
     let mut connections = JoinSet::new();
     loop {
         tokio::select! {
             accepted = listener.accept() => {
-                if let Ok((stream, _)) = accepted {
-                    connections.spawn(relay(stream, target, link.clone()));
+                if let Ok((stream, source)) = accepted {
+                    let path = Path { source: source.ip(), links: links.clone() };
+                    connections.spawn(relay(stream, target, path));
                 }
             }
             _ = connections.join_next(), if !connections.is_empty() => {}
@@ -148,7 +179,27 @@
     }
 }
 
-async fn relay(near: TcpStream, target: SocketAddr, link: watch::Receiver<Link>) {
+/// Follows the link of one connection.
+#[derive(Clone, Debug)]
+struct Path {
+    source: IpAddr,
+    links: watch::Receiver<Links>,
+}
+
+impl Path {
+    fn delay(&self) -> Duration {
+        self.links.borrow().of(self.source).delay
+    }
+
+    /// Waits until bytes may pass. Returns whether the relay still exists.
+    async fn open(&mut self, direction: Direction) -> bool {
+        let source = self.source;
+        let passes = |links: &Links| !direction.is_cut(links.of(source));
+        self.links.wait_for(passes).await.is_ok()
+    }
+}
+
+async fn relay(near: TcpStream, target: SocketAddr, path: Path) {
     let Ok(far) = TcpStream::connect(target).await else {
         return;
     };
@@ -157,19 +208,14 @@
     let (near_read, near_write) = near.into_split();
     let (far_read, far_write) = far.into_split();
     tokio::join!(
-        pump(near_read, far_write, link.clone(), Direction::TowardsTarget),
-        pump(far_read, near_write, link, Direction::FromTarget),
+        pump(near_read, far_write, path.clone(), Direction::TowardsTarget),
+        pump(far_read, near_write, path, Direction::FromTarget),
     );
 }
 
-async fn pump(
-    reader: OwnedReadHalf,
-    writer: OwnedWriteHalf,
-    link: watch::Receiver<Link>,
-    direction: Direction,
-) {
+async fn pump(reader: OwnedReadHalf, writer: OwnedWriteHalf, path: Path, direction: Direction) {
     let (tx, rx) = mpsc::channel(CHUNKS_UNDER_WAY);
-    tokio::join!(read_all(reader, tx), write_all(writer, rx, link, direction));
+    tokio::join!(read_all(reader, tx), write_all(writer, rx, path, direction));
 }
 
 async fn read_all(mut reader: OwnedReadHalf, tx: mpsc::Sender<(Instant, Bytes)>) {
@@ -194,13 +240,12 @@
 async fn write_all(
     mut writer: OwnedWriteHalf,
     mut rx: mpsc::Receiver<(Instant, Bytes)>,
-    mut link: watch::Receiver<Link>,
+    mut path: Path,
     direction: Direction,
 ) {
     while let Some((read_at, chunk)) = rx.recv().await {
-        let delay = link.borrow().delay;
-        sleep_until(read_at + delay).await;
-        if link.wait_for(|link| !direction.is_cut(link)).await.is_err() {
+        sleep_until(read_at + path.delay()).await;
+        if !path.open(direction).await {
             return;
         }
         if writer.write_all(&chunk).await.is_err() {
@@ -208,9 +253,8 @@
         }
     }
     // The end of the stream is delayed and cut like its bytes.
-    let delay = link.borrow().delay;
-    sleep_until(Instant::now() + delay).await;
-    if link.wait_for(|link| !direction.is_cut(link)).await.is_ok() {
+    sleep_until(Instant::now() + path.delay()).await;
+    if path.open(direction).await {
         let _ = writer.shutdown().await;
     }
 }
--- a/testutils/tests/test_relay.rs
+++ b/testutils/tests/test_relay.rs
@@ -9,6 +9,7 @@
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
+use tokio::net::TcpSocket;
 use tokio::net::TcpStream;
 
 #[tokio::test]
@@ -33,3 +34,27 @@
     far.read_exact(&mut buf[..2]).await.unwrap();
     assert_eq!(&buf[..2], b"to");
 }
+
+#[tokio::test]
+async fn test_relay_cuts_one_source_alone() {
+    let mut block = LoopbackBlock::claim().unwrap();
+    let target = SocketAddr::new(block.next_vm(), SERVICE_PORT);
+    let cut_off = block.next_vm();
+    let listener = TcpListener::bind(target).await.unwrap();
+    let relay = Relay::start(block.next_relay(), target, Link::default());
+    let relay = relay.await.unwrap();
+    relay.set_from(cut_off, Link::default().cut());
+
+    let socket = TcpSocket::new_v4().unwrap();
+    socket.bind(SocketAddr::new(cut_off, 0)).unwrap();
+    let mut silent = socket.connect(relay.address()).await.unwrap();
+    let (far_of_silent, _) = listener.accept().await.unwrap();
+    silent.write_all(b"lost").await.unwrap();
+    let mut near = TcpStream::connect(relay.address()).await.unwrap();
+    let (mut far, _) = listener.accept().await.unwrap();
+    near.write_all(b"to").await.unwrap();
+    let mut buf = [0; 4];
+    far.read_exact(&mut buf[..2]).await.unwrap();
+    let early = far_of_silent.try_read(&mut buf);
+    assert_eq!(early.unwrap_err().kind(), std::io::ErrorKind::WouldBlock);
+}
