--- a/lib/tests/raft_network/checker.rs
+++ b/lib/tests/raft_network/checker.rs
@@ -17,6 +17,7 @@
 use heatherring_lib::raft_message::Membership;
 
 use super::Machine;
+use super::token_of_command;
 
 /// Holds what was seen so far.
 #[derive(Debug, Default)]
@@ -110,7 +111,7 @@
             .or_insert_with(|| entry.clone());
         assert_eq!(known, entry, "{} was applied otherwise", entry.index);
         if let LogPayload::Command(command) = &entry.payload {
-            let token: u64 = postcard::from_bytes(command).unwrap();
+            let token = token_of_command(command);
             assert!(
                 !self.absent_tokens.contains(&token),
                 "command {token} is committed after it was refused as absent"
@@ -125,7 +126,7 @@
         let mut tokens = Vec::new();
         for (_, entry) in entries {
             if let LogPayload::Command(command) = &entry.payload {
-                tokens.push(postcard::from_bytes::<u64>(command).unwrap());
+                tokens.push(token_of_command(command));
             }
         }
         assert_eq!(machine.tokens, tokens, "restored state differs");
--- a/lib/tests/raft_network/mod.rs
+++ b/lib/tests/raft_network/mod.rs
@@ -86,7 +86,7 @@
         assert_eq!(entry.index, self.applied.next(), "applied out of order");
         self.applied = entry.index;
         if let LogPayload::Command(command) = &entry.payload {
-            self.tokens.push(postcard::from_bytes(command).unwrap());
+            self.tokens.push(token_of_command(command));
         }
     }
 }
@@ -416,8 +416,14 @@
     }
 
     pub fn propose(&mut self, replica: ReplicaId) -> Token {
+        self.propose_padded(replica, 0)
+    }
+
+    /// Proposes a command that is followed by some bytes without meaning.
+    pub fn propose_padded(&mut self, replica: ReplicaId, padding: usize) -> Token {
         let token = self.token();
-        let command = postcard::to_stdvec(&token.0).unwrap();
+        let mut command = postcard::to_stdvec(&token.0).unwrap();
+        command.resize(command.len() + padding, 0);
         self.step(replica, Input::Propose { token, command });
         token
     }
@@ -469,6 +475,36 @@
         self.step(replica, Input::Compact { index, data });
     }
 
+    /// Lets only these replicas exchange messages, with each other.
+    pub fn partition(&mut self, group: &[u64]) {
+        self.cuts.clear();
+        let all: Vec<_> = self.nodes.keys().copied().collect();
+        for from in &all {
+            for to in &all {
+                let inside = |node: &ReplicaId| group.contains(&node.0);
+                if !inside(from) || !inside(to) {
+                    self.cut(*from, *to);
+                }
+            }
+        }
+    }
+
+    /// Lets time pass in small steps until one of these replicas leads, so that
+    /// nothing that the new leader sends has arrived yet.
+    pub fn run_until_elected(&mut self, group: &[u64]) -> u64 {
+        for _ in 0..60_000 {
+            self.run(Duration::from_millis(1));
+            let leader = group.iter().find(|number| {
+                let raft = self.nodes[&id(**number)].raft.as_ref();
+                raft.is_some_and(|raft| raft.role() == Role::Leader)
+            });
+            if let Some(leader) = leader {
+                return *leader;
+            }
+        }
+        panic!("nobody is elected; {}", self.summary());
+    }
+
     /// Ends a process without warning. Of what it wrote and didn't sync, any first part
     /// may have reached the disk all the same.
     pub fn crash(&mut self, replica: ReplicaId) {
@@ -554,6 +590,11 @@
     }
 }
 
+pub fn token_of_command(command: &[u8]) -> u64 {
+    let (token, _padding) = postcard::take_from_bytes(command).unwrap();
+    token
+}
+
 pub fn token_of(answer: &Answer) -> Token {
     match answer {
         Answer::Committed { token, .. }
--- a/lib/tests/test_raft.rs
+++ b/lib/tests/test_raft.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use heatherring_lib::raft_effects::Answer;
+use heatherring_lib::raft_effects::Input;
 use heatherring_lib::raft_effects::Refusal;
 use heatherring_lib::raft_effects::Role;
 
@@ -130,3 +131,134 @@
     };
     assert!(reason.is_proved_absent(), "{reason}");
 }
+
+#[test]
+fn test_raft_old_term_entry_is_not_committed_by_counting() {
+    // Symptom: an entry that was applied is replaced by another one.
+    // Sequence: an entry of an early term reaches two of five replicas; a leader of a
+    // later term appends its own entry there and fails; the first leader comes back,
+    // brings the old entry to a third replica and fails; the second leader comes back
+    // and wins, since its last entry has the higher term.
+    // Cause: committing the old entry because a majority holds it.
+    let mut network = Network::with_voters(8, 5);
+    let first = network.leader().unwrap().0;
+    let others: Vec<u64> = (1..=5).filter(|number| *number != first).collect();
+    let second = others[0];
+    network.partition(&[first, second]);
+    // The entry fills an append of its own, so that it travels without what follows.
+    network.propose_padded(id(first), 1_000);
+    network.run(Duration::from_millis(20));
+    let disputed = network.raft(id(first)).last_index();
+    assert_eq!(network.raft(id(second)).last_index(), disputed);
+    network.crash(id(first));
+
+    let group = &others[1..];
+    network.partition(group);
+    let later = network.run_until_elected(group);
+    network.partition(&[]);
+    network.run(Duration::from_millis(20));
+    assert_eq!(network.raft(id(later)).last_index(), disputed);
+    network.crash(id(later));
+
+    let rest: Vec<u64> = group.iter().copied().filter(|it| *it != later).collect();
+    let third = rest[0];
+    network.restart(id(first));
+    network.partition(&[first, second, third]);
+    let back = network.run_until_elected(&[first, second]);
+    while network.raft(id(third)).last_index() < disputed {
+        network.run(Duration::from_millis(1));
+    }
+    network.cut(id(back), id(third));
+    network.run(Duration::from_millis(20));
+    assert_eq!(network.raft(id(third)).last_index(), disputed);
+    network.crash(id(first));
+    network.crash(id(second));
+
+    network.restart(id(later));
+    network.partition(&[later, third, rest[1]]);
+    network.run_until_elected(&[later]);
+    network.commit_one();
+    network.heal();
+    network.restart(id(first));
+    network.restart(id(second));
+    network.run(ELECTION_MAX * 4);
+    network.commit_one();
+}
+
+#[test]
+fn test_raft_overwritten_proposal_may_come_back() {
+    // Symptom: an operator is told "not accepted", and the manifest takes force later.
+    // Sequence: a leader brings a proposal to one other replica and is cut off; a later
+    // leader replaces it in the first one's log and fails before it commits; the other
+    // replica leads next and commits the proposal.
+    // Cause: taking the replacement in one's own log for proof that the entry is gone.
+    let mut network = Network::with_voters(9, 5);
+    let first = network.leader().unwrap().0;
+    let others: Vec<u64> = (1..=5).filter(|number| *number != first).collect();
+    let second = others[0];
+    network.partition(&[first, second]);
+    let token = network.propose(id(first));
+    network.run(Duration::from_millis(20));
+    let disputed = network.raft(id(first)).last_index();
+    assert_eq!(network.raft(id(second)).last_index(), disputed);
+
+    let group = &others[1..];
+    network.partition(group);
+    let later = network.run_until_elected(group);
+    network.partition(&[first, later]);
+    let term = network.raft(id(later)).term();
+    network.run_until("the proposal is replaced", |network| {
+        let entries = &network.nodes[&id(first)].disk.entries;
+        entries.last().unwrap().term == term
+    });
+    network.crash(id(later));
+
+    let rest: Vec<u64> = group.iter().copied().filter(|it| *it != later).collect();
+    network.partition(&[second, rest[0], rest[1]]);
+    network.run_until_elected(&[second]);
+    network.commit_one();
+    network.heal();
+    network.run(ELECTION_MAX * 4);
+    match &network.answers[&token] {
+        Answer::Committed { index, .. } => assert_eq!(*index, disputed),
+        Answer::Refused { reason, .. } => assert!(!reason.is_proved_absent(), "{reason}"),
+        Answer::ReadReady { .. } => panic!("a proposal is no read"),
+    }
+}
+
+#[test]
+fn test_raft_new_leader_answers_no_read_before_it_commits() {
+    // Symptom: right after an election, a read misses what was accepted before it.
+    // Sequence: a leader commits and fails; the next one has the entries but doesn't
+    // know yet that they are committed; a read arrives.
+    // Cause: reading at the commit position of a leader that committed nothing itself.
+    let mut network = Network::with_voters(10, 3);
+    let old = network.leader().unwrap();
+    network.commit_one();
+    network.crash(old);
+    let group: Vec<u64> = (1..=3).filter(|number| *number != old.0).collect();
+    let new = network.run_until_elected(&group);
+    let read = network.read(id(new));
+    network.run(Duration::from_millis(100));
+    assert!(matches!(network.answers[&read], Answer::ReadReady { .. }));
+}
+
+#[test]
+fn test_raft_planned_stop_hands_over() {
+    let mut network = Network::with_voters(11, 3);
+    let old = network.leader().unwrap();
+    let token = network.propose(old);
+    network.step(old, Input::StepDown);
+    let refused = network.propose(old);
+    network.run(Duration::from_millis(60));
+    let new = network.leader().unwrap();
+    assert_ne!(new, old);
+    assert!(matches!(network.answers[&token], Answer::Committed { .. }));
+    assert_eq!(
+        network.answers[&refused],
+        Answer::Refused {
+            token: refused,
+            reason: Refusal::HandingOver
+        }
+    );
+}
