action_backup: fence also a key whose request was refused unread

An entry VM refuses some requests before it has read them, for a lapsed lease or an unknown service. If such a request carries a key, an earlier copy of it may have run, so "not run" needs the fence there as well.

--- a/lib/src/action_backup.rs
+++ b/lib/src/action_backup.rs
@@ -16,6 +16,7 @@
 use crate::action_record::RecordRefusal;
 use crate::action_record::RecordState;
 use crate::action_record::Resolution;
+use crate::action_record::match_request;
 use crate::action_store::ActionLimits;
 use crate::action_store::ActionSlot;
 use crate::action_store::ActionStore;
@@ -99,7 +100,7 @@
         }
         let slot = self.store.find(&query.key.id());
         match slot.and_then(|slot| self.store.get(slot)) {
-            Some(kept) => resolve_kept(kept, &query.fingerprint),
+            Some(kept) => resolve_kept(kept, query.fingerprint.as_ref()),
             None => self.fence(now_unix_ms, &query.key),
         }
     }
@@ -164,20 +165,17 @@
     }
 }
 
-fn resolve_kept(kept: &Kept, asked_for: &Fingerprint) -> Resolution {
-    match kept {
-        Kept::Fence => ActionEnd::NotRun(NotRunReason::KeyFenced),
-        Kept::Record { fingerprint, .. } if fingerprint != asked_for => {
-            // The record keeps this request from ever running under the key.
-            ActionEnd::NotRun(NotRunReason::KeyConflict)
-        }
-        Kept::Record {
-            state: RecordState::Intent,
-            ..
-        } => ActionEnd::Unknown(UnknownReason::ActionRecorded),
-        Kept::Record {
-            state: RecordState::Ended(end),
-            ..
-        } => end.clone(),
+fn resolve_kept(kept: &Kept, asked_for: Option<&Fingerprint>) -> Resolution {
+    let (fingerprint, state) = match kept {
+        Kept::Fence => return ActionEnd::NotRun(NotRunReason::KeyFenced),
+        Kept::Record { fingerprint, state } => (fingerprint, state),
+    };
+    match state {
+        RecordState::Intent => match_request(
+            fingerprint,
+            asked_for,
+            &ActionEnd::Unknown(UnknownReason::ActionRecorded),
+        ),
+        RecordState::Ended(end) => match_request(fingerprint, asked_for, end),
     }
 }
--- a/lib/src/action_primary.rs
+++ b/lib/src/action_primary.rs
@@ -23,6 +23,7 @@
 use crate::action_record::RecordRefusal;
 use crate::action_record::RecordState;
 use crate::action_record::Resolution;
+use crate::action_record::match_request;
 use crate::action_store::ActionLimits;
 use crate::action_store::ActionSlot;
 use crate::action_store::ActionStore;
@@ -100,10 +101,22 @@
 #[derive(Debug)]
 struct PrimaryRecord {
     key: ActionKey,
-    fingerprint: Fingerprint,
+    /// `None` for a key that was refused before its request was read.
+    fingerprint: Option<Fingerprint>,
     state: PrimaryState,
 }
 
+impl PrimaryRecord {
+    fn end_so_far(&self) -> ActionEnd {
+        match &self.state {
+            PrimaryState::Recording | PrimaryState::Running => {
+                ActionEnd::Unknown(UnknownReason::ActionRecorded)
+            }
+            PrimaryState::Ended(end) => end.clone(),
+        }
+    }
+}
+
 /// Decides for the actions of which this process is the primary.
 #[derive(Debug)]
 pub struct ActionPrimary {
@@ -156,12 +169,12 @@
         key: &ActionKey,
         fingerprint: Fingerprint,
     ) -> Arrival {
-        if let Some(known) = self.known(now_unix_ms, key, &fingerprint) {
+        if let Some(known) = self.known(now_unix_ms, key, Some(&fingerprint)) {
             return known;
         }
         let record = PrimaryRecord {
             key: key.clone(),
-            fingerprint,
+            fingerprint: Some(fingerprint),
             state: PrimaryState::Recording,
         };
         match self.insert(now_unix_ms, record) {
@@ -186,7 +199,7 @@
         query: &ActionQuery,
         reason: NotRunReason,
     ) -> Arrival {
-        if let Some(known) = self.known(now_unix_ms, &query.key, &query.fingerprint) {
+        if let Some(known) = self.known(now_unix_ms, &query.key, query.fingerprint.as_ref()) {
             return known;
         }
         let end = ActionEnd::NotRun(reason);
@@ -250,14 +263,14 @@
         &self,
         now_unix_ms: u64,
         key: &ActionKey,
-        fingerprint: &Fingerprint,
+        asked_for: Option<&Fingerprint>,
     ) -> Option<Arrival> {
         if !self.is_primary_of(key) {
             let end = ActionEnd::Unknown(UnknownReason::RecordsUnreachable);
             return Some(Arrival::Ended(end));
         }
         if let Some(slot) = self.store.find(&key.id()) {
-            return self.recorded(slot, fingerprint);
+            return self.recorded(slot, asked_for);
         }
         let end = match self.store.age(now_unix_ms, key) {
             TicketAge::Expired => ActionEnd::Unknown(UnknownReason::TicketExpired),
@@ -267,17 +280,17 @@
         Some(Arrival::Ended(end))
     }
 
-    fn recorded(&self, slot: ActionSlot, fingerprint: &Fingerprint) -> Option<Arrival> {
+    fn recorded(&self, slot: ActionSlot, asked_for: Option<&Fingerprint>) -> Option<Arrival> {
         let record = self.store.get(slot)?;
-        if record.fingerprint != *fingerprint {
-            // The record keeps this request from ever running under the key.
-            let conflict = NotRunReason::KeyConflict;
-            return Some(Arrival::Ended(ActionEnd::NotRun(conflict)));
+        let Some(recorded) = record.fingerprint.as_ref() else {
+            return Some(Arrival::Ended(record.end_so_far()));
+        };
+        let told = match_request(recorded, asked_for, &record.end_so_far());
+        let under_way = !matches!(record.state, PrimaryState::Ended(_));
+        if under_way && asked_for == Some(recorded) {
+            return Some(Arrival::Wait(slot));
         }
-        Some(match &record.state {
-            PrimaryState::Recording | PrimaryState::Running => Arrival::Wait(slot),
-            PrimaryState::Ended(end) => Arrival::Ended(end.clone()),
-        })
+        Some(Arrival::Ended(told))
     }
 
     /// Adds a record. When there is no room, a bare refusal would let a delayed copy of
@@ -329,7 +342,7 @@
         record.state = PrimaryState::Ended(end.clone());
         Some(Box::new(BackupRecord {
             key: record.key.clone(),
-            fingerprint: record.fingerprint,
+            fingerprint: record.fingerprint?,
             state: RecordState::Ended(end),
         }))
     }
--- a/lib/src/action_record.rs
+++ b/lib/src/action_record.rs
@@ -291,8 +291,27 @@
 pub struct ActionQuery {
     /// The action.
     pub key: ActionKey,
-    /// What the caller asked for; an answer is given to the same request only.
-    pub fingerprint: Fingerprint,
+    /// What the caller asked for; an answer is given to the same request only. `None`
+    /// stands for a request that was refused before it was read as a whole: it gets no
+    /// answer, but needs the fence as much before "not run" may be told.
+    pub fingerprint: Option<Fingerprint>,
+}
+
+/// Returns what may be told to someone who asks for `asked_for`, of a record that was
+/// made for `recorded` and ends with `end`.
+pub(crate) fn match_request(
+    recorded: &Fingerprint,
+    asked_for: Option<&Fingerprint>,
+    end: &ActionEnd,
+) -> ActionEnd {
+    match (asked_for, end) {
+        // The record keeps another request from ever running under the key.
+        (Some(asked_for), _) if asked_for != recorded => {
+            ActionEnd::NotRun(NotRunReason::KeyConflict)
+        }
+        (None, ActionEnd::Answer(_)) => ActionEnd::Unknown(UnknownReason::ActionRecorded),
+        _ => end.clone(),
+    }
 }
 
 /// Answers an [`ActionQuery`]. "Not run" in it stays true for good.
--- a/lib/tests/common/action_sample.rs
+++ b/lib/tests/common/action_sample.rs
@@ -54,6 +54,6 @@
     };
     ActionQuery {
         key: key.clone(),
-        fingerprint: Fingerprint::of(key, &request),
+        fingerprint: Some(Fingerprint::of(key, &request)),
     }
 }
--- a/lib/tests/test_action_primary.rs
+++ b/lib/tests/test_action_primary.rs
@@ -12,6 +12,7 @@
 use heatherring_lib::action_record::ActionEnd;
 use heatherring_lib::action_record::ActionQuery;
 use heatherring_lib::action_record::BackupRecord;
+use heatherring_lib::action_record::Fingerprint;
 use heatherring_lib::action_record::RecordRefusal;
 use heatherring_lib::action_record::RecordState;
 use heatherring_lib::action_record::StoredAnswer;
@@ -64,8 +65,12 @@
     }))
 }
 
+fn fingerprint(query: &ActionQuery) -> Fingerprint {
+    query.fingerprint.expect("the request was read as a whole")
+}
+
 fn arrive(primary: &mut ActionPrimary, now_ms: u64, query: &ActionQuery) -> Arrival {
-    primary.arrive(now_ms, &query.key, query.fingerprint)
+    primary.arrive(now_ms, &query.key, fingerprint(query))
 }
 
 fn start(primary: &mut ActionPrimary, query: &ActionQuery) -> ActionSlot {
@@ -176,8 +181,8 @@
     let fenced = ActionEnd::NotRun(NotRunReason::KeyFenced);
     assert_eq!(backup.resolve(NOW_MS, &action), fenced);
     let intent = BackupRecord {
+        fingerprint: fingerprint(&action),
         key: action.key,
-        fingerprint: action.fingerprint,
         state: RecordState::Intent,
     };
     assert_eq!(backup.record(NOW_MS, intent), Err(RecordRefusal::Fenced));
--- a/lib/tests/test_action_simulation.rs
+++ b/lib/tests/test_action_simulation.rs
@@ -20,6 +20,7 @@
 use heatherring_lib::action_record::ActionEnd;
 use heatherring_lib::action_record::ActionQuery;
 use heatherring_lib::action_record::BackupRecord;
+use heatherring_lib::action_record::Fingerprint;
 use heatherring_lib::action_record::RecordRefusal;
 use heatherring_lib::action_record::StoredAnswer;
 use heatherring_lib::action_store::ActionLimits;
@@ -58,6 +59,9 @@
     AskPrimary(usize),
     AskSuccessor(usize),
     AskBackup(usize),
+    /// A request that was refused before it was read: its key is fenced.
+    FenceAtBackup(usize),
+    FenceAtPrimary(usize),
     Deliver(usize),
     DeliverCopy(usize),
     Lose(usize),
@@ -127,6 +131,10 @@
     told: Vec<Told>,
 }
 
+fn fingerprint(query: &ActionQuery) -> Fingerprint {
+    query.fingerprint.expect("the request was read as a whole")
+}
+
 fn new_primary(session: SessionId) -> ActionPrimary {
     let mut primary = ActionPrimary::new(limits());
     primary.add_session(session);
@@ -173,6 +181,8 @@
             steps.push(Step::AskPrimary(request));
             steps.push(Step::AskBackup(request));
             steps.push(Step::AskSuccessor(request));
+            steps.push(Step::FenceAtBackup(request));
+            steps.push(Step::FenceAtPrimary(request));
         }
         for packet in 0..self.packets.len() {
             steps.push(Step::Deliver(packet));
@@ -217,6 +227,15 @@
                 self.packets.push(Packet::Resolve(query));
             }
             Step::AskSuccessor(request) => self.ask_successor(request),
+            Step::FenceAtBackup(request) => {
+                let query = self.unread(request);
+                self.packets.push(Packet::Resolve(query));
+            }
+            Step::FenceAtPrimary(request) => {
+                let query = self.unread(request);
+                let end = self.primary.resolve(self.primary_ms, &query);
+                self.told.push(Told { query, end });
+            }
             Step::Deliver(packet) => {
                 let packet = self.packets.swap_remove(packet);
                 self.deliver(packet);
@@ -242,11 +261,18 @@
         }
     }
 
+    fn unread(&self, request: usize) -> ActionQuery {
+        ActionQuery {
+            key: self.requests[request].key.clone(),
+            fingerprint: None,
+        }
+    }
+
     fn ask_successor(&mut self, request: usize) {
         let query = self.requests[request].clone();
         let arrival = self
             .successor
-            .arrive(self.primary_ms, &query.key, query.fingerprint);
+            .arrive(self.primary_ms, &query.key, fingerprint(&query));
         match arrival {
             Arrival::Start { slot, .. } => {
                 // A successor that believes that it may start has lost the records.
@@ -285,7 +311,7 @@
         let life = self.primary_life;
         let arrival = self
             .primary
-            .arrive(self.primary_ms, &query.key, query.fingerprint);
+            .arrive(self.primary_ms, &query.key, fingerprint(&query));
         match arrival {
             Arrival::Start { slot, intent } => {
                 self.packets.push(Packet::Record {
@@ -401,12 +427,19 @@
     }
 
     fn check_told(&self, told: &Told) -> Result<(), String> {
-        let run = self.ledger.iter().position(|run| *run == told.query);
+        let asked_for = &told.query;
+        let run = self.ledger.iter().position(|run| {
+            run.key == asked_for.key
+                && (asked_for.fingerprint.is_none() || run.fingerprint == asked_for.fingerprint)
+        });
         match (&told.end, run) {
             (ActionEnd::NotRun(reason), Some(_)) => Err(format!(
                 "told \"not run\" ({}), but it ran",
                 reason.as_str()
             )),
+            (ActionEnd::Answer(_), _) if asked_for.fingerprint.is_none() => {
+                Err("got an answer without a request".to_owned())
+            }
             (ActionEnd::Answer(_), None) => Err("got an answer to something else".to_owned()),
             (ActionEnd::Answer(_), Some(run)) if told.end != answer_of(run) => {
                 Err("got another answer".to_owned())
@@ -521,7 +554,12 @@
 /// never changes anything.
 fn useful_steps(world: &World) -> Vec<Step> {
     let mut steps = world.enabled();
-    steps.retain(|step| !matches!(step, Step::AskSuccessor(_) | Step::Lose(_)));
+    steps.retain(|step| {
+        !matches!(
+            step,
+            Step::AskSuccessor(_) | Step::Lose(_) | Step::FenceAtBackup(_)
+        )
+    });
     steps
 }
 
