--- a/server/src/caller_listener.rs
+++ b/server/src/caller_listener.rs
@@ -27,9 +27,9 @@
 
 use crate::answer_body;
 use crate::answer_body::AnswerBody;
-use crate::caller_place;
 use crate::dispatcher::OutgoingRequest;
 use crate::entry_context::EntryContext;
+use crate::entry_state::EntryState;
 use crate::header;
 use crate::http_server::Handler;
 use crate::refusal;
@@ -118,8 +118,7 @@
         let body = request_body::read(body, max_bytes, deadline)
             .await
             .map_err(refuse)?;
-        let origin = caller_place::find(&in_force.manifest, peer)
-            .unwrap_or_else(|| self.cx.info.place.clone());
+        let origin = self.origin(&state, peer);
         let mut headers = parts.headers;
         header::remove_hop_by_hop(&mut headers);
         header::remove_own(&mut headers);
@@ -152,8 +151,8 @@
         if !manifest.services.contains_key(&service) {
             return Err(refuse(NotRunReason::ServiceUnknown));
         }
-        let origin = self.origin(manifest, peer);
-        let caller = caller_place::digest(peer);
+        let origin = self.origin(&state, peer);
+        let caller = caller_digest(peer);
         let answer = self
             .cx
             .admission
@@ -172,8 +171,10 @@
         Ok(to_response(&body, answer.cache))
     }
 
-    fn origin(&self, manifest: &heatherring_lib::manifest::Manifest, peer: IpAddr) -> PlaceName {
-        caller_place::find(manifest, peer).unwrap_or_else(|| self.cx.info.place.clone())
+    /// Returns the place of a caller; one in no block counts as near to this VM.
+    fn origin(&self, state: &EntryState, peer: IpAddr) -> PlaceName {
+        let found = state.blocks.place_of(peer);
+        found.unwrap_or(&self.cx.info.place).clone()
     }
 }
 
@@ -181,6 +182,17 @@
     Attempt::new().refuse(reason)
 }
 
+/// Returns a number that spreads callers evenly, the same in all processes.
+fn caller_digest(peer: IpAddr) -> u64 {
+    let hash = match peer {
+        IpAddr::V4(address) => blake3::hash(&address.octets()),
+        IpAddr::V6(address) => blake3::hash(&address.octets()),
+    };
+    let mut first = [0; 8];
+    first.copy_from_slice(&hash.as_bytes()[..8]);
+    u64::from_le_bytes(first)
+}
+
 /// Parts the three endings into an answer and a refusal.
 ///
 /// # Errors
--- a/server/src/control_session.rs
+++ b/server/src/control_session.rs
@@ -9,6 +9,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use heatherring_lib::client_block_table::ClientBlockTable;
 use heatherring_lib::clock::Clock;
 use heatherring_lib::entry_lease::EntryLease;
 use heatherring_lib::id::ClusterId;
@@ -361,7 +362,7 @@
         let found = view.revision;
         ensure!(found >= held, OlderViewSnafu { found, held });
         self.need_whole = false;
-        self.state.view = Arc::new(view);
+        self.hold(view);
         let view = Arc::clone(&self.state.view);
         self.tell(if opening {
             ControlEvent::Opened { session, view }
@@ -381,11 +382,24 @@
             self.need_whole = true;
             return Err(SyncError::Apply { source });
         }
-        self.state.view = Arc::new(view);
+        self.hold(view);
         self.tell(ControlEvent::Changed(Arc::clone(&self.state.view)));
         Ok(())
     }
 
+    /// Holds a view, and the table of callers' places that goes with its manifest.
+    fn hold(&mut self, view: ControlView) {
+        let revision = |view: &ControlView| view.manifest.as_ref().map(|found| found.revision);
+        if revision(&view) != revision(&self.state.view) {
+            let table = view
+                .manifest
+                .as_ref()
+                .map(|in_force| ClientBlockTable::new(&in_force.manifest));
+            self.state.blocks = Arc::new(table.unwrap_or_default());
+        }
+        self.state.view = Arc::new(view);
+    }
+
     fn tell(&self, event: ControlEvent) {
         // Nobody listens any more only when the process ends.
         let _ = self.events.send(event);
--- a/server/src/entry_state.rs
+++ b/server/src/entry_state.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use heatherring_lib::client_block_table::ClientBlockTable;
 use heatherring_lib::clock::Clock;
 use heatherring_lib::entry_lease::EntryLease;
 use heatherring_lib::id::ClusterId;
@@ -25,6 +26,8 @@
 pub struct EntryState {
     /// The view, applied in log order.
     pub view: Arc<ControlView>,
+    /// Places of callers, of the manifest in the view.
+    pub blocks: Arc<ClientBlockTable>,
     /// The last revision that every entry VM has applied.
     pub settled: Revision,
     /// Whether this entry VM may take new work.
--- a/server/src/lib.rs
+++ b/server/src/lib.rs
@@ -17,7 +17,6 @@
 pub mod answer_body;
 pub mod backend_pool;
 pub mod caller_listener;
-pub mod caller_place;
 pub mod control_format;
 pub mod control_node;
 pub mod control_process;
