--- a/cli/src/commands/mod.rs
+++ b/cli/src/commands/mod.rs
@@ -7,6 +7,7 @@
 mod check;
 mod completions;
 mod control;
+mod demo;
 mod entry;
 mod manifest;
 mod manifest_submit;
@@ -31,6 +32,10 @@
         command: control::command,
         run: control::run,
     },
+    Subcommand {
+        command: demo::command,
+        run: demo::run,
+    },
     Subcommand {
         command: entry::command,
         run: entry::run,
--- /dev/null
+++ b/server/src/demo_backend_server.rs
@@ -0,0 +1,143 @@
+//! A small backend server for the demo: announces itself and answers with what it was
+//! asked.
+
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use heatherring_lib::announcement::Announcement;
+use heatherring_lib::announcement::BackendState;
+use heatherring_lib::announcement::REPEAT_MS;
+use http::Method;
+use http::Request;
+use http::Response;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::client::conn::http1 as client;
+use hyper::server::conn::http1 as server;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use hyper_util::rt::TokioTimer;
+use serde::Serialize;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
+
+/// Time that a request takes here.
+const SERVICE_TIME: Duration = Duration::from_millis(20);
+
+/// Bytes of a body that are echoed.
+const MAX_ECHO: usize = 4_096;
+
+#[derive(Serialize)]
+struct Echo<'a> {
+    backend: &'a str,
+    method: &'a str,
+    path: &'a str,
+    body: &'a str,
+}
+
+/// Serves `listener` and announces itself to `entries` until `stop` is cancelled; it
+/// then says that it leaves, and finishes what it has.
+pub async fn run(
+    listener: TcpListener,
+    announcement: Announcement,
+    entries: Vec<SocketAddr>,
+    stop: CancellationToken,
+) {
+    let announcing = tokio::spawn(announce_on(announcement.clone(), entries, stop.clone()));
+    let connections = TaskTracker::new();
+    let backend = announcement.backend.as_str().to_owned();
+    loop {
+        let stream = tokio::select! {
+            Ok((stream, _)) = listener.accept() => stream,
+            () = stop.cancelled() => break,
+        };
+        connections.spawn(serve(stream, backend.clone(), stop.clone()));
+    }
+    let _ = announcing.await;
+    connections.close();
+    connections.wait().await;
+}
+
+async fn serve(stream: TcpStream, backend: String, stop: CancellationToken) {
+    let service = service_fn(|req| answer(&backend, req));
+    let mut builder = server::Builder::new();
+    let connection = builder
+        .timer(TokioTimer::new())
+        .serve_connection(TokioIo::new(stream), service);
+    let mut connection = std::pin::pin!(connection);
+    tokio::select! {
+        _ = connection.as_mut() => return,
+        () = stop.cancelled() => connection.as_mut().graceful_shutdown(),
+    }
+    let _ = connection.await;
+}
+
+async fn answer(
+    backend: &str,
+    req: Request<Incoming>,
+) -> Result<Response<Full<Bytes>>, Infallible> {
+    let (parts, body) = req.into_parts();
+    let body = match body.collect().await {
+        Ok(body) => body.to_bytes(),
+        Err(_) => Bytes::new(),
+    };
+    tokio::time::sleep(SERVICE_TIME).await;
+    let echoed = &body[..body.len().min(MAX_ECHO)];
+    let echo = Echo {
+        backend,
+        method: parts.method.as_str(),
+        path: parts.uri.path(),
+        body: &String::from_utf8_lossy(echoed),
+    };
+    let mut content = serde_json::to_vec(&echo).unwrap_or_default();
+    content.push(b'\n');
+    Ok(Response::new(Full::new(Bytes::from(content))))
+}
+
+async fn announce_on(
+    mut announcement: Announcement,
+    entries: Vec<SocketAddr>,
+    stop: CancellationToken,
+) {
+    let repeat = Duration::from_millis(REPEAT_MS.into());
+    while !stop.is_cancelled() {
+        announce(&announcement, &entries).await;
+        tokio::select! {
+            () = tokio::time::sleep(repeat) => {}
+            () = stop.cancelled() => {}
+        }
+    }
+    announcement.state = BackendState::Leaving;
+    announce(&announcement, &entries).await;
+}
+
+/// Announces to the first entry VM that takes it; it passes the announcement on.
+async fn announce(announcement: &Announcement, entries: &[SocketAddr]) {
+    let Ok(content) = serde_json::to_vec(announcement) else {
+        return;
+    };
+    for entry in entries {
+        if post(*entry, Bytes::from(content.clone())).await.is_some() {
+            return;
+        }
+    }
+}
+
+async fn post(entry: SocketAddr, content: Bytes) -> Option<()> {
+    let stream = TcpStream::connect(entry).await.ok()?;
+    let (mut sender, connection) = client::handshake(TokioIo::new(stream)).await.ok()?;
+    tokio::spawn(connection);
+    let request = Request::builder()
+        .method(Method::POST)
+        .uri("/announce")
+        .header(http::header::HOST, entry.to_string())
+        .body(Full::new(content))
+        .ok()?;
+    let response = sender.send_request(request).await.ok()?;
+    response.status().is_success().then_some(())
+}
--- a/server/src/lib.rs
+++ b/server/src/lib.rs
@@ -22,6 +22,8 @@
 pub mod control_process;
 pub mod control_session;
 pub mod data_folder;
+pub mod demo;
+pub mod demo_backend_server;
 pub mod dispatcher;
 pub mod entry_context;
 pub mod entry_process;
