--- a/cli/tests/common/mod.rs
+++ b/cli/tests/common/mod.rs
@@ -1,6 +1,9 @@
 //! What several tests share: running the command.
 
-#![allow(dead_code, reason = "each test file is a crate, and uses a part of this")]
+#![allow(
+    dead_code,
+    reason = "each test file is a crate, and uses a part of this"
+)]
 
 use std::path::Path;
 use std::path::PathBuf;
