action_path: run actions at their primary, resolve at their backup

An entry VM forwards an action to the session that its ticket names and asks the backup when that says nothing. The primary's own word travels sealed, so that it can't be taken for a refusal on the way, which proves nothing of earlier copies. A request with a key that is refused unread gets its key fenced before "not run" is told.

--- /dev/null
+++ b/server/src/action_answer.rs
@@ -0,0 +1,178 @@
+//! Turns answers of actions into what is stored, and back.
+
+use std::pin::Pin;
+use std::task::Context;
+use std::task::Poll;
+
+use bytes::Bytes;
+use bytes::BytesMut;
+use heatherring_lib::action_record::ActionEnd;
+use heatherring_lib::action_record::MAX_STORED_BODY;
+use heatherring_lib::action_record::StoredAnswer;
+use heatherring_lib::action_record::StoredHeader;
+use heatherring_lib::outcome::Attempt;
+use heatherring_lib::outcome::NotRunReason;
+use heatherring_lib::outcome::OUTCOME_ANSWER;
+use heatherring_lib::outcome::OUTCOME_NOT_RUN;
+use heatherring_lib::outcome::Outcome;
+use heatherring_lib::outcome::Refusal;
+use heatherring_lib::outcome::Unknown;
+use heatherring_lib::outcome::UnknownReason;
+use http::HeaderName;
+use http::HeaderValue;
+use http::Response;
+use http::StatusCode;
+use http::response::Parts;
+use http_body_util::BodyExt;
+use hyper::body::Body;
+use hyper::body::Frame;
+use hyper::body::SizeHint;
+
+use crate::answer_body;
+use crate::answer_body::AnswerBody;
+use crate::answer_body::AnswerBroken;
+use crate::header;
+use crate::refusal;
+use crate::refusal::Refused;
+
+/// Marks the primary's own word on an action, between entry VMs only. A refusal
+/// without it, such as that of a session that is gone, says nothing about the key: an
+/// earlier copy of the action may have run.
+const ACTION_END: HeaderName = HeaderName::from_static("heatherring-action-end");
+
+/// Holds an answer that was read as far as it can be stored.
+pub enum Collected {
+    /// All of it.
+    Whole(StoredAnswer),
+    /// More than can be stored: the answer to pass through, none of which is lost.
+    TooLarge(Response<AnswerBody>),
+    /// It broke off.
+    Broken,
+}
+
+/// Reads an answer up to the bound for stored ones.
+pub async fn collect(response: Response<AnswerBody>) -> Collected {
+    let (head, mut body) = response.into_parts();
+    let mut content = BytesMut::new();
+    while let Some(frame) = body.frame().await {
+        let Ok(frame) = frame else {
+            return Collected::Broken;
+        };
+        let Ok(data) = frame.into_data() else {
+            continue;
+        };
+        content.extend_from_slice(&data);
+        if content.len() > MAX_STORED_BODY {
+            let read = content.freeze();
+            let body = Preceded { read, rest: body }.boxed_unsync();
+            return Collected::TooLarge(Response::from_parts(head, body));
+        }
+    }
+    Collected::Whole(store(&head, content.freeze()))
+}
+
+/// Yields what was read of a body already, then the rest of it.
+struct Preceded {
+    read: Bytes,
+    rest: AnswerBody,
+}
+
+impl Body for Preceded {
+    type Data = Bytes;
+    type Error = AnswerBroken;
+
+    fn poll_frame(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, AnswerBroken>>> {
+        let this = self.get_mut();
+        if this.read.is_empty() {
+            return Pin::new(&mut this.rest).poll_frame(cx);
+        }
+        let read = std::mem::take(&mut this.read);
+        Poll::Ready(Some(Ok(Frame::data(read))))
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.read.is_empty() && self.rest.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        let read = self.read.len() as u64;
+        let rest = self.rest.size_hint();
+        let mut hint = SizeHint::new();
+        hint.set_lower(rest.lower() + read);
+        if let Some(upper) = rest.upper() {
+            hint.set_upper(upper + read);
+        }
+        hint
+    }
+}
+
+fn store(head: &Parts, body: Bytes) -> StoredAnswer {
+    let headers = head.headers.iter().map(|(name, value)| StoredHeader {
+        name: name.as_str().to_owned(),
+        value: value.as_bytes().to_vec(),
+    });
+    StoredAnswer {
+        status: head.status.as_u16(),
+        headers: headers.collect(),
+        body: body.into(),
+    }
+}
+
+fn restore(stored: &StoredAnswer) -> Response<AnswerBody> {
+    let mut response = Response::new(answer_body::full(stored.body.clone()));
+    *response.status_mut() = StatusCode::from_u16(stored.status).unwrap_or_default();
+    let headers = response.headers_mut();
+    for header in &stored.headers {
+        let name = HeaderName::from_bytes(header.name.as_bytes());
+        let value = HeaderValue::from_bytes(&header.value);
+        if let (Ok(name), Ok(value)) = (name, value) {
+            headers.append(name, value);
+        }
+    }
+    headers.insert(header::OUTCOME, HeaderValue::from_static(OUTCOME_ANSWER));
+    response
+}
+
+/// Returns what a caller is told of an action that has ended.
+pub fn outcome_of(end: &ActionEnd) -> Outcome<Response<AnswerBody>> {
+    end.outcome().map(|stored| restore(&stored))
+}
+
+/// Marks the primary's own word, so that it passes through another entry VM whole.
+#[must_use]
+pub fn seal(outcome: Outcome<Response<AnswerBody>>) -> Response<AnswerBody> {
+    let refused = match outcome {
+        Outcome::Answer(response) => return response,
+        Outcome::NotRun(not_run) => Refused::from(not_run),
+        Outcome::Unknown(unknown) => Refused::from(unknown),
+    };
+    let mut response = refusal::to_entry(&refused);
+    let headers = response.headers_mut();
+    headers.insert(ACTION_END, HeaderValue::from_static(refused.outcome()));
+    headers.insert(header::OUTCOME, HeaderValue::from_static(OUTCOME_ANSWER));
+    response
+}
+
+/// Reads what the primary has sealed.
+pub fn unseal(response: Response<AnswerBody>) -> Outcome<Response<AnswerBody>> {
+    let headers = response.headers();
+    let text = |name: &HeaderName| headers.get(name).and_then(|value| value.to_str().ok());
+    let Some(end) = text(&ACTION_END) else {
+        return Outcome::Answer(response);
+    };
+    let reason = text(&header::REASON).unwrap_or_default();
+    let retry_after = header::number(headers, &header::RETRY_AFTER_MS)
+        .flatten()
+        .map(std::time::Duration::from_millis);
+    let refusal = NotRunReason::parse(reason)
+        .filter(|_| end == OUTCOME_NOT_RUN)
+        .and_then(|reason| Refusal::of_entry(Some(OUTCOME_NOT_RUN), reason, retry_after));
+    if let Some(refusal) = refusal {
+        return Attempt::new().sending().refused(refusal).into();
+    }
+    let reason = UnknownReason::parse(reason).unwrap_or(UnknownReason::OwnerLost);
+    Unknown::new(reason).into()
+}
--- a/server/src/admission_task.rs
+++ b/server/src/admission_task.rs
@@ -24,7 +24,6 @@
 use heatherring_lib::announcement::Announcement;
 use heatherring_lib::announcement::AnnouncementError;
 use heatherring_lib::clock::Clock;
-use heatherring_lib::drain::DrainDecision;
 use heatherring_lib::id::PlaceName;
 use heatherring_lib::id::Revision;
 use heatherring_lib::id::ServiceName;
@@ -82,8 +81,6 @@
     pub session: SessionId,
     /// What each owned group can take.
     pub loads: Vec<GroupLoad>,
-    /// What becomes of each planned drain.
-    pub drains: Vec<DrainDecision>,
     /// Requests that wait for a slot.
     pub waiting: usize,
     /// Whether nothing is dispatched and nothing waits.
@@ -341,7 +338,6 @@
     lookups: Lookups,
     retries: RetryBudget,
     digest_serial: u64,
-    drains: Vec<DrainDecision>,
 }
 
 impl SessionCore {
@@ -353,7 +349,6 @@
             lookups: Lookups::new(id),
             retries: RetryBudget::default(),
             digest_serial: 0,
-            drains: Vec::new(),
         }
     }
 
@@ -700,7 +695,6 @@
             Some(core) => AdmissionStatus {
                 session: core.id,
                 loads: core.admission.loads(now),
-                drains: core.drains.clone(),
                 waiting,
                 idle: core.admission.is_idle(),
             },
--- a/server/src/caller_listener.rs
+++ b/server/src/caller_listener.rs
@@ -25,6 +25,7 @@
 use hyper::body::Incoming;
 use serde::Serialize;
 
+use crate::action_path;
 use crate::answer_body;
 use crate::answer_body::AnswerBody;
 use crate::dispatcher::OutgoingRequest;
@@ -90,8 +91,22 @@
             }
             return self.look_up(peer.ip(), service).await.map_err(Into::into);
         }
-        let request = self.read(peer.ip(), request_id, arrived, req).await?;
-        into_result(crate::action_path::run(&self.cx, &request).await)
+        let keyed = KeyedRequest::of(&req);
+        match self.read(peer.ip(), request_id, arrived, req).await {
+            Ok(request) => into_result(action_path::run(&self.cx, &request).await),
+            Err(not_run) => Err(self.refuse_unread(keyed, not_run).await),
+        }
+    }
+
+    /// Makes a refusal true of the request's key as well, if it has one.
+    async fn refuse_unread(&self, keyed: Option<KeyedRequest>, not_run: NotRun) -> Refused {
+        match keyed {
+            Some(keyed) => {
+                let KeyedRequest { service, headers } = keyed;
+                action_path::refuse_unread(&self.cx, &service, &headers, not_run).await
+            }
+            None => not_run.into(),
+        }
     }
 
     /// Checks the request and reads its body.
@@ -158,7 +173,7 @@
             .admission
             .look_up(service.clone(), origin, caller)
             .await?;
-        let ticket = crate::action_path::ticket(&self.cx, &state, &service, &answer.entry);
+        let ticket = action_path::ticket(&self.cx, &state, &service, &answer.entry);
         let ticket_ms = manifest.look_ups.ticket_ms;
         let body = LookUpBody {
             service: &service,
@@ -178,6 +193,25 @@
     }
 }
 
+/// Holds what is needed of a request with an idempotency key after it was refused.
+struct KeyedRequest {
+    service: ServiceName,
+    headers: HeaderMap,
+}
+
+impl KeyedRequest {
+    fn of(req: &Request<Incoming>) -> Option<Self> {
+        let headers = req.headers();
+        headers.get(header::IDEMPOTENCY_KEY)?;
+        let below = req.uri().path().strip_prefix(SERVICE_PREFIX)?;
+        let (service, _) = below.split_once('/').unwrap_or((below, ""));
+        Some(Self {
+            service: ServiceName::new(service),
+            headers: headers.clone(),
+        })
+    }
+}
+
 fn refuse(reason: NotRunReason) -> NotRun {
     Attempt::new().refuse(reason)
 }
--- a/server/src/entry_context.rs
+++ b/server/src/entry_context.rs
@@ -9,6 +9,7 @@
 use heatherring_lib::settings::EntryLimits;
 use heatherring_lib::view::EntryInfo;
 
+use crate::action_task::ActionHandle;
 use crate::admission_task::AdmissionHandle;
 use crate::backend_pool::BackendPool;
 use crate::entry_state::EntryStateReader;
@@ -27,6 +28,8 @@
     pub clock: Arc<dyn Clock>,
     /// The session with control.
     pub state: EntryStateReader,
+    /// Records of actions.
+    pub actions: ActionHandle,
     /// The decisions.
     pub admission: AdmissionHandle,
     /// Connections to backend servers.
--- a/server/src/entry_process.rs
+++ b/server/src/entry_process.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use heatherring_lib::action_store::ActionLimits;
 use heatherring_lib::clock::Clock;
 use heatherring_lib::settings::EntrySettings;
 use heatherring_lib::view::EntryInfo;
@@ -16,6 +17,7 @@
 use tokio_stream::wrappers::TcpListenerStream;
 use tokio_util::sync::CancellationToken;
 
+use crate::action_task::ActionHandle;
 use crate::admission_task::AdmissionTask;
 use crate::announce_listener::AnnounceHandler;
 use crate::backend_pool::BackendPool;
@@ -202,11 +204,14 @@
             events,
             wish_rx,
         );
+        let state = EntryStateReader::new(state, Arc::clone(&clock));
+        let action_limits = ActionLimits::default();
         let cx = Arc::new(EntryContext {
             info,
             limits: settings.limits,
             clock: Arc::clone(&clock),
-            state: EntryStateReader::new(state, clock),
+            actions: ActionHandle::spawn(state.clone(), clock, action_limits),
+            state,
             admission,
             pool,
             forward: ForwardClients::spawn(security.clone()),
@@ -331,6 +336,11 @@
         while !(self.callers.is_finished() && self.forward.is_finished()) {
             tokio::time::sleep(POLL).await;
         }
+        // Callers of these actions may have gone away, and ask the backup after this
+        // process has ended: it must have been told the ends by then.
+        while !self.cx.actions.runs().is_empty() {
+            tokio::time::sleep(POLL).await;
+        }
         while !self.cx.admission.status().await.idle {
             tokio::time::sleep(POLL).await;
         }
--- a/server/src/forward_listener.rs
+++ b/server/src/forward_listener.rs
@@ -119,7 +119,7 @@
                 };
                 owner_path::run(&self.cx, &steered, &req.outgoing, Attempt::new()).await
             }
-            ForwardPurpose::Primary => crate::action_path::run(&self.cx, &req).await,
+            ForwardPurpose::Primary => crate::action_path::run_forwarded(&self.cx, &req).await,
         }
     }
 
--- a/server/src/header.rs
+++ b/server/src/header.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use heatherring_lib::action_record::CALLER_HEADER;
 use http::HeaderMap;
 use http::HeaderName;
 use http::header;
@@ -18,6 +19,10 @@
 /// The caller's key of an action.
 pub const IDEMPOTENCY_KEY: HeaderName = HeaderName::from_static("idempotency-key");
 
+/// By which a caller may tell its actions apart from those of others that use the same
+/// look-up. It is the one header with our prefix that callers set.
+pub const CALLER: HeaderName = HeaderName::from_static(CALLER_HEADER);
+
 /// The place of the caller; between entry VMs only.
 pub const ORIGIN_PLACE: HeaderName = HeaderName::from_static("heatherring-origin-place");
 
@@ -73,11 +78,12 @@
     }
 }
 
-/// Removes heatherring's own headers, which nobody outside may set for it.
+/// Removes heatherring's own headers, which nobody outside may set for it, except the
+/// one that is the caller's.
 pub fn remove_own(headers: &mut HeaderMap) {
     let own: Vec<HeaderName> = headers
         .keys()
-        .filter(|name| name.as_str().starts_with(OWN_PREFIX))
+        .filter(|name| name.as_str().starts_with(OWN_PREFIX) && **name != CALLER)
         .cloned()
         .collect();
     for name in own {
--- a/server/src/lib.rs
+++ b/server/src/lib.rs
@@ -11,7 +11,11 @@
 #[path = "generated/heatherring.v1.rs"]
 pub mod proto;
 
+pub mod action_answer;
 pub mod action_path;
+pub mod action_peer;
+pub mod action_run;
+pub mod action_task;
 pub mod admission_task;
 pub mod announce_listener;
 pub mod answer_body;
--- a/server/src/peer_service.rs
+++ b/server/src/peer_service.rs
@@ -9,6 +9,7 @@
 use tonic::Response;
 use tonic::Status;
 
+use crate::action_peer;
 use crate::entry_context::EntryContext;
 use crate::proto::AnnounceReply;
 use crate::proto::AnnounceRequest;
@@ -81,15 +82,17 @@
 
     async fn record_action(
         &self,
-        _request: Request<RecordActionRequest>,
+        request: Request<RecordActionRequest>,
     ) -> Result<Response<RecordActionReply>, Status> {
-        Err(Status::unimplemented("actions aren't recorded yet"))
+        let reply = action_peer::answer_record(&self.cx.actions, request.into_inner());
+        Ok(Response::new(reply.await?))
     }
 
     async fn resolve_action(
         &self,
-        _request: Request<ResolveActionRequest>,
+        request: Request<ResolveActionRequest>,
     ) -> Result<Response<ResolveActionReply>, Status> {
-        Err(Status::unimplemented("actions aren't recorded yet"))
+        let reply = action_peer::answer_resolve(&self.cx.actions, request.into_inner());
+        Ok(Response::new(reply.await?))
     }
 }
