--- a/cli/src/commands/check.rs
+++ b/cli/src/commands/check.rs
@@ -107,6 +107,9 @@
 fn check_manifest(matches: &ArgMatches, input: &Input) -> Result<(), CliError> {
     let manifest = checked_manifest(input)?;
     let other = compared_manifest(matches)?;
+    let refused_as_stale = other
+        .as_ref()
+        .is_some_and(|other| manifest.version <= other.version && manifest != *other);
     let changes = other.map(|other| changes(&other, &manifest));
     if output_format(matches) == OutputFormat::Json {
         return print_json(&json!({
@@ -130,9 +133,13 @@
         manifest.client_blocks.len(),
     ))?;
     match changes {
-        Some(changes) => manifest_source::print_changes(&changes),
-        None => Ok(()),
+        Some(changes) => manifest_source::print_changes(&changes)?,
+        None => return Ok(()),
     }
+    if matches.get_flag("against-current") && refused_as_stale {
+        return print_text("! control would refuse it: its version must be higher");
+    }
+    Ok(())
 }
 
 fn check_settings(
--- a/cli/src/commands/manifest_submit.rs
+++ b/cli/src/commands/manifest_submit.rs
@@ -98,12 +98,14 @@
         .await
         .map_err(|error| client_error(&error))?;
     let reply = accepted(reply)?;
-    let waits = !matches.get_flag("no-wait");
-    if waits {
-        let seconds = matches.get_one::<u64>("wait").copied().unwrap_or(0);
-        wait_until_settled(client, reply.revision, Duration::from_secs(seconds)).await?;
+    let format = output_format(matches);
+    if matches.get_flag("no-wait") {
+        return print_accepted(format, &reply, None);
     }
-    print_accepted(output_format(matches), &reply, waits)
+    let seconds = matches.get_one::<u64>("wait").copied().unwrap_or(0);
+    let wait = Duration::from_secs(seconds);
+    let status = wait_until_settled(client, reply.revision, wait).await?;
+    print_accepted(format, &reply, Some(&status))
 }
 
 /// Returns the reply if it says that the manifest was accepted.
@@ -138,21 +140,18 @@
     client: &OperatorClient,
     revision: u64,
     wait: Duration,
-) -> Result<(), CliError> {
+) -> Result<StatusReply, CliError> {
     let give_up = Instant::now() + wait;
     loop {
         let status = client.status().await;
-        if let Ok(status) = &status
-            && status.current
-            && status.settled_revision >= revision
-        {
-            return Ok(());
-        }
+        let reason = match status {
+            Ok(status) if status.current && status.settled_revision >= revision => {
+                return Ok(status);
+            }
+            Ok(status) => behind(&status, revision),
+            Err(error) => error.to_string(),
+        };
         if Instant::now() >= give_up {
-            let reason = match status {
-                Ok(status) => behind(&status, revision),
-                Err(error) => error.to_string(),
-            };
             let message = format!(
                 "accepted at revision {revision}, but not known to be in force everywhere: {reason}"
             );
@@ -178,24 +177,30 @@
     named.join(", ")
 }
 
+/// Prints the answer, and what `settled` says once all entry VMs have acknowledged it.
 fn print_accepted(
     format: OutputFormat,
     reply: &SubmitReply,
-    in_force: bool,
+    settled: Option<&StatusReply>,
 ) -> Result<(), CliError> {
+    // A resend may get its original answer after a later version was accepted.
+    let later = settled
+        .map(|status| status.manifest_version)
+        .filter(|version| *version > reply.version);
     if format == OutputFormat::Json {
         return print_json(&json!({
             "outcome": "accepted",
             "version": reply.version,
             "digest": reply.digest,
             "revision": reply.revision,
-            "in_force_everywhere": in_force,
+            "in_force_everywhere": settled.is_some() && later.is_none(),
+            "replaced_by": later,
         }));
     }
-    let ending = if in_force {
-        ", in force everywhere"
-    } else {
-        ""
+    let ending = match (settled, later) {
+        (None, _) => String::new(),
+        (Some(_), None) => ", in force everywhere".to_owned(),
+        (Some(_), Some(later)) => format!(", since replaced by version {later}"),
     };
     print_text(&format!(
         "version {} accepted at revision {} (digest {}){ending}",
--- a/lib/src/config_schema.rs
+++ b/lib/src/config_schema.rs
@@ -74,7 +74,11 @@
             self.optional(node, forms);
             return;
         }
-        match schema.get("type").and_then(Json::as_str) {
+        let kinds = kinds(schema);
+        if kinds.contains(&"null") && node.as_null_keyword().is_some() {
+            return;
+        }
+        match kinds.into_iter().find(|kind| *kind != "null") {
             Some("object") => self.object(node, schema),
             Some("array") => self.array(node, schema),
             Some("integer") => self.integer(node, schema),
@@ -295,6 +299,15 @@
     schema.get(keyword)?.as_array().map(Vec::as_slice)
 }
 
+/// Returns the kinds of value that a schema allows; an optional value has two.
+fn kinds(schema: &Json) -> Vec<&str> {
+    match schema.get("type") {
+        Some(Json::Array(kinds)) => kinds.iter().filter_map(Json::as_str).collect(),
+        Some(Json::String(kind)) => vec![kind],
+        _ => Vec::new(),
+    }
+}
+
 fn constant(form: &Json) -> Option<&str> {
     form.get("const")?.as_str()
 }
--- a/lib/tests/test_settings.rs
+++ b/lib/tests/test_settings.rs
@@ -53,6 +53,14 @@
     );
 }
 
+#[test]
+fn test_settings_optional_fields_may_be_null() {
+    let control = CONTROL.replacen("\"vm\"", "\"advertise\": null, \"vm\"", 1);
+    assert!(read_control_settings("s.jsonc", &control).is_ok());
+    let entry = ENTRY.replacen("\"vm\"", "\"metrics\": null, \"vm\"", 1);
+    assert!(read_entry_settings("s.jsonc", &entry).is_ok());
+}
+
 macro_rules! fault_cases {
     ($($name:ident: $read:ident, $sample:ident, $from:literal => $to:literal, $expected:literal;)*) => {
         $(
@@ -79,6 +87,9 @@
     test_settings_advertised_beyond_loopback: read_control_settings, CONTROL,
         r#""vm""# => r#""advertise": ^"10.0.0.1:7400", "vm""#,
         r#"10.0.0.1:7400 is no loopback address, and security is open_loopback; allowed beyond loopback is {"tls": ..}"#;
+    test_settings_optional_address_without_port: read_control_settings, CONTROL,
+        r#""vm""# => r#""advertise": ^"127.0.0.11", "vm""#,
+        r#""127.0.0.11" isn't allowed here; allowed is an IP address with a port, as in 127.0.0.1:7000"#;
     test_settings_port_zero: read_control_settings, CONTROL,
         r#""127.0.0.11:7400""# => r#"^"127.0.0.11:0""#,
         r"127.0.0.11:0 has port 0; allowed are ports from 1 to 65535";
--- a/server/src/admission_task.rs
+++ b/server/src/admission_task.rs
@@ -24,6 +24,7 @@
 use heatherring_lib::announcement::Announcement;
 use heatherring_lib::announcement::AnnouncementError;
 use heatherring_lib::clock::Clock;
+use heatherring_lib::drain::DrainDecision;
 use heatherring_lib::id::PlaceName;
 use heatherring_lib::id::Revision;
 use heatherring_lib::id::ServiceName;
@@ -81,6 +82,8 @@
     pub session: SessionId,
     /// What each owned group can take.
     pub loads: Vec<GroupLoad>,
+    /// What becomes of each planned drain.
+    pub drains: Vec<DrainDecision>,
     /// Requests that wait for a slot.
     pub waiting: usize,
     /// Whether nothing is dispatched and nothing waits.
@@ -338,6 +341,7 @@
     lookups: Lookups,
     retries: RetryBudget,
     digest_serial: u64,
+    drains: Vec<DrainDecision>,
 }
 
 impl SessionCore {
@@ -349,6 +353,7 @@
             lookups: Lookups::new(id),
             retries: RetryBudget::default(),
             digest_serial: 0,
+            drains: Vec::new(),
         }
     }
 
@@ -695,6 +700,7 @@
             Some(core) => AdmissionStatus {
                 session: core.id,
                 loads: core.admission.loads(now),
+                drains: core.drains.clone(),
                 waiting,
                 idle: core.admission.is_idle(),
             },
--- a/server/src/control_session.rs
+++ b/server/src/control_session.rs
@@ -130,6 +130,8 @@
     clock: Arc<dyn Clock>,
     state: EntryState,
     need_whole: bool,
+    /// Set while no replica gives an answer that can be used.
+    silent: bool,
     publish: watch::Sender<EntryState>,
     events: mpsc::UnboundedSender<ControlEvent>,
     wish: watch::Receiver<SessionWish>,
@@ -156,6 +158,7 @@
             clock,
             state: EntryState::default(),
             need_whole: true,
+            silent: false,
             publish,
             events,
             wish,
@@ -249,7 +252,10 @@
     }
 
     async fn fail(&mut self, error: &SyncError) {
-        log::warn!(event = "control_silent", vm = self.info.vm.as_str(), error = error.to_string().as_str(); "asking another control replica");
+        // One line for each silence: a long one would otherwise fill the log.
+        if !std::mem::replace(&mut self.silent, true) {
+            log::warn!(event = "control_silent", vm = self.info.vm.as_str(), error = error.to_string().as_str(); "asking other control replicas");
+        }
         self.client = None;
         self.current = (self.current + 1) % self.replicas.len();
         tokio::time::sleep(RETRY_PAUSE).await;
@@ -273,6 +279,9 @@
             }
         }
         self.check_cluster(replica, &reply.cluster_id)?;
+        if std::mem::replace(&mut self.silent, false) {
+            log::info!(event = "control_answers", vm = self.info.vm.as_str(), replica = replica.to_string().as_str(); "a control replica answers again");
+        }
         if wish == SessionWish::Close {
             self.lose();
             return Ok(());
--- a/server/src/demo_backend_server.rs
+++ b/server/src/demo_backend_server.rs
@@ -9,9 +9,12 @@
 use heatherring_lib::announcement::Announcement;
 use heatherring_lib::announcement::BackendState;
 use heatherring_lib::announcement::REPEAT_MS;
+use http::HeaderValue;
 use http::Method;
 use http::Request;
 use http::Response;
+use http::header::CONTENT_TYPE;
+use http::header::HOST;
 use http_body_util::BodyExt;
 use http_body_util::Full;
 use hyper::body::Incoming;
@@ -96,7 +99,10 @@
     };
     let mut content = serde_json::to_vec(&echo).unwrap_or_default();
     content.push(b'\n');
-    Ok(Response::new(Full::new(Bytes::from(content))))
+    let mut response = Response::new(Full::new(Bytes::from(content)));
+    let json = HeaderValue::from_static("application/json");
+    response.headers_mut().insert(CONTENT_TYPE, json);
+    Ok(response)
 }
 
 async fn announce_on(
@@ -135,7 +141,7 @@
     let request = Request::builder()
         .method(Method::POST)
         .uri("/announce")
-        .header(http::header::HOST, entry.to_string())
+        .header(HOST, entry.to_string())
         .body(Full::new(content))
         .ok()?;
     let response = sender.send_request(request).await.ok()?;
--- a/server/src/entry_status.rs
+++ b/server/src/entry_status.rs
@@ -1,6 +1,8 @@
 //! What an entry VM tells operators of itself.
 
+use heatherring_lib::drain::DrainDecision;
 use heatherring_lib::load_digest::GroupLoad;
+use heatherring_lib::manifest::Drain;
 use serde::Serialize;
 
 use crate::entry_context::EntryContext;
@@ -25,10 +27,31 @@
     pub entries: usize,
     /// Requests that wait for a slot here.
     pub waiting: usize,
+    /// What becomes of each planned drain.
+    pub drains: Vec<DrainStatus>,
     /// What each group that this entry VM owns can take.
     pub owned: Vec<GroupLoad>,
 }
 
+/// Tells what becomes of one planned drain.
+#[derive(Clone, Debug, Serialize)]
+pub struct DrainStatus {
+    /// The drain, as planned.
+    pub drain: Drain,
+    /// Why it is held back; absent once it is carried out.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub held_back: Option<String>,
+}
+
+impl DrainStatus {
+    fn of(decision: &DrainDecision) -> Self {
+        Self {
+            drain: decision.drain.clone(),
+            held_back: decision.held_back.as_ref().map(ToString::to_string),
+        }
+    }
+}
+
 /// Collects the status.
 pub async fn collect(cx: &EntryContext) -> EntryStatus {
     let admission = cx.admission.status().await;
@@ -47,6 +70,7 @@
         manifest_version: state.manifest().map_or(0, |manifest| manifest.version.0),
         entries: state.view.sessions.len(),
         waiting: admission.waiting,
+        drains: admission.drains.iter().map(DrainStatus::of).collect(),
         owned: admission.loads,
     }
 }
--- a/testutils/src/cluster.rs
+++ b/testutils/src/cluster.rs
@@ -28,9 +28,8 @@
 use crate::loopback::LoopbackBlock;
 use crate::loopback::PEERS_PORT;
 use crate::loopback::SERVICE_PORT;
+use crate::network::Network;
 use crate::process::Process;
-use crate::relay::Link;
-use crate::relay::Relay;
 use crate::wait::wait_for;
 
 /// How long a process that was asked to shut down may take.
@@ -49,9 +48,33 @@
     ip: IpAddr,
     settings: PathBuf,
     data_folder: PathBuf,
+    /// Addresses of relays by the port that they lead to.
+    relays: BTreeMap<u16, SocketAddr>,
     process: Option<Process>,
 }
 
+impl Role {
+    const fn ports(self) -> &'static [u16] {
+        match self {
+            Self::Control => &[CONTROL_PORT],
+            Self::Entry => &[CALLERS_PORT, BACKEND_SERVERS_PORT, PEERS_PORT, FORWARD_PORT],
+        }
+    }
+}
+
+impl Vm {
+    /// Returns where the VM listens.
+    fn own(&self, port: u16) -> SocketAddr {
+        SocketAddr::new(self.ip, port)
+    }
+
+    /// Returns where others reach the VM.
+    fn reached(&self, port: u16) -> SocketAddr {
+        let relay = self.relays.get(&port);
+        relay.copied().unwrap_or_else(|| self.own(port))
+    }
+}
+
 #[derive(Debug)]
 struct BackendHost {
     process: Process,
@@ -64,7 +87,8 @@
     // Processes go before the folder that they write to.
     vms: BTreeMap<String, Vm>,
     backend_hosts: BTreeMap<String, BackendHost>,
-    control_links: BTreeMap<String, Vec<Relay>>,
+    /// The links between the processes, if the plan has relays.
+    pub network: Network,
     places: Vec<(String, String)>,
     block: LoopbackBlock,
     pub(crate) binary: PathBuf,
@@ -88,7 +112,7 @@
         let mut cluster = Self {
             vms: BTreeMap::new(),
             backend_hosts: BTreeMap::new(),
-            control_links: BTreeMap::new(),
+            network: Network::default(),
             places: plan.places(),
             block: LoopbackBlock::claim()?,
             binary: binary.to_owned(),
@@ -101,8 +125,10 @@
         for vm in &plan.entries {
             cluster.add_vm(vm, Role::Entry)?;
         }
-        for vm in &plan.entries {
-            cluster.link_to_control(&vm.vm).await?;
+        if plan.relayed {
+            for vm in plan.controls.iter().chain(&plan.entries) {
+                cluster.relay_to(&vm.vm).await?;
+            }
         }
         for vm in plan.controls.iter().chain(&plan.entries) {
             cluster.write_settings(&vm.vm)?;
@@ -182,19 +208,24 @@
             ip: self.block.next_vm(),
             settings: folder.join(format!("{}.jsonc", plan.vm)),
             data_folder,
+            relays: BTreeMap::new(),
             process: None,
         };
         self.vms.insert(plan.vm.clone(), vm);
         Ok(())
     }
 
-    async fn link_to_control(&mut self, entry: &str) -> Result<(), ClusterError> {
-        let mut relays = Vec::new();
-        for target in self.control_addresses() {
-            let address = self.block.next_relay();
-            relays.push(Relay::start(address, target, Link::default()).await?);
+    /// Puts a relay in front of each listener of a VM.
+    async fn relay_to(&mut self, name: &str) -> Result<(), ClusterError> {
+        let vm = self.vms.get_mut(name).expect("a VM of the plan");
+        let mut relays = BTreeMap::new();
+        for port in vm.role.ports() {
+            let target = SocketAddr::new(vm.ip, *port);
+            let listen = self.block.next_relay();
+            self.network.add_relay(listen, target, name).await?;
+            relays.insert(*port, listen);
         }
-        self.control_links.insert(entry.to_owned(), relays);
+        vm.relays = relays;
         Ok(())
     }
 
@@ -208,21 +239,17 @@
         });
         match vm.role {
             Role::Control => {
-                settings["listen"] = json!(SocketAddr::new(vm.ip, CONTROL_PORT));
+                settings["listen"] = json!(vm.own(CONTROL_PORT));
+                settings["advertise"] = json!(vm.reached(CONTROL_PORT));
                 settings["data_folder"] = json!(vm.data_folder);
                 for (member, value) in &self.plan.control_settings {
                     settings[member] = value.clone();
                 }
             }
             Role::Entry => {
-                settings["listen"] = json!({
-                    "callers": SocketAddr::new(vm.ip, CALLERS_PORT),
-                    "backend_servers": SocketAddr::new(vm.ip, BACKEND_SERVERS_PORT),
-                    "peers": SocketAddr::new(vm.ip, PEERS_PORT),
-                    "forward": SocketAddr::new(vm.ip, FORWARD_PORT),
-                });
-                let relays = self.control_links[name].iter();
-                settings["control"] = json!(relays.map(Relay::address).collect::<Vec<_>>());
+                settings["listen"] = entry_addresses(|port| vm.own(port));
+                settings["advertise"] = entry_addresses(|port| vm.reached(port));
+                settings["control"] = json!(self.control_addresses());
             }
         }
         let text = format!("// Settings of {name}.\n{settings:#}\n");
@@ -247,7 +274,9 @@
             Role::Entry => "entry",
         };
         let arguments = [role, "--settings", &settings];
-        vm.process = Some(Process::start(name, &self.binary, &arguments, &log)?);
+        let process = Process::start(name, &self.binary, &arguments, &log)?;
+        self.network.register(process.pid(), name);
+        vm.process = Some(process);
         Ok(())
     }
 
@@ -290,17 +319,6 @@
         std::fs::create_dir(path).context(FileSnafu { path })
     }
 
-    /// Changes the links between an entry VM and all control replicas.
-    ///
-    /// # Panics
-    ///
-    /// Panics if there is no such entry VM.
-    pub fn set_control_link(&self, entry: &str, link: Link) {
-        for relay in &self.control_links[entry] {
-            relay.set(link);
-        }
-    }
-
     /// Starts a process that hosts fake backend servers.
     ///
     /// # Errors
@@ -325,6 +343,7 @@
             &ledger.display().to_string(),
         ];
         let process = Process::start(host, &program, &arguments, &log)?;
+        self.network.register(process.pid(), host);
         let host_process = BackendHost { process, ledger };
         self.backend_hosts.insert(host.to_owned(), host_process);
         Ok(())
@@ -354,7 +373,7 @@
     /// Panics if there is no such VM.
     #[must_use]
     pub fn callers_address(&self, name: &str) -> SocketAddr {
-        SocketAddr::new(self.vms[name].ip, CALLERS_PORT)
+        self.vms[name].reached(CALLERS_PORT)
     }
 
     /// Returns where control replicas listen.
@@ -365,7 +384,7 @@
 
     fn addresses(&self, role: Role, port: u16) -> Vec<SocketAddr> {
         let vms = self.vms.values().filter(|vm| vm.role == role);
-        vms.map(|vm| SocketAddr::new(vm.ip, port)).collect()
+        vms.map(|vm| vm.reached(port)).collect()
     }
 
     /// Returns the address of a caller near `place`.
@@ -431,3 +450,12 @@
         self.folder.path()
     }
 }
+
+fn entry_addresses(address: impl Fn(u16) -> SocketAddr) -> Value {
+    json!({
+        "callers": address(CALLERS_PORT),
+        "backend_servers": address(BACKEND_SERVERS_PORT),
+        "peers": address(PEERS_PORT),
+        "forward": address(FORWARD_PORT),
+    })
+}
--- a/testutils/src/cluster_plan.rs
+++ b/testutils/src/cluster_plan.rs
@@ -32,6 +32,9 @@
     pub controls: Vec<VmPlan>,
     /// Entry VMs.
     pub entries: Vec<VmPlan>,
+    /// Whether everything that the processes send to each other, and callers to entry
+    /// VMs, goes through relays of [`Cluster::network`](crate::cluster::Cluster::network).
+    pub relayed: bool,
     /// Changes to the settings of all control replicas, as top-level members.
     pub control_settings: serde_json::Map<String, Value>,
 }
--- a/testutils/src/deployment.rs
+++ b/testutils/src/deployment.rs
@@ -280,11 +280,24 @@
     }
 }
 
-/// Returns the requests that ended otherwise than by an answer to the first attempt.
+/// Tells of the requests that ended otherwise than by an answer to the first attempt,
+/// one line each.
 #[must_use]
-pub fn troubled(calls: &[CallRecord]) -> Vec<&CallRecord> {
+pub fn troubled(calls: &[CallRecord]) -> Vec<String> {
     let calls = calls.iter();
     calls
         .filter(|call| call.attempts.len() != 1 || !call.attempts[0].told.is_answer())
+        .map(|call| {
+            let attempts = call.attempts.iter();
+            let told = attempts.map(|attempt| {
+                format!(
+                    "{} at {}: {:?}",
+                    attempt.entry, attempt.sent_us, attempt.told
+                )
+            });
+            let kind = if call.action { "action" } else { "request" };
+            let told = told.collect::<Vec<_>>().join("; ");
+            format!("{} {kind} for {}: {told}", call.caller, call.service)
+        })
         .collect()
 }
--- a/testutils/src/process.rs
+++ b/testutils/src/process.rs
@@ -99,6 +99,12 @@
         matches!(self.child.try_wait(), Ok(None))
     }
 
+    /// Returns the process's identifier.
+    #[must_use]
+    pub fn pid(&self) -> u32 {
+        self.child.id()
+    }
+
     /// Returns the process's log.
     #[must_use]
     pub fn log(&self) -> &Path {
--- a/testutils/src/relay.rs
+++ b/testutils/src/relay.rs
@@ -24,6 +24,8 @@
 use tokio::time::Instant;
 use tokio::time::sleep_until;
 
+use crate::socket_owner;
+
 const CHUNK: usize = 16 * 1_024;
 /// Chunks under way in one direction of one connection.
 const CHUNKS_UNDER_WAY: usize = 256;
@@ -73,20 +75,34 @@
     },
 }
 
+/// Tells who opened a connection.
+#[derive(Clone, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub enum Source {
+    /// Whoever connects from this address.
+    Address(IpAddr),
+    /// The process with this name, whatever it connects from.
+    Process(String),
+}
+
 /// Holds the links of one relay: that of each source that was set apart, and that of
 /// all others.
 #[derive(Clone, Debug, Default)]
-struct Links {
-    others: Link,
-    by_source: BTreeMap<IpAddr, Link>,
+pub struct Links {
+    /// The link of sources that aren't set apart.
+    pub others: Link,
+    /// The links of those that are.
+    pub by_source: BTreeMap<Source, Link>,
 }
 
 impl Links {
-    fn of(&self, source: IpAddr) -> &Link {
-        self.by_source.get(&source).unwrap_or(&self.others)
+    fn of(&self, source: &Source) -> &Link {
+        self.by_source.get(source).unwrap_or(&self.others)
     }
 }
 
+/// Names processes by their identifiers.
+pub type ProcessNames = BTreeMap<u32, String>;
+
 /// Relays connections to a target until it is dropped.
 #[derive(Debug)]
 pub struct Relay {
@@ -120,6 +136,21 @@
         address: SocketAddr,
         target: SocketAddr,
         link: Link,
+    ) -> Result<Self, RelayError> {
+        let (_, no_names) = watch::channel(ProcessNames::new());
+        Self::start_for_processes(address, target, link, no_names).await
+    }
+
+    /// Listens on `address` and relays to `target`; tells the processes in `names` apart.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the address can't be used.
+    pub async fn start_for_processes(
+        address: SocketAddr,
+        target: SocketAddr,
+        link: Link,
+        names: watch::Receiver<ProcessNames>,
     ) -> Result<Self, RelayError> {
         let listener = TcpListener::bind(address).await;
         let listener = listener.context(ListenSnafu { address })?;
@@ -128,7 +159,7 @@
             by_source: BTreeMap::new(),
         });
         let mut tasks = JoinSet::new();
-        tasks.spawn(accept(listener, target, links_rx));
+        tasks.spawn(accept(listener, target, links_rx, names));
         Ok(Self {
             address,
             links,
@@ -144,16 +175,21 @@
 
     /// Changes what happens to bytes from now on, whichever source connects.
     pub fn set(&self, link: Link) {
-        self.links.send_replace(Links {
+        self.set_links(Links {
             others: link,
             by_source: BTreeMap::new(),
         });
     }
 
+    /// Changes what happens to bytes from now on, for each source.
+    pub fn set_links(&self, links: Links) {
+        self.links.send_replace(links);
+    }
+
     /// Changes what happens to bytes of connections from `source` from now on.
     pub fn set_from(&self, source: IpAddr, link: Link) {
         self.links.send_modify(|links| {
-            links.by_source.insert(source, link);
+            links.by_source.insert(Source::Address(source), link);
         });
     }
 
@@ -164,14 +200,23 @@
     }
 }
 
-async fn accept(listener: TcpListener, target: SocketAddr, links: watch::Receiver<Links>) {
+async fn accept(
+    listener: TcpListener,
+    target: SocketAddr,
+    links: watch::Receiver<Links>,
+    names: watch::Receiver<ProcessNames>,
+) {
     let mut connections = JoinSet::new();
     loop {
         tokio::select! {
             accepted = listener.accept() => {
-                if let Ok((stream, source)) = accepted {
-                    let path = Path { source: source.ip(), links: links.clone() };
-                    connections.spawn(relay(stream, target, path));
+                if let Ok((stream, peer)) = accepted {
+                    let links = links.clone();
+                    let names = names.borrow().clone();
+                    connections.spawn(async move {
+                        let source = find_source(peer, names).await;
+                        relay(stream, target, Path { source, links }).await;
+                    });
                 }
             }
             _ = connections.join_next(), if !connections.is_empty() => {}
@@ -179,21 +224,31 @@
     }
 }
 
+async fn find_source(peer: SocketAddr, names: ProcessNames) -> Source {
+    let search = tokio::task::spawn_blocking(move || {
+        let pids: Vec<_> = names.keys().copied().collect();
+        let pid = socket_owner::find(peer, &pids)?;
+        names.get(&pid).cloned()
+    });
+    let name = search.await.ok().flatten();
+    name.map_or(Source::Address(peer.ip()), Source::Process)
+}
+
 /// Follows the link of one connection.
 #[derive(Clone, Debug)]
 struct Path {
-    source: IpAddr,
+    source: Source,
     links: watch::Receiver<Links>,
 }
 
 impl Path {
     fn delay(&self) -> Duration {
-        self.links.borrow().of(self.source).delay
+        self.links.borrow().of(&self.source).delay
     }
 
     /// Waits until bytes may pass. Returns whether the relay still exists.
     async fn open(&mut self, direction: Direction) -> bool {
-        let source = self.source;
+        let source = &self.source;
         let passes = |links: &Links| !direction.is_cut(links.of(source));
         self.links.wait_for(passes).await.is_ok()
     }
--- a/testutils/tests/test_relay.rs
+++ b/testutils/tests/test_relay.rs
@@ -4,6 +4,7 @@
 
 use heatherring_testutils::loopback::LoopbackBlock;
 use heatherring_testutils::loopback::SERVICE_PORT;
+use heatherring_testutils::network::Network;
 use heatherring_testutils::relay::Link;
 use heatherring_testutils::relay::Relay;
 use tokio::io::AsyncReadExt;
@@ -58,3 +59,27 @@
     let early = far_of_silent.try_read(&mut buf);
     assert_eq!(early.unwrap_err().kind(), std::io::ErrorKind::WouldBlock);
 }
+
+#[tokio::test]
+async fn test_relay_cuts_one_process() {
+    let mut block = LoopbackBlock::claim().unwrap();
+    let target = SocketAddr::new(block.next_vm(), SERVICE_PORT);
+    let listener = TcpListener::bind(target).await.unwrap();
+    let listen = block.next_relay();
+    let mut network = Network::default();
+    network.add_relay(listen, target, "target").await.unwrap();
+    network.register(std::process::id(), "tester");
+    network.cut_one_way("tester", "target");
+    let mut near = TcpStream::connect(listen).await.unwrap();
+    let (mut far, _) = listener.accept().await.unwrap();
+    near.write_all(b"to").await.unwrap();
+    far.write_all(b"from").await.unwrap();
+    let mut buf = [0; 4];
+    near.read_exact(&mut buf).await.unwrap();
+    assert_eq!(&buf, b"from");
+    let early = far.try_read(&mut buf);
+    assert_eq!(early.unwrap_err().kind(), std::io::ErrorKind::WouldBlock);
+    network.mend();
+    far.read_exact(&mut buf[..2]).await.unwrap();
+    assert_eq!(&buf[..2], b"to");
+}
