test_bad_input, cli: faults that show at start name file, line and column

A missing data folder and a port in use were reported without the place in the settings that has to be changed.

--- a/cli/src/commands/control.rs
+++ b/cli/src/commands/control.rs
@@ -10,6 +10,7 @@
 use clap::Command;
 use clap::value_parser;
 use heatherring_lib::clock::SystemClock;
+use heatherring_lib::config_path::ConfigPath;
 use heatherring_lib::id::ReplicaId;
 use heatherring_lib::settings::ControlSettings;
 use heatherring_lib::settings_text::read_control_settings;
@@ -22,7 +23,10 @@
 use tokio::runtime::Runtime;
 
 use crate::cli_error::CliError;
+use crate::input::Input;
 use crate::logging;
+use crate::settings_input::fault_at;
+use crate::settings_input::read_settings_file;
 
 /// Returns the arguments of the subcommand.
 pub fn command() -> Command {
@@ -144,12 +148,13 @@
 }
 
 fn run_replica(matches: &ArgMatches) -> Result<(), CliError> {
-    let settings = read_settings(matches)?;
+    let input = read_settings_file(matches)?;
+    let settings = parse_settings(&input)?;
     logging::start(settings.log.level).map_err(internal)?;
     runtime()?.block_on(async {
         let shutdown = Shutdown::on_signals().map_err(internal)?;
         let replica = run_control(settings, Arc::new(SystemClock), shutdown);
-        replica.await.map_err(control_error)
+        replica.await.map_err(|error| control_error(&input, error))
     })
 }
 
@@ -161,12 +166,11 @@
 }
 
 fn read_settings(matches: &ArgMatches) -> Result<ControlSettings, CliError> {
-    let Some(path) = matches.get_one::<PathBuf>("settings") else {
-        return Err(user("--settings is missing"));
-    };
-    let file = path.display().to_string();
-    let text = std::fs::read_to_string(path).map_err(|source| user(format!("{file}: {source}")))?;
-    read_control_settings(&file, &text).map_err(|faults| user(faults.to_string()))
+    parse_settings(&read_settings_file(matches)?)
+}
+
+fn parse_settings(input: &Input) -> Result<ControlSettings, CliError> {
+    read_control_settings(&input.name, &input.text).map_err(|faults| user(faults.to_string()))
 }
 
 fn runtime() -> Result<Runtime, CliError> {
@@ -206,9 +210,22 @@
     }
 }
 
-fn control_error(error: ControlError) -> CliError {
-    if error.is_user_error() {
-        return user(error.to_string());
+fn control_error(input: &Input, error: ControlError) -> CliError {
+    if !error.is_user_error() {
+        return internal(error);
     }
-    internal(error)
+    let (field, allowed) = match error {
+        ControlError::Folder { .. } => (
+            "data_folder",
+            "a folder that `heatherring control init` made for a new cluster, or \
+             `heatherring control join` for a replica of an existing one",
+        ),
+        ControlError::Listen { .. } => ("listen", "a free port at an address of this VM"),
+        _ => (
+            "security",
+            "open_loopback, or readable files of one authority",
+        ),
+    };
+    let field = ConfigPath::root().field(field);
+    fault_at(input, &field, &error.to_string(), allowed)
 }
--- a/cli/src/commands/entry.rs
+++ b/cli/src/commands/entry.rs
@@ -8,6 +8,7 @@
 use clap::Command;
 use clap::value_parser;
 use heatherring_lib::clock::SystemClock;
+use heatherring_lib::config_path::ConfigPath;
 use heatherring_lib::settings::EntrySettings;
 use heatherring_lib::settings_text::read_entry_settings;
 use heatherring_server::entry_process::EntryError;
@@ -16,7 +17,10 @@
 use tokio::runtime::Runtime;
 
 use crate::cli_error::CliError;
+use crate::input::Input;
 use crate::logging;
+use crate::settings_input::fault_at;
+use crate::settings_input::read_settings_file;
 
 const SETTINGS: &str = "settings";
 
@@ -47,31 +51,37 @@
 ///
 /// Fails if the settings are at fault or a listener can't be bound.
 pub fn run(matches: &ArgMatches) -> Result<(), CliError> {
-    let settings = read_settings(matches)?;
+    let input = read_settings_file(matches)?;
+    let settings = parse_settings(&input)?;
     logging::start(settings.log.level).map_err(internal)?;
     let runtime = Runtime::new().map_err(internal)?;
     runtime.block_on(async {
         let shutdown = Shutdown::on_signals().map_err(internal)?;
         let entry = run_entry(settings, Arc::new(SystemClock), shutdown);
-        entry.await.map_err(entry_error)
+        entry.await.map_err(|error| entry_error(&input, error))
     })
 }
 
-fn read_settings(matches: &ArgMatches) -> Result<EntrySettings, CliError> {
-    let Some(path) = matches.get_one::<PathBuf>(SETTINGS) else {
-        return Err(user("--settings is missing"));
-    };
-    let file = path.display().to_string();
-    let text = std::fs::read_to_string(path).map_err(|source| user(format!("{file}: {source}")))?;
-    read_entry_settings(&file, &text).map_err(|faults| user(faults.to_string()))
+fn parse_settings(input: &Input) -> Result<EntrySettings, CliError> {
+    read_entry_settings(&input.name, &input.text).map_err(|faults| user(faults.to_string()))
 }
 
-fn entry_error(error: EntryError) -> CliError {
-    if error.is_user_error() {
-        user(error.to_string())
-    } else {
-        internal(error)
+fn entry_error(input: &Input, error: EntryError) -> CliError {
+    if !error.is_user_error() {
+        return internal(error);
     }
+    let root = ConfigPath::root();
+    let (field, allowed) = match &error {
+        EntryError::Listen { purpose, .. } => (
+            root.field("listen").field(*purpose),
+            "a free port at an address of this VM",
+        ),
+        _ => (
+            root.field("security"),
+            "open_loopback, or readable files of one authority",
+        ),
+    };
+    fault_at(input, &field, &error.to_string(), allowed)
 }
 
 fn user(message: impl Into<String>) -> CliError {
--- a/cli/src/main.rs
+++ b/cli/src/main.rs
@@ -8,6 +8,7 @@
 mod logging;
 mod manifest_source;
 mod output;
+mod settings_input;
 mod wall_text;
 
 use std::process::ExitCode;
--- /dev/null
+++ b/cli/src/settings_input.rs
@@ -0,0 +1,27 @@
+//! The settings file that a process is started with.
+
+use std::path::PathBuf;
+
+use clap::ArgMatches;
+use heatherring_lib::config_path::ConfigPath;
+use heatherring_lib::config_text::position_of;
+
+use crate::cli_error::CliError;
+use crate::input::Input;
+use crate::input::read_file;
+
+/// Reads the file that `--settings` names.
+pub fn read_settings_file(matches: &ArgMatches) -> Result<Input, CliError> {
+    let Some(path) = matches.get_one::<PathBuf>("settings") else {
+        return Err(CliError::user("--settings is missing"));
+    };
+    read_file(path)
+}
+
+/// Reports a fault of a value in the settings that showed only when it was used, in one
+/// line; further lines of `fault` are hints, which `allowed` replaces.
+pub fn fault_at(input: &Input, field: &ConfigPath, fault: &str, allowed: &str) -> CliError {
+    let position = position_of(&input.name, &input.text, field);
+    let fault = fault.lines().next().unwrap_or_default();
+    CliError::user(format!("{position}: {fault}; allowed is {allowed}"))
+}
--- a/lib/src/config_document.rs
+++ b/lib/src/config_document.rs
@@ -73,6 +73,11 @@
         self.fault_at(self.offset(path), problem)
     }
 
+    /// Returns the line and column of the value that a path names.
+    pub(crate) fn position_of(&self, path: &ConfigPath) -> Position {
+        self.position(self.offset(path))
+    }
+
     /// Returns the line and column of a byte offset.
     pub(crate) fn position(&self, offset: usize) -> Position {
         let line = self.line_starts.partition_point(|start| *start <= offset);
--- a/lib/src/config_text.rs
+++ b/lib/src/config_text.rs
@@ -51,6 +51,19 @@
     Ok(value)
 }
 
+/// Returns `file:line:column` of what a path names in a text that was read before.
+///
+/// Some faults show only when a value is used, such as a port that is in use; they are
+/// reported at the value all the same. A text that doesn't parse gives the file alone.
+#[must_use]
+pub fn position_of(file: &str, text: &str, path: &ConfigPath) -> String {
+    let Ok(document) = Document::parse(file, text) else {
+        return file.to_owned();
+    };
+    let position = document.position_of(path);
+    format!("{file}:{}:{}", position.line, position.column)
+}
+
 fn faultless(mut faults: Vec<ConfigFault>) -> Result<(), ConfigFaults> {
     if faults.is_empty() {
         return Ok(());
--- a/testutils/src/deployment.rs
+++ b/testutils/src/deployment.rs
@@ -62,10 +62,10 @@
     #[must_use]
     pub fn small(entries: usize, seed: u64) -> Self {
         let places = [
-            ("fko-hakata", "fko"),
-            ("fko-kokura", "fko"),
-            ("kmm-kikuyo", "kmm"),
-            ("kmm-yatsushiro", "kmm"),
+            ("fko-hakata", "fukuoka"),
+            ("fko-kokura", "fukuoka"),
+            ("kmm-kikuyo", "kumamoto"),
+            ("kmm-yatsushiro", "kumamoto"),
         ];
         let vms = |role: &str, count: usize| {
             let numbered = places.iter().cycle().take(count).enumerate();
