raft_election: one of two simultaneous pre-candidates goes first

Two replicas that ask for pre-votes at the same time granted each other's request, stood in the same term, voted for themselves and waited for another timeout. The one with the higher identity now refuses the other for the shortest election timeout.

A sole voter stands at once, since there is nobody to wait for.

--- a/lib/src/raft.rs
+++ b/lib/src/raft.rs
@@ -107,6 +107,10 @@
             rng,
         };
         raft.restart_election_timer();
+        if raft.is_voter() && raft.membership().voters.len() == 1 {
+            // There is nobody to wait for.
+            raft.election_deadline = now;
+        }
         Ok(raft)
     }
 
--- a/lib/src/raft_election.rs
+++ b/lib/src/raft_election.rs
@@ -115,12 +115,29 @@
         log_end: LogEnd,
         fx: &mut Effects,
     ) {
-        let granted = term > self.term() && self.would_vote(log_end) && !self.hears_leader();
+        let granted = term > self.term()
+            && self.would_vote(log_end)
+            && !self.hears_leader()
+            && !self.goes_before(from, log_end);
         let kind = MessageKind::PreVoteReply { granted };
         let term = if granted { term } else { self.term() };
         fx.sends.push((from, Message { term, kind }));
     }
 
+    /// Returns whether this replica asks for pre-votes as well, with a log as good, and
+    /// goes before the other one.
+    ///
+    /// If each granted the other's request, both would stand in the same term, vote for
+    /// themselves and wait for another timeout. This holds for a while only: the other
+    /// one may be the only one of the two that its voters can hear.
+    fn goes_before(&self, other: ReplicaId, log_end: LogEnd) -> bool {
+        let RoleState::PreCandidate(ballot) = &self.role else {
+            return false;
+        };
+        let lately = self.now < ballot.began_at + self.cfg.election_min;
+        lately && log_end == self.log_end() && self.cfg.id > other
+    }
+
     /// Returns whether this replica may vote for a log that ends at `log_end`.
     ///
     /// A replica with an empty log was never a voter; it doesn't vote.
--- a/lib/src/raft_pending.rs
+++ b/lib/src/raft_pending.rs
@@ -22,6 +22,8 @@
 #[derive(Debug, Default)]
 pub(crate) struct PendingProposals {
     tokens: BTreeMap<(Revision, Term), Token>,
+    /// Term of the last committed entry.
+    committed_term: Term,
     expires: Option<Instant>,
 }
 
@@ -36,19 +38,22 @@
 
     /// Answers the requests whose outcome a newly committed entry proves.
     pub fn commit(&mut self, entry: &LogEntry, answers: &mut Vec<Answer>) {
-        if self.tokens.is_empty() {
-            return;
-        }
         let index = entry.index;
         if let Some(token) = self.tokens.remove(&(index, entry.term)) {
             answers.push(Answer::Committed { token, index });
         }
-        self.tokens.retain(|(at, term), token| {
-            let replaced = *term < entry.term || *at <= index;
-            if replaced {
+        if entry.term == self.committed_term {
+            return;
+        }
+        // Terms rise along the log, so no entry of a lower term is committed from here
+        // on. Within one term nothing is replaced.
+        self.committed_term = entry.term;
+        let current = entry.term;
+        self.tokens.retain(|(_, term), token| {
+            if *term < current {
                 answers.push(refused(*token, Refusal::Overwritten));
             }
-            !replaced
+            *term >= current
         });
     }
 
--- a/lib/tests/test_raft_simulation.rs
+++ b/lib/tests/test_raft_simulation.rs
@@ -287,3 +287,52 @@
         panic!("{err}");
     }
 }
+
+/// Returns how long nothing can be committed after the leader's process ends.
+fn outage(seed: u64, weather: Weather) -> (Duration, u64) {
+    let mut network = Network::with_voters(seed, 3);
+    network.weather = weather;
+    network.run(ELECTION_MAX * (2 + u32::try_from(seed % 3).unwrap()));
+    network.commit_one();
+    let leader = network.leader().unwrap();
+    let elections = network.checker.elections;
+    let died_at = network.elapsed();
+    network.crash(leader);
+    network.commit_one();
+    let won = network.checker.elections - elections;
+    (network.elapsed().saturating_sub(died_at), won)
+}
+
+#[test]
+fn test_raft_simulation_leader_death_is_short() {
+    // Symptom: operators wait for long after a leader's death.
+    // Sequence: the leader dies; the others stand for election at the same time again
+    // and again, or a won election is lost at once.
+    // Cause: election timeouts that are too alike or too short for the delays.
+    let seeds = u64::from(from_env("HEATHERRING_CASES", DEFAULT_CASES));
+    let weathers = [
+        ("calm", Weather::CALM),
+        (
+            "delays to 60 ms, 5% lost",
+            Weather {
+                loss: 5,
+                doubled: 5,
+                max_delay_ms: 60,
+                max_sync_ms: 10,
+            },
+        ),
+    ];
+    for (name, weather) in weathers {
+        let mut outages: Vec<_> = (0..seeds).map(|seed| outage(seed, weather)).collect();
+        let won: u64 = outages.iter().map(|(_, won)| won).sum();
+        outages.sort_unstable();
+        let at = |percent: usize| outages[(outages.len() - 1) * percent / 100].0;
+        println!(
+            "{name}: p50 {:?}, p99 {:?}, max {:?}, {won} elections for {seeds} deaths",
+            at(50),
+            at(99),
+            at(100)
+        );
+        assert!(at(100) < ELECTION_MAX * 10);
+    }
+}
