--- /dev/null
+++ b/server/tests/test_decoders.rs
@@ -0,0 +1,73 @@
+//! No decoder of what is on a disk panics, whatever it is given.
+//!
+//! Symptom that this is for: a replica whose disk has one damaged byte dies at each
+//! start instead of reporting the damage.
+
+use heatherring_server::data_folder::Identity;
+use heatherring_server::log_record::segment_number;
+use heatherring_server::record_codec::decode_frame;
+use heatherring_server::record_codec::encode_frame;
+use heatherring_server::record_codec::judge_tail;
+use proptest::collection::vec;
+use proptest::prelude::*;
+use proptest::sample::Index;
+use proptest::test_runner::RngSeed;
+
+const SEED: u64 = 20_261_202;
+
+fn config() -> ProptestConfig {
+    ProptestConfig {
+        rng_seed: RngSeed::Fixed(SEED),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    }
+}
+
+/// Reads a file of frames as a replay does: frame after frame, then a verdict on what
+/// is left.
+fn replay(file: &[u8]) {
+    let mut offset = 0;
+    while offset < file.len() {
+        match decode_frame(&file[offset..]) {
+            Ok(frame) => offset += frame.length,
+            Err(error) => {
+                let _ = judge_tail(file, offset, &error);
+                return;
+            }
+        }
+    }
+}
+
+proptest! {
+    #![proptest_config(config())]
+
+    #[test]
+    fn test_decoders_random_file(file in vec(any::<u8>(), 0..600)) {
+        replay(&file);
+        let _ = Identity::decode(&file);
+    }
+
+    #[test]
+    fn test_decoders_damaged_file(
+        bodies in vec(vec(any::<u8>(), 0..900), 1..4),
+        edits in vec((any::<Index>(), prop_oneof![Just(0), any::<u8>()]), 0..4),
+        cut in any::<Index>(),
+    ) {
+        let mut file = Vec::new();
+        for (number, body) in bodies.iter().enumerate() {
+            encode_frame(number as u64, body, &mut file);
+        }
+        for (index, byte) in edits {
+            let position = index.index(file.len());
+            file[position] = byte;
+        }
+        replay(&file);
+        file.truncate(cut.index(file.len()));
+        replay(&file);
+    }
+
+    #[test]
+    fn test_decoders_file_name(name in ".{0,40}") {
+        let _ = segment_number(&name);
+    }
+}
