--- a/server/tests/support/mod.rs
+++ b/server/tests/support/mod.rs
@@ -95,6 +95,14 @@
         file.durable = file.content.clone();
     }
 
+    /// Fills one sector of a file with zeros.
+    pub fn zero_sector(&self, name: &str, sector: usize) {
+        let mut inner = self.inner();
+        let file = inner.names[name];
+        let start = sector * SECTOR_BYTES;
+        inner.files[file].content[start..start + SECTOR_BYTES].fill(0);
+    }
+
     pub fn content(&self, name: &str) -> Vec<u8> {
         self.read(name).unwrap()
     }
