--- a/testutils/src/lib.rs
+++ b/testutils/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod cluster_plan;
 pub mod control_history;
 pub mod deployment;
+pub mod deployment_plan;
 pub mod echo;
 pub mod fake_backend_server;
 pub mod ledger;
