--- a/cli/tests/test_whole_path.rs
+++ b/cli/tests/test_whole_path.rs
@@ -18,6 +18,7 @@
 
 const SEED: u64 = 20_261_202;
 const ENTRIES: usize = 4;
+const KYUSHU: &str = include_str!("../../samples/kyushu.jsonc");
 /// Time after which a leaving backend server receives no new work, in microseconds.
 const DRAIN_BOUND_US: u64 = 4_000_000;
 
@@ -52,8 +53,8 @@
 async fn test_whole_path_operator() {
     let deployment = start(ENTRIES).await;
     let cluster = &deployment.cluster;
-    let manifest = cluster.manifest(2, &deployment.plan.services());
-    let submitted = cluster.submit(&manifest).unwrap();
+    let manifest = KYUSHU.replace("\"version\": 1,", "\"version\": 2,");
+    let submitted = cluster.submit_text("kyushu.jsonc", &manifest).unwrap();
     assert!(submitted.contains("accepted"), "{submitted}");
     let status = wait_until_in_force(cluster, 2).await;
     let digest = status["manifest"]["digest"].as_str().unwrap();
@@ -69,12 +70,14 @@
     let shown: Value = serde_json::from_str(&cluster.operate(&show).unwrap()).unwrap();
     assert_eq!(shown["version"], 2);
     assert_eq!(shown["digest"], digest);
+    assert_eq!(shown["manifest"], manifest);
     let audit = cluster.operate(&["audit", "--control", &control]).unwrap();
     let line = audit.lines().find(|line| line.contains(digest));
     let record: Value = serde_json::from_str(line.expect("the manifest is in the audit")).unwrap();
     assert!(record.is_object());
     // The same submission again: the same answer.
-    assert_eq!(cluster.submit(&manifest).unwrap(), submitted);
+    let again = cluster.submit_text("kyushu.jsonc", &manifest).unwrap();
+    assert_eq!(again, submitted);
 }
 
 #[tokio::test(flavor = "multi_thread")]
@@ -88,7 +91,7 @@
     assert!(near.outcome().unwrap().is_answer(), "{near:?}");
     // The only backend servers of this service are in the other region, whose entry VMs
     // own them.
-    let far = caller.call(&search("certdesk")).await;
+    let far = caller.call(&book("certdesk")).await;
     let Some(Told::Answer { place, .. }) = far.outcome() else {
         panic!("{far:?}");
     };
@@ -137,7 +140,12 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn test_whole_path_planned_stops() {
     let mut deployment = start(ENTRIES + 2).await;
-    let specs = [search("registry"), search("certdesk")];
+    let specs = [
+        search("registry"),
+        book("registry"),
+        search("certdesk"),
+        book("certdesk"),
+    ];
     let pause = Duration::from_millis(50);
     let mut load = SteadyLoad::start(deployment.callers(2), &specs, pause, SEED);
     load.wait_for_more(50).await;
--- a/testutils/src/cluster_operator.rs
+++ b/testutils/src/cluster_operator.rs
@@ -20,7 +20,16 @@
     /// Returns an error if it isn't accepted.
     pub fn submit(&self, manifest: &Value) -> Result<String, ClusterError> {
         let name = format!("manifest-{}.jsonc", manifest["version"]);
-        let path = self.write_file(&name, &format!("// A manifest.\n{manifest:#}\n"))?;
+        self.submit_text(&name, &format!("// A manifest.\n{manifest:#}\n"))
+    }
+
+    /// Writes a manifest's text to a file and submits it.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if it isn't accepted.
+    pub fn submit_text(&self, name: &str, text: &str) -> Result<String, ClusterError> {
+        let path = self.write_file(name, text)?;
         let control = self.control_argument();
         let shown = path.display().to_string();
         self.operate(&["manifest", "submit", "--control", &control, &shown])
--- a/testutils/src/deployment_plan.rs
+++ b/testutils/src/deployment_plan.rs
@@ -25,7 +25,7 @@
     /// Their place.
     pub place: String,
     /// How many there are.
-    pub count: usize,
+    pub count: u32,
     /// Slots of each.
     pub slots: u32,
     /// How long they work.
@@ -117,20 +117,21 @@
     /// each service (its name, how many, slots of each) evenly over the places.
     fn spread(
         places: &[(&str, &str)],
-        services: &[(&str, usize, u32)],
+        services: &[(&str, u32, u32)],
         entries: usize,
         service_time: ServiceTime,
         seed: u64,
     ) -> Self {
         let mut groups = Vec::new();
         for (service, total, slots) in services {
-            for (index, (place, _)) in places.iter().enumerate() {
-                let earlier = total * index / places.len();
+            let shares = u32::try_from(places.len()).expect("few places");
+            for (index, (place, _)) in (0..).zip(places) {
+                let earlier = total * index / shares;
                 groups.push(BackendGroup {
                     host: format!("{place}-{service}"),
                     service: (*service).to_owned(),
                     place: (*place).to_owned(),
-                    count: total * (index + 1) / places.len() - earlier,
+                    count: total * (index + 1) / shares - earlier,
                     slots: *slots,
                     service_time,
                 });
@@ -152,7 +153,7 @@
     #[must_use]
     pub fn slots(&self, service: &str) -> u32 {
         let groups = self.groups.iter().filter(|group| group.service == service);
-        groups.map(|group| group.slots * group.count as u32).sum()
+        groups.map(|group| group.slots * group.count).sum()
     }
 
     /// Returns the names of the services that have backend servers.
@@ -199,7 +200,7 @@
                 max_connections: 330,
                 announce_to: cluster.announce_addresses(),
                 service_time: group.service_time,
-                seed: self.seed + number as u64,
+                seed: self.seed + u64::from(number),
                 answer_bytes: 512,
                 starting_ms: 0,
                 connection_ms: 1,
