--- a/server/src/admission_task.rs
+++ b/server/src/admission_task.rs
@@ -82,6 +82,8 @@
     pub session: SessionId,
     /// What each owned group can take.
     pub loads: Vec<GroupLoad>,
+    /// What the owners of all groups have told lately.
+    pub known: Vec<GroupLoad>,
     /// What becomes of each planned drain.
     pub drains: Vec<DrainDecision>,
     /// Requests that wait for a slot.
@@ -342,6 +344,12 @@
     retries: RetryBudget,
     digest_serial: u64,
     drains: Vec<DrainDecision>,
+    /// Slots of all owned groups by the last digest.
+    told_slots: u64,
+}
+
+fn total_slots(loads: &[GroupLoad]) -> u64 {
+    loads.iter().map(|load| u64::from(load.slots)).sum()
 }
 
 impl SessionCore {
@@ -354,6 +362,7 @@
             retries: RetryBudget::default(),
             digest_serial: 0,
             drains: Vec::new(),
+            told_slots: 0,
         }
     }
 
@@ -368,6 +377,10 @@
         self.admission.settle(now, revision)
     }
 
+    fn slots(&mut self, now: Instant) -> u64 {
+        total_slots(&self.admission.loads(now))
+    }
+
     fn digest(&mut self, now: Instant) -> LoadDigest {
         self.digest_serial += 1;
         let digest = LoadDigest {
@@ -683,7 +696,9 @@
         let Some(core) = &mut self.core else {
             return;
         };
-        match core.admission.announce(now, announcement) {
+        let result = core.admission.announce(now, announcement);
+        let slots_changed = core.told_slots != core.slots(now);
+        match result {
             Ok(effects) => {
                 let _ = reply.send(Ok(()));
                 self.carry_out(effects);
@@ -692,6 +707,11 @@
                 let _ = reply.send(Err(error));
             }
         }
+        // Others would send nothing to slots that are new, and too much to slots that
+        // are gone, until the next digest.
+        if slots_changed {
+            self.send_digest();
+        }
     }
 
     fn status(&mut self, now: Instant) -> AdmissionStatus {
@@ -700,6 +720,7 @@
             Some(core) => AdmissionStatus {
                 session: core.id,
                 loads: core.admission.loads(now),
+                known: core.steering.known_loads(now),
                 drains: core.drains.clone(),
                 waiting,
                 idle: core.admission.is_idle(),
--- a/server/src/entry_status.rs
+++ b/server/src/entry_status.rs
@@ -31,6 +31,8 @@
     pub drains: Vec<DrainStatus>,
     /// What each group that this entry VM owns can take.
     pub owned: Vec<GroupLoad>,
+    /// What the owners of all groups have told lately.
+    pub known: Vec<GroupLoad>,
 }
 
 /// Tells what becomes of one planned drain.
@@ -72,5 +74,6 @@
         waiting: admission.waiting,
         drains: admission.drains.iter().map(DrainStatus::of).collect(),
         owned: admission.loads,
+        known: admission.known,
     }
 }
--- a/server/src/request_path.rs
+++ b/server/src/request_path.rs
@@ -13,6 +13,7 @@
 use heatherring_lib::outcome::NotRunReason;
 use heatherring_lib::outcome::Outcome;
 use heatherring_lib::outcome::Unknown;
+use heatherring_lib::outcome::UnknownReason;
 use heatherring_lib::outcome::Unsent;
 use heatherring_lib::retry_budget::MAX_TRIES;
 use heatherring_lib::steering::Candidate;
@@ -282,6 +283,7 @@
     )
 }
 
+/// Returns what steering learns of a candidate that gave no answer.
 fn failure<A>(outcome: &Outcome<A>) -> Option<CandidateFailure> {
     match outcome {
         Outcome::Answer(_) => None,
@@ -289,6 +291,10 @@
             Some(CandidateFailure::Unreachable)
         }
         Outcome::NotRun(not_run) => Some(CandidateFailure::Refused(not_run.reason())),
-        Outcome::Unknown(_) => Some(CandidateFailure::Unreachable),
+        Outcome::Unknown(unknown) if unknown.reason() == UnknownReason::OwnerLost => {
+            Some(CandidateFailure::Unreachable)
+        }
+        // A backend server failed, and its owner knows; the owner itself answers.
+        Outcome::Unknown(_) => None,
     }
 }
