--- a/server/src/request_path.rs
+++ b/server/src/request_path.rs
@@ -286,7 +286,6 @@
 /// Returns what steering learns of a candidate that gave no answer.
 fn failure<A>(outcome: &Outcome<A>) -> Option<CandidateFailure> {
     match outcome {
-        Outcome::Answer(_) => None,
         Outcome::NotRun(not_run) if not_run.reason() == NotRunReason::OwnerUnreachable => {
             Some(CandidateFailure::Unreachable)
         }
@@ -294,7 +293,8 @@
         Outcome::Unknown(unknown) if unknown.reason() == UnknownReason::OwnerLost => {
             Some(CandidateFailure::Unreachable)
         }
-        // A backend server failed, and its owner knows; the owner itself answers.
-        Outcome::Unknown(_) => None,
+        // With the other unknown ones a backend server failed; its owner answers, and
+        // knows.
+        Outcome::Answer(_) | Outcome::Unknown(_) => None,
     }
 }
