--- a/lib/src/admission.rs
+++ b/lib/src/admission.rs
@@ -43,7 +43,6 @@
 use crate::ownership;
 use crate::ownership::Group;
 use crate::ownership::Release;
-use crate::ownership::ReleasedBackend;
 use crate::ownership::ReleasedWork;
 use crate::retry_advice::RetryAdvice;
 use crate::shift_budget::Sharing;
@@ -93,8 +92,8 @@
     offer: Offer,
     backend: BackendName,
     began: Instant,
-    /// The revision by which the session owned the group; a later ownership counts the
-    /// dispatch as held.
+    /// The revision by which the session owned the group. A later ownership knows of the
+    /// dispatch from the release of the owner in between, or waits until it is over.
     gained: Revision,
 }
 
@@ -492,15 +491,6 @@
             nothing_before: first_manifest,
         };
         let mut group = GroupAdmission::new(name.clone(), service, gained);
-        for dispatched in self.dispatches.values() {
-            if dispatched.offer.group == name {
-                group.hold(HeldSlot {
-                    backend: dispatched.backend.clone(),
-                    until: dispatched.offer.deadline + DEADLINE_GRACE,
-                    from: None,
-                });
-            }
-        }
         self.given_up.remove(&name);
         let early = self
             .early_releases
@@ -540,7 +530,7 @@
         let steps = self.with_group(now, name, |group, cx| {
             group.refuse_all(cx, NotRunReason::NotOwner)
         });
-        let Some(group) = self.groups.remove(name) else {
+        let Some(mut group) = self.groups.remove(name) else {
             return Vec::new();
         };
         let mut effects = self.carry_out(now, steps.unwrap_or_default());
@@ -555,8 +545,10 @@
             complete: group.knows_all(now),
             held: group.held(now).cloned().collect(),
         };
-        let backends = group.announcements(now);
-        effects.push(self.release(now, name, &given_up, backends));
+        let mut release = self.release(now, name, &given_up);
+        release.backends = group.announcements(now);
+        release.recent = group.recent(now);
+        effects.push(Effect::Release { to, release });
         self.given_up.insert(name.clone(), given_up);
         effects
     }
@@ -570,16 +562,12 @@
         let Some(given_up) = self.given_up.remove(name) else {
             return Vec::new();
         };
-        vec![self.release(now, name, &given_up, Vec::new())]
+        let release = self.release(now, name, &given_up);
+        let to = given_up.to;
+        vec![Effect::Release { to, release }]
     }
 
-    fn release(
-        &mut self,
-        now: Instant,
-        name: &Group,
-        given_up: &GivenUp,
-        backends: Vec<ReleasedBackend>,
-    ) -> Effect {
+    fn release(&mut self, now: Instant, name: &Group, given_up: &GivenUp) -> Release {
         let held = given_up
             .held
             .iter()
@@ -591,17 +579,15 @@
             ReleasedWork::new(dispatched.backend.clone(), now, until)
         });
         self.release_serial += 1;
-        Effect::Release {
-            to: given_up.to,
-            release: Release {
-                group: name.clone(),
-                from: self.session,
-                revision: given_up.revision,
-                serial: self.release_serial,
-                in_flight: held.chain(dispatched).collect(),
-                backends,
-                complete: given_up.complete,
-            },
+        Release {
+            group: name.clone(),
+            from: self.session,
+            revision: given_up.revision,
+            serial: self.release_serial,
+            in_flight: held.chain(dispatched).collect(),
+            recent: Vec::new(),
+            backends: Vec::new(),
+            complete: given_up.complete,
         }
     }
 
--- a/lib/src/group_admission.rs
+++ b/lib/src/group_admission.rs
@@ -32,6 +32,7 @@
 use crate::shift_budget::ShiftBudgets;
 use crate::tenure::Gained;
 use crate::tenure::Tenure;
+use crate::usage_window::RecentUse;
 use crate::usage_window::UsageWindow;
 use crate::wait_queue::WaitQueue;
 use crate::warm_up::OriginRamps;
@@ -110,13 +111,7 @@
     #[must_use]
     pub fn new(group: Group, service: &Service, gained: Gained) -> Self {
         let limit = place_limit(service, &group);
-        let rate = u64::from(limit.max_per_second);
-        let mut rate_share = if gained.nothing_before {
-            SettledShare::with_base(rate)
-        } else {
-            SettledShare::default()
-        };
-        rate_share.set(gained.revision, rate);
+        let rate_share = SettledShare::with_base(u64::from(limit.max_per_second));
         Self {
             settings: GroupSettings {
                 limit,
@@ -183,14 +178,12 @@
                 from: Some(release.from),
             });
         }
+        if !self.tenure.knows_all(now) {
+            self.rate.begin_with(heard, &release.recent);
+        }
         self.tenure.note_told(now);
     }
 
-    /// Counts a request of an earlier ownership by this session.
-    pub fn hold(&mut self, held: HeldSlot) {
-        self.registry.hold(held);
-    }
-
     /// Takes an announcement with the slots that are believed of it; returns whether
     /// the server has just stopped taking new work.
     pub fn announce(&mut self, now: Instant, announcement: &Announcement, slots: u32) -> bool {
@@ -336,6 +329,11 @@
         self.registry.all()
     }
 
+    /// Returns what was begun within the last window.
+    pub fn recent(&mut self, now: Instant) -> Vec<RecentUse> {
+        self.rate.tell(now)
+    }
+
     /// Returns the last announcements of the backend servers, with their ages.
     #[must_use]
     pub fn announcements(&self, now: Instant) -> Vec<ReleasedBackend> {
--- a/lib/src/ownership.rs
+++ b/lib/src/ownership.rs
@@ -18,6 +18,7 @@
 use crate::id::ServiceName;
 use crate::id::SessionId;
 use crate::id::VmName;
+use crate::usage_window::RecentUse;
 use crate::view::ControlView;
 use crate::view::EntrySession;
 
@@ -51,6 +52,8 @@
     pub serial: u64,
     /// What may still run.
     pub in_flight: Vec<ReleasedWork>,
+    /// What was begun within the last window.
+    pub recent: Vec<RecentUse>,
     /// The backend servers, so that the new owner need not wait to hear of them.
     pub backends: Vec<ReleasedBackend>,
     /// False if the old owner didn't know itself what its own predecessor had left.
--- a/lib/src/settled_share.rs
+++ b/lib/src/settled_share.rs
@@ -16,8 +16,7 @@
 use std::time::Instant;
 
 use crate::id::Revision;
-use crate::usage_window::ARRIVAL_JITTER;
-use crate::usage_window::WINDOW;
+use crate::usage_window::COUNTED_FOR;
 
 /// Follows one share over the revisions that change it.
 #[derive(Clone, Debug, Default)]
@@ -57,7 +56,7 @@
 
     /// Notes that `settled` is settled.
     pub fn settle(&mut self, now: Instant, settled: Revision) {
-        let usable_from = now + WINDOW + ARRIVAL_JITTER;
+        let usable_from = now + COUNTED_FOR;
         self.pending
             .iter_mut()
             .filter(|pending| pending.revision <= settled)
--- a/lib/src/tenure.rs
+++ b/lib/src/tenure.rs
@@ -3,14 +3,16 @@
 //! Two sessions may hold different views and each believe that it is the owner. The
 //! one with the older view may dispatch until it learns better, so the other one waits
 //! until its revision is settled: then nobody acts on an older view. What the old owner
-//! had in flight may still run then. Either the old owner has told what that is, by a
-//! release, or it is gone and the new owner waits until every deadline is over.
+//! had in flight may still run then, and what it began within the last window counts
+//! against the place's limit a second. Either the old owner has told what that is, by a
+//! release, or it is gone and the new owner waits until all of it is over.
 
 use std::time::Duration;
 use std::time::Instant;
 
 use crate::backend_registry::DEADLINE_GRACE;
 use crate::id::Revision;
+use crate::usage_window::COUNTED_FOR;
 
 /// Tells how this session became the owner of a group.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -69,7 +71,7 @@
             Self::Active { since: now }
         } else {
             Self::Clearing {
-                until: now + longest + DEADLINE_GRACE,
+                until: now + (longest + DEADLINE_GRACE).max(COUNTED_FOR),
             }
         };
     }
--- a/lib/src/usage_window.rs
+++ b/lib/src/usage_window.rs
@@ -4,6 +4,9 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use serde::Deserialize;
+use serde::Serialize;
+
 /// Length of the window over which caps and limits hold.
 pub const WINDOW: Duration = Duration::from_secs(1);
 
@@ -13,12 +16,15 @@
 pub const ARRIVAL_JITTER: Duration = Duration::from_millis(50);
 
 /// Time for which a use counts.
-const COUNTED_FOR: Duration = WINDOW.saturating_add(ARRIVAL_JITTER);
+pub const COUNTED_FOR: Duration = WINDOW.saturating_add(ARRIVAL_JITTER);
 
 /// Uses that are closer together than this are counted as one, at the time of the
 /// later one, which bounds the memory of a window.
 const BUCKET: Duration = Duration::from_millis(2);
 
+/// Length of the steps in which use is told to another.
+const TOLD_STEP: Duration = Duration::from_millis(20);
+
 /// Parts of the window among which use is spread.
 const PARTS: u32 = 5;
 
@@ -33,6 +39,15 @@
     reserved: u64,
 }
 
+/// Tells of uses by another, by their age.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct RecentUse {
+    /// Age of the latest of them, in milliseconds.
+    pub age_ms: u32,
+    /// How much was used.
+    pub amount: u64,
+}
+
 #[derive(Clone, Copy, Debug)]
 struct Bucket {
     first: Instant,
@@ -105,6 +120,39 @@
         self.sum
     }
 
+    /// Returns what counts now, in steps of [`TOLD_STEP`].
+    pub fn tell(&mut self, now: Instant) -> Vec<RecentUse> {
+        self.forget(now);
+        let mut told: Vec<RecentUse> = Vec::new();
+        let mut first = None;
+        for bucket in &self.buckets {
+            let age = now.saturating_duration_since(bucket.last).as_millis();
+            let age_ms = u32::try_from(age).unwrap_or(u32::MAX);
+            match told.last_mut() {
+                Some(last) if first.is_some_and(|first| bucket.last < first + TOLD_STEP) => {
+                    last.age_ms = age_ms;
+                    last.amount += bucket.amount;
+                }
+                _ => {
+                    first = Some(bucket.last);
+                    told.push(RecentUse {
+                        age_ms,
+                        amount: bucket.amount,
+                    });
+                }
+            }
+        }
+        told
+    }
+
+    /// Counts what another has told of, heard at `heard`, before anything else is.
+    pub fn begin_with(&mut self, heard: Instant, told: &[RecentUse]) {
+        for recent in told {
+            let age = Duration::from_millis(u64::from(recent.age_ms));
+            self.add(heard.checked_sub(age).unwrap_or(heard), recent.amount);
+        }
+    }
+
     fn recent(&self, now: Instant) -> u64 {
         let part = COUNTED_FOR / PARTS;
         self.buckets
