--- a/lib/tests/test_raft.rs
+++ b/lib/tests/test_raft.rs
@@ -238,7 +238,11 @@
     // Cause: reading at the commit position of a leader that committed nothing itself.
     let mut network = Network::with_voters(10, 3);
     let old = network.leader().unwrap();
-    network.commit_one();
+    let token = network.propose(old);
+    while !network.answers.contains_key(&token) {
+        network.run(Duration::from_millis(1));
+    }
+    network.isolate(old);
     network.crash(old);
     let group: Vec<u64> = (1..=3).filter(|number| *number != old.0).collect();
     let new = network.run_until_elected(&group);
