action_record: keep when to come back with a refusal

A ticket's life is bounded to ten minutes by the manifest's check: records are kept for as long, and a ticket that ends much later is taken for a fault. A process keeps at most 16,384 records and 16 MiB of answers in each part.

--- a/lib/src/action_backup.rs
+++ b/lib/src/action_backup.rs
@@ -159,7 +159,7 @@
             TicketAge::Live => {}
         }
         match self.store.insert(now_unix_ms, key, Kept::Fence) {
-            Ok(_) => ActionEnd::NotRun(NotRunReason::KeyFenced),
+            Ok(_) => ActionEnd::not_run(NotRunReason::KeyFenced),
             Err(_) => ActionEnd::Unknown(UnknownReason::ActionStoreFull),
         }
     }
@@ -167,7 +167,7 @@
 
 fn resolve_kept(kept: &Kept, asked_for: Option<&Fingerprint>) -> Resolution {
     let (fingerprint, state) = match kept {
-        Kept::Fence => return ActionEnd::NotRun(NotRunReason::KeyFenced),
+        Kept::Fence => return ActionEnd::not_run(NotRunReason::KeyFenced),
         Kept::Record { fingerprint, state } => (fingerprint, state),
     };
     match state {
--- a/lib/src/action_primary.rs
+++ b/lib/src/action_primary.rs
@@ -202,7 +202,7 @@
         if let Some(known) = self.known(now_unix_ms, &query.key, query.fingerprint.as_ref()) {
             return known;
         }
-        let end = ActionEnd::NotRun(reason);
+        let end = ActionEnd::not_run(reason);
         let record = PrimaryRecord {
             key: query.key.clone(),
             fingerprint: query.fingerprint,
@@ -300,7 +300,7 @@
     fn insert(&mut self, now_unix_ms: u64, record: PrimaryRecord) -> Result<ActionSlot, ActionEnd> {
         let key = record.key.clone();
         let expires = key.expires_unix_ms();
-        let full = ActionEnd::NotRun(NotRunReason::ActionStoreFull);
+        let full = ActionEnd::not_run(NotRunReason::ActionStoreFull);
         if expires <= self.closed_until_unix_ms {
             return Err(full);
         }
@@ -329,7 +329,7 @@
         if !matches!(record.state, PrimaryState::Recording) {
             return BackupReply::Stale;
         }
-        let end = ActionEnd::NotRun(reason);
+        let end = ActionEnd::not_run(reason);
         match self.close(slot, end.clone()) {
             Some(record) => BackupReply::Ended(Ended { end, record }),
             None => BackupReply::Stale,
--- a/lib/src/action_record.rs
+++ b/lib/src/action_record.rs
@@ -2,6 +2,7 @@
 
 use std::fmt;
 use std::sync::Arc;
+use std::time::Duration;
 
 use serde::Deserialize;
 use serde::Serialize;
@@ -220,6 +221,43 @@
     }
 }
 
+/// Holds why an action never ran.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct RecordedRefusal {
+    /// Why.
+    pub reason: NotRunReason,
+    /// When it makes sense to try again, under a new key.
+    pub retry_after: Option<Duration>,
+}
+
+impl From<NotRunReason> for RecordedRefusal {
+    fn from(reason: NotRunReason) -> Self {
+        Self {
+            reason,
+            retry_after: None,
+        }
+    }
+}
+
+impl From<NotRun> for RecordedRefusal {
+    fn from(not_run: NotRun) -> Self {
+        Self {
+            reason: not_run.reason(),
+            retry_after: not_run.retry_after(),
+        }
+    }
+}
+
+impl RecordedRefusal {
+    fn not_run(self) -> NotRun {
+        let not_run = NotRun::proved(self.reason);
+        match self.retry_after {
+            Some(retry_after) => not_run.with_retry_after(retry_after),
+            None => not_run,
+        }
+    }
+}
+
 /// Tells how an action ended, as far as a process knows.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum ActionEnd {
@@ -227,17 +265,22 @@
     Answer(Arc<StoredAnswer>),
     /// It never ran, and its key never will: a resend gets the same end, and the
     /// caller takes a new random part to try again.
-    NotRun(NotRunReason),
+    NotRun(RecordedRefusal),
     /// It may have run; it won't be run again.
     Unknown(UnknownReason),
 }
 
 impl ActionEnd {
+    /// Returns the end of an action that never ran.
+    pub fn not_run(refusal: impl Into<RecordedRefusal>) -> Self {
+        Self::NotRun(refusal.into())
+    }
+
     /// Returns what the caller is told.
     pub fn outcome(&self) -> Outcome<Arc<StoredAnswer>> {
         match self {
             Self::Answer(answer) => Outcome::Answer(Arc::clone(answer)),
-            Self::NotRun(reason) => NotRun::proved(*reason).into(),
+            Self::NotRun(refusal) => refusal.not_run().into(),
             Self::Unknown(reason) => Unknown::new(*reason).into(),
         }
     }
@@ -307,7 +350,7 @@
     match (asked_for, end) {
         // The record keeps another request from ever running under the key.
         (Some(asked_for), _) if asked_for != recorded => {
-            ActionEnd::NotRun(NotRunReason::KeyConflict)
+            ActionEnd::not_run(NotRunReason::KeyConflict)
         }
         (None, ActionEnd::Answer(_)) => ActionEnd::Unknown(UnknownReason::ActionRecorded),
         _ => end.clone(),
--- a/lib/src/action_store.rs
+++ b/lib/src/action_store.rs
@@ -10,12 +10,17 @@
 use crate::action_record::ActionId;
 use crate::action_record::ActionKey;
 use crate::outcome::UnknownReason;
+use crate::ticket::MAX_TICKET_MS;
 
 new_key_type! {
     /// Finds one record of an action.
     pub struct ActionSlot;
 }
 
+/// How far the clocks of two VMs may differ before one takes the other's tickets for
+/// wrong, in milliseconds.
+const MAX_CLOCK_DIFFERENCE_MS: u64 = 5 * 60 * 1_000;
+
 /// Bounds what a process keeps of actions.
 #[derive(Clone, Copy, Debug)]
 pub struct ActionLimits {
@@ -34,9 +39,9 @@
 impl Default for ActionLimits {
     fn default() -> Self {
         Self {
-            max_records: 65_536,
-            max_answer_bytes: 32 * 1_024 * 1_024,
-            max_ahead_ms: 15 * 60 * 1_000,
+            max_records: 16_384,
+            max_answer_bytes: 16 * 1_024 * 1_024,
+            max_ahead_ms: u64::from(MAX_TICKET_MS) + MAX_CLOCK_DIFFERENCE_MS,
             retention_ms: 5 * 60 * 1_000,
         }
     }
--- a/lib/src/manifest_check.rs
+++ b/lib/src/manifest_check.rs
@@ -21,6 +21,7 @@
 use crate::manifest::Service;
 use crate::manifest::ShiftCap;
 use crate::nearest_name::nearest_name;
+use crate::ticket::MAX_TICKET_MS;
 
 /// Methods that callers may use.
 const METHODS: [&str; 6] = ["GET", "HEAD", "POST", "PUT", "PATCH", "DELETE"];
@@ -148,6 +149,12 @@
         /// Time for which an answer may be cached.
         cache_ms: u32,
     },
+    /// Records of actions would have to be kept for too long.
+    #[snafu(display("ticket_ms is {ticket_ms}; allowed is at most {MAX_TICKET_MS}"))]
+    TicketTooLong {
+        /// Time for which a ticket may be used.
+        ticket_ms: u32,
+    },
 }
 
 /// Finds what doesn't fit in a manifest.
@@ -352,12 +359,16 @@
     }
 
     fn look_ups(&mut self, look_ups: LookUps) {
+        let path = ConfigPath::root().field("look_ups").field("ticket_ms");
+        if look_ups.ticket_ms > MAX_TICKET_MS {
+            let ticket_ms = look_ups.ticket_ms;
+            self.add(path.clone(), ManifestProblem::TicketTooLong { ticket_ms });
+        }
         if look_ups.ticket_ms < look_ups.cache_ms {
             let problem = ManifestProblem::TicketShorterThanCache {
                 ticket_ms: look_ups.ticket_ms,
                 cache_ms: look_ups.cache_ms,
             };
-            let path = ConfigPath::root().field("look_ups").field("ticket_ms");
             self.add(path, problem);
         }
     }
--- a/lib/src/ticket.rs
+++ b/lib/src/ticket.rs
@@ -21,6 +21,10 @@
 /// Bound on a ticket's text, in bytes.
 pub const MAX_TICKET_BYTES: usize = 1_024;
 
+/// Longest life of a ticket, in milliseconds. Processes keep records for as long, and
+/// take a ticket that expires much later for a fault.
+pub const MAX_TICKET_MS: u32 = 10 * 60 * 1_000;
+
 const TAG_BYTES: usize = 16;
 const TAG_CONTEXT: &str = "heatherring 2026 ticket tag v1";
 
--- a/lib/tests/test_action_primary.rs
+++ b/lib/tests/test_action_primary.rs
@@ -106,7 +106,7 @@
         primary.ended(slot, answer(1)).expect("the run has ended");
     }
     let refused = asked("c", LATE_MS);
-    let full = ActionEnd::NotRun(NotRunReason::ActionStoreFull);
+    let full = ActionEnd::not_run(NotRunReason::ActionStoreFull);
     expect_end(&arrive(&mut primary, NOW_MS, &refused), &full);
     expect_end(&arrive(&mut primary, SOON_MS, &refused), &full);
     let newer = asked("d", LATE_MS + 1);
@@ -167,7 +167,7 @@
 #[rstest]
 fn test_action_primary_early_refusal_is_final(mut primary: ActionPrimary) {
     let action = asked("a", SOON_MS);
-    let refused = ActionEnd::NotRun(NotRunReason::Leaving);
+    let refused = ActionEnd::not_run(NotRunReason::Leaving);
     expect_end(
         &primary.refuse(NOW_MS, &action, NotRunReason::Leaving),
         &refused,
@@ -178,7 +178,7 @@
 #[rstest]
 fn test_action_backup_fence_refuses_a_late_intent(mut backup: ActionBackup) {
     let action = asked("a", SOON_MS);
-    let fenced = ActionEnd::NotRun(NotRunReason::KeyFenced);
+    let fenced = ActionEnd::not_run(NotRunReason::KeyFenced);
     assert_eq!(backup.resolve(NOW_MS, &action), fenced);
     let intent = BackupRecord {
         fingerprint: fingerprint(&action),
@@ -192,7 +192,7 @@
 fn test_action_backup_full_of_fences_is_unknown(mut backup: ActionBackup) {
     for random_part in ["a", "b"] {
         let end = backup.resolve(NOW_MS, &asked(random_part, SOON_MS));
-        assert_eq!(end, ActionEnd::NotRun(NotRunReason::KeyFenced));
+        assert_eq!(end, ActionEnd::not_run(NotRunReason::KeyFenced));
     }
     let full = ActionEnd::Unknown(UnknownReason::ActionStoreFull);
     assert_eq!(backup.resolve(NOW_MS, &asked("c", SOON_MS)), full);
--- a/lib/tests/test_action_simulation.rs
+++ b/lib/tests/test_action_simulation.rs
@@ -248,7 +248,7 @@
             Step::Run(permit) => self.run(permit),
             Step::RefuseRun(permit) => {
                 let permit = self.permits.swap_remove(permit);
-                let end = ActionEnd::NotRun(NotRunReason::BackendRefused);
+                let end = ActionEnd::not_run(NotRunReason::BackendRefused);
                 self.end(permit.slot(), end);
             }
             Step::Answer(running) => self.end_run(running, true),
@@ -433,9 +433,9 @@
                 && (asked_for.fingerprint.is_none() || run.fingerprint == asked_for.fingerprint)
         });
         match (&told.end, run) {
-            (ActionEnd::NotRun(reason), Some(_)) => Err(format!(
+            (ActionEnd::NotRun(refusal), Some(_)) => Err(format!(
                 "told \"not run\" ({}), but it ran",
-                reason.as_str()
+                refusal.reason.as_str()
             )),
             (ActionEnd::Answer(_), _) if asked_for.fingerprint.is_none() => {
                 Err("got an answer without a request".to_owned())
--- a/lib/tests/test_manifest_text.rs
+++ b/lib/tests/test_manifest_text.rs
@@ -134,6 +134,10 @@
     test_manifest_text_ticket_shorter_than_cache:
         r#""ticket_ms": 60000"# => r#""ticket_ms": ^4000"#,
         r"ticket_ms is 4000; allowed is at least cache_ms, 5000";
+
+    test_manifest_text_ticket_too_long:
+        r#""ticket_ms": 60000"# => r#""ticket_ms": ^600001"#,
+        r"ticket_ms is 600001; allowed is at most 600000";
 }
 
 #[test]
--- a/server/src/action_path.rs
+++ b/server/src/action_path.rs
@@ -244,7 +244,7 @@
 fn log_resolved(req: &ServiceRequest, end: &ActionEnd) {
     let told = match end {
         ActionEnd::Answer(_) => "answer",
-        ActionEnd::NotRun(reason) => reason.as_str(),
+        ActionEnd::NotRun(refusal) => refusal.reason.as_str(),
         ActionEnd::Unknown(reason) => reason.as_str(),
     };
     log::info!(event = "action_resolved", request_id = req.outgoing.request_id.as_str(), told = told; "the primary of an action didn't answer; its backup was asked");
--- a/server/src/action_peer.rs
+++ b/server/src/action_peer.rs
@@ -22,7 +22,7 @@
 /// Time within which the backup must record an intent. It adds to each action's time
 /// when the backup is gone, so it is a small part of a caller's patience, and many
 /// times the round to another place of the region.
-const RECORD_TIMEOUT: Duration = Duration::from_millis(300);
+const RECORD_TIMEOUT: Duration = Duration::from_millis(500);
 
 /// Time within which the backup must resolve an action.
 const RESOLVE_TIMEOUT: Duration = Duration::from_millis(500);
--- a/server/src/action_run.rs
+++ b/server/src/action_run.rs
@@ -106,7 +106,7 @@
         let outcome = request_path::run(&self.cx, &self.req, permit.begin()).await;
         let end = match outcome {
             Outcome::Answer(response) => read_answer(response, self.large).await,
-            Outcome::NotRun(not_run) => ActionEnd::NotRun(not_run.reason()),
+            Outcome::NotRun(not_run) => ActionEnd::not_run(not_run),
             Outcome::Unknown(unknown) => ActionEnd::Unknown(unknown.reason()),
         };
         self.cx.actions.ended(self.slot, end).await
