--- a/cli/examples/action_cost.rs
+++ b/cli/examples/action_cost.rs
@@ -15,9 +15,9 @@
 use heatherring_testutils::caller::CallSpec;
 use heatherring_testutils::caller::Caller;
 use heatherring_testutils::deployment::Deployment;
-use heatherring_testutils::deployment::DeploymentPlan;
 use heatherring_testutils::deployment::book;
 use heatherring_testutils::deployment::search;
+use heatherring_testutils::deployment_plan::DeploymentPlan;
 use heatherring_testutils::service_time::ServiceTime;
 
 const SERVICE: &str = "registry";
