--- /dev/null
+++ b/lib/tests/raft_network/faults.rs
@@ -0,0 +1,105 @@
+//! What fails: processes, disks and paths.
+
+use std::time::Duration;
+
+use heatherring_lib::id::ReplicaId;
+use heatherring_lib::raft::Raft;
+use heatherring_lib::raft_config::DurableState;
+use rand::Rng;
+
+use super::Machine;
+use super::Network;
+use super::Weather;
+use super::config;
+
+impl Network {
+    /// Lets only these replicas exchange messages, with each other.
+    pub fn partition(&mut self, group: &[u64]) {
+        self.cuts.clear();
+        let all: Vec<_> = self.nodes.keys().copied().collect();
+        for from in &all {
+            for to in &all {
+                let inside = |node: &ReplicaId| group.contains(&node.0);
+                if !inside(from) || !inside(to) {
+                    self.cut(*from, *to);
+                }
+            }
+        }
+    }
+
+    /// Ends a process without warning. Of what it wrote and didn't sync, any first part
+    /// may have reached the disk all the same.
+    pub fn crash(&mut self, replica: ReplicaId) {
+        let Some(node) = self.nodes.get_mut(&replica) else {
+            return;
+        };
+        node.raft = None;
+        node.sync_at = None;
+        let unsynced = std::mem::take(&mut node.buffered).writes;
+        let kept = self.rng.random_range(0..=unsynced.len());
+        for write in unsynced.into_iter().take(kept) {
+            node.disk.apply(write).unwrap();
+        }
+    }
+
+    /// Starts a process from what its disk holds; does nothing if it runs.
+    pub fn restart(&mut self, replica: ReplicaId) {
+        let now = self.time();
+        let seed = self.rng.random();
+        let Some(node) = self.nodes.get_mut(&replica) else {
+            return;
+        };
+        if node.raft.is_some() || node.lost {
+            return;
+        }
+        node.written = node.disk.clone();
+        node.machine = Machine::of_snapshot(node.disk.snapshot.as_ref());
+        let raft = Raft::new(config(replica.0, seed), node.disk.clone(), now);
+        node.raft = Some(raft.unwrap());
+    }
+
+    /// Ends all processes at the same moment and starts those again that ran.
+    pub fn lose_power(&mut self) {
+        let running: Vec<_> = self.rafts().map(Raft::id).collect();
+        for replica in &running {
+            self.crash(*replica);
+        }
+        for replica in running {
+            self.restart(replica);
+        }
+    }
+
+    /// Ends a process and loses its data folder, and with it the identity.
+    pub fn lose_disk(&mut self, replica: ReplicaId) {
+        self.crash(replica);
+        if let Some(node) = self.nodes.get_mut(&replica) {
+            node.disk = DurableState::default();
+            node.lost = true;
+        }
+    }
+
+    /// Stops a process for a while; its messages wait.
+    pub fn freeze(&mut self, replica: ReplicaId, span: Duration) {
+        if let Some(node) = self.nodes.get_mut(&replica) {
+            node.frozen_until = self.now + span;
+        }
+    }
+
+    pub fn cut(&mut self, from: ReplicaId, to: ReplicaId) {
+        self.cuts.insert((from, to));
+    }
+
+    /// Cuts a replica off from all others, in both directions.
+    pub fn isolate(&mut self, replica: ReplicaId) {
+        let others: Vec<_> = self.nodes.keys().copied().collect();
+        for other in others {
+            self.cut(replica, other);
+            self.cut(other, replica);
+        }
+    }
+
+    pub fn heal(&mut self) {
+        self.cuts.clear();
+        self.weather = Weather::CALM;
+    }
+}
--- a/lib/tests/raft_network/mod.rs
+++ b/lib/tests/raft_network/mod.rs
@@ -7,6 +7,8 @@
 #![allow(dead_code)]
 
 pub mod checker;
+mod faults;
+mod node;
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
@@ -28,16 +30,16 @@
 use heatherring_lib::raft_effects::MembershipChange;
 use heatherring_lib::raft_effects::Role;
 use heatherring_lib::raft_effects::Token;
-use heatherring_lib::raft_message::LogEntry;
-use heatherring_lib::raft_message::LogPayload;
 use heatherring_lib::raft_message::Message;
 use heatherring_lib::raft_message::ReplicaInfo;
-use heatherring_lib::raft_message::Snapshot;
 use rand::Rng;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 
 use self::checker::Checker;
+pub use self::node::Machine;
+pub use self::node::Node;
+pub use self::node::token_of_command;
 
 /// Shortest election timeout of the replicas under test.
 pub const ELECTION_MIN: Duration = Duration::from_millis(150);
@@ -67,46 +69,6 @@
     };
 }
 
-/// Holds the replicated state of one replica: the tokens of the commands, in order.
-#[derive(Clone, Debug, Default)]
-pub struct Machine {
-    pub applied: Revision,
-    pub tokens: Vec<u64>,
-}
-
-impl Machine {
-    fn of_snapshot(snapshot: Option<&Snapshot>) -> Self {
-        snapshot.map_or_else(Self::default, |snapshot| Self {
-            applied: snapshot.index,
-            tokens: postcard::from_bytes(&snapshot.data).unwrap(),
-        })
-    }
-
-    fn apply(&mut self, entry: &LogEntry) {
-        assert_eq!(entry.index, self.applied.next(), "applied out of order");
-        self.applied = entry.index;
-        if let LogPayload::Command(command) = &entry.payload {
-            self.tokens.push(token_of_command(command));
-        }
-    }
-}
-
-/// Holds one replica, its disk and what its process has in memory.
-#[derive(Debug)]
-pub struct Node {
-    pub raft: Option<Raft>,
-    /// What was synced.
-    pub disk: DurableState,
-    /// What the disk holds once everything written so far is synced.
-    pub written: DurableState,
-    pub machine: Machine,
-    buffered: Effects,
-    sync_at: Option<Duration>,
-    frozen_until: Duration,
-    /// Set once the data folder is gone.
-    pub lost: bool,
-}
-
 #[derive(Debug)]
 struct Delivery {
     from: ReplicaId,
@@ -475,20 +437,6 @@
         self.step(replica, Input::Compact { index, data });
     }
 
-    /// Lets only these replicas exchange messages, with each other.
-    pub fn partition(&mut self, group: &[u64]) {
-        self.cuts.clear();
-        let all: Vec<_> = self.nodes.keys().copied().collect();
-        for from in &all {
-            for to in &all {
-                let inside = |node: &ReplicaId| group.contains(&node.0);
-                if !inside(from) || !inside(to) {
-                    self.cut(*from, *to);
-                }
-            }
-        }
-    }
-
     /// Lets time pass in small steps until one of these replicas leads, so that
     /// nothing that the new leader sends has arrived yet.
     pub fn run_until_elected(&mut self, group: &[u64]) -> u64 {
@@ -505,82 +453,6 @@
         panic!("nobody is elected; {}", self.summary());
     }
 
-    /// Ends a process without warning. Of what it wrote and didn't sync, any first part
-    /// may have reached the disk all the same.
-    pub fn crash(&mut self, replica: ReplicaId) {
-        let Some(node) = self.nodes.get_mut(&replica) else {
-            return;
-        };
-        node.raft = None;
-        node.sync_at = None;
-        let unsynced = std::mem::take(&mut node.buffered).writes;
-        let kept = self.rng.random_range(0..=unsynced.len());
-        for write in unsynced.into_iter().take(kept) {
-            node.disk.apply(write).unwrap();
-        }
-    }
-
-    /// Starts a process from what its disk holds; does nothing if it runs.
-    pub fn restart(&mut self, replica: ReplicaId) {
-        let now = self.time();
-        let seed = self.rng.random();
-        let Some(node) = self.nodes.get_mut(&replica) else {
-            return;
-        };
-        if node.raft.is_some() || node.lost {
-            return;
-        }
-        node.written = node.disk.clone();
-        node.machine = Machine::of_snapshot(node.disk.snapshot.as_ref());
-        let raft = Raft::new(config(replica.0, seed), node.disk.clone(), now);
-        node.raft = Some(raft.unwrap());
-    }
-
-    /// Ends all processes at the same moment and starts those again that ran.
-    pub fn lose_power(&mut self) {
-        let running: Vec<_> = self.rafts().map(Raft::id).collect();
-        for replica in &running {
-            self.crash(*replica);
-        }
-        for replica in running {
-            self.restart(replica);
-        }
-    }
-
-    /// Ends a process and loses its data folder, and with it the identity.
-    pub fn lose_disk(&mut self, replica: ReplicaId) {
-        self.crash(replica);
-        if let Some(node) = self.nodes.get_mut(&replica) {
-            node.disk = DurableState::default();
-            node.lost = true;
-        }
-    }
-
-    /// Stops a process for a while; its messages wait.
-    pub fn freeze(&mut self, replica: ReplicaId, span: Duration) {
-        if let Some(node) = self.nodes.get_mut(&replica) {
-            node.frozen_until = self.now + span;
-        }
-    }
-
-    pub fn cut(&mut self, from: ReplicaId, to: ReplicaId) {
-        self.cuts.insert((from, to));
-    }
-
-    /// Cuts a replica off from all others, in both directions.
-    pub fn isolate(&mut self, replica: ReplicaId) {
-        let others: Vec<_> = self.nodes.keys().copied().collect();
-        for other in others {
-            self.cut(replica, other);
-            self.cut(other, replica);
-        }
-    }
-
-    pub fn heal(&mut self) {
-        self.cuts.clear();
-        self.weather = Weather::CALM;
-    }
-
     pub fn summary(&self) -> String {
         let line = |node: &Node| {
             node.raft.as_ref().map(|raft| {
@@ -601,11 +473,6 @@
     }
 }
 
-pub fn token_of_command(command: &[u8]) -> u64 {
-    let (token, _padding) = postcard::take_from_bytes(command).unwrap();
-    token
-}
-
 pub fn token_of(answer: &Answer) -> Token {
     match answer {
         Answer::Committed { token, .. }
--- /dev/null
+++ b/lib/tests/raft_network/node.rs
@@ -0,0 +1,56 @@
+//! One replica under test: its process, its disk and its replicated state.
+
+use std::time::Duration;
+
+use heatherring_lib::id::Revision;
+use heatherring_lib::raft::Raft;
+use heatherring_lib::raft_config::DurableState;
+use heatherring_lib::raft_effects::Effects;
+use heatherring_lib::raft_message::LogEntry;
+use heatherring_lib::raft_message::LogPayload;
+use heatherring_lib::raft_message::Snapshot;
+
+/// Holds the replicated state of one replica: the tokens of the commands, in order.
+#[derive(Clone, Debug, Default)]
+pub struct Machine {
+    pub applied: Revision,
+    pub tokens: Vec<u64>,
+}
+
+impl Machine {
+    pub fn of_snapshot(snapshot: Option<&Snapshot>) -> Self {
+        snapshot.map_or_else(Self::default, |snapshot| Self {
+            applied: snapshot.index,
+            tokens: postcard::from_bytes(&snapshot.data).unwrap(),
+        })
+    }
+
+    pub fn apply(&mut self, entry: &LogEntry) {
+        assert_eq!(entry.index, self.applied.next(), "applied out of order");
+        self.applied = entry.index;
+        if let LogPayload::Command(command) = &entry.payload {
+            self.tokens.push(token_of_command(command));
+        }
+    }
+}
+
+/// Holds one replica, its disk and what its process has in memory.
+#[derive(Debug)]
+pub struct Node {
+    pub raft: Option<Raft>,
+    /// What was synced.
+    pub disk: DurableState,
+    /// What the disk holds once everything written so far is synced.
+    pub written: DurableState,
+    pub machine: Machine,
+    pub(super) buffered: Effects,
+    pub(super) sync_at: Option<Duration>,
+    pub(super) frozen_until: Duration,
+    /// Set once the data folder is gone.
+    pub lost: bool,
+}
+
+pub fn token_of_command(command: &[u8]) -> u64 {
+    let (token, _padding) = postcard::take_from_bytes(command).unwrap();
+    token
+}
--- a/lib/tests/test_raft.rs
+++ b/lib/tests/test_raft.rs
@@ -87,6 +87,33 @@
     assert_eq!(network.raft(follower).role(), Role::Follower);
 }
 
+#[test]
+fn test_raft_late_vote_request_deposes_nobody() {
+    // Symptom: a working leader is replaced although everyone hears it.
+    // Sequence: a candidate's request is held up in the network and arrives when
+    // another leader is at work.
+    // Cause: answering requests for votes while a leader is heard.
+    let mut network = Network::with_voters(14, 3);
+    let leader = network.leader().unwrap();
+    let term = network.raft(leader).term();
+    let from = if leader == id(2) { id(3) } else { id(2) };
+    let message = Message {
+        term: Term(term.0 + 1),
+        kind: MessageKind::Vote {
+            last_index: Revision(1_000),
+            last_term: term,
+            handover: false,
+        },
+    };
+    for number in (1..=3).filter(|number| id(*number) != from) {
+        let message = message.clone();
+        network.step(id(number), Input::Message { from, message });
+    }
+    network.run(ELECTION_MAX * 2);
+    assert_eq!(network.leader(), Some(leader));
+    assert_eq!(network.raft(leader).term(), term);
+}
+
 #[test]
 fn test_raft_second_voter_lost_after_repair_loses_nothing() {
     // Symptom: an accepted manifest is gone after a repair.
