entry: tests of the session with control and of a planned stop

Taken out once each, the mechanisms made these tests fail: the check that an answer's end is marked (close_delimited), errors of a body passed on (short_chunked), the lease check right before the dispatch, the comparison of a whole view's revision, and the wait of a planned stop. The lease check on arrival stands twice, in the shell and in the core's admission; with only the shell's taken out the test still passes.

--- a/server/tests/entry_support/mod.rs
+++ b/server/tests/entry_support/mod.rs
@@ -8,6 +8,7 @@
 use std::sync::Mutex;
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
+use std::thread::JoinHandle;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -63,13 +64,14 @@
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 use tokio::sync::watch;
-use tokio::task::JoinHandle;
 use tokio_stream::wrappers::TcpListenerStream;
 
 pub const SERVICE: &str = "registry";
 pub const PLACE: &str = "place-a";
 pub const REGION: &str = "region";
 pub const DEADLINE_MS: u64 = 1_500;
+/// Time that [`Script::Slow`] takes; well below the deadline.
+const SLOW: Duration = Duration::from_millis(500);
 const CLUSTER: [u8; 16] = [7; 16];
 
 /// Longest time for which a state that must come is waited for.
@@ -184,6 +186,12 @@
         state.applied.clear();
     }
 
+    /// Returns whether the VM has a session.
+    pub fn has_session(&self, vm: &VmName) -> bool {
+        let view = self.view();
+        view.sessions.values().any(|session| session.info.vm == *vm)
+    }
+
     pub fn view(&self) -> ControlView {
         self.lock().view.clone()
     }
@@ -335,6 +343,8 @@
     Refuse,
     /// The end of the connection instead of an answer.
     HangUp,
+    /// A whole answer after a time.
+    Slow,
     /// No answer at all.
     NoAnswer,
     /// A whole answer, and the end of the connection right after it.
@@ -407,7 +417,7 @@
     let body = format!("answer to {path}");
     let length = body.len();
     let text = match script {
-        Script::Whole | Script::WholeThenClose => {
+        Script::Whole | Script::Slow | Script::WholeThenClose => {
             format!("HTTP/1.1 200 OK\r\ncontent-length: {length}\r\n\r\n{body}")
         }
         Script::Chunked => format!(
@@ -426,6 +436,9 @@
             .to_owned(),
         Script::HangUp | Script::NoAnswer => String::new(),
     };
+    if script == Script::Slow {
+        tokio::time::sleep(SLOW).await;
+    }
     let written = stream.write_all(text.as_bytes()).await.is_ok();
     let ends = matches!(
         script,
@@ -503,9 +516,21 @@
         }
     }
 
+    /// Starts an entry VM on a runtime of its own, which ends with it as a process does:
+    /// what it didn't wait for is cut off.
     pub fn start_entry(&mut self, settings: EntrySettings) {
         let (trigger, shutdown) = Shutdown::new();
-        let task = tokio::spawn(run_entry(settings.clone(), Arc::new(SystemClock), shutdown));
+        let running = run_entry(settings.clone(), Arc::new(SystemClock), shutdown);
+        let task = std::thread::spawn(move || {
+            let runtime = tokio::runtime::Builder::new_multi_thread()
+                .worker_threads(2)
+                .enable_all()
+                .build()
+                .expect("a runtime");
+            let result = runtime.block_on(running);
+            runtime.shutdown_background();
+            result
+        });
         self.entries.push(RunningEntry {
             settings,
             trigger,
