explain: recent decisions with their inputs and the rule that decided

Requests never wait for the record: without room it is dropped. Paths below the service and callers' addresses are left out, since they may tell of people.

--- a/cli/src/commands/mod.rs
+++ b/cli/src/commands/mod.rs
@@ -9,6 +9,7 @@
 mod control;
 mod demo;
 mod entry;
+mod explain;
 mod manifest;
 mod manifest_submit;
 mod schema;
@@ -52,6 +53,10 @@
         command: status::command,
         run: status::run,
     },
+    Subcommand {
+        command: explain::command,
+        run: explain::run,
+    },
     Subcommand {
         command: audit::command,
         run: audit::run,
--- a/cli/tests/test_cli_help.rs
+++ b/cli/tests/test_cli_help.rs
@@ -28,6 +28,7 @@
     test_cli_help_manifest_history: "manifest" "history";
     test_cli_help_manifest_diff: "manifest" "diff";
     test_cli_help_status: "status";
+    test_cli_help_explain: "explain";
     test_cli_help_audit: "audit";
     test_cli_help_schema: "schema";
     test_cli_help_completions: "completions";
@@ -55,6 +56,8 @@
         ["manifest", "submit", sample("kyushu.jsonc").to_str().unwrap(), "--control", "127.0.0.9:1", "--timeout", "1"]
         => 3, "no control replica answered in time";
     test_cli_open_protocols_beyond_loopback: ["status", "--control", "10.0.0.9:7400"] => 2, "is no loopback address";
+    test_cli_explain_nobody_there: ["explain", "--entry", "127.0.0.9:1"] => 3, "can't connect to 127.0.0.9:1";
+    test_cli_explain_name_with_space: ["explain", "--entry", "127.0.0.9:1", "--service", "a b"] => 2, "--service is \"a b\"";
     test_cli_tls_key_missing: ["status", "--control", "127.0.0.9:1", "--authority-file", "a"] => 2, "--key-file <FILE>";
 }
 
--- /dev/null
+++ b/lib/src/explanation.rs
@@ -0,0 +1,189 @@
+//! Puts recorded decisions into sentences: the rule that decided, and its inputs.
+
+use crate::decision_record::Decision;
+use crate::decision_record::DecisionRecord;
+use crate::decision_record::Distance;
+use crate::decision_record::LookUpDecision;
+use crate::decision_record::RefusalDecision;
+use crate::decision_record::RefusalReason;
+use crate::decision_record::SteeringDecision;
+use crate::decision_record::Try;
+use crate::decision_record::TryEnding;
+use crate::id::ServiceName;
+use crate::id::VmName;
+use crate::outcome::NotRunReason;
+use crate::outcome::UnknownReason;
+
+/// Explains a decision, one sentence a line.
+#[must_use]
+pub fn explain(record: &DecisionRecord) -> Vec<String> {
+    match &record.decision {
+        Decision::LookUp(look_up) => explain_look_up(look_up),
+        Decision::Steering(steering) => explain_steering(steering),
+        Decision::Refusal(refusal) => explain_refusal(refusal),
+    }
+}
+
+fn explain_look_up(look_up: &LookUpDecision) -> Vec<String> {
+    let distance = match look_up.distance {
+        Distance::SamePlace => "in the caller's place",
+        Distance::SameRegion => "in the caller's region, since its place has no entry VM to name",
+        Distance::OtherRegion => {
+            "in another region, since the caller's has no entry VM to name; it counted against \
+             the shift caps"
+        }
+    };
+    let backups: Vec<&str> = look_up.backups.iter().map(VmName::as_str).collect();
+    let backups = if backups.is_empty() {
+        "none".to_owned()
+    } else {
+        backups.join(", ")
+    };
+    vec![
+        format!(
+            "look-up of {} by a caller at {}: use {}",
+            look_up.service, look_up.origin, look_up.entry
+        ),
+        format!(
+            "rule: the nearest entry VM that neither leaves nor is drained; among equally near \
+             ones each caller has its own order (rendezvous hashing). This one is {distance}"
+        ),
+        format!("backups: {backups}"),
+    ]
+}
+
+fn explain_steering(steering: &SteeringDecision) -> Vec<String> {
+    let mut lines = vec![
+        format!(
+            "{} of {} for a caller at {}: {} tries",
+            steering.operation,
+            steering.service,
+            steering.origin,
+            steering.tries.len()
+        ),
+        "rule: the nearest place first, diverted as its pressure exceeds that of another; the \
+         owner of the place's backend servers decides"
+            .to_owned(),
+    ];
+    for (index, a_try) in steering.tries.iter().enumerate() {
+        lines.push(format!("try {}: {}", index + 1, explain_try(a_try)));
+        for limit in &a_try.limits {
+            lines.push(format!("  {limit}"));
+        }
+    }
+    lines
+}
+
+fn explain_try(a_try: &Try) -> String {
+    let ending = match a_try.ending {
+        TryEnding::Answered => "answered".to_owned(),
+        TryEnding::NotRun(reason) => format!("not run, {}: {}", reason.as_str(), rule(reason)),
+        TryEnding::Unknown(reason) => {
+            format!(
+                "may have run, {}: {}",
+                reason.as_str(),
+                unknown_rule(reason)
+            )
+        }
+    };
+    let owner = if a_try.owner.is_empty() {
+        "an entry VM that has gone"
+    } else {
+        &a_try.owner
+    };
+    format!("{} through {owner}, {ending}", a_try.place)
+}
+
+fn explain_refusal(refusal: &RefusalDecision) -> Vec<String> {
+    let (outcome, reason, rule) = match refusal.reason {
+        RefusalReason::NotRun(reason) => ("not run", reason.as_str(), rule(reason)),
+        RefusalReason::Unknown(reason) => ("unknown", reason.as_str(), unknown_rule(reason)),
+    };
+    let come_back = match refusal.retry_after_ms {
+        0 => "coming back is of no use".to_owned(),
+        ms => format!("come back after {ms} ms"),
+    };
+    let service = refusal
+        .service
+        .as_ref()
+        .map_or("no service", ServiceName::as_str);
+    vec![
+        format!("{} to {service}: {outcome}, {reason}", refusal.method),
+        format!("rule: {rule}"),
+        come_back,
+    ]
+}
+
+/// Returns the rule behind a proved "not run".
+const fn rule(reason: NotRunReason) -> &'static str {
+    match reason {
+        NotRunReason::MalformedRequest => "the request can't be understood",
+        NotRunReason::BodyTooLarge => "the body is above limits.max_body_bytes of the settings",
+        NotRunReason::ServiceUnknown => "the manifest has no service of this name",
+        NotRunReason::OperationUnknown => {
+            "no operation of the service has this method and a prefix of this path"
+        }
+        NotRunReason::NoManifest => "no manifest was accepted yet",
+        NotRunReason::LeaseLapsed => {
+            "the entry VM's lease is over, so its view may be old; it takes no new work until \
+             control answers"
+        }
+        NotRunReason::Leaving => "who leaves takes no new work",
+        NotRunReason::NoBackendServer => "no backend server is announced and ready",
+        NotRunReason::Overloaded => "all slots are taken and the queue is full",
+        NotRunReason::DeadlineTooShort => {
+            "the wait for a slot and the usual service time exceed what is left of the deadline"
+        }
+        NotRunReason::PlaceLimit => "the place's limit for the service is reached",
+        NotRunReason::ShiftCap => {
+            "a cap on shifts is used up; the shift waits until the window of one second moves on"
+        }
+        NotRunReason::LinkLimit => {
+            "a link between regions has no room; the shift waits until it has"
+        }
+        NotRunReason::OwnerUnreachable => "the owner of the backend servers can't be reached",
+        NotRunReason::NotOwner => {
+            "the entry VM asked isn't the owner, or may not dispatch before the revision that \
+             made it the owner is settled"
+        }
+        NotRunReason::TooManyHops => "a request is forwarded a bounded number of times",
+        NotRunReason::BackendUnreachable => "no connection to the backend server could be had",
+        NotRunReason::BackendRefused => "the backend server refused before running",
+        NotRunReason::Cancelled => "the caller went away",
+        NotRunReason::KeyMissing => "an operation that isn't idempotent needs Idempotency-Key",
+        NotRunReason::KeyMalformed => "a key is a ticket, a full stop and a random part",
+        NotRunReason::TicketInvalid => "the ticket wasn't issued by this deployment",
+        NotRunReason::TicketOfOtherService => "the ticket was issued for another service",
+        NotRunReason::KeyConflict => "the key stands for another request already",
+        NotRunReason::KeyFenced => "the key was fenced: it never ran and never will",
+        NotRunReason::BackupUnreachable | NotRunReason::BackupRefused | NotRunReason::NoBackup => {
+            "an action is dispatched only after a second entry VM has recorded it"
+        }
+        NotRunReason::ActionStoreFull => {
+            "the memory for actions is full of records that must be kept"
+        }
+    }
+}
+
+/// Returns the rule behind an "unknown".
+const fn unknown_rule(reason: UnknownReason) -> &'static str {
+    match reason {
+        UnknownReason::ConnectionLost | UnknownReason::OwnerLost => {
+            "the connection broke off after the request may have been sent"
+        }
+        UnknownReason::DeadlinePassed => "the deadline passed after the request may have been sent",
+        UnknownReason::ActionRecorded => {
+            "the action was recorded, so it may run or have run, and isn't run again"
+        }
+        UnknownReason::AnswerTooLarge | UnknownReason::AnswerNotKept => {
+            "the action ran, and its answer wasn't kept"
+        }
+        UnknownReason::TicketExpired | UnknownReason::TicketAheadOfClock => {
+            "no record of the key need be left outside its ticket's time"
+        }
+        UnknownReason::RecordsUnreachable => "neither entry VM that records the key has answered",
+        UnknownReason::ActionStoreFull => {
+            "the memory for actions is full, so the key couldn't be fenced"
+        }
+    }
+}
--- a/lib/src/manifest.rs
+++ b/lib/src/manifest.rs
@@ -170,6 +170,16 @@
     Vm(VmName),
 }
 
+impl fmt::Display for Drain {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Place(place) => write!(f, "place {place}"),
+            Self::BackendServer(backend) => write!(f, "backend server {backend}"),
+            Self::Vm(vm) => write!(f, "entry VM {vm}"),
+        }
+    }
+}
+
 /// Says where the callers of a block of addresses are.
 #[derive(Clone, Debug, Deserialize, Eq, JsonSchema, PartialEq, Serialize)]
 #[serde(deny_unknown_fields)]
--- a/lib/src/manifest_summary.rs
+++ b/lib/src/manifest_summary.rs
@@ -219,11 +219,11 @@
 
     fn drains(&mut self, before: &[Drain], after: &[Drain]) {
         for drain in before.iter().filter(|drain| !after.contains(drain)) {
-            let what = format!("drains: {}", drain.described());
+            let what = format!("drains: {drain}");
             self.add(Difference::Removed, what, None, None);
         }
         for drain in after.iter().filter(|drain| !before.contains(drain)) {
-            let what = format!("drains: {}", drain.described());
+            let what = format!("drains: {drain}");
             self.add(Difference::Added, what, None, None);
         }
     }
@@ -324,13 +324,3 @@
         )
     }
 }
-
-impl Described for Drain {
-    fn described(&self) -> String {
-        match self {
-            Self::Place(place) => format!("place {place}"),
-            Self::BackendServer(backend) => format!("backend server {backend}"),
-            Self::Vm(vm) => format!("entry VM {vm}"),
-        }
-    }
-}
--- a/lib/src/outcome.rs
+++ b/lib/src/outcome.rs
@@ -20,6 +20,7 @@
         #[derive(
             Clone, Copy, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize,
         )]
+        #[serde(rename_all = "snake_case")]
         pub enum $name {
             $($(#[$case_doc])* $case,)*
         }
--- a/server/src/announce_listener.rs
+++ b/server/src/announce_listener.rs
@@ -24,6 +24,8 @@
 use crate::answer_body::AnswerBody;
 use crate::entry_context::EntryContext;
 use crate::entry_status;
+use crate::explain_query;
+use crate::explain_report::ExplainReport;
 use crate::http_server::Handler;
 use crate::proto::AnnounceRequest;
 use crate::proto::peer_client::PeerClient;
@@ -32,6 +34,7 @@
 
 const ANNOUNCE_PATH: &str = "/announce";
 const STATUS_PATH: &str = "/status";
+const EXPLAIN_PATH: &str = "/explain";
 
 /// Bytes of an announcement.
 const MAX_ANNOUNCEMENT_BYTES: u32 = 4_096;
@@ -63,6 +66,7 @@
             (&Method::GET, STATUS_PATH) => {
                 json(StatusCode::OK, &entry_status::collect(&self.cx).await)
             }
+            (&Method::GET, EXPLAIN_PATH) => self.explain(&req).await,
             _ => json(StatusCode::NOT_FOUND, &Problem::new("no such path")),
         }
     }
@@ -82,6 +86,17 @@
 }
 
 impl AnnounceHandler {
+    async fn explain(&self, req: &Request<Incoming>) -> Response<AnswerBody> {
+        let query = req.uri().query().unwrap_or_default();
+        match explain_query::parse(query) {
+            Ok(filter) => {
+                let report = ExplainReport::collect(&self.cx, filter).await;
+                json(StatusCode::OK, &report)
+            }
+            Err(error) => json(StatusCode::BAD_REQUEST, &Problem::new(error.to_string())),
+        }
+    }
+
     async fn announce(&self, req: Request<Incoming>) -> Response<AnswerBody> {
         let by = self.cx.now() + READ_TIMEOUT;
         let body = match request_body::read(req.into_body(), MAX_ANNOUNCEMENT_BYTES, by).await {
--- a/server/src/caller_listener.rs
+++ b/server/src/caller_listener.rs
@@ -28,6 +28,7 @@
 use crate::action_path;
 use crate::answer_body;
 use crate::answer_body::AnswerBody;
+use crate::decision_note;
 use crate::dispatcher::OutgoingRequest;
 use crate::entry_context::EntryContext;
 use crate::entry_state::EntryState;
@@ -60,11 +61,14 @@
     async fn handle(&self, peer: SocketAddr, req: Request<Incoming>) -> Response<AnswerBody> {
         let request_id = self.cx.request_ids.draw();
         let arrived = self.cx.now();
+        let method = req.method().clone();
+        let service = named_service(req.uri().path());
         let result = self.answer(peer, &request_id, arrived, req).await;
         let mut response = match result {
             Ok(response) => response,
             Err(refused) => {
                 log::debug!(event = "refused", request_id = request_id.as_str(), outcome = refused.outcome(), reason = refused.reason(); "a caller's request got no answer");
+                decision_note::refusal(&self.cx, &request_id, &method, service, &refused);
                 let entries = self.cx.state.other_entries(&self.cx.info);
                 refusal::to_caller(&refused, &request_id, entries)
             }
@@ -89,7 +93,8 @@
             if req.method() != Method::GET {
                 return Err(refuse(NotRunReason::OperationUnknown).into());
             }
-            return self.look_up(peer.ip(), service).await.map_err(Into::into);
+            let answer = self.look_up(peer.ip(), request_id, service).await;
+            return answer.map_err(Into::into);
         }
         let keyed = KeyedRequest::of(&req);
         match self.read(peer.ip(), request_id, arrived, req).await {
@@ -154,7 +159,12 @@
         })
     }
 
-    async fn look_up(&self, peer: IpAddr, service: &str) -> Result<Response<AnswerBody>, NotRun> {
+    async fn look_up(
+        &self,
+        peer: IpAddr,
+        request_id: &str,
+        service: &str,
+    ) -> Result<Response<AnswerBody>, NotRun> {
         let state = self.cx.state.read();
         if !state.lease.is_valid(self.cx.now()) {
             return Err(refuse(NotRunReason::LeaseLapsed));
@@ -171,8 +181,9 @@
         let answer = self
             .cx
             .admission
-            .look_up(service.clone(), origin, caller)
+            .look_up(service.clone(), origin.clone(), caller)
             .await?;
+        decision_note::look_up(&self.cx, request_id, manifest, &service, &origin, &answer);
         let ticket = action_path::ticket(&self.cx, &state, &service, &answer.entry);
         let ticket_ms = manifest.look_ups.ticket_ms;
         let body = LookUpBody {
@@ -203,15 +214,22 @@
     fn of(req: &Request<Incoming>) -> Option<Self> {
         let headers = req.headers();
         headers.get(header::IDEMPOTENCY_KEY)?;
-        let below = req.uri().path().strip_prefix(SERVICE_PREFIX)?;
-        let (service, _) = below.split_once('/').unwrap_or((below, ""));
         Some(Self {
-            service: ServiceName::new(service),
+            service: named_service(req.uri().path())?,
             headers: headers.clone(),
         })
     }
 }
 
+/// Returns the service that a path names, whether or not there is one.
+fn named_service(path: &str) -> Option<ServiceName> {
+    let below = path
+        .strip_prefix(LOOK_UP_PREFIX)
+        .or_else(|| path.strip_prefix(SERVICE_PREFIX))?;
+    let (service, _) = below.split_once('/').unwrap_or((below, ""));
+    Some(ServiceName::new(service))
+}
+
 fn refuse(reason: NotRunReason) -> NotRun {
     Attempt::new().refuse(reason)
 }
--- a/server/src/entry_context.rs
+++ b/server/src/entry_context.rs
@@ -12,6 +12,7 @@
 use crate::action_task::ActionHandle;
 use crate::admission_task::AdmissionHandle;
 use crate::backend_pool::BackendPool;
+use crate::decision_task::DecisionHandle;
 use crate::entry_state::EntryStateReader;
 use crate::forward_client::ForwardClients;
 use crate::metrics::Metrics;
@@ -38,6 +39,8 @@
     pub forward: ForwardClients,
     /// Channels to other entry VMs, for messages.
     pub peers: PeerClients,
+    /// Recent decisions, for operators who ask why.
+    pub decisions: DecisionHandle,
     /// Metrics.
     pub metrics: Metrics,
     /// Names the requests that arrive here.
--- a/server/src/entry_process.rs
+++ b/server/src/entry_process.rs
@@ -24,6 +24,7 @@
 use crate::caller_listener::CallerHandler;
 use crate::control_session::ControlSession;
 use crate::control_session::SessionWish;
+use crate::decision_task::DecisionHandle;
 use crate::entry_context::EntryContext;
 use crate::entry_context::RequestIds;
 use crate::entry_state::EntryState;
@@ -216,6 +217,7 @@
             pool,
             forward: ForwardClients::spawn(security.clone()),
             peers,
+            decisions: DecisionHandle::spawn(),
             metrics,
             request_ids: RequestIds::new(rand::random()),
         });
--- a/server/src/entry_status.rs
+++ b/server/src/entry_status.rs
@@ -3,6 +3,7 @@
 use heatherring_lib::drain::DrainDecision;
 use heatherring_lib::load_digest::GroupLoad;
 use heatherring_lib::manifest::Drain;
+use serde::Deserialize;
 use serde::Serialize;
 
 use crate::entry_context::EntryContext;
@@ -36,17 +37,19 @@
 }
 
 /// Tells what becomes of one planned drain.
-#[derive(Clone, Debug, Serialize)]
+#[derive(Clone, Debug, Deserialize, Serialize)]
 pub struct DrainStatus {
     /// The drain, as planned.
     pub drain: Drain,
     /// Why it is held back; absent once it is carried out.
-    #[serde(skip_serializing_if = "Option::is_none")]
+    #[serde(default, skip_serializing_if = "Option::is_none")]
     pub held_back: Option<String>,
 }
 
 impl DrainStatus {
-    fn of(decision: &DrainDecision) -> Self {
+    /// Describes a decision.
+    #[must_use]
+    pub fn of(decision: &DrainDecision) -> Self {
         Self {
             drain: decision.drain.clone(),
             held_back: decision.held_back.as_ref().map(ToString::to_string),
--- /dev/null
+++ b/server/src/explain_query.rs
@@ -0,0 +1,94 @@
+//! What an operator asks of recent decisions, as the query of a URL.
+
+use std::fmt::Write;
+
+use heatherring_lib::decision_log::DecisionFilter;
+use heatherring_lib::decision_record::DecisionKind;
+use heatherring_lib::id::ServiceName;
+use snafu::OptionExt;
+use snafu::Snafu;
+
+const REQUEST: &str = "request";
+const SERVICE: &str = "service";
+const KIND: &str = "kind";
+
+/// Names of kinds, as they stand in the query.
+pub const KINDS: [(&str, DecisionKind); 3] = [
+    ("look_up", DecisionKind::LookUp),
+    ("steering", DecisionKind::Steering),
+    ("refusal", DecisionKind::Refusal),
+];
+
+/// Tells what is wrong with a query.
+#[derive(Debug, Snafu)]
+pub enum ExplainQueryError {
+    /// A part has no value.
+    #[snafu(display("\"{part}\" has no value; allowed are {REQUEST}=, {SERVICE}= and {KIND}="))]
+    NoValue {
+        /// The part.
+        part: String,
+    },
+    /// A key isn't known.
+    #[snafu(display("\"{key}\" isn't known; allowed are {REQUEST}, {SERVICE} and {KIND}"))]
+    UnknownKey {
+        /// The key.
+        key: String,
+    },
+    /// A kind isn't known.
+    #[snafu(display("kind \"{kind}\" isn't known; allowed are look_up, steering and refusal"))]
+    UnknownKind {
+        /// The kind.
+        kind: String,
+    },
+}
+
+/// Reads a query.
+///
+/// Identifiers and names hold no character that a URL would escape.
+///
+/// # Errors
+///
+/// Fails if a part isn't known.
+pub fn parse(query: &str) -> Result<DecisionFilter, ExplainQueryError> {
+    let mut filter = DecisionFilter::default();
+    for part in query.split('&').filter(|part| !part.is_empty()) {
+        let (key, value) = part.split_once('=').context(NoValueSnafu { part })?;
+        match key {
+            REQUEST => filter.request_id = Some(value.to_owned()),
+            SERVICE => filter.service = Some(ServiceName::new(value)),
+            KIND => filter.kind = Some(kind(value)?),
+            _ => return UnknownKeySnafu { key }.fail(),
+        }
+    }
+    Ok(filter)
+}
+
+fn kind(name: &str) -> Result<DecisionKind, ExplainQueryError> {
+    let found = KINDS.iter().find(|(known, _)| *known == name);
+    found
+        .map(|(_, kind)| *kind)
+        .context(UnknownKindSnafu { kind: name })
+}
+
+/// Writes a query that [`parse`] reads.
+#[must_use]
+pub fn write(filter: &DecisionFilter) -> String {
+    let mut query = String::new();
+    let kind = filter.kind.and_then(|kind| {
+        let found = KINDS.iter().find(|(_, known)| *known == kind);
+        found.map(|(name, _)| *name)
+    });
+    let parts = [
+        (REQUEST, filter.request_id.as_deref()),
+        (SERVICE, filter.service.as_ref().map(ServiceName::as_str)),
+        (KIND, kind),
+    ];
+    for (key, value) in parts {
+        if let Some(value) = value {
+            let separator = if query.is_empty() { "" } else { "&" };
+            // Writing to a string doesn't fail.
+            let _ = write!(query, "{separator}{key}={value}");
+        }
+    }
+    query
+}
--- a/server/src/request_path.rs
+++ b/server/src/request_path.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use heatherring_lib::decision_record::Try;
 use heatherring_lib::id::PlaceName;
 use heatherring_lib::id::ServiceName;
 use heatherring_lib::manifest::Operation;
@@ -22,6 +23,7 @@
 
 use crate::admission_task::CandidateFailure;
 use crate::answer_body::AnswerBody;
+use crate::decision_note;
 use crate::dispatcher::OutgoingRequest;
 use crate::entry_context::EntryContext;
 use crate::forward_client::ForwardHead;
@@ -93,6 +95,8 @@
     refusal: Option<NotRun>,
     /// Set once a try may have run. "Not run" can't be said any more from then on.
     may_have_run: Option<Unknown>,
+    /// How each owner took the request, for operators who ask why.
+    tries_made: Vec<Try>,
 }
 
 /// Tells how a round over the candidates ended.
@@ -112,7 +116,7 @@
 pub async fn run(
     cx: &Arc<EntryContext>,
     req: &ServiceRequest,
-    mut attempt: Attempt<Unsent>,
+    attempt: Attempt<Unsent>,
 ) -> Outcome<Response<AnswerBody>> {
     let mut journey = Journey {
         cx,
@@ -120,25 +124,32 @@
         tries: 0,
         refusal: None,
         may_have_run: None,
+        tries_made: Vec::new(),
     };
-    let mut state = cx.state.clone();
-    for _ in 0..MAX_VIEW_WAITS {
-        attempt = match journey.round(attempt).await {
-            Round::Over(outcome) => return outcome,
-            Round::Exhausted(attempt) => return journey.give_up(attempt),
-            Round::ViewsDiffer(attempt) => attempt,
-        };
-        let wait_until = (cx.now() + VIEW_WAIT).min(req.outgoing.deadline);
-        let waiting = tokio::time::timeout_at(wait_until.into(), state.changed());
-        if waiting.await.is_err() {
-            break;
-        }
-        journey.tries = 0;
-    }
-    journey.give_up(attempt)
+    let outcome = journey.run(attempt).await;
+    decision_note::steering(cx, req, journey.tries_made);
+    outcome
 }
 
 impl Journey<'_> {
+    async fn run(&mut self, mut attempt: Attempt<Unsent>) -> Outcome<Response<AnswerBody>> {
+        let mut state = self.cx.state.clone();
+        for _ in 0..MAX_VIEW_WAITS {
+            attempt = match self.round(attempt).await {
+                Round::Over(outcome) => return outcome,
+                Round::Exhausted(attempt) => return self.give_up(attempt),
+                Round::ViewsDiffer(attempt) => attempt,
+            };
+            let wait_until = (self.cx.now() + VIEW_WAIT).min(self.req.outgoing.deadline);
+            let waiting = tokio::time::timeout_at(wait_until.into(), state.changed());
+            if waiting.await.is_err() {
+                break;
+            }
+            self.tries = 0;
+        }
+        self.give_up(attempt)
+    }
+
     async fn round(&mut self, mut attempt: Attempt<Unsent>) -> Round {
         if self.cx.state.live_session().is_none() {
             return Round::Over(attempt.refuse(NotRunReason::LeaseLapsed).into());
@@ -156,7 +167,10 @@
             if !self.may_try().await {
                 break;
             }
-            let not_run = match self.run_at(&candidate, attempt).await {
+            let outcome = self.run_at(&candidate, attempt).await;
+            let ended = decision_note::ended_try(self.cx, self.req, &candidate, &outcome);
+            self.tries_made.push(ended);
+            let not_run = match outcome {
                 Outcome::Answer(answer) => return Round::Over(Outcome::Answer(answer)),
                 Outcome::NotRun(not_run) => not_run,
                 Outcome::Unknown(unknown) => match self.note_unknown(unknown) {
