--- /dev/null
+++ b/server/examples/control_slope.rs
@@ -0,0 +1,364 @@
+//! Measures what sessions cost the leading control replica, at several counts of them.
+//!
+//! Real control processes serve stand-in entry VMs: bare `Session.Sync` loops, each with
+//! a connection of its own. Run it with
+//! `cargo build --release --bins && cargo run --release -p heatherring-server --example control_slope`.
+
+use std::error::Error;
+use std::fs;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+use std::time::Instant;
+
+use heatherring_lib::id::PlaceName;
+use heatherring_lib::id::RegionName;
+use heatherring_lib::id::VmName;
+use heatherring_lib::view::EntryInfo;
+use heatherring_lib::view::ViewChange;
+use heatherring_server::proto::StatusRequest;
+use heatherring_server::proto::SubmitRequest;
+use heatherring_server::proto::SyncReply;
+use heatherring_server::proto::SyncRequest;
+use heatherring_server::proto::operator_client::OperatorClient;
+use heatherring_server::proto::session_client::SessionClient;
+use heatherring_testutils::cluster::Cluster;
+use heatherring_testutils::cluster_plan::ClusterPlan;
+use heatherring_testutils::cluster_plan::VmPlan;
+use prost::Message;
+use serde_json::json;
+use tonic::transport::Channel;
+
+type AnyResult<T> = Result<T, Box<dyn Error + Send + Sync>>;
+
+const SESSION_COUNTS: [usize; 4] = [100, 200, 400, 800];
+const PHASE: Duration = Duration::from_secs(8);
+const CHANGES: u64 = 8;
+const CHANGE_INTERVAL: Duration = Duration::from_secs(1);
+const SYNC_WAIT_MS: u32 = 500;
+/// Clock ticks a second in `/proc/*/stat`, which is fixed on Linux.
+const TICKS_PER_SECOND: f64 = 100.0;
+
+/// Counts what the stand-ins exchange with control.
+#[derive(Debug, Default)]
+struct Traffic {
+    syncs: AtomicU64,
+    bytes: AtomicU64,
+    failures: AtomicU64,
+}
+
+/// Holds what one phase cost.
+#[derive(Clone, Copy, Debug, Default)]
+struct Cost {
+    cpu_seconds: f64,
+    syncs: u64,
+    bytes: u64,
+    failures: u64,
+    seconds: f64,
+}
+
+/// Holds one row of the table.
+#[derive(Clone, Copy, Debug)]
+struct Row {
+    sessions: usize,
+    idle: Cost,
+    changing: Cost,
+    rss_kb: u64,
+    settle_ms_p50: f64,
+    settle_ms_max: f64,
+}
+
+#[tokio::main]
+async fn main() -> AnyResult<()> {
+    let binary = Path::new("target/release/heatherring");
+    let mut rows = Vec::new();
+    for sessions in SESSION_COUNTS {
+        let row = measure(binary, sessions).await?;
+        eprintln!("{row:?}");
+        rows.push(row);
+    }
+    print_table(&rows);
+    Ok(())
+}
+
+async fn measure(binary: &Path, sessions: usize) -> AnyResult<Row> {
+    let plan = ClusterPlan {
+        controls: vec![
+            VmPlan::new("control-1", "place-1", "region-1"),
+            VmPlan::new("control-2", "place-2", "region-2"),
+            VmPlan::new("control-3", "place-3", "region-3"),
+        ],
+        ..ClusterPlan::default()
+    };
+    let mut cluster = Cluster::prepare(plan, binary).await?;
+    cluster.start_controls().await?;
+    let address = cluster.control_addresses()[0];
+    let leader_vm = leader_of(address).await?;
+    let pid = cluster.process(&leader_vm.0).id();
+
+    let traffic = Arc::new(Traffic::default());
+    let stop = Arc::new(AtomicBool::new(false));
+    let stand_ins: Vec<_> = (0..sessions)
+        .map(|index| {
+            let stand_in = keep_session(leader_vm.1, index, traffic.clone(), stop.clone());
+            tokio::spawn(stand_in)
+        })
+        .collect();
+    tokio::time::sleep(Duration::from_secs(3)).await;
+
+    let before = sample(pid, &traffic)?;
+    tokio::time::sleep(PHASE).await;
+    let idle = sample(pid, &traffic)?.since(before);
+
+    let before = sample(pid, &traffic)?;
+    let mut settle = Vec::new();
+    for version in 1..=CHANGES {
+        let begun = Instant::now();
+        let manifest = cluster.manifest(version, &services(version)).to_string();
+        settle.push(submit_and_settle(leader_vm.1, manifest).await?);
+        tokio::time::sleep(CHANGE_INTERVAL.saturating_sub(begun.elapsed())).await;
+    }
+    let changing = sample(pid, &traffic)?.since(before);
+    let rss_kb = rss_kb(pid)?;
+    stop.store(true, Ordering::Relaxed);
+    for stand_in in stand_ins {
+        stand_in.await??;
+    }
+    settle.sort_by(f64::total_cmp);
+    Ok(Row {
+        sessions,
+        idle,
+        changing,
+        rss_kb,
+        settle_ms_p50: settle[settle.len() / 2],
+        settle_ms_max: settle[settle.len() - 1],
+    })
+}
+
+fn services(version: u64) -> serde_json::Value {
+    json!({
+        "registry": {
+            "operations": [{
+                "name": "result", "method": "GET", "path_prefix": "/results",
+                "idempotent": true, "deadline_ms": 1000 + version,
+            }],
+            "max_slots_per_backend": 3,
+            "max_connections_per_backend": 330,
+            "limits": {"place-1": {"max_in_flight": 60, "max_per_second": 600}},
+        }
+    })
+}
+
+async fn channel(address: SocketAddr) -> AnyResult<Channel> {
+    let endpoint = tonic::transport::Endpoint::from_shared(format!("http://{address}"))?;
+    Ok(endpoint.tcp_nodelay(true).connect().await?)
+}
+
+async fn leader_of(address: SocketAddr) -> AnyResult<(String, SocketAddr)> {
+    let mut operator = OperatorClient::new(channel(address).await?);
+    let status = operator.status(StatusRequest {}).await?.into_inner();
+    let leader = status
+        .replicas
+        .iter()
+        .find(|replica| replica.replica == status.leader)
+        .ok_or("no leader")?;
+    Ok((leader.vm.clone(), leader.address.parse()?))
+}
+
+async fn submit_and_settle(leader: SocketAddr, manifest: String) -> AnyResult<f64> {
+    let mut operator = OperatorClient::new(channel(leader).await?);
+    let request = SubmitRequest {
+        manifest,
+        operator: "slope".to_owned(),
+    };
+    let reply = operator.submit(request).await?.into_inner();
+    let accepted_at = Instant::now();
+    if reply.revision == 0 {
+        return Err(format!("not accepted: {reply:?}").into());
+    }
+    loop {
+        let status = operator.status(StatusRequest {}).await?.into_inner();
+        if status.settled_revision >= reply.revision {
+            return Ok(accepted_at.elapsed().as_secs_f64() * 1e3);
+        }
+        tokio::time::sleep(Duration::from_millis(2)).await;
+    }
+}
+
+async fn keep_session(
+    leader: SocketAddr,
+    index: usize,
+    traffic: Arc<Traffic>,
+    stop: Arc<AtomicBool>,
+) -> AnyResult<()> {
+    let mut client = SessionClient::new(channel(leader).await?);
+    let entry_encoded = postcard::to_stdvec(&entry_info(index))?;
+    let mut request = SyncRequest {
+        entry_encoded,
+        ..SyncRequest::default()
+    };
+    while !stop.load(Ordering::Relaxed) {
+        let sent = request.encoded_len();
+        match client.sync(request.clone()).await {
+            Ok(reply) => {
+                let reply = reply.into_inner();
+                let bytes = u64::try_from(sent + reply.encoded_len())?;
+                traffic.syncs.fetch_add(1, Ordering::Relaxed);
+                traffic.bytes.fetch_add(bytes, Ordering::Relaxed);
+                follow(&mut request, &reply)?;
+            }
+            Err(_) => {
+                traffic.failures.fetch_add(1, Ordering::Relaxed);
+                tokio::time::sleep(Duration::from_millis(100)).await;
+            }
+        }
+    }
+    Ok(())
+}
+
+fn follow(request: &mut SyncRequest, reply: &SyncReply) -> AnyResult<()> {
+    request.cluster_id.clone_from(&reply.cluster_id);
+    request.session = reply.session;
+    request.wait_ms = SYNC_WAIT_MS;
+    request.known_settled = reply.settled_revision;
+    if !reply.view_encoded.is_empty() {
+        let view: heatherring_lib::view::ControlView = postcard::from_bytes(&reply.view_encoded)?;
+        request.applied_revision = view.revision.0;
+    }
+    if let Some(last) = reply.changes_encoded.last() {
+        let change: ViewChange = postcard::from_bytes(last)?;
+        request.applied_revision = change.revision.0;
+    }
+    Ok(())
+}
+
+fn entry_info(index: usize) -> EntryInfo {
+    // Never connected to: the stand-ins only keep sessions.
+    let unused = SocketAddr::from(([127, 0, 0, 1], 9));
+    EntryInfo {
+        vm: VmName::new(format!("stand-in-{index}")),
+        place: PlaceName::new(format!("place-{}", index % 25)),
+        region: RegionName::new(format!("region-{}", index % 12)),
+        callers: unused,
+        backend_servers: unused,
+        peers: unused,
+        forward: unused,
+    }
+}
+
+/// Holds running totals at one moment.
+#[derive(Clone, Copy, Debug)]
+struct Sample {
+    at: Instant,
+    cpu_seconds: f64,
+    syncs: u64,
+    bytes: u64,
+    failures: u64,
+}
+
+impl Sample {
+    fn since(self, before: Self) -> Cost {
+        Cost {
+            cpu_seconds: self.cpu_seconds - before.cpu_seconds,
+            syncs: self.syncs - before.syncs,
+            bytes: self.bytes - before.bytes,
+            failures: self.failures - before.failures,
+            seconds: (self.at - before.at).as_secs_f64(),
+        }
+    }
+}
+
+fn sample(pid: u32, traffic: &Traffic) -> AnyResult<Sample> {
+    Ok(Sample {
+        at: Instant::now(),
+        cpu_seconds: cpu_seconds(pid)?,
+        syncs: traffic.syncs.load(Ordering::Relaxed),
+        bytes: traffic.bytes.load(Ordering::Relaxed),
+        failures: traffic.failures.load(Ordering::Relaxed),
+    })
+}
+
+fn cpu_seconds(pid: u32) -> AnyResult<f64> {
+    let stat = fs::read_to_string(format!("/proc/{pid}/stat"))?;
+    // The command's name, in parentheses, may hold spaces; fields count from behind it.
+    let fields: Vec<_> = stat
+        .rsplit_once(')')
+        .ok_or("unexpected stat")?
+        .1
+        .split_whitespace()
+        .collect();
+    let user: f64 = fields[11].parse()?;
+    let system: f64 = fields[12].parse()?;
+    Ok((user + system) / TICKS_PER_SECOND)
+}
+
+fn rss_kb(pid: u32) -> AnyResult<u64> {
+    let status = fs::read_to_string(format!("/proc/{pid}/status"))?;
+    let line = status
+        .lines()
+        .find(|line| line.starts_with("VmRSS:"))
+        .ok_or("no VmRSS")?;
+    Ok(line.split_whitespace().nth(1).ok_or("no value")?.parse()?)
+}
+
+#[expect(
+    clippy::cast_precision_loss,
+    reason = "counts of a short run fit a float's mantissa"
+)]
+fn print_table(rows: &[Row]) {
+    println!("| sessions | idle: core % | syncs/s | B/s a session | 1 change/s: core % | B/s a session | settled p50 ms | max ms | leader RSS MB | failures |");
+    println!("| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |");
+    for row in rows {
+        let per_session = |cost: Cost| cost.bytes as f64 / cost.seconds / row.sessions as f64;
+        println!(
+            "| {} | {:.2} | {:.0} | {:.0} | {:.2} | {:.0} | {:.1} | {:.1} | {:.1} | {} |",
+            row.sessions,
+            100.0 * row.idle.cpu_seconds / row.idle.seconds,
+            row.idle.syncs as f64 / row.idle.seconds,
+            per_session(row.idle),
+            100.0 * row.changing.cpu_seconds / row.changing.seconds,
+            per_session(row.changing),
+            row.settle_ms_p50,
+            row.settle_ms_max,
+            row.rss_kb as f64 / 1e3,
+            row.idle.failures + row.changing.failures,
+        );
+    }
+    let points: Vec<_> = rows
+        .iter()
+        .map(|row| {
+            let core = 100.0 * row.idle.cpu_seconds / row.idle.seconds;
+            (row.sessions as f64, core)
+        })
+        .collect();
+    let (slope, base, worst) = fit(&points);
+    println!();
+    println!("idle core % = {base:.3} + {slope:.5} a session; largest error {worst:.2} points");
+}
+
+/// Fits a line by least squares; returns slope, offset and the largest error.
+#[expect(
+    clippy::cast_precision_loss,
+    reason = "a handful of points fits a float's mantissa"
+)]
+fn fit(points: &[(f64, f64)]) -> (f64, f64, f64) {
+    let count = points.len() as f64;
+    let mean_x = points.iter().map(|point| point.0).sum::<f64>() / count;
+    let mean_y = points.iter().map(|point| point.1).sum::<f64>() / count;
+    let covariance: f64 = points
+        .iter()
+        .map(|point| (point.0 - mean_x) * (point.1 - mean_y))
+        .sum();
+    let variance: f64 = points.iter().map(|point| (point.0 - mean_x).powi(2)).sum();
+    let slope = covariance / variance;
+    let base = mean_y - slope * mean_x;
+    let worst = points
+        .iter()
+        .map(|point| (point.1 - base - slope * point.0).abs())
+        .fold(0.0, f64::max);
+    (slope, base, worst)
+}
