session_relay: renewals of a region as one call, at control and in the core

Longer leases were ruled out: they lengthen every failover. Relays collect a region's renewals; every grant stays control's.

--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -61,6 +61,7 @@
 pub mod retry_advice;
 pub mod retry_budget;
 pub mod service_time;
+pub mod session_relay;
 pub mod session_tracker;
 pub mod settings;
 pub mod settings_check;
--- a/server/examples/control_slope.rs
+++ b/server/examples/control_slope.rs
@@ -310,7 +310,9 @@
     reason = "counts of a short run fit a float's mantissa"
 )]
 fn print_table(rows: &[Row]) {
-    println!("| sessions | idle: core % | syncs/s | B/s a session | 1 change/s: core % | B/s a session | settled p50 ms | max ms | leader RSS MB | failures |");
+    println!(
+        "| sessions | idle: core % | syncs/s | B/s a session | 1 change/s: core % | B/s a session | settled p50 ms | max ms | leader RSS MB | failures |"
+    );
     println!("| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |");
     for row in rows {
         let per_session = |cost: Cost| cost.bytes as f64 / cost.seconds / row.sessions as f64;
--- a/server/src/control_node.rs
+++ b/server/src/control_node.rs
@@ -57,6 +57,7 @@
 use crate::node_request::NodeRequest;
 use crate::peer_links::PeerLinks;
 use crate::proto::StatusReply;
+use crate::session_desk::HeldBatch;
 use crate::session_desk::HeldSync;
 use crate::session_desk::SessionDesk;
 use crate::session_desk::Verdict;
@@ -272,6 +273,11 @@
                 let held = HeldSync::new(Box::new(call), reply, received_at);
                 self.waiting.push(Waiter::Sync(held));
             }
+            NodeRequest::SyncBatch { renewals, reply } => {
+                let received_at = self.clock.now();
+                let batch = HeldBatch::new(renewals, reply, received_at);
+                self.waiting.push(Waiter::Batch(batch));
+            }
             NodeRequest::Leave => self.begin_leaving(),
         }
     }
@@ -527,6 +533,7 @@
                 let _ = reply.send((status, self.leader_link()));
             }
             Waiter::Sync(held) => held.not_current(self.leader_link()),
+            Waiter::Batch(batch) => batch.not_current(self.leader_link()),
         }
     }
 
@@ -572,6 +579,7 @@
                 let _ = reply.send((status, None));
             }
             Waiter::Sync(held) => self.serve_sync(held),
+            Waiter::Batch(batch) => self.sessions.admit_batch(batch, &self.state),
         }
     }
 
--- a/server/src/node_pending.rs
+++ b/server/src/node_pending.rs
@@ -15,6 +15,7 @@
 use crate::node_request::NodeError;
 use crate::node_request::Read;
 use crate::proto::StatusReply;
+use crate::session_desk::HeldBatch;
 use crate::session_desk::HeldSync;
 
 new_key_type! {
@@ -65,6 +66,8 @@
     Status(oneshot::Sender<(StatusReply, Option<Box<LeaderLink>>)>),
     /// A renewal of a session.
     Sync(HeldSync),
+    /// Renewals that a relay collected.
+    Batch(HeldBatch),
 }
 
 impl std::fmt::Debug for Waiter {
@@ -73,6 +76,7 @@
             Self::Read(_) => "Read",
             Self::Status(_) => "Status",
             Self::Sync(_) => "Sync",
+            Self::Batch(_) => "Batch",
         })
     }
 }
--- a/server/src/node_request.rs
+++ b/server/src/node_request.rs
@@ -14,6 +14,8 @@
 use heatherring_lib::raft_effects::MembershipChange;
 use heatherring_lib::raft_effects::Refusal;
 use heatherring_lib::raft_message::Message;
+use heatherring_lib::session_relay::Acknowledgement;
+use heatherring_lib::session_relay::BatchGrant;
 use heatherring_lib::view::EntryInfo;
 use snafu::ResultExt;
 use snafu::Snafu;
@@ -130,6 +132,18 @@
     },
 }
 
+/// Answers a batch of renewals.
+#[derive(Debug)]
+pub enum BatchAnswer {
+    /// The leases are extended, but for the lost sessions.
+    Granted(BatchGrant),
+    /// This replica can't prove that it is current.
+    NotCurrent {
+        /// The leader, if it is another replica and its address is known.
+        leader: Option<Box<LeaderLink>>,
+    },
+}
+
 /// Reads the state once it is proved to be current, or learns why it isn't.
 pub type Read = Box<dyn FnOnce(Result<&ControlState, NodeError>) + Send>;
 
@@ -171,6 +185,13 @@
         /// Takes the answer.
         reply: oneshot::Sender<SyncAnswer>,
     },
+    /// Renews many sessions for a relay.
+    SyncBatch {
+        /// The sessions, and what their entry VMs have applied.
+        renewals: Vec<Acknowledgement>,
+        /// Takes the answer.
+        reply: oneshot::Sender<BatchAnswer>,
+    },
     /// Hands leadership over and ends the task.
     Leave,
 }
@@ -184,6 +205,7 @@
             Self::Read(_) => "Read",
             Self::Status(_) => "Status",
             Self::Sync { .. } => "Sync",
+            Self::SyncBatch { .. } => "SyncBatch",
             Self::Leave => "Leave",
         };
         f.write_str(name)
@@ -290,6 +312,20 @@
         answer.await.context(StoppedSnafu)
     }
 
+    /// Renews many sessions for a relay.
+    ///
+    /// # Errors
+    ///
+    /// Returns a [`NodeError`] if the replica takes no requests.
+    pub async fn sync_batch(
+        &self,
+        renewals: Vec<Acknowledgement>,
+    ) -> Result<BatchAnswer, NodeError> {
+        let (reply, answer) = oneshot::channel();
+        self.enqueue(NodeRequest::SyncBatch { renewals, reply })?;
+        answer.await.context(StoppedSnafu)
+    }
+
     /// Asks the replica to hand leadership over and to stop.
     pub async fn leave(&self) {
         // A replica that has stopped already needs no request.
--- a/server/src/session_desk.rs
+++ b/server/src/session_desk.rs
@@ -1,5 +1,6 @@
 //! The leader's dealings with entry VMs: grants, held-back answers and lapses.
 
+use std::collections::BTreeSet;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -10,11 +11,14 @@
 use heatherring_lib::control_state::ViewUpdate;
 use heatherring_lib::id::Revision;
 use heatherring_lib::id::SessionId;
+use heatherring_lib::session_relay::Acknowledgement;
+use heatherring_lib::session_relay::BatchGrant;
 use heatherring_lib::session_tracker::Renewal;
 use heatherring_lib::session_tracker::SessionTracker;
 use heatherring_lib::settings::ControlTiming;
 use tokio::sync::oneshot;
 
+use crate::node_request::BatchAnswer;
 use crate::node_request::LeaderLink;
 use crate::node_request::SyncAnswer;
 use crate::node_request::SyncCall;
@@ -57,6 +61,36 @@
     }
 }
 
+/// Holds a relay's batch of renewals until it is answered.
+#[derive(Debug)]
+pub struct HeldBatch {
+    renewals: Vec<Acknowledgement>,
+    reply: oneshot::Sender<BatchAnswer>,
+    received_at: Instant,
+}
+
+impl HeldBatch {
+    /// Takes in a batch.
+    #[must_use]
+    pub const fn new(
+        renewals: Vec<Acknowledgement>,
+        reply: oneshot::Sender<BatchAnswer>,
+        received_at: Instant,
+    ) -> Self {
+        Self {
+            renewals,
+            reply,
+            received_at,
+        }
+    }
+
+    /// Answers that this replica can't prove that it is current.
+    pub fn not_current(self, leader: Option<Box<LeaderLink>>) {
+        // The relay may have given up and asked another replica.
+        let _ = self.reply.send(BatchAnswer::NotCurrent { leader });
+    }
+}
+
 /// Tells what is to be done with a request that passed its read barrier.
 #[derive(Debug)]
 #[must_use]
@@ -190,6 +224,32 @@
         Verdict::Done
     }
 
+    /// Renews a relay's batch whose read barrier was passed, and answers it.
+    pub fn admit_batch(&mut self, batch: HeldBatch, state: &ControlState) {
+        if !self.started {
+            batch.not_current(None);
+            return;
+        }
+        let mut lost = BTreeSet::new();
+        for renewal in &batch.renewals {
+            let renewed = self
+                .tracker
+                .renewed(renewal.session, batch.received_at, renewal.applied);
+            if renewed == Renewal::Refused {
+                lost.insert(renewal.session);
+            }
+        }
+        self.news = true;
+        let grant = BatchGrant {
+            lease: self.tracker.lease(),
+            revision: state.view().revision,
+            settled: self.tracker.settled_revision(state),
+            lost,
+        };
+        // The relay may have given up and asked another replica.
+        let _ = batch.reply.send(BatchAnswer::Granted(grant));
+    }
+
     /// Answers a request whose command was committed and applied.
     pub fn committed(&self, held: HeldSync, response: &Response, state: &ControlState) {
         let session = match response {
--- a/server/src/session_service.rs
+++ b/server/src/session_service.rs
@@ -6,6 +6,8 @@
 use heatherring_lib::id::ClusterId;
 use heatherring_lib::id::Revision;
 use heatherring_lib::id::SessionId;
+use heatherring_lib::session_relay::Acknowledgement;
+use heatherring_lib::session_relay::BatchGrant;
 use heatherring_lib::settings::ControlTiming;
 use heatherring_lib::view::EntryInfo;
 use serde::Serialize;
@@ -16,10 +18,14 @@
 use crate::leader_relay::is_passed_on;
 use crate::leader_relay::pass_on;
 use crate::leader_relay::session_client;
+use crate::node_request::BatchAnswer;
 use crate::node_request::LeaderLink;
 use crate::node_request::NodeHandle;
 use crate::node_request::SyncAnswer;
 use crate::node_request::SyncCall;
+use crate::proto;
+use crate::proto::SyncBatchReply;
+use crate::proto::SyncBatchRequest;
 use crate::proto::SyncOutcome;
 use crate::proto::SyncReply;
 use crate::proto::SyncRequest;
@@ -44,9 +50,9 @@
         }
     }
 
-    fn check_cluster(&self, request: &SyncRequest) -> Result<(), Status> {
-        let first_contact = request.cluster_id.is_empty();
-        if first_contact || request.cluster_id == self.cluster.0 {
+    fn check_cluster(&self, cluster: &[u8]) -> Result<(), Status> {
+        let first_contact = cluster.is_empty();
+        if first_contact || cluster == self.cluster.0 {
             return Ok(());
         }
         log::warn!("refused an entry VM of another cluster");
@@ -67,6 +73,21 @@
         }
     }
 
+    async fn ask_leader_batch(
+        &self,
+        leader: &LeaderLink,
+        request: SyncBatchRequest,
+    ) -> SyncBatchReply {
+        let passed_on = pass_on(request, self.timing.election_max());
+        match session_client(leader).sync_batch(passed_on).await {
+            Ok(reply) => reply.into_inner(),
+            Err(status) => {
+                log::debug!(leader = leader.replica.0, error:% = status.message(); "the leader did not answer a relay");
+                batch_without_quorum()
+            }
+        }
+    }
+
     fn reply(&self, outcome: SyncOutcome) -> SyncReply {
         SyncReply {
             outcome: outcome.into(),
@@ -119,7 +140,7 @@
     async fn sync(&self, request: Request<SyncRequest>) -> Result<Response<SyncReply>, Status> {
         let passed_on = is_passed_on(request.metadata());
         let request = request.into_inner();
-        self.check_cluster(&request)?;
+        self.check_cluster(&request.cluster_id)?;
         let answer = self.node.sync(sync_call(&request)?).await;
         let reply = match answer {
             Ok(SyncAnswer::Granted {
@@ -135,4 +156,46 @@
         };
         Ok(Response::new(reply))
     }
+
+    async fn sync_batch(
+        &self,
+        request: Request<SyncBatchRequest>,
+    ) -> Result<Response<SyncBatchReply>, Status> {
+        let passed_on = is_passed_on(request.metadata());
+        let request = request.into_inner();
+        self.check_cluster(&request.cluster_id)?;
+        let renewals = request.renewals.iter().map(acknowledgement).collect();
+        let reply = match self.node.sync_batch(renewals).await {
+            Ok(BatchAnswer::Granted(grant)) => batch_granted(&grant),
+            Ok(BatchAnswer::NotCurrent {
+                leader: Some(leader),
+            }) if !passed_on => self.ask_leader_batch(&leader, request).await,
+            Ok(BatchAnswer::NotCurrent { .. }) | Err(_) => batch_without_quorum(),
+        };
+        Ok(Response::new(reply))
+    }
+}
+
+fn acknowledgement(renewal: &proto::Renewal) -> Acknowledgement {
+    Acknowledgement {
+        session: SessionId(renewal.session),
+        applied: Revision(renewal.applied_revision),
+    }
+}
+
+fn batch_granted(grant: &BatchGrant) -> SyncBatchReply {
+    SyncBatchReply {
+        outcome: SyncOutcome::Granted.into(),
+        lease_ms: u32::try_from(grant.lease.as_millis()).unwrap_or(u32::MAX),
+        settled_revision: grant.settled.0,
+        revision: grant.revision.0,
+        lost: grant.lost.iter().map(|session| session.0).collect(),
+    }
+}
+
+fn batch_without_quorum() -> SyncBatchReply {
+    SyncBatchReply {
+        outcome: SyncOutcome::NoQuorum.into(),
+        ..SyncBatchReply::default()
+    }
 }
