session_relay: entry VMs renew through two relays of their region

A region of relay_min_entries entry VMs (8 by default) or more has two relays, chosen by rendezvous hashing of VM names.

--- a/lib/src/session_relay.rs
+++ b/lib/src/session_relay.rs
@@ -186,11 +186,6 @@
         })
     }
 
-    /// Forgets a request whose entry VM has gone away.
-    pub fn forget(&mut self, key: RelayedKey) {
-        self.requests.remove(key);
-    }
-
     /// Returns the next batch for control, if one is due and none is on its way.
     ///
     /// Only requests that arrived before this moment are in it. Were a later one granted
--- a/lib/src/settings.rs
+++ b/lib/src/settings.rs
@@ -154,6 +154,11 @@
     pub control: Vec<SocketAddr>,
     /// How other processes and operators prove that they belong to the deployment.
     pub security: Security,
+    /// Number of entry VMs in a region from which on two of them collect the renewals
+    /// of the others' sessions for control. The same on all entry VMs.
+    #[serde(default = "default_relay_min_entries")]
+    #[schemars(range(min = 1))]
+    pub relay_min_entries: u32,
     /// Bounds on what one peer may cost.
     #[serde(default)]
     pub limits: EntryLimits,
@@ -165,6 +170,10 @@
     pub metrics: Option<MetricsSettings>,
 }
 
+const fn default_relay_min_entries() -> u32 {
+    8
+}
+
 impl EntrySettings {
     /// Returns where others reach the listeners.
     #[must_use]
--- a/lib/src/view_log.rs
+++ b/lib/src/view_log.rs
@@ -26,8 +26,17 @@
 }
 
 impl ViewLog {
+    /// Creates a log that knows nothing of what came up to `revision`.
+    #[must_use]
+    pub fn starting_at(revision: Revision) -> Self {
+        Self {
+            changes: VecDeque::new(),
+            floor: revision,
+        }
+    }
+
     /// Adds a change; the oldest give way beyond the capacities.
-    pub(crate) fn push(&mut self, change: ViewChange) {
+    pub fn push(&mut self, change: ViewChange) {
         self.changes.push_back(change);
         while self.overflows() {
             if let Some(dropped) = self.changes.pop_front() {
--- a/server/examples/control_slope.rs
+++ b/server/examples/control_slope.rs
@@ -20,8 +20,10 @@
 use heatherring_lib::id::VmName;
 use heatherring_lib::view::EntryInfo;
 use heatherring_lib::view::ViewChange;
+use heatherring_server::proto::Renewal;
 use heatherring_server::proto::StatusRequest;
 use heatherring_server::proto::SubmitRequest;
+use heatherring_server::proto::SyncBatchRequest;
 use heatherring_server::proto::SyncReply;
 use heatherring_server::proto::SyncRequest;
 use heatherring_server::proto::operator_client::OperatorClient;
@@ -31,6 +33,7 @@
 use heatherring_testutils::cluster_plan::VmPlan;
 use prost::Message;
 use serde_json::json;
+use tokio::task::JoinHandle;
 use tonic::transport::Channel;
 
 type AnyResult<T> = Result<T, Box<dyn Error + Send + Sync>>;
@@ -39,6 +42,8 @@
 const PHASE: Duration = Duration::from_secs(8);
 const CHANGES: u64 = 8;
 const CHANGE_INTERVAL: Duration = Duration::from_secs(1);
+const RELAYS: usize = 24;
+const BATCH_INTERVAL: Duration = Duration::from_millis(200);
 const SYNC_WAIT_MS: u32 = 500;
 /// Clock ticks a second in `/proc/*/stat`, which is fixed on Linux.
 const TICKS_PER_SECOND: f64 = 100.0;
@@ -46,16 +51,32 @@
 /// Counts what the stand-ins exchange with control.
 #[derive(Debug, Default)]
 struct Traffic {
-    syncs: AtomicU64,
+    calls: AtomicU64,
     bytes: AtomicU64,
     failures: AtomicU64,
 }
 
+impl Traffic {
+    fn count(&self, bytes: u64) {
+        self.calls.fetch_add(1, Ordering::Relaxed);
+        self.bytes.fetch_add(bytes, Ordering::Relaxed);
+    }
+}
+
+/// Says how sessions reach control.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Mode {
+    /// Each by its own calls.
+    Direct,
+    /// Through relays, two in each of twelve regions.
+    Relayed,
+}
+
 /// Holds what one phase cost.
 #[derive(Clone, Copy, Debug, Default)]
 struct Cost {
     cpu_seconds: f64,
-    syncs: u64,
+    calls: u64,
     bytes: u64,
     failures: u64,
     seconds: f64,
@@ -75,17 +96,20 @@
 #[tokio::main]
 async fn main() -> AnyResult<()> {
     let binary = Path::new("target/release/heatherring");
-    let mut rows = Vec::new();
-    for sessions in SESSION_COUNTS {
-        let row = measure(binary, sessions).await?;
-        eprintln!("{row:?}");
-        rows.push(row);
+    for mode in [Mode::Direct, Mode::Relayed] {
+        let mut rows = Vec::new();
+        for sessions in SESSION_COUNTS {
+            let row = measure(binary, sessions, mode).await?;
+            eprintln!("{row:?}");
+            rows.push(row);
+        }
+        println!("\n{mode:?}:\n");
+        print_table(&rows);
     }
-    print_table(&rows);
     Ok(())
 }
 
-async fn measure(binary: &Path, sessions: usize) -> AnyResult<Row> {
+async fn measure(binary: &Path, sessions: usize, mode: Mode) -> AnyResult<Row> {
     let plan = ClusterPlan {
         controls: vec![
             VmPlan::new("control-1", "place-1", "region-1"),
@@ -102,12 +126,7 @@
 
     let traffic = Arc::new(Traffic::default());
     let stop = Arc::new(AtomicBool::new(false));
-    let stand_ins: Vec<_> = (0..sessions)
-        .map(|index| {
-            let stand_in = keep_session(leader_vm.1, index, traffic.clone(), stop.clone());
-            tokio::spawn(stand_in)
-        })
-        .collect();
+    let stand_ins = start_stand_ins(mode, leader_vm.1, sessions, &traffic, &stop);
     tokio::time::sleep(Duration::from_secs(3)).await;
 
     let before = sample(pid, &traffic)?;
@@ -139,6 +158,34 @@
     })
 }
 
+fn start_stand_ins(
+    mode: Mode,
+    leader: SocketAddr,
+    sessions: usize,
+    traffic: &Arc<Traffic>,
+    stop: &Arc<AtomicBool>,
+) -> Vec<JoinHandle<AnyResult<()>>> {
+    match mode {
+        Mode::Direct => (0..sessions)
+            .map(|index| {
+                let stand_in = keep_session(leader, index, traffic.clone(), stop.clone());
+                tokio::spawn(stand_in)
+            })
+            .collect(),
+        Mode::Relayed => (0..RELAYS)
+            .map(|relay| {
+                let indices = (relay..sessions).step_by(RELAYS).collect();
+                tokio::spawn(relay_sessions(
+                    leader,
+                    indices,
+                    traffic.clone(),
+                    stop.clone(),
+                ))
+            })
+            .collect(),
+    }
+}
+
 fn services(version: u64) -> serde_json::Value {
     json!({
         "registry": {
@@ -203,18 +250,51 @@
     };
     while !stop.load(Ordering::Relaxed) {
         let sent = request.encoded_len();
-        match client.sync(request.clone()).await {
-            Ok(reply) => {
-                let reply = reply.into_inner();
-                let bytes = u64::try_from(sent + reply.encoded_len())?;
-                traffic.syncs.fetch_add(1, Ordering::Relaxed);
-                traffic.bytes.fetch_add(bytes, Ordering::Relaxed);
-                follow(&mut request, &reply)?;
-            }
-            Err(_) => {
-                traffic.failures.fetch_add(1, Ordering::Relaxed);
-                tokio::time::sleep(Duration::from_millis(100)).await;
-            }
+        if let Ok(reply) = client.sync(request.clone()).await {
+            let reply = reply.into_inner();
+            let bytes = u64::try_from(sent + reply.encoded_len())?;
+            traffic.count(bytes);
+            follow(&mut request, &reply)?;
+        } else {
+            traffic.failures.fetch_add(1, Ordering::Relaxed);
+            tokio::time::sleep(Duration::from_millis(100)).await;
+        }
+    }
+    Ok(())
+}
+
+/// Opens sessions for `indices`, and renews them together.
+async fn relay_sessions(
+    leader: SocketAddr,
+    indices: Vec<usize>,
+    traffic: Arc<Traffic>,
+    stop: Arc<AtomicBool>,
+) -> AnyResult<()> {
+    let mut client = SessionClient::new(channel(leader).await?);
+    let mut batch = SyncBatchRequest::default();
+    for index in indices {
+        let request = SyncRequest {
+            entry_encoded: postcard::to_stdvec(&entry_info(index))?,
+            ..SyncRequest::default()
+        };
+        let reply = client.sync(request).await?.into_inner();
+        batch.cluster_id = reply.cluster_id;
+        batch.renewals.push(Renewal {
+            session: reply.session,
+            applied_revision: 0,
+        });
+    }
+    while !stop.load(Ordering::Relaxed) {
+        tokio::time::sleep(BATCH_INTERVAL).await;
+        let sent = batch.encoded_len();
+        let Ok(reply) = client.sync_batch(batch.clone()).await else {
+            traffic.failures.fetch_add(1, Ordering::Relaxed);
+            continue;
+        };
+        let reply = reply.into_inner();
+        traffic.count(u64::try_from(sent + reply.encoded_len())?);
+        for renewal in &mut batch.renewals {
+            renewal.applied_revision = reply.revision;
         }
     }
     Ok(())
@@ -255,7 +335,7 @@
 struct Sample {
     at: Instant,
     cpu_seconds: f64,
-    syncs: u64,
+    calls: u64,
     bytes: u64,
     failures: u64,
 }
@@ -264,7 +344,7 @@
     fn since(self, before: Self) -> Cost {
         Cost {
             cpu_seconds: self.cpu_seconds - before.cpu_seconds,
-            syncs: self.syncs - before.syncs,
+            calls: self.calls - before.calls,
             bytes: self.bytes - before.bytes,
             failures: self.failures - before.failures,
             seconds: (self.at - before.at).as_secs_f64(),
@@ -276,7 +356,7 @@
     Ok(Sample {
         at: Instant::now(),
         cpu_seconds: cpu_seconds(pid)?,
-        syncs: traffic.syncs.load(Ordering::Relaxed),
+        calls: traffic.calls.load(Ordering::Relaxed),
         bytes: traffic.bytes.load(Ordering::Relaxed),
         failures: traffic.failures.load(Ordering::Relaxed),
     })
@@ -311,7 +391,7 @@
 )]
 fn print_table(rows: &[Row]) {
     println!(
-        "| sessions | idle: core % | syncs/s | B/s a session | 1 change/s: core % | B/s a session | settled p50 ms | max ms | leader RSS MB | failures |"
+        "| sessions | idle: core % | calls/s | B/s a session | 1 change/s: core % | B/s a session | settled p50 ms | max ms | leader RSS MB | failures |"
     );
     println!("| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |");
     for row in rows {
@@ -320,7 +400,7 @@
             "| {} | {:.2} | {:.0} | {:.0} | {:.2} | {:.0} | {:.1} | {:.1} | {:.1} | {} |",
             row.sessions,
             100.0 * row.idle.cpu_seconds / row.idle.seconds,
-            row.idle.syncs as f64 / row.idle.seconds,
+            row.idle.calls as f64 / row.idle.seconds,
             per_session(row.idle),
             100.0 * row.changing.cpu_seconds / row.changing.seconds,
             per_session(row.changing),
--- a/server/src/control_session.rs
+++ b/server/src/control_session.rs
@@ -19,6 +19,7 @@
 use heatherring_lib::view::EntryInfo;
 use heatherring_lib::view::ViewChange;
 use heatherring_lib::view::ViewError;
+use heatherring_lib::view_log::ViewLog;
 use snafu::ResultExt;
 use snafu::Snafu;
 use snafu::ensure;
@@ -34,6 +35,7 @@
 use crate::proto::SyncReply;
 use crate::proto::SyncRequest;
 use crate::proto::session_client::SessionClient;
+use crate::sync_target::SyncTargets;
 
 /// Time for which control may hold a call back while nothing is new. A silent replica
 /// costs this and [`CALL_MARGIN`] before another is asked, which must leave a good part
@@ -124,9 +126,10 @@
 pub struct ControlSession {
     info: EntryInfo,
     security: PeerSecurity,
-    replicas: Vec<SocketAddr>,
-    current: usize,
-    client: Option<SessionClient<Channel>>,
+    targets: SyncTargets,
+    /// Whom the last call went to.
+    asked: SocketAddr,
+    client: Option<(SocketAddr, SessionClient<Channel>)>,
     clock: Arc<dyn Clock>,
     state: EntryState,
     need_whole: bool,
@@ -143,7 +146,7 @@
     pub fn new(
         info: EntryInfo,
         security: PeerSecurity,
-        replicas: Vec<SocketAddr>,
+        targets: SyncTargets,
         clock: Arc<dyn Clock>,
         publish: watch::Sender<EntryState>,
         events: mpsc::UnboundedSender<ControlEvent>,
@@ -152,8 +155,8 @@
         Self {
             info,
             security,
-            replicas,
-            current: 0,
+            asked: targets.control(),
+            targets,
             client: None,
             clock,
             state: EntryState::default(),
@@ -178,6 +181,7 @@
             }
             let request = self.request(wish);
             let sent_at = self.clock.now();
+            self.asked = self.targets.pick(sent_at, &self.state, &request);
             let mut wish_changes = self.wish.clone();
             let result = tokio::select! {
                 result = self.call(request) => result,
@@ -230,7 +234,7 @@
     }
 
     async fn call(&mut self, request: SyncRequest) -> Result<SyncReply, SyncError> {
-        let replica = self.replicas[self.current];
+        let replica = self.asked;
         let mut client = self.client(replica)?;
         let bound = SYNC_WAIT + CALL_MARGIN;
         match tokio::time::timeout(bound, client.sync(request)).await {
@@ -241,13 +245,15 @@
     }
 
     fn client(&mut self, replica: SocketAddr) -> Result<SessionClient<Channel>, SyncError> {
-        if let Some(client) = &self.client {
+        if let Some((address, client)) = &self.client
+            && *address == replica
+        {
             return Ok(client.clone());
         }
         let channel =
             grpc_channel::open(&self.security, replica, CONNECT_TIMEOUT).context(SecuritySnafu)?;
         let client = SessionClient::new(channel).max_decoding_message_size(usize::MAX);
-        self.client = Some(client.clone());
+        self.client = Some((replica, client.clone()));
         Ok(client)
     }
 
@@ -257,7 +263,7 @@
             log::warn!(event = "control_silent", vm = self.info.vm.as_str(), error = error.to_string().as_str(); "asking other control replicas");
         }
         self.client = None;
-        self.current = (self.current + 1) % self.replicas.len();
+        self.targets.failed(self.clock.now(), self.asked);
         tokio::time::sleep(RETRY_PAUSE).await;
     }
 
@@ -267,7 +273,7 @@
         reply: &SyncReply,
         sent_at: Instant,
     ) -> Result<(), SyncError> {
-        let replica = self.replicas[self.current];
+        let replica = self.asked;
         match reply.outcome() {
             SyncOutcome::Granted => {}
             SyncOutcome::SessionLost => {
@@ -371,6 +377,7 @@
         let found = view.revision;
         ensure!(found >= held, OlderViewSnafu { found, held });
         self.need_whole = false;
+        self.state.recent = Arc::new(ViewLog::starting_at(found));
         self.hold(view);
         let view = Arc::clone(&self.state.view);
         self.tell(if opening {
@@ -391,6 +398,7 @@
             self.need_whole = true;
             return Err(SyncError::Apply { source });
         }
+        Arc::make_mut(&mut self.state.recent).push(change.clone());
         self.hold(view);
         self.tell(ControlEvent::Changed(Arc::clone(&self.state.view)));
         Ok(())
--- a/server/src/demo.rs
+++ b/server/src/demo.rs
@@ -212,6 +212,7 @@
         advertise: None,
         control: vec![address(CONTROL_PORT)],
         security: Security::OpenLoopback,
+        relay_min_entries: 8,
         limits: EntryLimits::default(),
         log: LogSettings::default(),
         metrics: None,
--- a/server/src/entry_process.rs
+++ b/server/src/entry_process.rs
@@ -42,7 +42,10 @@
 use crate::peer_security::PeerSecurityError;
 use crate::peer_service::PeerService;
 use crate::proto::peer_server::PeerServer;
+use crate::proto::session_server::SessionServer;
+use crate::session_relay::SessionRelayService;
 use crate::shutdown::Shutdown;
+use crate::sync_target::SyncTargets;
 
 /// Time for which a planned stop waits until every entry VM knows that this one leaves.
 /// Control may be silent for longer; then callers are better served by ending.
@@ -199,12 +202,18 @@
         let session = ControlSession::new(
             info.clone(),
             security.clone(),
-            settings.control.clone(),
+            sync_targets(settings),
             Arc::clone(&clock),
             publish,
             events,
             wish_rx,
         );
+        let relay = SessionRelayService::spawn(
+            state.clone(),
+            Arc::clone(&clock),
+            security.clone(),
+            settings.control.clone(),
+        );
         let state = EntryStateReader::new(state, Arc::clone(&clock));
         let action_limits = ActionLimits::default();
         let cx = Arc::new(EntryContext {
@@ -253,6 +262,7 @@
             grpc_server,
             listeners.peers,
             PeerService::new(Arc::clone(&cx)),
+            relay,
             &stop_messages,
         );
         Self {
@@ -378,14 +388,24 @@
     ))
 }
 
+fn sync_targets(settings: &EntrySettings) -> SyncTargets {
+    SyncTargets::new(
+        settings.control.clone(),
+        settings.relay_min_entries as usize,
+    )
+}
+
 fn spawn_peer_server(
     mut server: tonic::transport::Server,
     listener: TcpListener,
     service: PeerService,
+    relay: SessionRelayService,
     stop: &CancellationToken,
 ) -> JoinHandle<()> {
     let stop = stop.clone();
-    let router = server.add_service(PeerServer::new(service));
+    let router = server
+        .add_service(PeerServer::new(service))
+        .add_service(SessionServer::new(relay));
     tokio::spawn(async move {
         let incoming = TcpListenerStream::new(listener);
         let serving = router.serve_with_incoming_shutdown(incoming, stop.cancelled_owned());
--- a/server/src/entry_state.rs
+++ b/server/src/entry_state.rs
@@ -14,6 +14,7 @@
 use heatherring_lib::view::ControlView;
 use heatherring_lib::view::EntryInfo;
 use heatherring_lib::view::EntrySession;
+use heatherring_lib::view_log::ViewLog;
 use tokio::sync::watch;
 
 use crate::dispatcher::DispatchGate;
@@ -26,6 +27,8 @@
 pub struct EntryState {
     /// The view, applied in log order.
     pub view: Arc<ControlView>,
+    /// The changes that led to the view, as far back as this session saw them.
+    pub recent: Arc<ViewLog>,
     /// Places of callers, of the manifest in the view.
     pub blocks: Arc<ClientBlockTable>,
     /// The last revision that every entry VM has applied.
--- a/server/tests/entry_support/mod.rs
+++ b/server/tests/entry_support/mod.rs
@@ -34,6 +34,8 @@
 use heatherring_lib::view::ViewChangeKind;
 use heatherring_server::entry_process::EntryError;
 use heatherring_server::entry_process::run_entry;
+use heatherring_server::proto::SyncBatchReply;
+use heatherring_server::proto::SyncBatchRequest;
 use heatherring_server::proto::SyncOutcome;
 use heatherring_server::proto::SyncReply;
 use heatherring_server::proto::SyncRequest;
@@ -258,6 +260,13 @@
 
 #[tonic::async_trait]
 impl Session for FakeControl {
+    async fn sync_batch(
+        &self,
+        _request: tonic::Request<SyncBatchRequest>,
+    ) -> Result<tonic::Response<SyncBatchReply>, tonic::Status> {
+        Err(tonic::Status::unimplemented("too few entry VMs for relays"))
+    }
+
     async fn sync(
         &self,
         request: tonic::Request<SyncRequest>,
@@ -510,6 +519,7 @@
             advertise: None,
             control: vec![self.control.address],
             security: Security::OpenLoopback,
+            relay_min_entries: 8,
             limits: EntryLimits::default(),
             log: LogSettings::default(),
             metrics: None,
