test_control_failure: control replicas cut off, robbed, damaged, frozen, restarted

Cause: the owner of a connection was found by the address of its near end alone, and the system gives one port to several connections that lead to different addresses.

--- /dev/null
+++ b/cli/tests/test_control_failure.rs
@@ -0,0 +1,359 @@
+//! Control replicas as real processes: cut off, robbed, damaged, frozen, restarted.
+
+use std::path::Path;
+
+use heatherring_testutils::cluster::Cluster;
+use heatherring_testutils::cluster_operator::list;
+use heatherring_testutils::cluster_plan::ClusterPlan;
+use heatherring_testutils::cluster_plan::VmPlan;
+use heatherring_testutils::wait::wait_for;
+use serde_json::Value;
+use serde_json::json;
+
+const NAMES: [&str; 3] = ["control-1", "control-2", "control-3"];
+
+/// Log positions after which a snapshot is taken: few, so that tests meet several.
+const SNAPSHOT_EVERY: u64 = 50;
+
+/// Exit codes of the command, as documented.
+const EXIT_REFUSED: i32 = 1;
+const EXIT_USER: i32 = 2;
+const EXIT_UNAVAILABLE: i32 = 3;
+const EXIT_INTERNAL: i32 = 70;
+
+/// Three control replicas and what operators ask of them.
+struct Fleet {
+    cluster: Cluster,
+}
+
+impl Fleet {
+    async fn start() -> Self {
+        let vm = |name: &&str| VmPlan::new(name, "alm-a", "Almaty");
+        let mut plan = ClusterPlan {
+            controls: NAMES.iter().map(vm).collect(),
+            relayed: true,
+            ..ClusterPlan::default()
+        };
+        let settings = &mut plan.control_settings;
+        settings.insert("snapshot_every".to_owned(), json!(SNAPSHOT_EVERY));
+        let binary = Path::new(env!("CARGO_BIN_EXE_heatherring"));
+        let cluster = Cluster::start(plan, binary)
+            .await
+            .expect("the cluster starts");
+        Self { cluster }
+    }
+
+    fn address(&self, name: &str) -> String {
+        let position = NAMES.iter().position(|other| *other == name).unwrap();
+        self.cluster.control_addresses()[position].to_string()
+    }
+
+    /// Submits a version through one replica; returns the exit code.
+    fn submit(&self, name: &str, version: u64) -> i32 {
+        let manifest = self.cluster.manifest(version, &json!({}));
+        let file = format!("manifest-{version}.jsonc");
+        let path = self
+            .cluster
+            .write_file(&file, &manifest.to_string())
+            .unwrap();
+        let path = path.display().to_string();
+        let address = self.address(name);
+        let output = self.cluster.operate_raw(&[
+            "manifest",
+            "submit",
+            &path,
+            "--no-wait",
+            "--timeout",
+            "5",
+            "--control",
+            &address,
+        ]);
+        output.unwrap().status.code().unwrap()
+    }
+
+    /// Returns the version that one replica shows as the one in force, if it shows any.
+    fn shown(&self, name: &str) -> Option<u64> {
+        let address = self.address(name);
+        let output = self.cluster.operate_raw(&[
+            "manifest",
+            "show",
+            "--output",
+            "json",
+            "--timeout",
+            "2",
+            "--control",
+            &address,
+        ]);
+        let output = output.unwrap();
+        let shown: Value = serde_json::from_slice(&output.stdout).ok()?;
+        shown["version"].as_u64()
+    }
+
+    /// Returns one replica's report, whether or not it is current.
+    fn status(&self, name: &str) -> Value {
+        let address = self.address(name);
+        let output = self.cluster.operate_raw(&[
+            "status",
+            "--output",
+            "json",
+            "--timeout",
+            "2",
+            "--control",
+            &address,
+        ]);
+        serde_json::from_slice(&output.unwrap().stdout).unwrap_or(Value::Null)
+    }
+
+    /// Waits until one of the named replicas leads and says so; returns its name.
+    async fn leader_among(&self, names: &[&'static str]) -> &'static str {
+        wait_for("a leader", async || {
+            let mut candidates = names.iter().copied();
+            candidates.find(|name| {
+                let status = self.status(name);
+                let own = replica_of(&status, name);
+                status["current"] == true && own.is_some() && own == Some(text(&status["leader"]))
+            })
+        })
+        .await
+        .unwrap()
+    }
+
+    async fn wait_until_shown(&self, name: &str, version: u64) {
+        wait_for("the version is in force", async || {
+            (self.shown(name) == Some(version)).then_some(())
+        })
+        .await
+        .unwrap();
+    }
+
+    async fn wait_until_accepted(&self, name: &str, version: u64) {
+        wait_for("the version is accepted", async || {
+            (self.submit(name, version) == 0).then_some(())
+        })
+        .await
+        .unwrap();
+    }
+
+    /// Puts a fresh replica in the place of one whose folder is empty.
+    async fn repair(&mut self, name: &str, lost: &str) {
+        let settings = self.cluster.settings_of(name);
+        let control = self.cluster.control_argument();
+        wait_for("the repair is taken in", async || {
+            let arguments = [
+                "control",
+                "repair",
+                "--settings",
+                &settings,
+                "--control",
+                &control,
+                "--replaces",
+                lost,
+            ];
+            self.cluster.operate(&arguments).ok()
+        })
+        .await
+        .unwrap();
+        self.cluster.start_vm(name).unwrap();
+        self.cluster
+            .wait_for_status(
+                "the fresh replica votes and the lost one is gone",
+                |status| {
+                    let fresh = replica_of(status, name);
+                    let voters = list(status, "replicas")
+                        .iter()
+                        .filter(|r| r["voter"] == true);
+                    status["current"] == true
+                        && voters.count() == NAMES.len()
+                        && list(status, "replicas").len() == NAMES.len()
+                        && fresh.is_some_and(|fresh| fresh != lost)
+                },
+            )
+            .await
+            .unwrap();
+    }
+
+    fn kill(&mut self, name: &str) {
+        self.cluster.process(name).kill().unwrap();
+    }
+
+    /// Waits until a process ends by itself; returns its exit code.
+    async fn exit_code(&mut self, name: &str) -> Option<i32> {
+        let process = self.cluster.process(name);
+        let status = process.wait(heatherring_testutils::wait::BOUND).await;
+        status.unwrap().code()
+    }
+
+    fn cut_off(&mut self, name: &str) {
+        for other in NAMES.iter().filter(|other| **other != name) {
+            self.cluster.network.cut(name, other);
+        }
+    }
+}
+
+fn text(value: &Value) -> String {
+    value.as_str().unwrap_or_default().to_owned()
+}
+
+/// Returns the identity that a report gives for a VM.
+fn replica_of(status: &Value, name: &str) -> Option<String> {
+    let replicas = list(status, "replicas");
+    let replica = replicas.iter().find(|replica| replica["vm"] == name)?;
+    Some(text(&replica["replica"]))
+}
+
+fn others(name: &str) -> Vec<&'static str> {
+    let others = NAMES.iter().copied().filter(|other| *other != name);
+    others.collect()
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn test_isolated_leader_accepts_and_shows_nothing() {
+    // Symptom: operators of one VM are told "accepted", and its entry VMs go on with an
+    // old manifest, while the rest of the fleet has another one.
+    // Sequence: a cut separates the leader from both other replicas, not from its
+    // operators; both sides are asked.
+    // Cause: a leader takes its own word for being the leader.
+    let mut fleet = Fleet::start().await;
+    fleet.wait_until_accepted("control-1", 1).await;
+    let leader = fleet.leader_among(&NAMES).await;
+    fleet.cut_off(leader);
+    assert_eq!(fleet.submit(leader, 2), EXIT_UNAVAILABLE);
+    let majority = fleet.leader_among(&others(leader)).await;
+    fleet.wait_until_accepted(majority, 3).await;
+    assert_eq!(fleet.shown(leader), None);
+    assert_eq!(fleet.status(leader)["current"], json!(false));
+    fleet.cluster.network.mend();
+    fleet.wait_until_shown(leader, 3).await;
+    // What the isolated leader had taken in is gone, and its version is too low by now.
+    assert_eq!(fleet.submit(leader, 2), EXIT_REFUSED);
+    assert_eq!(fleet.shown(majority), Some(3));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn test_lost_disk_then_second_loss_after_repair() {
+    // Symptom: an accepted manifest is gone.
+    // Sequence: a replica loses its disk and is repaired; right after that a second one
+    // loses its disk.
+    // Cause: the first one came back under its old identity, with forgotten votes, or
+    // counted towards a quorum before it had the log.
+    let mut fleet = Fleet::start().await;
+    for version in 1..=5 {
+        fleet.wait_until_accepted("control-1", version).await;
+    }
+    for name in ["control-2", "control-3"] {
+        let lost = replica_of(&fleet.cluster.status().unwrap(), name).unwrap();
+        fleet.kill(name);
+        fleet.cluster.rob(name).unwrap();
+        // An empty folder is no replica: the process refuses to start.
+        fleet.cluster.start_vm(name).unwrap();
+        assert_eq!(fleet.exit_code(name).await, Some(EXIT_USER));
+        fleet.repair(name, &lost).await;
+    }
+    fleet.kill("control-1");
+    let leader = fleet.leader_among(&others("control-1")).await;
+    fleet.wait_until_shown(leader, 5).await;
+    fleet.wait_until_accepted(leader, 6).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn test_damaged_log_stops_the_replica() {
+    // Symptom: a replica votes twice in a term, or leads without a committed entry.
+    // Sequence: a bit in the middle of its log flips while it is down; it restarts.
+    // Cause: it cuts the log at the damage and goes on.
+    let mut fleet = Fleet::start().await;
+    for version in 1..=5 {
+        fleet.wait_until_accepted("control-1", version).await;
+    }
+    let lost = replica_of(&fleet.cluster.status().unwrap(), "control-2").unwrap();
+    fleet.kill("control-2");
+    let folder = fleet.cluster.folder().join("control-2-data");
+    flip_a_bit_of_the_log(&folder);
+    fleet.cluster.start_vm("control-2").unwrap();
+    assert_eq!(fleet.exit_code("control-2").await, Some(EXIT_INTERNAL));
+    let log = fleet.cluster.process("control-2").log().to_owned();
+    let log = std::fs::read_to_string(log).unwrap();
+    assert!(log.contains("the log is damaged"), "{log}");
+    assert!(log.contains("control repair"), "{log}");
+    fleet.cluster.rob("control-2").unwrap();
+    fleet.repair("control-2", &lost).await;
+    fleet.wait_until_shown("control-2", 5).await;
+}
+
+fn flip_a_bit_of_the_log(folder: &Path) {
+    let files = std::fs::read_dir(folder).unwrap();
+    let paths = files.map(|file| file.unwrap().path());
+    let segment = paths
+        .filter(|path| path.to_string_lossy().contains("log-"))
+        .max()
+        .unwrap();
+    let mut content = std::fs::read(&segment).unwrap();
+    let middle = content.len() / 2;
+    content[middle] ^= 4;
+    std::fs::write(&segment, content).unwrap();
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn test_restart_hundreds_of_changes_later() {
+    // Symptom: a replica that was down for long never catches up, or loses history.
+    // Sequence: hundreds of manifests are accepted while it is down, the log before
+    // them is compacted; it restarts, and one of the others stops for good.
+    // Cause: the entries that it needs are gone and no snapshot takes their place.
+    let mut fleet = Fleet::start().await;
+    fleet.wait_until_accepted("control-1", 1).await;
+    fleet.kill("control-3");
+    let leader = fleet.leader_among(&others("control-3")).await;
+    for version in 2..=300 {
+        fleet.wait_until_accepted(leader, version).await;
+    }
+    fleet.cluster.start_vm("control-3").unwrap();
+    let reached = fleet.status(leader)["revision"].as_u64().unwrap();
+    fleet
+        .cluster
+        .wait_for_status("it has caught up", |status| {
+            let mut replicas = list(status, "replicas").iter();
+            let own = replicas.find(|replica| replica["vm"] == "control-3");
+            own.is_some_and(|r| r["matched_revision"].as_u64() >= Some(reached))
+        })
+        .await
+        .unwrap();
+    fleet.kill(leader);
+    let next = fleet.leader_among(&others(leader)).await;
+    fleet.wait_until_shown(next, 300).await;
+    fleet.wait_until_accepted("control-3", 301).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn test_whole_fleet_restarts() {
+    // Symptom: after a power cut the fleet runs on an older manifest.
+    // Sequence: all replicas are killed at once and start again.
+    // Cause: "accepted" was answered before a quorum had synced it.
+    let mut fleet = Fleet::start().await;
+    for round in 1..=3 {
+        fleet.wait_until_accepted("control-2", round).await;
+        for name in NAMES {
+            fleet.kill(name);
+        }
+        for name in NAMES {
+            fleet.cluster.start_vm(name).unwrap();
+        }
+        let leader = fleet.leader_among(&NAMES).await;
+        assert_eq!(fleet.shown(leader), Some(round));
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn test_frozen_leader_wakes_up_deposed() {
+    // Symptom: an operator is shown an old manifest as the one in force.
+    // Sequence: the leader freezes; the others elect another one and accept a manifest;
+    // the frozen one wakes up and is asked at once.
+    // Cause: it acts on a leadership that ended while it was frozen.
+    let mut fleet = Fleet::start().await;
+    fleet.wait_until_accepted("control-1", 1).await;
+    let frozen = fleet.leader_among(&NAMES).await;
+    fleet.cluster.process(frozen).freeze().unwrap();
+    let leader = fleet.leader_among(&others(frozen)).await;
+    fleet.wait_until_accepted(leader, 2).await;
+    fleet.cluster.process(frozen).thaw().unwrap();
+    assert_ne!(fleet.shown(frozen), Some(1));
+    fleet.wait_until_shown(frozen, 2).await;
+}
--- a/testutils/src/relay.rs
+++ b/testutils/src/relay.rs
@@ -210,11 +210,13 @@
     loop {
         tokio::select! {
             accepted = listener.accept() => {
-                if let Ok((stream, peer)) = accepted {
+                if let Ok((stream, peer)) = accepted
+                    && let Ok(own) = stream.local_addr()
+                {
                     let links = links.clone();
                     let names = names.borrow().clone();
                     connections.spawn(async move {
-                        let source = find_source(peer, names).await;
+                        let source = find_source(peer, own, names).await;
                         relay(stream, target, Path { source, links }).await;
                     });
                 }
@@ -224,10 +226,10 @@
     }
 }
 
-async fn find_source(peer: SocketAddr, names: ProcessNames) -> Source {
+async fn find_source(peer: SocketAddr, own: SocketAddr, names: ProcessNames) -> Source {
     let search = tokio::task::spawn_blocking(move || {
         let pids: Vec<_> = names.keys().copied().collect();
-        let pid = socket_owner::find(peer, &pids)?;
+        let pid = socket_owner::find(peer, own, &pids)?;
         names.get(&pid).cloned()
     });
     let name = search.await.ok().flatten();
--- a/testutils/src/socket_owner.rs
+++ b/testutils/src/socket_owner.rs
@@ -9,25 +9,38 @@
 
 const TABLE: &str = "/proc/net/tcp";
 /// Column of the table with the socket's own address.
-const ADDRESS_COLUMN: usize = 1;
+const NEAR_COLUMN: usize = 1;
+/// Column of the table with the address of the other end.
+const FAR_COLUMN: usize = 2;
 /// Column of the table with the socket's inode.
 const INODE_COLUMN: usize = 9;
 
-/// Returns which of the processes `pids` holds the socket that is bound to `address`.
+/// The system writes its table out in parts and may skip a row when sockets come and go
+/// meanwhile. Its owner would then count as unnamed, and pass a cut.
+const ATTEMPTS: usize = 20;
+
+/// Returns which of the processes `pids` holds the end `near` of the connection to `far`.
+///
+/// The address of one end isn't enough: the system gives one port to several connections
+/// that lead to different addresses.
 #[must_use]
-pub fn find(address: SocketAddr, pids: &[u32]) -> Option<u32> {
-    let link = format!("socket:[{}]", inode(address)?);
+pub fn find(near: SocketAddr, far: SocketAddr, pids: &[u32]) -> Option<u32> {
+    let mut attempts = (0..ATTEMPTS).filter_map(|_| inode(near, far));
+    let link = format!("socket:[{}]", attempts.next()?);
     let owner = pids.iter().find(|pid| holds(**pid, &link));
     owner.copied()
 }
 
-fn inode(address: SocketAddr) -> Option<String> {
-    let wanted = table_form(address)?;
+fn inode(near: SocketAddr, far: SocketAddr) -> Option<String> {
+    let near = table_form(near)?;
+    let far = table_form(far)?;
     let table = fs::read_to_string(TABLE).ok()?;
     let mut rows = table
         .lines()
         .map(|line| line.split_whitespace().collect::<Vec<_>>());
-    let row = rows.find(|row| row.get(ADDRESS_COLUMN) == Some(&wanted.as_str()))?;
+    let row = rows.find(|row| {
+        row.get(NEAR_COLUMN) == Some(&near.as_str()) && row.get(FAR_COLUMN) == Some(&far.as_str())
+    })?;
     row.get(INODE_COLUMN).map(ToString::to_string)
 }
 
