--- a/testutils/src/caller.rs
+++ b/testutils/src/caller.rs
@@ -252,6 +252,18 @@
         None
     }
 
+    /// Returns the entry VMs that the caller may ask for a look-up.
+    #[must_use]
+    pub fn entries(&self) -> &[SocketAddr] {
+        &self.config.entries
+    }
+
+    /// Returns the place of the caller.
+    #[must_use]
+    pub fn origin(&self) -> &str {
+        &self.config.origin
+    }
+
     /// Asks one entry VM for a look-up.
     pub async fn look_up_at(&self, entry: SocketAddr, service: &str) -> Option<LookUp> {
         let req = Request::get(format!("http://{entry}/lookup/{service}"));
@@ -376,6 +388,30 @@
         }
     }
 
+    /// Sends a request straight to a backend server, to compare with.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the request's parts make no valid HTTP request.
+    pub async fn send_direct(&self, backend: SocketAddr, spec: &CallSpec, nonce: &str) -> Told {
+        let digest = request_digest(spec.method.as_str(), &spec.path, nonce, &spec.body);
+        let req = Request::builder()
+            .method(&spec.method)
+            .uri(format!("http://{backend}{}", spec.path))
+            .header(echo::NONCE_HEADER, nonce)
+            .header(echo::ORIGIN_HEADER, &self.config.origin)
+            .body(Full::new(spec.body.clone()));
+        let req = req.expect("the parts of a test's request are valid");
+        match self.exchange(req).await {
+            Ok(exchanged) if exchanged.is_ok() => exchanged.told_answer(nonce, &digest),
+            Ok(exchanged) => Told::Malformed {
+                status: exchanged.status.as_u16(),
+                fault: "the backend server refused".to_owned(),
+            },
+            Err(fault) => Told::Lost { fault },
+        }
+    }
+
     async fn exchange(&self, req: Request<Full<Bytes>>) -> Result<Exchanged, String> {
         let exchange = async {
             let response = self.client.request(req).await.map_err(|err| chain(&err))?;
--- a/testutils/src/deployment.rs
+++ b/testutils/src/deployment.rs
@@ -1,5 +1,6 @@
 //! A cluster with a manifest in force and backend servers behind it.
 
+use std::collections::BTreeMap;
 use std::path::Path;
 use std::time::Duration;
 
@@ -13,6 +14,7 @@
 use crate::cluster::Cluster;
 use crate::cluster_error::ClusterError;
 use crate::deployment_plan::DeploymentPlan;
+use crate::direct_policy::BackendAddress;
 use crate::wait::wait_for;
 
 /// How long callers of a test wait for a response; longer than any deadline.
@@ -25,6 +27,8 @@
     pub cluster: Cluster,
     /// What was planned.
     pub plan: DeploymentPlan,
+    /// Where the backend servers of each service are.
+    pub backends: BTreeMap<String, Vec<BackendAddress>>,
 }
 
 impl Deployment {
@@ -38,7 +42,11 @@
         let cluster = Cluster::start(plan.cluster.clone(), binary).await?;
         let manifest = cluster.manifest(1, &plan.services());
         cluster.submit(&manifest)?;
-        let mut deployment = Self { cluster, plan };
+        let mut deployment = Self {
+            cluster,
+            plan,
+            backends: BTreeMap::new(),
+        };
         deployment.start_backend_servers()?;
         deployment.wait_until_served().await?;
         Ok(deployment)
@@ -53,6 +61,12 @@
         for group in self.plan.groups.clone() {
             let configs = self.plan.group_configs(&group, &mut self.cluster);
             self.cluster.start_backend_servers(&group.host, &configs)?;
+            let addresses = configs.into_iter().map(|config| BackendAddress {
+                place: config.place,
+                address: config.address,
+            });
+            let known = self.backends.entry(group.service).or_default();
+            known.extend(addresses);
         }
         Ok(())
     }
