--- a/server/src/caller_listener.rs
+++ b/server/src/caller_listener.rs
@@ -31,6 +31,8 @@
 use crate::decision_note;
 use crate::dispatcher::OutgoingRequest;
 use crate::entry_context::EntryContext;
+use crate::entry_metrics;
+use crate::entry_metrics::Asked;
 use crate::entry_state::EntryState;
 use crate::header;
 use crate::http_server::Handler;
@@ -62,8 +64,11 @@
         let request_id = self.cx.request_ids.draw();
         let arrived = self.cx.now();
         let method = req.method().clone();
+        let asked = asked(req.uri().path());
         let service = named_service(req.uri().path());
         let result = self.answer(peer, &request_id, arrived, req).await;
+        let elapsed = self.cx.now().saturating_duration_since(arrived);
+        entry_metrics::asked(&self.cx.metrics, asked, result.as_ref().err(), elapsed);
         let mut response = match result {
             Ok(response) => response,
             Err(refused) => {
@@ -221,6 +226,14 @@
     }
 }
 
+fn asked(path: &str) -> Asked {
+    if path.starts_with(LOOK_UP_PREFIX) {
+        Asked::LookUp
+    } else {
+        Asked::Request
+    }
+}
+
 /// Returns the service that a path names, whether or not there is one.
 fn named_service(path: &str) -> Option<ServiceName> {
     let below = path
--- a/server/src/decision_note.rs
+++ b/server/src/decision_note.rs
@@ -24,6 +24,7 @@
 use http::Method;
 
 use crate::entry_context::EntryContext;
+use crate::entry_metrics;
 use crate::refusal::Refused;
 use crate::request_path::ServiceRequest;
 
@@ -135,7 +136,7 @@
 }
 
 fn note(cx: &EntryContext, request_id: &str, decision: impl FnOnce() -> Decision) {
-    cx.decisions.note(|| {
+    let noted = cx.decisions.note(|| {
         let view = cx.state.read().view;
         let version = view.manifest.as_ref().map(|held| held.manifest.version);
         DecisionRecord {
@@ -146,4 +147,7 @@
             decision: decision(),
         }
     });
+    if !noted {
+        entry_metrics::decision_dropped(&cx.metrics);
+    }
 }
--- /dev/null
+++ b/server/src/entry_metrics.rs
@@ -0,0 +1,128 @@
+//! The metrics of an entry VM. docs/metrics.md lists them with units and meaning.
+
+use std::sync::Arc;
+use std::sync::Weak;
+use std::time::Duration;
+
+use cadence::StatsdClient;
+use cadence::prelude::*;
+use heatherring_lib::load_digest::GroupLoad;
+
+use crate::entry_context::EntryContext;
+use crate::entry_status;
+use crate::entry_status::EntryStatus;
+use crate::refusal::Refused;
+
+/// Time between two rounds of gauges.
+const GAUGE_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Tells look-ups and requests to services apart.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Asked {
+    /// Which entry VM to use.
+    LookUp,
+    /// Something of a service.
+    Request,
+}
+
+impl Asked {
+    const fn name(self) -> &'static str {
+        match self {
+            Self::LookUp => "look_ups",
+            Self::Request => "requests",
+        }
+    }
+}
+
+/// Counts what a caller was told, and times it.
+pub fn asked(metrics: &StatsdClient, asked: Asked, refused: Option<&Refused>, elapsed: Duration) {
+    let name = asked.name();
+    let Some(refused) = refused else {
+        count(metrics, &format!("{name}.answered"));
+        time(metrics, &format!("{name}.answer_time"), elapsed);
+        return;
+    };
+    let outcome = refused.outcome();
+    let reason = refused.reason();
+    count(metrics, &format!("{name}.{outcome}.{reason}"));
+    time(metrics, &format!("{name}.refusal_time"), elapsed);
+}
+
+/// Counts a decision that `explain` won't know of.
+pub fn decision_dropped(metrics: &StatsdClient) {
+    count(metrics, "decisions.dropped");
+}
+
+/// Sends gauges until the entry VM's process ends.
+pub fn spawn_gauges(cx: &Arc<EntryContext>) {
+    let cx = Arc::downgrade(cx);
+    tokio::spawn(send_gauges(cx));
+}
+
+/// Holds no share of the context while it sleeps, so that it keeps nothing alive.
+async fn send_gauges(cx: Weak<EntryContext>) {
+    loop {
+        tokio::time::sleep(GAUGE_INTERVAL).await;
+        let Some(cx) = cx.upgrade() else {
+            return;
+        };
+        let status = entry_status::collect(&cx).await;
+        gauges(&cx.metrics, &status);
+    }
+}
+
+/// Sends the gauges of a status.
+pub fn gauges(metrics: &StatsdClient, status: &EntryStatus) {
+    let held_back = status
+        .drains
+        .iter()
+        .filter(|drain| drain.held_back.is_some())
+        .count();
+    gauge(metrics, "lease.left", status.lease_left_ms);
+    gauge(metrics, "view.revision", status.revision);
+    gauge(metrics, "view.settled_revision", status.settled_revision);
+    gauge(metrics, "view.manifest_version", status.manifest_version);
+    gauge(metrics, "view.entries", status.entries as u64);
+    gauge(metrics, "requests.waiting", status.waiting as u64);
+    gauge(metrics, "drains.held_back", held_back as u64);
+    for load in &status.owned {
+        group_gauges(metrics, load);
+    }
+}
+
+fn group_gauges(metrics: &StatsdClient, load: &GroupLoad) {
+    let service = segment(load.group.service.as_str());
+    let place = segment(load.group.place.as_str());
+    let values = [
+        ("slots", load.slots),
+        ("in_flight", load.in_flight),
+        ("queued", load.queued),
+        ("arrivals", load.arrivals_per_second),
+        ("expected_wait", load.expected_wait_ms),
+        ("service_time", load.service_ms),
+    ];
+    for (name, value) in values {
+        let key = format!("groups.{service}.{place}.{name}");
+        gauge(metrics, &key, u64::from(value));
+    }
+}
+
+/// Makes a name one segment of a metric's name, whose segments full stops part.
+fn segment(name: &str) -> String {
+    name.replace('.', "_")
+}
+
+// A metric that can't be sent is dropped: nothing that serves callers may wait or fail
+// for it.
+
+fn count(metrics: &StatsdClient, name: &str) {
+    let _ = metrics.count(name, 1);
+}
+
+fn time(metrics: &StatsdClient, name: &str, elapsed: Duration) {
+    let _ = metrics.time(name, elapsed);
+}
+
+fn gauge(metrics: &StatsdClient, name: &str, value: u64) {
+    let _ = metrics.gauge(name, value);
+}
--- a/server/src/entry_process.rs
+++ b/server/src/entry_process.rs
@@ -27,6 +27,7 @@
 use crate::decision_task::DecisionHandle;
 use crate::entry_context::EntryContext;
 use crate::entry_context::RequestIds;
+use crate::entry_metrics;
 use crate::entry_state::EntryState;
 use crate::entry_state::EntryStateReader;
 use crate::forward_client::ForwardClients;
@@ -230,6 +231,9 @@
             metrics,
             request_ids: RequestIds::new(rand::random()),
         });
+        if settings.metrics.is_some() {
+            entry_metrics::spawn_gauges(&cx);
+        }
         let stop_requests = CancellationToken::new();
         let stop_messages = CancellationToken::new();
         let bounds = HttpBounds {
--- a/server/src/lib.rs
+++ b/server/src/lib.rs
@@ -32,6 +32,7 @@
 pub mod demo_backend_server;
 pub mod dispatcher;
 pub mod entry_context;
+pub mod entry_metrics;
 pub mod entry_process;
 pub mod entry_state;
 pub mod entry_status;
