--- a/testutils/src/lib.rs
+++ b/testutils/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod cluster_error;
 pub mod cluster_operator;
 pub mod cluster_plan;
+pub mod control_cluster;
 pub mod control_history;
 pub mod deployment;
 pub mod deployment_plan;
