--- a/server/src/control_process.rs
+++ b/server/src/control_process.rs
@@ -140,7 +140,7 @@
         identity.cluster,
         identity.replica,
         settings.advertised(),
-        PeerChannels::new(security.clone()),
+        PeerChannels::new(security.clone()).leaving_from(settings.listen.ip()),
     );
     let node = ControlNode::new(cfg, clock, disk, recovered, links).context(NodeSnafu)?;
     let (handle, rx) = NodeHandle::channel();
--- a/server/src/peer_channel.rs
+++ b/server/src/peer_channel.rs
@@ -1,5 +1,6 @@
 //! Connections between control replicas, and marks on what travels over them.
 
+use std::net::IpAddr;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -24,13 +25,28 @@
 #[derive(Clone, Debug)]
 pub struct PeerChannels {
     security: PeerSecurity,
+    local: Option<IpAddr>,
 }
 
 impl PeerChannels {
     /// Creates connections that prove what `security` asks for.
     #[must_use]
     pub const fn new(security: PeerSecurity) -> Self {
-        Self { security }
+        Self {
+            security,
+            local: None,
+        }
+    }
+
+    /// Makes connections leave from `local`, the address that this process listens on,
+    /// so that peers and packet filters see one address for each VM. An unspecified
+    /// address leaves the choice to the system.
+    #[must_use]
+    pub fn leaving_from(self, local: IpAddr) -> Self {
+        Self {
+            local: Some(local).filter(|local| !local.is_unspecified()),
+            ..self
+        }
     }
 
     /// Creates a connection that is established when it is first used.
@@ -42,6 +58,7 @@
         let endpoint = self
             .security
             .endpoint(address)?
+            .local_address(self.local)
             .connect_timeout(CONNECT_TIMEOUT)
             .http2_keep_alive_interval(KEEP_ALIVE_INTERVAL)
             .keep_alive_timeout(KEEP_ALIVE_TIMEOUT)
