cli: check the history of operators and entry VMs while control fails

Concurrent operators submit, resend, lose answers and read through all replicas, and sessions follow the view, while replicas are killed, frozen, cut one way and both ways, robbed of their disk and repaired. Seeds are fixed; HEATHERRING_CASES adds drawn cases.

--- /dev/null
+++ b/cli/tests/control_run/mod.rs
@@ -0,0 +1,148 @@
+//! Runs operators and entry VMs against real control replicas while faults happen, and
+//! records what all of them were told.
+
+mod entry_client;
+mod fault_schedule;
+mod operator_client;
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::time::Duration;
+use std::time::Instant;
+
+use heatherring_server::proto::HistoryRequest;
+use heatherring_server::proto::operator_client::OperatorClient;
+use heatherring_testutils::cluster_error::ClusterError;
+use heatherring_testutils::control_cluster::ControlCluster;
+use heatherring_testutils::control_history::ControlHistory;
+use heatherring_testutils::control_history::Shown;
+use heatherring_testutils::wait::wait_for;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use tokio::sync::watch;
+use tokio::task::JoinSet;
+use tonic::transport::Channel;
+use tonic::transport::Endpoint;
+
+pub use fault_schedule::Fault;
+
+const REPLICAS: usize = 3;
+const OPERATORS: u64 = 4;
+const ENTRIES: u64 = 2;
+
+/// Longest time for which a client waits for one answer.
+const CALL_TIMEOUT: Duration = Duration::from_secs(3);
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Accepted manifests that are read back at the end; more than a run makes.
+const FINAL_RECORDS: u32 = 1_000;
+
+/// Counts microseconds from the start of a run.
+#[derive(Clone, Copy, Debug)]
+pub struct RunClock(Instant);
+
+impl RunClock {
+    fn now_us(self) -> u64 {
+        u64::try_from(self.0.elapsed().as_micros()).unwrap_or(u64::MAX)
+    }
+}
+
+/// Holds what each client needs.
+#[derive(Clone, Debug)]
+struct Client {
+    name: String,
+    addresses: Vec<SocketAddr>,
+    clock: RunClock,
+    rng: ChaCha8Rng,
+    stop: watch::Receiver<bool>,
+}
+
+impl Client {
+    fn is_stopped(&self) -> bool {
+        *self.stop.borrow()
+    }
+}
+
+/// Runs clients through `faults` and returns what they recorded.
+pub async fn run(
+    binary: &Path,
+    seed: u64,
+    faults: &[Fault],
+) -> Result<ControlHistory, ClusterError> {
+    println!("seed {seed}");
+    let mut cluster = ControlCluster::start(binary, REPLICAS).await?;
+    let (stop, stopped) = watch::channel(false);
+    let clock = RunClock(Instant::now());
+    let client = |kind: &str, number: u64| Client {
+        name: format!("{kind}-{number}"),
+        addresses: cluster.addresses(),
+        clock,
+        rng: ChaCha8Rng::seed_from_u64(seed.wrapping_mul(1_000) + number),
+        stop: stopped.clone(),
+    };
+    let mut operators = JoinSet::new();
+    for number in 0..OPERATORS {
+        operators.spawn(operator_client::run(client("operator", number)));
+    }
+    let mut entries = JoinSet::new();
+    for number in 0..ENTRIES {
+        entries.spawn(entry_client::run(client("entry", OPERATORS + number)));
+    }
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    for fault in faults {
+        println!("{} us: {fault:?}", clock.now_us());
+        fault_schedule::apply(&mut cluster, fault, &mut rng).await?;
+    }
+    fault_schedule::heal(&mut cluster).await?;
+    stop.send_replace(true);
+    let mut history = ControlHistory::default();
+    for operations in operators.join_all().await {
+        history.operations.extend(operations);
+    }
+    for record in entries.join_all().await {
+        history.operations.extend(record.operations);
+        history.sights.extend(record.sights);
+    }
+    history.final_records = final_records(&cluster).await?;
+    Ok(history)
+}
+
+async fn final_records(
+    cluster: &ControlCluster,
+) -> Result<BTreeMap<String, Vec<Shown>>, ClusterError> {
+    let mut finals = BTreeMap::new();
+    for (vm, address) in cluster.vms().into_iter().zip(cluster.addresses()) {
+        let records = wait_for("a replica's final report", async || {
+            records(address).await.ok()
+        });
+        finals.insert(vm, records.await?);
+    }
+    Ok(finals)
+}
+
+async fn records(address: SocketAddr) -> Result<Vec<Shown>, tonic::Status> {
+    let request = HistoryRequest {
+        limit: FINAL_RECORDS,
+    };
+    let reply = OperatorClient::new(channel(address))
+        .history(request)
+        .await?;
+    let records = reply.into_inner().records.into_iter();
+    Ok(records
+        .map(|record| Shown {
+            version: record.version,
+            digest: record.digest.into(),
+            revision: record.revision,
+        })
+        .collect())
+}
+
+fn channel(address: SocketAddr) -> Channel {
+    let endpoint = Endpoint::from_shared(format!("http://{address}"));
+    let endpoint = endpoint.expect("an address makes a URI");
+    endpoint
+        .connect_timeout(CONNECT_TIMEOUT)
+        .tcp_nodelay(true)
+        .connect_lazy()
+}
--- /dev/null
+++ b/cli/tests/test_control_history.rs
@@ -0,0 +1,76 @@
+//! Checks the history of concurrent operators and entry VMs while control replicas
+//! fail.
+//!
+//! The seeds are fixed. `HEATHERRING_CASES` sets a number of further cases with drawn
+//! faults, as docs/PROOFS.md says.
+
+mod control_run;
+
+use std::path::Path;
+
+use control_run::Fault;
+use control_run::run;
+use heatherring_testutils::control_history::ControlHistory;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+
+/// Number of faults in a drawn case.
+const DRAWN_FAULTS: usize = 6;
+const CASES_VARIABLE: &str = "HEATHERRING_CASES";
+
+fn binary() -> &'static Path {
+    Path::new(env!("CARGO_BIN_EXE_heatherring"))
+}
+
+async fn check(seed: u64, faults: &[Fault]) {
+    let history = run(binary(), seed, faults).await.unwrap();
+    println!("{}", summary(&history));
+    let complaints = history.complaints();
+    if !complaints.is_empty() {
+        for operation in &history.operations {
+            println!("{operation:?}");
+        }
+    }
+    assert!(complaints.is_empty(), "seed {seed}: {complaints:?}");
+}
+
+fn summary(history: &ControlHistory) -> String {
+    let unknown = history.operations.iter();
+    let unknown = unknown.filter(|operation| operation.answered_us.is_none());
+    let accepted = history.final_records.values().next().map_or(0, Vec::len);
+    format!(
+        "{} operations, {} of them unknown, {accepted} manifests accepted, {} sights of entry VMs",
+        history.operations.len(),
+        unknown.count(),
+        history.sights.len(),
+    )
+}
+
+macro_rules! histories {
+    ($($name:ident: $seed:literal, [$($fault:ident),+];)+) => {
+        $(
+            #[tokio::test(flavor = "multi_thread")]
+            async fn $name() {
+                check($seed, &[$(Fault::$fault),+]).await;
+            }
+        )+
+    };
+}
+
+histories! {
+    test_control_history_killed: 1, [Kill, Kill, KillTwo, KillAll];
+    test_control_history_frozen: 2, [Freeze, Freeze, FreezeAll, Freeze];
+    test_control_history_cut: 3, [Isolate, Deafen, Mute, CutLink, Isolate];
+    test_control_history_lost_disk: 4, [LoseDisk, Kill, LoseDiskTwice, KillAll];
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn test_control_history_drawn() {
+    let cases = std::env::var(CASES_VARIABLE).ok();
+    let cases = cases.and_then(|cases| cases.parse().ok()).unwrap_or(1);
+    for seed in 100..100 + cases {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let faults = Fault::draw(&mut rng, DRAWN_FAULTS);
+        check(seed, &faults).await;
+    }
+}
