--- a/lib/src/warm_up.rs
+++ b/lib/src/warm_up.rs
@@ -77,7 +77,10 @@
         new_is_warm: bool,
     ) -> bool {
         let known = self.entry(now, origin, new_is_warm);
-        known.in_flight < known.ramp.slots(now, over, slots)
+        let share = known.ramp.share(now, over);
+        // What runs on servers that take nothing new isn't in `slots`, so a warm origin
+        // isn't held to that.
+        share >= 1.0 || known.in_flight < share_of(slots, share)
     }
 
     /// Counts a request from `origin` as running.
