admission, entry: planned stops of entry VMs fail no request

Replacing eight entry VMs in turn under load failed 3 requests, all refused with no_backend_server for the service with one group. Cause: a new owner's digest said that the group had no slots while its change of owner wasn't over, so that others refused at once what the new owner would have queued. Ruled out: the release (the backend servers were known) and the listeners' end (callers had moved on by then). Digests now leave out groups that the session may not dispatch to yet, and a digest goes out at once when slots appear.

The servers of an entry VM get a module of their own.

--- a/lib/src/admission.rs
+++ b/lib/src/admission.rs
@@ -42,7 +42,6 @@
 use crate::outcome::NotRunReason;
 use crate::ownership;
 use crate::ownership::Group;
-use crate::ownership::OwnerTable;
 use crate::ownership::Release;
 use crate::ownership::ReleasedWork;
 use crate::retry_advice::RetryAdvice;
@@ -153,10 +152,11 @@
     ) -> Vec<Effect> {
         self.last_tick.get_or_insert(now);
         let before = std::mem::replace(&mut self.view, Arc::clone(view));
-        let owners = OwnerTable::of(view);
-        let owned: BTreeSet<Group> = owners.groups_of(self.session).collect();
+        let owned: BTreeSet<Group> = ownership::groups_of(view, self.session)
+            .into_iter()
+            .collect();
         let mut effects = self.give_up_unless(now, &owned);
-        self.shifts.apply_view(view, &owners, step);
+        self.shifts.apply_view(view, step);
         // While no manifest was in force, nobody can have dispatched anything.
         let first_manifest =
             self.has_view && step == ViewStep::OneChange && before.manifest.is_none();
@@ -353,6 +353,22 @@
         loads
     }
 
+    /// Returns what a digest tells of the owned groups: those that this session may
+    /// dispatch to.
+    ///
+    /// A group whose change of owner isn't over has no slots yet. Told so, others would
+    /// refuse its requests at once for want of slots, where this session lets them wait:
+    /// every planned stop of an entry VM would fail some.
+    pub fn digest_loads(&mut self, now: Instant) -> Vec<GroupLoad> {
+        let mut loads = self.loads(now);
+        let groups = &self.groups;
+        loads.retain(|load| {
+            let group = groups.get(&load.group);
+            group.is_some_and(|group| group.is_active(now))
+        });
+        loads
+    }
+
     /// Tells whether nothing is dispatched and nothing waits, so that a leaving entry
     /// may end.
     #[must_use]
--- a/lib/src/group_admission.rs
+++ b/lib/src/group_admission.rs
@@ -346,6 +346,12 @@
         self.tenure.knows_all(now)
     }
 
+    /// Tells whether the session may dispatch to the group.
+    #[must_use]
+    pub fn is_active(&self, now: Instant) -> bool {
+        self.tenure.active_since(now).is_some()
+    }
+
     /// Returns what the group can take.
     pub fn load(&mut self, now: Instant) -> GroupLoad {
         let open = self.tenure.active_since(now).is_some() && !self.place_drained;
--- a/server/src/admission_task.rs
+++ b/server/src/admission_task.rs
@@ -378,7 +378,7 @@
     }
 
     fn slots(&mut self, now: Instant) -> u64 {
-        total_slots(&self.admission.loads(now))
+        total_slots(&self.admission.digest_loads(now))
     }
 
     fn digest(&mut self, now: Instant) -> LoadDigest {
@@ -386,7 +386,7 @@
         let digest = LoadDigest {
             session: self.id,
             serial: self.digest_serial,
-            loads: self.admission.loads(now),
+            loads: self.admission.digest_loads(now),
         };
         self.steering.take_digest(now, &digest);
         let known = self.steering.known_loads(now);
@@ -491,6 +491,7 @@
             }
         };
         self.carry_out(effects);
+        self.tell_changed_slots(now);
     }
 
     /// Drops all that the session owned. What is dispatched runs to its end; its slots
@@ -574,6 +575,7 @@
                 if let Some(core) = &mut self.core {
                     let effects = core.admission.take_release(now, &release);
                     self.carry_out(effects);
+                    self.tell_changed_slots(now);
                 }
             }
             note => self.take_note(now, note),
@@ -696,9 +698,7 @@
         let Some(core) = &mut self.core else {
             return;
         };
-        let result = core.admission.announce(now, announcement);
-        let slots_changed = core.told_slots != core.slots(now);
-        match result {
+        match core.admission.announce(now, announcement) {
             Ok(effects) => {
                 let _ = reply.send(Ok(()));
                 self.carry_out(effects);
@@ -707,9 +707,14 @@
                 let _ = reply.send(Err(error));
             }
         }
-        // Others would send nothing to slots that are new, and too much to slots that
-        // are gone, until the next digest.
-        if slots_changed {
+        self.tell_changed_slots(now);
+    }
+
+    /// Sends a digest ahead of its time if the slots have changed. Others would send
+    /// nothing to slots that are new, and too much to slots that are gone, until then.
+    fn tell_changed_slots(&mut self, now: Instant) {
+        let core = self.core.as_mut();
+        if core.is_some_and(|core| core.told_slots != core.slots(now)) {
             self.send_digest();
         }
     }
--- a/server/src/entry_process.rs
+++ b/server/src/entry_process.rs
@@ -10,40 +10,29 @@
 use heatherring_lib::view::EntryInfo;
 use snafu::ResultExt;
 use snafu::Snafu;
-use tokio::net::TcpListener;
 use tokio::sync::mpsc;
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
-use tokio_stream::wrappers::TcpListenerStream;
-use tokio_util::sync::CancellationToken;
 
 use crate::action_task::ActionHandle;
 use crate::admission_task::AdmissionTask;
-use crate::announce_listener::AnnounceHandler;
 use crate::backend_pool::BackendPool;
-use crate::caller_listener::CallerHandler;
 use crate::control_session::ControlSession;
 use crate::control_session::SessionWish;
 use crate::decision_task::DecisionHandle;
 use crate::entry_context::EntryContext;
 use crate::entry_context::RequestIds;
 use crate::entry_metrics;
+use crate::entry_servers::EntryServers;
+use crate::entry_servers::Listeners;
 use crate::entry_state::EntryState;
 use crate::entry_state::EntryStateReader;
 use crate::forward_client::ForwardClients;
-use crate::forward_listener::ForwardHandler;
-use crate::http_server;
-use crate::http_server::Admittance;
-use crate::http_server::Handler;
-use crate::http_server::HttpBounds;
 use crate::metrics;
 use crate::metrics::MetricsError;
 use crate::peer_client::PeerClients;
 use crate::peer_security::PeerSecurity;
 use crate::peer_security::PeerSecurityError;
-use crate::peer_service::PeerService;
-use crate::proto::peer_server::PeerServer;
-use crate::proto::session_server::SessionServer;
 use crate::session_relay::SessionRelayService;
 use crate::shutdown::Shutdown;
 use crate::sync_target::SyncTargets;
@@ -61,6 +50,7 @@
 
 /// Tells why an entry VM can't start.
 #[derive(Debug, Snafu)]
+#[snafu(visibility(pub(crate)))]
 pub enum EntryError {
     /// An address of the settings can't be listened on: a fault of the settings.
     #[snafu(display("can't listen on {address} for {purpose}: {source}"))]
@@ -97,34 +87,6 @@
     }
 }
 
-/// Holds the bound listeners of an entry VM.
-struct Listeners {
-    callers: TcpListener,
-    backend_servers: TcpListener,
-    peers: TcpListener,
-    forward: TcpListener,
-}
-
-impl Listeners {
-    /// Binds all addresses before anything starts, so that a port in use leaves nothing
-    /// half-started.
-    async fn bind(settings: &EntrySettings) -> Result<Self, EntryError> {
-        let listen = &settings.listen;
-        Ok(Self {
-            callers: bind("callers", listen.callers).await?,
-            backend_servers: bind("backend_servers", listen.backend_servers).await?,
-            peers: bind("peers", listen.peers).await?,
-            forward: bind("forward", listen.forward).await?,
-        })
-    }
-}
-
-async fn bind(purpose: &'static str, address: SocketAddr) -> Result<TcpListener, EntryError> {
-    TcpListener::bind(address)
-        .await
-        .context(ListenSnafu { purpose, address })
-}
-
 /// Runs an entry VM until `shutdown` asks it to stop and it has finished everything.
 ///
 /// A planned stop first tells control that the entry VM leaves, so that it owns nothing
@@ -158,14 +120,7 @@
     cx: Arc<EntryContext>,
     wish: watch::Sender<SessionWish>,
     session: JoinHandle<()>,
-    /// Ends what takes requests of callers and other entry VMs.
-    stop_requests: CancellationToken,
-    callers: JoinHandle<()>,
-    forward: JoinHandle<()>,
-    /// Ends what takes messages.
-    stop_messages: CancellationToken,
-    backend_servers: JoinHandle<()>,
-    peers: JoinHandle<()>,
+    servers: EntryServers,
 }
 
 impl Running {
@@ -234,51 +189,12 @@
         if settings.metrics.is_some() {
             entry_metrics::spawn_gauges(&cx);
         }
-        let stop_requests = CancellationToken::new();
-        let stop_messages = CancellationToken::new();
-        let bounds = HttpBounds {
-            max_connections: settings.limits.max_connections as usize,
-            max_header_bytes: settings.limits.max_header_bytes as usize,
-            header_timeout: settings.limits.header_timeout(),
-        };
-        let callers = spawn_server(
-            listeners.callers,
-            Admittance::Anybody,
-            bounds,
-            CallerHandler::new(Arc::clone(&cx)),
-            &stop_requests,
-        );
-        let forward = spawn_server(
-            listeners.forward,
-            Admittance::Deployment(security),
-            bounds,
-            ForwardHandler::new(Arc::clone(&cx)),
-            &stop_requests,
-        );
-        let backend_servers = spawn_server(
-            listeners.backend_servers,
-            Admittance::Anybody,
-            bounds,
-            AnnounceHandler::new(Arc::clone(&cx)),
-            &stop_messages,
-        );
-        let peers = spawn_peer_server(
-            grpc_server,
-            listeners.peers,
-            PeerService::new(Arc::clone(&cx)),
-            relay,
-            &stop_messages,
-        );
+        let servers = EntryServers::start(&cx, listeners, security, grpc_server, relay);
         Self {
             cx,
             wish,
             session: tokio::spawn(session.run()),
-            stop_requests,
-            callers,
-            forward,
-            stop_messages,
-            backend_servers,
-            peers,
+            servers,
         }
     }
 
@@ -293,18 +209,14 @@
         }
         self.wish.send_replace(SessionWish::Close);
         let _ = tokio::time::timeout(CLOSE_BOUND, self.session).await;
-        self.stop_messages.cancel();
-        self.backend_servers.abort();
-        self.peers.abort();
-        self.callers.abort();
-        self.forward.abort();
+        self.servers.end();
     }
 
     async fn finish(&self) {
         let bound = self.cx.now() + LEAVE_BOUND;
         let _ = tokio::time::timeout_at(bound.into(), self.until_known_everywhere()).await;
         tokio::time::sleep(self.cache_time()).await;
-        self.stop_requests.cancel();
+        self.servers.stop_requests();
         let bound = self.cx.now() + self.longest_deadline() + FINISH_MARGIN;
         let _ = tokio::time::timeout_at(bound.into(), self.until_finished()).await;
     }
@@ -349,7 +261,7 @@
 
     async fn until_finished(&self) {
         const POLL: Duration = Duration::from_millis(10);
-        while !(self.callers.is_finished() && self.forward.is_finished()) {
+        while !self.servers.requests_finished() {
             tokio::time::sleep(POLL).await;
         }
         // Callers of these actions may have gone away, and ask the backup after this
@@ -376,45 +288,9 @@
     }
 }
 
-fn spawn_server<H: Handler>(
-    listener: TcpListener,
-    admittance: Admittance,
-    bounds: HttpBounds,
-    handler: H,
-    stop: &CancellationToken,
-) -> JoinHandle<()> {
-    tokio::spawn(http_server::serve(
-        listener,
-        admittance,
-        bounds,
-        handler,
-        stop.clone(),
-    ))
-}
-
 fn sync_targets(settings: &EntrySettings) -> SyncTargets {
     SyncTargets::new(
         settings.control.clone(),
         settings.relay_min_entries as usize,
     )
 }
-
-fn spawn_peer_server(
-    mut server: tonic::transport::Server,
-    listener: TcpListener,
-    service: PeerService,
-    relay: SessionRelayService,
-    stop: &CancellationToken,
-) -> JoinHandle<()> {
-    let stop = stop.clone();
-    let router = server
-        .add_service(PeerServer::new(service))
-        .add_service(SessionServer::new(relay));
-    tokio::spawn(async move {
-        let incoming = TcpListenerStream::new(listener);
-        let serving = router.serve_with_incoming_shutdown(incoming, stop.cancelled_owned());
-        if let Err(error) = serving.await {
-            log::error!(event = "peers_listener_failed", error = error.to_string().as_str(); "messages of other entry VMs can't be taken");
-        }
-    })
-}
--- a/server/src/lib.rs
+++ b/server/src/lib.rs
@@ -34,6 +34,7 @@
 pub mod entry_context;
 pub mod entry_metrics;
 pub mod entry_process;
+pub mod entry_servers;
 pub mod entry_state;
 pub mod entry_status;
 pub mod explain_client;
