operator_client: tests against scripted replicas

One lost answer outweighs later proofs of 'not accepted', which hold for their own copies alone. With the client judging by the last answer instead, test_operator_client_lost_answer_outweighs_later_proofs fails.

--- a/server/src/operator_client.rs
+++ b/server/src/operator_client.rs
@@ -174,10 +174,8 @@
         &self,
         request: &SubmitRequest,
     ) -> Result<SubmitReply, OperatorClientError> {
-        let mut maybe_accepted = false;
         let judge = |reply: SubmitReply| match reply.outcome() {
             SubmitOutcome::Unknown | SubmitOutcome::Unspecified => {
-                maybe_accepted = true;
                 let reason = reply.reason;
                 Verdict::AskOn(AttemptEnding::AnswerLost { reason })
             }
@@ -187,6 +185,8 @@
             }
             _ => Verdict::Final(reply),
         };
+        // One lost answer outweighs every later "not accepted": that copy may still be
+        // committed, and an operator told "not accepted" would submit something else.
         let mut lost_any = false;
         let result = self
             .ask(
@@ -196,7 +196,7 @@
             )
             .await;
         match result {
-            Err(OperatorClientError::Unreachable { attempts }) if lost_any || maybe_accepted => {
+            Err(OperatorClientError::Unreachable { attempts }) if lost_any => {
                 SubmissionUnknownSnafu { attempts }.fail()
             }
             result => result,
--- /dev/null
+++ b/server/tests/test_operator_client.rs
@@ -0,0 +1,233 @@
+//! The operators' client against control replicas that answer by a script.
+
+use std::collections::VecDeque;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::time::Duration;
+
+use heatherring_server::operator_client::OperatorClient;
+use heatherring_server::operator_client::OperatorClientError;
+use heatherring_server::peer_security::PeerSecurity;
+use heatherring_server::proto::AuditReply;
+use heatherring_server::proto::AuditRequest;
+use heatherring_server::proto::ChangeMembershipReply;
+use heatherring_server::proto::ChangeMembershipRequest;
+use heatherring_server::proto::HistoryReply;
+use heatherring_server::proto::HistoryRequest;
+use heatherring_server::proto::ShowReply;
+use heatherring_server::proto::ShowRequest;
+use heatherring_server::proto::StatusReply;
+use heatherring_server::proto::StatusRequest;
+use heatherring_server::proto::SubmitOutcome;
+use heatherring_server::proto::SubmitReply;
+use heatherring_server::proto::SubmitRequest;
+use heatherring_server::proto::operator_server::Operator;
+use heatherring_server::proto::operator_server::OperatorServer;
+use heatherring_testutils::loopback::CONTROL_PORT;
+use heatherring_testutils::loopback::LoopbackBlock;
+use tokio::net::TcpListener;
+use tokio_stream::wrappers::TcpListenerStream;
+use tonic::Request;
+use tonic::Response;
+use tonic::Status;
+use tonic::transport::Server;
+
+/// Time after which the client gives up. It bounds a test that ends without an answer.
+const GIVE_UP: Duration = Duration::from_millis(700);
+
+/// What a replica does with one request.
+#[derive(Clone, Copy, Debug)]
+enum Step {
+    Answer(SubmitOutcome),
+    /// The answer is lost: the connection breaks off, as far as the client can tell.
+    Lose,
+    /// Nothing comes back.
+    Hang,
+    /// The replica can't answer, and says that it did nothing.
+    Decline,
+}
+
+/// Follows its script; the last step is repeated.
+#[derive(Clone, Debug)]
+struct Replica {
+    script: Arc<Mutex<VecDeque<Step>>>,
+    current: bool,
+}
+
+impl Replica {
+    fn next(&self) -> Step {
+        let mut script = self.script.lock().unwrap();
+        if script.len() > 1 {
+            script.pop_front().unwrap()
+        } else {
+            script[0]
+        }
+    }
+}
+
+#[tonic::async_trait]
+impl Operator for Replica {
+    async fn submit(&self, _: Request<SubmitRequest>) -> Result<Response<SubmitReply>, Status> {
+        match self.next() {
+            Step::Answer(outcome) => Ok(Response::new(SubmitReply {
+                outcome: outcome.into(),
+                version: 4,
+                ..SubmitReply::default()
+            })),
+            Step::Lose => Err(Status::unavailable("connection reset")),
+            Step::Hang => std::future::pending().await,
+            Step::Decline => Err(Status::failed_precondition("no quorum")),
+        }
+    }
+
+    async fn status(&self, _: Request<StatusRequest>) -> Result<Response<StatusReply>, Status> {
+        Ok(Response::new(StatusReply {
+            current: self.current,
+            ..StatusReply::default()
+        }))
+    }
+
+    async fn show(&self, _: Request<ShowRequest>) -> Result<Response<ShowReply>, Status> {
+        Err(Status::unavailable(
+            "this replica can't prove that it is current",
+        ))
+    }
+
+    async fn history(&self, _: Request<HistoryRequest>) -> Result<Response<HistoryReply>, Status> {
+        Ok(Response::new(HistoryReply::default()))
+    }
+
+    async fn audit(&self, _: Request<AuditRequest>) -> Result<Response<AuditReply>, Status> {
+        Err(Status::invalid_argument("limit"))
+    }
+
+    async fn change_membership(
+        &self,
+        _: Request<ChangeMembershipRequest>,
+    ) -> Result<Response<ChangeMembershipReply>, Status> {
+        Ok(Response::new(ChangeMembershipReply::default()))
+    }
+}
+
+/// Runs replicas with these scripts; one without a script doesn't run.
+struct Replicas {
+    addresses: Vec<SocketAddr>,
+    _block: LoopbackBlock,
+}
+
+impl Replicas {
+    async fn start(scripts: &[&[Step]]) -> Self {
+        Self::start_with(scripts, true).await
+    }
+
+    async fn start_with(scripts: &[&[Step]], current: bool) -> Self {
+        let mut block = LoopbackBlock::claim().unwrap();
+        let mut addresses = Vec::new();
+        for script in scripts {
+            let address = SocketAddr::new(block.next_vm(), CONTROL_PORT);
+            addresses.push(address);
+            if script.is_empty() {
+                continue;
+            }
+            let replica = Replica {
+                script: Arc::new(Mutex::new(script.iter().copied().collect())),
+                current,
+            };
+            let listener = TcpListener::bind(address).await.unwrap();
+            let server = Server::builder().add_service(OperatorServer::new(replica));
+            tokio::spawn(server.serve_with_incoming(TcpListenerStream::new(listener)));
+        }
+        Self {
+            addresses,
+            _block: block,
+        }
+    }
+
+    fn client(&self) -> OperatorClient {
+        let security = PeerSecurity::open_loopback();
+        OperatorClient::new(self.addresses.clone(), security, GIVE_UP)
+    }
+}
+
+/// Tells how a submission ended.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Ended {
+    Final(SubmitOutcome),
+    /// Proved never to have been accepted.
+    NotAccepted,
+    Unknown,
+}
+
+async fn submit(scripts: &[&[Step]]) -> Ended {
+    let replicas = Replicas::start(scripts).await;
+    let result = replicas.client().submit(&SubmitRequest::default()).await;
+    match result {
+        Ok(reply) => Ended::Final(reply.outcome()),
+        Err(OperatorClientError::Unreachable { .. }) => Ended::NotAccepted,
+        Err(OperatorClientError::SubmissionUnknown { .. }) => Ended::Unknown,
+        Err(error) => panic!("{error}"),
+    }
+}
+
+const ACCEPTED: Step = Step::Answer(SubmitOutcome::Accepted);
+const CONFLICT: Step = Step::Answer(SubmitOutcome::VersionConflict);
+const NOT_ACCEPTED: Step = Step::Answer(SubmitOutcome::NotAccepted);
+const UNKNOWN: Step = Step::Answer(SubmitOutcome::Unknown);
+
+macro_rules! submit_cases {
+    ($($name:ident: $scripts:expr => $expected:expr;)*) => {
+        $(
+            #[tokio::test]
+            async fn $name() {
+                let scripts: &[&[Step]] = &$scripts;
+                assert_eq!(submit(scripts).await, $expected);
+            }
+        )*
+    };
+}
+
+submit_cases! {
+    test_operator_client_first_replica_answers: [&[ACCEPTED]] => Ended::Final(SubmitOutcome::Accepted);
+    test_operator_client_next_replica_is_asked: [&[], &[ACCEPTED]] => Ended::Final(SubmitOutcome::Accepted);
+    test_operator_client_conflict_is_final: [&[CONFLICT], &[ACCEPTED]] => Ended::Final(SubmitOutcome::VersionConflict);
+    test_operator_client_lost_answer_is_asked_for_again: [&[Step::Lose, ACCEPTED]] => Ended::Final(SubmitOutcome::Accepted);
+    test_operator_client_unknown_is_asked_for_again: [&[UNKNOWN, CONFLICT]] => Ended::Final(SubmitOutcome::VersionConflict);
+    test_operator_client_nobody_there_is_not_accepted: [&[], &[]] => Ended::NotAccepted;
+    test_operator_client_declined_is_not_accepted: [&[Step::Decline], &[NOT_ACCEPTED], &[]] => Ended::NotAccepted;
+    test_operator_client_silence_is_unknown: [&[Step::Hang]] => Ended::Unknown;
+    test_operator_client_unknown_stays_unknown: [&[UNKNOWN]] => Ended::Unknown;
+}
+
+/// Symptom: an operator is told "not accepted", submits another content, and the first
+/// one comes into force. Sequence: the answer to the first copy is lost; later copies
+/// reach replicas without a quorum, which prove that they accepted nothing. Cause: the
+/// proof holds for the later copies alone.
+#[tokio::test]
+async fn test_operator_client_lost_answer_outweighs_later_proofs() {
+    let ended = submit(&[&[Step::Lose, NOT_ACCEPTED], &[NOT_ACCEPTED]]).await;
+    assert_eq!(ended, Ended::Unknown);
+}
+
+#[tokio::test]
+async fn test_operator_client_status_without_quorum_is_marked() {
+    let replicas = Replicas::start_with(&[&[ACCEPTED], &[ACCEPTED]], false).await;
+    let status = replicas.client().status().await.unwrap();
+    assert!(!status.current);
+}
+
+#[tokio::test]
+async fn test_operator_client_read_without_quorum_fails() {
+    let replicas = Replicas::start(&[&[ACCEPTED]]).await;
+    let error = replicas.client().show(0).await.unwrap_err();
+    assert!(matches!(error, OperatorClientError::Unreachable { .. }));
+    assert!(error.to_string().contains("can't prove that it is current"));
+}
+
+#[tokio::test]
+async fn test_operator_client_faulty_request_is_not_repeated() {
+    let replicas = Replicas::start(&[&[ACCEPTED]]).await;
+    let request = AuditRequest::default();
+    let error = replicas.client().audit(request).await.unwrap_err();
+    assert!(matches!(error, OperatorClientError::Refused { .. }));
+}
