--- a/lib/src/raft_follower.rs
+++ b/lib/src/raft_follower.rs
@@ -23,7 +23,20 @@
 #[derive(Debug)]
 pub(crate) struct IncomingSnapshot {
     leader_term: Term,
-    snapshot: Snapshot,
+    at: Position,
+    membership: Membership,
+    data: Vec<u8>,
+}
+
+impl IncomingSnapshot {
+    fn into_snapshot(self) -> Snapshot {
+        Snapshot {
+            index: self.at.index,
+            term: self.at.term,
+            membership: self.membership,
+            data: self.data.into(),
+        }
+    }
 }
 
 /// Holds one part of a snapshot.
@@ -200,7 +213,7 @@
         let complete = self.collect(part) && last;
         let received = self.received();
         if complete && let Some(incoming) = self.incoming.take() {
-            self.install(incoming.snapshot, fx);
+            self.install(incoming.into_snapshot(), fx);
         }
         self.send_snapshot_reply(from, index, received, complete, fx);
     }
@@ -208,25 +221,21 @@
     /// Adds a part to what arrived so far; returns whether it was the next one.
     fn collect(&mut self, part: SnapshotPart) -> bool {
         let leader_term = self.term();
-        let same = self.incoming.as_ref().is_some_and(|incoming| {
-            incoming.leader_term == leader_term
-                && incoming.snapshot.index == part.at.index
-                && incoming.snapshot.term == part.at.term
-        });
+        let same = self
+            .incoming
+            .as_ref()
+            .is_some_and(|incoming| incoming.leader_term == leader_term && incoming.at == part.at);
         if !same {
             self.incoming = Some(IncomingSnapshot {
                 leader_term,
-                snapshot: Snapshot {
-                    index: part.at.index,
-                    term: part.at.term,
-                    membership: part.membership,
-                    data: Vec::new(),
-                },
+                at: part.at,
+                membership: part.membership,
+                data: Vec::new(),
             });
         }
         let is_next = part.offset == self.received();
         if is_next && let Some(incoming) = &mut self.incoming {
-            incoming.snapshot.data.extend(part.data);
+            incoming.data.extend(part.data);
         }
         is_next
     }
@@ -234,7 +243,7 @@
     fn received(&self) -> u64 {
         self.incoming
             .as_ref()
-            .map_or(0, |incoming| incoming.snapshot.data.len() as u64)
+            .map_or(0, |incoming| incoming.data.len() as u64)
     }
 
     fn install(&mut self, snapshot: Snapshot, fx: &mut Effects) {
--- a/lib/src/raft_log.rs
+++ b/lib/src/raft_log.rs
@@ -173,7 +173,7 @@
             index,
             term,
             membership: self.memberships.first()?.1.clone(),
-            data,
+            data: data.into(),
         });
         self.snapshot = Some(snapshot.clone());
         self.drop_old_entries();
--- a/lib/src/raft_message.rs
+++ b/lib/src/raft_message.rs
@@ -6,6 +6,7 @@
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::sync::Arc;
 
 use serde::Deserialize;
 use serde::Serialize;
@@ -32,7 +33,8 @@
     /// Nothing: appended by a new leader to commit the entries before it.
     Noop,
     /// A command for the replicated state, in the encoding of `command`.
-    Command(Vec<u8>),
+    /// Shared, since the log, the disk and every message to a replica hold it.
+    Command(Arc<[u8]>),
     /// The replicas from here on. Takes effect when appended, not when committed.
     Membership(Membership),
 }
@@ -110,7 +112,7 @@
     /// The replicas at that position.
     pub membership: Membership,
     /// The state, in the encoding of `control_state`.
-    pub data: Vec<u8>,
+    pub data: Arc<[u8]>,
 }
 
 /// Records that must be durable, in order, before any message, answer or application
--- a/lib/src/raft_replication.rs
+++ b/lib/src/raft_replication.rs
@@ -136,7 +136,7 @@
             refuse(token, reason, fx);
             return;
         }
-        let payload = LogPayload::Command(command);
+        let payload = LogPayload::Command(command.into());
         self.append_proposal(token, payload, fx);
     }
 
--- a/lib/tests/test_raft_membership.rs
+++ b/lib/tests/test_raft_membership.rs
@@ -275,7 +275,7 @@
             index: Revision(7),
             term: Term(1),
             membership: Membership::default(),
-            data: Vec::new(),
+            data: [].into(),
         }),
         ..Effects::default()
     };
--- a/server/tests/test_log_disk.rs
+++ b/server/tests/test_log_disk.rs
@@ -62,7 +62,7 @@
     LogWrite::Append(LogEntry {
         index: Revision(index),
         term: Term(1),
-        payload: LogPayload::Command(vec![b'x'; bytes]),
+        payload: LogPayload::Command(vec![b'x'; bytes].into()),
     })
 }
 
@@ -78,7 +78,7 @@
         index: Revision(index),
         term: Term(1),
         membership: Membership::default(),
-        data: vec![b's'; 100],
+        data: vec![b's'; 100].into(),
     })
 }
 
