control_history: what is settled against what entry VMs act on

Sessions with a valid lease record which view they act on and when; none may act on one older than what control told anyone to be settled. Sessions pause past their lease now and then, so lapses are part of the runs.

--- a/cli/tests/control_run/mod.rs
+++ b/cli/tests/control_run/mod.rs
@@ -44,7 +44,12 @@
 
 impl RunClock {
     fn now_us(self) -> u64 {
-        u64::try_from(self.0.elapsed().as_micros()).unwrap_or(u64::MAX)
+        self.us(Instant::now())
+    }
+
+    fn us(self, at: Instant) -> u64 {
+        let since_start = at.saturating_duration_since(self.0);
+        u64::try_from(since_start.as_micros()).unwrap_or(u64::MAX)
     }
 }
 
@@ -103,6 +108,8 @@
     for record in entries.join_all().await {
         history.operations.extend(record.operations);
         history.sights.extend(record.sights);
+        history.acting.extend(record.acting);
+        history.settled.extend(record.settled);
     }
     history.final_records = final_records(&cluster).await?;
     Ok(history)
--- a/cli/tests/test_control_history.rs
+++ b/cli/tests/test_control_history.rs
@@ -6,11 +6,14 @@
 
 mod control_run;
 
+use std::collections::BTreeMap;
 use std::path::Path;
 
 use control_run::Fault;
 use control_run::run;
+use heatherring_testutils::control_history::Call;
 use heatherring_testutils::control_history::ControlHistory;
+use heatherring_testutils::control_history::SubmitAnswer;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 
@@ -35,15 +38,25 @@
 }
 
 fn summary(history: &ControlHistory) -> String {
-    let unknown = history.operations.iter();
-    let unknown = unknown.filter(|operation| operation.answered_us.is_none());
+    let mut counts: BTreeMap<&str, usize> = BTreeMap::new();
+    for operation in &history.operations {
+        *counts.entry(kind(&operation.call)).or_default() += 1;
+    }
     let accepted = history.final_records.values().next().map_or(0, Vec::len);
-    format!(
-        "{} operations, {} of them unknown, {accepted} manifests accepted, {} sights of entry VMs",
-        history.operations.len(),
-        unknown.count(),
-        history.sights.len(),
-    )
+    format!("{counts:?}, {accepted} manifests accepted in the end")
+}
+
+const fn kind(call: &Call) -> &'static str {
+    match call {
+        Call::Show(_) => "shown",
+        Call::Submit { answer, .. } => match answer {
+            SubmitAnswer::Accepted { .. } => "accepted",
+            SubmitAnswer::Conflict { .. } => "conflict",
+            SubmitAnswer::Stale { .. } => "stale",
+            SubmitAnswer::NotAccepted => "not accepted",
+            SubmitAnswer::Unknown => "unknown",
+        },
+    }
 }
 
 macro_rules! histories {
--- a/testutils/src/control_history.rs
+++ b/testutils/src/control_history.rs
@@ -92,6 +92,30 @@
     pub shown: Shown,
 }
 
+/// Holds a time during which a session of an entry VM acted on one view.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Acting {
+    /// The entry VM.
+    pub entry: String,
+    /// The revision that opened the session.
+    pub opened: u64,
+    /// The view's revision.
+    pub revision: u64,
+    /// When the view was applied, in microseconds.
+    pub from_us: u64,
+    /// When the next one was applied, or the lease ran out, in microseconds.
+    pub until_us: u64,
+}
+
+/// Holds a settled revision that control told.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct SettledTold {
+    /// When the answer arrived, in microseconds.
+    pub at_us: u64,
+    /// The settled revision.
+    pub revision: u64,
+}
+
 /// Holds everything that was recorded of a run.
 #[derive(Clone, Debug, Default)]
 pub struct ControlHistory {
@@ -99,6 +123,10 @@
     pub operations: Vec<Operation>,
     /// What entry VMs saw, each one's in order.
     pub sights: Vec<EntrySight>,
+    /// When sessions acted on which view.
+    pub acting: Vec<Acting>,
+    /// What control told to be settled.
+    pub settled: Vec<SettledTold>,
     /// What each replica reports as accepted when all is over.
     pub final_records: BTreeMap<String, Vec<Shown>>,
 }
@@ -152,6 +180,14 @@
         /// What it went back to.
         to: Shown,
     },
+    /// A session with a valid lease acted on a view older than a revision that control
+    /// had told to be settled.
+    BehindSettled {
+        /// What acted.
+        acting: Acting,
+        /// What was told.
+        told: SettledTold,
+    },
     /// One submission was given two final answers.
     Contradiction {
         /// The version.
@@ -176,6 +212,7 @@
         complaints.extend(self.revisions());
         complaints.extend(self.lost_and_invented());
         complaints.extend(self.steps_back());
+        complaints.extend(self.behind_settled());
         complaints.extend(self.contradictions());
         if !self.is_linearizable() {
             complaints.push(ControlComplaint::NotLinearizable);
@@ -303,6 +340,21 @@
         complaints
     }
 
+    fn behind_settled(&self) -> Vec<ControlComplaint> {
+        let mut complaints = Vec::new();
+        for told in &self.settled {
+            let behind = self.acting.iter().find(|acting| {
+                let in_time = (acting.from_us..acting.until_us).contains(&told.at_us);
+                in_time && acting.opened < told.revision && acting.revision < told.revision
+            });
+            complaints.extend(behind.map(|acting| ControlComplaint::BehindSettled {
+                acting: acting.clone(),
+                told: *told,
+            }));
+        }
+        complaints
+    }
+
     fn submissions(&self) -> impl Iterator<Item = ((u64, &Digest), &SubmitAnswer)> {
         self.operations
             .iter()
--- a/testutils/tests/test_control_history.rs
+++ b/testutils/tests/test_control_history.rs
@@ -2,11 +2,13 @@
 
 use std::collections::BTreeMap;
 
+use heatherring_testutils::control_history::Acting;
 use heatherring_testutils::control_history::Call;
 use heatherring_testutils::control_history::ControlComplaint;
 use heatherring_testutils::control_history::ControlHistory;
 use heatherring_testutils::control_history::EntrySight;
 use heatherring_testutils::control_history::Operation;
+use heatherring_testutils::control_history::SettledTold;
 use heatherring_testutils::control_history::Shown;
 use heatherring_testutils::control_history::SubmitAnswer;
 
@@ -187,3 +189,29 @@
         "{complaints:?}"
     );
 }
+
+#[test]
+fn test_control_history_of_entry_behind_settled() {
+    let acting = |revision, from_us, until_us| Acting {
+        entry: "entry-1".to_owned(),
+        opened: 3,
+        revision,
+        from_us,
+        until_us,
+    };
+    let mut history = ControlHistory {
+        acting: vec![acting(5, 0, 100), acting(9, 100, 200)],
+        settled: vec![SettledTold {
+            at_us: 100,
+            revision: 9,
+        }],
+        ..ControlHistory::default()
+    };
+    assert_eq!(history.complaints(), []);
+    history.settled[0].at_us = 99;
+    let complaints = history.complaints();
+    assert!(
+        matches!(complaints.as_slice(), [C::BehindSettled { .. }]),
+        "{complaints:?}"
+    );
+}
