raft_follower: damaged messages end no process

An append whose position was the highest number overflowed while it was checked for continuity. The new test of messages that no correct replica sends failed on that (attempt to add with overflow) and passes now.

--- a/lib/src/raft_follower.rs
+++ b/lib/src/raft_follower.rs
@@ -282,7 +282,8 @@
 fn is_continuous(append: &Append) -> bool {
     let mut before = append.previous;
     append.entries.iter().all(|entry| {
-        let follows = entry.index == before.index.next() && entry.term >= before.term;
+        let index_before = entry.index.0.checked_sub(1);
+        let follows = index_before == Some(before.index.0) && entry.term >= before.term;
         before = Position {
             index: entry.index,
             term: entry.term,
