--- a/testutils/src/relay.rs
+++ b/testutils/src/relay.rs
@@ -6,6 +6,7 @@
 use std::collections::BTreeMap;
 use std::io;
 use std::net::IpAddr;
+use std::net::Ipv4Addr;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -227,6 +228,12 @@
 }
 
 async fn find_source(peer: SocketAddr, own: SocketAddr, names: ProcessNames) -> Source {
+    // Processes leave the choice of their address to the system. Whoever binds another
+    // one, as callers do, is told by it; the search through all processes' files is
+    // too slow for hundreds of them.
+    if peer.ip() != IpAddr::V4(Ipv4Addr::LOCALHOST) {
+        return Source::Address(peer.ip());
+    }
     let search = tokio::task::spawn_blocking(move || {
         let pids: Vec<_> = names.keys().copied().collect();
         let pid = socket_owner::find(peer, own, &pids)?;
