--- a/server/tests/support/mod.rs
+++ b/server/tests/support/mod.rs
@@ -1,5 +1,10 @@
 //! A disk in memory that loses, tears and refuses writes as a real one may.
 
+#![allow(
+    dead_code,
+    reason = "each test file is a crate, and uses a part of this"
+)]
+
 use std::collections::BTreeMap;
 use std::io;
 use std::sync::Arc;
--- /dev/null
+++ b/server/tests/test_control_disk.rs
@@ -0,0 +1,130 @@
+//! Tests of a control replica whose disk fails under it.
+
+mod support;
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use heatherring_lib::clock::SystemClock;
+use heatherring_lib::command::CommandKind;
+use heatherring_lib::id::ClusterId;
+use heatherring_lib::id::PlaceName;
+use heatherring_lib::id::RegionName;
+use heatherring_lib::id::ReplicaId;
+use heatherring_lib::id::VmName;
+use heatherring_lib::raft_config::bootstrap_writes;
+use heatherring_lib::raft_message::ReplicaInfo;
+use heatherring_lib::settings::ControlTiming;
+use heatherring_lib::view::EntryInfo;
+use heatherring_server::control_node::ControlNode;
+use heatherring_server::control_node::ControlNodeError;
+use heatherring_server::control_node::NodeConfig;
+use heatherring_server::data_folder::FORMAT_VERSION;
+use heatherring_server::data_folder::Identity;
+use heatherring_server::log_disk::LogDisk;
+use heatherring_server::log_disk::format;
+use heatherring_server::node_request::NodeError;
+use heatherring_server::node_request::NodeHandle;
+use heatherring_server::peer_channel::PeerChannels;
+use heatherring_server::peer_links::PeerLinks;
+use heatherring_server::peer_security::PeerSecurity;
+use heatherring_testutils::wait::wait_for;
+use support::FaultyDisk;
+use support::Unsynced;
+use tokio::task::JoinHandle;
+
+const IDENTITY: Identity = Identity {
+    format: FORMAT_VERSION,
+    cluster: ClusterId([7; 16]),
+    replica: ReplicaId(42),
+};
+
+fn address() -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 9))
+}
+
+fn formatted() -> FaultyDisk {
+    let info = ReplicaInfo {
+        vm: VmName::new("control-1"),
+        address: address(),
+    };
+    let writes = bootstrap_writes(IDENTITY.replica, info);
+    format(FaultyDisk::default(), IDENTITY, &writes).unwrap()
+}
+
+/// Starts a cluster of one replica on a disk.
+fn start(disk: &FaultyDisk) -> (NodeHandle, JoinHandle<Result<(), ControlNodeError>>) {
+    let (log, recovered) = LogDisk::open(disk.clone()).unwrap();
+    let channels = PeerChannels::new(PeerSecurity::open_loopback());
+    let links = PeerLinks::new(IDENTITY.cluster, IDENTITY.replica, address(), channels);
+    let cfg = NodeConfig {
+        timing: ControlTiming::default(),
+        snapshot_every: 1_000,
+        seed: 1,
+    };
+    let node = ControlNode::new(cfg, Arc::new(SystemClock), log, recovered, links).unwrap();
+    let (handle, rx) = NodeHandle::channel();
+    (handle, tokio::spawn(node.run(rx)))
+}
+
+fn opening() -> CommandKind {
+    CommandKind::OpenSession(EntryInfo {
+        vm: VmName::new("entry-1"),
+        place: PlaceName::new("alm-a"),
+        region: RegionName::new("Almaty"),
+        callers: address(),
+        backend_servers: address(),
+        peers: address(),
+        forward: address(),
+    })
+}
+
+async fn open_session(handle: &NodeHandle) {
+    wait_for("a session is opened", async || {
+        handle.propose(opening()).await.ok()
+    })
+    .await
+    .unwrap();
+}
+
+async fn sessions(disk: &FaultyDisk) -> usize {
+    let (handle, _task) = start(disk);
+    wait_for("the state can be read", async || {
+        let read = handle.read(|state| state.view().sessions.len()).await;
+        read.ok()
+    })
+    .await
+    .unwrap()
+}
+
+/// Names each case: how the disk fails.
+macro_rules! failing_disk_cases {
+    ($($name:ident: $fail:expr;)*) => {
+        $(
+            #[tokio::test]
+            async fn $name() {
+                // Symptom: a command that was answered "committed" is gone.
+                // Sequence: the disk fails under a running replica; commands come in;
+                // the VM crashes and restarts.
+                // Cause: the replica answers before, or in spite of, the failed write.
+                let disk = formatted();
+                let (handle, task) = start(&disk);
+                open_session(&handle).await;
+                let fail: fn(&FaultyDisk) = $fail;
+                fail(&disk);
+                let answer = handle.propose(opening()).await;
+                assert!(matches!(answer, Err(NodeError::Stopped { .. })), "{answer:?}");
+                let ended = task.await.unwrap();
+                assert!(matches!(ended, Err(ControlNodeError::Disk { .. })), "{ended:?}");
+                let restarted = disk.crash(Unsynced::Cut(0), false);
+                assert_eq!(sessions(&restarted).await, 1);
+            }
+        )*
+    };
+}
+
+failing_disk_cases! {
+    test_failed_sync_answers_nothing: FaultyDisk::fail_syncs;
+    test_full_disk_answers_nothing: |disk| disk.fill_up(20);
+    test_vanished_disk_answers_nothing: |disk| disk.fail_after(0);
+}
