--- a/cli/examples/control_bench.rs
+++ b/cli/examples/control_bench.rs
@@ -133,7 +133,8 @@
                 latencies
             }));
         }
-        let mut histogram = Histogram::<u64>::new_with_bounds(1, LONGEST_US, 3).expect("a histogram");
+        let mut histogram =
+            Histogram::<u64>::new_with_bounds(1, LONGEST_US, 3).expect("a histogram");
         for task in tasks {
             for latency in task.await.expect("an operator") {
                 histogram.saturating_record(u64::try_from(latency.as_micros()).unwrap_or(u64::MAX));
