manifest: texts above 16 MiB are refused with what is allowed

Control refused larger messages already, by the transport's own words and only on submission; check let them pass. One bound now stands in the core.

--- a/lib/src/config_fault.rs
+++ b/lib/src/config_fault.rs
@@ -133,6 +133,14 @@
         /// What the parser said.
         message: String,
     },
+    /// The text has too many bytes.
+    #[snafu(display("the text has {bytes} bytes; allowed are at most {max}"))]
+    TooLarge {
+        /// Its size.
+        bytes: usize,
+        /// The bound.
+        max: usize,
+    },
     /// The text has no value.
     #[snafu(display("the text is empty; allowed is an object"))]
     Empty,
--- a/lib/tests/test_manifest_text.rs
+++ b/lib/tests/test_manifest_text.rs
@@ -4,6 +4,7 @@
 
 use common::expect_fault;
 use heatherring_lib::manifest::Manifest;
+use heatherring_lib::manifest_text::MAX_MANIFEST_BYTES;
 use heatherring_lib::manifest_text::read_manifest;
 
 const KYUSHU: &str = include_str!("../../samples/kyushu.jsonc");
@@ -158,6 +159,19 @@
     assert_eq!(version.position.column, 33);
 }
 
+#[test]
+fn test_manifest_text_too_large() {
+    let text = format!("{KYUSHU}{}", " ".repeat(MAX_MANIFEST_BYTES));
+    let faults = read_manifest("m.jsonc", &text).unwrap_err();
+    assert_eq!(
+        faults.to_string(),
+        format!(
+            "m.jsonc:1:1: the text has {} bytes; allowed are at most 16777216",
+            text.len()
+        )
+    );
+}
+
 #[test]
 fn test_manifest_text_empty() {
     let faults = read_manifest("m.jsonc", "// nothing\n").unwrap_err();
--- a/server/src/control_process.rs
+++ b/server/src/control_process.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use heatherring_lib::clock::Clock;
+use heatherring_lib::manifest_text::MAX_MANIFEST_BYTES;
 use heatherring_lib::settings::ControlSettings;
 use snafu::ResultExt;
 use snafu::Snafu;
@@ -37,8 +38,8 @@
 use crate::session_service::SessionService;
 use crate::shutdown::Shutdown;
 
-/// Largest manifest that is taken, in bytes.
-const MAX_MANIFEST_BYTES: usize = 16 << 20;
+/// Largest submission that is taken, in bytes: a manifest and who submits it.
+const MAX_SUBMISSION_BYTES: usize = MAX_MANIFEST_BYTES + (64 << 10);
 
 /// Largest request of an entry VM, in bytes.
 const MAX_SYNC_BYTES: usize = 64 << 10;
@@ -207,7 +208,7 @@
                 .max_decoding_message_size(MAX_MESSAGE_BYTES)
                 .max_encoding_message_size(MAX_MESSAGE_BYTES),
             operators: OperatorServer::new(operators)
-                .max_decoding_message_size(MAX_MANIFEST_BYTES)
+                .max_decoding_message_size(MAX_SUBMISSION_BYTES)
                 .max_encoding_message_size(MAX_MESSAGE_BYTES),
             sessions: SessionServer::new(sessions)
                 .max_decoding_message_size(MAX_SYNC_BYTES)
