--- a/lib/src/admission.rs
+++ b/lib/src/admission.rs
@@ -42,6 +42,7 @@
 use crate::outcome::NotRunReason;
 use crate::ownership;
 use crate::ownership::Group;
+use crate::ownership::OwnerTable;
 use crate::ownership::Release;
 use crate::ownership::ReleasedWork;
 use crate::retry_advice::RetryAdvice;
@@ -152,11 +153,10 @@
     ) -> Vec<Effect> {
         self.last_tick.get_or_insert(now);
         let before = std::mem::replace(&mut self.view, Arc::clone(view));
-        let owned: BTreeSet<Group> = ownership::groups_of(view, self.session)
-            .into_iter()
-            .collect();
+        let owners = OwnerTable::of(view);
+        let owned: BTreeSet<Group> = owners.groups_of(self.session).collect();
         let mut effects = self.give_up_unless(now, &owned);
-        self.shifts.apply_view(view, step);
+        self.shifts.apply_view(view, &owners, step);
         // While no manifest was in force, nobody can have dispatched anything.
         let first_manifest =
             self.has_view && step == ViewStep::OneChange && before.manifest.is_none();
--- a/lib/src/lookup.rs
+++ b/lib/src/lookup.rs
@@ -17,6 +17,7 @@
 use crate::manifest::Manifest;
 use crate::outcome::NotRun;
 use crate::outcome::NotRunReason;
+use crate::ownership::OwnerTable;
 use crate::ownership::rendezvous_score;
 use crate::shift_budget::Sharing;
 use crate::shift_budget::Shift;
@@ -69,7 +70,8 @@
     /// Applies a view.
     pub fn apply_view(&mut self, view: &Arc<ControlView>, step: ViewStep) {
         self.view = Arc::clone(view);
-        self.shifts.apply_view(view, step);
+        // Look-ups are shared among all sessions, so no owner matters.
+        self.shifts.apply_view(view, &OwnerTable::default(), step);
     }
 
     /// Notes that `revision` is settled.
--- a/lib/src/ownership.rs
+++ b/lib/src/ownership.rs
@@ -5,6 +5,7 @@
 //! is found by rendezvous hashing, so a session that comes or goes moves only what it
 //! gains or owned.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -96,9 +97,7 @@
     service: &ServiceName,
     place: &PlaceName,
 ) -> Option<&'v EntrySession> {
-    eligible(view, place)
-        .into_iter()
-        .max_by_key(|session| rank(service, place, session))
+    best(&eligible(view, place), service, place)
 }
 
 /// Returns the sessions that may own backend servers at `place`: those of the place
@@ -124,21 +123,68 @@
     staying().collect()
 }
 
-/// Returns the groups that `session` owns in `view`, in order.
-#[must_use]
-pub fn groups_of(view: &ControlView, session: SessionId) -> Vec<Group> {
-    let Some(in_force) = &view.manifest else {
-        return Vec::new();
-    };
-    let mut groups = Vec::new();
-    for (name, service) in &in_force.manifest.services {
-        for place in service.limits.keys() {
-            if owner(view, name, place).is_some_and(|owner| owner.id == session) {
-                groups.push(Group::new(name.clone(), place.clone()));
+/// Holds the owners of all groups of one view, so that finding one costs no hashing.
+#[derive(Clone, Debug, Default)]
+pub struct OwnerTable {
+    owners: BTreeMap<ServiceName, BTreeMap<PlaceName, SessionId>>,
+}
+
+impl OwnerTable {
+    /// Finds the owners of all groups that the manifest in force has.
+    #[must_use]
+    pub fn of(view: &ControlView) -> Self {
+        let mut owners: BTreeMap<ServiceName, BTreeMap<PlaceName, SessionId>> = BTreeMap::new();
+        let Some(in_force) = &view.manifest else {
+            return Self { owners };
+        };
+        let manifest = &in_force.manifest;
+        for place in manifest.places.keys() {
+            let eligible = eligible(view, place);
+            for (name, service) in &manifest.services {
+                if !service.limits.contains_key(place) {
+                    continue;
+                }
+                if let Some(owner) = best(&eligible, name, place) {
+                    let places = owners.entry(name.clone()).or_default();
+                    places.insert(place.clone(), owner.id);
+                }
             }
         }
+        Self { owners }
+    }
+
+    /// Returns the owner of a group.
+    #[must_use]
+    pub fn owner(&self, service: &ServiceName, place: &PlaceName) -> Option<SessionId> {
+        self.owners.get(service)?.get(place).copied()
+    }
+
+    /// Returns the places at which a service has an owner, with the owner.
+    pub fn places(&self, service: &ServiceName) -> impl Iterator<Item = (&PlaceName, SessionId)> {
+        let places = self.owners.get(service).into_iter().flatten();
+        places.map(|(place, owner)| (place, *owner))
+    }
+
+    /// Returns the groups that `session` owns.
+    pub fn groups_of(&self, session: SessionId) -> impl Iterator<Item = Group> {
+        self.owners.iter().flat_map(move |(service, places)| {
+            places
+                .iter()
+                .filter(move |(_, owner)| **owner == session)
+                .map(|(place, _)| Group::new(service.clone(), place.clone()))
+        })
     }
-    groups
+}
+
+fn best<'v>(
+    eligible: &[&'v EntrySession],
+    service: &ServiceName,
+    place: &PlaceName,
+) -> Option<&'v EntrySession> {
+    eligible
+        .iter()
+        .copied()
+        .max_by_key(|session| rank(service, place, session))
 }
 
 fn rank(service: &ServiceName, place: &PlaceName, session: &EntrySession) -> (u64, SessionId) {
--- a/lib/src/shift_budget.rs
+++ b/lib/src/shift_budget.rs
@@ -17,7 +17,7 @@
 use crate::manifest::Scope;
 use crate::manifest::Service;
 use crate::manifest::ShiftCap;
-use crate::ownership;
+use crate::ownership::OwnerTable;
 use crate::settled_share::SettledShare;
 use crate::settled_share::split;
 use crate::usage_window::UsageWindow;
@@ -71,9 +71,9 @@
         }
     }
 
-    /// Applies a view.
-    pub fn apply_view(&mut self, view: &ControlView, step: ViewStep) {
-        let shares = self.shares(view);
+    /// Applies a view with its owners.
+    pub fn apply_view(&mut self, view: &ControlView, owners: &OwnerTable, step: ViewStep) {
+        let shares = self.shares(view, owners);
         let from_nothing = step == ViewStep::Whole || !self.has_view;
         for (key, share) in &shares {
             let budget = self.caps.entry(key.clone()).or_insert_with(|| CapBudget {
@@ -155,15 +155,15 @@
             .map(|(_, budget)| budget)
     }
 
-    fn shares(&self, view: &ControlView) -> BTreeMap<CapKey, u64> {
+    fn shares(&self, view: &ControlView, owners: &OwnerTable) -> BTreeMap<CapKey, u64> {
         let mut shares = BTreeMap::new();
         let Some(in_force) = &view.manifest else {
             return shares;
         };
         let manifest = &in_force.manifest;
-        for (name, service) in &manifest.services {
+        for name in manifest.services.keys() {
             for cap in &manifest.shift_caps {
-                let share = self.share_of(view, manifest, name, service, cap);
+                let share = self.share_of(view, owners, name, cap);
                 let key = CapKey {
                     service: name.clone(),
                     from: cap.from.clone(),
@@ -182,20 +182,23 @@
     fn share_of(
         &self,
         view: &ControlView,
-        manifest: &Manifest,
+        owners: &OwnerTable,
         name: &ServiceName,
-        service: &Service,
         cap: &ShiftCap,
     ) -> u64 {
-        let far = far_places(manifest, service, cap);
+        let Some(in_force) = &view.manifest else {
+            return 0;
+        };
+        let far = far_places(&in_force.manifest, &in_force.manifest.services[name], cap);
         let total = requests_per_second(cap, &far);
         match self.sharing {
             Sharing::Owners => {
                 let weights: Vec<u64> = far.iter().map(|(_, rate)| *rate).collect();
                 let parts = split(total, &weights);
+                let owned = |place| owners.owner(name, place) == Some(self.session);
                 far.iter()
                     .zip(parts)
-                    .filter(|((place, _), _)| self.owns(view, name, place))
+                    .filter(|((place, _), _)| owned(place))
                     .map(|(_, part)| part)
                     .sum()
             }
@@ -206,10 +209,6 @@
             }
         }
     }
-
-    fn owns(&self, view: &ControlView, service: &ServiceName, place: &PlaceName) -> bool {
-        ownership::owner(view, service, place).is_some_and(|owner| owner.id == self.session)
-    }
 }
 
 /// Describes where a request comes from and where it is to be served.
--- a/lib/src/steering.rs
+++ b/lib/src/steering.rs
@@ -21,11 +21,10 @@
 use crate::load_digest::GroupLoad;
 use crate::load_digest::LoadDigest;
 use crate::outcome::NotRunReason;
-use crate::ownership;
 use crate::ownership::Group;
+use crate::ownership::OwnerTable;
 use crate::pressure::Outlook;
 use crate::view::ControlView;
-use crate::view::EntrySession;
 
 /// Round trip assumed to an entry VM in the same region, until one is measured.
 const NEAR_ROUND_TRIP: Duration = Duration::from_millis(2);
@@ -66,6 +65,7 @@
 pub struct Steering {
     session: SessionId,
     view: Arc<ControlView>,
+    owners: OwnerTable,
     round_trips: BTreeMap<SessionId, Duration>,
     outlooks: BTreeMap<Group, Outlook>,
     serials: BTreeMap<SessionId, u64>,
@@ -97,6 +97,7 @@
         Self {
             session,
             view: Arc::default(),
+            owners: OwnerTable::default(),
             round_trips: BTreeMap::new(),
             outlooks: BTreeMap::new(),
             serials: BTreeMap::new(),
@@ -110,10 +111,11 @@
         let lives = |session: &SessionId| view.sessions.contains_key(session);
         self.round_trips.retain(|session, _| lives(session));
         self.serials.retain(|session, _| lives(session));
+        self.owners = OwnerTable::of(view);
         self.outlooks.retain(|group, outlook| {
-            let owner = ownership::owner(view, &group.service, &group.place);
+            let owner = self.owners.owner(&group.service, &group.place);
             if let Some(owner) = owner {
-                outlook.follow_owner(owner.id);
+                outlook.follow_owner(owner);
             }
             owner.is_some()
         });
@@ -128,8 +130,8 @@
         *serial = digest.serial;
         for load in &digest.loads {
             let group = &load.group;
-            let owner = ownership::owner(&self.view, &group.service, &group.place);
-            if owner.is_some_and(|owner| owner.id == digest.session) {
+            let owner = self.owners.owner(&group.service, &group.place);
+            if owner == Some(digest.session) {
                 let outlook = self.outlooks.entry(group.clone()).or_default();
                 outlook.take_load(now, digest.session, load);
             }
@@ -198,17 +200,22 @@
         let Some(in_force) = &view.manifest else {
             return Vec::new();
         };
-        let Some(service) = in_force.manifest.services.get(req.service) else {
-            return Vec::new();
-        };
         let places = &in_force.manifest.places;
         let region = |place: &PlaceName| places.get(place).map(|place| &place.region);
+        let own_region = view.sessions.get(&self.session).map(|own| &own.info.region);
         let mut rated = Vec::new();
-        for place in service.limits.keys() {
-            let Some(owner) = ownership::owner(&view, req.service, place) else {
+        for (place, owner) in self.owners.places(req.service) {
+            let Some(session) = view.sessions.get(&owner) else {
                 continue;
             };
-            let round_trip = self.round_trip(owner);
+            let assumed = if owner == self.session {
+                Duration::ZERO
+            } else if Some(&session.info.region) == own_region {
+                NEAR_ROUND_TRIP
+            } else {
+                FAR_ROUND_TRIP
+            };
+            let round_trip = self.round_trips.get(&owner).copied().unwrap_or(assumed);
             let group = Group::new(req.service.clone(), place.clone());
             let outlook = self.outlooks.entry(group.clone()).or_default();
             let in_time = round_trip + outlook.expected_time() <= req.left;
@@ -227,7 +234,7 @@
                 weight: outlook.likely_free(now),
                 candidate: Candidate {
                     group,
-                    owner: owner.id,
+                    owner,
                     origin: req.origin.clone(),
                 },
                 tier,
@@ -237,28 +244,20 @@
     }
 
     /// Moves a farther candidate to the front, with the chance by which the pressure of
-    /// the one in front exceeds its own.
+    /// the one in front exceeds its own. One draw decides for all: a draw for each would
+    /// multiply the traffic that moves for the same difference of pressure, and with it
+    /// the gain that [`crate::pressure`] counts on.
     fn divert(&mut self, rated: &mut [RatedCandidate]) {
-        for position in 1..rated.len() {
-            let excess = rated[0].pressure - rated[position].pressure;
-            if excess > HYSTERESIS && self.rng.random::<f64>() < excess {
-                rated[..=position].rotate_right(1);
-                return;
-            }
-        }
-    }
-
-    fn round_trip(&self, owner: &EntrySession) -> Duration {
-        if owner.id == self.session {
-            return Duration::ZERO;
-        }
-        let own = self.view.sessions.get(&self.session);
-        let same_region = own.is_some_and(|own| own.info.region == owner.info.region);
-        let assumed = if same_region {
-            NEAR_ROUND_TRIP
-        } else {
-            FAR_ROUND_TRIP
+        let draw: f64 = self.rng.random();
+        let Some((first, others)) = rated.split_first() else {
+            return;
+        };
+        let better = |other: &RatedCandidate| {
+            let excess = first.pressure - other.pressure;
+            excess > HYSTERESIS && draw < excess
         };
-        self.round_trips.get(&owner.id).copied().unwrap_or(assumed)
+        if let Some(position) = others.iter().position(better) {
+            rated[..=position + 1].rotate_right(1);
+        }
     }
 }
--- a/lib/tests/test_shift_budget.rs
+++ b/lib/tests/test_shift_budget.rs
@@ -26,6 +26,7 @@
 use heatherring_lib::manifest::PlaceLimit;
 use heatherring_lib::manifest::Scope;
 use heatherring_lib::manifest::ShiftCap;
+use heatherring_lib::ownership::OwnerTable;
 use heatherring_lib::settled_share::split;
 use heatherring_lib::shift_budget::Sharing;
 use heatherring_lib::shift_budget::Shift;
@@ -112,7 +113,7 @@
             }
 
             fn apply_view(&mut self, _: Instant, view: &Arc<ControlView>, step: ViewStep) {
-                self.0.apply_view(view, step);
+                self.0.apply_view(view, &OwnerTable::of(view), step);
             }
 
             fn settle(&mut self, now: Instant, revision: Revision) {
