steering: other regions only on refusals, and only where there is room

Cause: digests moved requests to another region, 70 ms there and back, to save a wait of 40 ms at most; and a refused request was tried there although all regions were full.

steering_model compares the core's decisions with four plainer ways under the same arrivals.

--- /dev/null
+++ b/lib/examples/steering_model/main.rs
@@ -0,0 +1,40 @@
+//! Compares ways to steer requests to backend servers, under the same arrivals.
+//!
+//! A deterministic model of entry VMs, backend servers and the delays between them; it
+//! drives the core's own admission and steering against simpler contenders. Run it with
+//! `cargo run --release -p heatherring-lib --example steering_model -- kyushu` (or
+//! `qazyna`); the figures in docs/design/steering.md come from it.
+
+mod direct;
+mod owners;
+mod report;
+mod world;
+
+use direct::Choice;
+use direct::Direct;
+use owners::Owners;
+use report::Report;
+use world::Deployment;
+use world::World;
+
+const LOADS: [f64; 4] = [0.5, 0.8, 0.95, 1.2];
+const SEED: u64 = 1;
+
+fn main() {
+    let name = std::env::args().nth(1).unwrap_or_else(|| "kyushu".into());
+    let deployment = match name.as_str() {
+        "qazyna" => Deployment::qazyna(),
+        _ => Deployment::kyushu(),
+    };
+    println!("{}", Report::HEAD);
+    for load in LOADS {
+        for choice in Choice::ALL {
+            let mut world = World::new(&deployment, load, SEED);
+            let report = Direct::new(&world, choice, SEED).run(&mut world);
+            println!("{}", report.line(load, choice.name()));
+        }
+        let mut world = World::new(&deployment, load, SEED);
+        let report = Owners::new(&world, SEED).run(&mut world);
+        println!("{}", report.line(load, "owners"));
+    }
+}
--- a/lib/src/pressure.rs
+++ b/lib/src/pressure.rs
@@ -28,6 +28,9 @@
 /// Share of the way to full pressure that a refusal goes.
 const REFUSAL_STEP: f64 = 0.05;
 
+/// Time in which the pressure by refusals halves.
+const REFUSALS_FADE: Duration = Duration::from_secs(1);
+
 /// Time in which pressure halves when nothing is heard of the group.
 const FORGETTING: Duration = Duration::from_secs(2);
 
@@ -45,7 +48,10 @@
 pub struct Outlook {
     owner: Option<SessionId>,
     load: Option<HeardLoad>,
-    pressure: f64,
+    /// Pressure by use, as digests tell.
+    use_pressure: f64,
+    /// Pressure by refusals, as this entry has met them.
+    refusal_pressure: f64,
     updated: Option<Instant>,
     unreachable_until: Option<Instant>,
     closed_origins: BTreeMap<PlaceName, Instant>,
@@ -94,13 +100,13 @@
                 self.closed_origins
                     .insert(origin.clone(), now + SHIFT_PAUSE);
             }
-            NotRunReason::NoBackendServer => self.pressure = 1.0,
+            NotRunReason::NoBackendServer => self.refusal_pressure = 1.0,
             NotRunReason::Overloaded
             | NotRunReason::DeadlineTooShort
             | NotRunReason::PlaceLimit
             | NotRunReason::BackendRefused
             | NotRunReason::BackendUnreachable => {
-                self.pressure += REFUSAL_STEP * (1.0 - self.pressure);
+                self.refusal_pressure += REFUSAL_STEP * (1.0 - self.refusal_pressure);
             }
             // The others tell nothing about the group's load.
             _ => {}
@@ -115,7 +121,13 @@
     /// Returns the pressure, from 0 to 1.
     pub fn pressure(&mut self, now: Instant) -> f64 {
         self.update(now);
-        self.pressure
+        self.use_pressure.max(self.refusal_pressure)
+    }
+
+    /// Returns the part of the pressure that comes from refusals, from 0 to 1.
+    pub fn refusal_pressure(&mut self, now: Instant) -> f64 {
+        self.update(now);
+        self.refusal_pressure
     }
 
     /// Tells whether a request from `origin` has any chance.
@@ -191,12 +203,17 @@
             let age = now.saturating_duration_since(heard.at);
             (heard.error(), GroupLoad::confidence(age))
         });
-        let halvings = passed * (1.0 - trust) / FORGETTING.as_secs_f64();
-        let forgotten = self.pressure * 0.5_f64.powf(halvings);
-        self.pressure = (forgotten + GAIN * error * trust * passed).clamp(0.0, 1.0);
+        let forgotten = self.use_pressure * halved(passed * (1.0 - trust), FORGETTING);
+        self.use_pressure = (forgotten + GAIN * error * trust * passed).clamp(0.0, 1.0);
+        self.refusal_pressure *= halved(passed, REFUSALS_FADE);
     }
 }
 
+/// Returns what is left after `seconds` of what halves within `half_life`.
+fn halved(seconds: f64, half_life: Duration) -> f64 {
+    0.5_f64.powf(seconds / half_life.as_secs_f64())
+}
+
 impl HeardLoad {
     fn error(&self) -> f64 {
         if self.load.slots == 0 {
--- a/lib/src/steering.rs
+++ b/lib/src/steering.rs
@@ -4,7 +4,7 @@
 //! only as far as its *pressure* exceeds that of another place. Pressure follows
 //! refusals, which are known at once, and digests, which may be old; digests move it
 //! slowly, so that entries that all see the same old digest don't move their traffic to
-//! and fro together.
+//! and fro together. To another region only refusals divert.
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -38,6 +38,10 @@
 /// Difference of pressure below which nothing is diverted.
 const HYSTERESIS: f64 = 0.05;
 
+/// Pressure up to which another region is asked after a refusal. Where it is hard to
+/// get served too, the try would only make the final refusal late by a round trip.
+const FAR_PRESSURE: f64 = 0.2;
+
 /// Describes a request that is to be steered.
 #[derive(Clone, Copy, Debug)]
 pub struct SteeringRequest<'a> {
@@ -86,10 +90,17 @@
     candidate: Candidate,
     tier: Tier,
     pressure: f64,
+    refusal_pressure: f64,
     /// Chance among those of the same tier.
     weight: f64,
 }
 
+impl RatedCandidate {
+    const fn is_near(&self) -> bool {
+        matches!(self.tier, Tier::Origin | Tier::Region)
+    }
+}
+
 impl Steering {
     /// Starts with no digest; `seed` drives the choice among near-equal owners.
     #[must_use]
@@ -155,6 +166,11 @@
         }
         rated.sort_by(|a, b| a.tier.cmp(&b.tier).then(b.weight.total_cmp(&a.weight)));
         self.divert(&mut rated);
+        let mut position = 0;
+        rated.retain(|option| {
+            position += 1;
+            position == 1 || option.is_near() || option.pressure <= FAR_PRESSURE
+        });
         rated.into_iter().map(|option| option.candidate).collect()
     }
 
@@ -231,6 +247,7 @@
             };
             rated.push(RatedCandidate {
                 pressure: outlook.pressure(now),
+                refusal_pressure: outlook.refusal_pressure(now),
                 weight: outlook.likely_free(now),
                 candidate: Candidate {
                     group,
@@ -253,7 +270,13 @@
             return;
         };
         let better = |other: &RatedCandidate| {
-            let excess = first.pressure - other.pressure;
+            // A wait for a slot is shorter than the way to another region and back, so
+            // only refusals send a request there.
+            let pressure = match other.tier {
+                Tier::Away(_) if first.tier != other.tier => first.refusal_pressure,
+                _ => first.pressure,
+            };
+            let excess = pressure - other.pressure;
             excess > HYSTERESIS && draw < excess
         };
         if let Some(position) = others.iter().position(better) {
--- a/lib/tests/test_admission.rs
+++ b/lib/tests/test_admission.rs
@@ -266,7 +266,7 @@
     }
     let mut owner = Owner::new(manifest);
     owner.announce(&ready("r1"));
-    assert_eq!(owner.fill(), 1);
+    assert_eq!(owner.admission.loads(owner.now)[0].slots, 1);
     owner.pass(1_900 * MS);
     owner.announce(&ready("r1"));
     owner.pass(200 * MS);
