entry: limits of the links between regions hold for what is forwarded

A forwarded request takes its bytes from this entry VM's share of the link before it is sent, and is refused as not run when the share is used up; the owner lets an answer to another region through as fast as its share allows, and breaks it off at the deadline. Not counted: what an owner exchanges with backend servers of another region, which happens only where that region has no entry VM, and refusals.

Without the check of requests, and without the pacing of answers, one test each fails.

--- a/lib/src/raft_log.rs
+++ b/lib/src/raft_log.rs
@@ -116,7 +116,7 @@
         let mut bytes = 0;
         let mut index = from;
         while let Some(entry) = self.entry(index) {
-            bytes += entry.size();
+            bytes += payload_bytes(&entry.payload);
             if bytes > max_bytes && !batch.is_empty() {
                 break;
             }
@@ -227,3 +227,12 @@
         self.memberships[self.memberships.len() - 1].0
     }
 }
+
+fn payload_bytes(payload: &LogPayload) -> usize {
+    /// Stands for the encoding around a command, and for a small membership.
+    const ENTRY_OVERHEAD_BYTES: usize = 64;
+    match payload {
+        LogPayload::Command(command) => command.len() + ENTRY_OVERHEAD_BYTES,
+        LogPayload::Noop | LogPayload::Membership(_) => ENTRY_OVERHEAD_BYTES,
+    }
+}
--- a/server/src/action_path.rs
+++ b/server/src/action_path.rs
@@ -225,7 +225,7 @@
     if hops > MAX_HOPS {
         return None;
     }
-    let address = cx.state.session(primary)?.info.forward;
+    let to = cx.state.session(primary)?.info;
     let head = ForwardHead {
         service: req.service.clone(),
         operation: req.operation()?.name.clone(),
@@ -237,7 +237,7 @@
     let now = cx.now();
     let sending = cx
         .forward
-        .send(address, &head, &req.outgoing, Attempt::new(), now);
+        .send(&to, &head, &req.outgoing, Attempt::new(), now);
     Some(sending.await)
 }
 
--- a/server/src/admission_task.rs
+++ b/server/src/admission_task.rs
@@ -49,6 +49,7 @@
 
 use crate::backend_pool::BackendPool;
 use crate::control_session::ControlEvent;
+use crate::link_task::LinkHandle;
 use crate::peer_client::PeerClients;
 
 /// Describes a request that asks its group's owner for a slot.
@@ -405,6 +406,7 @@
     waiting: HashMap<RequestToken, oneshot::Sender<Result<DispatchGuard, NotRun>>>,
     pool: BackendPool,
     peers: PeerClients,
+    links: LinkHandle,
     seed: u64,
 }
 
@@ -416,6 +418,7 @@
         events: mpsc::UnboundedReceiver<ControlEvent>,
         pool: BackendPool,
         peers: PeerClients,
+        links: LinkHandle,
         seed: u64,
     ) -> (Self, AdmissionHandle) {
         let (tx, rx) = mpsc::unbounded_channel();
@@ -428,6 +431,7 @@
             waiting: HashMap::new(),
             pool,
             peers,
+            links,
             seed,
         };
         let next_token = Arc::new(AtomicU64::new(1));
@@ -461,6 +465,8 @@
             let mut core = SessionCore::new(session, self.seed);
             let effects = core.apply_view(now, &view, ViewStep::Whole);
             self.core = Some(core);
+            self.links
+                .apply_view(session, Arc::clone(&view), ViewStep::Whole);
             self.peers.apply_view(session, view);
             self.carry_out(effects);
             return;
@@ -472,15 +478,22 @@
             ControlEvent::Opened { .. } => return,
             ControlEvent::Changed(view) => {
                 let effects = core.apply_view(now, &view, ViewStep::OneChange);
+                let step = ViewStep::OneChange;
+                self.links.apply_view(core.id, Arc::clone(&view), step);
                 self.peers.apply_view(core.id, view);
                 effects
             }
             ControlEvent::Replaced(view) => {
                 let effects = core.apply_view(now, &view, ViewStep::Whole);
+                let step = ViewStep::Whole;
+                self.links.apply_view(core.id, Arc::clone(&view), step);
                 self.peers.apply_view(core.id, view);
                 effects
             }
-            ControlEvent::Settled(revision) => core.settle(now, revision),
+            ControlEvent::Settled(revision) => {
+                self.links.settle(revision);
+                core.settle(now, revision)
+            }
             ControlEvent::Extended(until) => {
                 core.admission.extend_lease(until);
                 return;
--- a/server/src/entry_context.rs
+++ b/server/src/entry_context.rs
@@ -15,6 +15,7 @@
 use crate::decision_task::DecisionHandle;
 use crate::entry_state::EntryStateReader;
 use crate::forward_client::ForwardClients;
+use crate::link_task::LinkHandle;
 use crate::metrics::Metrics;
 use crate::peer_client::PeerClients;
 
@@ -37,6 +38,8 @@
     pub pool: BackendPool,
     /// Connections to other entry VMs, for requests.
     pub forward: ForwardClients,
+    /// Shares of the links to other regions.
+    pub links: LinkHandle,
     /// Channels to other entry VMs, for messages.
     pub peers: PeerClients,
     /// Recent decisions, for operators who ask why.
--- a/server/src/entry_process.rs
+++ b/server/src/entry_process.rs
@@ -28,6 +28,7 @@
 use crate::entry_state::EntryState;
 use crate::entry_state::EntryStateReader;
 use crate::forward_client::ForwardClients;
+use crate::link_task::LinkHandle;
 use crate::metrics;
 use crate::metrics::MetricsError;
 use crate::peer_client::PeerClients;
@@ -139,11 +140,13 @@
         let (round_trips, mut round_trips_rx) = mpsc::unbounded_channel();
         let pool = BackendPool::spawn();
         let peers = PeerClients::spawn(info.vm.clone(), security.clone(), round_trips);
+        let links = LinkHandle::spawn(info.region.clone(), Arc::clone(&clock));
         let (admission_task, admission) = AdmissionTask::new(
             Arc::clone(&clock),
             events_rx,
             pool.clone(),
             peers.clone(),
+            links.clone(),
             rand::random(),
         );
         tokio::spawn(admission_task.run());
@@ -180,7 +183,8 @@
             state,
             admission,
             pool,
-            forward: ForwardClients::spawn(security.clone()),
+            forward: ForwardClients::spawn(security.clone(), links.clone()),
+            links,
             peers,
             decisions: DecisionHandle::spawn(),
             metrics,
--- a/server/src/forward_client.rs
+++ b/server/src/forward_client.rs
@@ -7,6 +7,7 @@
 
 use bytes::Bytes;
 use heatherring_lib::id::PlaceName;
+use heatherring_lib::id::RegionName;
 use heatherring_lib::id::ServiceName;
 use heatherring_lib::id::SessionId;
 use heatherring_lib::outcome::Attempt;
@@ -14,6 +15,7 @@
 use heatherring_lib::outcome::Outcome;
 use heatherring_lib::outcome::UnknownReason;
 use heatherring_lib::outcome::Unsent;
+use heatherring_lib::view::EntryInfo;
 use http::HeaderValue;
 use http::Request;
 use http::Response;
@@ -38,6 +40,8 @@
 use crate::header;
 use crate::http_server::CONNECTION_WINDOW;
 use crate::http_server::STREAM_WINDOW;
+use crate::link_task;
+use crate::link_task::LinkHandle;
 use crate::peer_security::PeerSecurity;
 use crate::peer_security::PeerSecurityError;
 use crate::refusal;
@@ -111,13 +115,14 @@
 /// Reaches the task that owns the connections.
 #[derive(Clone, Debug)]
 pub struct ForwardClients {
+    links: LinkHandle,
     tx: mpsc::UnboundedSender<Message>,
 }
 
 impl ForwardClients {
     /// Starts the task, which ends with the last handle to it.
     #[must_use]
-    pub fn spawn(security: PeerSecurity) -> Self {
+    pub fn spawn(security: PeerSecurity, links: LinkHandle) -> Self {
         let (tx, rx) = mpsc::unbounded_channel();
         let task = ForwardTask {
             weak_tx: tx.downgrade(),
@@ -125,18 +130,19 @@
             peers: HashMap::new(),
         };
         tokio::spawn(task.run(rx));
-        Self { tx }
+        Self { links, tx }
     }
 
-    /// Sends a request to the entry VM at `address` and waits for the answer's head.
+    /// Sends a request to another entry VM, within the limit of the link there, and waits for the answer's head.
     pub async fn send(
         &self,
-        address: SocketAddr,
+        to: &EntryInfo,
         forward: &ForwardHead,
         req: &OutgoingRequest,
         attempt: Attempt<Unsent>,
         now: Instant,
     ) -> Outcome<Response<AnswerBody>> {
+        let address = to.forward;
         let deadline = req.deadline.into();
         let mut sender = match tokio::time::timeout_at(deadline, self.connect(address)).await {
             Ok(Ok(sender)) => sender,
@@ -146,9 +152,15 @@
             }
             Err(_) => return attempt.refuse(NotRunReason::DeadlineTooShort).into(),
         };
-        let Some(message) = to_message(address, forward, req, now) else {
+        let from = self.links.own_region();
+        let Some(message) = to_message(address, from, forward, req, now) else {
             return attempt.refuse(NotRunReason::MalformedRequest).into();
         };
+        let bytes = link_task::head_bytes(message.headers()) + req.body.len() as u64;
+        if let Err(wait) = self.links.try_send(&to.region, bytes).await {
+            let not_run = attempt.refuse(NotRunReason::LinkLimit);
+            return not_run.with_retry_after(wait).into();
+        }
         let sent = attempt.sending();
         let answering = sender.try_send_request(message);
         let response = match tokio::time::timeout_at(deadline + LAST_WORD, answering).await {
@@ -181,6 +193,7 @@
 
 fn to_message(
     address: SocketAddr,
+    from: &RegionName,
     forward: &ForwardHead,
     req: &OutgoingRequest,
     now: Instant,
@@ -195,6 +208,7 @@
     headers.insert(header::SERVICE, text(forward.service.as_str())?);
     headers.insert(header::OPERATION, text(&forward.operation)?);
     headers.insert(header::ORIGIN_PLACE, text(forward.origin.as_str())?);
+    headers.insert(header::FROM_REGION, text(from.as_str())?);
     headers.insert(header::SESSION, forward.session.0.into());
     headers.insert(header::HOPS, forward.hops.into());
     headers.insert(header::REQUEST_ID, text(&req.request_id)?);
--- a/server/src/forward_listener.rs
+++ b/server/src/forward_listener.rs
@@ -6,12 +6,15 @@
 use std::time::Instant;
 
 use heatherring_lib::id::PlaceName;
+use heatherring_lib::id::RegionName;
 use heatherring_lib::id::ServiceName;
 use heatherring_lib::id::SessionId;
 use heatherring_lib::outcome::Attempt;
 use heatherring_lib::outcome::NotRun;
 use heatherring_lib::outcome::NotRunReason;
 use heatherring_lib::outcome::Outcome;
+use heatherring_lib::outcome::Unknown;
+use heatherring_lib::outcome::UnknownReason;
 use heatherring_lib::ownership::Group;
 use http::HeaderMap;
 use http::HeaderName;
@@ -27,6 +30,7 @@
 use crate::forward_client::ForwardPurpose;
 use crate::header;
 use crate::http_server::Handler;
+use crate::link_task;
 use crate::owner_path;
 use crate::owner_path::SteeredRequest;
 use crate::refusal;
@@ -68,6 +72,9 @@
         let (parts, body) = req.into_parts();
         let head = parse(&parts.headers).ok_or_else(|| refuse(NotRunReason::MalformedRequest))?;
         let deadline = arrived + left(&parts.headers);
+        let from = text(&parts.headers, &header::FROM_REGION)
+            .map(RegionName::new)
+            .ok_or_else(|| refuse(NotRunReason::MalformedRequest))?;
         // A request meant for an earlier life of this VM must not be taken by this one.
         if self.cx.state.live_session() != Some(head.session) {
             return Err(refuse(NotRunReason::NotOwner).into());
@@ -97,7 +104,28 @@
             request_id,
             deadline,
         };
-        into_result(self.run(head, outgoing).await)
+        let response = into_result(self.run(head, outgoing).await)?;
+        self.pace(response, from, deadline).await
+    }
+
+    /// Holds an answer to another region to the limit of the link there.
+    async fn pace(
+        &self,
+        response: Response<AnswerBody>,
+        to: RegionName,
+        deadline: Instant,
+    ) -> Result<Response<AnswerBody>, Refused> {
+        let links = &self.cx.links;
+        if to == *links.own_region() {
+            return Ok(response);
+        }
+        let head = link_task::head_bytes(response.headers());
+        let permission = links.clone().send(to.clone(), head);
+        let permitted = tokio::time::timeout_at(deadline.into(), permission).await;
+        if permitted.is_err() {
+            return Err(Unknown::new(UnknownReason::DeadlinePassed).into());
+        }
+        Ok(response.map(|body| link_task::pace(body, links.clone(), to, deadline)))
     }
 
     async fn run(
--- a/server/src/header.rs
+++ b/server/src/header.rs
@@ -38,6 +38,9 @@
 /// The session of the entry VM that forwards; between entry VMs only.
 pub const SESSION: HeaderName = HeaderName::from_static("heatherring-session");
 
+/// The region that a forwarded request comes from; between entry VMs only.
+pub const FROM_REGION: HeaderName = HeaderName::from_static("heatherring-from-region");
+
 /// Why a forwarded request was refused; between entry VMs only.
 pub const REASON: HeaderName = HeaderName::from_static("heatherring-reason");
 
--- a/server/src/lib.rs
+++ b/server/src/lib.rs
@@ -46,6 +46,7 @@
 pub mod header;
 pub mod http_server;
 pub mod leader_relay;
+pub mod link_task;
 pub mod log_disk;
 pub mod log_record;
 pub mod log_replay;
--- a/server/src/request_path.rs
+++ b/server/src/request_path.rs
@@ -246,11 +246,10 @@
                 place: candidate.group.place.clone(),
             },
         };
-        let address = owner.info.forward;
         let now = self.cx.now();
         let forward = &self.cx.forward;
         forward
-            .send(address, &head, &self.req.outgoing, attempt, now)
+            .send(&owner.info, &head, &self.req.outgoing, attempt, now)
             .await
     }
 
--- a/server/tests/entry_support/mod.rs
+++ b/server/tests/entry_support/mod.rs
@@ -71,6 +71,11 @@
 pub const SERVICE: &str = "registry";
 pub const PLACE: &str = "place-a";
 pub const REGION: &str = "region";
+/// A place in another region, over narrow links; it serves nothing.
+pub const FAR_PLACE: &str = "far-place";
+const FAR_REGION: &str = "far-region";
+/// Bytes of the answer of [`Script::Large`]; many seconds on the narrow links.
+const LARGE: usize = 20_000;
 pub const DEADLINE_MS: u64 = 1_500;
 /// Time that [`Script::Slow`] takes; well below the deadline.
 const SLOW: Duration = Duration::from_millis(500);
@@ -84,7 +89,7 @@
     json!({
         "version": 1,
         "deployment": "test",
-        "places": {PLACE: {"region": REGION}, "place-b": {"region": REGION}},
+        "places": {PLACE: {"region": REGION}, "place-b": {"region": REGION}, FAR_PLACE: {"region": FAR_REGION}},
         "services": {SERVICE: {
             "operations": [{
                 "name": "read", "method": "GET", "path_prefix": "/",
@@ -95,6 +100,10 @@
             "warm_up_ms": 1,
             "limits": {PLACE: {"max_in_flight": 6, "max_per_second": 1000}},
         }},
+        "links": [
+            {"from": REGION, "to": FAR_REGION, "max_kilobytes_per_second": 1},
+            {"from": FAR_REGION, "to": REGION, "max_kilobytes_per_second": 1},
+        ],
         "client_blocks": [{"block": "127.0.0.0/8", "place": PLACE}],
         "look_ups": {"cache_ms": 100, "ticket_ms": 1000},
     })
@@ -352,6 +361,8 @@
     Refuse,
     /// The end of the connection instead of an answer.
     HangUp,
+    /// A whole answer of [`LARGE`] bytes.
+    Large,
     /// A whole answer after a time.
     Slow,
     /// No answer at all.
@@ -423,10 +434,13 @@
 
 /// Returns whether the connection goes on.
 async fn answer(stream: &mut TcpStream, script: Script, path: &str) -> bool {
-    let body = format!("answer to {path}");
+    let mut body = format!("answer to {path}");
+    if script == Script::Large {
+        body = "x".repeat(LARGE);
+    }
     let length = body.len();
     let text = match script {
-        Script::Whole | Script::Slow | Script::WholeThenClose => {
+        Script::Whole | Script::Large | Script::Slow | Script::WholeThenClose => {
             format!("HTTP/1.1 200 OK\r\ncontent-length: {length}\r\n\r\n{body}")
         }
         Script::Chunked => format!(
@@ -509,7 +523,11 @@
         EntrySettings {
             vm: VmName::new(format!("entry-{}", self.entries.len() + 1)),
             place: PlaceName::new(place),
-            region: RegionName::new(REGION),
+            region: RegionName::new(if place == FAR_PLACE {
+                FAR_REGION
+            } else {
+                REGION
+            }),
             listen: EntryListen {
                 callers: SocketAddr::new(ip, CALLERS_PORT),
                 backend_servers: SocketAddr::new(ip, BACKEND_SERVERS_PORT),
--- /dev/null
+++ b/server/tests/test_entry_links.rs
@@ -0,0 +1,53 @@
+//! Limits of the links between regions, held by the entry VMs that send over them.
+
+mod entry_support;
+
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use crate::entry_support::FAR_PLACE;
+use crate::entry_support::PLACE;
+use crate::entry_support::Reply;
+use crate::entry_support::Rig;
+use crate::entry_support::Script;
+use crate::entry_support::wait_until;
+
+const LEASE: Duration = Duration::from_secs(10);
+const NEAR: usize = 0;
+const FAR: usize = 1;
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn test_link_full_of_requests_refuses_more() {
+    let mut rig = Rig::start(&[PLACE, FAR_PLACE], LEASE).await;
+    let backend = rig.start_backend(&[Script::Whole]).await;
+    // Two such requests don't fit into one second of the link.
+    let path = format!("/{}", "long".repeat(150));
+    let is_refused = |reply: &Reply| {
+        reply.header("heatherring-outcome") == "not_run" && reply.json()["reason"] == "link_limit"
+    };
+    wait_until(async || {
+        let (first, second) = tokio::join!(rig.get(FAR, &path), rig.get(FAR, &path));
+        is_refused(&first) || is_refused(&second)
+    })
+    .await;
+    assert!(backend.requests.load(Ordering::SeqCst) > 0);
+    assert_eq!(rig.get(NEAR, "/near").await.text(), "answer to /near");
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn test_large_answer_takes_no_more_than_the_link() {
+    // Symptom: a link between regions carries more than its limit.
+    // Sequence: a backend server's answer is larger than the link carries before the
+    // request's deadline.
+    // Cause: only requests are counted, or an answer is counted after it was sent.
+    let mut rig = Rig::start(&[PLACE, FAR_PLACE], LEASE).await;
+    let _backend = rig.start_backend(&[Script::Large]).await;
+    let near = rig.get(NEAR, "/near").await;
+    assert_eq!(near.header("heatherring-outcome"), "answer");
+    near.body.expect("nothing limits it within the region");
+    // The connection may break before the head has left.
+    if let Ok(far) = rig.try_get(FAR, "/far").await {
+        far.body
+            .expect_err("the link can't have carried it in time");
+    }
+}
