--- a/server/examples/control_slope.rs
+++ b/server/examples/control_slope.rs
@@ -5,7 +5,6 @@
 //! `cargo build --release --bins && cargo run --release -p heatherring-server --example control_slope`.
 
 use std::error::Error;
-use std::fs;
 use std::net::SocketAddr;
 use std::path::Path;
 use std::sync::Arc;
@@ -31,6 +30,9 @@
 use heatherring_testutils::cluster::Cluster;
 use heatherring_testutils::cluster_plan::ClusterPlan;
 use heatherring_testutils::cluster_plan::VmPlan;
+use heatherring_testutils::process_usage::cpu_seconds;
+use heatherring_testutils::process_usage::fit;
+use heatherring_testutils::process_usage::rss_kb;
 use prost::Message;
 use serde_json::json;
 use tokio::task::JoinHandle;
@@ -46,8 +48,6 @@
 /// As long as a relay collects renewals.
 const BATCH_INTERVAL: Duration = Duration::from_millis(500);
 const SYNC_WAIT_MS: u32 = 500;
-/// Clock ticks a second in `/proc/*/stat`, which is fixed on Linux.
-const TICKS_PER_SECOND: f64 = 100.0;
 
 /// Counts what the stand-ins exchange with control.
 #[derive(Debug, Default)]
@@ -363,29 +363,6 @@
     })
 }
 
-fn cpu_seconds(pid: u32) -> AnyResult<f64> {
-    let stat = fs::read_to_string(format!("/proc/{pid}/stat"))?;
-    // The command's name, in parentheses, may hold spaces; fields count from behind it.
-    let fields: Vec<_> = stat
-        .rsplit_once(')')
-        .ok_or("unexpected stat")?
-        .1
-        .split_whitespace()
-        .collect();
-    let user: f64 = fields[11].parse()?;
-    let system: f64 = fields[12].parse()?;
-    Ok((user + system) / TICKS_PER_SECOND)
-}
-
-fn rss_kb(pid: u32) -> AnyResult<u64> {
-    let status = fs::read_to_string(format!("/proc/{pid}/status"))?;
-    let line = status
-        .lines()
-        .find(|line| line.starts_with("VmRSS:"))
-        .ok_or("no VmRSS")?;
-    Ok(line.split_whitespace().nth(1).ok_or("no value")?.parse()?)
-}
-
 #[expect(
     clippy::cast_precision_loss,
     reason = "counts of a short run fit a float's mantissa"
@@ -418,30 +395,7 @@
             (row.sessions as f64, core)
         })
         .collect();
-    let (slope, base, worst) = fit(&points);
+    let line = fit(&points);
     println!();
-    println!("idle core % = {base:.3} + {slope:.5} a session; largest error {worst:.2} points");
-}
-
-/// Fits a line by least squares; returns slope, offset and the largest error.
-#[expect(
-    clippy::cast_precision_loss,
-    reason = "a handful of points fits a float's mantissa"
-)]
-fn fit(points: &[(f64, f64)]) -> (f64, f64, f64) {
-    let count = points.len() as f64;
-    let mean_x = points.iter().map(|point| point.0).sum::<f64>() / count;
-    let mean_y = points.iter().map(|point| point.1).sum::<f64>() / count;
-    let covariance: f64 = points
-        .iter()
-        .map(|point| (point.0 - mean_x) * (point.1 - mean_y))
-        .sum();
-    let variance: f64 = points.iter().map(|point| (point.0 - mean_x).powi(2)).sum();
-    let slope = covariance / variance;
-    let base = mean_y - slope * mean_x;
-    let worst = points
-        .iter()
-        .map(|point| (point.1 - base - slope * point.0).abs())
-        .fold(0.0, f64::max);
-    (slope, base, worst)
+    println!("idle core % = {line} a session");
 }
--- a/testutils/src/lib.rs
+++ b/testutils/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod network;
 pub mod open_loop;
 pub mod process;
+pub mod process_usage;
 pub mod relay;
 pub mod request_history;
 pub mod service_time;
