control_session: renewals don't repeat where the VM is

Cause: a renewal and its answer take about 110 bytes (219 B/s a session at two calls a second), half of which is the entry's info, which only opening a session needs. A typed subject tells the two apart.

--- a/server/examples/control_slope.rs
+++ b/server/examples/control_slope.rs
@@ -304,6 +304,7 @@
 fn follow(request: &mut SyncRequest, reply: &SyncReply) -> AnyResult<()> {
     request.cluster_id.clone_from(&reply.cluster_id);
     request.session = reply.session;
+    request.entry_encoded.clear();
     request.wait_ms = SYNC_WAIT_MS;
     request.known_settled = reply.settled_revision;
     if !reply.view_encoded.is_empty() {
--- a/server/src/control_session.rs
+++ b/server/src/control_session.rs
@@ -215,7 +215,7 @@
                 .state
                 .cluster
                 .map_or_else(Vec::new, |cluster| cluster.0.to_vec()),
-            entry_encoded: postcard::to_stdvec(&self.info).unwrap_or_default(),
+            entry_encoded: self.entry_encoded(session),
             session: session.unwrap_or_default().0,
             applied_revision: applied.0,
             known_settled: self.state.settled.0,
@@ -225,6 +225,14 @@
         }
     }
 
+    /// Tells control where this VM is when it opens a session, and not again.
+    fn entry_encoded(&self, session: Option<SessionId>) -> Vec<u8> {
+        if session.is_some() {
+            return Vec::new();
+        }
+        postcard::to_stdvec(&self.info).unwrap_or_default()
+    }
+
     fn is_leaving_in_view(&self) -> bool {
         self.state
             .lease
--- a/server/src/node_request.rs
+++ b/server/src/node_request.rs
@@ -95,10 +95,8 @@
 /// Holds an entry VM's request to renew its session or to open one.
 #[derive(Clone, Debug)]
 pub struct SyncCall {
-    /// The entry VM.
-    pub entry: EntryInfo,
-    /// The session; none to open one.
-    pub session: Option<SessionId>,
+    /// What is asked for.
+    pub subject: SyncSubject,
     /// The last revision that the entry has applied; 0 asks for the whole view.
     pub applied: Revision,
     /// The highest settled revision that the entry knows.
@@ -111,6 +109,27 @@
     pub closing: bool,
 }
 
+impl SyncCall {
+    /// Returns the session that is to be renewed, if the request opens none.
+    #[must_use]
+    pub const fn session(&self) -> Option<SessionId> {
+        match self.subject {
+            SyncSubject::Open(_) => None,
+            SyncSubject::Renew(session) => Some(session),
+        }
+    }
+}
+
+/// Tells what an entry VM asks for. Renewals, which come every second or so, don't say
+/// again where the VM is: that would be a good half of their size.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum SyncSubject {
+    /// A session for this entry VM.
+    Open(EntryInfo),
+    /// A longer lease for this session.
+    Renew(SessionId),
+}
+
 /// Answers a [`SyncCall`].
 #[derive(Debug)]
 pub enum SyncAnswer {
--- a/server/src/session_desk.rs
+++ b/server/src/session_desk.rs
@@ -22,6 +22,7 @@
 use crate::node_request::LeaderLink;
 use crate::node_request::SyncAnswer;
 use crate::node_request::SyncCall;
+use crate::node_request::SyncSubject;
 
 /// Share of the lease for which an answer may be held back. What is left of the lease
 /// when the answer arrives must outlast the next request.
@@ -204,9 +205,12 @@
             held.not_current(None);
             return Verdict::Done;
         }
-        let Some(id) = held.call.session else {
-            let open = CommandKind::OpenSession(held.call.entry.clone());
-            return Verdict::Propose(Box::new(open), held);
+        let id = match &held.call.subject {
+            SyncSubject::Open(entry) => {
+                let open = CommandKind::OpenSession(entry.clone());
+                return Verdict::Propose(Box::new(open), held);
+            }
+            SyncSubject::Renew(session) => *session,
         };
         let Some(session) = state.view().sessions.get(&id) else {
             held.answer(SyncAnswer::Lost);
@@ -251,7 +255,7 @@
     pub fn is_urgent(&self, held: &HeldSync) -> bool {
         let call = &held.call;
         let hurry = call.wait.is_zero() || call.leaving || call.closing;
-        let session = call.session;
+        let session = call.session();
         hurry || session.is_none_or(|session| self.is_newer(session, call.applied))
     }
 
@@ -296,7 +300,7 @@
     pub fn committed(&mut self, held: HeldSync, response: &Response, state: &ControlState) {
         let session = match response {
             Response::SessionOpened(session) => Some(*session),
-            Response::Done => held.call.session,
+            Response::Done => held.call.session(),
             Response::Submission(_) | Response::UnknownSession => None,
         };
         match session {
@@ -321,7 +325,7 @@
         let settled = self.settled(state);
         let newest = state.view().revision;
         for held in std::mem::take(&mut self.held) {
-            match held.call.session {
+            match held.call.session() {
                 Some(session) if has_news(&held, newest, settled) || self.due_at(&held) <= now => {
                     grant(held, session, settled, state);
                 }
--- a/server/src/session_service.rs
+++ b/server/src/session_service.rs
@@ -9,7 +9,6 @@
 use heatherring_lib::session_relay::Acknowledgement;
 use heatherring_lib::session_relay::BatchGrant;
 use heatherring_lib::settings::ControlTiming;
-use heatherring_lib::view::EntryInfo;
 use serde::Serialize;
 use tonic::Request;
 use tonic::Response;
@@ -23,6 +22,7 @@
 use crate::node_request::NodeHandle;
 use crate::node_request::SyncAnswer;
 use crate::node_request::SyncCall;
+use crate::node_request::SyncSubject;
 use crate::proto;
 use crate::proto::SyncBatchReply;
 use crate::proto::SyncBatchRequest;
@@ -122,11 +122,15 @@
 }
 
 fn sync_call(request: &SyncRequest) -> Result<SyncCall, Status> {
-    let entry: EntryInfo = postcard::from_bytes(&request.entry_encoded)
-        .map_err(|_| Status::invalid_argument("entry_encoded can't be decoded"))?;
+    let subject = if request.session == 0 {
+        let entry = postcard::from_bytes(&request.entry_encoded)
+            .map_err(|_| Status::invalid_argument("entry_encoded can't be decoded"))?;
+        SyncSubject::Open(entry)
+    } else {
+        SyncSubject::Renew(SessionId(request.session))
+    };
     Ok(SyncCall {
-        entry,
-        session: (request.session != 0).then_some(SessionId(request.session)),
+        subject,
         applied: Revision(request.applied_revision),
         known_settled: Revision(request.known_settled),
         wait: Duration::from_millis(request.wait_ms.into()),
