cli: one set of constructors of errors, names checked beside their types

control, entry and demo each had their own constructors of CliError. The rule of names moves from the check of form to the module of names, since others use it too.

--- a/cli/src/cli_error.rs
+++ b/cli/src/cli_error.rs
@@ -2,6 +2,7 @@
 
 use std::error::Error;
 
+use heatherring_lib::config_fault::ConfigFaults;
 use snafu::Snafu;
 
 /// Exit code: the cluster refused what was asked, for example a version conflict.
@@ -112,3 +113,9 @@
         }
     }
 }
+
+impl From<ConfigFaults> for CliError {
+    fn from(faults: ConfigFaults) -> Self {
+        Self::user(faults.to_string())
+    }
+}
--- a/cli/src/commands/check.rs
+++ b/cli/src/commands/check.rs
@@ -82,13 +82,11 @@
     match kind(matches, &input)? {
         ConfigKind::Manifest => check_manifest(matches, &input),
         ConfigKind::ControlSettings => {
-            let settings = read_control_settings(&input.name, &input.text)
-                .map_err(|faults| CliError::user(faults.to_string()))?;
+            let settings = read_control_settings(&input.name, &input.text)?;
             check_settings(matches, &input, &settings.place, &settings.region)
         }
         ConfigKind::EntrySettings => {
-            let settings = read_entry_settings(&input.name, &input.text)
-                .map_err(|faults| CliError::user(faults.to_string()))?;
+            let settings = read_entry_settings(&input.name, &input.text)?;
             check_settings(matches, &input, &settings.place, &settings.region)
         }
     }
@@ -99,8 +97,7 @@
         Some("manifest") => Ok(ConfigKind::Manifest),
         Some("control") => Ok(ConfigKind::ControlSettings),
         Some("entry") => Ok(ConfigKind::EntrySettings),
-        _ => config_kind(&input.name, &input.text)
-            .map_err(|faults| CliError::user(faults.to_string())),
+        _ => config_kind(&input.name, &input.text).map_err(CliError::from),
     }
 }
 
@@ -149,8 +146,7 @@
     region: &RegionName,
 ) -> Result<(), CliError> {
     if let Some(manifest) = compared_manifest(matches)? {
-        check_place_in(&input.name, &input.text, place, region, &manifest)
-            .map_err(|faults| CliError::user(faults.to_string()))?;
+        check_place_in(&input.name, &input.text, place, region, &manifest)?;
     }
     if output_format(matches) == OutputFormat::Json {
         return print_json(&json!({
--- a/cli/src/commands/control.rs
+++ b/cli/src/commands/control.rs
@@ -1,6 +1,5 @@
 //! `heatherring control`: runs a control replica, and formats its data folder.
 
-use std::error::Error;
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::sync::Arc;
@@ -150,9 +149,9 @@
 fn run_replica(matches: &ArgMatches) -> Result<(), CliError> {
     let input = read_settings_file(matches)?;
     let settings = parse_settings(&input)?;
-    logging::start(settings.log.level).map_err(internal)?;
+    logging::start(settings.log.level).map_err(CliError::internal)?;
     runtime()?.block_on(async {
-        let shutdown = Shutdown::on_signals().map_err(internal)?;
+        let shutdown = Shutdown::on_signals().map_err(CliError::internal)?;
         let replica = run_control(settings, Arc::new(SystemClock), shutdown);
         replica.await.map_err(|error| control_error(&input, error))
     })
@@ -170,49 +169,30 @@
 }
 
 fn parse_settings(input: &Input) -> Result<ControlSettings, CliError> {
-    read_control_settings(&input.name, &input.text).map_err(|faults| user(faults.to_string()))
+    read_control_settings(&input.name, &input.text).map_err(CliError::from)
 }
 
 fn runtime() -> Result<Runtime, CliError> {
-    Runtime::new().map_err(internal)
-}
-
-fn user(message: impl Into<String>) -> CliError {
-    CliError::User {
-        message: message.into(),
-        hint: None,
-    }
-}
-
-fn internal(source: impl Error + Send + Sync + 'static) -> CliError {
-    CliError::Internal {
-        source: Box::new(source),
-    }
+    Runtime::new().map_err(CliError::internal)
 }
 
 fn format_error(error: FormatError) -> CliError {
     let message = error.to_string();
     match error {
-        FormatError::Folder { source, .. } if !source.is_user_error() => internal(source),
+        FormatError::Folder { source, .. } if !source.is_user_error() => CliError::internal(source),
         FormatError::Folder { .. } | FormatError::Security { .. } | FormatError::NoAddress => {
-            user(message)
+            CliError::user(message)
         }
-        FormatError::Refused { .. } => CliError::Refused {
-            message,
-            hint: None,
-        },
+        FormatError::Refused { .. } => CliError::refused(message),
         FormatError::Connect { .. }
         | FormatError::NoAnswer { .. }
-        | FormatError::ClusterIdentity => CliError::Unavailable {
-            message,
-            hint: None,
-        },
+        | FormatError::ClusterIdentity => CliError::unavailable(message),
     }
 }
 
 fn control_error(input: &Input, error: ControlError) -> CliError {
     if !error.is_user_error() {
-        return internal(error);
+        return CliError::internal(error);
     }
     let (field, allowed) = match error {
         ControlError::Folder { .. } => (
--- a/cli/src/commands/demo.rs
+++ b/cli/src/commands/demo.rs
@@ -31,10 +31,10 @@
 ///
 /// Fails if a port is taken or a part of the demo fails.
 pub fn run(_matches: &ArgMatches) -> Result<(), CliError> {
-    logging::start(LogLevel::Warn).map_err(internal)?;
-    let runtime = Runtime::new().map_err(internal)?;
+    logging::start(LogLevel::Warn).map_err(CliError::internal)?;
+    let runtime = Runtime::new().map_err(CliError::internal)?;
     runtime.block_on(async {
-        let shutdown = Shutdown::on_signals().map_err(internal)?;
+        let shutdown = Shutdown::on_signals().map_err(CliError::internal)?;
         let demo = run_demo(Arc::new(SystemClock), shutdown, print);
         demo.await.map_err(demo_error)
     })
@@ -49,16 +49,8 @@
 
 fn demo_error(error: DemoError) -> CliError {
     if error.is_user_error() {
-        return CliError::User {
-            message: error.to_string(),
-            hint: Some("another demo may be running; end it first".to_owned()),
-        };
-    }
-    internal(error)
-}
-
-fn internal(source: impl std::error::Error + Send + Sync + 'static) -> CliError {
-    CliError::Internal {
-        source: Box::new(source),
+        return CliError::user(error.to_string())
+            .with_hint("another demo may be running; end it first");
     }
+    CliError::internal(error)
 }
--- a/cli/src/commands/entry.rs
+++ b/cli/src/commands/entry.rs
@@ -53,22 +53,22 @@
 pub fn run(matches: &ArgMatches) -> Result<(), CliError> {
     let input = read_settings_file(matches)?;
     let settings = parse_settings(&input)?;
-    logging::start(settings.log.level).map_err(internal)?;
-    let runtime = Runtime::new().map_err(internal)?;
+    logging::start(settings.log.level).map_err(CliError::internal)?;
+    let runtime = Runtime::new().map_err(CliError::internal)?;
     runtime.block_on(async {
-        let shutdown = Shutdown::on_signals().map_err(internal)?;
+        let shutdown = Shutdown::on_signals().map_err(CliError::internal)?;
         let entry = run_entry(settings, Arc::new(SystemClock), shutdown);
         entry.await.map_err(|error| entry_error(&input, error))
     })
 }
 
 fn parse_settings(input: &Input) -> Result<EntrySettings, CliError> {
-    read_entry_settings(&input.name, &input.text).map_err(|faults| user(faults.to_string()))
+    read_entry_settings(&input.name, &input.text).map_err(CliError::from)
 }
 
 fn entry_error(input: &Input, error: EntryError) -> CliError {
     if !error.is_user_error() {
-        return internal(error);
+        return CliError::internal(error);
     }
     let root = ConfigPath::root();
     let (field, allowed) = match &error {
@@ -83,16 +83,3 @@
     };
     fault_at(input, &field, &error.to_string(), allowed)
 }
-
-fn user(message: impl Into<String>) -> CliError {
-    CliError::User {
-        message: message.into(),
-        hint: None,
-    }
-}
-
-fn internal(source: impl std::error::Error + Send + Sync + 'static) -> CliError {
-    CliError::Internal {
-        source: Box::new(source),
-    }
-}
--- a/cli/src/input.rs
+++ b/cli/src/input.rs
@@ -51,5 +51,5 @@
 
 /// Reads and checks a manifest.
 pub fn checked_manifest(input: &Input) -> Result<Manifest, CliError> {
-    read_manifest(&input.name, &input.text).map_err(|faults| CliError::user(faults.to_string()))
+    read_manifest(&input.name, &input.text).map_err(CliError::from)
 }
--- a/lib/src/config_fault.rs
+++ b/lib/src/config_fault.rs
@@ -4,6 +4,7 @@
 
 use snafu::Snafu;
 
+use crate::id::MAX_NAME_LENGTH;
 use crate::manifest_check::ManifestProblem;
 use crate::settings_check::SettingsProblem;
 
@@ -86,7 +87,7 @@
     },
     /// A string that isn't empty.
     NonEmpty,
-    /// A name: see [`MAX_NAME_LENGTH`].
+    /// A name, as [`crate::id::is_name`] has it.
     Name,
     /// An IP address with a port.
     SocketAddress,
@@ -98,9 +99,6 @@
     AtLeast(u64),
 }
 
-/// Characters that a name may have.
-pub const MAX_NAME_LENGTH: usize = 63;
-
 impl fmt::Display for Allowed {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
--- a/lib/src/config_schema.rs
+++ b/lib/src/config_schema.rs
@@ -22,7 +22,7 @@
 use crate::config_fault::ConfigFault;
 use crate::config_fault::ConfigProblem;
 use crate::config_fault::Kind;
-use crate::config_fault::MAX_NAME_LENGTH;
+use crate::id::is_name;
 use crate::manifest::BlockPrefix;
 use crate::nearest_name::nearest_name;
 
@@ -44,19 +44,6 @@
     checker.faults
 }
 
-/// Tells whether a text may serve as a name.
-#[must_use]
-pub fn is_name(text: &str) -> bool {
-    let first_fits = text
-        .bytes()
-        .next()
-        .is_some_and(|byte| byte.is_ascii_alphanumeric());
-    let all_fit = text
-        .bytes()
-        .all(|byte| byte.is_ascii_alphanumeric() || b"-_.".contains(&byte));
-    first_fits && all_fit && text.len() <= MAX_NAME_LENGTH
-}
-
 struct Checker<'a> {
     document: &'a Document<'a>,
     definitions: Option<&'a Json>,
--- a/lib/src/id.rs
+++ b/lib/src/id.rs
@@ -6,6 +6,22 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+/// Characters that a name may have.
+pub const MAX_NAME_LENGTH: usize = 63;
+
+/// Tells whether a text may serve as a name.
+#[must_use]
+pub fn is_name(text: &str) -> bool {
+    let first_fits = text
+        .bytes()
+        .next()
+        .is_some_and(|byte| byte.is_ascii_alphanumeric());
+    let all_fit = text
+        .bytes()
+        .all(|byte| byte.is_ascii_alphanumeric() || b"-_.".contains(&byte));
+    first_fits && all_fit && text.len() <= MAX_NAME_LENGTH
+}
+
 macro_rules! name_type {
     ($(#[$doc:meta])* $name:ident) => {
         $(#[$doc])*
--- a/server/src/decision_note.rs
+++ b/server/src/decision_note.rs
@@ -1,7 +1,6 @@
 //! Notes the decisions on requests, with their inputs.
 
 use heatherring_lib::clock::unix_ms;
-use heatherring_lib::config_schema::is_name;
 use heatherring_lib::decision_record::Decision;
 use heatherring_lib::decision_record::DecisionRecord;
 use heatherring_lib::decision_record::Distance;
@@ -15,6 +14,7 @@
 use heatherring_lib::decision_record::whole_ms;
 use heatherring_lib::id::PlaceName;
 use heatherring_lib::id::ServiceName;
+use heatherring_lib::id::is_name;
 use heatherring_lib::lookup::LookupAnswer;
 use heatherring_lib::manifest::Manifest;
 use heatherring_lib::outcome::Outcome;
