--- a/lib/src/raft.rs
+++ b/lib/src/raft.rs
@@ -217,6 +217,13 @@
         self.log.snapshot_index()
     }
 
+    /// Returns about how many bytes of entries follow the latest snapshot, all of them in
+    /// memory. [`Input::Compact`] lets go of them.
+    #[must_use]
+    pub fn bytes_since_snapshot(&self) -> usize {
+        self.log.bytes_since_snapshot()
+    }
+
     /// Returns how far each other replica has got; empty unless this one leads.
     #[must_use]
     pub fn progress(&self) -> Vec<ReplicaProgress> {
--- a/lib/src/raft_log.rs
+++ b/lib/src/raft_log.rs
@@ -17,7 +17,11 @@
 
 /// Entries before a snapshot that stay in memory, so that a replica which is only a
 /// little behind needs no snapshot.
-const TRAILING_ENTRIES: u64 = 256;
+const TRAILING_ENTRIES: usize = 256;
+
+/// Bound on the bytes of these entries. By their number alone, a few hundred large
+/// manifests would stay in memory.
+const TRAILING_BYTES: usize = 4 << 20;
 
 /// Holds the log in memory, as it is on disk once the writes so far are synced.
 #[derive(Debug)]
@@ -116,7 +120,7 @@
         let mut bytes = 0;
         let mut index = from;
         while let Some(entry) = self.entry(index) {
-            bytes += payload_bytes(&entry.payload);
+            bytes += entry.size();
             if bytes > max_bytes && !batch.is_empty() {
                 break;
             }
@@ -181,9 +185,9 @@
     }
 
     fn drop_old_entries(&mut self) {
-        let keep_after = self.snapshot_index().0.saturating_sub(TRAILING_ENTRIES);
+        let keep_from = self.first_to_keep();
         while let Some(first) = self.entries.front() {
-            if first.index.0 > keep_after {
+            if first.index >= keep_from {
                 break;
             }
             self.base = Position {
@@ -194,6 +198,32 @@
         }
     }
 
+    /// Returns the first position that stays in memory, at or before the snapshot's.
+    fn first_to_keep(&self) -> Revision {
+        let covered = self.snapshot_index();
+        let mut bytes = 0;
+        let trailing = self
+            .entries
+            .iter()
+            .rev()
+            .skip_while(|entry| entry.index > covered)
+            .take(TRAILING_ENTRIES)
+            .take_while(|entry| {
+                bytes += entry.size();
+                bytes <= TRAILING_BYTES
+            });
+        let first = trailing.last();
+        first.map_or(covered.next(), |entry| entry.index)
+    }
+
+    /// Returns the bytes of the entries after the snapshot.
+    pub fn bytes_since_snapshot(&self) -> usize {
+        let covered = self.snapshot_index();
+        let since = self.entries.iter().rev();
+        let since = since.take_while(|entry| entry.index > covered);
+        since.map(LogEntry::size).sum()
+    }
+
     /// Replaces the whole log by a snapshot.
     pub fn restore(&mut self, snapshot: Arc<Snapshot>) {
         self.entries.clear();
@@ -227,12 +257,3 @@
         self.memberships[self.memberships.len() - 1].0
     }
 }
-
-fn payload_bytes(payload: &LogPayload) -> usize {
-    /// Stands for the encoding around a command, and for a small membership.
-    const ENTRY_OVERHEAD_BYTES: usize = 64;
-    match payload {
-        LogPayload::Command(command) => command.len() + ENTRY_OVERHEAD_BYTES,
-        LogPayload::Noop | LogPayload::Membership(_) => ENTRY_OVERHEAD_BYTES,
-    }
-}
--- a/lib/src/raft_message.rs
+++ b/lib/src/raft_message.rs
@@ -27,6 +27,19 @@
     pub payload: LogPayload,
 }
 
+impl LogEntry {
+    /// Returns about how many bytes the entry takes in a message.
+    #[must_use]
+    pub fn size(&self) -> usize {
+        /// Stands for the encoding around a command, and for a small membership.
+        const OVERHEAD_BYTES: usize = 64;
+        match &self.payload {
+            LogPayload::Command(command) => command.len() + OVERHEAD_BYTES,
+            LogPayload::Noop | LogPayload::Membership(_) => OVERHEAD_BYTES,
+        }
+    }
+}
+
 /// Tells what a log entry holds.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum LogPayload {
--- a/lib/src/raft_pending.rs
+++ b/lib/src/raft_pending.rs
@@ -10,6 +10,19 @@
 use crate::raft_effects::Token;
 use crate::raft_message::LogEntry;
 
+/// Bound on the proposals that wait for their commitment.
+const MAX_PROPOSALS: usize = 4_096;
+
+/// Bound on their bytes. While a majority is slow, everything proposed stays in memory.
+const MAX_BYTES: usize = 64 << 20;
+
+/// Holds one request.
+#[derive(Clone, Copy, Debug)]
+struct Waiting {
+    token: Token,
+    bytes: usize,
+}
+
 /// Holds the requests that wait for an entry, by its position and term.
 ///
 /// They outlive leadership for a while: the next leader may commit an entry or another
@@ -21,25 +34,31 @@
 /// term at the position, or before it, proves that the entry is gone.
 #[derive(Debug, Default)]
 pub(crate) struct PendingProposals {
-    tokens: BTreeMap<(Revision, Term), Token>,
+    tokens: BTreeMap<(Revision, Term), Waiting>,
+    /// Bytes of all that waits.
+    bytes: usize,
     /// Term of the last committed entry.
     committed_term: Term,
     expires: Option<Instant>,
 }
 
 impl PendingProposals {
-    pub fn insert(&mut self, index: Revision, term: Term, token: Token) {
-        self.tokens.insert((index, term), token);
+    pub fn insert(&mut self, index: Revision, term: Term, token: Token, bytes: usize) {
+        self.bytes += bytes;
+        self.tokens.insert((index, term), Waiting { token, bytes });
     }
 
-    pub fn len(&self) -> usize {
-        self.tokens.len()
+    /// Returns whether so much waits that no more should be taken.
+    pub fn is_full(&self) -> bool {
+        self.tokens.len() >= MAX_PROPOSALS || self.bytes >= MAX_BYTES
     }
 
     /// Answers the requests whose outcome a newly committed entry proves.
     pub fn commit(&mut self, entry: &LogEntry, answers: &mut Vec<Answer>) {
         let index = entry.index;
-        if let Some(token) = self.tokens.remove(&(index, entry.term)) {
+        if let Some(waiting) = self.tokens.remove(&(index, entry.term)) {
+            self.bytes -= waiting.bytes;
+            let token = waiting.token;
             answers.push(Answer::Committed { token, index });
         }
         if entry.term == self.committed_term {
@@ -49,9 +68,11 @@
         // on. Within one term nothing is replaced.
         self.committed_term = entry.term;
         let current = entry.term;
-        self.tokens.retain(|(_, term), token| {
+        let bytes = &mut self.bytes;
+        self.tokens.retain(|(_, term), waiting| {
             if *term < current {
-                answers.push(refused(*token, Refusal::Overwritten));
+                *bytes -= waiting.bytes;
+                answers.push(refused(waiting.token, Refusal::Overwritten));
             }
             *term >= current
         });
@@ -62,7 +83,7 @@
     pub fn cover(&mut self, through: Revision, answers: &mut Vec<Answer>) {
         let kept = self.tokens.split_off(&(through.next(), Term(0)));
         let covered = std::mem::replace(&mut self.tokens, kept);
-        refuse_unknown(covered, answers);
+        self.refuse_unknown(covered, answers);
     }
 
     /// Lets the requests wait until `deadline` for a later leader.
@@ -84,7 +105,18 @@
         }
         self.expires = None;
         let expired = std::mem::take(&mut self.tokens);
-        refuse_unknown(expired, answers);
+        self.refuse_unknown(expired, answers);
+    }
+
+    fn refuse_unknown(
+        &mut self,
+        gone: BTreeMap<(Revision, Term), Waiting>,
+        answers: &mut Vec<Answer>,
+    ) {
+        for waiting in gone.into_values() {
+            self.bytes -= waiting.bytes;
+            answers.push(refused(waiting.token, Refusal::LeadershipLost));
+        }
     }
 
     pub fn expires(&self) -> Option<Instant> {
@@ -92,11 +124,6 @@
     }
 }
 
-fn refuse_unknown(tokens: BTreeMap<(Revision, Term), Token>, answers: &mut Vec<Answer>) {
-    let tokens = tokens.into_values();
-    answers.extend(tokens.map(|token| refused(token, Refusal::LeadershipLost)));
-}
-
 fn refused(token: Token, reason: Refusal) -> Answer {
     Answer::Refused { token, reason }
 }
--- a/lib/src/raft_progress.rs
+++ b/lib/src/raft_progress.rs
@@ -19,6 +19,10 @@
 /// Bound on the appends with entries that are on their way to one replica.
 const MAX_IN_FLIGHT: usize = 16;
 
+/// Bound on the bytes that are on their way to one replica, in full appends. Without
+/// it, large entries would fill the memory of a process whose peer is slow.
+const MAX_IN_FLIGHT_FULL: usize = 4;
+
 /// Holds what sending needs to know of the leader.
 pub(crate) struct LeaderCx<'a> {
     pub cfg: &'a RaftConfig,
@@ -33,13 +37,20 @@
 enum Mode {
     /// The last common position is unknown: one append at a time.
     Probe { waiting: bool },
-    /// Appends follow each other without waiting for their answers. Holds the last
-    /// position of each that isn't answered.
-    Replicate { in_flight: VecDeque<Revision> },
+    /// Appends follow each other without waiting for their answers. Holds those that
+    /// aren't answered.
+    Replicate { in_flight: VecDeque<InFlight> },
     /// The entries that the replica needs are compacted: a snapshot goes first.
     Snapshot(Transfer),
 }
 
+/// Holds an append on its way.
+#[derive(Clone, Copy, Debug)]
+struct InFlight {
+    last: Revision,
+    bytes: usize,
+}
+
 /// Holds a snapshot on its way.
 #[derive(Debug)]
 struct Transfer {
@@ -129,7 +140,7 @@
         self.next = self.next.max(self.matched.next());
         match &mut self.mode {
             Mode::Probe { .. } => self.replicate_from_match(),
-            Mode::Replicate { in_flight } => in_flight.retain(|last| *last > index),
+            Mode::Replicate { in_flight } => in_flight.retain(|append| append.last > index),
             Mode::Snapshot(transfer) if index >= transfer.snapshot.index => {
                 self.replicate_from_match();
             }
@@ -224,7 +235,7 @@
     }
 
     fn send_pipelined(&mut self, to: ReplicaId, round: u64, cx: &LeaderCx, fx: &mut Effects) {
-        while self.in_flight() < MAX_IN_FLIGHT && self.next <= cx.log.last().index {
+        while self.may_send_more(cx.cfg) && self.next <= cx.log.last().index {
             let previous = Revision(self.next.0 - 1);
             let entries = cx.log.batch(self.next, cx.cfg.max_append_bytes);
             let Some(last) = entries.last().map(|entry| entry.index) else {
@@ -232,21 +243,30 @@
             };
             self.next = last.next();
             if let Mode::Replicate { in_flight } = &mut self.mode {
-                in_flight.push_back(last);
+                let bytes = entries.iter().map(LogEntry::size).sum();
+                in_flight.push_back(InFlight { last, bytes });
             }
             self.send_append(to, round, previous, entries, cx, fx);
         }
         // Without this, the last commit of a burst would reach the replica only with
         // the next heartbeat.
-        if self.in_flight() == 0 && self.sent_commit < cx.commit {
+        if self.in_flight().is_empty() && self.sent_commit < cx.commit {
             self.send_heartbeat(to, round, cx, fx);
         }
     }
 
-    fn in_flight(&self) -> usize {
+    fn may_send_more(&self, cfg: &RaftConfig) -> bool {
+        let in_flight = self.in_flight();
+        let bytes: usize = in_flight.iter().map(|append| append.bytes).sum();
+        let max_bytes = cfg.max_append_bytes.saturating_mul(MAX_IN_FLIGHT_FULL);
+        in_flight.len() < MAX_IN_FLIGHT && bytes < max_bytes
+    }
+
+    fn in_flight(&self) -> &VecDeque<InFlight> {
+        const NONE: &VecDeque<InFlight> = &VecDeque::new();
         match &self.mode {
-            Mode::Replicate { in_flight } => in_flight.len(),
-            Mode::Probe { .. } | Mode::Snapshot(_) => 0,
+            Mode::Replicate { in_flight } => in_flight,
+            Mode::Probe { .. } | Mode::Snapshot(_) => NONE,
         }
     }
 
--- a/lib/src/raft_replication.rs
+++ b/lib/src/raft_replication.rs
@@ -14,9 +14,6 @@
 use crate::raft_message::LogPayload;
 use crate::raft_message::LogWrite;
 
-/// Bound on the proposals that wait for their commitment.
-const MAX_PENDING_PROPOSALS: usize = 4_096;
-
 impl Raft {
     /// Appends an entry to the leader's log and returns its position.
     pub(crate) fn append_as_leader(&mut self, payload: LogPayload, fx: &mut Effects) -> Revision {
@@ -142,7 +139,8 @@
 
     pub(crate) fn append_proposal(&mut self, token: Token, payload: LogPayload, fx: &mut Effects) {
         let index = self.append_as_leader(payload, fx);
-        self.pending.insert(index, self.term(), token);
+        let bytes = self.log.entry(index).map_or(0, LogEntry::size);
+        self.pending.insert(index, self.term(), token, bytes);
         self.after_append(fx);
     }
 
@@ -159,7 +157,7 @@
         if self.now >= contact + self.cfg.election_min {
             return Some(Refusal::NoQuorum);
         }
-        if self.pending.len() >= MAX_PENDING_PROPOSALS {
+        if self.pending.is_full() {
             return Some(Refusal::Busy);
         }
         None
--- a/lib/tests/raft_network/mod.rs
+++ b/lib/tests/raft_network/mod.rs
@@ -30,7 +30,9 @@
 use heatherring_lib::raft_effects::MembershipChange;
 use heatherring_lib::raft_effects::Role;
 use heatherring_lib::raft_effects::Token;
+use heatherring_lib::raft_message::LogEntry;
 use heatherring_lib::raft_message::Message;
+use heatherring_lib::raft_message::MessageKind;
 use heatherring_lib::raft_message::ReplicaInfo;
 use rand::Rng;
 use rand::SeedableRng;
@@ -377,6 +379,16 @@
         }
     }
 
+    /// Returns the bytes of the entries that are on their way to a replica.
+    pub fn bytes_in_transit(&self, to: ReplicaId) -> usize {
+        let to_replica = self.queue.values().filter(|delivery| delivery.to == to);
+        let bytes = to_replica.map(|delivery| match &delivery.message.kind {
+            MessageKind::Append { entries, .. } => entries.iter().map(LogEntry::size).sum(),
+            _ => 0,
+        });
+        bytes.sum()
+    }
+
     pub fn propose(&mut self, replica: ReplicaId) -> Token {
         self.propose_padded(replica, 0)
     }
--- a/lib/tests/test_raft.rs
+++ b/lib/tests/test_raft.rs
@@ -352,6 +352,48 @@
     assert_eq!(ask(&mut network, 8), Some(id(7)));
 }
 
+#[test]
+fn test_raft_slow_replica_is_sent_a_bounded_amount() {
+    // Symptom: a leader's process runs out of memory while one replica is slow.
+    // Sequence: a replica stops reading; large proposals go on.
+    // Cause: bounding what is on its way by the number of messages alone.
+    let mut network = Network::with_voters(17, 3);
+    let leader = network.leader().unwrap();
+    let slow = if leader == id(2) { id(3) } else { id(2) };
+    network.freeze(slow, ELECTION_MAX * 10);
+    for _ in 0..40 {
+        network.propose_padded(leader, 2_000);
+        network.run(Duration::from_millis(20));
+    }
+    let bytes = network.bytes_in_transit(slow);
+    assert!((1..6_000).contains(&bytes), "{bytes}");
+    network.run(ELECTION_MAX * 12);
+    let last = network.commit_one();
+    network.run(ELECTION_MAX);
+    assert!(network.nodes[&slow].machine.applied >= last);
+}
+
+#[test]
+fn test_raft_large_proposals_wait_in_bounded_memory() {
+    // Symptom: a leader's process runs out of memory while nothing can be committed.
+    // Sequence: the other replicas stop for a moment; large proposals go on.
+    // Cause: bounding what waits by its number alone.
+    let mut network = Network::with_voters(18, 3);
+    let leader = network.leader().unwrap();
+    for number in (1..=3).filter(|number| id(*number) != leader) {
+        network.freeze(id(number), ELECTION_MAX);
+    }
+    let tokens: Vec<_> = (0..5)
+        .map(|_| network.propose_padded(leader, 16 << 20))
+        .collect();
+    network.run(Duration::from_millis(10));
+    let token = tokens[4];
+    let reason = Refusal::Busy;
+    let busy = Answer::Refused { token, reason };
+    assert_eq!(network.answers.get(&token), Some(&busy));
+    assert_eq!(network.answers.get(&tokens[3]), None);
+}
+
 #[test]
 fn test_raft_planned_stop_hands_over() {
     let mut network = Network::with_voters(11, 3);
--- a/lib/tests/test_raft_membership.rs
+++ b/lib/tests/test_raft_membership.rs
@@ -258,6 +258,29 @@
     assert!(network.nodes[&behind].disk.snapshot.is_none());
 }
 
+#[test]
+fn test_raft_membership_large_entries_go_with_a_snapshot() {
+    // Symptom: a process holds hundreds of large manifests that a snapshot includes.
+    // Cause: bounding the entries that stay for slow replicas by their number alone.
+    let mut network = Network::with_voters(11, 3);
+    let leader = network.leader().unwrap();
+    let behind = if leader == id(2) { id(3) } else { id(2) };
+    network.crash(behind);
+    for _ in 0..3 {
+        network.propose_padded(leader, 2 << 20);
+    }
+    network.commit_one();
+    assert!(network.raft(leader).bytes_since_snapshot() > 6 << 20);
+    network.compact(leader);
+    assert_eq!(network.raft(leader).bytes_since_snapshot(), 0);
+    network.restart(behind);
+    let last = network.commit_one();
+    network.run_until("the replica has caught up", |network| {
+        network.nodes[&behind].machine.applied >= last
+    });
+    assert!(network.nodes[&behind].disk.snapshot.is_some());
+}
+
 #[test]
 fn test_raft_effects_snapshot_replaces_earlier_entries() {
     // Symptom: entries are applied on top of a snapshot that includes them.
