--- a/lib/src/admission.rs
+++ b/lib/src/admission.rs
@@ -33,7 +33,6 @@
 use crate::group_admission::GroupContext;
 use crate::group_admission::Step;
 use crate::id::BackendName;
-use crate::id::PlaceName;
 use crate::id::Revision;
 use crate::id::SessionId;
 use crate::load_digest::GroupLoad;
@@ -47,7 +46,6 @@
 use crate::ownership::ReleasedWork;
 use crate::retry_advice::RetryAdvice;
 use crate::shift_budget::Sharing;
-use crate::shift_budget::Shift;
 use crate::shift_budget::ShiftBudgets;
 use crate::tenure::Gained;
 use crate::view::ControlView;
@@ -339,16 +337,7 @@
         let manifest = &in_force.manifest;
         let mut loads: Vec<_> = self.groups.values_mut().map(|g| g.load(now)).collect();
         for load in &mut loads {
-            let full = |origin: &&PlaceName| {
-                let shift = Shift {
-                    manifest,
-                    service: &load.group.service,
-                    origin,
-                    place: &load.group.place,
-                };
-                self.shifts.check(now, shift).is_err()
-            };
-            load.full_origins = manifest.places.keys().filter(full).cloned().collect();
+            load.full_origins = self.shifts.full_origins(now, manifest, &load.group);
         }
         loads
     }
--- a/lib/src/shift_budget.rs
+++ b/lib/src/shift_budget.rs
@@ -17,6 +17,7 @@
 use crate::manifest::Scope;
 use crate::manifest::Service;
 use crate::manifest::ShiftCap;
+use crate::ownership::Group;
 use crate::ownership::OwnerTable;
 use crate::settled_share::SettledShare;
 use crate::settled_share::split;
@@ -117,6 +118,38 @@
         Ok(())
     }
 
+    /// Returns the places whose callers' requests can't be served by `group` now.
+    pub fn full_origins(
+        &mut self,
+        now: Instant,
+        manifest: &Manifest,
+        group: &Group,
+    ) -> Vec<PlaceName> {
+        let full: Vec<&CapKey> = self
+            .caps
+            .iter_mut()
+            .filter(|(key, _)| key.service == group.service)
+            .filter_map(|(key, budget)| {
+                let limit = budget.share.limit(now);
+                (!budget.usage.has_room(now, 1, limit)).then_some(key)
+            })
+            .collect();
+        if full.is_empty() {
+            return Vec::new();
+        }
+        let is_full = |origin: &&PlaceName| {
+            let shift = Shift {
+                manifest,
+                service: &group.service,
+                origin,
+                place: &group.place,
+            };
+            full.iter()
+                .any(|key| covers(manifest, &key.from, &key.to, shift))
+        };
+        manifest.places.keys().filter(is_full).cloned().collect()
+    }
+
     /// Tells whether a request that room was set aside for may be served now.
     pub fn may_use_reserved(&mut self, now: Instant, shift: Shift<'_>) -> bool {
         self.matching(shift).all(|budget| {
--- a/lib/tests/test_shift_budget.rs
+++ b/lib/tests/test_shift_budget.rs
@@ -26,6 +26,7 @@
 use heatherring_lib::manifest::PlaceLimit;
 use heatherring_lib::manifest::Scope;
 use heatherring_lib::manifest::ShiftCap;
+use heatherring_lib::ownership::Group;
 use heatherring_lib::ownership::OwnerTable;
 use heatherring_lib::settled_share::split;
 use heatherring_lib::shift_budget::Sharing;
@@ -477,6 +478,23 @@
     test_shift_budget_home: Scope::Any, Scope::Any, "a1" => "a1", false;
 }
 
+/// Others are told which origins' callers find the cap used up, and no others.
+#[test]
+fn test_shift_budget_tells_full_origins() {
+    let now = Instant::now() + Duration::from_secs(2);
+    let manifest = capped(Some(10));
+    let view = view(1, manifest.clone(), &[(1, "entry-1", "b1", "b")]);
+    let mut budgets = ShiftBudgets::new(SessionId(1), Sharing::Owners);
+    budgets.apply_view(&view, &OwnerTable::of(&view), ViewStep::Whole);
+    budgets.settle(now, Revision(1));
+    let usable = now + Duration::from_secs(2);
+    let group = Group::new(service(), place("b1"));
+    let full = |budgets: &mut ShiftBudgets| budgets.full_origins(usable, &manifest, &group);
+    assert!(full(&mut budgets).is_empty());
+    take_shifts(&mut budgets, usable, &manifest);
+    assert_eq!(full(&mut budgets), [place("a1"), place("a2")]);
+}
+
 /// What an answer weighs beyond the share is paid back before anything else is sent.
 #[test]
 fn test_shift_budget_link_owes() {
