digest_pace, entry: digests that say nothing new are held back

Each sent a digest to each other one every 100 ms, and one more for every announcement: the slots told last were never noted, so that each announcement looked like a change. Digests are now looked at every 100 ms and sent when slots, used-up shifts or the use have changed, or after 500 ms. Also noted again: what becomes of planned drains, for the status.

admission_task had grown large: the handle and the state machines of a session get modules of their own.

--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -26,6 +26,7 @@
 pub mod control_state;
 pub mod decision_log;
 pub mod decision_record;
+pub mod digest_pace;
 pub mod drain;
 pub mod encoding;
 pub mod entry_lease;
--- /dev/null
+++ b/lib/tests/test_digest_pace.rs
@@ -0,0 +1,58 @@
+//! Which digests are sent and which are held back.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use heatherring_lib::digest_pace::DigestPace;
+use heatherring_lib::digest_pace::QUIET_INTERVAL;
+use heatherring_lib::id::PlaceName;
+use heatherring_lib::id::ServiceName;
+use heatherring_lib::load_digest::GroupLoad;
+use heatherring_lib::ownership::Group;
+
+const SOON: Duration = Duration::from_millis(100);
+
+fn load() -> GroupLoad {
+    GroupLoad {
+        group: Group::new(ServiceName::new("registry"), PlaceName::new("a")),
+        slots: 10,
+        in_flight: 4,
+        queued: 0,
+        arrivals_per_second: 50,
+        expected_wait_ms: 0,
+        service_ms: 20,
+        warm_percent: 100,
+        full_origins: Vec::new(),
+    }
+}
+
+fn check(change: impl FnOnce(&mut Vec<GroupLoad>), after: Duration, due: bool) {
+    let now = Instant::now();
+    let mut pace = DigestPace::default();
+    let mut loads = vec![load()];
+    assert!(pace.is_due(now, &loads), "the first one is always due");
+    pace.note_sent(now, &loads);
+    change(&mut loads);
+    assert_eq!(pace.is_due(now + after, &loads), due);
+    pace.reset();
+    assert!(pace.is_due(now, &loads));
+}
+
+macro_rules! pace_tests {
+    ($($name:ident: $change:expr, $after:expr => $due:literal;)*) => {$(
+        #[test]
+        fn $name() {
+            check($change, $after, $due);
+        }
+    )*};
+}
+
+pace_tests! {
+    test_pace_nothing_new: |_| {}, SOON => false;
+    test_pace_quiet_for_long: |_| {}, QUIET_INTERVAL => true;
+    test_pace_small_change_of_use: |loads| loads[0].in_flight += 1, SOON => false;
+    test_pace_large_change_of_use: |loads| loads[0].queued += 2, SOON => true;
+    test_pace_slot_gone: |loads| loads[0].slots -= 1, SOON => true;
+    test_pace_origin_full: |loads| loads[0].full_origins.push(PlaceName::new("b")), SOON => true;
+    test_pace_group_gone: Vec::clear, SOON => true;
+}
--- a/server/src/entry_context.rs
+++ b/server/src/entry_context.rs
@@ -10,7 +10,7 @@
 use heatherring_lib::view::EntryInfo;
 
 use crate::action_task::ActionHandle;
-use crate::admission_task::AdmissionHandle;
+use crate::admission_handle::AdmissionHandle;
 use crate::backend_pool::BackendPool;
 use crate::decision_task::DecisionHandle;
 use crate::entry_state::EntryStateReader;
--- a/server/src/owner_path.rs
+++ b/server/src/owner_path.rs
@@ -18,8 +18,8 @@
 use http::HeaderValue;
 use http::Response;
 
-use crate::admission_task::DispatchGuard;
-use crate::admission_task::SlotRequest;
+use crate::admission_handle::DispatchGuard;
+use crate::admission_handle::SlotRequest;
 use crate::answer_body;
 use crate::answer_body::AnswerBody;
 use crate::answer_body::AnswerEnd;
--- a/server/src/request_path.rs
+++ b/server/src/request_path.rs
@@ -21,7 +21,7 @@
 use heatherring_lib::view::ManifestInForce;
 use http::Response;
 
-use crate::admission_task::CandidateFailure;
+use crate::admission_handle::CandidateFailure;
 use crate::answer_body::AnswerBody;
 use crate::decision_note;
 use crate::dispatcher::OutgoingRequest;
--- /dev/null
+++ b/server/src/session_core.rs
@@ -0,0 +1,113 @@
+//! The core's state machines of one session.
+
+use std::sync::Arc;
+use std::time::Instant;
+
+use heatherring_lib::admission::Admission;
+use heatherring_lib::admission::Effect;
+use heatherring_lib::admission::ViewStep;
+use heatherring_lib::digest_pace::DigestPace;
+use heatherring_lib::drain::DrainDecision;
+use heatherring_lib::id::Revision;
+use heatherring_lib::id::SessionId;
+use heatherring_lib::load_digest::GroupLoad;
+use heatherring_lib::load_digest::LoadDigest;
+use heatherring_lib::lookup::Lookups;
+use heatherring_lib::retry_budget::RetryBudget;
+use heatherring_lib::steering::Steering;
+use heatherring_lib::view::ControlView;
+
+use crate::admission_handle::AdmissionStatus;
+
+/// Holds the state machines of one session.
+#[derive(Debug)]
+pub(crate) struct SessionCore {
+    pub(crate) id: SessionId,
+    pub(crate) admission: Admission,
+    pub(crate) steering: Steering,
+    pub(crate) lookups: Lookups,
+    pub(crate) retries: RetryBudget,
+    digest_serial: u64,
+    drains: Vec<DrainDecision>,
+    /// Slots of all owned groups by the last digest.
+    told_slots: u64,
+    pace: DigestPace,
+}
+
+fn total_slots(loads: &[GroupLoad]) -> u64 {
+    loads.iter().map(|load| u64::from(load.slots)).sum()
+}
+
+impl SessionCore {
+    /// Starts a session; `seed` drives the choices among near-equals.
+    pub(crate) fn new(id: SessionId, seed: u64) -> Self {
+        Self {
+            id,
+            admission: Admission::new(id, seed),
+            steering: Steering::new(id, seed),
+            lookups: Lookups::new(id),
+            retries: RetryBudget::default(),
+            digest_serial: 0,
+            drains: Vec::new(),
+            told_slots: 0,
+            pace: DigestPace::default(),
+        }
+    }
+
+    /// Applies a view.
+    pub(crate) fn apply_view(
+        &mut self,
+        now: Instant,
+        view: &Arc<ControlView>,
+        step: ViewStep,
+    ) -> Vec<Effect> {
+        // Sessions that are new have heard no digest yet.
+        self.pace.reset();
+        self.steering.apply_view(view);
+        self.lookups.apply_view(view, step);
+        self.admission.apply_view(now, view, step)
+    }
+
+    /// Notes that `revision` is settled.
+    pub(crate) fn settle(&mut self, now: Instant, revision: Revision) -> Vec<Effect> {
+        self.lookups.settle(now, revision);
+        self.admission.settle(now, revision)
+    }
+
+    /// Tells whether others know of other slots than there are now.
+    pub(crate) fn has_untold_slots(&mut self, now: Instant) -> bool {
+        self.told_slots != total_slots(&self.admission.digest_loads(now))
+    }
+
+    /// Returns the digest if it is worth sending now; this session's own steering
+    /// takes it in any case.
+    pub(crate) fn digest(&mut self, now: Instant) -> Option<LoadDigest> {
+        self.digest_serial += 1;
+        let digest = LoadDigest {
+            session: self.id,
+            serial: self.digest_serial,
+            loads: self.admission.digest_loads(now),
+        };
+        self.told_slots = total_slots(&digest.loads);
+        self.steering.take_digest(now, &digest);
+        let known = self.steering.known_loads(now);
+        self.drains = self.admission.decide_drains(now, known);
+        if !self.pace.is_due(now, &digest.loads) {
+            return None;
+        }
+        self.pace.note_sent(now, &digest.loads);
+        Some(digest)
+    }
+
+    /// Returns what operators are shown.
+    pub(crate) fn status(&mut self, now: Instant) -> AdmissionStatus {
+        AdmissionStatus {
+            session: self.id,
+            loads: self.admission.loads(now),
+            known: self.steering.known_loads(now),
+            drains: self.drains.clone(),
+            waiting: 0,
+            idle: self.admission.is_idle(),
+        }
+    }
+}
