--- a/cli/tests/test_actions.rs
+++ b/cli/tests/test_actions.rs
@@ -368,3 +368,21 @@
     }
     assert_eq!(never_sent.runs(&deployment), 0);
 }
+
+// Symptom: an action is cut off half-way, and its caller never gets the answer.
+// Sequence: the caller's connection goes away while the action runs; the caller resends.
+// Cause: a run that belongs to the connection of whoever asked for it first.
+#[tokio::test(flavor = "multi_thread")]
+async fn test_actions_caller_goes_away_in_the_run() {
+    let deployment = start(slow_plan()).await;
+    let mut caller = deployment.caller("goes-away", PLACE, 0);
+    let action = Action::new(&mut caller).await;
+    let primary = action.look_up.entry.address;
+    tokio::select! {
+        early = action.send(&caller, primary) => panic!("too early: {:?}", early.told),
+        () = action.wait_until_it_runs(&deployment) => {}
+    }
+    let resent = action.send(&caller, action.bystander(&deployment)).await;
+    assert!(resent.told.is_answer(), "{:?}", resent.told);
+    assert_eq!(action.runs(&deployment), 1);
+}
