--- a/server/src/action_path.rs
+++ b/server/src/action_path.rs
@@ -22,6 +22,7 @@
 use heatherring_lib::outcome::UnknownReason;
 use heatherring_lib::ticket::TicketSecret;
 use heatherring_lib::ticket_issue::TicketRequest;
+use heatherring_lib::ticket_issue::choose_backup;
 use heatherring_lib::ticket_issue::issue_ticket;
 use heatherring_lib::view::EntrySession;
 use http::HeaderMap;
@@ -145,6 +146,20 @@
     Ok(Some(key))
 }
 
+/// Tells why an action has no key: its caller gave none, or had no ticket to make one of
+/// since no second process can keep its record.
+fn missing_key_reason(cx: &EntryContext) -> NotRunReason {
+    let state = cx.state.read();
+    let own = state
+        .lease
+        .session()
+        .and_then(|own| state.view.sessions.get(&own));
+    match own.and_then(|own| choose_backup(&state.view, own, 0)) {
+        Some(_) => NotRunReason::KeyMissing,
+        None => NotRunReason::NoBackup,
+    }
+}
+
 /// Holds an action whose key was checked.
 struct Action {
     key: ActionKey,
@@ -156,7 +171,7 @@
         let headers = &req.outgoing.headers;
         let key = match read_key(cx, &req.service, headers) {
             Ok(Some(key)) => key,
-            Ok(None) => return Err(Attempt::new().refuse(NotRunReason::KeyMissing)),
+            Ok(None) => return Err(Attempt::new().refuse(missing_key_reason(cx))),
             Err(KeyFault::Invalid(error)) => {
                 log::debug!(event = "action_key_refused", request_id = req.outgoing.request_id.as_str(), error = error.to_string().as_str(); "an action's key can't be used");
                 return Err(error.not_run());
