--- a/cli/src/commands/control.rs
+++ b/cli/src/commands/control.rs
@@ -22,6 +22,7 @@
 use tokio::runtime::Runtime;
 
 use crate::cli_error::CliError;
+use crate::commands::control_remove;
 use crate::input::Input;
 use crate::logging;
 use crate::settings_input::fault_at;
@@ -44,6 +45,7 @@
         .subcommand(init_command())
         .subcommand(join_command())
         .subcommand(repair_command())
+        .subcommand(control_remove::command())
 }
 
 fn init_command() -> Command {
@@ -113,6 +115,7 @@
 pub fn run(matches: &ArgMatches) -> Result<(), CliError> {
     match matches.subcommand() {
         Some(("init", matches)) => run_init(matches),
+        Some(("remove", matches)) => control_remove::run(matches),
         Some((_, matches)) => run_join(matches),
         None => run_replica(matches),
     }
--- a/cli/src/commands/mod.rs
+++ b/cli/src/commands/mod.rs
@@ -7,6 +7,7 @@
 mod check;
 mod completions;
 mod control;
+mod control_remove;
 mod demo;
 mod entry;
 mod explain;
--- a/cli/tests/test_control_failure.rs
+++ b/cli/tests/test_control_failure.rs
@@ -15,6 +15,9 @@
 /// Log positions after which a snapshot is taken: few, so that tests meet several.
 const SNAPSHOT_EVERY: u64 = 50;
 
+/// Silence after which a replica counts as lost, well above the election timeout.
+const SURELY_SILENT_MS: u64 = 3_000;
+
 /// Exit codes of the command, as documented.
 const EXIT_REFUSED: i32 = 1;
 const EXIT_USER: i32 = 2;
@@ -357,3 +360,45 @@
     assert_ne!(fleet.shown(frozen), Some(1));
     fleet.wait_until_shown(frozen, 2).await;
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn test_removal_that_would_lose_the_quorum_is_refused() {
+    // Symptom: no submission is accepted any more, and none can ever be.
+    // Sequence: one of three replicas is lost; the removal of another one, which lives,
+    // is asked for by mistake.
+    // Cause: a removal is taken in that leaves no majority of live replicas.
+    let mut fleet = Fleet::start().await;
+    fleet.wait_until_accepted("control-1", 1).await;
+    fleet.kill("control-3");
+    let leader = fleet.leader_among(&others("control-3")).await;
+    wait_for("the loss is noticed", async || {
+        let status = fleet.status(leader);
+        let mut replicas = list(&status, "replicas").iter();
+        let lost = replicas.find(|replica| replica["vm"] == "control-3")?;
+        (lost["last_heard_ms"].as_u64()? > SURELY_SILENT_MS).then_some(())
+    })
+    .await
+    .unwrap();
+    let status = fleet.status(leader);
+    let address = fleet.address(leader);
+    let remove = |name: &str| {
+        let replica = replica_of(&status, name).unwrap();
+        let arguments = [
+            "control",
+            "remove",
+            &replica,
+            "--timeout",
+            "5",
+            "--control",
+            &address,
+        ];
+        let output = fleet.cluster.operate_raw(&arguments).unwrap();
+        output.status.code().unwrap()
+    };
+    let other = others("control-3").into_iter().find(|name| *name != leader);
+    assert_eq!(remove(other.unwrap()), EXIT_REFUSED);
+    assert_eq!(remove("control-3"), 0);
+    let remaining = fleet.status(leader);
+    assert_eq!(list(&remaining, "replicas").len(), 2);
+    fleet.wait_until_accepted(leader, 2).await;
+}
--- a/lib/src/admission.rs
+++ b/lib/src/admission.rs
@@ -12,6 +12,7 @@
 
 use slotmap::SlotMap;
 
+use crate::admission_event::DEADLINE_GRACE;
 pub use crate::admission_event::Dispatch;
 pub use crate::admission_event::DispatchKey;
 pub use crate::admission_event::Effect;
@@ -22,7 +23,6 @@
 pub use crate::admission_event::ViewStep;
 use crate::announcement::Announcement;
 use crate::announcement::AnnouncementError;
-use crate::backend_registry::DEADLINE_GRACE;
 use crate::backend_registry::HeldSlot;
 use crate::backend_registry::Placed;
 use crate::drain;
@@ -32,6 +32,8 @@
 use crate::group_admission::GroupAdmission;
 use crate::group_admission::GroupContext;
 use crate::group_admission::Step;
+use crate::handover::GivenUp;
+use crate::handover::Handover;
 use crate::id::BackendName;
 use crate::id::Revision;
 use crate::id::SessionId;
@@ -43,7 +45,6 @@
 use crate::ownership::Group;
 use crate::ownership::OwnerTable;
 use crate::ownership::Release;
-use crate::ownership::ReleasedWork;
 use crate::retry_advice::RetryAdvice;
 use crate::shift_budget::Sharing;
 use crate::shift_budget::ShiftBudgets;
@@ -61,9 +62,6 @@
 /// Time to come back after when the session's lease is over.
 const LEASE_WAIT: Duration = Duration::from_secs(1);
 
-/// Releases kept that came before the view that they belong to.
-const MAX_EARLY_RELEASES: usize = 4_096;
-
 /// Holds the admission of all groups that one session owns.
 #[derive(Debug)]
 pub struct Admission {
@@ -76,9 +74,7 @@
     groups: BTreeMap<Group, GroupAdmission>,
     dispatches: SlotMap<DispatchKey, Dispatched>,
     waiting: HashMap<RequestToken, Group>,
-    given_up: BTreeMap<Group, GivenUp>,
-    early_releases: BTreeMap<Group, EarlyRelease>,
-    release_serial: u64,
+    handover: Handover,
     shifts: ShiftBudgets,
     advice: RetryAdvice,
     /// Planned drains that aren't held back.
@@ -96,22 +92,6 @@
     gained: Revision,
 }
 
-/// Records a group that another session owns now, while own work is in flight there.
-#[derive(Debug)]
-struct GivenUp {
-    to: SessionId,
-    revision: Revision,
-    complete: bool,
-    /// What may still run besides own dispatches.
-    held: Vec<HeldSlot>,
-}
-
-#[derive(Debug)]
-struct EarlyRelease {
-    heard: Instant,
-    release: Release,
-}
-
 impl Admission {
     /// Starts the admission of a session; `seed` spreads the return of refused callers.
     #[must_use]
@@ -126,9 +106,7 @@
             groups: BTreeMap::new(),
             dispatches: SlotMap::with_key(),
             waiting: HashMap::new(),
-            given_up: BTreeMap::new(),
-            early_releases: BTreeMap::new(),
-            release_serial: 0,
+            handover: Handover::new(session),
             shifts: ShiftBudgets::new(session, Sharing::Owners),
             advice: RetryAdvice::new(seed),
             drains: Vec::new(),
@@ -167,8 +145,7 @@
         for group in owned {
             self.own(now, group, seen_until, first_manifest);
         }
-        self.early_releases
-            .retain(|_, early| early.release.revision > view.revision);
+        self.handover.forget_early(view.revision);
         self.keep_only_planned_drains();
         effects.extend(self.settle(now, self.settled));
         effects
@@ -197,16 +174,8 @@
                 owned.take_release(now, heard, release);
                 self.announce_released(heard, release);
             }
-        } else if self.early_releases.len() < MAX_EARLY_RELEASES {
-            let order = |release: &Release| (release.revision, release.serial);
-            let early = EarlyRelease {
-                heard,
-                release: release.clone(),
-            };
-            let known = self.early_releases.get(&release.group);
-            if known.is_none_or(|known| order(&known.release) < order(release)) {
-                self.early_releases.insert(release.group.clone(), early);
-            }
+        } else {
+            self.handover.keep_early(heard, release);
         }
         self.pump_all(now)
     }
@@ -286,7 +255,7 @@
         };
         let name = done.offer.group.clone();
         let Some(group) = self.groups.get_mut(&name) else {
-            return self.release_again(now, &name);
+            return self.finish_given_up(now, &done, ending);
         };
         if group.gained() == done.gained {
             group.finish(now, &done.offer, &done.backend, done.began, ending);
@@ -496,11 +465,8 @@
             nothing_before: first_manifest,
         };
         let mut group = GroupAdmission::new(name.clone(), service, gained);
-        self.given_up.remove(&name);
-        let early = self
-            .early_releases
-            .remove(&name)
-            .filter(|early| early.release.revision > seen_until);
+        self.handover.regain(&name);
+        let early = self.handover.take_early(&name, seen_until);
         if let Some(early) = &early {
             group.take_release(now, early.heard, &early.release);
         }
@@ -550,50 +516,39 @@
             complete: group.knows_all(now),
             held: group.held(now).cloned().collect(),
         };
-        let mut release = self.release(now, name, &given_up);
+        let running = self
+            .dispatches
+            .values()
+            .filter(|dispatched| dispatched.offer.group == *name)
+            .map(|dispatched| {
+                let until = dispatched.offer.deadline + DEADLINE_GRACE;
+                (dispatched.backend.clone(), until)
+            });
+        let mut release = self.handover.give_up(now, name, given_up, running);
         release.backends = group.announcements(now);
         release.recent = group.recent(now);
         effects.push(Effect::Release { to, release });
-        self.given_up.insert(name.clone(), given_up);
         effects
     }
 
-    /// Tells the new owner that nothing of this session is in flight any more, once
-    /// that is so.
-    fn release_again(&mut self, now: Instant, name: &Group) -> Vec<Effect> {
-        if self.dispatches.values().any(|d| d.offer.group == *name) {
-            return Vec::new();
+    /// Notes the end of a dispatch at a group that was given up; the last one is told to
+    /// the new owner.
+    fn finish_given_up(&mut self, now: Instant, done: &Dispatched, ending: Ending) -> Vec<Effect> {
+        let name = &done.offer.group;
+        if let Some(until) = ending.may_run_until(now, done.offer.deadline) {
+            let held = HeldSlot {
+                backend: done.backend.clone(),
+                until,
+                from: None,
+            };
+            self.handover.hold(name, held);
         }
-        let Some(given_up) = self.given_up.remove(name) else {
+        if self.dispatches.values().any(|d| d.offer.group == *name) {
             return Vec::new();
-        };
-        let release = self.release(now, name, &given_up);
-        let to = given_up.to;
-        vec![Effect::Release { to, release }]
-    }
-
-    fn release(&mut self, now: Instant, name: &Group, given_up: &GivenUp) -> Release {
-        let held = given_up
-            .held
-            .iter()
-            .filter(|held| now < held.until)
-            .map(|held| ReleasedWork::new(held.backend.clone(), now, held.until));
-        let own = self.dispatches.values().filter(|d| d.offer.group == *name);
-        let dispatched = own.map(|dispatched| {
-            let until = dispatched.offer.deadline + DEADLINE_GRACE;
-            ReleasedWork::new(dispatched.backend.clone(), now, until)
-        });
-        self.release_serial += 1;
-        Release {
-            group: name.clone(),
-            from: self.session,
-            revision: given_up.revision,
-            serial: self.release_serial,
-            in_flight: held.chain(dispatched).collect(),
-            recent: Vec::new(),
-            backends: Vec::new(),
-            complete: given_up.complete,
         }
+        let release = self.handover.finish(now, name);
+        let tell = |(to, release)| Effect::Release { to, release };
+        release.map(tell).into_iter().collect()
     }
 
     fn keep_only_planned_drains(&mut self) {
--- a/lib/src/admission_event.rs
+++ b/lib/src/admission_event.rs
@@ -13,6 +13,12 @@
 use crate::ownership::Group;
 use crate::ownership::Release;
 
+/// Time that a backend server is given to notice that its request was cancelled.
+const CANCEL_GRACE: Duration = Duration::from_millis(50);
+
+/// Time beyond the deadline until which a request whose connection broke counts.
+pub const DEADLINE_GRACE: Duration = Duration::from_millis(50);
+
 new_key_type! {
     /// Identifies a dispatch, from the moment it takes a slot until it is finished.
     pub struct DispatchKey;
@@ -81,6 +87,18 @@
     Cancelled,
 }
 
+impl Ending {
+    /// Returns the time until which the request may still run, if it may.
+    #[must_use]
+    pub fn may_run_until(self, now: Instant, deadline: Instant) -> Option<Instant> {
+        match self {
+            Self::Answered { .. } | Self::NotConnected | Self::ShedByServer => None,
+            Self::Failed => Some(deadline + DEADLINE_GRACE),
+            Self::Cancelled => Some(now + CANCEL_GRACE),
+        }
+    }
+}
+
 /// Tells the shell what to do.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Effect {
--- a/lib/src/backend_registry.rs
+++ b/lib/src/backend_registry.rs
@@ -32,12 +32,6 @@
 /// path.
 const LEAVING_STICKS: Duration = Duration::from_millis(2 * LAPSE_MS as u64);
 
-/// Time that a backend server is given to notice that its request was cancelled.
-const CANCEL_GRACE: Duration = Duration::from_millis(50);
-
-/// Time beyond the deadline until which a request whose connection broke counts.
-pub const DEADLINE_GRACE: Duration = Duration::from_millis(50);
-
 /// Pause after a backend server has refused; it doubles with each refusal in a row.
 const FIRST_SHED_PAUSE: Duration = Duration::from_millis(50);
 
@@ -205,31 +199,19 @@
             return;
         };
         server.in_flight = server.in_flight.saturating_sub(1);
-        let still_runs_until = match ending {
+        match ending {
             Ending::Answered { .. } => {
                 server.circuit.note_answer();
                 server.shed.note_answer(now, server.slots);
-                None
-            }
-            Ending::NotConnected => {
-                server.circuit.note_failure(now);
-                None
-            }
-            Ending::Failed => {
-                server.circuit.note_failure(now);
-                Some(deadline + DEADLINE_GRACE)
             }
+            Ending::NotConnected | Ending::Failed => server.circuit.note_failure(now),
             Ending::ShedByServer => {
                 server.circuit.note_nothing();
                 server.shed.note_shed(now, server.in_flight);
-                None
             }
-            Ending::Cancelled => {
-                server.circuit.note_nothing();
-                Some(now + CANCEL_GRACE)
-            }
-        };
-        if let Some(until) = still_runs_until {
+            Ending::Cancelled => server.circuit.note_nothing(),
+        }
+        if let Some(until) = ending.may_run_until(now, deadline) {
             self.hold(HeldSlot {
                 backend: backend.clone(),
                 until,
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -32,6 +32,7 @@
 pub mod entry_lease;
 pub mod explanation;
 pub mod group_admission;
+pub mod handover;
 pub mod id;
 pub mod link_budget;
 pub mod list_delta;
--- a/lib/src/tenure.rs
+++ b/lib/src/tenure.rs
@@ -10,7 +10,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use crate::backend_registry::DEADLINE_GRACE;
+use crate::admission_event::DEADLINE_GRACE;
 use crate::id::Revision;
 use crate::usage_window::COUNTED_FOR;
 
--- a/lib/tests/test_ownership.rs
+++ b/lib/tests/test_ownership.rs
@@ -376,6 +376,9 @@
 /// three slots in use.
 struct Handover {
     now: Instant,
+    old_owner: Admission,
+    /// What the old owner has in flight.
+    dispatched: Vec<DispatchKey>,
     new_owner: Admission,
     after: Arc<ControlView>,
     release: Release,
@@ -409,11 +412,14 @@
         old_owner
             .announce(now, &announcement("r1"))
             .expect("it fits the manifest");
-        for number in 0..2 {
+        let dispatched = (0..2).map(|number| {
             let request = offer(RequestToken(number), now + Duration::from_secs(1));
-            let verdict = old_owner.offer(now, request);
-            assert!(matches!(verdict, Verdict::Dispatch(_)), "{verdict:?}");
-        }
+            match old_owner.offer(now, request) {
+                Verdict::Dispatch(dispatch) => dispatch.key,
+                other => panic!("not dispatched: {other:?}"),
+            }
+        });
+        let dispatched = dispatched.collect();
         let effects = old_owner.apply_view(now, &after, ViewStep::OneChange);
         let release = effects.into_iter().find_map(|effect| match effect {
             Effect::Release { to, release } if to == new => Some(release),
@@ -421,6 +427,8 @@
         });
         Self {
             now,
+            old_owner,
+            dispatched,
             new_owner,
             after,
             release: release.expect("a release to the new owner"),
@@ -464,6 +472,28 @@
     assert_eq!(handover.dispatched(), (0, 1));
 }
 
+/// Symptom: as before. Sequence: the connection of a request of the old owner breaks
+/// after the change; the old owner says that it has finished. Cause: the request, which
+/// may still run, is no dispatch any more.
+#[rstest]
+fn test_ownership_counts_broken_off_work(#[values(true, false)] breaks: bool) {
+    let mut handover = Handover::new();
+    let answered = Ending::Answered {
+        latency: Duration::from_millis(20),
+    };
+    let endings = [if breaks { Ending::Failed } else { answered }, answered];
+    for (key, ending) in handover.dispatched.clone().into_iter().zip(endings) {
+        let effects = handover.old_owner.finish(handover.now, key, ending);
+        if let [Effect::Release { release, .. }] = &effects[..] {
+            assert!(release.serial > handover.release.serial);
+            handover.release.in_flight.clone_from(&release.in_flight);
+        }
+    }
+    handover.apply_view();
+    handover.take_release();
+    assert_eq!(handover.dispatched(), (0, if breaks { 2 } else { 3 }));
+}
+
 /// As before; the release comes before the view that it belongs to.
 #[test]
 fn test_ownership_counts_work_released_early() {
--- a/server/examples/control_slope.rs
+++ b/server/examples/control_slope.rs
@@ -42,6 +42,8 @@
 
 const SESSION_COUNTS: [usize; 4] = [100, 200, 400, 800];
 const PHASE: Duration = Duration::from_secs(8);
+/// Each report costs control a quorum round, so they are asked for sparingly.
+const STATUS_POLL: Duration = Duration::from_millis(25);
 const CHANGES: u64 = 8;
 const CHANGE_INTERVAL: Duration = Duration::from_secs(1);
 const RELAYS: usize = 24;
@@ -123,7 +125,7 @@
     cluster.start_controls().await?;
     let address = cluster.control_addresses()[0];
     let leader_vm = leader_of(address).await?;
-    let pid = cluster.process(&leader_vm.0).id();
+    let pid = cluster.process(&leader_vm.0).pid();
 
     let traffic = Arc::new(Traffic::default());
     let stop = Arc::new(AtomicBool::new(false));
@@ -233,7 +235,7 @@
         if status.settled_revision >= reply.revision {
             return Ok(accepted_at.elapsed().as_secs_f64() * 1e3);
         }
-        tokio::time::sleep(Duration::from_millis(2)).await;
+        tokio::time::sleep(STATUS_POLL).await;
     }
 }
 
--- a/server/src/control_process.rs
+++ b/server/src/control_process.rs
@@ -44,6 +44,14 @@
 /// Largest request of an entry VM, in bytes.
 const MAX_SYNC_BYTES: usize = 64 << 10;
 
+/// Silence of a connection after which it is probed, and time for the answer. Without
+/// it, connections of VMs that vanished would hold their sockets for hours.
+const KEEP_ALIVE_INTERVAL: Duration = Duration::from_secs(10);
+const KEEP_ALIVE_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// Requests at one time over one connection: a follower passes on those of all entry VMs.
+const MAX_STREAMS: u32 = 4_096;
+
 /// Time for which answers may still be under way once the replica has stopped.
 const FINISH_WITHIN: Duration = Duration::from_secs(3);
 
@@ -218,11 +226,14 @@
 
     fn serve(
         self,
-        mut builder: Server,
+        builder: Server,
         listener: TcpListener,
         stopped: oneshot::Receiver<()>,
     ) -> JoinHandle<ServerResult> {
         let router = builder
+            .http2_keepalive_interval(Some(KEEP_ALIVE_INTERVAL))
+            .http2_keepalive_timeout(Some(KEEP_ALIVE_TIMEOUT))
+            .max_concurrent_streams(Some(MAX_STREAMS))
             .add_service(self.replication)
             .add_service(self.operators)
             .add_service(self.sessions);
--- a/testutils/src/cluster.rs
+++ b/testutils/src/cluster.rs
@@ -275,7 +275,7 @@
         };
         let arguments = [role, "--settings", &settings];
         let process = Process::start(name, &self.binary, &arguments, &log)?;
-        self.network.register(process.pid(), name);
+        self.network.register(process.pid(), Some(vm.ip), name);
         vm.process = Some(process);
         Ok(())
     }
@@ -343,7 +343,7 @@
             &ledger.display().to_string(),
         ];
         let process = Process::start(host, &program, &arguments, &log)?;
-        self.network.register(process.pid(), host);
+        self.network.register(process.pid(), None, host);
         let host_process = BackendHost { process, ledger };
         self.backend_hosts.insert(host.to_owned(), host_process);
         Ok(())
--- a/testutils/src/network.rs
+++ b/testutils/src/network.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
+use std::net::IpAddr;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -55,10 +56,13 @@
         Ok(())
     }
 
-    /// Notes which process has a name from now on.
-    pub fn register(&mut self, pid: u32, name: &str) {
+    /// Notes which process has a name from now on, and its VM's address if it has one.
+    pub fn register(&mut self, pid: u32, address: Option<IpAddr>, name: &str) {
         self.names.send_modify(|names| {
-            names.insert(pid, name.to_owned());
+            names.by_pid.insert(pid, name.to_owned());
+            if let Some(address) = address {
+                names.by_address.insert(address, name.to_owned());
+            }
         });
         self.update();
     }
@@ -125,7 +129,7 @@
     }
 
     fn update(&self) {
-        let names: BTreeSet<_> = self.names.borrow().values().cloned().collect();
+        let names: BTreeSet<_> = self.names.borrow().by_pid.values().cloned().collect();
         for (to, relay) in &self.relays {
             let outside = Link::delayed(self.outside_delay);
             let others = if self.isolated.contains(to) {
--- a/testutils/src/process.rs
+++ b/testutils/src/process.rs
@@ -94,12 +94,6 @@
         })
     }
 
-    /// Returns the process's identifier, for looking up what it uses.
-    #[must_use]
-    pub fn id(&self) -> u32 {
-        self.child.id()
-    }
-
     /// Returns whether the process still runs.
     pub fn is_running(&mut self) -> bool {
         matches!(self.child.try_wait(), Ok(None))
--- a/testutils/src/relay.rs
+++ b/testutils/src/relay.rs
@@ -102,8 +102,14 @@
     }
 }
 
-/// Names processes by their identifiers.
-pub type ProcessNames = BTreeMap<u32, String>;
+/// Names processes by their identifiers and by the addresses that they may connect from.
+#[derive(Clone, Debug, Default)]
+pub struct ProcessNames {
+    /// Names by identifier of the process.
+    pub by_pid: BTreeMap<u32, String>,
+    /// Names by address of the process's VM.
+    pub by_address: BTreeMap<IpAddr, String>,
+}
 
 /// Relays connections to a target until it is dropped.
 #[derive(Debug)]
@@ -139,7 +145,7 @@
         target: SocketAddr,
         link: Link,
     ) -> Result<Self, RelayError> {
-        let (_, no_names) = watch::channel(ProcessNames::new());
+        let (_, no_names) = watch::channel(ProcessNames::default());
         Self::start_for_processes(address, target, link, no_names).await
     }
 
@@ -229,16 +235,19 @@
 }
 
 async fn find_source(peer: SocketAddr, own: SocketAddr, names: ProcessNames) -> Source {
-    // Processes leave the choice of their address to the system. Whoever binds another
-    // one, as callers do, is told by it; the search through all processes' files is
-    // too slow for hundreds of them.
+    // Some connections of a process leave from its VM's address, the others from one that
+    // the system chooses. Callers bind addresses of their own; they are hundreds, for
+    // whom the search through all processes' files is too slow.
+    if let Some(name) = names.by_address.get(&peer.ip()) {
+        return Source::Process(name.clone());
+    }
     if peer.ip() != IpAddr::V4(Ipv4Addr::LOCALHOST) {
         return Source::Address(peer.ip());
     }
     let search = tokio::task::spawn_blocking(move || {
-        let pids: Vec<_> = names.keys().copied().collect();
+        let pids: Vec<_> = names.by_pid.keys().copied().collect();
         let pid = socket_owner::find(peer, own, &pids)?;
-        names.get(&pid).cloned()
+        names.by_pid.get(&pid).cloned()
     });
     let name = search.await.ok().flatten();
     name.map_or(Source::Address(peer.ip()), Source::Process)
--- a/testutils/tests/test_relay.rs
+++ b/testutils/tests/test_relay.rs
@@ -68,7 +68,7 @@
     let listen = block.next_relay();
     let mut network = Network::default();
     network.add_relay(listen, target, "target").await.unwrap();
-    network.register(std::process::id(), "tester");
+    network.register(std::process::id(), None, "tester");
     network.cut_one_way("tester", "target");
     let mut near = TcpStream::connect(listen).await.unwrap();
     let (mut far, _) = listener.accept().await.unwrap();
