test_request_history: callers resend while a frozen primary still holds their action

Callers gave up only after the longest freeze, so no resend met a primary that wakes up. Deployments that run at once are bounded: leases lapsed without any fault when nine of them shared a machine.

--- a/cli/tests/test_request_history.rs
+++ b/cli/tests/test_request_history.rs
@@ -21,12 +21,17 @@
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 use serde_json::json;
+use tokio::sync::Semaphore;
+use tokio::sync::SemaphorePermit;
 
 const ENTRIES: usize = 6;
 const CALLERS_PER_PLACE: usize = 2;
 const PAUSE: Duration = Duration::from_millis(20);
 /// Time after which a leaving backend server receives no new work, in microseconds.
 const DRAIN_BOUND_US: u64 = 4_000_000;
+/// Longer than any deadline, and shorter than a freeze: callers resend while the entry
+/// VM that they asked stands still, and it finds their first attempts when it goes on.
+const PATIENCE: Duration = Duration::from_millis(3_500);
 /// Longer than a session's lease with its margin, so that a fault outlasts it.
 const OUTLASTS_LEASE: Duration = Duration::from_secs(5);
 /// Longer than the longest deadline: whatever still runs then has got stuck.
@@ -87,18 +92,25 @@
     Fault::Drain("registry-fko-kokura-1"),
 ];
 
+/// Deployments that run at once. More of them take so much of a small machine that
+/// leases lapse without any fault.
+static RUNNING: Semaphore = Semaphore::const_new(3);
+
 struct Run {
     deployment: Deployment,
     load: SteadyLoad,
     history: RequestHistory,
     manifest_version: u64,
+    _running: SemaphorePermit<'static>,
 }
 
 impl Run {
     async fn start(seed: u64) -> Self {
+        let running = RUNNING.acquire().await.unwrap();
         println!("seed {seed}");
         let mut plan = DeploymentPlan::small(ENTRIES, seed);
         plan.cluster.relayed = true;
+        plan.patience = PATIENCE;
         let binary = Path::new(env!("CARGO_BIN_EXE_heatherring"));
         let deployment = Deployment::start(plan, binary).await.unwrap();
         let specs = [
@@ -116,6 +128,7 @@
                 ..RequestHistory::default()
             },
             manifest_version: 1,
+            _running: running,
         };
         run.load.wait_for_more(SOME).await;
         run
--- a/testutils/src/deployment.rs
+++ b/testutils/src/deployment.rs
@@ -2,7 +2,6 @@
 
 use std::collections::BTreeMap;
 use std::path::Path;
-use std::time::Duration;
 
 use bytes::Bytes;
 use http::Method;
@@ -17,9 +16,6 @@
 use crate::direct_policy::BackendAddress;
 use crate::wait::wait_for;
 
-/// How long callers of a test wait for a response; longer than any deadline.
-const PATIENCE: Duration = Duration::from_secs(10);
-
 /// Runs a deployment; dropping it kills everything that it started.
 #[derive(Debug)]
 pub struct Deployment {
@@ -106,7 +102,7 @@
             origin: place.to_owned(),
             entries: self.cluster.callers_addresses(),
             seed,
-            patience: PATIENCE,
+            patience: self.plan.patience,
         })
     }
 
--- a/testutils/src/deployment_plan.rs
+++ b/testutils/src/deployment_plan.rs
@@ -1,6 +1,7 @@
 //! Which cluster and which backend servers a deployment has.
 
 use std::collections::BTreeSet;
+use std::time::Duration;
 
 use serde_json::Value;
 use serde_json::json;
@@ -12,6 +13,9 @@
 use crate::fake_backend_server::FakeBackendServerConfig;
 use crate::service_time::ServiceTime;
 
+/// How long callers wait for a response unless a plan says otherwise; much longer than
+/// any deadline, since a busy machine delays everything.
+const PATIENCE: Duration = Duration::from_secs(10);
 /// Control replicas of each deployment.
 const CONTROLS: usize = 3;
 
@@ -41,6 +45,8 @@
     pub groups: Vec<BackendGroup>,
     /// Services that no backend server serves.
     pub empty_services: Vec<String>,
+    /// How long callers wait for a response.
+    pub patience: Duration,
     /// Seed of everything that is drawn.
     pub seed: u64,
 }
@@ -79,6 +85,7 @@
                 group("kikuyo-certdesk", "certdesk", "kmm-kikuyo"),
             ],
             empty_services: vec!["curing".to_owned()],
+            patience: PATIENCE,
             seed,
         }
     }
@@ -145,6 +152,7 @@
             },
             groups,
             empty_services: Vec::new(),
+            patience: PATIENCE,
             seed,
         }
     }
