test_control_failure: the frozen leader is asked before it wakes up

Without the read barrier the test passed, since the followers' messages reached the woken process before the question.

--- a/cli/tests/test_control_failure.rs
+++ b/cli/tests/test_control_failure.rs
@@ -1,6 +1,11 @@
 //! Control replicas as real processes: cut off, robbed, damaged, frozen, restarted.
 
 use std::path::Path;
+use std::process::Child;
+use std::process::Command;
+use std::process::Output;
+use std::process::Stdio;
+use std::time::Duration;
 
 use heatherring_testutils::cluster::Cluster;
 use heatherring_testutils::cluster_operator::list;
@@ -18,6 +23,9 @@
 /// Silence after which a replica counts as lost, well above the election timeout.
 const SURELY_SILENT_MS: u64 = 3_000;
 
+/// Time within which a question surely arrives at a process that takes none in.
+const ARRIVAL: Duration = Duration::from_secs(1);
+
 /// Exit codes of the command, as documented.
 const EXIT_REFUSED: i32 = 1;
 const EXIT_USER: i32 = 2;
@@ -76,20 +84,19 @@
 
     /// Returns the version that one replica shows as the one in force, if it shows any.
     fn shown(&self, name: &str) -> Option<u64> {
+        version_of(&self.ask_to_show(name).wait_with_output().unwrap())
+    }
+
+    /// Begins to ask one replica for the version in force.
+    fn ask_to_show(&self, name: &str) -> Child {
         let address = self.address(name);
-        let output = self.cluster.operate_raw(&[
-            "manifest",
-            "show",
-            "--output",
-            "json",
-            "--timeout",
-            "2",
-            "--control",
-            &address,
-        ]);
-        let output = output.unwrap();
-        let shown: Value = serde_json::from_slice(&output.stdout).ok()?;
-        shown["version"].as_u64()
+        let mut command = Command::new(env!("CARGO_BIN_EXE_heatherring"));
+        command
+            .args(["manifest", "show", "--output", "json", "--timeout", "4"])
+            .args(["--control", &address])
+            .stdout(Stdio::piped())
+            .stderr(Stdio::null());
+        command.spawn().unwrap()
     }
 
     /// Returns one replica's report, whether or not it is current.
@@ -193,6 +200,11 @@
     }
 }
 
+fn version_of(output: &Output) -> Option<u64> {
+    let shown: Value = serde_json::from_slice(&output.stdout).ok()?;
+    shown["version"].as_u64()
+}
+
 fn text(value: &Value) -> String {
     value.as_str().unwrap_or_default().to_owned()
 }
@@ -348,7 +360,7 @@
 async fn test_frozen_leader_wakes_up_deposed() {
     // Symptom: an operator is shown an old manifest as the one in force.
     // Sequence: the leader freezes; the others elect another one and accept a manifest;
-    // the frozen one wakes up and is asked at once.
+    // the frozen one is asked and wakes up.
     // Cause: it acts on a leadership that ended while it was frozen.
     let mut fleet = Fleet::start().await;
     fleet.wait_until_accepted("control-1", 1).await;
@@ -356,8 +368,12 @@
     fleet.cluster.process(frozen).freeze().unwrap();
     let leader = fleet.leader_among(&others(frozen)).await;
     fleet.wait_until_accepted(leader, 2).await;
+    // The question waits at the frozen process when it wakes up.
+    let asked = fleet.ask_to_show(frozen);
+    tokio::time::sleep(ARRIVAL).await;
     fleet.cluster.process(frozen).thaw().unwrap();
-    assert_ne!(fleet.shown(frozen), Some(1));
+    let shown = version_of(&asked.wait_with_output().unwrap());
+    assert_ne!(shown, Some(1));
     fleet.wait_until_shown(frozen, 2).await;
 }
 
