--- a/server/src/control_node.rs
+++ b/server/src/control_node.rs
@@ -20,14 +20,11 @@
 use heatherring_lib::raft::Raft;
 use heatherring_lib::raft_config::RaftConfig;
 use heatherring_lib::raft_config::RaftError;
-use heatherring_lib::raft_effects::Answer;
 use heatherring_lib::raft_effects::Effects;
 use heatherring_lib::raft_effects::Input;
 use heatherring_lib::raft_effects::MembershipChange;
-use heatherring_lib::raft_effects::Refusal;
 use heatherring_lib::raft_effects::Role;
 use heatherring_lib::raft_effects::RoleChange;
-use heatherring_lib::raft_effects::Token;
 use heatherring_lib::raft_message::LogEntry;
 use heatherring_lib::raft_message::LogPayload;
 use heatherring_lib::raft_message::LogWrite;
@@ -45,23 +42,18 @@
 use crate::log_disk::DiskError;
 use crate::log_disk::LogDisk;
 use crate::log_disk::Recovered;
+use crate::node_leaving::Leaving;
 use crate::node_pending::Pending;
 use crate::node_pending::PendingKey;
 use crate::node_pending::Waiter;
 use crate::node_pending::audit_request;
-use crate::node_pending::key_of;
 use crate::node_pending::token_of;
-use crate::node_request::Committed;
-use crate::node_request::LeaderLink;
 use crate::node_request::NodeError;
 use crate::node_request::NodeRequest;
 use crate::peer_links::PeerLinks;
-use crate::proto::StatusReply;
 use crate::session_desk::HeldBatch;
 use crate::session_desk::HeldSync;
 use crate::session_desk::SessionDesk;
-use crate::session_desk::Verdict;
-use crate::status_report::status_reply;
 
 /// Requests that one turn takes, all under one sync.
 const MAX_BATCH: usize = 256;
@@ -123,33 +115,26 @@
 /// Owns a control replica.
 #[derive(Debug)]
 pub struct ControlNode<D> {
-    cfg: NodeConfig,
-    identity: Identity,
-    clock: Arc<dyn Clock>,
-    raft: Raft,
+    pub(crate) cfg: NodeConfig,
+    pub(crate) identity: Identity,
+    pub(crate) clock: Arc<dyn Clock>,
+    pub(crate) raft: Raft,
     /// Away while a blocking thread writes.
     disk: Option<LogDisk<D>>,
-    state: ControlState,
-    sessions: SessionDesk,
-    links: PeerLinks,
+    pub(crate) state: ControlState,
+    pub(crate) sessions: SessionDesk,
+    pub(crate) links: PeerLinks,
     effects: Effects,
-    pending: SlotMap<PendingKey, Pending>,
+    pub(crate) pending: SlotMap<PendingKey, Pending>,
     /// Requests for the next read barrier.
-    waiting: Vec<Waiter>,
-    barrier_in_flight: bool,
+    pub(crate) waiting: Vec<Waiter>,
+    pub(crate) barrier_in_flight: bool,
     /// When the next read barrier begins at the latest.
     barrier_at: Option<Instant>,
     /// Requests whose barrier was passed for a position that isn't applied yet.
-    parked: Vec<(Revision, Vec<Waiter>)>,
+    pub(crate) parked: Vec<(Revision, Vec<Waiter>)>,
     snapshot_index: Revision,
-    leaving: Option<Leaving>,
-}
-
-/// Says how far a planned stop has got.
-#[derive(Clone, Copy, Debug)]
-struct Leaving {
-    deadline: Instant,
-    ask_again_at: Instant,
+    pub(crate) leaving: Option<Leaving>,
 }
 
 impl<D: Disk> ControlNode<D> {
@@ -235,7 +220,7 @@
         let wakes = [
             Some(self.raft.next_wake()),
             self.sessions.next_wake(),
-            self.leaving.map(|leaving| leaving.ask_again_at),
+            self.leaving.map(|leaving| leaving.next_wake()),
             self.barrier_at.filter(|_| !self.barrier_in_flight),
         ];
         let earliest = wakes.into_iter().flatten().min();
@@ -304,12 +289,12 @@
         self.waiting.push(waiter);
     }
 
-    fn step(&mut self, input: Input) {
+    pub(crate) fn step(&mut self, input: Input) {
         let effects = self.raft.step(self.clock.now(), input);
         self.effects.append(effects);
     }
 
-    fn propose(&mut self, kind: CommandKind, pending: Pending) {
+    pub(crate) fn propose(&mut self, kind: CommandKind, pending: Pending) {
         let command = Command {
             wall_ms: unix_ms(self.clock.wall()),
             kind,
@@ -500,182 +485,4 @@
         });
         Ok(())
     }
-
-    fn answer(&mut self, answer: Answer, responses: &mut BTreeMap<Revision, Response>) {
-        match answer {
-            Answer::Committed { token, index } => {
-                self.committed(token, index, responses.remove(&index));
-            }
-            Answer::ReadReady { token, index } => self.passed_barrier(token, index),
-            Answer::Refused { token, reason } => self.refused(token, &reason),
-        }
-    }
-
-    fn committed(&mut self, token: Token, revision: Revision, response: Option<Response>) {
-        let Some(pending) = self.pending.remove(key_of(token)) else {
-            return;
-        };
-        let response = response.unwrap_or(Response::Done);
-        // Whoever asked may have gone away meanwhile; then nobody takes the answer.
-        match pending {
-            Pending::Command(reply) => {
-                let _ = reply.send(Ok(Committed { revision, response }));
-            }
-            Pending::Membership(reply) => {
-                let _ = reply.send(Ok(revision));
-            }
-            Pending::Session(held) => self.sessions.committed(held, &response, &self.state),
-            Pending::Barrier(_) | Pending::Unattended => {}
-        }
-    }
-
-    fn refused(&mut self, token: Token, reason: &Refusal) {
-        let Some(pending) = self.pending.remove(key_of(token)) else {
-            return;
-        };
-        match pending {
-            Pending::Command(reply) => {
-                let _ = reply.send(Err(self.error(reason)));
-            }
-            Pending::Membership(reply) => {
-                let _ = reply.send(Err(self.error(reason)));
-            }
-            Pending::Session(held) => held.not_current(self.leader_link()),
-            Pending::Barrier(waiters) => {
-                self.barrier_in_flight = false;
-                for waiter in waiters {
-                    self.refuse_waiter(waiter, reason);
-                }
-            }
-            Pending::Unattended => {}
-        }
-    }
-
-    fn refuse_waiter(&mut self, waiter: Waiter, reason: &Refusal) {
-        match waiter {
-            Waiter::Read(read) => read(Err(self.error(reason))),
-            Waiter::Status(reply) => {
-                let status = self.status(false);
-                let _ = reply.send((status, self.leader_link()));
-            }
-            Waiter::Sync(held) => held.not_current(self.leader_link()),
-            Waiter::Batch(batch) => batch.not_current(self.leader_link()),
-        }
-    }
-
-    fn error(&mut self, reason: &Refusal) -> NodeError {
-        NodeError::Refused {
-            reason: reason.clone(),
-            leader: self.leader_link(),
-        }
-    }
-
-    fn leader_link(&mut self) -> Option<Box<LeaderLink>> {
-        let leader = self.raft.leader()?;
-        let link = self.links.leader_link(self.raft.membership(), leader)?;
-        Some(Box::new(link))
-    }
-
-    fn passed_barrier(&mut self, token: Token, index: Revision) {
-        let Some(Pending::Barrier(waiters)) = self.pending.remove(key_of(token)) else {
-            return;
-        };
-        self.barrier_in_flight = false;
-        self.parked.push((index, waiters));
-    }
-
-    fn serve_parked(&mut self) {
-        let applied = self.state.revision();
-        for (index, waiters) in std::mem::take(&mut self.parked) {
-            if index > applied {
-                self.parked.push((index, waiters));
-                continue;
-            }
-            for waiter in waiters {
-                self.serve(waiter);
-            }
-        }
-    }
-
-    fn serve(&mut self, waiter: Waiter) {
-        match waiter {
-            Waiter::Read(read) => read(Ok(&self.state)),
-            Waiter::Status(reply) => {
-                let status = self.status(true);
-                let _ = reply.send((status, None));
-            }
-            Waiter::Sync(held) => self.serve_sync(held),
-            Waiter::Batch(batch) => self.sessions.admit_batch(batch, &self.state),
-        }
-    }
-
-    fn serve_sync(&mut self, held: HeldSync) {
-        match self.sessions.admit(held, &self.state) {
-            Verdict::Done => {}
-            Verdict::Propose(command, held) => self.propose(*command, Pending::Session(held)),
-        }
-    }
-
-    fn status(&self, current: bool) -> StatusReply {
-        status_reply(
-            self.identity.cluster,
-            &self.raft,
-            &self.state,
-            self.sessions.tracker(),
-            self.clock.now(),
-            current,
-        )
-    }
-
-    fn begin_leaving(&mut self) {
-        let now = self.clock.now();
-        self.leaving = Some(Leaving {
-            deadline: now + self.leave_within(),
-            ask_again_at: now,
-        });
-    }
-
-    fn leave_within(&self) -> Duration {
-        self.cfg.timing.election_max() * 3
-    }
-
-    /// Asks for the hand-over, again and again while this replica still leads.
-    fn continue_leaving(&mut self) {
-        let now = self.clock.now();
-        let Some(leaving) = &mut self.leaving else {
-            return;
-        };
-        if now < leaving.ask_again_at {
-            return;
-        }
-        leaving.ask_again_at = now + self.cfg.timing.election_min();
-        if self.raft.role() == Role::Leader {
-            self.step(Input::StepDown);
-        }
-    }
-
-    fn has_left(&self) -> bool {
-        let Some(leaving) = &self.leaving else {
-            return false;
-        };
-        let alone = self.raft.membership().voters.len() <= 1;
-        let handed_over = self.raft.role() != Role::Leader || alone;
-        let answered = !self.pending.values().any(Pending::is_awaited);
-        (handed_over && answered) || self.clock.now() >= leaving.deadline
-    }
-
-    /// Lets go of requests that still wait, so that askers turn to another replica.
-    fn release_all(&mut self) {
-        let leader = self.leader_link();
-        self.sessions.stop(leader.as_deref());
-        let reason = Refusal::HandingOver;
-        for waiter in std::mem::take(&mut self.waiting) {
-            self.refuse_waiter(waiter, &reason);
-        }
-        for (_, waiters) in std::mem::take(&mut self.parked) {
-            for waiter in waiters {
-                self.refuse_waiter(waiter, &reason);
-            }
-        }
-    }
 }
--- a/server/src/lib.rs
+++ b/server/src/lib.rs
@@ -53,6 +53,8 @@
 pub mod log_replay;
 pub mod membership_request;
 pub mod metrics;
+pub mod node_answers;
+pub mod node_leaving;
 pub mod node_pending;
 pub mod node_request;
 pub mod operator_client;
