--- a/server/tests/test_control_node.rs
+++ b/server/tests/test_control_node.rs
@@ -122,9 +122,13 @@
         let members = self.replicas.len();
         if let Some(first) = self.replicas.first() {
             let control = [first.settings.listen];
-            control_format::join(&settings, &control, None, "tester")
-                .await
-                .unwrap();
+            // Refused while the change that made the last one a voter is under way.
+            wait_for("the replica is taken in", async || {
+                let joining = control_format::join(&settings, &control, None, "tester");
+                joining.await.ok()
+            })
+            .await
+            .unwrap();
         } else {
             control_format::init(&settings).unwrap();
         }
