request_path: an owner that is gone is told of at once

A request whose only owner was dead, or was still waiting for what a dead one may have left, was held for up to 300 ms for a newer view before its refusal. Only a difference of views is waited for now; it is known by the short time to come back that goes with the refusal.

--- a/server/src/forward_listener.rs
+++ b/server/src/forward_listener.rs
@@ -38,6 +38,7 @@
 use crate::request_body;
 use crate::request_path::MAX_HOPS;
 use crate::request_path::ServiceRequest;
+use crate::request_path::VIEW_LAG;
 
 /// Answers other entry VMs.
 #[derive(Clone, Debug)]
@@ -77,7 +78,7 @@
             .ok_or_else(|| refuse(NotRunReason::MalformedRequest))?;
         // A request meant for an earlier life of this VM must not be taken by this one.
         if self.cx.state.live_session() != Some(head.session) {
-            return Err(refuse(NotRunReason::NotOwner).into());
+            return Err(not_owner().into());
         }
         if head.hops > MAX_HOPS {
             return Err(refuse(NotRunReason::TooManyHops).into());
@@ -135,7 +136,7 @@
     ) -> Outcome<Response<AnswerBody>> {
         // Views differ for a moment after a manifest; the sender may know a newer one.
         let Some(req) = self.to_service_request(&head, outgoing) else {
-            return refuse(NotRunReason::NotOwner).into();
+            return not_owner().into();
         };
         match head.purpose {
             ForwardPurpose::Owned { place } => {
@@ -177,6 +178,10 @@
     Attempt::new().refuse(reason)
 }
 
+fn not_owner() -> NotRun {
+    refuse(NotRunReason::NotOwner).with_retry_after(VIEW_LAG)
+}
+
 fn text<'a>(headers: &'a HeaderMap, name: &HeaderName) -> Option<&'a str> {
     headers.get(name)?.to_str().ok()
 }
--- a/server/src/request_path.rs
+++ b/server/src/request_path.rs
@@ -40,6 +40,9 @@
 /// at once would fail requests at every planned stop.
 const VIEW_WAIT: Duration = Duration::from_millis(300);
 
+/// When to come back after a refusal that only a difference of views has caused.
+pub const VIEW_LAG: Duration = Duration::from_millis(20);
+
 /// Times that a request waits for a newer view.
 const MAX_VIEW_WAITS: u32 = 3;
 
@@ -184,7 +187,7 @@
             if !another_may_take_it(not_run.reason()) {
                 return Round::Over(self.refused(not_run));
             }
-            views_differ |= view_may_be_old(not_run.reason());
+            views_differ |= view_may_be_old(not_run);
             self.refusal.get_or_insert(not_run);
             attempt = not_run.try_again();
         }
@@ -288,12 +291,14 @@
 }
 
 /// Returns whether the refusal may come from a view that is older or newer than this
-/// entry VM's.
-const fn view_may_be_old(reason: NotRunReason) -> bool {
-    matches!(
-        reason,
-        NotRunReason::NotOwner | NotRunReason::OwnerUnreachable | NotRunReason::Leaving
-    )
+/// entry VM's, so that a moment's wait may help. An owner that must wait for what a
+/// dead one may have left says a longer time: such a refusal is passed on at once.
+fn view_may_be_old(not_run: NotRun) -> bool {
+    let differs = matches!(
+        not_run.reason(),
+        NotRunReason::NotOwner | NotRunReason::Leaving
+    );
+    differs && not_run.retry_after().is_none_or(|wait| wait <= VIEW_WAIT)
 }
 
 /// Returns what steering learns of a candidate that gave no answer.
