test_control_node: same verdict on a busy machine

Cause: the tests took an answer that isn't final ("no quorum answers", "this replica does not lead", "an earlier membership change is not committed yet") for a failure.

--- a/server/tests/test_control_node.rs
+++ b/server/tests/test_control_node.rs
@@ -19,8 +19,10 @@
 use heatherring_server::control_format;
 use heatherring_server::control_process::ControlError;
 use heatherring_server::control_process::run_control;
+use heatherring_server::proto::HistoryReply;
 use heatherring_server::proto::HistoryRequest;
 use heatherring_server::proto::PeerMessage;
+use heatherring_server::proto::ShowReply;
 use heatherring_server::proto::ShowRequest;
 use heatherring_server::proto::StatusReply;
 use heatherring_server::proto::StatusRequest;
@@ -41,6 +43,7 @@
 use tempfile::TempDir;
 use tokio::task::JoinHandle;
 use tonic::Code;
+use tonic::Response;
 use tonic::transport::Channel;
 use tonic::transport::Endpoint;
 
@@ -71,7 +74,8 @@
         channel(self.settings.listen)
     }
 
-    async fn submit(&self, manifest: &str) -> SubmitReply {
+    /// Submits once; the answer may be that nothing is known or was done.
+    async fn submit_once(&self, manifest: &str) -> SubmitReply {
         let request = SubmitRequest {
             manifest: manifest.to_owned(),
             operator: "tester".to_owned(),
@@ -80,16 +84,59 @@
         client.submit(request).await.unwrap().into_inner()
     }
 
+    /// Submits until the answer is final, as operators do: on a busy machine an
+    /// election may come in between.
+    async fn submit(&self, manifest: &str) -> SubmitReply {
+        wait_for("a final answer", async || {
+            let reply = self.submit_once(manifest).await;
+            let open = [SubmitOutcome::NotAccepted, SubmitOutcome::Unknown];
+            (!open.contains(&reply.outcome())).then_some(reply)
+        })
+        .await
+        .unwrap()
+    }
+
     async fn status(&self) -> Option<StatusReply> {
         let mut client = OperatorClient::new(self.channel());
         let reply = client.status(StatusRequest {}).await.ok()?;
         Some(reply.into_inner())
     }
 
-    async fn sync(&self, request: SyncRequest) -> SyncReply {
+    /// Asks once; the answer may be that there is no quorum.
+    async fn sync_once(&self, request: SyncRequest) -> SyncReply {
         let mut client = SessionClient::new(self.channel());
         client.sync(request).await.unwrap().into_inner()
     }
+
+    /// Asks until there is a quorum, as entry VMs do.
+    async fn sync(&self, request: SyncRequest) -> SyncReply {
+        wait_for("a quorum", async || {
+            let reply = self.sync_once(request.clone()).await;
+            (reply.outcome() != SyncOutcome::NoQuorum).then_some(reply)
+        })
+        .await
+        .unwrap()
+    }
+
+    async fn show(&self) -> ShowReply {
+        wait_for("the manifest in force", async || {
+            let mut client = OperatorClient::new(self.channel());
+            let shown = client.show(ShowRequest { version: 0 }).await;
+            shown.ok().map(Response::into_inner)
+        })
+        .await
+        .unwrap()
+    }
+
+    async fn history(&self) -> HistoryReply {
+        wait_for("the history", async || {
+            let mut client = OperatorClient::new(self.channel());
+            let history = client.history(HistoryRequest { limit: 0 }).await;
+            history.ok().map(Response::into_inner)
+        })
+        .await
+        .unwrap()
+    }
 }
 
 fn channel(address: SocketAddr) -> Channel {
@@ -122,7 +169,7 @@
         let members = self.replicas.len();
         if let Some(first) = self.replicas.first() {
             let control = [first.settings.listen];
-            // Refused while the change that made the last one a voter is under way.
+            // Refused while an earlier change is under way, or an election.
             wait_for("the replica is taken in", async || {
                 let joining = control_format::join(&settings, &control, None, "tester");
                 joining.await.ok()
@@ -178,10 +225,10 @@
         advertise: None,
         data_folder: folder.join(format!("data-{number}")),
         timing: ControlTiming {
-            heartbeat_ms: 40,
-            election_min_ms: 300,
-            election_max_ms: 600,
-            session_lease_ms: 1_500,
+            heartbeat_ms: 50,
+            election_min_ms: 600,
+            election_max_ms: 1_200,
+            session_lease_ms: 3_000,
             session_margin_ms: 200,
         },
         security: Security::OpenLoopback,
@@ -245,9 +292,7 @@
         let conflict = replica.submit(&other).await;
         assert_eq!(conflict.outcome(), SubmitOutcome::VersionConflict);
         assert_eq!(conflict.winner_digest, accepted.digest);
-        let mut client = OperatorClient::new(replica.channel());
-        let shown = client.show(ShowRequest { version: 0 }).await.unwrap();
-        assert_eq!(shown.into_inner().manifest, first);
+        assert_eq!(replica.show().await.manifest, first);
     }
     let invalid = cluster.replicas[2].submit("{").await;
     assert_eq!(invalid.outcome(), SubmitOutcome::Invalid);
@@ -280,9 +325,8 @@
         let first = &accepted[usize::try_from(version).unwrap() - 1];
         assert_eq!(&again, first);
     }
-    let mut client = OperatorClient::new(cluster.replicas[follower].channel());
-    let history = client.history(HistoryRequest { limit: 0 }).await.unwrap();
-    assert_eq!(history.into_inner().records.len(), 35);
+    let history = cluster.replicas[follower].history().await;
+    assert_eq!(history.records.len(), 35);
 }
 
 #[tokio::test(flavor = "multi_thread")]
@@ -365,9 +409,9 @@
     let status = last.status().await.unwrap();
     assert!(!status.current);
     assert_eq!(status.replicas.len(), 3);
-    let reply = last.sync(opening(1)).await;
+    let reply = last.sync_once(opening(1)).await;
     assert_eq!(reply.outcome(), SyncOutcome::NoQuorum);
-    let submitted = last.submit(&manifest(2, "two")).await;
+    let submitted = last.submit_once(&manifest(2, "two")).await;
     assert_ne!(submitted.outcome(), SubmitOutcome::Accepted);
     let mut client = OperatorClient::new(last.channel());
     let shown = client.show(ShowRequest { version: 0 }).await;
