test_request_history: lying load reports, more callers; PROOFS: requests and actions under failure

Five callers near each place: with two, the backup that answers "not run" whatever it has recorded went unnoticed when an entry VM was killed, and with five the check complained in both tests.

--- a/cli/tests/test_request_history.rs
+++ b/cli/tests/test_request_history.rs
@@ -12,6 +12,8 @@
 use heatherring_testutils::deployment::book;
 use heatherring_testutils::deployment::search;
 use heatherring_testutils::deployment_plan::DeploymentPlan;
+use heatherring_testutils::fake_backend_server::Behaviour;
+use heatherring_testutils::fake_backend_server::LoadReport;
 use heatherring_testutils::machine_clock::now_us;
 use heatherring_testutils::request_history::ArrivalCap;
 use heatherring_testutils::request_history::DrainMark;
@@ -25,7 +27,7 @@
 use tokio::sync::SemaphorePermit;
 
 const ENTRIES: usize = 6;
-const CALLERS_PER_PLACE: usize = 2;
+const CALLERS_PER_PLACE: usize = 5;
 const PAUSE: Duration = Duration::from_millis(20);
 /// Time after which a leaving backend server receives no new work, in microseconds.
 const DRAIN_BOUND_US: u64 = 4_000_000;
@@ -106,11 +108,16 @@
 
 impl Run {
     async fn start(seed: u64) -> Self {
+        Self::start_with(seed, Behaviour::default()).await
+    }
+
+    async fn start_with(seed: u64, behaviour: Behaviour) -> Self {
         let running = RUNNING.acquire().await.unwrap();
         println!("seed {seed}");
         let mut plan = DeploymentPlan::small(ENTRIES, seed);
         plan.cluster.relayed = true;
         plan.patience = PATIENCE;
+        plan.behaviour = behaviour;
         let binary = Path::new(env!("CARGO_BIN_EXE_heatherring"));
         let deployment = Deployment::start(plan, binary).await.unwrap();
         let specs = [
@@ -296,6 +303,22 @@
     run.check().await;
 }
 
+// Symptom: a backend server above its slots.
+// Sequence: all backend servers report that nothing is in flight, whatever they run, and
+// the entry VM that owns some of them is replaced.
+// Cause: a report that is believed where it says less than the owner's own count.
+#[tokio::test(flavor = "multi_thread")]
+async fn test_request_history_lying_reports() {
+    let lying = Behaviour {
+        load_report: LoadReport::Lying { in_flight: 0 },
+        ..Behaviour::default()
+    };
+    let mut run = Run::start_with(19, lying).await;
+    run.suffer(&Fault::Kill("entry-3")).await;
+    run.suffer(&Fault::Freeze("entry-1")).await;
+    run.check().await;
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn test_request_history_random() {
     let cases = std::env::var("HEATHERRING_CASES").ok();
--- a/testutils/src/deployment_plan.rs
+++ b/testutils/src/deployment_plan.rs
@@ -47,6 +47,8 @@
     pub empty_services: Vec<String>,
     /// How long callers wait for a response.
     pub patience: Duration,
+    /// What backend servers do besides serving.
+    pub behaviour: Behaviour,
     /// Seed of everything that is drawn.
     pub seed: u64,
 }
@@ -86,6 +88,7 @@
             ],
             empty_services: vec!["curing".to_owned()],
             patience: PATIENCE,
+            behaviour: Behaviour::default(),
             seed,
         }
     }
@@ -153,6 +156,7 @@
             groups,
             empty_services: Vec::new(),
             patience: PATIENCE,
+            behaviour: Behaviour::default(),
             seed,
         }
     }
@@ -213,7 +217,7 @@
                 starting_ms: 0,
                 connection_ms: 1,
                 linger_ms: 5_000,
-                behaviour: Behaviour::default(),
+                behaviour: self.behaviour,
             })
             .collect()
     }
