session_desk: a relay's batch moves the settled revision

Symptom: entry_slope with eight entry VMs in a region never got a service served; status showed settled 11, every entry VM 10, and no owner began to dispatch. Ruled out: the relays (their batches carried revision 11) and the entry VMs' handling of replies. test_session_desk failed before (settled 2 instead of 3) and passes now.

--- a/server/src/session_desk.rs
+++ b/server/src/session_desk.rs
@@ -279,9 +279,7 @@
         }
         let mut lost = BTreeSet::new();
         for renewal in &batch.renewals {
-            let renewed = self
-                .tracker
-                .renewed(renewal.session, batch.received_at, renewal.applied);
+            let renewed = self.renew(renewal.session, batch.received_at, renewal.applied);
             if renewed == Renewal::Refused {
                 lost.insert(renewal.session);
             }
--- /dev/null
+++ b/server/tests/test_session_desk.rs
@@ -0,0 +1,115 @@
+//! Tests of the leader's dealings with entry VMs.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use heatherring_lib::command::Command;
+use heatherring_lib::command::CommandKind;
+use heatherring_lib::control_state::ControlState;
+use heatherring_lib::id::PlaceName;
+use heatherring_lib::id::RegionName;
+use heatherring_lib::id::Revision;
+use heatherring_lib::id::SessionId;
+use heatherring_lib::id::VmName;
+use heatherring_lib::session_relay::Acknowledgement;
+use heatherring_lib::settings::ControlTiming;
+use heatherring_lib::view::EntryInfo;
+use heatherring_server::node_request::BatchAnswer;
+use heatherring_server::node_request::SyncAnswer;
+use heatherring_server::node_request::SyncCall;
+use heatherring_server::node_request::SyncSubject;
+use heatherring_server::session_desk::HeldBatch;
+use heatherring_server::session_desk::HeldSync;
+use heatherring_server::session_desk::SessionDesk;
+use tokio::sync::oneshot;
+
+const DIRECT: SessionId = SessionId(1);
+const RELAYED: SessionId = SessionId(2);
+
+/// Returns a state with two sessions and, at revision 3, one that begins to leave.
+fn state() -> ControlState {
+    let mut state = ControlState::default();
+    for kind in [open(), open(), CommandKind::MarkLeaving(RELAYED)] {
+        let index = state.revision().next();
+        state.apply(index, &Command { wall_ms: 0, kind }).unwrap();
+    }
+    state
+}
+
+fn open() -> CommandKind {
+    let address = "127.0.0.1:1".parse().unwrap();
+    CommandKind::OpenSession(EntryInfo {
+        vm: VmName::new("entry-1"),
+        place: PlaceName::new("alm-a"),
+        region: RegionName::new("almaty"),
+        callers: address,
+        backend_servers: address,
+        peers: address,
+        forward: address,
+    })
+}
+
+fn renew_direct(
+    desk: &mut SessionDesk,
+    state: &ControlState,
+    now: Instant,
+    applied: u64,
+) -> oneshot::Receiver<SyncAnswer> {
+    let call = SyncCall {
+        subject: SyncSubject::Renew(DIRECT),
+        applied: Revision(applied),
+        known_settled: Revision(2),
+        wait: Duration::from_millis(500),
+        leaving: false,
+        closing: false,
+    };
+    let (tx, rx) = oneshot::channel();
+    let _ = desk.admit(HeldSync::new(Box::new(call), tx, now), state);
+    rx
+}
+
+fn renew_relayed(
+    desk: &mut SessionDesk,
+    state: &ControlState,
+    now: Instant,
+    applied: u64,
+) -> BatchAnswer {
+    let renewals = vec![Acknowledgement {
+        session: RELAYED,
+        applied: Revision(applied),
+    }];
+    let (tx, mut rx) = oneshot::channel();
+    desk.admit_batch(HeldBatch::new(renewals, tx, now), state);
+    rx.try_recv().unwrap()
+}
+
+#[test]
+fn test_session_desk_acknowledgement_through_a_relay_settles() {
+    // Symptom: with eight entry VMs in a region no new owner ever dispatches, and callers
+    // are refused, although `status` shows the manifest in force everywhere.
+    // Sequence: a change is acknowledged by an entry VM itself, then by another through a
+    // relay; the leader answers with the settled revision from before.
+    // Cause: the leader keeps the settled revision until something moves it, and a
+    // relay's batch wasn't taken for something that does.
+    let state = state();
+    let now = Instant::now();
+    let mut desk = SessionDesk::new(&ControlTiming::default());
+    desk.start(now, &state);
+    let mut direct = renew_direct(&mut desk, &state, now, 3);
+    desk.answer_held(now, &state);
+    assert!(direct.try_recv().is_err(), "nothing is settled yet");
+
+    let BatchAnswer::Granted(grant) = renew_relayed(&mut desk, &state, now, 3) else {
+        panic!("the relay's batch isn't granted");
+    };
+    assert_eq!(grant.settled, Revision(3));
+    desk.answer_held(now, &state);
+    let answer = direct.try_recv().unwrap();
+    assert!(matches!(
+        answer,
+        SyncAnswer::Granted {
+            settled: Revision(3),
+            ..
+        }
+    ));
+}
