session_relay: changes don't wait for a grant

Symptom: with relays (relay_min_entries 3) a rolling replacement of eight entry VMs had refused requests, not_owner and no_backend_server. Cause: a relay passed a change on only with control's grant to that request, up to 600 ms later, and entry VMs with and without it disagreed on owners. Ruled out: control (direct sessions see the change at once, and test_rolling_replacement_fails_no_request passes). Change: a request that waits to be collected is answered with the change and no lease; its entry VM asks again at once.

--- a/lib/src/session_relay.rs
+++ b/lib/src/session_relay.rs
@@ -134,7 +134,7 @@
         session: SessionId,
         /// The revision that the entry VM has.
         applied: Revision,
-        /// The lease.
+        /// The lease; zero if only a change is told.
         lease: Duration,
         /// The settled revision.
         settled: Revision,
@@ -252,8 +252,8 @@
         self.remove_all(failed)
     }
 
-    /// Returns the granted requests to answer now, `revision` and `settled` being what the
-    /// relay's own session knows.
+    /// Returns the requests to answer now, `revision` and `settled` being what the relay's
+    /// own session knows: granted ones, and those for which a change can't wait.
     ///
     /// A grant waits until the relay has seen the revision at which control gave it.
     /// Otherwise a relay that is behind would let an entry VM go on with an older view
@@ -305,23 +305,25 @@
     }
 
     fn answer(&self, now: Instant, revision: Revision, settled: Revision) -> Option<RelayAnswer> {
-        let Stage::Granted {
+        let news = self.renewal.applied < revision || self.renewal.known_settled < settled;
+        let answer = |lease| RelayAnswer::Granted {
+            session: self.renewal.session,
+            applied: self.renewal.applied,
             lease,
-            revision: granted_at,
-        } = self.stage
-        else {
-            return None;
+            settled,
+        };
+        let (lease, granted_at) = match self.stage {
+            // Waiting for control's grant first would spread a change over half a second,
+            // in which entry VMs disagree on owners and refuse each other's requests. The
+            // change is told without a lease; the next request brings that.
+            Stage::Collected => return news.then(|| answer(Duration::ZERO)),
+            Stage::InFlight => return None,
+            Stage::Granted { lease, revision } => (lease, revision),
         };
         let due = now >= self.arrived_at + self.renewal.wait;
         if revision < granted_at {
             return due.then_some(RelayAnswer::NoGrant);
         }
-        let news = self.renewal.applied < revision || self.renewal.known_settled < settled;
-        (due || news).then_some(RelayAnswer::Granted {
-            session: self.renewal.session,
-            applied: self.renewal.applied,
-            lease,
-            settled,
-        })
+        (due || news).then(|| answer(lease))
     }
 }
--- a/testutils/src/cluster.rs
+++ b/testutils/src/cluster.rs
@@ -250,6 +250,9 @@
                 settings["listen"] = entry_addresses(|port| vm.own(port));
                 settings["advertise"] = entry_addresses(|port| vm.reached(port));
                 settings["control"] = json!(self.control_addresses());
+                for (member, value) in &self.plan.entry_settings {
+                    settings[member] = value.clone();
+                }
             }
         }
         let text = format!("// Settings of {name}.\n{settings:#}\n");
--- a/testutils/src/cluster_plan.rs
+++ b/testutils/src/cluster_plan.rs
@@ -37,6 +37,8 @@
     pub relayed: bool,
     /// Changes to the settings of all control replicas, as top-level members.
     pub control_settings: serde_json::Map<String, Value>,
+    /// Changes to the settings of all entry VMs, as top-level members.
+    pub entry_settings: serde_json::Map<String, Value>,
 }
 
 impl ClusterPlan {
