group_admission: a new owner waits for announcements before it says there are none

Symptom: test_rolling_replacement_through_relays still had one refusal, no_backend_server, told to come back in 590 ms. Cause: that wait is the one given when no backend server takes work; the group had just changed owner, and nobody had announced itself to the new one. Ruled out: back-off after shedding, whose first pause is 50 ms, and early releases, which are kept. Change: within two announcement intervals of becoming the owner, requests that can still be in time are queued. Without the change test_admission_new_owner_waits_for_announcements fails.

--- a/lib/src/group_admission.rs
+++ b/lib/src/group_admission.rs
@@ -7,6 +7,7 @@
 use crate::admission_event::Offer;
 use crate::admission_event::RequestToken;
 use crate::announcement::Announcement;
+use crate::announcement::REPEAT_MS;
 use crate::backend_registry::BackendRegistry;
 use crate::backend_registry::HeldSlot;
 use crate::backend_registry::LAPSE;
@@ -45,6 +46,9 @@
 /// Time to come back after when no backend server takes work.
 const NO_SERVER_WAIT: Duration = Duration::from_millis(500);
 
+/// Time within which every backend server of a new owner has announced itself again.
+const ANNOUNCED_WITHIN: Duration = Duration::from_millis(2 * REPEAT_MS as u64);
+
 /// Time to come back after when ownership isn't settled.
 const UNSETTLED_WAIT: Duration = Duration::from_millis(200);
 
@@ -214,7 +218,7 @@
         self.check_budgets(cx, offer)?;
         let usable = self.usable(cx.now);
         if usable == 0 {
-            return Err(self.refuse(cx, NotRunReason::NoBackendServer, NO_SERVER_WAIT));
+            return self.wait_for_servers(cx, offer);
         }
         let needed = self.times.needed(cx.now, offer.operation);
         if cx.now + needed > offer.deadline {
@@ -251,6 +255,28 @@
         Ok(self.enqueue(cx, offer))
     }
 
+    /// Keeps a request of a new owner's until its backend servers have announced
+    /// themselves to it.
+    ///
+    /// The old owner's release names them, but it can get lost, and a new owner would
+    /// then refuse what could run a moment later. One would notice it by single refusals
+    /// while entry VMs are replaced.
+    fn wait_for_servers(
+        &mut self,
+        cx: &mut GroupContext<'_>,
+        offer: &Offer,
+    ) -> Result<Decision, NotRun> {
+        let active = self.tenure.active_since(cx.now);
+        let is_new = active.is_some_and(|since| cx.now < since + ANNOUNCED_WITHIN);
+        let needed = self.times.needed(cx.now, offer.operation);
+        let in_time = cx.now + NO_SERVER_WAIT + needed <= offer.deadline;
+        let has_room = self.queue.len() < queue_limit(self.settings.limit.max_in_flight);
+        if is_new && in_time && has_room {
+            return Ok(self.enqueue(cx, offer));
+        }
+        Err(self.refuse(cx, NotRunReason::NoBackendServer, NO_SERVER_WAIT))
+    }
+
     fn enqueue(&mut self, cx: &mut GroupContext<'_>, offer: &Offer) -> Decision {
         self.rate.reserve(1);
         cx.shifts.reserve(shift(cx.manifest, offer));
--- a/lib/tests/test_admission.rs
+++ b/lib/tests/test_admission.rs
@@ -59,6 +59,13 @@
         }
     }
 
+    /// An owner that has just taken its group over.
+    fn fresh() -> Self {
+        let mut owner = Self::new(manifest(&PLACES, plenty()));
+        owner.now -= Duration::from_secs(10);
+        owner
+    }
+
     /// An owner of `backends` that have warmed up.
     fn of(backends: &[&str]) -> Self {
         let mut owner = Self::new(manifest(&PLACES, plenty()));
@@ -239,6 +246,37 @@
     assert_eq!(owner.fill(), 1);
 }
 
+/// Symptom: single requests are refused with `no_backend_server` while entry VMs are
+/// replaced. Sequence: a group changes owner, the old owner's release is lost, and the
+/// new one is asked before backend servers have announced themselves to it. Cause: a new
+/// owner takes "none has announced itself yet" for "there are none".
+#[test]
+fn test_admission_new_owner_waits_for_announcements() {
+    let mut informed = Owner::fresh();
+    let mut waited = Duration::ZERO;
+    informed.announce(&ready("r1"));
+    while !matches!(informed.offer(100 * MS), Verdict::Dispatch(_)) {
+        waited += 50 * MS;
+        informed.pass(50 * MS);
+        informed.announce(&ready("r1"));
+    }
+    let mut owner = Owner::fresh();
+    owner.pass(waited);
+    let verdict = owner.offer(Duration::from_secs(1));
+    assert!(matches!(verdict, Verdict::Queued), "{verdict:?}");
+    owner.pass(100 * MS);
+    let effects = owner.announce(&ready("r1"));
+    let dispatched = |effect: &Effect| matches!(effect, Effect::Dispatch { .. });
+    assert!(effects.iter().any(dispatched), "{effects:?}");
+}
+
+#[test]
+fn test_admission_refuses_at_once_without_servers() {
+    let mut owner = Owner::new(manifest(&PLACES, plenty()));
+    let (reason, _) = owner.refusal(Duration::from_secs(1));
+    assert_eq!(reason, NotRunReason::NoBackendServer);
+}
+
 /// Symptom: requests go on to a dead backend server. Sequence: three fail in a row.
 #[test]
 fn test_admission_opens_circuit() {
