lookup: entry VMs are ranked by place once a view, not sorted at each look-up

Change: sessions are kept by distance for each caller's place until the view changes, and only the tiers that are named are scored. Same answers: the look-up tests of test_steering and test_shift_budget pass unchanged.

--- a/lib/src/lookup.rs
+++ b/lib/src/lookup.rs
@@ -3,6 +3,7 @@
 //! Callers keep the answer for a while, so a look-up moves traffic by itself: one that
 //! names an entry in another region than the caller's counts against the shift caps.
 
+use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
 use std::time::Instant;
@@ -46,9 +47,15 @@
 #[derive(Debug)]
 pub struct Lookups {
     view: Arc<ControlView>,
+    /// Entries that may be named, by the caller's place, for as long as the view holds.
+    /// Without it each look-up would sort all sessions of the deployment.
+    tiers: BTreeMap<PlaceName, Tiers>,
     shifts: ShiftBudgets,
 }
 
+/// Holds entries by their distance, nearest first.
+type Tiers = [Vec<SessionId>; 3];
+
 /// Tells how far an entry is from a caller; nearer ones order first.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 enum Distance {
@@ -57,12 +64,20 @@
     OtherRegion,
 }
 
+/// All distances, nearest first, in the order of [`Tiers`].
+const DISTANCES: [Distance; 3] = [
+    Distance::SamePlace,
+    Distance::SameRegion,
+    Distance::OtherRegion,
+];
+
 impl Lookups {
     /// Starts with no view.
     #[must_use]
     pub fn new(session: SessionId) -> Self {
         Self {
             view: Arc::default(),
+            tiers: BTreeMap::new(),
             shifts: ShiftBudgets::new(session, Sharing::AllSessions),
         }
     }
@@ -70,6 +85,7 @@
     /// Applies a view.
     pub fn apply_view(&mut self, view: &Arc<ControlView>, step: ViewStep) {
         self.view = Arc::clone(view);
+        self.tiers.clear();
         // Look-ups are shared among all sessions, so no owner matters.
         self.shifts.apply_view(view, &OwnerTable::default(), step);
     }
@@ -100,22 +116,25 @@
         if !manifest.services.contains_key(service) {
             return Err(NotRun::proved(NotRunReason::ServiceUnknown));
         }
-        let mut near_first = by_distance(&view, manifest, origin, caller);
-        if near_first.is_empty() {
+        // Only places of the manifest are kept, so that the table stays small.
+        let tiers = if manifest.places.contains_key(origin) {
+            self.tiers
+                .entry(origin.clone())
+                .or_insert_with(|| tiers(&view, manifest, origin))
+        } else {
+            &tiers(&view, manifest, origin)
+        };
+        let near_first = nearest(&view, tiers, caller);
+        let Some((&(distance, entry), others)) = near_first.split_first() else {
             return Err(refused(NotRunReason::Leaving, RETRY_AFTER));
-        }
-        let (distance, entry) = near_first.remove(0);
+        };
         if distance == Distance::OtherRegion {
             self.charge(now, manifest, service, origin, entry)?;
         }
-        let backups = near_first
-            .iter()
-            .take(MAX_BACKUPS)
-            .map(|(_, session)| (*session).clone())
-            .collect();
+        let backups = others.iter().map(|(_, session)| (*session).clone());
         Ok(LookupAnswer {
             entry: entry.clone(),
-            backups,
+            backups: backups.collect(),
             cache: Duration::from_millis(u64::from(manifest.look_ups.cache_ms)),
         })
     }
@@ -146,27 +165,42 @@
     NotRun::proved(reason).with_retry_after(retry_after)
 }
 
-/// Returns the entries that may be named, nearest first, within one distance in the
+/// Returns the entries that may be named to callers at `origin`, by their distance.
+fn tiers(view: &ControlView, manifest: &Manifest, origin: &PlaceName) -> Tiers {
+    let region = manifest.places.get(origin).map(|place| &place.region);
+    let mut tiers = Tiers::default();
+    let named = view
+        .sessions
+        .values()
+        .filter(|session| !session.leaving && !is_drained(manifest, session));
+    for session in named {
+        tiers[distance(session, origin, region) as usize].push(session.id);
+    }
+    tiers
+}
+
+/// Returns the nearest entries, as many as an answer names; those of one distance in the
 /// caller's own order.
-fn by_distance<'v>(
+fn nearest<'v>(
     view: &'v ControlView,
-    manifest: &Manifest,
-    origin: &PlaceName,
+    tiers: &Tiers,
     caller: u64,
 ) -> Vec<(Distance, &'v EntrySession)> {
-    let region = manifest.places.get(origin).map(|place| &place.region);
     let key = caller.to_string();
-    let mut sessions: Vec<_> = view
-        .sessions
-        .values()
-        .filter(|session| !session.leaving && !is_drained(manifest, session))
-        .map(|session| (distance(session, origin, region), session))
-        .collect();
-    sessions.sort_by_cached_key(|(distance, session)| {
-        let score = rendezvous_score(&[&key], &session.info.vm);
-        (*distance, std::cmp::Reverse(score), session.id)
-    });
-    sessions
+    let mut nearest = Vec::new();
+    for (distance, tier) in DISTANCES.into_iter().zip(tiers) {
+        let mut sessions: Vec<_> = tier.iter().filter_map(|id| view.sessions.get(id)).collect();
+        sessions.sort_by_cached_key(|session| {
+            let score = rendezvous_score(&[&key], &session.info.vm);
+            (std::cmp::Reverse(score), session.id)
+        });
+        nearest.extend(sessions.into_iter().map(|session| (distance, session)));
+        if nearest.len() > MAX_BACKUPS {
+            break;
+        }
+    }
+    nearest.truncate(1 + MAX_BACKUPS);
+    nearest
 }
 
 fn distance(session: &EntrySession, origin: &PlaceName, region: Option<&RegionName>) -> Distance {
