--- a/server/examples/control_slope.rs
+++ b/server/examples/control_slope.rs
@@ -42,10 +42,14 @@
 
 const SESSION_COUNTS: [usize; 4] = [100, 200, 400, 800];
 const PHASE: Duration = Duration::from_secs(8);
-/// Each report costs control a quorum round, so they are asked for sparingly.
-const STATUS_POLL: Duration = Duration::from_millis(25);
-const CHANGES: u64 = 8;
-const CHANGE_INTERVAL: Duration = Duration::from_secs(1);
+/// Entry VMs of a deployment today, at the most.
+const SESSIONS_TODAY: usize = 12;
+/// Each report of status costs control a quorum round, so they are asked for sparingly.
+const SLOPE_PACE: Pace = Pace {
+    changes: 8,
+    interval: Duration::from_secs(1),
+    status_poll: Duration::from_millis(25),
+};
 const RELAYS: usize = 24;
 /// As long as a relay collects renewals.
 const BATCH_INTERVAL: Duration = Duration::from_millis(500);
@@ -85,6 +89,14 @@
     seconds: f64,
 }
 
+/// Says how changes are made and watched.
+#[derive(Clone, Copy, Debug)]
+struct Pace {
+    changes: u64,
+    interval: Duration,
+    status_poll: Duration,
+}
+
 /// Holds one row of the table.
 #[derive(Clone, Copy, Debug)]
 struct Row {
@@ -93,16 +105,20 @@
     changing: Cost,
     rss_kb: u64,
     settle_ms_p50: f64,
+    settle_ms_p99: f64,
     settle_ms_max: f64,
 }
 
 #[tokio::main]
 async fn main() -> AnyResult<()> {
     let binary = Path::new("target/release/heatherring");
+    if std::env::args().nth(1).as_deref() == Some("today") {
+        return measure_today(binary).await;
+    }
     for mode in [Mode::Direct, Mode::Relayed] {
         let mut rows = Vec::new();
         for sessions in SESSION_COUNTS {
-            let row = measure(binary, sessions, mode).await?;
+            let row = measure(binary, sessions, mode, SLOPE_PACE).await?;
             eprintln!("{row:?}");
             rows.push(row);
         }
@@ -112,7 +128,22 @@
     Ok(())
 }
 
-async fn measure(binary: &Path, sessions: usize, mode: Mode) -> AnyResult<Row> {
+/// Measures how long a change takes to be in force at the size of today.
+async fn measure_today(binary: &Path) -> AnyResult<()> {
+    let pace = Pace {
+        changes: 300,
+        interval: Duration::from_millis(50),
+        status_poll: Duration::from_millis(1),
+    };
+    let row = measure(binary, SESSIONS_TODAY, Mode::Direct, pace).await?;
+    println!(
+        "{SESSIONS_TODAY} entry VMs, {} changes: p50 {:.1} ms, p99 {:.1} ms, max {:.1} ms",
+        pace.changes, row.settle_ms_p50, row.settle_ms_p99, row.settle_ms_max
+    );
+    Ok(())
+}
+
+async fn measure(binary: &Path, sessions: usize, mode: Mode, pace: Pace) -> AnyResult<Row> {
     let plan = ClusterPlan {
         controls: vec![
             VmPlan::new("control-1", "place-1", "region-1"),
@@ -138,11 +169,11 @@
 
     let before = sample(pid, &traffic)?;
     let mut settle = Vec::new();
-    for version in 1..=CHANGES {
+    for version in 1..=pace.changes {
         let begun = Instant::now();
         let manifest = cluster.manifest(version, &services(version)).to_string();
-        settle.push(submit_and_settle(leader_vm.1, manifest).await?);
-        tokio::time::sleep(CHANGE_INTERVAL.saturating_sub(begun.elapsed())).await;
+        settle.push(submit_and_settle(leader_vm.1, manifest, pace.status_poll).await?);
+        tokio::time::sleep(pace.interval.saturating_sub(begun.elapsed())).await;
     }
     let changing = sample(pid, &traffic)?.since(before);
     let rss_kb = rss_kb(pid)?;
@@ -157,6 +188,7 @@
         changing,
         rss_kb,
         settle_ms_p50: settle[settle.len() / 2],
+        settle_ms_p99: settle[settle.len() * 99 / 100],
         settle_ms_max: settle[settle.len() - 1],
     })
 }
@@ -219,7 +251,11 @@
     Ok((leader.vm.clone(), leader.address.parse()?))
 }
 
-async fn submit_and_settle(leader: SocketAddr, manifest: String) -> AnyResult<f64> {
+async fn submit_and_settle(
+    leader: SocketAddr,
+    manifest: String,
+    status_poll: Duration,
+) -> AnyResult<f64> {
     let mut operator = OperatorClient::new(channel(leader).await?);
     let request = SubmitRequest {
         manifest,
@@ -235,7 +271,7 @@
         if status.settled_revision >= reply.revision {
             return Ok(accepted_at.elapsed().as_secs_f64() * 1e3);
         }
-        tokio::time::sleep(STATUS_POLL).await;
+        tokio::time::sleep(status_poll).await;
     }
 }
 
