group_admission: only owners that nobody has announced himself to wait

Cause: queued requests of a new owner also when its servers had announced themselves and paused after a refusal. Change: only with no announcement at all.

--- a/lib/src/backend_registry.rs
+++ b/lib/src/backend_registry.rs
@@ -96,6 +96,12 @@
 }
 
 impl BackendRegistry {
+    /// Returns whether no backend server has announced itself.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.servers.is_empty()
+    }
+
     /// Takes an announcement with the slots that are believed of it. `new_is_warm`
     /// says that a server not known yet has served another owner before.
     ///
--- a/lib/src/group_admission.rs
+++ b/lib/src/group_admission.rs
@@ -268,10 +268,13 @@
     ) -> Result<Decision, NotRun> {
         let active = self.tenure.active_since(cx.now);
         let is_new = active.is_some_and(|since| cx.now < since + ANNOUNCED_WITHIN);
+        // One that has announced itself and takes nothing is another matter: it starts,
+        // leaves, or pauses after it refused.
+        let unheard = self.registry.is_empty();
         let needed = self.times.needed(cx.now, offer.operation);
         let in_time = cx.now + NO_SERVER_WAIT + needed <= offer.deadline;
         let has_room = self.queue.len() < queue_limit(self.settings.limit.max_in_flight);
-        if is_new && in_time && has_room {
+        if is_new && unheard && in_time && has_room {
             return Ok(self.enqueue(cx, offer));
         }
         Err(self.refuse(cx, NotRunReason::NoBackendServer, NO_SERVER_WAIT))
