direct_dispatch: an object is kept to few backend servers; SIGHUP doesn't end control

Cause: under load a request went to whichever backend server ended it soonest, which spread each object over all of them. A backend server keeps 35 to 50 objects at hand; a request for any other takes three times as long. Control ended on SIGHUP, the default action (exit code 129 in the report).

Change: in each region an object is ranked over the backend servers that are in use for good, and kept to as many as hold all objects of the service between them (28 each). Others come in only when all of these are out of use or full. SIGHUP is taken and logged.

--- a/cli/src/commands/control.rs
+++ b/cli/src/commands/control.rs
@@ -156,6 +156,7 @@
     logging::start(settings.log.level).map_err(CliError::internal)?;
     runtime()?.block_on(async {
         let shutdown = Shutdown::on_signals().map_err(CliError::internal)?;
+        Shutdown::ignore_hangups().map_err(CliError::internal)?;
         let interface = interfaces::control(&settings);
         let replica = run_control(settings, Arc::new(SystemClock), shutdown, interface);
         replica.await.map_err(|error| control_error(&input, error))
--- a/lib/src/direct_dispatch.rs
+++ b/lib/src/direct_dispatch.rs
@@ -33,6 +33,7 @@
 use crate::id::RegionName;
 use crate::id::ServiceName;
 use crate::id::VmName;
+use crate::object_count::ObjectCount;
 use crate::resend_budget::ResendBudget;
 use crate::service_pace::ServicePace;
 
@@ -51,6 +52,21 @@
 /// Objects that a backend server is taken to keep at hand. The users' keep 35 to 50.
 const WARM_OBJECTS: usize = 48;
 
+/// Objects that one backend server is given to keep. The users' keep 35 to 50; some room
+/// is left for objects that come over when another one fails.
+const KEPT_OBJECTS: usize = 28;
+
+/// Backend servers in one region that an object is kept to at most.
+const MOST_COPIES: usize = 4;
+
+/// Names ranks of backend servers for an object within a region.
+struct Rank;
+
+impl Rank {
+    /// The rank of all that the object isn't kept to.
+    const SPARE: usize = MOST_COPIES;
+}
+
 /// Requests beyond its slots that are sent to one backend server at most. Theirs queue
 /// nine; others' requests that aren't known of yet need room too.
 const QUEUE_LIMIT: f64 = 6.0;
@@ -225,6 +241,7 @@
     cold_rate: f64,
     pace: ServicePace,
     budget: ResendBudget,
+    objects: ObjectCount,
 }
 
 /// Picks backend servers.
@@ -335,6 +352,7 @@
                 cold_rate: 0.0,
                 pace: ServicePace::default(),
                 budget,
+                objects: ObjectCount::default(),
             });
             service.max_connections = known.max_connections;
             service.cold_rate = known.cold_rate;
@@ -432,6 +450,11 @@
             reason,
             come_back: COME_BACK.0,
         };
+        if let Some(service) = self.services.get_mut(ask.service)
+            && let Some(object) = ask.object
+        {
+            service.objects.note(now, object);
+        }
         let Some(service) = self.services.get(ask.service) else {
             return Err(refuse(RefusedReason::NoBackend));
         };
@@ -512,60 +535,100 @@
         cold_gate::interval(object, self.own, &self.senders, rate)
     }
 
+    /// Returns the backend servers that a request may be sent to, with what each would
+    /// mean for it.
+    ///
+    /// An object is kept to few backend servers, so that its data are at hand wherever its
+    /// requests go. Only where all of them are out of use or full do others come in: each
+    /// request there takes several times as long, so that spilling over under load makes
+    /// the load several times as heavy, and keeps it so.
     fn candidates(&self, now: Instant, service: &Service, ask: &Ask<'_>) -> Vec<Candidate> {
-        let allowed = |key: &&BackendKey| self.is_allowed(now, **key, ask);
-        let mut usable: Vec<BackendKey> =
-            service.backends.iter().filter(allowed).copied().collect();
-        if usable.iter().any(|key| !self.backends[*key].silent) {
-            usable.retain(|key| !self.backends[*key].silent);
+        let stable: Vec<BackendKey> = service
+            .backends
+            .iter()
+            .filter(|key| self.is_stable(now, **key, ask))
+            .copied()
+            .collect();
+        let Some(object) = ask.object else {
+            return self.assess(now, stable.iter().map(|key| (*key, 0)), service, ask);
+        };
+        let ranked = self.ranked(&stable, object, service.objects.count());
+        let close = ranked.iter().filter(|(_, rank)| *rank < Rank::SPARE);
+        let found = self.assess(now, close.copied(), service, ask);
+        if !found.is_empty() {
+            return found;
+        }
+        let all = stable.iter().map(|key| (*key, Rank::SPARE));
+        let found = self.assess(now, all, service, ask);
+        if !found.is_empty() {
+            return found;
         }
-        let homes = self.homes(now, &usable, ask.object);
-        usable
+        let cold = service
+            .backends
             .iter()
-            .filter_map(|key| self.candidate(now, *key, service, ask, &homes))
+            .filter(|key| self.backends[**key].usable && now < self.backends[**key].cold_until);
+        self.assess(now, cold.map(|key| (*key, Rank::SPARE)), service, ask)
+    }
+
+    fn assess(
+        &self,
+        now: Instant,
+        ranked: impl Iterator<Item = (BackendKey, usize)>,
+        service: &Service,
+        ask: &Ask<'_>,
+    ) -> Vec<Candidate> {
+        ranked
+            .filter(|(key, _)| self.is_allowed(now, *key, ask))
+            .filter_map(|(key, rank)| self.candidate(now, key, rank, service, ask))
             .collect()
     }
 
+    /// Returns whether a backend server counts for the ranking: what changes from one
+    /// request to the next doesn't, or objects would move to and fro.
+    fn is_stable(&self, now: Instant, key: BackendKey, ask: &Ask<'_>) -> bool {
+        let backend = &self.backends[key];
+        let at_home = ask.homes.is_empty() || ask.homes.contains(&backend.region);
+        backend.usable && !backend.silent && at_home && now >= backend.cold_until
+    }
+
     fn is_allowed(&self, now: Instant, key: BackendKey, ask: &Ask<'_>) -> bool {
         let backend = &self.backends[key];
-        backend.usable
-            && backend.health.is_reachable(now)
-            && (ask.homes.is_empty() || ask.homes.contains(&backend.region))
-            && !ask.tried.contains(&key)
+        let at_home = ask.homes.is_empty() || ask.homes.contains(&backend.region);
+        at_home && backend.health.is_reachable(now) && !ask.tried.contains(&key)
     }
 
-    /// Returns the home of the object in each region.
-    fn homes(
+    /// Ranks the backend servers of each region for an object, the heaviest first. As many
+    /// stay as can hold all objects of the service between them.
+    fn ranked(
         &self,
-        now: Instant,
-        usable: &[BackendKey],
-        object: Option<ObjectHash>,
-    ) -> Vec<BackendKey> {
-        let Some(object) = object else {
-            return Vec::new();
-        };
-        let mut best: BTreeMap<&RegionName, (u64, BackendKey)> = BTreeMap::new();
-        for key in usable {
+        stable: &[BackendKey],
+        object: ObjectHash,
+        objects: usize,
+    ) -> Vec<(BackendKey, usize)> {
+        let mut regions: BTreeMap<&RegionName, Vec<(u64, BackendKey)>> = BTreeMap::new();
+        for key in stable {
             let backend = &self.backends[*key];
-            if now < backend.cold_until {
-                continue;
-            }
             let weight = object.weight(backend.hash);
-            let home = best.entry(&backend.region).or_insert((weight, *key));
-            if weight > home.0 {
-                *home = (weight, *key);
-            }
+            let members = regions.entry(&backend.region).or_default();
+            members.push((weight, *key));
+        }
+        let mut ranked = Vec::new();
+        for members in regions.values_mut() {
+            let copies = (KEPT_OBJECTS * members.len() / objects.max(1)).clamp(1, MOST_COPIES);
+            members.sort_unstable_by(|left, right| right.0.cmp(&left.0));
+            let top = members.iter().take(copies).enumerate();
+            ranked.extend(top.map(|(rank, (_, key))| (*key, rank)));
         }
-        best.into_values().map(|(_, key)| key).collect()
+        ranked
     }
 
     fn candidate(
         &self,
         now: Instant,
         key: BackendKey,
+        rank: usize,
         service: &Service,
         ask: &Ask<'_>,
-        homes: &[BackendKey],
     ) -> Option<Candidate> {
         let backend = &self.backends[key];
         let is_cold = now < backend.cold_until;
@@ -580,7 +643,7 @@
         if ahead > QUEUE_LIMIT {
             return None;
         }
-        let warm = homes.contains(&key) || ask.object.is_some_and(|o| backend.has_warm(now, o));
+        let warm = rank == 0 || ask.object.is_some_and(|o| backend.has_warm(now, o));
         let factor = if is_cold { COLD_FACTOR } else { 1.0 };
         let slowness = backend.health.slowness(now);
         let service_time = service.pace.expected(warm) * factor * slowness;
@@ -591,7 +654,7 @@
             + backend.health.shed_rate(now) * SHED_COST;
         Some(Candidate {
             backend: key,
-            cost: time + risk + tie_break(ask.object, backend.hash),
+            cost: time + risk + tie_break(rank),
             time,
             wait,
             service_time,
@@ -685,14 +748,12 @@
     }
 }
 
-/// Orders backend servers that are alike otherwise: by rendezvous hashing, so that the
-/// second choice for an object is the same everywhere too. At most 10 ms.
-fn tie_break(object: Option<ObjectHash>, backend: MemberHash) -> f64 {
-    const MOST: f64 = 0.01;
-    let Some(object) = object else { return 0.0 };
-    #[expect(clippy::cast_precision_loss)]
-    let weight = object.weight(backend) as f64 / u64::MAX as f64;
-    MOST * (1.0 - weight)
+/// Orders backend servers that are alike otherwise by their rank, in steps of 5 ms: well
+/// below what a wait or a way to another region costs.
+fn tie_break(rank: usize) -> f64 {
+    const STEP: f64 = 0.005;
+    let rank = u32::try_from(rank.min(Rank::SPARE)).unwrap_or(u32::MAX);
+    STEP * f64::from(rank)
 }
 
 fn seconds(seconds: f64) -> Duration {
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -55,6 +55,7 @@
 pub mod manifest_summary;
 pub mod manifest_text;
 pub mod nearest_name;
+pub mod object_count;
 pub mod outcome;
 pub mod ownership;
 pub mod place_lookup;
--- /dev/null
+++ b/lib/tests/dispatch_model/mod.rs
@@ -0,0 +1,439 @@
+//! A model of entry VMs that dispatch directly to backend servers, in simulated time.
+//!
+//! Backend servers run a few requests at a time and queue some more. A request takes less
+//! time where its object was handled lately; each server keeps a number of objects.
+
+#![allow(dead_code)]
+
+use std::cmp::Reverse;
+use std::collections::BTreeMap;
+use std::collections::BinaryHeap;
+use std::collections::VecDeque;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use heatherring_lib::affinity::ObjectHash;
+use heatherring_lib::backend_load::LoadReport;
+use heatherring_lib::direct_dispatch::Ask;
+use heatherring_lib::direct_dispatch::Choice;
+use heatherring_lib::direct_dispatch::DispatchConfig;
+use heatherring_lib::direct_dispatch::Dispatcher;
+use heatherring_lib::direct_dispatch::SendEnd;
+use heatherring_lib::direct_dispatch::SendOutcome;
+use heatherring_lib::fleet_record::BackendRecord;
+use heatherring_lib::fleet_record::BackendState;
+use heatherring_lib::fleet_record::EntryRecord;
+use heatherring_lib::fleet_update::FleetUpdate;
+use heatherring_lib::fleet_update::FleetView;
+use heatherring_lib::id::BackendName;
+use heatherring_lib::id::ManifestVersion;
+use heatherring_lib::id::PlaceName;
+use heatherring_lib::id::RegionName;
+use heatherring_lib::id::Revision;
+use heatherring_lib::id::ServiceName;
+use heatherring_lib::id::VmName;
+use heatherring_lib::route_manifest::CallerLimits;
+use heatherring_lib::route_manifest::RouteService;
+use rand::Rng;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+
+/// Holds the parameters of a model.
+#[derive(Clone, Debug)]
+pub struct Plan {
+    /// Backend servers in each region.
+    pub servers: Vec<usize>,
+    /// Entry VMs in each region.
+    pub entries: usize,
+    /// Requests that a backend server runs at a time.
+    pub slots: u32,
+    /// Requests that it queues.
+    pub queue: usize,
+    /// Objects that it keeps at hand.
+    pub keeps: usize,
+    /// Objects that requests concern.
+    pub objects: u32,
+    /// Time that a request takes without its object at hand.
+    pub work: Duration,
+    /// Part of that time which it takes with it.
+    pub warm_part: f64,
+    /// Way to another region and back.
+    pub delay: Duration,
+    /// Requests a second in each region.
+    pub rate: f64,
+    /// Time within which an answer counts.
+    pub objective: Duration,
+    /// Time that callers wait.
+    pub deadline: Duration,
+    /// Length of the play.
+    pub length: Duration,
+    /// Factor on the rate between a quarter and a half of the play.
+    pub burst: f64,
+    /// Seed of arrivals and service times.
+    pub seed: u64,
+}
+
+impl Plan {
+    /// Qazyna's look-up service: 32 servers of 6 slots, a tenth of them in one region.
+    pub fn look_up() -> Self {
+        Self {
+            servers: vec![4, 12, 16],
+            entries: 2,
+            slots: 6,
+            queue: 18,
+            keeps: 35,
+            objects: 88,
+            work: Duration::from_millis(690),
+            warm_part: 0.3,
+            delay: Duration::from_millis(110),
+            rate: 112.0,
+            objective: Duration::from_millis(500),
+            deadline: Duration::from_millis(2_000),
+            length: Duration::from_secs(30),
+            burst: 1.0,
+            seed: 1,
+        }
+    }
+}
+
+/// Holds what callers got.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Result {
+    /// Requests asked in the counted part.
+    pub asked: u32,
+    /// Answered within the objective.
+    pub in_objective: u32,
+    /// Answered later, within the deadline.
+    pub late: u32,
+    /// Refused.
+    pub refused: u32,
+    /// Arrivals at cold data.
+    pub cold_runs: u32,
+}
+
+impl Result {
+    /// Returns the share of requests that were answered within the objective.
+    pub fn share(&self) -> f64 {
+        f64::from(self.in_objective) / f64::from(self.asked.max(1))
+    }
+}
+
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+enum Event {
+    Arrival { region: usize },
+    Reaches { request: usize },
+    Done { request: usize },
+    Back { request: usize, shed: bool },
+}
+
+struct Request {
+    entry: usize,
+    server: usize,
+    object: u32,
+    began: Duration,
+    choice: Choice,
+}
+
+struct Server {
+    region: usize,
+    running: u32,
+    waiting: VecDeque<usize>,
+    warm: VecDeque<u32>,
+}
+
+/// Plays one plan.
+pub struct Model {
+    plan: Plan,
+    origin: Instant,
+    now: Duration,
+    events: BinaryHeap<Reverse<(Duration, u64, Event)>>,
+    sequence: u64,
+    rng: ChaCha8Rng,
+    dispatchers: Vec<Dispatcher>,
+    servers: Vec<Server>,
+    by_name: BTreeMap<BackendName, usize>,
+    requests: Vec<Request>,
+    result: Result,
+}
+
+const SERVICE: &str = "look-up";
+
+fn service() -> ServiceName {
+    ServiceName::new(SERVICE)
+}
+
+fn region(index: usize) -> RegionName {
+    RegionName::new(format!("region-{index}"))
+}
+
+fn place(index: usize) -> PlaceName {
+    PlaceName::new(format!("place-{index}"))
+}
+
+impl Model {
+    pub fn new(plan: Plan) -> Self {
+        let origin = Instant::now();
+        let view = view(&plan);
+        let places: BTreeMap<PlaceName, RegionName> = (0..plan.servers.len())
+            .map(|index| (place(index), region(index)))
+            .collect();
+        let mut dispatchers = Vec::new();
+        for index in 0..plan.servers.len() * plan.entries {
+            let cfg = DispatchConfig {
+                vm: VmName::new(format!("entry-{index}")),
+                region: region(index / plan.entries),
+                places: places.clone(),
+                resend_ratio: 0.2,
+                resend_slack: 60.0,
+            };
+            let mut dispatcher = Dispatcher::new(cfg, origin);
+            dispatcher.apply_view(origin, &view);
+            dispatchers.push(dispatcher);
+        }
+        let mut servers = Vec::new();
+        let mut by_name = BTreeMap::new();
+        for (region, count) in plan.servers.iter().enumerate() {
+            for number in 0..*count {
+                by_name.insert(server_name(region, number), servers.len());
+                servers.push(Server {
+                    region,
+                    running: 0,
+                    waiting: VecDeque::new(),
+                    warm: VecDeque::new(),
+                });
+            }
+        }
+        let rng = ChaCha8Rng::seed_from_u64(plan.seed);
+        Self {
+            plan,
+            origin,
+            now: Duration::ZERO,
+            events: BinaryHeap::new(),
+            sequence: 0,
+            rng,
+            dispatchers,
+            servers,
+            by_name,
+            requests: Vec::new(),
+            result: Result::default(),
+        }
+    }
+
+    /// Plays to the end; the last half counts.
+    pub fn play(mut self) -> Result {
+        for region in 0..self.plan.servers.len() {
+            self.schedule_arrival(region);
+        }
+        while let Some(Reverse((at, _, event))) = self.events.pop() {
+            if at > self.plan.length {
+                break;
+            }
+            self.now = at;
+            match event {
+                Event::Arrival { region } => {
+                    self.arrive(region);
+                    self.schedule_arrival(region);
+                }
+                Event::Reaches { request } => self.reach(request),
+                Event::Done { request } => self.done(request),
+                Event::Back { request, shed } => self.back(request, shed),
+            }
+        }
+        self.result
+    }
+
+    fn at(&self) -> Instant {
+        self.origin + self.now
+    }
+
+    fn schedule(&mut self, after: Duration, event: Event) {
+        self.sequence += 1;
+        let at = self.now + after;
+        self.events.push(Reverse((at, self.sequence, event)));
+    }
+
+    fn schedule_arrival(&mut self, region: usize) {
+        let bursting = self.now >= self.plan.length / 4 && self.now < self.plan.length / 2;
+        let factor = if bursting { self.plan.burst } else { 1.0 };
+        let lot: f64 = self.rng.random_range(0.000_001..1.0);
+        let gap = -lot.ln() / (self.plan.rate * factor);
+        self.schedule(Duration::from_secs_f64(gap), Event::Arrival { region });
+    }
+
+    fn counts(&self, began: Duration) -> bool {
+        began >= self.plan.length / 2 && began + self.plan.deadline <= self.plan.length
+    }
+
+    fn arrive(&mut self, region: usize) {
+        let entry = region * self.plan.entries + self.rng.random_range(0..self.plan.entries);
+        let object = self.rng.random_range(0..self.plan.objects);
+        let service = service();
+        let ask = Ask {
+            service: &service,
+            object: Some(ObjectHash::of("route", &object.to_string())),
+            priority: 2,
+            deadline: self.at() + self.plan.deadline,
+            homes: &[],
+            tried: &[],
+            resend: false,
+        };
+        let now = self.at();
+        let counted = self.counts(self.now);
+        self.result.asked += u32::from(counted);
+        let Ok(choice) = self.dispatchers[entry].choose(now, &ask) else {
+            self.result.refused += u32::from(counted);
+            return;
+        };
+        let server = self.by_name[&choice.name];
+        let away = self.servers[server].region != region;
+        let request = self.requests.len();
+        self.requests.push(Request {
+            entry,
+            server,
+            object,
+            began: self.now,
+            choice,
+        });
+        let way = if away { self.plan.delay / 2 } else { Duration::ZERO };
+        self.schedule(way, Event::Reaches { request });
+    }
+
+    fn reach(&mut self, request: usize) {
+        let server = self.requests[request].server;
+        if self.servers[server].running < self.plan.slots {
+            self.start(request);
+        } else if self.servers[server].waiting.len() < self.plan.queue {
+            self.servers[server].waiting.push_back(request);
+        } else {
+            self.send_back(request, true);
+        }
+    }
+
+    fn start(&mut self, request: usize) {
+        let Request { server, object, .. } = self.requests[request];
+        let server = &mut self.servers[server];
+        server.running += 1;
+        let warm = server.warm.iter().position(|known| *known == object);
+        if let Some(index) = warm {
+            server.warm.remove(index);
+        }
+        server.warm.push_front(object);
+        server.warm.truncate(self.plan.keeps);
+        let part = if warm.is_some() { self.plan.warm_part } else { 1.0 };
+        self.result.cold_runs += u32::from(warm.is_none());
+        let spread = self.rng.random_range(0.85..1.15);
+        let work = self.plan.work.mul_f64(part * spread);
+        self.schedule(work, Event::Done { request });
+    }
+
+    fn done(&mut self, request: usize) {
+        let server = self.requests[request].server;
+        self.servers[server].running -= 1;
+        while let Some(next) = self.servers[server].waiting.pop_front() {
+            let waited = self.now - self.requests[next].began;
+            if waited < self.plan.deadline {
+                self.start(next);
+                break;
+            }
+            self.send_back(next, true);
+        }
+        self.send_back(request, false);
+    }
+
+    fn send_back(&mut self, request: usize, shed: bool) {
+        let Request { entry, server, .. } = self.requests[request];
+        let away = self.servers[server].region != entry / self.plan.entries;
+        let way = if away { self.plan.delay / 2 } else { Duration::ZERO };
+        self.schedule(way, Event::Back { request, shed });
+    }
+
+    fn back(&mut self, request: usize, shed: bool) {
+        let now = self.at();
+        let request = &self.requests[request];
+        let server = &self.servers[request.server];
+        let end = SendEnd {
+            backend: request.choice.backend,
+            send: request.choice.send,
+            outcome: if shed {
+                SendOutcome::Shed
+            } else {
+                SendOutcome::Answered
+            },
+            load: Some(LoadReport {
+                running: server.running,
+                waiting: u32::try_from(server.waiting.len()).unwrap(),
+                slots: self.plan.slots,
+            }),
+            object: Some(ObjectHash::of("route", &request.object.to_string())),
+        };
+        let took = self.now - request.began;
+        if self.counts(request.began) {
+            self.result.refused += u32::from(shed);
+            if !shed && took <= self.plan.objective {
+                self.result.in_objective += 1;
+            } else if !shed && took <= self.plan.deadline {
+                self.result.late += 1;
+            }
+        }
+        self.dispatchers[request.entry].ended(now, &end);
+    }
+}
+
+fn server_name(region: usize, number: usize) -> BackendName {
+    BackendName::new(format!("server-{region}-{number}"))
+}
+
+/// Returns the view that all entry VMs of a plan have.
+pub fn view(plan: &Plan) -> FleetView {
+    let mut backends = Vec::new();
+    for (region, count) in plan.servers.iter().enumerate() {
+        for number in 0..*count {
+            let port = u16::try_from(1_000 + region * 100 + number).unwrap();
+            backends.push((
+                server_name(region, number),
+                Arc::new(BackendRecord {
+                    service: service(),
+                    address: SocketAddr::from(([127, 0, 0, 1], port)),
+                    place: place(region),
+                    slots: plan.slots,
+                    state: BackendState::Ready,
+                    sequence: 1,
+                    cold_for: Duration::ZERO,
+                }),
+            ));
+        }
+    }
+    let entries = (0..plan.servers.len() * plan.entries).map(|index| {
+        let record = EntryRecord {
+            place: place(index / plan.entries),
+            region: region(index / plan.entries),
+            callers: SocketAddr::from(([127, 0, 0, 2], 1_000)),
+            life: 1,
+        };
+        (VmName::new(format!("entry-{index}")), Arc::new(record))
+    });
+    let service_record = RouteService {
+        health_path: "/health".to_owned(),
+        max_connections: 100,
+        protocol: "h1".to_owned(),
+        tls: false,
+        cold_start: Duration::from_secs(3),
+        cold_rate: 7.5,
+    };
+    let update = FleetUpdate {
+        whole: true,
+        base: Revision(0),
+        revision: Revision(1),
+        version: ManifestVersion(1),
+        limits: CallerLimits::default(),
+        routes: Vec::new(),
+        services: vec![(service(), Arc::new(service_record))],
+        backends,
+        entries: entries.collect(),
+        evacuated: Vec::new(),
+        removed: Vec::new(),
+    };
+    FleetView::default().updated(&update).unwrap()
+}
--- a/server/src/shutdown.rs
+++ b/server/src/shutdown.rs
@@ -52,6 +52,22 @@
         Ok(shutdown)
     }
 
+    /// Has SIGHUP do nothing. By default it would end the process; one whose settings are
+    /// read at its start only has no other use for it.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the operating system refuses the signal handler.
+    pub fn ignore_hangups() -> std::io::Result<()> {
+        let mut hangups = signal(SignalKind::hangup())?;
+        tokio::spawn(async move {
+            while hangups.recv().await.is_some() {
+                log::info!(event = "hangup_ignored"; "settings are read at the start only");
+            }
+        });
+        Ok(())
+    }
+
     /// Waits for the first request, the planned stop.
     pub async fn requested(&mut self) {
         self.wait_for(1).await;
