--- a/cli/src/interfaces.rs
+++ b/cli/src/interfaces.rs
@@ -5,8 +5,7 @@
 use heatherring_lib::direct_settings::DirectSettings;
 use heatherring_lib::settings::ControlSettings;
 use heatherring_lib::settings::InterfaceName;
-use heatherring_platform::PlatformControl;
-use heatherring_platform::PlatformEntry;
+use heatherring_platform::Platform;
 use heatherring_server::interface::ControlInterface;
 use heatherring_server::interface::EntryInterface;
 use heatherring_server::own_interface::OwnInterface;
@@ -16,7 +15,7 @@
     let direct = settings.direct.as_ref()?;
     Some(match direct.interface {
         InterfaceName::Heatherring => Arc::new(OwnInterface),
-        InterfaceName::Platform => Arc::new(PlatformControl),
+        InterfaceName::Platform => Arc::new(Platform),
     })
 }
 
@@ -24,6 +23,6 @@
 pub fn entry(settings: &DirectSettings) -> Arc<dyn EntryInterface> {
     match settings.interface {
         InterfaceName::Heatherring => Arc::new(OwnInterface),
-        InterfaceName::Platform => Arc::new(PlatformEntry),
+        InterfaceName::Platform => Arc::new(Platform),
     }
 }
--- a/lib/src/direct_dispatch.rs
+++ b/lib/src/direct_dispatch.rs
@@ -393,14 +393,15 @@
         self.by_name.insert(name.clone(), key);
     }
 
-    /// Treats the backend servers of a place as cold: nothing was sent there while it
-    /// was evacuated, so their data are no longer at hand.
+    /// Treats the backend servers of a place as cold until their own word on it has come:
+    /// they may have become cold while the place was evacuated.
     fn chill(&mut self, now: Instant, place: &PlaceName) {
-        const COLD_AFTER_EVACUATION: Duration = Duration::from_secs(3);
+        /// Time in which each has said at least once whether it is cold: a heartbeat every
+        /// 1.5 s, and the way of its word here.
+        const COLD_AFTER_EVACUATION: Duration = Duration::from_millis(2_000);
         for backend in self.backends.values_mut() {
             if backend.record.place == *place {
                 backend.cold_until = backend.cold_until.max(now + COLD_AFTER_EVACUATION);
-                backend.warm.clear();
             }
         }
     }
--- a/lib/src/direct_settings.rs
+++ b/lib/src/direct_settings.rs
@@ -14,6 +14,7 @@
 use crate::settings::InterfaceName;
 use crate::settings::LogSettings;
 use crate::settings::Security;
+use crate::settings::default_look_up_ms;
 use crate::settings::seed_addresses;
 
 /// Holds the settings of an entry VM that sends to backend servers itself.
@@ -48,6 +49,10 @@
     /// Time from a request to stop until the process is ended by force.
     #[serde(default = "default_grace")]
     pub grace: DurationText,
+    /// Time for which callers keep the answer to a look-up, in milliseconds.
+    #[serde(default = "default_look_up_ms")]
+    #[schemars(range(min = 1))]
+    pub look_up_ms: u32,
     /// What is logged.
     #[serde(default)]
     pub log: LogSettings,
@@ -75,6 +80,10 @@
     /// For the question whether this entry VM takes requests (HTTP/1.1).
     #[schemars(extend("format" = "socket-address"))]
     pub ready: SocketAddr,
+    /// For callers' look-ups (HTTP/1.1); without it only control answers them.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    #[schemars(extend("format" = "socket-address"))]
+    pub look_ups: Option<SocketAddr>,
 }
 
 /// Bounds how often requests are sent to a second backend server.
--- a/lib/src/settings.rs
+++ b/lib/src/settings.rs
@@ -145,7 +145,7 @@
     pub look_up_ms: u32,
 }
 
-const fn default_look_up_ms() -> u32 {
+pub(crate) const fn default_look_up_ms() -> u32 {
     2_000
 }
 
--- a/lib/src/settings_check.rs
+++ b/lib/src/settings_check.rs
@@ -173,11 +173,13 @@
     let root = ConfigPath::root();
     let listen = root.field("listen");
     let listeners = [
-        ("callers", settings.listen.callers),
-        ("ready", settings.listen.ready),
+        ("callers", Some(settings.listen.callers)),
+        ("ready", Some(settings.listen.ready)),
+        ("look_ups", settings.listen.look_ups),
     ];
     let mut problems = check_control_addresses(&settings.control);
     for (name, address) in listeners {
+        let Some(address) = address else { continue };
         problems.extend(check_listener(listen.field(name), address));
         problems.extend(check_open(&settings.security, listen.field(name), address));
     }
--- a/lib/tests/dispatch_model/mod.rs
+++ b/lib/tests/dispatch_model/mod.rs
@@ -69,6 +69,8 @@
     pub deadline: Duration,
     /// Length of the play.
     pub length: Duration,
+    /// Whether the first quarter of the play counts rather than the last half.
+    pub counts_start: bool,
     /// Factor on the rate between a quarter and a half of the play.
     pub burst: f64,
     /// Seed of arrivals and service times.
@@ -92,6 +94,7 @@
             objective: Duration::from_millis(500),
             deadline: Duration::from_millis(2_000),
             length: Duration::from_secs(30),
+            counts_start: false,
             burst: 1.0,
             seed: 1,
         }
@@ -263,6 +266,9 @@
     }
 
     fn counts(&self, began: Duration) -> bool {
+        if self.plan.counts_start {
+            return began < self.plan.length / 4;
+        }
         began >= self.plan.length / 2 && began + self.plan.deadline <= self.plan.length
     }
 
--- a/server/src/control_listeners.rs
+++ b/server/src/control_listeners.rs
@@ -19,6 +19,8 @@
 use crate::http_server::HttpBounds;
 use crate::http_server::HttpVersions;
 use crate::interface::ControlInterface;
+use crate::interface::LookUpInterface;
+use crate::look_up_handler::LookUpHandler;
 
 /// Connections open at one listener; several hundred backend servers keep one each.
 const MAX_CONNECTIONS: usize = 1_500;
@@ -42,18 +44,6 @@
     }
 }
 
-#[derive(Clone, Debug)]
-struct LookUpHandler {
-    interface: Arc<dyn ControlInterface>,
-    control: FleetControl,
-}
-
-impl Handler for LookUpHandler {
-    async fn handle(&self, _peer: SocketAddr, req: Request<Incoming>) -> Response<AnswerBody> {
-        self.interface.answer_look_up(&self.control, &req)
-    }
-}
-
 /// Holds the bound listeners.
 #[derive(Debug)]
 pub struct ControlListeners {
@@ -93,8 +83,8 @@
             control: control.clone(),
         };
         let look_ups = LookUpHandler {
-            interface: Arc::clone(interface),
-            control: control.clone(),
+            interface: Arc::clone(interface) as Arc<dyn LookUpInterface>,
+            source: Arc::new(control.clone()),
         };
         spawn(self.orders, orders, stop);
         spawn(self.look_ups, look_ups, stop);
--- a/server/src/direct_process.rs
+++ b/server/src/direct_process.rs
@@ -31,6 +31,7 @@
 use crate::direct_path::DirectHandler;
 use crate::direct_send::DirectSender;
 use crate::dispatch_task::DispatchHandle;
+use crate::entry_directory::EntryDirectory;
 use crate::fleet_follower;
 use crate::fleet_follower::FollowerSetup;
 use crate::http_server;
@@ -39,6 +40,8 @@
 use crate::http_server::HttpBounds;
 use crate::http_server::HttpVersions;
 use crate::interface::EntryInterface;
+use crate::interface::LookUpInterface;
+use crate::look_up_handler::LookUpHandler;
 use crate::peer_channel::PeerChannels;
 use crate::peer_security::PeerSecurity;
 use crate::peer_security::PeerSecurityError;
@@ -118,12 +121,16 @@
     let security = PeerSecurity::from_settings(&settings.security).context(SecuritySnafu)?;
     let callers = bind("callers", settings.listen.callers).await?;
     let asked_ready = bind("ready", settings.listen.ready).await?;
+    let look_ups = match settings.listen.look_ups {
+        Some(address) => Some(bind("look_ups", address).await?),
+        None => None,
+    };
     let (seeds_tx, seeds) = watch::channel(settings.control_peers());
     watch_settings(settings_file, seeds_tx);
     let (ready_tx, ready) = watch::channel(false);
     let (leaving_tx, leaving) = watch::channel(false);
     let dispatch = DispatchHandle::spawn(dispatch_config(&settings), Arc::clone(&clock));
-    let view = fleet_follower::spawn(FollowerSetup {
+    let followed = fleet_follower::spawn(FollowerSetup {
         vm: settings.vm.clone(),
         record: EntryRecord {
             place: settings.place.clone(),
@@ -137,6 +144,14 @@
         clock: Arc::clone(&clock),
         dispatch: dispatch.clone(),
     });
+    let view = followed.view.clone();
+    let directory = EntryDirectory {
+        vm: settings.vm.clone(),
+        ready: ready.clone(),
+        view: view.clone(),
+        live: followed.live,
+        keep: Duration::from_millis(settings.look_up_ms.into()),
+    };
     let cx = Arc::new(DirectContext {
         clock,
         interface: Arc::clone(&interface),
@@ -148,12 +163,19 @@
     });
     let stop = CancellationToken::new();
     let serving = serve(callers, DirectHandler::new(cx), stop.clone());
+    let stop_asked = CancellationToken::new();
+    if let Some(look_ups) = look_ups {
+        let handler = LookUpHandler {
+            interface: Arc::clone(&interface) as Arc<dyn LookUpInterface>,
+            source: Arc::new(directory),
+        };
+        serve(look_ups, handler, stop_asked.clone());
+    }
     let ready_handler = ReadyHandler {
         interface,
         ready: ready.clone(),
     };
-    let stop_ready = CancellationToken::new();
-    serve(asked_ready, ready_handler, stop_ready.clone());
+    serve(asked_ready, ready_handler, stop_asked);
     let becoming_ready = tokio::spawn(announce_ready(view, ready_tx.clone()));
     log::info!(event = "entry_started", vm = settings.vm.as_str(), callers:% = settings.listen.callers; "the entry VM listens");
     shutdown.requested().await;
--- a/server/src/fleet_control.rs
+++ b/server/src/fleet_control.rs
@@ -33,6 +33,8 @@
 use tonic::Status;
 
 use crate::fleet_picture::FleetPicture;
+use crate::interface::LookUp;
+use crate::interface::LookUpSource;
 use crate::leader_relay::fleet_client;
 use crate::leader_relay::pass_on;
 use crate::node_request::LeaderLink;
@@ -98,15 +100,6 @@
     pub record: BackendRecord,
 }
 
-/// Answers a look-up.
-#[derive(Clone, Debug, PartialEq)]
-pub struct LookUp {
-    /// Where requests may be sent.
-    pub addresses: Vec<SocketAddr>,
-    /// How long the answer may be kept.
-    pub keep: Duration,
-}
-
 /// Serves direct dispatch at one control replica.
 #[derive(Clone, Debug)]
 pub struct FleetControl {
@@ -376,23 +369,6 @@
             .map(|_| ())
     }
 
-    /// Names the entry VMs for a caller; nothing if none is known to take requests.
-    #[must_use]
-    pub fn look_up(&self, host: &str, region: &RegionName) -> Option<LookUp> {
-        let fleet = self.inner.picture.read().fleet;
-        let live = self.inner.presence.view().live;
-        let homes = homes_of_host(&fleet, host);
-        let entries = fleet
-            .entries()
-            .filter(|(vm, _)| live.contains(*vm))
-            .map(|(_, entry)| entry);
-        let addresses = place_lookup::pick(entries, region, homes);
-        (!addresses.is_empty()).then(|| LookUp {
-            addresses,
-            keep: self.keep_look_ups(),
-        })
-    }
-
     fn keep_look_ups(&self) -> Duration {
         let settings = self.inner.settings.as_ref();
         Duration::from_millis(settings.map_or(0, |settings| settings.look_up_ms).into())
@@ -419,6 +395,23 @@
     }
 }
 
+impl LookUpSource for FleetControl {
+    fn look_up(&self, host: &str, region: &RegionName) -> Option<LookUp> {
+        let fleet = self.inner.picture.read().fleet;
+        let live = self.inner.presence.view().live;
+        let homes = homes_of_host(&fleet, host);
+        let entries = fleet
+            .entries()
+            .filter(|(vm, _)| live.contains(*vm))
+            .map(|(_, entry)| entry);
+        let addresses = place_lookup::pick(entries, region, homes);
+        (!addresses.is_empty()).then(|| LookUp {
+            addresses,
+            keep: self.keep_look_ups(),
+        })
+    }
+}
+
 /// Returns the home regions of the first route of a host that has any.
 fn homes_of_host<'a>(fleet: &'a FleetState, host: &str) -> &'a [RegionName] {
     let routes = fleet.manifest().routes.values();
--- a/server/src/fleet_follower.rs
+++ b/server/src/fleet_follower.rs
@@ -75,27 +75,42 @@
 struct Follower {
     setup: FollowerSetup,
     view: watch::Sender<Arc<FleetView>>,
-    known_silent: u64,
+    live: watch::Sender<Arc<BTreeSet<VmName>>>,
+    known_presence: u64,
     learned: Vec<SocketAddr>,
     next: usize,
     lost_since: Option<Instant>,
 }
 
-/// Starts the task; the view it keeps is empty until the first answer.
+/// Shows what control said last.
+#[derive(Clone, Debug)]
+pub struct Followed {
+    /// The view of the fleet; empty until the first answer.
+    pub view: watch::Receiver<Arc<FleetView>>,
+    /// The entry VMs that take requests.
+    pub live: watch::Receiver<Arc<BTreeSet<VmName>>>,
+}
+
+/// Starts the task.
 #[must_use]
-pub fn spawn(setup: FollowerSetup) -> watch::Receiver<Arc<FleetView>> {
+pub fn spawn(setup: FollowerSetup) -> Followed {
     let (view, view_rx) = watch::channel(Arc::new(FleetView::default()));
+    let (live, live_rx) = watch::channel(Arc::default());
     let next = rand::random::<u32>() as usize;
     let follower = Follower {
         setup,
         view,
-        known_silent: 0,
+        live,
+        known_presence: 0,
         learned: Vec::new(),
         next,
         lost_since: None,
     };
     tokio::spawn(follower.run());
-    view_rx
+    Followed {
+        view: view_rx,
+        live: live_rx,
+    }
 }
 
 impl Follower {
@@ -166,7 +181,7 @@
             record_encoded,
             ready,
             applied_revision: view.revision.0,
-            known_silent: self.known_silent,
+            known_presence: self.known_presence,
             wait_ms: u32::try_from(WAIT.as_millis()).unwrap_or(u32::MAX),
         }
     }
@@ -184,12 +199,14 @@
         if !reply.update_encoded.is_empty() {
             self.apply(&reply.update_encoded)?;
         }
-        if reply.silent_number != self.known_silent {
-            self.known_silent = reply.silent_number;
+        if reply.presence_number != self.known_presence {
+            self.known_presence = reply.presence_number;
             let silent: BTreeSet<BackendName> =
                 reply.silent.into_iter().map(BackendName::new).collect();
-            log::info!(event = "silent_backends", count = silent.len(); "control says which backend servers are silent");
+            let live: BTreeSet<VmName> = reply.live.into_iter().map(VmName::new).collect();
+            log::info!(event = "presence_applied", silent = silent.len(), live = live.len(); "control says who is silent and who takes requests");
             self.setup.dispatch.apply_silent(silent);
+            self.live.send_replace(Arc::new(live));
         }
         Ok(())
     }
@@ -209,8 +226,8 @@
     }
 
     fn note_lost(&mut self, address: SocketAddr, error: &FollowError) {
-        // The number of the list of silent backend servers is that replica's own.
-        self.known_silent = 0;
+        // The number of the verdicts on presence is that replica's own.
+        self.known_presence = 0;
         if self.lost_since.is_none() {
             self.lost_since = Some(self.setup.clock.now());
             log::warn!(event = "control_lost", replica:% = address, error:% = error; "asking another replica; serving on with what is known");
--- a/server/src/fleet_service.rs
+++ b/server/src/fleet_service.rs
@@ -73,7 +73,7 @@
         let news = async {
             loop {
                 let is_new = picture.read().fleet.revision() > applied
-                    || presence.view().number != request.known_silent;
+                    || presence.view().number != request.known_presence;
                 if is_new {
                     return;
                 }
@@ -104,17 +104,19 @@
             Vec::new()
         };
         let presence = self.control.presence().view();
-        let silent = if presence.number == request.known_silent {
-            Vec::new()
+        let (silent, live) = if presence.number == request.known_presence {
+            (Vec::new(), Vec::new())
         } else {
-            let names = presence.silent.iter();
-            names.map(|name| name.as_str().to_owned()).collect()
+            let silent = presence.silent.iter().map(|name| name.as_str().to_owned());
+            let live = presence.live.iter().map(|vm| vm.as_str().to_owned());
+            (silent.collect(), live.collect())
         };
         Ok(FollowReply {
             current: true,
             update_encoded,
-            silent_number: presence.number,
+            presence_number: presence.number,
             silent,
+            live,
             replicas: picture
                 .replicas
                 .iter()
--- a/server/src/interface.rs
+++ b/server/src/interface.rs
@@ -5,11 +5,13 @@
 //! business alone; it decides nothing else.
 
 use std::fmt::Debug;
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use futures_util::future::BoxFuture;
 use heatherring_lib::backend_load::LoadReport;
 use heatherring_lib::id::BackendName;
+use heatherring_lib::id::RegionName;
 use http::HeaderMap;
 use http::Request;
 use http::Response;
@@ -60,8 +62,34 @@
     pub load: Option<LoadReport>,
 }
 
+/// Knows which entry VMs a caller may use.
+pub trait LookUpSource: Send + Sync {
+    /// Names the entry VMs for a caller of `host` in `region`; nothing if none is known to
+    /// take requests.
+    fn look_up(&self, host: &str, region: &RegionName) -> Option<LookUp>;
+}
+
+/// Answers a look-up.
+#[derive(Clone, Debug, PartialEq)]
+pub struct LookUp {
+    /// Where requests may be sent.
+    pub addresses: Vec<SocketAddr>,
+    /// How long the answer may be kept.
+    pub keep: Duration,
+}
+
+/// Answers callers' look-ups.
+pub trait LookUpInterface: Debug + Send + Sync + 'static {
+    /// Answers a look-up with what `source` knows.
+    fn answer_look_up(
+        &self,
+        source: &dyn LookUpSource,
+        req: &Request<Incoming>,
+    ) -> Response<AnswerBody>;
+}
+
 /// Reads and writes what callers and backend servers say.
-pub trait EntryInterface: Debug + Send + Sync + 'static {
+pub trait EntryInterface: LookUpInterface {
     /// Reads what a caller says with a request.
     ///
     /// # Errors
@@ -87,19 +115,12 @@
     pub name: &'static str,
 }
 
-/// Answers backend servers, operators and callers' look-ups.
-pub trait ControlInterface: Debug + Send + Sync + 'static {
+/// Answers backend servers and operators.
+pub trait ControlInterface: LookUpInterface {
     /// Answers a call of a backend server or an operator.
     fn answer_control(
         &self,
         control: FleetControl,
         req: Request<Incoming>,
     ) -> BoxFuture<'static, Response<AnswerBody>>;
-
-    /// Answers a look-up.
-    fn answer_look_up(
-        &self,
-        control: &FleetControl,
-        req: &Request<Incoming>,
-    ) -> Response<AnswerBody>;
 }
--- a/server/src/own_interface.rs
+++ b/server/src/own_interface.rs
@@ -44,6 +44,8 @@
 use crate::interface::CallerMarks;
 use crate::interface::ControlInterface;
 use crate::interface::EntryInterface;
+use crate::interface::LookUpInterface;
+use crate::interface::LookUpSource;
 use crate::interface::OutgoingMarks;
 use crate::interface::UnreadableMark;
 
@@ -147,10 +149,12 @@
     ) -> BoxFuture<'static, Response<AnswerBody>> {
         answer(control, req).boxed()
     }
+}
 
+impl LookUpInterface for OwnInterface {
     fn answer_look_up(
         &self,
-        control: &FleetControl,
+        source: &dyn LookUpSource,
         req: &Request<Incoming>,
     ) -> Response<AnswerBody> {
         let query = req.uri().query().unwrap_or_default();
@@ -161,7 +165,7 @@
         let (Some(host), Some(region)) = (parameter("host"), parameter("region")) else {
             return status(StatusCode::BAD_REQUEST);
         };
-        match control.look_up(host, &RegionName::new(region)) {
+        match source.look_up(host, &RegionName::new(region)) {
             Some(found) => json(&EntriesBody {
                 entries: found.addresses.iter().map(ToString::to_string).collect(),
                 keep_ms: header::whole_ms(found.keep),
--- a/server/src/presence_task.rs
+++ b/server/src/presence_task.rs
@@ -48,8 +48,8 @@
 /// Holds the verdicts on everybody.
 #[derive(Clone, Debug)]
 pub struct PresenceView {
-    /// Number of the list of silent backend servers; changes with it. Above 0, which
-    /// stands for an entry VM that knows no list of this replica.
+    /// Number of the verdicts; changes with them. Above 0, which stands for an entry VM
+    /// that knows none of this replica's.
     pub number: u64,
     /// Backend servers that haven't been heard of lately.
     pub silent: Arc<BTreeSet<BackendName>>,
@@ -235,13 +235,14 @@
             let silent_changed = *view.silent != silent;
             let live_changed = *view.live != live;
             if silent_changed {
-                view.number += 1;
                 view.silent = Arc::new(silent);
             }
             if live_changed {
                 view.live = Arc::new(live);
             }
-            silent_changed || live_changed
+            let changed = silent_changed || live_changed;
+            view.number += u64::from(changed);
+            changed
         });
     }
 
