--- a/lib/src/settings.rs
+++ b/lib/src/settings.rs
@@ -133,9 +133,10 @@
     /// Where backend servers and operators call (HTTP/1.1).
     #[schemars(extend("format" = "socket-address"))]
     pub listen: SocketAddr,
-    /// Where callers' look-ups are answered (HTTP/1.1).
+    /// Where callers' look-ups are answered (HTTP/1.1); without it only entry VMs do.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
     #[schemars(extend("format" = "socket-address"))]
-    pub look_ups: SocketAddr,
+    pub look_ups: Option<SocketAddr>,
     /// The regions of all places.
     pub places: BTreeMap<PlaceName, RegionName>,
     /// Time for which callers keep the answer to a look-up, in milliseconds. Short, since
--- a/lib/src/settings_check.rs
+++ b/lib/src/settings_check.rs
@@ -127,7 +127,8 @@
     let listen = ConfigPath::root().field("listen");
     if let Some(direct) = &settings.direct {
         let path = ConfigPath::root().field("direct");
-        for (name, address) in [("listen", direct.listen), ("look_ups", direct.look_ups)] {
+        let look_ups = direct.look_ups.map(|address| ("look_ups", address));
+        for (name, address) in [("listen", direct.listen)].into_iter().chain(look_ups) {
             problems.extend(check_listener(path.field(name), address));
             problems.extend(check_open(&settings.security, path.field(name), address));
         }
--- a/server/src/control_listeners.rs
+++ b/server/src/control_listeners.rs
@@ -48,7 +48,7 @@
 #[derive(Debug)]
 pub struct ControlListeners {
     orders: TcpListener,
-    look_ups: TcpListener,
+    look_ups: Option<TcpListener>,
 }
 
 impl ControlListeners {
@@ -67,7 +67,10 @@
         };
         Ok(Self {
             orders: bind(settings.listen).await?,
-            look_ups: bind(settings.look_ups).await?,
+            look_ups: match settings.look_ups {
+                Some(address) => Some(bind(address).await?),
+                None => None,
+            },
         })
     }
 
@@ -87,7 +90,9 @@
             source: Arc::new(control.clone()),
         };
         spawn(self.orders, orders, stop);
-        spawn(self.look_ups, look_ups, stop);
+        if let Some(listener) = self.look_ups {
+            spawn(listener, look_ups, stop);
+        }
     }
 }
 
