--- a/lib/src/direct_dispatch.rs
+++ b/lib/src/direct_dispatch.rs
@@ -76,7 +76,7 @@
 }
 
 /// Share of the requests that make a further copy of their object before it is needed.
-const SPARE_WARM_UPS: f64 = 0.03;
+const SPARE_WARM_UPS: f64 = 0.1;
 
 /// Factor by which a request takes longer at a cold backend server.
 const COLD_FACTOR: f64 = 2.0;
@@ -398,7 +398,7 @@
     fn chill(&mut self, now: Instant, place: &PlaceName) {
         /// Time in which each has said at least once whether it is cold: a heartbeat every
         /// 1.5 s, and the way of its word here.
-        const COLD_AFTER_EVACUATION: Duration = Duration::from_millis(2_000);
+        const COLD_AFTER_EVACUATION: Duration = Duration::from_secs(2);
         for backend in self.backends.values_mut() {
             if backend.record.place == *place {
                 backend.cold_until = backend.cold_until.max(now + COLD_AFTER_EVACUATION);
@@ -470,7 +470,7 @@
             return Err(if candidates.is_empty() {
                 refuse(RefusedReason::NoBackend)
             } else {
-                self.no_room(&candidates)
+                Self::no_room(&candidates)
             });
         };
         let max_connections = service.max_connections;
@@ -487,7 +487,7 @@
         Ok(self.begin(now, &best, ask, max_connections))
     }
 
-    fn no_room(&self, candidates: &[Candidate]) -> Refused {
+    fn no_room(candidates: &[Candidate]) -> Refused {
         let wait = candidates
             .iter()
             .map(|candidate| candidate.wait)
@@ -622,14 +622,14 @@
         let mut heaviest: Option<(u64, BackendKey)> = None;
         for (region, mut members) in regions {
             let copies = copies(object, region, members.len(), objects);
-            members.sort_unstable_by(|left, right| right.0.cmp(&left.0));
+            members.sort_unstable_by_key(|member| std::cmp::Reverse(member.0));
             heaviest = heaviest.max(members.first().copied());
             kept.extend(members.into_iter().take(copies));
         }
         if kept.is_empty() {
             kept.extend(heaviest);
         }
-        kept.sort_unstable_by(|left, right| right.0.cmp(&left.0));
+        kept.sort_unstable_by_key(|member| std::cmp::Reverse(member.0));
         let ranks = kept.into_iter().enumerate();
         ranks.map(|(rank, (_, key))| (key, rank)).collect()
     }
@@ -670,6 +670,7 @@
             load: there / slots,
             slow_above: service.pace.expected(known_warm) * factor * SLOW_MARGIN,
             warm,
+            near: backend.region == self.cfg.region,
         })
     }
 
--- a/lib/src/dispatch_pick.rs
+++ b/lib/src/dispatch_pick.rs
@@ -34,6 +34,8 @@
     pub load: f64,
     /// Whether its data are expected to be at hand.
     pub warm: bool,
+    /// Whether it stands in the entry VM's own region.
+    pub near: bool,
     /// Time above which the backend server counts as slow.
     pub slow_above: f64,
 }
@@ -62,7 +64,8 @@
     No,
     /// If all that have one are busy.
     IfBusy,
-    /// Also before it is needed.
+    /// Also before it is needed, if there is none in the entry VM's own region: a way to
+    /// another region and back takes a third to a half of the users' latency objectives.
     Ahead,
 }
 
@@ -111,9 +114,14 @@
         (WarmUp::Ahead, false) => IDLE_LOAD,
         _ => return None,
     };
+    let near_only = !busy;
+    if near_only && warm.iter().any(|candidate| candidate.near) {
+        return None;
+    }
     let idle: Vec<Candidate> = cold
         .iter()
         .filter(|candidate| candidate.load <= most && candidate.time() <= limits.left)
+        .filter(|candidate| candidate.near || !near_only)
         .copied()
         .collect();
     least(&idle, Candidate::cost)
--- a/lib/src/duration_text.rs
+++ b/lib/src/duration_text.rs
@@ -10,7 +10,7 @@
 
 /// Longest duration that is taken. Anything longer is a slip of the unit, and would
 /// overflow sums with the clock.
-const LONGEST: Duration = Duration::from_secs(365 * 24 * 3_600);
+const LONGEST: Duration = Duration::from_hours(365 * 24);
 
 /// Tells why a text is no duration.
 #[derive(Clone, Debug, Eq, PartialEq, Snafu)]
--- a/lib/src/presence.rs
+++ b/lib/src/presence.rs
@@ -17,7 +17,7 @@
 
 /// Silence after which a backend server counts as lost. Heartbeats come every 1.5 s or so,
 /// may be a second late and take half a second to be passed on.
-pub const BACKEND_SILENCE: Duration = Duration::from_millis(4_000);
+pub const BACKEND_SILENCE: Duration = Duration::from_secs(4);
 
 /// Silence after which an entry VM is named to callers no more. It asks control at least
 /// once a second, may have to change to another replica, which takes a second, and its
--- a/lib/src/raft.rs
+++ b/lib/src/raft.rs
@@ -263,8 +263,7 @@
             RoleState::Follower(follower) if follower.leader_commit <= self.commit => {
                 follower.leader.and(follower.heard_at)
             }
-            RoleState::Follower(_) => None,
-            RoleState::PreCandidate(_) | RoleState::Candidate(_) => None,
+            RoleState::Follower(_) | RoleState::PreCandidate(_) | RoleState::Candidate(_) => None,
         }
     }
 
--- a/lib/src/route_manifest.rs
+++ b/lib/src/route_manifest.rs
@@ -107,7 +107,7 @@
             max_header_bytes: 16 << 10,
             max_body_bytes: 1 << 20,
             header_timeout: Duration::from_secs(5),
-            idle_timeout: Duration::from_secs(60),
+            idle_timeout: Duration::from_mins(1),
         }
     }
 }
--- a/lib/tests/dispatch_model/mod.rs
+++ b/lib/tests/dispatch_model/mod.rs
@@ -92,7 +92,7 @@
             delay: Duration::from_millis(110),
             rate: 112.0,
             objective: Duration::from_millis(500),
-            deadline: Duration::from_millis(2_000),
+            deadline: Duration::from_secs(2),
             length: Duration::from_secs(30),
             counts_start: false,
             burst: 1.0,
@@ -346,7 +346,7 @@
         let server = self.requests[request].server;
         self.servers[server].running -= 1;
         while let Some(next) = self.servers[server].waiting.pop_front() {
-            let waited = self.now - self.requests[next].began;
+            let waited = self.now.saturating_sub(self.requests[next].began);
             if waited < self.plan.deadline {
                 self.start(next);
                 break;
@@ -386,7 +386,7 @@
             }),
             object: Some(ObjectHash::of("route", &request.object.to_string())),
         };
-        let took = self.now - request.began;
+        let took = self.now.saturating_sub(request.began);
         if self.counts(request.began) {
             self.result.refused += u32::from(shed);
             if !shed && took <= self.plan.objective {
--- a/server/src/direct_path.rs
+++ b/server/src/direct_path.rs
@@ -104,7 +104,7 @@
         let mut trace = Trace::default();
         let mut response = match self.cx.answer(arrived, req, &mut trace).await {
             Ok(answer) => {
-                log::debug!(event = "answered", request_id = trace.request_id.as_deref().unwrap_or_default(), service = trace.service.as_ref().map_or("", |name| name.as_str()), version = trace.version, sends = trace.sends().as_str(), status = answer.head.status.as_u16(); "a request was answered");
+                log::debug!(event = "answered", request_id = trace.request_id.as_deref().unwrap_or_default(), route = trace.route.as_ref().map_or("", |name| name.as_str()), service = trace.service.as_ref().map_or("", |name| name.as_str()), version = trace.version, sends = trace.sends().as_str(), status = answer.head.status.as_u16(); "a request was answered");
                 Response::from_parts(answer.head, answer.body)
             }
             Err(refused) => {
--- a/server/src/direct_send.rs
+++ b/server/src/direct_send.rs
@@ -56,7 +56,7 @@
 /// Time before a backend server closes an idle connection in which it isn't used any
 /// more: a request that meets the close halfway has an unknown fate. It covers the way to
 /// another region and a busy moment on either side.
-const KEEP_MARGIN: Duration = Duration::from_millis(1_000);
+const KEEP_MARGIN: Duration = Duration::from_secs(1);
 
 /// Time for which a connection is waited for, beyond the way there and back. Connections
 /// within a region take a millisecond or two.
@@ -183,13 +183,13 @@
                 let read = self.read(req, sent, response, connection).await;
                 Exchange::Over(Box::new(read))
             }
-            Ok(Err(mut error)) => match error.take_message() {
-                Some(unwritten) => Exchange::Unwritten(sent.handed_back(&unwritten)),
-                None => {
-                    let unknown = sent.lost(UnknownReason::ConnectionLost);
-                    Exchange::Over(Box::new(Sent::new(unknown, SendOutcome::Broken)))
+            Ok(Err(mut error)) => {
+                if let Some(unwritten) = error.take_message() {
+                    return Exchange::Unwritten(sent.handed_back(&unwritten));
                 }
-            },
+                let unknown = sent.lost(UnknownReason::ConnectionLost);
+                Exchange::Over(Box::new(Sent::new(unknown, SendOutcome::Broken)))
+            }
             // Dropping the connection cancels the work at the backend server.
             Err(_) => {
                 let unknown = sent.lost(UnknownReason::DeadlinePassed);
--- a/server/src/fleet_control.rs
+++ b/server/src/fleet_control.rs
@@ -50,7 +50,7 @@
 
 /// Silence of a backend server after which another one that has its address may be
 /// announced there again: two heartbeats.
-const RECLAIM_AFTER: Duration = Duration::from_millis(3_000);
+const RECLAIM_AFTER: Duration = Duration::from_secs(3);
 
 /// Difference between two statements of when a backend server ceases to be cold up to
 /// which they mean the same cold spell: heartbeats may be late by a second.
--- a/server/src/formation.rs
+++ b/server/src/formation.rs
@@ -171,18 +171,16 @@
     address: SocketAddr,
     request: AdmitRequest,
 ) -> Result<AdmitReply, Status> {
-    let client = match clients.get(&address) {
-        Some(client) => client.clone(),
-        None => {
-            let channel = channels
-                .lazy(address)
-                .map_err(|error| Status::internal(error.to_string()))?;
-            let client = FleetClient::new(channel);
-            clients.insert(address, client.clone());
-            client
-        }
+    let mut client = if let Some(client) = clients.get(&address) {
+        client.clone()
+    } else {
+        let channel = channels
+            .lazy(address)
+            .map_err(|error| Status::internal(error.to_string()))?;
+        let client = FleetClient::new(channel);
+        clients.insert(address, client.clone());
+        client
     };
-    let mut client = client;
     let call = client.admit(Request::new(request));
     match tokio::time::timeout(ANSWER_WITHIN, call).await {
         Ok(reply) => reply.map(tonic::Response::into_inner),
--- a/server/src/presence_task.rs
+++ b/server/src/presence_task.rs
@@ -40,7 +40,7 @@
 const FORGET_ENTRY: Duration = Duration::from_secs(45);
 
 /// Age at which marks of heartbeats are dropped.
-const DROP_MARKS: Duration = Duration::from_secs(120);
+const DROP_MARKS: Duration = Duration::from_mins(2);
 
 /// Time for which the answer to a report is awaited.
 const REPORT_TIMEOUT: Duration = Duration::from_secs(1);
