--- a/cli/src/commands/check.rs
+++ b/cli/src/commands/check.rs
@@ -16,6 +16,7 @@
 use heatherring_lib::manifest_summary::changes;
 use heatherring_lib::settings_text::check_place_in;
 use heatherring_lib::settings_text::read_control_settings;
+use heatherring_lib::settings_text::read_direct_settings;
 use heatherring_lib::settings_text::read_entry_settings;
 use serde_json::json;
 
@@ -52,7 +53,9 @@
                 .long("as")
                 .value_name("KIND")
                 .help("What the file holds; without it, its fields tell")
-                .value_parser(PossibleValuesParser::new(["manifest", "control", "entry"])),
+                .value_parser(PossibleValuesParser::new([
+                    "manifest", "control", "entry", "direct",
+                ])),
         )
         .arg(
             Arg::new("against")
@@ -89,6 +92,10 @@
             let settings = read_entry_settings(&input.name, &input.text)?;
             check_settings(matches, &input, &settings.place, &settings.region)
         }
+        ConfigKind::DirectSettings => {
+            let settings = read_direct_settings(&input.name, &input.text)?;
+            check_settings(matches, &input, &settings.place, &settings.region)
+        }
     }
 }
 
@@ -97,6 +104,7 @@
         Some("manifest") => Ok(ConfigKind::Manifest),
         Some("control") => Ok(ConfigKind::ControlSettings),
         Some("entry") => Ok(ConfigKind::EntrySettings),
+        Some("direct") => Ok(ConfigKind::DirectSettings),
         _ => config_kind(&input.name, &input.text).map_err(CliError::from),
     }
 }
--- a/cli/src/commands/schema.rs
+++ b/cli/src/commands/schema.rs
@@ -5,6 +5,7 @@
 use clap::Command;
 use clap::builder::PossibleValuesParser;
 use heatherring_lib::config_text::schema_of;
+use heatherring_lib::direct_settings::DirectSettings;
 use heatherring_lib::manifest::Manifest;
 use heatherring_lib::settings::ControlSettings;
 use heatherring_lib::settings::EntrySettings;
@@ -21,7 +22,9 @@
             Arg::new("kind")
                 .value_name("KIND")
                 .help("What the schema describes")
-                .value_parser(PossibleValuesParser::new(["manifest", "control", "entry"]))
+                .value_parser(PossibleValuesParser::new([
+                    "manifest", "control", "entry", "direct",
+                ]))
                 .required(true),
         )
 }
@@ -30,6 +33,7 @@
 pub fn run(matches: &ArgMatches) -> Result<(), CliError> {
     let schema = match matches.get_one::<String>("kind").map(String::as_str) {
         Some("control") => schema_of::<ControlSettings>(),
+        Some("direct") => schema_of::<DirectSettings>(),
         Some("entry") => schema_of::<EntrySettings>(),
         _ => schema_of::<Manifest>(),
     };
--- a/cli/src/logging.rs
+++ b/cli/src/logging.rs
@@ -1,7 +1,7 @@
-//! Logging: JSON lines on standard error.
+//! Logging: JSON lines on standard output.
 
 use heatherring_lib::settings::LogLevel;
-use logforth::append::Stderr;
+use logforth::append::Stdout;
 use logforth::filter::rustlog::RustLogFilterBuilder;
 use logforth::layout::JsonLayout;
 use logforth::record::Level;
@@ -24,7 +24,7 @@
     },
 }
 
-/// Sends log records of `level` and above to standard error, one JSON object a line.
+/// Sends log records of `level` and above to standard output, one JSON object a line.
 ///
 /// # Errors
 ///
@@ -40,7 +40,7 @@
         .dispatch(|dispatch| {
             dispatch
                 .filter(filter.build())
-                .append(Stderr::default().with_layout(JsonLayout::default()))
+                .append(Stdout::default().with_layout(JsonLayout::default()))
         })
         .try_apply()
         .context(TwiceSnafu)
--- a/cli/tests/test_schema.rs
+++ b/cli/tests/test_schema.rs
@@ -14,6 +14,7 @@
 #[case("manifest")]
 #[case("control")]
 #[case("entry")]
+#[case("direct")]
 fn test_schema_is_up_to_date(#[case] kind: &str) {
     let name = format!("docs/schema/{kind}.schema.json");
     let committed = fs::read_to_string(repository_file(&name)).unwrap();
@@ -42,6 +43,7 @@
 #[case("manifest", "docs/manifest.md")]
 #[case("control", "docs/config.md")]
 #[case("entry", "docs/config.md")]
+#[case("direct", "docs/config.md")]
 fn test_schema_fields_are_in_the_docs(#[case] kind: &str, #[case] page: &str) {
     let ran = run(Path::new("."), &["schema", kind]);
     let schema = serde_json::from_str(&ran.stdout).unwrap();
--- a/lib/src/config_kind.rs
+++ b/lib/src/config_kind.rs
@@ -26,6 +26,8 @@
     ControlSettings,
     /// Settings of an entry VM.
     EntrySettings,
+    /// Settings of an entry VM that dispatches directly.
+    DirectSettings,
 }
 
 /// Tells what a text holds by the first field that only one kind has.
--- /dev/null
+++ b/lib/tests/test_replica_plan.rs
@@ -0,0 +1,116 @@
+//! How the set of control replicas repairs itself.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+use std::time::Instant;
+
+use heatherring_lib::id::ReplicaId;
+use heatherring_lib::id::Revision;
+use heatherring_lib::id::VmName;
+use heatherring_lib::raft_effects::MembershipChange;
+use heatherring_lib::raft_effects::ReplicaProgress;
+use heatherring_lib::raft_message::Membership;
+use heatherring_lib::raft_message::ReplicaInfo;
+use heatherring_lib::replica_plan::Admission;
+use heatherring_lib::replica_plan::GONE_AFTER;
+use heatherring_lib::replica_plan::admit;
+use heatherring_lib::replica_plan::due_removal;
+
+fn info(number: u16) -> ReplicaInfo {
+    ReplicaInfo {
+        vm: VmName::new(format!("control-{number}")),
+        address: SocketAddr::from(([10, 0, 0, 1], number)),
+    }
+}
+
+fn voters(numbers: impl IntoIterator<Item = u16>) -> BTreeMap<ReplicaId, ReplicaInfo> {
+    numbers
+        .into_iter()
+        .map(|number| (ReplicaId(number.into()), info(number)))
+        .collect()
+}
+
+fn progress(id: u64, voter: bool, last_heard: Instant) -> ReplicaProgress {
+    ReplicaProgress {
+        id: ReplicaId(id),
+        voter,
+        matched: Revision(1),
+        last_heard: Some(last_heard),
+        snapshot: None,
+    }
+}
+
+/// Symptom: an entry that was acknowledged is gone.
+///
+/// Sequence: a replica loses its disk and comes back at its address, with an empty folder.
+///
+/// Cause: it counts as its former self, and votes without what that one held. It comes back
+/// under a fresh identity, and the former one is removed once the new one votes.
+#[test]
+fn test_replica_plan_replaces_a_voter_that_lost_its_disk() {
+    let membership = Membership {
+        voters: voters(1..=5),
+        ..Membership::default()
+    };
+    let change = MembershipChange::AddLearner {
+        id: ReplicaId(77),
+        info: info(3),
+        replaces: Some(ReplicaId(3)),
+    };
+    let admission = admit(&membership, ReplicaId(77), &info(3));
+    assert_eq!(admission, Admission::Change(change));
+}
+
+/// A replica that was admitted and lost its folder again before it caught up.
+#[test]
+fn test_replica_plan_drops_a_learner_that_never_got_on() {
+    let membership = Membership {
+        voters: voters(1..=5),
+        learners: BTreeMap::from([(ReplicaId(70), info(3))]),
+        ..Membership::default()
+    };
+    let admission = admit(&membership, ReplicaId(77), &info(3));
+    let change = MembershipChange::Remove(ReplicaId(70));
+    assert_eq!(admission, Admission::Change(change));
+}
+
+/// A silent voter stays while nobody can take its place: without it, four voters would bear
+/// the loss of no more than five.
+#[test]
+fn test_replica_plan_keeps_a_silent_voter_without_stand_in() {
+    let now = Instant::now() + Duration::from_mins(1);
+    let membership = Membership {
+        voters: voters(1..=5),
+        ..Membership::default()
+    };
+    let elected = now.checked_sub(GONE_AFTER * 2).unwrap();
+    let progress: Vec<ReplicaProgress> = (2..=5)
+        .map(|id| progress(id, true, if id == 2 { elected } else { now }))
+        .collect();
+    let removal = due_removal(&membership, &progress, elected, now, 5);
+    assert_eq!(removal, None);
+}
+
+/// Symptom: control stops at the second loss.
+///
+/// Sequence: a VM is replaced by another one at a new address, which joins as the sixth
+/// voter; the first one stays a voter for ever; another VM is lost.
+///
+/// Cause: three of six are no majority. The silent voter is removed.
+#[test]
+fn test_replica_plan_removes_a_silent_voter_beyond_the_target() {
+    let now = Instant::now() + Duration::from_mins(1);
+    let membership = Membership {
+        voters: voters(1..=6),
+        ..Membership::default()
+    };
+    let elected = now.checked_sub(GONE_AFTER * 2).unwrap();
+    let progress: Vec<ReplicaProgress> = (2..=6)
+        .map(|id| progress(id, true, if id == 2 { elected } else { now }))
+        .collect();
+    let removal = due_removal(&membership, &progress, elected, now, 5);
+    assert_eq!(removal, Some(ReplicaId(2)));
+    let just_elected = due_removal(&membership, &progress, now, now, 5);
+    assert_eq!(just_elected, None);
+}
--- /dev/null
+++ b/lib/tests/test_shares.rs
@@ -0,0 +1,82 @@
+//! Bounds that entry VMs keep together without telling each other.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use heatherring_lib::affinity::MemberHash;
+use heatherring_lib::affinity::ObjectHash;
+use heatherring_lib::cold_gate;
+use heatherring_lib::cold_gate::ColdGate;
+use heatherring_lib::resend_budget::ResendBudget;
+use heatherring_lib::weighted_turns::WeightedTurns;
+use rstest::rstest;
+
+/// Symptom: a backend server that has just started crashes under its first requests.
+///
+/// Sequence: all entry VMs send as fast as their shares allow, beginning in the same moment.
+///
+/// Cause: shares below one request a second can all be spent in one second. As many senders
+/// as there are requests a second may send at all.
+#[rstest]
+#[case(8, 9.9)]
+#[case(12, 7.5)]
+#[case(80, 9.9)]
+#[case(1, 0.4)]
+fn test_cold_gate_shares_add_up(#[case] senders: usize, #[case] rate: f64) {
+    const LENGTH: Duration = Duration::from_secs(10);
+    const STEP: Duration = Duration::from_millis(50);
+    let members: Vec<MemberHash> = (0..senders)
+        .map(|number| MemberHash::of(&format!("entry-{number}")))
+        .collect();
+    let backend = ObjectHash::of("cold", "backend-1");
+    let origin = Instant::now();
+    let mut sent = Vec::new();
+    for own in &members {
+        let Some(interval) = cold_gate::interval(backend, *own, &members, rate) else {
+            continue;
+        };
+        let mut gate = ColdGate::new(origin);
+        let mut at = Duration::ZERO;
+        while at < LENGTH {
+            if gate.is_open(origin + at) {
+                gate.note_sent(origin + at, interval);
+                sent.push(at);
+            }
+            at += STEP;
+        }
+    }
+    assert!(!sent.is_empty());
+    for from in &sent {
+        let within = sent
+            .iter()
+            .filter(|at| **at >= *from && **at < *from + Duration::from_secs(1));
+        let count = f64::from(u32::try_from(within.count()).unwrap());
+        assert!(count <= (rate * 1.5 + 5.0).max(1.0), "{count} in a second");
+    }
+}
+
+#[test]
+fn test_resend_budget_keeps_to_the_sum_in_any_window() {
+    const SENDERS: u32 = 8;
+    let mut budget = ResendBudget::new(0.2, 56.0, SENDERS as usize);
+    let mut taken = 0;
+    for _ in 0..500 {
+        budget.note_request();
+        taken += u32::from(budget.try_take());
+    }
+    let allowed = 500.0 * 0.2 + 56.0 / f64::from(SENDERS);
+    assert!(f64::from(taken) <= allowed, "{taken} of {allowed}");
+    assert!(f64::from(taken) > 0.5 * allowed, "{taken} of {allowed}");
+}
+
+#[test]
+fn test_weighted_turns_keep_to_the_weights() {
+    let weights = [90.0, 10.0, 0.0];
+    let mut turns = WeightedTurns::default();
+    let mut counts = [0; 3];
+    for _ in 0..1_000 {
+        counts[turns.next(&weights).unwrap()] += 1;
+    }
+    assert_eq!(counts, [900, 100, 0]);
+    assert_eq!(WeightedTurns::default().next(&[0.0, 0.0]), None);
+}
