direct_dispatch: neither a wait nor a single failure sends objects elsewhere

Two doors to the cold regime were left: a request that waited unseen for longer than a run without its data looked like a hanging backend server, and a single broken answer (rate 0.3, cost 0.45 s) outweighed what being cold costs.

Change: a fault is counted apart from the cost among equals. Rates of failures count from 0.4 on; silence counts beyond the expected wait and one and a half runs without data.

Both tests failed on the code before.

--- a/lib/src/direct_dispatch.rs
+++ b/lib/src/direct_dispatch.rs
@@ -86,7 +86,24 @@
 const FAILURE_COST: f64 = 1.5;
 
 /// What being turned away costs, in seconds: a way there and back and one resend.
-const SHED_COST: f64 = 0.4;
+const SHED_COST: f64 = 0.6;
+
+/// Rate of failures from which on a backend server counts as faulty. One failure gives a
+/// rate of 0.3, and some requests fail anywhere; were that reason enough to leave, objects
+/// would go to where they aren't at hand all the time.
+const FAULTY_RATE: f64 = 0.4;
+
+/// What a rate of failures below that costs, in seconds: enough to prefer another backend
+/// server that has the data, and too little to prefer one that hasn't.
+const SINGLE_COST: f64 = 0.15;
+
+/// Times that a request may take as long as without its data, beyond its wait, before a
+/// backend server that has answered nothing meanwhile counts as hanging. Requests that wait
+/// there unseen must not look like that.
+const HANG_FACTOR: f64 = 1.5;
+
+/// What each second beyond that costs, in seconds.
+const HANG_COST: f64 = 4.0;
 
 /// Share of the time left that a request may wait, by its priority. Less urgent requests
 /// give way first: they are refused while there still is room for the urgent ones.
@@ -659,14 +676,17 @@
         let slowness = backend.health.slowness(now);
         let service_time = service.pace.expected(warm) * factor * slowness;
         let wait = ahead * service.pace.mean() * factor * slowness / slots;
-        let hanging = backend.load.silence(now).as_secs_f64();
-        let risk = backend.health.failure_rate(now) * FAILURE_COST
-            + backend.health.shed_rate(now) * SHED_COST;
+        let patience = wait + service.pace.expected(false) * HANG_FACTOR;
+        let hanging = (backend.load.silence(now).as_secs_f64() - patience).max(0.0);
+        let failures = backend.health.failure_rate(now);
+        let sheds = backend.health.shed_rate(now);
+        let fault = beyond(failures) * FAILURE_COST + beyond(sheds) * SHED_COST;
         Some(Candidate {
             backend: key,
-            base: self.delay(&backend.region) + service_time.max(hanging),
+            base: self.delay(&backend.region) + service_time,
             wait,
-            risk: risk + tie_break(rank),
+            fault: fault + hanging * HANG_COST,
+            risk: (failures + sheds) * SINGLE_COST + tie_break(rank),
             load: there / slots,
             slow_above: service.pace.expected(known_warm) * factor * SLOW_MARGIN,
             warm,
@@ -804,6 +824,11 @@
     copies.min(MOST_COPIES)
 }
 
+/// Returns by how much a rate of failures exceeds that of a sound backend server, 0 to 1.
+fn beyond(rate: f64) -> f64 {
+    ((rate - FAULTY_RATE) / (1.0 - FAULTY_RATE)).max(0.0)
+}
+
 /// Orders backend servers that are alike otherwise by their rank, in steps of 5 ms: well
 /// below what a wait or a way to another region costs.
 fn tie_break(rank: usize) -> f64 {
--- a/lib/src/dispatch_pick.rs
+++ b/lib/src/dispatch_pick.rs
@@ -28,7 +28,9 @@
     pub base: f64,
     /// Time that it has to wait.
     pub wait: f64,
-    /// What failures there may cost, and its rank among equals.
+    /// What is to be expected there beyond that since it fails or hangs.
+    pub fault: f64,
+    /// What a single failure lately may mean, and its rank among equals.
     pub risk: f64,
     /// Requests there, this one included, by slots.
     pub load: f64,
@@ -48,12 +50,12 @@
     }
 
     fn cost(&self) -> f64 {
-        self.time() + self.risk
+        self.time() + self.fault + self.risk
     }
 
     /// Returns what it costs to go there at all, however busy it is.
     fn base_cost(&self) -> f64 {
-        self.base + self.risk
+        self.base + self.fault
     }
 }
 
--- a/lib/tests/dispatch_model/mod.rs
+++ b/lib/tests/dispatch_model/mod.rs
@@ -455,3 +455,58 @@
     };
     FleetView::default().updated(&update).unwrap()
 }
+
+/// Asks one dispatcher for one request after the other.
+pub struct Probe {
+    dispatcher: Dispatcher,
+    now: Instant,
+}
+
+impl Probe {
+    pub fn new() -> Self {
+        let plan = Plan::look_up();
+        let places = (0..plan.servers.len())
+            .map(|index| (place(index), region(index)))
+            .collect();
+        let cfg = DispatchConfig {
+            vm: VmName::new("entry-0"),
+            region: region(0),
+            places,
+            resend_ratio: 0.2,
+            resend_slack: 60.0,
+        };
+        let now = Instant::now();
+        let mut dispatcher = Dispatcher::new(cfg, now);
+        dispatcher.apply_view(now, &view(&plan));
+        Self { dispatcher, now }
+    }
+
+    pub fn pass(&mut self, time: Duration) {
+        self.now += time;
+    }
+
+    pub fn choose(&mut self, object: &str) -> Choice {
+        let service = service();
+        let ask = Ask {
+            service: &service,
+            object: Some(ObjectHash::of("route", object)),
+            priority: 0,
+            deadline: self.now + Duration::from_secs(10),
+            homes: &[],
+            tried: &[],
+            resend: false,
+        };
+        self.dispatcher.choose(self.now, &ask).unwrap()
+    }
+
+    pub fn end(&mut self, choice: &Choice, outcome: SendOutcome) {
+        let end = SendEnd {
+            backend: choice.backend,
+            send: choice.send,
+            outcome,
+            load: None,
+            object: None,
+        };
+        self.dispatcher.ended(self.now, &end);
+    }
+}
--- a/lib/tests/test_direct_dispatch.rs
+++ b/lib/tests/test_direct_dispatch.rs
@@ -4,6 +4,8 @@
 
 use dispatch_model::Model;
 use dispatch_model::Plan;
+use heatherring_lib::direct_dispatch::SendOutcome;
+use std::time::Duration;
 
 /// Symptom: a burst makes requests late, and they stay late long after it is over.
 ///
@@ -52,3 +54,39 @@
     let result = Model::new(Plan::look_up()).play();
     assert!(result.share() > 0.97, "{result:?}");
 }
+
+/// Symptom: on days with some lost answers, many requests take three times as long.
+///
+/// Sequence: one request to the home of an object breaks; those that follow go elsewhere.
+///
+/// Cause: one failure in a row of three was taken for a fault of the backend server. Only
+/// more than one in a short time is.
+#[test]
+fn test_direct_dispatch_stays_where_one_request_failed() {
+    let mut probe = dispatch_model::Probe::new();
+    let home = probe.choose("17");
+    probe.end(&home, SendOutcome::Broken);
+    let next = probe.choose("17");
+    assert_eq!(next.name, home.name);
+    probe.end(&next, SendOutcome::Broken);
+    let after_two = probe.choose("17");
+    assert_ne!(after_two.name, home.name);
+}
+
+/// Symptom: under load objects go to backend servers where they aren't at hand.
+///
+/// Sequence: a request waits at its home, unseen by this entry VM, for longer than it would
+/// take without its data.
+///
+/// Cause: no answer for that long was taken for a backend server that hangs.
+#[test]
+fn test_direct_dispatch_stays_where_a_request_waits() {
+    let mut probe = dispatch_model::Probe::new();
+    let home = probe.choose("17");
+    probe.pass(Duration::from_millis(400));
+    let next = probe.choose("17");
+    assert_eq!(next.name, home.name);
+    probe.pass(Duration::from_secs(3));
+    let hanging = probe.choose("17");
+    assert_ne!(hanging.name, home.name);
+}
