refusals: callers come back later and spread; first election sooner after a start

After a start of all replicas the first election waited 0.6 to 1.2 s for a leader that nobody had heard.

Change: 0.3 to 1 s by what waits, spread evenly by half of it; 1.2 s without a manifest. A replica that has just started campaigns after 0.2 to 0.6 s; the pre-vote keeps it from disturbing a leader.

--- a/lib/src/direct_dispatch.rs
+++ b/lib/src/direct_dispatch.rs
@@ -109,9 +109,14 @@
 /// give way first: they are refused while there still is room for the urgent ones.
 const WAIT_SHARES: [f64; 3] = [1.0, 0.8, 0.6];
 
-/// Least and longest time after which a caller that was refused is told to come back:
-/// about as long as a busy backend server needs for what waits there.
-const COME_BACK: (Duration, Duration) = (Duration::from_millis(80), Duration::from_millis(400));
+/// Least and longest time after which a caller that was refused is told to come back. What
+/// waits at busy backend servers takes some hundred milliseconds; whoever comes back before
+/// that is refused once more, and callers come back once.
+const COME_BACK: (Duration, Duration) = (Duration::from_millis(300), Duration::from_secs(1));
+
+/// Spread of that time, as a share of it, so that those refused together don't come back
+/// together.
+const COME_BACK_SPREAD: f64 = 0.5;
 
 /// Holds what a dispatcher is set up with.
 #[derive(Clone, Debug)]
@@ -288,6 +293,8 @@
     silent: BTreeSet<BackendName>,
     evacuated: BTreeSet<PlaceName>,
     began: Instant,
+    /// Where the next refusal's time lies in its spread, 0 to 1.
+    lot: f64,
 }
 
 impl Dispatcher {
@@ -306,6 +313,7 @@
             silent: BTreeSet::new(),
             evacuated: BTreeSet::new(),
             began: now,
+            lot: 0.0,
         }
     }
 
@@ -487,7 +495,7 @@
             return Err(if candidates.is_empty() {
                 refuse(RefusedReason::NoBackend)
             } else {
-                Self::no_room(&candidates)
+                self.no_room(&candidates)
             });
         };
         let max_connections = service.max_connections;
@@ -504,7 +512,7 @@
         Ok(self.begin(now, &best, ask, max_connections))
     }
 
-    fn no_room(candidates: &[Candidate]) -> Refused {
+    fn no_room(&mut self, candidates: &[Candidate]) -> Refused {
         let wait = candidates
             .iter()
             .map(|candidate| candidate.wait)
@@ -512,10 +520,17 @@
             .and_then(|wait| Duration::try_from_secs_f64(wait).ok());
         Refused {
             reason: RefusedReason::NoRoom,
-            come_back: wait.unwrap_or(COME_BACK.0).clamp(COME_BACK.0, COME_BACK.1),
+            come_back: self.spread(wait.unwrap_or(COME_BACK.0).clamp(COME_BACK.0, COME_BACK.1)),
         }
     }
 
+    /// Spreads a time evenly over the refusals that follow each other, by the golden ratio.
+    fn spread(&mut self, time: Duration) -> Duration {
+        const GOLDEN: f64 = 0.618_033_988_75;
+        self.lot = (self.lot + GOLDEN).fract();
+        time.mul_f64(1.0 + COME_BACK_SPREAD * (self.lot - 0.5))
+    }
+
     fn begin(
         &mut self,
         now: Instant,
--- a/lib/src/raft.rs
+++ b/lib/src/raft.rs
@@ -108,7 +108,7 @@
             now,
             rng,
         };
-        raft.restart_election_timer();
+        raft.start_first_timer();
         if raft.is_voter() && raft.membership().voters.len() == 1 {
             // There is nobody to wait for.
             raft.election_deadline = now;
@@ -420,6 +420,16 @@
         fx.writes.push(LogWrite::HardState(self.hard_state));
     }
 
+    /// Has a replica that has just started campaign after a shorter time than later on. It
+    /// has heard no leader; if there is one, the others hear it and refuse the pre-vote, so
+    /// that an early campaign disturbs nobody. When all replicas start anew it spares half
+    /// a second without a leader.
+    fn start_first_timer(&mut self) {
+        let shortest = (self.cfg.heartbeat * 2).min(self.cfg.election_min);
+        let timeout = self.rng.random_range(shortest..=self.cfg.election_min);
+        self.election_deadline = self.now + timeout;
+    }
+
     pub(crate) fn restart_election_timer(&mut self) {
         let timeout = self
             .rng
--- a/server/src/direct_path.rs
+++ b/server/src/direct_path.rs
@@ -54,12 +54,13 @@
 /// backend server that ends at the deadline that it was told sends its answer then.
 const ANSWER_GRACE: Duration = Duration::from_millis(120);
 
-/// When a caller is told to come back if this entry VM has no manifest yet: about the time
-/// that following control takes after a start.
-const NO_MANIFEST_RETRY: Duration = Duration::from_millis(300);
+/// When a caller is told to come back if this entry VM has no manifest yet. When control
+/// starts at the same time, it takes one to two seconds until there is one; callers come
+/// back once.
+const NO_MANIFEST_RETRY: Duration = Duration::from_millis(1_200);
 
 /// When a caller is told to come back after a backend server turned its request away.
-const SHED_RETRY: Duration = Duration::from_millis(100);
+const SHED_RETRY: Duration = Duration::from_millis(300);
 
 /// Backend servers that can't be reached and are tried for one request at most. No request
 /// arrives there, so they don't count as attempts.
