test_direct: the whole path, a lost disk, breaks, refusals and draining over sockets

Control replicas form themselves from three seeds in the test's process, entry VMs and small backend servers beside them; heatherring's own interface throughout.

--- /dev/null
+++ b/server/tests/direct_support/mod.rs
@@ -0,0 +1,457 @@
+//! A deployment of direct dispatch on loopback: control replicas that form themselves, entry
+//! VMs, and small backend servers that behave as told.
+
+#![allow(dead_code)]
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::atomic::AtomicU32;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use bytes::Bytes;
+use heatherring_lib::clock::SystemClock;
+use heatherring_lib::direct_settings::DirectListen;
+use heatherring_lib::direct_settings::DirectSettings;
+use heatherring_lib::direct_settings::ResendSettings;
+use heatherring_lib::duration_text::DurationText;
+use heatherring_lib::id::ManifestVersion;
+use heatherring_lib::id::PlaceName;
+use heatherring_lib::id::RegionName;
+use heatherring_lib::id::RouteName;
+use heatherring_lib::id::ServiceName;
+use heatherring_lib::id::VmName;
+use heatherring_lib::route_manifest::CallerLimits;
+use heatherring_lib::route_manifest::Route;
+use heatherring_lib::route_manifest::RouteChange;
+use heatherring_lib::route_manifest::RouteContent;
+use heatherring_lib::route_manifest::RouteService;
+use heatherring_lib::route_manifest::RouteTarget;
+use heatherring_lib::settings::ControlSettings;
+use heatherring_lib::settings::ControlTiming;
+use heatherring_lib::settings::DirectControlSettings;
+use heatherring_lib::settings::FormationSettings;
+use heatherring_lib::settings::InterfaceName;
+use heatherring_lib::settings::LogSettings;
+use heatherring_lib::settings::Security;
+use heatherring_server::control_process::ControlError;
+use heatherring_server::control_process::run_control;
+use heatherring_server::direct_process::DirectError;
+use heatherring_server::direct_process::run_direct;
+use heatherring_server::own_interface::OwnInterface;
+use heatherring_server::shutdown::Shutdown;
+use heatherring_server::shutdown::ShutdownTrigger;
+use heatherring_testutils::loopback::BACKEND_SERVERS_PORT;
+use heatherring_testutils::loopback::CALLERS_PORT;
+use heatherring_testutils::loopback::CONTROL_PORT;
+use heatherring_testutils::loopback::FORWARD_PORT;
+use heatherring_testutils::loopback::LoopbackBlock;
+use heatherring_testutils::loopback::PEERS_PORT;
+use heatherring_testutils::loopback::SERVICE_PORT;
+use heatherring_testutils::wait::wait_for;
+use http::Method;
+use http::Request;
+use http::Response;
+use http::StatusCode;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::client::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use serde_json::json;
+use tempfile::TempDir;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use tokio::task::JoinHandle;
+
+pub const HOST: &str = "registry.example";
+const SERVICE: &str = "registry";
+const PLACE: &str = "fko-hakata";
+const REGION: &str = "fukuoka";
+
+/// Holds an answer that was read whole.
+#[derive(Debug)]
+pub struct Answer {
+    pub status: StatusCode,
+    pub retry_after: Option<String>,
+    pub body: Bytes,
+}
+
+/// Sends one request over a connection of its own; nothing if it breaks.
+pub async fn call(address: SocketAddr, req: Request<Full<Bytes>>) -> Option<Answer> {
+    let stream = TcpStream::connect(address).await.ok()?;
+    let (mut sender, connection) = http1::handshake(TokioIo::new(stream)).await.ok()?;
+    tokio::spawn(connection);
+    let response = sender.send_request(req).await.ok()?;
+    let (head, body) = response.into_parts();
+    let retry_after = head.headers.get("retry-after");
+    Some(Answer {
+        status: head.status,
+        retry_after: retry_after.map(|value| value.to_str().unwrap().to_owned()),
+        body: body.collect().await.ok()?.to_bytes(),
+    })
+}
+
+pub fn request(method: Method, path: &str, body: impl Into<Bytes>) -> Request<Full<Bytes>> {
+    let mut req = Request::new(Full::new(body.into()));
+    *req.method_mut() = method;
+    *req.uri_mut() = path.parse().unwrap();
+    req.headers_mut().insert("host", HOST.parse().unwrap());
+    req
+}
+
+/// Says how a backend server treats requests.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Behaviour {
+    /// Answers them.
+    Answer,
+    /// Turns them away without running them.
+    Shed,
+    /// Runs them and breaks the connection.
+    Break,
+    /// Runs them and answers in the name of another request.
+    Foreign,
+}
+
+/// A backend server of one connection handler and no load.
+pub struct Backend {
+    pub name: String,
+    pub address: SocketAddr,
+    pub runs: Arc<AtomicU32>,
+    behaviour: Arc<Mutex<Behaviour>>,
+    task: JoinHandle<()>,
+}
+
+impl Backend {
+    pub async fn start(name: &str, address: SocketAddr) -> Self {
+        let listener = TcpListener::bind(address).await.unwrap();
+        let runs = Arc::new(AtomicU32::new(0));
+        let behaviour = Arc::new(Mutex::new(Behaviour::Answer));
+        let shared = (Arc::clone(&runs), Arc::clone(&behaviour));
+        let task = tokio::spawn(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                let (runs, behaviour) = shared.clone();
+                let service = service_fn(move |req: Request<Incoming>| {
+                    let behaviour = *behaviour.lock().unwrap();
+                    let runs = Arc::clone(&runs);
+                    async move { serve(req, behaviour, &runs).ok_or(Broken) }
+                });
+                let io = TokioIo::new(stream);
+                let builder = hyper::server::conn::http1::Builder::new();
+                tokio::spawn(builder.serve_connection(io, service));
+            }
+        });
+        Self {
+            name: name.to_owned(),
+            address,
+            runs,
+            behaviour,
+            task,
+        }
+    }
+
+    pub fn behave(&self, behaviour: Behaviour) {
+        *self.behaviour.lock().unwrap() = behaviour;
+    }
+
+    pub fn runs(&self) -> u32 {
+        self.runs.load(Ordering::SeqCst)
+    }
+}
+
+impl Drop for Backend {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+#[derive(Debug)]
+struct Broken;
+
+impl std::fmt::Display for Broken {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str("broken")
+    }
+}
+
+impl std::error::Error for Broken {}
+
+fn serve(
+    req: Request<Incoming>,
+    behaviour: Behaviour,
+    runs: &AtomicU32,
+) -> Option<Response<Full<Bytes>>> {
+    let id = req.headers().get("heatherring-request-id").cloned();
+    if behaviour == Behaviour::Shed {
+        let response = Response::builder().status(503);
+        let response = response.header("heatherring-outcome", "not_run");
+        return Some(response.body(Full::default()).unwrap());
+    }
+    runs.fetch_add(1, Ordering::SeqCst);
+    if behaviour == Behaviour::Break {
+        return None;
+    }
+    let mut response = Response::new(Full::from("whole"));
+    let id = match behaviour {
+        Behaviour::Foreign => Some("of-another".parse().unwrap()),
+        _ => id,
+    };
+    if let Some(id) = id {
+        response.headers_mut().insert("heatherring-request-id", id);
+    }
+    Some(response)
+}
+
+/// A control replica in this process.
+pub struct Replica {
+    pub settings: ControlSettings,
+    trigger: ShutdownTrigger,
+    task: JoinHandle<Result<(), ControlError>>,
+}
+
+impl Replica {
+    pub fn start(settings: ControlSettings) -> Self {
+        let (trigger, shutdown) = Shutdown::new();
+        let interface = Some(Arc::new(OwnInterface) as _);
+        let running = run_control(settings.clone(), Arc::new(SystemClock), shutdown, interface);
+        Self {
+            settings,
+            trigger,
+            task: tokio::spawn(running),
+        }
+    }
+
+    pub fn orders(&self) -> SocketAddr {
+        self.settings.direct.as_ref().unwrap().listen
+    }
+
+    pub async fn stop(self) -> ControlSettings {
+        self.trigger.request();
+        self.task.await.unwrap().unwrap();
+        self.settings
+    }
+}
+
+/// An entry VM in this process.
+pub struct Entry {
+    pub settings: DirectSettings,
+    trigger: ShutdownTrigger,
+    task: JoinHandle<Result<(), DirectError>>,
+}
+
+impl Entry {
+    fn start(settings: DirectSettings, file: &Path) -> Self {
+        let (trigger, shutdown) = Shutdown::new();
+        let interface = Arc::new(OwnInterface);
+        let clock = Arc::new(SystemClock);
+        let running = run_direct(
+            settings.clone(),
+            file.to_owned(),
+            interface,
+            clock,
+            shutdown,
+        );
+        Self {
+            settings,
+            trigger,
+            task: tokio::spawn(running),
+        }
+    }
+
+    pub async fn call(&self, method: Method, path: &str) -> Option<Answer> {
+        let mut req = request(method, path, "");
+        let id = format!("id-{path}").replace('/', "-");
+        req.headers_mut()
+            .insert("heatherring-request-id", id.parse().unwrap());
+        call(self.settings.listen.callers, req).await
+    }
+
+    pub async fn is_ready(&self) -> bool {
+        let req = request(Method::GET, "/", "");
+        let answer = call(self.settings.listen.ready, req).await;
+        answer.is_some_and(|answer| answer.status == StatusCode::OK)
+    }
+
+    pub async fn stop(self) {
+        self.trigger.request();
+        self.task.await.unwrap().unwrap();
+    }
+}
+
+/// The whole deployment.
+pub struct Deployment {
+    pub block: LoopbackBlock,
+    pub folder: TempDir,
+    pub replicas: Vec<Replica>,
+    seeds: Vec<SocketAddr>,
+}
+
+fn places() -> BTreeMap<PlaceName, RegionName> {
+    BTreeMap::from([(PlaceName::new(PLACE), RegionName::new(REGION))])
+}
+
+impl Deployment {
+    /// Starts `count` control replicas at once, of which the first three are the seeds.
+    pub fn start(count: usize) -> Self {
+        let mut block = LoopbackBlock::claim().unwrap();
+        let folder = TempDir::new().unwrap();
+        let addresses: Vec<SocketAddr> = (0..count)
+            .map(|_| SocketAddr::new(block.next_vm(), CONTROL_PORT))
+            .collect();
+        let seeds: Vec<SocketAddr> = addresses.iter().take(3).copied().collect();
+        let mut deployment = Self {
+            block,
+            folder,
+            replicas: Vec::new(),
+            seeds,
+        };
+        for address in addresses {
+            let settings = deployment.control_settings(address);
+            deployment.replicas.push(Replica::start(settings));
+        }
+        deployment
+    }
+
+    pub fn control_settings(&self, listen: SocketAddr) -> ControlSettings {
+        let name = format!("control-{}", listen.ip());
+        ControlSettings {
+            vm: VmName::new(name.as_str()),
+            place: PlaceName::new(PLACE),
+            region: RegionName::new(REGION),
+            listen,
+            advertise: None,
+            data_folder: self.folder.path().join(name),
+            timing: ControlTiming::default(),
+            security: Security::OpenLoopback,
+            snapshot_every: 1_000,
+            log: LogSettings::default(),
+            formation: Some(FormationSettings {
+                seeds: self.seeds.clone(),
+                seed_port: None,
+                first_start: true,
+                voters: 5,
+            }),
+            direct: Some(DirectControlSettings {
+                interface: InterfaceName::Heatherring,
+                listen: SocketAddr::new(listen.ip(), BACKEND_SERVERS_PORT),
+                look_ups: Some(SocketAddr::new(listen.ip(), FORWARD_PORT)),
+                places: places(),
+                look_up_ms: 2_000,
+            }),
+        }
+    }
+
+    pub fn start_entry(&mut self, name: &str) -> Entry {
+        let ip = self.block.next_vm();
+        let settings = DirectSettings {
+            vm: VmName::new(name),
+            place: PlaceName::new(PLACE),
+            region: RegionName::new(REGION),
+            places: places(),
+            listen: DirectListen {
+                callers: SocketAddr::new(ip, CALLERS_PORT),
+                ready: SocketAddr::new(ip, PEERS_PORT),
+                look_ups: Some(SocketAddr::new(ip, FORWARD_PORT)),
+            },
+            control: self.seeds.clone(),
+            control_port: None,
+            interface: InterfaceName::Heatherring,
+            security: Security::OpenLoopback,
+            resends: ResendSettings::default(),
+            grace: DurationText(Duration::from_secs(1)),
+            look_up_ms: 2_000,
+            log: LogSettings::default(),
+        };
+        Entry::start(settings, &self.folder.path().join("entry.jsonc"))
+    }
+
+    pub async fn start_backend(&mut self, name: &str) -> Backend {
+        let address = SocketAddr::new(self.block.next_vm(), SERVICE_PORT);
+        Backend::start(name, address).await
+    }
+
+    /// Sends an order to one replica after the other until one confirms it.
+    pub async fn order(&self, method: Method, path: &str, body: &str) -> Answer {
+        wait_for("a confirmation", async || {
+            for replica in &self.replicas {
+                let req = request(method.clone(), path, body.to_owned());
+                let answer = call(replica.orders(), req).await;
+                if let Some(answer) = answer.filter(|answer| answer.status.is_success()) {
+                    return Some(answer);
+                }
+            }
+            None
+        })
+        .await
+        .unwrap()
+    }
+
+    pub async fn announce(&self, backend: &Backend, sequence: u64, state: &str) {
+        let body = json!({
+            "backend": backend.name,
+            "record": {
+                "service": SERVICE,
+                "address": backend.address,
+                "place": PLACE,
+                "slots": 3,
+                "state": state,
+                "sequence": sequence,
+                "cold_for": {"secs": 0, "nanos": 0},
+            },
+        });
+        self.order(Method::POST, "/v1/announcements", &body.to_string())
+            .await;
+    }
+
+    /// Puts two routes in force: `/safe/`, whose requests may run twice, and `/once/`.
+    pub async fn submit_routes(&self, version: u64, base: u64) {
+        let change = route_change(version, base);
+        let body = serde_json::to_string(&change).unwrap();
+        self.order(Method::POST, "/v1/routes", &body).await;
+    }
+
+    pub async fn version(&self) -> u64 {
+        let answer = self.order(Method::GET, "/v1/routes", "").await;
+        let manifest: serde_json::Value = serde_json::from_slice(&answer.body).unwrap();
+        manifest["version"].as_u64().unwrap()
+    }
+}
+
+pub fn route_change(version: u64, base: u64) -> RouteChange {
+    let route = |prefix: &str, idempotent| {
+        let route = Route {
+            host: HOST.to_owned(),
+            prefix: prefix.to_owned(),
+            idempotent,
+            timeout: Duration::from_secs(5),
+            latency_objective: Duration::from_secs(1),
+            priority: 0,
+            target: RouteTarget::Service(ServiceName::new(SERVICE)),
+            max_attempts: 2,
+            affinity: true,
+            home_regions: Vec::new(),
+        };
+        (RouteName::new(prefix.trim_matches('/')), Arc::new(route))
+    };
+    let service = RouteService {
+        health_path: "/health".to_owned(),
+        max_connections: 100,
+        protocol: "h1".to_owned(),
+        tls: false,
+        cold_start: Duration::from_secs(3),
+        cold_rate: 10.0,
+    };
+    RouteChange {
+        version: ManifestVersion(version),
+        base: ManifestVersion(base),
+        content: RouteContent::Whole {
+            routes: BTreeMap::from([route("/safe/", true), route("/once/", false)]),
+            services: BTreeMap::from([(ServiceName::new(SERVICE), Arc::new(service))]),
+            limits: CallerLimits::default(),
+        },
+    }
+}
--- /dev/null
+++ b/server/tests/test_direct.rs
@@ -0,0 +1,165 @@
+//! Direct dispatch as a whole: control that forms itself, entry VMs, backend servers.
+
+mod direct_support;
+
+use std::fs;
+use std::time::Duration;
+
+use direct_support::Behaviour;
+use direct_support::Deployment;
+use direct_support::Entry;
+use direct_support::HOST;
+use direct_support::Replica;
+use direct_support::call;
+use direct_support::request;
+use heatherring_testutils::wait::wait_for;
+use http::Method;
+use http::StatusCode;
+
+async fn until_served(entry: &Entry) {
+    wait_for("an answer", async || {
+        let answer = entry.call(Method::GET, "/safe/first").await?;
+        (answer.status == StatusCode::OK).then_some(())
+    })
+    .await
+    .unwrap();
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn test_direct_whole_path() {
+    let mut deployment = Deployment::start(4);
+    let entry = deployment.start_entry("entry-1");
+    let backend = deployment.start_backend("backend-1").await;
+    let before = wait_for("a refusal", async || {
+        entry.call(Method::GET, "/safe/x").await
+    });
+    assert_eq!(
+        before.await.unwrap().status,
+        StatusCode::SERVICE_UNAVAILABLE
+    );
+    assert!(!entry.is_ready().await);
+    deployment.submit_routes(3, 0).await;
+    deployment.announce(&backend, 1, "Ready").await;
+    until_served(&entry).await;
+    assert!(entry.is_ready().await);
+    let unknown = entry.call(Method::GET, "/other/x").await.unwrap();
+    assert_eq!(unknown.status, StatusCode::NOT_FOUND);
+    let look_up = format!("/v1/entries?host={HOST}&region=fukuoka");
+    let named = wait_for("a look-up", async || {
+        let listen = entry.settings.listen.look_ups.unwrap();
+        let answer = call(listen, request(Method::GET, &look_up, "")).await?;
+        (answer.status == StatusCode::OK).then_some(answer)
+    });
+    let text = String::from_utf8(named.await.unwrap().body.to_vec()).unwrap();
+    assert!(
+        text.contains(&entry.settings.listen.callers.to_string()),
+        "{text}"
+    );
+    entry.stop().await;
+}
+
+/// Symptom: a manifest that was acknowledged is gone, or two are in force.
+///
+/// Sequence: a founder loses its disk and comes back at its address with an empty folder;
+/// then another founder is stopped.
+///
+/// Cause: it would found the cluster anew, or count as its former self. It joins under a
+/// fresh identity and holds what was acknowledged before it counts.
+#[tokio::test(flavor = "multi_thread")]
+async fn test_direct_control_takes_a_lost_disk_back_as_a_new_replica() {
+    let mut deployment = Deployment::start(3);
+    deployment.submit_routes(1, 0).await;
+    let lost = deployment.replicas.remove(0).stop().await;
+    let identity = fs::read(lost.data_folder.join("identity")).unwrap();
+    fs::remove_dir_all(&lost.data_folder).unwrap();
+    let mut settings = deployment.control_settings(lost.listen);
+    settings.formation.as_mut().unwrap().first_start = false;
+    deployment.replicas.push(Replica::start(settings));
+    let file = lost.data_folder.join("identity");
+    let fresh = wait_for("a fresh identity", async || fs::read(&file).ok());
+    assert_ne!(fresh.await.unwrap(), identity);
+    deployment.submit_routes(2, 1).await;
+    // With the new replica as a voter, the loss of another one is borne.
+    wait_for("an answer of the new replica", async || {
+        let replica = deployment.replicas.last()?;
+        let answer = call(replica.orders(), request(Method::GET, "/v1/routes", "")).await?;
+        (answer.status == StatusCode::OK).then_some(())
+    })
+    .await
+    .unwrap();
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    deployment.replicas.remove(0).stop().await;
+    assert_eq!(deployment.version().await, 2);
+}
+
+/// Symptom: a booking lands twice.
+///
+/// Sequence: a backend server runs a request and breaks the connection before it answers.
+///
+/// Cause: the request is sent again. Only an idempotent one is; any other ends as unknown.
+#[tokio::test(flavor = "multi_thread")]
+async fn test_direct_sends_again_only_what_is_idempotent() {
+    let mut deployment = Deployment::start(3);
+    let entry = deployment.start_entry("entry-1");
+    let first = deployment.start_backend("backend-1").await;
+    let second = deployment.start_backend("backend-2").await;
+    deployment.submit_routes(1, 0).await;
+    deployment.announce(&first, 1, "Ready").await;
+    deployment.announce(&second, 1, "Ready").await;
+    until_served(&entry).await;
+    for behaviour in [Behaviour::Break, Behaviour::Foreign] {
+        first.behave(behaviour);
+        second.behave(behaviour);
+        let before = first.runs() + second.runs();
+        let once = entry.call(Method::POST, "/once/booking").await.unwrap();
+        assert_eq!(once.status, StatusCode::BAD_GATEWAY);
+        assert_eq!(first.runs() + second.runs(), before + 1);
+        let twice = entry.call(Method::GET, "/safe/search").await.unwrap();
+        assert_eq!(twice.status, StatusCode::BAD_GATEWAY);
+        assert_eq!(first.runs() + second.runs(), before + 3);
+    }
+}
+
+/// A refusal says when to come back, and is true: nothing ran.
+#[tokio::test(flavor = "multi_thread")]
+async fn test_direct_refuses_what_all_turned_away() {
+    let mut deployment = Deployment::start(3);
+    let entry = deployment.start_entry("entry-1");
+    let backend = deployment.start_backend("backend-1").await;
+    deployment.submit_routes(1, 0).await;
+    deployment.announce(&backend, 1, "Ready").await;
+    until_served(&entry).await;
+    backend.behave(Behaviour::Shed);
+    let before = backend.runs();
+    let refused = entry.call(Method::POST, "/once/booking").await.unwrap();
+    assert_eq!(refused.status, StatusCode::SERVICE_UNAVAILABLE);
+    assert!(refused.retry_after.is_some());
+    assert_eq!(backend.runs(), before);
+}
+
+/// Symptom: a backend server that leaves gets new requests for seconds.
+///
+/// Sequence: it says that it leaves, and is told that this is known.
+///
+/// Cause: it is told before entry VMs can know. The confirmation waits for the commit, and
+/// entry VMs follow within a second.
+#[tokio::test(flavor = "multi_thread")]
+async fn test_direct_leaves_a_draining_backend_server_alone() {
+    let mut deployment = Deployment::start(3);
+    let entry = deployment.start_entry("entry-1");
+    let first = deployment.start_backend("backend-1").await;
+    let second = deployment.start_backend("backend-2").await;
+    deployment.submit_routes(1, 0).await;
+    deployment.announce(&first, 1, "Ready").await;
+    deployment.announce(&second, 1, "Ready").await;
+    until_served(&entry).await;
+    deployment.announce(&first, 2, "Draining").await;
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    let before = first.runs();
+    for number in 0..20 {
+        let path = format!("/safe/{number}");
+        let answer = entry.call(Method::GET, &path).await.unwrap();
+        assert_eq!(answer.status, StatusCode::OK);
+    }
+    assert_eq!(first.runs(), before);
+}
