--- a/lib/tests/dispatch_model/mod.rs
+++ b/lib/tests/dispatch_model/mod.rs
@@ -69,8 +69,10 @@
     pub deadline: Duration,
     /// Length of the play.
     pub length: Duration,
-    /// Whether the first quarter of the play counts rather than the last half.
-    pub counts_start: bool,
+    /// Backend servers in each region that join after a half of the play.
+    pub joining: usize,
+    /// Part of the play that counts, in eighths.
+    pub counted: (u32, u32),
     /// Factor on the rate between a quarter and a half of the play.
     pub burst: f64,
     /// Seed of arrivals and service times.
@@ -94,7 +96,8 @@
             objective: Duration::from_millis(500),
             deadline: Duration::from_secs(2),
             length: Duration::from_secs(30),
-            counts_start: false,
+            joining: 0,
+            counted: (4, 8),
             burst: 1.0,
             seed: 1,
         }
@@ -125,6 +128,7 @@
 
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 enum Event {
+    Join,
     Arrival { region: usize },
     Reaches { request: usize },
     Done { request: usize },
@@ -146,6 +150,17 @@
     warm: VecDeque<u32>,
 }
 
+impl Server {
+    fn new(region: usize) -> Self {
+        Self {
+            region,
+            running: 0,
+            waiting: VecDeque::new(),
+            warm: VecDeque::new(),
+        }
+    }
+}
+
 /// Plays one plan.
 pub struct Model {
     plan: Plan,
@@ -200,12 +215,7 @@
         for (region, count) in plan.servers.iter().enumerate() {
             for number in 0..*count {
                 by_name.insert(server_name(region, number), servers.len());
-                servers.push(Server {
-                    region,
-                    running: 0,
-                    waiting: VecDeque::new(),
-                    warm: VecDeque::new(),
-                });
+                servers.push(Server::new(region));
             }
         }
         let rng = ChaCha8Rng::seed_from_u64(plan.seed);
@@ -229,12 +239,14 @@
         for region in 0..self.plan.servers.len() {
             self.schedule_arrival(region);
         }
+        self.schedule(self.plan.length / 2, Event::Join);
         while let Some(Reverse((at, _, event))) = self.events.pop() {
             if at > self.plan.length {
                 break;
             }
             self.now = at;
             match event {
+                Event::Join => self.join(),
                 Event::Arrival { region } => {
                     self.arrive(region);
                     self.schedule_arrival(region);
@@ -266,10 +278,10 @@
     }
 
     fn counts(&self, began: Duration) -> bool {
-        if self.plan.counts_start {
-            return began < self.plan.length / 4;
-        }
-        began >= self.plan.length / 2 && began + self.plan.deadline <= self.plan.length
+        let eighth = self.plan.length / 8;
+        let (from, to) = self.plan.counted;
+        let ended = began + self.plan.deadline <= self.plan.length;
+        began >= eighth * from && began < eighth * to && ended
     }
 
     fn arrive(&mut self, region: usize) {
@@ -310,6 +322,26 @@
         self.schedule(way, Event::Reaches { request });
     }
 
+    fn join(&mut self) {
+        let joining = self.plan.joining;
+        for region in 0..self.plan.servers.len() {
+            for number in 0..joining {
+                let name = server_name(region, self.plan.servers[region] + number);
+                self.by_name.insert(name, self.servers.len());
+                self.servers.push(Server::new(region));
+            }
+        }
+        let mut plan = self.plan.clone();
+        for count in &mut plan.servers {
+            *count += joining;
+        }
+        let view = view(&plan);
+        let now = self.at();
+        for dispatcher in &mut self.dispatchers {
+            dispatcher.apply_view(now, &view);
+        }
+    }
+
     fn reach(&mut self, request: usize) {
         let server = self.requests[request].server;
         if self.servers[server].running < self.plan.slots {
