--- /dev/null
+++ b/lib/src/dispatch_ask.rs
@@ -0,0 +1,123 @@
+//! What a dispatcher is asked, what it answers, and what it is told afterwards.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+use std::time::Instant;
+
+use slotmap::new_key_type;
+
+use crate::affinity::ObjectHash;
+use crate::backend_load::LoadReport;
+use crate::backend_load::SendKey;
+use crate::id::BackendName;
+use crate::id::RegionName;
+use crate::id::ServiceName;
+
+new_key_type! {
+    /// Identifies a backend server within one dispatcher.
+    pub struct BackendKey;
+}
+
+/// Asks for a backend server.
+#[derive(Clone, Copy, Debug)]
+pub struct Ask<'a> {
+    /// The service.
+    pub service: &'a ServiceName,
+    /// The object that the request concerns, if its data may be at hand somewhere.
+    pub object: Option<ObjectHash>,
+    /// Rank of the request; 0 goes first.
+    pub priority: u32,
+    /// When the answer must be there.
+    pub deadline: Instant,
+    /// Regions that the request must stay in; empty allows all.
+    pub homes: &'a [RegionName],
+    /// Backend servers that the request was sent to before.
+    pub tried: &'a [BackendKey],
+    /// Whether one of them received it.
+    pub resend: bool,
+}
+
+/// Holds the backend server that was picked. The request counts as in flight there.
+#[derive(Clone, Debug)]
+pub struct Choice {
+    /// The backend server.
+    pub backend: BackendKey,
+    /// The request in flight.
+    pub send: SendKey,
+    /// Its name: one life of one process.
+    pub name: BackendName,
+    /// Where it is.
+    pub address: SocketAddr,
+    /// Connections to it that are allowed.
+    pub max_connections: u32,
+    /// Whether its data are expected to be at hand.
+    pub warm: bool,
+    /// When the answer is expected, in time from now.
+    pub expected: Duration,
+}
+
+/// Tells why no backend server was picked, and when it makes sense to come back.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Refused {
+    /// Why.
+    pub reason: RefusedReason,
+    /// When to come back.
+    pub come_back: Duration,
+}
+
+/// Names the reason of a refusal.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum RefusedReason {
+    /// No backend server of the service may be used.
+    NoBackend,
+    /// None would answer in time.
+    NoRoom,
+    /// The budget of resends is used up.
+    NoResend,
+}
+
+impl RefusedReason {
+    /// Returns the reason as logs and metrics name it.
+    #[must_use]
+    pub const fn name(self) -> &'static str {
+        match self {
+            Self::NoBackend => "no_backend",
+            Self::NoRoom => "no_room",
+            Self::NoResend => "no_resend",
+        }
+    }
+}
+
+/// Tells how a request at a backend server ended.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum SendOutcome {
+    /// With an answer of the backend server.
+    Answered,
+    /// With an answer that tells of a fault of the backend server.
+    Faulty,
+    /// It was turned away without being run.
+    Shed,
+    /// Another backend server has that address.
+    Misdirected,
+    /// No connection could be had.
+    Unreachable,
+    /// The connection or the answer broke.
+    Broken,
+    /// The caller left or the time was over; tells nothing but that no answer came.
+    Abandoned,
+}
+
+/// Reports the end of a request at a backend server.
+#[derive(Clone, Copy, Debug)]
+pub struct SendEnd {
+    /// The backend server.
+    pub backend: BackendKey,
+    /// The request.
+    pub send: SendKey,
+    /// How it ended.
+    pub outcome: SendOutcome,
+    /// What the backend server said of its load.
+    pub load: Option<LoadReport>,
+    /// The object.
+    pub object: Option<ObjectHash>,
+}
--- a/lib/src/dispatch_pick.rs
+++ b/lib/src/dispatch_pick.rs
@@ -6,7 +6,7 @@
 //! busy: all requests would be late from then on, long after the burst. So a request waits
 //! where its data are, or is refused, and further copies are made one at a time.
 
-use crate::direct_dispatch::BackendKey;
+use crate::dispatch_ask::BackendKey;
 
 /// Requests beyond its slots, by slots, that are sent to one backend server at most. Theirs
 /// queue three times their slots; others' requests that aren't known of yet need room too.
--- a/lib/src/fleet_update.rs
+++ b/lib/src/fleet_update.rs
@@ -17,10 +17,12 @@
 use crate::id::BackendName;
 use crate::id::ManifestVersion;
 use crate::id::PlaceName;
+use crate::id::RegionName;
 use crate::id::Revision;
 use crate::id::RouteName;
 use crate::id::ServiceName;
 use crate::id::VmName;
+use crate::place_lookup;
 use crate::route_manifest::CallerLimits;
 use crate::route_manifest::Route;
 use crate::route_manifest::RouteService;
@@ -208,13 +210,9 @@
             .map(|(name, route)| (name, route))
     }
 
-    /// Returns the home regions of a host: those of the first of its routes that has any.
+    /// Returns the home regions of a host.
     #[must_use]
-    pub fn homes_of_host(&self, host: &str) -> &[crate::id::RegionName] {
-        let routes = self.by_host.get(host).into_iter().flatten();
-        routes
-            .map(|(_, route)| route.home_regions.as_slice())
-            .find(|homes| !homes.is_empty())
-            .unwrap_or_default()
+    pub fn homes_of_host(&self, host: &str) -> &[RegionName] {
+        place_lookup::homes(self.routes.values().map(|route| &**route), host)
     }
 }
--- a/lib/src/place_lookup.rs
+++ b/lib/src/place_lookup.rs
@@ -4,6 +4,7 @@
 
 use crate::fleet_record::EntryRecord;
 use crate::id::RegionName;
+use crate::route_manifest::Route;
 
 /// Entry VMs that one answer names at most.
 pub const MAX_NAMED: usize = 64;
@@ -31,6 +32,16 @@
     addresses(&live, |_| true)
 }
 
+/// Returns the home regions of a host: those of the first of its routes that has any.
+#[must_use]
+pub fn homes<'a>(routes: impl Iterator<Item = &'a Route>, host: &str) -> &'a [RegionName] {
+    routes
+        .filter(|route| route.host == host)
+        .map(|route| route.home_regions.as_slice())
+        .find(|homes| !homes.is_empty())
+        .unwrap_or_default()
+}
+
 fn addresses(live: &[&EntryRecord], fits: impl Fn(&EntryRecord) -> bool) -> Vec<SocketAddr> {
     live.iter()
         .filter(|entry| fits(entry))
--- a/lib/tests/dispatch_model/mod.rs
+++ b/lib/tests/dispatch_model/mod.rs
@@ -16,12 +16,12 @@
 
 use heatherring_lib::affinity::ObjectHash;
 use heatherring_lib::backend_load::LoadReport;
-use heatherring_lib::direct_dispatch::Ask;
-use heatherring_lib::direct_dispatch::Choice;
 use heatherring_lib::direct_dispatch::DispatchConfig;
 use heatherring_lib::direct_dispatch::Dispatcher;
-use heatherring_lib::direct_dispatch::SendEnd;
-use heatherring_lib::direct_dispatch::SendOutcome;
+use heatherring_lib::dispatch_ask::Ask;
+use heatherring_lib::dispatch_ask::Choice;
+use heatherring_lib::dispatch_ask::SendEnd;
+use heatherring_lib::dispatch_ask::SendOutcome;
 use heatherring_lib::fleet_record::BackendRecord;
 use heatherring_lib::fleet_record::BackendState;
 use heatherring_lib::fleet_record::EntryRecord;
--- a/lib/tests/test_direct_dispatch.rs
+++ b/lib/tests/test_direct_dispatch.rs
@@ -4,7 +4,7 @@
 
 use dispatch_model::Model;
 use dispatch_model::Plan;
-use heatherring_lib::direct_dispatch::SendOutcome;
+use heatherring_lib::dispatch_ask::SendOutcome;
 use std::time::Duration;
 
 /// Symptom: a burst makes requests late, and they stay late long after it is over.
--- a/server/src/control_session.rs
+++ b/server/src/control_session.rs
@@ -28,7 +28,8 @@
 use tonic::transport::Channel;
 
 use crate::entry_state::EntryState;
-use crate::grpc_channel;
+use crate::peer_channel::ChannelTimes;
+use crate::peer_channel::PeerChannels;
 use crate::peer_security::PeerSecurity;
 use crate::peer_security::PeerSecurityError;
 use crate::proto::SyncOutcome;
@@ -258,8 +259,10 @@
         {
             return Ok(client.clone());
         }
-        let channel =
-            grpc_channel::open(&self.security, replica, CONNECT_TIMEOUT).context(SecuritySnafu)?;
+        let channel = PeerChannels::new(self.security.clone())
+            .waiting(ChannelTimes::entry(CONNECT_TIMEOUT))
+            .lazy(replica)
+            .context(SecuritySnafu)?;
         let client = SessionClient::new(channel).max_decoding_message_size(usize::MAX);
         self.client = Some((replica, client.clone()));
         Ok(client)
--- a/server/src/direct_path.rs
+++ b/server/src/direct_path.rs
@@ -11,10 +11,10 @@
 
 use heatherring_lib::affinity::ObjectHash;
 use heatherring_lib::clock::Clock;
-use heatherring_lib::direct_dispatch::BackendKey;
-use heatherring_lib::direct_dispatch::Refused as NoChoice;
-use heatherring_lib::direct_dispatch::RefusedReason;
-use heatherring_lib::direct_dispatch::SendOutcome;
+use heatherring_lib::dispatch_ask::BackendKey;
+use heatherring_lib::dispatch_ask::Refused as NoChoice;
+use heatherring_lib::dispatch_ask::RefusedReason;
+use heatherring_lib::dispatch_ask::SendOutcome;
 use heatherring_lib::fleet_update::FleetView;
 use heatherring_lib::id::BackendName;
 use heatherring_lib::id::RouteName;
--- a/server/src/direct_send.rs
+++ b/server/src/direct_send.rs
@@ -9,8 +9,8 @@
 
 use bytes::Bytes;
 use heatherring_lib::backend_load::LoadReport;
-use heatherring_lib::direct_dispatch::Choice;
-use heatherring_lib::direct_dispatch::SendOutcome;
+use heatherring_lib::dispatch_ask::Choice;
+use heatherring_lib::dispatch_ask::SendOutcome;
 use heatherring_lib::outcome::Attempt;
 use heatherring_lib::outcome::MayHaveRun;
 use heatherring_lib::outcome::NotRunReason;
--- a/server/src/fleet_control.rs
+++ b/server/src/fleet_control.rs
@@ -399,7 +399,8 @@
     fn look_up(&self, host: &str, region: &RegionName) -> Option<LookUp> {
         let fleet = self.inner.picture.read().fleet;
         let live = self.inner.presence.view().live;
-        let homes = homes_of_host(&fleet, host);
+        let routes = fleet.manifest().routes.values();
+        let homes = place_lookup::homes(routes.map(|route| &**route), host);
         let entries = fleet
             .entries()
             .filter(|(vm, _)| live.contains(*vm))
@@ -412,16 +413,6 @@
     }
 }
 
-/// Returns the home regions of the first route of a host that has any.
-fn homes_of_host<'a>(fleet: &'a FleetState, host: &str) -> &'a [RegionName] {
-    let routes = fleet.manifest().routes.values();
-    routes
-        .filter(|route| route.host == host)
-        .map(|route| route.home_regions.as_slice())
-        .find(|homes| !homes.is_empty())
-        .unwrap_or_default()
-}
-
 async fn commit_at_leader(
     leader: &LeaderLink,
     command: &FleetCommand,
--- a/server/src/own_interface.rs
+++ b/server/src/own_interface.rs
@@ -24,7 +24,6 @@
 use http::Request;
 use http::Response;
 use http::StatusCode;
-use http::header::CONTENT_TYPE;
 use http::response::Parts;
 use http_body_util::BodyExt;
 use http_body_util::Limited;
@@ -33,7 +32,6 @@
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
-use crate::answer_body;
 use crate::answer_body::AnswerBody;
 use crate::fleet_control::Announcement;
 use crate::fleet_control::FleetControl;
@@ -48,6 +46,7 @@
 use crate::interface::LookUpSource;
 use crate::interface::OutgoingMarks;
 use crate::interface::UnreadableMark;
+use crate::reply;
 
 /// Names the object that a request concerns.
 const OBJECT: HeaderName = HeaderName::from_static("heatherring-object");
@@ -107,7 +106,7 @@
     }
 
     fn answer_ready(&self, ready: bool, _req: &Request<Incoming>) -> Response<AnswerBody> {
-        status(if ready {
+        reply::status(if ready {
             StatusCode::OK
         } else {
             StatusCode::SERVICE_UNAVAILABLE
@@ -163,14 +162,14 @@
             pairs.find(|(key, _)| *key == name).map(|(_, value)| value)
         };
         let (Some(host), Some(region)) = (parameter("host"), parameter("region")) else {
-            return status(StatusCode::BAD_REQUEST);
+            return reply::status(StatusCode::BAD_REQUEST);
         };
         match source.look_up(host, &RegionName::new(region)) {
-            Some(found) => json(&EntriesBody {
+            Some(found) => reply::json(&EntriesBody {
                 entries: found.addresses.iter().map(ToString::to_string).collect(),
                 keep_ms: header::whole_ms(found.keep),
             }),
-            None => status(StatusCode::SERVICE_UNAVAILABLE),
+            None => reply::status(StatusCode::SERVICE_UNAVAILABLE),
         }
     }
 }
@@ -178,7 +177,7 @@
 async fn answer(control: FleetControl, req: Request<Incoming>) -> Response<AnswerBody> {
     let (head, body) = req.into_parts();
     let Ok(body) = Limited::new(body, MAX_BODY_BYTES).collect().await else {
-        return status(StatusCode::BAD_REQUEST);
+        return reply::status(StatusCode::BAD_REQUEST);
     };
     let body = body.to_bytes();
     let path: Vec<&str> = head.uri.path().trim_start_matches('/').split('/').collect();
@@ -203,25 +202,22 @@
             Err(response) => *response,
         },
         (&Method::GET, ["v1", "routes"]) => match control.routes().await {
-            Ok(manifest) => json(&manifest),
+            Ok(manifest) => reply::json(&manifest),
             Err(error) => unavailable(&error),
         },
-        _ => status(StatusCode::NOT_FOUND),
+        _ => reply::status(StatusCode::NOT_FOUND),
     }
 }
 
 fn read<T: DeserializeOwned>(body: &[u8]) -> Result<T, Box<Response<AnswerBody>>> {
-    serde_json::from_slice(body).map_err(|error| {
-        let mut response = Response::new(answer_body::full(error.to_string()));
-        *response.status_mut() = StatusCode::BAD_REQUEST;
-        Box::new(response)
-    })
+    serde_json::from_slice(body)
+        .map_err(|error| Box::new(reply::text(StatusCode::BAD_REQUEST, error.to_string())))
 }
 
 fn changed(result: Result<RouteAnswer, FleetError>) -> Response<AnswerBody> {
     match result {
         Ok(answer) => {
-            let mut response = json(&answer);
+            let mut response = reply::json(&answer);
             *response.status_mut() = match answer {
                 RouteAnswer::Accepted => StatusCode::OK,
                 RouteAnswer::Conflict { .. } => StatusCode::CONFLICT,
@@ -235,34 +231,11 @@
 
 fn done(result: Result<(), FleetError>) -> Response<AnswerBody> {
     match result {
-        Ok(()) => status(StatusCode::NO_CONTENT),
+        Ok(()) => reply::status(StatusCode::NO_CONTENT),
         Err(error) => unavailable(&error),
     }
 }
 
 fn unavailable(error: &FleetError) -> Response<AnswerBody> {
-    let mut response = Response::new(answer_body::full(error.to_string()));
-    *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
-    response
-}
-
-fn status(status: StatusCode) -> Response<AnswerBody> {
-    let mut response = Response::new(answer_body::empty());
-    *response.status_mut() = status;
-    response
-}
-
-fn json(value: &impl Serialize) -> Response<AnswerBody> {
-    match serde_json::to_vec(value) {
-        Ok(body) => {
-            let mut response = Response::new(answer_body::full(body));
-            let json = HeaderValue::from_static("application/json");
-            response.headers_mut().insert(CONTENT_TYPE, json);
-            response
-        }
-        Err(error) => {
-            log::error!(event = "reply_unencodable", error:% = error; "an answer can't be written as JSON");
-            status(StatusCode::INTERNAL_SERVER_ERROR)
-        }
-    }
+    reply::text(StatusCode::SERVICE_UNAVAILABLE, error.to_string())
 }
--- a/server/src/peer_channel.rs
+++ b/server/src/peer_channel.rs
@@ -1,4 +1,4 @@
-//! Connections between control replicas, and marks on what travels over them.
+//! Channels between the system's processes, and marks on what travels over them.
 
 use std::net::IpAddr;
 use std::net::SocketAddr;
@@ -17,15 +17,43 @@
 /// otherwise hand a request to and fro until its deadline.
 pub const PASSED_ON: &str = "heatherring-passed-on";
 
-const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
-const KEEP_ALIVE_INTERVAL: Duration = Duration::from_secs(1);
-const KEEP_ALIVE_TIMEOUT: Duration = Duration::from_secs(1);
+/// Says how long a channel waits for its peer.
+#[derive(Clone, Copy, Debug)]
+pub struct ChannelTimes {
+    /// Bound on opening the connection.
+    pub connect: Duration,
+    /// Time between pings.
+    pub ping_interval: Duration,
+    /// How long the answer to a ping may take.
+    pub ping_timeout: Duration,
+}
+
+impl ChannelTimes {
+    /// Between control replicas: a silent one must be left within an election's time.
+    const CONTROL: Self = Self {
+        connect: Duration::from_secs(1),
+        ping_interval: Duration::from_secs(1),
+        ping_timeout: Duration::from_secs(1),
+    };
 
-/// Opens connections to other replicas.
+    /// To and from entry VMs, which have many channels and leave a silent peer by the
+    /// timeouts of their calls; pings only free what a vanished one holds.
+    #[must_use]
+    pub const fn entry(connect: Duration) -> Self {
+        Self {
+            connect,
+            ping_interval: Duration::from_secs(5),
+            ping_timeout: Duration::from_secs(2),
+        }
+    }
+}
+
+/// Opens channels to other processes.
 #[derive(Clone, Debug)]
 pub struct PeerChannels {
     security: PeerSecurity,
     local: Option<IpAddr>,
+    times: ChannelTimes,
 }
 
 impl PeerChannels {
@@ -35,9 +63,17 @@
         Self {
             security,
             local: None,
+            times: ChannelTimes::CONTROL,
         }
     }
 
+    /// Takes other times than those between control replicas.
+    #[must_use]
+    pub const fn waiting(mut self, times: ChannelTimes) -> Self {
+        self.times = times;
+        self
+    }
+
     /// Makes connections leave from `local`, the address that this process listens on,
     /// so that peers and packet filters see one address for each VM. An unspecified
     /// address leaves the choice to the system.
@@ -49,7 +85,7 @@
         }
     }
 
-    /// Creates a connection that is established when it is first used.
+    /// Creates a channel that connects when it is first used, and again after a break.
     ///
     /// # Errors
     ///
@@ -59,9 +95,9 @@
             .security
             .endpoint(address)?
             .local_address(self.local)
-            .connect_timeout(CONNECT_TIMEOUT)
-            .http2_keep_alive_interval(KEEP_ALIVE_INTERVAL)
-            .keep_alive_timeout(KEEP_ALIVE_TIMEOUT)
+            .connect_timeout(self.times.connect)
+            .http2_keep_alive_interval(self.times.ping_interval)
+            .keep_alive_timeout(self.times.ping_timeout)
             .tcp_nodelay(true);
         Ok(endpoint.connect_lazy())
     }
--- a/server/src/peer_client.rs
+++ b/server/src/peer_client.rs
@@ -18,7 +18,8 @@
 use tokio_util::task::AbortOnDropHandle;
 use tonic::transport::Channel;
 
-use crate::grpc_channel;
+use crate::peer_channel::ChannelTimes;
+use crate::peer_channel::PeerChannels;
 use crate::peer_security::PeerSecurity;
 use crate::proto::DigestRequest;
 use crate::proto::ReleaseRequest;
@@ -140,7 +141,10 @@
             if *id == own || self.peers.contains_key(id) {
                 continue;
             }
-            match grpc_channel::open(&self.security, session.info.peers, CONNECT_TIMEOUT) {
+            match PeerChannels::new(self.security.clone())
+                .waiting(ChannelTimes::entry(CONNECT_TIMEOUT))
+                .lazy(session.info.peers)
+            {
                 Ok(channel) => {
                     let peer = self.start(*id, channel);
                     self.peers.insert(*id, peer);
--- a/platform/src/reply.rs
+++ b/server/src/reply.rs
@@ -1,13 +1,14 @@
-//! Answers of the platform's calls.
+//! Plain answers to calls: a status, a text, a value in JSON.
 
-use heatherring_server::answer_body;
-use heatherring_server::answer_body::AnswerBody;
 use http::HeaderValue;
 use http::Response;
 use http::StatusCode;
 use http::header::CONTENT_TYPE;
 use serde::Serialize;
 
+use crate::answer_body;
+use crate::answer_body::AnswerBody;
+
 /// Answers with a status alone.
 #[must_use]
 pub fn status(status: StatusCode) -> Response<AnswerBody> {
--- a/server/src/session_relay.rs
+++ b/server/src/session_relay.rs
@@ -28,7 +28,8 @@
 use tonic::transport::Channel;
 
 use crate::entry_state::EntryState;
-use crate::grpc_channel;
+use crate::peer_channel::ChannelTimes;
+use crate::peer_channel::PeerChannels;
 use crate::peer_security::PeerSecurity;
 use crate::proto::Renewal;
 use crate::proto::SyncBatchReply;
@@ -314,7 +315,10 @@
     fn client(&mut self) -> Option<SessionClient<Channel>> {
         if self.client.is_none() {
             let replica = self.replicas[self.current];
-            let channel = grpc_channel::open(&self.security, replica, CONNECT_TIMEOUT).ok()?;
+            let channel = PeerChannels::new(self.security.clone())
+                .waiting(ChannelTimes::entry(CONNECT_TIMEOUT))
+                .lazy(replica)
+                .ok()?;
             self.client = Some(SessionClient::new(channel));
         }
         self.client.clone()
