replica_plan: a replica that was admitted just now isn't silent

Ruled out: a planned stop (none in the log), a damaged log.

Change: who wasn't heard yet counts from when the leader has known it as a member.

The test failed on the code before (Some(77) at once).

--- a/lib/src/replica_plan.rs
+++ b/lib/src/replica_plan.rs
@@ -5,6 +5,7 @@
 //! gone for good must leave the set of voters, or the next loss stops control; but while
 //! nobody stands in for it, its removal gains nothing.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 use std::time::Instant;
@@ -62,16 +63,21 @@
 /// A voter that has been silent for [`GONE_AFTER`] goes if there are more voters than
 /// `target`, or if a learner waits to take its place. A learner that is silent for so long
 /// goes too: it asks again when it is back.
+///
+/// `known_since` says since when this leader has known each replica as a member. One that
+/// it hasn't heard yet counts from then: a replica that was admitted just now hasn't even
+/// started.
 #[must_use]
 pub fn due_removal(
     membership: &Membership,
     progress: &[ReplicaProgress],
-    elected_at: Instant,
+    known_since: &BTreeMap<ReplicaId, Instant>,
     now: Instant,
     target: usize,
 ) -> Option<ReplicaId> {
     let silent = |replica: &&ReplicaProgress| {
-        let heard = replica.last_heard.unwrap_or(elected_at).max(elected_at);
+        let known = known_since.get(&replica.id).copied().unwrap_or(now);
+        let heard = replica.last_heard.map_or(known, |heard| heard.max(known));
         now.saturating_duration_since(heard) >= GONE_AFTER
     };
     let stand_in = progress
--- a/lib/tests/test_replica_plan.rs
+++ b/lib/tests/test_replica_plan.rs
@@ -41,6 +41,46 @@
     }
 }
 
+fn known(membership: &Membership, since: Instant) -> BTreeMap<ReplicaId, Instant> {
+    membership.ids().map(|id| (id, since)).collect()
+}
+
+/// Symptom: a replica that lost its disk takes twenty seconds to come back, and its process
+/// ends once more in between.
+///
+/// Sequence: the leader has led for long; it admits the replica as a learner; half a second
+/// later it looks for silent ones and removes it, before its process has formatted its
+/// folder. The replica starts, is no member, notices after seconds and begins anew.
+///
+/// Cause: a replica that wasn't heard yet counted from the leader's election. It counts from
+/// its admission.
+#[test]
+fn test_replica_plan_gives_a_new_learner_time() {
+    let now = Instant::now() + Duration::from_mins(1);
+    let membership = Membership {
+        voters: voters(1..=5),
+        learners: BTreeMap::from([(ReplicaId(77), info(7))]),
+        ..Membership::default()
+    };
+    let mut progress: Vec<ReplicaProgress> = (2..=5).map(|id| progress(id, true, now)).collect();
+    progress.push(ReplicaProgress {
+        id: ReplicaId(77),
+        voter: false,
+        matched: Revision(0),
+        last_heard: None,
+        snapshot: None,
+    });
+    let mut known = known(&membership, now.checked_sub(GONE_AFTER * 3).unwrap());
+    known.insert(ReplicaId(77), now);
+    assert_eq!(due_removal(&membership, &progress, &known, now, 5), None);
+    let later = now + GONE_AFTER;
+    for replica in progress.iter_mut().filter(|replica| replica.voter) {
+        replica.last_heard = Some(later);
+    }
+    let removal = due_removal(&membership, &progress, &known, later, 5);
+    assert_eq!(removal, Some(ReplicaId(77)));
+}
+
 /// Symptom: an entry that was acknowledged is gone.
 ///
 /// Sequence: a replica loses its disk and comes back at its address, with an empty folder.
@@ -88,7 +128,7 @@
     let progress: Vec<ReplicaProgress> = (2..=5)
         .map(|id| progress(id, true, if id == 2 { elected } else { now }))
         .collect();
-    let removal = due_removal(&membership, &progress, elected, now, 5);
+    let removal = due_removal(&membership, &progress, &known(&membership, elected), now, 5);
     assert_eq!(removal, None);
 }
 
@@ -109,8 +149,8 @@
     let progress: Vec<ReplicaProgress> = (2..=6)
         .map(|id| progress(id, true, if id == 2 { elected } else { now }))
         .collect();
-    let removal = due_removal(&membership, &progress, elected, now, 5);
+    let removal = due_removal(&membership, &progress, &known(&membership, elected), now, 5);
     assert_eq!(removal, Some(ReplicaId(2)));
-    let just_elected = due_removal(&membership, &progress, now, now, 5);
+    let just_elected = due_removal(&membership, &progress, &known(&membership, now), now, 5);
     assert_eq!(just_elected, None);
 }
--- a/server/src/node_repair.rs
+++ b/server/src/node_repair.rs
@@ -1,5 +1,6 @@
 //! How a control replica that leads keeps the set of replicas whole by itself.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -8,6 +9,7 @@
 use heatherring_lib::raft_effects::MembershipChange;
 use heatherring_lib::raft_effects::Refusal;
 use heatherring_lib::raft_effects::Role;
+use heatherring_lib::raft_message::Membership;
 use heatherring_lib::raft_message::ReplicaInfo;
 use heatherring_lib::replica_plan;
 use heatherring_lib::replica_plan::Admission;
@@ -26,18 +28,25 @@
 /// five heartbeats.
 const PROOF_AGE: Duration = Duration::from_millis(500);
 
-/// Says when the leader was elected and looks at the replicas next.
-#[derive(Clone, Copy, Debug, Default)]
+/// Says when the leader looks at the replicas next, and since when it has known each.
+#[derive(Clone, Debug, Default)]
 pub(crate) struct Repair {
-    elected_at: Option<Instant>,
+    known_since: BTreeMap<ReplicaId, Instant>,
     look_at: Option<Instant>,
 }
 
 impl Repair {
-    pub(crate) const fn elected(&mut self, now: Instant) {
-        self.elected_at = Some(now);
+    pub(crate) fn elected(&mut self, now: Instant) {
+        self.known_since.clear();
         self.look_at = Some(now);
     }
+
+    fn follow(&mut self, membership: &Membership, now: Instant) {
+        self.known_since.retain(|id, _| membership.contains(*id));
+        for id in membership.ids() {
+            self.known_since.entry(id).or_insert(now);
+        }
+    }
 }
 
 impl<D: Disk> ControlNode<D> {
@@ -52,10 +61,11 @@
             return;
         }
         self.repair.look_at = Some(now + REPAIR_INTERVAL);
-        let elected_at = self.repair.elected_at.unwrap_or(now);
         let progress = self.raft.progress();
         let membership = self.raft.membership();
-        let removal = replica_plan::due_removal(membership, &progress, elected_at, now, target);
+        self.repair.follow(membership, now);
+        let known_since = &self.repair.known_since;
+        let removal = replica_plan::due_removal(membership, &progress, known_since, now, target);
         if let Some(replica) = removal {
             log::warn!(event = "replica_removed", replica = replica.0; "a silent replica is removed");
             self.change_unattended(MembershipChange::Remove(replica));
