raft: voters' timeouts lie apart

The core's logs show five candidacies of two replicas in different regions within 30 ms of each other, each with the votes of its own region: timeouts were drawn from one range of 600 ms (400 ms for the first), in which the two shortest of four lie within the way between regions one time in three or more.

Ruled out: the disks, joining (both begin only once there is a leader), entry VMs.

Change: each voter has a part of the range, which moves on with the term, and draws from a quarter of it.

--- a/lib/src/raft.rs
+++ b/lib/src/raft.rs
@@ -426,15 +426,30 @@
     /// a second without a leader.
     fn start_first_timer(&mut self) {
         let shortest = (self.cfg.heartbeat * 2).min(self.cfg.election_min);
-        let timeout = self.rng.random_range(shortest..=self.cfg.election_min);
-        self.election_deadline = self.now + timeout;
+        self.election_deadline = self.now + self.timeout_between(shortest, self.cfg.election_min);
     }
 
     pub(crate) fn restart_election_timer(&mut self) {
-        let timeout = self
-            .rng
-            .random_range(self.cfg.election_min..=self.cfg.election_max);
-        self.election_deadline = self.now + timeout;
+        let (shortest, longest) = (self.cfg.election_min, self.cfg.election_max);
+        self.election_deadline = self.now + self.timeout_between(shortest, longest);
+    }
+
+    /// Returns a timeout within a range, apart from those of the other voters.
+    ///
+    /// Each voter has a part of the range of its own, which moves on with the term. Drawn
+    /// from the whole range, the two shortest of four timeouts lie within the way to another
+    /// region (55 ms of 600) one time in three; both replicas then stand, and each gets the
+    /// votes of its own region. With the parts, they lie 0.75 of a part apart at least:
+    /// 90 ms with five voters and 600 ms.
+    fn timeout_between(&mut self, shortest: Duration, longest: Duration) -> Duration {
+        let own = self.cfg.id;
+        let voters = &self.membership().voters;
+        let count = u32::try_from(voters.len()).unwrap_or(u32::MAX).max(1);
+        let rank = voters.keys().position(|id| *id == own).unwrap_or(0);
+        let turn = (rank as u64).wrapping_add(self.term().0) % u64::from(count);
+        let part = longest.saturating_sub(shortest) / count;
+        let begin = shortest + part * u32::try_from(turn).unwrap_or(0);
+        self.rng.random_range(begin..=begin + part / 4)
     }
 
     /// Hands out the entries up to `index` as committed and answers who waits for them.
