test_direct: wait until the entry VM knows both backend servers

An announcement is confirmed before entry VMs learn of it, and the test went on as soon as one of two backend servers answered; with the other one unknown there was nobody to send to again. A fault of the test, not of the code.

Change: the test waits until both have run a request, with objects that spread over them. The checks stay as they were.

--- a/server/tests/direct_support/mod.rs
+++ b/server/tests/direct_support/mod.rs
@@ -267,6 +267,8 @@
         let id = format!("id-{path}").replace('/', "-");
         req.headers_mut()
             .insert("heatherring-request-id", id.parse().unwrap());
+        req.headers_mut()
+            .insert("heatherring-object", path.parse().unwrap());
         call(self.settings.listen.callers, req).await
     }
 
--- a/server/tests/test_direct.rs
+++ b/server/tests/test_direct.rs
@@ -5,6 +5,7 @@
 use std::fs;
 use std::time::Duration;
 
+use direct_support::Backend;
 use direct_support::Behaviour;
 use direct_support::Deployment;
 use direct_support::Entry;
@@ -25,6 +26,20 @@
     .unwrap();
 }
 
+/// Waits until the entry VM knows all of `backends`. An announcement is confirmed before
+/// entry VMs have learned of it; objects are spread over those that they know.
+async fn until_known(entry: &Entry, backends: &[&Backend]) {
+    let mut number = 0;
+    wait_for("requests at each backend server", async || {
+        number += 1;
+        entry.call(Method::GET, &format!("/safe/{number}")).await?;
+        let all = backends.iter().all(|backend| backend.runs() > 0);
+        all.then_some(())
+    })
+    .await
+    .unwrap();
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn test_direct_whole_path() {
     let mut deployment = Deployment::start(4);
@@ -106,7 +121,7 @@
     deployment.submit_routes(1, 0).await;
     deployment.announce(&first, 1, "Ready").await;
     deployment.announce(&second, 1, "Ready").await;
-    until_served(&entry).await;
+    until_known(&entry, &[&first, &second]).await;
     for behaviour in [Behaviour::Break, Behaviour::Foreign] {
         first.behave(behaviour);
         second.behave(behaviour);
@@ -152,7 +167,7 @@
     deployment.submit_routes(1, 0).await;
     deployment.announce(&first, 1, "Ready").await;
     deployment.announce(&second, 1, "Ready").await;
-    until_served(&entry).await;
+    until_known(&entry, &[&first, &second]).await;
     deployment.announce(&first, 2, "Draining").await;
     tokio::time::sleep(Duration::from_secs(2)).await;
     let before = first.runs();
