dispatch: what is known of a request in flight stands once

Cause: read again, the dispatcher kept two maps with the same keys (when a request was sent, what was expected of it), said twice which regions a request may go to and three times when a backend server is cold, and worked out this entry VM's share of a cold backend server's requests, a loop over all entry VMs, for every request, though it matters to cold ones only.

Change: the slot map of requests in flight holds both; Ask::allows and Backend::is_cold say the other two; the share is worked out for cold backend servers only, from the service at hand rather than by its name. A copy of the candidates goes, and usable_backends and BackendLoad::is_idle, which nobody called.

Ruled out: one loop for the three steps of candidates(): each has its own reason and rank, and the order is the rule.

No time was measured; the gain is one hash map and one loop less on the way of each request.

--- a/lib/src/backend_load.rs
+++ b/lib/src/backend_load.rs
@@ -34,6 +34,27 @@
     pub slots: u32,
 }
 
+/// Holds what was expected of a request when it was sent.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Expectation {
+    /// Whether its data were expected to be at hand.
+    pub warm: bool,
+    /// Whether it was expected to wait.
+    pub queued: bool,
+    /// Time above which the backend server counts as slow. Where it isn't sure that the
+    /// data are at hand, that is the time without.
+    pub slow_above: Duration,
+}
+
+/// Holds what is known of a request in flight.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct InFlight {
+    /// When it was sent.
+    pub sent_at: Instant,
+    /// What was expected of it then.
+    pub expected: Expectation,
+}
+
 #[derive(Clone, Copy, Debug)]
 struct Others {
     count: f64,
@@ -42,20 +63,21 @@
 
 /// Follows the load of one backend server.
 #[derive(Debug, Default)]
-pub struct BackendLoad {
-    in_flight: SlotMap<SendKey, Instant>,
+pub(crate) struct BackendLoad {
+    in_flight: SlotMap<SendKey, InFlight>,
     others: Option<Others>,
     last_answer: Option<Instant>,
 }
 
 impl BackendLoad {
     /// Notes that a request is sent.
-    pub fn begin(&mut self, now: Instant) -> SendKey {
-        self.in_flight.insert(now)
+    pub fn begin(&mut self, now: Instant, expected: Expectation) -> SendKey {
+        let sent_at = now;
+        self.in_flight.insert(InFlight { sent_at, expected })
     }
 
-    /// Notes that a request is over; returns when it was sent.
-    pub fn end(&mut self, key: SendKey) -> Option<Instant> {
+    /// Notes that a request is over; returns what was known of it.
+    pub fn end(&mut self, key: SendKey) -> Option<InFlight> {
         self.in_flight.remove(key)
     }
 
@@ -77,12 +99,6 @@
         f64::from(u32::try_from(self.in_flight.len()).unwrap_or(u32::MAX))
     }
 
-    /// Returns whether this sender has any request in flight there.
-    #[must_use]
-    pub fn is_idle(&self) -> bool {
-        self.in_flight.is_empty()
-    }
-
     /// Estimates the requests that run or wait there.
     #[must_use]
     pub fn estimate(&self, now: Instant) -> f64 {
@@ -100,12 +116,10 @@
     /// backend server. A server that hangs answers nothing, so this is all that tells.
     #[must_use]
     pub fn silence(&self, now: Instant) -> Duration {
-        let Some(oldest) = self.in_flight.values().min() else {
+        let Some(oldest) = self.in_flight.values().map(|send| send.sent_at).min() else {
             return Duration::ZERO;
         };
-        let since = self
-            .last_answer
-            .map_or(*oldest, |answer| answer.max(*oldest));
+        let since = self.last_answer.map_or(oldest, |answer| answer.max(oldest));
         now.saturating_duration_since(since)
     }
 }
--- a/lib/src/direct_dispatch.rs
+++ b/lib/src/direct_dispatch.rs
@@ -16,6 +16,7 @@
 
 use crate::affinity::MemberHash;
 use crate::affinity::ObjectHash;
+use crate::backend_load::Expectation;
 use crate::cold_gate;
 use crate::dispatch_ask::Ask;
 use crate::dispatch_ask::BackendKey;
@@ -25,7 +26,6 @@
 use crate::dispatch_ask::SendEnd;
 use crate::dispatch_ask::SendOutcome;
 use crate::dispatch_backend::Backend;
-use crate::dispatch_backend::Expectation;
 use crate::dispatch_pick;
 use crate::dispatch_pick::Candidate;
 use crate::dispatch_pick::PickLimits;
@@ -285,7 +285,7 @@
                 self.no_room(&candidates)
             });
         };
-        let max_connections = service.max_connections;
+        let (cold_rate, max_connections) = (service.cold_rate, service.max_connections);
         if let Some(service) = self.services.get_mut(ask.service) {
             if !ask.resend {
                 service.budget.note_request();
@@ -296,7 +296,7 @@
                 service.note_object(now, object, best.warm);
             }
         }
-        Ok(self.begin(now, &best, ask, max_connections))
+        Ok(self.begin(now, &best, cold_rate, max_connections))
     }
 
     fn no_room(&mut self, candidates: &[Candidate]) -> Refused {
@@ -322,23 +322,25 @@
         &mut self,
         now: Instant,
         best: &Candidate,
-        ask: &Ask<'_>,
+        cold_rate: f64,
         max_connections: u32,
     ) -> Choice {
-        let interval = self.cold_interval(best.backend, ask.service);
+        let backend = &self.backends[best.backend];
+        let cold_interval = if backend.is_cold(now) {
+            self.cold_interval(backend, cold_rate)
+        } else {
+            None
+        };
         let backend = &mut self.backends[best.backend];
-        if now < backend.cold_until
-            && let Some(interval) = interval
-        {
+        if let Some(interval) = cold_interval {
             backend.cold_gate.note_sent(now, interval);
         }
-        let send = backend.load.begin(now);
         let expectation = Expectation {
             warm: best.warm,
             queued: best.wait > 0.0,
             slow_above: seconds(best.slow_above),
         };
-        backend.sends.insert(send, expectation);
+        let send = backend.load.begin(now, expectation);
         Choice {
             backend: best.backend,
             send,
@@ -350,9 +352,7 @@
         }
     }
 
-    fn cold_interval(&self, key: BackendKey, service: &ServiceName) -> Option<Duration> {
-        let backend = &self.backends[key];
-        let rate = self.services.get(service)?.cold_rate;
+    fn cold_interval(&self, backend: &Backend, rate: f64) -> Option<Duration> {
         let object = ObjectHash::of("cold", backend.name.as_str());
         cold_gate::interval(object, self.own, &self.senders, rate)
     }
@@ -387,7 +387,7 @@
         let cold = service
             .backends
             .iter()
-            .filter(|key| self.backends[**key].usable && now < self.backends[**key].cold_until);
+            .filter(|key| self.backends[**key].usable && self.backends[**key].is_cold(now));
         self.assess(now, cold.map(|key| (*key, SPARE_RANK)), service, ask)
     }
 
@@ -408,14 +408,12 @@
     /// request to the next doesn't, or objects would move to and fro.
     fn is_stable(&self, now: Instant, key: BackendKey, ask: &Ask<'_>) -> bool {
         let backend = &self.backends[key];
-        let at_home = ask.homes.is_empty() || ask.homes.contains(&backend.region);
-        backend.usable && !backend.silent && at_home && now >= backend.cold_until
+        backend.usable && !backend.silent && ask.allows(&backend.region) && !backend.is_cold(now)
     }
 
     fn is_allowed(&self, now: Instant, key: BackendKey, ask: &Ask<'_>) -> bool {
         let backend = &self.backends[key];
-        let at_home = ask.homes.is_empty() || ask.homes.contains(&backend.region);
-        at_home && backend.health.is_reachable(now) && !ask.tried.contains(&key)
+        ask.allows(&backend.region) && backend.health.is_reachable(now) && !ask.tried.contains(&key)
     }
 
     /// Ranks the backend servers for an object, the heaviest first, and returns those that
@@ -462,9 +460,9 @@
         ask: &Ask<'_>,
     ) -> Option<Candidate> {
         let backend = &self.backends[key];
-        let is_cold = now < backend.cold_until;
+        let is_cold = backend.is_cold(now);
         if is_cold {
-            self.cold_interval(key, ask.service)?;
+            self.cold_interval(backend, service.cold_rate)?;
             if !backend.cold_gate.is_open(now) {
                 return None;
             }
@@ -507,35 +505,31 @@
         let Some(backend) = self.backends.get_mut(end.backend) else {
             return;
         };
-        let Some(sent_at) = backend.load.end(end.send) else {
+        let Some(send) = backend.load.end(end.send) else {
             return;
         };
-        let expectation = backend.sends.remove(&end.send);
         if let Some(service) = self.services.get_mut(&backend.record.service)
             && let Some(object) = end.object
-            && expectation.is_some_and(|expectation| !expectation.warm)
+            && !send.expected.warm
         {
             service.warming.remove(&object);
         }
         let delay = self.delays.get(&backend.region).copied();
         let took = now
-            .saturating_duration_since(sent_at)
+            .saturating_duration_since(send.sent_at)
             .saturating_sub(delay.unwrap_or_default());
         match end.outcome {
             SendOutcome::Answered => {
                 backend.load.note_answer(now, end.load);
                 backend.note_warm(now, end.object);
-                let Some(expectation) = expectation else {
-                    return;
-                };
-                if expectation.queued {
+                if send.expected.queued {
                     return;
                 }
                 backend
                     .health
-                    .note_answer(now, took, expectation.slow_above);
+                    .note_answer(now, took, send.expected.slow_above);
                 if let Some(service) = self.services.get_mut(&backend.record.service) {
-                    service.pace.observe(expectation.warm, took);
+                    service.pace.observe(send.expected.warm, took);
                 }
             }
             SendOutcome::Faulty => {
@@ -552,16 +546,6 @@
             SendOutcome::Abandoned => {}
         }
     }
-
-    /// Returns how many backend servers of a service may be used.
-    #[must_use]
-    pub fn usable_backends(&self, service: &ServiceName) -> usize {
-        let Some(service) = self.services.get(service) else {
-            return 0;
-        };
-        let usable = |key: &&BackendKey| self.backends[**key].usable;
-        service.backends.iter().filter(usable).count()
-    }
 }
 
 /// Orders backend servers that are alike otherwise by their rank, in steps of 5 ms: well
--- a/lib/src/dispatch_ask.rs
+++ b/lib/src/dispatch_ask.rs
@@ -37,6 +37,14 @@
     pub resend: bool,
 }
 
+impl Ask<'_> {
+    /// Returns whether the request may go to a region.
+    #[must_use]
+    pub fn allows(&self, region: &RegionName) -> bool {
+        self.homes.is_empty() || self.homes.contains(region)
+    }
+}
+
 /// Holds the backend server that was picked. The request counts as in flight there.
 #[derive(Clone, Debug)]
 pub struct Choice {
--- a/lib/src/dispatch_backend.rs
+++ b/lib/src/dispatch_backend.rs
@@ -9,7 +9,6 @@
 use crate::affinity::ObjectHash;
 use crate::backend_health::BackendHealth;
 use crate::backend_load::BackendLoad;
-use crate::backend_load::SendKey;
 use crate::cold_gate::ColdGate;
 use crate::fleet_record::BackendRecord;
 use crate::id::BackendName;
@@ -61,18 +60,6 @@
     pub cold_until: Instant,
     pub cold_gate: ColdGate,
     pub warm: HashMap<ObjectHash, Instant>,
-    /// What each request in flight was expected to be, by its key.
-    pub sends: HashMap<SendKey, Expectation>,
-}
-
-/// Holds what was expected of a request when it was sent.
-#[derive(Clone, Copy, Debug)]
-pub(crate) struct Expectation {
-    pub warm: bool,
-    pub queued: bool,
-    /// Time above which the backend server counts as slow. Where it isn't sure that the
-    /// data are at hand, that is the time without.
-    pub slow_above: Duration,
 }
 
 impl Backend {
@@ -95,11 +82,15 @@
             cold_until: now + record.cold_for,
             cold_gate: ColdGate::new(opens),
             warm: HashMap::new(),
-            sends: HashMap::new(),
             record,
         }
     }
 
+    /// Returns whether it has started lately and bears a few requests only.
+    pub fn is_cold(&self, now: Instant) -> bool {
+        now < self.cold_until
+    }
+
     /// Returns what is to be expected beyond the time of the work, in seconds, since it fails
     /// or hangs. A request waits for `wait`, and takes `cold` without its data at hand.
     pub fn fault(&self, now: Instant, wait: f64, cold: f64) -> f64 {
--- a/lib/src/dispatch_pick.rs
+++ b/lib/src/dispatch_pick.rs
@@ -98,8 +98,7 @@
     };
     if prefers_cold {
         // Whoever has the data fails, hangs or is slow; waits don't count here.
-        let all: Vec<Candidate> = candidates.to_vec();
-        return least(&with_room(&all, limits), Candidate::cost);
+        return least(&with_room(candidates, limits), Candidate::cost);
     }
     if let Some(copy) = warm_up(&warm, &cold, limits) {
         return Some(copy);
