fleet_state: nothing is kept that nobody reads

Cause: read again, the replicated state held when the manifest changed and when each place was evacuated, which nothing reads; routes and services were stamped by two loops alike, and a removal was written out four times.

Change: both figures go, restamp serves routes and services, note_removed all removals, and set_evacuated takes the set's own word on whether it changed.

Ruled out: one map for manifest items and backend servers: what is stamped with a value and what stands in the manifest differ.

--- a/lib/src/fleet_state.rs
+++ b/lib/src/fleet_state.rs
@@ -6,6 +6,7 @@
 //! leaves.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::collections::VecDeque;
 use std::sync::Arc;
 
@@ -76,11 +77,10 @@
     /// The last position that changed anything here.
     revision: Revision,
     manifest: RouteManifest,
-    manifest_changed: Revision,
     route_stamps: BTreeMap<RouteName, Revision>,
     service_stamps: BTreeMap<ServiceName, Revision>,
     accepted: VecDeque<AcceptedChange>,
-    evacuated: BTreeMap<PlaceName, Revision>,
+    evacuated: BTreeSet<PlaceName>,
     backends: BTreeMap<BackendName, Stamped<Arc<BackendRecord>>>,
     entries: BTreeMap<VmName, Stamped<Arc<EntryRecord>>>,
     removed: VecDeque<Stamped<RemovedItem>>,
@@ -102,11 +102,6 @@
         &self.manifest
     }
 
-    /// Returns the places that are evacuated.
-    pub fn evacuated(&self) -> impl Iterator<Item = &PlaceName> {
-        self.evacuated.keys()
-    }
-
     /// Returns what is known of a backend server.
     #[must_use]
     pub fn backend(&self, name: &BackendName) -> Option<&BackendRecord> {
@@ -168,35 +163,19 @@
 
     fn accept(&mut self, index: Revision, manifest: RouteManifest, digest: ContentDigest) {
         let before = std::mem::replace(&mut self.manifest, manifest);
-        for name in before.routes.keys() {
-            if !self.manifest.routes.contains_key(name) {
-                self.route_stamps.remove(name);
-                self.removed.push_back(Stamped {
-                    revision: index,
-                    value: RemovedItem::Route(name.clone()),
-                });
-            }
-        }
-        for name in before.services.keys() {
-            if !self.manifest.services.contains_key(name) {
-                self.service_stamps.remove(name);
-                self.removed.push_back(Stamped {
-                    revision: index,
-                    value: RemovedItem::Service(name.clone()),
-                });
-            }
-        }
-        for (name, route) in &self.manifest.routes {
-            if before.routes.get(name) != Some(route) {
-                self.route_stamps.insert(name.clone(), index);
-            }
-        }
-        for (name, service) in &self.manifest.services {
-            if before.services.get(name) != Some(service) {
-                self.service_stamps.insert(name.clone(), index);
-            }
+        let now = &self.manifest;
+        let routes = restamp(index, &mut self.route_stamps, &before.routes, &now.routes);
+        let services = restamp(
+            index,
+            &mut self.service_stamps,
+            &before.services,
+            &now.services,
+        );
+        let routes = routes.into_iter().map(RemovedItem::Route);
+        let services = services.into_iter().map(RemovedItem::Service);
+        for item in routes.chain(services) {
+            self.note_removed(index, item);
         }
-        self.manifest_changed = index;
         self.accepted.push_back(AcceptedChange {
             version: self.manifest.version,
             digest,
@@ -210,19 +189,13 @@
     /// Evacuates a place, or takes it back into use.
     pub fn set_evacuated(&mut self, index: Revision, place: &PlaceName, evacuated: bool) {
         let changed = if evacuated {
-            !self.evacuated.contains_key(place)
+            self.evacuated.insert(place.clone())
         } else {
-            self.evacuated.contains_key(place)
+            self.evacuated.remove(place)
         };
-        if !changed {
-            return;
+        if changed {
+            self.touch(index);
         }
-        if evacuated {
-            self.evacuated.insert(place.clone(), index);
-        } else {
-            self.evacuated.remove(place);
-        }
-        self.touch(index);
     }
 
     /// Takes announcements of backend servers in that change something.
@@ -290,10 +263,7 @@
     pub fn forget_backends(&mut self, index: Revision, backends: &[BackendName]) {
         for backend in backends {
             if self.backends.remove(backend).is_some() {
-                self.removed.push_back(Stamped {
-                    revision: index,
-                    value: RemovedItem::Backend(backend.clone()),
-                });
+                self.note_removed(index, RemovedItem::Backend(backend.clone()));
                 self.touch(index);
             }
         }
@@ -321,13 +291,15 @@
             return;
         }
         self.entries.remove(vm);
-        self.removed.push_back(Stamped {
-            revision: index,
-            value: RemovedItem::Entry(vm.clone()),
-        });
+        self.note_removed(index, RemovedItem::Entry(vm.clone()));
         self.touch(index);
     }
 
+    fn note_removed(&mut self, index: Revision, value: RemovedItem) {
+        let revision = index;
+        self.removed.push_back(Stamped { revision, value });
+    }
+
     fn touch(&mut self, index: Revision) {
         self.revision = index;
         while self.removed.len() > REMEMBERED_REMOVALS {
@@ -367,7 +339,7 @@
                 .collect(),
             backends: newer(&self.backends, since),
             entries: newer(&self.entries, since),
-            evacuated: self.evacuated.keys().cloned().collect(),
+            evacuated: self.evacuated.iter().cloned().collect(),
             removed: if whole {
                 Vec::new()
             } else {
@@ -379,6 +351,26 @@
     }
 }
 
+/// Stamps what a change of the manifest added or changed; returns what it removed.
+fn restamp<K: Clone + Ord, V: PartialEq>(
+    index: Revision,
+    stamps: &mut BTreeMap<K, Revision>,
+    before: &BTreeMap<K, Arc<V>>,
+    now: &BTreeMap<K, Arc<V>>,
+) -> Vec<K> {
+    for (name, item) in now {
+        if before.get(name) != Some(item) {
+            stamps.insert(name.clone(), index);
+        }
+    }
+    let gone = before.keys().filter(|name| !now.contains_key(*name));
+    let gone: Vec<K> = gone.cloned().collect();
+    for name in &gone {
+        stamps.remove(name);
+    }
+    gone
+}
+
 fn newer<K: Clone + Ord, V>(
     items: &BTreeMap<K, Stamped<Arc<V>>>,
     since: Revision,
