--- a/lib/src/outcome.rs
+++ b/lib/src/outcome.rs
@@ -214,8 +214,8 @@
     }
 
     /// Begins another attempt at a request that may run twice without harm.
-    pub const fn try_again(self, _permission: Idempotent) -> Attempt<Unsent> {
-        Attempt { state: Unsent(()) }
+    pub const fn try_again(self, permission: Idempotent) -> Attempt<Unsent> {
+        permission.another_attempt()
     }
 }
 
@@ -243,6 +243,11 @@
             None
         }
     }
+
+    /// Begins another attempt, whatever became of the one before.
+    pub const fn another_attempt(self) -> Attempt<Unsent> {
+        Attempt { state: Unsent(()) }
+    }
 }
 
 /// Holds what a caller is told.
--- a/server/src/direct_path.rs
+++ b/server/src/direct_path.rs
@@ -355,8 +355,7 @@
             Outcome::Answer(answer) => match idempotent {
                 Some(permission) if verdict == SendOutcome::Faulty && may_send => {
                     self.faulty = Some(answer);
-                    let ran = Unknown::new(heatherring_lib::outcome::UnknownReason::ConnectionLost);
-                    Ok(Next::Again(ran.try_again(permission)))
+                    Ok(Next::Again(permission.another_attempt()))
                 }
                 _ => Ok(Next::Answer(Box::new(answer))),
             },
--- a/server/src/direct_send.rs
+++ b/server/src/direct_send.rs
@@ -26,7 +26,6 @@
 use http::response;
 use http_body_util::BodyExt;
 use http_body_util::Full;
-use http_body_util::Limited;
 use hyper::body::Body;
 use hyper::body::Incoming;
 
@@ -39,16 +38,12 @@
 use crate::interface::AnswerMeaning;
 use crate::interface::EntryInterface;
 use crate::interface::OutgoingMarks;
+use crate::refusal_body;
 
 /// Bytes of an answer up to which it is read whole before its head is passed on. An answer
 /// that breaks off can then be asked for again elsewhere, if that does no harm.
 const WHOLE_ANSWER_BYTES: u64 = 64 << 10;
 
-/// Bytes of a refusal's body that are read so that the connection can be used again, and
-/// the time for which they are waited for.
-const MAX_REFUSAL_BODY: usize = 4_096;
-const REFUSAL_BODY_TIMEOUT: Duration = Duration::from_millis(20);
-
 /// Time for which a connection is kept if the backend server doesn't say for how long it
 /// does so itself.
 const KEEP_UNSAID: Duration = Duration::from_secs(4);
@@ -235,7 +230,10 @@
                 (NotRunReason::BackendMisdirected, SendOutcome::Misdirected)
             }
         };
-        self.drain(&head, body, connection).await;
+        if refusal_body::read_out(body).await {
+            let keep = keep_time(&head.headers);
+            self.pool.give_back_for(connection, keep);
+        }
         let refusal = Refusal::told_by_backend_server(refused.0);
         let mut sent = Sent::new(sent.refused(refusal), refused.1);
         sent.load = marks.load;
@@ -289,16 +287,6 @@
             }
         }
     }
-
-    /// Reads the rest of a refusal, so that shedding doesn't cost a new connection each.
-    async fn drain(&self, head: &response::Parts, body: Incoming, connection: BackendConnection) {
-        let body = Limited::new(body, MAX_REFUSAL_BODY);
-        let reading = tokio::time::timeout(REFUSAL_BODY_TIMEOUT, body.collect());
-        if matches!(reading.await, Ok(Ok(_))) {
-            self.pool
-                .give_back_for(connection, keep_time(&head.headers));
-        }
-    }
 }
 
 enum Exchange {
--- a/server/src/dispatcher.rs
+++ b/server/src/dispatcher.rs
@@ -4,7 +4,6 @@
 //! the request is handed to the connection.
 
 use std::net::SocketAddr;
-use std::time::Duration;
 use std::time::Instant;
 
 use bytes::Bytes;
@@ -21,21 +20,14 @@
 use http::Response;
 use http::Uri;
 use http::header as http_header;
-use http_body_util::BodyExt;
 use http_body_util::Full;
-use http_body_util::Limited;
 use hyper::body::Body;
 use hyper::body::Incoming;
 
 use crate::backend_pool::BackendConnection;
 use crate::backend_pool::BackendPool;
 use crate::header;
-
-/// Bytes of a refusal's body that are read so that the connection can be used again.
-const MAX_REFUSAL_BODY: usize = 4_096;
-
-/// Time for which such a body is waited for.
-const REFUSAL_BODY_TIMEOUT: Duration = Duration::from_millis(20);
+use crate::refusal_body;
 
 /// Holds a request as it is sent on: its body is whole, so that a slow caller never
 /// holds a slot while it uploads, and so that an idempotent request can be sent again.
@@ -161,7 +153,9 @@
         .get(header::OUTCOME)
         .and_then(|value| value.to_str().ok());
     if let Some(refusal) = Refusal::of_backend_server(status, outcome) {
-        drain(pool, response, connection).await;
+        if refusal_body::read_out(response.into_body()).await {
+            pool.give_back(connection);
+        }
         return sent.refused(refusal).into();
     }
     if !is_framed(&response) {
@@ -184,12 +178,3 @@
             .headers()
             .contains_key(http_header::TRANSFER_ENCODING)
 }
-
-/// Reads the rest of a refusal, so that shedding doesn't cost a new connection each.
-async fn drain(pool: &BackendPool, response: Response<Incoming>, connection: BackendConnection) {
-    let body = Limited::new(response.into_body(), MAX_REFUSAL_BODY);
-    let reading = tokio::time::timeout(REFUSAL_BODY_TIMEOUT, body.collect());
-    if matches!(reading.await, Ok(Ok(_))) {
-        pool.give_back(connection);
-    }
-}
--- a/server/src/fleet_control.rs
+++ b/server/src/fleet_control.rs
@@ -10,7 +10,6 @@
 use std::time::Instant;
 
 use heatherring_lib::clock::Clock;
-use heatherring_lib::command::CommandKind;
 use heatherring_lib::control_state::Response;
 use heatherring_lib::encoding::EncodingError;
 use heatherring_lib::fleet_command::FleetCommand;
@@ -165,8 +164,7 @@
     /// Fails if there is no leader that answers. The command may be committed all the
     /// same, unless the error is proof of the contrary.
     pub async fn commit(&self, command: FleetCommand) -> Result<Response, FleetError> {
-        let kind = CommandKind::Fleet(Box::new(command.clone()));
-        match self.inner.node.propose(kind).await {
+        match self.inner.node.propose_fleet(command.clone()).await {
             Ok(committed) => Ok(committed.response),
             Err(source) => match source.leader() {
                 Some(leader) if source.is_proved_absent() => {
--- a/server/src/fleet_service.rs
+++ b/server/src/fleet_service.rs
@@ -159,8 +159,7 @@
         request: Request<ProposeRequest>,
     ) -> Result<Response<ProposeReply>, Status> {
         let command: FleetCommand = decode(&request.into_inner().command_encoded)?;
-        let kind = heatherring_lib::command::CommandKind::Fleet(Box::new(command));
-        let committed = self.node.propose(kind).await;
+        let committed = self.node.propose_fleet(command).await;
         let committed = committed.map_err(|error| Status::unavailable(error.to_string()))?;
         Ok(Response::new(ProposeReply {
             committed: true,
--- a/server/src/lib.rs
+++ b/server/src/lib.rs
@@ -81,6 +81,7 @@
 pub mod presence_task;
 pub mod record_codec;
 pub mod refusal;
+mod refusal_body;
 pub mod replication_service;
 pub mod reply;
 pub mod request_body;
--- a/server/src/node_request.rs
+++ b/server/src/node_request.rs
@@ -8,6 +8,7 @@
 use heatherring_lib::control_state::ControlState;
 use heatherring_lib::control_state::Response;
 use heatherring_lib::control_state::ViewUpdate;
+use heatherring_lib::fleet_command::FleetCommand;
 use heatherring_lib::id::ReplicaId;
 use heatherring_lib::id::Revision;
 use heatherring_lib::id::SessionId;
@@ -285,6 +286,15 @@
         answer.await.context(StoppedSnafu)?
     }
 
+    /// Proposes a command to the state of direct dispatch; see [`Self::propose`].
+    ///
+    /// # Errors
+    ///
+    /// Returns a [`NodeError`] that says whether the command may still be committed.
+    pub async fn propose_fleet(&self, command: FleetCommand) -> Result<Committed, NodeError> {
+        self.propose(CommandKind::Fleet(Box::new(command))).await
+    }
+
     /// Changes the replicas and waits until the change is committed.
     ///
     /// # Errors
--- a/server/src/presence_task.rs
+++ b/server/src/presence_task.rs
@@ -8,7 +8,6 @@
 use std::time::Instant;
 
 use heatherring_lib::clock::Clock;
-use heatherring_lib::command::CommandKind;
 use heatherring_lib::fleet_command::FleetCommand;
 use heatherring_lib::fleet_state::FleetState;
 use heatherring_lib::id::BackendName;
@@ -341,8 +340,7 @@
     fn propose(&self, command: FleetCommand) {
         let node = self.setup.node.clone();
         tokio::spawn(async move {
-            let proposed = node.propose(CommandKind::Fleet(Box::new(command))).await;
-            if let Err(error) = proposed {
+            if let Err(error) = node.propose_fleet(command).await {
                 log::debug!(event = "forgetting_failed", error:% = error; "tried again at the next look");
             }
         });
