entry, platform: headers, parameters and answers are read and written in one place

Cause: read again, the platform and the product's own interface each had a function to read a header's text, one to find a parameter, one to read a call's body with the same bound, and the same two answers; the older listeners had the header function three more times. Whole milliseconds were worked out by two functions of that name, a third of another, and in place.

Three long paths become imports.

Ruled out: one parser for the report of a backend server's load. The platform's allows spaces, the product's own doesn't; one of them would change.

--- a/lib/src/clock.rs
+++ b/lib/src/clock.rs
@@ -6,6 +6,8 @@
 use std::time::SystemTime;
 use std::time::UNIX_EPOCH;
 
+use crate::duration_text::whole_ms;
+
 /// Tells the time.
 ///
 /// Leases, deadlines and windows are measured with [`Clock::now`], which never steps
@@ -36,5 +38,5 @@
 #[must_use]
 pub fn unix_ms(wall: SystemTime) -> u64 {
     let since_epoch = wall.duration_since(UNIX_EPOCH).unwrap_or(Duration::ZERO);
-    u64::try_from(since_epoch.as_millis()).unwrap_or(u64::MAX)
+    whole_ms(since_epoch)
 }
--- a/lib/src/decision_record.rs
+++ b/lib/src/decision_record.rs
@@ -3,7 +3,6 @@
 //! A record holds no address of a caller and nothing of a request's content.
 
 use std::fmt;
-use std::time::Duration;
 
 use serde::Deserialize;
 use serde::Serialize;
@@ -282,12 +281,6 @@
         .collect()
 }
 
-/// Converts a time to whole milliseconds.
-#[must_use]
-pub fn whole_ms(time: Duration) -> u64 {
-    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
-}
-
 impl fmt::Display for LimitInForce {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
--- a/lib/src/duration_text.rs
+++ b/lib/src/duration_text.rs
@@ -26,6 +26,12 @@
 #[schemars(with = "String")]
 pub struct DurationText(pub Duration);
 
+/// Converts a time to whole milliseconds, rounded down.
+#[must_use]
+pub fn whole_ms(time: Duration) -> u64 {
+    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
+}
+
 /// Reads a number followed by `ms` or `s`.
 ///
 /// # Errors
--- a/lib/src/wall_anchor.rs
+++ b/lib/src/wall_anchor.rs
@@ -5,6 +5,7 @@
 use std::time::SystemTime;
 
 use crate::clock::unix_ms;
+use crate::duration_text::whole_ms;
 
 /// Tells the time of day from one reading of it and the monotonic time since.
 ///
@@ -29,7 +30,7 @@
     #[must_use]
     pub fn unix_ms(&self, now: Instant) -> u64 {
         let since: Duration = now.saturating_duration_since(self.at);
-        let since_ms = u64::try_from(since.as_millis()).unwrap_or(u64::MAX);
+        let since_ms = whole_ms(since);
         self.wall_ms.saturating_add(since_ms)
     }
 }
--- a/server/src/action_answer.rs
+++ b/server/src/action_answer.rs
@@ -159,11 +159,10 @@
 /// Reads what the primary has sealed.
 pub fn unseal(response: Response<AnswerBody>) -> Outcome<Response<AnswerBody>> {
     let headers = response.headers();
-    let text = |name: &HeaderName| headers.get(name).and_then(|value| value.to_str().ok());
-    let Some(end) = text(&ACTION_END) else {
+    let Some(end) = header::text(headers, &ACTION_END) else {
         return Outcome::Answer(response);
     };
-    let reason = text(&header::REASON).unwrap_or_default();
+    let reason = header::text(headers, &header::REASON).unwrap_or_default();
     let retry_after = header::number(headers, &header::RETRY_AFTER_MS)
         .flatten()
         .map(std::time::Duration::from_millis);
--- a/server/src/action_run.rs
+++ b/server/src/action_run.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use heatherring_lib::action_primary::DispatchPermit;
+use heatherring_lib::action_primary::Ended;
 use heatherring_lib::action_record::ActionEnd;
 use heatherring_lib::action_record::BackupRecord;
 use heatherring_lib::action_store::ActionSlot;
@@ -99,10 +100,7 @@
         }
     }
 
-    async fn dispatch(
-        self,
-        permit: DispatchPermit,
-    ) -> Option<heatherring_lib::action_primary::Ended> {
+    async fn dispatch(self, permit: DispatchPermit) -> Option<Ended> {
         let outcome = request_path::run(&self.cx, &self.req, permit.begin()).await;
         let end = match outcome {
             Outcome::Answer(response) => read_answer(response, self.large).await,
--- a/server/src/caller_listener.rs
+++ b/server/src/caller_listener.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use heatherring_lib::duration_text::whole_ms;
 use heatherring_lib::id::PlaceName;
 use heatherring_lib::id::ServiceName;
 use heatherring_lib::outcome::Attempt;
@@ -195,7 +196,7 @@
             service: &service,
             entry: NamedEntry::of(&answer.entry),
             backups: answer.backups.iter().map(NamedEntry::of).collect(),
-            cache_ms: header::whole_ms(answer.cache),
+            cache_ms: whole_ms(answer.cache),
             ticket_ms: ticket.as_ref().map(|_| ticket_ms),
             ticket,
         };
--- a/server/src/decision_note.rs
+++ b/server/src/decision_note.rs
@@ -11,7 +11,7 @@
 use heatherring_lib::decision_record::Try;
 use heatherring_lib::decision_record::TryEnding;
 use heatherring_lib::decision_record::limits_behind;
-use heatherring_lib::decision_record::whole_ms;
+use heatherring_lib::duration_text::whole_ms;
 use heatherring_lib::id::PlaceName;
 use heatherring_lib::id::ServiceName;
 use heatherring_lib::id::is_name;
--- a/server/src/direct_path.rs
+++ b/server/src/direct_path.rs
@@ -15,6 +15,7 @@
 use heatherring_lib::dispatch_ask::Refused as NoChoice;
 use heatherring_lib::dispatch_ask::RefusedReason;
 use heatherring_lib::dispatch_ask::SendOutcome;
+use heatherring_lib::duration_text::whole_ms;
 use heatherring_lib::fleet_update::FleetView;
 use heatherring_lib::id::BackendName;
 use heatherring_lib::id::RouteName;
@@ -309,7 +310,7 @@
 
     fn log_refusal(&self, trace: &Trace, arrived: Instant, refused: &Refused) {
         let held = self.clock.now().saturating_duration_since(arrived);
-        let held_ms = u64::try_from(held.as_millis()).unwrap_or(u64::MAX);
+        let held_ms = whole_ms(held);
         log::info!(
             event = "refused",
             request_id = trace.request_id.as_deref().unwrap_or_default(),
--- a/server/src/direct_send.rs
+++ b/server/src/direct_send.rs
@@ -34,6 +34,7 @@
 use crate::answer_body::AnswerEnd;
 use crate::backend_pool::BackendConnection;
 use crate::backend_pool::BackendPool;
+use crate::header;
 use crate::header::remove_hop_by_hop;
 use crate::interface::AnswerMeaning;
 use crate::interface::EntryInterface;
@@ -311,9 +312,7 @@
 
 /// Returns for how long a connection may be idle before it is used again.
 fn keep_time(headers: &HeaderMap) -> Duration {
-    let said = headers
-        .get("keep-alive")
-        .and_then(|value| value.to_str().ok())
+    let said = header::text(headers, "keep-alive")
         .and_then(|text| {
             text.split(',')
                 .find_map(|part| part.trim().strip_prefix("timeout="))
--- a/server/src/dispatcher.rs
+++ b/server/src/dispatcher.rs
@@ -7,7 +7,9 @@
 use std::time::Instant;
 
 use bytes::Bytes;
+use heatherring_lib::duration_text::whole_ms;
 use heatherring_lib::outcome::Attempt;
+use heatherring_lib::outcome::MayHaveRun;
 use heatherring_lib::outcome::NotRunReason;
 use heatherring_lib::outcome::Outcome;
 use heatherring_lib::outcome::Refusal;
@@ -135,7 +137,7 @@
     let host = HeaderValue::from_str(&address.to_string()).ok()?;
     headers.insert(http_header::HOST, host);
     let left = req.deadline.saturating_duration_since(now);
-    headers.insert(header::DEADLINE_MS, header::whole_ms(left).into());
+    headers.insert(header::DEADLINE_MS, whole_ms(left).into());
     let request_id = HeaderValue::from_str(&req.request_id).ok()?;
     headers.insert(header::REQUEST_ID, request_id);
     Some(message)
@@ -143,15 +145,12 @@
 
 async fn read_head(
     pool: &BackendPool,
-    sent: Attempt<heatherring_lib::outcome::MayHaveRun>,
+    sent: Attempt<MayHaveRun>,
     response: Response<Incoming>,
     connection: BackendConnection,
 ) -> Outcome<BackendAnswer> {
     let status = response.status().as_u16();
-    let outcome = response
-        .headers()
-        .get(header::OUTCOME)
-        .and_then(|value| value.to_str().ok());
+    let outcome = header::text(response.headers(), header::OUTCOME);
     if let Some(refusal) = Refusal::of_backend_server(status, outcome) {
         if refusal_body::read_out(response.into_body()).await {
             pool.give_back(connection);
--- a/server/src/entry_status.rs
+++ b/server/src/entry_status.rs
@@ -1,13 +1,13 @@
 //! What an entry VM tells operators of itself.
 
 use heatherring_lib::drain::DrainDecision;
+use heatherring_lib::duration_text::whole_ms;
 use heatherring_lib::load_digest::GroupLoad;
 use heatherring_lib::manifest::Drain;
 use serde::Deserialize;
 use serde::Serialize;
 
 use crate::entry_context::EntryContext;
-use crate::header;
 
 /// Holds an entry VM's status as it is written in JSON.
 #[derive(Clone, Debug, Serialize)]
@@ -69,7 +69,7 @@
     EntryStatus {
         vm: cx.info.vm.as_str().to_owned(),
         session: state.lease.session().unwrap_or_default().0,
-        lease_left_ms: header::whole_ms(lease_left),
+        lease_left_ms: whole_ms(lease_left),
         revision: state.view.revision.0,
         settled_revision: state.settled.0,
         manifest_version: state.manifest().map_or(0, |manifest| manifest.version.0),
--- a/server/src/fleet_follower.rs
+++ b/server/src/fleet_follower.rs
@@ -11,6 +11,7 @@
 use std::time::Instant;
 
 use heatherring_lib::clock::Clock;
+use heatherring_lib::duration_text::whole_ms;
 use heatherring_lib::fleet_record::EntryRecord;
 use heatherring_lib::fleet_update::FleetUpdate;
 use heatherring_lib::fleet_update::FleetView;
@@ -237,7 +238,7 @@
     fn note_regained(&mut self, address: SocketAddr) {
         if let Some(since) = self.lost_since.take() {
             let lost = self.setup.clock.now().saturating_duration_since(since);
-            let lost_ms = u64::try_from(lost.as_millis()).unwrap_or(u64::MAX);
+            let lost_ms = whole_ms(lost);
             log::info!(event = "control_regained", replica:% = address, lost_ms; "following control again");
         }
     }
--- a/server/src/forward_client.rs
+++ b/server/src/forward_client.rs
@@ -6,6 +6,7 @@
 use std::time::Instant;
 
 use bytes::Bytes;
+use heatherring_lib::duration_text::whole_ms;
 use heatherring_lib::id::PlaceName;
 use heatherring_lib::id::RegionName;
 use heatherring_lib::id::ServiceName;
@@ -216,7 +217,7 @@
         headers.insert(header::TARGET_PLACE, text(place.as_str())?);
     }
     let left = req.deadline.saturating_duration_since(now);
-    headers.insert(header::DEADLINE_MS, header::whole_ms(left).into());
+    headers.insert(header::DEADLINE_MS, whole_ms(left).into());
     Some(message)
 }
 
--- a/server/src/forward_listener.rs
+++ b/server/src/forward_listener.rs
@@ -17,11 +17,11 @@
 use heatherring_lib::outcome::UnknownReason;
 use heatherring_lib::ownership::Group;
 use http::HeaderMap;
-use http::HeaderName;
 use http::Request;
 use http::Response;
 use hyper::body::Incoming;
 
+use crate::action_path;
 use crate::answer_body::AnswerBody;
 use crate::caller_listener::into_result;
 use crate::dispatcher::OutgoingRequest;
@@ -73,7 +73,7 @@
         let (parts, body) = req.into_parts();
         let head = parse(&parts.headers).ok_or_else(|| refuse(NotRunReason::MalformedRequest))?;
         let deadline = arrived + left(&parts.headers);
-        let from = text(&parts.headers, &header::FROM_REGION)
+        let from = header::text(&parts.headers, &header::FROM_REGION)
             .map(RegionName::new)
             .ok_or_else(|| refuse(NotRunReason::MalformedRequest))?;
         // A request meant for an earlier life of this VM must not be taken by this one.
@@ -87,7 +87,7 @@
         let body = request_body::read(body, max_bytes, deadline)
             .await
             .map_err(refuse)?;
-        let request_id = text(&parts.headers, &header::REQUEST_ID)
+        let request_id = header::text(&parts.headers, &header::REQUEST_ID)
             .unwrap_or_default()
             .to_owned();
         let path = parts
@@ -148,7 +148,7 @@
                 };
                 owner_path::run(&self.cx, &steered, &req.outgoing, Attempt::new()).await
             }
-            ForwardPurpose::Primary => crate::action_path::run_forwarded(&self.cx, &req).await,
+            ForwardPurpose::Primary => action_path::run_forwarded(&self.cx, &req).await,
         }
     }
 
@@ -182,12 +182,8 @@
     refuse(NotRunReason::NotOwner).with_retry_after(VIEW_LAG)
 }
 
-fn text<'a>(headers: &'a HeaderMap, name: &HeaderName) -> Option<&'a str> {
-    headers.get(name)?.to_str().ok()
-}
-
 fn parse(headers: &HeaderMap) -> Option<ForwardHead> {
-    let purpose = match text(headers, &header::TARGET_PLACE) {
+    let purpose = match header::text(headers, &header::TARGET_PLACE) {
         Some(place) => ForwardPurpose::Owned {
             place: PlaceName::new(place),
         },
@@ -195,9 +191,9 @@
     };
     let hops = header::number(headers, &header::HOPS)??;
     Some(ForwardHead {
-        service: ServiceName::new(text(headers, &header::SERVICE)?),
-        operation: text(headers, &header::OPERATION)?.to_owned(),
-        origin: PlaceName::new(text(headers, &header::ORIGIN_PLACE)?),
+        service: ServiceName::new(header::text(headers, &header::SERVICE)?),
+        operation: header::text(headers, &header::OPERATION)?.to_owned(),
+        origin: PlaceName::new(header::text(headers, &header::ORIGIN_PLACE)?),
         session: SessionId(header::number(headers, &header::SESSION)??),
         hops: u32::try_from(hops).ok()?,
         purpose,
--- a/server/src/header.rs
+++ b/server/src/header.rs
@@ -1,11 +1,10 @@
 //! Names of the headers that carry heatherring's own information.
 
-use std::time::Duration;
-
 use heatherring_lib::action_record::CALLER_HEADER;
 use http::HeaderMap;
 use http::HeaderName;
 use http::header;
+use http::header::AsHeaderName;
 
 /// What is left of the deadline, in milliseconds.
 pub const DEADLINE_MS: HeaderName = HeaderName::from_static("heatherring-deadline-ms");
@@ -94,6 +93,12 @@
     }
 }
 
+/// Reads a header that holds text; `None` also stands for one that holds other bytes.
+#[must_use]
+pub fn text(headers: &HeaderMap, name: impl AsHeaderName) -> Option<&str> {
+    headers.get(name)?.to_str().ok()
+}
+
 /// Reads a header that holds a number.
 ///
 /// `None` stands for a missing header, `Some(None)` for one that is no number.
@@ -102,9 +107,3 @@
     let value = headers.get(name)?;
     Some(value.to_str().ok().and_then(|text| text.parse().ok()))
 }
-
-/// Converts a time to whole milliseconds, rounded down.
-#[must_use]
-pub fn whole_ms(time: Duration) -> u64 {
-    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
-}
--- a/server/src/lib.rs
+++ b/server/src/lib.rs
@@ -79,6 +79,7 @@
 pub mod peer_links;
 pub mod peer_service;
 pub mod presence_task;
+pub mod query_parameter;
 pub mod record_codec;
 pub mod refusal;
 mod refusal_body;
--- a/server/src/own_interface.rs
+++ b/server/src/own_interface.rs
@@ -10,6 +10,7 @@
 use futures_util::FutureExt;
 use futures_util::future::BoxFuture;
 use heatherring_lib::backend_load::LoadReport;
+use heatherring_lib::duration_text::whole_ms;
 use heatherring_lib::fleet_record::BackendRecord;
 use heatherring_lib::fleet_state::RouteAnswer;
 use heatherring_lib::id::BackendName;
@@ -25,8 +26,6 @@
 use http::Response;
 use http::StatusCode;
 use http::response::Parts;
-use http_body_util::BodyExt;
-use http_body_util::Limited;
 use hyper::body::Incoming;
 use serde::Deserialize;
 use serde::Serialize;
@@ -46,7 +45,9 @@
 use crate::interface::LookUpSource;
 use crate::interface::OutgoingMarks;
 use crate::interface::UnreadableMark;
+use crate::query_parameter;
 use crate::reply;
+use crate::request_body;
 
 /// Names the object that a request concerns.
 const OBJECT: HeaderName = HeaderName::from_static("heatherring-object");
@@ -55,9 +56,6 @@
 /// Requests that run, requests that wait and slots of a backend server.
 const LOAD: HeaderName = HeaderName::from_static("heatherring-load");
 
-/// Bytes of a body that are read at most.
-const MAX_BODY_BYTES: usize = 8 << 20;
-
 /// Speaks heatherring's own interface.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct OwnInterface;
@@ -74,50 +72,42 @@
             None => None,
         };
         Ok(CallerMarks {
-            request_id: text(headers, &header::REQUEST_ID),
+            request_id: header::text(headers, &header::REQUEST_ID).map(str::to_owned),
             patience,
-            object: text(headers, &OBJECT),
+            object: header::text(headers, &OBJECT).map(str::to_owned),
         })
     }
 
     fn mark_request(&self, headers: &mut HeaderMap, marks: &OutgoingMarks<'_>) {
-        headers.insert(header::DEADLINE_MS, header::whole_ms(marks.left).into());
+        headers.insert(header::DEADLINE_MS, whole_ms(marks.left).into());
         if let Ok(backend) = HeaderValue::from_str(marks.backend.as_str()) {
             headers.insert(BACKEND, backend);
         }
     }
 
     fn read_answer(&self, head: &Parts, request_id: Option<&str>) -> AnswerMarks {
-        let echoed = text(&head.headers, &header::REQUEST_ID);
-        let outcome = text(&head.headers, &header::OUTCOME);
-        let meaning = if outcome.as_deref() == Some(OUTCOME_NOT_RUN) {
+        let echoed = header::text(&head.headers, &header::REQUEST_ID);
+        let outcome = header::text(&head.headers, &header::OUTCOME);
+        let meaning = if outcome == Some(OUTCOME_NOT_RUN) {
             AnswerMeaning::NotRun
         } else if head.status == StatusCode::MISDIRECTED_REQUEST {
             AnswerMeaning::OtherBackend
-        } else if echoed.as_deref() == request_id {
+        } else if echoed == request_id {
             AnswerMeaning::Answer
         } else {
             AnswerMeaning::Foreign
         };
         AnswerMarks {
             meaning,
-            load: text(&head.headers, &LOAD).as_deref().and_then(load_report),
+            load: header::text(&head.headers, &LOAD).and_then(load_report),
         }
     }
 
     fn answer_ready(&self, ready: bool, _req: &Request<Incoming>) -> Response<AnswerBody> {
-        reply::status(if ready {
-            StatusCode::OK
-        } else {
-            StatusCode::SERVICE_UNAVAILABLE
-        })
+        reply::ready(ready)
     }
 }
 
-fn text(headers: &HeaderMap, name: &HeaderName) -> Option<String> {
-    headers.get(name)?.to_str().ok().map(str::to_owned)
-}
-
 fn load_report(text: &str) -> Option<LoadReport> {
     let mut numbers = text.split(',').map(|number| number.parse().ok());
     Some(LoadReport {
@@ -156,18 +146,14 @@
         source: &dyn LookUpSource,
         req: &Request<Incoming>,
     ) -> Response<AnswerBody> {
-        let query = req.uri().query().unwrap_or_default();
-        let parameter = |name: &str| {
-            let mut pairs = query.split('&').filter_map(|pair| pair.split_once('='));
-            pairs.find(|(key, _)| *key == name).map(|(_, value)| value)
-        };
+        let parameter = |name| query_parameter::find(req.uri(), name);
         let (Some(host), Some(region)) = (parameter("host"), parameter("region")) else {
             return reply::status(StatusCode::BAD_REQUEST);
         };
         match source.look_up(host, &RegionName::new(region)) {
             Some(found) => reply::json(&EntriesBody {
                 entries: found.addresses.iter().map(ToString::to_string).collect(),
-                keep_ms: header::whole_ms(found.keep),
+                keep_ms: whole_ms(found.keep),
             }),
             None => reply::status(StatusCode::SERVICE_UNAVAILABLE),
         }
@@ -176,10 +162,9 @@
 
 async fn answer(control: FleetControl, req: Request<Incoming>) -> Response<AnswerBody> {
     let (head, body) = req.into_parts();
-    let Ok(body) = Limited::new(body, MAX_BODY_BYTES).collect().await else {
+    let Ok(body) = request_body::read_control_call(body).await else {
         return reply::status(StatusCode::BAD_REQUEST);
     };
-    let body = body.to_bytes();
     let path: Vec<&str> = head.uri.path().trim_start_matches('/').split('/').collect();
     match (&head.method, path.as_slice()) {
         (&Method::POST, ["v1", "announcements"]) => match read::<AnnouncementBody>(&body) {
@@ -203,7 +188,7 @@
         },
         (&Method::GET, ["v1", "routes"]) => match control.routes().await {
             Ok(manifest) => reply::json(&manifest),
-            Err(error) => unavailable(&error),
+            Err(error) => reply::unavailable(&error),
         },
         _ => reply::status(StatusCode::NOT_FOUND),
     }
@@ -225,17 +210,13 @@
             };
             response
         }
-        Err(error) => unavailable(&error),
+        Err(error) => reply::unavailable(&error),
     }
 }
 
 fn done(result: Result<(), FleetError>) -> Response<AnswerBody> {
     match result {
         Ok(()) => reply::status(StatusCode::NO_CONTENT),
-        Err(error) => unavailable(&error),
+        Err(error) => reply::unavailable(&error),
     }
 }
-
-fn unavailable(error: &FleetError) -> Response<AnswerBody> {
-    reply::text(StatusCode::SERVICE_UNAVAILABLE, error.to_string())
-}
--- a/server/src/refusal.rs
+++ b/server/src/refusal.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use heatherring_lib::duration_text::whole_ms;
 use heatherring_lib::outcome::Attempt;
 use heatherring_lib::outcome::MayHaveRun;
 use heatherring_lib::outcome::NotRun;
@@ -126,7 +127,7 @@
         outcome: refused.outcome().to_owned(),
         reason: refused.reason().to_owned(),
         message: message(refused),
-        retry_after_ms: retry_after.map_or(0, header::whole_ms),
+        retry_after_ms: retry_after.map_or(0, whole_ms),
         entries,
         request_id: request_id.to_owned(),
     };
@@ -139,7 +140,7 @@
     if let Some(retry_after) = retry_after {
         // Seconds are the header's unit; rounding down would bring the caller back too
         // early, and 0 at once.
-        let seconds = header::whole_ms(retry_after).div_ceil(1_000).max(1);
+        let seconds = whole_ms(retry_after).div_ceil(1_000).max(1);
         headers.insert(RETRY_AFTER, HeaderValue::from(seconds));
     }
     if let Ok(request_id) = HeaderValue::from_str(request_id) {
@@ -167,7 +168,7 @@
     headers.insert(header::OUTCOME, HeaderValue::from_static(refused.outcome()));
     headers.insert(header::REASON, HeaderValue::from_static(refused.reason()));
     if let Some(retry_after) = refused.retry_after() {
-        let millis = HeaderValue::from(header::whole_ms(retry_after));
+        let millis = HeaderValue::from(whole_ms(retry_after));
         headers.insert(header::RETRY_AFTER_MS, millis);
     }
     response
@@ -185,16 +186,11 @@
     headers: &HeaderMap,
     attempt: Attempt<MayHaveRun>,
 ) -> Result<Refused, Attempt<MayHaveRun>> {
-    let text = |name| {
-        headers
-            .get(name)
-            .and_then(|value: &HeaderValue| value.to_str().ok())
-    };
-    let outcome = text(header::OUTCOME);
+    let outcome = header::text(headers, header::OUTCOME);
     if outcome == Some(OUTCOME_ANSWER) {
         return Err(attempt);
     }
-    let reason = text(header::REASON).unwrap_or_default();
+    let reason = header::text(headers, header::REASON).unwrap_or_default();
     let retry_after = header::number(headers, &header::RETRY_AFTER_MS)
         .flatten()
         .map(Duration::from_millis);
--- a/server/src/reply.rs
+++ b/server/src/reply.rs
@@ -8,6 +8,7 @@
 
 use crate::answer_body;
 use crate::answer_body::AnswerBody;
+use crate::fleet_control::FleetError;
 
 /// Answers with a status alone.
 #[must_use]
@@ -25,6 +26,22 @@
     response
 }
 
+/// Answers whether a process takes requests.
+#[must_use]
+pub fn ready(ready: bool) -> Response<AnswerBody> {
+    status(if ready {
+        StatusCode::OK
+    } else {
+        StatusCode::SERVICE_UNAVAILABLE
+    })
+}
+
+/// Answers that control can't do now what it was asked.
+#[must_use]
+pub fn unavailable(error: &FleetError) -> Response<AnswerBody> {
+    text(StatusCode::SERVICE_UNAVAILABLE, error.to_string())
+}
+
 /// Answers with a value in JSON.
 #[must_use]
 pub fn json(value: &impl Serialize) -> Response<AnswerBody> {
--- a/server/src/request_body.rs
+++ b/server/src/request_body.rs
@@ -15,6 +15,10 @@
 use hyper::body::Body;
 use hyper::body::Incoming;
 
+/// Bytes of a call to control that are read at most: a manifest of some ten thousand
+/// routes.
+const MAX_CONTROL_CALL_BYTES: usize = 8 << 20;
+
 /// Reads a body of at most `max_bytes` until `deadline`.
 ///
 /// # Errors
@@ -42,3 +46,15 @@
         Err(_) => Err(NotRunReason::DeadlineTooShort),
     }
 }
+
+/// Reads the body of a call to control.
+///
+/// # Errors
+///
+/// Returns why it can't be read: it is too large or broke off.
+pub async fn read_control_call(
+    body: Incoming,
+) -> Result<Bytes, Box<dyn std::error::Error + Send + Sync>> {
+    let limited = Limited::new(body, MAX_CONTROL_CALL_BYTES);
+    Ok(limited.collect().await?.to_bytes())
+}
--- a/server/src/status_report.rs
+++ b/server/src/status_report.rs
@@ -1,10 +1,10 @@
 //! Reports on a control replica, its peers and the entry VMs.
 
 use std::collections::BTreeMap;
-use std::time::Duration;
 use std::time::Instant;
 
 use heatherring_lib::control_state::ControlState;
+use heatherring_lib::duration_text::whole_ms;
 use heatherring_lib::id::ClusterId;
 use heatherring_lib::id::ReplicaId;
 use heatherring_lib::id::Revision;
@@ -80,7 +80,7 @@
         address: info.address.to_string(),
         voter,
         matched_revision: matched.unwrap_or_default().0,
-        last_heard_ms: heard.map_or(0, |at| millis(now.saturating_duration_since(at))),
+        last_heard_ms: heard.map_or(0, |at| whole_ms(now.saturating_duration_since(at))),
     }
 }
 
@@ -107,10 +107,6 @@
         callers_address: session.info.callers.to_string(),
         leaving: session.leaving,
         applied_revision: applied.unwrap_or_default().0,
-        lease_left_ms: left.map_or(0, millis),
+        lease_left_ms: left.map_or(0, whole_ms),
     }
 }
-
-fn millis(duration: Duration) -> u64 {
-    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
-}
