entry: its record is encoded once, and a failure to do so is logged

Cause: read again, an entry VM encoded its own record anew for each question to control, about one a second, and an encoder's error became an empty record without a word.

Change: it is encoded when the task starts, and an error is logged; control refuses the empty record as before. formation::open names its types by imports, and its comment says what it does.

Behaviour is unchanged; the tests of heatherring-server pass as they were.

--- a/server/src/fleet_follower.rs
+++ b/server/src/fleet_follower.rs
@@ -75,6 +75,8 @@
 
 struct Follower {
     setup: FollowerSetup,
+    /// The entry VM's record, as each question carries it.
+    record_encoded: Vec<u8>,
     view: watch::Sender<Arc<FleetView>>,
     live: watch::Sender<Arc<BTreeSet<VmName>>>,
     known_presence: u64,
@@ -98,8 +100,13 @@
     let (view, view_rx) = watch::channel(Arc::new(FleetView::default()));
     let (live, live_rx) = watch::channel(Arc::default());
     let next = rand::random::<u32>() as usize;
+    let record_encoded = postcard::to_stdvec(&setup.record).unwrap_or_else(|error| {
+        log::error!(event = "record_unencodable", error:% = error; "control can't learn where this entry VM is");
+        Vec::new()
+    });
     let follower = Follower {
         setup,
+        record_encoded,
         view,
         live,
         known_presence: 0,
@@ -176,10 +183,9 @@
 
     fn request(&self, ready: bool) -> FollowRequest {
         let view = self.view.borrow();
-        let record_encoded = postcard::to_stdvec(&self.setup.record).unwrap_or_default();
         FollowRequest {
             vm: self.setup.vm.as_str().to_owned(),
-            record_encoded,
+            record_encoded: self.record_encoded.clone(),
             ready,
             applied_revision: view.revision.0,
             known_presence: self.known_presence,
--- a/server/src/formation.rs
+++ b/server/src/formation.rs
@@ -31,6 +31,9 @@
 use crate::data_folder::IDENTITY_FILE;
 use crate::data_folder::Identity;
 use crate::fleet_picture::FleetPicture;
+use crate::log_disk::DiskError;
+use crate::log_disk::LogDisk;
+use crate::log_disk::Recovered;
 use crate::peer_channel::PeerChannels;
 use crate::proto::AdmitReply;
 use crate::proto::AdmitRequest;
@@ -254,21 +257,13 @@
     std::fs::File::open(folder)?.sync_all()
 }
 
-/// Returns whether a folder can be opened and read back.
+/// Opens a formatted data folder and reads it back.
 ///
 /// # Errors
 ///
 /// Returns why it can't.
-pub fn open(
-    settings: &ControlSettings,
-) -> Result<
-    (
-        crate::log_disk::LogDisk<FolderDisk>,
-        crate::log_disk::Recovered,
-    ),
-    crate::log_disk::DiskError,
-> {
+pub fn open(settings: &ControlSettings) -> Result<(LogDisk<FolderDisk>, Recovered), DiskError> {
     FolderDisk::open(&settings.data_folder)
-        .map_err(crate::log_disk::DiskError::from_open)
-        .and_then(crate::log_disk::LogDisk::open)
+        .map_err(DiskError::from_open)
+        .and_then(LogDisk::open)
 }
