--- a/cli/src/commands/control.rs
+++ b/cli/src/commands/control.rs
@@ -1,7 +1,6 @@
 //! `heatherring control`: runs a control replica, and formats its data folder.
 
 use std::net::SocketAddr;
-use std::path::PathBuf;
 use std::sync::Arc;
 
 use clap::Arg;
@@ -23,11 +22,13 @@
 
 use crate::cli_error::CliError;
 use crate::commands::control_remove;
+use crate::control_access::operator_arg;
 use crate::input::Input;
 use crate::interfaces;
 use crate::logging;
 use crate::settings_input::fault_at;
 use crate::settings_input::read_settings_file;
+use crate::settings_input::settings_arg;
 
 /// Returns the arguments of the subcommand.
 pub fn command() -> Command {
@@ -42,7 +43,7 @@
         )
         .args_conflicts_with_subcommands(true)
         .subcommand_negates_reqs(true)
-        .arg(settings_arg())
+        .arg(replica_settings_arg())
         .subcommand(init_command())
         .subcommand(join_command())
         .subcommand(repair_command())
@@ -52,13 +53,13 @@
 fn init_command() -> Command {
     Command::new("init")
         .about("Makes a new cluster of one replica; done once in the life of a deployment")
-        .arg(settings_arg())
+        .arg(replica_settings_arg())
 }
 
 fn join_command() -> Command {
     Command::new("join")
         .about("Adds this replica to a running cluster and formats its empty data folder")
-        .arg(settings_arg())
+        .arg(replica_settings_arg())
         .arg(control_arg())
         .arg(operator_arg())
 }
@@ -71,7 +72,7 @@
              must be empty; the replica gets a fresh identity, and the one that it replaces is \
              removed once the new one has caught up.",
         )
-        .arg(settings_arg())
+        .arg(replica_settings_arg())
         .arg(control_arg())
         .arg(operator_arg())
         .arg(
@@ -84,13 +85,8 @@
         )
 }
 
-fn settings_arg() -> Arg {
-    Arg::new("settings")
-        .long("settings")
-        .value_name("FILE")
-        .help("The replica's settings, JSON with comments")
-        .value_parser(value_parser!(PathBuf))
-        .required(true)
+fn replica_settings_arg() -> Arg {
+    settings_arg("The replica's settings, JSON with comments")
 }
 
 fn control_arg() -> Arg {
@@ -104,14 +100,6 @@
         .required(true)
 }
 
-fn operator_arg() -> Arg {
-    Arg::new("operator")
-        .long("operator")
-        .value_name("NAME")
-        .help("Who asks, for the audit trail")
-        .default_value("operator")
-}
-
 /// Runs the replica or one of the subcommands.
 pub fn run(matches: &ArgMatches) -> Result<(), CliError> {
     match matches.subcommand() {
--- a/cli/src/commands/direct.rs
+++ b/cli/src/commands/direct.rs
@@ -3,10 +3,8 @@
 use std::path::PathBuf;
 use std::sync::Arc;
 
-use clap::Arg;
 use clap::ArgMatches;
 use clap::Command;
-use clap::value_parser;
 use heatherring_lib::clock::SystemClock;
 use heatherring_lib::config_path::ConfigPath;
 use heatherring_lib::settings_text::read_direct_settings;
@@ -21,8 +19,7 @@
 use crate::logging;
 use crate::settings_input::fault_at;
 use crate::settings_input::read_settings_file;
-
-const SETTINGS: &str = "settings";
+use crate::settings_input::settings_arg;
 
 /// Returns the arguments of the subcommand.
 pub fn command() -> Command {
@@ -36,14 +33,7 @@
              Example:\n  \
              heatherring direct --settings direct-1.jsonc",
         )
-        .arg(
-            Arg::new(SETTINGS)
-                .long(SETTINGS)
-                .value_name("FILE")
-                .help("The entry VM's settings, JSON with comments")
-                .value_parser(value_parser!(PathBuf))
-                .required(true),
-        )
+        .arg(settings_arg("The entry VM's settings, JSON with comments"))
 }
 
 /// Runs the entry VM.
--- a/cli/src/settings_input.rs
+++ b/cli/src/settings_input.rs
@@ -2,7 +2,9 @@
 
 use std::path::PathBuf;
 
+use clap::Arg;
 use clap::ArgMatches;
+use clap::value_parser;
 use heatherring_lib::config_path::ConfigPath;
 use heatherring_lib::config_text::position_of;
 
@@ -10,9 +12,21 @@
 use crate::input::Input;
 use crate::input::read_file;
 
+const SETTINGS: &str = "settings";
+
+/// Returns the argument that names the settings file.
+pub fn settings_arg(help: &'static str) -> Arg {
+    Arg::new(SETTINGS)
+        .long(SETTINGS)
+        .value_name("FILE")
+        .help(help)
+        .value_parser(value_parser!(PathBuf))
+        .required(true)
+}
+
 /// Reads the file that `--settings` names.
 pub fn read_settings_file(matches: &ArgMatches) -> Result<Input, CliError> {
-    let Some(path) = matches.get_one::<PathBuf>("settings") else {
+    let Some(path) = matches.get_one::<PathBuf>(SETTINGS) else {
         return Err(CliError::user("--settings is missing"));
     };
     read_file(path)
