--- a/lib/tests/entry_model/mod.rs
+++ b/lib/tests/entry_model/mod.rs
@@ -7,12 +7,16 @@
 // Each test binary uses its part of this module.
 #![allow(dead_code)]
 
+#[path = "../common/entry_sample.rs"]
+pub mod entry_sample;
+
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 use std::time::Instant;
 
+use entry_sample::entry_info;
 use heatherring_lib::admission::ViewStep;
 use heatherring_lib::id::ContentDigest;
 use heatherring_lib::id::ManifestVersion;
@@ -110,19 +114,6 @@
     })
 }
 
-pub fn entry_info(vm: &str, place_name: &str, region: &str) -> EntryInfo {
-    let address: SocketAddr = "127.0.0.1:1".parse().expect("a literal address");
-    EntryInfo {
-        vm: VmName::new(vm),
-        place: place(place_name),
-        region: RegionName::new(region),
-        callers: address,
-        backend_servers: address,
-        peers: address,
-        forward: address,
-    }
-}
-
 /// Builds a view at `revision` with one session for each `(id, vm, place, region)`.
 pub fn view(
     revision: u64,
--- a/lib/tests/test_control_state.rs
+++ b/lib/tests/test_control_state.rs
@@ -1,7 +1,11 @@
 //! Tests of the replicated state.
 
+#[path = "common/entry_sample.rs"]
+mod entry_sample;
+
 use std::collections::BTreeMap;
 
+use entry_sample::entry_info;
 use heatherring_lib::audit::AuditRecord;
 use heatherring_lib::command::Command;
 use heatherring_lib::command::CommandKind;
@@ -57,16 +61,7 @@
 }
 
 fn open() -> CommandKind {
-    let address = "127.0.0.1:1".parse().unwrap();
-    CommandKind::OpenSession(EntryInfo {
-        vm: VmName::new("entry-1"),
-        place: PlaceName::new("alm-a"),
-        region: RegionName::new("almaty"),
-        callers: address,
-        backend_servers: address,
-        peers: address,
-        forward: address,
-    })
+    CommandKind::OpenSession(entry_info("entry-1", "alm-a", "almaty"))
 }
 
 /// Applies a command at the next position, by way of its encoding.
--- a/lib/tests/test_session_relay.rs
+++ b/lib/tests/test_session_relay.rs
@@ -1,10 +1,14 @@
 //! Tests of relayed sessions.
 
+#[path = "common/entry_sample.rs"]
+mod entry_sample;
+
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::time::Duration;
 use std::time::Instant;
 
+use entry_sample::entry_info;
 use heatherring_lib::id::PlaceName;
 use heatherring_lib::id::RegionName;
 use heatherring_lib::id::Revision;
@@ -55,18 +59,9 @@
 }
 
 fn session(id: u64, vm: &str, region: &str, leaving: bool) -> EntrySession {
-    let address = SocketAddr::from(([127, 0, 0, 1], 9));
     EntrySession {
         id: SessionId(id),
-        info: EntryInfo {
-            vm: VmName::new(vm),
-            place: PlaceName::new(format!("{region}-a")),
-            region: RegionName::new(region),
-            callers: address,
-            backend_servers: address,
-            peers: address,
-            forward: address,
-        },
+        info: entry_info(vm, &format!("{region}-a"), region),
         leaving,
     }
 }
--- a/lib/tests/test_session_tracker.rs
+++ b/lib/tests/test_session_tracker.rs
@@ -1,9 +1,13 @@
 //! Tests of the leader's account of sessions and of the entry's lease.
 
+#[path = "common/entry_sample.rs"]
+mod entry_sample;
+
 use std::collections::BTreeMap;
 use std::time::Duration;
 use std::time::Instant;
 
+use entry_sample::entry_info;
 use heatherring_lib::command::Command;
 use heatherring_lib::command::CommandKind;
 use heatherring_lib::control_state::ControlState;
@@ -55,16 +59,7 @@
 }
 
 fn open() -> CommandKind {
-    let address = "127.0.0.1:1".parse().unwrap();
-    CommandKind::OpenSession(EntryInfo {
-        vm: VmName::new("entry-1"),
-        place: PlaceName::new("alm-a"),
-        region: RegionName::new("almaty"),
-        callers: address,
-        backend_servers: address,
-        peers: address,
-        forward: address,
-    })
+    CommandKind::OpenSession(entry_info("entry-1", "alm-a", "almaty"))
 }
 
 fn apply(state: &mut ControlState, kind: CommandKind) {
--- a/lib/tests/test_shift_budget.rs
+++ b/lib/tests/test_shift_budget.rs
@@ -11,7 +11,7 @@
 use entry_model::Decider;
 use entry_model::Entry;
 use entry_model::EntryModel;
-use entry_model::entry_info;
+use entry_model::entry_sample::entry_info;
 use entry_model::manifest;
 use entry_model::place;
 use entry_model::service;
--- a/lib/tests/test_ticket_issue.rs
+++ b/lib/tests/test_ticket_issue.rs
@@ -1,7 +1,11 @@
 //! Which sessions tickets name.
 
+#[path = "common/entry_sample.rs"]
+mod entry_sample;
+
 use std::net::SocketAddr;
 
+use entry_sample::entry_info;
 use heatherring_lib::id::PlaceName;
 use heatherring_lib::id::RegionName;
 use heatherring_lib::id::SessionId;
@@ -14,15 +18,7 @@
 const ADDRESS: SocketAddr = SocketAddr::new(std::net::IpAddr::V4(std::net::Ipv4Addr::LOCALHOST), 1);
 
 fn session(id: u64, region: &str, place: &str, leaving: bool) -> EntrySession {
-    let info = EntryInfo {
-        vm: VmName::new(format!("vm-{id}")),
-        place: PlaceName::new(place),
-        region: RegionName::new(region),
-        callers: ADDRESS,
-        backend_servers: ADDRESS,
-        peers: ADDRESS,
-        forward: ADDRESS,
-    };
+    let info = entry_info(&format!("vm-{id}"), place, region);
     EntrySession {
         id: SessionId(id),
         info,
--- a/lib/tests/test_view.rs
+++ b/lib/tests/test_view.rs
@@ -1,7 +1,11 @@
 //! Tests of how a view takes changes.
 
+#[path = "common/entry_sample.rs"]
+mod entry_sample;
+
 use std::sync::Arc;
 
+use entry_sample::entry_info;
 use heatherring_lib::id::ContentDigest;
 use heatherring_lib::id::ManifestVersion;
 use heatherring_lib::id::PlaceName;
@@ -67,18 +71,9 @@
 }
 
 fn opened(revision: u64, session: u64) -> ViewChange {
-    let address = "127.0.0.1:1".parse().unwrap();
     let session = EntrySession {
         id: SessionId(session),
-        info: EntryInfo {
-            vm: VmName::new("entry-1"),
-            place: PlaceName::new("alm-a"),
-            region: RegionName::new("almaty"),
-            callers: address,
-            backend_servers: address,
-            peers: address,
-            forward: address,
-        },
+        info: entry_info("entry-1", "alm-a", "almaty"),
         leaving: false,
     };
     change(revision, ViewChangeKind::SessionOpened(session))
--- a/server/tests/test_direct.rs
+++ b/server/tests/test_direct.rs
@@ -40,6 +40,18 @@
     .unwrap();
 }
 
+/// Starts an entry VM and two backend servers that it knows.
+async fn start_two(deployment: &mut Deployment) -> (Entry, [Backend; 2]) {
+    let entry = deployment.start_entry("entry-1");
+    let first = deployment.start_backend("backend-1").await;
+    let second = deployment.start_backend("backend-2").await;
+    deployment.submit_routes(1, 0).await;
+    deployment.announce(&first, 1, "Ready").await;
+    deployment.announce(&second, 1, "Ready").await;
+    until_known(&entry, &[&first, &second]).await;
+    (entry, [first, second])
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn test_direct_whole_path() {
     let mut deployment = Deployment::start(4);
@@ -115,13 +127,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn test_direct_sends_again_only_what_is_idempotent() {
     let mut deployment = Deployment::start(3);
-    let entry = deployment.start_entry("entry-1");
-    let first = deployment.start_backend("backend-1").await;
-    let second = deployment.start_backend("backend-2").await;
-    deployment.submit_routes(1, 0).await;
-    deployment.announce(&first, 1, "Ready").await;
-    deployment.announce(&second, 1, "Ready").await;
-    until_known(&entry, &[&first, &second]).await;
+    let (entry, [first, second]) = start_two(&mut deployment).await;
     for behaviour in [Behaviour::Break, Behaviour::Foreign] {
         first.behave(behaviour);
         second.behave(behaviour);
@@ -161,13 +167,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn test_direct_leaves_a_draining_backend_server_alone() {
     let mut deployment = Deployment::start(3);
-    let entry = deployment.start_entry("entry-1");
-    let first = deployment.start_backend("backend-1").await;
-    let second = deployment.start_backend("backend-2").await;
-    deployment.submit_routes(1, 0).await;
-    deployment.announce(&first, 1, "Ready").await;
-    deployment.announce(&second, 1, "Ready").await;
-    until_known(&entry, &[&first, &second]).await;
+    let (entry, [first, second]) = start_two(&mut deployment).await;
     deployment.announce(&first, 2, "Draining").await;
     tokio::time::sleep(Duration::from_secs(2)).await;
     let before = first.runs();
--- a/server/tests/test_entry_answers.rs
+++ b/server/tests/test_entry_answers.rs
@@ -7,12 +7,12 @@
 
 use crate::entry_support::DEADLINE_MS;
 use crate::entry_support::PLACE;
-use crate::entry_support::Rig;
 use crate::entry_support::SERVICE;
-use crate::entry_support::Script;
-use crate::entry_support::connect;
-use crate::entry_support::request;
-use crate::entry_support::wait_until;
+use crate::entry_support::caller::connect;
+use crate::entry_support::caller::request;
+use crate::entry_support::caller::wait_until;
+use crate::entry_support::rig::Rig;
+use crate::entry_support::scripted_backend::Script;
 
 const LEASE: Duration = Duration::from_secs(10);
 
--- a/server/tests/test_entry_links.rs
+++ b/server/tests/test_entry_links.rs
@@ -7,10 +7,10 @@
 
 use crate::entry_support::FAR_PLACE;
 use crate::entry_support::PLACE;
-use crate::entry_support::Reply;
-use crate::entry_support::Rig;
-use crate::entry_support::Script;
-use crate::entry_support::wait_until;
+use crate::entry_support::caller::Reply;
+use crate::entry_support::caller::wait_until;
+use crate::entry_support::rig::Rig;
+use crate::entry_support::scripted_backend::Script;
 
 const LEASE: Duration = Duration::from_secs(10);
 const NEAR: usize = 0;
--- a/server/tests/test_entry_session.rs
+++ b/server/tests/test_entry_session.rs
@@ -27,13 +27,13 @@
 use http::Method;
 use tokio::net::TcpListener;
 
-use crate::entry_support::Mode;
 use crate::entry_support::PLACE;
-use crate::entry_support::Reply;
-use crate::entry_support::Rig;
-use crate::entry_support::Script;
-use crate::entry_support::ScriptedBackend;
-use crate::entry_support::wait_until;
+use crate::entry_support::caller::Reply;
+use crate::entry_support::caller::wait_until;
+use crate::entry_support::fake_control::Mode;
+use crate::entry_support::rig::Rig;
+use crate::entry_support::scripted_backend::Script;
+use crate::entry_support::scripted_backend::ScriptedBackend;
 
 const LEASE: Duration = Duration::from_secs(10);
 const SHORT_LEASE: Duration = Duration::from_secs(2);
