--- a/lib/tests/test_log_chain.rs
+++ b/lib/tests/test_log_chain.rs
@@ -22,7 +22,7 @@
     LogChain::of("9c41", lines).unwrap().cause.join("\n")
 }
 
-fn refused(second: &str, reason: &str, fields: Value) -> LogLine {
+fn refused(second: &str, reason: &str, fields: &Value) -> LogLine {
     let mut all = json!({
         "vm": "entry-1", "request_id": "9c41", "service": "registry", "version": 7,
         "control_age_ms": 300, "patience_ms": 2000, "sends": "", "considered": 9,
@@ -44,7 +44,7 @@
             "evacuation",
             json!({"place": "alm-b", "evacuated": true}),
         ),
-        refused("08.0", "overloaded", json!({})),
+        refused("08.0", "overloaded", &json!({})),
         line(
             "entry-2",
             "07.0",
@@ -71,7 +71,7 @@
         refused(
             "08.0",
             "connection_lost",
-            json!({"sends": sends, "outcome": "unknown", "held_ms": 1242}),
+            &json!({"sends": sends, "outcome": "unknown", "held_ms": 1242}),
         ),
         line(
             "control-1",
@@ -102,7 +102,7 @@
             json!({"error": "no answer in time"}),
         ),
         line("control-1", "06.0", "routes_change", json!({"version": 9})),
-        refused("08.0", "route_unknown", json!({"control_age_ms": 5000})),
+        refused("08.0", "route_unknown", &json!({"control_age_ms": 5000})),
     ];
     assert_snapshot!(cause(&lines), @r"
     no route of manifest version 7 matches host and path
