--- a/server/src/fleet_follower.rs
+++ b/server/src/fleet_follower.rs
@@ -189,6 +189,8 @@
     }
 
     fn request(&self, ready: bool) -> FollowRequest {
+        let heard = *self.heard.borrow();
+        metric::control_silent(self.setup.clock.now().saturating_duration_since(heard));
         let view = self.view.borrow();
         FollowRequest {
             vm: self.setup.vm.as_str().to_owned(),
