--- a/lib/tests/test_direct_dispatch.rs
+++ b/lib/tests/test_direct_dispatch.rs
@@ -184,6 +184,7 @@
     for number in 0..20 {
         let choice = probe.choose(&number.to_string());
         all_near &= choice.name.as_str().starts_with(&near);
+        probe.pass(Duration::from_millis(100));
         probe.end(&choice, SendOutcome::Answered);
     }
     assert_eq!(all_near, stays);
