--- a/lib/src/dispatch_ask.rs
+++ b/lib/src/dispatch_ask.rs
@@ -77,7 +77,7 @@
     pub reason: RefusedReason,
     /// When to come back.
     pub come_back: Duration,
-    /// Backend servers that were considered.
+    /// Backend servers that are taken to have the data.
     pub considered: usize,
     /// Shortest wait that one of them offered.
     pub shortest_wait: Option<Duration>,
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -66,6 +66,7 @@
 pub mod nearest_name;
 pub mod object_copies;
 pub mod object_count;
+mod object_rank;
 pub mod outcome;
 pub mod ownership;
 pub mod place_lookup;
--- a/lib/src/log_cause.rs
+++ b/lib/src/log_cause.rs
@@ -40,8 +40,9 @@
     let service = decision.text("service");
     match decision.text("reason") {
         "overloaded" => format!(
-            "none of {} backend servers of {service} that could be used would have answered in \
-             time: the shortest wait was {} ms; refused after {held} ms, to come back in {} ms",
+            "none of {} backend servers of {service} that are taken to have the data would have \
+             answered in time: the shortest wait there was {} ms; refused after {held} ms, to \
+             come back in {} ms",
             decision.number("considered"),
             decision.number("shortest_wait_ms"),
             decision.number("retry_after_ms")
