log_writer: the line on dropped ones is written like all others

Cause, found by reading: that line was put together by hand and had no timestamp, so that explain, which lists log_dropped among the changes round a request, never read it. It is a record now, formatted by the same layout. The check that failed first: test_log_writer reads the line with LogLine::read.

--- a/server/src/log_writer.rs
+++ b/server/src/log_writer.rs
@@ -25,10 +25,12 @@
 use logforth::Append;
 use logforth::Diagnostic;
 use logforth::Layout;
+use logforth::kv::Key;
+use logforth::kv::Value;
 use logforth::layout::JsonLayout;
 use logforth::record::Level;
 use logforth::record::Record;
-use serde_json::json;
+use logforth::record::RecordBuilder;
 
 use crate::metric;
 
@@ -130,8 +132,7 @@
             self.drop_line();
             return Ok(());
         }
-        let mut line = self.layout.format(record, diags)?;
-        line.push(b'\n');
+        let line = line_of(&self.layout, record, diags)?;
         if self.tx.try_send(Message::Line(line)).is_err() {
             self.drop_line();
         }
@@ -149,6 +150,7 @@
 }
 
 fn write_lines(mut out: impl Write, rx: &Receiver<Message>, dropped: &AtomicU64) {
+    let layout = JsonLayout::default();
     let mut reported = 0;
     let mut reported_at: Option<Instant> = None;
     while let Ok(first) = rx.recv() {
@@ -166,8 +168,11 @@
         }
         let count = dropped.load(Ordering::Relaxed);
         let due = reported_at.is_none_or(|at| at.elapsed() >= REPORT_INTERVAL);
-        if count > reported && due {
-            batch.extend_from_slice(&dropped_line(count - reported));
+        if count > reported
+            && due
+            && let Ok(line) = dropped_line(&layout, count - reported)
+        {
+            batch.extend_from_slice(&line);
             reported = count;
             reported_at = Some(Instant::now());
         }
@@ -181,11 +186,28 @@
     }
 }
 
-fn dropped_line(count: u64) -> Vec<u8> {
-    let line = json!({
-        "level": "WARN",
-        "message": "log lines were dropped: too many at once, or nobody reads them",
-        "kvs": {"event": "log_dropped", "lines": count},
-    });
-    format!("{line}\n").into_bytes()
+fn dropped_line(layout: &JsonLayout, count: u64) -> Result<Vec<u8>, logforth::Error> {
+    let fields = [
+        (Key::new("event"), Value::str("log_dropped")),
+        (Key::new("lines"), Value::u64(count)),
+    ];
+    let record = RecordBuilder::default()
+        .level(Level::Warn)
+        .target(module_path!())
+        .payload(format_args!(
+            "log lines were dropped: too many at once, or nobody reads them"
+        ))
+        .key_values(fields.as_slice())
+        .build();
+    line_of(layout, &record, &[])
+}
+
+fn line_of(
+    layout: &JsonLayout,
+    record: &Record<'_>,
+    diags: &[Box<dyn Diagnostic>],
+) -> Result<Vec<u8>, logforth::Error> {
+    let mut line = layout.format(record, diags)?;
+    line.push(b'\n');
+    Ok(line)
 }
--- a/server/tests/test_log_writer.rs
+++ b/server/tests/test_log_writer.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use heatherring_lib::clock::SystemClock;
+use heatherring_lib::log_chain::LogLine;
 use heatherring_server::log_writer::LogWriter;
 use heatherring_testutils::wait::wait_for;
 use logforth::Append;
@@ -66,14 +67,18 @@
     assert!(dropped >= 1_000, "{dropped} dropped");
     drop(holding);
     writer.flush().unwrap();
-    wait_for("a line on the dropped ones", async || {
+    let told = wait_for("a line on the dropped ones", async || {
         log(&writer, Level::Warn);
         tokio::time::sleep(Duration::from_millis(50)).await;
         let text = String::from_utf8(text.lock().unwrap().clone()).unwrap();
-        text.contains("log_dropped").then_some(())
+        let line = text.lines().find(|line| line.contains("log_dropped"))?;
+        Some(line.to_owned())
     })
     .await
     .unwrap();
+    let told = LogLine::read("log", &told).expect("a line that explain reads");
+    assert_eq!(told.event, "log_dropped");
+    assert!(told.number("lines") > 0, "{told:?}");
 }
 
 /// The last lines before a process ends are written.
