tidy: one bound for out of reach, sends written only with their line, a probe of its own file

log_cause repeated cold_watch's ALONE_AFTER as a figure. The text of a request's sends was put together before it was known whether the line is written; it is a Display now. Behaviour as before.

--- a/lib/src/log_cause.rs
+++ b/lib/src/log_cause.rs
@@ -1,11 +1,9 @@
 //! The likely cause of a request's fate, from the line on it and what changed round it.
 
+use crate::cold_watch::ALONE_AFTER;
+use crate::duration_text::whole_ms;
 use crate::log_chain::LogLine;
 
-/// Time since control's last word, in milliseconds, from which on an entry VM counts as out
-/// of its reach: it answers every 0.8 s.
-const OUT_OF_REACH_MS: u64 = 1_500;
-
 /// Says what the last decision on a request tells, and what may have led to it.
 pub(crate) fn of(decision: &LogLine, changes: &[LogLine]) -> Vec<String> {
     let mut cause = vec![if decision.event == "answered" {
@@ -14,7 +12,7 @@
         refused(decision)
     }];
     let control_age = decision.number("control_age_ms");
-    if control_age > OUT_OF_REACH_MS {
+    if control_age > whole_ms(ALONE_AFTER) {
         cause.push(format!(
             "{} hadn't heard of control for {control_age} ms: it went by what it knew before",
             decision.text("vm")
--- a/lib/tests/dispatch_model/mod.rs
+++ b/lib/tests/dispatch_model/mod.rs
@@ -5,6 +5,8 @@
 
 #![allow(dead_code)]
 
+mod probe;
+
 use std::cmp::Reverse;
 use std::collections::BTreeMap;
 use std::collections::BinaryHeap;
@@ -40,6 +42,9 @@
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 
+#[allow(unused_imports, reason = "each test file uses a part of the model")]
+pub use probe::Probe;
+
 /// Holds the parameters of a model.
 #[derive(Clone, Debug)]
 pub struct Plan {
@@ -547,68 +552,3 @@
     };
     FleetView::default().updated(&update).unwrap()
 }
-
-/// Asks one dispatcher for one request after the other.
-pub struct Probe {
-    dispatcher: Dispatcher,
-    now: Instant,
-}
-
-impl Probe {
-    pub fn new() -> Self {
-        Self::in_region(0)
-    }
-
-    pub fn in_region(own: usize) -> Self {
-        let plan = Plan::look_up();
-        let places = (0..plan.servers.len())
-            .map(|index| (place(index), region(index)))
-            .collect();
-        let cfg = DispatchConfig {
-            vm: VmName::new("entry-0"),
-            region: region(own),
-            places,
-            resend_ratio: 0.2,
-            resend_slack: 60.0,
-        };
-        let now = Instant::now();
-        let mut dispatcher = Dispatcher::new(cfg, now);
-        dispatcher.apply_view(now, &view(&plan));
-        Self { dispatcher, now }
-    }
-
-    pub fn pass(&mut self, time: Duration) {
-        self.now += time;
-        self.dispatcher.note_control(self.now);
-    }
-
-    pub fn choose(&mut self, object: &str) -> Choice {
-        self.try_choose(object).unwrap()
-    }
-
-    pub fn try_choose(&mut self, object: &str) -> Option<Choice> {
-        let service = service();
-        let ask = Ask {
-            service: &service,
-            object: Some(ObjectHash::of("route", object)),
-            priority: 0,
-            deadline: self.now + Duration::from_secs(10),
-            objective: self.now + Duration::from_secs(10),
-            homes: &[],
-            tried: &[],
-            resend: false,
-        };
-        self.dispatcher.choose(self.now, &ask).ok()
-    }
-
-    pub fn end(&mut self, choice: &Choice, outcome: SendOutcome) {
-        let end = SendEnd {
-            backend: choice.backend,
-            send: choice.send,
-            outcome,
-            load: None,
-            object: None,
-        };
-        self.dispatcher.ended(self.now, &end);
-    }
-}
--- a/server/src/request_trace.rs
+++ b/server/src/request_trace.rs
@@ -116,7 +116,7 @@
             version = self.version,
             control_age_ms = whole_ms(decided.control_age),
             patience_ms = whole_ms(self.patience),
-            sends = self.sends().as_str(),
+            sends:% = Sends(&self.sends),
             status,
             held_ms = whole_ms(decided.held);
             "a request was answered"
@@ -137,7 +137,7 @@
             version = self.version,
             control_age_ms = whole_ms(decided.control_age),
             patience_ms = whole_ms(self.patience),
-            sends = self.sends().as_str(),
+            sends:% = Sends(&self.sends),
             considered,
             shortest_wait_ms = shortest.map_or(0, whole_ms),
             retry_after_ms = refused.retry_after().map_or(0, whole_ms),
@@ -155,9 +155,17 @@
     fn service(&self) -> &str {
         self.service.as_ref().map_or("", |name| name.as_str())
     }
+}
+
+/// Writes sends one after the other, once a line is surely written: under load most aren't.
+struct Sends<'a>(&'a [SendNote]);
 
-    fn sends(&self) -> String {
-        let sends: Vec<String> = self.sends.iter().map(ToString::to_string).collect();
-        sends.join("; ")
+impl fmt::Display for Sends<'_> {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for (number, send) in self.0.iter().enumerate() {
+            let separator = if number == 0 { "" } else { "; " };
+            write!(f, "{separator}{send}")?;
+        }
+        Ok(())
     }
 }
