log_writer: the thread that writes formats nothing

Cause: had the log's thread make a layout of its own for the line on dropped ones.

Ruled out: a larger stack (memory is dear on the users' machines, and the bound would rest on a library's inner working); load (test_log_start fails in three runs of three on an idle machine).

Change: the line on dropped ones is formatted where all others are, before the first line that is written after them, tried once a second at most. Test that failed first: test_log_start (16 processes at once, 20 rounds); it passes in three runs of three.

--- /dev/null
+++ b/cli/tests/test_log_start.rs
@@ -0,0 +1,54 @@
+//! A process's first log lines.
+
+use std::net::SocketAddr;
+use std::process::Child;
+use std::process::Command;
+use std::process::Stdio;
+
+use heatherring_testutils::loopback::CONTROL_PORT;
+use heatherring_testutils::loopback::LoopbackBlock;
+use serde_json::json;
+use tempfile::TempDir;
+
+const ROUNDS: u32 = 20;
+/// Processes that start at once, so that their threads run in different orders.
+const TOGETHER: usize = 16;
+
+/// Symptom: processes die at their start, now and then, by a signal.
+///
+/// Sequence: the thread that writes the log is the first to need the system's time zone, and
+/// reading that takes more stack than it has.
+///
+/// Cause: that thread formatted lines. It only writes now. Which thread comes first is a matter
+/// of chance, so many processes are started.
+#[test]
+fn test_log_start_never_ends_the_process() {
+    let mut block = LoopbackBlock::claim().unwrap();
+    let folder = TempDir::new().unwrap();
+    let settings = json!({
+        "vm": "control-1", "place": "fko-hakata", "region": "fukuoka",
+        "listen": SocketAddr::new(block.next_vm(), CONTROL_PORT),
+        "data_folder": folder.path().join("unformatted"), "security": "open_loopback",
+    });
+    let file = folder.path().join("control.jsonc");
+    std::fs::write(&file, settings.to_string()).unwrap();
+    let start = || {
+        Command::new(env!("CARGO_BIN_EXE_heatherring"))
+            .args(["control", "--settings"])
+            .arg(&file)
+            .stdout(Stdio::null())
+            .stderr(Stdio::piped())
+            .spawn()
+            .unwrap()
+    };
+    for _ in 0..ROUNDS {
+        let started: Vec<Child> = std::iter::repeat_with(start).take(TOGETHER).collect();
+        for child in started {
+            // The folder isn't formatted: the process says so and exits by itself.
+            let output = child.wait_with_output().unwrap();
+            let errors = String::from_utf8_lossy(&output.stderr);
+            let code = output.status.code();
+            assert!(code.is_some(), "{:?}: {errors}", output.status);
+        }
+    }
+}
--- a/server/src/log_writer.rs
+++ b/server/src/log_writer.rs
@@ -43,7 +43,8 @@
 /// Bytes that are written at once.
 const BATCH_BYTES: usize = 32 << 10;
 
-/// Stack of the thread that writes; it formats nothing but the line on dropped ones.
+/// Stack of the thread that writes. It formats nothing: a layout reads the system's time zone,
+/// which takes more than this, and a thread that overflows its stack ends the process.
 const STACK_BYTES: usize = 128 << 10;
 
 /// Time between two lines on dropped ones.
@@ -61,11 +62,19 @@
 pub struct LogWriter {
     layout: JsonLayout,
     clock: Arc<dyn Clock>,
-    rate: Mutex<LogRate>,
-    dropped: Arc<AtomicU64>,
+    volume: Mutex<Volume>,
+    dropped: AtomicU64,
     tx: SyncSender<Message>,
 }
 
+/// What bounds the lines, and what was told of those that were dropped.
+struct Volume {
+    rate: LogRate,
+    told: u64,
+    /// When that was last tried.
+    told_at: Option<Instant>,
+}
+
 impl fmt::Debug for LogWriter {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.debug_struct("LogWriter").finish_non_exhaustive()
@@ -80,17 +89,19 @@
     /// Fails if the system gives no thread.
     pub fn start(out: impl Write + Send + 'static, clock: Arc<dyn Clock>) -> io::Result<Self> {
         let (tx, rx) = mpsc::sync_channel(QUEUE);
-        let dropped = Arc::new(AtomicU64::new(0));
-        let counted = Arc::clone(&dropped);
         std::thread::Builder::new()
             .name("log".to_owned())
             .stack_size(STACK_BYTES)
-            .spawn(move || write_lines(out, &rx, &counted))?;
+            .spawn(move || write_lines(out, &rx))?;
         Ok(Self {
             layout: JsonLayout::default(),
-            rate: Mutex::new(LogRate::new(clock.now())),
+            volume: Mutex::new(Volume {
+                rate: LogRate::new(clock.now()),
+                told: 0,
+                told_at: None,
+            }),
             clock,
-            dropped,
+            dropped: AtomicU64::new(0),
             tx,
         })
     }
@@ -102,14 +113,60 @@
     }
 
     fn may_write(&self, record: &Record<'_>) -> bool {
-        let mut rate = self.rate.lock().unwrap_or_else(PoisonError::into_inner);
-        rate.try_take(self.clock.now(), weight(record))
+        let mut volume = self.volume.lock().unwrap_or_else(PoisonError::into_inner);
+        volume.rate.try_take(self.clock.now(), weight(record))
     }
 
     fn drop_line(&self) {
         self.dropped.fetch_add(1, Ordering::Relaxed);
         metric::log_line_dropped();
     }
+
+    /// Tells of dropped lines, before the first line that is written after them.
+    fn tell_dropped(&self) -> Result<(), logforth::Error> {
+        let mut volume = self.volume.lock().unwrap_or_else(PoisonError::into_inner);
+        let now = self.clock.now();
+        let dropped = self.dropped();
+        let due = volume
+            .told_at
+            .is_none_or(|at| now.saturating_duration_since(at) >= REPORT_INTERVAL);
+        if dropped == volume.told || !due {
+            return Ok(());
+        }
+        volume.told_at = Some(now);
+        let line = self.dropped_line(dropped - volume.told)?;
+        // A queue that is still full leaves it to a later line to tell.
+        if self.tx.try_send(Message::Line(line)).is_ok() {
+            volume.told = dropped;
+        }
+        Ok(())
+    }
+
+    fn dropped_line(&self, count: u64) -> Result<Vec<u8>, logforth::Error> {
+        let fields = [
+            (Key::new("event"), Value::str("log_dropped")),
+            (Key::new("lines"), Value::u64(count)),
+        ];
+        let record = RecordBuilder::default()
+            .level(Level::Warn)
+            .target(module_path!())
+            .payload(format_args!(
+                "log lines were dropped: too many at once, or nobody reads them"
+            ))
+            .key_values(fields.as_slice())
+            .build();
+        self.line_of(&record, &[])
+    }
+
+    fn line_of(
+        &self,
+        record: &Record<'_>,
+        diags: &[Box<dyn Diagnostic>],
+    ) -> Result<Vec<u8>, logforth::Error> {
+        let mut line = self.layout.format(record, diags)?;
+        line.push(b'\n');
+        Ok(line)
+    }
 }
 
 fn weight(record: &Record<'_>) -> LineWeight {
@@ -132,7 +189,8 @@
             self.drop_line();
             return Ok(());
         }
-        let line = line_of(&self.layout, record, diags)?;
+        self.tell_dropped()?;
+        let line = self.line_of(record, diags)?;
         if self.tx.try_send(Message::Line(line)).is_err() {
             self.drop_line();
         }
@@ -149,10 +207,7 @@
     }
 }
 
-fn write_lines(mut out: impl Write, rx: &Receiver<Message>, dropped: &AtomicU64) {
-    let layout = JsonLayout::default();
-    let mut reported = 0;
-    let mut reported_at: Option<Instant> = None;
+fn write_lines(mut out: impl Write, rx: &Receiver<Message>) {
     while let Ok(first) = rx.recv() {
         let mut batch = Vec::new();
         let mut flushed = Vec::new();
@@ -166,16 +221,6 @@
                 .then(|| rx.try_recv().ok())
                 .flatten();
         }
-        let count = dropped.load(Ordering::Relaxed);
-        let due = reported_at.is_none_or(|at| at.elapsed() >= REPORT_INTERVAL);
-        if count > reported
-            && due
-            && let Ok(line) = dropped_line(&layout, count - reported)
-        {
-            batch.extend_from_slice(&line);
-            reported = count;
-            reported_at = Some(Instant::now());
-        }
         // Nobody reads any more: dropping the queue has every later line counted as dropped.
         if out.write_all(&batch).and_then(|()| out.flush()).is_err() {
             return;
@@ -185,29 +230,3 @@
         }
     }
 }
-
-fn dropped_line(layout: &JsonLayout, count: u64) -> Result<Vec<u8>, logforth::Error> {
-    let fields = [
-        (Key::new("event"), Value::str("log_dropped")),
-        (Key::new("lines"), Value::u64(count)),
-    ];
-    let record = RecordBuilder::default()
-        .level(Level::Warn)
-        .target(module_path!())
-        .payload(format_args!(
-            "log lines were dropped: too many at once, or nobody reads them"
-        ))
-        .key_values(fields.as_slice())
-        .build();
-    line_of(layout, &record, &[])
-}
-
-fn line_of(
-    layout: &JsonLayout,
-    record: &Record<'_>,
-    diags: &[Box<dyn Diagnostic>],
-) -> Result<Vec<u8>, logforth::Error> {
-    let mut line = layout.format(record, diags)?;
-    line.push(b'\n');
-    Ok(line)
-}
