--- a/server/src/announce_listener.rs
+++ b/server/src/announce_listener.rs
@@ -1,6 +1,5 @@
 //! Takes announcements of backend servers and passes them on to the owner.
 
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -17,7 +16,6 @@
 use http::Response;
 use http::StatusCode;
 use http::header::CONTENT_TYPE;
-use hyper::body::Incoming;
 use serde::Serialize;
 
 use crate::answer_body;
@@ -26,11 +24,13 @@
 use crate::entry_status;
 use crate::explain_query;
 use crate::explain_report::ExplainReport;
+use crate::http_server::Arrival;
 use crate::http_server::Handler;
 use crate::proto::AnnounceRequest;
 use crate::proto::peer_client::PeerClient;
 use crate::refusal;
 use crate::request_body;
+use crate::request_body::RequestBody;
 
 const ANNOUNCE_PATH: &str = "/announce";
 const STATUS_PATH: &str = "/status";
@@ -60,7 +60,7 @@
 }
 
 impl Handler for AnnounceHandler {
-    async fn handle(&self, _peer: SocketAddr, req: Request<Incoming>) -> Response<AnswerBody> {
+    async fn handle(&self, _arrival: Arrival, req: Request<RequestBody>) -> Response<AnswerBody> {
         match (req.method(), req.uri().path()) {
             (&Method::POST, ANNOUNCE_PATH) => self.announce(req).await,
             (&Method::GET, STATUS_PATH) => {
@@ -86,7 +86,7 @@
 }
 
 impl AnnounceHandler {
-    async fn explain(&self, req: &Request<Incoming>) -> Response<AnswerBody> {
+    async fn explain(&self, req: &Request<RequestBody>) -> Response<AnswerBody> {
         let query = req.uri().query().unwrap_or_default();
         match explain_query::parse(query) {
             Ok(filter) => {
@@ -97,7 +97,7 @@
         }
     }
 
-    async fn announce(&self, req: Request<Incoming>) -> Response<AnswerBody> {
+    async fn announce(&self, req: Request<RequestBody>) -> Response<AnswerBody> {
         let by = self.cx.now() + READ_TIMEOUT;
         let body = match request_body::read(req.into_body(), MAX_ANNOUNCEMENT_BYTES, by).await {
             Ok(body) => body,
--- a/server/src/caller_listener.rs
+++ b/server/src/caller_listener.rs
@@ -9,21 +9,20 @@
 use heatherring_lib::duration_text::whole_ms;
 use heatherring_lib::id::PlaceName;
 use heatherring_lib::id::ServiceName;
+use heatherring_lib::manifest::Manifest;
 use heatherring_lib::outcome::Attempt;
 use heatherring_lib::outcome::NotRun;
 use heatherring_lib::outcome::NotRunReason;
 use heatherring_lib::outcome::Outcome;
 use heatherring_lib::view::EntrySession;
-use heatherring_lib::view::ManifestInForce;
 use http::HeaderMap;
 use http::HeaderValue;
 use http::Method;
 use http::Request;
 use http::Response;
+use http::Uri;
 use http::header::CACHE_CONTROL;
 use http::header::CONTENT_TYPE;
-use http::request::Parts;
-use hyper::body::Incoming;
 use serde::Serialize;
 
 use crate::action_path;
@@ -36,10 +35,12 @@
 use crate::entry_metrics::Asked;
 use crate::entry_state::EntryState;
 use crate::header;
+use crate::http_server::Arrival;
 use crate::http_server::Handler;
 use crate::refusal;
 use crate::refusal::Refused;
 use crate::request_body;
+use crate::request_body::RequestBody;
 use crate::request_path;
 use crate::request_path::ServiceRequest;
 
@@ -61,9 +62,9 @@
 }
 
 impl Handler for CallerHandler {
-    async fn handle(&self, peer: SocketAddr, req: Request<Incoming>) -> Response<AnswerBody> {
+    async fn handle(&self, arrival: Arrival, req: Request<RequestBody>) -> Response<AnswerBody> {
+        let Arrival { peer, at: arrived } = arrival;
         let request_id = self.cx.request_ids.draw();
-        let arrived = self.cx.now();
         let method = req.method().clone();
         let asked = asked(req.uri().path());
         let service = named_service(req.uri().path());
@@ -84,6 +85,20 @@
         }
         response
     }
+
+    fn is_idempotent(&self, req: &Request<RequestBody>) -> bool {
+        if req.uri().path().starts_with(LOOK_UP_PREFIX) {
+            return true;
+        }
+        let state = self.cx.state.read();
+        let Some(manifest) = state.manifest() else {
+            return false;
+        };
+        let target = Target::find(req.method(), req.uri(), manifest);
+        target.is_ok_and(|target| {
+            manifest.services[&target.service].operations[target.operation].idempotent
+        })
+    }
 }
 
 impl CallerHandler {
@@ -92,7 +107,7 @@
         peer: SocketAddr,
         request_id: &str,
         arrived: Instant,
-        req: Request<Incoming>,
+        req: Request<RequestBody>,
     ) -> Result<Response<AnswerBody>, Refused> {
         let path = req.uri().path().to_owned();
         if let Some(service) = path.strip_prefix(LOOK_UP_PREFIX) {
@@ -126,7 +141,7 @@
         peer: IpAddr,
         request_id: &str,
         arrived: Instant,
-        req: Request<Incoming>,
+        req: Request<RequestBody>,
     ) -> Result<ServiceRequest, NotRun> {
         if self.cx.state.live_session().is_none() {
             return Err(refuse(NotRunReason::LeaseLapsed));
@@ -138,7 +153,7 @@
             .clone()
             .ok_or_else(|| refuse(NotRunReason::NoManifest))?;
         let (parts, body) = req.into_parts();
-        let target = Target::parse(&parts, &in_force)?;
+        let target = Target::find(&parts.method, &parts.uri, &in_force.manifest)?;
         let deadline = arrived + deadline(&parts.headers, target.deadline)?;
         let max_bytes = self.cx.limits.max_body_bytes;
         let body = request_body::read(body, max_bytes, deadline)
@@ -217,7 +232,7 @@
 }
 
 impl KeyedRequest {
-    fn of(req: &Request<Incoming>) -> Option<Self> {
+    fn of(req: &Request<RequestBody>) -> Option<Self> {
         let headers = req.headers();
         headers.get(header::IDEMPOTENCY_KEY)?;
         Some(Self {
@@ -284,16 +299,14 @@
 }
 
 impl Target {
-    fn parse(parts: &Parts, in_force: &ManifestInForce) -> Result<Self, NotRun> {
-        let below = parts
-            .uri
+    fn find(method: &Method, uri: &Uri, manifest: &Manifest) -> Result<Self, NotRun> {
+        let below = uri
             .path()
             .strip_prefix(SERVICE_PREFIX)
             .ok_or_else(|| refuse(NotRunReason::ServiceUnknown))?;
         let (service, rest) = below.split_once('/').unwrap_or((below, ""));
         let service = ServiceName::new(service);
-        let found = in_force
-            .manifest
+        let found = manifest
             .services
             .get(&service)
             .ok_or_else(|| refuse(NotRunReason::ServiceUnknown))?;
@@ -301,9 +314,9 @@
             return Err(refuse(NotRunReason::MalformedRequest));
         }
         let mut path = format!("/{rest}");
-        let operation = request_path::find_operation(found, parts.method.as_str(), &path)
+        let operation = request_path::find_operation(found, method.as_str(), &path)
             .ok_or_else(|| refuse(NotRunReason::OperationUnknown))?;
-        if let Some(query) = parts.uri.query() {
+        if let Some(query) = uri.query() {
             path.push('?');
             path.push_str(query);
         }
--- a/server/src/control_listeners.rs
+++ b/server/src/control_listeners.rs
@@ -4,10 +4,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use heatherring_lib::clock::Clock;
 use heatherring_lib::settings::DirectControlSettings;
 use http::Request;
 use http::Response;
-use hyper::body::Incoming;
 use tokio::net::TcpListener;
 use tokio_util::sync::CancellationToken;
 
@@ -15,21 +15,26 @@
 use crate::fleet_control::FleetControl;
 use crate::http_server;
 use crate::http_server::Admittance;
+use crate::http_server::Arrival;
+use crate::http_server::ConnectionLimits;
 use crate::http_server::Handler;
 use crate::http_server::HttpBounds;
 use crate::http_server::HttpVersions;
+use crate::http_server::LimitsSource;
 use crate::interface::ControlInterface;
 use crate::interface::LookUpInterface;
 use crate::look_up_handler::LookUpHandler;
+use crate::request_body::RequestBody;
 
 /// Connections open at one listener; several hundred backend servers keep one each.
 const MAX_CONNECTIONS: usize = 1_500;
 
-/// Bytes of a request's head.
-const MAX_HEADER_BYTES: usize = 16 << 10;
-
-/// Time for which a connection may be idle: many heartbeats.
-const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
+/// Bounds on one connection: it may be idle for many heartbeats.
+const LIMITS: ConnectionLimits = ConnectionLimits {
+    max_header_bytes: 16 << 10,
+    header_timeout: Duration::from_secs(30),
+    idle_timeout: Duration::from_secs(30),
+};
 
 #[derive(Clone, Debug)]
 struct ControlHandler {
@@ -38,7 +43,7 @@
 }
 
 impl Handler for ControlHandler {
-    async fn handle(&self, _peer: SocketAddr, req: Request<Incoming>) -> Response<AnswerBody> {
+    async fn handle(&self, _arrival: Arrival, req: Request<RequestBody>) -> Response<AnswerBody> {
         let control = self.control.clone();
         self.interface.answer_control(control, req).await
     }
@@ -79,6 +84,7 @@
         self,
         interface: &Arc<dyn ControlInterface>,
         control: &FleetControl,
+        clock: &Arc<dyn Clock>,
         stop: &CancellationToken,
     ) {
         let orders = ControlHandler {
@@ -89,26 +95,31 @@
             interface: Arc::clone(interface) as Arc<dyn LookUpInterface>,
             source: Arc::new(control.clone()),
         };
-        spawn(self.orders, orders, stop);
+        spawn(self.orders, orders, Arc::clone(clock), stop);
         if let Some(listener) = self.look_ups {
-            spawn(listener, look_ups, stop);
+            spawn(listener, look_ups, Arc::clone(clock), stop);
         }
     }
 }
 
-fn spawn(listener: TcpListener, handler: impl Handler, stop: &CancellationToken) {
+fn spawn(
+    listener: TcpListener,
+    handler: impl Handler,
+    clock: Arc<dyn Clock>,
+    stop: &CancellationToken,
+) {
     let bounds = HttpBounds {
         max_connections: MAX_CONNECTIONS,
-        max_header_bytes: MAX_HEADER_BYTES,
-        header_timeout: IDLE_TIMEOUT,
+        limits: LimitsSource::fixed(LIMITS),
         versions: HttpVersions::Http1,
+        clock,
     };
-    let stop = stop.clone();
+    let stops = stop.clone().into();
     tokio::spawn(http_server::serve(
         listener,
         Admittance::Anybody,
         bounds,
         handler,
-        stop,
+        stops,
     ));
 }
--- a/server/src/control_process.rs
+++ b/server/src/control_process.rs
@@ -192,10 +192,11 @@
     let fleet = serve_fleet(&settings, identity, &clock, &picture, &handle, &channels);
     let stop_listeners = CancellationToken::new();
     if let Some(address) = settings.metrics_listen {
-        let serving = metric::serve(address, stop_listeners.clone()).await;
+        let serving = metric::serve(address, Arc::clone(&clock), stop_listeners.clone()).await;
         serving.context(ListenSnafu { address })?;
     }
-    serve_outside(&settings, interface.as_ref(), &fleet, &stop_listeners).await?;
+    let interface = interface.as_ref();
+    serve_outside(&settings, interface, &fleet, &clock, &stop_listeners).await?;
     let (stop_server, server_stopped) = oneshot::channel();
     let builder = security.grpc_server().context(SecuritySnafu)?;
     let fleet_service =
@@ -309,13 +310,14 @@
     settings: &ControlSettings,
     interface: Option<&Arc<dyn ControlInterface>>,
     fleet: &FleetControl,
+    clock: &Arc<dyn Clock>,
     stop: &CancellationToken,
 ) -> Result<(), ControlError> {
     let (Some(direct), Some(interface)) = (&settings.direct, interface) else {
         return Ok(());
     };
     match ControlListeners::bind(direct).await {
-        Ok(listeners) => listeners.serve(interface, fleet, stop),
+        Ok(listeners) => listeners.serve(interface, fleet, clock, stop),
         Err((address, source)) => return Err(ControlError::Listen { address, source }),
     }
     Ok(())
--- a/server/src/direct_path.rs
+++ b/server/src/direct_path.rs
@@ -1,7 +1,6 @@
 //! The way of a caller's request through an entry VM that dispatches directly.
 
 use std::collections::HashMap;
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::PoisonError;
@@ -28,12 +27,12 @@
 use heatherring_lib::route_manifest::Route;
 use heatherring_lib::route_manifest::RouteTarget;
 use heatherring_lib::weighted_turns::WeightedTurns;
+use http::HeaderMap;
 use http::HeaderValue;
 use http::Request;
 use http::Response;
+use http::Uri;
 use http::header;
-use http::request;
-use hyper::body::Incoming;
 use tokio::sync::watch;
 
 use crate::answer_body;
@@ -44,11 +43,13 @@
 use crate::dispatch_task::DispatchAsk;
 use crate::dispatch_task::DispatchHandle;
 use crate::header::remove_hop_by_hop;
+use crate::http_server::Arrival;
 use crate::http_server::Handler;
 use crate::interface::EntryInterface;
 use crate::metric;
 use crate::refusal::Refused;
 use crate::request_body;
+use crate::request_body::RequestBody;
 use crate::request_trace::Decided;
 use crate::request_trace::RequestTrace;
 
@@ -87,8 +88,6 @@
     pub sender: DirectSender,
     /// Whose turn it is in each split.
     pub turns: Mutex<HashMap<RouteName, WeightedTurns>>,
-    /// Whether this entry VM leaves; connections then end with their next answer.
-    pub leaving: watch::Receiver<bool>,
 }
 
 /// Answers callers.
@@ -106,10 +105,11 @@
 }
 
 impl Handler for DirectHandler {
-    async fn handle(&self, _peer: SocketAddr, req: Request<Incoming>) -> Response<AnswerBody> {
-        let arrived = self.cx.clock.now();
-        let mut trace = RequestTrace::default();
-        let mut response = match self.cx.answer(arrived, req, &mut trace).await {
+    async fn handle(&self, arrival: Arrival, req: Request<RequestBody>) -> Response<AnswerBody> {
+        let arrived = arrival.at;
+        let mut handling = Handling::new(&self.cx, arrived);
+        let trace = &mut handling.trace;
+        let response = match self.cx.answer(arrived, req, trace).await {
             Ok(answer) => {
                 trace.tell_answered(&self.cx.decided(arrived), answer.head.status.as_u16());
                 Response::from_parts(answer.head, answer.body)
@@ -119,12 +119,43 @@
                 refusal(&refused)
             }
         };
-        if *self.cx.leaving.borrow() {
-            let close = HeaderValue::from_static("close");
-            response.headers_mut().insert(header::CONNECTION, close);
-        }
+        handling.told = true;
         response
     }
+
+    fn is_idempotent(&self, req: &Request<RequestBody>) -> bool {
+        let view = self.cx.view.borrow();
+        let route =
+            host_of(req.uri(), req.headers()).and_then(|host| view.route(&host, req.uri().path()));
+        route.is_some_and(|(_, route)| Idempotent::of_route(route).is_some())
+    }
+}
+
+/// Follows a request until it is told how it ended. Dropped before that, its caller has left.
+struct Handling<'a> {
+    cx: &'a DirectContext,
+    arrived: Instant,
+    trace: RequestTrace,
+    told: bool,
+}
+
+impl<'a> Handling<'a> {
+    fn new(cx: &'a DirectContext, arrived: Instant) -> Self {
+        Self {
+            cx,
+            arrived,
+            trace: RequestTrace::default(),
+            told: false,
+        }
+    }
+}
+
+impl Drop for Handling<'_> {
+    fn drop(&mut self) {
+        if !self.told {
+            self.trace.tell_left(&self.cx.decided(self.arrived));
+        }
+    }
 }
 
 /// Holds a request together with what was found out about it.
@@ -152,7 +183,7 @@
     async fn answer(
         &self,
         arrived: Instant,
-        req: Request<Incoming>,
+        req: Request<RequestBody>,
         trace: &mut RequestTrace,
     ) -> Result<DirectAnswer, Refused> {
         let admitted = self.admit(arrived, req, trace).await?;
@@ -163,7 +194,7 @@
     async fn admit(
         &self,
         arrived: Instant,
-        req: Request<Incoming>,
+        req: Request<RequestBody>,
         trace: &mut RequestTrace,
     ) -> Result<Admitted, NotRun> {
         let (head, body) = req.into_parts();
@@ -175,7 +206,8 @@
         if !view.has_manifest() {
             return Err(refuse(NotRunReason::NoManifest).with_retry_after(NO_MANIFEST_RETRY));
         }
-        let host = host_of(&head).ok_or_else(|| refuse(NotRunReason::MalformedRequest))?;
+        let host = host_of(&head.uri, &head.headers)
+            .ok_or_else(|| refuse(NotRunReason::MalformedRequest))?;
         let (name, route) = view
             .route(&host, head.uri.path())
             .ok_or_else(|| refuse(NotRunReason::RouteUnknown))?;
@@ -258,6 +290,7 @@
                 }
             };
             let begun = self.clock.now();
+            trace.note_sending(&choice);
             let sent = self.sender.send(&choice, &admitted.req, attempt).await;
             let took = self.clock.now().saturating_duration_since(begun);
             trace.note_send(&choice, took, sent.verdict);
@@ -369,16 +402,16 @@
 }
 
 /// Returns the host that a request names, in lower case and without a port.
-fn host_of(head: &request::Parts) -> Option<String> {
-    let host = match head.uri.host() {
+fn host_of(uri: &Uri, headers: &HeaderMap) -> Option<String> {
+    let host = match uri.host() {
         Some(host) => host,
-        None => head.headers.get(header::HOST)?.to_str().ok()?,
+        None => headers.get(header::HOST)?.to_str().ok()?,
     };
     let name = host.rsplit_once(':').map_or(host, |(name, _)| name);
     Some(name.to_ascii_lowercase())
 }
 
-fn origin_form(uri: &http::Uri) -> Option<http::Uri> {
+fn origin_form(uri: &Uri) -> Option<Uri> {
     let path = uri.path_and_query()?.as_str();
     path.parse().ok()
 }
--- a/server/src/direct_process.rs
+++ b/server/src/direct_process.rs
@@ -16,7 +16,6 @@
 use heatherring_lib::settings_text::read_direct_settings;
 use http::Request;
 use http::Response;
-use hyper::body::Incoming;
 use snafu::ResultExt;
 use snafu::Snafu;
 use tokio::net::TcpListener;
@@ -37,9 +36,13 @@
 use crate::fleet_follower::FollowerSetup;
 use crate::http_server;
 use crate::http_server::Admittance;
+use crate::http_server::Arrival;
+use crate::http_server::ConnectionLimits;
 use crate::http_server::Handler;
 use crate::http_server::HttpBounds;
 use crate::http_server::HttpVersions;
+use crate::http_server::LimitsSource;
+use crate::http_server::Stops;
 use crate::interface::EntryInterface;
 use crate::interface::LookUpInterface;
 use crate::look_up_handler::LookUpHandler;
@@ -47,17 +50,15 @@
 use crate::peer_channel::PeerChannels;
 use crate::peer_security::PeerSecurity;
 use crate::peer_security::PeerSecurityError;
+use crate::request_body::RequestBody;
 use crate::shutdown::Shutdown;
 
-/// Bytes of a request's head. The manifest's own limit is for callers to keep.
-const MAX_HEADER_BYTES: usize = 64 << 10;
-
 /// Connections open at one listener; some descriptors are left for backend servers.
 const MAX_CONNECTIONS: usize = 2_000;
 
-/// Time for which a connection may be idle or in the middle of a request's head: longer
-/// than any idle time that manifests tell callers, a minute at most.
-const IDLE_TIMEOUT: Duration = Duration::from_secs(75);
+/// Added to the times that a manifest tells callers: what a caller does at the last moment
+/// takes its way, and a connection that is closed meanwhile fails its request.
+const LIMIT_MARGIN: Duration = Duration::from_secs(2);
 
 /// Share of the time until a stop by force after which no more requests are taken. Callers
 /// have learned of other entry VMs by then, and what was taken last has time to finish.
@@ -98,7 +99,7 @@
 }
 
 impl Handler for ReadyHandler {
-    async fn handle(&self, _peer: SocketAddr, req: Request<Incoming>) -> Response<AnswerBody> {
+    async fn handle(&self, _arrival: Arrival, req: Request<RequestBody>) -> Response<AnswerBody> {
         let ready = *self.ready.borrow();
         self.interface.answer_ready(ready, &req)
     }
@@ -129,7 +130,7 @@
     };
     let stop_asked = CancellationToken::new();
     if let Some(address) = settings.listen.metrics {
-        let serving = metric::serve(address, stop_asked.clone()).await;
+        let serving = metric::serve(address, Arc::clone(&clock), stop_asked.clone()).await;
         serving.context(ListenSnafu {
             purpose: "metrics",
             address,
@@ -138,7 +139,6 @@
     let (seeds_tx, seeds) = watch::channel(settings.control_peers());
     watch_settings(settings_file, seeds_tx);
     let (ready_tx, ready) = watch::channel(false);
-    let (leaving_tx, leaving) = watch::channel(false);
     let dispatch = DispatchHandle::spawn(dispatch_config(&settings), Arc::clone(&clock));
     let followed = fleet_follower::spawn(FollowerSetup {
         vm: settings.vm.clone(),
@@ -173,38 +173,41 @@
     let cx = Arc::new(DirectContext {
         vm: settings.vm.clone(),
         heard: followed.heard,
-        clock,
+        clock: Arc::clone(&clock),
         interface: Arc::clone(&interface),
         view: view.clone(),
         dispatch,
         sender: DirectSender::new(pool, Arc::clone(&interface)),
         turns: Mutex::new(HashMap::new()),
-        leaving,
     });
-    let stop = CancellationToken::new();
-    let serving = serve(callers, DirectHandler::new(cx), stop.clone());
+    let stops = Stops {
+        leaving: CancellationToken::new(),
+        stop: CancellationToken::new(),
+    };
+    let bounds = bounds(view.clone(), &clock);
+    let serving = serve(callers, DirectHandler::new(cx), &bounds, stops.clone());
     if let Some(look_ups) = look_ups {
         let handler = LookUpHandler {
             interface: Arc::clone(&interface) as Arc<dyn LookUpInterface>,
             source: Arc::new(directory),
         };
-        serve(look_ups, handler, stop_asked.clone());
+        serve(look_ups, handler, &bounds, stop_asked.clone().into());
     }
     let ready_handler = ReadyHandler {
         interface,
         ready: ready.clone(),
     };
-    serve(asked_ready, ready_handler, stop_asked);
+    serve(asked_ready, ready_handler, &bounds, stop_asked.into());
     let becoming_ready = tokio::spawn(announce_ready(view, ready_tx.clone()));
     log::info!(event = "entry_started", vm = settings.vm.as_str(), callers:% = settings.listen.callers; "the entry VM listens");
     shutdown.requested().await;
     log::info!(event = "entry_leaving", vm = settings.vm.as_str(); "a planned stop begins");
     becoming_ready.abort();
     ready_tx.send_replace(false);
-    leaving_tx.send_replace(true);
+    stops.leaving.cancel();
     let grace = settings.grace.0;
     tokio::select! {
-        () = finish(grace, &stop, serving) => {}
+        () = finish(grace, &stops.stop, serving) => {}
         () = shutdown.insisted() => log::warn!(event = "entry_stop_forced"; "asked to stop twice: what is under way is cut off"),
     }
     log::info!(event = "entry_ended", vm = settings.vm.as_str(); "the entry VM has finished");
@@ -227,19 +230,40 @@
         .context(ListenSnafu { purpose, address })
 }
 
-fn serve(listener: TcpListener, handler: impl Handler, stop: CancellationToken) -> JoinHandle<()> {
-    let bounds = HttpBounds {
-        max_connections: MAX_CONNECTIONS,
-        max_header_bytes: MAX_HEADER_BYTES,
-        header_timeout: IDLE_TIMEOUT,
-        versions: HttpVersions::Http1,
-    };
+fn serve(
+    listener: TcpListener,
+    handler: impl Handler,
+    bounds: &HttpBounds,
+    stops: Stops,
+) -> JoinHandle<()> {
     let admittance = Admittance::Anybody;
     tokio::spawn(http_server::serve(
-        listener, admittance, bounds, handler, stop,
+        listener,
+        admittance,
+        bounds.clone(),
+        handler,
+        stops,
     ))
 }
 
+/// Bounds callers as the manifest in force says.
+fn bounds(view: watch::Receiver<Arc<FleetView>>, clock: &Arc<dyn Clock>) -> HttpBounds {
+    let limits = LimitsSource::new(move || {
+        let limits = view.borrow().limits;
+        ConnectionLimits {
+            max_header_bytes: usize::try_from(limits.max_header_bytes).unwrap_or(usize::MAX),
+            header_timeout: limits.header_timeout + LIMIT_MARGIN,
+            idle_timeout: limits.idle_timeout + LIMIT_MARGIN,
+        }
+    });
+    HttpBounds {
+        max_connections: MAX_CONNECTIONS,
+        limits,
+        versions: HttpVersions::Http1,
+        clock: Arc::clone(clock),
+    }
+}
+
 fn dispatch_config(settings: &DirectSettings) -> DispatchConfig {
     DispatchConfig {
         vm: settings.vm.clone(),
--- a/server/src/entry_servers.rs
+++ b/server/src/entry_servers.rs
@@ -18,9 +18,11 @@
 use crate::forward_listener::ForwardHandler;
 use crate::http_server;
 use crate::http_server::Admittance;
+use crate::http_server::ConnectionLimits;
 use crate::http_server::Handler;
 use crate::http_server::HttpBounds;
 use crate::http_server::HttpVersions;
+use crate::http_server::LimitsSource;
 use crate::peer_security::PeerSecurity;
 use crate::peer_service::PeerService;
 use crate::proto::peer_server::PeerServer;
@@ -86,21 +88,25 @@
         let stop_messages = CancellationToken::new();
         let bounds = HttpBounds {
             max_connections: cx.limits.max_connections as usize,
-            max_header_bytes: cx.limits.max_header_bytes as usize,
-            header_timeout: cx.limits.header_timeout(),
+            limits: LimitsSource::fixed(ConnectionLimits {
+                max_header_bytes: cx.limits.max_header_bytes as usize,
+                header_timeout: cx.limits.header_timeout(),
+                idle_timeout: cx.limits.header_timeout(),
+            }),
             versions: HttpVersions::Both,
+            clock: Arc::clone(&cx.clock),
         };
         let callers = spawn_server(
             listeners.callers,
             Admittance::Anybody,
-            bounds,
+            bounds.clone(),
             CallerHandler::new(Arc::clone(cx)),
             &stop_requests,
         );
         let forward = spawn_server(
             listeners.forward,
             Admittance::Deployment(security),
-            bounds,
+            bounds.clone(),
             ForwardHandler::new(Arc::clone(cx)),
             &stop_requests,
         );
@@ -161,7 +167,7 @@
         admittance,
         bounds,
         handler,
-        stop.clone(),
+        stop.clone().into(),
     ))
 }
 
--- a/server/src/forward_listener.rs
+++ b/server/src/forward_listener.rs
@@ -1,6 +1,5 @@
 //! Takes requests that other entry VMs forward.
 
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 use std::time::Instant;
@@ -19,7 +18,6 @@
 use http::HeaderMap;
 use http::Request;
 use http::Response;
-use hyper::body::Incoming;
 
 use crate::action_path;
 use crate::answer_body::AnswerBody;
@@ -29,6 +27,7 @@
 use crate::forward_client::ForwardHead;
 use crate::forward_client::ForwardPurpose;
 use crate::header;
+use crate::http_server::Arrival;
 use crate::http_server::Handler;
 use crate::link_task;
 use crate::owner_path;
@@ -36,6 +35,7 @@
 use crate::refusal;
 use crate::refusal::Refused;
 use crate::request_body;
+use crate::request_body::RequestBody;
 use crate::request_path::MAX_HOPS;
 use crate::request_path::ServiceRequest;
 use crate::request_path::VIEW_LAG;
@@ -55,7 +55,7 @@
 }
 
 impl Handler for ForwardHandler {
-    async fn handle(&self, _peer: SocketAddr, req: Request<Incoming>) -> Response<AnswerBody> {
+    async fn handle(&self, _arrival: Arrival, req: Request<RequestBody>) -> Response<AnswerBody> {
         let arrived = self.cx.now();
         match self.answer(arrived, req).await {
             Ok(response) => response,
@@ -68,7 +68,7 @@
     async fn answer(
         &self,
         arrived: Instant,
-        req: Request<Incoming>,
+        req: Request<RequestBody>,
     ) -> Result<Response<AnswerBody>, Refused> {
         let (parts, body) = req.into_parts();
         let head = parse(&parts.headers).ok_or_else(|| refuse(NotRunReason::MalformedRequest))?;
--- a/server/src/http_server.rs
+++ b/server/src/http_server.rs
@@ -2,14 +2,21 @@
 //!
 //! A slow or garbage peer must cost a bounded amount: the number of connections, the
 //! size of a head and the time in which the first head must arrive are limited.
+//!
+//! Connections of HTTP/1.1 in the clear are served by [`crate::pipelined_connection`].
 
 use std::convert::Infallible;
+use std::fmt;
+use std::io::Cursor;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
+use std::time::Instant;
 
+use bytes::Bytes;
+use heatherring_lib::clock::Clock;
 use hyper::Request;
 use hyper::Response;
 use hyper::body::Incoming;
@@ -19,6 +26,7 @@
 use hyper_util::rt::TokioTimer;
 use hyper_util::server::conn::auto;
 use tokio::io::AsyncRead;
+use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWrite;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
@@ -29,6 +37,11 @@
 
 use crate::answer_body::AnswerBody;
 use crate::peer_security::PeerSecurity;
+use crate::pipeline_io::Progress;
+use crate::pipelined_connection;
+use crate::pipelined_connection::AHEAD_OF_LISTENER;
+use crate::pipelined_connection::PipelineSetup;
+use crate::request_body::RequestBody;
 
 /// Streams that one HTTP/2 connection may have open.
 const MAX_STREAMS: u32 = 1_024;
@@ -49,18 +62,94 @@
 /// the loop would spin until another connection closes.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
+/// What an HTTP/2 connection begins with.
+const HTTP2_PREFACE: &[u8] = b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n";
+
+/// Bytes of a head that must be allowed at least; `hyper` needs that much room.
+const LEAST_HEADER_BYTES: usize = 8 << 10;
+
 /// Bounds what the peers of one listener may cost.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 pub struct HttpBounds {
     /// Connections open at once; further ones are closed on arrival.
     pub max_connections: usize,
+    /// Bounds of one connection.
+    pub limits: LimitsSource,
+    /// The versions of HTTP that are spoken.
+    pub versions: HttpVersions,
+    /// The clock.
+    pub clock: Arc<dyn Clock>,
+}
+
+/// Bounds what one connection may cost.
+#[derive(Clone, Copy, Debug)]
+pub struct ConnectionLimits {
     /// Bytes of a request's head.
     pub max_header_bytes: usize,
-    /// Time within which a request's head must arrive, counted from the end of the
-    /// request before it.
+    /// Time within which a request's head must arrive, once it has begun to.
     pub header_timeout: Duration,
-    /// The versions of HTTP that are spoken.
-    pub versions: HttpVersions,
+    /// Time for which a connection may be idle.
+    pub idle_timeout: Duration,
+}
+
+/// Tells the limits of connections that begin now.
+#[derive(Clone)]
+pub struct LimitsSource(Arc<dyn Fn() -> ConnectionLimits + Send + Sync>);
+
+impl LimitsSource {
+    /// Asks `limits` for each new connection.
+    pub fn new(limits: impl Fn() -> ConnectionLimits + Send + Sync + 'static) -> Self {
+        Self(Arc::new(limits))
+    }
+
+    /// Gives all connections the same limits.
+    #[must_use]
+    pub fn fixed(limits: ConnectionLimits) -> Self {
+        Self::new(move || limits)
+    }
+
+    fn now(&self) -> ConnectionLimits {
+        let limits = (self.0)();
+        ConnectionLimits {
+            max_header_bytes: limits.max_header_bytes.max(LEAST_HEADER_BYTES),
+            ..limits
+        }
+    }
+}
+
+impl fmt::Debug for LimitsSource {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("LimitsSource")
+    }
+}
+
+/// Tells connections to end.
+#[derive(Clone, Debug)]
+pub struct Stops {
+    /// The process will stop: each connection takes one more request at most.
+    pub leaving: CancellationToken,
+    /// No further request is taken.
+    pub stop: CancellationToken,
+}
+
+impl From<CancellationToken> for Stops {
+    /// Stops without announcing it.
+    fn from(stop: CancellationToken) -> Self {
+        Self {
+            leaving: stop.clone(),
+            stop,
+        }
+    }
+}
+
+/// Says where a request came from, and when.
+#[derive(Clone, Copy, Debug)]
+pub struct Arrival {
+    /// The peer.
+    pub peer: SocketAddr,
+    /// When the last byte of its head was read. Its time runs from here, also while it stands
+    /// behind others on its connection.
+    pub at: Instant,
 }
 
 /// Names the versions of HTTP that a listener speaks.
@@ -83,13 +172,18 @@
 
 /// Answers requests. Clones share what they need through messages.
 pub trait Handler: Clone + Send + Sync + 'static {
-    /// Answers one request of the peer at `peer`. The future is dropped when the peer
-    /// goes away.
+    /// Answers one request. The future is dropped when the peer goes away.
     fn handle(
         &self,
-        peer: SocketAddr,
-        req: Request<Incoming>,
+        arrival: Arrival,
+        req: Request<RequestBody>,
     ) -> impl Future<Output = Response<AnswerBody>> + Send;
+
+    /// Returns whether a request may be handled before those ahead of it on its connection
+    /// are answered: it does no harm if it runs although its caller doesn't learn of it.
+    fn is_idempotent(&self, req: &Request<RequestBody>) -> bool {
+        req.method().is_safe()
+    }
 }
 
 /// Serves `listener` until `stop` is cancelled, then lets each connection finish what
@@ -99,15 +193,16 @@
     admittance: Admittance,
     bounds: HttpBounds,
     handler: H,
-    stop: CancellationToken,
+    stops: Stops,
 ) {
     let connections = TaskTracker::new();
     let permits = Arc::new(Semaphore::new(bounds.max_connections));
     let builder = Arc::new(builder(&bounds));
+    let ahead = Arc::new(Semaphore::new(AHEAD_OF_LISTENER));
     loop {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
-            () = stop.cancelled() => break,
+            () = stops.stop.cancelled() => break,
         };
         let (stream, peer) = match accepted {
             Ok(accepted) => accepted,
@@ -126,8 +221,11 @@
             builder: Arc::clone(&builder),
             handler: handler.clone(),
             peer,
-            header_timeout: bounds.header_timeout,
-            stop: stop.clone(),
+            limits: bounds.limits.now(),
+            versions: bounds.versions,
+            clock: Arc::clone(&bounds.clock),
+            stops: stops.clone(),
+            ahead: Arc::clone(&ahead),
             _permit: permit,
         };
         connections.spawn(connection.run(stream));
@@ -139,18 +237,19 @@
 
 fn builder(bounds: &HttpBounds) -> auto::Builder<TokioExecutor> {
     let mut builder = auto::Builder::new(TokioExecutor::new());
+    let limits = bounds.limits.now();
     if bounds.versions == HttpVersions::Http1 {
         builder = builder.http1_only();
     }
     builder
         .http1()
         .timer(TokioTimer::new())
-        .max_buf_size(bounds.max_header_bytes)
-        .header_read_timeout(bounds.header_timeout);
+        .max_buf_size(limits.max_header_bytes)
+        .header_read_timeout(limits.header_timeout);
     builder
         .http2()
         .timer(TokioTimer::new())
-        .max_header_list_size(u32::try_from(bounds.max_header_bytes).unwrap_or(u32::MAX))
+        .max_header_list_size(u32::try_from(limits.max_header_bytes).unwrap_or(u32::MAX))
         .max_concurrent_streams(MAX_STREAMS)
         .initial_stream_window_size(STREAM_WINDOW)
         .initial_connection_window_size(CONNECTION_WINDOW)
@@ -164,8 +263,11 @@
     builder: Arc<auto::Builder<TokioExecutor>>,
     handler: H,
     peer: SocketAddr,
-    header_timeout: Duration,
-    stop: CancellationToken,
+    limits: ConnectionLimits,
+    versions: HttpVersions,
+    clock: Arc<dyn Clock>,
+    stops: Stops,
+    ahead: Arc<Semaphore>,
     _permit: OwnedSemaphorePermit,
 }
 
@@ -176,7 +278,7 @@
             return;
         }
         match &self.admittance {
-            Admittance::Anybody => self.serve(stream).await,
+            Admittance::Anybody => self.tell_version(stream).await,
             Admittance::Deployment(security) => match security.accept(stream).await {
                 Ok(stream) => self.serve(stream).await,
                 Err(error) => {
@@ -186,21 +288,56 @@
         }
     }
 
+    /// Reads as much as tells the version of HTTP apart, and serves the connection.
+    async fn tell_version(&self, mut stream: TcpStream) {
+        if self.versions == HttpVersions::Http1 {
+            return self.pipeline(stream, Bytes::new()).await;
+        }
+        let reading = read_preface(&mut stream);
+        let Ok(Ok(prefix)) = tokio::time::timeout(self.limits.header_timeout, reading).await else {
+            log::debug!(event = "connection_broken", peer = self.peer.to_string().as_str(); "a peer sent too little to tell what it speaks");
+            return;
+        };
+        if prefix == HTTP2_PREFACE {
+            let (read_half, write_half) = stream.into_split();
+            let read_half = Cursor::new(prefix).chain(read_half);
+            self.serve(tokio::io::join(read_half, write_half)).await;
+        } else {
+            self.pipeline(stream, prefix.into()).await;
+        }
+    }
+
+    async fn pipeline(&self, stream: TcpStream, prefix: Bytes) {
+        let setup = PipelineSetup {
+            handler: self.handler.clone(),
+            peer: self.peer,
+            limits: self.limits,
+            progress: Arc::new(Progress::new(Arc::clone(&self.clock))),
+            stops: self.stops.clone(),
+            ahead_of_listener: Arc::clone(&self.ahead),
+        };
+        pipelined_connection::serve(stream, prefix, setup).await;
+    }
+
     async fn serve(&self, stream: impl AsyncRead + AsyncWrite + Send + Unpin + 'static) {
         let begun = Arc::new(AtomicBool::new(false));
         let service = service_fn({
             let begun = Arc::clone(&begun);
             let handler = self.handler.clone();
             let peer = self.peer;
-            move |req| {
+            let clock = Arc::clone(&self.clock);
+            move |req: Request<Incoming>| {
                 begun.store(true, Ordering::Relaxed);
                 let handler = handler.clone();
-                async move { Ok::<_, Infallible>(handler.handle(peer, req).await) }
+                let at = clock.now();
+                let arrival = Arrival { peer, at };
+                let req = req.map(RequestBody::from);
+                async move { Ok::<_, Infallible>(handler.handle(arrival, req).await) }
             }
         });
         let connection = self.builder.serve_connection(TokioIo::new(stream), service);
         let mut connection = std::pin::pin!(connection);
-        let first_head = tokio::time::sleep(self.header_timeout);
+        let first_head = tokio::time::sleep(self.limits.header_timeout);
         let mut first_head = std::pin::pin!(first_head);
         let mut watch_first_head = true;
         let mut watch_stop = true;
@@ -220,7 +357,7 @@
                         return;
                     }
                 }
-                () = self.stop.cancelled(), if watch_stop => {
+                () = self.stops.stop.cancelled(), if watch_stop => {
                     watch_stop = false;
                     connection.as_mut().graceful_shutdown();
                 }
@@ -228,3 +365,15 @@
         }
     }
 }
+
+/// Reads until the bytes differ from what an HTTP/2 connection begins with, or are that.
+async fn read_preface(stream: &mut TcpStream) -> std::io::Result<Vec<u8>> {
+    let mut bytes = Vec::with_capacity(HTTP2_PREFACE.len());
+    while bytes.len() < HTTP2_PREFACE.len() && HTTP2_PREFACE.starts_with(&bytes) {
+        let room = (HTTP2_PREFACE.len() - bytes.len()) as u64;
+        if stream.take(room).read_buf(&mut bytes).await? == 0 {
+            return Err(std::io::ErrorKind::UnexpectedEof.into());
+        }
+    }
+    Ok(bytes)
+}
--- a/server/src/interface.rs
+++ b/server/src/interface.rs
@@ -15,10 +15,10 @@
 use http::HeaderMap;
 use http::Request;
 use http::Response;
-use hyper::body::Incoming;
 
 use crate::answer_body::AnswerBody;
 use crate::fleet_control::FleetControl;
+use crate::request_body::RequestBody;
 
 /// Holds what a caller says with a request, besides what HTTP has a place for.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
@@ -91,7 +91,7 @@
     fn answer_look_up(
         &self,
         source: &dyn LookUpSource,
-        req: &Request<Incoming>,
+        req: &Request<RequestBody>,
     ) -> Response<AnswerBody>;
 }
 
@@ -118,7 +118,7 @@
     ) -> Option<HealthMarks>;
 
     /// Answers the question whether this entry VM takes requests.
-    fn answer_ready(&self, ready: bool, req: &Request<Incoming>) -> Response<AnswerBody>;
+    fn answer_ready(&self, ready: bool, req: &Request<RequestBody>) -> Response<AnswerBody>;
 }
 
 /// Tells which header of a request can't be read.
@@ -135,6 +135,6 @@
     fn answer_control(
         &self,
         control: FleetControl,
-        req: Request<Incoming>,
+        req: Request<RequestBody>,
     ) -> BoxFuture<'static, Response<AnswerBody>>;
 }
--- a/server/src/lib.rs
+++ b/server/src/lib.rs
@@ -81,6 +81,8 @@
 pub mod peer_client;
 pub mod peer_links;
 pub mod peer_service;
+mod pipeline_io;
+mod pipelined_connection;
 pub mod presence_task;
 pub mod query_parameter;
 pub mod record_codec;
--- a/server/src/look_up_handler.rs
+++ b/server/src/look_up_handler.rs
@@ -1,17 +1,17 @@
 //! Answers callers' look-ups over HTTP.
 
 use std::fmt;
-use std::net::SocketAddr;
 use std::sync::Arc;
 
 use http::Request;
 use http::Response;
-use hyper::body::Incoming;
 
 use crate::answer_body::AnswerBody;
+use crate::http_server::Arrival;
 use crate::http_server::Handler;
 use crate::interface::LookUpInterface;
 use crate::interface::LookUpSource;
+use crate::request_body::RequestBody;
 
 /// Answers look-ups with what a source knows.
 #[derive(Clone)]
@@ -29,7 +29,7 @@
 }
 
 impl Handler for LookUpHandler {
-    async fn handle(&self, _peer: SocketAddr, req: Request<Incoming>) -> Response<AnswerBody> {
+    async fn handle(&self, _arrival: Arrival, req: Request<RequestBody>) -> Response<AnswerBody> {
         self.interface.answer_look_up(&*self.source, &req)
     }
 }
--- a/server/src/metric.rs
+++ b/server/src/metric.rs
@@ -5,14 +5,15 @@
 //! docs/metrics.md says what each means.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::sync::OnceLock;
 use std::time::Duration;
 
+use heatherring_lib::clock::Clock;
 use heatherring_lib::dispatch_ask::SendOutcome;
 use http::Request;
 use http::Response;
 use http::header;
-use hyper::body::Incoming;
 use metrics::counter;
 use metrics::gauge;
 use metrics::histogram;
@@ -25,9 +26,13 @@
 use crate::answer_body::AnswerBody;
 use crate::http_server;
 use crate::http_server::Admittance;
+use crate::http_server::Arrival;
+use crate::http_server::ConnectionLimits;
 use crate::http_server::Handler;
 use crate::http_server::HttpBounds;
 use crate::http_server::HttpVersions;
+use crate::http_server::LimitsSource;
+use crate::request_body::RequestBody;
 
 /// Upper bounds of the histograms' buckets, in seconds: the users' latency objectives lie
 /// between 0.2 s and 1 s, their deadlines between 0.8 s and 8 s.
@@ -38,12 +43,14 @@
 /// Time between two rounds in which the library puts observations into their buckets.
 const UPKEEP_INTERVAL: Duration = Duration::from_secs(5);
 
-/// Bounds on whoever reads the metrics.
-const BOUNDS: HttpBounds = HttpBounds {
-    max_connections: 8,
+/// Connections of those who read the metrics.
+const MAX_CONNECTIONS: usize = 8;
+
+/// Bounds on one of them.
+const LIMITS: ConnectionLimits = ConnectionLimits {
     max_header_bytes: 8 << 10,
     header_timeout: Duration::from_secs(10),
-    versions: HttpVersions::Http1,
+    idle_timeout: Duration::from_secs(10),
 };
 
 static HANDLE: OnceLock<Option<PrometheusHandle>> = OnceLock::new();
@@ -54,6 +61,11 @@
     histogram!("heatherring_request_seconds", "outcome" => outcome).record(took);
 }
 
+/// Counts a request that was read before one ahead of it on its connection was answered.
+pub fn read_ahead() {
+    counter!("heatherring_requests_read_ahead_total").increment(1);
+}
+
 /// Counts one send to a backend server: how it ended, the time until then, and the wait that
 /// was expected there.
 pub fn send(verdict: SendOutcome, took: Duration, expected_wait: Duration) {
@@ -113,19 +125,29 @@
 /// # Errors
 ///
 /// Fails if the address can't be listened on.
-pub async fn serve(address: SocketAddr, stop: CancellationToken) -> std::io::Result<()> {
+pub async fn serve(
+    address: SocketAddr,
+    clock: Arc<dyn Clock>,
+    stop: CancellationToken,
+) -> std::io::Result<()> {
     let listener = TcpListener::bind(address).await?;
     let Some(handle) = HANDLE.get_or_init(record).clone() else {
         return Ok(());
     };
     tokio::spawn(upkeep(handle.clone()));
     let handler = TextHandler { handle };
+    let bounds = HttpBounds {
+        max_connections: MAX_CONNECTIONS,
+        limits: LimitsSource::fixed(LIMITS),
+        versions: HttpVersions::Http1,
+        clock,
+    };
     tokio::spawn(http_server::serve(
         listener,
         Admittance::Anybody,
-        BOUNDS,
+        bounds,
         handler,
-        stop,
+        stop.into(),
     ));
     Ok(())
 }
@@ -160,7 +182,7 @@
 }
 
 impl Handler for TextHandler {
-    async fn handle(&self, _peer: SocketAddr, _req: Request<Incoming>) -> Response<AnswerBody> {
+    async fn handle(&self, _arrival: Arrival, _req: Request<RequestBody>) -> Response<AnswerBody> {
         let mut response = Response::new(answer_body::full(self.handle.render()));
         let kind = header::HeaderValue::from_static("text/plain; version=0.0.4");
         response.headers_mut().insert(header::CONTENT_TYPE, kind);
--- a/server/src/own_interface.rs
+++ b/server/src/own_interface.rs
@@ -26,7 +26,6 @@
 use http::Response;
 use http::StatusCode;
 use http::response::Parts;
-use hyper::body::Incoming;
 use serde::Deserialize;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
@@ -49,6 +48,7 @@
 use crate::query_parameter;
 use crate::reply;
 use crate::request_body;
+use crate::request_body::RequestBody;
 
 /// Names the object that a request concerns.
 const OBJECT: HeaderName = HeaderName::from_static("heatherring-object");
@@ -114,7 +114,7 @@
         })
     }
 
-    fn answer_ready(&self, ready: bool, _req: &Request<Incoming>) -> Response<AnswerBody> {
+    fn answer_ready(&self, ready: bool, _req: &Request<RequestBody>) -> Response<AnswerBody> {
         reply::ready(ready)
     }
 }
@@ -145,7 +145,7 @@
     fn answer_control(
         &self,
         control: FleetControl,
-        req: Request<Incoming>,
+        req: Request<RequestBody>,
     ) -> BoxFuture<'static, Response<AnswerBody>> {
         answer(control, req).boxed()
     }
@@ -155,7 +155,7 @@
     fn answer_look_up(
         &self,
         source: &dyn LookUpSource,
-        req: &Request<Incoming>,
+        req: &Request<RequestBody>,
     ) -> Response<AnswerBody> {
         let parameter = |name| query_parameter::find(req.uri(), name);
         let (Some(host), Some(region)) = (parameter("host"), parameter("region")) else {
@@ -171,7 +171,7 @@
     }
 }
 
-async fn answer(control: FleetControl, req: Request<Incoming>) -> Response<AnswerBody> {
+async fn answer(control: FleetControl, req: Request<RequestBody>) -> Response<AnswerBody> {
     let (head, body) = req.into_parts();
     let Ok(body) = request_body::read_control_call(body).await else {
         return reply::status(StatusCode::BAD_REQUEST);
--- /dev/null
+++ b/server/src/pipelined_connection.rs
@@ -0,0 +1,397 @@
+//! One caller's HTTP/1.1 connection, whose requests are read before earlier ones are answered.
+//!
+//! Idempotent requests are handled side by side. An action begins only once everything before
+//! it on its connection is answered, and nothing behind it begins before it is. Answers leave
+//! in the order of the requests. `docs/design/pipelining.md` says what else was weighed.
+
+use std::convert::Infallible;
+use std::future::poll_fn;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::PoisonError;
+use std::task::Poll;
+use std::time::Duration;
+use std::time::Instant;
+
+use bytes::Bytes;
+use http::HeaderValue;
+use http::Request;
+use http::Response;
+use http::StatusCode;
+use http::header::CONNECTION;
+use http::header::EXPECT;
+use http_body_util::Empty;
+use hyper::body::Body;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use snafu::Snafu;
+use tokio::net::TcpStream;
+use tokio::net::tcp::OwnedReadHalf;
+use tokio::sync::Semaphore;
+use tokio::sync::mpsc;
+use tokio::sync::watch;
+use tokio::task::JoinError;
+use tokio_util::task::AbortOnDropHandle;
+
+use crate::http_server::Arrival;
+use crate::http_server::ConnectionLimits;
+use crate::http_server::Handler;
+use crate::http_server::Stops;
+use crate::metric;
+use crate::pipeline_io::Ahead;
+use crate::pipeline_io::AnswerBytes;
+use crate::pipeline_io::AnswerShape;
+use crate::pipeline_io::Progress;
+use crate::pipeline_io::Reading;
+use crate::pipeline_io::RequestBytes;
+use crate::pipeline_io::Slot;
+use crate::pipeline_io::Turns;
+use crate::reply;
+use crate::request_body::RequestBody;
+
+/// Requests of one connection that are read beyond the first unanswered one. A caller with
+/// more than that in flight gains nothing: the entry VM's share of any service is smaller.
+const AHEAD_OF_CONNECTION: usize = 16;
+
+/// The same for all connections of a listener together. With [`MOST_BODY_AHEAD`] and heads of
+/// 16 KiB at most this bounds what is held for callers who don't wait to 16 MiB.
+pub(crate) const AHEAD_OF_LISTENER: usize = 256;
+
+/// Bytes of a body up to which its request is handled before those ahead of it are answered.
+/// Larger ones, and those of unknown length, would let one connection hold many of them.
+const MOST_BODY_AHEAD: u64 = 32 << 10;
+
+/// Time between two looks at whether a caller has left that isn't read from at the moment.
+/// What is under way for it must end within half a second.
+const LOOK_INTERVAL: Duration = Duration::from_millis(200);
+
+/// Time for which the rest of what a caller sent is read after the last answer. Closing a
+/// connection with unread bytes resets it, and the caller could lose the answer with that.
+const LINGER: Duration = Duration::from_millis(500);
+
+/// Bytes that are read and dropped at a time.
+const SCRATCH_BYTES: usize = 2_048;
+
+/// Holds what a connection is served with.
+#[derive(Debug)]
+pub(crate) struct PipelineSetup<H> {
+    pub handler: H,
+    pub peer: SocketAddr,
+    pub limits: ConnectionLimits,
+    pub progress: Arc<Progress>,
+    pub stops: Stops,
+    pub ahead_of_listener: Arc<Semaphore>,
+}
+
+/// Tells why an answer couldn't be had from what handles its request.
+#[derive(Debug, Snafu)]
+enum NoAnswer {
+    #[snafu(display("the handling of a request ended early: {source}"))]
+    Ended { source: JoinError },
+    #[snafu(display("an answer was asked for without a request"))]
+    NoRequest,
+}
+
+/// Serves a connection, of which `prefix` has been read, until either side ends it.
+pub(crate) async fn serve<H: Handler>(stream: TcpStream, prefix: Bytes, setup: PipelineSetup<H>) {
+    let (read_half, write_half) = stream.into_split();
+    let read_half = Arc::new(read_half);
+    let progress = Arc::clone(&setup.progress);
+    let (slots_tx, slots) = mpsc::unbounded_channel();
+    let turns = Turns::default();
+    let answer_bytes =
+        AnswerBytes::new(slots, Arc::clone(&turns), write_half, Arc::clone(&progress));
+    let (turn_tx, turn) = watch::channel(0);
+    let answering = answer(answer_bytes, turns, turn_tx, Arc::clone(&progress));
+    let limits = setup.limits;
+    let stops = setup.stops.clone();
+    let intake = Arc::new(Intake {
+        setup,
+        turn,
+        slots: slots_tx.downgrade(),
+        ahead: Arc::new(Semaphore::new(AHEAD_OF_CONNECTION)),
+        last_action: Mutex::new(None),
+    });
+    let request_bytes = RequestBytes::new(prefix, Arc::clone(&read_half), Arc::clone(&progress));
+    let service = service_fn(move |req| {
+        let intake = Arc::clone(&intake);
+        async move { Ok::<_, Infallible>(intake.take(req).await) }
+    });
+    let reading = http1::Builder::new()
+        .max_buf_size(limits.max_header_bytes)
+        .serve_connection(TokioIo::new(request_bytes), service);
+    let mut reading = std::pin::pin!(reading);
+    let mut answering = std::pin::pin!(answering);
+    let mut slots_tx = Some(slots_tx);
+    let mut told_to_end = false;
+    loop {
+        tokio::select! {
+            biased;
+            result = reading.as_mut(), if slots_tx.is_some() => {
+                progress.state().reading = Reading::Ended;
+                if progress.state().caller_left {
+                    return;
+                }
+                if let (Err(error), Some(slots)) = (result, slots_tx.take()) {
+                    end_with_fault(&error, &slots, &progress);
+                }
+            }
+            () = drain(&read_half), if slots_tx.is_none() => return,
+            () = answering.as_mut() => break,
+            () = must_end(&stops, &progress), if !told_to_end => {
+                told_to_end = true;
+                reading.as_mut().graceful_shutdown();
+            }
+            () = overdue(&progress, limits) => return,
+            () = left(&read_half, &progress) => return,
+        }
+    }
+    // An answer that was cut short has broken the connection; nobody waits for the rest then.
+    let _ = tokio::time::timeout(LINGER, drain(&read_half)).await;
+}
+
+/// Answers a caller whose bytes can't be read as a request, behind the answers before it.
+fn end_with_fault(error: &hyper::Error, slots: &mpsc::UnboundedSender<Slot>, progress: &Progress) {
+    log::debug!(event = "connection_broken", error:% = error; "what a caller sent can't be read");
+    if !error.is_parse() {
+        return;
+    }
+    let status = if error.is_parse_too_large() {
+        StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE
+    } else {
+        StatusCode::BAD_REQUEST
+    };
+    let number = {
+        let mut state = progress.state();
+        state.read += 1;
+        state.read - 1
+    };
+    let handling = tokio::spawn(async move { reply::status(status) });
+    let slot = Slot {
+        number,
+        shape: AnswerShape::last(),
+        handling: AbortOnDropHandle::new(handling),
+        ahead: None,
+    };
+    // Fails only once the answers have ended, and the connection with them.
+    let _ = slots.send(slot);
+}
+
+/// Reads requests and has them handled.
+struct Intake<H> {
+    setup: PipelineSetup<H>,
+    /// The number of the request whose answer is due.
+    turn: watch::Receiver<u64>,
+    /// Weak, so that the end of reading ends the answers too.
+    slots: mpsc::WeakUnboundedSender<Slot>,
+    ahead: Arc<Semaphore>,
+    /// Number of the latest action.
+    last_action: Mutex<Option<u64>>,
+}
+
+impl<H: Handler> Intake<H> {
+    /// Takes one request; returns, once its body was read or given up, an answer that nobody
+    /// gets and upon which `hyper` reads the next one.
+    async fn take(&self, req: Request<Incoming>) -> Response<Empty<Bytes>> {
+        let (at, is_behind) = self.note_head();
+        let shape = AnswerShape::of(&req);
+        let (req, body_done) = RequestBody::hold(req);
+        let ahead = if is_behind {
+            self.permission().await
+        } else {
+            None
+        };
+        let number = {
+            let mut state = self.setup.progress.state();
+            state.read += 1;
+            state.read - 1
+        };
+        let begins_at = self.begins_at(number, &req);
+        let arrival = Arrival {
+            peer: self.setup.peer,
+            at,
+        };
+        let handler = self.setup.handler.clone();
+        let mut turn = self.turn.clone();
+        let handling = tokio::spawn(async move {
+            // The other end goes with the connection, which ends this task as well.
+            let _ = turn.wait_for(|turn| *turn >= begins_at).await;
+            handler.handle(arrival, req).await
+        });
+        let slot = Slot {
+            number,
+            shape,
+            handling: AbortOnDropHandle::new(handling),
+            ahead,
+        };
+        if let Some(slots) = self.slots.upgrade() {
+            // Fails only once the answers have ended, and the connection with them.
+            let _ = slots.send(slot);
+        }
+        // The sender is dropped with the body.
+        let _ = body_done.await;
+        let mut state = self.setup.progress.state();
+        if state.reading == Reading::Body {
+            state.reading = Reading::Heads;
+        }
+        Response::new(Empty::new())
+    }
+
+    /// Notes that a head was read; returns when it arrived and whether an answer before it is
+    /// still due.
+    fn note_head(&self) -> (Instant, bool) {
+        let mut state = self.setup.progress.state();
+        state.head_since = None;
+        state.reading = Reading::Body;
+        (state.read_at, state.unanswered() > 0)
+    }
+
+    /// Waits until one more request may be read ahead; nothing only if the process ends.
+    async fn permission(&self) -> Option<Ahead> {
+        metric::read_ahead();
+        let connection = Arc::clone(&self.ahead).acquire_owned().await.ok()?;
+        let listener = Arc::clone(&self.setup.ahead_of_listener);
+        let process = listener.acquire_owned().await.ok()?;
+        Some(Ahead {
+            _connection: connection,
+            _process: process,
+        })
+    }
+
+    /// Returns the number of the request whose turn it must be before this one begins.
+    fn begins_at(&self, number: u64, req: &Request<RequestBody>) -> u64 {
+        let is_action = !self.setup.handler.is_idempotent(req);
+        let body = req.body().size_hint().upper();
+        let is_large = body.is_none_or(|bytes| bytes > MOST_BODY_AHEAD);
+        let last_action = self.last_action.lock();
+        let mut last_action = last_action.unwrap_or_else(PoisonError::into_inner);
+        if is_action {
+            *last_action = Some(number);
+        }
+        if is_action || is_large || req.headers().contains_key(EXPECT) {
+            number
+        } else {
+            last_action.map_or(0, |action| action + 1)
+        }
+    }
+}
+
+/// Writes the answers in the order of the requests.
+async fn answer(
+    bytes: AnswerBytes,
+    turns: Turns,
+    turn: watch::Sender<u64>,
+    progress: Arc<Progress>,
+) {
+    let turn = Arc::new(turn);
+    let service = service_fn(move |_head: Request<Incoming>| {
+        let next = turns
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .pop_front();
+        let turn = Arc::clone(&turn);
+        let progress = Arc::clone(&progress);
+        async move {
+            let slot = next.ok_or(NoAnswer::NoRequest)?;
+            turn.send_replace(slot.number);
+            let mut response = slot
+                .handling
+                .await
+                .map_err(|source| NoAnswer::Ended { source })?;
+            drop(slot.ahead);
+            let mut state = progress.state();
+            state.answered = slot.number + 1;
+            if state.reading == Reading::Ended && state.unanswered() == 0 {
+                let close = HeaderValue::from_static("close");
+                response.headers_mut().insert(CONNECTION, close);
+            }
+            Ok::<_, NoAnswer>(response)
+        }
+    });
+    // The bytes end once no request is read any more, while answers are still due.
+    let connection = http1::Builder::new()
+        .half_close(true)
+        .serve_connection(TokioIo::new(bytes), service);
+    if let Err(error) = connection.await {
+        log::debug!(event = "connection_broken", error:% = error; "a connection ended early");
+    }
+}
+
+/// Ends when no further request shall be read. An entry VM that leaves takes one more of each
+/// connection, whose answer says that it closes; after a stop none.
+async fn must_end(stops: &Stops, progress: &Progress) {
+    tokio::select! {
+        () = stops.stop.cancelled() => {}
+        () = stops.leaving.cancelled() => {
+            // Whatever is read wakes the task of the connection.
+            let has_request = || progress.state().unanswered() > 0;
+            poll_fn(|_| if has_request() { Poll::Ready(()) } else { Poll::Pending }).await;
+        }
+    }
+}
+
+/// Ends when a caller has taken too long for a request's head, or was idle for too long.
+async fn overdue(progress: &Progress, limits: ConnectionLimits) {
+    loop {
+        let now = progress.now();
+        let state = *progress.state();
+        let due = match state.head_since {
+            Some(since) => since + limits.header_timeout,
+            None => state.active_at + limits.idle_timeout,
+        };
+        if due <= now && state.waits_for_caller() {
+            return;
+        }
+        // The beginning of a head may come at any time, and is due sooner than a caller that
+        // is idle. Each look wakes the task.
+        let look = now + limits.header_timeout;
+        let next = if due <= now { look } else { due.min(look) };
+        tokio::time::sleep_until(next.into()).await;
+    }
+}
+
+/// Ends when a caller has left while bytes of it lie unread: reading would tell only after
+/// these.
+async fn left(stream: &OwnedReadHalf, progress: &Progress) {
+    loop {
+        // Whatever is read wakes the task of the connection.
+        let may_go_unseen = || progress.state().reading == Reading::Body;
+        poll_fn(|_| {
+            if may_go_unseen() {
+                Poll::Ready(())
+            } else {
+                Poll::Pending
+            }
+        })
+        .await;
+        tokio::time::sleep(LOOK_INTERVAL).await;
+        let looked = poll_fn(|cx| {
+            let ready = std::pin::pin!(stream.ready(tokio::io::Interest::READABLE));
+            Poll::Ready(ready.poll(cx))
+        });
+        if let Poll::Ready(Ok(ready)) = looked.await
+            && ready.is_read_closed()
+        {
+            return;
+        }
+    }
+}
+
+/// Reads and drops what a caller still sends, until it closes its side.
+async fn drain(stream: &OwnedReadHalf) {
+    let mut scratch = vec![0; SCRATCH_BYTES];
+    loop {
+        if stream.readable().await.is_err() {
+            return;
+        }
+        match stream.try_read(&mut scratch) {
+            Ok(0) => return,
+            Ok(_) => {}
+            Err(error) if error.kind() == std::io::ErrorKind::WouldBlock => {}
+            Err(_) => return,
+        }
+    }
+}
--- a/server/src/request_body.rs
+++ b/server/src/request_body.rs
@@ -5,20 +5,76 @@
 //! body also lets an idempotent request be sent a second time, and lets an action's key
 //! be compared with its content.
 
+use std::convert::Infallible;
+use std::pin::Pin;
+use std::task::Context;
+use std::task::Poll;
 use std::time::Instant;
 
 use bytes::Bytes;
 use heatherring_lib::outcome::NotRunReason;
+use http::Request;
 use http_body_util::BodyExt;
 use http_body_util::LengthLimitError;
 use http_body_util::Limited;
 use hyper::body::Body;
+use hyper::body::Frame;
 use hyper::body::Incoming;
+use hyper::body::SizeHint;
+use tokio::sync::oneshot;
 
 /// Bytes of a call to control that are read at most: a manifest of some ten thousand
 /// routes.
 const MAX_CONTROL_CALL_BYTES: usize = 8 << 20;
 
+/// Holds the body of a request, and what it keeps from being read behind it.
+#[derive(Debug)]
+pub struct RequestBody {
+    inner: Incoming,
+    /// Dropped with the body; whoever waits for that reads the next request.
+    _held: Option<oneshot::Sender<Infallible>>,
+}
+
+impl RequestBody {
+    /// Returns `req` with a body that says when it is dropped, read or not, to the receiver.
+    /// A request without a body says so at once.
+    #[must_use]
+    pub fn hold(req: Request<Incoming>) -> (Request<Self>, oneshot::Receiver<Infallible>) {
+        let (tx, rx) = oneshot::channel();
+        let req = req.map(|inner| {
+            let held = (!inner.is_end_stream()).then_some(tx);
+            Self { inner, _held: held }
+        });
+        (req, rx)
+    }
+}
+
+impl From<Incoming> for RequestBody {
+    fn from(inner: Incoming) -> Self {
+        Self { inner, _held: None }
+    }
+}
+
+impl Body for RequestBody {
+    type Data = Bytes;
+    type Error = hyper::Error;
+
+    fn poll_frame(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, hyper::Error>>> {
+        Pin::new(&mut self.get_mut().inner).poll_frame(cx)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.inner.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.inner.size_hint()
+    }
+}
+
 /// Reads a body of at most `max_bytes` until `deadline`.
 ///
 /// # Errors
@@ -26,7 +82,7 @@
 /// Returns why the request can't be run: the body is too large, broke off or came too
 /// late.
 pub async fn read(
-    body: Incoming,
+    body: RequestBody,
     max_bytes: u32,
     deadline: Instant,
 ) -> Result<Bytes, NotRunReason> {
@@ -53,7 +109,7 @@
 ///
 /// Returns why it can't be read: it is too large or broke off.
 pub async fn read_control_call(
-    body: Incoming,
+    body: RequestBody,
 ) -> Result<Bytes, Box<dyn std::error::Error + Send + Sync>> {
     let limited = Limited::new(body, MAX_CONTROL_CALL_BYTES);
     Ok(limited.collect().await?.to_bytes())
--- a/server/src/request_trace.rs
+++ b/server/src/request_trace.rs
@@ -30,6 +30,8 @@
     /// Time that the caller had left when the request came, at most the route's timeout.
     pub patience: Duration,
     sends: Vec<SendNote>,
+    /// Where the request is at the moment.
+    under_way: Option<BackendName>,
     no_choice: Option<NoChoice>,
 }
 
@@ -81,8 +83,14 @@
 }
 
 impl RequestTrace {
-    /// Notes how a send ended.
+    /// Notes that a send begins.
+    pub fn note_sending(&mut self, choice: &Choice) {
+        self.under_way = Some(choice.name.clone());
+    }
+
+    /// Notes how it ended.
     pub fn note_send(&mut self, choice: &Choice, took: Duration, verdict: SendOutcome) {
+        self.under_way = None;
         if !self.sends.is_empty() {
             metric::resend(true);
         }
@@ -148,6 +156,27 @@
         );
     }
 
+    /// Tells that the caller left before there was an answer; what was under way for it ends.
+    pub fn tell_left(&self, decided: &Decided<'_>) {
+        metric::request("left", "caller_left", decided.held);
+        let under_way = self.under_way.as_ref().map_or("", |name| name.as_str());
+        log::info!(
+            target: ROUTINE,
+            event = "caller_left",
+            vm = decided.vm.as_str(),
+            request_id = self.request_id.as_deref().unwrap_or_default(),
+            route = self.route(),
+            service = self.service(),
+            version = self.version,
+            control_age_ms = whole_ms(decided.control_age),
+            patience_ms = whole_ms(self.patience),
+            sends:% = Sends(&self.sends),
+            under_way,
+            held_ms = whole_ms(decided.held);
+            "a caller left before the answer"
+        );
+    }
+
     fn route(&self) -> &str {
         self.route.as_ref().map_or("", |name| name.as_str())
     }
