fleet_record: the end of a cold spell is news, and committed

Cause: a backend server that starts during the traffic says that it is cold for 3 s, and that is committed. An entry VM that starts counts the 3 s from its own start.

Change: a heartbeat that says that the spell is over is committed: one entry in the log for each cold start.

A test of what an announcement adds fails without it.

--- a/lib/src/fleet_record.rs
+++ b/lib/src/fleet_record.rs
@@ -126,6 +126,21 @@
         Ok(())
     }
 
+    /// Returns whether the record says anything that `known` doesn't, the count of its
+    /// announcements and how cold it is aside. That a cold spell is over is news: an entry VM
+    /// that starts later counts the time for which a record is cold from its own start. After
+    /// a loss of all power each spared the backend servers that had ever been cold for 3 s;
+    /// 4 of 11 of one service took all requests, of which 7 in 100 were in time.
+    #[must_use]
+    pub fn tells_more_than(&self, known: &Self) -> bool {
+        let told = |record: &Self| (record.born, record.state, record.address, record.slots);
+        let is_warm_again = self.cold_for.is_zero() && !known.cold_for.is_zero();
+        told(self) != told(known)
+            || self.service != known.service
+            || self.place != known.place
+            || is_warm_again
+    }
+
     /// Returns what orders announcements of one name: the life, then the number in it.
     #[must_use]
     pub const fn stamp(&self) -> (u64, u64) {
--- a/lib/tests/test_backend_life.rs
+++ b/lib/tests/test_backend_life.rs
@@ -187,6 +187,26 @@
     assert_eq!(probe.choose("17").name, first.name);
 }
 
+/// Symptom: for 3 s after a loss of all power, most backend servers get next to no requests,
+/// and the rest are crowded. Sequence: backend servers start during the traffic and say that
+/// they are cold for 3 s; that is committed. Long after, every entry VM starts anew, takes the
+/// records over, and counts the 3 s from its own start. Cause: nobody committed that the cold
+/// spell was over.
+#[rstest]
+#[case::nothing_new(|_: &mut BackendRecord| {}, false)]
+#[case::later_announcement(|r: &mut BackendRecord| r.sequence = 9, false)]
+#[case::less_cold(|r: &mut BackendRecord| r.cold_for = Duration::from_secs(1), false)]
+#[case::cold_no_more(|r: &mut BackendRecord| r.cold_for = Duration::ZERO, true)]
+#[case::leaving(|r: &mut BackendRecord| r.state = BackendState::Draining, true)]
+#[case::born_again(|r: &mut BackendRecord| r.born = 2, true)]
+fn test_what_an_announcement_adds(#[case] alter: fn(&mut BackendRecord), #[case] more: bool) {
+    let mut known = record(1, 1, BackendState::Ready);
+    known.cold_for = Duration::from_secs(3);
+    let mut said = known.clone();
+    alter(&mut said);
+    assert_eq!(said.tells_more_than(&known), more);
+}
+
 fn check(record: &BackendRecord, name: &str) -> Result<(), RecordProblem> {
     record.check(&BackendName::new(name), |place| place.as_str() == PLACE)
 }
--- a/server/src/fleet_control.rs
+++ b/server/src/fleet_control.rs
@@ -343,17 +343,7 @@
                 return None;
             }
         }
-        let told = |record: &BackendRecord| {
-            (
-                record.born,
-                record.state,
-                record.address,
-                record.slots,
-                record.service.clone(),
-                record.place.clone(),
-            )
-        };
-        let changed = told(known) != told(&record) || new_cold_spell;
+        let changed = record.tells_more_than(known) || new_cold_spell;
         changed.then_some(BackendChange {
             backend,
             record,
