fleet_follower: dark replicas are left sooner, and a first view is waited for

Cause: after a loss of all power entry VMs listen before there is a leader. Each gave a replica whose VM was still dark 1.25 s, and refused what came meanwhile for want of a view; callers come back once, all together.

Change: the first answer of a replica is awaited for 0.3 s, doubling while nobody answers. A replica that loses its quorum answers those it holds at once. A request waits for the first view for 0.8 s at most, and a quarter of its caller's time.

--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -85,6 +85,7 @@
 mod raft_progress;
 mod raft_replication;
 pub mod rate_meter;
+pub mod replica_patience;
 pub mod replica_plan;
 pub mod resend_budget;
 pub mod retry_advice;
--- a/server/src/direct_path.rs
+++ b/server/src/direct_path.rs
@@ -57,10 +57,17 @@
 /// backend server that ends at the deadline that it was told sends its answer then.
 const ANSWER_GRACE: Duration = Duration::from_millis(120);
 
-/// When a caller is told to come back if this entry VM has no manifest yet. When control
-/// starts at the same time, it takes one to two seconds until there is one; callers come
-/// back once.
-const NO_MANIFEST_RETRY: Duration = Duration::from_millis(1_200);
+/// Time for which a request waits for the first view of an entry VM that has just started.
+/// When all power was lost, entry VMs listen half a second to a second before there is a
+/// leader and then a view. Callers who are refused come back once, a second later and all
+/// together.
+const FIRST_VIEW_WAIT: Duration = Duration::from_millis(800);
+
+/// Share of a caller's time that goes for that wait at most.
+const FIRST_VIEW_SHARE: f64 = 0.25;
+
+/// When a caller is told to come back if there still is none.
+const NO_MANIFEST_RETRY: Duration = Duration::from_millis(700);
 
 /// When a caller is told to come back after a backend server turned its request away.
 const SHED_RETRY: Duration = Duration::from_millis(300);
@@ -201,11 +208,8 @@
         let marks = self.interface.read_request(&head.headers);
         let marks = marks.map_err(|_| refuse(NotRunReason::MalformedRequest))?;
         trace.request_id.clone_from(&marks.request_id);
-        let view = Arc::clone(&self.view.borrow());
+        let view = self.first_view(arrived, marks.patience).await?;
         trace.version = view.version.0;
-        if !view.has_manifest() {
-            return Err(refuse(NotRunReason::NoManifest).with_retry_after(NO_MANIFEST_RETRY));
-        }
         let host = host_of(&head.uri, &head.headers)
             .ok_or_else(|| refuse(NotRunReason::MalformedRequest))?;
         let (name, route) = view
@@ -246,6 +250,22 @@
         })
     }
 
+    /// Returns the view in force; waits a little for the first one.
+    async fn first_view(
+        &self,
+        arrived: Instant,
+        patience: Option<Duration>,
+    ) -> Result<Arc<FleetView>, NotRun> {
+        let share = patience.map_or(FIRST_VIEW_WAIT, |time| time.mul_f64(FIRST_VIEW_SHARE));
+        let until = arrived + FIRST_VIEW_WAIT.min(share);
+        let mut view = self.view.clone();
+        let waiting = view.wait_for(|view| view.has_manifest());
+        match tokio::time::timeout_at(until.into(), waiting).await {
+            Ok(Ok(view)) => Ok(Arc::clone(&view)),
+            _ => Err(refuse(NotRunReason::NoManifest).with_retry_after(NO_MANIFEST_RETRY)),
+        }
+    }
+
     /// Returns the service whose turn it is.
     fn service_of(&self, name: &RouteName, route: &Route) -> Option<ServiceName> {
         let parts = match &route.target {
--- a/server/src/fleet_follower.rs
+++ b/server/src/fleet_follower.rs
@@ -17,6 +17,7 @@
 use heatherring_lib::fleet_update::FleetView;
 use heatherring_lib::id::BackendName;
 use heatherring_lib::id::VmName;
+use heatherring_lib::replica_patience::ReplicaPatience;
 use snafu::Snafu;
 use tokio::sync::watch;
 use tonic::Request;
@@ -28,15 +29,6 @@
 use crate::proto::FollowRequest;
 use crate::proto::fleet_client::FleetClient;
 
-/// Time for which a replica may hold its answer back. It is also the time between two
-/// heartbeats of this entry VM when nothing happens.
-const WAIT: Duration = Duration::from_millis(800);
-
-/// Time beyond [`WAIT`] after which a replica counts as silent: four ways there and back
-/// between regions, 110 ms each. A manifest must be in force 2.5 s after its
-/// acknowledgement, and a silent replica may be found out right after it.
-const ANSWER_MARGIN: Duration = Duration::from_millis(450);
-
 /// Pause before the next replica is asked, after one gave no use.
 const NEXT_PAUSE: Duration = Duration::from_millis(50);
 
@@ -84,6 +76,7 @@
     known_presence: u64,
     learned: Vec<SocketAddr>,
     next: usize,
+    patience: ReplicaPatience,
     lost_since: Option<Instant>,
 }
 
@@ -118,6 +111,7 @@
         known_presence: 0,
         learned: Vec::new(),
         next,
+        patience: ReplicaPatience::default(),
         lost_since: None,
     };
     tokio::spawn(follower.run());
@@ -165,13 +159,13 @@
                 message: error.to_string(),
             })?;
         let mut client = FleetClient::new(channel);
+        self.patience.turn();
         loop {
             let ready = *self.setup.ready.borrow_and_update();
-            // The first answer is wanted at once: it shows whether the replica is of use.
             let request = self.request(ready);
             let call = client.follow(Request::new(request));
             let reply = tokio::select! {
-                reply = tokio::time::timeout(WAIT + ANSWER_MARGIN, call) => reply,
+                reply = tokio::time::timeout(self.patience.answer_within(), call) => reply,
                 // Control must learn at once that this entry VM begins or ceases to serve.
                 Ok(()) = self.setup.ready.changed() => continue,
             };
@@ -182,9 +176,13 @@
                         source: Box::new(status),
                     });
                 }
-                Err(_) => return Err(FollowError::Silent),
+                Err(_) => {
+                    self.patience.note_silence();
+                    return Err(FollowError::Silent);
+                }
             };
             self.take(address, reply)?;
+            self.patience.note_answer();
         }
     }
 
@@ -198,7 +196,7 @@
             ready,
             applied_revision: view.revision.0,
             known_presence: self.known_presence,
-            wait_ms: u32::try_from(WAIT.as_millis()).unwrap_or(u32::MAX),
+            wait_ms: u32::try_from(self.patience.hold().as_millis()).unwrap_or(u32::MAX),
         }
     }
 
--- a/server/src/fleet_picture.rs
+++ b/server/src/fleet_picture.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use heatherring_lib::clock::Clock;
 use heatherring_lib::control_state::ControlState;
 use heatherring_lib::fleet_state::FleetState;
 use heatherring_lib::raft::Raft;
@@ -106,6 +107,18 @@
         proved.map(|at| now.saturating_duration_since(at))
     }
 
+    /// Waits until the replica doesn't know any more what is committed.
+    pub async fn lapsed(&self, clock: &dyn Clock) {
+        loop {
+            let now = clock.now();
+            let age = self.proof_age(now).unwrap_or(PROOF_AGE);
+            if age >= PROOF_AGE {
+                return;
+            }
+            tokio::time::sleep(PROOF_AGE - age).await;
+        }
+    }
+
     /// Waits until the picture changes; for ever if the replica has ended.
     pub async fn changed(&mut self) {
         if self.picture.changed().await.is_err() {
--- a/server/src/fleet_service.rs
+++ b/server/src/fleet_service.rs
@@ -65,11 +65,15 @@
     }
 
     /// Waits until there is something new for an entry VM, or its time is up.
+    ///
+    /// A replica that loses the others says so at once rather than when the time is up: what
+    /// is confirmed elsewhere meanwhile must reach the entry VM within its bound.
     async fn wait_for_news(&self, request: &FollowRequest) {
         let applied = Revision(request.applied_revision);
         let mut picture = self.control.picture().clone();
         let mut presence = self.control.presence().clone();
         let wait = Duration::from_millis(request.wait_ms.into()).min(MAX_WAIT);
+        let lapsed = picture.clone();
         let news = async {
             loop {
                 let is_new = picture.read().fleet.revision() > applied
@@ -84,6 +88,12 @@
             }
         };
         // What comes next tells whether there is news or the time was up.
+        let news = async {
+            tokio::select! {
+                () = news => {}
+                () = lapsed.lapsed(&*self.clock) => {}
+            }
+        };
         let _ = tokio::time::timeout(wait, news).await;
     }
 
--- a/server/tests/test_direct.rs
+++ b/server/tests/test_direct.rs
@@ -86,6 +86,26 @@
     entry.stop().await;
 }
 
+/// Symptom: after a loss of all power callers are refused for a second for want of a view, come
+/// back all together, and are refused for want of room. Sequence: an entry VM listens before
+/// control has a leader; the view comes half a second later. Cause: requests were refused at
+/// once although what they lacked was on its way.
+#[tokio::test(flavor = "multi_thread")]
+async fn test_direct_waits_a_little_for_the_first_view() {
+    let mut deployment = Deployment::start(3);
+    let entry = deployment.start_entry("entry-1");
+    let backend = deployment.start_backend("backend-1").await;
+    deployment.announce(&backend, 1, "Ready").await;
+    wait_for("a refusal", async || {
+        entry.call(Method::GET, "/safe/x").await
+    })
+    .await
+    .unwrap();
+    let asking = entry.call(Method::GET, "/safe/y");
+    let (answer, ()) = tokio::join!(asking, deployment.submit_routes(1, 0));
+    assert_eq!(answer.unwrap().status, StatusCode::OK);
+}
+
 /// Symptom: a manifest that was acknowledged is gone, or two are in force.
 ///
 /// Sequence: a founder loses its disk and comes back at its address with an empty folder;
