service_pace: times by route; what failures cost goes by the route's objective

Cause: one estimate a service stood for routes of unlike work. Requests that only test a route, of 3 ms, pulled the estimate down as well. First estimates were 0.1 and 0.3 s for everybody, while objectives run from 0.25 to 1.5 s.

Change: each route has its own estimates with and without data at hand, which start from half and one and a half of its latency objective; at most 64 routes a service. The mean over the service stays what waits are made of. Costs of failures are in objectives: with fixed seconds two failures in a row no longer outweighed a run without the data (test_nothing_learned_of_an_earlier_life_is_believed failed after the first of these two changes).

--- a/lib/src/backend_load.rs
+++ b/lib/src/backend_load.rs
@@ -10,6 +10,8 @@
 use slotmap::SlotMap;
 use slotmap::new_key_type;
 
+use crate::service_pace::PaceKey;
+
 /// Time in which half of what reports said of others' requests is forgotten. Requests of
 /// others go on coming after those that a report counted are over, so this is longer than
 /// one request runs; a sender gets a report from one backend server about once a second.
@@ -37,6 +39,8 @@
 /// Holds what was expected of a request when it was sent.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Expectation {
+    /// The times of its route.
+    pub pace: PaceKey,
     /// Whether its data were expected to be at hand.
     pub warm: bool,
     /// Whether it was expected to wait.
--- a/lib/src/direct_dispatch.rs
+++ b/lib/src/direct_dispatch.rs
@@ -42,6 +42,7 @@
 use crate::object_copies::MOST_COPIES;
 use crate::object_rank;
 use crate::object_rank::Member;
+use crate::service_pace::PaceKey;
 
 /// Delay to another region and back that is assumed before one was measured; the larger
 /// part of what the users' regions have (70 and 110 ms).
@@ -287,12 +288,14 @@
             considered: 0,
             shortest_wait: None,
         };
-        let Some(service) = self.services.get(ask.service) else {
+        let Some(service) = self.services.get_mut(ask.service) else {
             return Err(refuse(RefusedReason::NoBackend));
         };
+        let pace = service.pace.route(ask.route, ask.latency_objective);
+        let service = &self.services[ask.service];
         let left = ask.deadline.saturating_duration_since(now).as_secs_f64();
         let wait_share = WAIT_SHARES[(ask.priority as usize).min(WAIT_SHARES.len() - 1)];
-        let candidates = self.candidates(now, service, ask);
+        let candidates = self.candidates(now, service, pace, ask);
         let limits = PickLimits {
             left,
             objective: ask.objective.saturating_duration_since(now).as_secs_f64(),
@@ -319,7 +322,7 @@
                 service.note_object(now, object, best.warm);
             }
         }
-        Ok(self.begin(now, &best, max_connections))
+        Ok(self.begin(now, &best, pace, max_connections))
     }
 
     fn no_room(&mut self, candidates: &[Candidate]) -> Refused {
@@ -340,11 +343,18 @@
         time.mul_f64(1.0 + COME_BACK_SPREAD * (self.lot - 0.5))
     }
 
-    fn begin(&mut self, now: Instant, best: &Candidate, max_connections: u32) -> Choice {
+    fn begin(
+        &mut self,
+        now: Instant,
+        best: &Candidate,
+        pace: PaceKey,
+        max_connections: u32,
+    ) -> Choice {
         let backend = &mut self.backends[best.backend];
         backend.cold_gate.note_sent(now);
         let report_age = backend.load.report_age(now);
         let expectation = Expectation {
+            pace,
             warm: best.warm,
             queued: best.wait > 0.0,
             slow_above: seconds(best.slow_above),
@@ -381,7 +391,13 @@
     /// requests go. Only where all of them are out of use or full do others come in: each
     /// request there takes several times as long, so that spilling over under load makes
     /// the load several times as heavy, and keeps it so.
-    fn candidates(&self, now: Instant, service: &Service, ask: &Ask<'_>) -> Vec<Candidate> {
+    fn candidates(
+        &self,
+        now: Instant,
+        service: &Service,
+        pace: PaceKey,
+        ask: &Ask<'_>,
+    ) -> Vec<Candidate> {
         let stable: Vec<BackendKey> = service
             .backends
             .iter()
@@ -389,15 +405,16 @@
             .copied()
             .collect();
         let Some(object) = ask.object else {
-            return self.assess(now, stable.iter().map(|key| (*key, 0)), service, ask);
+            let all = stable.iter().map(|key| (*key, 0));
+            return self.assess(now, all, service, pace, ask);
         };
         let ranked = self.ranked(&stable, object, service.objects.count());
-        let found = self.assess(now, ranked.into_iter(), service, ask);
+        let found = self.assess(now, ranked.into_iter(), service, pace, ask);
         if !found.is_empty() {
             return found;
         }
         let all = stable.iter().map(|key| (*key, SPARE_RANK));
-        let found = self.assess(now, all, service, ask);
+        let found = self.assess(now, all, service, pace, ask);
         if !found.is_empty() {
             return found;
         }
@@ -405,7 +422,7 @@
             let backend = &self.backends[**key];
             backend.usable && self.is_cold(now, backend)
         });
-        self.assess(now, cold.map(|key| (*key, SPARE_RANK)), service, ask)
+        self.assess(now, cold.map(|key| (*key, SPARE_RANK)), service, pace, ask)
     }
 
     fn assess(
@@ -413,11 +430,12 @@
         now: Instant,
         ranked: impl Iterator<Item = (BackendKey, usize)>,
         service: &Service,
+        pace: PaceKey,
         ask: &Ask<'_>,
     ) -> Vec<Candidate> {
         ranked
             .filter(|(key, _)| self.is_allowed(now, *key, ask))
-            .filter_map(|(key, rank)| self.candidate(now, key, rank, service, ask))
+            .filter_map(|(key, rank)| self.candidate(now, key, rank, service, pace, ask))
             .collect()
     }
 
@@ -460,6 +478,7 @@
         key: BackendKey,
         rank: usize,
         service: &Service,
+        pace: PaceKey,
         ask: &Ask<'_>,
     ) -> Option<Candidate> {
         let backend = &self.backends[key];
@@ -477,16 +496,17 @@
         let warm = rank == 0 || known_warm;
         let factor = if is_cold { COLD_FACTOR } else { 1.0 };
         let slowness = backend.health.slowness(now);
-        let service_time = service.pace.expected(warm) * factor * slowness;
+        let service_time = service.pace.expected(pace, warm) * factor * slowness;
+        let objective = ask.latency_objective.as_secs_f64();
         let wait = ahead * service.pace.mean() * factor * slowness / slots;
         Some(Candidate {
             backend: key,
             base: self.delay(&backend.region) + service_time,
             wait,
-            fault: backend.fault(now, wait, service.pace.expected(false)),
-            risk: backend.risk(now) + tie_break(rank),
+            fault: backend.fault(now, wait, service.pace.expected(pace, false), objective),
+            risk: backend.risk(now, objective) + tie_break(rank),
             load: there / slots,
-            slow_above: service.pace.expected(known_warm) * factor * SLOW_MARGIN,
+            slow_above: service.pace.expected(pace, known_warm) * factor * SLOW_MARGIN,
             warm,
             near: backend.region == self.cfg.region,
         })
@@ -532,7 +552,7 @@
                     .health
                     .note_answer(now, took, send.expected.slow_above);
                 if let Some(service) = self.services.get_mut(&backend.record.service) {
-                    service.pace.observe(took);
+                    service.pace.observe(send.expected.pace, took);
                 }
             }
             SendOutcome::Faulty => {
--- a/lib/src/dispatch_ask.rs
+++ b/lib/src/dispatch_ask.rs
@@ -11,6 +11,7 @@
 use crate::backend_load::SendKey;
 use crate::id::BackendName;
 use crate::id::RegionName;
+use crate::id::RouteName;
 use crate::id::ServiceName;
 
 new_key_type! {
@@ -23,6 +24,10 @@
 pub struct Ask<'a> {
     /// The service.
     pub service: &'a ServiceName,
+    /// The route that the request came by.
+    pub route: &'a RouteName,
+    /// The route's latency objective.
+    pub latency_objective: Duration,
     /// The object that the request concerns, if its data may be at hand somewhere.
     pub object: Option<ObjectHash>,
     /// Rank of the request; 0 goes first.
--- a/lib/src/dispatch_backend.rs
+++ b/lib/src/dispatch_backend.rs
@@ -20,21 +20,22 @@
 /// Objects that a backend server is taken to keep at hand. The users' keep 35 to 50.
 const WARM_OBJECTS: usize = 48;
 
-/// What a certain failure costs a caller, in seconds: a request that breaks is lost, or
-/// begins anew elsewhere.
-const FAILURE_COST: f64 = 1.5;
+/// What a certain failure costs a caller, in latency objectives of the route: a request that
+/// breaks is lost, or begins anew elsewhere. Two failures in a row, a rate of 0.51, must outweigh
+/// that the data aren't at hand elsewhere, about one objective.
+const FAILURE_COST: f64 = 6.0;
 
-/// What being turned away costs, in seconds: a way there and back and one resend.
-const SHED_COST: f64 = 0.6;
+/// What being turned away costs, in objectives: a way there and back and one resend.
+const SHED_COST: f64 = 1.2;
 
 /// Rate of failures from which on a backend server counts as faulty. One failure gives a
 /// rate of 0.3, and some requests fail anywhere; were that reason enough to leave, objects
 /// would go to where they aren't at hand all the time.
 const FAULTY_RATE: f64 = 0.4;
 
-/// What a rate of failures below that costs, in seconds: enough to prefer another backend
+/// What a rate of failures below that costs, in objectives: enough to prefer another backend
 /// server that has the data, and too little to prefer one that hasn't.
-const SINGLE_COST: f64 = 0.15;
+const SINGLE_COST: f64 = 0.3;
 
 /// Times that a request may take as long as without its data, beyond its wait, before a
 /// backend server that has answered nothing meanwhile counts as hanging. Requests that wait
@@ -92,18 +93,20 @@
     }
 
     /// Returns what is to be expected beyond the time of the work, in seconds, since it fails
-    /// or hangs. A request waits for `wait`, and takes `cold` without its data at hand.
-    pub fn fault(&self, now: Instant, wait: f64, cold: f64) -> f64 {
+    /// or hangs. A request waits for `wait`, takes `cold` without its data at hand, and should
+    /// be answered within `objective`.
+    pub fn fault(&self, now: Instant, wait: f64, cold: f64, objective: f64) -> f64 {
         let patience = wait + cold * HANG_FACTOR;
         let hanging = (self.load.silence(now).as_secs_f64() - patience).max(0.0);
-        beyond(self.health.failure_rate(now)) * FAILURE_COST
-            + beyond(self.health.shed_rate(now)) * SHED_COST
-            + hanging * HANG_COST
+        let failing = beyond(self.health.failure_rate(now)) * FAILURE_COST;
+        let shedding = beyond(self.health.shed_rate(now)) * SHED_COST;
+        (failing + shedding) * objective + hanging * HANG_COST
     }
 
     /// Returns what single failures lately may mean, in seconds.
-    pub fn risk(&self, now: Instant) -> f64 {
-        (self.health.failure_rate(now) + self.health.shed_rate(now)) * SINGLE_COST
+    pub fn risk(&self, now: Instant, objective: f64) -> f64 {
+        let rate = self.health.failure_rate(now) + self.health.shed_rate(now);
+        rate * SINGLE_COST * objective
     }
 
     /// Returns whether an object was handled there lately.
--- a/lib/src/service_pace.rs
+++ b/lib/src/service_pace.rs
@@ -1,11 +1,21 @@
-//! How long a service's requests take, with and without their data at hand.
+//! How long the requests of one route take, with and without their data at hand.
+//!
+//! A service may serve routes whose work differs by a factor of six; one estimate for all of
+//! them is right for none. Waits behind others are made of the mean over the service, since
+//! whatever stands there is of any route.
 //!
 //! Whether a request found its data at hand isn't told; another entry VM may have asked for
 //! the same object, or the backend server may have dropped it. So each observation counts
 //! for the kind whose estimate it is nearer to.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
+use slotmap::SlotMap;
+use slotmap::new_key_type;
+
+use crate::id::RouteName;
+
 /// Step by which an estimate moves with each observation; about the last 30 count.
 const STEP: f64 = 0.05;
 
@@ -23,9 +33,11 @@
 /// good.
 const QUANTILE: f64 = 0.4;
 
-/// What is assumed before the first answers, in seconds.
-const FIRST_WARM: f64 = 0.1;
-const FIRST_COLD: f64 = 0.3;
+/// What is assumed before the first answers, as parts of the route's latency objective. An
+/// operator sets it so that a request with its data at hand makes it, with time for the way
+/// and some wait, and one without them doesn't.
+const FIRST_WARM: f64 = 0.5;
+const FIRST_COLD: f64 = 1.5;
 
 /// Times that a request may take as long without its data as with them, at most. Where all
 /// requests were of one kind so far, this bounds how wrong the other estimate may be.
@@ -36,12 +48,11 @@
 /// without the data look as good as any, and half of a region's requests change regions.
 const LEAST_GAIN: f64 = 2.0;
 
-/// Follows the times of one service.
+/// Follows the times of one route at one service.
 #[derive(Clone, Copy, Debug)]
-pub struct ServicePace {
+pub struct RoutePace {
     warm: Estimate,
     cold: Estimate,
-    any: f64,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -72,17 +83,17 @@
     }
 }
 
-impl Default for ServicePace {
-    fn default() -> Self {
+impl RoutePace {
+    /// Starts from the route's latency objective.
+    #[must_use]
+    pub fn new(objective: Duration) -> Self {
+        let objective = objective.as_secs_f64();
         Self {
-            warm: Estimate::new(FIRST_WARM),
-            cold: Estimate::new(FIRST_COLD),
-            any: FIRST_WARM,
+            warm: Estimate::new(objective * FIRST_WARM),
+            cold: Estimate::new(objective * FIRST_COLD),
         }
     }
-}
 
-impl ServicePace {
     /// Returns the time that a request is expected to run, in seconds.
     #[must_use]
     pub const fn expected(&self, warm: bool) -> f64 {
@@ -93,12 +104,6 @@
         }
     }
 
-    /// Returns the mean time that a request of any kind runs, in seconds.
-    #[must_use]
-    pub const fn mean(&self) -> f64 {
-        self.any
-    }
-
     /// Notes how long a request ran that didn't have to wait.
     pub fn observe(&mut self, took: Duration) {
         let took = took.as_secs_f64();
@@ -113,6 +118,92 @@
                 self.warm.value = self.warm.value.max(self.cold.value / MOST_GAIN);
             }
         }
-        self.any += (took.min(self.cold.value) - self.any) * STEP;
+    }
+}
+
+new_key_type! {
+    /// Identifies the times of one route among those of a service.
+    pub struct PaceKey;
+}
+
+/// Routes whose times one service keeps. Names of routes change with the manifest; the one
+/// that nobody has asked for for longest goes.
+const MOST_ROUTES: usize = 64;
+
+/// Follows the times of all routes of one service.
+#[derive(Clone, Debug, Default)]
+pub struct ServicePace {
+    routes: SlotMap<PaceKey, KnownRoute>,
+    by_name: BTreeMap<RouteName, PaceKey>,
+    mean: Option<f64>,
+    turn: u64,
+}
+
+#[derive(Clone, Debug)]
+struct KnownRoute {
+    name: RouteName,
+    pace: RoutePace,
+    /// Number of the latest request.
+    asked_at: u64,
+}
+
+impl ServicePace {
+    /// Returns the times of a route; they start from its latency objective.
+    pub fn route(&mut self, name: &RouteName, objective: Duration) -> PaceKey {
+        self.turn += 1;
+        if let Some(key) = self.by_name.get(name) {
+            self.routes[*key].asked_at = self.turn;
+            return *key;
+        }
+        if self.routes.len() >= MOST_ROUTES {
+            self.drop_oldest();
+        }
+        let key = self.routes.insert(KnownRoute {
+            name: name.clone(),
+            pace: RoutePace::new(objective),
+            asked_at: self.turn,
+        });
+        self.by_name.insert(name.clone(), key);
+        key
+    }
+
+    fn drop_oldest(&mut self) {
+        let oldest = self.routes.iter().min_by_key(|(_, known)| known.asked_at);
+        if let Some(key) = oldest.map(|(key, _)| key)
+            && let Some(known) = self.routes.remove(key)
+        {
+            self.by_name.remove(&known.name);
+        }
+    }
+
+    /// Returns the time that a request of a route is expected to run, in seconds; the mean of
+    /// the service for a route that was dropped.
+    #[must_use]
+    pub fn expected(&self, route: PaceKey, warm: bool) -> f64 {
+        let known = self.routes.get(route);
+        known.map_or_else(|| self.mean(), |known| known.pace.expected(warm))
+    }
+
+    /// Returns the mean time that a request of any route runs, in seconds. Before the first
+    /// answer that is what is assumed of the routes that were asked for.
+    #[must_use]
+    pub fn mean(&self) -> f64 {
+        self.mean.unwrap_or_else(|| {
+            #[expect(clippy::cast_precision_loss, reason = "64 at most")]
+            let count = self.routes.len().max(1) as f64;
+            let expected = self.routes.values().map(|known| known.pace.expected(true));
+            expected.sum::<f64>() / count
+        })
+    }
+
+    /// Notes how long a request ran that didn't have to wait.
+    pub fn observe(&mut self, route: PaceKey, took: Duration) {
+        let before = self.mean();
+        let Some(known) = self.routes.get_mut(route) else {
+            return;
+        };
+        known.pace.observe(took);
+        let took = took.as_secs_f64().min(known.pace.expected(false));
+        self.mean = Some(before + (took - before) * STEP);
     }
 }
--- a/lib/tests/dispatch_model/mod.rs
+++ b/lib/tests/dispatch_model/mod.rs
@@ -34,6 +34,7 @@
 use heatherring_lib::id::PlaceName;
 use heatherring_lib::id::RegionName;
 use heatherring_lib::id::Revision;
+use heatherring_lib::id::RouteName;
 use heatherring_lib::id::ServiceName;
 use heatherring_lib::id::VmName;
 use heatherring_lib::route_manifest::CallerLimits;
@@ -212,6 +213,10 @@
     ServiceName::new(SERVICE)
 }
 
+pub fn route() -> RouteName {
+    RouteName::new("route")
+}
+
 pub fn region(index: usize) -> RegionName {
     RegionName::new(format!("region-{index}"))
 }
@@ -349,8 +354,11 @@
         let entry = region * self.plan.entries + self.rng.random_range(0..self.plan.entries);
         let object = self.rng.random_range(0..self.plan.objects);
         let service = service();
+        let route = route();
         let ask = Ask {
             service: &service,
+            route: &route,
+            latency_objective: self.plan.objective,
             object: Some(ObjectHash::of("route", &object.to_string())),
             priority: 2,
             deadline: self.at() + self.plan.deadline,
--- a/lib/tests/dispatch_model/probe.rs
+++ b/lib/tests/dispatch_model/probe.rs
@@ -16,6 +16,7 @@
 use super::Plan;
 use super::place;
 use super::region;
+use super::route;
 use super::service;
 use super::view;
 
@@ -68,8 +69,11 @@
 
     pub fn try_choose(&mut self, object: &str) -> Option<Choice> {
         let service = service();
+        let route = route();
         let ask = Ask {
             service: &service,
+            route: &route,
+            latency_objective: Plan::look_up().objective,
             object: Some(ObjectHash::of("route", object)),
             priority: 0,
             deadline: self.now + Duration::from_secs(10),
--- a/server/src/direct_path.rs
+++ b/server/src/direct_path.rs
@@ -168,6 +168,7 @@
 /// Holds a request together with what was found out about it.
 struct Admitted {
     req: DirectRequest,
+    route_name: RouteName,
     route: Arc<Route>,
     service: ServiceName,
     object: Option<ObjectHash>,
@@ -243,6 +244,7 @@
         };
         Ok(Admitted {
             req,
+            route_name: name.clone(),
             route: Arc::clone(route),
             service,
             object,
@@ -295,6 +297,7 @@
         loop {
             let ask = DispatchAsk {
                 service: admitted.service.clone(),
+                route_name: admitted.route_name.clone(),
                 route: Arc::clone(&admitted.route),
                 object: admitted.object,
                 deadline: admitted.req.deadline,
--- a/server/src/dispatch_task.rs
+++ b/server/src/dispatch_task.rs
@@ -21,6 +21,7 @@
 use heatherring_lib::dispatch_ask::SendOutcome;
 use heatherring_lib::fleet_update::FleetView;
 use heatherring_lib::id::BackendName;
+use heatherring_lib::id::RouteName;
 use heatherring_lib::id::ServiceName;
 use heatherring_lib::route_manifest::Route;
 use tokio::sync::mpsc;
@@ -34,7 +35,9 @@
 pub struct DispatchAsk {
     /// The service.
     pub service: ServiceName,
-    /// The route that the request came by.
+    /// The name of the route that the request came by.
+    pub route_name: RouteName,
+    /// The route.
     pub route: Arc<Route>,
     /// The object that the request concerns.
     pub object: Option<ObjectHash>,
@@ -202,6 +205,8 @@
 fn borrowed(ask: &DispatchAsk) -> Ask<'_> {
     Ask {
         service: &ask.service,
+        route: &ask.route_name,
+        latency_objective: ask.route.latency_objective,
         object: ask.object,
         priority: ask.route.priority,
         deadline: ask.deadline,
