backend_load: a report fades to what others usually have there

Cause: an entry VM hears of a backend server about once a second, and after a start not at all. What it heard faded to nothing, so that under load no wait was expected where answers took half as long again: with 11 senders each saw its own requests only.

Change: without a report, and as one ages, others are taken to have what this sender has, spread evenly: its own requests in flight on average, by the number of other senders and of backend servers. Nothing is sent for it.

Ruled out for now: sums of what a region's senders have in flight, sent through one of them: bytes, and a process more to lose.

--- a/lib/src/backend_load.rs
+++ b/lib/src/backend_load.rs
@@ -2,7 +2,9 @@
 //!
 //! A sender knows what it has in flight itself. What others have there shows only in the
 //! reports that come with answers, and such a report is old at once: it fades, so that a
-//! backend server that was full a while ago is tried again.
+//! backend server that was full a while ago is tried again. What it fades to is what others
+//! are taken to have there without a report: they are asked by callers like this sender's, and
+//! do as it does.
 
 use std::time::Duration;
 use std::time::Instant;
@@ -86,13 +88,12 @@
     }
 
     /// Notes an answer and what came with it; call it after [`Self::end`].
-    pub fn note_answer(&mut self, now: Instant, report: Option<LoadReport>) {
+    pub fn note_answer(&mut self, now: Instant, report: Option<LoadReport>, usual: f64) {
         self.last_answer = Some(now);
         let Some(report) = report else { return };
         let total = f64::from(report.running) + f64::from(report.waiting);
         let count = (total - self.own()).max(0.0);
-        let before = self.others.map(|_| self.others(now));
-        let before = before.unwrap_or(count);
+        let before = self.others.map_or(count, |_| self.others(now, usual));
         self.others = Some(Others {
             count: before + (count - before) * REPORT_WEIGHT,
             at: now,
@@ -109,16 +110,18 @@
         f64::from(u32::try_from(self.in_flight.len()).unwrap_or(u32::MAX))
     }
 
-    /// Estimates the requests that run or wait there.
+    /// Estimates the requests that run or wait there. As a report ages, what it said of
+    /// others' requests gives way to `usual`, what they have at a backend server on average.
     #[must_use]
-    pub fn estimate(&self, now: Instant) -> f64 {
-        self.own() + self.others(now)
+    pub fn estimate(&self, now: Instant, usual: f64) -> f64 {
+        self.own() + self.others(now, usual)
     }
 
-    fn others(&self, now: Instant) -> f64 {
-        self.others.map_or(0.0, |others| {
+    fn others(&self, now: Instant, usual: f64) -> f64 {
+        self.others.map_or(usual, |others| {
             let age = now.saturating_duration_since(others.at);
-            others.count * 0.5_f64.powf(age.as_secs_f64() / REPORT_HALF_LIFE.as_secs_f64())
+            let fresh = 0.5_f64.powf(age.as_secs_f64() / REPORT_HALF_LIFE.as_secs_f64());
+            usual + (others.count - usual) * fresh
         })
     }
 
--- a/lib/src/direct_dispatch.rs
+++ b/lib/src/direct_dispatch.rs
@@ -351,6 +351,9 @@
         max_connections: u32,
     ) -> Choice {
         let backend = &mut self.backends[best.backend];
+        if let Some(service) = self.services.get_mut(&backend.record.service) {
+            service.note_begun();
+        }
         backend.cold_gate.note_sent(now);
         let report_age = backend.load.report_age(now);
         let expectation = Expectation {
@@ -490,7 +493,10 @@
             }
         }
         let slots = f64::from(backend.record.slots.max(1));
-        let there = backend.load.estimate(now) + 1.0;
+        let there = backend
+            .load
+            .estimate(now, service.usual_others(self.senders.len()))
+            + 1.0;
         let ahead = (there - slots).max(0.0);
         let known_warm = ask.object.is_some_and(|o| backend.has_warm(now, o));
         let warm = rank == 0 || known_warm;
@@ -531,11 +537,15 @@
         let Some(send) = backend.load.end(end.send) else {
             return;
         };
-        if let Some(service) = self.services.get_mut(&backend.record.service)
-            && let Some(object) = end.object
-            && !send.expected.warm
-        {
-            service.warming.remove(&object);
+        let mut usual = 0.0;
+        if let Some(service) = self.services.get_mut(&backend.record.service) {
+            service.note_ended();
+            usual = service.usual_others(self.senders.len());
+            if let Some(object) = end.object
+                && !send.expected.warm
+            {
+                service.warming.remove(&object);
+            }
         }
         let delay = self.delays.get(&backend.region).copied();
         let took = now
@@ -543,7 +553,7 @@
             .saturating_sub(delay.unwrap_or_default());
         match end.outcome {
             SendOutcome::Answered => {
-                backend.load.note_answer(now, end.load);
+                backend.load.note_answer(now, end.load, usual);
                 backend.note_warm(now, end.object);
                 if send.expected.queued {
                     return;
@@ -556,11 +566,11 @@
                 }
             }
             SendOutcome::Faulty => {
-                backend.load.note_answer(now, end.load);
+                backend.load.note_answer(now, end.load, usual);
                 backend.health.note_failure(now);
             }
             SendOutcome::Shed => {
-                backend.load.note_answer(now, end.load);
+                backend.load.note_answer(now, end.load, usual);
                 backend.health.note_shed(now);
             }
             SendOutcome::Misdirected => backend.usable = false,
--- a/lib/src/dispatch_service.rs
+++ b/lib/src/dispatch_service.rs
@@ -19,6 +19,10 @@
 /// 0.618 and 0.553, a twentieth 0.626 and 0.560.
 const COPY_SHARE: f64 = 0.05;
 
+/// Requests over which those in flight are averaged: a second or so at the rates of one entry
+/// VM, long enough not to follow single requests.
+const USUAL_OVER: f64 = 16.0;
+
 /// Holds what a dispatcher knows of one service.
 #[derive(Debug)]
 pub(crate) struct Service {
@@ -31,6 +35,9 @@
     pub warming: BTreeSet<ObjectHash>,
     /// Copies that may be made now.
     pub spare_copies: f64,
+    /// Own requests in flight, now and on average over the last [`USUAL_OVER`] requests.
+    in_flight: f64,
+    usual_in_flight: f64,
 }
 
 impl Service {
@@ -49,9 +56,33 @@
             objects: ObjectCount::default(),
             warming: BTreeSet::new(),
             spare_copies: 0.0,
+            in_flight: 0.0,
+            usual_in_flight: 0.0,
         }
     }
 
+    /// Notes that a request is sent to one of the backend servers.
+    pub fn note_begun(&mut self) {
+        self.in_flight += 1.0;
+        self.usual_in_flight += (self.in_flight - self.usual_in_flight) / USUAL_OVER;
+    }
+
+    /// Notes that it is over.
+    pub fn note_ended(&mut self) {
+        self.in_flight = (self.in_flight - 1.0).max(0.0);
+    }
+
+    /// Returns how many requests the other `senders` are taken to have at each backend server:
+    /// as many as this one, spread evenly.
+    pub fn usual_others(&self, senders: usize) -> f64 {
+        #[expect(clippy::cast_precision_loss, reason = "counts far below 2^52")]
+        let (others, backends) = (
+            senders.saturating_sub(1) as f64,
+            self.backends.len().max(1) as f64,
+        );
+        self.usual_in_flight * others / backends
+    }
+
     /// Returns whether a further copy of an object may be made.
     pub fn may_copy(&self, object: Option<ObjectHash>) -> bool {
         object.is_some_and(|object| self.spare_copies >= 1.0 && !self.warming.contains(&object))
