--- a/cli/src/commands/explain.rs
+++ b/cli/src/commands/explain.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use clap::Arg;
+use clap::ArgGroup;
 use clap::ArgMatches;
 use clap::Command;
 use clap::builder::PossibleValuesParser;
@@ -44,8 +45,15 @@
              heatherring explain --entry 10.0.1.1:7481\n  \
              heatherring explain --entry 10.0.1.1:7481 --request 5d0c8e7f1a2b3c4d-1f\n  \
              heatherring explain --entry 10.0.1.1:7481 --service registry --kind refusal\n  \
-             heatherring explain --logs entry-*.log control-*.log --request 9c41d07be2a35f68",
+             heatherring explain 9c41d07be2a35f68 --logs entry-*.log control-*.log",
         )
+        .arg(
+            Arg::new("id")
+                .value_name("ID")
+                .help("The same as --request ID")
+                .conflicts_with("request"),
+        )
+        .group(ArgGroup::new("which").args(["id", "request"]))
         .arg(
             Arg::new("entry")
                 .long("entry")
@@ -61,7 +69,7 @@
                 .help("Log lines to read instead of asking an entry VM; - for standard input")
                 .num_args(1..)
                 .conflicts_with_all(["entry", "service", "kind"])
-                .requires("request"),
+                .requires("which"),
         )
         .arg(
             Arg::new("request")
@@ -123,6 +131,12 @@
     }
 }
 
+/// Returns the request that is asked for, by position or by name.
+pub(super) fn request_id(matches: &ArgMatches) -> Option<&String> {
+    let by_position = matches.get_one::<String>("id");
+    by_position.or_else(|| matches.get_one::<String>("request"))
+}
+
 fn filter(matches: &ArgMatches) -> Result<DecisionFilter, CliError> {
     let kind = matches.get_one::<String>("kind");
     let kind = kind.and_then(|name| {
@@ -130,7 +144,7 @@
         found.map(|(_, kind)| *kind)
     });
     Ok(DecisionFilter {
-        request_id: name(matches, "request")?.cloned(),
+        request_id: name(matches, "id")?.or(name(matches, "request")?).cloned(),
         service: name(matches, "service")?.map(ServiceName::new),
         kind,
     })
--- a/cli/src/commands/explain_logs.rs
+++ b/cli/src/commands/explain_logs.rs
@@ -12,6 +12,7 @@
 use serde_json::json;
 
 use crate::cli_error::CliError;
+use crate::commands::explain;
 use crate::output::OutputFormat;
 use crate::output::output_format;
 use crate::output::print_json;
@@ -22,8 +23,8 @@
 
 /// Reads the lines, and prints what they tell of the request.
 pub fn run(matches: &ArgMatches) -> Result<(), CliError> {
-    let Some(request_id) = matches.get_one::<String>("request") else {
-        return Err(CliError::user("--logs needs --request"));
+    let Some(request_id) = explain::request_id(matches) else {
+        return Err(CliError::user("--logs needs the id of a request"));
     };
     let files = matches.get_many::<String>("logs").into_iter().flatten();
     let mut lines = Vec::new();
--- a/cli/tests/test_explain_logs.rs
+++ b/cli/tests/test_explain_logs.rs
@@ -141,7 +141,7 @@
         loop {
             let [control, entry] = self.logs();
             let output = Command::new(env!("CARGO_BIN_EXE_heatherring"))
-                .args(["explain", "--request", id, "--logs"])
+                .args(["explain", id, "--logs"])
                 .args([control, entry])
                 .output()
                 .unwrap();
--- a/lib/src/log_cause.rs
+++ b/lib/src/log_cause.rs
@@ -4,6 +4,10 @@
 use crate::duration_text::whole_ms;
 use crate::log_chain::LogLine;
 
+/// Changes that are named at most. Under a storm of changes there are dozens in the seconds
+/// before a decision, of which the first few are worth a look.
+const MOST_CAUSES: usize = 6;
+
 /// Says what the last decision on a request tells, and what may have led to it.
 pub(crate) fn of(decision: &LogLine, changes: &[LogLine]) -> Vec<String> {
     let mut cause = vec![if decision.event == "answered" {
@@ -18,10 +22,29 @@
             decision.text("vm")
         ));
     }
-    cause.extend(changes.iter().filter_map(|line| change(line, decision)));
+    let mut likely: Vec<(u8, String)> = changes
+        .iter()
+        .filter_map(|line| Some((rank(line, decision), change(line, decision)?)))
+        .collect();
+    likely.sort_by_key(|(rank, _)| *rank);
+    cause.extend(likely.into_iter().map(|(_, text)| text).take(MOST_CAUSES));
     cause
 }
 
+/// Says how likely a change led to the decision; the lowest number goes first, and changes
+/// that are alike stay in their order in time.
+fn rank(line: &LogLine, decision: &LogLine) -> u8 {
+    let is_its_own = line.source == decision.source;
+    let is_route = decision.text("reason") == "route_unknown";
+    match line.event.as_str() {
+        "backend_cold" | "backend_withdrawn" | "backend_changed" => 0,
+        "control_lost" | "entry_started" if is_its_own => 0,
+        "routes_change" if is_route => 0,
+        "evacuation" | "role_changed" => 1,
+        _ => 2,
+    }
+}
+
 fn answered(decision: &LogLine) -> String {
     let held = decision.number("held_ms");
     let sends = decision.text("sends");
@@ -98,7 +121,7 @@
             "{} backend servers were silent, by control's word",
             line.number("silent")
         ),
-        "routes_change" if line.number("version") > decision.number("version") => format!(
+        "routes_change" if is_newer_in_force(line, decision) => format!(
             "manifest version {} was decided, and wasn't in force here yet",
             line.number("version")
         ),
@@ -110,3 +133,10 @@
     };
     Some(format!("{at}: {text}"))
 }
+
+/// Returns whether a change of the manifest was accepted that the decision didn't go by. One
+/// that was refused changed nothing.
+fn is_newer_in_force(line: &LogLine, decision: &LogLine) -> bool {
+    let was_accepted = matches!(line.text("answer"), "" | "Accepted");
+    was_accepted && line.number("version") > decision.number("version")
+}
--- a/lib/tests/test_log_chain.rs
+++ b/lib/tests/test_log_chain.rs
@@ -112,6 +112,52 @@
     ");
 }
 
+/// Symptom: a manifest that control refused is named as what wasn't in force yet. Cause: every
+/// decided change counted, whatever the decision was.
+#[test]
+fn test_log_chain_names_accepted_manifests_only() {
+    let order = |second, version: u64, answer: &str| {
+        let fields = json!({"version": version, "answer": answer});
+        line("control-1", second, "routes_change", fields)
+    };
+    let lines = [
+        order("05.0", 8, "Invalid(UnknownService)"),
+        order("05.5", 9, "Conflict { current: ManifestVersion(7) }"),
+        order("06.0", 10, "Accepted"),
+        refused("08.0", "route_unknown", &json!({})),
+    ];
+    assert_snapshot!(cause(&lines), @r"
+    no route of manifest version 7 matches host and path
+    2026-01-31T10:00:06Z: manifest version 10 was decided, and wasn't in force here yet
+    ");
+}
+
+/// The likeliest comes first, and a storm of changes doesn't bury it.
+#[test]
+fn test_log_chain_ranks_causes() {
+    let sends = "server-4: data at hand, wait 0 ms expected from a report 80 ms old, answer 190 ms expected, broken after 1240 ms";
+    let mut lines: Vec<LogLine> = (0..30)
+        .map(|number| {
+            let fields = json!({"version": 8 + number, "answer": "Accepted"});
+            line("control-1", "06.0", "routes_change", fields)
+        })
+        .collect();
+    lines.push(line(
+        "control-1",
+        "07.5",
+        "backend_withdrawn",
+        json!({"backend": "server-4"}),
+    ));
+    let fields = json!({"sends": sends, "outcome": "unknown"});
+    lines.push(refused("08.0", "connection_lost", &fields));
+    let cause = LogChain::of("9c41", &lines).unwrap().cause;
+    assert!(
+        cause[1].ends_with("backend server server-4 had gone"),
+        "{cause:?}"
+    );
+    assert_eq!(cause.len(), 7);
+}
+
 /// Whatever a collector mixes in is passed over.
 #[test]
 fn test_log_chain_passes_over_foreign_lines() {
