dispatch_policy: each mechanism can be switched off by the settings, to measure it

One typed value with a switch for each mechanism that gains something, checked with the settings and documented as experimental; what keeps a promise has none.

No behaviour changes; lib, schema and settings tests passed.

--- a/lib/src/direct_dispatch.rs
+++ b/lib/src/direct_dispatch.rs
@@ -30,6 +30,7 @@
 use crate::dispatch_pick;
 use crate::dispatch_pick::Candidate;
 use crate::dispatch_pick::PickLimits;
+use crate::dispatch_policy::DispatchPolicy;
 use crate::dispatch_service::Service;
 use crate::fleet_record::BackendRecord;
 use crate::fleet_record::BackendState;
@@ -37,6 +38,7 @@
 use crate::id::BackendName;
 use crate::id::PlaceName;
 use crate::id::RegionName;
+use crate::id::RouteName;
 use crate::id::ServiceName;
 use crate::id::VmName;
 use crate::object_copies::MOST_COPIES;
@@ -84,6 +86,8 @@
     pub resend_ratio: f64,
     /// Resends that they may make besides, in any window.
     pub resend_slack: f64,
+    /// The mechanisms in use.
+    pub policy: DispatchPolicy,
 }
 
 /// Picks backend servers.
@@ -291,17 +295,29 @@
         let Some(service) = self.services.get_mut(ask.service) else {
             return Err(refuse(RefusedReason::NoBackend));
         };
-        let pace = service.pace.route(ask.route, ask.latency_objective);
+        let policy = self.cfg.policy;
+        let shared = RouteName::new("");
+        let route = if policy.routes_apart {
+            ask.route
+        } else {
+            &shared
+        };
+        let pace = service.pace.route(route, ask.latency_objective);
         let service = &self.services[ask.service];
         let left = ask.deadline.saturating_duration_since(now).as_secs_f64();
-        let wait_share = WAIT_SHARES[(ask.priority as usize).min(WAIT_SHARES.len() - 1)];
+        let wait_share = if policy.shares_by_priority {
+            WAIT_SHARES[(ask.priority as usize).min(WAIT_SHARES.len() - 1)]
+        } else {
+            1.0
+        };
         let candidates = self.candidates(now, service, pace, ask);
         let limits = PickLimits {
             left,
             objective: ask.objective.saturating_duration_since(now).as_secs_f64(),
             wait_share,
             mean: service.pace.mean(),
-            may_copy: service.may_copy(ask.object),
+            may_copy: service.may_copy(ask.object, policy.bounded_copies),
+            policy,
         };
         let max_connections = service.known.max_connections;
         let best = dispatch_pick::pick(&candidates, &limits);
@@ -315,7 +331,7 @@
         if let Some(service) = self.services.get_mut(ask.service) {
             if !ask.resend {
                 service.budget.note_request();
-            } else if !service.budget.try_take() {
+            } else if !policy.resends || !service.budget.try_take() {
                 return Err(refuse(RefusedReason::NoResend));
             }
             if let Some(object) = ask.object {
@@ -339,6 +355,9 @@
     /// Spreads a time evenly over the refusals that follow each other, by the golden ratio.
     fn spread(&mut self, time: Duration) -> Duration {
         const GOLDEN: f64 = 0.618_033_988_75;
+        if !self.cfg.policy.spread_returns {
+            return time;
+        }
         self.lot = (self.lot + GOLDEN).fract();
         time.mul_f64(1.0 + COME_BACK_SPREAD * (self.lot - 0.5))
     }
@@ -407,7 +426,7 @@
             .filter(|key| self.is_stable(now, **key, ask))
             .copied()
             .collect();
-        let Some(object) = ask.object else {
+        let Some(object) = ask.object.filter(|_| self.cfg.policy.homes) else {
             let all = stable.iter().map(|key| (*key, 0));
             return self.assess(now, all, service, pace, ask);
         };
@@ -493,24 +512,33 @@
             }
         }
         let slots = f64::from(backend.record.slots.max(1));
-        let there = backend
-            .load
-            .estimate(now, service.usual_others(self.senders.len()))
-            + 1.0;
+        let there = backend.load.estimate(now, self.usual_others(service)) + 1.0;
         let ahead = (there - slots).max(0.0);
         let known_warm = ask.object.is_some_and(|o| backend.has_warm(now, o));
         let warm = rank == 0 || known_warm;
         let factor = if is_cold { COLD_FACTOR } else { 1.0 };
-        let slowness = backend.health.slowness(now);
+        let policy = &self.cfg.policy;
+        let slowness = if policy.slow_marks {
+            backend.health.slowness(now)
+        } else {
+            1.0
+        };
         let service_time = service.pace.expected(pace, warm) * factor * slowness;
         let objective = ask.latency_objective.as_secs_f64();
         let wait = ahead * service.pace.mean() * factor * slowness / slots;
+        let (fault, risk) = if policy.fault_marks {
+            let cold = service.pace.expected(pace, false);
+            let fault = backend.fault(now, wait, cold, objective);
+            (fault, backend.risk(now, objective))
+        } else {
+            (0.0, 0.0)
+        };
         Some(Candidate {
             backend: key,
             base: self.delay(&backend.region) + service_time,
             wait,
-            fault: backend.fault(now, wait, service.pace.expected(pace, false), objective),
-            risk: backend.risk(now, objective) + tie_break(rank),
+            fault,
+            risk: risk + tie_break(rank),
             load: there / slots,
             slow_above: service.pace.expected(pace, known_warm) * factor * SLOW_MARGIN,
             warm,
@@ -518,6 +546,11 @@
         })
     }
 
+    /// Returns how many requests other senders are taken to have at each backend server.
+    fn usual_others(&self, service: &Service) -> f64 {
+        service.usual_others(self.senders.len(), self.cfg.policy.usual_loads)
+    }
+
     fn delay(&self, region: &RegionName) -> f64 {
         if let Some(delay) = self.delays.get(region) {
             return delay.as_secs_f64();
@@ -540,7 +573,7 @@
         let mut usual = 0.0;
         if let Some(service) = self.services.get_mut(&backend.record.service) {
             service.note_ended();
-            usual = service.usual_others(self.senders.len());
+            usual = service.usual_others(self.senders.len(), self.cfg.policy.usual_loads);
             if let Some(object) = end.object
                 && !send.expected.warm
             {
--- a/lib/src/direct_settings.rs
+++ b/lib/src/direct_settings.rs
@@ -7,6 +7,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::dispatch_policy::DispatchPolicy;
 use crate::duration_text::DurationText;
 use crate::id::PlaceName;
 use crate::id::RegionName;
@@ -56,6 +57,10 @@
     /// What is logged.
     #[serde(default)]
     pub log: LogSettings,
+    /// Mechanisms of dispatch that are switched off, to measure what they are worth.
+    /// Experimental.
+    #[serde(default)]
+    pub experiments: DispatchPolicy,
 }
 
 impl DirectSettings {
--- a/lib/src/dispatch_pick.rs
+++ b/lib/src/dispatch_pick.rs
@@ -7,6 +7,7 @@
 //! where its data are, or is refused, and further copies are made one at a time.
 
 use crate::dispatch_ask::BackendKey;
+use crate::dispatch_policy::DispatchPolicy;
 
 /// Requests beyond its slots, by slots, that are sent to one backend server at most. Theirs
 /// queue three times their slots; others' requests that aren't known of yet need room too.
@@ -76,6 +77,8 @@
     pub mean: f64,
     /// Whether a further copy of the object may be made.
     pub may_copy: bool,
+    /// The mechanisms in use.
+    pub policy: DispatchPolicy,
 }
 
 impl PickLimits {
@@ -85,6 +88,9 @@
     /// the deadline as the bound each answer would be late; with the latency objective as
     /// many are given, and in time, and whoever is refused learns so at once.
     fn longest_wait(&self, candidate: &Candidate) -> f64 {
+        if !self.policy.waits_by_objective {
+            return self.left * self.wait_share;
+        }
         let in_time = self.objective - candidate.base;
         in_time.max(self.mean * LATE_WAIT) * self.wait_share
     }
@@ -124,6 +130,14 @@
         .iter()
         .all(|candidate| candidate.wait >= limits.mean * BUSY_WAIT);
     let most = if busy { 1.0 } else { IDLE_LOAD };
+    let is_wanted = if busy {
+        limits.policy.copies_when_busy
+    } else {
+        limits.policy.copies_ahead
+    };
+    if !is_wanted {
+        return None;
+    }
     let near_only = !busy;
     if near_only && warm.iter().any(|candidate| candidate.near) {
         return None;
--- a/lib/src/dispatch_service.rs
+++ b/lib/src/dispatch_service.rs
@@ -73,8 +73,11 @@
     }
 
     /// Returns how many requests the other `senders` are taken to have at each backend server:
-    /// as many as this one, spread evenly.
-    pub fn usual_others(&self, senders: usize) -> f64 {
+    /// as many as this one, spread evenly; none if that isn't reckoned with.
+    pub fn usual_others(&self, senders: usize, is_known: bool) -> f64 {
+        if !is_known {
+            return 0.0;
+        }
         #[expect(clippy::cast_precision_loss, reason = "counts far below 2^52")]
         let (others, backends) = (
             senders.saturating_sub(1) as f64,
@@ -84,8 +87,9 @@
     }
 
     /// Returns whether a further copy of an object may be made.
-    pub fn may_copy(&self, object: Option<ObjectHash>) -> bool {
-        object.is_some_and(|object| self.spare_copies >= 1.0 && !self.warming.contains(&object))
+    pub fn may_copy(&self, object: Option<ObjectHash>, bounded: bool) -> bool {
+        let is_spare = !bounded || self.spare_copies >= 1.0;
+        object.is_some_and(|object| is_spare && !self.warming.contains(&object))
     }
 
     /// Notes where a request for an object goes.
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -38,6 +38,7 @@
 pub mod dispatch_ask;
 mod dispatch_backend;
 pub mod dispatch_pick;
+pub mod dispatch_policy;
 mod dispatch_service;
 pub mod drain;
 pub mod duration_text;
--- a/lib/tests/dispatch_model/mod.rs
+++ b/lib/tests/dispatch_model/mod.rs
@@ -24,6 +24,7 @@
 use heatherring_lib::dispatch_ask::Choice;
 use heatherring_lib::dispatch_ask::SendEnd;
 use heatherring_lib::dispatch_ask::SendOutcome;
+use heatherring_lib::dispatch_policy::DispatchPolicy;
 use heatherring_lib::fleet_record::BackendRecord;
 use heatherring_lib::fleet_record::BackendState;
 use heatherring_lib::fleet_record::EntryRecord;
@@ -240,6 +241,7 @@
                 places: places.clone(),
                 resend_ratio: 0.2,
                 resend_slack: 60.0,
+                policy: DispatchPolicy::default(),
             };
             let mut dispatcher = Dispatcher::new(cfg, origin);
             dispatcher.apply_view(origin, &view);
--- a/lib/tests/dispatch_model/probe.rs
+++ b/lib/tests/dispatch_model/probe.rs
@@ -11,6 +11,7 @@
 use heatherring_lib::dispatch_ask::Choice;
 use heatherring_lib::dispatch_ask::SendEnd;
 use heatherring_lib::dispatch_ask::SendOutcome;
+use heatherring_lib::dispatch_policy::DispatchPolicy;
 use heatherring_lib::id::VmName;
 
 use super::Plan;
@@ -42,6 +43,7 @@
             places,
             resend_ratio: 0.2,
             resend_slack: 60.0,
+            policy: DispatchPolicy::default(),
         };
         let now = Instant::now();
         let mut dispatcher = Dispatcher::new(cfg, now);
--- a/server/src/direct_path.rs
+++ b/server/src/direct_path.rs
@@ -61,7 +61,7 @@
 /// When all power was lost, entry VMs listen half a second to a second before there is a
 /// leader and then a view. Callers who are refused come back once, a second later and all
 /// together.
-const FIRST_VIEW_WAIT: Duration = Duration::from_millis(800);
+pub const FIRST_VIEW_WAIT: Duration = Duration::from_millis(800);
 
 /// Share of a caller's time that goes for that wait at most.
 const FIRST_VIEW_SHARE: f64 = 0.25;
@@ -95,6 +95,8 @@
     pub sender: DirectSender,
     /// Whose turn it is in each split.
     pub turns: Mutex<HashMap<RouteName, WeightedTurns>>,
+    /// Time for which a request waits for the first view at most.
+    pub first_view_wait: Duration,
 }
 
 /// Answers callers.
@@ -258,8 +260,8 @@
         arrived: Instant,
         patience: Option<Duration>,
     ) -> Result<Arc<FleetView>, NotRun> {
-        let share = patience.map_or(FIRST_VIEW_WAIT, |time| time.mul_f64(FIRST_VIEW_SHARE));
-        let until = arrived + FIRST_VIEW_WAIT.min(share);
+        let share = patience.map_or(self.first_view_wait, |time| time.mul_f64(FIRST_VIEW_SHARE));
+        let until = arrived + self.first_view_wait.min(share);
         let mut view = self.view.clone();
         let waiting = view.wait_for(|view| view.has_manifest());
         match tokio::time::timeout_at(until.into(), waiting).await {
--- a/server/src/direct_process.rs
+++ b/server/src/direct_process.rs
@@ -29,6 +29,7 @@
 use crate::cold_questioner::ColdQuestioner;
 use crate::direct_path::DirectContext;
 use crate::direct_path::DirectHandler;
+use crate::direct_path::FIRST_VIEW_WAIT;
 use crate::direct_send::DirectSender;
 use crate::dispatch_task::DispatchHandle;
 use crate::entry_directory::EntryDirectory;
@@ -179,6 +180,11 @@
         dispatch,
         sender: DirectSender::new(pool, Arc::clone(&interface), view.clone()),
         turns: Mutex::new(HashMap::new()),
+        first_view_wait: if settings.experiments.first_view_wait {
+            FIRST_VIEW_WAIT
+        } else {
+            Duration::ZERO
+        },
     });
     let stops = Stops {
         leaving: CancellationToken::new(),
@@ -271,6 +277,7 @@
         places: settings.places.clone(),
         resend_ratio: settings.resends.ratio,
         resend_slack: settings.resends.slack,
+        policy: settings.experiments,
     }
 }
 
--- a/server/src/pipeline_io.rs
+++ b/server/src/pipeline_io.rs
@@ -7,6 +7,7 @@
 //! decides where each request ends.
 
 use std::collections::VecDeque;
+use std::net::SocketAddr;
 use std::pin::Pin;
 use std::sync::Arc;
 use std::sync::Mutex;
@@ -185,6 +186,12 @@
         }
     }
 
+    /// Tells why a connection ends, and how many requests end unanswered with it.
+    pub fn tell_end(&self, peer: SocketAddr, reason: &str) {
+        let unanswered = self.state().unanswered();
+        log::debug!(event = "connection_ended", peer:% = peer, unanswered, reason; "a caller's connection ends");
+    }
+
     fn note_written(&self) {
         self.state().active_at = self.clock.now();
     }
--- a/server/src/pipelined_connection.rs
+++ b/server/src/pipelined_connection.rs
@@ -109,6 +109,7 @@
     let answering = answer(slots, write_half, turn_tx, &progress);
     let limits = setup.limits;
     let stops = setup.stops.clone();
+    let peer = setup.peer;
     let intake = Arc::new(Intake {
         setup,
         turn,
@@ -134,20 +135,26 @@
             result = reading.as_mut(), if slots_tx.is_some() => {
                 progress.state().reading = Reading::Ended;
                 if progress.state().caller_left {
-                    return;
+                    return progress.tell_end(peer, "the caller closed it");
                 }
                 if let (Err(error), Some(slots)) = (result, slots_tx.take()) {
                     end_with_fault(&error, &slots, &progress);
                 }
             }
-            () = drain(&read_half), if slots_tx.is_none() => return,
+            () = drain(&read_half), if slots_tx.is_none() => {
+                return progress.tell_end(peer, "the caller closed it after its last request");
+            }
             () = answering.as_mut() => break,
             () = must_end(&stops, &progress), if !told_to_end => {
                 told_to_end = true;
                 reading.as_mut().graceful_shutdown();
             }
-            () = overdue(&progress, limits) => return,
-            () = left(&read_half, &progress) => return,
+            () = overdue(&progress, limits) => {
+                return progress.tell_end(peer, "the caller was idle, or slow with a head");
+            }
+            () = left(&read_half, &progress) => {
+                return progress.tell_end(peer, "the caller closed it behind unread bytes");
+            }
         }
     }
     // An answer that was cut short has broken the connection; nobody waits for the rest then.
--- a/server/tests/direct_support/mod.rs
+++ b/server/tests/direct_support/mod.rs
@@ -17,6 +17,7 @@
 use heatherring_lib::direct_settings::DirectListen;
 use heatherring_lib::direct_settings::DirectSettings;
 use heatherring_lib::direct_settings::ResendSettings;
+use heatherring_lib::dispatch_policy::DispatchPolicy;
 use heatherring_lib::duration_text::DurationText;
 use heatherring_lib::id::ManifestVersion;
 use heatherring_lib::id::PlaceName;
@@ -416,6 +417,7 @@
             grace: DurationText(Duration::from_secs(1)),
             look_up_ms: 2_000,
             log: LogSettings::default(),
+            experiments: DispatchPolicy::default(),
         };
         Entry::start(settings, &self.folder.path().join("entry.jsonc"))
     }
