direct_path: 0.1 s beyond a route's timeout for work that is nearly done

Ruled out: refusing such an action at once (nobody could answer it in time anywhere, and half of them make it).

Change: backend servers are given 0.1 s beyond the route's timeout, as far as the caller waits; answers are waited for 0.2 s beyond it.

--- a/server/src/direct_path.rs
+++ b/server/src/direct_path.rs
@@ -53,9 +53,14 @@
 use crate::request_trace::Decided;
 use crate::request_trace::RequestTrace;
 
+/// Time beyond a route's timeout that a backend server is given, as far as the caller waits.
+/// Requests without their data at hand take about as long as some timeouts; one that is ended
+/// right before it is done has run for nothing, and an action's caller can't ask again.
+const WORK_GRACE: Duration = Duration::from_millis(100);
+
 /// Time beyond a route's timeout for which an answer that is on its way is waited for. A
 /// backend server that ends at the deadline that it was told sends its answer then.
-const ANSWER_GRACE: Duration = Duration::from_millis(120);
+const ANSWER_GRACE: Duration = Duration::from_millis(200);
 
 /// Time for which a request waits for the first view of an entry VM that has just started.
 /// When all power was lost, entry VMs listen half a second to a second before there is a
@@ -222,6 +227,7 @@
         let patience = marks.patience.unwrap_or(route.timeout);
         trace.patience = patience.min(route.timeout);
         let deadline = arrived + trace.patience;
+        let work_until = (deadline + WORK_GRACE).min(arrived + patience);
         let give_up = (deadline + ANSWER_GRACE).min(arrived + patience);
         let max_bytes = u32::try_from(view.limits.max_body_bytes).unwrap_or(u32::MAX);
         let body = request_body::read(body, max_bytes, deadline)
@@ -242,6 +248,7 @@
             body,
             request_id: marks.request_id,
             deadline,
+            work_until,
             give_up,
         };
         Ok(Admitted {
--- a/server/src/direct_send.rs
+++ b/server/src/direct_send.rs
@@ -73,8 +73,10 @@
     pub body: Bytes,
     /// Identifies the caller's attempt.
     pub request_id: Option<String>,
-    /// When an answer stops being of use; the backend server is told.
+    /// When an answer should have come at the latest.
     pub deadline: Instant,
+    /// Until when the backend server may work on it, as it is told.
+    pub work_until: Instant,
     /// When the answer is waited for no longer.
     pub give_up: Instant,
 }
@@ -237,7 +239,7 @@
         *message.uri_mut() = req.uri.clone();
         *message.headers_mut() = req.headers.clone();
         let marks = OutgoingMarks {
-            left: req.deadline.saturating_duration_since(Instant::now()),
+            left: req.work_until.saturating_duration_since(Instant::now()),
             backend: &choice.name,
         };
         self.interface.mark_request(message.headers_mut(), &marks);
