--- a/lib/src/direct_dispatch.rs
+++ b/lib/src/direct_dispatch.rs
@@ -2,9 +2,9 @@
 //!
 //! Rendezvous hashing ranks the backend servers for each object, alike on every entry VM,
 //! and an object is kept to the first few of each region, so that its data are at hand
-//! wherever its requests go. What each of these would mean for a request is assessed here:
-//! the delay on the way, the wait behind what is there already, the time of the work, and
-//! what failures may cost. [`dispatch_pick`] decides.
+//! wherever its requests go. `dispatch_assess` says what each of these would mean for a
+//! request, [`dispatch_pick`] decides, and here the fleet, what is in flight and how it ends
+//! are followed.
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
@@ -41,25 +41,8 @@
 use crate::id::RouteName;
 use crate::id::ServiceName;
 use crate::id::VmName;
-use crate::object_copies::MOST_COPIES;
-use crate::object_rank;
-use crate::object_rank::Member;
 use crate::service_pace::PaceKey;
 
-/// Delay to another region and back that is assumed before one was measured; the larger
-/// part of what the users' regions have (70 and 110 ms).
-const UNKNOWN_DELAY: Duration = Duration::from_millis(80);
-
-/// Rank of the backend servers that an object isn't kept to.
-const SPARE_RANK: usize = 3 * MOST_COPIES;
-
-/// Factor over the usual time above which a backend server counts as slow. Times of single
-/// requests differ by 15% or so.
-const SLOW_MARGIN: f64 = 1.4;
-
-/// Factor by which a request takes longer at a cold backend server.
-const COLD_FACTOR: f64 = 2.0;
-
 /// Share of the time left that a request may wait, by its priority. Less urgent requests
 /// give way first: they are refused while there still is room for the urgent ones.
 const WAIT_SHARES: [f64; 3] = [1.0, 0.8, 0.6];
@@ -93,9 +76,9 @@
 /// Picks backend servers.
 #[derive(Debug)]
 pub struct Dispatcher {
-    cfg: DispatchConfig,
+    pub(crate) cfg: DispatchConfig,
     own: MemberHash,
-    senders: Vec<MemberHash>,
+    pub(crate) senders: Vec<MemberHash>,
     pub(crate) backends: SlotMap<BackendKey, Backend>,
     by_name: BTreeMap<BackendName, BackendKey>,
     pub(crate) services: BTreeMap<ServiceName, Service>,
@@ -104,7 +87,7 @@
     /// Whose turn it is to be asked, among the backend servers of a place.
     pub(crate) question_turn: usize,
     /// Shortest delay there and back that was seen, by region.
-    delays: BTreeMap<RegionName, Duration>,
+    pub(crate) delays: BTreeMap<RegionName, Duration>,
     silent: BTreeSet<BackendName>,
     evacuated: BTreeSet<PlaceName>,
     began: Instant,
@@ -397,171 +380,15 @@
     }
 
     /// Returns whether a backend server bears a few requests only, or may do so.
-    fn is_cold(&self, now: Instant, backend: &Backend) -> bool {
+    pub(crate) fn is_cold(&self, now: Instant, backend: &Backend) -> bool {
         backend.is_cold(now) || self.cold_watch.is_doubtful(now, &backend.record.place)
     }
 
-    fn cold_interval(&self, backend: &Backend, rate: f64) -> Option<Duration> {
+    pub(crate) fn cold_interval(&self, backend: &Backend, rate: f64) -> Option<Duration> {
         let object = ObjectHash::of("cold", backend.name.as_str());
         cold_gate::interval(object, self.own, &self.senders, rate)
     }
 
-    /// Returns the backend servers that a request may be sent to, with what each would
-    /// mean for it.
-    ///
-    /// An object is kept to few backend servers, so that its data are at hand wherever its
-    /// requests go. Only where all of them are out of use or full do others come in: each
-    /// request there takes several times as long, so that spilling over under load makes
-    /// the load several times as heavy, and keeps it so.
-    fn candidates(
-        &self,
-        now: Instant,
-        service: &Service,
-        pace: PaceKey,
-        ask: &Ask<'_>,
-    ) -> Vec<Candidate> {
-        let stable: Vec<BackendKey> = service
-            .backends
-            .iter()
-            .filter(|key| self.is_stable(now, **key, ask))
-            .copied()
-            .collect();
-        let Some(object) = ask.object.filter(|_| self.cfg.policy.homes) else {
-            let all = stable.iter().map(|key| (*key, 0));
-            return self.assess(now, all, service, pace, ask);
-        };
-        let ranked = self.ranked(&stable, object, service.objects.count());
-        let found = self.assess(now, ranked.into_iter(), service, pace, ask);
-        if !found.is_empty() {
-            return found;
-        }
-        let all = stable.iter().map(|key| (*key, SPARE_RANK));
-        let found = self.assess(now, all, service, pace, ask);
-        if !found.is_empty() {
-            return found;
-        }
-        let cold = service.backends.iter().filter(|key| {
-            let backend = &self.backends[**key];
-            backend.usable && self.is_cold(now, backend)
-        });
-        self.assess(now, cold.map(|key| (*key, SPARE_RANK)), service, pace, ask)
-    }
-
-    fn assess(
-        &self,
-        now: Instant,
-        ranked: impl Iterator<Item = (BackendKey, usize)>,
-        service: &Service,
-        pace: PaceKey,
-        ask: &Ask<'_>,
-    ) -> Vec<Candidate> {
-        ranked
-            .filter(|(key, _)| self.is_allowed(now, *key, ask))
-            .filter_map(|(key, rank)| self.candidate(now, key, rank, service, pace, ask))
-            .collect()
-    }
-
-    /// Returns whether a backend server counts for the ranking: what changes from one
-    /// request to the next doesn't, or objects would move to and fro.
-    fn is_stable(&self, now: Instant, key: BackendKey, ask: &Ask<'_>) -> bool {
-        let backend = &self.backends[key];
-        backend.usable
-            && !backend.silent
-            && ask.allows(&backend.region)
-            && !self.is_cold(now, backend)
-    }
-
-    fn is_allowed(&self, now: Instant, key: BackendKey, ask: &Ask<'_>) -> bool {
-        let backend = &self.backends[key];
-        ask.allows(&backend.region) && backend.health.is_reachable(now) && !ask.tried.contains(&key)
-    }
-
-    /// Ranks the backend servers that an object is kept to.
-    fn ranked(
-        &self,
-        stable: &[BackendKey],
-        object: ObjectHash,
-        objects: usize,
-    ) -> Vec<(BackendKey, usize)> {
-        let members = stable.iter().map(|key| {
-            let backend = &self.backends[*key];
-            Member {
-                backend: *key,
-                weight: object.weight(backend.hash),
-                region: &backend.region,
-            }
-        });
-        object_rank::rank(members, object, objects, &self.cfg.region)
-    }
-
-    fn candidate(
-        &self,
-        now: Instant,
-        key: BackendKey,
-        rank: usize,
-        service: &Service,
-        pace: PaceKey,
-        ask: &Ask<'_>,
-    ) -> Option<Candidate> {
-        let backend = &self.backends[key];
-        let is_cold = self.is_cold(now, backend);
-        if is_cold {
-            let interval = self.cold_interval(backend, service.known.cold_rate)?;
-            if !backend.cold_gate.is_open(now, interval) {
-                return None;
-            }
-        }
-        let slots = f64::from(backend.record.slots.max(1));
-        let there = backend.load.estimate(now, self.usual_others(service)) + 1.0;
-        let ahead = (there - slots).max(0.0);
-        let known_warm = ask.object.is_some_and(|o| backend.has_warm(now, o));
-        let warm = rank == 0 || known_warm;
-        let factor = if is_cold { COLD_FACTOR } else { 1.0 };
-        let policy = &self.cfg.policy;
-        let slowness = if policy.slow_marks {
-            backend.health.slowness(now)
-        } else {
-            1.0
-        };
-        let service_time = service.pace.expected(pace, warm) * factor * slowness;
-        let objective = ask.latency_objective.as_secs_f64();
-        let wait = ahead * service.pace.mean() * factor * slowness / slots;
-        let (fault, risk) = if policy.fault_marks {
-            let cold = service.pace.expected(pace, false);
-            let fault = backend.fault(now, wait, cold, objective);
-            (fault, backend.risk(now, objective))
-        } else {
-            (0.0, 0.0)
-        };
-        Some(Candidate {
-            backend: key,
-            base: self.delay(&backend.region) + service_time,
-            wait,
-            fault,
-            risk: risk + tie_break(rank),
-            load: there / slots,
-            slow_above: service.pace.expected(pace, known_warm) * factor * SLOW_MARGIN,
-            warm,
-            near: backend.region == self.cfg.region,
-        })
-    }
-
-    /// Returns how many requests other senders are taken to have at each backend server.
-    fn usual_others(&self, service: &Service) -> f64 {
-        service.usual_others(self.senders.len(), self.cfg.policy.usual_loads)
-    }
-
-    fn delay(&self, region: &RegionName) -> f64 {
-        if let Some(delay) = self.delays.get(region) {
-            return delay.as_secs_f64();
-        }
-        if *region == self.cfg.region {
-            0.0
-        } else {
-            UNKNOWN_DELAY.as_secs_f64()
-        }
-    }
-
     /// Notes how a request ended.
     pub fn ended(&mut self, now: Instant, end: &SendEnd) {
         let Some(backend) = self.backends.get_mut(end.backend) else {
@@ -614,14 +441,6 @@
     }
 }
 
-/// Orders backend servers that are alike otherwise by their rank, in steps of 5 ms: well
-/// below what a wait or a way to another region costs.
-fn tie_break(rank: usize) -> f64 {
-    const STEP: f64 = 0.005;
-    let rank = u32::try_from(rank.min(SPARE_RANK)).unwrap_or(u32::MAX);
-    STEP * f64::from(rank)
-}
-
 fn shortest_wait<'a>(candidates: impl Iterator<Item = &'a Candidate>) -> Option<Duration> {
     let waits = candidates.map(|candidate| candidate.wait);
     waits.min_by(f64::total_cmp).map(seconds)
--- /dev/null
+++ b/lib/src/dispatch_assess.rs
@@ -0,0 +1,200 @@
+//! What each backend server would mean for a request.
+//!
+//! The delay on the way, the wait behind what is there already, the time of the work, and what
+//! failures may cost, for those that an object is kept to, or for all where none of these may
+//! be used.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use crate::affinity::ObjectHash;
+use crate::direct_dispatch::Dispatcher;
+use crate::dispatch_ask::Ask;
+use crate::dispatch_ask::BackendKey;
+use crate::dispatch_pick::Candidate;
+use crate::dispatch_service::Service;
+use crate::id::RegionName;
+use crate::object_copies::MOST_COPIES;
+use crate::object_rank;
+use crate::object_rank::Member;
+use crate::service_pace::PaceKey;
+
+/// Delay to another region and back that is assumed before one was measured; the larger
+/// part of what the users' regions have (70 and 110 ms).
+const UNKNOWN_DELAY: Duration = Duration::from_millis(80);
+
+/// Rank of the backend servers that an object isn't kept to.
+const SPARE_RANK: usize = 3 * MOST_COPIES;
+
+/// Factor over the usual time above which a backend server counts as slow. Times of single
+/// requests differ by 15% or so.
+const SLOW_MARGIN: f64 = 1.4;
+
+/// Factor by which a request takes longer at a cold backend server.
+const COLD_FACTOR: f64 = 2.0;
+
+impl Dispatcher {
+    /// Returns the backend servers that a request may be sent to, with what each would
+    /// mean for it.
+    ///
+    /// An object is kept to few backend servers, so that its data are at hand wherever its
+    /// requests go. Only where all of them are out of use or full do others come in: each
+    /// request there takes several times as long, so that spilling over under load makes
+    /// the load several times as heavy, and keeps it so.
+    pub(crate) fn candidates(
+        &self,
+        now: Instant,
+        service: &Service,
+        pace: PaceKey,
+        ask: &Ask<'_>,
+    ) -> Vec<Candidate> {
+        let stable: Vec<BackendKey> = service
+            .backends
+            .iter()
+            .filter(|key| self.is_stable(now, **key, ask))
+            .copied()
+            .collect();
+        let Some(object) = ask.object.filter(|_| self.cfg.policy.homes) else {
+            let all = stable.iter().map(|key| (*key, 0));
+            return self.assess(now, all, service, pace, ask);
+        };
+        let ranked = self.ranked(&stable, object, service.objects.count());
+        let found = self.assess(now, ranked.into_iter(), service, pace, ask);
+        if !found.is_empty() {
+            return found;
+        }
+        let all = stable.iter().map(|key| (*key, SPARE_RANK));
+        let found = self.assess(now, all, service, pace, ask);
+        if !found.is_empty() {
+            return found;
+        }
+        let cold = service.backends.iter().filter(|key| {
+            let backend = &self.backends[**key];
+            backend.usable && self.is_cold(now, backend)
+        });
+        self.assess(now, cold.map(|key| (*key, SPARE_RANK)), service, pace, ask)
+    }
+
+    fn assess(
+        &self,
+        now: Instant,
+        ranked: impl Iterator<Item = (BackendKey, usize)>,
+        service: &Service,
+        pace: PaceKey,
+        ask: &Ask<'_>,
+    ) -> Vec<Candidate> {
+        ranked
+            .filter(|(key, _)| self.is_allowed(now, *key, ask))
+            .filter_map(|(key, rank)| self.candidate(now, key, rank, service, pace, ask))
+            .collect()
+    }
+
+    /// Returns whether a backend server counts for the ranking: what changes from one
+    /// request to the next doesn't, or objects would move to and fro.
+    fn is_stable(&self, now: Instant, key: BackendKey, ask: &Ask<'_>) -> bool {
+        let backend = &self.backends[key];
+        backend.usable
+            && !backend.silent
+            && ask.allows(&backend.region)
+            && !self.is_cold(now, backend)
+    }
+
+    fn is_allowed(&self, now: Instant, key: BackendKey, ask: &Ask<'_>) -> bool {
+        let backend = &self.backends[key];
+        ask.allows(&backend.region) && backend.health.is_reachable(now) && !ask.tried.contains(&key)
+    }
+
+    /// Ranks the backend servers that an object is kept to.
+    fn ranked(
+        &self,
+        stable: &[BackendKey],
+        object: ObjectHash,
+        objects: usize,
+    ) -> Vec<(BackendKey, usize)> {
+        let members = stable.iter().map(|key| {
+            let backend = &self.backends[*key];
+            Member {
+                backend: *key,
+                weight: object.weight(backend.hash),
+                region: &backend.region,
+            }
+        });
+        object_rank::rank(members, object, objects, &self.cfg.region)
+    }
+
+    fn candidate(
+        &self,
+        now: Instant,
+        key: BackendKey,
+        rank: usize,
+        service: &Service,
+        pace: PaceKey,
+        ask: &Ask<'_>,
+    ) -> Option<Candidate> {
+        let backend = &self.backends[key];
+        let is_cold = self.is_cold(now, backend);
+        if is_cold {
+            let interval = self.cold_interval(backend, service.known.cold_rate)?;
+            if !backend.cold_gate.is_open(now, interval) {
+                return None;
+            }
+        }
+        let slots = f64::from(backend.record.slots.max(1));
+        let there = backend.load.estimate(now, self.usual_others(service)) + 1.0;
+        let ahead = (there - slots).max(0.0);
+        let known_warm = ask.object.is_some_and(|o| backend.has_warm(now, o));
+        let warm = rank == 0 || known_warm;
+        let factor = if is_cold { COLD_FACTOR } else { 1.0 };
+        let policy = &self.cfg.policy;
+        let slowness = if policy.slow_marks {
+            backend.health.slowness(now)
+        } else {
+            1.0
+        };
+        let service_time = service.pace.expected(pace, warm) * factor * slowness;
+        let objective = ask.latency_objective.as_secs_f64();
+        let wait = ahead * service.pace.mean() * factor * slowness / slots;
+        let (fault, risk) = if policy.fault_marks {
+            let cold = service.pace.expected(pace, false);
+            let fault = backend.fault(now, wait, cold, objective);
+            (fault, backend.risk(now, objective))
+        } else {
+            (0.0, 0.0)
+        };
+        Some(Candidate {
+            backend: key,
+            base: self.delay(&backend.region) + service_time,
+            wait,
+            fault,
+            risk: risk + tie_break(rank),
+            load: there / slots,
+            slow_above: service.pace.expected(pace, known_warm) * factor * SLOW_MARGIN,
+            warm,
+            near: backend.region == self.cfg.region,
+        })
+    }
+
+    /// Returns how many requests other senders are taken to have at each backend server.
+    pub(crate) fn usual_others(&self, service: &Service) -> f64 {
+        service.usual_others(self.senders.len(), self.cfg.policy.usual_loads)
+    }
+
+    fn delay(&self, region: &RegionName) -> f64 {
+        if let Some(delay) = self.delays.get(region) {
+            return delay.as_secs_f64();
+        }
+        if *region == self.cfg.region {
+            0.0
+        } else {
+            UNKNOWN_DELAY.as_secs_f64()
+        }
+    }
+}
+
+/// Orders backend servers that are alike otherwise by their rank, in steps of 5 ms: well
+/// below what a wait or a way to another region costs.
+fn tie_break(rank: usize) -> f64 {
+    const STEP: f64 = 0.005;
+    let rank = u32::try_from(rank.min(SPARE_RANK)).unwrap_or(u32::MAX);
+    STEP * f64::from(rank)
+}
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -36,6 +36,7 @@
 pub mod direct_dispatch;
 pub mod direct_settings;
 pub mod dispatch_ask;
+mod dispatch_assess;
 mod dispatch_backend;
 pub mod dispatch_pick;
 pub mod dispatch_policy;
--- a/lib/tests/test_cold_watch.rs
+++ b/lib/tests/test_cold_watch.rs
@@ -9,6 +9,7 @@
 use dispatch_model::Plan;
 use dispatch_model::place;
 use dispatch_model::region;
+use dispatch_model::route;
 use dispatch_model::service;
 use dispatch_model::view;
 use heatherring_lib::affinity::ObjectHash;
@@ -21,6 +22,7 @@
 use heatherring_lib::dispatch_ask::Ask;
 use heatherring_lib::dispatch_ask::SendEnd;
 use heatherring_lib::dispatch_ask::SendOutcome;
+use heatherring_lib::dispatch_policy::DispatchPolicy;
 use heatherring_lib::id::BackendName;
 use heatherring_lib::id::VmName;
 
@@ -62,6 +64,7 @@
                 places: [(place(0), region(0))].into(),
                 resend_ratio: 0.2,
                 resend_slack: 60.0,
+                policy: DispatchPolicy::default(),
             };
             let mut dispatcher = Dispatcher::new(cfg, now);
             dispatcher.apply_view(now, &view);
@@ -128,8 +131,11 @@
         let object = ObjectHash::of("route", &(number % OBJECTS).to_string());
         let sender = number as usize % self.senders.len();
         let service = service();
+        let route = route();
         let ask = Ask {
             service: &service,
+            route: &route,
+            latency_objective: Duration::from_secs(1),
             object: Some(object),
             priority: 0,
             deadline: self.now + Duration::from_secs(3),
--- a/server/src/fleet_picture.rs
+++ b/server/src/fleet_picture.rs
@@ -115,7 +115,7 @@
             if age >= PROOF_AGE {
                 return;
             }
-            tokio::time::sleep(PROOF_AGE - age).await;
+            tokio::time::sleep(PROOF_AGE.saturating_sub(age)).await;
         }
     }
 
--- a/server/src/pipeline_io.rs
+++ b/server/src/pipeline_io.rs
@@ -55,11 +55,11 @@
     pub _ahead: Option<Ahead>,
 }
 
-/// Holds permits of the connection and of the process to read one request ahead.
+/// Holds permits of the connection and of its listener to read one request ahead.
 #[derive(Debug)]
 pub(crate) struct Ahead {
     pub _connection: OwnedSemaphorePermit,
-    pub _process: OwnedSemaphorePermit,
+    pub _listener: OwnedSemaphorePermit,
 }
 
 /// Says what a request's head means for the form of its answer.
--- a/server/src/pipelined_connection.rs
+++ b/server/src/pipelined_connection.rs
@@ -262,10 +262,10 @@
         metric::read_ahead();
         let connection = Arc::clone(&self.ahead).acquire_owned().await.ok()?;
         let listener = Arc::clone(&self.setup.ahead_of_listener);
-        let process = listener.acquire_owned().await.ok()?;
+        let listener = listener.acquire_owned().await.ok()?;
         Some(Ahead {
             _connection: connection,
-            _process: process,
+            _listener: listener,
         })
     }
 
