backend_load: a report fades to what reports tell of others on average

That others do as this sender does is a guess, and requests were refused for it.

Change: what reports of the whole service tell of others, averaged over 16 of them, takes its place; nothing before there are reports.

--- a/lib/src/backend_load.rs
+++ b/lib/src/backend_load.rs
@@ -2,9 +2,9 @@
 //!
 //! A sender knows what it has in flight itself. What others have there shows only in the
 //! reports that come with answers, and such a report is old at once: it fades, so that a
-//! backend server that was full a while ago is tried again. What it fades to is what others
-//! are taken to have there without a report: they are asked by callers like this sender's, and
-//! do as it does.
+//! backend server that was full a while ago is tried again. What it fades to is what reports
+//! of the whole service tell of others on average, and nothing before there are any: that
+//! others do as this sender does would be a guess, and requests are refused for it.
 
 use std::time::Duration;
 use std::time::Instant;
@@ -91,8 +91,7 @@
     pub fn note_answer(&mut self, now: Instant, report: Option<LoadReport>, usual: f64) {
         self.last_answer = Some(now);
         let Some(report) = report else { return };
-        let total = f64::from(report.running) + f64::from(report.waiting);
-        let count = (total - self.own()).max(0.0);
+        let count = self.others_of(report);
         let before = self.others.map_or(count, |_| self.others(now, usual));
         self.others = Some(Others {
             count: before + (count - before) * REPORT_WEIGHT,
@@ -100,6 +99,16 @@
         });
     }
 
+    /// Returns how many requests of others a report tells of; call it after [`Self::end`].
+    pub fn told_of_others(&self, report: Option<LoadReport>) -> Option<f64> {
+        report.map(|report| self.others_of(report))
+    }
+
+    fn others_of(&self, report: LoadReport) -> f64 {
+        let total = f64::from(report.running) + f64::from(report.waiting);
+        (total - self.own()).max(0.0)
+    }
+
     /// Returns the age of the latest report of its load.
     pub fn report_age(&self, now: Instant) -> Option<Duration> {
         let at = self.others.map(|others| others.at)?;
--- a/lib/src/direct_dispatch.rs
+++ b/lib/src/direct_dispatch.rs
@@ -353,9 +353,6 @@
         max_connections: u32,
     ) -> Choice {
         let backend = &mut self.backends[best.backend];
-        if let Some(service) = self.services.get_mut(&backend.record.service) {
-            service.note_begun();
-        }
         backend.cold_gate.note_sent(now);
         let report_age = backend.load.report_age(now);
         let expectation = Expectation {
@@ -399,8 +396,12 @@
         };
         let mut usual = 0.0;
         if let Some(service) = self.services.get_mut(&backend.record.service) {
-            service.note_ended();
-            usual = service.usual_others(self.senders.len(), self.cfg.policy.usual_loads);
+            if let Some(others) = backend.load.told_of_others(end.load) {
+                service.note_others(others);
+            }
+            if self.cfg.policy.usual_loads {
+                usual = service.usual_others;
+            }
             if let Some(object) = end.object
                 && !send.expected.warm
             {
--- a/lib/src/dispatch_assess.rs
+++ b/lib/src/dispatch_assess.rs
@@ -176,7 +176,11 @@
 
     /// Returns how many requests other senders are taken to have at each backend server.
     pub(crate) fn usual_others(&self, service: &Service) -> f64 {
-        service.usual_others(self.senders.len(), self.cfg.policy.usual_loads)
+        if self.cfg.policy.usual_loads {
+            service.usual_others
+        } else {
+            0.0
+        }
     }
 
     fn delay(&self, region: &RegionName) -> f64 {
--- a/lib/src/dispatch_policy.rs
+++ b/lib/src/dispatch_policy.rs
@@ -34,7 +34,7 @@
     pub resends: bool,
     /// Callers that are refused together are told to come back apart.
     pub spread_returns: bool,
-    /// Others are taken to have at a backend server what this sender has, as reports age.
+    /// As a report ages, others are taken to have there what reports tell of them on average.
     pub usual_loads: bool,
     /// Each route has its own times.
     pub routes_apart: bool,
--- a/lib/src/dispatch_service.rs
+++ b/lib/src/dispatch_service.rs
@@ -19,8 +19,8 @@
 /// 0.618 and 0.553, a twentieth 0.626 and 0.560.
 const COPY_SHARE: f64 = 0.05;
 
-/// Requests over which those in flight are averaged: a second or so at the rates of one entry
-/// VM, long enough not to follow single requests.
+/// Reports over which others' requests are averaged: a second or so at the rates of one entry
+/// VM, long enough not to follow single reports.
 const USUAL_OVER: f64 = 16.0;
 
 /// Holds what a dispatcher knows of one service.
@@ -35,9 +35,9 @@
     pub warming: BTreeSet<ObjectHash>,
     /// Copies that may be made now.
     pub spare_copies: f64,
-    /// Own requests in flight, now and on average over the last [`USUAL_OVER`] requests.
-    in_flight: f64,
-    usual_in_flight: f64,
+    /// Requests that others had at a backend server, on average over the last [`USUAL_OVER`]
+    /// reports; none before the first.
+    pub usual_others: f64,
 }
 
 impl Service {
@@ -56,34 +56,13 @@
             objects: ObjectCount::default(),
             warming: BTreeSet::new(),
             spare_copies: 0.0,
-            in_flight: 0.0,
-            usual_in_flight: 0.0,
+            usual_others: 0.0,
         }
     }
 
-    /// Notes that a request is sent to one of the backend servers.
-    pub fn note_begun(&mut self) {
-        self.in_flight += 1.0;
-        self.usual_in_flight += (self.in_flight - self.usual_in_flight) / USUAL_OVER;
-    }
-
-    /// Notes that it is over.
-    pub fn note_ended(&mut self) {
-        self.in_flight = (self.in_flight - 1.0).max(0.0);
-    }
-
-    /// Returns how many requests the other `senders` are taken to have at each backend server:
-    /// as many as this one, spread evenly; none if that isn't reckoned with.
-    pub fn usual_others(&self, senders: usize, is_known: bool) -> f64 {
-        if !is_known {
-            return 0.0;
-        }
-        #[expect(clippy::cast_precision_loss, reason = "counts far below 2^52")]
-        let (others, backends) = (
-            senders.saturating_sub(1) as f64,
-            self.backends.len().max(1) as f64,
-        );
-        self.usual_in_flight * others / backends
+    /// Notes how many requests of others a report told of, at any of the backend servers.
+    pub fn note_others(&mut self, others: f64) {
+        self.usual_others += (others - self.usual_others) / USUAL_OVER;
     }
 
     /// Returns whether a further copy of an object may be made.
