entry_process: callers are told that a connection closes before a planned stop closes it

Cause: in the owners' plane connections were kept as they were until the stop and closed then, without a word. A caller that sends on one at that moment gets no answer ("operation was canceled: connection closed"): the symptom of test_rolling_replacement_through_relays. Besides, requests were taken for just as long as look-ups may be kept, so that one sent at the last moment, with its way still before it, met the stop. Change: leaving is told to the callers' listener as it begins, so that each connection takes one more request, whose answer says that it closes; requests are taken for 0.5 s longer. Before: test_planned_stop_tells_callers_before_it_closes_connections failed (no such header); after: it passes with the other 7 of test_entry_session.

--- a/server/src/entry_process.rs
+++ b/server/src/entry_process.rs
@@ -42,6 +42,12 @@
 /// Control may be silent for longer; then callers are better served by ending.
 const LEAVE_BOUND: Duration = Duration::from_secs(10);
 
+/// Time beyond that for which look-ups may be kept until no more requests are taken. A caller
+/// that goes by a look-up at the last moment has yet to connect and to send, three ways of 55 ms
+/// between the farthest regions, and may be busy itself. Its request would meet a connection
+/// that closes, and be lost.
+const LOOK_UP_WAY: Duration = Duration::from_millis(500);
+
 /// Time for which a planned stop waits for what is in flight, beyond the longest
 /// deadline in the manifest.
 const FINISH_MARGIN: Duration = Duration::from_secs(5);
@@ -205,6 +211,7 @@
     async fn stop(self, mut shutdown: Shutdown) {
         log::info!(event = "entry_leaving", vm = self.cx.info.vm.as_str(); "a planned stop begins");
         self.wish.send_replace(SessionWish::Leave);
+        self.servers.leave();
         tokio::select! {
             () = self.finish() => {}
             () = shutdown.insisted() => {
@@ -219,7 +226,7 @@
     async fn finish(&self) {
         let bound = self.cx.now() + LEAVE_BOUND;
         let _ = tokio::time::timeout_at(bound.into(), self.until_known_everywhere()).await;
-        tokio::time::sleep(self.cache_time()).await;
+        tokio::time::sleep(self.cache_time() + LOOK_UP_WAY).await;
         self.servers.stop_requests();
         let bound = self.cx.now() + self.longest_deadline() + FINISH_MARGIN;
         let _ = tokio::time::timeout_at(bound.into(), self.until_finished()).await;
--- a/server/src/entry_servers.rs
+++ b/server/src/entry_servers.rs
@@ -23,6 +23,7 @@
 use crate::http_server::HttpBounds;
 use crate::http_server::HttpVersions;
 use crate::http_server::LimitsSource;
+use crate::http_server::Stops;
 use crate::peer_security::PeerSecurity;
 use crate::peer_service::PeerService;
 use crate::proto::peer_server::PeerServer;
@@ -64,6 +65,8 @@
 /// Holds the servers of a running entry VM.
 #[derive(Debug)]
 pub struct EntryServers {
+    /// Has each connection take one more request, whose answer says that it closes.
+    leaving: CancellationToken,
     /// Ends what takes requests of callers and other entry VMs.
     stop_requests: CancellationToken,
     callers: JoinHandle<()>,
@@ -84,7 +87,12 @@
         grpc_server: tonic::transport::Server,
         relay: SessionRelayService,
     ) -> Self {
+        let leaving = CancellationToken::new();
         let stop_requests = CancellationToken::new();
+        let request_stops = Stops {
+            leaving: leaving.clone(),
+            stop: stop_requests.clone(),
+        };
         let stop_messages = CancellationToken::new();
         let bounds = HttpBounds {
             max_connections: cx.limits.max_connections as usize,
@@ -101,21 +109,21 @@
             Admittance::Anybody,
             bounds.clone(),
             CallerHandler::new(Arc::clone(cx)),
-            &stop_requests,
+            request_stops.clone(),
         );
         let forward = spawn_server(
             listeners.forward,
             Admittance::Deployment(security),
             bounds.clone(),
             ForwardHandler::new(Arc::clone(cx)),
-            &stop_requests,
+            request_stops,
         );
         let backend_servers = spawn_server(
             listeners.backend_servers,
             Admittance::Anybody,
             bounds,
             AnnounceHandler::new(Arc::clone(cx)),
-            &stop_messages,
+            stop_messages.clone().into(),
         );
         let peers = spawn_peer_server(
             grpc_server,
@@ -125,6 +133,7 @@
             &stop_messages,
         );
         Self {
+            leaving,
             stop_requests,
             callers,
             forward,
@@ -134,6 +143,14 @@
         }
     }
 
+    /// Has callers turn to other entry VMs: each connection takes one more request at most.
+    ///
+    /// One that is kept open until the stop is closed without a word, and a request that its
+    /// caller sends at that moment is lost.
+    pub fn leave(&self) {
+        self.leaving.cancel();
+    }
+
     /// Takes no new requests and lets those that have begun finish.
     pub fn stop_requests(&self) {
         self.stop_requests.cancel();
@@ -160,14 +177,10 @@
     admittance: Admittance,
     bounds: HttpBounds,
     handler: H,
-    stop: &CancellationToken,
+    stops: Stops,
 ) -> JoinHandle<()> {
     tokio::spawn(http_server::serve(
-        listener,
-        admittance,
-        bounds,
-        handler,
-        stop.clone().into(),
+        listener, admittance, bounds, handler, stops,
     ))
 }
 
--- a/server/tests/test_entry_session.rs
+++ b/server/tests/test_entry_session.rs
@@ -28,7 +28,11 @@
 use tokio::net::TcpListener;
 
 use crate::entry_support::PLACE;
+use crate::entry_support::SERVICE;
 use crate::entry_support::caller::Reply;
+use crate::entry_support::caller::collect;
+use crate::entry_support::caller::connect;
+use crate::entry_support::caller::request;
 use crate::entry_support::caller::wait_until;
 use crate::entry_support::fake_control::Mode;
 use crate::entry_support::rig::Rig;
@@ -131,6 +135,36 @@
     assert_eq!(rig.control.asked.load(Ordering::Relaxed), 0);
 }
 
+/// Symptom: while entry VMs are replaced, a request ends with a closed connection and no answer.
+///
+/// Sequence: a caller keeps its connection to an entry VM that leaves, and sends the next request
+/// on it at the moment of the stop.
+///
+/// Cause: connections were closed at the stop, and callers weren't told before it.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn test_planned_stop_tells_callers_before_it_closes_connections() {
+    let mut rig = Rig::start(&[PLACE, PLACE], LEASE).await;
+    let _backend = rig.start_backend(&[Script::Whole]).await;
+    let address = rig.callers(0);
+    let mut kept = connect(address).await.unwrap();
+    let path = format!("/svc/{SERVICE}/1");
+    let before = kept.send_request(request("GET", address, &path, ""));
+    let before = before.await.unwrap();
+    assert!(!before.headers().contains_key("connection"));
+    collect(before.into_body()).await.unwrap();
+    rig.entries[0].trigger.request();
+    wait_until(async || {
+        let view = rig.control.view();
+        view.sessions.values().any(|session| session.leaving)
+    })
+    .await;
+    let while_leaving = kept.send_request(request("GET", address, &path, ""));
+    let while_leaving = while_leaving.await.unwrap();
+    assert_eq!(while_leaving.headers()["connection"], "close");
+    let body = collect(while_leaving.into_body()).await.unwrap();
+    assert_eq!(body, "answer to /1");
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn test_planned_stop_finishes_what_is_in_flight() {
     // Symptom: a planned stop cuts off a request.
