--- a/lib/src/presence.rs
+++ b/lib/src/presence.rs
@@ -1,19 +1,25 @@
 //! Who has been heard of lately: soft state that control replicas tell each other.
 //!
 //! A backend server or an entry VM sends its heartbeats to one replica of its choice,
-//! and changes to another at will. Each replica therefore passes on what it heard, every
-//! so often. A replica that is cut off hears of few; it must not take the others for
-//! dead, so it gives no verdict while it has no contact with a majority.
+//! and changes to another at will. Each replica therefore tells the others whom it hears.
+//! A replica that is cut off hears of few; it must not take the others for dead, so it
+//! gives no verdict while it has no contact with a majority.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::time::Duration;
 use std::time::Instant;
 
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::heard_report::Heard;
+use crate::heard_report::OwnHeard;
+use crate::heard_report::PresenceReport;
+use crate::heard_report::ReplicaOrigin;
 use crate::id::BackendName;
 use crate::id::VmName;
+use crate::numbered_set::SetUpdate;
 
 /// Silence after which a backend server counts as lost. Heartbeats come every 1.5 s or so,
 /// may be a second late and take half a second to be passed on.
@@ -30,136 +36,204 @@
 /// Silence of a replica after which it doesn't count towards a majority: three reports.
 const PEER_SILENCE: Duration = Duration::from_millis(1_600);
 
-/// Names one who sends heartbeats in a report, and says how long ago the last one came.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
-pub struct HeardBackend {
-    /// The backend server.
-    pub backend: BackendName,
-    /// Milliseconds since its heartbeat.
-    pub age_ms: u32,
+/// Names one who isn't to be used for now, as entry VMs are told.
+#[derive(Clone, Debug, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
+pub enum Absent {
+    /// A backend server that is silent.
+    Backend(BackendName),
+    /// An entry VM that takes no requests.
+    Entry(VmName),
 }
 
-/// Holds a heartbeat of an entry VM in a report.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
-pub struct HeardEntry {
-    /// The entry VM.
-    pub vm: VmName,
-    /// The life of its process.
-    pub life: u64,
-    /// Whether it takes requests.
-    pub ready: bool,
-    /// Milliseconds since its heartbeat.
-    pub age_ms: u32,
+/// Says when and by how many replicas one was heard.
+#[derive(Clone, Copy, Debug)]
+struct Standing {
+    /// Replicas that hear it now.
+    holders: u32,
+    /// When it was heard last, if none does.
+    last: Instant,
 }
 
-/// Holds what one replica heard itself since its last report.
-#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
-pub struct PresenceReport {
-    /// The backend servers.
-    pub backends: Vec<HeardBackend>,
-    /// The entry VMs.
-    pub entries: Vec<HeardEntry>,
+impl Standing {
+    fn silence(&self, now: Instant) -> Duration {
+        if self.holders > 0 {
+            Duration::ZERO
+        } else {
+            now.saturating_duration_since(self.last)
+        }
+    }
 }
 
 #[derive(Clone, Copy, Debug)]
-struct EntryPresence {
+struct EntryStanding {
     life: u64,
     ready: bool,
+    /// When it began to say so.
+    said_at: Instant,
+    standing: Standing,
+}
+
+/// Holds what another replica told.
+#[derive(Debug)]
+struct Peer {
+    life: u64,
+    number: u64,
+    heard: BTreeSet<Heard>,
+    origin: Option<ReplicaOrigin>,
     at: Instant,
 }
 
+impl Peer {
+    /// Starts with a replica that has told nothing yet.
+    fn unheard(now: Instant, report: &PresenceReport) -> Self {
+        Self {
+            life: report.life,
+            number: 0,
+            heard: BTreeSet::new(),
+            origin: report.origin.clone(),
+            at: now,
+        }
+    }
+
+    /// Lets go of those whom an update removes, and returns them.
+    fn removed_by(&mut self, update: &SetUpdate<Heard>) -> Vec<Heard> {
+        let mut removed: Vec<Heard> = update.removed.clone();
+        if update.whole {
+            let heard: BTreeSet<&Heard> = update.added.iter().collect();
+            let gone = self.heard.iter().filter(|known| !heard.contains(known));
+            removed.extend(gone.cloned());
+        }
+        removed.retain(|heard| self.heard.remove(heard));
+        removed
+    }
+}
+
 /// Holds who was heard when.
 #[derive(Debug)]
 pub struct Presence {
     began: Instant,
-    backends: BTreeMap<BackendName, Instant>,
-    entries: BTreeMap<VmName, EntryPresence>,
-    peers: BTreeMap<VmName, Instant>,
-    own: PresenceReport,
-    own_since: Instant,
+    own: OwnHeard,
+    backends: BTreeMap<BackendName, Standing>,
+    entries: BTreeMap<VmName, EntryStanding>,
+    peers: BTreeMap<VmName, Peer>,
 }
 
 impl Presence {
-    /// Starts without having heard of anybody.
+    /// Starts without having heard of anybody. `life` tells this process from the one that it
+    /// was before, and is drawn at random.
     #[must_use]
-    pub fn new(now: Instant) -> Self {
+    pub fn new(now: Instant, life: u64) -> Self {
         Self {
             began: now,
+            own: OwnHeard::new(life),
             backends: BTreeMap::new(),
             entries: BTreeMap::new(),
             peers: BTreeMap::new(),
-            own: PresenceReport::default(),
-            own_since: now,
         }
     }
 
     /// Notes a heartbeat of a backend server. Returns whether it had been silent.
     pub fn hear_backend(&mut self, now: Instant, backend: &BackendName) -> bool {
         let silent = self.is_silent(now, backend);
-        self.backends.insert(backend.clone(), now);
-        self.own.backends.retain(|heard| heard.backend != *backend);
-        self.own.backends.push(HeardBackend {
-            backend: backend.clone(),
-            age_ms: millis(now.saturating_duration_since(self.own_since)),
-        });
+        let heard = Heard::Backend(backend.clone());
+        if self.own.hear(now, &heard) {
+            self.add(now, &heard);
+        }
         silent
     }
 
     /// Notes a heartbeat of an entry VM. Returns whether anything but the time is new.
     pub fn hear_entry(&mut self, now: Instant, vm: &VmName, life: u64, ready: bool) -> bool {
-        let before = self.entries.insert(
-            vm.clone(),
-            EntryPresence {
-                life,
-                ready,
-                at: now,
-            },
-        );
-        self.own.entries.retain(|heard| heard.vm != *vm);
-        self.own.entries.push(HeardEntry {
+        let heard = |life, ready| Heard::Entry {
             vm: vm.clone(),
             life,
             ready,
-            age_ms: millis(now.saturating_duration_since(self.own_since)),
-        });
-        before.is_none_or(|before| before.ready != ready || before.life != life)
-    }
-
-    /// Returns what this replica heard itself since the last call.
-    pub fn take_report(&mut self, now: Instant) -> PresenceReport {
-        let until = millis(now.saturating_duration_since(self.own_since));
-        let mut report = std::mem::take(&mut self.own);
-        // Until here `age_ms` was the time from the last report to the heartbeat.
-        for heard in &mut report.backends {
-            heard.age_ms = until.saturating_sub(heard.age_ms);
-        }
-        for heard in &mut report.entries {
-            heard.age_ms = until.saturating_sub(heard.age_ms);
-        }
-        self.own_since = now;
-        report
-    }
-
-    /// Takes the report of another replica in.
-    pub fn take_in(&mut self, now: Instant, from: &VmName, report: &PresenceReport) {
-        self.peers.insert(from.clone(), now);
-        for heard in &report.backends {
-            let at = earlier(now, heard.age_ms);
-            let known = self.backends.entry(heard.backend.clone()).or_insert(at);
-            *known = at.max(*known);
-        }
-        for heard in &report.entries {
-            let at = earlier(now, heard.age_ms);
-            let presence = EntryPresence {
-                life: heard.life,
-                ready: heard.ready,
-                at,
-            };
-            let known = self.entries.entry(heard.vm.clone()).or_insert(presence);
-            if at >= known.at {
-                *known = presence;
+        };
+        let before = self.entries.get(vm).copied();
+        let is_new = before.is_none_or(|known| known.life != life || known.ready != ready);
+        if is_new && let Some(known) = before {
+            let outdated = heard(known.life, known.ready);
+            if self.own.drop_heard(&outdated) {
+                self.remove(&outdated, now);
             }
         }
+        let heard = heard(life, ready);
+        if self.own.hear(now, &heard) {
+            self.add(now, &heard);
+        }
+        is_new
+    }
+
+    /// Returns what to tell a replica that knows everything up to the change numbered `known`.
+    #[must_use]
+    pub fn report(&self, now: Instant, known: u64, origin: &ReplicaOrigin) -> PresenceReport {
+        self.own.report(now, known, origin)
+    }
+
+    /// Takes the report of another replica in. Returns the number of its changes up to which
+    /// all is known here, for its next report.
+    pub fn take_in(&mut self, now: Instant, from: &VmName, report: &PresenceReport) -> u64 {
+        if report.heard.whole
+            && self
+                .peers
+                .get(from)
+                .is_none_or(|peer| peer.life != report.life)
+        {
+            self.drop_peer(now, from);
+            self.peers.insert(from.clone(), Peer::unheard(now, report));
+        }
+        let Some(peer) = self
+            .peers
+            .get_mut(from)
+            .filter(|peer| peer.life == report.life)
+        else {
+            return 0;
+        };
+        if !report.heard.whole && peer.number != report.base {
+            return peer.number;
+        }
+        peer.at = now;
+        peer.number = report.heard.number;
+        let removed = peer.removed_by(&report.heard);
+        let added = report.heard.added.iter().zip(&report.began_ms);
+        let added: Vec<(&Heard, &u32)> = added
+            .filter(|(heard, _)| peer.heard.insert((*heard).clone()))
+            .collect();
+        for heard in removed {
+            self.remove(&heard, earlier(now, heard.heard_for()));
+        }
+        for (heard, began_ms) in added {
+            let began = earlier(now, Duration::from_millis((*began_ms).into()));
+            self.add(began, heard);
+        }
+        report.heard.number
+    }
+
+    /// Lets go of those who weren't heard lately, here or by replicas that are silent now.
+    pub fn expire(&mut self, now: Instant) {
+        for (heard, last) in self.own.expire(now) {
+            self.remove(&heard, last);
+        }
+        let is_silent = |peer: &Peer| now.saturating_duration_since(peer.at) >= PEER_SILENCE;
+        let silent: Vec<VmName> = self
+            .peers
+            .iter()
+            .filter(|(_, peer)| is_silent(peer) && !peer.heard.is_empty())
+            .map(|(vm, _)| vm.clone())
+            .collect();
+        for vm in silent {
+            self.drop_peer(now, &vm);
+        }
+    }
+
+    /// Drops everybody who hasn't been heard of for `age`.
+    pub fn forget(&mut self, now: Instant, age: Duration) {
+        self.backends
+            .retain(|_, standing| standing.silence(now) < age);
+        self.entries
+            .retain(|_, entry| entry.standing.silence(now) < age);
+        self.peers
+            .retain(|_, peer| now.saturating_duration_since(peer.at) < age);
     }
 
     /// Returns whether enough of the `replicas` report for a verdict on anybody's
@@ -169,10 +243,18 @@
         let heard = self
             .peers
             .values()
-            .filter(|at| now.saturating_duration_since(**at) < PEER_SILENCE);
+            .filter(|peer| now.saturating_duration_since(peer.at) < PEER_SILENCE);
         (heard.count() + 1) * 2 > replicas
     }
 
+    /// Returns where the other replicas are that were heard of, lately first of all.
+    pub fn origins(&self, now: Instant) -> impl Iterator<Item = (&ReplicaOrigin, bool)> {
+        self.peers.values().filter_map(move |peer| {
+            let lately = now.saturating_duration_since(peer.at) < PEER_SILENCE;
+            peer.origin.as_ref().map(|origin| (origin, lately))
+        })
+    }
+
     /// Returns whether a backend server hasn't been heard of for [`BACKEND_SILENCE`]. One
     /// that was never heard of counts from this replica's start.
     #[must_use]
@@ -183,39 +265,82 @@
     /// Returns for how long a backend server hasn't been heard of.
     #[must_use]
     pub fn silence(&self, now: Instant, backend: &BackendName) -> Duration {
-        let heard = self.backends.get(backend).copied().unwrap_or(self.began);
-        now.saturating_duration_since(heard)
+        let unheard = now.saturating_duration_since(self.began);
+        let standing = self.backends.get(backend);
+        standing.map_or(unheard, |standing| standing.silence(now))
     }
 
     /// Returns for how long an entry VM hasn't been heard of.
     #[must_use]
     pub fn entry_silence(&self, now: Instant, vm: &VmName) -> Duration {
-        let heard = self.entries.get(vm).map_or(self.began, |entry| entry.at);
-        now.saturating_duration_since(heard)
+        let unheard = now.saturating_duration_since(self.began);
+        let entry = self.entries.get(vm);
+        entry.map_or(unheard, |entry| entry.standing.silence(now))
     }
 
-    /// Returns whether an entry VM takes requests, as far as is known.
+    /// Returns whether an entry VM takes no requests: it says so, or is silent. One that was
+    /// never heard of counts from this replica's start.
     #[must_use]
-    pub fn is_live_entry(&self, now: Instant, vm: &VmName) -> bool {
-        self.entries.get(vm).is_some_and(|entry| {
-            entry.ready && now.saturating_duration_since(entry.at) < ENTRY_SILENCE
-        })
+    pub fn is_dark_entry(&self, now: Instant, vm: &VmName) -> bool {
+        let says_so = self.entries.get(vm).is_some_and(|entry| !entry.ready);
+        says_so || self.entry_silence(now, vm) >= ENTRY_SILENCE
     }
 
-    /// Drops everybody who hasn't been heard of for `age`.
-    pub fn expire(&mut self, now: Instant, age: Duration) {
-        let fresh = |at: &Instant| now.saturating_duration_since(*at) < age;
-        self.backends.retain(|_, at| fresh(at));
-        self.entries.retain(|_, entry| fresh(&entry.at));
-        self.peers.retain(|_, at| fresh(at));
+    fn add(&mut self, began: Instant, heard: &Heard) {
+        match heard {
+            Heard::Backend(backend) => {
+                let unheard = Standing {
+                    holders: 0,
+                    last: began,
+                };
+                let standing = self.backends.entry(backend.clone()).or_insert(unheard);
+                standing.holders += 1;
+            }
+            Heard::Entry { vm, life, ready } => {
+                let said = EntryStanding {
+                    life: *life,
+                    ready: *ready,
+                    said_at: began,
+                    standing: Standing {
+                        holders: 0,
+                        last: began,
+                    },
+                };
+                let entry = self.entries.entry(vm.clone()).or_insert(said);
+                // A replica that is told of late may still hold what it said before.
+                if began >= entry.said_at {
+                    (entry.life, entry.ready, entry.said_at) = (*life, *ready, began);
+                }
+                entry.standing.holders += 1;
+            }
+        }
+    }
+
+    fn remove(&mut self, heard: &Heard, last: Instant) {
+        let standing = match heard {
+            Heard::Backend(backend) => self.backends.get_mut(backend),
+            Heard::Entry { vm, .. } => self.entries.get_mut(vm).map(|entry| &mut entry.standing),
+        };
+        if let Some(standing) = standing {
+            standing.holders = standing.holders.saturating_sub(1);
+            standing.last = standing.last.max(last);
+        }
     }
-}
 
-fn earlier(now: Instant, age_ms: u32) -> Instant {
-    now.checked_sub(Duration::from_millis(age_ms.into()))
-        .unwrap_or(now)
+    /// Lets go of all whom a replica heard; they count as heard when it last reported.
+    fn drop_peer(&mut self, now: Instant, vm: &VmName) {
+        let Some(peer) = self.peers.get_mut(vm) else {
+            return;
+        };
+        let last = peer.at.min(now);
+        // What it tells next must be everything.
+        peer.number = 0;
+        for heard in std::mem::take(&mut peer.heard) {
+            self.remove(&heard, last);
+        }
+    }
 }
 
-fn millis(duration: Duration) -> u32 {
-    u32::try_from(duration.as_millis()).unwrap_or(u32::MAX)
+fn earlier(now: Instant, age: Duration) -> Instant {
+    now.checked_sub(age).unwrap_or(now)
 }
--- /dev/null
+++ b/lib/src/replica_choice.rs
@@ -0,0 +1,218 @@
+//! Which control replica an entry VM follows: the nearest one that is of use.
+//!
+//! What an entry VM hears of control is paid for between failure domains, and more between
+//! regions. With replicas drawn at random two thirds of it crossed regions where there are
+//! three. Replicas that are equally near share the entry VMs evenly, by rendezvous hashing.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+use std::time::Instant;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::heard_report::ReplicaOrigin;
+use crate::id::BackendName;
+use crate::id::PlaceName;
+use crate::id::RegionName;
+use crate::id::VmName;
+
+/// Time for which a replica isn't asked that answered that it can't prove to be current. The
+/// question costs it little, and it may have a leader again within an election.
+const ASIDE_NOT_CURRENT: Duration = Duration::from_millis(500);
+
+/// Time for which a replica isn't asked that gave no answer, doubled with each further time.
+const ASIDE_SILENT: Duration = Duration::from_secs(1);
+
+/// Longest such time, before it is drawn out by up to its double: a region that was cut off
+/// follows its own replicas again within 4 s.
+const LONGEST_ASIDE: Duration = Duration::from_secs(2);
+
+/// Tells where a replica is.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct ReplicaSite {
+    /// Where it takes messages.
+    pub address: SocketAddr,
+    /// The place that it stands in, if that is known.
+    pub place: Option<PlaceName>,
+}
+
+/// Says how far a place is from here.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub enum Distance {
+    /// It is the same failure domain.
+    Place,
+    /// It is in the same region.
+    Region,
+    /// It is in another region, or nobody knows where.
+    Far,
+}
+
+impl Distance {
+    /// Returns how far `there` is from `here`, where `regions` has the regions of all places.
+    #[must_use]
+    pub fn between(
+        regions: &BTreeMap<PlaceName, RegionName>,
+        here: &PlaceName,
+        there: &PlaceName,
+    ) -> Self {
+        if there == here {
+            return Self::Place;
+        }
+        match (regions.get(there), regions.get(here)) {
+            (Some(there), Some(here)) if there == here => Self::Region,
+            _ => Self::Far,
+        }
+    }
+}
+
+/// Returns where a backend server called `name` in the place `here` should announce itself: at
+/// the nearest of the replicas that take announcements; those equally near share all evenly.
+pub fn announce_at<'a>(
+    regions: &BTreeMap<PlaceName, RegionName>,
+    here: &PlaceName,
+    name: &BackendName,
+    replicas: impl Iterator<Item = &'a ReplicaOrigin>,
+) -> Option<SocketAddr> {
+    let rank = |replica: &&ReplicaOrigin| {
+        let weight = rendezvous_weight(name.as_str(), replica.address);
+        (Distance::between(regions, here, &replica.place), weight)
+    };
+    let takes = replicas.filter(|replica| replica.announcements.is_some());
+    takes.min_by_key(rank)?.announcements
+}
+
+/// Says why a replica was of no use.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Useless {
+    /// It answered that it can't prove that it is current.
+    NotCurrent,
+    /// It gave no answer that can be used.
+    Silent,
+}
+
+/// Picks the replica to follow.
+#[derive(Debug)]
+pub struct ReplicaChoice {
+    vm: VmName,
+    place: PlaceName,
+    regions: BTreeMap<PlaceName, RegionName>,
+    known: BTreeMap<SocketAddr, Known>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Known {
+    distance: Distance,
+    weight: u64,
+    /// How often in a row it was silent.
+    silences: u32,
+    aside_until: Option<Instant>,
+}
+
+impl ReplicaChoice {
+    /// Starts without knowing any replica, for an entry VM in `place`; `regions` has the regions
+    /// of all places.
+    #[must_use]
+    pub const fn new(
+        vm: VmName,
+        place: PlaceName,
+        regions: BTreeMap<PlaceName, RegionName>,
+    ) -> Self {
+        Self {
+            vm,
+            place,
+            regions,
+            known: BTreeMap::new(),
+        }
+    }
+
+    /// Takes over which replicas there are: those that control named, and `seeds`, of which
+    /// nothing but the address is known.
+    pub fn learn(&mut self, sites: &[ReplicaSite], seeds: &[SocketAddr]) {
+        let mut known = BTreeMap::new();
+        for seed in seeds {
+            known.insert(*seed, self.entry(*seed, Distance::Far));
+        }
+        for site in sites {
+            let distance = site.place.as_ref().map_or(Distance::Far, |place| {
+                Distance::between(&self.regions, &self.place, place)
+            });
+            known.insert(site.address, self.entry(site.address, distance));
+        }
+        self.known = known;
+    }
+
+    fn entry(&self, address: SocketAddr, distance: Distance) -> Known {
+        let before = self.known.get(&address);
+        Known {
+            distance,
+            weight: rendezvous_weight(self.vm.as_str(), address),
+            silences: before.map_or(0, |before| before.silences),
+            aside_until: before.and_then(|before| before.aside_until),
+        }
+    }
+
+    /// Returns the replica to ask: the nearest one, or, while all are set aside, the one whose
+    /// time is over first. Nothing if none is known.
+    #[must_use]
+    pub fn pick(&self, now: Instant) -> Option<SocketAddr> {
+        let rank = |known: &Known| {
+            let aside = known.aside_until.filter(|until| *until > now);
+            (aside, known.distance, known.weight)
+        };
+        let best = self.known.iter().min_by_key(|(_, known)| rank(known));
+        best.map(|(address, _)| *address)
+    }
+
+    /// Returns whether a replica that isn't set aside is nearer than the one at `address`.
+    #[must_use]
+    pub fn has_nearer(&self, address: SocketAddr, now: Instant) -> bool {
+        let best = self.pick(now).and_then(|best| self.known.get(&best));
+        let current = self.known.get(&address);
+        match (best, current) {
+            (Some(best), Some(current)) => {
+                best.aside_until.is_none_or(|until| until <= now)
+                    && best.distance < current.distance
+            }
+            _ => false,
+        }
+    }
+
+    /// Notes that a replica was of use.
+    pub fn note_use(&mut self, address: SocketAddr) {
+        if let Some(known) = self.known.get_mut(&address) {
+            known.silences = 0;
+            known.aside_until = None;
+        }
+    }
+
+    /// Sets a replica aside that was of no use. `draw` is drawn from 0 to 1 by each entry VM:
+    /// all of a failure domain are set back at the same moment, and must not come back in one.
+    pub fn set_aside(&mut self, address: SocketAddr, now: Instant, why: Useless, draw: f64) {
+        let Some(known) = self.known.get_mut(&address) else {
+            return;
+        };
+        let aside = match why {
+            Useless::NotCurrent => ASIDE_NOT_CURRENT,
+            Useless::Silent => {
+                known.silences = known.silences.saturating_add(1);
+                let doubled = 1_u32 << (known.silences - 1).min(8);
+                (ASIDE_SILENT * doubled).min(LONGEST_ASIDE)
+            }
+        };
+        known.aside_until = Some(now + aside.mul_f64(1.0 + draw.clamp(0.0, 1.0)));
+    }
+}
+
+/// Returns the weight of a replica for whoever is called `name`. The one with the lowest weight
+/// is taken: names spread evenly over the replicas, and over the others when one goes.
+#[must_use]
+pub fn rendezvous_weight(name: &str, address: SocketAddr) -> u64 {
+    let mut hasher = blake3::Hasher::new();
+    hasher.update(name.as_bytes());
+    hasher.update(address.to_string().as_bytes());
+    let mut first = [0; 8];
+    first.copy_from_slice(&hasher.finalize().as_bytes()[..8]);
+    u64::from_le_bytes(first)
+}
--- /dev/null
+++ b/lib/tests/test_numbered_set.rs
@@ -0,0 +1,86 @@
+//! A set that tells what changed in it.
+
+use std::collections::BTreeSet;
+use std::num::NonZeroU64;
+
+use heatherring_lib::id::BackendName;
+use heatherring_lib::id::VmName;
+use heatherring_lib::numbered_set::NumberedSet;
+use heatherring_lib::presence::Absent;
+use proptest::prelude::ProptestConfig;
+use proptest::proptest;
+
+const START: NonZeroU64 = NonZeroU64::MIN;
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(64))]
+
+    /// Whoever applies the updates knows the set, however rarely it asks.
+    #[test]
+    fn test_copies_follow_the_set(steps in proptest::collection::vec((0_u8..20, 0_u8..4), 1..200)) {
+        let mut set = NumberedSet::starting_at(START);
+        let mut copies = vec![(0, BTreeSet::new()); 4];
+        for (member, asks) in steps {
+            if !set.remove(&member) {
+                set.insert(member);
+            }
+            let (known, copy) = &mut copies[usize::from(asks)];
+            let update = set.update_from(*known);
+            *known = update.number;
+            update.apply_to(copy);
+            assert_eq!(copy, set.members());
+        }
+    }
+}
+
+/// A copy that is too far behind, or whose number is another life's, gets everything.
+#[test]
+fn test_whoever_is_behind_gets_the_whole_set() {
+    let mut set = NumberedSet::starting_at(START);
+    for number in 0..3_000 {
+        set.insert(number);
+    }
+    assert!(set.update_from(0).whole);
+    assert!(set.update_from(5).whole);
+    assert!(set.update_from(set.number() + 1).whole);
+    assert!(!set.update_from(set.number() - 5).whole);
+}
+
+/// Symptom: entry VMs took in 3 KB each time that any of them came or went, up to 5 times a
+/// second each.
+///
+/// Sequence: while `vms` of them take requests, 20 leave and come back, one after the other.
+///
+/// Cause: the answer to each of them named all that take requests.
+fn told_bytes(vms: usize) -> usize {
+    let mut absent = NumberedSet::starting_at(START);
+    for number in 0..vms / 10 {
+        absent.insert(Absent::Backend(BackendName::new(format!(
+            "backend-{number:06}"
+        ))));
+    }
+    let mut known = absent.number();
+    let mut bytes = 0;
+    for number in 0..20 {
+        let vm = Absent::Entry(VmName::new(format!("entry-{number:06}")));
+        for is_back in [false, true] {
+            let changed = if is_back {
+                absent.remove(&vm)
+            } else {
+                absent.insert(vm.clone())
+            };
+            assert!(changed);
+            let update = absent.update_from(known);
+            known = update.number;
+            bytes += postcard::to_stdvec(&update).unwrap().len();
+        }
+    }
+    bytes
+}
+
+#[test]
+fn test_what_an_entry_vm_is_told_doesnt_grow_with_the_entry_vms() {
+    let (small, large) = (told_bytes(100), told_bytes(400));
+    println!("bytes for 40 changes: {small} at 100 entry VMs, {large} at 400");
+    assert_eq!(small, large);
+}
--- /dev/null
+++ b/lib/tests/test_replica_choice.rs
@@ -0,0 +1,182 @@
+//! Which control replica is followed.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+use std::time::Instant;
+
+use heatherring_lib::heard_report::ReplicaOrigin;
+use heatherring_lib::id::BackendName;
+use heatherring_lib::id::PlaceName;
+use heatherring_lib::id::RegionName;
+use heatherring_lib::id::VmName;
+use heatherring_lib::replica_choice::ReplicaChoice;
+use heatherring_lib::replica_choice::ReplicaSite;
+use heatherring_lib::replica_choice::Useless;
+use heatherring_lib::replica_choice::announce_at;
+use rstest::rstest;
+
+/// Three regions of three places; the first place of each has a second replica.
+fn regions() -> BTreeMap<PlaceName, RegionName> {
+    (0..9)
+        .map(|n| (place(n), RegionName::new(format!("region-{}", n / 3))))
+        .collect()
+}
+
+fn place(n: usize) -> PlaceName {
+    PlaceName::new(format!("place-{n}"))
+}
+
+fn address(n: usize) -> SocketAddr {
+    format!("10.0.0.{}:1", n + 1).parse().unwrap()
+}
+
+fn sites() -> Vec<ReplicaSite> {
+    let site = |(n, place)| ReplicaSite {
+        address: address(n),
+        place: Some(place),
+    };
+    let places = (0..9).chain([0, 3, 6]).map(place);
+    places.enumerate().map(site).collect()
+}
+
+fn choice(vm: usize, at: usize) -> ReplicaChoice {
+    let vm = VmName::new(format!("entry-{vm}"));
+    let mut choice = ReplicaChoice::new(vm, place(at), regions());
+    choice.learn(&sites(), &[address(0), address(3)]);
+    choice
+}
+
+fn place_of(address: SocketAddr) -> usize {
+    let site = sites().into_iter().find(|site| site.address == address);
+    let place = site.unwrap().place.unwrap();
+    (0..9).find(|n| self::place(*n) == place).unwrap()
+}
+
+/// Symptom: control's messages between regions cost more than all callers' answers were worth
+/// at 300 VMs. Cause: each entry VM followed a replica drawn at random.
+#[test]
+fn test_the_nearest_replica_is_followed_and_those_equally_near_share() {
+    let now = Instant::now();
+    let mut of_first = 0;
+    for vm in 0..100 {
+        let picked = choice(vm, 0).pick(now).unwrap();
+        assert_eq!(place_of(picked), 0);
+        of_first += usize::from(picked == address(0));
+        assert_eq!(place_of(choice(vm, 4).pick(now).unwrap()), 4);
+    }
+    assert!((30..=70).contains(&of_first), "{of_first}");
+}
+
+/// Where the near replicas are of no use, those of the region are taken, evenly; then the others.
+/// Where all are set aside, all are asked in turn.
+#[test]
+fn test_replicas_of_no_use_are_left_for_farther_ones() {
+    let now = Instant::now();
+    let mut taken = BTreeMap::new();
+    for vm in 0..90 {
+        let mut choice = choice(vm, 4);
+        choice.set_aside(address(4), now, Useless::Silent, 0.5);
+        *taken.entry(choice.pick(now).unwrap()).or_insert(0) += 1;
+        for near in [3, 5, 10] {
+            choice.set_aside(address(near), now, Useless::NotCurrent, 0.5);
+        }
+        assert_ne!(place_of(choice.pick(now).unwrap()) / 3, 1);
+        let mut asked = Vec::new();
+        for n in 0..24 {
+            let at = now + Duration::from_millis(n);
+            let next = choice.pick(at).unwrap();
+            choice.set_aside(next, at, Useless::Silent, 0.0);
+            asked.push(next);
+        }
+        asked.sort_unstable();
+        asked.dedup();
+        assert_eq!(asked.len(), 12);
+    }
+    assert_eq!(taken.len(), 3, "{taken:?}");
+    assert!(taken.values().all(|count| *count >= 15), "{taken:?}");
+}
+
+/// Symptom: a replica that comes back is asked by all entry VMs of its failure domain in one
+/// moment. Sequence: all are set back at once and try again. Cause: all wait equally long.
+#[test]
+fn test_a_nearer_replica_is_returned_to_and_not_by_all_at_once() {
+    let now = Instant::now();
+    let mut back_at = Vec::new();
+    for vm in 0..20_u32 {
+        let mut choice = choice(0, 4);
+        choice.set_aside(address(4), now, Useless::Silent, f64::from(vm) / 20.0);
+        let farther = choice.pick(now).unwrap();
+        choice.note_use(farther);
+        assert!(!choice.has_nearer(farther, now));
+        let step = |n: &u64| choice.has_nearer(farther, now + Duration::from_millis(n * 10));
+        back_at.push((0..400).find(step).unwrap());
+        assert!(!choice.has_nearer(address(4), now + Duration::from_secs(9)));
+    }
+    back_at.dedup();
+    assert!(back_at.len() >= 15, "{back_at:?}");
+}
+
+/// However often it was silent, a replica is asked again within 4 s: a region that was cut off
+/// has its own replicas back by then.
+#[rstest]
+#[case::silent(Useless::Silent, 4_000)]
+#[case::not_current(Useless::NotCurrent, 1_000)]
+fn test_no_replica_is_set_aside_for_long(#[case] why: Useless, #[case] millis: u64) {
+    let now = Instant::now();
+    let mut choice = choice(0, 4);
+    for _ in 0..40 {
+        choice.set_aside(address(4), now, why, 1.0);
+    }
+    assert_eq!(
+        choice.pick(now + Duration::from_millis(millis)),
+        Some(address(4))
+    );
+}
+
+/// A seed of which nothing is known is asked when nothing better is known, and replicas that
+/// were dropped from the list aren't.
+#[test]
+fn test_seeds_are_asked_until_the_list_is_known() {
+    let now = Instant::now();
+    let mut choice = ReplicaChoice::new(VmName::new("entry-1"), place(4), regions());
+    assert_eq!(choice.pick(now), None);
+    choice.learn(&[], &[address(0)]);
+    assert_eq!(choice.pick(now), Some(address(0)));
+    choice.learn(&sites(), &[address(0)]);
+    assert_eq!(choice.pick(now), Some(address(4)));
+    let without: Vec<ReplicaSite> = sites()
+        .into_iter()
+        .filter(|s| s.address != address(4))
+        .collect();
+    choice.learn(&without, &[address(0)]);
+    assert_ne!(choice.pick(now), Some(address(4)));
+}
+
+#[test]
+fn test_backend_servers_are_sent_to_near_replicas_evenly() {
+    let origins: Vec<ReplicaOrigin> = sites()
+        .into_iter()
+        .map(|site| ReplicaOrigin {
+            address: site.address,
+            announcements: Some(site.address),
+            place: site.place.unwrap(),
+        })
+        .collect();
+    let at = |n: usize, from: &[ReplicaOrigin]| {
+        let name = BackendName::new(format!("backend-{n}"));
+        announce_at(&regions(), &place(0), &name, from.iter())
+    };
+    let first = (0..200)
+        .filter(|n| at(*n, &origins) == Some(address(0)))
+        .count();
+    assert!((70..=130).contains(&first), "{first}");
+    assert!((0..200).all(|n| place_of(at(n, &origins).unwrap()) == 0));
+    let far: Vec<ReplicaOrigin> = origins
+        .iter()
+        .filter(|o| o.place != place(0))
+        .cloned()
+        .collect();
+    assert!((0..200).all(|n| place_of(at(n, &far).unwrap()) / 3 == 0));
+    assert_eq!(at(0, &[]), None);
+}
--- a/server/src/control_process.rs
+++ b/server/src/control_process.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use heatherring_lib::clock::Clock;
+use heatherring_lib::heard_report::ReplicaOrigin;
 use heatherring_lib::manifest_text::MAX_MANIFEST_BYTES;
 use heatherring_lib::settings::ControlSettings;
 use heatherring_lib::settings::FormationSettings;
@@ -291,7 +292,11 @@
     let presence = presence_task::spawn(PresenceSetup {
         cluster: identity.cluster,
         vm: settings.vm.clone(),
-        address: settings.advertised(),
+        origin: ReplicaOrigin {
+            address: settings.advertised(),
+            announcements: settings.direct.as_ref().map(|direct| direct.listen),
+            place: settings.place.clone(),
+        },
         clock: Arc::clone(clock),
         picture: picture.clone(),
         node: node.clone(),
--- a/server/src/direct_process.rs
+++ b/server/src/direct_process.rs
@@ -149,6 +149,7 @@
             callers: settings.listen.callers,
             life: rand::random(),
         },
+        places: settings.places.clone(),
         seeds,
         ready: ready.clone(),
         channels: PeerChannels::new(security).leaving_from(settings.listen.callers.ip()),
@@ -160,7 +161,7 @@
         vm: settings.vm.clone(),
         ready: ready.clone(),
         view: view.clone(),
-        live: followed.live,
+        dark: followed.dark,
         keep: Duration::from_millis(settings.look_up_ms.into()),
     };
     let pool = BackendPool::spawn();
--- a/server/src/entry_directory.rs
+++ b/server/src/entry_directory.rs
@@ -25,8 +25,8 @@
     pub ready: watch::Receiver<bool>,
     /// The view of the fleet.
     pub view: watch::Receiver<Arc<FleetView>>,
-    /// The entry VMs that take requests, as control said last.
-    pub live: watch::Receiver<Arc<BTreeSet<VmName>>>,
+    /// The entry VMs of the view that take no requests, as control said last.
+    pub dark: watch::Receiver<Arc<BTreeSet<VmName>>>,
     /// How long answers may be kept.
     pub keep: Duration,
 }
@@ -34,13 +34,13 @@
 impl LookUpSource for EntryDirectory {
     fn look_up(&self, host: &str, region: &RegionName) -> Option<LookUp> {
         let view = self.view.borrow();
-        let live = self.live.borrow();
+        let dark = self.dark.borrow();
         let own_ready = *self.ready.borrow();
         let is_live = |vm: &VmName| {
             if *vm == self.vm {
                 own_ready
             } else {
-                live.contains(vm)
+                !dark.contains(vm)
             }
         };
         let entries = view.entries.iter();
--- a/server/src/fleet_control.rs
+++ b/server/src/fleet_control.rs
@@ -27,6 +27,7 @@
 use heatherring_lib::id::RegionName;
 use heatherring_lib::id::VmName;
 use heatherring_lib::place_lookup;
+use heatherring_lib::replica_choice;
 use heatherring_lib::route_manifest::RouteChange;
 use heatherring_lib::route_manifest::RouteManifest;
 use heatherring_lib::settings::DirectControlSettings;
@@ -411,6 +412,18 @@
         self.commit(FleetCommand::Withdraw(life)).await.map(|_| ())
     }
 
+    /// Returns where a backend server in `place` should announce itself from now on: at a near
+    /// replica. Heartbeats go to any replica at first, two thirds of them across regions where
+    /// there are three, and all come to the few that backend servers know from their settings.
+    #[must_use]
+    pub fn announce_at(&self, backend: &BackendName, place: &PlaceName) -> Option<SocketAddr> {
+        let regions = &self.inner.settings.as_ref()?.places;
+        let replicas = self.inner.presence.view().replicas;
+        let reporting = replicas.iter().filter(|known| known.reports);
+        let origins = reporting.map(|known| &known.origin);
+        replica_choice::announce_at(regions, place, backend, origins)
+    }
+
     fn keep_look_ups(&self) -> Duration {
         let settings = self.inner.settings.as_ref();
         Duration::from_millis(settings.map_or(0, |settings| settings.look_up_ms).into())
@@ -440,12 +453,12 @@
 impl LookUpSource for FleetControl {
     fn look_up(&self, host: &str, region: &RegionName) -> Option<LookUp> {
         let fleet = self.inner.picture.read().fleet;
-        let live = self.inner.presence.view().live;
+        let presence = self.inner.presence.view();
         let routes = fleet.manifest().routes.values();
         let homes = place_lookup::homes(routes.map(|route| &**route), host);
         let entries = fleet
             .entries()
-            .filter(|(vm, _)| live.contains(*vm))
+            .filter(|(vm, _)| presence.is_live(vm))
             .map(|(_, entry)| entry);
         let addresses = place_lookup::pick(entries, region, homes);
         (!addresses.is_empty()).then(|| LookUp {
--- a/server/src/fleet_follower.rs
+++ b/server/src/fleet_follower.rs
@@ -1,9 +1,11 @@
 //! The task by which an entry VM follows control.
 //!
 //! It asks one replica at a time, again and again; each question is the heartbeat of this
-//! entry VM as well. A replica that is silent, or can't prove that it is current, is left
-//! for the next one. While none answers, the entry VM goes on with what it knows.
+//! entry VM as well. It follows the nearest replica that is of use: one that is silent, or
+//! can't prove that it is current, is left for the next one, and a nearer one that is of use
+//! again is returned to. While none answers, the entry VM goes on with what it knows.
 
+use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -15,12 +17,21 @@
 use heatherring_lib::fleet_record::EntryRecord;
 use heatherring_lib::fleet_update::FleetUpdate;
 use heatherring_lib::fleet_update::FleetView;
-use heatherring_lib::id::BackendName;
+use heatherring_lib::id::PlaceName;
+use heatherring_lib::id::RegionName;
 use heatherring_lib::id::VmName;
+use heatherring_lib::numbered_set::SetUpdate;
+use heatherring_lib::presence::Absent;
+use heatherring_lib::replica_choice::ReplicaChoice;
+use heatherring_lib::replica_choice::ReplicaSite;
+use heatherring_lib::replica_choice::Useless;
 use heatherring_lib::replica_patience::ReplicaPatience;
 use snafu::Snafu;
 use tokio::sync::watch;
 use tonic::Request;
+use tonic::Response;
+use tonic::Status;
+use tonic::transport::Channel;
 
 use crate::dispatch_task::DispatchHandle;
 use crate::metric;
@@ -32,6 +43,12 @@
 /// Pause before the next replica is asked, after one gave no use.
 const NEXT_PAUSE: Duration = Duration::from_millis(50);
 
+/// Pause after news before more is asked for. What comes after a quiet spell is told at once;
+/// what comes in a row, as when many VMs or backend servers start or leave, is told together.
+/// Each change was an answer to every entry VM before. Bounds on what control confirms are 2 s
+/// and more.
+const NEWS_PAUSE: Duration = Duration::from_millis(200);
+
 /// Tells why a replica's answer is of no use.
 #[derive(Debug, Snafu)]
 enum FollowError {
@@ -47,6 +64,15 @@
     Address { message: String },
 }
 
+impl FollowError {
+    const fn useless(&self) -> Useless {
+        match self {
+            Self::NotCurrent => Useless::NotCurrent,
+            _ => Useless::Silent,
+        }
+    }
+}
+
 /// Holds what the task is set up with.
 #[derive(Debug)]
 pub struct FollowerSetup {
@@ -54,6 +80,8 @@
     pub vm: VmName,
     /// Where it is.
     pub record: EntryRecord,
+    /// The regions of all places.
+    pub places: BTreeMap<PlaceName, RegionName>,
     /// Replicas to ask first; replaced when the settings change.
     pub seeds: watch::Receiver<Vec<SocketAddr>>,
     /// Whether the entry VM takes requests.
@@ -71,11 +99,15 @@
     /// The entry VM's record, as each question carries it.
     record_encoded: Vec<u8>,
     view: watch::Sender<Arc<FleetView>>,
-    live: watch::Sender<Arc<BTreeSet<VmName>>>,
+    dark: watch::Sender<Arc<BTreeSet<VmName>>>,
     heard: watch::Sender<Instant>,
+    /// Who isn't to be used for now, and the number of that at the replica that is followed.
+    absent: BTreeSet<Absent>,
     known_presence: u64,
-    learned: Vec<SocketAddr>,
-    next: usize,
+    /// The replicas that were named, and the digest of that list.
+    sites: Vec<ReplicaSite>,
+    known_replicas: u64,
+    choice: ReplicaChoice,
     patience: ReplicaPatience,
     lost_since: Option<Instant>,
 }
@@ -85,8 +117,8 @@
 pub struct Followed {
     /// The view of the fleet; empty until the first answer.
     pub view: watch::Receiver<Arc<FleetView>>,
-    /// The entry VMs that take requests.
-    pub live: watch::Receiver<Arc<BTreeSet<VmName>>>,
+    /// The entry VMs of the view that take no requests.
+    pub dark: watch::Receiver<Arc<BTreeSet<VmName>>>,
     /// When control was last in reach.
     pub heard: watch::Receiver<Instant>,
 }
@@ -95,9 +127,13 @@
 #[must_use]
 pub fn spawn(setup: FollowerSetup) -> Followed {
     let (view, view_rx) = watch::channel(Arc::new(FleetView::default()));
-    let (live, live_rx) = watch::channel(Arc::default());
+    let (dark, dark_rx) = watch::channel(Arc::default());
     let (heard, heard_rx) = watch::channel(setup.clock.now());
-    let next = rand::random::<u32>() as usize;
+    let choice = ReplicaChoice::new(
+        setup.vm.clone(),
+        setup.record.place.clone(),
+        setup.places.clone(),
+    );
     let record_encoded = postcard::to_stdvec(&setup.record).unwrap_or_else(|error| {
         log::error!(event = "record_unencodable", error:% = error; "control can't learn where this entry VM is");
         Vec::new()
@@ -106,18 +142,20 @@
         setup,
         record_encoded,
         view,
-        live,
+        dark,
         heard,
+        absent: BTreeSet::new(),
         known_presence: 0,
-        learned: Vec::new(),
-        next,
+        sites: Vec::new(),
+        known_replicas: 0,
+        choice,
         patience: ReplicaPatience::default(),
         lost_since: None,
     };
     tokio::spawn(follower.run());
     Followed {
         view: view_rx,
-        live: live_rx,
+        dark: dark_rx,
         heard: heard_rx,
     }
 }
@@ -125,31 +163,26 @@
 impl Follower {
     async fn run(mut self) {
         loop {
-            let Some(address) = self.next_address() else {
+            self.choice
+                .learn(&self.sites, &self.setup.seeds.borrow_and_update());
+            let Some(address) = self.choice.pick(self.setup.clock.now()) else {
                 tokio::time::sleep(NEXT_PAUSE).await;
                 continue;
             };
-            if let Err(error) = self.follow(address).await {
+            let followed = self.follow(address).await;
+            // The number of the verdicts on presence is that replica's own.
+            self.known_presence = 0;
+            if let Err(error) = followed {
+                let now = self.setup.clock.now();
+                self.choice
+                    .set_aside(address, now, error.useless(), rand::random());
                 self.note_lost(address, &error);
-            }
-            tokio::time::sleep(NEXT_PAUSE).await;
-        }
-    }
-
-    /// Returns the replica to ask next: in turn, those that were learned and the seeds.
-    fn next_address(&mut self) -> Option<SocketAddr> {
-        let mut addresses = self.learned.clone();
-        for seed in self.setup.seeds.borrow().iter() {
-            if !addresses.contains(seed) {
-                addresses.push(*seed);
+                tokio::time::sleep(NEXT_PAUSE).await;
             }
         }
-        self.next = self.next.wrapping_add(1);
-        let index = self.next.checked_rem(addresses.len())?;
-        addresses.get(index).copied()
     }
 
-    /// Follows one replica for as long as it is of use.
+    /// Follows one replica for as long as it is of use and none is nearer.
     async fn follow(&mut self, address: SocketAddr) -> Result<(), FollowError> {
         let channel = self
             .setup
@@ -160,32 +193,56 @@
             })?;
         let mut client = FleetClient::new(channel);
         self.patience.turn();
+        if self.sites.is_empty() {
+            self.list_replicas(&mut client).await?;
+        }
         loop {
+            if self.choice.has_nearer(address, self.setup.clock.now()) {
+                return Ok(());
+            }
             let ready = *self.setup.ready.borrow_and_update();
             let request = self.request(ready);
             let call = client.follow(Request::new(request));
             let reply = tokio::select! {
-                reply = tokio::time::timeout(self.patience.answer_within(), call) => reply,
+                reply = answer_in_time(&mut self.patience, call) => reply?,
                 // Control must learn at once that this entry VM begins or ceases to serve.
                 Ok(()) = self.setup.ready.changed() => continue,
             };
-            let reply = match reply {
-                Ok(Ok(reply)) => reply.into_inner(),
-                Ok(Err(status)) => {
-                    return Err(FollowError::Call {
-                        source: Box::new(status),
-                    });
-                }
-                Err(_) => {
-                    self.patience.note_silence();
-                    return Err(FollowError::Silent);
-                }
-            };
-            self.take(address, reply)?;
+            let is_news = self.take(address, reply)?;
             self.patience.note_answer();
+            self.choice.note_use(address);
+            if is_news {
+                let _ = tokio::time::timeout(NEWS_PAUSE, self.setup.ready.changed()).await;
+            }
         }
     }
 
+    /// Asks where replicas are, before the state is asked for: of that there is much, and one
+    /// that is near is to send it.
+    async fn list_replicas(
+        &mut self,
+        client: &mut FleetClient<Channel>,
+    ) -> Result<(), FollowError> {
+        let request = FollowRequest {
+            list_only: true,
+            ..FollowRequest::default()
+        };
+        let call = client.follow(Request::new(request));
+        let reply = answer_in_time(&mut self.patience, call).await?;
+        self.learn(&reply)
+    }
+
+    /// Takes over the list of replicas, if one came.
+    fn learn(&mut self, reply: &FollowReply) -> Result<(), FollowError> {
+        if reply.replicas_encoded.is_empty() {
+            return Ok(());
+        }
+        self.sites = decode(&reply.replicas_encoded)?;
+        self.known_replicas = reply.replicas_digest;
+        self.choice.learn(&self.sites, &self.setup.seeds.borrow());
+        Ok(())
+    }
+
     fn request(&self, ready: bool) -> FollowRequest {
         let heard = *self.heard.borrow();
         metric::control_silent(self.setup.clock.now().saturating_duration_since(heard));
@@ -197,34 +254,46 @@
             applied_revision: view.revision.0,
             known_presence: self.known_presence,
             wait_ms: u32::try_from(self.patience.hold().as_millis()).unwrap_or(u32::MAX),
+            known_replicas: self.known_replicas,
+            list_only: false,
         }
     }
 
-    fn take(&mut self, address: SocketAddr, reply: FollowReply) -> Result<(), FollowError> {
+    /// Takes an answer; returns whether it tells anything new.
+    fn take(&mut self, address: SocketAddr, reply: FollowReply) -> Result<bool, FollowError> {
         if !reply.current {
             return Err(FollowError::NotCurrent);
         }
         self.note_regained(address);
-        self.learned = reply
-            .replicas
-            .iter()
-            .filter_map(|text| text.parse().ok())
-            .collect();
+        self.learn(&reply)?;
+        let mut is_news = false;
         if !reply.update_encoded.is_empty() {
             self.apply(&reply.update_encoded)?;
+            is_news = true;
         }
-        if reply.presence_number != self.known_presence {
-            self.known_presence = reply.presence_number;
-            let silent: BTreeSet<BackendName> =
-                reply.silent.into_iter().map(BackendName::new).collect();
-            let live: BTreeSet<VmName> = reply.live.into_iter().map(VmName::new).collect();
-            log::info!(event = "presence_applied", silent = silent.len(), live = live.len(); "control says who is silent and who takes requests");
-            self.setup.dispatch.apply_silent(silent);
-            self.live.send_replace(Arc::new(live));
+        if !reply.absent_encoded.is_empty() {
+            self.apply_absent(reply.presence_number, decode(&reply.absent_encoded)?);
+            is_news = true;
         }
         self.setup.dispatch.note_control();
         self.heard.send_replace(self.setup.clock.now());
-        Ok(())
+        Ok(is_news)
+    }
+
+    fn apply_absent(&mut self, number: u64, update: SetUpdate<Absent>) {
+        self.known_presence = number;
+        update.apply_to(&mut self.absent);
+        let mut silent = BTreeSet::new();
+        let mut dark = BTreeSet::new();
+        for absent in &self.absent {
+            match absent {
+                Absent::Backend(backend) => silent.insert(backend.clone()),
+                Absent::Entry(vm) => dark.insert(vm.clone()),
+            };
+        }
+        log::info!(event = "presence_applied", silent = silent.len(), dark = dark.len(); "control says who is silent and who takes no requests");
+        self.setup.dispatch.apply_silent(silent);
+        self.dark.send_replace(Arc::new(dark));
     }
 
     fn apply(&mut self, encoded: &[u8]) -> Result<(), FollowError> {
@@ -243,8 +312,6 @@
     }
 
     fn note_lost(&mut self, address: SocketAddr, error: &FollowError) {
-        // The number of the verdicts on presence is that replica's own.
-        self.known_presence = 0;
         metric::control_lost();
         if self.lost_since.is_none() {
             self.lost_since = Some(self.setup.clock.now());
@@ -260,3 +327,26 @@
         }
     }
 }
+
+/// Awaits the answer to a call for as long as patience lasts.
+async fn answer_in_time(
+    patience: &mut ReplicaPatience,
+    call: impl Future<Output = Result<Response<FollowReply>, Status>>,
+) -> Result<FollowReply, FollowError> {
+    match tokio::time::timeout(patience.answer_within(), call).await {
+        Ok(Ok(reply)) => Ok(reply.into_inner()),
+        Ok(Err(status)) => Err(FollowError::Call {
+            source: Box::new(status),
+        }),
+        Err(_) => {
+            patience.note_silence();
+            Err(FollowError::Silent)
+        }
+    }
+}
+
+fn decode<T: serde::de::DeserializeOwned>(encoded: &[u8]) -> Result<T, FollowError> {
+    postcard::from_bytes(encoded).map_err(|error| FollowError::Update {
+        message: error.to_string(),
+    })
+}
--- a/server/src/fleet_service.rs
+++ b/server/src/fleet_service.rs
@@ -11,6 +11,7 @@
 use heatherring_lib::id::Revision;
 use heatherring_lib::id::VmName;
 use heatherring_lib::raft_message::ReplicaInfo;
+use heatherring_lib::replica_choice::ReplicaSite;
 use tonic::Request;
 use tonic::Response;
 use tonic::Status;
@@ -76,8 +77,9 @@
         let lapsed = picture.clone();
         let news = async {
             loop {
+                let verdicts = presence.view().number();
                 let is_new = picture.read().fleet.revision() > applied
-                    || presence.view().number != request.known_presence;
+                    || (verdicts != 0 && verdicts != request.known_presence);
                 if is_new {
                     return;
                 }
@@ -114,28 +116,58 @@
             Vec::new()
         };
         let presence = self.control.presence().view();
-        let (silent, live) = if presence.number == request.known_presence {
-            (Vec::new(), Vec::new())
-        } else {
-            let silent = presence.silent.iter().map(|name| name.as_str().to_owned());
-            let live = presence.live.iter().map(|vm| vm.as_str().to_owned());
-            (silent.collect(), live.collect())
-        };
+        let absent = presence
+            .absent
+            .as_ref()
+            .filter(|absent| absent.number() != request.known_presence)
+            .map(|absent| absent.update_from(request.known_presence));
         Ok(FollowReply {
             current: true,
             update_encoded,
-            presence_number: presence.number,
-            silent,
-            live,
-            replicas: picture
-                .replicas
-                .iter()
-                .map(|info| info.address.to_string())
-                .collect(),
+            presence_number: presence.number(),
+            absent_encoded: absent.as_ref().map_or(Ok(Vec::new()), encode)?,
+            ..self.list_replicas(request)?
+        })
+    }
+
+    /// Names the replicas, if the list isn't the one that is known.
+    fn list_replicas(&self, request: &FollowRequest) -> Result<FollowReply, Status> {
+        let picture = self.control.picture().read();
+        let known = self.control.presence().view().replicas;
+        let place = |address| {
+            let known = known.iter().find(|known| known.origin.address == address);
+            known.map(|known| known.origin.place.clone())
+        };
+        let sites: Vec<ReplicaSite> = picture
+            .replicas
+            .iter()
+            .map(|info| ReplicaSite {
+                address: info.address,
+                place: place(info.address),
+            })
+            .collect();
+        let encoded = encode(&sites)?;
+        let digest = digest(&encoded);
+        let replicas_encoded = if digest == request.known_replicas {
+            Vec::new()
+        } else {
+            encoded
+        };
+        Ok(FollowReply {
+            replicas_digest: digest,
+            replicas_encoded,
+            ..FollowReply::default()
         })
     }
 }
 
+/// Returns a number that tells one list of replicas from another.
+fn digest(encoded: &[u8]) -> u64 {
+    let mut first = [0; 8];
+    first.copy_from_slice(&blake3::hash(encoded).as_bytes()[..8]);
+    u64::from_le_bytes(first)
+}
+
 fn internal(error: impl std::fmt::Display) -> Status {
     Status::internal(error.to_string())
 }
@@ -155,6 +187,9 @@
         request: Request<FollowRequest>,
     ) -> Result<Response<FollowReply>, Status> {
         let request = request.into_inner();
+        if request.list_only {
+            return Ok(Response::new(self.list_replicas(&request)?));
+        }
         let record: EntryRecord = decode(&request.record_encoded)?;
         let vm = VmName::new(request.vm.as_str());
         if self.control.is_current() {
@@ -197,10 +232,9 @@
             return Err(Status::failed_precondition("another cluster"));
         }
         let report = decode(&request.report_encoded)?;
-        self.control
-            .presence()
-            .take_in(VmName::new(request.vm), report);
-        Ok(Response::new(ReportReply {}))
+        let from = VmName::new(request.vm);
+        let known = self.control.presence().take_in(from, report).await;
+        Ok(Response::new(ReportReply { known }))
     }
 
     async fn admit(&self, request: Request<AdmitRequest>) -> Result<Response<AdmitReply>, Status> {
--- a/server/src/presence_task.rs
+++ b/server/src/presence_task.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
+use std::num::NonZeroU64;
 use std::sync::Arc;
 use std::time::Duration;
 use std::time::Instant;
@@ -11,11 +12,14 @@
 use heatherring_lib::fleet_command::FleetCommand;
 use heatherring_lib::fleet_record::BackendLife;
 use heatherring_lib::fleet_state::FleetState;
+use heatherring_lib::heard_report::PresenceReport;
+use heatherring_lib::heard_report::ReplicaOrigin;
 use heatherring_lib::id::BackendName;
 use heatherring_lib::id::ClusterId;
 use heatherring_lib::id::VmName;
+use heatherring_lib::numbered_set::NumberedSet;
+use heatherring_lib::presence::Absent;
 use heatherring_lib::presence::Presence;
-use heatherring_lib::presence::PresenceReport;
 use heatherring_lib::presence::REPORT_INTERVAL;
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
@@ -48,22 +52,34 @@
 /// Holds the verdicts on everybody.
 #[derive(Clone, Debug)]
 pub struct PresenceView {
-    /// Number of the verdicts; changes with them. Above 0, which stands for an entry VM
-    /// that knows none of this replica's.
-    pub number: u64,
-    /// Backend servers that haven't been heard of lately.
-    pub silent: Arc<BTreeSet<BackendName>>,
-    /// Entry VMs that take requests.
-    pub live: Arc<BTreeSet<VmName>>,
+    /// Who isn't to be used for now; nothing until there has been a verdict.
+    pub absent: Option<Arc<NumberedSet<Absent>>>,
+    /// The replicas that report, this one first, and then those that did until lately.
+    pub replicas: Arc<Vec<KnownReplica>>,
 }
 
-impl Default for PresenceView {
-    fn default() -> Self {
-        Self {
-            number: 1,
-            silent: Arc::default(),
-            live: Arc::default(),
-        }
+/// Tells where a replica is.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct KnownReplica {
+    /// Where.
+    pub origin: ReplicaOrigin,
+    /// Whether it has reported lately.
+    pub reports: bool,
+}
+
+impl PresenceView {
+    /// Returns the number of the verdicts, which changes with them; 0 without any.
+    #[must_use]
+    pub fn number(&self) -> u64 {
+        self.absent.as_ref().map_or(0, |absent| absent.number())
+    }
+
+    /// Returns whether an entry VM takes requests, as far as is known.
+    #[must_use]
+    pub fn is_live(&self, vm: &VmName) -> bool {
+        let absent = Absent::Entry(vm.clone());
+        let verdicts = self.absent.as_ref();
+        verdicts.is_some_and(|verdicts| !verdicts.members().contains(&absent))
     }
 }
 
@@ -78,6 +94,11 @@
     Report {
         from: VmName,
         report: PresenceReport,
+        reply: oneshot::Sender<u64>,
+    },
+    Known {
+        replica: SocketAddr,
+        number: u64,
     },
     Silence {
         backend: BackendName,
@@ -104,9 +125,16 @@
         let _ = self.tx.send(Message::Entry { vm, life, ready });
     }
 
-    /// Takes the report of another replica in.
-    pub fn take_in(&self, from: VmName, report: PresenceReport) {
-        let _ = self.tx.send(Message::Report { from, report });
+    /// Takes the report of another replica in. Returns the number of its changes up to which
+    /// all is known.
+    pub async fn take_in(&self, from: VmName, report: PresenceReport) -> u64 {
+        let (reply, answer) = oneshot::channel();
+        let _ = self.tx.send(Message::Report {
+            from,
+            report,
+            reply,
+        });
+        answer.await.unwrap_or_default()
     }
 
     /// Returns for how long a backend server hasn't been heard of.
@@ -138,7 +166,7 @@
     /// This replica's VM.
     pub vm: VmName,
     /// Where this replica is.
-    pub address: SocketAddr,
+    pub origin: ReplicaOrigin,
     /// The clock.
     pub clock: Arc<dyn Clock>,
     /// What the replica has applied.
@@ -153,22 +181,39 @@
     setup: PresenceSetup,
     presence: Presence,
     view: watch::Sender<PresenceView>,
-    peers: BTreeMap<SocketAddr, FleetClient<Channel>>,
+    peers: BTreeMap<SocketAddr, Peer>,
     report_at: Instant,
+    /// Reaches this task itself.
+    tx: mpsc::WeakUnboundedSender<Message>,
+}
+
+/// Holds another replica that is told whom this one hears.
+struct Peer {
+    client: FleetClient<Channel>,
+    /// Number of the changes up to which it knows all.
+    known: u64,
 }
 
 /// Starts the task.
 #[must_use]
 pub fn spawn(setup: PresenceSetup) -> PresenceHandle {
     let (tx, rx) = mpsc::unbounded_channel();
-    let (view_tx, view) = watch::channel(PresenceView::default());
+    let own = KnownReplica {
+        origin: setup.origin.clone(),
+        reports: true,
+    };
+    let (view_tx, view) = watch::channel(PresenceView {
+        absent: None,
+        replicas: Arc::new(vec![own]),
+    });
     let now = setup.clock.now();
     let task = PresenceTask {
         setup,
-        presence: Presence::new(now),
+        presence: Presence::new(now, rand::random()),
         view: view_tx,
         peers: BTreeMap::new(),
         report_at: now,
+        tx: tx.downgrade(),
     };
     tokio::spawn(task.run(rx));
     PresenceHandle { tx, view }
@@ -203,9 +248,22 @@
                     self.report(now);
                 }
             }
-            Message::Report { from, report } => {
-                self.presence.take_in(now, &from, &report);
-                self.publish(now);
+            Message::Report {
+                from,
+                report,
+                reply,
+            } => {
+                let known = self.presence.take_in(now, &from, &report);
+                // The replica's call may have been given up meanwhile.
+                let _ = reply.send(known);
+                if !report.heard.added.is_empty() || !report.heard.removed.is_empty() {
+                    self.publish(now);
+                }
+            }
+            Message::Known { replica, number } => {
+                if let Some(peer) = self.peers.get_mut(&replica) {
+                    peer.known = number;
+                }
             }
             Message::Silence { backend, reply } => {
                 // Whoever asked may have gone away meanwhile.
@@ -216,56 +274,84 @@
 
     fn look(&mut self) {
         let now = self.setup.clock.now();
+        self.presence.expire(now);
         self.publish(now);
         if now >= self.report_at {
             self.report(now);
             self.forget(now);
-            self.presence.expire(now, DROP_MARKS);
+            self.presence.forget(now, DROP_MARKS);
         }
     }
 
     /// Gives verdicts, unless too few replicas report for any.
     fn publish(&self, now: Instant) {
         let picture = self.setup.picture.read();
-        if !self.presence.is_connected(now, picture.replicas.len()) {
-            return;
-        }
-        let (silent, live) = self.verdicts(now, &picture.fleet);
+        let verdicts = self
+            .presence
+            .is_connected(now, picture.replicas.len())
+            .then(|| self.verdicts(now, &picture.fleet));
+        let replicas = self.replicas(now);
         self.view.send_if_modified(|view| {
-            let silent_changed = *view.silent != silent;
-            let live_changed = *view.live != live;
-            if silent_changed {
-                view.silent = Arc::new(silent);
+            let are_elsewhere = *view.replicas != replicas;
+            if are_elsewhere {
+                view.replicas = Arc::new(replicas);
             }
-            if live_changed {
-                view.live = Arc::new(live);
+            let Some(verdicts) = verdicts else {
+                return are_elsewhere;
+            };
+            let is_first = view.absent.is_none();
+            let absent = view
+                .absent
+                .get_or_insert_with(|| Arc::new(first_verdicts()));
+            if !is_first && *absent.members() == verdicts {
+                return are_elsewhere;
             }
-            let changed = silent_changed || live_changed;
-            view.number += u64::from(changed);
-            changed
+            Arc::make_mut(absent).replace(&verdicts);
+            true
         });
     }
 
-    fn verdicts(
-        &self,
-        now: Instant,
-        fleet: &FleetState,
-    ) -> (BTreeSet<BackendName>, BTreeSet<VmName>) {
+    fn verdicts(&self, now: Instant, fleet: &FleetState) -> BTreeSet<Absent> {
         let silent = fleet
             .backends()
-            .map(|(name, _)| name)
-            .filter(|name| self.presence.is_silent(now, name));
-        let live = fleet
+            .filter(|(name, _)| self.presence.is_silent(now, name))
+            .map(|(name, _)| Absent::Backend(name.clone()));
+        let dark = fleet
             .entries()
-            .map(|(vm, _)| vm)
-            .filter(|vm| self.presence.is_live_entry(now, vm));
-        (silent.cloned().collect(), live.cloned().collect())
+            .filter(|(vm, _)| self.presence.is_dark_entry(now, vm))
+            .map(|(vm, _)| Absent::Entry(vm.clone()));
+        silent.chain(dark).collect()
     }
 
-    /// Tells the other replicas whom this one heard itself.
+    fn replicas(&self, now: Instant) -> Vec<KnownReplica> {
+        let own = std::iter::once((&self.setup.origin, true));
+        let all = own.chain(self.presence.origins(now));
+        all.map(|(origin, reports)| KnownReplica {
+            origin: origin.clone(),
+            reports,
+        })
+        .collect()
+    }
+
+    /// Tells the other replicas whom this one hears itself.
     fn report(&mut self, now: Instant) {
         self.report_at = now + REPORT_INTERVAL;
-        let report = self.presence.take_report(now);
+        let replicas = self.setup.picture.read().replicas;
+        let own = self.setup.origin.address;
+        self.peers
+            .retain(|address, _| replicas.iter().any(|info| info.address == *address));
+        for info in replicas.iter().filter(|info| info.address != own) {
+            self.report_to(now, info.address);
+        }
+    }
+
+    fn report_to(&mut self, now: Instant, replica: SocketAddr) {
+        let Some(peer) = self.peer(replica) else {
+            return;
+        };
+        let mut client = peer.client.clone();
+        let known = peer.known;
+        let report = self.presence.report(now, known, &self.setup.origin);
         let Ok(report_encoded) = postcard::to_stdvec(&report) else {
             log::error!(event = "report_unencodable"; "a report on heartbeats can't be encoded");
             return;
@@ -275,36 +361,33 @@
             vm: self.setup.vm.as_str().to_owned(),
             report_encoded,
         };
-        let replicas = self.setup.picture.read().replicas;
-        let own = self.setup.address;
-        self.peers
-            .retain(|address, _| replicas.iter().any(|info| info.address == *address));
-        for info in replicas.iter().filter(|info| info.address != own) {
-            let Some(mut client) = self.client(info.address) else {
-                continue;
-            };
-            let request = request.clone();
-            tokio::spawn(async move {
-                // A lost report is made up for by the next heartbeats.
-                let _ = tokio::time::timeout(REPORT_TIMEOUT, client.report(request)).await;
-            });
-        }
+        let tx = self.tx.clone();
+        tokio::spawn(async move {
+            let call = tokio::time::timeout(REPORT_TIMEOUT, client.report(request)).await;
+            // After a lost answer the next report tells the same changes once more.
+            if let (Ok(Ok(reply)), Some(tx)) = (call, tx.upgrade()) {
+                let number = reply.into_inner().known;
+                let _ = tx.send(Message::Known { replica, number });
+            }
+        });
     }
 
-    fn client(&mut self, address: SocketAddr) -> Option<FleetClient<Channel>> {
-        if let Some(client) = self.peers.get(&address) {
-            return Some(client.clone());
+    fn peer(&mut self, address: SocketAddr) -> Option<&Peer> {
+        if !self.peers.contains_key(&address) {
+            let client = self.client(address)?;
+            self.peers.insert(address, Peer { client, known: 0 });
         }
-        let channel = match self.setup.channels.lazy(address) {
-            Ok(channel) => channel,
+        self.peers.get(&address)
+    }
+
+    fn client(&self, address: SocketAddr) -> Option<FleetClient<Channel>> {
+        match self.setup.channels.lazy(address) {
+            Ok(channel) => Some(FleetClient::new(channel)),
             Err(error) => {
                 log::error!(event = "peer_address_refused", address:% = address, error:% = error; "can't open a connection to a replica");
-                return None;
+                None
             }
-        };
-        let client = FleetClient::new(channel);
-        self.peers.insert(address, client.clone());
-        Some(client)
+        }
     }
 
     /// Has those removed from the state who have been silent for long, if this replica
@@ -349,3 +432,10 @@
         });
     }
 }
+
+/// Returns an empty set of verdicts. Its numbers mean nothing to whoever followed this replica
+/// before it started again.
+fn first_verdicts() -> NumberedSet<Absent> {
+    let start = u64::from(rand::random::<u32>()) << u32::BITS;
+    NumberedSet::starting_at(NonZeroU64::MIN.saturating_add(start))
+}
