--- a/lib/tests/test_presence.rs
+++ b/lib/tests/test_presence.rs
@@ -198,10 +198,12 @@
         .collect();
     let mut known = 0;
     let mut bytes = 0;
-    let steps = Duration::from_secs(60).as_millis() / REPORT_INTERVAL.as_millis();
+    let steps = Duration::from_mins(1).as_millis() / REPORT_INTERVAL.as_millis();
     for step in 0..u32::try_from(steps).unwrap() {
         let now = start + REPORT_INTERVAL * step;
-        let is_beat = (REPORT_INTERVAL * step).as_millis() % HEARTBEAT.as_millis() == 0;
+        let is_beat = (REPORT_INTERVAL * step)
+            .as_millis()
+            .is_multiple_of(HEARTBEAT.as_millis());
         let gone = if step > 60 { 20 } else { 0 };
         if is_beat {
             for backend in backends.iter().skip(gone) {
--- a/server/src/fleet_control.rs
+++ b/server/src/fleet_control.rs
@@ -35,6 +35,7 @@
 use snafu::Snafu;
 use tonic::Status;
 
+use crate::announcement_batch::AnnouncementBatch;
 use crate::fleet_picture::FleetPicture;
 use crate::interface::LookUp;
 use crate::interface::LookUpSource;
@@ -123,6 +124,7 @@
     picture: FleetPicture,
     node: NodeHandle,
     presence: PresenceHandle,
+    announcements: AnnouncementBatch,
     /// When each backend server that said that it is cold ceases to be.
     cold_until: Mutex<HashMap<BackendName, Instant>>,
 }
@@ -137,12 +139,17 @@
         node: NodeHandle,
         presence: PresenceHandle,
     ) -> Self {
+        let announcements = AnnouncementBatch::spawn({
+            let node = node.clone();
+            move |changes| commit_announcements(node.clone(), changes)
+        });
         let inner = Inner {
             clock,
             settings,
             picture,
             node,
             presence,
+            announcements,
             cold_until: Mutex::default(),
         };
         Self {
@@ -175,15 +182,7 @@
     /// Fails if there is no leader that answers. The command may be committed all the
     /// same, unless the error is proof of the contrary.
     pub async fn commit(&self, command: FleetCommand) -> Result<Response, FleetError> {
-        match self.inner.node.propose_fleet(command.clone()).await {
-            Ok(committed) => Ok(committed.response),
-            Err(source) => match source.leader() {
-                Some(leader) if source.is_proved_absent() => {
-                    commit_at_leader(leader, &command).await
-                }
-                _ => Err(FleetError::Node { source }),
-            },
-        }
+        commit(&self.inner.node, command).await
     }
 
     /// Changes the route manifest.
@@ -291,18 +290,13 @@
             return Ok(());
         };
         log::info!(event = "backend_changed", backend = change.backend.as_str(), service = change.record.service.as_str(), address:% = change.record.address, state:? = change.record.state, sequence = change.record.sequence; "a backend server announced a change");
-        let command = FleetCommand::Announce(vec![change]);
         if draining {
+            let command = FleetCommand::Announce(vec![change]);
             let result = self.commit(command).await.map(|_| ());
             metric::order("leaving", order_result(&result));
             return result;
         }
-        let control = self.clone();
-        tokio::spawn(async move {
-            if let Err(error) = control.commit(command).await {
-                log::warn!(event = "announcement_lost", error:% = error; "the next heartbeat repeats it");
-            }
-        });
+        self.inner.announcements.add(change);
         Ok(())
     }
 
@@ -486,6 +480,22 @@
     }
 }
 
+async fn commit(node: &NodeHandle, command: FleetCommand) -> Result<Response, FleetError> {
+    match node.propose_fleet(command.clone()).await {
+        Ok(committed) => Ok(committed.response),
+        Err(source) => match source.leader() {
+            Some(leader) if source.is_proved_absent() => commit_at_leader(leader, &command).await,
+            _ => Err(FleetError::Node { source }),
+        },
+    }
+}
+
+async fn commit_announcements(node: NodeHandle, changes: Vec<BackendChange>) {
+    if let Err(error) = commit(&node, FleetCommand::Announce(changes)).await {
+        log::warn!(event = "announcement_lost", error:% = error; "the next heartbeat repeats it");
+    }
+}
+
 async fn commit_at_leader(
     leader: &LeaderLink,
     command: &FleetCommand,
--- a/server/src/fleet_follower.rs
+++ b/server/src/fleet_follower.rs
@@ -206,7 +206,7 @@
                 // Control must learn at once that this entry VM begins or ceases to serve.
                 Ok(()) = self.setup.ready.changed() => continue,
             };
-            let is_news = self.take(address, reply)?;
+            let is_news = self.take(address, &reply)?;
             self.patience.note_answer();
             self.choice.note_use(address);
             if is_news {
@@ -262,12 +262,12 @@
     }
 
     /// Takes an answer; returns whether it tells anything new.
-    fn take(&mut self, address: SocketAddr, reply: FollowReply) -> Result<bool, FollowError> {
+    fn take(&mut self, address: SocketAddr, reply: &FollowReply) -> Result<bool, FollowError> {
         if !reply.current {
             return Err(FollowError::NotCurrent);
         }
         self.note_regained(address);
-        self.learn(&reply)?;
+        self.learn(reply)?;
         let mut is_news = false;
         if !reply.update_encoded.is_empty() {
             self.apply(&reply.update_encoded)?;
--- a/server/src/lib.rs
+++ b/server/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod admission_handle;
 pub mod admission_task;
 pub mod announce_listener;
+pub mod announcement_batch;
 pub mod answer_body;
 pub mod backend_pool;
 pub mod caller_listener;
