--- a/server/src/pipelined_connection.rs
+++ b/server/src/pipelined_connection.rs
@@ -50,6 +50,7 @@
 use crate::pipeline_io::AnswerBytes;
 use crate::pipeline_io::AnswerShape;
 use crate::pipeline_io::Progress;
+use crate::pipeline_io::ProgressState;
 use crate::pipeline_io::Reading;
 use crate::pipeline_io::RequestBytes;
 use crate::pipeline_io::Slot;
@@ -344,16 +345,7 @@
 async fn must_end(stops: &Stops, progress: &Progress) {
     let last_request = async {
         stops.leaving.cancelled().await;
-        // Whatever is read wakes the task of the connection.
-        let has_request = || progress.state().unanswered() > 0;
-        poll_fn(|_| {
-            if has_request() {
-                Poll::Ready(())
-            } else {
-                Poll::Pending
-            }
-        })
-        .await;
+        until(progress, |state| state.unanswered() > 0).await;
     };
     tokio::select! {
         () = stops.stop.cancelled() => {}
@@ -361,6 +353,18 @@
     }
 }
 
+/// Waits for a state of the connection. Whatever is read wakes its task.
+async fn until(progress: &Progress, holds: impl Fn(&ProgressState) -> bool) {
+    let look = || {
+        if holds(&progress.state()) {
+            Poll::Ready(())
+        } else {
+            Poll::Pending
+        }
+    };
+    poll_fn(|_| look()).await;
+}
+
 /// Ends when the process has stopped and no request has come on the connection. The HTTP library
 /// closes connections between two requests, and waits for the first one of a connection.
 async fn nothing_came(stops: &Stops, progress: &Progress) {
@@ -396,16 +400,7 @@
 /// these.
 async fn left(stream: &OwnedReadHalf, progress: &Progress) {
     loop {
-        // Whatever is read wakes the task of the connection.
-        let may_go_unseen = || progress.state().reading == Reading::Body;
-        poll_fn(|_| {
-            if may_go_unseen() {
-                Poll::Ready(())
-            } else {
-                Poll::Pending
-            }
-        })
-        .await;
+        until(progress, |state| state.reading == Reading::Body).await;
         tokio::time::sleep(LOOK_INTERVAL).await;
         let looked = poll_fn(|cx| {
             let ready = std::pin::pin!(stream.ready(tokio::io::Interest::READABLE));
