--- a/lib/src/heard_report.rs
+++ b/lib/src/heard_report.rs
@@ -3,8 +3,8 @@
 //! Heartbeats come every second or so from each backend server and entry VM, to one replica
 //! each. The others need to know that they still come, not when: so a replica tells who began
 //! to send heartbeats to it and who ceased, and that it goes on hearing all others. With 900
-//! backend servers, 185 entry VMs and 15 replicas each heartbeat told singly was some 280 KB a
-//! second, worked out from 22 and 30 bytes each; what is told here doesn't grow with them.
+//! backend servers, 185 entry VMs and 15 replicas, telling each heartbeat singly takes some
+//! 280 KB a second, worked out from 22 and 30 bytes each; this doesn't grow with them.
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
--- a/lib/src/presence.rs
+++ b/lib/src/presence.rs
@@ -247,7 +247,8 @@
         (heard.count() + 1) * 2 > replicas
     }
 
-    /// Returns where the other replicas are that were heard of, lately first of all.
+    /// Returns where the other replicas are that were heard of, and whether each has reported
+    /// lately.
     pub fn origins(&self, now: Instant) -> impl Iterator<Item = (&ReplicaOrigin, bool)> {
         self.peers.values().filter_map(move |peer| {
             let lately = now.saturating_duration_since(peer.at) < PEER_SILENCE;
--- a/lib/src/replica_choice.rs
+++ b/lib/src/replica_choice.rs
@@ -1,8 +1,8 @@
 //! Which control replica an entry VM follows: the nearest one that is of use.
 //!
 //! What an entry VM hears of control is paid for between failure domains, and more between
-//! regions. With replicas drawn at random two thirds of it crossed regions where there are
-//! three. Replicas that are equally near share the entry VMs evenly, by rendezvous hashing.
+//! regions. From replicas drawn at random two thirds of it cross regions where there are three.
+//! Replicas that are equally near share the entry VMs evenly, by rendezvous hashing.
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
--- a/server/src/fleet_control.rs
+++ b/server/src/fleet_control.rs
@@ -407,8 +407,8 @@
     }
 
     /// Returns where a backend server in `place` should announce itself from now on: at a near
-    /// replica. Heartbeats go to any replica at first, two thirds of them across regions where
-    /// there are three, and all come to the few that backend servers know from their settings.
+    /// replica. Left to themselves, heartbeats go to the few replicas that backend servers know
+    /// from their settings, two thirds of them across regions where there are three.
     #[must_use]
     pub fn announce_at(&self, backend: &BackendName, place: &PlaceName) -> Option<SocketAddr> {
         let regions = &self.inner.settings.as_ref()?.places;
--- a/server/src/fleet_follower.rs
+++ b/server/src/fleet_follower.rs
@@ -45,8 +45,8 @@
 
 /// Pause after news before more is asked for. What comes after a quiet spell is told at once;
 /// what comes in a row, as when many VMs or backend servers start or leave, is told together.
-/// Each change was an answer to every entry VM before. Bounds on what control confirms are 2 s
-/// and more.
+/// Without it each change is an answer of its own to every entry VM. Bounds on what control
+/// confirms are 2 s and more.
 const NEWS_PAUSE: Duration = Duration::from_millis(200);
 
 /// Tells why a replica's answer is of no use.
@@ -216,8 +216,8 @@
     }
 
     /// Asks whether the replica is of use and where the others are, before the state is asked
-    /// for. Of that there is much: 45 KB for 900 backend servers take 0.2 s over a link of
-    /// 2 Mbit/s. A near replica is to send it, and whether this one lives shows before.
+    /// for. The state is large: 45 KB for 900 backend servers take 0.2 s over a link of 2 Mbit/s.
+    /// So a near replica is to send it, and whether this one lives must show before.
     async fn ask_first(&mut self, client: &mut FleetClient<Channel>) -> Result<(), FollowError> {
         let request = FollowRequest {
             known_replicas: self.known_replicas,
--- a/server/src/presence_task.rs
+++ b/server/src/presence_task.rs
@@ -54,7 +54,7 @@
 pub struct PresenceView {
     /// Who isn't to be used for now; nothing until there has been a verdict.
     pub absent: Option<Arc<NumberedSet<Absent>>>,
-    /// The replicas that report, this one first, and then those that did until lately.
+    /// This replica, and the others that were heard of.
     pub replicas: Arc<Vec<KnownReplica>>,
 }
 
--- a/server/src/update_cache.rs
+++ b/server/src/update_cache.rs
@@ -1,8 +1,8 @@
 //! Updates that were encoded lately.
 //!
 //! Many entry VMs ask a replica for the same update in the same moment: whoever follows is told
-//! of a change at once, and all that start after a loss of power lack everything. Each answer
-//! went over every backend server and encoded anew what had just been encoded.
+//! of a change at once, and all that start after a loss of power lack everything. To make an
+//! update takes a look at every backend server.
 
 use std::collections::VecDeque;
 use std::sync::Mutex;
