--- a/lib/src/raft.rs
+++ b/lib/src/raft.rs
@@ -93,7 +93,7 @@
     /// While the leader commits one entry after the other, it always knows of some that a
     /// replica in another region lacks. What counts is how long ago it told of no more than
     /// this replica has by now: without that, replicas said of themselves that they weren't
-    /// current whenever much was committed, and were left by all who followed them, 16 times
+    /// current whenever much was committed, and were left by all who followed them, 12 times
     /// an entry VM in 24 s of a heavy day.
     pub fn note_commit(&mut self, commit: Revision) {
         if self.leader_commit <= commit {
