replica_choice: a replica of use isn't left at once for a near one that was of no use

Change: a nearer replica that was of no use is returned to 2 to 4 s later. While nothing else is of use it is asked as soon as before.

--- a/lib/src/replica_choice.rs
+++ b/lib/src/replica_choice.rs
@@ -113,6 +113,8 @@
     /// How often in a row it was of no use.
     useless: u32,
     aside_until: Option<Instant>,
+    /// Until when a farther replica that is of use isn't left for it.
+    return_at: Option<Instant>,
 }
 
 impl ReplicaChoice {
@@ -155,6 +157,7 @@
             weight: rendezvous_weight(self.vm.as_str(), address),
             useless: before.map_or(0, |before| before.useless),
             aside_until: before.and_then(|before| before.aside_until),
+            return_at: before.and_then(|before| before.return_at),
         }
     }
 
@@ -170,15 +173,16 @@
         best.map(|(address, _)| *address)
     }
 
-    /// Returns whether a replica that isn't set aside is nearer than the one at `address`.
+    /// Returns whether the replica at `address` is to be left for a nearer one, which hasn't been
+    /// of no use for 2 s to 4 s. While a near one is cut off from the others, its entry VMs
+    /// would otherwise leave one of use for it twice a second.
     #[must_use]
     pub fn has_nearer(&self, address: SocketAddr, now: Instant) -> bool {
         let best = self.pick(now).and_then(|best| self.known.get(&best));
         let current = self.known.get(&address);
         match (best, current) {
             (Some(best), Some(current)) => {
-                best.aside_until.is_none_or(|until| until <= now)
-                    && best.distance < current.distance
+                best.return_at.is_none_or(|at| at <= now) && best.distance < current.distance
             }
             _ => false,
         }
@@ -189,6 +193,7 @@
         if let Some(known) = self.known.get_mut(&address) {
             known.useless = 0;
             known.aside_until = None;
+            known.return_at = None;
         }
     }
 
@@ -205,7 +210,9 @@
         let doubled = 1_u32 << known.useless.min(8);
         known.useless = known.useless.saturating_add(1);
         let aside = (first * doubled).min(longest);
-        known.aside_until = Some(now + aside.mul_f64(1.0 + draw.clamp(0.0, 1.0)));
+        let spread = 1.0 + draw.clamp(0.0, 1.0);
+        known.aside_until = Some(now + aside.mul_f64(spread));
+        known.return_at = Some(now + LONGEST_SILENT.mul_f64(spread));
     }
 }
 
--- a/lib/tests/test_replica_choice.rs
+++ b/lib/tests/test_replica_choice.rs
@@ -117,6 +117,29 @@
     assert!(back_at.len() >= 15, "{back_at:?}");
 }
 
+/// Symptom: an entry VM hears late of a backend server that leaves; a request reached one 2.9 s
+/// after it had been confirmed. Sequence: the near replica is cut off from the others and says
+/// that it isn't current; a farther one is of use. Cause: the farther one was left for the near
+/// one twice a second.
+#[test]
+fn test_a_replica_of_use_isnt_left_for_one_that_was_of_no_use_a_moment_ago() {
+    let now = Instant::now();
+    for draw in [0.0, 0.5, 1.0] {
+        let mut choice = choice(0, 4);
+        choice.set_aside(address(4), now, Useless::NotCurrent, draw);
+        let farther = choice.pick(now).unwrap();
+        choice.note_use(farther);
+        for millis in [200, 600, 1_000, 1_900] {
+            assert!(!choice.has_nearer(farther, now + Duration::from_millis(millis)));
+        }
+        assert!(choice.has_nearer(farther, now + Duration::from_secs(4)));
+        // One that is of no use any more may be left for it at once.
+        let later = now + Duration::from_millis(300);
+        choice.set_aside(farther, later, Useless::Silent, draw);
+        assert_eq!(choice.pick(later), Some(address(4)));
+    }
+}
+
 /// However often it was silent, a replica is asked again within 4 s: a region that was cut off
 /// has its own replicas back by then.
 #[rstest]
