test_direct_stop: a planned stop through to the backend server, two cases red

Cause, of the incident: on a connection that was idle when a stop began took a request at any time until the process ended; it had been told that the process leaves, and never again looked whether the time for taking requests was over. The listener's own test, test_a_stop_ends_connections_on_which_no_request_is_due::idle_since_an_answer, has the same connection, but ends before a backend server. Ruled out: a late signal or clock (the record's cuts lie where the process puts its own end); queues (55 and 11 ms between caller and backend server). Change: tests only. The entry VM of the tests has a runtime of its own, which ends with it; before, what a process end cuts off went on in the test's runtime.

--- a/server/tests/direct_support/mod.rs
+++ b/server/tests/direct_support/mod.rs
@@ -10,6 +10,7 @@
 use std::sync::Mutex;
 use std::sync::atomic::AtomicU32;
 use std::sync::atomic::Ordering;
+use std::thread;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -67,6 +68,8 @@
 use tempfile::TempDir;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
+use tokio::runtime;
+use tokio::sync::oneshot;
 use tokio::task::JoinHandle;
 
 pub const HOST: &str = "registry.example";
@@ -300,11 +303,13 @@
     }
 }
 
-/// An entry VM in this process.
+/// An entry VM with a runtime of its own, which ends with it: what is under way then is cut
+/// off, as it is when a process ends.
 pub struct Entry {
     pub settings: DirectSettings,
     trigger: ShutdownTrigger,
-    task: JoinHandle<Result<(), DirectError>>,
+    thread: Option<thread::JoinHandle<()>>,
+    ended: Option<oneshot::Receiver<Result<(), DirectError>>>,
 }
 
 impl Entry {
@@ -319,10 +324,20 @@
             clock,
             shutdown,
         );
+        let (ended_tx, ended) = oneshot::channel();
+        let thread = thread::spawn(move || {
+            let mut builder = runtime::Builder::new_current_thread();
+            let runtime = builder.enable_all().build().unwrap();
+            let result = runtime.block_on(running);
+            drop(runtime);
+            // Nobody waits for it where it is dropped.
+            let _ = ended_tx.send(result);
+        });
         Self {
             settings,
             trigger,
-            task: tokio::spawn(running),
+            thread: Some(thread),
+            ended: Some(ended),
         }
     }
 
@@ -343,8 +358,31 @@
     }
 
     pub async fn stop(self) {
+        self.begin_stop();
+        self.ended().await;
+    }
+
+    /// Asks for a planned stop, as SIGTERM does.
+    pub fn begin_stop(&self) {
         self.trigger.request();
-        self.task.await.unwrap().unwrap();
+    }
+
+    /// Waits until the process would have ended.
+    pub async fn ended(mut self) {
+        let ended = self.ended.take().unwrap();
+        ended.await.unwrap().unwrap();
+    }
+}
+
+impl Drop for Entry {
+    /// Frees the addresses, which another test may be given.
+    fn drop(&mut self) {
+        self.trigger.request();
+        self.trigger.request();
+        if let Some(thread) = self.thread.take() {
+            let ended = thread.join();
+            assert!(ended.is_ok() || thread::panicking(), "an entry VM panicked");
+        }
     }
 }
 
@@ -423,6 +461,11 @@
     }
 
     pub fn start_entry(&mut self, name: &str) -> Entry {
+        self.start_entry_with_grace(name, Duration::from_secs(1))
+    }
+
+    /// Starts an entry VM that is ended by force that long after it was asked to stop.
+    pub fn start_entry_with_grace(&mut self, name: &str, grace: Duration) -> Entry {
         let ip = self.block.next_vm();
         let settings = DirectSettings {
             vm: VmName::new(name),
@@ -440,7 +483,7 @@
             interface: InterfaceName::Heatherring,
             security: Security::OpenLoopback,
             resends: ResendSettings::default(),
-            grace: DurationText(Duration::from_secs(1)),
+            grace: DurationText(grace),
             look_up_ms: 2_000,
             log: LogSettings::default(),
             experiments: DispatchPolicy::default(),
@@ -485,8 +528,11 @@
 
     /// Puts two routes in force: `/safe/`, whose requests may run twice, and `/once/`.
     pub async fn submit_routes(&self, version: u64, base: u64) {
-        let change = route_change(version, base);
-        let body = serde_json::to_string(&change).unwrap();
+        self.submit(&route_change(version, base)).await;
+    }
+
+    pub async fn submit(&self, change: &RouteChange) {
+        let body = serde_json::to_string(change).unwrap();
         self.order(Method::POST, "/v1/routes", &body).await;
     }
 
--- /dev/null
+++ b/server/tests/test_direct_stop.rs
@@ -0,0 +1,242 @@
+//! A planned stop of an entry VM that dispatches directly, through to its backend server.
+
+mod direct_support;
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use direct_support::Backend;
+use direct_support::Behaviour;
+use direct_support::Deployment;
+use direct_support::Entry;
+use direct_support::HOST;
+use direct_support::route_change;
+use direct_support::until_served;
+use heatherring_lib::route_manifest::RouteChange;
+use heatherring_lib::route_manifest::RouteContent;
+use heatherring_testutils::wait::wait_for;
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
+
+/// Time until a stop by force. Requests are taken for 3.6 s of it; what follows leaves the
+/// tests time to act in also on a busy machine.
+const GRACE: Duration = Duration::from_secs(8);
+
+/// Time after the end of taking requests within which a connection that is idle must have been
+/// closed: what comes later can't be answered before the process ends.
+const CLOSED_WITHIN: Duration = Duration::from_secs(2);
+
+/// Time after the request to stop at which what is held up in the tests can begin. The process
+/// ends 1.1 s later, and half of [`OBJECTIVE`] is the least that its work is expected to take.
+const HELD_UP: Duration = Duration::from_millis(6_500);
+
+/// Time between two announcements of the backend server.
+const HEARTBEAT: Duration = Duration::from_millis(500);
+
+/// Latency objective of all routes.
+const OBJECTIVE: Duration = Duration::from_secs(3);
+
+async fn start(deployment: &mut Deployment) -> (Entry, Backend) {
+    let entry = deployment.start_entry_with_grace("entry-1", GRACE);
+    let backend = deployment.start_backend("backend-1").await;
+    deployment.submit(&patient_routes()).await;
+    deployment.announce(&backend, 1, "Ready").await;
+    until_served(&entry).await;
+    (entry, backend)
+}
+
+/// Routes whose callers wait for longer than the grace time.
+fn patient_routes() -> RouteChange {
+    let mut change = route_change(1, 0);
+    if let RouteContent::Whole { routes, .. } = &mut change.content {
+        for route in routes.values_mut() {
+            let route = Arc::make_mut(route);
+            route.timeout = GRACE * 2;
+            route.latency_objective = OBJECTIVE;
+        }
+    }
+    change
+}
+
+fn get(path: &str) -> String {
+    format!("GET {path} HTTP/1.1\r\nhost: {HOST}\r\nheatherring-request-id: id-{path}\r\n\r\n")
+}
+
+/// A lookup whose caller waits for [`HELD_UP`].
+fn short_get(path: &str) -> String {
+    let patience = HELD_UP.as_millis();
+    let marks = format!("heatherring-deadline-ms: {patience}\r\n\r\n");
+    get(path).replace("\r\n\r\n", &format!("\r\n{marks}"))
+}
+
+fn post(path: &str, body: &str) -> String {
+    let length = format!("content-length: {}\r\n\r\n", body.len());
+    let head = get(path).replace("GET", "POST");
+    head.replace("\r\n\r\n", &format!("\r\n{length}")) + body
+}
+
+/// Reads until `end` has come.
+async fn read_until(stream: &mut TcpStream, end: &str) -> String {
+    let mut bytes = Vec::new();
+    while !String::from_utf8_lossy(&bytes).contains(end) {
+        assert!(stream.read_buf(&mut bytes).await.unwrap() > 0, "{bytes:?}");
+    }
+    String::from_utf8_lossy(&bytes).into_owned()
+}
+
+/// Reads until the other side closes or breaks the connection.
+async fn read_all(stream: &mut TcpStream) -> String {
+    let mut bytes = Vec::new();
+    // What a broken connection brought before counts as well.
+    let _ = stream.read_to_end(&mut bytes).await;
+    String::from_utf8_lossy(&bytes).into_owned()
+}
+
+/// Has the backend server say that it is there while `running` runs: control takes one that is
+/// silent for some seconds for lost.
+async fn announced<T>(
+    deployment: &Deployment,
+    backend: &Backend,
+    running: impl Future<Output = T>,
+) -> T {
+    let announcing = async {
+        for sequence in 2.. {
+            deployment.announce(backend, sequence, "Ready").await;
+            tokio::time::sleep(HEARTBEAT).await;
+        }
+    };
+    tokio::select! {
+        result = running => result,
+        () = announcing => unreachable!("announcements don't end"),
+    }
+}
+
+/// Waits until no further connections are taken: the stop.
+async fn until_taking_ends(callers: SocketAddr) {
+    wait_for("an end of new connections", async || {
+        let connected = TcpStream::connect(callers).await;
+        connected.is_err().then_some(())
+    })
+    .await
+    .unwrap();
+}
+
+/// Symptom: a request that was sent 3.7 to 5.2 s after an entry VM had been asked to stop, with
+/// 6 s of grace, was run by a backend server and its connection was closed with no answer.
+/// Sequence: a connection is idle when the stop begins; requests are to be taken for 2.7 s; a
+/// caller sends on the connection after that; the request is taken, passed on, and cut off when
+/// the process ends at 5.7 s. Cause: once it had been told that the process leaves, a connection
+/// waited for one more request and never again looked whether the time for it was over.
+/// Evidence: both requests of the record were cut 5.71 and 5.75 s after their signals, which is
+/// the end of the grace time as the process itself counts it, so that neither the signal nor its
+/// clock was late.
+#[tokio::test(flavor = "multi_thread")]
+async fn test_direct_stop_takes_nothing_on_a_connection_that_was_idle() {
+    let mut deployment = Deployment::start(3);
+    let (entry, backend) = start(&mut deployment).await;
+    let mut stream = TcpStream::connect(entry.settings.listen.callers)
+        .await
+        .unwrap();
+    stream.write_all(get("/safe/x").as_bytes()).await.unwrap();
+    read_until(&mut stream, "whole").await;
+    let ran = backend.runs();
+    backend.behave(Behaviour::Hang);
+    entry.begin_stop();
+    until_taking_ends(entry.settings.listen.callers).await;
+    let late_answer = async {
+        let closed = tokio::time::timeout(CLOSED_WITHIN, read_all(&mut stream)).await;
+        if closed.is_ok() {
+            return None;
+        }
+        // It is still open: its caller sends the next request.
+        stream.write_all(get("/safe/y").as_bytes()).await.unwrap();
+        Some(read_all(&mut stream).await)
+    };
+    let late_answer = announced(&deployment, &backend, late_answer).await;
+    entry.ended().await;
+    let ran_late = backend.runs() - ran;
+    assert_eq!((late_answer, ran_late), (None, 0), "taken after the stop");
+}
+
+/// Symptom: an action was run by a backend server when its entry VM had next to no time left
+/// before its end, and its caller got no answer and couldn't ask again. Sequence: the action is
+/// read before the stop, behind a lookup that hangs; that is told after 6.5 s of 8 s of grace
+/// that there is no answer; the action begins then, and is cut off 1.1 s later. Cause: whether
+/// work can still end before the process does was asked when a request was read, not when it
+/// was passed on.
+#[tokio::test(flavor = "multi_thread")]
+async fn test_direct_stop_begins_nothing_that_cannot_end_behind_a_slow_answer() {
+    let mut deployment = Deployment::start(3);
+    let (entry, backend) = start(&mut deployment).await;
+    let mut stream = TcpStream::connect(entry.settings.listen.callers)
+        .await
+        .unwrap();
+    backend.behave(Behaviour::Hang);
+    let ran = backend.runs();
+    let requests = short_get("/safe/x") + &post("/once/y", "body");
+    stream.write_all(requests.as_bytes()).await.unwrap();
+    wait_for("the lookup at its backend server", async || {
+        (backend.runs() > ran).then_some(())
+    })
+    .await
+    .unwrap();
+    entry.begin_stop();
+    let answers = announced(&deployment, &backend, read_all(&mut stream)).await;
+    entry.ended().await;
+    assert_eq!(backend.runs(), ran + 1, "the action was run: {answers:?}");
+    assert!(answers.contains("HTTP/1.1 504"), "{answers:?}");
+    assert!(answers.contains("HTTP/1.1 503"), "{answers:?}");
+    assert!(answers.ends_with("leaving"), "{answers:?}");
+}
+
+/// Symptom and cause are those of the test before. Sequence: an action's head comes before the
+/// stop, the end of its body 6.5 s after it; the action is passed on and cut off.
+#[tokio::test(flavor = "multi_thread")]
+async fn test_direct_stop_begins_nothing_that_cannot_end_behind_a_slow_body() {
+    let mut deployment = Deployment::start(3);
+    let (entry, backend) = start(&mut deployment).await;
+    let mut stream = TcpStream::connect(entry.settings.listen.callers)
+        .await
+        .unwrap();
+    backend.behave(Behaviour::Hang);
+    let ran = backend.runs();
+    let request = post("/once/y", "body");
+    let (begun, rest) = request.split_at(request.len() - 1);
+    stream.write_all(begun.as_bytes()).await.unwrap();
+    entry.begin_stop();
+    let answering = async {
+        tokio::time::sleep(HELD_UP).await;
+        stream.write_all(rest.as_bytes()).await.unwrap();
+        read_all(&mut stream).await
+    };
+    let answer = announced(&deployment, &backend, answering).await;
+    entry.ended().await;
+    assert_eq!(backend.runs(), ran, "the action was run: {answer:?}");
+    assert!(answer.contains("HTTP/1.1 503"), "{answer:?}");
+    assert!(answer.ends_with("leaving"), "{answer:?}");
+}
+
+/// A request that can't end is refused; one that most likely does isn't, however late it begins:
+/// its caller would have to look up another entry VM and begin anew.
+#[tokio::test(flavor = "multi_thread")]
+async fn test_direct_stop_serves_what_can_end() {
+    let mut deployment = Deployment::start(3);
+    let (entry, backend) = start(&mut deployment).await;
+    let mut stream = TcpStream::connect(entry.settings.listen.callers)
+        .await
+        .unwrap();
+    let ran = backend.runs();
+    let request = post("/once/y", "body");
+    let (begun, rest) = request.split_at(request.len() - 1);
+    stream.write_all(begun.as_bytes()).await.unwrap();
+    entry.begin_stop();
+    until_taking_ends(entry.settings.listen.callers).await;
+    stream.write_all(rest.as_bytes()).await.unwrap();
+    let answer = read_all(&mut stream).await;
+    entry.ended().await;
+    assert_eq!(backend.runs(), ran + 1, "{answer:?}");
+    assert!(answer.contains("HTTP/1.1 200"), "{answer:?}");
+    assert!(answer.contains("connection: close"), "{answer:?}");
+}
