planned_stop: nothing is passed on that can't end before the process does

Cause: whether work can still end before a stop was asked when a request was read, not when it was passed on. Between the two a request stands behind others on its connection, waits for its body, a first view or a second try: an action was passed on 1.1 s before the process ended and cut off, its fate unknown to its caller. Ruled out: refusing all from the signal on; what can end is served (test_direct_stop_serves_what_can_end). Change: the stop's times are a decision of their own, lib/src/planned_stop.rs. The dispatcher counts the time left to the end of the process where that comes first, and refuses as leaving, to come back at once elsewhere, what another entry VM could still serve. A body that hasn't come by then is refused likewise. What is cut off all the same has a line of its own: it was told as a caller that left.

--- a/lib/src/direct_dispatch.rs
+++ b/lib/src/direct_dispatch.rs
@@ -21,6 +21,7 @@
 use crate::cold_watch::ColdWatch;
 use crate::dispatch_ask::Ask;
 use crate::dispatch_ask::BackendKey;
+use crate::dispatch_ask::COME_BACK_ELSEWHERE;
 use crate::dispatch_ask::Choice;
 use crate::dispatch_ask::Refused;
 use crate::dispatch_ask::RefusedReason;
@@ -287,7 +288,7 @@
         };
         let pace = service.pace.route(route, ask.latency_objective);
         let service = &self.services[ask.service];
-        let left = ask.deadline.saturating_duration_since(now).as_secs_f64();
+        let left = ask.answer_by().saturating_duration_since(now).as_secs_f64();
         let wait_share = if policy.shares_by_priority {
             WAIT_SHARES[(ask.priority as usize).min(WAIT_SHARES.len() - 1)]
         } else {
@@ -307,6 +308,11 @@
         let Some(best) = best else {
             return Err(if candidates.is_empty() {
                 refuse(RefusedReason::NoBackend)
+            } else if would_do_without_stop(now, ask, &candidates, limits) {
+                Refused {
+                    come_back: COME_BACK_ELSEWHERE,
+                    ..refuse(RefusedReason::Leaving)
+                }
             } else {
                 self.no_room(&candidates)
             });
@@ -441,6 +447,18 @@
     }
 }
 
+/// Returns whether a backend server would be picked if this entry VM went on.
+fn would_do_without_stop(
+    now: Instant,
+    ask: &Ask<'_>,
+    candidates: &[Candidate],
+    limits: PickLimits,
+) -> bool {
+    let left = ask.deadline.saturating_duration_since(now).as_secs_f64();
+    let without_stop = PickLimits { left, ..limits };
+    left > limits.left && dispatch_pick::pick(candidates, &without_stop).is_some()
+}
+
 fn shortest_wait<'a>(candidates: impl Iterator<Item = &'a Candidate>) -> Option<Duration> {
     let waits = candidates.map(|candidate| candidate.wait);
     waits.min_by(f64::total_cmp).map(seconds)
--- a/lib/src/dispatch_ask.rs
+++ b/lib/src/dispatch_ask.rs
@@ -14,6 +14,10 @@
 use crate::id::RouteName;
 use crate::id::ServiceName;
 
+/// When a caller is told to come back that another entry VM can serve at once. It has yet to
+/// pick that one, and connects anew.
+pub const COME_BACK_ELSEWHERE: Duration = Duration::from_millis(20);
+
 new_key_type! {
     /// Identifies a backend server within one dispatcher.
     pub struct BackendKey;
@@ -36,6 +40,8 @@
     pub deadline: Instant,
     /// When the answer should be there: the route's latency objective, from its arrival.
     pub objective: Instant,
+    /// When this entry VM, which stops, passes on its last answers; nothing if it doesn't.
+    pub answers_until: Option<Instant>,
     /// Regions that the request must stay in; empty allows all.
     pub homes: &'a [RegionName],
     /// Backend servers that the request was sent to before.
@@ -45,6 +51,13 @@
 }
 
 impl Ask<'_> {
+    /// Returns when the answer must be there to reach its caller.
+    #[must_use]
+    pub fn answer_by(&self) -> Instant {
+        self.answers_until
+            .map_or(self.deadline, |until| until.min(self.deadline))
+    }
+
     /// Returns whether the request may go to a region.
     #[must_use]
     pub fn allows(&self, region: &RegionName) -> bool {
@@ -97,6 +110,8 @@
     NoBackend,
     /// None would answer in time.
     NoRoom,
+    /// One would, but this entry VM ends before.
+    Leaving,
     /// The budget of resends is used up.
     NoResend,
 }
@@ -108,6 +123,7 @@
         match self {
             Self::NoBackend => "no_backend",
             Self::NoRoom => "no_room",
+            Self::Leaving => "leaving",
             Self::NoResend => "no_resend",
         }
     }
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -74,6 +74,7 @@
 pub mod outcome;
 pub mod ownership;
 pub mod place_lookup;
+pub mod planned_stop;
 pub mod presence;
 pub mod pressure;
 pub mod raft;
--- a/lib/tests/dispatch_model/mod.rs
+++ b/lib/tests/dispatch_model/mod.rs
@@ -365,6 +365,7 @@
             priority: 2,
             deadline: self.at() + self.plan.deadline,
             objective: self.at() + self.plan.objective,
+            answers_until: None,
             homes: &[],
             tried: &[],
             resend: false,
--- a/lib/tests/dispatch_model/probe.rs
+++ b/lib/tests/dispatch_model/probe.rs
@@ -9,10 +9,12 @@
 use heatherring_lib::direct_dispatch::Dispatcher;
 use heatherring_lib::dispatch_ask::Ask;
 use heatherring_lib::dispatch_ask::Choice;
+use heatherring_lib::dispatch_ask::Refused;
 use heatherring_lib::dispatch_ask::SendEnd;
 use heatherring_lib::dispatch_ask::SendOutcome;
 use heatherring_lib::dispatch_policy::DispatchPolicy;
 use heatherring_lib::id::VmName;
+use heatherring_lib::planned_stop::PlannedStop;
 
 use super::Plan;
 use super::place;
@@ -25,6 +27,7 @@
 pub struct Probe {
     dispatcher: Dispatcher,
     now: Instant,
+    answers_until: Option<Instant>,
 }
 
 impl Probe {
@@ -48,7 +51,11 @@
         let now = Instant::now();
         let mut dispatcher = Dispatcher::new(cfg, now);
         dispatcher.apply_view(now, &view(&plan));
-        Self { dispatcher, now }
+        Self {
+            dispatcher,
+            now,
+            answers_until: None,
+        }
     }
 
     pub fn pass(&mut self, time: Duration) {
@@ -56,6 +63,11 @@
         self.dispatcher.note_control(self.now);
     }
 
+    /// Has the entry VM stop.
+    pub fn stop(&mut self, stop: impl FnOnce(Instant) -> PlannedStop) {
+        self.answers_until = Some(stop(self.now).answers_until());
+    }
+
     /// Has all backend servers start again under their names.
     pub fn bear_again(&mut self, born: u64) {
         let mut view = view(&Plan::look_up());
@@ -70,6 +82,10 @@
     }
 
     pub fn try_choose(&mut self, object: &str) -> Option<Choice> {
+        self.choose_or_refuse(object).ok()
+    }
+
+    pub fn choose_or_refuse(&mut self, object: &str) -> Result<Choice, Refused> {
         let service = service();
         let route = route();
         let ask = Ask {
@@ -80,11 +96,12 @@
             priority: 0,
             deadline: self.now + Duration::from_secs(10),
             objective: self.now + Duration::from_secs(10),
+            answers_until: self.answers_until,
             homes: &[],
             tried: &[],
             resend: false,
         };
-        self.dispatcher.choose(self.now, &ask).ok()
+        self.dispatcher.choose(self.now, &ask)
     }
 
     pub fn end(&mut self, choice: &Choice, outcome: SendOutcome) {
--- a/lib/tests/test_cold_watch.rs
+++ b/lib/tests/test_cold_watch.rs
@@ -140,6 +140,7 @@
             priority: 0,
             deadline: self.now + Duration::from_secs(3),
             objective: self.now + Duration::from_secs(1),
+            answers_until: None,
             homes: &[],
             tried: &[],
             resend: false,
--- a/lib/tests/test_direct_dispatch.rs
+++ b/lib/tests/test_direct_dispatch.rs
@@ -4,7 +4,9 @@
 
 use dispatch_model::Model;
 use dispatch_model::Plan;
+use heatherring_lib::dispatch_ask::RefusedReason;
 use heatherring_lib::dispatch_ask::SendOutcome;
+use heatherring_lib::planned_stop::PlannedStop;
 use rstest::rstest;
 use std::time::Duration;
 
@@ -189,3 +191,35 @@
     }
     assert_eq!(all_near, stays);
 }
+
+/// Symptom: a request was passed on when its entry VM had next to no time left, and was cut off
+/// with the process. Sequence: a stop is asked for; the request waits behind another one, for
+/// its body or for a second try; it is passed on right before the end. Cause: the time left was
+/// counted to the caller's deadline only. Work at hand takes half of the objective of 0.5 s at the
+/// start, and 0.95 of the grace time is there for it.
+#[rstest]
+#[case::time_enough(Duration::from_secs(6), Duration::from_secs(4), None)]
+#[case::too_late(
+    Duration::from_secs(6),
+    Duration::from_millis(5_600),
+    Some(RefusedReason::Leaving)
+)]
+#[case::after_the_end(
+    Duration::from_secs(6),
+    Duration::from_secs(7),
+    Some(RefusedReason::Leaving)
+)]
+#[case::no_grace(Duration::ZERO, Duration::ZERO, Some(RefusedReason::Leaving))]
+fn test_direct_dispatch_begins_nothing_that_a_stop_cuts_off(
+    #[case] grace: Duration,
+    #[case] passed: Duration,
+    #[case] refused: Option<RefusedReason>,
+) {
+    let mut probe = dispatch_model::Probe::new();
+    probe.stop(|now| PlannedStop::new(now, grace));
+    probe.pass(passed);
+    let refusal = probe.choose_or_refuse("17").err();
+    assert_eq!(refusal.map(|refusal| refusal.reason), refused);
+    let come_back = refusal.map(|refusal| refusal.come_back);
+    assert!(come_back.is_none_or(|time| time < Duration::from_millis(100)));
+}
--- a/server/src/direct_path.rs
+++ b/server/src/direct_path.rs
@@ -10,6 +10,7 @@
 use heatherring_lib::affinity::ObjectHash;
 use heatherring_lib::clock::Clock;
 use heatherring_lib::dispatch_ask::BackendKey;
+use heatherring_lib::dispatch_ask::COME_BACK_ELSEWHERE;
 use heatherring_lib::dispatch_ask::Refused as NoChoice;
 use heatherring_lib::dispatch_ask::RefusedReason;
 use heatherring_lib::dispatch_ask::SendOutcome;
@@ -52,6 +53,8 @@
 use crate::request_body::RequestBody;
 use crate::request_trace::Decided;
 use crate::request_trace::RequestTrace;
+use crate::stop_watch::StopState;
+use crate::stop_watch::StopWatch;
 
 /// Time beyond a route's timeout that a backend server is given, as far as the caller waits.
 /// Requests without their data at hand take about as long as some timeouts; one that is ended
@@ -105,6 +108,8 @@
     pub sender: DirectSender,
     /// Whose turn it is in each split.
     pub turns: Mutex<HashMap<RouteName, WeightedTurns>>,
+    /// Whether the entry VM stops.
+    pub stopping: StopWatch,
     /// Time for which a request waits for the first view at most.
     pub first_view_wait: Duration,
 }
@@ -150,7 +155,8 @@
     }
 }
 
-/// Follows a request until it is told how it ended. Dropped before that, its caller has left.
+/// Follows a request until it is told how it ended. Dropped before that, its caller has left,
+/// or the process ends.
 struct Handling<'a> {
     cx: &'a DirectContext,
     arrived: Instant,
@@ -171,8 +177,16 @@
 
 impl Drop for Handling<'_> {
     fn drop(&mut self) {
-        if !self.told {
-            self.trace.tell_left(&self.cx.decided(self.arrived));
+        if self.told {
+            return;
+        }
+        let decided = self.cx.decided(self.arrived);
+        match self.cx.stopping.state() {
+            StopState::Ended(stop) => {
+                let stopped_for = stop.asked_for(self.arrived);
+                self.trace.tell_cut_off(&decided, stopped_for);
+            }
+            StopState::Running | StopState::Stopping(_) => self.trace.tell_left(&decided),
         }
     }
 }
@@ -236,9 +250,11 @@
         let work_until = (deadline + WORK_GRACE).min(arrived + patience);
         let give_up = (deadline + ANSWER_GRACE).min(arrived + patience);
         let max_bytes = u32::try_from(view.limits.max_body_bytes).unwrap_or(u32::MAX);
-        let body = request_body::read(body, max_bytes, deadline)
-            .await
-            .map_err(refuse)?;
+        let body = tokio::select! {
+            biased;
+            body = request_body::read(body, max_bytes, deadline) => body.map_err(refuse)?,
+            () = self.stopping.last_answers() => return Err(leaving()),
+        };
         let service = self
             .service_of(name, route)
             .ok_or_else(|| refuse(NotRunReason::NoBackendServer))?;
@@ -317,6 +333,7 @@
                 object: admitted.object,
                 deadline: admitted.req.deadline,
                 objective: admitted.objective,
+                answers_until: self.stopping.answers_until(),
                 tried: progress.tried.clone(),
                 resend: progress.arrivals > 0,
             };
@@ -426,10 +443,16 @@
     Attempt::new().refuse(reason)
 }
 
+/// Refuses what the entry VM can't finish before it ends.
+fn leaving() -> NotRun {
+    refuse(NotRunReason::Leaving).with_retry_after(COME_BACK_ELSEWHERE)
+}
+
 fn no_choice_refusal(attempt: Attempt<Unsent>, no_choice: NoChoice) -> Refused {
     let reason = match no_choice.reason {
         RefusedReason::NoBackend => NotRunReason::NoBackendServer,
         RefusedReason::NoRoom => NotRunReason::Overloaded,
+        RefusedReason::Leaving => NotRunReason::Leaving,
         RefusedReason::NoResend => {
             metric::resend(false);
             NotRunReason::NoResend
--- a/server/src/direct_process.rs
+++ b/server/src/direct_process.rs
@@ -10,9 +10,11 @@
 
 use heatherring_lib::clock::Clock;
 use heatherring_lib::direct_dispatch::DispatchConfig;
+use heatherring_lib::direct_settings::DirectListen;
 use heatherring_lib::direct_settings::DirectSettings;
 use heatherring_lib::fleet_record::EntryRecord;
 use heatherring_lib::fleet_update::FleetView;
+use heatherring_lib::planned_stop::PlannedStop;
 use heatherring_lib::settings_text::read_direct_settings;
 use http::Request;
 use http::Response;
@@ -53,6 +55,8 @@
 use crate::peer_security::PeerSecurityError;
 use crate::request_body::RequestBody;
 use crate::shutdown::Shutdown;
+use crate::stop_watch::StopState;
+use crate::stop_watch::StopWatch;
 
 /// Connections open at one listener; some descriptors are left for backend servers.
 const MAX_CONNECTIONS: usize = 2_000;
@@ -61,13 +65,6 @@
 /// takes its way, and a connection that is closed meanwhile fails its request.
 const LIMIT_MARGIN: Duration = Duration::from_secs(2);
 
-/// Share of the time until a stop by force after which no more requests are taken. Callers
-/// have learned of other entry VMs by then, and what was taken last has time to finish.
-const SERVE_SHARE: f64 = 0.45;
-
-/// Share of that time after which the process ends, whatever is still under way.
-const FINISH_SHARE: f64 = 0.95;
-
 /// Time between two looks at the settings file.
 const SETTINGS_INTERVAL: Duration = Duration::from_secs(2);
 
@@ -123,12 +120,7 @@
     mut shutdown: Shutdown,
 ) -> Result<(), DirectError> {
     let security = PeerSecurity::from_settings(&settings.security).context(SecuritySnafu)?;
-    let callers = bind("callers", settings.listen.callers).await?;
-    let asked_ready = bind("ready", settings.listen.ready).await?;
-    let look_ups = match settings.listen.look_ups {
-        Some(address) => Some(bind("look_ups", address).await?),
-        None => None,
-    };
+    let listeners = Listeners::bind(&settings.listen).await?;
     let stop_asked = CancellationToken::new();
     if let Some(address) = settings.listen.metrics {
         let serving = metric::serve(address, Arc::clone(&clock), stop_asked.clone()).await;
@@ -143,12 +135,7 @@
     let dispatch = DispatchHandle::spawn(dispatch_config(&settings), Arc::clone(&clock));
     let followed = fleet_follower::spawn(FollowerSetup {
         vm: settings.vm.clone(),
-        record: EntryRecord {
-            place: settings.place.clone(),
-            region: settings.region.clone(),
-            callers: settings.listen.callers,
-            life: rand::random(),
-        },
+        record: own_record(&settings),
         places: settings.places.clone(),
         seeds,
         ready: ready.clone(),
@@ -172,6 +159,7 @@
         interface: Arc::clone(&interface),
     };
     tokio::spawn(questioner.run());
+    let (stop_tx, stopping) = StopWatch::new();
     let cx = Arc::new(DirectContext {
         vm: settings.vm.clone(),
         heard: followed.heard,
@@ -181,19 +169,21 @@
         dispatch,
         sender: DirectSender::new(pool, Arc::clone(&interface), view.clone()),
         turns: Mutex::new(HashMap::new()),
-        first_view_wait: if settings.experiments.first_view_wait {
-            FIRST_VIEW_WAIT
-        } else {
-            Duration::ZERO
-        },
+        stopping,
+        first_view_wait: first_view_wait(&settings),
     });
     let stops = Stops {
         leaving: CancellationToken::new(),
         stop: CancellationToken::new(),
     };
     let bounds = bounds(view.clone(), &clock);
-    let serving = serve(callers, DirectHandler::new(cx), &bounds, stops.clone());
-    if let Some(look_ups) = look_ups {
+    let serving = serve(
+        listeners.callers,
+        DirectHandler::new(cx),
+        &bounds,
+        stops.clone(),
+    );
+    if let Some(look_ups) = listeners.look_ups {
         let handler = LookUpHandler {
             interface: Arc::clone(&interface) as Arc<dyn LookUpInterface>,
             source: Arc::new(directory),
@@ -204,33 +194,55 @@
         interface,
         ready: ready.clone(),
     };
-    serve(asked_ready, ready_handler, &bounds, stop_asked.into());
+    serve(listeners.ready, ready_handler, &bounds, stop_asked.into());
     let becoming_ready = tokio::spawn(announce_ready(view, ready_tx.clone()));
     log::info!(event = "entry_started", vm = settings.vm.as_str(), callers:% = settings.listen.callers; "the entry VM listens");
     shutdown.requested().await;
+    let stop = PlannedStop::new(clock.now(), settings.grace.0);
     log::info!(event = "entry_leaving", vm = settings.vm.as_str(); "a planned stop begins");
     becoming_ready.abort();
     ready_tx.send_replace(false);
+    stop_tx.send_replace(StopState::Stopping(stop));
     stops.leaving.cancel();
-    let grace = settings.grace.0;
     tokio::select! {
-        () = finish(grace, &stops.stop, serving) => {}
+        () = finish(stop, &stops.stop, serving) => {}
         () = shutdown.insisted() => log::warn!(event = "entry_stop_forced"; "asked to stop twice: what is under way is cut off"),
     }
+    stop_tx.send_replace(StopState::Ended(stop));
     log::info!(event = "entry_ended", vm = settings.vm.as_str(); "the entry VM has finished");
     Ok(())
 }
 
-async fn finish(grace: Duration, stop: &CancellationToken, serving: JoinHandle<()>) {
-    let serve_on = grace.mul_f64(SERVE_SHARE);
-    tokio::time::sleep(serve_on).await;
-    stop.cancel();
-    let rest = grace.mul_f64(FINISH_SHARE).saturating_sub(serve_on);
-    if tokio::time::timeout(rest, serving).await.is_err() {
+async fn finish(stop: PlannedStop, taking: &CancellationToken, serving: JoinHandle<()>) {
+    tokio::time::sleep_until(stop.takes_until().into()).await;
+    taking.cancel();
+    let ended = tokio::time::timeout_at(stop.ends_at().into(), serving).await;
+    if ended.is_err() {
         log::warn!(event = "entry_stop_late"; "some requests didn't end in time");
     }
 }
 
+/// Holds the listeners of an entry VM.
+struct Listeners {
+    callers: TcpListener,
+    ready: TcpListener,
+    look_ups: Option<TcpListener>,
+}
+
+impl Listeners {
+    async fn bind(listen: &DirectListen) -> Result<Self, DirectError> {
+        let look_ups = match listen.look_ups {
+            Some(address) => Some(bind("look_ups", address).await?),
+            None => None,
+        };
+        Ok(Self {
+            callers: bind("callers", listen.callers).await?,
+            ready: bind("ready", listen.ready).await?,
+            look_ups,
+        })
+    }
+}
+
 async fn bind(purpose: &'static str, address: SocketAddr) -> Result<TcpListener, DirectError> {
     TcpListener::bind(address)
         .await
@@ -271,6 +283,24 @@
     }
 }
 
+/// Returns what control is told of this start of the entry VM.
+fn own_record(settings: &DirectSettings) -> EntryRecord {
+    EntryRecord {
+        place: settings.place.clone(),
+        region: settings.region.clone(),
+        callers: settings.listen.callers,
+        life: rand::random(),
+    }
+}
+
+const fn first_view_wait(settings: &DirectSettings) -> Duration {
+    if settings.experiments.first_view_wait {
+        FIRST_VIEW_WAIT
+    } else {
+        Duration::ZERO
+    }
+}
+
 fn dispatch_config(settings: &DirectSettings) -> DispatchConfig {
     DispatchConfig {
         vm: settings.vm.clone(),
--- a/server/src/dispatch_task.rs
+++ b/server/src/dispatch_task.rs
@@ -14,6 +14,7 @@
 use heatherring_lib::direct_dispatch::Dispatcher;
 use heatherring_lib::dispatch_ask::Ask;
 use heatherring_lib::dispatch_ask::BackendKey;
+use heatherring_lib::dispatch_ask::COME_BACK_ELSEWHERE;
 use heatherring_lib::dispatch_ask::Choice;
 use heatherring_lib::dispatch_ask::Refused;
 use heatherring_lib::dispatch_ask::RefusedReason;
@@ -27,9 +28,6 @@
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
 
-/// When to come back if the task has ended with its process.
-const COME_BACK_ELSEWHERE: Duration = Duration::from_millis(100);
-
 /// Asks for a backend server.
 #[derive(Clone, Debug)]
 pub struct DispatchAsk {
@@ -45,6 +43,8 @@
     pub deadline: Instant,
     /// When the answer should be there.
     pub objective: Instant,
+    /// When this entry VM, which stops, passes on its last answers.
+    pub answers_until: Option<Instant>,
     /// Backend servers that the request was sent to before.
     pub tried: Vec<BackendKey>,
     /// Whether one of them received it.
@@ -211,6 +211,7 @@
         priority: ask.route.priority,
         deadline: ask.deadline,
         objective: ask.objective,
+        answers_until: ask.answers_until,
         homes: &ask.route.home_regions,
         tried: &ask.tried,
         resend: ask.resend,
--- a/server/src/lib.rs
+++ b/server/src/lib.rs
@@ -100,6 +100,7 @@
 pub mod session_service;
 pub mod shutdown;
 pub mod status_report;
+pub mod stop_watch;
 pub mod submit_reply;
 pub mod sync_target;
 pub mod update_cache;
--- a/server/src/request_trace.rs
+++ b/server/src/request_trace.rs
@@ -184,6 +184,22 @@
         );
     }
 
+    /// Tells that the process ends before there was an answer. The request came `stopped_for`
+    /// after the stop was asked for; nothing, if before.
+    pub fn tell_cut_off(&self, decided: &Decided<'_>, stopped_for: Duration) {
+        metric::request("cut_off", "process_ended", decided.held);
+        let under_way = self.under_way.as_ref().map_or("", |name| name.as_str());
+        let stopped_for_ms = whole_ms(stopped_for);
+        tell!(
+            module_path!(),
+            "cut_off",
+            self,
+            decided,
+            [under_way, stopped_for_ms],
+            "the process ends before the answer"
+        );
+    }
+
     fn route(&self) -> &str {
         self.route.as_ref().map_or("", |name| name.as_str())
     }
