rendezvous: one score and one number from a hash

A number from the first eight bytes of a hash was made in five places, and a score for rendezvous hashing in two, one of which let parts run into each other. Entry VMs that dispatch directly choose among equally near replicas by other numbers than before; each still by its own name. lib's tests, test_fleet_follower, test_entry_session, test_control_node and test_direct_stop pass.

--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -90,6 +90,7 @@
 mod raft_progress;
 mod raft_replication;
 pub mod rate_meter;
+pub mod rendezvous;
 pub mod replica_choice;
 pub mod replica_patience;
 pub mod replica_plan;
--- a/lib/src/lookup.rs
+++ b/lib/src/lookup.rs
@@ -19,7 +19,7 @@
 use crate::outcome::NotRun;
 use crate::outcome::NotRunReason;
 use crate::ownership::OwnerTable;
-use crate::ownership::rendezvous_score;
+use crate::rendezvous;
 use crate::shift_budget::Sharing;
 use crate::shift_budget::Shift;
 use crate::shift_budget::ShiftBudgets;
@@ -191,7 +191,7 @@
     for (distance, tier) in DISTANCES.into_iter().zip(tiers) {
         let mut sessions: Vec<_> = tier.iter().filter_map(|id| view.sessions.get(id)).collect();
         sessions.sort_by_cached_key(|session| {
-            let score = rendezvous_score(&[&key], &session.info.vm);
+            let score = rendezvous::score(&[&key], session.info.vm.as_str());
             (std::cmp::Reverse(score), session.id)
         });
         nearest.extend(sessions.into_iter().map(|session| (distance, session)));
--- a/lib/src/ownership.rs
+++ b/lib/src/ownership.rs
@@ -18,7 +18,7 @@
 use crate::id::Revision;
 use crate::id::ServiceName;
 use crate::id::SessionId;
-use crate::id::VmName;
+use crate::rendezvous;
 use crate::usage_window::RecentUse;
 use crate::view::ControlView;
 use crate::view::EntrySession;
@@ -188,24 +188,9 @@
 }
 
 fn rank(service: &ServiceName, place: &PlaceName, session: &EntrySession) -> (u64, SessionId) {
-    let score = rendezvous_score(&[service.as_str(), place.as_str()], &session.info.vm);
+    let score = rendezvous::score(
+        &[service.as_str(), place.as_str()],
+        session.info.vm.as_str(),
+    );
     (score, session.id)
 }
-
-/// Scores `vm` for a key by rendezvous hashing; the highest score wins.
-///
-/// The first 64 bits of BLAKE3 over the parts, each closed by a zero byte so that no
-/// two lists of parts read the same.
-#[must_use]
-pub fn rendezvous_score(key: &[&str], vm: &VmName) -> u64 {
-    let mut hasher = blake3::Hasher::new();
-    for part in key {
-        hasher.update(part.as_bytes());
-        hasher.update(&[0]);
-    }
-    hasher.update(vm.as_str().as_bytes());
-    let digest = hasher.finalize();
-    let mut first = [0; 8];
-    first.copy_from_slice(&digest.as_bytes()[..8]);
-    u64::from_le_bytes(first)
-}
--- a/lib/src/replica_choice.rs
+++ b/lib/src/replica_choice.rs
@@ -17,6 +17,7 @@
 use crate::id::PlaceName;
 use crate::id::RegionName;
 use crate::id::VmName;
+use crate::rendezvous;
 
 /// Time for which a replica isn't asked that answered that it can't prove to be current, doubled
 /// with each further time. The question costs it little, and it may have a leader again within
@@ -81,7 +82,7 @@
     replicas: impl Iterator<Item = &'a ReplicaOrigin>,
 ) -> Option<SocketAddr> {
     let rank = |replica: &&ReplicaOrigin| {
-        let weight = rendezvous_weight(name.as_str(), replica.address);
+        let weight = weight(name.as_str(), replica.address);
         (Distance::between(regions, here, &replica.place), weight)
     };
     let takes = replicas.filter(|replica| replica.announcements.is_some());
@@ -154,7 +155,7 @@
         let before = self.known.get(&address);
         Known {
             distance,
-            weight: rendezvous_weight(self.vm.as_str(), address),
+            weight: weight(self.vm.as_str(), address),
             useless: before.map_or(0, |before| before.useless),
             aside_until: before.and_then(|before| before.aside_until),
             return_at: before.and_then(|before| before.return_at),
@@ -218,12 +219,6 @@
 
 /// Returns the weight of a replica for whoever is called `name`. The one with the lowest weight
 /// is taken: names spread evenly over the replicas, and over the others when one goes.
-#[must_use]
-pub fn rendezvous_weight(name: &str, address: SocketAddr) -> u64 {
-    let mut hasher = blake3::Hasher::new();
-    hasher.update(name.as_bytes());
-    hasher.update(address.to_string().as_bytes());
-    let mut first = [0; 8];
-    first.copy_from_slice(&hasher.finalize().as_bytes()[..8]);
-    u64::from_le_bytes(first)
+fn weight(name: &str, address: SocketAddr) -> u64 {
+    rendezvous::score(&[name], &address.to_string())
 }
--- a/server/src/caller_listener.rs
+++ b/server/src/caller_listener.rs
@@ -14,6 +14,7 @@
 use heatherring_lib::outcome::NotRun;
 use heatherring_lib::outcome::NotRunReason;
 use heatherring_lib::outcome::Outcome;
+use heatherring_lib::rendezvous;
 use heatherring_lib::view::EntrySession;
 use http::HeaderMap;
 use http::HeaderValue;
@@ -269,9 +270,7 @@
         IpAddr::V4(address) => blake3::hash(&address.octets()),
         IpAddr::V6(address) => blake3::hash(&address.octets()),
     };
-    let mut first = [0; 8];
-    first.copy_from_slice(&hash.as_bytes()[..8]);
-    u64::from_le_bytes(first)
+    rendezvous::leading_number(&hash)
 }
 
 /// Parts the three endings into an answer and a refusal.
--- a/server/src/fleet_service.rs
+++ b/server/src/fleet_service.rs
@@ -12,6 +12,7 @@
 use heatherring_lib::id::Revision;
 use heatherring_lib::id::VmName;
 use heatherring_lib::raft_message::ReplicaInfo;
+use heatherring_lib::rendezvous;
 use heatherring_lib::replica_choice::ReplicaSite;
 use tonic::Request;
 use tonic::Response;
@@ -170,9 +171,7 @@
 
 /// Returns a number that tells one list of replicas from another.
 fn digest(encoded: &[u8]) -> u64 {
-    let mut first = [0; 8];
-    first.copy_from_slice(&blake3::hash(encoded).as_bytes()[..8]);
-    u64::from_le_bytes(first)
+    rendezvous::leading_number(&blake3::hash(encoded))
 }
 
 fn internal(error: impl std::fmt::Display) -> Status {
--- a/server/src/formation.rs
+++ b/server/src/formation.rs
@@ -18,6 +18,7 @@
 use heatherring_lib::id::VmName;
 use heatherring_lib::raft_config::founding_writes;
 use heatherring_lib::raft_message::ReplicaInfo;
+use heatherring_lib::rendezvous;
 use heatherring_lib::settings::ControlSettings;
 use heatherring_lib::settings::FormationSettings;
 use tonic::Request;
@@ -123,9 +124,7 @@
 
 fn founder_id(cluster: ClusterId, address: SocketAddr) -> ReplicaId {
     let hash = blake3::hash(format!("{cluster}/{address}").as_bytes());
-    let mut number = [0; 8];
-    number.copy_from_slice(&hash.as_bytes()[..8]);
-    control_format::replica_id(u64::from_le_bytes(number))
+    control_format::replica_id(rendezvous::leading_number(&hash))
 }
 
 /// Asks one replica after the other, round after round, until one says that this one is
--- a/server/tests/test_direct_stop.rs
+++ b/server/tests/test_direct_stop.rs
@@ -47,6 +47,11 @@
     (entry, backend)
 }
 
+async fn connect(entry: &Entry) -> TcpStream {
+    let callers = entry.settings.listen.callers;
+    TcpStream::connect(callers).await.unwrap()
+}
+
 /// Routes whose callers wait for longer than the grace time.
 fn patient_routes() -> RouteChange {
     let mut change = route_change(1, 0);
@@ -136,9 +141,7 @@
 async fn test_direct_stop_takes_nothing_on_a_connection_that_was_idle() {
     let mut deployment = Deployment::start(3);
     let (entry, backend) = start(&mut deployment).await;
-    let mut stream = TcpStream::connect(entry.settings.listen.callers)
-        .await
-        .unwrap();
+    let mut stream = connect(&entry).await;
     stream.write_all(get("/safe/x").as_bytes()).await.unwrap();
     read_until(&mut stream, "whole").await;
     let ran = backend.runs();
@@ -170,9 +173,7 @@
 async fn test_direct_stop_begins_nothing_that_cannot_end_behind_a_slow_answer() {
     let mut deployment = Deployment::start(3);
     let (entry, backend) = start(&mut deployment).await;
-    let mut stream = TcpStream::connect(entry.settings.listen.callers)
-        .await
-        .unwrap();
+    let mut stream = connect(&entry).await;
     backend.behave(Behaviour::Hang);
     let ran = backend.runs();
     let requests = short_get("/safe/x") + &post("/once/y", "body");
@@ -197,9 +198,7 @@
 async fn test_direct_stop_begins_nothing_that_cannot_end_behind_a_slow_body() {
     let mut deployment = Deployment::start(3);
     let (entry, backend) = start(&mut deployment).await;
-    let mut stream = TcpStream::connect(entry.settings.listen.callers)
-        .await
-        .unwrap();
+    let mut stream = connect(&entry).await;
     backend.behave(Behaviour::Hang);
     let ran = backend.runs();
     let request = post("/once/y", "body");
@@ -224,9 +223,7 @@
 async fn test_direct_stop_serves_what_can_end() {
     let mut deployment = Deployment::start(3);
     let (entry, backend) = start(&mut deployment).await;
-    let mut stream = TcpStream::connect(entry.settings.listen.callers)
-        .await
-        .unwrap();
+    let mut stream = connect(&entry).await;
     let ran = backend.runs();
     let request = post("/once/y", "body");
     let (begun, rest) = request.split_at(request.len() - 1);
