control_process: a planned stop answers orders that were passed on, and ends a join

Cause: the stop waited for the replica's own proposals and for other processes of the system, not for the listener that takes orders: an order that a follower had passed on to the leader was cut with its connection, and its operator couldn't know whether it is in force. While a replica joined, nothing looked at the request to stop.

--- a/server/src/control_listeners.rs
+++ b/server/src/control_listeners.rs
@@ -9,6 +9,7 @@
 use http::Request;
 use http::Response;
 use tokio::net::TcpListener;
+use tokio::task::JoinHandle;
 use tokio_util::sync::CancellationToken;
 
 use crate::answer_body::AnswerBody;
@@ -79,14 +80,15 @@
         })
     }
 
-    /// Serves until `stop` is cancelled.
+    /// Serves until `stop` is cancelled, and then until all that was read is answered. The
+    /// returned task ends after that.
     pub fn serve(
         self,
         interface: &Arc<dyn ControlInterface>,
         control: &FleetControl,
         clock: &Arc<dyn Clock>,
         stop: &CancellationToken,
-    ) {
+    ) -> JoinHandle<()> {
         let orders = ControlHandler {
             interface: Arc::clone(interface),
             control: control.clone(),
@@ -95,19 +97,19 @@
             interface: Arc::clone(interface) as Arc<dyn LookUpInterface>,
             source: Arc::new(control.clone()),
         };
-        spawn(self.orders, orders, Arc::clone(clock), stop);
         if let Some(listener) = self.look_ups {
-            spawn(listener, look_ups, Arc::clone(clock), stop);
+            tokio::spawn(serve(listener, look_ups, Arc::clone(clock), stop));
         }
+        tokio::spawn(serve(self.orders, orders, Arc::clone(clock), stop))
     }
 }
 
-fn spawn(
+fn serve(
     listener: TcpListener,
     handler: impl Handler,
     clock: Arc<dyn Clock>,
     stop: &CancellationToken,
-) {
+) -> impl Future<Output = ()> + Send + 'static {
     let bounds = HttpBounds {
         max_connections: MAX_CONNECTIONS,
         limits: LimitsSource::fixed(LIMITS),
@@ -115,11 +117,5 @@
         clock,
     };
     let stops = stop.clone().into();
-    tokio::spawn(http_server::serve(
-        listener,
-        Admittance::Anybody,
-        bounds,
-        handler,
-        stops,
-    ));
+    http_server::serve(listener, Admittance::Anybody, bounds, handler, stops)
 }
--- a/server/src/control_process.rs
+++ b/server/src/control_process.rs
@@ -170,7 +170,14 @@
             address: settings.listen,
         })?;
     let channels = PeerChannels::new(security.clone()).leaving_from(settings.listen.ip());
-    let (disk, recovered) = open_folder(&settings, &channels).await?;
+    let opened = tokio::select! {
+        opened = open_folder(&settings, &channels) => opened?,
+        () = shutdown.requested() => {
+            log::info!(event = "control_ended"; "asked to stop while joining");
+            return Ok(());
+        }
+    };
+    let (disk, recovered) = opened;
     let identity = recovered.identity;
     let links = PeerLinks::new(
         identity.cluster,
@@ -197,7 +204,7 @@
         serving.context(ListenSnafu { address })?;
     }
     let interface = interface.as_ref();
-    serve_outside(&settings, interface, &fleet, &clock, &stop_listeners).await?;
+    let outside = serve_outside(&settings, interface, &fleet, &clock, &stop_listeners).await?;
     let (stop_server, server_stopped) = oneshot::channel();
     let builder = security.grpc_server().context(SecuritySnafu)?;
     let fleet_service =
@@ -228,8 +235,14 @@
     stop_listeners.cancel();
     // The server may have ended by itself; then nobody listens to this.
     let _ = stop_server.send(());
+    // Orders that were passed on to the leader are answered by it. One without an answer is
+    // sent again by its operator, who can't know whether it is in force meanwhile.
+    let finished = async {
+        outside.await.context(TaskSnafu)?;
+        server_result((&mut server).await)
+    };
     tokio::select! {
-        result = &mut server => server_result(result)?,
+        result = finished => result?,
         () = shutdown.insisted() => {}
         () = tokio::time::sleep(FINISH_WITHIN) => log::warn!(event = "control_stop_late"; "some connections did not end in time"),
     }
@@ -311,21 +324,22 @@
     )
 }
 
+/// Listens to those who aren't part of the system. The returned task ends once the stop was
+/// asked for and what was read is answered.
 async fn serve_outside(
     settings: &ControlSettings,
     interface: Option<&Arc<dyn ControlInterface>>,
     fleet: &FleetControl,
     clock: &Arc<dyn Clock>,
     stop: &CancellationToken,
-) -> Result<(), ControlError> {
+) -> Result<JoinHandle<()>, ControlError> {
     let (Some(direct), Some(interface)) = (&settings.direct, interface) else {
-        return Ok(());
+        return Ok(tokio::spawn(std::future::ready(())));
     };
     match ControlListeners::bind(direct).await {
-        Ok(listeners) => listeners.serve(interface, fleet, clock, stop),
-        Err((address, source)) => return Err(ControlError::Listen { address, source }),
+        Ok(listeners) => Ok(listeners.serve(interface, fleet, clock, stop)),
+        Err((address, source)) => Err(ControlError::Listen { address, source }),
     }
-    Ok(())
 }
 
 /// Returns once this replica was replaced by another one; never without self-formation.
