planned_stop: whatever is under way gets an answer before the end, nothing late is taken

Cause: a stop decided for a request by itself. Behind one that hangs its answer can't leave; while it waits for a view nothing looked at the stop; a first head that had begun was waited for and then run like any other; and the time that was expected ranks backend servers, which for requests that take alike is half of what they take. Change: 0.1 s before the end every wait of a request ends, told that its fate is unknown if it was passed on, else unrun; requests whose head came after the time for them are refused, whatever way they were read; the stop goes by the median of a route's times besides, and is asked again after connecting.

--- a/lib/src/direct_dispatch.rs
+++ b/lib/src/direct_dispatch.rs
@@ -305,14 +305,13 @@
         };
         let max_connections = service.known.max_connections;
         let best = dispatch_pick::pick(&candidates, &limits);
+        let least = service.pace.median(pace);
+        let best = best.filter(|best| ask.answers_until.is_none() || best.wait + least <= left);
         let Some(best) = best else {
             return Err(if candidates.is_empty() {
                 refuse(RefusedReason::NoBackend)
             } else if would_do_without_stop(now, ask, &candidates, limits) {
-                Refused {
-                    come_back: COME_BACK_ELSEWHERE,
-                    ..refuse(RefusedReason::Leaving)
-                }
+                self.leaving()
             } else {
                 self.no_room(&candidates)
             });
@@ -330,6 +329,15 @@
         Ok(self.begin(now, &best, pace, max_connections))
     }
 
+    fn leaving(&mut self) -> Refused {
+        Refused {
+            reason: RefusedReason::Leaving,
+            come_back: self.spread(COME_BACK_ELSEWHERE),
+            considered: 0,
+            shortest_wait: None,
+        }
+    }
+
     fn no_room(&mut self, candidates: &[Candidate]) -> Refused {
         let wait = shortest_wait(candidates.iter());
         let with_data: Vec<&Candidate> = candidates.iter().filter(|c| c.warm).collect();
--- a/lib/src/explanation.rs
+++ b/lib/src/explanation.rs
@@ -174,6 +174,9 @@
         UnknownReason::ConnectionLost | UnknownReason::OwnerLost => {
             "the connection broke off after the request may have been sent"
         }
+        UnknownReason::EntryStopped => {
+            "the entry VM stopped after the request may have been sent, before its answer came"
+        }
         UnknownReason::DeadlinePassed => "the deadline passed after the request may have been sent",
         UnknownReason::ActionRecorded => {
             "the action was recorded, so it may run or have run, and isn't run again"
--- a/lib/src/outcome.rs
+++ b/lib/src/outcome.rs
@@ -132,6 +132,8 @@
         ConnectionLost "connection_lost" 502,
         /// The deadline passed after the request may have been sent.
         DeadlinePassed "deadline_passed" 504,
+        /// The entry VM ended before the answer came.
+        EntryStopped "entry_stopped" 502,
         /// The entry VM that the request was forwarded to gave no answer.
         OwnerLost "owner_lost" 502,
         /// The action was recorded and may run or have run; its answer isn't known here.
--- a/lib/src/planned_stop.rs
+++ b/lib/src/planned_stop.rs
@@ -1,10 +1,12 @@
 //! What an entry VM still takes, begins and finishes once it was asked to stop.
 //!
-//! One rule: nothing is begun that can't end before the process does. An action that is cut
+//! Two rules. Nothing is begun that can't end before the process does: an action that is cut
 //! off has an unknown fate, and its caller can't ask again; the same request that is refused
 //! unrun is answered by another entry VM. Whether work can end is therefore asked where it
 //! is passed on, however long ago its request was read. Refusing from the first moment would
-//! be as safe, and would turn away what has time enough.
+//! be as safe, and would turn away what has time enough. And whatever was begun gets an answer
+//! before the end, if only that its fate is unknown: a caller that hears nothing waits for its
+//! own deadline, and answers that are ready behind it on its connection would be lost with it.
 
 use std::time::Duration;
 use std::time::Instant;
@@ -16,9 +18,9 @@
 /// Share of that time after which the process ends, whatever is still under way.
 const FINISH_SHARE: f64 = 0.95;
 
-/// Time before that end at which an answer must be there to still be written: the way to the
-/// caller, 8 to 24 ms, and a busy moment.
-const WAY_BACK: Duration = Duration::from_millis(40);
+/// Time before that end in which the last answers are written. All that is under way is told
+/// at once then, and each answer takes its way of 8 to 24 ms.
+const LAST_WORDS: Duration = Duration::from_millis(100);
 
 /// Follows a planned stop.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -35,17 +37,24 @@
         Self { asked_at, grace }
     }
 
-    /// Returns when the last request is taken.
+    /// Returns until when requests are taken.
     #[must_use]
     pub fn takes_until(&self) -> Instant {
         self.asked_at + self.grace.mul_f64(SERVE_SHARE)
     }
 
+    /// Returns whether a request is taken whose head came at `arrived`, by whatever way it
+    /// came to be read after the others.
+    #[must_use]
+    pub fn takes(&self, arrived: Instant) -> bool {
+        arrived <= self.takes_until()
+    }
+
     /// Returns when an answer must be there at the latest.
     #[must_use]
     pub fn answers_until(&self) -> Instant {
         let ends_at = self.ends_at();
-        ends_at.checked_sub(WAY_BACK).unwrap_or(ends_at)
+        ends_at.checked_sub(LAST_WORDS).unwrap_or(ends_at)
     }
 
     /// Returns when the process ends.
@@ -54,9 +63,9 @@
         self.asked_at + self.grace.mul_f64(FINISH_SHARE)
     }
 
-    /// Returns how long ago it was asked for.
+    /// Returns the time from the request to stop until `at`; zero before it.
     #[must_use]
-    pub fn asked_for(&self, now: Instant) -> Duration {
-        now.saturating_duration_since(self.asked_at)
+    pub fn since_asked(&self, at: Instant) -> Duration {
+        at.saturating_duration_since(self.asked_at)
     }
 }
--- a/lib/src/service_pace.rs
+++ b/lib/src/service_pace.rs
@@ -53,6 +53,8 @@
 pub struct RoutePace {
     warm: Estimate,
     cold: Estimate,
+    /// Time that half of the requests stay below, whatever was expected of them.
+    median: Estimate,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -70,15 +72,16 @@
         self.observed >= FIRST
     }
 
-    fn observe(&mut self, took: f64) {
+    /// Moves towards the time that `share` of the observations lie below.
+    fn observe(&mut self, took: f64, share: f64) {
         if !self.is_settled() {
             self.observed += 1;
             let took = took.min(self.value * MOST_RISE);
             self.value += (took - self.value) / f64::from(self.observed);
         } else if took > self.value {
-            self.value *= 1.0 + STEP * QUANTILE;
+            self.value *= 1.0 + STEP * share;
         } else {
-            self.value *= 1.0 - STEP * (1.0 - QUANTILE);
+            self.value *= 1.0 - STEP * (1.0 - share);
         }
     }
 }
@@ -91,6 +94,7 @@
         Self {
             warm: Estimate::new(objective * FIRST_WARM),
             cold: Estimate::new(objective * FIRST_COLD),
+            median: Estimate::new(objective * FIRST_WARM),
         }
     }
 
@@ -104,15 +108,26 @@
         }
     }
 
+    /// Returns the time that half of the requests stay below, in seconds.
+    ///
+    /// [`Self::expected`] ranks backend servers: where all requests take alike, they count as
+    /// those without their data, and half of their time is expected with them. Whoever must know
+    /// whether a request can end goes by this one besides.
+    #[must_use]
+    pub const fn median(&self) -> f64 {
+        self.median.value
+    }
+
     /// Notes how long a request ran that didn't have to wait.
     pub fn observe(&mut self, took: Duration) {
         let took = took.as_secs_f64();
+        self.median.observe(took, 0.5);
         let between = (self.warm.value * self.cold.value).sqrt();
         if took < between {
-            self.warm.observe(took);
+            self.warm.observe(took, QUANTILE);
             self.cold.value = self.cold.value.max(self.warm.value * LEAST_GAIN);
         } else {
-            self.cold.observe(took);
+            self.cold.observe(took, QUANTILE);
             self.warm.value = self.warm.value.min(self.cold.value / LEAST_GAIN);
             if self.cold.is_settled() || !self.warm.is_settled() {
                 self.warm.value = self.warm.value.max(self.cold.value / MOST_GAIN);
@@ -184,6 +199,14 @@
         known.map_or_else(|| self.mean(), |known| known.pace.expected(warm))
     }
 
+    /// Returns the time that half of a route's requests stay below, in seconds; the mean of the
+    /// service for a route that was dropped.
+    #[must_use]
+    pub fn median(&self, route: PaceKey) -> f64 {
+        let known = self.routes.get(route);
+        known.map_or_else(|| self.mean(), |known| known.pace.median())
+    }
+
     /// Returns the mean time that a request of any route runs, in seconds. Before the first
     /// answer that is what is assumed of the routes that were asked for.
     #[must_use]
--- a/server/src/direct_path.rs
+++ b/server/src/direct_path.rs
@@ -183,7 +183,7 @@
         let decided = self.cx.decided(self.arrived);
         match self.cx.stopping.state() {
             StopState::Ended(stop) => {
-                let stopped_for = stop.asked_for(self.arrived);
+                let stopped_for = stop.since_asked(self.arrived);
                 self.trace.tell_cut_off(&decided, stopped_for);
             }
             StopState::Running | StopState::Stopping(_) => self.trace.tell_left(&decided),
@@ -220,7 +220,14 @@
         req: Request<RequestBody>,
         trace: &mut RequestTrace,
     ) -> Result<DirectAnswer, Refused> {
-        let admitted = self.admit(arrived, req, trace).await?;
+        if self.stopping.is_over_for(arrived) {
+            return Err(leaving().into());
+        }
+        let admitted = tokio::select! {
+            biased;
+            admitted = self.admit(arrived, req, trace) => admitted?,
+            () = self.stopping.last_answers() => return Err(leaving().into()),
+        };
         self.run(&admitted, trace).await
     }
 
@@ -250,11 +257,9 @@
         let work_until = (deadline + WORK_GRACE).min(arrived + patience);
         let give_up = (deadline + ANSWER_GRACE).min(arrived + patience);
         let max_bytes = u32::try_from(view.limits.max_body_bytes).unwrap_or(u32::MAX);
-        let body = tokio::select! {
-            biased;
-            body = request_body::read(body, max_bytes, deadline) => body.map_err(refuse)?,
-            () = self.stopping.last_answers() => return Err(leaving()),
-        };
+        let body = request_body::read(body, max_bytes, deadline)
+            .await
+            .map_err(refuse)?;
         let service = self
             .service_of(name, route)
             .ok_or_else(|| refuse(NotRunReason::NoBackendServer))?;
--- a/server/src/direct_process.rs
+++ b/server/src/direct_process.rs
@@ -121,9 +121,9 @@
 ) -> Result<(), DirectError> {
     let security = PeerSecurity::from_settings(&settings.security).context(SecuritySnafu)?;
     let listeners = Listeners::bind(&settings.listen).await?;
-    let stop_asked = CancellationToken::new();
+    let until_end = CancellationToken::new();
     if let Some(address) = settings.listen.metrics {
-        let serving = metric::serve(address, Arc::clone(&clock), stop_asked.clone()).await;
+        let serving = metric::serve(address, Arc::clone(&clock), until_end.clone()).await;
         serving.context(ListenSnafu {
             purpose: "metrics",
             address,
@@ -167,7 +167,7 @@
         interface: Arc::clone(&interface),
         view: view.clone(),
         dispatch,
-        sender: DirectSender::new(pool, Arc::clone(&interface), view.clone()),
+        sender: DirectSender::new(pool, Arc::clone(&interface), view.clone(), stopping.clone()),
         turns: Mutex::new(HashMap::new()),
         stopping,
         first_view_wait: first_view_wait(&settings),
@@ -188,13 +188,13 @@
             interface: Arc::clone(&interface) as Arc<dyn LookUpInterface>,
             source: Arc::new(directory),
         };
-        serve(look_ups, handler, &bounds, stop_asked.clone().into());
+        serve(look_ups, handler, &bounds, until_end.clone().into());
     }
     let ready_handler = ReadyHandler {
         interface,
         ready: ready.clone(),
     };
-    serve(listeners.ready, ready_handler, &bounds, stop_asked.into());
+    serve(listeners.ready, ready_handler, &bounds, until_end.into());
     let becoming_ready = tokio::spawn(announce_ready(view, ready_tx.clone()));
     log::info!(event = "entry_started", vm = settings.vm.as_str(), callers:% = settings.listen.callers; "the entry VM listens");
     shutdown.requested().await;
@@ -218,7 +218,7 @@
     taking.cancel();
     let ended = tokio::time::timeout_at(stop.ends_at().into(), serving).await;
     if ended.is_err() {
-        log::warn!(event = "entry_stop_late"; "some requests didn't end in time");
+        log::warn!(event = "entry_stop_late"; "some connections didn't end in time");
     }
 }
 
--- a/server/src/direct_send.rs
+++ b/server/src/direct_send.rs
@@ -42,6 +42,7 @@
 use crate::interface::EntryInterface;
 use crate::interface::OutgoingMarks;
 use crate::refusal_body;
+use crate::stop_watch::StopWatch;
 
 /// Bytes of an answer up to which it is read whole before its head is passed on. An answer
 /// that breaks off can then be asked for again elsewhere, if that does no harm.
@@ -120,6 +121,7 @@
     pool: BackendPool,
     interface: Arc<dyn EntryInterface>,
     view: watch::Receiver<Arc<FleetView>>,
+    stopping: StopWatch,
 }
 
 impl DirectSender {
@@ -129,11 +131,13 @@
         pool: BackendPool,
         interface: Arc<dyn EntryInterface>,
         view: watch::Receiver<Arc<FleetView>>,
+        stopping: StopWatch,
     ) -> Self {
         Self {
             pool,
             interface,
             view,
+            stopping,
         }
     }
 
@@ -161,11 +165,10 @@
                 }
             };
             // It takes time to connect, and longer over a link that is full; the backend
-            // server may have said meanwhile that it leaves.
-            if !self.view.borrow().may_send(&choice.name, choice.born) {
+            // server may have said meanwhile that it leaves, or this entry VM been asked to.
+            if let Some(reason) = self.withdrawn(choice) {
                 self.pool.give_back_for(connection, KEEP_UNSAID);
-                let not_run = attempt.refuse(NotRunReason::BackendUnreachable);
-                return Sent::new(not_run, SendOutcome::Withdrawn);
+                return Sent::new(attempt.refuse(reason), SendOutcome::Withdrawn);
             }
             let reused = connection.is_reused();
             let connected_in = (!reused).then(|| connection.established_in());
@@ -194,7 +197,7 @@
         let message = self.message(choice, req);
         let sent = attempt.sending();
         let answering = connection.sender().try_send_request(message);
-        let answering = tokio::time::timeout_at(req.give_up.into(), answering);
+        let answering = self.in_time(req, answering);
         let answered = tokio::select! {
             answered = answering => answered,
             () = self.outlived(choice) => {
@@ -216,13 +219,38 @@
                 Exchange::Over(Box::new(Sent::new(unknown, SendOutcome::Broken)))
             }
             // Dropping the connection cancels the work at the backend server.
-            Err(_) => {
-                let unknown = sent.lost(UnknownReason::DeadlinePassed);
+            Err(reason) => {
+                let unknown = sent.lost(reason);
                 Exchange::Over(Box::new(Sent::new(unknown, SendOutcome::Abandoned)))
             }
         }
     }
 
+    /// Returns why a request isn't sent after all that no byte of was sent yet.
+    fn withdrawn(&self, choice: &Choice) -> Option<NotRunReason> {
+        if !self.view.borrow().may_send(&choice.name, choice.born) {
+            return Some(NotRunReason::BackendUnreachable);
+        }
+        let until = self.stopping.answers_until()?;
+        let is_late = Instant::now() + choice.expected > until;
+        is_late.then_some(NotRunReason::Leaving)
+    }
+
+    /// Waits for the answer or its body until `req` is given up, or this entry VM passes on its
+    /// last answers.
+    async fn in_time<T>(
+        &self,
+        req: &DirectRequest,
+        answering: impl Future<Output = T>,
+    ) -> Result<T, UnknownReason> {
+        tokio::select! {
+            biased;
+            answered = answering => Ok(answered),
+            () = tokio::time::sleep_until(req.give_up.into()) => Err(UnknownReason::DeadlinePassed),
+            () = self.stopping.last_answers() => Err(UnknownReason::EntryStopped),
+        }
+    }
+
     /// Ends when the backend server has begun another life, which knows nothing of requests
     /// of the one before. The connection may hang rather than break.
     async fn outlived(&self, choice: &Choice) {
@@ -310,7 +338,7 @@
             let answer = DirectAnswer { head, body };
             return Sent::new(sent.answered(answer), verdict);
         }
-        match tokio::time::timeout_at(req.give_up.into(), body.collect()).await {
+        match self.in_time(req, body.collect()).await {
             Ok(Ok(collected)) => {
                 self.pool.give_back_for(connection, keep);
                 let body = answer_body::full(collected.to_bytes());
@@ -321,10 +349,7 @@
                 let unknown = sent.lost(UnknownReason::ConnectionLost);
                 Sent::new(unknown, SendOutcome::Broken)
             }
-            Err(_) => {
-                let unknown = sent.lost(UnknownReason::DeadlinePassed);
-                Sent::new(unknown, SendOutcome::Abandoned)
-            }
+            Err(reason) => Sent::new(sent.lost(reason), SendOutcome::Abandoned),
         }
     }
 }
--- a/server/src/pipelined_connection.rs
+++ b/server/src/pipelined_connection.rs
@@ -340,8 +340,8 @@
     Ok(response)
 }
 
-/// Ends when no further request shall be read. An entry VM that leaves takes one more of each
-/// connection, whose answer says that it closes; after a stop none. The stop is waited for also
+/// Ends when no further request shall be read. An entry VM that leaves takes what comes next on
+/// each connection, whose last answer says that it closes; after a stop nothing. The stop is waited for also
 /// once leaving was told: a connection that was idle then would take a request at any time until
 /// the process ends, which cuts it off.
 async fn must_end(stops: &Stops, progress: &Progress) {
@@ -367,11 +367,12 @@
     poll_fn(|_| look()).await;
 }
 
-/// Ends when the process has stopped and no request has come on the connection. The HTTP library
-/// closes connections between two requests, and waits for the first one of a connection.
+/// Ends a moment after the stop where no request has come on the connection. The HTTP library
+/// closes connections on which nothing was sent, or nothing since an answer, and waits for the
+/// rest of a first head that has begun.
 async fn nothing_came(stops: &Stops, progress: &Progress) {
     stops.stop.cancelled().await;
-    // One that is on its way is still answered.
+    // One that is on its way is still read, and told that it isn't taken any more.
     tokio::time::sleep(LINGER).await;
     if progress.state().read > 0 {
         std::future::pending::<()>().await;
--- a/server/src/stop_watch.rs
+++ b/server/src/stop_watch.rs
@@ -45,6 +45,15 @@
         }
     }
 
+    /// Returns whether a request that came at `arrived` came after those that a stop still takes.
+    #[must_use]
+    pub fn is_over_for(&self, arrived: Instant) -> bool {
+        match self.state() {
+            StopState::Running => false,
+            StopState::Stopping(stop) | StopState::Ended(stop) => !stop.takes(arrived),
+        }
+    }
+
     /// Ends when the last answers must be there; never if no stop is asked for.
     pub async fn last_answers(&self) {
         let mut state = self.state.clone();
