service_pace: how long answers stream is learned, for whoever must know when they end

Cause: the time of a request was learned up to the head of an answer that isn't read whole; a stop passed on a request whose answer streams for 2 s when 1.1 s were left. Ruled out: ranking by that time; a slow caller would make a backend server look slow. Change: the mean time from head to end, zero for answers that are read whole, counts for the stop alone.

--- a/lib/src/direct_dispatch.rs
+++ b/lib/src/direct_dispatch.rs
@@ -264,6 +264,17 @@
         *known = took.min(*known);
     }
 
+    /// Notes how long an answer that was passed on as it came took from its head to its end.
+    pub fn note_streamed(&mut self, key: BackendKey, pace: PaceKey, took: Duration) {
+        let service = self
+            .backends
+            .get(key)
+            .map(|backend| &backend.record.service);
+        if let Some(service) = service.and_then(|name| self.services.get_mut(name)) {
+            service.pace.observe_tail(pace, took);
+        }
+    }
+
     /// Picks a backend server, and counts the request as in flight there.
     ///
     /// # Errors
@@ -305,8 +316,8 @@
         };
         let max_connections = service.known.max_connections;
         let best = dispatch_pick::pick(&candidates, &limits);
-        let least = service.pace.median(pace);
-        let best = best.filter(|best| ask.answers_until.is_none() || best.wait + least <= left);
+        let until_end = service.pace.until_end(pace);
+        let best = best.filter(|best| ask.answers_until.is_none() || best.wait + until_end <= left);
         let Some(best) = best else {
             return Err(if candidates.is_empty() {
                 refuse(RefusedReason::NoBackend)
@@ -378,6 +389,7 @@
         let send = backend.load.begin(now, expectation);
         Choice {
             backend: best.backend,
+            pace,
             send,
             name: backend.name.clone(),
             born: backend.record.born,
--- a/lib/src/dispatch_ask.rs
+++ b/lib/src/dispatch_ask.rs
@@ -13,6 +13,7 @@
 use crate::id::RegionName;
 use crate::id::RouteName;
 use crate::id::ServiceName;
+use crate::service_pace::PaceKey;
 
 /// When a caller is told to come back that another entry VM can serve at once. It has yet to
 /// pick that one, and connects anew.
@@ -70,6 +71,8 @@
 pub struct Choice {
     /// The backend server.
     pub backend: BackendKey,
+    /// The times of its route.
+    pub pace: PaceKey,
     /// The request in flight.
     pub send: SendKey,
     /// Its name.
--- a/lib/src/service_pace.rs
+++ b/lib/src/service_pace.rs
@@ -55,6 +55,7 @@
     cold: Estimate,
     /// Time that half of the requests stay below, whatever was expected of them.
     median: Estimate,
+    tail: Tail,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -86,6 +87,29 @@
     }
 }
 
+/// Follows the mean time from the head of an answer to its last byte; zero for most routes,
+/// whose answers are read whole before they are passed on.
+#[derive(Clone, Copy, Debug, Default)]
+struct Tail {
+    mean: f64,
+    answers: f64,
+}
+
+impl Tail {
+    /// Answers that the mean is of, the latest ones.
+    const MOST: f64 = 20.0;
+
+    fn note_head(&mut self) {
+        self.answers = (self.answers + 1.0).min(Self::MOST);
+        self.mean -= self.mean / self.answers;
+    }
+
+    /// Notes how long the answer took from a head that was noted.
+    fn note_end(&mut self, took: f64) {
+        self.mean += took / self.answers.max(1.0);
+    }
+}
+
 impl RoutePace {
     /// Starts from the route's latency objective.
     #[must_use]
@@ -95,6 +119,7 @@
             warm: Estimate::new(objective * FIRST_WARM),
             cold: Estimate::new(objective * FIRST_COLD),
             median: Estimate::new(objective * FIRST_WARM),
+            tail: Tail::default(),
         }
     }
 
@@ -108,20 +133,22 @@
         }
     }
 
-    /// Returns the time that half of the requests stay below, in seconds.
+    /// Returns the time that half of the requests stay below until the last byte of their
+    /// answers, in seconds.
     ///
     /// [`Self::expected`] ranks backend servers: where all requests take alike, they count as
-    /// those without their data, and half of their time is expected with them. Whoever must know
-    /// whether a request can end goes by this one besides.
+    /// those without their data, and half of their time is expected with them; and it ends at the
+    /// head of an answer. Whoever must know whether a request can end goes by this one besides.
     #[must_use]
-    pub const fn median(&self) -> f64 {
-        self.median.value
+    pub fn until_end(&self) -> f64 {
+        self.median.value + self.tail.mean
     }
 
     /// Notes how long a request ran that didn't have to wait.
     pub fn observe(&mut self, took: Duration) {
         let took = took.as_secs_f64();
         self.median.observe(took, 0.5);
+        self.tail.note_head();
         let between = (self.warm.value * self.cold.value).sqrt();
         if took < between {
             self.warm.observe(took, QUANTILE);
@@ -199,12 +226,19 @@
         known.map_or_else(|| self.mean(), |known| known.pace.expected(warm))
     }
 
-    /// Returns the time that half of a route's requests stay below, in seconds; the mean of the
-    /// service for a route that was dropped.
+    /// Returns the time that half of a route's requests stay below until the last byte of their
+    /// answers, in seconds; the mean of the service for a route that was dropped.
     #[must_use]
-    pub fn median(&self, route: PaceKey) -> f64 {
+    pub fn until_end(&self, route: PaceKey) -> f64 {
         let known = self.routes.get(route);
-        known.map_or_else(|| self.mean(), |known| known.pace.median())
+        known.map_or_else(|| self.mean(), |known| known.pace.until_end())
+    }
+
+    /// Notes how long an answer that was passed on as it came took from its head to its end.
+    pub fn observe_tail(&mut self, route: PaceKey, took: Duration) {
+        if let Some(known) = self.routes.get_mut(route) {
+            known.pace.tail.note_end(took.as_secs_f64());
+        }
     }
 
     /// Returns the mean time that a request of any route runs, in seconds. Before the first
--- a/server/src/direct_process.rs
+++ b/server/src/direct_process.rs
@@ -160,6 +160,13 @@
     };
     tokio::spawn(questioner.run());
     let (stop_tx, stopping) = StopWatch::new();
+    let sender = DirectSender::new(
+        pool,
+        Arc::clone(&interface),
+        view.clone(),
+        dispatch.clone(),
+        stopping.clone(),
+    );
     let cx = Arc::new(DirectContext {
         vm: settings.vm.clone(),
         heard: followed.heard,
@@ -167,7 +174,7 @@
         interface: Arc::clone(&interface),
         view: view.clone(),
         dispatch,
-        sender: DirectSender::new(pool, Arc::clone(&interface), view.clone(), stopping.clone()),
+        sender,
         turns: Mutex::new(HashMap::new()),
         stopping,
         first_view_wait: first_view_wait(&settings),
@@ -200,19 +207,41 @@
     shutdown.requested().await;
     let stop = PlannedStop::new(clock.now(), settings.grace.0);
     log::info!(event = "entry_leaving", vm = settings.vm.as_str(); "a planned stop begins");
-    becoming_ready.abort();
-    ready_tx.send_replace(false);
-    stop_tx.send_replace(StopState::Stopping(stop));
-    stops.leaving.cancel();
-    tokio::select! {
-        () = finish(stop, &stops.stop, serving) => {}
-        () = shutdown.insisted() => log::warn!(event = "entry_stop_forced"; "asked to stop twice: what is under way is cut off"),
-    }
-    stop_tx.send_replace(StopState::Ended(stop));
+    let running = Running {
+        becoming_ready,
+        ready: ready_tx,
+        stopping: stop_tx,
+        stops,
+        serving,
+    };
+    running.finish(stop, &mut shutdown).await;
     log::info!(event = "entry_ended", vm = settings.vm.as_str(); "the entry VM has finished");
     Ok(())
 }
 
+/// Holds what a planned stop is told to.
+struct Running {
+    becoming_ready: JoinHandle<()>,
+    ready: watch::Sender<bool>,
+    stopping: watch::Sender<StopState>,
+    stops: Stops,
+    serving: JoinHandle<()>,
+}
+
+impl Running {
+    async fn finish(self, stop: PlannedStop, shutdown: &mut Shutdown) {
+        self.becoming_ready.abort();
+        self.ready.send_replace(false);
+        self.stopping.send_replace(StopState::Stopping(stop));
+        self.stops.leaving.cancel();
+        tokio::select! {
+            () = finish(stop, &self.stops.stop, self.serving) => {}
+            () = shutdown.insisted() => log::warn!(event = "entry_stop_forced"; "asked to stop twice: what is under way is cut off"),
+        }
+        self.stopping.send_replace(StopState::Ended(stop));
+    }
+}
+
 async fn finish(stop: PlannedStop, taking: &CancellationToken, serving: JoinHandle<()>) {
     tokio::time::sleep_until(stop.takes_until().into()).await;
     taking.cancel();
--- a/server/src/direct_send.rs
+++ b/server/src/direct_send.rs
@@ -9,6 +9,7 @@
 
 use bytes::Bytes;
 use heatherring_lib::backend_load::LoadReport;
+use heatherring_lib::dispatch_ask::BackendKey;
 use heatherring_lib::dispatch_ask::Choice;
 use heatherring_lib::dispatch_ask::SendOutcome;
 use heatherring_lib::fleet_update::FleetView;
@@ -19,6 +20,7 @@
 use heatherring_lib::outcome::Refusal;
 use heatherring_lib::outcome::UnknownReason;
 use heatherring_lib::outcome::Unsent;
+use heatherring_lib::service_pace::PaceKey;
 use http::HeaderMap;
 use http::Method;
 use http::Request;
@@ -36,6 +38,7 @@
 use crate::answer_body::AnswerEnd;
 use crate::backend_pool::BackendConnection;
 use crate::backend_pool::BackendPool;
+use crate::dispatch_task::DispatchHandle;
 use crate::header;
 use crate::header::remove_hop_by_hop;
 use crate::interface::AnswerMeaning;
@@ -121,6 +124,7 @@
     pool: BackendPool,
     interface: Arc<dyn EntryInterface>,
     view: watch::Receiver<Arc<FleetView>>,
+    dispatch: DispatchHandle,
     stopping: StopWatch,
 }
 
@@ -131,12 +135,14 @@
         pool: BackendPool,
         interface: Arc<dyn EntryInterface>,
         view: watch::Receiver<Arc<FleetView>>,
+        dispatch: DispatchHandle,
         stopping: StopWatch,
     ) -> Self {
         Self {
             pool,
             interface,
             view,
+            dispatch,
             stopping,
         }
     }
@@ -208,7 +214,7 @@
         };
         match answered {
             Ok(Ok(response)) => {
-                let read = self.read(req, sent, response, connection).await;
+                let read = self.read(choice, req, sent, response, connection).await;
                 Exchange::Over(Box::new(read))
             }
             Ok(Err(mut error)) => {
@@ -276,6 +282,7 @@
 
     async fn read(
         &self,
+        choice: &Choice,
         req: &DirectRequest,
         sent: Attempt<MayHaveRun>,
         response: Response<Incoming>,
@@ -285,7 +292,9 @@
         let marks = self.interface.read_answer(&head, req.request_id.as_deref());
         let refused = match marks.meaning {
             AnswerMeaning::Answer => {
-                let mut sent = self.pass_on(req, sent, head, body, connection).await;
+                let mut sent = self
+                    .pass_on(choice, req, sent, (head, body), connection)
+                    .await;
                 sent.load = marks.load;
                 return sent;
             }
@@ -311,10 +320,10 @@
     /// Reads a short answer whole, or begins to pass a long one on.
     async fn pass_on(
         &self,
+        choice: &Choice,
         req: &DirectRequest,
         sent: Attempt<MayHaveRun>,
-        mut head: response::Parts,
-        body: Incoming,
+        (mut head, body): (response::Parts, Incoming),
         connection: BackendConnection,
     ) -> Sent {
         let keep = keep_time(&head.headers);
@@ -329,10 +338,14 @@
             .exact()
             .is_some_and(|bytes| bytes <= WHOLE_ANSWER_BYTES);
         if !is_short {
-            let end = Box::new(PoolReturn {
+            let end = Box::new(StreamEnd {
                 pool: self.pool.clone(),
                 connection,
                 keep,
+                dispatch: self.dispatch.clone(),
+                backend: choice.backend,
+                pace: choice.pace,
+                began: Instant::now(),
             });
             let body = answer_body::relay(body, req.give_up, end);
             let answer = DirectAnswer { head, body };
@@ -359,16 +372,24 @@
     Unwritten(Attempt<Unsent>),
 }
 
-/// Gives a connection back once the answer on it was passed on to its last byte.
-struct PoolReturn {
+/// Gives a connection back once the answer on it was passed on to its last byte, and tells how
+/// long that took.
+struct StreamEnd {
     pool: BackendPool,
     connection: BackendConnection,
     keep: Duration,
+    dispatch: DispatchHandle,
+    backend: BackendKey,
+    pace: PaceKey,
+    /// When its head had come.
+    began: Instant,
 }
 
-impl AnswerEnd for PoolReturn {
+impl AnswerEnd for StreamEnd {
     fn whole(self: Box<Self>) {
         self.pool.give_back_for(self.connection, self.keep);
+        let took = self.began.elapsed();
+        self.dispatch.note_streamed(self.backend, self.pace, took);
     }
 
     fn broken(self: Box<Self>) {}
--- a/server/src/dispatch_task.rs
+++ b/server/src/dispatch_task.rs
@@ -25,6 +25,7 @@
 use heatherring_lib::id::RouteName;
 use heatherring_lib::id::ServiceName;
 use heatherring_lib::route_manifest::Route;
+use heatherring_lib::service_pace::PaceKey;
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
 
@@ -62,6 +63,11 @@
         backend: BackendKey,
         took: Duration,
     },
+    Streamed {
+        backend: BackendKey,
+        pace: PaceKey,
+        took: Duration,
+    },
     View(Arc<FleetView>),
     Silent(BTreeSet<BackendName>),
     Control,
@@ -122,6 +128,15 @@
         let _ = self.tx.send(Message::Connected { backend, took });
     }
 
+    /// Notes how long an answer that was passed on as it came took from its head to its end.
+    pub fn note_streamed(&self, backend: BackendKey, pace: PaceKey, took: Duration) {
+        let _ = self.tx.send(Message::Streamed {
+            backend,
+            pace,
+            took,
+        });
+    }
+
     /// Follows a view of the fleet.
     pub fn apply_view(&self, view: Arc<FleetView>) {
         let _ = self.tx.send(Message::View(view));
@@ -190,6 +205,11 @@
             }
             Message::Ended(end) => dispatcher.ended(now, &end),
             Message::Connected { backend, took } => dispatcher.note_connected(backend, took),
+            Message::Streamed {
+                backend,
+                pace,
+                took,
+            } => dispatcher.note_streamed(backend, pace, took),
             Message::View(view) => dispatcher.apply_view(now, &view),
             Message::Silent(silent) => dispatcher.apply_silent(silent),
             Message::Control => dispatcher.note_control(now),
