test_entry_session: a late renewal that is held back, red

Cause: an entry VM asks control to hold a renewal's answer back for 0.5 s while nothing is new, also when two calls before it have timed out, a second each. With what is left of the lease then, the answer comes after its end, and doesn't revive it, since it was asked for before. Change: tests only. The fake control can have replicas that share its sessions and are silenced one by one. The lease is 2.55 s: two silent replicas take 2.1 s, with the time of holding back 2.6 s, so that it lapses in each run.

--- a/server/tests/entry_support/fake_control.rs
+++ b/server/tests/entry_support/fake_control.rs
@@ -86,12 +86,29 @@
             news: Arc::new(watch::Sender::new(())),
             asked: Arc::default(),
         };
-        let listener = TcpListener::bind(address).await.expect("a free address");
+        control.serve().await;
+        control
+    }
+
+    /// Starts one more replica with the same sessions, which is told by itself how to answer.
+    pub async fn start_replica(&self, address: SocketAddr) -> Self {
+        let replica = Self {
+            address,
+            mode: Arc::new(watch::Sender::new(Mode::Grant)),
+            asked: Arc::default(),
+            ..self.clone()
+        };
+        replica.serve().await;
+        replica
+    }
+
+    async fn serve(&self) {
+        let listener = TcpListener::bind(self.address).await;
+        let listener = listener.expect("a free address");
         let serving = tonic::transport::Server::builder()
-            .add_service(SessionServer::new(control.clone()))
+            .add_service(SessionServer::new(self.clone()))
             .serve_with_incoming(TcpListenerStream::new(listener));
         tokio::spawn(serving);
-        control
     }
 
     pub fn set(&self, mode: Mode) {
--- a/server/tests/test_entry_session.rs
+++ b/server/tests/test_entry_session.rs
@@ -21,6 +21,7 @@
 use heatherring_server::entry_process::EntryError;
 use heatherring_server::entry_process::run_entry;
 use heatherring_server::shutdown::Shutdown;
+use heatherring_testutils::loopback::CONTROL_PORT;
 use heatherring_testutils::loopback::LoopbackBlock;
 use heatherring_testutils::loopback::SERVICE_PORT;
 use http::HeaderMap;
@@ -35,6 +36,7 @@
 use crate::entry_support::caller::request;
 use crate::entry_support::caller::wait_until;
 use crate::entry_support::fake_control::Mode;
+use crate::entry_support::manifest_text;
 use crate::entry_support::rig::Rig;
 use crate::entry_support::scripted_backend::Script;
 use crate::entry_support::scripted_backend::ScriptedBackend;
@@ -42,6 +44,10 @@
 const LEASE: Duration = Duration::from_secs(10);
 const SHORT_LEASE: Duration = Duration::from_secs(2);
 
+/// Shorter than two silent replicas and a whole time of holding back, 2.6 s with the pauses, and
+/// longer than the two alone.
+const LEASE_FOR_TWO_SILENT: Duration = Duration::from_millis(2_550);
+
 fn is_refused_for_lease(reply: &Reply) -> bool {
     reply.header("heatherring-outcome") == "not_run" && reply.json()["reason"] == "lease_lapsed"
 }
@@ -66,6 +72,40 @@
     assert_eq!(backend.requests.load(Ordering::SeqCst), asked);
 }
 
+/// Symptom: callers are refused for a lapsed lease although control can be asked.
+///
+/// Sequence: the two whom an entry VM would ask first fall silent together, as a relay and the
+/// replica of its failure domain do; each costs a second. The third one is asked with what is
+/// left of the lease, and grants it after the 0.5 s for which it may hold answers back.
+///
+/// Cause: a renewal that had been late twice was held back like one that has time. Its answer
+/// came after the end of the lease, and so didn't revive it either.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn test_a_late_renewal_isnt_held_back() {
+    let mut rig = Rig::start(&[], LEASE_FOR_TWO_SILENT).await;
+    let second = SocketAddr::new(rig.block.next_vm(), CONTROL_PORT);
+    let second = rig.control.start_replica(second).await;
+    let third = SocketAddr::new(rig.block.next_vm(), CONTROL_PORT);
+    let third = rig.control.start_replica(third).await;
+    let mut settings = rig.settings(PLACE);
+    settings.control = vec![rig.control.address, second.address, third.address];
+    rig.start_entry(settings);
+    rig.wait_for_status(0, |status| status["revision"] == status["settled_revision"])
+        .await;
+    // News end the call that is held back. The next one begins now, and its lease with it.
+    rig.control
+        .submit(&manifest_text().replace("\"version\":1", "\"version\":2"));
+    rig.wait_for_status(0, |status| status["manifest_version"] == 2)
+        .await;
+    second.set(Mode::Silent);
+    rig.control.set(Mode::Silent);
+    wait_until(async || {
+        assert!(!is_refused_for_lease(&rig.get(0, "/").await));
+        third.asked.load(Ordering::Relaxed) > 1
+    })
+    .await;
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn test_fresh_entry_serves_nothing_without_quorum() {
     let mut rig = Rig::start(&[], LEASE).await;
