control_session: a renewal after a failed call isn't held back

Two silent targets in a row, a relay and the replica of its failure domain, cost 2.1 s of a lease of 3 s; the third was still asked to hold its answer back for 0.5 s. Callers were refused for a lapsed lease for about half a second. Change: while the last call failed, a renewal asks for its answer at once, as the first one of a session does. Control takes it as urgent already.

--- a/server/src/control_session.rs
+++ b/server/src/control_session.rs
@@ -40,7 +40,7 @@
 
 /// Time for which control may hold a call back while nothing is new. A silent replica
 /// costs this and [`CALL_MARGIN`] before another is asked, which must leave a good part
-/// of the lease for finding a new leader.
+/// of the lease for finding a new leader; the other one isn't let hold it back.
 const SYNC_WAIT: Duration = Duration::from_millis(500);
 
 /// Time beyond the wait after which a call counts as lost.
@@ -204,7 +204,8 @@
         let session = self.state.lease.session();
         let fresh = session.is_none() || self.need_whole;
         let leaving_told = self.is_leaving_in_view();
-        let hurry = fresh || (wish == SessionWish::Leave && !leaving_told);
+        // What is left of the lease after a call that failed is for finding who answers.
+        let hurry = fresh || self.silent || (wish == SessionWish::Leave && !leaving_told);
         let wait = if hurry { Duration::ZERO } else { SYNC_WAIT };
         let applied = if fresh {
             Revision::default()
