control_node: a slow disk is told of; leases that lapse are traced, red

Cause of most lapses in test_rolling_replacement_through_relays: beside builds on the same disk, control's replicas took 7.1 to 9.1 s to make records durable, two of three at once, and handle nothing meanwhile. No renewal is granted, though none needs a record. A log line, disk_slow. No mend: it changes what the agreement may say before its records are durable.

--- a/server/src/control_node.rs
+++ b/server/src/control_node.rs
@@ -15,6 +15,7 @@
 use heatherring_lib::control_state::ControlState;
 use heatherring_lib::control_state::ControlStateError;
 use heatherring_lib::control_state::Response;
+use heatherring_lib::duration_text::whole_ms;
 use heatherring_lib::encoding::EncodingError;
 use heatherring_lib::id::Revision;
 use heatherring_lib::raft::Raft;
@@ -64,6 +65,10 @@
 /// Bound on the commands of one append, in bytes.
 const MAX_APPEND_BYTES: usize = 512 << 10;
 
+/// Time from which a write is told of. Entry VMs give a call up after twice that, and elections
+/// begin.
+const SLOW_WRITE: Duration = Duration::from_millis(500);
+
 /// Size of the parts in which a snapshot travels, in bytes.
 const SNAPSHOT_CHUNK_BYTES: usize = 256 << 10;
 
@@ -463,6 +468,7 @@
         let Some(mut disk) = self.disk.take() else {
             return Err(DiskError::Stopped).context(DiskSnafu);
         };
+        let begun = self.clock.now();
         let writing = tokio::task::spawn_blocking(move || {
             let result = disk.write(&writes);
             (disk, result)
@@ -470,6 +476,10 @@
         let (disk, result) = writing.await.context(DiskTaskSnafu)?;
         result.context(DiskSnafu)?;
         self.disk = Some(disk);
+        let took = self.clock.now().saturating_duration_since(begun);
+        if took >= SLOW_WRITE {
+            log::warn!(event = "disk_slow", took_ms = whole_ms(took); "nothing else was handled while records were written");
+        }
         Ok(())
     }
 
--- a/server/tests/support/mod.rs
+++ b/server/tests/support/mod.rs
@@ -8,6 +8,7 @@
 use std::collections::BTreeMap;
 use std::io;
 use std::sync::Arc;
+use std::sync::Condvar;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 
@@ -45,10 +46,18 @@
     free_bytes: Option<usize>,
 }
 
+/// Says whether syncs are held up, and whether one is.
+#[derive(Clone, Copy, Debug, Default)]
+struct Holding {
+    wanted: bool,
+    reached: bool,
+}
+
 /// Shares one disk between a test and the log that writes to it.
 #[derive(Clone, Debug, Default)]
 pub struct FaultyDisk {
     inner: Arc<Mutex<Inner>>,
+    holding: Arc<(Mutex<Holding>, Condvar)>,
 }
 
 impl FaultyDisk {
@@ -66,6 +75,30 @@
         self.inner().failing_sync = true;
     }
 
+    /// Holds every sync up until [`Self::let_go`], as a disk does that others use up.
+    pub fn hold_syncs(&self) {
+        self.holding.0.lock().unwrap().wanted = true;
+    }
+
+    /// Returns whether a sync is held up.
+    pub fn is_holding(&self) -> bool {
+        self.holding.0.lock().unwrap().reached
+    }
+
+    /// Lets the syncs go on that are held up.
+    pub fn let_go(&self) {
+        *self.holding.0.lock().unwrap() = Holding::default();
+        self.holding.1.notify_all();
+    }
+
+    fn wait_until_let_go(&self) {
+        let mut holding = self.holding.0.lock().unwrap();
+        while holding.wanted {
+            holding.reached = true;
+            holding = self.holding.1.wait(holding).unwrap();
+        }
+    }
+
     /// Leaves room for so many more bytes.
     pub fn fill_up(&self, free_bytes: usize) {
         self.inner().free_bytes = Some(free_bytes);
@@ -88,6 +121,7 @@
         }
         Self {
             inner: Arc::new(Mutex::new(inner)),
+            holding: Arc::default(),
         }
     }
 
@@ -216,6 +250,7 @@
     }
 
     fn sync(&mut self, name: &str) -> io::Result<()> {
+        self.wait_until_let_go();
         self.inner().sync(name)
     }
 
--- a/server/tests/test_control_disk.rs
+++ b/server/tests/test_control_disk.rs
@@ -4,6 +4,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use heatherring_lib::clock::SystemClock;
 use heatherring_lib::command::CommandKind;
@@ -11,6 +12,7 @@
 use heatherring_lib::id::PlaceName;
 use heatherring_lib::id::RegionName;
 use heatherring_lib::id::ReplicaId;
+use heatherring_lib::id::Revision;
 use heatherring_lib::id::VmName;
 use heatherring_lib::raft_config::bootstrap_writes;
 use heatherring_lib::raft_message::ReplicaInfo;
@@ -26,6 +28,9 @@
 use heatherring_server::log_disk::format;
 use heatherring_server::node_request::NodeError;
 use heatherring_server::node_request::NodeHandle;
+use heatherring_server::node_request::SyncAnswer;
+use heatherring_server::node_request::SyncCall;
+use heatherring_server::node_request::SyncSubject;
 use heatherring_server::peer_channel::PeerChannels;
 use heatherring_server::peer_links::PeerLinks;
 use heatherring_server::peer_security::PeerSecurity;
@@ -130,3 +135,52 @@
     test_full_disk_answers_nothing: |disk| disk.fill_up(20);
     test_vanished_disk_answers_nothing: |disk| disk.fail_after(0);
 }
+
+/// Symptom: the leases of all entry VMs lapse at once, and callers are refused everywhere, while
+/// control's processes and theirs all run.
+///
+/// Sequence: a session is opened, and the disk takes seconds to make that durable: 7 to 9 were
+/// seen on replicas that share one with others. Renewals come meanwhile, and get no answer.
+///
+/// Cause: a replica handles nothing while its records are written, although a renewal needs none:
+/// it only has to be shown that the replica leads. Where most replicas write at that moment,
+/// nobody can grant anything until their disks are done.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn test_renewals_are_granted_while_records_are_written() {
+    let disk = formatted();
+    let (handle, _task) = start(&disk);
+    open_session(&handle).await;
+    let read = handle.read(|state| *state.view().sessions.keys().next().unwrap());
+    let session = read.await.unwrap();
+    let renewal = || SyncCall {
+        subject: SyncSubject::Renew(session),
+        applied: Revision(session.0),
+        known_settled: Revision(session.0),
+        wait: Duration::ZERO,
+        leaving: false,
+        closing: false,
+    };
+    let before = handle.sync(renewal()).await;
+    assert!(
+        matches!(before, Ok(SyncAnswer::Granted { .. })),
+        "{before:?}"
+    );
+    disk.hold_syncs();
+    let opening = tokio::spawn({
+        let handle = handle.clone();
+        async move { handle.propose(opening()).await }
+    });
+    wait_for("a sync is held up", async || {
+        disk.is_holding().then_some(())
+    })
+    .await
+    .unwrap();
+    let lease = ControlTiming::default().session_lease();
+    let renewed = tokio::time::timeout(lease, handle.sync(renewal())).await;
+    disk.let_go();
+    opening.await.unwrap().unwrap();
+    assert!(
+        matches!(renewed, Ok(Ok(SyncAnswer::Granted { .. }))),
+        "{renewed:?}"
+    );
+}
