--- a/lib/src/ticket_issue.rs
+++ b/lib/src/ticket_issue.rs
@@ -2,7 +2,6 @@
 
 use crate::action_record::ActionKey;
 use crate::id::ServiceName;
-use crate::id::SessionId;
 use crate::ticket::Ticket;
 use crate::ticket::TicketClaims;
 use crate::ticket::TicketSecret;
@@ -16,7 +15,7 @@
     /// The service that was looked up.
     pub service: &'a ServiceName,
     /// The session that the look-up names.
-    pub primary: SessionId,
+    pub primary: &'a EntrySession,
     /// Drawn at random.
     pub nonce: u64,
     /// The issuer's time, in milliseconds since the Unix epoch.
@@ -33,7 +32,7 @@
     secret: &TicketSecret,
 ) -> Option<Ticket> {
     let look_ups = &view.manifest.as_ref()?.manifest.look_ups;
-    let primary = view.sessions.get(&request.primary)?;
+    let primary = view.sessions.get(&request.primary.id)?;
     if primary.leaving {
         return None;
     }
--- a/server/src/action_path.rs
+++ b/server/src/action_path.rs
@@ -115,7 +115,7 @@
     let secret = TicketSecret::derive(state.cluster?);
     let request = TicketRequest {
         service,
-        primary: primary.id,
+        primary,
         nonce: rand::random(),
         now_unix_ms: cx.actions.unix_ms(),
     };
