ticket_issue: a session that was just opened gets a ticket

Change: a session that the view at hand hasn't got is taken as the look-up names it. The view's word, if it has one, goes first: it may know that the session leaves.

--- a/lib/src/ticket_issue.rs
+++ b/lib/src/ticket_issue.rs
@@ -32,7 +32,9 @@
     secret: &TicketSecret,
 ) -> Option<Ticket> {
     let look_ups = &view.manifest.as_ref()?.manifest.look_ups;
-    let primary = view.sessions.get(&request.primary.id)?;
+    // Who named it may know a newer view.
+    let primary = view.sessions.get(&request.primary.id);
+    let primary = primary.unwrap_or(request.primary);
     if primary.leaving {
         return None;
     }
