test_entry_session: a request that comes before control's word of a session, red

Cause: control tells all entry VMs of a new session when it is committed, and look-ups name it from then on; the VM itself may hear of it last. Its first callers are refused with lease_lapsed, and told to come back a second later. It fails that test by itself, without a lapse. Change: tests only. The fake control can hold back what openers are told.

--- a/server/tests/entry_support/fake_control.rs
+++ b/server/tests/entry_support/fake_control.rs
@@ -73,6 +73,8 @@
     state: Arc<Mutex<ControlState>>,
     mode: Arc<watch::Sender<Mode>>,
     news: Arc<watch::Sender<()>>,
+    /// Whether those who open sessions aren't told, although others are.
+    hold_openings: Arc<watch::Sender<bool>>,
     pub asked: Arc<AtomicUsize>,
 }
 
@@ -84,6 +86,7 @@
             state: Arc::default(),
             mode: Arc::new(watch::Sender::new(Mode::Grant)),
             news: Arc::new(watch::Sender::new(())),
+            hold_openings: Arc::new(watch::Sender::new(false)),
             asked: Arc::default(),
         };
         control.serve().await;
@@ -116,6 +119,11 @@
         self.news.send_replace(());
     }
 
+    /// Holds back what those are told who open sessions; others hear of these at once.
+    pub fn hold_openings(&self, hold: bool) {
+        self.hold_openings.send_replace(hold);
+    }
+
     pub fn submit(&self, text: &str) {
         let manifest = read_manifest("manifest", text).expect("a valid manifest");
         self.lock().commit(|revision| {
@@ -237,6 +245,9 @@
         if request.session == 0 {
             let info = postcard::from_bytes(&request.entry_encoded).expect("an entry's info");
             session = self.open(info);
+            self.news.send_replace(());
+            let mut held = self.hold_openings.subscribe();
+            let _ = held.wait_for(|hold| !hold).await;
         }
         {
             let mut state = self.lock();
--- a/server/tests/test_entry_session.rs
+++ b/server/tests/test_entry_session.rs
@@ -44,6 +44,9 @@
 const LEASE: Duration = Duration::from_secs(10);
 const SHORT_LEASE: Duration = Duration::from_secs(2);
 
+/// Time for which control's word is held back: a part of what a request waits for it.
+const BEFORE_THE_SESSION: Duration = Duration::from_millis(100);
+
 /// Shorter than two silent replicas and a whole time of holding back, 2.6 s with the pauses, and
 /// longer than the two alone.
 const LEASE_FOR_TWO_SILENT: Duration = Duration::from_millis(2_550);
@@ -106,6 +109,31 @@
     .await;
 }
 
+/// Symptom: while entry VMs are replaced, a caller is refused for a lapsed lease by one that has
+/// just started.
+///
+/// Sequence: control opens its session and tells everybody; another entry VM names it in a
+/// look-up; the caller's request arrives before control's word does.
+///
+/// Cause: without a session a request was refused at once, and its caller told to come back a
+/// second later, although the session was open.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn test_a_request_waits_for_a_session_that_is_being_opened() {
+    let mut rig = Rig::start(&[PLACE], LEASE).await;
+    rig.control.hold_openings(true);
+    let settings = rig.settings(PLACE);
+    let vm = settings.vm.clone();
+    rig.start_entry(settings);
+    wait_until(async || rig.control.has_session(&vm)).await;
+    wait_until(async || connect(rig.callers(1)).await.is_ok()).await;
+    let mut asking = Box::pin(rig.get(1, "/"));
+    // An answer that comes before the session does is the refusal.
+    let early = tokio::time::timeout(BEFORE_THE_SESSION, &mut asking).await;
+    assert!(early.is_err(), "{:?}", early.map(|reply| reply.status));
+    rig.control.hold_openings(false);
+    assert!(!is_refused_for_lease(&asking.await));
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn test_fresh_entry_serves_nothing_without_quorum() {
     let mut rig = Rig::start(&[], LEASE).await;
