caller_listener: requests wait for the first session of an entry VM

Ruled out: naming a session only once it is settled; its own opening counts as applied by it, so that this promises nothing of its VM, and a frozen VM would keep all new ones unnamed. Waiting after a session that was lost: others have taken over then, and test_older_view_is_never_taken failed with it. Change: an entry VM without any view lets a request wait for it, 0.5 s or a quarter of the caller's time at most, as those that dispatch directly do.

--- a/server/src/caller_listener.rs
+++ b/server/src/caller_listener.rs
@@ -8,6 +8,7 @@
 
 use heatherring_lib::duration_text::whole_ms;
 use heatherring_lib::id::PlaceName;
+use heatherring_lib::id::Revision;
 use heatherring_lib::id::ServiceName;
 use heatherring_lib::manifest::Manifest;
 use heatherring_lib::outcome::Attempt;
@@ -48,6 +49,14 @@
 const LOOK_UP_PREFIX: &str = "/lookup/";
 const SERVICE_PREFIX: &str = "/svc/";
 
+/// Time for which a request waits for the first session of an entry VM that has just started.
+/// Others hear of the session when it does, and may name it in look-ups before its own word has
+/// come. Callers who are refused come back a second later.
+const FIRST_SESSION_WAIT: Duration = Duration::from_millis(500);
+
+/// Share of a caller's time that goes for that wait at most.
+const FIRST_SESSION_SHARE: f64 = 0.25;
+
 /// Answers callers.
 #[derive(Clone, Debug)]
 pub struct CallerHandler {
@@ -144,6 +153,7 @@
         arrived: Instant,
         req: Request<RequestBody>,
     ) -> Result<ServiceRequest, NotRun> {
+        self.until_session(arrived, req.headers()).await;
         if self.cx.state.live_session().is_none() {
             return Err(refuse(NotRunReason::LeaseLapsed));
         }
@@ -181,6 +191,24 @@
         })
     }
 
+    /// Waits for control's word of a first session. One that was lost isn't waited for: others
+    /// have taken over what it stood for.
+    async fn until_session(&self, arrived: Instant, headers: &HeaderMap) {
+        let mut state = self.cx.state.clone();
+        let opened = async {
+            while state.read().view.revision == Revision::default() {
+                state.changed().await;
+            }
+        };
+        let patience = header::number(headers, &header::DEADLINE_MS).flatten();
+        let share = patience.map_or(FIRST_SESSION_WAIT, |ms| {
+            Duration::from_millis(ms).mul_f64(FIRST_SESSION_SHARE)
+        });
+        let until = arrived + FIRST_SESSION_WAIT.min(share);
+        // Without one by then the request is refused.
+        let _ = tokio::time::timeout_at(until.into(), opened).await;
+    }
+
     async fn look_up(
         &self,
         peer: IpAddr,
