--- a/lib/tests/test_ticket_issue.rs
+++ b/lib/tests/test_ticket_issue.rs
@@ -93,7 +93,7 @@
     let other = session(2, "almaty", "alm-a", false);
     let newer = view_of(&[other.clone(), leaving.clone()]);
     assert!(issue(&newer, &named).is_none());
-    assert!(issue(&view_of(&[other.clone()]), &leaving).is_none());
+    assert!(issue(&view_of(std::slice::from_ref(&other)), &leaving).is_none());
     assert!(issue(&view_of(&[other, named.clone()]), &named).is_some());
 }
 
