test_direct_dispatch: a start at a peak moves a region's requests, red

Requests took 0.9 to 1.2 s at first, without their data, so that hardly any load was known before 1 s. Those that moved went to an object's home in another region, 88 in 100 of them without any report of its load, 3 in 100 as a copy; median of the largest service 475 ms there and 326 ms at those that stayed. West asks most at that time of day; east's shares stayed within 0.02, north's within 0.05.

It does so in the model with delays that are never measured, and with all backend servers known from the start, so that neither is needed for it.

The test is red on this code; the change follows.

--- a/lib/tests/dispatch_model/mod.rs
+++ b/lib/tests/dispatch_model/mod.rs
@@ -70,6 +70,8 @@
     pub delay: Duration,
     /// Requests a second in each region.
     pub rate: f64,
+    /// Factor on that for each region; one where it isn't given.
+    pub rate_parts: Vec<f64>,
     /// Time within which an answer counts.
     pub objective: Duration,
     /// Time that callers wait.
@@ -100,6 +102,7 @@
             warm_part: 0.3,
             delay: Duration::from_millis(110),
             rate: 112.0,
+            rate_parts: Vec::new(),
             objective: Duration::from_millis(500),
             deadline: Duration::from_secs(2),
             length: Duration::from_secs(30),
@@ -112,6 +115,27 @@
 }
 
 impl Plan {
+    /// A look-up service in whose second region callers ask most when it starts: enough room
+    /// once its data are at hand, less than half of what they ask for before.
+    pub fn peak() -> Self {
+        Self {
+            servers: vec![8, 34, 40],
+            entries: 20,
+            slots: 9,
+            queue: 27,
+            keeps: 39,
+            objects: 300,
+            work: Duration::from_millis(1_104),
+            delay: Duration::from_millis(24),
+            rate: 400.0,
+            rate_parts: vec![1.35, 1.1, 0.46],
+            objective: Duration::from_millis(600),
+            deadline: Duration::from_secs(5),
+            length: Duration::from_secs(10),
+            ..Self::look_up()
+        }
+    }
+
     /// A quarter of a large look-up service: longer work, more
     /// entry VMs of fewer requests each, and fewer objects that a backend server keeps.
     pub fn grown() -> Self {
@@ -341,7 +365,8 @@
         let bursting = self.now >= self.plan.length / 4 && self.now < self.plan.length / 2;
         let factor = if bursting { self.plan.burst } else { 1.0 };
         let lot: f64 = self.rng.random_range(0.000_001..1.0);
-        let gap = -lot.ln() / (self.plan.rate * factor);
+        let part = self.plan.rate_parts.get(region).copied().unwrap_or(1.0);
+        let gap = -lot.ln() / (self.plan.rate * part * factor);
         self.schedule(Duration::from_secs_f64(gap), Event::Arrival { region });
     }
 
--- a/lib/tests/test_direct_dispatch.rs
+++ b/lib/tests/test_direct_dispatch.rs
@@ -117,6 +117,33 @@
     }
 }
 
+/// Symptom: right after a start, a quarter of a region's requests move to another region within
+/// 2 s and come back a few seconds later; there they take longer than those that stay.
+///
+/// Sequence: nothing is at hand yet, so each request takes three times as long, and a region
+/// whose callers ask most is asked for more than it has room for. For a second its entry VMs
+/// know of no load, and all requests go to the first backend server of their own region. Then
+/// reports of queues come, and within half a second each entry VM sends whatever has its home
+/// in another region there, since a way of 24 ms costs less than the wait.
+///
+/// Cause: waits decide between regions, and nothing bounds how many requests they move at a
+/// time. On twelve seeds 0.15 to 0.24 of the region's requests moved within 2 s. It isn't that
+/// the other region's load is unknown: taken for idle, it draws 0.25 to 0.30. Nor are copies
+/// made there: three in a hundred of those that moved were expected to find no data.
+#[test]
+fn test_direct_dispatch_starts_at_a_peak_without_moving_regions() {
+    for seed in 1..=3 {
+        let result = Model::new(Plan {
+            seed,
+            counted: (0, 8),
+            ..Plan::peak()
+        })
+        .play();
+        assert!(result.most_shift < 0.15, "seed {seed}: {result:?}");
+        assert!(result.share() > 0.6, "seed {seed}: {result:?}");
+    }
+}
+
 /// Symptom: while twice as much is asked as can be served, next to no answer is in time.
 ///
 /// Sequence: two thirds of the backend servers are gone. Queues grow until a request waits for
