direct_dispatch: the share of requests that waits move grows by 0.10 in 2 s

Change: an entry VM counts how many of its requests leave the region that they would go to if nobody waited, and lets that share grow by 0.10 from one window of 2 s to the next (region_moves). A request that has no room where it would stay moves at any rate, so that none is refused for it; faults move requests as before.

The way back isn't bounded by itself, and an entry VM with less than ten requests in 2 s moves only what would be refused otherwise.

--- a/lib/src/direct_dispatch.rs
+++ b/lib/src/direct_dispatch.rs
@@ -42,6 +42,7 @@
 use crate::id::RouteName;
 use crate::id::ServiceName;
 use crate::id::VmName;
+use crate::region_moves::RegionMoves;
 use crate::service_pace::PaceKey;
 
 /// Share of the time left that a request may wait, by its priority. Less urgent requests
@@ -92,6 +93,7 @@
     silent: BTreeSet<BackendName>,
     evacuated: BTreeSet<PlaceName>,
     began: Instant,
+    moves: RegionMoves,
     /// Where the next refusal's time lies in its spread, 0 to 1.
     lot: f64,
 }
@@ -114,6 +116,7 @@
             silent: BTreeSet::new(),
             evacuated: BTreeSet::new(),
             began: now,
+            moves: RegionMoves::default(),
             lot: 0.0,
         }
     }
@@ -298,6 +301,7 @@
             &shared
         };
         let pace = service.pace.route(route, ask.latency_objective);
+        let may_move = self.moves.may_move(now);
         let service = &self.services[ask.service];
         let left = ask.answer_by().saturating_duration_since(now).as_secs_f64();
         let wait_share = if policy.shares_by_priority {
@@ -312,6 +316,7 @@
             wait_share,
             mean: service.pace.mean(),
             may_copy: service.may_copy(ask.object, policy.bounded_copies),
+            may_move,
             policy,
         };
         let max_connections = service.known.max_connections;
@@ -337,6 +342,9 @@
                 service.note_object(now, object, best.warm);
             }
         }
+        let settled = dispatch_pick::settled_region(&candidates);
+        let moved = settled.is_some_and(|region| region != best.region);
+        self.moves.note(now, moved);
         Ok(self.begin(now, &best, pace, max_connections))
     }
 
--- a/lib/src/dispatch_assess.rs
+++ b/lib/src/dispatch_assess.rs
@@ -171,6 +171,7 @@
             slow_above: service.pace.expected(pace, known_warm) * factor * SLOW_MARGIN,
             warm,
             near: backend.region == self.cfg.region,
+            region: backend.region_hash,
         })
     }
 
--- a/lib/src/dispatch_backend.rs
+++ b/lib/src/dispatch_backend.rs
@@ -52,6 +52,7 @@
     pub hash: MemberHash,
     pub record: Arc<BackendRecord>,
     pub region: RegionName,
+    pub region_hash: MemberHash,
     /// Whether it may get requests at all.
     pub usable: bool,
     /// Whether control hasn't heard of it lately.
@@ -75,6 +76,7 @@
         Self {
             hash: MemberHash::of(name.as_str()),
             name,
+            region_hash: MemberHash::of(region.as_str()),
             region,
             usable: false,
             silent: false,
--- a/lib/src/dispatch_pick.rs
+++ b/lib/src/dispatch_pick.rs
@@ -6,6 +6,7 @@
 //! busy: all requests would be late from then on, long after the burst. So a request waits
 //! where its data are, or is refused, and further copies are made one at a time.
 
+use crate::affinity::MemberHash;
 use crate::dispatch_ask::BackendKey;
 use crate::dispatch_policy::DispatchPolicy;
 
@@ -43,6 +44,8 @@
     pub warm: bool,
     /// Whether it stands in the entry VM's own region.
     pub near: bool,
+    /// The region that it stands in.
+    pub region: MemberHash,
     /// Time above which the backend server counts as slow.
     pub slow_above: f64,
 }
@@ -77,6 +80,9 @@
     pub mean: f64,
     /// Whether a further copy of the object may be made.
     pub may_copy: bool,
+    /// Whether the request may leave, for a shorter wait, the region that it would go to if
+    /// it had to wait nowhere.
+    pub may_move: bool,
     /// The mechanisms in use.
     pub policy: DispatchPolicy,
 }
@@ -119,7 +125,25 @@
     if copy.is_some() {
         return copy;
     }
-    least(&with_room(&warm, limits), Candidate::cost)
+    let fitting = with_room(&warm, limits);
+    let soonest = least(&fitting, Candidate::cost);
+    if limits.may_move {
+        return soonest;
+    }
+    let settled = settled_region(candidates);
+    let stays = |candidate: &&Candidate| Some(candidate.region) == settled;
+    let staying: Vec<Candidate> = fitting.iter().filter(stays).copied().collect();
+    // To move is better than to be refused.
+    least(&staying, Candidate::cost).or(soonest)
+}
+
+/// Returns the region that a request would go to if it had to wait nowhere.
+#[must_use]
+pub fn settled_region(candidates: &[Candidate]) -> Option<MemberHash> {
+    let cost = |candidate: &Candidate| candidate.base_cost() + candidate.risk;
+    let warm = candidates.iter().filter(|candidate| candidate.warm);
+    let best = warm.min_by(|left, right| cost(left).total_cmp(&cost(right)));
+    best.map(|candidate| candidate.region)
 }
 
 /// Picks where a further copy is made: anywhere if all that have one are busy; else, ahead of
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -93,6 +93,7 @@
 mod raft_replication;
 pub mod rate_meter;
 pub mod rendezvous;
+pub mod region_moves;
 pub mod replica_choice;
 pub mod replica_patience;
 pub mod replica_plan;
--- a/lib/tests/test_direct_dispatch.rs
+++ b/lib/tests/test_direct_dispatch.rs
@@ -123,7 +123,7 @@
 /// Sequence: nothing is at hand yet, so each request takes three times as long, and a region
 /// whose callers ask most is asked for more than it has room for. For a second its entry VMs
 /// know of no load, and all requests go to the first backend server of their own region. Then
-/// reports of queues come, and within half a second each entry VM sends whatever has its home
+/// reports of queues come, and within a second each entry VM sends whatever has its home
 /// in another region there, since a way of 24 ms costs less than the wait.
 ///
 /// Cause: waits decide between regions, and nothing bounds how many requests they move at a
