request_trace, backend_pool: how long connections take is told

Change: a send's line says what a new connection took; heatherring_connects_total and heatherring_connect_seconds count them by what came of them.

--- a/lib/tests/dispatch_model/mod.rs
+++ b/lib/tests/dispatch_model/mod.rs
@@ -82,6 +82,10 @@
     pub counted: (u32, u32),
     /// Factor on the rate between a quarter and a half of the play.
     pub burst: f64,
+    /// Entry VMs that start again one after the other from a quarter of the play on.
+    pub restarting: usize,
+    /// Time between two of these starts.
+    pub restart_gap: Duration,
     /// Seed of arrivals and service times.
     pub seed: u64,
 }
@@ -106,6 +110,8 @@
             joining: 0,
             counted: (4, 8),
             burst: 1.0,
+            restarting: 0,
+            restart_gap: Duration::from_millis(500),
             seed: 1,
         }
     }
@@ -159,6 +165,7 @@
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 enum Event {
     Join,
+    Restart { entry: usize },
     Arrival { region: usize },
     Reaches { request: usize },
     Done { request: usize },
@@ -167,6 +174,8 @@
 
 struct Request {
     entry: usize,
+    /// Number of the entry VM's start.
+    life: u32,
     server: usize,
     object: u32,
     began: Duration,
@@ -200,6 +209,8 @@
     sequence: u64,
     rng: ChaCha8Rng,
     dispatchers: Vec<Dispatcher>,
+    /// How often each entry VM has started again.
+    lives: Vec<u32>,
     servers: Vec<Server>,
     by_name: BTreeMap<BackendName, usize>,
     requests: Vec<Request>,
@@ -230,23 +241,10 @@
     pub fn new(plan: Plan) -> Self {
         let origin = Instant::now();
         let view = view(&plan);
-        let places: BTreeMap<PlaceName, RegionName> = (0..plan.servers.len())
-            .map(|index| (place(index), region(index)))
+        let entries = plan.servers.len() * plan.entries;
+        let dispatchers = (0..entries)
+            .map(|entry| dispatcher(&plan, &view, entry, origin))
             .collect();
-        let mut dispatchers = Vec::new();
-        for index in 0..plan.servers.len() * plan.entries {
-            let cfg = DispatchConfig {
-                vm: VmName::new(format!("entry-{index}")),
-                region: region(index / plan.entries),
-                places: places.clone(),
-                resend_ratio: 0.2,
-                resend_slack: 60.0,
-                policy: DispatchPolicy::default(),
-            };
-            let mut dispatcher = Dispatcher::new(cfg, origin);
-            dispatcher.apply_view(origin, &view);
-            dispatchers.push(dispatcher);
-        }
         let mut servers = Vec::new();
         let mut by_name = BTreeMap::new();
         for (region, count) in plan.servers.iter().enumerate() {
@@ -264,6 +262,7 @@
             sequence: 0,
             rng,
             dispatchers,
+            lives: vec![0; entries],
             servers,
             by_name,
             requests: Vec::new(),
@@ -278,6 +277,7 @@
             self.schedule_arrival(region);
         }
         self.schedule(self.plan.length / 2, Event::Join);
+        self.schedule_restarts();
         while let Some(Reverse((at, _, event))) = self.events.pop() {
             if at > self.plan.length {
                 break;
@@ -285,6 +285,7 @@
             self.now = at;
             match event {
                 Event::Join => self.join(),
+                Event::Restart { entry } => self.restart(entry),
                 Event::Arrival { region } => {
                     self.arrive(region);
                     self.schedule_arrival(region);
@@ -337,6 +338,25 @@
         self.events.push(Reverse((at, self.sequence, event)));
     }
 
+    /// Spreads the starts over the regions, one region after the other.
+    fn schedule_restarts(&mut self) {
+        let regions = self.plan.servers.len();
+        let mut at = self.plan.length / 4;
+        for number in 0..self.plan.restarting {
+            let entry = (number % regions) * self.plan.entries + number / regions;
+            self.schedule(at, Event::Restart { entry });
+            at += self.plan.restart_gap;
+        }
+    }
+
+    /// Has an entry VM start again: it knows the fleet, and nothing that it had learned.
+    fn restart(&mut self, entry: usize) {
+        let now = self.at();
+        let view = view(&self.plan);
+        self.lives[entry] += 1;
+        self.dispatchers[entry] = dispatcher(&self.plan, &view, entry, now);
+    }
+
     fn schedule_arrival(&mut self, region: usize) {
         let bursting = self.now >= self.plan.length / 4 && self.now < self.plan.length / 2;
         let factor = if bursting { self.plan.burst } else { 1.0 };
@@ -385,6 +405,7 @@
         let request = self.requests.len();
         self.requests.push(Request {
             entry,
+            life: self.lives[entry],
             server,
             object,
             began: self.now,
@@ -503,10 +524,30 @@
                 self.result.late += 1;
             }
         }
-        self.dispatchers[request.entry].ended(now, &end);
+        if request.life == self.lives[request.entry] {
+            self.dispatchers[request.entry].ended(now, &end);
+        }
     }
 }
 
+/// Returns an entry VM that starts at `now`.
+fn dispatcher(plan: &Plan, view: &FleetView, entry: usize, now: Instant) -> Dispatcher {
+    let places = (0..plan.servers.len())
+        .map(|index| (place(index), region(index)))
+        .collect();
+    let cfg = DispatchConfig {
+        vm: VmName::new(format!("entry-{entry}")),
+        region: region(entry / plan.entries),
+        places,
+        resend_ratio: 0.2,
+        resend_slack: 60.0,
+        policy: DispatchPolicy::default(),
+    };
+    let mut dispatcher = Dispatcher::new(cfg, now);
+    dispatcher.apply_view(now, view);
+    dispatcher
+}
+
 fn server_name(region: usize, number: usize) -> BackendName {
     BackendName::new(format!("server-{region}-{number}"))
 }
--- a/server/src/backend_pool.rs
+++ b/server/src/backend_pool.rs
@@ -26,6 +26,8 @@
 use tokio::sync::oneshot;
 use tokio_util::task::AbortOnDropHandle;
 
+use crate::metric;
+
 /// Time after which an idle connection is closed rather than used again. Backend
 /// servers close idle connections on their own, and a request that meets such a close
 /// halfway has an unknown fate.
@@ -239,8 +241,14 @@
     let address = permit.address;
     let begun = Instant::now();
     let connecting = TcpStream::connect(address);
-    let stream = tokio::time::timeout(timeout, connecting)
-        .await
+    let connected = tokio::time::timeout(timeout, connecting).await;
+    let result = match &connected {
+        Ok(Ok(_)) => "connected",
+        Ok(Err(_)) => "refused",
+        Err(_) => "timed_out",
+    };
+    metric::connect(result, begun.elapsed());
+    let stream = connected
         .ok()
         .ok_or(ConnectError::ConnectTimeout { address })?
         .context(ConnectSnafu { address })?;
--- a/server/src/direct_path.rs
+++ b/server/src/direct_path.rs
@@ -348,7 +348,7 @@
             trace.note_sending(&choice);
             let sent = self.sender.send(&choice, &admitted.req, attempt).await;
             let took = self.clock.now().saturating_duration_since(begun);
-            trace.note_send(&choice, took, sent.verdict);
+            trace.note_send(&choice, took, &sent);
             if let Some(took) = sent.connected_in {
                 self.dispatch.note_connected(choice.backend, took);
             }
--- a/server/src/metric.rs
+++ b/server/src/metric.rs
@@ -79,6 +79,12 @@
     histogram!("heatherring_expected_wait_seconds").record(expected_wait);
 }
 
+/// Counts an attempt to connect to a backend server: what came of it, and the time until then.
+pub fn connect(result: &'static str, took: Duration) {
+    counter!("heatherring_connects_total", "result" => result).increment(1);
+    histogram!("heatherring_connect_seconds").record(took);
+}
+
 /// Counts a request that was sent once more, or wasn't for want of budget.
 pub fn resend(allowed: bool) {
     let result = if allowed { "sent" } else { "no_budget" };
--- a/server/src/request_trace.rs
+++ b/server/src/request_trace.rs
@@ -15,6 +15,7 @@
 use heatherring_lib::id::ServiceName;
 use heatherring_lib::id::VmName;
 
+use crate::direct_send::Sent;
 use crate::log_writer::ROUTINE;
 use crate::metric;
 use crate::refusal::Refused;
@@ -44,6 +45,8 @@
     wait: Duration,
     report_age: Option<Duration>,
     expected: Duration,
+    /// Time that a new connection took; nothing over one that was kept, or without any.
+    connected_in: Option<Duration>,
     took: Duration,
     verdict: SendOutcome,
 }
@@ -63,8 +66,15 @@
         }
         write!(
             f,
-            ", answer {} ms expected, {} after {} ms",
-            self.expected.as_millis(),
+            ", answer {} ms expected, ",
+            self.expected.as_millis()
+        )?;
+        if let Some(connected_in) = self.connected_in {
+            write!(f, "connected in {} ms, ", connected_in.as_millis())?;
+        }
+        write!(
+            f,
+            "{} after {} ms",
             self.verdict.name(),
             self.took.as_millis()
         )
@@ -110,7 +120,8 @@
     }
 
     /// Notes how it ended.
-    pub fn note_send(&mut self, choice: &Choice, took: Duration, verdict: SendOutcome) {
+    pub fn note_send(&mut self, choice: &Choice, took: Duration, sent: &Sent) {
+        let verdict = sent.verdict;
         self.under_way = None;
         if !self.sends.is_empty() {
             metric::resend(true);
@@ -122,6 +133,7 @@
             wait: choice.wait,
             report_age: choice.report_age,
             expected: choice.expected,
+            connected_in: sent.connected_in,
             took,
             verdict,
         });
