test_direct_dispatch: an entry VM whose own link is full, one case red

One that has just started has few requests and answers 98 in 100. Ruled out: knowledge lost with each start (entry VMs aged 0.5 to 4 s answer 95 to 98 in 100; the model with half of the entry VMs started anew in a burst, new here, loses under 0.03); callers that all go to those just started (these have 2 to 57 requests a second, the others 120); backend servers that turn connections away (the time-outs are at some entry VMs only).

--- a/lib/tests/dispatch_model/probe.rs
+++ b/lib/tests/dispatch_model/probe.rs
@@ -104,6 +104,11 @@
         self.dispatcher.choose(self.now, &ask)
     }
 
+    /// Says that the connection for a choice took `took` until it was there.
+    pub fn connected(&mut self, choice: &Choice, took: Duration) {
+        self.dispatcher.note_connected(choice.backend, took);
+    }
+
     pub fn end(&mut self, choice: &Choice, outcome: SendOutcome) {
         let end = SendEnd {
             backend: choice.backend,
--- a/lib/tests/test_direct_dispatch.rs
+++ b/lib/tests/test_direct_dispatch.rs
@@ -4,6 +4,8 @@
 
 use dispatch_model::Model;
 use dispatch_model::Plan;
+use dispatch_model::Probe;
+use heatherring_lib::dispatch_ask::COME_BACK_ELSEWHERE;
 use heatherring_lib::dispatch_ask::RefusedReason;
 use heatherring_lib::dispatch_ask::SendOutcome;
 use heatherring_lib::planned_stop::PlannedStop;
@@ -223,3 +225,90 @@
     let come_back = refusal.map(|refusal| refusal.come_back);
     assert!(come_back.is_none_or(|time| time < Duration::from_millis(100)));
 }
+
+/// Symptom: with a crowd there while half of the entry VMs stop and start again in turn, two in
+/// three requests are late or unserved, and for ten seconds after the last of them is back.
+///
+/// Sequence: the callers of those that stop go to the rest, whose requests double. The link of
+/// each of the rest is full; connections to all backend servers take ever longer, end at their
+/// bound of 0.4 s, and are tried at the next one. What isn't refused after 0.4 to 1.6 s is late,
+/// since its answer stands at the link too, and an entry VM that has just started and answers 98
+/// in 100 in time gets a third of the requests that it could serve.
+///
+/// Cause: an entry VM knew how busy backend servers were, and nothing of its own link. Of the
+/// requests at entry VMs with 160 or more a second a fifth were answered, at those with up to 60
+/// 97 in 100, in the same seconds.
+#[test]
+fn test_direct_dispatch_turns_requests_away_while_its_own_link_is_full() {
+    const WAY: Duration = Duration::from_millis(2);
+    let mut probe = Probe::new();
+    let refused_with = |probe: &mut Probe, took: Duration| {
+        let mut refused = Vec::new();
+        for object in 0..100 {
+            probe.pass(Duration::from_millis(10));
+            match probe.choose_or_refuse(&object.to_string()) {
+                Ok(choice) => {
+                    probe.connected(&choice, took);
+                    probe.end(&choice, SendOutcome::Answered);
+                }
+                Err(no_choice) => refused.push(no_choice),
+            }
+        }
+        refused
+    };
+    assert_eq!(refused_with(&mut probe, WAY), []);
+    let full = refused_with(&mut probe, WAY + Duration::from_millis(350));
+    assert!(full.len() > 60, "{} of 100 are turned away", full.len());
+    assert!(
+        full.len() < 100,
+        "nothing tells when the link has room again"
+    );
+    // Others have room; whoever comes back soon may still be answered in time.
+    assert!(
+        full.iter()
+            .all(|no_choice| no_choice.come_back == COME_BACK_ELSEWHERE)
+    );
+    // The link is as it was.
+    refused_with(&mut probe, WAY);
+    assert_eq!(refused_with(&mut probe, WAY), []);
+}
+
+/// A region that is cut off, or backend servers that are dark together, say nothing of the entry
+/// VM's own link: others are reached as fast as ever.
+#[test]
+fn test_direct_dispatch_takes_requests_while_most_backend_servers_are_dark() {
+    let mut probe = Probe::new();
+    for object in 0..100 {
+        probe.pass(Duration::from_millis(10));
+        let choice = probe.choose(&object.to_string());
+        if object % 3 == 0 {
+            probe.connected(&choice, Duration::from_millis(2));
+            probe.end(&choice, SendOutcome::Answered);
+        } else {
+            probe.pass(Duration::from_millis(400));
+            probe.end(&choice, SendOutcome::Unreachable);
+        }
+    }
+}
+
+/// What an entry VM learned goes with it. That half of them start anew in a burst, one each half
+/// second, costs the callers next to nothing: homes need no learning, and loads are told anew by
+/// the first answers. So it isn't this that makes a crowd late while entry VMs stop in turn.
+#[test]
+fn test_direct_dispatch_bears_entry_vms_that_start_anew() {
+    let calm = Plan {
+        burst: 1.3,
+        counted: (2, 7),
+        ..Plan::grown()
+    };
+    let restarting = Plan {
+        restarting: 12,
+        ..calm.clone()
+    };
+    let before = Model::new(calm).play().share();
+    let after = Model::new(restarting).play().share();
+    assert!(
+        after > before - 0.03,
+        "{before} in time, {after} with starts"
+    );
+}
--- a/server/src/request_trace.rs
+++ b/server/src/request_trace.rs
@@ -64,11 +64,7 @@
             Some(age) => write!(f, "{} ms old", age.as_millis())?,
             None => f.write_str("never given")?,
         }
-        write!(
-            f,
-            ", answer {} ms expected, ",
-            self.expected.as_millis()
-        )?;
+        write!(f, ", answer {} ms expected, ", self.expected.as_millis())?;
         if let Some(connected_in) = self.connected_in {
             write!(f, "connected in {} ms, ", connected_in.as_millis())?;
         }
