link_queue: what an entry VM's own link doesn't carry is turned away at once

Cause: an entry VM knew how busy backend servers were, and nothing of its own link. While half of the entry VMs stop in turn the others get twice the requests, 120 a second; connections to all backend servers take 25 ms at up to 60 requests a second and run into their bound of 0.4 s in the median from 100 on; what stands at the link is late, and the time-outs mark sound backend servers as out of reach. Change: how long new connections take beyond the way tells of the link's queue (the shorter ones of the latest eight, so that dark backend servers or regions don't look like it). From 50 ms on a growing share of the requests is turned away before it is sent on, less urgent ones first, to come back at once elsewhere; reason link_full. The dispatcher hears of a connection when it is there, not when its answer is. The red test passes, and its neighbour on dark backend servers.

--- a/lib/src/direct_dispatch.rs
+++ b/lib/src/direct_dispatch.rs
@@ -42,6 +42,7 @@
 use crate::id::RouteName;
 use crate::id::ServiceName;
 use crate::id::VmName;
+use crate::link_queue::LinkQueue;
 use crate::service_pace::PaceKey;
 
 /// Share of the time left that a request may wait, by its priority. Less urgent requests
@@ -89,6 +90,8 @@
     pub(crate) question_turn: usize,
     /// Shortest delay there and back that was seen, by region.
     pub(crate) delays: BTreeMap<RegionName, Duration>,
+    /// What stands at this entry VM's own link.
+    link: LinkQueue,
     silent: BTreeSet<BackendName>,
     evacuated: BTreeSet<PlaceName>,
     began: Instant,
@@ -111,6 +114,7 @@
             cold_watch: ColdWatch::new(now),
             question_turn: 0,
             delays: BTreeMap::new(),
+            link: LinkQueue::default(),
             silent: BTreeSet::new(),
             evacuated: BTreeSet::new(),
             began: now,
@@ -256,12 +260,13 @@
 
     /// Notes how long a connection to a backend server took to be established: one way
     /// there and back.
-    pub fn note_connected(&mut self, key: BackendKey, took: Duration) {
+    pub fn note_connected(&mut self, now: Instant, key: BackendKey, took: Duration) {
         let Some(backend) = self.backends.get(key) else {
             return;
         };
         let known = self.delays.entry(backend.region.clone()).or_insert(took);
         *known = took.min(*known);
+        self.link.note(now, took.saturating_sub(*known));
     }
 
     /// Picks a backend server, and counts the request as in flight there.
@@ -294,6 +299,12 @@
         } else {
             1.0
         };
+        if self.link.turns_away(now, wait_share) {
+            return Err(Refused {
+                come_back: COME_BACK_ELSEWHERE,
+                ..refuse(RefusedReason::LinkFull)
+            });
+        }
         let candidates = self.candidates(now, service, pace, ask);
         let limits = PickLimits {
             left,
@@ -440,7 +451,10 @@
                 backend.health.note_shed(now);
             }
             SendOutcome::Misdirected => backend.usable = false,
-            SendOutcome::Unreachable => backend.health.note_unreachable(now),
+            SendOutcome::Unreachable => {
+                backend.health.note_unreachable(now);
+                self.link.note(now, took);
+            }
             SendOutcome::Broken => backend.health.note_failure(now),
             SendOutcome::Withdrawn | SendOutcome::Abandoned => {}
         }
--- a/lib/src/dispatch_ask.rs
+++ b/lib/src/dispatch_ask.rs
@@ -112,6 +112,8 @@
     NoRoom,
     /// One would, but this entry VM ends before.
     Leaving,
+    /// This entry VM's own link is full.
+    LinkFull,
     /// The budget of resends is used up.
     NoResend,
 }
@@ -124,6 +126,7 @@
             Self::NoBackend => "no_backend",
             Self::NoRoom => "no_room",
             Self::Leaving => "leaving",
+            Self::LinkFull => "link_full",
             Self::NoResend => "no_resend",
         }
     }
--- a/lib/src/explanation.rs
+++ b/lib/src/explanation.rs
@@ -144,6 +144,10 @@
         NotRunReason::LinkLimit => {
             "a link between regions has no room; the shift waits until it has"
         }
+        NotRunReason::LinkFull => {
+            "connections of this entry VM take long to all backend servers: its own link or \
+             processor is full, and others may have room"
+        }
         NotRunReason::OwnerUnreachable => "the owner of the backend servers can't be reached",
         NotRunReason::NotOwner => {
             "the entry VM asked isn't the owner, or may not dispatch before the revision that \
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -55,6 +55,7 @@
 pub mod heard_report;
 pub mod id;
 pub mod link_budget;
+pub mod link_queue;
 pub mod list_delta;
 pub mod load_digest;
 mod log_cause;
--- a/lib/src/outcome.rs
+++ b/lib/src/outcome.rs
@@ -86,6 +86,8 @@
         ShiftCap "shift_cap" 503,
         /// The limit of a link between regions is reached.
         LinkLimit "link_limit" 503,
+        /// The entry VM's own link carries no more.
+        LinkFull "link_full" 503,
         /// The owner of the backend server couldn't be reached.
         OwnerUnreachable "owner_unreachable" 503,
         /// The entry VM asked isn't the owner (any more), or may not dispatch yet.
--- a/server/src/direct_path.rs
+++ b/server/src/direct_path.rs
@@ -349,9 +349,6 @@
             let sent = self.sender.send(&choice, &admitted.req, attempt).await;
             let took = self.clock.now().saturating_duration_since(begun);
             trace.note_send(&choice, took, &sent);
-            if let Some(took) = sent.connected_in {
-                self.dispatch.note_connected(choice.backend, took);
-            }
             guard.ended(sent.verdict, sent.load);
             progress.note(choice.backend, sent.verdict);
             let retry = progress.next(sent.outcome, sent.verdict, &admitted.route)?;
@@ -453,6 +450,7 @@
         RefusedReason::NoBackend => NotRunReason::NoBackendServer,
         RefusedReason::NoRoom => NotRunReason::Overloaded,
         RefusedReason::Leaving => NotRunReason::Leaving,
+        RefusedReason::LinkFull => NotRunReason::LinkFull,
         RefusedReason::NoResend => {
             metric::resend(false);
             NotRunReason::NoResend
--- a/server/src/direct_send.rs
+++ b/server/src/direct_send.rs
@@ -36,6 +36,7 @@
 use crate::answer_body::AnswerEnd;
 use crate::backend_pool::BackendConnection;
 use crate::backend_pool::BackendPool;
+use crate::dispatch_task::DispatchHandle;
 use crate::header;
 use crate::header::remove_hop_by_hop;
 use crate::interface::AnswerMeaning;
@@ -120,6 +121,8 @@
     pool: BackendPool,
     interface: Arc<dyn EntryInterface>,
     view: watch::Receiver<Arc<FleetView>>,
+    /// Told at once of connections: an answer may come a second later.
+    dispatch: DispatchHandle,
 }
 
 impl DirectSender {
@@ -129,11 +132,13 @@
         pool: BackendPool,
         interface: Arc<dyn EntryInterface>,
         view: watch::Receiver<Arc<FleetView>>,
+        dispatch: DispatchHandle,
     ) -> Self {
         Self {
             pool,
             interface,
             view,
+            dispatch,
         }
     }
 
@@ -169,6 +174,9 @@
             }
             let reused = connection.is_reused();
             let connected_in = (!reused).then(|| connection.established_in());
+            if let Some(took) = connected_in {
+                self.dispatch.note_connected(choice.backend, took);
+            }
             match self.exchange(choice, req, attempt, connection).await {
                 Exchange::Over(mut sent) => {
                     sent.connected_in = connected_in;
