--- a/server/src/direct_path.rs
+++ b/server/src/direct_path.rs
@@ -45,7 +45,6 @@
 use crate::dispatch_task::DispatchHandle;
 use crate::header::remove_hop_by_hop;
 use crate::http_server::Arrival;
-use crate::http_server::BetterElsewhere;
 use crate::http_server::Handler;
 use crate::interface::EntryInterface;
 use crate::metric;
@@ -480,9 +479,6 @@
 /// whatever is left of the caller's time.
 fn refusal(refused: &Refused) -> Response<AnswerBody> {
     let mut response = Response::new(answer_body::full(refused.reason()));
-    if refused.reason() == NotRunReason::LinkFull.as_str() {
-        response.extensions_mut().insert(BetterElsewhere);
-    }
     *response.status_mut() = refused.status();
     if let Some(after) = refused.retry_after() {
         let text = format!("{:.3}", after.as_secs_f64());
--- a/server/src/http_server.rs
+++ b/server/src/http_server.rs
@@ -161,10 +161,6 @@
     Http1,
 }
 
-/// Put on an answer, says that its caller had better use another process for what comes next.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub struct BetterElsewhere;
-
 /// Tells who may connect to a listener.
 #[derive(Clone, Debug)]
 pub enum Admittance {
--- a/server/src/pipeline_io.rs
+++ b/server/src/pipeline_io.rs
@@ -138,8 +138,6 @@
     /// Whether no request is read behind the one that is being read, or behind the first of
     /// the connection.
     pub ending: bool,
-    /// Whether the caller had better use another process for what comes next.
-    pub better_elsewhere: bool,
     /// Whether the caller has closed its side.
     pub caller_left: bool,
     /// Requests that were read.
@@ -159,7 +157,6 @@
             head_since: None,
             reading: Reading::Heads,
             ending: false,
-            better_elsewhere: false,
             caller_left: false,
             read: 0,
             answered: 0,
--- a/server/src/pipelined_connection.rs
+++ b/server/src/pipelined_connection.rs
@@ -42,7 +42,6 @@
 
 use crate::answer_body::AnswerBody;
 use crate::http_server::Arrival;
-use crate::http_server::BetterElsewhere;
 use crate::http_server::ConnectionLimits;
 use crate::http_server::Handler;
 use crate::http_server::Stops;
@@ -334,7 +333,6 @@
     let mut response = handled.map_err(|source| NoAnswer::Ended { source })?;
     let mut state = progress.state();
     state.answered = slot.number + 1;
-    state.better_elsewhere |= response.extensions().get::<BetterElsewhere>().is_some();
     if state.is_over() {
         let close = HeaderValue::from_static("close");
         response.headers_mut().insert(CONNECTION, close);
@@ -343,17 +341,12 @@
 }
 
 /// Ends when no further request shall be read. An entry VM that leaves takes one more of each
-/// connection, whose answer says that it closes, and so does one whose caller had better go
-/// elsewhere; after a stop none. The stop is waited for also
+/// connection, whose answer says that it closes; after a stop none. The stop is waited for also
 /// once leaving was told: a connection that was idle then would take a request at any time until
 /// the process ends, which cuts it off.
 async fn must_end(stops: &Stops, progress: &Progress) {
     let last_request = async {
-        tokio::select! {
-            () = stops.leaving.cancelled() => {}
-            // Told by an answer, which the task of the connection writes.
-            () = until(progress, |state| state.better_elsewhere) => {}
-        }
+        stops.leaving.cancelled().await;
         until(progress, |state| state.unanswered() > 0).await;
     };
     tokio::select! {
