link_queue: requests under way are bounded while the own link is full

Cause: what is seen of a wait is as old as the wait. Change: as TCP does, the number of requests under way is bounded, by three quarters where the shorter of the latest eight connections take 80 ms beyond their way, and a seventh more where they don't; no bound while the link has room.

--- a/lib/src/direct_dispatch.rs
+++ b/lib/src/direct_dispatch.rs
@@ -92,6 +92,8 @@
     pub(crate) delays: BTreeMap<RegionName, Duration>,
     /// What stands at this entry VM's own link.
     link: LinkQueue,
+    /// Requests that were sent and haven't ended.
+    under_way: usize,
     silent: BTreeSet<BackendName>,
     evacuated: BTreeSet<PlaceName>,
     began: Instant,
@@ -115,6 +117,7 @@
             question_turn: 0,
             delays: BTreeMap::new(),
             link: LinkQueue::default(),
+            under_way: 0,
             silent: BTreeSet::new(),
             evacuated: BTreeSet::new(),
             began: now,
@@ -260,13 +263,13 @@
 
     /// Notes how long a connection to a backend server took to be established: one way
     /// there and back.
-    pub fn note_connected(&mut self, now: Instant, key: BackendKey, took: Duration) {
+    pub fn note_connected(&mut self, key: BackendKey, took: Duration) {
         let Some(backend) = self.backends.get(key) else {
             return;
         };
         let known = self.delays.entry(backend.region.clone()).or_insert(took);
         *known = took.min(*known);
-        self.link.note(now, took.saturating_sub(*known));
+        self.link.note(took.saturating_sub(*known));
     }
 
     /// Picks a backend server, and counts the request as in flight there.
@@ -299,7 +302,7 @@
         } else {
             1.0
         };
-        if self.link.turns_away(now, wait_share) {
+        if !self.link.has_room(now, self.under_way, wait_share) {
             return Err(Refused {
                 come_back: COME_BACK_ELSEWHERE,
                 ..refuse(RefusedReason::LinkFull)
@@ -379,6 +382,7 @@
             slow_above: seconds(best.slow_above),
         };
         let send = backend.load.begin(now, expectation);
+        self.under_way += 1;
         Choice {
             backend: best.backend,
             send,
@@ -405,6 +409,8 @@
 
     /// Notes how a request ended.
     pub fn ended(&mut self, now: Instant, end: &SendEnd) {
+        // Each choice ends once, also where its backend server is gone by then.
+        self.under_way = self.under_way.saturating_sub(1);
         let Some(backend) = self.backends.get_mut(end.backend) else {
             return;
         };
@@ -453,7 +459,7 @@
             SendOutcome::Misdirected => backend.usable = false,
             SendOutcome::Unreachable => {
                 backend.health.note_unreachable(now);
-                self.link.note(now, took);
+                self.link.note(took);
             }
             SendOutcome::Broken => backend.health.note_failure(now),
             SendOutcome::Withdrawn | SendOutcome::Abandoned => {}
--- a/lib/src/link_queue.rs
+++ b/lib/src/link_queue.rs
@@ -1,4 +1,4 @@
-//! How long what this entry VM sends and gets stands at its own link.
+//! What this entry VM's own link carries.
 //!
 //! All that an entry VM passes on goes over one link, both ways. When more is asked of it than
 //! the link carries, as when callers of others that stopped come here too, whatever stands there
@@ -10,76 +10,93 @@
 //! server takes beyond the shortest that one to its region took: it passes the link once each
 //! way, and needs nothing of the backend server but to be there. Where one backend server or a
 //! region is dark others aren't, so that the shorter ones of the latest few count.
+//!
+//! What a queue is bounded by is the number of requests under way, as TCP does: each that ends
+//! lets another one in, so that the link is never left idle, and what waits follows within the
+//! time of one request. To turn a share of the requests away by the wait alone was tried: what is
+//! seen of the wait is as old as the wait, and the link was full and idle by turns of 0.7 s.
 
 use std::collections::VecDeque;
 use std::time::Duration;
 use std::time::Instant;
 
-/// Connections that are looked at.
+/// Connections that are looked at together.
 const LATEST: usize = 8;
 
 /// Connections that tell anything. Fewer may all be to backend servers that went dark together.
-const LEAST: usize = 4;
+const LEAST: usize = 3;
+
+/// Time after which as many as there are since the last look are looked at: about that of a
+/// request.
+const LOOK_AFTER: Duration = Duration::from_millis(500);
 
-/// Time for which a connection tells of the link: a queue of that length has been sent by then.
-const TELLS_FOR: Duration = Duration::from_millis(500);
+/// Wait there and back from which on the link counts as full. With a new connection a request
+/// passes the link six times until its caller has its answer, three times as often as the
+/// connection does: a quarter of a second, up to half of a usual latency objective.
+const FULL_AT: Duration = Duration::from_millis(80);
 
-/// Wait there and back from which on the first requests are turned away. With a new connection
-/// a request passes the link six times until its caller has its answer, three times as often as
-/// the connection does: a seventh of a second, about a quarter of a usual latency objective.
-const BEGINS_AT: f64 = 0.05;
+/// Factors by which the number of requests under way changes with each look. It falls faster
+/// than it rises, so that a queue is gone before the next one begins.
+const LESS: f64 = 0.75;
+const MORE: f64 = 1.15;
 
-/// Wait at which all but the last share is: three times that is a whole objective.
-const FULL_AT: f64 = 0.2;
+/// Requests that may be under way at least; with fewer next to nothing tells of the link.
+const FEWEST: f64 = 6.0;
 
-/// Share of the requests that is turned away at most. What still goes on tells when the link
-/// has room again.
-const MOST: f64 = 0.9;
+/// Times as many as are under way beyond which there is no bound any more.
+const UNBOUND: f64 = 3.0;
 
 /// Follows the link of one entry VM.
 #[derive(Debug, Default)]
 pub struct LinkQueue {
-    latest: VecDeque<(Instant, Duration)>,
-    /// Sum of the shares of the requests since one was last turned away.
-    due: f64,
+    latest: VecDeque<Duration>,
+    looked_at: Option<Instant>,
+    /// Requests that may be under way; nothing while the link has room.
+    window: Option<f64>,
 }
 
 impl LinkQueue {
     /// Notes by how much a connection took longer than its way; also one that never came.
-    pub fn note(&mut self, now: Instant, excess: Duration) {
+    pub fn note(&mut self, excess: Duration) {
         if self.latest.len() == LATEST {
             self.latest.pop_front();
         }
-        self.latest.push_back((now, excess));
+        self.latest.push_back(excess);
     }
 
-    /// Returns how long the link holds up what passes it there and back.
-    #[must_use]
-    pub fn wait(&self, now: Instant) -> Duration {
-        let fresh = self
-            .latest
-            .iter()
-            .filter(|(at, _)| now.saturating_duration_since(*at) < TELLS_FOR);
-        let mut excesses: Vec<Duration> = fresh.map(|(_, excess)| *excess).collect();
-        if excesses.len() < LEAST {
-            return Duration::ZERO;
-        }
-        excesses.sort_unstable();
-        excesses[excesses.len() / 4]
+    /// Returns whether one more request may go beside `under_way` ones. Requests that may wait
+    /// for a smaller `wait_share` of their time give way first.
+    pub fn has_room(&mut self, now: Instant, under_way: usize, wait_share: f64) -> bool {
+        let under_way = f64::from(u32::try_from(under_way).unwrap_or(u32::MAX));
+        self.look(now, under_way);
+        self.window
+            .is_none_or(|window| under_way < window * wait_share)
     }
 
-    /// Returns whether a request is to be turned away. Requests that may wait for a smaller
-    /// `wait_share` of their time give way first. Those turned away are spread evenly over all.
-    pub fn turns_away(&mut self, now: Instant, wait_share: f64) -> bool {
-        let wait = self.wait(now).as_secs_f64();
-        let begins = BEGINS_AT * wait_share;
-        let full = FULL_AT * wait_share;
-        let share = (wait - begins) / (full - begins);
-        self.due += share.clamp(0.0, MOST);
-        let turns_away = self.due >= 1.0;
-        if turns_away {
-            self.due -= 1.0;
+    fn look(&mut self, now: Instant, under_way: f64) {
+        let looked_at = *self.looked_at.get_or_insert(now);
+        let is_due = now.saturating_duration_since(looked_at) >= LOOK_AFTER;
+        if !is_due && self.latest.len() < LATEST {
+            return;
         }
-        turns_away
+        self.looked_at = Some(now);
+        let is_full = self.wait().is_some_and(|wait| wait >= FULL_AT);
+        self.latest.clear();
+        self.window = if is_full {
+            let window = self.window.unwrap_or(under_way);
+            Some((window.min(under_way) * LESS).max(FEWEST))
+        } else {
+            let window = self.window.map(|window| window * MORE);
+            window.filter(|window| *window < under_way.max(FEWEST) * UNBOUND)
+        };
+    }
+
+    /// Returns how long the link holds up what passes it there and back; nothing if too little
+    /// tells.
+    fn wait(&self) -> Option<Duration> {
+        let mut excesses: Vec<Duration> = self.latest.iter().copied().collect();
+        excesses.sort_unstable();
+        let counts = excesses.len() >= LEAST;
+        counts.then(|| excesses[excesses.len() / 4])
     }
 }
--- a/server/src/dispatch_task.rs
+++ b/server/src/dispatch_task.rs
@@ -189,7 +189,7 @@
                 }
             }
             Message::Ended(end) => dispatcher.ended(now, &end),
-            Message::Connected { backend, took } => dispatcher.note_connected(now, backend, took),
+            Message::Connected { backend, took } => dispatcher.note_connected(backend, took),
             Message::View(view) => dispatcher.apply_view(now, &view),
             Message::Silent(silent) => dispatcher.apply_silent(silent),
             Message::Control => dispatcher.note_control(now),
