--- a/lib/src/direct_dispatch.rs
+++ b/lib/src/direct_dispatch.rs
@@ -42,6 +42,7 @@
 use crate::id::RouteName;
 use crate::id::ServiceName;
 use crate::id::VmName;
+use crate::link_queue::LinkQueue;
 use crate::region_moves::RegionMoves;
 use crate::service_pace::PaceKey;
 
@@ -90,6 +91,10 @@
     pub(crate) question_turn: usize,
     /// Shortest delay there and back that was seen, by region.
     pub(crate) delays: BTreeMap<RegionName, Duration>,
+    /// What stands at this entry VM's own link.
+    link: LinkQueue,
+    /// Requests that were sent and haven't ended.
+    under_way: usize,
     silent: BTreeSet<BackendName>,
     evacuated: BTreeSet<PlaceName>,
     began: Instant,
@@ -113,6 +118,8 @@
             cold_watch: ColdWatch::new(now),
             question_turn: 0,
             delays: BTreeMap::new(),
+            link: LinkQueue::default(),
+            under_way: 0,
             silent: BTreeSet::new(),
             evacuated: BTreeSet::new(),
             began: now,
@@ -265,6 +272,7 @@
         };
         let known = self.delays.entry(backend.region.clone()).or_insert(took);
         *known = took.min(*known);
+        self.link.note(took.saturating_sub(*known));
     }
 
     /// Notes how long an answer that was passed on as it came took from its head to its end.
@@ -309,6 +317,9 @@
         } else {
             1.0
         };
+        if !self.link.has_room(now, self.under_way, wait_share) {
+            return Err(self.elsewhere(RefusedReason::LinkFull));
+        }
         let candidates = self.candidates(now, service, pace, ask);
         let limits = PickLimits {
             left,
@@ -327,7 +338,7 @@
             return Err(if candidates.is_empty() {
                 refuse(RefusedReason::NoBackend)
             } else if would_do_without_stop(now, ask, &candidates, limits) {
-                self.leaving()
+                self.elsewhere(RefusedReason::Leaving)
             } else {
                 self.no_room(&candidates)
             });
@@ -348,9 +359,10 @@
         Ok(self.begin(now, &best, pace, max_connections))
     }
 
-    fn leaving(&mut self) -> Refused {
+    /// Refuses what another entry VM can serve at once.
+    fn elsewhere(&mut self, reason: RefusedReason) -> Refused {
         Refused {
-            reason: RefusedReason::Leaving,
+            reason,
             come_back: self.spread(COME_BACK_ELSEWHERE),
             considered: 0,
             shortest_wait: None,
@@ -395,6 +407,7 @@
             slow_above: seconds(best.slow_above),
         };
         let send = backend.load.begin(now, expectation);
+        self.under_way += 1;
         Choice {
             backend: best.backend,
             pace,
@@ -422,6 +435,8 @@
 
     /// Notes how a request ended.
     pub fn ended(&mut self, now: Instant, end: &SendEnd) {
+        // Each choice ends once, also where its backend server is gone by then.
+        self.under_way = self.under_way.saturating_sub(1);
         let Some(backend) = self.backends.get_mut(end.backend) else {
             return;
         };
@@ -468,7 +483,10 @@
                 backend.health.note_shed(now);
             }
             SendOutcome::Misdirected => backend.usable = false,
-            SendOutcome::Unreachable => backend.health.note_unreachable(now),
+            SendOutcome::Unreachable => {
+                backend.health.note_unreachable(now);
+                self.link.note(took);
+            }
             SendOutcome::Broken => backend.health.note_failure(now),
             SendOutcome::Withdrawn | SendOutcome::Abandoned => {}
         }
--- a/server/src/direct_send.rs
+++ b/server/src/direct_send.rs
@@ -124,6 +124,7 @@
     pool: BackendPool,
     interface: Arc<dyn EntryInterface>,
     view: watch::Receiver<Arc<FleetView>>,
+    /// Told at once of connections: an answer may come a second later.
     dispatch: DispatchHandle,
     stopping: StopWatch,
 }
@@ -178,6 +179,9 @@
             }
             let reused = connection.is_reused();
             let connected_in = (!reused).then(|| connection.established_in());
+            if let Some(took) = connected_in {
+                self.dispatch.note_connected(choice.backend, took);
+            }
             match self.exchange(choice, req, attempt, connection).await {
                 Exchange::Over(mut sent) => {
                     sent.connected_in = connected_in;
