tidy: one wait after a start, one look at the settled region, one word for a stop

The share of a caller's time that goes for a wait after a start stood twice, for the first view and the first session: lib/src/start_wait.rs serves both. The region that a request would go to if nobody waited was found twice for each request while moves are bounded; a pick is told which region not to leave instead. StopWatch told the two states with a stop apart twice; request_trace read where a request is twice. Two functions of direct_process had one name.

--- a/lib/src/direct_dispatch.rs
+++ b/lib/src/direct_dispatch.rs
@@ -321,13 +321,14 @@
             return Err(self.elsewhere(RefusedReason::LinkFull));
         }
         let candidates = self.candidates(now, service, pace, ask);
+        let settled = dispatch_pick::settled_region(&candidates);
         let limits = PickLimits {
             left,
             objective: ask.objective.saturating_duration_since(now).as_secs_f64(),
             wait_share,
             mean: service.pace.mean(),
             may_copy: service.may_copy(ask.object, policy.bounded_copies),
-            may_move,
+            stay_in: settled.filter(|_| !may_move),
             policy,
         };
         let max_connections = service.known.max_connections;
@@ -353,7 +354,6 @@
                 service.note_object(now, object, best.warm);
             }
         }
-        let settled = dispatch_pick::settled_region(&candidates);
         let moved = settled.is_some_and(|region| region != best.region);
         self.moves.note(now, moved);
         Ok(self.begin(now, &best, pace, max_connections))
--- a/lib/src/dispatch_pick.rs
+++ b/lib/src/dispatch_pick.rs
@@ -80,9 +80,9 @@
     pub mean: f64,
     /// Whether a further copy of the object may be made.
     pub may_copy: bool,
-    /// Whether the request may leave, for a shorter wait, the region that it would go to if
-    /// it had to wait nowhere.
-    pub may_move: bool,
+    /// The region that the request may not leave for a shorter wait elsewhere; nothing if it
+    /// may.
+    pub stay_in: Option<MemberHash>,
     /// The mechanisms in use.
     pub policy: DispatchPolicy,
 }
@@ -126,15 +126,13 @@
         return copy;
     }
     let fitting = with_room(&warm, limits);
-    let soonest = least(&fitting, Candidate::cost);
-    if limits.may_move {
-        return soonest;
-    }
-    let settled = settled_region(candidates);
-    let stays = |candidate: &&Candidate| Some(candidate.region) == settled;
+    let stays = |candidate: &&Candidate| {
+        let stay_in = limits.stay_in;
+        stay_in.is_none_or(|region| candidate.region == region)
+    };
     let staying: Vec<Candidate> = fitting.iter().filter(stays).copied().collect();
     // To move is better than to be refused.
-    least(&staying, Candidate::cost).or(soonest)
+    least(&staying, Candidate::cost).or_else(|| least(&fitting, Candidate::cost))
 }
 
 /// Returns the region that a request would go to if it had to wait nowhere.
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -112,6 +112,7 @@
 pub mod settings_text;
 pub mod settled_share;
 pub mod shift_budget;
+pub mod start_wait;
 pub mod steering;
 pub mod submission_history;
 pub mod tenure;
--- a/server/src/caller_listener.rs
+++ b/server/src/caller_listener.rs
@@ -16,6 +16,7 @@
 use heatherring_lib::outcome::NotRunReason;
 use heatherring_lib::outcome::Outcome;
 use heatherring_lib::rendezvous;
+use heatherring_lib::start_wait;
 use heatherring_lib::view::EntrySession;
 use http::HeaderMap;
 use http::HeaderValue;
@@ -54,9 +55,6 @@
 /// come. Callers who are refused come back a second later.
 const FIRST_SESSION_WAIT: Duration = Duration::from_millis(500);
 
-/// Share of a caller's time that goes for that wait at most.
-const FIRST_SESSION_SHARE: f64 = 0.25;
-
 /// Answers callers.
 #[derive(Clone, Debug)]
 pub struct CallerHandler {
@@ -201,10 +199,8 @@
             }
         };
         let patience = header::number(headers, &header::DEADLINE_MS).flatten();
-        let share = patience.map_or(FIRST_SESSION_WAIT, |ms| {
-            Duration::from_millis(ms).mul_f64(FIRST_SESSION_SHARE)
-        });
-        let until = arrived + FIRST_SESSION_WAIT.min(share);
+        let patience = patience.map(Duration::from_millis);
+        let until = start_wait::wait_until(arrived, FIRST_SESSION_WAIT, patience);
         // Without one by then the request is refused.
         let _ = tokio::time::timeout_at(until.into(), opened).await;
     }
--- a/server/src/control_process.rs
+++ b/server/src/control_process.rs
@@ -170,14 +170,13 @@
             address: settings.listen,
         })?;
     let channels = PeerChannels::new(security.clone()).leaving_from(settings.listen.ip());
-    let opened = tokio::select! {
+    let (disk, recovered) = tokio::select! {
         opened = open_folder(&settings, &channels) => opened?,
         () = shutdown.requested() => {
             log::info!(event = "control_ended"; "asked to stop while joining");
             return Ok(());
         }
     };
-    let (disk, recovered) = opened;
     let identity = recovered.identity;
     let links = PeerLinks::new(
         identity.cluster,
--- a/server/src/direct_path.rs
+++ b/server/src/direct_path.rs
@@ -27,6 +27,7 @@
 use heatherring_lib::outcome::Unsent;
 use heatherring_lib::route_manifest::Route;
 use heatherring_lib::route_manifest::RouteTarget;
+use heatherring_lib::start_wait;
 use heatherring_lib::weighted_turns::WeightedTurns;
 use http::HeaderMap;
 use http::HeaderValue;
@@ -76,9 +77,6 @@
 /// together.
 pub const FIRST_VIEW_WAIT: Duration = Duration::from_millis(800);
 
-/// Share of a caller's time that goes for that wait at most.
-const FIRST_VIEW_SHARE: f64 = 0.25;
-
 /// When a caller is told to come back if there still is none.
 const NO_MANIFEST_RETRY: Duration = Duration::from_millis(700);
 
@@ -294,8 +292,7 @@
         arrived: Instant,
         patience: Option<Duration>,
     ) -> Result<Arc<FleetView>, NotRun> {
-        let share = patience.map_or(self.first_view_wait, |time| time.mul_f64(FIRST_VIEW_SHARE));
-        let until = arrived + self.first_view_wait.min(share);
+        let until = start_wait::wait_until(arrived, self.first_view_wait, patience);
         let mut view = self.view.clone();
         let waiting = view.wait_for(|view| view.has_manifest());
         match tokio::time::timeout_at(until.into(), waiting).await {
--- a/server/src/direct_process.rs
+++ b/server/src/direct_process.rs
@@ -235,16 +235,17 @@
         self.stopping.send_replace(StopState::Stopping(stop));
         self.stops.leaving.cancel();
         tokio::select! {
-            () = finish(stop, &self.stops.stop, self.serving) => {}
+            () = serve_out(stop, &self.stops.stop, self.serving) => {}
             () = shutdown.insisted() => log::warn!(event = "entry_stop_forced"; "asked to stop twice: what is under way is cut off"),
         }
         self.stopping.send_replace(StopState::Ended(stop));
     }
 }
 
-async fn finish(stop: PlannedStop, taking: &CancellationToken, serving: JoinHandle<()>) {
+/// Serves until the time for requests is over, and finishes what was taken.
+async fn serve_out(stop: PlannedStop, no_more: &CancellationToken, serving: JoinHandle<()>) {
     tokio::time::sleep_until(stop.takes_until().into()).await;
-    taking.cancel();
+    no_more.cancel();
     let ended = tokio::time::timeout_at(stop.ends_at().into(), serving).await;
     if ended.is_err() {
         log::warn!(event = "entry_stop_late"; "some connections didn't end in time");
--- a/server/src/request_trace.rs
+++ b/server/src/request_trace.rs
@@ -181,7 +181,7 @@
     /// Tells that the caller left before there was an answer; what was under way for it ends.
     pub fn tell_left(&self, decided: &Decided<'_>) {
         metric::request("left", "caller_left", decided.held);
-        let under_way = self.under_way.as_ref().map_or("", |name| name.as_str());
+        let under_way = self.under_way();
         tell!(
             ROUTINE,
             "caller_left",
@@ -196,7 +196,7 @@
     /// after the stop was asked for; nothing, if before.
     pub fn tell_cut_off(&self, decided: &Decided<'_>, stopped_for: Duration) {
         metric::request("cut_off", "process_ended", decided.held);
-        let under_way = self.under_way.as_ref().map_or("", |name| name.as_str());
+        let under_way = self.under_way();
         let stopped_for_ms = whole_ms(stopped_for);
         tell!(
             module_path!(),
@@ -208,6 +208,10 @@
         );
     }
 
+    fn under_way(&self) -> &str {
+        self.under_way.as_ref().map_or("", |name| name.as_str())
+    }
+
     fn route(&self) -> &str {
         self.route.as_ref().map_or("", |name| name.as_str())
     }
--- a/server/src/stop_watch.rs
+++ b/server/src/stop_watch.rs
@@ -36,22 +36,24 @@
         *self.state.borrow()
     }
 
-    /// Returns until when answers are passed on, if a stop was asked for.
-    #[must_use]
-    pub fn answers_until(&self) -> Option<Instant> {
+    /// Returns the stop, if one was asked for.
+    fn stop(&self) -> Option<PlannedStop> {
         match self.state() {
             StopState::Running => None,
-            StopState::Stopping(stop) | StopState::Ended(stop) => Some(stop.answers_until()),
+            StopState::Stopping(stop) | StopState::Ended(stop) => Some(stop),
         }
     }
 
+    /// Returns until when answers are passed on, if a stop was asked for.
+    #[must_use]
+    pub fn answers_until(&self) -> Option<Instant> {
+        self.stop().map(|stop| stop.answers_until())
+    }
+
     /// Returns whether a request that came at `arrived` came after those that a stop still takes.
     #[must_use]
     pub fn is_over_for(&self, arrived: Instant) -> bool {
-        match self.state() {
-            StopState::Running => false,
-            StopState::Stopping(stop) | StopState::Ended(stop) => !stop.takes(arrived),
-        }
+        self.stop().is_some_and(|stop| !stop.takes(arrived))
     }
 
     /// Ends when the last answers must be there; never if no stop is asked for.
