direct_support: one stand-in for a process, one set of what tests of stops share

Entry and the tests' own replica each built a runtime with its thread, its trigger and its end; routes, requests by bytes, reading, heartbeats and the wait for the end of taking stood in both test files of stops, and the start of an entry VM with one backend server in four tests. OwnProcess and direct_support::stops hold them once; Replica runs on it as well, so that tests freeze the replicas of the deployment itself. Assertions are as before. The end of a stand-in is waited for 10 s, so that one that goes on fails its test instead of holding it.

--- a/server/tests/direct_support/mod.rs
+++ b/server/tests/direct_support/mod.rs
@@ -3,6 +3,9 @@
 
 #![allow(dead_code)]
 
+mod own_process;
+pub mod stops;
+
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::path::Path;
@@ -10,7 +13,6 @@
 use std::sync::Mutex;
 use std::sync::atomic::AtomicU32;
 use std::sync::atomic::Ordering;
-use std::thread;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -44,8 +46,6 @@
 use heatherring_server::direct_process::DirectError;
 use heatherring_server::direct_process::run_direct;
 use heatherring_server::own_interface::OwnInterface;
-use heatherring_server::shutdown::Shutdown;
-use heatherring_server::shutdown::ShutdownTrigger;
 use heatherring_testutils::loopback::BACKEND_SERVERS_PORT;
 use heatherring_testutils::loopback::CALLERS_PORT;
 use heatherring_testutils::loopback::CONTROL_PORT;
@@ -68,10 +68,10 @@
 use tempfile::TempDir;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
-use tokio::runtime;
-use tokio::sync::oneshot;
 use tokio::task::JoinHandle;
 
+use own_process::OwnProcess;
+
 pub const HOST: &str = "registry.example";
 const HEALTH_PATH: &str = "/health";
 const SERVICE: &str = "registry";
@@ -276,20 +276,16 @@
 /// A control replica in this process.
 pub struct Replica {
     pub settings: ControlSettings,
-    trigger: ShutdownTrigger,
-    task: JoinHandle<Result<(), ControlError>>,
+    process: OwnProcess<ControlError>,
 }
 
 impl Replica {
     pub fn start(settings: ControlSettings) -> Self {
-        let (trigger, shutdown) = Shutdown::new();
         let interface = Some(Arc::new(OwnInterface) as _);
-        let running = run_control(settings.clone(), Arc::new(SystemClock), shutdown, interface);
-        Self {
-            settings,
-            trigger,
-            task: tokio::spawn(running),
-        }
+        let process = OwnProcess::start(|shutdown| {
+            run_control(settings.clone(), Arc::new(SystemClock), shutdown, interface)
+        });
+        Self { settings, process }
     }
 
     pub fn orders(&self) -> SocketAddr {
@@ -297,48 +293,42 @@
     }
 
     pub async fn stop(self) -> ControlSettings {
-        self.trigger.request();
-        self.task.await.unwrap().unwrap();
+        self.process.begin_stop();
+        self.ended().await
+    }
+
+    /// Asks for a planned stop, as SIGTERM does.
+    pub fn begin_stop(&self) {
+        self.process.begin_stop();
+    }
+
+    /// Waits until the process would have ended.
+    pub async fn ended(self) -> ControlSettings {
+        self.process.ended().await;
         self.settings
     }
+
+    /// Has nothing run here for a time, as SIGSTOP and SIGCONT do.
+    pub fn freeze(&self, time: Duration) {
+        self.process.freeze(time);
+    }
 }
 
-/// An entry VM with a runtime of its own, which ends with it: what is under way then is cut
-/// off, as it is when a process ends.
+/// An entry VM in this process.
 pub struct Entry {
     pub settings: DirectSettings,
-    trigger: ShutdownTrigger,
-    thread: Option<thread::JoinHandle<()>>,
-    ended: Option<oneshot::Receiver<Result<(), DirectError>>>,
+    process: OwnProcess<DirectError>,
 }
 
 impl Entry {
     fn start(settings: DirectSettings, file: &Path) -> Self {
-        let (trigger, shutdown) = Shutdown::new();
         let interface = Arc::new(OwnInterface);
         let clock = Arc::new(SystemClock);
-        let running = run_direct(
-            settings.clone(),
-            file.to_owned(),
-            interface,
-            clock,
-            shutdown,
-        );
-        let (ended_tx, ended) = oneshot::channel();
-        let thread = thread::spawn(move || {
-            let mut builder = runtime::Builder::new_current_thread();
-            let runtime = builder.enable_all().build().unwrap();
-            let result = runtime.block_on(running);
-            drop(runtime);
-            // Nobody waits for it where it is dropped.
-            let _ = ended_tx.send(result);
+        let file = file.to_owned();
+        let process = OwnProcess::start(|shutdown| {
+            run_direct(settings.clone(), file, interface, clock, shutdown)
         });
-        Self {
-            settings,
-            trigger,
-            thread: Some(thread),
-            ended: Some(ended),
-        }
+        Self { settings, process }
     }
 
     pub async fn call(&self, method: Method, path: &str) -> Option<Answer> {
@@ -358,31 +348,18 @@
     }
 
     pub async fn stop(self) {
-        self.begin_stop();
+        self.process.begin_stop();
         self.ended().await;
     }
 
     /// Asks for a planned stop, as SIGTERM does.
     pub fn begin_stop(&self) {
-        self.trigger.request();
+        self.process.begin_stop();
     }
 
     /// Waits until the process would have ended.
-    pub async fn ended(mut self) {
-        let ended = self.ended.take().unwrap();
-        ended.await.unwrap().unwrap();
-    }
-}
-
-impl Drop for Entry {
-    /// Frees the addresses, which another test may be given.
-    fn drop(&mut self) {
-        self.trigger.request();
-        self.trigger.request();
-        if let Some(thread) = self.thread.take() {
-            let ended = thread.join();
-            assert!(ended.is_ok() || thread::panicking(), "an entry VM panicked");
-        }
+    pub async fn ended(self) {
+        self.process.ended().await;
     }
 }
 
@@ -496,6 +473,16 @@
         Backend::start(name, address).await
     }
 
+    /// Starts an entry VM and a backend server, whose requests it serves.
+    pub async fn start_served(&mut self) -> (Entry, Backend) {
+        let entry = self.start_entry("entry-1");
+        let backend = self.start_backend("backend-1").await;
+        self.submit_routes(1, 0).await;
+        self.announce(&backend, 1, "Ready").await;
+        until_served(&entry).await;
+        (entry, backend)
+    }
+
     /// Sends an order to one replica after the other until one confirms it.
     pub async fn order(&self, method: Method, path: &str, body: &str) -> Answer {
         wait_for("a confirmation", async || {
--- /dev/null
+++ b/server/tests/direct_support/own_process.rs
@@ -0,0 +1,85 @@
+//! What stands in for a process: a runtime of its own.
+
+use std::fmt::Debug;
+use std::thread;
+use std::time::Duration;
+use std::time::Instant;
+
+use heatherring_server::shutdown::Shutdown;
+use heatherring_server::shutdown::ShutdownTrigger;
+use tokio::runtime;
+use tokio::sync::oneshot;
+
+/// Time within which it ends once it was asked twice to stop.
+const ENDS_WITHIN: Duration = Duration::from_secs(10);
+
+/// Runs one process of the system on a runtime with one thread, which ends with it: what is
+/// under way then is cut off, as it is when a process ends.
+pub struct OwnProcess<E> {
+    trigger: ShutdownTrigger,
+    handle: runtime::Handle,
+    thread: Option<thread::JoinHandle<()>>,
+    ended: Option<oneshot::Receiver<Result<(), E>>>,
+}
+
+impl<E: Debug + Send + 'static> OwnProcess<E> {
+    pub fn start<F>(run: impl FnOnce(Shutdown) -> F) -> Self
+    where
+        F: Future<Output = Result<(), E>> + Send + 'static,
+    {
+        let (trigger, shutdown) = Shutdown::new();
+        let running = run(shutdown);
+        let (ended_tx, ended) = oneshot::channel();
+        let mut builder = runtime::Builder::new_current_thread();
+        let runtime = builder.enable_all().build().unwrap();
+        let handle = runtime.handle().clone();
+        let thread = thread::spawn(move || {
+            let result = runtime.block_on(running);
+            drop(runtime);
+            // Nobody waits for it where it is dropped.
+            let _ = ended_tx.send(result);
+        });
+        Self {
+            trigger,
+            handle,
+            thread: Some(thread),
+            ended: Some(ended),
+        }
+    }
+
+    /// Asks for a planned stop, as SIGTERM does.
+    pub fn begin_stop(&self) {
+        self.trigger.request();
+    }
+
+    /// Waits until the process would have ended.
+    pub async fn ended(mut self) {
+        let ended = self.ended.take().unwrap();
+        ended.await.unwrap().unwrap();
+    }
+
+    /// Has nothing run here for a time, as SIGSTOP and SIGCONT do.
+    pub fn freeze(&self, time: Duration) {
+        self.handle.spawn(async move { thread::sleep(time) });
+    }
+}
+
+impl<E> Drop for OwnProcess<E> {
+    /// Frees the addresses, which another test may be given.
+    fn drop(&mut self) {
+        self.trigger.request();
+        self.trigger.request();
+        let Some(thread) = self.thread.take() else {
+            return;
+        };
+        let until = Instant::now() + ENDS_WITHIN;
+        while !thread.is_finished() && Instant::now() < until {
+            thread::sleep(Duration::from_millis(10));
+        }
+        let has_ended = thread.is_finished() && thread.join().is_ok();
+        assert!(
+            has_ended || thread::panicking(),
+            "a process panicked or goes on"
+        );
+    }
+}
--- a/server/tests/test_direct.rs
+++ b/server/tests/test_direct.rs
@@ -180,11 +180,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn test_direct_refuses_what_all_turned_away() {
     let mut deployment = Deployment::start(3);
-    let entry = deployment.start_entry("entry-1");
-    let backend = deployment.start_backend("backend-1").await;
-    deployment.submit_routes(1, 0).await;
-    deployment.announce(&backend, 1, "Ready").await;
-    until_served(&entry).await;
+    let (entry, backend) = deployment.start_served().await;
     backend.behave(Behaviour::Shed);
     let before = backend.runs();
     let refused = entry.call(Method::POST, "/once/booking").await.unwrap();
--- a/server/tests/test_stop_elsewhere.rs
+++ b/server/tests/test_stop_elsewhere.rs
@@ -7,28 +7,25 @@
 use std::sync::Arc;
 use std::sync::atomic::AtomicU32;
 use std::sync::atomic::Ordering;
-use std::thread;
 use std::time::Duration;
 use std::time::Instant;
 
 use direct_support::Behaviour;
 use direct_support::Deployment;
-use direct_support::Entry;
-use direct_support::HOST;
-use direct_support::announcement;
+use direct_support::Replica;
 use direct_support::call;
 use direct_support::request;
-use direct_support::route_change;
+use direct_support::stops::GRACE;
+use direct_support::stops::HELD_UP;
+use direct_support::stops::announced;
+use direct_support::stops::connect;
+use direct_support::stops::get;
+use direct_support::stops::patient_routes;
+use direct_support::stops::post;
+use direct_support::stops::read_all;
+use direct_support::stops::start;
+use direct_support::stops::until_taking_ends;
 use direct_support::until_served;
-use heatherring_lib::clock::SystemClock;
-use heatherring_lib::route_manifest::RouteChange;
-use heatherring_lib::route_manifest::RouteContent;
-use heatherring_lib::settings::ControlSettings;
-use heatherring_server::control_process::ControlError;
-use heatherring_server::control_process::run_control;
-use heatherring_server::own_interface::OwnInterface;
-use heatherring_server::shutdown::Shutdown;
-use heatherring_server::shutdown::ShutdownTrigger;
 use heatherring_testutils::wait::wait_for;
 use http::Method;
 use rstest::rstest;
@@ -36,17 +33,6 @@
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
-use tokio::runtime;
-use tokio::sync::oneshot;
-
-/// Time until a stop by force; the process ends after 0.95 of it.
-const GRACE: Duration = Duration::from_secs(8);
-
-/// Time after the request to stop at which what is held up can begin, 1.1 s before the end.
-const HELD_UP: Duration = Duration::from_millis(6_500);
-
-/// Latency objective of all routes.
-const OBJECTIVE: Duration = Duration::from_secs(3);
 
 /// Time that a streamed answer takes, longer than what is left at [`HELD_UP`].
 const STREAMED: Duration = Duration::from_secs(2);
@@ -54,43 +40,6 @@
 /// Time for which the leader is frozen: less than the shortest silence that starts an election.
 const FROZEN: Duration = Duration::from_millis(400);
 
-/// Routes whose callers wait for longer than the grace time.
-fn patient_routes() -> RouteChange {
-    let mut change = route_change(1, 0);
-    if let RouteContent::Whole { routes, .. } = &mut change.content {
-        for route in routes.values_mut() {
-            let route = Arc::make_mut(route);
-            route.timeout = GRACE * 2;
-            route.latency_objective = OBJECTIVE;
-        }
-    }
-    change
-}
-
-fn get(path: &str) -> String {
-    format!("GET {path} HTTP/1.1\r\nhost: {HOST}\r\nheatherring-request-id: id-{path}\r\n\r\n")
-}
-
-fn post(path: &str, body: &str) -> String {
-    let length = format!("content-length: {}\r\n\r\n", body.len());
-    let head = get(path).replace("GET", "POST");
-    head.replace("\r\n\r\n", &format!("\r\n{length}")) + body
-}
-
-/// Reads until the other side closes or breaks the connection.
-async fn read_all(stream: &mut TcpStream) -> String {
-    let mut bytes = Vec::new();
-    // What a broken connection brought before counts as well.
-    let _ = stream.read_to_end(&mut bytes).await;
-    String::from_utf8_lossy(&bytes).into_owned()
-}
-
-async fn connect(entry: &Entry) -> TcpStream {
-    TcpStream::connect(entry.settings.listen.callers)
-        .await
-        .unwrap()
-}
-
 /// Symptom: a request was run and answered by its backend server after its entry VM had been
 /// asked to stop, and its caller got no answer. Sequence: a lookup that hangs is under way when
 /// the stop begins; a request that may run twice comes behind it on the connection, is passed on
@@ -100,11 +49,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn test_stop_begins_nothing_whose_answer_waits_behind_another() {
     let mut deployment = Deployment::start(3);
-    let entry = deployment.start_entry_with_grace("entry-1", GRACE);
-    let backend = deployment.start_backend("backend-1").await;
-    deployment.submit(&patient_routes()).await;
-    deployment.announce(&backend, 1, "Ready").await;
-    until_served(&entry).await;
+    let (entry, backend) = start(&mut deployment).await;
     let mut stream = connect(&entry).await;
     backend.behave(Behaviour::Hang);
     let ran = backend.runs();
@@ -142,11 +87,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn test_stop_runs_no_first_request_after_the_time_for_it(#[case] sent_before: usize) {
     let mut deployment = Deployment::start(3);
-    let entry = deployment.start_entry_with_grace("entry-1", GRACE);
-    let backend = deployment.start_backend("backend-1").await;
-    deployment.submit(&patient_routes()).await;
-    deployment.announce(&backend, 1, "Ready").await;
-    until_served(&entry).await;
+    let (entry, backend) = start(&mut deployment).await;
     let mut stream = connect(&entry).await;
     backend.behave(Behaviour::Hang);
     let ran = backend.runs();
@@ -155,26 +96,12 @@
     stream.write_all(begun.as_bytes()).await.unwrap();
     let running = async {
         entry.begin_stop();
-        wait_for("an end of new connections", async || {
-            let connected = TcpStream::connect(entry.settings.listen.callers).await;
-            connected.is_err().then_some(())
-        })
-        .await
-        .unwrap();
+        until_taking_ends(entry.settings.listen.callers).await;
         tokio::time::sleep(Duration::from_millis(200)).await;
         stream.write_all(rest.as_bytes()).await.unwrap();
         read_all(&mut stream).await
     };
-    let announcing = async {
-        for sequence in 2.. {
-            deployment.announce(&backend, sequence, "Ready").await;
-            tokio::time::sleep(Duration::from_millis(500)).await;
-        }
-    };
-    let answer = tokio::select! {
-        result = running => result,
-        () = announcing => unreachable!("announcements don't end"),
-    };
+    let answer = announced(&deployment, &backend, running).await;
     entry.ended().await;
     assert_eq!(backend.runs(), ran, "it was run: {answer:?}");
 }
@@ -251,21 +178,13 @@
 async fn test_stop_begins_no_answer_that_streams_beyond_it() {
     let mut deployment = Deployment::start(3);
     let entry = deployment.start_entry_with_grace("entry-1", GRACE);
-    let backend = deployment.start_backend("backend-1").await;
-    let address = SocketAddr::new(backend.address.ip(), backend.address.port() + 1);
+    let mut backend = deployment.start_backend("backend-1").await;
+    backend.address.set_port(backend.address.port() + 1);
     let actions = Arc::new(AtomicU32::new(0));
-    let listener = TcpListener::bind(address).await.unwrap();
+    let listener = TcpListener::bind(backend.address).await.unwrap();
     let serving = tokio::spawn(stream_answers(listener, Arc::clone(&actions)));
     deployment.submit(&patient_routes()).await;
-    let announce = async |sequence: u64| {
-        let mut body = announcement(&backend, sequence, "Ready");
-        body["record"]["address"] = address.to_string().into();
-        let path = "/v1/announcements";
-        deployment
-            .order(Method::POST, path, &body.to_string())
-            .await;
-    };
-    announce(1).await;
+    deployment.announce(&backend, 1, "Ready").await;
     until_served(&entry).await;
     let running = async {
         for _ in 0..3 {
@@ -288,70 +207,20 @@
         let answer = read_all(&mut stream).await;
         (actions.load(Ordering::SeqCst) - learned, answer)
     };
-    let announcing = async {
-        for sequence in 2.. {
-            announce(sequence).await;
-            tokio::time::sleep(Duration::from_millis(500)).await;
-        }
-    };
-    let (run, answer) = tokio::select! {
-        result = running => result,
-        () = announcing => unreachable!("announcements don't end"),
-    };
+    let (run, answer) = announced(&deployment, &backend, running).await;
     entry.ended().await;
     serving.abort();
     let whole = answer.ends_with("0\r\n\r\n");
     assert!(run == 0 || whole, "cut off: {answer:?}");
 }
 
-/// A control replica with a runtime of its own, which ends with it.
-struct OwnReplica {
-    settings: ControlSettings,
-    trigger: ShutdownTrigger,
-    handle: runtime::Handle,
-    ended: oneshot::Receiver<Result<(), ControlError>>,
-}
-
-impl OwnReplica {
-    fn start(settings: ControlSettings) -> Self {
-        let (trigger, shutdown) = Shutdown::new();
-        let interface = Some(Arc::new(OwnInterface) as _);
-        let running = run_control(settings.clone(), Arc::new(SystemClock), shutdown, interface);
-        let (ended_tx, ended) = oneshot::channel();
-        let mut builder = runtime::Builder::new_current_thread();
-        let runtime = builder.enable_all().build().unwrap();
-        let handle = runtime.handle().clone();
-        thread::spawn(move || {
-            let result = runtime.block_on(running);
-            drop(runtime);
-            // Nobody waits for it at the end of a test.
-            let _ = ended_tx.send(result);
-        });
-        Self {
-            settings,
-            trigger,
-            handle,
-            ended,
-        }
-    }
-
-    fn orders(&self) -> SocketAddr {
-        self.settings.direct.as_ref().unwrap().listen
-    }
-
-    /// Has nothing run here for a time, as SIGSTOP and SIGCONT do.
-    fn freeze(&self, time: Duration) {
-        self.handle.spawn(async move { thread::sleep(time) });
-    }
-}
-
 /// Sends an order that changes nothing; returns its answer's status, nothing if there was none.
 async fn order(address: SocketAddr) -> Option<u16> {
     let req = request(Method::DELETE, "/v1/evacuations/fko-hakata", "");
     Some(call(address, req).await?.status.as_u16())
 }
 
-async fn until_in_order(replicas: &[OwnReplica]) {
+async fn until_in_order(replicas: &[Replica]) {
     for replica in replicas {
         wait_for("an order", async || {
             (order(replica.orders()).await == Some(204)).then_some(())
@@ -362,7 +231,7 @@
 }
 
 /// Returns which replica leads: while it is frozen, orders wait.
-async fn leader(replicas: &[OwnReplica]) -> usize {
+async fn leader(replicas: &[Replica]) -> usize {
     wait_for("a leader", async || {
         for (index, replica) in replicas.iter().enumerate() {
             let other = &replicas[(index + 1) % replicas.len()];
@@ -391,10 +260,7 @@
 async fn test_stop_of_control_answers_orders_that_the_leader_decides() {
     let mut deployment = Deployment::start(3);
     deployment.submit_routes(1, 0).await;
-    let mut replicas = Vec::new();
-    for replica in std::mem::take(&mut deployment.replicas) {
-        replicas.push(OwnReplica::start(replica.stop().await));
-    }
+    let mut replicas = std::mem::take(&mut deployment.replicas);
     let mut answers = Vec::new();
     for _ in 0..4 {
         until_in_order(&replicas).await;
@@ -405,14 +271,10 @@
         tokio::time::sleep(Duration::from_millis(30)).await;
         let ordering = tokio::spawn(order(follower.orders()));
         tokio::time::sleep(Duration::from_millis(100)).await;
-        follower.trigger.request();
+        follower.begin_stop();
         answers.push(ordering.await.unwrap());
-        follower.ended.await.unwrap().unwrap();
-        replicas.insert(index, OwnReplica::start(follower.settings));
-    }
-    for replica in &replicas {
-        replica.trigger.request();
-        replica.trigger.request();
+        let settings = follower.ended().await;
+        replicas.insert(index, Replica::start(settings));
     }
     assert!(answers.iter().all(Option::is_some), "{answers:?}");
 }
@@ -433,9 +295,9 @@
     if let Some(formation) = &mut settings.formation {
         formation.first_start = false;
     }
-    let replica = OwnReplica::start(settings);
+    let replica = Replica::start(settings);
     tokio::time::sleep(Duration::from_millis(500)).await;
-    replica.trigger.request();
-    let ended = tokio::time::timeout(Duration::from_secs(5), replica.ended).await;
+    replica.begin_stop();
+    let ended = tokio::time::timeout(Duration::from_secs(5), replica.ended()).await;
     assert!(ended.is_ok(), "it goes on");
 }
--- a/server/tests/test_strict_requests.rs
+++ b/server/tests/test_strict_requests.rs
@@ -13,7 +13,6 @@
 
 use crate::direct_support::Deployment;
 use crate::direct_support::HOST;
-use crate::direct_support::until_served;
 use crate::entry_support::PLACE;
 use crate::entry_support::SERVICE;
 use crate::entry_support::rig::Rig;
@@ -74,11 +73,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn test_strict_requests_where_entry_vms_dispatch_directly() {
     let mut deployment = Deployment::start(3);
-    let entry = deployment.start_entry("entry-1");
-    let backend = deployment.start_backend("backend-1").await;
-    deployment.submit_routes(1, 0).await;
-    deployment.announce(&backend, 1, "Ready").await;
-    until_served(&entry).await;
+    let (entry, backend) = deployment.start_served().await;
     let runs = backend.runs();
     let listen = &entry.settings.listen;
     check_faults(listen.callers, "/safe/x", HOST).await;
