--- /dev/null
+++ b/server/tests/pipelining_support/mod.rs
@@ -0,0 +1,221 @@
+//! A listener that answers each request with its path and body, once it is let go.
+
+#![allow(dead_code)]
+
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use heatherring_lib::clock::SystemClock;
+use heatherring_server::answer_body;
+use heatherring_server::answer_body::AnswerBody;
+use heatherring_server::http_server;
+use heatherring_server::http_server::Admittance;
+use heatherring_server::http_server::Arrival;
+use heatherring_server::http_server::ConnectionLimits;
+use heatherring_server::http_server::Handler;
+use heatherring_server::http_server::HttpBounds;
+use heatherring_server::http_server::HttpVersions;
+use heatherring_server::http_server::LimitsSource;
+use heatherring_server::http_server::Stops;
+use heatherring_server::request_body::RequestBody;
+use http::Request;
+use http::Response;
+use http_body_util::BodyExt;
+use tokio::io::AsyncReadExt;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use tokio::sync::watch;
+use tokio::task::JoinHandle;
+use tokio_util::sync::CancellationToken;
+
+/// Time after which a test has failed; nothing is measured against it.
+pub const PATIENCE: Duration = Duration::from_secs(20);
+
+/// Says what a path's request does: those below `/wait/` are answered once they are let go.
+pub const WAIT: &str = "/wait/";
+
+/// Those below this path are answered likewise while their bodies are still being read.
+pub const EARLY: &str = "/early/";
+
+#[derive(Clone, Debug, Default)]
+pub struct Seen {
+    /// Paths in the order in which their handling began, with their bodies.
+    pub begun: Vec<(String, String)>,
+    pub arrivals: Vec<Instant>,
+    /// Paths whose handling was dropped before its answer.
+    pub dropped: BTreeSet<String>,
+    pub let_go: BTreeSet<String>,
+}
+
+/// Answers each request with its path and body.
+#[derive(Clone, Debug)]
+pub struct Echo {
+    seen: Arc<watch::Sender<Seen>>,
+}
+
+pub struct DropNote {
+    echo: Echo,
+    path: Option<String>,
+}
+
+impl Drop for DropNote {
+    fn drop(&mut self) {
+        if let Some(path) = self.path.take() {
+            self.echo.seen.send_modify(|seen| {
+                seen.dropped.insert(path);
+            });
+        }
+    }
+}
+
+impl Handler for Echo {
+    async fn handle(&self, arrival: Arrival, req: Request<RequestBody>) -> Response<AnswerBody> {
+        let path = req.uri().path().to_owned();
+        let mut note = DropNote {
+            echo: self.clone(),
+            path: Some(path.clone()),
+        };
+        if path.starts_with(EARLY) {
+            note.path = None;
+            return self.answer_early(&path, req.into_body()).await;
+        }
+        let body = match req.into_body().collect().await {
+            Ok(body) => String::from_utf8_lossy(&body.to_bytes()).into_owned(),
+            Err(_) => "broken".to_owned(),
+        };
+        self.seen.send_modify(|seen| {
+            seen.begun.push((path.clone(), body.clone()));
+            seen.arrivals.push(arrival.at);
+        });
+        if path.starts_with(WAIT) {
+            let mut seen = self.seen.subscribe();
+            let _ = seen.wait_for(|seen| seen.let_go.contains(&path)).await;
+        }
+        note.path = None;
+        Response::new(answer_body::full(format!("<{path} {body}>")))
+    }
+}
+
+impl Echo {
+    async fn answer_early(&self, path: &str, body: RequestBody) -> Response<AnswerBody> {
+        self.seen
+            .send_modify(|seen| seen.begun.push((path.to_owned(), String::new())));
+        let mut seen = self.seen.subscribe();
+        let _ = seen.wait_for(|seen| seen.let_go.contains(path)).await;
+        tokio::spawn(body.collect());
+        Response::new(answer_body::full(format!("<{path} >")))
+    }
+}
+
+pub struct Server {
+    pub address: SocketAddr,
+    pub echo: Echo,
+    pub stops: Stops,
+    pub serving: JoinHandle<()>,
+}
+
+impl Server {
+    pub async fn start() -> Self {
+        Self::start_with(HttpVersions::Http1, PATIENCE).await
+    }
+
+    pub async fn start_with(versions: HttpVersions, idle_timeout: Duration) -> Self {
+        Self::start_for(Admittance::Anybody, versions, idle_timeout).await
+    }
+
+    pub async fn start_for(
+        admittance: Admittance,
+        versions: HttpVersions,
+        idle_timeout: Duration,
+    ) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let (seen, _) = watch::channel(Seen::default());
+        let echo = Echo {
+            seen: Arc::new(seen),
+        };
+        let stops = Stops {
+            leaving: CancellationToken::new(),
+            stop: CancellationToken::new(),
+        };
+        let limits = ConnectionLimits {
+            max_header_bytes: 8 << 10,
+            header_timeout: Duration::from_millis(300),
+            idle_timeout,
+        };
+        let bounds = HttpBounds {
+            max_connections: 8,
+            limits: LimitsSource::fixed(limits),
+            versions,
+            clock: Arc::new(SystemClock),
+        };
+        let serving = tokio::spawn(http_server::serve(
+            listener,
+            admittance,
+            bounds,
+            echo.clone(),
+            stops.clone(),
+        ));
+        Self {
+            address,
+            echo,
+            stops,
+            serving,
+        }
+    }
+
+    pub async fn connect(&self) -> TcpStream {
+        TcpStream::connect(self.address).await.unwrap()
+    }
+
+    pub async fn until(&self, met: impl FnMut(&Seen) -> bool) -> Seen {
+        let mut seen = self.echo.seen.subscribe();
+        let waiting = seen.wait_for(met);
+        let met = tokio::time::timeout(PATIENCE, waiting).await;
+        met.expect("it never came to that").unwrap().clone()
+    }
+
+    pub fn let_go(&self, path: &str) {
+        self.echo.seen.send_modify(|seen| {
+            seen.let_go.insert(path.to_owned());
+        });
+    }
+
+    pub fn begun(&self) -> Vec<String> {
+        let seen = self.echo.seen.borrow();
+        seen.begun.iter().map(|(path, _)| path.clone()).collect()
+    }
+}
+
+/// Reads until the other side closes.
+pub async fn read_all(stream: &mut TcpStream) -> String {
+    let mut bytes = Vec::new();
+    let reading = stream.read_to_end(&mut bytes);
+    // A connection that is reset after its answers has been read as far as it came.
+    let _ = tokio::time::timeout(PATIENCE, reading).await.unwrap();
+    String::from_utf8_lossy(&bytes).into_owned()
+}
+
+/// Reads until `end` has come.
+pub async fn read_until(stream: &mut TcpStream, end: &str) -> String {
+    let mut bytes = Vec::new();
+    let reading = async {
+        while !String::from_utf8_lossy(&bytes).contains(end) {
+            assert!(stream.read_buf(&mut bytes).await.unwrap() > 0, "{bytes:?}");
+        }
+    };
+    tokio::time::timeout(PATIENCE, reading).await.unwrap();
+    String::from_utf8_lossy(&bytes).into_owned()
+}
+
+pub fn get(path: &str) -> String {
+    format!("GET {path} HTTP/1.1\r\nhost: a\r\n\r\n")
+}
+
+pub fn post(path: &str, body: &str) -> String {
+    let length = body.len();
+    format!("POST {path} HTTP/1.1\r\nhost: a\r\ncontent-length: {length}\r\n\r\n{body}")
+}
