test_poison_request: a request that ends whoever runs it, three cases red

A caller sends one request again and again, at any entry VM; each backend server that begins to run it ends and is back a second later under another name.

--- a/server/tests/direct_support/mod.rs
+++ b/server/tests/direct_support/mod.rs
@@ -3,10 +3,12 @@
 
 #![allow(dead_code)]
 
+pub mod fragile;
 mod own_process;
 pub mod stops;
 
 use std::collections::BTreeMap;
+use std::net::IpAddr;
 use std::net::SocketAddr;
 use std::path::Path;
 use std::sync::Arc;
@@ -67,7 +69,7 @@
 use serde_json::json;
 use tempfile::TempDir;
 use tokio::net::TcpListener;
-use tokio::net::TcpStream;
+use tokio::net::TcpSocket;
 use tokio::task::JoinHandle;
 
 use own_process::OwnProcess;
@@ -88,7 +90,20 @@
 
 /// Sends one request over a connection of its own; nothing if it breaks.
 pub async fn call(address: SocketAddr, req: Request<Full<Bytes>>) -> Option<Answer> {
-    let stream = TcpStream::connect(address).await.ok()?;
+    call_from(None, address, req).await
+}
+
+/// Does the same from the address `source`, if there is one.
+pub async fn call_from(
+    source: Option<IpAddr>,
+    address: SocketAddr,
+    req: Request<Full<Bytes>>,
+) -> Option<Answer> {
+    let socket = TcpSocket::new_v4().ok()?;
+    if let Some(source) = source {
+        socket.bind(SocketAddr::new(source, 0)).ok()?;
+    }
+    let stream = socket.connect(address).await.ok()?;
     let (mut sender, connection) = http1::handshake(TokioIo::new(stream)).await.ok()?;
     tokio::spawn(connection);
     let response = sender.send_request(req).await.ok()?;
@@ -532,11 +547,20 @@
 
 /// What a backend server says of itself.
 pub fn announcement(backend: &Backend, sequence: u64, state: &str) -> serde_json::Value {
+    announcement_of(&backend.name, backend.address, sequence, state)
+}
+
+fn announcement_of(
+    name: &str,
+    address: SocketAddr,
+    sequence: u64,
+    state: &str,
+) -> serde_json::Value {
     json!({
-        "backend": backend.name,
+        "backend": name,
         "record": {
             "service": SERVICE,
-            "address": backend.address,
+            "address": address,
             "place": PLACE,
             "slots": 3,
             "state": state,
--- /dev/null
+++ b/server/tests/test_poison_request.rs
@@ -0,0 +1,232 @@
+//! Requests that end each backend server that begins to run them.
+
+mod direct_support;
+
+use std::net::IpAddr;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::time::Duration;
+use std::time::Instant;
+
+use bytes::Bytes;
+use direct_support::Answer;
+use direct_support::Deployment;
+use direct_support::Entry;
+use direct_support::Replica;
+use direct_support::call;
+use direct_support::call_from;
+use direct_support::fragile::Fragile;
+use direct_support::fragile::MARKED;
+use direct_support::fragile::Seen;
+use direct_support::request;
+use direct_support::until_served;
+use heatherring_testutils::wait::wait_for;
+use http::Method;
+use http::Request;
+use http::StatusCode;
+use http_body_util::Full;
+use tokio::task::JoinHandle;
+
+/// Backend servers that may end under one request before it is known for what it is.
+const ENDS: usize = 3;
+
+/// Time within which all entry VMs must know.
+const KNOWN_WITHIN: Duration = Duration::from_secs(4);
+
+/// Tries that may still reach a backend server later than that.
+const LATE_TRIES: usize = 3;
+
+/// Time for which the request comes again after that.
+const COMES_AGAIN_FOR: Duration = Duration::from_secs(6);
+
+/// Pause between two requests of one kind.
+const PAUSE: Duration = Duration::from_millis(25);
+
+fn lookup(path: &str, id: &str) -> Request<Full<Bytes>> {
+    let mut req = request(Method::GET, path, "");
+    let headers = req.headers_mut();
+    headers.insert("heatherring-request-id", id.parse().unwrap());
+    headers.insert("heatherring-object", path.parse().unwrap());
+    req
+}
+
+async fn send(entry: SocketAddr, path: &str, id: String) -> Option<Answer> {
+    call(entry, lookup(path, &id)).await
+}
+
+/// Sends a request as the caller at `source`.
+async fn send_from(source: IpAddr, entry: SocketAddr, path: &str, id: String) -> Option<Answer> {
+    call_from(Some(source), entry, lookup(path, &id)).await
+}
+
+fn addresses(entries: &[Entry]) -> Vec<SocketAddr> {
+    let listens = entries.iter().map(|entry| &entry.settings.listen);
+    listens.map(|listen| listen.callers).collect()
+}
+
+/// Sends the marked request again at once, at one entry VM after the other.
+fn come_again(entries: Vec<SocketAddr>) -> JoinHandle<()> {
+    tokio::spawn(async move {
+        for (number, entry) in entries.iter().cycle().enumerate() {
+            // What it is told makes no difference to it.
+            let _ = send(*entry, MARKED, format!("marked-{number}")).await;
+            tokio::time::sleep(PAUSE).await;
+        }
+    })
+}
+
+/// What callers of ordinary requests were told: when they sent them, and the answers.
+#[derive(Default)]
+struct Ordinary {
+    told: Mutex<Vec<(Instant, Option<Answer>)>>,
+}
+
+impl Ordinary {
+    fn send_on(self: &Arc<Self>, entries: Vec<SocketAddr>) -> JoinHandle<()> {
+        let ordinary = Arc::clone(self);
+        tokio::spawn(async move {
+            for (number, entry) in entries.iter().cycle().enumerate() {
+                tokio::spawn(Arc::clone(&ordinary).send_one(*entry, number));
+                tokio::time::sleep(PAUSE).await;
+            }
+        })
+    }
+
+    async fn send_one(self: Arc<Self>, entry: SocketAddr, number: usize) {
+        let at = Instant::now();
+        let path = format!("/safe/{}", number % 40);
+        let answer = send(entry, &path, format!("ordinary-{number}")).await;
+        self.told.lock().unwrap().push((at, answer));
+    }
+
+    /// How many were sent later than `since`, and how many of them were answered.
+    fn served_since(&self, since: Instant) -> (usize, usize) {
+        let told = self.told.lock().unwrap();
+        let late = told.iter().filter(|(at, _)| *at > since);
+        let served = late
+            .clone()
+            .filter(|(_, answer)| is_served(answer.as_ref()));
+        (late.count(), served.count())
+    }
+
+    fn refused_as(&self, reason: &str) -> usize {
+        let told = self.told.lock().unwrap();
+        let answers = told.iter().filter_map(|(_, answer)| answer.as_ref());
+        answers.filter(|answer| answer.body == reason).count()
+    }
+}
+
+fn is_served(answer: Option<&Answer>) -> bool {
+    answer.is_some_and(|answer| answer.status == StatusCode::OK)
+}
+
+/// Entry VMs, and backend servers that end under marked requests.
+async fn start(deployment: &mut Deployment, seen: &Arc<Seen>) -> (Vec<Entry>, Vec<Fragile>) {
+    let names = ["entry-1", "entry-2", "entry-3"];
+    let entries: Vec<Entry> = names.map(|name| deployment.start_entry(name)).into();
+    let names = (1..=8).map(|number| format!("backend-{number}"));
+    let backends = names.map(|name| Fragile::start(deployment, &name, seen));
+    let backends = backends.collect();
+    deployment.submit_routes(1, 0).await;
+    for entry in &entries {
+        until_served(entry).await;
+    }
+    (entries, backends)
+}
+
+/// Stops and starts each control replica in turn, so that the leader is among them, and then
+/// replaces all entry VMs.
+async fn restart_all(deployment: &mut Deployment, entries: Vec<Entry>) -> Vec<Entry> {
+    for _ in 0..deployment.replicas.len() {
+        let settings = deployment.replicas.remove(0).stop().await;
+        deployment.replicas.push(Replica::start(settings));
+        deployment.version().await;
+    }
+    for entry in entries {
+        entry.stop().await;
+    }
+    let names = ["entry-4", "entry-5", "entry-6"];
+    let entries: Vec<Entry> = names.map(|name| deployment.start_entry(name)).into();
+    for entry in &entries {
+        until_served(entry).await;
+    }
+    entries
+}
+
+async fn until_ended(seen: &Seen, count: usize) -> Instant {
+    wait_for("backend servers that ended", async || seen.end(count))
+        .await
+        .unwrap()
+}
+
+/// Symptom: one caller's request takes two services down; whoever stands on the backend servers
+/// that end with it loses theirs too. Sequence: a backend server ends when it begins to run the
+/// request, which is sent to a second one at once; that one ends, and the caller is told that the
+/// connection was lost. It sends the same request again, at another entry VM.
+#[tokio::test(flavor = "multi_thread")]
+async fn test_poison_request_ends_few_backend_servers() {
+    let seen = Arc::new(Seen::default());
+    let mut deployment = Deployment::start(3);
+    let (entries, _backends) = start(&mut deployment, &seen).await;
+    let ordinary = Arc::new(Ordinary::default());
+    let sending = ordinary.send_on(addresses(&entries));
+    let coming = come_again(addresses(&entries));
+    let bound = until_ended(&seen, ENDS).await + KNOWN_WITHIN;
+    tokio::time::sleep_until((bound + COMES_AGAIN_FOR).into()).await;
+    coming.abort();
+    sending.abort();
+    let tries = seen.tries_since(bound);
+    assert!(
+        tries <= LATE_TRIES,
+        "{tries} tries later than {KNOWN_WITHIN:?} after {ENDS} had ended; {} ended in all",
+        seen.ends()
+    );
+    let (sent, served) = ordinary.served_since(bound);
+    assert!(served * 100 >= sent * 95, "{served} of {sent} served");
+    assert_eq!(ordinary.refused_as("quarantined"), 0);
+}
+
+/// Symptom: a request that was refused for what it does ends backend servers again. Sequence:
+/// control replicas and entry VMs are restarted in turn while it comes. Cause: what is known of
+/// it lived in processes alone.
+#[tokio::test(flavor = "multi_thread")]
+async fn test_poison_request_is_known_after_restarts() {
+    let seen = Arc::new(Seen::default());
+    let mut deployment = Deployment::start(3);
+    let (entries, _backends) = start(&mut deployment, &seen).await;
+    let coming = come_again(addresses(&entries));
+    let bound = until_ended(&seen, ENDS).await + KNOWN_WITHIN;
+    tokio::time::sleep_until(bound.into()).await;
+    coming.abort();
+    let entries = restart_all(&mut deployment, entries).await;
+    let coming = come_again(addresses(&entries));
+    tokio::time::sleep(COMES_AGAIN_FOR).await;
+    coming.abort();
+    let tries = seen.tries_since(bound);
+    assert!(
+        tries <= LATE_TRIES,
+        "{tries} tries after all were restarted; {} ended in all",
+        seen.ends()
+    );
+}
+
+/// A caller whose request has the path and body of one that ends backend servers isn't refused
+/// for it: only the caller that sent that one is.
+#[tokio::test(flavor = "multi_thread")]
+async fn test_poison_request_of_one_caller_refuses_no_other() {
+    let seen = Arc::new(Seen::default());
+    let mut deployment = Deployment::start(3);
+    let (entries, _backends) = start(&mut deployment, &seen).await;
+    let coming = come_again(addresses(&entries));
+    let bound = until_ended(&seen, ENDS).await + KNOWN_WITHIN;
+    tokio::time::sleep_until(bound.into()).await;
+    coming.abort();
+    let entry = addresses(&entries)[0];
+    let refused = send(entry, MARKED, "same-caller".to_owned()).await.unwrap();
+    assert_eq!(refused.body, "quarantined");
+    assert_eq!(refused.status, StatusCode::SERVICE_UNAVAILABLE);
+    let other = deployment.block.next_vm();
+    let told = send_from(other, entry, MARKED, "other-caller".to_owned()).await;
+    assert!(told.is_some_and(|answer| answer.body != "quarantined"));
+}
