--- a/cli/src/commands/mod.rs
+++ b/cli/src/commands/mod.rs
@@ -15,6 +15,7 @@
 mod explain_logs;
 mod manifest;
 mod manifest_submit;
+mod quarantine;
 mod schema;
 mod status;
 mod version;
@@ -64,6 +65,10 @@
         command: explain::command,
         run: explain::run,
     },
+    Subcommand {
+        command: quarantine::command,
+        run: quarantine::run,
+    },
     Subcommand {
         command: audit::command,
         run: audit::run,
--- a/cli/tests/test_cli_help.rs
+++ b/cli/tests/test_cli_help.rs
@@ -29,6 +29,7 @@
     test_cli_help_manifest_diff: "manifest" "diff";
     test_cli_help_status: "status";
     test_cli_help_explain: "explain";
+    test_cli_help_quarantine: "quarantine";
     test_cli_help_audit: "audit";
     test_cli_help_schema: "schema";
     test_cli_help_completions: "completions";
--- a/lib/src/audit.rs
+++ b/lib/src/audit.rs
@@ -8,6 +8,7 @@
 use serde_json::json;
 
 use crate::command::MembershipChange;
+use crate::id::BackendName;
 use crate::id::ContentDigest;
 use crate::id::ManifestVersion;
 use crate::id::PlaceName;
@@ -15,6 +16,7 @@
 use crate::id::Revision;
 use crate::id::SessionId;
 use crate::id::VmName;
+use crate::request_fingerprint::Fingerprint;
 
 /// Number of records kept; the oldest give way.
 pub const AUDIT_CAPACITY: usize = 10_000;
@@ -116,6 +118,13 @@
         /// Whether nothing is sent there from now on.
         evacuated: bool,
     },
+    /// A request was put in quarantine or let out of it.
+    Quarantine {
+        /// The request.
+        request: Fingerprint,
+        /// The backend servers that ended under it; none where it was let out.
+        ended: Vec<BackendName>,
+    },
 }
 
 impl AuditEvent {
@@ -164,6 +173,10 @@
                 "what": "evacuation", "result": if *evacuated { "begun" } else { "ended" },
                 "place": place,
             }),
+            Self::Quarantine { request, ended } => json!({
+                "what": "quarantine", "result": if ended.is_empty() { "ended" } else { "begun" },
+                "request": request.to_string(), "ended": ended,
+            }),
         }
     }
 }
--- a/lib/src/control_state.rs
+++ b/lib/src/control_state.rs
@@ -28,6 +28,7 @@
 use crate::manifest_delta::DeltaError;
 use crate::manifest_delta::ManifestDelta;
 use crate::manifest_delta::encode_manifest;
+use crate::quarantine::Quarantine;
 use crate::raft_message::Membership;
 use crate::submission_history::SubmissionAnswer;
 use crate::submission_history::SubmissionHistory;
@@ -41,7 +42,10 @@
 use crate::view_log::ViewLog;
 
 /// Numbers the encoding of snapshots.
-const SNAPSHOT_FORMAT: u8 = 4;
+const SNAPSHOT_FORMAT: u8 = 5;
+
+/// The format before, which has nothing of suspected requests.
+const SNAPSHOT_WITHOUT_SUSPECTS: u8 = 4;
 
 /// Names operators that don't say who they are in the audit trail.
 const OPERATOR: &str = "operator";
@@ -312,13 +316,30 @@
     }
 
     fn change_fleet(&mut self, command: &FleetCommand) -> Applied {
+        let before = Arc::clone(self.fleet.quarantine());
         let answer = command.apply(self.revision, Arc::make_mut(&mut self.fleet));
+        self.record_quarantine(command, &before);
         if let Some(event) = fleet_event(command, answer.as_ref()) {
             self.record(OPERATOR, event);
         }
         unchanged(answer.map_or(Response::Done, Response::Routes))
     }
 
+    /// Records which requests are in quarantine since a command, and which no more.
+    fn record_quarantine(&mut self, command: &FleetCommand, before: &Quarantine) {
+        let after = Arc::clone(self.fleet.quarantine());
+        if after.revision() == before.revision() {
+            return;
+        }
+        let who = match command {
+            FleetCommand::LiftSuspect(_) => OPERATOR,
+            _ => CONTROL,
+        };
+        for event in quarantine_events(before, &after) {
+            self.record(who, event);
+        }
+    }
+
     fn record(&mut self, who: &str, event: AuditEvent) {
         self.audit.push(self.revision, self.wall_ms, who, event);
     }
@@ -397,7 +418,8 @@
     ///
     /// Returns an error if serialization fails.
     pub fn encode_snapshot(&self) -> Result<Vec<u8>, ControlStateError> {
-        encoding::encode(SNAPSHOT_FORMAT, self).context(SnapshotSnafu)
+        let content = (self, &**self.fleet.quarantine());
+        encoding::encode(SNAPSHOT_FORMAT, &content).context(SnapshotSnafu)
     }
 
     /// Decodes the state of a snapshot.
@@ -406,7 +428,13 @@
     ///
     /// Returns an error if the bytes aren't a state of a known format.
     pub fn decode_snapshot(encoded: &[u8]) -> Result<Self, ControlStateError> {
-        encoding::decode(SNAPSHOT_FORMAT, encoded).context(SnapshotSnafu)
+        if encoded.first() == Some(&SNAPSHOT_WITHOUT_SUSPECTS) {
+            return encoding::decode(SNAPSHOT_WITHOUT_SUSPECTS, encoded).context(SnapshotSnafu);
+        }
+        let (mut state, quarantine): (Self, Quarantine) =
+            encoding::decode(SNAPSHOT_FORMAT, encoded).context(SnapshotSnafu)?;
+        Arc::make_mut(&mut state.fleet).restore_quarantine(quarantine);
+        Ok(state)
     }
 }
 
@@ -434,6 +462,28 @@
     }
 }
 
+fn quarantine_events(before: &Quarantine, after: &Quarantine) -> Vec<AuditEvent> {
+    let begun = after
+        .quarantined()
+        .filter(|(request, _)| !before.holds(request));
+    let begun = begun.map(|(request, suspect)| AuditEvent::Quarantine {
+        request: *request,
+        ended: suspect
+            .ended
+            .iter()
+            .map(|life| life.backend.clone())
+            .collect(),
+    });
+    let ended = before
+        .quarantined()
+        .filter(|(request, _)| !after.holds(request));
+    let ended = ended.map(|(request, _)| AuditEvent::Quarantine {
+        request: *request,
+        ended: Vec::new(),
+    });
+    begun.chain(ended).collect()
+}
+
 const fn answered(answer: SubmissionAnswer) -> Applied {
     unchanged(Response::Submission(answer))
 }
--- a/lib/src/explanation.rs
+++ b/lib/src/explanation.rs
@@ -156,6 +156,10 @@
         NotRunReason::TooManyHops => "a request is forwarded a bounded number of times",
         NotRunReason::BackendUnreachable => "no connection to the backend server could be had",
         NotRunReason::BackendRefused => "the backend server refused before running",
+        NotRunReason::Quarantined => {
+            "backend servers ended one after the other while they ran this request; `heatherring \
+             quarantine` lists it and lifts it"
+        }
         NotRunReason::Cancelled => "the caller went away",
         NotRunReason::KeyMissing => "an operation that isn't idempotent needs Idempotency-Key",
         NotRunReason::KeyMalformed => "a key is a ticket, a full stop and a random part",
--- a/lib/src/fleet_command.rs
+++ b/lib/src/fleet_command.rs
@@ -11,6 +11,8 @@
 use crate::id::PlaceName;
 use crate::id::Revision;
 use crate::id::VmName;
+use crate::quarantine::SuspectNote;
+use crate::request_fingerprint::Fingerprint;
 use crate::route_manifest::RouteChange;
 
 /// Tells what is to be done.
@@ -45,6 +47,13 @@
         /// The life that wasn't heard of.
         life: u64,
     },
+    /// Takes in what entry VMs saw of requests that may end backend servers.
+    NoteSuspects(Vec<SuspectNote>),
+    /// Lets suspected requests go one step, unless they were heard of later than at the
+    /// positions named.
+    ReleaseSuspects(Vec<(Fingerprint, Revision)>),
+    /// Forgets a suspected request by order of an operator.
+    LiftSuspect(Fingerprint),
 }
 
 impl FleetCommand {
@@ -60,6 +69,9 @@
             Self::ForgetBackends(lives) => state.forget_backends(index, lives),
             Self::EnrollEntry { vm, record } => state.enroll_entry(index, vm, record),
             Self::ForgetEntry { vm, life } => state.forget_entry(index, vm, *life),
+            Self::NoteSuspects(notes) => state.note_suspects(index, notes),
+            Self::ReleaseSuspects(requests) => state.release_suspects(index, requests),
+            Self::LiftSuspect(request) => state.lift_suspect(index, request),
         }
         None
     }
--- a/lib/src/fleet_record.rs
+++ b/lib/src/fleet_record.rs
@@ -150,7 +150,7 @@
 }
 
 /// Names one life of a backend server.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[derive(Clone, Debug, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
 pub struct BackendLife {
     /// The backend server.
     pub backend: BackendName,
--- a/lib/src/fleet_state.rs
+++ b/lib/src/fleet_state.rs
@@ -28,6 +28,9 @@
 use crate::id::RouteName;
 use crate::id::ServiceName;
 use crate::id::VmName;
+use crate::quarantine::Quarantine;
+use crate::quarantine::SuspectNote;
+use crate::request_fingerprint::Fingerprint;
 use crate::route_check;
 use crate::route_check::RouteProblem;
 use crate::route_manifest::RouteChange;
@@ -88,6 +91,10 @@
     /// The last position whose removals were dropped from `removed`.
     forgotten: Revision,
     withdrawn: VecDeque<BackendLife>,
+    /// Numbered by itself: what is noted of suspected requests is no news to entry VMs unless
+    /// it changes a verdict. Snapshots hold it beside the state.
+    #[serde(skip)]
+    quarantine: Arc<Quarantine>,
 }
 
 impl FleetState {
@@ -322,6 +329,45 @@
         self.touch(index);
     }
 
+    /// Returns the requests that are suspected of ending backend servers.
+    #[must_use]
+    pub const fn quarantine(&self) -> &Arc<Quarantine> {
+        &self.quarantine
+    }
+
+    /// Puts back what a snapshot holds of suspected requests.
+    pub(crate) fn restore_quarantine(&mut self, quarantine: Quarantine) {
+        self.quarantine = Arc::new(quarantine);
+    }
+
+    /// Takes in what entry VMs saw of requests. The end of a backend server that said that it
+    /// leaves is evidence against none.
+    pub fn note_suspects(&mut self, index: Revision, notes: &[SuspectNote]) {
+        let counts = |note: &&SuspectNote| match note {
+            SuspectNote::Ended { life, .. } => !self.has_left(life),
+            SuspectNote::Answered(_) | SuspectNote::Refused(_) => true,
+        };
+        let notes: Vec<SuspectNote> = notes.iter().filter(counts).cloned().collect();
+        Arc::make_mut(&mut self.quarantine).note(index, &notes);
+    }
+
+    fn has_left(&self, life: &BackendLife) -> bool {
+        let drains = self.backend(&life.backend).is_some_and(|record| {
+            record.born == life.born && record.state == BackendState::Draining
+        });
+        drains || self.has_withdrawn(&life.backend, life.born)
+    }
+
+    /// Lets suspected requests go one step.
+    pub fn release_suspects(&mut self, index: Revision, requests: &[(Fingerprint, Revision)]) {
+        Arc::make_mut(&mut self.quarantine).release(index, requests);
+    }
+
+    /// Forgets a suspected request.
+    pub fn lift_suspect(&mut self, index: Revision, request: &Fingerprint) {
+        Arc::make_mut(&mut self.quarantine).lift(index, request);
+    }
+
     fn note_removed(&mut self, index: Revision, value: RemovedItem) {
         let revision = index;
         self.removed.push_back(Stamped { revision, value });
--- a/lib/src/outcome.rs
+++ b/lib/src/outcome.rs
@@ -102,6 +102,8 @@
         BackendMisdirected "backend_misdirected" 503,
         /// The budget of resends is used up.
         NoResend "no_resend" 503,
+        /// Backend servers have ended under the request, one after the other.
+        Quarantined "quarantined" 503,
         /// The caller went away before the request was sent on.
         Cancelled "cancelled" 503,
         /// An action came without an idempotency key.
--- a/server/src/backend_pool.rs
+++ b/server/src/backend_pool.rs
@@ -10,6 +10,7 @@
 //! connection whose answer was read to its last byte can come back.
 
 use std::collections::HashMap;
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::time::Duration;
 use std::time::Instant;
@@ -94,6 +95,14 @@
     _driver: AbortOnDropHandle<()>,
 }
 
+impl ConnectError {
+    /// Returns whether nobody listens at the address, as far as the system there says.
+    #[must_use]
+    pub fn is_refused(&self) -> bool {
+        matches!(self, Self::Connect { source, .. } if source.kind() == ErrorKind::ConnectionRefused)
+    }
+}
+
 impl BackendConnection {
     /// Returns the side that sends requests.
     pub fn sender(&mut self) -> &mut SendRequest<Full<Bytes>> {
@@ -139,6 +148,7 @@
     Checkout {
         address: SocketAddr,
         limit: u32,
+        fresh: bool,
         reply: oneshot::Sender<Checkout>,
     },
     Return(BackendConnection, Duration),
@@ -191,7 +201,7 @@
         timeout: Duration,
     ) -> Result<BackendConnection, ConnectError> {
         loop {
-            match self.check_out(address, limit).await? {
+            match self.check_out(address, limit, false).await? {
                 Checkout::Reuse(mut connection) => {
                     // The driver may not have seen the end of the last exchange yet.
                     if connection.sender.ready().await.is_ok() {
@@ -204,6 +214,26 @@
         }
     }
 
+    /// Opens a connection though others may be idle: those of a process that has ended may not
+    /// have shown that yet.
+    ///
+    /// # Errors
+    ///
+    /// Fails like [`Self::connect`].
+    pub async fn connect_anew(
+        &self,
+        address: SocketAddr,
+        limit: u32,
+        timeout: Duration,
+    ) -> Result<BackendConnection, ConnectError> {
+        match self.check_out(address, limit, true).await? {
+            Checkout::Connect(permit) => open(permit, timeout).await,
+            Checkout::Reuse(_) | Checkout::LimitReached => {
+                LimitReachedSnafu { address, limit }.fail()
+            }
+        }
+    }
+
     /// Gives a connection back whose answer was read to its last byte.
     pub fn give_back(&self, connection: BackendConnection) {
         self.give_back_for(connection, MAX_IDLE);
@@ -222,11 +252,17 @@
         let _ = self.tx.send(PoolMessage::Disconnect(address));
     }
 
-    async fn check_out(&self, address: SocketAddr, limit: u32) -> Result<Checkout, ConnectError> {
+    async fn check_out(
+        &self,
+        address: SocketAddr,
+        limit: u32,
+        fresh: bool,
+    ) -> Result<Checkout, ConnectError> {
         let (reply, answer) = oneshot::channel();
         let message = PoolMessage::Checkout {
             address,
             limit,
+            fresh,
             reply,
         };
         self.tx.send(message).ok().ok_or(ConnectError::PoolGone)?;
@@ -328,18 +364,25 @@
             PoolMessage::Checkout {
                 address,
                 limit,
+                fresh,
                 reply,
-            } => self.check_out(address, limit, reply),
+            } => self.check_out(address, limit, fresh, reply),
             PoolMessage::Return(connection, keep) => self.take_back(connection, keep),
             PoolMessage::Closed(address) => self.note_closed(address),
             PoolMessage::Disconnect(address) => self.disconnect(address),
         }
     }
 
-    fn check_out(&mut self, address: SocketAddr, limit: u32, reply: oneshot::Sender<Checkout>) {
+    fn check_out(
+        &mut self,
+        address: SocketAddr,
+        limit: u32,
+        fresh: bool,
+        reply: oneshot::Sender<Checkout>,
+    ) {
         let now = Instant::now();
         let server = self.servers.entry(address).or_default();
-        while let Some(idle) = server.idle.pop() {
+        while !fresh && let Some(idle) = server.idle.pop() {
             if idle.is_usable(now) {
                 // A requester that has gone drops, and so closes, the connection.
                 let _ = reply.send(Checkout::Reuse(idle.connection));
--- a/server/src/control_process.rs
+++ b/server/src/control_process.rs
@@ -51,6 +51,7 @@
 use crate::proto::operator_server::OperatorServer;
 use crate::proto::replication_server::ReplicationServer;
 use crate::proto::session_server::SessionServer;
+use crate::quarantine_keeper::QuarantineKeeper;
 use crate::replication_service::ReplicationService;
 use crate::session_service::SessionService;
 use crate::shutdown::Shutdown;
@@ -314,6 +315,8 @@
         node: node.clone(),
         channels: channels.clone(),
     });
+    let keeper = QuarantineKeeper::new(Arc::clone(clock), picture.clone(), node.clone());
+    tokio::spawn(keeper.run());
     FleetControl::new(
         Arc::clone(clock),
         settings.direct.clone(),
--- /dev/null
+++ b/server/src/crash_watch.rs
@@ -0,0 +1,326 @@
+//! Finds out under which requests backend servers end, and tells control.
+//!
+//! The decisions are those of [`CrashEvidence`]. A request that breaks is followed by one new
+//! connection to its backend server: that it is refused is proof within a round trip.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::time::Duration;
+
+use heatherring_lib::clock::Clock;
+use heatherring_lib::crash_evidence::CrashEvidence;
+use heatherring_lib::crash_evidence::Ended;
+use heatherring_lib::dispatch_ask::Choice;
+use heatherring_lib::fleet_record::BackendLife;
+use heatherring_lib::fleet_update::FleetView;
+use heatherring_lib::id::VmName;
+use heatherring_lib::quarantine::SuspectNote;
+use heatherring_lib::quarantine::Verdict;
+use heatherring_lib::request_fingerprint::Fingerprint;
+use heatherring_lib::request_fingerprint::FingerprintKey;
+use heatherring_lib::request_fingerprint::RequestContent;
+use tokio::sync::mpsc;
+use tokio::sync::watch;
+use tonic::transport::Channel;
+
+use crate::backend_pool::BackendPool;
+use crate::metric;
+use crate::proto::NoteSuspectsRequest;
+use crate::proto::fleet_client::FleetClient;
+
+/// Time for which a connection is waited for: a way to another region and back, and a busy
+/// moment.
+const CONNECT_WITHIN: Duration = Duration::from_millis(400);
+
+/// Notes that wait for control at most.
+const MOST_NOTES: usize = 1_024;
+
+/// Notes that are told together at most.
+const MOST_TOGETHER: usize = 128;
+
+/// Time for which notes are gathered: what stood on one backend server breaks together.
+const GATHER_FOR: Duration = Duration::from_millis(50);
+
+/// Time for which the answer of a replica is awaited; it may have to ask the leader.
+const ANSWER_WITHIN: Duration = Duration::from_secs(2);
+
+/// Pause before notes are told again that weren't confirmed.
+const AGAIN_PAUSE: Duration = Duration::from_millis(100);
+
+/// Tries to tell notes; together with the time of an answer longer than an election.
+const MOST_TRIES: usize = 20;
+
+/// Fingerprints that a log line names at most.
+const MOST_NAMED: usize = 8;
+
+/// Reaches what an entry VM knows of requests that may end backend servers.
+#[derive(Clone, Debug)]
+pub struct CrashWatch {
+    inner: Arc<Inner>,
+}
+
+#[derive(Debug)]
+struct Inner {
+    clock: Arc<dyn Clock>,
+    pool: BackendPool,
+    state: Mutex<State>,
+    notes: mpsc::Sender<SuspectNote>,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    key: FingerprintKey,
+    view: Arc<FleetView>,
+    evidence: CrashEvidence,
+    /// Backend servers that are being connected to.
+    asked: BTreeSet<BackendLife>,
+}
+
+impl CrashWatch {
+    /// Creates the watch, and the task's part that tells control.
+    #[must_use]
+    pub fn new(vm: VmName, clock: Arc<dyn Clock>, pool: BackendPool) -> (Self, SuspectReporter) {
+        let (notes, rx) = mpsc::channel(MOST_NOTES);
+        let inner = Inner {
+            clock,
+            pool,
+            state: Mutex::default(),
+            notes,
+        };
+        let watch = Self {
+            inner: Arc::new(inner),
+        };
+        (watch, SuspectReporter { vm, rx })
+    }
+
+    /// Takes the key that all entry VMs of the cluster use.
+    pub fn set_key(&self, key: FingerprintKey) {
+        self.state().key = key;
+    }
+
+    /// Takes control's verdicts in.
+    pub fn apply_verdicts(&self, verdicts: BTreeMap<Fingerprint, Verdict>) {
+        log::info!(event = "verdicts_applied", count = verdicts.len(); "control says which requests are suspected");
+        self.state().evidence.apply_verdicts(verdicts);
+    }
+
+    /// Follows a view of the fleet, by which backend servers may have ended.
+    pub fn apply_view(&self, view: &Arc<FleetView>) {
+        let now = self.inner.clock.now();
+        let mut state = self.state();
+        state.view = Arc::clone(view);
+        let ended = state.evidence.apply_view(now, view);
+        drop(state);
+        for ended in ended {
+            self.tell_ended(ended);
+        }
+    }
+
+    /// Returns the fingerprint of a request.
+    #[must_use]
+    pub fn fingerprint(&self, content: &RequestContent<'_>) -> Fingerprint {
+        let key = self.state().key;
+        Fingerprint::of(&key, content)
+    }
+
+    /// Returns how a request is to be treated.
+    #[must_use]
+    pub fn verdict(&self, request: &Fingerprint) -> Option<Verdict> {
+        self.state().evidence.verdict(request)
+    }
+
+    /// Notes that a quarantined request was refused.
+    pub fn note_refused(&self, request: Fingerprint) {
+        let now = self.inner.clock.now();
+        let note = self.state().evidence.note_refused(now, request);
+        self.tell(note);
+    }
+
+    /// Follows a request that is being handed to a backend server.
+    #[must_use]
+    pub fn follow(&self, choice: &Choice, request: Fingerprint) -> FollowedRequest {
+        FollowedRequest {
+            watch: Some(self.clone()),
+            life: BackendLife {
+                backend: choice.name.clone(),
+                born: choice.born,
+            },
+            choice: choice.clone(),
+            request,
+        }
+    }
+
+    fn state(&self) -> MutexGuard<'_, State> {
+        let state = &self.inner.state;
+        state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn note_unanswered(&self, life: &BackendLife, request: Fingerprint) {
+        let now = self.inner.clock.now();
+        let mut state = self.state();
+        let view = Arc::clone(&state.view);
+        let ended = state.evidence.note_unanswered(now, &view, life, request);
+        drop(state);
+        if let Some(ended) = ended {
+            self.tell_ended(ended);
+        }
+    }
+
+    /// Connects to a backend server to see whether it has ended.
+    fn ask(&self, choice: &Choice, life: BackendLife) {
+        if !self.state().asked.insert(life.clone()) {
+            return;
+        }
+        let watch = self.clone();
+        let (address, limit) = (choice.address, choice.max_connections);
+        tokio::spawn(async move {
+            let pool = &watch.inner.pool;
+            let connected = pool.connect_anew(address, limit, CONNECT_WITHIN).await;
+            watch.state().asked.remove(&life);
+            match connected {
+                Ok(connection) => {
+                    pool.give_back(connection);
+                    let now = watch.inner.clock.now();
+                    watch.state().evidence.note_alive(now, &life);
+                }
+                Err(error) if error.is_refused() => watch.note_ended(&life),
+                // The view tells it, if it has ended.
+                Err(_) => {}
+            }
+        });
+    }
+
+    fn note_ended(&self, life: &BackendLife) {
+        let now = self.inner.clock.now();
+        let mut state = self.state();
+        let view = Arc::clone(&state.view);
+        let ended = state.evidence.note_ended(now, &view, life);
+        drop(state);
+        if let Some(ended) = ended {
+            self.tell_ended(ended);
+        }
+    }
+
+    fn tell_ended(&self, ended: Ended) {
+        let named = ended.requests.iter().take(MOST_NAMED);
+        let named: Vec<String> = named.map(Fingerprint::to_string).collect();
+        let named = named.join(", ");
+        log::warn!(event = "backend_ended", backend = ended.life.backend.as_str(), standing = ended.requests.len(), fingerprints = named.as_str(); "a backend server ended with requests on it");
+        metric::backend_ended(ended.requests.len());
+        self.tell(Some(ended.into()));
+    }
+
+    fn tell(&self, note: Option<SuspectNote>) {
+        let Some(note) = note else {
+            return;
+        };
+        if self.inner.notes.try_send(note).is_err() {
+            log::warn!(event = "suspect_note_lost"; "too much waits to be told to control");
+        }
+    }
+}
+
+/// Follows one request at one backend server. Dropped without a word, it got no answer: its
+/// caller left, or its time was over.
+#[derive(Debug)]
+pub struct FollowedRequest {
+    watch: Option<CrashWatch>,
+    life: BackendLife,
+    choice: Choice,
+    request: Fingerprint,
+}
+
+impl FollowedRequest {
+    /// Notes that the backend server didn't get it, or said that it didn't run it.
+    pub fn not_run(mut self) {
+        self.watch = None;
+    }
+
+    /// Notes that it was answered whole.
+    pub fn answered(mut self) {
+        if let Some(watch) = self.watch.take() {
+            let note = watch.state().evidence.note_answered(&self.request);
+            watch.tell(note);
+        }
+    }
+
+    /// Notes that its connection broke.
+    pub fn broken(mut self) {
+        if let Some(watch) = self.watch.take() {
+            watch.note_unanswered(&self.life, self.request);
+            watch.ask(&self.choice, self.life.clone());
+        }
+    }
+}
+
+impl Drop for FollowedRequest {
+    fn drop(&mut self) {
+        if let Some(watch) = self.watch.take() {
+            watch.note_unanswered(&self.life, self.request);
+        }
+    }
+}
+
+/// Tells control what was noted.
+#[derive(Debug)]
+pub struct SuspectReporter {
+    vm: VmName,
+    rx: mpsc::Receiver<SuspectNote>,
+}
+
+impl SuspectReporter {
+    /// Tells the replica that is followed, until the process ends.
+    pub async fn run(mut self, mut replica: watch::Receiver<Option<FleetClient<Channel>>>) {
+        while let Some(first) = self.rx.recv().await {
+            tokio::time::sleep(GATHER_FOR).await;
+            let mut notes = vec![first];
+            while notes.len() < MOST_TOGETHER
+                && let Ok(note) = self.rx.try_recv()
+            {
+                notes.push(note);
+            }
+            self.tell(&mut replica, &notes).await;
+        }
+    }
+
+    /// Tells notes until they are confirmed. Told twice they count once.
+    async fn tell(
+        &self,
+        replica: &mut watch::Receiver<Option<FleetClient<Channel>>>,
+        notes: &[SuspectNote],
+    ) {
+        let notes_encoded = match postcard::to_stdvec(notes) {
+            Ok(encoded) => encoded,
+            Err(error) => {
+                log::error!(event = "suspect_notes_unencodable", error:% = error; "control can't learn of ended backend servers");
+                return;
+            }
+        };
+        let request = NoteSuspectsRequest {
+            vm: self.vm.as_str().to_owned(),
+            notes_encoded,
+        };
+        for _ in 0..MOST_TRIES {
+            let Ok(client) = replica
+                .wait_for(Option::is_some)
+                .await
+                .map(|client| client.clone())
+            else {
+                return;
+            };
+            let Some(mut client) = client else {
+                continue;
+            };
+            let call = client.note_suspects(request.clone());
+            if let Ok(Ok(_)) = tokio::time::timeout(ANSWER_WITHIN, call).await {
+                return;
+            }
+            tokio::time::sleep(AGAIN_PAUSE).await;
+        }
+        log::warn!(event = "suspect_notes_lost", count = notes.len(); "no replica confirmed what was noted of ended backend servers");
+    }
+}
--- a/server/src/direct_path.rs
+++ b/server/src/direct_path.rs
@@ -25,6 +25,7 @@
 use heatherring_lib::outcome::Outcome;
 use heatherring_lib::outcome::Unknown;
 use heatherring_lib::outcome::Unsent;
+use heatherring_lib::request_fingerprint::RequestContent;
 use heatherring_lib::route_manifest::Route;
 use heatherring_lib::route_manifest::RouteTarget;
 use heatherring_lib::start_wait;
@@ -35,10 +36,12 @@
 use http::Response;
 use http::Uri;
 use http::header;
+use http::uri::PathAndQuery;
 use tokio::sync::watch;
 
 use crate::answer_body;
 use crate::answer_body::AnswerBody;
+use crate::crash_watch::CrashWatch;
 use crate::direct_send::DirectAnswer;
 use crate::direct_send::DirectRequest;
 use crate::direct_send::DirectSender;
@@ -102,6 +105,8 @@
     pub heard: watch::Receiver<Instant>,
     /// Picks backend servers.
     pub dispatch: DispatchHandle,
+    /// Knows which requests end backend servers.
+    pub crashes: CrashWatch,
     /// Sends to them.
     pub sender: DirectSender,
     /// Whose turn it is in each split.
@@ -131,7 +136,7 @@
         let arrived = arrival.at;
         let mut handling = Handling::new(&self.cx, arrived);
         let trace = &mut handling.trace;
-        let response = match self.cx.answer(arrived, req, trace).await {
+        let response = match self.cx.answer(&arrival, req, trace).await {
             Ok(answer) => {
                 trace.tell_answered(&self.cx.decided(arrived), answer.head.status.as_u16());
                 Response::from_parts(answer.head, answer.body)
@@ -214,16 +219,16 @@
 impl DirectContext {
     async fn answer(
         &self,
-        arrived: Instant,
+        arrival: &Arrival,
         req: Request<RequestBody>,
         trace: &mut RequestTrace,
     ) -> Result<DirectAnswer, Refused> {
-        if self.stopping.is_over_for(arrived) {
+        if self.stopping.is_over_for(arrival.at) {
             return Err(leaving().into());
         }
         let admitted = tokio::select! {
             biased;
-            admitted = self.admit(arrived, req, trace) => admitted?,
+            admitted = self.admit(arrival, req, trace) => admitted?,
             () = self.stopping.last_answers() => return Err(leaving().into()),
         };
         self.run(&admitted, trace).await
@@ -232,10 +237,11 @@
     /// Reads a request whole and finds its route and service.
     async fn admit(
         &self,
-        arrived: Instant,
+        arrival: &Arrival,
         req: Request<RequestBody>,
         trace: &mut RequestTrace,
     ) -> Result<Admitted, NotRun> {
+        let arrived = arrival.at;
         let (head, body) = req.into_parts();
         let marks = self.interface.read_request(&head.headers);
         let marks = marks.map_err(|_| refuse(NotRunReason::MalformedRequest))?;
@@ -264,14 +270,24 @@
         trace.service = Some(service.clone());
         let object = marks.object.filter(|_| route.affinity);
         let object = object.map(|object| ObjectHash::of(name.as_str(), &object));
+        let uri = origin_form(&head.uri).ok_or_else(|| refuse(NotRunReason::MalformedRequest))?;
+        let fingerprint = self.crashes.fingerprint(&RequestContent {
+            method: head.method.as_str(),
+            host: &host,
+            path: uri.path_and_query().map_or("", PathAndQuery::as_str),
+            caller: arrival.peer.ip(),
+            body: &body,
+        });
+        trace.fingerprint = Some(fingerprint);
         let mut headers = head.headers;
         remove_hop_by_hop(&mut headers);
         let req = DirectRequest {
             method: head.method,
-            uri: origin_form(&head.uri).ok_or_else(|| refuse(NotRunReason::MalformedRequest))?,
+            uri,
             headers,
             body,
             request_id: marks.request_id,
+            fingerprint,
             deadline,
             work_until,
             give_up,
--- a/server/src/direct_process.rs
+++ b/server/src/direct_process.rs
@@ -29,6 +29,7 @@
 use crate::answer_body::AnswerBody;
 use crate::backend_pool::BackendPool;
 use crate::cold_questioner::ColdQuestioner;
+use crate::crash_watch::CrashWatch;
 use crate::direct_path::DirectContext;
 use crate::direct_path::DirectHandler;
 use crate::direct_path::FIRST_VIEW_WAIT;
@@ -36,6 +37,7 @@
 use crate::dispatch_task::DispatchHandle;
 use crate::entry_directory::EntryDirectory;
 use crate::fleet_follower;
+use crate::fleet_follower::Followed;
 use crate::fleet_follower::FollowerSetup;
 use crate::http_server;
 use crate::http_server::Admittance;
@@ -132,17 +134,13 @@
     let (seeds_tx, seeds) = watch::channel(settings.control_peers());
     watch_settings(settings_file, seeds_tx);
     let (ready_tx, ready) = watch::channel(false);
-    let dispatch = DispatchHandle::spawn(dispatch_config(&settings), Arc::clone(&clock));
-    let followed = fleet_follower::spawn(FollowerSetup {
-        vm: settings.vm.clone(),
-        record: own_record(&settings),
-        places: settings.places.clone(),
-        seeds,
-        ready: ready.clone(),
-        channels: PeerChannels::new(security).leaving_from(settings.listen.callers.ip()),
-        clock: Arc::clone(&clock),
-        dispatch: dispatch.clone(),
-    });
+    let channels = PeerChannels::new(security).leaving_from(settings.listen.callers.ip());
+    let Following {
+        dispatch,
+        pool,
+        crashes,
+        followed,
+    } = Following::start(&settings, &clock, seeds, ready.clone(), channels);
     let view = followed.view.clone();
     let directory = EntryDirectory {
         vm: settings.vm.clone(),
@@ -151,7 +149,6 @@
         out_of_service: followed.out_of_service,
         keep: Duration::from_millis(settings.look_up_ms.into()),
     };
-    let pool = BackendPool::spawn();
     let questioner = ColdQuestioner {
         clock: Arc::clone(&clock),
         dispatch: dispatch.clone(),
@@ -165,6 +162,7 @@
         Arc::clone(&interface),
         view.clone(),
         dispatch.clone(),
+        crashes.clone(),
         stopping.clone(),
     );
     let cx = Arc::new(DirectContext {
@@ -174,6 +172,7 @@
         interface: Arc::clone(&interface),
         view: view.clone(),
         dispatch,
+        crashes,
         sender,
         turns: Mutex::new(HashMap::new()),
         stopping,
@@ -219,6 +218,47 @@
     Ok(())
 }
 
+/// Holds the tasks that follow control and backend servers.
+struct Following {
+    dispatch: DispatchHandle,
+    pool: BackendPool,
+    crashes: CrashWatch,
+    followed: Followed,
+}
+
+impl Following {
+    fn start(
+        settings: &DirectSettings,
+        clock: &Arc<dyn Clock>,
+        seeds: watch::Receiver<Vec<SocketAddr>>,
+        ready: watch::Receiver<bool>,
+        channels: PeerChannels,
+    ) -> Self {
+        let dispatch = DispatchHandle::spawn(dispatch_config(settings), Arc::clone(clock));
+        let pool = BackendPool::spawn();
+        let vm = settings.vm.clone();
+        let (crashes, reporter) = CrashWatch::new(vm.clone(), Arc::clone(clock), pool.clone());
+        let followed = fleet_follower::spawn(FollowerSetup {
+            vm,
+            record: own_record(settings),
+            places: settings.places.clone(),
+            seeds,
+            ready,
+            channels,
+            clock: Arc::clone(clock),
+            dispatch: dispatch.clone(),
+            crashes: crashes.clone(),
+        });
+        tokio::spawn(reporter.run(followed.replica.clone()));
+        Self {
+            dispatch,
+            pool,
+            crashes,
+            followed,
+        }
+    }
+}
+
 /// Holds what a planned stop is told to.
 struct Running {
     becoming_ready: JoinHandle<()>,
--- a/server/src/direct_send.rs
+++ b/server/src/direct_send.rs
@@ -20,6 +20,7 @@
 use heatherring_lib::outcome::Refusal;
 use heatherring_lib::outcome::UnknownReason;
 use heatherring_lib::outcome::Unsent;
+use heatherring_lib::request_fingerprint::Fingerprint;
 use heatherring_lib::service_pace::PaceKey;
 use http::HeaderMap;
 use http::Method;
@@ -38,6 +39,8 @@
 use crate::answer_body::AnswerEnd;
 use crate::backend_pool::BackendConnection;
 use crate::backend_pool::BackendPool;
+use crate::crash_watch::CrashWatch;
+use crate::crash_watch::FollowedRequest;
 use crate::dispatch_task::DispatchHandle;
 use crate::header;
 use crate::header::remove_hop_by_hop;
@@ -77,6 +80,8 @@
     pub body: Bytes,
     /// Identifies the caller's attempt.
     pub request_id: Option<String>,
+    /// Names the request, whichever attempt it is.
+    pub fingerprint: Fingerprint,
     /// When an answer should have come at the latest.
     pub deadline: Instant,
     /// Until when the backend server may work on it, as it is told.
@@ -126,6 +131,7 @@
     view: watch::Receiver<Arc<FleetView>>,
     /// Told at once of connections: an answer may come a second later.
     dispatch: DispatchHandle,
+    crashes: CrashWatch,
     stopping: StopWatch,
 }
 
@@ -137,6 +143,7 @@
         interface: Arc<dyn EntryInterface>,
         view: watch::Receiver<Arc<FleetView>>,
         dispatch: DispatchHandle,
+        crashes: CrashWatch,
         stopping: StopWatch,
     ) -> Self {
         Self {
@@ -144,6 +151,7 @@
             interface,
             view,
             dispatch,
+            crashes,
             stopping,
         }
     }
@@ -206,25 +214,35 @@
     ) -> Exchange {
         let message = self.message(choice, req);
         let sent = attempt.sending();
+        let followed = self.crashes.follow(choice, req.fingerprint);
         let answering = connection.sender().try_send_request(message);
         let answering = self.in_time(req, answering);
         let answered = tokio::select! {
             answered = answering => answered,
             () = self.outlived(choice) => {
                 self.pool.disconnect(choice.address);
+                followed.broken();
                 let unknown = sent.lost(UnknownReason::ConnectionLost);
                 return Exchange::Over(Box::new(Sent::new(unknown, SendOutcome::Broken)));
             }
         };
         match answered {
             Ok(Ok(response)) => {
-                let read = self.read(choice, req, sent, response, connection).await;
-                Exchange::Over(Box::new(read))
+                let at = Answering {
+                    choice,
+                    req,
+                    sent,
+                    connection,
+                    followed,
+                };
+                Exchange::Over(Box::new(self.read(at, response).await))
             }
             Ok(Err(mut error)) => {
                 if let Some(unwritten) = error.take_message() {
+                    followed.not_run();
                     return Exchange::Unwritten(sent.handed_back(&unwritten));
                 }
+                followed.broken();
                 let unknown = sent.lost(UnknownReason::ConnectionLost);
                 Exchange::Over(Box::new(Sent::new(unknown, SendOutcome::Broken)))
             }
@@ -284,26 +302,19 @@
         message
     }
 
-    async fn read(
-        &self,
-        choice: &Choice,
-        req: &DirectRequest,
-        sent: Attempt<MayHaveRun>,
-        response: Response<Incoming>,
-        connection: BackendConnection,
-    ) -> Sent {
+    async fn read(&self, at: Answering<'_>, response: Response<Incoming>) -> Sent {
         let (head, body) = response.into_parts();
-        let marks = self.interface.read_answer(&head, req.request_id.as_deref());
+        let request_id = at.req.request_id.as_deref();
+        let marks = self.interface.read_answer(&head, request_id);
         let refused = match marks.meaning {
             AnswerMeaning::Answer => {
-                let mut sent = self
-                    .pass_on(choice, req, sent, (head, body), connection)
-                    .await;
+                let mut sent = self.pass_on(at, (head, body)).await;
                 sent.load = marks.load;
                 return sent;
             }
             AnswerMeaning::Foreign => {
-                let unknown = sent.lost(UnknownReason::ConnectionLost);
+                at.followed.broken();
+                let unknown = at.sent.lost(UnknownReason::ConnectionLost);
                 return Sent::new(unknown, SendOutcome::Broken);
             }
             AnswerMeaning::NotRun => (NotRunReason::BackendRefused, SendOutcome::Shed),
@@ -311,12 +322,13 @@
                 (NotRunReason::BackendMisdirected, SendOutcome::Misdirected)
             }
         };
+        at.followed.not_run();
         if refusal_body::read_out(body).await {
             let keep = keep_time(&head.headers);
-            self.pool.give_back_for(connection, keep);
+            self.pool.give_back_for(at.connection, keep);
         }
         let refusal = Refusal::told_by_backend_server(refused.0);
-        let mut sent = Sent::new(sent.refused(refusal), refused.1);
+        let mut sent = Sent::new(at.sent.refused(refusal), refused.1);
         sent.load = marks.load;
         sent
     }
@@ -324,12 +336,16 @@
     /// Reads a short answer whole, or begins to pass a long one on.
     async fn pass_on(
         &self,
-        choice: &Choice,
-        req: &DirectRequest,
-        sent: Attempt<MayHaveRun>,
+        at: Answering<'_>,
         (mut head, body): (response::Parts, Incoming),
-        connection: BackendConnection,
     ) -> Sent {
+        let Answering {
+            choice,
+            req,
+            sent,
+            connection,
+            followed,
+        } = at;
         let keep = keep_time(&head.headers);
         remove_hop_by_hop(&mut head.headers);
         let verdict = if head.status.is_server_error() {
@@ -345,6 +361,7 @@
             let end = Box::new(StreamEnd {
                 pool: self.pool.clone(),
                 connection,
+                followed,
                 keep,
                 dispatch: self.dispatch.clone(),
                 backend: choice.backend,
@@ -358,11 +375,13 @@
         match self.in_time(req, body.collect()).await {
             Ok(Ok(collected)) => {
                 self.pool.give_back_for(connection, keep);
+                followed.answered();
                 let body = answer_body::full(collected.to_bytes());
                 let answer = DirectAnswer { head, body };
                 Sent::new(sent.answered(answer), verdict)
             }
             Ok(Err(_)) => {
+                followed.broken();
                 let unknown = sent.lost(UnknownReason::ConnectionLost);
                 Sent::new(unknown, SendOutcome::Broken)
             }
@@ -371,6 +390,15 @@
     }
 }
 
+/// Holds what is needed to read the answer to a request.
+struct Answering<'a> {
+    choice: &'a Choice,
+    req: &'a DirectRequest,
+    sent: Attempt<MayHaveRun>,
+    connection: BackendConnection,
+    followed: FollowedRequest,
+}
+
 enum Exchange {
     Over(Box<Sent>),
     Unwritten(Attempt<Unsent>),
@@ -381,6 +409,7 @@
 struct StreamEnd {
     pool: BackendPool,
     connection: BackendConnection,
+    followed: FollowedRequest,
     keep: Duration,
     dispatch: DispatchHandle,
     backend: BackendKey,
@@ -392,11 +421,14 @@
 impl AnswerEnd for StreamEnd {
     fn whole(self: Box<Self>) {
         self.pool.give_back_for(self.connection, self.keep);
+        self.followed.answered();
         let took = self.began.elapsed();
         self.dispatch.note_streamed(self.backend, self.pace, took);
     }
 
-    fn broken(self: Box<Self>) {}
+    fn broken(self: Box<Self>) {
+        self.followed.broken();
+    }
 }
 
 /// Returns for how long a connection may be idle before it is used again.
--- a/server/src/fleet_control.rs
+++ b/server/src/fleet_control.rs
@@ -12,6 +12,7 @@
 use heatherring_lib::clock::Clock;
 use heatherring_lib::clock::unix_ms;
 use heatherring_lib::control_state::Response;
+use heatherring_lib::crash_evidence::REFUSED_INTERVAL;
 use heatherring_lib::encoding::EncodingError;
 use heatherring_lib::fleet_command::FleetCommand;
 use heatherring_lib::fleet_record::BackendChange;
@@ -27,7 +28,9 @@
 use heatherring_lib::id::RegionName;
 use heatherring_lib::id::VmName;
 use heatherring_lib::place_lookup;
+use heatherring_lib::quarantine::SuspectNote;
 use heatherring_lib::replica_choice;
+use heatherring_lib::request_fingerprint::Fingerprint;
 use heatherring_lib::route_manifest::RouteChange;
 use heatherring_lib::route_manifest::RouteManifest;
 use heatherring_lib::settings::DirectControlSettings;
@@ -127,6 +130,8 @@
     announcements: AnnouncementBatch,
     /// When each backend server that said that it is cold ceases to be.
     cold_until: Mutex<HashMap<BackendName, Instant>>,
+    /// When it was last passed on that a quarantined request still comes.
+    refused_at: Mutex<HashMap<Fingerprint, Instant>>,
 }
 
 impl FleetControl {
@@ -151,6 +156,7 @@
             presence,
             announcements,
             cold_until: Mutex::default(),
+            refused_at: Mutex::default(),
         };
         Self {
             inner: Arc::new(inner),
@@ -406,6 +412,42 @@
         self.commit(FleetCommand::Withdraw(life)).await.map(|_| ())
     }
 
+    /// Takes in what the entry VM `vm` saw of requests that may end backend servers.
+    ///
+    /// # Errors
+    ///
+    /// Fails if that isn't known to be committed. The same may be told again.
+    pub async fn note_suspects(
+        &self,
+        vm: &str,
+        mut notes: Vec<SuspectNote>,
+    ) -> Result<(), FleetError> {
+        notes.retain(|note| self.is_news(note));
+        if notes.is_empty() {
+            return Ok(());
+        }
+        log::info!(event = "suspects_noted", vm, notes = notes.len(); "an entry VM tells of requests that may end backend servers");
+        let command = FleetCommand::NoteSuspects(notes);
+        self.commit(command).await.map(|_| ())
+    }
+
+    /// Returns whether a note is worth a commit. Hundreds of entry VMs may tell that the same
+    /// quarantined request still comes.
+    fn is_news(&self, note: &SuspectNote) -> bool {
+        let SuspectNote::Refused(request) = note else {
+            return true;
+        };
+        let now = self.inner.clock.now();
+        let refused_at = &self.inner.refused_at;
+        let mut refused_at = refused_at.lock().unwrap_or_else(PoisonError::into_inner);
+        refused_at.retain(|_, at| now.saturating_duration_since(*at) < REFUSED_INTERVAL);
+        let is_news = !refused_at.contains_key(request);
+        if is_news {
+            refused_at.insert(*request, now);
+        }
+        is_news
+    }
+
     /// Returns where a backend server in `place` should announce itself from now on: at a near
     /// replica. Left to themselves, heartbeats go to the few replicas that backend servers know
     /// from their settings, two thirds of them across regions where there are three.
--- a/server/src/fleet_follower.rs
+++ b/server/src/fleet_follower.rs
@@ -26,6 +26,7 @@
 use heatherring_lib::replica_choice::ReplicaSite;
 use heatherring_lib::replica_choice::Useless;
 use heatherring_lib::replica_patience::ReplicaPatience;
+use heatherring_lib::request_fingerprint::FingerprintKey;
 use snafu::Snafu;
 use tokio::sync::watch;
 use tonic::Request;
@@ -33,6 +34,7 @@
 use tonic::Status;
 use tonic::transport::Channel;
 
+use crate::crash_watch::CrashWatch;
 use crate::dispatch_task::DispatchHandle;
 use crate::metric;
 use crate::peer_channel::PeerChannels;
@@ -92,6 +94,8 @@
     pub clock: Arc<dyn Clock>,
     /// Follows the view, too.
     pub dispatch: DispatchHandle,
+    /// Follows the view and the verdicts on requests.
+    pub crashes: CrashWatch,
 }
 
 struct Follower {
@@ -110,6 +114,9 @@
     choice: ReplicaChoice,
     patience: ReplicaPatience,
     lost_since: Option<Instant>,
+    /// Revision of the verdicts on requests that are known.
+    known_quarantine: u64,
+    replica: watch::Sender<Option<FleetClient<Channel>>>,
 }
 
 /// Shows what control said last.
@@ -121,6 +128,8 @@
     pub out_of_service: watch::Receiver<Arc<BTreeSet<VmName>>>,
     /// When control was last in reach.
     pub heard: watch::Receiver<Instant>,
+    /// The replica that is followed.
+    pub replica: watch::Receiver<Option<FleetClient<Channel>>>,
 }
 
 /// Starts the task.
@@ -129,6 +138,7 @@
     let (view, view_rx) = watch::channel(Arc::new(FleetView::default()));
     let (out_of_service, out_of_service_rx) = watch::channel(Arc::default());
     let (heard, heard_rx) = watch::channel(setup.clock.now());
+    let (replica, replica_rx) = watch::channel(None);
     let choice = ReplicaChoice::new(
         setup.vm.clone(),
         setup.record.place.clone(),
@@ -151,12 +161,15 @@
         choice,
         patience: ReplicaPatience::default(),
         lost_since: None,
+        known_quarantine: 0,
+        replica,
     };
     tokio::spawn(follower.run());
     Followed {
         view: view_rx,
         out_of_service: out_of_service_rx,
         heard: heard_rx,
+        replica: replica_rx,
     }
 }
 
@@ -172,6 +185,7 @@
             let followed = self.follow(address).await;
             // The number of the verdicts on presence is that replica's own.
             self.known_presence = 0;
+            self.replica.send_replace(None);
             if let Err(error) = followed {
                 let now = self.setup.clock.now();
                 self.choice
@@ -194,6 +208,7 @@
         let mut client = FleetClient::new(channel);
         self.patience.turn();
         self.ask_first(&mut client).await?;
+        self.replica.send_replace(Some(client.clone()));
         loop {
             if self.choice.has_nearer(address, self.setup.clock.now()) {
                 return Ok(());
@@ -230,6 +245,9 @@
         if !reply.current {
             return Err(FollowError::NotCurrent);
         }
+        if let Some(key) = FingerprintKey::from_bytes(&reply.fingerprint_key) {
+            self.setup.crashes.set_key(key);
+        }
         self.patience.note_answer();
         Ok(())
     }
@@ -258,6 +276,7 @@
             wait_ms: u32::try_from(self.patience.hold().as_millis()).unwrap_or(u32::MAX),
             known_replicas: self.known_replicas,
             list_only: false,
+            known_quarantine: self.known_quarantine,
         }
     }
 
@@ -268,7 +287,7 @@
         }
         self.note_regained(address);
         self.learn(reply)?;
-        let mut is_news = false;
+        let mut is_news = self.apply_verdicts(reply)?;
         if !reply.update_encoded.is_empty() {
             self.apply(&reply.update_encoded)?;
             is_news = true;
@@ -282,6 +301,18 @@
         Ok(is_news)
     }
 
+    /// Takes over the verdicts on requests, before the view: an entry VM that has just started
+    /// sends nothing without one.
+    fn apply_verdicts(&mut self, reply: &FollowReply) -> Result<bool, FollowError> {
+        if reply.quarantine_revision <= self.known_quarantine {
+            return Ok(false);
+        }
+        let verdicts = decode(&reply.verdicts_encoded)?;
+        self.setup.crashes.apply_verdicts(verdicts);
+        self.known_quarantine = reply.quarantine_revision;
+        Ok(true)
+    }
+
     fn apply_absent(&mut self, number: u64, update: SetUpdate<Absent>) {
         self.known_presence = number;
         update.apply_to(&mut self.absent);
@@ -309,6 +340,7 @@
         metric::view(view.version.0, view.revision.0);
         let view = Arc::new(view);
         self.setup.dispatch.apply_view(Arc::clone(&view));
+        self.setup.crashes.apply_view(&view);
         self.view.send_replace(view);
         Ok(())
     }
--- a/server/src/fleet_service.rs
+++ b/server/src/fleet_service.rs
@@ -14,6 +14,7 @@
 use heatherring_lib::raft_message::ReplicaInfo;
 use heatherring_lib::rendezvous;
 use heatherring_lib::replica_choice::ReplicaSite;
+use heatherring_lib::request_fingerprint::FingerprintKey;
 use tonic::Request;
 use tonic::Response;
 use tonic::Status;
@@ -27,6 +28,8 @@
 use crate::proto::AdmitRequest;
 use crate::proto::FollowReply;
 use crate::proto::FollowRequest;
+use crate::proto::NoteSuspectsReply;
+use crate::proto::NoteSuspectsRequest;
 use crate::proto::ProposeReply;
 use crate::proto::ProposeRequest;
 use crate::proto::ReadRoutesReply;
@@ -83,7 +86,9 @@
         let news = async {
             loop {
                 let verdicts = presence.view().number();
-                let is_new = picture.read().fleet.revision() > applied
+                let fleet = picture.read().fleet;
+                let is_new = fleet.revision() > applied
+                    || fleet.quarantine().revision().0 > request.known_quarantine
                     || (verdicts != 0 && verdicts != request.known_presence);
                 if is_new {
                     return;
@@ -122,6 +127,13 @@
                 None => return Ok(FollowReply::default()),
             },
         };
+        let quarantine = picture.fleet.quarantine();
+        let quarantine_revision = quarantine.revision().0;
+        let verdicts = match quarantine_revision.cmp(&request.known_quarantine) {
+            Ordering::Less => return Ok(FollowReply::default()),
+            Ordering::Equal => None,
+            Ordering::Greater => Some(quarantine.verdicts()),
+        };
         let presence = self.control.presence().view();
         let absent = presence
             .absent
@@ -133,6 +145,8 @@
             update_encoded,
             presence_number: presence.number(),
             absent_encoded: absent.as_ref().map_or(Ok(Vec::new()), encode)?,
+            quarantine_revision,
+            verdicts_encoded: verdicts.as_ref().map_or(Ok(Vec::new()), encode)?,
             ..self.list_replicas(request)?
         })
     }
@@ -194,7 +208,11 @@
     ) -> Result<Response<FollowReply>, Status> {
         let request = request.into_inner();
         if request.list_only {
-            return Ok(Response::new(self.list_replicas(&request)?));
+            let key = FingerprintKey::of_cluster(self.cluster);
+            return Ok(Response::new(FollowReply {
+                fingerprint_key: key.as_bytes().to_vec(),
+                ..self.list_replicas(&request)?
+            }));
         }
         let record: EntryRecord = decode(&request.record_encoded)?;
         let vm = VmName::new(request.vm.as_str());
@@ -243,6 +261,17 @@
         Ok(Response::new(ReportReply { known }))
     }
 
+    async fn note_suspects(
+        &self,
+        request: Request<NoteSuspectsRequest>,
+    ) -> Result<Response<NoteSuspectsReply>, Status> {
+        let request = request.into_inner();
+        let notes = decode(&request.notes_encoded)?;
+        let committed = self.control.note_suspects(&request.vm, notes).await;
+        committed.map_err(|error| Status::unavailable(error.to_string()))?;
+        Ok(Response::new(NoteSuspectsReply {}))
+    }
+
     async fn admit(&self, request: Request<AdmitRequest>) -> Result<Response<AdmitReply>, Status> {
         let passed_on = is_passed_on(request.metadata());
         let request = request.into_inner();
--- a/server/src/metric.rs
+++ b/server/src/metric.rs
@@ -91,6 +91,22 @@
     counter!("heatherring_resends_total", "result" => result).increment(1);
 }
 
+/// Counts a backend server that ended with requests on it.
+pub fn backend_ended(standing: usize) {
+    counter!("heatherring_backends_ended_total").increment(1);
+    counter!("heatherring_requests_on_ended_backends_total")
+        .increment(u64::try_from(standing).unwrap_or(u64::MAX));
+}
+
+/// Shows how many requests are suspected of ending backend servers, and how many of these are
+/// in quarantine.
+pub fn suspects(suspected: usize, quarantined: usize) {
+    #[expect(clippy::cast_precision_loss, reason = "counts far below 2^52")]
+    let (suspected, quarantined) = (suspected as f64, quarantined as f64);
+    gauge!("heatherring_requests_suspected").set(suspected);
+    gauge!("heatherring_requests_quarantined").set(quarantined);
+}
+
 /// Shows the view of the fleet that is in force here.
 pub fn view(version: u64, revision: u64) {
     #[expect(clippy::cast_precision_loss, reason = "counts far below 2^52")]
--- a/server/src/operator_client.rs
+++ b/server/src/operator_client.rs
@@ -25,6 +25,10 @@
 use crate::proto::ChangeMembershipRequest;
 use crate::proto::HistoryReply;
 use crate::proto::HistoryRequest;
+use crate::proto::LiftQuarantineReply;
+use crate::proto::LiftQuarantineRequest;
+use crate::proto::QuarantineReply;
+use crate::proto::QuarantineRequest;
 use crate::proto::ShowReply;
 use crate::proto::ShowRequest;
 use crate::proto::StatusReply;
@@ -261,6 +265,29 @@
         }
     }
 
+    /// Fetches the requests that are suspected of ending backend servers.
+    ///
+    /// # Errors
+    ///
+    /// Fails if no replica gave a final answer.
+    pub async fn quarantine(&self) -> Result<QuarantineReply, OperatorClientError> {
+        self.read(async |mut client| client.quarantine(QuarantineRequest {}).await)
+            .await
+    }
+
+    /// Has a request forgotten that is suspected of it, by its fingerprint.
+    ///
+    /// # Errors
+    ///
+    /// Fails if no replica gave a final answer.
+    pub async fn lift_quarantine(
+        &self,
+        request: &LiftQuarantineRequest,
+    ) -> Result<LiftQuarantineReply, OperatorClientError> {
+        self.read(async |mut client| client.lift_quarantine(request.clone()).await)
+            .await
+    }
+
     /// Asks for a change of the control replicas.
     ///
     /// # Errors
--- a/server/src/operator_service.rs
+++ b/server/src/operator_service.rs
@@ -4,10 +4,13 @@
 use heatherring_lib::command::CommandKind;
 use heatherring_lib::command::Submission;
 use heatherring_lib::control_state::ControlState;
+use heatherring_lib::fleet_command::FleetCommand;
 use heatherring_lib::id::ClusterId;
 use heatherring_lib::id::ManifestVersion;
 use heatherring_lib::id::Revision;
 use heatherring_lib::manifest_text::read_manifest;
+use heatherring_lib::quarantine::Verdict;
+use heatherring_lib::request_fingerprint::Fingerprint;
 use heatherring_lib::submission_history::AcceptedManifest;
 use tonic::Request;
 use tonic::Response;
@@ -29,13 +32,18 @@
 use crate::proto::ChangeMembershipRequest;
 use crate::proto::HistoryReply;
 use crate::proto::HistoryRequest;
+use crate::proto::LiftQuarantineReply;
+use crate::proto::LiftQuarantineRequest;
 use crate::proto::ManifestRecord;
+use crate::proto::QuarantineReply;
+use crate::proto::QuarantineRequest;
 use crate::proto::ShowReply;
 use crate::proto::ShowRequest;
 use crate::proto::StatusReply;
 use crate::proto::StatusRequest;
 use crate::proto::SubmitReply;
 use crate::proto::SubmitRequest;
+use crate::proto::SuspectStatus;
 use crate::proto::operator_server::Operator;
 use crate::submit_reply::invalid_reply;
 use crate::submit_reply::refused_reply;
@@ -178,6 +186,41 @@
         }
     }
 
+    async fn quarantine(
+        &self,
+        request: Request<QuarantineRequest>,
+    ) -> Result<Response<QuarantineReply>, Status> {
+        let (metadata, _, request) = request.into_parts();
+        match self.node.read(quarantine).await {
+            Ok(reply) => Ok(Response::new(reply)),
+            Err(error) => relay_or_fail!(error, metadata, quarantine, request),
+        }
+    }
+
+    async fn lift_quarantine(
+        &self,
+        request: Request<LiftQuarantineRequest>,
+    ) -> Result<Response<LiftQuarantineReply>, Status> {
+        let (metadata, _, request) = request.into_parts();
+        let fingerprint = Fingerprint::parse(&request.request)
+            .ok_or_else(|| Status::invalid_argument("the fingerprint can't be read"))?;
+        let known = move |state: &ControlState| {
+            let quarantine = state.fleet().quarantine();
+            quarantine.suspect(&fingerprint).is_some()
+        };
+        let known = match self.node.read(known).await {
+            Ok(known) => known,
+            Err(error) => return relay_or_fail!(error, metadata, lift_quarantine, request),
+        };
+        let lifted = self
+            .node
+            .propose_fleet(FleetCommand::LiftSuspect(fingerprint));
+        match lifted.await {
+            Ok(_) => Ok(Response::new(LiftQuarantineReply { known })),
+            Err(error) => relay_or_fail!(error, metadata, lift_quarantine, request),
+        }
+    }
+
     async fn change_membership(
         &self,
         request: Request<ChangeMembershipRequest>,
@@ -226,6 +269,23 @@
     }
 }
 
+fn quarantine(state: &ControlState) -> QuarantineReply {
+    let suspects = state.fleet().quarantine().suspects();
+    let suspects = suspects.map(|(request, suspect)| SuspectStatus {
+        request: request.to_string(),
+        verdict: suspect.verdict().map_or("", Verdict::name).to_owned(),
+        ended: suspect
+            .ended
+            .iter()
+            .map(|life| life.backend.to_string())
+            .collect(),
+        revision: suspect.noted.0,
+    });
+    QuarantineReply {
+        suspects: suspects.collect(),
+    }
+}
+
 fn manifest_record(accepted: &AcceptedManifest) -> ManifestRecord {
     ManifestRecord {
         version: accepted.version.0,
--- /dev/null
+++ b/server/src/quarantine_keeper.rs
@@ -0,0 +1,115 @@
+//! The task of a control replica that tells what becomes of suspected requests, and has those
+//! let go that weren't heard of for long.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use heatherring_lib::clock::Clock;
+use heatherring_lib::fleet_command::FleetCommand;
+use heatherring_lib::quarantine::Quarantine;
+use heatherring_lib::quarantine::Suspect;
+use heatherring_lib::quarantine::Verdict;
+use heatherring_lib::quarantine_times::QuarantineTimes;
+use heatherring_lib::request_fingerprint::Fingerprint;
+
+use crate::fleet_picture::FleetPicture;
+use crate::metric;
+use crate::node_request::NodeHandle;
+
+/// Time between two looks at which requests are to be let go.
+const LOOK_INTERVAL: Duration = Duration::from_secs(5);
+
+/// Follows the suspected requests of one replica.
+#[derive(Debug)]
+pub struct QuarantineKeeper {
+    clock: Arc<dyn Clock>,
+    picture: FleetPicture,
+    node: NodeHandle,
+    known: Arc<Quarantine>,
+    times: QuarantineTimes,
+}
+
+impl QuarantineKeeper {
+    /// Follows what a replica has applied.
+    #[must_use]
+    pub fn new(clock: Arc<dyn Clock>, picture: FleetPicture, node: NodeHandle) -> Self {
+        Self {
+            clock,
+            picture,
+            node,
+            known: Arc::default(),
+            times: QuarantineTimes::default(),
+        }
+    }
+
+    /// Runs until the process ends.
+    pub async fn run(mut self) {
+        let mut look = tokio::time::interval(LOOK_INTERVAL);
+        look.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+        loop {
+            tokio::select! {
+                () = self.picture.changed() => self.follow(),
+                _ = look.tick() => self.release().await,
+            }
+        }
+    }
+
+    fn follow(&mut self) {
+        let picture = self.picture.read();
+        let quarantine = Arc::clone(picture.fleet.quarantine());
+        if Arc::ptr_eq(&quarantine, &self.known) {
+            return;
+        }
+        if picture.leads {
+            tell_changes(&self.known, &quarantine);
+        }
+        metric::suspects(
+            quarantine.suspects().count(),
+            quarantine.quarantined().count(),
+        );
+        self.times.follow(self.clock.now(), &quarantine);
+        self.known = quarantine;
+    }
+
+    async fn release(&self) {
+        let quiet = self.times.quiet(self.clock.now());
+        if quiet.is_empty() || !self.picture.read().leads {
+            return;
+        }
+        let command = FleetCommand::ReleaseSuspects(quiet);
+        if let Err(error) = self.node.propose_fleet(command).await {
+            log::debug!(event = "release_open", error:% = error; "tried again at the next look");
+        }
+    }
+}
+
+/// Tells which requests are treated otherwise than before.
+fn tell_changes(before: &Quarantine, after: &Quarantine) {
+    for (request, suspect) in after.suspects() {
+        let earlier = before.suspect(request).and_then(Suspect::verdict);
+        if suspect.verdict() != earlier {
+            tell(request, suspect, earlier);
+        }
+    }
+    for (request, suspect) in before.suspects() {
+        if after.suspect(request).is_none() && suspect.verdict().is_some() {
+            log::info!(event = "request_cleared", fingerprint:% = request, was = name(suspect.verdict()); "a request isn't suspected any more");
+        }
+    }
+}
+
+fn tell(request: &Fingerprint, suspect: &Suspect, earlier: Option<Verdict>) {
+    let ended: Vec<&str> = suspect
+        .ended
+        .iter()
+        .map(|life| life.backend.as_str())
+        .collect();
+    let ended = ended.join(", ");
+    let verdict = name(suspect.verdict());
+    let was = name(earlier);
+    log::warn!(event = "request_verdict", fingerprint:% = request, verdict, was, ended = ended.as_str(), noted = suspect.noted.0; "backend servers ended while they ran a request");
+}
+
+fn name(verdict: Option<Verdict>) -> &'static str {
+    verdict.map_or("none", Verdict::name)
+}
--- a/server/src/request_trace.rs
+++ b/server/src/request_trace.rs
@@ -14,6 +14,7 @@
 use heatherring_lib::id::RouteName;
 use heatherring_lib::id::ServiceName;
 use heatherring_lib::id::VmName;
+use heatherring_lib::request_fingerprint::Fingerprint;
 
 use crate::direct_send::Sent;
 use crate::log_writer::ROUTINE;
@@ -26,6 +27,8 @@
     pub request_id: Option<String>,
     pub route: Option<RouteName>,
     pub service: Option<ServiceName>,
+    /// Names the request in what is told of ended backend servers and of quarantine.
+    pub fingerprint: Option<Fingerprint>,
     /// Version of the manifest that decided the route.
     pub version: u64,
     /// Time that the caller had left when the request came, at most the route's timeout.
@@ -162,6 +165,8 @@
         let retry_after_ms = refused.retry_after().map_or(0, whole_ms);
         let outcome = refused.outcome();
         let reason = refused.reason();
+        let fingerprint = self.fingerprint.map(|fingerprint| fingerprint.to_string());
+        let fingerprint = fingerprint.as_deref().unwrap_or_default();
         tell!(
             module_path!(),
             "refused",
@@ -172,7 +177,8 @@
                 shortest_wait_ms,
                 retry_after_ms,
                 outcome,
-                reason
+                reason,
+                fingerprint
             ],
             "a request got no answer"
         );
--- a/server/tests/direct_support/fragile.rs
+++ b/server/tests/direct_support/fragile.rs
@@ -24,6 +24,7 @@
 
 use super::Broken;
 use super::Deployment;
+use super::Replica;
 use super::SERVICE_PORT;
 use super::announcement_of;
 use super::call;
@@ -80,7 +81,7 @@
         let place = Place {
             name: name.to_owned(),
             address: SocketAddr::new(deployment.block.next_vm(), SERVICE_PORT),
-            orders: deployment.replicas.iter().map(|r| r.orders()).collect(),
+            orders: deployment.replicas.iter().map(Replica::orders).collect(),
             seen: Arc::clone(seen),
         };
         let task = tokio::spawn(place.run());
--- a/server/tests/test_fleet_follower.rs
+++ b/server/tests/test_fleet_follower.rs
@@ -22,6 +22,8 @@
 use heatherring_lib::presence::Absent;
 use heatherring_lib::replica_choice::ReplicaSite;
 use heatherring_lib::settings::Security;
+use heatherring_server::backend_pool::BackendPool;
+use heatherring_server::crash_watch::CrashWatch;
 use heatherring_server::dispatch_task::DispatchHandle;
 use heatherring_server::fleet_follower;
 use heatherring_server::fleet_follower::Followed;
@@ -32,6 +34,8 @@
 use heatherring_server::proto::AdmitRequest;
 use heatherring_server::proto::FollowReply;
 use heatherring_server::proto::FollowRequest;
+use heatherring_server::proto::NoteSuspectsReply;
+use heatherring_server::proto::NoteSuspectsRequest;
 use heatherring_server::proto::ProposeReply;
 use heatherring_server::proto::ProposeRequest;
 use heatherring_server::proto::ReadRoutesReply;
@@ -142,6 +146,13 @@
         Err(Status::unimplemented(""))
     }
 
+    async fn note_suspects(
+        &self,
+        _: Request<NoteSuspectsRequest>,
+    ) -> Result<Response<NoteSuspectsReply>, Status> {
+        Err(Status::unimplemented(""))
+    }
+
     async fn admit(&self, _: Request<AdmitRequest>) -> Result<Response<AdmitReply>, Status> {
         Err(Status::unimplemented(""))
     }
@@ -164,6 +175,7 @@
     let (ready_tx, ready) = watch::channel(true);
     let (_, seeds) = watch::channel(vec![seed]);
     let security = PeerSecurity::from_settings(&Security::OpenLoopback).unwrap();
+    let (crashes, _) = CrashWatch::new(vm.clone(), Arc::clone(&clock), BackendPool::spawn());
     let followed = fleet_follower::spawn(FollowerSetup {
         vm,
         record: EntryRecord {
@@ -178,6 +190,7 @@
         channels: PeerChannels::new(security),
         clock: Arc::clone(&clock),
         dispatch: DispatchHandle::spawn(config, clock),
+        crashes,
     });
     (followed, ready_tx)
 }
--- a/server/tests/test_operator_client.rs
+++ b/server/tests/test_operator_client.rs
@@ -15,6 +15,10 @@
 use heatherring_server::proto::ChangeMembershipRequest;
 use heatherring_server::proto::HistoryReply;
 use heatherring_server::proto::HistoryRequest;
+use heatherring_server::proto::LiftQuarantineReply;
+use heatherring_server::proto::LiftQuarantineRequest;
+use heatherring_server::proto::QuarantineReply;
+use heatherring_server::proto::QuarantineRequest;
 use heatherring_server::proto::ShowReply;
 use heatherring_server::proto::ShowRequest;
 use heatherring_server::proto::StatusReply;
@@ -102,6 +106,20 @@
         Err(Status::invalid_argument("limit"))
     }
 
+    async fn quarantine(
+        &self,
+        _: Request<QuarantineRequest>,
+    ) -> Result<Response<QuarantineReply>, Status> {
+        Ok(Response::new(QuarantineReply::default()))
+    }
+
+    async fn lift_quarantine(
+        &self,
+        _: Request<LiftQuarantineRequest>,
+    ) -> Result<Response<LiftQuarantineReply>, Status> {
+        Err(Status::invalid_argument("fingerprint"))
+    }
+
     async fn change_membership(
         &self,
         _: Request<ChangeMembershipRequest>,
