--- a/lib/src/crash_evidence.rs
+++ b/lib/src/crash_evidence.rs
@@ -161,6 +161,9 @@
             for request in &requests {
                 self.note_own(now, life, *request);
             }
+            for request in &requests {
+                self.acquit_others(request);
+            }
         }
         Some(Ended {
             life: life.clone(),
@@ -220,7 +223,6 @@
         if !own.ended.contains(life) {
             own.ended.push(life.clone());
         }
-        self.acquit_others(&request);
     }
 
     fn is_quarantined(&self, request: &Fingerprint) -> bool {
@@ -235,8 +237,8 @@
         let Some(explained) = self.own.get(guilty).map(|own| own.ended.clone()) else {
             return;
         };
-        for (request, own) in &mut self.own {
-            if request != guilty {
+        for own in self.own.values_mut() {
+            if Verdict::of(own.ended.len()) != Some(Verdict::Quarantined) {
                 own.ended.retain(|life| !explained.contains(life));
             }
         }
--- a/lib/src/quarantine.rs
+++ b/lib/src/quarantine.rs
@@ -204,9 +204,13 @@
             }
             return;
         }
-        for request in requests {
+        for request in &requests {
             self.suspect_of(index, request, life);
         }
+        // Those that are found guilty together stay so: nothing tells one from the other.
+        for request in requests {
+            self.acquit_others(request);
+        }
         self.keep_bounds();
     }
 
@@ -216,16 +220,19 @@
         if !suspect.ended.contains(life) {
             suspect.ended.push(life.clone());
         }
-        if suspect.is_quarantined() {
-            let explained = suspect.ended.clone();
-            self.acquit(request, &explained);
-        }
     }
 
-    /// Takes from all others the suspicion that rests on backend servers that `guilty` ended.
-    fn acquit(&mut self, guilty: &Fingerprint, explained: &[BackendLife]) {
-        self.suspects.retain(|request, suspect| {
-            if request == guilty || suspect.is_quarantined() {
+    /// Takes from all others the suspicion that rests on backend servers that a quarantined
+    /// request ended.
+    fn acquit_others(&mut self, request: &Fingerprint) {
+        let guilty = self
+            .suspect(request)
+            .filter(|suspect| suspect.is_quarantined());
+        let Some(explained) = guilty.map(|suspect| suspect.ended.clone()) else {
+            return;
+        };
+        self.suspects.retain(|_, suspect| {
+            if suspect.is_quarantined() {
                 return true;
             }
             suspect.ended.retain(|life| !explained.contains(life));
--- a/lib/tests/test_control_state.rs
+++ b/lib/tests/test_control_state.rs
@@ -16,15 +16,21 @@
 use heatherring_lib::control_state::ControlStateError;
 use heatherring_lib::control_state::Response;
 use heatherring_lib::control_state::ViewUpdate;
+use heatherring_lib::encoding;
 use heatherring_lib::encoding::EncodingError;
+use heatherring_lib::fleet_command::FleetCommand;
+use heatherring_lib::fleet_record::BackendLife;
+use heatherring_lib::id::BackendName;
 use heatherring_lib::id::ContentDigest;
 use heatherring_lib::id::ManifestVersion;
 use heatherring_lib::id::ReplicaId;
 use heatherring_lib::id::Revision;
 use heatherring_lib::id::SessionId;
 use heatherring_lib::id::VmName;
+use heatherring_lib::quarantine::SuspectNote;
 use heatherring_lib::raft_message::Membership;
 use heatherring_lib::raft_message::ReplicaInfo;
+use heatherring_lib::request_fingerprint::Fingerprint;
 use heatherring_lib::submission_history::HISTORY_CAPACITY;
 use heatherring_lib::submission_history::SubmissionAnswer;
 use heatherring_lib::submission_history::TEXT_CAPACITY;
@@ -295,6 +301,43 @@
     assert_eq!(state.audit().after(Revision(5)).count(), 4);
 }
 
+/// Symptom: a request that is in quarantine ends backend servers again. Sequence: a replica takes
+/// the state from a snapshot. Cause: suspected requests aren't part of it.
+#[test]
+fn test_snapshot_holds_suspected_requests() {
+    let mut state = ControlState::default();
+    let request = Fingerprint::parse("9b1e4c70d2a85f36c1d07e44ab93f215").unwrap();
+    for backend in ["backend-1", "backend-2", "backend-3"] {
+        let note = SuspectNote::Ended {
+            life: BackendLife {
+                backend: BackendName::new(backend),
+                born: 0,
+            },
+            requests: vec![request],
+        };
+        let command = FleetCommand::NoteSuspects(vec![note]);
+        apply(&mut state, CommandKind::Fleet(Box::new(command)));
+    }
+    let restored = restored(&state);
+    assert_eq!(restored, state);
+    assert!(restored.fleet().quarantine().holds(&request));
+    let audited = state
+        .audit()
+        .after(Revision(0))
+        .map(AuditRecord::to_json_line);
+    let audited: Vec<String> = audited.collect();
+    assert_eq!(audited.len(), 1);
+    assert!(audited[0].contains("backend-3"), "{audited:?}");
+}
+
+#[test]
+fn test_snapshot_of_the_format_before_is_read() {
+    let mut state = ControlState::default();
+    apply(&mut state, submit(1, 0));
+    let encoded = encoding::encode(4, &state).unwrap();
+    assert_eq!(ControlState::decode_snapshot(&encoded).unwrap(), state);
+}
+
 #[test]
 fn test_decoders_refuse_other_formats() {
     let mut encoded = ControlState::default().encode_snapshot().unwrap();
