--- a/server/tests/test_poison_request.rs
+++ b/server/tests/test_poison_request.rs
@@ -11,6 +11,7 @@
 
 use bytes::Bytes;
 use direct_support::Answer;
+use direct_support::Behaviour;
 use direct_support::Deployment;
 use direct_support::Entry;
 use direct_support::Replica;
@@ -21,6 +22,10 @@
 use direct_support::fragile::Seen;
 use direct_support::request;
 use direct_support::until_served;
+use heatherring_lib::settings::Security;
+use heatherring_server::operator_client::OperatorClient;
+use heatherring_server::peer_security::PeerSecurity;
+use heatherring_server::proto::LiftQuarantineRequest;
 use heatherring_testutils::wait::wait_for;
 use http::Method;
 use http::Request;
@@ -215,6 +220,65 @@
     );
 }
 
+/// Connections that break are no evidence while the backend server lives: answers are garbled,
+/// connections reset.
+#[tokio::test(flavor = "multi_thread")]
+async fn test_poison_request_is_none_that_breaks_connections_alone() {
+    let mut deployment = Deployment::start(3);
+    let entry = deployment.start_entry("entry-1");
+    let mut backends = Vec::new();
+    for number in 1..=4 {
+        let backend = deployment.start_backend(&format!("backend-{number}")).await;
+        deployment.announce(&backend, 1, "Ready").await;
+        backends.push(backend);
+    }
+    deployment.submit_routes(1, 0).await;
+    until_served(&entry).await;
+    for backend in &backends {
+        backend.behave(Behaviour::Break);
+    }
+    let mut told = Vec::new();
+    for number in 0..20 {
+        let entry = entry.settings.listen.callers;
+        let answer = send(entry, MARKED, format!("marked-{number}")).await;
+        told.push(answer.unwrap().body);
+    }
+    assert!(
+        told.iter().any(|body| body == "connection_lost"),
+        "{told:?}"
+    );
+    assert!(told.iter().all(|body| body != "quarantined"), "{told:?}");
+}
+
+/// An operator sees which request is in quarantine and for which backend servers, and lets it go.
+#[tokio::test(flavor = "multi_thread")]
+async fn test_poison_request_is_shown_and_lifted() {
+    let seen = Arc::new(Seen::default());
+    let mut deployment = Deployment::start(3);
+    let (entries, _backends) = start(&mut deployment, &seen).await;
+    let coming = come_again(addresses(&entries));
+    let bound = until_ended(&seen, ENDS).await + KNOWN_WITHIN;
+    tokio::time::sleep_until(bound.into()).await;
+    coming.abort();
+    let replicas = deployment.replicas.iter().map(|r| r.settings.listen);
+    let security = PeerSecurity::from_settings(&Security::OpenLoopback).unwrap();
+    let operator = OperatorClient::new(replicas.collect(), security, KNOWN_WITHIN);
+    let suspects = operator.quarantine().await.unwrap().suspects;
+    let quarantined = suspects.iter().find(|one| one.verdict == "quarantined");
+    let quarantined = quarantined.unwrap();
+    assert_eq!(quarantined.ended.len(), ENDS);
+    let lift = LiftQuarantineRequest {
+        request: quarantined.request.clone(),
+    };
+    assert!(operator.lift_quarantine(&lift).await.unwrap().known);
+    wait_for("the request to be let through", async || {
+        let told = send(addresses(&entries)[0], MARKED, "lifted".to_owned()).await?;
+        (told.body != "quarantined").then_some(())
+    })
+    .await
+    .unwrap();
+}
+
 /// A caller whose request has the path and body of one that ends backend servers isn't refused
 /// for it: only the caller that sent that one is.
 #[tokio::test(flavor = "multi_thread")]
