--- a/server/tests/test_poison_request.rs
+++ b/server/tests/test_poison_request.rs
@@ -72,10 +72,17 @@
 
 /// Sends the marked request again at once, at one entry VM after the other.
 fn come_again(entries: Vec<SocketAddr>) -> JoinHandle<()> {
+    come_again_from(vec![None], entries)
+}
+
+/// Does the same, from one address after the other.
+fn come_again_from(sources: Vec<Option<IpAddr>>, entries: Vec<SocketAddr>) -> JoinHandle<()> {
     tokio::spawn(async move {
-        for (number, entry) in entries.iter().cycle().enumerate() {
+        let sources = sources.iter().cycle();
+        for (number, (entry, source)) in entries.iter().cycle().zip(sources).enumerate() {
+            let req = lookup(MARKED, &format!("marked-{number}"));
             // What it is told makes no difference to it.
-            let _ = send(*entry, MARKED, format!("marked-{number}")).await;
+            let _ = call_from(*source, *entry, req).await;
             tokio::time::sleep(PAUSE).await;
         }
     })
@@ -195,6 +202,27 @@
     assert_eq!(ordinary.refused_as("quarantined"), 0);
 }
 
+/// Symptom: a request goes on ending backend servers though each of them is known to have ended
+/// under it. Sequence: it comes again from another address each time, in whichever region.
+/// Cause: what was known of it was known of one address alone.
+#[tokio::test(flavor = "multi_thread")]
+async fn test_poison_request_is_known_from_any_address() {
+    let seen = Arc::new(Seen::default());
+    let mut deployment = Deployment::start(3);
+    let (entries, _backends) = start(&mut deployment, &seen).await;
+    let sources = (0..16).map(|_| Some(deployment.block.next_vm())).collect();
+    let coming = come_again_from(sources, addresses(&entries));
+    let bound = until_ended(&seen, ENDS).await + KNOWN_WITHIN;
+    tokio::time::sleep_until((bound + COMES_AGAIN_FOR).into()).await;
+    coming.abort();
+    let tries = seen.tries_since(bound);
+    assert!(
+        tries <= LATE_TRIES,
+        "{tries} tries later than {KNOWN_WITHIN:?} after {ENDS} had ended; {} ended in all",
+        seen.ends()
+    );
+}
+
 /// Symptom: a request that was refused for what it does ends backend servers again. Sequence:
 /// control replicas and entry VMs are restarted in turn, and it comes again. Cause: what is known
 /// of it would live in processes alone. The verdict is replicated, and comes with the first view
