quarantine: requests are told apart by content, and the caller is kept with each end

Change: suspects go by content (method, host, path, body); each end keeps the caller's tag. Ends from one address quarantine that address alone; from several, all. An answer clears its own caller and weighs as much as one end against the content; it clears no other caller. A verdict needs an end of a request that was sent while it was known to be watched: a lost failure domain ends many backend servers under a popular request at once, and says nothing of it.

--- a/lib/src/audit.rs
+++ b/lib/src/audit.rs
@@ -122,7 +122,9 @@
     Quarantine {
         /// The request.
         request: Fingerprint,
-        /// The backend servers that ended under it; none where it was let out.
+        /// How it is treated from now on; nothing where it was let out.
+        verdict: Option<String>,
+        /// The backend servers that ended under it.
         ended: Vec<BackendName>,
     },
 }
@@ -173,8 +175,12 @@
                 "what": "evacuation", "result": if *evacuated { "begun" } else { "ended" },
                 "place": place,
             }),
-            Self::Quarantine { request, ended } => json!({
-                "what": "quarantine", "result": if ended.is_empty() { "ended" } else { "begun" },
+            Self::Quarantine {
+                request,
+                verdict,
+                ended,
+            } => json!({
+                "what": "quarantine", "result": verdict.as_deref().unwrap_or("ended"),
                 "request": request.to_string(), "ended": ended,
             }),
         }
--- a/lib/src/control_state.rs
+++ b/lib/src/control_state.rs
@@ -3,6 +3,7 @@
 //! Nothing here depends on anything but the log, so replicas that have applied the
 //! same positions hold equal states.
 
+use std::collections::BTreeSet;
 use std::sync::Arc;
 
 use serde::Deserialize;
@@ -29,7 +30,9 @@
 use crate::manifest_delta::ManifestDelta;
 use crate::manifest_delta::encode_manifest;
 use crate::quarantine::Quarantine;
+use crate::quarantine::Verdict;
 use crate::raft_message::Membership;
+use crate::request_fingerprint::Fingerprint;
 use crate::submission_history::SubmissionAnswer;
 use crate::submission_history::SubmissionHistory;
 use crate::view::ControlView;
@@ -462,26 +465,27 @@
     }
 }
 
+/// Returns which requests are treated otherwise than before: quarantined, or not any more.
 fn quarantine_events(before: &Quarantine, after: &Quarantine) -> Vec<AuditEvent> {
-    let begun = after
-        .quarantined()
-        .filter(|(request, _)| !before.holds(request));
-    let begun = begun.map(|(request, suspect)| AuditEvent::Quarantine {
-        request: *request,
-        ended: suspect
-            .ended
-            .iter()
-            .map(|life| life.backend.clone())
-            .collect(),
-    });
-    let ended = before
-        .quarantined()
-        .filter(|(request, _)| !after.holds(request));
-    let ended = ended.map(|(request, _)| AuditEvent::Quarantine {
-        request: *request,
-        ended: Vec::new(),
-    });
-    begun.chain(ended).collect()
+    let contents = before.suspects().chain(after.suspects());
+    let contents: BTreeSet<&Fingerprint> = contents.map(|(request, _)| request).collect();
+    let verdict = |quarantine: &Quarantine, request: &Fingerprint| {
+        let verdict = quarantine.verdict(request);
+        verdict.filter(|verdict| *verdict != Verdict::Watched)
+    };
+    let changed = contents
+        .into_iter()
+        .filter(|request| verdict(before, request) != verdict(after, request));
+    changed
+        .map(|request| AuditEvent::Quarantine {
+            request: *request,
+            verdict: verdict(after, request).map(|verdict| verdict.name().to_owned()),
+            ended: after.suspect(request).map_or_else(Vec::new, |noted| {
+                let ended = noted.suspect.ended().into_iter();
+                ended.map(|life| life.backend.clone()).collect()
+            }),
+        })
+        .collect()
 }
 
 const fn answered(answer: SubmissionAnswer) -> Applied {
--- a/lib/src/crash_evidence.rs
+++ b/lib/src/crash_evidence.rs
@@ -17,9 +17,13 @@
 use crate::fleet_record::BackendState;
 use crate::fleet_update::FleetView;
 use crate::quarantine::MOST_STANDING;
+use crate::quarantine::Stood;
+use crate::quarantine::Suspect;
 use crate::quarantine::SuspectNote;
 use crate::quarantine::Verdict;
+use crate::request_fingerprint::CallerTag;
 use crate::request_fingerprint::Fingerprint;
+use crate::request_fingerprint::RequestTag;
 
 /// Requests without an answer that are remembered until it is known whether their backend
 /// server has ended.
@@ -46,21 +50,46 @@
 /// Time between two notes that a quarantined request still comes.
 pub const REFUSED_INTERVAL: Duration = Duration::from_mins(2);
 
+/// Time between two notes that requests of a watched content are answered, where none of this
+/// caller ended a backend server here: there may be hundreds a second.
+const ANSWERED_INTERVAL: Duration = Duration::from_secs(2);
+
+/// Says how a request is to be treated. The greater one goes first.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub enum Treatment {
+    /// It is sent to one backend server a try.
+    Watched,
+    /// It is sent to none.
+    Quarantined,
+}
+
+impl Treatment {
+    fn of(verdict: &Verdict, caller: CallerTag) -> Self {
+        if verdict.quarantines(caller) {
+            Self::Quarantined
+        } else {
+            Self::Watched
+        }
+    }
+}
+
 /// Holds a request that stood on a backend server and wasn't answered.
 #[derive(Clone, Debug)]
 struct Unanswered {
     life: BackendLife,
-    request: Fingerprint,
+    stood: Stood,
     until: Instant,
 }
 
-/// Holds what this entry VM itself saw of a request.
+/// Holds what this entry VM itself saw of the requests of one content.
 #[derive(Clone, Debug)]
 struct OwnSuspect {
-    ended: Vec<BackendLife>,
+    suspect: Suspect,
     at: Instant,
     /// When control was last told that it still comes.
     refused_at: Option<Instant>,
+    /// When control was last told that it is answered.
+    answered_at: Option<Instant>,
 }
 
 /// Tells that a backend server has ended, and what stood on it here.
@@ -69,7 +98,7 @@
     /// The backend server.
     pub life: BackendLife,
     /// The requests, each named once.
-    pub requests: Vec<Fingerprint>,
+    pub requests: Vec<Stood>,
 }
 
 impl From<Ended> for SuspectNote {
@@ -93,10 +122,12 @@
     /// Returns how a request is to be treated. What was seen here counts before control has
     /// heard of it, and without control.
     #[must_use]
-    pub fn verdict(&self, request: &Fingerprint) -> Option<Verdict> {
-        let told = self.verdicts.get(request).copied();
-        let own = self.own.get(request);
-        told.max(own.and_then(|own| Verdict::of(own.ended.len())))
+    pub fn treatment(&self, tag: &RequestTag) -> Option<Treatment> {
+        let told = self.verdicts.get(&tag.content).cloned();
+        let own = self.own.get(&tag.content);
+        let own = own.and_then(|own| own.suspect.verdict());
+        let both = told.iter().chain(&own);
+        both.map(|verdict| Treatment::of(verdict, tag.caller)).max()
     }
 
     /// Replaces control's verdicts. Whoever isn't among them any more was released, or lifted by
@@ -108,8 +139,13 @@
                 self.own.remove(&request);
             }
         }
-        let own: Vec<Fingerprint> = self.own.keys().copied().collect();
-        for request in own {
+        let quarantined: Vec<Fingerprint> = self
+            .verdicts
+            .iter()
+            .filter(|(_, verdict)| **verdict != Verdict::Watched)
+            .map(|(request, _)| *request)
+            .collect();
+        for request in quarantined {
             self.acquit_others(&request);
         }
     }
@@ -121,7 +157,7 @@
         now: Instant,
         view: &FleetView,
         life: &BackendLife,
-        request: Fingerprint,
+        stood: Stood,
     ) -> Option<Ended> {
         self.forget_old(now);
         if self.unanswered.len() >= MOST_UNANSWERED {
@@ -129,7 +165,7 @@
         }
         self.unanswered.push_back(Unanswered {
             life: life.clone(),
-            request,
+            stood,
             until: now + UNANSWERED_FOR,
         });
         let has_ended = self.ended.contains(life) || was_replaced(view, life);
@@ -157,12 +193,15 @@
             return None;
         }
         // A request that is known to do it explains the end.
-        if !requests.iter().any(|request| self.is_quarantined(request)) {
-            for request in &requests {
-                self.note_own(now, life, *request);
+        if !requests.iter().any(|stood| self.is_quarantined(&stood.tag)) {
+            for stood in &requests {
+                let own = self.own_entry(now, stood.tag.content);
+                own.suspect.note_end(life, stood);
             }
-            for request in &requests {
-                self.acquit_others(request);
+            for stood in &requests {
+                if self.is_quarantined(&stood.tag) {
+                    self.acquit_others(&stood.tag.content);
+                }
             }
         }
         Some(Ended {
@@ -198,75 +237,84 @@
     }
 
     /// Notes that a request was answered whole. Returns what to tell control, which suspects it.
-    pub fn note_answered(&mut self, request: &Fingerprint) -> Option<SuspectNote> {
-        let own = self.own.remove(request);
-        let is_suspected = own.is_some() || self.verdicts.contains_key(request);
-        is_suspected.then_some(SuspectNote::Answered(*request))
+    pub fn note_answered(&mut self, now: Instant, tag: &RequestTag) -> Option<SuspectNote> {
+        let is_watched = self.verdicts.contains_key(&tag.content);
+        let had_ended = self
+            .own
+            .get(&tag.content)
+            .is_some_and(|own| !own.suspect.is_cleared());
+        if !is_watched && !had_ended {
+            return None;
+        }
+        let own = self.own_entry(now, tag.content);
+        let ends_before = own.suspect.ended_by(tag.caller);
+        own.suspect.note_answer(tag.caller);
+        let is_lately = own
+            .answered_at
+            .is_some_and(|at| now.saturating_duration_since(at) < ANSWERED_INTERVAL);
+        if is_lately && ends_before == 0 {
+            return None;
+        }
+        own.answered_at = Some(now);
+        Some(SuspectNote::Answered(*tag))
     }
 
     /// Notes that a quarantined request was refused. Returns what to tell control, now and then:
     /// a request that still comes stays quarantined.
     pub fn note_refused(&mut self, now: Instant, request: Fingerprint) -> Option<SuspectNote> {
         let own = self.own_entry(now, request);
-        let told_lately = own
+        let is_lately = own
             .refused_at
             .is_some_and(|at| now.saturating_duration_since(at) < REFUSED_INTERVAL);
-        if told_lately {
+        if is_lately {
             return None;
         }
         own.refused_at = Some(now);
         Some(SuspectNote::Refused(request))
     }
 
-    fn note_own(&mut self, now: Instant, life: &BackendLife, request: Fingerprint) {
-        let own = self.own_entry(now, request);
-        if !own.ended.contains(life) {
-            own.ended.push(life.clone());
-        }
-    }
-
-    fn is_quarantined(&self, request: &Fingerprint) -> bool {
-        self.verdict(request) == Some(Verdict::Quarantined)
+    fn is_quarantined(&self, tag: &RequestTag) -> bool {
+        self.treatment(tag) == Some(Treatment::Quarantined)
     }
 
     /// Takes from all others what rests on backend servers that a quarantined request ended.
     fn acquit_others(&mut self, guilty: &Fingerprint) {
-        if !self.is_quarantined(guilty) {
-            return;
-        }
-        let Some(explained) = self.own.get(guilty).map(|own| own.ended.clone()) else {
+        let Some(own) = self.own.get(guilty) else {
             return;
         };
-        for own in self.own.values_mut() {
-            if Verdict::of(own.ended.len()) != Some(Verdict::Quarantined) {
-                own.ended.retain(|life| !explained.contains(life));
+        let explained = own.suspect.ended().into_iter().cloned().collect();
+        for (request, own) in &mut self.own {
+            let verdict = own.suspect.verdict();
+            if request != guilty && matches!(verdict, None | Some(Verdict::Watched)) {
+                own.suspect.forget_ends(&explained);
             }
         }
     }
 
     fn own_entry(&mut self, now: Instant, request: Fingerprint) -> &mut OwnSuspect {
         if !self.own.contains_key(&request) && self.own.len() >= MOST_OWN {
-            let rank = |(_, own): &(&Fingerprint, &OwnSuspect)| (own.ended.len(), own.at);
+            let rank = |(_, own): &(&Fingerprint, &OwnSuspect)| (own.suspect.ended().len(), own.at);
             let least = self.own.iter().min_by_key(rank);
             if let Some(least) = least.map(|(request, _)| *request) {
                 self.own.remove(&least);
             }
         }
         let own = self.own.entry(request).or_insert_with(|| OwnSuspect {
-            ended: Vec::new(),
+            suspect: Suspect::default(),
             at: now,
             refused_at: None,
+            answered_at: None,
         });
         own.at = now;
         own
     }
 
-    fn take_unanswered(&mut self, life: &BackendLife) -> Vec<Fingerprint> {
+    fn take_unanswered(&mut self, life: &BackendLife) -> Vec<Stood> {
         let mut requests = BTreeSet::new();
         self.unanswered.retain(|unanswered| {
             let stood = unanswered.life == *life;
             if stood {
-                requests.insert(unanswered.request);
+                requests.insert(unanswered.stood);
             }
             !stood
         });
--- a/lib/src/quarantine.rs
+++ b/lib/src/quarantine.rs
@@ -2,9 +2,13 @@
 //! replicates them.
 //!
 //! Whoever stands on a backend server that ends is suspected once. What tells the one request
-//! from the others is that different backend servers end under it while it is never answered.
-//! Three are its limit: a resend that a release or a crash explains costs an innocent request
-//! one of them, and the request that does it has ended three within seconds.
+//! from the others is that different backend servers end under it, and one more does once the
+//! suspicion is known to whoever sends it. Ends of many backend servers at once, as when a
+//! failure domain is lost, say nothing of requests that stand on several of them.
+//!
+//! Requests are told apart by content. The address of the caller is kept with each end: while one
+//! address alone sends a request that does it, others with the same content are served. Once
+//! backend servers end under it from several addresses, nothing tells the callers apart.
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
@@ -14,7 +18,9 @@
 
 use crate::fleet_record::BackendLife;
 use crate::id::Revision;
+use crate::request_fingerprint::CallerTag;
 use crate::request_fingerprint::Fingerprint;
+use crate::request_fingerprint::RequestTag;
 
 /// Backend servers that end under a request before it is quarantined.
 pub const QUARANTINED_AT: usize = 3;
@@ -23,43 +29,58 @@
 /// within the same try.
 pub const WATCHED_AT: usize = 2;
 
-/// Requests that are remembered, some 150 bytes each. Each of them has ended a backend server
+/// Requests that are remembered, some 300 bytes each. Each of them has ended a backend server
 /// or stood on one, so that it takes hundreds of ended ones to fill the table.
 const MOST_SUSPECTS: usize = 512;
 
+/// Ends that are kept of one request.
+const MOST_ENDS: usize = 12;
+
 /// Requests noted of one backend server that ended; more than it has slots and waiting room.
 pub const MOST_STANDING: usize = 64;
 
-/// Says how entry VMs treat a request. The greater one goes first.
-#[derive(Clone, Copy, Debug, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
+/// Says how entry VMs treat the requests of one content. The greater one goes first.
+#[derive(Clone, Debug, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
 pub enum Verdict {
-    /// It is sent to one backend server a try.
+    /// Each is sent to one backend server a try, and answers are told to control.
     Watched,
-    /// It is sent to none.
+    /// The same, and those of these callers are sent to none.
+    QuarantinedFrom(BTreeSet<CallerTag>),
+    /// All are sent to none.
     Quarantined,
 }
 
 impl Verdict {
-    /// Returns the verdict on a request under which `ended` backend servers ended.
+    /// Returns whether requests of this caller are sent to no backend server.
     #[must_use]
-    pub const fn of(ended: usize) -> Option<Self> {
-        match ended {
-            QUARANTINED_AT.. => Some(Self::Quarantined),
-            WATCHED_AT => Some(Self::Watched),
-            _ => None,
+    pub fn quarantines(&self, caller: CallerTag) -> bool {
+        match self {
+            Self::Watched => false,
+            Self::QuarantinedFrom(callers) => callers.contains(&caller),
+            Self::Quarantined => true,
         }
     }
 
     /// Returns the verdict as logs and operators name it.
     #[must_use]
-    pub const fn name(self) -> &'static str {
+    pub const fn name(&self) -> &'static str {
         match self {
             Self::Watched => "watched",
+            Self::QuarantinedFrom(_) => "quarantined_from",
             Self::Quarantined => "quarantined",
         }
     }
 }
 
+/// Names a request that stood on a backend server.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
+pub struct Stood {
+    /// The request.
+    pub tag: RequestTag,
+    /// Whether it was sent while its entry VM knew that it is watched.
+    pub watched: bool,
+}
+
 /// Says what an entry VM saw of requests.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum SuspectNote {
@@ -68,41 +89,158 @@
         /// The backend server.
         life: BackendLife,
         /// The requests.
-        requests: Vec<Fingerprint>,
+        requests: Vec<Stood>,
     },
     /// A suspected request got a whole answer.
-    Answered(Fingerprint),
+    Answered(RequestTag),
     /// A quarantined request came and was refused.
     Refused(Fingerprint),
 }
 
-/// Holds what is known of one request.
+/// Holds the end of a backend server under a request.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct EndUnder {
+    /// The backend server.
+    pub life: BackendLife,
+    /// Who sent the request.
+    pub caller: CallerTag,
+    /// Whether it was sent while it was known to be watched.
+    pub watched: bool,
+}
+
+/// Holds what is known of the requests of one content.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Suspect {
-    /// The backend servers that ended under it; as many as decide.
-    pub ended: Vec<BackendLife>,
-    /// The last position at which it was heard of.
-    pub noted: Revision,
+    /// The backend servers that ended.
+    ends: Vec<EndUnder>,
+    /// Whole answers to callers who ended none.
+    answers: usize,
 }
 
 impl Suspect {
-    /// Returns how entry VMs treat it.
+    /// Returns the backend servers that ended, each once.
+    #[must_use]
+    pub fn ended(&self) -> BTreeSet<&BackendLife> {
+        self.ends.iter().map(|end| &end.life).collect()
+    }
+
+    /// Returns whether anything is left that speaks against these requests.
+    #[must_use]
+    pub const fn is_cleared(&self) -> bool {
+        self.ends.is_empty()
+    }
+
+    /// Returns how entry VMs treat requests of this content.
+    #[must_use]
+    pub fn verdict(&self) -> Option<Verdict> {
+        // Nearly all have one, and all are looked at with each note.
+        if self.ends.len() < WATCHED_AT {
+            return None;
+        }
+        let ended = self.ended().len();
+        if self.is_guilty_from_anywhere(ended) {
+            return Some(Verdict::Quarantined);
+        }
+        let guilty: BTreeSet<CallerTag> = self.callers().filter(|c| self.is_guilty(*c)).collect();
+        if !guilty.is_empty() {
+            return Some(Verdict::QuarantinedFrom(guilty));
+        }
+        (ended >= WATCHED_AT).then_some(Verdict::Watched)
+    }
+
+    /// Notes that a backend server ended under a request of this content.
+    pub fn note_end(&mut self, life: &BackendLife, stood: &Stood) {
+        let caller = stood.tag.caller;
+        let known = |end: &&mut EndUnder| end.life == *life && end.caller == caller;
+        if let Some(end) = self.ends.iter_mut().find(known) {
+            end.watched |= stood.watched;
+            return;
+        }
+        if self.ends.len() >= MOST_ENDS {
+            self.ends.remove(0);
+        }
+        self.ends.push(EndUnder {
+            life: life.clone(),
+            caller,
+            watched: stood.watched,
+        });
+    }
+
+    /// Notes a whole answer. It clears its caller, and speaks for the content against the ends
+    /// under it from elsewhere; it doesn't clear another caller.
+    pub fn note_answer(&mut self, caller: CallerTag) {
+        let verdict = self.verdict();
+        if verdict.is_some_and(|verdict| verdict.quarantines(caller)) {
+            return;
+        }
+        self.ends.retain(|end| end.caller != caller);
+        self.answers += 1;
+        let repeats = self
+            .callers()
+            .any(|caller| self.ended_by(caller) >= WATCHED_AT);
+        if !repeats && self.answers >= self.ended().len() {
+            self.ends.clear();
+        }
+    }
+
+    /// Takes away what other requests explain.
+    pub fn forget_ends(&mut self, explained: &BTreeSet<BackendLife>) {
+        self.ends.retain(|end| !explained.contains(&end.life));
+    }
+
+    /// Leaves what makes these requests watched, and one more end quarantines them.
+    fn step_down(&mut self) {
+        if let Some(Verdict::QuarantinedFrom(callers)) = self.verdict() {
+            self.ends.retain(|end| callers.contains(&end.caller));
+        }
+        let mut kept = BTreeSet::new();
+        self.ends
+            .retain(|end| kept.insert(end.life.clone()) && kept.len() <= WATCHED_AT);
+        for end in &mut self.ends {
+            end.watched = false;
+        }
+        self.answers = 0;
+    }
+
+    fn callers(&self) -> impl Iterator<Item = CallerTag> {
+        let callers: BTreeSet<CallerTag> = self.ends.iter().map(|end| end.caller).collect();
+        callers.into_iter()
+    }
+
+    /// Returns how many backend servers ended under requests of one caller.
     #[must_use]
-    pub const fn verdict(&self) -> Option<Verdict> {
-        Verdict::of(self.ended.len())
+    pub fn ended_by(&self, caller: CallerTag) -> usize {
+        let ends = self.ends.iter().filter(|end| end.caller == caller);
+        ends.count()
     }
 
-    fn is_quarantined(&self) -> bool {
-        self.verdict() == Some(Verdict::Quarantined)
+    fn is_guilty(&self, caller: CallerTag) -> bool {
+        let mut ends = self.ends.iter().filter(|end| end.caller == caller);
+        self.ended_by(caller) >= QUARANTINED_AT && ends.any(|end| end.watched)
     }
+
+    fn is_guilty_from_anywhere(&self, ended: usize) -> bool {
+        ended >= QUARANTINED_AT + self.answers
+            && self.callers().nth(1).is_some()
+            && self.ends.iter().any(|end| end.watched)
+    }
+}
+
+/// Holds a suspect and when it was heard of.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Noted {
+    /// What is known.
+    pub suspect: Suspect,
+    /// The last position at which it was heard of.
+    pub at: Revision,
 }
 
-/// Holds all suspected requests.
+/// Holds all suspected requests, by content.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Quarantine {
     /// The last position that changed a verdict.
     revision: Revision,
-    suspects: BTreeMap<Fingerprint, Suspect>,
+    suspects: BTreeMap<Fingerprint, Noted>,
 }
 
 impl Quarantine {
@@ -113,26 +251,20 @@
     }
 
     /// Returns all suspected requests.
-    pub fn suspects(&self) -> impl Iterator<Item = (&Fingerprint, &Suspect)> {
+    pub fn suspects(&self) -> impl Iterator<Item = (&Fingerprint, &Noted)> {
         self.suspects.iter()
     }
 
-    /// Returns the requests that are sent to no backend server.
-    pub fn quarantined(&self) -> impl Iterator<Item = (&Fingerprint, &Suspect)> {
-        self.suspects()
-            .filter(|(_, suspect)| suspect.is_quarantined())
-    }
-
-    /// Returns whether a request is sent to no backend server.
+    /// Returns what is known of requests of a content.
     #[must_use]
-    pub fn holds(&self, request: &Fingerprint) -> bool {
-        self.suspect(request).is_some_and(Suspect::is_quarantined)
+    pub fn suspect(&self, request: &Fingerprint) -> Option<&Noted> {
+        self.suspects.get(request)
     }
 
-    /// Returns what is known of a request.
+    /// Returns how entry VMs treat requests of a content.
     #[must_use]
-    pub fn suspect(&self, request: &Fingerprint) -> Option<&Suspect> {
-        self.suspects.get(request)
+    pub fn verdict(&self, request: &Fingerprint) -> Option<Verdict> {
+        self.suspect(request)?.suspect.verdict()
     }
 
     /// Returns what entry VMs must know: the requests that aren't sent on like others.
@@ -140,7 +272,7 @@
     pub fn verdicts(&self) -> BTreeMap<Fingerprint, Verdict> {
         let suspects = self.suspects.iter();
         suspects
-            .filter_map(|(request, suspect)| Some((*request, suspect.verdict()?)))
+            .filter_map(|(request, noted)| Some((*request, noted.suspect.verdict()?)))
             .collect()
     }
 
@@ -164,13 +296,11 @@
         });
     }
 
-    /// Forgets a request by order of an operator. Returns whether it was known.
-    pub fn lift(&mut self, index: Revision, request: &Fingerprint) -> bool {
-        let mut known = false;
+    /// Forgets a request by order of an operator.
+    pub fn lift(&mut self, index: Revision, request: &Fingerprint) {
         self.change(index, |quarantine| {
-            known = quarantine.suspects.remove(request).is_some();
+            quarantine.suspects.remove(request);
         });
-        known
     }
 
     /// Changes suspects, and the revision if that changes a verdict.
@@ -185,81 +315,85 @@
     fn note_one(&mut self, index: Revision, note: &SuspectNote) {
         match note {
             SuspectNote::Ended { life, requests } => self.note_ended(index, life, requests),
-            SuspectNote::Answered(request) => self.note_answered(request),
+            SuspectNote::Answered(tag) => self.note_answered(tag),
             SuspectNote::Refused(request) => {
-                if let Some(suspect) = self.suspects.get_mut(request) {
-                    suspect.noted = index;
+                if let Some(noted) = self.suspects.get_mut(request) {
+                    noted.at = index;
                 }
             }
         }
     }
 
-    fn note_ended(&mut self, index: Revision, life: &BackendLife, requests: &[Fingerprint]) {
-        let requests: BTreeSet<&Fingerprint> = requests.iter().take(MOST_STANDING).collect();
+    fn note_ended(&mut self, index: Revision, life: &BackendLife, requests: &[Stood]) {
+        let requests: BTreeSet<&Stood> = requests.iter().take(MOST_STANDING).collect();
         // A request that is known to end backend servers explains why this one did. It may have
         // been sent before the verdict was known there.
-        if let Some(guilty) = requests.iter().copied().find(|request| self.holds(request)) {
-            if let Some(suspect) = self.suspects.get_mut(guilty) {
-                suspect.noted = index;
+        let guilty = requests.iter().find(|stood| self.is_guilty(stood));
+        if let Some(request) = guilty.map(|stood| stood.tag.content) {
+            if let Some(noted) = self.suspects.get_mut(&request) {
+                noted.at = index;
             }
             return;
         }
-        for request in &requests {
-            self.suspect_of(index, request, life);
+        for stood in &requests {
+            let noted = self.suspects.entry(stood.tag.content).or_default();
+            noted.at = index;
+            noted.suspect.note_end(life, stood);
         }
         // Those that are found guilty together stay so: nothing tells one from the other.
-        for request in requests {
-            self.acquit_others(request);
+        for stood in requests {
+            if self.is_guilty(stood) {
+                self.acquit_others(&stood.tag.content);
+            }
         }
         self.keep_bounds();
     }
 
-    fn suspect_of(&mut self, index: Revision, request: &Fingerprint, life: &BackendLife) {
-        let suspect = self.suspects.entry(*request).or_default();
-        suspect.noted = index;
-        if !suspect.ended.contains(life) {
-            suspect.ended.push(life.clone());
-        }
+    fn is_guilty(&self, stood: &Stood) -> bool {
+        let verdict = self.verdict(&stood.tag.content);
+        verdict.is_some_and(|verdict| verdict.quarantines(stood.tag.caller))
     }
 
     /// Takes from all others the suspicion that rests on backend servers that a quarantined
     /// request ended.
-    fn acquit_others(&mut self, request: &Fingerprint) {
-        let guilty = self
-            .suspect(request)
-            .filter(|suspect| suspect.is_quarantined());
-        let Some(explained) = guilty.map(|suspect| suspect.ended.clone()) else {
+    fn acquit_others(&mut self, guilty: &Fingerprint) {
+        let Some(noted) = self.suspect(guilty) else {
             return;
         };
-        self.suspects.retain(|_, suspect| {
-            if suspect.is_quarantined() {
-                return true;
+        let explained: BTreeSet<BackendLife> = noted.suspect.ended().into_iter().cloned().collect();
+        self.suspects.retain(|_, noted| {
+            if matches!(noted.suspect.verdict(), None | Some(Verdict::Watched)) {
+                noted.suspect.forget_ends(&explained);
             }
-            suspect.ended.retain(|life| !explained.contains(life));
-            !suspect.ended.is_empty()
+            !noted.suspect.is_cleared()
         });
     }
 
-    /// A request that is answered doesn't end whoever runs it. One that is quarantined was sent
-    /// before that was known; its answer weighs less than three that ended.
-    fn note_answered(&mut self, request: &Fingerprint) {
-        if !self.holds(request) {
-            self.suspects.remove(request);
+    fn note_answered(&mut self, tag: &RequestTag) {
+        if let Some(noted) = self.suspects.get_mut(&tag.content) {
+            noted.suspect.note_answer(tag.caller);
+            if noted.suspect.is_cleared() {
+                self.suspects.remove(&tag.content);
+            }
         }
     }
 
-    fn release_one(&mut self, index: Revision, request: &Fingerprint, noted: Revision) {
-        let Some(suspect) = self.suspects.get_mut(request) else {
+    fn release_one(&mut self, index: Revision, request: &Fingerprint, at: Revision) {
+        let Some(noted) = self
+            .suspects
+            .get_mut(request)
+            .filter(|noted| noted.at == at)
+        else {
             return;
         };
-        if suspect.noted != noted {
-            return;
-        }
-        if suspect.is_quarantined() {
-            suspect.ended.truncate(WATCHED_AT);
-            suspect.noted = index;
-        } else {
-            self.suspects.remove(request);
+        match noted.suspect.verdict() {
+            None | Some(Verdict::Watched) => {
+                self.suspects.remove(request);
+            }
+            Some(Verdict::QuarantinedFrom(_) | Verdict::Quarantined) => {
+                noted.suspect.step_down();
+                noted.at = index;
+            }
         }
     }
 
@@ -267,8 +401,13 @@
     /// whoever sends many requests that end backend servers pushes out no verdict.
     fn keep_bounds(&mut self) {
         while self.suspects.len() > MOST_SUSPECTS {
-            let rank =
-                |(_, suspect): &(&Fingerprint, &Suspect)| (suspect.ended.len(), suspect.noted);
+            let rank = |(_, noted): &(&Fingerprint, &Noted)| {
+                (
+                    noted.suspect.verdict(),
+                    noted.suspect.ended().len(),
+                    noted.at,
+                )
+            };
             let least = self.suspects.iter().min_by_key(rank);
             let Some(least) = least.map(|(request, _)| *request) else {
                 return;
--- a/lib/src/quarantine_times.rs
+++ b/lib/src/quarantine_times.rs
@@ -24,10 +24,10 @@
     pub fn follow(&mut self, now: Instant, quarantine: &Quarantine) {
         self.heard
             .retain(|request, _| quarantine.suspect(request).is_some());
-        for (request, suspect) in quarantine.suspects() {
-            let heard = self.heard.entry(*request).or_insert((suspect.noted, now));
-            if heard.0 != suspect.noted {
-                *heard = (suspect.noted, now);
+        for (request, noted) in quarantine.suspects() {
+            let heard = self.heard.entry(*request).or_insert((noted.at, now));
+            if heard.0 != noted.at {
+                *heard = (noted.at, now);
             }
         }
     }
--- a/lib/src/request_fingerprint.rs
+++ b/lib/src/request_fingerprint.rs
@@ -7,6 +7,7 @@
 use serde::Serialize;
 
 use crate::id::ClusterId;
+use crate::rendezvous;
 
 /// Separates keys of fingerprints from whatever else is derived from a cluster's identity.
 const KEY_CONTEXT: &str = "heatherring request fingerprint";
@@ -14,10 +15,23 @@
 /// Bytes of a fingerprint. Nobody finds two requests with the same 16 bytes by chance.
 const BYTES: usize = 16;
 
-/// Names a request. It is the same at each entry VM and for each try of its caller.
+/// Names the content of a request. It is the same at each entry VM and for each try.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
 pub struct Fingerprint([u8; BYTES]);
 
+/// Names where a request comes from.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
+pub struct CallerTag(u64);
+
+/// Names a request as far as it can be told from others.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
+pub struct RequestTag {
+    /// What is sent.
+    pub content: Fingerprint,
+    /// Who sends it.
+    pub caller: CallerTag,
+}
+
 /// Keeps callers from finding out the fingerprints of others: the identity of a cluster is
 /// drawn at random and told to none of them.
 #[derive(Clone, Copy, Default, Deserialize, Eq, PartialEq, Serialize)]
@@ -33,8 +47,6 @@
     pub host: &'a str,
     /// Path and query.
     pub path: &'a str,
-    /// Where the caller connects from.
-    pub caller: IpAddr,
     /// The whole body.
     pub body: &'a [u8],
 }
@@ -70,12 +82,10 @@
     #[must_use]
     pub fn of(key: &FingerprintKey, content: &RequestContent<'_>) -> Self {
         let mut hasher = blake3::Hasher::new_keyed(&key.0);
-        let caller = content.caller.to_canonical().to_string();
         let fields = [
             content.method.as_bytes(),
             content.host.as_bytes(),
             content.path.as_bytes(),
-            caller.as_bytes(),
             content.body,
         ];
         for field in fields {
@@ -97,6 +107,16 @@
     }
 }
 
+impl CallerTag {
+    /// Returns the tag of whoever connects from `address`.
+    #[must_use]
+    pub fn of(key: &FingerprintKey, address: IpAddr) -> Self {
+        let address = address.to_canonical().to_string();
+        let hash = blake3::keyed_hash(&key.0, address.as_bytes());
+        Self(rendezvous::leading_number(&hash))
+    }
+}
+
 impl fmt::Display for Fingerprint {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         for byte in self.0 {
--- a/server/src/crash_watch.rs
+++ b/server/src/crash_watch.rs
@@ -5,6 +5,7 @@
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
+use std::net::IpAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
@@ -14,15 +15,19 @@
 use heatherring_lib::clock::Clock;
 use heatherring_lib::crash_evidence::CrashEvidence;
 use heatherring_lib::crash_evidence::Ended;
+use heatherring_lib::crash_evidence::Treatment;
 use heatherring_lib::dispatch_ask::Choice;
 use heatherring_lib::fleet_record::BackendLife;
 use heatherring_lib::fleet_update::FleetView;
 use heatherring_lib::id::VmName;
+use heatherring_lib::quarantine::Stood;
 use heatherring_lib::quarantine::SuspectNote;
 use heatherring_lib::quarantine::Verdict;
+use heatherring_lib::request_fingerprint::CallerTag;
 use heatherring_lib::request_fingerprint::Fingerprint;
 use heatherring_lib::request_fingerprint::FingerprintKey;
 use heatherring_lib::request_fingerprint::RequestContent;
+use heatherring_lib::request_fingerprint::RequestTag;
 use tokio::sync::mpsc;
 use tokio::sync::watch;
 use tonic::transport::Channel;
@@ -120,17 +125,20 @@
         }
     }
 
-    /// Returns the fingerprint of a request.
+    /// Names a request that comes from `caller`.
     #[must_use]
-    pub fn fingerprint(&self, content: &RequestContent<'_>) -> Fingerprint {
+    pub fn tag(&self, content: &RequestContent<'_>, caller: IpAddr) -> RequestTag {
         let key = self.state().key;
-        Fingerprint::of(&key, content)
+        RequestTag {
+            content: Fingerprint::of(&key, content),
+            caller: CallerTag::of(&key, caller),
+        }
     }
 
     /// Returns how a request is to be treated.
     #[must_use]
-    pub fn verdict(&self, request: &Fingerprint) -> Option<Verdict> {
-        self.state().evidence.verdict(request)
+    pub fn treatment(&self, tag: &RequestTag) -> Option<Treatment> {
+        self.state().evidence.treatment(tag)
     }
 
     /// Notes that a quarantined request was refused.
@@ -142,7 +150,8 @@
 
     /// Follows a request that is being handed to a backend server.
     #[must_use]
-    pub fn follow(&self, choice: &Choice, request: Fingerprint) -> FollowedRequest {
+    pub fn follow(&self, choice: &Choice, tag: RequestTag) -> FollowedRequest {
+        let watched = self.treatment(&tag).is_some();
         FollowedRequest {
             watch: Some(self.clone()),
             life: BackendLife {
@@ -150,7 +159,7 @@
                 born: choice.born,
             },
             choice: choice.clone(),
-            request,
+            stood: Stood { tag, watched },
         }
     }
 
@@ -159,11 +168,11 @@
         state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    fn note_unanswered(&self, life: &BackendLife, request: Fingerprint) {
+    fn note_unanswered(&self, life: &BackendLife, stood: Stood) {
         let now = self.inner.clock.now();
         let mut state = self.state();
         let view = Arc::clone(&state.view);
-        let ended = state.evidence.note_unanswered(now, &view, life, request);
+        let ended = state.evidence.note_unanswered(now, &view, life, stood);
         drop(state);
         if let Some(ended) = ended {
             self.tell_ended(ended);
@@ -207,7 +216,7 @@
 
     fn tell_ended(&self, ended: Ended) {
         let named = ended.requests.iter().take(MOST_NAMED);
-        let named: Vec<String> = named.map(Fingerprint::to_string).collect();
+        let named: Vec<String> = named.map(|stood| stood.tag.content.to_string()).collect();
         let named = named.join(", ");
         log::warn!(event = "backend_ended", backend = ended.life.backend.as_str(), standing = ended.requests.len(), fingerprints = named.as_str(); "a backend server ended with requests on it");
         metric::backend_ended(ended.requests.len());
@@ -231,7 +240,7 @@
     watch: Option<CrashWatch>,
     life: BackendLife,
     choice: Choice,
-    request: Fingerprint,
+    stood: Stood,
 }
 
 impl FollowedRequest {
@@ -243,7 +252,8 @@
     /// Notes that it was answered whole.
     pub fn answered(mut self) {
         if let Some(watch) = self.watch.take() {
-            let note = watch.state().evidence.note_answered(&self.request);
+            let now = watch.inner.clock.now();
+            let note = watch.state().evidence.note_answered(now, &self.stood.tag);
             watch.tell(note);
         }
     }
@@ -251,7 +261,7 @@
     /// Notes that its connection broke.
     pub fn broken(mut self) {
         if let Some(watch) = self.watch.take() {
-            watch.note_unanswered(&self.life, self.request);
+            watch.note_unanswered(&self.life, self.stood);
             watch.ask(&self.choice, self.life.clone());
         }
     }
@@ -260,7 +270,7 @@
 impl Drop for FollowedRequest {
     fn drop(&mut self) {
         if let Some(watch) = self.watch.take() {
-            watch.note_unanswered(&self.life, self.request);
+            watch.note_unanswered(&self.life, self.stood);
         }
     }
 }
--- a/server/src/direct_path.rs
+++ b/server/src/direct_path.rs
@@ -9,6 +9,7 @@
 
 use heatherring_lib::affinity::ObjectHash;
 use heatherring_lib::clock::Clock;
+use heatherring_lib::crash_evidence::Treatment;
 use heatherring_lib::dispatch_ask::BackendKey;
 use heatherring_lib::dispatch_ask::COME_BACK_ELSEWHERE;
 use heatherring_lib::dispatch_ask::Refused as NoChoice;
@@ -25,7 +26,6 @@
 use heatherring_lib::outcome::Outcome;
 use heatherring_lib::outcome::Unknown;
 use heatherring_lib::outcome::Unsent;
-use heatherring_lib::quarantine::Verdict;
 use heatherring_lib::quarantine::WATCHED_AT;
 use heatherring_lib::request_fingerprint::RequestContent;
 use heatherring_lib::route_manifest::Route;
@@ -281,14 +281,14 @@
         let object = marks.object.filter(|_| route.affinity);
         let object = object.map(|object| ObjectHash::of(name.as_str(), &object));
         let uri = origin_form(&head.uri).ok_or_else(|| refuse(NotRunReason::MalformedRequest))?;
-        let fingerprint = self.crashes.fingerprint(&RequestContent {
+        let content = RequestContent {
             method: head.method.as_str(),
             host: &host,
             path: uri.path_and_query().map_or("", PathAndQuery::as_str),
-            caller: arrival.peer.ip(),
             body: &body,
-        });
-        trace.fingerprint = Some(fingerprint);
+        };
+        let tag = self.crashes.tag(&content, arrival.peer.ip());
+        trace.fingerprint = Some(tag.content);
         let mut headers = head.headers;
         remove_hop_by_hop(&mut headers);
         let req = DirectRequest {
@@ -297,7 +297,7 @@
             headers,
             body,
             request_id: marks.request_id,
-            fingerprint,
+            tag,
             deadline,
             work_until,
             give_up,
@@ -357,9 +357,9 @@
         let mut attempt = Attempt::new();
         loop {
             // Asked before each send: the verdict may come while the request is tried.
-            let verdict = self.crashes.verdict(&admitted.req.fingerprint);
-            if verdict == Some(Verdict::Quarantined) {
-                self.crashes.note_refused(admitted.req.fingerprint);
+            let tag = &admitted.req.tag;
+            if self.crashes.treatment(tag) == Some(Treatment::Quarantined) {
+                self.crashes.note_refused(tag.content);
                 let not_run = attempt.refuse(NotRunReason::Quarantined);
                 return progress.end(not_run.with_retry_after(QUARANTINE_RETRY).into());
             }
@@ -388,7 +388,7 @@
             trace.note_send(&choice, took, &sent);
             guard.ended(sent.verdict, sent.load);
             progress.note(choice.backend, sent.verdict);
-            progress.suspected = self.crashes.verdict(&admitted.req.fingerprint).is_some();
+            progress.suspected = self.crashes.treatment(tag).is_some();
             let retry = progress.next(sent.outcome, sent.verdict, &admitted.route)?;
             match retry {
                 Next::Answer(answer) => return Ok(*answer),
--- a/server/src/direct_send.rs
+++ b/server/src/direct_send.rs
@@ -20,7 +20,7 @@
 use heatherring_lib::outcome::Refusal;
 use heatherring_lib::outcome::UnknownReason;
 use heatherring_lib::outcome::Unsent;
-use heatherring_lib::request_fingerprint::Fingerprint;
+use heatherring_lib::request_fingerprint::RequestTag;
 use heatherring_lib::service_pace::PaceKey;
 use http::HeaderMap;
 use http::Method;
@@ -81,7 +81,7 @@
     /// Identifies the caller's attempt.
     pub request_id: Option<String>,
     /// Names the request, whichever attempt it is.
-    pub fingerprint: Fingerprint,
+    pub tag: RequestTag,
     /// When an answer should have come at the latest.
     pub deadline: Instant,
     /// Until when the backend server may work on it, as it is told.
@@ -214,7 +214,7 @@
     ) -> Exchange {
         let message = self.message(choice, req);
         let sent = attempt.sending();
-        let followed = self.crashes.follow(choice, req.fingerprint);
+        let followed = self.crashes.follow(choice, req.tag);
         let answering = connection.sender().try_send_request(message);
         let answering = self.in_time(req, answering);
         let answered = tokio::select! {
--- a/server/src/operator_service.rs
+++ b/server/src/operator_service.rs
@@ -9,6 +9,7 @@
 use heatherring_lib::id::ManifestVersion;
 use heatherring_lib::id::Revision;
 use heatherring_lib::manifest_text::read_manifest;
+use heatherring_lib::quarantine::Noted;
 use heatherring_lib::quarantine::Verdict;
 use heatherring_lib::request_fingerprint::Fingerprint;
 use heatherring_lib::submission_history::AcceptedManifest;
@@ -271,21 +272,23 @@
 
 fn quarantine(state: &ControlState) -> QuarantineReply {
     let suspects = state.fleet().quarantine().suspects();
-    let suspects = suspects.map(|(request, suspect)| SuspectStatus {
-        request: request.to_string(),
-        verdict: suspect.verdict().map_or("", Verdict::name).to_owned(),
-        ended: suspect
-            .ended
-            .iter()
-            .map(|life| life.backend.to_string())
-            .collect(),
-        revision: suspect.noted.0,
-    });
+    let suspects = suspects.map(|(request, noted)| suspect_status(request, noted));
     QuarantineReply {
         suspects: suspects.collect(),
     }
 }
 
+fn suspect_status(request: &Fingerprint, noted: &Noted) -> SuspectStatus {
+    let ended = noted.suspect.ended().into_iter();
+    let verdict = noted.suspect.verdict();
+    SuspectStatus {
+        request: request.to_string(),
+        verdict: verdict.as_ref().map_or("", Verdict::name).to_owned(),
+        ended: ended.map(|life| life.backend.to_string()).collect(),
+        revision: noted.at.0,
+    }
+}
+
 fn manifest_record(accepted: &AcceptedManifest) -> ManifestRecord {
     ManifestRecord {
         version: accepted.version.0,
--- a/server/src/quarantine_keeper.rs
+++ b/server/src/quarantine_keeper.rs
@@ -6,8 +6,8 @@
 
 use heatherring_lib::clock::Clock;
 use heatherring_lib::fleet_command::FleetCommand;
+use heatherring_lib::quarantine::Noted;
 use heatherring_lib::quarantine::Quarantine;
-use heatherring_lib::quarantine::Suspect;
 use heatherring_lib::quarantine::Verdict;
 use heatherring_lib::quarantine_times::QuarantineTimes;
 use heatherring_lib::request_fingerprint::Fingerprint;
@@ -63,10 +63,7 @@
         if picture.leads {
             tell_changes(&self.known, &quarantine);
         }
-        metric::suspects(
-            quarantine.suspects().count(),
-            quarantine.quarantined().count(),
-        );
+        metric::suspects(quarantine.suspects().count(), quarantined(&quarantine));
         self.times.follow(self.clock.now(), &quarantine);
         self.known = quarantine;
     }
@@ -83,33 +80,39 @@
     }
 }
 
+/// Returns how many contents are quarantined, from some callers or all.
+fn quarantined(quarantine: &Quarantine) -> usize {
+    let verdicts = quarantine.verdicts().into_values();
+    verdicts
+        .filter(|verdict| *verdict != Verdict::Watched)
+        .count()
+}
+
 /// Tells which requests are treated otherwise than before.
 fn tell_changes(before: &Quarantine, after: &Quarantine) {
-    for (request, suspect) in after.suspects() {
-        let earlier = before.suspect(request).and_then(Suspect::verdict);
-        if suspect.verdict() != earlier {
-            tell(request, suspect, earlier);
+    for (request, noted) in after.suspects() {
+        let (verdict, earlier) = (noted.suspect.verdict(), before.verdict(request));
+        if verdict != earlier {
+            tell(request, noted, earlier.as_ref());
         }
     }
-    for (request, suspect) in before.suspects() {
-        if after.suspect(request).is_none() && suspect.verdict().is_some() {
-            log::info!(event = "request_cleared", fingerprint:% = request, was = name(suspect.verdict()); "a request isn't suspected any more");
+    for (request, noted) in before.suspects() {
+        let earlier = noted.suspect.verdict();
+        if after.suspect(request).is_none() && earlier.is_some() {
+            log::info!(event = "request_cleared", fingerprint:% = request, was = name(earlier.as_ref()); "a request isn't suspected any more");
         }
     }
 }
 
-fn tell(request: &Fingerprint, suspect: &Suspect, earlier: Option<Verdict>) {
-    let ended: Vec<&str> = suspect
-        .ended
-        .iter()
-        .map(|life| life.backend.as_str())
-        .collect();
+fn tell(request: &Fingerprint, noted: &Noted, earlier: Option<&Verdict>) {
+    let ended = noted.suspect.ended().into_iter();
+    let ended: Vec<&str> = ended.map(|life| life.backend.as_str()).collect();
     let ended = ended.join(", ");
-    let verdict = name(suspect.verdict());
-    let was = name(earlier);
-    log::warn!(event = "request_verdict", fingerprint:% = request, verdict, was, ended = ended.as_str(), noted = suspect.noted.0; "backend servers ended while they ran a request");
+    let verdict = noted.suspect.verdict();
+    let (verdict, was) = (name(verdict.as_ref()), name(earlier));
+    log::warn!(event = "request_verdict", fingerprint:% = request, verdict, was, ended = ended.as_str(), noted = noted.at.0; "backend servers ended while they ran a request");
 }
 
-fn name(verdict: Option<Verdict>) -> &'static str {
+fn name(verdict: Option<&Verdict>) -> &'static str {
     verdict.map_or("none", Verdict::name)
 }
