test_poison_at_owner: a request that ends backend servers of an owner, red

The same cause elsewhere: entry VMs that own backend servers forget a request with each try as well.

--- a/server/tests/entry_support/scripted_backend.rs
+++ b/server/tests/entry_support/scripted_backend.rs
@@ -10,6 +10,8 @@
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
+use tokio::sync::Notify;
+use tokio::task::JoinSet;
 
 /// Bytes of the answer of [`Script::Large`]; many seconds on the narrow links.
 const LARGE: usize = 20_000;
@@ -17,6 +19,9 @@
 /// Time that [`Script::Slow`] takes; well below the deadline.
 const SLOW: Duration = Duration::from_millis(500);
 
+/// Time for which a backend server that ended is away.
+const AWAY: Duration = Duration::from_millis(300);
+
 /// Says what a scripted backend server does with one request.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Script {
@@ -44,6 +49,8 @@
     NoAnswer,
     /// A whole answer, and the end of the connection right after it.
     WholeThenClose,
+    /// The end of the backend server with all its connections; it is back after [`AWAY`].
+    End,
 }
 
 /// A backend server that follows a script, one step a request; the last one repeats.
@@ -67,17 +74,34 @@
             script: script.into(),
         };
         let listener = TcpListener::bind(address).await.expect("a free address");
-        let serving = backend.clone();
-        tokio::spawn(async move {
-            while let Ok((stream, _)) = listener.accept().await {
-                serving.connections.fetch_add(1, Ordering::SeqCst);
-                tokio::spawn(serving.clone().serve(stream));
-            }
-        });
+        tokio::spawn(backend.clone().live(listener));
         backend
     }
 
-    async fn serve(self, mut stream: TcpStream) {
+    /// Runs one process after the other.
+    async fn live(self, mut listener: TcpListener) {
+        loop {
+            self.accept(listener).await;
+            tokio::time::sleep(AWAY).await;
+            listener = TcpListener::bind(self.address).await.expect("its address");
+        }
+    }
+
+    /// Takes connections until the backend server ends.
+    async fn accept(&self, listener: TcpListener) {
+        let end = Arc::new(Notify::new());
+        let mut connections = JoinSet::new();
+        loop {
+            let stream = tokio::select! {
+                Ok((stream, _)) = listener.accept() => stream,
+                () = end.notified() => return,
+            };
+            self.connections.fetch_add(1, Ordering::SeqCst);
+            connections.spawn(self.clone().serve(stream, Arc::clone(&end)));
+        }
+    }
+
+    async fn serve(self, mut stream: TcpStream, end: Arc<Notify>) {
         let mut head = Vec::new();
         loop {
             let mut buf = [0; 4_096];
@@ -95,6 +119,10 @@
             head.clear();
             let number = self.requests.fetch_add(1, Ordering::SeqCst);
             let script = self.script[number.min(self.script.len() - 1)];
+            if script == Script::End {
+                end.notify_one();
+                std::future::pending::<()>().await;
+            }
             if !answer(&mut stream, script, &path).await {
                 return;
             }
@@ -132,7 +160,7 @@
         Script::Refuse => "HTTP/1.1 503 Service Unavailable\r\n\
              heatherring-outcome: not_run\r\ncontent-length: 4\r\n\r\nbusy"
             .to_owned(),
-        Script::HangUp | Script::NoAnswer => String::new(),
+        Script::HangUp | Script::NoAnswer | Script::End => String::new(),
     };
     if script == Script::Slow {
         tokio::time::sleep(SLOW).await;
