crash_evidence: an end is forgotten once connections are taken there again

Read cold: a backend server that starts again under its name, and doesn't say when it was born, was remembered as ended, and each request that timed out there later counted as stood on one that ended.

--- a/lib/tests/test_crash_evidence.rs
+++ b/lib/tests/test_crash_evidence.rs
@@ -121,6 +121,19 @@
     assert_eq!(late, Some(expected));
 }
 
+/// Symptom: requests that time out at a backend server count as if it had ended under them.
+/// Sequence: it ended once, and was started again under its name. Cause: what ended is remembered
+/// by name.
+#[test]
+fn test_evidence_of_an_earlier_end_lapses_once_connections_are_taken() {
+    let mut evidence = CrashEvidence::default();
+    let now = Instant::now();
+    end_under(&mut evidence, now, 1, &[1]);
+    evidence.note_alive(now, &life(1));
+    let timed_out = evidence.note_unanswered(now, &ready(), &life(1), request(2));
+    assert_eq!(timed_out, None);
+}
+
 macro_rules! replaced_cases {
     ($($name:ident: $view:expr => $is_evidence:literal;)*) => {
         $(
