crash_watch, quarantine: one piece each for what stood twice

CrashWatch::admit refuses for both kinds of entry VMs, where each had the check, the note and the time to come back; learn has the lock and the telling that three methods had; gathered is what announcements and notes both did by a loop of their own. An ended backend server with what stood on it is one type (Ended), and whether a verdict is a quarantine or a record drains in a life is asked in one place each. Suspect::acquit decides who is acquitted for control and entry VMs alike. Progress keeps no flag that its caller has at hand. The treatment of a request copies no set of callers, and a caller's tag is hashed from its address without a string.

--- a/lib/src/control_state.rs
+++ b/lib/src/control_state.rs
@@ -471,7 +471,7 @@
     let contents: BTreeSet<&Fingerprint> = contents.map(|(request, _)| request).collect();
     let verdict = |quarantine: &Quarantine, request: &Fingerprint| {
         let verdict = quarantine.verdict(request);
-        verdict.filter(|verdict| *verdict != Verdict::Watched)
+        verdict.filter(Verdict::is_quarantine)
     };
     let changed = contents
         .into_iter()
--- a/lib/src/crash_evidence.rs
+++ b/lib/src/crash_evidence.rs
@@ -10,6 +10,7 @@
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::collections::VecDeque;
+use std::fmt::Debug;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -17,6 +18,7 @@
 use crate::fleet_record::BackendState;
 use crate::fleet_update::FleetView;
 use crate::id::BackendName;
+use crate::quarantine::Ended;
 use crate::quarantine::MOST_STANDING;
 use crate::quarantine::Stood;
 use crate::quarantine::Suspect;
@@ -93,24 +95,8 @@
     answered_at: Option<Instant>,
 }
 
-/// Tells that a backend server has ended, and what stood on it here.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub struct Ended {
-    /// The backend server.
-    pub life: BackendLife,
-    /// The requests, each named once.
-    pub requests: Vec<Stood>,
-}
-
-impl From<Ended> for SuspectNote {
-    fn from(ended: Ended) -> Self {
-        let Ended { life, requests } = ended;
-        Self::Ended { life, requests }
-    }
-}
-
 /// Knows of the lives of backend servers.
-pub trait BackendLives {
+pub trait BackendLives: Debug + Send + Sync {
     /// Returns whether another process has the address by now, or the same one began another
     /// life.
     fn was_replaced(&self, life: &BackendLife) -> bool;
@@ -130,8 +116,7 @@
 
     fn leaves(&self, life: &BackendLife) -> bool {
         let known = self.backends.get(&life.backend);
-        known
-            .is_none_or(|record| record.born == life.born && record.state == BackendState::Draining)
+        known.is_none_or(|record| record.drains_in(life))
     }
 }
 
@@ -150,11 +135,11 @@
     /// heard of it, and without control.
     #[must_use]
     pub fn treatment(&self, tag: &RequestTag) -> Option<Treatment> {
-        let told = self.verdicts.get(&tag.content).cloned();
+        let told = self.verdicts.get(&tag.content);
+        let told = told.map(|verdict| Treatment::of(verdict, tag.caller));
         let own = self.own.get(&tag.content);
         let own = own.and_then(|own| own.suspect.verdict());
-        let both = told.iter().chain(&own);
-        both.map(|verdict| Treatment::of(verdict, tag.caller)).max()
+        told.max(own.map(|verdict| Treatment::of(&verdict, tag.caller)))
     }
 
     /// Replaces control's verdicts. Whoever isn't among them any more was released, or lifted by
@@ -169,7 +154,7 @@
         let quarantined: Vec<Fingerprint> = self
             .verdicts
             .iter()
-            .filter(|(_, verdict)| **verdict != Verdict::Watched)
+            .filter(|(_, verdict)| verdict.is_quarantine())
             .map(|(request, _)| *request)
             .collect();
         for request in quarantined {
@@ -323,9 +308,8 @@
         };
         let explained = own.suspect.ended().into_iter().cloned().collect();
         for (request, own) in &mut self.own {
-            let verdict = own.suspect.verdict();
-            if request != guilty && matches!(verdict, None | Some(Verdict::Watched)) {
-                own.suspect.forget_ends(&explained);
+            if request != guilty {
+                own.suspect.acquit(&explained);
             }
         }
     }
--- a/lib/src/fleet_record.rs
+++ b/lib/src/fleet_record.rs
@@ -142,6 +142,12 @@
             || is_warm_again
     }
 
+    /// Returns whether it said in this life that it leaves.
+    #[must_use]
+    pub fn drains_in(&self, life: &BackendLife) -> bool {
+        self.born == life.born && self.state == BackendState::Draining
+    }
+
     /// Returns what orders announcements of one name: the life, then the number in it.
     #[must_use]
     pub const fn stamp(&self) -> (u64, u64) {
--- a/lib/src/fleet_state.rs
+++ b/lib/src/fleet_state.rs
@@ -344,18 +344,17 @@
     /// leaves is evidence against none.
     pub fn note_suspects(&mut self, index: Revision, notes: &[SuspectNote]) {
         let counts = |note: &&SuspectNote| match note {
-            SuspectNote::Ended { life, .. } => !self.has_left(life),
+            SuspectNote::Ended(ended) => !self.has_left(&ended.life),
             SuspectNote::Answered(_) | SuspectNote::Refused(_) => true,
         };
-        let notes: Vec<SuspectNote> = notes.iter().filter(counts).cloned().collect();
-        Arc::make_mut(&mut self.quarantine).note(index, &notes);
+        let notes: Vec<&SuspectNote> = notes.iter().filter(counts).collect();
+        Arc::make_mut(&mut self.quarantine).note(index, notes);
     }
 
     fn has_left(&self, life: &BackendLife) -> bool {
-        let drains = self.backend(&life.backend).is_some_and(|record| {
-            record.born == life.born && record.state == BackendState::Draining
-        });
-        drains || self.has_withdrawn(&life.backend, life.born)
+        let known = self.backend(&life.backend);
+        known.is_some_and(|record| record.drains_in(life))
+            || self.has_withdrawn(&life.backend, life.born)
     }
 
     /// Lets suspected requests go one step.
--- a/lib/src/quarantine.rs
+++ b/lib/src/quarantine.rs
@@ -61,6 +61,12 @@
         }
     }
 
+    /// Returns whether requests of any caller are sent to no backend server.
+    #[must_use]
+    pub const fn is_quarantine(&self) -> bool {
+        !matches!(self, Self::Watched)
+    }
+
     /// Returns the verdict as logs and operators name it.
     #[must_use]
     pub const fn name(&self) -> &'static str {
@@ -81,16 +87,20 @@
     pub watched: bool,
 }
 
+/// Tells that a backend server has ended, and what stood on it.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Ended {
+    /// The backend server.
+    pub life: BackendLife,
+    /// The requests, each named once.
+    pub requests: Vec<Stood>,
+}
+
 /// Says what an entry VM saw of requests.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum SuspectNote {
     /// A backend server ended while requests stood on it.
-    Ended {
-        /// The backend server.
-        life: BackendLife,
-        /// The requests.
-        requests: Vec<Stood>,
-    },
+    Ended(Ended),
     /// A suspected request got a whole answer.
     Answered(RequestTag),
     /// A quarantined request came and was refused.
@@ -99,13 +109,12 @@
 
 /// Holds the end of a backend server under a request.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
-pub struct EndUnder {
-    /// The backend server.
-    pub life: BackendLife,
+struct EndUnder {
+    life: BackendLife,
     /// Who sent the request.
-    pub caller: CallerTag,
+    caller: CallerTag,
     /// Whether it was sent while it was known to be watched.
-    pub watched: bool,
+    watched: bool,
 }
 
 /// Holds what is known of the requests of one content.
@@ -183,9 +192,17 @@
         }
     }
 
-    /// Takes away what other requests explain.
-    pub fn forget_ends(&mut self, explained: &BTreeSet<BackendLife>) {
-        self.ends.retain(|end| !explained.contains(&end.life));
+    /// Takes away what a quarantined request explains: the backend servers that ended under it.
+    /// Those that are found guilty together stay so; nothing tells one from the other.
+    pub fn acquit(&mut self, explained: &BTreeSet<BackendLife>) {
+        if !self.is_quarantined() {
+            self.ends.retain(|end| !explained.contains(&end.life));
+        }
+    }
+
+    fn is_quarantined(&self) -> bool {
+        let verdict = self.verdict();
+        verdict.is_some_and(|verdict| verdict.is_quarantine())
     }
 
     /// Leaves what makes these requests watched, and one more end quarantines them.
@@ -277,7 +294,7 @@
     }
 
     /// Takes in at `index` what entry VMs saw.
-    pub fn note(&mut self, index: Revision, notes: &[SuspectNote]) {
+    pub fn note<'a>(&mut self, index: Revision, notes: impl IntoIterator<Item = &'a SuspectNote>) {
         self.change(index, |quarantine| {
             for note in notes {
                 quarantine.note_one(index, note);
@@ -314,7 +331,7 @@
 
     fn note_one(&mut self, index: Revision, note: &SuspectNote) {
         match note {
-            SuspectNote::Ended { life, requests } => self.note_ended(index, life, requests),
+            SuspectNote::Ended(ended) => self.note_ended(index, ended),
             SuspectNote::Answered(tag) => self.note_answered(tag),
             SuspectNote::Refused(request) => {
                 if let Some(noted) = self.suspects.get_mut(request) {
@@ -324,8 +341,8 @@
         }
     }
 
-    fn note_ended(&mut self, index: Revision, life: &BackendLife, requests: &[Stood]) {
-        let requests: BTreeSet<&Stood> = requests.iter().take(MOST_STANDING).collect();
+    fn note_ended(&mut self, index: Revision, ended: &Ended) {
+        let requests: BTreeSet<&Stood> = ended.requests.iter().take(MOST_STANDING).collect();
         // A request that is known to end backend servers explains why this one did. It may have
         // been sent before the verdict was known there.
         let guilty = requests.iter().find(|stood| self.is_guilty(stood));
@@ -338,9 +355,8 @@
         for stood in &requests {
             let noted = self.suspects.entry(stood.tag.content).or_default();
             noted.at = index;
-            noted.suspect.note_end(life, stood);
+            noted.suspect.note_end(&ended.life, stood);
         }
-        // Those that are found guilty together stay so: nothing tells one from the other.
         for stood in requests {
             if self.is_guilty(stood) {
                 self.acquit_others(&stood.tag.content);
@@ -362,9 +378,7 @@
         };
         let explained: BTreeSet<BackendLife> = noted.suspect.ended().into_iter().cloned().collect();
         self.suspects.retain(|_, noted| {
-            if matches!(noted.suspect.verdict(), None | Some(Verdict::Watched)) {
-                noted.suspect.forget_ends(&explained);
-            }
+            noted.suspect.acquit(&explained);
             !noted.suspect.is_cleared()
         });
     }
@@ -386,14 +400,11 @@
         else {
             return;
         };
-        match noted.suspect.verdict() {
-            None | Some(Verdict::Watched) => {
-                self.suspects.remove(request);
-            }
-            Some(Verdict::QuarantinedFrom(_) | Verdict::Quarantined) => {
-                noted.suspect.step_down();
-                noted.at = index;
-            }
+        if noted.suspect.is_quarantined() {
+            noted.suspect.step_down();
+            noted.at = index;
+        } else {
+            self.suspects.remove(request);
         }
     }
 
--- a/lib/src/request_fingerprint.rs
+++ b/lib/src/request_fingerprint.rs
@@ -111,8 +111,11 @@
     /// Returns the tag of whoever connects from `address`.
     #[must_use]
     pub fn of(key: &FingerprintKey, address: IpAddr) -> Self {
-        let address = address.to_canonical().to_string();
-        let hash = blake3::keyed_hash(&key.0, address.as_bytes());
+        let address = match address {
+            IpAddr::V4(address) => address.to_ipv6_mapped(),
+            IpAddr::V6(address) => address,
+        };
+        let hash = blake3::keyed_hash(&key.0, &address.octets());
         Self(rendezvous::leading_number(&hash))
     }
 }
--- a/lib/tests/test_control_state.rs
+++ b/lib/tests/test_control_state.rs
@@ -28,6 +28,7 @@
 use heatherring_lib::id::Revision;
 use heatherring_lib::id::SessionId;
 use heatherring_lib::id::VmName;
+use heatherring_lib::quarantine::Ended;
 use heatherring_lib::quarantine::Stood;
 use heatherring_lib::quarantine::SuspectNote;
 use heatherring_lib::raft_message::Membership;
@@ -317,13 +318,13 @@
         caller: CallerTag::of(&FingerprintKey::default(), Ipv4Addr::LOCALHOST.into()),
     };
     for backend in ["backend-1", "backend-2", "backend-3"] {
-        let note = SuspectNote::Ended {
+        let note = SuspectNote::Ended(Ended {
             life: BackendLife {
                 backend: BackendName::new(backend),
                 born: 0,
             },
             requests: vec![Stood { tag, watched: true }],
-        };
+        });
         let command = FleetCommand::NoteSuspects(vec![note]);
         apply(&mut state, CommandKind::Fleet(Box::new(command)));
     }
--- a/lib/tests/test_crash_evidence.rs
+++ b/lib/tests/test_crash_evidence.rs
@@ -8,7 +8,6 @@
 use std::time::Instant;
 
 use heatherring_lib::crash_evidence::CrashEvidence;
-use heatherring_lib::crash_evidence::Ended;
 use heatherring_lib::crash_evidence::Treatment;
 use heatherring_lib::fleet_record::BackendLife;
 use heatherring_lib::fleet_record::BackendRecord;
@@ -17,6 +16,7 @@
 use heatherring_lib::id::BackendName;
 use heatherring_lib::id::PlaceName;
 use heatherring_lib::id::ServiceName;
+use heatherring_lib::quarantine::Ended;
 use heatherring_lib::quarantine::Stood;
 use heatherring_lib::quarantine::SuspectNote;
 use heatherring_lib::quarantine::Verdict;
--- a/lib/tests/test_quarantine.rs
+++ b/lib/tests/test_quarantine.rs
@@ -10,6 +10,7 @@
 use heatherring_lib::id::BackendName;
 use heatherring_lib::id::ClusterId;
 use heatherring_lib::id::Revision;
+use heatherring_lib::quarantine::Ended;
 use heatherring_lib::quarantine::Quarantine;
 use heatherring_lib::quarantine::Stood;
 use heatherring_lib::quarantine::SuspectNote;
@@ -66,7 +67,7 @@
 
 fn note(backend: usize, requests: Vec<Stood>) -> SuspectNote {
     let life = life(backend);
-    SuspectNote::Ended { life, requests }
+    SuspectNote::Ended(Ended { life, requests })
 }
 
 /// A backend server that ended under requests of one caller, sent before any was suspected.
--- a/server/src/announcement_batch.rs
+++ b/server/src/announcement_batch.rs
@@ -40,6 +40,12 @@
     }
 }
 
+/// Returns `first` and what has come since, `most` together.
+pub(crate) fn gathered<T>(first: T, most: usize, next: impl FnMut() -> Option<T>) -> Vec<T> {
+    let rest = std::iter::from_fn(next);
+    std::iter::once(first).chain(rest).take(most).collect()
+}
+
 async fn gather<C>(
     mut rx: mpsc::UnboundedReceiver<BackendChange>,
     commit: impl Fn(Vec<BackendChange>) -> C,
@@ -48,12 +54,7 @@
 {
     while let Some(first) = rx.recv().await {
         tokio::time::sleep(GATHER_FOR).await;
-        let mut changes = vec![first];
-        while changes.len() < MOST_TOGETHER
-            && let Ok(change) = rx.try_recv()
-        {
-            changes.push(change);
-        }
+        let changes = gathered(first, MOST_TOGETHER, || rx.try_recv().ok());
         // The next ones aren't held up by a commit that takes long.
         tokio::spawn(commit(changes));
     }
--- a/server/src/crash_watch.rs
+++ b/server/src/crash_watch.rs
@@ -5,7 +5,6 @@
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
-use std::fmt;
 use std::net::IpAddr;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -13,11 +12,11 @@
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
 use std::time::Duration;
+use std::time::Instant;
 
 use heatherring_lib::clock::Clock;
 use heatherring_lib::crash_evidence::BackendLives;
 use heatherring_lib::crash_evidence::CrashEvidence;
-use heatherring_lib::crash_evidence::Ended;
 use heatherring_lib::crash_evidence::Treatment;
 use heatherring_lib::dispatch_ask::Choice;
 use heatherring_lib::fleet_record::BackendLife;
@@ -25,6 +24,11 @@
 use heatherring_lib::id::BackendName;
 use heatherring_lib::id::ClusterId;
 use heatherring_lib::id::VmName;
+use heatherring_lib::outcome::Attempt;
+use heatherring_lib::outcome::NotRun;
+use heatherring_lib::outcome::NotRunReason;
+use heatherring_lib::outcome::Unsent;
+use heatherring_lib::quarantine::Ended;
 use heatherring_lib::quarantine::Stood;
 use heatherring_lib::quarantine::SuspectNote;
 use heatherring_lib::quarantine::Verdict;
@@ -37,6 +41,7 @@
 use tokio::sync::watch;
 use tonic::transport::Channel;
 
+use crate::announcement_batch::gathered;
 use crate::backend_pool::BackendPool;
 use crate::metric;
 use crate::proto::NoteSuspectsRequest;
@@ -46,6 +51,10 @@
 /// moment.
 const CONNECT_WITHIN: Duration = Duration::from_millis(400);
 
+/// When the caller of a quarantined request is told to come back. Nothing changes sooner than
+/// minutes; a refusal for good would be wrong where the request is innocent after all.
+const QUARANTINE_RETRY: Duration = Duration::from_secs(30);
+
 /// Notes that wait for control at most.
 const MOST_NOTES: usize = 1_024;
 
@@ -82,16 +91,17 @@
     notes: Option<mpsc::Sender<SuspectNote>>,
 }
 
+#[derive(Debug)]
 struct State {
     key: FingerprintKey,
-    lives: Arc<dyn BackendLives + Send + Sync>,
+    lives: Arc<dyn BackendLives>,
     evidence: CrashEvidence,
     /// Backend servers that are being connected to.
     asked: BTreeSet<BackendLife>,
 }
 
 impl State {
-    fn new(key: FingerprintKey, lives: Arc<dyn BackendLives + Send + Sync>) -> Self {
+    fn new(key: FingerprintKey, lives: Arc<dyn BackendLives>) -> Self {
         Self {
             key,
             lives,
@@ -101,15 +111,8 @@
     }
 }
 
-impl fmt::Debug for State {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.debug_struct("State")
-            .field("evidence", &self.evidence)
-            .finish_non_exhaustive()
-    }
-}
-
 /// Backend servers whose lives are known by what is seen of them alone.
+#[derive(Debug)]
 struct OwnedLives;
 
 impl BackendLives for OwnedLives {
@@ -194,14 +197,8 @@
 
     /// Follows a view of the fleet, by which backend servers may have ended.
     pub fn apply_view(&self, view: &Arc<FleetView>) {
-        let now = self.inner.clock.now();
-        let mut state = self.state();
-        state.lives = Arc::clone(view) as Arc<_>;
-        let ended = state.evidence.apply_lives(now, &**view);
-        drop(state);
-        for ended in ended {
-            self.tell_ended(ended);
-        }
+        self.state().lives = Arc::clone(view) as Arc<_>;
+        self.learn(|evidence, now, lives| evidence.apply_lives(now, lives));
     }
 
     /// Names a request that comes from `caller`.
@@ -220,11 +217,24 @@
         self.state().evidence.treatment(tag)
     }
 
-    /// Notes that a quarantined request was refused.
-    pub fn note_refused(&self, request: Fingerprint) {
+    /// Lets a request go on, unless it is in quarantine.
+    ///
+    /// # Errors
+    ///
+    /// Returns the proof that it isn't run.
+    pub fn admit(
+        &self,
+        tag: &RequestTag,
+        attempt: Attempt<Unsent>,
+    ) -> Result<Attempt<Unsent>, NotRun> {
+        if self.treatment(tag) != Some(Treatment::Quarantined) {
+            return Ok(attempt);
+        }
         let now = self.inner.clock.now();
-        let note = self.state().evidence.note_refused(now, request);
+        let note = self.state().evidence.note_refused(now, tag.content);
         self.tell(note);
+        let not_run = attempt.refuse(NotRunReason::Quarantined);
+        Err(not_run.with_retry_after(QUARANTINE_RETRY))
     }
 
     /// Follows a request that is being handed to a backend server.
@@ -250,12 +260,22 @@
     }
 
     fn note_unanswered(&self, life: &BackendLife, stood: Stood) {
+        self.learn(|evidence, now, lives| evidence.note_unanswered(now, lives, life, stood));
+    }
+
+    /// Tells of the backend servers that are found to have ended by what `note` notes.
+    fn learn<E: IntoIterator<Item = Ended>>(
+        &self,
+        note: impl FnOnce(&mut CrashEvidence, Instant, &dyn BackendLives) -> E,
+    ) {
         let now = self.inner.clock.now();
         let mut state = self.state();
-        let lives = Arc::clone(&state.lives);
-        let ended = state.evidence.note_unanswered(now, &*lives, life, stood);
+        let State {
+            lives, evidence, ..
+        } = &mut *state;
+        let ended = note(evidence, now, &**lives);
         drop(state);
-        if let Some(ended) = ended {
+        for ended in ended {
             self.tell_ended(ended);
         }
     }
@@ -281,31 +301,22 @@
                     let now = watch.inner.clock.now();
                     watch.state().evidence.note_alive(now, &life);
                 }
-                Err(error) if error.is_refused() => watch.note_ended(&life),
+                Err(error) if error.is_refused() => {
+                    watch.learn(|evidence, now, lives| evidence.note_ended(now, lives, &life));
+                }
                 // The view tells it, if it has ended.
                 Err(_) => {}
             }
         });
     }
 
-    fn note_ended(&self, life: &BackendLife) {
-        let now = self.inner.clock.now();
-        let mut state = self.state();
-        let lives = Arc::clone(&state.lives);
-        let ended = state.evidence.note_ended(now, &*lives, life);
-        drop(state);
-        if let Some(ended) = ended {
-            self.tell_ended(ended);
-        }
-    }
-
     fn tell_ended(&self, ended: Ended) {
         let named = ended.requests.iter().take(MOST_NAMED);
         let named: Vec<String> = named.map(|stood| stood.tag.content.to_string()).collect();
         let named = named.join(", ");
         log::warn!(event = "backend_ended", backend = ended.life.backend.as_str(), standing = ended.requests.len(), fingerprints = named.as_str(); "a backend server ended with requests on it");
         metric::backend_ended(ended.requests.len());
-        self.tell(Some(ended.into()));
+        self.tell(Some(SuspectNote::Ended(ended)));
     }
 
     fn tell(&self, note: Option<SuspectNote>) {
@@ -372,12 +383,7 @@
     pub async fn run(mut self, mut replica: watch::Receiver<Option<FleetClient<Channel>>>) {
         while let Some(first) = self.rx.recv().await {
             tokio::time::sleep(GATHER_FOR).await;
-            let mut notes = vec![first];
-            while notes.len() < MOST_TOGETHER
-                && let Ok(note) = self.rx.try_recv()
-            {
-                notes.push(note);
-            }
+            let notes = gathered(first, MOST_TOGETHER, || self.rx.try_recv().ok());
             self.tell(&mut replica, &notes).await;
         }
     }
--- a/server/src/direct_path.rs
+++ b/server/src/direct_path.rs
@@ -9,7 +9,6 @@
 
 use heatherring_lib::affinity::ObjectHash;
 use heatherring_lib::clock::Clock;
-use heatherring_lib::crash_evidence::Treatment;
 use heatherring_lib::dispatch_ask::BackendKey;
 use heatherring_lib::dispatch_ask::COME_BACK_ELSEWHERE;
 use heatherring_lib::dispatch_ask::Refused as NoChoice;
@@ -54,7 +53,6 @@
 use crate::http_server::Handler;
 use crate::interface::EntryInterface;
 use crate::metric;
-use crate::refusal::QUARANTINE_RETRY;
 use crate::refusal::Refused;
 use crate::request_body;
 use crate::request_body::RequestBody;
@@ -214,8 +212,6 @@
     arrivals: u32,
     /// Backend servers whose connection broke with the request on it.
     broken: usize,
-    /// Whether backend servers ended under the request in this try or others.
-    suspected: bool,
     unreachable: usize,
     /// Set once a backend server may have run the request.
     unknown: Option<Unknown>,
@@ -346,7 +342,6 @@
             tried: Vec::new(),
             arrivals: 0,
             broken: 0,
-            suspected: false,
             unreachable: 0,
             unknown: None,
             faulty: None,
@@ -355,11 +350,10 @@
         loop {
             // Asked before each send: the verdict may come while the request is tried.
             let tag = &admitted.req.tag;
-            if self.crashes.treatment(tag) == Some(Treatment::Quarantined) {
-                self.crashes.note_refused(tag.content);
-                let not_run = attempt.refuse(NotRunReason::Quarantined);
-                return progress.end(not_run.with_retry_after(QUARANTINE_RETRY).into());
-            }
+            attempt = match self.crashes.admit(tag, attempt) {
+                Ok(attempt) => attempt,
+                Err(not_run) => return progress.end(not_run.into()),
+            };
             let ask = DispatchAsk {
                 service: admitted.service.clone(),
                 route_name: admitted.route_name.clone(),
@@ -385,8 +379,8 @@
             trace.note_send(&choice, took, &sent);
             guard.ended(sent.verdict, sent.load);
             progress.note(choice.backend, sent.verdict);
-            progress.suspected = self.crashes.treatment(tag).is_some();
-            let retry = progress.next(sent.outcome, sent.verdict, &admitted.route)?;
+            let suspected = self.crashes.treatment(tag).is_some();
+            let retry = progress.next(sent.outcome, sent.verdict, &admitted.route, suspected)?;
             match retry {
                 Next::Answer(answer) => return Ok(*answer),
                 Next::Again(unsent) => attempt = unsent,
@@ -424,19 +418,16 @@
         }
     }
 
-    /// Returns whether a request that broke is sent on. One that has ended backend servers ends
-    /// the next one too, with whatever else stands there; its caller repeats it anyway.
-    const fn may_send_broken(&self) -> bool {
-        !self.suspected && self.broken < WATCHED_AT
-    }
-
     /// Decides whether the request is sent again. Only what surely wasn't run is, and what
-    /// does no harm when it runs twice.
+    /// does no harm when it runs twice. One that is `suspected` of ending backend servers, and
+    /// breaks, ends the next one too, with whatever else stands there; its caller repeats it
+    /// anyway.
     fn next(
         &mut self,
         outcome: Outcome<DirectAnswer>,
         verdict: SendOutcome,
         route: &Route,
+        suspected: bool,
     ) -> Result<Next, Refused> {
         let may_send = self.arrivals < route.max_attempts && self.unreachable < MAX_UNREACHABLE;
         let idempotent = Idempotent::of_route(route);
@@ -455,10 +446,10 @@
             }
             Outcome::Unknown(unknown) => {
                 self.unknown = Some(unknown);
+                let broke = verdict == SendOutcome::Broken;
+                let is_harmless = !suspected && self.broken < WATCHED_AT;
                 match idempotent {
-                    Some(permission)
-                        if may_send && verdict == SendOutcome::Broken && self.may_send_broken() =>
-                    {
+                    Some(permission) if may_send && broke && is_harmless => {
                         Ok(Next::Again(unknown.try_again(permission)))
                     }
                     _ => self.end_now(unknown.into()),
--- a/server/src/owner_path.rs
+++ b/server/src/owner_path.rs
@@ -5,7 +5,6 @@
 use std::time::Instant;
 
 use heatherring_lib::admission::Ending;
-use heatherring_lib::crash_evidence::Treatment;
 use heatherring_lib::id::PlaceName;
 use heatherring_lib::outcome::Attempt;
 use heatherring_lib::outcome::NotRun;
@@ -38,7 +37,6 @@
 use crate::dispatcher::OutgoingRequest;
 use crate::entry_context::EntryContext;
 use crate::header;
-use crate::refusal::QUARANTINE_RETRY;
 
 /// Describes a request as steering and admission see it.
 #[derive(Clone, Debug)]
@@ -67,11 +65,10 @@
     let tag = tag(cx, steered, req);
     let mut tries = 1;
     loop {
-        if cx.crashes.treatment(&tag) == Some(Treatment::Quarantined) {
-            cx.crashes.note_refused(tag.content);
-            let not_run = attempt.refuse(NotRunReason::Quarantined);
-            return not_run.with_retry_after(QUARANTINE_RETRY).into();
-        }
+        attempt = match cx.crashes.admit(&tag, attempt) {
+            Ok(attempt) => attempt,
+            Err(not_run) => return not_run.into(),
+        };
         let not_run = match run_once(cx, steered, req, tag, attempt).await {
             Outcome::NotRun(not_run) => not_run,
             other => return other,
--- a/server/src/quarantine_keeper.rs
+++ b/server/src/quarantine_keeper.rs
@@ -83,9 +83,7 @@
 /// Returns how many contents are quarantined, from some callers or all.
 fn quarantined(quarantine: &Quarantine) -> usize {
     let verdicts = quarantine.verdicts().into_values();
-    verdicts
-        .filter(|verdict| *verdict != Verdict::Watched)
-        .count()
+    verdicts.filter(Verdict::is_quarantine).count()
 }
 
 /// Tells which requests are treated otherwise than before.
--- a/server/src/refusal.rs
+++ b/server/src/refusal.rs
@@ -31,10 +31,6 @@
 /// When to come back after a refusal whose cause has no time of its own.
 pub const DEFAULT_RETRY_AFTER: Duration = Duration::from_secs(1);
 
-/// When the caller of a quarantined request is told to come back. Nothing changes sooner than
-/// minutes; a refusal for good would be wrong where the request is innocent after all.
-pub const QUARANTINE_RETRY: Duration = Duration::from_secs(30);
-
 /// Holds why a request got no answer.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Refused {
