test_poison_request: one setup for all cases; the stand-in of a backend server has a module of its own

Assertions, bounds and cases are as before; what four cases began with, and what three checked at their end, stands once.

--- a/lib/tests/test_quarantine.rs
+++ b/lib/tests/test_quarantine.rs
@@ -424,6 +424,7 @@
         let held = (1..model.next).filter(|number| is_quarantined(&model.quarantine, *number));
         quarantined += held.count() + model.refused;
     }
+    println!("{quarantined} of {innocents} innocent requests quarantined");
     assert!(
         quarantined * 1_000 <= innocents,
         "{quarantined} of {innocents} innocent requests"
--- a/server/tests/direct_support/fragile.rs
+++ b/server/tests/direct_support/fragile.rs
@@ -22,11 +22,11 @@
 use tokio::task::JoinHandle;
 use tokio::task::JoinSet;
 
-use super::Broken;
 use super::Deployment;
 use super::Replica;
 use super::SERVICE_PORT;
 use super::announcement_of;
+use super::backend::Broken;
 use super::call;
 use super::request;
 
--- a/server/tests/direct_support/stops.rs
+++ b/server/tests/direct_support/stops.rs
@@ -11,10 +11,10 @@
 use tokio::io::AsyncReadExt;
 use tokio::net::TcpStream;
 
-use super::Backend;
 use super::Deployment;
 use super::Entry;
 use super::HOST;
+use super::backend::Backend;
 use super::route_change;
 use super::until_served;
 
--- a/server/tests/test_backend_life.rs
+++ b/server/tests/test_backend_life.rs
@@ -4,9 +4,9 @@
 
 use std::time::Duration;
 
-use direct_support::Behaviour;
 use direct_support::Deployment;
 use direct_support::announcement;
+use direct_support::backend::Behaviour;
 use direct_support::call;
 use direct_support::request;
 use direct_support::until_served;
--- a/server/tests/test_direct.rs
+++ b/server/tests/test_direct.rs
@@ -6,12 +6,12 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use direct_support::Backend;
-use direct_support::Behaviour;
 use direct_support::Deployment;
 use direct_support::Entry;
 use direct_support::HOST;
 use direct_support::Replica;
+use direct_support::backend::Backend;
+use direct_support::backend::Behaviour;
 use direct_support::call;
 use direct_support::request;
 use direct_support::until_served;
--- a/server/tests/test_direct_stop.rs
+++ b/server/tests/test_direct_stop.rs
@@ -4,8 +4,8 @@
 
 use std::time::Duration;
 
-use direct_support::Behaviour;
 use direct_support::Deployment;
+use direct_support::backend::Behaviour;
 use direct_support::stops::HELD_UP;
 use direct_support::stops::announced;
 use direct_support::stops::connect;
--- a/server/tests/test_poison_at_owner.rs
+++ b/server/tests/test_poison_at_owner.rs
@@ -55,6 +55,7 @@
         tokio::time::sleep(PAUSE).await;
     }
     let sends = sends(&backends);
+    println!("{sends} backend servers ended");
     assert!(sends <= MOST_SENDS, "{sends} backend servers ended");
     assert_eq!(reason, "quarantined");
 }
--- a/server/tests/test_poison_request.rs
+++ b/server/tests/test_poison_request.rs
@@ -11,10 +11,10 @@
 
 use bytes::Bytes;
 use direct_support::Answer;
-use direct_support::Behaviour;
 use direct_support::Deployment;
 use direct_support::Entry;
 use direct_support::Replica;
+use direct_support::backend::Behaviour;
 use direct_support::call;
 use direct_support::call_from;
 use direct_support::fragile::Fragile;
@@ -166,10 +166,27 @@
     entries
 }
 
-async fn until_ended(seen: &Seen, count: usize) -> Instant {
-    wait_for("backend servers that ended", async || seen.end(count))
-        .await
-        .unwrap()
+/// Waits until as many backend servers have ended as may; returns from when on all entry VMs must
+/// know of the request.
+async fn until_bound(seen: &Seen) -> Instant {
+    let ended = wait_for("backend servers that ended", async || seen.end(ENDS)).await;
+    ended.unwrap() + KNOWN_WITHIN
+}
+
+/// Has the marked request come until all entry VMs must know of it; returns since when.
+async fn make_known(seen: &Seen, entries: &[Entry]) -> Instant {
+    let coming = come_again(addresses(entries));
+    let bound = until_bound(seen).await;
+    tokio::time::sleep_until(bound.into()).await;
+    coming.abort();
+    bound
+}
+
+/// Checks how many tries have reached a backend server later than `bound`.
+fn check_late_tries(seen: &Seen, bound: Instant) {
+    let (tries, ends) = (seen.tries_since(bound), seen.ends());
+    println!("{tries} tries later than the bound, {ends} backend servers ended");
+    assert!(tries <= LATE_TRIES, "{tries} tries; {ends} ended in all");
 }
 
 /// Symptom: one caller's request takes two services down; whoever stands on the backend servers
@@ -187,17 +204,13 @@
     let ordinary = Arc::new(Ordinary::default());
     let sending = ordinary.send_on(addresses(&entries));
     let coming = come_again(addresses(&entries));
-    let bound = until_ended(&seen, ENDS).await + KNOWN_WITHIN;
+    let bound = until_bound(&seen).await;
     tokio::time::sleep_until((bound + COMES_AGAIN_FOR).into()).await;
     coming.abort();
     sending.abort();
-    let tries = seen.tries_since(bound);
-    assert!(
-        tries <= LATE_TRIES,
-        "{tries} tries later than {KNOWN_WITHIN:?} after {ENDS} had ended; {} ended in all",
-        seen.ends()
-    );
+    check_late_tries(&seen, bound);
     let (sent, served) = ordinary.served_since(bound);
+    println!("{served} of {sent} ordinary requests served");
     assert!(served * 100 >= sent * 95, "{served} of {sent} served");
     assert_eq!(ordinary.refused_as("quarantined"), 0);
 }
@@ -214,15 +227,10 @@
     let (entries, _backends) = start(&mut deployment, &seen).await;
     let sources = (0..16).map(|_| Some(deployment.block.next_vm())).collect();
     let coming = come_again_from(sources, addresses(&entries));
-    let bound = until_ended(&seen, ENDS).await + KNOWN_WITHIN;
+    let bound = until_bound(&seen).await;
     tokio::time::sleep_until((bound + COMES_AGAIN_FOR).into()).await;
     coming.abort();
-    let tries = seen.tries_since(bound);
-    assert!(
-        tries <= LATE_TRIES,
-        "{tries} tries later than {KNOWN_WITHIN:?} after {ENDS} had ended; {} ended in all",
-        seen.ends()
-    );
+    check_late_tries(&seen, bound);
 }
 
 /// Symptom: a request that was refused for what it does ends backend servers again. Sequence:
@@ -234,20 +242,12 @@
     let seen = Arc::new(Seen::default());
     let mut deployment = Deployment::start(3);
     let (entries, _backends) = start(&mut deployment, &seen).await;
-    let coming = come_again(addresses(&entries));
-    let bound = until_ended(&seen, ENDS).await + KNOWN_WITHIN;
-    tokio::time::sleep_until(bound.into()).await;
-    coming.abort();
+    let bound = make_known(&seen, &entries).await;
     let entries = restart_all(&mut deployment, entries).await;
     let coming = come_again(addresses(&entries));
     tokio::time::sleep(COMES_AGAIN_FOR).await;
     coming.abort();
-    let tries = seen.tries_since(bound);
-    assert!(
-        tries <= LATE_TRIES,
-        "{tries} tries after all were restarted; {} ended in all",
-        seen.ends()
-    );
+    check_late_tries(&seen, bound);
 }
 
 /// Connections that break are no evidence while the backend server lives: answers are garbled,
@@ -286,10 +286,7 @@
     let seen = Arc::new(Seen::default());
     let mut deployment = Deployment::start(3);
     let (entries, _backends) = start(&mut deployment, &seen).await;
-    let coming = come_again(addresses(&entries));
-    let bound = until_ended(&seen, ENDS).await + KNOWN_WITHIN;
-    tokio::time::sleep_until(bound.into()).await;
-    coming.abort();
+    make_known(&seen, &entries).await;
     let replicas = deployment.replicas.iter().map(|r| r.settings.listen);
     let security = PeerSecurity::from_settings(&Security::OpenLoopback).unwrap();
     let operator = OperatorClient::new(replicas.collect(), security, KNOWN_WITHIN);
@@ -318,10 +315,7 @@
     let seen = Arc::new(Seen::default());
     let mut deployment = Deployment::start(3);
     let (entries, _backends) = start(&mut deployment, &seen).await;
-    let coming = come_again(addresses(&entries));
-    let bound = until_ended(&seen, ENDS).await + KNOWN_WITHIN;
-    tokio::time::sleep_until(bound.into()).await;
-    coming.abort();
+    make_known(&seen, &entries).await;
     let entry = addresses(&entries)[0];
     let refused = send(entry, MARKED, "same-caller".to_owned()).await.unwrap();
     assert_eq!(refused.body, "quarantined");
--- a/server/tests/test_stop_elsewhere.rs
+++ b/server/tests/test_stop_elsewhere.rs
@@ -10,9 +10,9 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use direct_support::Behaviour;
 use direct_support::Deployment;
 use direct_support::Replica;
+use direct_support::backend::Behaviour;
 use direct_support::call;
 use direct_support::request;
 use direct_support::stops::GRACE;
