--- a/cli/src/commands/mod.rs
+++ b/cli/src/commands/mod.rs
@@ -18,6 +18,7 @@
 mod quarantine;
 mod schema;
 mod status;
+mod team;
 mod version;
 
 use clap::ArgMatches;
@@ -69,6 +70,10 @@
         command: quarantine::command,
         run: quarantine::run,
     },
+    Subcommand {
+        command: team::command,
+        run: team::run,
+    },
     Subcommand {
         command: audit::command,
         run: audit::run,
--- /dev/null
+++ b/cli/src/log_input.rs
@@ -0,0 +1,40 @@
+//! Log lines of heatherring's processes, from files or standard input.
+
+use std::fs::File;
+use std::io;
+use std::io::BufRead;
+use std::io::BufReader;
+
+use heatherring_lib::log_chain::LogLine;
+
+use crate::cli_error::CliError;
+
+/// Reads standard input in place of a file.
+const STDIN: &str = "-";
+
+/// Reads the lines of `files`.
+pub fn read<'a>(files: impl Iterator<Item = &'a String>) -> Result<Vec<LogLine>, CliError> {
+    let mut lines = Vec::new();
+    for file in files {
+        read_file(file, &mut lines)?;
+    }
+    Ok(lines)
+}
+
+fn read_file(name: &str, lines: &mut Vec<LogLine>) -> Result<(), CliError> {
+    let unreadable = |error: &io::Error| CliError::user(format!("can't read {name}: {error}"));
+    if name == STDIN {
+        return read_lines(name, io::stdin().lock(), lines).map_err(|error| unreadable(&error));
+    }
+    let file = File::open(name).map_err(|error| unreadable(&error))?;
+    read_lines(name, BufReader::new(file), lines).map_err(|error| unreadable(&error))
+}
+
+/// Keeps the lines of heatherring; whatever else a collector mixed in is passed over.
+fn read_lines(name: &str, input: impl BufRead, lines: &mut Vec<LogLine>) -> io::Result<()> {
+    for line in input.split(b'\n') {
+        let line = line?;
+        lines.extend(LogLine::read(name, &String::from_utf8_lossy(&line)));
+    }
+    Ok(())
+}
--- a/cli/src/main.rs
+++ b/cli/src/main.rs
@@ -6,6 +6,7 @@
 mod control_access;
 mod input;
 mod interfaces;
+mod log_input;
 mod logging;
 mod manifest_source;
 mod output;
--- a/cli/tests/test_cli_help.rs
+++ b/cli/tests/test_cli_help.rs
@@ -30,6 +30,7 @@
     test_cli_help_status: "status";
     test_cli_help_explain: "explain";
     test_cli_help_quarantine: "quarantine";
+    test_cli_help_team: "team";
     test_cli_help_audit: "audit";
     test_cli_help_schema: "schema";
     test_cli_help_completions: "completions";
--- a/lib/src/explanation.rs
+++ b/lib/src/explanation.rs
@@ -139,6 +139,9 @@
         }
         NotRunReason::NoCommonHome => "no region is home to both the team and the route",
         NotRunReason::TeamLimit => "the team's limit over all entry VMs is reached",
+        NotRunReason::LimitUnconfirmed => {
+            "the team has a limit, and no control replica that shares it out was in reach"
+        }
         NotRunReason::NoManifest => "no manifest was accepted yet",
         NotRunReason::LeaseLapsed => {
             "the entry VM's lease is over, so its view may be old; it takes no new work until \
--- a/lib/src/outcome.rs
+++ b/lib/src/outcome.rs
@@ -80,6 +80,8 @@
         NoCommonHome "no_common_home" 503,
         /// The team's limit is reached.
         TeamLimit "team_limit" 429,
+        /// No control replica said whether the team's limit is reached.
+        LimitUnconfirmed "limit_unconfirmed" 503,
         /// The entry VM has no manifest yet.
         NoManifest "no_manifest" 503,
         /// The entry VM's lease is over; it can't know whether its view is current.
--- a/lib/src/replica_choice.rs
+++ b/lib/src/replica_choice.rs
@@ -89,6 +89,29 @@
     takes.min_by_key(rank)?.announcements
 }
 
+/// Orders `replicas` by how near they are to the entry VM `vm` in the place `here`; those that are
+/// equally near come in an order of the entry VM's own.
+#[must_use]
+pub fn nearest_first(
+    vm: &VmName,
+    here: &PlaceName,
+    regions: &BTreeMap<PlaceName, RegionName>,
+    sites: &[ReplicaSite],
+    replicas: &[SocketAddr],
+) -> Vec<SocketAddr> {
+    let rank = |replica: &SocketAddr| {
+        let site = sites.iter().find(|site| site.address == *replica);
+        let place = site.and_then(|site| site.place.as_ref());
+        let distance = place.map_or(Distance::Far, |place| {
+            Distance::between(regions, here, place)
+        });
+        (distance, weight(vm.as_str(), *replica))
+    };
+    let mut ordered = replicas.to_vec();
+    ordered.sort_by_cached_key(rank);
+    ordered
+}
+
 /// Says why a replica was of no use.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Useless {
--- a/lib/src/settings.rs
+++ b/lib/src/settings.rs
@@ -15,9 +15,10 @@
 use crate::id::PlaceName;
 use crate::id::RegionName;
 use crate::id::VmName;
+use crate::team_share::LimitTolerance;
 
 /// Holds the settings of a control replica.
-#[derive(Clone, Debug, Deserialize, Eq, JsonSchema, PartialEq, Serialize)]
+#[derive(Clone, Debug, Deserialize, JsonSchema, PartialEq, Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct ControlSettings {
     /// Names the VM in reports and in the audit trail.
@@ -128,7 +129,7 @@
 }
 
 /// Says what control offers where entry VMs dispatch directly.
-#[derive(Clone, Debug, Deserialize, Eq, JsonSchema, PartialEq, Serialize)]
+#[derive(Clone, Debug, Deserialize, JsonSchema, PartialEq, Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct DirectControlSettings {
     /// The interface towards those who aren't part of the system.
@@ -148,6 +149,9 @@
     #[serde(default = "default_look_up_ms")]
     #[schemars(range(min = 1))]
     pub look_up_ms: u32,
+    /// How far the limits of teams may be exceeded.
+    #[serde(default)]
+    pub team_limits: LimitTolerance,
 }
 
 pub(crate) const fn default_look_up_ms() -> u32 {
--- /dev/null
+++ b/lib/src/token_purse.rs
@@ -0,0 +1,459 @@
+//! The tokens of an entry VM for the limits of teams.
+//!
+//! A request of a limited team takes a token from stock, or waits for one of a control replica.
+//! Replicas are asked nearest first; one that has none left, or gives no answer, is left for the
+//! next one. Teams that ask often keep a small stock, which also lasts while no replica is in
+//! reach.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::collections::VecDeque;
+use std::net::SocketAddr;
+use std::time::Duration;
+use std::time::Instant;
+
+use crate::id::TeamName;
+use crate::rate_meter::RateMeter;
+use crate::retry_advice::RetryAdvice;
+use crate::team_share::HELD_FOR;
+use crate::team_share::USED_WITHIN;
+use crate::token_shard::Draw;
+use crate::token_shard::Drawn;
+
+/// Time for which requests are expected to go by the stock.
+const STOCK_FOR: Duration = Duration::from_millis(1_500);
+
+/// Tokens of a team that are in stock at most.
+const MOST_STOCK: u32 = 64;
+
+/// Time for which a request waits for a token that is yet to gather.
+const PATIENCE: Duration = Duration::from_millis(250);
+
+/// Time for which a request waits in all, however often a replica had none.
+const LONGEST_WAIT: Duration = Duration::from_millis(250);
+
+/// Refusals a second from which on requests don't wait for tokens to gather: others of the team
+/// take them first.
+const SHORT: f64 = 0.5;
+
+/// Least time between two asks for stock.
+const STOCK_EVERY: Duration = Duration::from_millis(200);
+
+/// Time after which a replica that had too few tokens for the stock is asked again.
+const STOCK_PAUSE: Duration = Duration::from_millis(300);
+
+/// Time for which a replica isn't asked that gave no answer.
+const SILENT_FOR: Duration = Duration::from_secs(1);
+
+/// Longest time for which used tokens go unreported.
+const REPORT_WITHIN: Duration = Duration::from_secs(1);
+
+/// Time after which an unused team is forgotten.
+const FORGOTTEN_AFTER: Duration = Duration::from_secs(10);
+
+/// When a caller is told to come back if no replica can be asked.
+const COME_BACK: Duration = Duration::from_millis(500);
+
+/// Least time after which a replica without a token is asked again.
+const LEAST_PAUSE: Duration = Duration::from_millis(20);
+
+/// Says what becomes of a request.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Ruling {
+    /// It has its token.
+    Run,
+    /// The limit is reached.
+    OverLimit {
+        /// When to come back.
+        come_back: Duration,
+    },
+    /// No replica could be asked.
+    Unconfirmed {
+        /// When to come back.
+        come_back: Duration,
+    },
+}
+
+/// Holds tokens of teams. `W` stands for a request that waits.
+#[derive(Debug)]
+pub struct TokenPurse<W> {
+    teams: BTreeMap<TeamName, Purse<W>>,
+    /// Replicas that are asked at the moment.
+    busy: BTreeSet<SocketAddr>,
+    /// Replicas that gave no answer, and until when they aren't asked.
+    silent: BTreeMap<SocketAddr, Instant>,
+    advice: RetryAdvice,
+}
+
+#[derive(Debug)]
+struct Purse<W> {
+    /// The replicas that share the limit out, nearest first.
+    sharers: Vec<SocketAddr>,
+    /// When those that had no token may have one again.
+    ready_at: BTreeMap<SocketAddr, Instant>,
+    /// When stock is asked for again.
+    stock_at: Instant,
+    /// Requests without a token, and since when they wait.
+    waiting: VecDeque<(W, Instant)>,
+    /// Waiting requests for which a replica is being asked.
+    asked_for: u32,
+    stock: VecDeque<Stock>,
+    used: BTreeMap<SocketAddr, Used>,
+    demand: RateMeter,
+    served: RateMeter,
+    refused: RateMeter,
+    last: Instant,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Stock {
+    replica: SocketAddr,
+    count: u32,
+    until: Instant,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Used {
+    count: u32,
+    since: Instant,
+}
+
+/// Asks a replica for tokens.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Question {
+    /// The replica.
+    pub replica: SocketAddr,
+    /// When it is asked.
+    pub asked_at: Instant,
+    /// What for.
+    pub draws: Vec<Draw>,
+}
+
+impl<W> TokenPurse<W> {
+    /// Starts without tokens; `seed` spreads the returns of refused callers.
+    #[must_use]
+    pub fn new(seed: u64) -> Self {
+        Self {
+            teams: BTreeMap::new(),
+            busy: BTreeSet::new(),
+            silent: BTreeMap::new(),
+            advice: RetryAdvice::new(seed),
+        }
+    }
+
+    /// Takes a token for a request of `team`, whose limit `sharers` share out, nearest first.
+    /// Returns whom to tell what; `waiter` has to wait if it isn't among them.
+    pub fn take(
+        &mut self,
+        now: Instant,
+        team: &TeamName,
+        sharers: &[SocketAddr],
+        waiter: W,
+    ) -> Vec<(W, Ruling)> {
+        let purse = self
+            .teams
+            .entry(team.clone())
+            .or_insert_with(|| Purse::new(now));
+        purse.follow(sharers);
+        purse.last = now;
+        purse.demand.note(now);
+        if purse.spend(now) {
+            return vec![(waiter, Ruling::Run)];
+        }
+        purse.waiting.push_back((waiter, now));
+        purse.give_up(now, &self.silent, &mut self.advice)
+    }
+
+    /// Returns what replicas are to be asked now. Each must be answered for.
+    pub fn questions(&mut self, now: Instant) -> Vec<Question> {
+        self.silent.retain(|_, until| *until > now);
+        let silent = &self.silent;
+        self.teams.retain(|_, purse| !purse.is_over(now));
+        let mut questions: BTreeMap<SocketAddr, Vec<Draw>> = BTreeMap::new();
+        for (team, purse) in &mut self.teams {
+            purse.lapse(now);
+            let asked = purse
+                .ready(now, silent)
+                .find(|replica| !self.busy.contains(replica));
+            if let Some(replica) = asked
+                && let Some(draw) = purse.draw(now, team, replica)
+            {
+                questions.entry(replica).or_default().push(draw);
+            }
+            for replica in purse.unreported(now) {
+                if self.busy.contains(&replica) {
+                    continue;
+                }
+                let used = purse.report(replica);
+                let draws = questions.entry(replica).or_default();
+                draws.push(Draw {
+                    team: team.clone(),
+                    waiting: 0,
+                    stock: 0,
+                    used,
+                });
+            }
+        }
+        self.busy.extend(questions.keys());
+        let questions = questions.into_iter();
+        questions
+            .map(|(replica, draws)| Question {
+                replica,
+                asked_at: now,
+                draws,
+            })
+            .collect()
+    }
+
+    /// Takes a replica's answer to `question`; nothing if none came in time. Returns whom to
+    /// tell what.
+    pub fn answered(
+        &mut self,
+        now: Instant,
+        question: &Question,
+        answer: Option<&[Drawn]>,
+    ) -> Vec<(W, Ruling)> {
+        self.busy.remove(&question.replica);
+        if answer.is_none() {
+            self.silent.insert(question.replica, now + SILENT_FOR);
+        }
+        let is_fresh = now.saturating_duration_since(question.asked_at) <= USED_WITHIN;
+        let mut told = Vec::new();
+        for draw in &question.draws {
+            let Some(purse) = self.teams.get_mut(&draw.team) else {
+                continue;
+            };
+            purse.asked_for = purse.asked_for.saturating_sub(draw.waiting);
+            let drawn = answer.and_then(|answer| answer.iter().find(|d| d.team == draw.team));
+            if let Some(drawn) = drawn {
+                let count = if is_fresh { drawn.waiting } else { 0 };
+                told.extend(purse.serve(now, count));
+                purse.take_in(now, question, draw, drawn);
+            } else {
+                // A replica that answers, and not on this team, doesn't know it yet.
+                let ready_at = now + SILENT_FOR;
+                purse.ready_at.insert(question.replica, ready_at);
+            }
+            told.extend(purse.give_up(now, &self.silent, &mut self.advice));
+        }
+        told
+    }
+
+    /// Returns when [`Self::questions`] is to be asked again at the latest.
+    #[must_use]
+    pub fn next_look(&self, now: Instant) -> Instant {
+        let waiting = self
+            .teams
+            .values()
+            .filter(|purse| !purse.waiting.is_empty());
+        let ready = waiting.flat_map(|purse| purse.ready_at.values());
+        let ready = ready.filter(|at| **at > now).min();
+        let report = now + REPORT_WITHIN;
+        ready.map_or(report, |at| report.min(*at))
+    }
+}
+
+impl<W> Purse<W> {
+    const fn new(now: Instant) -> Self {
+        Self {
+            sharers: Vec::new(),
+            ready_at: BTreeMap::new(),
+            stock_at: now,
+            waiting: VecDeque::new(),
+            asked_for: 0,
+            stock: VecDeque::new(),
+            used: BTreeMap::new(),
+            demand: RateMeter::new(),
+            served: RateMeter::new(),
+            refused: RateMeter::new(),
+            last: now,
+        }
+    }
+
+    fn follow(&mut self, sharers: &[SocketAddr]) {
+        if self.sharers != sharers {
+            self.sharers = sharers.to_vec();
+            self.ready_at.clear();
+        }
+    }
+
+    /// Uses a token of the stock, if there is one.
+    fn spend(&mut self, now: Instant) -> bool {
+        self.lapse(now);
+        let Some(stock) = self.stock.front_mut() else {
+            return false;
+        };
+        stock.count -= 1;
+        let replica = stock.replica;
+        if stock.count == 0 {
+            self.stock.pop_front();
+        }
+        self.note_used(now, replica, 1);
+        self.served.note(now);
+        true
+    }
+
+    fn note_used(&mut self, now: Instant, replica: SocketAddr, count: u32) {
+        let used = self.used.entry(replica);
+        let used = used.or_insert(Used {
+            count: 0,
+            since: now,
+        });
+        used.count += count;
+    }
+
+    /// Drops tokens that were held for too long.
+    fn lapse(&mut self, now: Instant) {
+        while let Some(stock) = self.stock.front().copied()
+            && stock.until <= now
+        {
+            self.stock.pop_front();
+            self.note_used(now, stock.replica, stock.count);
+        }
+    }
+
+    /// Returns the replicas that may have tokens, nearest first.
+    fn ready(
+        &self,
+        now: Instant,
+        silent: &BTreeMap<SocketAddr, Instant>,
+    ) -> impl Iterator<Item = SocketAddr> {
+        let is_ready = move |replica: &&SocketAddr| {
+            let ready_at = self.ready_at.get(*replica);
+            !silent.contains_key(*replica) && ready_at.is_none_or(|at| *at <= now)
+        };
+        self.sharers.iter().filter(is_ready).copied()
+    }
+
+    /// Returns what to ask `replica` for, if anything.
+    fn draw(&mut self, now: Instant, team: &TeamName, replica: SocketAddr) -> Option<Draw> {
+        let waiting = u32::try_from(self.waiting.len()).unwrap_or(u32::MAX);
+        let waiting = waiting - self.asked_for.min(waiting);
+        let stock = if self.stock_at > now {
+            0
+        } else {
+            self.wanted(now)
+        };
+        if waiting == 0 && stock == 0 {
+            return None;
+        }
+        self.asked_for += waiting;
+        self.stock_at = self.stock_at.max(now + STOCK_EVERY);
+        Some(Draw {
+            team: team.clone(),
+            waiting,
+            stock,
+            used: self.report(replica),
+        })
+    }
+
+    /// Returns the tokens that the stock lacks.
+    #[expect(
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss,
+        reason = "clamped to the range of the type"
+    )]
+    fn wanted(&mut self, now: Instant) -> u32 {
+        let expected = self.demand.per_second(now) * STOCK_FOR.as_secs_f64();
+        let wanted = expected.clamp(0.0, f64::from(MOST_STOCK)).ceil() as u32;
+        let held: u32 = self.stock.iter().map(|stock| stock.count).sum();
+        if 2 * held > wanted { 0 } else { wanted - held }
+    }
+
+    /// Returns the replicas that haven't heard for long what was used.
+    fn unreported(&self, now: Instant) -> Vec<SocketAddr> {
+        let due = |used: &Used| now.saturating_duration_since(used.since) >= REPORT_WITHIN;
+        let used = self.used.iter().filter(|(_, used)| due(used));
+        used.map(|(replica, _)| *replica).collect()
+    }
+
+    fn report(&mut self, replica: SocketAddr) -> u32 {
+        self.used.remove(&replica).map_or(0, |used| used.count)
+    }
+
+    fn serve(&mut self, now: Instant, count: u32) -> Vec<(W, Ruling)> {
+        let count = usize::try_from(count).unwrap_or(usize::MAX);
+        let count = count.min(self.waiting.len());
+        for _ in 0..count {
+            self.served.note(now);
+        }
+        let served = self.waiting.drain(..count);
+        served.map(|(waiter, _)| (waiter, Ruling::Run)).collect()
+    }
+
+    /// Puts tokens into stock, which may be as old as the question, and notes what lacks.
+    fn take_in(&mut self, now: Instant, question: &Question, draw: &Draw, drawn: &Drawn) {
+        if drawn.stock > 0 {
+            self.stock.push_back(Stock {
+                replica: question.replica,
+                count: drawn.stock,
+                until: question.asked_at + HELD_FOR,
+            });
+        }
+        if drawn.stock < draw.stock {
+            self.stock_at = now + STOCK_PAUSE;
+        }
+        if drawn.waiting < draw.waiting {
+            let pause = drawn.come_back.max(LEAST_PAUSE);
+            self.ready_at.insert(question.replica, now + pause);
+        }
+    }
+
+    /// Refuses what waits in vain: all, if no replica can have a token soon, or else those that
+    /// have waited for long, and as many as there are more than replicas.
+    fn give_up(
+        &mut self,
+        now: Instant,
+        silent: &BTreeMap<SocketAddr, Instant>,
+        advice: &mut RetryAdvice,
+    ) -> Vec<(W, Ruling)> {
+        let awake = self.sharers.iter().filter(|r| !silent.contains_key(*r));
+        let ready_at = awake.map(|replica| self.ready_at.get(replica).copied().unwrap_or(now));
+        let Some(ready_at) = ready_at.min() else {
+            let waiting = std::mem::take(&mut self.waiting).into_iter();
+            return waiting
+                .map(|(waiter, _)| (waiter, self.unconfirmed(now, advice)))
+                .collect();
+        };
+        let wait = ready_at.saturating_duration_since(now);
+        let may_wait = if wait.is_zero() {
+            usize::MAX
+        } else if wait <= PATIENCE && self.refused.per_second(now) < SHORT {
+            self.sharers.len()
+        } else {
+            0
+        };
+        let waited = |since: Instant| now.saturating_duration_since(since) >= LONGEST_WAIT;
+        let mut refused = self.waiting.split_off(may_wait.min(self.waiting.len()));
+        while let Some((waiter, since)) = self.waiting.pop_front_if(|(_, since)| waited(*since)) {
+            refused.push_back((waiter, since));
+        }
+        let refused = refused.into_iter();
+        refused
+            .map(|(waiter, _)| (waiter, self.over_limit(now, wait, advice)))
+            .collect()
+    }
+
+    /// Refuses a request. Those who are refused together are to come back when there are tokens
+    /// for them all, and not together.
+    fn over_limit(&mut self, now: Instant, wait: Duration, advice: &mut RetryAdvice) -> Ruling {
+        self.refused.note(now);
+        let refused = self.refused.per_second(now);
+        let served = self.served.per_second(now);
+        Ruling::OverLimit {
+            come_back: advice.after(wait, refused, served),
+        }
+    }
+
+    fn unconfirmed(&mut self, now: Instant, advice: &mut RetryAdvice) -> Ruling {
+        self.refused.note(now);
+        Ruling::Unconfirmed {
+            come_back: advice.after(COME_BACK, 0.0, 1.0),
+        }
+    }
+
+    fn is_over(&self, now: Instant) -> bool {
+        let unused = now.saturating_duration_since(self.last) >= FORGOTTEN_AFTER;
+        unused && self.waiting.is_empty() && self.used.is_empty() && self.stock.is_empty()
+    }
+}
--- /dev/null
+++ b/lib/tests/token_model/mod.rs
@@ -0,0 +1,452 @@
+//! A model of the limits of teams: entry VMs, control replicas and what travels between them.
+
+#![allow(dead_code)]
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+use std::time::Instant;
+
+use heatherring_lib::id::TeamName;
+use heatherring_lib::id::VmName;
+use heatherring_lib::team::TeamLimit;
+use heatherring_lib::team_share;
+use heatherring_lib::team_share::LimitShare;
+use heatherring_lib::team_share::LimitTolerance;
+use heatherring_lib::token_purse::Question;
+use heatherring_lib::token_purse::Ruling;
+use heatherring_lib::token_purse::TokenPurse;
+use heatherring_lib::token_shard::Drawn;
+use heatherring_lib::token_shard::Holder;
+use heatherring_lib::token_shard::TokenShard;
+
+const REGIONS: usize = 3;
+const NEAR: Duration = Duration::from_millis(1);
+const FAR: Duration = Duration::from_millis(35);
+const ANSWER_WITHIN: Duration = Duration::from_millis(400);
+const LOOK_EVERY: Duration = Duration::from_millis(500);
+
+/// Says which replicas count for a team.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Way {
+    /// As many as the limit allows.
+    Shares,
+    /// One alone.
+    One,
+    /// None: each entry VM has an equal share, which nobody else can use.
+    Equal,
+}
+
+#[derive(Clone, Debug)]
+enum Event {
+    Request {
+        vm: usize,
+        team: usize,
+    },
+    Asked {
+        vm: usize,
+        life: u64,
+        question: Question,
+    },
+    Answered {
+        vm: usize,
+        life: u64,
+        question: Question,
+        drawn: Option<Vec<Drawn>>,
+    },
+    Look {
+        vm: usize,
+    },
+    Ask {
+        vm: usize,
+    },
+}
+
+struct Replica {
+    address: SocketAddr,
+    shard: TokenShard,
+    up: bool,
+    frozen_until: Duration,
+    cut_until: Duration,
+}
+
+struct Vm {
+    purse: TokenPurse<usize>,
+    equal: TokenShard,
+    life: u64,
+    up: bool,
+    frozen_until: Duration,
+    cut_until: Duration,
+}
+
+/// Counts what became of a team's requests.
+#[derive(Clone, Debug, Default)]
+pub struct Counted {
+    pub asked: u32,
+    pub run: Vec<Duration>,
+    pub over: u32,
+    pub unconfirmed: u32,
+    /// Longest time that a request waited for its token, and the sum of all.
+    pub longest_wait: Duration,
+    pub waited: Duration,
+}
+
+pub struct Model {
+    pub way: Way,
+    pub now: Duration,
+    origin: Instant,
+    tolerance: LimitTolerance,
+    replicas: Vec<Replica>,
+    vms: Vec<Vm>,
+    pub limits: Vec<TeamLimit>,
+    pub counted: Vec<Counted>,
+    sharers: BTreeMap<usize, Vec<SocketAddr>>,
+    events: BTreeMap<(Duration, u64), Event>,
+    number: u64,
+    /// Team and time of each request, by the number that waits in a purse.
+    requests: Vec<(usize, Duration)>,
+    /// Questions that were asked.
+    pub questions: u32,
+    pub draws: u32,
+}
+
+pub fn team(number: usize) -> TeamName {
+    TeamName::new(format!("team-{number}"))
+}
+
+fn address(replica: usize) -> SocketAddr {
+    let last = u8::try_from(replica % 200 + 1).unwrap();
+    let third = u8::try_from(replica / 200).unwrap();
+    SocketAddr::from(([10, 0, third, last], 7_000))
+}
+
+impl Model {
+    pub fn new(way: Way, vms: usize, replicas: usize, limits: Vec<TeamLimit>) -> Self {
+        let mut model = Self {
+            way,
+            now: Duration::ZERO,
+            origin: Instant::now(),
+            tolerance: LimitTolerance::default(),
+            replicas: Vec::new(),
+            vms: Vec::new(),
+            counted: vec![Counted::default(); limits.len()],
+            limits,
+            sharers: BTreeMap::new(),
+            events: BTreeMap::new(),
+            number: 0,
+            requests: Vec::new(),
+            questions: 0,
+            draws: 0,
+        };
+        for replica in 0..replicas {
+            model.replicas.push(Replica {
+                address: address(replica),
+                shard: TokenShard::new(model.origin),
+                up: true,
+                frozen_until: Duration::ZERO,
+                cut_until: Duration::ZERO,
+            });
+        }
+        for vm in 0..vms {
+            model.vms.push(Vm {
+                purse: TokenPurse::new(vm as u64),
+                equal: TokenShard::new(model.origin),
+                life: 1,
+                up: true,
+                frozen_until: Duration::ZERO,
+                cut_until: Duration::ZERO,
+            });
+            model.push(LOOK_EVERY, Event::Look { vm });
+        }
+        model
+    }
+
+    fn at(&self, time: Duration) -> Instant {
+        self.origin + time
+    }
+
+    fn push(&mut self, at: Duration, event: Event) {
+        self.number += 1;
+        self.events.insert((at, self.number), event);
+    }
+
+    pub fn request(&mut self, at: Duration, vm: usize, team: usize) {
+        self.push(at, Event::Request { vm, team });
+    }
+
+    pub fn cut_vm(&mut self, vm: usize, time: Duration) {
+        self.vms[vm].cut_until = self.now + time;
+    }
+
+    pub fn cut_replica(&mut self, replica: usize, time: Duration) {
+        self.replicas[replica].cut_until = self.now + time;
+    }
+
+    pub fn freeze_vm(&mut self, vm: usize, time: Duration) {
+        self.vms[vm].frozen_until = self.now + time;
+    }
+
+    pub fn freeze_replica(&mut self, replica: usize, time: Duration) {
+        self.replicas[replica].frozen_until = self.now + time;
+    }
+
+    /// Ends the process of an entry VM and starts another one.
+    pub fn restart_vm(&mut self, vm: usize) {
+        let state = &mut self.vms[vm];
+        state.life += 1;
+        state.purse = TokenPurse::new(state.life);
+        state.equal = TokenShard::new(self.origin + self.now);
+    }
+
+    /// Ends the process of a replica and starts another one, which knows nothing.
+    pub fn restart_replica(&mut self, replica: usize) {
+        self.replicas[replica].shard = TokenShard::new(self.origin + self.now);
+    }
+
+    /// Has an entry VM look again when the purse says so.
+    fn look_again(&mut self, vm: usize) {
+        let now = self.at(self.now);
+        let next = self.vms[vm].purse.next_look(now);
+        if next < now + LOOK_EVERY {
+            let at = next.saturating_duration_since(self.origin);
+            self.push(at, Event::Ask { vm });
+        }
+    }
+
+    pub fn run_until(&mut self, end: Duration) {
+        while let Some(entry) = self.events.first_entry() {
+            let (time, _) = *entry.key();
+            if time > end {
+                break;
+            }
+            let event = entry.remove();
+            self.now = self.now.max(time);
+            self.handle(event);
+        }
+        self.now = end;
+    }
+
+    fn handle(&mut self, event: Event) {
+        let frozen_until = match &event {
+            Event::Request { vm, .. }
+            | Event::Look { vm }
+            | Event::Ask { vm }
+            | Event::Answered { vm, .. } => self.vms[*vm].frozen_until,
+            Event::Asked { question, .. } => {
+                let replica = self.replica(question.replica);
+                self.replicas[replica].frozen_until
+            }
+        };
+        if frozen_until > self.now {
+            self.push(frozen_until, event);
+            return;
+        }
+        match event {
+            Event::Request { vm, team } => self.take(vm, team),
+            Event::Look { vm } => {
+                self.ask(vm);
+                self.push(self.now + LOOK_EVERY, Event::Look { vm });
+            }
+            Event::Ask { vm } => {
+                self.ask(vm);
+                self.look_again(vm);
+            }
+            Event::Asked { vm, life, question } => self.draw(vm, life, question),
+            Event::Answered {
+                vm,
+                life,
+                question,
+                drawn,
+            } => {
+                if self.vms[vm].life != life {
+                    return;
+                }
+                let now = self.at(self.now);
+                let ruled = self.vms[vm]
+                    .purse
+                    .answered(now, &question, drawn.as_deref());
+                self.rule(ruled);
+                self.ask(vm);
+            }
+        }
+    }
+
+    fn replica(&self, address: SocketAddr) -> usize {
+        let mut replicas = self.replicas.iter();
+        replicas
+            .position(|replica| replica.address == address)
+            .unwrap()
+    }
+
+    fn sharers(&mut self, number: usize) -> Vec<SocketAddr> {
+        if let Some(known) = self.sharers.get(&number) {
+            return known.clone();
+        }
+        let replicas = self.replicas.iter();
+        let all: Vec<SocketAddr> = replicas.map(|replica| replica.address).collect();
+        let mut sharers = team_share::sharers(&team(number), &self.limits[number], &all);
+        if self.way == Way::One {
+            sharers.truncate(1);
+        }
+        self.sharers.insert(number, sharers.clone());
+        sharers
+    }
+
+    fn delay(vm: usize, replica: usize) -> Duration {
+        if vm % REGIONS == replica % REGIONS {
+            NEAR
+        } else {
+            FAR
+        }
+    }
+
+    fn take(&mut self, vm: usize, number: usize) {
+        let name = team(number);
+        self.counted[number].asked += 1;
+        let request = self.requests.len();
+        self.requests.push((number, self.now));
+        if self.way == Way::Equal {
+            self.take_equal(vm, number, request);
+            return;
+        }
+        let mut sharers = self.sharers(number);
+        sharers.sort_by_key(|sharer| {
+            let replica = self.replica(*sharer);
+            (
+                Self::delay(vm, replica),
+                (replica + vm) % self.replicas.len(),
+            )
+        });
+        let now = self.at(self.now);
+        let ruled = self.vms[vm].purse.take(now, &name, &sharers, request);
+        self.rule(ruled);
+        self.ask(vm);
+        self.look_again(vm);
+    }
+
+    fn take_equal(&mut self, vm: usize, number: usize, request: usize) {
+        let share = LimitShare::of(&self.limits[number], &self.tolerance, self.vms.len());
+        let draw = heatherring_lib::token_shard::Draw {
+            team: team(number),
+            waiting: 1,
+            stock: 0,
+            used: 0,
+        };
+        let holder = holder(vm, 0);
+        let now = self.at(self.now);
+        let drawn = self.vms[vm].equal.draw(now, &holder, &share, &draw);
+        let ruling = if drawn.waiting == 1 {
+            Ruling::Run
+        } else {
+            Ruling::OverLimit {
+                come_back: drawn.come_back,
+            }
+        };
+        self.rule([(request, ruling)]);
+    }
+
+    fn rule(&mut self, ruled: impl IntoIterator<Item = (usize, Ruling)>) {
+        for (request, ruling) in ruled {
+            let (team, asked_at) = self.requests[request];
+            let counted = &mut self.counted[team];
+            match ruling {
+                Ruling::Run => {
+                    let waited = self.now.saturating_sub(asked_at);
+                    counted.run.push(self.now);
+                    counted.waited += waited;
+                    counted.longest_wait = counted.longest_wait.max(waited);
+                }
+                Ruling::OverLimit { .. } => counted.over += 1,
+                Ruling::Unconfirmed { .. } => counted.unconfirmed += 1,
+            }
+        }
+    }
+
+    fn ask(&mut self, vm: usize) {
+        let now = self.at(self.now);
+        let questions = self.vms[vm].purse.questions(now);
+        let life = self.vms[vm].life;
+        for question in questions {
+            self.questions += 1;
+            self.draws += u32::try_from(question.draws.len()).unwrap();
+            let replica = self.replica(question.replica);
+            let late = Event::Answered {
+                vm,
+                life,
+                question: question.clone(),
+                drawn: None,
+            };
+            if self.is_cut(vm, replica) {
+                self.push(self.now + ANSWER_WITHIN, late);
+            } else {
+                let delay = Self::delay(vm, replica);
+                self.push(self.now + delay, Event::Asked { vm, life, question });
+            }
+        }
+    }
+
+    fn is_cut(&self, vm: usize, replica: usize) -> bool {
+        self.vms[vm].cut_until > self.now || self.replicas[replica].cut_until > self.now
+    }
+
+    fn draw(&mut self, vm: usize, life: u64, question: Question) {
+        let number = self.replica(question.replica);
+        let now = self.at(self.now);
+        let mut answers = Vec::new();
+        for draw in &question.draws {
+            let team = (0..self.limits.len())
+                .find(|n| team(*n) == draw.team)
+                .unwrap();
+            let sharers = self.sharers(team);
+            let share = LimitShare::of(&self.limits[team], &self.tolerance, sharers.len());
+            let tokens = &mut self.replicas[number].shard;
+            answers.push(tokens.draw(now, &holder(vm, life), &share, draw));
+        }
+        let asked = question.asked_at.saturating_duration_since(self.origin);
+        let delay = Self::delay(vm, number);
+        // An answer that comes too late is one that never comes.
+        let in_time = self.now + delay <= asked + ANSWER_WITHIN;
+        let (at, drawn) = if self.is_cut(vm, number) || !in_time {
+            (asked + ANSWER_WITHIN, None)
+        } else {
+            (self.now + delay, Some(answers))
+        };
+        let at = at.max(self.now);
+        self.push(
+            at,
+            Event::Answered {
+                vm,
+                life,
+                question,
+                drawn,
+            },
+        );
+    }
+
+    /// Returns the most that ran of a team in any window, less what may.
+    pub fn excess(&self, number: usize) -> f64 {
+        let limit = &self.limits[number];
+        let tolerance = &self.tolerance;
+        let window = tolerance.window.0;
+        let allowed = (limit.rate * window.as_secs_f64() + limit.burst) * (1.0 + tolerance.over)
+            + tolerance.slack;
+        let mut run = self.counted[number].run.clone();
+        run.sort_unstable();
+        let mut most = 0;
+        let mut first = 0;
+        for (last, at) in run.iter().enumerate() {
+            while run[first] + window <= *at {
+                first += 1;
+            }
+            most = most.max(last + 1 - first);
+        }
+        f64::from(u32::try_from(most).unwrap()) - allowed
+    }
+}
+
+fn holder(vm: usize, life: u64) -> Holder {
+    Holder {
+        vm: VmName::new(format!("entry-{vm}")),
+        life,
+    }
+}
--- a/server/src/control_process.rs
+++ b/server/src/control_process.rs
@@ -55,6 +55,7 @@
 use crate::replication_service::ReplicationService;
 use crate::session_service::SessionService;
 use crate::shutdown::Shutdown;
+use crate::token_desk::TokenDesk;
 
 /// Largest submission that is taken, in bytes: a manifest and who submits it.
 const MAX_SUBMISSION_BYTES: usize = MAX_MANIFEST_BYTES + (64 << 10);
@@ -207,8 +208,21 @@
     let outside = serve_outside(&settings, interface, &fleet, &clock, &stop_listeners).await?;
     let (stop_server, server_stopped) = oneshot::channel();
     let builder = security.grpc_server().context(SecuritySnafu)?;
-    let fleet_service =
-        FleetService::new(identity.cluster, Arc::clone(&clock), fleet, handle.clone());
+    let direct = settings.direct.as_ref();
+    let tolerance = direct.map(|direct| direct.team_limits);
+    let tokens = TokenDesk::new(
+        Arc::clone(&clock),
+        settings.advertised(),
+        tolerance.unwrap_or_default(),
+        picture.clone(),
+    );
+    let fleet_service = FleetService::new(
+        identity.cluster,
+        Arc::clone(&clock),
+        fleet,
+        handle.clone(),
+        tokens,
+    );
     let services = Services::new(&settings, identity, &handle, fleet_service);
     let mut server = services.serve(builder, listener, server_stopped);
     let removed = until_removed(&settings, identity, picture, channels, clock);
--- a/server/src/direct_path.rs
+++ b/server/src/direct_path.rs
@@ -34,6 +34,8 @@
 use heatherring_lib::route_manifest::RouteTarget;
 use heatherring_lib::start_wait;
 use heatherring_lib::team::KeyDigest;
+use heatherring_lib::team::TeamLimit;
+use heatherring_lib::token_purse::Ruling;
 use heatherring_lib::weighted_turns::WeightedTurns;
 use http::HeaderMap;
 use http::HeaderValue;
@@ -66,6 +68,7 @@
 use crate::request_trace::RequestTrace;
 use crate::stop_watch::StopState;
 use crate::stop_watch::StopWatch;
+use crate::token_task::TokenHandle;
 
 /// Time beyond a route's timeout that a backend server is given, as far as the caller waits.
 /// Requests without their data at hand take about as long as some timeouts; one that is ended
@@ -116,6 +119,8 @@
     pub heard: watch::Receiver<Instant>,
     /// Picks backend servers.
     pub dispatch: DispatchHandle,
+    /// Has tokens for the limits of teams.
+    pub tokens: TokenHandle,
     /// Knows which requests end backend servers.
     pub crashes: CrashWatch,
     /// Sends to them.
@@ -210,6 +215,8 @@
     req: DirectRequest,
     route: Arc<Route>,
     rank: RequestRank,
+    /// The limit of its team.
+    limit: Option<TeamLimit>,
     homes: Vec<RegionName>,
     service: ServiceName,
     object: Option<ObjectHash>,
@@ -325,6 +332,7 @@
         Ok(Admitted {
             req,
             rank,
+            limit: team.and_then(|team| team.limit),
             homes: homes.into_owned(),
             route: Arc::clone(route),
             service,
@@ -402,7 +410,8 @@
             unknown: None,
             faulty: None,
         };
-        let mut attempt = Attempt::new();
+        // One token for all tries.
+        let mut attempt = self.take_token(admitted, Attempt::new()).await?;
         loop {
             // Asked before each send: the verdict may come while the request is tried.
             let tag = &admitted.req.tag;
@@ -446,6 +455,32 @@
         }
     }
 
+    /// Takes a token for the limit of a request's team.
+    ///
+    /// # Errors
+    ///
+    /// Refuses the request if there is none.
+    async fn take_token(
+        &self,
+        admitted: &Admitted,
+        attempt: Attempt<Unsent>,
+    ) -> Result<Attempt<Unsent>, NotRun> {
+        let (Some(team), Some(limit)) = (&admitted.req.asker.team, admitted.limit) else {
+            return Ok(attempt);
+        };
+        let ruling = self.tokens.take(team, limit).await;
+        metric::limit(ruling);
+        match ruling {
+            Ruling::Run => Ok(attempt),
+            Ruling::OverLimit { come_back } => Err(attempt
+                .refuse(NotRunReason::TeamLimit)
+                .with_retry_after(come_back)),
+            Ruling::Unconfirmed { come_back } => Err(attempt
+                .refuse(NotRunReason::LimitUnconfirmed)
+                .with_retry_after(come_back)),
+        }
+    }
+
     /// Says where and when a request that came at `arrived` is decided.
     fn decided(&self, arrived: Instant) -> Decided<'_> {
         let now = self.clock.now();
--- a/server/src/direct_process.rs
+++ b/server/src/direct_process.rs
@@ -16,6 +16,7 @@
 use heatherring_lib::fleet_update::FleetView;
 use heatherring_lib::planned_stop::PlannedStop;
 use heatherring_lib::settings_text::read_direct_settings;
+use heatherring_lib::token_shard::Holder;
 use http::Request;
 use http::Response;
 use snafu::ResultExt;
@@ -59,6 +60,8 @@
 use crate::shutdown::Shutdown;
 use crate::stop_watch::StopState;
 use crate::stop_watch::StopWatch;
+use crate::token_task::TokenHandle;
+use crate::token_task::TokenSetup;
 
 /// Connections open at one listener; some descriptors are left for backend servers.
 const MAX_CONNECTIONS: usize = 2_000;
@@ -137,6 +140,7 @@
     let channels = PeerChannels::new(security).leaving_from(settings.listen.callers.ip());
     let Following {
         dispatch,
+        tokens,
         pool,
         crashes,
         followed,
@@ -172,6 +176,7 @@
         interface: Arc::clone(&interface),
         view: view.clone(),
         dispatch,
+        tokens,
         crashes,
         sender,
         turns: Mutex::new(HashMap::new()),
@@ -221,6 +226,7 @@
 /// Holds the tasks that follow control and backend servers.
 struct Following {
     dispatch: DispatchHandle,
+    tokens: TokenHandle,
     pool: BackendPool,
     crashes: CrashWatch,
     followed: Followed,
@@ -235,23 +241,37 @@
         channels: PeerChannels,
     ) -> Self {
         let dispatch = DispatchHandle::spawn(dispatch_config(settings), Arc::clone(clock));
+        let record = own_record(settings);
+        let holder = Holder {
+            vm: settings.vm.clone(),
+            life: record.life,
+        };
         let pool = BackendPool::spawn();
         let vm = settings.vm.clone();
         let (crashes, reporter) = CrashWatch::new(vm.clone(), Arc::clone(clock), pool.clone());
         let followed = fleet_follower::spawn(FollowerSetup {
             vm,
-            record: own_record(settings),
+            record,
             places: settings.places.clone(),
             seeds,
             ready,
-            channels,
+            channels: channels.clone(),
             clock: Arc::clone(clock),
             dispatch: dispatch.clone(),
             crashes: crashes.clone(),
         });
         tokio::spawn(reporter.run(followed.replica.clone()));
+        let tokens = TokenHandle::spawn(TokenSetup {
+            holder,
+            place: settings.place.clone(),
+            places: settings.places.clone(),
+            sites: followed.sites.clone(),
+            channels,
+            clock: Arc::clone(clock),
+        });
         Self {
             dispatch,
+            tokens,
             pool,
             crashes,
             followed,
--- a/server/src/fleet_follower.rs
+++ b/server/src/fleet_follower.rs
@@ -111,6 +111,7 @@
     /// The replicas that were named, and the digest of that list.
     sites: Vec<ReplicaSite>,
     known_replicas: u64,
+    sites_tx: watch::Sender<Vec<ReplicaSite>>,
     choice: ReplicaChoice,
     patience: ReplicaPatience,
     lost_since: Option<Instant>,
@@ -130,6 +131,8 @@
     pub heard: watch::Receiver<Instant>,
     /// The replica that is followed.
     pub replica: watch::Receiver<Option<FleetClient<Channel>>>,
+    /// The replicas that were named.
+    pub sites: watch::Receiver<Vec<ReplicaSite>>,
 }
 
 /// Starts the task.
@@ -139,6 +142,7 @@
     let (out_of_service, out_of_service_rx) = watch::channel(Arc::default());
     let (heard, heard_rx) = watch::channel(setup.clock.now());
     let (replica, replica_rx) = watch::channel(None);
+    let (sites_tx, sites) = watch::channel(Vec::new());
     let choice = ReplicaChoice::new(
         setup.vm.clone(),
         setup.record.place.clone(),
@@ -158,6 +162,7 @@
         known_presence: 0,
         sites: Vec::new(),
         known_replicas: 0,
+        sites_tx,
         choice,
         patience: ReplicaPatience::default(),
         lost_since: None,
@@ -170,6 +175,7 @@
         out_of_service: out_of_service_rx,
         heard: heard_rx,
         replica: replica_rx,
+        sites,
     }
 }
 
@@ -259,6 +265,7 @@
         }
         self.sites = decode(&reply.replicas_encoded)?;
         self.known_replicas = reply.replicas_digest;
+        self.sites_tx.send_replace(self.sites.clone());
         self.choice.learn(&self.sites, &self.setup.seeds.borrow());
         Ok(())
     }
--- a/server/src/fleet_service.rs
+++ b/server/src/fleet_service.rs
@@ -15,6 +15,7 @@
 use heatherring_lib::rendezvous;
 use heatherring_lib::replica_choice::ReplicaSite;
 use heatherring_lib::request_fingerprint::FingerprintKey;
+use heatherring_lib::token_shard::Draw;
 use tonic::Request;
 use tonic::Response;
 use tonic::Status;
@@ -26,6 +27,8 @@
 use crate::node_request::NodeHandle;
 use crate::proto::AdmitReply;
 use crate::proto::AdmitRequest;
+use crate::proto::DrawTokensReply;
+use crate::proto::DrawTokensRequest;
 use crate::proto::FollowReply;
 use crate::proto::FollowRequest;
 use crate::proto::NoteSuspectsReply;
@@ -37,6 +40,7 @@
 use crate::proto::ReportReply;
 use crate::proto::ReportRequest;
 use crate::proto::fleet_server::Fleet;
+use crate::token_desk::TokenDesk;
 use crate::update_cache::UpdateCache;
 
 /// Longest time for which an answer is held back.
@@ -52,6 +56,7 @@
     clock: Arc<dyn Clock>,
     control: FleetControl,
     node: NodeHandle,
+    tokens: TokenDesk,
     updates: Arc<UpdateCache>,
 }
 
@@ -63,12 +68,14 @@
         clock: Arc<dyn Clock>,
         control: FleetControl,
         node: NodeHandle,
+        tokens: TokenDesk,
     ) -> Self {
         Self {
             cluster,
             clock,
             control,
             node,
+            tokens,
             updates: Arc::default(),
         }
     }
@@ -272,6 +279,19 @@
         Ok(Response::new(NoteSuspectsReply {}))
     }
 
+    async fn draw_tokens(
+        &self,
+        request: Request<DrawTokensRequest>,
+    ) -> Result<Response<DrawTokensReply>, Status> {
+        let request = request.into_inner();
+        let holder = decode(&request.holder_encoded)?;
+        let draws: Vec<Draw> = decode(&request.draws_encoded)?;
+        let answers = self.tokens.draw(&holder, &draws);
+        Ok(Response::new(DrawTokensReply {
+            drawn_encoded: encode(&answers)?,
+        }))
+    }
+
     async fn admit(&self, request: Request<AdmitRequest>) -> Result<Response<AdmitReply>, Status> {
         let passed_on = is_passed_on(request.metadata());
         let request = request.into_inner();
--- a/server/src/metric.rs
+++ b/server/src/metric.rs
@@ -11,6 +11,7 @@
 
 use heatherring_lib::clock::Clock;
 use heatherring_lib::dispatch_ask::SendOutcome;
+use heatherring_lib::token_purse::Ruling;
 use http::Request;
 use http::Response;
 use http::header;
@@ -91,6 +92,22 @@
     counter!("heatherring_resends_total", "result" => result).increment(1);
 }
 
+/// Counts a request of a team with a limit by what became of it there.
+pub fn limit(ruling: Ruling) {
+    let result = match ruling {
+        Ruling::Run => "within",
+        Ruling::OverLimit { .. } => "over",
+        Ruling::Unconfirmed { .. } => "unconfirmed",
+    };
+    counter!("heatherring_team_limits_total", "result" => result).increment(1);
+}
+
+/// Counts tokens for the limits of teams that were asked for, and those that were given.
+pub fn tokens(asked: u32, given: u32) {
+    counter!("heatherring_tokens_asked_total").increment(u64::from(asked));
+    counter!("heatherring_tokens_given_total").increment(u64::from(given));
+}
+
 /// Counts a backend server that ended with requests on it.
 pub fn backend_ended(standing: usize) {
     counter!("heatherring_backends_ended_total").increment(1);
--- a/server/src/operator_client.rs
+++ b/server/src/operator_client.rs
@@ -36,6 +36,8 @@
 use crate::proto::SubmitOutcome;
 use crate::proto::SubmitReply;
 use crate::proto::SubmitRequest;
+use crate::proto::TeamsReply;
+use crate::proto::TeamsRequest;
 use crate::proto::operator_client::OperatorClient as GrpcClient;
 
 /// Bound on one message of the operators' protocol. A manifest with a few million
@@ -288,6 +290,16 @@
             .await
     }
 
+    /// Fetches the teams, without their keys.
+    ///
+    /// # Errors
+    ///
+    /// Fails if no replica gave a final answer.
+    pub async fn teams(&self) -> Result<TeamsReply, OperatorClientError> {
+        self.read(async |mut client| client.teams(TeamsRequest {}).await)
+            .await
+    }
+
     /// Asks for a change of the control replicas.
     ///
     /// # Errors
--- a/server/src/operator_service.rs
+++ b/server/src/operator_service.rs
@@ -8,11 +8,13 @@
 use heatherring_lib::id::ClusterId;
 use heatherring_lib::id::ManifestVersion;
 use heatherring_lib::id::Revision;
+use heatherring_lib::id::TeamName;
 use heatherring_lib::manifest_text::read_manifest;
 use heatherring_lib::quarantine::Noted;
 use heatherring_lib::quarantine::Verdict;
 use heatherring_lib::request_fingerprint::Fingerprint;
 use heatherring_lib::submission_history::AcceptedManifest;
+use heatherring_lib::team::Team;
 use tonic::Request;
 use tonic::Response;
 use tonic::Status;
@@ -45,6 +47,9 @@
 use crate::proto::SubmitReply;
 use crate::proto::SubmitRequest;
 use crate::proto::SuspectStatus;
+use crate::proto::TeamStatus;
+use crate::proto::TeamsReply;
+use crate::proto::TeamsRequest;
 use crate::proto::operator_server::Operator;
 use crate::submit_reply::invalid_reply;
 use crate::submit_reply::refused_reply;
@@ -222,6 +227,14 @@
         }
     }
 
+    async fn teams(&self, request: Request<TeamsRequest>) -> Result<Response<TeamsReply>, Status> {
+        let (metadata, _, request) = request.into_parts();
+        match self.node.read(teams).await {
+            Ok(reply) => Ok(Response::new(reply)),
+            Err(error) => relay_or_fail!(error, metadata, teams, request),
+        }
+    }
+
     async fn change_membership(
         &self,
         request: Request<ChangeMembershipRequest>,
@@ -278,6 +291,28 @@
     }
 }
 
+fn teams(state: &ControlState) -> TeamsReply {
+    let manifest = state.fleet().teams();
+    let teams = manifest.iter().flat_map(|manifest| &manifest.teams);
+    TeamsReply {
+        keyed: manifest.is_some(),
+        teams: teams.map(|(name, team)| team_status(name, team)).collect(),
+    }
+}
+
+fn team_status(name: &TeamName, team: &Team) -> TeamStatus {
+    let limit = team.limit();
+    let homes = team.home_regions.iter().flatten();
+    TeamStatus {
+        team: name.to_string(),
+        keys: u32::try_from(team.keys.len()).unwrap_or(u32::MAX),
+        priority: team.priority,
+        rate: limit.map(|limit| limit.rate),
+        burst: limit.map(|limit| limit.burst),
+        home_regions: homes.map(ToString::to_string).collect(),
+    }
+}
+
 fn suspect_status(request: &Fingerprint, noted: &Noted) -> SuspectStatus {
     let ended = noted.suspect.ended().into_iter();
     let verdict = noted.suspect.verdict();
--- /dev/null
+++ b/server/src/token_desk.rs
@@ -0,0 +1,84 @@
+//! Hands out a control replica's tokens for the limits of teams.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::PoisonError;
+
+use heatherring_lib::clock::Clock;
+use heatherring_lib::id::TeamName;
+use heatherring_lib::team::TeamLimit;
+use heatherring_lib::team_share;
+use heatherring_lib::team_share::LimitShare;
+use heatherring_lib::team_share::LimitTolerance;
+use heatherring_lib::token_shard::Draw;
+use heatherring_lib::token_shard::Drawn;
+use heatherring_lib::token_shard::Holder;
+use heatherring_lib::token_shard::TokenShard;
+
+use crate::fleet_picture::FleetPicture;
+use crate::metric;
+
+/// Hands out tokens.
+#[derive(Clone, Debug)]
+pub struct TokenDesk {
+    clock: Arc<dyn Clock>,
+    /// Where this replica takes messages.
+    own: SocketAddr,
+    tolerance: LimitTolerance,
+    picture: FleetPicture,
+    tokens: Arc<Mutex<TokenShard>>,
+}
+
+impl TokenDesk {
+    /// Creates the desk of the replica at `own`.
+    #[must_use]
+    pub fn new(
+        clock: Arc<dyn Clock>,
+        own: SocketAddr,
+        tolerance: LimitTolerance,
+        picture: FleetPicture,
+    ) -> Self {
+        let tokens = TokenShard::new(clock.now());
+        Self {
+            clock,
+            own,
+            tolerance,
+            picture,
+            tokens: Arc::new(Mutex::new(tokens)),
+        }
+    }
+
+    /// Answers what `holder` asks for. Teams without a limit, or unknown here, are left out.
+    ///
+    /// That this replica is current isn't asked for: its share holds whatever the others do.
+    #[must_use]
+    pub fn draw(&self, holder: &Holder, draws: &[Draw]) -> Vec<Drawn> {
+        let picture = self.picture.read();
+        let replicas: Vec<SocketAddr> = picture.replicas.iter().map(|info| info.address).collect();
+        let teams = picture.fleet.teams();
+        let now = self.clock.now();
+        let mut tokens = self.tokens.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut answers = Vec::with_capacity(draws.len());
+        for draw in draws {
+            let team = teams.and_then(|teams| teams.teams.get(&draw.team));
+            let Some(limit) = team.and_then(|team| team.limit()) else {
+                continue;
+            };
+            let share = self.share(&draw.team, &limit, &replicas);
+            let answer = tokens.draw(now, holder, &share, draw);
+            metric::tokens(draw.waiting, answer.waiting);
+            answers.push(answer);
+        }
+        answers
+    }
+
+    fn share(&self, team: &TeamName, limit: &TeamLimit, replicas: &[SocketAddr]) -> LimitShare {
+        let sharers = team_share::sharers(team, limit, replicas);
+        if sharers.contains(&self.own) {
+            LimitShare::of(limit, &self.tolerance, sharers.len())
+        } else {
+            LimitShare::default()
+        }
+    }
+}
--- a/server/tests/direct_support/mod.rs
+++ b/server/tests/direct_support/mod.rs
@@ -41,6 +41,7 @@
 use heatherring_lib::settings::InterfaceName;
 use heatherring_lib::settings::LogSettings;
 use heatherring_lib::settings::Security;
+use heatherring_lib::team_share::LimitTolerance;
 use heatherring_server::control_process::ControlError;
 use heatherring_server::control_process::run_control;
 use heatherring_server::direct_process::DirectError;
@@ -278,6 +279,7 @@
                 look_ups: Some(SocketAddr::new(listen.ip(), FORWARD_PORT)),
                 places: places(),
                 look_up_ms: 2_000,
+                team_limits: LimitTolerance::default(),
             }),
         }
     }
--- a/server/tests/test_fleet_follower.rs
+++ b/server/tests/test_fleet_follower.rs
@@ -32,6 +32,8 @@
 use heatherring_server::peer_security::PeerSecurity;
 use heatherring_server::proto::AdmitReply;
 use heatherring_server::proto::AdmitRequest;
+use heatherring_server::proto::DrawTokensReply;
+use heatherring_server::proto::DrawTokensRequest;
 use heatherring_server::proto::FollowReply;
 use heatherring_server::proto::FollowRequest;
 use heatherring_server::proto::NoteSuspectsReply;
@@ -153,6 +155,13 @@
         Err(Status::unimplemented(""))
     }
 
+    async fn draw_tokens(
+        &self,
+        _: Request<DrawTokensRequest>,
+    ) -> Result<Response<DrawTokensReply>, Status> {
+        Err(Status::unimplemented(""))
+    }
+
     async fn admit(&self, _: Request<AdmitRequest>) -> Result<Response<AdmitReply>, Status> {
         Err(Status::unimplemented(""))
     }
--- a/server/tests/test_operator_client.rs
+++ b/server/tests/test_operator_client.rs
@@ -26,6 +26,8 @@
 use heatherring_server::proto::SubmitOutcome;
 use heatherring_server::proto::SubmitReply;
 use heatherring_server::proto::SubmitRequest;
+use heatherring_server::proto::TeamsReply;
+use heatherring_server::proto::TeamsRequest;
 use heatherring_server::proto::operator_server::Operator;
 use heatherring_server::proto::operator_server::OperatorServer;
 use heatherring_testutils::loopback::CONTROL_PORT;
@@ -113,6 +115,10 @@
         Ok(Response::new(QuarantineReply::default()))
     }
 
+    async fn teams(&self, _: Request<TeamsRequest>) -> Result<Response<TeamsReply>, Status> {
+        Err(Status::unimplemented(""))
+    }
+
     async fn lift_quarantine(
         &self,
         _: Request<LiftQuarantineRequest>,
