--- a/lib/src/team_manifest.rs
+++ b/lib/src/team_manifest.rs
@@ -117,8 +117,11 @@
     /// Returns the teams that can't be served on a route, since no region is home to both.
     pub fn without_common_home(&self) -> impl Iterator<Item = (&TeamName, &RouteName)> {
         let teams = self.teams.iter().flat_map(|manifest| &manifest.teams);
-        teams.flat_map(move |(name, team)| {
+        let homed = teams.filter_map(|(name, team)| {
             let own = team.home_regions.as_deref().unwrap_or_default();
+            (!own.is_empty()).then_some((name, own))
+        });
+        homed.flat_map(move |(name, own)| {
             let routes = self.routes.routes.iter();
             let apart = routes
                 .filter(move |(_, route)| home_regions::common(own, &route.home_regions).is_none());
--- a/lib/src/token_purse.rs
+++ b/lib/src/token_purse.rs
@@ -239,9 +239,13 @@
         told
     }
 
-    /// Returns when [`Self::questions`] is to be asked again at the latest.
+    /// Returns when [`Self::questions`] is to be asked again at the latest; nothing while no team
+    /// has asked lately.
     #[must_use]
-    pub fn next_look(&self, now: Instant) -> Instant {
+    pub fn next_look(&self, now: Instant) -> Option<Instant> {
+        if self.teams.is_empty() {
+            return None;
+        }
         let waiting = self
             .teams
             .values()
@@ -249,7 +253,7 @@
         let ready = waiting.flat_map(|purse| purse.ready_at.values());
         let ready = ready.filter(|at| **at > now).min();
         let report = now + REPORT_WITHIN;
-        ready.map_or(report, |at| report.min(*at))
+        Some(ready.map_or(report, |at| report.min(*at)))
     }
 }
 
--- a/lib/tests/test_team_tokens.rs
+++ b/lib/tests/test_team_tokens.rs
@@ -197,6 +197,8 @@
     others: f64,
     /// What ran beyond what may, in some window; below 0 if nothing did.
     excess: f64,
+    /// Messages to replicas for each request.
+    messages: f64,
 }
 
 /// Plays a team of a kind for 20 s beside others that keep to their limits, 5 s after all
@@ -251,6 +253,8 @@
         wait: counted.waited / all.max(1),
         others: others.0 / others.1,
         excess,
+        messages: f64::from(model.questions)
+            / f64::from(model.counted.iter().map(|c| c.asked).sum::<u32>()),
     }
 }
 
@@ -301,10 +305,11 @@
                     wait,
                     others,
                     excess,
+                    messages,
                 } = played;
                 let wait = wait.as_millis();
                 println!(
-                    "| {vms} | {rate} | {kind:?} | {way:?} | {served:.3} | {of_limit:.3} | {wait} | {others:.3} | {excess:.0} |"
+                    "| {vms} | {rate} | {kind:?} | {way:?} | {served:.3} | {of_limit:.3} | {wait} | {others:.3} | {excess:.0} | {messages:.2} |"
                 );
             }
         }
--- a/lib/tests/token_model/mod.rs
+++ b/lib/tests/token_model/mod.rs
@@ -207,7 +207,7 @@
     fn look_again(&mut self, vm: usize) {
         let now = self.at(self.now);
         let next = self.vms[vm].purse.next_look(now);
-        if next < now + LOOK_EVERY {
+        if let Some(next) = next.filter(|next| *next < now + LOOK_EVERY) {
             let at = next.saturating_duration_since(self.origin);
             self.push(at, Event::Ask { vm });
         }
--- a/server/src/token_task.rs
+++ b/server/src/token_task.rs
@@ -5,6 +5,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
+use std::time::Instant;
 
 use heatherring_lib::clock::Clock;
 use heatherring_lib::id::PlaceName;
@@ -120,7 +121,7 @@
     ) {
         loop {
             let now = self.setup.clock.now();
-            let next_look = self.purse.next_look(now).into();
+            let next_look = self.purse.next_look(now);
             tokio::select! {
                 ask = rx.recv() => match ask {
                     Some(ask) => self.take(ask),
@@ -132,7 +133,7 @@
                     tell(ruled);
                 }
                 Ok(()) = self.setup.sites.changed() => self.follow_sites(),
-                () = tokio::time::sleep_until(next_look) => {}
+                () = until(next_look) => {}
             }
             self.ask();
         }
@@ -205,6 +206,14 @@
     }
 }
 
+/// Waits until `time`, or for ever.
+async fn until(time: Option<Instant>) {
+    match time {
+        Some(time) => tokio::time::sleep_until(time.into()).await,
+        None => std::future::pending().await,
+    }
+}
+
 fn tell(ruled: impl IntoIterator<Item = (oneshot::Sender<Ruling>, Ruling)>) {
     for (waiter, ruling) in ruled {
         // Its caller has left.
