--- a/lib/src/token_purse.rs
+++ b/lib/src/token_purse.rs
@@ -40,13 +40,13 @@
 const STOCK_EVERY: Duration = Duration::from_millis(200);
 
 /// Time after which a replica that had too few tokens for the stock is asked again.
-const STOCK_PAUSE: Duration = Duration::from_millis(300);
+const STOCK_PAUSE: Duration = Duration::from_secs(2);
 
 /// Time for which a replica isn't asked that gave no answer.
 const SILENT_FOR: Duration = Duration::from_secs(1);
 
 /// Longest time for which used tokens go unreported.
-const REPORT_WITHIN: Duration = Duration::from_secs(1);
+const REPORT_WITHIN: Duration = Duration::from_secs(2);
 
 /// Time after which an unused team is forgotten.
 const FORGOTTEN_AFTER: Duration = Duration::from_secs(10);
@@ -180,18 +180,14 @@
             {
                 questions.entry(replica).or_default().push(draw);
             }
-            for replica in purse.unreported(now) {
-                if self.busy.contains(&replica) {
-                    continue;
+        }
+        for (team, purse) in &mut self.teams {
+            let due = purse.unreported(now, |replica| questions.contains_key(replica));
+            for replica in due {
+                if !self.busy.contains(&replica) {
+                    let draw = purse.report_alone(team, replica);
+                    questions.entry(replica).or_default().push(draw);
                 }
-                let used = purse.report(replica);
-                let draws = questions.entry(replica).or_default();
-                draws.push(Draw {
-                    team: team.clone(),
-                    waiting: 0,
-                    stock: 0,
-                    used,
-                });
             }
         }
         self.busy.extend(questions.keys());
@@ -364,11 +360,23 @@
         if 2 * held > wanted { 0 } else { wanted - held }
     }
 
-    /// Returns the replicas that haven't heard for long what was used.
-    fn unreported(&self, now: Instant) -> Vec<SocketAddr> {
-        let due = |used: &Used| now.saturating_duration_since(used.since) >= REPORT_WITHIN;
-        let used = self.used.iter().filter(|(_, used)| due(used));
-        used.map(|(replica, _)| *replica).collect()
+    /// Returns the replicas to tell what was used: those that haven't heard of it for long, and
+    /// those that are asked anyway.
+    fn unreported(&self, now: Instant, is_asked: impl Fn(&SocketAddr) -> bool) -> Vec<SocketAddr> {
+        let is_due = |(replica, used): &(&SocketAddr, &Used)| {
+            is_asked(replica) || now.saturating_duration_since(used.since) >= REPORT_WITHIN
+        };
+        let due = self.used.iter().filter(is_due);
+        due.map(|(replica, _)| *replica).collect()
+    }
+
+    fn report_alone(&mut self, team: &TeamName, replica: SocketAddr) -> Draw {
+        Draw {
+            team: team.clone(),
+            waiting: 0,
+            stock: 0,
+            used: self.report(replica),
+        }
     }
 
     fn report(&mut self, replica: SocketAddr) -> u32 {
