--- a/cli/tests/test_explain_logs.rs
+++ b/cli/tests/test_explain_logs.rs
@@ -263,3 +263,71 @@
     assert!(told.contains("hadn't heard of control"), "{told}");
     assert!(told.contains("lost control"), "{told}");
 }
+
+/// Symptom: whoever reads logs, metrics or what operators' commands print has the keys of teams.
+#[test]
+fn test_explain_logs_and_other_pages_show_no_key() {
+    const KEYS: [&str; 3] = ["key-of-one", "key-taken-away", "key-of-nobody"];
+    let deployment = Deployment::start();
+    let teams = |keys: &[&str]| json!({"teams": {"t-1": {"keys": keys, "rate": 5, "burst": 5}}});
+    let mut change = json!({"version": 1, "base": 0, "content": {"Whole": {
+        "routes": {}, "services": {},
+        "limits": heatherring_lib::route_manifest::CallerLimits::default(),
+    }}});
+    let submit = |change: &Value| {
+        let body = change.to_string();
+        until(
+            deployment.orders,
+            "POST /v1/routes",
+            &body,
+            &["HTTP/1.1 200"],
+        );
+    };
+    change["teams"] = teams(&KEYS[..2]);
+    submit(&change);
+    let patch = json!({"version": 2, "base": 1, "content": {"Patch": {
+        "routes": {"r-1": {
+            "host": "registry.example", "prefix": "/once/", "idempotent": false,
+            "timeout": {"secs": 2, "nanos": 0}, "latency_objective": {"secs": 1, "nanos": 0},
+            "priority": 0, "target": {"Service": "registry"}, "max_attempts": 2,
+            "affinity": true, "home_regions": [],
+        }},
+        "services": {"registry": {
+            "health_path": "/health", "max_connections": 100, "protocol": "h1",
+            "tls": false, "cold_start": {"secs": 3, "nanos": 0}, "cold_rate": 10.0,
+        }},
+        "limits": null, "removed_routes": [], "removed_services": [],
+    }}, "teams": teams(&KEYS[..1])});
+    submit(&patch);
+    for (key, status) in KEYS.iter().zip(["503", "401", "401"]) {
+        let head = format!(
+            "GET /once/1 HTTP/1.1\r\nhost: registry.example\r\nauthorization: Bearer {key}\r\n\
+             heatherring-request-id: {status}\r\nx: "
+        );
+        let expected = format!("HTTP/1.1 {status}");
+        until(deployment.callers, &head, "", &[&expected]);
+    }
+    let control = deployment.control.to_string();
+    let mut shown = vec![
+        deployment.explain("401"),
+        deployment.explain("503"),
+        call(deployment.metrics, "GET /", "").unwrap(),
+    ];
+    for command in ["team", "audit", "status"] {
+        let ran = Command::new(env!("CARGO_BIN_EXE_heatherring"))
+            .args([command, "--control", &control])
+            .output()
+            .unwrap();
+        assert!(ran.status.success(), "{command}: {ran:?}");
+        shown.push(String::from_utf8(ran.stdout).unwrap());
+    }
+    assert!(shown[3].contains("t-1"), "{}", shown[3]);
+    for log in deployment.logs() {
+        shown.push(std::fs::read_to_string(log).unwrap());
+    }
+    for page in shown {
+        assert!(!page.is_empty());
+        let leaked = KEYS.iter().find(|key| page.contains(**key));
+        assert_eq!(leaked, None, "{page}");
+    }
+}
