--- a/lib/tests/test_team_tokens.rs
+++ b/lib/tests/test_team_tokens.rs
@@ -276,6 +276,47 @@
     assert!(wait <= Duration::from_millis(70), "{wait:?}");
 }
 
+/// Symptom: requests within the limit are refused while a replica is down, though others have
+/// tokens.
+///
+/// Sequence: an entry VM asks the nearest replica, which is gone, and the next one too late.
+///
+/// Cause: the time that a silent replica takes counts as a wait for tokens.
+#[rstest]
+#[case::one_in_three(4)]
+#[case::two_in_three(8)]
+fn test_team_limits_pass_silent_replicas(#[case] down: usize) {
+    const RATE: f64 = 20.0;
+    const VMS: usize = 24;
+    const LENGTH: Duration = Duration::from_secs(20);
+    let mut model = Model::new(Way::Shares, VMS, 12, vec![limit(RATE, RATE); 8]);
+    let mut rng = ChaCha8Rng::seed_from_u64(SEED);
+    for replica in 0..down {
+        model.cut_replica(replica, LENGTH * 2);
+    }
+    for team in 0..8 {
+        let mut at = Duration::from_secs(5);
+        while at < LENGTH {
+            let gap = -rng.random::<f64>().max(1e-9).ln() / (RATE * 0.25);
+            at += Duration::from_secs_f64(gap);
+            model.request(at, rng.random_range(0..VMS), team);
+        }
+    }
+    model.run_until(LENGTH + Duration::from_secs(5));
+    let asked: u32 = model.counted.iter().map(|counted| counted.asked).sum();
+    let over: u32 = model.counted.iter().map(|counted| counted.over).sum();
+    let unconfirmed: u32 = model
+        .counted
+        .iter()
+        .map(|counted| counted.unconfirmed)
+        .sum();
+    let refused = f64::from(over + unconfirmed) / f64::from(asked);
+    assert!(
+        refused <= 0.02,
+        "{over} over and {unconfirmed} unconfirmed of {asked}"
+    );
+}
+
 /// Symptom: a team that floods takes the room of the others, or gets less than its limit.
 #[rstest]
 #[case(8)]
