--- a/server/tests/test_teams.rs
+++ b/server/tests/test_teams.rs
@@ -205,6 +205,31 @@
     entry.stop().await;
 }
 
+/// Symptom: a request of a new team is served outside of the team's homes.
+///
+/// Sequence: a team with a home elsewhere is added; a request with its key comes at once, waits
+/// for word of control and finds the team.
+///
+/// Cause: what binds the team is looked up in the view from before the wait.
+#[tokio::test(flavor = "multi_thread")]
+async fn test_teams_homes_of_a_new_team_bind() {
+    let (deployment, entry, backend) = start().await;
+    let runs = backend.runs();
+    for version in 2..8 {
+        let key = format!("key-{version}");
+        let name = format!("t-{version}");
+        let teams = json!({"teams": {name: {"keys": [key], "home_regions": ["elsewhere"]}}});
+        deployment
+            .submit_teams(&patch(version, version - 1), teams)
+            .await;
+        let value = format!("Bearer {key}");
+        let answer = ask(&entry, "/safe/x", &[&value]).await.unwrap();
+        assert_eq!(answer.status, StatusCode::SERVICE_UNAVAILABLE);
+        assert_eq!(backend.runs(), runs, "version {version}");
+    }
+    entry.stop().await;
+}
+
 /// Symptom: callers are told for good that their key is unknown by an entry VM that can't know.
 ///
 /// Sequence: control is gone; a request with a key comes that may have been added since.
