direct_path: what binds a team is taken from the view in which its key was found

What callers saw: a request of a team that had just been added, with homes elsewhere, was answered 200 by a backend server outside of them.

Cause: the entry VM waits for word of control on a key that it doesn't know, finds it in a newer view, and looked homes, limit and rank up in the one from before the wait, where there is no such team. By the same cause a key could have been passed on where the older view knew no teams yet.

Change: the asker comes with the teams among which it was found, and all that binds is read there.

--- a/server/src/direct_path.rs
+++ b/server/src/direct_path.rs
@@ -35,6 +35,7 @@
 use heatherring_lib::start_wait;
 use heatherring_lib::team::KeyDigest;
 use heatherring_lib::team::TeamLimit;
+use heatherring_lib::team_directory::TeamDirectory;
 use heatherring_lib::token_purse::Ruling;
 use heatherring_lib::weighted_turns::WeightedTurns;
 use http::HeaderMap;
@@ -277,12 +278,12 @@
         trace.route = Some(name.clone());
         let mut headers = head.headers;
         let key = credential::read(&headers);
-        if view.teams.is_keyed() {
+        let (asker, teams) = self.asker(arrived, marks.patience, name, key).await?;
+        if teams.is_keyed() {
             credential::remove(&mut headers);
         }
-        let asker = self.asker(arrived, marks.patience, name, key).await?;
         trace.team.clone_from(&asker.team);
-        let team = asker.team_in(&view);
+        let team = asker.team_in(&teams);
         let own_homes = team.map_or(&[][..], |team| &team.home_regions);
         let homes = home_regions::common(own_homes, &route.home_regions)
             .ok_or_else(|| refuse(NotRunReason::NoCommonHome))?;
@@ -355,7 +356,7 @@
         }
     }
 
-    /// Says who sends a request on `route` with `key`.
+    /// Says who sends a request on `route` with `key`, with the teams among which it was found.
     ///
     /// A key that no team has may have been added a moment ago. It is unknown for certain once
     /// control was heard of after the request came; without that word nothing is certain.
@@ -365,10 +366,13 @@
         patience: Option<Duration>,
         route: &RouteName,
         key: Option<KeyDigest>,
-    ) -> Result<KnownAsker, NotRun> {
-        let known = || KnownAsker::find(&self.view.borrow(), route, key);
-        if let Ok(asker) = known() {
-            return Ok(asker);
+    ) -> Result<(KnownAsker, Arc<TeamDirectory>), NotRun> {
+        let known = || {
+            let teams = Arc::clone(&self.view.borrow().teams);
+            KnownAsker::find(&teams, route, key).map(|asker| (asker, teams))
+        };
+        if let Ok(known) = known() {
+            return Ok(known);
         }
         let until = start_wait::wait_until(arrived, CONFIRM_WITHIN, patience);
         let mut heard = self.heard.clone();
--- a/server/src/direct_send.rs
+++ b/server/src/direct_send.rs
@@ -260,7 +260,7 @@
     /// Returns why a request isn't sent after all that no byte of was sent yet.
     fn withdrawn(&self, choice: &Choice, req: &DirectRequest) -> Option<NotRunReason> {
         let view = self.view.borrow();
-        if let Err(reason) = req.asker.check(&view) {
+        if let Err(reason) = req.asker.check(&view.teams) {
             return Some(reason);
         }
         if !view.may_send(&choice.name, choice.born) {
--- a/server/src/known_asker.rs
+++ b/server/src/known_asker.rs
@@ -1,12 +1,12 @@
 //! Who sent a request, and whether that still holds.
 
-use heatherring_lib::fleet_update::FleetView;
 use heatherring_lib::id::RouteName;
 use heatherring_lib::id::TeamName;
 use heatherring_lib::outcome::NotRunReason;
 use heatherring_lib::team::KeyDigest;
 use heatherring_lib::team::TeamRecord;
 use heatherring_lib::team_directory::Asker;
+use heatherring_lib::team_directory::TeamDirectory;
 
 /// Holds who sent a request.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -25,11 +25,11 @@
     ///
     /// Says why nobody may.
     pub fn find(
-        view: &FleetView,
+        teams: &TeamDirectory,
         route: &RouteName,
         key: Option<KeyDigest>,
     ) -> Result<Self, NotRunReason> {
-        let team = match view.teams.asker(route, key) {
+        let team = match teams.asker(route, key) {
             Asker::Anybody => None,
             Asker::Team(team) => Some(team.clone()),
             Asker::Missing => return Err(NotRunReason::CredentialMissing),
@@ -44,19 +44,19 @@
 
     /// Returns what is known of the team.
     #[must_use]
-    pub fn team_in<'a>(&self, view: &'a FleetView) -> Option<&'a TeamRecord> {
-        let team = view.teams.team(self.team.as_ref()?)?;
+    pub fn team_in<'a>(&self, teams: &'a TeamDirectory) -> Option<&'a TeamRecord> {
+        let team = teams.team(self.team.as_ref()?)?;
         Some(team)
     }
 
-    /// Checks whether the same key makes the caller the same one in a later view.
+    /// Checks whether the same key makes the caller the same one among the teams of later.
     ///
     /// # Errors
     ///
     /// Says why the request can't be sent any more. Whoever has become another one may ask
     /// again.
-    pub fn check(&self, view: &FleetView) -> Result<(), NotRunReason> {
-        match Self::find(view, &self.route, self.key) {
+    pub fn check(&self, teams: &TeamDirectory) -> Result<(), NotRunReason> {
+        match Self::find(teams, &self.route, self.key) {
             Ok(now) if now == *self => Ok(()),
             Ok(_) => Err(NotRunReason::CredentialChanged),
             Err(_) => Err(NotRunReason::CredentialWithdrawn),
