--- a/lib/tests/test_team_tokens.rs
+++ b/lib/tests/test_team_tokens.rs
@@ -199,6 +199,8 @@
     excess: f64,
     /// Messages to replicas for each request.
     messages: f64,
+    /// Requests that were refused late, as a share of those that were asked.
+    refused_late: f64,
 }
 
 /// Plays a team of a kind for 20 s beside others that keep to their limits, 5 s after all
@@ -253,6 +255,7 @@
         wait: counted.waited / all.max(1),
         others: others.0 / others.1,
         excess,
+        refused_late: f64::from(counted.refused_late) / f64::from(counted.asked),
         messages: f64::from(model.questions)
             / f64::from(model.counted.iter().map(|c| c.asked).sum::<u32>()),
     }
@@ -317,7 +320,8 @@
     );
 }
 
-/// Symptom: a team that floods takes the room of the others, or gets less than its limit.
+/// Symptom: a team that floods takes the room of the others, gets less than its limit, or waits
+/// for refusals that are known at once.
 #[rstest]
 #[case(8)]
 #[case(84)]
@@ -325,8 +329,12 @@
 fn test_team_limits_flood(#[case] vms: usize) {
     let played = play(Kind::Flooding, Way::Shares, vms, 20.0);
     let Played {
-        of_limit, others, ..
+        of_limit,
+        others,
+        refused_late,
+        ..
     } = played;
+    assert!(refused_late <= 0.01, "{refused_late} refused late");
     assert!(of_limit >= 0.9, "{of_limit} of the limit");
     assert!(others >= 0.97, "{others} of the others");
 }
@@ -347,10 +355,11 @@
                     others,
                     excess,
                     messages,
+                    refused_late,
                 } = played;
                 let wait = wait.as_millis();
                 println!(
-                    "| {vms} | {rate} | {kind:?} | {way:?} | {served:.3} | {of_limit:.3} | {wait} | {others:.3} | {excess:.0} | {messages:.2} |"
+                    "| {vms} | {rate} | {kind:?} | {way:?} | {served:.3} | {of_limit:.3} | {wait} | {others:.3} | {excess:.0} | {messages:.2} | {refused_late:.2} |"
                 );
             }
         }
--- a/lib/tests/token_model/mod.rs
+++ b/lib/tests/token_model/mod.rs
@@ -88,6 +88,8 @@
     pub unconfirmed: u32,
     /// Longest time that a request waited for its token, and the sum of all.
     pub longest_wait: Duration,
+    /// Refusals that took longer than 0.4 s.
+    pub refused_late: u32,
     pub waited: Duration,
 }
 
@@ -349,6 +351,10 @@
         for (request, ruling) in ruled {
             let (team, asked_at) = self.requests[request];
             let counted = &mut self.counted[team];
+            let held = self.now.saturating_sub(asked_at);
+            if ruling != Ruling::Run && held > Duration::from_millis(400) {
+                counted.refused_late += 1;
+            }
             match ruling {
                 Ruling::Run => {
                     let waited = self.now.saturating_sub(asked_at);
