token_purse: only a replica that takes long counts as silent

Cause: no request was refused for its age while any replica was asked for its team. A team beyond its limit always has one that is asked.

Change: ages don't count only while an answer is awaited for 0.15 s or longer.

--- a/lib/src/token_purse.rs
+++ b/lib/src/token_purse.rs
@@ -32,6 +32,10 @@
 /// Time for which a request waits in all, however often a replica had none.
 const LONGEST_WAIT: Duration = Duration::from_millis(250);
 
+/// Time after which a replica that hasn't answered yet seems to be silent; answers from the
+/// farthest region take some 0.1 s.
+const SLOW_ANSWER: Duration = Duration::from_millis(150);
+
 /// Refusals a second from which on requests don't wait for tokens to gather: others of the team
 /// take them first.
 const SHORT: f64 = 0.5;
@@ -101,6 +105,8 @@
     waiting: VecDeque<(W, Instant)>,
     /// Waiting requests for which a replica is being asked.
     asked_for: u32,
+    /// The replicas that are being asked for them, and since when.
+    asking: BTreeMap<SocketAddr, Instant>,
     stock: VecDeque<Stock>,
     used: BTreeMap<SocketAddr, Used>,
     demand: RateMeter,
@@ -245,6 +251,7 @@
                 continue;
             };
             purse.asked_for = purse.asked_for.saturating_sub(draw.waiting);
+            purse.asking.remove(&question.replica);
             let drawn = answer.and_then(|answer| answer.iter().find(|d| d.team == draw.team));
             if let Some(drawn) = drawn {
                 let count = if is_fresh { drawn.waiting } else { 0 };
@@ -288,6 +295,7 @@
             stock_at: now,
             waiting: VecDeque::new(),
             asked_for: 0,
+            asking: BTreeMap::new(),
             stock: VecDeque::new(),
             used: BTreeMap::new(),
             demand: RateMeter::new(),
@@ -365,6 +373,9 @@
             return None;
         }
         self.asked_for += waiting;
+        if waiting > 0 {
+            self.asking.insert(replica, now);
+        }
         self.stock_at = self.stock_at.max(now + STOCK_EVERY);
         Some(Draw {
             team: team.clone(),
@@ -438,6 +449,12 @@
         }
     }
 
+    /// Returns whether a replica takes so long that it seems to be silent.
+    fn is_held_up(&self, now: Instant) -> bool {
+        let is_slow = |at: &Instant| now.saturating_duration_since(*at) >= SLOW_ANSWER;
+        self.asking.values().any(is_slow)
+    }
+
     /// Has requests wait on that a replica kept waiting without an answer.
     fn wait_anew(&mut self, now: Instant) {
         for (_, since) in &mut self.waiting {
@@ -470,10 +487,9 @@
         } else {
             0
         };
-        // While a replica is being asked, it may still be silent.
-        let is_asked = self.asked_for > 0;
+        let is_held_up = self.is_held_up(now);
         let waited =
-            |since: Instant| !is_asked && now.saturating_duration_since(since) >= LONGEST_WAIT;
+            |since: Instant| !is_held_up && now.saturating_duration_since(since) >= LONGEST_WAIT;
         let mut refused = self.waiting.split_off(may_wait.min(self.waiting.len()));
         while let Some((waiter, since)) = self.waiting.pop_front_if(|(_, since)| waited(*since)) {
             refused.push_back((waiter, since));
