teams: a change of the manifest is read where it lies

A command's change was cloned whole to apply it, and once more for the audit trail, and control cloned the manifest after each change to look for teams without a common home. ChangeView borrows instead, and one place tells which commands change the manifest. The own interface reads FleetChange itself, in place of a twin of it. What the replicated state holds of teams has a module of its own. The log's encoding, digests and behaviour are as before.

--- a/lib/src/control_state.rs
+++ b/lib/src/control_state.rs
@@ -23,7 +23,6 @@
 use crate::fleet_command::FleetCommand;
 use crate::fleet_state::FleetState;
 use crate::fleet_state::RouteAnswer;
-use crate::fleet_state::TeamState;
 use crate::id::Revision;
 use crate::id::SessionId;
 use crate::id::VmName;
@@ -36,7 +35,7 @@
 use crate::request_fingerprint::Fingerprint;
 use crate::submission_history::SubmissionAnswer;
 use crate::submission_history::SubmissionHistory;
-use crate::team_manifest::FleetChange;
+use crate::team_state::TeamState;
 use crate::view::ControlView;
 use crate::view::EntryInfo;
 use crate::view::EntrySession;
@@ -464,23 +463,14 @@
 /// Returns what the audit trail keeps of a command: what operators ask for, and not the
 /// comings and goings of backend servers, which would push everything else out.
 fn fleet_event(command: &FleetCommand, answer: Option<&RouteAnswer>) -> Option<AuditEvent> {
-    match command {
-        FleetCommand::ChangeRoutes(change) => Some(AuditEvent::RoutesChange {
-            version: change.version,
+    if let Some(change) = command.manifest_change() {
+        return Some(AuditEvent::RoutesChange {
+            version: change.routes.version,
             digest: change.digest(),
             accepted: answer == Some(&RouteAnswer::Accepted),
-        }),
-        FleetCommand::ChangeTeams { routes, teams } => {
-            let change = FleetChange {
-                routes: routes.clone(),
-                teams: Some(teams.clone()),
-            };
-            Some(AuditEvent::RoutesChange {
-                version: routes.version,
-                digest: change.digest(),
-                accepted: answer == Some(&RouteAnswer::Accepted),
-            })
-        }
+        });
+    }
+    match command {
         FleetCommand::SetEvacuated { place, evacuated } => Some(AuditEvent::Evacuation {
             place: place.clone(),
             evacuated: *evacuated,
--- a/lib/src/fleet_command.rs
+++ b/lib/src/fleet_command.rs
@@ -14,6 +14,7 @@
 use crate::quarantine::SuspectNote;
 use crate::request_fingerprint::Fingerprint;
 use crate::route_manifest::RouteChange;
+use crate::team_manifest::ChangeView;
 use crate::team_manifest::FleetChange;
 use crate::team_manifest::TeamChange;
 
@@ -78,17 +79,29 @@
 }
 
 impl FleetCommand {
+    /// Returns the change of the manifest that the command asks for.
+    #[must_use]
+    pub const fn manifest_change(&self) -> Option<ChangeView<'_>> {
+        match self {
+            Self::ChangeRoutes(routes) => Some(ChangeView {
+                routes,
+                teams: None,
+            }),
+            Self::ChangeTeams { routes, teams } => Some(ChangeView {
+                routes,
+                teams: Some(teams),
+            }),
+            _ => None,
+        }
+    }
+
     /// Applies the command at `index`; a change of routes has an answer.
     pub fn apply(&self, index: Revision, state: &mut FleetState) -> Option<RouteAnswer> {
+        if let Some(change) = self.manifest_change() {
+            return Some(state.change(index, change));
+        }
         match self {
-            Self::ChangeRoutes(change) => return Some(state.change_routes(index, change)),
-            Self::ChangeTeams { routes, teams } => {
-                let change = FleetChange {
-                    routes: routes.clone(),
-                    teams: Some(teams.clone()),
-                };
-                return Some(state.change(index, &change));
-            }
+            Self::ChangeRoutes(_) | Self::ChangeTeams { .. } => {}
             Self::SetEvacuated { place, evacuated } => {
                 state.set_evacuated(index, place, *evacuated);
             }
--- a/lib/src/fleet_state.rs
+++ b/lib/src/fleet_state.rs
@@ -27,7 +27,6 @@
 use crate::id::Revision;
 use crate::id::RouteName;
 use crate::id::ServiceName;
-use crate::id::TeamName;
 use crate::id::VmName;
 use crate::quarantine::Quarantine;
 use crate::quarantine::SuspectNote;
@@ -36,10 +35,10 @@
 use crate::route_check::RouteProblem;
 use crate::route_manifest::RouteChange;
 use crate::route_manifest::RouteManifest;
-use crate::team_directory::TeamUpdate;
-use crate::team_manifest::FleetChange;
+use crate::team_manifest::ChangeView;
 use crate::team_manifest::FleetManifest;
 use crate::team_manifest::TeamManifest;
+use crate::team_state::TeamState;
 
 /// Accepted changes whose resends are still recognized. A pipeline that loses an answer
 /// asks again within seconds; this many last for hours at ten changes a minute.
@@ -80,15 +79,6 @@
     digest: ContentDigest,
 }
 
-/// Holds the teams, and when each was changed last.
-#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
-pub(crate) struct TeamState {
-    manifest: Option<TeamManifest>,
-    stamps: BTreeMap<TeamName, Revision>,
-    /// When anything of them was changed last.
-    changed: Revision,
-}
-
 /// Holds the state of direct dispatch after one log position.
 #[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
 pub struct FleetState {
@@ -167,13 +157,18 @@
     /// sender lost the answer, and a refusal would make it believe that the change isn't
     /// in the history.
     pub fn change_routes(&mut self, index: Revision, change: &RouteChange) -> RouteAnswer {
-        self.change(index, &FleetChange::from(change.clone()))
+        self.change(index, change)
     }
 
     /// Applies a change of the manifest, its teams among the rest, in the same way.
-    pub fn change(&mut self, index: Revision, change: &FleetChange) -> RouteAnswer {
+    pub fn change<'a>(
+        &mut self,
+        index: Revision,
+        change: impl Into<ChangeView<'a>>,
+    ) -> RouteAnswer {
+        let change = change.into();
         let digest = change.digest();
-        let routes = &change.routes;
+        let routes = change.routes;
         let known = |accepted: &AcceptedChange| {
             accepted.version == routes.version && accepted.digest == digest
         };
@@ -185,7 +180,7 @@
                 current: self.manifest.version,
             };
         }
-        let teams = change.teams_after(self.teams.manifest.as_ref());
+        let teams = change.teams_after(self.teams());
         let checked = teams.as_ref().map_or(Ok(()), route_check::check_teams);
         match checked.and_then(|()| route_check::changed(&self.manifest, routes)) {
             Err(problem) => RouteAnswer::Invalid(problem),
@@ -197,7 +192,14 @@
     }
 
     fn accept(&mut self, index: Revision, manifest: FleetManifest, digest: ContentDigest) {
-        self.accept_teams(index, manifest.teams);
+        let gone = if self.teams() == manifest.teams.as_ref() {
+            Vec::new()
+        } else {
+            Arc::make_mut(&mut self.teams).accept(index, manifest.teams)
+        };
+        for team in gone {
+            self.note_removed(index, RemovedItem::Team(team));
+        }
         let before = std::mem::replace(&mut self.manifest, manifest.routes);
         let now = &self.manifest;
         let routes = restamp(index, &mut self.route_stamps, &before.routes, &now.routes);
@@ -222,26 +224,10 @@
         self.touch(index);
     }
 
-    fn accept_teams(&mut self, index: Revision, manifest: Option<TeamManifest>) {
-        if self.teams.manifest == manifest {
-            return;
-        }
-        let state = Arc::make_mut(&mut self.teams);
-        let before = std::mem::replace(&mut state.manifest, manifest).unwrap_or_default();
-        let none = BTreeMap::new();
-        let now = state.manifest.as_ref();
-        let now = now.map_or(&none, |manifest| &manifest.teams);
-        let removed = restamp(index, &mut state.stamps, &before.teams, now);
-        state.changed = index;
-        for team in removed {
-            self.note_removed(index, RemovedItem::Team(team));
-        }
-    }
-
     /// Returns the teams; nothing if requests need no key.
     #[must_use]
     pub fn teams(&self) -> Option<&TeamManifest> {
-        self.teams.manifest.as_ref()
+        self.teams.manifest()
     }
 
     /// Returns the whole manifest in force.
@@ -249,7 +235,7 @@
     pub fn whole_manifest(&self) -> FleetManifest {
         FleetManifest {
             routes: self.manifest.clone(),
-            teams: self.teams.manifest.clone(),
+            teams: self.teams().cloned(),
         }
     }
 
@@ -263,29 +249,6 @@
         self.teams = Arc::new(teams);
     }
 
-    /// Returns what changed of the teams after `since`, if anything did.
-    fn team_update(&self, since: Revision) -> Option<TeamUpdate> {
-        let state = &self.teams;
-        if state.changed <= since {
-            return None;
-        }
-        let Some(manifest) = &state.manifest else {
-            return Some(TeamUpdate::default());
-        };
-        let teams = manifest.teams.iter();
-        let changed = teams.filter(|(name, _)| {
-            let stamp = state.stamps.get(*name);
-            stamp.is_some_and(|stamp| *stamp > since)
-        });
-        Some(TeamUpdate {
-            keyed: true,
-            teams: changed
-                .map(|(name, team)| (name.clone(), Arc::new(team.record())))
-                .collect(),
-            public_routes: Some(manifest.public_routes.clone()),
-        })
-    }
-
     /// Evacuates a place, or takes it back into use.
     pub fn set_evacuated(&mut self, index: Revision, place: &PlaceName, evacuated: bool) {
         let changed = if evacuated {
@@ -509,13 +472,13 @@
                     .map(|item| (item.revision, item.value.clone()))
                     .collect()
             },
-            teams: self.team_update(since),
+            teams: self.teams.update_from(since),
         })
     }
 }
 
 /// Stamps what a change of the manifest added or changed; returns what it removed.
-fn restamp<K: Clone + Ord, V: PartialEq>(
+pub(crate) fn restamp<K: Clone + Ord, V: PartialEq>(
     index: Revision,
     stamps: &mut BTreeMap<K, Revision>,
     before: &BTreeMap<K, Arc<V>>,
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -125,6 +125,7 @@
 pub mod team_directory;
 pub mod team_manifest;
 pub mod team_share;
+mod team_state;
 pub mod team_tally;
 pub mod tenure;
 pub mod ticket;
--- a/lib/src/team_manifest.rs
+++ b/lib/src/team_manifest.rs
@@ -50,17 +50,29 @@
     pub removed_teams: Vec<TeamName>,
 }
 
-/// Holds a change that an operator asks for.
-#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+/// Holds a change that an operator asks for; in JSON, the teams stand beside the fields of the
+/// routes' part.
+#[derive(Clone, Debug, Deserialize, PartialEq)]
 pub struct FleetChange {
     /// What it makes of the routes and services.
+    #[serde(flatten)]
     pub routes: RouteChange,
     /// What it makes of the teams, if it names any.
+    #[serde(default)]
     pub teams: Option<TeamChange>,
 }
 
-impl From<RouteChange> for FleetChange {
-    fn from(routes: RouteChange) -> Self {
+/// Shows a change, however it is held.
+#[derive(Clone, Copy, Debug)]
+pub struct ChangeView<'a> {
+    /// What it makes of the routes and services.
+    pub routes: &'a RouteChange,
+    /// What it makes of the teams, if it names any.
+    pub teams: Option<&'a TeamChange>,
+}
+
+impl<'a> From<&'a RouteChange> for ChangeView<'a> {
+    fn from(routes: &'a RouteChange) -> Self {
         Self {
             routes,
             teams: None,
@@ -68,12 +80,21 @@
     }
 }
 
-impl FleetChange {
+impl<'a> From<&'a FleetChange> for ChangeView<'a> {
+    fn from(change: &'a FleetChange) -> Self {
+        Self {
+            routes: &change.routes,
+            teams: change.teams.as_ref(),
+        }
+    }
+}
+
+impl ChangeView<'_> {
     /// Returns the digest of the change, by which a resend is recognized.
     #[must_use]
-    pub fn digest(&self) -> ContentDigest {
+    pub fn digest(self) -> ContentDigest {
         let routes = self.routes.digest();
-        let Some(teams) = &self.teams else {
+        let Some(teams) = self.teams else {
             return routes;
         };
         // Maps of this type encode without fail.
@@ -84,7 +105,7 @@
 
     /// Returns the teams after the change.
     #[must_use]
-    pub fn teams_after(&self, present: Option<&TeamManifest>) -> Option<TeamManifest> {
+    pub fn teams_after(self, present: Option<&TeamManifest>) -> Option<TeamManifest> {
         let (mut after, changed_routes) = match &self.routes.content {
             RouteContent::Whole { .. } => (None, None),
             RouteContent::Patch(patch) => (present.cloned(), Some(patch)),
@@ -99,7 +120,7 @@
                 manifest.public_routes.remove(route);
             }
         }
-        if let Some(change) = &self.teams {
+        if let Some(change) = self.teams {
             for name in &change.removed_teams {
                 manifest.teams.remove(name);
             }
@@ -113,16 +134,19 @@
     }
 }
 
-impl FleetManifest {
-    /// Returns the teams that can't be served on a route, since no region is home to both.
-    pub fn without_common_home(&self) -> impl Iterator<Item = (&TeamName, &RouteName)> {
-        let teams = self.teams.iter().flat_map(|manifest| &manifest.teams);
+impl TeamManifest {
+    /// Returns the teams that can't be served on one of `routes`, since no region is home to both.
+    pub fn without_common_home<'a>(
+        &'a self,
+        routes: &'a RouteManifest,
+    ) -> impl Iterator<Item = (&'a TeamName, &'a RouteName)> {
+        let teams = self.teams.iter();
         let homed = teams.filter_map(|(name, team)| {
             let own = team.home_regions.as_deref().unwrap_or_default();
             (!own.is_empty()).then_some((name, own))
         });
         homed.flat_map(move |(name, own)| {
-            let routes = self.routes.routes.iter();
+            let routes = routes.routes.iter();
             let apart = routes
                 .filter(move |(_, route)| home_regions::common(own, &route.home_regions).is_none());
             apart.map(move |(route, _)| (name, route))
--- a/server/src/fleet_control.rs
+++ b/server/src/fleet_control.rs
@@ -221,8 +221,11 @@
 
     /// Tells of teams that can't be served on some routes, since no region is home to both.
     fn warn_of_teams_without_home(&self) {
-        let manifest = self.inner.picture.read().fleet.whole_manifest();
-        let mut apart = manifest.without_common_home();
+        let fleet = self.inner.picture.read().fleet;
+        let Some(teams) = fleet.teams() else {
+            return;
+        };
+        let mut apart = teams.without_common_home(fleet.manifest());
         if let Some((team, route)) = apart.next() {
             let others = apart.count();
             log::warn!(event = "no_common_home", team = team.as_str(), route = route.as_str(), others; "no region is home to both the team and the route: such requests are refused");
--- a/server/src/own_interface.rs
+++ b/server/src/own_interface.rs
@@ -18,11 +18,9 @@
 use heatherring_lib::id::RegionName;
 use heatherring_lib::id::TeamName;
 use heatherring_lib::outcome::OUTCOME_NOT_RUN;
-use heatherring_lib::route_manifest::RouteChange;
 use heatherring_lib::route_manifest::RouteManifest;
 use heatherring_lib::team_manifest::FleetChange;
 use heatherring_lib::team_manifest::FleetManifest;
-use heatherring_lib::team_manifest::TeamChange;
 use heatherring_lib::team_manifest::TeamManifest;
 use http::HeaderMap;
 use http::HeaderName;
@@ -144,16 +142,7 @@
     record: BackendRecord,
 }
 
-/// Holds a change of the manifest as it is written: its teams beside its other fields.
-#[derive(Debug, Deserialize)]
-struct ChangeBody {
-    #[serde(flatten)]
-    routes: RouteChange,
-    #[serde(default)]
-    teams: Option<TeamChange>,
-}
-
-/// Holds a manifest as it is written.
+/// Holds a manifest as it is written: its teams beside its other fields.
 #[derive(Debug, Serialize)]
 struct ManifestBody {
     #[serde(flatten)]
@@ -228,10 +217,8 @@
         (&Method::DELETE, ["v1", "evacuations", place]) => {
             done(control.set_evacuated(PlaceName::new(*place), false).await)
         }
-        (&Method::POST, ["v1", "routes"]) => match read::<ChangeBody>(&body) {
-            Ok(ChangeBody { routes, teams }) => {
-                changed(control.change_manifest(FleetChange { routes, teams }).await)
-            }
+        (&Method::POST, ["v1", "routes"]) => match read::<FleetChange>(&body) {
+            Ok(change) => changed(control.change_manifest(change).await),
             Err(response) => *response,
         },
         (&Method::GET, ["v1", "routes"]) => match control.manifest().await {
