token_purse: one copy of who shares a limit out, and no count beside what it counts

The task kept the sharers of each team that ever asked, beside the purse's copy, and forgot none of them until the replicas changed; the purse asks for them now when it needs them. How many requests a replica is asked for follows from what it is asked. The follower's list of replicas stood twice, and so did the distance of a site. RateMeter::new and TokenShard::teams had no use of their own. Behaviour as before.

--- a/lib/src/rate_meter.rs
+++ b/lib/src/rate_meter.rs
@@ -14,16 +14,6 @@
 }
 
 impl RateMeter {
-    /// Starts without any event.
-    #[must_use]
-    pub const fn new() -> Self {
-        Self {
-            start: None,
-            current: 0,
-            previous: 0,
-        }
-    }
-
     /// Counts one event.
     pub fn note(&mut self, now: Instant) {
         self.turn(now);
--- a/lib/src/replica_choice.rs
+++ b/lib/src/replica_choice.rs
@@ -44,6 +44,16 @@
     pub place: Option<PlaceName>,
 }
 
+impl ReplicaSite {
+    /// Returns how far the replica is from `here`, where `regions` has the regions of all places.
+    fn distance(&self, regions: &BTreeMap<PlaceName, RegionName>, here: &PlaceName) -> Distance {
+        let place = self.place.as_ref();
+        place.map_or(Distance::Far, |place| {
+            Distance::between(regions, here, place)
+        })
+    }
+}
+
 /// Says how far a place is from here.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub enum Distance {
@@ -101,10 +111,7 @@
 ) -> Vec<SocketAddr> {
     let rank = |replica: &SocketAddr| {
         let site = sites.iter().find(|site| site.address == *replica);
-        let place = site.and_then(|site| site.place.as_ref());
-        let distance = place.map_or(Distance::Far, |place| {
-            Distance::between(regions, here, place)
-        });
+        let distance = site.map_or(Distance::Far, |site| site.distance(regions, here));
         (distance, weight(vm.as_str(), *replica))
     };
     let mut ordered = replicas.to_vec();
@@ -166,9 +173,7 @@
             known.insert(*seed, self.entry(*seed, Distance::Far));
         }
         for site in sites {
-            let distance = site.place.as_ref().map_or(Distance::Far, |place| {
-                Distance::between(&self.regions, &self.place, place)
-            });
+            let distance = site.distance(&self.regions, &self.place);
             known.insert(site.address, self.entry(site.address, distance));
         }
         self.known = known;
--- a/lib/src/token_purse.rs
+++ b/lib/src/token_purse.rs
@@ -15,6 +15,7 @@
 use crate::id::TeamName;
 use crate::rate_meter::RateMeter;
 use crate::retry_advice::RetryAdvice;
+use crate::team::TeamLimit;
 use crate::team_share::HELD_FOR;
 use crate::team_share::USED_WITHIN;
 use crate::token_shard::Draw;
@@ -95,6 +96,8 @@
 
 #[derive(Debug)]
 struct Purse<W> {
+    /// The limit that `sharers` share out; nothing once they may be others.
+    limit: Option<TeamLimit>,
     /// The replicas that share the limit out, nearest first.
     sharers: Vec<SocketAddr>,
     /// When those that had no token may have one again.
@@ -103,10 +106,8 @@
     stock_at: Instant,
     /// Requests without a token, and since when they wait.
     waiting: VecDeque<(W, Instant)>,
-    /// Waiting requests for which a replica is being asked.
-    asked_for: u32,
-    /// The replicas that are being asked for them, and since when.
-    asking: BTreeMap<SocketAddr, Instant>,
+    /// The replicas that are being asked for waiting requests.
+    asked: BTreeMap<SocketAddr, Asked>,
     stock: VecDeque<Stock>,
     used: BTreeMap<SocketAddr, Used>,
     demand: RateMeter,
@@ -115,6 +116,13 @@
     last: Instant,
 }
 
+#[derive(Clone, Copy, Debug)]
+struct Asked {
+    /// Requests that wait for the answer.
+    count: u32,
+    since: Instant,
+}
+
 #[derive(Clone, Copy, Debug)]
 struct Stock {
     replica: SocketAddr,
@@ -170,20 +178,25 @@
         }
     }
 
-    /// Takes a token for a request of `team`, whose limit `sharers` share out, nearest first.
-    /// Returns whom to tell what; `waiter` has to wait if it isn't among them.
+    /// Takes a token for a request of `team`. Where it isn't known who shares its limit out,
+    /// `find_sharers` says so, nearest first. Returns whom to tell what; `waiter` has to wait if
+    /// it isn't among them.
     pub fn take(
         &mut self,
         now: Instant,
         team: &TeamName,
-        sharers: &[SocketAddr],
+        limit: &TeamLimit,
+        find_sharers: impl FnOnce() -> Vec<SocketAddr>,
         waiter: W,
     ) -> Vec<(W, Ruling)> {
         let purse = self
             .teams
             .entry(team.clone())
             .or_insert_with(|| Purse::new(now));
-        purse.follow(sharers);
+        if purse.limit != Some(*limit) {
+            purse.limit = Some(*limit);
+            purse.follow(find_sharers());
+        }
         purse.last = now;
         purse.demand.note(now);
         if purse.spend(now) {
@@ -193,6 +206,13 @@
         purse.give_up(now, &self.silent, &mut self.advice)
     }
 
+    /// Forgets who shares limits out: the replicas have changed.
+    pub fn forget_sharers(&mut self) {
+        for purse in self.teams.values_mut() {
+            purse.limit = None;
+        }
+    }
+
     /// Returns what replicas are to be asked now. Each must be answered for.
     pub fn questions(&mut self, now: Instant) -> Vec<Question> {
         let silent = &self.silent;
@@ -250,8 +270,7 @@
             let Some(purse) = self.teams.get_mut(&draw.team) else {
                 continue;
             };
-            purse.asked_for = purse.asked_for.saturating_sub(draw.waiting);
-            purse.asking.remove(&question.replica);
+            purse.asked.remove(&question.replica);
             let drawn = answer.and_then(|answer| answer.iter().find(|d| d.team == draw.team));
             if let Some(drawn) = drawn {
                 let count = if is_fresh { drawn.waiting } else { 0 };
@@ -288,26 +307,26 @@
 }
 
 impl<W> Purse<W> {
-    const fn new(now: Instant) -> Self {
+    fn new(now: Instant) -> Self {
         Self {
+            limit: None,
             sharers: Vec::new(),
             ready_at: BTreeMap::new(),
             stock_at: now,
             waiting: VecDeque::new(),
-            asked_for: 0,
-            asking: BTreeMap::new(),
+            asked: BTreeMap::new(),
             stock: VecDeque::new(),
             used: BTreeMap::new(),
-            demand: RateMeter::new(),
-            served: RateMeter::new(),
-            refused: RateMeter::new(),
+            demand: RateMeter::default(),
+            served: RateMeter::default(),
+            refused: RateMeter::default(),
             last: now,
         }
     }
 
-    fn follow(&mut self, sharers: &[SocketAddr]) {
+    fn follow(&mut self, sharers: Vec<SocketAddr>) {
         if self.sharers != sharers {
-            self.sharers = sharers.to_vec();
+            self.sharers = sharers;
             self.ready_at.clear();
         }
     }
@@ -363,7 +382,8 @@
     /// Returns what to ask `replica` for, if anything.
     fn draw(&mut self, now: Instant, team: &TeamName, replica: SocketAddr) -> Option<Draw> {
         let waiting = u32::try_from(self.waiting.len()).unwrap_or(u32::MAX);
-        let waiting = waiting - self.asked_for.min(waiting);
+        let asked: u32 = self.asked.values().map(|asked| asked.count).sum();
+        let waiting = waiting.saturating_sub(asked);
         let stock = if self.stock_at > now {
             0
         } else {
@@ -372,9 +392,12 @@
         if waiting == 0 && stock == 0 {
             return None;
         }
-        self.asked_for += waiting;
         if waiting > 0 {
-            self.asking.insert(replica, now);
+            let asked = Asked {
+                count: waiting,
+                since: now,
+            };
+            self.asked.insert(replica, asked);
         }
         self.stock_at = self.stock_at.max(now + STOCK_EVERY);
         Some(Draw {
@@ -451,8 +474,8 @@
 
     /// Returns whether a replica takes so long that it seems to be silent.
     fn is_held_up(&self, now: Instant) -> bool {
-        let is_slow = |at: &Instant| now.saturating_duration_since(*at) >= SLOW_ANSWER;
-        self.asking.values().any(is_slow)
+        let is_slow = |asked: &Asked| now.saturating_duration_since(asked.since) >= SLOW_ANSWER;
+        self.asked.values().any(is_slow)
     }
 
     /// Has requests wait on that a replica kept waiting without an answer.
--- a/lib/src/token_shard.rs
+++ b/lib/src/token_shard.rs
@@ -127,12 +127,6 @@
         }
     }
 
-    /// Returns the teams whose tokens are known here, with those that are in stock.
-    pub fn teams(&self) -> impl Iterator<Item = (&TeamName, u32)> {
-        let teams = self.teams.iter();
-        teams.map(|(name, tokens)| (name, tokens.held.values().map(|held| held.count).sum()))
-    }
-
     /// Forgets teams that nobody asked for lately.
     fn sweep(&mut self, now: Instant) {
         if now.saturating_duration_since(self.swept) < FORGOTTEN_AFTER {
--- a/lib/tests/token_model/mod.rs
+++ b/lib/tests/token_model/mod.rs
@@ -320,7 +320,9 @@
             )
         });
         let now = self.at(self.now);
-        let ruled = self.vms[vm].purse.take(now, &name, &sharers, request);
+        let limit = self.limits[number];
+        let purse = &mut self.vms[vm].purse;
+        let ruled = purse.take(now, &name, &limit, || sharers, request);
         self.rule(ruled);
         self.ask(vm);
         self.look_again(vm);
--- a/server/src/fleet_follower.rs
+++ b/server/src/fleet_follower.rs
@@ -109,9 +109,8 @@
     absent: BTreeSet<Absent>,
     known_presence: u64,
     /// The replicas that were named, and the digest of that list.
-    sites: Vec<ReplicaSite>,
+    sites: watch::Sender<Vec<ReplicaSite>>,
     known_replicas: u64,
-    sites_tx: watch::Sender<Vec<ReplicaSite>>,
     choice: ReplicaChoice,
     patience: ReplicaPatience,
     lost_since: Option<Instant>,
@@ -142,7 +141,7 @@
     let (out_of_service, out_of_service_rx) = watch::channel(Arc::default());
     let (heard, heard_rx) = watch::channel(setup.clock.now());
     let (replica, replica_rx) = watch::channel(None);
-    let (sites_tx, sites) = watch::channel(Vec::new());
+    let (sites, sites_rx) = watch::channel(Vec::new());
     let choice = ReplicaChoice::new(
         setup.vm.clone(),
         setup.record.place.clone(),
@@ -160,9 +159,8 @@
         heard,
         absent: BTreeSet::new(),
         known_presence: 0,
-        sites: Vec::new(),
+        sites,
         known_replicas: 0,
-        sites_tx,
         choice,
         patience: ReplicaPatience::default(),
         lost_since: None,
@@ -175,7 +173,7 @@
         out_of_service: out_of_service_rx,
         heard: heard_rx,
         replica: replica_rx,
-        sites,
+        sites: sites_rx,
     }
 }
 
@@ -183,7 +181,7 @@
     async fn run(mut self) {
         loop {
             self.choice
-                .learn(&self.sites, &self.setup.seeds.borrow_and_update());
+                .learn(&self.sites.borrow(), &self.setup.seeds.borrow_and_update());
             let Some(address) = self.choice.pick(self.setup.clock.now()) else {
                 tokio::time::sleep(NEXT_PAUSE).await;
                 continue;
@@ -263,10 +261,10 @@
         if reply.replicas_encoded.is_empty() {
             return Ok(());
         }
-        self.sites = decode(&reply.replicas_encoded)?;
+        self.sites.send_replace(decode(&reply.replicas_encoded)?);
         self.known_replicas = reply.replicas_digest;
-        self.sites_tx.send_replace(self.sites.clone());
-        self.choice.learn(&self.sites, &self.setup.seeds.borrow());
+        self.choice
+            .learn(&self.sites.borrow(), &self.setup.seeds.borrow());
         Ok(())
     }
 
--- a/server/src/token_task.rs
+++ b/server/src/token_task.rs
@@ -57,6 +57,16 @@
     pub clock: Arc<dyn Clock>,
 }
 
+impl TokenSetup {
+    /// Returns the replicas that share a limit out, nearest first.
+    fn sharers(&self, team: &TeamName, limit: &TeamLimit) -> Vec<SocketAddr> {
+        let sites = self.sites.borrow();
+        let replicas: Vec<SocketAddr> = sites.iter().map(|site| site.address).collect();
+        let sharers = team_share::sharers(team, limit, &replicas);
+        replica_choice::nearest_first(&self.holder.vm, &self.place, &self.places, &sites, &sharers)
+    }
+}
+
 #[derive(Debug)]
 struct Ask {
     team: TeamName,
@@ -78,7 +88,6 @@
         let (answers, answered) = mpsc::unbounded_channel();
         let task = TokenTask {
             purse: TokenPurse::new(rand::random()),
-            sharers: HashMap::new(),
             clients: HashMap::new(),
             answers,
             setup,
@@ -107,8 +116,6 @@
 struct TokenTask {
     setup: TokenSetup,
     purse: TokenPurse<oneshot::Sender<Ruling>>,
-    /// The replicas that share each limit out, nearest first.
-    sharers: HashMap<TeamName, (TeamLimit, Vec<SocketAddr>)>,
     clients: HashMap<SocketAddr, FleetClient<Channel>>,
     answers: mpsc::UnboundedSender<Answer>,
 }
@@ -140,35 +147,17 @@
     }
 
     fn follow_sites(&mut self) {
-        self.sharers.clear();
+        self.purse.forget_sharers();
         let sites = self.setup.sites.borrow_and_update();
         self.clients
             .retain(|address, _| sites.iter().any(|site| site.address == *address));
     }
 
     fn take(&mut self, ask: Ask) {
+        let Ask { team, limit, reply } = ask;
         let now = self.setup.clock.now();
-        let known = self.sharers.get(&ask.team);
-        if known.is_none_or(|(limit, _)| *limit != ask.limit) {
-            let sharers = self.sharers_of(&ask.team, &ask.limit);
-            self.sharers.insert(ask.team.clone(), (ask.limit, sharers));
-        }
-        let sharers = self.sharers.get(&ask.team);
-        let sharers = sharers.map_or(&[][..], |(_, sharers)| sharers);
-        tell(self.purse.take(now, &ask.team, sharers, ask.reply));
-    }
-
-    fn sharers_of(&self, team: &TeamName, limit: &TeamLimit) -> Vec<SocketAddr> {
-        let sites = self.setup.sites.borrow();
-        let replicas: Vec<SocketAddr> = sites.iter().map(|site| site.address).collect();
-        let sharers = team_share::sharers(team, limit, &replicas);
-        let TokenSetup {
-            holder,
-            place,
-            places,
-            ..
-        } = &self.setup;
-        replica_choice::nearest_first(&holder.vm, place, places, &sites, &sharers)
+        let find_sharers = || self.setup.sharers(&team, &limit);
+        tell(self.purse.take(now, &team, &limit, find_sharers, reply));
     }
 
     /// Asks replicas what is to be asked.
