direct_path: what is found out about a request before it is sent has a module of its own

Reading a request, finding its route, who asks and the token for its team stand in direct_admission; what both need is in direct_context, so that neither module needs the other's way back. Moved, not changed.

--- a/server/src/lib.rs
+++ b/server/src/lib.rs
@@ -37,6 +37,8 @@
 pub mod decision_task;
 pub mod demo;
 pub mod demo_backend_server;
+mod direct_admission;
+pub mod direct_context;
 pub mod direct_path;
 pub mod direct_process;
 pub mod direct_send;
