--- a/cli/src/commands/team.rs
+++ b/cli/src/commands/team.rs
@@ -6,6 +6,7 @@
 use clap::ArgAction;
 use clap::ArgMatches;
 use clap::Command;
+use heatherring_lib::log_chain::LogLine;
 use heatherring_lib::team_tally;
 use heatherring_lib::team_tally::TeamTally;
 use heatherring_server::proto::TeamStatus;
@@ -57,10 +58,7 @@
     }
 }
 
-fn count(
-    matches: &ArgMatches,
-    lines: &[heatherring_lib::log_chain::LogLine],
-) -> Result<(), CliError> {
+fn count(matches: &ArgMatches, lines: &[LogLine]) -> Result<(), CliError> {
     let teams = team_tally::tally(lines);
     match output_format(matches) {
         OutputFormat::Json => print_json(&json!(teams)),
--- a/cli/tests/test_explain_logs.rs
+++ b/cli/tests/test_explain_logs.rs
@@ -100,17 +100,7 @@
     /// Puts a route of the service `registry` in force, and waits until the entry VM has it.
     fn submit_routes(&self) {
         let change = json!({"version": 1, "base": 0, "content": {"Whole": {
-            "routes": {"r-1": {
-                "host": "registry.example", "prefix": "/once/", "idempotent": false,
-                "timeout": {"secs": 2, "nanos": 0},
-                "latency_objective": {"secs": 1, "nanos": 0},
-                "priority": 0, "target": {"Service": "registry"}, "max_attempts": 2,
-                "affinity": true, "home_regions": [],
-            }},
-            "services": {"registry": {
-                "health_path": "/health", "max_connections": 100, "protocol": "h1",
-                "tls": false, "cold_start": {"secs": 3, "nanos": 0}, "cold_rate": 10.0,
-            }},
+            "routes": routes(), "services": services(),
             "limits": heatherring_lib::route_manifest::CallerLimits::default(),
         }}});
         until(
@@ -155,6 +145,23 @@
     }
 }
 
+/// One route, of the service `registry`.
+fn routes() -> Value {
+    json!({"r-1": {
+        "host": "registry.example", "prefix": "/once/", "idempotent": false,
+        "timeout": {"secs": 2, "nanos": 0}, "latency_objective": {"secs": 1, "nanos": 0},
+        "priority": 0, "target": {"Service": "registry"}, "max_attempts": 2,
+        "affinity": true, "home_regions": [],
+    }})
+}
+
+fn services() -> Value {
+    json!({"registry": {
+        "health_path": "/health", "max_connections": 100, "protocol": "h1",
+        "tls": false, "cold_start": {"secs": 3, "nanos": 0}, "cold_rate": 10.0,
+    }})
+}
+
 /// Repeats a call until its answer begins with one of `statuses`.
 fn until(address: SocketAddr, head: &str, body: &str, statuses: &[&str]) -> String {
     let begun = std::time::Instant::now();
@@ -286,16 +293,7 @@
     change["teams"] = teams(&KEYS[..2]);
     submit(&change);
     let patch = json!({"version": 2, "base": 1, "content": {"Patch": {
-        "routes": {"r-1": {
-            "host": "registry.example", "prefix": "/once/", "idempotent": false,
-            "timeout": {"secs": 2, "nanos": 0}, "latency_objective": {"secs": 1, "nanos": 0},
-            "priority": 0, "target": {"Service": "registry"}, "max_attempts": 2,
-            "affinity": true, "home_regions": [],
-        }},
-        "services": {"registry": {
-            "health_path": "/health", "max_connections": 100, "protocol": "h1",
-            "tls": false, "cold_start": {"secs": 3, "nanos": 0}, "cold_rate": 10.0,
-        }},
+        "routes": routes(), "services": services(),
         "limits": null, "removed_routes": [], "removed_services": [],
     }}, "teams": teams(&KEYS[..1])});
     submit(&patch);
