sight: how old the proof behind a view is, from whom it came, who lags behind

The record of the incident doesn't say with which version an entry VM went on, from which replica it had that, or how old it was; no process of ours logged it. Three hypotheses couldn't be told apart.

An answer to an entry VM now says when its replica was last proved to be current, counted from when it took the question, so that no clocks are compared. The entry VM tells the age of that proof with each request (proof_age_ms) and as a metric, names the replica behind each view, and says whom it follows, after what silence, and why the ones before were left.

No logic of following changes.

--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -51,6 +51,7 @@
 pub mod fleet_record;
 pub mod fleet_state;
 pub mod fleet_update;
+pub mod follow_lag;
 pub mod group_admission;
 pub mod handover;
 pub mod head_watch;
--- a/lib/src/log_cause.rs
+++ b/lib/src/log_cause.rs
@@ -2,6 +2,7 @@
 
 use crate::cold_watch::ALONE_AFTER;
 use crate::duration_text::whole_ms;
+use crate::follow_lag::IN_FORCE_WITHIN;
 use crate::log_chain::LogLine;
 
 /// Changes that are named at most. Under a storm of changes there are dozens in the seconds
@@ -22,6 +23,14 @@
             decision.text("vm")
         ));
     }
+    let proof_age = decision.number("proof_age_ms");
+    if proof_age > whole_ms(IN_FORCE_WITHIN) {
+        cause.push(format!(
+            "version {} was last proved to be the newest {proof_age} ms before: a newer one may have \
+             been confirmed",
+            decision.number("version")
+        ));
+    }
     let mut likely: Vec<(u8, String)> = changes
         .iter()
         .filter_map(|line| Some((rank(line, decision), change(line, decision)?)))
@@ -37,7 +46,7 @@
     let is_its_own = line.source == decision.source;
     let is_route = decision.text("reason") == "route_unknown";
     match line.event.as_str() {
-        "backend_cold" | "backend_withdrawn" | "backend_changed" => 0,
+        "backend_cold" | "backend_withdrawn" | "backend_changed" | "entry_behind" => 0,
         "control_lost" | "entry_started" if is_its_own => 0,
         "routes_change" if is_route => 0,
         "evacuation" | "role_changed" => 1,
@@ -99,6 +108,12 @@
     let source = &line.source;
     let text = match line.event.as_str() {
         "control_lost" => format!("{source} lost control: {}", line.text("error")),
+        "entry_behind" if line.text("vm") == decision.text("vm") => format!(
+            "{source} heard from it that it still lacked manifest version {}, {} ms after it knew \
+             of that itself",
+            line.number("version"),
+            line.number("lag_ms")
+        ),
         "evacuation" => format!(
             "place {} was {}",
             line.text("place"),
--- a/lib/src/log_chain.rs
+++ b/lib/src/log_chain.rs
@@ -18,7 +18,8 @@
 const CONTEXT_AFTER: Duration = Duration::from_secs(2);
 
 /// Changes that concern all requests, whichever process logged them.
-const COMMON_EVENTS: [&str; 6] = [
+const COMMON_EVENTS: [&str; 7] = [
+    "entry_behind",
     "routes_change",
     "routes_change_open",
     "evacuation",
@@ -28,7 +29,7 @@
 ];
 
 /// Changes that concern the requests of the process that logged them.
-const OWN_EVENTS: [&str; 11] = [
+const OWN_EVENTS: [&str; 12] = [
     "entry_started",
     "entry_leaving",
     "entry_stop_late",
@@ -36,6 +37,7 @@
     "control_regained",
     "view_applied",
     "presence_applied",
+    "replica_followed",
     "backend_cold",
     "settings_reloaded",
     "settings_refused",
--- /dev/null
+++ b/lib/tests/test_follow_lag.rs
@@ -0,0 +1,96 @@
+//! Who goes by an older manifest than is confirmed, as a replica hears of it.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use heatherring_lib::follow_lag::Behind;
+use heatherring_lib::follow_lag::FollowLag;
+use heatherring_lib::follow_lag::Shown;
+use heatherring_lib::id::ManifestVersion;
+use heatherring_lib::id::Revision;
+use heatherring_lib::id::VmName;
+
+struct Replica {
+    lag: FollowLag,
+    start: Instant,
+}
+
+impl Replica {
+    fn new() -> Self {
+        Self {
+            lag: FollowLag::default(),
+            start: Instant::now(),
+        }
+    }
+
+    fn learns(&mut self, ms: u64, version: u64, revision: u64) {
+        let now = self.start + Duration::from_millis(ms);
+        let version = ManifestVersion(version);
+        self.lag.note_manifest(now, version, Revision(revision));
+    }
+
+    fn asked(&mut self, ms: u64, vm: &str, revision: u64) -> Shown {
+        let now = self.start + Duration::from_millis(ms);
+        self.lag
+            .note_question(now, &VmName::new(vm), Revision(revision))
+    }
+}
+
+fn in_force_after(ms: &[u64]) -> Shown {
+    Shown {
+        in_force_after: ms.iter().copied().map(Duration::from_millis).collect(),
+        behind: None,
+    }
+}
+
+fn behind(version: u64, ms: u64) -> Behind {
+    Behind {
+        version: ManifestVersion(version),
+        lag: Duration::from_millis(ms),
+    }
+}
+
+#[test]
+fn test_the_time_until_a_manifest_is_in_force_is_told_once_a_version() {
+    let mut replica = Replica::new();
+    replica.learns(0, 1, 10);
+    assert_eq!(replica.asked(100, "entry-1", 10), Shown::default());
+    replica.learns(1_000, 2, 14);
+    replica.learns(1_100, 3, 15);
+    assert_eq!(replica.asked(1_150, "entry-1", 12), Shown::default());
+    assert_eq!(
+        replica.asked(1_300, "entry-1", 15),
+        in_force_after(&[300, 200])
+    );
+    assert_eq!(replica.asked(1_400, "entry-1", 17), Shown::default());
+}
+
+#[test]
+fn test_an_entry_vm_that_lacks_a_manifest_for_long_is_told_of_once() {
+    let mut replica = Replica::new();
+    replica.learns(0, 1, 10);
+    replica.learns(1_000, 2, 14);
+    replica.learns(2_000, 3, 16);
+    assert_eq!(replica.asked(3_400, "entry-1", 12).behind, None);
+    assert_eq!(
+        replica.asked(3_600, "entry-1", 12).behind,
+        Some(behind(2, 2_600))
+    );
+    assert_eq!(replica.asked(3_800, "entry-1", 12).behind, None);
+    assert_eq!(
+        replica.asked(4_700, "entry-1", 14).behind,
+        Some(behind(3, 2_700))
+    );
+}
+
+/// What an entry VM applied while it followed another replica, or before it started, says
+/// nothing of a lag.
+#[test]
+fn test_what_was_applied_elsewhere_is_no_lag() {
+    let mut replica = Replica::new();
+    replica.asked(0, "entry-1", 10);
+    replica.learns(1_000, 2, 14);
+    assert_eq!(replica.asked(9_000, "entry-1", 20), Shown::default());
+    assert_eq!(replica.asked(9_000, "entry-2", 0), Shown::default());
+    assert_eq!(replica.asked(9_100, "entry-2", 20), Shown::default());
+}
--- a/lib/tests/test_log_chain.rs
+++ b/lib/tests/test_log_chain.rs
@@ -112,6 +112,26 @@
     ");
 }
 
+/// A caller is served by an older manifest while its entry VM hears of control: the age of the
+/// proof says so, not the age of the last word.
+#[test]
+fn test_log_chain_of_a_view_that_was_proved_long_ago() {
+    let behind = |second, vm: &str| {
+        let fields = json!({"vm": vm, "version": 9, "lag_ms": 3100});
+        line("control-1", second, "entry_behind", fields)
+    };
+    let lines = [
+        behind("07.0", "entry-2"),
+        behind("07.5", "entry-1"),
+        refused("08.0", "route_unknown", &json!({"proof_age_ms": 3400})),
+    ];
+    assert_snapshot!(cause(&lines), @r"
+    no route of manifest version 7 matches host and path
+    version 7 was last proved to be the newest 3400 ms before: a newer one may have been confirmed
+    2026-01-31T10:00:07.5Z: control-1 heard from it that it still lacked manifest version 9, 3100 ms after it knew of that itself
+    ");
+}
+
 /// Symptom: a manifest that control refused is named as what wasn't in force yet. Cause: every
 /// decided change counted, whatever the decision was.
 #[test]
--- a/server/src/direct_admission.rs
+++ b/server/src/direct_admission.rs
@@ -99,6 +99,7 @@
         trace.request_id.clone_from(&marks.request_id);
         let view = self.first_view(arrived, marks.patience).await?;
         trace.version = view.version.0;
+        trace.proof_age = self.proof_age();
         let host = host_of(&head.uri, &head.headers)
             .ok_or_else(|| refuse(NotRunReason::MalformedRequest))?;
         let (name, route) = view
@@ -170,6 +171,11 @@
         })
     }
 
+    fn proof_age(&self) -> Duration {
+        let now = self.clock.now();
+        now.saturating_duration_since(*self.proved.borrow())
+    }
+
     /// Returns the view in force; waits a little for the first one.
     async fn first_view(
         &self,
--- a/server/src/direct_context.rs
+++ b/server/src/direct_context.rs
@@ -33,6 +33,8 @@
     pub view: watch::Receiver<Arc<FleetView>>,
     /// When control was last in reach.
     pub heard: watch::Receiver<Instant>,
+    /// When the view was last proved to be all that is confirmed.
+    pub proved: watch::Receiver<Instant>,
     /// Picks backend servers.
     pub dispatch: DispatchHandle,
     /// Has tokens for the limits of teams.
--- a/server/src/direct_process.rs
+++ b/server/src/direct_process.rs
@@ -172,6 +172,7 @@
     let cx = Arc::new(DirectContext {
         vm: settings.vm.clone(),
         heard: followed.heard,
+        proved: followed.proved,
         clock: Arc::clone(&clock),
         interface: Arc::clone(&interface),
         view: view.clone(),
--- a/server/src/fleet_follower.rs
+++ b/server/src/fleet_follower.rs
@@ -51,6 +51,9 @@
 /// confirms are 2 s and more.
 const NEWS_PAUSE: Duration = Duration::from_millis(200);
 
+/// Replicas that are named when the next one is followed, at most.
+const NAMED_LEFT: usize = 6;
+
 /// Tells why a replica's answer is of no use.
 #[derive(Debug, Snafu)]
 enum FollowError {
@@ -105,6 +108,7 @@
     view: watch::Sender<Arc<FleetView>>,
     out_of_service: watch::Sender<Arc<BTreeSet<VmName>>>,
     heard: watch::Sender<Instant>,
+    proved: watch::Sender<Instant>,
     /// Who isn't to be used for now, and the number of that at the replica that is followed.
     absent: BTreeSet<Absent>,
     known_presence: u64,
@@ -114,6 +118,8 @@
     choice: ReplicaChoice,
     patience: ReplicaPatience,
     lost_since: Option<Instant>,
+    /// The replicas that were of no use since one was, and why.
+    left: Vec<String>,
     /// Revision of the verdicts on requests that are known.
     known_quarantine: u64,
     replica: watch::Sender<Option<FleetClient<Channel>>>,
@@ -128,6 +134,8 @@
     pub out_of_service: watch::Receiver<Arc<BTreeSet<VmName>>>,
     /// When control was last in reach.
     pub heard: watch::Receiver<Instant>,
+    /// When the view was last proved to be all that is confirmed; the start, until it was.
+    pub proved: watch::Receiver<Instant>,
     /// The replica that is followed.
     pub replica: watch::Receiver<Option<FleetClient<Channel>>>,
     /// The replicas that were named.
@@ -140,6 +148,7 @@
     let (view, view_rx) = watch::channel(Arc::new(FleetView::default()));
     let (out_of_service, out_of_service_rx) = watch::channel(Arc::default());
     let (heard, heard_rx) = watch::channel(setup.clock.now());
+    let (proved, proved_rx) = watch::channel(setup.clock.now());
     let (replica, replica_rx) = watch::channel(None);
     let (sites, sites_rx) = watch::channel(Vec::new());
     let choice = ReplicaChoice::new(
@@ -157,6 +166,7 @@
         view,
         out_of_service,
         heard,
+        proved,
         absent: BTreeSet::new(),
         known_presence: 0,
         sites,
@@ -164,6 +174,7 @@
         choice,
         patience: ReplicaPatience::default(),
         lost_since: None,
+        left: Vec::new(),
         known_quarantine: 0,
         replica,
     };
@@ -172,6 +183,7 @@
         view: view_rx,
         out_of_service: out_of_service_rx,
         heard: heard_rx,
+        proved: proved_rx,
         replica: replica_rx,
         sites: sites_rx,
     }
@@ -212,6 +224,7 @@
         let mut client = FleetClient::new(channel);
         self.patience.turn();
         self.ask_first(&mut client).await?;
+        self.note_followed(address);
         self.replica.send_replace(Some(client.clone()));
         loop {
             if self.choice.has_nearer(address, self.setup.clock.now()) {
@@ -219,13 +232,14 @@
             }
             let ready = *self.setup.ready.borrow_and_update();
             let request = self.request(ready);
+            let asked = self.setup.clock.now();
             let call = client.follow(Request::new(request));
             let reply = tokio::select! {
                 reply = answer_in_time(&mut self.patience, call) => reply?,
                 // Control must learn at once that this entry VM begins or ceases to serve.
                 Ok(()) = self.setup.ready.changed() => continue,
             };
-            let is_news = self.take(address, &reply)?;
+            let is_news = self.take(address, asked, &reply)?;
             self.patience.note_answer();
             self.choice.note_use(address);
             if is_news {
@@ -269,8 +283,9 @@
     }
 
     fn request(&self, ready: bool) -> FollowRequest {
-        let heard = *self.heard.borrow();
-        metric::control_silent(self.setup.clock.now().saturating_duration_since(heard));
+        let now = self.setup.clock.now();
+        let age = |at: &watch::Sender<Instant>| now.saturating_duration_since(*at.borrow());
+        metric::control_silent(age(&self.heard), age(&self.proved));
         let view = self.view.borrow();
         FollowRequest {
             vm: self.setup.vm.as_str().to_owned(),
@@ -285,8 +300,13 @@
         }
     }
 
-    /// Takes an answer; returns whether it tells anything new.
-    fn take(&mut self, address: SocketAddr, reply: &FollowReply) -> Result<bool, FollowError> {
+    /// Takes an answer to what was asked at `asked`; returns whether it tells anything new.
+    fn take(
+        &mut self,
+        address: SocketAddr,
+        asked: Instant,
+        reply: &FollowReply,
+    ) -> Result<bool, FollowError> {
         if !reply.current {
             return Err(FollowError::NotCurrent);
         }
@@ -294,7 +314,7 @@
         self.learn(reply)?;
         let mut is_news = self.apply_verdicts(reply)?;
         if !reply.update_encoded.is_empty() {
-            self.apply(&reply.update_encoded)?;
+            self.apply(address, reply)?;
             is_news = true;
         }
         if !reply.absent_encoded.is_empty() {
@@ -303,6 +323,8 @@
         }
         self.setup.dispatch.note_control();
         self.heard.send_replace(self.setup.clock.now());
+        self.proved
+            .send_replace(moved(asked, reply.proved_after_ms));
         Ok(is_news)
     }
 
@@ -334,14 +356,15 @@
         self.out_of_service.send_replace(Arc::new(out_of_service));
     }
 
-    fn apply(&mut self, encoded: &[u8]) -> Result<(), FollowError> {
+    fn apply(&mut self, address: SocketAddr, reply: &FollowReply) -> Result<(), FollowError> {
         let unusable = |message: String| FollowError::Update { message };
-        let update = FleetUpdate::decode(encoded).map_err(|error| unusable(error.to_string()))?;
+        let update = FleetUpdate::decode(&reply.update_encoded);
+        let update = update.map_err(|error| unusable(error.to_string()))?;
         let before = Arc::clone(&self.view.borrow());
         let view = before
             .updated(&update)
             .map_err(|error| unusable(error.to_string()))?;
-        log::info!(event = "view_applied", from = before.revision.0, revision = view.revision.0, version = view.version.0, whole = update.whole; "a newer view is in force here");
+        log::info!(event = "view_applied", from = before.revision.0, revision = view.revision.0, version = view.version.0, whole = update.whole, replica:% = address, proved_after_ms = reply.proved_after_ms; "a newer view is in force here");
         metric::view(view.version.0, view.revision.0);
         let view = Arc::new(view);
         self.setup.dispatch.apply_view(Arc::clone(&view));
@@ -353,12 +376,22 @@
     fn note_lost(&mut self, address: SocketAddr, error: &FollowError) {
         log::debug!(event = "replica_left", replica:% = address, error:% = error; "a replica is of no use for now");
         metric::control_lost();
+        if self.left.len() < NAMED_LEFT {
+            self.left.push(format!("{address}: {error}"));
+        }
         if self.lost_since.is_none() {
             self.lost_since = Some(self.setup.clock.now());
             log::warn!(event = "control_lost", replica:% = address, error:% = error; "asking another replica; serving on with what is known");
         }
     }
 
+    fn note_followed(&mut self, address: SocketAddr) {
+        let left = std::mem::take(&mut self.left).join("; ");
+        let heard = *self.heard.borrow();
+        let silent_ms = whole_ms(self.setup.clock.now().saturating_duration_since(heard));
+        log::info!(event = "replica_followed", replica:% = address, silent_ms, left = left.as_str(); "following this control replica from now on");
+    }
+
     fn note_regained(&mut self, address: SocketAddr) {
         if let Some(since) = self.lost_since.take() {
             let lost = self.setup.clock.now().saturating_duration_since(since);
@@ -368,6 +401,17 @@
     }
 }
 
+/// Returns the instant that lies `ms` milliseconds after `at`, or before it if negative.
+fn moved(at: Instant, ms: i64) -> Instant {
+    let by = Duration::from_millis(ms.unsigned_abs());
+    let moved = if ms < 0 {
+        at.checked_sub(by)
+    } else {
+        at.checked_add(by)
+    };
+    moved.unwrap_or(at)
+}
+
 /// Awaits the answer to a call for as long as patience lasts.
 async fn answer_in_time(
     patience: &mut ReplicaPatience,
--- a/server/src/fleet_service.rs
+++ b/server/src/fleet_service.rs
@@ -2,11 +2,17 @@
 
 use std::cmp::Ordering;
 use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
 use std::time::Duration;
+use std::time::Instant;
 
 use heatherring_lib::clock::Clock;
+use heatherring_lib::duration_text::whole_ms;
 use heatherring_lib::fleet_command::FleetCommand;
 use heatherring_lib::fleet_record::EntryRecord;
+use heatherring_lib::follow_lag::FollowLag;
 use heatherring_lib::id::ClusterId;
 use heatherring_lib::id::ReplicaId;
 use heatherring_lib::id::Revision;
@@ -24,6 +30,7 @@
 use crate::leader_relay::fleet_client;
 use crate::leader_relay::is_passed_on;
 use crate::leader_relay::pass_on;
+use crate::metric;
 use crate::node_request::NodeHandle;
 use crate::proto::AdmitReply;
 use crate::proto::AdmitRequest;
@@ -58,6 +65,7 @@
     node: NodeHandle,
     tokens: TokenDesk,
     updates: Arc<UpdateCache>,
+    lag: Arc<Mutex<FollowLag>>,
 }
 
 impl FleetService {
@@ -77,9 +85,48 @@
             node,
             tokens,
             updates: Arc::default(),
+            lag: Arc::default(),
         }
     }
 
+    fn lag(&self) -> MutexGuard<'_, FollowLag> {
+        self.lag.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn note_manifest(&self) {
+        let fleet = self.control.picture().read().fleet;
+        let version = fleet.manifest().version;
+        let now = self.clock.now();
+        self.lag().note_manifest(now, version, fleet.revision());
+    }
+
+    /// Notes what an entry VM has applied, and tells of one that has lacked a manifest for long.
+    fn note_question(&self, vm: &VmName, applied: Revision) {
+        let fleet = self.control.picture().read().fleet;
+        let now = self.clock.now();
+        let shown = {
+            let mut lag = self.lag();
+            lag.retain(|vm| fleet.entry(vm).is_some());
+            lag.note_question(now, vm, applied)
+        };
+        for after in shown.in_force_after {
+            metric::in_force(after);
+        }
+        if let Some(behind) = shown.behind {
+            metric::entry_behind();
+            log::warn!(event = "entry_behind", vm = vm.as_str(), version = behind.version.0, lag_ms = whole_ms(behind.lag), applied = applied.0; "an entry VM goes by an older manifest for too long");
+        }
+    }
+
+    /// Returns when this replica was last proved to be current, in milliseconds after `asked`.
+    fn proved_after_ms(&self, asked: Instant) -> i64 {
+        let now = self.clock.now();
+        let age = self.control.picture().proof_age(now).unwrap_or_default();
+        let held = now.saturating_duration_since(asked);
+        let ms = |time| i64::try_from(whole_ms(time)).unwrap_or(i64::MAX);
+        ms(held).saturating_sub(ms(age))
+    }
+
     /// Waits until there is something new for an entry VM, or its time is up.
     ///
     /// A replica that loses the others says so at once rather than when the time is up: what
@@ -221,13 +268,20 @@
                 ..self.list_replicas(&request)?
             }));
         }
+        let asked = self.clock.now();
         let record: EntryRecord = decode(&request.record_encoded)?;
         let vm = VmName::new(request.vm.as_str());
         if self.control.is_current() {
             self.control.hear_entry(&vm, record, request.ready);
+            self.note_manifest();
+            self.note_question(&vm, Revision(request.applied_revision));
             self.wait_for_news(&request).await;
+            self.note_manifest();
         }
-        Ok(Response::new(self.follow_reply(&request)?))
+        Ok(Response::new(FollowReply {
+            proved_after_ms: self.proved_after_ms(asked),
+            ..self.follow_reply(&request)?
+        }))
     }
 
     async fn propose(
--- a/server/src/metric.rs
+++ b/server/src/metric.rs
@@ -132,9 +132,22 @@
     gauge!("heatherring_view_revision").set(revision);
 }
 
-/// Shows how long ago control was last in reach.
-pub fn control_silent(since: Duration) {
+/// Shows how long ago control was last in reach, and how old the last proof is that the view of
+/// the fleet was all that is confirmed.
+pub fn control_silent(since: Duration, proof_age: Duration) {
     gauge!("heatherring_control_silent_seconds").set(since.as_secs_f64());
+    gauge!("heatherring_control_proof_seconds").set(proof_age.as_secs_f64());
+}
+
+/// Times a manifest from when this replica learned of it until an entry VM that follows it says
+/// that it is in force there.
+pub fn in_force(after: Duration) {
+    histogram!("heatherring_in_force_seconds").record(after);
+}
+
+/// Counts an entry VM that goes by an older manifest for too long.
+pub fn entry_behind() {
+    counter!("heatherring_entries_behind_total").increment(1);
 }
 
 /// Counts a replica that was of no use to an entry VM.
--- a/server/src/request_trace.rs
+++ b/server/src/request_trace.rs
@@ -34,6 +34,8 @@
     pub fingerprint: Option<Fingerprint>,
     /// Version of the manifest that decided the route.
     pub version: u64,
+    /// Time since that version was last proved to be the newest that is confirmed.
+    pub proof_age: Duration,
     /// Time that the caller had left when the request came, at most the route's timeout.
     pub patience: Duration,
     sends: Vec<SendNote>,
@@ -106,6 +108,7 @@
             service = $trace.service(),
             team = $trace.team(),
             version = $trace.version,
+            proof_age_ms = whole_ms($trace.proof_age),
             control_age_ms = whole_ms($decided.control_age),
             patience_ms = whole_ms($trace.patience),
             sends:% = Sends(&$trace.sends),
