--- a/server/tests/test_fleet_follower.rs
+++ b/server/tests/test_fleet_follower.rs
@@ -62,6 +62,10 @@
     address: SocketAddr,
     sites: Arc<watch::Sender<Vec<ReplicaSite>>>,
     current: Arc<AtomicBool>,
+    /// Answers nothing, as one that is frozen or cut off.
+    silent: Arc<AtomicBool>,
+    /// Questions of any kind that came while it was silent.
+    in_vain: Arc<AtomicUsize>,
     /// Questions for the state.
     asked: Arc<AtomicUsize>,
     /// Numbers its verdicts.
@@ -75,6 +79,8 @@
             address: listener.local_addr().unwrap(),
             sites: Arc::clone(sites),
             current: Arc::new(AtomicBool::new(true)),
+            silent: Arc::default(),
+            in_vain: Arc::default(),
             asked: Arc::default(),
             number,
         };
@@ -89,6 +95,11 @@
         self.asked.load(Ordering::SeqCst)
     }
 
+    /// Returns whether it was asked since it fell silent.
+    fn was_asked_in_vain(&self) -> bool {
+        self.in_vain.load(Ordering::SeqCst) > 0
+    }
+
     async fn until_asked_again(&self) {
         let before = self.asked();
         let asking = async {
@@ -107,6 +118,10 @@
         request: Request<FollowRequest>,
     ) -> Result<Response<FollowReply>, Status> {
         let request = request.into_inner();
+        if self.silent.load(Ordering::SeqCst) {
+            self.in_vain.fetch_add(1, Ordering::SeqCst);
+            return std::future::pending().await;
+        }
         let current = self.current.load(Ordering::SeqCst);
         let mut reply = FollowReply {
             current,
@@ -236,3 +251,41 @@
     near.current.store(true, Ordering::SeqCst);
     near.until_asked_again().await;
 }
+
+/// Guards against an entry VM without news for seconds when the replicas near it are lost
+/// together: a far one is asked no later than a second near one.
+#[tokio::test]
+async fn test_near_replicas_that_are_lost_together_are_left_for_a_far_one() {
+    let (sites, _) = watch::channel(Vec::new());
+    let sites = Arc::new(sites);
+    let mut near = Vec::new();
+    for number in 1..=4 {
+        near.push(FakeReplica::start(number, &sites).await);
+    }
+    let far = FakeReplica::start(5, &sites).await;
+    let site = |replica: &FakeReplica, place| ReplicaSite {
+        address: replica.address,
+        place: Some(PlaceName::new(place)),
+    };
+    let mut named: Vec<ReplicaSite> = near.iter().map(|near| site(near, "near")).collect();
+    named.push(site(&far, "far"));
+    sites.send_replace(named);
+    let (_followed, _ready) = follow(far.address);
+    let is_followed = async {
+        while near.iter().all(|near| near.asked() < 2) {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+    };
+    tokio::time::timeout(PATIENCE, is_followed).await.unwrap();
+    let lost = near.iter().filter(|near| near.asked() == 0);
+    let lost: Vec<FakeReplica> = lost.cloned().collect();
+    for replica in &near {
+        replica.silent.store(true, Ordering::SeqCst);
+    }
+    far.until_asked_again().await;
+    let others = lost.iter().filter(|replica| replica.was_asked_in_vain());
+    assert!(
+        others.count() <= 1,
+        "one near replica was asked after the other"
+    );
+}
--- /dev/null
+++ b/testutils/src/direct_cluster.rs
@@ -0,0 +1,294 @@
+//! Control replicas and entry VMs that dispatch directly, as real processes.
+//!
+//! Everything that control replicas are sent by each other and by entry VMs goes through relays,
+//! so that each of these links can be delayed and cut. Callers and operators go round them.
+
+use std::net::IpAddr;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::path::PathBuf;
+use std::time::Duration;
+
+use serde_json::Value;
+use serde_json::json;
+use snafu::ResultExt;
+use tempfile::TempDir;
+
+use crate::cluster_error::ClusterError;
+use crate::cluster_error::FileSnafu;
+use crate::cluster_plan::VmPlan;
+use crate::loopback::BACKEND_SERVERS_PORT;
+use crate::loopback::CALLERS_PORT;
+use crate::loopback::CONTROL_PORT;
+use crate::loopback::LoopbackBlock;
+use crate::loopback::PEERS_PORT;
+use crate::network::Network;
+use crate::process::Process;
+
+/// Replicas that the others know from their settings.
+const SEEDS: usize = 3;
+
+/// Delay of one direction between two VMs of a region.
+const WITHIN_REGION: Duration = Duration::from_millis(1);
+
+/// Describes a cluster.
+#[derive(Clone, Debug)]
+pub struct DirectPlan {
+    /// The regions; each has two places.
+    pub regions: Vec<String>,
+    /// Control replicas, dealt to the places in turn.
+    pub controls: usize,
+    /// Entry VMs, dealt alike.
+    pub entries: usize,
+    /// Delay of one direction between two regions.
+    pub between_regions: Duration,
+}
+
+impl DirectPlan {
+    /// Returns the places: the first one of each region, then the second ones.
+    fn places(&self) -> Vec<(String, String)> {
+        let of = |letter: &str| {
+            let regions = self.regions.iter();
+            let named = regions.map(|region| (format!("{region}-{letter}"), region.clone()));
+            named.collect::<Vec<_>>()
+        };
+        [of("a"), of("b")].concat()
+    }
+
+    fn deal(&self, role: &str, count: usize) -> Vec<VmPlan> {
+        let places = self.places();
+        let vm = |number: usize| {
+            let (place, region) = &places[number % places.len()];
+            VmPlan::new(&format!("{role}-{place}-{number}"), place, region)
+        };
+        (0..count).map(vm).collect()
+    }
+}
+
+/// Holds one VM with its process.
+#[derive(Debug)]
+pub struct DirectVm {
+    /// What was planned.
+    pub plan: VmPlan,
+    ip: IpAddr,
+    settings: PathBuf,
+    process: Option<Process>,
+}
+
+impl DirectVm {
+    /// Returns where a control replica takes orders.
+    #[must_use]
+    pub const fn orders(&self) -> SocketAddr {
+        SocketAddr::new(self.ip, BACKEND_SERVERS_PORT)
+    }
+
+    /// Returns where an entry VM takes requests.
+    #[must_use]
+    pub const fn callers(&self) -> SocketAddr {
+        SocketAddr::new(self.ip, CALLERS_PORT)
+    }
+}
+
+/// Runs the cluster; dropping it kills its processes.
+#[derive(Debug)]
+pub struct DirectCluster {
+    // Processes go before the folder that they write to.
+    /// The control replicas.
+    pub controls: Vec<DirectVm>,
+    /// The entry VMs.
+    pub entries: Vec<DirectVm>,
+    /// The links towards control replicas.
+    pub network: Network,
+    binary: PathBuf,
+    folder: TempDir,
+    _block: LoopbackBlock,
+}
+
+impl DirectCluster {
+    /// Starts all processes of `binary`, the `heatherring` program, at once.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if addresses or files can't be had, or a process doesn't start.
+    pub async fn start(plan: &DirectPlan, binary: &Path) -> Result<Self, ClusterError> {
+        let mut block = LoopbackBlock::claim()?;
+        let folder = tempfile::tempdir().context(FileSnafu {
+            path: std::env::temp_dir(),
+        })?;
+        let mut network = Network::default();
+        let mut relays = Vec::new();
+        let mut prepare = |vms: Vec<VmPlan>| {
+            let prepared = vms.into_iter().map(|plan| DirectVm {
+                settings: folder.path().join(format!("{}.jsonc", plan.vm)),
+                ip: block.next_vm(),
+                plan,
+                process: None,
+            });
+            prepared.collect::<Vec<_>>()
+        };
+        let controls = prepare(plan.deal("core", plan.controls));
+        let entries = prepare(plan.deal("edge", plan.entries));
+        for vm in &controls {
+            let relay = block.next_relay();
+            let target = SocketAddr::new(vm.ip, CONTROL_PORT);
+            network.add_relay(relay, target, &vm.plan.vm).await?;
+            relays.push(relay);
+        }
+        let mut cluster = Self {
+            controls,
+            entries,
+            network,
+            binary: binary.to_owned(),
+            folder,
+            _block: block,
+        };
+        cluster.write_settings(plan, &relays)?;
+        for number in 0..cluster.controls.len() {
+            cluster.start_control(number)?;
+        }
+        for number in 0..cluster.entries.len() {
+            cluster.start_entry(number)?;
+        }
+        cluster.set_delays(plan.between_regions);
+        Ok(cluster)
+    }
+
+    fn write_settings(&self, plan: &DirectPlan, relays: &[SocketAddr]) -> Result<(), ClusterError> {
+        let places: serde_json::Map<String, Value> = plan
+            .places()
+            .into_iter()
+            .map(|(place, region)| (place, region.into()))
+            .collect();
+        let seeds = &relays[..SEEDS.min(relays.len())];
+        let address = |ip, port| SocketAddr::new(ip, port);
+        for (vm, relay) in self.controls.iter().zip(relays) {
+            let settings = json!({
+                "vm": vm.plan.vm, "place": vm.plan.place, "region": vm.plan.region,
+                "listen": address(vm.ip, CONTROL_PORT),
+                "advertise": relay,
+                "data_folder": self.folder.path().join(&vm.plan.vm),
+                "security": "open_loopback",
+                "formation": {"seeds": seeds, "first_start": true},
+                "direct": {"listen": vm.orders(), "places": places},
+            });
+            write(vm, &settings)?;
+        }
+        for vm in &self.entries {
+            let settings = json!({
+                "vm": vm.plan.vm, "place": vm.plan.place, "region": vm.plan.region,
+                "places": places,
+                "listen": {"callers": vm.callers(), "ready": address(vm.ip, PEERS_PORT)},
+                "control": seeds,
+                "security": "open_loopback",
+            });
+            write(vm, &settings)?;
+        }
+        Ok(())
+    }
+
+    fn set_delays(&mut self, between_regions: Duration) {
+        let vms = self.controls.iter().chain(&self.entries);
+        let vms: Vec<VmPlan> = vms.map(|vm| vm.plan.clone()).collect();
+        for control in &self.controls {
+            for vm in &vms {
+                let delay = if vm.region == control.plan.region {
+                    WITHIN_REGION
+                } else {
+                    between_regions
+                };
+                self.network.set_delay(&vm.vm, &control.plan.vm, delay);
+            }
+        }
+    }
+
+    /// Starts a control replica, again or for the first time.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the program can't be started.
+    pub fn start_control(&mut self, number: usize) -> Result<(), ClusterError> {
+        let process = self.spawn("control", &self.controls[number])?;
+        self.controls[number].process = Some(process);
+        self.register(number, true);
+        Ok(())
+    }
+
+    fn start_entry(&mut self, number: usize) -> Result<(), ClusterError> {
+        let process = self.spawn("direct", &self.entries[number])?;
+        self.entries[number].process = Some(process);
+        self.register(number, false);
+        Ok(())
+    }
+
+    fn spawn(&self, command: &str, vm: &DirectVm) -> Result<Process, ClusterError> {
+        let settings = vm.settings.display().to_string();
+        let log = self.folder.path().join(format!("{}.log", vm.plan.vm));
+        let arguments = [command, "--settings", &settings];
+        Ok(Process::start(&vm.plan.vm, &self.binary, &arguments, &log)?)
+    }
+
+    fn register(&mut self, number: usize, is_control: bool) {
+        let vms = if is_control {
+            &self.controls
+        } else {
+            &self.entries
+        };
+        let vm = &vms[number];
+        if let Some(process) = &vm.process {
+            self.network
+                .register(process.pid(), Some(vm.ip), &vm.plan.vm);
+        }
+    }
+
+    /// Kills a control replica.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if it can't be signalled.
+    pub fn kill_control(&mut self, number: usize) -> Result<(), ClusterError> {
+        if let Some(mut process) = self.controls[number].process.take() {
+            process.kill()?;
+        }
+        Ok(())
+    }
+
+    /// Starts the control replicas again that have ended.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the program can't be started.
+    pub fn revive_controls(&mut self) -> Result<(), ClusterError> {
+        for number in 0..self.controls.len() {
+            let process = self.controls[number].process.as_mut();
+            if !process.is_some_and(Process::is_running) {
+                self.start_control(number)?;
+            }
+        }
+        Ok(())
+    }
+
+    /// Freezes a control replica, or lets it go on.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if it can't be signalled.
+    pub fn set_frozen(&self, number: usize, frozen: bool) -> Result<(), ClusterError> {
+        match &self.controls[number].process {
+            Some(process) if frozen => process.freeze()?,
+            Some(process) => process.thaw()?,
+            None => {}
+        }
+        Ok(())
+    }
+
+    /// Returns where the processes write their logs.
+    #[must_use]
+    pub fn folder(&self) -> &Path {
+        self.folder.path()
+    }
+}
+
+fn write(vm: &DirectVm, settings: &Value) -> Result<(), ClusterError> {
+    let path = &vm.settings;
+    std::fs::write(path, format!("{settings:#}")).context(FileSnafu { path })
+}
