follow_plan: replicas in several regions are asked at once where one is lost

Callers got the old configuration, routes refused as unknown, services and homes of before, for as long as the control replicas of their entry VM's region were dark or frozen, while changes were confirmed elsewhere.

Cause: a failure of replicas that are near each other was met one replica at a time, nearest first. With four of them each question took up to 1.25 s, and a silent replica was set aside for 1 to 4 s, so that the first one counted as untried before a far one was reached. What bounds the time until a confirmed change is in force wasn't decided anywhere; it came from two constants and the number of near replicas.

Change: FollowPlan decides whom to ask, without input or output. While none is followed, or an answer is 0.2 s late, three others are asked in three regions; the first of use is followed, and a late one that answers before is kept. A nearer one is tried while the present one is followed, so that going back costs no gap. The patience with a followed replica is as before.

--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -52,6 +52,7 @@
 pub mod fleet_state;
 pub mod fleet_update;
 pub mod follow_lag;
+pub mod follow_plan;
 pub mod group_admission;
 pub mod handover;
 pub mod head_watch;
--- a/lib/src/replica_choice.rs
+++ b/lib/src/replica_choice.rs
@@ -137,9 +137,10 @@
     known: BTreeMap<SocketAddr, Known>,
 }
 
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 struct Known {
     distance: Distance,
+    place: Option<PlaceName>,
     weight: u64,
     /// How often in a row it was of no use.
     useless: u32,
@@ -170,19 +171,21 @@
     pub fn learn(&mut self, sites: &[ReplicaSite], seeds: &[SocketAddr]) {
         let mut known = BTreeMap::new();
         for seed in seeds {
-            known.insert(*seed, self.entry(*seed, Distance::Far));
+            known.insert(*seed, self.entry(*seed, Distance::Far, None));
         }
         for site in sites {
             let distance = site.distance(&self.regions, &self.place);
-            known.insert(site.address, self.entry(site.address, distance));
+            let place = site.place.clone();
+            known.insert(site.address, self.entry(site.address, distance, place));
         }
         self.known = known;
     }
 
-    fn entry(&self, address: SocketAddr, distance: Distance) -> Known {
+    fn entry(&self, address: SocketAddr, distance: Distance, place: Option<PlaceName>) -> Known {
         let before = self.known.get(&address);
         Known {
             distance,
+            place,
             weight: weight(self.vm.as_str(), address),
             useless: before.map_or(0, |before| before.useless),
             aside_until: before.and_then(|before| before.aside_until),
@@ -202,18 +205,75 @@
         best.map(|(address, _)| *address)
     }
 
-    /// Returns whether the replica at `address` is to be left for a nearer one, which hasn't been
+    /// Returns up to `count` replicas to ask at once, the best one first: each in another region
+    /// than those before it as far as there are any, else in another place. Those that are set
+    /// aside are asked only if all are. `besides` is one that is asked already; none in its place
+    /// goes first.
+    #[must_use]
+    pub fn pick_spread(
+        &self,
+        now: Instant,
+        besides: Option<SocketAddr>,
+        count: usize,
+    ) -> Vec<SocketAddr> {
+        let aside = |known: &Known| known.aside_until.filter(|until| *until > now);
+        let others = || self.known.iter().filter(|(at, _)| Some(**at) != besides);
+        let has_usable = others().any(|(_, known)| aside(known).is_none());
+        let mut rest: Vec<(SocketAddr, &Known)> = others()
+            .filter(|(_, known)| !has_usable || aside(known).is_none())
+            .map(|(address, known)| (*address, known))
+            .collect();
+        let asked = besides.and_then(|besides| self.known.get(&besides));
+        let mut places: Vec<&PlaceName> = asked
+            .and_then(|known| known.place.as_ref())
+            .into_iter()
+            .collect();
+        let mut regions = Vec::new();
+        let mut picked = Vec::new();
+        while picked.len() < count {
+            let rank = |(_, known): &(SocketAddr, &Known)| {
+                let place = known.place.as_ref();
+                let region = place.and_then(|place| self.regions.get(place));
+                let is_near_others = region.is_some_and(|region| regions.contains(&region));
+                let is_beside_one = place.is_some_and(|place| places.contains(&place));
+                (
+                    is_near_others,
+                    is_beside_one,
+                    aside(known),
+                    known.distance,
+                    known.weight,
+                )
+            };
+            let best = (0..rest.len()).min_by_key(|number| rank(&rest[*number]));
+            let Some(best) = best else { break };
+            let (address, known) = rest.swap_remove(best);
+            places.extend(&known.place);
+            let region = known
+                .place
+                .as_ref()
+                .and_then(|place| self.regions.get(place));
+            regions.extend(region);
+            picked.push(address);
+        }
+        picked
+    }
+
+    /// Returns a nearer replica for which the one at `address` may be left: one that hasn't been
     /// of no use for 2 s to 4 s. While a near one is cut off from the others, its entry VMs
-    /// would otherwise leave one of use for it twice a second.
+    /// would otherwise try it twice a second.
     #[must_use]
-    pub fn has_nearer(&self, address: SocketAddr, now: Instant) -> bool {
-        let best = self.pick(now).and_then(|best| self.known.get(&best));
-        let current = self.known.get(&address);
-        match (best, current) {
-            (Some(best), Some(current)) => {
-                best.return_at.is_none_or(|at| at <= now) && best.distance < current.distance
-            }
-            _ => false,
+    pub fn nearer_than(&self, address: SocketAddr, now: Instant) -> Option<SocketAddr> {
+        let nearest = self.pick(now)?;
+        let (best, current) = (self.known.get(&nearest)?, self.known.get(&address)?);
+        let may_return = best.return_at.is_none_or(|at| at <= now);
+        (may_return && best.distance < current.distance).then_some(nearest)
+    }
+
+    /// Notes that another replica was preferred to the one at `address`, which may be of use.
+    /// `draw` is drawn from 0 to 1.
+    pub fn pass_over(&mut self, address: SocketAddr, now: Instant, draw: f64) {
+        if let Some(known) = self.known.get_mut(&address) {
+            known.return_at = Some(now + LONGEST_SILENT.mul_f64(1.0 + draw.clamp(0.0, 1.0)));
         }
     }
 
--- a/lib/tests/test_replica_choice.rs
+++ b/lib/tests/test_replica_choice.rs
@@ -1,6 +1,7 @@
 //! Which control replica is followed.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::time::Duration;
 use std::time::Instant;
@@ -108,10 +109,17 @@
         choice.set_aside(address(4), now, Useless::Silent, f64::from(vm) / 20.0);
         let farther = choice.pick(now).unwrap();
         choice.note_use(farther);
-        assert!(!choice.has_nearer(farther, now));
-        let step = |n: &u64| choice.has_nearer(farther, now + Duration::from_millis(n * 10));
+        assert_eq!(choice.nearer_than(farther, now), None);
+        let step = |n: &u64| {
+            choice
+                .nearer_than(farther, now + Duration::from_millis(n * 10))
+                .is_some()
+        };
         back_at.push((0..400).find(step).unwrap());
-        assert!(!choice.has_nearer(address(4), now + Duration::from_secs(9)));
+        assert_eq!(
+            choice.nearer_than(address(4), now + Duration::from_secs(9)),
+            None
+        );
     }
     back_at.dedup();
     assert!(back_at.len() >= 15, "{back_at:?}");
@@ -130,9 +138,16 @@
         let farther = choice.pick(now).unwrap();
         choice.note_use(farther);
         for millis in [200, 600, 1_000, 1_900] {
-            assert!(!choice.has_nearer(farther, now + Duration::from_millis(millis)));
+            assert_eq!(
+                choice.nearer_than(farther, now + Duration::from_millis(millis)),
+                None
+            );
         }
-        assert!(choice.has_nearer(farther, now + Duration::from_secs(4)));
+        assert!(
+            choice
+                .nearer_than(farther, now + Duration::from_secs(4))
+                .is_some()
+        );
         // One that is of no use any more may be left for it at once.
         let later = now + Duration::from_millis(300);
         choice.set_aside(farther, later, Useless::Silent, draw);
@@ -157,6 +172,56 @@
     );
 }
 
+/// Replicas that are near each other are lost together: those that are asked at once stand in
+/// three regions, and while one doesn't answer, none in its place goes first.
+#[test]
+fn test_replicas_that_are_asked_at_once_are_apart() {
+    let now = Instant::now();
+    for vm in 0..30 {
+        let mut choice = choice(vm, 4);
+        let picked = choice.pick_spread(now, None, 3);
+        let regions: Vec<usize> = picked.iter().map(|at| place_of(*at) / 3).collect();
+        assert_eq!(picked.first(), Some(&address(4)));
+        assert_eq!(
+            regions.iter().collect::<BTreeSet<_>>().len(),
+            3,
+            "{regions:?}"
+        );
+        let besides = choice.pick_spread(now, Some(address(3)), 12);
+        assert_eq!(
+            besides.len(),
+            11,
+            "each once, and not the one that is asked already"
+        );
+        let from_first = choice.pick_spread(now, Some(address(4)), 1);
+        assert_eq!(place_of(from_first[0]) / 3, 1);
+        assert_ne!(place_of(from_first[0]), 4);
+        choice.set_aside(address(4), now, Useless::Silent, 0.5);
+        let without = choice.pick_spread(now, None, 12);
+        assert!(!without.contains(&address(4)));
+        for n in 0..12 {
+            choice.set_aside(address(n), now, Useless::Silent, 0.5);
+        }
+        assert_eq!(
+            choice.pick_spread(now, None, 3).len(),
+            3,
+            "all are set aside"
+        );
+    }
+}
+
+/// A nearer replica that lost against a farther one isn't turned to again at once.
+#[test]
+fn test_a_replica_that_was_passed_over_is_returned_to_later() {
+    let now = Instant::now();
+    let mut choice = choice(0, 4);
+    let farther = address(0);
+    choice.pass_over(address(4), now, 0.5);
+    let after = |millis| now + Duration::from_millis(millis);
+    assert_eq!(choice.nearer_than(farther, after(1_900)), None);
+    assert_eq!(choice.nearer_than(farther, after(4_000)), Some(address(4)));
+}
+
 /// A seed of which nothing is known is asked when nothing better is known, and replicas that
 /// were dropped from the list aren't.
 #[test]
--- a/server/src/fleet_follower.rs
+++ b/server/src/fleet_follower.rs
@@ -1,9 +1,8 @@
 //! The task by which an entry VM follows control.
 //!
-//! It asks one replica at a time, again and again; each question is the heartbeat of this
-//! entry VM as well. It follows the nearest replica that is of use: one that is silent, or
-//! can't prove that it is current, is left for the next one, and a nearer one that is of use
-//! again is returned to. While none answers, the entry VM goes on with what it knows.
+//! It carries out what [`FollowPlan`] decides: asks one replica again and again, each question
+//! being the heartbeat of this entry VM as well, and tries others where the plan says so. While
+//! none answers, the entry VM goes on with what it knows.
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
@@ -17,6 +16,9 @@
 use heatherring_lib::fleet_record::EntryRecord;
 use heatherring_lib::fleet_update::FleetUpdate;
 use heatherring_lib::fleet_update::FleetView;
+use heatherring_lib::follow_plan::FollowAnswer;
+use heatherring_lib::follow_plan::FollowPlan;
+use heatherring_lib::follow_plan::FollowStep;
 use heatherring_lib::id::PlaceName;
 use heatherring_lib::id::RegionName;
 use heatherring_lib::id::VmName;
@@ -25,13 +27,14 @@
 use heatherring_lib::replica_choice::ReplicaChoice;
 use heatherring_lib::replica_choice::ReplicaSite;
 use heatherring_lib::replica_choice::Useless;
-use heatherring_lib::replica_patience::ReplicaPatience;
+use heatherring_lib::replica_patience::HOLD;
 use heatherring_lib::request_fingerprint::FingerprintKey;
+use snafu::ResultExt;
 use snafu::Snafu;
 use tokio::sync::watch;
+use tokio::task::AbortHandle;
+use tokio::task::JoinSet;
 use tonic::Request;
-use tonic::Response;
-use tonic::Status;
 use tonic::transport::Channel;
 
 use crate::crash_watch::CrashWatch;
@@ -42,15 +45,6 @@
 use crate::proto::FollowRequest;
 use crate::proto::fleet_client::FleetClient;
 
-/// Pause before the next replica is asked, after one gave no use.
-const NEXT_PAUSE: Duration = Duration::from_millis(50);
-
-/// Pause after news before more is asked for. What comes after a quiet spell is told at once;
-/// what comes in a row, as when many VMs or backend servers start or leave, is told together.
-/// Without it each change is an answer of its own to every entry VM. Bounds on what control
-/// confirms are 2 s and more.
-const NEWS_PAUSE: Duration = Duration::from_millis(200);
-
 /// Replicas that are named when the next one is followed, at most.
 const NAMED_LEFT: usize = 6;
 
@@ -115,8 +109,10 @@
     /// The replicas that were named, and the digest of that list.
     sites: watch::Sender<Vec<ReplicaSite>>,
     known_replicas: u64,
-    choice: ReplicaChoice,
-    patience: ReplicaPatience,
+    plan: FollowPlan,
+    asking: Asking,
+    /// The replica that was followed at the last look.
+    following: Option<SocketAddr>,
     lost_since: Option<Instant>,
     /// The replicas that were of no use since one was, and why.
     left: Vec<String>,
@@ -125,6 +121,123 @@
     replica: watch::Sender<Option<FleetClient<Channel>>>,
 }
 
+/// Says what a replica was asked.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Question {
+    /// Whether it is of use and where the others are. The state is large, and isn't asked of a
+    /// replica that may be left for a nearer one.
+    Use,
+    /// For news.
+    News,
+}
+
+/// Holds a question that isn't answered yet.
+#[derive(Debug)]
+struct Asked {
+    number: u64,
+    question: Question,
+    at: Instant,
+    call: AbortHandle,
+}
+
+/// Holds what came of a question.
+struct Answered {
+    replica: SocketAddr,
+    number: u64,
+    reply: Result<FollowReply, FollowError>,
+}
+
+/// Holds the questions that aren't answered yet, one a replica.
+#[derive(Default)]
+struct Asking {
+    clients: BTreeMap<SocketAddr, FleetClient<Channel>>,
+    asked: BTreeMap<SocketAddr, Asked>,
+    calls: JoinSet<Answered>,
+    next_number: u64,
+}
+
+impl Asking {
+    /// Asks a replica, in place of what it was asked before.
+    fn ask(
+        &mut self,
+        channels: &PeerChannels,
+        replica: SocketAddr,
+        question: Question,
+        request: FollowRequest,
+        at: Instant,
+    ) {
+        self.withdraw(replica);
+        let client = match self.clients.get(&replica) {
+            Some(client) => Ok(client.clone()),
+            None => channels.lazy(replica).map(FleetClient::new),
+        };
+        if let Ok(client) = &client {
+            self.clients.insert(replica, client.clone());
+        }
+        self.next_number += 1;
+        let number = self.next_number;
+        let call = self.calls.spawn(async move {
+            let reply = match client {
+                Ok(client) => call(client, request).await,
+                Err(error) => Err(FollowError::Address {
+                    message: error.to_string(),
+                }),
+            };
+            Answered {
+                replica,
+                number,
+                reply,
+            }
+        });
+        let asked = Asked {
+            number,
+            question,
+            at,
+            call,
+        };
+        self.asked.insert(replica, asked);
+    }
+
+    /// Waits no longer for the answer of a replica.
+    fn withdraw(&mut self, replica: SocketAddr) {
+        if let Some(asked) = self.asked.remove(&replica) {
+            asked.call.abort();
+        }
+    }
+
+    /// Lets go of the connection to a replica as well.
+    fn leave(&mut self, replica: SocketAddr) {
+        self.withdraw(replica);
+        self.clients.remove(&replica);
+    }
+
+    /// Waits for the next answer; for ever if nothing is asked.
+    async fn answered(&mut self) -> (Answered, Asked) {
+        loop {
+            let Some(joined) = self.calls.join_next().await else {
+                return std::future::pending().await;
+            };
+            // One that was withdrawn ends as aborted, or its number isn't the last.
+            let Ok(answered) = joined else { continue };
+            let is_awaited = |asked: &Asked| asked.number == answered.number;
+            if self.asked.get(&answered.replica).is_some_and(is_awaited)
+                && let Some(asked) = self.asked.remove(&answered.replica)
+            {
+                return (answered, asked);
+            }
+        }
+    }
+}
+
+async fn call(
+    mut client: FleetClient<Channel>,
+    request: FollowRequest,
+) -> Result<FollowReply, FollowError> {
+    let reply = client.follow(Request::new(request)).await;
+    let reply = reply.map_err(Box::new).context(CallSnafu)?;
+    Ok(reply.into_inner())
+}
+
 /// Shows what control said last.
 #[derive(Clone, Debug)]
 pub struct Followed {
@@ -156,6 +269,7 @@
         setup.record.place.clone(),
         setup.places.clone(),
     );
+    let plan = FollowPlan::new(choice, setup.clock.now(), rand::random());
     let record_encoded = postcard::to_stdvec(&setup.record).unwrap_or_else(|error| {
         log::error!(event = "record_unencodable", error:% = error; "control can't learn where this entry VM is");
         Vec::new()
@@ -171,8 +285,9 @@
         known_presence: 0,
         sites,
         known_replicas: 0,
-        choice,
-        patience: ReplicaPatience::default(),
+        plan,
+        asking: Asking::default(),
+        following: None,
         lost_since: None,
         left: Vec::new(),
         known_quarantine: 0,
@@ -191,83 +306,89 @@
 
 impl Follower {
     async fn run(mut self) {
+        self.learn_seeds();
         loop {
-            self.choice
-                .learn(&self.sites.borrow(), &self.setup.seeds.borrow_and_update());
-            let Some(address) = self.choice.pick(self.setup.clock.now()) else {
-                tokio::time::sleep(NEXT_PAUSE).await;
-                continue;
-            };
-            let followed = self.follow(address).await;
-            // The number of the verdicts on presence is that replica's own.
-            self.known_presence = 0;
-            self.replica.send_replace(None);
-            if let Err(error) = followed {
-                let now = self.setup.clock.now();
-                self.choice
-                    .set_aside(address, now, error.useless(), rand::random());
-                self.note_lost(address, &error);
-                tokio::time::sleep(NEXT_PAUSE).await;
+            let now = self.setup.clock.now();
+            let steps = self.plan.wake(now);
+            self.carry_out(steps);
+            let wake = self.plan.next_wake().saturating_duration_since(now);
+            tokio::select! {
+                (answered, asked) = self.asking.answered() => self.take_answer(answered, &asked),
+                () = tokio::time::sleep(wake) => {}
+                // Control must learn at once that this entry VM begins or ceases to serve.
+                Ok(()) = self.setup.ready.changed() => {
+                    let steps = self.plan.hurry(self.setup.clock.now());
+                    self.carry_out(steps);
+                }
+                Ok(()) = self.setup.seeds.changed() => self.learn_seeds(),
             }
         }
     }
 
-    /// Follows one replica for as long as it is of use and none is nearer.
-    async fn follow(&mut self, address: SocketAddr) -> Result<(), FollowError> {
-        let channel = self
-            .setup
-            .channels
-            .lazy(address)
-            .map_err(|error| FollowError::Address {
-                message: error.to_string(),
-            })?;
-        let mut client = FleetClient::new(channel);
-        self.patience.turn();
-        self.ask_first(&mut client).await?;
-        self.note_followed(address);
-        self.replica.send_replace(Some(client.clone()));
-        loop {
-            if self.choice.has_nearer(address, self.setup.clock.now()) {
-                return Ok(());
-            }
-            let ready = *self.setup.ready.borrow_and_update();
-            let request = self.request(ready);
-            let asked = self.setup.clock.now();
-            let call = client.follow(Request::new(request));
-            let reply = tokio::select! {
-                reply = answer_in_time(&mut self.patience, call) => reply?,
-                // Control must learn at once that this entry VM begins or ceases to serve.
-                Ok(()) = self.setup.ready.changed() => continue,
-            };
-            let is_news = self.take(address, asked, &reply)?;
-            self.patience.note_answer();
-            self.choice.note_use(address);
-            if is_news {
-                let _ = tokio::time::timeout(NEWS_PAUSE, self.setup.ready.changed()).await;
+    fn learn_seeds(&mut self) {
+        let seeds = self.setup.seeds.borrow_and_update();
+        self.plan.learn(&self.sites.borrow(), &seeds);
+    }
+
+    fn carry_out(&mut self, steps: Vec<FollowStep>) {
+        for step in steps {
+            match step {
+                FollowStep::Try(replica) => self.ask(replica, Question::Use),
+                FollowStep::Ask(replica) => {
+                    self.note_followed(replica);
+                    self.ask(replica, Question::News);
+                }
+                FollowStep::Drop(replica) => self.asking.leave(replica),
+                FollowStep::GiveUp(replica) => {
+                    self.asking.leave(replica);
+                    self.note_useless(replica, &FollowError::Silent);
+                }
             }
         }
     }
 
-    /// Asks whether the replica is of use and where the others are, before the state is asked
-    /// for. The state is large: 45 KB for 900 backend servers take 0.2 s over a link of 2 Mbit/s.
-    /// So a near replica is to send it, and whether this one lives must show before.
-    async fn ask_first(&mut self, client: &mut FleetClient<Channel>) -> Result<(), FollowError> {
-        let request = FollowRequest {
-            known_replicas: self.known_replicas,
-            list_only: true,
-            ..FollowRequest::default()
+    fn ask(&mut self, replica: SocketAddr, question: Question) {
+        let request = match question {
+            Question::Use => FollowRequest {
+                known_replicas: self.known_replicas,
+                list_only: true,
+                ..FollowRequest::default()
+            },
+            Question::News => self.request(),
         };
-        let call = client.follow(Request::new(request));
-        let reply = answer_in_time(&mut self.patience, call).await?;
-        self.learn(&reply)?;
+        let now = self.setup.clock.now();
+        self.asking
+            .ask(&self.setup.channels, replica, question, request, now);
+    }
+
+    fn take_answer(&mut self, answered: Answered, asked: &Asked) {
+        let Answered { replica, reply, .. } = answered;
+        let taken = reply.and_then(|reply| match asked.question {
+            Question::Use => self.take_use(&reply),
+            Question::News => self.take(replica, asked.at, &reply),
+        });
+        let answer = match &taken {
+            Ok(is_news) => FollowAnswer::Useful { is_news: *is_news },
+            Err(error) => FollowAnswer::Useless(error.useless()),
+        };
+        let steps = self.plan.answered(self.setup.clock.now(), replica, answer);
+        if let Err(error) = &taken {
+            self.asking.leave(replica);
+            self.note_useless(replica, error);
+        }
+        self.carry_out(steps);
+    }
+
+    /// Takes the answer of a replica that was tried.
+    fn take_use(&mut self, reply: &FollowReply) -> Result<bool, FollowError> {
+        self.learn(reply)?;
         if !reply.current {
             return Err(FollowError::NotCurrent);
         }
         if let Some(key) = FingerprintKey::from_bytes(&reply.fingerprint_key) {
             self.setup.crashes.set_key(key);
         }
-        self.patience.note_answer();
-        Ok(())
+        Ok(false)
     }
 
     /// Takes over the list of replicas, if one came.
@@ -277,12 +398,13 @@
         }
         self.sites.send_replace(decode(&reply.replicas_encoded)?);
         self.known_replicas = reply.replicas_digest;
-        self.choice
+        self.plan
             .learn(&self.sites.borrow(), &self.setup.seeds.borrow());
         Ok(())
     }
 
-    fn request(&self, ready: bool) -> FollowRequest {
+    fn request(&mut self) -> FollowRequest {
+        let ready = *self.setup.ready.borrow_and_update();
         let now = self.setup.clock.now();
         let age = |at: &watch::Sender<Instant>| now.saturating_duration_since(*at.borrow());
         metric::control_silent(age(&self.heard), age(&self.proved));
@@ -293,7 +415,7 @@
             ready,
             applied_revision: view.revision.0,
             known_presence: self.known_presence,
-            wait_ms: u32::try_from(self.patience.hold().as_millis()).unwrap_or(u32::MAX),
+            wait_ms: u32::try_from(HOLD.as_millis()).unwrap_or(u32::MAX),
             known_replicas: self.known_replicas,
             list_only: false,
             known_quarantine: self.known_quarantine,
@@ -373,23 +495,37 @@
         Ok(())
     }
 
-    fn note_lost(&mut self, address: SocketAddr, error: &FollowError) {
-        log::debug!(event = "replica_left", replica:% = address, error:% = error; "a replica is of no use for now");
+    fn note_useless(&mut self, replica: SocketAddr, error: &FollowError) {
+        log::debug!(event = "replica_left", replica:% = replica, error:% = error; "a replica is of no use for now");
         metric::control_lost();
         if self.left.len() < NAMED_LEFT {
-            self.left.push(format!("{address}: {error}"));
+            self.left.push(format!("{replica}: {error}"));
         }
+        if self.plan.followed().is_some() {
+            return;
+        }
+        self.following = None;
+        self.replica.send_replace(None);
         if self.lost_since.is_none() {
             self.lost_since = Some(self.setup.clock.now());
-            log::warn!(event = "control_lost", replica:% = address, error:% = error; "asking another replica; serving on with what is known");
+            log::warn!(event = "control_lost", replica:% = replica, error:% = error; "asking other replicas; serving on with what is known");
         }
     }
 
-    fn note_followed(&mut self, address: SocketAddr) {
+    /// Notes which replica is followed, if it is another one than before.
+    fn note_followed(&mut self, replica: SocketAddr) {
+        if self.following == Some(replica) {
+            return;
+        }
+        self.following = Some(replica);
+        // The number of the verdicts on presence is that replica's own.
+        self.known_presence = 0;
+        self.replica
+            .send_replace(self.asking.clients.get(&replica).cloned());
         let left = std::mem::take(&mut self.left).join("; ");
         let heard = *self.heard.borrow();
         let silent_ms = whole_ms(self.setup.clock.now().saturating_duration_since(heard));
-        log::info!(event = "replica_followed", replica:% = address, silent_ms, left = left.as_str(); "following this control replica from now on");
+        log::info!(event = "replica_followed", replica:% = replica, silent_ms, left = left.as_str(); "following this control replica from now on");
     }
 
     fn note_regained(&mut self, address: SocketAddr) {
@@ -412,23 +548,6 @@
     moved.unwrap_or(at)
 }
 
-/// Awaits the answer to a call for as long as patience lasts.
-async fn answer_in_time(
-    patience: &mut ReplicaPatience,
-    call: impl Future<Output = Result<Response<FollowReply>, Status>>,
-) -> Result<FollowReply, FollowError> {
-    match tokio::time::timeout(patience.answer_within(), call).await {
-        Ok(Ok(reply)) => Ok(reply.into_inner()),
-        Ok(Err(status)) => Err(FollowError::Call {
-            source: Box::new(status),
-        }),
-        Err(_) => {
-            patience.note_silence();
-            Err(FollowError::Silent)
-        }
-    }
-}
-
 fn decode<T: serde::de::DeserializeOwned>(encoded: &[u8]) -> Result<T, FollowError> {
     postcard::from_bytes(encoded).map_err(|error| FollowError::Update {
         message: error.to_string(),
