raft: a follower dates its leader's word by an answer that the leader had, not by its arrival

What callers see: entry VMs that follow such a replica go on with an older configuration, told that there is nothing new, and leave it later than they should.

Cause: a follower that took in an append counted as current from then. A message may have waited: in the socket of a process that was frozen or had no processor, behind a disk, or to be sent again after a cut. What it says is as old as it is, and its leader may have been replaced meanwhile.

Shown: the network of the simulation now checks each proof of each replica against all that was confirmed before the moment it claims.

Change: answers to appends are numbered; an append names the last one that the leader has of that replica, and the age of the leader's own proof. The word counts for the moment at which that answer was sent, less that age. Everything confirmed before that moment is within the commit that the append tells, whoever led then.

A proof is older so when it comes: 0.2 s, 0.4 s with 110 ms between regions, where it was 0. It counts for 0.95 s in place of 0.6, so that as many heartbeats may be late as before, and a cut is noticed as soon.

--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -87,6 +87,7 @@
 pub mod quarantine;
 pub mod quarantine_times;
 pub mod raft;
+mod raft_answers;
 pub mod raft_config;
 pub mod raft_effects;
 mod raft_election;
--- a/lib/src/raft.rs
+++ b/lib/src/raft.rs
@@ -17,6 +17,7 @@
 use crate::id::ReplicaId;
 use crate::id::Revision;
 use crate::id::Term;
+use crate::raft_answers::SentAnswers;
 use crate::raft_config::DurableState;
 use crate::raft_config::RaftConfig;
 use crate::raft_config::RaftError;
@@ -54,6 +55,7 @@
     pub(crate) election_deadline: Instant,
     pub(crate) pending: PendingProposals,
     pub(crate) incoming: Option<IncomingSnapshot>,
+    pub(crate) answers: SentAnswers,
     pub(crate) now: Instant,
     rng: ChaCha8Rng,
 }
@@ -74,18 +76,25 @@
     pub heard_at: Option<Instant>,
     /// The highest revision that the leader said to be committed.
     pub leader_commit: Revision,
-    /// The first such revision that isn't known to be committed here yet, and when it was told.
+    /// The first such revision that isn't known to be committed here yet, and the moment for
+    /// which it was told.
     pub awaited: Option<(Revision, Instant)>,
-    /// When the leader last told of no more than what is known to be committed here by now.
+    /// The latest moment at which the leader surely led and hadn't said more yet than it has by
+    /// now.
+    pub said_at: Option<Instant>,
+    /// The latest moment up to which all that was committed is known to be committed here.
     pub proved_at: Option<Instant>,
 }
 
 impl FollowerState {
-    /// Takes in what the leader says to be committed.
-    pub fn note_leader_commit(&mut self, told: Revision, now: Instant) {
+    /// Takes in what the leader says to be committed, and the moment at which it surely led and
+    /// nothing more was. An append that comes late or twice tells of the past.
+    pub fn note_leader_commit(&mut self, told: Revision, said_at: Option<Instant>) {
         self.leader_commit = self.leader_commit.max(told);
-        // An append that comes late or twice tells of the past.
-        self.awaited.get_or_insert((self.leader_commit, now));
+        self.said_at = self.said_at.max(said_at);
+        if let Some(said_at) = said_at {
+            self.awaited.get_or_insert((self.leader_commit, said_at));
+        }
     }
 
     /// Notes that everything up to `commit` is known to be committed here.
@@ -97,10 +106,10 @@
     /// an entry VM in 24 s of a heavy day.
     pub fn note_commit(&mut self, commit: Revision) {
         if self.leader_commit <= commit {
-            self.proved_at = self.heard_at;
+            self.proved_at = self.proved_at.max(self.said_at);
             self.awaited = None;
-        } else if let Some((_, told_at)) = self.awaited.take_if(|(told, _)| *told <= commit) {
-            self.proved_at = Some(told_at);
+        } else if let Some((_, said_at)) = self.awaited.take_if(|(told, _)| *told <= commit) {
+            self.proved_at = self.proved_at.max(Some(said_at));
         }
     }
 }
@@ -124,7 +133,8 @@
         cfg.check()?;
         let hard_state = durable.hard_state;
         let log = RaftLog::new(durable)?;
-        let rng = ChaCha8Rng::seed_from_u64(cfg.seed);
+        let mut rng = ChaCha8Rng::seed_from_u64(cfg.seed);
+        let first_answer = u64::from(rng.random::<u32>()) + 1;
         let mut raft = Self {
             commit: log.snapshot_index(),
             cfg,
@@ -134,6 +144,7 @@
             election_deadline: now,
             pending: PendingProposals::default(),
             incoming: None,
+            answers: SentAnswers::new(first_answer),
             now,
             rng,
         };
@@ -276,8 +287,9 @@
             .collect()
     }
 
-    /// Returns when this replica was last proved to know what is committed: as the leader,
-    /// by the answers of a majority; otherwise by word of the leader.
+    /// Returns the latest moment for which this replica is proved to know all that was committed
+    /// before: as the leader, by the answers of a majority; otherwise by word of the leader,
+    /// dated by an answer of this replica that the leader had before it spoke.
     ///
     /// Nothing is returned until an entry of the present term is known to be committed. A
     /// new leader doesn't know what its predecessors committed until then, and what it says
@@ -380,7 +392,8 @@
                 matched,
                 index,
                 barrier,
-            } => self.on_append_reply(from, matched, index, barrier, fx),
+                answer,
+            } => self.on_append_reply(from, matched, index, barrier, answer, fx),
             MessageKind::SnapshotReply {
                 index,
                 received,
@@ -401,6 +414,7 @@
             matched: false,
             index: self.last_index().next(),
             barrier,
+            answer: self.answers.number(self.now),
         };
         self.send(from, kind, fx);
     }
@@ -507,6 +521,10 @@
         &mut self,
         act: impl FnOnce(&mut LeaderState, &LeaderCx) -> T,
     ) -> Option<T> {
+        let contact = match &self.role {
+            RoleState::Leader(leader) => leader.quorum_contact(self.membership(), self.now),
+            _ => return None,
+        };
         let RoleState::Leader(leader) = &mut self.role else {
             return None;
         };
@@ -516,6 +534,7 @@
             log: &self.log,
             commit: self.commit,
             now: self.now,
+            contact,
         };
         Some(act(leader, &cx))
     }
--- a/lib/src/raft_follower.rs
+++ b/lib/src/raft_follower.rs
@@ -1,6 +1,8 @@
 //! What a follower or learner does with the appends and snapshots of its leader.
 
 use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
 
 use crate::id::ReplicaId;
 use crate::id::Revision;
@@ -78,8 +80,11 @@
                 entries,
                 commit,
                 barrier,
+                answer,
+                contact_ms,
             } => {
-                self.note_leader_commit(commit);
+                let said_at = self.said_at(answer, contact_ms);
+                self.note_leader_commit(commit, said_at);
                 let append = Append {
                     previous: Position { index, term },
                     entries,
@@ -96,7 +101,7 @@
                 data,
                 last,
             } => {
-                self.note_leader_commit(index);
+                self.note_leader_commit(index, None);
                 let part = SnapshotPart {
                     at: Position { index, term },
                     membership,
@@ -113,12 +118,19 @@
         }
     }
 
-    fn note_leader_commit(&mut self, commit: Revision) {
+    fn note_leader_commit(&mut self, commit: Revision, said_at: Option<Instant>) {
         if let RoleState::Follower(follower) = &mut self.role {
-            follower.note_leader_commit(commit, self.now);
+            follower.note_leader_commit(commit, said_at);
         }
     }
 
+    /// Returns a moment at which the leader surely led, and before which it hadn't spoken. It had
+    /// this replica's `answer` when it spoke, and had been proved to lead `contact_ms` before.
+    fn said_at(&self, answer: u64, contact_ms: u32) -> Option<Instant> {
+        let sent_at = self.answers.sent_at(answer)?;
+        sent_at.checked_sub(Duration::from_millis(contact_ms.into()))
+    }
+
     fn hear_leader(&mut self, leader: ReplicaId, fx: &mut Effects) {
         match &mut self.role {
             RoleState::Follower(FollowerState {
@@ -150,6 +162,7 @@
                 matched,
                 index,
                 barrier,
+                answer: self.answers.number(self.now),
             };
             self.send(from, kind, fx);
             return;
@@ -164,6 +177,7 @@
             matched,
             index: last,
             barrier,
+            answer: self.answers.number(self.now),
         };
         self.send(from, kind, fx);
     }
--- a/lib/src/raft_message.rs
+++ b/lib/src/raft_message.rs
@@ -193,6 +193,10 @@
         commit: Revision,
         /// Number of the latest read barrier; echoed in the answer.
         barrier: u64,
+        /// Number of the last answer of the receiver that the leader has; 0 without any.
+        answer: u64,
+        /// Time in milliseconds, rounded up, since the leader was last proved to lead.
+        contact_ms: u32,
     },
     /// Answers an append.
     AppendReply {
@@ -203,6 +207,8 @@
         index: Revision,
         /// The barrier number of the append.
         barrier: u64,
+        /// Number of this answer; echoed in appends.
+        answer: u64,
     },
     /// Carries a part of a snapshot.
     SnapshotChunk {
--- a/lib/src/raft_progress.rs
+++ b/lib/src/raft_progress.rs
@@ -30,6 +30,15 @@
     pub log: &'a RaftLog,
     pub commit: Revision,
     pub now: Instant,
+    /// When the leader was last proved to lead.
+    pub contact: Instant,
+}
+
+impl LeaderCx<'_> {
+    fn contact_ms(&self) -> u32 {
+        let age = self.now.saturating_duration_since(self.contact);
+        u32::try_from(age.as_millis()).map_or(u32::MAX, |ms| ms.saturating_add(1))
+    }
 }
 
 /// Tells how entries are sent.
@@ -65,6 +74,8 @@
 pub(crate) struct Progress {
     /// Last position that the replica acknowledged as durable and equal.
     pub matched: Revision,
+    /// Number of its last answer to an append; 0 without any.
+    pub answer: u64,
     /// Latest round of heartbeats that the replica answered.
     pub acked_round: u64,
     /// When that round began, or when the leader stood for election.
@@ -92,6 +103,7 @@
     pub fn new(next: Revision, contact: Instant) -> Self {
         Self {
             matched: Revision(0),
+            answer: 0,
             acked_round: 0,
             contact,
             last_heard: None,
@@ -289,6 +301,8 @@
             entries,
             commit: cx.commit,
             barrier: round,
+            answer: self.answer,
+            contact_ms: cx.contact_ms(),
         };
         let term = cx.term;
         fx.sends.push((to, Message { term, kind }));
--- a/lib/src/raft_replication.rs
+++ b/lib/src/raft_replication.rs
@@ -67,6 +67,7 @@
         matched: bool,
         index: Revision,
         barrier: u64,
+        answer: u64,
         fx: &mut Effects,
     ) {
         self.lead(|leader, cx| {
@@ -75,6 +76,7 @@
                 return;
             };
             progress.last_heard = Some(cx.now);
+            progress.answer = answer;
             if !matched {
                 progress.on_mismatch(index);
             } else if index <= cx.log.last().index {
--- a/lib/tests/raft_network/mod.rs
+++ b/lib/tests/raft_network/mod.rs
@@ -91,6 +91,8 @@
     now: Duration,
     cuts: BTreeSet<(ReplicaId, ReplicaId)>,
     queue: BTreeMap<(Duration, u64), Delivery>,
+    /// What was confirmed to whoever proposed it, and when.
+    confirmed: Vec<(Instant, Revision)>,
     sequence: u64,
     next_token: u64,
     rng: ChaCha8Rng,
@@ -134,6 +136,7 @@
             now: Duration::ZERO,
             cuts: BTreeSet::new(),
             queue: BTreeMap::new(),
+            confirmed: Vec::new(),
             sequence: 0,
             next_token: 1,
             rng: ChaCha8Rng::seed_from_u64(seed),
@@ -249,6 +252,9 @@
         }
         self.checker.on_role(raft, &node.written);
         node.buffered.append(fx);
+        let raft = self.raft(replica);
+        self.check_proof(raft);
+        let node = self.nodes.get_mut(&replica).unwrap();
         if !node.buffered.is_empty() && node.sync_at.is_none() {
             let delay = self.rng.random_range(0..=self.weather.max_sync_ms);
             node.sync_at = Some(self.now + Duration::from_millis(delay));
@@ -272,6 +278,7 @@
         }
         for answer in fx.answers {
             self.checker.on_answer(&answer);
+            self.note_confirmed(&answer);
             let token = token_of(&answer);
             assert!(
                 self.answers.insert(token, answer).is_none(),
@@ -283,6 +290,35 @@
         }
     }
 
+    fn note_confirmed(&mut self, answer: &Answer) {
+        if let Answer::Committed { index, .. } = answer {
+            let before = self
+                .confirmed
+                .last()
+                .map_or(Revision(0), |(_, index)| *index);
+            self.confirmed.push((self.time(), before.max(*index)));
+        }
+    }
+
+    /// Checks that a replica knows everything that was confirmed before the moment for which it
+    /// says that it is current.
+    fn check_proof(&self, raft: &Raft) {
+        let Some(proved_at) = raft.current_at() else {
+            return;
+        };
+        let before = self.confirmed.partition_point(|(at, _)| *at < proved_at);
+        let known = before
+            .checked_sub(1)
+            .map_or(Revision(0), |last| self.confirmed[last].1);
+        assert!(
+            raft.commit() >= known,
+            "{} says that it is current and lacks {known} of what was confirmed {:?} before; {}",
+            raft.id(),
+            proved_at.saturating_duration_since(self.confirmed[before.saturating_sub(1)].0),
+            self.summary()
+        );
+    }
+
     fn send(&mut self, from: ReplicaId, to: ReplicaId, message: Message) {
         self.messages += 1;
         if self.cuts.contains(&(from, to)) || self.percent(self.weather.loss) {
--- a/lib/tests/test_raft_proof.rs
+++ b/lib/tests/test_raft_proof.rs
@@ -4,6 +4,7 @@
 
 use std::time::Duration;
 
+use crate::raft_network::ELECTION_MAX;
 use crate::raft_network::Network;
 use crate::raft_network::Weather;
 use crate::raft_network::id;
@@ -64,3 +65,26 @@
     }
     assert_eq!(network.raft(follower).current_at(), before);
 }
+
+/// Guards against a replica that says that it is current on the word of a leader that was
+/// replaced meanwhile: the word waited at a process that was frozen. The network checks each
+/// proof.
+#[test]
+fn test_a_word_that_waited_proves_nothing_of_now() {
+    for seed in 0..20 {
+        let mut network = Network::with_voters(seed, 5);
+        let leader = network.leader().unwrap();
+        let others: Vec<_> = (1..=5).map(id).filter(|id| *id != leader).collect();
+        let (frozen, heirs) = others.split_first().unwrap();
+        network.freeze(*frozen, ELECTION_MAX * 8);
+        network.run(ELECTION_MAX / 2);
+        for heir in heirs {
+            network.cut(leader, *heir);
+            network.cut(*heir, leader);
+            network.cut(*heir, *frozen);
+        }
+        network.run(ELECTION_MAX * 3);
+        network.commit_one();
+        network.run(ELECTION_MAX * 6);
+    }
+}
--- a/server/src/fleet_picture.rs
+++ b/server/src/fleet_picture.rs
@@ -15,10 +15,10 @@
 use heatherring_lib::raft_message::ReplicaInfo;
 use tokio::sync::watch;
 
-/// Age up to which the last proof that a replica knows what is committed counts. The
-/// leader proves it with each heartbeat, every 100 ms; a cut that is younger than this
-/// can't be told from a late heartbeat.
-pub const PROOF_AGE: Duration = Duration::from_millis(600);
+/// Age up to which the last proof that a replica knows what is committed counts. With heartbeats
+/// every 100 ms and 110 ms there and back between regions, a proof is 0.4 to 0.5 s old before
+/// the next one comes; a few heartbeats may be late besides.
+pub const PROOF_AGE: Duration = Duration::from_millis(950);
 
 /// Holds what a replica has applied.
 #[derive(Clone, Debug)]
