direct_admission: a route that isn't known is refused for good only on a fresh proof

Callers of a route that was added got 404 from an entry VM without news of control. They take it for an answer, though the route may have been confirmed elsewhere long ago.

Cause: what the entry VM doesn't know counted as what there isn't.

Change: once the proof of the view is older than a confirmed change may take to be in force, the request is refused with 503 and a time to come back elsewhere, not run. What is known is served on, as before: refusing everything would make an outage of each loss of control (design/following-control.md weighs three ways).

--- a/lib/src/explanation.rs
+++ b/lib/src/explanation.rs
@@ -124,6 +124,10 @@
             "no operation of the service has this method and a prefix of this path"
         }
         NotRunReason::RouteUnknown => "no route has this host and a prefix of this path",
+        NotRunReason::RouteUnconfirmed => {
+            "no route known here has this host and a prefix of this path, and control, which may \
+             know of new ones, isn't in reach"
+        }
         NotRunReason::BackendMisdirected => "another backend server has the address now",
         NotRunReason::NoResend => "resends are bounded to a share of the requests",
         NotRunReason::CredentialMissing => {
--- a/lib/src/log_cause.rs
+++ b/lib/src/log_cause.rs
@@ -44,7 +44,10 @@
 /// that are alike stay in their order in time.
 fn rank(line: &LogLine, decision: &LogLine) -> u8 {
     let is_its_own = line.source == decision.source;
-    let is_route = decision.text("reason") == "route_unknown";
+    let is_route = matches!(
+        decision.text("reason"),
+        "route_unknown" | "route_unconfirmed"
+    );
     match line.event.as_str() {
         "backend_cold" | "backend_withdrawn" | "backend_changed" | "entry_behind" => 0,
         "control_lost" | "entry_started" if is_its_own => 0,
@@ -85,6 +88,11 @@
             "no route of manifest version {} matches host and path",
             decision.number("version")
         ),
+        "route_unconfirmed" => format!(
+            "no route of manifest version {} matches host and path, and a newer version may have \
+             been confirmed: the caller may ask again elsewhere",
+            decision.number("version")
+        ),
         "no_resend" => {
             format!("the budget of resends was used up after {sends}; refused after {held} ms")
         }
--- a/lib/src/outcome.rs
+++ b/lib/src/outcome.rs
@@ -68,6 +68,8 @@
         OperationUnknown "operation_unknown" 404,
         /// No route matches the request's host and path.
         RouteUnknown "route_unknown" 404,
+        /// No route that this entry VM knows matches, but it can't know of new ones.
+        RouteUnconfirmed "route_unconfirmed" 503,
         /// The route needs a key, and the request has none.
         CredentialMissing "credential_missing" 401,
         /// No team has the request's key.
--- a/server/src/direct_admission.rs
+++ b/server/src/direct_admission.rs
@@ -9,6 +9,7 @@
 use heatherring_lib::affinity::ObjectHash;
 use heatherring_lib::dispatch_ask::COME_BACK_ELSEWHERE;
 use heatherring_lib::fleet_update::FleetView;
+use heatherring_lib::follow_lag::IN_FORCE_WITHIN;
 use heatherring_lib::home_regions;
 use heatherring_lib::id::RegionName;
 use heatherring_lib::id::RouteName;
@@ -104,7 +105,7 @@
             .ok_or_else(|| refuse(NotRunReason::MalformedRequest))?;
         let (name, route) = view
             .route(&host, head.uri.path())
-            .ok_or_else(|| refuse(NotRunReason::RouteUnknown))?;
+            .ok_or_else(|| no_route(trace.proof_age))?;
         trace.route = Some(name.clone());
         let mut headers = head.headers;
         let key = credential::read(&headers);
@@ -265,6 +266,14 @@
     Attempt::new().refuse(reason)
 }
 
+/// Refuses a request without a route: for good only if a newer manifest would be known here.
+fn no_route(proof_age: Duration) -> NotRun {
+    if proof_age < IN_FORCE_WITHIN {
+        return refuse(NotRunReason::RouteUnknown);
+    }
+    refuse(NotRunReason::RouteUnconfirmed).with_retry_after(COME_BACK_ELSEWHERE)
+}
+
 /// Returns the host that a request names, in lower case and without a port.
 pub(crate) fn host_of(uri: &Uri, headers: &HeaderMap) -> Option<String> {
     let host = match uri.host() {
--- a/server/tests/test_direct.rs
+++ b/server/tests/test_direct.rs
@@ -15,6 +15,7 @@
 use direct_support::call;
 use direct_support::request;
 use direct_support::until_served;
+use heatherring_lib::follow_lag::IN_FORCE_WITHIN;
 use heatherring_testutils::wait::wait_for;
 use http::Method;
 use http::StatusCode;
@@ -253,3 +254,26 @@
     let borne = 1.0 + 10.0 * begun.elapsed().as_secs_f64();
     assert!(runs > 0 && f64::from(runs) <= borne, "{runs} of {borne}");
 }
+
+/// Guards against a 404 for a route that was added while the entry VM heard nothing of control:
+/// once its proof is older than a change may take, no route is unknown for certain.
+#[tokio::test(flavor = "multi_thread")]
+async fn test_direct_out_of_touch_no_route_is_unknown_for_certain() {
+    let mut deployment = Deployment::start(1);
+    let (entry, _backend) = deployment.start_served().await;
+    let unknown = entry.call(Method::GET, "/added/x").await.unwrap();
+    assert_eq!(unknown.status, StatusCode::NOT_FOUND);
+    deployment.replicas.pop().unwrap().stop().await;
+    tokio::time::sleep(IN_FORCE_WITHIN).await;
+    wait_for("the entry VM isn't sure any more", async || {
+        let unknown = entry.call(Method::GET, "/added/x").await?;
+        (unknown.status == StatusCode::SERVICE_UNAVAILABLE).then_some(())
+    })
+    .await
+    .unwrap();
+    let unknown = entry.call(Method::GET, "/added/x").await.unwrap();
+    assert!(unknown.retry_after.is_some());
+    let known = entry.call(Method::GET, "/safe/x").await.unwrap();
+    assert_eq!(known.status, StatusCode::OK, "what is known is served on");
+    entry.stop().await;
+}
