replica_plan: voters are spread over regions

Cause: a learner voted as soon as it had caught up, wherever it stood. Three founders in three regions and two more of one region make three of five there.

A learner votes at once only if its region has fewer than half of the voters that there should be; a place that has been free for 3 s goes to the best one.

Left: voters aren't moved; design/agreement.md.

--- a/lib/src/raft.rs
+++ b/lib/src/raft.rs
@@ -6,6 +6,7 @@
 //! sends, `raft_replication` what a leader does, `raft_membership` the changes of
 //! the set of replicas.
 
+use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::time::Duration;
 use std::time::Instant;
@@ -14,6 +15,7 @@
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 
+use crate::id::RegionName;
 use crate::id::ReplicaId;
 use crate::id::Revision;
 use crate::id::Term;
@@ -56,6 +58,7 @@
     pub(crate) pending: PendingProposals,
     pub(crate) incoming: Option<IncomingSnapshot>,
     pub(crate) answers: SentAnswers,
+    pub(crate) regions: BTreeMap<ReplicaId, RegionName>,
     pub(crate) now: Instant,
     rng: ChaCha8Rng,
 }
@@ -145,6 +148,7 @@
             pending: PendingProposals::default(),
             incoming: None,
             answers: SentAnswers::new(first_answer),
+            regions: BTreeMap::new(),
             now,
             rng,
         };
@@ -171,6 +175,7 @@
                 self.on_change_membership(token, change, &mut fx);
             }
             Input::Compact { index, data } => self.on_compact(index, data, &mut fx),
+            Input::Regions(regions) => self.regions = regions,
             Input::StepDown => self.on_step_down(&mut fx),
         }
         self.pending.expire(self.now, &mut fx.answers);
@@ -535,6 +540,7 @@
             commit: self.commit,
             now: self.now,
             contact,
+            regions: &self.regions,
         };
         Some(act(leader, &cx))
     }
--- a/lib/src/raft_config.rs
+++ b/lib/src/raft_config.rs
@@ -39,6 +39,10 @@
     /// Voters beyond which a learner that has caught up isn't promoted, unless it
     /// replaces a voter. Each commit waits for a majority of the voters.
     pub max_voters: usize,
+    /// Whether voters are to be spread over regions, of which [`Input::Regions`] tells.
+    ///
+    /// [`Input::Regions`]: crate::raft_effects::Input::Regions
+    pub spread_voters: bool,
 }
 
 impl RaftConfig {
--- a/lib/src/raft_effects.rs
+++ b/lib/src/raft_effects.rs
@@ -1,9 +1,11 @@
 //! What goes into a step of the agreement and what comes out of it.
 
+use std::collections::BTreeMap;
 use std::time::Instant;
 
 use snafu::Snafu;
 
+use crate::id::RegionName;
 use crate::id::ReplicaId;
 use crate::id::Revision;
 use crate::id::Term;
@@ -48,6 +50,8 @@
         /// What is to change.
         change: MembershipChange,
     },
+    /// Tells in which regions replicas are, as far as that is known.
+    Regions(BTreeMap<ReplicaId, RegionName>),
     /// Hands in the replicated state at a position that was applied, so that the log
     /// up to it can go.
     Compact {
--- a/lib/src/raft_leader.rs
+++ b/lib/src/raft_leader.rs
@@ -35,6 +35,8 @@
     pub handover: Option<Handover>,
     /// No hand-over begins by itself before this time.
     pub handover_pause: Instant,
+    /// Since when there have been fewer voters than there should be.
+    pub voter_lacks_since: Option<Instant>,
     own_id: ReplicaId,
     round: u64,
     rounds: VecDeque<Round>,
@@ -85,6 +87,7 @@
             next_heartbeat: now,
             handover: None,
             handover_pause: now,
+            voter_lacks_since: None,
             own_id,
             round: 0,
             rounds: VecDeque::new(),
--- a/lib/src/raft_membership.rs
+++ b/lib/src/raft_membership.rs
@@ -18,6 +18,7 @@
 use crate::raft_message::Membership;
 use crate::raft_message::ReplicaInfo;
 use crate::raft_progress::LeaderCx;
+use crate::replica_plan;
 
 /// Names a change that the leader makes by itself.
 #[derive(Clone, Copy, Debug)]
@@ -196,13 +197,37 @@
         return Some(DueChange::RemoveReplaced(*old));
     }
     let full = membership.voters.len() >= cx.cfg.max_voters;
-    let mut learners = membership
-        .learners
-        .keys()
-        .filter(|id| !full || membership.replacements.contains_key(id));
-    let caught_up = learners.find(|id| {
+    let lacks_since = *leader.voter_lacks_since.get_or_insert(cx.now);
+    if full {
+        leader.voter_lacks_since = None;
+    }
+    let mut has_caught_up = |id: &&ReplicaId| {
         let progress = leader.peers.get_mut(id);
         progress.is_some_and(|progress| progress.has_caught_up(cx))
-    });
-    caught_up.map(|id| DueChange::Promote(*id))
+    };
+    let mut stand_ins = membership.replacements.keys();
+    if let Some(id) = stand_ins.find(&mut has_caught_up) {
+        return Some(DueChange::Promote(*id));
+    }
+    if full {
+        return None;
+    }
+    let caught_up = membership.learners.keys().filter(&mut has_caught_up);
+    let caught_up: Vec<ReplicaId> = caught_up.copied().collect();
+    let next = if cx.cfg.spread_voters {
+        let free_for = cx.now.saturating_duration_since(lacks_since);
+        replica_plan::next_voter(
+            membership,
+            cx.regions,
+            &caught_up,
+            cx.cfg.max_voters,
+            free_for,
+        )
+    } else {
+        caught_up.first().copied()
+    };
+    if next.is_some() {
+        leader.voter_lacks_since = None;
+    }
+    next.map(DueChange::Promote)
 }
--- a/lib/src/raft_progress.rs
+++ b/lib/src/raft_progress.rs
@@ -1,9 +1,11 @@
 //! What a leader knows of one other replica, and what it sends it next.
 
+use std::collections::BTreeMap;
 use std::collections::VecDeque;
 use std::sync::Arc;
 use std::time::Instant;
 
+use crate::id::RegionName;
 use crate::id::ReplicaId;
 use crate::id::Revision;
 use crate::id::Term;
@@ -32,6 +34,8 @@
     pub now: Instant,
     /// When the leader was last proved to lead.
     pub contact: Instant,
+    /// Where replicas are, as far as that is known.
+    pub regions: &'a BTreeMap<ReplicaId, RegionName>,
 }
 
 impl LeaderCx<'_> {
--- a/lib/src/replica_plan.rs
+++ b/lib/src/replica_plan.rs
@@ -10,6 +10,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use crate::id::RegionName;
 use crate::id::ReplicaId;
 use crate::raft_effects::MembershipChange;
 use crate::raft_effects::ReplicaProgress;
@@ -21,6 +22,11 @@
 /// second loss is to be expected.
 pub const GONE_AFTER: Duration = Duration::from_secs(9);
 
+/// Time for which a place among the voters is kept free for a replica of a region with few of
+/// them. Longer than it takes a replica that starts along with the others to be admitted, to
+/// catch up, and to say where it is.
+pub const SPREAD_WAIT: Duration = Duration::from_secs(3);
+
 /// Tells what becomes of a replica that asks to be admitted.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum Admission {
@@ -91,3 +97,30 @@
         .find(removable)
         .map(|replica| replica.id)
 }
+
+/// Returns the learner that is to vote, among those that have `caught_up`.
+///
+/// Voters are spread over the regions, so that the loss of one leaves a majority of `target`
+/// voters. `regions` tells where replicas are, as far as that is known. A place that has been
+/// free for `free_for` goes to whoever is the best after [`SPREAD_WAIT`].
+#[must_use]
+pub fn next_voter(
+    membership: &Membership,
+    regions: &BTreeMap<ReplicaId, RegionName>,
+    caught_up: &[ReplicaId],
+    target: usize,
+    free_for: Duration,
+) -> Option<ReplicaId> {
+    let voters_in = |region: Option<&RegionName>| {
+        let voters = membership.voters.keys();
+        voters.filter(|id| regions.get(id) == region).count()
+    };
+    let rank = |id: &&ReplicaId| {
+        let region = regions.get(id);
+        (region.is_none(), voters_in(region))
+    };
+    let best = caught_up.iter().min_by_key(rank)?;
+    let region = regions.get(best);
+    let leaves_majority = region.is_some() && voters_in(region) < target / 2;
+    (leaves_majority || free_for >= SPREAD_WAIT).then_some(*best)
+}
--- a/lib/tests/raft_network/mod.rs
+++ b/lib/tests/raft_network/mod.rs
@@ -119,6 +119,7 @@
         snapshot_chunk_bytes: 64,
         seed: seed.wrapping_mul(1_000).wrapping_add(number),
         max_voters: usize::MAX,
+        spread_voters: false,
     }
 }
 
--- a/lib/tests/test_replica_plan.rs
+++ b/lib/tests/test_replica_plan.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use heatherring_lib::id::RegionName;
 use heatherring_lib::id::ReplicaId;
 use heatherring_lib::id::Revision;
 use heatherring_lib::id::VmName;
@@ -16,6 +17,7 @@
 use heatherring_lib::replica_plan::GONE_AFTER;
 use heatherring_lib::replica_plan::admit;
 use heatherring_lib::replica_plan::due_removal;
+use heatherring_lib::replica_plan::next_voter;
 
 fn info(number: u16) -> ReplicaInfo {
     ReplicaInfo {
@@ -154,3 +156,35 @@
     let just_elected = due_removal(&membership, &progress, &known(&membership, now), now, 5);
     assert_eq!(just_elected, None);
 }
+
+/// Eleven replicas of three regions: 1, 4, 7, 10 in the first one, and so on.
+fn regions() -> BTreeMap<ReplicaId, RegionName> {
+    let region = |id: u64| RegionName::new(format!("region-{}", id % 3));
+    (1..=11).map(|id| (ReplicaId(id), region(id))).collect()
+}
+
+fn next(voting: &[u16], caught_up: &[u64], known: bool, free_ms: u64) -> Option<u64> {
+    let membership = Membership {
+        voters: voters(voting.iter().copied()),
+        ..Membership::default()
+    };
+    let regions = if known { regions() } else { BTreeMap::new() };
+    let caught_up: Vec<ReplicaId> = caught_up.iter().copied().map(ReplicaId).collect();
+    let free_for = Duration::from_millis(free_ms);
+    next_voter(&membership, &regions, &caught_up, 5, free_for).map(|id| id.0)
+}
+
+/// Guards against control that confirms nothing while one region is lost, since three of five
+/// voters stand there.
+#[test]
+fn test_replica_plan_spreads_voters_over_regions() {
+    assert_eq!(next(&[1, 2, 3], &[4, 5], true, 0), Some(4));
+    assert_eq!(next(&[1, 2, 3, 4], &[7, 10, 5], true, 0), Some(5));
+    assert_eq!(next(&[1, 2, 3, 4], &[7, 10], true, 2_900), None);
+    // Nobody better came.
+    assert_eq!(next(&[1, 2, 3, 4], &[7, 10], true, 3_000), Some(7));
+    // Where they are isn't known yet.
+    assert_eq!(next(&[1, 2, 3], &[4, 5], false, 2_900), None);
+    assert_eq!(next(&[1, 2, 3], &[4, 5], false, 3_000), Some(4));
+    assert_eq!(next(&[1, 2, 3], &[], true, 9_000), None);
+}
--- a/server/src/control_node.rs
+++ b/server/src/control_node.rs
@@ -198,6 +198,7 @@
             snapshot_chunk_bytes: SNAPSHOT_CHUNK_BYTES,
             seed: cfg.seed,
             max_voters: cfg.voters.max_voters(),
+            spread_voters: matches!(cfg.voters, VoterPolicy::SelfRepair { .. }),
         };
         let raft = Raft::new(raft_cfg, durable, clock.now()).context(AgreementSnafu)?;
         Ok(Self {
@@ -327,6 +328,7 @@
                 // Whoever asked may have gone away meanwhile.
                 let _ = reply.send(self.admit(replica, &info, question_only));
             }
+            NodeRequest::Regions(regions) => self.repair.note_regions(regions),
             NodeRequest::Leave => self.begin_leaving(),
         }
     }
--- a/server/src/control_process.rs
+++ b/server/src/control_process.rs
@@ -1,5 +1,6 @@
 //! The process of a control replica: starts and stops its tasks.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::sync::Arc;
@@ -7,6 +8,8 @@
 
 use heatherring_lib::clock::Clock;
 use heatherring_lib::heard_report::ReplicaOrigin;
+use heatherring_lib::id::PlaceName;
+use heatherring_lib::id::RegionName;
 use heatherring_lib::manifest_text::MAX_MANIFEST_BYTES;
 use heatherring_lib::settings::ControlSettings;
 use heatherring_lib::settings::FormationSettings;
@@ -46,6 +49,7 @@
 use crate::peer_security::PeerSecurity;
 use crate::peer_security::PeerSecurityError;
 use crate::presence_task;
+use crate::presence_task::PresenceHandle;
 use crate::presence_task::PresenceSetup;
 use crate::proto::fleet_server::FleetServer;
 use crate::proto::operator_server::OperatorServer;
@@ -329,6 +333,10 @@
         node: node.clone(),
         channels: channels.clone(),
     });
+    if let Some(direct) = &settings.direct {
+        let places = direct.places.clone();
+        tokio::spawn(follow_regions(presence.clone(), node.clone(), places));
+    }
     let keeper = QuarantineKeeper::new(Arc::clone(clock), picture.clone(), node.clone());
     tokio::spawn(keeper.run());
     FleetControl::new(
@@ -340,6 +348,30 @@
     )
 }
 
+/// Tells the replica in which regions the others are, whenever that changes.
+async fn follow_regions(
+    mut presence: PresenceHandle,
+    node: NodeHandle,
+    places: BTreeMap<PlaceName, RegionName>,
+) {
+    let mut told = BTreeMap::new();
+    loop {
+        let replicas = presence.view().replicas;
+        let regions: BTreeMap<SocketAddr, RegionName> = replicas
+            .iter()
+            .filter_map(|known| {
+                let region = places.get(&known.origin.place)?;
+                Some((known.origin.address, region.clone()))
+            })
+            .collect();
+        if regions != told {
+            told.clone_from(&regions);
+            node.note_regions(regions).await;
+        }
+        presence.changed().await;
+    }
+}
+
 /// Listens to those who aren't part of the system. The returned task ends once the stop was
 /// asked for and what was read is answered.
 async fn serve_outside(
--- a/server/src/node_repair.rs
+++ b/server/src/node_repair.rs
@@ -1,9 +1,11 @@
 //! How a control replica that leads keeps the set of replicas whole by itself.
 
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::time::Duration;
 use std::time::Instant;
 
+use heatherring_lib::id::RegionName;
 use heatherring_lib::id::ReplicaId;
 use heatherring_lib::raft_effects::Input;
 use heatherring_lib::raft_effects::MembershipChange;
@@ -32,6 +34,7 @@
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Repair {
     known_since: BTreeMap<ReplicaId, Instant>,
+    regions: BTreeMap<SocketAddr, RegionName>,
     look_at: Option<Instant>,
 }
 
@@ -41,6 +44,19 @@
         self.look_at = Some(now);
     }
 
+    pub(crate) fn note_regions(&mut self, regions: BTreeMap<SocketAddr, RegionName>) {
+        self.regions = regions;
+    }
+
+    /// Returns in which regions the members are, as far as that is known.
+    fn regions_of(&self, membership: &Membership) -> BTreeMap<ReplicaId, RegionName> {
+        let region = |id| {
+            let address = membership.info(id)?.address;
+            Some((id, self.regions.get(&address)?.clone()))
+        };
+        membership.ids().filter_map(region).collect()
+    }
+
     fn follow(&mut self, membership: &Membership, now: Instant) {
         self.known_since.retain(|id, _| membership.contains(*id));
         for id in membership.ids() {
@@ -61,6 +77,8 @@
             return;
         }
         self.repair.look_at = Some(now + REPAIR_INTERVAL);
+        let regions = self.repair.regions_of(self.raft.membership());
+        self.step(Input::Regions(regions));
         let progress = self.raft.progress();
         let membership = self.raft.membership();
         self.repair.follow(membership, now);
--- a/server/src/node_request.rs
+++ b/server/src/node_request.rs
@@ -1,5 +1,6 @@
 //! What other tasks ask of the task that owns a control replica.
 
+use std::collections::BTreeMap;
 use std::fmt;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -9,6 +10,7 @@
 use heatherring_lib::control_state::Response;
 use heatherring_lib::control_state::ViewUpdate;
 use heatherring_lib::fleet_command::FleetCommand;
+use heatherring_lib::id::RegionName;
 use heatherring_lib::id::ReplicaId;
 use heatherring_lib::id::Revision;
 use heatherring_lib::id::SessionId;
@@ -224,6 +226,8 @@
         /// Takes whether it is a member.
         reply: oneshot::Sender<Result<bool, NodeError>>,
     },
+    /// Tells in which regions the replicas at these addresses are.
+    Regions(BTreeMap<SocketAddr, RegionName>),
     /// Hands leadership over and ends the task.
     Leave,
 }
@@ -239,6 +243,7 @@
             Self::Sync { .. } => "Sync",
             Self::SyncBatch { .. } => "SyncBatch",
             Self::Admit { .. } => "Admit",
+            Self::Regions(_) => "Regions",
             Self::Leave => "Leave",
         };
         f.write_str(name)
@@ -390,6 +395,12 @@
         answer.await.context(StoppedSnafu)?
     }
 
+    /// Tells in which regions the replicas at these addresses are.
+    pub async fn note_regions(&self, regions: BTreeMap<SocketAddr, RegionName>) {
+        // A replica that has stopped has no use of it.
+        let _ = self.tx.send(NodeRequest::Regions(regions)).await;
+    }
+
     /// Asks the replica to hand leadership over and to stop.
     pub async fn leave(&self) {
         // A replica that has stopped already needs no request.
