follow_calls: unanswered questions have a module of their own; replica_followed names the one left; config-lag orders at three replicas at once

A replica that is late and left for another was named nowhere. An order of config-lag at a lost replica waited a second, just when a loss begins, and with it all changes, so that lags were seen less often than they were.

--- a/server/src/fleet_follower.rs
+++ b/server/src/fleet_follower.rs
@@ -26,19 +26,18 @@
 use heatherring_lib::presence::Absent;
 use heatherring_lib::replica_choice::ReplicaChoice;
 use heatherring_lib::replica_choice::ReplicaSite;
-use heatherring_lib::replica_choice::Useless;
 use heatherring_lib::replica_patience::HOLD;
 use heatherring_lib::request_fingerprint::FingerprintKey;
-use snafu::ResultExt;
-use snafu::Snafu;
 use tokio::sync::watch;
-use tokio::task::AbortHandle;
-use tokio::task::JoinSet;
-use tonic::Request;
 use tonic::transport::Channel;
 
 use crate::crash_watch::CrashWatch;
 use crate::dispatch_task::DispatchHandle;
+use crate::follow_calls::Answered;
+use crate::follow_calls::Asked;
+use crate::follow_calls::Asking;
+use crate::follow_calls::FollowError;
+use crate::follow_calls::Question;
 use crate::metric;
 use crate::peer_channel::PeerChannels;
 use crate::proto::FollowReply;
@@ -48,30 +47,6 @@
 /// Replicas that are named when the next one is followed, at most.
 const NAMED_LEFT: usize = 6;
 
-/// Tells why a replica's answer is of no use.
-#[derive(Debug, Snafu)]
-enum FollowError {
-    #[snafu(display("no answer in time"))]
-    Silent,
-    #[snafu(display("{}", source.message()))]
-    Call { source: Box<tonic::Status> },
-    #[snafu(display("the replica can't prove that it is current"))]
-    NotCurrent,
-    #[snafu(display("the update can't be used: {message}"))]
-    Update { message: String },
-    #[snafu(display("the address can't be used: {message}"))]
-    Address { message: String },
-}
-
-impl FollowError {
-    const fn useless(&self) -> Useless {
-        match self {
-            Self::NotCurrent => Useless::NotCurrent,
-            _ => Useless::Silent,
-        }
-    }
-}
-
 /// Holds what the task is set up with.
 #[derive(Debug)]
 pub struct FollowerSetup {
@@ -114,130 +89,13 @@
     /// The replica that was followed at the last look.
     following: Option<SocketAddr>,
     lost_since: Option<Instant>,
-    /// The replicas that were of no use since one was, and why.
+    /// The replicas that were left or of no use since one is followed, and why.
     left: Vec<String>,
     /// Revision of the verdicts on requests that are known.
     known_quarantine: u64,
     replica: watch::Sender<Option<FleetClient<Channel>>>,
 }
 
-/// Says what a replica was asked.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-enum Question {
-    /// Whether it is of use and where the others are. The state is large, and isn't asked of a
-    /// replica that may be left for a nearer one.
-    Use,
-    /// For news.
-    News,
-}
-
-/// Holds a question that isn't answered yet.
-#[derive(Debug)]
-struct Asked {
-    number: u64,
-    question: Question,
-    at: Instant,
-    call: AbortHandle,
-}
-
-/// Holds what came of a question.
-struct Answered {
-    replica: SocketAddr,
-    number: u64,
-    reply: Result<FollowReply, FollowError>,
-}
-
-/// Holds the questions that aren't answered yet, one a replica.
-#[derive(Default)]
-struct Asking {
-    clients: BTreeMap<SocketAddr, FleetClient<Channel>>,
-    asked: BTreeMap<SocketAddr, Asked>,
-    calls: JoinSet<Answered>,
-    next_number: u64,
-}
-
-impl Asking {
-    /// Asks a replica, in place of what it was asked before.
-    fn ask(
-        &mut self,
-        channels: &PeerChannels,
-        replica: SocketAddr,
-        question: Question,
-        request: FollowRequest,
-        at: Instant,
-    ) {
-        self.withdraw(replica);
-        let client = match self.clients.get(&replica) {
-            Some(client) => Ok(client.clone()),
-            None => channels.lazy(replica).map(FleetClient::new),
-        };
-        if let Ok(client) = &client {
-            self.clients.insert(replica, client.clone());
-        }
-        self.next_number += 1;
-        let number = self.next_number;
-        let call = self.calls.spawn(async move {
-            let reply = match client {
-                Ok(client) => call(client, request).await,
-                Err(error) => Err(FollowError::Address {
-                    message: error.to_string(),
-                }),
-            };
-            Answered {
-                replica,
-                number,
-                reply,
-            }
-        });
-        let asked = Asked {
-            number,
-            question,
-            at,
-            call,
-        };
-        self.asked.insert(replica, asked);
-    }
-
-    /// Waits no longer for the answer of a replica.
-    fn withdraw(&mut self, replica: SocketAddr) {
-        if let Some(asked) = self.asked.remove(&replica) {
-            asked.call.abort();
-        }
-    }
-
-    /// Lets go of the connection to a replica as well.
-    fn leave(&mut self, replica: SocketAddr) {
-        self.withdraw(replica);
-        self.clients.remove(&replica);
-    }
-
-    /// Waits for the next answer; for ever if nothing is asked.
-    async fn answered(&mut self) -> (Answered, Asked) {
-        loop {
-            let Some(joined) = self.calls.join_next().await else {
-                return std::future::pending().await;
-            };
-            // One that was withdrawn ends as aborted, or its number isn't the last.
-            let Ok(answered) = joined else { continue };
-            let is_awaited = |asked: &Asked| asked.number == answered.number;
-            if self.asked.get(&answered.replica).is_some_and(is_awaited)
-                && let Some(asked) = self.asked.remove(&answered.replica)
-            {
-                return (answered, asked);
-            }
-        }
-    }
-}
-
-async fn call(
-    mut client: FleetClient<Channel>,
-    request: FollowRequest,
-) -> Result<FollowReply, FollowError> {
-    let reply = client.follow(Request::new(request)).await;
-    let reply = reply.map_err(Box::new).context(CallSnafu)?;
-    Ok(reply.into_inner())
-}
-
 /// Shows what control said last.
 #[derive(Clone, Debug)]
 pub struct Followed {
@@ -338,7 +196,12 @@
                     self.note_followed(replica);
                     self.ask(replica, Question::News);
                 }
-                FollowStep::Drop(replica) => self.asking.leave(replica),
+                FollowStep::Drop(replica) => {
+                    if self.following == Some(replica) {
+                        self.note_left(format!("{replica}: left for another"));
+                    }
+                    self.asking.leave(replica);
+                }
                 FollowStep::GiveUp(replica) => {
                     self.asking.leave(replica);
                     self.note_useless(replica, &FollowError::Silent);
@@ -498,9 +361,7 @@
     fn note_useless(&mut self, replica: SocketAddr, error: &FollowError) {
         log::debug!(event = "replica_left", replica:% = replica, error:% = error; "a replica is of no use for now");
         metric::control_lost();
-        if self.left.len() < NAMED_LEFT {
-            self.left.push(format!("{replica}: {error}"));
-        }
+        self.note_left(format!("{replica}: {error}"));
         if self.plan.followed().is_some() {
             return;
         }
@@ -512,6 +373,12 @@
         }
     }
 
+    fn note_left(&mut self, why: String) {
+        if self.left.len() < NAMED_LEFT {
+            self.left.push(why);
+        }
+    }
+
     /// Notes which replica is followed, if it is another one than before.
     fn note_followed(&mut self, replica: SocketAddr) {
         if self.following == Some(replica) {
@@ -520,8 +387,7 @@
         self.following = Some(replica);
         // The number of the verdicts on presence is that replica's own.
         self.known_presence = 0;
-        self.replica
-            .send_replace(self.asking.clients.get(&replica).cloned());
+        self.replica.send_replace(self.asking.client(replica));
         let left = std::mem::take(&mut self.left).join("; ");
         let heard = *self.heard.borrow();
         let silent_ms = whole_ms(self.setup.clock.now().saturating_duration_since(heard));
--- a/server/src/lib.rs
+++ b/server/src/lib.rs
@@ -58,6 +58,7 @@
 pub mod fleet_follower;
 pub mod fleet_picture;
 pub mod fleet_service;
+mod follow_calls;
 pub mod formation;
 pub mod forward_client;
 pub mod forward_listener;
--- a/testutils/src/config_probe.rs
+++ b/testutils/src/config_probe.rs
@@ -9,6 +9,8 @@
 use std::time::Instant;
 
 use bytes::Bytes;
+use futures_util::StreamExt;
+use futures_util::stream::FuturesUnordered;
 use http::Method;
 use http::Request;
 use http::StatusCode;
@@ -26,9 +28,12 @@
 /// Time between two changes.
 const CHANGE_INTERVAL: Duration = Duration::from_millis(500);
 
-/// Time for which a confirmation is awaited before the same change goes to another replica.
+/// Time for which a confirmation is awaited before the same change goes to other replicas.
 const ORDER_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// Replicas that a change is sent to at once, so that one that is lost holds none up.
+const ORDERED_AT_ONCE: usize = 3;
+
 /// Time between two questions at an entry VM that doesn't know a route yet.
 const PROBE_INTERVAL: Duration = Duration::from_millis(20);
 
@@ -139,10 +144,10 @@
     let mut replicas = orders.iter().cycle();
     for version in 1.. {
         let body = change(version).to_string();
-        for replica in replicas.by_ref() {
-            let call = call(*replica, Method::POST, "/v1/routes", body.clone());
-            let answer = tokio::time::timeout(ORDER_TIMEOUT, call).await;
-            if matches!(answer, Ok(Some(status)) if status.is_success()) {
+        loop {
+            let at_once: Vec<SocketAddr> =
+                replicas.by_ref().take(ORDERED_AT_ONCE).copied().collect();
+            if is_confirmed(&at_once, &body).await {
                 break;
             }
             tokio::time::sleep(PROBE_INTERVAL).await;
@@ -152,6 +157,22 @@
     }
 }
 
+/// Returns whether one of `replicas` confirms a change in time. The same change may be sent to
+/// several.
+async fn is_confirmed(replicas: &[SocketAddr], body: &str) -> bool {
+    let calls = replicas.iter().map(|replica| {
+        let call = call(*replica, Method::POST, "/v1/routes", body.to_owned());
+        tokio::time::timeout(ORDER_TIMEOUT, call)
+    });
+    let mut calls: FuturesUnordered<_> = calls.collect();
+    while let Some(answer) = calls.next().await {
+        if matches!(answer, Ok(Some(status)) if status.is_success()) {
+            return true;
+        }
+    }
+    false
+}
+
 async fn probe_on(
     entry: String,
     address: SocketAddr,
