--- a/cli/tests/test_region_loss.rs
+++ b/cli/tests/test_region_loss.rs
@@ -70,8 +70,7 @@
     }
 }
 
-/// Guards against control that confirms nothing while a region is lost: too many of those who
-/// vote stood there.
+/// Guards against control that confirms nothing while one region is lost.
 #[tokio::test(flavor = "multi_thread")]
 async fn test_control_confirms_changes_whichever_region_is_lost() {
     let mut loss = Loss::start(0).await;
@@ -85,8 +84,7 @@
     }
 }
 
-/// Guards against entry VMs that go by the configuration of before for as long as the control
-/// replicas near them are lost.
+/// Guards against an old configuration in force for as long as the near replicas are lost.
 #[tokio::test(flavor = "multi_thread")]
 async fn test_changes_are_in_force_while_the_near_replicas_are_lost() {
     let mut loss = Loss::start(6).await;
--- a/lib/tests/test_follow_plan.rs
+++ b/lib/tests/test_follow_plan.rs
@@ -110,8 +110,7 @@
     }
 }
 
-/// Guards against an entry VM that goes by an older manifest than was confirmed while the
-/// replicas of a region, of a place, or any two, are lost together.
+/// Guards against an old manifest in force for too long while replicas are lost together.
 #[rstest]
 #[case::dark(Way::Only(Trouble::Dark))]
 #[case::frozen(Way::Only(Trouble::Frozen))]
--- a/lib/tests/test_raft_proof.rs
+++ b/lib/tests/test_raft_proof.rs
@@ -66,9 +66,7 @@
     assert_eq!(network.raft(follower).current_at(), before);
 }
 
-/// Guards against a replica that says that it is current on the word of a leader that was
-/// replaced meanwhile: the word waited at a process that was frozen. The network checks each
-/// proof.
+/// Guards against a replica that says that it is current on the word of a replaced leader.
 #[test]
 fn test_a_word_that_waited_proves_nothing_of_now() {
     for seed in 0..20 {
--- a/lib/tests/test_replica_choice.rs
+++ b/lib/tests/test_replica_choice.rs
@@ -172,8 +172,7 @@
     );
 }
 
-/// Replicas that are near each other are lost together: those that are asked at once stand in
-/// three regions, and while one doesn't answer, none in its place goes first.
+/// Guards against questions to replicas that are lost together.
 #[test]
 fn test_replicas_that_are_asked_at_once_are_apart() {
     let now = Instant::now();
--- a/lib/tests/test_replica_patience.rs
+++ b/lib/tests/test_replica_patience.rs
@@ -7,8 +7,7 @@
 use heatherring_lib::replica_patience::LATE_AFTER;
 use heatherring_lib::replica_patience::ReplicaPatience;
 
-/// Guards against seconds of refusals after all power was lost: two replicas whose VMs are still
-/// dark hold an entry VM up for less than a second.
+/// Guards against seconds without a view while replicas are still dark after a loss of power.
 #[test]
 fn test_dark_replicas_hold_an_entry_vm_up_for_a_moment() {
     let mut patience = ReplicaPatience::default();
@@ -20,8 +19,7 @@
     assert!(waited < Duration::from_secs(1), "{waited:?}");
 }
 
-/// Guards against an entry VM that changes replicas for ever since its link is full: the time for
-/// a first answer grows until one comes.
+/// Guards against an entry VM that changes replicas for ever since its link is full.
 #[test]
 fn test_a_full_link_is_borne() {
     let mut patience = ReplicaPatience::default();
--- a/lib/tests/test_replica_plan.rs
+++ b/lib/tests/test_replica_plan.rs
@@ -174,8 +174,7 @@
     next_voter(&membership, &regions, &caught_up, 5, free_for).map(|id| id.0)
 }
 
-/// Guards against control that confirms nothing while one region is lost, since three of five
-/// voters stand there.
+/// Guards against a majority of the voters in one region.
 #[test]
 fn test_replica_plan_spreads_voters_over_regions() {
     assert_eq!(next(&[1, 2, 3], &[4, 5], true, 0), Some(4));
--- a/server/tests/test_direct.rs
+++ b/server/tests/test_direct.rs
@@ -255,8 +255,7 @@
     assert!(runs > 0 && f64::from(runs) <= borne, "{runs} of {borne}");
 }
 
-/// Guards against a 404 for a route that was added while the entry VM heard nothing of control:
-/// once its proof is older than a change may take, no route is unknown for certain.
+/// Guards against a 404 for a route that was added while the entry VM heard nothing of control.
 #[tokio::test(flavor = "multi_thread")]
 async fn test_direct_out_of_touch_no_route_is_unknown_for_certain() {
     let mut deployment = Deployment::start(1);
--- a/server/tests/test_fleet_follower.rs
+++ b/server/tests/test_fleet_follower.rs
@@ -252,8 +252,7 @@
     near.until_asked_again().await;
 }
 
-/// Guards against an entry VM without news for seconds when the replicas near it are lost
-/// together: a far one is asked no later than a second near one.
+/// Guards against an entry VM without news while all replicas near it are lost.
 #[tokio::test]
 async fn test_near_replicas_that_are_lost_together_are_left_for_a_far_one() {
     let (sites, _) = watch::channel(Vec::new());
