follow_lag, follow_plan, direct_cluster: state that could be derived, and work done twice

A replica looked every entry VM that it hears up in the state with each question, to bound a table; the table drops by age now, when a manifest comes. The leader's role was matched twice to know its contact. A question's plan was set and overwritten at once in two places of follow_plan. replica_choice looked a region up in two ways. direct_cluster told the two roles apart by a flag to register what it had just started.

--- a/lib/src/follow_lag.rs
+++ b/lib/src/follow_lag.rs
@@ -15,7 +15,7 @@
 /// Manifests whose times are kept.
 const KEPT_MANIFESTS: usize = 64;
 
-/// Age at which their times are dropped.
+/// Age at which their times are dropped, and what entry VMs asked.
 const KEPT_FOR: Duration = Duration::from_mins(1);
 
 /// Holds a manifest that a replica learned of.
@@ -76,6 +76,8 @@
         if self.manifests.len() == KEPT_MANIFESTS {
             self.manifests.pop_front();
         }
+        self.asked
+            .retain(|_, asked| now.saturating_duration_since(asked.at) < KEPT_FOR);
         self.manifests.push_back(Learned {
             version,
             revision,
@@ -122,9 +124,4 @@
             }),
         }
     }
-
-    /// Drops the entry VMs that aren't `known`.
-    pub fn retain(&mut self, known: impl Fn(&VmName) -> bool) {
-        self.asked.retain(|vm, _| known(vm));
-    }
 }
--- a/lib/src/follow_plan.rs
+++ b/lib/src/follow_plan.rs
@@ -206,17 +206,20 @@
             FollowAnswer::Useful { is_news } if is_followed => {
                 self.note_useful(now, replica, is_news, &mut steps);
             }
-            FollowAnswer::Useful { .. } => {
-                if self.trials.iter().any(|trial| trial.replica == replica) {
-                    self.follow(now, replica, &mut steps);
-                }
+            FollowAnswer::Useful { .. } if self.is_tried(replica) => {
+                self.follow(now, replica, &mut steps);
             }
+            FollowAnswer::Useful { .. } => {}
             FollowAnswer::Useless(why) => self.note_useless(now, replica, why),
         }
         self.begin_trials(now, &mut steps);
         steps
     }
 
+    fn is_tried(&self, replica: SocketAddr) -> bool {
+        self.trials.iter().any(|trial| trial.replica == replica)
+    }
+
     fn ask(&mut self, now: Instant, steps: &mut Vec<FollowStep>) {
         if let Some(followed) = &mut self.followed {
             followed.question = Question::Asked(now);
@@ -297,13 +300,11 @@
         if self.aim == Aim::Search {
             self.drop_trials(now, steps);
         }
-        if let Some(followed) = &mut self.followed {
-            let pause = if is_news { NEWS_PAUSE } else { Duration::ZERO };
-            followed.question = Question::Planned(now + pause);
-        }
         self.try_nearer(now, replica);
         if !is_news {
             self.ask(now, steps);
+        } else if let Some(followed) = &mut self.followed {
+            followed.question = Question::Planned(now + NEWS_PAUSE);
         }
     }
 
@@ -329,18 +330,12 @@
         }
         self.patience.note_answer();
         self.choice.note_use(replica);
-        let tries_nearer = self.try_nearer(now, replica);
-        let pause = if tries_nearer {
-            NEARER_FIRST
-        } else {
-            Duration::ZERO
-        };
         self.followed = Some(Followed {
             replica,
-            question: Question::Planned(now + pause),
+            question: Question::Planned(now + NEARER_FIRST),
             has_searched: false,
         });
-        if !tries_nearer {
+        if !self.try_nearer(now, replica) {
             self.ask(now, steps);
         }
     }
--- a/lib/src/raft.rs
+++ b/lib/src/raft.rs
@@ -526,13 +526,10 @@
         &mut self,
         act: impl FnOnce(&mut LeaderState, &LeaderCx) -> T,
     ) -> Option<T> {
-        let contact = match &self.role {
-            RoleState::Leader(leader) => leader.quorum_contact(self.membership(), self.now),
-            _ => return None,
-        };
         let RoleState::Leader(leader) = &mut self.role else {
             return None;
         };
+        let contact = leader.quorum_contact(self.log.membership(), self.now);
         let cx = LeaderCx {
             cfg: &self.cfg,
             term: self.hard_state.term,
--- a/lib/src/replica_choice.rs
+++ b/lib/src/replica_choice.rs
@@ -233,7 +233,7 @@
         while picked.len() < count {
             let rank = |(_, known): &(SocketAddr, &Known)| {
                 let place = known.place.as_ref();
-                let region = place.and_then(|place| self.regions.get(place));
+                let region = self.region_of(known);
                 let is_near_others = region.is_some_and(|region| regions.contains(&region));
                 let is_beside_one = place.is_some_and(|place| places.contains(&place));
                 (
@@ -248,16 +248,16 @@
             let Some(best) = best else { break };
             let (address, known) = rest.swap_remove(best);
             places.extend(&known.place);
-            let region = known
-                .place
-                .as_ref()
-                .and_then(|place| self.regions.get(place));
-            regions.extend(region);
+            regions.extend(self.region_of(known));
             picked.push(address);
         }
         picked
     }
 
+    fn region_of(&self, known: &Known) -> Option<&RegionName> {
+        self.regions.get(known.place.as_ref()?)
+    }
+
     /// Returns a nearer replica for which the one at `address` may be left: one that hasn't been
     /// of no use for 2 s to 4 s. While a near one is cut off from the others, its entry VMs
     /// would otherwise try it twice a second.
--- a/server/src/fleet_service.rs
+++ b/server/src/fleet_service.rs
@@ -102,13 +102,7 @@
 
     /// Notes what an entry VM has applied, and tells of one that has lacked a manifest for long.
     fn note_question(&self, vm: &VmName, applied: Revision) {
-        let fleet = self.control.picture().read().fleet;
-        let now = self.clock.now();
-        let shown = {
-            let mut lag = self.lag();
-            lag.retain(|vm| fleet.entry(vm).is_some());
-            lag.note_question(now, vm, applied)
-        };
+        let shown = self.lag().note_question(self.clock.now(), vm, applied);
         for after in shown.in_force_after {
             metric::in_force(after);
         }
--- a/testutils/src/direct_cluster.rs
+++ b/testutils/src/direct_cluster.rs
@@ -87,6 +87,22 @@
     pub const fn callers(&self) -> SocketAddr {
         SocketAddr::new(self.ip, CALLERS_PORT)
     }
+
+    /// Starts the VM's process and makes it known to the network.
+    fn start(
+        &mut self,
+        binary: &Path,
+        command: &str,
+        log: &Path,
+        network: &mut Network,
+    ) -> Result<(), ClusterError> {
+        let settings = self.settings.display().to_string();
+        let arguments = [command, "--settings", &settings];
+        let process = Process::start(&self.plan.vm, binary, &arguments, log)?;
+        network.register(process.pid(), Some(self.ip), &self.plan.vm);
+        self.process = Some(process);
+        Ok(())
+    }
 }
 
 /// Runs the cluster; dropping it kills its processes.
@@ -207,37 +223,19 @@
     ///
     /// Returns an error if the program can't be started.
     pub fn start_control(&mut self, number: usize) -> Result<(), ClusterError> {
-        let process = self.spawn("control", &self.controls[number])?;
-        self.controls[number].process = Some(process);
-        self.register(number, true);
-        Ok(())
+        let log = self.log_of(&self.controls[number]);
+        let vm = &mut self.controls[number];
+        vm.start(&self.binary, "control", &log, &mut self.network)
     }
 
     fn start_entry(&mut self, number: usize) -> Result<(), ClusterError> {
-        let process = self.spawn("direct", &self.entries[number])?;
-        self.entries[number].process = Some(process);
-        self.register(number, false);
-        Ok(())
+        let log = self.log_of(&self.entries[number]);
+        let vm = &mut self.entries[number];
+        vm.start(&self.binary, "direct", &log, &mut self.network)
     }
 
-    fn spawn(&self, command: &str, vm: &DirectVm) -> Result<Process, ClusterError> {
-        let settings = vm.settings.display().to_string();
-        let log = self.folder.path().join(format!("{}.log", vm.plan.vm));
-        let arguments = [command, "--settings", &settings];
-        Ok(Process::start(&vm.plan.vm, &self.binary, &arguments, &log)?)
-    }
-
-    fn register(&mut self, number: usize, is_control: bool) {
-        let vms = if is_control {
-            &self.controls
-        } else {
-            &self.entries
-        };
-        let vm = &vms[number];
-        if let Some(process) = &vm.process {
-            self.network
-                .register(process.pid(), Some(vm.ip), &vm.plan.vm);
-        }
+    fn log_of(&self, vm: &DirectVm) -> PathBuf {
+        self.folder.path().join(format!("{}.log", vm.plan.vm))
     }
 
     /// Kills a control replica.
