limits of backend servers: read, tracked and logged; nothing acts on them yet

Nothing of ours read or logged the limit that a backend server declares, so logs could not tell whether entry VMs don't know it or don't keep to it.

--- a/lib/src/direct_dispatch.rs
+++ b/lib/src/direct_dispatch.rs
@@ -15,6 +15,7 @@
 
 use crate::affinity::MemberHash;
 use crate::affinity::ObjectHash;
+use crate::backend_limit::LimitEvent;
 use crate::backend_load::Expectation;
 use crate::cold_gate;
 use crate::cold_tracker::ColdTracker;
@@ -102,6 +103,8 @@
     rank_fairness: RankFairness,
     /// Position of the next retry delay within its spread, 0 to 1.
     spread_phase: f64,
+    /// Changes of limits that have not been taken yet.
+    pub(crate) limit_events: Vec<LimitEvent>,
 }
 
 impl Dispatcher {
@@ -127,6 +130,7 @@
             moves: RegionMoves::default(),
             rank_fairness: RankFairness::default(),
             spread_phase: 0.0,
+            limit_events: Vec::new(),
         }
     }
 
@@ -476,6 +480,7 @@
             expected: seconds(best.time()),
             wait: seconds(best.wait),
             report_age,
+            limit: backend.limit.rate(),
         }
     }
 
@@ -503,6 +508,7 @@
             return;
         };
         self.note_rollout_answer(now, end, &send);
+        self.note_limit(now, end, send.sent_at);
         let Some(backend) = self.backends.get_mut(end.backend) else {
             return;
         };
--- a/lib/src/dispatch_backend.rs
+++ b/lib/src/dispatch_backend.rs
@@ -8,6 +8,7 @@
 use crate::affinity::MemberHash;
 use crate::affinity::ObjectHash;
 use crate::backend_health::BackendHealth;
+use crate::backend_limit::BackendLimit;
 use crate::backend_load::BackendLoad;
 use crate::cold_gate::ColdGate;
 use crate::fleet_record::BackendRecord;
@@ -78,6 +79,7 @@
     /// Number of answers that are still being passed on.
     pub streams: u32,
     pub load: BackendLoad,
+    pub limit: BackendLimit,
     pub health: BackendHealth,
     pub cold_until: Instant,
     pub cold_gate: ColdGate,
@@ -104,6 +106,7 @@
             rollout: None,
             streams: 0,
             load: BackendLoad::default(),
+            limit: BackendLimit::default(),
             health: BackendHealth::new(now),
             cold_until: now + record.cold_for,
             cold_gate: ColdGate::new(opens),
--- a/lib/src/dispatch_request.rs
+++ b/lib/src/dispatch_request.rs
@@ -13,6 +13,8 @@
 use crate::id::RegionName;
 use crate::id::RouteName;
 use crate::id::ServiceName;
+use crate::rate_limit::LimitReport;
+use crate::rate_limit::RequestRate;
 use crate::request_rank::RequestRank;
 use crate::service_latency::RouteLatencyKey;
 
@@ -94,6 +96,8 @@
     pub wait: Duration,
     /// Age of the backend server's latest load report; `None` without one.
     pub report_age: Option<Duration>,
+    /// Rate limit that the backend server is known to have declared.
+    pub limit: Option<RequestRate>,
 }
 
 /// Refusal: the reason and the retry delay.
@@ -188,6 +192,8 @@
     pub outcome: SendOutcome,
     /// Load report of the backend server; `None` if it sent none.
     pub load: Option<LoadReport>,
+    /// What the answer states about a rate limit; `None` without an answer of the backend server.
+    pub limit: Option<LimitReport>,
     /// Object that the request referred to; `None` if it referred to none.
     pub object: Option<ObjectHash>,
 }
--- /dev/null
+++ b/lib/src/rate_limit.rs
@@ -0,0 +1,83 @@
+//! Rate limits that backend servers declare in their answers.
+
+use std::fmt;
+use std::time::Instant;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+/// Largest accepted rate. Greater figures say nothing about the capacity of one backend server.
+const MAX_RATE: f64 = 1_000_000.0;
+
+/// Rate of requests from all senders together, in requests per second.
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq, PartialOrd, Serialize)]
+pub struct RequestRate(f64);
+
+impl RequestRate {
+    /// Creates a rate; `None` unless it is a finite number that is not negative.
+    #[must_use]
+    pub fn new(per_second: f64) -> Option<Self> {
+        let is_valid = per_second.is_finite() && per_second >= 0.0;
+        is_valid.then(|| Self(per_second.clamp(0.0, MAX_RATE)))
+    }
+
+    /// Parses a decimal number; `None` for anything else, such as an exponent or `inf`.
+    #[must_use]
+    pub fn parse(text: &str) -> Option<Self> {
+        let text = text.trim();
+        let is_decimal = text.bytes().all(|b| b.is_ascii_digit() || b == b'.');
+        if !is_decimal {
+            return None;
+        }
+        Self::new(text.parse().ok()?)
+    }
+
+    /// Returns the rate in requests per second.
+    #[must_use]
+    pub const fn per_second(self) -> f64 {
+        self.0
+    }
+}
+
+impl fmt::Display for RequestRate {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}/s", self.0)
+    }
+}
+
+/// What an answer states about the rate limit of its backend server.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub enum LimitNotice {
+    /// The answer states no limit.
+    #[default]
+    Absent,
+    /// The answer states a limit that is not a valid rate.
+    Unreadable,
+    /// The limit that holds from now on.
+    Limited(RequestRate),
+}
+
+impl LimitNotice {
+    /// Reads the values of a header, each `None` if it is not text. The smallest valid rate counts
+    /// if there are several.
+    #[must_use]
+    pub fn read<'a>(values: impl Iterator<Item = Option<&'a str>>) -> Self {
+        values.fold(Self::Absent, |notice, value| {
+            match (notice, value.and_then(RequestRate::parse)) {
+                (Self::Limited(known), Some(rate)) if known <= rate => notice,
+                (_, Some(rate)) => Self::Limited(rate),
+                (Self::Limited(_), None) => notice,
+                (_, None) => Self::Unreadable,
+            }
+        })
+    }
+}
+
+/// A notice, and when the head of the answer arrived.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct LimitReport {
+    /// What the answer states.
+    pub notice: LimitNotice,
+    /// When its head arrived.
+    pub at: Instant,
+}
--- a/lib/tests/dispatch_model/mod.rs
+++ b/lib/tests/dispatch_model/mod.rs
@@ -429,6 +429,7 @@
             } else {
                 SendOutcome::Answered
             },
+            limit: None,
             load: Some(LoadReport {
                 running: server.running,
                 waiting: u32::try_from(server.waiting.len()).unwrap(),
--- a/lib/tests/dispatch_model/probe.rs
+++ b/lib/tests/dispatch_model/probe.rs
@@ -118,6 +118,7 @@
             backend: choice.backend,
             send: choice.send,
             outcome,
+            limit: None,
             load: None,
             object: None,
         };
--- a/lib/tests/test_cold_tracker.rs
+++ b/lib/tests/test_cold_tracker.rs
@@ -157,6 +157,7 @@
             backend: choice.backend,
             send: choice.send,
             outcome: SendOutcome::Answered,
+            limit: None,
             load: None,
             object: Some(object),
         };
--- a/lib/tests/test_rollout.rs
+++ b/lib/tests/test_rollout.rs
@@ -343,6 +343,7 @@
             backend: choice.backend,
             send: choice.send,
             outcome,
+            limit: None,
             load: None,
             object: None,
         };
--- a/server/src/direct_send.rs
+++ b/server/src/direct_send.rs
@@ -20,6 +20,7 @@
 use heatherring_lib::outcome::Refusal;
 use heatherring_lib::outcome::UnknownReason;
 use heatherring_lib::outcome::Unsent;
+use heatherring_lib::rate_limit::LimitReport;
 use heatherring_lib::request_fingerprint::RequestTag;
 use heatherring_lib::service_latency::RouteLatencyKey;
 use http::HeaderMap;
@@ -115,6 +116,8 @@
     pub verdict: SendOutcome,
     /// The load that the backend server reported.
     pub load: Option<LoadReport>,
+    /// What the answer states about a rate limit; `None` without an answer of the backend server.
+    pub limit: Option<LimitReport>,
     /// Time to establish the connection; `None` if one was reused or none was established.
     pub connected_in: Option<Duration>,
 }
@@ -125,6 +128,7 @@
             outcome: outcome.into(),
             verdict,
             load: None,
+            limit: None,
             connected_in: None,
         }
     }
@@ -323,10 +327,15 @@
         let (head, body) = response.into_parts();
         let request_id = at.req.request_id.as_deref();
         let metadata = self.interface.read_answer(&head, request_id);
+        let limit = LimitReport {
+            notice: metadata.limit,
+            at: Instant::now(),
+        };
         let refused = match metadata.meaning {
             AnswerMeaning::Answer => {
                 let mut sent = self.pass_on(at, (head, body)).await;
                 sent.load = metadata.load;
+                sent.limit = Some(limit);
                 return sent;
             }
             AnswerMeaning::Foreign => {
@@ -347,6 +356,7 @@
         let refusal = Refusal::reported_by_backend_server(refused.0);
         let mut sent = Sent::new(at.sent.refused(refusal), refused.1);
         sent.load = metadata.load;
+        sent.limit = (refused.1 == SendOutcome::Shed).then_some(limit);
         sent
     }
 
--- a/server/src/dispatch_task.rs
+++ b/server/src/dispatch_task.rs
@@ -6,6 +6,8 @@
 use std::time::Instant;
 
 use heatherring_lib::affinity::ObjectHash;
+use heatherring_lib::backend_limit::LimitChange;
+use heatherring_lib::backend_limit::LimitEvent;
 use heatherring_lib::backend_load::LoadReport;
 use heatherring_lib::clock::Clock;
 use heatherring_lib::cold_queries::ColdQuery;
@@ -20,11 +22,14 @@
 use heatherring_lib::dispatch_request::RefusedReason;
 use heatherring_lib::dispatch_request::SendEnd;
 use heatherring_lib::dispatch_request::SendOutcome;
+use heatherring_lib::duration_text::whole_ms;
 use heatherring_lib::fleet_update::FleetView;
 use heatherring_lib::id::BackendName;
 use heatherring_lib::id::RegionName;
 use heatherring_lib::id::RouteName;
 use heatherring_lib::id::ServiceName;
+use heatherring_lib::rate_limit::LimitReport;
+use heatherring_lib::rate_limit::RequestRate;
 use heatherring_lib::request_rank::RequestRank;
 use heatherring_lib::rollout_observer::RolloutReport;
 use heatherring_lib::route_manifest::Route;
@@ -32,6 +37,8 @@
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
 
+use crate::metric;
+
 /// Asks the dispatcher to choose a backend server. Owned counterpart of [`DispatchRequest`].
 #[derive(Clone, Debug)]
 pub struct OwnedDispatchRequest {
@@ -132,6 +139,7 @@
                 send: choice.send,
                 outcome: SendOutcome::Abandoned,
                 load: None,
+                limit: None,
                 object,
             },
         };
@@ -209,9 +217,15 @@
 
 impl SendGuard {
     /// Reports how the request ended.
-    pub fn ended(mut self, outcome: SendOutcome, load: Option<LoadReport>) {
+    pub fn ended(
+        mut self,
+        outcome: SendOutcome,
+        load: Option<LoadReport>,
+        limit: Option<LimitReport>,
+    ) {
         self.end.outcome = outcome;
         self.end.load = load;
+        self.end.limit = limit;
     }
 }
 
@@ -269,6 +283,26 @@
             Message::StreamBegan(backend) => dispatcher.stream_began(backend),
             Message::StreamEnded(backend) => dispatcher.stream_ended(backend),
         }
+        for event in dispatcher.take_limit_events() {
+            log_limit(&event);
+        }
+    }
+}
+
+fn log_limit(event: &LimitEvent) {
+    match event {
+        LimitEvent::Changed(change) => {
+            let LimitChange { rate, before, .. } = change;
+            let text = |rate: &Option<RequestRate>| {
+                rate.map_or("none".to_owned(), |rate| rate.to_string())
+            };
+            let (limit, before) = (text(rate), text(before));
+            metric::backend_limit(rate.is_some());
+            log::info!(event = "backend_limit", backend = change.backend.as_str(), limit = limit.as_str(), before = before.as_str(), source = change.source.name(), age_ms = whole_ms(change.age); "the rate limit of a backend server changed");
+        }
+        LimitEvent::Unreadable(backend) => {
+            log::warn!(event = "backend_limit_unreadable", backend = backend.as_str(); "a backend server declares a rate limit that is not a number; it is ignored");
+        }
     }
 }
 
@@ -295,6 +329,7 @@
         send: choice.send,
         outcome: SendOutcome::Abandoned,
         load: None,
+        limit: None,
         object: None,
     }
 }
--- a/server/src/header.rs
+++ b/server/src/header.rs
@@ -2,6 +2,7 @@
 //! remove headers.
 
 use heatherring_lib::action_record::CALLER_HEADER;
+use heatherring_lib::rate_limit::LimitNotice;
 use http::HeaderMap;
 use http::HeaderName;
 use http::HeaderValue;
@@ -109,6 +110,13 @@
     headers.get(name)?.to_str().ok()
 }
 
+/// Reads the rate limit that a header declares.
+#[must_use]
+pub fn limit_notice(headers: &HeaderMap, name: impl AsHeaderName) -> LimitNotice {
+    let values = headers.get_all(name).iter();
+    LimitNotice::read(values.map(|value| value.to_str().ok()))
+}
+
 /// Reads a header as a number.
 ///
 /// `None` means that the header is missing, `Some(None)` that it is not a number.
--- a/server/src/interface.rs
+++ b/server/src/interface.rs
@@ -13,6 +13,7 @@
 use heatherring_lib::id::BackendName;
 use heatherring_lib::id::RegionName;
 use heatherring_lib::id::TeamName;
+use heatherring_lib::rate_limit::LimitNotice;
 use http::HeaderMap;
 use http::Request;
 use http::Response;
@@ -57,12 +58,14 @@
 }
 
 /// Metadata that a backend server sends with an answer.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct AnswerMetadata {
     /// Whether and by whom the request was run.
     pub meaning: AnswerMeaning,
     /// The load that the backend server reports; `None` if it reports none.
     pub load: Option<LoadReport>,
+    /// What the answer states about the rate limit of the backend server.
+    pub limit: LimitNotice,
 }
 
 /// State that a backend server reports in a health check.
--- a/server/src/metric.rs
+++ b/server/src/metric.rs
@@ -91,6 +91,12 @@
     histogram!("heatherring_connect_seconds").record(took);
 }
 
+/// Counts a limit that a backend server declared or changed, or one that ended.
+pub fn backend_limit(in_force: bool) {
+    let state = if in_force { "declared" } else { "ended" };
+    counter!("heatherring_backend_limits_total", "state" => state).increment(1);
+}
+
 /// Counts a resend that was made, or was denied because the budget was exhausted.
 pub fn resend(allowed: bool) {
     let result = if allowed { "sent" } else { "no_budget" };
--- a/server/src/own_interface.rs
+++ b/server/src/own_interface.rs
@@ -72,6 +72,10 @@
 /// commas.
 const LOAD: HeaderName = HeaderName::from_static("heatherring-load");
 
+/// Requests per second, as a decimal number, that a backend server accepts from all senders
+/// together for as long as its answers declare it.
+const RATE_LIMIT: HeaderName = HeaderName::from_static("heatherring-rate-limit");
+
 /// Implements heatherring's own interface.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct OwnInterface;
@@ -117,6 +121,7 @@
         AnswerMetadata {
             meaning,
             load: header::text(&head.headers, &LOAD).and_then(load_report),
+            limit: header::limit_notice(&head.headers, &RATE_LIMIT),
         }
     }
 
--- a/server/src/request_trace.rs
+++ b/server/src/request_trace.rs
@@ -15,6 +15,7 @@
 use heatherring_lib::id::ServiceName;
 use heatherring_lib::id::TeamName;
 use heatherring_lib::id::VmName;
+use heatherring_lib::rate_limit::RequestRate;
 use heatherring_lib::request_fingerprint::Fingerprint;
 
 use crate::direct_send::Sent;
@@ -57,6 +58,8 @@
     connected_in: Option<Duration>,
     took: Duration,
     verdict: SendOutcome,
+    /// Rate limit that the backend server was known to have declared.
+    limit: Option<RequestRate>,
 }
 
 impl fmt::Display for SendRecord {
@@ -73,6 +76,9 @@
             None => f.write_str("never given")?,
         }
         write!(f, ", answer {} ms expected, ", self.expected.as_millis())?;
+        if let Some(limit) = self.limit {
+            write!(f, "limit {limit}, ")?;
+        }
         if let Some(connected_in) = self.connected_in {
             write!(f, "connected in {} ms, ", connected_in.as_millis())?;
         }
@@ -142,6 +148,7 @@
             connected_in: sent.connected_in,
             took,
             verdict,
+            limit: choice.limit,
         });
     }
 
