--- a/server/tests/direct_support/backend.rs
+++ b/server/tests/direct_support/backend.rs
@@ -5,6 +5,7 @@
 use std::sync::Mutex;
 use std::sync::atomic::AtomicU32;
 use std::sync::atomic::Ordering;
+use std::time::Instant;
 
 use bytes::Bytes;
 use http::HeaderMap;
@@ -19,6 +20,8 @@
 
 use super::HEALTH_PATH;
 
+const RATE_LIMIT: &str = "heatherring-rate-limit";
+
 /// How a backend server treats requests other than health checks.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Behaviour {
@@ -34,6 +37,14 @@
     Hang,
 }
 
+/// The rate limit that a backend server declares, and what arrived there.
+#[derive(Debug, Default)]
+struct Limits {
+    declared: Option<String>,
+    /// Arrivals of requests other than health checks.
+    arrivals: Vec<Instant>,
+}
+
 /// A backend server that runs as a task of the test and is stopped when dropped.
 pub struct Backend {
     pub name: String,
@@ -48,6 +59,7 @@
     last_deadline_ms: Arc<AtomicU32>,
     /// Headers of the latest request that was not a health check.
     headers: Arc<Mutex<HeaderMap>>,
+    limits: Arc<Mutex<Limits>>,
     task: JoinHandle<()>,
 }
 
@@ -59,7 +71,9 @@
         let cold_ms = Arc::new(AtomicU32::new(0));
         let last_deadline_ms = Arc::new(AtomicU32::new(0));
         let headers = Arc::new(Mutex::new(HeaderMap::new()));
+        let limits = Arc::new(Mutex::new(Limits::default()));
         let shared = (
+            Arc::clone(&limits),
             Arc::clone(&runs),
             Arc::clone(&behaviour),
             Arc::clone(&last_deadline_ms),
@@ -73,7 +87,7 @@
         );
         let task = tokio::spawn(async move {
             while let Ok((stream, _)) = listener.accept().await {
-                let (runs, behaviour, last_deadline_ms, headers) = shared.clone();
+                let (limits, runs, behaviour, last_deadline_ms, headers) = shared.clone();
                 let (name, cold_ms, cold_replies) = health.clone();
                 let service = service_fn(move |req: Request<Incoming>| {
                     let behaviour = *behaviour.lock().unwrap();
@@ -87,7 +101,12 @@
                         cold_replies.fetch_add(u32::from(cold_ms > 0), Ordering::SeqCst);
                         health_answer(&name, cold_ms)
                     });
+                    let mut limit = None;
                     if health.is_none() {
+                        let mut limits = limits.lock().unwrap();
+                        limits.arrivals.push(Instant::now());
+                        limit.clone_from(&limits.declared);
+                        drop(limits);
                         headers.lock().unwrap().clone_from(req.headers());
                     }
                     async move {
@@ -98,7 +117,12 @@
                             runs.fetch_add(1, Ordering::SeqCst);
                             std::future::pending::<()>().await;
                         }
-                        serve(&req, behaviour, &runs).ok_or(Broken)
+                        let mut response = serve(&req, behaviour, &runs).ok_or(Broken)?;
+                        if let Some(limit) = limit {
+                            let limit = limit.parse().unwrap();
+                            response.headers_mut().insert(RATE_LIMIT, limit);
+                        }
+                        Ok(response)
                     }
                 });
                 let io = TokioIo::new(stream);
@@ -115,10 +139,21 @@
             behaviour,
             last_deadline_ms,
             headers,
+            limits,
             task,
         }
     }
 
+    /// Declares a rate limit in all further answers; none with `None`.
+    pub fn declare_limit(&self, limit: Option<&str>) {
+        self.limits.lock().unwrap().declared = limit.map(str::to_owned);
+    }
+
+    /// Returns when requests other than health checks arrived.
+    pub fn arrivals(&self) -> Vec<Instant> {
+        self.limits.lock().unwrap().arrivals.clone()
+    }
+
     pub fn behave(&self, behaviour: Behaviour) {
         *self.behaviour.lock().unwrap() = behaviour;
     }
--- /dev/null
+++ b/server/tests/test_backend_limits.rs
@@ -0,0 +1,188 @@
+//! Rate limits that backend servers declare, across entry VMs that run as complete processes.
+
+mod direct_support;
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use direct_support::Answer;
+use direct_support::Deployment;
+use direct_support::Entry;
+use direct_support::backend::Backend;
+use direct_support::call;
+use direct_support::request;
+use heatherring_testutils::wait::wait_for;
+use http::HeaderValue;
+use http::Method;
+use http::StatusCode;
+use tokio::task::JoinSet;
+use tokio::time::Instant;
+use tokio::time::sleep;
+
+/// Window in which the requests to a limited backend server are counted.
+const WINDOW: Duration = Duration::from_secs(4);
+
+/// Requests in a window beyond one and a half times what the limit allows in it.
+const SLACK: f64 = 5.0;
+
+/// Time after a limit was first declared from which on it binds.
+const SETTLING: Duration = Duration::from_secs(4);
+
+/// Time between two requests of one caller.
+const PAUSE: Duration = Duration::from_millis(20);
+
+const OBJECTS: u32 = 24;
+
+struct Scene {
+    deployment: Deployment,
+    entries: Vec<Entry>,
+    backends: Vec<Backend>,
+}
+
+/// Starts entry VMs and backend servers, and waits until every entry VM serves requests.
+async fn start(entries: usize, backends: usize) -> Scene {
+    let mut deployment = Deployment::start(3);
+    let entries: Vec<Entry> = (1..=entries)
+        .map(|number| deployment.start_entry(&format!("entry-{number}")))
+        .collect();
+    let mut started = Vec::new();
+    for number in 1..=backends {
+        started.push(deployment.start_backend(&format!("backend-{number}")).await);
+    }
+    deployment.submit_routes(1, 0).await;
+    for backend in &started {
+        deployment.announce(backend, 1, "Ready").await;
+    }
+    let scene = Scene {
+        deployment,
+        entries,
+        backends: started,
+    };
+    scene.until_served().await;
+    scene
+}
+
+async fn ask(callers: SocketAddr, object: u32) -> Option<Answer> {
+    let mut req = request(Method::GET, &format!("/safe/{object}"), "");
+    let headers = req.headers_mut();
+    headers.insert("heatherring-request-id", HeaderValue::from(object));
+    headers.insert("heatherring-object", HeaderValue::from(object));
+    call(callers, req).await
+}
+
+impl Scene {
+    async fn until_served(&self) {
+        for entry in &self.entries {
+            wait_for("an answer", async || {
+                let answer = ask(entry.settings.listen.callers, 0).await?;
+                (answer.status == StatusCode::OK).then_some(())
+            })
+            .await
+            .unwrap();
+        }
+    }
+
+    /// Announces all backend servers while `run` is in progress.
+    async fn while_announced<T>(&self, run: impl Future<Output = T>) -> T {
+        let announcing = async {
+            for sequence in 2.. {
+                for backend in &self.backends {
+                    self.deployment.announce(backend, sequence, "Ready").await;
+                }
+                sleep(Duration::from_millis(500)).await;
+            }
+        };
+        tokio::select! {
+            result = run => result,
+            () = announcing => unreachable!("announcements do not end"),
+        }
+    }
+
+    fn call_addresses(&self) -> Vec<SocketAddr> {
+        let entries = self.entries.iter();
+        entries.map(|entry| entry.settings.listen.callers).collect()
+    }
+}
+
+/// Callers that send requests to entry VMs until they are stopped.
+struct Callers {
+    stop: Arc<AtomicBool>,
+    tasks: JoinSet<Vec<Answer>>,
+}
+
+impl Callers {
+    fn start(addresses: &[SocketAddr]) -> Self {
+        let stop = Arc::new(AtomicBool::new(false));
+        let mut tasks = JoinSet::new();
+        for address in addresses.iter().copied() {
+            let stop = Arc::clone(&stop);
+            tasks.spawn(async move {
+                let mut answers = Vec::new();
+                for object in (0..OBJECTS).cycle() {
+                    if stop.load(Ordering::SeqCst) {
+                        break;
+                    }
+                    answers.extend(ask(address, object).await);
+                    sleep(PAUSE).await;
+                }
+                answers
+            });
+        }
+        Self { stop, tasks }
+    }
+
+    async fn finish(self) -> Vec<Answer> {
+        self.stop.store(true, Ordering::SeqCst);
+        self.tasks.join_all().await.into_iter().flatten().collect()
+    }
+}
+
+/// Returns the largest number of arrivals in any window that begins at `from` or later.
+fn most_in_window(arrivals: &[std::time::Instant], from: Instant) -> usize {
+    let arrivals: Vec<_> = arrivals
+        .iter()
+        .filter(|at| **at >= from.into_std())
+        .collect();
+    let counts = arrivals.iter().map(|begin| {
+        let within = arrivals
+            .iter()
+            .filter(|at| **at >= begin && ***at < **begin + WINDOW);
+        within.count()
+    });
+    counts.max().unwrap_or(0)
+}
+
+fn assert_within(backend: &Backend, from: Instant, rate: f64) {
+    let most = most_in_window(&backend.arrivals(), from);
+    let most = f64::from(u32::try_from(most).unwrap());
+    let allowed = 1.5 * WINDOW.as_secs_f64() * rate + SLACK;
+    assert!(
+        most <= allowed,
+        "{most} requests in a window, {allowed} allowed"
+    );
+}
+
+/// Guards against entry VMs that ignore the limit that a backend server declares in its answers.
+#[tokio::test(flavor = "multi_thread")]
+async fn test_backend_limit_holds_over_entry_vms() {
+    const RATE: f64 = 2.0;
+    let scene = start(3, 2).await;
+    let limited = &scene.backends[0];
+    let answers = scene
+        .while_announced(async {
+            let callers = Callers::start(&scene.call_addresses());
+            limited.declare_limit(Some("2.0"));
+            let declared_at = Instant::now();
+            sleep(SETTLING + 2 * WINDOW).await;
+            assert_within(limited, declared_at + SETTLING, RATE);
+            callers.finish().await
+        })
+        .await;
+    let served = answers.iter().filter(|a| a.status == StatusCode::OK);
+    assert_eq!(served.count(), answers.len());
+    let since = Instant::now().checked_sub(WINDOW).unwrap();
+    assert!(most_in_window(&limited.arrivals(), since) > 0);
+}
