limits of backend servers: all entry VMs together keep to them

Callers saw little: one or two failures a second, as before. A backend server in need that had named a limit of 6 requests a second went on to get 20.

The class: a statement of a backend server about itself is a fact for all senders together, and was treated as one sender's business or as nobody's.

Change: the rate is divided among the entry VMs without messages, by the piece that divides the rate of cold backend servers, made general (sender_share). Three quarters belong to the entry VMs in the region of the backend server, which send most of its requests, and the rest to the others; where there are more senders than requests to divide, rendezvous hashing selects some of them for 10 s. Each spaces its requests, with a tolerance of 0.25 s. A request over the share goes to the next backend server in the ranking of its object, for this request only, so that other objects stay. Neither health nor load take note of a limit. Where all are limited a request is refused at once with `backend_limit` and a delay by the limit and by how many are refused.

All sends pass the same choice: first sends, resends, copies.

Unit tests of the division, of windows, of each meaning of a statement. The test of cold shares keeps its bounds; only the calls follow the rename.

Why it holds: shares are a function of the list of entry VMs and sum up to the rate (property test), each is kept by its own sender's clock alone, and a sender that learns late keeps to its share from then on. Not covered yet: entry VMs that haven't heard of the limit.

--- a/lib/src/affinity.rs
+++ b/lib/src/affinity.rs
@@ -23,6 +23,14 @@
     pub const fn weight(self, member: MemberHash) -> u64 {
         mix(self.0, member.0)
     }
+
+    /// Returns the position of a member within a cycle, from 0 to 1. Positions of different
+    /// members are spread evenly.
+    #[must_use]
+    #[expect(clippy::cast_precision_loss, reason = "a position needs few digits")]
+    pub fn phase(self, member: MemberHash) -> f64 {
+        self.weight(member) as f64 / u64::MAX as f64
+    }
 }
 
 /// Hash of a member of the group that objects are distributed over, for instance a backend
--- a/lib/src/backend_limit.rs
+++ b/lib/src/backend_limit.rs
@@ -1,15 +1,49 @@
 //! The rate limit that a backend server declares, as known to one sender.
 //!
+//! The limit applies to all senders together, so it is divided among them. Most of it goes to the
+//! senders in the region of the backend server, because objects are served in the region of their
+//! callers if possible; the rest keeps the other senders informed about the limit. Where there are
+//! more senders than requests to divide, the selection changes over time.
+//!
 //! A statement that tightens the limit applies at once. One that relaxes it applies only if its
 //! request was sent after the previous statement had arrived: answers may overtake each other.
 
 use std::time::Duration;
 use std::time::Instant;
 
+use crate::affinity::MemberHash;
+use crate::affinity::ObjectHash;
 use crate::id::BackendName;
 use crate::rate_limit::LimitNotice;
 use crate::rate_limit::LimitReport;
 use crate::rate_limit::RequestRate;
+use crate::sender_share;
+
+/// Share of the limit that belongs to the senders in the region of the backend server.
+const LOCAL_SHARE: f64 = 0.75;
+
+/// Time in which each sender with a share may send one request, if not all senders have a share.
+const TURN: Duration = Duration::from_secs(2);
+
+/// Time for which the same senders have a share.
+const ROTATION: Duration = Duration::from_secs(10);
+
+/// How much earlier than its interval a sender may send a request if the one before was late. In
+/// sum, senders exceed the limit by at most as many requests as it allows in this time.
+pub(crate) const TOLERANCE: Duration = Duration::from_millis(250);
+
+/// Lowest rate at which requests are sent, per second. Only an answer can state that a limit has
+/// ended.
+pub(crate) const MIN_RATE: f64 = 0.1;
+
+/// A sender among which a limit is divided.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Sender {
+    /// Hash of the entry VM.
+    pub vm: MemberHash,
+    /// Hash of its region.
+    pub region: MemberHash,
+}
 
 /// Where a statement was received from.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -41,6 +75,8 @@
     pub source: LimitSource,
     /// Time since an entry VM received the statement.
     pub age: Duration,
+    /// Minimum interval between two requests of this entry VM; `None` without a share or a limit.
+    pub interval: Option<Duration>,
 }
 
 /// Something to log about limits.
@@ -63,6 +99,8 @@
 #[derive(Debug, Default)]
 pub(crate) struct BackendLimit {
     latest: Option<Statement>,
+    /// Since when there has been a limit, whatever its figure.
+    since: Option<Instant>,
     /// Whether an unreadable limit has been reported.
     unreadable: bool,
 }
@@ -73,39 +111,45 @@
         self.latest
     }
 
+    /// Returns for how long there has been a limit.
+    pub fn age(&self, now: Instant) -> Duration {
+        let since = self.since.unwrap_or(now);
+        now.saturating_duration_since(since)
+    }
+
     /// Returns the limit in force.
     pub fn rate(&self) -> Option<RequestRate> {
         self.latest.and_then(|statement| statement.rate)
     }
 
     /// Applies what an answer states to a request sent at `sent_at`. Only an answer that
-    /// `may_lift` the limit ends it by stating none. Returns the limit until now if it changed.
-    pub fn note_answer(
-        &mut self,
-        sent_at: Instant,
-        report: LimitReport,
-        may_lift: bool,
-    ) -> Option<Option<RequestRate>> {
+    /// `may_lift` the limit ends it by stating none. Returns whether the limit changed.
+    pub fn note_answer(&mut self, sent_at: Instant, report: LimitReport, may_lift: bool) -> bool {
         let rate = match report.notice {
             LimitNotice::Limited(rate) => Some(rate),
             LimitNotice::Absent if may_lift => None,
-            LimitNotice::Absent | LimitNotice::Unreadable => return None,
+            LimitNotice::Absent | LimitNotice::Unreadable => return false,
         };
         let before = self.latest;
         if before.is_none() && rate.is_none() {
-            return None;
+            return false;
         }
         let known = before.and_then(|statement| statement.rate);
         let is_newer = before.is_none_or(|statement| report.at >= statement.at);
         let was_sent_after = before.is_none_or(|statement| sent_at >= statement.at);
         if !is_newer || (is_relaxed(known, rate) && !was_sent_after) {
-            return None;
+            return false;
         }
-        self.latest = Some(Statement {
+        self.set(Statement {
             rate,
             at: report.at,
         });
-        (known != rate).then_some(known)
+        known != rate
+    }
+
+    fn set(&mut self, statement: Statement) {
+        self.latest = Some(statement);
+        self.since = statement.rate.and(self.since.or(Some(statement.at)));
     }
 
     /// Records an unreadable limit; returns whether it is the first one.
@@ -122,3 +166,34 @@
         (Some(known), Some(rate)) => rate > known,
     }
 }
+
+/// Returns the minimum interval between two requests of `own` to a backend server in `region`, or
+/// `None` if it has no share of the limit. `age` is the time since the limit is known; it selects
+/// among the senders.
+#[must_use]
+pub fn interval(
+    backend: &BackendName,
+    region: MemberHash,
+    own: Sender,
+    senders: &[Sender],
+    rate: RequestRate,
+    age: Duration,
+) -> Option<Duration> {
+    let is_local = |sender: &Sender| sender.region == region;
+    let peers: Vec<MemberHash> = senders
+        .iter()
+        .filter(|sender| is_local(sender) == is_local(&own))
+        .map(|sender| sender.vm)
+        .collect();
+    let share = if peers.len() == senders.len() {
+        1.0
+    } else if is_local(&own) {
+        LOCAL_SHARE
+    } else {
+        1.0 - LOCAL_SHARE
+    };
+    let rate = rate.per_second().max(MIN_RATE) * share;
+    let turn = age.as_secs() / ROTATION.as_secs();
+    let subject = ObjectHash::of(&format!("limit-{turn}"), backend.as_str());
+    sender_share::interval(subject, own.vm, &peers, rate, TURN)
+}
--- a/lib/src/direct_dispatch.rs
+++ b/lib/src/direct_dispatch.rs
@@ -16,9 +16,10 @@
 use crate::affinity::MemberHash;
 use crate::affinity::ObjectHash;
 use crate::backend_limit::LimitEvent;
+use crate::backend_limit::Sender;
 use crate::backend_load::Expectation;
-use crate::cold_gate;
 use crate::cold_tracker::ColdTracker;
+use crate::dispatch_assess::Candidates;
 use crate::dispatch_backend::Backend;
 use crate::dispatch_pick;
 use crate::dispatch_pick::Candidate;
@@ -45,10 +46,12 @@
 use crate::link_congestion::LinkCongestion;
 use crate::region_moves::RegionMoves;
 use crate::request_rank::RankFairness;
+use crate::retry_advice::RetryAdvice;
 use crate::rollout_evidence::Side;
 use crate::rollout_routing::Fallback;
 use crate::rollout_routing::VersionChoice;
 use crate::rollout_routing::VersionFilter;
+use crate::sender_share;
 use crate::service_latency::RouteLatencyKey;
 
 /// Bounds of the retry delay given to a refused caller. Queues at busy backend servers last a
@@ -60,6 +63,13 @@
 /// together.
 const RETRY_SPREAD: f64 = 0.5;
 
+/// Share of the rate that a cold backend server bears that is used. The rest covers senders that
+/// the others do not know yet, and requests that arrive bunched together after network delays.
+const COLD_USED_SHARE: f64 = 0.9;
+
+/// Time in which each sender with a share of that rate may send one request, if not all have one.
+const COLD_TURN: Duration = Duration::from_secs(1);
+
 /// Configuration of a dispatcher.
 #[derive(Clone, Debug)]
 pub struct DispatchConfig {
@@ -81,8 +91,8 @@
 #[derive(Debug)]
 pub struct Dispatcher {
     pub(crate) cfg: DispatchConfig,
-    own: MemberHash,
-    senders: Vec<MemberHash>,
+    pub(crate) own: Sender,
+    pub(crate) senders: Vec<Sender>,
     pub(crate) backends: SlotMap<BackendKey, Backend>,
     by_name: BTreeMap<BackendName, BackendKey>,
     pub(crate) services: BTreeMap<ServiceName, Service>,
@@ -105,13 +115,18 @@
     spread_phase: f64,
     /// Changes of limits that have not been taken yet.
     pub(crate) limit_events: Vec<LimitEvent>,
+    pub(crate) advice: RetryAdvice,
 }
 
 impl Dispatcher {
     /// Creates a dispatcher without any backend server.
     #[must_use]
     pub fn new(cfg: DispatchConfig, now: Instant) -> Self {
-        let own = MemberHash::of(cfg.vm.as_str());
+        let own = Sender {
+            vm: MemberHash::of(cfg.vm.as_str()),
+            region: MemberHash::of(cfg.region.as_str()),
+        };
+        let advice = RetryAdvice::new(ObjectHash::of("retry", cfg.vm.as_str()).0);
         Self {
             cfg,
             own,
@@ -131,6 +146,7 @@
             rank_fairness: RankFairness::default(),
             spread_phase: 0.0,
             limit_events: Vec::new(),
+            advice,
         }
     }
 
@@ -163,12 +179,15 @@
     }
 
     fn follow_senders(&mut self, view: &FleetView) {
-        let mut senders: Vec<MemberHash> = view
+        let mut senders: Vec<Sender> = view
             .entries
-            .keys()
-            .map(|vm| MemberHash::of(vm.as_str()))
+            .iter()
+            .map(|(vm, record)| Sender {
+                vm: MemberHash::of(vm.as_str()),
+                region: MemberHash::of(record.region.as_str()),
+            })
             .collect();
-        if !senders.contains(&self.own) {
+        if senders.iter().all(|sender| sender.vm != self.own.vm) {
             senders.push(self.own);
         }
         if senders.len() != self.senders.len() {
@@ -369,7 +388,10 @@
         if !self.link.has_room(now, self.in_flight, wait_share) {
             return Err(self.refuse_retry_elsewhere(RefusedReason::LinkFull));
         }
-        let candidates = self.candidates(now, service, latency_key, request, filter);
+        let Candidates {
+            list: candidates,
+            passed_over,
+        } = self.candidates(now, service, latency_key, request, filter);
         let preferred = dispatch_pick::preferred_region(&candidates);
         let limits = PickLimits {
             time_left,
@@ -394,7 +416,8 @@
         }
         let Some(best) = best else {
             return Err(if candidates.is_empty() {
-                refuse(RefusedReason::NoBackend)
+                self.refuse_limited(now, request)
+                    .unwrap_or_else(|| refuse(RefusedReason::NoBackend))
             } else if fits_without_stop(now, request, &candidates, limits) {
                 self.refuse_retry_elsewhere(RefusedReason::Leaving)
             } else {
@@ -413,7 +436,11 @@
         }
         let moved = preferred.is_some_and(|region| region != best.region);
         self.moves.note(now, moved);
-        Ok(self.begin(now, &best, latency_key, max_connections))
+        let choice = self.begin(now, &best, latency_key, max_connections);
+        Ok(Choice {
+            passed_over,
+            ..choice
+        })
     }
 
     /// Refuses a request that another entry VM can serve immediately.
@@ -457,8 +484,9 @@
         latency_key: RouteLatencyKey,
         max_connections: u32,
     ) -> Choice {
+        let interval = self.limit_interval(now, &self.backends[best.backend]);
         let backend = &mut self.backends[best.backend];
-        backend.cold_gate.note_sent(now);
+        backend.gate.note_sent(now, interval.unwrap_or_default());
         let report_age = backend.load.report_age(now);
         let expectation = Expectation {
             latency_key,
@@ -481,6 +509,7 @@
             wait: seconds(best.wait),
             report_age,
             limit: backend.limit.rate(),
+            passed_over: 0,
         }
     }
 
@@ -494,7 +523,9 @@
 
     pub(crate) fn cold_interval(&self, backend: &Backend, rate: f64) -> Option<Duration> {
         let object = ObjectHash::of("cold", backend.name.as_str());
-        cold_gate::interval(object, self.own, &self.senders, rate)
+        let senders: Vec<MemberHash> = self.senders.iter().map(|sender| sender.vm).collect();
+        let rate = rate * COLD_USED_SHARE;
+        sender_share::interval(object, self.own.vm, &senders, rate, COLD_TURN)
     }
 
     /// Records the end of a request.
--- a/lib/src/dispatch_assess.rs
+++ b/lib/src/dispatch_assess.rs
@@ -34,6 +34,15 @@
 /// Factor by which requests take longer at a cold backend server.
 const COLD_FACTOR: f64 = 2.0;
 
+/// Backend servers that a request may be sent to.
+#[derive(Debug)]
+pub(crate) struct Candidates {
+    /// The candidates, with the estimated cost of each.
+    pub list: Vec<Candidate>,
+    /// Number of backend servers that the object is assigned to, but whose limits are used up.
+    pub passed_over: usize,
+}
+
 impl Dispatcher {
     /// Returns the backend servers that a request may be sent to, with the estimated cost of
     /// each.
@@ -49,7 +58,11 @@
         latency_key: RouteLatencyKey,
         request: &DispatchRequest<'_>,
         filter: VersionFilter,
-    ) -> Vec<Candidate> {
+    ) -> Candidates {
+        let found = |list| Candidates {
+            list,
+            passed_over: 0,
+        };
         let share = service.target_share();
         let of_version = |key: &BackendKey| self.backends[*key].matches(filter, share);
         let stable: Vec<BackendKey> = service
@@ -60,29 +73,38 @@
             .collect();
         let Some(object) = request.object.filter(|_| self.cfg.policy.homes) else {
             let all = stable.iter().map(|key| (*key, 0));
-            return self.assess(now, all, service, latency_key, request);
+            return found(self.assess(now, all, service, latency_key, request));
         };
-        let ranked = self.ranked(&stable, object, service.objects_of(filter));
-        let found = self.assess(now, ranked.into_iter(), service, latency_key, request);
-        if !found.is_empty() {
-            return found;
+        let objects = service.objects_of(filter);
+        let mut ranked = self.ranked(&stable, object, objects);
+        let is_over_limit = |key: &BackendKey| self.is_over_limit(now, &self.backends[*key]);
+        let passed_over = ranked.iter().filter(|(key, _)| is_over_limit(key)).count();
+        if passed_over > 0 {
+            // Only this request takes part in the changed ranking, so that other objects stay
+            // where they are.
+            let open: Vec<BackendKey> = stable
+                .iter()
+                .filter(|key| !is_over_limit(key))
+                .copied()
+                .collect();
+            ranked = self.ranked(&open, object, objects);
+        }
+        let list = self.assess(now, ranked.into_iter(), service, latency_key, request);
+        if !list.is_empty() {
+            return Candidates { list, passed_over };
         }
         let all = stable.iter().map(|key| (*key, FALLBACK_RANK));
-        let found = self.assess(now, all, service, latency_key, request);
-        if !found.is_empty() {
-            return found;
+        let list = self.assess(now, all, service, latency_key, request);
+        if !list.is_empty() {
+            return Candidates { list, passed_over };
         }
         let cold = service.backends.iter().filter(|key| {
             let backend = &self.backends[**key];
             backend.usable && of_version(key) && self.is_cold(now, backend)
         });
-        self.assess(
-            now,
-            cold.map(|key| (*key, FALLBACK_RANK)),
-            service,
-            latency_key,
-            request,
-        )
+        let cold = cold.map(|key| (*key, FALLBACK_RANK));
+        let list = self.assess(now, cold, service, latency_key, request);
+        Candidates { list, passed_over }
     }
 
     fn assess(
@@ -114,6 +136,7 @@
         request.allows(&backend.region)
             && backend.health.is_reachable(now)
             && !request.tried.contains(&key)
+            && !self.is_over_limit(now, backend)
     }
 
     /// Ranks the backend servers that an object is assigned to.
@@ -147,7 +170,7 @@
         let is_cold = self.is_cold(now, backend);
         if is_cold {
             let interval = self.cold_interval(backend, service.definition.cold_rate)?;
-            if !backend.cold_gate.is_open(now, interval) {
+            if now < backend.cold_opens || !backend.gate.is_open(now, interval, Duration::ZERO) {
                 return None;
             }
         }
--- a/lib/src/dispatch_backend.rs
+++ b/lib/src/dispatch_backend.rs
@@ -10,7 +10,6 @@
 use crate::backend_health::BackendHealth;
 use crate::backend_limit::BackendLimit;
 use crate::backend_load::BackendLoad;
-use crate::cold_gate::ColdGate;
 use crate::fleet_record::BackendRecord;
 use crate::id::BackendName;
 use crate::id::RegionName;
@@ -18,6 +17,7 @@
 use crate::rollout_evidence::Group;
 use crate::rollout_evidence::Side;
 use crate::rollout_routing::VersionFilter;
+use crate::sender_share::SendGate;
 
 /// Time for which the data of an object count as cached at a backend server that handled a
 /// request for it.
@@ -82,7 +82,10 @@
     pub limit: BackendLimit,
     pub health: BackendHealth,
     pub cold_until: Instant,
-    pub cold_gate: ColdGate,
+    /// Until when it receives no requests if it is cold: a process that has just started does not
+    /// know what its predecessor sent within the last second.
+    pub cold_opens: Instant,
+    pub gate: SendGate,
     pub warm: HashMap<ObjectHash, Instant>,
 }
 
@@ -109,7 +112,8 @@
             limit: BackendLimit::default(),
             health: BackendHealth::new(now),
             cold_until: now + record.cold_for,
-            cold_gate: ColdGate::new(opens),
+            cold_opens: opens,
+            gate: SendGate::default(),
             warm: HashMap::new(),
             record,
         }
--- a/lib/src/dispatch_limits.rs
+++ b/lib/src/dispatch_limits.rs
@@ -1,18 +1,106 @@
 //! Rate limits of backend servers within a dispatcher.
+//!
+//! A backend server that declares a limit is healthy and has data cached, but accepts few requests.
+//! A request beyond this sender's share goes to the next backend server in the ranking of its
+//! object, or is refused if all are limited.
 
+use std::time::Duration;
 use std::time::Instant;
 
+use crate::affinity::ObjectHash;
+use crate::backend_limit;
 use crate::backend_limit::LimitChange;
 use crate::backend_limit::LimitEvent;
 use crate::backend_limit::LimitSource;
+use crate::backend_limit::TOLERANCE;
 use crate::direct_dispatch::Dispatcher;
+use crate::dispatch_backend::Backend;
 use crate::dispatch_request::BackendKey;
+use crate::dispatch_request::DispatchRequest;
+use crate::dispatch_request::Refused;
+use crate::dispatch_request::RefusedReason;
 use crate::dispatch_request::SendEnd;
 use crate::dispatch_request::SendOutcome;
 use crate::rate_limit::LimitNotice;
 use crate::rate_limit::RequestRate;
 
+/// Shares of the limits that kept a request from being sent.
+#[derive(Clone, Copy, Debug, Default)]
+struct ClosedLimits {
+    /// Requests that this sender may send to all of them, per second.
+    own_rate: f64,
+    /// Requests that all senders may send to them, per second.
+    total_rate: f64,
+    /// When the first of them accepts a request of this sender.
+    opens_at: Option<Instant>,
+}
+
 impl Dispatcher {
+    /// Returns the minimum interval between two requests to a backend server with a limit; `None`
+    /// without a limit or a share of it.
+    pub(crate) fn limit_interval(&self, now: Instant, backend: &Backend) -> Option<Duration> {
+        let rate = backend.limit.rate()?;
+        let age = backend.limit.age(now);
+        let region = backend.region_hash;
+        backend_limit::interval(&backend.name, region, self.own, &self.senders, rate, age)
+    }
+
+    /// Returns whether a request to a backend server would exceed this sender's share of its limit.
+    pub(crate) fn is_over_limit(&self, now: Instant, backend: &Backend) -> bool {
+        if backend.limit.rate().is_none() {
+            return false;
+        }
+        let interval = self.limit_interval(now, backend);
+        !interval.is_some_and(|interval| backend.gate.is_open(now, interval, tolerance(interval)))
+    }
+
+    /// Refuses a request because of the limits of all backend servers that it could be sent to;
+    /// `None` if no limit is the reason. The delay before a retry grows with the number of refused
+    /// requests that compete for this sender's share.
+    pub(crate) fn refuse_limited(
+        &mut self,
+        now: Instant,
+        request: &DispatchRequest<'_>,
+    ) -> Option<Refused> {
+        let closed = self.closed_limits(now, request)?;
+        let service = self.services.get_mut(request.service)?;
+        service.limited.note(now);
+        let refused = service.limited.per_second(now);
+        let wait = closed.opens_at.map_or_else(
+            || Duration::try_from_secs_f64(1.0 / closed.total_rate).unwrap_or(Duration::MAX),
+            |at| at.saturating_duration_since(now),
+        );
+        #[expect(clippy::cast_precision_loss, reason = "counts far below 2^52")]
+        let even_rate = closed.total_rate / self.senders.len().max(1) as f64;
+        let competitors = refused / closed.own_rate.max(even_rate);
+        Some(Refused {
+            reason: RefusedReason::Limited,
+            retry_after: self.advice.after(wait, competitors, 1.0),
+            considered: 0,
+            shortest_wait: None,
+        })
+    }
+
+    fn closed_limits(&self, now: Instant, request: &DispatchRequest<'_>) -> Option<ClosedLimits> {
+        let service = self.services.get(request.service)?;
+        let mut closed: Option<ClosedLimits> = None;
+        for key in &service.backends {
+            let backend = &self.backends[*key];
+            let is_eligible = backend.usable && request.allows(&backend.region);
+            let Some(rate) = backend.limit.rate().filter(|_| is_eligible) else {
+                continue;
+            };
+            let closed = closed.get_or_insert_default();
+            closed.total_rate += rate.per_second().max(backend_limit::MIN_RATE);
+            if let Some(interval) = self.limit_interval(now, backend) {
+                closed.own_rate += 1.0 / interval.as_secs_f64();
+                let at = backend.gate.opens_at(now, interval, tolerance(interval));
+                closed.opens_at = Some(closed.opens_at.map_or(at, |first| first.min(at)));
+            }
+        }
+        closed
+    }
+
     /// Applies what an answer states about the limit of its backend server.
     pub(crate) fn note_limit(&mut self, now: Instant, end: &SendEnd, sent_at: Instant) {
         let Some(report) = end.limit else { return };
@@ -24,7 +112,8 @@
             self.limit_events.push(event);
         }
         let may_lift = end.outcome == SendOutcome::Answered;
-        if let Some(before) = backend.limit.note_answer(sent_at, report, may_lift) {
+        let before = backend.limit.rate();
+        if backend.limit.note_answer(sent_at, report, may_lift) {
             self.limit_changed(now, end.backend, before, LimitSource::Answer);
         }
     }
@@ -36,7 +125,16 @@
         before: Option<RequestRate>,
         source: LimitSource,
     ) {
-        let backend = &self.backends[key];
+        let interval = self.limit_interval(now, &self.backends[key]);
+        let own = self.own.vm;
+        let backend = &mut self.backends[key];
+        if let Some(interval) = interval.filter(|_| before.is_none()) {
+            // All senders learn of the limit at about the same time.
+            let phase = ObjectHash::of("limit", backend.name.as_str()).phase(own);
+            backend
+                .gate
+                .hold_until(now + interval.mul_f64(phase), interval);
+        }
         let at = backend.limit.latest().map_or(now, |statement| statement.at);
         self.limit_events.push(LimitEvent::Changed(LimitChange {
             backend: backend.name.clone(),
@@ -44,6 +142,7 @@
             before,
             source,
             age: now.saturating_duration_since(at),
+            interval,
         }));
     }
 
@@ -52,3 +151,7 @@
         std::mem::take(&mut self.limit_events)
     }
 }
+
+fn tolerance(interval: Duration) -> Duration {
+    interval.min(TOLERANCE)
+}
--- a/lib/src/dispatch_request.rs
+++ b/lib/src/dispatch_request.rs
@@ -98,6 +98,8 @@
     pub report_age: Option<Duration>,
     /// Rate limit that the backend server is known to have declared.
     pub limit: Option<RequestRate>,
+    /// Number of backend servers that the object is assigned to, but whose limits are used up.
+    pub passed_over: usize,
 }
 
 /// Refusal: the reason and the retry delay.
@@ -126,6 +128,8 @@
     LinkFull,
     /// The resend budget is exhausted.
     NoResend,
+    /// All backend servers have declared limits, and this entry VM's shares are used up.
+    Limited,
 }
 
 impl RefusedReason {
@@ -138,6 +142,7 @@
             Self::Leaving => "leaving",
             Self::LinkFull => "link_full",
             Self::NoResend => "no_resend",
+            Self::Limited => "limited",
         }
     }
 }
--- a/lib/src/dispatch_service.rs
+++ b/lib/src/dispatch_service.rs
@@ -7,6 +7,7 @@
 use crate::affinity::ObjectHash;
 use crate::dispatch_request::BackendKey;
 use crate::object_count::ObjectCount;
+use crate::rate_meter::RateMeter;
 use crate::resend_budget::ResendBudget;
 use crate::rollout::Rollout;
 use crate::rollout::TrafficShare;
@@ -44,6 +45,8 @@
     pub average_others: f64,
     /// The rollout that is in progress.
     pub rollout: Option<RolloutRouting>,
+    /// Requests that were refused because of the limits of backend servers.
+    pub limited: RateMeter,
 }
 
 impl Service {
@@ -64,6 +67,7 @@
             copy_credit: 0.0,
             average_others: 0.0,
             rollout: None,
+            limited: RateMeter::default(),
         }
     }
 
--- a/lib/src/explanation.rs
+++ b/lib/src/explanation.rs
@@ -182,6 +182,10 @@
         NotRunReason::BackendUnreachable => {
             "no connection to the backend server could be established"
         }
+        NotRunReason::BackendLimit => {
+            "all backend servers that may run the request declare rate limits, and this entry VM's \
+             shares of them are used up"
+        }
         NotRunReason::BackendRefused => "the backend server refused the request before running it",
         NotRunReason::Quarantined => {
             "backend servers failed one after the other while they ran this request; `heatherring \
--- a/lib/src/outcome.rs
+++ b/lib/src/outcome.rs
@@ -143,6 +143,8 @@
         NoBackup "no_backup" 503,
         /// The memory for actions is full of records that must be kept.
         ActionStoreFull "action_store_full" 503,
+        /// All backend servers declare rate limits, and these are used up.
+        BackendLimit "backend_limit" 503,
     }
 }
 
--- a/lib/src/probable_cause.rs
+++ b/lib/src/probable_cause.rs
@@ -86,6 +86,11 @@
         "no_backend_server" => {
             format!("no backend server of {service} could be used; refused after {held} ms")
         }
+        "backend_limit" => format!(
+            "all backend servers of {service} declare rate limits, and this entry VM's shares of \
+             them were used up; refused after {held} ms, to be retried after {} ms",
+            decision.number("retry_after_ms")
+        ),
         "no_manifest" => "this entry VM had no manifest yet".to_owned(),
         "route_unknown" => format!(
             "no route of manifest version {} matches host and path",
@@ -135,6 +140,12 @@
             }
         ),
         "backend_cold" => format!("backend server {} was cold", line.text("backend")),
+        "backend_limit" if line.text("limit") != "none" => format!(
+            "backend server {} declared a limit of {}, as {source} learnt {} ms later",
+            line.text("backend"),
+            line.text("limit"),
+            line.number("age_ms")
+        ),
         "backend_withdrawn" => format!("backend server {} was gone", line.text("backend")),
         "backend_changed" if line.text("state") == "Draining" => {
             format!("backend server {} was leaving", line.text("backend"))
--- a/lib/tests/dispatch_model/mod.rs
+++ b/lib/tests/dispatch_model/mod.rs
@@ -470,7 +470,7 @@
     dispatcher
 }
 
-fn server_name(region: usize, number: usize) -> BackendName {
+pub fn server_name(region: usize, number: usize) -> BackendName {
     BackendName::new(format!("server-{region}-{number}"))
 }
 
--- /dev/null
+++ b/lib/tests/test_backend_limits.rs
@@ -0,0 +1,421 @@
+//! Rate limits that backend servers declare: how they are read, and how entry VMs divide them.
+
+mod dispatch_model;
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+use std::time::Instant;
+
+use dispatch_model::Scenario;
+use dispatch_model::place;
+use dispatch_model::region;
+use dispatch_model::route;
+use dispatch_model::server_name;
+use dispatch_model::service;
+use dispatch_model::view;
+use heatherring_lib::affinity::MemberHash;
+use heatherring_lib::affinity::ObjectHash;
+use heatherring_lib::backend_limit;
+use heatherring_lib::backend_limit::LimitEvent;
+use heatherring_lib::backend_limit::Sender;
+use heatherring_lib::direct_dispatch::DispatchConfig;
+use heatherring_lib::direct_dispatch::Dispatcher;
+use heatherring_lib::dispatch_policy::DispatchPolicy;
+use heatherring_lib::dispatch_request::Choice;
+use heatherring_lib::dispatch_request::DispatchRequest;
+use heatherring_lib::dispatch_request::Refused;
+use heatherring_lib::dispatch_request::RefusedReason;
+use heatherring_lib::dispatch_request::SendEnd;
+use heatherring_lib::dispatch_request::SendOutcome;
+use heatherring_lib::id::BackendName;
+use heatherring_lib::id::VmName;
+use heatherring_lib::rate_limit::LimitNotice;
+use heatherring_lib::rate_limit::LimitReport;
+use heatherring_lib::rate_limit::RequestRate;
+use heatherring_lib::request_rank::RequestRank;
+use proptest::prelude::*;
+use rstest::rstest;
+
+/// Window in which the requests to a limited backend server are counted.
+const WINDOW: Duration = Duration::from_secs(4);
+
+fn rate(per_second: f64) -> RequestRate {
+    RequestRate::new(per_second).unwrap()
+}
+
+macro_rules! notice_cases {
+    ($($name:ident: $values:expr => $expected:expr;)*) => {
+        $(
+            #[test]
+            fn $name() {
+                let values: &[&str] = &$values;
+                let notice = LimitNotice::read(values.iter().copied().map(Some));
+                assert_eq!(notice, $expected);
+            }
+        )*
+    };
+}
+
+notice_cases! {
+    test_limit_notice_none: [] => LimitNotice::Absent;
+    test_limit_notice_decimal: ["5.8"] => LimitNotice::Limited(rate(5.8));
+    test_limit_notice_padded: [" 3 "] => LimitNotice::Limited(rate(3.0));
+    test_limit_notice_zero: ["0"] => LimitNotice::Limited(rate(0.0));
+    test_limit_notice_huge: ["99999999999999"] => LimitNotice::Limited(rate(1e6));
+    test_limit_notice_smallest_of_two: ["7", "2.5"] => LimitNotice::Limited(rate(2.5));
+    test_limit_notice_valid_beside_invalid: ["x", "2.5"] => LimitNotice::Limited(rate(2.5));
+    test_limit_notice_negative: ["-1"] => LimitNotice::Unreadable;
+    test_limit_notice_not_a_number: ["NaN"] => LimitNotice::Unreadable;
+    test_limit_notice_infinite: ["inf"] => LimitNotice::Unreadable;
+    test_limit_notice_exponent: ["1e3"] => LimitNotice::Unreadable;
+    test_limit_notice_empty: [""] => LimitNotice::Unreadable;
+}
+
+/// Entry VMs of two regions, and the limit of one backend server in region 0.
+struct Division {
+    senders: Vec<Sender>,
+    rate: RequestRate,
+    backend: BackendName,
+}
+
+impl Division {
+    fn new(local: usize, remote: usize, per_second: f64) -> Self {
+        let sender = |number: usize| Sender {
+            vm: MemberHash::of(&format!("entry-{number}")),
+            region: MemberHash::of(if number < local { "r0" } else { "r1" }),
+        };
+        Self {
+            senders: (0..local + remote).map(sender).collect(),
+            rate: rate(per_second),
+            backend: BackendName::new("backend-1"),
+        }
+    }
+
+    fn interval(&self, own: Sender, age: Duration) -> Option<Duration> {
+        let region = MemberHash::of("r0");
+        backend_limit::interval(&self.backend, region, own, &self.senders, self.rate, age)
+    }
+}
+
+proptest! {
+    /// Guards against shares that add up to more than the limit, whatever the number of entry VMs.
+    #[test]
+    fn test_backend_limit_shares_add_up(
+        local in 0_usize..90,
+        remote in 0_usize..90,
+        per_second in 0.0_f64..40.0,
+        age in 0_u64..100,
+    ) {
+        let division = Division::new(local, remote, per_second);
+        let age = Duration::from_secs(age);
+        let shares = division.senders.iter().filter_map(|own| division.interval(*own, age));
+        let total: f64 = shares.map(|interval| 1.0 / interval.as_secs_f64()).sum();
+        prop_assert!(total <= per_second.max(0.1) * 1.000_001, "{total} of {per_second}");
+    }
+}
+
+/// Guards against entry VMs that never get a share, and so never learn that a limit has ended.
+#[test]
+fn test_backend_limit_shares_rotate() {
+    let division = Division::new(20, 0, 1.0);
+    let selected: BTreeSet<usize> = (0..100)
+        .flat_map(|turn| {
+            let age = Duration::from_secs(10 * turn);
+            let senders = division.senders.iter().enumerate();
+            let shares = senders.filter(|(_, own)| division.interval(**own, age).is_some());
+            shares.map(|(number, _)| number).collect::<Vec<usize>>()
+        })
+        .collect();
+    assert_eq!(selected.len(), division.senders.len());
+}
+
+/// Entry VMs, and backend servers of which some declare a limit.
+struct Fleet {
+    origin: Instant,
+    now: Instant,
+    senders: Vec<Dispatcher>,
+    running: Vec<(usize, Instant, SendEnd)>,
+    /// Limits by the number of the backend server in region 0.
+    limits: Vec<Option<RequestRate>>,
+    arrivals: Vec<(BackendName, Instant)>,
+    requests: u32,
+}
+
+const STEP: Duration = Duration::from_millis(5);
+const RUN: Duration = Duration::from_millis(80);
+
+impl Fleet {
+    fn new(entries: usize, limits: Vec<Option<f64>>) -> Self {
+        let scenario = Scenario {
+            servers: vec![limits.len()],
+            entries,
+            ..Scenario::look_up()
+        };
+        let now = Instant::now();
+        let view = view(&scenario);
+        let dispatcher = |number: usize| {
+            let cfg = DispatchConfig {
+                vm: VmName::new(format!("entry-{number}")),
+                region: region(0),
+                places: [(place(0), region(0))].into(),
+                resend_ratio: 0.2,
+                resend_slack: 60.0,
+                policy: DispatchPolicy::default(),
+            };
+            let mut dispatcher = Dispatcher::new(cfg, now);
+            dispatcher.apply_view(now, &view);
+            dispatcher
+        };
+        Self {
+            origin: now,
+            now,
+            senders: (0..entries).map(dispatcher).collect(),
+            running: Vec::new(),
+            limits: limits.into_iter().map(|limit| limit.map(rate)).collect(),
+            arrivals: Vec::new(),
+            requests: 0,
+        }
+    }
+
+    fn choose(&mut self, sender: usize, object: u32) -> Result<Choice, Refused> {
+        let request = DispatchRequest {
+            service: &service(),
+            route: &route(),
+            latency_objective: Duration::from_secs(1),
+            object: Some(ObjectHash::of("route", &object.to_string())),
+            rank: RequestRank {
+                team: None,
+                route: 0,
+            },
+            deadline: self.now + Duration::from_secs(3),
+            objective: self.now + Duration::from_secs(1),
+            answers_until: None,
+            homes: &[],
+            tried: &[],
+            resend: false,
+        };
+        self.senders[sender].choose(self.now, &request)
+    }
+
+    fn end(&mut self, sender: usize, choice: &Choice, outcome: SendOutcome, notice: LimitNotice) {
+        let report = LimitReport {
+            notice,
+            at: self.now,
+        };
+        let end = SendEnd {
+            backend: choice.backend,
+            send: choice.send,
+            outcome,
+            load: None,
+            limit: Some(report),
+            object: None,
+        };
+        self.senders[sender].ended(self.now, &end);
+    }
+
+    fn notice(&self, backend: &BackendName) -> LimitNotice {
+        let number = (0..self.limits.len()).find(|number| server_name(0, *number) == *backend);
+        let limit = number.and_then(|number| self.limits[number]);
+        limit.map_or(LimitNotice::Absent, LimitNotice::Limited)
+    }
+
+    /// Runs for `length`, with `per_second` requests a second over all senders; returns how many
+    /// are refused.
+    fn run(&mut self, length: Duration, per_second: u32) -> u32 {
+        let end = self.now + length;
+        let begun = self.now;
+        let (mut sent, mut refused) = (0, 0);
+        while self.now < end {
+            self.now += STEP;
+            for sender in &mut self.senders {
+                sender.note_control_contact(self.now);
+            }
+            for (sender, due, mut end) in std::mem::take(&mut self.running) {
+                if due > self.now {
+                    self.running.push((sender, due, end));
+                } else {
+                    end.limit = end.limit.map(|limit| LimitReport {
+                        at: self.now,
+                        ..limit
+                    });
+                    self.senders[sender].ended(self.now, &end);
+                }
+            }
+            let due = (self.now - begun).as_secs_f64() * f64::from(per_second);
+            while f64::from(sent) < due {
+                sent += 1;
+                self.requests += 1;
+                let sender = self.requests as usize % self.senders.len();
+                match self.choose(sender, self.requests * 7 % 24) {
+                    Ok(choice) => self.begin(sender, &choice),
+                    Err(_) => refused += 1,
+                }
+            }
+        }
+        refused
+    }
+
+    fn begin(&mut self, sender: usize, choice: &Choice) {
+        let end = SendEnd {
+            backend: choice.backend,
+            send: choice.send,
+            outcome: SendOutcome::Answered,
+            load: None,
+            limit: Some(LimitReport {
+                notice: self.notice(&choice.name),
+                at: self.now,
+            }),
+            object: None,
+        };
+        self.running.push((sender, self.now + RUN, end));
+        self.arrivals.push((choice.name.clone(), self.now));
+    }
+
+    /// Returns the largest number of arrivals at a backend server in any window from `from` on.
+    fn most_in_window(&self, number: usize, from: Instant) -> f64 {
+        let name = server_name(0, number);
+        let arrivals = self.arrivals.iter().filter(|(to, _)| *to == name);
+        let arrivals: Vec<Instant> = arrivals
+            .map(|(_, at)| *at)
+            .filter(|at| *at >= from)
+            .collect();
+        let within = |begin: &Instant| {
+            let within = arrivals
+                .iter()
+                .filter(|at| *at >= begin && **at < *begin + WINDOW);
+            u32::try_from(within.count()).unwrap()
+        };
+        f64::from(arrivals.iter().map(within).max().unwrap_or(0))
+    }
+
+    fn since(&self, passed: Duration) -> Instant {
+        self.origin + passed
+    }
+}
+
+/// Guards against entry VMs that each send as much as a backend server accepts from all together.
+#[rstest]
+#[case(1, 5.8)]
+#[case(3, 2.9)]
+#[case(8, 5.8)]
+#[case(8, 1.0)]
+#[case(30, 5.8)]
+#[case(30, 0.0)]
+fn test_backend_limit_holds_in_any_window(#[case] entries: usize, #[case] per_second: f64) {
+    let mut fleet = Fleet::new(entries, vec![Some(per_second), None, None]);
+    let refused = fleet.run(Duration::from_secs(30), 60);
+    assert_eq!(refused, 0);
+    let most = fleet.most_in_window(0, fleet.since(WINDOW));
+    // What the limit allows in the window and its tolerance, one request at the edge for each that
+    // it allows in a turn of 2 s, and one of a sender that is selected within the window.
+    let allowed = per_second.max(0.1) * (4.0 + 0.25 + 2.0) + 2.0;
+    assert!(most <= allowed, "{most} in a window, {allowed} allowed");
+}
+
+/// Guards against a limited backend server that gets far less than it accepts.
+#[test]
+fn test_backend_limit_is_used() {
+    let mut fleet = Fleet::new(3, vec![Some(6.0), None, None]);
+    fleet.run(Duration::from_secs(20), 90);
+    let limited = server_name(0, 0);
+    let from = fleet.since(Duration::from_secs(10));
+    let arrivals = fleet.arrivals.iter();
+    let used = arrivals.filter(|(to, at)| *to == limited && *at >= from);
+    assert!(used.count() >= 45, "the limit allows 60 requests");
+}
+
+/// Guards against a limit that outlasts its declaration, and a raised one that is not followed.
+#[test]
+fn test_backend_limit_follows_its_declaration() {
+    let mut fleet = Fleet::new(3, vec![Some(2.0), None]);
+    fleet.run(Duration::from_secs(10), 60);
+    fleet.limits[0] = Some(rate(8.0));
+    fleet.run(Duration::from_secs(10), 60);
+    let raised = fleet.most_in_window(0, fleet.since(Duration::from_secs(14)));
+    assert!(raised > 2.0 * 6.25 + 1.0, "{raised}");
+    fleet.limits[0] = None;
+    fleet.run(Duration::from_secs(10), 60);
+    let ended = fleet.most_in_window(0, fleet.since(Duration::from_secs(24)));
+    assert!(ended > 8.0 * 6.25 + 1.0, "{ended}");
+}
+
+/// Guards against requests that are held or answered "no backend server" when all are limited, and
+/// against a retry delay that ignores the limit.
+#[test]
+fn test_backend_limit_of_all_refuses_at_once() {
+    let mut fleet = Fleet::new(1, vec![Some(0.5), Some(0.5)]);
+    let refused = fleet.run(Duration::from_secs(10), 20);
+    assert!(refused > 150, "{refused}");
+    let refused = (0..50).find_map(|object| fleet.choose(0, object).err());
+    let refused = refused.unwrap();
+    assert_eq!(refused.reason, RefusedReason::Limited);
+    assert!(refused.retry_after >= Duration::from_secs(1), "{refused:?}");
+}
+
+/// Guards against a limited backend server that is passed over as if it failed.
+#[test]
+fn test_backend_limit_keeps_other_objects_in_place() {
+    let homes = |fleet: &mut Fleet| -> Vec<BackendName> {
+        (0..40)
+            .map(|object| {
+                let choice = fleet.choose(0, object).unwrap();
+                fleet.end(0, &choice, SendOutcome::Answered, LimitNotice::Absent);
+                choice.name
+            })
+            .collect()
+    };
+    let mut fleet = Fleet::new(1, vec![None; 4]);
+    let before = homes(&mut fleet);
+    let limited = server_name(0, 0);
+    let object = before.iter().position(|name| *name == limited).unwrap();
+    let choice = fleet.choose(0, u32::try_from(object).unwrap()).unwrap();
+    let notice = LimitNotice::Limited(rate(0.0));
+    fleet.end(0, &choice, SendOutcome::Answered, notice);
+    let after = homes(&mut fleet);
+    for (before, after) in before.iter().zip(&after) {
+        assert_ne!(*after, limited);
+        assert!(
+            before == after || *before == limited,
+            "{before:?} {after:?}"
+        );
+    }
+}
+
+macro_rules! statement_cases {
+    ($($(#[$doc:meta])* $name:ident: $outcome:ident, $notice:expr, lifts: $lifts:expr;)*) => {
+        $(
+            $(#[$doc])*
+            #[test]
+            fn $name() {
+                let mut fleet = Fleet::new(1, vec![None]);
+                let first = fleet.choose(0, 1).unwrap();
+                let early = fleet.choose(0, 1).unwrap();
+                fleet.now += RUN;
+                let limited = LimitNotice::Limited(rate(1_000.0));
+                fleet.end(0, &first, SendOutcome::Answered, limited);
+                // A request that was sent before the limit was known lifts nothing.
+                fleet.now += RUN;
+                fleet.end(0, &early, SendOutcome::Answered, LimitNotice::Absent);
+                assert_eq!(fleet.senders[0].take_limit_events().len(), 1);
+                fleet.now += RUN;
+                let choice = fleet.choose(0, 1).unwrap();
+                fleet.now += RUN;
+                fleet.end(0, &choice, SendOutcome::$outcome, $notice);
+                let events = fleet.senders[0].take_limit_events();
+                let lifted = events.iter().any(|event| {
+                    matches!(event, LimitEvent::Changed(change) if change.rate.is_none())
+                });
+                assert_eq!(lifted, $lifts, "{events:?}");
+            }
+        )*
+    };
+}
+
+statement_cases! {
+    test_backend_limit_ends_by_a_whole_answer: Answered, LimitNotice::Absent, lifts: true;
+    /// Guards against a limit that is lifted by an answer that a failing server produced.
+    test_backend_limit_outlasts_a_faulty_answer: Faulty, LimitNotice::Absent, lifts: false;
+    test_backend_limit_outlasts_a_refusal: Shed, LimitNotice::Absent, lifts: false;
+    test_backend_limit_outlasts_a_broken_answer: Broken, LimitNotice::Absent, lifts: false;
+    test_backend_limit_outlasts_an_unreadable_one: Answered, LimitNotice::Unreadable, lifts: false;
+}
--- a/lib/tests/test_shares.rs
+++ b/lib/tests/test_shares.rs
@@ -5,9 +5,9 @@
 
 use heatherring_lib::affinity::MemberHash;
 use heatherring_lib::affinity::ObjectHash;
-use heatherring_lib::cold_gate;
-use heatherring_lib::cold_gate::ColdGate;
 use heatherring_lib::resend_budget::ResendBudget;
+use heatherring_lib::sender_share;
+use heatherring_lib::sender_share::SendGate;
 use heatherring_lib::weighted_round_robin::WeightedRoundRobin;
 use rstest::rstest;
 
@@ -24,6 +24,7 @@
 fn test_cold_gate_shares_add_up(#[case] senders: usize, #[case] rate: f64) {
     const LENGTH: Duration = Duration::from_secs(10);
     const STEP: Duration = Duration::from_millis(50);
+    const TURN: Duration = Duration::from_secs(1);
     let members: Vec<MemberHash> = (0..senders)
         .map(|number| MemberHash::of(&format!("entry-{number}")))
         .collect();
@@ -31,14 +32,15 @@
     let origin = Instant::now();
     let mut sent = Vec::new();
     for own in &members {
-        let Some(interval) = cold_gate::interval(backend, *own, &members, rate) else {
+        let Some(interval) = sender_share::interval(backend, *own, &members, rate * 0.9, TURN)
+        else {
             continue;
         };
-        let mut gate = ColdGate::new(origin);
+        let mut gate = SendGate::default();
         let mut at = Duration::ZERO;
         while at < LENGTH {
-            if gate.is_open(origin + at, interval) {
-                gate.note_sent(origin + at);
+            if gate.is_open(origin + at, interval, Duration::ZERO) {
+                gate.note_sent(origin + at, Duration::ZERO);
                 sent.push(at);
             }
             at += STEP;
--- a/server/src/direct_path.rs
+++ b/server/src/direct_path.rs
@@ -319,6 +319,7 @@
         RefusedReason::NoRoom => NotRunReason::Overloaded,
         RefusedReason::Leaving => NotRunReason::Leaving,
         RefusedReason::LinkFull => NotRunReason::LinkFull,
+        RefusedReason::Limited => NotRunReason::BackendLimit,
         RefusedReason::NoResend => {
             metric::resend(false);
             NotRunReason::NoResend
--- a/server/src/dispatch_task.rs
+++ b/server/src/dispatch_task.rs
@@ -298,7 +298,7 @@
             };
             let (limit, before) = (text(rate), text(before));
             metric::backend_limit(rate.is_some());
-            log::info!(event = "backend_limit", backend = change.backend.as_str(), limit = limit.as_str(), before = before.as_str(), source = change.source.name(), age_ms = whole_ms(change.age); "the rate limit of a backend server changed");
+            log::info!(event = "backend_limit", backend = change.backend.as_str(), limit = limit.as_str(), before = before.as_str(), source = change.source.name(), age_ms = whole_ms(change.age), interval_ms = change.interval.map(whole_ms); "the rate limit of a backend server changed");
         }
         LimitEvent::Unreadable(backend) => {
             log::warn!(event = "backend_limit_unreadable", backend = backend.as_str(); "a backend server declares a rate limit that is not a number; it is ignored");
--- a/server/src/metric.rs
+++ b/server/src/metric.rs
@@ -97,6 +97,12 @@
     counter!("heatherring_backend_limits_total", "state" => state).increment(1);
 }
 
+/// Counts backend servers that a request was not sent to because their limits were used up.
+pub fn passed_over(count: usize) {
+    counter!("heatherring_backend_limit_passed_over_total")
+        .increment(u64::try_from(count).unwrap_or(u64::MAX));
+}
+
 /// Counts a resend that was made, or was denied because the budget was exhausted.
 pub fn resend(allowed: bool) {
     let result = if allowed { "sent" } else { "no_budget" };
--- a/server/src/request_trace.rs
+++ b/server/src/request_trace.rs
@@ -60,6 +60,8 @@
     verdict: SendOutcome,
     /// Rate limit that the backend server was known to have declared.
     limit: Option<RequestRate>,
+    /// Number of backend servers that were passed over because of their limits.
+    passed_over: usize,
 }
 
 impl fmt::Display for SendRecord {
@@ -79,6 +81,9 @@
         if let Some(limit) = self.limit {
             write!(f, "limit {limit}, ")?;
         }
+        if self.passed_over > 0 {
+            write!(f, "{} at their limits passed over, ", self.passed_over)?;
+        }
         if let Some(connected_in) = self.connected_in {
             write!(f, "connected in {} ms, ", connected_in.as_millis())?;
         }
@@ -139,6 +144,7 @@
             metric::resend(true);
         }
         metric::send(verdict, took, choice.wait);
+        metric::passed_over(choice.passed_over);
         self.sends.push(SendRecord {
             backend: choice.name.clone(),
             warm: choice.warm,
@@ -149,6 +155,7 @@
             took,
             verdict,
             limit: choice.limit,
+            passed_over: choice.passed_over,
         });
     }
 
