limits of backend servers: control passes them on to all entry VMs

A backend server that declares a limit still got a request or more from each entry VM that hadn't heard of it: one that had just started, that had sent it nothing lately, or that was cut off from it. With many entry VMs these alone are far above the limit, and no answer told those whose share is nothing that the limit had ended.

Cause: what a backend server states in an answer stayed with the entry VM that received the answer.

Change: entry VMs report limits that began, ended or changed by a tenth to the replica they follow; it passes them on to the other replicas and with the next answer to all entry VMs.

--- a/lib/src/backend_limit.rs
+++ b/lib/src/backend_limit.rs
@@ -32,6 +32,9 @@
 /// sum, senders exceed the limit by at most as many requests as it allows in this time.
 pub(crate) const TOLERANCE: Duration = Duration::from_millis(250);
 
+/// Relative change of a limit from which on it is reported and logged.
+const MATERIAL_CHANGE: f64 = 0.1;
+
 /// Lowest rate at which requests are sent, per second. Only an answer can state that a limit has
 /// ended.
 pub(crate) const MIN_RATE: f64 = 0.1;
@@ -50,6 +53,8 @@
 pub enum LimitSource {
     /// The backend server's answer to this entry VM.
     Answer,
+    /// Control, which passed on what another entry VM had received.
+    Control,
 }
 
 impl LimitSource {
@@ -58,6 +63,7 @@
     pub const fn name(self) -> &'static str {
         match self {
             Self::Answer => "answer",
+            Self::Control => "control",
         }
     }
 }
@@ -93,6 +99,7 @@
     pub rate: Option<RequestRate>,
     /// When an entry VM received it.
     pub at: Instant,
+    pub source: LimitSource,
 }
 
 /// The limit of one backend server.
@@ -103,6 +110,10 @@
     since: Option<Instant>,
     /// Whether an unreadable limit has been reported.
     unreadable: bool,
+    /// The limit that control knows from this entry VM, or told it.
+    shared: Option<RequestRate>,
+    /// The limit when a change was last logged.
+    logged: Option<RequestRate>,
 }
 
 impl BackendLimit {
@@ -143,10 +154,50 @@
         self.set(Statement {
             rate,
             at: report.at,
+            source: LimitSource::Answer,
+        });
+        known != rate
+    }
+
+    /// Applies a statement that control passed on, received from the backend server `at`. Returns
+    /// whether the limit changed.
+    pub fn note_shared(&mut self, at: Instant, rate: Option<RequestRate>) -> bool {
+        let known = self.rate();
+        self.shared = rate;
+        if self.latest.is_some_and(|latest| latest.at >= at) {
+            return false;
+        }
+        self.set(Statement {
+            rate,
+            at,
+            source: LimitSource::Control,
         });
         known != rate
     }
 
+    /// Returns the latest statement if it came from the backend server itself and control knows
+    /// another limit, or `all` statements are to be reported.
+    pub fn to_report(&self, all: bool) -> Option<Statement> {
+        let latest = self.latest?;
+        let is_due = all || is_material(self.shared, latest.rate);
+        (latest.source == LimitSource::Answer && is_due).then_some(latest)
+    }
+
+    /// Records that control has been told `rate`.
+    pub const fn note_reported(&mut self, rate: Option<RequestRate>) {
+        self.shared = rate;
+    }
+
+    /// Returns whether the limit has to be logged, and if so records it as logged.
+    pub fn take_log(&mut self) -> bool {
+        let rate = self.rate();
+        let is_due = is_material(self.logged, rate);
+        if is_due {
+            self.logged = rate;
+        }
+        is_due
+    }
+
     fn set(&mut self, statement: Statement) {
         self.latest = Some(statement);
         self.since = statement.rate.and(self.since.or(Some(statement.at)));
@@ -158,6 +209,16 @@
     }
 }
 
+/// Returns whether a change is reported and logged. Some backend servers adjust their limits with
+/// every answer.
+fn is_material(before: Option<RequestRate>, rate: Option<RequestRate>) -> bool {
+    let (Some(before), Some(rate)) = (before, rate) else {
+        return before != rate;
+    };
+    let (before, rate) = (before.per_second(), rate.per_second());
+    (rate - before).abs() > before.max(rate) * MATERIAL_CHANGE
+}
+
 /// Returns whether `rate` allows more than `known`; without a rate, there is no limit.
 fn is_relaxed(known: Option<RequestRate>, rate: Option<RequestRate>) -> bool {
     match (known, rate) {
--- a/lib/src/direct_dispatch.rs
+++ b/lib/src/direct_dispatch.rs
@@ -21,6 +21,7 @@
 use crate::cold_tracker::ColdTracker;
 use crate::dispatch_assess::Candidates;
 use crate::dispatch_backend::Backend;
+use crate::dispatch_limits::SharedLimit;
 use crate::dispatch_pick;
 use crate::dispatch_pick::Candidate;
 use crate::dispatch_pick::PickLimits;
@@ -115,6 +116,9 @@
     spread_phase: f64,
     /// Changes of limits that have not been taken yet.
     pub(crate) limit_events: Vec<LimitEvent>,
+    /// Limits that control passed on last.
+    pub(crate) shared_limits: BTreeMap<BackendName, SharedLimit>,
+    pub(crate) limit_reports_due: bool,
     pub(crate) advice: RetryAdvice,
 }
 
@@ -146,6 +150,8 @@
             rank_fairness: RankFairness::default(),
             spread_phase: 0.0,
             limit_events: Vec::new(),
+            shared_limits: BTreeMap::new(),
+            limit_reports_due: false,
             advice,
         }
     }
@@ -242,6 +248,11 @@
         backend.silent = self.silent.contains(name);
         let key = self.backends.insert(backend);
         self.by_name.insert(name.clone(), key);
+        self.apply_shared_limit(now, name);
+    }
+
+    pub(crate) fn key(&self, name: &BackendName) -> Option<BackendKey> {
+        self.by_name.get(name).copied()
     }
 
     /// Treats the backend servers of a place as cold until each has reported its own state:
--- a/lib/src/dispatch_limits.rs
+++ b/lib/src/dispatch_limits.rs
@@ -21,9 +21,19 @@
 use crate::dispatch_request::RefusedReason;
 use crate::dispatch_request::SendEnd;
 use crate::dispatch_request::SendOutcome;
+use crate::id::BackendName;
 use crate::rate_limit::LimitNotice;
+use crate::rate_limit::LimitStatement;
 use crate::rate_limit::RequestRate;
 
+/// Limit of a backend server as passed on by control.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct SharedLimit {
+    born: u64,
+    rate: Option<RequestRate>,
+    at: Instant,
+}
+
 /// Shares of the limits that kept a request from being sent.
 #[derive(Clone, Copy, Debug, Default)]
 struct ClosedLimits {
@@ -113,7 +123,9 @@
         }
         let may_lift = end.outcome == SendOutcome::Answered;
         let before = backend.limit.rate();
-        if backend.limit.note_answer(sent_at, report, may_lift) {
+        let is_changed = backend.limit.note_answer(sent_at, report, may_lift);
+        self.limit_reports_due |= backend.limit.to_report(false).is_some();
+        if is_changed {
             self.limit_changed(now, end.backend, before, LimitSource::Answer);
         }
     }
@@ -135,6 +147,9 @@
                 .gate
                 .hold_until(now + interval.mul_f64(phase), interval);
         }
+        if !backend.limit.take_log() {
+            return;
+        }
         let at = backend.limit.latest().map_or(now, |statement| statement.at);
         self.limit_events.push(LimitEvent::Changed(LimitChange {
             backend: backend.name.clone(),
@@ -146,6 +161,72 @@
         }));
     }
 
+    /// Applies the limits that control passed on. They replace those passed on before; a limit that
+    /// is no longer listed stays in force.
+    pub fn apply_limits(&mut self, now: Instant, statements: &[LimitStatement]) {
+        let shared = statements.iter().map(|statement| {
+            let limit = SharedLimit {
+                born: statement.born,
+                rate: statement.rate,
+                at: statement.observed_at(now),
+            };
+            (statement.backend.clone(), limit)
+        });
+        self.shared_limits = shared.collect();
+        for statement in statements {
+            self.apply_shared_limit(now, &statement.backend);
+        }
+    }
+
+    /// Applies what control passed on about the limit of a backend server, if anything.
+    pub(crate) fn apply_shared_limit(&mut self, now: Instant, name: &BackendName) {
+        let (Some(shared), Some(key)) = (self.shared_limits.get(name), self.key(name)) else {
+            return;
+        };
+        let shared = *shared;
+        let backend = &mut self.backends[key];
+        let before = backend.limit.rate();
+        let is_same = backend.record.born == shared.born;
+        if !is_same {
+            return;
+        }
+        let is_changed = backend.limit.note_shared(shared.at, shared.rate);
+        self.limit_reports_due |= backend.limit.to_report(false).is_some();
+        if is_changed {
+            self.limit_changed(now, key, before, LimitSource::Control);
+        }
+    }
+
+    /// Returns the limits that backend servers declared to this entry VM and control has to be
+    /// told: those that changed, or `all`.
+    #[must_use]
+    pub fn limit_statements(&self, now: Instant, all: bool) -> Vec<LimitStatement> {
+        let statement = |backend: &Backend| {
+            let latest = backend.limit.to_report(all)?;
+            Some(LimitStatement {
+                backend: backend.name.clone(),
+                born: backend.record.born,
+                rate: latest.rate,
+                age_ms: LimitStatement::age_ms(now, latest.at),
+            })
+        };
+        self.backends.values().filter_map(statement).collect()
+    }
+
+    /// Returns whether control has to be told a limit that it did not have to be at the last call.
+    pub const fn take_limit_reports_due(&mut self) -> bool {
+        std::mem::replace(&mut self.limit_reports_due, false)
+    }
+
+    /// Records that control has been told these limits.
+    pub fn note_limits_reported(&mut self, statements: &[LimitStatement]) {
+        for statement in statements {
+            if let Some(key) = self.key(&statement.backend) {
+                self.backends[key].limit.note_reported(statement.rate);
+            }
+        }
+    }
+
     /// Returns the changes of limits since the last call.
     pub fn take_limit_events(&mut self) -> Vec<LimitEvent> {
         std::mem::take(&mut self.limit_events)
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -60,6 +60,7 @@
 pub mod home_regions;
 pub mod host_value;
 pub mod id;
+pub mod limit_board;
 pub mod link_budget;
 pub mod link_congestion;
 pub mod list_delta;
--- a/lib/src/rate_limit.rs
+++ b/lib/src/rate_limit.rs
@@ -1,11 +1,14 @@
 //! Rate limits that backend servers declare in their answers.
 
 use std::fmt;
+use std::time::Duration;
 use std::time::Instant;
 
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::id::BackendName;
+
 /// Largest accepted rate. Greater figures say nothing about the capacity of one backend server.
 const MAX_RATE: f64 = 1_000_000.0;
 
@@ -81,3 +84,33 @@
     /// When its head arrived.
     pub at: Instant,
 }
+
+/// What is known of the limit of one incarnation of a backend server, as processes tell each other.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct LimitStatement {
+    /// The backend server.
+    pub backend: BackendName,
+    /// When its incarnation started.
+    pub born: u64,
+    /// The limit; `None` if it has ended.
+    pub rate: Option<RequestRate>,
+    /// Time since an entry VM received the answer that stated it, in milliseconds. Clocks of
+    /// different VMs are not compared.
+    pub age_ms: u32,
+}
+
+impl LimitStatement {
+    /// Returns when the statement was received from the backend server.
+    #[must_use]
+    pub fn observed_at(&self, now: Instant) -> Instant {
+        let age = Duration::from_millis(self.age_ms.into());
+        now.checked_sub(age).unwrap_or(now)
+    }
+
+    /// Returns an age for a statement observed at `observed_at`.
+    #[must_use]
+    pub fn age_ms(now: Instant, observed_at: Instant) -> u32 {
+        let age = now.saturating_duration_since(observed_at).as_millis();
+        u32::try_from(age).unwrap_or(u32::MAX)
+    }
+}
--- a/lib/tests/test_backend_limits.rs
+++ b/lib/tests/test_backend_limits.rs
@@ -3,6 +3,7 @@
 mod dispatch_model;
 
 use std::collections::BTreeSet;
+use std::num::NonZeroU64;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -29,8 +30,10 @@
 use heatherring_lib::dispatch_request::SendOutcome;
 use heatherring_lib::id::BackendName;
 use heatherring_lib::id::VmName;
+use heatherring_lib::limit_board::LimitBoard;
 use heatherring_lib::rate_limit::LimitNotice;
 use heatherring_lib::rate_limit::LimitReport;
+use heatherring_lib::rate_limit::LimitStatement;
 use heatherring_lib::rate_limit::RequestRate;
 use heatherring_lib::request_rank::RequestRank;
 use proptest::prelude::*;
@@ -144,6 +147,17 @@
 const STEP: Duration = Duration::from_millis(5);
 const RUN: Duration = Duration::from_millis(80);
 
+fn config(number: usize) -> DispatchConfig {
+    DispatchConfig {
+        vm: VmName::new(format!("entry-{number}")),
+        region: region(0),
+        places: [(place(0), region(0))].into(),
+        resend_ratio: 0.2,
+        resend_slack: 60.0,
+        policy: DispatchPolicy::default(),
+    }
+}
+
 impl Fleet {
     fn new(entries: usize, limits: Vec<Option<f64>>) -> Self {
         let scenario = Scenario {
@@ -154,15 +168,7 @@
         let now = Instant::now();
         let view = view(&scenario);
         let dispatcher = |number: usize| {
-            let cfg = DispatchConfig {
-                vm: VmName::new(format!("entry-{number}")),
-                region: region(0),
-                places: [(place(0), region(0))].into(),
-                resend_ratio: 0.2,
-                resend_slack: 60.0,
-                policy: DispatchPolicy::default(),
-            };
-            let mut dispatcher = Dispatcher::new(cfg, now);
+            let mut dispatcher = Dispatcher::new(config(number), now);
             dispatcher.apply_view(now, &view);
             dispatcher
         };
@@ -419,3 +425,122 @@
     test_backend_limit_outlasts_a_broken_answer: Broken, LimitNotice::Absent, lifts: false;
     test_backend_limit_outlasts_an_unreadable_one: Answered, LimitNotice::Unreadable, lifts: false;
 }
+
+fn statement(per_second: Option<f64>, age_ms: u32, born: u64) -> LimitStatement {
+    LimitStatement {
+        backend: server_name(0, 0),
+        born,
+        rate: per_second.map(rate),
+        age_ms,
+    }
+}
+
+fn board() -> LimitBoard {
+    LimitBoard::starting_at(NonZeroU64::MIN)
+}
+
+macro_rules! board_cases {
+    ($($(#[$doc:meta])* $name:ident: $first:expr, $second:expr => $expected:expr;)*) => {
+        $(
+            $(#[$doc])*
+            #[test]
+            fn $name() {
+                let now = Instant::now() + Duration::from_mins(1);
+                let mut board = board();
+                board.apply(now, vec![$first]);
+                let changed = board.apply(now, vec![$second]);
+                let rates: Vec<Option<f64>> = board
+                    .statements(now)
+                    .iter()
+                    .map(|statement| statement.rate.map(RequestRate::per_second))
+                    .collect();
+                assert_eq!((rates, changed.len()), $expected);
+            }
+        )*
+    };
+}
+
+board_cases! {
+    test_limit_board_newer_limit: statement(Some(3.0), 900, 1), statement(Some(2.0), 100, 1)
+        => (vec![Some(2.0)], 1);
+    /// Guards against a late report that brings an outdated limit back.
+    test_limit_board_late_report: statement(Some(3.0), 100, 1), statement(Some(2.0), 900, 1)
+        => (vec![Some(3.0)], 0);
+    test_limit_board_repeated_report: statement(Some(3.0), 900, 1), statement(Some(3.0), 100, 1)
+        => (vec![Some(3.0)], 0);
+    test_limit_board_ended: statement(Some(3.0), 900, 1), statement(None, 100, 1)
+        => (vec![None], 1);
+    test_limit_board_end_of_an_unknown_limit: statement(None, 100, 1), statement(None, 50, 1)
+        => (vec![], 0);
+    test_limit_board_next_incarnation: statement(Some(3.0), 100, 1), statement(Some(2.0), 900, 2)
+        => (vec![Some(2.0)], 1);
+    test_limit_board_previous_incarnation: statement(Some(3.0), 900, 2), statement(Some(2.0), 100, 1)
+        => (vec![Some(3.0)], 0);
+}
+
+/// Guards against a report from before the end of a limit that brings the limit back.
+#[test]
+fn test_limit_board_late_report_after_the_end() {
+    let now = Instant::now() + Duration::from_mins(1);
+    let mut board = board();
+    board.apply(now, vec![statement(Some(3.0), 900, 1)]);
+    board.apply(now, vec![statement(None, 100, 1)]);
+    let changed = board.apply(now, vec![statement(Some(3.0), 500, 1)]);
+    assert!(changed.is_empty());
+    assert_eq!(board.statements(now)[0].rate, None);
+}
+
+/// Guards against a board that keeps limits of backend servers that are gone.
+#[test]
+fn test_limit_board_forgets() {
+    let now = Instant::now();
+    let mut board = board();
+    board.apply(now, vec![statement(Some(3.0), 0, 1)]);
+    let number = board.number();
+    board.forget(now, |_, born| born == 1);
+    assert!(!board.is_empty());
+    board.forget(now, |_, born| born == 2);
+    assert!(board.is_empty());
+    assert_eq!(board.number(), number);
+}
+
+/// Guards against an entry VM that ignores a limit because control told it before the entry VM
+/// knew the backend server.
+#[test]
+fn test_backend_limit_is_known_before_its_backend_server() {
+    let mut fleet = Fleet::new(1, vec![None, None]);
+    let scenario = Scenario {
+        servers: vec![2],
+        entries: 1,
+        ..Scenario::look_up()
+    };
+    let mut restarted = Dispatcher::new(config(0), fleet.now);
+    restarted.apply_limits(fleet.now, &[statement(Some(0.0), 0, 0)]);
+    restarted.apply_view(fleet.now, &view(&scenario));
+    fleet.senders[0] = restarted;
+    let limited = server_name(0, 0);
+    let chosen = (0..40).map_while(|object| Some(fleet.choose(0, object).ok()?.name));
+    let sent = chosen.filter(|name| *name == limited).count();
+    assert!(sent <= 1, "{sent}");
+}
+
+/// Guards against a limit that stays at control although its backend server has ended it, and one
+/// that is missing there.
+#[test]
+fn test_backend_limit_is_reported_until_control_knows_it() {
+    let mut fleet = Fleet::new(1, vec![None]);
+    let choice = fleet.choose(0, 1).unwrap();
+    fleet.now += RUN;
+    let limited = LimitNotice::Limited(rate(5.0));
+    fleet.end(0, &choice, SendOutcome::Answered, limited);
+    let now = fleet.now;
+    let sender = &mut fleet.senders[0];
+    let reported = sender.limit_statements(now, false);
+    assert_eq!(reported, vec![statement(Some(5.0), 0, 0)]);
+    sender.note_limits_reported(&reported);
+    assert!(sender.limit_statements(now, false).is_empty());
+    assert_eq!(sender.limit_statements(now, true).len(), 1);
+    // Control was told of the end earlier, by another entry VM.
+    sender.apply_limits(now, &[statement(None, 50, 0)]);
+    assert_eq!(sender.limit_statements(now, false).len(), 1);
+}
--- a/server/src/control_process.rs
+++ b/server/src/control_process.rs
@@ -35,6 +35,8 @@
 use crate::fleet_service::FleetService;
 use crate::formation;
 use crate::interface::ControlInterface;
+use crate::limit_relay::LimitRelay;
+use crate::limit_relay::LimitRelaySetup;
 use crate::log_disk::DiskError;
 use crate::log_disk::LogDisk;
 use crate::log_disk::Recovered;
@@ -217,20 +219,8 @@
         serve_direct(&settings, interface, &fleet, &clock, &stop_listeners).await?;
     let (stop_server, server_stopped) = oneshot::channel();
     let builder = security.grpc_server().context(SecuritySnafu)?;
-    let direct = settings.direct.as_ref();
-    let tolerance = direct.map(|direct| direct.team_limits);
-    let tokens = TokenIssuer::new(
-        Arc::clone(&clock),
-        settings.advertised(),
-        tolerance.unwrap_or_default(),
-        published.clone(),
-    );
-    let fleet_service = FleetService::new(
-        identity.cluster,
-        Arc::clone(&clock),
-        fleet.clone(),
-        handle.clone(),
-        tokens,
+    let fleet_service = fleet_service(
+        &settings, identity, &clock, &published, &fleet, &channels, &handle,
     );
     let services = Services::new(&settings, identity, &handle, fleet, fleet_service);
     let mut server = services.serve(builder, listener, server_stopped);
@@ -362,6 +352,41 @@
     )
 }
 
+/// Starts the services for entry VMs that dispatch directly.
+fn fleet_service(
+    settings: &ControlSettings,
+    identity: Identity,
+    clock: &Arc<dyn Clock>,
+    published: &StateReader,
+    fleet: &FleetControl,
+    channels: &PeerChannels,
+    handle: &NodeHandle,
+) -> FleetService {
+    let direct = settings.direct.as_ref();
+    let tolerance = direct.map(|direct| direct.team_limits);
+    let tokens = TokenIssuer::new(
+        Arc::clone(clock),
+        settings.advertised(),
+        tolerance.unwrap_or_default(),
+        published.clone(),
+    );
+    let limits = LimitRelay::spawn(LimitRelaySetup {
+        cluster: identity.cluster,
+        own: settings.advertised(),
+        clock: Arc::clone(clock),
+        published: published.clone(),
+        channels: channels.clone(),
+    });
+    FleetService::new(
+        identity.cluster,
+        Arc::clone(clock),
+        fleet.clone(),
+        handle.clone(),
+        tokens,
+        limits,
+    )
+}
+
 /// Tells the replica the regions of all replicas whenever they change.
 async fn follow_regions(
     mut presence: PresenceHandle,
--- a/server/src/direct_process.rs
+++ b/server/src/direct_process.rs
@@ -51,6 +51,7 @@
 use crate::http_server::Stops;
 use crate::interface::EntryInterface;
 use crate::interface::LookUpInterface;
+use crate::limit_reporter::LimitReporter;
 use crate::look_up_handler::LookUpHandler;
 use crate::metric;
 use crate::peer_channel::PeerChannels;
@@ -271,6 +272,11 @@
             replica: followed.replica.clone(),
         };
         tokio::spawn(rollout_reporter.run());
+        let limit_reporter = LimitReporter {
+            dispatch: dispatch.clone(),
+            replica: followed.replica.clone(),
+        };
+        tokio::spawn(limit_reporter.run());
         let tokens = TokenHandle::spawn(TokenSetup {
             holder,
             place: settings.place.clone(),
--- a/server/src/dispatch_task.rs
+++ b/server/src/dispatch_task.rs
@@ -29,11 +29,13 @@
 use heatherring_lib::id::RouteName;
 use heatherring_lib::id::ServiceName;
 use heatherring_lib::rate_limit::LimitReport;
+use heatherring_lib::rate_limit::LimitStatement;
 use heatherring_lib::rate_limit::RequestRate;
 use heatherring_lib::request_rank::RequestRank;
 use heatherring_lib::rollout_observer::RolloutReport;
 use heatherring_lib::route_manifest::Route;
 use heatherring_lib::service_latency::RouteLatencyKey;
+use tokio::sync::Notify;
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
 
@@ -92,6 +94,12 @@
     RolloutReports {
         reply: oneshot::Sender<Vec<RolloutReport>>,
     },
+    Limits(Vec<LimitStatement>),
+    LimitStatements {
+        all: bool,
+        reply: oneshot::Sender<Vec<LimitStatement>>,
+    },
+    LimitsReported(Vec<LimitStatement>),
     StreamBegan(BackendKey),
     StreamEnded(BackendKey),
 }
@@ -100,6 +108,8 @@
 #[derive(Clone, Debug)]
 pub struct DispatchHandle {
     tx: mpsc::UnboundedSender<Message>,
+    /// Signalled while control has to be told limits.
+    limits_due: Arc<Notify>,
 }
 
 impl DispatchHandle {
@@ -108,8 +118,9 @@
     pub fn spawn(cfg: DispatchConfig, clock: Arc<dyn Clock>) -> Self {
         let (tx, rx) = mpsc::unbounded_channel();
         let dispatcher = Dispatcher::new(cfg, clock.now());
-        tokio::spawn(run(dispatcher, clock, rx));
-        Self { tx }
+        let limits_due = Arc::new(Notify::new());
+        tokio::spawn(run(dispatcher, clock, rx, Arc::clone(&limits_due)));
+        Self { tx, limits_due }
     }
 
     /// Chooses a backend server. The request counts as in flight there until the returned guard
@@ -200,6 +211,28 @@
         }
     }
 
+    /// Applies the rate limits of backend servers that control passed on.
+    pub fn apply_limits(&self, statements: Vec<LimitStatement>) {
+        let _ = self.tx.send(Message::Limits(statements));
+    }
+
+    /// Waits until a rate limit changed that control has to be told.
+    pub async fn limit_reports_due(&self) {
+        self.limits_due.notified().await;
+    }
+
+    /// Returns the rate limits that control has to be told: those that changed, or `all`.
+    pub async fn limit_statements(&self, all: bool) -> Vec<LimitStatement> {
+        let (reply, answer) = oneshot::channel();
+        let _ = self.tx.send(Message::LimitStatements { all, reply });
+        answer.await.unwrap_or_default()
+    }
+
+    /// Records that control has been told these rate limits.
+    pub fn note_limits_reported(&self, statements: Vec<LimitStatement>) {
+        let _ = self.tx.send(Message::LimitsReported(statements));
+    }
+
     /// Applies the set of backend servers that control has received no recent heartbeat from.
     pub fn apply_silent(&self, silent: BTreeSet<BackendName>) {
         let _ = self.tx.send(Message::Silent(silent));
@@ -252,6 +285,7 @@
     mut dispatcher: Dispatcher,
     clock: Arc<dyn Clock>,
     mut rx: mpsc::UnboundedReceiver<Message>,
+    limits_due: Arc<Notify>,
 ) {
     while let Some(message) = rx.recv().await {
         let now = clock.now();
@@ -280,12 +314,20 @@
             Message::RolloutReports { reply } => {
                 let _ = reply.send(dispatcher.take_rollout_reports(now));
             }
+            Message::Limits(statements) => dispatcher.apply_limits(now, &statements),
+            Message::LimitStatements { all, reply } => {
+                let _ = reply.send(dispatcher.limit_statements(now, all));
+            }
+            Message::LimitsReported(statements) => dispatcher.note_limits_reported(&statements),
             Message::StreamBegan(backend) => dispatcher.stream_began(backend),
             Message::StreamEnded(backend) => dispatcher.stream_ended(backend),
         }
         for event in dispatcher.take_limit_events() {
             log_limit(&event);
         }
+        if dispatcher.take_limit_reports_due() {
+            limits_due.notify_one();
+        }
     }
 }
 
--- a/server/src/fleet_follower.rs
+++ b/server/src/fleet_follower.rs
@@ -95,6 +95,8 @@
     left: Vec<String>,
     /// Revision of the known verdicts on suspected requests.
     known_quarantine: u64,
+    /// Number of the rate limits of backend servers, valid only at the followed replica.
+    known_limits: u64,
     replica: watch::Sender<Option<FleetClient<Channel>>>,
 }
 
@@ -152,6 +154,7 @@
         lost_since: None,
         left: Vec::new(),
         known_quarantine: 0,
+        known_limits: 0,
         replica,
     };
     tokio::spawn(follower.run());
@@ -287,6 +290,7 @@
             known_replicas: self.known_replicas,
             list_only: false,
             known_quarantine: self.known_quarantine,
+            known_limits: self.known_limits,
         }
     }
 
@@ -311,6 +315,14 @@
             self.apply_absent(reply.presence_number, decode(&reply.absent_encoded)?);
             has_changes = true;
         }
+        if !reply.limits_encoded.is_empty() {
+            // Applied after the view, which holds the backend servers.
+            self.setup
+                .dispatch
+                .apply_limits(decode(&reply.limits_encoded)?);
+            self.known_limits = reply.limits_number;
+            has_changes = true;
+        }
         self.setup.dispatch.note_control_contact();
         self.last_contact.send_replace(self.setup.clock.now());
         self.proved
@@ -397,6 +409,7 @@
         self.following = Some(replica);
         // Each replica numbers its `absent` sets on its own.
         self.known_presence = 0;
+        self.known_limits = 0;
         self.replica
             .send_replace(self.pending_calls.client(replica));
         let left = std::mem::take(&mut self.left).join("; ");
--- a/server/src/fleet_service.rs
+++ b/server/src/fleet_service.rs
@@ -31,6 +31,7 @@
 use crate::leader_relay::fleet_client;
 use crate::leader_relay::is_relayed;
 use crate::leader_relay::relayed_request;
+use crate::limit_relay::LimitRelay;
 use crate::metric;
 use crate::node_request::NodeHandle;
 use crate::proto::AdmitReply;
@@ -51,6 +52,8 @@
 use crate::proto::ReadRoutesRequest;
 use crate::proto::ReportReply;
 use crate::proto::ReportRequest;
+use crate::proto::ShareLimitsReply;
+use crate::proto::ShareLimitsRequest;
 use crate::proto::fleet_server::Fleet;
 use crate::token_issuer::TokenIssuer;
 use crate::update_cache::UpdateCache;
@@ -69,6 +72,7 @@
     control: FleetControl,
     node: NodeHandle,
     tokens: TokenIssuer,
+    limits: LimitRelay,
     updates: Arc<UpdateCache>,
     lag: Arc<Mutex<FollowLag>>,
 }
@@ -82,6 +86,7 @@
         control: FleetControl,
         node: NodeHandle,
         tokens: TokenIssuer,
+        limits: LimitRelay,
     ) -> Self {
         Self {
             cluster,
@@ -89,11 +94,24 @@
             control,
             node,
             tokens,
+            limits,
             updates: Arc::default(),
             lag: Arc::default(),
         }
     }
 
+    /// Returns whether a message was passed on by another replica, which names the cluster, rather
+    /// than sent by an entry VM.
+    fn is_relayed(&self, cluster_id: &[u8]) -> Result<bool, Status> {
+        if cluster_id.is_empty() {
+            return Ok(false);
+        }
+        if cluster_id != self.cluster.0 {
+            return Err(Status::failed_precondition("another cluster"));
+        }
+        Ok(true)
+    }
+
     fn lag(&self) -> MutexGuard<'_, FollowLag> {
         self.lag.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -136,6 +154,7 @@
         let applied = Revision(request.applied_revision);
         let mut published = self.control.published().clone();
         let mut presence = self.control.presence().clone();
+        let mut limits = self.limits.clone();
         let wait = Duration::from_millis(request.wait_ms.into()).min(MAX_HOLD);
         let proof = published.clone();
         let changes = async {
@@ -144,13 +163,15 @@
                 let fleet = published.read().fleet;
                 let has_changes = fleet.revision() > applied
                     || fleet.quarantine().revision().0 > request.known_quarantine
-                    || (verdicts != 0 && verdicts != request.known_presence);
+                    || (verdicts != 0 && verdicts != request.known_presence)
+                    || (limits.number() != request.known_limits && limits.has_statements());
                 if has_changes {
                     return;
                 }
                 tokio::select! {
                     () = published.changed() => {}
                     () = presence.changed() => {}
+                    () = limits.changed() => {}
                 }
             }
         };
@@ -195,6 +216,13 @@
             .as_ref()
             .filter(|absent| absent.number() != request.known_presence)
             .map(|absent| absent.update_from(request.known_presence));
+        let limits_number = self.limits.number();
+        let is_known = limits_number == request.known_limits || !self.limits.has_statements();
+        let limits_encoded = if is_known {
+            Vec::new()
+        } else {
+            encode(&self.limits.statements())?
+        };
         Ok(FollowReply {
             current: true,
             update_encoded,
@@ -202,6 +230,8 @@
             absent_encoded: absent.as_ref().map_or(Ok(Vec::new()), encode)?,
             quarantine_revision,
             verdicts_encoded: verdicts.as_ref().map_or(Ok(Vec::new()), encode)?,
+            limits_number,
+            limits_encoded,
             ..self.list_replicas(request)?
         })
     }
@@ -367,16 +397,23 @@
         request: Request<ObserveRequest>,
     ) -> Result<Response<ObserveReply>, Status> {
         let request = request.into_inner();
-        let is_own_cluster = request.cluster_id.is_empty() || request.cluster_id == self.cluster.0;
-        if !is_own_cluster {
-            return Err(Status::failed_precondition("another cluster"));
-        }
+        let relayed = self.is_relayed(&request.cluster_id)?;
         let reports: Vec<RolloutReport> = decode(&request.reports_encoded)?;
-        let relayed = !request.cluster_id.is_empty();
         self.control.rollouts().observe(reports, relayed);
         Ok(Response::new(ObserveReply {}))
     }
 
+    async fn share_limits(
+        &self,
+        request: Request<ShareLimitsRequest>,
+    ) -> Result<Response<ShareLimitsReply>, Status> {
+        let request = request.into_inner();
+        let relayed = self.is_relayed(&request.cluster_id)?;
+        let statements = decode(&request.statements_encoded)?;
+        self.limits.share(statements, relayed);
+        Ok(Response::new(ShareLimitsReply {}))
+    }
+
     async fn admit(&self, request: Request<AdmitRequest>) -> Result<Response<AdmitReply>, Status> {
         let passed_on = is_relayed(request.metadata());
         let request = request.into_inner();
--- a/server/src/lib.rs
+++ b/server/src/lib.rs
@@ -67,6 +67,8 @@
 pub mod interface;
 pub mod leader_relay;
 pub mod leader_sessions;
+pub mod limit_relay;
+pub mod limit_reporter;
 pub mod link_task;
 pub mod log_disk;
 pub mod log_record;
--- a/server/tests/test_backend_limits.rs
+++ b/server/tests/test_backend_limits.rs
@@ -186,3 +186,39 @@
     let since = Instant::now().checked_sub(WINDOW).unwrap();
     assert!(most_in_window(&limited.arrivals(), since) > 0);
 }
+
+/// Guards against an entry VM that sends at its usual rate until it has heard of the limit itself.
+#[tokio::test(flavor = "multi_thread")]
+async fn test_backend_limit_reaches_entry_vms_that_sent_nothing() {
+    let mut scene = start(2, 2).await;
+    scene.backends[0].declare_limit(Some("0"));
+    let learnt = scene.call_addresses()[0];
+    scene
+        .while_announced(async {
+            for object in 0..OBJECTS {
+                ask(learnt, object).await;
+            }
+            sleep(Duration::from_secs(2)).await;
+        })
+        .await;
+    let late = scene.deployment.start_entry("entry-3");
+    scene.entries.push(late);
+    let late = &scene.entries[2];
+    let ready = wait_for("a view", async || late.is_ready().await.then_some(()));
+    scene.while_announced(ready).await.unwrap();
+    for informed in 1..3 {
+        let before = scene.backends[0].arrivals().len();
+        let informed = scene.call_addresses()[informed];
+        let mut burst = JoinSet::new();
+        for object in 0..OBJECTS {
+            burst.spawn(async move { ask(informed, object).await });
+        }
+        let answers = burst.join_all().await;
+        assert_eq!(answers.len(), usize::try_from(OBJECTS).unwrap());
+        let sent = scene.backends[0].arrivals().len() - before;
+        assert!(
+            sent <= 1,
+            "{sent} requests to a backend server that accepts none"
+        );
+    }
+}
--- a/server/tests/test_fleet_follower.rs
+++ b/server/tests/test_fleet_follower.rs
@@ -49,6 +49,8 @@
 use heatherring_server::proto::ReadRoutesRequest;
 use heatherring_server::proto::ReportReply;
 use heatherring_server::proto::ReportRequest;
+use heatherring_server::proto::ShareLimitsReply;
+use heatherring_server::proto::ShareLimitsRequest;
 use heatherring_server::proto::fleet_server::Fleet;
 use heatherring_server::proto::fleet_server::FleetServer;
 use tokio::net::TcpListener;
@@ -131,6 +133,13 @@
         Err(Status::unimplemented(""))
     }
 
+    async fn share_limits(
+        &self,
+        _: Request<ShareLimitsRequest>,
+    ) -> Result<Response<ShareLimitsReply>, Status> {
+        Err(Status::unimplemented(""))
+    }
+
     async fn follow(
         &self,
         request: Request<FollowRequest>,
