limits of backend servers: health checks spare limited ones while control is lost

Each entry VM without control asks one backend server of each place four times a second whether it is cold. A limited one would get several times its limit in health checks. test_backend_limit_spares_cold_queries failed before. They are still asked where a place has no others, so that the place isn't taken to be cold for want of an answer.

--- a/lib/src/cold_queries.rs
+++ b/lib/src/cold_queries.rs
@@ -46,7 +46,7 @@
     /// Returns the queries that are due, at most one per place, and the time of the next ones.
     ///
     /// A reply counts for all backend servers of the place, because an evacuation makes all of
-    /// them cold. Querying every backend server would cost more than the requests
+    /// them cold. Those that declare a rate limit are spared if there are others. Querying every backend server would cost more than the requests
     /// themselves when all entry VMs have lost control.
     pub fn cold_queries(&mut self, now: Instant) -> (Vec<ColdQuery>, Instant) {
         let mut queries = Vec::new();
@@ -79,10 +79,18 @@
         if !self.cold_tracker.is_control_lost(now) {
             return places;
         }
-        for (key, backend) in &self.backends {
-            if backend.usable && backend.health.is_reachable(now) {
-                let members = places.entry(backend.record.place.clone()).or_default();
-                members.push(key);
+        let reachable = self
+            .backends
+            .iter()
+            .filter(|(_, backend)| backend.usable && backend.health.is_reachable(now));
+        for (key, backend) in reachable {
+            let members = places.entry(backend.record.place.clone()).or_default();
+            members.push(key);
+        }
+        for members in places.values_mut() {
+            let is_limited = |key: &BackendKey| self.backends[*key].limit.rate().is_some();
+            if !members.iter().all(is_limited) {
+                members.retain(|key| !is_limited(key));
             }
         }
         places
--- a/lib/tests/test_backend_limits.rs
+++ b/lib/tests/test_backend_limits.rs
@@ -544,3 +544,16 @@
     sender.apply_limits(now, &[statement(None, 50, 0)]);
     assert_eq!(sender.limit_statements(now, false).len(), 1);
 }
+
+/// Guards against health checks that use up the limit of a backend server while control is lost.
+#[test]
+fn test_backend_limit_spares_cold_queries() {
+    let mut fleet = Fleet::new(1, vec![Some(1.0), None]);
+    fleet.run(Duration::from_secs(3), 20);
+    let limited = server_name(0, 0);
+    for _ in 0..20 {
+        fleet.now += Duration::from_secs(1);
+        let (queries, _) = fleet.senders[0].cold_queries(fleet.now);
+        assert!(queries.iter().all(|query| query.name != limited));
+    }
+}
