limits of backend servers: tests over processes with a restart, a pause, a cut, changes and refusals

Entry VMs restart, are suspended and lose control while a limit binds; a limit is raised and ends; all backend servers are at their limits.

--- a/server/tests/direct_support/mod.rs
+++ b/server/tests/direct_support/mod.rs
@@ -204,6 +204,11 @@
         self.process.begin_stop();
     }
 
+    /// Suspends the entry VM for a time, as SIGSTOP and SIGCONT do.
+    pub fn freeze(&self, time: Duration) {
+        self.process.freeze(time);
+    }
+
     /// Waits until the entry VM has stopped.
     pub async fn ended(self) {
         self.process.ended().await;
--- a/server/tests/test_backend_limits.rs
+++ b/server/tests/test_backend_limits.rs
@@ -222,3 +222,88 @@
         );
     }
 }
+
+/// Guards against a limit that is exceeded once an entry VM restarts or resumes, or while control
+/// cannot be reached.
+#[tokio::test(flavor = "multi_thread")]
+async fn test_backend_limit_holds_through_restart_pause_and_cut() {
+    const RATE: f64 = 3.0;
+    const PAUSED: Duration = Duration::from_secs(2);
+    let mut scene = start(3, 2).await;
+    let mut callers = vec![Callers::start(&scene.call_addresses())];
+    scene.backends[0].declare_limit(Some("3"));
+    let declared_at = Instant::now();
+    scene.while_announced(sleep(SETTLING)).await;
+    scene.entries[1].freeze(PAUSED);
+    scene.while_announced(sleep(2 * PAUSED)).await;
+    scene.entries.pop().unwrap().stop().await;
+    let restarted = scene.deployment.start_entry("entry-3");
+    scene.entries.push(restarted);
+    scene.while_announced(scene.until_served()).await;
+    callers.push(Callers::start(&scene.call_addresses()[2..]));
+    scene.while_announced(sleep(PAUSED)).await;
+    for replica in &scene.deployment.replicas {
+        replica.freeze(PAUSED);
+    }
+    sleep(PAUSED).await;
+    scene.while_announced(sleep(PAUSED)).await;
+    for callers in callers {
+        callers.finish().await;
+    }
+    assert_within(&scene.backends[0], declared_at + SETTLING, RATE);
+}
+
+/// Guards against a limit that is not followed when its backend server raises or ends it.
+#[tokio::test(flavor = "multi_thread")]
+async fn test_backend_limit_is_raised_and_ended() {
+    let scene = start(3, 2).await;
+    let limited = &scene.backends[0];
+    let rate_above = async |rate: f64| {
+        let begun = Instant::now();
+        wait_for("requests above the limit", async || {
+            let most = most_in_window(&limited.arrivals(), begun);
+            (f64::from(u32::try_from(most).unwrap()) > rate * WINDOW.as_secs_f64()).then_some(())
+        })
+        .await
+        .unwrap();
+    };
+    let run = async {
+        let callers = Callers::start(&scene.call_addresses());
+        limited.declare_limit(Some("1"));
+        sleep(SETTLING).await;
+        limited.declare_limit(Some("6"));
+        rate_above(2.0).await;
+        let raised_at = Instant::now();
+        sleep(SETTLING + WINDOW).await;
+        assert_within(limited, raised_at, 6.0);
+        limited.declare_limit(None);
+        rate_above(10.0).await;
+        callers.finish().await;
+    };
+    scene.while_announced(run).await;
+}
+
+/// Guards against requests that are held, or get no hint when to return, if all backend servers are
+/// at their limits.
+#[tokio::test(flavor = "multi_thread")]
+async fn test_backend_limit_of_all_refuses_with_a_delay() {
+    let scene = start(2, 2).await;
+    for backend in &scene.backends {
+        backend.declare_limit(Some("0.5"));
+    }
+    let callers = Callers::start(&scene.call_addresses());
+    let answers = scene
+        .while_announced(async {
+            sleep(WINDOW).await;
+            callers.finish().await
+        })
+        .await;
+    let mut refused = answers.iter().filter(|a| a.status != StatusCode::OK);
+    assert!(refused.clone().count() > 0);
+    assert!(refused.all(|answer| {
+        let after = answer.retry_after.as_ref().map(|text| text.parse::<f64>());
+        answer.status == StatusCode::SERVICE_UNAVAILABLE
+            && answer.body == "backend_limit"
+            && matches!(after, Some(Ok(after)) if after > 0.0)
+    }));
+}
