--- a/cli/src/commands/status.rs
+++ b/cli/src/commands/status.rs
@@ -3,6 +3,7 @@
 use clap::ArgMatches;
 use clap::Command;
 use heatherring_lib::id::ClusterId;
+use heatherring_server::proto::BackendLimitStatus;
 use heatherring_server::proto::EntryStatus;
 use heatherring_server::proto::ReplicaStatus;
 use heatherring_server::proto::StatusReply;
@@ -66,6 +67,8 @@
 fn status_json(reply: &StatusReply) -> Value {
     let replicas: Vec<Value> = reply.replicas.iter().map(replica_json).collect();
     let entries: Vec<Value> = reply.entries.iter().map(entry_json).collect();
+    let limits = reply.backend_limits.iter();
+    let backend_limits: Vec<Value> = limits.map(backend_limit_json).collect();
     json!({
         "current": reply.current,
         "cluster_id": cluster_text(&reply.cluster_id),
@@ -83,6 +86,15 @@
         },
         "replicas": replicas,
         "entries": entries,
+        "backend_limits": backend_limits,
+    })
+}
+
+fn backend_limit_json(limit: &BackendLimitStatus) -> Value {
+    json!({
+        "backend": limit.backend,
+        "per_second": limit.per_second,
+        "declared_ms": limit.declared_ms,
     })
 }
 
@@ -132,7 +144,7 @@
     let entry_header = [
         "VM", "PLACE", "REGION", "SESSION", "CALLERS", "STATE", "REVISION", "LEASE MS",
     ];
-    [
+    let mut parts = vec![
         manifest_line(reply),
         format!(
             "cluster {}, term {}, revision {}, settled {}",
@@ -145,8 +157,22 @@
         table(&replica_header, &replicas),
         String::new(),
         table(&entry_header, &entries),
+    ];
+    if !reply.backend_limits.is_empty() {
+        let limits = reply.backend_limits.iter().map(backend_limit_row);
+        let limits: Vec<Vec<String>> = limits.collect();
+        let header = ["BACKEND SERVER", "LIMIT PER SECOND", "DECLARED MS AGO"];
+        parts.extend([String::new(), table(&header, &limits)]);
+    }
+    parts.join("\n")
+}
+
+fn backend_limit_row(limit: &BackendLimitStatus) -> Vec<String> {
+    vec![
+        limit.backend.clone(),
+        limit.per_second.to_string(),
+        limit.declared_ms.to_string(),
     ]
-    .join("\n")
 }
 
 fn manifest_line(reply: &StatusReply) -> String {
--- a/server/src/control_process.rs
+++ b/server/src/control_process.rs
@@ -483,7 +483,12 @@
         fleet: FleetService,
     ) -> Self {
         let replication = ReplicationService::new(identity, node.clone());
-        let operators = OperatorService::new(identity.cluster, node.clone(), control);
+        let operators = OperatorService::new(
+            identity.cluster,
+            node.clone(),
+            control,
+            fleet.limits().clone(),
+        );
         let sessions = SessionService::new(identity.cluster, settings.timing, node.clone());
         Self {
             replication: ReplicationServer::new(replication)
--- a/server/src/fleet_service.rs
+++ b/server/src/fleet_service.rs
@@ -100,6 +100,12 @@
         }
     }
 
+    /// Returns the rate limits of backend servers.
+    #[must_use]
+    pub const fn limits(&self) -> &LimitRelay {
+        &self.limits
+    }
+
     /// Returns whether a message was passed on by another replica, which names the cluster, rather
     /// than sent by an entry VM.
     fn is_relayed(&self, cluster_id: &[u8]) -> Result<bool, Status> {
--- a/server/src/operator_service.rs
+++ b/server/src/operator_service.rs
@@ -34,6 +34,7 @@
 use crate::leader_relay::is_relayed;
 use crate::leader_relay::operator_client;
 use crate::leader_relay::relayed_request;
+use crate::limit_relay::LimitRelay;
 use crate::membership_request::membership_change;
 use crate::membership_request::membership_reply;
 use crate::node_request::LeaderLink;
@@ -66,6 +67,7 @@
 use crate::proto::TeamsReply;
 use crate::proto::TeamsRequest;
 use crate::proto::operator_server::Operator;
+use crate::status_report;
 use crate::submit_reply::invalid_reply;
 use crate::submit_reply::refused_reply;
 use crate::submit_reply::relay_failed_reply;
@@ -83,16 +85,23 @@
     cluster: ClusterId,
     node: NodeHandle,
     control: FleetControl,
+    limits: LimitRelay,
 }
 
 impl OperatorService {
     /// Creates the service of a replica of the cluster `cluster`.
     #[must_use]
-    pub const fn new(cluster: ClusterId, node: NodeHandle, control: FleetControl) -> Self {
+    pub const fn new(
+        cluster: ClusterId,
+        node: NodeHandle,
+        control: FleetControl,
+        limits: LimitRelay,
+    ) -> Self {
         Self {
             cluster,
             node,
             control,
+            limits,
         }
     }
 }
@@ -196,7 +205,11 @@
                 return Ok(reply);
             }
         }
-        Ok(Response::new(own))
+        let backend_limits = status_report::backend_limits(&self.limits.statements());
+        Ok(Response::new(StatusReply {
+            backend_limits,
+            ..own
+        }))
     }
 
     async fn audit(&self, request: Request<AuditRequest>) -> Result<Response<AuditReply>, Status> {
--- a/server/src/status_report.rs
+++ b/server/src/status_report.rs
@@ -11,9 +11,11 @@
 use heatherring_lib::raft::Raft;
 use heatherring_lib::raft_effects::ReplicaProgress;
 use heatherring_lib::raft_message::ReplicaInfo;
+use heatherring_lib::rate_limit::LimitStatement;
 use heatherring_lib::session_tracker::SessionTracker;
 use heatherring_lib::view::EntrySession;
 
+use crate::proto::BackendLimitStatus;
 use crate::proto::EntryStatus;
 use crate::proto::ReplicaStatus;
 use crate::proto::StatusReply;
@@ -44,9 +46,24 @@
         replicas: replicas(raft, now),
         entries: entries(state, tracker, now),
         current,
+        backend_limits: Vec::new(),
     }
 }
 
+/// Returns the limits that backend servers declare.
+#[must_use]
+pub fn backend_limits(statements: &[LimitStatement]) -> Vec<BackendLimitStatus> {
+    let limited = statements.iter().filter_map(|statement| {
+        let rate = statement.rate?;
+        Some(BackendLimitStatus {
+            backend: statement.backend.to_string(),
+            per_second: rate.per_second(),
+            declared_ms: statement.age_ms.into(),
+        })
+    });
+    limited.collect()
+}
+
 fn replicas(raft: &Raft, now: Instant) -> Vec<ReplicaStatus> {
     let progress: BTreeMap<ReplicaId, ReplicaProgress> = raft
         .progress()
--- a/server/tests/test_backend_limits.rs
+++ b/server/tests/test_backend_limits.rs
@@ -14,6 +14,8 @@
 use direct_support::backend::Backend;
 use direct_support::call;
 use direct_support::request;
+use heatherring_server::proto::StatusRequest;
+use heatherring_server::proto::operator_client::OperatorClient;
 use heatherring_testutils::wait::wait_for;
 use http::HeaderValue;
 use http::Method;
@@ -101,6 +103,18 @@
         }
     }
 
+    /// Checks that the status of every control replica lists the limit of a backend server.
+    async fn assert_status_lists(&self, backend: &str) {
+        for replica in &self.deployment.replicas {
+            let url = format!("http://{}", replica.settings.listen);
+            let mut client = OperatorClient::connect(url).await.unwrap();
+            let reply = client.status(StatusRequest {}).await.unwrap().into_inner();
+            let limits = reply.backend_limits;
+            assert_eq!(limits.len(), 1);
+            assert_eq!(limits[0].backend, backend);
+        }
+    }
+
     fn call_addresses(&self) -> Vec<SocketAddr> {
         let entries = self.entries.iter();
         entries.map(|entry| entry.settings.listen.callers).collect()
@@ -201,6 +215,7 @@
             sleep(Duration::from_secs(2)).await;
         })
         .await;
+    scene.assert_status_lists("backend-1").await;
     let late = scene.deployment.start_entry("entry-3");
     scene.entries.push(late);
     let late = &scene.entries[2];
