rollouts: a request of a version at its limits is served by the other version

A request whose version had no usable backend server is served by the other version. With limits, the refusal got another reason, also where only the other version had a limited backend server, and such a request was refused. test_rollout_at_its_limits_is_served_by_the_other_version failed before. Found by reading the change.

--- a/lib/src/cold_queries.rs
+++ b/lib/src/cold_queries.rs
@@ -46,8 +46,9 @@
     /// Returns the queries that are due, at most one per place, and the time of the next ones.
     ///
     /// A reply counts for all backend servers of the place, because an evacuation makes all of
-    /// them cold. Those that declare a rate limit are spared if there are others. Querying every backend server would cost more than the requests
-    /// themselves when all entry VMs have lost control.
+    /// them cold. Querying every backend server would cost more than the requests themselves when
+    /// all entry VMs have lost control. Those that declare a rate limit are spared if there are
+    /// others.
     pub fn cold_queries(&mut self, now: Instant) -> (Vec<ColdQuery>, Instant) {
         let mut queries = Vec::new();
         for (place, members) in self.query_targets(now) {
--- a/lib/src/direct_dispatch.rs
+++ b/lib/src/direct_dispatch.rs
@@ -118,7 +118,9 @@
     pub(crate) limit_events: Vec<LimitEvent>,
     /// Limits that control passed on last.
     pub(crate) shared_limits: BTreeMap<BackendName, SharedLimit>,
+    /// Whether control has to be told a limit.
     pub(crate) limit_reports_due: bool,
+    /// Retry delays of requests that are refused because of limits.
     pub(crate) advice: RetryAdvice,
 }
 
@@ -346,7 +348,12 @@
         };
         match fallback {
             Fallback::Refused(other) => self.choose_among(now, request, other),
-            Fallback::Unavailable(other) if refused.reason == RefusedReason::NoBackend => {
+            Fallback::Unavailable(other)
+                if matches!(
+                    refused.reason,
+                    RefusedReason::NoBackend | RefusedReason::Limited
+                ) =>
+            {
                 self.choose_among(now, request, other)
             }
             Fallback::Unavailable(_) | Fallback::Never => Err(refused),
--- a/lib/src/rollout_routing.rs
+++ b/lib/src/rollout_routing.rs
@@ -32,7 +32,7 @@
 pub enum Fallback {
     /// Its own version cannot serve it in time.
     Refused(VersionFilter),
-    /// Its own version has no usable backend server.
+    /// Its own version has no usable backend server, or only such that are at their limits.
     Unavailable(VersionFilter),
     /// Never.
     Never,
--- a/lib/tests/test_rollout.rs
+++ b/lib/tests/test_rollout.rs
@@ -35,6 +35,8 @@
 use heatherring_lib::id::ServiceName;
 use heatherring_lib::id::VersionName;
 use heatherring_lib::id::VmName;
+use heatherring_lib::rate_limit::LimitStatement;
+use heatherring_lib::rate_limit::RequestRate;
 use heatherring_lib::request_rank::RequestRank;
 use heatherring_lib::rollout::RollbackReason;
 use heatherring_lib::rollout::RolloutAnswer;
@@ -560,3 +562,30 @@
     entry.dispatcher.stream_ended(choice.backend);
     assert!(is_idle(&mut entry));
 }
+
+/// Guards against requests that are refused because their version is at the limits that its backend
+/// servers declare, although the other version could serve them.
+#[test]
+fn test_rollout_at_its_limits_is_served_by_the_other_version() {
+    let mut control = Control::new();
+    control.order(order("v2", 15, 0));
+    control.step(partial(80));
+    let mut entry = Entry::new(&control);
+    let view = control.view();
+    let others = view
+        .backends
+        .iter()
+        .filter(|(name, _)| !name.as_str().starts_with("v2"));
+    let limits: Vec<LimitStatement> = others
+        .map(|(name, record)| LimitStatement {
+            backend: name.clone(),
+            born: record.born,
+            rate: RequestRate::new(0.0),
+            age_ms: 0,
+        })
+        .collect();
+    entry.dispatcher.apply_limits(entry.now, &limits);
+    let at_others = 1_000 - at_target(&entry.spread());
+    // Each may get the one request that asks whether its limit has ended.
+    assert!(at_others <= limits.len(), "{at_others}");
+}
