limits of backend servers: a refusal names them only if they are used up

A request that found no usable backend server was refused with backend_limit wherever one of them had a limit, also if that had room and the backend server couldn't be reached, and the caller was told to return by the limit. test_backend_limit_that_is_open_is_not_the_reason failed before.

--- a/lib/src/dispatch_limits.rs
+++ b/lib/src/dispatch_limits.rs
@@ -96,8 +96,10 @@
         let mut closed: Option<ClosedLimits> = None;
         for key in &service.backends {
             let backend = &self.backends[*key];
-            let is_eligible = backend.usable && request.allows(&backend.region);
-            let Some(rate) = backend.limit.rate().filter(|_| is_eligible) else {
+            let is_closed = backend.usable
+                && request.allows(&backend.region)
+                && self.is_over_limit(now, backend);
+            let Some(rate) = backend.limit.rate().filter(|_| is_closed) else {
                 continue;
             };
             let closed = closed.get_or_insert_default();
--- a/lib/tests/test_backend_limits.rs
+++ b/lib/tests/test_backend_limits.rs
@@ -363,6 +363,24 @@
     assert!(refused.retry_after >= Duration::from_secs(1), "{refused:?}");
 }
 
+/// Guards against a refusal that names a limit although the limit still allows requests.
+#[test]
+fn test_backend_limit_that_is_open_is_not_the_reason() {
+    let mut fleet = Fleet::new(1, vec![None]);
+    let choice = fleet.choose(0, 1).unwrap();
+    let limited = LimitNotice::Limited(rate(1_000.0));
+    fleet.end(0, &choice, SendOutcome::Answered, limited);
+    fleet.now += RUN;
+    let reason = loop {
+        match fleet.choose(0, 1) {
+            Ok(choice) => fleet.end(0, &choice, SendOutcome::Unreachable, LimitNotice::Absent),
+            Err(refused) => break refused.reason,
+        }
+        fleet.now += STEP;
+    };
+    assert_eq!(reason, RefusedReason::NoBackend);
+}
+
 /// Guards against a limited backend server that is passed over as if it failed.
 #[test]
 fn test_backend_limit_keeps_other_objects_in_place() {
