--- a/server/tests/test_direct.rs
+++ b/server/tests/test_direct.rs
@@ -95,7 +95,8 @@
     .unwrap();
     let calling = entry.call(Method::GET, "/safe/y");
     let (answer, ()) = tokio::join!(calling, deployment.submit_routes(1, 0));
-    assert_eq!(answer.unwrap().status, StatusCode::OK);
+    let answer = answer.unwrap();
+    assert_eq!(answer.status, StatusCode::OK, "{answer:?}");
 }
 
 /// Guards against the loss of a lookup's answer that its backend server gave in time: the lookup
@@ -200,7 +201,7 @@
     for number in 0..20 {
         let path = format!("/safe/{number}");
         let answer = entry.call(Method::GET, &path).await.unwrap();
-        assert_eq!(answer.status, StatusCode::OK);
+        assert_eq!(answer.status, StatusCode::OK, "{answer:?}");
     }
     assert_eq!(first.runs(), before);
 }
