limits of backend servers: entry VMs that start take their turns with the others

Which senders have a share changes every 10 s since a sender knew of the limit. One that started later counted from the latest statement that control passed on, so that after all had been replaced one by one each took its turns by a clock of its own, and by chance more of them had a share at a time: in a model of 40 entry VMs 11 requests in 4 s for a limit of 1 a second, where its own bound is 8. Now the time of the first statement goes along. test_backend_limit_holds_after_all_entry_vms_restarted failed before.

--- a/lib/src/backend_limit.rs
+++ b/lib/src/backend_limit.rs
@@ -122,10 +122,9 @@
         self.latest
     }
 
-    /// Returns for how long there has been a limit.
-    pub fn age(&self, now: Instant) -> Duration {
-        let since = self.since.unwrap_or(now);
-        now.saturating_duration_since(since)
+    /// Returns since when there has been a limit; `now` without one.
+    pub fn since(&self, now: Instant) -> Instant {
+        self.since.unwrap_or(now)
     }
 
     /// Returns the limit in force.
@@ -159,11 +158,14 @@
         known != rate
     }
 
-    /// Applies a statement that control passed on, received from the backend server `at`. Returns
-    /// whether the limit changed.
-    pub fn note_shared(&mut self, at: Instant, rate: Option<RequestRate>) -> bool {
+    /// Applies a statement that control passed on, received from the backend server `at`, about a
+    /// limit that was first stated at `since`. Returns whether the limit changed.
+    pub fn note_shared(&mut self, at: Instant, rate: Option<RequestRate>, since: Instant) -> bool {
         let known = self.rate();
         self.shared = rate;
+        if known.is_some() && rate.is_some() {
+            self.since = Some(since);
+        }
         if self.latest.is_some_and(|latest| latest.at >= at) {
             return false;
         }
@@ -172,6 +174,7 @@
             at,
             source: LimitSource::Control,
         });
+        self.since = rate.map(|_| since);
         known != rate
     }
 
--- a/lib/src/dispatch_limits.rs
+++ b/lib/src/dispatch_limits.rs
@@ -32,6 +32,7 @@
     born: u64,
     rate: Option<RequestRate>,
     at: Instant,
+    since: Instant,
 }
 
 /// Shares of the limits that kept a request from being sent.
@@ -50,7 +51,7 @@
     /// without a limit or a share of it.
     pub(crate) fn limit_interval(&self, now: Instant, backend: &Backend) -> Option<Duration> {
         let rate = backend.limit.rate()?;
-        let age = backend.limit.age(now);
+        let age = now.saturating_duration_since(backend.limit.since(now));
         let region = backend.region_hash;
         backend_limit::interval(&backend.name, region, self.own, &self.senders, rate, age)
     }
@@ -171,6 +172,7 @@
                 born: statement.born,
                 rate: statement.rate,
                 at: statement.observed_at(now),
+                since: statement.limited_since(now),
             };
             (statement.backend.clone(), limit)
         });
@@ -192,7 +194,9 @@
         if !is_same {
             return;
         }
-        let is_changed = backend.limit.note_shared(shared.at, shared.rate);
+        let is_changed = backend
+            .limit
+            .note_shared(shared.at, shared.rate, shared.since);
         self.limit_reports_due |= backend.limit.to_report(false).is_some();
         if is_changed {
             self.limit_changed(now, key, before, LimitSource::Control);
@@ -209,7 +213,8 @@
                 backend: backend.name.clone(),
                 born: backend.record.born,
                 rate: latest.rate,
-                age_ms: LimitStatement::age_ms(now, latest.at),
+                age_ms: LimitStatement::ms_since(now, latest.at),
+                limited_ms: LimitStatement::ms_since(now, backend.limit.since(now)),
             })
         };
         self.backends.values().filter_map(statement).collect()
--- a/lib/src/limit_board.rs
+++ b/lib/src/limit_board.rs
@@ -33,6 +33,8 @@
     born: u64,
     rate: Option<RequestRate>,
     at: Instant,
+    /// When the limit was first stated; `at` if it has ended.
+    since: Instant,
 }
 
 impl LimitBoard {
@@ -71,10 +73,11 @@
     }
 
     fn apply_one(&mut self, now: Instant, statement: &LimitStatement) -> bool {
-        let new = Observation {
+        let mut new = Observation {
             born: statement.born,
             rate: statement.rate,
             at: statement.observed_at(now),
+            since: statement.limited_since(now),
         };
         let Some(known) = self.observations.get_mut(&statement.backend) else {
             if self.observations.len() >= MAX_BACKENDS || new.rate.is_none() {
@@ -87,6 +90,10 @@
             return false;
         }
         let is_change = new.rate != known.rate;
+        let goes_on = new.born == known.born && known.rate.is_some();
+        if goes_on {
+            new.since = new.since.min(known.since);
+        }
         *known = new;
         is_change
     }
@@ -100,7 +107,10 @@
                 backend: backend.clone(),
                 born: known.born,
                 rate: known.rate,
-                age_ms: LimitStatement::age_ms(now, known.at),
+                age_ms: LimitStatement::ms_since(now, known.at),
+                limited_ms: known
+                    .rate
+                    .map_or(0, |_| LimitStatement::ms_since(now, known.since)),
             })
             .collect()
     }
--- a/lib/src/rate_limit.rs
+++ b/lib/src/rate_limit.rs
@@ -97,20 +97,33 @@
     /// Time since an entry VM received the answer that stated it, in milliseconds. Clocks of
     /// different VMs are not compared.
     pub age_ms: u32,
+    /// Time since the limit was first stated, whatever its figure, in milliseconds; 0 if it has
+    /// ended. Senders select those of them that have a share by it.
+    pub limited_ms: u32,
 }
 
 impl LimitStatement {
     /// Returns when the statement was received from the backend server.
     #[must_use]
     pub fn observed_at(&self, now: Instant) -> Instant {
-        let age = Duration::from_millis(self.age_ms.into());
-        now.checked_sub(age).unwrap_or(now)
+        before(now, self.age_ms)
     }
 
-    /// Returns an age for a statement observed at `observed_at`.
+    /// Returns when the limit was first stated.
     #[must_use]
-    pub fn age_ms(now: Instant, observed_at: Instant) -> u32 {
-        let age = now.saturating_duration_since(observed_at).as_millis();
+    pub fn limited_since(&self, now: Instant) -> Instant {
+        before(now, self.limited_ms)
+    }
+
+    /// Returns the time from `at` to `now` as it is written in statements.
+    #[must_use]
+    pub fn ms_since(now: Instant, at: Instant) -> u32 {
+        let age = now.saturating_duration_since(at).as_millis();
         u32::try_from(age).unwrap_or(u32::MAX)
     }
 }
+
+fn before(now: Instant, ms: u32) -> Instant {
+    let passed = Duration::from_millis(ms.into());
+    now.checked_sub(passed).unwrap_or(now)
+}
--- a/lib/tests/test_backend_limits.rs
+++ b/lib/tests/test_backend_limits.rs
@@ -188,6 +188,20 @@
         }
     }
 
+    /// Replaces a sender by one that knows what control passes on.
+    fn restart(&mut self, number: usize, statements: &[LimitStatement]) {
+        let scenario = Scenario {
+            servers: vec![self.limits.len()],
+            entries: self.senders.len(),
+            ..Scenario::look_up()
+        };
+        let mut restarted = Dispatcher::new(config(number), self.now);
+        restarted.apply_limits(self.now, statements);
+        restarted.apply_view(self.now, &view(&scenario));
+        self.senders[number] = restarted;
+        self.running.retain(|(sender, ..)| *sender != number);
+    }
+
     fn choose(&mut self, sender: usize, object: u32) -> Result<Choice, Refused> {
         let request = DispatchRequest {
             service: &service(),
@@ -323,6 +337,31 @@
     assert!(most <= allowed, "{most} in a window, {allowed} allowed");
 }
 
+/// Guards against entry VMs that take turns by different clocks once they have been replaced one by
+/// one, so that more of them have a share at a time than the limit allows.
+#[test]
+fn test_backend_limit_holds_after_all_entry_vms_restarted() {
+    const ENTRIES: usize = 40;
+    let mut fleet = Fleet::new(ENTRIES, vec![Some(1.0), None, None]);
+    fleet.run(Duration::from_secs(8), 120);
+    let mut board = board();
+    for number in 0..ENTRIES {
+        let now = fleet.now;
+        for sender in &mut fleet.senders {
+            board.apply(now, sender.limit_statements(now, true));
+        }
+        let statements = board.statements(now);
+        for sender in &mut fleet.senders {
+            sender.apply_limits(now, &statements);
+        }
+        fleet.restart(number, &statements);
+        fleet.run(Duration::from_millis(650), 120);
+    }
+    fleet.run(Duration::from_mins(2), 120);
+    let most = fleet.most_in_window(0, fleet.since(Duration::from_secs(40)));
+    assert!(most <= 1.0 * 6.25 + 2.0, "{most} in a window");
+}
+
 /// Guards against a limited backend server that gets far less than it accepts.
 #[test]
 fn test_backend_limit_is_used() {
@@ -455,6 +494,7 @@
         born,
         rate: per_second.map(rate),
         age_ms,
+        limited_ms: per_second.map_or(0, |_| age_ms),
     }
 }
 
@@ -532,15 +572,7 @@
 #[test]
 fn test_backend_limit_is_known_before_its_backend_server() {
     let mut fleet = Fleet::new(1, vec![None, None]);
-    let scenario = Scenario {
-        servers: vec![2],
-        entries: 1,
-        ..Scenario::look_up()
-    };
-    let mut restarted = Dispatcher::new(config(0), fleet.now);
-    restarted.apply_limits(fleet.now, &[statement(Some(0.0), 0, 0)]);
-    restarted.apply_view(fleet.now, &view(&scenario));
-    fleet.senders[0] = restarted;
+    fleet.restart(0, &[statement(Some(0.0), 0, 0)]);
     let limited = server_name(0, 0);
     let chosen = (0..40).map_while(|object| Some(fleet.choose(0, object).ok()?.name));
     let sent = chosen.filter(|name| *name == limited).count();
--- a/lib/tests/test_rollout.rs
+++ b/lib/tests/test_rollout.rs
@@ -582,6 +582,7 @@
             born: record.born,
             rate: RequestRate::new(0.0),
             age_ms: 0,
+            limited_ms: 0,
         })
         .collect();
     entry.dispatcher.apply_limits(entry.now, &limits);
