--- a/server/src/limit_relay.rs
+++ b/server/src/limit_relay.rs
@@ -131,13 +131,12 @@
     async fn repeat(self) {
         loop {
             tokio::time::sleep(REPEAT_INTERVAL).await;
-            self.forget();
-            let statements = self.statements();
-            if statements.is_empty() {
+            if !self.has_statements() {
                 continue;
             }
+            self.forget();
             if let Some(replica) = self.others().choose(&mut rand::rng()) {
-                self.send(*replica, &statements);
+                self.send(*replica, &self.statements());
             }
         }
     }
