dispatch: one constructor of the report on a request's end

SendEnd was written out in eight places, two of them in the product; the fields that a place doesn't care about are now set in one. No behaviour changes, tests keep their assertions.

--- a/lib/src/dispatch_request.rs
+++ b/lib/src/dispatch_request.rs
@@ -202,3 +202,19 @@
     /// Object that the request referred to; `None` if it referred to none.
     pub object: Option<ObjectHash>,
 }
+
+impl SendEnd {
+    /// Creates the report on a request that ended without an answer of the backend server, or
+    /// whose answer reports nothing.
+    #[must_use]
+    pub const fn new(choice: &Choice, outcome: SendOutcome) -> Self {
+        Self {
+            backend: choice.backend,
+            send: choice.send,
+            outcome,
+            load: None,
+            limit: None,
+            object: None,
+        }
+    }
+}
--- a/lib/tests/dispatch_model/mod.rs
+++ b/lib/tests/dispatch_model/mod.rs
@@ -421,21 +421,19 @@
         let now = self.at();
         let request = &self.requests[request];
         let server = &self.servers[request.server];
+        let outcome = if shed {
+            SendOutcome::Shed
+        } else {
+            SendOutcome::Answered
+        };
         let end = SendEnd {
-            backend: request.choice.backend,
-            send: request.choice.send,
-            outcome: if shed {
-                SendOutcome::Shed
-            } else {
-                SendOutcome::Answered
-            },
-            limit: None,
             load: Some(LoadReport {
                 running: server.running,
                 waiting: u32::try_from(server.waiting.len()).unwrap(),
                 slots: self.scenario.slots,
             }),
             object: Some(ObjectHash::of("route", &request.object.to_string())),
+            ..SendEnd::new(&request.choice, outcome)
         };
         let took = self.now.saturating_sub(request.began);
         if self.counts(request.began) {
--- a/lib/tests/dispatch_model/probe.rs
+++ b/lib/tests/dispatch_model/probe.rs
@@ -114,14 +114,7 @@
     }
 
     pub fn end(&mut self, choice: &Choice, outcome: SendOutcome) {
-        let end = SendEnd {
-            backend: choice.backend,
-            send: choice.send,
-            outcome,
-            limit: None,
-            load: None,
-            object: None,
-        };
+        let end = SendEnd::new(choice, outcome);
         self.dispatcher.ended(self.now, &end);
     }
 }
--- a/lib/tests/test_backend_limits.rs
+++ b/lib/tests/test_backend_limits.rs
@@ -228,12 +228,8 @@
             at: self.now,
         };
         let end = SendEnd {
-            backend: choice.backend,
-            send: choice.send,
-            outcome,
-            load: None,
             limit: Some(report),
-            object: None,
+            ..SendEnd::new(choice, outcome)
         };
         self.senders[sender].ended(self.now, &end);
     }
@@ -282,15 +278,11 @@
 
     fn begin(&mut self, sender: usize, choice: &Choice) {
         let end = SendEnd {
-            backend: choice.backend,
-            send: choice.send,
-            outcome: SendOutcome::Answered,
-            load: None,
             limit: Some(LimitReport {
                 notice: self.notice(&choice.name),
                 at: self.now,
             }),
-            object: None,
+            ..SendEnd::new(choice, SendOutcome::Answered)
         };
         self.running.push((sender, self.now + RUN, end));
         self.arrivals.push((choice.name.clone(), self.now));
--- a/lib/tests/test_cold_tracker.rs
+++ b/lib/tests/test_cold_tracker.rs
@@ -154,12 +154,8 @@
             return;
         };
         let end = SendEnd {
-            backend: choice.backend,
-            send: choice.send,
-            outcome: SendOutcome::Answered,
-            limit: None,
-            load: None,
             object: Some(object),
+            ..SendEnd::new(&choice, SendOutcome::Answered)
         };
         self.running.push((sender, self.now + RUN, end));
         self.arrivals.entry(choice.name).or_default().push(self.now);
--- a/lib/tests/test_rollout.rs
+++ b/lib/tests/test_rollout.rs
@@ -341,14 +341,7 @@
     }
 
     fn end(&mut self, choice: &Choice, took: Duration, outcome: SendOutcome) {
-        let end = SendEnd {
-            backend: choice.backend,
-            send: choice.send,
-            outcome,
-            limit: None,
-            load: None,
-            object: None,
-        };
+        let end = SendEnd::new(choice, outcome);
         self.dispatcher.ended(self.now + took, &end);
     }
 
--- a/server/src/dispatch_task.rs
+++ b/server/src/dispatch_task.rs
@@ -146,12 +146,8 @@
         let guard = SendGuard {
             tx: self.tx.clone(),
             end: SendEnd {
-                backend: choice.backend,
-                send: choice.send,
-                outcome: SendOutcome::Abandoned,
-                load: None,
-                limit: None,
                 object,
+                ..SendEnd::new(&choice, SendOutcome::Abandoned)
             },
         };
         Ok((choice, guard))
@@ -293,7 +289,8 @@
             Message::Choose { request, reply } => {
                 let result = dispatcher.choose(now, &borrowed(&request));
                 if let Err(Ok(choice)) = reply.send(result) {
-                    dispatcher.ended(now, &unused(&choice));
+                    // The requester has gone.
+                    dispatcher.ended(now, &SendEnd::new(&choice, SendOutcome::Abandoned));
                 }
             }
             Message::Ended(end) => dispatcher.ended(now, &end),
@@ -363,15 +360,3 @@
         resend: request.resend,
     }
 }
-
-/// Returns the outcome of a choice whose requester has gone.
-const fn unused(choice: &Choice) -> SendEnd {
-    SendEnd {
-        backend: choice.backend,
-        send: choice.send,
-        outcome: SendOutcome::Abandoned,
-        load: None,
-        limit: None,
-        object: None,
-    }
-}
