limits of backend servers: one record of an observation, no allocation to divide a limit

What is known of a limit stood in three records with the same fields (control's list, what an entry VM got from control, the message) and three conversions of ages; LimitObservation serves all. The source and age of a change are those of the latest statement and aren't passed along it; the time since which a limit stands is set in one place. Dividing a rate copied the list of entry VMs for each candidate, cold ones included since the division was made general; it iterates now.

--- a/lib/src/backend_limit.rs
+++ b/lib/src/backend_limit.rs
@@ -15,6 +15,7 @@
 use crate::affinity::ObjectHash;
 use crate::id::BackendName;
 use crate::rate_limit::LimitNotice;
+use crate::rate_limit::LimitObservation;
 use crate::rate_limit::LimitReport;
 use crate::rate_limit::RequestRate;
 use crate::sender_share;
@@ -28,9 +29,9 @@
 /// Time for which the same senders have a share.
 const ROTATION: Duration = Duration::from_secs(10);
 
-/// How much earlier than its interval a sender may send a request if the one before was late. In
-/// sum, senders exceed the limit by at most as many requests as it allows in this time.
-pub(crate) const TOLERANCE: Duration = Duration::from_millis(250);
+/// Largest [`tolerance`]. In sum, senders exceed the limit by at most as many requests as it allows
+/// in this time.
+const TOLERANCE: Duration = Duration::from_millis(250);
 
 /// Relative change of a limit from which on it is reported and logged.
 const MATERIAL_CHANGE: f64 = 0.1;
@@ -71,7 +72,7 @@
 /// A change of what is known about a limit.
 #[derive(Clone, Debug, PartialEq)]
 pub struct LimitChange {
-    /// The backend server.
+    /// Backend server that declared it.
     pub backend: BackendName,
     /// The new limit; `None` if it has ended.
     pub rate: Option<RequestRate>,
@@ -117,11 +118,6 @@
 }
 
 impl BackendLimit {
-    /// Returns the latest statement.
-    pub const fn latest(&self) -> Option<Statement> {
-        self.latest
-    }
-
     /// Returns since when there has been a limit; `now` without one.
     pub fn since(&self, now: Instant) -> Instant {
         self.since.unwrap_or(now)
@@ -158,24 +154,22 @@
         known != rate
     }
 
-    /// Applies a statement that control passed on, received from the backend server `at`, about a
-    /// limit that was first stated at `since`. Returns whether the limit changed.
-    pub fn note_shared(&mut self, at: Instant, rate: Option<RequestRate>, since: Instant) -> bool {
+    /// Applies an observation that control passed on. Returns whether the limit changed.
+    pub fn note_shared(&mut self, observed: &LimitObservation) -> bool {
         let known = self.rate();
+        let LimitObservation { rate, at, .. } = *observed;
         self.shared = rate;
-        if known.is_some() && rate.is_some() {
-            self.since = Some(since);
+        if self.latest.is_none_or(|latest| latest.at < at) {
+            self.set(Statement {
+                rate,
+                at,
+                source: LimitSource::Control,
+            });
         }
-        if self.latest.is_some_and(|latest| latest.at >= at) {
-            return false;
+        if self.rate().is_some() && rate.is_some() {
+            self.since = Some(observed.since);
         }
-        self.set(Statement {
-            rate,
-            at,
-            source: LimitSource::Control,
-        });
-        self.since = rate.map(|_| since);
-        known != rate
+        known != self.rate()
     }
 
     /// Returns the latest statement if it came from the backend server itself and control knows
@@ -191,14 +185,14 @@
         self.shared = rate;
     }
 
-    /// Returns whether the limit has to be logged, and if so records it as logged.
-    pub fn take_log(&mut self) -> bool {
-        let rate = self.rate();
-        let is_due = is_material(self.logged, rate);
-        if is_due {
-            self.logged = rate;
-        }
-        is_due
+    /// Returns the latest statement if it has to be logged, and records it as logged.
+    pub fn take_log(&mut self) -> Option<Statement> {
+        let latest = self.latest?;
+        let is_due = is_material(self.logged, latest.rate);
+        is_due.then(|| {
+            self.logged = latest.rate;
+            latest
+        })
     }
 
     fn set(&mut self, statement: Statement) {
@@ -243,15 +237,14 @@
     rate: RequestRate,
     age: Duration,
 ) -> Option<Duration> {
-    let is_local = |sender: &Sender| sender.region == region;
-    let peers: Vec<MemberHash> = senders
+    let is_local = own.region == region;
+    let peers = senders
         .iter()
-        .filter(|sender| is_local(sender) == is_local(&own))
-        .map(|sender| sender.vm)
-        .collect();
-    let share = if peers.len() == senders.len() {
+        .filter(|sender| (sender.region == region) == is_local)
+        .map(|sender| sender.vm);
+    let share = if peers.clone().count() == senders.len() {
         1.0
-    } else if is_local(&own) {
+    } else if is_local {
         LOCAL_SHARE
     } else {
         1.0 - LOCAL_SHARE
@@ -259,5 +252,11 @@
     let rate = rate.per_second().max(MIN_RATE) * share;
     let turn = age.as_secs() / ROTATION.as_secs();
     let subject = ObjectHash::of(&format!("limit-{turn}"), backend.as_str());
-    sender_share::interval(subject, own.vm, &peers, rate, TURN)
+    sender_share::interval(subject, own.vm, peers, rate, TURN)
+}
+
+/// Returns how much earlier than `interval` a sender may send a request if the one before was late.
+#[must_use]
+pub fn tolerance(interval: Duration) -> Duration {
+    interval.min(TOLERANCE)
 }
--- a/lib/src/direct_dispatch.rs
+++ b/lib/src/direct_dispatch.rs
@@ -21,7 +21,6 @@
 use crate::cold_tracker::ColdTracker;
 use crate::dispatch_assess::Candidates;
 use crate::dispatch_backend::Backend;
-use crate::dispatch_limits::SharedLimit;
 use crate::dispatch_pick;
 use crate::dispatch_pick::Candidate;
 use crate::dispatch_pick::PickLimits;
@@ -45,6 +44,7 @@
 use crate::id::ServiceName;
 use crate::id::VmName;
 use crate::link_congestion::LinkCongestion;
+use crate::rate_limit::LimitObservation;
 use crate::region_moves::RegionMoves;
 use crate::request_rank::RankFairness;
 use crate::retry_advice::RetryAdvice;
@@ -64,11 +64,12 @@
 /// together.
 const RETRY_SPREAD: f64 = 0.5;
 
-/// Share of the rate that a cold backend server bears that is used. The rest covers senders that
-/// the others do not know yet, and requests that arrive bunched together after network delays.
+/// Fraction of the rate limit of a cold backend server that senders use. The rest covers senders
+/// that the others do not know yet, and requests that network delays bunch together.
 const COLD_USED_SHARE: f64 = 0.9;
 
-/// Time in which each sender with a share of that rate may send one request, if not all have one.
+/// Time in which each sender with a share of that rate limit may send one request, if not all have
+/// one.
 const COLD_TURN: Duration = Duration::from_secs(1);
 
 /// Configuration of a dispatcher.
@@ -117,7 +118,7 @@
     /// Changes of limits that have not been taken yet.
     pub(crate) limit_events: Vec<LimitEvent>,
     /// Limits that control passed on last.
-    pub(crate) shared_limits: BTreeMap<BackendName, SharedLimit>,
+    pub(crate) shared_limits: BTreeMap<BackendName, LimitObservation>,
     /// Whether control has to be told a limit.
     pub(crate) limit_reports_due: bool,
     /// Retry delays of requests that are refused because of limits.
@@ -454,11 +455,7 @@
         }
         let moved = preferred.is_some_and(|region| region != best.region);
         self.moves.note(now, moved);
-        let choice = self.begin(now, &best, latency_key, max_connections);
-        Ok(Choice {
-            passed_over,
-            ..choice
-        })
+        Ok(self.begin(now, &best, latency_key, max_connections, passed_over))
     }
 
     /// Refuses a request that another entry VM can serve immediately.
@@ -501,6 +498,7 @@
         best: &Candidate,
         latency_key: RouteLatencyKey,
         max_connections: u32,
+        passed_over: usize,
     ) -> Choice {
         let interval = self.limit_interval(now, &self.backends[best.backend]);
         let backend = &mut self.backends[best.backend];
@@ -527,7 +525,7 @@
             wait: seconds(best.wait),
             report_age,
             limit: backend.limit.rate(),
-            passed_over: 0,
+            passed_over,
         }
     }
 
@@ -541,9 +539,9 @@
 
     pub(crate) fn cold_interval(&self, backend: &Backend, rate: f64) -> Option<Duration> {
         let object = ObjectHash::of("cold", backend.name.as_str());
-        let senders: Vec<MemberHash> = self.senders.iter().map(|sender| sender.vm).collect();
+        let senders = self.senders.iter().map(|sender| sender.vm);
         let rate = rate * COLD_USED_SHARE;
-        sender_share::interval(object, self.own.vm, &senders, rate, COLD_TURN)
+        sender_share::interval(object, self.own.vm, senders, rate, COLD_TURN)
     }
 
     /// Records the end of a request.
--- a/lib/src/dispatch_assess.rs
+++ b/lib/src/dispatch_assess.rs
@@ -59,10 +59,6 @@
         request: &DispatchRequest<'_>,
         filter: VersionFilter,
     ) -> Candidates {
-        let found = |list| Candidates {
-            list,
-            passed_over: 0,
-        };
         let share = service.target_share();
         let of_version = |key: &BackendKey| self.backends[*key].matches(filter, share);
         let stable: Vec<BackendKey> = service
@@ -73,7 +69,10 @@
             .collect();
         let Some(object) = request.object.filter(|_| self.cfg.policy.homes) else {
             let all = stable.iter().map(|key| (*key, 0));
-            return found(self.assess(now, all, service, latency_key, request));
+            return Candidates {
+                list: self.assess(now, all, service, latency_key, request),
+                passed_over: 0,
+            };
         };
         let objects = service.objects_of(filter);
         let mut ranked = self.ranked(&stable, object, objects);
--- a/lib/src/dispatch_limits.rs
+++ b/lib/src/dispatch_limits.rs
@@ -11,8 +11,7 @@
 use crate::backend_limit;
 use crate::backend_limit::LimitChange;
 use crate::backend_limit::LimitEvent;
-use crate::backend_limit::LimitSource;
-use crate::backend_limit::TOLERANCE;
+use crate::backend_limit::tolerance;
 use crate::direct_dispatch::Dispatcher;
 use crate::dispatch_backend::Backend;
 use crate::dispatch_request::BackendKey;
@@ -23,18 +22,10 @@
 use crate::dispatch_request::SendOutcome;
 use crate::id::BackendName;
 use crate::rate_limit::LimitNotice;
+use crate::rate_limit::LimitObservation;
 use crate::rate_limit::LimitStatement;
 use crate::rate_limit::RequestRate;
 
-/// Limit of a backend server as passed on by control.
-#[derive(Clone, Copy, Debug)]
-pub(crate) struct SharedLimit {
-    born: u64,
-    rate: Option<RequestRate>,
-    at: Instant,
-    since: Instant,
-}
-
 /// Shares of the limits that kept a request from being sent.
 #[derive(Clone, Copy, Debug, Default)]
 struct ClosedLimits {
@@ -129,17 +120,11 @@
         let is_changed = backend.limit.note_answer(sent_at, report, may_lift);
         self.limit_reports_due |= backend.limit.to_report(false).is_some();
         if is_changed {
-            self.limit_changed(now, end.backend, before, LimitSource::Answer);
+            self.limit_changed(now, end.backend, before);
         }
     }
 
-    fn limit_changed(
-        &mut self,
-        now: Instant,
-        key: BackendKey,
-        before: Option<RequestRate>,
-        source: LimitSource,
-    ) {
+    fn limit_changed(&mut self, now: Instant, key: BackendKey, before: Option<RequestRate>) {
         let interval = self.limit_interval(now, &self.backends[key]);
         let own = self.own.vm;
         let backend = &mut self.backends[key];
@@ -150,16 +135,15 @@
                 .gate
                 .hold_until(now + interval.mul_f64(phase), interval);
         }
-        if !backend.limit.take_log() {
+        let Some(latest) = backend.limit.take_log() else {
             return;
-        }
-        let at = backend.limit.latest().map_or(now, |statement| statement.at);
+        };
         self.limit_events.push(LimitEvent::Changed(LimitChange {
             backend: backend.name.clone(),
-            rate: backend.limit.rate(),
+            rate: latest.rate,
             before,
-            source,
-            age: now.saturating_duration_since(at),
+            source: latest.source,
+            age: now.saturating_duration_since(latest.at),
             interval,
         }));
     }
@@ -168,13 +152,8 @@
     /// is no longer listed stays in force.
     pub fn apply_limits(&mut self, now: Instant, statements: &[LimitStatement]) {
         let shared = statements.iter().map(|statement| {
-            let limit = SharedLimit {
-                born: statement.born,
-                rate: statement.rate,
-                at: statement.observed_at(now),
-                since: statement.limited_since(now),
-            };
-            (statement.backend.clone(), limit)
+            let observed = LimitObservation::of(now, statement);
+            (statement.backend.clone(), observed)
         });
         self.shared_limits = shared.collect();
         for statement in statements {
@@ -187,19 +166,15 @@
         let (Some(shared), Some(key)) = (self.shared_limits.get(name), self.key(name)) else {
             return;
         };
-        let shared = *shared;
         let backend = &mut self.backends[key];
-        let before = backend.limit.rate();
-        let is_same = backend.record.born == shared.born;
-        if !is_same {
+        if backend.record.born != shared.born {
             return;
         }
-        let is_changed = backend
-            .limit
-            .note_shared(shared.at, shared.rate, shared.since);
+        let before = backend.limit.rate();
+        let is_changed = backend.limit.note_shared(shared);
         self.limit_reports_due |= backend.limit.to_report(false).is_some();
         if is_changed {
-            self.limit_changed(now, key, before, LimitSource::Control);
+            self.limit_changed(now, key, before);
         }
     }
 
@@ -209,13 +184,13 @@
     pub fn limit_statements(&self, now: Instant, all: bool) -> Vec<LimitStatement> {
         let statement = |backend: &Backend| {
             let latest = backend.limit.to_report(all)?;
-            Some(LimitStatement {
-                backend: backend.name.clone(),
+            let observed = LimitObservation {
                 born: backend.record.born,
                 rate: latest.rate,
-                age_ms: LimitStatement::ms_since(now, latest.at),
-                limited_ms: LimitStatement::ms_since(now, backend.limit.since(now)),
-            })
+                at: latest.at,
+                since: backend.limit.since(now),
+            };
+            Some(observed.statement(now, backend.name.clone()))
         };
         self.backends.values().filter_map(statement).collect()
     }
@@ -239,7 +214,3 @@
         std::mem::take(&mut self.limit_events)
     }
 }
-
-fn tolerance(interval: Duration) -> Duration {
-    interval.min(TOLERANCE)
-}
--- a/lib/src/limit_board.rs
+++ b/lib/src/limit_board.rs
@@ -10,8 +10,8 @@
 use std::time::Instant;
 
 use crate::id::BackendName;
+use crate::rate_limit::LimitObservation;
 use crate::rate_limit::LimitStatement;
-use crate::rate_limit::RequestRate;
 
 /// Maximum number of backend servers with a statement. Entry VMs learn further limits from the
 /// answers that they receive themselves.
@@ -25,16 +25,7 @@
 pub struct LimitBoard {
     /// Number of the last change.
     number: u64,
-    observations: BTreeMap<BackendName, Observation>,
-}
-
-#[derive(Clone, Copy, Debug)]
-struct Observation {
-    born: u64,
-    rate: Option<RequestRate>,
-    at: Instant,
-    /// When the limit was first stated; `at` if it has ended.
-    since: Instant,
+    observations: BTreeMap<BackendName, LimitObservation>,
 }
 
 impl LimitBoard {
@@ -73,12 +64,7 @@
     }
 
     fn apply_one(&mut self, now: Instant, statement: &LimitStatement) -> bool {
-        let mut new = Observation {
-            born: statement.born,
-            rate: statement.rate,
-            at: statement.observed_at(now),
-            since: statement.limited_since(now),
-        };
+        let mut new = LimitObservation::of(now, statement);
         let Some(known) = self.observations.get_mut(&statement.backend) else {
             if self.observations.len() >= MAX_BACKENDS || new.rate.is_none() {
                 return false;
@@ -103,15 +89,7 @@
     pub fn statements(&self, now: Instant) -> Vec<LimitStatement> {
         let observations = self.observations.iter();
         observations
-            .map(|(backend, known)| LimitStatement {
-                backend: backend.clone(),
-                born: known.born,
-                rate: known.rate,
-                age_ms: LimitStatement::ms_since(now, known.at),
-                limited_ms: known
-                    .rate
-                    .map_or(0, |_| LimitStatement::ms_since(now, known.since)),
-            })
+            .map(|(backend, known)| known.statement(now, backend.clone()))
             .collect()
     }
 
--- a/lib/src/rate_limit.rs
+++ b/lib/src/rate_limit.rs
@@ -85,42 +85,64 @@
     pub at: Instant,
 }
 
-/// What is known of the limit of one incarnation of a backend server, as processes tell each other.
+/// What is known of the limit of one incarnation of a backend server.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct LimitObservation {
+    /// When the incarnation started.
+    pub born: u64,
+    /// The limit; `None` if it has ended.
+    pub rate: Option<RequestRate>,
+    /// When an entry VM received the answer that stated it.
+    pub at: Instant,
+    /// When the limit was first stated, whatever its figure; without meaning if it has ended.
+    pub since: Instant,
+}
+
+/// An observation as processes tell it each other. It contains ages instead of times, since the
+/// clocks of different VMs are not compared.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct LimitStatement {
-    /// The backend server.
+    /// Backend server that declared the limit.
     pub backend: BackendName,
     /// When its incarnation started.
     pub born: u64,
     /// The limit; `None` if it has ended.
     pub rate: Option<RequestRate>,
-    /// Time since an entry VM received the answer that stated it, in milliseconds. Clocks of
-    /// different VMs are not compared.
+    /// Time since an entry VM received the answer that stated it, in milliseconds.
     pub age_ms: u32,
-    /// Time since the limit was first stated, whatever its figure, in milliseconds; 0 if it has
-    /// ended. Senders select those of them that have a share by it.
+    /// Time since the limit was first stated, in milliseconds; 0 if it has ended. Senders select
+    /// those of them that have a share by it.
     pub limited_ms: u32,
 }
 
-impl LimitStatement {
-    /// Returns when the statement was received from the backend server.
+impl LimitObservation {
+    /// Returns the observation that a statement received at `now` reports.
     #[must_use]
-    pub fn observed_at(&self, now: Instant) -> Instant {
-        before(now, self.age_ms)
+    pub fn of(now: Instant, statement: &LimitStatement) -> Self {
+        Self {
+            born: statement.born,
+            rate: statement.rate,
+            at: before(now, statement.age_ms),
+            since: before(now, statement.limited_ms),
+        }
     }
 
-    /// Returns when the limit was first stated.
+    /// Returns the statement that reports the observation at `now`.
     #[must_use]
-    pub fn limited_since(&self, now: Instant) -> Instant {
-        before(now, self.limited_ms)
+    pub fn statement(&self, now: Instant, backend: BackendName) -> LimitStatement {
+        LimitStatement {
+            backend,
+            born: self.born,
+            rate: self.rate,
+            age_ms: ms_since(now, self.at),
+            limited_ms: self.rate.map_or(0, |_| ms_since(now, self.since)),
+        }
     }
+}
 
-    /// Returns the time from `at` to `now` as it is written in statements.
-    #[must_use]
-    pub fn ms_since(now: Instant, at: Instant) -> u32 {
-        let age = now.saturating_duration_since(at).as_millis();
-        u32::try_from(age).unwrap_or(u32::MAX)
-    }
+fn ms_since(now: Instant, at: Instant) -> u32 {
+    let age = now.saturating_duration_since(at).as_millis();
+    u32::try_from(age).unwrap_or(u32::MAX)
 }
 
 fn before(now: Instant, ms: u32) -> Instant {
--- a/lib/src/sender_share.rs
+++ b/lib/src/sender_share.rs
@@ -21,7 +21,7 @@
 pub fn interval(
     subject: ObjectHash,
     own: MemberHash,
-    senders: &[MemberHash],
+    senders: impl Iterator<Item = MemberHash> + Clone,
     rate: f64,
     turn: Duration,
 ) -> Option<Duration> {
@@ -32,7 +32,7 @@
     }
     #[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
     let allowed = in_turn as usize;
-    let count = senders.len().max(1);
+    let count = senders.clone().count().max(1);
     if count > allowed {
         return is_selected(subject, own, senders, allowed).then_some(turn);
     }
@@ -44,13 +44,11 @@
 fn is_selected(
     subject: ObjectHash,
     own: MemberHash,
-    senders: &[MemberHash],
+    senders: impl Iterator<Item = MemberHash>,
     allowed: usize,
 ) -> bool {
     let weight = subject.weight(own);
-    let heavier = senders
-        .iter()
-        .filter(|sender| subject.weight(**sender) > weight);
+    let heavier = senders.filter(|sender| subject.weight(*sender) > weight);
     heavier.count() < allowed
 }
 
--- a/lib/tests/test_backend_limits.rs
+++ b/lib/tests/test_backend_limits.rs
@@ -683,7 +683,7 @@
             Way::Selected => {
                 let subject = ObjectHash::of("limit", "backend-1");
                 let turn = Duration::from_secs(2);
-                sender_share::interval(subject, vms[sender], &vms, LIMIT, turn)
+                sender_share::interval(subject, vms[sender], vms.iter().copied(), LIMIT, turn)
             }
             Way::Local => {
                 let age = Duration::from_secs_f64(passed);
@@ -695,9 +695,8 @@
             Way::Counted => &mut counted,
             _ => &mut gates[sender],
         };
-        let tolerance = Duration::from_millis(250);
         if let Some(interval) = interval
-            && gate.is_open(now, interval, interval.min(tolerance))
+            && gate.is_open(now, interval, backend_limit::tolerance(interval))
         {
             gate.note_sent(now, interval);
             sent.push(now);
--- a/lib/tests/test_shares.rs
+++ b/lib/tests/test_shares.rs
@@ -32,7 +32,8 @@
     let origin = Instant::now();
     let mut sent = Vec::new();
     for own in &members {
-        let Some(interval) = sender_share::interval(backend, *own, &members, rate * 0.9, TURN)
+        let Some(interval) =
+            sender_share::interval(backend, *own, members.iter().copied(), rate * 0.9, TURN)
         else {
             continue;
         };
