limits of backend servers: the relay keeps its list in one place; one way to open a client of a replica

The list stood behind a lock and its number in a channel beside it, so that the two could differ for a moment; the channel holds the list now. Whether a receiver lacks something is asked in one place.

PeerChannels::fleet_client replaces three copies of opening a client and logging a refused address (heartbeats, rollouts, limits); the line of the second said 'the leader' and says 'a control replica' now, event and fields are as before. A method with the name of an imported function is renamed.

No other behaviour changes, tests are untouched.

--- a/server/src/fleet_service.rs
+++ b/server/src/fleet_service.rs
@@ -108,7 +108,7 @@
 
     /// Returns whether a message was passed on by another replica, which names the cluster, rather
     /// than sent by an entry VM.
-    fn is_relayed(&self, cluster_id: &[u8]) -> Result<bool, Status> {
+    fn is_from_replica(&self, cluster_id: &[u8]) -> Result<bool, Status> {
         if cluster_id.is_empty() {
             return Ok(false);
         }
@@ -170,7 +170,7 @@
                 let has_changes = fleet.revision() > applied
                     || fleet.quarantine().revision().0 > request.known_quarantine
                     || (verdicts != 0 && verdicts != request.known_presence)
-                    || (limits.number() != request.known_limits && limits.has_statements());
+                    || limits.has_news(request.known_limits);
                 if has_changes {
                     return;
                 }
@@ -223,11 +223,10 @@
             .filter(|absent| absent.number() != request.known_presence)
             .map(|absent| absent.update_from(request.known_presence));
         let limits_number = self.limits.number();
-        let is_known = limits_number == request.known_limits || !self.limits.has_statements();
-        let limits_encoded = if is_known {
-            Vec::new()
-        } else {
+        let limits_encoded = if self.limits.has_news(request.known_limits) {
             encode(&self.limits.statements())?
+        } else {
+            Vec::new()
         };
         Ok(FollowReply {
             current: true,
@@ -403,7 +402,7 @@
         request: Request<ObserveRequest>,
     ) -> Result<Response<ObserveReply>, Status> {
         let request = request.into_inner();
-        let relayed = self.is_relayed(&request.cluster_id)?;
+        let relayed = self.is_from_replica(&request.cluster_id)?;
         let reports: Vec<RolloutReport> = decode(&request.reports_encoded)?;
         self.control.rollouts().observe(reports, relayed);
         Ok(Response::new(ObserveReply {}))
@@ -414,7 +413,7 @@
         request: Request<ShareLimitsRequest>,
     ) -> Result<Response<ShareLimitsReply>, Status> {
         let request = request.into_inner();
-        let relayed = self.is_relayed(&request.cluster_id)?;
+        let relayed = self.is_from_replica(&request.cluster_id)?;
         let statements = decode(&request.statements_encoded)?;
         self.limits.share(statements, relayed);
         Ok(Response::new(ShareLimitsReply {}))
--- a/server/src/limit_relay.rs
+++ b/server/src/limit_relay.rs
@@ -10,6 +10,7 @@
 use std::time::Duration;
 
 use heatherring_lib::clock::Clock;
+use heatherring_lib::id::BackendName;
 use heatherring_lib::id::ClusterId;
 use heatherring_lib::limit_board::LimitBoard;
 use heatherring_lib::rate_limit::LimitStatement;
@@ -48,9 +49,8 @@
 #[derive(Clone, Debug)]
 pub struct LimitRelay {
     setup: Arc<LimitRelaySetup>,
-    board: Arc<Mutex<LimitBoard>>,
-    number: watch::Receiver<u64>,
-    number_tx: Arc<watch::Sender<u64>>,
+    board: Arc<watch::Sender<LimitBoard>>,
+    changes: watch::Receiver<LimitBoard>,
     clients: Arc<Mutex<BTreeMap<SocketAddr, FleetClient<Channel>>>>,
 }
 
@@ -59,12 +59,11 @@
     #[must_use]
     pub fn spawn(setup: LimitRelaySetup) -> Self {
         let first = NonZeroU64::MIN.saturating_add(u64::from(rand::random::<u32>()) << u32::BITS);
-        let (number_tx, number) = watch::channel(first.get());
+        let (board, changes) = watch::channel(LimitBoard::starting_at(first));
         let relay = Self {
             setup: Arc::new(setup),
-            board: Arc::new(Mutex::new(LimitBoard::starting_at(first))),
-            number,
-            number_tx: Arc::new(number_tx),
+            board: Arc::new(board),
+            changes,
             clients: Arc::default(),
         };
         tokio::spawn(relay.clone().repeat());
@@ -75,15 +74,12 @@
     /// those of an entry VM that changed a limit.
     pub fn share(&self, statements: Vec<LimitStatement>, relayed: bool) {
         let now = self.setup.clock.now();
-        let mut board = self.board();
-        let changed = board.apply(now, statements);
-        let number = board.number();
-        drop(board);
-        if changed.is_empty() {
-            return;
-        }
-        self.number_tx.send_replace(number);
-        if !relayed {
+        let mut changed = Vec::new();
+        self.board.send_if_modified(|board| {
+            changed = board.apply(now, statements);
+            !changed.is_empty()
+        });
+        if !changed.is_empty() && !relayed {
             for replica in self.others() {
                 self.send(replica, &changed);
             }
@@ -93,32 +89,29 @@
     /// Returns the number of the last change; never 0.
     #[must_use]
     pub fn number(&self) -> u64 {
-        *self.number.borrow()
+        self.board.borrow().number()
     }
 
     /// Returns all statements.
     #[must_use]
     pub fn statements(&self) -> Vec<LimitStatement> {
-        self.board().statements(self.setup.clock.now())
+        self.board.borrow().statements(self.setup.clock.now())
     }
 
-    /// Returns whether there is any statement.
+    /// Returns whether there are statements that a receiver which knows the change `known` lacks.
     #[must_use]
-    pub fn has_statements(&self) -> bool {
-        !self.board().is_empty()
+    pub fn has_news(&self, known: u64) -> bool {
+        let board = self.board.borrow();
+        board.number() != known && !board.is_empty()
     }
 
     /// Waits until a limit changes; forever if the relay has ended.
     pub async fn changed(&mut self) {
-        if self.number.changed().await.is_err() {
+        if self.changes.changed().await.is_err() {
             std::future::pending::<()>().await;
         }
     }
 
-    fn board(&self) -> MutexGuard<'_, LimitBoard> {
-        self.board.lock().unwrap_or_else(PoisonError::into_inner)
-    }
-
     fn others(&self) -> Vec<SocketAddr> {
         let replicas = self.setup.published.read().replicas;
         let addresses = replicas.iter().map(|info| info.address);
@@ -131,7 +124,7 @@
     async fn repeat(self) {
         loop {
             tokio::time::sleep(REPEAT_INTERVAL).await;
-            if !self.has_statements() {
+            if self.board.borrow().is_empty() {
                 continue;
             }
             self.forget();
@@ -143,17 +136,22 @@
 
     fn forget(&self) {
         let fleet = self.setup.published.read().fleet;
-        let born: BTreeMap<_, _> = fleet
-            .backends()
-            .map(|(name, record)| (name, record.born))
-            .collect();
-        let others = self.others();
-        let mut clients = self.clients.lock().unwrap_or_else(PoisonError::into_inner);
-        clients.retain(|replica, _| others.contains(replica));
-        drop(clients);
+        let is_current = |backend: &BackendName, born| {
+            let record = fleet.backend(backend);
+            record.is_some_and(|record| record.born == born)
+        };
         let now = self.setup.clock.now();
-        self.board()
-            .forget(now, |backend, known| born.get(backend) == Some(&known));
+        self.board.send_if_modified(|board| {
+            board.forget(now, is_current);
+            // Receivers forget these by themselves.
+            false
+        });
+        let others = self.others();
+        self.clients().retain(|replica, _| others.contains(replica));
+    }
+
+    fn clients(&self) -> MutexGuard<'_, BTreeMap<SocketAddr, FleetClient<Channel>>> {
+        self.clients.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     fn send(&self, replica: SocketAddr, statements: &[LimitStatement]) {
@@ -180,20 +178,12 @@
     }
 
     fn client(&self, replica: SocketAddr) -> Option<FleetClient<Channel>> {
-        let mut clients = self.clients.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut clients = self.clients();
         if let Some(client) = clients.get(&replica) {
             return Some(client.clone());
         }
-        match self.setup.channels.lazy(replica) {
-            Ok(channel) => {
-                let client = FleetClient::new(channel);
-                clients.insert(replica, client.clone());
-                Some(client)
-            }
-            Err(error) => {
-                log::error!(event = "peer_address_refused", address:% = replica, error:% = error; "cannot open a connection to a control replica");
-                None
-            }
-        }
+        let client = self.setup.channels.fleet_client(replica)?;
+        clients.insert(replica, client.clone());
+        Some(client)
     }
 }
--- a/server/src/peer_channel.rs
+++ b/server/src/peer_channel.rs
@@ -8,6 +8,7 @@
 
 use crate::peer_security::PeerSecurity;
 use crate::peer_security::PeerSecurityError;
+use crate::proto::fleet_client::FleetClient;
 
 /// Metadata key under which a control replica sends the address that it listens on.
 pub const SENDER_ADDRESS: &str = "heatherring-address";
@@ -89,6 +90,19 @@
         }
     }
 
+    /// Returns a client of a replica's service for direct dispatch, over a channel as created by
+    /// [`Self::lazy`]; `None`, after logging it, if the address is refused.
+    #[must_use]
+    pub fn fleet_client(&self, address: SocketAddr) -> Option<FleetClient<Channel>> {
+        match self.lazy(address) {
+            Ok(channel) => Some(FleetClient::new(channel)),
+            Err(error) => {
+                log::error!(event = "peer_address_refused", address:% = address, error:% = error; "cannot open a connection to a control replica");
+                None
+            }
+        }
+    }
+
     /// Creates a channel that connects on first use and reconnects after a connection is
     /// lost.
     ///
--- a/server/src/presence_task.rs
+++ b/server/src/presence_task.rs
@@ -373,22 +373,12 @@
 
     fn peer(&mut self, address: SocketAddr) -> Option<&Peer> {
         if !self.peers.contains_key(&address) {
-            let client = self.client(address)?;
+            let client = self.setup.channels.fleet_client(address)?;
             self.peers.insert(address, Peer { client, known: 0 });
         }
         self.peers.get(&address)
     }
 
-    fn client(&self, address: SocketAddr) -> Option<FleetClient<Channel>> {
-        match self.setup.channels.lazy(address) {
-            Ok(channel) => Some(FleetClient::new(channel)),
-            Err(error) => {
-                log::error!(event = "peer_address_refused", address:% = address, error:% = error; "cannot open a connection to a control replica");
-                None
-            }
-        }
-    }
-
     /// Proposes the removal of backend servers and entry VMs that have been silent for long, if
     /// this replica leads and a majority of replicas reports.
     fn forget(&self, now: Instant) {
--- a/server/src/rollout_task.rs
+++ b/server/src/rollout_task.rs
@@ -246,13 +246,7 @@
         {
             return Some(client.clone());
         }
-        let client = match self.setup.channels.lazy(address) {
-            Ok(channel) => FleetClient::new(channel),
-            Err(error) => {
-                log::error!(event = "peer_address_refused", address:% = address, error:% = error; "cannot open a connection to the leader");
-                return None;
-            }
-        };
+        let client = self.setup.channels.fleet_client(address)?;
         self.leader = Some((address, client.clone()));
         Some(client)
     }
