rollouts: a decision judges the answers once, and reports are merged by one piece

It judges once now, and the figures are worked out only for a decision. Entry VMs and control merged reports by two copies of the same lines, audit and status each unpacked the reason of a rollback, the digest of a manifest added its parts by two copies, and the run time of an answered request was worked out twice: one piece each. Comments that only restated a field say what it is.

No behaviour changes, tests are untouched.

--- a/lib/src/audit.rs
+++ b/lib/src/audit.rs
@@ -19,6 +19,7 @@
 use crate::id::VersionName;
 use crate::id::VmName;
 use crate::request_fingerprint::Fingerprint;
+use crate::rollout::RollbackReason;
 use crate::rollout::RolloutPhase;
 
 /// Maximum number of records kept; the oldest are evicted first.
@@ -134,11 +135,11 @@
     },
     /// A rollout began or reached another stage.
     Rollout {
-        /// The service.
+        /// Service whose traffic moves.
         service: ServiceName,
         /// Version that its traffic moves to.
         target: VersionName,
-        /// The stage.
+        /// Stage that the rollout has reached.
         phase: RolloutPhase,
     },
 }
@@ -204,19 +205,12 @@
             } => json!({
                 "what": "rollout", "result": phase.name(),
                 "service": service, "target": target,
-                "share": phase.share().fraction(), "reason": rollback_name(phase),
+                "share": phase.share().fraction(), "reason": phase.rollback_reason().map(RollbackReason::name),
             }),
         }
     }
 }
 
-fn rollback_name(phase: &RolloutPhase) -> Option<&'static str> {
-    match phase {
-        RolloutPhase::RolledBack(reason) => Some(reason.name()),
-        _ => None,
-    }
-}
-
 fn session_fields(result: &str, session: SessionId, vm: &VmName) -> Value {
     json!({ "what": "session", "result": result, "session": session, "vm": vm })
 }
--- a/lib/src/direct_dispatch.rs
+++ b/lib/src/direct_dispatch.rs
@@ -554,7 +554,11 @@
         let Some(send) = backend.load.end(end.send) else {
             return;
         };
-        self.note_rollout_answer(now, end, &send);
+        let delay = self.delays.get(&backend.region).copied();
+        let took = now
+            .saturating_duration_since(send.sent_at)
+            .saturating_sub(delay.unwrap_or_default());
+        self.note_rollout_answer(end, &send, took);
         self.note_limit(now, end, send.sent_at);
         let Some(backend) = self.backends.get_mut(end.backend) else {
             return;
@@ -572,10 +576,6 @@
                 service.warming.remove(&object);
             }
         }
-        let delay = self.delays.get(&backend.region).copied();
-        let took = now
-            .saturating_duration_since(send.sent_at)
-            .saturating_sub(delay.unwrap_or_default());
         match end.outcome {
             SendOutcome::Answered => {
                 backend.load.note_answer(now, end.load, average_others);
--- a/lib/src/fleet_record.rs
+++ b/lib/src/fleet_record.rs
@@ -197,9 +197,8 @@
 /// An announcement with the version of the backend server's software.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct VersionedChange {
-    /// The announcement.
     change: BackendChange,
-    /// The version.
+    /// Version of the record, which is encoded without it.
     version: VersionName,
 }
 
--- a/lib/src/rollout.rs
+++ b/lib/src/rollout.rs
@@ -22,7 +22,7 @@
 /// An operator's order to move the traffic of a service to another version.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct RolloutOrder {
-    /// The service.
+    /// Service whose traffic is to move.
     pub service: ServiceName,
     /// Version of the backend servers that are to serve it.
     pub target: VersionName,
@@ -97,6 +97,15 @@
         }
     }
 
+    /// Returns why the rollout was rolled back; `None` if it was not.
+    #[must_use]
+    pub const fn rollback_reason(&self) -> Option<&RollbackReason> {
+        match self {
+            Self::RolledBack(reason) => Some(reason),
+            Self::Partial(_) | Self::Finishing | Self::Completed => None,
+        }
+    }
+
     /// Returns whether a rollout in this phase may proceed to `next`.
     fn may_become(&self, next: &Self) -> bool {
         match (self, next) {
@@ -182,7 +191,7 @@
 /// A change of a rollout's stage, decided by the leader.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct RolloutStep {
-    /// The service.
+    /// Service whose traffic moves.
     pub service: ServiceName,
     /// Identifies the rollout.
     pub id: Revision,
--- a/lib/src/rollout_observer.rs
+++ b/lib/src/rollout_observer.rs
@@ -67,6 +67,12 @@
         }
     }
 
+    /// Adds the report to that on the same rollout among `reports`.
+    pub fn merge_into(&self, reports: &mut BTreeMap<Revision, Self>) {
+        let known = reports.entry(self.rollout);
+        known.or_insert_with(|| Self::new(self.rollout)).merge(self);
+    }
+
     /// Adds another report on the same rollout. It may contain answers that were counted twice,
     /// since a report whose receipt is not confirmed is sent again.
     pub fn merge(&mut self, other: &Self) {
@@ -133,8 +139,9 @@
         }
     }
 
-    /// Counts the answer to a request at a service with a rollout in progress.
-    pub(crate) fn note_rollout_answer(&mut self, now: Instant, end: &SendEnd, send: &InFlight) {
+    /// Counts the answer to a request at a service with a rollout in progress; `took` is without the
+    /// network delay.
+    pub(crate) fn note_rollout_answer(&mut self, end: &SendEnd, send: &InFlight, took: Duration) {
         let backend = &self.backends[end.backend];
         let Some(part) = backend.rollout else {
             return;
@@ -142,10 +149,6 @@
         let Some(service) = self.services.get_mut(&backend.record.service) else {
             return;
         };
-        let delay = self.delays.get(&backend.region).copied();
-        let took = now
-            .saturating_duration_since(send.sent_at)
-            .saturating_sub(delay.unwrap_or_default());
         let Some(quality) = quality(end.outcome, send, took) else {
             return;
         };
--- a/lib/src/rollout_plan.rs
+++ b/lib/src/rollout_plan.rs
@@ -197,26 +197,35 @@
         if self.phase.is_over() {
             return None;
         }
-        if let Verdict::Worse(worse) = (self.judge)(&self.slices) {
+        let verdict = (self.judge)(&self.slices);
+        if let Verdict::Worse(worse) = verdict {
             return Some(rolled_back(worse));
         }
+        let is_unsuspicious = verdict == Verdict::Unsuspicious;
         let passed = self.elapsed(now).as_secs_f64() / self.duration.as_secs_f64().max(0.001);
         let phase = match &self.phase {
             RolloutPhase::Partial(TrafficShare(0)) => before_canary(situation, passed),
-            RolloutPhase::Partial(CANARY_SHARE) => self.after_canary(now, passed),
-            RolloutPhase::Partial(share) => self.after_stage(now, *share, passed),
+            RolloutPhase::Partial(CANARY_SHARE) => self.after_canary(now, passed, is_unsuspicious),
+            RolloutPhase::Partial(share) => self.after_stage(now, *share, passed, is_unsuspicious),
             RolloutPhase::Finishing => {
                 let done = situation.others_idle || passed >= COMPLETED_AT;
                 done.then_some(RolloutPhase::Completed)
             }
             RolloutPhase::Completed | RolloutPhase::RolledBack(_) => None,
         };
-        let comparison = rollout_verdict::worst(&self.slices);
-        phase.map(|phase| Decision { phase, comparison })
+        phase.map(|phase| Decision {
+            phase,
+            comparison: rollout_verdict::worst(&self.slices),
+        })
     }
 
-    fn after_canary(&self, now: Instant, passed: f64) -> Option<RolloutPhase> {
-        if passed >= OBSERVED_AT && self.may_grow(now) {
+    fn after_canary(
+        &self,
+        now: Instant,
+        passed: f64,
+        is_unsuspicious: bool,
+    ) -> Option<RolloutPhase> {
+        if passed >= OBSERVED_AT && is_unsuspicious && self.has_evidence(now) {
             return Some(after(CANARY_SHARE));
         }
         if passed < LATEST_START {
@@ -231,28 +240,33 @@
         Some(RolloutPhase::RolledBack(reason))
     }
 
-    fn after_stage(&self, now: Instant, share: TrafficShare, passed: f64) -> Option<RolloutPhase> {
+    fn after_stage(
+        &self,
+        now: Instant,
+        share: TrafficShare,
+        passed: f64,
+        is_unsuspicious: bool,
+    ) -> Option<RolloutPhase> {
         let observed = now.saturating_duration_since(self.phase_at);
         let stage = self.duration.mul_f64(STAGE_TIME);
         if observed < stage && passed < FINISHING_AT {
             return None;
         }
-        if (self.judge)(&self.slices) == Verdict::Unsuspicious {
+        if is_unsuspicious {
             return Some(after(share));
         }
         let doubted = observed >= stage * MAX_STAGE_TIMES;
         doubted.then_some(RolloutPhase::RolledBack(RollbackReason::OutOfTime))
     }
 
-    /// Returns whether the evidence allows the target version more than the first share.
-    fn may_grow(&self, now: Instant) -> bool {
+    /// Returns whether there is enough evidence to judge the target version by.
+    fn has_evidence(&self, now: Instant) -> bool {
         let Some(first) = self.first_answer_at else {
             return false;
         };
         let observed = now.saturating_duration_since(first);
         observed >= self.duration.mul_f64(MIN_OBSERVED)
             && self.total(Side::Target).all() >= MIN_ANSWERS
-            && (self.judge)(&self.slices) == Verdict::Unsuspicious
     }
 }
 
--- a/lib/src/rollout_verdict.rs
+++ b/lib/src/rollout_verdict.rs
@@ -125,7 +125,7 @@
 /// Shares of bad answers on a route over the same time.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Comparison {
-    /// The route.
+    /// Route of the compared requests.
     pub route: RouteHash,
     /// What is bad about the answers.
     pub defect: Defect,
--- a/lib/src/team_manifest.rs
+++ b/lib/src/team_manifest.rs
@@ -108,14 +108,10 @@
         // Encoding these maps cannot fail.
         let mut digest = self.routes.digest();
         if let Some(teams) = self.teams {
-            let mut content = postcard::to_stdvec(teams).unwrap_or_default();
-            content.extend_from_slice(&digest.0);
-            digest = ContentDigest::of(&content);
+            digest = with_part(&digest, teams);
         }
         if !self.bulk_routes.is_empty() {
-            let mut content = postcard::to_stdvec(self.bulk_routes).unwrap_or_default();
-            content.extend_from_slice(&digest.0);
-            digest = ContentDigest::of(&content);
+            digest = with_part(&digest, self.bulk_routes);
         }
         digest
     }
@@ -186,3 +182,10 @@
         })
     }
 }
+
+/// Returns the digest of a further part and of what `digest` covers.
+fn with_part(digest: &ContentDigest, part: &impl Serialize) -> ContentDigest {
+    let mut content = postcard::to_stdvec(part).unwrap_or_default();
+    content.extend_from_slice(&digest.0);
+    ContentDigest::of(&content)
+}
--- a/server/src/operator_service.rs
+++ b/server/src/operator_service.rs
@@ -18,9 +18,9 @@
 use heatherring_lib::quarantine::SuspectRecord;
 use heatherring_lib::quarantine::Verdict;
 use heatherring_lib::request_fingerprint::Fingerprint;
+use heatherring_lib::rollout::RollbackReason;
 use heatherring_lib::rollout::Rollout;
 use heatherring_lib::rollout::RolloutAnswer;
-use heatherring_lib::rollout::RolloutPhase;
 use heatherring_lib::rollout_plan::RolloutFigures;
 use heatherring_lib::submission_history::AcceptedManifest;
 use heatherring_lib::team::Team;
@@ -390,16 +390,14 @@
     rollout: &Rollout,
     figures: RolloutFigures,
 ) -> RolloutStatus {
-    let (reason, route) = match &rollout.phase {
-        RolloutPhase::RolledBack(reason) => (reason.name(), reason.route()),
-        _ => ("", None),
-    };
+    let reason = rollout.phase.rollback_reason();
+    let route = reason.and_then(RollbackReason::route);
     RolloutStatus {
         service: service.to_string(),
         target: rollout.order.target.to_string(),
         phase: rollout.phase.name().to_owned(),
         share: rollout.phase.share().0.into(),
-        reason: reason.to_owned(),
+        reason: reason.map_or("", RollbackReason::name).to_owned(),
         route: route.map(ToString::to_string).unwrap_or_default(),
         duration_ms: whole_ms(rollout.order.duration),
         elapsed_ms: whole_ms(rollout.elapsed),
--- a/server/src/rollout_reporter.rs
+++ b/server/src/rollout_reporter.rs
@@ -5,7 +5,6 @@
 use std::time::Duration;
 
 use heatherring_lib::fleet_update::FleetView;
-use heatherring_lib::id::Revision;
 use heatherring_lib::rollout_observer::RolloutReport;
 use tokio::sync::watch;
 use tonic::transport::Channel;
@@ -41,7 +40,7 @@
             }
             tokio::time::sleep(REPORT_INTERVAL).await;
             for report in self.dispatch.take_rollout_reports().await {
-                merge(&mut unsent, &report);
+                report.merge_into(&mut unsent);
             }
             if self.send(unsent.values()).await {
                 unsent.clear();
@@ -72,11 +71,3 @@
     let mut rollouts = view.rollouts.values();
     rollouts.any(|rollout| !rollout.phase.is_over())
 }
-
-/// Adds a report to those of its rollout that were not sent.
-fn merge(unsent: &mut BTreeMap<Revision, RolloutReport>, report: &RolloutReport) {
-    let known = unsent
-        .entry(report.rollout)
-        .or_insert_with(|| RolloutReport::new(report.rollout));
-    known.merge(report);
-}
--- a/server/src/rollout_task.rs
+++ b/server/src/rollout_task.rs
@@ -187,14 +187,9 @@
                 known.watch.note(now, &report.evidence);
                 known.idle.extend(&report.idle);
             }
-            if observation.relayed {
-                continue;
+            if !observation.relayed {
+                report.merge_into(&mut self.outgoing);
             }
-            let outgoing = self
-                .outgoing
-                .entry(report.rollout)
-                .or_insert_with(|| RolloutReport::new(report.rollout));
-            outgoing.merge(report);
         }
     }
 
