--- a/lib/tests/dispatch_model/mod.rs
+++ b/lib/tests/dispatch_model/mod.rs
@@ -295,23 +295,17 @@
         let object = self.rng.random_range(0..self.scenario.objects);
         let service = service();
         let route = route();
+        let now = self.at();
         let dispatch_request = DispatchRequest {
-            service: &service,
-            route: &route,
             latency_objective: self.scenario.objective,
-            object: Some(ObjectHash::of("route", &object.to_string())),
             rank: RequestRank {
                 team: None,
                 route: 2,
             },
-            deadline: self.at() + self.scenario.deadline,
-            objective: self.at() + self.scenario.objective,
-            answers_until: None,
-            homes: &[],
-            tried: &[],
-            resend: false,
+            deadline: now + self.scenario.deadline,
+            objective: now + self.scenario.objective,
+            ..request(now, &service, &route, &object.to_string())
         };
-        let now = self.at();
         self.dispatchers[entry].note_control_contact(now);
         let counted = self.counts(self.now);
         self.result.asked += u32::from(counted);
@@ -452,20 +446,49 @@
 
 /// Creates the dispatcher of an entry VM that starts at `now`.
 fn dispatcher(scenario: &Scenario, view: &FleetView, entry: usize, now: Instant) -> Dispatcher {
-    let places = (0..scenario.servers.len())
-        .map(|index| (place(index), region(index)))
-        .collect();
-    let cfg = DispatchConfig {
+    let cfg = config(entry, entry / scenario.entries, scenario.servers.len());
+    let mut dispatcher = Dispatcher::new(cfg, now);
+    dispatcher.apply_view(now, view);
+    dispatcher
+}
+
+/// Returns the configuration of an entry VM in the region `own` of `regions`.
+pub fn config(entry: usize, own: usize, regions: usize) -> DispatchConfig {
+    DispatchConfig {
         vm: VmName::new(format!("entry-{entry}")),
-        region: region(entry / scenario.entries),
-        places,
+        region: region(own),
+        places: (0..regions)
+            .map(|index| (place(index), region(index)))
+            .collect(),
         resend_ratio: 0.2,
         resend_slack: 60.0,
         policy: DispatchPolicy::default(),
-    };
-    let mut dispatcher = Dispatcher::new(cfg, now);
-    dispatcher.apply_view(now, view);
-    dispatcher
+    }
+}
+
+/// Returns a request for an object, with an objective of 1 s and a deadline of 3 s from `now`.
+pub fn request<'a>(
+    now: Instant,
+    service: &'a ServiceName,
+    route: &'a RouteName,
+    object: &str,
+) -> DispatchRequest<'a> {
+    DispatchRequest {
+        service,
+        route,
+        latency_objective: Duration::from_secs(1),
+        object: Some(ObjectHash::of("route", object)),
+        rank: RequestRank {
+            team: None,
+            route: 0,
+        },
+        deadline: now + Duration::from_secs(3),
+        objective: now + Duration::from_secs(1),
+        answers_until: None,
+        homes: &[],
+        tried: &[],
+        resend: false,
+    }
 }
 
 pub fn server_name(region: usize, number: usize) -> BackendName {
--- a/lib/tests/dispatch_model/probe.rs
+++ b/lib/tests/dispatch_model/probe.rs
@@ -4,22 +4,17 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use heatherring_lib::affinity::ObjectHash;
-use heatherring_lib::direct_dispatch::DispatchConfig;
 use heatherring_lib::direct_dispatch::Dispatcher;
-use heatherring_lib::dispatch_policy::DispatchPolicy;
 use heatherring_lib::dispatch_request::Choice;
 use heatherring_lib::dispatch_request::DispatchRequest;
 use heatherring_lib::dispatch_request::Refused;
 use heatherring_lib::dispatch_request::SendEnd;
 use heatherring_lib::dispatch_request::SendOutcome;
-use heatherring_lib::id::VmName;
 use heatherring_lib::planned_stop::PlannedStop;
-use heatherring_lib::request_rank::RequestRank;
 
 use super::Scenario;
-use super::place;
-use super::region;
+use super::config;
+use super::request;
 use super::route;
 use super::service;
 use super::view;
@@ -38,17 +33,7 @@
 
     pub fn in_region(own: usize) -> Self {
         let scenario = Scenario::look_up();
-        let places = (0..scenario.servers.len())
-            .map(|index| (place(index), region(index)))
-            .collect();
-        let cfg = DispatchConfig {
-            vm: VmName::new("entry-0"),
-            region: region(own),
-            places,
-            resend_ratio: 0.2,
-            resend_slack: 60.0,
-            policy: DispatchPolicy::default(),
-        };
+        let cfg = config(0, own, scenario.servers.len());
         let now = Instant::now();
         let mut dispatcher = Dispatcher::new(cfg, now);
         dispatcher.apply_view(now, &view(&scenario));
@@ -90,20 +75,11 @@
         let service = service();
         let route = route();
         let request = DispatchRequest {
-            service: &service,
-            route: &route,
             latency_objective: Scenario::look_up().objective,
-            object: Some(ObjectHash::of("route", object)),
-            rank: RequestRank {
-                team: None,
-                route: 0,
-            },
             deadline: self.now + Duration::from_secs(10),
             objective: self.now + Duration::from_secs(10),
             answers_until: self.answers_until,
-            homes: &[],
-            tried: &[],
-            resend: false,
+            ..request(self.now, &service, &route, object)
         };
         self.dispatcher.choose(self.now, &request)
     }
--- a/lib/tests/test_cold_tracker.rs
+++ b/lib/tests/test_cold_tracker.rs
@@ -7,25 +7,20 @@
 use std::time::Instant;
 
 use dispatch_model::Scenario;
+use dispatch_model::config;
 use dispatch_model::place;
-use dispatch_model::region;
+use dispatch_model::request;
 use dispatch_model::route;
 use dispatch_model::service;
 use dispatch_model::view;
-use heatherring_lib::affinity::ObjectHash;
 use heatherring_lib::cold_queries::ColdQuery;
 use heatherring_lib::cold_queries::ColdReply;
 use heatherring_lib::cold_tracker::CONTROL_LOST_AFTER;
 use heatherring_lib::cold_tracker::ColdTracker;
-use heatherring_lib::direct_dispatch::DispatchConfig;
 use heatherring_lib::direct_dispatch::Dispatcher;
-use heatherring_lib::dispatch_policy::DispatchPolicy;
-use heatherring_lib::dispatch_request::DispatchRequest;
 use heatherring_lib::dispatch_request::SendEnd;
 use heatherring_lib::dispatch_request::SendOutcome;
 use heatherring_lib::id::BackendName;
-use heatherring_lib::id::VmName;
-use heatherring_lib::request_rank::RequestRank;
 
 const STEP: Duration = Duration::from_millis(5);
 /// Time from a query to its reply: the wait for a slot and the network delay.
@@ -59,15 +54,7 @@
         let now = Instant::now();
         let view = view(&scenario);
         let dispatcher = |number: usize| {
-            let cfg = DispatchConfig {
-                vm: VmName::new(format!("entry-{number}")),
-                region: region(0),
-                places: [(place(0), region(0))].into(),
-                resend_ratio: 0.2,
-                resend_slack: 60.0,
-                policy: DispatchPolicy::default(),
-            };
-            let mut dispatcher = Dispatcher::new(cfg, now);
+            let mut dispatcher = Dispatcher::new(config(number, 0, 1), now);
             dispatcher.apply_view(now, &view);
             dispatcher
         };
@@ -129,32 +116,16 @@
     }
 
     fn request(&mut self, number: u32) {
-        let object = ObjectHash::of("route", &(number % OBJECTS).to_string());
+        let object = (number % OBJECTS).to_string();
         let sender = number as usize % self.senders.len();
-        let service = service();
-        let route = route();
-        let request = DispatchRequest {
-            service: &service,
-            route: &route,
-            latency_objective: Duration::from_secs(1),
-            object: Some(object),
-            rank: RequestRank {
-                team: None,
-                route: 0,
-            },
-            deadline: self.now + Duration::from_secs(3),
-            objective: self.now + Duration::from_secs(1),
-            answers_until: None,
-            homes: &[],
-            tried: &[],
-            resend: false,
-        };
+        let (service, route) = (service(), route());
+        let request = request(self.now, &service, &route, &object);
         let Ok(choice) = self.senders[sender].choose(self.now, &request) else {
             self.refused += 1;
             return;
         };
         let end = SendEnd {
-            object: Some(object),
+            object: request.object,
             ..SendEnd::new(&choice, SendOutcome::Answered)
         };
         self.running.push((sender, self.now + RUN, end));
