--- /dev/null
+++ b/lib/src/dispatch_view.rs
@@ -0,0 +1,172 @@
+//! How a dispatcher follows the view of the fleet: entry VMs, services and backend servers.
+
+use std::collections::BTreeSet;
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use crate::affinity::MemberHash;
+use crate::backend_limit::Sender;
+use crate::direct_dispatch::Dispatcher;
+use crate::dispatch_backend::Backend;
+use crate::dispatch_request::BackendKey;
+use crate::dispatch_service::Service;
+use crate::fleet_record::BackendRecord;
+use crate::fleet_record::BackendState;
+use crate::fleet_update::FleetView;
+use crate::id::BackendName;
+use crate::id::PlaceName;
+use crate::id::RegionName;
+
+impl Dispatcher {
+    /// Applies a view of the fleet.
+    pub fn apply_view(&mut self, now: Instant, view: &FleetView) {
+        self.follow_senders(view);
+        self.follow_services(view);
+        let returned: Vec<PlaceName> = self
+            .evacuated
+            .difference(&view.evacuated)
+            .cloned()
+            .collect();
+        self.evacuated.clone_from(&view.evacuated);
+        let gone: Vec<BackendName> = self
+            .by_name
+            .keys()
+            .filter(|name| !view.backends.contains_key(*name))
+            .cloned()
+            .collect();
+        for name in gone {
+            self.remove(&name);
+        }
+        for (name, record) in &view.backends {
+            self.follow_backend(now, name, record);
+        }
+        for place in returned {
+            self.mark_cold(now, &place);
+        }
+        self.rebuild_members(view);
+    }
+
+    fn follow_senders(&mut self, view: &FleetView) {
+        let mut senders: Vec<Sender> = view
+            .entries
+            .iter()
+            .map(|(vm, record)| Sender {
+                vm: MemberHash::of(vm.as_str()),
+                region: MemberHash::of(record.region.as_str()),
+            })
+            .collect();
+        if senders.iter().all(|sender| sender.vm != self.own.vm) {
+            senders.push(self.own);
+        }
+        if senders.len() != self.senders.len() {
+            for service in self.services.values_mut() {
+                service.budget.share(self.cfg.resend_slack, senders.len());
+            }
+        }
+        self.senders = senders;
+    }
+
+    fn follow_services(&mut self, view: &FleetView) {
+        self.services
+            .retain(|name, _| view.services.contains_key(name));
+        for (name, known) in &view.services {
+            let new = || {
+                Service::new(
+                    Arc::clone(known),
+                    self.cfg.resend_ratio,
+                    self.cfg.resend_slack,
+                    self.senders.len(),
+                )
+            };
+            let service = self.services.entry(name.clone()).or_insert_with(new);
+            service.definition = Arc::clone(known);
+            service.follow_rollout(view.rollouts.get(name));
+        }
+    }
+
+    fn follow_backend(&mut self, now: Instant, name: &BackendName, record: &Arc<BackendRecord>) {
+        let known = self.by_name.get(name).copied();
+        let is_restarted = known.is_some_and(|key| self.backends[key].record.born != record.born);
+        if is_restarted {
+            // What was learned about the previous process instance (its load, health and cached
+            // objects) no longer applies. A request to that instance which ends later finds its
+            // key removed.
+            self.remove(name);
+        } else if let Some(key) = known {
+            let backend = &mut self.backends[key];
+            if Arc::ptr_eq(&backend.record, record) || backend.record == *record {
+                return;
+            }
+            if record.sequence != backend.record.sequence {
+                backend.cold_until = backend.cold_until.max(now + record.cold_for);
+            }
+            backend.record = Arc::clone(record);
+            return;
+        }
+        let region = self.cfg.places.get(&record.place).cloned();
+        let region = region.unwrap_or_else(|| RegionName::new(""));
+        let opens = self.started_at + Duration::from_secs(1);
+        let mut backend = Backend::new(now, name.clone(), Arc::clone(record), region, opens);
+        backend.silent = self.silent.contains(name);
+        let key = self.backends.insert(backend);
+        self.by_name.insert(name.clone(), key);
+        self.apply_shared_limit(now, name);
+    }
+
+    pub(crate) fn key(&self, name: &BackendName) -> Option<BackendKey> {
+        self.by_name.get(name).copied()
+    }
+
+    /// Treats the backend servers of a place as cold until each has reported its own state:
+    /// they may have become cold while the place was evacuated.
+    fn mark_cold(&mut self, now: Instant, place: &PlaceName) {
+        /// Time within which each backend server has reported at least once whether it is cold:
+        /// a heartbeat interval of 1.5 s plus propagation to this entry VM.
+        const COLD_AFTER_EVACUATION: Duration = Duration::from_secs(2);
+        for backend in self.backends.values_mut() {
+            if backend.record.place == *place {
+                backend.cold_until = backend.cold_until.max(now + COLD_AFTER_EVACUATION);
+            }
+        }
+    }
+
+    fn remove(&mut self, name: &BackendName) {
+        if let Some(key) = self.by_name.remove(name) {
+            self.backends.remove(key);
+        }
+    }
+
+    fn rebuild_members(&mut self, view: &FleetView) {
+        for service in self.services.values_mut() {
+            service.backends.clear();
+        }
+        for (key, backend) in &mut self.backends {
+            backend.rollout = None;
+            let evacuated = self.evacuated.contains(&backend.record.place);
+            // A record written by a different release may refer to a place that is unknown
+            // here.
+            let places = &self.cfg.places;
+            let is_valid = backend
+                .record
+                .check(&backend.name, |place| places.contains_key(place))
+                .is_ok();
+            let is_ready = backend.record.state == BackendState::Ready;
+            let rollout = view.rollouts.get(&backend.record.service);
+            let permitted = rollout.is_none_or(|rollout| rollout.permits(&backend.record.version));
+            backend.usable = is_ready && is_valid && !evacuated && permitted;
+            if let Some(service) = self.services.get_mut(&backend.record.service) {
+                service.backends.push(key);
+            }
+        }
+        self.assign_rollout_parts();
+    }
+
+    /// Updates the set of backend servers that control has not heard from recently.
+    pub fn apply_silent(&mut self, silent: BTreeSet<BackendName>) {
+        for backend in self.backends.values_mut() {
+            backend.silent = silent.contains(&backend.name);
+        }
+        self.silent = silent;
+    }
+}
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -43,6 +43,7 @@
 pub mod dispatch_policy;
 pub mod dispatch_request;
 mod dispatch_service;
+mod dispatch_view;
 pub mod drain;
 pub mod duration_text;
 pub mod encoding;
