backend statements: one record of what an answer states, read by both interfaces; nothing acts on it yet

Retry-After of a backend server and its statement that it is leaving were read nowhere, as the rate limit before. The load and the limit each had a way of their own from the answer to the dispatcher.

BackendStatement holds load, limit, pushback and leaving; both interfaces fill it, answers and health checks bring it, one message takes it to the dispatcher when the head has arrived. Lines backend_pushback, backend_leaving, backend_statement_unreadable (in place of backend_limit_unreadable), backend_header_unread once for each name that looks like a statement and isn't read; counters; the decision line says how much longer the chosen backend server wants nothing.

--- a/lib/src/backend_limit.rs
+++ b/lib/src/backend_limit.rs
@@ -13,10 +13,10 @@
 
 use crate::affinity::MemberHash;
 use crate::affinity::ObjectHash;
+use crate::backend_statement::StatementSource;
 use crate::id::BackendName;
 use crate::rate_limit::LimitNotice;
 use crate::rate_limit::LimitObservation;
-use crate::rate_limit::LimitReport;
 use crate::rate_limit::RequestRate;
 use crate::sender_share;
 
@@ -49,26 +49,6 @@
     pub region: MemberHash,
 }
 
-/// Where a statement was received from.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum LimitSource {
-    /// The backend server's answer to this entry VM.
-    Answer,
-    /// Control, which passed on what another entry VM had received.
-    Control,
-}
-
-impl LimitSource {
-    /// Returns the name of the source in logs.
-    #[must_use]
-    pub const fn name(self) -> &'static str {
-        match self {
-            Self::Answer => "answer",
-            Self::Control => "control",
-        }
-    }
-}
-
 /// A change of what is known about a limit.
 #[derive(Clone, Debug, PartialEq)]
 pub struct LimitChange {
@@ -79,28 +59,19 @@
     /// The limit until now.
     pub before: Option<RequestRate>,
     /// Where the statement was received from.
-    pub source: LimitSource,
+    pub source: StatementSource,
     /// Time since an entry VM received the statement.
     pub age: Duration,
     /// Minimum interval between two requests of this entry VM; `None` without a share or a limit.
     pub interval: Option<Duration>,
 }
 
-/// Something to log about limits.
-#[derive(Clone, Debug, PartialEq)]
-pub enum LimitEvent {
-    /// A limit was declared, changed or ended.
-    Changed(LimitChange),
-    /// An answer of this backend server stated a limit that is not a valid rate.
-    Unreadable(BackendName),
-}
-
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Statement {
     pub rate: Option<RequestRate>,
     /// When an entry VM received it.
     pub at: Instant,
-    pub source: LimitSource,
+    pub source: StatementSource,
 }
 
 /// The limit of one backend server.
@@ -109,8 +80,6 @@
     latest: Option<Statement>,
     /// Since when there has been a limit, whatever its figure.
     since: Option<Instant>,
-    /// Whether an unreadable limit has been reported.
-    unreadable: bool,
     /// The limit that control knows from this entry VM, or told it.
     shared: Option<RequestRate>,
     /// The limit when a change was last logged.
@@ -128,10 +97,16 @@
         self.latest.and_then(|statement| statement.rate)
     }
 
-    /// Applies what an answer states to a request sent at `sent_at`. Only an answer that
-    /// `may_lift` the limit ends it by stating none. Returns whether the limit changed.
-    pub fn note_answer(&mut self, sent_at: Instant, report: LimitReport, may_lift: bool) -> bool {
-        let rate = match report.notice {
+    /// Applies what an answer that arrived at `at` states to a request sent at `sent_at`. Only an
+    /// answer that `may_lift` the limit ends it by stating none. Returns whether the limit changed.
+    pub fn note_answer(
+        &mut self,
+        sent_at: Instant,
+        at: Instant,
+        notice: LimitNotice,
+        may_lift: bool,
+    ) -> bool {
+        let rate = match notice {
             LimitNotice::Limited(rate) => Some(rate),
             LimitNotice::Absent if may_lift => None,
             LimitNotice::Absent | LimitNotice::Unreadable => return false,
@@ -141,15 +116,15 @@
             return false;
         }
         let known = before.and_then(|statement| statement.rate);
-        let is_newer = before.is_none_or(|statement| report.at >= statement.at);
+        let is_newer = before.is_none_or(|statement| at >= statement.at);
         let was_sent_after = before.is_none_or(|statement| sent_at >= statement.at);
         if !is_newer || (is_relaxed(known, rate) && !was_sent_after) {
             return false;
         }
         self.set(Statement {
             rate,
-            at: report.at,
-            source: LimitSource::Answer,
+            at,
+            source: StatementSource::Answer,
         });
         known != rate
     }
@@ -163,7 +138,7 @@
             self.set(Statement {
                 rate,
                 at,
-                source: LimitSource::Control,
+                source: StatementSource::Control,
             });
         }
         if self.rate().is_some() && rate.is_some() {
@@ -177,7 +152,7 @@
     pub fn to_report(&self, all: bool) -> Option<Statement> {
         let latest = self.latest?;
         let is_due = all || is_material(self.shared, latest.rate);
-        (latest.source == LimitSource::Answer && is_due).then_some(latest)
+        (latest.source == StatementSource::Answer && is_due).then_some(latest)
     }
 
     /// Records that control has been told `rate`.
@@ -199,11 +174,6 @@
         self.latest = Some(statement);
         self.since = statement.rate.and(self.since.or(Some(statement.at)));
     }
-
-    /// Records an unreadable limit; returns whether it is the first one.
-    pub fn note_unreadable(&mut self) -> bool {
-        !std::mem::replace(&mut self.unreadable, true)
-    }
 }
 
 /// Returns whether a change is reported and logged. Some backend servers adjust their limits with
--- a/lib/src/direct_dispatch.rs
+++ b/lib/src/direct_dispatch.rs
@@ -15,9 +15,9 @@
 
 use crate::affinity::MemberHash;
 use crate::affinity::ObjectHash;
-use crate::backend_limit::LimitEvent;
 use crate::backend_limit::Sender;
 use crate::backend_load::Expectation;
+use crate::backend_statement::StatementEvent;
 use crate::cold_tracker::ColdTracker;
 use crate::dispatch_assess::Candidates;
 use crate::dispatch_backend::Backend;
@@ -112,8 +112,8 @@
     rank_fairness: RankFairness,
     /// Position of the next retry delay within its spread, 0 to 1.
     spread_phase: f64,
-    /// Changes of limits that have not been taken yet.
-    pub(crate) limit_events: Vec<LimitEvent>,
+    /// What backend servers stated, as far as it has to be logged and has not been taken yet.
+    pub(crate) statement_events: Vec<StatementEvent>,
     /// Limits that control passed on last.
     pub(crate) shared_limits: BTreeMap<BackendName, LimitObservation>,
     /// Whether control has to be told a limit.
@@ -149,7 +149,7 @@
             moves: RegionMoves::default(),
             rank_fairness: RankFairness::default(),
             spread_phase: 0.0,
-            limit_events: Vec::new(),
+            statement_events: Vec::new(),
             shared_limits: BTreeMap::new(),
             limit_reports_due: false,
             advice,
@@ -372,6 +372,7 @@
             report_age,
             limit: backend.limit.rate(),
             passed_over,
+            paused_for: backend.pushback.left(now),
         }
     }
 
@@ -409,9 +410,10 @@
         let Some(backend) = self.backends.get_mut(end.backend) else {
             return;
         };
+        let load = end.statement.and_then(|received| received.statement.load);
         let mut average_others = 0.0;
         if let Some(service) = self.services.get_mut(&backend.record.service) {
-            let others = backend.load.reported_others(end.load);
+            let others = backend.load.reported_others(load);
             if let Some(others) = others.filter(|_| self.cfg.policy.usual_loads) {
                 service.note_others(others);
             }
@@ -424,7 +426,7 @@
         }
         match end.outcome {
             SendOutcome::Answered => {
-                backend.load.note_answer(now, end.load, average_others);
+                backend.load.note_answer(now, load, average_others);
                 backend.note_warm(now, end.object);
                 if send.expected.queued {
                     return;
@@ -443,11 +445,11 @@
                 }
             }
             SendOutcome::Faulty => {
-                backend.load.note_answer(now, end.load, average_others);
+                backend.load.note_answer(now, load, average_others);
                 backend.health.note_failure(now);
             }
             SendOutcome::Shed => {
-                backend.load.note_answer(now, end.load, average_others);
+                backend.load.note_answer(now, load, average_others);
                 backend.health.note_shed(now);
             }
             SendOutcome::Misdirected => backend.usable = false,
--- a/lib/src/dispatch_backend.rs
+++ b/lib/src/dispatch_backend.rs
@@ -1,5 +1,6 @@
 //! State of one backend server within a dispatcher.
 
+use std::collections::BTreeSet;
 use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::Duration;
@@ -10,6 +11,8 @@
 use crate::backend_health::BackendHealth;
 use crate::backend_limit::BackendLimit;
 use crate::backend_load::BackendLoad;
+use crate::backend_pushback::BackendPushback;
+use crate::backend_statement::StatementKind;
 use crate::fleet_record::BackendRecord;
 use crate::id::BackendName;
 use crate::id::RegionName;
@@ -80,6 +83,11 @@
     pub streams: u32,
     pub load: BackendLoad,
     pub limit: BackendLimit,
+    pub pushback: BackendPushback,
+    /// Whether its process has stated that it is leaving.
+    pub leaving: bool,
+    /// Kinds of statements that could not be read.
+    pub unreadable: BTreeSet<StatementKind>,
     pub health: BackendHealth,
     pub cold_until: Instant,
     /// Until when it receives no requests if it is cold: a process that has just started does not
@@ -110,6 +118,9 @@
             streams: 0,
             load: BackendLoad::default(),
             limit: BackendLimit::default(),
+            pushback: BackendPushback::default(),
+            leaving: false,
+            unreadable: BTreeSet::new(),
             health: BackendHealth::new(now),
             cold_until: now + record.cold_for,
             cold_opens: opens,
--- a/lib/src/dispatch_limits.rs
+++ b/lib/src/dispatch_limits.rs
@@ -10,8 +10,8 @@
 use crate::affinity::ObjectHash;
 use crate::backend_limit;
 use crate::backend_limit::LimitChange;
-use crate::backend_limit::LimitEvent;
 use crate::backend_limit::tolerance;
+use crate::backend_statement::StatementEvent;
 use crate::direct_dispatch::Dispatcher;
 use crate::dispatch_backend::Backend;
 use crate::dispatch_request::BackendKey;
@@ -21,7 +21,6 @@
 use crate::dispatch_request::SendEnd;
 use crate::dispatch_request::SendOutcome;
 use crate::id::BackendName;
-use crate::rate_limit::LimitNotice;
 use crate::rate_limit::LimitObservation;
 use crate::rate_limit::LimitStatement;
 use crate::rate_limit::RequestRate;
@@ -107,17 +106,18 @@
 
     /// Applies what an answer states about the limit of its backend server.
     pub(crate) fn note_limit(&mut self, now: Instant, end: &SendEnd, sent_at: Instant) {
-        let Some(report) = end.limit else { return };
+        let Some(received) = end.statement else {
+            return;
+        };
         let Some(backend) = self.backends.get_mut(end.backend) else {
             return;
         };
-        if report.notice == LimitNotice::Unreadable && backend.limit.note_unreadable() {
-            let event = LimitEvent::Unreadable(backend.name.clone());
-            self.limit_events.push(event);
-        }
+        let notice = received.statement.limit;
         let may_lift = end.outcome == SendOutcome::Answered;
         let before = backend.limit.rate();
-        let is_changed = backend.limit.note_answer(sent_at, report, may_lift);
+        let is_changed = backend
+            .limit
+            .note_answer(sent_at, received.at, notice, may_lift);
         self.limit_reports_due |= backend.limit.to_report(false).is_some();
         if is_changed {
             self.limit_changed(now, end.backend, before);
@@ -138,14 +138,15 @@
         let Some(latest) = backend.limit.take_log() else {
             return;
         };
-        self.limit_events.push(LimitEvent::Changed(LimitChange {
-            backend: backend.name.clone(),
-            rate: latest.rate,
-            before,
-            source: latest.source,
-            age: now.saturating_duration_since(latest.at),
-            interval,
-        }));
+        self.statement_events
+            .push(StatementEvent::Limit(LimitChange {
+                backend: backend.name.clone(),
+                rate: latest.rate,
+                before,
+                source: latest.source,
+                age: now.saturating_duration_since(latest.at),
+                interval,
+            }));
     }
 
     /// Applies the limits that control passed on. They replace those passed on before; a limit that
@@ -208,9 +209,4 @@
             }
         }
     }
-
-    /// Returns the changes of limits since the last call.
-    pub fn take_limit_events(&mut self) -> Vec<LimitEvent> {
-        std::mem::take(&mut self.limit_events)
-    }
 }
--- a/lib/src/dispatch_request.rs
+++ b/lib/src/dispatch_request.rs
@@ -7,13 +7,12 @@
 use slotmap::new_key_type;
 
 use crate::affinity::ObjectHash;
-use crate::backend_load::LoadReport;
 use crate::backend_load::SendKey;
+use crate::backend_statement::ReceivedStatement;
 use crate::id::BackendName;
 use crate::id::RegionName;
 use crate::id::RouteName;
 use crate::id::ServiceName;
-use crate::rate_limit::LimitReport;
 use crate::rate_limit::RequestRate;
 use crate::request_rank::RequestRank;
 use crate::service_latency::RouteLatencyKey;
@@ -100,6 +99,8 @@
     pub limit: Option<RequestRate>,
     /// Number of backend servers that the object is assigned to, but whose limits are used up.
     pub passed_over: usize,
+    /// How much longer the backend server wants no requests; `None` if it does not say so.
+    pub paused_for: Option<Duration>,
 }
 
 /// Refusal: the reason and the retry delay.
@@ -195,10 +196,8 @@
     pub send: SendKey,
     /// How the request ended.
     pub outcome: SendOutcome,
-    /// Load report of the backend server; `None` if it sent none.
-    pub load: Option<LoadReport>,
-    /// What the answer states about a rate limit; `None` without an answer of the backend server.
-    pub limit: Option<LimitReport>,
+    /// What the backend server states in its answer; `None` without one.
+    pub statement: Option<ReceivedStatement>,
     /// Object that the request referred to; `None` if it referred to none.
     pub object: Option<ObjectHash>,
 }
@@ -212,8 +211,7 @@
             backend: choice.backend,
             send: choice.send,
             outcome,
-            load: None,
-            limit: None,
+            statement: None,
             object: None,
         }
     }
--- a/lib/src/rate_limit.rs
+++ b/lib/src/rate_limit.rs
@@ -76,15 +76,6 @@
     }
 }
 
-/// A notice, and when the head of the answer arrived.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct LimitReport {
-    /// What the answer states.
-    pub notice: LimitNotice,
-    /// When its head arrived.
-    pub at: Instant,
-}
-
 /// What is known of the limit of one incarnation of a backend server.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct LimitObservation {
--- a/lib/tests/dispatch_model/mod.rs
+++ b/lib/tests/dispatch_model/mod.rs
@@ -19,6 +19,8 @@
 
 use heatherring_lib::affinity::ObjectHash;
 use heatherring_lib::backend_load::LoadReport;
+use heatherring_lib::backend_statement::BackendStatement;
+use heatherring_lib::backend_statement::ReceivedStatement;
 use heatherring_lib::direct_dispatch::DispatchConfig;
 use heatherring_lib::direct_dispatch::Dispatcher;
 use heatherring_lib::dispatch_policy::DispatchPolicy;
@@ -420,11 +422,18 @@
         } else {
             SendOutcome::Answered
         };
+        let load = LoadReport {
+            running: server.running,
+            waiting: u32::try_from(server.waiting.len()).unwrap(),
+            slots: self.scenario.slots,
+        };
         let end = SendEnd {
-            load: Some(LoadReport {
-                running: server.running,
-                waiting: u32::try_from(server.waiting.len()).unwrap(),
-                slots: self.scenario.slots,
+            statement: Some(ReceivedStatement {
+                statement: BackendStatement {
+                    load: Some(load),
+                    ..BackendStatement::default()
+                },
+                at: now,
             }),
             object: Some(ObjectHash::of("route", &request.object.to_string())),
             ..SendEnd::new(&request.choice, outcome)
--- a/lib/tests/limit_model/mod.rs
+++ b/lib/tests/limit_model/mod.rs
@@ -6,6 +6,8 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use heatherring_lib::backend_statement::BackendStatement;
+use heatherring_lib::backend_statement::ReceivedStatement;
 use heatherring_lib::direct_dispatch::Dispatcher;
 use heatherring_lib::dispatch_request::Choice;
 use heatherring_lib::dispatch_request::Refused;
@@ -14,7 +16,6 @@
 use heatherring_lib::id::BackendName;
 use heatherring_lib::limit_board::LimitBoard;
 use heatherring_lib::rate_limit::LimitNotice;
-use heatherring_lib::rate_limit::LimitReport;
 use heatherring_lib::rate_limit::LimitStatement;
 use heatherring_lib::rate_limit::RequestRate;
 
@@ -114,17 +115,23 @@
         outcome: SendOutcome,
         notice: LimitNotice,
     ) {
-        let report = LimitReport {
-            notice,
-            at: self.now,
-        };
         let end = SendEnd {
-            limit: Some(report),
+            statement: Some(self.limit_statement(notice)),
             ..SendEnd::new(choice, outcome)
         };
         self.senders[sender].ended(self.now, &end);
     }
 
+    fn limit_statement(&self, limit: LimitNotice) -> ReceivedStatement {
+        ReceivedStatement {
+            statement: BackendStatement {
+                limit,
+                ..BackendStatement::default()
+            },
+            at: self.now,
+        }
+    }
+
     fn notice(&self, backend: &BackendName) -> LimitNotice {
         let number = (0..self.limits.len()).find(|number| server_name(0, *number) == *backend);
         let limit = number.and_then(|number| self.limits[number]);
@@ -146,9 +153,9 @@
                 if due > self.now {
                     self.running.push((sender, due, end));
                 } else {
-                    end.limit = end.limit.map(|limit| LimitReport {
+                    end.statement = end.statement.map(|received| ReceivedStatement {
                         at: self.now,
-                        ..limit
+                        ..received
                     });
                     self.senders[sender].ended(self.now, &end);
                 }
@@ -169,10 +176,7 @@
 
     fn begin(&mut self, sender: usize, choice: &Choice) {
         let end = SendEnd {
-            limit: Some(LimitReport {
-                notice: self.notice(&choice.name),
-                at: self.now,
-            }),
+            statement: Some(self.limit_statement(self.notice(&choice.name))),
             ..SendEnd::new(choice, SendOutcome::Answered)
         };
         self.running.push((sender, self.now + RUN, end));
--- a/lib/tests/test_backend_limits.rs
+++ b/lib/tests/test_backend_limits.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use dispatch_model::server_name;
-use heatherring_lib::backend_limit::LimitEvent;
+use heatherring_lib::backend_statement::StatementEvent;
 use heatherring_lib::dispatch_request::RefusedReason;
 use heatherring_lib::dispatch_request::SendOutcome;
 use heatherring_lib::id::BackendName;
@@ -203,14 +203,14 @@
                 // A request that was sent before the limit was known lifts nothing.
                 fleet.now += RUN;
                 fleet.end(0, &early, SendOutcome::Answered, LimitNotice::Absent);
-                assert_eq!(fleet.senders[0].take_limit_events().len(), 1);
+                assert_eq!(fleet.senders[0].take_statement_events().len(), 1);
                 fleet.now += RUN;
                 let choice = fleet.choose(0, 1).unwrap();
                 fleet.now += RUN;
                 fleet.end(0, &choice, SendOutcome::$outcome, $notice);
-                let events = fleet.senders[0].take_limit_events();
+                let events = fleet.senders[0].take_statement_events();
                 let lifted = events.iter().any(|event| {
-                    matches!(event, LimitEvent::Changed(change) if change.rate.is_none())
+                    matches!(event, StatementEvent::Limit(change) if change.rate.is_none())
                 });
                 assert_eq!(lifted, $lifts, "{events:?}");
             }
--- a/server/src/cold_querier.rs
+++ b/server/src/cold_querier.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use heatherring_lib::backend_statement::ReceivedStatement;
 use heatherring_lib::clock::Clock;
 use heatherring_lib::cold_queries::ColdQuery;
 use heatherring_lib::cold_queries::ColdReply;
@@ -98,6 +99,13 @@
         let answering = connection.sender().send_request(req);
         let (head, body) = answering.await.context(ExchangeSnafu)?.into_parts();
         let reply = self.interface.read_health(&head, &query.name);
+        if let Some(reply) = &reply {
+            let received = ReceivedStatement {
+                statement: reply.statement,
+                at: self.clock.now(),
+            };
+            self.dispatch.note_statement(query.backend, received);
+        }
         if refusal_body::read_to_end(body).await {
             self.pool.give_back_for(connection, MAX_IDLE);
         }
--- a/server/src/direct_path.rs
+++ b/server/src/direct_path.rs
@@ -203,7 +203,7 @@
             let sent = self.sender.send(&choice, &admitted.req, attempt).await;
             let took = self.clock.now().saturating_duration_since(begun);
             trace.note_send(&choice, took, &sent);
-            guard.ended(sent.verdict, sent.load, sent.limit);
+            guard.ended(sent.verdict, sent.statement);
             progress.note(choice.backend, sent.verdict);
             let suspected = self.crashes.treatment(tag).is_some();
             let retry = progress.next(sent.outcome, sent.verdict, &admitted.route, suspected)?;
--- a/server/src/direct_send.rs
+++ b/server/src/direct_send.rs
@@ -8,7 +8,7 @@
 use std::time::Instant;
 
 use bytes::Bytes;
-use heatherring_lib::backend_load::LoadReport;
+use heatherring_lib::backend_statement::ReceivedStatement;
 use heatherring_lib::dispatch_request::BackendKey;
 use heatherring_lib::dispatch_request::Choice;
 use heatherring_lib::dispatch_request::SendOutcome;
@@ -20,7 +20,6 @@
 use heatherring_lib::outcome::Refusal;
 use heatherring_lib::outcome::UnknownReason;
 use heatherring_lib::outcome::Unsent;
-use heatherring_lib::rate_limit::LimitReport;
 use heatherring_lib::request_fingerprint::RequestTag;
 use heatherring_lib::service_latency::RouteLatencyKey;
 use http::HeaderMap;
@@ -51,6 +50,7 @@
 use crate::interface::OutgoingMetadata;
 use crate::refusal_body;
 use crate::stop_observer::StopObserver;
+use crate::unread_headers::UnreadHeaders;
 use crate::verified_caller::VerifiedCaller;
 
 /// Size up to which an answer is read completely before its head is passed on. If such an answer
@@ -114,10 +114,8 @@
     pub outcome: Outcome<DirectAnswer>,
     /// What the send shows about the backend server.
     pub verdict: SendOutcome,
-    /// The load that the backend server reported.
-    pub load: Option<LoadReport>,
-    /// What the answer states about a rate limit; `None` without an answer of the backend server.
-    pub limit: Option<LimitReport>,
+    /// What the backend server states in its answer; `None` without one.
+    pub statement: Option<ReceivedStatement>,
     /// Time to establish the connection; `None` if one was reused or none was established.
     pub connected_in: Option<Duration>,
 }
@@ -127,8 +125,7 @@
         Self {
             outcome: outcome.into(),
             verdict,
-            load: None,
-            limit: None,
+            statement: None,
             connected_in: None,
         }
     }
@@ -144,13 +141,14 @@
     dispatch: DispatchHandle,
     crashes: CrashTracker,
     stopping: StopObserver,
+    unread_headers: Arc<UnreadHeaders>,
 }
 
 impl DirectSender {
     /// Creates a sender over connections of `pool`. Only backend servers that `view` permits are
     /// sent to.
     #[must_use]
-    pub const fn new(
+    pub fn new(
         pool: BackendPool,
         interface: Arc<dyn EntryInterface>,
         view: watch::Receiver<Arc<FleetView>>,
@@ -165,6 +163,7 @@
             dispatch,
             crashes,
             stopping,
+            unread_headers: Arc::default(),
         }
     }
 
@@ -327,15 +326,24 @@
         let (head, body) = response.into_parts();
         let request_id = at.req.request_id.as_deref();
         let metadata = self.interface.read_answer(&head, request_id);
-        let limit = LimitReport {
-            notice: metadata.limit,
+        let received = ReceivedStatement {
+            statement: metadata.statement,
             at: Instant::now(),
         };
+        if matches!(
+            metadata.meaning,
+            AnswerMeaning::Answer | AnswerMeaning::NotRun
+        ) {
+            self.dispatch.note_statement(at.choice.backend, received);
+            self.unread_headers.note(
+                &at.choice.name,
+                self.interface.unread_headers(&head.headers),
+            );
+        }
         let refused = match metadata.meaning {
             AnswerMeaning::Answer => {
                 let mut sent = self.pass_on(at, (head, body)).await;
-                sent.load = metadata.load;
-                sent.limit = Some(limit);
+                sent.statement = Some(received);
                 return sent;
             }
             AnswerMeaning::Foreign => {
@@ -355,8 +363,7 @@
         }
         let refusal = Refusal::reported_by_backend_server(refused.0);
         let mut sent = Sent::new(at.sent.refused(refusal), refused.1);
-        sent.load = metadata.load;
-        sent.limit = (refused.1 == SendOutcome::Shed).then_some(limit);
+        sent.statement = (refused.1 == SendOutcome::Shed).then_some(received);
         sent
     }
 
--- a/server/src/dispatch_task.rs
+++ b/server/src/dispatch_task.rs
@@ -7,8 +7,8 @@
 
 use heatherring_lib::affinity::ObjectHash;
 use heatherring_lib::backend_limit::LimitChange;
-use heatherring_lib::backend_limit::LimitEvent;
-use heatherring_lib::backend_load::LoadReport;
+use heatherring_lib::backend_statement::ReceivedStatement;
+use heatherring_lib::backend_statement::StatementEvent;
 use heatherring_lib::clock::Clock;
 use heatherring_lib::cold_queries::ColdQuery;
 use heatherring_lib::cold_queries::ColdReply;
@@ -28,7 +28,6 @@
 use heatherring_lib::id::RegionName;
 use heatherring_lib::id::RouteName;
 use heatherring_lib::id::ServiceName;
-use heatherring_lib::rate_limit::LimitReport;
 use heatherring_lib::rate_limit::LimitStatement;
 use heatherring_lib::rate_limit::RequestRate;
 use heatherring_lib::request_rank::RequestRank;
@@ -75,6 +74,10 @@
         reply: oneshot::Sender<Result<Choice, Refused>>,
     },
     Ended(SendEnd),
+    Statement {
+        backend: BackendKey,
+        received: ReceivedStatement,
+    },
     Connected {
         backend: BackendKey,
         took: Duration,
@@ -153,6 +156,11 @@
         Ok((choice, guard))
     }
 
+    /// Records what the head of an answer of a backend server states.
+    pub fn note_statement(&self, backend: BackendKey, received: ReceivedStatement) {
+        let _ = self.tx.send(Message::Statement { backend, received });
+    }
+
     /// Records how long it took to establish a connection.
     pub fn note_connected(&self, backend: BackendKey, took: Duration) {
         let _ = self.tx.send(Message::Connected { backend, took });
@@ -246,15 +254,9 @@
 
 impl SendGuard {
     /// Reports how the request ended.
-    pub fn ended(
-        mut self,
-        outcome: SendOutcome,
-        load: Option<LoadReport>,
-        limit: Option<LimitReport>,
-    ) {
+    pub fn ended(mut self, outcome: SendOutcome, statement: Option<ReceivedStatement>) {
         self.end.outcome = outcome;
-        self.end.load = load;
-        self.end.limit = limit;
+        self.end.statement = statement;
     }
 }
 
@@ -294,6 +296,9 @@
                 }
             }
             Message::Ended(end) => dispatcher.ended(now, &end),
+            Message::Statement { backend, received } => {
+                dispatcher.note_statement(now, backend, &received);
+            }
             Message::Connected { backend, took } => dispatcher.note_connected(backend, took),
             Message::Streamed {
                 backend,
@@ -319,8 +324,8 @@
             Message::StreamBegan(backend) => dispatcher.stream_began(backend),
             Message::StreamEnded(backend) => dispatcher.stream_ended(backend),
         }
-        for event in dispatcher.take_limit_events() {
-            log_limit(&event);
+        for event in dispatcher.take_statement_events() {
+            log_statement(&event);
         }
         if dispatcher.take_limit_reports_due() {
             limits_due.notify_one();
@@ -328,23 +333,32 @@
     }
 }
 
-fn log_limit(event: &LimitEvent) {
+fn log_statement(event: &StatementEvent) {
     match event {
-        LimitEvent::Changed(change) => {
-            let LimitChange { rate, before, .. } = change;
-            let text = |rate: &Option<RequestRate>| {
-                rate.map_or("none".to_owned(), |rate| rate.to_string())
-            };
-            let (limit, before) = (text(rate), text(before));
-            metric::backend_limit(rate.is_some());
-            log::info!(event = "backend_limit", backend = change.backend.as_str(), limit = limit.as_str(), before = before.as_str(), source = change.source.name(), age_ms = whole_ms(change.age), interval_ms = change.interval.map(whole_ms); "the rate limit of a backend server changed");
+        StatementEvent::Limit(change) => log_limit(change),
+        StatementEvent::Paused { backend, asked } => {
+            metric::backend_paused();
+            log::info!(event = "backend_pushback", backend = backend.as_str(), asked_ms = whole_ms(*asked); "a backend server asks this entry VM to send nothing for a time");
+        }
+        StatementEvent::Leaving { backend, source } => {
+            metric::backend_leaving(source.name());
+            log::info!(event = "backend_leaving", backend = backend.as_str(), source = source.name(); "a backend server is leaving");
         }
-        LimitEvent::Unreadable(backend) => {
-            log::warn!(event = "backend_limit_unreadable", backend = backend.as_str(); "a backend server declares a rate limit that is not a number; it is ignored");
+        StatementEvent::Unreadable { backend, kind } => {
+            metric::statement_unreadable(kind.name());
+            log::warn!(event = "backend_statement_unreadable", backend = backend.as_str(), kind = kind.name(); "a statement of a backend server cannot be read; it is ignored");
         }
     }
 }
 
+fn log_limit(change: &LimitChange) {
+    let LimitChange { rate, before, .. } = change;
+    let text = |rate: &Option<RequestRate>| rate.map_or("none".to_owned(), |rate| rate.to_string());
+    let (limit, before) = (text(rate), text(before));
+    metric::backend_limit(rate.is_some());
+    log::info!(event = "backend_limit", backend = change.backend.as_str(), limit = limit.as_str(), before = before.as_str(), source = change.source.name(), age_ms = whole_ms(change.age), interval_ms = change.interval.map(whole_ms); "the rate limit of a backend server changed");
+}
+
 fn borrowed(request: &OwnedDispatchRequest) -> DispatchRequest<'_> {
     DispatchRequest {
         service: &request.service,
--- a/server/src/header.rs
+++ b/server/src/header.rs
@@ -2,12 +2,16 @@
 //! remove headers.
 
 use heatherring_lib::action_record::CALLER_HEADER;
+use heatherring_lib::backend_statement::LeavingNotice;
+use heatherring_lib::pushback::PushbackNotice;
 use heatherring_lib::rate_limit::LimitNotice;
 use http::HeaderMap;
 use http::HeaderName;
 use http::HeaderValue;
+use http::StatusCode;
 use http::header;
 use http::header::AsHeaderName;
+use http::response::Parts;
 
 /// Time left until the deadline, in milliseconds.
 pub const DEADLINE_MS: HeaderName = HeaderName::from_static("heatherring-deadline-ms");
@@ -113,8 +117,42 @@
 /// Reads the rate limit that a header declares.
 #[must_use]
 pub fn limit_notice(headers: &HeaderMap, name: impl AsHeaderName) -> LimitNotice {
-    let values = headers.get_all(name).iter();
-    LimitNotice::read(values.map(|value| value.to_str().ok()))
+    LimitNotice::read(texts(headers, name))
+}
+
+/// Reads whether a header states that the backend server is leaving.
+#[must_use]
+pub fn leaving_notice(headers: &HeaderMap, name: impl AsHeaderName) -> LeavingNotice {
+    LeavingNotice::read(texts(headers, name))
+}
+
+/// Reads for how long a backend server wants no further requests. `Retry-After` has this meaning on
+/// 503 and 429 only.
+#[must_use]
+pub fn pushback_notice(head: &Parts) -> PushbackNotice {
+    let is_pushback = matches!(
+        head.status,
+        StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS
+    );
+    if !is_pushback {
+        return PushbackNotice::Absent;
+    }
+    let date = text(&head.headers, header::DATE);
+    PushbackNotice::read(texts(&head.headers, header::RETRY_AFTER), date)
+}
+
+/// Returns the names of headers that begin with `prefix` and are not among `known`.
+#[must_use]
+pub fn with_prefix<'a>(headers: &'a HeaderMap, prefix: &str, known: &[&str]) -> Vec<&'a str> {
+    let names = headers.keys().map(HeaderName::as_str);
+    names
+        .filter(|name| name.starts_with(prefix) && !known.contains(name))
+        .collect()
+}
+
+fn texts(headers: &HeaderMap, name: impl AsHeaderName) -> impl Iterator<Item = Option<&str>> {
+    let values = headers.get_all(name).into_iter();
+    values.map(|value| value.to_str().ok())
 }
 
 /// Reads a header as a number.
--- a/server/src/interface.rs
+++ b/server/src/interface.rs
@@ -9,11 +9,10 @@
 use std::time::Duration;
 
 use futures_util::future::BoxFuture;
-use heatherring_lib::backend_load::LoadReport;
+use heatherring_lib::backend_statement::BackendStatement;
 use heatherring_lib::id::BackendName;
 use heatherring_lib::id::RegionName;
 use heatherring_lib::id::TeamName;
-use heatherring_lib::rate_limit::LimitNotice;
 use http::HeaderMap;
 use http::Request;
 use http::Response;
@@ -62,15 +61,15 @@
 pub struct AnswerMetadata {
     /// Whether and by whom the request was run.
     pub meaning: AnswerMeaning,
-    /// The load that the backend server reports; `None` if it reports none.
-    pub load: Option<LoadReport>,
-    /// What the answer states about the rate limit of the backend server.
-    pub limit: LimitNotice,
+    /// What the backend server states about itself.
+    pub statement: BackendStatement,
 }
 
 /// State that a backend server reports in a health check.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub struct HealthMetadata {
+    /// What the backend server states about itself.
+    pub statement: BackendStatement,
     /// How much longer the backend server stays cold; zero if it is not cold.
     pub cold_for: Duration,
 }
@@ -124,6 +123,10 @@
         backend: &BackendName,
     ) -> Option<HealthMetadata>;
 
+    /// Returns the names of headers by which a backend server may state something about itself that
+    /// is not read: they look like those that are.
+    fn unread_headers<'a>(&self, headers: &'a HeaderMap) -> Vec<&'a str>;
+
     /// Answers a readiness check.
     fn answer_ready(&self, ready: bool, req: &Request<RequestBody>) -> Response<AnswerBody>;
 }
--- a/server/src/lib.rs
+++ b/server/src/lib.rs
@@ -118,4 +118,5 @@
 pub mod sync_target;
 pub mod token_issuer;
 pub mod token_task;
+mod unread_headers;
 pub mod update_cache;
--- a/server/src/metric.rs
+++ b/server/src/metric.rs
@@ -97,6 +97,26 @@
     counter!("heatherring_backend_limits_total", "state" => state).increment(1);
 }
 
+/// Counts the pushbacks of backend servers that began.
+pub fn backend_paused() {
+    counter!("heatherring_backend_pushbacks_total").increment(1);
+}
+
+/// Counts backend servers that became known to leave, by the source of their statement.
+pub fn backend_leaving(source: &'static str) {
+    counter!("heatherring_backends_leaving_total", "source" => source).increment(1);
+}
+
+/// Counts backend servers with a statement that cannot be read, by its kind.
+pub fn statement_unreadable(kind: &'static str) {
+    counter!("heatherring_backend_statements_unreadable_total", "kind" => kind).increment(1);
+}
+
+/// Counts the names of headers by which backend servers state something that is not read.
+pub fn unread_header(name: &str) {
+    counter!("heatherring_backend_headers_unread_total", "header" => name.to_owned()).increment(1);
+}
+
 /// Counts backend servers that a request was not sent to because their limits were used up.
 pub fn passed_over(count: usize) {
     counter!("heatherring_backend_limit_passed_over_total")
--- a/server/src/own_interface.rs
+++ b/server/src/own_interface.rs
@@ -12,6 +12,7 @@
 use futures_util::FutureExt;
 use futures_util::future::BoxFuture;
 use heatherring_lib::backend_load::LoadReport;
+use heatherring_lib::backend_statement::BackendStatement;
 use heatherring_lib::duration_text::whole_ms;
 use heatherring_lib::fleet_record::BackendRecord;
 use heatherring_lib::fleet_state::RouteAnswer;
@@ -76,6 +77,20 @@
 /// together for as long as its answers declare it.
 const RATE_LIMIT: HeaderName = HeaderName::from_static("heatherring-rate-limit");
 
+/// Whether a backend server is leaving: `1`, for as long as it runs.
+const LEAVING: HeaderName = HeaderName::from_static("heatherring-leaving");
+
+/// Headers of answers of backend servers that are read, apart from those of the actions' protocol.
+const READ: [&str; 7] = [
+    "heatherring-backend",
+    "heatherring-cold-ms",
+    "heatherring-leaving",
+    "heatherring-load",
+    "heatherring-outcome",
+    "heatherring-rate-limit",
+    "heatherring-request-id",
+];
+
 /// Implements heatherring's own interface.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct OwnInterface;
@@ -120,8 +135,7 @@
         };
         AnswerMetadata {
             meaning,
-            load: header::text(&head.headers, &LOAD).and_then(load_report),
-            limit: header::limit_notice(&head.headers, &RATE_LIMIT),
+            statement: statement(head),
         }
     }
 
@@ -129,15 +143,29 @@
         let answers = header::text(&head.headers, &BACKEND)?;
         let millis = header::number(&head.headers, &COLD_MS).flatten();
         (answers == backend.as_str()).then(|| HealthMetadata {
+            statement: statement(head),
             cold_for: Duration::from_millis(millis.unwrap_or(0)),
         })
     }
 
+    fn unread_headers<'a>(&self, headers: &'a HeaderMap) -> Vec<&'a str> {
+        header::with_prefix(headers, "heatherring-", &READ)
+    }
+
     fn answer_ready(&self, ready: bool, _req: &Request<RequestBody>) -> Response<AnswerBody> {
         reply::ready(ready)
     }
 }
 
+fn statement(head: &Parts) -> BackendStatement {
+    BackendStatement {
+        load: header::text(&head.headers, &LOAD).and_then(load_report),
+        limit: header::limit_notice(&head.headers, &RATE_LIMIT),
+        pushback: header::pushback_notice(head),
+        leaving: header::leaving_notice(&head.headers, &LEAVING),
+    }
+}
+
 fn load_report(text: &str) -> Option<LoadReport> {
     let mut numbers = text.split(',').map(|number| number.parse().ok());
     Some(LoadReport {
--- a/server/src/request_trace.rs
+++ b/server/src/request_trace.rs
@@ -62,6 +62,8 @@
     limit: Option<RequestRate>,
     /// Number of backend servers that were passed over because of their limits.
     passed_over: usize,
+    /// How much longer the backend server wanted no requests; `None` if it did not say so.
+    paused_for: Option<Duration>,
 }
 
 impl fmt::Display for SendRecord {
@@ -84,6 +86,13 @@
         if self.passed_over > 0 {
             write!(f, "{} at their limits passed over, ", self.passed_over)?;
         }
+        if let Some(paused_for) = self.paused_for {
+            write!(
+                f,
+                "asked for {} ms more without requests, ",
+                paused_for.as_millis()
+            )?;
+        }
         if let Some(connected_in) = self.connected_in {
             write!(f, "connected in {} ms, ", connected_in.as_millis())?;
         }
@@ -156,6 +165,7 @@
             verdict,
             limit: choice.limit,
             passed_over: choice.passed_over,
+            paused_for: choice.paused_for,
         });
     }
 
--- a/server/tests/direct_support/backend.rs
+++ b/server/tests/direct_support/backend.rs
@@ -11,6 +11,7 @@
 use http::HeaderMap;
 use http::Request;
 use http::Response;
+use http::StatusCode;
 use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::service::service_fn;
@@ -21,6 +22,7 @@
 use super::HEALTH_PATH;
 
 const RATE_LIMIT: &str = "heatherring-rate-limit";
+const LEAVING: &str = "heatherring-leaving";
 
 /// How a backend server treats requests other than health checks.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -37,12 +39,31 @@
     Hang,
 }
 
-/// The rate limit that a backend server declares, and what arrived there.
+/// What a backend server states about itself, each as the value of a header.
+#[derive(Clone, Debug, Default)]
+pub struct Statement {
+    /// Its rate limit, in all answers.
+    pub limit: Option<String>,
+    /// The time that it asks for without requests, in the answers that refuse one.
+    pub retry_after: Option<String>,
+    /// Whether it is leaving, in all answers.
+    pub leaving: Option<String>,
+}
+
+/// A request that arrived, other than a health check.
+#[derive(Clone, Debug)]
+pub struct Arrival {
+    pub at: Instant,
+    /// The entry VM that sent it, if its path names it.
+    pub by: String,
+    /// Whether it was refused.
+    pub refused: bool,
+}
+
 #[derive(Debug, Default)]
-struct Limits {
-    declared: Option<String>,
-    /// Arrivals of requests other than health checks.
-    arrivals: Vec<Instant>,
+struct State {
+    statement: Statement,
+    arrivals: Vec<Arrival>,
 }
 
 /// A backend server that runs as a task of the test and is stopped when dropped.
@@ -59,7 +80,7 @@
     last_deadline_ms: Arc<AtomicU32>,
     /// Headers of the latest request that was not a health check.
     headers: Arc<Mutex<HeaderMap>>,
-    limits: Arc<Mutex<Limits>>,
+    state: Arc<Mutex<State>>,
     task: JoinHandle<()>,
 }
 
@@ -71,9 +92,9 @@
         let cold_ms = Arc::new(AtomicU32::new(0));
         let last_deadline_ms = Arc::new(AtomicU32::new(0));
         let headers = Arc::new(Mutex::new(HeaderMap::new()));
-        let limits = Arc::new(Mutex::new(Limits::default()));
+        let state = Arc::new(Mutex::new(State::default()));
         let shared = (
-            Arc::clone(&limits),
+            Arc::clone(&state),
             Arc::clone(&runs),
             Arc::clone(&behaviour),
             Arc::clone(&last_deadline_ms),
@@ -87,7 +108,7 @@
         );
         let task = tokio::spawn(async move {
             while let Ok((stream, _)) = listener.accept().await {
-                let (limits, runs, behaviour, last_deadline_ms, headers) = shared.clone();
+                let (state, runs, behaviour, last_deadline_ms, headers) = shared.clone();
                 let (name, cold_ms, cold_replies) = health.clone();
                 let service = service_fn(move |req: Request<Incoming>| {
                     let behaviour = *behaviour.lock().unwrap();
@@ -101,12 +122,12 @@
                         cold_replies.fetch_add(u32::from(cold_ms > 0), Ordering::SeqCst);
                         health_answer(&name, cold_ms)
                     });
-                    let mut limit = None;
+                    let mut statement = Statement::default();
                     if health.is_none() {
-                        let mut limits = limits.lock().unwrap();
-                        limits.arrivals.push(Instant::now());
-                        limit.clone_from(&limits.declared);
-                        drop(limits);
+                        let mut state = state.lock().unwrap();
+                        state.arrivals.push(arrival(&req, behaviour));
+                        statement.clone_from(&state.statement);
+                        drop(state);
                         headers.lock().unwrap().clone_from(req.headers());
                     }
                     async move {
@@ -118,10 +139,7 @@
                             std::future::pending::<()>().await;
                         }
                         let mut response = serve(&req, behaviour, &runs).ok_or(Broken)?;
-                        if let Some(limit) = limit {
-                            let limit = limit.parse().unwrap();
-                            response.headers_mut().insert(RATE_LIMIT, limit);
-                        }
+                        statement.write(&mut response);
                         Ok(response)
                     }
                 });
@@ -139,19 +157,40 @@
             behaviour,
             last_deadline_ms,
             headers,
-            limits,
+            state,
             task,
         }
     }
 
     /// Declares a rate limit in all further answers; none with `None`.
     pub fn declare_limit(&self, limit: Option<&str>) {
-        self.limits.lock().unwrap().declared = limit.map(str::to_owned);
+        self.state.lock().unwrap().statement.limit = limit.map(str::to_owned);
+    }
+
+    /// Refuses requests and asks for a time without further ones; serves again with `None`.
+    pub fn refuse_for(&self, retry_after: Option<&str>) {
+        self.state.lock().unwrap().statement.retry_after = retry_after.map(str::to_owned);
+        self.behave(if retry_after.is_some() {
+            Behaviour::Shed
+        } else {
+            Behaviour::Answer
+        });
+    }
+
+    /// States in all further answers that it is leaving.
+    pub fn state_leaving(&self) {
+        self.state.lock().unwrap().statement.leaving = Some("1".to_owned());
+    }
+
+    /// Returns the requests other than health checks that arrived.
+    pub fn requests(&self) -> Vec<Arrival> {
+        self.state.lock().unwrap().arrivals.clone()
     }
 
     /// Returns when requests other than health checks arrived.
     pub fn arrivals(&self) -> Vec<Instant> {
-        self.limits.lock().unwrap().arrivals.clone()
+        let arrivals = self.requests();
+        arrivals.into_iter().map(|arrival| arrival.at).collect()
     }
 
     pub fn behave(&self, behaviour: Behaviour) {
@@ -202,6 +241,31 @@
 
 impl std::error::Error for Broken {}
 
+impl Statement {
+    fn write(&self, response: &mut Response<Full<Bytes>>) {
+        let is_refusal = response.status() == StatusCode::SERVICE_UNAVAILABLE;
+        let retry_after = self.retry_after.as_ref().filter(|_| is_refusal);
+        let headers = [
+            (RATE_LIMIT, self.limit.as_ref()),
+            (LEAVING, self.leaving.as_ref()),
+            ("retry-after", retry_after),
+        ];
+        for (name, value) in headers {
+            if let Some(value) = value {
+                response.headers_mut().insert(name, value.parse().unwrap());
+            }
+        }
+    }
+}
+
+fn arrival(req: &Request<Incoming>, behaviour: Behaviour) -> Arrival {
+    Arrival {
+        at: Instant::now(),
+        by: req.uri().query().unwrap_or_default().to_owned(),
+        refused: behaviour == Behaviour::Shed,
+    }
+}
+
 fn health_answer(name: &str, cold_ms: u32) -> Response<Full<Bytes>> {
     Response::builder()
         .header("heatherring-backend", name)
--- a/server/tests/direct_support/mod.rs
+++ b/server/tests/direct_support/mod.rs
@@ -6,6 +6,7 @@
 pub mod backend;
 pub mod crashing_backend;
 mod own_process;
+pub mod scene;
 pub mod stops;
 
 use std::collections::BTreeMap;
--- a/server/tests/test_backend_limits.rs
+++ b/server/tests/test_backend_limits.rs
@@ -2,23 +2,17 @@
 
 mod direct_support;
 
-use std::net::SocketAddr;
-use std::sync::Arc;
-use std::sync::atomic::AtomicBool;
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use direct_support::Answer;
-use direct_support::Deployment;
-use direct_support::Entry;
 use direct_support::backend::Backend;
-use direct_support::call;
-use direct_support::request;
+use direct_support::scene::Callers;
+use direct_support::scene::OBJECTS;
+use direct_support::scene::Scene;
+use direct_support::scene::ask;
+use direct_support::scene::start;
 use heatherring_server::proto::StatusRequest;
 use heatherring_server::proto::operator_client::OperatorClient;
 use heatherring_testutils::wait::wait_for;
-use http::HeaderValue;
-use http::Method;
 use http::StatusCode;
 use tokio::task::JoinSet;
 use tokio::time::Instant;
@@ -33,124 +27,15 @@
 /// Time after a limit was first declared from which on it binds.
 const SETTLING: Duration = Duration::from_secs(4);
 
-/// Time between two requests of one caller.
-const PAUSE: Duration = Duration::from_millis(20);
-
-const OBJECTS: u32 = 24;
-
-struct Scene {
-    deployment: Deployment,
-    entries: Vec<Entry>,
-    backends: Vec<Backend>,
-}
-
-/// Starts entry VMs and backend servers, and waits until every entry VM serves requests.
-async fn start(entries: usize, backends: usize) -> Scene {
-    let mut deployment = Deployment::start(3);
-    let entries: Vec<Entry> = (1..=entries)
-        .map(|number| deployment.start_entry(&format!("entry-{number}")))
-        .collect();
-    let mut started = Vec::new();
-    for number in 1..=backends {
-        started.push(deployment.start_backend(&format!("backend-{number}")).await);
-    }
-    deployment.submit_routes(1, 0).await;
-    for backend in &started {
-        deployment.announce(backend, 1, "Ready").await;
-    }
-    let scene = Scene {
-        deployment,
-        entries,
-        backends: started,
-    };
-    scene.until_served().await;
-    scene
-}
-
-async fn ask(callers: SocketAddr, object: u32) -> Option<Answer> {
-    let mut req = request(Method::GET, &format!("/safe/{object}"), "");
-    let headers = req.headers_mut();
-    headers.insert("heatherring-request-id", HeaderValue::from(object));
-    headers.insert("heatherring-object", HeaderValue::from(object));
-    call(callers, req).await
-}
-
-impl Scene {
-    async fn until_served(&self) {
-        for entry in &self.entries {
-            wait_for("an answer", async || {
-                let answer = ask(entry.settings.listen.callers, 0).await?;
-                (answer.status == StatusCode::OK).then_some(())
-            })
-            .await
-            .unwrap();
-        }
-    }
-
-    /// Announces all backend servers while `run` is in progress.
-    async fn while_announced<T>(&self, run: impl Future<Output = T>) -> T {
-        let announcing = async {
-            for sequence in 2.. {
-                for backend in &self.backends {
-                    self.deployment.announce(backend, sequence, "Ready").await;
-                }
-                sleep(Duration::from_millis(500)).await;
-            }
-        };
-        tokio::select! {
-            result = run => result,
-            () = announcing => unreachable!("announcements do not end"),
-        }
-    }
-
-    /// Checks that the status of every control replica lists the limit of a backend server.
-    async fn assert_status_lists(&self, backend: &str) {
-        for replica in &self.deployment.replicas {
-            let url = format!("http://{}", replica.settings.listen);
-            let mut client = OperatorClient::connect(url).await.unwrap();
-            let reply = client.status(StatusRequest {}).await.unwrap().into_inner();
-            let limits = reply.backend_limits;
-            assert_eq!(limits.len(), 1);
-            assert_eq!(limits[0].backend, backend);
-        }
-    }
-
-    fn call_addresses(&self) -> Vec<SocketAddr> {
-        let entries = self.entries.iter();
-        entries.map(|entry| entry.settings.listen.callers).collect()
-    }
-}
-
-/// Callers that send requests to entry VMs until they are stopped.
-struct Callers {
-    stop: Arc<AtomicBool>,
-    tasks: JoinSet<Vec<Answer>>,
-}
-
-impl Callers {
-    fn start(addresses: &[SocketAddr]) -> Self {
-        let stop = Arc::new(AtomicBool::new(false));
-        let mut tasks = JoinSet::new();
-        for address in addresses.iter().copied() {
-            let stop = Arc::clone(&stop);
-            tasks.spawn(async move {
-                let mut answers = Vec::new();
-                for object in (0..OBJECTS).cycle() {
-                    if stop.load(Ordering::SeqCst) {
-                        break;
-                    }
-                    answers.extend(ask(address, object).await);
-                    sleep(PAUSE).await;
-                }
-                answers
-            });
-        }
-        Self { stop, tasks }
-    }
-
-    async fn finish(self) -> Vec<Answer> {
-        self.stop.store(true, Ordering::SeqCst);
-        self.tasks.join_all().await.into_iter().flatten().collect()
+/// Checks that the status of every control replica lists the limit of a backend server.
+async fn assert_status_lists(scene: &Scene, backend: &str) {
+    for replica in &scene.deployment.replicas {
+        let url = format!("http://{}", replica.settings.listen);
+        let mut client = OperatorClient::connect(url).await.unwrap();
+        let reply = client.status(StatusRequest {}).await.unwrap().into_inner();
+        let limits = reply.backend_limits;
+        assert_eq!(limits.len(), 1);
+        assert_eq!(limits[0].backend, backend);
     }
 }
 
@@ -215,7 +100,7 @@
             sleep(Duration::from_secs(2)).await;
         })
         .await;
-    scene.assert_status_lists("backend-1").await;
+    assert_status_lists(&scene, "backend-1").await;
     let late = scene.deployment.start_entry("entry-3");
     scene.entries.push(late);
     let late = &scene.entries[2];
