dispatch: a backend server that asks a sender for a time without requests gets none from it

Cause: Retry-After of a backend server was read nowhere. A refusal raised a cost among others, gone where all candidates cost the same, and outweighed by data at hand.

Change: the pause is the pair's. Candidates, the fallback to all and to cold ones, resends, copies and health checks pass over a paused backend server; a request that waits for a connection is checked again before its first byte (SendHolds). Objects of a paused backend server go to their next place, for as long as it is paused. Where all are closed the request is refused at once with backend_paused, and a delay by the earliest end, the number who wait and a third of the caller's time. Health, load, rollout verdict and quarantine note nothing.

Why it holds: every send passes Dispatcher::choose and SendHolds, and no other message ends a pause.

--- a/lib/src/backend_load.rs
+++ b/lib/src/backend_load.rs
@@ -13,6 +13,7 @@
 use slotmap::SlotMap;
 use slotmap::new_key_type;
 
+use crate::backend_pushback::PauseNumber;
 use crate::service_latency::RouteLatencyKey;
 
 /// Half-life of the reported number of other senders' requests. Other senders keep sending
@@ -60,6 +61,8 @@
     pub expected: Expectation,
     /// Whether it was counted as slow while it was in flight.
     pub overdue: bool,
+    /// The pause of the backend server that it is a trial after; `None` if it is none.
+    pub trial: Option<PauseNumber>,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -78,12 +81,18 @@
 
 impl BackendLoad {
     /// Records that a request is sent.
-    pub fn begin(&mut self, now: Instant, expected: Expectation) -> SendKey {
+    pub fn begin(
+        &mut self,
+        now: Instant,
+        expected: Expectation,
+        trial: Option<PauseNumber>,
+    ) -> SendKey {
         let sent_at = now;
         self.in_flight.insert(InFlight {
             sent_at,
             expected,
             overdue: false,
+            trial,
         })
     }
 
--- a/lib/src/backend_pushback.rs
+++ b/lib/src/backend_pushback.rs
@@ -1,30 +1,151 @@
 //! Pushback of a backend server, as known to one sender.
 //!
 //! It applies to the sender that received it: the backend server may accept requests of others.
+//! After the time that it asked for, it is sent one request, then one more at a time for each that
+//! it runs: all senders that it refused together would fill it again otherwise.
 
 use std::time::Duration;
 use std::time::Instant;
 
+use crate::dispatch_request::SendOutcome;
+
+/// Pause after a refusal that asks for none, if the refused request was a trial.
+const TRIAL_PAUSE: Duration = Duration::from_millis(500);
+
+/// Identifies a pause, so that the end of a trial does not count for a later one.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub(crate) struct PauseNumber(u32);
+
+/// Which requests a backend server is sent.
+#[derive(Clone, Copy, Debug, Default)]
+enum Flow {
+    /// All of them.
+    #[default]
+    All,
+    /// None before `until`, then a trial.
+    Paused { until: Instant },
+    /// As many at a time as are permitted.
+    Trial { permitted: u32, in_flight: u32 },
+}
+
+/// A pause that has ended.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) struct EndedPause {
+    /// Time from its begin to the first trial.
+    pub length: Duration,
+    /// Number of requests that were not sent to the backend server because of it.
+    pub passed_over: u32,
+}
+
 /// The pushback of one backend server.
 #[derive(Debug, Default)]
 pub(crate) struct BackendPushback {
-    /// Until when no request may be sent.
-    until: Option<Instant>,
+    flow: Flow,
+    number: PauseNumber,
+    begun: Option<Instant>,
+    passed_over: u32,
 }
 
 impl BackendPushback {
-    /// Records that an answer whose head arrived at `at` asked for `asked` without requests; returns
-    /// whether such a time begins. It is never shortened.
-    pub fn note(&mut self, now: Instant, at: Instant, asked: Duration) -> bool {
-        let until = at + asked;
-        let begins = until > now && self.left(now).is_none();
-        self.until = self.until.max(Some(until));
-        begins
+    /// Records that no request may be sent before `until`; returns whether a pause begins. A pause
+    /// is never shortened.
+    pub fn pause(&mut self, now: Instant, until: Instant) -> bool {
+        if until <= now {
+            return false;
+        }
+        if let Flow::Paused { until: known } = &mut self.flow {
+            *known = until.max(*known);
+            return false;
+        }
+        self.flow = Flow::Paused { until };
+        self.number.0 = self.number.0.wrapping_add(1);
+        if self.begun.is_some() {
+            // A trial was refused: the pause goes on.
+            return false;
+        }
+        self.begun = Some(now);
+        true
+    }
+
+    /// Returns whether a request may be sent.
+    pub fn admits(&self, now: Instant) -> bool {
+        match self.flow {
+            Flow::All => true,
+            Flow::Paused { until } => now >= until,
+            Flow::Trial {
+                permitted,
+                in_flight,
+            } => in_flight < permitted,
+        }
+    }
+
+    /// Returns until when no request may be sent; `None` outside of a pause.
+    pub fn until(&self) -> Option<Instant> {
+        match self.flow {
+            Flow::Paused { until } => Some(until),
+            Flow::All | Flow::Trial { .. } => None,
+        }
+    }
+
+    /// Records that a request was not sent because of the pause.
+    pub const fn note_passed_over(&mut self) {
+        self.passed_over = self.passed_over.saturating_add(1);
+    }
+
+    /// Records that a request is sent. Returns the number of the pause if the request is a trial.
+    pub const fn note_sent(&mut self) -> Option<PauseNumber> {
+        match &mut self.flow {
+            Flow::All => return None,
+            Flow::Paused { .. } => {
+                self.flow = Flow::Trial {
+                    permitted: 1,
+                    in_flight: 1,
+                };
+            }
+            Flow::Trial { in_flight, .. } => *in_flight = in_flight.saturating_add(1),
+        }
+        Some(self.number)
     }
 
-    /// Returns how much longer no request may be sent; `None` if requests may be sent.
-    pub fn left(&self, now: Instant) -> Option<Duration> {
-        let left = self.until?.saturating_duration_since(now);
-        (!left.is_zero()).then_some(left)
+    /// Records how a trial ended at a backend server with `slots`. Returns the pause if it has ended.
+    pub fn note_trial_ended(
+        &mut self,
+        now: Instant,
+        number: PauseNumber,
+        outcome: SendOutcome,
+        slots: u32,
+    ) -> Option<EndedPause> {
+        let Flow::Trial {
+            permitted,
+            in_flight,
+        } = &mut self.flow
+        else {
+            return None;
+        };
+        if number != self.number {
+            return None;
+        }
+        *in_flight = in_flight.saturating_sub(1);
+        match outcome {
+            SendOutcome::Answered | SendOutcome::Faulty => *permitted += 1,
+            SendOutcome::Shed => {
+                self.pause(now, now + TRIAL_PAUSE);
+                return None;
+            }
+            SendOutcome::Misdirected
+            | SendOutcome::Unreachable
+            | SendOutcome::Withdrawn
+            | SendOutcome::Broken
+            | SendOutcome::Abandoned => {}
+        }
+        if *permitted <= slots {
+            return None;
+        }
+        self.flow = Flow::All;
+        let begun = self.begun.take()?;
+        Some(EndedPause {
+            length: now.saturating_duration_since(begun),
+            passed_over: std::mem::take(&mut self.passed_over),
+        })
     }
 }
--- a/lib/src/backend_statement.rs
+++ b/lib/src/backend_statement.rs
@@ -127,6 +127,15 @@
         /// The time that it asked for.
         asked: Duration,
     },
+    /// A backend server that asked for a time without requests runs them again.
+    Resumed {
+        /// The backend server.
+        backend: BackendName,
+        /// Time since it first asked.
+        paused: Duration,
+        /// Number of requests that were not sent there meanwhile.
+        passed_over: u32,
+    },
     /// A backend server is known to leave.
     Leaving {
         /// The backend server.
--- a/lib/src/cold_queries.rs
+++ b/lib/src/cold_queries.rs
@@ -48,7 +48,7 @@
     /// A reply counts for all backend servers of the place, because an evacuation makes all of
     /// them cold. Querying every backend server would cost more than the requests themselves when
     /// all entry VMs have lost control. Those that declare a rate limit are spared if there are
-    /// others.
+    /// others, and those that asked for a time without requests in any case.
     pub fn cold_queries(&mut self, now: Instant) -> (Vec<ColdQuery>, Instant) {
         let mut queries = Vec::new();
         for (place, members) in self.query_targets(now) {
@@ -89,11 +89,13 @@
             members.push(key);
         }
         for members in places.values_mut() {
+            members.retain(|key| self.backends[*key].pushback.admits(now));
             let is_limited = |key: &BackendKey| self.backends[*key].limit.rate().is_some();
             if !members.iter().all(is_limited) {
                 members.retain(|key| !is_limited(key));
             }
         }
+        places.retain(|_, members| !members.is_empty());
         places
     }
 
--- a/lib/src/direct_dispatch.rs
+++ b/lib/src/direct_dispatch.rs
@@ -28,6 +28,7 @@
 use crate::dispatch_request::BackendKey;
 use crate::dispatch_request::Choice;
 use crate::dispatch_request::DispatchRequest;
+use crate::dispatch_request::PassedOver;
 use crate::dispatch_request::RETRY_ELSEWHERE_AFTER;
 use crate::dispatch_request::Refused;
 use crate::dispatch_request::RefusedReason;
@@ -114,6 +115,8 @@
     spread_phase: f64,
     /// What backend servers stated, as far as it has to be logged and has not been taken yet.
     pub(crate) statement_events: Vec<StatementEvent>,
+    /// Whether the backend servers that must not be sent requests have changed.
+    pub(crate) holds_changed: bool,
     /// Limits that control passed on last.
     pub(crate) shared_limits: BTreeMap<BackendName, LimitObservation>,
     /// Whether control has to be told a limit.
@@ -150,6 +153,7 @@
             rank_fairness: RankFairness::default(),
             spread_phase: 0.0,
             statement_events: Vec::new(),
+            holds_changed: false,
             shared_limits: BTreeMap::new(),
             limit_reports_due: false,
             advice,
@@ -198,7 +202,7 @@
             Fallback::Unavailable(other)
                 if matches!(
                     refused.reason,
-                    RefusedReason::NoBackend | RefusedReason::Limited
+                    RefusedReason::NoBackend | RefusedReason::Limited | RefusedReason::Paused
                 ) =>
             {
                 self.choose_among(now, request, other)
@@ -255,8 +259,13 @@
         }
         let Candidates {
             list: candidates,
-            passed_over,
+            limited,
+            paused,
         } = self.candidates(now, service, latency_key, request, filter);
+        let passed_over = PassedOver {
+            limited,
+            paused: paused.len(),
+        };
         let preferred = dispatch_pick::preferred_region(&candidates);
         let limits = PickLimits {
             time_left,
@@ -276,12 +285,15 @@
         let best = best.filter(|best| {
             request.answers_until.is_none() || best.wait + time_to_last_byte <= time_left
         });
+        for key in paused {
+            self.backends[key].pushback.note_passed_over();
+        }
         if !candidates.is_empty() {
             self.rank_fairness.note(now, request.rank, best.is_some());
         }
         let Some(best) = best else {
             return Err(if candidates.is_empty() {
-                self.refuse_limited(now, request)
+                self.refuse_closed(now, request)
                     .unwrap_or_else(|| refuse(RefusedReason::NoBackend))
             } else if fits_without_stop(now, request, &candidates, limits) {
                 self.refuse_retry_elsewhere(RefusedReason::Leaving)
@@ -344,7 +356,7 @@
         best: &Candidate,
         latency_key: RouteLatencyKey,
         max_connections: u32,
-        passed_over: usize,
+        passed_over: PassedOver,
     ) -> Choice {
         let interval = self.limit_interval(now, &self.backends[best.backend]);
         let backend = &mut self.backends[best.backend];
@@ -356,7 +368,8 @@
             queued: best.wait > 0.0,
             slow_above: seconds(best.slow_above),
         };
-        let send = backend.load.begin(now, expectation);
+        let trial = backend.pushback.note_sent();
+        let send = backend.load.begin(now, expectation, trial);
         self.in_flight += 1;
         Choice {
             backend: best.backend,
@@ -372,7 +385,6 @@
             report_age,
             limit: backend.limit.rate(),
             passed_over,
-            paused_for: backend.pushback.left(now),
         }
     }
 
@@ -407,6 +419,7 @@
             .saturating_sub(delay.unwrap_or_default());
         self.note_rollout_answer(end, &send, took);
         self.note_limit(now, end, send.sent_at);
+        self.note_trial_ended(now, end, &send);
         let Some(backend) = self.backends.get_mut(end.backend) else {
             return;
         };
--- a/lib/src/dispatch_assess.rs
+++ b/lib/src/dispatch_assess.rs
@@ -40,7 +40,19 @@
     /// The candidates, with the estimated cost of each.
     pub list: Vec<Candidate>,
     /// Number of backend servers that the object is assigned to, but whose limits are used up.
-    pub passed_over: usize,
+    pub limited: usize,
+    /// Backend servers that the object is assigned to, but that asked for a time without requests.
+    pub paused: Vec<BackendKey>,
+}
+
+impl Candidates {
+    const fn of(list: Vec<Candidate>) -> Self {
+        Self {
+            list,
+            limited: 0,
+            paused: Vec::new(),
+        }
+    }
 }
 
 impl Dispatcher {
@@ -69,41 +81,59 @@
             .collect();
         let Some(object) = request.object.filter(|_| self.cfg.policy.homes) else {
             let all = stable.iter().map(|key| (*key, 0));
-            return Candidates {
-                list: self.assess(now, all, service, latency_key, request),
-                passed_over: 0,
-            };
+            return Candidates::of(self.assess(now, all, service, latency_key, request));
         };
         let objects = service.objects_of(filter);
         let mut ranked = self.ranked(&stable, object, objects);
-        let is_over_limit = |key: &BackendKey| self.is_over_limit(now, &self.backends[*key]);
-        let passed_over = ranked.iter().filter(|(key, _)| is_over_limit(key)).count();
-        if passed_over > 0 {
+        let is_closed = |key: &BackendKey| self.is_closed(now, &self.backends[*key]);
+        let closed: Vec<BackendKey> = ranked
+            .iter()
+            .map(|(key, _)| *key)
+            .filter(is_closed)
+            .collect();
+        if !closed.is_empty() {
             // Only this request takes part in the changed ranking, so that other objects stay
             // where they are.
             let open: Vec<BackendKey> = stable
                 .iter()
-                .filter(|key| !is_over_limit(key))
+                .filter(|key| !is_closed(key))
                 .copied()
                 .collect();
             ranked = self.ranked(&open, object, objects);
         }
-        let list = self.assess(now, ranked.into_iter(), service, latency_key, request);
-        if !list.is_empty() {
-            return Candidates { list, passed_over };
+        let count = closed.len();
+        let is_paused = |key: &BackendKey| !self.backends[*key].pushback.admits(now);
+        let paused: Vec<BackendKey> = closed.into_iter().filter(is_paused).collect();
+        let limited = count - paused.len();
+        let mut list = self.assess(now, ranked.into_iter(), service, latency_key, request);
+        if list.is_empty() {
+            let all = stable.iter().map(|key| (*key, FALLBACK_RANK));
+            list = self.assess(now, all, service, latency_key, request);
         }
-        let all = stable.iter().map(|key| (*key, FALLBACK_RANK));
-        let list = self.assess(now, all, service, latency_key, request);
-        if !list.is_empty() {
-            return Candidates { list, passed_over };
+        if list.is_empty() {
+            list = self.assess_cold(now, service, latency_key, request, of_version);
         }
+        Candidates {
+            list,
+            limited,
+            paused,
+        }
+    }
+
+    fn assess_cold(
+        &self,
+        now: Instant,
+        service: &Service,
+        latency_key: RouteLatencyKey,
+        request: &DispatchRequest<'_>,
+        of_version: impl Fn(&BackendKey) -> bool,
+    ) -> Vec<Candidate> {
         let cold = service.backends.iter().filter(|key| {
             let backend = &self.backends[**key];
             backend.usable && of_version(key) && self.is_cold(now, backend)
         });
         let cold = cold.map(|key| (*key, FALLBACK_RANK));
-        let list = self.assess(now, cold, service, latency_key, request);
-        Candidates { list, passed_over }
+        self.assess(now, cold, service, latency_key, request)
     }
 
     fn assess(
@@ -135,7 +165,7 @@
         request.allows(&backend.region)
             && backend.health.is_reachable(now)
             && !request.tried.contains(&key)
-            && !self.is_over_limit(now, backend)
+            && !self.is_closed(now, backend)
     }
 
     /// Ranks the backend servers that an object is assigned to.
--- a/lib/src/dispatch_limits.rs
+++ b/lib/src/dispatch_limits.rs
@@ -15,9 +15,6 @@
 use crate::direct_dispatch::Dispatcher;
 use crate::dispatch_backend::Backend;
 use crate::dispatch_request::BackendKey;
-use crate::dispatch_request::DispatchRequest;
-use crate::dispatch_request::Refused;
-use crate::dispatch_request::RefusedReason;
 use crate::dispatch_request::SendEnd;
 use crate::dispatch_request::SendOutcome;
 use crate::id::BackendName;
@@ -25,17 +22,6 @@
 use crate::rate_limit::LimitStatement;
 use crate::rate_limit::RequestRate;
 
-/// Shares of the limits that kept a request from being sent.
-#[derive(Clone, Copy, Debug, Default)]
-struct ClosedLimits {
-    /// Requests that this sender may send to all of them, per second.
-    own_rate: f64,
-    /// Requests that all senders may send to them, per second.
-    total_rate: f64,
-    /// When the first of them accepts a request of this sender.
-    opens_at: Option<Instant>,
-}
-
 impl Dispatcher {
     /// Returns the minimum interval between two requests to a backend server with a limit; `None`
     /// without a limit or a share of it.
@@ -55,55 +41,6 @@
         !interval.is_some_and(|interval| backend.gate.is_open(now, interval, tolerance(interval)))
     }
 
-    /// Refuses a request because of the limits of all backend servers that it could be sent to;
-    /// `None` if no limit is the reason. The delay before a retry grows with the number of refused
-    /// requests that compete for this sender's share.
-    pub(crate) fn refuse_limited(
-        &mut self,
-        now: Instant,
-        request: &DispatchRequest<'_>,
-    ) -> Option<Refused> {
-        let closed = self.closed_limits(now, request)?;
-        let service = self.services.get_mut(request.service)?;
-        service.limited.note(now);
-        let refused = service.limited.per_second(now);
-        let wait = closed.opens_at.map_or_else(
-            || Duration::try_from_secs_f64(1.0 / closed.total_rate).unwrap_or(Duration::MAX),
-            |at| at.saturating_duration_since(now),
-        );
-        #[expect(clippy::cast_precision_loss, reason = "counts far below 2^52")]
-        let even_rate = closed.total_rate / self.senders.len().max(1) as f64;
-        let competitors = refused / closed.own_rate.max(even_rate);
-        Some(Refused {
-            reason: RefusedReason::Limited,
-            retry_after: self.advice.after(wait, competitors, 1.0),
-            considered: 0,
-            shortest_wait: None,
-        })
-    }
-
-    fn closed_limits(&self, now: Instant, request: &DispatchRequest<'_>) -> Option<ClosedLimits> {
-        let service = self.services.get(request.service)?;
-        let mut closed: Option<ClosedLimits> = None;
-        for key in &service.backends {
-            let backend = &self.backends[*key];
-            let is_closed = backend.usable
-                && request.allows(&backend.region)
-                && self.is_over_limit(now, backend);
-            let Some(rate) = backend.limit.rate().filter(|_| is_closed) else {
-                continue;
-            };
-            let closed = closed.get_or_insert_default();
-            closed.total_rate += rate.per_second().max(backend_limit::MIN_RATE);
-            if let Some(interval) = self.limit_interval(now, backend) {
-                closed.own_rate += 1.0 / interval.as_secs_f64();
-                let at = backend.gate.opens_at(now, interval, tolerance(interval));
-                closed.opens_at = Some(closed.opens_at.map_or(at, |first| first.min(at)));
-            }
-        }
-        closed
-    }
-
     /// Applies what an answer states about the limit of its backend server.
     pub(crate) fn note_limit(&mut self, now: Instant, end: &SendEnd, sent_at: Instant) {
         let Some(received) = end.statement else {
--- a/lib/src/dispatch_request.rs
+++ b/lib/src/dispatch_request.rs
@@ -97,10 +97,18 @@
     pub report_age: Option<Duration>,
     /// Rate limit that the backend server is known to have declared.
     pub limit: Option<RequestRate>,
-    /// Number of backend servers that the object is assigned to, but whose limits are used up.
-    pub passed_over: usize,
-    /// How much longer the backend server wants no requests; `None` if it does not say so.
-    pub paused_for: Option<Duration>,
+    /// Backend servers that the object is assigned to, but that were passed over.
+    pub passed_over: PassedOver,
+}
+
+/// Numbers of backend servers that a request was not sent to although its object is assigned to
+/// them.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct PassedOver {
+    /// Those whose limits are used up.
+    pub limited: usize,
+    /// Those that asked for a time without requests.
+    pub paused: usize,
 }
 
 /// Refusal: the reason and the retry delay.
@@ -131,6 +139,8 @@
     NoResend,
     /// All backend servers have declared limits, and this entry VM's shares are used up.
     Limited,
+    /// All backend servers asked for a time without requests, or are at their limits.
+    Paused,
 }
 
 impl RefusedReason {
@@ -144,6 +154,7 @@
             Self::LinkFull => "link_full",
             Self::NoResend => "no_resend",
             Self::Limited => "limited",
+            Self::Paused => "paused",
         }
     }
 }
--- a/lib/src/dispatch_service.rs
+++ b/lib/src/dispatch_service.rs
@@ -45,8 +45,8 @@
     pub average_others: f64,
     /// The rollout that is in progress.
     pub rollout: Option<RolloutRouting>,
-    /// Requests that were refused because of the limits of backend servers.
-    pub limited: RateMeter,
+    /// Requests that were refused because all backend servers were closed to this sender.
+    pub refused_closed: RateMeter,
 }
 
 impl Service {
@@ -67,7 +67,7 @@
             copy_credit: 0.0,
             average_others: 0.0,
             rollout: None,
-            limited: RateMeter::default(),
+            refused_closed: RateMeter::default(),
         }
     }
 
--- a/lib/src/explanation.rs
+++ b/lib/src/explanation.rs
@@ -186,6 +186,10 @@
             "all backend servers that may run the request declare rate limits, and this entry VM's \
              shares of them are used up"
         }
+        NotRunReason::BackendPaused => {
+            "all backend servers that may run the request asked this entry VM to send nothing for a \
+             time, or are at their rate limits"
+        }
         NotRunReason::BackendRefused => "the backend server refused the request before running it",
         NotRunReason::Quarantined => {
             "backend servers failed one after the other while they ran this request; `heatherring \
--- a/lib/src/outcome.rs
+++ b/lib/src/outcome.rs
@@ -145,6 +145,8 @@
         ActionStoreFull "action_store_full" 503,
         /// All backend servers declare rate limits, and these are used up.
         BackendLimit "backend_limit" 503,
+        /// All backend servers asked for a time without requests, or are at their limits.
+        BackendPaused "backend_paused" 503,
     }
 }
 
--- a/lib/src/retry_advice.rs
+++ b/lib/src/retry_advice.rs
@@ -40,4 +40,16 @@
         let jitter = spread.mul_f64(self.rng.random::<f64>());
         base.saturating_add(jitter).min(MAX_WAIT)
     }
+
+    /// Like [`Self::after`] for one request a second that is served, but no longer than `longest`.
+    /// Callers whose delay is cut short for that are still spread.
+    pub fn within(&mut self, longest: Duration, wait: Duration, refused: f64) -> Duration {
+        /// Part of the longest delay over which callers are spread.
+        const SPREAD: f64 = 0.3;
+        let after = self.after(wait, refused, 1.0);
+        if after <= longest {
+            return after;
+        }
+        longest.mul_f64(1.0 - SPREAD * self.rng.random::<f64>())
+    }
 }
--- a/lib/tests/test_pushback.rs
+++ b/lib/tests/test_pushback.rs
@@ -39,7 +39,7 @@
     test_pushback_huge: [Some("99999999999999999999999999")], date: None => MAX;
     test_pushback_date: [Some("Sun, 06 Nov 1994 08:49:40 GMT")], date: Some(DATE) => ms(3_000);
     test_pushback_date_that_has_passed: [Some("Sun, 06 Nov 1994 08:49:30 GMT")], date: Some(DATE) => ms(0);
-    test_pushback_date_far_ahead: [Some("Sun, 06 Nov 2094 08:49:30 GMT")], date: Some(DATE) => MAX;
+    test_pushback_date_far_ahead: [Some("Sat, 06 Nov 2094 08:49:30 GMT")], date: Some(DATE) => MAX;
     test_pushback_date_without_the_time_of_the_answer: [Some(DATE)], date: None => PushbackNotice::Unreadable;
 }
 
--- a/server/src/direct_path.rs
+++ b/server/src/direct_path.rs
@@ -320,6 +320,7 @@
         RefusedReason::Leaving => NotRunReason::Leaving,
         RefusedReason::LinkFull => NotRunReason::LinkFull,
         RefusedReason::Limited => NotRunReason::BackendLimit,
+        RefusedReason::Paused => NotRunReason::BackendPaused,
         RefusedReason::NoResend => {
             metric::resend(false);
             NotRunReason::NoResend
--- a/server/src/direct_send.rs
+++ b/server/src/direct_send.rs
@@ -21,6 +21,8 @@
 use heatherring_lib::outcome::UnknownReason;
 use heatherring_lib::outcome::Unsent;
 use heatherring_lib::request_fingerprint::RequestTag;
+use heatherring_lib::send_holds::Hold;
+use heatherring_lib::send_holds::SendHolds;
 use heatherring_lib::service_latency::RouteLatencyKey;
 use http::HeaderMap;
 use http::Method;
@@ -142,6 +144,7 @@
     crashes: CrashTracker,
     stopping: StopObserver,
     unread_headers: Arc<UnreadHeaders>,
+    holds: watch::Receiver<Arc<SendHolds>>,
 }
 
 impl DirectSender {
@@ -156,6 +159,7 @@
         crashes: CrashTracker,
         stopping: StopObserver,
     ) -> Self {
+        let holds = dispatch.holds();
         Self {
             pool,
             interface,
@@ -164,6 +168,7 @@
             crashes,
             stopping,
             unread_headers: Arc::default(),
+            holds,
         }
     }
 
@@ -191,8 +196,8 @@
                 }
             };
             // Connecting takes time, and longer over a congested link. Meanwhile the backend
-            // server may have announced that it leaves, or this entry VM may have been asked to
-            // stop.
+            // server may have announced that it leaves, or asked for a time without requests, or
+            // this entry VM may have been asked to stop.
             if let Some(reason) = self.withdrawn(choice, req) {
                 self.pool.give_back_for(connection, DEFAULT_IDLE_TIME);
                 return Sent::new(attempt.refuse(reason), SendOutcome::Withdrawn);
@@ -276,8 +281,14 @@
             return Some(NotRunReason::BackendUnreachable);
         }
         drop(view);
+        let now = Instant::now();
+        match self.holds.borrow().hold(now, &choice.name, choice.born) {
+            Some(Hold::Leaving) => return Some(NotRunReason::BackendUnreachable),
+            Some(Hold::Paused) => return Some(NotRunReason::BackendPaused),
+            None => {}
+        }
         let until = self.stopping.answers_until()?;
-        let is_late = Instant::now() + choice.expected > until;
+        let is_late = now + choice.expected > until;
         is_late.then_some(NotRunReason::Leaving)
     }
 
--- a/server/src/dispatch_task.rs
+++ b/server/src/dispatch_task.rs
@@ -33,10 +33,12 @@
 use heatherring_lib::request_rank::RequestRank;
 use heatherring_lib::rollout_observer::RolloutReport;
 use heatherring_lib::route_manifest::Route;
+use heatherring_lib::send_holds::SendHolds;
 use heatherring_lib::service_latency::RouteLatencyKey;
 use tokio::sync::Notify;
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
+use tokio::sync::watch;
 
 use crate::metric;
 
@@ -113,6 +115,7 @@
     tx: mpsc::UnboundedSender<Message>,
     /// Signalled while control has to be told limits.
     limits_due: Arc<Notify>,
+    holds: watch::Receiver<Arc<SendHolds>>,
 }
 
 impl DispatchHandle {
@@ -122,8 +125,23 @@
         let (tx, rx) = mpsc::unbounded_channel();
         let dispatcher = Dispatcher::new(cfg, clock.now());
         let limits_due = Arc::new(Notify::new());
-        tokio::spawn(run(dispatcher, clock, rx, Arc::clone(&limits_due)));
-        Self { tx, limits_due }
+        let (holds_tx, holds) = watch::channel(Arc::default());
+        let published = Published {
+            limits_due: Arc::clone(&limits_due),
+            holds: holds_tx,
+        };
+        tokio::spawn(run(dispatcher, clock, rx, published));
+        Self {
+            tx,
+            limits_due,
+            holds,
+        }
+    }
+
+    /// Returns the backend servers that must not be sent requests.
+    #[must_use]
+    pub fn holds(&self) -> watch::Receiver<Arc<SendHolds>> {
+        self.holds.clone()
     }
 
     /// Chooses a backend server. The request counts as in flight there until the returned guard
@@ -279,11 +297,31 @@
     }
 }
 
+/// What the task makes known to others.
+struct Published {
+    limits_due: Arc<Notify>,
+    holds: watch::Sender<Arc<SendHolds>>,
+}
+
+impl Published {
+    fn update(&self, dispatcher: &mut Dispatcher) {
+        for event in dispatcher.take_statement_events() {
+            log_statement(&event);
+        }
+        if let Some(holds) = dispatcher.take_send_holds() {
+            self.holds.send_replace(Arc::new(holds));
+        }
+        if dispatcher.take_limit_reports_due() {
+            self.limits_due.notify_one();
+        }
+    }
+}
+
 async fn run(
     mut dispatcher: Dispatcher,
     clock: Arc<dyn Clock>,
     mut rx: mpsc::UnboundedReceiver<Message>,
-    limits_due: Arc<Notify>,
+    published: Published,
 ) {
     while let Some(message) = rx.recv().await {
         let now = clock.now();
@@ -324,12 +362,7 @@
             Message::StreamBegan(backend) => dispatcher.stream_began(backend),
             Message::StreamEnded(backend) => dispatcher.stream_ended(backend),
         }
-        for event in dispatcher.take_statement_events() {
-            log_statement(&event);
-        }
-        if dispatcher.take_limit_reports_due() {
-            limits_due.notify_one();
-        }
+        published.update(&mut dispatcher);
     }
 }
 
@@ -340,6 +373,13 @@
             metric::backend_paused();
             log::info!(event = "backend_pushback", backend = backend.as_str(), asked_ms = whole_ms(*asked); "a backend server asks this entry VM to send nothing for a time");
         }
+        StatementEvent::Resumed {
+            backend,
+            paused,
+            passed_over,
+        } => {
+            log::info!(event = "backend_resumed", backend = backend.as_str(), paused_ms = whole_ms(*paused), passed_over = *passed_over; "a backend server that had asked for a time without requests is sent all of its requests again");
+        }
         StatementEvent::Leaving { backend, source } => {
             metric::backend_leaving(source.name());
             log::info!(event = "backend_leaving", backend = backend.as_str(), source = source.name(); "a backend server is leaving");
--- a/server/src/metric.rs
+++ b/server/src/metric.rs
@@ -10,6 +10,7 @@
 use std::time::Duration;
 
 use heatherring_lib::clock::Clock;
+use heatherring_lib::dispatch_request::PassedOver;
 use heatherring_lib::dispatch_request::SendOutcome;
 use heatherring_lib::token_cache::LimitDecision;
 use http::Request;
@@ -117,10 +118,12 @@
     counter!("heatherring_backend_headers_unread_total", "header" => name.to_owned()).increment(1);
 }
 
-/// Counts backend servers that a request was not sent to because their limits were used up.
-pub fn passed_over(count: usize) {
-    counter!("heatherring_backend_limit_passed_over_total")
-        .increment(u64::try_from(count).unwrap_or(u64::MAX));
+/// Counts backend servers that a request was not sent to because their limits were used up, or
+/// because they had asked for a time without requests.
+pub fn passed_over(passed_over: PassedOver) {
+    let count = |count: usize| u64::try_from(count).unwrap_or(u64::MAX);
+    counter!("heatherring_backend_limit_passed_over_total").increment(count(passed_over.limited));
+    counter!("heatherring_backend_pushback_passed_over_total").increment(count(passed_over.paused));
 }
 
 /// Counts a resend that was made, or was denied because the budget was exhausted.
--- a/server/src/request_trace.rs
+++ b/server/src/request_trace.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use heatherring_lib::dispatch_request::Choice;
+use heatherring_lib::dispatch_request::PassedOver;
 use heatherring_lib::dispatch_request::Refused as NoChoice;
 use heatherring_lib::dispatch_request::SendOutcome;
 use heatherring_lib::duration_text::whole_ms;
@@ -60,10 +61,8 @@
     verdict: SendOutcome,
     /// Rate limit that the backend server was known to have declared.
     limit: Option<RequestRate>,
-    /// Number of backend servers that were passed over because of their limits.
-    passed_over: usize,
-    /// How much longer the backend server wanted no requests; `None` if it did not say so.
-    paused_for: Option<Duration>,
+    /// Backend servers that were passed over.
+    passed_over: PassedOver,
 }
 
 impl fmt::Display for SendRecord {
@@ -83,15 +82,12 @@
         if let Some(limit) = self.limit {
             write!(f, "limit {limit}, ")?;
         }
-        if self.passed_over > 0 {
-            write!(f, "{} at their limits passed over, ", self.passed_over)?;
+        let PassedOver { limited, paused } = self.passed_over;
+        if limited > 0 {
+            write!(f, "{limited} at their limits passed over, ")?;
         }
-        if let Some(paused_for) = self.paused_for {
-            write!(
-                f,
-                "asked for {} ms more without requests, ",
-                paused_for.as_millis()
-            )?;
+        if paused > 0 {
+            write!(f, "{paused} paused passed over, ")?;
         }
         if let Some(connected_in) = self.connected_in {
             write!(f, "connected in {} ms, ", connected_in.as_millis())?;
@@ -165,7 +161,6 @@
             verdict,
             limit: choice.limit,
             passed_over: choice.passed_over,
-            paused_for: choice.paused_for,
         });
     }
 
