dispatch: a backend server that states in its answers that it is leaving gets no new requests

The statement was read nowhere; a leaving backend server was known by its announcement alone, which may come late, or not reach an entry VM that control has left.

Change: from the arrival of the head the backend server is out of use for its incarnation, as one that announced itself as draining, whatever later answers or announcements omit; requests that wait for a connection are moved, those under way are finished. The relay of rate limits passes it on to control, to the other replicas and with them to all entry VMs (SharedStatements: a second list beside the limits, which processes of earlier builds ignore); status lists it. A backend server speaks only of itself, so that a false statement costs that one.

Where the last one of a service states it, requests are refused at once, as with announced drains.

Tests over processes: the entry VM that sent nothing and one that starts later, control suspended, the last one of its service and its successor. The relay's pieces are renamed from limits to statements.

--- a/lib/src/backend_statement.rs
+++ b/lib/src/backend_statement.rs
@@ -3,6 +3,9 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use serde::Deserialize;
+use serde::Serialize;
+
 use crate::backend_limit::LimitChange;
 use crate::backend_load::LoadReport;
 use crate::id::BackendName;
@@ -115,6 +118,15 @@
     }
 }
 
+/// A backend server that is leaving, as processes tell it each other.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct LeavingStatement {
+    /// The backend server.
+    pub backend: BackendName,
+    /// When the process that is leaving started.
+    pub born: u64,
+}
+
 /// Something to log about what a backend server states.
 #[derive(Clone, Debug, PartialEq)]
 pub enum StatementEvent {
--- a/lib/src/direct_dispatch.rs
+++ b/lib/src/direct_dispatch.rs
@@ -117,10 +117,12 @@
     pub(crate) statement_events: Vec<StatementEvent>,
     /// Whether the backend servers that must not be sent requests have changed.
     pub(crate) holds_changed: bool,
+    /// Processes of backend servers that are leaving, as control passed on last.
+    pub(crate) shared_leaving: BTreeMap<BackendName, u64>,
     /// Limits that control passed on last.
     pub(crate) shared_limits: BTreeMap<BackendName, LimitObservation>,
-    /// Whether control has to be told a limit.
-    pub(crate) limit_reports_due: bool,
+    /// Whether control has to be told a limit, or that a backend server is leaving.
+    pub(crate) reports_due: bool,
     /// Retry delays of requests that are refused because of limits.
     pub(crate) advice: RetryAdvice,
 }
@@ -154,8 +156,9 @@
             spread_phase: 0.0,
             statement_events: Vec::new(),
             holds_changed: false,
+            shared_leaving: BTreeMap::new(),
             shared_limits: BTreeMap::new(),
-            limit_reports_due: false,
+            reports_due: false,
             advice,
         }
     }
--- a/lib/src/dispatch_backend.rs
+++ b/lib/src/dispatch_backend.rs
@@ -13,6 +13,7 @@
 use crate::backend_load::BackendLoad;
 use crate::backend_pushback::BackendPushback;
 use crate::backend_statement::StatementKind;
+use crate::backend_statement::StatementSource;
 use crate::fleet_record::BackendRecord;
 use crate::id::BackendName;
 use crate::id::RegionName;
@@ -84,8 +85,10 @@
     pub load: BackendLoad,
     pub limit: BackendLimit,
     pub pushback: BackendPushback,
-    /// Whether its process has stated that it is leaving.
-    pub leaving: bool,
+    /// Where it was received that its process is leaving; `None` if it is not known to.
+    pub leaving: Option<StatementSource>,
+    /// Whether control knows from this entry VM, or told it, that its process is leaving.
+    pub leaving_shared: bool,
     /// Kinds of statements that could not be read.
     pub unreadable: BTreeSet<StatementKind>,
     pub health: BackendHealth,
@@ -119,7 +122,8 @@
             load: BackendLoad::default(),
             limit: BackendLimit::default(),
             pushback: BackendPushback::default(),
-            leaving: false,
+            leaving: None,
+            leaving_shared: false,
             unreadable: BTreeSet::new(),
             health: BackendHealth::new(now),
             cold_until: now + record.cold_for,
--- a/lib/src/dispatch_limits.rs
+++ b/lib/src/dispatch_limits.rs
@@ -55,7 +55,7 @@
         let is_changed = backend
             .limit
             .note_answer(sent_at, received.at, notice, may_lift);
-        self.limit_reports_due |= backend.limit.to_report(false).is_some();
+        self.reports_due |= backend.limit.to_report(false).is_some();
         if is_changed {
             self.limit_changed(now, end.backend, before);
         }
@@ -110,7 +110,7 @@
         }
         let before = backend.limit.rate();
         let is_changed = backend.limit.note_shared(shared);
-        self.limit_reports_due |= backend.limit.to_report(false).is_some();
+        self.reports_due |= backend.limit.to_report(false).is_some();
         if is_changed {
             self.limit_changed(now, key, before);
         }
@@ -133,11 +133,6 @@
         self.backends.values().filter_map(statement).collect()
     }
 
-    /// Returns whether control has to be told a limit that it did not have to be at the last call.
-    pub const fn take_limit_reports_due(&mut self) -> bool {
-        std::mem::replace(&mut self.limit_reports_due, false)
-    }
-
     /// Records that control has been told these limits.
     pub fn note_limits_reported(&mut self, statements: &[LimitStatement]) {
         for statement in statements {
--- a/lib/src/dispatch_statements.rs
+++ b/lib/src/dispatch_statements.rs
@@ -9,12 +9,14 @@
 use crate::affinity::ObjectHash;
 use crate::backend_load::InFlight;
 use crate::backend_statement::LeavingNotice;
+use crate::backend_statement::LeavingStatement;
 use crate::backend_statement::ReceivedStatement;
 use crate::backend_statement::StatementEvent;
 use crate::backend_statement::StatementSource;
 use crate::direct_dispatch::Dispatcher;
 use crate::dispatch_request::BackendKey;
 use crate::dispatch_request::SendEnd;
+use crate::id::BackendName;
 use crate::pushback::PushbackNotice;
 
 impl Dispatcher {
@@ -34,18 +36,82 @@
         if let PushbackNotice::For(asked) = statement.pushback {
             self.pause(now, key, received.at, asked);
         }
+        if statement.leaving == LeavingNotice::Leaving {
+            self.note_leaving(key, StatementSource::Answer);
+        }
+    }
+
+    /// Stops using a backend server until its process has been replaced.
+    fn note_leaving(&mut self, key: BackendKey, source: StatementSource) {
         let Some(backend) = self.backends.get_mut(key) else {
             return;
         };
-        if statement.leaving == LeavingNotice::Leaving && !backend.leaving {
-            backend.leaving = true;
-            self.statement_events.push(StatementEvent::Leaving {
+        backend.leaving_shared |= source == StatementSource::Control;
+        if backend.leaving.is_some() {
+            return;
+        }
+        backend.leaving = Some(source);
+        backend.usable = false;
+        self.holds_changed = true;
+        self.reports_due |= !backend.leaving_shared;
+        self.statement_events.push(StatementEvent::Leaving {
+            backend: backend.name.clone(),
+            source,
+        });
+    }
+
+    /// Applies what control passed on about backend servers that are leaving. It replaces what was
+    /// passed on before; a process that is no longer listed is still leaving.
+    pub fn apply_leaving(&mut self, statements: &[LeavingStatement]) {
+        let shared = statements.iter();
+        self.shared_leaving = shared
+            .map(|statement| (statement.backend.clone(), statement.born))
+            .collect();
+        for statement in statements {
+            self.apply_shared_leaving(&statement.backend);
+        }
+    }
+
+    /// Applies what control passed on about a backend server, if it is leaving.
+    pub(crate) fn apply_shared_leaving(&mut self, name: &BackendName) {
+        let (Some(born), Some(key)) = (self.shared_leaving.get(name), self.key(name)) else {
+            return;
+        };
+        if self.backends[key].record.born == *born {
+            self.note_leaving(key, StatementSource::Control);
+        }
+    }
+
+    /// Returns the backend servers that stated to this entry VM that they are leaving, and that
+    /// control has to be told: those that it does not know, or `all`.
+    #[must_use]
+    pub fn leaving_statements(&self, all: bool) -> Vec<LeavingStatement> {
+        let leaving = self.backends.values().filter(|backend| {
+            let stated = backend.leaving == Some(StatementSource::Answer);
+            stated && (all || !backend.leaving_shared)
+        });
+        leaving
+            .map(|backend| LeavingStatement {
                 backend: backend.name.clone(),
-                source: StatementSource::Answer,
-            });
+                born: backend.record.born,
+            })
+            .collect()
+    }
+
+    /// Records that control has been told that these backend servers are leaving.
+    pub fn note_leaving_reported(&mut self, statements: &[LeavingStatement]) {
+        for statement in statements {
+            if let Some(key) = self.key(&statement.backend) {
+                self.backends[key].leaving_shared = true;
+            }
         }
     }
 
+    /// Returns whether control has to be told something that it did not have to be at the last call.
+    pub const fn take_reports_due(&mut self) -> bool {
+        std::mem::replace(&mut self.reports_due, false)
+    }
+
     fn pause(&mut self, now: Instant, key: BackendKey, at: Instant, asked: Duration) {
         let until = at + asked + self.trial_delay(key, asked);
         let backend = &mut self.backends[key];
--- a/lib/src/dispatch_view.rs
+++ b/lib/src/dispatch_view.rs
@@ -112,6 +112,7 @@
         let key = self.backends.insert(backend);
         self.by_name.insert(name.clone(), key);
         self.apply_shared_limit(now, name);
+        self.apply_shared_leaving(name);
     }
 
     pub(crate) fn key(&self, name: &BackendName) -> Option<BackendKey> {
@@ -154,7 +155,8 @@
             let is_ready = backend.record.state == BackendState::Ready;
             let rollout = view.rollouts.get(&backend.record.service);
             let permitted = rollout.is_none_or(|rollout| rollout.permits(&backend.record.version));
-            backend.usable = is_ready && is_valid && !evacuated && permitted;
+            let leaving = backend.leaving.is_some();
+            backend.usable = is_ready && is_valid && !evacuated && permitted && !leaving;
             if let Some(service) = self.services.get_mut(&backend.record.service) {
                 service.backends.push(key);
             }
--- a/lib/src/send_holds.rs
+++ b/lib/src/send_holds.rs
@@ -55,7 +55,7 @@
             return None;
         }
         let held = self.backends.values().filter_map(|backend| {
-            let until = if backend.leaving {
+            let until = if backend.leaving.is_some() {
                 Until::End
             } else {
                 Until::Time(backend.pushback.until()?)
--- a/lib/src/statement_board.rs
+++ b/lib/src/statement_board.rs
@@ -1,4 +1,5 @@
-//! Rate limits of backend servers as known to a control replica.
+//! What backend servers state about themselves, as known to a control replica: their rate limits, and
+//! that they are leaving.
 //!
 //! Soft state: entry VMs report what backend servers declare, replicas pass reports on to each
 //! other and to all entry VMs. The latest observation counts, so that reports may arrive in any
@@ -9,6 +10,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use crate::backend_statement::LeavingStatement;
 use crate::id::BackendName;
 use crate::rate_limit::LimitObservation;
 use crate::rate_limit::LimitStatement;
@@ -20,15 +22,18 @@
 /// Time for which the end of a limit is kept, so that an older report does not bring it back.
 const ENDED_RETENTION: Duration = Duration::from_secs(30);
 
-/// Latest observations by backend server.
+/// Statements by backend server.
 #[derive(Debug)]
-pub struct LimitBoard {
+pub struct StatementBoard {
     /// Number of the last change.
     number: u64,
+    /// Latest observations of rate limits.
     observations: BTreeMap<BackendName, LimitObservation>,
+    /// Starts of the processes that are leaving.
+    leaving: BTreeMap<BackendName, u64>,
 }
 
-impl LimitBoard {
+impl StatementBoard {
     /// Creates an empty board. `number` is drawn at random for each incarnation of the process, so
     /// that receivers do not mistake its numbers for those of an earlier one.
     #[must_use]
@@ -36,6 +41,7 @@
         Self {
             number: number.get(),
             observations: BTreeMap::new(),
+            leaving: BTreeMap::new(),
         }
     }
 
@@ -48,22 +54,51 @@
     /// Returns whether there is no statement.
     #[must_use]
     pub fn is_empty(&self) -> bool {
-        self.observations.is_empty()
+        self.observations.is_empty() && self.leaving.is_empty()
     }
 
-    /// Applies statements, and returns those that changed a limit.
-    pub fn apply(&mut self, now: Instant, statements: Vec<LimitStatement>) -> Vec<LimitStatement> {
+    /// Applies statements on limits, and returns those that changed one.
+    pub fn apply_limits(
+        &mut self,
+        now: Instant,
+        statements: Vec<LimitStatement>,
+    ) -> Vec<LimitStatement> {
         let changed: Vec<LimitStatement> = statements
             .into_iter()
-            .filter(|statement| self.apply_one(now, statement))
+            .filter(|statement| self.apply_limit(now, statement))
             .collect();
-        if !changed.is_empty() {
+        self.note_changed(changed.len());
+        changed
+    }
+
+    /// Applies statements on leaving, and returns those that were not known.
+    pub fn apply_leaving(&mut self, statements: Vec<LeavingStatement>) -> Vec<LeavingStatement> {
+        let changed: Vec<LeavingStatement> = statements
+            .into_iter()
+            .filter(|statement| self.apply_one_leaving(statement))
+            .collect();
+        self.note_changed(changed.len());
+        changed
+    }
+
+    fn note_changed(&mut self, count: usize) {
+        if count > 0 {
             self.number = self.number.wrapping_add(1).max(1);
         }
-        changed
     }
 
-    fn apply_one(&mut self, now: Instant, statement: &LimitStatement) -> bool {
+    fn apply_one_leaving(&mut self, statement: &LeavingStatement) -> bool {
+        let known = self.leaving.get(&statement.backend);
+        let is_full = known.is_none() && self.leaving.len() >= MAX_BACKENDS;
+        if is_full || known.is_some_and(|born| *born >= statement.born) {
+            return false;
+        }
+        self.leaving
+            .insert(statement.backend.clone(), statement.born);
+        true
+    }
+
+    fn apply_limit(&mut self, now: Instant, statement: &LimitStatement) -> bool {
         let mut new = LimitObservation::of(now, statement);
         let Some(known) = self.observations.get_mut(&statement.backend) else {
             if self.observations.len() >= MAX_BACKENDS || new.rate.is_none() {
@@ -84,16 +119,28 @@
         is_change
     }
 
-    /// Returns all statements.
+    /// Returns all statements on leaving.
+    #[must_use]
+    pub fn leaving(&self) -> Vec<LeavingStatement> {
+        let leaving = self.leaving.iter();
+        leaving
+            .map(|(backend, born)| LeavingStatement {
+                backend: backend.clone(),
+                born: *born,
+            })
+            .collect()
+    }
+
+    /// Returns all statements on limits.
     #[must_use]
-    pub fn statements(&self, now: Instant) -> Vec<LimitStatement> {
+    pub fn limits(&self, now: Instant) -> Vec<LimitStatement> {
         let observations = self.observations.iter();
         observations
             .map(|(backend, known)| known.statement(now, backend.clone()))
             .collect()
     }
 
-    /// Drops limits that ended long ago, and those of backend servers for which `is_current`
+    /// Drops limits that ended long ago, and statements of backend servers for which `is_current`
     /// returns false. Entry VMs drop these themselves, so this is not a change.
     pub fn forget(&mut self, now: Instant, is_current: impl Fn(&BackendName, u64) -> bool) {
         self.observations.retain(|backend, known| {
@@ -101,5 +148,7 @@
             let is_old = now.saturating_duration_since(known.at) >= ENDED_RETENTION;
             is_current(backend, known.born) && !(has_ended && is_old)
         });
+        self.leaving
+            .retain(|backend, born| is_current(backend, *born));
     }
 }
--- a/lib/tests/limit_model/mod.rs
+++ b/lib/tests/limit_model/mod.rs
@@ -14,10 +14,10 @@
 use heatherring_lib::dispatch_request::SendEnd;
 use heatherring_lib::dispatch_request::SendOutcome;
 use heatherring_lib::id::BackendName;
-use heatherring_lib::limit_board::LimitBoard;
 use heatherring_lib::rate_limit::LimitNotice;
 use heatherring_lib::rate_limit::LimitStatement;
 use heatherring_lib::rate_limit::RequestRate;
+use heatherring_lib::statement_board::StatementBoard;
 
 use crate::dispatch_model::Scenario;
 use crate::dispatch_model::config;
@@ -44,8 +44,8 @@
     }
 }
 
-pub fn board() -> LimitBoard {
-    LimitBoard::starting_at(NonZeroU64::MIN)
+pub fn board() -> StatementBoard {
+    StatementBoard::starting_at(NonZeroU64::MIN)
 }
 
 /// Entry VMs, and backend servers of which some declare a limit.
--- a/lib/tests/test_backend_limits.rs
+++ b/lib/tests/test_backend_limits.rs
@@ -51,9 +51,9 @@
     for number in 0..ENTRIES {
         let now = fleet.now;
         for sender in &mut fleet.senders {
-            board.apply(now, sender.limit_statements(now, true));
+            board.apply_limits(now, sender.limit_statements(now, true));
         }
-        let statements = board.statements(now);
+        let statements = board.limits(now);
         for sender in &mut fleet.senders {
             sender.apply_limits(now, &statements);
         }
@@ -85,9 +85,9 @@
         let mut board = board();
         for (number, pause) in restarts {
             for sender in &mut fleet.senders {
-                board.apply(fleet.now, sender.limit_statements(fleet.now, true));
+                board.apply_limits(fleet.now, sender.limit_statements(fleet.now, true));
             }
-            let statements = board.statements(fleet.now);
+            let statements = board.limits(fleet.now);
             for sender in &mut fleet.senders {
                 sender.apply_limits(fleet.now, &statements);
             }
--- a/lib/tests/test_statement_board.rs
+++ b/lib/tests/test_statement_board.rs
@@ -48,10 +48,10 @@
             fn $name() {
                 let now = Instant::now() + Duration::from_mins(1);
                 let mut board = board();
-                board.apply(now, vec![$first]);
-                let changed = board.apply(now, vec![$second]);
+                board.apply_limits(now, vec![$first]);
+                let changed = board.apply_limits(now, vec![$second]);
                 let rates: Vec<Option<f64>> = board
-                    .statements(now)
+                    .limits(now)
                     .iter()
                     .map(|statement| statement.rate.map(RequestRate::per_second))
                     .collect();
@@ -62,41 +62,41 @@
 }
 
 board_cases! {
-    test_limit_board_newer_limit: statement(Some(3.0), 900, 1), statement(Some(2.0), 100, 1)
+    test_statement_board_newer_limit: statement(Some(3.0), 900, 1), statement(Some(2.0), 100, 1)
         => (vec![Some(2.0)], 1);
     /// Guards against a late report that brings an outdated limit back.
-    test_limit_board_late_report: statement(Some(3.0), 100, 1), statement(Some(2.0), 900, 1)
+    test_statement_board_late_report: statement(Some(3.0), 100, 1), statement(Some(2.0), 900, 1)
         => (vec![Some(3.0)], 0);
-    test_limit_board_repeated_report: statement(Some(3.0), 900, 1), statement(Some(3.0), 100, 1)
+    test_statement_board_repeated_report: statement(Some(3.0), 900, 1), statement(Some(3.0), 100, 1)
         => (vec![Some(3.0)], 0);
-    test_limit_board_ended: statement(Some(3.0), 900, 1), statement(None, 100, 1)
+    test_statement_board_ended: statement(Some(3.0), 900, 1), statement(None, 100, 1)
         => (vec![None], 1);
-    test_limit_board_end_of_an_unknown_limit: statement(None, 100, 1), statement(None, 50, 1)
+    test_statement_board_end_of_an_unknown_limit: statement(None, 100, 1), statement(None, 50, 1)
         => (vec![], 0);
-    test_limit_board_next_incarnation: statement(Some(3.0), 100, 1), statement(Some(2.0), 900, 2)
+    test_statement_board_next_incarnation: statement(Some(3.0), 100, 1), statement(Some(2.0), 900, 2)
         => (vec![Some(2.0)], 1);
-    test_limit_board_previous_incarnation: statement(Some(3.0), 900, 2), statement(Some(2.0), 100, 1)
+    test_statement_board_previous_incarnation: statement(Some(3.0), 900, 2), statement(Some(2.0), 100, 1)
         => (vec![Some(3.0)], 0);
 }
 
 /// Guards against a report from before the end of a limit that brings the limit back.
 #[test]
-fn test_limit_board_late_report_after_the_end() {
+fn test_statement_board_late_report_after_the_end() {
     let now = Instant::now() + Duration::from_mins(1);
     let mut board = board();
-    board.apply(now, vec![statement(Some(3.0), 900, 1)]);
-    board.apply(now, vec![statement(None, 100, 1)]);
-    let changed = board.apply(now, vec![statement(Some(3.0), 500, 1)]);
+    board.apply_limits(now, vec![statement(Some(3.0), 900, 1)]);
+    board.apply_limits(now, vec![statement(None, 100, 1)]);
+    let changed = board.apply_limits(now, vec![statement(Some(3.0), 500, 1)]);
     assert!(changed.is_empty());
-    assert_eq!(board.statements(now)[0].rate, None);
+    assert_eq!(board.limits(now)[0].rate, None);
 }
 
 /// Guards against a board that keeps limits of backend servers that are gone.
 #[test]
-fn test_limit_board_forgets() {
+fn test_statement_board_forgets() {
     let now = Instant::now();
     let mut board = board();
-    board.apply(now, vec![statement(Some(3.0), 0, 1)]);
+    board.apply_limits(now, vec![statement(Some(3.0), 0, 1)]);
     let number = board.number();
     board.forget(now, |_, born| born == 1);
     assert!(!board.is_empty());
--- a/server/src/control_process.rs
+++ b/server/src/control_process.rs
@@ -35,8 +35,6 @@
 use crate::fleet_service::FleetService;
 use crate::formation;
 use crate::interface::ControlInterface;
-use crate::limit_relay::LimitRelay;
-use crate::limit_relay::LimitRelaySetup;
 use crate::log_disk::DiskError;
 use crate::log_disk::LogDisk;
 use crate::log_disk::Recovered;
@@ -63,6 +61,8 @@
 use crate::rollout_task::RolloutSetup;
 use crate::session_service::SessionService;
 use crate::shutdown::Shutdown;
+use crate::statement_relay::StatementRelay;
+use crate::statement_relay::StatementRelaySetup;
 use crate::token_issuer::TokenIssuer;
 
 /// Largest accepted submission, in bytes: a manifest and the name of its operator.
@@ -370,7 +370,7 @@
         tolerance.unwrap_or_default(),
         published.clone(),
     );
-    let limits = LimitRelay::spawn(LimitRelaySetup {
+    let statements = StatementRelay::spawn(StatementRelaySetup {
         cluster: identity.cluster,
         own: settings.advertised(),
         clock: Arc::clone(clock),
@@ -383,7 +383,7 @@
         fleet.clone(),
         handle.clone(),
         tokens,
-        limits,
+        statements,
     )
 }
 
@@ -487,7 +487,7 @@
             identity.cluster,
             node.clone(),
             control,
-            fleet.limits().clone(),
+            fleet.statements().clone(),
         );
         let sessions = SessionService::new(identity.cluster, settings.timing, node.clone());
         Self {
--- a/server/src/direct_process.rs
+++ b/server/src/direct_process.rs
@@ -51,7 +51,6 @@
 use crate::http_server::Stops;
 use crate::interface::EntryInterface;
 use crate::interface::LookUpInterface;
-use crate::limit_reporter::LimitReporter;
 use crate::look_up_handler::LookUpHandler;
 use crate::metric;
 use crate::peer_channel::PeerChannels;
@@ -60,6 +59,7 @@
 use crate::request_body::RequestBody;
 use crate::rollout_reporter::RolloutReporter;
 use crate::shutdown::Shutdown;
+use crate::statement_reporter::StatementReporter;
 use crate::stop_observer::StopObserver;
 use crate::stop_observer::StopState;
 use crate::token_task::TokenHandle;
@@ -272,11 +272,11 @@
             replica: followed.replica.clone(),
         };
         tokio::spawn(rollout_reporter.run());
-        let limit_reporter = LimitReporter {
+        let statement_reporter = StatementReporter {
             dispatch: dispatch.clone(),
             replica: followed.replica.clone(),
         };
-        tokio::spawn(limit_reporter.run());
+        tokio::spawn(statement_reporter.run());
         let tokens = TokenHandle::spawn(TokenSetup {
             holder,
             place: settings.place.clone(),
--- a/server/src/dispatch_task.rs
+++ b/server/src/dispatch_task.rs
@@ -28,7 +28,6 @@
 use heatherring_lib::id::RegionName;
 use heatherring_lib::id::RouteName;
 use heatherring_lib::id::ServiceName;
-use heatherring_lib::rate_limit::LimitStatement;
 use heatherring_lib::rate_limit::RequestRate;
 use heatherring_lib::request_rank::RequestRank;
 use heatherring_lib::rollout_observer::RolloutReport;
@@ -41,6 +40,7 @@
 use tokio::sync::watch;
 
 use crate::metric;
+use crate::shared_statements::SharedStatements;
 
 /// Asks the dispatcher to choose a backend server. Owned counterpart of [`DispatchRequest`].
 #[derive(Clone, Debug)]
@@ -99,12 +99,12 @@
     RolloutReports {
         reply: oneshot::Sender<Vec<RolloutReport>>,
     },
-    Limits(Vec<LimitStatement>),
-    LimitStatements {
+    Shared(SharedStatements),
+    StatementsToShare {
         all: bool,
-        reply: oneshot::Sender<Vec<LimitStatement>>,
+        reply: oneshot::Sender<SharedStatements>,
     },
-    LimitsReported(Vec<LimitStatement>),
+    StatementsShared(SharedStatements),
     StreamBegan(BackendKey),
     StreamEnded(BackendKey),
 }
@@ -113,8 +113,8 @@
 #[derive(Clone, Debug)]
 pub struct DispatchHandle {
     tx: mpsc::UnboundedSender<Message>,
-    /// Signalled while control has to be told limits.
-    limits_due: Arc<Notify>,
+    /// Signalled while control has to be told statements of backend servers.
+    reports_due: Arc<Notify>,
     holds: watch::Receiver<Arc<SendHolds>>,
 }
 
@@ -124,16 +124,16 @@
     pub fn spawn(cfg: DispatchConfig, clock: Arc<dyn Clock>) -> Self {
         let (tx, rx) = mpsc::unbounded_channel();
         let dispatcher = Dispatcher::new(cfg, clock.now());
-        let limits_due = Arc::new(Notify::new());
+        let reports_due = Arc::new(Notify::new());
         let (holds_tx, holds) = watch::channel(Arc::default());
         let published = Published {
-            limits_due: Arc::clone(&limits_due),
+            reports_due: Arc::clone(&reports_due),
             holds: holds_tx,
         };
         tokio::spawn(run(dispatcher, clock, rx, published));
         Self {
             tx,
-            limits_due,
+            reports_due,
             holds,
         }
     }
@@ -233,26 +233,26 @@
         }
     }
 
-    /// Applies the rate limits of backend servers that control passed on.
-    pub fn apply_limits(&self, statements: Vec<LimitStatement>) {
-        let _ = self.tx.send(Message::Limits(statements));
+    /// Applies the statements of backend servers that control passed on.
+    pub fn apply_shared(&self, statements: SharedStatements) {
+        let _ = self.tx.send(Message::Shared(statements));
     }
 
-    /// Waits until a rate limit changed that control has to be told.
-    pub async fn limit_reports_due(&self) {
-        self.limits_due.notified().await;
+    /// Waits until there is a statement that control has to be told.
+    pub async fn reports_due(&self) {
+        self.reports_due.notified().await;
     }
 
-    /// Returns the rate limits that control has to be told: those that changed, or `all`.
-    pub async fn limit_statements(&self, all: bool) -> Vec<LimitStatement> {
+    /// Returns the statements that control has to be told: those that it does not know, or `all`.
+    pub async fn statements_to_share(&self, all: bool) -> SharedStatements {
         let (reply, answer) = oneshot::channel();
-        let _ = self.tx.send(Message::LimitStatements { all, reply });
+        let _ = self.tx.send(Message::StatementsToShare { all, reply });
         answer.await.unwrap_or_default()
     }
 
-    /// Records that control has been told these rate limits.
-    pub fn note_limits_reported(&self, statements: Vec<LimitStatement>) {
-        let _ = self.tx.send(Message::LimitsReported(statements));
+    /// Records that control has been told these statements.
+    pub fn note_shared(&self, statements: SharedStatements) {
+        let _ = self.tx.send(Message::StatementsShared(statements));
     }
 
     /// Applies the set of backend servers that control has received no recent heartbeat from.
@@ -299,7 +299,7 @@
 
 /// What the task makes known to others.
 struct Published {
-    limits_due: Arc<Notify>,
+    reports_due: Arc<Notify>,
     holds: watch::Sender<Arc<SendHolds>>,
 }
 
@@ -311,8 +311,8 @@
         if let Some(holds) = dispatcher.take_send_holds() {
             self.holds.send_replace(Arc::new(holds));
         }
-        if dispatcher.take_limit_reports_due() {
-            self.limits_due.notify_one();
+        if dispatcher.take_reports_due() {
+            self.reports_due.notify_one();
         }
     }
 }
@@ -354,11 +354,20 @@
             Message::RolloutReports { reply } => {
                 let _ = reply.send(dispatcher.take_rollout_reports(now));
             }
-            Message::Limits(statements) => dispatcher.apply_limits(now, &statements),
-            Message::LimitStatements { all, reply } => {
-                let _ = reply.send(dispatcher.limit_statements(now, all));
+            Message::Shared(statements) => {
+                dispatcher.apply_limits(now, &statements.limits);
+                dispatcher.apply_leaving(&statements.leaving);
+            }
+            Message::StatementsToShare { all, reply } => {
+                let _ = reply.send(SharedStatements {
+                    limits: dispatcher.limit_statements(now, all),
+                    leaving: dispatcher.leaving_statements(all),
+                });
+            }
+            Message::StatementsShared(statements) => {
+                dispatcher.note_limits_reported(&statements.limits);
+                dispatcher.note_leaving_reported(&statements.leaving);
             }
-            Message::LimitsReported(statements) => dispatcher.note_limits_reported(&statements),
             Message::StreamBegan(backend) => dispatcher.stream_began(backend),
             Message::StreamEnded(backend) => dispatcher.stream_ended(backend),
         }
--- a/server/src/fleet_follower.rs
+++ b/server/src/fleet_follower.rs
@@ -43,6 +43,7 @@
 use crate::proto::FollowReply;
 use crate::proto::FollowRequest;
 use crate::proto::fleet_client::FleetClient;
+use crate::shared_statements::SharedStatements;
 
 /// Largest number of abandoned replicas listed in the log line on the next followed one.
 const MAX_LISTED_REPLICAS: usize = 6;
@@ -317,9 +318,8 @@
         }
         if !reply.limits_encoded.is_empty() {
             // Applied after the view, which holds the backend servers.
-            self.setup
-                .dispatch
-                .apply_limits(decode(&reply.limits_encoded)?);
+            let statements = SharedStatements::of_reply(reply).map_err(|error| unusable(&error))?;
+            self.setup.dispatch.apply_shared(statements);
             self.known_limits = reply.limits_number;
             has_changes = true;
         }
@@ -445,7 +445,11 @@
 }
 
 fn decode<T: serde::de::DeserializeOwned>(encoded: &[u8]) -> Result<T, FollowError> {
-    postcard::from_bytes(encoded).map_err(|error| FollowError::Update {
+    postcard::from_bytes(encoded).map_err(|error| unusable(&error))
+}
+
+fn unusable(error: &postcard::Error) -> FollowError {
+    FollowError::Update {
         message: error.to_string(),
-    })
+    }
 }
--- a/server/src/fleet_service.rs
+++ b/server/src/fleet_service.rs
@@ -31,7 +31,6 @@
 use crate::leader_relay::fleet_client;
 use crate::leader_relay::is_relayed;
 use crate::leader_relay::relayed_request;
-use crate::limit_relay::LimitRelay;
 use crate::metric;
 use crate::node_request::NodeHandle;
 use crate::proto::AdmitReply;
@@ -55,6 +54,8 @@
 use crate::proto::ShareLimitsReply;
 use crate::proto::ShareLimitsRequest;
 use crate::proto::fleet_server::Fleet;
+use crate::shared_statements::SharedStatements;
+use crate::statement_relay::StatementRelay;
 use crate::token_issuer::TokenIssuer;
 use crate::update_cache::UpdateCache;
 
@@ -72,7 +73,7 @@
     control: FleetControl,
     node: NodeHandle,
     tokens: TokenIssuer,
-    limits: LimitRelay,
+    statements: StatementRelay,
     updates: Arc<UpdateCache>,
     lag: Arc<Mutex<FollowLag>>,
 }
@@ -86,7 +87,7 @@
         control: FleetControl,
         node: NodeHandle,
         tokens: TokenIssuer,
-        limits: LimitRelay,
+        statements: StatementRelay,
     ) -> Self {
         Self {
             cluster,
@@ -94,16 +95,16 @@
             control,
             node,
             tokens,
-            limits,
+            statements,
             updates: Arc::default(),
             lag: Arc::default(),
         }
     }
 
-    /// Returns the rate limits of backend servers.
+    /// Returns what backend servers state.
     #[must_use]
-    pub const fn limits(&self) -> &LimitRelay {
-        &self.limits
+    pub const fn statements(&self) -> &StatementRelay {
+        &self.statements
     }
 
     /// Returns whether a message was passed on by another replica, which names the cluster, rather
@@ -160,7 +161,7 @@
         let applied = Revision(request.applied_revision);
         let mut published = self.control.published().clone();
         let mut presence = self.control.presence().clone();
-        let mut limits = self.limits.clone();
+        let mut statements = self.statements.clone();
         let wait = Duration::from_millis(request.wait_ms.into()).min(MAX_HOLD);
         let proof = published.clone();
         let changes = async {
@@ -170,14 +171,14 @@
                 let has_changes = fleet.revision() > applied
                     || fleet.quarantine().revision().0 > request.known_quarantine
                     || (verdicts != 0 && verdicts != request.known_presence)
-                    || limits.has_news(request.known_limits);
+                    || statements.has_news(request.known_limits);
                 if has_changes {
                     return;
                 }
                 tokio::select! {
                     () = published.changed() => {}
                     () = presence.changed() => {}
-                    () = limits.changed() => {}
+                    () = statements.changed() => {}
                 }
             }
         };
@@ -222,11 +223,12 @@
             .as_ref()
             .filter(|absent| absent.number() != request.known_presence)
             .map(|absent| absent.update_from(request.known_presence));
-        let limits_number = self.limits.number();
-        let limits_encoded = if self.limits.has_news(request.known_limits) {
-            encode(&self.limits.statements())?
+        let limits_number = self.statements.number();
+        let (limits_encoded, leaving_encoded) = if self.statements.has_news(request.known_limits) {
+            let encoded = self.statements.statements().encoded();
+            encoded.ok_or_else(|| Status::internal("cannot encode statements"))?
         } else {
-            Vec::new()
+            Default::default()
         };
         Ok(FollowReply {
             current: true,
@@ -237,6 +239,7 @@
             verdicts_encoded: verdicts.as_ref().map_or(Ok(Vec::new()), encode)?,
             limits_number,
             limits_encoded,
+            leaving_encoded,
             ..self.list_replicas(request)?
         })
     }
@@ -414,8 +417,9 @@
     ) -> Result<Response<ShareLimitsReply>, Status> {
         let request = request.into_inner();
         let relayed = self.is_from_replica(&request.cluster_id)?;
-        let statements = decode(&request.statements_encoded)?;
-        self.limits.share(statements, relayed);
+        let statements = SharedStatements::of_request(&request);
+        let statements = statements.map_err(|_| Status::invalid_argument("invalid statements"))?;
+        self.statements.share(statements, relayed);
         Ok(Response::new(ShareLimitsReply {}))
     }
 
--- a/server/src/operator_service.rs
+++ b/server/src/operator_service.rs
@@ -34,7 +34,6 @@
 use crate::leader_relay::is_relayed;
 use crate::leader_relay::operator_client;
 use crate::leader_relay::relayed_request;
-use crate::limit_relay::LimitRelay;
 use crate::membership_request::membership_change;
 use crate::membership_request::membership_reply;
 use crate::node_request::LeaderLink;
@@ -67,6 +66,7 @@
 use crate::proto::TeamsReply;
 use crate::proto::TeamsRequest;
 use crate::proto::operator_server::Operator;
+use crate::statement_relay::StatementRelay;
 use crate::status_report;
 use crate::submit_reply::invalid_reply;
 use crate::submit_reply::refused_reply;
@@ -85,7 +85,7 @@
     cluster: ClusterId,
     node: NodeHandle,
     control: FleetControl,
-    limits: LimitRelay,
+    statements: StatementRelay,
 }
 
 impl OperatorService {
@@ -95,13 +95,13 @@
         cluster: ClusterId,
         node: NodeHandle,
         control: FleetControl,
-        limits: LimitRelay,
+        statements: StatementRelay,
     ) -> Self {
         Self {
             cluster,
             node,
             control,
-            limits,
+            statements,
         }
     }
 }
@@ -205,9 +205,13 @@
                 return Ok(reply);
             }
         }
-        let backend_limits = status_report::backend_limits(&self.limits.statements());
+        let statements = self.statements.statements();
+        let backend_limits = status_report::backend_limits(&statements.limits);
+        let leaving = statements.leaving.iter();
+        let backends_leaving = leaving.map(|leaving| leaving.backend.to_string()).collect();
         Ok(Response::new(StatusReply {
             backend_limits,
+            backends_leaving,
             ..own
         }))
     }
--- a/server/src/statement_relay.rs
+++ b/server/src/statement_relay.rs
@@ -1,4 +1,4 @@
-//! Passes rate limits of backend servers on to entry VMs and to the other control replicas.
+//! Passes statements of backend servers on to entry VMs and to the other control replicas.
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -12,16 +12,15 @@
 use heatherring_lib::clock::Clock;
 use heatherring_lib::id::BackendName;
 use heatherring_lib::id::ClusterId;
-use heatherring_lib::limit_board::LimitBoard;
-use heatherring_lib::rate_limit::LimitStatement;
+use heatherring_lib::statement_board::StatementBoard;
 use rand::seq::IndexedRandom;
 use tokio::sync::watch;
 use tonic::transport::Channel;
 
 use crate::peer_channel::PeerChannels;
-use crate::proto::ShareLimitsRequest;
 use crate::proto::fleet_client::FleetClient;
 use crate::published_state::StateReader;
+use crate::shared_statements::SharedStatements;
 
 /// Interval at which all statements are sent to one other replica, in case one was lost or the
 /// replica has restarted.
@@ -32,7 +31,7 @@
 
 /// Dependencies of the relay.
 #[derive(Debug)]
-pub struct LimitRelaySetup {
+pub struct StatementRelaySetup {
     /// Identity of the cluster, by which the other replicas accept statements.
     pub cluster: ClusterId,
     /// Address at which this replica receives messages.
@@ -45,21 +44,21 @@
     pub channels: PeerChannels,
 }
 
-/// The limits that one control replica knows; clones share them.
+/// The statements that one control replica knows; clones share them.
 #[derive(Clone, Debug)]
-pub struct LimitRelay {
-    setup: Arc<LimitRelaySetup>,
-    board: Arc<watch::Sender<LimitBoard>>,
-    changes: watch::Receiver<LimitBoard>,
+pub struct StatementRelay {
+    setup: Arc<StatementRelaySetup>,
+    board: Arc<watch::Sender<StatementBoard>>,
+    changes: watch::Receiver<StatementBoard>,
     clients: Arc<Mutex<BTreeMap<SocketAddr, FleetClient<Channel>>>>,
 }
 
-impl LimitRelay {
+impl StatementRelay {
     /// Starts the relay.
     #[must_use]
-    pub fn spawn(setup: LimitRelaySetup) -> Self {
+    pub fn spawn(setup: StatementRelaySetup) -> Self {
         let first = NonZeroU64::MIN.saturating_add(u64::from(rand::random::<u32>()) << u32::BITS);
-        let (board, changes) = watch::channel(LimitBoard::starting_at(first));
+        let (board, changes) = watch::channel(StatementBoard::starting_at(first));
         let relay = Self {
             setup: Arc::new(setup),
             board: Arc::new(board),
@@ -71,12 +70,15 @@
     }
 
     /// Applies statements of an entry VM, or of another replica if they were `relayed`; passes on
-    /// those of an entry VM that changed a limit.
-    pub fn share(&self, statements: Vec<LimitStatement>, relayed: bool) {
+    /// those of an entry VM that are news.
+    pub fn share(&self, statements: SharedStatements, relayed: bool) {
         let now = self.setup.clock.now();
-        let mut changed = Vec::new();
+        let mut changed = SharedStatements::default();
         self.board.send_if_modified(|board| {
-            changed = board.apply(now, statements);
+            changed = SharedStatements {
+                limits: board.apply_limits(now, statements.limits),
+                leaving: board.apply_leaving(statements.leaving),
+            };
             !changed.is_empty()
         });
         if !changed.is_empty() && !relayed {
@@ -94,8 +96,12 @@
 
     /// Returns all statements.
     #[must_use]
-    pub fn statements(&self) -> Vec<LimitStatement> {
-        self.board.borrow().statements(self.setup.clock.now())
+    pub fn statements(&self) -> SharedStatements {
+        let board = self.board.borrow();
+        SharedStatements {
+            limits: board.limits(self.setup.clock.now()),
+            leaving: board.leaving(),
+        }
     }
 
     /// Returns whether there are statements that a receiver which knows the change `known` lacks.
@@ -105,7 +111,7 @@
         board.number() != known && !board.is_empty()
     }
 
-    /// Waits until a limit changes; forever if the relay has ended.
+    /// Waits until there is news; forever if the relay has ended.
     pub async fn changed(&mut self) {
         if self.changes.changed().await.is_err() {
             std::future::pending::<()>().await;
@@ -154,18 +160,13 @@
         self.clients.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    fn send(&self, replica: SocketAddr, statements: &[LimitStatement]) {
+    fn send(&self, replica: SocketAddr, statements: &SharedStatements) {
         let Some(mut client) = self.client(replica) else {
             return;
         };
-        let Ok(statements_encoded) = postcard::to_stdvec(statements) else {
-            log::error!(event = "limits_unencodable"; "cannot encode rate limits of backend servers");
+        let Some(request) = statements.request(self.setup.cluster.0.to_vec()) else {
             return;
         };
-        let request = ShareLimitsRequest {
-            cluster_id: self.setup.cluster.0.to_vec(),
-            statements_encoded,
-        };
         tokio::spawn(async move {
             let call = tokio::time::timeout(SHARE_TIMEOUT, client.share_limits(request)).await;
             let error = match call {
@@ -173,7 +174,7 @@
                 Ok(Err(status)) => status.message().to_owned(),
                 Err(_) => "no answer in time".to_owned(),
             };
-            log::debug!(event = "limits_not_shared", replica:% = replica, error = error.as_str(); "a replica did not receive rate limits; they are repeated");
+            log::debug!(event = "limits_not_shared", replica:% = replica, error = error.as_str(); "a replica did not receive statements of backend servers; they are repeated");
         });
     }
 
--- a/server/src/statement_reporter.rs
+++ b/server/src/statement_reporter.rs
@@ -1,4 +1,4 @@
-//! Task of an entry VM that reports the rate limits that backend servers declare to it to control.
+//! Task of an entry VM that reports to control what backend servers state to it.
 
 use std::time::Duration;
 
@@ -7,7 +7,6 @@
 use tonic::transport::Channel;
 
 use crate::dispatch_task::DispatchHandle;
-use crate::proto::ShareLimitsRequest;
 use crate::proto::fleet_client::FleetClient;
 
 /// Timeout of a report.
@@ -18,20 +17,20 @@
 
 /// Reports of one entry VM.
 #[derive(Debug)]
-pub struct LimitReporter {
-    /// Knows the limits.
+pub struct StatementReporter {
+    /// Knows the statements.
     pub dispatch: DispatchHandle,
     /// Client of the followed replica; `None` while there is none.
     pub replica: watch::Receiver<Option<FleetClient<Channel>>>,
 }
 
-impl LimitReporter {
+impl StatementReporter {
     /// Reports until the process ends. The statements are read again for each report, so that a
     /// repeated one is not outdated. A newly followed replica is sent all of them.
     pub async fn run(mut self) {
         loop {
             let all = tokio::select! {
-                () = self.dispatch.limit_reports_due() => false,
+                () = self.dispatch.reports_due() => false,
                 changed = self.replica.changed() => match changed {
                     Ok(()) => true,
                     Err(_) => return,
@@ -49,21 +48,16 @@
             // The next replica is sent all.
             return true;
         };
-        let statements = self.dispatch.limit_statements(all).await;
+        let statements = self.dispatch.statements_to_share(all).await;
         if statements.is_empty() {
             return true;
         }
-        let Ok(statements_encoded) = postcard::to_stdvec(&statements) else {
-            log::error!(event = "limits_unencodable"; "cannot encode rate limits of backend servers");
+        let Some(request) = statements.request(Vec::new()) else {
             return true;
         };
-        let request = ShareLimitsRequest {
-            cluster_id: Vec::new(),
-            statements_encoded,
-        };
         let call = tokio::time::timeout(REPORT_TIMEOUT, client.share_limits(request)).await;
         match call {
-            Ok(Ok(_)) => self.dispatch.note_limits_reported(statements),
+            Ok(Ok(_)) => self.dispatch.note_shared(statements),
             // A replica of an earlier release.
             Ok(Err(status)) if status.code() == Code::Unimplemented => {}
             _ => return false,
--- a/server/src/status_report.rs
+++ b/server/src/status_report.rs
@@ -47,6 +47,7 @@
         entries: entries(state, tracker, now),
         current,
         backend_limits: Vec::new(),
+        backends_leaving: Vec::new(),
     }
 }
 
--- a/server/tests/direct_support/backend.rs
+++ b/server/tests/direct_support/backend.rs
@@ -5,6 +5,7 @@
 use std::sync::Mutex;
 use std::sync::atomic::AtomicU32;
 use std::sync::atomic::Ordering;
+use std::time::Duration;
 use std::time::Instant;
 
 use bytes::Bytes;
@@ -58,12 +59,16 @@
     pub by: String,
     /// Whether it was refused.
     pub refused: bool,
+    /// The time without requests that the refusal asks for, if it is refused.
+    pub asked: Option<String>,
 }
 
 #[derive(Debug, Default)]
 struct State {
     statement: Statement,
     arrivals: Vec<Arrival>,
+    /// Delay of all answers.
+    delay: Duration,
 }
 
 /// A backend server that runs as a task of the test and is stopped when dropped.
@@ -122,11 +127,12 @@
                         cold_replies.fetch_add(u32::from(cold_ms > 0), Ordering::SeqCst);
                         health_answer(&name, cold_ms)
                     });
-                    let mut statement = Statement::default();
+                    let (mut statement, mut delay) = (Statement::default(), Duration::ZERO);
                     if health.is_none() {
                         let mut state = state.lock().unwrap();
-                        state.arrivals.push(arrival(&req, behaviour));
                         statement.clone_from(&state.statement);
+                        state.arrivals.push(arrival(&req, behaviour, &statement));
+                        delay = state.delay;
                         drop(state);
                         headers.lock().unwrap().clone_from(req.headers());
                     }
@@ -138,6 +144,7 @@
                             runs.fetch_add(1, Ordering::SeqCst);
                             std::future::pending::<()>().await;
                         }
+                        tokio::time::sleep(delay).await;
                         let mut response = serve(&req, behaviour, &runs).ok_or(Broken)?;
                         statement.write(&mut response);
                         Ok(response)
@@ -182,6 +189,16 @@
         self.state.lock().unwrap().statement.leaving = Some("1".to_owned());
     }
 
+    /// Stops stating that it is leaving.
+    pub fn stop_stating_leaving(&self) {
+        self.state.lock().unwrap().statement.leaving = None;
+    }
+
+    /// Delays all further answers.
+    pub fn behave_late(&self, delay: Duration) {
+        self.state.lock().unwrap().delay = delay;
+    }
+
     /// Returns the requests other than health checks that arrived.
     pub fn requests(&self) -> Vec<Arrival> {
         self.state.lock().unwrap().arrivals.clone()
@@ -258,11 +275,12 @@
     }
 }
 
-fn arrival(req: &Request<Incoming>, behaviour: Behaviour) -> Arrival {
+fn arrival(req: &Request<Incoming>, behaviour: Behaviour, statement: &Statement) -> Arrival {
     Arrival {
         at: Instant::now(),
         by: req.uri().query().unwrap_or_default().to_owned(),
         refused: behaviour == Behaviour::Shed,
+        asked: statement.retry_after.clone(),
     }
 }
 
--- a/server/tests/direct_support/scene.rs
+++ b/server/tests/direct_support/scene.rs
@@ -108,11 +108,13 @@
     pub fn start(addresses: &[SocketAddr]) -> Self {
         let stop = Arc::new(AtomicBool::new(false));
         let mut tasks = JoinSet::new();
-        for address in addresses.iter().copied() {
+        for (number, address) in addresses.iter().copied().enumerate() {
             let stop = Arc::clone(&stop);
             tasks.spawn(async move {
                 let mut answers = Vec::new();
-                for object in (0..OBJECTS).cycle() {
+                // Callers ask for different objects, at different times.
+                sleep(PAUSE * u32::try_from(number).unwrap()).await;
+                for object in (0..OBJECTS).cycle().skip(5 * number) {
                     if stop.load(Ordering::SeqCst) {
                         break;
                     }
