--- a/lib/tests/dispatch_model/mod.rs
+++ b/lib/tests/dispatch_model/mod.rs
@@ -24,6 +24,7 @@
 use heatherring_lib::direct_dispatch::DispatchConfig;
 use heatherring_lib::direct_dispatch::Dispatcher;
 use heatherring_lib::dispatch_policy::DispatchPolicy;
+use heatherring_lib::dispatch_request::BackendKey;
 use heatherring_lib::dispatch_request::Choice;
 use heatherring_lib::dispatch_request::DispatchRequest;
 use heatherring_lib::dispatch_request::SendEnd;
@@ -43,6 +44,7 @@
 use heatherring_lib::id::ServiceName;
 use heatherring_lib::id::VersionName;
 use heatherring_lib::id::VmName;
+use heatherring_lib::pushback::PushbackNotice;
 use heatherring_lib::request_rank::RequestRank;
 use heatherring_lib::route_manifest::CallerLimits;
 use heatherring_lib::route_manifest::RouteService;
@@ -53,6 +55,8 @@
 #[allow(unused_imports, reason = "each test file uses a part of the model")]
 pub use probe::Probe;
 #[allow(unused_imports, reason = "each test file uses a part of the model")]
+pub use scenario::Refusal;
+#[allow(unused_imports, reason = "each test file uses a part of the model")]
 pub use scenario::Scenario;
 
 /// Results as seen by the callers.
@@ -68,6 +72,10 @@
     pub refused: u32,
     /// Requests that ran without cached data.
     pub cold_runs: u32,
+    /// Requests that arrived at a backend server which had asked their sender for none.
+    pub unwanted: u32,
+    /// Requests of the second in which most arrived at one backend server after it had refused all.
+    pub worst_second: u32,
     /// Largest shift of one region's requests to other regions within 2 s, as a share of its
     /// requests.
     pub max_shift: f64,
@@ -83,11 +91,23 @@
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 enum Event {
     Join,
-    Restart { entry: usize },
-    Arrival { region: usize },
-    ReachesServer { request: usize },
-    Done { request: usize },
-    Returns { request: usize, shed: bool },
+    Restart {
+        entry: usize,
+    },
+    Arrival {
+        region: usize,
+    },
+    ReachesServer {
+        request: usize,
+    },
+    Done {
+        request: usize,
+    },
+    Returns {
+        request: usize,
+        shed: bool,
+        asks: Option<Duration>,
+    },
 }
 
 struct Request {
@@ -98,6 +118,7 @@
     object: u32,
     began: Duration,
     choice: Choice,
+    tried: Vec<BackendKey>,
 }
 
 struct Server {
@@ -134,6 +155,10 @@
     requests: Vec<Request>,
     /// Time, origin region and target region of each request sent.
     sends: Vec<(Duration, usize, usize)>,
+    /// From when and until when a backend server wants no requests of an entry VM.
+    asked: BTreeMap<(usize, usize), (Duration, Duration)>,
+    /// Arrivals at backend servers that had refused all, by the second since then.
+    since_refusal: BTreeMap<(usize, u64), u32>,
     result: Result,
 }
 
@@ -185,6 +210,8 @@
             by_name,
             requests: Vec::new(),
             sends: Vec::new(),
+            asked: BTreeMap::new(),
+            since_refusal: BTreeMap::new(),
             result: Result::default(),
         }
     }
@@ -210,7 +237,11 @@
                 }
                 Event::ReachesServer { request } => self.reach(request),
                 Event::Done { request } => self.done(request),
-                Event::Returns { request, shed } => self.receive(request, shed),
+                Event::Returns {
+                    request,
+                    shed,
+                    asks,
+                } => self.receive(request, shed, asks),
             }
         }
         self.result.max_shift = self.max_shift();
@@ -295,26 +326,35 @@
         let entry =
             region * self.scenario.entries + self.rng.random_range(0..self.scenario.entries);
         let object = self.rng.random_range(0..self.scenario.objects);
+        let now = self.at();
+        self.dispatchers[entry].note_control_contact(now);
+        self.result.asked += u32::from(self.counts(self.now));
+        self.send(entry, object, self.now, Vec::new());
+    }
+
+    /// Sends a request that began at `began`, and was sent to `tried` before.
+    fn send(&mut self, entry: usize, object: u32, began: Duration, tried: Vec<BackendKey>) {
         let service = service();
         let route = route();
         let now = self.at();
+        let arrived = self.origin + began;
         let dispatch_request = DispatchRequest {
             latency_objective: self.scenario.objective,
             rank: RequestRank {
                 team: None,
                 route: 2,
             },
-            deadline: now + self.scenario.deadline,
-            objective: now + self.scenario.objective,
+            deadline: arrived + self.scenario.deadline,
+            objective: arrived + self.scenario.objective,
+            resend: !tried.is_empty(),
+            tried: &tried,
             ..request(now, &service, &route, &object.to_string())
         };
-        self.dispatchers[entry].note_control_contact(now);
-        let counted = self.counts(self.now);
-        self.result.asked += u32::from(counted);
         let Ok(choice) = self.dispatchers[entry].choose(now, &dispatch_request) else {
-            self.result.refused += u32::from(counted);
+            self.result.refused += u32::from(self.counts(began));
             return;
         };
+        let region = entry / self.scenario.entries;
         let server = self.by_name[&choice.name];
         let target = self.servers[server].region;
         self.sends.push((self.now, region, target));
@@ -325,8 +365,9 @@
             generation: self.generations[entry],
             server,
             object,
-            began: self.now,
+            began,
             choice,
+            tried,
         });
         let travel = if is_remote {
             self.scenario.delay / 2
@@ -358,12 +399,46 @@
 
     fn reach(&mut self, request: usize) {
         let server = self.requests[request].server;
-        if self.servers[server].running < self.scenario.slots {
+        self.note_arrival(server, self.requests[request].entry);
+        let refusal = self.scenario.refusal;
+        if let Some(asks) = refusal.and_then(|refusal| refusal.asks(server, self.now)) {
+            self.note_asked(server, self.requests[request].entry, asks);
+            self.send_back(request, true, Some(asks));
+        } else if self.servers[server].running < self.scenario.slots {
             self.start(request);
         } else if self.servers[server].waiting.len() < self.scenario.queue {
             self.servers[server].waiting.push_back(request);
         } else {
-            self.send_back(request, true);
+            let asks = self.scenario.asks_when_full;
+            if let Some(asks) = asks {
+                self.note_asked(server, self.requests[request].entry, asks);
+            }
+            self.send_back(request, true, asks);
+        }
+    }
+
+    fn note_asked(&mut self, server: usize, entry: usize, asks: Duration) {
+        // Requests that are on their way when the refusal arrives are not unwanted.
+        let from = self.now + self.scenario.delay;
+        let known = self.asked.entry((server, entry)).or_insert((from, from));
+        known.1 = known.1.max(self.now + asks);
+    }
+
+    fn note_arrival(&mut self, server: usize, entry: usize) {
+        if let Some((from, until)) = self.asked.get(&(server, entry)) {
+            self.result.unwanted += u32::from(self.now > *from && self.now < *until);
+            if self.now >= *until {
+                self.asked.remove(&(server, entry));
+            }
+        }
+        if let Some(refusal) = self.scenario.refusal
+            && server.is_multiple_of(refusal.every)
+            && self.now >= refusal.until
+        {
+            let second = self.now.saturating_sub(refusal.until).as_secs();
+            let count = self.since_refusal.entry((server, second)).or_default();
+            *count += 1;
+            self.result.worst_second = self.result.worst_second.max(*count);
         }
     }
 
@@ -397,12 +472,12 @@
                 self.start(next);
                 break;
             }
-            self.send_back(next, true);
+            self.send_back(next, true, None);
         }
-        self.send_back(request, false);
+        self.send_back(request, false, None);
     }
 
-    fn send_back(&mut self, request: usize, shed: bool) {
+    fn send_back(&mut self, request: usize, shed: bool, asks: Option<Duration>) {
         let Request { entry, server, .. } = self.requests[request];
         let is_remote = self.servers[server].region != entry / self.scenario.entries;
         let travel = if is_remote {
@@ -410,10 +485,15 @@
         } else {
             Duration::ZERO
         };
-        self.schedule(travel, Event::Returns { request, shed });
+        let returns = Event::Returns {
+            request,
+            shed,
+            asks,
+        };
+        self.schedule(travel, returns);
     }
 
-    fn receive(&mut self, request: usize, shed: bool) {
+    fn receive(&mut self, request: usize, shed: bool, asks: Option<Duration>) {
         let now = self.at();
         let request = &self.requests[request];
         let server = &self.servers[request.server];
@@ -427,28 +507,41 @@
             waiting: u32::try_from(server.waiting.len()).unwrap(),
             slots: self.scenario.slots,
         };
+        let received = ReceivedStatement {
+            statement: BackendStatement {
+                load: Some(load),
+                pushback: asks.map_or(PushbackNotice::Absent, PushbackNotice::For),
+                ..BackendStatement::default()
+            },
+            at: now,
+        };
         let end = SendEnd {
-            statement: Some(ReceivedStatement {
-                statement: BackendStatement {
-                    load: Some(load),
-                    ..BackendStatement::default()
-                },
-                at: now,
-            }),
+            statement: Some(received),
             object: Some(ObjectHash::of("route", &request.object.to_string())),
             ..SendEnd::new(&request.choice, outcome)
         };
         let took = self.now.saturating_sub(request.began);
-        if self.counts(request.began) {
-            self.result.refused += u32::from(shed);
+        let resends = shed && request.tried.len() + 1 < self.scenario.attempts;
+        let (entry, object, began) = (request.entry, request.object, request.began);
+        let backend = request.choice.backend;
+        let mut tried = request.tried.clone();
+        if self.counts(began) {
+            self.result.refused += u32::from(shed && !resends);
             if !shed && took <= self.scenario.objective {
                 self.result.in_objective += 1;
             } else if !shed && took <= self.scenario.deadline {
                 self.result.late += 1;
             }
         }
-        if request.generation == self.generations[request.entry] {
-            self.dispatchers[request.entry].ended(now, &end);
+        if request.generation == self.generations[entry] {
+            if self.scenario.observes {
+                self.dispatchers[entry].note_statement(now, backend, &received);
+            }
+            self.dispatchers[entry].ended(now, &end);
+            if resends {
+                tried.push(backend);
+                self.send(entry, object, began, tried);
+            }
         }
     }
 }
--- a/lib/tests/dispatch_model/scenario.rs
+++ b/lib/tests/dispatch_model/scenario.rs
@@ -44,10 +44,39 @@
     pub restarting: usize,
     /// Interval between two restarts.
     pub restart_gap: Duration,
+    /// Backend servers that refuse all requests for a time, if any do.
+    pub refusal: Option<Refusal>,
+    /// Time without requests that a backend server asks for when its queue is full.
+    pub asks_when_full: Option<Duration>,
+    /// Whether entry VMs observe such times.
+    pub observes: bool,
+    /// Maximum number of backend servers that a request is sent to.
+    pub attempts: usize,
     /// Seed of arrivals and service times.
     pub seed: u64,
 }
 
+/// Backend servers that refuse all requests for a time.
+#[derive(Clone, Copy, Debug)]
+pub struct Refusal {
+    /// Every how many-th backend server.
+    pub every: usize,
+    /// When they begin to refuse.
+    pub from: Duration,
+    /// When they serve again.
+    pub until: Duration,
+    /// Time without requests that they ask for.
+    pub asks: Duration,
+}
+
+impl Refusal {
+    /// Returns for how long a backend server asks for no requests if it refuses all now.
+    pub fn asks(&self, server: usize, now: Duration) -> Option<Duration> {
+        let refuses = server.is_multiple_of(self.every) && now >= self.from && now < self.until;
+        refuses.then_some(self.asks)
+    }
+}
+
 impl Scenario {
     /// A look-up service: 32 servers of 6 slots, of which one region has only an eighth.
     pub fn look_up() -> Self {
@@ -71,6 +100,10 @@
             burst: 1.0,
             restarting: 0,
             restart_gap: Duration::from_millis(500),
+            refusal: None,
+            asks_when_full: None,
+            observes: true,
+            attempts: 1,
             seed: 1,
         }
     }
