owners of backend servers: a pause that a backend server asks for, and that it is leaving, are observed

The record of what an answer states is read where its head arrives and taken to the group's registry. A pause holds back all slots of the backend server and is only lengthened; its slots come back one by one as after any refusal. A statement of leaving is treated as an announcement of it. The log lines are those of direct dispatch.

--- a/lib/src/admission.rs
+++ b/lib/src/admission.rs
@@ -25,6 +25,8 @@
 use crate::announcement::AnnouncementError;
 use crate::backend_registry::BackendEndpoint;
 use crate::backend_registry::HeldSlot;
+use crate::backend_statement::ReceivedStatement;
+use crate::backend_statement::StatementEvent;
 use crate::drain;
 use crate::drain::DrainDecision;
 use crate::drain::DrainInputs;
@@ -267,6 +269,24 @@
         self.process_group(now, &name)
     }
 
+    /// Applies what the head of the answer to a dispatch states about its backend server. Returns what
+    /// has to be logged of it.
+    pub fn note_statement(
+        &mut self,
+        now: Instant,
+        key: DispatchKey,
+        received: &ReceivedStatement,
+    ) -> Vec<StatementEvent> {
+        let Some(dispatched) = self.dispatches.get(key) else {
+            return Vec::new();
+        };
+        let group = self.groups.get_mut(&dispatched.offer.group);
+        let group = group.filter(|group| group.acquired() == dispatched.acquired);
+        group.map_or_else(Vec::new, |group| {
+            group.note_statement(now, &dispatched.backend, received)
+        })
+    }
+
     /// Removes a queued request whose caller is gone. Returns whether it was queued.
     pub fn cancel(&mut self, now: Instant, token: RequestToken) -> bool {
         let Some(name) = self.waiting.remove(&token) else {
--- a/lib/src/backend_registry.rs
+++ b/lib/src/backend_registry.rs
@@ -6,6 +6,7 @@
 //! service.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::time::Duration;
 use std::time::Instant;
@@ -15,12 +16,18 @@
 use crate::announcement::BackendState;
 use crate::announcement::LAPSE_MS;
 use crate::announcement::REPEAT_MS;
+use crate::backend_statement::LeavingNotice;
+use crate::backend_statement::ReceivedStatement;
+use crate::backend_statement::StatementEvent;
+use crate::backend_statement::StatementKind;
+use crate::backend_statement::StatementSource;
 use crate::circuit_breaker::CircuitBreaker;
 use crate::circuit_breaker::Flow;
 use crate::id::BackendName;
 use crate::id::SessionId;
 use crate::manifest::Drain;
 use crate::ownership::ReleasedBackend;
+use crate::pushback::PushbackNotice;
 use crate::warm_up::Ramp;
 
 /// Age at which an announcement expires and its server receives no more requests.
@@ -71,6 +78,8 @@
     ramp: Ramp,
     circuit_breaker: CircuitBreaker,
     shed: ShedLimit,
+    /// Kinds of statements that could not be read.
+    unreadable: BTreeSet<StatementKind>,
     in_flight: u32,
     /// Maximum number of requests in flight since the last announcement.
     peak: u32,
@@ -86,6 +95,8 @@
     ceiling: Option<u32>,
     changed: Option<Instant>,
     pause: Duration,
+    /// Until when the server wants no requests.
+    paused_until: Option<Instant>,
 }
 
 /// Name and address of a backend server.
@@ -235,6 +246,45 @@
         }
     }
 
+    /// Applies what the head of an answer states about its server.
+    pub fn note_statement(
+        &mut self,
+        now: Instant,
+        backend: &BackendName,
+        received: &ReceivedStatement,
+    ) -> Vec<StatementEvent> {
+        let Some(server) = self.servers.get_mut(backend) else {
+            return Vec::new();
+        };
+        let mut events = Vec::new();
+        let statement = &received.statement;
+        for kind in statement.unreadable() {
+            if server.unreadable.insert(kind) {
+                let backend = backend.clone();
+                events.push(StatementEvent::Unreadable { backend, kind });
+            }
+        }
+        if let PushbackNotice::For(asked) = statement.pushback
+            && server
+                .shed
+                .pause(now, received.at + asked, server.in_flight)
+        {
+            let backend = backend.clone();
+            events.push(StatementEvent::Paused { backend, asked });
+        }
+        if statement.leaving == LeavingNotice::Leaving {
+            if server.state != BackendState::Leaving {
+                events.push(StatementEvent::Leaving {
+                    backend: backend.clone(),
+                    source: StatementSource::Answer,
+                });
+            }
+            server.state = BackendState::Leaving;
+            server.leaving_since = Some(now);
+        }
+        events
+    }
+
     /// Takes a slot for a request that may still run.
     pub fn hold(&mut self, held: HeldSlot) {
         self.held.push(held);
@@ -304,6 +354,7 @@
             ramp,
             circuit_breaker: CircuitBreaker::default(),
             shed: ShedLimit::default(),
+            unreadable: BTreeSet::new(),
             in_flight: 0,
             peak: 0,
             unattributed: 0,
@@ -388,6 +439,19 @@
         self.changed = Some(now);
     }
 
+    /// Records that the server wants no requests before `until`; returns whether such a time begins.
+    /// It is never shortened.
+    fn pause(&mut self, now: Instant, until: Instant, in_flight: u32) -> bool {
+        if until <= now {
+            return false;
+        }
+        let begins = self.paused_until.is_none_or(|known| known <= now);
+        self.paused_until = self.paused_until.max(Some(until));
+        self.ceiling = Some(self.ceiling.unwrap_or(in_flight).max(1));
+        self.changed = Some(now);
+        begins
+    }
+
     fn note_answer(&mut self, now: Instant, slots: u32) {
         self.pause /= 2;
         let grown = self.slots(now, slots);
@@ -400,8 +464,9 @@
         let (Some(ceiling), Some(changed)) = (self.ceiling, self.changed) else {
             return slots;
         };
-        let since = now.saturating_duration_since(changed);
-        let Some(after_pause) = since.checked_sub(self.pause) else {
+        let opens_at = self.paused_until.max(Some(changed + self.pause));
+        let after_pause = opens_at.and_then(|at| now.checked_duration_since(at));
+        let Some(after_pause) = after_pause else {
             return 0;
         };
         let grown = after_pause.as_millis() / SHED_RECOVERY.as_millis();
--- a/lib/src/group_admission.rs
+++ b/lib/src/group_admission.rs
@@ -12,6 +12,8 @@
 use crate::backend_registry::BackendRegistry;
 use crate::backend_registry::HeldSlot;
 use crate::backend_registry::LAPSE;
+use crate::backend_statement::ReceivedStatement;
+use crate::backend_statement::StatementEvent;
 use crate::id::BackendName;
 use crate::id::PlaceName;
 use crate::id::Revision;
@@ -349,6 +351,16 @@
         }
     }
 
+    /// Applies what the head of an answer states about its backend server.
+    pub fn note_statement(
+        &mut self,
+        now: Instant,
+        backend: &BackendName,
+        received: &ReceivedStatement,
+    ) -> Vec<StatementEvent> {
+        self.registry.note_statement(now, backend, received)
+    }
+
     /// Removes lapsed entries and returns the backend servers that were removed.
     pub fn forget(&mut self, now: Instant) -> Vec<BackendEndpoint> {
         self.registry.forget(now)
--- a/server/src/admission_handle.rs
+++ b/server/src/admission_handle.rs
@@ -12,6 +12,7 @@
 use heatherring_lib::admission::RequestToken;
 use heatherring_lib::announcement::Announcement;
 use heatherring_lib::announcement::AnnouncementError;
+use heatherring_lib::backend_statement::ReceivedStatement;
 use heatherring_lib::clock::Clock;
 use heatherring_lib::drain::DrainDecision;
 use heatherring_lib::id::PlaceName;
@@ -29,6 +30,8 @@
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
 
+use crate::dispatcher::StatementObserver;
+
 /// Describes a request for a slot, sent to the owner of its group.
 #[derive(Clone, Debug)]
 pub struct SlotRequest {
@@ -91,6 +94,11 @@
         reply: oneshot::Sender<Result<DispatchGuard, NotRun>>,
     },
     Cancel(RequestToken),
+    Statement {
+        session: SessionId,
+        key: DispatchKey,
+        received: ReceivedStatement,
+    },
     Finish {
         session: SessionId,
         key: DispatchKey,
@@ -151,6 +159,17 @@
     }
 }
 
+impl StatementObserver for DispatchGuard {
+    fn stated(&self, received: ReceivedStatement) {
+        // A failed send means that the task has ended, and what it knew with it.
+        let _ = self.tx.send(Message::Statement {
+            session: self.session,
+            key: self.dispatch.key,
+            received,
+        });
+    }
+}
+
 impl Drop for DispatchGuard {
     fn drop(&mut self) {
         // A failed send means that the task has ended, and its slot counts with it.
--- a/server/src/admission_task.rs
+++ b/server/src/admission_task.rs
@@ -20,6 +20,7 @@
 use heatherring_lib::admission::ViewStep;
 use heatherring_lib::announcement::Announcement;
 use heatherring_lib::announcement::AnnouncementError;
+use heatherring_lib::backend_statement::ReceivedStatement;
 use heatherring_lib::clock::Clock;
 use heatherring_lib::id::PlaceName;
 use heatherring_lib::id::ServiceName;
@@ -43,6 +44,7 @@
 use crate::link_task::LinkHandle;
 use crate::peer_client::PeerClients;
 use crate::session_core::SessionCore;
+use crate::statement_log;
 
 /// Holds the task's state; [`AdmissionTask::run`] drives it.
 pub struct AdmissionTask {
@@ -215,6 +217,11 @@
                     core.admission.cancel(now, token);
                 }
             }
+            Message::Statement {
+                session,
+                key,
+                received,
+            } => self.note_statement(now, session, key, &received),
             Message::Finish {
                 session,
                 key,
@@ -338,6 +345,21 @@
         let _ = reply.send(Ok(guard));
     }
 
+    fn note_statement(
+        &mut self,
+        now: Instant,
+        session: SessionId,
+        key: DispatchKey,
+        received: &ReceivedStatement,
+    ) {
+        let Some(core) = self.core.as_mut().filter(|core| core.id == session) else {
+            return;
+        };
+        for event in core.admission.note_statement(now, key, received) {
+            statement_log::log(&event);
+        }
+    }
+
     fn finish(&mut self, now: Instant, session: SessionId, key: DispatchKey, ending: Ending) {
         let Some(core) = &mut self.core else {
             return;
--- a/server/src/direct_send.rs
+++ b/server/src/direct_send.rs
@@ -8,6 +8,7 @@
 use std::time::Instant;
 
 use bytes::Bytes;
+use heatherring_lib::backend_statement::LeavingNotice;
 use heatherring_lib::backend_statement::ReceivedStatement;
 use heatherring_lib::dispatch_request::BackendKey;
 use heatherring_lib::dispatch_request::Choice;
@@ -346,6 +347,9 @@
             AnswerMeaning::Answer | AnswerMeaning::NotRun
         ) {
             self.dispatch.note_statement(at.choice.backend, received);
+            if received.statement.leaving == LeavingNotice::Leaving {
+                self.pool.disconnect(at.choice.address);
+            }
             self.unread_headers.note(
                 &at.choice.name,
                 self.interface.unread_headers(&head.headers),
--- a/server/src/dispatch_task.rs
+++ b/server/src/dispatch_task.rs
@@ -6,9 +6,7 @@
 use std::time::Instant;
 
 use heatherring_lib::affinity::ObjectHash;
-use heatherring_lib::backend_limit::LimitChange;
 use heatherring_lib::backend_statement::ReceivedStatement;
-use heatherring_lib::backend_statement::StatementEvent;
 use heatherring_lib::clock::Clock;
 use heatherring_lib::cold_queries::ColdQuery;
 use heatherring_lib::cold_queries::ColdReply;
@@ -22,13 +20,11 @@
 use heatherring_lib::dispatch_request::RefusedReason;
 use heatherring_lib::dispatch_request::SendEnd;
 use heatherring_lib::dispatch_request::SendOutcome;
-use heatherring_lib::duration_text::whole_ms;
 use heatherring_lib::fleet_update::FleetView;
 use heatherring_lib::id::BackendName;
 use heatherring_lib::id::RegionName;
 use heatherring_lib::id::RouteName;
 use heatherring_lib::id::ServiceName;
-use heatherring_lib::rate_limit::RequestRate;
 use heatherring_lib::request_rank::RequestRank;
 use heatherring_lib::rollout_observer::RolloutReport;
 use heatherring_lib::route_manifest::Route;
@@ -39,8 +35,8 @@
 use tokio::sync::oneshot;
 use tokio::sync::watch;
 
-use crate::metric;
 use crate::shared_statements::SharedStatements;
+use crate::statement_log;
 
 /// Asks the dispatcher to choose a backend server. Owned counterpart of [`DispatchRequest`].
 #[derive(Clone, Debug)]
@@ -306,7 +302,7 @@
 impl Published {
     fn update(&self, dispatcher: &mut Dispatcher) {
         for event in dispatcher.take_statement_events() {
-            log_statement(&event);
+            statement_log::log(&event);
         }
         if let Some(holds) = dispatcher.take_send_holds() {
             self.holds.send_replace(Arc::new(holds));
@@ -375,39 +371,6 @@
     }
 }
 
-fn log_statement(event: &StatementEvent) {
-    match event {
-        StatementEvent::Limit(change) => log_limit(change),
-        StatementEvent::Paused { backend, asked } => {
-            metric::backend_paused();
-            log::info!(event = "backend_pushback", backend = backend.as_str(), asked_ms = whole_ms(*asked); "a backend server asks this entry VM to send nothing for a time");
-        }
-        StatementEvent::Resumed {
-            backend,
-            paused,
-            passed_over,
-        } => {
-            log::info!(event = "backend_resumed", backend = backend.as_str(), paused_ms = whole_ms(*paused), passed_over = *passed_over; "a backend server that had asked for a time without requests is sent all of its requests again");
-        }
-        StatementEvent::Leaving { backend, source } => {
-            metric::backend_leaving(source.name());
-            log::info!(event = "backend_leaving", backend = backend.as_str(), source = source.name(); "a backend server is leaving");
-        }
-        StatementEvent::Unreadable { backend, kind } => {
-            metric::statement_unreadable(kind.name());
-            log::warn!(event = "backend_statement_unreadable", backend = backend.as_str(), kind = kind.name(); "a statement of a backend server cannot be read; it is ignored");
-        }
-    }
-}
-
-fn log_limit(change: &LimitChange) {
-    let LimitChange { rate, before, .. } = change;
-    let text = |rate: &Option<RequestRate>| rate.map_or("none".to_owned(), |rate| rate.to_string());
-    let (limit, before) = (text(rate), text(before));
-    metric::backend_limit(rate.is_some());
-    log::info!(event = "backend_limit", backend = change.backend.as_str(), limit = limit.as_str(), before = before.as_str(), source = change.source.name(), age_ms = whole_ms(change.age), interval_ms = change.interval.map(whole_ms); "the rate limit of a backend server changed");
-}
-
 fn borrowed(request: &OwnedDispatchRequest) -> DispatchRequest<'_> {
     DispatchRequest {
         service: &request.service,
--- a/server/src/dispatcher.rs
+++ b/server/src/dispatcher.rs
@@ -7,6 +7,7 @@
 use std::time::Instant;
 
 use bytes::Bytes;
+use heatherring_lib::backend_statement::ReceivedStatement;
 use heatherring_lib::duration_text::whole_ms;
 use heatherring_lib::outcome::Attempt;
 use heatherring_lib::outcome::MayHaveRun;
@@ -29,6 +30,7 @@
 use crate::backend_pool::BackendConnection;
 use crate::backend_pool::BackendPool;
 use crate::header;
+use crate::own_interface;
 use crate::refusal_body;
 
 /// Holds a request as it is forwarded. Its body is complete, so that a slow caller does not
@@ -77,12 +79,20 @@
     fn closed(&self) -> Option<NotRunReason>;
 }
 
-/// Sends `req` to the backend server and waits for the head of its answer.
+/// Receives what the head of an answer states about its backend server.
+pub trait StatementObserver: Send + Sync {
+    /// Records the statement.
+    fn stated(&self, received: ReceivedStatement);
+}
+
+/// Sends `req` to the backend server and waits for the head of its answer, which `observer` is told
+/// of.
 pub async fn dispatch(
     pool: &BackendPool,
     target: BackendTarget,
     req: &OutgoingRequest,
     gate: &dyn DispatchGate,
+    observer: &dyn StatementObserver,
     mut attempt: Attempt<Unsent>,
     now: Instant,
 ) -> Outcome<BackendAnswer> {
@@ -107,7 +117,15 @@
         let sent = attempt.sending();
         let answering = connection.sender().try_send_request(message);
         match tokio::time::timeout_at(deadline, answering).await {
-            Ok(Ok(response)) => return read_head(pool, sent, response, connection).await,
+            Ok(Ok(response)) => {
+                let (head, body) = response.into_parts();
+                observer.stated(ReceivedStatement {
+                    statement: own_interface::statement(&head),
+                    at: Instant::now(),
+                });
+                let response = Response::from_parts(head, body);
+                return read_head(pool, sent, response, connection).await;
+            }
             Ok(Err(mut error)) => match error.take_message() {
                 // The server closed an idle connection before the request was written.
                 Some(unwritten) if reused => attempt = sent.returned_unsent(&unwritten),
--- a/server/src/lib.rs
+++ b/server/src/lib.rs
@@ -111,6 +111,7 @@
 pub mod session_service;
 pub mod shared_statements;
 pub mod shutdown;
+mod statement_log;
 pub mod statement_relay;
 pub mod statement_reporter;
 pub mod status_report;
--- a/server/src/own_interface.rs
+++ b/server/src/own_interface.rs
@@ -157,7 +157,8 @@
     }
 }
 
-fn statement(head: &Parts) -> BackendStatement {
+/// Reads what a backend server states about itself.
+pub(crate) fn statement(head: &Parts) -> BackendStatement {
     BackendStatement {
         load: header::text(&head.headers, &LOAD).and_then(load_report),
         limit: header::limit_notice(&head.headers, &RATE_LIMIT),
--- a/server/src/owner_path.rs
+++ b/server/src/owner_path.rs
@@ -114,7 +114,8 @@
     let tracked = cx.crashes.follow(backend, tag);
     let lease_gate = cx.state.gate(guard.session());
     let now = cx.now();
-    let outcome = dispatcher::dispatch(&cx.pool, target, req, &lease_gate, attempt, now).await;
+    let outcome =
+        dispatcher::dispatch(&cx.pool, target, req, &lease_gate, &guard, attempt, now).await;
     log_dispatch(req, &guard, &outcome);
     match outcome {
         Outcome::Answer(answer) => {
--- a/server/tests/entry_support/scripted_backend.rs
+++ b/server/tests/entry_support/scripted_backend.rs
@@ -19,6 +19,9 @@
 /// Time that [`Script::Slow`] takes; well below the deadline of the requests.
 const SLOW: Duration = Duration::from_millis(500);
 
+/// Time that [`Script::RefuseForAPause`] asks for.
+pub const PAUSE: Duration = Duration::from_secs(2);
+
 /// Time between a crash and the restart of the backend server.
 const RESTART_DELAY: Duration = Duration::from_millis(300);
 
@@ -39,6 +42,12 @@
     Stalled,
     /// Sends 503 with the header that says `not_run`.
     Refuse,
+    /// Like [`Self::Refuse`], and asks for [`PAUSE`] without requests.
+    RefuseForAPause,
+    /// Sends a complete answer that states that the backend server is leaving.
+    WholeAndLeaving,
+    /// Sends a complete answer that declares a limit of a request in 10 s.
+    WholeAndLimited,
     /// Closes the connection without an answer.
     HangUp,
     /// Sends a complete answer of [`LARGE`] bytes.
@@ -161,6 +170,17 @@
         Script::Refuse => "HTTP/1.1 503 Service Unavailable\r\n\
              heatherring-outcome: not_run\r\ncontent-length: 4\r\n\r\nbusy"
             .to_owned(),
+        Script::RefuseForAPause => format!(
+            "HTTP/1.1 503 Service Unavailable\r\nretry-after: {}\r\n\
+             heatherring-outcome: not_run\r\ncontent-length: 4\r\n\r\nbusy",
+            PAUSE.as_secs()
+        ),
+        Script::WholeAndLeaving => format!(
+            "HTTP/1.1 200 OK\r\nheatherring-leaving: 1\r\ncontent-length: {length}\r\n\r\n{body}"
+        ),
+        Script::WholeAndLimited => format!(
+            "HTTP/1.1 200 OK\r\nheatherring-rate-limit: 0.1\r\ncontent-length: {length}\r\n\r\n{body}"
+        ),
         Script::HangUp | Script::NoAnswer | Script::Crash => String::new(),
     };
     if script == Script::Slow {
--- a/server/tests/test_entry_session.rs
+++ b/server/tests/test_entry_session.rs
@@ -9,6 +9,7 @@
 use std::time::Instant;
 
 use bytes::Bytes;
+use heatherring_lib::backend_statement::ReceivedStatement;
 use heatherring_lib::clock::SystemClock;
 use heatherring_lib::outcome::Attempt;
 use heatherring_lib::outcome::NotRunReason;
@@ -17,6 +18,7 @@
 use heatherring_server::dispatcher::BackendTarget;
 use heatherring_server::dispatcher::DispatchGate;
 use heatherring_server::dispatcher::OutgoingRequest;
+use heatherring_server::dispatcher::StatementObserver;
 use heatherring_server::dispatcher::dispatch;
 use heatherring_server::entry_process::EntryError;
 use heatherring_server::entry_process::run_entry;
@@ -247,6 +249,13 @@
 #[derive(Debug)]
 struct ClosedGate;
 
+/// Ignores what backend servers state.
+struct Unobserved;
+
+impl StatementObserver for Unobserved {
+    fn stated(&self, _: ReceivedStatement) {}
+}
+
 impl DispatchGate for ClosedGate {
     fn closed(&self) -> Option<NotRunReason> {
         Some(NotRunReason::LeaseLapsed)
@@ -275,7 +284,16 @@
         max_connections: 1,
     };
     let pool = BackendPool::spawn();
-    let outcome = dispatch(&pool, target, &req, &ClosedGate, Attempt::new(), now).await;
+    let outcome = dispatch(
+        &pool,
+        target,
+        &req,
+        &ClosedGate,
+        &Unobserved,
+        Attempt::new(),
+        now,
+    )
+    .await;
     let Outcome::NotRun(not_run) = outcome else {
         panic!("a request was sent without a lease");
     };
