--- a/lib/src/backend_health.rs
+++ b/lib/src/backend_health.rs
@@ -82,13 +82,13 @@
             .observe(now, (ratio - 1.0).clamp(0.0, MAX_EXCESS));
         self.failures.observe(now, 0.0);
         self.sheds.observe(now, 0.0);
-        self.note_connected();
+        self.note_reached();
     }
 
     /// Records that the backend server rejected a request.
     pub fn note_shed(&mut self, now: Instant) {
         self.sheds.observe(now, 1.0);
-        self.note_connected();
+        self.note_reached();
     }
 
     /// Records a failed request: a connection reset, or a malformed or truncated response.
@@ -102,7 +102,8 @@
         self.pause = (self.pause * 2).min(LONGEST_PAUSE);
     }
 
-    const fn note_connected(&mut self) {
+    /// Records that the backend server could be connected to.
+    pub const fn note_reached(&mut self) {
         self.pause = FIRST_PAUSE;
         self.paused_until = None;
     }
--- a/lib/src/direct_dispatch.rs
+++ b/lib/src/direct_dispatch.rs
@@ -426,7 +426,9 @@
         let Some(backend) = self.backends.get_mut(end.backend) else {
             return;
         };
-        let load = end.statement.and_then(|received| received.statement.load);
+        let statement = end.statement.map(|received| received.statement);
+        let load = statement.and_then(|statement| statement.load);
+        let asks_for_pause = statement.is_some_and(|statement| statement.pushback.is_pause());
         let mut average_others = 0.0;
         if let Some(service) = self.services.get_mut(&backend.record.service) {
             let others = backend.load.reported_others(load);
@@ -466,7 +468,11 @@
             }
             SendOutcome::Shed => {
                 backend.load.note_answer(now, load, average_others);
-                backend.health.note_shed(now);
+                if asks_for_pause {
+                    backend.health.note_reached();
+                } else {
+                    backend.health.note_shed(now);
+                }
             }
             SendOutcome::Misdirected => backend.usable = false,
             SendOutcome::Unreachable => {
--- a/lib/src/pushback.rs
+++ b/lib/src/pushback.rs
@@ -21,6 +21,12 @@
 }
 
 impl PushbackNotice {
+    /// Returns whether the answer asks for a time without requests.
+    #[must_use]
+    pub fn is_pause(self) -> bool {
+        matches!(self, Self::For(time) if !time.is_zero())
+    }
+
     /// Reads the values of a `Retry-After` header, each `None` if it is not text. The longest
     /// readable time counts if there are several. A time of day is compared with `date`, the time
     /// of the answer by the clock of its sender; without that it cannot be read, since clocks of
--- a/lib/tests/dispatch_model/probe.rs
+++ b/lib/tests/dispatch_model/probe.rs
@@ -4,6 +4,8 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use heatherring_lib::backend_statement::BackendStatement;
+use heatherring_lib::backend_statement::ReceivedStatement;
 use heatherring_lib::direct_dispatch::Dispatcher;
 use heatherring_lib::dispatch_request::Choice;
 use heatherring_lib::dispatch_request::DispatchRequest;
@@ -11,6 +13,7 @@
 use heatherring_lib::dispatch_request::SendEnd;
 use heatherring_lib::dispatch_request::SendOutcome;
 use heatherring_lib::planned_stop::PlannedStop;
+use heatherring_lib::pushback::PushbackNotice;
 
 use super::Scenario;
 use super::config;
@@ -93,4 +96,22 @@
         let end = SendEnd::new(choice, outcome);
         self.dispatcher.ended(self.now, &end);
     }
+
+    /// Reports that the backend server refused a request and asked for a time without requests.
+    pub fn refuse(&mut self, choice: &Choice, asked: Duration) {
+        let received = ReceivedStatement {
+            statement: BackendStatement {
+                pushback: PushbackNotice::For(asked),
+                ..BackendStatement::default()
+            },
+            at: self.now,
+        };
+        self.dispatcher
+            .note_statement(self.now, choice.backend, &received);
+        let end = SendEnd {
+            statement: Some(received),
+            ..SendEnd::new(choice, SendOutcome::Shed)
+        };
+        self.dispatcher.ended(self.now, &end);
+    }
 }
