status, explain and pages: pauses that backend servers ask for, and leaving; the stand-in and the demo state both

status lists leaving backend servers; explain names a refusal because all are paused, and pauses and leaving before it. The stand-in of the load experiments asks for a pause when it sheds, if it is set to, and like the demo's backend server states that it is leaving.

--- a/cli/src/commands/status.rs
+++ b/cli/src/commands/status.rs
@@ -87,6 +87,7 @@
         "replicas": replicas,
         "entries": entries,
         "backend_limits": backend_limits,
+        "backends_leaving": reply.backends_leaving,
     })
 }
 
@@ -164,6 +165,11 @@
         let header = ["BACKEND SERVER", "LIMIT PER SECOND", "DECLARED MS AGO"];
         parts.extend([String::new(), table(&header, &limits)]);
     }
+    if !reply.backends_leaving.is_empty() {
+        let leaving = reply.backends_leaving.iter();
+        let leaving: Vec<Vec<String>> = leaving.map(|name| vec![name.clone()]).collect();
+        parts.extend([String::new(), table(&["LEAVING BACKEND SERVER"], &leaving)]);
+    }
     parts.join("\n")
 }
 
--- a/lib/src/probable_cause.rs
+++ b/lib/src/probable_cause.rs
@@ -91,6 +91,11 @@
              them were used up; refused after {held} ms, to be retried after {} ms",
             decision.number("retry_after_ms")
         ),
+        "backend_paused" => format!(
+            "all backend servers of {service} asked this entry VM to send nothing for a time, or were \
+             at their rate limits; refused after {held} ms, to be retried after {} ms",
+            decision.number("retry_after_ms")
+        ),
         "no_manifest" => "this entry VM had no manifest yet".to_owned(),
         "route_unknown" => format!(
             "no route of manifest version {} matches host and path",
@@ -146,6 +151,15 @@
             line.text("limit"),
             line.number("age_ms")
         ),
+        "backend_pushback" => format!(
+            "backend server {} asked for {} ms without requests of {source}",
+            line.text("backend"),
+            line.number("asked_ms")
+        ),
+        "backend_leaving" => format!(
+            "backend server {} stated that it was leaving",
+            line.text("backend")
+        ),
         "backend_withdrawn" => format!("backend server {} was gone", line.text("backend")),
         "backend_changed" if line.text("state") == "Draining" => {
             format!("backend server {} was leaving", line.text("backend"))
--- a/lib/tests/test_pushback_model.rs
+++ b/lib/tests/test_pushback_model.rs
@@ -53,6 +53,17 @@
     .run()
 }
 
+/// Guards against pauses whose objects overload the backend servers that are left, and against
+/// requests that are sent in them.
+#[test]
+fn test_pushback_moves_objects_to_the_others() {
+    let before = run(&refusal(), false, 1);
+    let observed = run(&refusal(), true, 1);
+    assert_eq!(observed.unwanted, 0);
+    assert!(observed.refused < before.refused, "{before:?} {observed:?}");
+    assert!(observed.share() > before.share(), "{before:?} {observed:?}");
+}
+
 /// Prints what callers get with and without observing the pauses.
 #[test]
 #[ignore = "prints figures"]
--- a/server/src/demo_backend_server.rs
+++ b/server/src/demo_backend_server.rs
@@ -28,6 +28,8 @@
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
+use crate::own_interface;
+
 /// Simulated time to handle a request.
 const SERVICE_TIME: Duration = Duration::from_millis(20);
 
@@ -66,7 +68,16 @@
 }
 
 async fn serve(stream: TcpStream, backend: String, stop: CancellationToken) {
-    let service = service_fn(|req| answer(&backend, req));
+    let service = service_fn(async |req| {
+        let mut response = answer(&backend, req).await?;
+        if stop.is_cancelled() {
+            let leaving = HeaderValue::from_static("1");
+            response
+                .headers_mut()
+                .insert(own_interface::LEAVING, leaving);
+        }
+        Ok::<_, Infallible>(response)
+    });
     let mut builder = server::Builder::new();
     let connection = builder
         .timer(TokioTimer::new())
--- a/server/src/own_interface.rs
+++ b/server/src/own_interface.rs
@@ -78,7 +78,7 @@
 const RATE_LIMIT: HeaderName = HeaderName::from_static("heatherring-rate-limit");
 
 /// Whether a backend server is leaving: `1`, for as long as it runs.
-const LEAVING: HeaderName = HeaderName::from_static("heatherring-leaving");
+pub const LEAVING: HeaderName = HeaderName::from_static("heatherring-leaving");
 
 /// Headers of answers of backend servers that are read, apart from those of the actions' protocol.
 const READ: [&str; 7] = [
--- a/testutils/src/echo.rs
+++ b/testutils/src/echo.rs
@@ -18,6 +18,8 @@
 pub const ORIGIN_HEADER: &str = "x-test-origin";
 /// Says what became of a request.
 pub const OUTCOME_HEADER: &str = "heatherring-outcome";
+/// Header by which a backend server states that it is leaving.
+pub const LEAVING_HEADER: &str = "heatherring-leaving";
 /// Carries the time left for an answer, in milliseconds.
 pub const DEADLINE_HEADER: &str = "heatherring-deadline-ms";
 /// Identifies a request through all hops.
--- a/testutils/src/fake_backend_server.rs
+++ b/testutils/src/fake_backend_server.rs
@@ -14,6 +14,7 @@
 
 use bytes::Bytes;
 use http::HeaderMap;
+use http::HeaderValue;
 use http::Request;
 use http::Response;
 use http::StatusCode;
@@ -116,6 +117,9 @@
     pub load_report: LoadReport,
     /// Share of requests that it refuses on purpose, 0 to 100.
     pub shed_percent: u8,
+    /// Time without requests that it asks for when it refuses one, in milliseconds; 0 asks for
+    /// none.
+    pub pause_ms: u64,
     /// Factor on each service time.
     pub slowness: f64,
 }
@@ -125,6 +129,7 @@
         Self {
             load_report: LoadReport::Honest,
             shed_percent: 0,
+            pause_ms: 0,
             slowness: 1.0,
         }
     }
@@ -219,6 +224,7 @@
             config,
             ledger,
             behaviour: behaviour_rx,
+            phase: phase_rx.clone(),
         };
         server
             .ledger
@@ -257,6 +263,7 @@
     config: FakeBackendServerConfig,
     ledger: Ledger,
     behaviour: watch::Receiver<Behaviour>,
+    phase: watch::Receiver<Phase>,
 }
 
 /// Accepts connections until the server has left.
@@ -345,7 +352,11 @@
     let service = service_fn(move |req| {
         let server = Arc::clone(&server);
         let number = requests.fetch_add(1, Ordering::Relaxed);
-        async move { Ok::<_, Infallible>(server.handle(req, serial, number).await) }
+        async move {
+            let mut response = server.handle(req, serial, number).await;
+            server.state(&mut response);
+            Ok::<_, Infallible>(response)
+        }
     });
     let connection = hyper::server::conn::http1::Builder::new()
         .timer(TokioTimer::new())
@@ -360,6 +371,22 @@
 }
 
 impl Server {
+    /// Adds what the server states about itself.
+    fn state(&self, response: &mut Response<Full<Bytes>>) {
+        let is_refusal = response.status() == StatusCode::SERVICE_UNAVAILABLE;
+        let pause = Duration::from_millis(self.behaviour.borrow().pause_ms);
+        let headers = response.headers_mut();
+        if is_refusal
+            && !pause.is_zero()
+            && let Ok(value) = HeaderValue::from_str(&pause.as_secs_f64().to_string())
+        {
+            headers.insert(http::header::RETRY_AFTER, value);
+        }
+        if *self.phase.borrow() == Phase::Leaving {
+            headers.insert(echo::LEAVING_HEADER, HeaderValue::from_static("1"));
+        }
+    }
+
     async fn handle(
         &self,
         req: Request<Incoming>,
