--- a/lib/src/backend_pushback.rs
+++ b/lib/src/backend_pushback.rs
@@ -24,14 +24,14 @@
     All,
     /// None before `until`, then a trial.
     Paused { until: Instant },
-    /// As many at a time as are permitted.
+    /// As many at a time as are permitted (half-open).
     Trial { permitted: u32, in_flight: u32 },
 }
 
 /// A pause that has ended.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) struct EndedPause {
-    /// Time from its begin to the first trial.
+    /// Time from its begin until all requests are sent again.
     pub length: Duration,
     /// Number of requests that were not sent to the backend server because of it.
     pub passed_over: u32,
--- a/lib/src/backend_registry.rs
+++ b/lib/src/backend_registry.rs
@@ -370,6 +370,7 @@
             self.leaving_since = None;
             self.ramp = Ramp::Since(now);
             self.circuit_breaker = CircuitBreaker::default();
+            self.shed.paused_until = None;
         }
         if announcement.state == BackendState::Leaving {
             self.leaving_since = Some(now);
--- /dev/null
+++ b/lib/tests/test_backend_registry.rs
@@ -0,0 +1,74 @@
+//! What backend servers state about themselves, in the registry of their owner.
+
+use std::net::Ipv4Addr;
+use std::time::Duration;
+use std::time::Instant;
+
+use heatherring_lib::announcement::Announcement;
+use heatherring_lib::announcement::BackendState;
+use heatherring_lib::backend_registry::BackendRegistry;
+use heatherring_lib::backend_statement::BackendStatement;
+use heatherring_lib::backend_statement::ReceivedStatement;
+use heatherring_lib::id::BackendName;
+use heatherring_lib::id::PlaceName;
+use heatherring_lib::id::ServiceName;
+use heatherring_lib::pushback::PushbackNotice;
+
+const ASKED: Duration = Duration::from_millis(1_500);
+
+const SLOTS: u32 = 4;
+
+fn announce(registry: &mut BackendRegistry, now: Instant, port: u16) {
+    let announcement = Announcement {
+        backend: BackendName::new("backend-1"),
+        service: ServiceName::new("registry"),
+        place: PlaceName::new("place-1"),
+        address: (Ipv4Addr::LOCALHOST, port).into(),
+        slots: SLOTS,
+        max_connections: 10,
+        state: BackendState::Ready,
+        in_flight: 0,
+        load: 0.0,
+    };
+    registry.announce(now, &announcement, SLOTS, true);
+}
+
+fn pause(registry: &mut BackendRegistry, now: Instant, asked: Duration) {
+    let received = ReceivedStatement {
+        statement: BackendStatement {
+            pushback: PushbackNotice::For(asked),
+            ..BackendStatement::default()
+        },
+        at: now,
+    };
+    registry.note_statement(now, &BackendName::new("backend-1"), &received);
+}
+
+fn usable(registry: &BackendRegistry, now: Instant) -> u32 {
+    registry.usable(now, Duration::ZERO)
+}
+
+/// Guards against a pause that a shorter one cuts short, and against all slots at once after it.
+#[test]
+fn test_registry_pause_is_only_lengthened() {
+    let now = Instant::now();
+    let mut registry = BackendRegistry::default();
+    announce(&mut registry, now, 1_000);
+    pause(&mut registry, now, ASKED);
+    pause(&mut registry, now, ASKED / 3);
+    let last = now + ASKED.saturating_sub(Duration::from_millis(1));
+    assert_eq!(usable(&registry, last), 0);
+    assert_eq!(usable(&registry, now + ASKED), 1);
+}
+
+/// Guards against a pause that holds for the successor of the process that asked for it.
+#[test]
+fn test_registry_pause_ends_with_the_process() {
+    let now = Instant::now();
+    let mut registry = BackendRegistry::default();
+    announce(&mut registry, now, 1_000);
+    pause(&mut registry, now, ASKED);
+    let restarted_at = now + ASKED / 3;
+    announce(&mut registry, restarted_at, 1_001);
+    assert!(usable(&registry, restarted_at) > 0);
+}
