owners of backend servers: a declared rate limit is observed

The owner is the only sender of its backend servers, so that it spaces its requests by the limit; the limit is kept by the piece of direct dispatch (BackendLimit), which knows what tightens, what relaxes and what ends one. Where all are limited, requests are refused at once as with none usable.

--- a/lib/src/admission.rs
+++ b/lib/src/admission.rs
@@ -270,12 +270,13 @@
     }
 
     /// Applies what the head of the answer to a dispatch states about its backend server. Returns what
-    /// has to be logged of it.
+    /// has to be logged of it. `is_success` means that the request ran without a fault.
     pub fn note_statement(
         &mut self,
         now: Instant,
         key: DispatchKey,
         received: &ReceivedStatement,
+        is_success: bool,
     ) -> Vec<StatementEvent> {
         let Some(dispatched) = self.dispatches.get(key) else {
             return Vec::new();
@@ -283,7 +284,8 @@
         let group = self.groups.get_mut(&dispatched.offer.group);
         let group = group.filter(|group| group.acquired() == dispatched.acquired);
         group.map_or_else(Vec::new, |group| {
-            group.note_statement(now, &dispatched.backend, received)
+            let Dispatched { backend, began, .. } = dispatched;
+            group.note_statement(now, backend, *began, received, is_success)
         })
     }
 
--- a/lib/src/backend_registry.rs
+++ b/lib/src/backend_registry.rs
@@ -16,6 +16,10 @@
 use crate::announcement::BackendState;
 use crate::announcement::LAPSE_MS;
 use crate::announcement::REPEAT_MS;
+use crate::backend_limit::BackendLimit;
+use crate::backend_limit::LimitChange;
+use crate::backend_limit::MIN_RATE;
+use crate::backend_limit::tolerance;
 use crate::backend_statement::LeavingNotice;
 use crate::backend_statement::ReceivedStatement;
 use crate::backend_statement::StatementEvent;
@@ -28,6 +32,7 @@
 use crate::manifest::Drain;
 use crate::ownership::ReleasedBackend;
 use crate::pushback::PushbackNotice;
+use crate::sender_share::SendGate;
 use crate::warm_up::Ramp;
 
 /// Age at which an announcement expires and its server receives no more requests.
@@ -78,6 +83,9 @@
     ramp: Ramp,
     circuit_breaker: CircuitBreaker,
     shed: ShedLimit,
+    limit: BackendLimit,
+    /// Spaces the requests while there is a limit.
+    gate: SendGate,
     /// Kinds of statements that could not be read.
     unreadable: BTreeSet<StatementKind>,
     in_flight: u32,
@@ -206,6 +214,8 @@
         server.in_flight += 1;
         server.peak = server.peak.max(server.in_flight);
         server.last_used = Some(now);
+        let interval = server.limit_interval().unwrap_or_default();
+        server.gate.note_sent(now, interval);
         server.circuit_breaker.note_sent();
         Some(BackendEndpoint {
             address: server.announcement.address,
@@ -246,12 +256,15 @@
         }
     }
 
-    /// Applies what the head of an answer states about its server.
+    /// Applies what the head of the answer to a request sent at `sent_at` states about its server.
+    /// `is_success` means that the request ran without a fault.
     pub fn note_statement(
         &mut self,
         now: Instant,
         backend: &BackendName,
+        sent_at: Instant,
         received: &ReceivedStatement,
+        is_success: bool,
     ) -> Vec<StatementEvent> {
         let Some(server) = self.servers.get_mut(backend) else {
             return Vec::new();
@@ -264,6 +277,19 @@
                 events.push(StatementEvent::Unreadable { backend, kind });
             }
         }
+        let limit = &mut server.limit;
+        let before = limit.rate();
+        limit.note_answer(sent_at, received.at, statement.limit, is_success);
+        if let Some(latest) = limit.take_log() {
+            events.push(StatementEvent::Limit(LimitChange {
+                backend: backend.clone(),
+                rate: latest.rate,
+                before,
+                source: latest.source,
+                age: now.saturating_duration_since(latest.at),
+                interval: server.limit_interval(),
+            }));
+        }
         if let PushbackNotice::For(asked) = statement.pushback
             && server
                 .shed
@@ -354,6 +380,8 @@
             ramp,
             circuit_breaker: CircuitBreaker::default(),
             shed: ShedLimit::default(),
+            limit: BackendLimit::default(),
+            gate: SendGate::default(),
             unreadable: BTreeSet::new(),
             in_flight: 0,
             peak: 0,
@@ -371,6 +399,7 @@
             self.ramp = Ramp::Since(now);
             self.circuit_breaker = CircuitBreaker::default();
             self.shed.paused_until = None;
+            self.limit = BackendLimit::default();
         }
         if announcement.state == BackendState::Leaving {
             self.leaving_since = Some(now);
@@ -397,7 +426,7 @@
     }
 
     fn usable(&self, now: Instant, warm_up: Duration) -> u32 {
-        if !self.accepts_work(now) {
+        if !self.accepts_work(now) || !self.is_within_limit(now) {
             return 0;
         }
         match self.circuit_breaker.flow(now) {
@@ -411,6 +440,18 @@
             .min(self.shed.slots(now, self.slots))
     }
 
+    /// Returns the minimum interval between two requests; `None` without a limit. The owner is the only
+    /// sender.
+    fn limit_interval(&self) -> Option<Duration> {
+        let rate = self.limit.rate()?.per_second().max(MIN_RATE);
+        Duration::try_from_secs_f64(1.0 / rate).ok()
+    }
+
+    fn is_within_limit(&self, now: Instant) -> bool {
+        self.limit_interval()
+            .is_none_or(|interval| self.gate.is_open(now, interval, tolerance(interval)))
+    }
+
     /// Returns the number of slots that the server's own report allows, but at least half of
     /// its slots.
     fn slots_by_report(&self, now: Instant) -> u32 {
--- a/lib/src/group_admission.rs
+++ b/lib/src/group_admission.rs
@@ -351,14 +351,18 @@
         }
     }
 
-    /// Applies what the head of an answer states about its backend server.
+    /// Applies what the head of the answer to a request sent at `sent_at` states about its backend
+    /// server. `is_success` means that the request ran without a fault.
     pub fn note_statement(
         &mut self,
         now: Instant,
         backend: &BackendName,
+        sent_at: Instant,
         received: &ReceivedStatement,
+        is_success: bool,
     ) -> Vec<StatementEvent> {
-        self.registry.note_statement(now, backend, received)
+        self.registry
+            .note_statement(now, backend, sent_at, received, is_success)
     }
 
     /// Removes lapsed entries and returns the backend servers that were removed.
--- a/lib/tests/test_backend_registry.rs
+++ b/lib/tests/test_backend_registry.rs
@@ -13,6 +13,8 @@
 use heatherring_lib::id::PlaceName;
 use heatherring_lib::id::ServiceName;
 use heatherring_lib::pushback::PushbackNotice;
+use heatherring_lib::rate_limit::LimitNotice;
+use heatherring_lib::rate_limit::RequestRate;
 
 const ASKED: Duration = Duration::from_millis(1_500);
 
@@ -41,7 +43,8 @@
         },
         at: now,
     };
-    registry.note_statement(now, &BackendName::new("backend-1"), &received);
+    let backend = BackendName::new("backend-1");
+    registry.note_statement(now, &backend, now, &received, false);
 }
 
 fn usable(registry: &BackendRegistry, now: Instant) -> u32 {
@@ -72,3 +75,40 @@
     announce(&mut registry, restarted_at, 1_001);
     assert!(usable(&registry, restarted_at) > 0);
 }
+
+/// Guards against an owner that sends more than a declared limit, or follows one that has ended.
+#[test]
+fn test_registry_limit_spaces_requests() {
+    let now = Instant::now();
+    let interval = Duration::from_millis(500);
+    let mut registry = BackendRegistry::default();
+    announce(&mut registry, now, 1_000);
+    let state = |registry: &mut BackendRegistry, at: Instant, limit: LimitNotice, is_success| {
+        let received = ReceivedStatement {
+            statement: BackendStatement {
+                limit,
+                ..BackendStatement::default()
+            },
+            at,
+        };
+        let backend = BackendName::new("backend-1");
+        registry.note_statement(at, &backend, at, &received, is_success);
+    };
+    let reserve = |registry: &mut BackendRegistry, at: Instant| {
+        registry.reserve_slot(at, Duration::ZERO, true).is_some()
+    };
+    let limit = LimitNotice::Limited(RequestRate::new(2.0).unwrap());
+    state(&mut registry, now, limit, true);
+    assert!(reserve(&mut registry, now));
+    assert!(!reserve(&mut registry, now + interval / 4));
+    state(
+        &mut registry,
+        now + interval / 3,
+        LimitNotice::Absent,
+        false,
+    );
+    assert!(!reserve(&mut registry, now + interval / 3));
+    assert!(reserve(&mut registry, now + interval));
+    state(&mut registry, now + interval, LimitNotice::Absent, true);
+    assert!(reserve(&mut registry, now + interval));
+}
--- a/server/src/admission_handle.rs
+++ b/server/src/admission_handle.rs
@@ -98,6 +98,8 @@
         session: SessionId,
         key: DispatchKey,
         received: ReceivedStatement,
+        /// Whether the request ran without a fault.
+        is_success: bool,
     },
     Finish {
         session: SessionId,
@@ -160,12 +162,13 @@
 }
 
 impl StatementObserver for DispatchGuard {
-    fn stated(&self, received: ReceivedStatement) {
+    fn stated(&self, received: ReceivedStatement, is_success: bool) {
         // A failed send means that the task has ended, and what it knew with it.
         let _ = self.tx.send(Message::Statement {
             session: self.session,
             key: self.dispatch.key,
             received,
+            is_success,
         });
     }
 }
--- a/server/src/admission_task.rs
+++ b/server/src/admission_task.rs
@@ -20,7 +20,6 @@
 use heatherring_lib::admission::ViewStep;
 use heatherring_lib::announcement::Announcement;
 use heatherring_lib::announcement::AnnouncementError;
-use heatherring_lib::backend_statement::ReceivedStatement;
 use heatherring_lib::clock::Clock;
 use heatherring_lib::id::PlaceName;
 use heatherring_lib::id::ServiceName;
@@ -221,7 +220,15 @@
                 session,
                 key,
                 received,
-            } => self.note_statement(now, session, key, &received),
+                is_success,
+            } => {
+                if let Some(core) = self.core.as_mut().filter(|core| core.id == session) {
+                    let admission = &mut core.admission;
+                    for event in admission.note_statement(now, key, &received, is_success) {
+                        statement_log::log(&event);
+                    }
+                }
+            }
             Message::Finish {
                 session,
                 key,
@@ -345,21 +352,6 @@
         let _ = reply.send(Ok(guard));
     }
 
-    fn note_statement(
-        &mut self,
-        now: Instant,
-        session: SessionId,
-        key: DispatchKey,
-        received: &ReceivedStatement,
-    ) {
-        let Some(core) = self.core.as_mut().filter(|core| core.id == session) else {
-            return;
-        };
-        for event in core.admission.note_statement(now, key, received) {
-            statement_log::log(&event);
-        }
-    }
-
     fn finish(&mut self, now: Instant, session: SessionId, key: DispatchKey, ending: Ending) {
         let Some(core) = &mut self.core else {
             return;
--- a/server/src/dispatcher.rs
+++ b/server/src/dispatcher.rs
@@ -81,8 +81,8 @@
 
 /// Receives what the head of an answer states about its backend server.
 pub trait StatementObserver: Send + Sync {
-    /// Records the statement.
-    fn stated(&self, received: ReceivedStatement);
+    /// Records the statement. `is_success` means that the request ran without a fault.
+    fn stated(&self, received: ReceivedStatement, is_success: bool);
 }
 
 /// Sends `req` to the backend server and waits for the head of its answer, which `observer` is told
@@ -119,10 +119,11 @@
         match tokio::time::timeout_at(deadline, answering).await {
             Ok(Ok(response)) => {
                 let (head, body) = response.into_parts();
-                observer.stated(ReceivedStatement {
+                let received = ReceivedStatement {
                     statement: own_interface::statement(&head),
                     at: Instant::now(),
-                });
+                };
+                observer.stated(received, !head.status.is_server_error());
                 let response = Response::from_parts(head, body);
                 return read_head(pool, sent, response, connection).await;
             }
--- a/server/tests/test_entry_session.rs
+++ b/server/tests/test_entry_session.rs
@@ -253,7 +253,7 @@
 struct Unobserved;
 
 impl StatementObserver for Unobserved {
-    fn stated(&self, _: ReceivedStatement) {}
+    fn stated(&self, _: ReceivedStatement, _: bool) {}
 }
 
 impl DispatchGate for ClosedGate {
