--- a/server/tests/test_backend_leaving.rs
+++ b/server/tests/test_backend_leaving.rs
@@ -100,17 +100,37 @@
     sleep(CUT / 2).await;
     let known_at = Instant::now();
     scene.backends[0].stop_stating_leaving();
+    sleep(CUT / 3).await;
+    let unserved = unserved(callers.finish().await);
+    assert!(unserved.is_empty(), "{unserved:?}");
+    let callers = Callers::start(&scene.call_addresses());
     scene.while_announced(sleep(2 * CUT)).await;
-    let answers = callers.finish().await;
+    callers.finish().await;
     let late = arrivals_since(&scene.backends[0], known_at.into_std());
     assert!(late.is_empty(), "{late:?}");
-    let unserved: Vec<&Answer> = answers
-        .iter()
-        .filter(|a| a.status != StatusCode::OK)
-        .collect();
+}
+
+/// Guards against callers that are refused because control was suspended, and takes backend servers
+/// for silent when it resumes.
+#[tokio::test(flavor = "multi_thread")]
+async fn test_resumed_control_silences_no_backend_server() {
+    const CUT: Duration = Duration::from_secs(3);
+    let scene = start(1, 2).await;
+    for replica in &scene.deployment.replicas {
+        replica.freeze(CUT);
+    }
+    let callers = Callers::start(&scene.call_addresses());
+    sleep(CUT / 2).await;
+    scene.while_announced(sleep(2 * CUT)).await;
+    let unserved = unserved(callers.finish().await);
     assert!(unserved.is_empty(), "{unserved:?}");
 }
 
+fn unserved(answers: Vec<Answer>) -> Vec<Answer> {
+    let unserved = answers.into_iter().filter(|a| a.status != StatusCode::OK);
+    unserved.collect()
+}
+
 /// Guards against requests that are held, or sent to a process that is about to end, when the last
 /// backend server of a service is leaving; its successor is used at once.
 #[tokio::test(flavor = "multi_thread")]
