--- a/lib/tests/dispatch_model/mod.rs
+++ b/lib/tests/dispatch_model/mod.rs
@@ -547,7 +547,7 @@
 }
 
 /// Creates the dispatcher of an entry VM that starts at `now`.
-fn dispatcher(scenario: &Scenario, view: &FleetView, entry: usize, now: Instant) -> Dispatcher {
+pub fn dispatcher(scenario: &Scenario, view: &FleetView, entry: usize, now: Instant) -> Dispatcher {
     let cfg = config(entry, entry / scenario.entries, scenario.servers.len());
     let mut dispatcher = Dispatcher::new(cfg, now);
     dispatcher.apply_view(now, view);
--- a/lib/tests/limit_model/mod.rs
+++ b/lib/tests/limit_model/mod.rs
@@ -21,6 +21,7 @@
 
 use crate::dispatch_model::Scenario;
 use crate::dispatch_model::config;
+use crate::dispatch_model::dispatcher;
 use crate::dispatch_model::request;
 use crate::dispatch_model::route;
 use crate::dispatch_model::server_name;
@@ -72,11 +73,7 @@
         };
         let now = Instant::now();
         let view = view(&scenario);
-        let dispatcher = |number: usize| {
-            let mut dispatcher = Dispatcher::new(config(number, 0, 1), now);
-            dispatcher.apply_view(now, &view);
-            dispatcher
-        };
+        let dispatcher = |number: usize| dispatcher(&scenario, &view, number, now);
         Self {
             origin: now,
             now,
--- a/lib/tests/test_cold_tracker.rs
+++ b/lib/tests/test_cold_tracker.rs
@@ -7,7 +7,7 @@
 use std::time::Instant;
 
 use dispatch_model::Scenario;
-use dispatch_model::config;
+use dispatch_model::dispatcher;
 use dispatch_model::place;
 use dispatch_model::request;
 use dispatch_model::route;
@@ -53,11 +53,7 @@
         };
         let now = Instant::now();
         let view = view(&scenario);
-        let dispatcher = |number: usize| {
-            let mut dispatcher = Dispatcher::new(config(number, 0, 1), now);
-            dispatcher.apply_view(now, &view);
-            dispatcher
-        };
+        let dispatcher = |number: usize| dispatcher(&scenario, &view, number, now);
         Self {
             origin: now,
             now,
