statements of backend servers: no message where an answer states nothing; one record of a change

Each answer sent the dispatch task a message although most state nothing that applies from the head on. Dispatcher and registry of owners had the same loop over unreadable statements and the same record of a limit's change. The set of holds was published anew where a pause changed nothing. No behaviour towards callers or backend servers changes; the tests of statements pass unchanged.

--- a/lib/src/backend_limit.rs
+++ b/lib/src/backend_limit.rs
@@ -160,13 +160,27 @@
         self.shared = rate;
     }
 
-    /// Returns the latest statement if it has to be logged, and records it as logged.
-    pub fn take_log(&mut self) -> Option<Statement> {
+    /// Returns the change since the limit was `before` if it has to be logged, and records it as
+    /// logged. `interval` is that between two requests of this entry VM.
+    pub fn take_change(
+        &mut self,
+        now: Instant,
+        backend: &BackendName,
+        before: Option<RequestRate>,
+        interval: Option<Duration>,
+    ) -> Option<LimitChange> {
         let latest = self.latest?;
-        let is_due = is_material(self.logged, latest.rate);
-        is_due.then(|| {
-            self.logged = latest.rate;
-            latest
+        if !is_material(self.logged, latest.rate) {
+            return None;
+        }
+        self.logged = latest.rate;
+        Some(LimitChange {
+            backend: backend.clone(),
+            rate: latest.rate,
+            before,
+            source: latest.source,
+            age: now.saturating_duration_since(latest.at),
+            interval,
         })
     }
 
--- a/lib/src/backend_registry.rs
+++ b/lib/src/backend_registry.rs
@@ -17,7 +17,6 @@
 use crate::announcement::LAPSE_MS;
 use crate::announcement::REPEAT_MS;
 use crate::backend_limit::BackendLimit;
-use crate::backend_limit::LimitChange;
 use crate::backend_limit::MIN_RATE;
 use crate::backend_limit::tolerance;
 use crate::backend_statement::LeavingNotice;
@@ -269,27 +268,14 @@
         let Some(server) = self.servers.get_mut(backend) else {
             return Vec::new();
         };
-        let mut events = Vec::new();
         let statement = &received.statement;
-        for kind in statement.unreadable() {
-            if server.unreadable.insert(kind) {
-                let backend = backend.clone();
-                events.push(StatementEvent::Unreadable { backend, kind });
-            }
-        }
+        let mut events = statement.unreadable_events(backend, &mut server.unreadable);
         let limit = &mut server.limit;
         let before = limit.rate();
         limit.note_answer(sent_at, received.at, statement.limit, is_success);
-        if let Some(latest) = limit.take_log() {
-            events.push(StatementEvent::Limit(LimitChange {
-                backend: backend.clone(),
-                rate: latest.rate,
-                before,
-                source: latest.source,
-                age: now.saturating_duration_since(latest.at),
-                interval: server.limit_interval(),
-            }));
-        }
+        let interval = server.limit_interval();
+        let change = server.limit.take_change(now, backend, before, interval);
+        events.extend(change.map(StatementEvent::Limit));
         if let PushbackNotice::For(asked) = statement.pushback
             && server
                 .shed
--- a/lib/src/backend_statement.rs
+++ b/lib/src/backend_statement.rs
@@ -1,5 +1,6 @@
 //! What a backend server states about itself in an answer.
 
+use std::collections::BTreeSet;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -54,11 +55,11 @@
 /// A kind of statement.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub enum StatementKind {
-    /// The rate limit.
+    /// [`BackendStatement::limit`].
     Limit,
-    /// The time without requests.
+    /// [`BackendStatement::pushback`].
     Pushback,
-    /// That the backend server is leaving.
+    /// [`BackendStatement::leaving`].
     Leaving,
 }
 
@@ -75,8 +76,31 @@
 }
 
 impl BackendStatement {
-    /// Returns the kinds of statements that cannot be read.
-    pub fn unreadable(&self) -> impl Iterator<Item = StatementKind> + use<> {
+    /// Returns whether it states something that applies from the arrival of the head on, or that
+    /// cannot be read.
+    #[must_use]
+    pub fn applies_from_head(&self) -> bool {
+        self.pushback != PushbackNotice::Absent
+            || self.leaving != LeavingNotice::Absent
+            || self.limit == LimitNotice::Unreadable
+    }
+
+    /// Returns an event for each kind of statement of `backend` that cannot be read and is not among
+    /// those `reported` before, and adds it to these.
+    pub(crate) fn unreadable_events(
+        &self,
+        backend: &BackendName,
+        reported: &mut BTreeSet<StatementKind>,
+    ) -> Vec<StatementEvent> {
+        let new = self.unreadable().filter(|kind| reported.insert(*kind));
+        new.map(|kind| StatementEvent::Unreadable {
+            backend: backend.clone(),
+            kind,
+        })
+        .collect()
+    }
+
+    fn unreadable(&self) -> impl Iterator<Item = StatementKind> + use<> {
         let limit = self.limit == LimitNotice::Unreadable;
         let pushback = self.pushback == PushbackNotice::Unreadable;
         let leaving = self.leaving == LeavingNotice::Unreadable;
@@ -121,7 +145,7 @@
 /// A backend server that is leaving, as processes tell it each other.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct LeavingStatement {
-    /// The backend server.
+    /// Name that its process announced.
     pub backend: BackendName,
     /// When the process that is leaving started.
     pub born: u64,
@@ -134,14 +158,14 @@
     Limit(LimitChange),
     /// A backend server asked this sender for a time without requests.
     Paused {
-        /// The backend server.
+        /// Backend server that refused a request.
         backend: BackendName,
         /// The time that it asked for.
         asked: Duration,
     },
     /// A backend server that asked for a time without requests runs them again.
     Resumed {
-        /// The backend server.
+        /// Backend server whose pause has ended.
         backend: BackendName,
         /// Time since it first asked.
         paused: Duration,
@@ -150,7 +174,7 @@
     },
     /// A backend server is known to leave.
     Leaving {
-        /// The backend server.
+        /// Backend server that gets no further requests.
         backend: BackendName,
         /// Where its statement was received from.
         source: StatementSource,
@@ -158,7 +182,7 @@
     /// An answer of this backend server stated something that cannot be read; reported once for
     /// each kind.
     Unreadable {
-        /// The backend server.
+        /// Backend server that sent the answer.
         backend: BackendName,
         /// What cannot be read.
         kind: StatementKind,
--- a/lib/src/direct_dispatch.rs
+++ b/lib/src/direct_dispatch.rs
@@ -123,7 +123,7 @@
     pub(crate) shared_limits: BTreeMap<BackendName, LimitObservation>,
     /// Whether control has to be told a limit, or that a backend server is leaving.
     pub(crate) reports_due: bool,
-    /// Retry delays of requests that are refused because of limits.
+    /// Retry delays of requests that are refused because all backend servers are closed to them.
     pub(crate) advice: RetryAdvice,
 }
 
--- a/lib/src/dispatch_limits.rs
+++ b/lib/src/dispatch_limits.rs
@@ -9,7 +9,6 @@
 
 use crate::affinity::ObjectHash;
 use crate::backend_limit;
-use crate::backend_limit::LimitChange;
 use crate::backend_limit::tolerance;
 use crate::backend_statement::StatementEvent;
 use crate::direct_dispatch::Dispatcher;
@@ -72,18 +71,11 @@
                 .gate
                 .hold_until(now + interval.mul_f64(phase), interval);
         }
-        let Some(latest) = backend.limit.take_log() else {
-            return;
-        };
+        let change = backend
+            .limit
+            .take_change(now, &backend.name, before, interval);
         self.statement_events
-            .push(StatementEvent::Limit(LimitChange {
-                backend: backend.name.clone(),
-                rate: latest.rate,
-                before,
-                source: latest.source,
-                age: now.saturating_duration_since(latest.at),
-                interval,
-            }));
+            .extend(change.map(StatementEvent::Limit));
     }
 
     /// Applies the limits that control passed on. They replace those passed on before; a limit that
--- a/lib/src/dispatch_statements.rs
+++ b/lib/src/dispatch_statements.rs
@@ -26,13 +26,8 @@
             return;
         };
         let statement = &received.statement;
-        for kind in statement.unreadable() {
-            if backend.unreadable.insert(kind) {
-                let backend = backend.name.clone();
-                let event = StatementEvent::Unreadable { backend, kind };
-                self.statement_events.push(event);
-            }
-        }
+        let unreadable = statement.unreadable_events(&backend.name, &mut backend.unreadable);
+        self.statement_events.extend(unreadable);
         if let PushbackNotice::For(asked) = statement.pushback {
             self.pause(now, key, received.at, asked);
         }
@@ -115,8 +110,10 @@
     fn pause(&mut self, now: Instant, key: BackendKey, at: Instant, asked: Duration) {
         let until = at + asked + self.trial_delay(key, asked);
         let backend = &mut self.backends[key];
-        self.holds_changed = true;
-        if backend.pushback.pause(now, until) {
+        let before = backend.pushback.until();
+        let begins = backend.pushback.pause(now, until);
+        self.holds_changed |= backend.pushback.until() != before;
+        if begins {
             let backend = backend.name.clone();
             let event = StatementEvent::Paused { backend, asked };
             self.statement_events.push(event);
--- a/server/src/dispatch_task.rs
+++ b/server/src/dispatch_task.rs
@@ -172,6 +172,9 @@
 
     /// Records what the head of an answer of a backend server states.
     pub fn note_statement(&self, backend: BackendKey, received: ReceivedStatement) {
+        if !received.statement.applies_from_head() {
+            return;
+        }
         let _ = self.tx.send(Message::Statement { backend, received });
     }
 
--- a/server/src/fleet_follower.rs
+++ b/server/src/fleet_follower.rs
@@ -96,7 +96,7 @@
     left: Vec<String>,
     /// Revision of the known verdicts on suspected requests.
     known_quarantine: u64,
-    /// Number of the rate limits of backend servers, valid only at the followed replica.
+    /// Number of the statements of backend servers, valid only at the followed replica.
     known_limits: u64,
     replica: watch::Sender<Option<FleetClient<Channel>>>,
 }
