link load: the value by which the scheduler of a link and the headroom of an entry VM agree

The interface between two parts that are built side by side: what schedules an entry VM's link publishes its load, and look-ups name entry VMs by what they have left.

--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -67,6 +67,7 @@
 pub mod id;
 pub mod link_budget;
 pub mod link_congestion;
+pub mod link_load;
 pub mod list_delta;
 pub mod load_digest;
 pub mod log_rate;
