presence: a replica that was suspended excludes that time from silences

Callers were refused with no_backend_server for 0.5 to 1.1 s after control, suspended for 3 s, resumed: replicas counted the time in which they could hear nobody as silence, and told entry VMs that backend servers were silent before the next heartbeats had come.

A gap of a second between two events of the task, which checks four times a second, counts as a suspension, and all times move forward by it. A backend server or an entry VM that did end meanwhile is noticed that much later. Ruled out: to say nothing until a majority has reported again, as after a start, since reports of the other replicas, suspended as well, hold the same old times.

--- a/lib/src/presence.rs
+++ b/lib/src/presence.rs
@@ -33,6 +33,10 @@
 /// Interval between two reports to the other replicas.
 pub const REPORT_INTERVAL: Duration = Duration::from_millis(500);
 
+/// Time without any event after which this process counts as having been suspended. Events are a
+/// quarter of a second apart at most.
+const SUSPENSION: Duration = Duration::from_secs(1);
+
 /// Time without reports after which a replica no longer counts towards a majority: three intervals.
 const PEER_SILENCE: Duration = Duration::from_millis(1_600);
 
@@ -112,6 +116,8 @@
 #[derive(Debug)]
 pub struct Presence {
     began: Instant,
+    /// Time of the latest event.
+    awake_at: Instant,
     own: LocalHeartbeats,
     backends: BTreeMap<BackendName, Contact>,
     entries: BTreeMap<VmName, EntryContact>,
@@ -125,6 +131,7 @@
     pub fn new(now: Instant, life: u64) -> Self {
         Self {
             began: now,
+            awake_at: now,
             own: LocalHeartbeats::new(life),
             backends: BTreeMap::new(),
             entries: BTreeMap::new(),
@@ -132,6 +139,29 @@
         }
     }
 
+    /// Records that the process runs; must be called at each event, and at regular intervals.
+    ///
+    /// A process that was suspended could not receive heartbeats or reports, and what it receives
+    /// first on resuming is not what was sent last. Its silences therefore exclude that time.
+    pub fn note_awake(&mut self, now: Instant) {
+        let pause = now.saturating_duration_since(self.awake_at);
+        self.awake_at = self.awake_at.max(now);
+        if pause < SUSPENSION {
+            return;
+        }
+        self.began += pause;
+        self.own.extend(pause);
+        for contact in self.backends.values_mut() {
+            contact.last += pause;
+        }
+        for entry in self.entries.values_mut() {
+            entry.contact.last += pause;
+        }
+        for peer in self.peers.values_mut() {
+            peer.at += pause;
+        }
+    }
+
     /// Records a heartbeat of a backend server. Returns whether it counted as silent before.
     pub fn record_backend_heartbeat(&mut self, now: Instant, backend: &BackendName) -> bool {
         let silent = self.is_silent(now, backend);
--- a/lib/src/presence_report.rs
+++ b/lib/src/presence_report.rs
@@ -123,6 +123,13 @@
         true
     }
 
+    /// Moves the times of all heartbeats forward by `pause`, in which none could be received.
+    pub fn extend(&mut self, pause: Duration) {
+        for times in self.times.values_mut() {
+            times.last += pause;
+        }
+    }
+
     /// Removes a source, for instance because it now reports another state. Returns whether it was
     /// present.
     pub fn drop_source(&mut self, source: &HeartbeatSource) -> bool {
--- a/lib/tests/test_presence.rs
+++ b/lib/tests/test_presence.rs
@@ -227,3 +227,40 @@
     // Larger change numbers take a byte more.
     assert!(large <= small + small / 4, "{small} and {large}");
 }
+
+/// Guards against callers that are refused because replicas that were suspended together take
+/// backend servers and entry VMs for silent on resuming.
+#[test]
+fn test_presence_excludes_the_time_of_a_suspension() {
+    const SUSPENDED: Duration = Duration::from_secs(30);
+    let start = Instant::now() + Duration::from_mins(1);
+    let backends = [BackendName::new("backend-1"), BackendName::new("backend-2")];
+    let vm = VmName::new("entry-1");
+    let mut here = Presence::new(start, 1);
+    let mut there = Presence::new(start, 2);
+    let heard_at = start + Duration::from_secs(10);
+    for presence in [&mut here, &mut there] {
+        presence.note_awake(heard_at);
+    }
+    here.record_backend_heartbeat(heard_at, &backends[0]);
+    there.record_backend_heartbeat(heard_at, &backends[1]);
+    there.record_entry_heartbeat(heard_at, &vm, 1, true);
+    report(&mut there, &mut here, heard_at, heard_at);
+    let resumed_at = heard_at + SUSPENDED;
+    here.note_awake(resumed_at);
+    let is_silent = |here: &Presence, now| backends.iter().any(|name| here.is_silent(now, name));
+    let now = resumed_at + HEARTBEAT;
+    here.note_awake(resumed_at + HEARTBEAT / 2);
+    here.note_awake(now);
+    here.expire(now);
+    assert!(!is_silent(&here, now));
+    assert!(!here.is_out_of_service(now, &vm));
+    let mut now = now;
+    while now < resumed_at + BACKEND_SILENCE {
+        now += REPORT_INTERVAL;
+        here.note_awake(now);
+        here.expire(now);
+    }
+    assert!(is_silent(&here, now), "a silence is still noticed");
+    assert!(here.is_out_of_service(now, &vm));
+}
--- a/server/src/presence_task.rs
+++ b/server/src/presence_task.rs
@@ -237,6 +237,7 @@
 
     fn handle(&mut self, message: Message) {
         let now = self.setup.clock.now();
+        self.presence.note_awake(now);
         match message {
             Message::Backend(backend) => {
                 if self.presence.record_backend_heartbeat(now, &backend) {
@@ -275,6 +276,7 @@
 
     fn check(&mut self) {
         let now = self.setup.clock.now();
+        self.presence.note_awake(now);
         self.presence.expire(now);
         self.publish(now);
         if now >= self.next_report_at {
