--- a/lib/tests/dispatch_model/mod.rs
+++ b/lib/tests/dispatch_model/mod.rs
@@ -569,6 +569,7 @@
             window: None,
         },
         policy: DispatchPolicy::default(),
+        link_rate: None,
     }
 }
 
@@ -648,6 +649,7 @@
         version: ManifestVersion(1),
         limits: CallerLimits::default(),
         routes: Vec::new(),
+        bulk_routes: Vec::new(),
         services: vec![(service(), Arc::new(service_record))],
         backends,
         rollouts: Vec::new(),
--- a/lib/tests/test_rollout.rs
+++ b/lib/tests/test_rollout.rs
@@ -307,6 +307,7 @@
                 window: None,
             },
             policy: DispatchPolicy::default(),
+            link_rate: None,
         };
         let mut entry = Self {
             dispatcher: Dispatcher::new(cfg, now),
--- a/server/tests/test_fleet_follower.rs
+++ b/server/tests/test_fleet_follower.rs
@@ -226,6 +226,7 @@
             window: None,
         },
         policy: DispatchPolicy::default(),
+        link_rate: None,
     };
     let (ready_tx, ready) = watch::channel(true);
     let (_, seeds) = watch::channel(vec![seed]);
@@ -244,7 +245,7 @@
         ready,
         channels: PeerChannels::new(security),
         clock: Arc::clone(&clock),
-        dispatch: DispatchHandle::spawn(config, clock),
+        dispatch: DispatchHandle::spawn(config, clock, None),
         crashes,
     });
     (followed, ready_tx)
