team limits: tokens are leases, late replies count, and silence alone sets a replica aside

Callers of teams within their limits got limit_unconfirmed wherever replies of control replicas take more than 0.3 s: such a reply counted as lost, its replica was set aside for 1 to 8 s, and requests were refused at once while all were.

A token may now be used until its lease ends, for any request of its team. The lease follows from the tolerance; no sum of tokens held is capped, and nothing is reported back. A late reply is still used, another replica is asked beside it, and a replica is set aside only when it answers nothing for a second; a probe brings it back.

--- a/lib/src/team_share.rs
+++ b/lib/src/team_share.rs
@@ -7,13 +7,13 @@
 //!
 //! The number of a team's requests that run in any window of length `window` stays below
 //! `(rate * window + burst) * (1 + over) + slack`:
-//! - tokens that are issued to waiting requests are used within [`TOKEN_USE_TIMEOUT`] or not at
-//!   all, and the rate at which they are issued leaves room for that;
-//! - tokens that entry VMs hold in stock never exceed [`LimitShare::stock`] in sum, and expire;
+//! - a token is used within its lease, which is measured from before it is issued, so that all
+//!   tokens used in a window are issued in a period of one window and one lease;
+//! - what all replicas may issue in such a period stays below that number;
 //! - a replica starts without tokens.
 //!
-//! The tolerance is divided among rate, burst and stock: small teams send bursts that their limit
-//! alone barely covers.
+//! The tolerance goes into the lease first, and what the longest lease leaves of it goes into rate
+//! and burst: small teams send bursts that their limit alone barely covers.
 
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -27,20 +27,22 @@
 use crate::rendezvous;
 use crate::team::TeamLimit;
 
-/// Time within which a token for a waiting request is used: the network delay of the reply plus the
-/// time until the request reaches its backend server.
-pub const TOKEN_USE_TIMEOUT: Duration = Duration::from_millis(500);
+/// Minimum lease of a token. It has to cover a round trip to a replica.
+pub const MIN_LEASE: Duration = Duration::from_millis(500);
 
-/// Time for which a token may be held in stock.
-pub const STOCK_TTL: Duration = Duration::from_secs(5);
+/// Maximum lease of a token. A lower limit is in force once the leases of earlier tokens have
+/// ended.
+pub const MAX_LEASE: Duration = Duration::from_millis(2_500);
 
 /// Minimum burst of a share. A share with a burst below one could never issue a token.
 const MIN_SHARE_BURST: f64 = 2.0;
 
-/// Fractions of the unused tolerance that are added to the rate and to the burst; the rest may be
-/// held in stock.
-const SPARE_RATE_FRACTION: f64 = 0.5;
-const SPARE_BURST_FRACTION: f64 = 0.25;
+/// What a lease is shortened by, so that rounding never lengthens it.
+const ROUNDING: Duration = Duration::from_micros(1);
+
+/// Fraction of the tolerance left by the longest lease that is added to the rate; the rest is added
+/// to the burst.
+const SPARE_RATE_FRACTION: f64 = 0.7;
 
 /// Tolerance by which the limits of teams may be exceeded.
 #[derive(Clone, Copy, Debug, Deserialize, JsonSchema, PartialEq, Serialize)]
@@ -71,8 +73,8 @@
     pub rate: f64,
     /// Maximum number of tokens that accumulate while none is drawn.
     pub burst: f64,
-    /// Maximum number of tokens that all entry VMs together may hold in stock.
-    pub stock: f64,
+    /// Time from the request for a token within which it must be used.
+    pub lease: Duration,
 }
 
 impl LimitShare {
@@ -81,18 +83,25 @@
     pub fn of(limit: &TeamLimit, tolerance: &LimitTolerance, shares: usize) -> Self {
         let shares = u32::try_from(shares.max(1)).map_or(f64::MAX, f64::from);
         let window = tolerance.window.0.as_secs_f64();
-        let counted = window + TOKEN_USE_TIMEOUT.as_secs_f64();
         let allowed = limit.rate * window + limit.burst;
         let allowed = allowed * (1.0 + tolerance.over) + tolerance.slack;
-        let rate = limit.rate.min((allowed - limit.burst).max(0.0) / counted);
-        let spare = allowed - rate * counted - limit.burst;
-        let burst = ((limit.burst + SPARE_BURST_FRACTION * spare) / shares).max(1.0);
+        // A share with a burst below one could never issue a token.
+        let burst = limit.burst.max(shares);
+        let for_rate = (allowed - burst).max(0.0);
+        let rate = limit
+            .rate
+            .min(for_rate / (window + MIN_LEASE.as_secs_f64()));
+        let lease = (for_rate / rate - window).min(MAX_LEASE.as_secs_f64());
+        let lease = Duration::from_secs_f64(lease.max(0.0));
+        let lease = lease.saturating_sub(ROUNDING).max(MIN_LEASE);
+        let counted = window + lease.as_secs_f64();
+        let spare = (for_rate - rate * counted).max(0.0);
         let rate = rate + SPARE_RATE_FRACTION * spare / counted;
-        let stock = allowed - rate * counted - burst * shares;
+        let burst = burst + (1.0 - SPARE_RATE_FRACTION) * spare;
         Self {
             rate: rate / shares,
-            burst,
-            stock: stock.max(0.0) / shares,
+            burst: burst / shares,
+            lease,
         }
     }
 }
--- a/lib/src/token_shard.rs
+++ b/lib/src/token_shard.rs
@@ -8,15 +8,14 @@
 use serde::Serialize;
 
 use crate::id::TeamName;
-use crate::id::VmName;
 use crate::team_share::LimitShare;
-use crate::team_share::STOCK_TTL;
 
 /// Time after which an increased share is used in full. Until then, other replicas may still issue
 /// tokens for their earlier, larger shares.
 const INCREASE_DELAY: Duration = Duration::from_secs(3);
 
-/// Fraction of the burst that is reserved for waiting requests; stocks are filled from the rest.
+/// Fraction of the burst that is reserved for waiting requests; tokens are drawn ahead of demand
+/// from the rest only.
 const RESERVED_FOR_WAITING: f64 = 0.5;
 
 /// Time after which an unused team is dropped.
@@ -25,15 +24,6 @@
 /// Maximum time after which an entry VM is told to ask again.
 const MAX_RETRY_AFTER: Duration = Duration::from_secs(5);
 
-/// Identifies one incarnation of an entry VM's process. Tokens that it held are lost with it.
-#[derive(Clone, Debug, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
-pub struct Holder {
-    /// The entry VM.
-    pub vm: VmName,
-    /// Number of its incarnation.
-    pub life: u64,
-}
-
 /// A request for tokens of one team.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Draw {
@@ -41,10 +31,8 @@
     pub team: TeamName,
     /// Number of tokens requested for waiting requests.
     pub waiting: u32,
-    /// Number of tokens requested for the stock, in addition.
-    pub stock: u32,
-    /// Number of tokens from the stock that were used or expired since the last request.
-    pub used: u32,
+    /// Number of tokens requested ahead of demand, in addition.
+    pub ahead: u32,
 }
 
 /// The reply to a [`Draw`].
@@ -52,11 +40,11 @@
 pub struct Drawn {
     /// The team.
     pub team: TeamName,
-    /// Number of tokens issued for waiting requests.
-    pub waiting: u32,
-    /// Number of tokens issued for the stock.
-    pub stock: u32,
-    /// Time until a token may be available, if a waiting request got none.
+    /// Number of tokens issued.
+    pub count: u32,
+    /// Time from the request for the tokens within which they must be used.
+    pub lease: Duration,
+    /// Time until a token may be available, if fewer were issued than requests wait.
     pub retry_after: Duration,
 }
 
@@ -76,14 +64,6 @@
     increase: Option<(LimitShare, Instant)>,
     left: f64,
     at: Instant,
-    held: BTreeMap<Holder, Held>,
-}
-
-/// Tokens that an entry VM has in stock.
-#[derive(Clone, Copy, Debug)]
-struct Held {
-    count: u32,
-    until: Instant,
 }
 
 impl TokenShard {
@@ -97,14 +77,8 @@
         }
     }
 
-    /// Issues tokens to `holder` for a team of which this replica has `share`.
-    pub fn draw(
-        &mut self,
-        now: Instant,
-        holder: &Holder,
-        share: &LimitShare,
-        draw: &Draw,
-    ) -> Drawn {
+    /// Issues tokens for a team of which this replica has `share`.
+    pub fn draw(&mut self, now: Instant, share: &LimitShare, draw: &Draw) -> Drawn {
         self.sweep(now);
         let tokens = self
             .teams
@@ -112,17 +86,14 @@
             .or_insert_with(|| TokenBucket::new(self.began, *share));
         tokens.refill(now);
         tokens.apply_share(now, share);
-        tokens.return_used(holder, draw.used);
-        let waiting = tokens.take(draw.waiting, 0.0);
-        let stock = if waiting == draw.waiting {
-            tokens.stock(now, holder, draw.stock)
-        } else {
-            0
-        };
+        let mut count = tokens.take(draw.waiting, 0.0);
+        if count == draw.waiting {
+            count += tokens.take(draw.ahead, RESERVED_FOR_WAITING * tokens.share.burst);
+        }
         Drawn {
             team: draw.team.clone(),
-            waiting,
-            stock,
+            count,
+            lease: tokens.share.lease,
             retry_after: tokens.next_token(),
         }
     }
@@ -145,7 +116,6 @@
             increase: None,
             left: 0.0,
             at: began,
-            held: BTreeMap::new(),
         }
     }
 
@@ -156,12 +126,11 @@
         passed >= IDLE_TIMEOUT && gathered >= self.share.burst
     }
 
-    /// Adds the tokens that have accrued up to `now` and drops expired stocks.
+    /// Adds the tokens that have accrued up to `now`.
     fn refill(&mut self, now: Instant) {
         let passed = now.saturating_duration_since(self.at).as_secs_f64();
         self.at = self.at.max(now);
         self.left = (self.left + passed * self.share.rate).min(self.share.burst);
-        self.held.retain(|_, held| held.until > now);
     }
 
     /// Applies a new share: a reduction immediately, an increase after [`INCREASE_DELAY`].
@@ -169,7 +138,7 @@
         let lower = LimitShare {
             rate: share.rate.min(self.share.rate),
             burst: share.burst.min(self.share.burst),
-            stock: share.stock.min(self.share.stock),
+            lease: share.lease.min(self.share.lease),
         };
         if lower == *share {
             self.increase = None;
@@ -189,12 +158,6 @@
         self.left = self.left.min(lower.burst);
     }
 
-    fn return_used(&mut self, holder: &Holder, used: u32) {
-        if let Some(held) = self.held.get_mut(holder) {
-            held.count = held.count.saturating_sub(used);
-        }
-    }
-
     /// Takes up to `wanted` tokens, leaving `reserved` of them.
     fn take(&mut self, wanted: u32, reserved: f64) -> u32 {
         let free = whole_tokens(self.left - reserved);
@@ -203,20 +166,6 @@
         taken
     }
 
-    fn stock(&mut self, now: Instant, holder: &Holder, wanted: u32) -> u32 {
-        let held: u32 = self.held.values().map(|held| held.count).sum();
-        let room = whole_tokens(self.share.stock).saturating_sub(held);
-        let taken = self.take(wanted.min(room), RESERVED_FOR_WAITING * self.share.burst);
-        if taken > 0 {
-            let until = now + STOCK_TTL;
-            let held = self.held.entry(holder.clone());
-            let held = held.or_insert(Held { count: 0, until });
-            held.count += taken;
-            held.until = until;
-        }
-        taken
-    }
-
     /// Returns the time until a whole token is available.
     fn next_token(&self) -> Duration {
         let lacking = (1.0 - self.left).max(0.0);
--- a/server/src/direct_admission.rs
+++ b/server/src/direct_admission.rs
@@ -26,6 +26,7 @@
 use heatherring_lib::team::KeyDigest;
 use heatherring_lib::team::TeamLimit;
 use heatherring_lib::team_directory::TeamDirectory;
+use heatherring_lib::token_cache;
 use heatherring_lib::token_cache::LimitDecision;
 use http::HeaderMap;
 use http::Request;
@@ -264,7 +265,8 @@
         let (Some(team), Some(limit)) = (&admitted.req.caller.team, admitted.limit) else {
             return Ok(attempt);
         };
-        let decision = self.tokens.take(team, limit).await;
+        let until = token_cache::wait_until(self.clock.now(), admitted.req.deadline);
+        let decision = self.tokens.take(team, limit, until).await;
         metric::limit(decision);
         match decision {
             LimitDecision::Run => Ok(attempt),
--- a/server/src/direct_process.rs
+++ b/server/src/direct_process.rs
@@ -16,7 +16,6 @@
 use heatherring_lib::fleet_update::FleetView;
 use heatherring_lib::planned_stop::PlannedStop;
 use heatherring_lib::settings_text::read_direct_settings;
-use heatherring_lib::token_shard::Holder;
 use http::Request;
 use http::Response;
 use snafu::ResultExt;
@@ -247,10 +246,6 @@
     ) -> Self {
         let dispatch = DispatchHandle::spawn(dispatch_config(settings), Arc::clone(clock));
         let record = own_record(settings);
-        let holder = Holder {
-            vm: settings.vm.clone(),
-            life: record.life,
-        };
         let pool = BackendPool::spawn();
         let vm = settings.vm.clone();
         let (crashes, reporter) = CrashTracker::new(vm.clone(), Arc::clone(clock), pool.clone());
@@ -278,7 +273,7 @@
         };
         tokio::spawn(statement_reporter.run());
         let tokens = TokenHandle::spawn(TokenSetup {
-            holder,
+            vm: settings.vm.clone(),
             place: settings.place.clone(),
             places: settings.places.clone(),
             sites: followed.sites.clone(),
--- a/server/src/fleet_service.rs
+++ b/server/src/fleet_service.rs
@@ -380,9 +380,8 @@
         request: Request<DrawTokensRequest>,
     ) -> Result<Response<DrawTokensReply>, Status> {
         let request = request.into_inner();
-        let holder = decode(&request.holder_encoded)?;
         let draws: Vec<Draw> = decode(&request.draws_encoded)?;
-        let answers = self.tokens.draw(&holder, &draws);
+        let answers = self.tokens.draw(&draws);
         Ok(Response::new(DrawTokensReply {
             drawn_encoded: encode(&answers)?,
         }))
--- a/server/src/metric.rs
+++ b/server/src/metric.rs
@@ -13,6 +13,9 @@
 use heatherring_lib::dispatch_request::PassedOver;
 use heatherring_lib::dispatch_request::SendOutcome;
 use heatherring_lib::token_cache::LimitDecision;
+use heatherring_lib::token_cache::TokenCounts;
+use heatherring_lib::token_shard::Draw;
+use heatherring_lib::token_shard::Drawn;
 use http::Request;
 use http::Response;
 use http::header;
@@ -142,10 +145,24 @@
     counter!("heatherring_team_limits_total", "result" => result).increment(1);
 }
 
-/// Counts tokens requested and granted for the limits of teams.
-pub fn tokens(asked: u32, given: u32) {
-    counter!("heatherring_tokens_asked_total").increment(u64::from(asked));
+/// Counts a reply to a request for tokens and records its round trip.
+pub fn token_reply(took: Duration) {
+    histogram!("heatherring_token_round_trip_seconds").record(took);
+}
+
+/// Counts what has happened to requests for tokens and to the tokens that an entry VM held.
+pub fn token_counts(counts: TokenCounts) {
+    counter!("heatherring_token_replies_late_total").increment(counts.hedged);
+    counter!("heatherring_token_replies_lost_total").increment(counts.lost);
+    counter!("heatherring_tokens_lapsed_total").increment(counts.lapsed);
+}
+
+/// Counts tokens that were requested from this replica and issued.
+pub fn tokens(draw: &Draw, drawn: &Drawn) {
+    let given = drawn.count.min(draw.waiting);
+    counter!("heatherring_tokens_asked_total").increment(u64::from(draw.waiting));
     counter!("heatherring_tokens_given_total").increment(u64::from(given));
+    counter!("heatherring_tokens_given_ahead_total").increment(u64::from(drawn.count - given));
 }
 
 /// Counts a backend server that ended with requests in flight, and these requests.
--- a/server/src/token_issuer.rs
+++ b/server/src/token_issuer.rs
@@ -13,7 +13,6 @@
 use heatherring_lib::team_share::LimitTolerance;
 use heatherring_lib::token_shard::Draw;
 use heatherring_lib::token_shard::Drawn;
-use heatherring_lib::token_shard::Holder;
 use heatherring_lib::token_shard::TokenShard;
 
 use crate::metric;
@@ -49,13 +48,12 @@
         }
     }
 
-    /// Issues tokens for the draws of `holder`. Teams that have no limit, or are unknown here,
-    /// are left out.
+    /// Issues tokens for `draws`. Teams that have no limit, or are unknown here, are left out.
     ///
     /// The replica need not be proven current: its share of a limit is valid whatever the other
     /// replicas issue.
     #[must_use]
-    pub fn draw(&self, holder: &Holder, draws: &[Draw]) -> Vec<Drawn> {
+    pub fn draw(&self, draws: &[Draw]) -> Vec<Drawn> {
         let published = self.published.read();
         let replicas: Vec<SocketAddr> =
             published.replicas.iter().map(|info| info.address).collect();
@@ -69,8 +67,8 @@
                 continue;
             };
             let share = self.share(&draw.team, &limit, &replicas);
-            let answer = tokens.draw(now, holder, &share, draw);
-            metric::tokens(draw.waiting, answer.waiting);
+            let answer = tokens.draw(now, &share, draw);
+            metric::tokens(draw, &answer);
             answers.push(answer);
         }
         answers
--- a/server/src/token_task.rs
+++ b/server/src/token_task.rs
@@ -11,40 +11,38 @@
 use heatherring_lib::id::PlaceName;
 use heatherring_lib::id::RegionName;
 use heatherring_lib::id::TeamName;
+use heatherring_lib::id::VmName;
 use heatherring_lib::replica_choice;
 use heatherring_lib::replica_choice::ReplicaSite;
 use heatherring_lib::team::TeamLimit;
 use heatherring_lib::team_share;
 use heatherring_lib::token_cache::LimitDecision;
+use heatherring_lib::token_cache::REPLY_TIMEOUT;
 use heatherring_lib::token_cache::TokenCache;
 use heatherring_lib::token_cache::TokenRequest;
 use heatherring_lib::token_shard::Drawn;
-use heatherring_lib::token_shard::Holder;
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
 use tokio::sync::watch;
 use tonic::Request;
 use tonic::transport::Channel;
 
+use crate::metric;
 use crate::peer_channel::PeerChannels;
 use crate::proto::DrawTokensRequest;
 use crate::proto::fleet_client::FleetClient;
 
-/// Time-out for a replica's answer; the round trip to the farthest region takes about a third of
-/// it.
-const ANSWER_TIMEOUT: Duration = Duration::from_millis(300);
+/// Time after the end of its wait at which a request is refused if the task has not decided on it.
+const DECISION_GRACE: Duration = Duration::from_millis(250);
 
-/// Maximum time that a request waits for a token.
-const TOKEN_WAIT_TIMEOUT: Duration = Duration::from_secs(1);
-
-/// Retry delay given to a caller whose request waited that long in vain.
+/// Retry delay given to the caller of such a request.
 const RETRY_AFTER: Duration = Duration::from_millis(500);
 
 /// Configuration of the task.
 #[derive(Debug)]
 pub struct TokenSetup {
-    /// The current incarnation of the entry VM.
-    pub holder: Holder,
+    /// The entry VM.
+    pub vm: VmName,
     /// The place of the entry VM.
     pub place: PlaceName,
     /// The regions of all places.
@@ -64,7 +62,7 @@
         let replicas: Vec<SocketAddr> = sites.iter().map(|site| site.address).collect();
         let sharing_replicas = team_share::sharing_replicas(team, limit, &replicas);
         replica_choice::nearest_first(
-            &self.holder.vm,
+            &self.vm,
             &self.place,
             &self.places,
             &sites,
@@ -77,6 +75,7 @@
 struct TokenDemand {
     team: TeamName,
     limit: TeamLimit,
+    until: Instant,
     reply: oneshot::Sender<LimitDecision>,
 }
 
@@ -102,13 +101,19 @@
         Self { tx }
     }
 
-    /// Takes a token for a request of `team`, and waits for one if necessary.
-    pub async fn take(&self, team: &TeamName, limit: TeamLimit) -> LimitDecision {
+    /// Takes a token for a request of `team`, and waits for one until `until` if necessary.
+    pub async fn take(&self, team: &TeamName, limit: TeamLimit, until: Instant) -> LimitDecision {
         let (reply, decision) = oneshot::channel();
-        let team = team.clone();
+        let demand = TokenDemand {
+            team: team.clone(),
+            limit,
+            until,
+            reply,
+        };
         // The send fails only when the task has ended with its process.
-        let _ = self.tx.send(TokenDemand { team, limit, reply });
-        match tokio::time::timeout(TOKEN_WAIT_TIMEOUT, decision).await {
+        let _ = self.tx.send(demand);
+        let decision = tokio::time::timeout_at((until + DECISION_GRACE).into(), decision);
+        match decision.await {
             Ok(Ok(decision)) => decision,
             _ => LimitDecision::Unconfirmed {
                 retry_after: RETRY_AFTER,
@@ -148,36 +153,54 @@
                 Ok(()) = self.setup.sites.changed() => self.follow_sites(),
                 () = until(next_poll_at) => {}
             }
-            self.send_token_requests();
+            let now = self.setup.clock.now();
+            notify_waiters(self.cache.expired(now));
+            self.send_token_requests(now);
+            self.report(now);
+        }
+    }
+
+    fn report(&mut self, now: Instant) {
+        metric::token_counts(self.cache.take_counts());
+        for (replica, is_silent) in self.cache.silence_changes(now) {
+            if is_silent {
+                log::warn!(event = "token_replica_silent", replica:% = replica; "a replica does not reply to requests for tokens; it is only probed until it does");
+            } else {
+                log::info!(event = "token_replica_replies", replica:% = replica; "a replica replies to requests for tokens again");
+            }
         }
     }
 
     fn follow_sites(&mut self) {
-        self.cache.forget_sharing_replicas();
         let sites = self.setup.sites.borrow_and_update();
-        self.clients
-            .retain(|address, _| sites.iter().any(|site| site.address == *address));
+        let replicas: Vec<SocketAddr> = sites.iter().map(|site| site.address).collect();
+        self.cache.set_replicas(&replicas);
+        self.clients.retain(|address, _| replicas.contains(address));
     }
 
     fn take(&mut self, demand: TokenDemand) {
-        let TokenDemand { team, limit, reply } = demand;
+        let TokenDemand {
+            team,
+            limit,
+            until,
+            reply,
+        } = demand;
         let now = self.setup.clock.now();
         let find_sharing_replicas = || self.setup.sharing_replicas(&team, &limit);
         notify_waiters(
             self.cache
-                .take(now, &team, &limit, find_sharing_replicas, reply),
+                .take(now, &team, &limit, until, find_sharing_replicas, reply),
         );
     }
 
     /// Sends the token requests that are due.
-    fn send_token_requests(&mut self) {
-        for token_request in self.cache.token_requests(self.setup.clock.now()) {
+    fn send_token_requests(&mut self, now: Instant) {
+        for token_request in self.cache.token_requests(now) {
             let answers = self.answers.clone();
-            let holder = self.setup.holder.clone();
             let client = self.client(token_request.replica);
             tokio::spawn(async move {
                 let drawn = match client {
-                    Some(client) => draw(client, &holder, &token_request).await,
+                    Some(client) => draw(client, &token_request).await,
                     None => None,
                 };
                 // The send fails only when the task has ended with its process.
@@ -224,22 +247,24 @@
 /// Requests tokens from a replica; returns `None` if no usable answer arrives in time.
 async fn draw(
     mut client: FleetClient<Channel>,
-    holder: &Holder,
     token_request: &TokenRequest,
 ) -> Option<Vec<Drawn>> {
     let request = DrawTokensRequest {
-        holder_encoded: postcard::to_stdvec(holder).ok()?,
         draws_encoded: postcard::to_stdvec(&token_request.draws).ok()?,
     };
+    let sent_at = tokio::time::Instant::now();
     let call = client.draw_tokens(Request::new(request));
-    let failed = match tokio::time::timeout(ANSWER_TIMEOUT, call).await {
+    let failed = match tokio::time::timeout(REPLY_TIMEOUT, call).await {
         Ok(Ok(reply)) => match postcard::from_bytes(&reply.into_inner().drawn_encoded) {
-            Ok(drawn) => return Some(drawn),
+            Ok(drawn) => {
+                metric::token_reply(sent_at.elapsed());
+                return Some(drawn);
+            }
             Err(error) => error.to_string(),
         },
         Ok(Err(status)) => status.message().to_owned(),
         Err(_) => "no answer in time".to_owned(),
     };
-    log::debug!(event = "tokens_not_drawn", replica:% = token_request.replica, error = failed.as_str(); "no tokens from this replica; trying the next one");
+    log::debug!(event = "tokens_not_drawn", replica:% = token_request.replica, error = failed.as_str(); "no reply to a request for tokens");
     None
 }
