control: a refused write for want of space ends no process

A replica whose disk was full ended with exit code 70, was started again, and ended at its next write; callers lost its answers meanwhile.

A failed sync, cut or removal stops the process as before. Files are created and synced in two steps now, since only the first may be refused. A start waits for room to format its folder. disk_full and disk_writable in the log, heatherring_disk_full in the metrics and a column of status show it.

Weighed: leaving the seal of a segment out if there is no room for it. The successor is removed again instead, so that a missing last segment is still noticed.

--- a/cli/src/commands/status.rs
+++ b/cli/src/commands/status.rs
@@ -107,6 +107,7 @@
         "voter": replica.voter,
         "matched_revision": replica.matched_revision,
         "last_heard_ms": replica.last_heard_ms,
+        "disk_full": replica.disk_full,
     })
 }
 
@@ -141,6 +142,7 @@
         "ROLE",
         "REVISION",
         "HEARD MS AGO",
+        "DISK",
     ];
     let entry_header = [
         "VM", "PLACE", "REGION", "SESSION", "CALLERS", "STATE", "REVISION", "LEASE MS",
@@ -204,6 +206,7 @@
         (false, true) => "voter",
         (false, false) => "learner",
     };
+    let disk = if replica.disk_full { "full" } else { "" };
     vec![
         replica.vm.clone(),
         replica.replica.to_string(),
@@ -211,6 +214,7 @@
         role.to_owned(),
         replica.matched_revision.to_string(),
         replica.last_heard_ms.to_string(),
+        disk.to_owned(),
     ]
 }
 
--- a/server/src/control_format.rs
+++ b/server/src/control_format.rs
@@ -36,6 +36,7 @@
 use crate::proto::ChangeMembershipRequest;
 use crate::proto::change_membership_request::Change;
 use crate::proto::operator_client::OperatorClient;
+use crate::write_failure::WriteFailure;
 
 /// Number of bits of a replica's identity: JSON parsers represent integers up to this size
 /// exactly.
@@ -97,6 +98,14 @@
     ClusterIdentity,
 }
 
+impl FormatError {
+    /// Returns whether only room on the disk is missing.
+    #[must_use]
+    pub const fn is_disk_full(&self) -> bool {
+        matches!(self, Self::Folder { source, .. } if source.is_full())
+    }
+}
+
 /// Creates a new cluster with this replica as its only member, and returns the replica's
 /// identity.
 ///
@@ -241,7 +250,8 @@
 fn open_empty(folder: &Path) -> Result<FolderDisk, DiskError> {
     match DirBuilder::new().mode(FOLDER_MODE).create(folder) {
         Err(source) if source.kind() != io::ErrorKind::AlreadyExists => {
-            return Err(DiskError::Write { source });
+            let failure = WriteFailure::of_unsynced(source);
+            return Err(DiskError::from_write(failure, 0));
         }
         Ok(()) => sync_parent(folder).context(WriteSnafu)?,
         Err(_) => {}
--- a/server/src/control_node.rs
+++ b/server/src/control_node.rs
@@ -41,6 +41,7 @@
 use crate::data_folder::Disk;
 use crate::data_folder::Identity;
 use crate::disk_writer::DiskWriter;
+use crate::disk_writer::WriteProgress;
 use crate::disk_writer::Written;
 use crate::leader_sessions::HeldBatch;
 use crate::leader_sessions::HeldSync;
@@ -244,7 +245,7 @@
             let pause = self.next_wake().saturating_duration_since(self.clock.now());
             tokio::select! {
                 biased;
-                written = self.disk.finished() => self.finish_write(&written?)?,
+                progress = self.disk.progress(&*self.clock) => self.handle_write(&progress?)?,
                 request = rx.recv() => match request {
                     None => return self.finish_writing().await,
                     Some(request) => self.handle_batch(request, &mut rx),
@@ -475,9 +476,22 @@
         }
     }
 
+    fn handle_write(&mut self, progress: &WriteProgress) -> Result<(), ControlNodeError> {
+        match progress {
+            WriteProgress::Durable(written) => self.finish_write(written),
+            WriteProgress::Refused => {
+                self.step(Input::DiskFull(true));
+                Ok(())
+            }
+        }
+    }
+
     /// Carries out what waited for the records that are durable now.
     fn finish_write(&mut self, written: &Written) -> Result<(), ControlNodeError> {
-        written.log_if_slow(self.clock.now());
+        written.log(self.clock.now());
+        if written.was_refused() {
+            self.step(Input::DiskFull(false));
+        }
         let Completed { effects, position } = self.writes.complete();
         self.apply_effects(effects)?;
         if let Some(position) = position {
@@ -486,15 +500,18 @@
         Ok(())
     }
 
-    /// Waits until all records are durable, at the end of the task.
+    /// Waits until all records are durable, at the end of the task. Drops those for which there is
+    /// no room, and with them what they would have promised.
     async fn finish_writing(mut self) -> Result<(), ControlNodeError> {
         loop {
             self.begin_write();
             if !self.disk.is_writing() {
                 return Ok(());
             }
-            let written = self.disk.finished().await?;
-            self.finish_write(&written)?;
+            match self.disk.progress(&*self.clock).await? {
+                WriteProgress::Durable(written) => self.finish_write(&written)?,
+                WriteProgress::Refused => return Ok(()),
+            }
         }
     }
 
--- a/server/src/control_process.rs
+++ b/server/src/control_process.rs
@@ -271,11 +271,12 @@
 ) -> Result<(LogDisk<FolderDisk>, Recovered), ControlError> {
     let folder = &settings.data_folder;
     let Some(formation) = &settings.formation else {
-        return formation::open(settings).context(FolderSnafu { folder });
+        let opened = formation::open_when_room(settings).await;
+        return opened.context(FolderSnafu { folder });
     };
     let prepared = formation::prepare(settings, formation, channels).await;
     prepared.context(FormatSnafu)?;
-    match formation::open(settings) {
+    match formation::open_when_room(settings).await {
         Err(DiskError::Damaged { source }) => {
             log::error!(event = "log_damaged", error:% = source; "the log is damaged; joining again with an empty data folder");
             formation::erase(settings).context(EraseSnafu)?;
@@ -285,7 +286,8 @@
             };
             let prepared = formation::prepare(settings, &joining, channels).await;
             prepared.context(FormatSnafu)?;
-            formation::open(settings).context(FolderSnafu { folder })
+            let opened = formation::open_when_room(settings).await;
+            opened.context(FolderSnafu { folder })
         }
         opened => opened.context(FolderSnafu { folder }),
     }
--- a/server/src/data_folder.rs
+++ b/server/src/data_folder.rs
@@ -17,6 +17,7 @@
 
 use crate::record_codec::decode_frame;
 use crate::record_codec::encode_frame;
+use crate::write_failure::WriteFailure;
 
 /// Name of the file that holds the [`Identity`]. A folder counts as formatted if it has
 /// this file.
@@ -87,12 +88,12 @@
     /// Returns the error that the operating system reported.
     fn read(&self, name: &str) -> io::Result<Vec<u8>>;
 
-    /// Creates or truncates a file, writes its content and syncs it.
+    /// Creates or truncates a file and writes its content.
     ///
     /// # Errors
     ///
     /// Returns the error that the operating system reported.
-    fn write_whole(&mut self, name: &str, content: &[u8]) -> io::Result<()>;
+    fn create(&mut self, name: &str, content: &[u8]) -> io::Result<()>;
 
     /// Appends to an existing file.
     ///
@@ -140,16 +141,44 @@
 /// Writes a file atomically: after a crash it exists with its whole content or not at
 /// all.
 ///
-/// The content is written to a temporary file, which is then renamed to `name`.
+/// The content is written to a temporary file, which is then renamed to `name`. If there is no room
+/// for it, the temporary file is removed.
 ///
 /// # Errors
 ///
-/// Returns the error that the operating system reported.
-pub fn write_atomically<D: Disk>(disk: &mut D, name: &str, content: &[u8]) -> io::Result<()> {
+/// Returns a [`WriteFailure`] that says whether the folder is unchanged.
+pub fn write_atomically<D: Disk>(
+    disk: &mut D,
+    name: &str,
+    content: &[u8],
+) -> Result<(), WriteFailure> {
     let temporary = format!("{name}{TEMPORARY_ENDING}");
-    disk.write_whole(&temporary, content)?;
-    disk.rename(&temporary, name)?;
-    disk.sync_folder()
+    let written = write_and_rename(disk, &temporary, name, content);
+    if matches!(written, Err(WriteFailure::Refused { .. })) {
+        remove_if_present(disk, &temporary).map_err(WriteFailure::failed)?;
+    }
+    written?;
+    disk.sync_folder().map_err(WriteFailure::failed)
+}
+
+fn write_and_rename<D: Disk>(
+    disk: &mut D,
+    temporary: &str,
+    name: &str,
+    content: &[u8],
+) -> Result<(), WriteFailure> {
+    let created = disk.create(temporary, content);
+    created.map_err(WriteFailure::of_unsynced)?;
+    disk.sync(temporary).map_err(WriteFailure::failed)?;
+    let renamed = disk.rename(temporary, name);
+    renamed.map_err(WriteFailure::of_unsynced)
+}
+
+fn remove_if_present<D: Disk>(disk: &mut D, name: &str) -> io::Result<()> {
+    match disk.remove(name) {
+        Err(error) if error.kind() == io::ErrorKind::NotFound => Ok(()),
+        removed => removed,
+    }
 }
 
 /// Implements [`Disk`] on a folder of the file system, which it locks against other
@@ -219,10 +248,10 @@
         fs::read(self.folder.join(name))
     }
 
-    fn write_whole(&mut self, name: &str, content: &[u8]) -> io::Result<()> {
-        let mut file = File::create(self.folder.join(name))?;
-        file.write_all(content)?;
-        file.sync_all()
+    fn create(&mut self, name: &str, content: &[u8]) -> io::Result<()> {
+        let file = File::create(self.folder.join(name))?;
+        let (_, file) = self.open.insert((name.to_owned(), file));
+        file.write_all(content)
     }
 
     fn append(&mut self, name: &str, bytes: &[u8]) -> io::Result<()> {
@@ -240,10 +269,12 @@
     }
 
     fn rename(&mut self, from: &str, to: &str) -> io::Result<()> {
+        self.open = None;
         fs::rename(self.folder.join(from), self.folder.join(to))
     }
 
     fn remove(&mut self, name: &str) -> io::Result<()> {
+        self.open = None;
         fs::remove_file(self.folder.join(name))
     }
 
--- a/server/src/formation.rs
+++ b/server/src/formation.rs
@@ -8,6 +8,7 @@
 //! its former identity has cast votes that it no longer knows of.
 
 use std::collections::BTreeMap;
+use std::fmt::Display;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -17,6 +18,7 @@
 use heatherring_lib::id::ReplicaId;
 use heatherring_lib::id::VmName;
 use heatherring_lib::raft_config::founding_writes;
+use heatherring_lib::raft_message::LogWrite;
 use heatherring_lib::raft_message::ReplicaInfo;
 use heatherring_lib::rendezvous;
 use heatherring_lib::settings::ControlSettings;
@@ -40,7 +42,8 @@
 use crate::proto::fleet_client::FleetClient;
 use crate::published_state::StateReader;
 
-/// Pause between two rounds of requests for admission. An admission takes one commit.
+/// Pause between two rounds of requests for admission, which take one commit, and between two
+/// attempts to use a full disk.
 const RETRY_INTERVAL: Duration = Duration::from_millis(250);
 
 /// Timeout of a call to one replica.
@@ -69,7 +72,7 @@
     let own = settings.advertised();
     let founders = formation.peers();
     if formation.first_start && founders.contains(&own) {
-        let identity = format_as_founder(settings, &founders)?;
+        let identity = format_as_founder(settings, &founders).await?;
         log::info!(event = "founded", replica = identity.replica.0, cluster:% = identity.cluster; "formatted the data folder as one of the founders");
         return Ok(());
     }
@@ -80,7 +83,7 @@
         cluster,
         replica,
     };
-    control_format::format_folder(settings, identity, &[])?;
+    format_when_room(settings, identity, &[]).await?;
     log::info!(event = "joined", replica = replica.0, cluster:% = cluster; "formatted the data folder as a joining replica");
     Ok(())
 }
@@ -89,7 +92,7 @@
     settings.data_folder.join(IDENTITY_FILE).exists()
 }
 
-fn format_as_founder(
+async fn format_as_founder(
     settings: &ControlSettings,
     founders: &[SocketAddr],
 ) -> Result<Identity, FormatError> {
@@ -110,10 +113,58 @@
         cluster,
         replica: identity_of(settings.advertised()),
     };
-    control_format::format_folder(settings, identity, &founding_writes(members, None))?;
+    let writes = founding_writes(members, None);
+    format_when_room(settings, identity, &writes).await?;
     Ok(identity)
 }
 
+/// Formats the data folder once its disk has room. The identity stays: it may have been admitted.
+async fn format_when_room(
+    settings: &ControlSettings,
+    identity: Identity,
+    writes: &[LogWrite],
+) -> Result<(), FormatError> {
+    let format = || control_format::format_folder(settings, identity, writes);
+    retry_while_full(FormatError::is_disk_full, format).await
+}
+
+/// Opens a formatted data folder and recovers its records, once its disk has room.
+///
+/// # Errors
+///
+/// Returns a [`DiskError`] if the folder cannot be opened or its records are damaged.
+pub async fn open_when_room(
+    settings: &ControlSettings,
+) -> Result<(LogDisk<FolderDisk>, Recovered), DiskError> {
+    retry_while_full(DiskError::is_full, || open(settings)).await
+}
+
+/// Repeats an operation on the data folder while it fails for want of room.
+async fn retry_while_full<T, E: Display>(
+    is_full: impl Fn(&E) -> bool,
+    mut operation: impl FnMut() -> Result<T, E>,
+) -> Result<T, E> {
+    let mut reported = false;
+    loop {
+        let result = operation();
+        match &result {
+            Err(error) if is_full(error) => {
+                if !reported {
+                    log::warn!(event = "disk_full", error:% = error; "the disk has no room for the data folder; waiting");
+                    reported = true;
+                }
+                tokio::time::sleep(RETRY_INTERVAL).await;
+            }
+            _ => {
+                if reported {
+                    log::info!(event = "disk_writable"; "the disk has room for the data folder again");
+                }
+                return result;
+            }
+        }
+    }
+}
+
 /// Returns the identity of the cluster of these founders, which does not depend on their order.
 fn founding_cluster(founders: &[SocketAddr]) -> ClusterId {
     let mut names: Vec<String> = founders.iter().map(ToString::to_string).collect();
--- a/server/src/lib.rs
+++ b/server/src/lib.rs
@@ -122,3 +122,4 @@
 pub mod token_task;
 mod unread_headers;
 pub mod update_cache;
+pub mod write_failure;
--- a/server/src/log_disk.rs
+++ b/server/src/log_disk.rs
@@ -15,6 +15,7 @@
 use heatherring_lib::raft_message::HardState;
 use heatherring_lib::raft_message::LogWrite;
 use heatherring_lib::raft_message::Snapshot;
+use serde::Serialize;
 use snafu::ResultExt;
 use snafu::Snafu;
 use snafu::ensure;
@@ -36,6 +37,8 @@
 use crate::log_replay::replay;
 use crate::metric;
 use crate::record_codec::encode_frame;
+use crate::write_failure::WriteFailure;
+use crate::write_failure::is_out_of_room;
 
 /// Size in bytes from which a segment is sealed and the next one is started.
 const SEGMENT_BYTES: u64 = 8 * 1024 * 1024;
@@ -84,6 +87,14 @@
         /// What the operating system reported.
         source: io::Error,
     },
+    /// There is no room for records, which left no trace.
+    #[snafu(display("the data folder has no room: {source}\nhint: free space on its disk"))]
+    Full {
+        /// Number of records before them that are durable.
+        durable: usize,
+        /// What the operating system reported.
+        source: io::Error,
+    },
     /// Writing or syncing a file or the folder failed.
     #[snafu(display("could not write to the data folder: {source}"))]
     Write {
@@ -102,17 +113,35 @@
         match source.kind() {
             io::ErrorKind::WouldBlock => Self::Locked,
             io::ErrorKind::NotFound => Self::MissingFolder,
+            _ if is_out_of_room(&source) => Self::Full { durable: 0, source },
             _ => Self::Read { source },
         }
     }
 
+    pub(crate) fn from_write(failure: WriteFailure, durable: usize) -> Self {
+        match failure {
+            WriteFailure::Refused { source } => Self::Full { durable, source },
+            WriteFailure::Failed { source } => Self::Write { source },
+        }
+    }
+
+    /// Returns whether only room is missing.
+    #[must_use]
+    pub const fn is_full(&self) -> bool {
+        matches!(self, Self::Full { .. })
+    }
+
     /// Returns whether the choice or the state of the folder is at fault, rather than the
     /// disk or the content of the log.
     #[must_use]
     pub const fn is_user_error(&self) -> bool {
         match self {
             Self::Unformatted | Self::NotEmpty { .. } | Self::Locked | Self::MissingFolder => true,
-            Self::Damaged { .. } | Self::Read { .. } | Self::Write { .. } | Self::Stopped => false,
+            Self::Damaged { .. }
+            | Self::Read { .. }
+            | Self::Full { .. }
+            | Self::Write { .. }
+            | Self::Stopped => false,
         }
     }
 }
@@ -183,9 +212,11 @@
         failed: false,
         last_sync: Duration::ZERO,
     };
-    log.begin_segment().context(WriteSnafu)?;
+    let begun = log.begin_segment(0);
+    begun.map_err(|failure| DiskError::from_write(failure, 0))?;
     log.write(writes)?;
-    write_atomically(&mut log.disk, IDENTITY_FILE, &identity.encode()).context(WriteSnafu)?;
+    let formatted = write_atomically(&mut log.disk, IDENTITY_FILE, &identity.encode());
+    formatted.map_err(|failure| DiskError::from_write(failure, 0))?;
     Ok(log.disk)
 }
 
@@ -267,20 +298,24 @@
 
     /// Makes records durable in order. Records between two snapshots share one sync.
     ///
-    /// After a failed write or sync the content of the disk is unknown: the operating
+    /// Records for which there is no room leave no trace; they may be written again, after those
+    /// that are durable.
+    ///
+    /// After any other failed write or sync the content of the disk is unknown: the operating
     /// system may have dropped the pages and may report success the next time. The log
     /// therefore accepts no more writes, and the process must stop without sending any
     /// message.
     ///
     /// # Errors
     ///
-    /// Returns [`DiskError::Write`] for the first failure and [`DiskError::Stopped`] for
-    /// every later call.
+    /// Returns [`DiskError::Full`] if there is no room, [`DiskError::Write`] for the first other
+    /// failure, and [`DiskError::Stopped`] for every later call.
     pub fn write(&mut self, writes: &[LogWrite]) -> Result<(), DiskError> {
         ensure!(!self.failed, StoppedSnafu);
-        let result = self.write_all(writes);
-        self.failed = result.is_err();
-        result.context(WriteSnafu)
+        let mut durable = 0;
+        let result = self.write_all(writes, &mut durable);
+        self.failed = matches!(result, Err(WriteFailure::Failed { .. }));
+        result.map_err(|failure| DiskError::from_write(failure, durable))
     }
 
     /// Returns how long the latest append with its sync took; zero before the first.
@@ -295,73 +330,102 @@
         self.disk
     }
 
-    fn write_all(&mut self, writes: &[LogWrite]) -> io::Result<()> {
-        let mut records = Vec::with_capacity(writes.len());
-        for write in writes {
-            match write {
-                LogWrite::HardState(state) => {
-                    self.hard_state = *state;
-                    records.push(LogRecord::HardState(*state));
-                }
-                LogWrite::Truncate(from) => {
-                    self.next_index = self.next_index.min(*from);
-                    records.push(LogRecord::Truncate(*from));
-                }
-                LogWrite::Append(entry) => {
-                    self.next_index = entry.index.next();
-                    self.raise_highest(entry.index);
-                    records.push(LogRecord::Append(Cow::Borrowed(entry)));
-                }
-                LogWrite::Snapshot(snapshot) => {
-                    self.write_frame(&records)?;
-                    records.clear();
-                    self.write_snapshot(snapshot)?;
-                }
+    fn write_all(&mut self, writes: &[LogWrite], durable: &mut usize) -> Result<(), WriteFailure> {
+        while let Some(first) = writes.get(*durable) {
+            if let LogWrite::Snapshot(snapshot) = first {
+                self.write_snapshot(snapshot)?;
+                *durable += 1;
+                continue;
             }
+            let rest = writes[*durable..].iter();
+            let batch = rest.take_while(|write| !matches!(write, LogWrite::Snapshot(_)));
+            let batch: Vec<&LogWrite> = batch.collect();
+            self.write_records(&batch)?;
+            *durable += batch.len();
         }
-        self.write_frame(&records)?;
         if self.segment_bytes >= SEGMENT_BYTES {
-            self.seal_and_begin_segment()?;
+            self.begin_next_segment()?;
         }
         Ok(())
     }
 
-    fn raise_highest(&mut self, index: Revision) {
-        if let Some(segment) = self.segments.last_mut() {
-            segment.highest = segment.highest.max(index);
+    /// Writes records, none of them a snapshot, as one frame.
+    fn write_records(&mut self, writes: &[&LogWrite]) -> Result<(), WriteFailure> {
+        let records = writes.iter().filter_map(|write| match write {
+            LogWrite::HardState(state) => Some(LogRecord::HardState(*state)),
+            LogWrite::Truncate(from) => Some(LogRecord::Truncate(*from)),
+            LogWrite::Append(entry) => Some(LogRecord::Append(Cow::Borrowed(entry))),
+            LogWrite::Snapshot(_) => None,
+        });
+        let records: Vec<LogRecord<'_>> = records.collect();
+        self.write_frame(&records)?;
+        for write in writes {
+            self.note_durable(write);
         }
+        Ok(())
     }
 
-    fn current_name(&self) -> io::Result<String> {
-        let last = self.segments.last().ok_or(io::ErrorKind::NotFound)?;
+    fn note_durable(&mut self, write: &LogWrite) {
+        match write {
+            LogWrite::HardState(state) => self.hard_state = *state,
+            LogWrite::Truncate(from) => self.next_index = self.next_index.min(*from),
+            LogWrite::Append(entry) => {
+                self.next_index = entry.index.next();
+                if let Some(segment) = self.segments.last_mut() {
+                    segment.highest = segment.highest.max(entry.index);
+                }
+            }
+            LogWrite::Snapshot(_) => {}
+        }
+    }
+
+    fn current_name(&self) -> Result<String, WriteFailure> {
+        let last = self.segments.last();
+        let last = last.ok_or_else(|| WriteFailure::failed(io::ErrorKind::NotFound.into()))?;
         Ok(segment_name(last.number))
     }
 
-    fn write_frame(&mut self, records: &[LogRecord<'_>]) -> io::Result<()> {
-        if records.is_empty() {
-            return Ok(());
-        }
-        let body = encode_records(records)?;
-        let mut buf = Vec::with_capacity(body.len() + crate::record_codec::FRAME_BYTES);
-        encode_frame(self.next_frame, &body, &mut buf);
+    fn write_frame(&mut self, records: &[LogRecord<'_>]) -> Result<(), WriteFailure> {
         let name = self.current_name()?;
         let started_at = Instant::now();
-        self.disk.append(&name, &buf)?;
-        self.disk.sync(&name)?;
+        let bytes = self.append_frame(&name, self.next_frame, records)?;
         self.last_sync = started_at.elapsed();
         metric::log_sync(self.last_sync);
         self.next_frame += 1;
-        self.segment_bytes += buf.len() as u64;
+        self.segment_bytes += bytes;
         Ok(())
     }
 
+    /// Appends a frame to a segment of `segment_bytes` and syncs it; returns its length. Without
+    /// room, what was appended is cut off again, which needs none.
+    fn append_frame(
+        &mut self,
+        name: &str,
+        number: u64,
+        records: &[LogRecord<'_>],
+    ) -> Result<u64, WriteFailure> {
+        let body = encode(records)?;
+        let mut buf = Vec::with_capacity(body.len() + crate::record_codec::FRAME_BYTES);
+        encode_frame(number, &body, &mut buf);
+        if let Err(source) = self.disk.append(name, &buf) {
+            let failure = WriteFailure::of_unsynced(source);
+            if matches!(failure, WriteFailure::Refused { .. }) {
+                let cut = self.disk.cut(name, self.segment_bytes);
+                cut.map_err(WriteFailure::failed)?;
+            }
+            return Err(failure);
+        }
+        self.disk.sync(name).map_err(WriteFailure::failed)?;
+        Ok(buf.len() as u64)
+    }
+
     /// Writes a snapshot file, then the marker that puts it into effect, then deletes the
     /// previous snapshot and the segments that it replaces.
     ///
     /// A crash between two of these steps leaves a snapshot file that is not the current
-    /// one, which the next start removes, or superfluous segments, which are deleted after
+    /// one, which the next start removes, or superfluous segments, which are deleted before
     /// the next snapshot.
-    fn write_snapshot(&mut self, snapshot: &Snapshot) -> io::Result<()> {
+    fn write_snapshot(&mut self, snapshot: &Snapshot) -> Result<(), WriteFailure> {
         let mark = SnapshotMark {
             index: snapshot.index,
             term: snapshot.term,
@@ -369,35 +433,67 @@
         if self.snapshot == Some(mark) {
             return Ok(());
         }
-        let body = postcard::to_stdvec(snapshot).map_err(io::Error::other)?;
+        if let Some(current) = self.snapshot {
+            self.delete_old_segments(current)?;
+        }
+        let body = encode(snapshot)?;
         let mut content = Vec::with_capacity(body.len() + crate::record_codec::FRAME_BYTES);
         encode_frame(snapshot.index.0, &body, &mut content);
-        write_atomically(&mut self.disk, &snapshot_name(mark), &content)?;
-        self.write_frame(&[LogRecord::Snapshot(mark)])?;
+        let file = snapshot_name(mark);
+        write_atomically(&mut self.disk, &file, &content)?;
+        if let Err(failure) = self.write_frame(&[LogRecord::Snapshot(mark)]) {
+            if matches!(failure, WriteFailure::Refused { .. }) {
+                self.remove(&file)?;
+            }
+            return Err(failure);
+        }
         let replaced = self.snapshot.replace(mark);
         self.next_index = self.next_index.max(mark.index.next());
-        self.seal_and_begin_segment()?;
+        self.begin_next_segment()?;
         if let Some(old) = replaced {
-            self.disk.remove(&snapshot_name(old))?;
+            self.remove(&snapshot_name(old))?;
         }
         self.delete_old_segments(mark)
     }
 
+    /// Starts the next segment; keeps the current one if there is no room for another, since all
+    /// records are durable.
+    fn begin_next_segment(&mut self) -> Result<(), WriteFailure> {
+        match self.seal_and_begin_segment() {
+            Err(WriteFailure::Refused { source }) => {
+                log::info!(event = "segment_kept", bytes = self.segment_bytes, error:% = source; "no room for another segment of the log");
+                Ok(())
+            }
+            begun => begun,
+        }
+    }
+
     /// Starts the next segment and seals the current one. The seal lets a replay detect
-    /// that the next segment is missing.
-    fn seal_and_begin_segment(&mut self) -> io::Result<()> {
+    /// that the next segment is missing. Without room for both, neither remains.
+    fn seal_and_begin_segment(&mut self) -> Result<(), WriteFailure> {
         let sealed = self.current_name()?;
+        let sealed_bytes = self.segment_bytes;
         let seal_frame = self.next_frame;
-        self.next_frame += 1;
-        self.begin_segment()?;
-        let body = encode_records(&[LogRecord::Sealed])?;
-        let mut buf = Vec::new();
-        encode_frame(seal_frame, &body, &mut buf);
-        self.disk.append(&sealed, &buf)?;
-        self.disk.sync(&sealed)
+        self.begin_segment(seal_frame + 1)?;
+        let head_bytes = std::mem::replace(&mut self.segment_bytes, sealed_bytes);
+        let failure = match self.append_frame(&sealed, seal_frame, &[LogRecord::Sealed]) {
+            Ok(_) => {
+                self.segment_bytes = head_bytes;
+                return Ok(());
+            }
+            Err(failure) => failure,
+        };
+        if matches!(failure, WriteFailure::Refused { .. }) {
+            let successor = self.current_name()?;
+            self.remove(&successor)?;
+            self.segments.pop();
+            self.next_frame = seal_frame;
+        }
+        Err(failure)
     }
 
-    fn begin_segment(&mut self) -> io::Result<()> {
+    /// Creates the segment after the current one, with its first frame.
+    fn begin_segment(&mut self, frame: u64) -> Result<(), WriteFailure> {
         let number = self.segments.last().map_or(1, |last| last.number + 1);
         let head = SegmentHead {
             format: FORMAT_VERSION,
@@ -408,11 +504,11 @@
             hard_state: self.hard_state,
             snapshot: self.snapshot,
         };
-        let body = encode_records(&[LogRecord::Head(head)])?;
+        let body = encode(&[LogRecord::Head(head)][..])?;
         let mut content = Vec::new();
-        encode_frame(self.next_frame, &body, &mut content);
+        encode_frame(frame, &body, &mut content);
         write_atomically(&mut self.disk, &segment_name(number), &content)?;
-        self.next_frame += 1;
+        self.next_frame = frame + 1;
         self.segment_bytes = content.len() as u64;
         self.segments.push(Segment {
             number,
@@ -421,18 +517,26 @@
         Ok(())
     }
 
-    fn delete_old_segments(&mut self, mark: SnapshotMark) -> io::Result<()> {
+    fn delete_old_segments(&mut self, mark: SnapshotMark) -> Result<(), WriteFailure> {
         while self.segments.len() > 1 && self.segments[0].highest <= mark.index {
-            self.disk.remove(&segment_name(self.segments[0].number))?;
-            self.disk.sync_folder()?;
+            self.remove(&segment_name(self.segments[0].number))?;
             self.segments.remove(0);
         }
         Ok(())
     }
+
+    /// Removes a file durably.
+    fn remove(&mut self, name: &str) -> Result<(), WriteFailure> {
+        let removed = self.disk.remove(name);
+        let removed = removed.and_then(|()| self.disk.sync_folder());
+        removed.map_err(WriteFailure::failed)
+    }
 }
 
-fn encode_records(records: &[LogRecord<'_>]) -> io::Result<Vec<u8>> {
-    postcard::to_stdvec(records).map_err(io::Error::other)
+fn encode<T: Serialize + ?Sized>(value: &T) -> Result<Vec<u8>, WriteFailure> {
+    postcard::to_stdvec(value)
+        .map_err(io::Error::other)
+        .map_err(WriteFailure::failed)
 }
 
 /// Removes files that a crash has left behind: temporary files and all snapshots but the
--- a/server/src/metric.rs
+++ b/server/src/metric.rs
@@ -207,6 +207,11 @@
     histogram!("heatherring_log_sync_seconds").record(took);
 }
 
+/// Records whether the disk of this replica refuses records for want of space.
+pub fn disk_full(full: bool) {
+    gauge!("heatherring_disk_full").set(if full { 1.0 } else { 0.0 });
+}
+
 /// Counts an operator's call or a backend server's change by its result.
 pub fn order(kind: &'static str, result: &'static str) {
     counter!("heatherring_orders_total", "kind" => kind, "result" => result).increment(1);
--- a/server/src/status_report.rs
+++ b/server/src/status_report.rs
@@ -72,13 +72,17 @@
         .map(|progress| (progress.id, progress))
         .collect();
     let membership = raft.membership();
+    let full_disks = raft.full_disks();
     let voters = membership.voters.iter().map(|member| (member, true));
     let learners = membership.learners.iter().map(|member| (member, false));
     voters
         .chain(learners)
         .map(|((id, info), voter)| {
             let own = (*id == raft.id()).then(|| raft.last_index());
-            replica(*id, info, voter, progress.get(id), own, now)
+            ReplicaStatus {
+                disk_full: full_disks.contains(id),
+                ..replica(*id, info, voter, progress.get(id), own, now)
+            }
         })
         .collect()
 }
@@ -100,6 +104,7 @@
         voter,
         matched_revision: matched.unwrap_or_default().0,
         last_heard_ms: last_heard.map_or(0, |at| whole_ms(now.saturating_duration_since(at))),
+        disk_full: false,
     }
 }
 
--- a/testutils/src/cluster.rs
+++ b/testutils/src/cluster.rs
@@ -277,7 +277,11 @@
             Role::Entry => "entry",
         };
         let arguments = [role, "--settings", &settings];
-        let process = Process::start(name, &self.binary, &arguments, &log)?;
+        let start = match vm.role {
+            Role::Control => Process::start_fillable,
+            Role::Entry => Process::start,
+        };
+        let process = start(name, &self.binary, &arguments, &log)?;
         self.network.register(process.pid(), Some(vm.ip), name);
         vm.process = Some(process);
         Ok(())
--- a/testutils/src/process.rs
+++ b/testutils/src/process.rs
@@ -11,11 +11,18 @@
 use std::time::Duration;
 
 use rustix::process::Pid;
+use rustix::process::Resource;
+use rustix::process::Rlimit;
 use rustix::process::Signal;
+use rustix::process::getrlimit;
 use rustix::process::kill_process;
+use rustix::process::prlimit;
 use snafu::ResultExt;
 use snafu::Snafu;
 
+/// Runs a program that gets an error, instead of a signal, where it exceeds a limit on files.
+const IGNORE_SIGNAL_AND_RUN: &str = r#"trap '' XFSZ; exec "$0" "$@""#;
+
 const POLL: Duration = Duration::from_millis(20);
 /// Lines of a log that are shown when a test fails.
 const SHOWN_LINES: usize = 60;
@@ -47,6 +54,14 @@
         /// What the system said.
         source: io::Error,
     },
+    /// The size of its files can't be limited.
+    #[snafu(display("can't limit the files of {name}: {source}"))]
+    Limit {
+        /// The process.
+        name: String,
+        /// What the system said.
+        source: io::Error,
+    },
     /// It doesn't end.
     #[snafu(display("{name} didn't end within {bound:?}"))]
     StillRuns {
@@ -94,6 +109,67 @@
         })
     }
 
+    /// Starts `program` as [`Self::start`] does, so that [`Self::fill_disk`] may be called.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the program can't be started.
+    pub fn start_fillable(
+        name: &str,
+        program: &Path,
+        arguments: &[&str],
+        log: &Path,
+    ) -> Result<Self, ProcessError> {
+        let file = File::options().create(true).append(true).open(log);
+        let mut file = file.context(LogSnafu { path: log })?;
+        // The limit on files holds for a log file too, but not for a pipe.
+        let (mut reader, writer) = io::pipe().context(LogSnafu { path: log })?;
+        let errors = writer.try_clone().context(LogSnafu { path: log })?;
+        let child = Command::new("sh")
+            .args(["-c", IGNORE_SIGNAL_AND_RUN])
+            .arg(program)
+            .args(arguments)
+            .stdin(Stdio::null())
+            .stdout(writer)
+            .stderr(errors)
+            .spawn()
+            .context(StartSnafu { program })?;
+        std::thread::spawn(move || io::copy(&mut reader, &mut file));
+        Ok(Self {
+            name: name.to_owned(),
+            child,
+            log: log.to_owned(),
+        })
+    }
+
+    /// Lets every write of the process to a file fail for want of room.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the process has ended.
+    pub fn fill_disk(&self) -> Result<(), ProcessError> {
+        self.limit_files(Some(0))
+    }
+
+    /// Ends the effect of [`Self::fill_disk`].
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the process has ended.
+    pub fn free_disk(&self) -> Result<(), ProcessError> {
+        self.limit_files(getrlimit(Resource::Fsize).maximum)
+    }
+
+    fn limit_files(&self, bytes: Option<u64>) -> Result<(), ProcessError> {
+        let limit = Rlimit {
+            current: bytes,
+            maximum: getrlimit(Resource::Fsize).maximum,
+        };
+        let limited = prlimit(Some(Pid::from_child(&self.child)), Resource::Fsize, limit);
+        let limited = limited.map_err(io::Error::from);
+        limited.map(|_| ()).context(LimitSnafu { name: &self.name })
+    }
+
     /// Returns whether the process still runs.
     pub fn is_running(&mut self) -> bool {
         matches!(self.child.try_wait(), Ok(None))
