--- a/server/src/log_disk.rs
+++ b/server/src/log_disk.rs
@@ -476,20 +476,16 @@
         let seal_frame = self.next_frame;
         self.begin_segment(seal_frame + 1)?;
         let head_bytes = std::mem::replace(&mut self.segment_bytes, sealed_bytes);
-        let failure = match self.append_frame(&sealed, seal_frame, &[LogRecord::Sealed]) {
-            Ok(_) => {
-                self.segment_bytes = head_bytes;
-                return Ok(());
-            }
-            Err(failure) => failure,
-        };
-        if matches!(failure, WriteFailure::Refused { .. }) {
+        let appended = self.append_frame(&sealed, seal_frame, &[LogRecord::Sealed]);
+        if appended.is_ok() {
+            self.segment_bytes = head_bytes;
+        } else if matches!(appended, Err(WriteFailure::Refused { .. })) {
             let successor = self.current_name()?;
             self.remove(&successor)?;
             self.segments.pop();
             self.next_frame = seal_frame;
         }
-        Err(failure)
+        appended.map(|_| ())
     }
 
     /// Creates the segment after the current one, with its first frame.
--- a/server/tests/test_log_disk.rs
+++ b/server/tests/test_log_disk.rs
@@ -478,12 +478,9 @@
     for refuse_after in 0.. {
         let disk = FaultyDisk::default();
         disk.refuse_after(refuse_after, written);
-        let refused = match format(disk.clone(), IDENTITY, &writes) {
-            Ok(_) => {
-                assert!(refuse_after > 3);
-                return;
-            }
-            Err(error) => error,
+        let Err(refused) = format(disk.clone(), IDENTITY, &writes) else {
+            assert!(refuse_after > 3);
+            return;
         };
         assert!(refused.is_full(), "{refused}");
         disk.free();
