testutils: the log of an ended process is whole before it is read

Output of processes whose disks can be filled is copied to the log by a thread; a test that read the log right after the exit could miss its end.

--- a/testutils/src/process.rs
+++ b/testutils/src/process.rs
@@ -8,6 +8,7 @@
 use std::process::Command;
 use std::process::ExitStatus;
 use std::process::Stdio;
+use std::thread::JoinHandle;
 use std::time::Duration;
 
 use rustix::process::Pid;
@@ -78,6 +79,8 @@
     name: String,
     child: Child,
     log: PathBuf,
+    /// Copies the output to the log, unless the process writes there itself.
+    copying: Option<JoinHandle<io::Result<u64>>>,
 }
 
 impl Process {
@@ -106,6 +109,7 @@
             name: name.to_owned(),
             child,
             log: log.to_owned(),
+            copying: None,
         })
     }
 
@@ -134,11 +138,12 @@
             .stderr(errors)
             .spawn()
             .context(StartSnafu { program })?;
-        std::thread::spawn(move || io::copy(&mut reader, &mut file));
+        let copying = std::thread::spawn(move || io::copy(&mut reader, &mut file));
         Ok(Self {
             name: name.to_owned(),
             child,
             log: log.to_owned(),
+            copying: Some(copying),
         })
     }
 
@@ -197,9 +202,18 @@
             .kill()
             .context(SignalSnafu { name: &self.name })?;
         let _ = self.child.wait();
+        self.finish_log();
         Ok(())
     }
 
+    /// Waits until the log holds all output of the process, which has ended.
+    fn finish_log(&mut self) {
+        if let Some(copying) = self.copying.take() {
+            // A log that can't be written shows by what it lacks.
+            let _ = copying.join();
+        }
+    }
+
     /// Asks the process to shut down gracefully.
     ///
     /// # Errors
@@ -236,6 +250,7 @@
         let begun = tokio::time::Instant::now();
         loop {
             if let Ok(Some(status)) = self.child.try_wait() {
+                self.finish_log();
                 return Ok(status);
             }
             if begun.elapsed() > bound {
@@ -262,6 +277,7 @@
     fn drop(&mut self) {
         let _ = self.child.kill();
         let _ = self.child.wait();
+        self.finish_log();
         if std::thread::panicking() {
             show_log(&self.name, &self.log);
         }
