--- a/lib/src/token_cache.rs
+++ b/lib/src/token_cache.rs
@@ -171,7 +171,7 @@
 
 #[derive(Debug)]
 struct Waiter<W> {
-    waiter: W,
+    id: W,
     since: Instant,
     until: Instant,
     /// Value of [`TeamTokens::accrued`] when it came.
@@ -263,7 +263,7 @@
             tokens.accruing_since = None;
         }
         tokens.waiting.push_back(Waiter {
-            waiter,
+            id: waiter,
             since: now,
             until,
             accrued: tokens.accrued,
@@ -605,9 +605,9 @@
     fn serve(&mut self, now: Instant) -> Vec<Decided<W>> {
         let mut served = Vec::new();
         while !self.waiting.is_empty() && self.held.take() {
-            if let Some(Waiter { waiter, .. }) = self.waiting.pop_front() {
+            if let Some(Waiter { id, .. }) = self.waiting.pop_front() {
                 self.served.note(now);
-                served.push((waiter, LimitDecision::Run));
+                served.push((id, LimitDecision::Run));
             }
         }
         served
@@ -680,7 +680,7 @@
         let may_wait = may_wait.min(self.waiting.len());
         let mut refused: Vec<Decided<W>> = Vec::new();
         for waiter in self.waiting.split_off(may_wait) {
-            refused.push((waiter.waiter, self.over_limit(now, wait, advice)));
+            refused.push((waiter.id, self.over_limit(now, wait, advice)));
         }
         let is_scarce = self.is_scarce(now);
         let max_denials = if is_scarce {
@@ -698,9 +698,9 @@
                 || denied_for.is_some_and(|time| time >= max_denied_wait);
             let is_answered = self.answered_at.is_some_and(|at| at >= waiter.since);
             if is_denied || waiter.until <= now && is_answered {
-                refused.push((waiter.waiter, self.over_limit(now, wait, advice)));
+                refused.push((waiter.id, self.over_limit(now, wait, advice)));
             } else if waiter.until <= now {
-                refused.push((waiter.waiter, self.unconfirmed(now, advice)));
+                refused.push((waiter.id, self.unconfirmed(now, advice)));
             } else {
                 kept.push_back(waiter);
             }
@@ -738,7 +738,10 @@
         let max_accrual_wait = self.max_accrual_wait(replicas);
         let accrued = self.accruing_since.into_iter().flat_map(|since| {
             let waiting = self.waiting.iter();
-            waiting.map(move |waiter| since + max_accrual_wait + waiter.accrued - self.accrued)
+            waiting.map(move |waiter| {
+                let accrued = self.accrued.saturating_sub(waiter.accrued);
+                since + max_accrual_wait.saturating_sub(accrued)
+            })
         });
         let denied_at = self.waiting.iter().filter_map(|waiter| waiter.denied_at);
         let denied_until = denied_at.map(|at| at + self.max_denied_wait(now, replicas));
--- a/lib/tests/test_team_tokens.rs
+++ b/lib/tests/test_team_tokens.rs
@@ -22,6 +22,9 @@
 
 const SEED: u64 = 20_261_203;
 
+/// Longest time that a request waits for its token.
+const MAX_TOKEN_WAIT: Duration = Duration::from_secs(2);
+
 fn limit(rate: f64, burst: f64) -> TeamLimit {
     TeamLimit { rate, burst }
 }
@@ -364,11 +367,11 @@
 
 /// Lets teams with `limits` ask for `factor` times their limits at random for 20 s, while replies take 0.1 to
 /// 0.6 s and `lost` of them are lost.
-fn run_slow_replies(vms: usize, limits: Vec<TeamLimit>, factor: f64, lost: f64) -> Outcomes {
+fn run_slow_replies(vms: usize, limits: &[TeamLimit], factor: f64, lost: f64) -> Outcomes {
     const WARM_UP: Duration = Duration::from_secs(5);
     const LENGTH: Duration = Duration::from_secs(20);
     const REPLICAS: usize = 5;
-    let mut model = Model::new(Method::Shares, vms, REPLICAS, limits.clone());
+    let mut model = Model::new(Method::Shares, vms, REPLICAS, limits.to_vec());
     model.reply_fault = Some(ReplyFault {
         delay: (Duration::from_millis(100), Duration::from_millis(600)),
         lost,
@@ -436,7 +439,14 @@
     #[case] vms: usize,
     #[case] limits: Vec<TeamLimit>,
 ) {
-    let outcomes = run_slow_replies(vms, limits, 2.0 / 3.0, 0.05);
+    let outcomes = run_slow_replies(vms, &limits, 2.0 / 3.0, 0.05);
+    assert_eq!(outcomes.unconfirmed_at_once, 0, "{outcomes:?}");
+    assert_eq!(outcomes.unconfirmed, 0, "{outcomes:?}");
+    assert!(outcomes.longest_wait <= MAX_TOKEN_WAIT, "{outcomes:?}");
+    assert!(
+        outcomes.token_requests <= 2 * outcomes.asked,
+        "{outcomes:?}"
+    );
     assert_eq!(outcomes.run, outcomes.asked, "{outcomes:?}");
 }
 
@@ -447,7 +457,7 @@
 #[case::many(56, mixed_limits())]
 fn test_slow_replies_keep_the_limit(#[case] vms: usize, #[case] limits: Vec<TeamLimit>) {
     let allowed: f64 = limits.iter().map(|limit| limit.rate * 20.0).sum();
-    let outcomes = run_slow_replies(vms, limits, 3.0, 0.05);
+    let outcomes = run_slow_replies(vms, &limits, 3.0, 0.05);
     assert!(outcomes.excess <= 0.0, "{outcomes:?}");
     let of_limit = f64::from(outcomes.run) / allowed;
     assert!(of_limit >= 0.8, "{of_limit} of the limit: {outcomes:?}");
--- a/lib/tests/token_model/mod.rs
+++ b/lib/tests/token_model/mod.rs
@@ -489,7 +489,7 @@
             return (Duration::ZERO, false);
         };
         let (least, most) = fault.delay;
-        let delay = least + (most - least).mul_f64(self.rng.random());
+        let delay = least + most.saturating_sub(least).mul_f64(self.rng.random());
         (delay, self.rng.random_bool(fault.lost))
     }
 
