--- a/lib/src/direct_dispatch.rs
+++ b/lib/src/direct_dispatch.rs
@@ -46,10 +46,10 @@
 use crate::region_moves::RegionMoves;
 use crate::request_rank::RankFairness;
 use crate::retry_advice::RetryAdvice;
-use crate::rollout_evidence::Side;
-use crate::rollout_routing::Fallback;
-use crate::rollout_routing::VersionChoice;
-use crate::rollout_routing::VersionFilter;
+use crate::rollout::evidence::Side;
+use crate::rollout::routing::Fallback;
+use crate::rollout::routing::VersionChoice;
+use crate::rollout::routing::VersionFilter;
 use crate::sender_share;
 use crate::service_latency::RouteLatencyKey;
 
--- a/lib/src/dispatch_assess.rs
+++ b/lib/src/dispatch_assess.rs
@@ -17,7 +17,7 @@
 use crate::object_copies::MAX_COPIES;
 use crate::object_rank;
 use crate::object_rank::Member;
-use crate::rollout_routing::VersionFilter;
+use crate::rollout::routing::VersionFilter;
 use crate::service_latency::RouteLatencyKey;
 
 /// Round-trip time to another region that is assumed until one has been measured; close to the
--- a/lib/src/dispatch_backend.rs
+++ b/lib/src/dispatch_backend.rs
@@ -18,9 +18,9 @@
 use crate::id::BackendName;
 use crate::id::RegionName;
 use crate::rollout::TrafficShare;
-use crate::rollout_evidence::Group;
-use crate::rollout_evidence::Side;
-use crate::rollout_routing::VersionFilter;
+use crate::rollout::evidence::Group;
+use crate::rollout::evidence::Side;
+use crate::rollout::routing::VersionFilter;
 use crate::sender_share::SendGate;
 
 /// Time for which the data of an object count as cached at a backend server that handled a
--- a/lib/src/dispatch_service.rs
+++ b/lib/src/dispatch_service.rs
@@ -11,8 +11,8 @@
 use crate::resend_budget::ResendBudget;
 use crate::rollout::Rollout;
 use crate::rollout::TrafficShare;
-use crate::rollout_routing::RolloutRouting;
-use crate::rollout_routing::VersionFilter;
+use crate::rollout::routing::RolloutRouting;
+use crate::rollout::routing::VersionFilter;
 use crate::route_manifest::RouteService;
 use crate::service_latency::ServiceLatency;
 
--- a/lib/src/rollout.rs
+++ b/lib/src/rollout.rs
@@ -1,8 +1,14 @@
 //! Rollouts: the traffic of a service moves to backend servers of another version in stages, and
 //! back if that version turns out to be worse.
 //!
-//! The state is replicated. The leader decides on each stage (`rollout_plan`), and entry VMs send
-//! requests accordingly (`rollout_routing`).
+//! The state is replicated. The leader decides on each stage (`plan`), and entry VMs send
+//! requests accordingly (`routing`).
+
+pub mod evidence;
+pub mod observer;
+pub mod plan;
+pub mod routing;
+pub mod verdict;
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
--- a/lib/src/rollout_observer.rs
+++ b/lib/src/rollout/observer.rs
@@ -18,13 +18,13 @@
 use crate::id::Revision;
 use crate::id::VmName;
 use crate::rollout::TrafficShare;
-use crate::rollout_evidence::Cell;
-use crate::rollout_evidence::Evidence;
-use crate::rollout_evidence::Group;
-use crate::rollout_evidence::Quality;
-use crate::rollout_evidence::RouteHash;
-use crate::rollout_evidence::Side;
-use crate::rollout_routing;
+use crate::rollout::evidence::Cell;
+use crate::rollout::evidence::Evidence;
+use crate::rollout::evidence::Group;
+use crate::rollout::evidence::Quality;
+use crate::rollout::evidence::RouteHash;
+use crate::rollout::evidence::Side;
+use crate::rollout::routing;
 
 /// Factor over the run time at which a backend server counts as slow that makes an answer slow for
 /// its version.
@@ -219,9 +219,7 @@
         members.sort_unstable();
         let count = members.len();
         let ranked = members.into_iter().enumerate();
-        activations.extend(
-            ranked.map(|(rank, (_, key))| (key, rollout_routing::active_from(rank, count))),
-        );
+        activations.extend(ranked.map(|(rank, (_, key))| (key, routing::active_from(rank, count))));
     }
     activations.sort_by_key(|(_, active_from)| *active_from);
     for (_, active_from) in activations.iter_mut().take(MIN_ACTIVE) {
--- a/lib/src/rollout_plan.rs
+++ b/lib/src/rollout/plan.rs
@@ -16,12 +16,12 @@
 use crate::rollout::Rollout;
 use crate::rollout::RolloutPhase;
 use crate::rollout::TrafficShare;
-use crate::rollout_evidence::Counts;
-use crate::rollout_evidence::Evidence;
-use crate::rollout_evidence::Side;
-use crate::rollout_verdict;
-use crate::rollout_verdict::Comparison;
-use crate::rollout_verdict::Verdict;
+use crate::rollout::evidence::Counts;
+use crate::rollout::evidence::Evidence;
+use crate::rollout::evidence::Side;
+use crate::rollout::verdict;
+use crate::rollout::verdict::Comparison;
+use crate::rollout::verdict::Verdict;
 
 /// Share of the requests by which the target version is judged at first.
 pub const CANARY_SHARE: TrafficShare = TrafficShare(100);
@@ -114,7 +114,7 @@
     pub fn new(now: Instant, rollout: &Rollout) -> Self {
         Self {
             id: rollout.id,
-            judge: rollout_verdict::judge,
+            judge: verdict::judge,
             duration: rollout.order.duration,
             phase: rollout.phase.clone(),
             phase_at: now,
@@ -215,7 +215,7 @@
         };
         phase.map(|phase| Decision {
             phase,
-            comparison: rollout_verdict::worst(&self.slices),
+            comparison: verdict::worst(&self.slices),
         })
     }
 
--- a/lib/src/rollout_routing.rs
+++ b/lib/src/rollout/routing.rs
@@ -11,7 +11,7 @@
 use crate::id::VersionName;
 use crate::rollout::Rollout;
 use crate::rollout::TrafficShare;
-use crate::rollout_evidence::Evidence;
+use crate::rollout::evidence::Evidence;
 
 /// Golden ratio less one, as a fraction of all `u64`: multiples of it are spread evenly.
 const GOLDEN: u64 = 0x9e37_79b9_7f4a_7c15;
--- a/lib/src/rollout_verdict.rs
+++ b/lib/src/rollout/verdict.rs
@@ -14,11 +14,11 @@
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 
-use crate::rollout_evidence::Counts;
-use crate::rollout_evidence::Evidence;
-use crate::rollout_evidence::Group;
-use crate::rollout_evidence::RouteHash;
-use crate::rollout_evidence::Side;
+use crate::rollout::evidence::Counts;
+use crate::rollout::evidence::Evidence;
+use crate::rollout::evidence::Group;
+use crate::rollout::evidence::RouteHash;
+use crate::rollout::evidence::Side;
 
 /// Share of the answers of each version that are left out as those of the worst groups.
 const TRIMMED: f64 = 0.34;
--- a/lib/tests/rollout_model/world.rs
+++ b/lib/tests/rollout_model/world.rs
@@ -2,8 +2,8 @@
 
 use std::time::Duration;
 
-use heatherring_lib::rollout_evidence::Quality;
-use heatherring_lib::rollout_evidence::Side;
+use heatherring_lib::rollout::evidence::Quality;
+use heatherring_lib::rollout::evidence::Side;
 use rand::Rng;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
--- a/lib/tests/test_rollout.rs
+++ b/lib/tests/test_rollout.rs
@@ -44,7 +44,7 @@
 use heatherring_lib::rollout::RolloutPhase;
 use heatherring_lib::rollout::RolloutStep;
 use heatherring_lib::rollout::TrafficShare;
-use heatherring_lib::rollout_evidence::Side;
+use heatherring_lib::rollout::evidence::Side;
 use heatherring_lib::route_manifest::CallerLimits;
 use heatherring_lib::route_manifest::RouteChange;
 use heatherring_lib::route_manifest::RouteContent;
--- a/lib/tests/test_rollout_model.rs
+++ b/lib/tests/test_rollout_model.rs
@@ -6,14 +6,14 @@
 use std::env;
 use std::thread;
 
-use heatherring_lib::rollout_evidence::Counts;
-use heatherring_lib::rollout_evidence::Evidence;
-use heatherring_lib::rollout_evidence::Side;
-use heatherring_lib::rollout_plan::Judge;
-use heatherring_lib::rollout_verdict;
-use heatherring_lib::rollout_verdict::Comparison;
-use heatherring_lib::rollout_verdict::Defect;
-use heatherring_lib::rollout_verdict::Verdict;
+use heatherring_lib::rollout::evidence::Counts;
+use heatherring_lib::rollout::evidence::Evidence;
+use heatherring_lib::rollout::evidence::Side;
+use heatherring_lib::rollout::plan::Judge;
+use heatherring_lib::rollout::verdict;
+use heatherring_lib::rollout::verdict::Comparison;
+use heatherring_lib::rollout::verdict::Defect;
+use heatherring_lib::rollout::verdict::Verdict;
 
 use self::rollout_model::Outcome;
 use self::rollout_model::Play;
@@ -187,7 +187,7 @@
 #[test]
 fn test_rollout_model_decides_well() {
     let cases = cases(60);
-    let errors = errors(0..cases, rollout_verdict::judge);
+    let errors = errors(0..cases, verdict::judge);
     println!("{errors:?}");
     assert!(errors.completed.is_empty(), "completed: {errors:?}");
     assert!(errors.overexposed.is_empty(), "overexposed: {errors:?}");
@@ -204,7 +204,7 @@
 #[test]
 fn test_rollout_model_decides_well_in_many_worlds() {
     let cases = cases(1_000);
-    let errors = errors(0..cases, rollout_verdict::judge);
+    let errors = errors(0..cases, verdict::judge);
     println!("{errors:?}");
     let faults = [
         &errors.completed,
@@ -225,7 +225,7 @@
         for faulty in [true, false] {
             let world = World::draw(seed, faulty);
             println!("{world:?}");
-            let play = Play::new(world, rollout_verdict::judge, seed);
+            let play = Play::new(world, verdict::judge, seed);
             println!("{:?}\n", play.traced().run());
         }
     }
@@ -239,7 +239,7 @@
     let ways: [(&str, Judge); 3] = [
         ("fixed threshold", fixed_threshold),
         ("rank test over groups", rank_test),
-        ("probability ratio and Welch's test", rollout_verdict::judge),
+        ("probability ratio and Welch's test", verdict::judge),
     ];
     let cases = cases(1_000);
     for (name, judge) in ways {
--- a/server/src/dispatch_task.rs
+++ b/server/src/dispatch_task.rs
@@ -26,7 +26,7 @@
 use heatherring_lib::id::RouteName;
 use heatherring_lib::id::ServiceName;
 use heatherring_lib::request_rank::RequestRank;
-use heatherring_lib::rollout_observer::RolloutReport;
+use heatherring_lib::rollout::observer::RolloutReport;
 use heatherring_lib::route_manifest::Route;
 use heatherring_lib::send_holds::SendHolds;
 use heatherring_lib::service_latency::RouteLatencyKey;
--- a/server/src/fleet_control.rs
+++ b/server/src/fleet_control.rs
@@ -38,7 +38,7 @@
 use heatherring_lib::rollout::RolloutAnswer;
 use heatherring_lib::rollout::RolloutOrder;
 use heatherring_lib::rollout::RolloutState;
-use heatherring_lib::rollout_plan::RolloutFigures;
+use heatherring_lib::rollout::plan::RolloutFigures;
 use heatherring_lib::settings::DirectControlSettings;
 use heatherring_lib::team_manifest::FleetChange;
 use heatherring_lib::team_manifest::FleetManifest;
--- a/server/src/fleet_service.rs
+++ b/server/src/fleet_service.rs
@@ -21,7 +21,7 @@
 use heatherring_lib::rendezvous;
 use heatherring_lib::replica_choice::ReplicaSite;
 use heatherring_lib::request_fingerprint::FingerprintKey;
-use heatherring_lib::rollout_observer::RolloutReport;
+use heatherring_lib::rollout::observer::RolloutReport;
 use heatherring_lib::token_shard::Draw;
 use tonic::Request;
 use tonic::Response;
--- a/server/src/operator_service.rs
+++ b/server/src/operator_service.rs
@@ -21,7 +21,7 @@
 use heatherring_lib::rollout::RollbackReason;
 use heatherring_lib::rollout::Rollout;
 use heatherring_lib::rollout::RolloutAnswer;
-use heatherring_lib::rollout_plan::RolloutFigures;
+use heatherring_lib::rollout::plan::RolloutFigures;
 use heatherring_lib::submission_history::AcceptedManifest;
 use heatherring_lib::team::Team;
 use tonic::Request;
--- a/server/src/rollout_reporter.rs
+++ b/server/src/rollout_reporter.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use heatherring_lib::fleet_update::FleetView;
-use heatherring_lib::rollout_observer::RolloutReport;
+use heatherring_lib::rollout::observer::RolloutReport;
 use tokio::sync::watch;
 use tonic::transport::Channel;
 
