rollouts: weigh the groups of backend servers before a version is judged

Now the worst groups are found in the other half of the slices, a version is exonerated if most of its groups answer well, slow answers don't count in the last stage and only a clear difference does, and a suspected version may stay at 20 % until 0.76 of the time.

--- a/lib/src/rollout.rs
+++ b/lib/src/rollout.rs
@@ -5,6 +5,7 @@
 //! requests accordingly (`routing`).
 
 pub mod evidence;
+mod group_odds;
 pub mod observer;
 pub mod plan;
 pub mod routing;
--- a/lib/src/rollout/evidence.rs
+++ b/lib/src/rollout/evidence.rs
@@ -15,7 +15,7 @@
 use crate::id::RouteName;
 
 /// Number of groups into which the backend servers of each version are divided.
-pub const GROUPS: u8 = 32;
+pub const GROUPS: u8 = 128;
 
 /// Maximum number of routes for which answers are counted.
 const MAX_ROUTES: usize = 64;
@@ -161,6 +161,15 @@
         }
     }
 
+    /// Returns the evidence with slow answers taken for good ones.
+    #[must_use]
+    pub fn without_slow(mut self) -> Self {
+        for counts in self.cells.values_mut() {
+            *counts = counts.without_slow();
+        }
+        self
+    }
+
     /// Returns whether nothing is counted.
     #[must_use]
     pub fn is_empty(&self) -> bool {
--- a/lib/src/rollout/plan.rs
+++ b/lib/src/rollout/plan.rs
@@ -34,11 +34,12 @@
 const FINISHING_AT: f64 = 0.72;
 const COMPLETED_AT: f64 = 0.93;
 
-/// Part of the duration after which a rollout without evidence is rolled back.
-const LATEST_START: f64 = 0.7;
+/// Part of the duration after which a rollout is rolled back that lacks evidence, or that has a
+/// suspected target version with a small share.
+const LATEST_START: f64 = 0.76;
 
 /// Part of the duration for which answers of the target version have to be observed.
-const MIN_OBSERVED: f64 = 0.15;
+const MIN_OBSERVED: f64 = 0.12;
 
 /// Smallest number of answers of the target version with which the share grows.
 const MIN_ANSWERS: u32 = 40;
@@ -46,7 +47,8 @@
 /// Time for which each stage between the first and the last is observed, as a part of the duration.
 const STAGE_TIME: f64 = 0.08;
 
-/// Multiple of that after which a version that is still suspected to be worse is rolled back.
+/// Multiple of that after which a version that has a large share and is still suspected to be worse
+/// is rolled back.
 const MAX_STAGE_TIMES: u32 = 2;
 
 /// Largest number of slices of time in which answers are compared.
@@ -148,16 +150,22 @@
         self.phase_at = now;
     }
 
-    /// Adds answers that entry VMs have counted.
-    pub fn note(&mut self, now: Instant, evidence: &Evidence) {
+    /// Adds answers that entry VMs have counted. Slow ones count as good once the target version gets
+    /// all new requests: what the others still answer says nothing about the load since then.
+    pub fn note(&mut self, now: Instant, evidence: Evidence) {
+        let evidence = if self.phase == RolloutPhase::Finishing {
+            evidence.without_slow()
+        } else {
+            evidence
+        };
         if evidence.total(Side::Target).all() > 0 {
             self.first_answer_at.get_or_insert(now);
         }
         let length = MIN_SLICE.max(self.duration / MAX_SLICES);
         match self.slices.last_mut() {
-            Some(slice) if now < self.slice_at + length => slice.merge(evidence),
+            Some(slice) if now < self.slice_at + length => slice.merge(&evidence),
             _ => {
-                self.slices.push(evidence.clone());
+                self.slices.push(evidence);
                 self.slice_at = now;
             }
         }
@@ -198,7 +206,9 @@
             return None;
         }
         let verdict = (self.judge)(&self.slices);
-        if let Verdict::Worse(worse) = verdict {
+        if let Verdict::Worse(worse) = verdict
+            && (self.phase != RolloutPhase::Finishing || worse.is_clear())
+        {
             return Some(rolled_back(worse));
         }
         let is_unsuspicious = verdict == Verdict::Unsuspicious;
@@ -255,7 +265,11 @@
         if is_unsuspicious {
             return Some(after(share));
         }
-        let doubted = observed >= stage * MAX_STAGE_TIMES;
+        let doubted = if share == STAGES[0] {
+            passed >= LATEST_START
+        } else {
+            observed >= stage * MAX_STAGE_TIMES
+        };
         doubted.then_some(RolloutPhase::RolledBack(RollbackReason::OutOfTime))
     }
 
--- a/lib/src/rollout/verdict.rs
+++ b/lib/src/rollout/verdict.rs
@@ -10,6 +10,8 @@
 //!   a fault that begins late is seen as fast as one that begins at once;
 //! - Welch's test over the groups. A few faulty backend servers make the groups of their version
 //!   differ widely, and a faulty version makes all of them bad.
+//!
+//! Neither counts if most groups show that the version is good (`group_odds`).
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
@@ -19,6 +21,7 @@
 use crate::rollout::evidence::Group;
 use crate::rollout::evidence::RouteHash;
 use crate::rollout::evidence::Side;
+use crate::rollout::group_odds;
 
 /// Share of the answers of each version that are left out as those of the worst groups.
 const TRIMMED: f64 = 0.34;
@@ -37,7 +40,7 @@
     const ALL: [Self; 2] = [Self::Failure, Self::Slowness];
 
     /// Returns the difference in the share of bad answers that is still taken for equal.
-    const fn tolerance(self) -> f64 {
+    pub(super) const fn tolerance(self) -> f64 {
         match self {
             Self::Failure => 0.006,
             Self::Slowness => 0.04,
@@ -52,7 +55,7 @@
         }
     }
 
-    const fn bad(self, counts: Counts) -> u32 {
+    pub(super) const fn bad(self, counts: Counts) -> u32 {
         match self {
             Self::Failure => counts.failed,
             Self::Slowness => counts.slow,
@@ -64,7 +67,7 @@
     }
 
     /// Returns the rate with one more answer that is half bad.
-    fn smoothed_rate(self, counts: Counts) -> f64 {
+    pub(super) fn smoothed_rate(self, counts: Counts) -> f64 {
         (f64::from(self.bad(counts)) + 0.5) / (f64::from(counts.all()) + 1.0)
     }
 
@@ -83,13 +86,20 @@
 const WORSE_ODDS: f64 = 6.0;
 
 /// Logarithm of the odds at which it is suspected to be.
-const SUSPICIOUS_ODDS: f64 = 1.0;
+const SUSPICIOUS_ODDS: f64 = 0.0;
 
 /// Difference of the versions, in standard errors, at which it counts as real.
-const MIN_ERRORS: f64 = 2.4;
+const MIN_ERRORS: f64 = 2.3;
 
 /// Difference of the versions, in standard errors, at which it is suspected to be real.
-const SUSPICIOUS_ERRORS: f64 = 1.0;
+const SUSPICIOUS_ERRORS: f64 = 0.6;
+
+/// Multiples of [`WORSE_ODDS`] and of [`MIN_ERRORS`] that leave hardly any doubt.
+const CLEAR_ODDS_FACTOR: f64 = 2.0;
+const CLEAR_ERRORS_FACTOR: f64 = 1.75;
+
+/// Logarithm of the odds over the groups up to which the version counts as good.
+const EXONERATING_ODDS: f64 = -1.5;
 
 /// Smallest number of bad answers that make a version worse.
 const MIN_BAD: u32 = 6;
@@ -137,6 +147,8 @@
     pub odds: f64,
     /// Difference of the versions in standard errors.
     pub errors: f64,
+    /// Logarithm of the odds that the version is worse rather than some of its backend servers.
+    pub group_odds: f64,
     /// Number of answers of the target version.
     pub answers: u32,
     /// Number of bad ones among them.
@@ -145,7 +157,25 @@
 
 impl Comparison {
     fn is_worse(&self) -> bool {
-        self.bad >= MIN_BAD && self.odds >= WORSE_ODDS && self.errors >= MIN_ERRORS
+        self.bad >= MIN_BAD
+            && self.odds >= WORSE_ODDS
+            && self.errors >= MIN_ERRORS
+            && !self.is_exonerated()
+    }
+
+    fn is_suspected(&self) -> bool {
+        self.odds > SUSPICIOUS_ODDS && self.errors > SUSPICIOUS_ERRORS && !self.is_exonerated()
+    }
+
+    fn is_exonerated(&self) -> bool {
+        self.group_odds <= EXONERATING_ODDS
+    }
+
+    /// Returns whether the target version is worse beyond doubt.
+    #[must_use]
+    pub fn is_clear(&self) -> bool {
+        self.odds >= WORSE_ODDS * CLEAR_ODDS_FACTOR
+            && self.errors >= MIN_ERRORS * CLEAR_ERRORS_FACTOR
     }
 }
 
@@ -156,10 +186,7 @@
     if let Some(worse) = comparisons.iter().find(|compared| compared.is_worse()) {
         return Verdict::Worse(*worse);
     }
-    let is_suspected = |compared: &Comparison| {
-        compared.odds > SUSPICIOUS_ODDS && compared.errors > SUSPICIOUS_ERRORS
-    };
-    if comparisons.iter().any(is_suspected) {
+    if comparisons.iter().any(Comparison::is_suspected) {
         Verdict::Suspected
     } else {
         Verdict::Unsuspicious
@@ -196,8 +223,7 @@
     if answers.all() == 0 {
         return None;
     }
-    let kept = (target.without_worst(defect), others.without_worst(defect));
-    let (odds, begin) = cumulative_odds(slices, &kept, defect);
+    let (odds, begin) = cumulative_odds(slices, &WorstGroups::all(slices, defect), defect);
     Some(Comparison {
         route,
         defect,
@@ -205,6 +231,7 @@
         others: defect.rate(others.total()),
         odds,
         errors: errors(&slices[begin..], defect),
+        group_odds: group_odds::largest(slices, &others.worst(defect), defect),
         answers: answers.all(),
         bad: defect.bad(answers),
     })
@@ -212,7 +239,7 @@
 
 /// Counts of one version on one route by group.
 #[derive(Clone, Debug, Default)]
-struct GroupCounts(BTreeMap<Group, Counts>);
+pub(super) struct GroupCounts(pub BTreeMap<Group, Counts>);
 
 impl GroupCounts {
     fn merge(&mut self, other: &Self) {
@@ -230,40 +257,63 @@
             })
     }
 
-    /// Returns the counts of some of the groups.
-    fn of(&self, groups: &BTreeSet<Group>) -> Counts {
+    /// Returns the counts of all but some of the groups.
+    pub(super) fn without(&self, groups: &BTreeSet<Group>) -> Counts {
         let mut total = Counts::default();
         for (group, counts) in &self.0 {
-            if groups.contains(group) {
+            if !groups.contains(group) {
                 total.add(*counts);
             }
         }
         total
     }
 
-    /// Returns the groups without the worst ones, which have up to [`TRIMMED`] of all answers.
-    fn without_worst(&self, defect: Defect) -> BTreeSet<Group> {
+    /// Returns the worst groups, which have up to [`TRIMMED`] of all answers.
+    fn worst(&self, defect: Defect) -> BTreeSet<Group> {
         let mut sorted: Vec<(&Group, &Counts)> = self.0.iter().collect();
-        sorted.sort_by(|(_, a), (_, b)| defect.rate(**a).total_cmp(&defect.rate(**b)));
-        let limit = f64::from(self.total().all()) * (1.0 - TRIMMED);
-        let mut kept = BTreeSet::new();
+        sorted.sort_by(|(_, a), (_, b)| defect.rate(**b).total_cmp(&defect.rate(**a)));
+        let limit = f64::from(self.total().all()) * TRIMMED;
         let mut answers = 0.0;
-        for (group, counts) in sorted {
-            if answers >= limit {
-                break;
-            }
+        let worst = sorted.into_iter().take_while(|(_, counts)| {
             answers += f64::from(counts.all());
-            kept.insert(*group);
-        }
-        kept
+            answers <= limit
+        });
+        worst.map(|(group, _)| *group).collect()
+    }
+}
+
+/// Groups that are left out of a comparison.
+#[derive(Debug)]
+struct WorstGroups {
+    target: BTreeSet<Group>,
+    others: BTreeSet<Group>,
+}
+
+impl WorstGroups {
+    /// Returns what is left out of the even and of the odd slices. Each half goes by the answers of
+    /// the other one: groups that are bad by chance would otherwise be left out, and a version
+    /// that is a little worse would look good.
+    fn all(slices: &[Slice], defect: Defect) -> [Self; 2] {
+        [1, 0].map(|first| {
+            let mut target = GroupCounts::default();
+            let mut others = GroupCounts::default();
+            for slice in slices.iter().skip(first).step_by(2) {
+                target.merge(&slice.target);
+                others.merge(&slice.others);
+            }
+            Self {
+                target: target.worst(defect),
+                others: others.worst(defect),
+            }
+        })
     }
 }
 
 /// Answers on one route in a slice of time.
 #[derive(Debug, Default)]
-struct Slice {
-    target: GroupCounts,
-    others: GroupCounts,
+pub(super) struct Slice {
+    pub target: GroupCounts,
+    pub others: GroupCounts,
 }
 
 impl Slice {
@@ -294,16 +344,13 @@
 }
 
 /// Returns the cumulative sum of the logarithms of the odds that the target version is worse, and
-/// the slice with which the sum begins. Only the groups of the target version and of the others in
-/// `kept` count.
-fn cumulative_odds(
-    slices: &[Slice],
-    kept: &(BTreeSet<Group>, BTreeSet<Group>),
-    defect: Defect,
-) -> (f64, usize) {
+/// the slice with which the sum begins. The groups in `worst` don't count.
+fn cumulative_odds(slices: &[Slice], worst: &[WorstGroups; 2], defect: Defect) -> (f64, usize) {
     let (mut sum, mut begin) = (0.0_f64, 0);
     for (number, slice) in slices.iter().enumerate() {
-        sum += defect.odds(slice.target.of(&kept.0), slice.others.of(&kept.1));
+        let worst = &worst[number % 2];
+        let target = slice.target.without(&worst.target);
+        sum += defect.odds(target, slice.others.without(&worst.others));
         if sum <= 0.0 {
             (sum, begin) = (0.0, number + 1);
         }
--- a/lib/tests/rollout_model/mod.rs
+++ b/lib/tests/rollout_model/mod.rs
@@ -258,7 +258,7 @@
             .is_some_and(|(at, _)| *at <= self.now)
         {
             if let Some((_, evidence)) = self.in_transit.pop_front() {
-                self.watch.note(self.base + self.now, &evidence);
+                self.watch.note(self.base + self.now, evidence);
             }
         }
     }
--- a/lib/tests/test_rollout_model.rs
+++ b/lib/tests/test_rollout_model.rs
@@ -130,6 +130,7 @@
                 others: rate(others),
                 odds: 0.0,
                 errors: 0.0,
+                group_odds: 0.0,
                 answers: target.all(),
                 bad: target.bad(),
             });
@@ -174,6 +175,7 @@
                 others: mean(&others),
                 odds: 0.0,
                 errors: z,
+                group_odds: 0.0,
                 answers: 0,
                 bad: 0,
             });
--- a/server/src/rollout_task.rs
+++ b/server/src/rollout_task.rs
@@ -184,7 +184,7 @@
                 .values_mut()
                 .find(|observed| observed.rollout.id == report.rollout);
             if let Some(known) = known {
-                known.watch.note(now, &report.evidence);
+                known.watch.note(now, report.evidence.clone());
                 known.idle.extend(&report.idle);
             }
             if !observation.relayed {
@@ -368,7 +368,8 @@
         target_bad = compared.map_or(0.0, |compared| compared.target),
         others_bad = compared.map_or(0.0, |compared| compared.others),
         odds = compared.map_or(0.0, |compared| compared.odds),
-        errors = compared.map_or(0.0, |compared| compared.errors);
+        errors = compared.map_or(0.0, |compared| compared.errors),
+        group_odds = compared.map_or(0.0, |compared| compared.group_odds);
         "decided on the next stage of a rollout, by the route where the target version looks worst"
     );
 }
