rollouts: answers within 20 ms are not slow

A good version of a service that answers within a millisecond was rolled back 1.8 s after its canary had begun: 7 of 33 answers were slow, against none of the other versions. Its first requests wait for connections.

The line rollout_decision says which defect was compared.

--- a/lib/src/rollout/observer.rs
+++ b/lib/src/rollout/observer.rs
@@ -30,6 +30,10 @@
 /// its version.
 const SLOW_FACTOR: f64 = 1.25;
 
+/// Shortest time that makes an answer slow for its version. The target version's first requests wait
+/// for connections, which services that answer within milliseconds would be judged by.
+const MIN_SLOW: Duration = Duration::from_millis(20);
+
 /// Smallest number of backend servers of the target version that take part.
 const MIN_ACTIVE: usize = 3;
 
@@ -256,5 +260,6 @@
 
 /// Returns whether a request takes longer than it should, apart from queueing.
 fn is_slow(send: &InFlight, took: Duration) -> bool {
-    !send.expected.queued && took > send.expected.slow_above.mul_f64(SLOW_FACTOR)
+    let slow_above = send.expected.slow_above.mul_f64(SLOW_FACTOR);
+    !send.expected.queued && took > slow_above.max(MIN_SLOW)
 }
--- a/lib/src/rollout/verdict.rs
+++ b/lib/src/rollout/verdict.rs
@@ -39,6 +39,15 @@
 impl Defect {
     const ALL: [Self; 2] = [Self::Failure, Self::Slowness];
 
+    /// Returns the name of the defect in logs.
+    #[must_use]
+    pub const fn name(self) -> &'static str {
+        match self {
+            Self::Failure => "failure",
+            Self::Slowness => "slowness",
+        }
+    }
+
     /// Returns the difference in the share of bad answers that is still taken for equal.
     pub(super) const fn tolerance(self) -> f64 {
         match self {
--- a/server/src/rollout_task.rs
+++ b/server/src/rollout_task.rs
@@ -364,6 +364,7 @@
         phase = decision.phase.name(),
         share = decision.phase.share().0,
         elapsed_ms = whole_ms(elapsed),
+        defect = compared.map_or("", |compared| compared.defect.name()),
         answers = compared.map_or(0, |compared| compared.answers),
         target_bad = compared.map_or(0.0, |compared| compared.target),
         others_bad = compared.map_or(0.0, |compared| compared.others),
