--- a/server/tests/direct_support/mod.rs
+++ b/server/tests/direct_support/mod.rs
@@ -260,6 +260,18 @@
         deployment
     }
 
+    /// Stops all control replicas, and starts them again with what they have stored.
+    pub async fn restart_controls(&mut self) {
+        for replica in &self.replicas {
+            replica.begin_stop();
+        }
+        let mut stopped = Vec::new();
+        for replica in std::mem::take(&mut self.replicas) {
+            stopped.push(replica.ended().await);
+        }
+        self.replicas = stopped.into_iter().map(Replica::start).collect();
+    }
+
     pub fn control_settings(&self, listen: SocketAddr) -> ControlSettings {
         let name = format!("control-{}", listen.ip());
         ControlSettings {
