rollouts: no completion without backend servers of the target version

If all of them ended while the rollout finished, it was completed at 0.93 of the duration, or at once where no entry VM had requests at the others, and the former versions were permitted no more: the service had no backend server. Found by reading. Now it waits, and is rolled back by then (no_backends).

test_rollout_without_targets_is_not_completed; the replaced arm, which asked for others_idle only, returned Completed there.

--- a/lib/src/rollout/plan.rs
+++ b/lib/src/rollout/plan.rs
@@ -217,6 +217,11 @@
             RolloutPhase::Partial(TrafficShare(0)) => before_canary(situation, passed),
             RolloutPhase::Partial(CANARY_SHARE) => self.after_canary(now, passed, is_unsuspicious),
             RolloutPhase::Partial(share) => self.after_stage(now, *share, passed, is_unsuspicious),
+            // Without backend servers of the target version, the others still serve all requests.
+            RolloutPhase::Finishing if situation.usable_targets == 0 => {
+                let is_late = passed >= COMPLETED_AT;
+                is_late.then_some(RolloutPhase::RolledBack(RollbackReason::NoBackends))
+            }
             RolloutPhase::Finishing => {
                 let done = situation.others_idle || passed >= COMPLETED_AT;
                 done.then_some(RolloutPhase::Completed)
--- a/lib/tests/test_rollout_model.rs
+++ b/lib/tests/test_rollout_model.rs
@@ -5,11 +5,22 @@
 
 use std::env;
 use std::thread;
+use std::time::Duration;
+use std::time::Instant;
 
+use heatherring_lib::id::Revision;
+use heatherring_lib::id::ServiceName;
+use heatherring_lib::id::VersionName;
+use heatherring_lib::rollout::RollbackReason;
+use heatherring_lib::rollout::Rollout;
+use heatherring_lib::rollout::RolloutOrder;
+use heatherring_lib::rollout::RolloutPhase;
 use heatherring_lib::rollout::evidence::Counts;
 use heatherring_lib::rollout::evidence::Evidence;
 use heatherring_lib::rollout::evidence::Side;
 use heatherring_lib::rollout::plan::Judge;
+use heatherring_lib::rollout::plan::RolloutSituation;
+use heatherring_lib::rollout::plan::RolloutWatch;
 use heatherring_lib::rollout::verdict;
 use heatherring_lib::rollout::verdict::Comparison;
 use heatherring_lib::rollout::verdict::Defect;
@@ -218,6 +229,34 @@
     assert!(refused * 1_000 < cases * 5, "refused: {errors:?}");
 }
 
+/// Guards against a rollout that is completed after all backend servers of its target version are
+/// gone, which leaves the service with none.
+#[test]
+fn test_rollout_without_targets_is_not_completed() {
+    let rollout = Rollout {
+        id: Revision(1),
+        order: RolloutOrder {
+            service: ServiceName::new("service"),
+            target: VersionName::new("v2"),
+            duration: Duration::from_secs(10),
+            ordered_ms: 0,
+        },
+        phase: RolloutPhase::Finishing,
+        elapsed: Duration::from_secs(7),
+        replaced: Vec::new(),
+    };
+    let begin = Instant::now();
+    let watch = RolloutWatch::new(begin, &rollout);
+    let situation = RolloutSituation {
+        usable_targets: 0,
+        others_idle: true,
+    };
+    assert_eq!(watch.decide(begin, situation), None);
+    let late = watch.decide(begin + Duration::from_millis(2_400), situation);
+    let reason = RollbackReason::NoBackends;
+    assert_eq!(late.unwrap().phase, RolloutPhase::RolledBack(reason));
+}
+
 /// Prints how the leader decides in the worlds `HEATHERRING_SEEDS`, such as `193,220`.
 #[test]
 #[ignore = "prints the decisions in chosen worlds"]
