--- a/lib/src/dispatch_service.rs
+++ b/lib/src/dispatch_service.rs
@@ -12,8 +12,8 @@
 use crate::resend_budget::ResendLimit;
 use crate::rollout::Rollout;
 use crate::rollout::TrafficShare;
-use crate::rollout_routing::RolloutRouting;
-use crate::rollout_routing::VersionFilter;
+use crate::rollout::routing::RolloutRouting;
+use crate::rollout::routing::VersionFilter;
 use crate::route_manifest::RouteService;
 use crate::service_latency::ServiceLatency;
 
--- a/lib/src/rollout_observer.rs
+++ b/lib/src/rollout/observer.rs
@@ -18,18 +18,22 @@
 use crate::id::Revision;
 use crate::id::VmName;
 use crate::rollout::TrafficShare;
-use crate::rollout_evidence::Cell;
-use crate::rollout_evidence::Evidence;
-use crate::rollout_evidence::Group;
-use crate::rollout_evidence::Quality;
-use crate::rollout_evidence::RouteHash;
-use crate::rollout_evidence::Side;
-use crate::rollout_routing;
+use crate::rollout::evidence::Cell;
+use crate::rollout::evidence::Evidence;
+use crate::rollout::evidence::Group;
+use crate::rollout::evidence::Quality;
+use crate::rollout::evidence::RouteHash;
+use crate::rollout::evidence::Side;
+use crate::rollout::routing;
 
 /// Factor over the run time at which a backend server counts as slow that makes an answer slow for
 /// its version.
 const SLOW_FACTOR: f64 = 1.25;
 
+/// Shortest time that makes an answer slow for its version. The target version's first requests wait
+/// for connections, which services that answer within milliseconds would be judged by.
+const MIN_SLOW: Duration = Duration::from_millis(20);
+
 /// Smallest number of backend servers of the target version that take part.
 const MIN_ACTIVE: usize = 3;
 
@@ -219,9 +223,7 @@
         members.sort_unstable();
         let count = members.len();
         let ranked = members.into_iter().enumerate();
-        activations.extend(
-            ranked.map(|(rank, (_, key))| (key, rollout_routing::active_from(rank, count))),
-        );
+        activations.extend(ranked.map(|(rank, (_, key))| (key, routing::active_from(rank, count))));
     }
     activations.sort_by_key(|(_, active_from)| *active_from);
     for (_, active_from) in activations.iter_mut().take(MIN_ACTIVE) {
@@ -258,5 +260,6 @@
 
 /// Returns whether a request takes longer than it should, apart from queueing.
 fn is_slow(send: &InFlight, took: Duration) -> bool {
-    !send.expected.queued && took > send.expected.slow_above.mul_f64(SLOW_FACTOR)
+    let slow_above = send.expected.slow_above.mul_f64(SLOW_FACTOR);
+    !send.expected.queued && took > slow_above.max(MIN_SLOW)
 }
--- a/server/src/rollout_task.rs
+++ b/server/src/rollout_task.rs
@@ -23,13 +23,13 @@
 use heatherring_lib::rollout::Rollout;
 use heatherring_lib::rollout::RolloutPhase;
 use heatherring_lib::rollout::RolloutStep;
-use heatherring_lib::rollout_evidence::RouteHash;
-use heatherring_lib::rollout_observer::RolloutReport;
-use heatherring_lib::rollout_observer::VmHash;
-use heatherring_lib::rollout_plan::Decision;
-use heatherring_lib::rollout_plan::RolloutFigures;
-use heatherring_lib::rollout_plan::RolloutSituation;
-use heatherring_lib::rollout_plan::RolloutWatch;
+use heatherring_lib::rollout::evidence::RouteHash;
+use heatherring_lib::rollout::observer::RolloutReport;
+use heatherring_lib::rollout::observer::VmHash;
+use heatherring_lib::rollout::plan::Decision;
+use heatherring_lib::rollout::plan::RolloutFigures;
+use heatherring_lib::rollout::plan::RolloutSituation;
+use heatherring_lib::rollout::plan::RolloutWatch;
 use tokio::sync::mpsc;
 use tokio::sync::watch;
 use tonic::transport::Channel;
@@ -184,7 +184,7 @@
                 .values_mut()
                 .find(|observed| observed.rollout.id == report.rollout);
             if let Some(known) = known {
-                known.watch.note(now, &report.evidence);
+                known.watch.note(now, report.evidence.clone());
                 known.idle.extend(&report.idle);
             }
             if !observation.relayed {
@@ -364,11 +364,13 @@
         phase = decision.phase.name(),
         share = decision.phase.share().0,
         elapsed_ms = whole_ms(elapsed),
+        defect = compared.map_or("", |compared| compared.defect.name()),
         answers = compared.map_or(0, |compared| compared.answers),
         target_bad = compared.map_or(0.0, |compared| compared.target),
         others_bad = compared.map_or(0.0, |compared| compared.others),
         odds = compared.map_or(0.0, |compared| compared.odds),
-        errors = compared.map_or(0.0, |compared| compared.errors);
+        errors = compared.map_or(0.0, |compared| compared.errors),
+        group_odds = compared.map_or(0.0, |compared| compared.group_odds);
         "decided on the next stage of a rollout, by the route where the target version looks worst"
     );
 }
