look-ups: entry VMs tell their headroom, and answers follow it

Cause: an entry VM out of room kept its part of the callers, as nobody knew of its room.

Change: with `look_ups.by_headroom` an entry VM samples its link, connections and refusals each second and tells its headroom with its follow requests. Replicas pass it on in presence reports, and to entry VMs in the set of who is absent, by changes only. Both answer look-ups by it. Without the setting nothing is told and answers are as before.

Weighed: a message of its own (one more per entry VM and second) against the messages that are sent anyway. The headroom that was last told holds while the entry VM lives, rather than lapsing with the heartbeats to one replica: otherwise each change of the followed replica would be news for all entry VMs, twice.

The test of the size of reports now tells an unchanged headroom with each heartbeat; its bound is the same.

--- a/lib/src/direct_settings.rs
+++ b/lib/src/direct_settings.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use schemars::JsonSchema;
 use serde::Deserialize;
@@ -54,6 +55,9 @@
     #[serde(default = "default_look_up_ms")]
     #[schemars(range(min = 1))]
     pub look_up_ms: u32,
+    /// Which entry VMs look-ups name.
+    #[serde(default)]
+    pub look_ups: LookUpSettings,
     /// Log settings.
     #[serde(default)]
     pub log: LogSettings,
@@ -68,10 +72,16 @@
     pub fn control_peers(&self) -> Vec<SocketAddr> {
         seed_addresses(&self.control, self.control_port)
     }
+
+    /// Returns the time for which callers may cache the result of a look-up.
+    #[must_use]
+    pub fn look_up_keep(&self) -> Duration {
+        Duration::from_millis(self.look_up_ms.into())
+    }
 }
 
 fn default_grace() -> DurationText {
-    DurationText(std::time::Duration::from_secs(10))
+    DurationText(Duration::from_secs(10))
 }
 
 /// Addresses of the listeners.
@@ -94,6 +104,26 @@
     pub metrics: Option<SocketAddr>,
 }
 
+/// Which entry VMs look-ups name.
+#[derive(Clone, Copy, Debug, Deserialize, JsonSchema, PartialEq, Serialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct LookUpSettings {
+    /// Whether this entry VM tells its headroom, so that look-ups name it in proportion to it.
+    pub by_headroom: bool,
+    /// Size of this VM, in any unit that all entry VMs share.
+    #[schemars(range(min = 0.01, max = 200.0))]
+    pub size: f64,
+}
+
+impl Default for LookUpSettings {
+    fn default() -> Self {
+        Self {
+            by_headroom: false,
+            size: 1.0,
+        }
+    }
+}
+
 /// Limits on sending requests to a second backend server.
 #[derive(Clone, Copy, Debug, Deserialize, JsonSchema, PartialEq, Serialize)]
 #[serde(deny_unknown_fields, default)]
--- a/lib/src/presence.rs
+++ b/lib/src/presence.rs
@@ -13,6 +13,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::headroom::Headroom;
 use crate::id::BackendName;
 use crate::id::VmName;
 use crate::numbered_set::SetUpdate;
@@ -43,6 +44,13 @@
     Backend(BackendName),
     /// An entry VM that accepts no requests.
     Entry(VmName),
+    /// An entry VM that is to be named to callers as its headroom allows.
+    Partly {
+        /// Name of the VM.
+        vm: VmName,
+        /// Its headroom.
+        headroom: Headroom,
+    },
 }
 
 /// How many replicas receive heartbeats of a source, and when the last one did.
@@ -73,6 +81,15 @@
     contact: Contact,
 }
 
+/// What an entry VM last told of its headroom. It holds until the entry VM tells another one.
+#[derive(Clone, Copy, Debug)]
+struct Room {
+    life: u64,
+    headroom: Headroom,
+    /// When it began to tell this.
+    stated_at: Instant,
+}
+
 /// Latest report of another replica.
 #[derive(Debug)]
 struct Peer {
@@ -115,6 +132,7 @@
     own: LocalHeartbeats,
     backends: BTreeMap<BackendName, Contact>,
     entries: BTreeMap<VmName, EntryContact>,
+    rooms: BTreeMap<VmName, Room>,
     peers: BTreeMap<VmName, Peer>,
 }
 
@@ -128,6 +146,7 @@
             own: LocalHeartbeats::new(life),
             backends: BTreeMap::new(),
             entries: BTreeMap::new(),
+            rooms: BTreeMap::new(),
             peers: BTreeMap::new(),
         }
     }
@@ -170,6 +189,39 @@
         is_new
     }
 
+    /// Records the headroom that an entry VM tells with a heartbeat. Returns whether it is new.
+    pub fn record_headroom(
+        &mut self,
+        now: Instant,
+        vm: &VmName,
+        life: u64,
+        headroom: Headroom,
+    ) -> bool {
+        let source = |life, headroom| HeartbeatSource::Room {
+            vm: vm.clone(),
+            life,
+            headroom,
+        };
+        let before = self.rooms.get(vm).copied();
+        let is_new = before.is_none_or(|room| room.life != life || room.headroom != headroom);
+        if is_new && let Some(room) = before {
+            self.own.drop_source(&source(room.life, room.headroom));
+        }
+        let source = source(life, headroom);
+        if self.own.record_heartbeat(now, &source) {
+            self.add(now, &source);
+        }
+        is_new
+    }
+
+    /// Returns what the present incarnation of an entry VM last told of its headroom.
+    #[must_use]
+    pub fn headroom(&self, vm: &VmName) -> Option<Headroom> {
+        let life = self.entries.get(vm)?.life;
+        let room = self.rooms.get(vm).filter(|room| room.life == life);
+        room.map(|room| room.headroom)
+    }
+
     /// Returns the report for a replica that knows all changes up to number `known`.
     #[must_use]
     pub fn report(&self, now: Instant, known: u64, endpoints: &ReplicaEndpoints) -> PresenceReport {
@@ -238,6 +290,8 @@
             .retain(|_, contact| contact.silence(now) < age);
         self.entries
             .retain(|_, entry| entry.contact.silence(now) < age);
+        let entries = &self.entries;
+        self.rooms.retain(|vm, _| entries.contains_key(vm));
         self.peers
             .retain(|_, peer| now.saturating_duration_since(peer.at) < age);
     }
@@ -325,6 +379,17 @@
                 }
                 entry.contact.reporters += 1;
             }
+            HeartbeatSource::Room { vm, life, headroom } => {
+                let told = Room {
+                    life: *life,
+                    headroom: *headroom,
+                    stated_at: began,
+                };
+                let room = self.rooms.entry(vm.clone()).or_insert(told);
+                if began >= room.stated_at {
+                    *room = told;
+                }
+            }
         }
     }
 
@@ -334,6 +399,7 @@
             HeartbeatSource::Entry { vm, .. } => {
                 self.entries.get_mut(vm).map(|entry| &mut entry.contact)
             }
+            HeartbeatSource::Room { .. } => None,
         };
         if let Some(contact) = contact {
             contact.reporters = contact.reporters.saturating_sub(1);
--- a/lib/src/presence_report.rs
+++ b/lib/src/presence_report.rs
@@ -16,6 +16,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::headroom::Headroom;
 use crate::id::BackendName;
 use crate::id::PlaceName;
 use crate::id::VmName;
@@ -44,6 +45,15 @@
         /// Whether it accepts requests.
         ready: bool,
     },
+    /// An entry VM that tells its headroom.
+    Room {
+        /// Name of the VM.
+        vm: VmName,
+        /// Incarnation of its process.
+        life: u64,
+        /// Its headroom.
+        headroom: Headroom,
+    },
 }
 
 impl HeartbeatSource {
@@ -51,7 +61,7 @@
     pub(crate) const fn heartbeat_timeout(&self) -> Duration {
         match self {
             Self::Backend(_) => BACKEND_HEARTBEAT_TIMEOUT,
-            Self::Entry { .. } => ENTRY_HEARTBEAT_TIMEOUT,
+            Self::Entry { .. } | Self::Room { .. } => ENTRY_HEARTBEAT_TIMEOUT,
         }
     }
 }
--- a/lib/tests/test_presence.rs
+++ b/lib/tests/test_presence.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use heatherring_lib::headroom::Headroom;
 use heatherring_lib::id::BackendName;
 use heatherring_lib::id::PlaceName;
 use heatherring_lib::id::VmName;
@@ -134,6 +135,34 @@
     assert!(third.is_out_of_service(now, &vm));
 }
 
+/// Guards against outdated headroom: the entry VM told it to a replica that has lost contact since,
+/// or an earlier incarnation of it did.
+#[test]
+fn test_presence_knows_the_headroom_last_told_by_the_present_incarnation() {
+    let start = Instant::now();
+    let vm = VmName::new("entry-1");
+    let (full, free) = (Headroom::new(1.0, 8, 0), Headroom::new(1.0, 8, 7));
+    let mut first = Presence::new(start, 1);
+    let mut second = Presence::new(start, 2);
+    let mut third = Presence::new(start, 3);
+    first.record_entry_heartbeat(start, &vm, 1, true);
+    assert!(first.record_headroom(start, &vm, 1, free));
+    assert!(!first.record_headroom(start, &vm, 1, free));
+    let moved_at = start + Duration::from_secs(1);
+    second.record_entry_heartbeat(moved_at, &vm, 1, true);
+    second.record_headroom(moved_at, &vm, 1, full);
+    let now = moved_at + Duration::from_millis(100);
+    for (from, replica) in [("control-2", &second), ("control-1", &first)] {
+        let report = replica.report(now, 0, &endpoints());
+        third.apply_report(now, &VmName::new(from), &report);
+    }
+    assert_eq!(third.headroom(&vm), Some(full));
+    third.expire(now + Duration::from_secs(30));
+    assert_eq!(third.headroom(&vm), Some(full));
+    third.record_entry_heartbeat(now, &vm, 2, true);
+    assert_eq!(third.headroom(&vm), None);
+}
+
 /// Guards against backend servers that count as silent, or keep counting as present, at other
 /// replicas after a replica restarts: reports that are lost, duplicated or sent by a new
 /// incarnation must not be applied to another state than the one they are based on.
@@ -208,6 +237,7 @@
         }
         for entry in &entries {
             replica.record_entry_heartbeat(now, entry, 1, true);
+            replica.record_headroom(now, entry, 1, Headroom::new(1.0, 8, 7));
         }
         replica.expire(now);
         let report: PresenceReport = replica.report(now, known, &endpoints());
--- a/server/src/control_listeners.rs
+++ b/server/src/control_listeners.rs
@@ -18,6 +18,7 @@
 use crate::http_server::Admittance;
 use crate::http_server::Arrival;
 use crate::http_server::ConnectionLimits;
+use crate::http_server::ConnectionUsage;
 use crate::http_server::Handler;
 use crate::http_server::HttpBounds;
 use crate::http_server::HttpVersions;
@@ -118,6 +119,7 @@
 ) -> impl Future<Output = ()> + Send + 'static {
     let bounds = HttpBounds {
         max_connections: MAX_CONNECTIONS,
+        usage: ConnectionUsage::default(),
         limits: LimitsSource::fixed(LIMITS),
         versions: HttpVersions::Http1,
         clock,
--- a/server/src/direct_process.rs
+++ b/server/src/direct_process.rs
@@ -14,6 +14,8 @@
 use heatherring_lib::direct_settings::DirectSettings;
 use heatherring_lib::fleet_record::EntryRecord;
 use heatherring_lib::fleet_update::FleetView;
+use heatherring_lib::headroom::Headroom;
+use heatherring_lib::link_load::LinkLoad;
 use heatherring_lib::planned_stop::PlannedStop;
 use heatherring_lib::settings_text::read_direct_settings;
 use heatherring_lib::token_shard::Holder;
@@ -40,10 +42,13 @@
 use crate::fleet_follower;
 use crate::fleet_follower::Followed;
 use crate::fleet_follower::FollowerSetup;
+use crate::headroom_task;
+use crate::headroom_task::HeadroomSetup;
 use crate::http_server;
 use crate::http_server::Admittance;
 use crate::http_server::Arrival;
 use crate::http_server::ConnectionLimits;
+use crate::http_server::ConnectionUsage;
 use crate::http_server::Handler;
 use crate::http_server::HttpBounds;
 use crate::http_server::HttpVersions;
@@ -141,6 +146,9 @@
     let (seeds_tx, seeds) = watch::channel(settings.control_peers());
     watch_settings(settings_file, seeds_tx);
     let (ready_tx, ready) = watch::channel(false);
+    let connections = ConnectionUsage::default();
+    let (_link_load, link) = watch::channel(LinkLoad::default());
+    let room = headroom_task::spawn(headroom_setup(&settings, &connections, link, &clock));
     let channels = PeerChannels::new(security).leaving_from(settings.listen.callers.ip());
     let FollowerTasks {
         dispatch,
@@ -148,15 +156,9 @@
         pool,
         crashes,
         followed,
-    } = FollowerTasks::start(&settings, &clock, seeds, ready.clone(), channels);
+    } = FollowerTasks::start(&settings, &clock, seeds, ready.clone(), &room, channels);
     let view = followed.view.clone();
-    let directory = EntryDirectory {
-        vm: settings.vm.clone(),
-        ready: ready.clone(),
-        view: view.clone(),
-        out_of_service: followed.out_of_service,
-        keep: Duration::from_millis(settings.look_up_ms.into()),
-    };
+    let directory = EntryDirectory::new(&settings, &clock, ready.clone(), &followed, room);
     let querier = ColdQuerier {
         clock: Arc::clone(&clock),
         dispatch: dispatch.clone(),
@@ -193,12 +195,9 @@
         stop: CancellationToken::new(),
     };
     let bounds = bounds(view.clone(), &clock);
-    let serving = serve(
-        listeners.callers,
-        DirectHandler::new(cx),
-        &bounds,
-        stops.clone(),
-    );
+    let caller_bounds = bounds.clone().counting(connections);
+    let handler = DirectHandler::new(cx);
+    let serving = serve(listeners.callers, handler, &caller_bounds, stops.clone());
     if let Some(look_ups) = listeners.look_ups {
         let handler = LookUpHandler {
             interface: Arc::clone(&interface) as Arc<dyn LookUpInterface>,
@@ -243,6 +242,7 @@
         clock: &Arc<dyn Clock>,
         seeds: watch::Receiver<Vec<SocketAddr>>,
         ready: watch::Receiver<bool>,
+        headroom: &watch::Receiver<Option<Headroom>>,
         channels: PeerChannels,
     ) -> Self {
         let dispatch = DispatchHandle::spawn(dispatch_config(settings), Arc::clone(clock));
@@ -260,6 +260,7 @@
             places: settings.places.clone(),
             seeds,
             ready,
+            headroom: headroom.clone(),
             channels: channels.clone(),
             clock: Arc::clone(clock),
             dispatch: dispatch.clone(),
@@ -387,12 +388,29 @@
     });
     HttpBounds {
         max_connections: MAX_CONNECTIONS,
+        usage: ConnectionUsage::default(),
         limits,
         versions: HttpVersions::Http1,
         clock: Arc::clone(clock),
     }
 }
 
+fn headroom_setup(
+    settings: &DirectSettings,
+    connections: &ConnectionUsage,
+    link: watch::Receiver<LinkLoad>,
+    clock: &Arc<dyn Clock>,
+) -> HeadroomSetup {
+    HeadroomSetup {
+        settings: settings.look_ups,
+        keep: settings.look_up_keep(),
+        connections: connections.clone(),
+        max_connections: MAX_CONNECTIONS,
+        link,
+        clock: Arc::clone(clock),
+    }
+}
+
 /// Returns the record of this start of the entry VM that is announced to control.
 fn own_record(settings: &DirectSettings) -> EntryRecord {
     EntryRecord {
--- a/server/src/entry_servers.rs
+++ b/server/src/entry_servers.rs
@@ -19,6 +19,7 @@
 use crate::http_server;
 use crate::http_server::Admittance;
 use crate::http_server::ConnectionLimits;
+use crate::http_server::ConnectionUsage;
 use crate::http_server::Handler;
 use crate::http_server::HttpBounds;
 use crate::http_server::HttpVersions;
@@ -96,6 +97,7 @@
         let stop_messages = CancellationToken::new();
         let bounds = HttpBounds {
             max_connections: cx.limits.max_connections as usize,
+            usage: ConnectionUsage::default(),
             limits: LimitsSource::fixed(ConnectionLimits {
                 max_header_bytes: cx.limits.max_header_bytes as usize,
                 header_timeout: cx.limits.header_timeout(),
--- a/server/src/fleet_control.rs
+++ b/server/src/fleet_control.rs
@@ -16,6 +16,7 @@
 use heatherring_lib::crash_evidence::REFUSED_NOTE_INTERVAL;
 use heatherring_lib::duration_text::whole_ms;
 use heatherring_lib::encoding::EncodingError;
+use heatherring_lib::entry_naming::Candidate;
 use heatherring_lib::fleet_command::FleetCommand;
 use heatherring_lib::fleet_record::BackendChange;
 use heatherring_lib::fleet_record::BackendIncarnation;
@@ -25,6 +26,7 @@
 use heatherring_lib::fleet_record::RecordProblem;
 use heatherring_lib::fleet_state::FleetState;
 use heatherring_lib::fleet_state::RouteAnswer;
+use heatherring_lib::headroom::Headroom;
 use heatherring_lib::id::BackendName;
 use heatherring_lib::id::PlaceName;
 use heatherring_lib::id::RegionName;
@@ -61,6 +63,7 @@
 use crate::proto::ReadRoutesRequest;
 use crate::published_state::StateReader;
 use crate::rollout_task::RolloutHandle;
+use crate::shared_naming::SharedNaming;
 
 /// Timeout of a call to the leader. Clients turn to another replica after about one second.
 const LEADER_TIMEOUT: Duration = Duration::from_millis(1_500);
@@ -147,6 +150,7 @@
     presence: PresenceHandle,
     rollouts: RolloutHandle,
     announcements: AnnouncementBatch,
+    naming: SharedNaming,
     /// End of the cold phase of each backend server that announced one.
     cold_until: Mutex<HashMap<BackendName, Instant>>,
     /// Time of the last note that was forwarded for commit about a quarantined request that still
@@ -170,7 +174,9 @@
             let node = node.clone();
             move |changes| commit_announcements(node.clone(), changes)
         });
+        let naming = SharedNaming::new(look_up_ttl(settings.as_ref()));
         let inner = Inner {
+            naming,
             clock,
             settings,
             published,
@@ -580,15 +586,20 @@
     }
 
     fn look_up_ttl(&self) -> Duration {
-        let settings = self.inner.settings.as_ref();
-        Duration::from_millis(settings.map_or(0, |settings| settings.look_up_ms).into())
+        look_up_ttl(self.inner.settings.as_ref())
     }
 
     /// Records a heartbeat of an entry VM, and commits its record if that is new or has changed.
-    pub fn record_entry_heartbeat(&self, vm: &VmName, record: EntryRecord, ready: bool) {
+    pub fn record_entry_heartbeat(
+        &self,
+        vm: &VmName,
+        record: EntryRecord,
+        ready: bool,
+        headroom: Option<Headroom>,
+    ) {
         self.inner
             .presence
-            .record_entry_heartbeat(vm.clone(), record.life, ready);
+            .record_entry_heartbeat(vm.clone(), record.life, ready, headroom);
         if self.inner.published.read().fleet.entry(vm) == Some(&record) {
             return;
         }
@@ -611,11 +622,14 @@
         let presence = self.inner.presence.view();
         let routes = fleet.manifest().routes.values();
         let homes = place_lookup::homes(routes.map(|route| &**route), host);
-        let entries = fleet
-            .entries()
-            .filter(|(vm, _)| presence.is_live(vm))
-            .map(|(_, entry)| entry);
-        let addresses = place_lookup::pick(entries, region, homes);
+        let headroom = presence.headroom();
+        let entries = fleet.entries().filter(|(vm, _)| presence.is_live(vm));
+        let live = entries.map(|(vm, entry)| Candidate {
+            entry,
+            headroom: headroom.get(vm).copied(),
+        });
+        let now = self.inner.clock.now();
+        let addresses = self.inner.naming.name(now, live, region, homes);
         (!addresses.is_empty()).then(|| LookUp {
             addresses,
             keep: self.look_up_ttl(),
@@ -623,6 +637,10 @@
     }
 }
 
+fn look_up_ttl(settings: Option<&DirectControlSettings>) -> Duration {
+    Duration::from_millis(settings.map_or(0, |settings| settings.look_up_ms).into())
+}
+
 /// Returns the metric label for the result of a change of routes.
 const fn route_result(result: &Result<RouteAnswer, FleetError>) -> &'static str {
     match result {
--- a/server/src/fleet_follower.rs
+++ b/server/src/fleet_follower.rs
@@ -19,6 +19,7 @@
 use heatherring_lib::follow_plan::FollowOutcome;
 use heatherring_lib::follow_plan::FollowPlan;
 use heatherring_lib::follow_plan::FollowStep;
+use heatherring_lib::headroom::Headroom;
 use heatherring_lib::id::PlaceName;
 use heatherring_lib::id::RegionName;
 use heatherring_lib::id::VmName;
@@ -61,6 +62,8 @@
     pub seeds: watch::Receiver<Vec<SocketAddr>>,
     /// Whether the entry VM accepts requests.
     pub ready: watch::Receiver<bool>,
+    /// Headroom of the entry VM, if it is to be told.
+    pub headroom: watch::Receiver<Option<Headroom>>,
     /// Opens connections to replicas.
     pub channels: PeerChannels,
     /// Source of time.
@@ -77,6 +80,7 @@
     record_encoded: Vec<u8>,
     view: watch::Sender<Arc<FleetView>>,
     out_of_service: watch::Sender<Arc<BTreeSet<VmName>>>,
+    headroom: watch::Sender<Arc<BTreeMap<VmName, Headroom>>>,
     last_contact: watch::Sender<Instant>,
     proved: watch::Sender<Instant>,
     /// Backend servers and entry VMs that must not be used for now.
@@ -108,6 +112,8 @@
     pub view: watch::Receiver<Arc<FleetView>>,
     /// Entry VMs of the view that do not accept requests.
     pub out_of_service: watch::Receiver<Arc<BTreeSet<VmName>>>,
+    /// Headroom of the entry VMs that tell it.
+    pub headroom: watch::Receiver<Arc<BTreeMap<VmName, Headroom>>>,
     /// Time of the last answer from a current replica; the start of the task until then.
     pub last_contact: watch::Receiver<Instant>,
     /// Time at which the view was last proved to include everything committed; the start of the
@@ -124,6 +130,7 @@
 pub fn spawn(setup: FollowerSetup) -> Followed {
     let (view, view_rx) = watch::channel(Arc::new(FleetView::default()));
     let (out_of_service, out_of_service_rx) = watch::channel(Arc::default());
+    let (headroom, headroom_rx) = watch::channel(Arc::default());
     let (last_contact, last_contact_rx) = watch::channel(setup.clock.now());
     let (proved, proved_rx) = watch::channel(setup.clock.now());
     let (replica, replica_rx) = watch::channel(None);
@@ -143,6 +150,7 @@
         record_encoded,
         view,
         out_of_service,
+        headroom,
         last_contact,
         proved,
         absent: BTreeSet::new(),
@@ -162,6 +170,7 @@
     Followed {
         view: view_rx,
         out_of_service: out_of_service_rx,
+        headroom: headroom_rx,
         last_contact: last_contact_rx,
         proved: proved_rx,
         replica: replica_rx,
@@ -185,6 +194,10 @@
                     let steps = self.plan.poll_now(self.setup.clock.now());
                     self.carry_out(steps);
                 }
+                Ok(()) = self.setup.headroom.changed() => {
+                    let steps = self.plan.poll_now(self.setup.clock.now());
+                    self.carry_out(steps);
+                }
                 Ok(()) = self.setup.seeds.changed() => self.update_seeds(),
             }
         }
@@ -277,6 +290,7 @@
 
     fn request(&mut self) -> FollowRequest {
         let ready = *self.setup.ready.borrow_and_update();
+        let headroom = *self.setup.headroom.borrow_and_update();
         let now = self.setup.clock.now();
         let age = |at: &watch::Sender<Instant>| now.saturating_duration_since(*at.borrow());
         metric::control_silent(age(&self.last_contact), age(&self.proved));
@@ -292,6 +306,7 @@
             list_only: false,
             known_quarantine: self.known_quarantine,
             known_limits: self.known_limits,
+            headroom: headroom.map_or(0, Headroom::code),
         }
     }
 
@@ -348,15 +363,20 @@
         update.apply_to(&mut self.absent);
         let mut silent = BTreeSet::new();
         let mut out_of_service = BTreeSet::new();
+        let mut headroom = BTreeMap::new();
         for absent in &self.absent {
             match absent {
-                Absent::Backend(backend) => silent.insert(backend.clone()),
-                Absent::Entry(vm) => out_of_service.insert(vm.clone()),
-            };
+                Absent::Backend(backend) => drop(silent.insert(backend.clone())),
+                Absent::Entry(vm) => drop(out_of_service.insert(vm.clone())),
+                Absent::Partly { vm, headroom: told } => {
+                    headroom.insert(vm.clone(), *told);
+                }
+            }
         }
         log::info!(event = "presence_applied", silent = silent.len(), out_of_service = out_of_service.len(); "applied control's list of silent backend servers and out-of-service entry VMs");
         self.setup.dispatch.apply_silent(silent);
         self.out_of_service.send_replace(Arc::new(out_of_service));
+        self.headroom.send_replace(Arc::new(headroom));
     }
 
     fn apply_update(
--- a/server/src/fleet_service.rs
+++ b/server/src/fleet_service.rs
@@ -13,6 +13,7 @@
 use heatherring_lib::fleet_command::FleetCommand;
 use heatherring_lib::fleet_record::EntryRecord;
 use heatherring_lib::follow_lag::FollowLag;
+use heatherring_lib::headroom::Headroom;
 use heatherring_lib::id::ClusterId;
 use heatherring_lib::id::ReplicaId;
 use heatherring_lib::id::Revision;
@@ -312,9 +313,10 @@
         let received_at = self.clock.now();
         let record: EntryRecord = decode(&request.record_encoded)?;
         let vm = VmName::new(request.vm.as_str());
+        let headroom = Headroom::from_code(request.headroom);
         if self.control.is_current() {
             self.control
-                .record_entry_heartbeat(&vm, record, request.ready);
+                .record_entry_heartbeat(&vm, record, request.ready, headroom);
             self.note_manifest();
             self.note_request(&vm, Revision(request.applied_revision));
             self.wait_for_changes(&request).await;
--- a/server/src/http_server.rs
+++ b/server/src/http_server.rs
@@ -11,6 +11,8 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 use std::time::Instant;
@@ -80,6 +82,8 @@
 pub struct HttpBounds {
     /// Largest number of open connections; further ones are closed when they arrive.
     pub max_connections: usize,
+    /// Counts the open and the refused connections.
+    pub usage: ConnectionUsage,
     /// Source of the limits of a single connection.
     pub limits: LimitsSource,
     /// The HTTP versions that the listener speaks.
@@ -88,6 +92,56 @@
     pub clock: Arc<dyn Clock>,
 }
 
+impl HttpBounds {
+    /// Returns the bounds of a listener whose connections are counted in `usage`.
+    #[must_use]
+    pub fn counting(self, usage: ConnectionUsage) -> Self {
+        Self { usage, ..self }
+    }
+}
+
+/// Counts the connections of a listener; clones share the counts.
+#[derive(Clone, Debug, Default)]
+pub struct ConnectionUsage(Arc<UsageCounts>);
+
+#[derive(Debug, Default)]
+struct UsageCounts {
+    open: AtomicUsize,
+    refused: AtomicU64,
+}
+
+impl ConnectionUsage {
+    /// Returns the number of open connections.
+    #[must_use]
+    pub fn open(&self) -> usize {
+        self.0.open.load(Ordering::Relaxed)
+    }
+
+    /// Returns how many connections were refused since the start.
+    #[must_use]
+    pub fn refused(&self) -> u64 {
+        self.0.refused.load(Ordering::Relaxed)
+    }
+
+    fn count_refused(&self) {
+        self.0.refused.fetch_add(1, Ordering::Relaxed);
+    }
+
+    fn opened(&self) -> OpenConnection {
+        self.0.open.fetch_add(1, Ordering::Relaxed);
+        OpenConnection(self.clone())
+    }
+}
+
+/// Counts as an open connection until it is dropped.
+struct OpenConnection(ConnectionUsage);
+
+impl Drop for OpenConnection {
+    fn drop(&mut self) {
+        self.0.0.open.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
 /// Limits the resources that one connection may use.
 #[derive(Clone, Copy, Debug)]
 pub struct ConnectionLimits {
@@ -220,6 +274,7 @@
             }
         };
         let Ok(permit) = Arc::clone(&permits).try_acquire_owned() else {
+            bounds.usage.count_refused();
             log::warn!(event = "connection_refused", peer = peer.to_string().as_str(); "closed a new connection: connection limit reached");
             continue;
         };
@@ -234,6 +289,7 @@
             stops: stops.clone(),
             ahead: Arc::clone(&ahead),
             _permit: permit,
+            _open: bounds.usage.opened(),
         };
         connections.spawn(connection.run(stream));
     }
@@ -276,6 +332,7 @@
     stops: Stops,
     ahead: Arc<Semaphore>,
     _permit: OwnedSemaphorePermit,
+    _open: OpenConnection,
 }
 
 impl<H: Handler> Connection<H> {
--- a/server/src/metric.rs
+++ b/server/src/metric.rs
@@ -30,6 +30,7 @@
 use crate::http_server::Admittance;
 use crate::http_server::Arrival;
 use crate::http_server::ConnectionLimits;
+use crate::http_server::ConnectionUsage;
 use crate::http_server::Handler;
 use crate::http_server::HttpBounds;
 use crate::http_server::HttpVersions;
@@ -172,6 +173,20 @@
     gauge!("heatherring_view_revision").set(revision);
 }
 
+/// Sets the share of its size by which this entry VM is to be named in answers to look-ups.
+pub fn headroom(share: f64) {
+    gauge!("heatherring_headroom_share").set(share);
+}
+
+/// Counts addresses that answers to look-ups named.
+pub fn named(in_region: usize, overflow: usize) {
+    let count = |count| u64::try_from(count).unwrap_or(u64::MAX);
+    counter!("heatherring_named_total", "region" => "own").increment(count(in_region));
+    if overflow > 0 {
+        counter!("heatherring_named_total", "region" => "overflow").increment(count(overflow));
+    }
+}
+
 /// Sets the time since the last contact with control, and the age of the last proof that the
 /// view of the fleet included every committed change.
 pub fn control_silent(since: Duration, proof_age: Duration) {
@@ -235,6 +250,7 @@
     let handler = TextHandler { handle };
     let bounds = HttpBounds {
         max_connections: MAX_CONNECTIONS,
+        usage: ConnectionUsage::default(),
         limits: LimitsSource::fixed(LIMITS),
         versions: HttpVersions::Http1,
         clock,
--- a/server/src/presence_task.rs
+++ b/server/src/presence_task.rs
@@ -12,6 +12,7 @@
 use heatherring_lib::fleet_command::FleetCommand;
 use heatherring_lib::fleet_record::BackendIncarnation;
 use heatherring_lib::fleet_state::FleetState;
+use heatherring_lib::headroom::Headroom;
 use heatherring_lib::id::BackendName;
 use heatherring_lib::id::ClusterId;
 use heatherring_lib::id::VmName;
@@ -82,6 +83,17 @@
         let absent_now = self.absent.as_ref();
         absent_now.is_some_and(|absent_now| !absent_now.members().contains(&absent))
     }
+
+    /// Returns the headroom of the entry VMs that tell it.
+    #[must_use]
+    pub fn headroom(&self) -> BTreeMap<&VmName, Headroom> {
+        let members = self.absent.iter().flat_map(|absent| absent.members());
+        let told = members.filter_map(|absent| match absent {
+            Absent::Partly { vm, headroom } => Some((vm, *headroom)),
+            Absent::Backend(_) | Absent::Entry(_) => None,
+        });
+        told.collect()
+    }
 }
 
 #[derive(Debug)]
@@ -91,6 +103,7 @@
         vm: VmName,
         life: u64,
         ready: bool,
+        headroom: Option<Headroom>,
     },
     Report {
         from: VmName,
@@ -122,8 +135,19 @@
     }
 
     /// Records a heartbeat of an entry VM.
-    pub fn record_entry_heartbeat(&self, vm: VmName, life: u64, ready: bool) {
-        let _ = self.tx.send(Message::Entry { vm, life, ready });
+    pub fn record_entry_heartbeat(
+        &self,
+        vm: VmName,
+        life: u64,
+        ready: bool,
+        headroom: Option<Headroom>,
+    ) {
+        let _ = self.tx.send(Message::Entry {
+            vm,
+            life,
+            ready,
+            headroom,
+        });
     }
 
     /// Applies a report of another replica. Returns the number of its changes up to which this
@@ -243,8 +267,17 @@
                     self.publish(now);
                 }
             }
-            Message::Entry { vm, life, ready } => {
-                if self.presence.record_entry_heartbeat(now, &vm, life, ready) {
+            Message::Entry {
+                vm,
+                life,
+                ready,
+                headroom,
+            } => {
+                let presence = &mut self.presence;
+                let is_new_state = presence.record_entry_heartbeat(now, &vm, life, ready);
+                let is_new_headroom = headroom
+                    .is_some_and(|headroom| presence.record_headroom(now, &vm, life, headroom));
+                if is_new_state || is_new_headroom {
                     self.publish(now);
                     self.report(now);
                 }
@@ -319,7 +352,12 @@
             .entries()
             .filter(|(vm, _)| self.presence.is_out_of_service(now, vm))
             .map(|(vm, _)| Absent::Entry(vm.clone()));
-        silent.chain(out_of_service).collect()
+        let partly = fleet.entries().filter_map(|(vm, _)| {
+            let headroom = self.presence.headroom(vm)?;
+            let vm = vm.clone();
+            Some(Absent::Partly { vm, headroom })
+        });
+        silent.chain(out_of_service).chain(partly).collect()
     }
 
     fn replicas(&self, now: Instant) -> Vec<KnownReplica> {
--- a/server/tests/direct_support/mod.rs
+++ b/server/tests/direct_support/mod.rs
@@ -20,6 +20,7 @@
 use heatherring_lib::clock::SystemClock;
 use heatherring_lib::direct_settings::DirectListen;
 use heatherring_lib::direct_settings::DirectSettings;
+use heatherring_lib::direct_settings::LookUpSettings;
 use heatherring_lib::direct_settings::ResendSettings;
 use heatherring_lib::dispatch_policy::DispatchPolicy;
 use heatherring_lib::duration_text::DurationText;
@@ -73,8 +74,8 @@
 pub const HOST: &str = "registry.example";
 const HEALTH_PATH: &str = "/health";
 const SERVICE: &str = "registry";
-const PLACE: &str = "fko-hakata";
-const REGION: &str = "fukuoka";
+pub const PLACE: &str = "fko-hakata";
+pub const REGION: &str = "fukuoka";
 
 /// An answer whose body was read completely.
 #[derive(Debug)]
@@ -231,6 +232,8 @@
     pub block: LoopbackBlock,
     pub folder: TempDir,
     pub replicas: Vec<Replica>,
+    /// Look-up settings of the entry VMs that are started next.
+    pub look_ups: LookUpSettings,
     seeds: Vec<SocketAddr>,
 }
 
@@ -251,6 +254,7 @@
             block,
             folder,
             replicas: Vec::new(),
+            look_ups: LookUpSettings::default(),
             seeds,
         };
         for address in addresses {
@@ -316,6 +320,7 @@
             resends: ResendSettings::default(),
             grace: DurationText(grace),
             look_up_ms: 2_000,
+            look_ups: self.look_ups,
             log: LogSettings::default(),
             experiments: DispatchPolicy::default(),
         };
--- a/server/tests/pipelining_support/mod.rs
+++ b/server/tests/pipelining_support/mod.rs
@@ -16,6 +16,7 @@
 use heatherring_server::http_server::Admittance;
 use heatherring_server::http_server::Arrival;
 use heatherring_server::http_server::ConnectionLimits;
+use heatherring_server::http_server::ConnectionUsage;
 use heatherring_server::http_server::Handler;
 use heatherring_server::http_server::HttpBounds;
 use heatherring_server::http_server::HttpVersions;
@@ -149,6 +150,7 @@
         };
         let bounds = HttpBounds {
             max_connections: 8,
+            usage: ConnectionUsage::default(),
             limits: LimitsSource::fixed(limits),
             versions,
             clock: Arc::new(SystemClock),
--- a/server/tests/test_fleet_follower.rs
+++ b/server/tests/test_fleet_follower.rs
@@ -228,6 +228,7 @@
     let security = PeerSecurity::from_settings(&Security::OpenLoopback).unwrap();
     let (crashes, _) = CrashTracker::new(vm.clone(), Arc::clone(&clock), BackendPool::spawn());
     let followed = fleet_follower::spawn(FollowerSetup {
+        headroom: watch::channel(None).1,
         vm,
         record: EntryRecord {
             place: PlaceName::new("near"),
