--- a/server/src/direct_process.rs
+++ b/server/src/direct_process.rs
@@ -15,6 +15,8 @@
 use heatherring_lib::direct_settings::LinkSettings;
 use heatherring_lib::fleet_record::EntryRecord;
 use heatherring_lib::fleet_update::FleetView;
+use heatherring_lib::headroom::Headroom;
+use heatherring_lib::link_load::LinkLoad;
 use heatherring_lib::planned_stop::PlannedStop;
 use heatherring_lib::settings_text::read_direct_settings;
 use http::Request;
@@ -40,10 +42,13 @@
 use crate::fleet_follower;
 use crate::fleet_follower::Followed;
 use crate::fleet_follower::FollowerSetup;
+use crate::headroom_task;
+use crate::headroom_task::HeadroomSetup;
 use crate::http_server;
 use crate::http_server::Admittance;
 use crate::http_server::Arrival;
 use crate::http_server::ConnectionLimits;
+use crate::http_server::ConnectionUsage;
 use crate::http_server::Handler;
 use crate::http_server::HttpBounds;
 use crate::http_server::HttpVersions;
@@ -142,6 +147,15 @@
     let (seeds_tx, seeds) = watch::channel(settings.control_peers());
     watch_settings(settings_file, seeds_tx);
     let (ready_tx, ready) = watch::channel(false);
+    let connections = ConnectionUsage::default();
+    let link = link_pacer(&settings, &clock);
+    let link_load = link.as_ref().map(LinkPacer::load);
+    let room = headroom_task::spawn(headroom_setup(
+        &settings,
+        &connections,
+        link_load.clone(),
+        &clock,
+    ));
     let channels = PeerChannels::new(security).leaving_from(settings.listen.callers.ip());
     let FollowerTasks {
         dispatch,
@@ -149,16 +163,17 @@
         pool,
         crashes,
         followed,
-        link,
-    } = FollowerTasks::start(&settings, &clock, seeds, ready.clone(), channels);
+    } = FollowerTasks::start(
+        &settings,
+        &clock,
+        seeds,
+        ready.clone(),
+        &room,
+        link_load,
+        channels,
+    );
     let view = followed.view.clone();
-    let directory = EntryDirectory {
-        vm: settings.vm.clone(),
-        ready: ready.clone(),
-        view: view.clone(),
-        out_of_service: followed.out_of_service,
-        keep: Duration::from_millis(settings.look_up_ms.into()),
-    };
+    let directory = EntryDirectory::new(&settings, &clock, ready.clone(), &followed, room);
     let querier = ColdQuerier {
         clock: Arc::clone(&clock),
         dispatch: dispatch.clone(),
@@ -196,12 +211,9 @@
         stop: CancellationToken::new(),
     };
     let bounds = bounds(view.clone(), &clock);
-    let serving = serve(
-        listeners.callers,
-        DirectHandler::new(cx),
-        &bounds,
-        stops.clone(),
-    );
+    let caller_bounds = bounds.clone().counting(connections);
+    let handler = DirectHandler::new(cx);
+    let serving = serve(listeners.callers, handler, &caller_bounds, stops.clone());
     if let Some(look_ups) = listeners.look_ups {
         let handler = LookUpHandler {
             interface: Arc::clone(&interface) as Arc<dyn LookUpInterface>,
@@ -238,7 +250,6 @@
     pool: BackendPool,
     crashes: CrashTracker,
     followed: Followed,
-    link: Option<LinkPacer>,
 }
 
 impl FollowerTasks {
@@ -247,13 +258,11 @@
         clock: &Arc<dyn Clock>,
         seeds: watch::Receiver<Vec<SocketAddr>>,
         ready: watch::Receiver<bool>,
+        headroom: &watch::Receiver<Option<Headroom>>,
+        link_load: Option<watch::Receiver<LinkLoad>>,
         channels: PeerChannels,
     ) -> Self {
         let cfg = dispatch_config(settings);
-        let link = cfg
-            .link_rate
-            .map(|rate| LinkPacer::spawn(rate, Arc::clone(clock)));
-        let link_load = link.as_ref().map(LinkPacer::load);
         let dispatch = DispatchHandle::spawn(cfg, Arc::clone(clock), link_load);
         let record = own_record(settings);
         let pool = BackendPool::spawn();
@@ -265,6 +274,7 @@
             places: settings.places.clone(),
             seeds,
             ready,
+            headroom: headroom.clone(),
             channels: channels.clone(),
             clock: Arc::clone(clock),
             dispatch: dispatch.clone(),
@@ -296,7 +306,6 @@
             pool,
             crashes,
             followed,
-            link,
         }
     }
 }
@@ -393,12 +402,34 @@
     });
     HttpBounds {
         max_connections: MAX_CONNECTIONS,
+        usage: ConnectionUsage::default(),
         limits,
         versions: HttpVersions::Http1,
         clock: Arc::clone(clock),
     }
 }
 
+/// Starts the task that schedules this VM's link, if its rate is known.
+fn link_pacer(settings: &DirectSettings, clock: &Arc<dyn Clock>) -> Option<LinkPacer> {
+    link_rate(settings).map(|rate| LinkPacer::spawn(rate, Arc::clone(clock)))
+}
+
+fn headroom_setup(
+    settings: &DirectSettings,
+    connections: &ConnectionUsage,
+    link: Option<watch::Receiver<LinkLoad>>,
+    clock: &Arc<dyn Clock>,
+) -> HeadroomSetup {
+    HeadroomSetup {
+        settings: settings.look_ups,
+        keep: settings.look_up_keep(),
+        connections: connections.clone(),
+        max_connections: MAX_CONNECTIONS,
+        link,
+        clock: Arc::clone(clock),
+    }
+}
+
 /// Returns the record of this start of the entry VM that is announced to control.
 fn own_record(settings: &DirectSettings) -> EntryRecord {
     EntryRecord {
@@ -424,13 +455,16 @@
         places: settings.places.clone(),
         resends: settings.resends.limit(),
         policy: settings.experiments,
-        link_rate: settings
-            .link
-            .as_ref()
-            .and_then(LinkSettings::bytes_per_second),
+        link_rate: link_rate(settings),
     }
 }
 
+/// Returns the bytes per second that this VM's link carries; `None` if that is not known.
+fn link_rate(settings: &DirectSettings) -> Option<f64> {
+    let link = settings.link.as_ref();
+    link.and_then(LinkSettings::bytes_per_second)
+}
+
 /// Marks this entry VM as ready once it has a manifest.
 async fn announce_ready(mut view: watch::Receiver<Arc<FleetView>>, ready: watch::Sender<bool>) {
     if view.wait_for(|view| view.has_manifest()).await.is_ok() {
