--- a/lib/src/direct_dispatch.rs
+++ b/lib/src/direct_dispatch.rs
@@ -267,26 +267,15 @@
         };
         let latency_key = service.latency.route(route, request.latency_objective);
         let may_move = self.moves.may_move(now);
-        let time_left = request
-            .answer_by()
-            .saturating_duration_since(now)
-            .as_secs_f64();
         let wait_share = if policy.shares_by_priority {
             self.rank_fairness.wait_share(now, request.rank)
         } else {
             1.0
         };
-        let objective_left = request
-            .objective
-            .saturating_duration_since(now)
-            .as_secs_f64();
-        let answer_time = AnswerTime {
-            objective: objective_left,
-            deadline: time_left,
-            wait_share,
-        };
+        let time = AnswerTime::left(now, request, wait_share);
+        let time_left = time.deadline;
         let expected_answer = self.expect_answer(request.route);
-        if !self.link_has_room(now, expected_answer, answer_time) {
+        if !self.link_has_room(now, expected_answer, time) {
             return Err(self.refuse_retry_elsewhere(RefusedReason::LinkFull));
         }
         let service = &self.services[request.service];
@@ -302,7 +291,7 @@
         let preferred = dispatch_pick::preferred_region(&candidates);
         let limits = PickLimits {
             time_left,
-            objective: objective_left,
+            objective: time.objective,
             wait_share,
             mean: service.latency.mean(),
             may_copy: service.may_copy(request.object, policy.bounded_copies),
--- a/lib/src/link_admission.rs
+++ b/lib/src/link_admission.rs
@@ -6,10 +6,12 @@
 
 use std::collections::BTreeSet;
 use std::time::Duration;
+use std::time::Instant;
 
 use crate::answer_size::AnswerKind;
 use crate::answer_size::AnswerSizeKey;
 use crate::answer_size::AnswerSizes;
+use crate::dispatch_request::DispatchRequest;
 use crate::id::RouteName;
 use crate::link_load::LinkLoad;
 use crate::link_schedule::USED_SHARE;
@@ -50,6 +52,18 @@
     pub wait_share: f64,
 }
 
+impl AnswerTime {
+    /// Returns the time that a request has left at `now`.
+    pub(crate) fn left(now: Instant, request: &DispatchRequest<'_>, wait_share: f64) -> Self {
+        let until = |at: Instant| at.saturating_duration_since(now).as_secs_f64();
+        Self {
+            objective: until(request.objective),
+            deadline: until(request.answer_by()),
+            wait_share,
+        }
+    }
+}
+
 /// Accounts for the requests in flight by the bytes that they put on the link.
 #[derive(Debug)]
 pub struct LinkAdmission {
--- a/lib/tests/link_model/mod.rs
+++ b/lib/tests/link_model/mod.rs
@@ -148,9 +148,10 @@
     /// Plays `length`, and returns what became of the requests.
     pub fn run(mut self, length: Duration) -> Totals {
         while self.now < self.start + length {
+            let before = self.now;
             self.now += TICK;
             self.arrive();
-            self.send();
+            self.send(before);
             self.carry();
             self.grant();
             self.read();
@@ -189,10 +190,14 @@
         let is_near = self.rng.random::<f64>() < 0.6;
         let round_trip = Duration::from_millis(if is_near { 1 } else { 70 });
         self.fates(kind).asked += 1;
-        let Some(expected) = self.admit(kind) else {
+        let expected = match self.way {
+            Way::Unscheduled => None,
+            Way::Scheduled(_) => self.admission.expect(&route(kind)),
+        };
+        if !self.admit(expected.as_ref()) {
             self.fates(kind).refused += 1;
             return;
-        };
+        }
         self.next += 1;
         self.answers.insert(
             self.next,
@@ -213,27 +218,24 @@
         );
     }
 
-    fn admit(&mut self, kind: AnswerKind) -> Option<Option<ExpectedAnswer>> {
-        if self.way == Way::Unscheduled {
+    /// Returns whether a request is admitted, and counts it as in flight.
+    fn admit(&mut self, expected: Option<&ExpectedAnswer>) -> bool {
+        let Some(expected) = expected else {
             let in_flight = self.answers.len();
             self.congestion.note(self.queueing_delay());
-            return self
-                .congestion
-                .has_room(self.now, in_flight, 1.0)
-                .then_some(None);
-        }
+            return self.congestion.has_room(self.now, in_flight, 1.0);
+        };
         self.admission.note_load(self.schedule.load(self.now));
-        let expected = self.admission.expect(&route(kind))?;
         let time = AnswerTime {
             objective: OBJECTIVE.as_secs_f64(),
             deadline: DEADLINE.as_secs_f64(),
             wait_share: 1.0,
         };
-        let has_room = self.admission.has_room(&expected, time);
-        has_room.then(|| {
-            self.admission.begin(&expected);
-            Some(expected)
-        })
+        let has_room = self.admission.has_room(expected, time);
+        if has_room {
+            self.admission.begin(expected);
+        }
+        has_room
     }
 
     /// A log-normal size whose standard deviation is 0.6 of its mean.
@@ -258,12 +260,12 @@
     }
 
     /// Backend servers send what their windows permit.
-    fn send(&mut self) {
-        let (now, start) = (self.now, self.now - TICK);
+    fn send(&mut self, before: Instant) {
+        let now = self.now;
         let ready: Vec<u64> = self
             .answers
             .iter()
-            .filter(|(_, answer)| answer.ready > start && answer.ready <= now)
+            .filter(|(_, answer)| answer.ready > before && answer.ready <= now)
             .map(|(number, _)| *number)
             .collect();
         for number in ready {
@@ -287,7 +289,7 @@
         let Some(answer) = self.answers.get_mut(&number) else {
             return;
         };
-        let bytes = answer.bytes as u64;
+        let bytes = whole(answer.bytes);
         if let Some(expected) = answer.expected {
             self.admission.end(&expected, Some(bytes));
         }
@@ -383,10 +385,10 @@
             return;
         };
         if let Some(stream) = answer.stream {
-            self.schedule.end(stream, answer.allowance.max(0.0) as u64);
+            self.schedule.end(stream, whole(answer.allowance.max(0.0)));
             self.by_stream.remove(&stream);
         } else if matches!(self.way, Way::Scheduled(_)) {
-            self.schedule.note_small(self.now, answer.bytes as u64);
+            self.schedule.note_small(self.now, whole(answer.bytes));
         }
         let took = self.now - answer.begun;
         let fates = self.fates(answer.kind);
@@ -398,6 +400,15 @@
     }
 }
 
+#[expect(
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "a number of bytes"
+)]
+pub fn whole(bytes: f64) -> u64 {
+    bytes as u64
+}
+
 fn route(kind: AnswerKind) -> RouteName {
     RouteName::new(kind.name())
 }
--- a/lib/tests/test_link_schedule.rs
+++ b/lib/tests/test_link_schedule.rs
@@ -15,6 +15,7 @@
 use link_model::RATE;
 use link_model::Totals;
 use link_model::Way;
+use link_model::whole;
 use proptest::prelude::*;
 use rstest::rstest;
 
@@ -112,7 +113,7 @@
     }
 }
 
-#[derive(Clone, Debug)]
+#[derive(Clone, Copy, Debug)]
 enum Step {
     Begin(u32),
     Request(prop::sample::Index),
@@ -200,7 +201,7 @@
                 let body = self.bodies.remove(&stream).unwrap();
                 let unused = (f64::from(body.last_piece) * share).floor();
                 self.granted -= unused;
-                self.schedule.end(stream, unused as u64);
+                self.schedule.end(stream, whole(unused));
             }
             Step::Small(bytes) => self.schedule.note_small(self.now, bytes.into()),
             Step::Pass(millis) => self.now += Duration::from_millis(millis),
--- a/server/src/direct_process.rs
+++ b/server/src/direct_process.rs
@@ -133,13 +133,7 @@
     let security = PeerSecurity::from_settings(&settings.security).context(SecuritySnafu)?;
     let listeners = Listeners::bind(&settings.listen).await?;
     let until_end = CancellationToken::new();
-    if let Some(address) = settings.listen.metrics {
-        let serving = metric::serve(address, Arc::clone(&clock), until_end.clone()).await;
-        serving.context(ListenSnafu {
-            purpose: "metrics",
-            address,
-        })?;
-    }
+    serve_metrics(&settings.listen, &clock, &until_end).await?;
     let (seeds_tx, seeds) = watch::channel(settings.control_peers());
     watch_settings(settings_file, seeds_tx);
     let (ready_tx, ready) = watch::channel(false);
@@ -364,6 +358,21 @@
     }
 }
 
+async fn serve_metrics(
+    listen: &DirectListen,
+    clock: &Arc<dyn Clock>,
+    until_end: &CancellationToken,
+) -> Result<(), DirectError> {
+    let Some(address) = listen.metrics else {
+        return Ok(());
+    };
+    let serving = metric::serve(address, Arc::clone(clock), until_end.clone()).await;
+    serving.context(ListenSnafu {
+        purpose: "metrics",
+        address,
+    })
+}
+
 async fn bind(purpose: &'static str, address: SocketAddr) -> Result<TcpListener, DirectError> {
     TcpListener::bind(address)
         .await
