--- a/lib/src/direct_dispatch.rs
+++ b/lib/src/direct_dispatch.rs
@@ -248,12 +248,6 @@
         request: &DispatchRequest<'_>,
         filter: VersionFilter,
     ) -> Result<Choice, Refused> {
-        let refuse = |reason| Refused {
-            reason,
-            retry_after: RETRY_AFTER.0,
-            considered: 0,
-            shortest_wait: None,
-        };
         let Some(service) = self.services.get_mut(request.service) else {
             return Err(refuse(RefusedReason::NoBackend));
         };
@@ -310,14 +304,7 @@
             self.rank_fairness.note(now, request.rank, best.is_some());
         }
         let Some(best) = best else {
-            return Err(if candidates.is_empty() {
-                self.refuse_closed(now, request)
-                    .unwrap_or_else(|| refuse(RefusedReason::NoBackend))
-            } else if fits_without_stop(now, request, &candidates, limits) {
-                self.refuse_retry_elsewhere(RefusedReason::Leaving)
-            } else {
-                self.refuse_no_room(&candidates)
-            });
+            return Err(self.refuse_unfit(now, request, &candidates, limits));
         };
         if let Some(service) = self.services.get_mut(request.service) {
             if !request.resend {
@@ -360,6 +347,24 @@
         }
     }
 
+    /// Refuses a request for which no candidate fits.
+    fn refuse_unfit(
+        &mut self,
+        now: Instant,
+        request: &DispatchRequest<'_>,
+        candidates: &[Candidate],
+        limits: PickLimits,
+    ) -> Refused {
+        if candidates.is_empty() {
+            self.refuse_closed(now, request)
+                .unwrap_or_else(|| refuse(RefusedReason::NoBackend))
+        } else if fits_without_stop(now, request, candidates, limits) {
+            self.refuse_retry_elsewhere(RefusedReason::Leaving)
+        } else {
+            self.refuse_no_room(candidates)
+        }
+    }
+
     /// Refuses a request that another entry VM can serve immediately.
     fn refuse_retry_elsewhere(&mut self, reason: RefusedReason) -> Refused {
         Refused {
@@ -546,6 +551,15 @@
     }
 }
 
+fn refuse(reason: RefusedReason) -> Refused {
+    Refused {
+        reason,
+        retry_after: RETRY_AFTER.0,
+        considered: 0,
+        shortest_wait: None,
+    }
+}
+
 /// Returns whether a backend server would have been selected if this entry VM were not
 /// stopping.
 fn fits_without_stop(
--- a/server/src/direct_process.rs
+++ b/server/src/direct_process.rs
@@ -143,13 +143,9 @@
     let (ready_tx, ready) = watch::channel(false);
     let connections = ConnectionUsage::default();
     let link = link_pacer(&settings, &clock);
-    let link_load = link.as_ref().map(LinkPacer::load);
-    let room = headroom_task::spawn(headroom_setup(
-        &settings,
-        &connections,
-        link_load.clone(),
-        &clock,
-    ));
+    let load = link.as_ref().map(LinkPacer::load);
+    let room = headroom_setup(&settings, &connections, load.clone(), &clock);
+    let room = headroom_task::spawn(room);
     let channels = PeerChannels::new(security).leaving_from(settings.listen.callers.ip());
     let FollowerTasks {
         dispatch,
@@ -163,7 +159,7 @@
         seeds,
         ready.clone(),
         &room,
-        link_load,
+        load,
         channels,
     );
     let view = followed.view.clone();
--- a/server/tests/test_token_task.rs
+++ b/server/tests/test_token_task.rs
@@ -93,7 +93,7 @@
         let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await.unwrap();
         let address = listener.local_addr().unwrap();
         // Its bucket is full.
-        let began = Instant::now().checked_sub(Duration::from_secs(60)).unwrap();
+        let began = Instant::now().checked_sub(Duration::from_mins(1)).unwrap();
         let stand_in = Self {
             replies,
             tokens: Arc::new(Mutex::new(TokenShard::new(began))),
@@ -127,7 +127,9 @@
         let issued = self.issue(&draws);
         match self.replies {
             Replies::Slow(delay) => tokio::time::sleep(delay).await,
-            Replies::Lossy(delay, every) if number % every > 0 => tokio::time::sleep(delay).await,
+            Replies::Lossy(delay, every) if !number.is_multiple_of(every) => {
+                tokio::time::sleep(delay).await;
+            }
             Replies::Lossy(..) | Replies::Missing => std::future::pending().await,
         }
         Ok(Response::new(DrawTokensReply {
