--- a/server/tests/test_look_ups.rs
+++ b/server/tests/test_look_ups.rs
@@ -16,6 +16,7 @@
 use heatherring_lib::direct_dispatch::DispatchConfig;
 use heatherring_lib::direct_settings::DirectSettings;
 use heatherring_lib::direct_settings::LookUpSettings;
+use heatherring_lib::direct_settings::ResendSettings;
 use heatherring_lib::dispatch_policy::DispatchPolicy;
 use heatherring_lib::fleet_record::EntryRecord;
 use heatherring_lib::headroom::Headroom;
@@ -56,9 +57,9 @@
         vm: vm.clone(),
         region: RegionName::new(REGION),
         places: other.places.clone(),
-        resend_ratio: 0.1,
-        resend_slack: 10.0,
+        resends: ResendSettings::default().limit(),
         policy: DispatchPolicy::default(),
+        link_rate: None,
     };
     let (ready_tx, ready) = watch::channel(true);
     let (seeds_tx, seeds) = watch::channel(other.control_peers());
@@ -79,7 +80,7 @@
         headroom,
         channels: PeerChannels::new(security),
         clock: Arc::clone(&clock),
-        dispatch: DispatchHandle::spawn(config, clock),
+        dispatch: DispatchHandle::spawn(config, clock, None),
         crashes,
     });
     StandIn {
