link of an entry VM: a stream whose requester has left is dropped from the schedule

A caller that leaves between the pacer's reply and its receipt left an entry in the schedule for the life of the process: the stream that would say that it has ended was never made. Such entries are told by their closed channel and removed whenever the pacer's timer fires. Found by reading; no test: the window lies between two polls of one task.

--- a/server/src/link_pacer.rs
+++ b/server/src/link_pacer.rs
@@ -193,7 +193,7 @@
                     Some(message) => self.handle(message),
                     None => return,
                 },
-                () = tokio::time::sleep_until(wake_at.min(publish_at).into()) => {}
+                () = tokio::time::sleep_until(wake_at.min(publish_at).into()) => self.end_abandoned(),
             }
             self.grant();
             self.publish();
@@ -248,6 +248,18 @@
         }
     }
 
+    /// Removes streams whose requester left before it learned their keys, and which therefore end
+    /// without a message.
+    fn end_abandoned(&mut self) {
+        let grants = self.grants.iter();
+        let closed = grants.filter(|(_, grants)| grants.is_closed());
+        let closed: Vec<StreamKey> = closed.map(|(key, _)| key).collect();
+        for key in closed {
+            self.schedule.end(key, 0);
+            self.grants.remove(key);
+        }
+    }
+
     fn publish(&mut self) {
         let now = self.clock.now();
         let load = self.schedule.load(now);
