review: a late order takes an evacuated zone back

A control replica that is cut off for 1.6 s has passed an order on; the leader carries it out when the cut heals, after later orders were confirmed.

--- a/review/harness/src/main.rs
+++ b/review/harness/src/main.rs
@@ -3,6 +3,7 @@
 
 mod deployment;
 mod extra_rejection;
+mod late_order;
 mod net;
 mod record;
 mod relay;
@@ -30,6 +31,7 @@
     };
     let held = match case.as_str() {
         "extra-rejection" => extra_rejection::run(&record, trouble),
+        "late-order" => late_order::run(&record, trouble),
         _ => Err(std::io::Error::other("unknown case")),
     };
     match held {
