--- a/review/harness/src/deployment.rs
+++ b/review/harness/src/deployment.rs
@@ -154,8 +154,8 @@
         let binary = PathBuf::from(std::env::var("HEATHERRING").map_err(io::Error::other)?);
         let folder =
             std::env::temp_dir().join(format!("heatherring-review-{}", std::process::id()));
-        fs::create_dir_all(&folder)?;
         let mut block = Block::claim()?;
+        fs::create_dir_all(&folder)?;
         let mut node = |role: &str, number: usize, command| {
             let name = format!("{role}-{}-{}", ZONES[number % 3].0, number / 3 + 1);
             Node {
