sends: a log line, a counter and the decision line tell whose answer ended a send

An answer was taken for the refusal of a request without any trace of which request it named. The line `answer_mismatched`, the counter heatherring_answers_mismatched_total and the `sends` of a request that was not answered now hold the status, the identifier that the answer echoes, which request of its connection waited, and how long the connection had been idle.

No decision changes.

--- a/server/src/backend_pool.rs
+++ b/server/src/backend_pool.rs
@@ -16,7 +16,11 @@
 use std::time::Instant;
 
 use bytes::Bytes;
+use http::Request;
+use http::Response;
 use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::client::conn::TrySendError;
 use hyper::client::conn::http1;
 use hyper::client::conn::http1::SendRequest;
 use hyper_util::rt::TokioIo;
@@ -103,6 +107,10 @@
     address: SocketAddr,
     sender: SendRequest<Full<Bytes>>,
     reused: bool,
+    /// Number of requests that were sent on it.
+    sent: u32,
+    /// When it was returned to the pool last, or established.
+    idle_since: Instant,
     /// Time that it took to establish the connection.
     established_in: Duration,
     /// Drives the connection; aborting it on drop closes the socket.
@@ -118,9 +126,18 @@
 }
 
 impl BackendConnection {
-    /// Returns the side that sends requests.
-    pub fn sender(&mut self) -> &mut SendRequest<Full<Bytes>> {
-        &mut self.sender
+    /// Sends a request and waits for the head of an answer.
+    ///
+    /// # Errors
+    ///
+    /// The error returns the request if no byte of it was sent.
+    pub fn send(
+        &mut self,
+        req: Request<Full<Bytes>>,
+    ) -> impl Future<Output = Result<Response<Incoming>, TrySendError<Request<Full<Bytes>>>>> + use<>
+    {
+        self.sent = self.sent.saturating_add(1);
+        self.sender.try_send_request(req)
     }
 
     /// Returns the time that it took to establish the connection: one round trip.
@@ -129,6 +146,18 @@
         self.established_in
     }
 
+    /// Returns the number of requests that were sent on this connection.
+    #[must_use]
+    pub const fn sent(&self) -> u32 {
+        self.sent
+    }
+
+    /// Returns when this connection was returned to the pool last, or when it was established.
+    #[must_use]
+    pub const fn idle_since(&self) -> Instant {
+        self.idle_since
+    }
+
     /// Returns whether an earlier request used this connection.
     #[must_use]
     pub const fn is_reused(&self) -> bool {
@@ -347,6 +376,8 @@
         address,
         sender,
         reused: false,
+        sent: 0,
+        idle_since: Instant::now(),
         established_in,
         _driver: AbortOnDropHandle::new(driver),
     })
@@ -379,14 +410,14 @@
 
 #[derive(Debug)]
 struct IdleConnection {
-    since: Instant,
     max_idle: Duration,
     connection: BackendConnection,
 }
 
 impl IdleConnection {
     fn is_usable(&self, now: Instant) -> bool {
-        !self.connection.sender.is_closed() && now.duration_since(self.since) < self.max_idle
+        !self.connection.sender.is_closed()
+            && now.duration_since(self.connection.idle_since) < self.max_idle
     }
 }
 
@@ -460,11 +491,11 @@
 
     fn return_idle(&mut self, mut connection: BackendConnection, max_idle: Duration) {
         connection.reused = true;
+        connection.idle_since = Instant::now();
         let Some(server) = self.servers.get_mut(&connection.address) else {
             return;
         };
         server.idle.push(IdleConnection {
-            since: Instant::now(),
             max_idle,
             connection,
         });
--- a/server/src/cold_querier.rs
+++ b/server/src/cold_querier.rs
@@ -14,6 +14,7 @@
 use heatherring_lib::duration_text::whole_ms;
 use http::Request;
 use http_body_util::Full;
+use hyper::client::conn::TrySendError;
 use snafu::ResultExt;
 use snafu::Snafu;
 
@@ -96,8 +97,12 @@
             .header(http::header::HOST, query.address.to_string())
             .body(Full::<Bytes>::default())
             .context(PathSnafu)?;
-        let answering = connection.sender().send_request(req);
-        let (head, body) = answering.await.context(ExchangeSnafu)?.into_parts();
+        let answering = connection.send(req);
+        let (head, body) = answering
+            .await
+            .map_err(TrySendError::into_error)
+            .context(ExchangeSnafu)?
+            .into_parts();
         let reply = self.interface.read_health(&head, &query.name);
         if let Some(reply) = &reply {
             let received = ReceivedStatement {
--- a/server/src/direct_send.rs
+++ b/server/src/direct_send.rs
@@ -8,12 +8,15 @@
 use std::time::Instant;
 
 use bytes::Bytes;
+use heatherring_lib::answer_pairing::EchoMatch;
+use heatherring_lib::answer_pairing::EchoedId;
 use heatherring_lib::answer_size::AnswerKind;
 use heatherring_lib::backend_statement::LeavingNotice;
 use heatherring_lib::backend_statement::ReceivedStatement;
 use heatherring_lib::dispatch_request::BackendKey;
 use heatherring_lib::dispatch_request::Choice;
 use heatherring_lib::dispatch_request::SendOutcome;
+use heatherring_lib::duration_text::whole_ms;
 use heatherring_lib::fleet_update::FleetView;
 use heatherring_lib::link_admission::ExpectedAnswer;
 use heatherring_lib::link_admission::OVERHEAD_BYTES;
@@ -31,7 +34,7 @@
 use http::HeaderMap;
 use http::Method;
 use http::Request;
-use http::Response;
+use http::StatusCode;
 use http::Uri;
 use http::response;
 use http_body_util::BodyExt;
@@ -56,6 +59,7 @@
 use crate::interface::EntryInterface;
 use crate::interface::OutgoingMetadata;
 use crate::link_pacer::LinkPacer;
+use crate::metric;
 use crate::refusal_body;
 use crate::stop_observer::StopObserver;
 use crate::unread_headers::UnreadHeaders;
@@ -121,6 +125,19 @@
     pub body: AnswerBody,
 }
 
+/// What is recorded about the head of an answer, to trace which request it belonged to.
+#[derive(Clone, Copy, Debug)]
+pub struct ReceivedHead {
+    /// The status.
+    pub status: StatusCode,
+    /// Whether the answer names the request that waited for it.
+    pub echo: EchoMatch,
+    /// Which request of its connection was waiting, from 1.
+    pub position: u32,
+    /// How long the connection had been idle before that request.
+    pub idle: Duration,
+}
+
 /// Result of sending a request to a backend server.
 #[derive(Debug)]
 pub struct Sent {
@@ -130,6 +147,8 @@
     pub verdict: SendOutcome,
     /// What the backend server states in its answer; `None` without one.
     pub statement: Option<ReceivedStatement>,
+    /// The answer that was received on the connection; `None` without one.
+    pub received: Option<ReceivedHead>,
     /// Time to establish the connection; `None` if one was reused or none was established.
     pub connected_in: Option<Duration>,
     /// Size of the body of a successful answer; `None` without one, or if it is not known yet.
@@ -142,6 +161,7 @@
             outcome: outcome.into(),
             verdict,
             statement: None,
+            received: None,
             connected_in: None,
             answer_bytes: None,
         }
@@ -266,8 +286,9 @@
     ) -> Exchange {
         let message = self.message(choice, req);
         let sent = attempt.sending();
+        let sent_at = Instant::now();
         let followed = self.crashes.follow(choice.into(), req.tag);
-        let answering = connection.sender().try_send_request(message);
+        let answering = connection.send(message);
         let answering = self.in_time(req, answering);
         let answered = tokio::select! {
             answered = answering => answered,
@@ -280,6 +301,15 @@
         };
         match answered {
             Ok(Ok(response)) => {
+                let (head, body) = response.into_parts();
+                let echoed = self.interface.echoed_id(&head);
+                let received = ReceivedHead {
+                    status: head.status,
+                    echo: echoed.compare(req.request_id.as_deref()),
+                    position: connection.sent(),
+                    idle: sent_at.saturating_duration_since(connection.idle_since()),
+                };
+                log_mismatch(choice, req, &received, echoed);
                 let at = PendingAnswer {
                     choice,
                     req,
@@ -287,7 +317,9 @@
                     connection,
                     followed,
                 };
-                Exchange::Finished(Box::new(self.read(at, response).await))
+                let mut sent = self.read(at, (head, body)).await;
+                sent.received = Some(received);
+                Exchange::Finished(Box::new(sent))
             }
             Ok(Err(mut error)) => {
                 if let Some(unwritten) = error.take_message() {
@@ -368,8 +400,7 @@
         message
     }
 
-    async fn read(&self, at: PendingAnswer<'_>, response: Response<Incoming>) -> Sent {
-        let (head, body) = response.into_parts();
+    async fn read(&self, at: PendingAnswer<'_>, (head, body): (response::Parts, Incoming)) -> Sent {
         let request_id = at.req.request_id.as_deref();
         let metadata = self.interface.read_answer(&head, request_id);
         let received = ReceivedStatement {
@@ -545,6 +576,34 @@
     }
 }
 
+/// Logs an answer that does not name the request that waits for it.
+fn log_mismatch(
+    choice: &Choice,
+    req: &DirectRequest,
+    received: &ReceivedHead,
+    echoed: EchoedId<'_>,
+) {
+    if received.echo == EchoMatch::Same {
+        return;
+    }
+    metric::answer_mismatch(received.echo);
+    let echoed = match echoed {
+        EchoedId::One(id) => id,
+        EchoedId::Absent | EchoedId::Ambiguous => "",
+    };
+    log::info!(
+        event = "answer_mismatched",
+        request_id = req.request_id.as_deref().unwrap_or_default(),
+        backend = choice.name.as_str(),
+        echo = received.echo.name(),
+        echoed,
+        status = received.status.as_u16(),
+        position = received.position,
+        idle_ms = whole_ms(received.idle);
+        "a backend server's answer does not name the request that waits for it"
+    );
+}
+
 /// Returns how long a connection may be idle and still be reused.
 fn idle_time(headers: &HeaderMap) -> Duration {
     let announced = header::text(headers, "keep-alive")
--- a/server/src/dispatcher.rs
+++ b/server/src/dispatcher.rs
@@ -115,7 +115,7 @@
         };
         let reused = connection.is_reused();
         let sent = attempt.sending();
-        let answering = connection.sender().try_send_request(message);
+        let answering = connection.send(message);
         match tokio::time::timeout_at(deadline, answering).await {
             Ok(Ok(response)) => {
                 let (head, body) = response.into_parts();
--- a/server/src/header.rs
+++ b/server/src/header.rs
@@ -2,6 +2,7 @@
 //! remove headers.
 
 use heatherring_lib::action_record::CALLER_HEADER;
+use heatherring_lib::answer_pairing::EchoedId;
 use heatherring_lib::backend_statement::LeavingNotice;
 use heatherring_lib::pushback::PushbackNotice;
 use heatherring_lib::rate_limit::LimitNotice;
@@ -114,6 +115,12 @@
     headers.get(name)?.to_str().ok()
 }
 
+/// Reads the identifier of the request that an answer echoes in a header.
+#[must_use]
+pub fn echoed_id(headers: &HeaderMap, name: impl AsHeaderName) -> EchoedId<'_> {
+    EchoedId::read(texts(headers, name))
+}
+
 /// Reads the rate limit that a header declares.
 #[must_use]
 pub fn limit_notice(headers: &HeaderMap, name: impl AsHeaderName) -> LimitNotice {
--- a/server/src/interface.rs
+++ b/server/src/interface.rs
@@ -9,6 +9,7 @@
 use std::time::Duration;
 
 use futures_util::future::BoxFuture;
+use heatherring_lib::answer_pairing::EchoedId;
 use heatherring_lib::backend_statement::BackendStatement;
 use heatherring_lib::id::BackendName;
 use heatherring_lib::id::RegionName;
@@ -112,6 +113,9 @@
     /// Writes the metadata for a backend server into the caller's headers.
     fn write_request_metadata(&self, headers: &mut HeaderMap, metadata: &OutgoingMetadata<'_>);
 
+    /// Reads which request an answer names.
+    fn echoed_id<'a>(&self, head: &'a http::response::Parts) -> EchoedId<'a>;
+
     /// Reads the metadata of a backend server's answer to the request `request_id`.
     fn read_answer(&self, head: &http::response::Parts, request_id: Option<&str>)
     -> AnswerMetadata;
--- a/server/src/metric.rs
+++ b/server/src/metric.rs
@@ -9,6 +9,7 @@
 use std::sync::OnceLock;
 use std::time::Duration;
 
+use heatherring_lib::answer_pairing::EchoMatch;
 use heatherring_lib::answer_size::AnswerKind;
 use heatherring_lib::clock::Clock;
 use heatherring_lib::dispatch_request::PassedOver;
@@ -119,6 +120,11 @@
     counter!("heatherring_backend_statements_unreadable_total", "kind" => kind).increment(1);
 }
 
+/// Counts answers that do not name the request that waits for them.
+pub fn answer_mismatch(echo: EchoMatch) {
+    counter!("heatherring_answers_mismatched_total", "echo" => echo.name()).increment(1);
+}
+
 /// Counts the names of headers by which backend servers state something that is not read.
 pub fn unread_header(name: &str) {
     counter!("heatherring_backend_headers_unread_total", "header" => name.to_owned()).increment(1);
--- a/server/src/own_interface.rs
+++ b/server/src/own_interface.rs
@@ -11,6 +11,7 @@
 
 use futures_util::FutureExt;
 use futures_util::future::BoxFuture;
+use heatherring_lib::answer_pairing::EchoedId;
 use heatherring_lib::backend_load::LoadReport;
 use heatherring_lib::backend_statement::BackendStatement;
 use heatherring_lib::duration_text::whole_ms;
@@ -121,6 +122,10 @@
         header::set_or_remove(headers, &TEAM, metadata.team.map(TeamName::as_str));
     }
 
+    fn echoed_id<'a>(&self, head: &'a Parts) -> EchoedId<'a> {
+        header::echoed_id(&head.headers, &header::REQUEST_ID)
+    }
+
     fn read_answer(&self, head: &Parts, request_id: Option<&str>) -> AnswerMetadata {
         let echoed = header::text(&head.headers, &header::REQUEST_ID);
         let outcome = header::text(&head.headers, &header::OUTCOME);
--- a/server/src/request_trace.rs
+++ b/server/src/request_trace.rs
@@ -6,6 +6,7 @@
 use std::fmt;
 use std::time::Duration;
 
+use heatherring_lib::answer_pairing::EchoMatch;
 use heatherring_lib::dispatch_request::Choice;
 use heatherring_lib::dispatch_request::PassedOver;
 use heatherring_lib::dispatch_request::Refused as NoChoice;
@@ -19,6 +20,7 @@
 use heatherring_lib::rate_limit::RequestRate;
 use heatherring_lib::request_fingerprint::Fingerprint;
 
+use crate::direct_send::ReceivedHead;
 use crate::direct_send::Sent;
 use crate::log_writer::ROUTINE;
 use crate::metric;
@@ -59,6 +61,8 @@
     connected_in: Option<Duration>,
     took: Duration,
     verdict: SendOutcome,
+    /// The answer that was received; `None` without one.
+    received: Option<ReceivedHead>,
     /// Rate limit that the backend server was known to have declared.
     limit: Option<RequestRate>,
     /// Backend servers that were passed over.
@@ -97,7 +101,30 @@
             "{} after {} ms",
             self.verdict.name(),
             self.took.as_millis()
-        )
+        )?;
+        let unusual = self.received.filter(|received| {
+            self.verdict != SendOutcome::Answered || received.echo != EchoMatch::Same
+        });
+        if let Some(received) = unusual {
+            write!(
+                f,
+                " by an answer {} that names {}, {}. on its connection, idle for {} ms",
+                received.status.as_u16(),
+                named(received.echo),
+                received.position,
+                received.idle.as_millis()
+            )?;
+        }
+        Ok(())
+    }
+}
+
+const fn named(echo: EchoMatch) -> &'static str {
+    match echo {
+        EchoMatch::Same => "the request",
+        EchoMatch::Absent => "no request",
+        EchoMatch::Other => "another request",
+        EchoMatch::Ambiguous => "several requests",
     }
 }
 
@@ -159,6 +186,7 @@
             connected_in: sent.connected_in,
             took,
             verdict,
+            received: sent.received,
             limit: choice.limit,
             passed_over: choice.passed_over,
         });
