--- a/server/tests/direct_support/mod.rs
+++ b/server/tests/direct_support/mod.rs
@@ -7,6 +7,7 @@
 pub mod crashing_backend;
 mod own_process;
 pub mod scene;
+pub mod scripted_backend;
 pub mod sized_backend;
 pub mod stops;
 
