unpaired answers: rows, health checks, second attempts, unclear names, red

What callers saw besides: promises for what ran, and bodies of other requests.

Each row of refusals ends in one wrong refusal; then the answer of another ends the connection

An early refusal on a connection that stalls then was first asserted to leave the next action served. That was wrong: the kernel takes the bytes of the next one, whose end is unknown (502).

--- a/server/tests/test_unpaired_answers.rs
+++ b/server/tests/test_unpaired_answers.rs
@@ -3,7 +3,9 @@
 
 mod direct_support;
 
+use std::collections::BTreeSet;
 use std::sync::Arc;
+use std::sync::Mutex;
 use std::time::Duration;
 
 use direct_support::Deployment;
@@ -27,6 +29,12 @@
 
 const NOT_RUN: &str = "heatherring-outcome: not_run";
 
+/// An interim answer.
+const CONTINUE: &str = "HTTP/1.1 100 Continue\r\n\r\n";
+
+/// Size of a body that backend servers do not receive as a whole before they read it.
+const LONG: usize = 1 << 20;
+
 /// Actions of one test.
 const ACTIONS: usize = 24;
 
@@ -43,7 +51,7 @@
 
 /// An entry VM and two backend servers that follow one script.
 struct Scene {
-    _deployment: Deployment,
+    deployment: Deployment,
     entry: Entry,
     ledger: Arc<Ledger>,
     _backends: Vec<ScriptedBackend>,
@@ -51,6 +59,14 @@
 
 impl Scene {
     async fn start(script: impl Fn(&Arrived) -> Vec<Act> + Clone + Send + Sync + 'static) -> Self {
+        Self::start_with(healthy, script).await
+    }
+
+    /// Like [`Self::start`], with the answers to health checks.
+    async fn start_with(
+        health: fn(&Arrived) -> String,
+        script: impl Fn(&Arrived) -> Vec<Act> + Clone + Send + Sync + 'static,
+    ) -> Self {
         let mut deployment = Deployment::start(1);
         let entry = deployment.start_entry("entry-1");
         deployment.submit_routes(1, 0).await;
@@ -59,13 +75,15 @@
         for name in ["first", "second"] {
             let address = (deployment.block.next_vm(), SERVICE_PORT).into();
             let script = script.clone();
-            let script =
-                move |arrived: &Arrived| warmed(arrived).unwrap_or_else(|| script(arrived));
+            let script = move |arrived: &Arrived| {
+                let usual = usual(arrived, health);
+                usual.unwrap_or_else(|| script(arrived))
+            };
             backends.push(ScriptedBackend::start(name, address, &ledger, script).await);
             deployment.announce_address(name, address, 1).await;
         }
         let scene = Self {
-            _deployment: deployment,
+            deployment,
             entry,
             ledger,
             _backends: backends,
@@ -74,16 +92,29 @@
         scene
     }
 
-    /// Waits until the entry VM has sent requests to both backend servers.
+    /// Waits until the entry VM has sent further requests to both backend servers.
     async fn until_known(&self) {
-        let mut number = 0;
+        let earlier = self.ledger.arrived().len();
+        let mut number = earlier;
         wait_for("a request at each backend server", async || {
             number += 1;
             let key = format!("warm-{number}");
             self.ask(Method::GET, "/safe/", &key).await;
-            let arrived = self.ledger.arrived();
-            let second = arrived.iter().any(|arrived| arrived.backend == "second");
-            (second && arrived.iter().any(|arrived| arrived.backend == "first")).then_some(())
+            let arrived = self.ledger.arrived().split_off(earlier);
+            let at = |name| arrived.iter().any(|arrived| arrived.backend == name);
+            (at("first") && at("second")).then_some(())
+        })
+        .await
+        .unwrap();
+    }
+
+    /// Waits for further health checks at both backend servers.
+    async fn until_checked(&self) {
+        let earlier = self.ledger.arrived().len();
+        wait_for("health checks", async || {
+            let arrived = self.ledger.arrived().split_off(earlier);
+            let at = |name| arrived.iter().any(|at| at.is_health && at.backend == name);
+            (at("first") && at("second")).then_some(())
         })
         .await
         .unwrap();
@@ -134,6 +165,34 @@
         self.assert_kept(told).await;
     }
 
+    /// Checks that refusals by the first backend server were believed, and led to the second.
+    async fn assert_believed(&self, told: &[Told]) {
+        self.assert_kept(told).await;
+        let unknown = told.iter().find(|told| ![200, 503].contains(&told.status));
+        assert!(unknown.is_none(), "a refusal was not believed: {unknown:?}");
+        let arrived = self.ledger.arrived();
+        let was_refused = |told: &&Told| {
+            let mut at_first = arrived.iter().filter(|at| at.backend == "first");
+            at_first.any(|at| at.key == told.key)
+        };
+        let mut refused = told.iter().filter(was_refused);
+        let led_on = refused.any(|told| told.status == 200);
+        assert!(led_on, "no refusal led to the second backend server");
+    }
+
+    /// Checks that all callers were served.
+    async fn assert_served(&self, told: &[Told]) {
+        self.assert_kept(told).await;
+        let unserved: Vec<&Told> = told.iter().filter(|told| told.status != 200).collect();
+        assert!(
+            unserved.is_empty(),
+            "{} of {} were not served: {:?}",
+            unserved.len(),
+            told.len(),
+            unserved[0]
+        );
+    }
+
     /// Checks that what callers were told of their actions is true.
     async fn assert_kept(&self, told: &[Told]) {
         sleep(SETTLE).await;
@@ -160,7 +219,7 @@
 }
 
 /// Serves the requests that are sent until both backend servers are known, and health checks.
-fn warmed(arrived: &Arrived) -> Option<Vec<Act>> {
+fn usual(arrived: &Arrived, health: fn(&Arrived) -> String) -> Option<Vec<Act>> {
     if arrived.is_health {
         return Some(vec![Act::Read, Act::Write(health(arrived))]);
     }
@@ -168,9 +227,19 @@
     is_warming.then(|| vec![Act::Run, Act::Write(served(arrived))])
 }
 
-fn health(arrived: &Arrived) -> String {
+fn healthy(arrived: &Arrived) -> String {
     let backend = format!("heatherring-backend: {}", arrived.backend);
-    answer(200, &[&backend, "heatherring-cold-ms: 0"], "healthy")
+    let headers = [backend.as_str(), "heatherring-cold-ms: 0"];
+    answer(200, &headers, "health of the server")
+}
+
+fn unhealthy(_: &Arrived) -> String {
+    answer(503, &[], "health of the server")
+}
+
+/// A health check that is refused as requests are.
+fn health_refused(_: &Arrived) -> String {
+    answer(503, &[NOT_RUN], "health of the server")
 }
 
 /// Returns whether a body that names a request names another one.
@@ -179,7 +248,11 @@
     of.is_some_and(|(_, key)| key != told.key)
 }
 
+/// The header that names the request; empty if it has no identifier.
 fn id_line(arrived: &Arrived) -> String {
+    if arrived.id.is_empty() {
+        return String::new();
+    }
     format!("heatherring-request-id: {}", arrived.id)
 }
 
@@ -195,15 +268,26 @@
     answer(503, &[&id_line(arrived), NOT_RUN], &body)
 }
 
+/// A refusal by another backend server at the address.
+fn misdirected(arrived: &Arrived) -> String {
+    let body = format!("refusal of {}", arrived.key);
+    answer(421, &[&id_line(arrived)], &body)
+}
+
+/// An answer that states nothing about whether the request was run.
+fn failed(arrived: &Arrived) -> String {
+    let body = format!("failure of {}", arrived.key);
+    answer(503, &[&id_line(arrived)], &body)
+}
+
 fn is_even(arrived: &Arrived) -> bool {
     let number = arrived.key.rsplit('-').next();
     number.is_some_and(|number| number.parse::<usize>().unwrap() % 2 == 0)
 }
 
-/// Returns the action before on the connection, if there is one.
+/// Returns the latest earlier action on the connection.
 fn action_before(arrived: &Arrived) -> Option<&Arrived> {
-    let before = arrived.before.as_deref();
-    before.filter(|before| before.key.starts_with("act"))
+    arrived.earlier(|earlier| earlier.key.starts_with("act"))
 }
 
 /// When a backend server sends a refusal once more.
@@ -219,6 +303,10 @@
     Soon,
     /// In the same segment as the refusal.
     Joined,
+    /// At the next request, where the refusal itself came before the body was read.
+    Early,
+    /// At the next request, after an interim answer to that.
+    AfterInterim,
 }
 
 /// Refuses every other action, once more as `copied` tells, and runs the rest.
@@ -228,31 +316,52 @@
 ) -> impl Fn(&Arrived) -> Vec<Act> + Clone {
     move |arrived| {
         if is_even(arrived) {
-            let text = refusal(arrived);
-            return match copied {
-                Copied::Soon => vec![
-                    Act::Read,
-                    Act::Write(text.clone()),
-                    Act::Pause,
-                    Act::Stray(text),
-                ],
-                Copied::Joined => vec![Act::Read, Act::Stray(text.repeat(2))],
-                Copied::Apart | Copied::Ahead | Copied::Instead => {
-                    vec![Act::Read, Act::Write(text)]
-                }
-            };
+            return refused(refusal(arrived), copied);
         }
         let own = served(arrived);
         let before = action_before(arrived).filter(|before| is_even(before));
-        let Some(late) = before.map(refusal) else {
-            return vec![Act::Run, Act::Write(own)];
-        };
-        match copied {
-            Copied::Apart => vec![Act::Run, Act::Stray(late), Act::Pause, Act::Write(own)],
-            Copied::Ahead => vec![Act::Run, Act::Stray(late + &own)],
-            Copied::Instead => vec![Act::Run, Act::Stray(late)],
-            Copied::Soon | Copied::Joined => vec![Act::Run, Act::Write(own)],
+        match before.map(refusal) {
+            Some(late) => run_late(late, own, copied),
+            None => vec![Act::Run, Act::Write(own)],
+        }
+    }
+}
+
+fn refused(text: String, copied: Copied) -> Vec<Act> {
+    match copied {
+        Copied::Soon => {
+            let copy = Act::Stray(text.clone());
+            vec![Act::Read, Act::Write(text), Act::Pause, copy]
         }
+        Copied::Joined => vec![Act::Read, Act::Stray(text.repeat(2))],
+        Copied::Early => vec![Act::Write(text)],
+        _ => vec![Act::Read, Act::Write(text)],
+    }
+}
+
+fn run_late(late: String, own: String, copied: Copied) -> Vec<Act> {
+    match copied {
+        Copied::Apart | Copied::Early => {
+            vec![Act::Run, Act::Stray(late), Act::Pause, Act::Write(own)]
+        }
+        Copied::AfterInterim => {
+            let interim = Act::Write(CONTINUE.to_owned());
+            vec![Act::Run, interim, Act::Stray(late), Act::Write(own)]
+        }
+        Copied::Ahead => vec![Act::Run, Act::Stray(late + &own)],
+        Copied::Instead => vec![Act::Run, Act::Stray(late)],
+        Copied::Soon | Copied::Joined => vec![Act::Run, Act::Write(own)],
+    }
+}
+
+/// Refuses at the first backend server before the body is read, and serves at the second.
+fn early(after: &'static [Act]) -> impl Fn(&Arrived) -> Vec<Act> + Clone {
+    move |arrived| {
+        if arrived.backend == "second" {
+            return vec![Act::Run, Act::Write(served(arrived))];
+        }
+        let refusal = vec![Act::Write(not_run(arrived))];
+        [refusal, after.to_vec()].concat()
     }
 }
 
@@ -263,13 +372,38 @@
 #[case::copied_instead(not_run, Copied::Instead)]
 #[case::copied_soon(not_run, Copied::Soon)]
 #[case::copied_joined(not_run, Copied::Joined)]
+#[case::copied_early(not_run, Copied::Early)]
+#[case::copied_after_interim(not_run, Copied::AfterInterim)]
 #[tokio::test(flavor = "multi_thread")]
 async fn test_unpaired_refusal_of_an_earlier_request(
     #[case] refusal: fn(&Arrived) -> String,
     #[case] copied: Copied,
 ) {
     let scene = Scene::start(repeating(refusal, copied)).await;
-    let told = scene.act(4).await;
+    let bytes = if matches!(copied, Copied::Early) {
+        LONG
+    } else {
+        4
+    };
+    let told = scene.act(bytes).await;
+    scene.assert_honest(&told).await;
+}
+
+/// Guards against actions that run although a late 421 of an earlier request counts as theirs.
+#[rstest]
+#[case::misdirected_apart(Copied::Apart)]
+#[case::misdirected_ahead(Copied::Ahead)]
+#[tokio::test(flavor = "multi_thread")]
+async fn test_unpaired_misdirection_of_an_earlier_request(#[case] copied: Copied) {
+    let scene = Scene::start(repeating(misdirected, copied)).await;
+    let mut told = Vec::new();
+    for number in 0..8 {
+        // A backend server that misdirects is left alone until the view changes.
+        scene.deployment.submit_routes(number + 2, number + 1).await;
+        scene.until_known().await;
+        let key = format!("act-{number}");
+        told.push(scene.ask(Method::POST, "/once/", &key).await);
+    }
     scene.assert_honest(&told).await;
 }
 
@@ -318,3 +452,257 @@
         assert_eq!(told.body, "refusal_unproved");
     }
 }
+
+/// Guards against promises, or bodies of others, to callers that give no identifier.
+#[rstest]
+#[case::without_id_not_run(not_run)]
+#[case::without_id_503(failed)]
+#[case::without_id_200(served)]
+#[tokio::test(flavor = "multi_thread")]
+async fn test_unpaired_answer_to_a_caller_without_an_identifier(
+    #[case] text: fn(&Arrived) -> String,
+) {
+    let scene = Scene::start(move |arrived| {
+        let own = Act::Write(served(arrived));
+        match action_before(arrived) {
+            Some(before) => vec![Act::Run, Act::Stray(text(before)), Act::Pause, own],
+            None => vec![Act::Run, own],
+        }
+    })
+    .await;
+    let mut told = Vec::new();
+    for number in 0..ACTIONS {
+        let key = format!("act-{number}");
+        let sending = scene.send(Method::POST, "/once/", &key, None, 4);
+        told.push(sending.await);
+    }
+    scene.assert_kept(&told).await;
+    assert!(told.iter().any(|told| told.status == 200));
+}
+
+/// Guards against actions that run although the repeated answer to a health check counts as theirs.
+#[rstest]
+#[case::health_200(healthy, true)]
+#[case::health_503(unhealthy, true)]
+#[case::health_not_run(health_refused, true)]
+#[case::health_without_id_200(healthy, false)]
+#[case::health_without_id_503(unhealthy, false)]
+#[tokio::test(flavor = "multi_thread")]
+async fn test_unpaired_answer_to_a_health_check(
+    #[case] health: fn(&Arrived) -> String,
+    #[case] has_id: bool,
+) {
+    let mut scene = Scene::start_with(health, move |arrived| {
+        let own = Act::Write(served(arrived));
+        match arrived.before.as_deref() {
+            Some(before) if before.is_health => {
+                vec![Act::Run, Act::Stray(health(before)), Act::Pause, own]
+            }
+            _ => vec![Act::Run, own],
+        }
+    })
+    .await;
+    // Without control, entry VMs ask the backend servers themselves.
+    for replica in std::mem::take(&mut scene.deployment.replicas) {
+        replica.stop().await;
+    }
+    let mut told = Vec::new();
+    for number in 0..8 {
+        scene.until_checked().await;
+        let key = format!("act-{number}");
+        let id = has_id.then_some(key.as_str());
+        let sending = scene.send(Method::POST, "/once/", &key, id, 4);
+        told.push(sending.await);
+    }
+    scene.assert_kept(&told).await;
+}
+
+/// Checks that an answer that fails without proof reaches the caller of a safe request as it is.
+#[rstest]
+#[case::safe_503(503, 2)]
+#[case::safe_429(429, 1)]
+#[case::safe_408(408, 1)]
+#[tokio::test(flavor = "multi_thread")]
+async fn test_unproved_promise_for_a_safe_request(#[case] status: u16, #[case] runs: usize) {
+    let scene = Scene::start(move |arrived| {
+        let text = answer(status, &[&id_line(arrived)], "failed");
+        vec![Act::Run, Act::Write(text)]
+    })
+    .await;
+    let told = scene.ask(Method::GET, "/safe/", "act-0").await;
+    assert_eq!((told.status, told.body.as_str()), (status, "failed"));
+    assert_eq!(scene.ledger.ran()["act-0"], runs);
+}
+
+/// Guards against a second attempt that runs although the refusal of the first counts as its own.
+#[rstest]
+#[case::again_at_once(false)]
+#[case::again_after_another(true)]
+#[tokio::test(flavor = "multi_thread")]
+async fn test_unpaired_refusal_of_an_earlier_attempt(#[case] another: bool) {
+    let seen = Arc::new(Mutex::new(BTreeSet::new()));
+    let scene = Scene::start(move |arrived| {
+        let place = (arrived.backend.clone(), arrived.key.clone());
+        let is_first = seen.lock().unwrap().insert(place);
+        if is_first && is_even(arrived) {
+            return vec![Act::Read, Act::Write(not_run(arrived))];
+        }
+        let own = Act::Write(served(arrived));
+        match arrived.earlier(|earlier| earlier.key == arrived.key) {
+            Some(first) => vec![Act::Run, Act::Stray(not_run(first)), Act::Pause, own],
+            None => vec![Act::Run, own],
+        }
+    })
+    .await;
+    let mut told = Vec::new();
+    for number in (0..ACTIONS).step_by(2) {
+        let key = format!("act-{number}");
+        scene.ask(Method::POST, "/once/", &key).await;
+        if another {
+            let other = format!("act-{}", number + 1);
+            told.push(scene.ask(Method::POST, "/once/", &other).await);
+        }
+        told.push(scene.ask(Method::POST, "/once/", &key).await);
+    }
+    scene.assert_kept(&told).await;
+    assert!(scene.ledger.ran().contains_key("act-0"));
+}
+
+/// Guards against a connection that stays one answer behind while refusals follow each other.
+#[rstest]
+#[case::behind_row_of_2(2)]
+#[case::behind_row_of_5(5)]
+#[tokio::test(flavor = "multi_thread")]
+async fn test_unpaired_refusals_in_a_row(#[case] row: usize) {
+    let scene = Scene::start(move |arrived| {
+        let runs = |at: &Arrived| at.position.is_multiple_of(row);
+        let answered = |at: &Arrived| if runs(at) { served(at) } else { not_run(at) };
+        let act = if runs(arrived) { Act::Run } else { Act::Read };
+        match action_before(arrived) {
+            Some(before) => vec![act, Act::Stray(answered(before))],
+            None => vec![act, Act::Write(answered(arrived))],
+        }
+    })
+    .await;
+    let told = scene.act(4).await;
+    scene.assert_honest(&told).await;
+}
+
+/// Checks that a refusal that comes before a long body was read is believed.
+#[tokio::test(flavor = "multi_thread")]
+async fn test_early_refusal_leads_to_the_next() {
+    let scene = Scene::start(early(&[])).await;
+    let told = scene.act(LONG).await;
+    scene.assert_believed(&told).await;
+}
+
+/// Guards against a promise for what ran where a connection fails after an early refusal.
+#[rstest]
+#[case::early_then_stalled(&[Act::Stall])]
+#[case::early_then_closed(&[Act::Close])]
+#[tokio::test(flavor = "multi_thread")]
+async fn test_early_refusal_before_a_failure(#[case] failure: &'static [Act]) {
+    let scene = Scene::start(early(failure)).await;
+    let told = scene.act(LONG).await;
+    scene.assert_kept(&told).await;
+    assert!(told.iter().any(|told| told.status == 200));
+}
+
+/// Guards against an interim answer that counts as the answer.
+#[rstest]
+#[case::interim_100(CONTINUE)]
+#[case::interim_103("HTTP/1.1 103 Early Hints\r\nlink: </a>\r\n\r\n")]
+#[case::interim_refusal("HTTP/1.1 103 Early Hints\r\nheatherring-outcome: not_run\r\n\r\n")]
+#[tokio::test(flavor = "multi_thread")]
+async fn test_interim_answer_is_none(#[case] interim: &'static str) {
+    let scene = Scene::start(move |arrived| {
+        let interim = Act::Write(interim.to_owned());
+        let own = Act::Write(served(arrived));
+        vec![Act::Run, interim.clone(), Act::Pause, interim, own]
+    })
+    .await;
+    let told = scene.act(4).await;
+    scene.assert_served(&told).await;
+}
+
+/// Checks that refusals and answers that name their request in any valid form are believed.
+#[rstest]
+#[case::named_plainly("heatherring-request-id: {}")]
+#[case::named_in_capitals("HEATHERRING-Request-ID: {}")]
+#[case::named_in_spaces("heatherring-request-id: \t  {} \t ")]
+#[case::named_twice("heatherring-request-id: {}\r\nHeatherring-Request-Id: {}")]
+#[tokio::test(flavor = "multi_thread")]
+async fn test_own_answer_is_believed(#[case] form: &'static str) {
+    let scene = Scene::start(move |arrived| {
+        let named = form.replace("{}", &arrived.id);
+        if arrived.backend == "first" {
+            let refusal = answer(503, &[&named, NOT_RUN], "");
+            return vec![Act::Read, Act::Write(refusal)];
+        }
+        vec![Act::Run, Act::Write(answer(200, &[&named], ""))]
+    })
+    .await;
+    let told = scene.act(4).await;
+    scene.assert_believed(&told).await;
+}
+
+/// Guards against a refusal that counts although it does not clearly name the request that ran.
+#[rstest]
+#[case::unclear_own_and_other("heatherring-request-id: {}\r\nheatherring-request-id: other")]
+#[case::unclear_other_and_own("heatherring-request-id: other\r\nheatherring-request-id: {}")]
+#[case::unclear_list("heatherring-request-id: other, {}")]
+#[case::unclear_empty("heatherring-request-id:")]
+#[case::unclear_bytes("heatherring-request-id: \u{e9}")]
+#[case::unclear_letters("heatherring-request-id: A{}")]
+#[tokio::test(flavor = "multi_thread")]
+async fn test_unpaired_refusal_of_an_unclear_request(#[case] form: &'static str) {
+    let scene = Scene::start(move |arrived| {
+        let refusal = answer(503, &[&form.replace("{}", &arrived.id), NOT_RUN], "");
+        let own = Act::Write(served(arrived));
+        match action_before(arrived) {
+            Some(_) => vec![Act::Run, Act::Stray(refusal), Act::Pause, own],
+            None => vec![Act::Run, own],
+        }
+    })
+    .await;
+    let told = scene.act(4).await;
+    scene.assert_honest(&told).await;
+}
+
+/// Checks that what all backend servers refuse is refused, and does not run.
+#[tokio::test(flavor = "multi_thread")]
+async fn test_own_refusals_are_passed_on() {
+    let scene = Scene::start(|arrived| vec![Act::Read, Act::Write(not_run(arrived))]).await;
+    let told = scene.act(4).await;
+    scene.assert_kept(&told).await;
+    let refused = told.iter().filter(|told| told.status == 503);
+    assert_eq!(refused.count(), told.len());
+}
+
+/// Checks that backend servers that name no request in any answer still serve.
+#[tokio::test(flavor = "multi_thread")]
+async fn test_nameless_answers_still_serve() {
+    let scene = Scene::start(|arrived| {
+        let own = answer(200, &[], &format!("of {}", arrived.key));
+        vec![Act::Run, Act::Write(own)]
+    })
+    .await;
+    let told = scene.act(4).await;
+    scene.assert_served(&told).await;
+}
+
+/// Guards against bodies of others where no answer names its request.
+#[tokio::test(flavor = "multi_thread")]
+async fn test_nameless_answers_come_late() {
+    let scene = Scene::start(|arrived| {
+        let nameless = |at: &Arrived| answer(200, &[], &format!("of {}", at.key));
+        let own = Act::Write(nameless(arrived));
+        match arrived.earlier(|_| true) {
+            Some(before) => vec![Act::Run, Act::Stray(nameless(before)), Act::Pause, own],
+            None => vec![Act::Run, own],
+        }
+    })
+    .await;
+    let told = scene.act(4).await;
+    scene.assert_kept(&told).await;
+}
