--- a/server/tests/entry_support/mod.rs
+++ b/server/tests/entry_support/mod.rs
@@ -6,6 +6,7 @@
 
 pub mod caller;
 pub mod fake_control;
+pub mod repeating_backend;
 pub mod rig;
 pub mod scripted_backend;
 
@@ -23,10 +24,16 @@
         "deployment": "test",
         "places": {PLACE: {"region": REGION}, "place-b": {"region": REGION}, FAR_PLACE: {"region": FAR_REGION}},
         "services": {SERVICE: {
-            "operations": [{
-                "name": "read", "method": "GET", "path_prefix": "/",
-                "idempotent": true, "deadline_ms": DEADLINE_MS,
-            }],
+            "operations": [
+                {
+                    "name": "read", "method": "GET", "path_prefix": "/",
+                    "idempotent": true, "deadline_ms": DEADLINE_MS,
+                },
+                {
+                    "name": "write", "method": "POST", "path_prefix": "/",
+                    "idempotent": false, "deadline_ms": DEADLINE_MS,
+                },
+            ],
             "max_slots_per_backend": 3,
             "max_connections_per_backend": 10,
             "warm_up_ms": 1,
--- a/server/tests/entry_support/rig.rs
+++ b/server/tests/entry_support/rig.rs
@@ -141,9 +141,16 @@
 
     /// Starts a scripted backend server and waits until all entry VMs count its slots as free.
     pub async fn start_backend(&mut self, script: &[Script]) -> ScriptedBackend {
-        self.backends += 1;
         let address = SocketAddr::new(self.block.next_vm(), SERVICE_PORT);
         let backend = ScriptedBackend::start(address, script).await;
+        self.announce(address).await;
+        backend
+    }
+
+    /// Announces the backend server at `address` from now on, and waits until all entry VMs count
+    /// its slots as free.
+    pub async fn announce(&mut self, address: SocketAddr) {
+        self.backends += 1;
         let to = self.entries[0].settings.listen.backend_servers;
         let body = json!({
             "backend": format!("backend-{address}"), "service": SERVICE, "place": PLACE,
@@ -163,7 +170,6 @@
             })
             .await;
         }
-        backend
     }
 
     /// Returns the entry VM that owns the backend servers.
--- a/server/tests/test_operator_client.rs
+++ b/server/tests/test_operator_client.rs
@@ -36,6 +36,7 @@
 use heatherring_server::proto::operator_server::OperatorServer;
 use heatherring_testutils::loopback::CONTROL_PORT;
 use heatherring_testutils::loopback::LoopbackBlock;
+use rstest::rstest;
 use tokio::net::TcpListener;
 use tokio_stream::wrappers::TcpListenerStream;
 use tonic::Request;
@@ -56,6 +57,8 @@
     Hang,
     /// The replica cannot answer, and reports that it did nothing.
     Decline,
+    /// The replica refuses the request as not permitted.
+    Refuse,
 }
 
 /// A fake replica that follows its script and repeats the last step.
@@ -88,6 +91,7 @@
             Step::Lose => Err(Status::unavailable("connection reset")),
             Step::Hang => std::future::pending().await,
             Step::Decline => Err(Status::failed_precondition("no quorum")),
+            Step::Refuse => Err(Status::permission_denied("another operator")),
         }
     }
 
@@ -198,6 +202,7 @@
     Final(SubmitOutcome),
     /// The submission is proved never to have been accepted.
     NotAccepted,
+    Refused,
     Unknown,
 }
 
@@ -207,6 +212,7 @@
     match result {
         Ok(reply) => SubmissionResult::Final(reply.outcome()),
         Err(OperatorClientError::Unreachable { .. }) => SubmissionResult::NotAccepted,
+        Err(OperatorClientError::Refused { .. }) => SubmissionResult::Refused,
         Err(OperatorClientError::SubmissionUnknown { .. }) => SubmissionResult::Unknown,
         Err(error) => panic!("{error}"),
     }
@@ -216,6 +222,7 @@
 const CONFLICT: Step = Step::Answer(SubmitOutcome::VersionConflict);
 const NOT_ACCEPTED: Step = Step::Answer(SubmitOutcome::NotAccepted);
 const UNKNOWN: Step = Step::Answer(SubmitOutcome::Unknown);
+const INVALID: Step = Step::Answer(SubmitOutcome::Invalid);
 
 macro_rules! submit_cases {
     ($($name:ident: $scripts:expr => $expected:expr;)*) => {
@@ -251,6 +258,23 @@
     assert_eq!(ended, SubmissionResult::Unknown);
 }
 
+/// Guards against a submission that is reported as refused although an earlier copy may be accepted.
+#[rstest]
+#[case::refused(Step::Refuse)]
+#[case::invalid(INVALID)]
+#[tokio::test]
+async fn test_operator_client_lost_answer_outweighs_a_refusal(#[case] later: Step) {
+    let ended = submit(&[&[Step::Lose], &[later]]).await;
+    assert_eq!(ended, SubmissionResult::Unknown);
+}
+
+/// Guards against a refusal of the only copy that is reported as unknown.
+#[tokio::test]
+async fn test_operator_client_refusal_is_final() {
+    let ended = submit(&[&[Step::Refuse], &[ACCEPTED]]).await;
+    assert_eq!(ended, SubmissionResult::Refused);
+}
+
 #[tokio::test]
 async fn test_operator_client_status_without_quorum_is_marked() {
     let replicas = Replicas::start_with(&[&[ACCEPTED], &[ACCEPTED]], false).await;
