--- a/server/tests/test_raft_rounds.rs
+++ b/server/tests/test_raft_rounds.rs
@@ -160,6 +160,7 @@
     let answered = std::mem::take(&mut pair.sent);
     pair.answers.clear();
     let read = pair.read();
+    assert_eq!(pair.answers, [], "only the late answer is left to arrive");
     pair.sent = answered;
     pair.deliver(FIRST);
     let served = pair
