unpaired answers: a server that names no request names none before the test either

The test of backend servers that name no request in any answer asks that they serve. They named the requests that are sent until they are known, so that their connections were kept, and the first request on each was asked to trust a nameless answer on a used connection. Now they name none at all.

--- a/server/tests/test_unpaired_answers.rs
+++ b/server/tests/test_unpaired_answers.rs
@@ -66,6 +66,17 @@
     async fn start_with(
         health: fn(&Arrived) -> String,
         script: impl Fn(&Arrived) -> Vec<Act> + Clone + Send + Sync + 'static,
+    ) -> Self {
+        let script = move |arrived: &Arrived| {
+            let usual = usual(arrived, health);
+            usual.unwrap_or_else(|| script(arrived))
+        };
+        Self::start_plain(script).await
+    }
+
+    /// Like [`Self::start`], with a script for all requests.
+    async fn start_plain(
+        script: impl Fn(&Arrived) -> Vec<Act> + Clone + Send + Sync + 'static,
     ) -> Self {
         let mut deployment = Deployment::start(1);
         let entry = deployment.start_entry("entry-1");
@@ -74,12 +85,8 @@
         let mut backends = Vec::new();
         for name in ["first", "second"] {
             let address = (deployment.block.next_vm(), SERVICE_PORT).into();
-            let script = script.clone();
-            let script = move |arrived: &Arrived| {
-                let usual = usual(arrived, health);
-                usual.unwrap_or_else(|| script(arrived))
-            };
-            backends.push(ScriptedBackend::start(name, address, &ledger, script).await);
+            let backend = ScriptedBackend::start(name, address, &ledger, script.clone());
+            backends.push(backend.await);
             deployment.announce_address(name, address, 1).await;
         }
         let scene = Self {
@@ -679,14 +686,16 @@
     assert_eq!(refused.count(), told.len());
 }
 
+/// An answer to a request that was run, which names none.
+fn nameless(arrived: &Arrived) -> String {
+    answer(200, &[], &format!("of {}", arrived.key))
+}
+
 /// Checks that backend servers that name no request in any answer still serve.
 #[tokio::test(flavor = "multi_thread")]
 async fn test_nameless_answers_still_serve() {
-    let scene = Scene::start(|arrived| {
-        let own = answer(200, &[], &format!("of {}", arrived.key));
-        vec![Act::Run, Act::Write(own)]
-    })
-    .await;
+    let script = |arrived: &Arrived| vec![Act::Run, Act::Write(nameless(arrived))];
+    let scene = Scene::start_plain(script).await;
     let told = scene.act(4).await;
     scene.assert_served(&told).await;
 }
@@ -694,15 +703,14 @@
 /// Guards against bodies of others where no answer names its request.
 #[tokio::test(flavor = "multi_thread")]
 async fn test_nameless_answers_come_late() {
-    let scene = Scene::start(|arrived| {
-        let nameless = |at: &Arrived| answer(200, &[], &format!("of {}", at.key));
+    let script = |arrived: &Arrived| {
         let own = Act::Write(nameless(arrived));
-        match arrived.earlier(|_| true) {
-            Some(before) => vec![Act::Run, Act::Stray(nameless(before)), Act::Pause, own],
+        match arrived.earlier(|_| true).map(nameless) {
+            Some(late) => vec![Act::Run, Act::Stray(late), Act::Pause, own],
             None => vec![Act::Run, own],
         }
-    })
-    .await;
+    };
+    let scene = Scene::start_plain(script).await;
     let told = scene.act(4).await;
     scene.assert_kept(&told).await;
 }
