fake backend server: answers echo the identifier of their request

Cause: neither answers nor refusals of the stand-in bore heatherring-request-id, so no test over processes had backend servers whose answers name their request.

Change: each answer, refusals and passed deadlines included, echoes the identifier.

--- a/testutils/src/fake_backend_server.rs
+++ b/testutils/src/fake_backend_server.rs
@@ -2,7 +2,8 @@
 //!
 //! It has slots, takes a drawn time for each request, announces itself, sheds what is
 //! beyond its slots, honours deadlines and cancellation, and keeps a ledger of
-//! everything that it ran.
+//! everything that it ran. Each answer, a refusal too, echoes the identifier of its
+//! request.
 
 use std::convert::Infallible;
 use std::io;
@@ -352,11 +353,7 @@
     let service = service_fn(move |req| {
         let server = Arc::clone(&server);
         let number = requests.fetch_add(1, Ordering::Relaxed);
-        async move {
-            let mut response = server.handle(req, serial, number).await;
-            server.state(&mut response);
-            Ok::<_, Infallible>(response)
-        }
+        async move { Ok::<_, Infallible>(server.answer(req, serial, number).await) }
     });
     let connection = hyper::server::conn::http1::Builder::new()
         .timer(TokioTimer::new())
@@ -371,6 +368,21 @@
 }
 
 impl Server {
+    async fn answer(
+        &self,
+        req: Request<Incoming>,
+        connection: u64,
+        number: u32,
+    ) -> Response<Full<Bytes>> {
+        let id = req.headers().get(echo::REQUEST_ID_HEADER).cloned();
+        let mut response = self.handle(req, connection, number).await;
+        self.state(&mut response);
+        if let Some(id) = id {
+            response.headers_mut().insert(echo::REQUEST_ID_HEADER, id);
+        }
+        response
+    }
+
     /// Adds what the server states about itself.
     fn state(&self, response: &mut Response<Full<Bytes>>) {
         let is_refusal = response.status() == StatusCode::SERVICE_UNAVAILABLE;
--- a/testutils/tests/test_fake_backend_server.rs
+++ b/testutils/tests/test_fake_backend_server.rs
@@ -24,6 +24,12 @@
 use hyper_util::client::legacy::Client;
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::TokioExecutor;
+use rstest::rstest;
+use tokio::io::AsyncBufReadExt;
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
+use tokio::io::BufReader;
+use tokio::net::TcpStream;
 
 const NEVER_MS: f64 = 600_000.0;
 
@@ -37,6 +43,10 @@
 
 impl Fixture {
     async fn start(slots: u32, service_ms: f64) -> Self {
+        Self::start_with(slots, service_ms, Behaviour::default()).await
+    }
+
+    async fn start_with(slots: u32, service_ms: f64, behaviour: Behaviour) -> Self {
         let mut block = LoopbackBlock::claim().unwrap();
         let address = SocketAddr::new(block.next_vm(), SERVICE_PORT);
         let folder = tempfile::tempdir().unwrap();
@@ -55,7 +65,7 @@
             starting_ms: 0,
             connection_ms: 1,
             linger_ms: 0,
-            behaviour: Behaviour::default(),
+            behaviour,
         };
         Self {
             server: FakeBackendServer::start(config, ledger).await.unwrap(),
@@ -94,6 +104,67 @@
     }
 }
 
+/// A kept connection on which each answer is read on its own, whichever request it belongs to.
+struct KeptConnection {
+    stream: BufReader<TcpStream>,
+}
+
+#[derive(Debug, Eq, PartialEq)]
+struct Answer {
+    status: String,
+    id: Option<String>,
+    body: Vec<u8>,
+}
+
+impl KeptConnection {
+    async fn open(fixture: &Fixture) -> Self {
+        let stream = TcpStream::connect(fixture.address).await.unwrap();
+        Self {
+            stream: BufReader::new(stream),
+        }
+    }
+
+    /// Sends a request whose identifier is its nonce.
+    async fn send(&mut self, nonce: &str, deadline_ms: u32) {
+        let req = format!(
+            "GET /strength HTTP/1.1\r\nhost: b1\r\n{}: {nonce}\r\n{}: {nonce}\r\n{}: {deadline_ms}\r\n\r\n",
+            echo::NONCE_HEADER,
+            echo::REQUEST_ID_HEADER,
+            echo::DEADLINE_HEADER,
+        );
+        self.stream.write_all(req.as_bytes()).await.unwrap();
+    }
+
+    async fn read(&mut self) -> Answer {
+        let line = self.read_line().await;
+        let mut answer = Answer {
+            status: line.strip_prefix("HTTP/1.1 ").unwrap().to_owned(),
+            id: None,
+            body: Vec::new(),
+        };
+        loop {
+            let line = self.read_line().await;
+            let Some((name, value)) = line.split_once(": ") else {
+                assert_eq!(line, "");
+                break;
+            };
+            match name {
+                "content-length" => answer.body.resize(value.parse().unwrap(), 0),
+                echo::REQUEST_ID_HEADER => answer.id = Some(value.to_owned()),
+                _ => {}
+            }
+        }
+        self.stream.read_exact(&mut answer.body).await.unwrap();
+        answer
+    }
+
+    async fn read_line(&mut self) -> String {
+        let mut line = String::new();
+        self.stream.read_line(&mut line).await.unwrap();
+        line.trim_end().to_owned()
+    }
+}
+
 fn ended(finish: Finish) -> impl Fn(&LedgerEventKind) -> bool {
     move |kind| matches!(kind, LedgerEventKind::End { finish: found, .. } if *found == finish)
 }
@@ -170,3 +241,19 @@
         .unwrap();
     assert_eq!(running.await.unwrap().unwrap().status(), StatusCode::OK);
 }
+
+#[rstest]
+#[case::answered(Behaviour::default(), "200 OK")]
+#[case::deadline(Behaviour { slowness: 1_000.0, ..Behaviour::default() }, "504 Gateway Timeout")]
+#[case::refused(Behaviour { shed_percent: 100, ..Behaviour::default() }, "503 Service Unavailable")]
+#[tokio::test]
+async fn test_fake_backend_server_echoes_id(#[case] behaviour: Behaviour, #[case] status: &str) {
+    let fixture = Fixture::start_with(1, 1.0, behaviour).await;
+    let mut connection = KeptConnection::open(&fixture).await;
+    for nonce in ["n1", "n2"] {
+        connection.send(nonce, 100).await;
+        let answer = connection.read().await;
+        assert_eq!(answer.status, status);
+        assert_eq!(answer.id.as_deref(), Some(nonce));
+    }
+}
