fake backend server: repeats a drawn share of its answers late

Cause: in the incident of unpaired answers a backend server is suspected of sending a refusal once more, late, on a kept connection; the stand-in couldn't do so.

Change: repeat_percent and repeat_without_id, both off by default. A copy of a drawn answer is held, and put before everything else on the connection once the next request has arrived, without waiting for that request's end. The draw doesn't change the request's other draws. Hyper's server stays; its stream is wrapped.

Trials of faulty copies: with no flush of the late answer repeat_comes_before_the_end fails; with the late answer sent right after the first one the four cases of repeats_late fail.

--- a/testutils/src/fake_backend_server.rs
+++ b/testutils/src/fake_backend_server.rs
@@ -45,6 +45,8 @@
 use crate::echo::AnswerHead;
 use crate::echo::answer_body;
 use crate::echo::request_digest;
+use crate::late_answer::LateAnswer;
+use crate::late_answer::LateAnswerStream;
 use crate::ledger::Asked;
 use crate::ledger::Finish;
 use crate::ledger::Ledger;
@@ -57,6 +59,9 @@
 const POLL: Duration = Duration::from_millis(10);
 /// How long a leaving server waits for somebody to take its announcement.
 const LEAVE_ANNOUNCEMENT_BOUND: Duration = Duration::from_secs(5);
+/// Where a request's generator draws whether its answer is repeated; far behind its other draws,
+/// which a repeat doesn't change.
+const REPEAT_DRAW: u128 = 1 << 32;
 
 /// Describes a fake backend server.
 #[derive(Clone, Debug, Deserialize, Serialize)]
@@ -123,6 +128,12 @@
     pub pause_ms: u64,
     /// Factor on each service time.
     pub slowness: f64,
+    /// Share of answers, refusals too, that it sends once more, 0 to 100. The repeat comes late:
+    /// when the next request arrives on the connection, before the answer to it. That request is
+    /// handled as usual.
+    pub repeat_percent: u8,
+    /// Whether a repeat lacks the identifier of its request.
+    pub repeat_without_id: bool,
 }
 
 impl Default for Behaviour {
@@ -132,6 +143,8 @@
             shed_percent: 0,
             pause_ms: 0,
             slowness: 1.0,
+            repeat_percent: 0,
+            repeat_without_id: false,
         }
     }
 }
@@ -350,10 +363,14 @@
     let _ = stream.set_nodelay(true);
     sleep(Duration::from_millis(server.config.connection_ms)).await;
     let requests = Arc::new(AtomicU32::new(0));
+    let late = LateAnswer::default();
+    let stream = LateAnswerStream::new(stream, late.clone());
     let service = service_fn(move |req| {
+        late.fall_due();
+        let late = late.clone();
         let server = Arc::clone(&server);
         let number = requests.fetch_add(1, Ordering::Relaxed);
-        async move { Ok::<_, Infallible>(server.answer(req, serial, number).await) }
+        async move { Ok::<_, Infallible>(server.answer(req, serial, number, &late).await) }
     });
     let connection = hyper::server::conn::http1::Builder::new()
         .timer(TokioTimer::new())
@@ -373,6 +390,7 @@
         req: Request<Incoming>,
         connection: u64,
         number: u32,
+        late: &LateAnswer,
     ) -> Response<Full<Bytes>> {
         let id = req.headers().get(echo::REQUEST_ID_HEADER).cloned();
         let mut response = self.handle(req, connection, number).await;
@@ -380,9 +398,38 @@
         if let Some(id) = id {
             response.headers_mut().insert(echo::REQUEST_ID_HEADER, id);
         }
+        self.hold_repeat(&response, self.rng(connection, number), late)
+            .await;
         response
     }
 
+    /// Holds a copy of the answer if it is drawn to be repeated.
+    async fn hold_repeat(
+        &self,
+        response: &Response<Full<Bytes>>,
+        mut rng: ChaCha8Rng,
+        late: &LateAnswer,
+    ) {
+        let behaviour = *self.behaviour.borrow();
+        rng.set_word_pos(REPEAT_DRAW);
+        if rng.random_range(0..100) >= behaviour.repeat_percent {
+            return;
+        }
+        let mut copy = response.clone();
+        if behaviour.repeat_without_id {
+            copy.headers_mut().remove(echo::REQUEST_ID_HEADER);
+        }
+        late.hold(&copy).await;
+    }
+
+    /// Returns a generator of the request's own, so that a draw doesn't depend on the order in
+    /// which concurrent requests happen to be handled.
+    fn rng(&self, connection: u64, number: u32) -> ChaCha8Rng {
+        let mut rng = ChaCha8Rng::seed_from_u64(self.rng_seed);
+        rng.set_stream(connection << 32 | u64::from(number));
+        rng
+    }
+
     /// Adds what the server states about itself.
     fn state(&self, response: &mut Response<Full<Bytes>>) {
         let is_refusal = response.status() == StatusCode::SERVICE_UNAVAILABLE;
@@ -421,10 +468,7 @@
             origin: header(&parts.headers, echo::ORIGIN_HEADER),
             digest: digest.clone(),
         };
-        // Each request has a generator of its own, so that a draw doesn't depend on
-        // the order in which concurrent requests happen to be handled.
-        let mut rng = ChaCha8Rng::seed_from_u64(self.rng_seed);
-        rng.set_stream(connection << 32 | u64::from(number));
+        let mut rng = self.rng(connection, number);
         let behaviour = *self.behaviour.borrow();
         if rng.random_range(0..100) < behaviour.shed_percent {
             self.ledger
--- a/testutils/src/lib.rs
+++ b/testutils/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod direct_policy;
 pub mod echo;
 pub mod fake_backend_server;
+mod late_answer;
 pub mod ledger;
 pub mod load_summary;
 pub mod loopback;
--- a/testutils/tests/test_fake_backend_server.rs
+++ b/testutils/tests/test_fake_backend_server.rs
@@ -1,5 +1,6 @@
 //! Shows that a fake backend server does what tests rely on.
 
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::path::Path;
 use std::time::Duration;
@@ -136,6 +137,11 @@
     }
 
     async fn read(&mut self) -> Answer {
+        let answer = tokio::time::timeout(Duration::from_mins(1), self.read_whole());
+        answer.await.unwrap()
+    }
+
+    async fn read_whole(&mut self) -> Answer {
         let line = self.read_line().await;
         let mut answer = Answer {
             status: line.strip_prefix("HTTP/1.1 ").unwrap().to_owned(),
@@ -158,6 +164,13 @@
         answer
     }
 
+    /// Returns whether nothing has arrived that isn't read.
+    fn is_silent(&self) -> bool {
+        let read = self.stream.get_ref().try_read(&mut [0]);
+        let is_blocked = read.is_err_and(|err| err.kind() == ErrorKind::WouldBlock);
+        is_blocked && self.stream.buffer().is_empty()
+    }
+
     async fn read_line(&mut self) -> String {
         let mut line = String::new();
         self.stream.read_line(&mut line).await.unwrap();
@@ -257,3 +270,93 @@
         assert_eq!(answer.id.as_deref(), Some(nonce));
     }
 }
+
+#[rstest]
+#[tokio::test]
+async fn test_fake_backend_server_repeats_late(
+    #[values(0, 100)] shed_percent: u8,
+    #[values(false, true)] repeat_without_id: bool,
+) {
+    let behaviour = Behaviour {
+        shed_percent,
+        repeat_percent: 100,
+        repeat_without_id,
+        ..Behaviour::default()
+    };
+    let fixture = Fixture::start_with(1, 1.0, behaviour).await;
+    let mut connection = KeptConnection::open(&fixture).await;
+    connection.send("n1", 60_000).await;
+    let first = connection.read().await;
+    assert_eq!(first.id.as_deref(), Some("n1"));
+    // A whole request on another connection gives a repeat that comes too early the time for it.
+    fixture.ask("n0", "60000").await;
+    assert!(connection.is_silent());
+    fixture.server.set_behaviour(Behaviour::default());
+    connection.send("n2", 60_000).await;
+    let repeat = connection.read().await;
+    let id = first.id.clone().filter(|_| !repeat_without_id);
+    assert_eq!(repeat, Answer { id, ..first });
+    let real = connection.read().await;
+    assert_eq!(real.id.as_deref(), Some("n2"));
+    let digest = echo::request_digest("GET", "/strength", "n2", b"");
+    echo::check_answer("n2", &digest, &real.body).unwrap();
+    let ran = |kind: &LedgerEventKind| matches!(kind, LedgerEventKind::Start(asked) if asked.nonce == "n2");
+    fixture.wait_for_kind("start", ran).await;
+}
+
+#[tokio::test]
+async fn test_fake_backend_server_repeat_comes_before_the_end() {
+    let refusing = Behaviour {
+        shed_percent: 100,
+        repeat_percent: 100,
+        ..Behaviour::default()
+    };
+    let fixture = Fixture::start_with(1, NEVER_MS, refusing).await;
+    let mut connection = KeptConnection::open(&fixture).await;
+    connection.send("n1", 600_001).await;
+    let refusal = connection.read().await;
+    fixture.server.set_behaviour(Behaviour::default());
+    connection.send("n2", 600_001).await;
+    assert_eq!(connection.read().await, refusal);
+    let started = |kind: &LedgerEventKind| matches!(kind, LedgerEventKind::Start(_));
+    fixture.wait_for_kind("start", started).await;
+    drop(connection);
+    let cancelled = ended(Finish::Cancelled);
+    fixture.wait_for_kind("cancelled", cancelled).await;
+}
+
+/// Returns which answers of a connection were repeated.
+async fn repeats(repeat_percent: u8) -> Vec<bool> {
+    let behaviour = Behaviour {
+        repeat_percent,
+        ..Behaviour::default()
+    };
+    let fixture = Fixture::start_with(1, 0.0, behaviour).await;
+    let mut connection = KeptConnection::open(&fixture).await;
+    let mut repeats = Vec::new();
+    for number in 0..50 {
+        let nonce = format!("n{number}");
+        connection.send(&nonce, 60_000).await;
+        let is_repeat = connection.read().await.id.as_ref() != Some(&nonce);
+        if is_repeat {
+            assert_eq!(connection.read().await.id.as_ref(), Some(&nonce));
+        }
+        repeats.push(is_repeat);
+    }
+    repeats
+}
+
+#[tokio::test]
+async fn test_fake_backend_server_draws_repeats() {
+    let drawn = repeats(50).await;
+    assert!(drawn.contains(&true) && drawn[1..].contains(&false));
+    assert_eq!(repeats(50).await, drawn);
+    assert!(!repeats(0).await.contains(&true));
+}
+
+#[test]
+fn test_fake_backend_server_repeats_nothing_by_default() {
+    let behaviour: Behaviour = serde_json::from_str("{}").unwrap();
+    assert_eq!(behaviour.repeat_percent, 0);
+    assert!(!behaviour.repeat_without_id);
+}
