fake backend server: spells, a behaviour that comes and goes

Cause: the behaviour of a backend server in a process of its own is fixed by its settings, so a soak over processes couldn't have a fault for part of the time.

Change: the settings take a spell, a second behaviour with its times off and on; off by default. DeploymentPlan draws spells for some backend servers from its seed: they refuse a share of requests and repeat a share of answers late, with or without the identifier.

--- a/testutils/src/deployment_plan.rs
+++ b/testutils/src/deployment_plan.rs
@@ -1,8 +1,13 @@
 //! Which cluster and which backend servers a deployment has.
 
+use std::collections::BTreeMap;
 use std::collections::BTreeSet;
+use std::ops::RangeInclusive;
 use std::time::Duration;
 
+use rand::Rng;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
 use serde_json::Value;
 use serde_json::json;
 
@@ -11,6 +16,7 @@
 use crate::cluster_plan::VmPlan;
 use crate::fake_backend_server::Behaviour;
 use crate::fake_backend_server::FakeBackendServerConfig;
+use crate::fake_backend_server::Spell;
 use crate::service_time::ServiceTime;
 
 /// How long callers wait for a response unless a plan says otherwise; much longer than
@@ -18,6 +24,12 @@
 const PATIENCE: Duration = Duration::from_secs(10);
 /// Control replicas of each deployment.
 const CONTROLS: usize = 3;
+/// Share of the backend servers that have spells, if they are drawn.
+const SPELL_SHARE: f64 = 0.5;
+/// Time before a drawn spell, and how long it lasts, in milliseconds.
+const SPELL_MS: RangeInclusive<u64> = 1_000..=4_000;
+/// Share of requests that are refused, and of answers that are repeated, in a drawn spell.
+const SPELL_PERCENT: RangeInclusive<u8> = 20..=60;
 
 /// Describes the backend servers of one service at one place.
 #[derive(Clone, Debug)]
@@ -36,6 +48,13 @@
     pub service_time: ServiceTime,
 }
 
+impl BackendGroup {
+    /// Returns the names of the backend servers.
+    fn names(&self) -> impl Iterator<Item = String> {
+        (1..=self.count).map(|number| format!("{}-{}-{number}", self.service, self.place))
+    }
+}
+
 /// Describes a deployment.
 #[derive(Clone, Debug)]
 pub struct DeploymentPlan {
@@ -49,6 +68,8 @@
     pub patience: Duration,
     /// What backend servers do besides serving.
     pub behaviour: Behaviour,
+    /// What some of them do for part of the time, by their names.
+    pub spells: BTreeMap<String, Spell>,
     /// Seed of everything that is drawn.
     pub seed: u64,
 }
@@ -89,6 +110,7 @@
             empty_services: vec!["curing".to_owned()],
             patience: PATIENCE,
             behaviour: Behaviour::default(),
+            spells: BTreeMap::new(),
             seed,
         }
     }
@@ -157,10 +179,36 @@
             empty_services: Vec::new(),
             patience: PATIENCE,
             behaviour: Behaviour::default(),
+            spells: BTreeMap::new(),
             seed,
         }
     }
 
+    /// Draws backend servers that for part of the time refuse a share of requests and repeat a
+    /// share of their answers late.
+    pub fn draw_late_repeats(&mut self) {
+        let mut rng = ChaCha8Rng::seed_from_u64(self.seed);
+        for name in self.groups.iter().flat_map(BackendGroup::names) {
+            if rng.random_bool(SPELL_SHARE) {
+                let spell = self.draw_spell(&mut rng);
+                self.spells.insert(name, spell);
+            }
+        }
+    }
+
+    fn draw_spell(&self, rng: &mut impl Rng) -> Spell {
+        Spell {
+            behaviour: Behaviour {
+                shed_percent: rng.random_range(SPELL_PERCENT),
+                repeat_percent: rng.random_range(SPELL_PERCENT),
+                repeat_without_id: rng.random(),
+                ..self.behaviour
+            },
+            off_ms: rng.random_range(SPELL_MS),
+            on_ms: rng.random_range(SPELL_MS),
+        }
+    }
+
     /// Returns all slots of a service's backend servers.
     #[must_use]
     pub fn slots(&self, service: &str) -> u32 {
@@ -202,9 +250,11 @@
         group: &BackendGroup,
         cluster: &mut Cluster,
     ) -> Vec<FakeBackendServerConfig> {
-        (0..group.count)
-            .map(|number| FakeBackendServerConfig {
-                backend: format!("{}-{}-{}", group.service, group.place, number + 1),
+        let named = (0_u64..).zip(group.names());
+        named
+            .map(|(number, backend)| FakeBackendServerConfig {
+                spell: self.spells.get(&backend).copied(),
+                backend,
                 service: group.service.clone(),
                 place: group.place.clone(),
                 address: cluster.next_backend_address(),
@@ -212,7 +262,7 @@
                 max_connections: 330,
                 announce_to: cluster.announce_addresses(),
                 service_time: group.service_time,
-                seed: self.seed + u64::from(number),
+                seed: self.seed + number,
                 answer_bytes: 512,
                 starting_ms: 0,
                 connection_ms: 1,
--- a/testutils/src/fake_backend_server.rs
+++ b/testutils/src/fake_backend_server.rs
@@ -101,6 +101,9 @@
     /// What can be changed while it runs.
     #[serde(default)]
     pub behaviour: Behaviour,
+    /// What it does otherwise for part of the time.
+    #[serde(default)]
+    pub spell: Option<Spell>,
 }
 
 const fn default_answer_bytes() -> usize {
@@ -149,6 +152,30 @@
     }
 }
 
+/// Describes a behaviour that comes and goes, beginning with a time without it.
+///
+/// It replaces what the server does with requests; the load report stays that of its
+/// [`FakeBackendServerConfig::behaviour`].
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct Spell {
+    /// What the server does during a spell.
+    pub behaviour: Behaviour,
+    /// Time before each spell, in milliseconds.
+    pub off_ms: u64,
+    /// How long each spell lasts, in milliseconds.
+    pub on_ms: u64,
+}
+
+impl Spell {
+    /// Returns whether a spell lasts at this time after the server's start.
+    #[must_use]
+    pub fn is_on(&self, since_start: Duration) -> bool {
+        let cycle_ms = u128::from(self.off_ms + self.on_ms).max(1);
+        since_start.as_millis() % cycle_ms >= u128::from(self.off_ms)
+    }
+}
+
 /// Tells how the load report relates to the truth.
 #[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(rename_all = "snake_case")]
@@ -235,6 +262,7 @@
                 slots: config.slots,
             },
             rng_seed: config.seed,
+            begun: Instant::now(),
             config,
             ledger,
             behaviour: behaviour_rx,
@@ -274,6 +302,7 @@
 struct Server {
     identity: LedgerServer,
     rng_seed: u64,
+    begun: Instant,
     config: FakeBackendServerConfig,
     ledger: Ledger,
     behaviour: watch::Receiver<Behaviour>,
@@ -385,6 +414,13 @@
 }
 
 impl Server {
+    /// Returns what the server does with requests now.
+    fn behaviour(&self) -> Behaviour {
+        let spell = self.config.spell;
+        let spell = spell.filter(|spell| spell.is_on(self.begun.elapsed()));
+        spell.map_or_else(|| *self.behaviour.borrow(), |spell| spell.behaviour)
+    }
+
     async fn answer(
         &self,
         req: Request<Incoming>,
@@ -410,7 +446,7 @@
         mut rng: ChaCha8Rng,
         late: &LateAnswer,
     ) {
-        let behaviour = *self.behaviour.borrow();
+        let behaviour = self.behaviour();
         rng.set_word_pos(REPEAT_DRAW);
         if rng.random_range(0..100) >= behaviour.repeat_percent {
             return;
@@ -433,7 +469,7 @@
     /// Adds what the server states about itself.
     fn state(&self, response: &mut Response<Full<Bytes>>) {
         let is_refusal = response.status() == StatusCode::SERVICE_UNAVAILABLE;
-        let pause = Duration::from_millis(self.behaviour.borrow().pause_ms);
+        let pause = Duration::from_millis(self.behaviour().pause_ms);
         let headers = response.headers_mut();
         if is_refusal
             && !pause.is_zero()
@@ -469,7 +505,7 @@
             digest: digest.clone(),
         };
         let mut rng = self.rng(connection, number);
-        let behaviour = *self.behaviour.borrow();
+        let behaviour = self.behaviour();
         if rng.random_range(0..100) < behaviour.shed_percent {
             self.ledger
                 .note(&self.identity, LedgerEventKind::Shed(asked));
--- a/testutils/tests/test_fake_backend_server.rs
+++ b/testutils/tests/test_fake_backend_server.rs
@@ -10,6 +10,7 @@
 use heatherring_testutils::fake_backend_server::Behaviour;
 use heatherring_testutils::fake_backend_server::FakeBackendServer;
 use heatherring_testutils::fake_backend_server::FakeBackendServerConfig;
+use heatherring_testutils::fake_backend_server::Spell;
 use heatherring_testutils::ledger;
 use heatherring_testutils::ledger::Finish;
 use heatherring_testutils::ledger::Ledger;
@@ -48,6 +49,15 @@
     }
 
     async fn start_with(slots: u32, service_ms: f64, behaviour: Behaviour) -> Self {
+        Self::start_in_spell(slots, service_ms, behaviour, None).await
+    }
+
+    async fn start_in_spell(
+        slots: u32,
+        service_ms: f64,
+        behaviour: Behaviour,
+        spell: Option<Spell>,
+    ) -> Self {
         let mut block = LoopbackBlock::claim().unwrap();
         let address = SocketAddr::new(block.next_vm(), SERVICE_PORT);
         let folder = tempfile::tempdir().unwrap();
@@ -67,6 +77,7 @@
             connection_ms: 1,
             linger_ms: 0,
             behaviour,
+            spell,
         };
         Self {
             server: FakeBackendServer::start(config, ledger).await.unwrap(),
@@ -360,3 +371,41 @@
     assert_eq!(behaviour.repeat_percent, 0);
     assert!(!behaviour.repeat_without_id);
 }
+
+#[rstest]
+#[case::before(0, false)]
+#[case::last_before(1_999, false)]
+#[case::first(2_000, true)]
+#[case::last(2_999, true)]
+#[case::after(3_000, false)]
+#[case::second(5_000, true)]
+fn test_fake_backend_server_spell_comes_and_goes(#[case] since_start_ms: u64, #[case] is_on: bool) {
+    let spell = Spell {
+        behaviour: Behaviour::default(),
+        off_ms: 2_000,
+        on_ms: 1_000,
+    };
+    assert_eq!(spell.is_on(Duration::from_millis(since_start_ms)), is_on);
+}
+
+#[rstest]
+#[case::lasting(0, 1, StatusCode::SERVICE_UNAVAILABLE)]
+#[case::never(1, 0, StatusCode::OK)]
+#[tokio::test]
+async fn test_fake_backend_server_spell_replaces_behaviour(
+    #[case] off_ms: u64,
+    #[case] on_ms: u64,
+    #[case] status: StatusCode,
+) {
+    let behaviour = Behaviour {
+        shed_percent: 100,
+        ..Behaviour::default()
+    };
+    let spell = Spell {
+        behaviour,
+        off_ms,
+        on_ms,
+    };
+    let fixture = Fixture::start_in_spell(1, 1.0, Behaviour::default(), Some(spell)).await;
+    assert_eq!(fixture.ask("n1", "60000").await.0, status);
+}
