request history: backend servers repeat answers late

Cause: the soak over processes had no backend server that sends an answer once more, late, so it could not show what the incident of unpaired answers shows.

Change: late_repeats has spells alone, and each drawn case of random has them beside its faults. The checks are unchanged: RanTwice, RanAfterAll and WrongAnswer existed.

--- a/cli/tests/test_request_history.rs
+++ b/cli/tests/test_request_history.rs
@@ -12,7 +12,6 @@
 use heatherring_testutils::deployment::book;
 use heatherring_testutils::deployment::search;
 use heatherring_testutils::deployment_plan::DeploymentPlan;
-use heatherring_testutils::fake_backend_server::Behaviour;
 use heatherring_testutils::fake_backend_server::LoadReport;
 use heatherring_testutils::machine_clock::now_us;
 use heatherring_testutils::request_history::ArrivalCap;
@@ -42,6 +41,8 @@
 const REQUESTS_BETWEEN_EVENTS: usize = 40;
 /// Number of faults in a drawn case.
 const FAULTS_PER_CASE: usize = 3;
+/// Requests to wait for while nothing but late repeats goes wrong; they outlast several spells.
+const REQUESTS_WITH_LATE_REPEATS: usize = 2_000;
 
 /// A fault or planned change injected under load.
 #[derive(Clone, Debug)]
@@ -98,6 +99,20 @@
 /// that leases expire without any fault.
 static RUNNING: Semaphore = Semaphore::const_new(3);
 
+fn plan(seed: u64) -> DeploymentPlan {
+    let mut plan = DeploymentPlan::small(ENTRIES, seed);
+    plan.cluster.relayed = true;
+    plan.patience = CALLER_TIMEOUT;
+    plan
+}
+
+/// Returns a plan in which some backend servers, for part of the time, repeat answers late.
+fn plan_with_late_repeats(seed: u64) -> DeploymentPlan {
+    let mut plan = plan(seed);
+    plan.draw_late_repeats();
+    plan
+}
+
 struct Run {
     deployment: Deployment,
     load: SteadyLoad,
@@ -108,16 +123,13 @@
 
 impl Run {
     async fn start(seed: u64) -> Self {
-        Self::start_with(seed, Behaviour::default()).await
+        Self::start_with(plan(seed)).await
     }
 
-    async fn start_with(seed: u64, behaviour: Behaviour) -> Self {
+    async fn start_with(plan: DeploymentPlan) -> Self {
         let running = RUNNING.acquire().await.unwrap();
-        println!("seed {seed}");
-        let mut plan = DeploymentPlan::small(ENTRIES, seed);
-        plan.cluster.relayed = true;
-        plan.patience = CALLER_TIMEOUT;
-        plan.behaviour = behaviour;
+        let seed = plan.seed;
+        println!("seed {seed}, spells {:?}", plan.spells);
         let binary = Path::new(env!("CARGO_BIN_EXE_heatherring"));
         let deployment = Deployment::start(plan, binary).await.unwrap();
         let specs = [
@@ -217,8 +229,8 @@
     }
 }
 
-async fn run_case(seed: u64, faults: &[Fault]) {
-    let mut run = Run::start(seed).await;
+async fn run_case(plan: DeploymentPlan, faults: &[Fault]) {
+    let mut run = Run::start_with(plan).await;
     for fault in faults {
         run.inject(fault).await;
     }
@@ -231,7 +243,7 @@
             $(#[$comment])*
             #[tokio::test(flavor = "multi_thread")]
             async fn $name() {
-                run_case($seed, &$faults).await;
+                run_case(plan($seed), &$faults).await;
             }
         )*
     };
@@ -308,16 +320,23 @@
 // below the owner's own count is trusted.
 #[tokio::test(flavor = "multi_thread")]
 async fn test_request_history_lying_reports() {
-    let lying = Behaviour {
-        load_report: LoadReport::Lying { in_flight: 0 },
-        ..Behaviour::default()
-    };
-    let mut run = Run::start_with(19, lying).await;
+    let mut plan = plan(19);
+    plan.behaviour.load_report = LoadReport::Lying { in_flight: 0 };
+    let mut run = Run::start_with(plan).await;
     run.inject(&Fault::Kill("entry-3")).await;
     run.inject(&Fault::Freeze("entry-1")).await;
     run.check().await;
 }
 
+// Guards against a late repeat of an answer that is taken for the answer to the next request.
+#[tokio::test(flavor = "multi_thread")]
+async fn test_request_history_late_repeats() {
+    let mut run = Run::start_with(plan_with_late_repeats(20)).await;
+    run.load.wait_for_more(REQUESTS_WITH_LATE_REPEATS).await;
+    run.check().await;
+}
+
+// Backend servers repeat answers late in each drawn case, beside its faults.
 #[tokio::test(flavor = "multi_thread")]
 async fn test_request_history_random() {
     let cases = std::env::var("HEATHERRING_CASES").ok();
@@ -327,6 +346,6 @@
         let faults: Vec<_> = (0..FAULTS_PER_CASE)
             .map(|_| DRAWABLE_FAULTS[rng.random_range(0..DRAWABLE_FAULTS.len())].clone())
             .collect();
-        run_case(seed, &faults).await;
+        run_case(plan_with_late_repeats(seed), &faults).await;
     }
 }
