--- a/testutils/src/fake_backend_server.rs
+++ b/testutils/src/fake_backend_server.rs
@@ -2,7 +2,8 @@
 //!
 //! It has slots, takes a drawn time for each request, announces itself, sheds what is
 //! beyond its slots, honours deadlines and cancellation, and keeps a ledger of
-//! everything that it ran.
+//! everything that it ran. Each answer, a refusal too, echoes the identifier of its
+//! request.
 
 use std::convert::Infallible;
 use std::io;
@@ -44,6 +45,8 @@
 use crate::echo::AnswerHead;
 use crate::echo::answer_body;
 use crate::echo::request_digest;
+use crate::late_answer::LateAnswer;
+use crate::late_answer::LateAnswerStream;
 use crate::ledger::Asked;
 use crate::ledger::Finish;
 use crate::ledger::Ledger;
@@ -56,6 +59,9 @@
 const POLL: Duration = Duration::from_millis(10);
 /// How long a leaving server waits for somebody to take its announcement.
 const LEAVE_ANNOUNCEMENT_BOUND: Duration = Duration::from_secs(5);
+/// Where a request's generator draws whether its answer is repeated; far behind its other draws,
+/// which a repeat doesn't change.
+const REPEAT_DRAW: u128 = 1 << 32;
 
 /// Describes a fake backend server.
 #[derive(Clone, Debug, Deserialize, Serialize)]
@@ -95,6 +101,9 @@
     /// What can be changed while it runs.
     #[serde(default)]
     pub behaviour: Behaviour,
+    /// What it does otherwise for part of the time.
+    #[serde(default)]
+    pub spell: Option<Spell>,
 }
 
 const fn default_answer_bytes() -> usize {
@@ -122,6 +131,12 @@
     pub pause_ms: u64,
     /// Factor on each service time.
     pub slowness: f64,
+    /// Share of answers, refusals too, that it sends once more, 0 to 100. The repeat comes late:
+    /// when the next request arrives on the connection, before the answer to it. That request is
+    /// handled as usual.
+    pub repeat_percent: u8,
+    /// Whether a repeat lacks the identifier of its request.
+    pub repeat_without_id: bool,
 }
 
 impl Default for Behaviour {
@@ -131,10 +146,36 @@
             shed_percent: 0,
             pause_ms: 0,
             slowness: 1.0,
+            repeat_percent: 0,
+            repeat_without_id: false,
         }
     }
 }
 
+/// Describes a behaviour that comes and goes, beginning with a time without it.
+///
+/// It replaces what the server does with requests; the load report stays that of its
+/// [`FakeBackendServerConfig::behaviour`].
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct Spell {
+    /// What the server does during a spell.
+    pub behaviour: Behaviour,
+    /// Time before each spell, in milliseconds.
+    pub off_ms: u64,
+    /// How long each spell lasts, in milliseconds.
+    pub on_ms: u64,
+}
+
+impl Spell {
+    /// Returns whether a spell lasts at this time after the server's start.
+    #[must_use]
+    pub fn is_on(&self, since_start: Duration) -> bool {
+        let cycle_ms = u128::from(self.off_ms + self.on_ms).max(1);
+        since_start.as_millis() % cycle_ms >= u128::from(self.off_ms)
+    }
+}
+
 /// Tells how the load report relates to the truth.
 #[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(rename_all = "snake_case")]
@@ -221,6 +262,7 @@
                 slots: config.slots,
             },
             rng_seed: config.seed,
+            begun: Instant::now(),
             config,
             ledger,
             behaviour: behaviour_rx,
@@ -260,6 +302,7 @@
 struct Server {
     identity: LedgerServer,
     rng_seed: u64,
+    begun: Instant,
     config: FakeBackendServerConfig,
     ledger: Ledger,
     behaviour: watch::Receiver<Behaviour>,
@@ -349,14 +392,14 @@
     let _ = stream.set_nodelay(true);
     sleep(Duration::from_millis(server.config.connection_ms)).await;
     let requests = Arc::new(AtomicU32::new(0));
+    let late = LateAnswer::default();
+    let stream = LateAnswerStream::new(stream, late.clone());
     let service = service_fn(move |req| {
+        late.fall_due();
+        let late = late.clone();
         let server = Arc::clone(&server);
         let number = requests.fetch_add(1, Ordering::Relaxed);
-        async move {
-            let mut response = server.handle(req, serial, number).await;
-            server.state(&mut response);
-            Ok::<_, Infallible>(response)
-        }
+        async move { Ok::<_, Infallible>(server.answer(req, serial, number, &late).await) }
     });
     let connection = hyper::server::conn::http1::Builder::new()
         .timer(TokioTimer::new())
@@ -371,10 +414,62 @@
 }
 
 impl Server {
+    /// Returns what the server does with requests now.
+    fn behaviour(&self) -> Behaviour {
+        let spell = self.config.spell;
+        let spell = spell.filter(|spell| spell.is_on(self.begun.elapsed()));
+        spell.map_or_else(|| *self.behaviour.borrow(), |spell| spell.behaviour)
+    }
+
+    async fn answer(
+        &self,
+        req: Request<Incoming>,
+        connection: u64,
+        number: u32,
+        late: &LateAnswer,
+    ) -> Response<Full<Bytes>> {
+        let id = req.headers().get(echo::REQUEST_ID_HEADER).cloned();
+        let mut response = self.handle(req, connection, number).await;
+        self.state(&mut response);
+        if let Some(id) = id {
+            response.headers_mut().insert(echo::REQUEST_ID_HEADER, id);
+        }
+        self.hold_repeat(&response, self.rng(connection, number), late)
+            .await;
+        response
+    }
+
+    /// Holds a copy of the answer if it is drawn to be repeated.
+    async fn hold_repeat(
+        &self,
+        response: &Response<Full<Bytes>>,
+        mut rng: ChaCha8Rng,
+        late: &LateAnswer,
+    ) {
+        let behaviour = self.behaviour();
+        rng.set_word_pos(REPEAT_DRAW);
+        if rng.random_range(0..100) >= behaviour.repeat_percent {
+            return;
+        }
+        let mut copy = response.clone();
+        if behaviour.repeat_without_id {
+            copy.headers_mut().remove(echo::REQUEST_ID_HEADER);
+        }
+        late.hold(&copy).await;
+    }
+
+    /// Returns a generator of the request's own, so that a draw doesn't depend on the order in
+    /// which concurrent requests happen to be handled.
+    fn rng(&self, connection: u64, number: u32) -> ChaCha8Rng {
+        let mut rng = ChaCha8Rng::seed_from_u64(self.rng_seed);
+        rng.set_stream(connection << 32 | u64::from(number));
+        rng
+    }
+
     /// Adds what the server states about itself.
     fn state(&self, response: &mut Response<Full<Bytes>>) {
         let is_refusal = response.status() == StatusCode::SERVICE_UNAVAILABLE;
-        let pause = Duration::from_millis(self.behaviour.borrow().pause_ms);
+        let pause = Duration::from_millis(self.behaviour().pause_ms);
         let headers = response.headers_mut();
         if is_refusal
             && !pause.is_zero()
@@ -409,11 +504,8 @@
             origin: header(&parts.headers, echo::ORIGIN_HEADER),
             digest: digest.clone(),
         };
-        // Each request has a generator of its own, so that a draw doesn't depend on
-        // the order in which concurrent requests happen to be handled.
-        let mut rng = ChaCha8Rng::seed_from_u64(self.rng_seed);
-        rng.set_stream(connection << 32 | u64::from(number));
-        let behaviour = *self.behaviour.borrow();
+        let mut rng = self.rng(connection, number);
+        let behaviour = self.behaviour();
         if rng.random_range(0..100) < behaviour.shed_percent {
             self.ledger
                 .note(&self.identity, LedgerEventKind::Shed(asked));
--- a/testutils/tests/test_fake_backend_server.rs
+++ b/testutils/tests/test_fake_backend_server.rs
@@ -1,5 +1,6 @@
 //! Shows that a fake backend server does what tests rely on.
 
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::path::Path;
 use std::time::Duration;
@@ -9,6 +10,7 @@
 use heatherring_testutils::fake_backend_server::Behaviour;
 use heatherring_testutils::fake_backend_server::FakeBackendServer;
 use heatherring_testutils::fake_backend_server::FakeBackendServerConfig;
+use heatherring_testutils::fake_backend_server::Spell;
 use heatherring_testutils::ledger;
 use heatherring_testutils::ledger::Finish;
 use heatherring_testutils::ledger::Ledger;
@@ -24,6 +26,12 @@
 use hyper_util::client::legacy::Client;
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::TokioExecutor;
+use rstest::rstest;
+use tokio::io::AsyncBufReadExt;
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
+use tokio::io::BufReader;
+use tokio::net::TcpStream;
 
 const NEVER_MS: f64 = 600_000.0;
 
@@ -37,6 +45,19 @@
 
 impl Fixture {
     async fn start(slots: u32, service_ms: f64) -> Self {
+        Self::start_with(slots, service_ms, Behaviour::default()).await
+    }
+
+    async fn start_with(slots: u32, service_ms: f64, behaviour: Behaviour) -> Self {
+        Self::start_in_spell(slots, service_ms, behaviour, None).await
+    }
+
+    async fn start_in_spell(
+        slots: u32,
+        service_ms: f64,
+        behaviour: Behaviour,
+        spell: Option<Spell>,
+    ) -> Self {
         let mut block = LoopbackBlock::claim().unwrap();
         let address = SocketAddr::new(block.next_vm(), SERVICE_PORT);
         let folder = tempfile::tempdir().unwrap();
@@ -55,7 +76,8 @@
             starting_ms: 0,
             connection_ms: 1,
             linger_ms: 0,
-            behaviour: Behaviour::default(),
+            behaviour,
+            spell,
         };
         Self {
             server: FakeBackendServer::start(config, ledger).await.unwrap(),
@@ -94,6 +116,79 @@
     }
 }
 
+/// A kept connection on which each answer is read on its own, whichever request it belongs to.
+struct KeptConnection {
+    stream: BufReader<TcpStream>,
+}
+
+#[derive(Debug, Eq, PartialEq)]
+struct Answer {
+    status: String,
+    id: Option<String>,
+    body: Vec<u8>,
+}
+
+impl KeptConnection {
+    async fn open(fixture: &Fixture) -> Self {
+        let stream = TcpStream::connect(fixture.address).await.unwrap();
+        Self {
+            stream: BufReader::new(stream),
+        }
+    }
+
+    /// Sends a request whose identifier is its nonce.
+    async fn send(&mut self, nonce: &str, deadline_ms: u32) {
+        let req = format!(
+            "GET /strength HTTP/1.1\r\nhost: b1\r\n{}: {nonce}\r\n{}: {nonce}\r\n{}: {deadline_ms}\r\n\r\n",
+            echo::NONCE_HEADER,
+            echo::REQUEST_ID_HEADER,
+            echo::DEADLINE_HEADER,
+        );
+        self.stream.write_all(req.as_bytes()).await.unwrap();
+    }
+
+    async fn read(&mut self) -> Answer {
+        let answer = tokio::time::timeout(Duration::from_mins(1), self.read_whole());
+        answer.await.unwrap()
+    }
+
+    async fn read_whole(&mut self) -> Answer {
+        let line = self.read_line().await;
+        let mut answer = Answer {
+            status: line.strip_prefix("HTTP/1.1 ").unwrap().to_owned(),
+            id: None,
+            body: Vec::new(),
+        };
+        loop {
+            let line = self.read_line().await;
+            let Some((name, value)) = line.split_once(": ") else {
+                assert_eq!(line, "");
+                break;
+            };
+            match name {
+                "content-length" => answer.body.resize(value.parse().unwrap(), 0),
+                echo::REQUEST_ID_HEADER => answer.id = Some(value.to_owned()),
+                _ => {}
+            }
+        }
+        self.stream.read_exact(&mut answer.body).await.unwrap();
+        answer
+    }
+
+    /// Returns whether nothing has arrived that isn't read.
+    fn is_silent(&self) -> bool {
+        let read = self.stream.get_ref().try_read(&mut [0]);
+        let is_blocked = read.is_err_and(|err| err.kind() == ErrorKind::WouldBlock);
+        is_blocked && self.stream.buffer().is_empty()
+    }
+
+    async fn read_line(&mut self) -> String {
+        let mut line = String::new();
+        self.stream.read_line(&mut line).await.unwrap();
+        line.trim_end().to_owned()
+    }
+}
+
 fn ended(finish: Finish) -> impl Fn(&LedgerEventKind) -> bool {
     move |kind| matches!(kind, LedgerEventKind::End { finish: found, .. } if *found == finish)
 }
@@ -170,3 +265,147 @@
         .unwrap();
     assert_eq!(running.await.unwrap().unwrap().status(), StatusCode::OK);
 }
+
+#[rstest]
+#[case::answered(Behaviour::default(), "200 OK")]
+#[case::deadline(Behaviour { slowness: 1_000.0, ..Behaviour::default() }, "504 Gateway Timeout")]
+#[case::refused(Behaviour { shed_percent: 100, ..Behaviour::default() }, "503 Service Unavailable")]
+#[tokio::test]
+async fn test_fake_backend_server_echoes_id(#[case] behaviour: Behaviour, #[case] status: &str) {
+    let fixture = Fixture::start_with(1, 1.0, behaviour).await;
+    let mut connection = KeptConnection::open(&fixture).await;
+    for nonce in ["n1", "n2"] {
+        connection.send(nonce, 100).await;
+        let answer = connection.read().await;
+        assert_eq!(answer.status, status);
+        assert_eq!(answer.id.as_deref(), Some(nonce));
+    }
+}
+
+#[rstest]
+#[tokio::test]
+async fn test_fake_backend_server_repeats_late(
+    #[values(0, 100)] shed_percent: u8,
+    #[values(false, true)] repeat_without_id: bool,
+) {
+    let behaviour = Behaviour {
+        shed_percent,
+        repeat_percent: 100,
+        repeat_without_id,
+        ..Behaviour::default()
+    };
+    let fixture = Fixture::start_with(1, 1.0, behaviour).await;
+    let mut connection = KeptConnection::open(&fixture).await;
+    connection.send("n1", 60_000).await;
+    let first = connection.read().await;
+    assert_eq!(first.id.as_deref(), Some("n1"));
+    // A whole request on another connection gives a repeat that comes too early the time for it.
+    fixture.ask("n0", "60000").await;
+    assert!(connection.is_silent());
+    fixture.server.set_behaviour(Behaviour::default());
+    connection.send("n2", 60_000).await;
+    let repeat = connection.read().await;
+    let id = first.id.clone().filter(|_| !repeat_without_id);
+    assert_eq!(repeat, Answer { id, ..first });
+    let real = connection.read().await;
+    assert_eq!(real.id.as_deref(), Some("n2"));
+    let digest = echo::request_digest("GET", "/strength", "n2", b"");
+    echo::check_answer("n2", &digest, &real.body).unwrap();
+    let ran = |kind: &LedgerEventKind| matches!(kind, LedgerEventKind::Start(asked) if asked.nonce == "n2");
+    fixture.wait_for_kind("start", ran).await;
+}
+
+#[tokio::test]
+async fn test_fake_backend_server_repeat_comes_before_the_end() {
+    let refusing = Behaviour {
+        shed_percent: 100,
+        repeat_percent: 100,
+        ..Behaviour::default()
+    };
+    let fixture = Fixture::start_with(1, NEVER_MS, refusing).await;
+    let mut connection = KeptConnection::open(&fixture).await;
+    connection.send("n1", 600_001).await;
+    let refusal = connection.read().await;
+    fixture.server.set_behaviour(Behaviour::default());
+    connection.send("n2", 600_001).await;
+    assert_eq!(connection.read().await, refusal);
+    let started = |kind: &LedgerEventKind| matches!(kind, LedgerEventKind::Start(_));
+    fixture.wait_for_kind("start", started).await;
+    drop(connection);
+    let cancelled = ended(Finish::Cancelled);
+    fixture.wait_for_kind("cancelled", cancelled).await;
+}
+
+/// Returns which answers of a connection were repeated.
+async fn repeats(repeat_percent: u8) -> Vec<bool> {
+    let behaviour = Behaviour {
+        repeat_percent,
+        ..Behaviour::default()
+    };
+    let fixture = Fixture::start_with(1, 0.0, behaviour).await;
+    let mut connection = KeptConnection::open(&fixture).await;
+    let mut repeats = Vec::new();
+    for number in 0..50 {
+        let nonce = format!("n{number}");
+        connection.send(&nonce, 60_000).await;
+        let is_repeat = connection.read().await.id.as_ref() != Some(&nonce);
+        if is_repeat {
+            assert_eq!(connection.read().await.id.as_ref(), Some(&nonce));
+        }
+        repeats.push(is_repeat);
+    }
+    repeats
+}
+
+#[tokio::test]
+async fn test_fake_backend_server_draws_repeats() {
+    let drawn = repeats(50).await;
+    assert!(drawn.contains(&true) && drawn[1..].contains(&false));
+    assert_eq!(repeats(50).await, drawn);
+    assert!(!repeats(0).await.contains(&true));
+}
+
+#[test]
+fn test_fake_backend_server_repeats_nothing_by_default() {
+    let behaviour: Behaviour = serde_json::from_str("{}").unwrap();
+    assert_eq!(behaviour.repeat_percent, 0);
+    assert!(!behaviour.repeat_without_id);
+}
+
+#[rstest]
+#[case::before(0, false)]
+#[case::last_before(1_999, false)]
+#[case::first(2_000, true)]
+#[case::last(2_999, true)]
+#[case::after(3_000, false)]
+#[case::second(5_000, true)]
+fn test_fake_backend_server_spell_comes_and_goes(#[case] since_start_ms: u64, #[case] is_on: bool) {
+    let spell = Spell {
+        behaviour: Behaviour::default(),
+        off_ms: 2_000,
+        on_ms: 1_000,
+    };
+    assert_eq!(spell.is_on(Duration::from_millis(since_start_ms)), is_on);
+}
+
+#[rstest]
+#[case::lasting(0, 1, StatusCode::SERVICE_UNAVAILABLE)]
+#[case::never(1, 0, StatusCode::OK)]
+#[tokio::test]
+async fn test_fake_backend_server_spell_replaces_behaviour(
+    #[case] off_ms: u64,
+    #[case] on_ms: u64,
+    #[case] status: StatusCode,
+) {
+    let behaviour = Behaviour {
+        shed_percent: 100,
+        ..Behaviour::default()
+    };
+    let spell = Spell {
+        behaviour,
+        off_ms,
+        on_ms,
+    };
+    let fixture = Fixture::start_in_spell(1, 1.0, Behaviour::default(), Some(spell)).await;
+    assert_eq!(fixture.ask("n1", "60000").await.0, status);
+}
