answers: an answer is paired with its request before it acts

Callers saw 503, which promises that an action has not run and never will, for actions that ran, and actions ran twice.

Cause: both interfaces read the statement "not run", and the status 421, before they compared the identifier that the answer echoes, and owners did not compare it at all. A faulty backend server that sends a refusal once more, late, on a kept connection made the next request on it count as not run while it ran. The same held for answers that name no request, as those to health checks on the same connections; for requests without an identifier; and for a second request with the same identifier.

Red before: 30 of 52 cases of test_unpaired_answers, 11 of 14 of test_unpaired_answers_at_owner, late_repeats and random of test_request_history. All pass now.

An attempt of which bytes were sent can only end as unknown until pair() finds that the answer names its request, or names none on the first request of a connection; a refusal proves something only after that, and code that skips it does not compile. An answer that does not belong to the request ends it as unknown, teaches nothing, and closes the connection. Requests without an identifier and health checks get a new connection each.

--- a/lib/src/answer_pairing.rs
+++ b/lib/src/answer_pairing.rs
@@ -4,6 +4,10 @@
 //! send an answer late or twice. The position of an answer on its connection therefore does not
 //! tell which request it belongs to; the identifier that it echoes does.
 
+use std::hash::DefaultHasher;
+use std::hash::Hash;
+use std::hash::Hasher;
+
 /// Identifier of a request that an answer echoes.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum EchoedId<'a> {
@@ -70,3 +74,76 @@
         }
     }
 }
+
+/// A request that was sent on a connection and waits for its answer.
+#[derive(Clone, Copy, Debug)]
+pub struct SentRequest<'a> {
+    /// The identifier of the request; `None` without one.
+    pub id: Option<&'a str>,
+    /// Whether the connection carried no other request before.
+    pub is_first: bool,
+}
+
+impl SentRequest<'_> {
+    /// Compares the identifier that an answer echoes with that of the request. Returns whether the
+    /// answer belongs to the request, and how the identifiers relate.
+    ///
+    /// An answer that names no request belongs to the first one of its connection, since there is
+    /// no other that it could belong to.
+    #[must_use]
+    pub fn compare(&self, echoed: EchoedId<'_>) -> (bool, EchoMatch) {
+        let echo = echoed.compare(self.id);
+        let belongs = match echo {
+            EchoMatch::Same => true,
+            EchoMatch::Absent => self.is_first,
+            EchoMatch::Other | EchoMatch::Ambiguous => false,
+        };
+        (belongs, echo)
+    }
+}
+
+/// Number of requests that a connection carries; 1 KiB of hashes.
+pub const MAX_CARRIED_REQUESTS: usize = 128;
+
+/// Remembers the requests that a connection carried.
+///
+/// A request that is sent twice on one connection, or whose identifier a caller uses again, cannot
+/// be told from its predecessor: a late answer to the first would be taken for that to the second.
+#[derive(Clone, Debug, Default)]
+pub struct CarriedRequests {
+    hashes: Vec<IdHash>,
+}
+
+impl CarriedRequests {
+    /// Records that a request with the identifier `id` is sent.
+    pub fn note(&mut self, id: IdHash) {
+        self.hashes.push(id);
+    }
+
+    /// Returns whether a request with the identifier `id` was sent. Rarely also true for another
+    /// identifier with the same hash.
+    #[must_use]
+    pub fn contains(&self, id: IdHash) -> bool {
+        self.hashes.contains(&id)
+    }
+
+    /// Returns whether the connection must not carry another request: it would have to forget one.
+    #[must_use]
+    pub fn is_full(&self) -> bool {
+        self.hashes.len() >= MAX_CARRIED_REQUESTS
+    }
+}
+
+/// Hash of the identifier of a request.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct IdHash(u64);
+
+impl IdHash {
+    /// Returns the hash of `id`.
+    #[must_use]
+    pub fn of(id: &str) -> Self {
+        let mut hasher = DefaultHasher::new();
+        id.hash(&mut hasher);
+        Self(hasher.finish())
+    }
+}
--- a/lib/src/outcome.rs
+++ b/lib/src/outcome.rs
@@ -4,13 +4,18 @@
 //! request may have run and is not run again). [`NotRun`] is the proof. It can be obtained only
 //! from an attempt of which no byte can have reached a backend server, from a refusal by that
 //! server before it ran anything, from such a refusal by the entry VM that owns the server, or
-//! from the record of an action that forbids every later dispatch.
+//! from the record of an action that forbids every later dispatch. A refusal counts only once it
+//! is paired with the request that it refuses: an attempt of which bytes were sent ends as unknown
+//! until an answer is [paired](Attempt::pair) with it.
 
 use std::time::Duration;
 
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::answer_pairing::EchoMatch;
+use crate::answer_pairing::EchoedId;
+use crate::answer_pairing::SentRequest;
 use crate::manifest::Operation;
 use crate::route_manifest::Route;
 
@@ -175,6 +180,8 @@
         RecordsUnreachable "records_unreachable" 502,
         /// The memory for actions is full, so that the key could not be fenced.
         ActionStoreFull "action_store_full" 502,
+        /// An answer that belongs to another request arrived on the connection.
+        AnswerMismatched "answer_mismatched" 502,
     }
 }
 
@@ -320,6 +327,19 @@
 #[derive(Debug)]
 pub struct MayHaveRun(());
 
+/// State of an attempt that an answer belongs to.
+#[derive(Debug)]
+pub struct Answered(());
+
+/// An answer does not belong to the request that waits for one.
+#[derive(Debug)]
+pub struct Unpaired {
+    /// The attempt, which still waits for its answer.
+    pub attempt: Attempt<MayHaveRun>,
+    /// How the identifiers relate.
+    pub echo: EchoMatch,
+}
+
 /// One attempt to have a request run by a backend server or by the server's owner; `S` is its
 /// state.
 #[derive(Debug)]
@@ -355,16 +375,33 @@
 }
 
 impl Attempt<MayHaveRun> {
-    /// Ends the attempt with an answer.
-    pub fn answered<A>(self, answer: A) -> Outcome<A> {
-        Outcome::Answer(answer)
+    /// Pairs the attempt with an answer that arrived on the connection of `sent`, the request.
+    ///
+    /// # Errors
+    ///
+    /// Returns the attempt if the answer does not belong to it.
+    pub fn pair(
+        self,
+        sent: SentRequest<'_>,
+        echoed: EchoedId<'_>,
+    ) -> Result<Attempt<Answered>, Unpaired> {
+        let (belongs, echo) = sent.compare(echoed);
+        if belongs {
+            Ok(self.answered_on_stream())
+        } else {
+            Err(Unpaired {
+                attempt: self,
+                echo,
+            })
+        }
     }
 
-    /// Ends the attempt with a refusal, which proves that nothing was run.
-    pub const fn refused(self, refusal: Refusal) -> NotRun {
-        NotRun {
-            reason: refusal.reason,
-            retry_after: refusal.retry_after,
+    /// Pairs the attempt with the answer that arrived on its stream. HTTP/2 gives each request a
+    /// stream of its own; an HTTP/1.1 connection is none.
+    pub const fn answered_on_stream(self) -> Attempt<Answered> {
+        let MayHaveRun(()) = self.state;
+        Attempt {
+            state: Answered(()),
         }
     }
 
@@ -381,6 +418,26 @@
     }
 }
 
+impl Attempt<Answered> {
+    /// Ends the attempt with its answer.
+    pub fn answered<A>(self, answer: A) -> Outcome<A> {
+        Outcome::Answer(answer)
+    }
+
+    /// Ends the attempt with a refusal, which proves that nothing was run.
+    pub const fn refused(self, refusal: Refusal) -> NotRun {
+        NotRun {
+            reason: refusal.reason,
+            retry_after: refusal.retry_after,
+        }
+    }
+
+    /// Ends the attempt with an answer that broke off or cannot be used.
+    pub const fn lost(self, reason: UnknownReason) -> Unknown {
+        Unknown::new(reason)
+    }
+}
+
 /// Name of the header with the outcome of a request.
 pub const OUTCOME_HEADER: &str = "heatherring-outcome";
 
--- a/lib/src/probable_cause.rs
+++ b/lib/src/probable_cause.rs
@@ -113,6 +113,10 @@
             "the connection to the backend server broke after the request was sent; it may have run \
              and was not sent again: {sends}"
         ),
+        "answer_mismatched" => format!(
+            "an answer to another request arrived in place of the answer to this one; it may have \
+             run and was not sent again: {sends}"
+        ),
         "deadline_passed" => format!(
             "the backend server did not answer within the remaining {} ms: {sends}",
             decision.number("patience_ms")
--- a/server/src/action_answer.rs
+++ b/server/src/action_answer.rs
@@ -172,7 +172,8 @@
         .filter(|_| end == OUTCOME_NOT_RUN)
         .and_then(|reason| Refusal::of_entry(Some(OUTCOME_NOT_RUN), reason, retry_after));
     if let Some(refusal) = refusal {
-        return Attempt::new().sending().refused(refusal).into();
+        let answered = Attempt::new().sending().answered_on_stream();
+        return answered.refused(refusal).into();
     }
     let reason = UnknownReason::parse(reason).unwrap_or(UnknownReason::OwnerLost);
     Unknown::new(reason).into()
--- a/server/src/backend_pool.rs
+++ b/server/src/backend_pool.rs
@@ -7,7 +7,11 @@
 //! A connection whose answer was abandoned or broke off is never reused: the rest of that
 //! answer would be read as the answer to the next caller. Such a connection is dropped, which
 //! closes its socket and thereby cancels the work behind it. Only a connection whose answer
-//! was read to its last byte can be returned to the pool.
+//! named its request and was read to its last byte can be returned to the pool.
+//!
+//! A request is not sent on a connection that carried one with the same identifier: a late answer
+//! to that one could not be told from its own. Without an identifier it gets a new connection, the
+//! only place where an answer that names no request is known to be its own.
 
 use std::collections::HashMap;
 use std::io::ErrorKind;
@@ -16,6 +20,14 @@
 use std::time::Instant;
 
 use bytes::Bytes;
+use heatherring_lib::answer_pairing::CarriedRequests;
+use heatherring_lib::answer_pairing::EchoedId;
+use heatherring_lib::answer_pairing::IdHash;
+use heatherring_lib::answer_pairing::SentRequest;
+use heatherring_lib::outcome::Answered;
+use heatherring_lib::outcome::Attempt;
+use heatherring_lib::outcome::MayHaveRun;
+use heatherring_lib::outcome::Unpaired;
 use http::Request;
 use http::Response;
 use http_body_util::Full;
@@ -109,8 +121,14 @@
     reused: bool,
     /// Number of requests that were sent on it.
     sent: u32,
+    /// Their identifiers.
+    carried: CarriedRequests,
+    /// Whether a request was sent since the last answer that named its request.
+    awaits_answer: bool,
     /// When it was returned to the pool last, or established.
     idle_since: Instant,
+    /// How long it was idle before the latest request.
+    idle: Duration,
     /// Time that it took to establish the connection.
     established_in: Duration,
     /// Drives the connection; aborting it on drop closes the socket.
@@ -126,7 +144,7 @@
 }
 
 impl BackendConnection {
-    /// Sends a request and waits for the head of an answer.
+    /// Sends a request with the identifier `id` and waits for the head of an answer.
     ///
     /// # Errors
     ///
@@ -134,12 +152,40 @@
     pub fn send(
         &mut self,
         req: Request<Full<Bytes>>,
+        id: Option<&str>,
     ) -> impl Future<Output = Result<Response<Incoming>, TrySendError<Request<Full<Bytes>>>>> + use<>
     {
         self.sent = self.sent.saturating_add(1);
+        if let Some(id) = id {
+            self.carried.note(IdHash::of(id));
+        }
+        self.awaits_answer = true;
+        self.idle = self.idle_since.elapsed();
         self.sender.try_send_request(req)
     }
 
+    /// Pairs `attempt`, the request with the identifier `id` that was sent last, with the answer
+    /// that arrived, which names `echoed`.
+    ///
+    /// # Errors
+    ///
+    /// Returns the attempt if the answer does not belong to it. The connection is of no use then.
+    pub fn pair(
+        &mut self,
+        attempt: Attempt<MayHaveRun>,
+        id: Option<&str>,
+        echoed: EchoedId<'_>,
+    ) -> Result<Attempt<Answered>, Unpaired> {
+        let sent = SentRequest {
+            id,
+            is_first: self.sent == 1,
+        };
+        let answered = attempt.pair(sent, echoed)?;
+        // Answers that name no request cannot be told apart on a kept connection.
+        self.awaits_answer = echoed == EchoedId::Absent;
+        Ok(answered)
+    }
+
     /// Returns the time that it took to establish the connection: one round trip.
     #[must_use]
     pub const fn established_in(&self) -> Duration {
@@ -152,10 +198,10 @@
         self.sent
     }
 
-    /// Returns when this connection was returned to the pool last, or when it was established.
+    /// Returns how long this connection was idle before the latest request.
     #[must_use]
-    pub const fn idle_since(&self) -> Instant {
-        self.idle_since
+    pub const fn idle(&self) -> Duration {
+        self.idle
     }
 
     /// Returns whether an earlier request used this connection.
@@ -186,12 +232,30 @@
     LimitReached,
 }
 
+/// Which idle connections may carry a request.
+#[derive(Clone, Copy, Debug)]
+enum Reuse {
+    /// None.
+    Never,
+    /// Those that did not carry a request with this identifier.
+    For(IdHash),
+}
+
+impl Reuse {
+    fn permits(self, connection: &BackendConnection) -> bool {
+        match self {
+            Self::Never => false,
+            Self::For(id) => !connection.carried.contains(id),
+        }
+    }
+}
+
 #[derive(Debug)]
 enum PoolMessage {
     Checkout {
         address: SocketAddr,
         limit: u32,
-        fresh: bool,
+        reuse: Reuse,
         reply: oneshot::Sender<Checkout>,
     },
     Return(BackendConnection, Duration),
@@ -218,7 +282,8 @@
         Self { tx }
     }
 
-    /// Takes an idle connection to `address`, or opens one if `limit` allows it.
+    /// Takes an idle connection to `address` for the request with the identifier `id`, or opens one
+    /// if `limit` allows it.
     ///
     /// # Errors
     ///
@@ -228,26 +293,13 @@
         &self,
         address: SocketAddr,
         limit: u32,
-    ) -> Result<BackendConnection, ConnectError> {
-        self.connect_within(address, limit, CONNECT_TIMEOUT).await
-    }
-
-    /// Like [`Self::connect`], with a custom timeout for establishing a new connection.
-    ///
-    /// # Errors
-    ///
-    /// Fails like [`Self::connect`].
-    pub async fn connect_within(
-        &self,
-        address: SocketAddr,
-        limit: u32,
-        timeout: Duration,
+        id: Option<&str>,
     ) -> Result<BackendConnection, ConnectError> {
         let options = ConnectOptions {
-            timeout,
+            timeout: CONNECT_TIMEOUT,
             receive_buffer: None,
         };
-        self.connect_with(address, limit, options).await
+        self.connect_with(address, limit, id, options).await
     }
 
     /// Like [`Self::connect`], with options for a new connection.
@@ -259,10 +311,12 @@
         &self,
         address: SocketAddr,
         limit: u32,
+        id: Option<&str>,
         options: ConnectOptions,
     ) -> Result<BackendConnection, ConnectError> {
+        let reuse = id.map_or(Reuse::Never, |id| Reuse::For(IdHash::of(id)));
         loop {
-            match self.check_out(address, limit, false).await? {
+            match self.check_out(address, limit, reuse).await? {
                 Checkout::Reuse(mut connection) => {
                     // The driver may not have seen the end of the last exchange yet.
                     if connection.sender.ready().await.is_ok() {
@@ -276,7 +330,7 @@
     }
 
     /// Opens a new connection even if others are idle: those to a process that has ended may not
-    /// have been closed yet.
+    /// have been closed yet, and those that carried requests may still carry a late answer.
     ///
     /// # Errors
     ///
@@ -287,7 +341,7 @@
         limit: u32,
         timeout: Duration,
     ) -> Result<BackendConnection, ConnectError> {
-        match self.check_out(address, limit, true).await? {
+        match self.check_out(address, limit, Reuse::Never).await? {
             Checkout::Connect(permit) => {
                 let options = ConnectOptions {
                     timeout,
@@ -301,7 +355,9 @@
         }
     }
 
-    /// Returns a connection whose answer was read to its last byte to the pool.
+    /// Returns a connection whose answer was read to its last byte to the pool. It is closed if that
+    /// answer did not name its request, or if it has carried
+    /// [`MAX_CARRIED_REQUESTS`](heatherring_lib::answer_pairing::MAX_CARRIED_REQUESTS).
     pub fn give_back(&self, connection: BackendConnection) {
         self.give_back_for(connection, MAX_IDLE);
     }
@@ -323,13 +379,13 @@
         &self,
         address: SocketAddr,
         limit: u32,
-        fresh: bool,
+        reuse: Reuse,
     ) -> Result<Checkout, ConnectError> {
         let (reply, answer) = oneshot::channel();
         let message = PoolMessage::Checkout {
             address,
             limit,
-            fresh,
+            reuse,
             reply,
         };
         self.tx.send(message).ok().ok_or(ConnectError::PoolGone)?;
@@ -377,7 +433,10 @@
         sender,
         reused: false,
         sent: 0,
+        carried: CarriedRequests::default(),
+        awaits_answer: false,
         idle_since: Instant::now(),
+        idle: Duration::ZERO,
         established_in,
         _driver: AbortOnDropHandle::new(driver),
     })
@@ -427,6 +486,19 @@
     idle: Vec<IdleConnection>,
 }
 
+impl ServerPool {
+    /// Takes the most recently used connection that may be reused, and closes those that were idle
+    /// for too long.
+    fn take_idle(&mut self, now: Instant, reuse: Reuse) -> Option<BackendConnection> {
+        self.idle.retain(|idle| idle.is_usable(now));
+        let position = self
+            .idle
+            .iter()
+            .rposition(|idle| reuse.permits(&idle.connection))?;
+        Some(self.idle.remove(position).connection)
+    }
+}
+
 /// Holds the state of the pool's task.
 struct PoolTask {
     /// Weak, because a strong handle of its own would keep the task running for ever.
@@ -453,9 +525,9 @@
             PoolMessage::Checkout {
                 address,
                 limit,
-                fresh,
+                reuse,
                 reply,
-            } => self.check_out(address, limit, fresh, reply),
+            } => self.check_out(address, limit, reuse, reply),
             PoolMessage::Return(connection, max_idle) => self.return_idle(connection, max_idle),
             PoolMessage::Closed(address) => self.note_closed(address),
             PoolMessage::Disconnect(address) => self.disconnect(address),
@@ -466,19 +538,19 @@
         &mut self,
         address: SocketAddr,
         limit: u32,
-        fresh: bool,
+        reuse: Reuse,
         reply: oneshot::Sender<Checkout>,
     ) {
         let now = Instant::now();
         let server = self.servers.entry(address).or_default();
-        while !fresh && let Some(idle) = server.idle.pop() {
-            if idle.is_usable(now) {
-                // If the requester has gone, the connection is dropped and thereby closed.
-                let _ = reply.send(Checkout::Reuse(idle.connection));
-                return;
-            }
+        if let Some(connection) = server.take_idle(now, reuse) {
+            // If the requester has gone, the connection is dropped and thereby closed.
+            let _ = reply.send(Checkout::Reuse(connection));
+            return;
         }
         if server.open >= limit {
+            // What is left does not suit this request; the next one finds room.
+            server.idle.pop();
             let _ = reply.send(Checkout::LimitReached);
             return;
         }
@@ -490,6 +562,9 @@
     }
 
     fn return_idle(&mut self, mut connection: BackendConnection, max_idle: Duration) {
+        if connection.awaits_answer || connection.carried.is_full() {
+            return;
+        }
         connection.reused = true;
         connection.idle_since = Instant::now();
         let Some(server) = self.servers.get_mut(&connection.address) else {
--- a/server/src/cold_querier.rs
+++ b/server/src/cold_querier.rs
@@ -22,15 +22,11 @@
 use crate::backend_pool::ConnectError;
 use crate::dispatch_task::DispatchHandle;
 use crate::interface::EntryInterface;
-use crate::refusal_body;
 
 /// Timeout of a reply: later ones are of no use, since a reply is valid for 0.65 s, and the next
 /// query is sent after 0.25 s.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(500);
 
-/// Longest idle time of a connection between two queries.
-const MAX_IDLE: Duration = Duration::from_secs(2);
-
 /// Tells why a query got no reply.
 #[derive(Debug, Snafu)]
 enum QueryError {
@@ -91,14 +87,14 @@
     async fn exchange(&self, query: &ColdQuery) -> Result<Duration, QueryError> {
         let connecting =
             self.pool
-                .connect_within(query.address, query.service.max_connections, ANSWER_TIMEOUT);
+                .connect_anew(query.address, query.service.max_connections, ANSWER_TIMEOUT);
         let mut connection = connecting.await.context(UnreachableSnafu)?;
         let req = Request::get(query.service.health_path.as_str())
             .header(http::header::HOST, query.address.to_string())
             .body(Full::<Bytes>::default())
             .context(PathSnafu)?;
-        let answering = connection.send(req);
-        let (head, body) = answering
+        let answering = connection.send(req, None);
+        let (head, _) = answering
             .await
             .map_err(TrySendError::into_error)
             .context(ExchangeSnafu)?
@@ -111,9 +107,6 @@
             };
             self.dispatch.note_statement(query.backend, received);
         }
-        if refusal_body::read_to_end(body).await {
-            self.pool.give_back_for(connection, MAX_IDLE);
-        }
         reply
             .map(|reply| reply.cold_for)
             .ok_or(QueryError::WrongBackend)
--- a/server/src/demo_backend_server.rs
+++ b/server/src/demo_backend_server.rs
@@ -28,6 +28,7 @@
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
+use crate::header;
 use crate::own_interface;
 
 /// Simulated time to handle a request.
@@ -112,6 +113,11 @@
     let mut response = Response::new(Full::new(Bytes::from(content)));
     let json = HeaderValue::from_static("application/json");
     response.headers_mut().insert(CONTENT_TYPE, json);
+    if let Some(id) = parts.headers.get(header::REQUEST_ID) {
+        response
+            .headers_mut()
+            .insert(header::REQUEST_ID, id.clone());
+    }
     Ok(response)
 }
 
--- a/server/src/direct_send.rs
+++ b/server/src/direct_send.rs
@@ -20,6 +20,7 @@
 use heatherring_lib::fleet_update::FleetView;
 use heatherring_lib::link_admission::ExpectedAnswer;
 use heatherring_lib::link_admission::OVERHEAD_BYTES;
+use heatherring_lib::outcome::Answered;
 use heatherring_lib::outcome::Attempt;
 use heatherring_lib::outcome::MayHaveRun;
 use heatherring_lib::outcome::NotRunReason;
@@ -34,6 +35,7 @@
 use http::HeaderMap;
 use http::Method;
 use http::Request;
+use http::Response;
 use http::StatusCode;
 use http::Uri;
 use http::response;
@@ -56,6 +58,7 @@
 use crate::header;
 use crate::header::remove_hop_by_hop;
 use crate::interface::AnswerMeaning;
+use crate::interface::AnswerMetadata;
 use crate::interface::EntryInterface;
 use crate::interface::OutgoingMetadata;
 use crate::link_pacer::LinkPacer;
@@ -230,6 +233,7 @@
         req: &DirectRequest,
         mut attempt: Attempt<Unsent>,
     ) -> Sent {
+        let id = req.request_id.as_deref();
         loop {
             let options = ConnectOptions {
                 timeout: CONNECT_TIMEOUT,
@@ -237,7 +241,7 @@
             };
             let connecting =
                 self.pool
-                    .connect_with(choice.address, choice.max_connections, options);
+                    .connect_with(choice.address, choice.max_connections, id, options);
             let connection = match tokio::time::timeout_at(req.deadline.into(), connecting).await {
                 Ok(Ok(connection)) => connection,
                 Ok(Err(error)) => {
@@ -286,9 +290,8 @@
     ) -> Exchange {
         let message = self.message(choice, req);
         let sent = attempt.sending();
-        let sent_at = Instant::now();
         let followed = self.crashes.follow(choice.into(), req.tag);
-        let answering = connection.send(message);
+        let answering = connection.send(message, req.request_id.as_deref());
         let answering = self.in_time(req, answering);
         let answered = tokio::select! {
             answered = answering => answered,
@@ -301,25 +304,14 @@
         };
         match answered {
             Ok(Ok(response)) => {
-                let (head, body) = response.into_parts();
-                let echoed = self.interface.echoed_id(&head);
-                let received = ReceivedHead {
-                    status: head.status,
-                    echo: echoed.compare(req.request_id.as_deref()),
-                    position: connection.sent(),
-                    idle: sent_at.saturating_duration_since(connection.idle_since()),
-                };
-                log_mismatch(choice, req, &received, echoed);
-                let at = PendingAnswer {
+                let pending = PendingAnswer {
                     choice,
                     req,
                     sent,
                     connection,
                     followed,
                 };
-                let mut sent = self.read(at, (head, body)).await;
-                sent.received = Some(received);
-                Exchange::Finished(Box::new(sent))
+                Exchange::Finished(Box::new(self.receive(pending, response).await))
             }
             Ok(Err(mut error)) => {
                 if let Some(unwritten) = error.take_message() {
@@ -400,17 +392,63 @@
         message
     }
 
-    async fn read(&self, at: PendingAnswer<'_>, (head, body): (response::Parts, Incoming)) -> Sent {
-        let request_id = at.req.request_id.as_deref();
-        let metadata = self.interface.read_answer(&head, request_id);
-        let received = ReceivedStatement {
-            statement: metadata.statement,
-            at: Instant::now(),
+    /// Reads the answer that arrived on the connection, if it belongs to the request.
+    async fn receive(&self, pending: PendingAnswer<'_>, response: Response<Incoming>) -> Sent {
+        let PendingAnswer {
+            choice,
+            req,
+            sent,
+            mut connection,
+            followed,
+        } = pending;
+        let (head, body) = response.into_parts();
+        let AnswerMetadata {
+            echoed,
+            meaning,
+            statement,
+        } = self.interface.read_answer(&head);
+        let id = req.request_id.as_deref();
+        let received = ReceivedHead {
+            status: head.status,
+            echo: echoed.compare(id),
+            position: connection.sent(),
+            idle: connection.idle(),
         };
-        if matches!(
-            metadata.meaning,
-            AnswerMeaning::Answer | AnswerMeaning::NotRun
-        ) {
+        log_mismatch(choice, req, &received, echoed);
+        let mut sent = match connection.pair(sent, id, echoed) {
+            Ok(sent) => {
+                let statement = ReceivedStatement {
+                    statement,
+                    at: Instant::now(),
+                };
+                let at = PendingAnswer {
+                    choice,
+                    req,
+                    sent,
+                    connection,
+                    followed,
+                };
+                self.read(at, meaning, statement, (head, body)).await
+            }
+            Err(unpaired) => {
+                followed.broken();
+                let unknown = unpaired.attempt.lost(UnknownReason::AnswerMismatched);
+                Sent::new(unknown, SendOutcome::Broken)
+            }
+        };
+        sent.received = Some(received);
+        sent
+    }
+
+    /// Reads an answer that belongs to the request.
+    async fn read(
+        &self,
+        at: PendingAnswer<'_, Answered>,
+        meaning: AnswerMeaning,
+        received: ReceivedStatement,
+        (head, body): (response::Parts, Incoming),
+    ) -> Sent {
+        if matches!(meaning, AnswerMeaning::Answer | AnswerMeaning::NotRun) {
             self.dispatch.note_statement(at.choice.backend, received);
             if received.statement.leaving == LeavingNotice::Leaving {
                 self.pool.disconnect(at.choice.address);
@@ -420,7 +458,7 @@
                 self.interface.unread_headers(&head.headers),
             );
         }
-        let refused = match metadata.meaning {
+        let refused = match meaning {
             AnswerMeaning::Answer => {
                 let mut sent = self.pass_on(at, (head, body)).await;
                 sent.statement = Some(received);
@@ -457,7 +495,7 @@
     /// Reads a short answer completely, or starts to relay a long one.
     async fn pass_on(
         &self,
-        at: PendingAnswer<'_>,
+        at: PendingAnswer<'_, Answered>,
         (mut head, body): (response::Parts, Incoming),
     ) -> Sent {
         let PendingAnswer {
@@ -533,11 +571,11 @@
     }
 }
 
-/// A sent request whose answer is to be read.
-struct PendingAnswer<'a> {
+/// A sent request whose answer is to be read; `S` is the state of its attempt.
+struct PendingAnswer<'a, S = MayHaveRun> {
     choice: &'a Choice,
     req: &'a DirectRequest,
-    sent: Attempt<MayHaveRun>,
+    sent: Attempt<S>,
     connection: BackendConnection,
     followed: TrackedRequest,
 }
--- a/server/src/dispatcher.rs
+++ b/server/src/dispatcher.rs
@@ -9,12 +9,14 @@
 use bytes::Bytes;
 use heatherring_lib::backend_statement::ReceivedStatement;
 use heatherring_lib::duration_text::whole_ms;
+use heatherring_lib::outcome::Answered;
 use heatherring_lib::outcome::Attempt;
-use heatherring_lib::outcome::MayHaveRun;
 use heatherring_lib::outcome::NotRunReason;
 use heatherring_lib::outcome::Outcome;
 use heatherring_lib::outcome::Refusal;
+use heatherring_lib::outcome::Unknown;
 use heatherring_lib::outcome::UnknownReason;
+use heatherring_lib::outcome::Unpaired;
 use heatherring_lib::outcome::Unsent;
 use http::HeaderMap;
 use http::HeaderValue;
@@ -30,6 +32,7 @@
 use crate::backend_pool::BackendConnection;
 use crate::backend_pool::BackendPool;
 use crate::header;
+use crate::metric;
 use crate::own_interface;
 use crate::refusal_body;
 
@@ -97,7 +100,11 @@
     now: Instant,
 ) -> Outcome<BackendAnswer> {
     loop {
-        let connecting = pool.connect(target.address, target.max_connections);
+        let connecting = pool.connect(
+            target.address,
+            target.max_connections,
+            Some(&req.request_id),
+        );
         let deadline = req.deadline.into();
         let mut connection = match tokio::time::timeout_at(deadline, connecting).await {
             Ok(Ok(connection)) => connection,
@@ -115,9 +122,14 @@
         };
         let reused = connection.is_reused();
         let sent = attempt.sending();
-        let answering = connection.send(message);
+        let answering = connection.send(message, Some(&req.request_id));
         match tokio::time::timeout_at(deadline, answering).await {
             Ok(Ok(response)) => {
+                let echoed = header::echoed_id(response.headers(), &header::REQUEST_ID);
+                let answered = match connection.pair(sent, Some(&req.request_id), echoed) {
+                    Ok(answered) => answered,
+                    Err(unpaired) => return mismatched(target, req, &response, unpaired).into(),
+                };
                 let (head, body) = response.into_parts();
                 let received = ReceivedStatement {
                     statement: own_interface::statement(&head),
@@ -125,7 +137,7 @@
                 };
                 observer.stated(received, !head.status.is_server_error());
                 let response = Response::from_parts(head, body);
-                return read_head(pool, sent, response, connection).await;
+                return read_head(pool, answered, response, connection).await;
             }
             Ok(Err(mut error)) => match error.take_message() {
                 // The server closed an idle connection before the request was written.
@@ -162,9 +174,28 @@
     Some(message)
 }
 
+/// Ends an attempt whose connection brought an answer to another request.
+fn mismatched(
+    target: BackendTarget,
+    req: &OutgoingRequest,
+    response: &Response<Incoming>,
+    unpaired: Unpaired,
+) -> Unknown {
+    metric::answer_mismatch(unpaired.echo);
+    log::info!(
+        event = "answer_mismatched",
+        request_id = req.request_id.as_str(),
+        address = target.address.to_string().as_str(),
+        echo = unpaired.echo.name(),
+        status = response.status().as_u16();
+        "a backend server's answer does not name the request that waits for it"
+    );
+    unpaired.attempt.lost(UnknownReason::AnswerMismatched)
+}
+
 async fn read_head(
     pool: &BackendPool,
-    sent: Attempt<MayHaveRun>,
+    answered: Attempt<Answered>,
     response: Response<Incoming>,
     connection: BackendConnection,
 ) -> Outcome<BackendAnswer> {
@@ -174,12 +205,12 @@
         if refusal_body::read_to_end(response.into_body()).await {
             pool.give_back(connection);
         }
-        return sent.refused(refusal).into();
+        return answered.refused(refusal).into();
     }
     if !is_framed(&response) {
-        return sent.lost(UnknownReason::ConnectionLost).into();
+        return answered.lost(UnknownReason::ConnectionLost).into();
     }
-    sent.answered(BackendAnswer {
+    answered.answered(BackendAnswer {
         response,
         connection,
     })
--- a/server/src/forward_client.rs
+++ b/server/src/forward_client.rs
@@ -181,10 +181,11 @@
             }
             Err(_) => return sent.lost(UnknownReason::DeadlinePassed).into(),
         };
-        match refusal::from_entry(response.headers(), sent) {
+        let answered = sent.answered_on_stream();
+        match refusal::from_entry(response.headers(), answered) {
             Ok(Refused::NotRun(not_run)) => not_run.into(),
             Ok(Refused::Unknown(unknown)) => unknown.into(),
-            Err(sent) => sent.answered(to_response(response, req.deadline)),
+            Err(answered) => answered.answered(to_response(response, req.deadline)),
         }
     }
 
--- a/server/src/header.rs
+++ b/server/src/header.rs
@@ -115,6 +115,12 @@
     headers.get(name)?.to_str().ok()
 }
 
+/// Reads the identifier of a request; `None` without one, or with an empty one.
+#[must_use]
+pub fn request_id(headers: &HeaderMap, name: impl AsHeaderName) -> Option<&str> {
+    text(headers, name).filter(|id| !id.is_empty())
+}
+
 /// Reads the identifier of the request that an answer echoes in a header.
 #[must_use]
 pub fn echoed_id(headers: &HeaderMap, name: impl AsHeaderName) -> EchoedId<'_> {
--- a/server/src/interface.rs
+++ b/server/src/interface.rs
@@ -44,8 +44,8 @@
     pub team: Option<&'a TeamName>,
 }
 
-/// Meaning of an answer from a backend server.
-#[derive(Clone, Debug, Eq, PartialEq)]
+/// Meaning of an answer from a backend server, for the request that it belongs to.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum AnswerMeaning {
     /// The backend server ran the request; this is its answer.
     Answer,
@@ -53,13 +53,15 @@
     NotRun,
     /// Another backend server has this address, and did not run the request.
     OtherBackend,
-    /// The answer belongs to another request, or does not come from a backend server.
+    /// The answer does not come from a backend server.
     Foreign,
 }
 
 /// Metadata that a backend server sends with an answer.
 #[derive(Clone, Debug, PartialEq)]
-pub struct AnswerMetadata {
+pub struct AnswerMetadata<'a> {
+    /// The request that the answer names.
+    pub echoed: EchoedId<'a>,
     /// Whether and by whom the request was run.
     pub meaning: AnswerMeaning,
     /// What the backend server states about itself.
@@ -113,12 +115,8 @@
     /// Writes the metadata for a backend server into the caller's headers.
     fn write_request_metadata(&self, headers: &mut HeaderMap, metadata: &OutgoingMetadata<'_>);
 
-    /// Reads which request an answer names.
-    fn echoed_id<'a>(&self, head: &'a http::response::Parts) -> EchoedId<'a>;
-
-    /// Reads the metadata of a backend server's answer to the request `request_id`.
-    fn read_answer(&self, head: &http::response::Parts, request_id: Option<&str>)
-    -> AnswerMetadata;
+    /// Reads the metadata of a backend server's answer.
+    fn read_answer<'a>(&self, head: &'a http::response::Parts) -> AnswerMetadata<'a>;
 
     /// Reads the answer to a health check; `None` if it does not come from `backend`.
     fn read_health(
--- a/server/src/own_interface.rs
+++ b/server/src/own_interface.rs
@@ -11,7 +11,6 @@
 
 use futures_util::FutureExt;
 use futures_util::future::BoxFuture;
-use heatherring_lib::answer_pairing::EchoedId;
 use heatherring_lib::backend_load::LoadReport;
 use heatherring_lib::backend_statement::BackendStatement;
 use heatherring_lib::duration_text::whole_ms;
@@ -108,7 +107,7 @@
             None => None,
         };
         Ok(CallerMetadata {
-            request_id: header::text(headers, &header::REQUEST_ID).map(str::to_owned),
+            request_id: header::request_id(headers, &header::REQUEST_ID).map(str::to_owned),
             caller_timeout,
             object: header::text(headers, &OBJECT).map(str::to_owned),
         })
@@ -122,23 +121,17 @@
         header::set_or_remove(headers, &TEAM, metadata.team.map(TeamName::as_str));
     }
 
-    fn echoed_id<'a>(&self, head: &'a Parts) -> EchoedId<'a> {
-        header::echoed_id(&head.headers, &header::REQUEST_ID)
-    }
-
-    fn read_answer(&self, head: &Parts, request_id: Option<&str>) -> AnswerMetadata {
-        let echoed = header::text(&head.headers, &header::REQUEST_ID);
+    fn read_answer<'a>(&self, head: &'a Parts) -> AnswerMetadata<'a> {
         let outcome = header::text(&head.headers, &header::OUTCOME);
         let meaning = if outcome == Some(OUTCOME_NOT_RUN) {
             AnswerMeaning::NotRun
         } else if head.status == StatusCode::MISDIRECTED_REQUEST {
             AnswerMeaning::OtherBackend
-        } else if echoed == request_id {
-            AnswerMeaning::Answer
         } else {
-            AnswerMeaning::Foreign
+            AnswerMeaning::Answer
         };
         AnswerMetadata {
+            echoed: header::echoed_id(&head.headers, &header::REQUEST_ID),
             meaning,
             statement: statement(head),
         }
--- a/server/src/owner_path.rs
+++ b/server/src/owner_path.rs
@@ -133,7 +133,10 @@
             not_run.into()
         }
         Outcome::Unknown(unknown) => {
-            if unknown.reason() == UnknownReason::ConnectionLost {
+            if matches!(
+                unknown.reason(),
+                UnknownReason::ConnectionLost | UnknownReason::AnswerMismatched
+            ) {
                 tracked.broken();
             }
             guard.ended(ending_of_unknown(unknown));
--- a/server/src/request_trace.rs
+++ b/server/src/request_trace.rs
@@ -103,7 +103,8 @@
             self.took.as_millis()
         )?;
         let unusual = self.received.filter(|received| {
-            self.verdict != SendOutcome::Answered || received.echo != EchoMatch::Same
+            let is_plain = self.verdict == SendOutcome::Answered && received.status.is_success();
+            !is_plain || received.echo != EchoMatch::Same
         });
         if let Some(received) = unusual {
             write!(
--- a/server/tests/direct_support/backend.rs
+++ b/server/tests/direct_support/backend.rs
@@ -301,7 +301,11 @@
     if behaviour == Behaviour::Shed {
         let response = Response::builder().status(503);
         let response = response.header("heatherring-outcome", "not_run");
-        return Some(response.body(Full::default()).unwrap());
+        let mut response = response.body(Full::default()).unwrap();
+        if let Some(id) = id {
+            response.headers_mut().insert("heatherring-request-id", id);
+        }
+        return Some(response);
     }
     runs.fetch_add(1, Ordering::SeqCst);
     if behaviour == Behaviour::Break {
--- a/server/tests/entry_support/scripted_backend.rs
+++ b/server/tests/entry_support/scripted_backend.rs
@@ -126,6 +126,7 @@
                 continue;
             }
             let path = path_of(&head);
+            let id = id_of(&head);
             head.clear();
             let number = self.requests.fetch_add(1, Ordering::SeqCst);
             let script = self.script[number.min(self.script.len() - 1)];
@@ -133,7 +134,7 @@
                 crash.notify_one();
                 std::future::pending::<()>().await;
             }
-            if !answer(&mut stream, script, &path).await {
+            if !answer(&mut stream, script, &path, &id).await {
                 return;
             }
         }
@@ -145,8 +146,16 @@
     text.split(' ').nth(1).unwrap_or_default().to_owned()
 }
 
+fn id_of(head: &[u8]) -> String {
+    let text = String::from_utf8_lossy(head);
+    let id = text
+        .lines()
+        .find_map(|line| line.strip_prefix("heatherring-request-id: "));
+    id.unwrap_or_default().to_owned()
+}
+
 /// Sends the answer of a script step. Returns whether the connection stays open.
-async fn answer(stream: &mut TcpStream, script: Script, path: &str) -> bool {
+async fn answer(stream: &mut TcpStream, script: Script, path: &str, id: &str) -> bool {
     let mut body = format!("answer to {path}");
     if script == Script::Large {
         body = "x".repeat(LARGE);
@@ -183,6 +192,8 @@
         ),
         Script::HangUp | Script::NoAnswer | Script::Crash => String::new(),
     };
+    let echo = format!("\r\nheatherring-request-id: {id}\r\n");
+    let text = text.replacen("\r\n", &echo, 1);
     if script == Script::Slow {
         tokio::time::sleep(SLOW).await;
     }
