direct dispatch: a status that promises "not run" is passed on only with its proof

To callers these statuses, and 421, promise that the action has not run; they repeat it.

Cause: an answer of the right request with such a status and without the statement that nothing ran was passed on unchanged. 421 was believed without the statement on the platform's interface.

On a route that is not idempotent such an answer now ends the request as unknown (502, refusal_unproved). Idempotent requests are sent elsewhere or get the answer, as before.

--- a/lib/src/explanation.rs
+++ b/lib/src/explanation.rs
@@ -215,6 +215,9 @@
 /// Returns the rule that leads to "unknown".
 const fn unknown_rule(reason: UnknownReason) -> &'static str {
     match reason {
+        UnknownReason::RefusalUnproved => {
+            "the backend server's status means \"not run\" to callers, but it did not state so"
+        }
         UnknownReason::AnswerMismatched => "an answer to another request arrived on the connection",
         UnknownReason::ConnectionLost | UnknownReason::OwnerLost => {
             "the connection was lost after the request may have been sent"
--- a/lib/src/outcome.rs
+++ b/lib/src/outcome.rs
@@ -182,9 +182,19 @@
         ActionStoreFull "action_store_full" 502,
         /// An answer that belongs to another request arrived on the connection.
         AnswerMismatched "answer_mismatched" 502,
+        /// The backend server answered with a status that tells callers that the request was not
+        /// run, without stating that it was not.
+        RefusalUnproved "refusal_unproved" 502,
     }
 }
 
+/// Returns whether an answer with the status `status` promises its caller that the request was not
+/// run and never will be.
+#[must_use]
+pub const fn promises_not_run(status: u16) -> bool {
+    matches!(status, 408 | 421 | 429 | 503)
+}
+
 /// Proof that a request was not run and, for an action, that its key never will be.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 #[must_use]
--- a/lib/src/probable_cause.rs
+++ b/lib/src/probable_cause.rs
@@ -117,6 +117,10 @@
             "an answer to another request arrived in place of the answer to this one; it may have \
              run and was not sent again: {sends}"
         ),
+        "refusal_unproved" => format!(
+            "the backend server answered with a status that means \"not run\" to callers, without \
+             stating that the request was not run: {sends}"
+        ),
         "deadline_passed" => format!(
             "the backend server did not answer within the remaining {} ms: {sends}",
             decision.number("patience_ms")
--- a/server/src/direct_path.rs
+++ b/server/src/direct_path.rs
@@ -17,7 +17,9 @@
 use heatherring_lib::outcome::NotRunReason;
 use heatherring_lib::outcome::Outcome;
 use heatherring_lib::outcome::Unknown;
+use heatherring_lib::outcome::UnknownReason;
 use heatherring_lib::outcome::Unsent;
+use heatherring_lib::outcome::promises_not_run;
 use heatherring_lib::quarantine::WATCH_THRESHOLD;
 use heatherring_lib::route_manifest::Route;
 use http::HeaderValue;
@@ -276,6 +278,9 @@
                     self.faulty = Some(answer);
                     Ok(NextStep::Retry(permission.another_attempt()))
                 }
+                None if promises_not_run(answer.head.status.as_u16()) => {
+                    self.end_now(Unknown::new(UnknownReason::RefusalUnproved).into())
+                }
                 _ => Ok(NextStep::Answer(Box::new(answer))),
             },
             Outcome::NotRun(not_run) if is_final(not_run.reason()) => self.end_now(not_run.into()),
