unpaired answers: callers without an identifier, the bound of a connection, statements of foreign answers

Cause: of the hunks of the fix that were taken out one at a time, those for requests without an identifier, for the bound of 128 requests and for the statements of a foreign answer left test_unpaired_answers and test_unpaired_answers_at_owner green.

Change: three tests over sockets.

--- a/server/tests/test_unpaired_answers.rs
+++ b/server/tests/test_unpaired_answers.rs
@@ -17,6 +17,7 @@
 use direct_support::scripted_backend::Ledger;
 use direct_support::scripted_backend::ScriptedBackend;
 use direct_support::scripted_backend::answer;
+use heatherring_lib::answer_pairing::MAX_CARRIED_REQUESTS;
 use heatherring_testutils::loopback::SERVICE_PORT;
 use heatherring_testutils::wait::wait_for;
 use http::Method;
@@ -29,6 +30,9 @@
 
 const NOT_RUN: &str = "heatherring-outcome: not_run";
 
+/// The statement of a backend server that it leaves.
+const LEAVING: &str = "heatherring-leaving: 1";
+
 /// An interim answer.
 const CONTINUE: &str = "HTTP/1.1 100 Continue\r\n\r\n";
 
@@ -714,3 +718,57 @@
     let told = scene.act(4).await;
     scene.assert_kept(&told).await;
 }
+
+/// Checks that callers with and without an identifier are served side by side.
+#[tokio::test(flavor = "multi_thread")]
+async fn test_callers_without_an_identifier_are_served_beside_others() {
+    let script = |arrived: &Arrived| vec![Act::Run, Act::Write(served(arrived))];
+    let scene = Scene::start(script).await;
+    let mut told = Vec::new();
+    for number in 0..ACTIONS {
+        let key = format!("act-{number}");
+        let id = is_even_number(number).then_some(key.as_str());
+        told.push(scene.send(Method::POST, "/once/", &key, id, 4).await);
+    }
+    scene.assert_served(&told).await;
+}
+
+const fn is_even_number(number: usize) -> bool {
+    number.is_multiple_of(2)
+}
+
+/// Guards against a connection that carries more requests than the pool remembers.
+#[tokio::test(flavor = "multi_thread")]
+async fn test_connections_carry_no_more_than_is_remembered() {
+    let script = |arrived: &Arrived| vec![Act::Run, Act::Write(served(arrived))];
+    let scene = Scene::start(script).await;
+    let mut told = Vec::new();
+    for number in 0..3 * MAX_CARRIED_REQUESTS {
+        let key = format!("act-{number}");
+        told.push(scene.ask(Method::GET, "/safe/", &key).await);
+    }
+    let longest = scene.ledger.arrived().iter().map(|at| at.position).max();
+    assert_eq!(longest, Some(MAX_CARRIED_REQUESTS));
+    scene.assert_served(&told).await;
+}
+
+/// Guards against a backend server that nothing more is sent to because of what the answer to
+/// another request states.
+#[tokio::test(flavor = "multi_thread")]
+async fn test_unpaired_answer_states_nothing() {
+    let scene = Scene::start(|arrived| {
+        let own = Act::Write(served(arrived));
+        match action_before(arrived) {
+            Some(before) => {
+                let stray = answer(503, &[&id_line(before), NOT_RUN, LEAVING], "");
+                vec![Act::Run, Act::Stray(stray), Act::Pause, own]
+            }
+            None => vec![Act::Run, own],
+        }
+    })
+    .await;
+    let told = scene.act(4).await;
+    scene.assert_honest(&told).await;
+    // Fails if either backend server counts as leaving.
+    scene.until_known().await;
+}
