--- a/server/tests/test_unpaired_answers.rs
+++ b/server/tests/test_unpaired_answers.rs
@@ -719,6 +719,47 @@
     scene.assert_kept(&told).await;
 }
 
+/// Sends an action with these identifiers to backend servers that echo them as they are.
+async fn echo_as_given(ids: &[&str]) -> Vec<Told> {
+    let named = ids.iter().map(|id| format!("heatherring-request-id: {id}"));
+    let lines = named.collect::<Vec<_>>().join("\r\n");
+    let scene = Scene::start(move |arrived| {
+        vec![
+            Act::Run,
+            Act::Write(answer(200, &[&lines], &format!("of {}", arrived.key))),
+        ]
+    })
+    .await;
+    let mut told = Vec::new();
+    for number in 0..4 {
+        let key = format!("act-{number}");
+        let mut req = request(Method::POST, &format!("/once/{key}"), vec![b'x'; 4]);
+        for id in ids {
+            let value = http::HeaderValue::from_bytes(id.as_bytes()).unwrap();
+            req.headers_mut().append("heatherring-request-id", value);
+        }
+        let answer = call(scene.entry.settings.listen.callers, req).await;
+        let answer = answer.expect("an answer");
+        told.push(Told {
+            key,
+            status: answer.status.as_u16(),
+            body: String::from_utf8(answer.body.to_vec()).unwrap(),
+        });
+    }
+    scene.assert_kept(&told).await;
+    told
+}
+
+/// Guards against an action that ends as unknown although its answer echoes what the caller gave.
+#[rstest]
+#[case::other_bytes(&["\u{e9}1"])]
+#[case::two(&["a", "b"])]
+#[tokio::test(flavor = "multi_thread")]
+async fn test_answer_that_echoes_what_was_given_is_believed(#[case] ids: &'static [&'static str]) {
+    let told = echo_as_given(ids).await;
+    assert!(told.iter().all(|told| told.status == 200), "{told:?}");
+}
+
 /// Checks that callers with and without an identifier are served side by side.
 #[tokio::test(flavor = "multi_thread")]
 async fn test_callers_without_an_identifier_are_served_beside_others() {
