answers: a request that no identifier tells apart is paired by its connection

An action with two identifiers, or with one that is not ASCII, ended as 502 after it had run, though its answer echoed what the caller had given: the first of the two was compared with all that were echoed. Such requests have no usable identifier, so they get a new connection, whose first answer is theirs.

--- a/lib/src/answer_pairing.rs
+++ b/lib/src/answer_pairing.rs
@@ -7,6 +7,8 @@
 use std::hash::DefaultHasher;
 use std::hash::Hash;
 use std::hash::Hasher;
+use std::time::Duration;
+use std::time::Instant;
 
 /// Identifier of a request that an answer echoes.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -78,7 +80,7 @@
 /// A request that was sent on a connection and waits for its answer.
 #[derive(Clone, Copy, Debug)]
 pub struct SentRequest<'a> {
-    /// The identifier of the request; `None` without one.
+    /// The identifier of the request; `None` without one, or if it has several.
     pub id: Option<&'a str>,
     /// Whether the connection carried no other request before.
     pub is_first: bool,
@@ -89,14 +91,15 @@
     /// answer belongs to the request, and how the identifiers relate.
     ///
     /// An answer that names no request belongs to the first one of its connection, since there is
-    /// no other that it could belong to.
+    /// no other that it could belong to. So does any answer to a request that cannot be told by its
+    /// identifier.
     #[must_use]
     pub fn compare(&self, echoed: EchoedId<'_>) -> (bool, EchoMatch) {
         let echo = echoed.compare(self.id);
         let belongs = match echo {
             EchoMatch::Same => true,
             EchoMatch::Absent => self.is_first,
-            EchoMatch::Other | EchoMatch::Ambiguous => false,
+            EchoMatch::Other | EchoMatch::Ambiguous => self.is_first && self.id.is_none(),
         };
         (belongs, echo)
     }
@@ -147,3 +150,28 @@
         Self(hasher.finish())
     }
 }
+
+/// Time after a mismatched answer for which connections to its backend server are not kept. One
+/// that goes on sending such answers then spoils no further requests.
+pub const SINGLE_USE_TIME: Duration = Duration::from_secs(5);
+
+/// Decides whether connections to a backend server are kept for further requests.
+#[derive(Clone, Copy, Debug)]
+pub struct MismatchRecord {
+    /// When an answer arrived last that did not belong to the request that waited.
+    latest: Instant,
+}
+
+impl MismatchRecord {
+    /// Records a mismatched answer.
+    #[must_use]
+    pub const fn new(now: Instant) -> Self {
+        Self { latest: now }
+    }
+
+    /// Returns whether connections to the backend server are kept again.
+    #[must_use]
+    pub fn is_over(&self, now: Instant) -> bool {
+        now.saturating_duration_since(self.latest) >= SINGLE_USE_TIME
+    }
+}
--- a/lib/src/outcome.rs
+++ b/lib/src/outcome.rs
@@ -397,7 +397,7 @@
     ) -> Result<Attempt<Answered>, Unpaired> {
         let (belongs, echo) = sent.compare(echoed);
         if belongs {
-            Ok(self.answered_on_stream())
+            Ok(self.into_answered())
         } else {
             Err(Unpaired {
                 attempt: self,
@@ -409,6 +409,10 @@
     /// Pairs the attempt with the answer that arrived on its stream. HTTP/2 gives each request a
     /// stream of its own; an HTTP/1.1 connection is none.
     pub const fn answered_on_stream(self) -> Attempt<Answered> {
+        self.into_answered()
+    }
+
+    const fn into_answered(self) -> Attempt<Answered> {
         let MayHaveRun(()) = self.state;
         Attempt {
             state: Answered(()),
--- a/server/src/header.rs
+++ b/server/src/header.rs
@@ -115,10 +115,14 @@
     headers.get(name)?.to_str().ok()
 }
 
-/// Reads the identifier of a request; `None` without one, or with an empty one.
+/// Reads the identifier of a request; `None` without one, with several, or with one that is empty
+/// or not text.
 #[must_use]
 pub fn request_id(headers: &HeaderMap, name: impl AsHeaderName) -> Option<&str> {
-    text(headers, name).filter(|id| !id.is_empty())
+    match echoed_id(headers, name) {
+        EchoedId::One(id) => Some(id),
+        EchoedId::Absent | EchoedId::Ambiguous => None,
+    }
 }
 
 /// Reads the identifier of the request that an answer echoes in a header.
