backend pool: closed connections give their places on, and a repeating backend server keeps none

A connection that is not kept (its answer named no request, or it carried 128) counted as open until its task had ended. Where the limit equals the concurrency the next request found no room: backend_unreachable, and the backend server was paused. The next requester now waits for the place of a connection that is being closed, for as long as connecting may take.

An unnamed answer is believed only on a connection that was never idle in the pool. The line and the counter of mismatched answers no longer tell of answers that were believed.

--- a/server/src/backend_pool.rs
+++ b/server/src/backend_pool.rs
@@ -14,6 +14,7 @@
 //! only place where an answer that names no request is known to be its own.
 
 use std::collections::HashMap;
+use std::collections::VecDeque;
 use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -21,8 +22,10 @@
 
 use bytes::Bytes;
 use heatherring_lib::answer_pairing::CarriedRequests;
+use heatherring_lib::answer_pairing::EchoMatch;
 use heatherring_lib::answer_pairing::EchoedId;
 use heatherring_lib::answer_pairing::IdHash;
+use heatherring_lib::answer_pairing::MismatchRecord;
 use heatherring_lib::answer_pairing::SentRequest;
 use heatherring_lib::outcome::Answered;
 use heatherring_lib::outcome::Attempt;
@@ -123,8 +126,9 @@
     sent: u32,
     /// Their identifiers.
     carried: CarriedRequests,
-    /// Whether a request was sent since the last answer that named its request.
-    awaits_answer: bool,
+    /// Whether it may carry another request: each one that it carried has got an answer that names
+    /// it, and it has room to remember another one.
+    may_be_kept: bool,
     /// When it was returned to the pool last, or established.
     idle_since: Instant,
     /// How long it was idle before the latest request.
@@ -132,7 +136,7 @@
     /// Time that it took to establish the connection.
     established_in: Duration,
     /// Drives the connection; aborting it on drop closes the socket.
-    _driver: AbortOnDropHandle<()>,
+    driver: AbortOnDropHandle<()>,
 }
 
 impl ConnectError {
@@ -159,7 +163,7 @@
         if let Some(id) = id {
             self.carried.note(IdHash::of(id));
         }
-        self.awaits_answer = true;
+        self.may_be_kept = false;
         self.idle = self.idle_since.elapsed();
         self.sender.try_send_request(req)
     }
@@ -178,11 +182,12 @@
     ) -> Result<Attempt<Answered>, Unpaired> {
         let sent = SentRequest {
             id,
-            is_first: self.sent == 1,
+            is_first: self.sent == 1 && !self.reused,
         };
         let answered = attempt.pair(sent, echoed)?;
         // Answers that name no request cannot be told apart on a kept connection.
-        self.awaits_answer = echoed == EchoedId::Absent;
+        let is_named = echoed.compare(id) == EchoMatch::Same;
+        self.may_be_kept = is_named && !self.carried.is_full();
         Ok(answered)
     }
 
@@ -261,6 +266,7 @@
     Return(BackendConnection, Duration),
     Closed(SocketAddr),
     Disconnect(SocketAddr),
+    Mismatched(SocketAddr),
 }
 
 /// Sends messages to the pool's task.
@@ -277,6 +283,7 @@
         let task = PoolTask {
             weak_tx: tx.downgrade(),
             servers: HashMap::new(),
+            mismatches: HashMap::new(),
         };
         tokio::spawn(task.run(rx));
         Self { tx }
@@ -316,7 +323,10 @@
     ) -> Result<BackendConnection, ConnectError> {
         let reuse = id.map_or(Reuse::Never, |id| Reuse::For(IdHash::of(id)));
         loop {
-            match self.check_out(address, limit, reuse).await? {
+            let checkout = self.check_out(address, limit, reuse);
+            // A place that is about to become free may be late.
+            let checkout = tokio::time::timeout(options.timeout, checkout).await;
+            match checkout.unwrap_or(Ok(Checkout::LimitReached))? {
                 Checkout::Reuse(mut connection) => {
                     // The driver may not have seen the end of the last exchange yet.
                     if connection.sender.ready().await.is_ok() {
@@ -341,7 +351,9 @@
         limit: u32,
         timeout: Duration,
     ) -> Result<BackendConnection, ConnectError> {
-        match self.check_out(address, limit, Reuse::Never).await? {
+        let checkout = self.check_out(address, limit, Reuse::Never);
+        let checkout = tokio::time::timeout(timeout, checkout).await;
+        match checkout.unwrap_or(Ok(Checkout::LimitReached))? {
             Checkout::Connect(permit) => {
                 let options = ConnectOptions {
                     timeout,
@@ -369,6 +381,14 @@
         let _ = self.tx.send(PoolMessage::Return(connection, max_idle));
     }
 
+    /// Closes a connection on which an answer to another request arrived. For a while no connection
+    /// to its backend server is kept.
+    pub fn close_mismatched(&self, connection: BackendConnection) {
+        let address = connection.address;
+        drop(connection);
+        let _ = self.tx.send(PoolMessage::Mismatched(address));
+    }
+
     /// Closes the idle connections to `address`, so that they do not count against the backend
     /// server's connection limit when its new owner connects.
     pub fn disconnect(&self, address: SocketAddr) {
@@ -434,11 +454,11 @@
         reused: false,
         sent: 0,
         carried: CarriedRequests::default(),
-        awaits_answer: false,
+        may_be_kept: true,
         idle_since: Instant::now(),
         idle: Duration::ZERO,
         established_in,
-        _driver: AbortOnDropHandle::new(driver),
+        driver: AbortOnDropHandle::new(driver),
     })
 }
 
@@ -482,21 +502,64 @@
 
 #[derive(Debug, Default)]
 struct ServerPool {
+    /// Number of open connections.
     open: u32,
+    /// Number of these that the pool has closed and whose tasks have not ended yet.
+    closing: u32,
     idle: Vec<IdleConnection>,
+    /// Requesters that take the places of those.
+    waiting: VecDeque<oneshot::Sender<Checkout>>,
 }
 
 impl ServerPool {
     /// Takes the most recently used connection that may be reused, and closes those that were idle
     /// for too long.
     fn take_idle(&mut self, now: Instant, reuse: Reuse) -> Option<BackendConnection> {
-        self.idle.retain(|idle| idle.is_usable(now));
+        self.close_unusable(now);
         let position = self
             .idle
             .iter()
             .rposition(|idle| reuse.permits(&idle.connection))?;
         Some(self.idle.remove(position).connection)
     }
+
+    fn close_unusable(&mut self, now: Instant) {
+        let idle = std::mem::take(&mut self.idle).into_iter();
+        let (usable, expired) = idle.partition(|idle| idle.is_usable(now));
+        self.idle = usable;
+        self.close(expired);
+    }
+
+    fn close(&mut self, idle: Vec<IdleConnection>) {
+        for IdleConnection { connection, .. } in idle {
+            // A task that has ended may have been counted already.
+            if !connection.driver.is_finished() {
+                self.closing += 1;
+            }
+        }
+    }
+
+    /// Returns whether a requester that finds all places taken gets that of a connection that is
+    /// being closed. Idle connections do not suit it, so one of them is closed if need be.
+    fn may_wait(&mut self) -> bool {
+        let is_free = |server: &Self| server.waiting.len() < server.closing as usize;
+        if !is_free(self) {
+            let idle = self.idle.pop();
+            self.close(Vec::from_iter(idle));
+        }
+        is_free(self)
+    }
+
+    /// Counts a connection as closed, and returns who takes its place.
+    fn note_closed(&mut self) -> Option<oneshot::Sender<Checkout>> {
+        self.open = self.open.saturating_sub(1);
+        self.closing = self.closing.saturating_sub(1).min(self.open);
+        std::iter::from_fn(|| self.waiting.pop_front()).find(|reply| !reply.is_closed())
+    }
+
+    fn is_unused(&self) -> bool {
+        self.open == 0 && self.waiting.is_empty()
+    }
 }
 
 /// Holds the state of the pool's task.
@@ -504,6 +567,8 @@
     /// Weak, because a strong handle of its own would keep the task running for ever.
     weak_tx: mpsc::WeakUnboundedSender<PoolMessage>,
     servers: HashMap<SocketAddr, ServerPool>,
+    /// Backend servers to which no connections are kept.
+    mismatches: HashMap<SocketAddr, MismatchRecord>,
 }
 
 impl PoolTask {
@@ -531,6 +596,7 @@
             PoolMessage::Return(connection, max_idle) => self.return_idle(connection, max_idle),
             PoolMessage::Closed(address) => self.note_closed(address),
             PoolMessage::Disconnect(address) => self.disconnect(address),
+            PoolMessage::Mismatched(address) => self.note_mismatch(address),
         }
     }
 
@@ -548,54 +614,77 @@
             let _ = reply.send(Checkout::Reuse(connection));
             return;
         }
-        if server.open >= limit {
-            // What is left does not suit this request; the next one finds room.
-            server.idle.pop();
+        if server.open < limit {
+            self.permit(address, reply);
+        } else if server.may_wait() {
+            server.waiting.push_back(reply);
+        } else {
             let _ = reply.send(Checkout::LimitReached);
-            return;
         }
+    }
+
+    fn permit(&mut self, address: SocketAddr, reply: oneshot::Sender<Checkout>) {
         let Some(tx) = self.weak_tx.upgrade() else {
             return;
         };
-        server.open += 1;
+        self.servers.entry(address).or_default().open += 1;
         let _ = reply.send(Checkout::Connect(ConnectionPermit { address, tx }));
     }
 
     fn return_idle(&mut self, mut connection: BackendConnection, max_idle: Duration) {
-        if connection.awaits_answer || connection.carried.is_full() {
-            return;
-        }
+        let is_kept = connection.may_be_kept && self.keeps_connections(connection.address);
         connection.reused = true;
         connection.idle_since = Instant::now();
         let Some(server) = self.servers.get_mut(&connection.address) else {
             return;
         };
-        server.idle.push(IdleConnection {
+        let idle = IdleConnection {
             max_idle,
             connection,
-        });
+        };
+        if is_kept {
+            server.idle.push(idle);
+        } else {
+            server.close(vec![idle]);
+        }
     }
 
     fn note_closed(&mut self, address: SocketAddr) {
         let Some(server) = self.servers.get_mut(&address) else {
             return;
         };
-        server.open = server.open.saturating_sub(1);
-        if server.open == 0 {
+        let next = server.note_closed();
+        if server.is_unused() {
             self.servers.remove(&address);
         }
+        if let Some(reply) = next {
+            self.permit(address, reply);
+        }
+    }
+
+    fn note_mismatch(&mut self, address: SocketAddr) {
+        let record = MismatchRecord::new(Instant::now());
+        self.mismatches.insert(address, record);
+        self.disconnect(address);
+    }
+
+    fn keeps_connections(&self, address: SocketAddr) -> bool {
+        let record = self.mismatches.get(&address);
+        record.is_none_or(|record| record.is_over(Instant::now()))
     }
 
     fn disconnect(&mut self, address: SocketAddr) {
         if let Some(server) = self.servers.get_mut(&address) {
-            server.idle.clear();
+            let idle = std::mem::take(&mut server.idle);
+            server.close(idle);
         }
     }
 
     fn sweep(&mut self) {
         let now = Instant::now();
+        self.mismatches.retain(|_, record| !record.is_over(now));
         for server in self.servers.values_mut() {
-            server.idle.retain(|idle| idle.is_usable(now));
+            server.close_unusable(now);
         }
     }
 }
--- a/server/src/direct_send.rs
+++ b/server/src/direct_send.rs
@@ -414,7 +414,6 @@
             position: connection.sent(),
             idle: connection.idle(),
         };
-        log_mismatch(choice, req, &received, echoed);
         let mut sent = match connection.pair(sent, id, echoed) {
             Ok(sent) => {
                 let statement = ReceivedStatement {
@@ -431,6 +430,8 @@
                 self.read(at, meaning, statement, (head, body)).await
             }
             Err(unpaired) => {
+                log_mismatch(choice, req, &received, echoed);
+                self.pool.close_mismatched(connection);
                 followed.broken();
                 let unknown = unpaired.attempt.lost(UnknownReason::AnswerMismatched);
                 Sent::new(unknown, SendOutcome::Broken)
@@ -614,16 +615,13 @@
     }
 }
 
-/// Logs an answer that does not name the request that waits for it.
+/// Logs an answer that does not belong to the request that waits for one.
 fn log_mismatch(
     choice: &Choice,
     req: &DirectRequest,
     received: &ReceivedHead,
     echoed: EchoedId<'_>,
 ) {
-    if received.echo == EchoMatch::Same {
-        return;
-    }
     metric::answer_mismatch(received.echo);
     let echoed = match echoed {
         EchoedId::One(id) => id,
--- a/server/src/dispatcher.rs
+++ b/server/src/dispatcher.rs
@@ -128,7 +128,10 @@
                 let echoed = header::echoed_id(response.headers(), &header::REQUEST_ID);
                 let answered = match connection.pair(sent, Some(&req.request_id), echoed) {
                     Ok(answered) => answered,
-                    Err(unpaired) => return mismatched(target, req, &response, unpaired).into(),
+                    Err(unpaired) => {
+                        pool.close_mismatched(connection);
+                        return mismatched(target, req, &response, unpaired).into();
+                    }
                 };
                 let (head, body) = response.into_parts();
                 let received = ReceivedStatement {
