raft: an answer to an append of an earlier term confirms no round

Seen: a read was served, and a leader counted as proven to lead, because of an answer that was sent before the round began (`test_raft_rounds`).

Cause: rounds are numbered from 1 in each term. A follower that gets an append of an earlier term answers it under its own term, so that the sender learns of it, and echoed the number of the earlier term's round. A sender that leads again took that for the answer to its own round of that number. Reads, its own time in office, the age of the state that it states, and the time by which it stops to accept proposals all rest on that.

Change: such an answer names round 0, which no round has. It still carries the term, for which it is sent. The format stays the same. Followers of an earlier build go on echoing the number until they are replaced; a leader of either build reads the answers of both.

Why it holds: this was the only answer whose term isn't that of the message it answers. All others are sent by a replica in the term of the question, and a later term drops them.

The test uses the library only and is moved there. A second one covers the leader's time in office.

--- a/lib/src/raft.rs
+++ b/lib/src/raft.rs
@@ -35,6 +35,7 @@
 use crate::raft_effects::Token;
 use crate::raft_follower::IncomingSnapshot;
 use crate::raft_leader::LeaderState;
+use crate::raft_leader::NO_ROUND;
 use crate::raft_log::RaftLog;
 use crate::raft_message::HardState;
 use crate::raft_message::LogWrite;
@@ -453,15 +454,19 @@
     /// Replies to a leader of an earlier term, so that it learns of the current term and
     /// steps down.
     fn on_stale_term(&mut self, from: ReplicaId, kind: &MessageKind, fx: &mut Effects) {
-        let barrier = match kind {
-            MessageKind::Append { barrier, .. } => *barrier,
-            MessageKind::SnapshotChunk { .. } => 0,
-            _ => return,
-        };
+        let from_leader = matches!(
+            kind,
+            MessageKind::Append { .. } | MessageKind::SnapshotChunk { .. }
+        );
+        if !from_leader {
+            return;
+        }
         let kind = MessageKind::AppendReply {
             matched: false,
             index: self.last_index().next(),
-            barrier,
+            // Rounds are numbered anew in each term, so the sender's number would name another
+            // round if it leads again.
+            barrier: NO_ROUND,
             reply_number: self.sent_replies.number(self.now),
         };
         self.send(from, kind, fx);
--- a/lib/src/raft_leader.rs
+++ b/lib/src/raft_leader.rs
@@ -19,6 +19,9 @@
 use crate::raft_progress::LeaderCx;
 use crate::raft_progress::Progress;
 
+/// Number that no round has; the first round of a term has 1.
+pub(crate) const NO_ROUND: u64 = 0;
+
 /// Number of rounds not yet answered by a majority that stops reads from starting rounds.
 /// They wait for the next heartbeat instead.
 const MAX_UNANSWERED_ROUNDS: u64 = 16;
@@ -93,7 +96,7 @@
             handover_paused_until: now,
             below_max_voters_since: None,
             own_id,
-            round: 0,
+            round: NO_ROUND,
             rounds: VecDeque::new(),
             reads: Vec::new(),
         };
--- a/lib/src/raft_message.rs
+++ b/lib/src/raft_message.rs
@@ -235,7 +235,7 @@
         /// If matched, the highest index up to which the log is known to equal the
         /// leader's; otherwise the index from which the leader should retry.
         index: Revision,
-        /// The `barrier` of the append.
+        /// The `barrier` of the append; 0 if that was one of an earlier term.
         barrier: u64,
         /// Number of this reply; echoed in later appends.
         reply_number: u64,
--- a/server/tests/test_raft_rounds.rs
+++ b/lib/tests/test_raft_rounds.rs
@@ -131,9 +131,9 @@
     }
 }
 
-/// Guards against a read that is served because of an answer to a round of an earlier term.
-#[test]
-fn test_raft_rounds_of_an_earlier_term_confirm_no_read() {
+/// Returns two replicas, and a late answer to a round of an earlier term. The leader's next round
+/// has the number of that round.
+fn late_answer() -> (Pair, VecDeque<Delivery>) {
     let mut pair = Pair::new();
     pair.now = pair.replicas[&FIRST].next_wake();
     pair.step(FIRST, Input::Tick);
@@ -153,11 +153,18 @@
         next = latest.map(|number| number + 1);
     }
     assert_eq!(next, round(&late));
-    // The follower answers the late heartbeat before the read is asked for, and nothing after.
     let from = FIRST;
     let message = late;
     pair.step(SECOND, Input::Message { from, message });
     let answered = std::mem::take(&mut pair.sent);
+    assert_eq!(answered.len(), 1);
+    (pair, answered)
+}
+
+/// Guards against a read that is served because of an answer to a round of an earlier term.
+#[test]
+fn test_raft_rounds_of_an_earlier_term_confirm_no_read() {
+    let (mut pair, answered) = late_answer();
     pair.answers.clear();
     let read = pair.read();
     assert_eq!(pair.answers, [], "only the late answer is left to arrive");
@@ -174,3 +181,17 @@
         "the read was served without an answer to its round"
     );
 }
+
+/// Guards against a leader that counts as proven because of an answer to an earlier term's round.
+#[test]
+fn test_raft_rounds_of_an_earlier_term_prove_no_leader() {
+    let (mut pair, answered) = late_answer();
+    let proven_at = pair.replicas[&FIRST].proven_current_at();
+    assert!(proven_at.is_some());
+    pair.now = pair.replicas[&FIRST].next_wake();
+    pair.step(FIRST, Input::Tick);
+    for (from, to, message) in answered {
+        pair.step(to, Input::Message { from, message });
+    }
+    assert_eq!(pair.replicas[&FIRST].proven_current_at(), proven_at);
+}
