operator client: a lost answer outweighs a denial of a later copy

Seen: a submission was reported as refused, or as invalid, after the answer to its first copy had been lost at another replica; the first copy may be committed. The other orders did the same: a rollout was "in progress", a suspicion "not known", a replica "not a member" or "already a member", after the first copy had done it.

Cause: the client repeats a request whose answer was lost, and a status that refuses, "invalid", or a reply that says no ended the call, whichever copy it answered. Only "not accepted" of a submission was weighed against lost answers.

Change: the client tells denials from final replies. A denial holds for its own copy; if an answer to an earlier one was lost, the call ends as unknown: `SubmissionUnknown` or the new `OrderUnknown`, which lists the attempts. So it does when the time is up after a lost answer. The call ends at the first such denial: replicas would all say the same, and each copy of a change of the membership is a record of the audit. A reply that grants stays final, and so do "conflict" and "stale" of a submission: the log decides them for all copies alike. Reads are as before.

Not changed: `control join` (control_format.rs, `add_via_any`) has a client of its own that takes a refusal after a lost answer for a refusal.

--- a/cli/src/control_access.rs
+++ b/cli/src/control_access.rs
@@ -127,5 +127,7 @@
             .with_hint("a majority of the control replicas must run and reach one another"),
         OperatorClientError::SubmissionUnknown { .. } => CliError::unavailable(message)
             .with_hint("submit the same file again; it is accepted at most once"),
+        OperatorClientError::OrderUnknown { .. } => CliError::unavailable(message)
+            .with_hint("look at what is in force, then give the same order again if it is missing"),
     }
 }
--- a/server/src/operator_client.rs
+++ b/server/src/operator_client.rs
@@ -86,6 +86,12 @@
         /// Last failed attempt at each replica.
         attempts: Attempts,
     },
+    /// The order may have been carried out.
+    #[snafu(display("unknown whether the order was carried out: {attempts}"))]
+    OrderUnknown {
+        /// Last failed attempt at each replica.
+        attempts: Attempts,
+    },
 }
 
 /// Last failed attempt at one replica.
@@ -118,6 +124,12 @@
         /// Known detail, such as the status or the timeout.
         reason: String,
     },
+    /// The replica denied this copy of the request, which proves nothing of earlier copies.
+    #[snafu(display("denied a later copy ({reason})"))]
+    Denied {
+        /// Reason that the replica gave.
+        reason: String,
+    },
 }
 
 /// The last failed attempt at each replica, ordered by time.
@@ -149,14 +161,46 @@
     total_timeout: Duration,
 }
 
+/// Whether a request changes anything.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum RequestKind {
+    Read,
+    Order,
+}
+
 /// Classification of an attempt.
 enum Outcome<T> {
     /// The reply is final.
     Final(T),
+    /// The replica did nothing for this copy of the request, and others would do the same.
+    Denied(Denial<T>),
     /// Another replica, or this one later, may give a final answer.
     Retry(AttemptEnding),
 }
 
+/// Denial by one replica.
+struct Denial<T> {
+    /// Result of the call if no answer to an earlier copy was lost.
+    result: Result<T, OperatorClientError>,
+    reason: String,
+}
+
+impl<T> Denial<T> {
+    fn reply(reply: T, reason: impl Into<String>) -> Self {
+        Self {
+            result: Ok(reply),
+            reason: reason.into(),
+        }
+    }
+
+    fn error(error: OperatorClientError) -> Self {
+        Self {
+            reason: error.to_string(),
+            result: Err(error),
+        }
+    }
+}
+
 impl OperatorClient {
     /// Creates a client that calls the replicas at `control` in order, and gives up after
     /// `total_timeout`.
@@ -194,20 +238,18 @@
                 let reason = reply.reason;
                 Outcome::Retry(AttemptEnding::NotDone { reason })
             }
-            _ => Outcome::Final(reply),
+            SubmitOutcome::Invalid => {
+                let reason = reply.problems.join("; ");
+                Outcome::Denied(Denial::reply(reply, reason))
+            }
+            // The log decides these three for all copies alike.
+            SubmitOutcome::Accepted
+            | SubmitOutcome::VersionConflict
+            | SubmitOutcome::StaleVersion => Outcome::Final(reply),
         };
-        // One lost answer outweighs every later "not accepted": the submission that went with it
-        // may still be committed, and an operator told "not accepted" would submit something else.
-        let mut lost_any = false;
-        let result = self
-            .call_any(
-                async |mut client| client.submit(request.clone()).await,
-                classify,
-                |ending| lost_any |= matches!(ending, AttemptEnding::AnswerLost { .. }),
-            )
-            .await;
-        match result {
-            Err(OperatorClientError::Unreachable { attempts }) if lost_any => {
+        let call = async |mut client: GrpcClient<Channel>| client.submit(request.clone()).await;
+        match self.call_any(RequestKind::Order, call, classify).await {
+            Err(OperatorClientError::OrderUnknown { attempts }) => {
                 SubmissionUnknownSnafu { attempts }.fail()
             }
             result => result,
@@ -265,7 +307,7 @@
             Outcome::Retry(AttemptEnding::NotDone { reason })
         };
         let call = async |mut client: GrpcClient<Channel>| client.status(StatusRequest {}).await;
-        let result = self.call_any(call, classify, |_| {}).await;
+        let result = self.call_any(RequestKind::Read, call, classify).await;
         match (result, unconfirmed) {
             (Err(OperatorClientError::Unreachable { .. }), Some(reply)) => Ok(reply),
             (result, _) => result,
@@ -286,13 +328,21 @@
     ///
     /// # Errors
     ///
-    /// Fails if no replica gave a final answer.
+    /// Fails if no replica gave a final answer. [`OperatorClientError::OrderUnknown`] means that
+    /// the suspicion may have been cleared.
     pub async fn lift_quarantine(
         &self,
         request: &LiftQuarantineRequest,
     ) -> Result<LiftQuarantineReply, OperatorClientError> {
-        self.read(async |mut client| client.lift_quarantine(request.clone()).await)
-            .await
+        let classify = |reply: LiftQuarantineReply| {
+            if reply.known {
+                return Outcome::Final(reply);
+            }
+            Outcome::Denied(Denial::reply(reply, "not suspected"))
+        };
+        let call =
+            async |mut client: GrpcClient<Channel>| client.lift_quarantine(request.clone()).await;
+        self.call_any(RequestKind::Order, call, classify).await
     }
 
     /// Fetches the teams, without their keys.
@@ -319,26 +369,48 @@
     ///
     /// # Errors
     ///
-    /// Fails if no replica gave a final answer.
+    /// Fails if no replica gave a final answer. [`OperatorClientError::OrderUnknown`] means that
+    /// the rollout may have begun.
     pub async fn start_rollout(
         &self,
         request: &StartRolloutRequest,
     ) -> Result<StartRolloutReply, OperatorClientError> {
-        self.read(async |mut client| client.start_rollout(request.clone()).await)
-            .await
+        let classify = |reply: StartRolloutReply| {
+            if reply.accepted {
+                return Outcome::Final(reply);
+            }
+            let reason = if reply.unknown_service {
+                "unknown service".to_owned()
+            } else {
+                format!("a rollout to {} is in progress", reply.in_progress)
+            };
+            Outcome::Denied(Denial::reply(reply, reason))
+        };
+        let call =
+            async |mut client: GrpcClient<Channel>| client.start_rollout(request.clone()).await;
+        self.call_any(RequestKind::Order, call, classify).await
     }
 
     /// Requests a change of the set of control replicas.
     ///
     /// # Errors
     ///
-    /// Fails if no replica gave a final answer.
+    /// Fails if no replica gave a final answer. [`OperatorClientError::OrderUnknown`] means that
+    /// the change may have been made.
     pub async fn change_membership(
         &self,
         request: &ChangeMembershipRequest,
     ) -> Result<ChangeMembershipReply, OperatorClientError> {
-        self.read(async |mut client| client.change_membership(request.clone()).await)
-            .await
+        let classify = |reply: ChangeMembershipReply| {
+            if reply.accepted {
+                return Outcome::Final(reply);
+            }
+            let reason = reply.reason.clone();
+            Outcome::Denied(Denial::reply(reply, reason))
+        };
+        let call =
+            async |mut client: GrpcClient<Channel>| client.change_membership(request.clone()).await;
+        self.call_any(RequestKind::Order, call, classify).await
     }
 
     /// Calls the replicas until one replies; every reply is final.
@@ -346,34 +418,45 @@
         &self,
         call: impl AsyncFn(GrpcClient<Channel>) -> Result<Response<T>, Status>,
     ) -> Result<T, OperatorClientError> {
-        self.call_any(call, Outcome::Final, |_| {}).await
+        self.call_any(RequestKind::Read, call, Outcome::Final).await
     }
 
     /// Calls the replicas in order, round after round, until `classify` accepts a reply as final or
-    /// the time is up. Calls `on_attempt` for each failed attempt.
+    /// the time is up.
+    ///
+    /// One lost answer to an order outweighs every later denial: the copy that went with it may
+    /// still be carried out, and an operator told "refused" would order something else.
     async fn call_any<T>(
         &self,
+        kind: RequestKind,
         call: impl AsyncFn(GrpcClient<Channel>) -> Result<Response<T>, Status>,
         mut classify: impl FnMut(T) -> Outcome<T>,
-        mut on_attempt: impl FnMut(&AttemptEnding),
     ) -> Result<T, OperatorClientError> {
         let deadline = Instant::now() + self.total_timeout;
         let mut attempts = Attempts::default();
+        let mut lost_any = false;
         loop {
             for address in &self.control {
-                let verdict = self
-                    .attempt(*address, deadline, &call, &mut classify)
-                    .await?;
-                match verdict {
+                let outcome = self.attempt(*address, deadline, &call, &mut classify);
+                let ending = match outcome.await {
                     Outcome::Final(reply) => return Ok(reply),
-                    Outcome::Retry(ending) => {
-                        on_attempt(&ending);
-                        attempts.record(*address, ending);
+                    Outcome::Denied(denial) if !lost_any => return denial.result,
+                    Outcome::Denied(Denial { reason, .. }) => {
+                        attempts.record(*address, AttemptEnding::Denied { reason });
+                        return OrderUnknownSnafu { attempts }.fail();
                     }
-                }
+                    Outcome::Retry(ending) => ending,
+                };
+                let lost = matches!(ending, AttemptEnding::AnswerLost { .. });
+                lost_any |= lost && kind == RequestKind::Order;
+                attempts.record(*address, ending);
             }
             if Instant::now() + ROUND_PAUSE >= deadline {
-                return UnreachableSnafu { attempts }.fail();
+                return if lost_any {
+                    OrderUnknownSnafu { attempts }.fail()
+                } else {
+                    UnreachableSnafu { attempts }.fail()
+                };
             }
             tokio::time::sleep(ROUND_PAUSE).await;
         }
@@ -385,11 +468,14 @@
         deadline: Instant,
         call: &impl AsyncFn(GrpcClient<Channel>) -> Result<Response<T>, Status>,
         classify: &mut impl FnMut(T) -> Outcome<T>,
-    ) -> Result<Outcome<T>, OperatorClientError> {
-        let endpoint = self.security.endpoint(address).context(SecuritySnafu)?;
+    ) -> Outcome<T> {
+        let endpoint = match self.security.endpoint(address).context(SecuritySnafu) {
+            Ok(endpoint) => endpoint,
+            Err(error) => return Outcome::Denied(Denial::error(error)),
+        };
         let channel = match endpoint.connect_timeout(CONNECT_TIMEOUT).connect().await {
             Ok(channel) => channel,
-            Err(source) => return Ok(Outcome::Retry(AttemptEnding::NotConnected { source })),
+            Err(source) => return Outcome::Retry(AttemptEnding::NotConnected { source }),
         };
         let client = GrpcClient::new(channel)
             .max_decoding_message_size(MAX_MESSAGE_BYTES)
@@ -397,11 +483,11 @@
         let left = deadline.saturating_duration_since(Instant::now());
         let timeout = left.clamp(MIN_CALL_TIMEOUT, MAX_CALL_TIMEOUT);
         match tokio::time::timeout(timeout, call(client)).await {
-            Ok(Ok(reply)) => Ok(classify(reply.into_inner())),
+            Ok(Ok(reply)) => classify(reply.into_inner()),
             Ok(Err(status)) => classify_status(address, &status),
             Err(_) => {
                 let reason = format!("no answer within {} ms", timeout.as_millis());
-                Ok(Outcome::Retry(AttemptEnding::AnswerLost { reason }))
+                Outcome::Retry(AttemptEnding::AnswerLost { reason })
             }
         }
     }
@@ -418,10 +504,7 @@
 
 /// Classifies a failed call. Only codes that the server returns before it changes anything count as
 /// "not done"; codes that the transport may have produced count as a lost answer.
-fn classify_status<T>(
-    address: SocketAddr,
-    status: &Status,
-) -> Result<Outcome<T>, OperatorClientError> {
+fn classify_status<T>(address: SocketAddr, status: &Status) -> Outcome<T> {
     let reason = status.message().to_owned();
     match status.code() {
         Code::InvalidArgument
@@ -430,10 +513,17 @@
         | Code::PermissionDenied
         | Code::Unauthenticated
         | Code::Unimplemented
-        | Code::OutOfRange => RefusedSnafu { address, reason }.fail(),
+        | Code::OutOfRange => Outcome::Denied(Denial {
+            result: RefusedSnafu {
+                address,
+                reason: &reason,
+            }
+            .fail(),
+            reason,
+        }),
         Code::FailedPrecondition | Code::ResourceExhausted => {
-            Ok(Outcome::Retry(AttemptEnding::NotDone { reason }))
+            Outcome::Retry(AttemptEnding::NotDone { reason })
         }
-        _ => Ok(Outcome::Retry(AttemptEnding::AnswerLost { reason })),
+        _ => Outcome::Retry(AttemptEnding::AnswerLost { reason }),
     }
 }
--- a/server/tests/test_operator_client.rs
+++ b/server/tests/test_operator_client.rs
@@ -47,7 +47,8 @@
 /// Time after which the client gives up. It bounds the duration of tests that get no answer.
 const CLIENT_TIMEOUT: Duration = Duration::from_millis(700);
 
-/// How a replica handles one submission.
+/// How a replica handles one submission or order. It grants an order that it accepts, and denies
+/// one with any other outcome.
 #[derive(Clone, Copy, Debug)]
 enum Step {
     Answer(SubmitOutcome),
@@ -69,6 +70,16 @@
 }
 
 impl Replica {
+    async fn next_order(&self) -> Result<bool, Status> {
+        match self.next() {
+            Step::Answer(outcome) => Ok(outcome == SubmitOutcome::Accepted),
+            Step::Lose => Err(Status::unavailable("connection reset")),
+            Step::Hang => std::future::pending().await,
+            Step::Decline => Err(Status::failed_precondition("no quorum")),
+            Step::Refuse => Err(Status::permission_denied("another operator")),
+        }
+    }
+
     fn next(&self) -> Step {
         let mut script = self.script.lock().unwrap();
         if script.len() > 1 {
@@ -138,21 +149,30 @@
         &self,
         _: Request<StartRolloutRequest>,
     ) -> Result<Response<StartRolloutReply>, Status> {
-        Err(Status::unimplemented(""))
+        let accepted = self.next_order().await?;
+        Ok(Response::new(StartRolloutReply {
+            accepted,
+            ..StartRolloutReply::default()
+        }))
     }
 
     async fn lift_quarantine(
         &self,
         _: Request<LiftQuarantineRequest>,
     ) -> Result<Response<LiftQuarantineReply>, Status> {
-        Err(Status::invalid_argument("fingerprint"))
+        let known = self.next_order().await?;
+        Ok(Response::new(LiftQuarantineReply { known }))
     }
 
     async fn change_membership(
         &self,
         _: Request<ChangeMembershipRequest>,
     ) -> Result<Response<ChangeMembershipReply>, Status> {
-        Ok(Response::new(ChangeMembershipReply::default()))
+        let accepted = self.next_order().await?;
+        Ok(Response::new(ChangeMembershipReply {
+            accepted,
+            ..ChangeMembershipReply::default()
+        }))
     }
 }
 
@@ -275,6 +295,79 @@
     assert_eq!(ended, SubmissionResult::Refused);
 }
 
+#[derive(Clone, Copy, Debug)]
+enum Order {
+    LiftQuarantine,
+    StartRollout,
+    ChangeMembership,
+}
+
+/// Result of an order as the client reports it.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum OrderResult {
+    Granted,
+    Denied,
+    Refused,
+    /// The order is proved never to have been carried out.
+    NotDone,
+    Unknown,
+}
+
+/// Gives an order to replicas of which each has one step; `None` is one that doesn't run.
+async fn give(order: Order, steps: &[Option<Step>]) -> OrderResult {
+    let scripts: Vec<&[Step]> = steps.iter().map(Option::as_slice).collect();
+    let replicas = Replicas::start(&scripts).await;
+    let client = replicas.client();
+    let lift = LiftQuarantineRequest::default();
+    let start = StartRolloutRequest::default();
+    let change = ChangeMembershipRequest::default();
+    let result = match order {
+        Order::LiftQuarantine => client.lift_quarantine(&lift).await.map(|it| it.known),
+        Order::StartRollout => client.start_rollout(&start).await.map(|it| it.accepted),
+        Order::ChangeMembership => client
+            .change_membership(&change)
+            .await
+            .map(|it| it.accepted),
+    };
+    match result {
+        Ok(true) => OrderResult::Granted,
+        Ok(false) => OrderResult::Denied,
+        Err(OperatorClientError::Refused { .. }) => OrderResult::Refused,
+        Err(OperatorClientError::Unreachable { .. }) => OrderResult::NotDone,
+        Err(OperatorClientError::OrderUnknown { .. }) => OrderResult::Unknown,
+        Err(error) => panic!("{error}"),
+    }
+}
+
+/// Guards against an order that is reported as denied although an earlier copy was carried out.
+#[rstest]
+#[tokio::test]
+async fn test_operator_client_lost_answer_outweighs_a_denied_order(
+    #[values(Order::LiftQuarantine, Order::StartRollout, Order::ChangeMembership)] order: Order,
+    #[values(Step::Lose, Step::Hang)] first: Step,
+    #[values(Step::Refuse, INVALID, Step::Decline)] later: Step,
+) {
+    let ended = give(order, &[Some(first), Some(later)]).await;
+    assert_eq!(ended, OrderResult::Unknown);
+}
+
+/// Guards against orders that are given up, or reported as unknown, although they were answered.
+#[rstest]
+#[case::granted(&[Some(ACCEPTED)], OrderResult::Granted)]
+#[case::granted_later(&[Some(Step::Lose), Some(ACCEPTED)], OrderResult::Granted)]
+#[case::denied(&[Some(INVALID), Some(ACCEPTED)], OrderResult::Denied)]
+#[case::denied_after_decline(&[Some(Step::Decline), Some(INVALID)], OrderResult::Denied)]
+#[case::refused(&[None, Some(Step::Refuse), Some(ACCEPTED)], OrderResult::Refused)]
+#[case::declined(&[Some(Step::Decline), None], OrderResult::NotDone)]
+#[tokio::test]
+async fn test_operator_client_answered_order_is_known(
+    #[values(Order::LiftQuarantine, Order::StartRollout, Order::ChangeMembership)] order: Order,
+    #[case] steps: &[Option<Step>],
+    #[case] expected: OrderResult,
+) {
+    assert_eq!(give(order, steps).await, expected);
+}
+
 #[tokio::test]
 async fn test_operator_client_status_without_quorum_is_marked() {
     let replicas = Replicas::start_with(&[&[ACCEPTED], &[ACCEPTED]], false).await;
