sessions: an opening that arrives after it was given up opens nothing

Cause: nothing tied an opening to the moment at which it was asked for.

Change: an opening names the last revision that control had named to its process, 0 at first. The leader, which is current after its read barrier, opens nothing if the VM has a session of a later revision. It answers OPENED_SINCE with the latest revision, and the process asks again with that: a process that starts while the session of its predecessor is open needs one more round trip. While an opening of a VM is being committed, another one of it is answered NO_QUORUM, since whether it is overtaken isn't known yet.

Why it holds: a session opened after the late request was sent has a number above the revision that the request names, so that it is refused for as long as that session is open. The check reads the replicated state, so that a change of the leader loses nothing.

What remains: a late opening of an entry VM without a session (it stopped, or lost it) is still opened, and lapses. If the VM then opens one, that ranks first.

fake_control.rs fills a reply's new field by default.

--- a/server/src/control_session.rs
+++ b/server/src/control_session.rs
@@ -135,6 +135,9 @@
     client: Option<(SocketAddr, SessionClient<Channel>)>,
     clock: Arc<dyn Clock>,
     state: EntryState,
+    /// Last revision that control has named. An opening that was given up names an earlier one than
+    /// that of the session opened since, and opens nothing if it arrives later.
+    opens_after: Revision,
     /// Whether the next call must ask for the whole view.
     needs_whole_view: bool,
     /// Whether no usable answer has arrived since the last failed call.
@@ -164,6 +167,7 @@
             client: None,
             clock,
             state: EntryState::default(),
+            opens_after: Revision::default(),
             needs_whole_view: true,
             silent: false,
             publish,
@@ -228,6 +232,7 @@
             wait_ms: u32::try_from(wait.as_millis()).unwrap_or(u32::MAX),
             leaving: goal != SessionGoal::Serve,
             closing: goal == SessionGoal::Close,
+            opens_after: session.is_none().then_some(self.opens_after.0),
         }
     }
 
@@ -296,6 +301,11 @@
                 self.end_session();
                 return Ok(());
             }
+            SyncOutcome::OpenedSince => {
+                self.check_cluster(replica, &reply.cluster_id)?;
+                self.opens_after = self.opens_after.max(Revision(reply.revision));
+                return Ok(());
+            }
             SyncOutcome::NoQuorum | SyncOutcome::Unspecified => {
                 return NoQuorumSnafu { replica }.fail();
             }
--- a/server/src/leader_sessions.rs
+++ b/server/src/leader_sessions.rs
@@ -12,6 +12,7 @@
 use heatherring_lib::control_state::ViewUpdate;
 use heatherring_lib::id::Revision;
 use heatherring_lib::id::SessionId;
+use heatherring_lib::id::VmName;
 use heatherring_lib::session_relay::Acknowledgement;
 use heatherring_lib::session_relay::BatchGrant;
 use heatherring_lib::session_tracker::Renewal;
@@ -53,6 +54,15 @@
         }
     }
 
+    /// Returns the entry VM for which a session is to be opened; `None` in renewals.
+    #[must_use]
+    pub const fn opens_for(&self) -> Option<&VmName> {
+        match &self.call.subject {
+            SyncSubject::Open(opening) => Some(&opening.entry.vm),
+            SyncSubject::Renew(_) => None,
+        }
+    }
+
     /// Answers that this replica can't prove that it is current.
     pub fn not_current(self, leader: Option<Box<LeaderLink>>) {
         self.answer(SyncAnswer::NotCurrent { leader });
@@ -213,8 +223,13 @@
             return Verdict::Done;
         }
         let id = match &held.call.subject {
-            SyncSubject::Open(entry) => {
-                let open = CommandKind::OpenSession(entry.clone());
+            SyncSubject::Open(opening) if opening.is_overtaken(state.view()) => {
+                let revision = state.revision();
+                held.answer(SyncAnswer::OpenedSince { revision });
+                return Verdict::Done;
+            }
+            SyncSubject::Open(opening) => {
+                let open = CommandKind::OpenSession(opening.entry.clone());
                 return Verdict::Propose(Box::new(open), held);
             }
             SyncSubject::Renew(session) => *session,
--- a/server/src/node_answers.rs
+++ b/server/src/node_answers.rs
@@ -132,12 +132,27 @@
     }
 
     fn serve_sync(&mut self, held: HeldSync) {
+        if self.is_opening(&held) {
+            // Whether this one is overtaken shows only once the other one is committed.
+            held.not_current(None);
+            return;
+        }
         match self.sessions.admit(held, &self.state) {
             Verdict::Done => {}
             Verdict::Propose(command, held) => self.propose(*command, Pending::Session(held)),
         }
     }
 
+    /// Returns whether a request would open a session of an entry VM for which one is being opened.
+    fn is_opening(&self, held: &HeldSync) -> bool {
+        let Some(vm) = held.opens_for() else {
+            return false;
+        };
+        self.pending.values().any(
+            |pending| matches!(pending, Pending::Session(other) if other.opens_for() == Some(vm)),
+        )
+    }
+
     fn status(&self, current: bool) -> StatusReply {
         status_reply(
             self.identity.cluster,
--- a/server/src/node_request.rs
+++ b/server/src/node_request.rs
@@ -20,6 +20,7 @@
 use heatherring_lib::raft_message::ReplicaInfo;
 use heatherring_lib::session_relay::Acknowledgement;
 use heatherring_lib::session_relay::BatchGrant;
+use heatherring_lib::view::ControlView;
 use heatherring_lib::view::EntryInfo;
 use snafu::ResultExt;
 use snafu::Snafu;
@@ -128,12 +129,35 @@
 /// not repeat the VM's location: it would make up more than half of their size.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum SyncSubject {
-    /// Opens a session for this entry VM.
-    Open(EntryInfo),
+    /// Opens a session.
+    Open(Box<Opening>),
     /// Extends the lease of this session.
     Renew(SessionId),
 }
 
+/// Request to open a session.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Opening {
+    /// The entry VM.
+    pub entry: EntryInfo,
+    /// Last revision that control had named to its process; `None` from earlier releases.
+    pub after: Option<Revision>,
+}
+
+impl Opening {
+    /// Returns whether a session of the same VM was opened after the revision that the request
+    /// names. Either it has been given up, since a process asks for one session at a time, or its
+    /// process doesn't know yet of the session of an earlier one.
+    #[must_use]
+    pub fn is_overtaken(&self, view: &ControlView) -> bool {
+        let Some(after) = self.after else {
+            return false;
+        };
+        let mut sessions = view.sessions.values();
+        sessions.any(|session| session.info.vm == self.entry.vm && session.id.0 > after.0)
+    }
+}
+
 /// Answer to a [`SyncCall`].
 #[derive(Debug)]
 pub enum SyncAnswer {
@@ -148,6 +172,11 @@
     },
     /// The session has lapsed or is about to lapse.
     Lost,
+    /// No session is opened, since one was after the revision that the request names.
+    OpenedSince {
+        /// The latest revision.
+        revision: Revision,
+    },
     /// This replica cannot prove that it is current.
     NotCurrent {
         /// The leader, if it is another replica and its address is known.
--- a/server/src/session_service.rs
+++ b/server/src/session_service.rs
@@ -20,6 +20,7 @@
 use crate::node_request::BatchAnswer;
 use crate::node_request::LeaderLink;
 use crate::node_request::NodeHandle;
+use crate::node_request::Opening;
 use crate::node_request::SyncAnswer;
 use crate::node_request::SyncCall;
 use crate::node_request::SyncSubject;
@@ -125,7 +126,8 @@
     let subject = if request.session == 0 {
         let entry = postcard::from_bytes(&request.entry_encoded)
             .map_err(|_| Status::invalid_argument("entry_encoded can't be decoded"))?;
-        SyncSubject::Open(entry)
+        let after = request.opens_after.map(Revision);
+        SyncSubject::Open(Box::new(Opening { entry, after }))
     } else {
         SyncSubject::Renew(SessionId(request.session))
     };
@@ -153,6 +155,10 @@
                 update,
             }) => self.granted(session, settled, update)?,
             Ok(SyncAnswer::Lost) => self.reply(SyncOutcome::SessionLost),
+            Ok(SyncAnswer::OpenedSince { revision }) => SyncReply {
+                revision: revision.0,
+                ..self.reply(SyncOutcome::OpenedSince)
+            },
             Ok(SyncAnswer::NotCurrent {
                 leader: Some(leader),
             }) if !already_relayed => self.ask_leader(&leader, request).await,
--- a/server/tests/entry_support/fake_control.rs
+++ b/server/tests/entry_support/fake_control.rs
@@ -206,6 +206,7 @@
             } else {
                 changes.iter().map(encode).collect()
             },
+            ..SyncReply::default()
         })
     }
 }
--- a/server/tests/test_late_opening.rs
+++ b/server/tests/test_late_opening.rs
@@ -1,5 +1,6 @@
 //! Openings of a session that arrive after the entry VM has given them up.
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::path::Path;
 use std::sync::Arc;
@@ -24,9 +25,11 @@
 use heatherring_server::entry_state::EntryState;
 use heatherring_server::peer_security::PeerSecurity;
 use heatherring_server::proto::SyncOutcome;
+use heatherring_server::proto::SyncReply;
 use heatherring_server::proto::SyncRequest;
 use heatherring_server::proto::session_client::SessionClient;
 use heatherring_server::shutdown::Shutdown;
+use heatherring_server::shutdown::ShutdownTrigger;
 use heatherring_server::sync_target::SyncTargets;
 use heatherring_testutils::loopback::CONTROL_PORT;
 use heatherring_testutils::loopback::LoopbackBlock;
@@ -37,6 +40,7 @@
 use tokio::net::TcpStream;
 use tokio::sync::mpsc;
 use tokio::sync::watch;
+use tokio::task::JoinSet;
 
 const PLACE: &str = "alm-a";
 const OTHER_PLACE: &str = "alm-b";
@@ -118,17 +122,31 @@
     }
 }
 
-/// Opens a session of another entry VM, and returns the view that it begins with.
-async fn view_of_another(control: SocketAddr) -> ControlView {
+/// Starts control, of one replica, and returns what stops it.
+fn start_control(folder: &Path, address: SocketAddr) -> ShutdownTrigger {
+    let settings = settings(folder, address);
+    control_format::init(&settings).unwrap();
+    let (trigger, shutdown) = Shutdown::new();
+    tokio::spawn(run_control(settings, Arc::new(SystemClock), shutdown, None));
+    trigger
+}
+
+/// Asks control once for a session; `None` if it can't answer.
+async fn open(control: SocketAddr, info: &EntryInfo, after: Option<u64>) -> Option<SyncReply> {
     let request = SyncRequest {
-        entry_encoded: postcard::to_stdvec(&entry("entry-2", OTHER_PLACE)).unwrap(),
+        entry_encoded: postcard::to_stdvec(info).unwrap(),
+        opens_after: after,
         ..SyncRequest::default()
     };
-    let reply = wait_for("a quorum", async || {
-        let client = SessionClient::connect(format!("http://{control}")).await;
-        let reply = client.ok()?.sync(request.clone()).await.ok()?.into_inner();
-        (reply.outcome() == SyncOutcome::Granted).then_some(reply)
-    });
+    let client = SessionClient::connect(format!("http://{control}")).await;
+    let reply = client.ok()?.sync(request).await.ok()?.into_inner();
+    (reply.outcome() != SyncOutcome::NoQuorum).then_some(reply)
+}
+
+/// Opens a session of another entry VM, and returns the view that it begins with.
+async fn view_of_another(control: SocketAddr) -> ControlView {
+    let another = entry("entry-2", OTHER_PLACE);
+    let reply = wait_for("a quorum", async || open(control, &another, None).await);
     postcard::from_bytes(&reply.await.unwrap().view_encoded).unwrap()
 }
 
@@ -161,10 +179,7 @@
     let folder = tempfile::tempdir().unwrap();
     let mut block = LoopbackBlock::claim().unwrap();
     let control = SocketAddr::new(block.next_vm(), CONTROL_PORT);
-    let settings = settings(folder.path(), control);
-    control_format::init(&settings).unwrap();
-    let (_trigger, shutdown) = Shutdown::new();
-    tokio::spawn(run_control(settings, Arc::new(SystemClock), shutdown, None));
+    let _trigger = start_control(folder.path(), control);
     let slow_path = SocketAddr::new(block.next_vm(), CONTROL_PORT);
     let listener = TcpListener::bind(slow_path).await.unwrap();
     let held_back = tokio::spawn(async move {
@@ -183,3 +198,41 @@
     let owner = ownership::owner(&view, &service, &PlaceName::new(PLACE));
     assert_eq!(owner.map(|session| session.id), Some(held));
 }
+
+/// Guards against two sessions of an entry VM whose openings arrive together.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn test_late_opening_beside_another_opens_one_session() {
+    let folder = tempfile::tempdir().unwrap();
+    let mut block = LoopbackBlock::claim().unwrap();
+    let control = SocketAddr::new(block.next_vm(), CONTROL_PORT);
+    let _trigger = start_control(folder.path(), control);
+    view_of_another(control).await;
+    let vms: Vec<_> = (0..8).map(|n| entry(&format!("vm-{n}"), PLACE)).collect();
+    let mut openings = JoinSet::new();
+    for info in vms.iter().cycle().take(64) {
+        let info = info.clone();
+        openings.spawn(async move { open(control, &info, Some(0)).await });
+    }
+    openings.join_all().await;
+    let view = view_of_another(control).await;
+    let opened = view.sessions.values().map(|session| &session.info.vm);
+    let opened: Vec<_> = opened.filter(|vm| vm.as_str() != "entry-2").collect();
+    let distinct: BTreeSet<_> = opened.iter().collect();
+    assert_eq!((opened.len(), distinct.len()), (vms.len(), vms.len()));
+}
+
+/// Guards against an entry VM that gets no session because one of its earlier process is open.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn test_late_opening_check_lets_the_next_process_open() {
+    let folder = tempfile::tempdir().unwrap();
+    let mut block = LoopbackBlock::claim().unwrap();
+    let control = SocketAddr::new(block.next_vm(), CONTROL_PORT);
+    let _trigger = start_control(folder.path(), control);
+    let first = keep_session(vec![control]).await;
+    let second = keep_session(vec![control]).await;
+    assert!(second > first);
+    let again = open(control, &entry("entry-1", PLACE), Some(first.0)).await;
+    let refused = again.expect("an answer");
+    assert_eq!(refused.outcome(), SyncOutcome::OpenedSince);
+    assert!(refused.revision >= second.0);
+}
