membership: a change whose outcome is open is not reported as denied

Seen, by reading: the leader loses its leadership while a change of the replicas is in its log, and answers `accepted: false` with "leadership was lost before the outcome was known". The command prints "not removed", though the change may be committed. The same as a denial of a later copy: an answer that proves nothing is taken for a proof.

Change: such an outcome is the status "unavailable". The operators' client counts it as a lost answer and asks the next replica; `control join` and self-formation take it for no answer, as they do with any status.

--- a/server/src/membership_request.rs
+++ b/server/src/membership_request.rs
@@ -47,20 +47,28 @@
 }
 
 /// Returns the reply to a requested change; its revision is 0 if the change was refused.
-#[must_use]
+///
+/// # Errors
+///
+/// Returns an "unavailable" status if the change may still be made.
 pub fn membership_reply(
     cluster: ClusterId,
     outcome: Result<Revision, NodeError>,
-) -> ChangeMembershipReply {
+) -> Result<ChangeMembershipReply, Status> {
+    if let Err(error) = &outcome
+        && !error.is_proved_absent()
+    {
+        return Err(Status::unavailable(error.to_string()));
+    }
     let accepted = outcome.is_ok();
     let (revision, reason) = match outcome {
         Ok(revision) => (revision, String::new()),
         Err(error) => (Revision(0), error.to_string()),
     };
-    ChangeMembershipReply {
+    Ok(ChangeMembershipReply {
         accepted,
         cluster_id: cluster.0.to_vec(),
         revision: revision.0,
         reason,
-    }
+    })
 }
--- a/server/src/operator_service.rs
+++ b/server/src/operator_service.rs
@@ -318,7 +318,7 @@
             Err(error) if error.leader().is_some() && error.is_proved_absent() => {
                 relay_or_fail!(error, metadata, change_membership, request)
             }
-            outcome => Ok(Response::new(membership_reply(self.cluster, outcome))),
+            outcome => membership_reply(self.cluster, outcome).map(Response::new),
         }
     }
 }
