late orders: an order that was given up undoes a confirmed one, red

Sequence: a follower passes an order on, the bytes are held up, the operator moves on after a second and has later orders confirmed elsewhere; the bytes arrive, and the leader proposes what they say. Cause: an order that is passed on bears neither a time nor a number.

--- /dev/null
+++ b/server/tests/test_late_orders.rs
@@ -0,0 +1,233 @@
+//! Orders that a control replica passes on to the leader, and that arrive after they were given up.
+
+mod direct_support;
+
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use direct_support::Replica;
+use direct_support::call;
+use direct_support::request;
+use heatherring_lib::fleet_record::EntryRecord;
+use heatherring_lib::fleet_update::FleetUpdate;
+use heatherring_lib::id::PlaceName;
+use heatherring_lib::id::RegionName;
+use heatherring_lib::id::VmName;
+use heatherring_lib::settings::ControlSettings;
+use heatherring_lib::settings::ControlTiming;
+use heatherring_lib::settings::DirectControlSettings;
+use heatherring_lib::settings::InterfaceName;
+use heatherring_lib::settings::LogSettings;
+use heatherring_lib::settings::Security;
+use heatherring_lib::team_share::LimitTolerance;
+use heatherring_server::control_format;
+use heatherring_server::proto::FollowRequest;
+use heatherring_server::proto::StatusReply;
+use heatherring_server::proto::StatusRequest;
+use heatherring_server::proto::fleet_client::FleetClient;
+use heatherring_server::proto::operator_client::OperatorClient;
+use heatherring_testutils::loopback::BACKEND_SERVERS_PORT;
+use heatherring_testutils::loopback::CONTROL_PORT;
+use heatherring_testutils::loopback::LoopbackBlock;
+use heatherring_testutils::relay::Link;
+use heatherring_testutils::relay::Relay;
+use heatherring_testutils::wait::wait_for;
+use http::Method;
+use rstest::rstest;
+use tempfile::TempDir;
+use tonic::transport::Channel;
+use tonic::transport::Endpoint;
+
+/// Time after which operators move on to another replica.
+const OPERATOR_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// The place whose evacuation is ordered and ended.
+const PLACE: &str = "fko-hakata";
+/// A place whose evacuation shows that later orders of the same replica have arrived.
+const OTHER_PLACE: &str = "fko-tenjin";
+
+/// Three control replicas, each reached by the others through a relay.
+struct Cluster {
+    replicas: Vec<Replica>,
+    relays: Vec<Relay>,
+    folder: TempDir,
+}
+
+fn channel(address: SocketAddr) -> Channel {
+    let endpoint = Endpoint::from_shared(format!("http://{address}")).unwrap();
+    endpoint.connect_lazy()
+}
+
+async fn status(replica: &Replica) -> Option<StatusReply> {
+    let mut client = OperatorClient::new(channel(replica.settings.listen));
+    let reply = client.status(StatusRequest {}).await.ok()?;
+    Some(reply.into_inner())
+}
+
+/// Sends an order about the evacuation of a place; `None` without an answer in time.
+async fn order(replica: &Replica, place: &str, evacuated: bool) -> Option<u16> {
+    let method = if evacuated {
+        Method::PUT
+    } else {
+        Method::DELETE
+    };
+    let req = request(method, &format!("/v1/evacuations/{place}"), "");
+    let calling = call(replica.api_address(), req);
+    let answer = tokio::time::timeout(OPERATOR_TIMEOUT, calling).await.ok()?;
+    Some(answer?.status.as_u16())
+}
+
+async fn confirm(replica: &Replica, place: &str, evacuated: bool) {
+    wait_for("a confirmation", async || {
+        (order(replica, place, evacuated).await == Some(204)).then_some(())
+    })
+    .await
+    .unwrap();
+}
+
+async fn evacuated(replica: &Replica) -> BTreeSet<PlaceName> {
+    let record = EntryRecord {
+        place: PlaceName::new(PLACE),
+        region: RegionName::new("fukuoka"),
+        callers: SocketAddr::from(([127, 0, 0, 1], 1)),
+        life: 1,
+    };
+    let update = wait_for("an update", async || {
+        let req = FollowRequest {
+            vm: "entry-1".to_owned(),
+            record_encoded: postcard::to_stdvec(&record).unwrap(),
+            ..FollowRequest::default()
+        };
+        let mut client = FleetClient::new(channel(replica.settings.listen));
+        let reply = client.follow(req).await.ok()?.into_inner();
+        FleetUpdate::decode(&reply.update_encoded).ok()
+    })
+    .await
+    .unwrap();
+    update.evacuated.into_iter().collect()
+}
+
+impl Cluster {
+    async fn start() -> Self {
+        let mut block = LoopbackBlock::claim().unwrap();
+        let mut cluster = Self {
+            replicas: Vec::new(),
+            relays: Vec::new(),
+            folder: TempDir::new().unwrap(),
+        };
+        for _ in 0..3 {
+            let listen = SocketAddr::new(block.next_vm(), CONTROL_PORT);
+            let relay = Relay::start(block.next_relay(), listen, Link::default());
+            let relay = relay.await.unwrap();
+            cluster.add(listen, relay.address()).await;
+            cluster.relays.push(relay);
+        }
+        cluster
+    }
+
+    async fn add(&mut self, listen: SocketAddr, advertise: SocketAddr) {
+        let settings = self.settings(listen, advertise);
+        if let Some(first) = self.replicas.first() {
+            let control = [first.settings.listen];
+            wait_for("the replica to be added", async || {
+                let joining = control_format::join(&settings, &control, None, "tester");
+                joining.await.ok()
+            })
+            .await
+            .unwrap();
+        } else {
+            control_format::init(&settings).unwrap();
+        }
+        self.replicas.push(Replica::start(settings));
+        wait_for("the replica to be a voter", async || {
+            let status = status(&self.replicas[0]).await?;
+            let voters = status.replicas.iter().filter(|replica| replica.voter);
+            (status.current && voters.count() == self.replicas.len()).then_some(())
+        })
+        .await
+        .unwrap();
+    }
+
+    fn settings(&self, listen: SocketAddr, advertise: SocketAddr) -> ControlSettings {
+        let name = format!("control-{}", listen.ip());
+        ControlSettings {
+            vm: VmName::new(name.as_str()),
+            place: PlaceName::new(PLACE),
+            region: RegionName::new("fukuoka"),
+            listen,
+            advertise: Some(advertise),
+            data_folder: self.folder.path().join(name),
+            timing: ControlTiming::default(),
+            security: Security::OpenLoopback,
+            snapshot_every: 1_000,
+            log: LogSettings::default(),
+            formation: None,
+            metrics_listen: None,
+            direct: Some(DirectControlSettings {
+                interface: InterfaceName::Heatherring,
+                listen: SocketAddr::new(listen.ip(), BACKEND_SERVERS_PORT),
+                look_ups: None,
+                places: [PLACE, OTHER_PLACE]
+                    .map(|place| (PlaceName::new(place), RegionName::new("fukuoka")))
+                    .into(),
+                look_up_ms: 2_000,
+                team_limits: LimitTolerance::default(),
+            }),
+        }
+    }
+
+    /// Returns the numbers of the leader and of the other two.
+    async fn roles(&self) -> (usize, usize, usize) {
+        let leader = wait_for("a leader known to all", async || {
+            let mut known = Vec::new();
+            for replica in &self.replicas {
+                known.push(status(replica).await.filter(|status| status.current)?);
+            }
+            let replicas = known[0].replicas.iter();
+            let mut leading = replicas.filter(|replica| replica.replica == known[0].leader);
+            let address = leading.next()?.address.clone();
+            let agreed = known.iter().all(|status| status.leader == known[0].leader);
+            let mut relays = self.relays.iter();
+            relays
+                .position(|relay| relay.address().to_string() == address)
+                .filter(|_| agreed)
+        })
+        .await
+        .unwrap();
+        (leader, (leader + 1) % 3, (leader + 2) % 3)
+    }
+
+    /// Holds back what replica `from` sends to replica `to` and what it is answered.
+    fn hold(&self, from: usize, to: usize) {
+        let source = self.replicas[from].settings.listen.ip();
+        self.relays[to].set_from(source, Link::default().cut());
+    }
+}
+
+/// Guards against a confirmed evacuation, or its end, that is undone by an earlier order: a follower
+/// passed it on, its bytes were held up, and the operator gave it up and had later ones confirmed.
+#[rstest]
+#[case::ends_the_evacuation(false)]
+#[case::begins_an_evacuation(true)]
+#[tokio::test(flavor = "multi_thread")]
+async fn test_late_order_that_was_given_up_undoes_no_later_one(#[case] late: bool) {
+    let cluster = Cluster::start().await;
+    let (leader, follower, third) = cluster.roles().await;
+    let [leader_replica, cut_off, third_replica] =
+        [leader, follower, third].map(|number| &cluster.replicas[number]);
+    confirm(cut_off, PLACE, !late).await;
+    cluster.hold(follower, leader);
+    assert_eq!(order(cut_off, PLACE, late).await, None);
+    confirm(third_replica, PLACE, late).await;
+    confirm(third_replica, PLACE, !late).await;
+    cluster.relays[leader].set(Link::default());
+    confirm(cut_off, OTHER_PLACE, true).await;
+    let evacuated = evacuated(leader_replica).await;
+    assert!(evacuated.contains(&PlaceName::new(OTHER_PLACE)));
+    assert_eq!(
+        evacuated.contains(&PlaceName::new(PLACE)),
+        !late,
+        "the last confirmed order does not hold"
+    );
+}
