late orders: an order that is passed on bears the leader's heartbeat round

What operators saw: a place counted as taken back, or as evacuated, against the last order that was confirmed to them. Cause: the leader proposed whatever a follower had passed on, however old.

A follower adds the latest heartbeat round of the leader that it knew when it took the order, with its term; the leader refuses the order if it doesn't lead in that term or began the round 0.75 s ago or more. Why it holds: the order is younger than the round, so that the leader's clock alone bounds its age; the check is made in the step that appends the order, so that what is ordered later stands behind it. Checked so are all commands of Propose but changes of the manifest (they name their base, and may be large), the lifting of quarantines and changes of the membership. What is refused is not proposed, and the call ends as without a leader.

A rollout order gets its time of day where it arrives, as before; it is now under 0.75 s old when it enters the log, so that an old copy starts no second rollout on the way between replicas.

--- a/lib/src/fleet_command.rs
+++ b/lib/src/fleet_command.rs
@@ -146,6 +146,13 @@
         }
     }
 
+    /// Returns whether the command names what it builds on, so that it can be told from later ones
+    /// however late it arrives.
+    #[must_use]
+    pub const fn is_numbered(&self) -> bool {
+        self.manifest_change().is_some()
+    }
+
     /// Applies the command at log position `index`. Only operators' orders have an answer.
     pub fn apply(&self, index: Revision, state: &mut FleetState) -> Option<FleetAnswer> {
         if let Some(change) = self.manifest_change() {
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -90,6 +90,7 @@
 pub mod object_copies;
 pub mod object_count;
 mod object_rank;
+pub mod order_stamp;
 pub mod outcome;
 pub mod ownership;
 pub mod ownership_state;
--- a/lib/src/raft.rs
+++ b/lib/src/raft.rs
@@ -22,6 +22,7 @@
 use crate::id::ReplicaId;
 use crate::id::Revision;
 use crate::id::Term;
+use crate::order_stamp::OrderStamp;
 use crate::raft_config::DurableState;
 use crate::raft_config::RaftConfig;
 use crate::raft_config::RaftError;
@@ -82,6 +83,8 @@
 pub(crate) struct FollowerState {
     pub leader: Option<ReplicaId>,
     pub last_leader_contact: Option<Instant>,
+    /// The latest heartbeat round of the leader that is known here; 0 if none is.
+    pub leader_round: u64,
     /// The highest commit index that the leader has advertised.
     pub leader_commit: Revision,
     /// The first advertised commit index that this replica has not reached yet, with the
@@ -341,6 +344,30 @@
         }
     }
 
+    /// Returns the latest heartbeat round of the leader that this replica knows; `None` without a
+    /// leader, and at the leader itself.
+    #[must_use]
+    pub fn known_round(&self) -> Option<OrderStamp> {
+        let RoleState::Follower(follower) = &self.role else {
+            return None;
+        };
+        let known = follower.leader.is_some() && follower.leader_round > 0;
+        known.then_some(OrderStamp {
+            term: self.term(),
+            round: follower.leader_round,
+        })
+    }
+
+    /// Returns when this replica began a heartbeat round; `None` if it doesn't lead in the term of
+    /// the round, or if the round is too old to be known.
+    #[must_use]
+    pub fn round_began_at(&self, stamp: OrderStamp) -> Option<Instant> {
+        match &self.role {
+            RoleState::Leader(leader) if stamp.term == self.term() => leader.began_at(stamp.round),
+            _ => None,
+        }
+    }
+
     pub(crate) fn is_voter(&self) -> bool {
         self.membership().voters.contains_key(&self.cfg.id)
     }
--- a/lib/src/raft_follower.rs
+++ b/lib/src/raft_follower.rs
@@ -87,6 +87,7 @@
             } => {
                 let commit_as_of = self.commit_as_of(reply_number, contact_ms);
                 self.note_leader_commit(commit, commit_as_of);
+                self.note_leader_round(barrier);
                 let append = Append {
                     previous: LogPosition { index, term },
                     entries,
@@ -126,6 +127,12 @@
         }
     }
 
+    fn note_leader_round(&mut self, round: u64) {
+        if let RoleState::Follower(follower) = &mut self.role {
+            follower.leader_round = follower.leader_round.max(round);
+        }
+    }
+
     /// Returns a time, by the local clock, at which the sender of an append certainly led and
     /// had committed no more than the append states; `None` if the time at which this replica
     /// sent its reply `reply_number` is unknown.
--- a/lib/src/raft_leader.rs
+++ b/lib/src/raft_leader.rs
@@ -178,7 +178,8 @@
         }
     }
 
-    fn began_at(&self, number: u64) -> Option<Instant> {
+    /// Returns when a round of this leader began; `None` if it is unknown or no longer kept.
+    pub fn began_at(&self, number: u64) -> Option<Instant> {
         let oldest = self.rounds.front()?.number;
         let offset = usize::try_from(number.checked_sub(oldest)?).ok()?;
         self.rounds.get(offset).map(|round| round.began_at)
--- a/server/src/control_node.rs
+++ b/server/src/control_node.rs
@@ -17,6 +17,7 @@
 use heatherring_lib::control_state::Response;
 use heatherring_lib::encoding::EncodingError;
 use heatherring_lib::id::Revision;
+use heatherring_lib::order_stamp::OrderStamp;
 use heatherring_lib::raft::Raft;
 use heatherring_lib::raft_config::RaftConfig;
 use heatherring_lib::raft_config::RaftError;
@@ -304,13 +305,21 @@
                 }
                 self.step(Input::Message { from, message });
             }
-            NodeRequest::Propose { command, reply } => {
+            NodeRequest::Propose { stamp, reply, .. } if self.is_late(stamp) => {
+                // The requester may have stopped waiting.
+                let _ = reply.send(Err(NodeError::Late));
+            }
+            NodeRequest::Propose { command, reply, .. } => {
                 self.propose(command, Pending::Command(reply));
             }
+            NodeRequest::ChangeMembership { stamp, reply, .. } if self.is_late(stamp) => {
+                let _ = reply.send(Err(NodeError::Late));
+            }
             NodeRequest::ChangeMembership {
                 operator,
                 change,
                 reply,
+                ..
             } => self.change_membership(operator, change, reply),
             NodeRequest::Read(read) => self.wait_for_barrier(Waiter::Read(read)),
             NodeRequest::Status(reply) => self.wait_for_barrier(Waiter::Status(reply)),
@@ -338,6 +347,20 @@
         }
     }
 
+    /// Returns whether an order reached this replica so late that it may have been given up.
+    ///
+    /// The check is made where the order enters the log: the entry of any later order follows it.
+    fn is_late(&self, stamp: Option<OrderStamp>) -> bool {
+        let Some(stamp) = stamp else {
+            return false;
+        };
+        let is_late = !stamp.is_current(&self.raft, self.clock.now());
+        if is_late {
+            log::warn!(event = "order_late", term = stamp.term.0, round = stamp.round; "refused an order that another replica had passed on too long ago, or to another leader");
+        }
+        is_late
+    }
+
     /// Queues a request for the next read barrier. Renewals that report nothing new wait for
     /// up to a heartbeat interval, so that many share one quorum round.
     fn wait_for_barrier(&mut self, waiter: Waiter) {
--- a/server/src/fleet_control.rs
+++ b/server/src/fleet_control.rs
@@ -33,6 +33,7 @@
 use heatherring_lib::id::ServiceName;
 use heatherring_lib::id::VersionName;
 use heatherring_lib::id::VmName;
+use heatherring_lib::order_stamp::OrderStamp;
 use heatherring_lib::place_lookup;
 use heatherring_lib::quarantine::SuspectNote;
 use heatherring_lib::replica_choice;
@@ -52,6 +53,7 @@
 use crate::interface::LookUp;
 use crate::interface::LookUpSource;
 use crate::leader_relay::fleet_client;
+use crate::leader_relay::relayed_order;
 use crate::leader_relay::relayed_request;
 use crate::metric;
 use crate::node_request::LeaderLink;
@@ -171,8 +173,8 @@
         rollouts: RolloutHandle,
     ) -> Self {
         let announcements = AnnouncementBatch::spawn({
-            let node = node.clone();
-            move |changes| commit_announcements(node.clone(), changes)
+            let (published, node) = (published.clone(), node.clone());
+            move |changes| commit_announcements(published.clone(), node.clone(), changes)
         });
         let naming = SharedNaming::new(look_up_ttl(settings.as_ref()));
         let inner = Inner {
@@ -223,7 +225,7 @@
     /// Fails if no leader answers. The command may still be committed, unless the error proves the
     /// contrary.
     pub async fn commit(&self, command: FleetCommand) -> Result<Response, FleetError> {
-        commit(&self.inner.node, command).await
+        commit(&self.inner.published, &self.inner.node, command).await
     }
 
     /// Commits a change of the manifest, and returns whether it was accepted.
@@ -659,18 +661,30 @@
     }
 }
 
-async fn commit(node: &NodeHandle, command: FleetCommand) -> Result<Response, FleetError> {
+async fn commit(
+    published: &StateReader,
+    node: &NodeHandle,
+    command: FleetCommand,
+) -> Result<Response, FleetError> {
+    // A stamp that becomes known while the replica is asked may be younger than the order.
+    let stamp = published.order_stamp();
     match node.propose_fleet(command.clone()).await {
         Ok(committed) => Ok(committed.response),
         Err(source) => match source.leader() {
-            Some(leader) if source.is_proved_absent() => commit_at_leader(leader, &command).await,
+            Some(leader) if source.is_proved_absent() => {
+                commit_at_leader(leader, &command, stamp).await
+            }
             _ => Err(FleetError::Node { source }),
         },
     }
 }
 
-async fn commit_announcements(node: NodeHandle, changes: Vec<BackendChange>) {
-    if let Err(error) = commit(&node, announcing(changes)).await {
+async fn commit_announcements(
+    published: StateReader,
+    node: NodeHandle,
+    changes: Vec<BackendChange>,
+) {
+    if let Err(error) = commit(&published, &node, announcing(changes)).await {
         log::warn!(event = "announcement_lost", error:% = error; "announcements are not known to be committed; the next heartbeats repeat them");
     }
 }
@@ -682,9 +696,16 @@
 async fn commit_at_leader(
     leader: &LeaderLink,
     command: &FleetCommand,
+    stamp: Option<OrderStamp>,
 ) -> Result<Response, FleetError> {
     let command_encoded = postcard::to_stdvec(command).context(AnswerSnafu)?;
-    let request = relayed_request(ProposeRequest { command_encoded }, LEADER_TIMEOUT);
+    let message = ProposeRequest { command_encoded };
+    let request = match stamp {
+        // A manifest may be large, and may take longer than orders are given.
+        _ if command.is_numbered() => relayed_request(message, LEADER_TIMEOUT),
+        Some(stamp) => relayed_order(message, LEADER_TIMEOUT, stamp),
+        None => return NotCurrentSnafu.fail(),
+    };
     let call = fleet_client(leader).propose(request).await;
     let reply = call.map_err(Box::new).context(LeaderSnafu)?.into_inner();
     postcard::from_bytes(&reply.response_encoded).context(AnswerSnafu)
--- a/server/src/fleet_service.rs
+++ b/server/src/fleet_service.rs
@@ -31,6 +31,7 @@
 use crate::fleet_control::FleetControl;
 use crate::leader_relay::fleet_client;
 use crate::leader_relay::is_relayed;
+use crate::leader_relay::order_stamp;
 use crate::leader_relay::relayed_request;
 use crate::metric;
 use crate::node_request::NodeHandle;
@@ -332,8 +333,9 @@
         &self,
         request: Request<ProposeRequest>,
     ) -> Result<Response<ProposeReply>, Status> {
+        let stamp = order_stamp(request.metadata());
         let command: FleetCommand = decode(&request.into_inner().command_encoded)?;
-        let committed = self.node.propose_fleet(command).await;
+        let committed = self.node.propose_passed_on(command, stamp).await;
         let committed = committed.map_err(|error| Status::unavailable(error.to_string()))?;
         Ok(Response::new(ProposeReply {
             committed: true,
--- a/server/src/leader_relay.rs
+++ b/server/src/leader_relay.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use heatherring_lib::order_stamp::OrderStamp;
 use tonic::Code;
 use tonic::Request;
 use tonic::Status;
@@ -9,6 +10,7 @@
 use tonic::metadata::MetadataValue;
 
 use crate::node_request::LeaderLink;
+use crate::peer_channel::ORDER_STAMP;
 use crate::peer_channel::PASSED_ON;
 use crate::peer_links::MAX_MESSAGE_BYTES;
 use crate::proto::fleet_client::FleetClient;
@@ -37,6 +39,26 @@
     request
 }
 
+/// Wraps an order for the leader like [`relayed_request`], with its stamp.
+#[must_use]
+pub fn relayed_order<T>(message: T, timeout: Duration, stamp: OrderStamp) -> Request<T> {
+    let mut request = relayed_request(message, timeout);
+    // A stamp that cannot be sent becomes one that is never current.
+    let stamp = stamp.to_text().parse();
+    let stamp = stamp.unwrap_or_else(|_| MetadataValue::from_static("0.0"));
+    request.metadata_mut().insert(ORDER_STAMP, stamp);
+    request
+}
+
+/// Returns the stamp of an order; `None` if it was not passed on, bears a number of its own, or was
+/// passed on by a replica of a release without stamps.
+#[must_use]
+pub fn order_stamp(metadata: &MetadataMap) -> Option<OrderStamp> {
+    let text = metadata.get(ORDER_STAMP)?.to_str().ok();
+    // No round has the number of the default stamp, so an unreadable one is never current.
+    Some(text.and_then(OrderStamp::from_text).unwrap_or_default())
+}
+
 /// Returns a client of the leader's operator service.
 #[must_use]
 pub fn operator_client(leader: &LeaderLink) -> OperatorClient<Channel> {
--- a/server/src/node_request.rs
+++ b/server/src/node_request.rs
@@ -14,6 +14,7 @@
 use heatherring_lib::id::ReplicaId;
 use heatherring_lib::id::Revision;
 use heatherring_lib::id::SessionId;
+use heatherring_lib::order_stamp::OrderStamp;
 use heatherring_lib::raft_effects::MembershipChange;
 use heatherring_lib::raft_effects::Refusal;
 use heatherring_lib::raft_message::Message;
@@ -55,6 +56,9 @@
         /// The leader, if it is another replica and its address is known.
         leader: Option<Box<LeaderLink>>,
     },
+    /// Another replica passed the order on too long ago: whoever gave it may have moved on.
+    #[snafu(display("the order took too long to reach the leader"))]
+    Late,
     /// The queue of requests is full.
     #[snafu(display("too many requests are queued at this replica"))]
     Busy,
@@ -72,7 +76,7 @@
     pub fn is_proved_absent(&self) -> bool {
         match self {
             Self::Refused { reason, .. } => reason.is_proved_absent(),
-            Self::Busy => true,
+            Self::Late | Self::Busy => true,
             Self::Stopped { .. } => false,
         }
     }
@@ -82,7 +86,7 @@
     pub fn leader(&self) -> Option<&LeaderLink> {
         match self {
             Self::Refused { leader, .. } => leader.as_deref(),
-            Self::Busy | Self::Stopped { .. } => None,
+            Self::Late | Self::Busy | Self::Stopped { .. } => None,
         }
     }
 }
@@ -185,6 +189,8 @@
     Propose {
         /// Command to append to the log.
         command: CommandKind,
+        /// Stamp of an order that was passed on.
+        stamp: Option<OrderStamp>,
         /// Receives the outcome.
         reply: oneshot::Sender<Result<Committed, NodeError>>,
     },
@@ -194,6 +200,8 @@
         operator: String,
         /// Replica to add or remove.
         change: MembershipChange,
+        /// Stamp of an order that was passed on.
+        stamp: Option<OrderStamp>,
         /// Receives the log index of the committed change.
         reply: oneshot::Sender<Result<Revision, NodeError>>,
     },
@@ -286,8 +294,20 @@
     ///
     /// Returns a [`NodeError`] that says whether the command may still be committed.
     pub async fn propose(&self, command: CommandKind) -> Result<Committed, NodeError> {
+        self.propose_stamped(command, None).await
+    }
+
+    async fn propose_stamped(
+        &self,
+        command: CommandKind,
+        stamp: Option<OrderStamp>,
+    ) -> Result<Committed, NodeError> {
         let (reply, answer) = oneshot::channel();
-        self.enqueue(NodeRequest::Propose { command, reply })?;
+        self.enqueue(NodeRequest::Propose {
+            command,
+            stamp,
+            reply,
+        })?;
         answer.await.context(StoppedSnafu)?
     }
 
@@ -300,7 +320,23 @@
         self.propose(CommandKind::Fleet(Box::new(command))).await
     }
 
-    /// Changes the set of replicas, and waits until the change is committed.
+    /// Proposes a command that another replica may have passed on, unless its stamp is no longer
+    /// current; see [`Self::propose_fleet`].
+    ///
+    /// # Errors
+    ///
+    /// Returns a [`NodeError`] that says whether the command may still be committed.
+    pub async fn propose_passed_on(
+        &self,
+        command: FleetCommand,
+        stamp: Option<OrderStamp>,
+    ) -> Result<Committed, NodeError> {
+        let command = CommandKind::Fleet(Box::new(command));
+        self.propose_stamped(command, stamp).await
+    }
+
+    /// Changes the set of replicas, and waits until the change is committed. A change that bears a
+    /// stamp is not made if that is no longer current.
     ///
     /// # Errors
     ///
@@ -309,11 +345,13 @@
         &self,
         operator: String,
         change: MembershipChange,
+        stamp: Option<OrderStamp>,
     ) -> Result<Revision, NodeError> {
         let (reply, answer) = oneshot::channel();
         self.enqueue(NodeRequest::ChangeMembership {
             operator,
             change,
+            stamp,
             reply,
         })?;
         answer.await.context(StoppedSnafu)?
--- a/server/src/operator_service.rs
+++ b/server/src/operator_service.rs
@@ -33,6 +33,8 @@
 use crate::leader_relay::RELAY_TIMEOUT;
 use crate::leader_relay::is_relayed;
 use crate::leader_relay::operator_client;
+use crate::leader_relay::order_stamp;
+use crate::leader_relay::relayed_order;
 use crate::leader_relay::relayed_request;
 use crate::membership_request::membership_change;
 use crate::membership_request::membership_reply;
@@ -130,6 +132,19 @@
     };
 }
 
+/// Like [`relay_or_fail`], for an order that was taken when `stamp` was read.
+macro_rules! relay_order_or_fail {
+    ($error:expr, $metadata:expr, $stamp:expr, $method:ident, $request:expr) => {
+        match relay_to(&$error, &$metadata).zip($stamp) {
+            Some((leader, stamp)) => {
+                let request = relayed_order($request, RELAY_TIMEOUT, stamp);
+                operator_client(leader).$method(request).await
+            }
+            None => Err(unavailable(&$error)),
+        }
+    };
+}
+
 #[tonic::async_trait]
 impl Operator for OperatorService {
     async fn submit(
@@ -245,6 +260,7 @@
         &self,
         request: Request<LiftQuarantineRequest>,
     ) -> Result<Response<LiftQuarantineReply>, Status> {
+        let stamp = self.control.published().order_stamp();
         let (metadata, _, request) = request.into_parts();
         let fingerprint = Fingerprint::parse(&request.request)
             .ok_or_else(|| Status::invalid_argument("invalid fingerprint"))?;
@@ -254,14 +270,17 @@
         };
         let known = match self.node.read(known).await {
             Ok(known) => known,
-            Err(error) => return relay_or_fail!(error, metadata, lift_quarantine, request),
+            Err(error) => {
+                return relay_order_or_fail!(error, metadata, stamp, lift_quarantine, request);
+            }
         };
-        let lifted = self
-            .node
-            .propose_fleet(FleetCommand::LiftSuspect(fingerprint));
+        let command = FleetCommand::LiftSuspect(fingerprint);
+        let lifted = self.node.propose_passed_on(command, order_stamp(&metadata));
         match lifted.await {
             Ok(_) => Ok(Response::new(LiftQuarantineReply { known })),
-            Err(error) => relay_or_fail!(error, metadata, lift_quarantine, request),
+            Err(error) => {
+                relay_order_or_fail!(error, metadata, stamp, lift_quarantine, request)
+            }
         }
     }
 
@@ -311,13 +330,17 @@
         &self,
         request: Request<ChangeMembershipRequest>,
     ) -> Result<Response<ChangeMembershipReply>, Status> {
+        let stamp = self.control.published().order_stamp();
         let (metadata, _, request) = request.into_parts();
         let change = membership_change(&request)?;
         let operator = request.operator.clone();
-        match self.node.change_membership(operator, change).await {
+        let passed_on = order_stamp(&metadata);
+        let changed = self.node.change_membership(operator, change, passed_on);
+        match changed.await {
             Err(error) if error.leader().is_some() && error.is_proved_absent() => {
-                relay_or_fail!(error, metadata, change_membership, request)
+                relay_order_or_fail!(error, metadata, stamp, change_membership, request)
             }
+            Err(error @ NodeError::Late) => Err(unavailable(&error)),
             outcome => Ok(Response::new(membership_reply(self.cluster, outcome))),
         }
     }
--- a/server/src/peer_channel.rs
+++ b/server/src/peer_channel.rs
@@ -18,6 +18,11 @@
 /// would otherwise send it back and forth until its deadline.
 pub const PASSED_ON: &str = "heatherring-passed-on";
 
+/// Metadata key under which a follower sends the [`OrderStamp`] of an order that it passes on.
+///
+/// [`OrderStamp`]: heatherring_lib::order_stamp::OrderStamp
+pub const ORDER_STAMP: &str = "heatherring-order-stamp";
+
 /// Timeouts and ping interval of a channel.
 #[derive(Clone, Copy, Debug)]
 pub struct ChannelTimes {
--- a/server/src/published_state.rs
+++ b/server/src/published_state.rs
@@ -11,6 +11,7 @@
 use heatherring_lib::clock::Clock;
 use heatherring_lib::control_state::ControlState;
 use heatherring_lib::fleet_state::FleetState;
+use heatherring_lib::order_stamp::OrderStamp;
 use heatherring_lib::raft::Raft;
 use heatherring_lib::raft_effects::Role;
 use heatherring_lib::raft_message::ReplicaInfo;
@@ -39,6 +40,7 @@
 pub struct StatePublisher {
     published: watch::Sender<PublishedState>,
     proved_at: watch::Sender<Option<Instant>>,
+    known_round: watch::Sender<Option<OrderStamp>>,
 }
 
 /// Reads a replica's published state.
@@ -46,6 +48,7 @@
 pub struct StateReader {
     published: watch::Receiver<PublishedState>,
     proved_at: watch::Receiver<Option<Instant>>,
+    known_round: watch::Receiver<Option<OrderStamp>>,
 }
 
 /// Creates a publisher and a reader; the published state is empty at first.
@@ -58,15 +61,18 @@
         leader: None,
     });
     let (proved_tx, proved_at) = watch::channel(None);
+    let (round_tx, known_round) = watch::channel(None);
     let state_publisher = StatePublisher {
         published: published_tx,
         proved_at: proved_tx,
+        known_round: round_tx,
     };
     (
         state_publisher,
         StateReader {
             published,
             proved_at,
+            known_round,
         },
     )
 }
@@ -75,6 +81,7 @@
     /// Publishes the present state; wakes readers only if it changed.
     pub fn publish(&self, raft: &Raft, state: &ControlState) {
         self.proved_at.send_replace(raft.proven_current_at());
+        self.known_round.send_replace(raft.known_round());
         let leads = raft.role() == Role::Leader;
         self.published.send_if_modified(|published| {
             let fleet_changed = !Arc::ptr_eq(&published.fleet, state.fleet());
@@ -104,6 +111,13 @@
         self.published.borrow().clone()
     }
 
+    /// Returns the stamp of an order that is taken now, in case that it is passed on to the leader;
+    /// `None` at the leader, and without one.
+    #[must_use]
+    pub fn order_stamp(&self) -> Option<OrderStamp> {
+        *self.known_round.borrow()
+    }
+
     /// Returns whether the last proof of being current is recent enough.
     #[must_use]
     pub fn is_current(&self, now: Instant) -> bool {
--- a/server/tests/test_late_orders.rs
+++ b/server/tests/test_late_orders.rs
@@ -9,6 +9,7 @@
 use direct_support::Replica;
 use direct_support::call;
 use direct_support::request;
+use heatherring_lib::fleet_command::FleetCommand;
 use heatherring_lib::fleet_record::EntryRecord;
 use heatherring_lib::fleet_update::FleetUpdate;
 use heatherring_lib::id::PlaceName;
@@ -22,9 +23,15 @@
 use heatherring_lib::settings::Security;
 use heatherring_lib::team_share::LimitTolerance;
 use heatherring_server::control_format;
+use heatherring_server::leader_relay;
+use heatherring_server::peer_channel::ORDER_STAMP;
+use heatherring_server::proto::ChangeMembershipRequest;
 use heatherring_server::proto::FollowRequest;
+use heatherring_server::proto::LiftQuarantineRequest;
+use heatherring_server::proto::ProposeRequest;
 use heatherring_server::proto::StatusReply;
 use heatherring_server::proto::StatusRequest;
+use heatherring_server::proto::change_membership_request::Change;
 use heatherring_server::proto::fleet_client::FleetClient;
 use heatherring_server::proto::operator_client::OperatorClient;
 use heatherring_testutils::loopback::BACKEND_SERVERS_PORT;
@@ -36,6 +43,8 @@
 use http::Method;
 use rstest::rstest;
 use tempfile::TempDir;
+use tonic::Code;
+use tonic::Request;
 use tonic::transport::Channel;
 use tonic::transport::Endpoint;
 
@@ -205,6 +214,52 @@
     }
 }
 
+/// Passes an order on to the leader with this stamp.
+fn passed_on<T>(order: T, stamp: &'static str) -> Request<T> {
+    let mut req = leader_relay::relayed_request(order, OPERATOR_TIMEOUT);
+    req.metadata_mut()
+        .insert(ORDER_STAMP, stamp.parse().unwrap());
+    req
+}
+
+/// Guards against an order that the leader carries out although its stamp proves nothing.
+#[rstest]
+#[case::round_not_begun("1.4000000000")]
+#[case::earlier_term("0.1")]
+#[case::unreadable("now")]
+#[tokio::test(flavor = "multi_thread")]
+async fn test_late_order_without_a_current_stamp_is_refused(#[case] stamp: &'static str) {
+    let cluster = Cluster::start().await;
+    let (leader, follower, _) = cluster.roles().await;
+    let leader = &cluster.replicas[leader];
+    let command = FleetCommand::SetEvacuated {
+        place: PlaceName::new(PLACE),
+        evacuated: true,
+    };
+    let command_encoded = postcard::to_stdvec(&command).unwrap();
+    let mut fleet = FleetClient::new(channel(leader.settings.listen));
+    let order = passed_on(ProposeRequest { command_encoded }, stamp);
+    let proposed = fleet.propose(order).await.unwrap_err();
+    let mut operator = OperatorClient::new(channel(leader.settings.listen));
+    let request = "0".repeat(32);
+    let order = passed_on(LiftQuarantineRequest { request }, stamp);
+    let lifted = operator.lift_quarantine(order).await.unwrap_err();
+    let known = status(leader).await.unwrap().replicas;
+    let address = cluster.relays[follower].address().to_string();
+    let member = known.iter().find(|replica| replica.address == address);
+    let order = ChangeMembershipRequest {
+        change: Some(Change::Remove(member.unwrap().replica)),
+        operator: "tester".to_owned(),
+    };
+    let changed = operator.change_membership(passed_on(order, stamp)).await;
+    for refused in [proposed, lifted, changed.unwrap_err()] {
+        assert_eq!(refused.code(), Code::Unavailable);
+        assert!(refused.message().contains("took too long"), "{refused}");
+    }
+    assert_eq!(evacuated(leader).await, BTreeSet::new());
+    assert_eq!(status(leader).await.unwrap().replicas.len(), 3);
+}
+
 /// Guards against a confirmed evacuation, or its end, that is undone by an earlier order: a follower
 /// passed it on, its bytes were held up, and the operator gave it up and had later ones confirmed.
 #[rstest]
