--- a/lib/tests/test_answer_pairing.rs
+++ b/lib/tests/test_answer_pairing.rs
@@ -239,6 +239,6 @@
     let now = Instant::now();
     let record = MismatchRecord::new(now);
     assert!(!record.is_over(now));
-    assert!(!record.is_over(now + SINGLE_USE_TIME - Duration::from_millis(1)));
+    assert!(!record.is_over(now + SINGLE_USE_TIME.saturating_sub(Duration::from_millis(1))));
     assert!(record.is_over(now + SINGLE_USE_TIME));
 }
