backend servers: a request that is given up resets its connection

Cause: whoever gave a request up dropped its connection, which closed the socket in the ordinary way. Bytes that the network holds up are delivered after such a close; only a reset makes them void. The HTTP library also sent the end of the stream by itself when the one who waited for the answer had gone.

The socket of a connection now has SO_LINGER 0 from the start, which is taken back for an ordinary close. That is chosen if no request was sent, the last one's answer was read to its last byte (the connection is given back), or no byte of it was sent. Where the library lets go of the socket first, as after an answer with "connection: close", it waits for whoever reads the answer. The health check of the cold querier gives its connection back now, so that it ends as before.

Why it holds: a request is under way from the moment that it is handed to the connection until one of the three ends, and the socket can be closed in the ordinary way only then. Bytes that the backend server has received can't be recalled, nor can requests on the HTTP/2 connections between entry VMs and to control, which are shared.

--- a/server/src/backend_pool.rs
+++ b/server/src/backend_pool.rs
@@ -6,8 +6,9 @@
 //!
 //! A connection whose answer was abandoned or broke off is never reused: the rest of that
 //! answer would be read as the answer to the next caller. Such a connection is dropped, which
-//! closes its socket and thereby cancels the work behind it. Only a connection whose answer
-//! named its request and was read to its last byte can be returned to the pool.
+//! resets it: that cancels the work behind it, and what the network still holds of its request is
+//! void. Only a connection whose answer named its request and was read to its last byte can be
+//! returned to the pool.
 //!
 //! A request is not sent on a connection that carried one with the same identifier: a late answer
 //! to that one could not be told from its own. Without an identifier it gets a new connection, the
@@ -44,6 +45,8 @@
 use tokio::sync::oneshot;
 use tokio_util::task::AbortOnDropHandle;
 
+use crate::backend_stream::BackendStream;
+use crate::backend_stream::StreamUser;
 use crate::metric;
 
 /// Idle time after which a connection is closed rather than reused. Backend servers close
@@ -113,7 +116,8 @@
     pub receive_buffer: Option<u32>,
 }
 
-/// Holds an open connection; dropping it closes the socket at once.
+/// Holds an open connection; dropping it closes the socket at once, by a reset if a request was
+/// sent on it since it was opened or given back to the pool.
 #[derive(Debug)]
 pub struct BackendConnection {
     address: SocketAddr,
@@ -131,6 +135,8 @@
     idle: Duration,
     /// Time that it took to establish the connection.
     established_in: Duration,
+    /// Tells the socket about the requests.
+    user: StreamUser,
     /// Drives the connection; aborting it on drop closes the socket.
     _driver: AbortOnDropHandle<()>,
 }
@@ -160,6 +166,7 @@
             self.carried.note(IdHash::of(id));
         }
         self.awaits_answer = true;
+        self.user.begin();
         self.idle = self.idle_since.elapsed();
         self.sender.try_send_request(req)
     }
@@ -186,6 +193,12 @@
         Ok(answered)
     }
 
+    /// Notes that no byte of the request that was sent last has left, so that the connection is
+    /// closed in the ordinary way.
+    pub fn note_unsent(&self) {
+        self.user.end();
+    }
+
     /// Returns the time that it took to establish the connection: one round trip.
     #[must_use]
     pub const fn established_in(&self) -> Duration {
@@ -213,7 +226,7 @@
 
 /// Counts one open connection until it is dropped.
 #[derive(Debug)]
-struct ConnectionPermit {
+pub(crate) struct ConnectionPermit {
     address: SocketAddr,
     tx: mpsc::UnboundedSender<PoolMessage>,
 }
@@ -364,6 +377,7 @@
 
     /// Like [`Self::give_back`], for a connection that may stay idle for at most `max_idle`.
     pub fn give_back_for(&self, connection: BackendConnection, max_idle: Duration) {
+        connection.user.end();
         let max_idle = max_idle.min(MAX_IDLE);
         // A failed send drops the connection and thereby closes it.
         let _ = self.tx.send(PoolMessage::Return(connection, max_idle));
@@ -419,12 +433,12 @@
     if options.receive_buffer.is_some() {
         builder.max_buf_size(PACED_READ_BUFFER);
     }
+    let (stream, user) = BackendStream::new(stream, permit);
     let (sender, connection) = builder
         .handshake(TokioIo::new(stream))
         .await
         .context(HandshakeSnafu { address })?;
     let driver = tokio::spawn(async move {
-        let _permit = permit;
         // The task that waits for the answer receives the same error.
         let _ = connection.await;
     });
@@ -438,6 +452,7 @@
         idle_since: Instant::now(),
         idle: Duration::ZERO,
         established_in,
+        user,
         _driver: AbortOnDropHandle::new(driver),
     })
 }
--- a/server/src/cold_querier.rs
+++ b/server/src/cold_querier.rs
@@ -99,6 +99,8 @@
             .map_err(TrySendError::into_error)
             .context(ExchangeSnafu)?
             .into_parts();
+        // The answer's head is all that matters; the pool keeps no connection for such a request.
+        self.pool.give_back(connection);
         let reply = self.interface.read_health(&head, &query.name);
         if let Some(reply) = &reply {
             let received = ReceivedStatement {
--- a/server/src/direct_send.rs
+++ b/server/src/direct_send.rs
@@ -315,6 +315,7 @@
             }
             Ok(Err(mut error)) => {
                 if let Some(unwritten) = error.take_message() {
+                    connection.note_unsent();
                     followed.not_run();
                     return Exchange::Unwritten(sent.returned_unsent(&unwritten));
                 }
@@ -322,7 +323,8 @@
                 let unknown = sent.lost(UnknownReason::ConnectionLost);
                 Exchange::Finished(Box::new(Sent::new(unknown, SendOutcome::Broken)))
             }
-            // Dropping the connection cancels the work at the backend server.
+            // Dropping the connection cancels the work at the backend server, or the request if
+            // it has not arrived yet.
             Err(reason) => {
                 let unknown = sent.lost(reason);
                 Exchange::Finished(Box::new(Sent::new(unknown, SendOutcome::Abandoned)))
--- a/server/src/dispatcher.rs
+++ b/server/src/dispatcher.rs
@@ -139,16 +139,20 @@
                 let response = Response::from_parts(head, body);
                 return read_head(pool, answered, response, connection).await;
             }
-            Ok(Err(mut error)) => match error.take_message() {
-                // The server closed an idle connection before the request was written.
-                Some(unwritten) if reused => attempt = sent.returned_unsent(&unwritten),
-                Some(unwritten) => {
-                    let unsent = sent.returned_unsent(&unwritten);
+            Ok(Err(mut error)) => {
+                let Some(unwritten) = error.take_message() else {
+                    return sent.lost(UnknownReason::ConnectionLost).into();
+                };
+                connection.note_unsent();
+                let unsent = sent.returned_unsent(&unwritten);
+                if !reused {
                     return unsent.refuse(NotRunReason::BackendUnreachable).into();
                 }
-                None => return sent.lost(UnknownReason::ConnectionLost).into(),
-            },
-            // Dropping the connection cancels the work at the backend server.
+                // The server closed an idle connection before the request was written.
+                attempt = unsent;
+            }
+            // Dropping the connection cancels the work at the backend server, or the request if
+            // it has not arrived yet.
             Err(_) => return sent.lost(UnknownReason::DeadlinePassed).into(),
         }
     }
--- a/server/src/lib.rs
+++ b/server/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod announcement_batch;
 pub mod answer_body;
 pub mod backend_pool;
+mod backend_stream;
 pub mod caller_listener;
 pub mod cold_querier;
 pub mod control_format;
--- a/server/tests/direct_support/mod.rs
+++ b/server/tests/direct_support/mod.rs
@@ -397,6 +397,20 @@
             .await;
     }
 
+    /// Like [`Self::announce_address`], for the incarnation with the value `born`.
+    pub async fn announce_address_of(
+        &self,
+        name: &str,
+        address: SocketAddr,
+        born: u64,
+        sequence: u64,
+    ) {
+        let mut body = announcement_of(name, address, sequence, "Ready");
+        body["record"]["born"] = born.into();
+        self.call_control(Method::POST, "/v1/announcements", &body.to_string())
+            .await;
+    }
+
     /// Like [`Self::announce`], for the incarnation with the value `born`.
     pub async fn announce_incarnation(
         &self,
