backend pool: connections in a module of their own

What a connection is, how it is opened and how its answers are paired moves to backend_connection; the pool keeps who gets one and what is kept. No change of behaviour. The line of a send says which request of a connection got the answer.

--- /dev/null
+++ b/server/src/backend_connection.rs
@@ -0,0 +1,277 @@
+//! Connections to backend servers.
+
+use std::io::ErrorKind;
+use std::net::SocketAddr;
+use std::time::Duration;
+use std::time::Instant;
+
+use bytes::Bytes;
+use heatherring_lib::answer_pairing::CarriedRequests;
+use heatherring_lib::answer_pairing::EchoMatch;
+use heatherring_lib::answer_pairing::EchoedId;
+use heatherring_lib::answer_pairing::IdHash;
+use heatherring_lib::answer_pairing::SentRequest;
+use heatherring_lib::outcome::Answered;
+use heatherring_lib::outcome::Attempt;
+use heatherring_lib::outcome::MayHaveRun;
+use heatherring_lib::outcome::Unpaired;
+use http::Request;
+use http::Response;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::client::conn::TrySendError;
+use hyper::client::conn::http1;
+use hyper::client::conn::http1::SendRequest;
+use hyper_util::rt::TokioIo;
+use snafu::ResultExt;
+use snafu::Snafu;
+use tokio::net::TcpSocket;
+use tokio::net::TcpStream;
+use tokio_util::task::AbortOnDropHandle;
+
+use crate::backend_pool::ConnectionPermit;
+use crate::backend_stream::BackendStream;
+use crate::backend_stream::StreamUser;
+use crate::metric;
+
+/// Time without acknowledgement of sent bytes after which the system breaks a connection:
+/// several times the longest round trip between regions, 110 ms.
+const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// Size of the HTTP library's read buffer of a connection with a bounded receive buffer. The
+/// smallest one that the library permits is half of it.
+const PACED_READ_BUFFER: usize = 16 << 10;
+
+/// Tells why no connection to a backend server is available. No byte of the request has been
+/// sent in any of these cases.
+#[derive(Debug, Snafu)]
+#[snafu(visibility(pub(crate)))]
+pub enum ConnectError {
+    /// All connections allowed by the limit are in use.
+    #[snafu(display("all {limit} connections to {address} are in use"))]
+    LimitReached {
+        /// The backend server's address.
+        address: SocketAddr,
+        /// The limit on connections.
+        limit: u32,
+    },
+    /// The connection was not established in time.
+    #[snafu(display("timed out while connecting to {address}"))]
+    ConnectTimeout {
+        /// The backend server's address.
+        address: SocketAddr,
+    },
+    /// The connection was refused or the server cannot be reached.
+    #[snafu(display("cannot connect to {address}"))]
+    Connect {
+        /// The backend server's address.
+        address: SocketAddr,
+        /// The error of the operating system.
+        source: std::io::Error,
+    },
+    /// The connection broke before it could carry a request.
+    #[snafu(display("the connection to {address} broke during the HTTP handshake"))]
+    Handshake {
+        /// The backend server's address.
+        address: SocketAddr,
+        /// The error of the HTTP library.
+        source: hyper::Error,
+    },
+    /// The pool's task has ended because the process is stopping.
+    #[snafu(display("the process is stopping"))]
+    PoolGone,
+}
+
+/// Options of a new connection.
+#[derive(Clone, Copy, Debug)]
+pub struct ConnectOptions {
+    /// Time for establishing it.
+    pub timeout: Duration,
+    /// Size of its receive buffer, in bytes; `None` for the system's default.
+    pub receive_buffer: Option<u32>,
+}
+
+/// Holds an open connection; dropping it closes the socket at once, by a reset if a request was
+/// sent on it since it was opened or given back to the pool.
+#[derive(Debug)]
+pub struct BackendConnection {
+    pub(crate) address: SocketAddr,
+    pub(crate) sender: SendRequest<Full<Bytes>>,
+    pub(crate) reused: bool,
+    /// Number of requests that were sent on it.
+    sent: u32,
+    /// Their identifiers.
+    pub(crate) carried: CarriedRequests,
+    /// Whether it may carry another request: each one that it carried has got an answer that names
+    /// it, and it has room to remember another one.
+    pub(crate) may_be_kept: bool,
+    /// When it was returned to the pool last, or established.
+    pub(crate) idle_since: Instant,
+    /// How long it was idle before the latest request.
+    idle: Duration,
+    /// Time that it took to establish the connection.
+    established_in: Duration,
+    /// Tells the socket about the requests.
+    pub(crate) user: StreamUser,
+    /// Drives the connection; aborting it on drop closes the socket.
+    pub(crate) driver: AbortOnDropHandle<()>,
+}
+
+impl ConnectError {
+    /// Returns whether the remote system reported that nothing listens at the address.
+    #[must_use]
+    pub fn is_refused(&self) -> bool {
+        matches!(self, Self::Connect { source, .. } if source.kind() == ErrorKind::ConnectionRefused)
+    }
+}
+
+impl BackendConnection {
+    /// Sends a request with the identifier `id` and waits for the head of an answer.
+    ///
+    /// # Errors
+    ///
+    /// The error returns the request if no byte of it was sent.
+    pub fn send(
+        &mut self,
+        req: Request<Full<Bytes>>,
+        id: Option<&str>,
+    ) -> impl Future<Output = Result<Response<Incoming>, TrySendError<Request<Full<Bytes>>>>> + use<>
+    {
+        self.sent = self.sent.saturating_add(1);
+        if let Some(id) = id {
+            self.carried.note(IdHash::of(id));
+        }
+        self.may_be_kept = false;
+        self.user.begin();
+        self.idle = self.idle_since.elapsed();
+        self.sender.try_send_request(req)
+    }
+
+    /// Pairs `attempt`, the request with the identifier `id` that was sent last, with the answer
+    /// that arrived, which names `echoed`.
+    ///
+    /// # Errors
+    ///
+    /// Returns the attempt if the answer does not belong to it. The connection is of no use then.
+    pub fn pair(
+        &mut self,
+        attempt: Attempt<MayHaveRun>,
+        id: Option<&str>,
+        echoed: EchoedId<'_>,
+    ) -> Result<Attempt<Answered>, Unpaired> {
+        let sent = SentRequest {
+            id,
+            is_first: self.sent == 1 && !self.reused,
+        };
+        let answered = attempt.pair(sent, echoed)?;
+        // Answers that name no request cannot be told apart on a kept connection.
+        let is_named = echoed.compare(id) == EchoMatch::Same;
+        self.may_be_kept = is_named && !self.carried.is_full();
+        Ok(answered)
+    }
+
+    /// Notes that no byte of the request that was sent last has left, so that the connection is
+    /// closed in the ordinary way.
+    pub fn note_unsent(&self) {
+        self.user.end();
+    }
+
+    /// Returns the time that it took to establish the connection: one round trip.
+    #[must_use]
+    pub const fn established_in(&self) -> Duration {
+        self.established_in
+    }
+
+    /// Returns the number of requests that were sent on this connection.
+    #[must_use]
+    pub const fn sent(&self) -> u32 {
+        self.sent
+    }
+
+    /// Returns how long this connection was idle before the latest request.
+    #[must_use]
+    pub const fn idle(&self) -> Duration {
+        self.idle
+    }
+
+    /// Returns whether an earlier request used this connection.
+    #[must_use]
+    pub const fn is_reused(&self) -> bool {
+        self.reused
+    }
+}
+
+/// Opens a connection to the backend server of `permit`.
+pub(crate) async fn open(
+    permit: ConnectionPermit,
+    options: ConnectOptions,
+) -> Result<BackendConnection, ConnectError> {
+    let address = permit.address();
+    let begun = Instant::now();
+    let connecting = connect(address, options.receive_buffer);
+    let connected = tokio::time::timeout(options.timeout, connecting).await;
+    let result = match &connected {
+        Ok(Ok(_)) => "connected",
+        Ok(Err(_)) => "refused",
+        Err(_) => "timed_out",
+    };
+    metric::connect(result, begun.elapsed());
+    let stream = connected
+        .ok()
+        .ok_or(ConnectError::ConnectTimeout { address })?
+        .context(ConnectSnafu { address })?;
+    // Nagle's algorithm could delay a small request until the previous one is acknowledged.
+    stream.set_nodelay(true).context(ConnectSnafu { address })?;
+    let established_in = begun.elapsed();
+    set_user_timeout(&stream);
+    let mut builder = http1::Builder::new();
+    if options.receive_buffer.is_some() {
+        builder.max_buf_size(PACED_READ_BUFFER);
+    }
+    let (stream, user) = BackendStream::new(stream, permit);
+    let (sender, connection) = builder
+        .handshake(TokioIo::new(stream))
+        .await
+        .context(HandshakeSnafu { address })?;
+    let driver = tokio::spawn(async move {
+        // The task that waits for the answer receives the same error.
+        let _ = connection.await;
+    });
+    Ok(BackendConnection {
+        address,
+        sender,
+        reused: false,
+        sent: 0,
+        carried: CarriedRequests::default(),
+        may_be_kept: true,
+        idle_since: Instant::now(),
+        idle: Duration::ZERO,
+        established_in,
+        user,
+        driver: AbortOnDropHandle::new(driver),
+    })
+}
+
+/// Connects to `address`, with a receive buffer of `receive_buffer` bytes or the system's default.
+/// The buffer bounds the window that is announced while connecting.
+async fn connect(address: SocketAddr, receive_buffer: Option<u32>) -> std::io::Result<TcpStream> {
+    let Some(receive_buffer) = receive_buffer else {
+        return TcpStream::connect(address).await;
+    };
+    let socket = if address.is_ipv4() {
+        TcpSocket::new_v4()?
+    } else {
+        TcpSocket::new_v6()?
+    };
+    socket.set_recv_buffer_size(receive_buffer)?;
+    socket.connect(address).await
+}
+
+/// Sets the TCP user timeout, so that the system breaks the connection when sent bytes are
+/// not acknowledged within [`UNACKNOWLEDGED_TIMEOUT`]. A connection can go silent without a
+/// reset; without this only the caller's deadline would end the wait.
+fn set_user_timeout(stream: &TcpStream) {
+    let millis = u32::try_from(UNACKNOWLEDGED_TIMEOUT.as_millis()).unwrap_or(u32::MAX);
+    if let Err(error) = rustix::net::sockopt::set_tcp_user_timeout(stream, millis) {
+        log::debug!(event = "user_timeout_refused", error:% = error; "cannot set the TCP user timeout of a connection");
+    }
+}
--- a/server/src/cold_querier.rs
+++ b/server/src/cold_querier.rs
@@ -18,8 +18,8 @@
 use snafu::ResultExt;
 use snafu::Snafu;
 
+use crate::backend_connection::ConnectError;
 use crate::backend_pool::BackendPool;
-use crate::backend_pool::ConnectError;
 use crate::dispatch_task::DispatchHandle;
 use crate::interface::EntryInterface;
 
--- a/server/src/dispatcher.rs
+++ b/server/src/dispatcher.rs
@@ -29,7 +29,7 @@
 use hyper::body::Body;
 use hyper::body::Incoming;
 
-use crate::backend_pool::BackendConnection;
+use crate::backend_connection::BackendConnection;
 use crate::backend_pool::BackendPool;
 use crate::header;
 use crate::metric;
--- a/server/src/owner_path.rs
+++ b/server/src/owner_path.rs
@@ -27,7 +27,7 @@
 use crate::answer_body;
 use crate::answer_body::AnswerBody;
 use crate::answer_body::AnswerObserver;
-use crate::backend_pool::BackendConnection;
+use crate::backend_connection::BackendConnection;
 use crate::backend_pool::BackendPool;
 use crate::crash_tracker::TrackedBackend;
 use crate::crash_tracker::TrackedRequest;
--- a/server/src/request_trace.rs
+++ b/server/src/request_trace.rs
@@ -109,7 +109,7 @@
         if let Some(received) = unusual {
             write!(
                 f,
-                " by an answer {} that names {}, {}. on its connection, idle for {} ms",
+                " by an answer {} that names {}, to request {} of a connection that had been idle for {} ms",
                 received.status.as_u16(),
                 named(received.echo),
                 received.position,
