backend pool: opening anew is connecting without an identifier, and checkouts copy nothing

connect_anew repeated connect_with, which takes no idle connection for a request without an identifier. The rule of which closed connections are still to be counted is a method of the connection.

--- a/server/src/backend_connection.rs
+++ b/server/src/backend_connection.rs
@@ -113,7 +113,7 @@
     /// Tells the socket about the requests.
     pub(crate) user: StreamUser,
     /// Drives the connection; aborting it on drop closes the socket.
-    pub(crate) driver: AbortOnDropHandle<()>,
+    driver: AbortOnDropHandle<()>,
 }
 
 impl ConnectError {
@@ -175,6 +175,12 @@
         self.user.end();
     }
 
+    /// Closes the connection. Returns whether its task has yet to end: one that has ended may have
+    /// been counted as closed already.
+    pub(crate) fn close(self) -> bool {
+        !self.driver.is_finished()
+    }
+
     /// Returns the time that it took to establish the connection: one round trip.
     #[must_use]
     pub const fn established_in(&self) -> Duration {
--- a/server/src/backend_pool.rs
+++ b/server/src/backend_pool.rs
@@ -185,20 +185,11 @@
         limit: u32,
         timeout: Duration,
     ) -> Result<BackendConnection, ConnectError> {
-        let checkout = self.check_out(address, limit, Reuse::Never);
-        let checkout = tokio::time::timeout(timeout, checkout).await;
-        match checkout.unwrap_or(Ok(Checkout::LimitReached))? {
-            Checkout::Connect(permit) => {
-                let options = ConnectOptions {
-                    timeout,
-                    receive_buffer: None,
-                };
-                backend_connection::open(permit, options).await
-            }
-            Checkout::Reuse(_) | Checkout::LimitReached => {
-                LimitReachedSnafu { address, limit }.fail()
-            }
-        }
+        let options = ConnectOptions {
+            timeout,
+            receive_buffer: None,
+        };
+        self.connect_with(address, limit, None, options).await
     }
 
     /// Returns a connection whose answer was read to its last byte to the pool. It is closed if that
@@ -273,30 +264,27 @@
 }
 
 impl ServerPool {
-    /// Takes the most recently used connection that may be reused, and closes those that were idle
-    /// for too long.
+    /// Takes the most recently used connection that may be reused. If there is none, closes those
+    /// that were idle for too long.
     fn take_idle(&mut self, now: Instant, reuse: Reuse) -> Option<BackendConnection> {
-        self.close_unusable(now);
-        let position = self
-            .idle
-            .iter()
-            .rposition(|idle| reuse.permits(&idle.connection))?;
+        let suits = |idle: &IdleConnection| idle.is_usable(now) && reuse.permits(&idle.connection);
+        let Some(position) = self.idle.iter().rposition(suits) else {
+            self.close_unusable(now);
+            return None;
+        };
         Some(self.idle.remove(position).connection)
     }
 
     fn close_unusable(&mut self, now: Instant) {
-        let idle = std::mem::take(&mut self.idle).into_iter();
-        let (usable, expired) = idle.partition(|idle| idle.is_usable(now));
-        self.idle = usable;
-        self.close(expired);
+        let unusable = self.idle.extract_if(.., |idle| !idle.is_usable(now));
+        for idle in unusable {
+            self.closing += u32::from(idle.connection.close());
+        }
     }
 
-    fn close(&mut self, idle: Vec<IdleConnection>) {
-        for IdleConnection { connection, .. } in idle {
-            // A task that has ended may have been counted already.
-            if !connection.driver.is_finished() {
-                self.closing += 1;
-            }
+    fn close_idle(&mut self) {
+        for idle in self.idle.drain(..) {
+            self.closing += u32::from(idle.connection.close());
         }
     }
 
@@ -304,9 +292,10 @@
     /// being closed. Idle connections do not suit it, so one of them is closed if need be.
     fn may_wait(&mut self) -> bool {
         let is_free = |server: &Self| server.waiting.len() < server.closing as usize;
-        if !is_free(self) {
-            let idle = self.idle.pop();
-            self.close(Vec::from_iter(idle));
+        if !is_free(self)
+            && let Some(idle) = self.idle.pop()
+        {
+            self.closing += u32::from(idle.connection.close());
         }
         is_free(self)
     }
@@ -399,14 +388,13 @@
         let Some(server) = self.servers.get_mut(&connection.address) else {
             return;
         };
-        let idle = IdleConnection {
-            max_idle,
-            connection,
-        };
         if is_kept {
-            server.idle.push(idle);
+            server.idle.push(IdleConnection {
+                max_idle,
+                connection,
+            });
         } else {
-            server.close(vec![idle]);
+            server.closing += u32::from(connection.close());
         }
     }
 
@@ -436,8 +424,7 @@
 
     fn disconnect(&mut self, address: SocketAddr) {
         if let Some(server) = self.servers.get_mut(&address) {
-            let idle = std::mem::take(&mut server.idle);
-            server.close(idle);
+            server.close_idle();
         }
     }
 
