answers: one piece counts, logs and describes an answer that does not belong

The two planes wrote the line answer_mismatched with different fields, counted apart, and the trace of a request described the same record a third time. ReceivedHead, taken from the connection, does all three; the line of owners has the same fields now, with the address where the name is not known. The names relate to each other in one place: SentRequest only says whether an answer is accepted, so that the tuple and Unpaired go. The state of an attempt is passed beside PendingAnswer, which was taken apart and built again for it. The model of the tests keeps a connection by the rule of the pool: only after an answer that names its request. Assertions are as before.

--- a/lib/src/answer_pairing.rs
+++ b/lib/src/answer_pairing.rs
@@ -87,21 +87,18 @@
 }
 
 impl SentRequest<'_> {
-    /// Compares the identifier that an answer echoes with that of the request. Returns whether the
-    /// answer belongs to the request, and how the identifiers relate.
+    /// Returns whether an answer that echoes this identifier belongs to the request.
     ///
     /// An answer that names no request belongs to the first one of its connection, since there is
     /// no other that it could belong to. So does any answer to a request that cannot be told by its
     /// identifier.
     #[must_use]
-    pub fn compare(&self, echoed: EchoedId<'_>) -> (bool, EchoMatch) {
-        let echo = echoed.compare(self.id);
-        let belongs = match echo {
+    pub fn accepts(&self, echoed: EchoedId<'_>) -> bool {
+        match echoed.compare(self.id) {
             EchoMatch::Same => true,
             EchoMatch::Absent => self.is_first,
             EchoMatch::Other | EchoMatch::Ambiguous => self.is_first && self.id.is_none(),
-        };
-        (belongs, echo)
+        }
     }
 }
 
--- a/lib/src/outcome.rs
+++ b/lib/src/outcome.rs
@@ -13,7 +13,6 @@
 use serde::Deserialize;
 use serde::Serialize;
 
-use crate::answer_pairing::EchoMatch;
 use crate::answer_pairing::EchoedId;
 use crate::answer_pairing::SentRequest;
 use crate::manifest::Operation;
@@ -341,15 +340,6 @@
 #[derive(Debug)]
 pub struct Answered(());
 
-/// An answer does not belong to the request that waits for one.
-#[derive(Debug)]
-pub struct Unpaired {
-    /// The attempt, which still waits for its answer.
-    pub attempt: Attempt<MayHaveRun>,
-    /// How the identifiers relate.
-    pub echo: EchoMatch,
-}
-
 /// One attempt to have a request run by a backend server or by the server's owner; `S` is its
 /// state.
 #[derive(Debug)]
@@ -389,20 +379,16 @@
     ///
     /// # Errors
     ///
-    /// Returns the attempt if the answer does not belong to it.
+    /// Returns the attempt, which still waits for its answer, if this one does not belong to it.
     pub fn pair(
         self,
         sent: SentRequest<'_>,
         echoed: EchoedId<'_>,
-    ) -> Result<Attempt<Answered>, Unpaired> {
-        let (belongs, echo) = sent.compare(echoed);
-        if belongs {
+    ) -> Result<Attempt<Answered>, Self> {
+        if sent.accepts(echoed) {
             Ok(self.into_answered())
         } else {
-            Err(Unpaired {
-                attempt: self,
-                echo,
-            })
+            Err(self)
         }
     }
 
--- a/lib/tests/pairing_model/mod.rs
+++ b/lib/tests/pairing_model/mod.rs
@@ -6,6 +6,7 @@
 use std::collections::VecDeque;
 
 use heatherring_lib::answer_pairing::CarriedRequests;
+use heatherring_lib::answer_pairing::EchoMatch;
 use heatherring_lib::answer_pairing::EchoedId;
 use heatherring_lib::answer_pairing::IdHash;
 use heatherring_lib::answer_pairing::SentRequest;
@@ -16,7 +17,6 @@
 use heatherring_lib::outcome::Outcome;
 use heatherring_lib::outcome::Refusal;
 use heatherring_lib::outcome::UnknownReason;
-use heatherring_lib::outcome::Unpaired;
 use proptest::prelude::*;
 
 /// The rule that the pool does not follow.
@@ -172,10 +172,11 @@
         attempt: Attempt<MayHaveRun>,
         id: Option<&str>,
         echoed: EchoedId<'_>,
-    ) -> Result<Attempt<Answered>, Unpaired> {
+    ) -> Result<Attempt<Answered>, Attempt<MayHaveRun>> {
         let is_first = self.carried.len() == 1 || without == Without::FirstOnly;
         let answered = attempt.pair(SentRequest { id, is_first }, echoed)?;
-        self.awaits_answer = echoed == EchoedId::Absent && without != Without::Closing;
+        let is_named = echoed.compare(id) == EchoMatch::Same;
+        self.awaits_answer = !is_named && without != Without::Closing;
         Ok(answered)
     }
 
@@ -384,10 +385,7 @@
         let outcome = match (paired, refusal) {
             (Ok(answered), Some(refusal)) => answered.refused(refusal).into(),
             (Ok(answered), None) => answered.answered(source),
-            (Err(unpaired), _) => unpaired
-                .attempt
-                .lost(UnknownReason::AnswerMismatched)
-                .into(),
+            (Err(waiting), _) => waiting.lost(UnknownReason::AnswerMismatched).into(),
         };
         let is_clear = answer.form.is_faithful() || connection.is_plain;
         self.judge(send, source, is_clear, &outcome);
--- a/lib/tests/test_answer_pairing.rs
+++ b/lib/tests/test_answer_pairing.rs
@@ -62,7 +62,7 @@
     assert_eq!(echoed.compare(id), echo);
     for (is_first, belongs) in [true, false].into_iter().zip(belongs_to_first_and_later) {
         let sent = SentRequest { id, is_first };
-        assert_eq!(sent.compare(echoed), (belongs, echo));
+        assert_eq!(sent.accepts(echoed), belongs);
     }
 }
 
--- a/server/src/backend_connection.rs
+++ b/server/src/backend_connection.rs
@@ -14,9 +14,9 @@
 use heatherring_lib::outcome::Answered;
 use heatherring_lib::outcome::Attempt;
 use heatherring_lib::outcome::MayHaveRun;
-use heatherring_lib::outcome::Unpaired;
 use http::Request;
 use http::Response;
+use http::StatusCode;
 use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::client::conn::TrySendError;
@@ -33,6 +33,7 @@
 use crate::backend_stream::BackendStream;
 use crate::backend_stream::StreamUser;
 use crate::metric;
+use crate::received_head::ReceivedHead;
 
 /// Time without acknowledgement of sent bytes after which the system breaks a connection:
 /// several times the longest round trip between regions, 110 ms.
@@ -157,7 +158,7 @@
         attempt: Attempt<MayHaveRun>,
         id: Option<&str>,
         echoed: EchoedId<'_>,
-    ) -> Result<Attempt<Answered>, Unpaired> {
+    ) -> Result<Attempt<Answered>, Attempt<MayHaveRun>> {
         let sent = SentRequest {
             id,
             is_first: self.sent == 1 && !self.reused,
@@ -187,16 +188,14 @@
         self.established_in
     }
 
-    /// Returns the number of requests that were sent on this connection.
-    #[must_use]
-    pub const fn sent(&self) -> u32 {
-        self.sent
-    }
-
-    /// Returns how long this connection was idle before the latest request.
-    #[must_use]
-    pub const fn idle(&self) -> Duration {
-        self.idle
+    /// Returns the record of an answer with this status that arrived after the latest request.
+    pub(crate) const fn received(&self, status: StatusCode, echo: EchoMatch) -> ReceivedHead {
+        ReceivedHead {
+            status,
+            echo,
+            position: self.sent,
+            idle: self.idle,
+        }
     }
 
     /// Returns whether an earlier request used this connection.
--- a/server/src/direct_send.rs
+++ b/server/src/direct_send.rs
@@ -8,15 +8,12 @@
 use std::time::Instant;
 
 use bytes::Bytes;
-use heatherring_lib::answer_pairing::EchoMatch;
-use heatherring_lib::answer_pairing::EchoedId;
 use heatherring_lib::answer_size::AnswerKind;
 use heatherring_lib::backend_statement::LeavingNotice;
 use heatherring_lib::backend_statement::ReceivedStatement;
 use heatherring_lib::dispatch_request::BackendKey;
 use heatherring_lib::dispatch_request::Choice;
 use heatherring_lib::dispatch_request::SendOutcome;
-use heatherring_lib::duration_text::whole_ms;
 use heatherring_lib::fleet_update::FleetView;
 use heatherring_lib::link_admission::ExpectedAnswer;
 use heatherring_lib::link_admission::OVERHEAD_BYTES;
@@ -36,7 +33,6 @@
 use http::Method;
 use http::Request;
 use http::Response;
-use http::StatusCode;
 use http::Uri;
 use http::response;
 use http_body_util::BodyExt;
@@ -62,7 +58,7 @@
 use crate::interface::EntryInterface;
 use crate::interface::OutgoingMetadata;
 use crate::link_pacer::LinkPacer;
-use crate::metric;
+use crate::received_head::ReceivedHead;
 use crate::refusal_body;
 use crate::stop_observer::StopObserver;
 use crate::unread_headers::UnreadHeaders;
@@ -128,19 +124,6 @@
     pub body: AnswerBody,
 }
 
-/// What is recorded about the head of an answer, to trace which request it belonged to.
-#[derive(Clone, Copy, Debug)]
-pub struct ReceivedHead {
-    /// The status.
-    pub status: StatusCode,
-    /// Whether the answer names the request that waited for it.
-    pub echo: EchoMatch,
-    /// Which request of its connection was waiting, from 1.
-    pub position: u32,
-    /// How long the connection had been idle before that request.
-    pub idle: Duration,
-}
-
 /// Result of sending a request to a backend server.
 #[derive(Debug)]
 pub struct Sent {
@@ -307,11 +290,10 @@
                 let pending = PendingAnswer {
                     choice,
                     req,
-                    sent,
                     connection,
                     followed,
                 };
-                Exchange::Finished(Box::new(self.receive(pending, response).await))
+                Exchange::Finished(Box::new(self.receive(pending, sent, response).await))
             }
             Ok(Err(mut error)) => {
                 if let Some(unwritten) = error.take_message() {
@@ -395,47 +377,34 @@
     }
 
     /// Reads the answer that arrived on the connection, if it belongs to the request.
-    async fn receive(&self, pending: PendingAnswer<'_>, response: Response<Incoming>) -> Sent {
-        let PendingAnswer {
-            choice,
-            req,
-            sent,
-            mut connection,
-            followed,
-        } = pending;
+    async fn receive(
+        &self,
+        mut at: PendingAnswer<'_>,
+        sent: Attempt<MayHaveRun>,
+        response: Response<Incoming>,
+    ) -> Sent {
         let (head, body) = response.into_parts();
         let AnswerMetadata {
             echoed,
             meaning,
             statement,
         } = self.interface.read_answer(&head);
-        let id = req.request_id.as_deref();
-        let received = ReceivedHead {
-            status: head.status,
-            echo: echoed.compare(id),
-            position: connection.sent(),
-            idle: connection.idle(),
-        };
-        let mut sent = match connection.pair(sent, id, echoed) {
-            Ok(sent) => {
+        let id = at.req.request_id.as_deref();
+        let received = at.connection.received(head.status, echoed.compare(id));
+        let mut sent = match at.connection.pair(sent, id, echoed) {
+            Ok(answered) => {
                 let statement = ReceivedStatement {
                     statement,
                     at: Instant::now(),
                 };
-                let at = PendingAnswer {
-                    choice,
-                    req,
-                    sent,
-                    connection,
-                    followed,
-                };
-                self.read(at, meaning, statement, (head, body)).await
+                self.read(at, answered, meaning, statement, (head, body))
+                    .await
             }
-            Err(unpaired) => {
-                log_mismatch(choice, req, &received, echoed);
-                self.pool.close_mismatched(connection);
-                followed.broken();
-                let unknown = unpaired.attempt.lost(UnknownReason::AnswerMismatched);
+            Err(sent) => {
+                received.log_mismatch(id.unwrap_or_default(), at.choice.name.as_str(), echoed);
+                self.pool.close_mismatched(at.connection);
+                at.followed.broken();
+                let unknown = sent.lost(UnknownReason::AnswerMismatched);
                 Sent::new(unknown, SendOutcome::Broken)
             }
         };
@@ -446,7 +415,8 @@
     /// Reads an answer that belongs to the request.
     async fn read(
         &self,
-        at: PendingAnswer<'_, Answered>,
+        at: PendingAnswer<'_>,
+        answered: Attempt<Answered>,
         meaning: AnswerMeaning,
         received: ReceivedStatement,
         (head, body): (response::Parts, Incoming),
@@ -463,13 +433,13 @@
         }
         let refused = match meaning {
             AnswerMeaning::Answer => {
-                let mut sent = self.pass_on(at, (head, body)).await;
+                let mut sent = self.pass_on(at, answered, (head, body)).await;
                 sent.statement = Some(received);
                 return sent;
             }
             AnswerMeaning::Foreign => {
                 at.followed.broken();
-                let unknown = at.sent.lost(UnknownReason::ConnectionLost);
+                let unknown = answered.lost(UnknownReason::ConnectionLost);
                 return Sent::new(unknown, SendOutcome::Broken);
             }
             AnswerMeaning::NotRun => (NotRunReason::BackendRefused, SendOutcome::Shed),
@@ -483,7 +453,7 @@
             self.pool.give_back_for(at.connection, keep);
         }
         let refusal = Refusal::reported_by_backend_server(refused.0);
-        let mut sent = Sent::new(at.sent.refused(refusal), refused.1);
+        let mut sent = Sent::new(answered.refused(refusal), refused.1);
         sent.statement = (refused.1 == SendOutcome::Shed).then_some(received);
         sent
     }
@@ -498,13 +468,13 @@
     /// Reads a short answer completely, or starts to relay a long one.
     async fn pass_on(
         &self,
-        at: PendingAnswer<'_, Answered>,
+        at: PendingAnswer<'_>,
+        answered: Attempt<Answered>,
         (mut head, body): (response::Parts, Incoming),
     ) -> Sent {
         let PendingAnswer {
             choice,
             req,
-            sent,
             connection,
             followed,
         } = at;
@@ -554,7 +524,7 @@
                 None => answer_body::relay(body, req.stream_until, end),
             };
             let answer = DirectAnswer { head, body };
-            return Sent::answered(sent.answered(answer), verdict, bytes);
+            return Sent::answered(answered.answered(answer), verdict, bytes);
         }
         match self.in_time(req, body.collect()).await {
             Ok(Ok(collected)) => {
@@ -562,23 +532,22 @@
                 followed.answered();
                 let body = answer_body::full(collected.to_bytes());
                 let answer = DirectAnswer { head, body };
-                Sent::answered(sent.answered(answer), verdict, bytes)
+                Sent::answered(answered.answered(answer), verdict, bytes)
             }
             Ok(Err(_)) => {
                 followed.broken();
-                let unknown = sent.lost(UnknownReason::ConnectionLost);
+                let unknown = answered.lost(UnknownReason::ConnectionLost);
                 Sent::new(unknown, SendOutcome::Broken)
             }
-            Err(reason) => Sent::new(sent.lost(reason), SendOutcome::Abandoned),
+            Err(reason) => Sent::new(answered.lost(reason), SendOutcome::Abandoned),
         }
     }
 }
 
-/// A sent request whose answer is to be read; `S` is the state of its attempt.
-struct PendingAnswer<'a, S = MayHaveRun> {
+/// A sent request whose answer is to be read.
+struct PendingAnswer<'a> {
     choice: &'a Choice,
     req: &'a DirectRequest,
-    sent: Attempt<S>,
     connection: BackendConnection,
     followed: TrackedRequest,
 }
@@ -617,31 +586,6 @@
     }
 }
 
-/// Logs an answer that does not belong to the request that waits for one.
-fn log_mismatch(
-    choice: &Choice,
-    req: &DirectRequest,
-    received: &ReceivedHead,
-    echoed: EchoedId<'_>,
-) {
-    metric::answer_mismatch(received.echo);
-    let echoed = match echoed {
-        EchoedId::One(id) => id,
-        EchoedId::Absent | EchoedId::Ambiguous => "",
-    };
-    log::info!(
-        event = "answer_mismatched",
-        request_id = req.request_id.as_deref().unwrap_or_default(),
-        backend = choice.name.as_str(),
-        echo = received.echo.name(),
-        echoed,
-        status = received.status.as_u16(),
-        position = received.position,
-        idle_ms = whole_ms(received.idle);
-        "a backend server's answer does not name the request that waits for it"
-    );
-}
-
 /// Returns how long a connection may be idle and still be reused.
 fn idle_time(headers: &HeaderMap) -> Duration {
     let announced = header::text(headers, "keep-alive")
--- a/server/src/dispatcher.rs
+++ b/server/src/dispatcher.rs
@@ -14,9 +14,7 @@
 use heatherring_lib::outcome::NotRunReason;
 use heatherring_lib::outcome::Outcome;
 use heatherring_lib::outcome::Refusal;
-use heatherring_lib::outcome::Unknown;
 use heatherring_lib::outcome::UnknownReason;
-use heatherring_lib::outcome::Unpaired;
 use heatherring_lib::outcome::Unsent;
 use http::HeaderMap;
 use http::HeaderValue;
@@ -32,7 +30,6 @@
 use crate::backend_connection::BackendConnection;
 use crate::backend_pool::BackendPool;
 use crate::header;
-use crate::metric;
 use crate::own_interface;
 use crate::refusal_body;
 
@@ -99,12 +96,9 @@
     mut attempt: Attempt<Unsent>,
     now: Instant,
 ) -> Outcome<BackendAnswer> {
+    let id = Some(req.request_id.as_str());
     loop {
-        let connecting = pool.connect(
-            target.address,
-            target.max_connections,
-            Some(&req.request_id),
-        );
+        let connecting = pool.connect(target.address, target.max_connections, id);
         let deadline = req.deadline.into();
         let mut connection = match tokio::time::timeout_at(deadline, connecting).await {
             Ok(Ok(connection)) => connection,
@@ -122,15 +116,18 @@
         };
         let reused = connection.is_reused();
         let sent = attempt.sending();
-        let answering = connection.send(message, Some(&req.request_id));
+        let answering = connection.send(message, id);
         match tokio::time::timeout_at(deadline, answering).await {
             Ok(Ok(response)) => {
                 let echoed = header::echoed_id(response.headers(), &header::REQUEST_ID);
-                let answered = match connection.pair(sent, Some(&req.request_id), echoed) {
+                let answered = match connection.pair(sent, id, echoed) {
                     Ok(answered) => answered,
-                    Err(unpaired) => {
+                    Err(sent) => {
+                        let received = connection.received(response.status(), echoed.compare(id));
+                        let address = target.address.to_string();
+                        received.log_mismatch(&req.request_id, &address, echoed);
                         pool.close_mismatched(connection);
-                        return mismatched(target, req, &response, unpaired).into();
+                        return sent.lost(UnknownReason::AnswerMismatched).into();
                     }
                 };
                 let (head, body) = response.into_parts();
@@ -181,25 +178,6 @@
     Some(message)
 }
 
-/// Ends an attempt whose connection brought an answer to another request.
-fn mismatched(
-    target: BackendTarget,
-    req: &OutgoingRequest,
-    response: &Response<Incoming>,
-    unpaired: Unpaired,
-) -> Unknown {
-    metric::answer_mismatch(unpaired.echo);
-    log::info!(
-        event = "answer_mismatched",
-        request_id = req.request_id.as_str(),
-        address = target.address.to_string().as_str(),
-        echo = unpaired.echo.name(),
-        status = response.status().as_u16();
-        "a backend server's answer does not name the request that waits for it"
-    );
-    unpaired.attempt.lost(UnknownReason::AnswerMismatched)
-}
-
 async fn read_head(
     pool: &BackendPool,
     answered: Attempt<Answered>,
--- a/server/src/lib.rs
+++ b/server/src/lib.rs
@@ -99,6 +99,7 @@
 pub mod published_state;
 pub mod quarantine_monitor;
 pub mod query_parameter;
+pub mod received_head;
 pub mod record_codec;
 pub mod refusal;
 mod refusal_body;
--- a/server/src/request_trace.rs
+++ b/server/src/request_trace.rs
@@ -20,10 +20,10 @@
 use heatherring_lib::rate_limit::RequestRate;
 use heatherring_lib::request_fingerprint::Fingerprint;
 
-use crate::direct_send::ReceivedHead;
 use crate::direct_send::Sent;
 use crate::log_writer::ROUTINE;
 use crate::metric;
+use crate::received_head::ReceivedHead;
 use crate::refusal::Refused;
 
 /// What has been recorded about a request.
@@ -107,28 +107,12 @@
             !is_plain || received.echo != EchoMatch::Same
         });
         if let Some(received) = unusual {
-            write!(
-                f,
-                " by an answer {} that names {}, to request {} of a connection that had been idle for {} ms",
-                received.status.as_u16(),
-                named(received.echo),
-                received.position,
-                received.idle.as_millis()
-            )?;
+            write!(f, " by {received}")?;
         }
         Ok(())
     }
 }
 
-const fn named(echo: EchoMatch) -> &'static str {
-    match echo {
-        EchoMatch::Same => "the request",
-        EchoMatch::Absent => "no request",
-        EchoMatch::Other => "another request",
-        EchoMatch::Ambiguous => "several requests",
-    }
-}
-
 /// Context of a request's completion.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct CompletionInfo<'a> {
