relays: orders and other requests to the leader share one macro; plainer comments

relay_order_or_fail repeated relay_or_fail but for the wrapping of the request. Comments of orders, streams and tests say in plain terms what they mean. No change of behaviour.

--- a/lib/tests/test_order_stamp.rs
+++ b/lib/tests/test_order_stamp.rs
@@ -244,8 +244,7 @@
     }
 }
 
-/// Guards against an order that is carried out after whoever gave it has moved on: processes are
-/// suspended, bytes held up and leaders changed at random.
+/// Guards against an order that is carried out after its operator has given it up.
 #[rstest]
 fn test_order_stamp_accepts_nothing_that_was_given_up(#[values(1, 2, 3, 4, 5, 6)] seed: u64) {
     let mut model = Model::new(seed);
--- a/server/src/backend_stream.rs
+++ b/server/src/backend_stream.rs
@@ -3,7 +3,7 @@
 //! A request that was given up must not run later. After an ordinary close the network still
 //! delivers what it holds up, seconds later perhaps; a reset makes that void. Taking the socket out
 //! of the HTTP library is not possible while a request is under way, so the stream and its user
-//! share what is known of the request, and whoever of them goes last ends the connection.
+//! share the progress of the request, and the one that is dropped last ends the connection.
 
 use std::io;
 use std::io::IoSlice;
--- a/server/src/leader_relay.rs
+++ b/server/src/leader_relay.rs
@@ -50,8 +50,8 @@
     request
 }
 
-/// Returns the stamp of an order; `None` if it was not passed on, bears a number of its own, or was
-/// passed on by a replica of a release without stamps.
+/// Returns the stamp of an order. `None` if it was not passed on, if it is a change of the manifest,
+/// which names its base, or if the replica that passed it on is of a release without stamps.
 #[must_use]
 pub fn order_stamp(metadata: &MetadataMap) -> Option<OrderStamp> {
     let text = metadata.get(ORDER_STAMP)?.to_str().ok();
--- a/server/src/node_request.rs
+++ b/server/src/node_request.rs
@@ -57,7 +57,7 @@
         /// The leader, if it is another replica and its address is known.
         leader: Option<Box<LeaderLink>>,
     },
-    /// Another replica passed the order on too long ago: whoever gave it may have moved on.
+    /// The order was passed on too late: its operator may have given it up.
     #[snafu(display("the order took too long to reach the leader"))]
     Late,
     /// The queue of requests is full.
@@ -178,7 +178,7 @@
     Lost,
     /// No session is opened, since one was after the revision that the request names.
     OpenedSince {
-        /// The latest revision.
+        /// The revision that the next request is to name.
         revision: Revision,
     },
     /// This replica cannot prove that it is current.
@@ -364,8 +364,8 @@
         self.propose_stamped(command, stamp).await
     }
 
-    /// Changes the set of replicas, and waits until the change is committed. A change that bears a
-    /// stamp is not made if that is no longer current.
+    /// Changes the set of replicas, and waits until the change is committed. Refuses a change whose
+    /// stamp is no longer current.
     ///
     /// # Errors
     ///
--- a/server/src/operator_service.rs
+++ b/server/src/operator_service.rs
@@ -119,27 +119,20 @@
     ))
 }
 
-/// Relays a request that was refused here to the leader's method, or fails.
+/// Relays a request that was refused here to the leader's method, or fails. An order is relayed with
+/// the stamp that was known when it was taken, and fails without one.
 macro_rules! relay_or_fail {
     ($error:expr, $metadata:expr, $method:ident, $request:expr) => {
-        match relay_to(&$error, &$metadata) {
-            Some(leader) => {
-                let request = relayed_request($request, RELAY_TIMEOUT);
-                operator_client(leader).$method(request).await
-            }
-            None => Err(unavailable(&$error)),
-        }
+        relay_or_fail!(@ $error, $metadata, $method, Some(relayed_request($request, RELAY_TIMEOUT)))
     };
-}
-
-/// Like [`relay_or_fail`], for an order that was taken when `stamp` was read.
-macro_rules! relay_order_or_fail {
-    ($error:expr, $metadata:expr, $stamp:expr, $method:ident, $request:expr) => {
-        match relay_to(&$error, &$metadata).zip($stamp) {
-            Some((leader, stamp)) => {
-                let request = relayed_order($request, RELAY_TIMEOUT, stamp);
-                operator_client(leader).$method(request).await
-            }
+    ($error:expr, $metadata:expr, $method:ident, $request:expr, $stamp:expr) => {
+        relay_or_fail!(@ $error, $metadata, $method, {
+            $stamp.map(|stamp| relayed_order($request, RELAY_TIMEOUT, stamp))
+        })
+    };
+    (@ $error:expr, $metadata:expr, $method:ident, $relayed:expr) => {
+        match relay_to(&$error, &$metadata).zip($relayed) {
+            Some((leader, request)) => operator_client(leader).$method(request).await,
             None => Err(unavailable(&$error)),
         }
     };
@@ -271,7 +264,7 @@
         let known = match self.node.read(known).await {
             Ok(known) => known,
             Err(error) => {
-                return relay_order_or_fail!(error, metadata, stamp, lift_quarantine, request);
+                return relay_or_fail!(error, metadata, lift_quarantine, request, stamp);
             }
         };
         let command = FleetCommand::LiftSuspect(fingerprint);
@@ -279,7 +272,7 @@
         match lifted.await {
             Ok(_) => Ok(Response::new(LiftQuarantineReply { known })),
             Err(error) => {
-                relay_order_or_fail!(error, metadata, stamp, lift_quarantine, request)
+                relay_or_fail!(error, metadata, lift_quarantine, request, stamp)
             }
         }
     }
@@ -338,7 +331,7 @@
         let changed = self.node.change_membership(operator, change, passed_on);
         match changed.await {
             Err(error) if error.leader().is_some() && error.is_proved_absent() => {
-                relay_order_or_fail!(error, metadata, stamp, change_membership, request)
+                relay_or_fail!(error, metadata, change_membership, request, stamp)
             }
             Err(error @ NodeError::Late) => Err(unavailable(&error)),
             outcome => membership_reply(self.cluster, outcome).map(Response::new),
--- a/server/tests/test_unpaired_answers.rs
+++ b/server/tests/test_unpaired_answers.rs
@@ -33,7 +33,6 @@
 /// The statement of a backend server that it leaves.
 const LEAVING: &str = "heatherring-leaving: 1";
 
-/// An interim answer.
 const CONTINUE: &str = "HTTP/1.1 100 Continue\r\n\r\n";
 
 /// Size of a body that backend servers do not receive as a whole before they read it.
