tests: stand-ins read raw requests with one piece of code

Four stand-ins over sockets and the test of the pool each looked for the end of a head, for headers and for bodies by themselves, two of them with the same function. testutils::raw_request does it for all. Scripts, records and assertions are as before.

--- a/server/tests/direct_support/scripted_backend.rs
+++ b/server/tests/direct_support/scripted_backend.rs
@@ -6,7 +6,7 @@
 use std::sync::Mutex;
 use std::time::Duration;
 
-use tokio::io::AsyncReadExt;
+use heatherring_testutils::raw_request;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
@@ -139,11 +139,11 @@
         let mut before: Option<Box<Arrived>> = None;
         loop {
             let head = self.read_head().await?;
-            let path = head.split(' ').nth(1)?;
+            let path = raw_request::path(&head);
             let arrived = Arrived {
                 backend: self.backend.clone(),
                 key: path.rsplit('/').next()?.to_owned(),
-                id: value(&head, "heatherring-request-id").to_owned(),
+                id: raw_request::value(&head, "heatherring-request-id").to_owned(),
                 is_health: path == HEALTH_PATH,
                 position: before.as_ref().map_or(1, |before| before.position + 1),
                 before: before.take(),
@@ -185,41 +185,14 @@
     }
 
     async fn read_head(&mut self) -> Option<String> {
-        loop {
-            let end = self.unread.windows(4).position(|part| part == b"\r\n\r\n");
-            if let Some(end) = end {
-                let head: Vec<u8> = self.unread.drain(..end + 4).collect();
-                let head = String::from_utf8(head).unwrap();
-                self.body = value(&head, "content-length").parse().unwrap_or(0);
-                return Some(head);
-            }
-            self.read_more().await?;
-        }
+        let head = raw_request::read_head(&mut self.stream, &mut self.unread).await?;
+        self.body = raw_request::body_length(&head);
+        Some(head)
     }
 
     async fn read_body(&mut self) -> Option<()> {
-        while self.body > 0 {
-            if self.unread.is_empty() {
-                self.read_more().await?;
-            }
-            let read = self.unread.len().min(self.body);
-            self.unread.drain(..read);
-            self.body -= read;
-        }
-        Some(())
+        raw_request::skip_body(&mut self.stream, &mut self.unread, &mut self.body).await
     }
-
-    async fn read_more(&mut self) -> Option<()> {
-        let read = self.stream.read_buf(&mut self.unread).await.ok()?;
-        (read > 0).then_some(())
-    }
-}
-
-/// Returns the value of a header, or an empty text.
-fn value<'a>(head: &'a str, name: &str) -> &'a str {
-    let mut lines = head.lines().filter_map(|line| line.split_once(':'));
-    let found = lines.find(|(key, _)| key.eq_ignore_ascii_case(name));
-    found.map_or("", |(_, value)| value.trim())
 }
 
 /// Returns an answer with a body and the header lines that are not empty.
--- a/server/tests/entry_support/repeating_backend.rs
+++ b/server/tests/entry_support/repeating_backend.rs
@@ -8,16 +8,13 @@
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
 
-use tokio::io::AsyncReadExt;
+use heatherring_testutils::raw_request;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 
 const REQUEST_ID: &str = "heatherring-request-id";
 
-/// The end of the head of a request.
-const HEAD_END: &[u8] = b"\r\n\r\n";
-
 /// Which requests are named in an answer.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Echo {
@@ -96,7 +93,8 @@
 
     async fn serve(self, mut stream: TcpStream) {
         let mut last = String::new();
-        while let Some(head) = read_request(&mut stream).await {
+        let mut unread = Vec::new();
+        while let Some(head) = read_request(&mut stream, &mut unread).await {
             let answer = self.answer(&head);
             let mut sent = String::new();
             if self.habits.repeats {
@@ -112,8 +110,8 @@
 
     /// Runs or refuses a request, and returns the answer.
     fn answer(&self, head: &str) -> String {
-        let path = head.split(' ').nth(1).unwrap_or_default();
-        let echo = self.echo(header(head, REQUEST_ID));
+        let path = raw_request::path(head);
+        let echo = self.echo(raw_request::value(head, REQUEST_ID));
         if self.requests.fetch_add(1, Ordering::SeqCst) < self.habits.refused {
             return format!(
                 "HTTP/1.1 503 Service Unavailable\r\n{echo}\
@@ -139,29 +137,9 @@
 }
 
 /// Reads a request with its body; returns its head, or `None` if the connection is closed.
-async fn read_request(stream: &mut TcpStream) -> Option<String> {
-    let mut read = Vec::new();
-    loop {
-        let end = read
-            .windows(HEAD_END.len())
-            .position(|part| part == HEAD_END);
-        if let Some(end) = end {
-            let head = String::from_utf8_lossy(&read[..end]).into_owned();
-            let length: usize = header(&head, "content-length").parse().unwrap_or(0);
-            if read.len() >= end + HEAD_END.len() + length {
-                return Some(head);
-            }
-        }
-        let count = stream.read_buf(&mut read).await.ok()?;
-        if count == 0 {
-            return None;
-        }
-    }
-}
-
-/// Returns the value of a header; empty without one.
-fn header<'a>(head: &'a str, name: &str) -> &'a str {
-    let mut lines = head.lines().filter_map(|line| line.split_once(": "));
-    let found = lines.find(|(found, _)| found.eq_ignore_ascii_case(name));
-    found.map_or("", |(_, value)| value)
+async fn read_request(stream: &mut TcpStream, unread: &mut Vec<u8>) -> Option<String> {
+    let head = raw_request::read_head(stream, unread).await?;
+    let mut body = raw_request::body_length(&head);
+    raw_request::skip_body(stream, unread, &mut body).await?;
+    Some(head)
 }
--- a/server/tests/entry_support/scripted_backend.rs
+++ b/server/tests/entry_support/scripted_backend.rs
@@ -6,7 +6,7 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use tokio::io::AsyncReadExt;
+use heatherring_testutils::raw_request;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
@@ -112,48 +112,27 @@
     }
 
     async fn serve(self, mut stream: TcpStream, crash: Arc<Notify>) {
-        let mut head = Vec::new();
+        let mut unread = Vec::new();
         loop {
-            let mut buf = [0; 4_096];
-            match stream.read(&mut buf).await {
-                Ok(0) | Err(_) => {
-                    self.closed.fetch_add(1, Ordering::SeqCst);
-                    return;
-                }
-                Ok(count) => head.extend_from_slice(&buf[..count]),
-            }
-            if !head.ends_with(b"\r\n\r\n") {
-                continue;
-            }
-            let path = path_of(&head);
-            let id = id_of(&head);
-            head.clear();
+            let Some(head) = raw_request::read_head(&mut stream, &mut unread).await else {
+                self.closed.fetch_add(1, Ordering::SeqCst);
+                return;
+            };
+            let path = raw_request::path(&head);
+            let id = raw_request::value(&head, "heatherring-request-id");
             let number = self.requests.fetch_add(1, Ordering::SeqCst);
             let script = self.script[number.min(self.script.len() - 1)];
             if script == Script::Crash {
                 crash.notify_one();
                 std::future::pending::<()>().await;
             }
-            if !answer(&mut stream, script, &path, &id).await {
+            if !answer(&mut stream, script, path, id).await {
                 return;
             }
         }
     }
 }
 
-fn path_of(head: &[u8]) -> String {
-    let text = String::from_utf8_lossy(head);
-    text.split(' ').nth(1).unwrap_or_default().to_owned()
-}
-
-fn id_of(head: &[u8]) -> String {
-    let text = String::from_utf8_lossy(head);
-    let id = text
-        .lines()
-        .find_map(|line| line.strip_prefix("heatherring-request-id: "));
-    id.unwrap_or_default().to_owned()
-}
-
 /// Sends the answer of a script step. Returns whether the connection stays open.
 async fn answer(stream: &mut TcpStream, script: Script, path: &str, id: &str) -> bool {
     let mut body = format!("answer to {path}");
--- a/server/tests/late_reader_support/mod.rs
+++ b/server/tests/late_reader_support/mod.rs
@@ -4,6 +4,9 @@
 use std::io::ErrorKind;
 use std::net::SocketAddr;
 
+use heatherring_testutils::raw_request::body_length;
+use heatherring_testutils::raw_request::head_length;
+use heatherring_testutils::raw_request::value;
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
 use tokio::io::Interest;
@@ -131,8 +134,8 @@
                 return Err(End::Closed);
             }
             let text = String::from_utf8_lossy(&buf[..length]);
-            if let Some(end) = text.find("\r\n\r\n") {
-                return Ok(text[..end + 4].to_owned());
+            if let Some(length) = head_length(text.as_bytes()) {
+                return Ok(text[..length].to_owned());
             }
             tokio::task::yield_now().await;
         }
@@ -170,14 +173,3 @@
     assert_eq!(error.kind(), ErrorKind::ConnectionReset);
     End::Reset
 }
-
-fn body_length(head: &str) -> usize {
-    value(head, "content-length").parse().unwrap_or(0)
-}
-
-/// Returns the value of a header, or an empty text.
-fn value<'a>(head: &'a str, name: &str) -> &'a str {
-    let mut lines = head.lines().filter_map(|line| line.split_once(':'));
-    let found = lines.find(|(key, _)| key.eq_ignore_ascii_case(name));
-    found.map_or("", |(_, value)| value.trim())
-}
--- a/server/tests/test_pool_room.rs
+++ b/server/tests/test_pool_room.rs
@@ -8,11 +8,11 @@
 use heatherring_lib::answer_pairing::MAX_CARRIED_REQUESTS;
 use heatherring_lib::outcome::Attempt;
 use heatherring_server::backend_pool::BackendPool;
+use heatherring_testutils::raw_request::read_head;
 use http::Request;
 use http_body_util::BodyExt;
 use http_body_util::Full;
 use rstest::rstest;
-use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
@@ -32,16 +32,9 @@
 
 async fn answer_all(mut stream: TcpStream) {
     let mut unread = Vec::new();
-    while stream
-        .read_buf(&mut unread)
-        .await
-        .is_ok_and(|read| read > 0)
-    {
-        while let Some(end) = unread.windows(4).position(|part| part == b"\r\n\r\n") {
-            unread.drain(..end + 4);
-            if stream.write_all(ANSWER).await.is_err() {
-                return;
-            }
+    while read_head(&mut stream, &mut unread).await.is_some() {
+        if stream.write_all(ANSWER).await.is_err() {
+            return;
         }
     }
 }
--- a/testutils/src/lib.rs
+++ b/testutils/src/lib.rs
@@ -26,6 +26,7 @@
 pub mod open_loop;
 pub mod process;
 pub mod process_usage;
+pub mod raw_request;
 pub mod relay;
 pub mod request_history;
 pub mod service_time;
