tests of unpaired answers: scene and scripts in modules of their own

The script that runs a request and writes a stray answer before its own stood in seven tests, the loop over actions in three, and one test built its requests by hand beside Scene::send.

--- /dev/null
+++ b/server/tests/unpaired_support/mod.rs
@@ -0,0 +1,4 @@
+//! Answers that do not belong to the request that waits for them.
+
+pub mod scene;
+pub mod scripts;
