tests: control replicas of a test are set up with one piece of code

test_late_orders and test_late_opening repeated from test_control_node how a replica is formatted, joins and becomes a voter, and its settings. control_support does it for the three. The cases of answered connections in test_withdrawn_request name what the backend server does. Assertions are as before.

--- a/server/tests/test_control_node.rs
+++ b/server/tests/test_control_node.rs
@@ -1,23 +1,22 @@
 //! Tests of three control replicas in one process, which communicate over loopback and store their
 //! data in real files.
 
+mod control_support;
+
 use std::net::SocketAddr;
 use std::path::Path;
 use std::sync::Arc;
 
+use control_support::channel;
 use heatherring_lib::clock::SystemClock;
 use heatherring_lib::id::PlaceName;
 use heatherring_lib::id::RegionName;
 use heatherring_lib::id::VmName;
 use heatherring_lib::settings::ControlSettings;
-use heatherring_lib::settings::ControlTiming;
-use heatherring_lib::settings::LogSettings;
-use heatherring_lib::settings::Security;
 use heatherring_lib::view::ControlView;
 use heatherring_lib::view::EntryInfo;
 use heatherring_lib::view::ViewChange;
 use heatherring_lib::view::ViewChangeKind;
-use heatherring_server::control_format;
 use heatherring_server::control_process::ControlError;
 use heatherring_server::control_process::run_control;
 use heatherring_server::proto::HistoryReply;
@@ -26,7 +25,6 @@
 use heatherring_server::proto::ShowReply;
 use heatherring_server::proto::ShowRequest;
 use heatherring_server::proto::StatusReply;
-use heatherring_server::proto::StatusRequest;
 use heatherring_server::proto::SubmitOutcome;
 use heatherring_server::proto::SubmitReply;
 use heatherring_server::proto::SubmitRequest;
@@ -46,7 +44,6 @@
 use tonic::Code;
 use tonic::Response;
 use tonic::transport::Channel;
-use tonic::transport::Endpoint;
 
 struct Replica {
     settings: ControlSettings,
@@ -98,9 +95,7 @@
     }
 
     async fn status(&self) -> Option<StatusReply> {
-        let mut client = OperatorClient::new(self.channel());
-        let reply = client.status(StatusRequest {}).await.ok()?;
-        Some(reply.into_inner())
+        control_support::status(self.settings.listen).await
     }
 
     /// Sends one sync; the outcome may be that there is no quorum.
@@ -140,11 +135,6 @@
     }
 }
 
-fn channel(address: SocketAddr) -> Channel {
-    let endpoint = Endpoint::from_shared(format!("http://{address}")).unwrap();
-    endpoint.connect_lazy()
-}
-
 struct Cluster {
     folder: TempDir,
     replicas: Vec<Replica>,
@@ -167,27 +157,11 @@
     }
 
     async fn add(&mut self, settings: ControlSettings) {
-        let members = self.replicas.len();
-        if let Some(first) = self.replicas.first() {
-            let control = [first.settings.listen];
-            // Refused during an election and while an earlier membership change is in progress.
-            wait_for("the replica to be added", async || {
-                let joining = control_format::join(&settings, &control, None, "tester");
-                joining.await.ok()
-            })
-            .await
-            .unwrap();
-        } else {
-            control_format::init(&settings).unwrap();
-        }
+        let first = self.replicas.first().map(|first| first.settings.listen);
+        control_support::format(&settings, first).await;
         self.replicas.push(Replica::start(settings));
-        wait_for("the replica to be a voter", async || {
-            let status = self.replicas[0].status().await?;
-            let voters = status.replicas.iter().filter(|r| r.voter).count();
-            (status.current && voters == members + 1).then_some(())
-        })
-        .await
-        .unwrap();
+        let first = self.replicas[0].settings.listen;
+        control_support::until_voters(first, self.replicas.len()).await;
     }
 
     /// Returns the positions of the leader and of a follower in `replicas`.
@@ -218,26 +192,10 @@
 }
 
 fn settings(folder: &Path, number: usize, listen: SocketAddr) -> ControlSettings {
+    let data_folder = folder.join(format!("data-{number}"));
     ControlSettings {
-        vm: VmName::new(format!("control-{number}")),
-        place: PlaceName::new("alm-a"),
         region: RegionName::new("Almaty"),
-        listen,
-        advertise: None,
-        data_folder: folder.join(format!("data-{number}")),
-        timing: ControlTiming {
-            heartbeat_ms: 50,
-            election_min_ms: 600,
-            election_max_ms: 1_200,
-            session_lease_ms: 3_000,
-            session_margin_ms: 200,
-        },
-        security: Security::OpenLoopback,
-        snapshot_every: 10,
-        log: LogSettings::default(),
-        formation: None,
-        metrics_listen: None,
-        direct: None,
+        ..control_support::settings(&format!("control-{number}"), listen, data_folder)
     }
 }
 
--- a/server/tests/test_late_opening.rs
+++ b/server/tests/test_late_opening.rs
@@ -1,5 +1,7 @@
 //! Openings of a session that arrive after the entry VM has given them up.
 
+mod control_support;
+
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::path::Path;
@@ -14,8 +16,6 @@
 use heatherring_lib::ownership;
 use heatherring_lib::settings::ControlSettings;
 use heatherring_lib::settings::ControlTiming;
-use heatherring_lib::settings::LogSettings;
-use heatherring_lib::settings::Security;
 use heatherring_lib::view::ControlView;
 use heatherring_lib::view::EntryInfo;
 use heatherring_server::control_format;
@@ -86,26 +86,14 @@
 }
 
 fn settings(folder: &Path, listen: SocketAddr) -> ControlSettings {
+    let settings = control_support::settings("control-1", listen, folder.join("data"));
     ControlSettings {
-        vm: VmName::new("control-1"),
         place: PlaceName::new(PLACE),
-        region: RegionName::new("almaty"),
-        listen,
-        advertise: None,
-        data_folder: folder.join("data"),
         timing: ControlTiming {
-            heartbeat_ms: 50,
-            election_min_ms: 600,
-            election_max_ms: 1_200,
             session_lease_ms: 20_000,
-            session_margin_ms: 200,
+            ..settings.timing
         },
-        security: Security::OpenLoopback,
-        snapshot_every: 10,
-        log: LogSettings::default(),
-        formation: None,
-        metrics_listen: None,
-        direct: None,
+        ..settings
     }
 }
 
--- a/server/tests/test_late_orders.rs
+++ b/server/tests/test_late_orders.rs
@@ -1,11 +1,13 @@
 //! Orders that a control replica passes on to the leader, and that arrive after they were given up.
 
+mod control_support;
 mod direct_support;
 
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use control_support::channel;
 use direct_support::Replica;
 use direct_support::call;
 use direct_support::request;
@@ -14,15 +16,11 @@
 use heatherring_lib::fleet_update::FleetUpdate;
 use heatherring_lib::id::PlaceName;
 use heatherring_lib::id::RegionName;
-use heatherring_lib::id::VmName;
 use heatherring_lib::settings::ControlSettings;
 use heatherring_lib::settings::ControlTiming;
 use heatherring_lib::settings::DirectControlSettings;
 use heatherring_lib::settings::InterfaceName;
-use heatherring_lib::settings::LogSettings;
-use heatherring_lib::settings::Security;
 use heatherring_lib::team_share::LimitTolerance;
-use heatherring_server::control_format;
 use heatherring_server::leader_relay;
 use heatherring_server::peer_channel::ORDER_STAMP;
 use heatherring_server::proto::ChangeMembershipRequest;
@@ -30,7 +28,6 @@
 use heatherring_server::proto::LiftQuarantineRequest;
 use heatherring_server::proto::ProposeRequest;
 use heatherring_server::proto::StatusReply;
-use heatherring_server::proto::StatusRequest;
 use heatherring_server::proto::change_membership_request::Change;
 use heatherring_server::proto::fleet_client::FleetClient;
 use heatherring_server::proto::operator_client::OperatorClient;
@@ -45,8 +42,6 @@
 use tempfile::TempDir;
 use tonic::Code;
 use tonic::Request;
-use tonic::transport::Channel;
-use tonic::transport::Endpoint;
 
 /// Time after which operators move on to another replica.
 const OPERATOR_TIMEOUT: Duration = Duration::from_secs(1);
@@ -63,15 +58,8 @@
     folder: TempDir,
 }
 
-fn channel(address: SocketAddr) -> Channel {
-    let endpoint = Endpoint::from_shared(format!("http://{address}")).unwrap();
-    endpoint.connect_lazy()
-}
-
 async fn status(replica: &Replica) -> Option<StatusReply> {
-    let mut client = OperatorClient::new(channel(replica.settings.listen));
-    let reply = client.status(StatusRequest {}).await.ok()?;
-    Some(reply.into_inner())
+    control_support::status(replica.settings.listen).await
 }
 
 /// Sends an order about the evacuation of a place; `None` without an answer in time.
@@ -141,42 +129,21 @@
 
     async fn add(&mut self, listen: SocketAddr, advertise: SocketAddr) {
         let settings = self.settings(listen, advertise);
-        if let Some(first) = self.replicas.first() {
-            let control = [first.settings.listen];
-            wait_for("the replica to be added", async || {
-                let joining = control_format::join(&settings, &control, None, "tester");
-                joining.await.ok()
-            })
-            .await
-            .unwrap();
-        } else {
-            control_format::init(&settings).unwrap();
-        }
+        let first = self.replicas.first().map(|first| first.settings.listen);
+        control_support::format(&settings, first).await;
         self.replicas.push(Replica::start(settings));
-        wait_for("the replica to be a voter", async || {
-            let status = status(&self.replicas[0]).await?;
-            let voters = status.replicas.iter().filter(|replica| replica.voter);
-            (status.current && voters.count() == self.replicas.len()).then_some(())
-        })
-        .await
-        .unwrap();
+        let first = self.replicas[0].settings.listen;
+        control_support::until_voters(first, self.replicas.len()).await;
     }
 
     fn settings(&self, listen: SocketAddr, advertise: SocketAddr) -> ControlSettings {
         let name = format!("control-{}", listen.ip());
         ControlSettings {
-            vm: VmName::new(name.as_str()),
             place: PlaceName::new(PLACE),
             region: RegionName::new("fukuoka"),
-            listen,
             advertise: Some(advertise),
-            data_folder: self.folder.path().join(name),
             timing: ControlTiming::default(),
-            security: Security::OpenLoopback,
             snapshot_every: 1_000,
-            log: LogSettings::default(),
-            formation: None,
-            metrics_listen: None,
             direct: Some(DirectControlSettings {
                 interface: InterfaceName::Heatherring,
                 listen: SocketAddr::new(listen.ip(), BACKEND_SERVERS_PORT),
@@ -187,6 +154,7 @@
                 look_up_ms: 2_000,
                 team_limits: LimitTolerance::default(),
             }),
+            ..control_support::settings(&name, listen, self.folder.path().join(&name))
         }
     }
 
--- a/server/tests/test_withdrawn_request.rs
+++ b/server/tests/test_withdrawn_request.rs
@@ -56,6 +56,24 @@
     line: "",
 };
 
+/// Closes the connection after each answer.
+const CLOSING: Answers = Answers {
+    line: "connection: close\r\n",
+    ..ORDINARY
+};
+
+/// Names no request in its answers.
+const UNNAMED: Answers = Answers {
+    named: false,
+    ..ORDINARY
+};
+
+/// Both.
+const UNNAMED_CLOSING: Answers = Answers {
+    named: false,
+    ..CLOSING
+};
+
 /// An entry VM that dispatches directly, and a backend server.
 struct Scene {
     deployment: Deployment,
@@ -167,20 +185,12 @@
 
 /// Guards against resets of connections whose requests were all answered.
 #[rstest]
-#[case::kept(true, "")]
-#[case::closed(true, "connection: close\r\n")]
-#[case::unnamed(false, "")]
-#[case::unnamed_closed(false, "connection: close\r\n")]
+#[case::kept(ORDINARY)]
+#[case::closed(CLOSING)]
+#[case::unnamed(UNNAMED)]
+#[case::unnamed_closed(UNNAMED_CLOSING)]
 #[tokio::test(flavor = "multi_thread")]
-async fn test_withdrawn_request_resets_no_answered_connection(
-    #[case] named: bool,
-    #[case] line: &'static str,
-) {
-    let answers = Answers {
-        named,
-        line,
-        ..ORDINARY
-    };
+async fn test_withdrawn_request_resets_no_answered_connection(#[case] answers: Answers) {
     let mut scene = Scene::start(answers).await;
     let answer = scene.entry.call(Method::GET, "/safe/second").await;
     assert_eq!(answer.unwrap().status, StatusCode::OK);
@@ -222,18 +232,10 @@
 
 /// Guards against resets of connections whose requests were all answered.
 #[rstest]
-#[case::closed(true, "connection: close\r\n")]
-#[case::unnamed(false, "")]
+#[case::closed(CLOSING)]
+#[case::unnamed(UNNAMED)]
 #[tokio::test(flavor = "multi_thread")]
-async fn test_withdrawn_request_at_owner_resets_no_answered_connection(
-    #[case] named: bool,
-    #[case] line: &'static str,
-) {
-    let answers = Answers {
-        named,
-        line,
-        ..ORDINARY
-    };
+async fn test_withdrawn_request_at_owner_resets_no_answered_connection(#[case] answers: Answers) {
     let (rig, mut backend) = start_owner(answers).await;
     assert_eq!(rig.get(0, "/answered").await.status, StatusCode::OK);
     assert_eq!(backend.next_end().await, End::Closed);
