sessions: whether an opening is overtaken is decided by the view

The rule stood in the server's request type, where only a test over sockets reached it. It is a question to the view of control, in lib, with a test of its bounds; the request only asks it. No change of behaviour.

--- a/lib/src/view.rs
+++ b/lib/src/view.rs
@@ -205,6 +205,13 @@
         Ok(())
     }
 
+    /// Returns whether `vm` has a session that was opened after `revision`.
+    #[must_use]
+    pub fn has_session_since(&self, vm: &VmName, revision: Revision) -> bool {
+        let mut sessions = self.sessions.values();
+        sessions.any(|session| session.info.vm == *vm && session.id.0 > revision.0)
+    }
+
     fn changed_manifest(
         &self,
         revision: Revision,
--- a/lib/tests/test_view.rs
+++ b/lib/tests/test_view.rs
@@ -10,6 +10,7 @@
 use heatherring_lib::id::ManifestVersion;
 use heatherring_lib::id::Revision;
 use heatherring_lib::id::SessionId;
+use heatherring_lib::id::VmName;
 use heatherring_lib::manifest::Manifest;
 use heatherring_lib::manifest_delta::ManifestDelta;
 use heatherring_lib::view::ControlView;
@@ -102,6 +103,16 @@
     assert_eq!(view.revision, Revision(14));
 }
 
+/// Guards against an opening that counts as overtaken by a session that is not newer or not its own.
+#[test]
+fn test_view_tells_sessions_opened_since() {
+    let view = view();
+    let [own, other] = ["entry-1", "entry-2"].map(VmName::new);
+    assert!(view.has_session_since(&own, Revision(9)));
+    assert!(!view.has_session_since(&own, Revision(10)));
+    assert!(!view.has_session_since(&other, Revision(9)));
+}
+
 macro_rules! refused {
     ($($name:ident: $change:expr => $error:pat,)+) => {
         $(
--- a/server/src/node_request.rs
+++ b/server/src/node_request.rs
@@ -154,11 +154,8 @@
     /// process doesn't know yet of the session of an earlier one.
     #[must_use]
     pub fn is_overtaken(&self, view: &ControlView) -> bool {
-        let Some(after) = self.after else {
-            return false;
-        };
-        let mut sessions = view.sessions.values();
-        sessions.any(|session| session.info.vm == self.entry.vm && session.id.0 > after.0)
+        let after = self.after;
+        after.is_some_and(|after| view.has_session_since(&self.entry.vm, after))
     }
 }
 
