tests: an unnamed refusal before the request is read counts as proof; red

What callers saw: REFUSED and TWICE. A backend server, or a proxy before it, writes an answer on a new connection before it has read from it; then it reads the request and runs it. The answer names no request, and its position alone makes it the answer to the first request of the connection.

- 503 with "not run", without an identifier or with an empty one: 24 refused and ran, 15 ran twice.
Without an identifier of the caller's, also where the answer names another request.
- a bare 421: one refused that ran twice; then both backend servers are left alone.
- Retry-After, leaving, a rate limit and a load in such an answer count: nothing was sent to the backend servers for a minute.

Green on the same code: 503, 429 and 408 without the statement, 503 naming another request, 200 naming none, and a safe request that is refused without a name.

--- a/server/tests/entry_support/repeating_backend.rs
+++ b/server/tests/entry_support/repeating_backend.rs
@@ -22,6 +22,8 @@
     Own,
     /// None.
     Nothing,
+    /// None, by an empty header.
+    Empty,
     /// Another request.
     Other,
     /// The request that it answers, and another one.
@@ -37,6 +39,9 @@
     pub refused: usize,
     /// Whether it sends the last answer on a connection once more before the next one.
     pub repeats: bool,
+    /// What it writes on a new connection once the first request has arrived, before it reads that.
+    /// The connection carries no other request.
+    pub opening: Option<&'static str>,
 }
 
 /// How often each request ran, by its path, at all backend servers that share the record.
@@ -94,6 +99,14 @@
     async fn serve(self, mut stream: TcpStream) {
         let mut last = String::new();
         let mut unread = Vec::new();
+        if let Some(opening) = self.habits.opening {
+            if stream.peek(&mut [0]).await.is_err() {
+                return;
+            }
+            if stream.write_all(opening.as_bytes()).await.is_err() {
+                return;
+            }
+        }
         while let Some(head) = read_request(&mut stream, &mut unread).await {
             let answer = self.answer(&head);
             let mut sent = String::new();
@@ -104,6 +117,9 @@
             if stream.write_all(sent.as_bytes()).await.is_err() {
                 return;
             }
+            if self.habits.opening.is_some() {
+                return;
+            }
             last = answer;
         }
     }
@@ -130,6 +146,7 @@
         match self.habits.echo {
             Echo::Own => own,
             Echo::Nothing => String::new(),
+            Echo::Empty => format!("{REQUEST_ID}:\r\n"),
             Echo::Other => other,
             Echo::Both => own + &other,
         }
--- a/server/tests/test_unpaired_answers.rs
+++ b/server/tests/test_unpaired_answers.rs
@@ -10,7 +10,9 @@
 
 use direct_support::scripted_backend::Act;
 use direct_support::scripted_backend::Arrived;
+use direct_support::scripted_backend::OpeningTime;
 use direct_support::scripted_backend::answer;
+use direct_support::scripted_backend::last_answer;
 use heatherring_lib::answer_pairing::MAX_CARRIED_REQUESTS;
 use http::Method;
 use http::StatusCode;
@@ -20,6 +22,7 @@
 use unpaired_support::scene::Told;
 use unpaired_support::scripts::CONTINUE;
 use unpaired_support::scripts::Copied;
+use unpaired_support::scripts::EMPTY_ID;
 use unpaired_support::scripts::LEAVING;
 use unpaired_support::scripts::NOT_RUN;
 use unpaired_support::scripts::action_before;
@@ -32,8 +35,10 @@
 use unpaired_support::scripts::misdirected;
 use unpaired_support::scripts::nameless;
 use unpaired_support::scripts::not_run;
+use unpaired_support::scripts::refusing;
 use unpaired_support::scripts::repeating;
 use unpaired_support::scripts::run_after;
+use unpaired_support::scripts::run_last;
 use unpaired_support::scripts::served;
 use unpaired_support::scripts::unhealthy;
 
@@ -412,3 +417,143 @@
     // Fails if either backend server counts as leaving.
     scene.until_known().await;
 }
+
+/// Sends actions over connections on which an answer is written before they are read.
+async fn act_after_opening(
+    status: u16,
+    headers: &'static [&'static str],
+    has_id: bool,
+) -> (Scene, Vec<Told>) {
+    let scene = Scene::start_plain(run_last).await;
+    scene.open_with(OpeningTime::AtRequest, answer(status, headers, "opening"));
+    let told = scene.act_as(4, |_| has_id).await;
+    (scene, told)
+}
+
+/// Guards against actions that run although an answer that was written before they were read
+/// counts as theirs.
+#[rstest]
+#[case::opening_unnamed_not_run(503, &[NOT_RUN])]
+#[case::opening_empty_not_run(503, &[EMPTY_ID, NOT_RUN])]
+#[case::opening_other_not_run(503, &["heatherring-request-id: other", NOT_RUN])]
+#[case::opening_misdirected(421, &[])]
+#[case::opening_503(503, &[])]
+#[case::opening_429(429, &[])]
+#[case::opening_408(408, &[])]
+#[case::opening_200(200, &[])]
+#[tokio::test(flavor = "multi_thread")]
+async fn test_unpaired_opening(#[case] status: u16, #[case] headers: &'static [&'static str]) {
+    let (scene, told) = act_after_opening(status, headers, true).await;
+    scene.assert_honest(&told).await;
+}
+
+/// Guards against a promise to a caller that gives no identifier, by an answer that was written
+/// before its request was read.
+#[rstest]
+#[case::anonymous_not_run(503, &[NOT_RUN])]
+#[case::anonymous_other_not_run(503, &["heatherring-request-id: other", NOT_RUN])]
+#[case::anonymous_misdirected(421, &[])]
+#[case::anonymous_503(503, &[])]
+#[case::anonymous_200(200, &[])]
+#[tokio::test(flavor = "multi_thread")]
+async fn test_unpaired_opening_for_a_caller_without_an_identifier(
+    #[case] status: u16,
+    #[case] headers: &'static [&'static str],
+) {
+    let (scene, told) = act_after_opening(status, headers, false).await;
+    scene.assert_honest(&told).await;
+}
+
+/// Guards against actions that run although a refusal that was written when the connection was
+/// accepted counts as theirs.
+#[rstest]
+#[case::opening_at_accept(OpeningTime::AtAccept)]
+#[case::opening_soon(OpeningTime::Soon)]
+#[tokio::test(flavor = "multi_thread")]
+async fn test_unpaired_opening_of_a_connection(#[case] time: OpeningTime) {
+    let scene = Scene::start_plain(run_last).await;
+    scene.open_with(time, answer(503, &[NOT_RUN], "opening"));
+    let told = scene.act(4).await;
+    scene.assert_honest(&told).await;
+}
+
+/// Guards against a backend server that nothing more is sent to because of what an answer states
+/// that was written before the request was read.
+#[rstest]
+#[case::opening_states_pause(503, &[NOT_RUN, "retry-after: 300"])]
+#[case::opening_states_leaving(503, &[NOT_RUN, LEAVING])]
+#[case::opening_states_limit(503, &[NOT_RUN, "heatherring-rate-limit: 0.001"])]
+#[case::opening_states_load(503, &[NOT_RUN, "heatherring-load: 3,99,3"])]
+#[case::opening_states_another_server(421, &[])]
+#[tokio::test(flavor = "multi_thread")]
+async fn test_unpaired_opening_states_nothing(
+    #[case] status: u16,
+    #[case] headers: &'static [&'static str],
+) {
+    let scene = Scene::start_plain(run_last).await;
+    scene.open_with(OpeningTime::AtRequest, answer(status, headers, "opening"));
+    let told = scene.act(4).await;
+    scene.ledger.open_with(None);
+    scene.until_known().await;
+    scene.assert_honest(&told).await;
+}
+
+/// Guards against a refusal that names no request and counts as proof that an action was not run.
+#[rstest]
+#[case::bare_not_run(503, &[NOT_RUN], true)]
+#[case::bare_empty_not_run(503, &[EMPTY_ID, NOT_RUN], true)]
+#[case::bare_misdirected(421, &[], true)]
+#[case::bare_not_run_without_id(503, &[NOT_RUN], false)]
+#[case::bare_misdirected_without_id(421, &[], false)]
+#[tokio::test(flavor = "multi_thread")]
+async fn test_unnamed_refusal_of_an_action_is_unknown(
+    #[case] status: u16,
+    #[case] headers: &'static [&'static str],
+    #[case] has_id: bool,
+) {
+    let scene = Scene::start_plain(refusing(status, headers, true)).await;
+    let told = scene.act_as(4, |_| has_id).await;
+    scene.assert_unproved(&told).await;
+}
+
+/// Guards against a safe request that fails because one backend server refuses it without naming
+/// it.
+#[rstest]
+#[case::safe_bare_not_run(503, &[NOT_RUN], true)]
+#[case::safe_bare_empty_not_run(503, &[EMPTY_ID, NOT_RUN], true)]
+#[case::safe_bare_misdirected(421, &[], true)]
+#[case::safe_bare_not_run_without_id(503, &[NOT_RUN], false)]
+#[tokio::test(flavor = "multi_thread")]
+async fn test_unnamed_refusal_of_a_safe_request_leads_to_the_next(
+    #[case] status: u16,
+    #[case] headers: &'static [&'static str],
+    #[case] has_id: bool,
+) {
+    let scene = Scene::start_plain(refusing(status, headers, false)).await;
+    for number in 0..8 {
+        let key = format!("act-{number}");
+        let id = has_id.then_some(key.as_str());
+        let sending = scene.send(Method::GET, "/safe/", &key, id.as_slice(), 4);
+        let told = sending.await;
+        assert_eq!(told.status, StatusCode::OK, "{told:?}");
+    }
+}
+
+/// Checks that a refusal that names the first request of its connection is believed, with the
+/// time that it asks for.
+#[tokio::test(flavor = "multi_thread")]
+async fn test_named_refusal_on_a_new_connection_is_believed() {
+    let scene = Scene::start_plain(|arrived| {
+        if arrived.key.starts_with("warm") {
+            return run_last(arrived);
+        }
+        let headers = [&id_line(arrived), NOT_RUN, "retry-after: 2"];
+        let refusal = last_answer(503, &headers, "refusal");
+        vec![Act::Read, Act::Write(refusal)]
+    })
+    .await;
+    let told = scene.act(4).await;
+    scene.assert_kept(&told).await;
+    assert!(told.iter().all(|told| told.status == 503), "{told:?}");
+    assert!(told.iter().all(|told| told.retry_after.is_some()));
+}
--- a/server/tests/unpaired_support/scene.rs
+++ b/server/tests/unpaired_support/scene.rs
@@ -7,6 +7,7 @@
 use heatherring_testutils::wait::wait_for;
 use http::HeaderValue;
 use http::Method;
+use tokio::net::TcpStream;
 use tokio::time::sleep;
 
 use super::scripts::healthy;
@@ -19,6 +20,8 @@
 use crate::direct_support::scripted_backend::Act;
 use crate::direct_support::scripted_backend::Arrived;
 use crate::direct_support::scripted_backend::Ledger;
+use crate::direct_support::scripted_backend::Opening;
+use crate::direct_support::scripted_backend::OpeningTime;
 use crate::direct_support::scripted_backend::ScriptedBackend;
 
 /// Statuses that promise a caller that its action has not run and never will.
@@ -35,6 +38,7 @@
 pub struct Told {
     pub key: String,
     pub status: u16,
+    pub retry_after: Option<String>,
     pub body: String,
 }
 
@@ -72,6 +76,13 @@
         let mut deployment = Deployment::start(1);
         let entry = deployment.start_entry("entry-1");
         deployment.submit_routes(1, 0).await;
+        // The entry VM starts on a thread of its own.
+        let callers = entry.settings.listen.callers;
+        wait_for("the entry VM's listener", async || {
+            TcpStream::connect(callers).await.ok()
+        })
+        .await
+        .unwrap();
         let ledger = Arc::new(Ledger::default());
         let mut backends = Vec::new();
         for name in ["first", "second"] {
@@ -106,6 +117,11 @@
         .unwrap();
     }
 
+    /// Makes both backend servers write `text` on each new connection before they read from it.
+    pub fn open_with(&self, time: OpeningTime, text: String) {
+        self.ledger.open_with(Some(Opening { time, text }));
+    }
+
     /// Waits for further health checks at both backend servers.
     pub async fn until_checked(&self) {
         let earlier = self.ledger.arrived().len();
@@ -143,6 +159,7 @@
         Told {
             key: key.to_owned(),
             status: answer.status.as_u16(),
+            retry_after: answer.retry_after,
             body: String::from_utf8(answer.body.to_vec()).unwrap(),
         }
     }
@@ -185,6 +202,21 @@
         assert!(led_on, "no refusal led to the second backend server");
     }
 
+    /// Checks that what arrived at a backend server ended as unknown because of its answer.
+    pub async fn assert_unproved(&self, told: &[Told]) {
+        self.assert_kept(told).await;
+        let arrived = self.ledger.arrived();
+        let mut unproved = 0;
+        for told in told {
+            if arrived.iter().any(|at| at.key == told.key) {
+                let ended = (told.status, told.body.as_str());
+                assert_eq!(ended, (502, "refusal_unproved"), "{told:?}");
+                unproved += 1;
+            }
+        }
+        assert!(unproved > 0, "nothing arrived");
+    }
+
     /// Checks that all callers were served.
     pub async fn assert_served(&self, told: &[Told]) {
         self.assert_kept(told).await;
--- a/server/tests/unpaired_support/scripts.rs
+++ b/server/tests/unpaired_support/scripts.rs
@@ -3,9 +3,13 @@
 use crate::direct_support::scripted_backend::Act;
 use crate::direct_support::scripted_backend::Arrived;
 use crate::direct_support::scripted_backend::answer;
+use crate::direct_support::scripted_backend::last_answer;
 
 pub const NOT_RUN: &str = "heatherring-outcome: not_run";
 
+/// The header that names a request, with no name.
+pub const EMPTY_ID: &str = "heatherring-request-id:";
+
 /// The statement of a backend server that it leaves.
 pub const LEAVING: &str = "heatherring-leaving: 1";
 
@@ -40,6 +44,29 @@
     answer(200, &[&id_line(arrived)], &body)
 }
 
+/// Runs a request and answers it on a connection that carries no other one.
+pub fn run_last(arrived: &Arrived) -> Vec<Act> {
+    let body = format!("of {}", arrived.key);
+    run_after(None, last_answer(200, &[&id_line(arrived)], &body))
+}
+
+/// Runs the requests that make the backend servers known, and refuses all others without running
+/// them, at all backend servers or at the first one. Each connection carries one request.
+pub fn refusing(
+    status: u16,
+    headers: &'static [&'static str],
+    at_all: bool,
+) -> impl Fn(&Arrived) -> Vec<Act> + Clone {
+    move |arrived| {
+        let refuses = at_all || arrived.backend == "first";
+        if arrived.key.starts_with("act") && refuses {
+            let refusal = last_answer(status, headers, "refusal");
+            return vec![Act::Read, Act::Write(refusal)];
+        }
+        run_last(arrived)
+    }
+}
+
 /// A refusal by a backend server that did not run the request.
 pub fn not_run(arrived: &Arrived) -> String {
     let body = format!("refusal of {}", arrived.key);
