answers: only a refusal that names its request proves that nothing ran

Callers saw: actions were answered 503 and ran, and actions ran twice, where a backend server writes a refusal that names no request as soon as a connection is opened, and then reads and runs the request. One unnamed refusal also made the entry VM leave the backend server alone: it counted as paused, leaving, limited, full, or as another one.

Cause: the position of an answer was taken for its identity. The first answer on a new connection belonged to its first request, whatever it named, and a refusal among such answers proved "not run". But bytes may be there before the request is: a full accept queue, a proxy's leftovers, the former user of the address.

Change: pairing tells what shows that an answer belongs to a request. An answer that names it turns the attempt into `Identified`, which alone has `refused`; one that is accepted by position turns it into `Answered`, which can end as an answer or as unknown. What an answer proves is decided in `answer_claim`, for direct dispatch and owners alike. An interface on which backend servers always echo identifiers, as on the platform, accepts nothing by position where the request has one. An unproved refusal ends as unknown (502, `refusal_unproved`); a safe request goes elsewhere. What it states counts for nothing, the crash evidence stands, the connection is closed. A line and a counter tell.

The model of the pool got backend servers that speak first, and both kinds of interface; with the rule left out it finds an action that is refused and ran.

Why it holds: the proof can't be built without an identifier that was compared; nothing that is sent before a request was read knows it.

Tests that changed: a refusal without an identifier on a new connection was expected to be believed (interface of the platform, owners, the model), which was the fault. Cases of the model that lost a true refusal without identifier use an answer instead, since such a refusal is given up on purpose.

--- a/lib/src/answer_pairing.rs
+++ b/lib/src/answer_pairing.rs
@@ -1,8 +1,9 @@
 //! Pairs answers with requests.
 //!
 //! Requests follow each other on a connection to a backend server, and a faulty backend server may
-//! send an answer late or twice. The position of an answer on its connection therefore does not
-//! tell which request it belongs to; the identifier that it echoes does.
+//! send an answer late, twice, or before it has read a request. The position of an answer on its
+//! connection therefore does not prove which request it belongs to; the identifier that it echoes
+//! does.
 
 use std::hash::DefaultHasher;
 use std::hash::Hash;
@@ -77,6 +78,26 @@
     }
 }
 
+/// Whether backend servers echo the identifier of a request.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum EchoPolicy {
+    /// All their answers echo it.
+    Always,
+    /// Some backend servers echo none.
+    Optional,
+}
+
+/// What shows that an answer belongs to a request.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Pairing {
+    /// The answer names the request.
+    Named,
+    /// The answer names no request that could be told from this one, and no other request was sent
+    /// on the connection. It may have been written before the request was read, so it proves nothing
+    /// about whether that was run.
+    Positional,
+}
+
 /// A request that was sent on a connection and waits for its answer.
 #[derive(Clone, Copy, Debug)]
 pub struct SentRequest<'a> {
@@ -84,21 +105,22 @@
     pub id: Option<&'a str>,
     /// Whether the connection carried no other request before.
     pub is_first: bool,
+    /// Whether an answer may lack the identifier.
+    pub echo_policy: EchoPolicy,
 }
 
 impl SentRequest<'_> {
-    /// Returns whether an answer that echoes this identifier belongs to the request.
-    ///
-    /// An answer that names no request belongs to the first one of its connection, since there is
-    /// no other that it could belong to. So does any answer to a request that cannot be told by its
-    /// identifier.
+    /// Returns what shows that an answer that echoes this identifier belongs to the request; `None`
+    /// if the answer does not belong to it.
     #[must_use]
-    pub fn accepts(&self, echoed: EchoedId<'_>) -> bool {
-        match echoed.compare(self.id) {
-            EchoMatch::Same => true,
-            EchoMatch::Absent => self.is_first,
-            EchoMatch::Other | EchoMatch::Ambiguous => self.is_first && self.id.is_none(),
-        }
+    pub fn pairing(&self, echoed: EchoedId<'_>) -> Option<Pairing> {
+        let is_tellable = self.id.is_some();
+        let belongs_by_position = match echoed.compare(self.id) {
+            EchoMatch::Same => return Some(Pairing::Named),
+            EchoMatch::Absent => !is_tellable || self.echo_policy == EchoPolicy::Optional,
+            EchoMatch::Other | EchoMatch::Ambiguous => !is_tellable,
+        };
+        (self.is_first && belongs_by_position).then_some(Pairing::Positional)
     }
 }
 
--- a/lib/src/outcome.rs
+++ b/lib/src/outcome.rs
@@ -14,6 +14,7 @@
 use serde::Serialize;
 
 use crate::answer_pairing::EchoedId;
+use crate::answer_pairing::Pairing;
 use crate::answer_pairing::SentRequest;
 use crate::manifest::Operation;
 use crate::route_manifest::Route;
@@ -336,10 +337,41 @@
 #[derive(Debug)]
 pub struct MayHaveRun(());
 
-/// State of an attempt that an answer belongs to.
+/// State of an attempt whose answer is known to be its own.
+#[derive(Debug)]
+pub struct Identified(());
+
+/// State of an attempt with an answer that belongs to no other request. Whether it was sent in
+/// answer to this one isn't proved, so it proves nothing about what was run.
 #[derive(Debug)]
 pub struct Answered(());
 
+/// State of an attempt with an answer.
+pub trait WithAnswer {}
+
+impl WithAnswer for Identified {}
+
+impl WithAnswer for Answered {}
+
+/// An attempt with its answer, by what shows that they belong together.
+#[derive(Debug)]
+pub enum Paired {
+    /// The answer names the request.
+    Named(Attempt<Identified>),
+    /// The answer arrived where only that to the request is expected.
+    Positional(Attempt<Answered>),
+}
+
+impl Paired {
+    /// Returns the attempt, without the proof that the answer is its own.
+    pub fn into_answered(self) -> Attempt<Answered> {
+        match self {
+            Self::Named(identified) => identified.into_answered(),
+            Self::Positional(answered) => answered,
+        }
+    }
+}
+
 /// One attempt to have a request run by a backend server or by the server's owner; `S` is its
 /// state.
 #[derive(Debug)]
@@ -380,28 +412,26 @@
     /// # Errors
     ///
     /// Returns the attempt, which still waits for its answer, if this one does not belong to it.
-    pub fn pair(
-        self,
-        sent: SentRequest<'_>,
-        echoed: EchoedId<'_>,
-    ) -> Result<Attempt<Answered>, Self> {
-        if sent.accepts(echoed) {
-            Ok(self.into_answered())
-        } else {
-            Err(self)
+    pub fn pair(self, sent: SentRequest<'_>, echoed: EchoedId<'_>) -> Result<Paired, Self> {
+        match sent.pairing(echoed) {
+            Some(Pairing::Named) => Ok(Paired::Named(self.into_identified())),
+            Some(Pairing::Positional) => {
+                Ok(Paired::Positional(self.into_identified().into_answered()))
+            }
+            None => Err(self),
         }
     }
 
     /// Pairs the attempt with the answer that arrived on its stream. HTTP/2 gives each request a
     /// stream of its own; an HTTP/1.1 connection is none.
-    pub const fn answered_on_stream(self) -> Attempt<Answered> {
-        self.into_answered()
+    pub const fn answered_on_stream(self) -> Attempt<Identified> {
+        self.into_identified()
     }
 
-    const fn into_answered(self) -> Attempt<Answered> {
+    const fn into_identified(self) -> Attempt<Identified> {
         let MayHaveRun(()) = self.state;
         Attempt {
-            state: Answered(()),
+            state: Identified(()),
         }
     }
 
@@ -418,12 +448,19 @@
     }
 }
 
-impl Attempt<Answered> {
+impl<S: WithAnswer> Attempt<S> {
     /// Ends the attempt with its answer.
     pub fn answered<A>(self, answer: A) -> Outcome<A> {
         Outcome::Answer(answer)
     }
 
+    /// Ends the attempt with an answer that broke off or cannot be used.
+    pub fn lost(self, reason: UnknownReason) -> Unknown {
+        Unknown::new(reason)
+    }
+}
+
+impl Attempt<Identified> {
     /// Ends the attempt with a refusal, which proves that nothing was run.
     pub const fn refused(self, refusal: Refusal) -> NotRun {
         NotRun {
@@ -432,9 +469,11 @@
         }
     }
 
-    /// Ends the attempt with an answer that broke off or cannot be used.
-    pub const fn lost(self, reason: UnknownReason) -> Unknown {
-        Unknown::new(reason)
+    const fn into_answered(self) -> Attempt<Answered> {
+        let Identified(()) = self.state;
+        Attempt {
+            state: Answered(()),
+        }
     }
 }
 
--- a/lib/tests/pairing_model/mod.rs
+++ b/lib/tests/pairing_model/mod.rs
@@ -1,20 +1,23 @@
 //! Simulation of a pool of connections to backend servers that run or refuse each request and state
-//! truthfully which, but send answers late, early, twice, without identifiers, or never.
+//! truthfully which, but send answers late, early, twice, without identifiers, without having read
+//! a request, or never.
 //!
 //! The pool follows the rules of `backend_pool` in the server; one of them can be left out.
 
 use std::collections::VecDeque;
 
+use heatherring_lib::answer_claim::AnswerMeaning;
+use heatherring_lib::answer_claim::Claim;
 use heatherring_lib::answer_pairing::CarriedRequests;
-use heatherring_lib::answer_pairing::EchoMatch;
+use heatherring_lib::answer_pairing::EchoPolicy;
 use heatherring_lib::answer_pairing::EchoedId;
 use heatherring_lib::answer_pairing::IdHash;
 use heatherring_lib::answer_pairing::SentRequest;
-use heatherring_lib::outcome::Answered;
 use heatherring_lib::outcome::Attempt;
 use heatherring_lib::outcome::MayHaveRun;
-use heatherring_lib::outcome::OUTCOME_NOT_RUN;
+use heatherring_lib::outcome::NotRunReason;
 use heatherring_lib::outcome::Outcome;
+use heatherring_lib::outcome::Paired;
 use heatherring_lib::outcome::Refusal;
 use heatherring_lib::outcome::UnknownReason;
 use proptest::prelude::*;
@@ -26,6 +29,8 @@
     Nothing,
     /// It believes a refusal before it compares the identifiers.
     Comparison,
+    /// Only a refusal that names its request proves that it was not run.
+    Proof,
     /// An answer that names no request may belong to the first request of a connection only.
     FirstOnly,
     /// A request is not sent on a connection that carried its identifier.
@@ -48,13 +53,18 @@
 }
 
 impl Fate {
-    fn refusal(self) -> Option<Refusal> {
-        let (status, outcome) = match self {
-            Self::Ran => (200, None),
-            Self::Failed => (503, None),
-            Self::Refused => (503, Some(OUTCOME_NOT_RUN)),
-        };
-        Refusal::of_backend_server(status, outcome)
+    const fn meaning(self) -> AnswerMeaning {
+        match self {
+            Self::Ran | Self::Failed => AnswerMeaning::Answer,
+            Self::Refused => AnswerMeaning::NotRun,
+        }
+    }
+
+    const fn status(self) -> u16 {
+        match self {
+            Self::Ran => 200,
+            Self::Failed | Self::Refused => 503,
+        }
     }
 }
 
@@ -115,6 +125,12 @@
     CopyOld { which: usize, position: usize },
     /// A server refuses the next request on an idle connection before it arrives.
     RefuseNext { which: usize },
+    /// A server sends an answer to nobody as soon as the next connection to it is opened.
+    SpeakFirst {
+        server: usize,
+        form: Form,
+        fate: Fate,
+    },
     /// A connection is taken and returned unused.
     Withdraw { server: usize },
     /// Requests with fresh identifiers are sent and answered in turn.
@@ -132,10 +148,17 @@
     TruthLost,
 }
 
+#[derive(Clone, Copy, Debug)]
+enum Source {
+    /// The request that so many others precede on the connection.
+    Request(usize),
+    /// No request; what the answer states.
+    Nobody(Fate),
+}
+
 #[derive(Clone, Copy, Debug)]
 struct Answer {
-    /// Number of requests on the connection before its own.
-    position: usize,
+    source: Source,
     form: Form,
 }
 
@@ -168,16 +191,20 @@
 
     fn pair(
         &mut self,
-        without: Without,
+        rules: Rules,
         attempt: Attempt<MayHaveRun>,
         id: Option<&str>,
         echoed: EchoedId<'_>,
-    ) -> Result<Attempt<Answered>, Attempt<MayHaveRun>> {
-        let is_first = self.carried.len() == 1 || without == Without::FirstOnly;
-        let answered = attempt.pair(SentRequest { id, is_first }, echoed)?;
-        let is_named = echoed.compare(id) == EchoMatch::Same;
-        self.awaits_answer = !is_named && without != Without::Closing;
-        Ok(answered)
+    ) -> Result<Paired, Attempt<MayHaveRun>> {
+        let sent = SentRequest {
+            id,
+            is_first: self.carried.len() == 1 || rules.without == Without::FirstOnly,
+            echo_policy: rules.echo_policy,
+        };
+        let paired = attempt.pair(sent, echoed)?;
+        let is_named = matches!(paired, Paired::Named(_));
+        self.awaits_answer = !is_named && rules.without != Without::Closing;
+        Ok(paired)
     }
 
     fn copy(&mut self, back: usize, form: Form) {
@@ -185,10 +212,14 @@
             return;
         };
         let position = last - back % self.carried.len();
-        self.unread.push_back(Answer { position, form });
+        self.push(Source::Request(position), form);
         self.is_plain = false;
     }
 
+    fn push(&mut self, source: Source, form: Form) {
+        self.unread.push_back(Answer { source, form });
+    }
+
     fn copy_old(&mut self, position: usize) {
         let count = self.carried.len();
         if position < count {
@@ -202,9 +233,7 @@
         }
         self.refuses_next = true;
         self.is_plain = false;
-        let position = self.carried.len();
-        let form = Form::Unnamed;
-        self.unread.push_back(Answer { position, form });
+        self.push(Source::Request(self.carried.len()), Form::Unnamed);
     }
 }
 
@@ -221,10 +250,19 @@
     fate: Fate,
 }
 
+/// The rules that the pool follows.
+#[derive(Clone, Copy, Debug)]
+struct Rules {
+    without: Without,
+    echo_policy: EchoPolicy,
+}
+
 /// The pool and the backend servers.
 #[derive(Debug)]
 pub struct World {
-    without: Without,
+    rules: Rules,
+    /// What servers send on the next connection to them.
+    spoken: Vec<(usize, Form, Fate)>,
     sends: Vec<Sent>,
     /// The most recently used one is the last.
     idle: Vec<Connection>,
@@ -236,9 +274,13 @@
 }
 
 /// Plays the steps and returns how they ended.
-pub fn play(without: Without, steps: &[Step]) -> World {
+pub fn play(echo_policy: EchoPolicy, without: Without, steps: &[Step]) -> World {
     let mut world = World {
-        without,
+        rules: Rules {
+            without,
+            echo_policy,
+        },
+        spoken: Vec::new(),
         sends: Vec::new(),
         idle: Vec::new(),
         pending: Vec::new(),
@@ -263,6 +305,7 @@
                 self.with_idle(which, |connection| connection.copy_old(position));
             }
             Step::RefuseNext { which } => self.with_idle(which, Connection::refuse_next),
+            Step::SpeakFirst { server, form, fate } => self.spoken.push((server, form, fate)),
             Step::Withdraw { server } => {
                 let connection = self.connect(server, Some("unused"));
                 self.give_back(connection);
@@ -295,9 +338,9 @@
 
     fn permits(&self, connection: &Connection, id: Option<&str>) -> bool {
         match id {
-            None => self.without == Without::NewWithoutId,
+            None => self.rules.without == Without::NewWithoutId,
             Some(id) => {
-                self.without == Without::OtherIds || !connection.ids.contains(IdHash::of(id))
+                self.rules.without == Without::OtherIds || !connection.ids.contains(IdHash::of(id))
             }
         }
     }
@@ -311,7 +354,16 @@
             return self.idle.remove(position);
         }
         self.opened += 1;
-        Connection::new(server)
+        let mut connection = Connection::new(server);
+        let is_tellable = self.rules.echo_policy == EchoPolicy::Always && id.is_some();
+        for (_, form, fate) in self.spoken.extract_if(.., |(to, ..)| *to == server) {
+            // Where nothing tells an answer from one to nobody, only a refusal must do no harm.
+            if is_tellable || fate == Fate::Refused {
+                connection.push(Source::Nobody(fate), form);
+                connection.is_plain = false;
+            }
+        }
+        connection
     }
 
     fn give_back(&mut self, connection: Connection) {
@@ -352,7 +404,7 @@
         let mut at = self.pending.swap_remove(which);
         if let Some(form) = truth {
             let position = at.connection.carried.len() - 1;
-            at.connection.unread.push_back(Answer { position, form });
+            at.connection.push(Source::Request(position), form);
             at.connection.is_plain &= form == Form::Unnamed;
         }
         match at.connection.unread.pop_front() {
@@ -367,28 +419,34 @@
             attempt,
             mut connection,
         } = at;
-        let source = connection.carried[answer.position];
-        let values = answer.form.echoes(self.sends[source].id.as_deref());
+        let (source, fate) = match answer.source {
+            Source::Request(position) => {
+                let source = connection.carried[position];
+                (Some(source), self.sends[source].fate)
+            }
+            Source::Nobody(fate) => (None, fate),
+        };
+        let values = answer
+            .form
+            .echoes(source.and_then(|source| self.sends[source].id.as_deref()));
         let echoed = EchoedId::read(values);
-        let refusal = self.sends[source].fate.refusal();
-        let paired = if refusal.is_some() && self.without == Without::Comparison {
+        let id = self.sends[send].id.as_deref();
+        let is_refusal = fate == Fate::Refused;
+        let paired = if is_refusal && self.rules.without == Without::Comparison {
             connection.awaits_answer = false;
-            Ok(attempt.answered_on_stream())
+            Ok(Paired::Named(attempt.answered_on_stream()))
         } else {
-            connection.pair(
-                self.without,
-                attempt,
-                self.sends[send].id.as_deref(),
-                echoed,
-            )
+            connection.pair(self.rules, attempt, id, echoed)
         };
-        let outcome = match (paired, refusal) {
-            (Ok(answered), Some(refusal)) => answered.refused(refusal).into(),
-            (Ok(answered), None) => answered.answered(source),
-            (Err(waiting), _) => waiting.lost(UnknownReason::AnswerMismatched).into(),
+        let outcome = match paired {
+            Ok(paired) => end(self.rules, paired, fate, source),
+            Err(waiting) => waiting.lost(UnknownReason::AnswerMismatched).into(),
         };
-        let is_clear = answer.form.is_faithful() || connection.is_plain;
-        self.judge(send, source, is_clear, &outcome);
+        let is_named = id.is_some() && answer.form.is_faithful();
+        let is_known_by_position = !is_refusal
+            && (id.is_none() || self.rules.echo_policy == EchoPolicy::Optional)
+            && (answer.form.is_faithful() || connection.is_plain);
+        self.judge(send, source, is_named || is_known_by_position, &outcome);
         if !matches!(outcome, Outcome::Unknown(_)) {
             self.give_back(connection);
         }
@@ -396,19 +454,41 @@
 
     /// Compares the outcome of `send` with what happened; the answer that was read belongs to
     /// `source`.
-    fn judge(&mut self, send: usize, source: usize, is_clear: bool, outcome: &Outcome<usize>) {
+    fn judge(
+        &mut self,
+        send: usize,
+        source: Option<usize>,
+        is_clear: bool,
+        outcome: &Outcome<Option<usize>>,
+    ) {
         let has_run = self.sends[send].fate != Fate::Refused;
+        let is_own = source == Some(send);
         let breach = match outcome {
             Outcome::NotRun(_) if has_run => Some(Breach::NotRunButRan),
-            Outcome::NotRun(_) if source != send => Some(Breach::Foreign),
-            Outcome::Answer(body) if *body != send => Some(Breach::Foreign),
-            Outcome::Unknown(_) if source == send && is_clear => Some(Breach::TruthLost),
+            Outcome::NotRun(_) | Outcome::Answer(_) if !is_own => Some(Breach::Foreign),
+            Outcome::Unknown(_) if is_own && is_clear => Some(Breach::TruthLost),
             _ => None,
         };
         self.breach = self.breach.or(breach);
     }
 }
 
+/// Ends a request with the answer that was paired with it.
+fn end(rules: Rules, paired: Paired, fate: Fate, source: Option<usize>) -> Outcome<Option<usize>> {
+    let refusal = Refusal::reported_by_backend_server(NotRunReason::BackendRefused);
+    match Claim::new(paired, fate.meaning(), fate.status()) {
+        Claim::Answer(attempt) => attempt.answered(source),
+        Claim::Refused(attempt, _) => attempt.refused(refusal).into(),
+        Claim::Unproved(_) if rules.without == Without::Proof => {
+            let believed = Attempt::new().sending().answered_on_stream();
+            believed.refused(refusal).into()
+        }
+        Claim::Unproved(attempt) | Claim::Foreign(attempt) => {
+            attempt.lost(UnknownReason::RefusalUnproved).into()
+        }
+    }
+}
+
 fn form() -> impl Strategy<Value = Form> {
     prop_oneof![
         6 => Just(Form::Named),
@@ -445,6 +525,7 @@
         4 => (0..8_usize, 0..4_usize, form()).prop_map(|(which, back, form)| Step::Copy { which, back, form }),
         1 => (0..8_usize).prop_map(|which| Step::RefuseNext { which }),
         1 => (0..2_usize).prop_map(|server| Step::Withdraw { server }),
+        1 => (0..2_usize, form(), fate()).prop_map(|(server, form, fate)| Step::SpeakFirst { server, form, fate }),
     ]
 }
 
--- a/lib/tests/test_answer_pairing.rs
+++ b/lib/tests/test_answer_pairing.rs
@@ -7,10 +7,12 @@
 
 use heatherring_lib::answer_pairing::CarriedRequests;
 use heatherring_lib::answer_pairing::EchoMatch;
+use heatherring_lib::answer_pairing::EchoPolicy;
 use heatherring_lib::answer_pairing::EchoedId;
 use heatherring_lib::answer_pairing::IdHash;
 use heatherring_lib::answer_pairing::MAX_CARRIED_REQUESTS;
 use heatherring_lib::answer_pairing::MismatchRecord;
+use heatherring_lib::answer_pairing::Pairing;
 use heatherring_lib::answer_pairing::SINGLE_USE_TIME;
 use heatherring_lib::answer_pairing::SentRequest;
 use pairing_model::Breach;
@@ -43,27 +45,40 @@
     assert_eq!(EchoedId::read(values.iter().copied()), expected);
 }
 
+const NAMED: Option<Pairing> = Some(Pairing::Named);
+const POSITIONAL: Option<Pairing> = Some(Pairing::Positional);
+
+/// The pairings are those of the first request of a connection whose backend server always echoes
+/// identifiers, of one where it may echo none, and of later requests.
 #[rstest]
-#[case::same(Some("a"), EchoedId::One("a"), EchoMatch::Same, [true, true])]
-#[case::other(Some("a"), EchoedId::One("b"), EchoMatch::Other, [false, false])]
-#[case::other_case(Some("a"), EchoedId::One("A"), EchoMatch::Other, [false, false])]
-#[case::longer(Some("a"), EchoedId::One("ab"), EchoMatch::Other, [false, false])]
-#[case::absent(Some("a"), EchoedId::Absent, EchoMatch::Absent, [true, false])]
-#[case::ambiguous(Some("a"), EchoedId::Ambiguous, EchoMatch::Ambiguous, [false, false])]
-#[case::unasked(None, EchoedId::One("a"), EchoMatch::Other, [true, false])]
-#[case::neither(None, EchoedId::Absent, EchoMatch::Absent, [true, false])]
-#[case::unasked_ambiguous(None, EchoedId::Ambiguous, EchoMatch::Ambiguous, [true, false])]
+#[case::same(Some("a"), EchoedId::One("a"), EchoMatch::Same, [NAMED, NAMED, NAMED])]
+#[case::other(Some("a"), EchoedId::One("b"), EchoMatch::Other, [None, None, None])]
+#[case::other_case(Some("a"), EchoedId::One("A"), EchoMatch::Other, [None, None, None])]
+#[case::longer(Some("a"), EchoedId::One("ab"), EchoMatch::Other, [None, None, None])]
+#[case::absent(Some("a"), EchoedId::Absent, EchoMatch::Absent, [None, POSITIONAL, None])]
+#[case::ambiguous(Some("a"), EchoedId::Ambiguous, EchoMatch::Ambiguous, [None, None, None])]
+#[case::unasked(None, EchoedId::One("a"), EchoMatch::Other, [POSITIONAL, POSITIONAL, None])]
+#[case::neither(None, EchoedId::Absent, EchoMatch::Absent, [POSITIONAL, POSITIONAL, None])]
+#[case::unasked_ambiguous(None, EchoedId::Ambiguous, EchoMatch::Ambiguous, [POSITIONAL, POSITIONAL, None])]
 fn test_echoed_id_is_compared(
     #[case] id: Option<&str>,
     #[case] echoed: EchoedId<'_>,
     #[case] echo: EchoMatch,
-    #[case] belongs_to_first_and_later: [bool; 2],
+    #[case] expected: [Option<Pairing>; 3],
 ) {
     assert_eq!(echoed.compare(id), echo);
-    for (is_first, belongs) in [true, false].into_iter().zip(belongs_to_first_and_later) {
-        let sent = SentRequest { id, is_first };
-        assert_eq!(sent.accepts(echoed), belongs);
-    }
+    let pairing = |echo_policy, is_first| {
+        let sent = SentRequest {
+            id,
+            is_first,
+            echo_policy,
+        };
+        sent.pairing(echoed)
+    };
+    assert_eq!(pairing(EchoPolicy::Always, true), expected[0]);
+    assert_eq!(pairing(EchoPolicy::Optional, true), expected[1]);
+    assert_eq!(pairing(EchoPolicy::Always, false), expected[2]);
+    assert_eq!(pairing(EchoPolicy::Optional, false), expected[2]);
 }
 
 #[test]
@@ -97,6 +112,8 @@
     assert!(carried.is_full());
 }
 
+const POLICIES: [EchoPolicy; 2] = [EchoPolicy::Always, EchoPolicy::Optional];
+
 const fn send(id: Id, fate: Fate) -> Step {
     let server = 0;
     Step::Send { server, id, fate }
@@ -112,10 +129,10 @@
     Step::Copy { which, back, form }
 }
 
-/// A refusal, a late copy of it, and another request that runs.
-const fn late(first: Id, form: Form, second: Id) -> [Step; 5] {
+/// An answer, a late copy of it, and another request that runs.
+const fn late(first: Id, fate: Fate, form: Form, second: Id) -> [Step; 5] {
     [
-        send(first, Fate::Refused),
+        send(first, fate),
         read(Form::Named),
         copy(0, form),
         send(second, Fate::Ran),
@@ -125,7 +142,7 @@
 
 /// Two requests with answers that name none.
 const UNNAMED: [Step; 4] = [
-    send(Id::Fresh, Fate::Refused),
+    send(Id::Fresh, Fate::Ran),
     read(Form::Unnamed),
     send(Id::Fresh, Fate::Ran),
     read(Form::Unnamed),
@@ -135,16 +152,28 @@
 const NO_ID: [Step; 4] = [
     send(Id::Fresh, Fate::Ran),
     read(Form::Named),
-    send(Id::Absent, Fate::Refused),
+    send(Id::Absent, Fate::Ran),
     read(Form::Named),
 ];
 
+/// A refusal that is sent before the request that runs.
+const fn spoken(form: Form) -> [Step; 3] {
+    let (server, fate) = (0, Fate::Refused);
+    [
+        Step::SpeakFirst { server, form, fate },
+        send(Id::Fresh, Fate::Ran),
+        read(Form::Named),
+    ]
+}
+
 /// Guards against a rule of the pool that is left out: each sequence breaks without one of them.
 #[rstest]
-#[case::named(Without::Comparison, &late(Id::Fresh, Form::Named, Id::Fresh), Breach::NotRunButRan)]
-#[case::unnamed(Without::Comparison, &late(Id::Fresh, Form::Unnamed, Id::Fresh), Breach::NotRunButRan)]
-#[case::first(Without::FirstOnly, &late(Id::Fresh, Form::Unnamed, Id::Fresh), Breach::NotRunButRan)]
-#[case::same_id(Without::OtherIds, &late(Id::Known(0), Form::Named, Id::Known(0)), Breach::NotRunButRan)]
+#[case::named(Without::Comparison, &late(Id::Fresh, Fate::Refused, Form::Named, Id::Fresh), Breach::NotRunButRan)]
+#[case::unnamed(Without::Comparison, &late(Id::Fresh, Fate::Refused, Form::Unnamed, Id::Fresh), Breach::NotRunButRan)]
+#[case::first(Without::FirstOnly, &late(Id::Fresh, Fate::Ran, Form::Unnamed, Id::Fresh), Breach::Foreign)]
+#[case::same_id(Without::OtherIds, &late(Id::Known(0), Fate::Refused, Form::Named, Id::Known(0)), Breach::NotRunButRan)]
+#[case::unproved(Without::Proof, &spoken(Form::Unnamed), Breach::NotRunButRan)]
+#[case::unproved_empty(Without::Proof, &spoken(Form::Empty), Breach::NotRunButRan)]
 #[case::closing(Without::Closing, &UNNAMED, Breach::TruthLost)]
 #[case::no_id(Without::NewWithoutId, &NO_ID, Breach::TruthLost)]
 fn test_pairing_needs_its_rules(
@@ -152,8 +181,11 @@
     #[case] steps: &[Step],
     #[case] breach: Breach,
 ) {
-    assert_eq!(play(Without::Nothing, steps).breach, None);
-    assert_eq!(play(without, steps).breach, Some(breach));
+    for policy in POLICIES {
+        assert_eq!(play(policy, Without::Nothing, steps).breach, None);
+    }
+    let world = play(EchoPolicy::Optional, without, steps);
+    assert_eq!(world.breach, Some(breach));
 }
 
 /// Searches drawn sequences for one that ends in `breach` and returns the shortest that it finds.
@@ -166,7 +198,8 @@
     let rng = TestRng::deterministic_rng(RngAlgorithm::ChaCha);
     let plays = prop::collection::vec(pairing_model::step(), 1..60);
     let result = TestRunner::new_with_rng(config, rng).run(&plays, |steps| {
-        prop_assert_ne!(play(without, &steps).breach, Some(breach));
+        let world = play(EchoPolicy::Optional, without, &steps);
+        prop_assert_ne!(world.breach, Some(breach));
         Ok(())
     });
     match result {
@@ -179,7 +212,8 @@
 /// Guards against a model in which no sequence could break a rule.
 #[rstest]
 #[case::comparison(Without::Comparison, [true, true, true])]
-#[case::first_only(Without::FirstOnly, [true, true, false])]
+#[case::proof(Without::Proof, [true, true, false])]
+#[case::first_only(Without::FirstOnly, [false, true, false])]
 #[case::other_ids(Without::OtherIds, [true, true, false])]
 #[case::closing(Without::Closing, [false, false, true])]
 #[case::new_without_id(Without::NewWithoutId, [false, false, true])]
@@ -198,21 +232,29 @@
 #[case::three(3 * MAX_CARRIED_REQUESTS, 3)]
 fn test_pairing_keeps_a_connection(#[case] count: usize, #[case] opened: usize) {
     let steps = [Step::Fill { server: 0, count }];
-    let world = play(Without::Nothing, &steps);
-    assert_eq!((world.breach, world.opened), (None, opened));
+    for policy in POLICIES {
+        let world = play(policy, Without::Nothing, &steps);
+        assert_eq!((world.breach, world.opened), (None, opened));
+    }
 }
 
 /// Guards against an identifier that is used again once its connection has forgotten it.
 #[rstest]
 fn test_pairing_holds_when_an_id_returns(#[values(0, 1, 126, 127, 128, 300)] between: usize) {
-    let [refused, read, _, ran, _] = late(Id::Known(0), Form::Named, Id::Known(0));
+    let [refused, read, _, ran, _] = late(Id::Known(0), Fate::Refused, Form::Named, Id::Known(0));
     let fill = Step::Fill {
         server: 0,
         count: between,
     };
     let copy = copy(between, Form::Named);
-    let world = play(Without::Nothing, &[refused, read, fill, copy, ran, read]);
-    assert_eq!(world.breach, None);
+    for policy in POLICIES {
+        let world = play(
+            policy,
+            Without::Nothing,
+            &[refused, read, fill, copy, ran, read],
+        );
+        assert_eq!(world.breach, None);
+    }
 }
 
 proptest! {
@@ -222,13 +264,17 @@
     /// ran counts as not run, gets the answer to another, or loses its own.
     #[test]
     fn test_pairing_holds_in_any_order(steps in prop::collection::vec(pairing_model::step(), 1..120)) {
-        prop_assert_eq!(play(Without::Nothing, &steps).breach, None);
+        for policy in POLICIES {
+            prop_assert_eq!(play(policy, Without::Nothing, &steps).breach, None);
+        }
     }
 
     /// Guards against the same on connections that carry many requests.
     #[test]
     fn test_pairing_holds_on_long_connections(steps in prop::collection::vec(pairing_model::long_step(), 1..60)) {
-        prop_assert_eq!(play(Without::Nothing, &steps).breach, None);
+        for policy in POLICIES {
+            prop_assert_eq!(play(policy, Without::Nothing, &steps).breach, None);
+        }
     }
 }
 
--- a/server/src/backend_connection.rs
+++ b/server/src/backend_connection.rs
@@ -8,12 +8,13 @@
 use bytes::Bytes;
 use heatherring_lib::answer_pairing::CarriedRequests;
 use heatherring_lib::answer_pairing::EchoMatch;
+use heatherring_lib::answer_pairing::EchoPolicy;
 use heatherring_lib::answer_pairing::EchoedId;
 use heatherring_lib::answer_pairing::IdHash;
 use heatherring_lib::answer_pairing::SentRequest;
-use heatherring_lib::outcome::Answered;
 use heatherring_lib::outcome::Attempt;
 use heatherring_lib::outcome::MayHaveRun;
+use heatherring_lib::outcome::Paired;
 use http::Request;
 use http::Response;
 use http::StatusCode;
@@ -158,16 +159,18 @@
         attempt: Attempt<MayHaveRun>,
         id: Option<&str>,
         echoed: EchoedId<'_>,
-    ) -> Result<Attempt<Answered>, Attempt<MayHaveRun>> {
+        echo_policy: EchoPolicy,
+    ) -> Result<Paired, Attempt<MayHaveRun>> {
         let sent = SentRequest {
             id,
             is_first: self.sent == 1 && !self.reused,
+            echo_policy,
         };
-        let answered = attempt.pair(sent, echoed)?;
+        let paired = attempt.pair(sent, echoed)?;
         // Answers that name no request cannot be told apart on a kept connection.
-        let is_named = echoed.compare(id) == EchoMatch::Same;
+        let is_named = matches!(paired, Paired::Named(_));
         self.may_be_kept = is_named && !self.carried.is_full();
-        Ok(answered)
+        Ok(paired)
     }
 
     /// Notes that no byte of the request that was sent last has left, so that the connection is
--- a/server/src/direct_send.rs
+++ b/server/src/direct_send.rs
@@ -8,6 +8,8 @@
 use std::time::Instant;
 
 use bytes::Bytes;
+use heatherring_lib::answer_claim::Claim;
+use heatherring_lib::answer_claim::RefusedBy;
 use heatherring_lib::answer_size::AnswerKind;
 use heatherring_lib::backend_statement::LeavingNotice;
 use heatherring_lib::backend_statement::ReceivedStatement;
@@ -19,6 +21,7 @@
 use heatherring_lib::link_admission::OVERHEAD_BYTES;
 use heatherring_lib::outcome::Answered;
 use heatherring_lib::outcome::Attempt;
+use heatherring_lib::outcome::Identified;
 use heatherring_lib::outcome::MayHaveRun;
 use heatherring_lib::outcome::NotRunReason;
 use heatherring_lib::outcome::Outcome;
@@ -53,7 +56,6 @@
 use crate::dispatch_task::StreamGuard;
 use crate::header;
 use crate::header::remove_hop_by_hop;
-use crate::interface::AnswerMeaning;
 use crate::interface::AnswerMetadata;
 use crate::interface::EntryInterface;
 use crate::interface::OutgoingMetadata;
@@ -391,14 +393,18 @@
         } = self.interface.read_answer(&head);
         let id = at.req.request_id.as_deref();
         let received = at.connection.received(head.status, echoed.compare(id));
-        let mut sent = match at.connection.pair(sent, id, echoed) {
-            Ok(answered) => {
+        let policy = self.interface.echo_policy();
+        let mut sent = match at.connection.pair(sent, id, echoed, policy) {
+            Ok(paired) => {
                 let statement = ReceivedStatement {
                     statement,
                     at: Instant::now(),
                 };
-                self.read(at, answered, meaning, statement, (head, body))
-                    .await
+                let claim = Claim::new(paired, meaning, head.status.as_u16());
+                if matches!(claim, Claim::Unproved(_)) {
+                    received.log_unproved(id.unwrap_or_default(), at.choice.name.as_str());
+                }
+                self.read(at, claim, statement, (head, body)).await
             }
             Err(sent) => {
                 received.log_mismatch(id.unwrap_or_default(), at.choice.name.as_str(), echoed);
@@ -416,12 +422,11 @@
     async fn read(
         &self,
         at: PendingAnswer<'_>,
-        answered: Attempt<Answered>,
-        meaning: AnswerMeaning,
+        claim: Claim,
         received: ReceivedStatement,
         (head, body): (response::Parts, Incoming),
     ) -> Sent {
-        if matches!(meaning, AnswerMeaning::Answer | AnswerMeaning::NotRun) {
+        if claim.is_from_chosen() {
             self.dispatch.note_statement(at.choice.backend, received);
             if received.statement.leaving == LeavingNotice::Leaving {
                 self.pool.disconnect(at.choice.address);
@@ -431,31 +436,30 @@
                 self.interface.unread_headers(&head.headers),
             );
         }
-        let refused = match meaning {
-            AnswerMeaning::Answer => {
+        match claim {
+            Claim::Answer(answered) => {
                 let mut sent = self.pass_on(at, answered, (head, body)).await;
                 sent.statement = Some(received);
-                return sent;
+                sent
+            }
+            Claim::Refused(identified, by) => {
+                at.followed.not_run();
+                if refusal_body::read_to_end(body).await {
+                    let keep = idle_time(&head.headers);
+                    self.pool.give_back_for(at.connection, keep);
+                }
+                refused(identified, by, received)
+            }
+            Claim::Unproved(answered) => {
+                let unknown = answered.lost(UnknownReason::RefusalUnproved);
+                Sent::new(unknown, SendOutcome::Broken)
             }
-            AnswerMeaning::Foreign => {
+            Claim::Foreign(answered) => {
                 at.followed.broken();
                 let unknown = answered.lost(UnknownReason::ConnectionLost);
-                return Sent::new(unknown, SendOutcome::Broken);
-            }
-            AnswerMeaning::NotRun => (NotRunReason::BackendRefused, SendOutcome::Shed),
-            AnswerMeaning::OtherBackend => {
-                (NotRunReason::BackendMisdirected, SendOutcome::Misdirected)
+                Sent::new(unknown, SendOutcome::Broken)
             }
-        };
-        at.followed.not_run();
-        if refusal_body::read_to_end(body).await {
-            let keep = idle_time(&head.headers);
-            self.pool.give_back_for(at.connection, keep);
         }
-        let refusal = Refusal::reported_by_backend_server(refused.0);
-        let mut sent = Sent::new(answered.refused(refusal), refused.1);
-        sent.statement = (refused.1 == SendOutcome::Shed).then_some(received);
-        sent
     }
 
     /// Returns the schedule of this entry VM's link, if the request counts there, and the answer
@@ -544,6 +548,18 @@
     }
 }
 
+/// Ends a send whose request was proved not to have run.
+fn refused(attempt: Attempt<Identified>, by: RefusedBy, received: ReceivedStatement) -> Sent {
+    let (reason, verdict) = match by {
+        RefusedBy::Chosen => (NotRunReason::BackendRefused, SendOutcome::Shed),
+        RefusedBy::Other => (NotRunReason::BackendMisdirected, SendOutcome::Misdirected),
+    };
+    let refusal = Refusal::reported_by_backend_server(reason);
+    let mut sent = Sent::new(attempt.refused(refusal), verdict);
+    sent.statement = (by == RefusedBy::Chosen).then_some(received);
+    sent
+}
+
 /// A sent request whose answer is to be read.
 struct PendingAnswer<'a> {
     choice: &'a Choice,
--- a/server/src/dispatcher.rs
+++ b/server/src/dispatcher.rs
@@ -7,9 +7,10 @@
 use std::time::Instant;
 
 use bytes::Bytes;
+use heatherring_lib::answer_claim::AnswerMeaning;
+use heatherring_lib::answer_claim::Claim;
 use heatherring_lib::backend_statement::ReceivedStatement;
 use heatherring_lib::duration_text::whole_ms;
-use heatherring_lib::outcome::Answered;
 use heatherring_lib::outcome::Attempt;
 use heatherring_lib::outcome::NotRunReason;
 use heatherring_lib::outcome::Outcome;
@@ -23,6 +24,7 @@
 use http::Response;
 use http::Uri;
 use http::header as http_header;
+use http::response::Parts;
 use http_body_util::Full;
 use hyper::body::Body;
 use hyper::body::Incoming;
@@ -120,24 +122,31 @@
         match tokio::time::timeout_at(deadline, answering).await {
             Ok(Ok(response)) => {
                 let echoed = header::echoed_id(response.headers(), &header::REQUEST_ID);
-                let answered = match connection.pair(sent, id, echoed) {
-                    Ok(answered) => answered,
+                let received = connection.received(response.status(), echoed.compare(id));
+                let address = target.address.to_string();
+                let policy = own_interface::ECHO_POLICY;
+                let paired = match connection.pair(sent, id, echoed, policy) {
+                    Ok(paired) => paired,
                     Err(sent) => {
-                        let received = connection.received(response.status(), echoed.compare(id));
-                        let address = target.address.to_string();
                         received.log_mismatch(&req.request_id, &address, echoed);
                         pool.close_mismatched(connection);
                         return sent.lost(UnknownReason::AnswerMismatched).into();
                     }
                 };
                 let (head, body) = response.into_parts();
-                let received = ReceivedStatement {
-                    statement: own_interface::statement(&head),
-                    at: Instant::now(),
-                };
-                observer.stated(received, !head.status.is_server_error());
+                let claim = Claim::new(paired, meaning(&head), head.status.as_u16());
+                if matches!(claim, Claim::Unproved(_)) {
+                    received.log_unproved(&req.request_id, &address);
+                }
+                if claim.is_from_chosen() {
+                    let received = ReceivedStatement {
+                        statement: own_interface::statement(&head),
+                        at: Instant::now(),
+                    };
+                    observer.stated(received, !head.status.is_server_error());
+                }
                 let response = Response::from_parts(head, body);
-                return read_head(pool, answered, response, connection).await;
+                return read_head(pool, claim, response, connection).await;
             }
             Ok(Err(mut error)) => {
                 let Some(unwritten) = error.take_message() else {
@@ -178,20 +187,36 @@
     Some(message)
 }
 
+/// Reads what an answer states about the request. Owners know no address of which another backend
+/// server could have taken possession.
+fn meaning(head: &Parts) -> AnswerMeaning {
+    let outcome = header::text(&head.headers, header::OUTCOME);
+    match Refusal::of_backend_server(head.status.as_u16(), outcome) {
+        Some(_) => AnswerMeaning::NotRun,
+        None => AnswerMeaning::Answer,
+    }
+}
+
 async fn read_head(
     pool: &BackendPool,
-    answered: Attempt<Answered>,
+    claim: Claim,
     response: Response<Incoming>,
     connection: BackendConnection,
 ) -> Outcome<BackendAnswer> {
-    let status = response.status().as_u16();
-    let outcome = header::text(response.headers(), header::OUTCOME);
-    if let Some(refusal) = Refusal::of_backend_server(status, outcome) {
-        if refusal_body::read_to_end(response.into_body()).await {
-            pool.give_back(connection);
+    let answered = match claim {
+        Claim::Answer(answered) => answered,
+        Claim::Refused(identified, _) => {
+            if refusal_body::read_to_end(response.into_body()).await {
+                pool.give_back(connection);
+            }
+            let refusal = Refusal::reported_by_backend_server(NotRunReason::BackendRefused);
+            return identified.refused(refusal).into();
         }
-        return answered.refused(refusal).into();
-    }
+        Claim::Unproved(answered) => {
+            return answered.lost(UnknownReason::RefusalUnproved).into();
+        }
+        Claim::Foreign(answered) => return answered.lost(UnknownReason::ConnectionLost).into(),
+    };
     if !is_framed(&response) {
         return answered.lost(UnknownReason::ConnectionLost).into();
     }
--- a/server/src/interface.rs
+++ b/server/src/interface.rs
@@ -9,6 +9,8 @@
 use std::time::Duration;
 
 use futures_util::future::BoxFuture;
+use heatherring_lib::answer_claim::AnswerMeaning;
+use heatherring_lib::answer_pairing::EchoPolicy;
 use heatherring_lib::answer_pairing::EchoedId;
 use heatherring_lib::backend_statement::BackendStatement;
 use heatherring_lib::id::BackendName;
@@ -44,19 +46,6 @@
     pub team: Option<&'a TeamName>,
 }
 
-/// Meaning of an answer from a backend server, for the request that it belongs to.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum AnswerMeaning {
-    /// The backend server ran the request; this is its answer.
-    Answer,
-    /// The backend server reports that it did not run the request.
-    NotRun,
-    /// Another backend server has this address, and did not run the request.
-    OtherBackend,
-    /// The answer does not come from a backend server.
-    Foreign,
-}
-
 /// Metadata that a backend server sends with an answer.
 #[derive(Clone, Debug, PartialEq)]
 pub struct AnswerMetadata<'a> {
@@ -115,6 +104,9 @@
     /// Writes the metadata for a backend server into the caller's headers.
     fn write_request_metadata(&self, headers: &mut HeaderMap, metadata: &OutgoingMetadata<'_>);
 
+    /// Returns whether backend servers echo the identifiers of requests.
+    fn echo_policy(&self) -> EchoPolicy;
+
     /// Reads the metadata of a backend server's answer.
     fn read_answer<'a>(&self, head: &'a http::response::Parts) -> AnswerMetadata<'a>;
 
--- a/server/src/metric.rs
+++ b/server/src/metric.rs
@@ -125,6 +125,11 @@
     counter!("heatherring_answers_mismatched_total", "echo" => echo.name()).increment(1);
 }
 
+/// Counts refusals that do not name the request that waits for an answer.
+pub fn refusal_unproved() {
+    counter!("heatherring_refusals_unproved_total").increment(1);
+}
+
 /// Counts the names of headers by which backend servers state something that is not read.
 pub fn unread_header(name: &str) {
     counter!("heatherring_backend_headers_unread_total", "header" => name.to_owned()).increment(1);
--- a/server/src/own_interface.rs
+++ b/server/src/own_interface.rs
@@ -11,6 +11,8 @@
 
 use futures_util::FutureExt;
 use futures_util::future::BoxFuture;
+use heatherring_lib::answer_claim::AnswerMeaning;
+use heatherring_lib::answer_pairing::EchoPolicy;
 use heatherring_lib::backend_load::LoadReport;
 use heatherring_lib::backend_statement::BackendStatement;
 use heatherring_lib::duration_text::whole_ms;
@@ -46,7 +48,6 @@
 use crate::fleet_control::FleetControl;
 use crate::fleet_control::FleetError;
 use crate::header;
-use crate::interface::AnswerMeaning;
 use crate::interface::AnswerMetadata;
 use crate::interface::CallerMetadata;
 use crate::interface::ControlInterface;
@@ -91,6 +92,9 @@
     "heatherring-request-id",
 ];
 
+/// Backend servers that echo no identifiers are served, over a new connection for each request.
+pub(crate) const ECHO_POLICY: EchoPolicy = EchoPolicy::Optional;
+
 /// Implements heatherring's own interface.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct OwnInterface;
@@ -121,6 +125,10 @@
         header::set_or_remove(headers, &TEAM, metadata.team.map(TeamName::as_str));
     }
 
+    fn echo_policy(&self) -> EchoPolicy {
+        ECHO_POLICY
+    }
+
     fn read_answer<'a>(&self, head: &'a Parts) -> AnswerMetadata<'a> {
         let outcome = header::text(&head.headers, &header::OUTCOME);
         let meaning = if outcome == Some(OUTCOME_NOT_RUN) {
--- a/server/src/received_head.rs
+++ b/server/src/received_head.rs
@@ -44,6 +44,20 @@
             "a backend server's answer does not name the request that waits for it"
         );
     }
+
+    /// Logs and counts a refusal that may not be meant for the request `request_id`.
+    pub(crate) fn log_unproved(&self, request_id: &str, backend: &str) {
+        metric::refusal_unproved();
+        log::info!(
+            event = "refusal_unproved",
+            request_id,
+            backend,
+            echo = self.echo.name(),
+            status = self.status.as_u16(),
+            position = self.position;
+            "a backend server's refusal does not name the request that waits for an answer"
+        );
+    }
 }
 
 impl fmt::Display for ReceivedHead {
--- a/server/src/refusal.rs
+++ b/server/src/refusal.rs
@@ -5,8 +5,8 @@
 
 use bytes::Bytes;
 use heatherring_lib::duration_text::whole_ms;
-use heatherring_lib::outcome::Answered;
 use heatherring_lib::outcome::Attempt;
+use heatherring_lib::outcome::Identified;
 use heatherring_lib::outcome::NotRun;
 use heatherring_lib::outcome::NotRunReason;
 use heatherring_lib::outcome::OUTCOME_ANSWER;
@@ -188,8 +188,8 @@
 /// Returns the attempt if the headers belong to an answer.
 pub fn from_entry(
     headers: &HeaderMap,
-    attempt: Attempt<Answered>,
-) -> Result<Refused, Attempt<Answered>> {
+    attempt: Attempt<Identified>,
+) -> Result<Refused, Attempt<Identified>> {
     let outcome = header::text(headers, header::OUTCOME);
     if outcome == Some(OUTCOME_ANSWER) {
         return Err(attempt);
--- a/server/tests/test_pool_room.rs
+++ b/server/tests/test_pool_room.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use heatherring_lib::answer_pairing::EchoPolicy;
 use heatherring_lib::answer_pairing::EchoedId;
 use heatherring_lib::answer_pairing::MAX_CARRIED_REQUESTS;
 use heatherring_lib::outcome::Attempt;
@@ -69,7 +70,9 @@
             EchoedId::Absent
         };
         let attempt = Attempt::new().sending();
-        let _paired = connection.pair(attempt, Some(&id), echoed).unwrap();
+        let _paired = connection
+            .pair(attempt, Some(&id), echoed, EchoPolicy::Optional)
+            .unwrap();
         response.into_body().collect().await.unwrap();
         pool.give_back(connection);
     }
