backend pool: a backend server that echoes identifiers is believed only where it does

Callers of heatherring's own interface got a body that a backend server, or something in front of it, had written before it read their request: an answer without identifier belongs to the first request of a connection there, because backend servers may echo nothing.

Whether a backend server echoes was never remembered.

Change: the pool remembers for a minute that an answer from an address named its request. New connections to it then accept no answer that names none. After the minute, or where nothing was ever echoed, unnamed answers are accepted as before, never as a proof.

The scenes that refuse without naming the request now use backend servers that never name one, so that they still test the unproved refusal.

--- a/lib/src/answer_pairing.rs
+++ b/lib/src/answer_pairing.rs
@@ -170,6 +170,32 @@
     }
 }
 
+/// Time after an answer that named its request for which the backend server's answers are expected
+/// to name theirs.
+pub const ECHO_MEMORY: Duration = Duration::from_secs(60);
+
+/// Remembers that a backend server echoes the identifiers of requests.
+#[derive(Clone, Copy, Debug)]
+pub struct EchoRecord {
+    /// When an answer named its request last.
+    latest: Instant,
+}
+
+impl EchoRecord {
+    /// Records an answer that named its request.
+    #[must_use]
+    pub const fn new(now: Instant) -> Self {
+        Self { latest: now }
+    }
+
+    /// Returns whether an answer may lack the identifier again, because the address may have been
+    /// given to another backend server.
+    #[must_use]
+    pub fn is_over(&self, now: Instant) -> bool {
+        now.saturating_duration_since(self.latest) >= ECHO_MEMORY
+    }
+}
+
 /// Time after a mismatched answer for which connections to its backend server are not kept. One
 /// that goes on sending such answers then spoils no further requests.
 pub const SINGLE_USE_TIME: Duration = Duration::from_secs(5);
--- a/lib/tests/test_answer_pairing.rs
+++ b/lib/tests/test_answer_pairing.rs
@@ -6,8 +6,10 @@
 use std::time::Instant;
 
 use heatherring_lib::answer_pairing::CarriedRequests;
+use heatherring_lib::answer_pairing::ECHO_MEMORY;
 use heatherring_lib::answer_pairing::EchoMatch;
 use heatherring_lib::answer_pairing::EchoPolicy;
+use heatherring_lib::answer_pairing::EchoRecord;
 use heatherring_lib::answer_pairing::EchoedId;
 use heatherring_lib::answer_pairing::IdHash;
 use heatherring_lib::answer_pairing::MAX_CARRIED_REQUESTS;
@@ -288,3 +290,13 @@
     assert!(!record.is_over(now + SINGLE_USE_TIME.saturating_sub(Duration::from_millis(1))));
     assert!(record.is_over(now + SINGLE_USE_TIME));
 }
+
+/// Guards against an address whose new user, which echoes nothing, is never served.
+#[test]
+fn test_echo_record_is_over_after_its_time() {
+    let now = Instant::now();
+    let record = EchoRecord::new(now);
+    assert!(!record.is_over(now));
+    assert!(!record.is_over(now + ECHO_MEMORY.saturating_sub(Duration::from_millis(1))));
+    assert!(record.is_over(now + ECHO_MEMORY));
+}
--- a/server/src/backend_connection.rs
+++ b/server/src/backend_connection.rs
@@ -99,6 +99,10 @@
     pub(crate) address: SocketAddr,
     pub(crate) sender: SendRequest<Full<Bytes>>,
     pub(crate) reused: bool,
+    /// Whether its backend server is known to echo identifiers.
+    echoes: bool,
+    /// Whether the latest answer named its request.
+    pub(crate) is_named: bool,
     /// Number of requests that were sent on it.
     sent: u32,
     /// Their identifiers.
@@ -164,12 +168,16 @@
         let sent = SentRequest {
             id,
             is_first: self.sent == 1 && !self.reused,
-            echo_policy,
+            echo_policy: if self.echoes {
+                EchoPolicy::Always
+            } else {
+                echo_policy
+            },
         };
         let paired = attempt.pair(sent, echoed)?;
         // Answers that name no request cannot be told apart on a kept connection.
-        let is_named = matches!(paired, Paired::Named(_));
-        self.may_be_kept = is_named && !self.carried.is_full();
+        self.is_named = matches!(paired, Paired::Named(_));
+        self.may_be_kept = self.is_named && !self.carried.is_full();
         Ok(paired)
     }
 
@@ -214,6 +222,7 @@
     options: ConnectOptions,
 ) -> Result<BackendConnection, ConnectError> {
     let address = permit.address();
+    let echoes = permit.echoes();
     let begun = Instant::now();
     let connecting = connect(address, options.receive_buffer);
     let connected = tokio::time::timeout(options.timeout, connecting).await;
@@ -248,6 +257,8 @@
         address,
         sender,
         reused: false,
+        echoes,
+        is_named: false,
         sent: 0,
         carried: CarriedRequests::default(),
         may_be_kept: true,
--- a/server/src/backend_pool.rs
+++ b/server/src/backend_pool.rs
@@ -12,7 +12,11 @@
 //!
 //! A request is not sent on a connection that carried one with the same identifier: a late answer
 //! to that one could not be told from its own. Without an identifier it gets a new connection, the
-//! only place where an answer that names no request is known to be its own.
+//! only place where an answer that names no request belongs to no other.
+//!
+//! From a backend server that has echoed identifiers lately, an answer that names no request is
+//! accepted nowhere, whatever the interface permits: it may have been sent before the request was
+//! read.
 
 use std::collections::HashMap;
 use std::collections::VecDeque;
@@ -20,6 +24,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use heatherring_lib::answer_pairing::EchoRecord;
 use heatherring_lib::answer_pairing::IdHash;
 use heatherring_lib::answer_pairing::MismatchRecord;
 use tokio::sync::mpsc;
@@ -46,6 +51,8 @@
 #[derive(Debug)]
 pub(crate) struct ConnectionPermit {
     address: SocketAddr,
+    /// Whether the backend server is known to echo identifiers.
+    echoes: bool,
     tx: mpsc::UnboundedSender<PoolMessage>,
 }
 
@@ -53,6 +60,10 @@
     pub(crate) const fn address(&self) -> SocketAddr {
         self.address
     }
+
+    pub(crate) const fn echoes(&self) -> bool {
+        self.echoes
+    }
 }
 
 impl Drop for ConnectionPermit {
@@ -116,6 +127,7 @@
             weak_tx: tx.downgrade(),
             servers: HashMap::new(),
             mismatches: HashMap::new(),
+            echoing: HashMap::new(),
         };
         tokio::spawn(task.run(rx));
         Self { tx }
@@ -319,6 +331,8 @@
     servers: HashMap<SocketAddr, ServerPool>,
     /// Backend servers to which no connections are kept.
     mismatches: HashMap<SocketAddr, MismatchRecord>,
+    /// Backend servers that are known to echo identifiers.
+    echoing: HashMap<SocketAddr, EchoRecord>,
 }
 
 impl PoolTask {
@@ -378,13 +392,24 @@
             return;
         };
         self.servers.entry(address).or_default().open += 1;
-        let _ = reply.send(Checkout::Connect(ConnectionPermit { address, tx }));
+        let record = self.echoing.get(&address);
+        let permit = ConnectionPermit {
+            address,
+            echoes: record.is_some_and(|record| !record.is_over(Instant::now())),
+            tx,
+        };
+        let _ = reply.send(Checkout::Connect(permit));
     }
 
     fn return_idle(&mut self, mut connection: BackendConnection, max_idle: Duration) {
         let is_kept = connection.may_be_kept && self.keeps_connections(connection.address);
+        let now = Instant::now();
+        if std::mem::take(&mut connection.is_named) {
+            let record = EchoRecord::new(now);
+            self.echoing.insert(connection.address, record);
+        }
         connection.reused = true;
-        connection.idle_since = Instant::now();
+        connection.idle_since = now;
         let Some(server) = self.servers.get_mut(&connection.address) else {
             return;
         };
@@ -431,6 +456,7 @@
     fn sweep(&mut self) {
         let now = Instant::now();
         self.mismatches.retain(|_, record| !record.is_over(now));
+        self.echoing.retain(|_, record| !record.is_over(now));
         for server in self.servers.values_mut() {
             server.close_unusable(now);
         }
--- a/server/tests/test_unpaired_answers.rs
+++ b/server/tests/test_unpaired_answers.rs
@@ -464,6 +464,21 @@
     scene.assert_honest(&told).await;
 }
 
+/// Guards against callers that get what a backend server, whose answers name their requests, wrote
+/// before it read theirs.
+#[rstest]
+#[case::opening_body_200(200)]
+#[case::opening_body_404(404)]
+#[case::opening_body_500(500)]
+#[tokio::test(flavor = "multi_thread")]
+async fn test_unpaired_opening_reaches_no_caller(#[case] status: u16) {
+    let scene = Scene::start_plain(run_last).await;
+    scene.open_with(OpeningTime::AtRequest, answer(status, &[], "opening"));
+    let told = scene.act(4).await;
+    scene.assert_honest(&told).await;
+    assert!(told.iter().all(|told| told.body != "opening"), "{told:?}");
+}
+
 /// Guards against actions that run although a refusal that was written when the connection was
 /// accepted counts as theirs.
 #[rstest]
--- a/server/tests/unpaired_support/scripts.rs
+++ b/server/tests/unpaired_support/scripts.rs
@@ -51,7 +51,8 @@
 }
 
 /// Runs the requests that make the backend servers known, and refuses all others without running
-/// them, at all backend servers or at the first one. Each connection carries one request.
+/// them, at all backend servers or at the first one. Each connection carries one request, and no
+/// answer names its own.
 pub fn refusing(
     status: u16,
     headers: &'static [&'static str],
@@ -63,7 +64,8 @@
             let refusal = last_answer(status, headers, "refusal");
             return vec![Act::Read, Act::Write(refusal)];
         }
-        run_last(arrived)
+        let body = format!("of {}", arrived.key);
+        run_after(None, last_answer(200, &[], &body))
     }
 }
 
