answers: those that do not end are logged and counted

Nothing in the logs or metrics told of such an answer: neither how many bytes a connection had received for it nor how long it lasted.

A stream to a backend server now counts the bytes that it reads for an answer, and since a part of it was taken (`answer_bound`, a decision without I/O). The line `answer_unending` and `heatherring_answers_unending_total` tell of an answer of which 128 KiB were read without anything coming of them (`head`, `body`), and of one whose deadline passed before its last byte (`body`, or `unread` where the caller took nothing more). Nothing is ended that was not ended before.

--- a/server/src/answer_body.rs
+++ b/server/src/answer_body.rs
@@ -13,6 +13,7 @@
 use std::time::Instant;
 
 use bytes::Bytes;
+use heatherring_lib::answer_bound::AnswerPart;
 use http_body_util::BodyExt;
 use http_body_util::Full;
 use http_body_util::combinators::UnsyncBoxBody;
@@ -48,8 +49,33 @@
     /// Called when the last byte of the answer has been read.
     fn completed(self: Box<Self>);
 
-    /// Called when the answer broke off or its deadline passed.
+    /// Called when the answer broke off.
     fn broken(self: Box<Self>);
+
+    /// Called when the deadline passed before the last byte.
+    fn overdue(self: Box<Self>, by: OverdueBy);
+
+    /// Called when a part of the answer with this number of bytes of its body was taken.
+    fn taken(&mut self, bytes: u64);
+}
+
+/// Who was waited for when the deadline of an answer passed.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum OverdueBy {
+    /// The sender, or this entry VM's link.
+    Sender,
+    /// The receiver, which took nothing more.
+    Receiver,
+}
+
+impl OverdueBy {
+    /// Returns the name of the part of the answer that is missing, in logs and metrics.
+    pub(crate) const fn part(self) -> &'static str {
+        match self {
+            Self::Sender => AnswerPart::Body.name(),
+            Self::Receiver => "unread",
+        }
+    }
 }
 
 /// Time after the last bytes of an answer for which more are awaited past its deadline.
@@ -147,6 +173,10 @@
     }
 
     fn note_read(&mut self, frame: &Frame<Bytes>) {
+        let bytes = frame.data_ref().map_or(0, Bytes::len);
+        if let Some(end) = &mut self.end {
+            end.taken(u64::try_from(bytes).unwrap_or(u64::MAX));
+        }
         self.active_at = tokio::time::Instant::now();
         if let (Some(pace), Some(data)) = (&mut self.pace, frame.data_ref()) {
             pace.note_read(data.len());
@@ -195,7 +225,9 @@
                 Poll::Ready(None)
             }
             Poll::Pending => this.poll_deadline(cx).map(|()| {
-                this.note_broken();
+                if let Some(end) = this.end.take() {
+                    end.overdue(OverdueBy::Sender);
+                }
                 Some(Err(AnswerBodyError::Deadline))
             }),
         }
--- a/server/src/backend_connection.rs
+++ b/server/src/backend_connection.rs
@@ -142,9 +142,17 @@
             self.carried.note(IdHash::of(id));
         }
         self.may_be_kept = false;
-        self.user.begin();
+        self.user.begin(id);
         self.idle = self.idle_since.elapsed();
-        self.sender.try_send_request(req)
+        let answering = self.sender.try_send_request(req);
+        let taker = self.user.taker();
+        async move {
+            let answered = answering.await;
+            if answered.is_ok() {
+                taker.note_taken();
+            }
+            answered
+        }
     }
 
     /// Pairs `attempt`, the request with the identifier `id` that was sent last, with the answer
@@ -170,6 +178,16 @@
         Ok(answered)
     }
 
+    /// Notes that a part of the answer was taken, so that more of it may be read.
+    pub(crate) fn note_taken(&self) {
+        self.user.note_taken();
+    }
+
+    /// Logs and counts the answer as one that did not end in `part`.
+    pub(crate) fn log_unending(&self, part: &'static str) {
+        self.user.log_unending(part);
+    }
+
     /// Notes that no byte of the request that was sent last has left, so that the connection is
     /// closed in the ordinary way.
     pub fn note_unsent(&self) {
--- a/server/src/backend_stream.rs
+++ b/server/src/backend_stream.rs
@@ -7,6 +7,7 @@
 
 use std::io;
 use std::io::IoSlice;
+use std::net::SocketAddr;
 use std::pin::Pin;
 use std::sync::Arc;
 use std::sync::Mutex;
@@ -14,8 +15,11 @@
 use std::sync::PoisonError;
 use std::task::Context;
 use std::task::Poll;
+use std::task::ready;
 use std::time::Duration;
+use std::time::Instant;
 
+use heatherring_lib::answer_bound::AnswerBound;
 use rustix::net::sockopt;
 use tokio::io::AsyncRead;
 use tokio::io::AsyncWrite;
@@ -23,6 +27,11 @@
 use tokio::net::TcpStream;
 
 use crate::backend_pool::ConnectionPermit;
+use crate::unending_answer::UnendingAnswer;
+
+/// Bytes that are read for an answer before its receiver takes a part of it: an answer that is
+/// read as a whole, and a buffer of the HTTP library.
+const MAX_BYTES_AHEAD: u64 = 128 << 10;
 
 /// Whether a request is under way on a stream.
 #[derive(Debug, Default)]
@@ -68,11 +77,29 @@
     }
 }
 
-#[derive(Clone, Debug, Default)]
-struct SharedProgress(Arc<Mutex<Progress>>);
+/// The request under way, or the last one.
+#[derive(Debug)]
+struct Exchange {
+    progress: Progress,
+    bound: AnswerBound,
+    request_id: String,
+    begun: Instant,
+}
+
+#[derive(Clone, Debug)]
+struct SharedExchange(Arc<Mutex<Exchange>>);
+
+impl SharedExchange {
+    fn new() -> Self {
+        Self(Arc::new(Mutex::new(Exchange {
+            progress: Progress::default(),
+            bound: AnswerBound::new(MAX_BYTES_AHEAD),
+            request_id: String::new(),
+            begun: Instant::now(),
+        })))
+    }
 
-impl SharedProgress {
-    fn lock(&self) -> MutexGuard<'_, Progress> {
+    fn lock(&self) -> MutexGuard<'_, Exchange> {
         self.0.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
@@ -80,22 +107,42 @@
 /// Tells a stream about its requests. Dropping it while one is under way resets the connection.
 #[derive(Debug)]
 pub(crate) struct StreamUser {
-    progress: SharedProgress,
+    exchange: SharedExchange,
+    address: SocketAddr,
 }
 
 impl StreamUser {
-    /// Notes that a request is sent.
-    pub(crate) fn begin(&self) {
-        let mut progress = self.progress.lock();
-        if matches!(*progress, Progress::Ended) {
-            *progress = Progress::UnderWay;
+    /// Notes that a request with the identifier `id` is sent.
+    pub(crate) fn begin(&self, id: Option<&str>) {
+        let mut exchange = self.exchange.lock();
+        if matches!(exchange.progress, Progress::Ended) {
+            exchange.progress = Progress::UnderWay;
         }
+        exchange.bound.begin();
+        exchange.request_id.clear();
+        exchange.request_id.push_str(id.unwrap_or_default());
+        exchange.begun = Instant::now();
+    }
+
+    /// Returns what notes the parts of the answer that are taken.
+    pub(crate) fn taker(&self) -> AnswerTaker {
+        AnswerTaker(self.exchange.clone())
+    }
+
+    /// Notes that a part of the answer was taken.
+    pub(crate) fn note_taken(&self) {
+        self.exchange.lock().bound.note_taken();
+    }
+
+    /// Logs and counts the answer as one that did not end in `part`.
+    pub(crate) fn log_unending(&self, part: &'static str) {
+        self.exchange.lock().log_unending(part, self.address);
     }
 
     /// Notes that the request has ended: its answer was read to the last byte, or no byte of it
     /// was sent.
     pub(crate) fn end(&self) {
-        let ended = std::mem::take(&mut *self.progress.lock());
+        let ended = std::mem::take(&mut self.exchange.lock().progress);
         if let Progress::Left(socket) = ended {
             socket.close();
         }
@@ -104,31 +151,59 @@
 
 impl Drop for StreamUser {
     fn drop(&mut self) {
-        let mut progress = self.progress.lock();
-        if !matches!(*progress, Progress::Ended) {
-            *progress = Progress::Withdrawn;
+        let mut exchange = self.exchange.lock();
+        if !matches!(exchange.progress, Progress::Ended) {
+            exchange.progress = Progress::Withdrawn;
         }
     }
 }
 
+/// Notes that parts of an answer are taken, so that more of it may be read.
+#[derive(Debug)]
+pub(crate) struct AnswerTaker(SharedExchange);
+
+impl AnswerTaker {
+    /// Notes that the head or a part of the body was taken.
+    pub(crate) fn note_taken(&self) {
+        self.0.lock().bound.note_taken();
+    }
+}
+
+impl Exchange {
+    fn log_unending(&self, part: &'static str, address: SocketAddr) {
+        let unending = UnendingAnswer {
+            part,
+            request_id: &self.request_id,
+            sender: &address.to_string(),
+            bytes: self.bound.read(),
+            took: self.begun.elapsed(),
+        };
+        unending.log();
+    }
+}
+
 /// A stream to a backend server, for the HTTP library.
 #[derive(Debug)]
 pub(crate) struct BackendStream {
     /// Present until the stream is dropped.
     socket: Option<Socket>,
-    progress: SharedProgress,
+    exchange: SharedExchange,
+    address: SocketAddr,
 }
 
 impl BackendStream {
     /// Wraps a connected stream. It counts as open, by `permit`, until its socket is closed.
     pub(crate) fn new(stream: TcpStream, permit: ConnectionPermit) -> (Self, StreamUser) {
-        let progress = SharedProgress::default();
+        let exchange = SharedExchange::new();
+        let address = permit.address();
         let user = StreamUser {
-            progress: progress.clone(),
+            exchange: exchange.clone(),
+            address,
         };
         let stream = Self {
             socket: Some(Socket::new(stream, permit)),
-            progress,
+            exchange,
+            address,
         };
         (stream, user)
     }
@@ -145,11 +220,11 @@
         let Some(socket) = self.socket.take() else {
             return;
         };
-        let mut progress = self.progress.lock();
-        match *progress {
+        let mut exchange = self.exchange.lock();
+        match exchange.progress {
             Progress::Ended => socket.close(),
             // The answer may be read to its end already, without the user knowing it yet.
-            Progress::UnderWay => *progress = Progress::Left(socket),
+            Progress::UnderWay => exchange.progress = Progress::Left(socket),
             Progress::Left(_) | Progress::Withdrawn => {}
         }
     }
@@ -161,7 +236,18 @@
         cx: &mut Context<'_>,
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        self.stream()?.poll_read(cx, buf)
+        let before = buf.filled().len();
+        ready!(self.stream()?.poll_read(cx, buf))?;
+        let bytes = buf.filled().len() - before;
+        let mut exchange = self.exchange.lock();
+        let was_allowed = exchange.bound.allowed() > 0;
+        exchange
+            .bound
+            .note_read(u64::try_from(bytes).unwrap_or(u64::MAX));
+        if was_allowed && exchange.bound.allowed() == 0 {
+            exchange.log_unending(exchange.bound.part().name(), self.address);
+        }
+        Poll::Ready(Ok(()))
     }
 }
 
@@ -192,7 +278,7 @@
 
     /// Does nothing while a request is under way: the end of the stream would follow it.
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        if !matches!(*self.progress.lock(), Progress::Ended) {
+        if !matches!(self.exchange.lock().progress, Progress::Ended) {
             return Poll::Ready(Ok(()));
         }
         self.stream()?.poll_shutdown(cx)
--- a/server/src/direct_send.rs
+++ b/server/src/direct_send.rs
@@ -44,6 +44,7 @@
 use crate::answer_body;
 use crate::answer_body::AnswerBody;
 use crate::answer_body::AnswerObserver;
+use crate::answer_body::OverdueBy;
 use crate::backend_connection::BackendConnection;
 use crate::backend_connection::ConnectOptions;
 use crate::backend_pool::BackendPool;
@@ -584,6 +585,17 @@
     fn broken(self: Box<Self>) {
         self.followed.broken();
     }
+
+    fn overdue(self: Box<Self>, by: OverdueBy) {
+        self.connection.log_unending(by.part());
+        if by == OverdueBy::Sender {
+            self.followed.broken();
+        }
+    }
+
+    fn taken(&mut self, _bytes: u64) {
+        self.connection.note_taken();
+    }
 }
 
 /// Returns how long a connection may be idle and still be reused.
--- a/server/src/forward_client.rs
+++ b/server/src/forward_client.rs
@@ -37,6 +37,7 @@
 use crate::answer_body;
 use crate::answer_body::AnswerBody;
 use crate::answer_body::AnswerObserver;
+use crate::answer_body::OverdueBy;
 use crate::dispatcher::OutgoingRequest;
 use crate::header;
 use crate::http_server::CONNECTION_WINDOW;
@@ -47,6 +48,7 @@
 use crate::peer_security::PeerSecurityError;
 use crate::refusal;
 use crate::refusal::Refused;
+use crate::unending_answer::UnendingAnswer;
 
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 
@@ -185,7 +187,15 @@
         match refusal::from_entry(response.headers(), answered) {
             Ok(Refused::NotRun(not_run)) => not_run.into(),
             Ok(Refused::Unknown(unknown)) => unknown.into(),
-            Err(answered) => answered.answered(to_response(response, req.deadline)),
+            Err(answered) => {
+                let end = ForwardedObserver {
+                    request_id: req.request_id.clone(),
+                    owner: address,
+                    begun: now,
+                    bytes: 0,
+                };
+                answered.answered(to_response(response, req.deadline, end))
+            }
         }
     }
 
@@ -226,20 +236,44 @@
     Some(message)
 }
 
-fn to_response(response: Response<Incoming>, deadline: Instant) -> Response<AnswerBody> {
+fn to_response(
+    response: Response<Incoming>,
+    deadline: Instant,
+    end: ForwardedObserver,
+) -> Response<AnswerBody> {
     let (head, body) = response.into_parts();
-    let body = answer_body::relay(body, deadline, Box::new(NoSlotHeld));
+    let body = answer_body::relay(body, deadline, Box::new(end));
     Response::from_parts(head, body)
 }
 
-/// Ignores the end of a relayed answer: this entry VM holds no slot for it that would have to be
+/// Reports an answer that does not end. This entry VM holds no slot for it that would have to be
 /// released.
-struct NoSlotHeld;
+struct ForwardedObserver {
+    request_id: String,
+    owner: SocketAddr,
+    begun: Instant,
+    bytes: u64,
+}
 
-impl AnswerObserver for NoSlotHeld {
+impl AnswerObserver for ForwardedObserver {
     fn completed(self: Box<Self>) {}
 
     fn broken(self: Box<Self>) {}
+
+    fn overdue(self: Box<Self>, by: OverdueBy) {
+        let unending = UnendingAnswer {
+            part: by.part(),
+            request_id: &self.request_id,
+            sender: &self.owner.to_string(),
+            bytes: self.bytes,
+            took: self.begun.elapsed(),
+        };
+        unending.log();
+    }
+
+    fn taken(&mut self, bytes: u64) {
+        self.bytes += bytes;
+    }
 }
 
 #[derive(Debug)]
--- a/server/src/lib.rs
+++ b/server/src/lib.rs
@@ -126,6 +126,7 @@
 pub mod sync_target;
 pub mod token_issuer;
 pub mod token_task;
+mod unending_answer;
 mod unread_headers;
 pub mod update_cache;
 pub mod write_failure;
--- a/server/src/metric.rs
+++ b/server/src/metric.rs
@@ -284,6 +284,12 @@
     counter!("heatherring_log_lines_dropped_total").increment(1);
 }
 
+/// Counts answers that were ended because of their bytes or their deadlines, by the part that did
+/// not end.
+pub fn answer_unending(part: &'static str) {
+    counter!("heatherring_answers_unending_total", "part" => part).increment(1);
+}
+
 /// Starts recording, and serves the metrics as text until `stop` is cancelled.
 ///
 /// # Errors
--- a/server/src/owner_path.rs
+++ b/server/src/owner_path.rs
@@ -27,6 +27,7 @@
 use crate::answer_body;
 use crate::answer_body::AnswerBody;
 use crate::answer_body::AnswerObserver;
+use crate::answer_body::OverdueBy;
 use crate::backend_connection::BackendConnection;
 use crate::backend_pool::BackendPool;
 use crate::crash_tracker::TrackedBackend;
@@ -228,4 +229,15 @@
         self.tracked.broken();
         self.guard.ended(Ending::Failed);
     }
+
+    fn overdue(self: Box<Self>, by: OverdueBy) {
+        self.connection.log_unending(by.part());
+        if by == OverdueBy::Sender {
+            self.broken();
+        }
+    }
+
+    fn taken(&mut self, _bytes: u64) {
+        self.connection.note_taken();
+    }
 }
