answers: one that does not end costs its own request alone

What callers saw: while one backend server sent interim answers, zeros before the size of a chunk or spaces behind it as fast as the socket took them, requests of others were refused with no_backend_server, because the entry VM's only thread was held; an answer that its caller did not read kept its connection, and at owners its slot, for ever; a scheduled link passed an answer without end on for ever.

Cause: bounds were asked only between reads, or by whoever polls. The HTTP library skips interim answers and the framing of chunks in a loop that ends when the socket is empty; `RelayBody` polled its source before its deadline, put the deadline off with each byte on a scheduled link, and did nothing unless polled.

Change: - `BackendStream` reads at most 128 KiB before its user takes the head or the next part of the body; then the read fails and the connection is reset. The caller is told what a broken connection means: unknown for an action, another attempt for a safe request, evidence of a crash. The decision is `answer_bound`. - The library's buffer is 64 KiB rather than 0.4 MB a connection, which also bounds a head. - An answer that is passed on has an end (`answer_deadline`), asked before its source, and a timer that lets go of the sender, the slot and the part of the link whether the body is polled or not. The receiver gets an error, never an end that looks complete. An answer that a caller left unread is abandoned, not evidence of a crash. - On a scheduled link an answer of known length goes on for 5 s past its deadline at most, one of unknown length not at all.

`in_time` asks for the answer before the deadline: left, since the head is one message and a body that is read there is at most 64 KiB by its length, so neither puts it off. A bound on reads a turn was not added: parts are taken by another task, so the bound on bytes holds for a turn.

--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod affinity;
 pub mod announcement;
 pub mod answer_bound;
+pub mod answer_deadline;
 pub mod answer_pairing;
 pub mod answer_size;
 pub mod audit;
--- a/server/src/answer_body.rs
+++ b/server/src/answer_body.rs
@@ -7,13 +7,20 @@
 
 use std::convert::Infallible;
 use std::pin::Pin;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::sync::Weak;
 use std::task::Context;
 use std::task::Poll;
-use std::time::Duration;
+use std::task::Waker;
+use std::task::ready;
 use std::time::Instant;
 
 use bytes::Bytes;
 use heatherring_lib::answer_bound::AnswerPart;
+use heatherring_lib::answer_deadline::AnswerDeadline;
 use http_body_util::BodyExt;
 use http_body_util::Full;
 use http_body_util::combinators::UnsyncBoxBody;
@@ -22,7 +29,7 @@
 use hyper::body::Incoming;
 use hyper::body::SizeHint;
 use snafu::Snafu;
-use tokio::time::Sleep;
+use tokio_util::task::AbortOnDropHandle;
 
 use crate::link_pacer::PacedStream;
 
@@ -78,31 +85,56 @@
     }
 }
 
-/// Time after the last bytes of an answer for which more are awaited past its deadline.
-const STALLED_AFTER: Duration = Duration::from_secs(1);
-
 /// Relays an answer frame by frame and reports how it ended.
 struct RelayBody {
+    relay: SharedRelay,
+    /// Ends the answer at its deadline, whether the body is polled or not.
+    _ending: AbortOnDropHandle<()>,
+}
+
+#[derive(Clone)]
+struct SharedRelay(Arc<Mutex<Relay>>);
+
+struct Relay {
+    /// `None` after the deadline has passed, so that the sender is let go of although the receiver
+    /// does not poll the body.
+    source: Option<Source>,
+    /// Wakes the receiver.
+    waker: Option<Waker>,
+}
+
+/// An answer whose last byte has not been read.
+struct Source {
     inner: Incoming,
-    deadline: Pin<Box<Sleep>>,
+    deadline: AnswerDeadline,
     end: Option<Box<dyn AnswerObserver>>,
     /// Limits the rate of reading.
     pace: Option<PacedStream>,
-    /// When bytes were last read, or could not be read for the pace.
-    active_at: tokio::time::Instant,
+    /// When bytes were last read.
+    active_at: Instant,
+    waiting_for: WaitingFor,
+}
+
+/// What an answer waits for.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum WaitingFor {
+    Sender,
+    Link,
+    Receiver,
 }
 
 /// Wraps the body of an answer that another process sends.
 ///
 /// `end` is notified of the last byte as soon as it has been read, not only when the receiver
-/// polls for more: `hyper` does not poll again once it knows the end.
+/// polls for more: `hyper` does not poll again once it knows the end. It is dropped at the deadline
+/// even if the receiver does not poll at all.
 #[must_use]
 pub fn relay(inner: Incoming, deadline: Instant, end: Box<dyn AnswerObserver>) -> AnswerBody {
-    relay_at_pace(inner, deadline, None, end)
+    relay_at_pace(inner, AnswerDeadline::strict(deadline), None, end)
 }
 
-/// Like [`relay`], but reads the answer only as `pace` allows. It is passed on past its deadline
-/// while bytes of it arrive.
+/// Like [`relay`], but reads the answer only as `pace` allows. One of known length is passed on past
+/// its deadline for a bounded time while bytes of it arrive.
 #[must_use]
 pub fn relay_paced(
     inner: Incoming,
@@ -110,12 +142,16 @@
     pace: PacedStream,
     end: Box<dyn AnswerObserver>,
 ) -> AnswerBody {
+    let deadline = match inner.size_hint().exact() {
+        Some(_) => AnswerDeadline::with_overtime(deadline),
+        None => AnswerDeadline::strict(deadline),
+    };
     relay_at_pace(inner, deadline, Some(pace), end)
 }
 
 fn relay_at_pace(
     inner: Incoming,
-    deadline: Instant,
+    deadline: AnswerDeadline,
     pace: Option<PacedStream>,
     end: Box<dyn AnswerObserver>,
 ) -> AnswerBody {
@@ -123,17 +159,45 @@
         end.completed();
         return empty();
     }
-    let deadline = Box::pin(tokio::time::sleep_until(deadline.into()));
-    let body = RelayBody {
+    let source = Source {
         inner,
         deadline,
         end: Some(end),
         pace,
-        active_at: tokio::time::Instant::now(),
+        active_at: now(),
+        waiting_for: WaitingFor::Receiver,
+    };
+    let ends_at = source.ends_at();
+    let relay = Arc::new(Mutex::new(Relay {
+        source: Some(source),
+        waker: None,
+    }));
+    let ending = tokio::spawn(end_at_deadline(Arc::downgrade(&relay), ends_at));
+    let body = RelayBody {
+        relay: SharedRelay(relay),
+        _ending: AbortOnDropHandle::new(ending),
     };
     body.boxed_unsync()
 }
 
+/// Ends an answer once its deadline has passed.
+async fn end_at_deadline(relay: Weak<Mutex<Relay>>, mut ends_at: Instant) {
+    loop {
+        tokio::time::sleep_until(ends_at.into()).await;
+        let Some(relay) = relay.upgrade().map(SharedRelay) else {
+            return;
+        };
+        match relay.end_if_overdue() {
+            Some(later) => ends_at = later,
+            None => return,
+        }
+    }
+}
+
+fn now() -> Instant {
+    tokio::time::Instant::now().into_std()
+}
+
 /// Wraps an answer made by this process.
 #[must_use]
 pub fn full(content: impl Into<Bytes>) -> AnswerBody {
@@ -148,7 +212,66 @@
     full(Bytes::new())
 }
 
-impl RelayBody {
+impl SharedRelay {
+    fn lock(&self) -> MutexGuard<'_, Relay> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Notes that the receiver would take more.
+    fn note_polled(&self) {
+        if let Some(source) = &mut self.lock().source
+            && source.waiting_for == WaitingFor::Receiver
+        {
+            source.waiting_for = WaitingFor::Sender;
+        }
+    }
+
+    /// Lets go of the sender if the deadline has passed. Returns when it may have, or `None` if
+    /// the answer has ended.
+    fn end_if_overdue(&self) -> Option<Instant> {
+        let mut relay = self.lock();
+        let source = relay.source.as_ref()?;
+        source.end.as_ref()?;
+        if !source.is_overdue() {
+            return Some(source.ends_at());
+        }
+        let (source, waker) = (relay.source.take(), relay.waker.take());
+        drop(relay);
+        if let Some(source) = source {
+            source.end_overdue();
+        }
+        if let Some(waker) = waker {
+            waker.wake();
+        }
+        None
+    }
+}
+
+impl Source {
+    fn is_overdue(&self) -> bool {
+        self.ends_at() <= now()
+    }
+
+    fn ends_at(&self) -> Instant {
+        let active_at = match self.waiting_for {
+            WaitingFor::Link => now(),
+            WaitingFor::Sender | WaitingFor::Receiver => self.active_at,
+        };
+        self.deadline.ends_at(active_at)
+    }
+
+    fn end_overdue(mut self) {
+        let is_stalled = AnswerDeadline::is_stalled(self.active_at, now());
+        let by = match self.waiting_for {
+            WaitingFor::Receiver if is_stalled => OverdueBy::Receiver,
+            // Between two parts of an answer that arrives, its end is what is missing.
+            WaitingFor::Receiver | WaitingFor::Sender | WaitingFor::Link => OverdueBy::Sender,
+        };
+        if let Some(end) = self.end.take() {
+            end.overdue(by);
+        }
+    }
+
     fn note_completed(&mut self) {
         if let Some(end) = self.end.take() {
             end.completed();
@@ -161,83 +284,91 @@
         }
     }
 
-    fn poll_pace(&mut self, cx: &mut Context<'_>) -> Poll<()> {
-        let Some(pace) = &mut self.pace else {
-            return Poll::Ready(());
-        };
-        if pace.poll_allowance(cx).is_pending() {
-            self.active_at = tokio::time::Instant::now();
-            return Poll::Pending;
-        }
-        Poll::Ready(())
-    }
-
     fn note_read(&mut self, frame: &Frame<Bytes>) {
+        self.active_at = now();
         let bytes = frame.data_ref().map_or(0, Bytes::len);
         if let Some(end) = &mut self.end {
             end.taken(u64::try_from(bytes).unwrap_or(u64::MAX));
         }
-        self.active_at = tokio::time::Instant::now();
-        if let (Some(pace), Some(data)) = (&mut self.pace, frame.data_ref()) {
-            pace.note_read(data.len());
+        if let Some(pace) = &mut self.pace {
+            pace.note_read(bytes);
         }
     }
 
-    /// Completes when the deadline has passed and, at a limited rate, the answer has stalled.
-    fn poll_deadline(&mut self, cx: &mut Context<'_>) -> Poll<()> {
-        while self.deadline.as_mut().poll(cx).is_ready() {
-            let stalled_at = self.active_at + STALLED_AFTER;
-            if self.pace.is_none() || stalled_at <= tokio::time::Instant::now() {
-                return Poll::Ready(());
-            }
-            self.deadline.as_mut().reset(stalled_at);
+    fn poll_pace(&mut self, cx: &mut Context<'_>) -> Poll<()> {
+        let Some(pace) = &mut self.pace else {
+            return Poll::Ready(());
+        };
+        let polled = pace.poll_allowance(cx);
+        if polled.is_pending() || self.waiting_for == WaitingFor::Link {
+            self.active_at = now();
         }
-        Poll::Pending
+        polled
     }
-}
-
-impl Body for RelayBody {
-    type Data = Bytes;
-    type Error = AnswerBodyError;
 
     fn poll_frame(
-        self: Pin<&mut Self>,
+        &mut self,
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, AnswerBodyError>>> {
-        let this = self.get_mut();
-        if this.poll_pace(cx).is_pending() {
+        if self.poll_pace(cx).is_pending() {
+            self.waiting_for = WaitingFor::Link;
             return Poll::Pending;
         }
-        match Pin::new(&mut this.inner).poll_frame(cx) {
-            Poll::Ready(Some(Ok(frame))) => {
-                this.note_read(&frame);
-                if this.inner.is_end_stream() {
-                    this.note_completed();
+        self.waiting_for = WaitingFor::Sender;
+        let polled = ready!(Pin::new(&mut self.inner).poll_frame(cx));
+        self.waiting_for = WaitingFor::Receiver;
+        match polled {
+            Some(Ok(frame)) => {
+                self.note_read(&frame);
+                if self.inner.is_end_stream() {
+                    self.note_completed();
                 }
                 Poll::Ready(Some(Ok(frame)))
             }
-            Poll::Ready(Some(Err(source))) => {
-                this.note_broken();
+            Some(Err(source)) => {
+                self.note_broken();
                 Poll::Ready(Some(Err(AnswerBodyError::Source { source })))
             }
-            Poll::Ready(None) => {
-                this.note_completed();
+            None => {
+                self.note_completed();
                 Poll::Ready(None)
             }
-            Poll::Pending => this.poll_deadline(cx).map(|()| {
-                if let Some(end) = this.end.take() {
-                    end.overdue(OverdueBy::Sender);
-                }
-                Some(Err(AnswerBodyError::Deadline))
-            }),
         }
     }
+}
+
+impl Body for RelayBody {
+    type Data = Bytes;
+    type Error = AnswerBodyError;
+
+    /// Asks for the deadline first: a sender that always has more to send would put it off.
+    fn poll_frame(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, AnswerBodyError>>> {
+        let this = self.get_mut();
+        this.relay.note_polled();
+        this.relay.end_if_overdue();
+        let mut relay = this.relay.lock();
+        let Some(source) = &mut relay.source else {
+            return Poll::Ready(Some(Err(AnswerBodyError::Deadline)));
+        };
+        let polled = source.poll_frame(cx);
+        if polled.is_pending() {
+            relay.waker = Some(cx.waker().clone());
+        }
+        polled
+    }
 
     fn is_end_stream(&self) -> bool {
-        self.inner.is_end_stream()
+        let relay = self.relay.lock();
+        let source = relay.source.as_ref();
+        source.is_some_and(|source| source.inner.is_end_stream())
     }
 
     fn size_hint(&self) -> SizeHint {
-        self.inner.size_hint()
+        let relay = self.relay.lock();
+        let source = relay.source.as_ref();
+        source.map_or_else(SizeHint::default, |source| source.inner.size_hint())
     }
 }
--- a/server/src/backend_connection.rs
+++ b/server/src/backend_connection.rs
@@ -38,7 +38,9 @@
 /// Time without acknowledgement of sent bytes after which the system breaks a connection:
 /// several times the longest round trip between regions, 110 ms.
 const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_millis(1_500);
-/// Size of the HTTP library's read buffer of a connection with a bounded receive buffer. The
+/// Size of the HTTP library's read buffer of a connection, which also bounds the head of an answer.
+const READ_BUFFER: usize = 64 << 10;
+/// Size of that buffer of a connection with a bounded receive buffer. The
 /// smallest one that the library permits is half of it.
 const PACED_READ_BUFFER: usize = 16 << 10;
 
@@ -246,10 +248,12 @@
     stream.set_nodelay(true).context(ConnectSnafu { address })?;
     let established_in = begun.elapsed();
     set_user_timeout(&stream);
+    let read_buffer = match options.receive_buffer {
+        Some(_) => PACED_READ_BUFFER,
+        None => READ_BUFFER,
+    };
     let mut builder = http1::Builder::new();
-    if options.receive_buffer.is_some() {
-        builder.max_buf_size(PACED_READ_BUFFER);
-    }
+    builder.max_buf_size(read_buffer);
     let (stream, user) = BackendStream::new(stream, permit);
     let (sender, connection) = builder
         .handshake(TokioIo::new(stream))
--- a/server/src/backend_stream.rs
+++ b/server/src/backend_stream.rs
@@ -21,6 +21,7 @@
 
 use heatherring_lib::answer_bound::AnswerBound;
 use rustix::net::sockopt;
+use snafu::Snafu;
 use tokio::io::AsyncRead;
 use tokio::io::AsyncWrite;
 use tokio::io::ReadBuf;
@@ -33,6 +34,11 @@
 /// read as a whole, and a buffer of the HTTP library.
 const MAX_BYTES_AHEAD: u64 = 128 << 10;
 
+/// More bytes than permitted were read without anything coming of them.
+#[derive(Debug, Snafu)]
+#[snafu(display("the answer does not end"))]
+struct EndlessError;
+
 /// Whether a request is under way on a stream.
 #[derive(Debug, Default)]
 enum Progress {
@@ -208,6 +214,22 @@
         (stream, user)
     }
 
+    /// Returns how many bytes may be read.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the answer does not end. The connection is of no use then.
+    fn allowed(&self) -> io::Result<usize> {
+        let mut exchange = self.exchange.lock();
+        let allowed = exchange.bound.allowed();
+        if allowed > 0 {
+            return Ok(usize::try_from(allowed).unwrap_or(usize::MAX));
+        }
+        exchange.log_unending(exchange.bound.part().name(), self.address);
+        exchange.progress = Progress::Withdrawn;
+        Err(io::Error::new(io::ErrorKind::InvalidData, EndlessError))
+    }
+
     fn stream(&mut self) -> io::Result<Pin<&mut TcpStream>> {
         let socket = self.socket.as_mut();
         let socket = socket.ok_or(io::ErrorKind::NotConnected)?;
@@ -236,17 +258,20 @@
         cx: &mut Context<'_>,
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        let before = buf.filled().len();
-        ready!(self.stream()?.poll_read(cx, buf))?;
-        let bytes = buf.filled().len() - before;
-        let mut exchange = self.exchange.lock();
-        let was_allowed = exchange.bound.allowed() > 0;
-        exchange
-            .bound
-            .note_read(u64::try_from(bytes).unwrap_or(u64::MAX));
-        if was_allowed && exchange.bound.allowed() == 0 {
-            exchange.log_unending(exchange.bound.part().name(), self.address);
-        }
+        let allowed = self.allowed()?;
+        let bytes = if buf.remaining() > allowed {
+            let mut part = ReadBuf::new(buf.initialize_unfilled_to(allowed));
+            ready!(self.stream()?.poll_read(cx, &mut part))?;
+            let bytes = part.filled().len();
+            buf.advance(bytes);
+            bytes
+        } else {
+            let before = buf.filled().len();
+            ready!(self.stream()?.poll_read(cx, buf))?;
+            buf.filled().len() - before
+        };
+        let bytes = u64::try_from(bytes).unwrap_or(u64::MAX);
+        self.exchange.lock().bound.note_read(bytes);
         Poll::Ready(Ok(()))
     }
 }
