callers: few bytes that nobody waits for are read

What callers saw: while one caller went on sending behind its last request, an invalid one or a body that was refused, requests on the same worker thread waited.

Cause: the rest of a connection is read in a loop that leaves only when no byte is at hand, and its time limit is asked only then. Reads that find bytes do not yield.

The loop now lets other tasks run after each 32 reads and ends after 16 MiB; the connection is then closed as soon as its answers are written.

--- a/server/src/pipelined_connection.rs
+++ b/server/src/pipelined_connection.rs
@@ -81,9 +81,17 @@
 /// connection with unread bytes resets it, which could lose that answer.
 const LINGER: Duration = Duration::from_millis(500);
 
+/// Largest number of bytes that are read from a caller only to be discarded. A caller that sends
+/// more is not waiting for its answer.
+const MAX_DISCARDED_BYTES: usize = 16 << 20;
+
 /// Size of the buffer for discarded bytes.
 const SCRATCH_BYTES: usize = 2_048;
 
+/// Number of reads of discarded bytes after which other tasks run. A read that finds bytes does not
+/// yield by itself.
+const READS_PER_TURN: usize = 32;
+
 /// Holds the parameters for serving one connection.
 #[derive(Debug)]
 pub(crate) struct PipelineSetup<H> {
@@ -136,6 +144,7 @@
     let mut answering = std::pin::pin!(answering);
     let mut pending_tx = Some(pending_tx);
     let mut shutdown_begun = false;
+    let mut rest = DiscardedBytes::new(&read_half);
     loop {
         tokio::select! {
             biased;
@@ -148,7 +157,7 @@
                     end_with_fault(&error, &pending_answers, &progress);
                 }
             }
-            () = drain(&read_half), if pending_tx.is_none() => {
+            () = rest.until_closed(), if pending_tx.is_none() => {
                 return progress.log_end(peer, "the caller closed it after its last request");
             }
             () = answering.as_mut() => break,
@@ -169,7 +178,7 @@
         }
     }
     // An answer that was cut short has broken the connection; there is no rest to wait for then.
-    let _ = tokio::time::timeout(LINGER, drain(&read_half)).await;
+    let _ = tokio::time::timeout(LINGER, rest.read()).await;
 }
 
 /// Answers bytes that are not a valid request with an error status, after the pending answers.
@@ -445,18 +454,45 @@
     }
 }
 
-/// Reads and discards what a caller still sends, until it closes its side.
-async fn drain(stream: &OwnedReadHalf) {
-    let mut scratch = vec![0; SCRATCH_BYTES];
-    loop {
-        if stream.readable().await.is_err() {
-            return;
+/// What a caller still sends when nothing of it is handled any more.
+struct DiscardedBytes<'a> {
+    stream: &'a OwnedReadHalf,
+    /// Number of bytes that may still be read.
+    left: usize,
+}
+
+impl<'a> DiscardedBytes<'a> {
+    const fn new(stream: &'a OwnedReadHalf) -> Self {
+        Self {
+            stream,
+            left: MAX_DISCARDED_BYTES,
+        }
+    }
+
+    /// Reads and discards until the caller closes its side; waits for ever if it sends too much.
+    async fn until_closed(&mut self) {
+        self.read().await;
+        if self.left == 0 {
+            std::future::pending::<()>().await;
         }
-        match stream.try_read(&mut scratch) {
-            Ok(0) => return,
-            Ok(_) => {}
-            Err(error) if error.kind() == std::io::ErrorKind::WouldBlock => {}
-            Err(_) => return,
+    }
+
+    /// Reads and discards until the caller closes its side or has sent too much.
+    async fn read(&mut self) {
+        let mut scratch = vec![0; SCRATCH_BYTES];
+        while self.left > 0 {
+            for _ in 0..READS_PER_TURN {
+                if self.stream.readable().await.is_err() {
+                    return;
+                }
+                match self.stream.try_read(&mut scratch) {
+                    Ok(0) => return,
+                    Ok(bytes) => self.left = self.left.saturating_sub(bytes),
+                    Err(error) if error.kind() == std::io::ErrorKind::WouldBlock => {}
+                    Err(_) => return,
+                }
+            }
+            tokio::task::yield_now().await;
         }
     }
 }
--- /dev/null
+++ b/server/tests/endless_support/mod.rs
@@ -0,0 +1,148 @@
+//! A listener with short time-outs, and callers that send without end.
+
+#![allow(
+    dead_code,
+    reason = "each test file is a crate of its own and uses only a part of this module"
+)]
+
+use std::io::Write;
+use std::net::SocketAddr;
+use std::net::TcpStream;
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use heatherring_lib::clock::SystemClock;
+use heatherring_server::answer_body;
+use heatherring_server::answer_body::AnswerBody;
+use heatherring_server::http_server;
+use heatherring_server::http_server::Admittance;
+use heatherring_server::http_server::Arrival;
+use heatherring_server::http_server::ConnectionLimits;
+use heatherring_server::http_server::ConnectionUsage;
+use heatherring_server::http_server::Handler;
+use heatherring_server::http_server::HttpBounds;
+use heatherring_server::http_server::HttpVersions;
+use heatherring_server::http_server::LimitsSource;
+use heatherring_server::request_body;
+use heatherring_server::request_body::RequestBody;
+use http::Request;
+use http::Response;
+use http::StatusCode;
+use tokio::net::TcpListener;
+use tokio_util::sync::CancellationToken;
+
+/// Largest body of a request that the listener reads.
+pub const MAX_BODY: u32 = 1 << 20;
+
+/// Largest call to control that the listener reads.
+const MAX_CALL: usize = 1 << 10;
+
+/// Time after which a connection without progress is closed; longer than a busy machine delays a
+/// test.
+pub const IDLE_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Time after which a test fails.
+pub const TEST_TIMEOUT: Duration = Duration::from_secs(30);
+
+/// Time for which a caller floods its connection unless that ends before.
+const FLOOD_TIME: Duration = Duration::from_secs(10);
+
+/// Reads bodies as entry VMs and control replicas do, and answers with as many bytes as the path
+/// says.
+#[derive(Clone, Copy, Debug)]
+struct Sized;
+
+impl Handler for Sized {
+    async fn handle(&self, arrival: Arrival, req: Request<RequestBody>) -> Response<AnswerBody> {
+        let (head, body) = req.into_parts();
+        let path = head.uri.path().trim_start_matches('/');
+        let is_read = if path == "control" {
+            request_body::read_control_call(body, MAX_CALL)
+                .await
+                .is_ok()
+        } else {
+            let deadline = arrival.at + TEST_TIMEOUT;
+            request_body::read(body, MAX_BODY, deadline).await.is_ok()
+        };
+        let mut response = Response::new(answer_body::full(vec![b'x'; path.parse().unwrap_or(0)]));
+        if !is_read {
+            *response.status_mut() = StatusCode::BAD_REQUEST;
+        }
+        response
+    }
+}
+
+/// A listener that runs as a task of the test.
+pub struct Server {
+    pub address: SocketAddr,
+    pub usage: ConnectionUsage,
+}
+
+impl Server {
+    pub async fn start(versions: HttpVersions) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let usage = ConnectionUsage::default();
+        let bounds = HttpBounds {
+            max_connections: 8,
+            usage: usage.clone(),
+            limits: LimitsSource::fixed(ConnectionLimits {
+                max_header_bytes: 8 << 10,
+                header_timeout: IDLE_TIMEOUT,
+                idle_timeout: IDLE_TIMEOUT,
+            }),
+            versions,
+            clock: Arc::new(SystemClock),
+        };
+        let stop = CancellationToken::new();
+        tokio::spawn(http_server::serve(
+            listener,
+            Admittance::Anybody,
+            bounds,
+            Sized,
+            stop.into(),
+        ));
+        Self { address, usage }
+    }
+
+    /// Waits until no connection is open.
+    pub async fn until_unused(&self) {
+        let unused = async {
+            while self.usage.open() > 0 {
+                tokio::time::sleep(IDLE_TIMEOUT / 10).await;
+            }
+        };
+        let waiting = tokio::time::timeout(TEST_TIMEOUT, unused);
+        waiting.await.expect("the connection ends");
+    }
+}
+
+/// Sends `begin` and then bytes without end. Returns how many the peer took before it ended the
+/// connection; `None` if it did not.
+pub fn flood(address: SocketAddr, begin: &str) -> Option<u64> {
+    let mut stream = TcpStream::connect(address).unwrap();
+    stream.write_all(begin.as_bytes()).unwrap();
+    let until = Instant::now() + FLOOD_TIME;
+    // Several writers keep the socket full.
+    let writers: Vec<_> = (0..3)
+        .map(|_| {
+            let mut stream = stream.try_clone().unwrap();
+            std::thread::spawn(move || {
+                let block = vec![b'x'; 64 << 10];
+                let mut taken = 0;
+                while Instant::now() < until {
+                    match stream.write(&block) {
+                        Ok(bytes) => taken += u64::try_from(bytes).unwrap(),
+                        Err(_) => return Some(taken),
+                    }
+                }
+                None
+            })
+        })
+        .collect();
+    writers
+        .into_iter()
+        .map(|writer| writer.join().unwrap())
+        .sum()
+}
