callers: an answer that is not read ends

What callers saw: no connection left at an entry VM, or at a backend server, once enough callers had sent requests without reading the answers.

Cause: a connection was closed for want of progress only while all answers were written. The HTTP library polls the body of an answer, and its deadline with it, only while the connection takes bytes, so an answer that waits for its caller held the connection, and that to the backend server, for ever.

A connection that has taken no byte of a waiting answer for the idle timeout is now reset.

--- a/server/src/pipeline_io.rs
+++ b/server/src/pipeline_io.rs
@@ -39,6 +39,7 @@
 use tokio_util::task::AbortOnDropHandle;
 
 use crate::answer_body::AnswerBody;
+use crate::http_server::ConnectionLimits;
 
 /// Interim response for a caller that waits for permission to send the body.
 const CONTINUE: &[u8] = b"HTTP/1.1 100 Continue\r\n\r\n";
@@ -137,6 +138,8 @@
     pub read_at: Instant,
     /// When the first bytes of the incomplete head arrived; `None` without such bytes.
     pub head_since: Option<Instant>,
+    /// Since when the connection has taken no byte of an answer; `None` if none waits for it.
+    pub blocked_since: Option<Instant>,
     /// The part of a request that is being read.
     pub reading: Reading,
     /// Whether reading stops after the current request, or after the first one of the connection.
@@ -158,6 +161,7 @@
             active_at: now,
             read_at: now,
             head_since: None,
+            blocked_since: None,
             reading: Reading::Heads,
             ending: false,
             caller_left: false,
@@ -218,7 +222,15 @@
     }
 
     fn note_written(&self) {
-        self.state().active_at = self.clock.now();
+        let now = self.clock.now();
+        let mut state = self.state();
+        state.active_at = now;
+        state.blocked_since = None;
+    }
+
+    fn note_blocked(&self) {
+        let now = self.clock.now();
+        self.state().blocked_since.get_or_insert(now);
     }
 }
 
@@ -237,9 +249,17 @@
         (self.ending || self.reading == Reading::Ended) && self.unanswered() == 0
     }
 
-    /// Returns whether all requests are answered, so that the caller has to send the next one.
-    pub const fn waits_for_caller(&self) -> bool {
-        self.written && self.unanswered() == 0
+    /// Returns when the caller has to have sent the next request, or to have taken a part of its
+    /// answer; `None` while a request is handled.
+    pub fn due(&self, limits: ConnectionLimits) -> Option<Instant> {
+        if let Some(since) = self.blocked_since {
+            return Some(since + limits.idle_timeout);
+        }
+        let is_answered = self.written && self.unanswered() == 0;
+        is_answered.then(|| match self.head_since {
+            Some(since) => since + limits.header_timeout,
+            None => self.active_at + limits.idle_timeout,
+        })
     }
 }
 
@@ -366,7 +386,10 @@
         write: impl Fn(&OwnedWriteHalf) -> std::io::Result<usize>,
     ) -> Poll<std::io::Result<usize>> {
         loop {
-            ready!(self.poll_ready(cx))?;
+            if self.poll_ready(cx).is_pending() {
+                self.progress.note_blocked();
+                return Poll::Pending;
+            }
             match write(self.stream) {
                 Err(error) if error.kind() == std::io::ErrorKind::WouldBlock => {}
                 written => {
--- a/server/src/pipelined_connection.rs
+++ b/server/src/pipelined_connection.rs
@@ -31,6 +31,7 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
+use rustix::net::sockopt;
 use snafu::Snafu;
 use tokio::net::TcpStream;
 use tokio::net::tcp::OwnedReadHalf;
@@ -170,7 +171,12 @@
                 return progress.log_end(peer, "the process is stopping and no request arrived");
             }
             () = timed_out_waiting(&progress, limits) => {
-                return progress.log_end(peer, "the caller was idle or slow to send a head");
+                let is_blocked = progress.state().blocked_since.is_some();
+                if !is_blocked {
+                    return progress.log_end(peer, "the caller was idle or slow to send a head");
+                }
+                reset_on_close(&read_half);
+                return progress.log_end(peer, "the caller did not read its answer");
             }
             () = caller_closed(&read_half, &progress) => {
                 return progress.log_end(peer, "the caller closed it with bytes unread");
@@ -416,22 +422,22 @@
     }
 }
 
-/// Completes when a caller has exceeded the timeout of a request's head, or was idle too long.
+/// Completes when a caller has exceeded the timeout of a request's head, was idle too long, or has
+/// taken nothing of an answer for too long.
+///
+/// The library polls the body of an answer, and with it its deadline, only while the connection
+/// takes bytes.
 async fn timed_out_waiting(progress: &Progress, limits: ConnectionLimits) {
     loop {
         let now = progress.now();
-        let state = *progress.state();
-        let due = match state.head_since {
-            Some(since) => since + limits.header_timeout,
-            None => state.active_at + limits.idle_timeout,
-        };
-        if due <= now && state.waits_for_caller() {
+        let due = progress.state().due(limits);
+        if due.is_some_and(|due| due <= now) {
             return;
         }
         // The first bytes of a head may arrive at any time, and are due sooner than the idle
         // timeout. Each wake-up polls the whole task.
         let look = now + limits.header_timeout;
-        let next = if due <= now { look } else { due.min(look) };
+        let next = due.map_or(look, |due| due.min(look));
         tokio::time::sleep_until(next.into()).await;
     }
 }
@@ -454,6 +460,14 @@
     }
 }
 
+/// Makes the connection end by a reset: the system would otherwise keep what the caller does not
+/// read for minutes.
+fn reset_on_close(stream: &OwnedReadHalf) {
+    if let Err(error) = sockopt::set_socket_linger(stream.as_ref(), Some(Duration::ZERO)) {
+        log::debug!(event = "linger_refused", error:% = error; "cannot set how a connection is closed");
+    }
+}
+
 /// What a caller still sends when nothing of it is handled any more.
 struct DiscardedBytes<'a> {
     stream: &'a OwnedReadHalf,
--- a/server/tests/test_endless_peers.rs
+++ b/server/tests/test_endless_peers.rs
@@ -4,7 +4,11 @@
 
 use heatherring_server::http_server::HttpVersions;
 use rstest::rstest;
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
 
+use crate::endless_support::IDLE_TIMEOUT;
 use crate::endless_support::Server;
 use crate::endless_support::flood;
 
@@ -26,3 +30,38 @@
     let taken = flooding.await.unwrap();
     assert!(taken.is_some_and(|taken| taken < MAX_FLOOD), "{taken:?}");
 }
+
+/// Guards against connections, and with them those to backend servers, that last for ever because
+/// callers do not read their answers.
+#[rstest]
+#[case::one_long_answer("/50000000", 1)]
+#[case::many_short_answers("/100000", 500)]
+#[tokio::test]
+async fn test_an_answer_that_is_not_read_ends(#[case] path: &str, #[case] requests: usize) {
+    let server = Server::start(HttpVersions::Http1).await;
+    let mut stream = TcpStream::connect(server.address).await.unwrap();
+    let sent = format!("GET {path} HTTP/1.1\r\nhost: a\r\n\r\n").repeat(requests);
+    stream.write_all(sent.as_bytes()).await.unwrap();
+    stream.readable().await.unwrap();
+    server.until_unused().await;
+}
+
+/// Guards against answers that are cut off because their callers read slowly.
+#[tokio::test]
+async fn test_an_answer_that_is_read_slowly_is_passed_on() {
+    const BYTES: usize = 50_000_000;
+    let server = Server::start(HttpVersions::Http1).await;
+    let mut stream = TcpStream::connect(server.address).await.unwrap();
+    let sent = format!("GET /{BYTES} HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n");
+    stream.write_all(sent.as_bytes()).await.unwrap();
+    let mut part = vec![0; 4_000_000];
+    let mut received = 0;
+    loop {
+        tokio::time::sleep(IDLE_TIMEOUT / 10).await;
+        match stream.read(&mut part).await.unwrap() {
+            0 => break,
+            bytes => received += bytes,
+        }
+    }
+    assert!(received > BYTES, "{received}");
+}
