control: a call whose body does not end is refused

What callers saw: check-ins and orders refused by a replica, once 1,500 callers had begun a call without ending it.

Cause: the body of a call was read without a time limit, and a connection whose request is handled is not closed.

A call now has 5 s and one second for each 256 KiB that it may have. test_a_call_to_control_that_does_not_end_is_refused failed before: no answer within 30 s.

--- a/server/src/request_body.rs
+++ b/server/src/request_body.rs
@@ -9,6 +9,7 @@
 use std::pin::Pin;
 use std::task::Context;
 use std::task::Poll;
+use std::time::Duration;
 use std::time::Instant;
 
 use bytes::Bytes;
@@ -30,6 +31,12 @@
 /// of more is not a backend server, and several hundred may send at the same time.
 pub const MAX_ANNOUNCEMENT_BYTES: usize = 16 << 10;
 
+/// Time within which a call to control must arrive, besides that for its bytes.
+const CALL_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// Lowest rate, in bytes per second, at which a call to control may arrive.
+const MIN_CALL_RATE: usize = 256 << 10;
+
 /// The body of a request, together with the signal that holds back the next request on the
 /// connection.
 #[derive(Debug)]
@@ -110,11 +117,14 @@
 ///
 /// # Errors
 ///
-/// Returns an error if the body is too large or broke off.
+/// Returns an error if the body is too large, broke off or does not arrive in time.
 pub async fn read_control_call(
     body: RequestBody,
     max_bytes: usize,
 ) -> Result<Bytes, Box<dyn std::error::Error + Send + Sync>> {
+    let seconds = u64::try_from(max_bytes / MIN_CALL_RATE).unwrap_or(u64::MAX);
+    let timeout = CALL_TIMEOUT + Duration::from_secs(seconds);
     let limited = Limited::new(body, max_bytes);
-    Ok(limited.collect().await?.to_bytes())
+    let collected = tokio::time::timeout(timeout, limited.collect()).await??;
+    Ok(collected.to_bytes())
 }
--- a/server/tests/test_endless_peers.rs
+++ b/server/tests/test_endless_peers.rs
@@ -10,6 +10,7 @@
 
 use crate::endless_support::IDLE_TIMEOUT;
 use crate::endless_support::Server;
+use crate::endless_support::TEST_TIMEOUT;
 use crate::endless_support::flood;
 
 /// Bytes that a peer may send in vain: what is discarded and what the sockets hold.
@@ -65,3 +66,16 @@
     }
     assert!(received > BYTES, "{received}");
 }
+
+/// Guards against callers of control that occupy its connections with bodies that never end.
+#[tokio::test]
+async fn test_a_call_to_control_that_does_not_end_is_refused() {
+    let server = Server::start(HttpVersions::Http1).await;
+    let mut stream = TcpStream::connect(server.address).await.unwrap();
+    let sent = "PUT /control HTTP/1.1\r\nhost: a\r\ncontent-length: 3\r\n\r\nx";
+    stream.write_all(sent.as_bytes()).await.unwrap();
+    let mut answer = String::new();
+    let reading = tokio::time::timeout(TEST_TIMEOUT, stream.read_to_string(&mut answer));
+    reading.await.expect("the connection ends").unwrap();
+    assert!(answer.starts_with("HTTP/1.1 400 "), "{answer}");
+}
