requests: a body in small chunks takes its own size

What callers saw: an entry VM or a control replica that ended for want of memory when a caller sent a long body in chunks of one byte. With the 64 MiB that a manifest may allow, one such body takes more than 2 GB.

Cause: the frames of a body were collected as they came. Each is a handle of its own and keeps the buffer that it was read into.

--- a/server/src/request_body.rs
+++ b/server/src/request_body.rs
@@ -13,15 +13,17 @@
 use std::time::Instant;
 
 use bytes::Bytes;
+use bytes::BytesMut;
 use heatherring_lib::outcome::NotRunReason;
 use http::Request;
 use http_body_util::BodyExt;
-use http_body_util::LengthLimitError;
-use http_body_util::Limited;
 use hyper::body::Body;
 use hyper::body::Frame;
 use hyper::body::Incoming;
 use hyper::body::SizeHint;
+use snafu::ResultExt;
+use snafu::Snafu;
+use snafu::ensure;
 use tokio::sync::oneshot;
 
 /// Maximum size of an operator's call in bytes: a manifest of about ten thousand routes.
@@ -37,6 +39,26 @@
 /// Lowest rate, in bytes per second, at which a call to control may arrive.
 const MIN_CALL_RATE: usize = 256 << 10;
 
+/// Why a body could not be read.
+#[derive(Debug, Snafu)]
+pub enum BodyError {
+    /// The body is larger than allowed.
+    #[snafu(display("the body has more than {max_bytes} bytes"))]
+    TooLarge {
+        /// The largest size allowed.
+        max_bytes: usize,
+    },
+    /// The sender broke off, or sent something else than a body.
+    #[snafu(display("the body broke off: {source}"))]
+    Broken {
+        /// The error of the HTTP library.
+        source: hyper::Error,
+    },
+    /// The body did not arrive in time.
+    #[snafu(display("the body did not arrive in time"))]
+    Late,
+}
+
 /// The body of a request, together with the signal that holds back the next request on the
 /// connection.
 #[derive(Debug)]
@@ -103,14 +125,12 @@
     if body.size_hint().lower() > u64::from(max_bytes) {
         return Err(NotRunReason::BodyTooLarge);
     }
-    let limited = Limited::new(body, max_bytes as usize);
-    let reading = tokio::time::timeout_at(deadline.into(), limited.collect());
-    match reading.await {
-        Ok(Ok(collected)) => Ok(collected.to_bytes()),
-        Ok(Err(error)) if error.is::<LengthLimitError>() => Err(NotRunReason::BodyTooLarge),
-        Ok(Err(_)) => Err(NotRunReason::MalformedRequest),
-        Err(_) => Err(NotRunReason::DeadlineTooShort),
-    }
+    let content = collect(body, max_bytes as usize, deadline).await;
+    content.map_err(|error| match error {
+        BodyError::TooLarge { .. } => NotRunReason::BodyTooLarge,
+        BodyError::Broken { .. } => NotRunReason::MalformedRequest,
+        BodyError::Late => NotRunReason::DeadlineTooShort,
+    })
 }
 
 /// Reads the body of a call to control, up to `max_bytes`.
@@ -118,13 +138,33 @@
 /// # Errors
 ///
 /// Returns an error if the body is too large, broke off or does not arrive in time.
-pub async fn read_control_call(
-    body: RequestBody,
-    max_bytes: usize,
-) -> Result<Bytes, Box<dyn std::error::Error + Send + Sync>> {
+pub async fn read_control_call(body: RequestBody, max_bytes: usize) -> Result<Bytes, BodyError> {
     let seconds = u64::try_from(max_bytes / MIN_CALL_RATE).unwrap_or(u64::MAX);
-    let timeout = CALL_TIMEOUT + Duration::from_secs(seconds);
-    let limited = Limited::new(body, max_bytes);
-    let collected = tokio::time::timeout(timeout, limited.collect()).await??;
-    Ok(collected.to_bytes())
+    let deadline = Instant::now() + CALL_TIMEOUT + Duration::from_secs(seconds);
+    collect(body, max_bytes, deadline).await
+}
+
+/// Copies a body into one buffer. A chunk that is kept by itself keeps the buffer that it was read
+/// into, however small it is.
+async fn collect(
+    mut body: RequestBody,
+    max_bytes: usize,
+    deadline: Instant,
+) -> Result<Bytes, BodyError> {
+    let mut content = BytesMut::new();
+    let reading = async {
+        while let Some(frame) = body.frame().await {
+            // Trailers are not passed on.
+            let Ok(data) = frame.context(BrokenSnafu)?.into_data() else {
+                continue;
+            };
+            let is_within = content.len().saturating_add(data.len()) <= max_bytes;
+            ensure!(is_within, TooLargeSnafu { max_bytes });
+            content.extend_from_slice(&data);
+        }
+        Ok(())
+    };
+    let read = tokio::time::timeout_at(deadline.into(), reading).await;
+    read.unwrap_or_else(|_| LateSnafu.fail())?;
+    Ok(content.freeze())
 }
