requests: long bodies share a memory

What callers saw: an entry VM that ended for want of memory when a few callers sent long bodies at the same time. A manifest may allow 64 MiB each, and an entry VM accepts 2,000 connections.

Cause: only the size of each body was limited.

The bodies of more than 32 KiB at one listener now take at most 128 MiB together, until the last copy of each is dropped. A request that finds no memory is refused at once as overloaded; short bodies are always read. One body may take all of it, so that any limit of a manifest can be used. test_long_bodies_share_a_memory failed before: a fifth body of 32 MiB was read and kept.

--- a/lib/src/explanation.rs
+++ b/lib/src/explanation.rs
@@ -158,7 +158,10 @@
         }
         NotRunReason::Leaving => "a process that is leaving accepts no new requests",
         NotRunReason::NoBackendServer => "no backend server is announced and ready",
-        NotRunReason::Overloaded => "all slots are taken and the queue is full",
+        NotRunReason::Overloaded => {
+            "all slots are taken and the queue is full, or long bodies of other requests take the \
+             memory for them"
+        }
         NotRunReason::DeadlineTooShort => {
             "the wait for a slot and the usual service time exceed the time left before the deadline"
         }
--- a/server/src/http_server.rs
+++ b/server/src/http_server.rs
@@ -43,6 +43,7 @@
 use tokio_util::task::TaskTracker;
 
 use crate::answer_body::AnswerBody;
+use crate::body_memory::BodyMemory;
 use crate::peer_security::PeerSecurity;
 use crate::pipeline_io::Progress;
 use crate::pipelined_connection;
@@ -260,6 +261,7 @@
     let permits = Arc::new(Semaphore::new(bounds.max_connections));
     let builder = Arc::new(builder(&bounds));
     let ahead = Arc::new(Semaphore::new(MAX_READ_AHEAD_PER_LISTENER));
+    let body_memory = BodyMemory::default();
     loop {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
@@ -288,6 +290,7 @@
             clock: Arc::clone(&bounds.clock),
             stops: stops.clone(),
             ahead: Arc::clone(&ahead),
+            body_memory: body_memory.clone(),
             _permit: permit,
             _open: bounds.usage.opened(),
         };
@@ -331,6 +334,7 @@
     clock: Arc<dyn Clock>,
     stops: Stops,
     ahead: Arc<Semaphore>,
+    body_memory: BodyMemory,
     _permit: OwnedSemaphorePermit,
     _open: OpenConnection,
 }
@@ -379,6 +383,7 @@
             progress: Arc::new(Progress::new(Arc::clone(&self.clock))),
             stops: self.stops.clone(),
             listener_read_ahead: Arc::clone(&self.ahead),
+            body_memory: self.body_memory.clone(),
         };
         pipelined_connection::serve(stream, prefix, setup).await;
     }
@@ -390,12 +395,13 @@
             let handler = self.handler.clone();
             let peer = self.peer;
             let clock = Arc::clone(&self.clock);
+            let body_memory = self.body_memory.clone();
             move |req: Request<Incoming>| {
                 begun.store(true, Ordering::Relaxed);
                 let handler = handler.clone();
                 let at = clock.now();
                 let arrival = Arrival { peer, at };
-                let req = req.map(RequestBody::from);
+                let req = req.map(|body| RequestBody::new(body, body_memory.clone()));
                 async move { Ok::<_, Infallible>(answer(handler, arrival, req).await) }
             }
         });
--- a/server/src/lib.rs
+++ b/server/src/lib.rs
@@ -26,6 +26,7 @@
 pub mod backend_connection;
 pub mod backend_pool;
 mod backend_stream;
+pub mod body_memory;
 pub mod caller_listener;
 pub mod cold_querier;
 pub mod control_format;
--- a/server/src/pipelined_connection.rs
+++ b/server/src/pipelined_connection.rs
@@ -43,6 +43,7 @@
 use tokio_util::task::AbortOnDropHandle;
 
 use crate::answer_body::AnswerBody;
+use crate::body_memory::BodyMemory;
 use crate::http_server::Arrival;
 use crate::http_server::ConnectionLimits;
 use crate::http_server::Handler;
@@ -102,6 +103,7 @@
     pub progress: Arc<Progress>,
     pub stops: Stops,
     pub listener_read_ahead: Arc<Semaphore>,
+    pub body_memory: BodyMemory,
 }
 
 /// Tells why there is no answer to a request.
@@ -239,7 +241,7 @@
     /// returned placeholder answer is discarded; it makes `hyper` read the next request.
     async fn take(&self, head: AcceptedHead, req: Request<Incoming>) -> Response<Empty<Bytes>> {
         let shape = AnswerShape::of(&req);
-        let (req, body_done) = RequestBody::hold(req);
+        let (req, body_done) = RequestBody::hold(req, self.setup.body_memory.clone());
         let ahead = if head.is_behind {
             self.read_ahead_permits().await
         } else {
--- a/server/src/request_body.rs
+++ b/server/src/request_body.rs
@@ -13,7 +13,6 @@
 use std::time::Instant;
 
 use bytes::Bytes;
-use bytes::BytesMut;
 use heatherring_lib::outcome::NotRunReason;
 use http::Request;
 use http_body_util::BodyExt;
@@ -26,6 +25,9 @@
 use snafu::ensure;
 use tokio::sync::oneshot;
 
+use crate::body_memory::BodyMemory;
+use crate::body_memory::BodyMemoryFull;
+
 /// Maximum size of an operator's call in bytes: a manifest of about ten thousand routes.
 pub const MAX_OPERATOR_CALL_BYTES: usize = 8 << 20;
 
@@ -54,6 +56,12 @@
         /// The error of the HTTP library.
         source: hyper::Error,
     },
+    /// Other bodies take the memory that it needs.
+    #[snafu(display("{source}"))]
+    NoMemory {
+        /// The reason.
+        source: BodyMemoryFull,
+    },
     /// The body did not arrive in time.
     #[snafu(display("the body did not arrive in time"))]
     Late,
@@ -64,30 +72,42 @@
 #[derive(Debug)]
 pub struct RequestBody {
     inner: Incoming,
+    memory: BodyMemory,
     /// Dropped with the body, upon which the next request on the connection is read.
     _held: Option<oneshot::Sender<Infallible>>,
 }
 
 impl RequestBody {
-    /// Returns `req` with a body that signals the receiver when it is dropped, whether it was
+    /// Creates a body that is read into `memory` and signals nobody.
+    #[must_use]
+    pub const fn new(inner: Incoming, memory: BodyMemory) -> Self {
+        Self {
+            inner,
+            memory,
+            _held: None,
+        }
+    }
+
+    /// Returns `req` with a body that is read into `memory` and signals the receiver when it is dropped, whether it was
     /// read or not. A request without a body signals at once.
     #[must_use]
-    pub fn hold(req: Request<Incoming>) -> (Request<Self>, oneshot::Receiver<Infallible>) {
+    pub fn hold(
+        req: Request<Incoming>,
+        memory: BodyMemory,
+    ) -> (Request<Self>, oneshot::Receiver<Infallible>) {
         let (tx, rx) = oneshot::channel();
         let req = req.map(|inner| {
             let held = (!inner.is_end_stream()).then_some(tx);
-            Self { inner, _held: held }
+            Self {
+                inner,
+                memory,
+                _held: held,
+            }
         });
         (req, rx)
     }
 }
 
-impl From<Incoming> for RequestBody {
-    fn from(inner: Incoming) -> Self {
-        Self { inner, _held: None }
-    }
-}
-
 impl Body for RequestBody {
     type Data = Bytes;
     type Error = hyper::Error;
@@ -112,7 +132,8 @@
 ///
 /// # Errors
 ///
-/// Returns why the request cannot be run: the body is too large, broke off or arrived too late.
+/// Returns why the request cannot be run: the body is too large, broke off or arrived too late,
+/// or there is no memory for it.
 pub async fn read(
     body: RequestBody,
     max_bytes: u32,
@@ -129,6 +150,7 @@
     content.map_err(|error| match error {
         BodyError::TooLarge { .. } => NotRunReason::BodyTooLarge,
         BodyError::Broken { .. } => NotRunReason::MalformedRequest,
+        BodyError::NoMemory { .. } => NotRunReason::Overloaded,
         BodyError::Late => NotRunReason::DeadlineTooShort,
     })
 }
@@ -137,7 +159,8 @@
 ///
 /// # Errors
 ///
-/// Returns an error if the body is too large, broke off or does not arrive in time.
+/// Returns an error if the body is too large, broke off or does not arrive in time, or if there is no
+/// memory for it.
 pub async fn read_control_call(body: RequestBody, max_bytes: usize) -> Result<Bytes, BodyError> {
     let seconds = u64::try_from(max_bytes / MIN_CALL_RATE).unwrap_or(u64::MAX);
     let deadline = Instant::now() + CALL_TIMEOUT + Duration::from_secs(seconds);
@@ -151,7 +174,7 @@
     max_bytes: usize,
     deadline: Instant,
 ) -> Result<Bytes, BodyError> {
-    let mut content = BytesMut::new();
+    let mut content = body.memory.buffer();
     let reading = async {
         while let Some(frame) = body.frame().await {
             // Trailers are not passed on.
@@ -160,11 +183,11 @@
             };
             let is_within = content.len().saturating_add(data.len()) <= max_bytes;
             ensure!(is_within, TooLargeSnafu { max_bytes });
-            content.extend_from_slice(&data);
+            content.push(&data).context(NoMemorySnafu)?;
         }
         Ok(())
     };
     let read = tokio::time::timeout_at(deadline.into(), reading).await;
     read.unwrap_or_else(|_| LateSnafu.fail())?;
-    Ok(content.freeze())
+    Ok(content.into_bytes())
 }
--- a/server/tests/endless_support/mod.rs
+++ b/server/tests/endless_support/mod.rs
@@ -30,6 +30,7 @@
 use http::Response;
 use http::StatusCode;
 use tokio::net::TcpListener;
+use tokio::sync::watch;
 use tokio_util::sync::CancellationToken;
 
 /// Largest body of a request that the listener reads.
@@ -48,15 +49,27 @@
 /// Time for which a caller floods its connection unless that ends before.
 const FLOOD_TIME: Duration = Duration::from_secs(10);
 
+/// Path of requests whose bodies are kept until their callers leave, if they are long.
+pub const KEPT: &str = "kept";
+
+/// Length from which these are kept.
+pub const KEPT_BYTES: usize = 32 << 20;
+
 /// Reads bodies as entry VMs and control replicas do, and answers with as many bytes as the path
 /// says.
-#[derive(Clone, Copy, Debug)]
-struct Sized;
+#[derive(Clone, Debug)]
+struct Sized {
+    /// Number of bodies that were kept so far.
+    kept: Arc<watch::Sender<usize>>,
+}
 
 impl Handler for Sized {
     async fn handle(&self, arrival: Arrival, req: Request<RequestBody>) -> Response<AnswerBody> {
         let (head, body) = req.into_parts();
         let path = head.uri.path().trim_start_matches('/');
+        if path == KEPT {
+            return self.keep(arrival, body).await;
+        }
         let is_read = if path == "control" {
             request_body::read_control_call(body, MAX_CALL)
                 .await
@@ -73,10 +86,30 @@
     }
 }
 
+impl Sized {
+    async fn keep(&self, arrival: Arrival, body: RequestBody) -> Response<AnswerBody> {
+        let deadline = arrival.at + TEST_TIMEOUT;
+        let mut response = Response::new(answer_body::empty());
+        match request_body::read(body, u32::MAX, deadline).await {
+            Ok(content) if content.len() >= KEPT_BYTES => {
+                self.kept.send_modify(|kept| *kept += 1);
+                std::future::pending::<()>().await;
+                drop(content);
+            }
+            Ok(_) => {}
+            Err(reason) => {
+                *response.status_mut() = StatusCode::from_u16(reason.status()).unwrap();
+            }
+        }
+        response
+    }
+}
+
 /// A listener that runs as a task of the test.
 pub struct Server {
     pub address: SocketAddr,
     pub usage: ConnectionUsage,
+    kept: watch::Receiver<usize>,
 }
 
 impl Server {
@@ -96,14 +129,29 @@
             clock: Arc::new(SystemClock),
         };
         let stop = CancellationToken::new();
+        let (kept_tx, kept) = watch::channel(0);
+        let handler = Sized {
+            kept: Arc::new(kept_tx),
+        };
         tokio::spawn(http_server::serve(
             listener,
             Admittance::Anybody,
             bounds,
-            Sized,
+            handler,
             stop.into(),
         ));
-        Self { address, usage }
+        Self {
+            address,
+            usage,
+            kept,
+        }
+    }
+
+    /// Waits until so many bodies were kept since the start.
+    pub async fn until_kept(&mut self, bodies: usize) {
+        let waiting = self.kept.wait_for(|kept| *kept >= bodies);
+        let waiting = tokio::time::timeout(TEST_TIMEOUT, waiting);
+        waiting.await.expect("the body is kept").unwrap();
     }
 
     /// Waits until no connection is open.
--- a/server/tests/test_endless_peers.rs
+++ b/server/tests/test_endless_peers.rs
@@ -9,6 +9,8 @@
 use tokio::net::TcpStream;
 
 use crate::endless_support::IDLE_TIMEOUT;
+use crate::endless_support::KEPT;
+use crate::endless_support::KEPT_BYTES;
 use crate::endless_support::Server;
 use crate::endless_support::TEST_TIMEOUT;
 use crate::endless_support::flood;
@@ -79,3 +81,46 @@
     reading.await.expect("the connection ends").unwrap();
     assert!(answer.starts_with("HTTP/1.1 400 "), "{answer}");
 }
+
+/// Guards against entry VMs without memory because several callers send long bodies at once.
+#[tokio::test]
+async fn test_long_bodies_share_a_memory() {
+    const FITTING: usize = 4;
+    let mut server = Server::start(HttpVersions::Http1).await;
+    let long = "x".repeat(KEPT_BYTES);
+    let mut kept = Vec::new();
+    for count in 1..=FITTING {
+        kept.push(send_body(&server, &long).await);
+        server.until_kept(count).await;
+    }
+    let refused = status(&mut send_body(&server, &long).await).await;
+    assert_eq!(refused, "503");
+    let short = status(&mut send_body(&server, &long[..32 << 10]).await).await;
+    assert_eq!(short, "200");
+    kept.pop();
+    while server.usage.open() >= FITTING {
+        tokio::time::sleep(IDLE_TIMEOUT / 10).await;
+    }
+    kept.push(send_body(&server, &long).await);
+    server.until_kept(FITTING + 1).await;
+}
+
+async fn send_body(server: &Server, body: &str) -> TcpStream {
+    let mut stream = TcpStream::connect(server.address).await.unwrap();
+    let length = body.len();
+    let sent = format!(
+        "POST /{KEPT} HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\
+        content-length: {length}\r\n\r\n{body}"
+    );
+    // A body that is refused is not read to its end.
+    let _ = stream.write_all(sent.as_bytes()).await;
+    stream
+}
+
+/// Returns the status of the answer.
+async fn status(stream: &mut TcpStream) -> String {
+    let mut line = [0; 12];
+    let reading = tokio::time::timeout(TEST_TIMEOUT, stream.read_exact(&mut line));
+    reading.await.expect("there is an answer").unwrap();
+    String::from_utf8_lossy(&line[9..]).into_owned()
+}
