callers: an HTTP/2 connection without progress ends

What callers saw: no connection left at an entry VM that owns backend servers, once enough of its callers kept idle HTTP/2 connections, or streams whose answers they did not read.

Cause: such a connection had no idle timeout, only pings, which its peer's HTTP library answers by itself. The body of an answer, and its deadline, are polled only while its stream takes bytes.

A caller's connection that for the idle timeout carried no request, or one answer of which the caller took nothing, is shut down, and closed after as long again.

--- a/server/src/http_server.rs
+++ b/server/src/http_server.rs
@@ -52,6 +52,7 @@
 use crate::reply;
 use crate::request_body::RequestBody;
 use crate::request_fault;
+use crate::stream_watch::StreamWatch;
 
 /// Largest number of concurrent streams on one HTTP/2 connection.
 const MAX_STREAMS: u32 = 1_024;
@@ -390,19 +391,30 @@
 
     async fn serve(&self, stream: impl AsyncRead + AsyncWrite + Send + Unpin + 'static) {
         let begun = Arc::new(AtomicBool::new(false));
+        // Other entry VMs keep their connections, and end the streams that they do not read.
+        let watch = matches!(self.admittance, Admittance::Anybody)
+            .then(|| StreamWatch::new(Arc::clone(&self.clock)));
         let service = service_fn({
             let begun = Arc::clone(&begun);
             let handler = self.handler.clone();
             let peer = self.peer;
             let clock = Arc::clone(&self.clock);
             let body_memory = self.body_memory.clone();
+            let watch = watch.clone();
             move |req: Request<Incoming>| {
                 begun.store(true, Ordering::Relaxed);
                 let handler = handler.clone();
                 let at = clock.now();
                 let arrival = Arrival { peer, at };
                 let req = req.map(|body| RequestBody::new(body, body_memory.clone()));
-                async move { Ok::<_, Infallible>(answer(handler, arrival, req).await) }
+                let stream = watch.as_ref().map(StreamWatch::begin);
+                async move {
+                    let response = answer(handler, arrival, req).await;
+                    Ok::<_, Infallible>(match stream {
+                        Some(stream) => response.map(|body| stream.wrap(body)),
+                        None => response,
+                    })
+                }
             }
         });
         let connection = self.builder.serve_connection(TokioIo::new(stream), service);
@@ -411,6 +423,7 @@
         let mut first_head = std::pin::pin!(first_head);
         let mut watch_first_head = true;
         let mut watch_stop = true;
+        let mut idle_timeout = self.limits.idle_timeout;
         loop {
             tokio::select! {
                 result = connection.as_mut() => {
@@ -427,6 +440,14 @@
                         return;
                     }
                 }
+                () = overdue(watch.as_ref(), idle_timeout) => {
+                    if idle_timeout > self.limits.idle_timeout {
+                        return;
+                    }
+                    // A request that is on its way is still handled.
+                    idle_timeout *= 2;
+                    connection.as_mut().graceful_shutdown();
+                }
                 () = self.stops.stop.cancelled(), if watch_stop => {
                     watch_stop = false;
                     connection.as_mut().graceful_shutdown();
@@ -436,6 +457,14 @@
     }
 }
 
+/// Completes when a caller has made no progress for `timeout`; never without a watch.
+async fn overdue(watch: Option<&Arc<StreamWatch>>, timeout: Duration) {
+    match watch {
+        Some(watch) => watch.overdue(timeout).await,
+        None => std::future::pending().await,
+    }
+}
+
 /// Answers a request on a connection that is not pipelined. The raw bytes of its head are not
 /// scanned here, so any request with a transfer encoding is refused, as it cannot be told from
 /// one that gives its length in two ways. Processes of the deployment speak HTTP/2, which has
--- a/server/src/lib.rs
+++ b/server/src/lib.rs
@@ -123,6 +123,7 @@
 pub mod statement_reporter;
 pub mod status_report;
 pub mod stop_observer;
+mod stream_watch;
 pub mod submit_reply;
 pub mod sync_target;
 pub mod token_issuer;
--- a/server/tests/endless_support/mod.rs
+++ b/server/tests/endless_support/mod.rs
@@ -12,6 +12,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use bytes::Bytes;
 use heatherring_lib::clock::SystemClock;
 use heatherring_server::answer_body;
 use heatherring_server::answer_body::AnswerBody;
@@ -29,6 +30,9 @@
 use http::Request;
 use http::Response;
 use http::StatusCode;
+use http_body_util::BodyExt;
+use http_body_util::StreamBody;
+use hyper::body::Frame;
 use tokio::net::TcpListener;
 use tokio::sync::watch;
 use tokio_util::sync::CancellationToken;
@@ -55,6 +59,9 @@
 /// Length from which these are kept.
 pub const KEPT_BYTES: usize = 32 << 20;
 
+/// Path of requests that are answered long after the idle timeout.
+pub const LATE: &str = "late";
+
 /// Reads bodies as entry VMs and control replicas do, and answers with as many bytes as the path
 /// says.
 #[derive(Clone, Debug)]
@@ -78,7 +85,10 @@
             let deadline = arrival.at + TEST_TIMEOUT;
             request_body::read(body, MAX_BODY, deadline).await.is_ok()
         };
-        let mut response = Response::new(answer_body::full(vec![b'x'; path.parse().unwrap_or(0)]));
+        if path == LATE {
+            tokio::time::sleep(IDLE_TIMEOUT * 3).await;
+        }
+        let mut response = Response::new(answer(path.parse().unwrap_or(0)));
         if !is_read {
             *response.status_mut() = StatusCode::BAD_REQUEST;
         }
@@ -86,6 +96,14 @@
     }
 }
 
+/// Returns a body of about so many bytes, in several frames.
+fn answer(bytes: usize) -> AnswerBody {
+    const FRAME_BYTES: usize = 50_000;
+    let frame = Bytes::from(vec![b'x'; FRAME_BYTES]);
+    let frames = (0..bytes / FRAME_BYTES).map(move |_| Ok(Frame::data(frame.clone())));
+    StreamBody::new(futures_util::stream::iter(frames)).boxed_unsync()
+}
+
 impl Sized {
     async fn keep(&self, arrival: Arrival, body: RequestBody) -> Response<AnswerBody> {
         let deadline = arrival.at + TEST_TIMEOUT;
--- a/server/tests/test_endless_peers.rs
+++ b/server/tests/test_endless_peers.rs
@@ -2,7 +2,15 @@
 
 mod endless_support;
 
+use bytes::Bytes;
 use heatherring_server::http_server::HttpVersions;
+use http::Request;
+use http::StatusCode;
+use http_body_util::Empty;
+use hyper::client::conn::http2;
+use hyper::client::conn::http2::SendRequest;
+use hyper_util::rt::TokioExecutor;
+use hyper_util::rt::TokioIo;
 use rstest::rstest;
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
@@ -11,6 +19,7 @@
 use crate::endless_support::IDLE_TIMEOUT;
 use crate::endless_support::KEPT;
 use crate::endless_support::KEPT_BYTES;
+use crate::endless_support::LATE;
 use crate::endless_support::Server;
 use crate::endless_support::TEST_TIMEOUT;
 use crate::endless_support::flood;
@@ -49,6 +58,45 @@
     server.until_unused().await;
 }
 
+/// Guards against HTTP/2 connections that last for as long as their callers answer pings, whether
+/// they send requests and read the answers or not.
+#[rstest]
+#[case::idle("/1")]
+#[case::one_long_answer("/50000000")]
+#[tokio::test]
+async fn test_an_http2_connection_without_progress_ends(#[case] path: &str) {
+    let server = Server::start(HttpVersions::Both).await;
+    let mut sender = connect_http2(&server).await;
+    let _unread = sender.send_request(request(path)).await.unwrap();
+    server.until_unused().await;
+}
+
+/// Guards against callers that are cut off while they wait.
+#[tokio::test]
+async fn test_a_caller_that_waits_is_answered() {
+    let server = Server::start(HttpVersions::Both).await;
+    let mut sender = connect_http2(&server).await;
+    let mut stream = TcpStream::connect(server.address).await.unwrap();
+    let sent = format!("GET /{LATE} HTTP/1.1\r\nhost: a\r\n\r\n");
+    stream.write_all(sent.as_bytes()).await.unwrap();
+    let answer = sender.send_request(request(&format!("/{LATE}"))).await;
+    assert_eq!(answer.unwrap().status(), StatusCode::OK);
+    assert_eq!(status(&mut stream).await, "200");
+}
+
+async fn connect_http2(server: &Server) -> SendRequest<Empty<Bytes>> {
+    let stream = TcpStream::connect(server.address).await.unwrap();
+    let connecting = http2::handshake(TokioExecutor::new(), TokioIo::new(stream));
+    let (sender, connection) = connecting.await.unwrap();
+    tokio::spawn(connection);
+    sender
+}
+
+fn request(path: &str) -> Request<Empty<Bytes>> {
+    let uri = format!("http://a{path}");
+    Request::get(uri).body(Empty::new()).unwrap()
+}
+
 /// Guards against answers that are cut off because their callers read slowly.
 #[tokio::test]
 async fn test_an_answer_that_is_read_slowly_is_passed_on() {
