testutils: a request that is dropped as it begins frees its slot

A ledger wrote the start of a request whose connection was closed while it waited for the ledger's word, and never its end: the slot stayed in use, and later requests were recorded as overruns that weren't. The slot now travels with the word, so that it is freed wherever the word is lost. test_ledger is red without it. The kinds of events for what a backend server writes unasked or without end are added for the next commit.

--- a/testutils/src/ledger.rs
+++ b/testutils/src/ledger.rs
@@ -60,6 +60,14 @@
     ConnectionOverrun,
     /// The backend server announced that it leaves.
     Leaving,
+    /// A connection began with an answer that nobody had asked for.
+    SpokeFirst,
+    /// A request's answer goes on until its connection is closed. Whether the request ran is told
+    /// by the other events.
+    Endless {
+        /// The nonce of the request.
+        nonce: String,
+    },
 }
 
 /// Identifies a request as the backend server saw it.
@@ -127,9 +135,10 @@
 
 enum Command {
     Begin {
+        ledger: Ledger,
         server: LedgerServer,
         asked: Asked,
-        admitted: oneshot::Sender<bool>,
+        admitted: oneshot::Sender<Option<Running>>,
     },
     End {
         server: LedgerServer,
@@ -171,18 +180,13 @@
     /// Takes a slot and records the start, or records the overrun and returns `None`.
     pub async fn begin(&self, server: &LedgerServer, asked: Asked) -> Option<Running> {
         let (admitted, verdict) = oneshot::channel();
-        let nonce = asked.nonce.clone();
         self.send(Command::Begin {
+            ledger: self.clone(),
             server: server.clone(),
             asked,
             admitted,
         });
-        verdict.await.unwrap_or(false).then(|| Running {
-            ledger: self.clone(),
-            server: server.clone(),
-            nonce,
-            finish: Finish::Cancelled,
-        })
+        verdict.await.ok().flatten()
     }
 
     /// Records an event that takes no slot.
@@ -241,6 +245,7 @@
     while let Some(command) = rx.recv().await {
         match command {
             Command::Begin {
+                ledger,
                 server,
                 asked,
                 admitted,
@@ -248,13 +253,20 @@
                 let count = in_use.entry(server.backend.clone()).or_default();
                 let fits = *count < server.slots;
                 *count += u32::from(fits);
+                let running = fits.then(|| Running {
+                    ledger,
+                    server: server.clone(),
+                    nonce: asked.nonce.clone(),
+                    finish: Finish::Cancelled,
+                });
                 let kind = if fits {
                     LedgerEventKind::Start(asked)
                 } else {
                     LedgerEventKind::Overrun(asked)
                 };
                 write(&mut file, &server, *count, kind);
-                let _ = admitted.send(fits);
+                // Where nobody waits for it any more, it is dropped, which records the end.
+                let _ = admitted.send(running);
             }
             Command::End {
                 server,
