testutils: backend servers speak first and answer without end

The stand-in for backend servers learns two faults. On a share of new connections it writes an answer before it has read any request: a refusal that names none, names it by nothing or names another, a bare 421, or a success that names none. In place of a share of answers it writes bytes until the connection is closed: header lines, interim answers, a body, chunks, a chunk's extension, trailers, a refusal's body, what follows an answer, or no HTTP at all. What is asked is handled and recorded as before, and the ledger tells of both faults.

An answer without end is the error by which its connection is taken from the HTTP library; both faults live in modules of their own, and so do the connection and the behaviour.

--- a/cli/tests/test_request_history.rs
+++ b/cli/tests/test_request_history.rs
@@ -8,11 +8,11 @@
 use std::path::Path;
 use std::time::Duration;
 
+use heatherring_testutils::behaviour::LoadReport;
 use heatherring_testutils::deployment::Deployment;
 use heatherring_testutils::deployment::book;
 use heatherring_testutils::deployment::search;
 use heatherring_testutils::deployment_plan::DeploymentPlan;
-use heatherring_testutils::fake_backend_server::LoadReport;
 use heatherring_testutils::machine_clock::now_us;
 use heatherring_testutils::request_history::ArrivalCap;
 use heatherring_testutils::request_history::DrainMark;
--- a/testutils/src/announcer.rs
+++ b/testutils/src/announcer.rs
@@ -17,9 +17,9 @@
 use tokio::time::Instant;
 use tokio::time::timeout;
 
-use crate::fake_backend_server::Behaviour;
+use crate::behaviour::Behaviour;
+use crate::behaviour::LoadReport;
 use crate::fake_backend_server::FakeBackendServerConfig;
-use crate::fake_backend_server::LoadReport;
 use crate::ledger::Ledger;
 
 /// How long an announcement may take before another address is tried.
--- a/testutils/src/deployment_plan.rs
+++ b/testutils/src/deployment_plan.rs
@@ -11,12 +11,12 @@
 use serde_json::Value;
 use serde_json::json;
 
+use crate::behaviour::Behaviour;
+use crate::behaviour::Spell;
 use crate::cluster::Cluster;
 use crate::cluster_plan::ClusterPlan;
 use crate::cluster_plan::VmPlan;
-use crate::fake_backend_server::Behaviour;
 use crate::fake_backend_server::FakeBackendServerConfig;
-use crate::fake_backend_server::Spell;
 use crate::service_time::ServiceTime;
 
 /// How long callers wait for a response unless a plan says otherwise; much longer than
--- a/testutils/src/fake_backend_server.rs
+++ b/testutils/src/fake_backend_server.rs
@@ -5,7 +5,6 @@
 //! everything that it ran. Each answer, a refusal too, echoes the identifier of its
 //! request.
 
-use std::convert::Infallible;
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -22,9 +21,6 @@
 use http_body_util::BodyExt;
 use http_body_util::Full;
 use hyper::body::Incoming;
-use hyper::service::service_fn;
-use hyper_util::rt::TokioIo;
-use hyper_util::rt::TokioTimer;
 use rand::Rng;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
@@ -33,7 +29,6 @@
 use snafu::ResultExt;
 use snafu::Snafu;
 use tokio::net::TcpListener;
-use tokio::net::TcpStream;
 use tokio::sync::watch;
 use tokio::task::JoinSet;
 use tokio::time::Instant;
@@ -41,12 +36,18 @@
 
 use crate::announcer::Announcer;
 use crate::announcer::Phase;
+use crate::answer_fault::EarlyAnswer;
+use crate::answer_fault::EndlessPart;
+use crate::backend_connection::BackendConnection;
+use crate::backend_connection::OpenConnection;
+use crate::behaviour::Behaviour;
+use crate::behaviour::Spell;
 use crate::echo;
 use crate::echo::AnswerHead;
 use crate::echo::answer_body;
 use crate::echo::request_digest;
+use crate::endless_answer::EndlessAnswer;
 use crate::late_answer::LateAnswer;
-use crate::late_answer::LateAnswerStream;
 use crate::ledger::Asked;
 use crate::ledger::Finish;
 use crate::ledger::Ledger;
@@ -62,6 +63,10 @@
 /// Where a request's generator draws whether its answer is repeated; far behind its other draws,
 /// which a repeat doesn't change.
 const REPEAT_DRAW: u128 = 1 << 32;
+/// The same for whether its answer has no end.
+const ENDLESS_DRAW: u128 = 1 << 33;
+/// The same, of a connection's first request, for whether the server speaks first.
+const EARLY_DRAW: u128 = 1 << 34;
 
 /// Describes a fake backend server.
 #[derive(Clone, Debug, Deserialize, Serialize)]
@@ -118,89 +123,6 @@
     3_000
 }
 
-/// Holds what can be changed while a fake backend server runs.
-#[derive(Clone, Copy, Debug, Deserialize, PartialEq, Serialize)]
-#[serde(deny_unknown_fields, default)]
-pub struct Behaviour {
-    /// What it says of its load.
-    pub load_report: LoadReport,
-    /// Share of requests that it refuses on purpose, 0 to 100.
-    pub shed_percent: u8,
-    /// Time without requests that it asks for when it refuses one, in milliseconds; 0 asks for
-    /// none.
-    pub pause_ms: u64,
-    /// Factor on each service time.
-    pub slowness: f64,
-    /// Share of answers, refusals too, that it sends once more, 0 to 100. The repeat comes late:
-    /// when the next request arrives on the connection, before the answer to it. That request is
-    /// handled as usual.
-    pub repeat_percent: u8,
-    /// Whether a repeat lacks the identifier of its request.
-    pub repeat_without_id: bool,
-}
-
-impl Default for Behaviour {
-    fn default() -> Self {
-        Self {
-            load_report: LoadReport::Honest,
-            shed_percent: 0,
-            pause_ms: 0,
-            slowness: 1.0,
-            repeat_percent: 0,
-            repeat_without_id: false,
-        }
-    }
-}
-
-/// Describes a behaviour that comes and goes, beginning with a time without it.
-///
-/// It replaces what the server does with requests; the load report stays that of its
-/// [`FakeBackendServerConfig::behaviour`].
-#[derive(Clone, Copy, Debug, Deserialize, PartialEq, Serialize)]
-#[serde(deny_unknown_fields)]
-pub struct Spell {
-    /// What the server does during a spell.
-    pub behaviour: Behaviour,
-    /// Time before each spell, in milliseconds.
-    pub off_ms: u64,
-    /// How long each spell lasts, in milliseconds.
-    pub on_ms: u64,
-}
-
-impl Spell {
-    /// Returns whether a spell lasts at this time after the server's start.
-    #[must_use]
-    pub fn is_on(&self, since_start: Duration) -> bool {
-        let cycle_ms = u128::from(self.off_ms + self.on_ms).max(1);
-        since_start.as_millis() % cycle_ms >= u128::from(self.off_ms)
-    }
-}
-
-/// Tells how the load report relates to the truth.
-#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
-#[serde(rename_all = "snake_case")]
-pub enum LoadReport {
-    /// It is the truth.
-    #[default]
-    Honest,
-    /// It was the truth this long ago.
-    Lagging {
-        /// Milliseconds.
-        ms: u64,
-    },
-    /// It stays at what was reported last.
-    Frozen,
-    /// It always says this number of requests in flight.
-    Lying {
-        /// The number.
-        in_flight: u32,
-    },
-    /// It isn't part of the announcement.
-    Absent,
-    /// No announcement is sent at all.
-    Vanished,
-}
-
 /// Tells why a fake backend server doesn't start.
 #[derive(Debug, Snafu)]
 pub enum FakeBackendServerError {
@@ -298,13 +220,14 @@
     }
 }
 
+/// Holds what all connections of a fake backend server share.
 #[derive(Debug)]
-struct Server {
-    identity: LedgerServer,
+pub(crate) struct Server {
+    pub identity: LedgerServer,
     rng_seed: u64,
     begun: Instant,
-    config: FakeBackendServerConfig,
-    ledger: Ledger,
+    pub config: FakeBackendServerConfig,
+    pub ledger: Ledger,
     behaviour: watch::Receiver<Behaviour>,
     phase: watch::Receiver<Phase>,
 }
@@ -332,13 +255,13 @@
                 }
                 open.fetch_add(1, Ordering::Relaxed);
                 serial += 1;
-                connections.spawn(serve_connection(
-                    Arc::clone(&server),
-                    stream,
+                let connection = BackendConnection {
+                    server: Arc::clone(&server),
                     serial,
-                    OpenConnection(Arc::clone(&open)),
-                    closing_rx.clone(),
-                ));
+                    closing: closing_rx.clone(),
+                    _open: OpenConnection(Arc::clone(&open)),
+                };
+                connections.spawn(connection.serve(stream));
             }
             _ = connections.join_next(), if !connections.is_empty() => {}
             () = &mut left => break,
@@ -373,46 +296,6 @@
     }
 }
 
-#[derive(Debug)]
-struct OpenConnection(Arc<AtomicU32>);
-
-impl Drop for OpenConnection {
-    fn drop(&mut self) {
-        self.0.fetch_sub(1, Ordering::Relaxed);
-    }
-}
-
-async fn serve_connection(
-    server: Arc<Server>,
-    stream: TcpStream,
-    serial: u64,
-    _open: OpenConnection,
-    mut closing: watch::Receiver<bool>,
-) {
-    let _ = stream.set_nodelay(true);
-    sleep(Duration::from_millis(server.config.connection_ms)).await;
-    let requests = Arc::new(AtomicU32::new(0));
-    let late = LateAnswer::default();
-    let stream = LateAnswerStream::new(stream, late.clone());
-    let service = service_fn(move |req| {
-        late.fall_due();
-        let late = late.clone();
-        let server = Arc::clone(&server);
-        let number = requests.fetch_add(1, Ordering::Relaxed);
-        async move { Ok::<_, Infallible>(server.answer(req, serial, number, &late).await) }
-    });
-    let connection = hyper::server::conn::http1::Builder::new()
-        .timer(TokioTimer::new())
-        .serve_connection(TokioIo::new(stream), service);
-    tokio::pin!(connection);
-    tokio::select! {
-        _ = connection.as_mut() => return,
-        _ = closing.wait_for(|closing| *closing) => {}
-    }
-    connection.as_mut().graceful_shutdown();
-    let _ = connection.await;
-}
-
 impl Server {
     /// Returns what the server does with requests now.
     fn behaviour(&self) -> Behaviour {
@@ -421,22 +304,52 @@
         spell.map_or_else(|| *self.behaviour.borrow(), |spell| spell.behaviour)
     }
 
-    async fn answer(
+    /// Returns what the server writes on a connection before it reads from it.
+    pub fn draw_early_answer(&self, connection: u64) -> Option<EarlyAnswer> {
+        let mut rng = self.rng(connection, 0);
+        rng.set_word_pos(EARLY_DRAW);
+        let early = self.behaviour().early_answer?;
+        (rng.random_range(0..100) < early.percent).then_some(early)
+    }
+
+    /// Returns which part of a request's answer has no end.
+    fn draw_endless_part(&self, connection: u64, number: u32) -> Option<EndlessPart> {
+        let mut rng = self.rng(connection, number);
+        rng.set_word_pos(ENDLESS_DRAW);
+        let endless = self.behaviour().endless_answers?;
+        (rng.random_range(0..100) < endless.percent).then_some(endless.part)
+    }
+
+    /// Answers a request.
+    ///
+    /// # Errors
+    ///
+    /// Returns the answer if it has no end.
+    pub async fn answer(
         &self,
         req: Request<Incoming>,
         connection: u64,
         number: u32,
         late: &LateAnswer,
-    ) -> Response<Full<Bytes>> {
+    ) -> Result<Response<Full<Bytes>>, EndlessAnswer> {
         let id = req.headers().get(echo::REQUEST_ID_HEADER).cloned();
-        let mut response = self.handle(req, connection, number).await;
+        let nonce = header(req.headers(), echo::NONCE_HEADER);
+        let endless = self.draw_endless_part(connection, number);
+        let is_refused = endless == Some(EndlessPart::RefusalBody);
+        let handled = self.handle(req, connection, number, is_refused);
+        let mut response = handled.await;
         self.state(&mut response);
         if let Some(id) = id {
             response.headers_mut().insert(echo::REQUEST_ID_HEADER, id);
         }
+        if let Some(part) = endless {
+            self.ledger
+                .note(&self.identity, LedgerEventKind::Endless { nonce });
+            return Err(EndlessAnswer::new(&response, part).await);
+        }
         self.hold_repeat(&response, self.rng(connection, number), late)
             .await;
-        response
+        Ok(response)
     }
 
     /// Holds a copy of the answer if it is drawn to be repeated.
@@ -487,6 +400,7 @@
         req: Request<Incoming>,
         connection: u64,
         number: u32,
+        is_refused: bool,
     ) -> Response<Full<Bytes>> {
         let (parts, body) = req.into_parts();
         // A request whose body breaks off has not begun to run.
@@ -506,7 +420,7 @@
         };
         let mut rng = self.rng(connection, number);
         let behaviour = self.behaviour();
-        if rng.random_range(0..100) < behaviour.shed_percent {
+        if rng.random_range(0..100) < behaviour.shed_percent || is_refused {
             self.ledger
                 .note(&self.identity, LedgerEventKind::Shed(asked));
             return refusal();
--- a/testutils/src/late_answer.rs
+++ b/testutils/src/late_answer.rs
@@ -13,13 +13,14 @@
 use bytes::Buf;
 use bytes::Bytes;
 use http::Response;
-use http_body_util::BodyExt;
 use http_body_util::Full;
 use tokio::io::AsyncRead;
 use tokio::io::AsyncWrite;
 use tokio::io::ReadBuf;
 use tokio::net::TcpStream;
 
+use crate::raw_answer;
+
 /// Holds a copy of an answer until the next request arrives on its connection.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct LateAnswer(Arc<Mutex<State>>);
@@ -33,7 +34,7 @@
 impl LateAnswer {
     /// Holds a copy of an answer.
     pub async fn hold(&self, response: &Response<Full<Bytes>>) {
-        let copy = to_bytes(response).await;
+        let copy = raw_answer::whole(response).await;
         self.state().held = copy;
     }
 
@@ -48,21 +49,6 @@
     }
 }
 
-/// Renders an answer as HTTP/1.1.
-async fn to_bytes(response: &Response<Full<Bytes>>) -> Bytes {
-    let Ok(body) = response.body().clone().collect().await;
-    let body = body.to_bytes();
-    let status = response.status();
-    let mut buf = format!("HTTP/1.1 {status}\r\ncontent-length: {}\r\n", body.len()).into_bytes();
-    for (name, value) in response.headers() {
-        let name = name.as_str().as_bytes();
-        buf.extend([name, b": ", value.as_bytes(), b"\r\n"].concat());
-    }
-    buf.extend_from_slice(b"\r\n");
-    buf.extend_from_slice(&body);
-    buf.into()
-}
-
 /// Wraps a connection; writes the answer that is due before anything else.
 #[derive(Debug)]
 pub(crate) struct LateAnswerStream {
@@ -75,6 +61,11 @@
         Self { stream, late }
     }
 
+    /// Returns the connection itself; an answer that is still held or due is lost.
+    pub fn into_inner(self) -> TcpStream {
+        self.stream
+    }
+
     fn poll_write_due(&mut self, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
         let mut state = self.late.state();
         while state.due.has_remaining() {
--- a/testutils/src/lib.rs
+++ b/testutils/src/lib.rs
@@ -2,6 +2,9 @@
 //! links, a cluster of real processes, and the check of what all of them recorded.
 
 mod announcer;
+pub mod answer_fault;
+mod backend_connection;
+pub mod behaviour;
 pub mod caller;
 pub mod cluster;
 pub mod cluster_error;
@@ -15,7 +18,9 @@
 pub mod deployment_plan;
 pub mod direct_cluster;
 pub mod direct_policy;
+mod early_answer;
 pub mod echo;
+mod endless_answer;
 pub mod fake_backend_server;
 mod late_answer;
 pub mod ledger;
@@ -26,6 +31,7 @@
 pub mod open_loop;
 pub mod process;
 pub mod process_usage;
+mod raw_answer;
 pub mod raw_request;
 pub mod relay;
 pub mod request_history;
--- a/testutils/tests/test_fake_backend_server.rs
+++ b/testutils/tests/test_fake_backend_server.rs
@@ -6,11 +6,15 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use heatherring_testutils::answer_fault::EarlyAnswer;
+use heatherring_testutils::answer_fault::EarlyAnswerKind;
+use heatherring_testutils::answer_fault::EndlessAnswers;
+use heatherring_testutils::answer_fault::EndlessPart;
+use heatherring_testutils::behaviour::Behaviour;
+use heatherring_testutils::behaviour::Spell;
 use heatherring_testutils::echo;
-use heatherring_testutils::fake_backend_server::Behaviour;
 use heatherring_testutils::fake_backend_server::FakeBackendServer;
 use heatherring_testutils::fake_backend_server::FakeBackendServerConfig;
-use heatherring_testutils::fake_backend_server::Spell;
 use heatherring_testutils::ledger;
 use heatherring_testutils::ledger::Finish;
 use heatherring_testutils::ledger::Ledger;
@@ -125,6 +129,7 @@
 struct Answer {
     status: String,
     id: Option<String>,
+    outcome: Option<String>,
     body: Vec<u8>,
 }
 
@@ -157,17 +162,20 @@
         let mut answer = Answer {
             status: line.strip_prefix("HTTP/1.1 ").unwrap().to_owned(),
             id: None,
+            outcome: None,
             body: Vec::new(),
         };
         loop {
             let line = self.read_line().await;
-            let Some((name, value)) = line.split_once(": ") else {
+            let Some((name, value)) = line.split_once(':') else {
                 assert_eq!(line, "");
                 break;
             };
+            let value = value.trim();
             match name {
                 "content-length" => answer.body.resize(value.parse().unwrap(), 0),
                 echo::REQUEST_ID_HEADER => answer.id = Some(value.to_owned()),
+                echo::OUTCOME_HEADER => answer.outcome = Some(value.to_owned()),
                 _ => {}
             }
         }
@@ -175,6 +183,15 @@
         answer
     }
 
+    /// Reads so many bytes.
+    async fn read_bytes(&mut self, count: u64) -> Vec<u8> {
+        let mut buf = Vec::new();
+        let mut bytes = (&mut self.stream).take(count);
+        let read = tokio::time::timeout(Duration::from_mins(1), bytes.read_to_end(&mut buf));
+        assert_eq!(read.await.unwrap().unwrap() as u64, count);
+        buf
+    }
+
     /// Returns whether nothing has arrived that isn't read.
     fn is_silent(&self) -> bool {
         let read = self.stream.get_ref().try_read(&mut [0]);
@@ -409,3 +426,243 @@
     let fixture = Fixture::start_in_spell(1, 1.0, Behaviour::default(), Some(spell)).await;
     assert_eq!(fixture.ask("n1", "60000").await.0, status);
 }
+
+fn speaking_first(percent: u8, kind: EarlyAnswerKind) -> Behaviour {
+    Behaviour {
+        early_answer: Some(EarlyAnswer {
+            percent,
+            delay_ms: 1,
+            kind,
+        }),
+        ..Behaviour::default()
+    }
+}
+
+#[rstest]
+#[case::unnamed(EarlyAnswerKind::UnnamedRefusal, "503 Service Unavailable", None)]
+#[case::empty(EarlyAnswerKind::EmptyNameRefusal, "503 Service Unavailable", Some(""))]
+#[case::other(
+    EarlyAnswerKind::OtherNameRefusal,
+    "503 Service Unavailable",
+    Some("not-asked-for")
+)]
+#[case::misdirected(EarlyAnswerKind::Misdirected, "421 Misdirected Request", None)]
+#[case::answer(EarlyAnswerKind::UnnamedAnswer, "200 OK", None)]
+#[tokio::test]
+async fn test_fake_backend_server_speaks_first(
+    #[case] kind: EarlyAnswerKind,
+    #[case] status: &str,
+    #[case] id: Option<&str>,
+) {
+    let fixture = Fixture::start_with(1, 1.0, speaking_first(100, kind)).await;
+    let mut connection = KeptConnection::open(&fixture).await;
+    let early = connection.read().await;
+    assert_eq!(early.status, status);
+    assert_eq!(early.id.as_deref(), id);
+    let is_refusal = early.outcome.as_deref() == Some(echo::NOT_RUN);
+    assert_eq!(is_refusal, status.starts_with("503"));
+    for nonce in ["n1", "n2"] {
+        connection.send(nonce, 60_000).await;
+        let real = connection.read().await;
+        assert_eq!(real.id.as_deref(), Some(nonce));
+        let digest = echo::request_digest("GET", "/strength", nonce, b"");
+        echo::check_answer(nonce, &digest, &real.body).unwrap();
+    }
+    let kinds = fixture.kinds();
+    let first = kinds
+        .iter()
+        .filter(|kind| **kind == LedgerEventKind::SpokeFirst);
+    assert_eq!(first.count(), 1);
+    let ran = kinds
+        .iter()
+        .filter(|kind| matches!(kind, LedgerEventKind::Start(_)));
+    assert_eq!(ran.count(), 2);
+}
+
+/// Returns on which connections, one after another, the server spoke first.
+async fn speaks_first(percent: u8) -> Vec<bool> {
+    let behaviour = speaking_first(percent, EarlyAnswerKind::UnnamedRefusal);
+    let fixture = Fixture::start_with(1, 0.0, behaviour).await;
+    let mut first = Vec::new();
+    for number in 0..50 {
+        let nonce = format!("n{number}");
+        let mut connection = KeptConnection::open(&fixture).await;
+        connection.send(&nonce, 60_000).await;
+        first.push(connection.read().await.id.as_ref() != Some(&nonce));
+    }
+    first
+}
+
+#[tokio::test]
+async fn test_fake_backend_server_draws_early_answers() {
+    let drawn = speaks_first(50).await;
+    assert!(drawn.contains(&true) && drawn.contains(&false));
+    assert_eq!(speaks_first(50).await, drawn);
+    assert!(!speaks_first(0).await.contains(&true));
+    assert!(!speaks_first(100).await.contains(&false));
+}
+
+fn endless(percent: u8, part: EndlessPart) -> Behaviour {
+    Behaviour {
+        endless_answers: Some(EndlessAnswers { percent, part }),
+        ..Behaviour::default()
+    }
+}
+
+/// Bytes that are taken for no end; more than sockets buffer.
+const NO_END_BYTES: u64 = 16 << 20;
+
+#[rstest]
+#[case::head(
+    EndlessPart::Head,
+    "HTTP/1.1 200 OK\r\n",
+    "x-filler: 0123456789abcdef0123456789abcdef\r\n"
+)]
+#[case::interim(
+    EndlessPart::Interim,
+    "HTTP/1.1 102 Processing\r\n\r\n",
+    "HTTP/1.1 102 Processing\r\n\r\n"
+)]
+#[case::body(
+    EndlessPart::Body,
+    "HTTP/1.1 200 OK\r\ncontent-length: 1000000000000\r\n",
+    "0123456789abcdef"
+)]
+#[case::chunks(
+    EndlessPart::Chunks,
+    "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n",
+    "20\r\n0123456789abcdef0123456789abcdef\r\n"
+)]
+#[case::extension(
+    EndlessPart::ChunkExtension,
+    "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n",
+    "0123456789abcdef"
+)]
+#[case::trailers(
+    EndlessPart::Trailers,
+    "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n",
+    "x-filler: 0123456789abcdef0123456789abcdef\r\n"
+)]
+#[case::refusal(
+    EndlessPart::RefusalBody,
+    "HTTP/1.1 503 Service Unavailable\r\ncontent-length: 1000000000000\r\n",
+    "0123456789abcdef"
+)]
+#[case::rest(
+    EndlessPart::Rest,
+    "HTTP/1.1 200 OK\r\ncontent-length: ",
+    "0123456789abcdef"
+)]
+#[case::rubbish(EndlessPart::Rubbish, "\u{0}", "no http")]
+#[tokio::test]
+async fn test_fake_backend_server_writes_without_end(
+    #[case] part: EndlessPart,
+    #[case] opening: &str,
+    #[case] unit: &str,
+) {
+    let fixture = Fixture::start_with(1, 1.0, endless(100, part)).await;
+    let mut connection = KeptConnection::open(&fixture).await;
+    connection.send("n1", 60_000).await;
+    let buf = connection.read_bytes(NO_END_BYTES).await;
+    assert!(buf.starts_with(opening.as_bytes()));
+    let end = &buf[buf.len() - 1_024..];
+    let units = end
+        .windows(unit.len())
+        .filter(|found| *found == unit.as_bytes());
+    assert!(units.count() >= 1_024 / unit.len() / 2);
+    let kinds = fixture.kinds();
+    let is_refused = part == EndlessPart::RefusalBody;
+    let ran = kinds
+        .iter()
+        .any(|kind| matches!(kind, LedgerEventKind::Start(asked) if asked.nonce == "n1"));
+    assert_eq!(ran, !is_refused);
+    let shed = kinds
+        .iter()
+        .any(|kind| matches!(kind, LedgerEventKind::Shed(asked) if asked.nonce == "n1"));
+    assert_eq!(shed, is_refused);
+    let nonce = "n1".to_owned();
+    assert!(kinds.contains(&LedgerEventKind::Endless { nonce }));
+    // Its slot is free, and others are served beside it.
+    fixture.server.set_behaviour(Behaviour::default());
+    assert_eq!(fixture.ask("n2", "60000").await.0, StatusCode::OK);
+    connection.read_bytes(NO_END_BYTES).await;
+}
+
+/// Guards against parts that a client of HTTP would end at once, as no HTTP.
+#[rstest]
+#[case::body(EndlessPart::Body, StatusCode::OK)]
+#[case::chunks(EndlessPart::Chunks, StatusCode::OK)]
+#[case::refusal(EndlessPart::RefusalBody, StatusCode::SERVICE_UNAVAILABLE)]
+#[tokio::test]
+async fn test_fake_backend_server_body_without_end_is_http(
+    #[case] part: EndlessPart,
+    #[case] status: StatusCode,
+) {
+    let fixture = Fixture::start_with(1, 1.0, endless(100, part)).await;
+    let req = Request::get(format!("http://{}/strength", fixture.address));
+    let req = req.header(echo::REQUEST_ID_HEADER, "n1");
+    let response = fixture.client.request(req.body(Full::default()).unwrap());
+    let response = response.await.unwrap();
+    assert_eq!(response.status(), status);
+    assert_eq!(response.headers()[echo::REQUEST_ID_HEADER], "n1");
+    let mut body = response.into_body();
+    let mut bytes = 0;
+    while bytes < NO_END_BYTES {
+        let frame = body.frame().await.unwrap().unwrap();
+        bytes += frame.data_ref().unwrap().len() as u64;
+    }
+}
+
+/// Guards against a backend server that can't leave while it writes without end.
+#[tokio::test]
+async fn test_fake_backend_server_leaves_answers_without_end() {
+    let fixture = Fixture::start_with(1, 1.0, endless(100, EndlessPart::Body)).await;
+    let mut connection = KeptConnection::open(&fixture).await;
+    connection.send("n1", 60_000).await;
+    connection.read_bytes(NO_END_BYTES).await;
+    let left = tokio::time::timeout(Duration::from_mins(1), fixture.server.leave());
+    left.await.unwrap();
+}
+
+/// Returns which answers, on connections one after another, had no end.
+async fn endless_answers(percent: u8) -> Vec<bool> {
+    let behaviour = endless(percent, EndlessPart::Rubbish);
+    let fixture = Fixture::start_with(1, 0.0, behaviour).await;
+    let mut endless = Vec::new();
+    for number in 0..50 {
+        let mut connection = KeptConnection::open(&fixture).await;
+        connection.send(&format!("n{number}"), 60_000).await;
+        endless.push(connection.read_bytes(1).await != b"H");
+    }
+    endless
+}
+
+#[tokio::test]
+async fn test_fake_backend_server_draws_endless_answers() {
+    let drawn = endless_answers(50).await;
+    assert!(drawn.contains(&true) && drawn.contains(&false));
+    assert_eq!(endless_answers(50).await, drawn);
+    assert!(!endless_answers(0).await.contains(&true));
+}
+
+#[test]
+fn test_fake_backend_server_behaviour_is_read() {
+    let behaviour: Behaviour = serde_json::from_str("{}").unwrap();
+    assert_eq!(behaviour, Behaviour::default());
+    let faulty = r#"{
+        "early_answer": {"percent": 50, "delay_ms": 2, "kind": "unnamed_refusal"},
+        "endless_answers": {"percent": 10, "part": "chunk_extension"}
+    }"#;
+    let behaviour: Behaviour = serde_json::from_str(faulty).unwrap();
+    let early = EarlyAnswer {
+        percent: 50,
+        delay_ms: 2,
+        kind: EarlyAnswerKind::UnnamedRefusal,
+    };
+    let endless = EndlessAnswers {
+        percent: 10,
+        part: EndlessPart::ChunkExtension,
+    };
+    assert_eq!(behaviour.early_answer, Some(early));
+    assert_eq!(behaviour.endless_answers, Some(endless));
+}
