tests: histories in which backend servers speak first and answer without end

Callers of the users saw actions that ran although they were refused, or ran twice. The histories knew late repeats only.

A caller reads a body on and drops what goes beyond 16 MiB, so that a body without end is read as fast as it comes and doesn't fill memory. The draws of spells move to a module of their own; those of late repeats are the same.

--- a/testutils/src/answer_fault.rs
+++ b/testutils/src/answer_fault.rs
@@ -52,10 +52,14 @@
     pub percent: u8,
     /// What has no end.
     pub part: EndlessPart,
+    /// Whether that is so of the first such answer only, and each further one takes the part that
+    /// follows in [`EndlessPart::ALL`].
+    #[serde(default)]
+    pub in_turn: bool,
 }
 
 /// Tells which part of an answer has no end. Answers to refused requests have it too.
-#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
 #[serde(rename_all = "snake_case")]
 pub enum EndlessPart {
     /// Its header lines.
@@ -78,6 +82,20 @@
     Rubbish,
 }
 
+impl EndlessAnswers {
+    /// Returns which part of the answer with this number, from 0, has no end.
+    #[must_use]
+    pub fn part_of(&self, number: usize) -> EndlessPart {
+        if !self.in_turn {
+            return self.part;
+        }
+        let parts = EndlessPart::ALL.iter().cycle();
+        let mut parts = parts.skip_while(|part| **part != self.part);
+        let number = number % EndlessPart::ALL.len();
+        parts.nth(number).copied().unwrap_or(self.part)
+    }
+}
+
 impl EndlessPart {
     /// All parts.
     pub const ALL: [Self; 9] = [
--- a/testutils/src/caller.rs
+++ b/testutils/src/caller.rs
@@ -7,12 +7,14 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use bytes::BytesMut;
 use http::HeaderMap;
 use http::Method;
 use http::Request;
 use http::StatusCode;
 use http_body_util::BodyExt;
 use http_body_util::Full;
+use hyper::body::Incoming;
 use hyper_util::client::legacy::Client;
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::TokioExecutor;
@@ -33,6 +35,10 @@
 const MAX_ATTEMPTS: usize = 6;
 /// Pause between attempts, unless a refusal says otherwise.
 const RETRY_PAUSE: Duration = Duration::from_millis(100);
+/// Bytes of a response's body that a caller keeps. It reads and drops what goes beyond them.
+const MAX_BODY_BYTES: usize = 16 << 20;
+/// Tells of an attempt that had neither an answer nor a refusal when patience ran out.
+pub const PATIENCE_RAN_OUT: &str = "patience ran out";
 /// Longest pause that a caller is willing to make because a refusal asks for it.
 const LONGEST_PAUSE: Duration = Duration::from_secs(1);
 
@@ -424,15 +430,39 @@
         let exchange = async {
             let response = self.client.request(req).await.map_err(|err| chain(&err))?;
             let (parts, body) = response.into_parts();
-            let body = body.collect().await.map_err(|err| chain(&err))?;
             Ok(Exchanged {
                 status: parts.status,
                 headers: parts.headers,
-                body: body.to_bytes(),
+                body: read_body(body).await?,
             })
         };
         let exchanged = timeout(self.config.patience, exchange).await;
-        exchanged.unwrap_or_else(|_| Err("patience ran out".to_owned()))
+        exchanged.unwrap_or_else(|_| Err(PATIENCE_RAN_OUT.to_owned()))
+    }
+}
+
+/// Reads a body to its end and returns it.
+///
+/// # Errors
+///
+/// Returns what broke it off, or that it was longer than a caller keeps.
+async fn read_body(mut body: Incoming) -> Result<Bytes, String> {
+    let mut kept = BytesMut::new();
+    let mut is_whole = true;
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|err| chain(&err))?;
+        let Ok(data) = frame.into_data() else {
+            continue;
+        };
+        is_whole &= kept.len() + data.len() <= MAX_BODY_BYTES;
+        if is_whole {
+            kept.extend_from_slice(&data);
+        }
+    }
+    if is_whole {
+        Ok(kept.freeze())
+    } else {
+        Err(format!("the body has more than {MAX_BODY_BYTES} bytes"))
     }
 }
 
--- a/testutils/src/deployment_plan.rs
+++ b/testutils/src/deployment_plan.rs
@@ -2,12 +2,8 @@
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
-use std::ops::RangeInclusive;
 use std::time::Duration;
 
-use rand::Rng;
-use rand::SeedableRng;
-use rand_chacha::ChaCha8Rng;
 use serde_json::Value;
 use serde_json::json;
 
@@ -24,13 +20,6 @@
 const PATIENCE: Duration = Duration::from_secs(10);
 /// Control replicas of each deployment.
 const CONTROLS: usize = 3;
-/// Share of the backend servers that have spells, if they are drawn.
-const SPELL_SHARE: f64 = 0.5;
-/// Time before a drawn spell, and how long it lasts, in milliseconds.
-const SPELL_MS: RangeInclusive<u64> = 1_000..=4_000;
-/// Share of requests that are refused, and of answers that are repeated, in a drawn spell.
-const SPELL_PERCENT: RangeInclusive<u8> = 20..=60;
-
 /// Describes the backend servers of one service at one place.
 #[derive(Clone, Debug)]
 pub struct BackendGroup {
@@ -50,7 +39,7 @@
 
 impl BackendGroup {
     /// Returns the names of the backend servers.
-    fn names(&self) -> impl Iterator<Item = String> {
+    pub(crate) fn names(&self) -> impl Iterator<Item = String> {
         (1..=self.count).map(|number| format!("{}-{}-{number}", self.service, self.place))
     }
 }
@@ -184,31 +173,6 @@
         }
     }
 
-    /// Draws backend servers that for part of the time refuse a share of requests and repeat a
-    /// share of their answers late.
-    pub fn draw_late_repeats(&mut self) {
-        let mut rng = ChaCha8Rng::seed_from_u64(self.seed);
-        for name in self.groups.iter().flat_map(BackendGroup::names) {
-            if rng.random_bool(SPELL_SHARE) {
-                let spell = self.draw_spell(&mut rng);
-                self.spells.insert(name, spell);
-            }
-        }
-    }
-
-    fn draw_spell(&self, rng: &mut impl Rng) -> Spell {
-        Spell {
-            behaviour: Behaviour {
-                shed_percent: rng.random_range(SPELL_PERCENT),
-                repeat_percent: rng.random_range(SPELL_PERCENT),
-                repeat_without_id: rng.random(),
-                ..self.behaviour
-            },
-            off_ms: rng.random_range(SPELL_MS),
-            on_ms: rng.random_range(SPELL_MS),
-        }
-    }
-
     /// Returns all slots of a service's backend servers.
     #[must_use]
     pub fn slots(&self, service: &str) -> u32 {
--- a/testutils/src/fake_backend_server.rs
+++ b/testutils/src/fake_backend_server.rs
@@ -9,6 +9,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::AtomicU32;
+use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
@@ -189,6 +190,7 @@
             ledger,
             behaviour: behaviour_rx,
             phase: phase_rx.clone(),
+            endless: AtomicUsize::new(0),
         };
         server
             .ledger
@@ -230,6 +232,8 @@
     pub ledger: Ledger,
     behaviour: watch::Receiver<Behaviour>,
     phase: watch::Receiver<Phase>,
+    /// How many answers had no end.
+    endless: AtomicUsize,
 }
 
 /// Accepts connections until the server has left.
@@ -317,7 +321,10 @@
         let mut rng = self.rng(connection, number);
         rng.set_word_pos(ENDLESS_DRAW);
         let endless = self.behaviour().endless_answers?;
-        (rng.random_range(0..100) < endless.percent).then_some(endless.part)
+        if rng.random_range(0..100) >= endless.percent {
+            return None;
+        }
+        Some(endless.part_of(self.endless.fetch_add(1, Ordering::Relaxed)))
     }
 
     /// Answers a request.
@@ -344,7 +351,7 @@
         }
         if let Some(part) = endless {
             self.ledger
-                .note(&self.identity, LedgerEventKind::Endless { nonce });
+                .note(&self.identity, LedgerEventKind::Endless { nonce, part });
             return Err(EndlessAnswer::new(&response, part).await);
         }
         self.hold_repeat(&response, self.rng(connection, number), late)
--- a/testutils/src/ledger.rs
+++ b/testutils/src/ledger.rs
@@ -16,6 +16,7 @@
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
 
+use crate::answer_fault::EndlessPart;
 use crate::machine_clock::now_us;
 
 /// Holds one line of a ledger.
@@ -67,6 +68,8 @@
     Endless {
         /// The nonce of the request.
         nonce: String,
+        /// What has no end.
+        part: EndlessPart,
     },
 }
 
--- a/testutils/src/lib.rs
+++ b/testutils/src/lib.rs
@@ -37,6 +37,7 @@
 pub mod request_history;
 pub mod service_time;
 pub mod socket_owner;
+mod spell_plan;
 pub mod steady_load;
 pub mod submission_spec;
 pub mod wait;
