--- a/lib/src/answer_pairing.rs
+++ b/lib/src/answer_pairing.rs
@@ -87,6 +87,17 @@
     Optional,
 }
 
+impl EchoPolicy {
+    /// Returns the stricter of two policies.
+    #[must_use]
+    pub const fn strictest(self, other: Self) -> Self {
+        match (self, other) {
+            (Self::Optional, Self::Optional) => Self::Optional,
+            _ => Self::Always,
+        }
+    }
+}
+
 /// What shows that an answer belongs to a request.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Pairing {
@@ -172,7 +183,7 @@
 
 /// Time after an answer that named its request for which the backend server's answers are expected
 /// to name theirs.
-pub const ECHO_MEMORY: Duration = Duration::from_secs(60);
+pub const ECHO_MEMORY: Duration = Duration::from_mins(1);
 
 /// Remembers that a backend server echoes the identifiers of requests.
 #[derive(Clone, Copy, Debug)]
@@ -188,8 +199,8 @@
         Self { latest: now }
     }
 
-    /// Returns whether an answer may lack the identifier again, because the address may have been
-    /// given to another backend server.
+    /// Returns whether an answer may lack the identifier again: the address may belong to another
+    /// backend server by now.
     #[must_use]
     pub fn is_over(&self, now: Instant) -> bool {
         now.saturating_duration_since(self.latest) >= ECHO_MEMORY
--- a/server/src/backend_connection.rs
+++ b/server/src/backend_connection.rs
@@ -101,8 +101,8 @@
     pub(crate) address: SocketAddr,
     pub(crate) sender: SendRequest<Full<Bytes>>,
     pub(crate) reused: bool,
-    /// Whether its backend server is known to echo identifiers.
-    echoes: bool,
+    /// Whether its backend server is known to echo identifiers always.
+    known_echo: EchoPolicy,
     /// Whether the latest answer named its request.
     pub(crate) is_named: bool,
     /// Number of requests that were sent on it.
@@ -178,11 +178,7 @@
         let sent = SentRequest {
             id,
             is_first: self.sent == 1 && !self.reused,
-            echo_policy: if self.echoes {
-                EchoPolicy::Always
-            } else {
-                echo_policy
-            },
+            echo_policy: echo_policy.strictest(self.known_echo),
         };
         let paired = attempt.pair(sent, echoed)?;
         // Answers that name no request cannot be told apart on a kept connection.
@@ -242,7 +238,7 @@
     options: ConnectOptions,
 ) -> Result<BackendConnection, ConnectError> {
     let address = permit.address();
-    let echoes = permit.echoes();
+    let known_echo = permit.known_echo();
     let begun = Instant::now();
     let connecting = connect(address, options.receive_buffer);
     let connected = tokio::time::timeout(options.timeout, connecting).await;
@@ -279,7 +275,7 @@
         address,
         sender,
         reused: false,
-        echoes,
+        known_echo,
         is_named: false,
         sent: 0,
         carried: CarriedRequests::default(),
--- a/server/src/backend_pool.rs
+++ b/server/src/backend_pool.rs
@@ -24,6 +24,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use heatherring_lib::answer_pairing::EchoPolicy;
 use heatherring_lib::answer_pairing::EchoRecord;
 use heatherring_lib::answer_pairing::IdHash;
 use heatherring_lib::answer_pairing::MismatchRecord;
@@ -51,8 +52,8 @@
 #[derive(Debug)]
 pub(crate) struct ConnectionPermit {
     address: SocketAddr,
-    /// Whether the backend server is known to echo identifiers.
-    echoes: bool,
+    /// Whether the backend server is known to echo identifiers always.
+    known_echo: EchoPolicy,
     tx: mpsc::UnboundedSender<PoolMessage>,
 }
 
@@ -61,8 +62,8 @@
         self.address
     }
 
-    pub(crate) const fn echoes(&self) -> bool {
-        self.echoes
+    pub(crate) const fn known_echo(&self) -> EchoPolicy {
+        self.known_echo
     }
 }
 
@@ -392,10 +393,15 @@
             return;
         };
         self.servers.entry(address).or_default().open += 1;
+        let now = Instant::now();
         let record = self.echoing.get(&address);
+        let known_echo = match record.filter(|record| !record.is_over(now)) {
+            Some(_) => EchoPolicy::Always,
+            None => EchoPolicy::Optional,
+        };
         let permit = ConnectionPermit {
             address,
-            echoes: record.is_some_and(|record| !record.is_over(Instant::now())),
+            known_echo,
             tx,
         };
         let _ = reply.send(Checkout::Connect(permit));
