--- a/server/src/answer_body.rs
+++ b/server/src/answer_body.rs
@@ -103,7 +103,7 @@
     waker: Option<Waker>,
 }
 
-/// An answer whose last byte has not been read.
+/// An answer that is being passed on.
 struct Source {
     inner: Incoming,
     deadline: AnswerDeadline,
@@ -126,8 +126,8 @@
 /// Wraps the body of an answer that another process sends.
 ///
 /// `end` is notified of the last byte as soon as it has been read, not only when the receiver
-/// polls for more: `hyper` does not poll again once it knows the end. It is dropped at the deadline
-/// even if the receiver does not poll at all.
+/// polls for more: `hyper` does not poll again once it knows the end. It is told of the deadline even
+/// if the receiver does not poll at all.
 #[must_use]
 pub fn relay(inner: Incoming, deadline: Instant, end: Box<dyn AnswerObserver>) -> AnswerBody {
     relay_at_pace(inner, AnswerDeadline::strict(deadline), None, end)
--- a/server/tests/endless_support/mod.rs
+++ b/server/tests/endless_support/mod.rs
@@ -50,6 +50,8 @@
     RefusalBody,
     /// Bytes behind a complete answer.
     AfterAnswer,
+    /// Interim answers to health checks.
+    Health,
 }
 
 impl Endless {
@@ -58,13 +60,20 @@
         matches!(self, Self::Length | Self::Chunks | Self::TinyChunks)
     }
 
+    fn is_answer_to(self, key: &str) -> bool {
+        match self {
+            Self::Health => key == "health",
+            _ => key.starts_with(ENDLESS_KEY),
+        }
+    }
+
     fn begin(self, id: &str) -> String {
         let ok = format!("HTTP/1.1 200 OK\r\nheatherring-request-id: {id}\r\n");
         let chunked = format!("{ok}transfer-encoding: chunked\r\n\r\n");
         match self {
             Self::Head => ok + "x-long: ",
             Self::HeaderLines => ok,
-            Self::InterimAnswers => String::new(),
+            Self::InterimAnswers | Self::Health => String::new(),
             Self::Length => ok + "content-length: 1000000000000\r\n\r\n",
             Self::Chunks | Self::TinyChunks | Self::ChunkSize => chunked,
             Self::ChunkSpaces => chunked + "1",
@@ -83,7 +92,7 @@
             Self::Head | Self::Length | Self::RefusalBody | Self::AfterAnswer => "x",
             Self::ChunkExtension => "e",
             Self::HeaderLines | Self::Trailers => "x-line: 1\r\n",
-            Self::InterimAnswers => "HTTP/1.1 102 Processing\r\n\r\n",
+            Self::InterimAnswers | Self::Health => "HTTP/1.1 102 Processing\r\n\r\n",
             Self::Chunks => &format!("1000\r\n{}\r\n", "x".repeat(0x1000)),
             Self::TinyChunks => "1\r\nx\r\n",
             Self::ChunkSize => "0",
@@ -174,7 +183,7 @@
         raw_request::skip_body(&mut stream, &mut unread, &mut body).await?;
         let id = raw_request::value(&head, "heatherring-request-id");
         let key = raw_request::path(&head).rsplit('/').next()?.to_owned();
-        if key.starts_with(ENDLESS_KEY) {
+        if endless.is_answer_to(&key) {
             written.begun.fetch_add(1, Ordering::SeqCst);
             write_endless(&mut stream, endless, id, &written).await;
             written.ended.fetch_add(1, Ordering::SeqCst);
--- a/server/tests/test_endless_answers.rs
+++ b/server/tests/test_endless_answers.rs
@@ -180,6 +180,20 @@
     scene.assert_others_are_served("/once/more-").await;
 }
 
+/// Guards against answers to health checks that cost callers theirs.
+#[tokio::test(flavor = "multi_thread")]
+async fn test_endless_answer_to_a_health_check_ends() {
+    let mut scene = Scene::start(Endless::Health, None).await;
+    // Without control, entry VMs ask the backend servers themselves.
+    for replica in std::mem::take(&mut scene.deployment.replicas) {
+        replica.stop().await;
+    }
+    scene.written.until_begun().await;
+    scene.assert_others_are_served("/once/").await;
+    scene.written.until_ended().await;
+    scene.written.assert_bounded();
+}
+
 /// Guards against an action that counts as refused because its answer has no end.
 #[rstest]
 #[case::head(Endless::Head)]
