--- a/server/src/pipelined_connection.rs
+++ b/server/src/pipelined_connection.rs
@@ -31,6 +31,7 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
+use rustix::net::sockopt;
 use snafu::Snafu;
 use tokio::net::TcpStream;
 use tokio::net::tcp::OwnedReadHalf;
@@ -42,6 +43,7 @@
 use tokio_util::task::AbortOnDropHandle;
 
 use crate::answer_body::AnswerBody;
+use crate::body_memory::BodyMemory;
 use crate::http_server::Arrival;
 use crate::http_server::ConnectionLimits;
 use crate::http_server::Handler;
@@ -81,9 +83,17 @@
 /// connection with unread bytes resets it, which could lose that answer.
 const LINGER: Duration = Duration::from_millis(500);
 
+/// Largest number of bytes that are read from a caller only to be discarded. A caller that sends
+/// more is not waiting for its answer.
+const MAX_DISCARDED_BYTES: usize = 16 << 20;
+
 /// Size of the buffer for discarded bytes.
 const SCRATCH_BYTES: usize = 2_048;
 
+/// Number of reads of discarded bytes after which other tasks run. A read that finds bytes does not
+/// yield by itself.
+const READS_PER_TURN: usize = 32;
+
 /// Holds the parameters for serving one connection.
 #[derive(Debug)]
 pub(crate) struct PipelineSetup<H> {
@@ -93,6 +103,7 @@
     pub progress: Arc<Progress>,
     pub stops: Stops,
     pub listener_read_ahead: Arc<Semaphore>,
+    pub body_memory: BodyMemory,
 }
 
 /// Tells why there is no answer to a request.
@@ -136,6 +147,7 @@
     let mut answering = std::pin::pin!(answering);
     let mut pending_tx = Some(pending_tx);
     let mut shutdown_begun = false;
+    let mut rest = DiscardedBytes::new(&read_half);
     loop {
         tokio::select! {
             biased;
@@ -148,7 +160,7 @@
                     end_with_fault(&error, &pending_answers, &progress);
                 }
             }
-            () = drain(&read_half), if pending_tx.is_none() => {
+            () = rest.until_closed(), if pending_tx.is_none() => {
                 return progress.log_end(peer, "the caller closed it after its last request");
             }
             () = answering.as_mut() => break,
@@ -161,7 +173,12 @@
                 return progress.log_end(peer, "the process is stopping and no request arrived");
             }
             () = timed_out_waiting(&progress, limits) => {
-                return progress.log_end(peer, "the caller was idle or slow to send a head");
+                let is_blocked = progress.state().blocked_since.is_some();
+                if !is_blocked {
+                    return progress.log_end(peer, "the caller was idle or slow to send a head");
+                }
+                reset_on_close(&read_half);
+                return progress.log_end(peer, "the caller did not read its answer");
             }
             () = caller_closed(&read_half, &progress) => {
                 return progress.log_end(peer, "the caller closed it with bytes unread");
@@ -169,7 +186,7 @@
         }
     }
     // An answer that was cut short has broken the connection; there is no rest to wait for then.
-    let _ = tokio::time::timeout(LINGER, drain(&read_half)).await;
+    let _ = tokio::time::timeout(LINGER, rest.read()).await;
 }
 
 /// Answers bytes that are not a valid request with an error status, after the pending answers.
@@ -224,7 +241,7 @@
     /// returned placeholder answer is discarded; it makes `hyper` read the next request.
     async fn take(&self, head: AcceptedHead, req: Request<Incoming>) -> Response<Empty<Bytes>> {
         let shape = AnswerShape::of(&req);
-        let (req, body_done) = RequestBody::hold(req);
+        let (req, body_done) = RequestBody::hold(req, self.setup.body_memory.clone());
         let ahead = if head.is_behind {
             self.read_ahead_permits().await
         } else {
@@ -407,22 +424,22 @@
     }
 }
 
-/// Completes when a caller has exceeded the timeout of a request's head, or was idle too long.
+/// Completes when a caller has exceeded the timeout of a request's head, was idle too long, or has
+/// taken nothing of an answer for too long.
+///
+/// The library polls the body of an answer, and with it its deadline, only while the connection
+/// takes bytes.
 async fn timed_out_waiting(progress: &Progress, limits: ConnectionLimits) {
     loop {
         let now = progress.now();
-        let state = *progress.state();
-        let due = match state.head_since {
-            Some(since) => since + limits.header_timeout,
-            None => state.active_at + limits.idle_timeout,
-        };
-        if due <= now && state.waits_for_caller() {
+        let due = progress.state().due(limits);
+        if due.is_some_and(|due| due <= now) {
             return;
         }
         // The first bytes of a head may arrive at any time, and are due sooner than the idle
         // timeout. Each wake-up polls the whole task.
         let look = now + limits.header_timeout;
-        let next = if due <= now { look } else { due.min(look) };
+        let next = due.map_or(look, |due| due.min(look));
         tokio::time::sleep_until(next.into()).await;
     }
 }
@@ -445,18 +462,53 @@
     }
 }
 
-/// Reads and discards what a caller still sends, until it closes its side.
-async fn drain(stream: &OwnedReadHalf) {
-    let mut scratch = vec![0; SCRATCH_BYTES];
-    loop {
-        if stream.readable().await.is_err() {
-            return;
+/// Makes the connection end by a reset: the system would otherwise keep what the caller does not
+/// read for minutes.
+fn reset_on_close(stream: &OwnedReadHalf) {
+    if let Err(error) = sockopt::set_socket_linger(stream.as_ref(), Some(Duration::ZERO)) {
+        log::debug!(event = "linger_refused", error:% = error; "cannot set how a connection is closed");
+    }
+}
+
+/// What a caller still sends when nothing of it is handled any more.
+struct DiscardedBytes<'a> {
+    stream: &'a OwnedReadHalf,
+    /// Number of bytes that may still be read.
+    left: usize,
+}
+
+impl<'a> DiscardedBytes<'a> {
+    const fn new(stream: &'a OwnedReadHalf) -> Self {
+        Self {
+            stream,
+            left: MAX_DISCARDED_BYTES,
+        }
+    }
+
+    /// Reads and discards until the caller closes its side; waits for ever if it sends too much.
+    async fn until_closed(&mut self) {
+        self.read().await;
+        if self.left == 0 {
+            std::future::pending::<()>().await;
         }
-        match stream.try_read(&mut scratch) {
-            Ok(0) => return,
-            Ok(_) => {}
-            Err(error) if error.kind() == std::io::ErrorKind::WouldBlock => {}
-            Err(_) => return,
+    }
+
+    /// Reads and discards until the caller closes its side or has sent too much.
+    async fn read(&mut self) {
+        let mut scratch = vec![0; SCRATCH_BYTES];
+        while self.left > 0 {
+            for _ in 0..READS_PER_TURN {
+                if self.stream.readable().await.is_err() {
+                    return;
+                }
+                match self.stream.try_read(&mut scratch) {
+                    Ok(0) => return,
+                    Ok(bytes) => self.left = self.left.saturating_sub(bytes),
+                    Err(error) if error.kind() == std::io::ErrorKind::WouldBlock => {}
+                    Err(_) => return,
+                }
+            }
+            tokio::task::yield_now().await;
         }
     }
 }
