--- a/server/tests/test_endless_peers.rs
+++ b/server/tests/test_endless_peers.rs
@@ -1,6 +1,6 @@
 //! Peers that send without end, or do not take what they are sent.
 
-mod endless_support;
+mod endless_caller_support;
 
 use bytes::Bytes;
 use heatherring_server::http_server::HttpVersions;
@@ -16,13 +16,13 @@
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 
-use crate::endless_support::IDLE_TIMEOUT;
-use crate::endless_support::KEPT;
-use crate::endless_support::KEPT_BYTES;
-use crate::endless_support::LATE;
-use crate::endless_support::Server;
-use crate::endless_support::TEST_TIMEOUT;
-use crate::endless_support::flood;
+use crate::endless_caller_support::IDLE_TIMEOUT;
+use crate::endless_caller_support::KEPT;
+use crate::endless_caller_support::KEPT_BYTES;
+use crate::endless_caller_support::LATE;
+use crate::endless_caller_support::Server;
+use crate::endless_caller_support::TEST_TIMEOUT;
+use crate::endless_caller_support::flood;
 
 /// Bytes that a peer may send in vain: what is discarded and what the sockets hold.
 const MAX_FLOOD: u64 = 64 << 20;
--- a/server/tests/test_request_memory.rs
+++ b/server/tests/test_request_memory.rs
@@ -1,16 +1,16 @@
 //! Memory that the bodies of requests take. It is that of the whole process, so this file has one
 //! test.
 
-mod endless_support;
+mod endless_caller_support;
 
 use heatherring_server::http_server::HttpVersions;
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 
-use crate::endless_support::MAX_BODY;
-use crate::endless_support::Server;
-use crate::endless_support::TEST_TIMEOUT;
+use crate::endless_caller_support::MAX_BODY;
+use crate::endless_caller_support::Server;
+use crate::endless_caller_support::TEST_TIMEOUT;
 
 /// Number of chunks of the body, which have one byte each.
 const CHUNKS: usize = MAX_BODY as usize / 2;
