--- a/testutils/src/relay.rs
+++ b/testutils/src/relay.rs
@@ -24,6 +24,7 @@
 use tokio::net::TcpStream;
 use tokio::net::tcp::OwnedReadHalf;
 use tokio::net::tcp::OwnedWriteHalf;
+use tokio::sync::Semaphore;
 use tokio::sync::mpsc;
 use tokio::sync::watch;
 use tokio::task::JoinSet;
@@ -330,6 +331,9 @@
     }
 }
 
+/// Limits the searches for the processes behind connections that run at the same time.
+static SEARCHES: Semaphore = Semaphore::const_new(4);
+
 async fn find_source(peer: SocketAddr, own: SocketAddr, names: ProcessNames) -> Source {
     // Some connections of a process leave from its VM's address, the others from one that
     // the system chooses. Callers bind addresses of their own; they are hundreds, for
@@ -340,6 +344,10 @@
     if peer.ip() != IpAddr::V4(Ipv4Addr::LOCALHOST) {
         return Source::Address(peer.ip());
     }
+    // The search reads the system's table of connections, which takes longer the more there are.
+    let Ok(_permit) = SEARCHES.acquire().await else {
+        return Source::Address(peer.ip());
+    };
     let search = tokio::task::spawn_blocking(move || {
         let pids: Vec<_> = names.by_pid.keys().copied().collect();
         let pid = socket_owner::find(peer, own, &pids)?;
--- a/testutils/src/socket_owner.rs
+++ b/testutils/src/socket_owner.rs
@@ -35,8 +35,10 @@
     let near = table_form(near)?;
     let far = table_form(far)?;
     let table = fs::read_to_string(TABLE).ok()?;
+    // Most rows belong to other connections, and splitting them all takes long in a large table.
     let mut rows = table
         .lines()
+        .filter(|line| line.contains(&near) && line.contains(&far))
         .map(|line| line.split_whitespace().collect::<Vec<_>>());
     let row = rows.find(|row| {
         row.get(NEAR_COLUMN) == Some(&near.as_str()) && row.get(FAR_COLUMN) == Some(&far.as_str())
