answers: a head that was spliced of two names no request

Callers would see an action refused that ran, or one that ran twice, where a stray head breaks off before the true answer: the HTTP library reads one head with the status and the statement of the first and the identifier of the second.

Cause: the identifier of a head was taken for that of its status line. Found by the review, by reading.

Change: an answer whose reason phrase or any header value holds the beginning of a status line echoes an ambiguous identifier, so that it belongs to no request that has one. Values that merely name a version, as in Via, don't count.

--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -149,6 +149,7 @@
 pub mod settings_text;
 pub mod settled_share;
 pub mod shift_budget;
+pub mod spliced_head;
 pub mod start_wait;
 pub mod statement_board;
 pub mod steering;
--- a/server/src/dispatcher.rs
+++ b/server/src/dispatcher.rs
@@ -121,8 +121,9 @@
         let answering = connection.send(message, id);
         match tokio::time::timeout_at(deadline, answering).await {
             Ok(Ok(response)) => {
-                let echoed = header::echoed_id(response.headers(), &header::REQUEST_ID);
-                let received = connection.received(response.status(), echoed.compare(id));
+                let (head, body) = response.into_parts();
+                let echoed = header::echoed_id(&head, &header::REQUEST_ID);
+                let received = connection.received(head.status, echoed.compare(id));
                 let address = target.address.to_string();
                 let policy = own_interface::ECHO_POLICY;
                 let paired = match connection.pair(sent, id, echoed, policy) {
@@ -133,7 +134,6 @@
                         return sent.lost(UnknownReason::AnswerMismatched).into();
                     }
                 };
-                let (head, body) = response.into_parts();
                 let claim = Claim::new(paired, meaning(&head), head.status.as_u16());
                 if matches!(claim, Claim::Unproved(_)) {
                     received.log_unproved(&req.request_id, &address);
--- a/server/src/header.rs
+++ b/server/src/header.rs
@@ -6,6 +6,7 @@
 use heatherring_lib::backend_statement::LeavingNotice;
 use heatherring_lib::pushback::PushbackNotice;
 use heatherring_lib::rate_limit::LimitNotice;
+use heatherring_lib::spliced_head::holds_status_line;
 use http::HeaderMap;
 use http::HeaderName;
 use http::HeaderValue;
@@ -13,6 +14,7 @@
 use http::header;
 use http::header::AsHeaderName;
 use http::response::Parts;
+use hyper::ext::ReasonPhrase;
 
 /// Time left until the deadline, in milliseconds.
 pub const DEADLINE_MS: HeaderName = HeaderName::from_static("heatherring-deadline-ms");
@@ -119,16 +121,30 @@
 /// or not text.
 #[must_use]
 pub fn request_id(headers: &HeaderMap, name: impl AsHeaderName) -> Option<&str> {
-    match echoed_id(headers, name) {
+    match EchoedId::read(texts(headers, name)) {
         EchoedId::One(id) => Some(id),
         EchoedId::Absent | EchoedId::Ambiguous => None,
     }
 }
 
-/// Reads the identifier of the request that an answer echoes in a header.
+/// Reads the identifier of the request that an answer echoes in a header. It is ambiguous in a head
+/// that was spliced of two.
 #[must_use]
-pub fn echoed_id(headers: &HeaderMap, name: impl AsHeaderName) -> EchoedId<'_> {
-    EchoedId::read(texts(headers, name))
+pub fn echoed_id(head: &Parts, name: impl AsHeaderName) -> EchoedId<'_> {
+    if is_spliced(head) {
+        return EchoedId::Ambiguous;
+    }
+    EchoedId::read(texts(&head.headers, name))
+}
+
+/// Returns whether a head begins with one that broke off and ends with that of another answer.
+fn is_spliced(head: &Parts) -> bool {
+    let reason = head.extensions.get::<ReasonPhrase>();
+    reason.is_some_and(|reason| holds_status_line(reason.as_bytes()))
+        || head
+            .headers
+            .values()
+            .any(|value| holds_status_line(value.as_bytes()))
 }
 
 /// Reads the rate limit that a header declares.
--- a/server/src/own_interface.rs
+++ b/server/src/own_interface.rs
@@ -139,7 +139,7 @@
             AnswerMeaning::Answer
         };
         AnswerMetadata {
-            echoed: header::echoed_id(&head.headers, &header::REQUEST_ID),
+            echoed: header::echoed_id(head, &header::REQUEST_ID),
             meaning,
             statement: statement(head),
         }
--- a/server/tests/test_unpaired_answers.rs
+++ b/server/tests/test_unpaired_answers.rs
@@ -464,6 +464,20 @@
     scene.assert_honest(&told).await;
 }
 
+/// Guards against a head that breaks off and is completed by that of the true answer, whose
+/// identifier it then has.
+#[rstest]
+#[case::cut_status("HTTP/1.1 421 ")]
+#[case::cut_reason("HTTP/1.1 503 Service Unav")]
+#[case::cut_header("HTTP/1.1 503 Refused\r\nheatherring-outcome: not_run\r\nx-more: ")]
+#[tokio::test(flavor = "multi_thread")]
+async fn test_unpaired_opening_that_breaks_off(#[case] head: &str) {
+    let scene = Scene::start_plain(run_last).await;
+    scene.open_with(OpeningTime::AtRequest, head.to_owned());
+    let told = scene.act(4).await;
+    scene.assert_honest(&told).await;
+}
+
 /// Guards against callers that get what a backend server, whose answers name their requests, wrote
 /// before it read theirs.
 #[rstest]
--- a/server/tests/test_unpaired_answers_at_owner.rs
+++ b/server/tests/test_unpaired_answers_at_owner.rs
@@ -254,6 +254,7 @@
 #[case::opening_429_at_owner("HTTP/1.1 429 Scripted\r\ncontent-length: 0\r\n\r\n")]
 #[case::opening_408_at_owner("HTTP/1.1 408 Scripted\r\ncontent-length: 0\r\n\r\n")]
 #[case::opening_200_at_owner("HTTP/1.1 200 Scripted\r\ncontent-length: 0\r\n\r\n")]
+#[case::cut_header_at_owner("HTTP/1.1 503 Scripted\r\nheatherring-outcome: not_run\r\nx-more: ")]
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn test_unpaired_at_owner_opening(#[case] opening: &'static str) {
     let mut owners = Owners::start(2).await;
