backend pool: a foreign answer on a new connection does not make connections single-use

Callers saw more requests end as unknown than the fault itself spoils: for five seconds after a foreign answer no connection to its backend server is kept, so each request opens a new one, where a backend server that speaks first spoils the next.

Single use helps against late answers on kept connections only, so it follows only those. The connection of a foreign answer is closed in any case.

--- a/server/src/backend_connection.rs
+++ b/server/src/backend_connection.rs
@@ -177,7 +177,7 @@
     ) -> Result<Paired, Attempt<MayHaveRun>> {
         let sent = SentRequest {
             id,
-            is_first: self.sent == 1 && !self.reused,
+            is_first: self.carries_first(),
             echo_policy: echo_policy.strictest(self.known_echo),
         };
         let paired = attempt.pair(sent, echoed)?;
@@ -197,6 +197,11 @@
         self.user.log_unending(part);
     }
 
+    /// Returns whether the request that was sent last is the first on the connection.
+    pub(crate) const fn carries_first(&self) -> bool {
+        self.sent == 1 && !self.reused
+    }
+
     /// Notes that no byte of the request that was sent last has left, so that the connection is
     /// closed in the ordinary way.
     pub fn note_unsent(&self) {
--- a/server/src/backend_pool.rs
+++ b/server/src/backend_pool.rs
@@ -221,11 +221,15 @@
     }
 
     /// Closes a connection on which an answer to another request arrived. For a while no connection
-    /// to its backend server is kept.
+    /// to its backend server is kept, unless the connection was new: others that are new would fare
+    /// no better.
     pub fn close_mismatched(&self, connection: BackendConnection) {
         let address = connection.address;
+        let was_kept = !connection.carries_first();
         drop(connection);
-        let _ = self.tx.send(PoolMessage::Mismatched(address));
+        if was_kept {
+            let _ = self.tx.send(PoolMessage::Mismatched(address));
+        }
     }
 
     /// Closes the idle connections to `address`, so that they do not count against the backend
