--- a/cli/tests/test_request_history.rs
+++ b/cli/tests/test_request_history.rs
@@ -439,7 +439,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn test_request_history_late_repeats() {
     let mut run = Run::start_with(plan_with_late_repeats(20)).await;
-    run.wait_for_answer_faults().await;
+    run.load.wait_for_more(REQUESTS_WITH_ANSWER_FAULTS).await;
     run.check().await;
 }
 
--- a/testutils/src/spell_plan.rs
+++ b/testutils/src/spell_plan.rs
@@ -45,10 +45,15 @@
     /// Draws backend servers that for part of the time refuse a share of requests and, each in its
     /// own way, answer late again, unasked or without end.
     pub fn draw_answer_faults(&mut self) {
-        self.draw_spells(|rng, behaviour| match rng.random_range(0..3) {
-            0 => draw_late_repeats(rng, behaviour),
-            1 => draw_early_answers(rng, behaviour),
-            _ => draw_endless_answers(rng, behaviour),
+        self.draw_spells(|rng, behaviour| {
+            let mut behaviour = draw_late_repeats(rng, behaviour);
+            if rng.random() {
+                behaviour = draw_early_answers(rng, behaviour);
+            }
+            if rng.random() {
+                behaviour = draw_endless_answers(rng, behaviour);
+            }
+            behaviour
         });
     }
 
