--- a/lib/src/answer_pairing.rs
+++ b/lib/src/answer_pairing.rs
@@ -103,9 +103,8 @@
 pub enum Pairing {
     /// The answer names the request.
     Named,
-    /// The answer names no request that could be told from this one, and no other request was sent
-    /// on the connection. It may have been written before the request was read, so it proves nothing
-    /// about whether that was run.
+    /// No other request was sent on the connection. The answer may have been written before the
+    /// request was read, so it proves nothing about whether that was run.
     Positional,
 }
 
--- a/server/src/backend_connection.rs
+++ b/server/src/backend_connection.rs
@@ -39,10 +39,12 @@
 /// Time without acknowledgement of sent bytes after which the system breaks a connection:
 /// several times the longest round trip between regions, 110 ms.
 const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_millis(1_500);
+
 /// Size of the HTTP library's read buffer of a connection, which also bounds the head of an answer.
 const READ_BUFFER: usize = 64 << 10;
-/// Size of that buffer of a connection with a bounded receive buffer. The
-/// smallest one that the library permits is half of it.
+
+/// Size of that buffer of a connection with a bounded receive buffer. The smallest one that the
+/// library permits is half of it.
 const PACED_READ_BUFFER: usize = 16 << 10;
 
 /// Tells why no connection to a backend server is available. No byte of the request has been
--- a/server/src/request_body.rs
+++ b/server/src/request_body.rs
@@ -88,8 +88,8 @@
         }
     }
 
-    /// Returns `req` with a body that is read into `memory` and signals the receiver when it is dropped, whether it was
-    /// read or not. A request without a body signals at once.
+    /// Returns `req` with a body that is read into `memory` and signals the receiver when it is
+    /// dropped, whether it was read or not. A request without a body signals at once.
     #[must_use]
     pub fn hold(
         req: Request<Incoming>,
--- a/testutils/src/deployment_plan.rs
+++ b/testutils/src/deployment_plan.rs
@@ -20,6 +20,7 @@
 const PATIENCE: Duration = Duration::from_secs(10);
 /// Control replicas of each deployment.
 const CONTROLS: usize = 3;
+
 /// Describes the backend servers of one service at one place.
 #[derive(Clone, Debug)]
 pub struct BackendGroup {
