--- a/server/src/backend_connection.rs
+++ b/server/src/backend_connection.rs
@@ -38,7 +38,9 @@
 /// Time without acknowledgement of sent bytes after which the system breaks a connection:
 /// several times the longest round trip between regions, 110 ms.
 const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_millis(1_500);
-/// Size of the HTTP library's read buffer of a connection with a bounded receive buffer. The
+/// Size of the HTTP library's read buffer of a connection, which also bounds the head of an answer.
+const READ_BUFFER: usize = 64 << 10;
+/// Size of that buffer of a connection with a bounded receive buffer. The
 /// smallest one that the library permits is half of it.
 const PACED_READ_BUFFER: usize = 16 << 10;
 
@@ -142,9 +144,17 @@
             self.carried.note(IdHash::of(id));
         }
         self.may_be_kept = false;
-        self.user.begin();
+        self.user.begin(id);
         self.idle = self.idle_since.elapsed();
-        self.sender.try_send_request(req)
+        let answering = self.sender.try_send_request(req);
+        let taker = self.user.taker();
+        async move {
+            let answered = answering.await;
+            if answered.is_ok() {
+                taker.note_taken();
+            }
+            answered
+        }
     }
 
     /// Pairs `attempt`, the request with the identifier `id` that was sent last, with the answer
@@ -170,6 +180,16 @@
         Ok(answered)
     }
 
+    /// Notes that a part of the answer was taken, so that more of it may be read.
+    pub(crate) fn note_taken(&self) {
+        self.user.note_taken();
+    }
+
+    /// Logs and counts the answer as one that did not end in `part`.
+    pub(crate) fn log_unending(&self, part: &'static str) {
+        self.user.log_unending(part);
+    }
+
     /// Notes that no byte of the request that was sent last has left, so that the connection is
     /// closed in the ordinary way.
     pub fn note_unsent(&self) {
@@ -228,10 +248,12 @@
     stream.set_nodelay(true).context(ConnectSnafu { address })?;
     let established_in = begun.elapsed();
     set_user_timeout(&stream);
+    let read_buffer = match options.receive_buffer {
+        Some(_) => PACED_READ_BUFFER,
+        None => READ_BUFFER,
+    };
     let mut builder = http1::Builder::new();
-    if options.receive_buffer.is_some() {
-        builder.max_buf_size(PACED_READ_BUFFER);
-    }
+    builder.max_buf_size(read_buffer);
     let (stream, user) = BackendStream::new(stream, permit);
     let (sender, connection) = builder
         .handshake(TokioIo::new(stream))
