--- a/server/src/backend_connection.rs
+++ b/server/src/backend_connection.rs
@@ -8,12 +8,13 @@
 use bytes::Bytes;
 use heatherring_lib::answer_pairing::CarriedRequests;
 use heatherring_lib::answer_pairing::EchoMatch;
+use heatherring_lib::answer_pairing::EchoPolicy;
 use heatherring_lib::answer_pairing::EchoedId;
 use heatherring_lib::answer_pairing::IdHash;
 use heatherring_lib::answer_pairing::SentRequest;
-use heatherring_lib::outcome::Answered;
 use heatherring_lib::outcome::Attempt;
 use heatherring_lib::outcome::MayHaveRun;
+use heatherring_lib::outcome::Paired;
 use http::Request;
 use http::Response;
 use http::StatusCode;
@@ -100,6 +101,10 @@
     pub(crate) address: SocketAddr,
     pub(crate) sender: SendRequest<Full<Bytes>>,
     pub(crate) reused: bool,
+    /// Whether its backend server is known to echo identifiers.
+    echoes: bool,
+    /// Whether the latest answer named its request.
+    pub(crate) is_named: bool,
     /// Number of requests that were sent on it.
     sent: u32,
     /// Their identifiers.
@@ -168,16 +173,22 @@
         attempt: Attempt<MayHaveRun>,
         id: Option<&str>,
         echoed: EchoedId<'_>,
-    ) -> Result<Attempt<Answered>, Attempt<MayHaveRun>> {
+        echo_policy: EchoPolicy,
+    ) -> Result<Paired, Attempt<MayHaveRun>> {
         let sent = SentRequest {
             id,
             is_first: self.sent == 1 && !self.reused,
+            echo_policy: if self.echoes {
+                EchoPolicy::Always
+            } else {
+                echo_policy
+            },
         };
-        let answered = attempt.pair(sent, echoed)?;
+        let paired = attempt.pair(sent, echoed)?;
         // Answers that name no request cannot be told apart on a kept connection.
-        let is_named = echoed.compare(id) == EchoMatch::Same;
-        self.may_be_kept = is_named && !self.carried.is_full();
-        Ok(answered)
+        self.is_named = matches!(paired, Paired::Named(_));
+        self.may_be_kept = self.is_named && !self.carried.is_full();
+        Ok(paired)
     }
 
     /// Notes that a part of the answer was taken, so that more of it may be read.
@@ -231,6 +242,7 @@
     options: ConnectOptions,
 ) -> Result<BackendConnection, ConnectError> {
     let address = permit.address();
+    let echoes = permit.echoes();
     let begun = Instant::now();
     let connecting = connect(address, options.receive_buffer);
     let connected = tokio::time::timeout(options.timeout, connecting).await;
@@ -267,6 +279,8 @@
         address,
         sender,
         reused: false,
+        echoes,
+        is_named: false,
         sent: 0,
         carried: CarriedRequests::default(),
         may_be_kept: true,
--- a/server/src/request_body.rs
+++ b/server/src/request_body.rs
@@ -9,20 +9,25 @@
 use std::pin::Pin;
 use std::task::Context;
 use std::task::Poll;
+use std::time::Duration;
 use std::time::Instant;
 
 use bytes::Bytes;
 use heatherring_lib::outcome::NotRunReason;
 use http::Request;
 use http_body_util::BodyExt;
-use http_body_util::LengthLimitError;
-use http_body_util::Limited;
 use hyper::body::Body;
 use hyper::body::Frame;
 use hyper::body::Incoming;
 use hyper::body::SizeHint;
+use snafu::ResultExt;
+use snafu::Snafu;
+use snafu::ensure;
 use tokio::sync::oneshot;
 
+use crate::body_memory::BodyMemory;
+use crate::body_memory::BodyMemoryFull;
+
 /// Maximum size of an operator's call in bytes: a manifest of about ten thousand routes.
 pub const MAX_OPERATOR_CALL_BYTES: usize = 8 << 20;
 
@@ -30,35 +35,79 @@
 /// of more is not a backend server, and several hundred may send at the same time.
 pub const MAX_ANNOUNCEMENT_BYTES: usize = 16 << 10;
 
+/// Time within which a call to control must arrive, besides that for its bytes.
+const CALL_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// Lowest rate, in bytes per second, at which a call to control may arrive.
+const MIN_CALL_RATE: usize = 256 << 10;
+
+/// Why a body could not be read.
+#[derive(Debug, Snafu)]
+pub enum BodyError {
+    /// The body is larger than allowed.
+    #[snafu(display("the body has more than {max_bytes} bytes"))]
+    TooLarge {
+        /// The largest size allowed.
+        max_bytes: usize,
+    },
+    /// The sender broke off, or sent something else than a body.
+    #[snafu(display("the body broke off: {source}"))]
+    Broken {
+        /// The error of the HTTP library.
+        source: hyper::Error,
+    },
+    /// Other bodies take the memory that it needs.
+    #[snafu(display("{source}"))]
+    NoMemory {
+        /// The reason.
+        source: BodyMemoryFull,
+    },
+    /// The body did not arrive in time.
+    #[snafu(display("the body did not arrive in time"))]
+    Late,
+}
+
 /// The body of a request, together with the signal that holds back the next request on the
 /// connection.
 #[derive(Debug)]
 pub struct RequestBody {
     inner: Incoming,
+    memory: BodyMemory,
     /// Dropped with the body, upon which the next request on the connection is read.
     _held: Option<oneshot::Sender<Infallible>>,
 }
 
 impl RequestBody {
-    /// Returns `req` with a body that signals the receiver when it is dropped, whether it was
+    /// Creates a body that is read into `memory` and signals nobody.
+    #[must_use]
+    pub const fn new(inner: Incoming, memory: BodyMemory) -> Self {
+        Self {
+            inner,
+            memory,
+            _held: None,
+        }
+    }
+
+    /// Returns `req` with a body that is read into `memory` and signals the receiver when it is dropped, whether it was
     /// read or not. A request without a body signals at once.
     #[must_use]
-    pub fn hold(req: Request<Incoming>) -> (Request<Self>, oneshot::Receiver<Infallible>) {
+    pub fn hold(
+        req: Request<Incoming>,
+        memory: BodyMemory,
+    ) -> (Request<Self>, oneshot::Receiver<Infallible>) {
         let (tx, rx) = oneshot::channel();
         let req = req.map(|inner| {
             let held = (!inner.is_end_stream()).then_some(tx);
-            Self { inner, _held: held }
+            Self {
+                inner,
+                memory,
+                _held: held,
+            }
         });
         (req, rx)
     }
 }
 
-impl From<Incoming> for RequestBody {
-    fn from(inner: Incoming) -> Self {
-        Self { inner, _held: None }
-    }
-}
-
 impl Body for RequestBody {
     type Data = Bytes;
     type Error = hyper::Error;
@@ -83,7 +132,8 @@
 ///
 /// # Errors
 ///
-/// Returns why the request cannot be run: the body is too large, broke off or arrived too late.
+/// Returns why the request cannot be run: the body is too large, broke off or arrived too late,
+/// or there is no memory for it.
 pub async fn read(
     body: RequestBody,
     max_bytes: u32,
@@ -96,25 +146,48 @@
     if body.size_hint().lower() > u64::from(max_bytes) {
         return Err(NotRunReason::BodyTooLarge);
     }
-    let limited = Limited::new(body, max_bytes as usize);
-    let reading = tokio::time::timeout_at(deadline.into(), limited.collect());
-    match reading.await {
-        Ok(Ok(collected)) => Ok(collected.to_bytes()),
-        Ok(Err(error)) if error.is::<LengthLimitError>() => Err(NotRunReason::BodyTooLarge),
-        Ok(Err(_)) => Err(NotRunReason::MalformedRequest),
-        Err(_) => Err(NotRunReason::DeadlineTooShort),
-    }
+    let content = collect(body, max_bytes as usize, deadline).await;
+    content.map_err(|error| match error {
+        BodyError::TooLarge { .. } => NotRunReason::BodyTooLarge,
+        BodyError::Broken { .. } => NotRunReason::MalformedRequest,
+        BodyError::NoMemory { .. } => NotRunReason::Overloaded,
+        BodyError::Late => NotRunReason::DeadlineTooShort,
+    })
 }
 
 /// Reads the body of a call to control, up to `max_bytes`.
 ///
 /// # Errors
 ///
-/// Returns an error if the body is too large or broke off.
-pub async fn read_control_call(
-    body: RequestBody,
+/// Returns an error if the body is too large, broke off or does not arrive in time, or if there is no
+/// memory for it.
+pub async fn read_control_call(body: RequestBody, max_bytes: usize) -> Result<Bytes, BodyError> {
+    let seconds = u64::try_from(max_bytes / MIN_CALL_RATE).unwrap_or(u64::MAX);
+    let deadline = Instant::now() + CALL_TIMEOUT + Duration::from_secs(seconds);
+    collect(body, max_bytes, deadline).await
+}
+
+/// Copies a body into one buffer. A chunk that is kept by itself keeps the buffer that it was read
+/// into, however small it is.
+async fn collect(
+    mut body: RequestBody,
     max_bytes: usize,
-) -> Result<Bytes, Box<dyn std::error::Error + Send + Sync>> {
-    let limited = Limited::new(body, max_bytes);
-    Ok(limited.collect().await?.to_bytes())
+    deadline: Instant,
+) -> Result<Bytes, BodyError> {
+    let mut content = body.memory.buffer();
+    let reading = async {
+        while let Some(frame) = body.frame().await {
+            // Trailers are not passed on.
+            let Ok(data) = frame.context(BrokenSnafu)?.into_data() else {
+                continue;
+            };
+            let is_within = content.len().saturating_add(data.len()) <= max_bytes;
+            ensure!(is_within, TooLargeSnafu { max_bytes });
+            content.push(&data).context(NoMemorySnafu)?;
+        }
+        Ok(())
+    };
+    let read = tokio::time::timeout_at(deadline.into(), reading).await;
+    read.unwrap_or_else(|_| LateSnafu.fail())?;
+    Ok(content.into_bytes())
 }
