--- a/server/src/backend_connection.rs
+++ b/server/src/backend_connection.rs
@@ -101,8 +101,8 @@
     pub(crate) address: SocketAddr,
     pub(crate) sender: SendRequest<Full<Bytes>>,
     pub(crate) reused: bool,
-    /// Whether its backend server is known to echo identifiers.
-    echoes: bool,
+    /// Whether its backend server is known to echo identifiers always.
+    known_echo: EchoPolicy,
     /// Whether the latest answer named its request.
     pub(crate) is_named: bool,
     /// Number of requests that were sent on it.
@@ -177,12 +177,8 @@
     ) -> Result<Paired, Attempt<MayHaveRun>> {
         let sent = SentRequest {
             id,
-            is_first: self.sent == 1 && !self.reused,
-            echo_policy: if self.echoes {
-                EchoPolicy::Always
-            } else {
-                echo_policy
-            },
+            is_first: self.carries_first(),
+            echo_policy: echo_policy.strictest(self.known_echo),
         };
         let paired = attempt.pair(sent, echoed)?;
         // Answers that name no request cannot be told apart on a kept connection.
@@ -201,6 +197,11 @@
         self.user.log_unending(part);
     }
 
+    /// Returns whether the request that was sent last is the first on the connection.
+    pub(crate) const fn carries_first(&self) -> bool {
+        self.sent == 1 && !self.reused
+    }
+
     /// Notes that no byte of the request that was sent last has left, so that the connection is
     /// closed in the ordinary way.
     pub fn note_unsent(&self) {
@@ -242,7 +243,7 @@
     options: ConnectOptions,
 ) -> Result<BackendConnection, ConnectError> {
     let address = permit.address();
-    let echoes = permit.echoes();
+    let known_echo = permit.known_echo();
     let begun = Instant::now();
     let connecting = connect(address, options.receive_buffer);
     let connected = tokio::time::timeout(options.timeout, connecting).await;
@@ -279,7 +280,7 @@
         address,
         sender,
         reused: false,
-        echoes,
+        known_echo,
         is_named: false,
         sent: 0,
         carried: CarriedRequests::default(),
