dispatcher: the address of a backend server is rendered only where it is logged

Owners rendered it for each answer since refusals are told apart by what they prove; before, only a mismatched answer did. Behaviour and log lines are the same.

--- a/server/src/dispatcher.rs
+++ b/server/src/dispatcher.rs
@@ -124,11 +124,11 @@
                 let (head, body) = response.into_parts();
                 let echoed = header::echoed_id(&head, &header::REQUEST_ID);
                 let received = connection.received(head.status, echoed.compare(id));
-                let address = target.address.to_string();
                 let policy = own_interface::ECHO_POLICY;
                 let paired = match connection.pair(sent, id, echoed, policy) {
                     Ok(paired) => paired,
                     Err(sent) => {
+                        let address = target.address.to_string();
                         received.log_mismatch(&req.request_id, &address, echoed);
                         pool.close_mismatched(connection);
                         return sent.lost(UnknownReason::AnswerMismatched).into();
@@ -136,7 +136,7 @@
                 };
                 let claim = Claim::new(paired, meaning(&head), head.status.as_u16());
                 if matches!(claim, Claim::Unproved(_)) {
-                    received.log_unproved(&req.request_id, &address);
+                    received.log_unproved(&req.request_id, &target.address.to_string());
                 }
                 if claim.is_from_chosen() {
                     let received = ReceivedStatement {
