orders: one that was read together with the end of its connection is not carried out

What operators would see: a manifest, or a rollout, that they had given up is in force. A replica was suspended; the order, bytes behind it and the end of the connection waited in its socket, and were read on resuming.

Cause: the HTTP library sees the end of a connection only if no bytes stand before it.

Change: a body that is complete is refused if its sender has closed the connection meanwhile, whatever stands unread before the end. The task yields once before it looks, so that the runtime knows what the system knows.

Not covered: an order whose bytes arrive before the end of its connection does. Nothing dates it.

--- a/server/src/pipelined_connection.rs
+++ b/server/src/pipelined_connection.rs
@@ -58,6 +58,7 @@
 use crate::pipeline_io::Reading;
 use crate::pipeline_io::RequestBytes;
 use crate::reply;
+use crate::request_body;
 use crate::request_body::RequestBody;
 use crate::request_fault;
 use crate::request_fault::RequestFault;
@@ -132,6 +133,7 @@
         pending_answers: pending_tx.downgrade(),
         ahead: Arc::new(Semaphore::new(MAX_READ_AHEAD_PER_CONNECTION)),
         last_action: Mutex::new(None),
+        stream: Arc::clone(&read_half),
     });
     let request_bytes = RequestBytes::new(prefix, Arc::clone(&read_half), Arc::clone(&progress));
     let service = service_fn(move |req| {
@@ -234,6 +236,7 @@
     ahead: Arc<Semaphore>,
     /// Index of the latest action.
     last_action: Mutex<Option<u64>>,
+    stream: Arc<OwnedReadHalf>,
 }
 
 impl<H: Handler> RequestReader<H> {
@@ -241,7 +244,8 @@
     /// returned placeholder answer is discarded; it makes `hyper` read the next request.
     async fn take(&self, head: AcceptedHead, req: Request<Incoming>) -> Response<Empty<Bytes>> {
         let shape = AnswerShape::of(&req);
-        let (req, body_done) = RequestBody::hold(req, self.setup.body_memory.clone());
+        let memory = self.setup.body_memory.clone();
+        let (req, body_done) = RequestBody::hold(req, memory, Arc::clone(&self.stream));
         let ahead = if head.is_behind {
             self.read_ahead_permits().await
         } else {
@@ -450,13 +454,7 @@
     loop {
         until(progress, |state| state.reading == Reading::Body).await;
         tokio::time::sleep(CHECK_INTERVAL).await;
-        let readiness = poll_fn(|cx| {
-            let ready = std::pin::pin!(stream.ready(tokio::io::Interest::READABLE));
-            Poll::Ready(ready.poll(cx))
-        });
-        if let Poll::Ready(Ok(ready)) = readiness.await
-            && ready.is_read_closed()
-        {
+        if request_body::is_read_closed(stream) {
             return;
         }
     }
--- a/server/src/request_body.rs
+++ b/server/src/request_body.rs
@@ -7,12 +7,14 @@
 
 use std::convert::Infallible;
 use std::pin::Pin;
+use std::sync::Arc;
 use std::task::Context;
 use std::task::Poll;
 use std::time::Duration;
 use std::time::Instant;
 
 use bytes::Bytes;
+use futures_util::FutureExt;
 use heatherring_lib::outcome::NotRunReason;
 use http::Request;
 use http_body_util::BodyExt;
@@ -23,6 +25,9 @@
 use snafu::ResultExt;
 use snafu::Snafu;
 use snafu::ensure;
+use tokio::io::Interest;
+use tokio::io::Ready;
+use tokio::net::tcp::OwnedReadHalf;
 use tokio::sync::oneshot;
 
 use crate::body_memory::BodyMemory;
@@ -65,6 +70,9 @@
     /// The body did not arrive in time.
     #[snafu(display("the body did not arrive in time"))]
     Late,
+    /// The sender has closed the connection behind the body.
+    #[snafu(display("the sender has left"))]
+    Left,
 }
 
 /// The body of a request, together with the signal that holds back the next request on the
@@ -73,6 +81,8 @@
 pub struct RequestBody {
     inner: Incoming,
     memory: BodyMemory,
+    /// The connection that it is read from, if the sender's leaving can be seen there.
+    stream: Option<Arc<OwnedReadHalf>>,
     /// Dropped with the body, upon which the next request on the connection is read.
     _held: Option<oneshot::Sender<Infallible>>,
 }
@@ -84,6 +94,7 @@
         Self {
             inner,
             memory,
+            stream: None,
             _held: None,
         }
     }
@@ -94,6 +105,7 @@
     pub fn hold(
         req: Request<Incoming>,
         memory: BodyMemory,
+        stream: Arc<OwnedReadHalf>,
     ) -> (Request<Self>, oneshot::Receiver<Infallible>) {
         let (tx, rx) = oneshot::channel();
         let req = req.map(|inner| {
@@ -101,11 +113,22 @@
             Self {
                 inner,
                 memory,
+                stream: Some(stream),
                 _held: held,
             }
         });
         (req, rx)
     }
+
+    fn sender_has_left(&self) -> bool {
+        self.stream.as_deref().is_some_and(is_read_closed)
+    }
+}
+
+/// Returns whether the peer has closed its side of a connection, even if bytes of it are unread.
+pub(crate) fn is_read_closed(stream: &OwnedReadHalf) -> bool {
+    let ready = stream.ready(Interest::READABLE).now_or_never();
+    ready.is_some_and(|ready| ready.is_ok_and(Ready::is_read_closed))
 }
 
 impl Body for RequestBody {
@@ -149,7 +172,7 @@
     let content = collect(body, max_bytes as usize, deadline).await;
     content.map_err(|error| match error {
         BodyError::TooLarge { .. } => NotRunReason::BodyTooLarge,
-        BodyError::Broken { .. } => NotRunReason::MalformedRequest,
+        BodyError::Broken { .. } | BodyError::Left => NotRunReason::MalformedRequest,
         BodyError::NoMemory { .. } => NotRunReason::Overloaded,
         BodyError::Late => NotRunReason::DeadlineTooShort,
     })
@@ -189,5 +212,9 @@
     };
     let read = tokio::time::timeout_at(deadline.into(), reading).await;
     read.unwrap_or_else(|_| LateSnafu.fail())?;
+    // Bytes behind the body hide the end of the connection from the HTTP library. What the system
+    // knows of it is read when tasks yield.
+    tokio::task::yield_now().await;
+    ensure!(!body.sender_has_left(), LeftSnafu);
     Ok(content.into_bytes())
 }
--- a/server/tests/direct_support/mod.rs
+++ b/server/tests/direct_support/mod.rs
@@ -72,6 +72,7 @@
 use tokio::net::TcpSocket;
 
 use backend::Backend;
+use own_process::Frozen;
 use own_process::OwnProcess;
 
 pub const HOST: &str = "registry.example";
@@ -164,6 +165,11 @@
     pub fn freeze(&self, time: Duration) {
         self.process.freeze(time);
     }
+
+    /// Suspends the replica, as SIGSTOP does, until the result is dropped.
+    pub async fn freeze_until_released(&self) -> Frozen {
+        self.process.freeze_until_released().await
+    }
 }
 
 /// An entry VM in this process.
--- a/server/tests/direct_support/own_process.rs
+++ b/server/tests/direct_support/own_process.rs
@@ -1,6 +1,7 @@
 //! Simulation of a process by a thread with its own Tokio runtime.
 
 use std::fmt::Debug;
+use std::sync::mpsc;
 use std::thread;
 use std::time::Duration;
 use std::time::Instant;
@@ -58,12 +59,30 @@
         ended.await.unwrap().unwrap();
     }
 
+    /// Blocks the runtime's only thread, as SIGSTOP does, until the result is dropped.
+    pub async fn freeze_until_released(&self) -> Frozen {
+        let (release, released) = mpsc::channel();
+        let (begun, has_begun) = oneshot::channel();
+        self.handle.spawn(async move {
+            let _ = begun.send(());
+            // Fails once the sender is dropped.
+            let _ = released.recv();
+        });
+        has_begun.await.unwrap();
+        Frozen { _release: release }
+    }
+
     /// Blocks the runtime's only thread for a time, as SIGSTOP and SIGCONT do.
     pub fn freeze(&self, time: Duration) {
         self.handle.spawn(async move { thread::sleep(time) });
     }
 }
 
+/// A simulated process that does nothing until this is dropped.
+pub struct Frozen {
+    _release: mpsc::Sender<()>,
+}
+
 impl<E> Drop for OwnProcess<E> {
     /// Stops the process, so that its addresses are free for other tests.
     fn drop(&mut self) {
--- a/server/tests/test_late_orders.rs
+++ b/server/tests/test_late_orders.rs
@@ -4,6 +4,7 @@
 mod direct_support;
 
 use std::collections::BTreeSet;
+use std::io::Write;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -11,6 +12,7 @@
 use direct_support::Replica;
 use direct_support::call;
 use direct_support::request;
+use direct_support::route_change;
 use heatherring_lib::fleet_command::FleetCommand;
 use heatherring_lib::fleet_record::EntryRecord;
 use heatherring_lib::fleet_update::FleetUpdate;
@@ -39,6 +41,7 @@
 use heatherring_testutils::wait::wait_for;
 use http::Method;
 use rstest::rstest;
+use rustix::net::sockopt;
 use tempfile::TempDir;
 use tonic::Code;
 use tonic::Request;
@@ -273,3 +276,69 @@
         "the last confirmed order does not hold"
     );
 }
+
+/// How an operator that gives an order up ends the connection.
+#[derive(Clone, Copy)]
+enum GivenUp {
+    Closed,
+    Reset,
+    /// Closed behind bytes that are no request.
+    ClosedBehindBytes,
+}
+
+/// Sends an order to a replica that reads nothing, and gives it up.
+fn give_up(kept: std::net::TcpStream, order: &str, end: GivenUp) {
+    let mut stream = kept;
+    stream.write_all(order.as_bytes()).unwrap();
+    match end {
+        GivenUp::Closed => {}
+        GivenUp::Reset => sockopt::set_socket_linger(&stream, Some(Duration::ZERO)).unwrap(),
+        GivenUp::ClosedBehindBytes => stream.write_all(b"\r\n").unwrap(),
+    }
+}
+
+fn order_text(method: &str, path: &str, body: &str) -> String {
+    let bytes = body.len();
+    format!("{method} {path} HTTP/1.1\r\nhost: control\r\ncontent-length: {bytes}\r\n\r\n{body}")
+}
+
+fn evacuation_order() -> String {
+    order_text("PUT", &format!("/v1/evacuations/{PLACE}"), "")
+}
+
+fn manifest_order() -> String {
+    let change = serde_json::to_string(&route_change(1, 0)).unwrap();
+    order_text("POST", "/v1/routes", &change)
+}
+
+/// Guards against an order that a replica carries out although it can see that the operator has left: it
+/// was suspended, and reads the order and the end of the connection on resuming. The stamp of such
+/// an order is current if a heartbeat of the leader is read first.
+#[rstest]
+#[tokio::test(flavor = "multi_thread")]
+async fn test_late_order_that_waited_in_a_suspended_replica_is_dropped(
+    #[values(evacuation_order, manifest_order)] order: fn() -> String,
+    #[values(GivenUp::Closed, GivenUp::Reset, GivenUp::ClosedBehindBytes)] end: GivenUp,
+    #[values(true, false)] at_leader: bool,
+    #[values(true, false)] kept: bool,
+) {
+    let cluster = Cluster::start().await;
+    let (leader, follower, _) = cluster.roles().await;
+    let replica = &cluster.replicas[if at_leader { leader } else { follower }];
+    let connect = || std::net::TcpStream::connect(replica.api_address()).unwrap();
+    let connection = kept.then(connect);
+    if kept {
+        // The replica has accepted the connection once it answers on a later one.
+        confirm(replica, PLACE, false).await;
+    }
+    let frozen = replica.freeze_until_released().await;
+    give_up(connection.unwrap_or_else(connect), &order(), end);
+    drop(frozen);
+    confirm(replica, OTHER_PLACE, true).await;
+    let other = PlaceName::new(OTHER_PLACE);
+    assert_eq!(evacuated(replica).await, BTreeSet::from([other]));
+    let routes = request(Method::GET, "/v1/routes", "");
+    let routes = call(replica.api_address(), routes).await.unwrap();
+    let routes: serde_json::Value = serde_json::from_slice(&routes.body).unwrap();
+    assert_eq!(routes["version"], 0, "{routes}");
+}
