presence: a poll that was held up does not replace what its entry VM stated later

What callers would see: an entry VM that is leaving is named to them again, or one that serves is named to nobody until it restarts.

Cause: an entry VM states with each poll whether it takes requests, and polls one replica of its choice. A poll that a cut held up and that was given up is read seconds after the VM has stated something else to another replica. The replicas took the statement that began last for the last one, and counted its beginning from its arrival.

Change: readiness and headroom have numbers within an incarnation, in fields of their own of the follow request (0, and the time as before, from entry VMs of earlier releases). Replicas exchange the number with the statement, so control replicas have to be of one release while they report to each other, as with earlier fields of these reports.

Not covered: the poll of an earlier incarnation. Incarnations are not ordered; the present one's next poll repairs it.

--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -59,6 +59,7 @@
 pub mod encoding;
 pub mod entry_lease;
 pub mod entry_naming;
+pub mod entry_statement;
 pub mod explanation;
 pub mod fleet_command;
 pub mod fleet_record;
--- a/lib/src/presence.rs
+++ b/lib/src/presence.rs
@@ -21,6 +21,7 @@
 use crate::presence_report::LocalHeartbeats;
 use crate::presence_report::PresenceReport;
 use crate::presence_report::ReplicaEndpoints;
+use crate::presence_report::StatementStamp;
 
 /// Time without heartbeats after which a backend server counts as lost. Heartbeats arrive about
 /// every 1.5 s, may be a second late and take half a second to be reported to the other replicas.
@@ -78,7 +79,7 @@
 
 #[derive(Clone, Copy, Debug)]
 struct EntryContact {
-    life: u64,
+    stamp: StatementStamp,
     ready: bool,
     /// When it began to report this state.
     stated_at: Instant,
@@ -88,7 +89,7 @@
 /// What an entry VM last told of its headroom. It holds until the entry VM tells another one.
 #[derive(Clone, Copy, Debug)]
 struct Room {
-    life: u64,
+    stamp: StatementStamp,
     headroom: Headroom,
     /// When it began to tell this.
     stated_at: Instant,
@@ -191,53 +192,61 @@
         silent
     }
 
-    /// Records a heartbeat of an entry VM. Returns whether its incarnation or readiness is new.
+    /// Records a heartbeat of an entry VM. Returns whether its incarnation or readiness is new. A
+    /// heartbeat with an earlier statement than the known one was held up and is ignored.
     pub fn record_entry_heartbeat(
         &mut self,
         now: Instant,
         vm: &VmName,
-        life: u64,
+        stamp: StatementStamp,
         ready: bool,
     ) -> bool {
-        let source = |life, ready| HeartbeatSource::Entry {
+        let source = |stamp, ready| HeartbeatSource::Entry {
             vm: vm.clone(),
-            life,
+            stamp,
             ready,
         };
         let before = self.entries.get(vm).copied();
-        let is_new = before.is_none_or(|known| known.life != life || known.ready != ready);
+        if before.is_some_and(|known| stamp.is_before(known.stamp)) {
+            return false;
+        }
+        let is_new = before.is_none_or(|known| known.stamp != stamp || known.ready != ready);
         if is_new && let Some(known) = before {
-            let outdated = source(known.life, known.ready);
+            let outdated = source(known.stamp, known.ready);
             if self.own.drop_source(&outdated) {
                 self.remove(&outdated, now);
             }
         }
-        let source = source(life, ready);
+        let source = source(stamp, ready);
         if self.own.record_heartbeat(now, &source) {
             self.add(now, &source);
         }
         is_new
     }
 
-    /// Records the headroom that an entry VM tells with a heartbeat. Returns whether it is new.
+    /// Records the headroom that an entry VM tells with a heartbeat. Returns whether it is new. An
+    /// earlier statement than the known one is ignored.
     pub fn record_headroom(
         &mut self,
         now: Instant,
         vm: &VmName,
-        life: u64,
+        stamp: StatementStamp,
         headroom: Headroom,
     ) -> bool {
-        let source = |life, headroom| HeartbeatSource::Room {
+        let source = |stamp, headroom| HeartbeatSource::Room {
             vm: vm.clone(),
-            life,
+            stamp,
             headroom,
         };
         let before = self.rooms.get(vm).copied();
-        let is_new = before.is_none_or(|room| room.life != life || room.headroom != headroom);
+        if before.is_some_and(|room| stamp.is_before(room.stamp)) {
+            return false;
+        }
+        let is_new = before.is_none_or(|room| room.stamp != stamp || room.headroom != headroom);
         if is_new && let Some(room) = before {
-            self.own.drop_source(&source(room.life, room.headroom));
+            self.own.drop_source(&source(room.stamp, room.headroom));
         }
-        let source = source(life, headroom);
+        let source = source(stamp, headroom);
         if self.own.record_heartbeat(now, &source) {
             self.add(now, &source);
         }
@@ -247,8 +256,9 @@
     /// Returns what the present incarnation of an entry VM last told of its headroom.
     #[must_use]
     pub fn headroom(&self, vm: &VmName) -> Option<Headroom> {
-        let life = self.entries.get(vm)?.life;
-        let room = self.rooms.get(vm).filter(|room| room.life == life);
+        let life = self.entries.get(vm)?.stamp.life;
+        let room = self.rooms.get(vm);
+        let room = room.filter(|room| room.stamp.life == life);
         room.map(|room| room.headroom)
     }
 
@@ -392,9 +402,9 @@
                 let contact = self.backends.entry(backend.clone()).or_insert(unheard);
                 contact.reporters += 1;
             }
-            HeartbeatSource::Entry { vm, life, ready } => {
+            HeartbeatSource::Entry { vm, stamp, ready } => {
                 let reported = EntryContact {
-                    life: *life,
+                    stamp: *stamp,
                     ready: *ready,
                     stated_at: began,
                     contact: Contact {
@@ -404,19 +414,23 @@
                 };
                 let entry = self.entries.entry(vm.clone()).or_insert(reported);
                 // A late report of another replica may still hold an earlier state of the entry VM.
-                if began >= entry.stated_at {
-                    (entry.life, entry.ready, entry.stated_at) = (*life, *ready, began);
+                if supersedes((*stamp, began), (entry.stamp, entry.stated_at)) {
+                    (entry.stamp, entry.ready, entry.stated_at) = (*stamp, *ready, began);
                 }
                 entry.contact.reporters += 1;
             }
-            HeartbeatSource::Room { vm, life, headroom } => {
+            HeartbeatSource::Room {
+                vm,
+                stamp,
+                headroom,
+            } => {
                 let told = Room {
-                    life: *life,
+                    stamp: *stamp,
                     headroom: *headroom,
                     stated_at: began,
                 };
                 let room = self.rooms.entry(vm.clone()).or_insert(told);
-                if began >= room.stated_at {
+                if supersedes((*stamp, began), (room.stamp, room.stated_at)) {
                     *room = told;
                 }
             }
@@ -452,6 +466,18 @@
     }
 }
 
+/// Returns whether a statement of an entry VM replaces the known one: by its number within an
+/// incarnation, else by the time at which the entry VM began to make it. That time is only as good
+/// as the messages are fast, since it is counted back from their arrival.
+fn supersedes(new: (StatementStamp, Instant), known: (StatementStamp, Instant)) -> bool {
+    let ((new, began), (known, stated_at)) = (new, known);
+    if new.is_before(known) || known.is_before(new) {
+        known.is_before(new)
+    } else {
+        began >= stated_at
+    }
+}
+
 fn earlier(now: Instant, age: Duration) -> Instant {
     now.checked_sub(age).unwrap_or(now)
 }
--- a/lib/src/presence_report.rs
+++ b/lib/src/presence_report.rs
@@ -31,6 +31,25 @@
 /// 0.8 s, with a round trip of up to 0.11 s, and 0.2 s later after a change.
 const ENTRY_HEARTBEAT_TIMEOUT: Duration = Duration::from_millis(1_600);
 
+/// Identifies a statement of an entry VM about itself.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
+pub struct StatementStamp {
+    /// Incarnation of its process.
+    pub life: u64,
+    /// Number of the statement within the incarnation, which increases with each change of what is
+    /// stated. 0 if the entry VM does not number its statements.
+    pub number: u64,
+}
+
+impl StatementStamp {
+    /// Returns whether this statement was made before `other`; false if that is not known, since
+    /// incarnations are not ordered.
+    #[must_use]
+    pub const fn is_before(self, other: Self) -> bool {
+        self.life == other.life && self.number < other.number
+    }
+}
+
 /// Source of heartbeats, with the state that it reports.
 #[derive(Clone, Debug, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
 pub enum HeartbeatSource {
@@ -40,8 +59,8 @@
     Entry {
         /// Name of the VM.
         vm: VmName,
-        /// Incarnation of its process.
-        life: u64,
+        /// Identifies the statement.
+        stamp: StatementStamp,
         /// Whether it accepts requests.
         ready: bool,
     },
@@ -49,8 +68,8 @@
     Room {
         /// Name of the VM.
         vm: VmName,
-        /// Incarnation of its process.
-        life: u64,
+        /// Identifies the statement.
+        stamp: StatementStamp,
         /// Its headroom.
         headroom: Headroom,
     },
--- a/lib/tests/test_presence.rs
+++ b/lib/tests/test_presence.rs
@@ -15,6 +15,8 @@
 use heatherring_lib::presence::REPORT_INTERVAL;
 use heatherring_lib::presence_report::PresenceReport;
 use heatherring_lib::presence_report::ReplicaEndpoints;
+use heatherring_lib::presence_report::StatementStamp;
+use rstest::rstest;
 
 /// Interval between two heartbeats.
 const HEARTBEAT: Duration = Duration::from_millis(1_500);
@@ -27,6 +29,10 @@
     }
 }
 
+const fn stated(life: u64, number: u64) -> StatementStamp {
+    StatementStamp { life, number }
+}
+
 /// Sends reports of `there` to `here` at the usual interval, from `from` to `until`.
 fn report(there: &mut Presence, here: &mut Presence, from: Instant, until: Instant) {
     let peer = VmName::new("control-2");
@@ -104,12 +110,12 @@
     let start = Instant::now();
     let vm = VmName::new("entry-1");
     let mut presence = Presence::new(start, 1);
-    assert!(presence.record_entry_heartbeat(start, &vm, 1, true));
+    assert!(presence.record_entry_heartbeat(start, &vm, stated(1, 0), true));
     assert!(!presence.is_out_of_service(start, &vm));
     presence.expire(start + ENTRY_SILENCE);
     assert!(presence.is_out_of_service(start + ENTRY_SILENCE, &vm));
     let later = start + Duration::from_secs(1);
-    assert!(presence.record_entry_heartbeat(later, &vm, 1, false));
+    assert!(presence.record_entry_heartbeat(later, &vm, stated(1, 0), false));
     assert!(presence.is_out_of_service(later, &vm));
 }
 
@@ -124,9 +130,9 @@
     let mut first = Presence::new(start, 1);
     let mut second = Presence::new(start, 2);
     let mut third = Presence::new(start, 3);
-    first.record_entry_heartbeat(start, &vm, 1, true);
+    first.record_entry_heartbeat(start, &vm, stated(1, 0), true);
     let leaves_at = start + Duration::from_secs(1);
-    second.record_entry_heartbeat(leaves_at, &vm, 1, false);
+    second.record_entry_heartbeat(leaves_at, &vm, stated(1, 0), false);
     let now = leaves_at + Duration::from_millis(100);
     let told = second.report(now, 0, &endpoints());
     third.apply_report(now, &VmName::new("control-2"), &told);
@@ -135,6 +141,51 @@
     assert!(third.is_out_of_service(now, &vm));
 }
 
+/// Guards against the return of a statement that an entry VM has replaced: the poll that made it was
+/// held up on its way to a replica, given up, and arrives there after the VM has turned to another.
+#[rstest]
+#[case::ready(true)]
+#[case::not_ready(false)]
+fn test_presence_ignores_a_poll_that_was_held_up(#[case] held_up: bool) {
+    let start = Instant::now();
+    let vm = VmName::new("entry-1");
+    let [mut followed, mut left, mut third] = [1, 2, 3].map(|life| Presence::new(start, life));
+    let stated_at = start + Duration::from_secs(1);
+    followed.record_entry_heartbeat(stated_at, &vm, stated(1, 2), !held_up);
+    let arrives_at = stated_at + Duration::from_secs(1);
+    left.record_entry_heartbeat(arrives_at, &vm, stated(1, 1), held_up);
+    for (from, replica) in [("control-1", &followed), ("control-2", &left)] {
+        let report = replica.report(arrives_at, 0, &endpoints());
+        third.apply_report(arrives_at, &VmName::new(from), &report);
+    }
+    assert_eq!(third.is_out_of_service(arrives_at, &vm), held_up);
+    // The replica that the entry VM left hears of the later statement as well.
+    let report = followed.report(arrives_at, 0, &endpoints());
+    left.apply_report(arrives_at, &VmName::new("control-1"), &report);
+    assert_eq!(left.is_out_of_service(arrives_at, &vm), held_up);
+    left.record_entry_heartbeat(arrives_at, &vm, stated(1, 1), held_up);
+    assert_eq!(left.is_out_of_service(arrives_at, &vm), held_up);
+}
+
+/// Guards against a headroom that an entry VM has replaced, told by a poll that was held up.
+#[test]
+fn test_presence_ignores_a_headroom_that_was_held_up() {
+    let start = Instant::now();
+    let vm = VmName::new("entry-1");
+    let (full, free) = (Headroom::new(1.0, 8, 0), Headroom::new(1.0, 8, 7));
+    let [mut followed, mut left, mut third] = [1, 2, 3].map(|life| Presence::new(start, life));
+    followed.record_entry_heartbeat(start, &vm, stated(1, 1), true);
+    followed.record_headroom(start, &vm, stated(1, 2), full);
+    let arrives_at = start + Duration::from_secs(1);
+    left.record_entry_heartbeat(arrives_at, &vm, stated(1, 1), true);
+    left.record_headroom(arrives_at, &vm, stated(1, 1), free);
+    for (from, replica) in [("control-1", &followed), ("control-2", &left)] {
+        let report = replica.report(arrives_at, 0, &endpoints());
+        third.apply_report(arrives_at, &VmName::new(from), &report);
+    }
+    assert_eq!(third.headroom(&vm), Some(full));
+}
+
 /// Guards against outdated headroom: the entry VM told it to a replica that has lost contact since,
 /// or an earlier incarnation of it did.
 #[test]
@@ -145,12 +196,12 @@
     let mut first = Presence::new(start, 1);
     let mut second = Presence::new(start, 2);
     let mut third = Presence::new(start, 3);
-    first.record_entry_heartbeat(start, &vm, 1, true);
-    assert!(first.record_headroom(start, &vm, 1, free));
-    assert!(!first.record_headroom(start, &vm, 1, free));
+    first.record_entry_heartbeat(start, &vm, stated(1, 0), true);
+    assert!(first.record_headroom(start, &vm, stated(1, 0), free));
+    assert!(!first.record_headroom(start, &vm, stated(1, 0), free));
     let moved_at = start + Duration::from_secs(1);
-    second.record_entry_heartbeat(moved_at, &vm, 1, true);
-    second.record_headroom(moved_at, &vm, 1, full);
+    second.record_entry_heartbeat(moved_at, &vm, stated(1, 0), true);
+    second.record_headroom(moved_at, &vm, stated(1, 0), full);
     let now = moved_at + Duration::from_millis(100);
     for (from, replica) in [("control-2", &second), ("control-1", &first)] {
         let report = replica.report(now, 0, &endpoints());
@@ -159,7 +210,7 @@
     assert_eq!(third.headroom(&vm), Some(full));
     third.expire(now + Duration::from_secs(30));
     assert_eq!(third.headroom(&vm), Some(full));
-    third.record_entry_heartbeat(now, &vm, 2, true);
+    third.record_entry_heartbeat(now, &vm, stated(2, 0), true);
     assert_eq!(third.headroom(&vm), None);
 }
 
@@ -236,8 +287,8 @@
             }
         }
         for entry in &entries {
-            replica.record_entry_heartbeat(now, entry, 1, true);
-            replica.record_headroom(now, entry, 1, Headroom::new(1.0, 8, 7));
+            replica.record_entry_heartbeat(now, entry, stated(1, 0), true);
+            replica.record_headroom(now, entry, stated(1, 0), Headroom::new(1.0, 8, 7));
         }
         replica.expire(now);
         let report: PresenceReport = replica.report(now, known, &endpoints());
@@ -274,7 +325,7 @@
     }
     here.record_backend_heartbeat(heard_at, &backends[0]);
     there.record_backend_heartbeat(heard_at, &backends[1]);
-    there.record_entry_heartbeat(heard_at, &vm, 1, true);
+    there.record_entry_heartbeat(heard_at, &vm, stated(1, 0), true);
     report(&mut there, &mut here, heard_at, heard_at);
     let resumed_at = heard_at + SUSPENDED;
     here.note_awake(resumed_at);
--- a/server/src/fleet_control.rs
+++ b/server/src/fleet_control.rs
@@ -17,6 +17,7 @@
 use heatherring_lib::duration_text::whole_ms;
 use heatherring_lib::encoding::EncodingError;
 use heatherring_lib::entry_naming::Candidate;
+use heatherring_lib::entry_statement::EntryStatement;
 use heatherring_lib::fleet_command::FleetCommand;
 use heatherring_lib::fleet_record::BackendChange;
 use heatherring_lib::fleet_record::BackendIncarnation;
@@ -26,7 +27,6 @@
 use heatherring_lib::fleet_record::RecordProblem;
 use heatherring_lib::fleet_state::FleetState;
 use heatherring_lib::fleet_state::RouteAnswer;
-use heatherring_lib::headroom::Headroom;
 use heatherring_lib::id::BackendName;
 use heatherring_lib::id::PlaceName;
 use heatherring_lib::id::RegionName;
@@ -596,12 +596,11 @@
         &self,
         vm: &VmName,
         record: EntryRecord,
-        ready: bool,
-        headroom: Option<Headroom>,
+        statement: EntryStatement,
     ) {
         self.inner
             .presence
-            .record_entry_heartbeat(vm.clone(), record.life, ready, headroom);
+            .record_entry_heartbeat(vm.clone(), statement);
         if self.inner.published.read().fleet.entry(vm) == Some(&record) {
             return;
         }
--- a/server/src/fleet_follower.rs
+++ b/server/src/fleet_follower.rs
@@ -13,6 +13,7 @@
 
 use heatherring_lib::clock::Clock;
 use heatherring_lib::duration_text::whole_ms;
+use heatherring_lib::entry_statement::ValueNumber;
 use heatherring_lib::fleet_record::EntryRecord;
 use heatherring_lib::fleet_update::FleetUpdate;
 use heatherring_lib::fleet_update::FleetView;
@@ -102,6 +103,8 @@
     known_quarantine: u64,
     /// Number of the statements of backend servers, valid only at the followed replica.
     known_limits: u64,
+    ready_number: ValueNumber<bool>,
+    headroom_number: ValueNumber<Option<Headroom>>,
     replica: watch::Sender<Option<FleetClient<Channel>>>,
 }
 
@@ -164,6 +167,8 @@
         left: Vec::new(),
         known_quarantine: 0,
         known_limits: 0,
+        ready_number: ValueNumber::default(),
+        headroom_number: ValueNumber::default(),
         replica,
     };
     tokio::spawn(follower.run());
@@ -307,6 +312,8 @@
             known_quarantine: self.known_quarantine,
             known_limits: self.known_limits,
             headroom: headroom.map_or(0, Headroom::code),
+            ready_number: self.ready_number.of(ready),
+            headroom_number: self.headroom_number.of(headroom),
         }
     }
 
--- a/server/src/fleet_service.rs
+++ b/server/src/fleet_service.rs
@@ -10,6 +10,8 @@
 
 use heatherring_lib::clock::Clock;
 use heatherring_lib::duration_text::whole_ms;
+use heatherring_lib::entry_statement::EntryStatement;
+use heatherring_lib::entry_statement::Stated;
 use heatherring_lib::fleet_command::FleetCommand;
 use heatherring_lib::fleet_record::EntryRecord;
 use heatherring_lib::follow_lag::FollowLag;
@@ -18,6 +20,7 @@
 use heatherring_lib::id::ReplicaId;
 use heatherring_lib::id::Revision;
 use heatherring_lib::id::VmName;
+use heatherring_lib::presence_report::StatementStamp;
 use heatherring_lib::raft_message::ReplicaInfo;
 use heatherring_lib::rendezvous;
 use heatherring_lib::replica_choice::ReplicaSite;
@@ -285,6 +288,22 @@
     rendezvous::leading_number(&blake3::hash(encoded))
 }
 
+/// Returns what the incarnation `life` of an entry VM states of itself with `request`.
+fn entry_statement(life: u64, request: &FollowRequest) -> EntryStatement {
+    let stamp = |number| StatementStamp { life, number };
+    let headroom = Headroom::from_code(request.headroom);
+    EntryStatement {
+        ready: Stated {
+            stamp: stamp(request.ready_number),
+            value: request.ready,
+        },
+        headroom: headroom.map(|value| Stated {
+            stamp: stamp(request.headroom_number),
+            value,
+        }),
+    }
+}
+
 fn internal(error: impl std::fmt::Display) -> Status {
     Status::internal(error.to_string())
 }
@@ -314,10 +333,9 @@
         let received_at = self.clock.now();
         let record: EntryRecord = decode(&request.record_encoded)?;
         let vm = VmName::new(request.vm.as_str());
-        let headroom = Headroom::from_code(request.headroom);
         if self.control.is_current() {
-            self.control
-                .record_entry_heartbeat(&vm, record, request.ready, headroom);
+            let statement = entry_statement(record.life, &request);
+            self.control.record_entry_heartbeat(&vm, record, statement);
             self.note_manifest();
             self.note_request(&vm, Revision(request.applied_revision));
             self.wait_for_changes(&request).await;
--- a/server/src/presence_task.rs
+++ b/server/src/presence_task.rs
@@ -9,6 +9,7 @@
 use std::time::Instant;
 
 use heatherring_lib::clock::Clock;
+use heatherring_lib::entry_statement::EntryStatement;
 use heatherring_lib::fleet_command::FleetCommand;
 use heatherring_lib::fleet_record::BackendIncarnation;
 use heatherring_lib::fleet_state::FleetState;
@@ -101,9 +102,7 @@
     Backend(BackendName),
     Entry {
         vm: VmName,
-        life: u64,
-        ready: bool,
-        headroom: Option<Headroom>,
+        statement: EntryStatement,
     },
     Report {
         from: VmName,
@@ -135,19 +134,8 @@
     }
 
     /// Records a heartbeat of an entry VM.
-    pub fn record_entry_heartbeat(
-        &self,
-        vm: VmName,
-        life: u64,
-        ready: bool,
-        headroom: Option<Headroom>,
-    ) {
-        let _ = self.tx.send(Message::Entry {
-            vm,
-            life,
-            ready,
-            headroom,
-        });
+    pub fn record_entry_heartbeat(&self, vm: VmName, statement: EntryStatement) {
+        let _ = self.tx.send(Message::Entry { vm, statement });
     }
 
     /// Applies a report of another replica. Returns the number of its changes up to which this
@@ -268,16 +256,14 @@
                     self.publish(now);
                 }
             }
-            Message::Entry {
-                vm,
-                life,
-                ready,
-                headroom,
-            } => {
+            Message::Entry { vm, statement } => {
+                let EntryStatement { ready, headroom } = statement;
                 let presence = &mut self.presence;
-                let is_new_state = presence.record_entry_heartbeat(now, &vm, life, ready);
-                let is_new_headroom = headroom
-                    .is_some_and(|headroom| presence.record_headroom(now, &vm, life, headroom));
+                let is_new_state =
+                    presence.record_entry_heartbeat(now, &vm, ready.stamp, ready.value);
+                let is_new_headroom = headroom.is_some_and(|headroom| {
+                    presence.record_headroom(now, &vm, headroom.stamp, headroom.value)
+                });
                 if is_new_state || is_new_headroom {
                     self.publish(now);
                     self.report(now);
