presence: a report on heartbeats that was overtaken is ignored

What callers would see: a backend server that has ended counts as alive again, and requests for its objects go there until the next full report, which is due only when something is lost.

Cause: a full report replaced whatever was known, whatever its number. One that a cut held up on a connection that was closed in the ordinary way arrives behind later ones, over the next connection.

Change: a report with a lower number than one that was applied, of the same incarnation, is ignored.

--- a/lib/src/presence.rs
+++ b/lib/src/presence.rs
@@ -99,7 +99,10 @@
 #[derive(Debug)]
 struct Peer {
     life: u64,
+    /// Number of the last of its changes known here; 0 if a full report is needed next.
     number: u64,
+    /// Highest number of a report that was applied.
+    latest: u64,
     sources: BTreeSet<HeartbeatSource>,
     endpoints: Option<ReplicaEndpoints>,
     at: Instant,
@@ -111,6 +114,7 @@
         Self {
             life: report.life,
             number: 0,
+            latest: 0,
             sources: BTreeSet::new(),
             endpoints: report.endpoints.clone(),
             at: now,
@@ -269,7 +273,8 @@
     }
 
     /// Applies the report of another replica. Returns the number of the last of its changes known
-    /// here, from which its next report is to start.
+    /// here, from which its next report is to start. A report that was overtaken by a later one is
+    /// ignored.
     pub fn apply_report(&mut self, now: Instant, from: &VmName, report: &PresenceReport) -> u64 {
         if report.sources.whole
             && self
@@ -287,11 +292,14 @@
         else {
             return 0;
         };
-        if !report.sources.whole && peer.number != report.base {
+        let is_overtaken = report.sources.number < peer.latest;
+        let follows_on = report.sources.whole || peer.number == report.base;
+        if is_overtaken || !follows_on {
             return peer.number;
         }
         peer.at = now;
         peer.number = report.sources.number;
+        peer.latest = peer.number;
         let removed = peer.removed_by(&report.sources);
         let added = report.sources.added.iter().zip(&report.began_ms);
         let added: Vec<(&HeartbeatSource, &u32)> = added
--- a/lib/tests/test_presence.rs
+++ b/lib/tests/test_presence.rs
@@ -186,6 +186,32 @@
     assert_eq!(third.headroom(&vm), Some(full));
 }
 
+/// Guards against a full report that was held up and replaces later ones: the replica reported over
+/// a new connection meanwhile.
+#[test]
+fn test_presence_ignores_a_report_that_was_overtaken() {
+    let start = Instant::now();
+    let peer = VmName::new("control-2");
+    let names = ["backend-1", "backend-2"].map(BackendName::new);
+    let mut there = Presence::new(start, 2);
+    let mut here = Presence::new(start, 1);
+    there.record_backend_heartbeat(start, &names[0]);
+    let held_up = there.report(start, 0, &endpoints());
+    let ceased_at = start + BACKEND_SILENCE;
+    there.record_backend_heartbeat(ceased_at, &names[1]);
+    there.expire(ceased_at);
+    let known = here.apply_report(ceased_at, &peer, &there.report(ceased_at, 0, &endpoints()));
+    let now = ceased_at + REPORT_INTERVAL;
+    assert_eq!(here.apply_report(now, &peer, &held_up), known);
+    assert!(here.is_silent(now, &names[0]));
+    here.expire(now + BACKEND_SILENCE);
+    // Nothing has changed there since, so the next report tells nothing new.
+    there.record_backend_heartbeat(now, &names[1]);
+    let report = there.report(now, known, &endpoints());
+    here.apply_report(now, &peer, &report);
+    assert!(!here.is_silent(now, &names[1]));
+}
+
 /// Guards against outdated headroom: the entry VM told it to a replica that has lost contact since,
 /// or an earlier incarnation of it did.
 #[test]
