dispatch: a backend server that refuses several requests in a row gets trials only

Cause: with more objects than their backend servers keep, an object is assigned to one of them, and a backend server that refuses stays the only candidate for its objects. Each of their requests is sent there first and needs a resend: a third of the requests where a tenth may be sent again. The penalty for refusals weighs between candidates, and there was one. Only a refusal with Retry-After paused a backend server.

Change: five refusals in a row, without a time, pause a backend server as if it had asked for half a second, if its load report shows room (or it sends none) and no request that this entry VM sent there earlier is still in flight, so that one that is merely full is not paused. Then the trials that exist already; a refused trial doubles the pause, up to 4 s. Objects of a paused backend server are served by the next one in their ranking.

--- a/lib/src/backend_load.rs
+++ b/lib/src/backend_load.rs
@@ -40,6 +40,14 @@
     pub slots: u32,
 }
 
+impl LoadReport {
+    /// Returns whether one more request could have run at once.
+    #[must_use]
+    pub const fn has_room(self) -> bool {
+        self.running < self.slots
+    }
+}
+
 /// Expectations of a request at the time it was sent.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Expectation {
@@ -138,6 +146,11 @@
         self.in_flight.len()
     }
 
+    /// Returns whether a request in flight was sent before `at`.
+    pub fn has_earlier_than(&self, at: Instant) -> bool {
+        self.in_flight.values().any(|send| send.sent_at < at)
+    }
+
     /// Iterates over this sender's requests in flight.
     pub fn in_flight_mut(&mut self) -> impl Iterator<Item = &mut InFlight> {
         self.in_flight.values_mut()
--- a/lib/src/backend_pushback.rs
+++ b/lib/src/backend_pushback.rs
@@ -3,15 +3,26 @@
 //! It applies to the sender that received it: the backend server may accept requests of others.
 //! After the time that it asked for, it is sent one request, then one more at a time for each that
 //! it runs: all senders that it refused together would fill it again otherwise.
+//!
+//! A backend server that refuses several requests in a row, without asking for a time and although
+//! it has room, is paused as well. It is the home of a part of the objects, and each of their
+//! requests would use up a resend.
 
 use std::time::Duration;
 use std::time::Instant;
 
 use crate::dispatch_request::SendOutcome;
 
-/// Pause after a refusal that asks for none, if the refused request was a trial.
+/// Pause after a refusal that asks for none, if the refused request was a trial. It doubles with each
+/// further one.
 const TRIAL_PAUSE: Duration = Duration::from_millis(500);
 
+/// Longest pause after a refused trial.
+const LONGEST_TRIAL_PAUSE: Duration = Duration::from_secs(4);
+
+/// Refusals in a row after which a backend server is paused.
+const REFUSALS_TO_PAUSE: u32 = 5;
+
 /// Identifies a pause, so that the end of a trial does not count for a later one.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub(crate) struct PauseNumber(u32);
@@ -44,6 +55,10 @@
     number: PauseNumber,
     begun: Option<Instant>,
     passed_over: u32,
+    /// Refusals without a time since the last answer.
+    refusals: u32,
+    /// Trials in a row that were refused.
+    refused_trials: u32,
 }
 
 impl BackendPushback {
@@ -67,6 +82,20 @@
         true
     }
 
+    /// Records a refusal that asks for no time, by a backend server that has room. Returns whether a
+    /// pause begins.
+    pub fn note_refusal(&mut self, now: Instant) -> bool {
+        self.refusals = self.refusals.saturating_add(1);
+        let is_open = matches!(self.flow, Flow::All);
+        is_open && self.refusals >= REFUSALS_TO_PAUSE && self.pause(now, now + TRIAL_PAUSE)
+    }
+
+    /// Records that the backend server ran a request.
+    pub const fn note_run(&mut self) {
+        self.refusals = 0;
+        self.refused_trials = 0;
+    }
+
     /// Returns whether a request may be sent.
     pub fn admits(&self, now: Instant) -> bool {
         match self.flow {
@@ -129,7 +158,9 @@
         match outcome {
             SendOutcome::Answered | SendOutcome::Faulty => *permitted += 1,
             SendOutcome::Shed => {
-                self.pause(now, now + TRIAL_PAUSE);
+                let pause = TRIAL_PAUSE * 2_u32.saturating_pow(self.refused_trials);
+                self.refused_trials = self.refused_trials.saturating_add(1);
+                self.pause(now, now + pause.min(LONGEST_TRIAL_PAUSE));
                 return None;
             }
             SendOutcome::Misdirected
--- a/lib/src/backend_statement.rs
+++ b/lib/src/backend_statement.rs
@@ -163,7 +163,12 @@
         /// The time that it asked for.
         asked: Duration,
     },
-    /// A backend server that asked for a time without requests runs them again.
+    /// A backend server refused several requests in a row although it has room.
+    Refusing {
+        /// Backend server that is sent trials only.
+        backend: BackendName,
+    },
+    /// A backend server that was paused runs requests again.
     Resumed {
         /// Backend server whose pause has ended.
         backend: BackendName,
--- a/lib/src/direct_dispatch.rs
+++ b/lib/src/direct_dispatch.rs
@@ -511,6 +511,7 @@
         match end.outcome {
             SendOutcome::Answered => {
                 backend.load.note_answer(now, load, average_others);
+                backend.pushback.note_run();
                 backend.note_warm(now, end.object);
                 if send.expected.queued {
                     return;
@@ -530,6 +531,7 @@
             }
             SendOutcome::Faulty => {
                 backend.load.note_answer(now, load, average_others);
+                backend.pushback.note_run();
                 backend.health.note_failure(now);
             }
             SendOutcome::Shed => {
@@ -538,6 +540,7 @@
                     backend.health.note_reached();
                 } else {
                     backend.health.note_shed(now);
+                    self.note_refusal(now, end.backend, &send, load);
                 }
             }
             SendOutcome::Misdirected => backend.usable = false,
--- a/lib/src/dispatch_statements.rs
+++ b/lib/src/dispatch_statements.rs
@@ -8,6 +8,7 @@
 
 use crate::affinity::ObjectHash;
 use crate::backend_load::InFlight;
+use crate::backend_load::LoadReport;
 use crate::backend_statement::LeavingNotice;
 use crate::backend_statement::LeavingStatement;
 use crate::backend_statement::ReceivedStatement;
@@ -120,6 +121,28 @@
         }
     }
 
+    /// Records a refusal that asked for no time. A backend server that is full, or may be running an
+    /// earlier request of this sender, is not at fault.
+    pub(crate) fn note_refusal(
+        &mut self,
+        now: Instant,
+        key: BackendKey,
+        send: &InFlight,
+        load: Option<LoadReport>,
+    ) {
+        let backend = &mut self.backends[key];
+        let is_full = load.is_some_and(|load| !load.has_room());
+        if is_full || backend.load.has_earlier_than(send.sent_at) {
+            return;
+        }
+        if backend.pushback.note_refusal(now) {
+            self.holds_changed = true;
+            self.statement_events.push(StatementEvent::Refusing {
+                backend: backend.name.clone(),
+            });
+        }
+    }
+
     /// Returns how long after a pause this sender sends the first request. A backend server that
     /// refuses all senders at about the same time would otherwise be sent a request by each of them
     /// at about the same time.
--- a/lib/tests/test_backend_pushback.rs
+++ b/lib/tests/test_backend_pushback.rs
@@ -9,13 +9,17 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use dispatch_model::request;
+use dispatch_model::route;
 use dispatch_model::server_name;
+use dispatch_model::service;
 use heatherring_lib::backend_statement::BackendStatement;
 use heatherring_lib::backend_statement::LeavingNotice;
 use heatherring_lib::backend_statement::LeavingStatement;
 use heatherring_lib::backend_statement::ReceivedStatement;
 use heatherring_lib::backend_statement::StatementEvent;
 use heatherring_lib::dispatch_request::Choice;
+use heatherring_lib::dispatch_request::DispatchRequest;
 use heatherring_lib::dispatch_request::RefusedReason;
 use heatherring_lib::dispatch_request::SendEnd;
 use heatherring_lib::dispatch_request::SendOutcome;
@@ -24,6 +28,7 @@
 use heatherring_lib::send_holds::Hold;
 use limit_model::Fleet;
 use limit_model::RUN;
+use limit_model::STEP;
 use proptest::prelude::*;
 use rstest::rstest;
 
@@ -155,6 +160,62 @@
     assert_eq!(begun.count(), 1);
 }
 
+/// Guards against callers that are refused for want of resends because one backend server refuses all
+/// requests without asking for a time: it is the home of a third of the objects, and a seventh of
+/// the requests may be sent elsewhere. It is used again once it serves.
+#[test]
+fn test_refusals_in_a_row_pause_a_backend_server() {
+    const REQUESTS: u32 = 4_000;
+    let mut fleet = fleet(1, 3);
+    let refusing = server_name(0, 0);
+    let (service, route) = (service(), route());
+    let mut served_again = 0;
+    for object in 0..REQUESTS {
+        advance(&mut fleet, STEP);
+        let choice = fleet.choose(0, object).unwrap();
+        let is_well = object >= REQUESTS / 2;
+        if choice.name != refusing || is_well {
+            served_again += u32::from(choice.name == refusing);
+            end(
+                &mut fleet,
+                0,
+                &choice,
+                SendOutcome::Answered,
+                Duration::ZERO,
+            );
+            continue;
+        }
+        end(&mut fleet, 0, &choice, SendOutcome::Shed, Duration::ZERO);
+        let text = object.to_string();
+        let again = DispatchRequest {
+            tried: &[choice.backend],
+            resend: true,
+            ..request(fleet.now, &service, &route, &text)
+        };
+        let again = fleet.senders[0].choose(fleet.now, &again);
+        let again = again.unwrap_or_else(|no_choice| panic!("{no_choice:?} for {object}"));
+        end(&mut fleet, 0, &again, SendOutcome::Answered, Duration::ZERO);
+    }
+    assert!(served_again > REQUESTS / 12, "{served_again}");
+}
+
+/// Checks that a backend server which refuses some requests and runs others is not paused.
+#[test]
+fn test_refusals_between_answers_pause_no_backend_server() {
+    let mut fleet = fleet(1, 1);
+    for object in 0..200 {
+        advance(&mut fleet, STEP);
+        let choice = fleet.choose(0, object).unwrap();
+        let outcome = if object % 3 == 0 {
+            SendOutcome::Answered
+        } else {
+            SendOutcome::Shed
+        };
+        end(&mut fleet, 0, &choice, outcome, Duration::ZERO);
+    }
+    assert!(fleet.senders[0].take_statement_events().is_empty());
+}
+
 /// Guards against a pause that lasts for the successor of the process that asked for it.
 #[test]
 fn test_pushback_ends_with_the_process() {
--- a/server/src/metric.rs
+++ b/server/src/metric.rs
@@ -110,6 +110,11 @@
     counter!("heatherring_backend_pushbacks_total").increment(1);
 }
 
+/// Counts pauses of backend servers that refused several requests in a row.
+pub fn backend_refusing() {
+    counter!("heatherring_backends_refusing_total").increment(1);
+}
+
 /// Counts backend servers that became known to leave, by the source of their statement.
 pub fn backend_leaving(source: &'static str) {
     counter!("heatherring_backends_leaving_total", "source" => source).increment(1);
--- a/server/src/statement_log.rs
+++ b/server/src/statement_log.rs
@@ -15,12 +15,16 @@
             metric::backend_paused();
             log::info!(event = "backend_pushback", backend = backend.as_str(), asked_ms = whole_ms(*asked); "a backend server asks this entry VM to send nothing for a time");
         }
+        StatementEvent::Refusing { backend } => {
+            metric::backend_refusing();
+            log::info!(event = "backend_refusing", backend = backend.as_str(); "a backend server refuses all requests of this entry VM; it is sent trials only");
+        }
         StatementEvent::Resumed {
             backend,
             paused,
             passed_over,
         } => {
-            log::info!(event = "backend_resumed", backend = backend.as_str(), paused_ms = whole_ms(*paused), passed_over = *passed_over; "a backend server that had asked for a time without requests is sent all of its requests again");
+            log::info!(event = "backend_resumed", backend = backend.as_str(), paused_ms = whole_ms(*paused), passed_over = *passed_over; "a backend server that was paused is sent all of its requests again");
         }
         StatementEvent::Leaving { backend, source } => {
             metric::backend_leaving(source.name());
