rollouts: a version that is being judged gets only requests that can be sent elsewhere

Cause: a tenth of the requests goes to the new version first, and each that fails there is sent to the former one. The limit on resends is a tenth of the requests, of which seven tenths are used, so it is spent before the version is taken back.

Change: while a version is being judged, a request is sent to it only if the budget covers a resend of it and of all that are in flight there. Else it belongs to the other versions, as one that has failed before.

--- a/lib/src/direct_dispatch.rs
+++ b/lib/src/direct_dispatch.rs
@@ -235,11 +235,19 @@
 
     fn version_choice(&mut self, now: Instant, request: &DispatchRequest<'_>) -> VersionChoice {
         let cautious = !request.tried.is_empty() || self.cold_tracker.is_control_lost(now);
-        let service = self.services.get_mut(request.service);
-        let rollout = service.and_then(|service| service.rollout.as_mut());
-        rollout.map_or(VersionChoice::ANY, |rollout| {
-            rollout.choose(request.object, cautious)
-        })
+        let Some(service) = self.services.get_mut(request.service) else {
+            return VersionChoice::ANY;
+        };
+        let Some(rollout) = &mut service.rollout else {
+            return VersionChoice::ANY;
+        };
+        // A version that is being judged may fail each of its requests.
+        let at_target = service.backends.iter().map(|key| &self.backends[*key]);
+        let at_target = at_target.filter(|backend| backend.is_target());
+        let at_target: usize = at_target.map(|backend| backend.load.own_requests()).sum();
+        let needed = u32::try_from(at_target + 1).unwrap_or(u32::MAX);
+        let can_resend = !self.cfg.policy.resends || service.budget.affords(now, needed);
+        rollout.choose(request.object, cautious || !can_resend)
     }
 
     fn choose_among(
--- a/lib/src/dispatch_backend.rs
+++ b/lib/src/dispatch_backend.rs
@@ -146,6 +146,11 @@
         }
     }
 
+    /// Returns whether it is of the version that a rollout in progress moves to.
+    pub fn is_target(&self) -> bool {
+        self.rollout.is_some_and(|part| part.side == Side::Target)
+    }
+
     /// Returns whether requests of this entry VM are still in progress there.
     pub fn is_busy(&self) -> bool {
         self.streams > 0 || self.load.own_requests() > 0
--- a/lib/src/resend_budget.rs
+++ b/lib/src/resend_budget.rs
@@ -101,27 +101,29 @@
 
     /// Takes one resend from the budget; returns whether it allowed one.
     pub fn try_take(&mut self, now: Instant) -> bool {
+        if !self.affords(now, 1) {
+            return false;
+        }
         match &mut self.counter {
-            Counter::Bucket { tokens } => {
-                let allowed = *tokens >= 1.0;
-                if allowed {
-                    *tokens -= 1.0;
-                }
-                allowed
-            }
+            Counter::Bucket { tokens } => *tokens -= 1.0,
+            Counter::Window(window) => window.current(now).resends += 1,
+        }
+        true
+    }
+
+    /// Returns whether the budget allows this number of resends.
+    pub fn affords(&mut self, now: Instant, resends: u32) -> bool {
+        match &mut self.counter {
+            Counter::Bucket { tokens } => *tokens >= f64::from(resends),
             Counter::Window(window) => {
-                let (requests, resends) = window.counts(now);
+                let (requests, before) = window.counts(now);
                 let slack = if window.covers_incarnation(now) {
                     0.0
                 } else {
                     self.slack
                 };
                 let limit = f64::from(requests) * self.ratio + slack;
-                let allowed = f64::from(resends) + 1.0 <= limit;
-                if allowed {
-                    window.current(now).resends += 1;
-                }
-                allowed
+                f64::from(before) + f64::from(resends) <= limit
             }
         }
     }
--- a/lib/src/rollout/routing.rs
+++ b/lib/src/rollout/routing.rs
@@ -86,7 +86,8 @@
     /// Returns the versions for a request.
     ///
     /// A `cautious` request avoids the target version while that is being judged: one that has
-    /// failed before, or any while control is out of reach and may have rolled back meanwhile.
+    /// failed before or could not be sent elsewhere if it failed, or any while control is out of
+    /// reach and may have rolled back meanwhile.
     pub fn choose(&mut self, object: Option<ObjectHash>, cautious: bool) -> VersionChoice {
         if self.share == TrafficShare::ALL {
             return VersionChoice {
--- a/lib/tests/test_rollout.rs
+++ b/lib/tests/test_rollout.rs
@@ -14,6 +14,7 @@
 use heatherring_lib::direct_dispatch::DispatchConfig;
 use heatherring_lib::direct_dispatch::Dispatcher;
 use heatherring_lib::dispatch_policy::DispatchPolicy;
+use heatherring_lib::dispatch_request::BackendKey;
 use heatherring_lib::dispatch_request::Choice;
 use heatherring_lib::dispatch_request::DispatchRequest;
 use heatherring_lib::dispatch_request::Refused;
@@ -50,6 +51,7 @@
 use heatherring_lib::route_manifest::RouteChange;
 use heatherring_lib::route_manifest::RouteContent;
 use heatherring_lib::route_manifest::RouteService;
+use rstest::rstest;
 
 const SERVICE: &str = "registry";
 const OBJECTIVE: Duration = Duration::from_millis(400);
@@ -323,6 +325,19 @@
     }
 
     fn choose(&mut self, object: Option<u64>) -> Result<Choice, Refused> {
+        self.choose_beside(object, &[])
+    }
+
+    /// Chooses for a request that was sent to a backend server before.
+    fn choose_again(&mut self, object: Option<u64>, tried: BackendKey) -> Result<Choice, Refused> {
+        self.choose_beside(object, &[tried])
+    }
+
+    fn choose_beside(
+        &mut self,
+        object: Option<u64>,
+        tried: &[BackendKey],
+    ) -> Result<Choice, Refused> {
         let service = ServiceName::new(SERVICE);
         let route = RouteName::new("look-up");
         let object = object.map(|object| ObjectHash::of("look-up", &object.to_string()));
@@ -339,8 +354,8 @@
             objective: self.now + OBJECTIVE,
             answers_until: None,
             homes: &[],
-            tried: &[],
-            resend: false,
+            tried,
+            resend: !tried.is_empty(),
         };
         self.dispatcher.choose(self.now, &request)
     }
@@ -447,6 +462,46 @@
     assert_eq!(at_target(&entry.spread()), 0);
 }
 
+/// Guards against callers that are refused because a new version refuses or fails each of its
+/// requests, and these need more resends than the limit allows.
+#[rstest]
+#[case::refuses(SendOutcome::Shed)]
+#[case::fails(SendOutcome::Broken)]
+fn test_rollout_exposes_only_requests_that_can_be_sent_again(#[case] outcome: SendOutcome) {
+    const AT_ONCE: usize = 8;
+    let mut control = Control::new();
+    control.order(order("v2", 15, 0));
+    control.step(partial(500));
+    let mut entry = Entry::new(&control);
+    let mut exposed = 0;
+    for objects in (0..4_000).collect::<Vec<u64>>().chunks(AT_ONCE) {
+        entry.now += Duration::from_millis(20);
+        entry.dispatcher.note_control_contact(entry.now);
+        let chosen = objects
+            .iter()
+            .map(|object| (*object, entry.choose(Some(*object))));
+        let chosen: Vec<(u64, Choice)> = chosen
+            .map(|(object, choice)| (object, choice.unwrap()))
+            .collect();
+        for (object, choice) in chosen {
+            let fails = choice.name.as_str().starts_with("v2");
+            let outcome = if fails {
+                outcome
+            } else {
+                SendOutcome::Answered
+            };
+            entry.end(&choice, Duration::ZERO, outcome);
+            if fails {
+                exposed += 1;
+                let again = entry.choose_again(Some(object), choice.backend);
+                let again = again.unwrap_or_else(|refused| panic!("{refused:?} after {exposed}"));
+                entry.end(&again, Duration::ZERO, SendOutcome::Answered);
+            }
+        }
+    }
+    assert!(exposed > 100, "{exposed}");
+}
+
 /// Guards against an outage of a service that has backend servers of the target version only, and
 /// against requests to a version that was rolled back when there is no other.
 #[test]
