--- a/server/tests/test_unpaired_answers.rs
+++ b/server/tests/test_unpaired_answers.rs
@@ -586,3 +586,40 @@
     assert!(told.iter().all(|told| told.status == 503), "{told:?}");
     assert!(told.iter().all(|told| told.retry_after.is_some()));
 }
+
+/// Writes an answer that lacks the end of its body, and then a whole answer to nobody.
+fn completed_by_another(arrived: &Arrived) -> Vec<Act> {
+    let other = answer(200, &["heatherring-request-id: other"], "of nobody");
+    let body = format!("of {}", arrived.key);
+    let whole = answer(200, &[&id_line(arrived)], &(body + &other));
+    let short = whole.strip_suffix(&other).unwrap().to_owned();
+    vec![Act::Run, Act::Write(short), Act::Pause, Act::Stray(other)]
+}
+
+/// Guards against a body that its backend server left short and that a late answer completes.
+#[tokio::test(flavor = "multi_thread")]
+async fn test_short_body_is_not_completed_by_a_late_answer() {
+    let scene = Scene::start(completed_by_another).await;
+    let told = scene.act(4).await;
+    scene.assert_honest(&told).await;
+}
+
+/// Guards against a body that was written before the request was read, by a backend server that is not
+/// known to echo identifiers.
+#[tokio::test(flavor = "multi_thread")]
+async fn test_early_body_without_identifier_reaches_no_caller() {
+    let scene = Scene::start_plain(|arrived| run_after(None, nameless(arrived))).await;
+    scene.open_with(OpeningTime::AtAccept, answer(200, &[], "of nobody"));
+    let told = scene.act(4).await;
+    scene.assert_honest(&told).await;
+}
+
+/// Guards against an answer that names another request, given to a caller that named none.
+#[tokio::test(flavor = "multi_thread")]
+async fn test_early_body_of_another_reaches_no_caller_without_identifier() {
+    let scene = Scene::start(|arrived| run_after(None, served(arrived))).await;
+    let other = answer(200, &["heatherring-request-id: other"], "of nobody");
+    scene.open_with(OpeningTime::AtAccept, other);
+    let told = scene.act_as(4, |_| false).await;
+    scene.assert_honest(&told).await;
+}
