tests: backend servers are announced while a draining or a stop is watched

Seen: test_direct_leaves_a_draining_backend_server_alone and test_direct_stop_serves_what_can_complete failed once each beside load (a status that wasn't 200; no_backend_server, to return in 0.3 s).

Cause: the tests announced their backend servers once. One that is silent for 4 s is not used, so the tests measured how fast the machine is.

Now the backend servers that are to be used send heartbeats while the test runs, as real ones do; what is checked is the same.

--- a/server/tests/direct_support/mod.rs
+++ b/server/tests/direct_support/mod.rs
@@ -78,6 +78,8 @@
 pub const HOST: &str = "registry.example";
 const HEALTH_PATH: &str = "/health";
 const SERVICE: &str = "registry";
+/// Interval between two announcements of a backend server.
+const ANNOUNCEMENT_INTERVAL: Duration = Duration::from_millis(500);
 pub const PLACE: &str = "fko-hakata";
 pub const REGION: &str = "fukuoka";
 
@@ -396,6 +398,28 @@
             .await;
     }
 
+    /// Announces these backend servers, from a sequence number on, while `run` is in progress: they count
+    /// as silent some seconds after an announcement.
+    pub async fn while_announced<T>(
+        &self,
+        backends: &[&Backend],
+        first_sequence: u64,
+        run: impl Future<Output = T>,
+    ) -> T {
+        let announcing = async {
+            for sequence in first_sequence.. {
+                for backend in backends {
+                    self.announce(backend, sequence, "Ready").await;
+                }
+                tokio::time::sleep(ANNOUNCEMENT_INTERVAL).await;
+            }
+        };
+        tokio::select! {
+            result = run => result,
+            () = announcing => unreachable!("announcements do not end"),
+        }
+    }
+
     /// Announces a ready backend server by its name and address.
     pub async fn announce_address(&self, name: &str, address: SocketAddr, sequence: u64) {
         let body = announcement_of(name, address, sequence, "Ready");
--- a/server/tests/direct_support/scene.rs
+++ b/server/tests/direct_support/scene.rs
@@ -78,18 +78,8 @@
 
     /// Announces all backend servers while `run` is in progress.
     pub async fn while_announced<T>(&self, run: impl Future<Output = T>) -> T {
-        let announcing = async {
-            for sequence in 2.. {
-                for backend in &self.backends {
-                    self.deployment.announce(backend, sequence, "Ready").await;
-                }
-                sleep(Duration::from_millis(500)).await;
-            }
-        };
-        tokio::select! {
-            result = run => result,
-            () = announcing => unreachable!("announcements do not end"),
-        }
+        let backends: Vec<&Backend> = self.backends.iter().collect();
+        self.deployment.while_announced(&backends, 2, run).await
     }
 
     pub fn call_addresses(&self) -> Vec<SocketAddr> {
--- a/server/tests/test_direct.rs
+++ b/server/tests/test_direct.rs
@@ -194,16 +194,19 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn test_direct_leaves_a_draining_backend_server_alone() {
     let mut deployment = Deployment::start(3);
-    let (entry, [first, _second]) = start_two(&mut deployment).await;
+    let (entry, [first, second]) = start_two(&mut deployment).await;
     deployment.announce(&first, 2, "Draining").await;
-    tokio::time::sleep(Duration::from_secs(2)).await;
-    let before = first.runs();
-    for number in 0..20 {
-        let path = format!("/safe/{number}");
-        let answer = entry.call(Method::GET, &path).await.unwrap();
-        assert_eq!(answer.status, StatusCode::OK, "{answer:?}");
-    }
-    assert_eq!(first.runs(), before);
+    let calling = async {
+        tokio::time::sleep(Duration::from_secs(2)).await;
+        let before = first.runs();
+        for number in 0..20 {
+            let path = format!("/safe/{number}");
+            let answer = entry.call(Method::GET, &path).await.unwrap();
+            assert_eq!(answer.status, StatusCode::OK, "{answer:?}");
+        }
+        assert_eq!(first.runs(), before);
+    };
+    deployment.while_announced(&[&second], 2, calling).await;
 }
 
 /// Guards against backend servers that crash under the requests of an entry VM without contact to
--- a/server/tests/test_direct_stop.rs
+++ b/server/tests/test_direct_stop.rs
@@ -134,15 +134,18 @@
 async fn test_direct_stop_serves_what_can_complete() {
     let mut deployment = Deployment::start(3);
     let (entry, backend) = start(&mut deployment).await;
-    let mut stream = connect(&entry).await;
-    let ran = backend.runs();
-    let request = post("/once/y", "body");
-    let (begun, rest) = request.split_at(request.len() - 1);
-    stream.write_all(begun.as_bytes()).await.unwrap();
-    entry.begin_stop();
-    until_listener_closes(entry.settings.listen.callers).await;
-    stream.write_all(rest.as_bytes()).await.unwrap();
-    let answer = read_all(&mut stream).await;
+    let stopping = async {
+        let mut stream = connect(&entry).await;
+        let ran = backend.runs();
+        let request = post("/once/y", "body");
+        let (begun, rest) = request.split_at(request.len() - 1);
+        stream.write_all(begun.as_bytes()).await.unwrap();
+        entry.begin_stop();
+        until_listener_closes(entry.settings.listen.callers).await;
+        stream.write_all(rest.as_bytes()).await.unwrap();
+        (ran, read_all(&mut stream).await)
+    };
+    let (ran, answer) = deployment.while_announced(&[&backend], 2, stopping).await;
     entry.ended().await;
     assert_eq!(backend.runs(), ran + 1, "{answer:?}");
     assert!(answer.contains("HTTP/1.1 200"), "{answer:?}");
