dispatch: a backend server that refuses is avoided rather than closed

Cause: a pause that the backend server had not asked for closed it as one that it had asked for, and servers that refuse half of their requests were paused after five refusals in a row.

Change: avoided instead of closed. Objects are ranked without it, but a request that can go nowhere else is sent there; it holds no request back that waits for a connection. Ten refusals in a row instead of five; the longest pause between trials 2 s instead of 4.

--- a/lib/src/backend_pushback.rs
+++ b/lib/src/backend_pushback.rs
@@ -5,8 +5,9 @@
 //! it runs: all senders that it refused together would fill it again otherwise.
 //!
 //! A backend server that refuses several requests in a row, without asking for a time and although
-//! it has room, is paused as well. It is the home of a part of the objects, and each of their
-//! requests would use up a resend.
+//! it has room, is avoided in the same way. It is the home of a part of the objects, and each of
+//! their requests would use up a resend. Since it did not ask for it, requests that can go nowhere
+//! else are still sent to it.
 
 use std::time::Duration;
 use std::time::Instant;
@@ -18,10 +19,11 @@
 const TRIAL_PAUSE: Duration = Duration::from_millis(500);
 
 /// Longest pause after a refused trial.
-const LONGEST_TRIAL_PAUSE: Duration = Duration::from_secs(4);
+const LONGEST_TRIAL_PAUSE: Duration = Duration::from_secs(2);
 
-/// Refusals in a row after which a backend server is paused.
-const REFUSALS_TO_PAUSE: u32 = 5;
+/// Refusals in a row after which a backend server is avoided. One that refuses half of its requests
+/// still serves the other half, and is rarely seen to refuse this many in a row.
+const REFUSALS_TO_PAUSE: u32 = 10;
 
 /// Identifies a pause, so that the end of a trial does not count for a later one.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
@@ -59,6 +61,8 @@
     refusals: u32,
     /// Trials in a row that were refused.
     refused_trials: u32,
+    /// Whether the backend server did not ask for the pause.
+    is_own: bool,
 }
 
 impl BackendPushback {
@@ -68,6 +72,11 @@
         if until <= now {
             return false;
         }
+        self.is_own = false;
+        self.begin(now, until)
+    }
+
+    fn begin(&mut self, now: Instant, until: Instant) -> bool {
         if let Flow::Paused { until: known } = &mut self.flow {
             *known = until.max(*known);
             return false;
@@ -82,12 +91,15 @@
         true
     }
 
-    /// Records a refusal that asks for no time, by a backend server that has room. Returns whether a
-    /// pause begins.
+    /// Records a refusal that asks for no time, by a backend server that has room. Returns whether it
+    /// is to be avoided from now on.
     pub fn note_refusal(&mut self, now: Instant) -> bool {
         self.refusals = self.refusals.saturating_add(1);
-        let is_open = matches!(self.flow, Flow::All);
-        is_open && self.refusals >= REFUSALS_TO_PAUSE && self.pause(now, now + TRIAL_PAUSE)
+        if !matches!(self.flow, Flow::All) || self.refusals < REFUSALS_TO_PAUSE {
+            return false;
+        }
+        self.is_own = true;
+        self.begin(now, now + TRIAL_PAUSE)
     }
 
     /// Records that the backend server ran a request.
@@ -98,6 +110,15 @@
 
     /// Returns whether a request may be sent.
     pub fn admits(&self, now: Instant) -> bool {
+        self.is_own || self.is_usual(now)
+    }
+
+    /// Returns whether requests are better sent elsewhere, although this one may be sent.
+    pub fn is_avoided(&self, now: Instant) -> bool {
+        self.is_own && !self.is_usual(now)
+    }
+
+    fn is_usual(&self, now: Instant) -> bool {
         match self.flow {
             Flow::All => true,
             Flow::Paused { until } => now >= until,
@@ -111,8 +132,8 @@
     /// Returns until when no request may be sent; `None` outside of a pause.
     pub fn until(&self) -> Option<Instant> {
         match self.flow {
-            Flow::Paused { until } => Some(until),
-            Flow::All | Flow::Trial { .. } => None,
+            Flow::Paused { until } if !self.is_own => Some(until),
+            Flow::All | Flow::Paused { .. } | Flow::Trial { .. } => None,
         }
     }
 
@@ -160,7 +181,7 @@
             SendOutcome::Shed => {
                 let pause = TRIAL_PAUSE * 2_u32.saturating_pow(self.refused_trials);
                 self.refused_trials = self.refused_trials.saturating_add(1);
-                self.pause(now, now + pause.min(LONGEST_TRIAL_PAUSE));
+                self.begin(now, now + pause.min(LONGEST_TRIAL_PAUSE));
                 return None;
             }
             SendOutcome::Misdirected
@@ -173,6 +194,7 @@
             return None;
         }
         self.flow = Flow::All;
+        self.is_own = false;
         let begun = self.begun.take()?;
         Some(EndedPause {
             length: now.saturating_duration_since(begun),
--- a/lib/src/backend_statement.rs
+++ b/lib/src/backend_statement.rs
@@ -165,7 +165,7 @@
     },
     /// A backend server refused several requests in a row although it has room.
     Refusing {
-        /// Backend server that is sent trials only.
+        /// Backend server that is avoided until it runs requests.
         backend: BackendName,
     },
     /// A backend server that was paused runs requests again.
--- a/lib/src/dispatch_assess.rs
+++ b/lib/src/dispatch_assess.rs
@@ -79,37 +79,50 @@
             .filter(|key| of_version(key) && self.is_stable(now, **key, request))
             .copied()
             .collect();
+        let is_avoided = |key: &BackendKey| self.backends[*key].pushback.is_avoided(now);
+        let assess = |ranked: &[(BackendKey, usize)]| {
+            self.assess(now, ranked.iter().copied(), service, latency_key, request)
+        };
+        let alike = |keys: &[BackendKey], rank| -> Vec<(BackendKey, usize)> {
+            keys.iter().map(|key| (*key, rank)).collect()
+        };
         let Some(object) = request.object.filter(|_| self.cfg.policy.homes) else {
-            let all = stable.iter().map(|key| (*key, 0));
-            return Candidates::of(self.assess(now, all, service, latency_key, request));
+            let (avoided, mut open): (Vec<_>, Vec<_>) = alike(&stable, 0)
+                .into_iter()
+                .partition(|(key, _)| is_avoided(key));
+            if assess(&open).is_empty() {
+                open.extend(avoided);
+            }
+            return Candidates::of(assess(&open));
         };
         let objects = service.objects_of(filter);
-        let mut ranked = self.ranked(&stable, object, objects);
-        let is_closed = |key: &BackendKey| self.is_closed(now, &self.backends[*key]);
-        let closed: Vec<BackendKey> = ranked
-            .iter()
-            .map(|(key, _)| *key)
-            .filter(is_closed)
-            .collect();
+        let ranked = self.ranked(&stable, object, objects);
+        let is_closed =
+            |key: &BackendKey| is_avoided(key) || self.is_closed(now, &self.backends[*key]);
+        let ranked_keys = ranked.iter().map(|(key, _)| *key);
+        let closed: Vec<BackendKey> = ranked_keys.filter(is_closed).collect();
+        let mut list = Vec::new();
         if !closed.is_empty() {
             // Only this request takes part in the changed ranking, so that other objects stay
             // where they are.
-            let open: Vec<BackendKey> = stable
-                .iter()
-                .filter(|key| !is_closed(key))
-                .copied()
-                .collect();
-            ranked = self.ranked(&open, object, objects);
+            let mut open = stable.clone();
+            open.retain(|key| !is_closed(key));
+            list = assess(&self.ranked(&open, object, objects));
+            if list.is_empty() {
+                list = assess(&alike(&open, FALLBACK_RANK));
+            }
+        }
+        if list.is_empty() {
+            list = assess(&ranked);
+        }
+        if list.is_empty() {
+            list = assess(&alike(&stable, FALLBACK_RANK));
         }
         let count = closed.len();
-        let is_paused = |key: &BackendKey| !self.backends[*key].pushback.admits(now);
+        let is_paused =
+            |key: &BackendKey| is_avoided(key) || !self.backends[*key].pushback.admits(now);
         let paused: Vec<BackendKey> = closed.into_iter().filter(is_paused).collect();
         let limited = count - paused.len();
-        let mut list = self.assess(now, ranked.into_iter(), service, latency_key, request);
-        if list.is_empty() {
-            let all = stable.iter().map(|key| (*key, FALLBACK_RANK));
-            list = self.assess(now, all, service, latency_key, request);
-        }
         if list.is_empty() {
             list = self.assess_cold(now, service, latency_key, request, of_version);
         }
--- a/lib/src/dispatch_statements.rs
+++ b/lib/src/dispatch_statements.rs
@@ -136,7 +136,6 @@
             return;
         }
         if backend.pushback.note_refusal(now) {
-            self.holds_changed = true;
             self.statement_events.push(StatementEvent::Refusing {
                 backend: backend.name.clone(),
             });
--- a/lib/tests/test_backend_pushback.rs
+++ b/lib/tests/test_backend_pushback.rs
@@ -199,14 +199,41 @@
     assert!(served_again > REQUESTS / 12, "{served_again}");
 }
 
-/// Checks that a backend server which refuses some requests and runs others is not paused.
+/// Guards against requests that are sent nowhere because all backend servers refused, and against one
+/// that is not used again although it serves.
+#[test]
+fn test_refusals_of_all_close_no_backend_server() {
+    let mut fleet = fleet(1, 2);
+    for object in 0..400 {
+        advance(&mut fleet, STEP);
+        let choice = fleet.choose(0, object).unwrap();
+        end(&mut fleet, 0, &choice, SendOutcome::Shed, Duration::ZERO);
+    }
+    advance(&mut fleet, Duration::from_secs(3));
+    let mut served = BTreeSet::new();
+    for object in 0..100 {
+        advance(&mut fleet, STEP);
+        let choice = fleet.choose(0, object).unwrap();
+        end(
+            &mut fleet,
+            0,
+            &choice,
+            SendOutcome::Answered,
+            Duration::ZERO,
+        );
+        served.insert(choice.name);
+    }
+    assert_eq!(served.len(), 2);
+}
+
+/// Guards against a pause of a backend server that still serves a part of its requests.
 #[test]
 fn test_refusals_between_answers_pause_no_backend_server() {
     let mut fleet = fleet(1, 1);
-    for object in 0..200 {
+    for object in 0..600 {
         advance(&mut fleet, STEP);
         let choice = fleet.choose(0, object).unwrap();
-        let outcome = if object % 3 == 0 {
+        let outcome = if object % 6 == 0 {
             SendOutcome::Answered
         } else {
             SendOutcome::Shed
--- a/server/src/metric.rs
+++ b/server/src/metric.rs
@@ -110,7 +110,7 @@
     counter!("heatherring_backend_pushbacks_total").increment(1);
 }
 
-/// Counts pauses of backend servers that refused several requests in a row.
+/// Counts how often a backend server began to be avoided since it refused several requests in a row.
 pub fn backend_refusing() {
     counter!("heatherring_backends_refusing_total").increment(1);
 }
--- a/server/src/statement_log.rs
+++ b/server/src/statement_log.rs
@@ -17,7 +17,7 @@
         }
         StatementEvent::Refusing { backend } => {
             metric::backend_refusing();
-            log::info!(event = "backend_refusing", backend = backend.as_str(); "a backend server refuses all requests of this entry VM; it is sent trials only");
+            log::info!(event = "backend_refusing", backend = backend.as_str(); "a backend server refuses all requests of this entry VM; others are preferred until it runs some");
         }
         StatementEvent::Resumed {
             backend,
