--- a/lib/src/backend_pushback.rs
+++ b/lib/src/backend_pushback.rs
@@ -23,7 +23,7 @@
 
 /// Refusals in a row after which a backend server is avoided. One that refuses half of its requests
 /// still serves the other half, and is rarely seen to refuse this many in a row.
-const REFUSALS_TO_PAUSE: u32 = 10;
+const REFUSALS_TO_AVOID: u32 = 10;
 
 /// Identifies a pause, so that the end of a trial does not count for a later one.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
@@ -62,7 +62,7 @@
     /// Trials in a row that were refused.
     refused_trials: u32,
     /// Whether the backend server did not ask for the pause.
-    is_own: bool,
+    is_unasked: bool,
 }
 
 impl BackendPushback {
@@ -72,7 +72,7 @@
         if until <= now {
             return false;
         }
-        self.is_own = false;
+        self.is_unasked = false;
         self.begin(now, until)
     }
 
@@ -95,10 +95,10 @@
     /// is to be avoided from now on.
     pub fn note_refusal(&mut self, now: Instant) -> bool {
         self.refusals = self.refusals.saturating_add(1);
-        if !matches!(self.flow, Flow::All) || self.refusals < REFUSALS_TO_PAUSE {
+        if !matches!(self.flow, Flow::All) || self.refusals < REFUSALS_TO_AVOID {
             return false;
         }
-        self.is_own = true;
+        self.is_unasked = true;
         self.begin(now, now + TRIAL_PAUSE)
     }
 
@@ -110,12 +110,12 @@
 
     /// Returns whether a request may be sent.
     pub fn admits(&self, now: Instant) -> bool {
-        self.is_own || self.is_usual(now)
+        self.is_unasked || self.is_usual(now)
     }
 
     /// Returns whether requests are better sent elsewhere, although this one may be sent.
     pub fn is_avoided(&self, now: Instant) -> bool {
-        self.is_own && !self.is_usual(now)
+        self.is_unasked && !self.is_usual(now)
     }
 
     fn is_usual(&self, now: Instant) -> bool {
@@ -132,7 +132,7 @@
     /// Returns until when no request may be sent; `None` outside of a pause.
     pub fn until(&self) -> Option<Instant> {
         match self.flow {
-            Flow::Paused { until } if !self.is_own => Some(until),
+            Flow::Paused { until } if !self.is_unasked => Some(until),
             Flow::All | Flow::Paused { .. } | Flow::Trial { .. } => None,
         }
     }
@@ -194,7 +194,7 @@
             return None;
         }
         self.flow = Flow::All;
-        self.is_own = false;
+        self.is_unasked = false;
         let begun = self.begun.take()?;
         Some(EndedPause {
             length: now.saturating_duration_since(begun),
--- a/lib/src/dispatch_assess.rs
+++ b/lib/src/dispatch_assess.rs
@@ -83,17 +83,13 @@
         let assess = |ranked: &[(BackendKey, usize)]| {
             self.assess(now, ranked.iter().copied(), service, latency_key, request)
         };
-        let alike = |keys: &[BackendKey], rank| -> Vec<(BackendKey, usize)> {
-            keys.iter().map(|key| (*key, rank)).collect()
-        };
         let Some(object) = request.object.filter(|_| self.cfg.policy.homes) else {
-            let (avoided, mut open): (Vec<_>, Vec<_>) = alike(&stable, 0)
-                .into_iter()
-                .partition(|(key, _)| is_avoided(key));
-            if assess(&open).is_empty() {
-                open.extend(avoided);
-            }
-            return Candidates::of(assess(&open));
+            let open: Vec<BackendKey> = stable
+                .iter()
+                .filter(|key| !is_avoided(key))
+                .copied()
+                .collect();
+            return Candidates::of(first_usable(assess, &alike(&open, 0), (&stable, 0)));
         };
         let objects = service.objects_of(filter);
         let ranked = self.ranked(&stable, object, objects);
@@ -101,22 +97,21 @@
             |key: &BackendKey| is_avoided(key) || self.is_closed(now, &self.backends[*key]);
         let ranked_keys = ranked.iter().map(|(key, _)| *key);
         let closed: Vec<BackendKey> = ranked_keys.filter(is_closed).collect();
-        let mut list = Vec::new();
-        if !closed.is_empty() {
+        let mut list = if closed.is_empty() {
+            Vec::new()
+        } else {
             // Only this request takes part in the changed ranking, so that other objects stay
             // where they are.
-            let mut open = stable.clone();
-            open.retain(|key| !is_closed(key));
-            list = assess(&self.ranked(&open, object, objects));
-            if list.is_empty() {
-                list = assess(&alike(&open, FALLBACK_RANK));
-            }
-        }
-        if list.is_empty() {
-            list = assess(&ranked);
-        }
+            let open: Vec<BackendKey> = stable
+                .iter()
+                .filter(|key| !is_closed(key))
+                .copied()
+                .collect();
+            let ranked = self.ranked(&open, object, objects);
+            first_usable(assess, &ranked, (&open, FALLBACK_RANK))
+        };
         if list.is_empty() {
-            list = assess(&alike(&stable, FALLBACK_RANK));
+            list = first_usable(assess, &ranked, (&stable, FALLBACK_RANK));
         }
         let count = closed.len();
         let is_paused =
@@ -264,6 +259,25 @@
     }
 }
 
+/// Gives all backend servers the same rank.
+fn alike(keys: &[BackendKey], rank: usize) -> Vec<(BackendKey, usize)> {
+    keys.iter().map(|key| (*key, rank)).collect()
+}
+
+/// Returns the candidates among `preferred`, or those among others, all of one rank, if there are none.
+fn first_usable(
+    assess: impl Fn(&[(BackendKey, usize)]) -> Vec<Candidate>,
+    preferred: &[(BackendKey, usize)],
+    (others, rank): (&[BackendKey], usize),
+) -> Vec<Candidate> {
+    let list = assess(preferred);
+    if list.is_empty() {
+        assess(&alike(others, rank))
+    } else {
+        list
+    }
+}
+
 /// Orders otherwise equal backend servers by rank, in steps of 5 ms, which is well below the
 /// cost of waiting or of a round trip to another region.
 fn tie_break(rank: usize) -> f64 {
