--- a/server/tests/test_unpaired_answers_at_owner.rs
+++ b/server/tests/test_unpaired_answers_at_owner.rs
@@ -143,6 +143,18 @@
     .await;
 }
 
+/// Sends actions until enough of them ran, and checks that none ran twice or was refused and ran.
+async fn check_actions(owners: &mut Owners) {
+    wait_until(async || {
+        let (path, reply) = owners.act().await;
+        let ran = owners.runs.of(&path);
+        assert!(ran <= 1, "{path} ran {ran} times");
+        check_not_run(&owners.runs, &path, &reply);
+        owners.runs.total() > REQUESTS
+    })
+    .await;
+}
+
 /// Guards against an action that runs at a second backend server after a late refusal by the first.
 #[rstest]
 #[case::named(Echo::Own)]
@@ -159,14 +171,7 @@
         };
         owners.add(habits).await;
     }
-    wait_until(async || {
-        let (path, reply) = owners.act().await;
-        let ran = owners.runs.of(&path);
-        assert!(ran <= 1, "{path} ran {ran} times");
-        check_not_run(&owners.runs, &path, &reply);
-        owners.runs.total() > REQUESTS
-    })
-    .await;
+    check_actions(&mut owners).await;
 }
 
 /// Guards against a caller that gets the answer to an earlier request on the same connection.
@@ -265,14 +270,7 @@
         };
         owners.add(habits).await;
     }
-    wait_until(async || {
-        let (path, reply) = owners.act().await;
-        let ran = owners.runs.of(&path);
-        assert!(ran <= 1, "{path} ran {ran} times");
-        check_not_run(&owners.runs, &path, &reply);
-        owners.runs.total() > REQUESTS
-    })
-    .await;
+    check_actions(&mut owners).await;
 }
 
 /// Guards against connections that are closed although each answer names its request.
