heartbeats: timeouts follow from the interval in the settings

Cause: `BACKEND_SILENCE` (4 s), `BACKEND_HEARTBEAT_TIMEOUT` (2.6 s), `RECLAIM_AFTER` (3 s), `FORGET_BACKEND_AFTER` (30 s) and `COLD_AFTER_EVACUATION` (2 s) stood for an interval of 1.5 s. Each backend server with a longer one ceased and began with every heartbeat: at its replica, in the reports to all others and in what entry VMs are told.

Change: `heartbeat` in the settings of control and of entry VMs that dispatch directly, 0.1 s to 60 s, 1.5 s if absent, from which `HeartbeatTiming` derives all five. For 1.5 s they are what they were.

Evidence: with the timeouts of 1.5 s, the cases of 5, 15 and 30 s of test_presence and its property test are red.

--- a/lib/src/direct_dispatch.rs
+++ b/lib/src/direct_dispatch.rs
@@ -87,6 +87,8 @@
     pub region: RegionName,
     /// Regions of all places.
     pub places: BTreeMap<PlaceName, RegionName>,
+    /// Interval at which backend servers send heartbeats to control.
+    pub heartbeat: Duration,
     /// Limit on the resends of all entry VMs together, for each service.
     pub resends: ResendLimit,
     /// Enabled mechanisms.
--- a/lib/src/direct_settings.rs
+++ b/lib/src/direct_settings.rs
@@ -17,6 +17,7 @@
 use crate::settings::InterfaceName;
 use crate::settings::LogSettings;
 use crate::settings::Security;
+use crate::settings::default_heartbeat;
 use crate::settings::default_look_up_ms;
 use crate::settings::seed_addresses;
 
@@ -46,6 +47,10 @@
     pub interface: InterfaceName,
     /// How other processes prove that they belong to the deployment.
     pub security: Security,
+    /// Interval at which backend servers send heartbeats to control; the same as in control's
+    /// settings.
+    #[serde(default = "default_heartbeat")]
+    pub heartbeat: DurationText,
     /// The VM's network link. Without it, answers are passed on as fast as they come.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub link: Option<LinkSettings>,
--- a/lib/src/dispatch_view.rs
+++ b/lib/src/dispatch_view.rs
@@ -125,12 +125,12 @@
     /// Treats the backend servers of a place as cold until each has reported its own state:
     /// they may have become cold while the place was evacuated.
     fn mark_cold(&mut self, now: Instant, place: &PlaceName) {
-        /// Time within which each backend server has reported at least once whether it is cold:
-        /// a heartbeat interval of 1.5 s plus propagation to this entry VM.
-        const COLD_AFTER_EVACUATION: Duration = Duration::from_secs(2);
+        /// Time until an announcement has reached this entry VM.
+        const PROPAGATION: Duration = Duration::from_millis(500);
+        let reported_at = now + self.cfg.heartbeat + PROPAGATION;
         for backend in self.backends.values_mut() {
             if backend.record.place == *place {
-                backend.cold_until = backend.cold_until.max(now + COLD_AFTER_EVACUATION);
+                backend.cold_until = backend.cold_until.max(reported_at);
             }
         }
     }
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -71,6 +71,7 @@
 pub mod handover;
 pub mod head_scanner;
 pub mod headroom;
+pub mod heartbeat_timing;
 pub mod held_tokens;
 pub mod home_regions;
 pub mod host_value;
--- a/lib/src/presence.rs
+++ b/lib/src/presence.rs
@@ -14,6 +14,7 @@
 use serde::Serialize;
 
 use crate::headroom::Headroom;
+use crate::heartbeat_timing::HeartbeatTiming;
 use crate::id::BackendName;
 use crate::id::VmName;
 use crate::numbered_set::SetUpdate;
@@ -23,10 +24,6 @@
 use crate::presence_report::ReplicaEndpoints;
 use crate::presence_report::StatementStamp;
 
-/// Time without heartbeats after which a backend server counts as lost. Heartbeats arrive about
-/// every 1.5 s, may be a second late and take half a second to be reported to the other replicas.
-pub const BACKEND_SILENCE: Duration = Duration::from_secs(4);
-
 /// Time without heartbeats after which an entry VM is no longer named to callers. It polls control
 /// at least once per second, may have to switch to another replica, which takes a second, and its
 /// heartbeat takes half a second to be reported to the other replicas.
@@ -140,6 +137,7 @@
     began: Instant,
     /// Time of the latest event.
     awake_at: Instant,
+    timing: HeartbeatTiming,
     own: LocalHeartbeats,
     backends: BTreeMap<BackendName, Contact>,
     entries: BTreeMap<VmName, EntryContact>,
@@ -149,13 +147,14 @@
 
 impl Presence {
     /// Creates an empty state. `life` identifies this incarnation of the process and is drawn at
-    /// random.
+    /// random, and `timing` applies to backend servers.
     #[must_use]
-    pub fn new(now: Instant, life: u64) -> Self {
+    pub fn new(now: Instant, life: u64, timing: HeartbeatTiming) -> Self {
         Self {
             began: now,
             awake_at: now,
-            own: LocalHeartbeats::new(life),
+            timing,
+            own: LocalHeartbeats::new(life, timing),
             backends: BTreeMap::new(),
             entries: BTreeMap::new(),
             rooms: BTreeMap::new(),
@@ -306,7 +305,7 @@
             .filter(|(source, _)| peer.sources.insert((*source).clone()))
             .collect();
         for source in removed {
-            self.remove(&source, earlier(now, source.heartbeat_timeout()));
+            self.remove(&source, earlier(now, source.heartbeat_timeout(self.timing)));
         }
         for (source, began_ms) in added {
             let began = earlier(now, Duration::from_millis((*began_ms).into()));
@@ -369,8 +368,8 @@
         })
     }
 
-    /// Returns whether a backend server has sent no heartbeats for [`BACKEND_SILENCE`]. For one
-    /// that never sent any, the time counts from this replica's start.
+    /// Returns whether a backend server has sent no heartbeats for [`HeartbeatTiming::silence`]. For
+    /// one that never sent any, the time counts from this replica's start.
     #[must_use]
     pub fn is_silent(&self, now: Instant, backend: &BackendName) -> bool {
         self.silence(now, backend) >= BACKEND_SILENCE
--- a/lib/src/presence_report.rs
+++ b/lib/src/presence_report.rs
@@ -1,6 +1,6 @@
 //! Heartbeats that one control replica receives, and how it reports them to the others.
 //!
-//! Each backend server and entry VM sends a heartbeat about every second, to one replica. The other
+//! Each backend server and entry VM sends heartbeats at regular intervals, to one replica. The other
 //! replicas need to know that the heartbeats continue, not when each arrived: a replica therefore
 //! reports only which sources began or ceased to send heartbeats to it, which implies that all
 //! others continue. With 900 backend servers, 185 entry VMs and 15 replicas, reporting each
@@ -17,16 +17,13 @@
 use serde::Serialize;
 
 use crate::headroom::Headroom;
+use crate::heartbeat_timing::HeartbeatTiming;
 use crate::id::BackendName;
 use crate::id::PlaceName;
 use crate::id::VmName;
 use crate::numbered_set::NumberedSet;
 use crate::numbered_set::SetUpdate;
 
-/// Time after a heartbeat within which a backend server counts as alive: heartbeats arrive about
-/// every 1.5 s and may be a second late.
-const BACKEND_HEARTBEAT_TIMEOUT: Duration = Duration::from_millis(2_600);
-
 /// Time after a heartbeat within which an entry VM counts as alive: it polls control at least every
 /// 0.8 s, with a round trip of up to 0.11 s, and 0.2 s later after a change.
 const ENTRY_HEARTBEAT_TIMEOUT: Duration = Duration::from_millis(1_600);
@@ -76,10 +73,11 @@
 }
 
 impl HeartbeatSource {
-    /// Returns for how long the source counts as alive after a heartbeat.
-    pub(crate) const fn heartbeat_timeout(&self) -> Duration {
+    /// Returns for how long the source counts as alive after a heartbeat. `backends` applies to
+    /// backend servers.
+    pub(crate) const fn heartbeat_timeout(&self, backends: HeartbeatTiming) -> Duration {
         match self {
-            Self::Backend(_) => BACKEND_HEARTBEAT_TIMEOUT,
+            Self::Backend(_) => backends.timeout(),
             Self::Entry { .. } | Self::Room { .. } => ENTRY_HEARTBEAT_TIMEOUT,
         }
     }
@@ -122,6 +120,7 @@
 #[derive(Debug)]
 pub struct LocalHeartbeats {
     life: u64,
+    timing: HeartbeatTiming,
     set: NumberedSet<HeartbeatSource>,
     times: BTreeMap<HeartbeatSource, Times>,
 }
@@ -129,9 +128,10 @@
 impl LocalHeartbeats {
     /// Creates an empty set. `life` is drawn at random for each incarnation of the process.
     #[must_use]
-    pub fn new(life: u64) -> Self {
+    pub fn new(life: u64, timing: HeartbeatTiming) -> Self {
         Self {
             life,
+            timing,
             set: NumberedSet::starting_at(NonZeroU64::MIN),
             times: BTreeMap::new(),
         }
@@ -170,7 +170,7 @@
     /// heartbeat.
     pub fn expire(&mut self, now: Instant) -> Vec<(HeartbeatSource, Instant)> {
         let is_expired = |source: &HeartbeatSource, times: &Times| {
-            now.saturating_duration_since(times.last) >= source.heartbeat_timeout()
+            now.saturating_duration_since(times.last) >= source.heartbeat_timeout(self.timing)
         };
         let expired: Vec<(HeartbeatSource, Instant)> = self
             .times
--- a/lib/src/settings.rs
+++ b/lib/src/settings.rs
@@ -12,6 +12,8 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::duration_text::DurationText;
+use crate::heartbeat_timing::HeartbeatTiming;
 use crate::id::PlaceName;
 use crate::id::RegionName;
 use crate::id::VmName;
@@ -149,11 +151,31 @@
     #[serde(default = "default_look_up_ms")]
     #[schemars(range(min = 1))]
     pub look_up_ms: u32,
+    /// Interval at which backend servers send heartbeats; the same on all replicas.
+    #[serde(default = "default_heartbeat")]
+    pub heartbeat: DurationText,
+    /// Number of descriptors that the process may use, which bounds its open connections. If absent,
+    /// a fixed number of connections is accepted.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    #[schemars(range(min = 1))]
+    pub max_descriptors: Option<u32>,
     /// By how much the limits of teams may be exceeded.
     #[serde(default)]
     pub team_limits: LimitTolerance,
 }
 
+impl DirectControlSettings {
+    /// Returns the timeouts for heartbeats of backend servers.
+    #[must_use]
+    pub const fn heartbeat_timing(&self) -> HeartbeatTiming {
+        HeartbeatTiming::new(self.heartbeat.0)
+    }
+}
+
+pub(crate) const fn default_heartbeat() -> DurationText {
+    DurationText(HeartbeatTiming::DEFAULT_INTERVAL)
+}
+
 pub(crate) const fn default_look_up_ms() -> u32 {
     2_000
 }
--- a/lib/src/settings_check.rs
+++ b/lib/src/settings_check.rs
@@ -9,6 +9,8 @@
 use crate::config_path::ConfigPath;
 use crate::config_text::LocatedProblem;
 use crate::direct_settings::DirectSettings;
+use crate::duration_text::DurationText;
+use crate::heartbeat_timing::HeartbeatTiming;
 use crate::id::PlaceName;
 use crate::id::RegionName;
 use crate::manifest::Manifest;
@@ -110,6 +112,16 @@
         /// The VM's region according to the settings.
         region: RegionName,
     },
+    /// Backend servers would be lost by late heartbeats, or found to be lost too late.
+    #[snafu(display(
+        "heartbeat is {heartbeat}; allowed is {min} to {max}",
+        min = DurationText(HeartbeatTiming::MIN_INTERVAL),
+        max = DurationText(HeartbeatTiming::MAX_INTERVAL)
+    ))]
+    HeartbeatOutOfRange {
+        /// Interval between two heartbeats.
+        heartbeat: DurationText,
+    },
     /// The manifest has the place in another region.
     #[snafu(display(
         "the manifest has {place} in region {expected}, not {region}; allowed is {expected}"
@@ -131,6 +143,7 @@
     let listen = ConfigPath::root().field("listen");
     if let Some(direct) = &settings.direct {
         let path = ConfigPath::root().field("direct");
+        problems.extend(check_heartbeat(path.field("heartbeat"), direct.heartbeat));
         let look_ups = direct.look_ups.map(|address| ("look_ups", address));
         for (name, address) in [("listen", direct.listen)].into_iter().chain(look_ups) {
             problems.extend(check_listener(path.field(name), address));
@@ -197,6 +210,7 @@
         ("metrics", settings.listen.metrics),
     ];
     let mut problems = check_control_addresses(&settings.control);
+    problems.extend(check_heartbeat(root.field("heartbeat"), settings.heartbeat));
     for (name, address) in listeners {
         let Some(address) = address else { continue };
         problems.extend(check_listener(listen.field(name), address));
@@ -267,6 +281,12 @@
     problems
 }
 
+fn check_heartbeat(path: ConfigPath, heartbeat: DurationText) -> Option<LocatedProblem> {
+    let allowed = HeartbeatTiming::MIN_INTERVAL..=HeartbeatTiming::MAX_INTERVAL;
+    let problem = SettingsProblem::HeartbeatOutOfRange { heartbeat };
+    (!allowed.contains(&heartbeat.0)).then(|| located(path, problem))
+}
+
 const fn listeners(listen: &EntryListen) -> [(&'static str, SocketAddr); 4] {
     [
         ("callers", listen.callers),
--- a/lib/tests/dispatch_model/mod.rs
+++ b/lib/tests/dispatch_model/mod.rs
@@ -35,6 +35,7 @@
 use heatherring_lib::fleet_update::FleetUpdate;
 use heatherring_lib::fleet_update::FleetView;
 use heatherring_lib::fleet_update::VersionedBackend;
+use heatherring_lib::heartbeat_timing::HeartbeatTiming;
 use heatherring_lib::id::BackendName;
 use heatherring_lib::id::ManifestVersion;
 use heatherring_lib::id::PlaceName;
@@ -558,6 +559,7 @@
 /// Returns the configuration of an entry VM in the region `own` of `regions`.
 pub fn config(entry: usize, own: usize, regions: usize) -> DispatchConfig {
     DispatchConfig {
+        heartbeat: HeartbeatTiming::DEFAULT_INTERVAL,
         vm: VmName::new(format!("entry-{entry}")),
         region: region(own),
         places: (0..regions)
--- a/lib/tests/test_presence.rs
+++ b/lib/tests/test_presence.rs
@@ -6,20 +6,29 @@
 use std::time::Instant;
 
 use heatherring_lib::headroom::Headroom;
+use heatherring_lib::heartbeat_timing::HeartbeatTiming;
 use heatherring_lib::id::BackendName;
 use heatherring_lib::id::PlaceName;
 use heatherring_lib::id::VmName;
-use heatherring_lib::presence::BACKEND_SILENCE;
 use heatherring_lib::presence::ENTRY_SILENCE;
 use heatherring_lib::presence::Presence;
 use heatherring_lib::presence::REPORT_INTERVAL;
 use heatherring_lib::presence_report::PresenceReport;
 use heatherring_lib::presence_report::ReplicaEndpoints;
 use heatherring_lib::presence_report::StatementStamp;
+use proptest::prelude::any;
+use proptest::prop_assert;
+use proptest::proptest;
 use rstest::rstest;
 
 /// Interval between two heartbeats.
-const HEARTBEAT: Duration = Duration::from_millis(1_500);
+const HEARTBEAT: Duration = HeartbeatTiming::DEFAULT_INTERVAL;
+
+/// Timeouts for that interval.
+const TIMING: HeartbeatTiming = HeartbeatTiming::new(HEARTBEAT);
+
+/// Time without heartbeats after which a backend server counts as lost.
+const BACKEND_SILENCE: Duration = TIMING.silence();
 
 fn endpoints() -> ReplicaEndpoints {
     ReplicaEndpoints {
@@ -53,8 +62,8 @@
 fn test_presence_counts_what_other_replicas_heard() {
     let start = Instant::now() + Duration::from_mins(1);
     let backend = BackendName::new("backend-1");
-    let mut here = Presence::new(start, 1);
-    let mut there = Presence::new(start, 2);
+    let mut here = Presence::new(start, 1, TIMING);
+    let mut there = Presence::new(start, 2, TIMING);
     let heard_at = start + Duration::from_secs(10);
     there.record_backend_heartbeat(heard_at, &backend);
     let told_at = heard_at + REPORT_INTERVAL;
@@ -77,8 +86,8 @@
 fn test_presence_counts_a_silent_replicas_sources_from_its_last_report() {
     let start = Instant::now();
     let backend = BackendName::new("backend-1");
-    let mut here = Presence::new(start, 1);
-    let mut there = Presence::new(start, 2);
+    let mut here = Presence::new(start, 1, TIMING);
+    let mut there = Presence::new(start, 2, TIMING);
     there.record_backend_heartbeat(start, &backend);
     report(&mut there, &mut here, start, start);
     for millis in [2_000, 3_999, 4_000] {
@@ -96,8 +105,8 @@
 #[test]
 fn test_presence_reports_no_majority_without_enough_peers() {
     let start = Instant::now();
-    let mut presence = Presence::new(start, 1);
-    let report = Presence::new(start, 2).report(start, 0, &endpoints());
+    let mut presence = Presence::new(start, 1, TIMING);
+    let report = Presence::new(start, 2, TIMING).report(start, 0, &endpoints());
     presence.apply_report(start, &VmName::new("control-2"), &report);
     assert!(!presence.has_majority(start, 5));
     presence.apply_report(start, &VmName::new("control-3"), &report);
@@ -109,7 +118,7 @@
 fn test_presence_takes_leaving_or_silent_entries_out_of_service() {
     let start = Instant::now();
     let vm = VmName::new("entry-1");
-    let mut presence = Presence::new(start, 1);
+    let mut presence = Presence::new(start, 1, TIMING);
     assert!(presence.record_entry_heartbeat(start, &vm, stated(1, 0), true));
     assert!(!presence.is_out_of_service(start, &vm));
     presence.expire(start + ENTRY_SILENCE);
@@ -127,9 +136,9 @@
 fn test_presence_uses_the_latest_statement_of_an_entry() {
     let start = Instant::now();
     let vm = VmName::new("entry-1");
-    let mut first = Presence::new(start, 1);
-    let mut second = Presence::new(start, 2);
-    let mut third = Presence::new(start, 3);
+    let mut first = Presence::new(start, 1, TIMING);
+    let mut second = Presence::new(start, 2, TIMING);
+    let mut third = Presence::new(start, 3, TIMING);
     first.record_entry_heartbeat(start, &vm, stated(1, 0), true);
     let leaves_at = start + Duration::from_secs(1);
     second.record_entry_heartbeat(leaves_at, &vm, stated(1, 0), false);
@@ -149,7 +158,8 @@
 fn test_presence_ignores_a_poll_that_was_held_up(#[case] held_up: bool) {
     let start = Instant::now();
     let vm = VmName::new("entry-1");
-    let [mut followed, mut left, mut third] = [1, 2, 3].map(|life| Presence::new(start, life));
+    let [mut followed, mut left, mut third] =
+        [1, 2, 3].map(|life| Presence::new(start, life, TIMING));
     let stated_at = start + Duration::from_secs(1);
     followed.record_entry_heartbeat(stated_at, &vm, stated(1, 2), !held_up);
     let arrives_at = stated_at + Duration::from_secs(1);
@@ -173,7 +183,8 @@
     let start = Instant::now();
     let vm = VmName::new("entry-1");
     let (full, free) = (Headroom::new(1.0, 8, 0), Headroom::new(1.0, 8, 7));
-    let [mut followed, mut left, mut third] = [1, 2, 3].map(|life| Presence::new(start, life));
+    let [mut followed, mut left, mut third] =
+        [1, 2, 3].map(|life| Presence::new(start, life, TIMING));
     followed.record_entry_heartbeat(start, &vm, stated(1, 1), true);
     followed.record_headroom(start, &vm, stated(1, 2), full);
     let arrives_at = start + Duration::from_secs(1);
@@ -193,8 +204,8 @@
     let start = Instant::now();
     let peer = VmName::new("control-2");
     let names = ["backend-1", "backend-2"].map(BackendName::new);
-    let mut there = Presence::new(start, 2);
-    let mut here = Presence::new(start, 1);
+    let mut there = Presence::new(start, 2, TIMING);
+    let mut here = Presence::new(start, 1, TIMING);
     there.record_backend_heartbeat(start, &names[0]);
     let held_up = there.report(start, 0, &endpoints());
     let ceased_at = start + BACKEND_SILENCE;
@@ -219,9 +230,9 @@
     let start = Instant::now();
     let vm = VmName::new("entry-1");
     let (full, free) = (Headroom::new(1.0, 8, 0), Headroom::new(1.0, 8, 7));
-    let mut first = Presence::new(start, 1);
-    let mut second = Presence::new(start, 2);
-    let mut third = Presence::new(start, 3);
+    let mut first = Presence::new(start, 1, TIMING);
+    let mut second = Presence::new(start, 2, TIMING);
+    let mut third = Presence::new(start, 3, TIMING);
     first.record_entry_heartbeat(start, &vm, stated(1, 0), true);
     assert!(first.record_headroom(start, &vm, stated(1, 0), free));
     assert!(!first.record_headroom(start, &vm, stated(1, 0), free));
@@ -248,8 +259,8 @@
     let start = Instant::now();
     let peer = VmName::new("control-2");
     let names = ["backend-1", "backend-2", "backend-3"].map(BackendName::new);
-    let mut there = Presence::new(start, 2);
-    let mut here = Presence::new(start, 1);
+    let mut there = Presence::new(start, 2, TIMING);
+    let mut here = Presence::new(start, 1, TIMING);
     there.record_backend_heartbeat(start, &names[0]);
     let known = here.apply_report(start, &peer, &there.report(start, 0, &endpoints()));
     there.record_backend_heartbeat(start, &names[1]);
@@ -260,7 +271,7 @@
     here.apply_report(start, &peer, &first);
     let known = here.apply_report(start, &peer, &second);
     let known = here.apply_report(start, &peer, &there.report(start, known, &endpoints()));
-    let mut fresh = Presence::new(start, 4);
+    let mut fresh = Presence::new(start, 4, TIMING);
     let refused = fresh.apply_report(start, &peer, &there.report(start, known, &endpoints()));
     assert_eq!(refused, 0);
     fresh.apply_report(start, &peer, &there.report(start, refused, &endpoints()));
@@ -269,7 +280,7 @@
         assert!(names.iter().all(|name| !presence.is_silent(later, name)));
     }
     // The replica restarts and receives no heartbeats.
-    let mut restarted = Presence::new(later, 5);
+    let mut restarted = Presence::new(later, 5, TIMING);
     restarted.expire(later);
     let refused = here.apply_report(later, &peer, &restarted.report(later, known, &endpoints()));
     here.apply_report(
@@ -290,7 +301,7 @@
 /// callers were worth.
 fn reported_bytes(vms: usize) -> usize {
     let start = Instant::now();
-    let mut replica = Presence::new(start, 1);
+    let mut replica = Presence::new(start, 1, TIMING);
     // One replica of 15 receives the heartbeats of a fifteenth of all sources.
     let backends: Vec<BackendName> = (0..vms * 5 / 15)
         .map(|number| BackendName::new(format!("backend-{number:06}")))
@@ -343,8 +354,8 @@
     let start = Instant::now() + Duration::from_mins(1);
     let backends = [BackendName::new("backend-1"), BackendName::new("backend-2")];
     let vm = VmName::new("entry-1");
-    let mut here = Presence::new(start, 1);
-    let mut there = Presence::new(start, 2);
+    let mut here = Presence::new(start, 1, TIMING);
+    let mut there = Presence::new(start, 2, TIMING);
     let heard_at = start + Duration::from_secs(10);
     for presence in [&mut here, &mut there] {
         presence.note_awake(heard_at);
@@ -371,3 +382,120 @@
     assert!(is_silent(&here, now), "a silence is still noticed");
     assert!(here.is_out_of_service(now, &vm));
 }
+
+/// Backend server whose heartbeats go to one of two replicas, `near`, which reports to the other one.
+struct Heartbeats {
+    timing: HeartbeatTiming,
+    now: Instant,
+    replicas: [Presence; 2],
+    /// Changes of the first replica that the second one knows, and the reverse.
+    known: [u64; 2],
+    /// Sources that either replica reported as ceased.
+    ceased: usize,
+}
+
+const STEP: Duration = Duration::from_millis(250);
+
+impl Heartbeats {
+    fn new(interval: Duration) -> Self {
+        let timing = HeartbeatTiming::new(interval);
+        let now = Instant::now() + Duration::from_mins(10);
+        let replicas = [1, 2].map(|life| Presence::new(now, life, timing));
+        Self {
+            timing,
+            now,
+            replicas,
+            known: [0; 2],
+            ceased: 0,
+        }
+    }
+
+    fn beat(&mut self, near: usize) {
+        let backend = BackendName::new("backend-1");
+        self.replicas[near].record_backend_heartbeat(self.now, &backend);
+    }
+
+    /// Lets time pass in steps, with a report after every second one. Returns whether the backend
+    /// server counted as lost at any replica.
+    fn run_until(&mut self, until: Instant) -> bool {
+        let backend = BackendName::new("backend-1");
+        let mut lost = false;
+        while self.now < until {
+            self.now = (self.now + STEP).min(until);
+            for from in [0, 1] {
+                self.replicas[from].expire(self.now);
+                let report = self.replicas[from].report(self.now, self.known[from], &endpoints());
+                self.ceased += report.sources.removed.len();
+                let vm = VmName::new(format!("control-{from}"));
+                self.known[from] = self.replicas[1 - from].apply_report(self.now, &vm, &report);
+            }
+            lost |= self
+                .replicas
+                .iter()
+                .any(|replica| replica.is_silent(self.now, &backend));
+        }
+        lost
+    }
+}
+
+/// Generates tests for intervals between heartbeats.
+macro_rules! heartbeat_interval_cases {
+    ($($name:ident: $interval_ms:expr;)*) => {
+        $(
+            #[test]
+            fn $name() {
+                // Guards against backend servers that are lost and found again with each heartbeat,
+                // because a timeout stands for an interval that the deployment does not have.
+                let interval = Duration::from_millis($interval_ms);
+                let mut beats = Heartbeats::new(interval);
+                for _ in 0..20 {
+                    beats.beat(0);
+                    assert!(!beats.run_until(beats.now + interval));
+                }
+                assert_eq!(beats.ceased, 0);
+                let ended_at = beats.now - interval;
+                beats.run_until(ended_at + beats.timing.silence() + REPORT_INTERVAL);
+                let backend = BackendName::new("backend-1");
+                for replica in &beats.replicas {
+                    assert!(replica.is_silent(beats.now, &backend));
+                }
+            }
+        )*
+    };
+}
+
+heartbeat_interval_cases! {
+    test_presence_keeps_backend_servers_at_half_a_second: 500;
+    test_presence_keeps_backend_servers_at_one_and_a_half_seconds: 1_500;
+    test_presence_keeps_backend_servers_at_five_seconds: 5_000;
+    test_presence_keeps_backend_servers_at_fifteen_seconds: 15_000;
+    test_presence_keeps_backend_servers_at_half_a_minute: 30_000;
+}
+
+proptest! {
+    /// Guards against losing a backend server whose heartbeats are up to a second late, or which
+    /// turns to another replica a second after the first one did not answer.
+    #[test]
+    fn test_presence_keeps_backend_servers_that_are_late_or_move(
+        interval_ms in 500_u64..=30_000,
+        beats in proptest::collection::vec((0_u64..=1_000, any::<bool>()), 1..30),
+    ) {
+        let interval = Duration::from_millis(interval_ms);
+        let mut fleet = Heartbeats::new(interval);
+        let mut due = fleet.now;
+        let mut near = 0;
+        fleet.beat(near);
+        for (late_ms, moves) in beats {
+            due += interval;
+            let lateness = if moves {
+                near = 1 - near;
+                Duration::from_secs(1)
+            } else {
+                Duration::from_millis(late_ms)
+            };
+            let at = due + lateness;
+            prop_assert!(!fleet.run_until(at));
+            fleet.beat(near);
+        }
+    }
+}
--- a/lib/tests/test_rollout.rs
+++ b/lib/tests/test_rollout.rs
@@ -27,6 +27,7 @@
 use heatherring_lib::fleet_record::BackendState;
 use heatherring_lib::fleet_state::FleetState;
 use heatherring_lib::fleet_update::FleetView;
+use heatherring_lib::heartbeat_timing::HeartbeatTiming;
 use heatherring_lib::id::BackendName;
 use heatherring_lib::id::ManifestVersion;
 use heatherring_lib::id::PlaceName;
@@ -300,6 +301,7 @@
         let now = Instant::now();
         let region = RegionName::new("region-1");
         let cfg = DispatchConfig {
+            heartbeat: HeartbeatTiming::DEFAULT_INTERVAL,
             vm: VmName::new("entry-1"),
             region: region.clone(),
             places: BTreeMap::from([(PlaceName::new("place-1"), region)]),
--- a/server/src/control_process.rs
+++ b/server/src/control_process.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use heatherring_lib::clock::Clock;
+use heatherring_lib::heartbeat_timing::HeartbeatTiming;
 use heatherring_lib::id::PlaceName;
 use heatherring_lib::id::RegionName;
 use heatherring_lib::manifest_text::MAX_MANIFEST_BYTES;
@@ -308,6 +309,13 @@
     }
 }
 
+fn heartbeat_timing(settings: &ControlSettings) -> HeartbeatTiming {
+    let direct = settings.direct.as_ref();
+    direct
+        .map(DirectControlSettings::heartbeat_timing)
+        .unwrap_or_default()
+}
+
 /// Starts the tasks for direct dispatch, which run whether the settings enable it or not.
 fn serve_fleet(
     settings: &ControlSettings,
@@ -329,6 +337,7 @@
         published: published.clone(),
         node: node.clone(),
         channels: channels.clone(),
+        timing: heartbeat_timing(settings),
     });
     if let Some(direct) = &settings.direct {
         let places = direct.places.clone();
--- a/server/src/direct_process.rs
+++ b/server/src/direct_process.rs
@@ -455,6 +455,7 @@
 
 fn dispatch_config(settings: &DirectSettings) -> DispatchConfig {
     DispatchConfig {
+        heartbeat: settings.heartbeat.0,
         vm: settings.vm.clone(),
         region: settings.region.clone(),
         places: settings.places.clone(),
--- a/server/src/fleet_control.rs
+++ b/server/src/fleet_control.rs
@@ -70,10 +70,6 @@
 /// Timeout of a call to the leader. Clients turn to another replica after about one second.
 const LEADER_TIMEOUT: Duration = Duration::from_millis(1_500);
 
-/// Time without a heartbeat after which the address of a backend server may be reclaimed by
-/// another one: two heartbeat intervals.
-const RECLAIM_AFTER: Duration = Duration::from_secs(3);
-
 /// Largest difference between two announced ends of a backend server's cold phase that still
 /// denote the same cold phase; heartbeats may be late by one second.
 const COLD_END_TOLERANCE: Duration = Duration::from_millis(1_200);
--- a/server/src/presence_task.rs
+++ b/server/src/presence_task.rs
@@ -14,6 +14,7 @@
 use heatherring_lib::fleet_record::BackendIncarnation;
 use heatherring_lib::fleet_state::FleetState;
 use heatherring_lib::headroom::Headroom;
+use heatherring_lib::heartbeat_timing::HeartbeatTiming;
 use heatherring_lib::id::BackendName;
 use heatherring_lib::id::ClusterId;
 use heatherring_lib::id::VmName;
@@ -37,10 +38,6 @@
 /// Interval at which the task checks who has become silent.
 const CHECK_INTERVAL: Duration = Duration::from_millis(250);
 
-/// Silence after which a backend server is removed from the state. It exceeds any network
-/// partition after which the same incarnation may return.
-const FORGET_BACKEND_AFTER: Duration = Duration::from_secs(30);
-
 /// Silence after which an entry VM is removed from the state. Until then it counts among those
 /// that share limits.
 const FORGET_ENTRY_AFTER: Duration = Duration::from_secs(45);
@@ -188,6 +185,8 @@
     pub node: NodeHandle,
     /// Opens connections to the other replicas.
     pub channels: PeerChannels,
+    /// Timeouts for heartbeats of backend servers.
+    pub timing: HeartbeatTiming,
 }
 
 struct PresenceTask {
@@ -221,6 +220,7 @@
     });
     let now = setup.clock.now();
     let task = PresenceTask {
+        presence: Presence::new(now, rand::random(), setup.timing),
         setup,
         presence: Presence::new(now, rand::random()),
         view: view_tx,
@@ -415,7 +415,7 @@
         let backends: Vec<BackendIncarnation> = published
             .fleet
             .backends()
-            .filter(|(name, _)| self.presence.silence(now, name) >= FORGET_BACKEND_AFTER)
+            .filter(|(name, _)| self.presence.silence(now, name) >= self.setup.timing.removal())
             .map(|(name, record)| BackendIncarnation {
                 backend: name.clone(),
                 born: record.born,
--- a/server/tests/direct_support/mod.rs
+++ b/server/tests/direct_support/mod.rs
@@ -27,6 +27,7 @@
 use heatherring_lib::direct_settings::ResendSettings;
 use heatherring_lib::dispatch_policy::DispatchPolicy;
 use heatherring_lib::duration_text::DurationText;
+use heatherring_lib::heartbeat_timing::HeartbeatTiming;
 use heatherring_lib::id::ManifestVersion;
 use heatherring_lib::id::PlaceName;
 use heatherring_lib::id::RegionName;
@@ -313,6 +314,8 @@
                 look_ups: Some(SocketAddr::new(listen.ip(), FORWARD_PORT)),
                 places: places(),
                 look_up_ms: 2_000,
+                heartbeat: DurationText(HeartbeatTiming::DEFAULT_INTERVAL),
+                max_descriptors: None,
                 team_limits: LimitTolerance::default(),
             }),
         }
@@ -336,6 +339,7 @@
     ) -> Entry {
         let ip = self.block.next_vm();
         let settings = DirectSettings {
+            heartbeat: DurationText(HeartbeatTiming::DEFAULT_INTERVAL),
             link,
             vm: VmName::new(name),
             place: PlaceName::new(PLACE),
--- a/server/tests/test_fleet_follower.rs
+++ b/server/tests/test_fleet_follower.rs
@@ -16,6 +16,7 @@
 use heatherring_lib::direct_dispatch::DispatchConfig;
 use heatherring_lib::dispatch_policy::DispatchPolicy;
 use heatherring_lib::fleet_record::EntryRecord;
+use heatherring_lib::heartbeat_timing::HeartbeatTiming;
 use heatherring_lib::id::PlaceName;
 use heatherring_lib::id::RegionName;
 use heatherring_lib::id::VmName;
@@ -217,6 +218,7 @@
     let clock: Arc<dyn Clock> = Arc::new(SystemClock);
     let vm = VmName::new("entry");
     let config = DispatchConfig {
+        heartbeat: HeartbeatTiming::DEFAULT_INTERVAL,
         vm: vm.clone(),
         region: RegionName::new("near"),
         places: places.clone(),
--- a/server/tests/test_late_orders.rs
+++ b/server/tests/test_late_orders.rs
@@ -13,9 +13,11 @@
 use direct_support::call;
 use direct_support::request;
 use direct_support::route_change;
+use heatherring_lib::duration_text::DurationText;
 use heatherring_lib::fleet_command::FleetCommand;
 use heatherring_lib::fleet_record::EntryRecord;
 use heatherring_lib::fleet_update::FleetUpdate;
+use heatherring_lib::heartbeat_timing::HeartbeatTiming;
 use heatherring_lib::id::PlaceName;
 use heatherring_lib::id::RegionName;
 use heatherring_lib::settings::ControlSettings;
@@ -155,6 +157,8 @@
                     .map(|place| (PlaceName::new(place), RegionName::new("fukuoka")))
                     .into(),
                 look_up_ms: 2_000,
+                heartbeat: DurationText(HeartbeatTiming::DEFAULT_INTERVAL),
+                max_descriptors: None,
                 team_limits: LimitTolerance::default(),
             }),
             ..control_support::settings(&name, listen, self.folder.path().join(&name))
--- a/server/tests/test_look_ups.rs
+++ b/server/tests/test_look_ups.rs
@@ -20,6 +20,7 @@
 use heatherring_lib::dispatch_policy::DispatchPolicy;
 use heatherring_lib::fleet_record::EntryRecord;
 use heatherring_lib::headroom::Headroom;
+use heatherring_lib::heartbeat_timing::HeartbeatTiming;
 use heatherring_lib::id::PlaceName;
 use heatherring_lib::id::RegionName;
 use heatherring_lib::id::VmName;
@@ -54,6 +55,7 @@
     let clock: Arc<dyn Clock> = Arc::new(SystemClock);
     let vm = VmName::new("stand-in");
     let config = DispatchConfig {
+        heartbeat: HeartbeatTiming::DEFAULT_INTERVAL,
         vm: vm.clone(),
         region: RegionName::new(REGION),
         places: other.places.clone(),
