backend table: a change costs the same whatever the number of backend servers

Cause: each announcement walked over all records twice, to find others at its address, on every replica; each command copied the map of all records, since a reader holds the published one; each update for an entry VM walked over all records to find those that had changed. With 10,000 backend servers that announce themselves at the start, control does little else.

Change: records in a persistent map (imbl), whose copies share their contents, with indexes by address and by revision.

--- a/lib/src/fleet_state.rs
+++ b/lib/src/fleet_state.rs
@@ -8,11 +8,14 @@
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::collections::VecDeque;
+use std::net::SocketAddr;
 use std::sync::Arc;
 
+use imbl::OrdMap;
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::backend_table::BackendTable;
 use crate::fleet_record::BackendChange;
 use crate::fleet_record::BackendIncarnation;
 use crate::fleet_record::BackendRecord;
@@ -41,6 +44,7 @@
 use crate::route_check::RouteProblem;
 use crate::route_manifest::RouteChange;
 use crate::route_manifest::RouteManifest;
+use crate::stamped::Stamped;
 use crate::team_manifest::ChangeView;
 use crate::team_manifest::FleetManifest;
 use crate::team_manifest::TeamManifest;
@@ -72,13 +76,6 @@
     Invalid(RouteProblem),
 }
 
-/// A value with the revision that last changed it.
-#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
-struct Stamped<T> {
-    revision: Revision,
-    value: T,
-}
-
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 struct AcceptedChange {
     version: ManifestVersion,
@@ -95,8 +92,8 @@
     service_stamps: BTreeMap<ServiceName, Revision>,
     accepted: VecDeque<AcceptedChange>,
     evacuated: BTreeSet<PlaceName>,
-    backends: BTreeMap<BackendName, Stamped<Arc<BackendRecord>>>,
-    entries: BTreeMap<VmName, Stamped<Arc<EntryRecord>>>,
+    backends: BackendTable,
+    entries: OrdMap<VmName, Stamped<Arc<EntryRecord>>>,
     removed: VecDeque<Stamped<RemovedItem>>,
     /// Log position of the latest removal that was evicted from `removed`.
     forgotten: Revision,
@@ -142,14 +139,18 @@
     /// Returns the record of a backend server, or `None` if it is not registered.
     #[must_use]
     pub fn backend(&self, name: &BackendName) -> Option<&BackendRecord> {
-        self.backends.get(name).map(|stamped| &*stamped.value)
+        self.backends.get(name).map(|record| &**record)
     }
 
     /// Iterates over the registered backend servers by name, superseded ones included.
     pub fn backends(&self) -> impl Iterator<Item = (&BackendName, &BackendRecord)> {
-        self.backends
-            .iter()
-            .map(|(name, stamped)| (name, &*stamped.value))
+        self.backends.iter().map(|(name, record)| (name, &**record))
+    }
+
+    /// Returns the backend server that holds an address: the one there that is not superseded.
+    #[must_use]
+    pub fn holder(&self, address: SocketAddr) -> Option<&BackendName> {
+        self.backends.holder(address).map(|(name, _)| name)
     }
 
     /// Returns whether the incarnation of a backend server that started at `born` has withdrawn.
@@ -323,9 +324,9 @@
             return;
         }
         if let Some(known) = self.backends.get(&change.backend) {
-            let stale = change.record.stamp() <= known.value.stamp();
-            let same_incarnation = change.record.born == known.value.born;
-            let superseded = known.value.state == BackendState::Superseded && !change.reclaims;
+            let stale = change.record.stamp() <= known.stamp();
+            let same_incarnation = change.record.born == known.born;
+            let superseded = known.state == BackendState::Superseded && !change.reclaims;
             if stale || (superseded && same_incarnation) {
                 return;
             }
@@ -333,16 +334,10 @@
         let mut record = change.record.clone();
         if self.address_has_newer_owner(change) {
             record.state = BackendState::Superseded;
-        } else {
-            self.supersede_others_at(index, change);
         }
-        self.backends.insert(
-            change.backend.clone(),
-            Stamped {
-                revision: index,
-                value: Arc::new(record),
-            },
-        );
+        // Any other holder of the address becomes superseded: requests meant for an earlier
+        // incarnation must not be sent to the one that was last announced there.
+        self.backends.insert(index, &change.backend, record);
         self.mark_changed(index);
     }
 
@@ -351,35 +346,12 @@
     /// another backend server has started at the address; it would supersede the live one until
     /// that one's next heartbeat.
     fn address_has_newer_owner(&self, change: &BackendChange) -> bool {
-        self.backends.iter().any(|(name, other)| {
-            *name != change.backend
-                && other.value.address == change.record.address
-                && other.value.state != BackendState::Superseded
-                && change.record.born > 0
-                && other.value.born > change.record.born
+        let holder = self.backends.holder(change.record.address);
+        holder.is_some_and(|(name, other)| {
+            *name != change.backend && change.record.born > 0 && other.born > change.record.born
         })
     }
 
-    /// Marks the previous owner of the address as superseded: an address belongs to the
-    /// incarnation that was last announced there, and requests meant for an earlier one must not
-    /// be sent to it.
-    fn supersede_others_at(&mut self, index: Revision, change: &BackendChange) {
-        for (name, other) in &mut self.backends {
-            let same_address = other.value.address == change.record.address;
-            if same_address
-                && *name != change.backend
-                && other.value.state != BackendState::Superseded
-            {
-                let mut record = BackendRecord::clone(&other.value);
-                record.state = BackendState::Superseded;
-                *other = Stamped {
-                    revision: index,
-                    value: Arc::new(record),
-                };
-            }
-        }
-    }
-
     /// Removes a backend server that announced its end. Late announcements of this incarnation
     /// are ignored from now on.
     pub fn withdraw(&mut self, index: Revision, incarnation: &BackendIncarnation) {
@@ -488,7 +460,7 @@
 
     /// Changes the stage of a rollout.
     pub fn step_rollout(&mut self, index: Revision, step: &RolloutStep) {
-        let of_service = self.backends.values().map(|stamped| &stamped.value);
+        let of_service = self.backends.iter().map(|(_, record)| record);
         let of_service = of_service.filter(|record| record.service == step.service);
         let versions = of_service.map(|record| &record.version);
         if Arc::make_mut(&mut self.rollouts).step(index, step, versions) {
@@ -529,9 +501,7 @@
         self.bulk_routes = section.bulk_routes;
         for (version, backends) in section.versions {
             for backend in backends {
-                if let Some(stamped) = self.backends.get_mut(&backend) {
-                    Arc::make_mut(&mut stamped.value).version = version.clone();
-                }
+                self.backends.restore_version(&backend, version.clone());
             }
         }
     }
@@ -584,9 +554,11 @@
                 .filter(|(name, _)| is_new(self.service_stamps.get(*name)))
                 .map(|(name, service)| (name.clone(), Arc::clone(service)))
                 .collect(),
-            backends: newer(&self.backends, since)
+            backends: self
+                .backends
+                .changed_since(since)
                 .into_iter()
-                .map(|(name, record)| VersionedBackend::new(name, record))
+                .map(|(name, record)| VersionedBackend::new(name.clone(), Arc::clone(record)))
                 .collect(),
             rollouts: self.rollouts.changed_since(since),
             entries: newer(&self.entries, since),
@@ -625,7 +597,7 @@
 }
 
 fn newer<K: Clone + Ord, V>(
-    items: &BTreeMap<K, Stamped<Arc<V>>>,
+    items: &OrdMap<K, Stamped<Arc<V>>>,
     since: Revision,
 ) -> Vec<(K, Arc<V>)> {
     items
--- a/lib/tests/test_backend_life.rs
+++ b/lib/tests/test_backend_life.rs
@@ -2,6 +2,7 @@
 
 mod dispatch_model;
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -14,6 +15,7 @@
 use heatherring_lib::fleet_record::BackendState;
 use heatherring_lib::fleet_record::RecordProblem;
 use heatherring_lib::fleet_state::FleetState;
+use heatherring_lib::fleet_update::FleetView;
 use heatherring_lib::id::BackendName;
 use heatherring_lib::id::PlaceName;
 use heatherring_lib::id::Revision;
@@ -96,6 +98,84 @@
     }
 }
 
+/// The rules for who holds an address, applied by walking over all backend servers.
+#[derive(Default)]
+struct Addresses(BTreeMap<BackendName, BackendRecord>);
+
+impl Addresses {
+    fn announce(&mut self, change: &BackendChange) {
+        let BackendChange {
+            backend, record, ..
+        } = change;
+        if let Some(known) = self.0.get(backend) {
+            let superseded = known.state == BackendState::Superseded && !change.reclaims;
+            if record.stamp() <= known.stamp() || (superseded && record.born == known.born) {
+                return;
+            }
+        }
+        let mut record = record.clone();
+        let address = record.address;
+        let holds = |other: &BackendRecord| {
+            other.address == address && other.state != BackendState::Superseded
+        };
+        let mut others = self.0.iter_mut().filter(|(name, _)| *name != backend);
+        if others.any(|(_, other)| holds(other) && record.born > 0 && other.born > record.born) {
+            record.state = BackendState::Superseded;
+        } else {
+            let others = self.0.iter_mut().filter(|(name, _)| *name != backend);
+            for (_, other) in others.filter(|(_, other)| holds(other)) {
+                other.state = BackendState::Superseded;
+            }
+        }
+        self.0.insert(backend.clone(), record);
+    }
+}
+
+proptest! {
+    /// Guards against an index of addresses that differs from the records, also after a restart, and
+    /// against an entry VM that misses a backend server which lost its address to another one.
+    #[test]
+    fn test_addresses_are_held_as_if_all_records_were_searched(
+        announced in proptest::collection::vec(
+            (0_u8..6, 1_u16..4, 0_u64..4, 0_u64..6, any::<bool>(), any::<bool>(), any::<bool>()),
+            1..60,
+        ),
+    ) {
+        let mut log = Log::new();
+        let mut expected = Addresses::default();
+        let mut follower = FleetView::default();
+        for (number, port, born, sequence, reclaims, forgets, restarts) in announced {
+            let name = format!("backend-{number}");
+            let mut record = record(born, sequence, BackendState::Ready);
+            record.address.set_port(port);
+            let change = BackendChange { reclaims, ..change(&name, record) };
+            let index = log.next();
+            log.state.announce(index, std::slice::from_ref(&change));
+            expected.announce(&change);
+            if forgets {
+                let index = log.next();
+                log.state.forget_backends(index, &[incarnation(&name, born)]);
+                expected.0.retain(|known, record| *known != change.backend || record.born > born);
+            }
+            if restarts {
+                log.restart();
+                let update = log.state.update_from(follower.revision).unwrap();
+                follower = follower.updated(&update).unwrap();
+            }
+        }
+        let known: BTreeMap<BackendName, BackendRecord> = log
+            .state
+            .backends()
+            .map(|(name, record)| (name.clone(), record.clone()))
+            .collect();
+        assert_eq!(known, expected.0);
+        let update = log.state.update_from(follower.revision).unwrap();
+        let whole = log.state.update_from(Revision(0)).unwrap();
+        let whole = FleetView::default().updated(&whole).unwrap();
+        assert_eq!(follower.updated(&update).unwrap().backends, whole.backends);
+    }
+}
+
 /// Guards against a restarted backend server that never receives requests again: announcements
 /// of the new process are numbered from 1, and a number lower than the last one of the previous
 /// process must not be mistaken for a delayed announcement.
--- a/server/src/fleet_control.rs
+++ b/server/src/fleet_control.rs
@@ -484,26 +484,22 @@
         before.is_none_or(|before| until > before + COLD_END_TOLERANCE)
     }
 
-    /// Returns whether no current holder of the address has sent a heartbeat within
-    /// [`RECLAIM_AFTER`]. A late announcement of a process that has ended must not displace the
-    /// running one.
+    /// Returns whether no other holder of the address has sent a heartbeat within two intervals. A
+    /// late announcement of a process that has ended must not displace the running one.
     async fn may_reclaim(
         &self,
         fleet: &FleetState,
         backend: &BackendName,
         address: SocketAddr,
     ) -> bool {
-        let holders = fleet.backends().filter(|(name, record)| {
-            record.address == address
-                && record.state != BackendState::Superseded
-                && *name != backend
-        });
-        for (holder, _) in holders {
-            if self.inner.presence.silence(holder.clone()).await < RECLAIM_AFTER {
-                return false;
-            }
-        }
-        true
+        let holder = fleet.holder(address).filter(|name| *name != backend);
+        let Some(holder) = holder else {
+            return true;
+        };
+        let settings = self.inner.settings.as_ref();
+        let timing = settings.map(DirectControlSettings::heartbeat_timing);
+        let reclaim_after = timing.unwrap_or_default().reclaim();
+        self.inner.presence.silence(holder.clone()).await >= reclaim_after
     }
 
     /// Removes a backend server that announced its end: the incarnation `born`, or the known one
