presence: the view is published once for many events

Cause: for each heartbeat of a backend server that had been silent, for each report of another replica and for each change of an entry VM, control built the set of absent backend servers from all of them, with a search by name each; each change of an entry VM was reported to all replicas at once.

Change: events are collected for up to 50 ms, and the set is built in one pass over names in order.

Evidence: a property test that both ways find the same silent ones.

--- a/lib/src/presence.rs
+++ b/lib/src/presence.rs
@@ -372,7 +372,24 @@
     /// one that never sent any, the time counts from this replica's start.
     #[must_use]
     pub fn is_silent(&self, now: Instant, backend: &BackendName) -> bool {
-        self.silence(now, backend) >= BACKEND_SILENCE
+        self.silence(now, backend) >= self.timing.silence()
+    }
+
+    /// Returns those of the backend servers `names` for which [`Self::is_silent`] holds. The names
+    /// must be in ascending order.
+    pub fn silent_backends<'a>(
+        &'a self,
+        now: Instant,
+        names: impl Iterator<Item = &'a BackendName>,
+    ) -> impl Iterator<Item = &'a BackendName> {
+        let unheard = now.saturating_duration_since(self.began);
+        let mut contacts = self.backends.iter().peekable();
+        names.filter(move |name| {
+            while contacts.next_if(|(known, _)| known < name).is_some() {}
+            let contact = contacts.next_if(|(known, _)| known == name);
+            let silence = contact.map_or(unheard, |(_, contact)| contact.silence(now));
+            silence >= self.timing.silence()
+        })
     }
 
     /// Returns how long a backend server has sent no heartbeats.
--- a/lib/tests/test_presence.rs
+++ b/lib/tests/test_presence.rs
@@ -498,4 +498,29 @@
             fleet.beat(near);
         }
     }
+
+    /// The silent ones are the same whether asked for one by one or all at once.
+    #[test]
+    fn test_silent_backends_are_those_that_are_silent(
+        heard in proptest::collection::btree_map(0_u8..40, 0_u64..10_000, 0..40),
+        registered in proptest::collection::btree_set(0_u8..40, 0..40),
+    ) {
+        let start = Instant::now();
+        let mut presence = Presence::new(start, 1, TIMING);
+        let name = |number: u8| BackendName::new(format!("backend-{number}"));
+        for (number, at_ms) in heard {
+            let at = start + Duration::from_millis(at_ms);
+            presence.record_backend_heartbeat(at, &name(number));
+        }
+        let now = start + Duration::from_secs(10);
+        presence.expire(now);
+        let names: std::collections::BTreeSet<BackendName> =
+            registered.into_iter().map(name).collect();
+        let one_by_one: Vec<&BackendName> = names
+            .iter()
+            .filter(|name| presence.is_silent(now, name))
+            .collect();
+        let at_once: Vec<&BackendName> = presence.silent_backends(now, names.iter()).collect();
+        prop_assert!(one_by_one == at_once);
+    }
 }
--- a/server/src/presence_task.rs
+++ b/server/src/presence_task.rs
@@ -38,6 +38,10 @@
 /// Interval at which the task checks who has become silent.
 const CHECK_INTERVAL: Duration = Duration::from_millis(250);
 
+/// Longest time for which events are collected before the view is published anew, and a change of an
+/// entry VM is reported. Both take time that grows with the number of backend servers and replicas.
+const COLLECT_TIME: Duration = Duration::from_millis(50);
+
 /// Silence after which an entry VM is removed from the state. Until then it counts among those
 /// that share limits.
 const FORGET_ENTRY_AFTER: Duration = Duration::from_secs(45);
@@ -195,6 +199,8 @@
     view: watch::Sender<PresenceView>,
     peers: BTreeMap<SocketAddr, Peer>,
     next_report_at: Instant,
+    /// When the view is to be published anew; `None` while nothing has changed.
+    publish_at: Option<Instant>,
     /// Sends messages to this task; weak, so that the task ends with its last handle.
     tx: mpsc::WeakUnboundedSender<Message>,
 }
@@ -222,10 +228,10 @@
     let task = PresenceTask {
         presence: Presence::new(now, rand::random(), setup.timing),
         setup,
-        presence: Presence::new(now, rand::random()),
         view: view_tx,
         peers: BTreeMap::new(),
         next_report_at: now,
+        publish_at: None,
         tx: tx.downgrade(),
     };
     tokio::spawn(task.run(rx));
@@ -237,23 +243,45 @@
         let mut check = tokio::time::interval(CHECK_INTERVAL);
         check.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
         loop {
+            let publish_at = self.publish_at;
+            let collected = async {
+                let Some(at) = publish_at else {
+                    return std::future::pending().await;
+                };
+                tokio::time::sleep(at.saturating_duration_since(self.setup.clock.now())).await;
+            };
             tokio::select! {
                 message = rx.recv() => match message {
                     Some(message) => self.handle(message),
                     None => return,
                 },
                 _ = check.tick() => self.check(),
+                () = collected => self.publish_collected(),
             }
         }
     }
 
+    /// Schedules the publication of a change.
+    fn collect(&mut self, now: Instant) {
+        self.publish_at.get_or_insert(now + COLLECT_TIME);
+    }
+
+    fn publish_collected(&mut self) {
+        let now = self.setup.clock.now();
+        self.presence.note_awake(now);
+        self.publish(now);
+        if now >= self.next_report_at {
+            self.report(now);
+        }
+    }
+
     fn handle(&mut self, message: Message) {
         let now = self.setup.clock.now();
         self.presence.note_awake(now);
         match message {
             Message::Backend(backend) => {
                 if self.presence.record_backend_heartbeat(now, &backend) {
-                    self.publish(now);
+                    self.collect(now);
                 }
             }
             Message::Entry { vm, statement } => {
@@ -265,8 +293,8 @@
                     presence.record_headroom(now, &vm, headroom.stamp, headroom.value)
                 });
                 if is_new_state || is_new_headroom {
-                    self.publish(now);
-                    self.report(now);
+                    self.collect(now);
+                    self.next_report_at = self.next_report_at.min(now + COLLECT_TIME);
                 }
             }
             Message::Report {
@@ -278,7 +306,7 @@
                 // The replica's call may have timed out meanwhile.
                 let _ = reply.send(known);
                 if !report.sources.added.is_empty() || !report.sources.removed.is_empty() {
-                    self.publish(now);
+                    self.collect(now);
                 }
             }
             Message::Known { replica, number } => {
@@ -306,7 +334,8 @@
     }
 
     /// Publishes the known replicas and, if a majority of replicas reports, who is absent.
-    fn publish(&self, now: Instant) {
+    fn publish(&mut self, now: Instant) {
+        self.publish_at = None;
         let published = self.setup.published.read();
         let absent_now = self
             .presence
@@ -332,10 +361,9 @@
     }
 
     fn absent_now(&self, now: Instant, fleet: &FleetState) -> BTreeSet<Absent> {
-        let silent = fleet
-            .backends()
-            .filter(|(name, _)| self.presence.is_silent(now, name))
-            .map(|(name, _)| Absent::Backend(name.clone()));
+        let names = fleet.backends().map(|(name, _)| name);
+        let silent = self.presence.silent_backends(now, names);
+        let silent = silent.map(|name| Absent::Backend(name.clone()));
         let out_of_service = fleet
             .entries()
             .filter(|(vm, _)| self.presence.is_out_of_service(now, vm))
