control node: commands that may wait come after all others

Cause: Raft's messages, reads, manifests, evacuations and drains waited in one queue with announcements and enrolments, whose number grows with the fleet and which fill the log's room for proposals.

Change: announcements of backend servers that are not draining, enrolments and removals have a queue of their own, of 512; more are refused at once. They are proposed while fewer than 256 proposals are under way. Their order relative to others does not matter: they name incarnations and sequence numbers.

Evidence: test_manifest_is_decided_before_a_flood_of_announcements, 10,000 announcements before one manifest.

--- a/lib/src/command.rs
+++ b/lib/src/command.rs
@@ -108,6 +108,14 @@
     Remove(ReplicaId),
 }
 
+impl CommandKind {
+    /// Returns whether the command may wait for all others; see [`FleetCommand::is_deferrable`].
+    #[must_use]
+    pub fn is_deferrable(&self) -> bool {
+        matches!(self, Self::Fleet(command) if command.is_deferrable())
+    }
+}
+
 impl Command {
     /// Encodes the command as a log entry.
     ///
--- a/lib/src/fleet_command.rs
+++ b/lib/src/fleet_command.rs
@@ -153,6 +153,19 @@
         self.manifest_change().is_some()
     }
 
+    /// Returns whether the command may wait for all others. Such commands come in numbers that grow
+    /// with the fleet, are repeated until they are committed, and nobody is promised anything by
+    /// them. Their order relative to others does not matter, since they name incarnations.
+    #[must_use]
+    pub fn is_deferrable(&self) -> bool {
+        match self {
+            Self::Announce(changes) => !changes.iter().any(BackendChange::is_draining),
+            Self::AnnounceVersions(changes) => !changes.iter().any(VersionedChange::is_draining),
+            Self::EnrollEntry { .. } | Self::ForgetBackends(_) | Self::ForgetEntry { .. } => true,
+            _ => false,
+        }
+    }
+
     /// Applies the command at log position `index`. Only operators' orders have an answer.
     pub fn apply(&self, index: Revision, state: &mut FleetState) -> Option<FleetAnswer> {
         if let Some(change) = self.manifest_change() {
--- a/lib/src/fleet_record.rs
+++ b/lib/src/fleet_record.rs
@@ -194,6 +194,14 @@
     pub reclaims: bool,
 }
 
+impl BackendChange {
+    /// Returns whether the backend server announces that it is draining.
+    #[must_use]
+    pub fn is_draining(&self) -> bool {
+        self.record.state == BackendState::Draining
+    }
+}
+
 /// An announcement with the version of the backend server's software.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct VersionedChange {
@@ -202,6 +210,14 @@
     version: VersionName,
 }
 
+impl VersionedChange {
+    /// Returns whether the backend server announces that it is draining.
+    #[must_use]
+    pub fn is_draining(&self) -> bool {
+        self.change.is_draining()
+    }
+}
+
 impl From<BackendChange> for VersionedChange {
     fn from(change: BackendChange) -> Self {
         let version = change.record.version.clone();
--- a/server/src/control_node.rs
+++ b/server/src/control_node.rs
@@ -35,7 +35,6 @@
 use slotmap::SlotMap;
 use snafu::ResultExt;
 use snafu::Snafu;
-use tokio::sync::mpsc;
 use tokio::sync::oneshot;
 use tokio::task::JoinError;
 
@@ -60,12 +59,16 @@
 use crate::node_repair::Repair;
 use crate::node_request::NodeError;
 use crate::node_request::NodeRequest;
+use crate::node_request::NodeRequests;
 use crate::peer_links::PeerLinks;
 use crate::published_state::StatePublisher;
 
 /// Largest number of requests handled in one turn, with one sync.
 const MAX_BATCH: usize = 256;
 
+/// Number of proposals under way from which on commands that may wait are left in the queue.
+const MAX_DEFERRED_UNDER_WAY: usize = 256;
+
 /// Largest total size of the commands in one append message, in bytes.
 const MAX_APPEND_BYTES: usize = 512 << 10;
 
@@ -238,16 +241,14 @@
     ///
     /// Returns a [`ControlNodeError`] if the replica cannot continue. The process must then stop
     /// without sending any message of the failed step.
-    pub async fn run(
-        mut self,
-        mut rx: mpsc::Receiver<NodeRequest>,
-    ) -> Result<(), ControlNodeError> {
+    pub async fn run(mut self, mut rx: NodeRequests) -> Result<(), ControlNodeError> {
         loop {
             let pause = self.next_wake().saturating_duration_since(self.clock.now());
+            let with_deferred = self.admits_deferred();
             tokio::select! {
                 biased;
                 progress = self.disk.progress(&*self.clock) => self.handle_write(&progress?)?,
-                request = rx.recv() => match request {
+                request = rx.recv(with_deferred) => match request {
                     None => return self.finish_writing().await,
                     Some(request) => self.handle_batch(request, &mut rx),
                 },
@@ -268,6 +269,12 @@
         }
     }
 
+    /// Returns whether commands that may wait are proposed now. The log accepts a bounded number of
+    /// proposals, and operators' orders must find room.
+    fn admits_deferred(&self) -> bool {
+        self.pending.len() < MAX_DEFERRED_UNDER_WAY
+    }
+
     fn publish(&self) {
         if let Some(publisher) = &self.publisher {
             publisher.publish(&self.raft, &self.state);
@@ -285,10 +292,12 @@
         earliest.unwrap_or_else(|| self.clock.now())
     }
 
-    fn handle_batch(&mut self, first: NodeRequest, rx: &mut mpsc::Receiver<NodeRequest>) {
+    fn handle_batch(&mut self, first: NodeRequest, rx: &mut NodeRequests) {
         self.handle(first);
         for _ in 1..MAX_BATCH {
-            let Ok(request) = rx.try_recv() else { return };
+            let Some(request) = rx.try_recv(self.admits_deferred()) else {
+                return;
+            };
             self.handle(request);
         }
     }
--- a/server/src/node_request.rs
+++ b/server/src/node_request.rs
@@ -34,6 +34,9 @@
 /// Largest number of queued requests; further requests are refused, and messages are dropped.
 pub const QUEUE_LENGTH: usize = 4_096;
 
+/// Largest number of queued commands that may wait; further ones are refused at once.
+pub const DEFERRED_QUEUE_LENGTH: usize = 512;
+
 /// Connection to the leader, for relaying a request.
 #[derive(Clone, Debug)]
 pub struct LeaderLink {
@@ -284,18 +287,59 @@
     }
 }
 
+impl NodeRequest {
+    /// Returns whether the request may wait for all others: it is repeated by itself, and comes in
+    /// numbers that grow with the fleet.
+    fn is_deferrable(&self) -> bool {
+        match self {
+            Self::Propose { command, .. } => command.is_deferrable(),
+            _ => false,
+        }
+    }
+}
+
+/// Requests to the replica, in the order in which it handles them: those that may wait come after
+/// all others that have arrived.
+#[derive(Debug)]
+pub struct NodeRequests {
+    first: mpsc::Receiver<NodeRequest>,
+    deferred: mpsc::Receiver<NodeRequest>,
+}
+
+impl NodeRequests {
+    /// Waits for the next request; `None` once all handles are dropped. Without `with_deferred`,
+    /// those that may wait stay in the queue.
+    pub async fn recv(&mut self, with_deferred: bool) -> Option<NodeRequest> {
+        tokio::select! {
+            biased;
+            request = self.first.recv() => request,
+            Some(request) = self.deferred.recv(), if with_deferred => Some(request),
+        }
+    }
+
+    /// Returns the next request, if one has arrived; see [`Self::recv`].
+    pub fn try_recv(&mut self, with_deferred: bool) -> Option<NodeRequest> {
+        if let Ok(request) = self.first.try_recv() {
+            return Some(request);
+        }
+        with_deferred.then(|| self.deferred.try_recv().ok())?
+    }
+}
+
 /// Handle to the task that owns the replica.
 #[derive(Clone, Debug)]
 pub struct NodeHandle {
     tx: mpsc::Sender<NodeRequest>,
+    deferred_tx: mpsc::Sender<NodeRequest>,
 }
 
 impl NodeHandle {
     /// Creates a handle, and the receiver from which the replica reads requests.
     #[must_use]
-    pub fn channel() -> (Self, mpsc::Receiver<NodeRequest>) {
-        let (tx, rx) = mpsc::channel(QUEUE_LENGTH);
-        (Self { tx }, rx)
+    pub fn channel() -> (Self, NodeRequests) {
+        let (tx, first) = mpsc::channel(QUEUE_LENGTH);
+        let (deferred_tx, deferred) = mpsc::channel(DEFERRED_QUEUE_LENGTH);
+        (Self { tx, deferred_tx }, NodeRequests { first, deferred })
     }
 
     /// Delivers a message; drops it if the queue is full, which Raft tolerates.
@@ -311,7 +355,12 @@
     }
 
     fn enqueue(&self, request: NodeRequest) -> Result<(), NodeError> {
-        self.tx.try_send(request).map_err(|_| NodeError::Busy)
+        let tx = if request.is_deferrable() {
+            &self.deferred_tx
+        } else {
+            &self.tx
+        };
+        tx.try_send(request).map_err(|_| NodeError::Busy)
     }
 
     /// Proposes a command and waits until it is committed and applied.
--- a/server/tests/test_control_disk.rs
+++ b/server/tests/test_control_disk.rs
@@ -2,21 +2,33 @@
 
 mod support;
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use heatherring_lib::clock::SystemClock;
 use heatherring_lib::command::CommandKind;
+use heatherring_lib::fleet_command::FleetCommand;
+use heatherring_lib::fleet_record::BackendChange;
+use heatherring_lib::fleet_record::BackendRecord;
+use heatherring_lib::fleet_record::BackendState;
+use heatherring_lib::id::BackendName;
 use heatherring_lib::id::ClusterId;
+use heatherring_lib::id::ManifestVersion;
 use heatherring_lib::id::PlaceName;
 use heatherring_lib::id::RegionName;
 use heatherring_lib::id::ReplicaId;
 use heatherring_lib::id::Revision;
+use heatherring_lib::id::ServiceName;
+use heatherring_lib::id::VersionName;
 use heatherring_lib::id::VmName;
 use heatherring_lib::raft_config::bootstrap_writes;
 use heatherring_lib::raft_effects::Refusal;
 use heatherring_lib::raft_message::ReplicaInfo;
+use heatherring_lib::route_manifest::CallerLimits;
+use heatherring_lib::route_manifest::RouteChange;
+use heatherring_lib::route_manifest::RouteContent;
 use heatherring_lib::settings::ControlTiming;
 use heatherring_lib::view::EntryInfo;
 use heatherring_server::control_node::ControlNode;
@@ -27,6 +39,8 @@
 use heatherring_server::data_folder::Identity;
 use heatherring_server::log_disk::LogDisk;
 use heatherring_server::log_disk::format;
+use heatherring_server::node_request::Committed;
+use heatherring_server::node_request::DEFERRED_QUEUE_LENGTH;
 use heatherring_server::node_request::NodeError;
 use heatherring_server::node_request::NodeHandle;
 use heatherring_server::node_request::SyncAnswer;
@@ -253,3 +267,65 @@
         "{renewed:?}"
     );
 }
+
+/// Guards against a manifest that is decided only after all announcements of a fleet that starts or
+/// restarts.
+#[tokio::test]
+async fn test_manifest_is_decided_before_a_flood_of_announcements() {
+    let disk = formatted_disk();
+    let (handle, _task) = start(&disk);
+    open_session(&handle).await;
+    // Nothing is handled between these calls, which do not wait.
+    let flood: Vec<_> = (0..10_000_u64)
+        .map(|number| tokio::spawn(announce(handle.clone(), number)))
+        .collect();
+    let change = tokio::spawn({
+        let handle = handle.clone();
+        async move { handle.propose_fleet(manifest()).await }
+    });
+    let decided = change.await.unwrap().unwrap();
+    let mut before = 0;
+    let mut refused = 0;
+    for announced in flood {
+        match announced.await.unwrap() {
+            Ok(committed) => before += usize::from(committed.revision < decided.revision),
+            Err(NodeError::Busy) => refused += 1,
+            Err(error) => panic!("{error}"),
+        }
+    }
+    assert_eq!(before, 0);
+    assert_eq!(refused, 10_000 - DEFERRED_QUEUE_LENGTH);
+}
+
+async fn announce(handle: NodeHandle, number: u64) -> Result<Committed, NodeError> {
+    let record = BackendRecord {
+        service: ServiceName::new("service"),
+        address: address(),
+        place: PlaceName::new("place"),
+        slots: 3,
+        state: BackendState::Ready,
+        born: 1,
+        sequence: 1,
+        cold_for: Duration::ZERO,
+        version: VersionName::new(""),
+    };
+    let change = BackendChange {
+        backend: BackendName::new(format!("backend-{number}")),
+        record,
+        reclaims: false,
+    };
+    let command = FleetCommand::AnnounceVersions(vec![change.into()]);
+    handle.propose_fleet(command).await
+}
+
+fn manifest() -> FleetCommand {
+    FleetCommand::ChangeRoutes(RouteChange {
+        version: ManifestVersion(1),
+        base: ManifestVersion(0),
+        content: RouteContent::Whole {
+            routes: BTreeMap::new(),
+            services: BTreeMap::new(),
+            limits: CallerLimits::default(),
+        },
+    })
+}
