announcements: one batch and one enrolment under way

Cause: a replica spawned a commit of announcements every 50 ms, however many were open, and dropped those that failed until the next heartbeat; an entry VM's enrolment was proposed anew with each poll. A leader that is slow got the more work the slower it was.

An enrolment under way is not proposed again.

--- a/server/src/fleet_control.rs
+++ b/server/src/fleet_control.rs
@@ -3,9 +3,11 @@
 
 use std::collections::BTreeMap;
 use std::collections::HashMap;
+use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::MutexGuard;
 use std::sync::PoisonError;
 use std::time::Duration;
 use std::time::Instant;
@@ -50,6 +52,7 @@
 use tonic::Status;
 
 use crate::announcement_batch::AnnouncementBatch;
+use crate::announcement_batch::BatchResult;
 use crate::interface::LookUp;
 use crate::interface::LookUpSource;
 use crate::leader_relay::fleet_client;
@@ -151,6 +154,8 @@
     naming: SharedNaming,
     /// End of the cold phase of each backend server that announced one.
     cold_until: Mutex<HashMap<BackendName, Instant>>,
+    /// Entry VMs whose enrolment is under way.
+    enrolling: Mutex<HashSet<VmName>>,
     /// Time of the last note that was forwarded for commit about a quarantined request that still
     /// arrives.
     refused_at: Mutex<HashMap<Fingerprint, Instant>>,
@@ -183,6 +188,7 @@
             rollouts,
             announcements,
             cold_until: Mutex::default(),
+            enrolling: Mutex::default(),
             refused_at: Mutex::default(),
         };
         Self {
@@ -381,7 +387,7 @@
     ///
     /// An announcement that the backend server is draining is confirmed only once it is committed:
     /// from then on every entry VM must learn of it within a bounded time. Any other is confirmed
-    /// at once; if it is lost, the next heartbeat repeats it.
+    /// at once; if this replica fails before it is committed, the next heartbeat repeats it.
     ///
     /// # Errors
     ///
@@ -596,17 +602,28 @@
         if self.inner.published.read().fleet.entry(vm) == Some(&record) {
             return;
         }
-        let command = FleetCommand::EnrollEntry {
-            vm: vm.clone(),
-            record,
-        };
+        // The heartbeats that follow find this enrolment under way, however long it takes.
+        if !self.enrolling().insert(vm.clone()) {
+            return;
+        }
+        let vm = vm.clone();
         let control = self.clone();
         tokio::spawn(async move {
+            let command = FleetCommand::EnrollEntry {
+                vm: vm.clone(),
+                record,
+            };
             if let Err(error) = control.commit(command).await {
                 log::debug!(event = "enrolment_open", error:% = error; "enrolment of an entry VM is not known to be committed; the next heartbeat repeats it");
             }
+            control.enrolling().remove(&vm);
         });
     }
+
+    fn enrolling(&self) -> MutexGuard<'_, HashSet<VmName>> {
+        let enrolling = &self.inner.enrolling;
+        enrolling.lock().unwrap_or_else(PoisonError::into_inner)
+    }
 }
 
 impl LookUpSource for FleetControl {
@@ -674,9 +691,14 @@
     published: StateReader,
     node: NodeHandle,
     changes: Vec<BackendChange>,
-) {
-    if let Err(error) = commit(&published, &node, announcing(changes)).await {
-        log::warn!(event = "announcement_lost", error:% = error; "announcements are not known to be committed; the next heartbeats repeat them");
+) -> BatchResult {
+    let count = changes.len();
+    match commit(&published, &node, announcing(changes)).await {
+        Ok(_) => BatchResult::Committed,
+        Err(error) => {
+            log::warn!(event = "announcements_open", count, error:% = error; "announcements are not known to be committed; proposing them again");
+            BatchResult::Open
+        }
     }
 }
 
