control listeners: connections are bounded by the descriptors of the process

Cause: a listener of control accepted 1,500 connections, "several hundred backend servers".

Change: half of `max_descriptors`, if the settings name it; else 1,500.

--- a/server/src/control_listeners.rs
+++ b/server/src/control_listeners.rs
@@ -2,7 +2,6 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Duration;
 
 use heatherring_lib::clock::Clock;
 use heatherring_lib::settings::DirectControlSettings;
@@ -28,16 +27,29 @@
 use crate::look_up_handler::LookUpHandler;
 use crate::request_body::RequestBody;
 
-/// Largest number of open connections at one listener; several hundred backend servers keep one
-/// each.
+/// Largest number of open connections at one listener, unless the settings tell the number of
+/// descriptors. Backend servers keep one each, and at first they all call the seeds.
 const MAX_CONNECTIONS: usize = 1_500;
 
-/// Limits of one connection, which may be idle for many heartbeat intervals.
-const LIMITS: ConnectionLimits = ConnectionLimits {
-    max_header_bytes: 16 << 10,
-    header_timeout: Duration::from_secs(30),
-    idle_timeout: Duration::from_secs(30),
-};
+/// Largest size of a request's head, in bytes.
+const MAX_HEADER_BYTES: usize = 16 << 10;
+
+/// Returns the largest number of open connections at one listener: of a known number of descriptors,
+/// half are left for the other listeners, connections to replicas and the disk.
+fn max_connections(settings: &DirectControlSettings) -> usize {
+    let half = settings.max_descriptors.map(|number| number / 2);
+    half.map_or(MAX_CONNECTIONS, |half| half.max(1) as usize)
+}
+
+/// Returns the limits of one connection, which is idle between two heartbeats.
+fn connection_limits(settings: &DirectControlSettings) -> ConnectionLimits {
+    let idle = settings.heartbeat_timing().idle_connection();
+    ConnectionLimits {
+        max_header_bytes: MAX_HEADER_BYTES,
+        header_timeout: idle,
+        idle_timeout: idle,
+    }
+}
 
 #[derive(Clone, Debug)]
 struct ControlHandler {
@@ -57,6 +69,8 @@
 pub struct ControlListeners {
     control_listener: TcpListener,
     look_ups: Option<TcpListener>,
+    max_connections: usize,
+    limits: ConnectionLimits,
 }
 
 impl ControlListeners {
@@ -79,6 +93,8 @@
                 Some(address) => Some(bind(address).await?),
                 None => None,
             },
+            max_connections: max_connections(settings),
+            limits: connection_limits(settings),
         })
     }
 
@@ -99,13 +115,20 @@
             interface: Arc::clone(interface) as Arc<dyn LookUpInterface>,
             source: Arc::new(control.clone()),
         };
+        let bounds = || HttpBounds {
+            max_connections: self.max_connections,
+            usage: ConnectionUsage::default(),
+            limits: LimitsSource::fixed(self.limits),
+            versions: HttpVersions::Http1,
+            clock: Arc::clone(clock),
+        };
         if let Some(listener) = self.look_ups {
-            tokio::spawn(serve(listener, look_ups, Arc::clone(clock), stop));
+            tokio::spawn(serve(listener, look_ups, bounds(), stop));
         }
         tokio::spawn(serve(
             self.control_listener,
             control_handler,
-            Arc::clone(clock),
+            bounds(),
             stop,
         ))
     }
@@ -114,16 +137,9 @@
 fn serve(
     listener: TcpListener,
     handler: impl Handler,
-    clock: Arc<dyn Clock>,
+    bounds: HttpBounds,
     stop: &CancellationToken,
 ) -> impl Future<Output = ()> + Send + 'static {
-    let bounds = HttpBounds {
-        max_connections: MAX_CONNECTIONS,
-        usage: ConnectionUsage::default(),
-        limits: LimitsSource::fixed(LIMITS),
-        versions: HttpVersions::Http1,
-        clock,
-    };
     let stops = stop.clone().into();
     http_server::serve(listener, Admittance::Anybody, bounds, handler, stops)
 }
