cold queries: entry VMs begin at different backend servers

Cause: without control, each entry VM asks one backend server of each place whether it is cold, in turn, and all began with the same one. When all lose control at once, one backend server gets all queries.

Change: the first turn follows from the entry VM's name. test_cold_queries_of_all_entry_vms_spread_over_the_backend_servers: 240 of 240 at one of 12 before, at most 40 allowed.

--- a/lib/src/direct_dispatch.rs
+++ b/lib/src/direct_dispatch.rs
@@ -157,6 +157,9 @@
         };
         let advice = RetryAdvice::new(ObjectHash::of("retry", cfg.vm.as_str()).0);
         let link_admission = cfg.link_rate.map(LinkAdmission::new);
+        // All entry VMs may lose control at once, and must not query the same backend servers.
+        let query_turn = ObjectHash::of("cold query", cfg.vm.as_str()).0 % u64::from(u32::MAX);
+        let query_turn = usize::try_from(query_turn).unwrap_or_default();
         Self {
             cfg,
             own,
@@ -167,7 +170,7 @@
             followed_backends: OrdMap::new(),
             services: BTreeMap::new(),
             cold_tracker: ColdTracker::new(now),
-            query_turn: 0,
+            query_turn,
             delays: BTreeMap::new(),
             link: LinkCongestion::default(),
             link_admission,
--- a/lib/tests/test_cold_tracker.rs
+++ b/lib/tests/test_cold_tracker.rs
@@ -220,3 +220,28 @@
     }
     assert!(now <= sent_at + Duration::from_secs(5), "queries are late");
 }
+
+/// Guards against a backend server that all entry VMs query at once when all of them lose control.
+#[test]
+fn test_cold_queries_of_all_entry_vms_spread_over_the_backend_servers() {
+    const SERVERS: usize = 12;
+    const SENDERS: usize = 240;
+    let scenario = Scenario {
+        servers: vec![SERVERS],
+        entries: SENDERS,
+        ..Scenario::look_up()
+    };
+    let now = Instant::now();
+    let view = view(&scenario);
+    let mut counts: BTreeMap<BackendName, usize> = BTreeMap::new();
+    for number in 0..SENDERS {
+        let mut sender = dispatcher(&scenario, &view, number, now);
+        let (queries, _) = sender.cold_queries(now + CONTROL_LOST_AFTER);
+        for query in queries {
+            *counts.entry(query.name).or_default() += 1;
+        }
+    }
+    let most = counts.values().max().copied().unwrap_or_default();
+    assert_eq!(counts.values().sum::<usize>(), SENDERS);
+    assert!(most <= 2 * SENDERS / SERVERS, "{counts:?}");
+}
