control: time by kind of work, as a metric and a log line

Nothing told what control's processor time goes to. `heatherring_control_work_microseconds_total` counts agreement, presence, announcements and updates; `control_work` logs them every 10 s while they take more than a twentieth of the time.

--- a/server/src/control_node.rs
+++ b/server/src/control_node.rs
@@ -38,6 +38,8 @@
 use tokio::sync::oneshot;
 use tokio::task::JoinError;
 
+use crate::control_work::Work;
+use crate::control_work::WorkMeter;
 use crate::data_folder::Disk;
 use crate::data_folder::Identity;
 use crate::disk_writer::DiskWriter;
@@ -171,6 +173,7 @@
     snapshot_index: Revision,
     pub(crate) leaving: Option<Leaving>,
     publisher: Option<StatePublisher>,
+    work: WorkMeter,
     pub(crate) repair: Repair,
 }
 
@@ -208,6 +211,7 @@
         Ok(Self {
             cfg,
             identity,
+            work: WorkMeter::new(Arc::clone(&clock)),
             clock,
             raft,
             disk: DiskWriter::new(disk),
@@ -235,6 +239,13 @@
         self
     }
 
+    /// Makes the replica add its work to that of the process.
+    #[must_use]
+    pub fn with_work_meter(mut self, work: WorkMeter) -> Self {
+        self.work = work;
+        self
+    }
+
     /// Serves requests until the replica has left as requested, or all handles are dropped.
     ///
     /// # Errors
@@ -245,15 +256,23 @@
         loop {
             let pause = self.next_wake().saturating_duration_since(self.clock.now());
             let with_deferred = self.admits_deferred();
-            tokio::select! {
+            let began = tokio::select! {
                 biased;
-                progress = self.disk.progress(&*self.clock) => self.handle_write(&progress?)?,
+                progress = self.disk.progress(&*self.clock) => {
+                    let began = self.clock.now();
+                    self.handle_write(&progress?)?;
+                    began
+                }
                 request = rx.recv(with_deferred) => match request {
                     None => return self.finish_writing().await,
-                    Some(request) => self.handle_batch(request, &mut rx),
+                    Some(request) => {
+                        let began = self.clock.now();
+                        self.handle_batch(request, &mut rx);
+                        began
+                    }
                 },
-                () = tokio::time::sleep(pause) => {}
-            }
+                () = tokio::time::sleep(pause) => self.clock.now(),
+            };
             // Messages are handled before the tick: a process that was frozen finds the leader's
             // heartbeats in its queue, and must not start an election despite them.
             self.step(Input::Tick);
@@ -262,6 +281,7 @@
             self.continue_leaving();
             self.process_effects()?;
             self.publish();
+            self.work.add_since(Work::Agreement, began);
             if self.has_left() {
                 self.refuse_all_waiters();
                 return self.finish_writing().await;
--- a/server/src/control_process.rs
+++ b/server/src/control_process.rs
@@ -13,6 +13,7 @@
 use heatherring_lib::manifest_text::MAX_MANIFEST_BYTES;
 use heatherring_lib::presence_report::ReplicaEndpoints;
 use heatherring_lib::settings::ControlSettings;
+use heatherring_lib::settings::DirectControlSettings;
 use heatherring_lib::settings::FormationSettings;
 use snafu::ResultExt;
 use snafu::Snafu;
@@ -30,6 +31,7 @@
 use crate::control_node::ControlNodeError;
 use crate::control_node::NodeConfig;
 use crate::control_node::VoterPolicy;
+use crate::control_work::WorkMeter;
 use crate::data_folder::FolderDisk;
 use crate::data_folder::Identity;
 use crate::fleet_control::FleetControl;
@@ -198,6 +200,7 @@
         channels.clone(),
     );
     let (state_publisher, published) = published_state::channel();
+    let work = WorkMeter::new(Arc::clone(&clock));
     let node = ControlNode::new(
         node_config(&settings),
         Arc::clone(&clock),
@@ -206,10 +209,14 @@
         links,
     )
     .context(NodeSnafu)?
-    .with_publisher(state_publisher);
+    .with_publisher(state_publisher)
+    .with_work_meter(work.clone());
     let (handle, rx) = NodeHandle::channel();
     let mut node = tokio::spawn(node.run(rx));
-    let fleet = serve_fleet(&settings, identity, &clock, &published, &handle, &channels);
+    let fleet = serve_fleet(
+        &settings, identity, &clock, &published, &handle, &channels, &work,
+    );
+    tokio::spawn(work.run_log());
     let stop_listeners = CancellationToken::new();
     if let Some(address) = settings.metrics_listen {
         let serving = metric::serve(address, Arc::clone(&clock), stop_listeners.clone()).await;
@@ -324,6 +331,7 @@
     published: &StateReader,
     node: &NodeHandle,
     channels: &PeerChannels,
+    work: &WorkMeter,
 ) -> FleetControl {
     let presence = presence_task::spawn(PresenceSetup {
         cluster: identity.cluster,
@@ -338,6 +346,7 @@
         node: node.clone(),
         channels: channels.clone(),
         timing: heartbeat_timing(settings),
+        work: work.clone(),
     });
     if let Some(direct) = &settings.direct {
         let places = direct.places.clone();
@@ -360,6 +369,7 @@
         node.clone(),
         presence,
         rollouts,
+        work.clone(),
     )
 }
 
--- a/server/src/fleet_control.rs
+++ b/server/src/fleet_control.rs
@@ -53,6 +53,8 @@
 
 use crate::announcement_batch::AnnouncementBatch;
 use crate::announcement_batch::BatchResult;
+use crate::control_work::Work;
+use crate::control_work::WorkMeter;
 use crate::interface::LookUp;
 use crate::interface::LookUpSource;
 use crate::leader_relay::fleet_client;
@@ -150,6 +152,7 @@
     node: NodeHandle,
     presence: PresenceHandle,
     rollouts: RolloutHandle,
+    work: WorkMeter,
     announcements: AnnouncementBatch,
     naming: SharedNaming,
     /// End of the cold phase of each backend server that announced one.
@@ -172,6 +175,7 @@
         node: NodeHandle,
         presence: PresenceHandle,
         rollouts: RolloutHandle,
+        work: WorkMeter,
     ) -> Self {
         let announcements = AnnouncementBatch::spawn({
             let (published, node) = (published.clone(), node.clone());
@@ -186,6 +190,7 @@
             node,
             presence,
             rollouts,
+            work,
             announcements,
             cold_until: Mutex::default(),
             enrolling: Mutex::default(),
@@ -208,6 +213,12 @@
         &self.inner.presence
     }
 
+    /// Returns the meter of this replica's work.
+    #[must_use]
+    pub fn work(&self) -> &WorkMeter {
+        &self.inner.work
+    }
+
     /// Returns the task that conducts rollouts.
     #[must_use]
     pub fn rollouts(&self) -> &RolloutHandle {
@@ -397,6 +408,7 @@
         if !self.is_current() {
             return NotCurrentSnafu.fail();
         }
+        let began = self.inner.clock.now();
         self.check(&announcement)?;
         let fleet = self.inner.published.read().fleet;
         let Announcement { backend, record } = &announcement;
@@ -412,7 +424,9 @@
             .presence
             .record_backend_heartbeat(announcement.backend.clone());
         let draining = announcement.record.state == BackendState::Draining;
-        let Some(change) = self.material_change(&fleet, announcement).await else {
+        let change = self.material_change(&fleet, announcement).await;
+        self.inner.work.add_since(Work::Announcements, began);
+        let Some(change) = change else {
             return Ok(());
         };
         log::info!(event = "backend_changed", backend = change.backend.as_str(), service = change.record.service.as_str(), address:% = change.record.address, state:? = change.record.state, sequence = change.record.sequence; "a backend server announced a change");
--- a/server/src/fleet_service.rs
+++ b/server/src/fleet_service.rs
@@ -31,6 +31,7 @@
 use tonic::Response;
 use tonic::Status;
 
+use crate::control_work::Work;
 use crate::fleet_control::FleetControl;
 use crate::leader_relay::fleet_client;
 use crate::leader_relay::is_relayed;
@@ -343,7 +344,10 @@
         }
         Ok(Response::new(FollowReply {
             proved_after_ms: self.proved_after_ms(received_at),
-            ..self.follow_reply(&request)?
+            ..self
+                .control
+                .work()
+                .measure(Work::Updates, || self.follow_reply(&request))?
         }))
     }
 
--- a/server/src/lib.rs
+++ b/server/src/lib.rs
@@ -34,6 +34,7 @@
 pub mod control_node;
 pub mod control_process;
 pub mod control_session;
+pub mod control_work;
 pub mod crash_tracker;
 pub mod data_folder;
 pub mod decision_recorder;
--- a/server/src/metric.rs
+++ b/server/src/metric.rs
@@ -80,6 +80,11 @@
     counter!("heatherring_rollout_stages_total", "phase" => phase).increment(1);
 }
 
+/// Adds the time, in microseconds, that a control replica spent on a kind of work.
+pub fn control_work(kind: &'static str, us: u64) {
+    counter!("heatherring_control_work_microseconds_total", "kind" => kind).increment(us);
+}
+
 /// Counts an announcement that does not describe a usable backend server.
 pub fn announcement_refused() {
     counter!("heatherring_announcements_refused_total").increment(1);
--- a/server/src/presence_task.rs
+++ b/server/src/presence_task.rs
@@ -29,6 +29,8 @@
 use tokio::sync::watch;
 use tonic::transport::Channel;
 
+use crate::control_work::Work;
+use crate::control_work::WorkMeter;
 use crate::node_request::NodeHandle;
 use crate::peer_channel::PeerChannels;
 use crate::proto::ReportRequest;
@@ -191,6 +193,8 @@
     pub channels: PeerChannels,
     /// Timeouts for heartbeats of backend servers.
     pub timing: HeartbeatTiming,
+    /// Measures the task's work.
+    pub work: WorkMeter,
 }
 
 struct PresenceTask {
@@ -250,13 +254,14 @@
                 };
                 tokio::time::sleep(at.saturating_duration_since(self.setup.clock.now())).await;
             };
+            let work = self.setup.work.clone();
             tokio::select! {
                 message = rx.recv() => match message {
-                    Some(message) => self.handle(message),
+                    Some(message) => work.measure(Work::Presence, || self.handle(message)),
                     None => return,
                 },
-                _ = check.tick() => self.check(),
-                () = collected => self.publish_collected(),
+                _ = check.tick() => work.measure(Work::Presence, || self.check()),
+                () = collected => work.measure(Work::Presence, || self.publish_collected()),
             }
         }
     }
