--- a/lib/tests/test_cold_tracker.rs
+++ b/lib/tests/test_cold_tracker.rs
@@ -7,6 +7,7 @@
 use std::time::Instant;
 
 use dispatch_model::Scenario;
+use dispatch_model::config;
 use dispatch_model::dispatcher;
 use dispatch_model::place;
 use dispatch_model::request;
@@ -17,6 +18,7 @@
 use heatherring_lib::cold_queries::ColdReply;
 use heatherring_lib::cold_tracker::CONTROL_LOST_AFTER;
 use heatherring_lib::cold_tracker::ColdTracker;
+use heatherring_lib::direct_dispatch::DispatchConfig;
 use heatherring_lib::direct_dispatch::Dispatcher;
 use heatherring_lib::dispatch_request::SendEnd;
 use heatherring_lib::dispatch_request::SendOutcome;
@@ -245,3 +247,43 @@
     assert_eq!(counts.values().sum::<usize>(), SENDERS);
     assert!(most <= 2 * SENDERS / SERVERS, "{counts:?}");
 }
+
+/// Returns how many of 300 requests at once an entry VM sends, some time after an evacuation ended.
+fn accepted_after_evacuation(heartbeat: Duration, after: Duration) -> usize {
+    let scenario = Scenario::look_up();
+    let now = Instant::now();
+    let cfg = DispatchConfig {
+        heartbeat,
+        ..config(0, 0, scenario.servers.len())
+    };
+    let mut sender = Dispatcher::new(cfg, now);
+    let mut view = view(&scenario);
+    sender.apply_view(now, &view);
+    let returned_at = now + Duration::from_mins(1);
+    view.evacuated = (0..scenario.servers.len()).map(place).collect();
+    sender.apply_view(returned_at, &view);
+    view.evacuated.clear();
+    sender.apply_view(returned_at, &view);
+    let at = returned_at + after;
+    sender.note_control_contact(at);
+    let (service, route) = (service(), route());
+    let choices = (0..300).filter_map(|object: u32| {
+        let object = object.to_string();
+        sender
+            .choose(at, &request(at, &service, &route, &object))
+            .ok()
+    });
+    choices.count()
+}
+
+/// Guards against backend servers that became cold while they were evacuated and get as many
+/// requests as warm ones, before their next heartbeat tells.
+#[test]
+fn test_returned_backend_servers_count_as_cold_until_their_next_heartbeat() {
+    let heartbeat = Duration::from_secs(5);
+    let cold = accepted_after_evacuation(heartbeat, Duration::ZERO);
+    let before = accepted_after_evacuation(heartbeat, heartbeat);
+    let warm = accepted_after_evacuation(heartbeat, heartbeat + Duration::from_secs(1));
+    assert_eq!(cold, before);
+    assert!(cold < warm, "{cold} while cold, {warm} while warm");
+}
--- a/lib/tests/test_settings.rs
+++ b/lib/tests/test_settings.rs
@@ -2,7 +2,10 @@
 
 mod common;
 
+use std::time::Duration;
+
 use common::expect_fault;
+use heatherring_lib::heartbeat_timing::HeartbeatTiming;
 use heatherring_lib::manifest_text::read_manifest;
 use heatherring_lib::settings::ControlTiming;
 use heatherring_lib::settings_check::check_place;
@@ -61,6 +64,19 @@
     assert!(read_entry_settings("s.jsonc", &entry).is_ok());
 }
 
+/// Guards against an interval that the settings name and nothing reads.
+#[rstest]
+#[case::named(", \"heartbeat\": \"5s\"", Duration::from_secs(5))]
+#[case::absent("", HeartbeatTiming::DEFAULT_INTERVAL)]
+fn test_settings_heartbeat_sets_the_timeouts(#[case] field: &str, #[case] interval: Duration) {
+    let direct =
+        format!("\"direct\": {{\"listen\": \"127.0.0.11:7405\", \"places\": {{}}{field}}}, \"vm\"");
+    let text = CONTROL.replacen("\"vm\"", &direct, 1);
+    let settings = read_control_settings("s.jsonc", &text).unwrap();
+    let timing = settings.direct.unwrap().heartbeat_timing();
+    assert_eq!(timing, HeartbeatTiming::new(interval));
+}
+
 macro_rules! fault_cases {
     ($($name:ident: $read:ident, $sample:ident, $from:literal => $to:literal, $expected:literal;)*) => {
         $(
@@ -105,6 +121,13 @@
     test_settings_lease_shorter_than_an_election: read_control_settings, CONTROL,
         r#""vm""# => r#""timing": ^{"election_max_ms": 2500}, "vm""#,
         r"session_lease_ms is 3000; allowed is more than election_max_ms and session_margin_ms together, 3000 ms";
+    // Backend servers would be lost with each late heartbeat.
+    test_settings_heartbeat_too_short: read_control_settings, CONTROL,
+        r#""vm""# => r#""direct": {"listen": "127.0.0.11:7405", "places": {}, "heartbeat": ^"99ms"}, "vm""#,
+        r"heartbeat is 99ms; allowed is 100ms to 60000ms";
+    test_settings_heartbeat_too_long: read_control_settings, CONTROL,
+        r#""vm""# => r#""direct": {"listen": "127.0.0.11:7405", "places": {}, "heartbeat": ^"61s"}, "vm""#,
+        r"heartbeat is 61000ms; allowed is 100ms to 60000ms";
     test_settings_unknown_level: read_control_settings, CONTROL,
         r#""vm""# => r#""log": {"level": ^"verbose"}, "vm""#,
         r#""verbose" is not allowed here; allowed is one of "error", "warn", "info", "debug", "trace""#;
