presence: silent backend servers are dropped whichever event sends the report

Found by reading: a change of an entry VM sends a report early and sets the next one back, so that the half-second check finds none due while such changes go on; the removal of what is silent for long was tied to that check. It goes along with every report now.

--- a/server/src/presence_task.rs
+++ b/server/src/presence_task.rs
@@ -275,9 +275,7 @@
         let now = self.setup.clock.now();
         self.presence.note_awake(now);
         self.publish(now);
-        if now >= self.next_report_at {
-            self.report(now);
-        }
+        self.report_if_due(now);
     }
 
     fn handle(&mut self, message: Message) {
@@ -331,11 +329,17 @@
         self.presence.note_awake(now);
         self.presence.expire(now);
         self.publish(now);
-        if now >= self.next_report_at {
-            self.report(now);
-            self.forget(now);
-            self.presence.forget(now, HEARTBEAT_RETENTION);
+        self.report_if_due(now);
+    }
+
+    /// Reports to the other replicas, and drops what has been silent for long.
+    fn report_if_due(&mut self, now: Instant) {
+        if now < self.next_report_at {
+            return;
         }
+        self.report(now);
+        self.forget(now);
+        self.presence.forget(now, HEARTBEAT_RETENTION);
     }
 
     /// Publishes the known replicas and, if a majority of replicas reports, who is absent.
