--- a/lib/src/heartbeat_timing.rs
+++ b/lib/src/heartbeat_timing.rs
@@ -41,12 +41,6 @@
         Self { interval }
     }
 
-    /// Returns the interval between two heartbeats.
-    #[must_use]
-    pub const fn interval(self) -> Duration {
-        self.interval
-    }
-
     /// Returns the time after a heartbeat within which the replica that received it expects the next
     /// one.
     #[must_use]
