log_disk: what a start shows to the replica is durable first

Operators could lose an acknowledged vote or change, or find a log reported as damaged, after a control process was killed, started again, and its VM lost power later. Found by reading; not seen in operation.

Cause: a process that is killed between writing and syncing leaves its records and names in the page cache. The next process replayed them and the replica went by them, without a sync of its own. A loss of power then took them back: entries that it had counted as durable, a vote, a segment to which it had written since, the name of the identity.

Opening a log now syncs the last segment (a cut of a torn tail does so by itself) and the folder, before the replica sees the records and before files are removed.

The disk of the tests can be killed, which keeps what is unsynced as it is, and can lose power with each unsynced name and file kept or lost by itself, as drawn from a seed.

--- a/server/src/log_disk.rs
+++ b/server/src/log_disk.rs
@@ -248,8 +248,8 @@
     /// # Errors
     ///
     /// Returns [`DiskError::Unformatted`], [`DiskError::Damaged`],
-    /// [`DiskError::Read`], or [`DiskError::Write`] if leftover files can't be removed or a
-    /// torn tail can't be truncated.
+    /// [`DiskError::Read`], or [`DiskError::Write`] if leftover files can't be removed, a torn
+    /// tail can't be truncated, or what was recovered can't be synced.
     pub fn open(mut disk: D) -> Result<(Self, Recovered), DiskError> {
         let names = disk.list().context(ReadSnafu)?;
         let formatted = names.iter().any(|name| name == IDENTITY_FILE);
@@ -260,11 +260,8 @@
             .ok_or(DamagedLog::Identity)
             .context(DamagedSnafu)?;
         let replayed = replay(&disk, &identity, &names)?;
+        make_durable(&mut disk, &replayed).context(WriteSnafu)?;
         remove_leftovers(&mut disk, &names, replayed.snapshot.as_ref())?;
-        if let Some((name, length)) = &replayed.torn {
-            log::warn!(file = name.as_str(), length; "truncating the log: a crash interrupted the last write");
-            disk.cut(name, *length).context(WriteSnafu)?;
-        }
         Ok(Self::start(disk, identity, replayed))
     }
 
@@ -535,6 +532,20 @@
         .map_err(WriteFailure::failed)
 }
 
+/// Makes durable what a replay has read, and truncates a torn tail.
+///
+/// Records and names that a killed process had not synced may be in the page cache only. They must
+/// be durable before the replica goes by them, and before the files that they replace are removed.
+fn make_durable<D: Disk>(disk: &mut D, replayed: &Replayed) -> io::Result<()> {
+    if let Some((name, length)) = &replayed.torn {
+        log::warn!(file = name.as_str(), length; "truncating the log: a crash interrupted the last write");
+        disk.cut(name, *length)?;
+    } else if let Some(last) = replayed.segments.last() {
+        disk.sync(&segment_name(last.number))?;
+    }
+    disk.sync_folder()
+}
+
 /// Removes files that a crash has left behind: temporary files and all snapshots but the
 /// current one.
 fn remove_leftovers<D: Disk>(
--- a/server/tests/support/mod.rs
+++ b/server/tests/support/mod.rs
@@ -7,6 +7,7 @@
 )]
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::io;
 use std::sync::Arc;
 use std::sync::Condvar;
@@ -14,6 +15,9 @@
 use std::sync::MutexGuard;
 
 use heatherring_server::data_folder::Disk;
+use rand::Rng as _;
+use rand::SeedableRng as _;
+use rand::rngs::StdRng;
 
 pub const SECTOR_BYTES: usize = 512;
 
@@ -165,10 +169,7 @@
     }
 
     fn after_crash(mut inner: Inner, unsynced: Unsynced, keep_names: bool) -> Self {
-        inner.remaining_operations = None;
-        inner.failing_sync = false;
-        inner.free_bytes = None;
-        inner.refusal = None;
+        inner.clear_faults();
         if !keep_names {
             inner.names.clone_from(&inner.durable_names);
         }
@@ -178,12 +179,51 @@
             file.content.clone_from(&left);
             file.durable = left;
         }
+        Self::with(inner)
+    }
+
+    fn with(inner: Inner) -> Self {
         Self {
             inner: Arc::new(Mutex::new(inner)),
             ..Self::default()
         }
     }
 
+    /// Returns the disk as the next process finds it after this one was killed, without the injected
+    /// faults: nothing is lost, and what was not synced still isn't.
+    pub fn kill(&self) -> Self {
+        let mut inner = self.inner().clone();
+        inner.clear_faults();
+        Self::with(inner)
+    }
+
+    /// Returns the disk after a loss of power, without the injected faults. Each name that was
+    /// created, renamed or removed without a sync of the folder is kept or lost by itself, and so
+    /// are the unsynced bytes of each file, as drawn from `seed`.
+    pub fn lose_power(&self, seed: u64) -> Self {
+        let mut rng = StdRng::seed_from_u64(seed);
+        let mut inner = self.inner().clone();
+        inner.clear_faults();
+        let known = inner.durable_names.keys().chain(inner.names.keys());
+        let known: BTreeSet<String> = known.cloned().collect();
+        for name in known {
+            if rng.random() {
+                continue;
+            }
+            match inner.durable_names.get(&name) {
+                Some(file) => inner.names.insert(name, *file),
+                None => inner.names.remove(&name),
+            };
+        }
+        inner.durable_names.clone_from(&inner.names);
+        for file in &mut inner.files {
+            let left = content_after_crash(&file.durable, &file.content, drawn(&mut rng));
+            file.content.clone_from(&left);
+            file.durable = left;
+        }
+        Self::with(inner)
+    }
+
     /// Flips one bit of a file, also in its durable content.
     pub fn flip_bit(&self, name: &str, bit: usize) {
         let mut inner = self.inner();
@@ -245,7 +285,25 @@
     }
 }
 
+/// Draws what a loss of power leaves of the unsynced bytes of a file.
+fn drawn(rng: &mut StdRng) -> Unsynced {
+    let permille = rng.random_range(0..1_000);
+    match rng.random_range(0..4) {
+        0 => Unsynced::Kept,
+        1 => Unsynced::Cut(permille),
+        2 => Unsynced::ZeroEnd(permille),
+        _ => Unsynced::ZeroSector(permille),
+    }
+}
+
 impl Inner {
+    fn clear_faults(&mut self) {
+        self.remaining_operations = None;
+        self.failing_sync = false;
+        self.free_bytes = None;
+        self.refusal = None;
+    }
+
     fn count_operation(&mut self) -> io::Result<()> {
         match &mut self.remaining_operations {
             Some(0) => Err(io::Error::other("injected fault: the disk has failed")),
