log_disk: an emptied folder is formatted once its identity is durably gone

Operators could find a log reported as damaged after a replica had emptied its folder and formatted it again, and its VM had lost power in between. Found by reading; not seen in operation.

Cause: a process that is killed after it removed the identity, and before it synced the folder, leaves a folder that counts as unformatted. The next process removed the files of the log there at once. A loss of power could bring the identity back beside a log with files missing.

Formatting now syncs the folder before it removes anything.

--- a/server/src/log_disk.rs
+++ b/server/src/log_disk.rs
@@ -195,6 +195,8 @@
     writes: &[LogWrite],
 ) -> Result<D, DiskError> {
     ensure_empty(&disk)?;
+    // The identity may have been removed without a sync, and must not come back without its log.
+    disk.sync_folder().context(WriteSnafu)?;
     for name in disk.list().context(ReadSnafu)? {
         if is_log_file(&name) || name.ends_with(TEMPORARY_ENDING) {
             disk.remove(&name).context(WriteSnafu)?;
--- a/server/tests/test_log_power_loss.rs
+++ b/server/tests/test_log_power_loss.rs
@@ -16,7 +16,9 @@
 use heatherring_lib::raft_message::LogWrite;
 use heatherring_lib::raft_message::Membership;
 use heatherring_lib::raft_message::Snapshot;
+use heatherring_server::data_folder::Disk;
 use heatherring_server::data_folder::FORMAT_VERSION;
+use heatherring_server::data_folder::IDENTITY_FILE;
 use heatherring_server::data_folder::Identity;
 use heatherring_server::log_disk::DiskError;
 use heatherring_server::log_disk::LogDisk;
@@ -241,6 +243,36 @@
     }
 }
 
+/// Guards against a log that is taken for damaged after a folder was emptied and formatted again: the
+/// removal of the identity wasn't synced before the files of the log were removed.
+#[test]
+fn test_log_power_loss_while_an_emptied_folder_is_formatted() {
+    for operations in 0.. {
+        let mut disk = formatted_disk();
+        let (mut log, _) = LogDisk::open(disk.clone()).unwrap();
+        write_batches(&disk, &mut log);
+        let before = shown(&disk).unwrap();
+        let fresh = after(DurableState::default(), &[vote(9)]);
+        Disk::remove(&mut disk, IDENTITY_FILE).unwrap();
+        let disk = disk.kill();
+        disk.fail_after(operations);
+        let formatted = format(disk.clone(), IDENTITY, &[vote(9)]).is_ok();
+        for seed in SEEDS {
+            let at = format!("power lost at {operations}, seed {seed}");
+            match shown(&disk.lose_power(seed)) {
+                Err(DiskError::Unformatted) => assert!(!formatted, "{at}"),
+                Ok(found) if found == before => assert!(!formatted, "{at}"),
+                found => {
+                    assert_continues(found, &fresh, &[], &at);
+                }
+            }
+        }
+        if formatted {
+            break;
+        }
+    }
+}
+
 /// Guards against a replica that starts on a folder, votes, and finds the folder unformatted after a
 /// loss of power: the process that formatted it was killed between the last name and its sync.
 #[test]
