published_state: state, proof and known round are one value

Entry VMs could be told by a control replica that there is nothing new, and that this was proved later than something was confirmed. They decide by that date whether an unknown route is refused for good. The window is as long as a thread of the replica stands still between two steps.

Cause: the applied state, the time of the last proof and the known round were three watches. The writer showed the proof before the state. An answer to an entry VM read the date, the state and whether it is current one after the other, and the list of replicas and whether it is current once more; an announcement read whether it is current and then the state.

Now they are one value, changed in one step. An answer reads it once and is dated by the proof in it; announcements and the watch on membership read it once, too. Readers that wait are woken by changes of the state only, as before, since hundreds of entry VMs wait and a proof changes with each heartbeat.

The case of a proof that still holds passed before, since the date was read first. That a proof wakes nobody held before and is a test now.

--- a/server/src/fleet_control.rs
+++ b/server/src/fleet_control.rs
@@ -406,12 +406,13 @@
     /// Fails if this replica is not current, if the record is unusable, or if a drain is not known
     /// to be committed; the backend server then turns to another replica.
     pub async fn announce(&self, announcement: Announcement) -> Result<(), FleetError> {
-        if !self.is_current() {
+        let published = self.inner.published.read();
+        let began = self.inner.clock.now();
+        if !published.is_current(began) {
             return NotCurrentSnafu.fail();
         }
-        let began = self.inner.clock.now();
         self.check(&announcement)?;
-        let fleet = self.inner.published.read().fleet;
+        let fleet = published.fleet;
         let Announcement { backend, record } = &announcement;
         let is_outdated = fleet.has_withdrawn(backend, record.born)
             || fleet
--- a/server/src/fleet_service.rs
+++ b/server/src/fleet_service.rs
@@ -60,6 +60,7 @@
 use crate::proto::ShareLimitsReply;
 use crate::proto::ShareLimitsRequest;
 use crate::proto::fleet_server::Fleet;
+use crate::published_state::PublishedState;
 use crate::shared_statements::SharedStatements;
 use crate::statement_relay::StatementRelay;
 use crate::token_issuer::TokenIssuer;
@@ -150,16 +151,6 @@
         }
     }
 
-    /// Returns when this replica was last proved to be current, in milliseconds after
-    /// `received_at`; negative if before it.
-    fn proved_after_ms(&self, received_at: Instant) -> i64 {
-        let now = self.clock.now();
-        let age = self.control.published().proof_age(now).unwrap_or_default();
-        let held = now.saturating_duration_since(received_at);
-        let ms = |time| i64::try_from(whole_ms(time)).unwrap_or(i64::MAX);
-        ms(held).saturating_sub(ms(age))
-    }
-
     /// Waits until there are changes for an entry VM, or until its long poll times out.
     ///
     /// A replica that loses contact with the others answers at once rather than at the timeout:
@@ -199,11 +190,18 @@
         let _ = tokio::time::timeout(wait, changes).await;
     }
 
-    fn follow_reply(&self, request: &FollowRequest) -> Result<FollowReply, Status> {
+    /// Returns the reply to a request that was taken at `received_at`. The published state is read
+    /// once, so that the reply is dated by the proof of the state that it tells.
+    fn follow_reply(
+        &self,
+        request: &FollowRequest,
+        received_at: Instant,
+    ) -> Result<FollowReply, Status> {
         let published = self.control.published().read();
-        if !self.control.published().is_current(self.clock.now()) {
+        let now = self.clock.now();
+        let (true, Some(proved_at)) = (published.is_current(now), published.proved_at) else {
             return Ok(FollowReply::default());
-        }
+        };
         let applied = Revision(request.applied_revision);
         let update_encoded = match published.fleet.revision().cmp(&applied) {
             Ordering::Less => return Ok(FollowReply::default()),
@@ -247,13 +245,17 @@
             limits_number,
             limits_encoded,
             leaving_encoded,
-            ..self.list_replicas(request)?
+            proved_after_ms: ms_after(received_at, proved_at),
+            ..self.list_replicas(request, &published)?
         })
     }
 
     /// Returns a reply that lists the replicas, unless the entry VM knows the present list.
-    fn list_replicas(&self, request: &FollowRequest) -> Result<FollowReply, Status> {
-        let published = self.control.published().read();
+    fn list_replicas(
+        &self,
+        request: &FollowRequest,
+        published: &PublishedState,
+    ) -> Result<FollowReply, Status> {
         let known = self.control.presence().view().replicas;
         let place = |address| {
             let known = known
@@ -277,7 +279,7 @@
             encoded
         };
         Ok(FollowReply {
-            current: self.control.is_current(),
+            current: published.is_current(self.clock.now()),
             replicas_digest: digest,
             replicas_encoded,
             ..FollowReply::default()
@@ -306,6 +308,13 @@
     }
 }
 
+/// Returns the time from `start` to `at` in milliseconds; negative if `at` is earlier.
+fn ms_after(start: Instant, at: Instant) -> i64 {
+    let ms = |time| i64::try_from(whole_ms(time)).unwrap_or(i64::MAX);
+    let before = ms(start.saturating_duration_since(at));
+    ms(at.saturating_duration_since(start)).saturating_sub(before)
+}
+
 fn internal(error: impl std::fmt::Display) -> Status {
     Status::internal(error.to_string())
 }
@@ -329,7 +338,7 @@
             let key = FingerprintKey::of_cluster(self.cluster);
             return Ok(Response::new(FollowReply {
                 fingerprint_key: key.as_bytes().to_vec(),
-                ..self.list_replicas(&request)?
+                ..self.list_replicas(&request, &self.control.published().read())?
             }));
         }
         let received_at = self.clock.now();
@@ -343,13 +352,9 @@
             self.wait_for_changes(&request).await;
             self.note_manifest();
         }
-        Ok(Response::new(FollowReply {
-            proved_after_ms: self.proved_after_ms(received_at),
-            ..self
-                .control
-                .work()
-                .measure(Work::Updates, || self.follow_reply(&request))?
-        }))
+        let work = self.control.work();
+        let reply = work.measure(Work::Updates, || self.follow_reply(&request, received_at));
+        reply.map(Response::new)
     }
 
     async fn propose(
--- a/server/src/formation.rs
+++ b/server/src/formation.rs
@@ -264,15 +264,16 @@
     loop {
         tokio::time::sleep(WATCH_INTERVAL).await;
         let now = clock.now();
+        let published = published.read();
         let proof_age = published
             .proof_age(now)
             .unwrap_or_else(|| now.saturating_duration_since(started_at));
         if proof_age < CHECK_MEMBERSHIP_AFTER {
             continue;
         }
-        let known = published.read().replicas;
         let own = settings.advertised();
-        let mut others: Vec<SocketAddr> = known.iter().map(|info| info.address).collect();
+        let known = published.replicas.iter();
+        let mut others: Vec<SocketAddr> = known.map(|info| info.address).collect();
         others.extend(formation.peers());
         others.retain(|address| *address != own);
         others.sort();
--- a/server/src/published_state.rs
+++ b/server/src/published_state.rs
@@ -22,8 +22,9 @@
 /// arrives; the rest allows for a few late heartbeats.
 pub const MAX_PROOF_AGE: Duration = Duration::from_millis(950);
 
-/// Applied state of a replica.
-#[derive(Clone, Debug)]
+/// Applied state of a replica, with the proof that belongs to it. An answer reads it once: a proof
+/// that is read separately may be that of a later state.
+#[derive(Clone, Debug, Default)]
 pub struct PublishedState {
     /// State on which direct dispatch relies.
     pub fleet: Arc<FleetState>,
@@ -33,57 +34,59 @@
     pub leads: bool,
     /// Address of the leader; `None` if it is unknown.
     pub leader: Option<SocketAddr>,
+    /// The latest time such that the state includes everything committed before it; `None` if none
+    /// is proved.
+    pub proved_at: Option<Instant>,
+    /// The latest heartbeat round of the leader that is known; `None` at the leader, and without
+    /// one.
+    pub known_round: Option<OrderStamp>,
+}
+
+impl PublishedState {
+    /// Returns whether the last proof of being current is recent enough.
+    #[must_use]
+    pub fn is_current(&self, now: Instant) -> bool {
+        self.proof_age(now).is_some_and(|age| age < MAX_PROOF_AGE)
+    }
+
+    /// Returns the time since the state was last proved to be current; `None` if it isn't.
+    #[must_use]
+    pub fn proof_age(&self, now: Instant) -> Option<Duration> {
+        let proved_at = self.proved_at?;
+        Some(now.saturating_duration_since(proved_at))
+    }
 }
 
 /// Publishes a replica's state.
 #[derive(Debug)]
 pub struct StatePublisher {
     published: watch::Sender<PublishedState>,
-    proved_at: watch::Sender<Option<Instant>>,
-    known_round: watch::Sender<Option<OrderStamp>>,
 }
 
 /// Reads a replica's published state.
 #[derive(Clone, Debug)]
 pub struct StateReader {
     published: watch::Receiver<PublishedState>,
-    proved_at: watch::Receiver<Option<Instant>>,
-    known_round: watch::Receiver<Option<OrderStamp>>,
 }
 
 /// Creates a publisher and a reader; the published state is empty at first.
 #[must_use]
 pub fn channel() -> (StatePublisher, StateReader) {
-    let (published_tx, published) = watch::channel(PublishedState {
-        fleet: Arc::default(),
-        replicas: Arc::default(),
-        leads: false,
-        leader: None,
-    });
-    let (proved_tx, proved_at) = watch::channel(None);
-    let (round_tx, known_round) = watch::channel(None);
+    let (published_tx, published) = watch::channel(PublishedState::default());
     let state_publisher = StatePublisher {
         published: published_tx,
-        proved_at: proved_tx,
-        known_round: round_tx,
     };
-    (
-        state_publisher,
-        StateReader {
-            published,
-            proved_at,
-            known_round,
-        },
-    )
+    (state_publisher, StateReader { published })
 }
 
 impl StatePublisher {
-    /// Publishes the present state; wakes readers only if it changed.
+    /// Publishes the present state and its proof in one step. Wakes readers only if the state
+    /// changed, since proofs change with each heartbeat.
     pub fn publish(&self, raft: &Raft, state: &ControlState) {
-        self.proved_at.send_replace(raft.proven_current_at());
-        self.known_round.send_replace(raft.known_round());
         let leads = raft.role() == Role::Leader;
         self.published.send_if_modified(|published| {
+            published.proved_at = raft.proven_current_at();
+            published.known_round = raft.known_round();
             let fleet_changed = !Arc::ptr_eq(&published.fleet, state.fleet());
             if fleet_changed {
                 published.fleet = Arc::clone(state.fleet());
@@ -115,21 +118,19 @@
     /// `None` at the leader, and without one.
     #[must_use]
     pub fn order_stamp(&self) -> Option<OrderStamp> {
-        *self.known_round.borrow()
+        self.published.borrow().known_round
     }
 
     /// Returns whether the last proof of being current is recent enough.
     #[must_use]
     pub fn is_current(&self, now: Instant) -> bool {
-        let proved = *self.proved_at.borrow();
-        proved.is_some_and(|at| now.saturating_duration_since(at) < MAX_PROOF_AGE)
+        self.published.borrow().is_current(now)
     }
 
     /// Returns the time since the replica was last proved to be current; `None` if it never was.
     #[must_use]
     pub fn proof_age(&self, now: Instant) -> Option<Duration> {
-        let proved = *self.proved_at.borrow();
-        proved.map(|at| now.saturating_duration_since(at))
+        self.published.borrow().proof_age(now)
     }
 
     /// Waits until the last proof of being current has expired.
