published_state: no proof while committed entries wait for the disk

An entry VM that starts then takes its whole view from there.

Raft counts these as known, and its proof of being current was published with the state that lacks them.

The proof is published only with a state that has all that Raft knows to be committed. Until then the replica says that it isn't current, and entry VMs ask another one. Reads behind a barrier waited for the state already.

The simulation of the agreement checks proofs against what Raft knows, not against what is applied, so it couldn't see this.

--- a/server/src/published_state.rs
+++ b/server/src/published_state.rs
@@ -84,8 +84,10 @@
     /// changed, since proofs change with each heartbeat.
     pub fn publish(&self, raft: &Raft, state: &ControlState) {
         let leads = raft.role() == Role::Leader;
+        // Committed entries may wait for records that are still being written.
+        let is_applied = state.revision() >= raft.commit();
         self.published.send_if_modified(|published| {
-            published.proved_at = raft.proven_current_at();
+            published.proved_at = raft.proven_current_at().filter(|_| is_applied);
             published.known_round = raft.known_round();
             let fleet_changed = !Arc::ptr_eq(&published.fleet, state.fleet());
             if fleet_changed {
--- a/server/tests/test_published_state.rs
+++ b/server/tests/test_published_state.rs
@@ -27,6 +27,7 @@
 use heatherring_lib::id::RegionName;
 use heatherring_lib::id::ReplicaId;
 use heatherring_lib::id::Revision;
+use heatherring_lib::id::Term;
 use heatherring_lib::id::VmName;
 use heatherring_lib::presence_report::ReplicaEndpoints;
 use heatherring_lib::raft::Raft;
@@ -38,6 +39,8 @@
 use heatherring_lib::raft_effects::Token;
 use heatherring_lib::raft_message::LogEntry;
 use heatherring_lib::raft_message::LogPayload;
+use heatherring_lib::raft_message::Message;
+use heatherring_lib::raft_message::MessageKind;
 use heatherring_lib::raft_message::ReplicaInfo;
 use heatherring_lib::raft_write_queue::Completed;
 use heatherring_lib::raft_write_queue::WriteQueue;
@@ -81,6 +84,7 @@
     writes: WriteQueue,
     state: ControlState,
     publisher: StatePublisher,
+    sent: Vec<(ReplicaId, Message)>,
 }
 
 impl Replica {
@@ -112,6 +116,7 @@
             writes: WriteQueue::default(),
             state: ControlState::default(),
             publisher,
+            sent: Vec::new(),
         };
         (replica, reader)
     }
@@ -123,6 +128,7 @@
     }
 
     fn carry_out(&mut self, fx: Effects) {
+        self.sent.extend(fx.sends);
         for entry in fx.committed {
             self.apply(entry);
         }
@@ -170,6 +176,11 @@
         self.write(now);
         self.publish();
     }
+
+    fn receive(&mut self, now: Instant, message: Message) {
+        let from = ReplicaId(2);
+        self.step(now, Input::Message { from, message });
+    }
 }
 
 fn evacuation(place: &str, evacuated: bool) -> Vec<u8> {
@@ -343,6 +354,56 @@
     writer.join().unwrap();
 }
 
+/// Guards against a replica that answers as current with a state that lacks what is committed: the
+/// records that its entries wait for are still being written, and its proof counts them already.
+#[test]
+fn test_published_state_without_the_proof_of_entries_that_it_lacks() {
+    let now = Instant::now();
+    let (mut replica, reader) = Replica::new(3, now);
+    let append = |previous: (u64, u64), entries, commit, reply_number| Message {
+        term: Term(2),
+        kind: MessageKind::Append {
+            previous_index: Revision(previous.0),
+            previous_term: Term(previous.1),
+            entries,
+            commit: Revision(commit),
+            barrier: 1,
+            reply_number,
+            contact_ms: 0,
+        },
+    };
+    let entry = |index, term, payload| LogEntry {
+        index: Revision(index),
+        term: Term(term),
+        payload,
+    };
+    let noop = |index, term| entry(index, term, LogPayload::Noop);
+    // An entry that the next leader doesn't have.
+    let mut earlier = append((1, 1), vec![noop(2, 1)], 1, 0);
+    earlier.term = Term(1);
+    replica.receive(now, earlier);
+    replica.receive(now, append((3, 2), Vec::new(), 1, 0));
+    replica.write(now);
+    let mut replies = replica
+        .sent
+        .iter()
+        .filter_map(|(_, message)| match message.kind {
+            MessageKind::AppendReply { reply_number, .. } => Some(reply_number),
+            _ => None,
+        });
+    let reply_number = replies.next_back().unwrap();
+    let command = LogPayload::Command(evacuation("place", true).into());
+    let entries = vec![noop(2, 2), entry(3, 2, command)];
+    replica.receive(now, append((1, 1), entries, 3, reply_number));
+    replica.publish();
+    assert!(reader.read().fleet.revision() < Revision(3));
+    assert!(!reader.is_current(now), "the entry isn't in the state");
+    replica.write(now);
+    replica.publish();
+    assert_eq!(reader.read().fleet.revision(), Revision(3));
+    assert!(reader.is_current(now));
+}
+
 /// Counts how often a task was woken.
 #[derive(Debug, Default)]
 struct Wakes(AtomicUsize);
