route_check: no routes without host, prefix or target, no endless times

Operators had manifests confirmed over heatherring's own interface, and in force, with a prefix that doesn't begin and end with a slash, with a split among no services, and with times that no clock can add (2^64 - 1 s). On the platform's interface the same went for a route without host. None of these routes can be served.

Cause: the platform's parser checked prefixes and times by itself, and nothing did for the own interface, whose types are read as they are.

What a change contains is now checked once for both, where it is proposed. It isn't checked where it is applied: replicas of another release would decide otherwise on the same log entry.

--- a/lib/src/duration_text.rs
+++ b/lib/src/duration_text.rs
@@ -10,7 +10,7 @@
 
 /// Longest duration that is accepted. A longer one most likely has the wrong unit, and adding it
 /// to the clock's time would overflow.
-const MAX_DURATION: Duration = Duration::from_hours(365 * 24);
+pub const MAX_DURATION: Duration = Duration::from_hours(365 * 24);
 
 /// The text is not a duration, or the duration exceeds 365 days.
 #[derive(Clone, Debug, Eq, PartialEq, Snafu)]
--- a/lib/src/route_check.rs
+++ b/lib/src/route_check.rs
@@ -9,10 +9,12 @@
 use snafu::Snafu;
 use snafu::ensure;
 
+use crate::duration_text::MAX_DURATION;
 use crate::id::ManifestVersion;
 use crate::id::RouteName;
 use crate::id::ServiceName;
 use crate::id::TeamName;
+use crate::route_manifest::CallerLimits;
 use crate::route_manifest::Route;
 use crate::route_manifest::RouteChange;
 use crate::route_manifest::RouteContent;
@@ -91,6 +93,100 @@
         /// Name of the route.
         route: RouteName,
     },
+    /// A route has no host, so no request could match it.
+    #[snafu(display("route {route} has no host"))]
+    NoHost {
+        /// Name of the route.
+        route: RouteName,
+    },
+    /// A path prefix does not begin and end with a slash.
+    #[snafu(display(
+        "route {route} has the path prefix {prefix:?}; allowed is one that begins and ends with /"
+    ))]
+    Prefix {
+        /// Name of the route.
+        route: RouteName,
+        /// Invalid prefix.
+        prefix: String,
+    },
+    /// A split has no parts.
+    #[snafu(display("route {route} is split among no services; at least 1 is required"))]
+    EmptySplit {
+        /// Name of the route.
+        route: RouteName,
+    },
+    /// A duration is longer than any that is meant.
+    #[snafu(display("{name} is longer than {} days", MAX_DURATION.as_secs() / 86_400))]
+    TooLong {
+        /// Description of the duration.
+        name: String,
+    },
+}
+
+/// Checks what a change contains, apart from what it is applied to.
+///
+/// This is checked before a change is proposed. Replicas of several releases decide on a change
+/// alike, so [`changed`] accepts what an earlier release accepted.
+///
+/// # Errors
+///
+/// Returns the first problem found.
+pub fn check_content(content: &RouteContent) -> Result<(), RouteProblem> {
+    let (routes, services, limits) = match content {
+        RouteContent::Whole {
+            routes,
+            services,
+            limits,
+        } => (routes, services, Some(limits)),
+        RouteContent::Patch(patch) => (&patch.routes, &patch.services, patch.limits.as_ref()),
+    };
+    for (name, route) in routes {
+        check_route_content(name, route)?;
+    }
+    for (name, service) in services {
+        check_duration(service.cold_start, || {
+            format!("the cold start of service {name}")
+        })?;
+    }
+    limits.map_or(Ok(()), check_limits)
+}
+
+fn check_route_content(name: &RouteName, route: &Route) -> Result<(), RouteProblem> {
+    ensure!(
+        !route.host.is_empty(),
+        NoHostSnafu {
+            route: name.clone()
+        }
+    );
+    let prefix = &route.prefix;
+    ensure!(
+        prefix.starts_with('/') && prefix.ends_with('/'),
+        PrefixSnafu {
+            route: name.clone(),
+            prefix,
+        }
+    );
+    ensure!(
+        route.target.services().next().is_some(),
+        EmptySplitSnafu {
+            route: name.clone()
+        }
+    );
+    check_duration(route.timeout, || format!("the timeout of route {name}"))?;
+    check_duration(route.latency_objective, || {
+        format!("the latency objective of route {name}")
+    })
+}
+
+fn check_limits(limits: &CallerLimits) -> Result<(), RouteProblem> {
+    check_duration(limits.header_timeout, || "the header timeout".to_owned())?;
+    check_duration(limits.idle_timeout, || "the idle timeout".to_owned())
+}
+
+/// Checks that a duration can be added to the time of any clock.
+fn check_duration(time: Duration, name: impl FnOnce() -> String) -> Result<(), RouteProblem> {
+    ensure!(time <= MAX_DURATION, TooLongSnafu { name: name() });
+    Ok(())
 }
 
 /// Checks that the limits of all teams are valid and that each key is non-empty and belongs to
--- a/server/src/fleet_control.rs
+++ b/server/src/fleet_control.rs
@@ -45,6 +45,7 @@
 use heatherring_lib::rollout::RolloutOrder;
 use heatherring_lib::rollout::RolloutState;
 use heatherring_lib::rollout::plan::RolloutFigures;
+use heatherring_lib::route_check;
 use heatherring_lib::settings::DirectControlSettings;
 use heatherring_lib::team_manifest::FleetChange;
 use heatherring_lib::team_manifest::FleetManifest;
@@ -250,10 +251,9 @@
     pub async fn change_manifest(&self, change: FleetChange) -> Result<RouteAnswer, FleetError> {
         let version = change.routes.version;
         let base = change.routes.base;
-        let result = match self.commit(FleetCommand::from(change)).await {
-            Ok(Response::Routes(answer)) => Ok(answer),
-            Ok(_) => UnexpectedResponseSnafu.fail(),
-            Err(error) => Err(error),
+        let result = match route_check::check_content(&change.routes.content) {
+            Ok(()) => self.commit_change(change).await,
+            Err(problem) => Ok(RouteAnswer::Invalid(problem)),
         };
         metric::order("routes", route_result(&result));
         match &result {
@@ -270,6 +270,13 @@
         result
     }
 
+    async fn commit_change(&self, change: FleetChange) -> Result<RouteAnswer, FleetError> {
+        match self.commit(FleetCommand::from(change)).await? {
+            Response::Routes(answer) => Ok(answer),
+            _ => UnexpectedResponseSnafu.fail(),
+        }
+    }
+
     /// Logs teams whose requests are refused on some routes because team and route have no home
     /// region in common.
     fn warn_about_missing_common_home(&self) {
