request_body: a call that control has no memory for is not refused for good

A valid order, or a confirmed one that is sent again, got 400 where its body found no memory or arrived too slowly. An operator takes 400 for the verdict on the order and ends the call.

Cause: all reasons for which a body isn't read had the same status. Now a body that breaks off keeps 400, one that is too large gets 413, one without memory 503 and one that is late 408; the last two are sent again.

The status of a late body is not tested, as it takes 37 s to arise.

--- a/server/src/own_interface.rs
+++ b/server/src/own_interface.rs
@@ -253,8 +253,9 @@
         ["v1", "announcements"] => request_body::MAX_ANNOUNCEMENT_BYTES,
         _ => request_body::MAX_OPERATOR_CALL_BYTES,
     };
-    let Ok(body) = request_body::read_control_call(body, max_bytes).await else {
-        return reply::status(StatusCode::BAD_REQUEST);
+    let body = match request_body::read_control_call(body, max_bytes).await {
+        Ok(body) => body,
+        Err(error) => return reply::text(error.status(), error.to_string()),
     };
     match (&head.method, path.as_slice()) {
         (&Method::POST, ["v1", "announcements"]) => match serde_json::from_slice(&body) {
--- a/server/src/request_body.rs
+++ b/server/src/request_body.rs
@@ -17,6 +17,7 @@
 use futures_util::FutureExt;
 use heatherring_lib::outcome::NotRunReason;
 use http::Request;
+use http::StatusCode;
 use http_body_util::BodyExt;
 use hyper::body::Body;
 use hyper::body::Frame;
@@ -75,6 +76,20 @@
     Left,
 }
 
+impl BodyError {
+    /// Returns the status with which a call to control is answered. Only a body that is at fault
+    /// itself gets one that ends the call for good.
+    #[must_use]
+    pub const fn status(&self) -> StatusCode {
+        match self {
+            Self::TooLarge { .. } => StatusCode::PAYLOAD_TOO_LARGE,
+            Self::Broken { .. } | Self::Left => StatusCode::BAD_REQUEST,
+            Self::NoMemory { .. } => StatusCode::SERVICE_UNAVAILABLE,
+            Self::Late => StatusCode::REQUEST_TIMEOUT,
+        }
+    }
+}
+
 /// The body of a request, together with the signal that holds back the next request on the
 /// connection.
 #[derive(Debug)]
