route_manifest: a manifest that names an item twice is refused

Over heatherring's own interface, a manifest with two routes of one name was confirmed, and only the last of them was in force. Two services or teams of one name went the same way. The platform's tables refuse this already.

Cause: in a map, a later value replaces an earlier one of the same key. Maps of a manifest are now read by `unique_map`, which refuses the second one. What replicas store is read as before.

--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -169,6 +169,7 @@
 pub mod token_cache;
 pub mod token_replicas;
 pub mod token_shard;
+mod unique_map;
 pub mod usage_window;
 pub mod view;
 pub mod view_log;
--- a/lib/src/route_manifest.rs
+++ b/lib/src/route_manifest.rs
@@ -15,6 +15,7 @@
 use crate::id::RegionName;
 use crate::id::RouteName;
 use crate::id::ServiceName;
+use crate::unique_map;
 
 /// A route: the requests that it matches, their target and how they are handled.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
@@ -142,8 +143,10 @@
     /// Replaces the whole manifest.
     Whole {
         /// All routes by name.
+        #[serde(deserialize_with = "unique_map::deserialize")]
         routes: BTreeMap<RouteName, Arc<Route>>,
         /// All services by name.
+        #[serde(deserialize_with = "unique_map::deserialize")]
         services: BTreeMap<ServiceName, Arc<RouteService>>,
         /// Limits on callers' requests and connections.
         limits: CallerLimits,
@@ -156,8 +159,10 @@
 #[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
 pub struct RoutePatch {
     /// Routes to add or replace.
+    #[serde(deserialize_with = "unique_map::deserialize")]
     pub routes: BTreeMap<RouteName, Arc<Route>>,
     /// Services to add or replace.
+    #[serde(deserialize_with = "unique_map::deserialize")]
     pub services: BTreeMap<ServiceName, Arc<RouteService>>,
     /// New limits on callers; `None` keeps the present ones.
     pub limits: Option<CallerLimits>,
--- a/lib/src/team_manifest.rs
+++ b/lib/src/team_manifest.rs
@@ -15,6 +15,7 @@
 use crate::route_manifest::RouteContent;
 use crate::route_manifest::RouteManifest;
 use crate::team::Team;
+use crate::unique_map;
 
 /// The teams of a manifest. While there is a team manifest, requests need a key, even if it
 /// contains no team.
@@ -42,6 +43,7 @@
 #[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
 pub struct TeamChange {
     /// Teams to add or to replace.
+    #[serde(deserialize_with = "unique_map::deserialize")]
     pub teams: BTreeMap<TeamName, Arc<Team>>,
     /// Those of the changed routes whose requests need no key. Requests on the other changed routes
     /// need one.
