--- a/lib/tests/test_shares.rs
+++ b/lib/tests/test_shares.rs
@@ -70,3 +70,34 @@
     assert_eq!(counts, [900, 100, 0]);
     assert_eq!(WeightedRoundRobin::default().next(&[0.0, 0.0]), None);
 }
+
+/// Guards against a split that stays far from its weights for many requests after a change of them:
+/// what the parts had to make up for was counted in the former weights.
+#[rstest]
+#[case::another_scale(&[90.0, 10.0], &[0.3, 0.7])]
+#[case::reversed(&[90.0, 10.0], &[10.0, 90.0])]
+#[case::part_added(&[1e6, 1e6], &[1.0, 1.0, 2.0])]
+#[case::part_removed(&[1e6, 1e6, 1e6], &[1.0, 3.0])]
+#[case::sum_beyond_all_numbers(&[1.0, 3.0], &[f64::MAX, f64::MAX])]
+fn test_weighted_turns_follow_a_change_of_weights(#[case] before: &[f64], #[case] after: &[f64]) {
+    const REQUESTS: u32 = 20;
+    let heaviest = after.iter().copied().fold(0.0, f64::max);
+    let total: f64 = after.iter().map(|weight| weight / heaviest).sum();
+    for earlier in 0..REQUESTS {
+        let mut turns = WeightedRoundRobin::default();
+        for _ in 0..earlier {
+            turns.next(before);
+        }
+        let mut counts = vec![0.0; after.len()];
+        for _ in 0..REQUESTS {
+            counts[turns.next(after).unwrap()] += 1.0;
+        }
+        for (count, weight) in counts.iter().zip(after) {
+            let fair = f64::from(REQUESTS) * (weight / heaviest) / total;
+            assert!(
+                f64::abs(count - fair) <= 2.0,
+                "{counts:?} after {earlier} requests"
+            );
+        }
+    }
+}
