callers: answers are in this entry VM's version of HTTP, not the backend server's

Callers of a backend server that answers in HTTP/1.0 without a length got a 200 with an empty or short body that looked complete when the backend server broke off with a reset. After an ordinary end of such an answer, their connection stayed open and they waited for its end until the idle timeout.

The version of the backend server's answer was passed on with its head. In HTTP/1.0 the HTTP library writes a body of unknown length without chunks, so that only the close of the connection ends it, and the close after an error looks the same. After a whole one the library would close the connection, but its end is held open here for further answers.

Each answer now bears HTTP/1.1, so that such a body is written in chunks; the last one is missing if the backend server broke off. Callers that speak HTTP/1.0 themselves still get no chunks.

--- a/server/src/pipelined_connection.rs
+++ b/server/src/pipelined_connection.rs
@@ -23,6 +23,7 @@
 use http::Request;
 use http::Response;
 use http::StatusCode;
+use http::Version;
 use http::header::CONNECTION;
 use http::header::EXPECT;
 use http_body_util::Empty;
@@ -373,12 +374,16 @@
 }
 
 /// Waits for the answer to a request; on the last one, sets `connection: close`.
+///
+/// The answer of a backend server bears the version of HTTP that this one speaks. In HTTP/1.0 only
+/// the end of the connection would end a body without a length, broken off or not.
 async fn await_answer(
     pending: PendingAnswer,
     progress: &Progress,
 ) -> Result<Response<AnswerBody>, AnswerError> {
     let handled = pending.handling.await;
     let mut response = handled.map_err(|source| AnswerError::Ended { source })?;
+    *response.version_mut() = Version::HTTP_11;
     let mut state = progress.state();
     state.answered = pending.number + 1;
     if state.is_over() {
