callers: an answer without chunks that breaks off ends by a reset

Callers that speak HTTP/1.0 got a 200 with an empty or short body that looked complete when the backend server, or this entry VM, broke off an answer of unknown length: they get no chunks, so that the close of the connection ends the body, and the close was the ordinary one. Those that ask for the connection to be kept waited for the end of such an answer until the idle timeout, whole or not, as the connection was kept for further answers.

From the head of such an answer on, the connection is set to be reset when it is closed, which holds if the process ends as well, and set back once the last byte has been written. It is announced as the last answer of its connection. A lost answer is no loss to others: nothing is answered behind it.

The table now has callers that speak HTTP/1.0.

--- a/server/src/lib.rs
+++ b/server/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod announce_listener;
 pub mod announcement_batch;
 pub mod answer_body;
+mod answer_stream;
 pub mod backend_connection;
 pub mod backend_pool;
 mod backend_stream;
--- a/server/src/pipeline_io.rs
+++ b/server/src/pipeline_io.rs
@@ -29,6 +29,7 @@
 use http::Response;
 use http::Version;
 use http::header::CONNECTION;
+use hyper::body::Body;
 use tokio::io::AsyncRead;
 use tokio::io::AsyncWrite;
 use tokio::io::ReadBuf;
@@ -92,6 +93,11 @@
         }
     }
 
+    /// Returns whether only the close of the connection can end this body.
+    pub fn ends_by_close(&self, body: &impl Body) -> bool {
+        self.version == Version::HTTP_10 && !self.is_head && body.size_hint().exact().is_none()
+    }
+
     /// Returns a request head that makes the answering `hyper` connection format its answer for
     /// this request.
     fn head(&self) -> Bytes {
--- a/server/src/pipelined_connection.rs
+++ b/server/src/pipelined_connection.rs
@@ -32,11 +32,9 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
-use rustix::net::sockopt;
 use snafu::Snafu;
 use tokio::net::TcpStream;
 use tokio::net::tcp::OwnedReadHalf;
-use tokio::net::tcp::OwnedWriteHalf;
 use tokio::sync::Semaphore;
 use tokio::sync::mpsc;
 use tokio::sync::watch;
@@ -44,6 +42,9 @@
 use tokio_util::task::AbortOnDropHandle;
 
 use crate::answer_body::AnswerBody;
+use crate::answer_stream;
+use crate::answer_stream::AnswerStream;
+use crate::answer_stream::Closing;
 use crate::body_memory::BodyMemory;
 use crate::http_server::Arrival;
 use crate::http_server::ConnectionLimits;
@@ -124,7 +125,8 @@
     let progress = Arc::clone(&setup.progress);
     let (pending_tx, pending_answers) = mpsc::unbounded_channel();
     let (turn_tx, turn) = watch::channel(0);
-    let answering = answer(pending_answers, write_half, turn_tx, &progress);
+    let stream = AnswerStream::new(write_half);
+    let answering = answer(pending_answers, stream, turn_tx, &progress);
     let limits = setup.limits;
     let stops = setup.stops.clone();
     let peer = setup.peer;
@@ -151,7 +153,7 @@
     let mut pending_tx = Some(pending_tx);
     let mut shutdown_begun = false;
     let mut rest = DiscardedBytes::new(&read_half);
-    loop {
+    let closing = loop {
         tokio::select! {
             biased;
             result = reading.as_mut(), if pending_tx.is_some() => {
@@ -166,7 +168,7 @@
             () = rest.until_closed(), if pending_tx.is_none() => {
                 return progress.log_end(peer, "the caller closed it after its last request");
             }
-            () = answering.as_mut() => break,
+            closing = answering.as_mut() => break closing,
             () = shutdown_due(&stops, &progress), if !shutdown_begun => {
                 shutdown_begun = true;
                 progress.state().ending = true;
@@ -180,16 +182,19 @@
                 if !is_blocked {
                     return progress.log_end(peer, "the caller was idle or slow to send a head");
                 }
-                reset_on_close(&read_half);
+                // The system would otherwise keep what the caller does not read for minutes.
+                answer_stream::set_linger(read_half.as_ref().as_ref(), Some(Duration::ZERO));
                 return progress.log_end(peer, "the caller did not read its answer");
             }
             () = caller_closed(&read_half, &progress) => {
                 return progress.log_end(peer, "the caller closed it with bytes unread");
             }
         }
-    }
+    };
     // An answer that was cut short has broken the connection; there is no rest to wait for then.
-    let _ = tokio::time::timeout(LINGER, rest.read()).await;
+    if closing == Closing::Ordinary {
+        let _ = tokio::time::timeout(LINGER, rest.read()).await;
+    }
 }
 
 /// Answers bytes that are not a valid request with an error status, after the pending answers.
@@ -337,24 +342,27 @@
 /// 12.8 MB without.
 async fn answer(
     mut pending_answers: mpsc::UnboundedReceiver<PendingAnswer>,
-    stream: OwnedWriteHalf,
+    stream: AnswerStream,
     turn: watch::Sender<u64>,
     progress: &Progress,
-) {
+) -> Closing {
     let mut keep_open = true;
-    while keep_open && let Some(first) = pending_answers.recv().await {
+    while keep_open
+        && let Some(half) = stream.half()
+        && let Some(first) = pending_answers.recv().await
+    {
         progress.state().written = false;
         let turns = Mutex::new(VecDeque::new());
-        let bytes = AnswerBytes::new(first, &mut pending_answers, &turns, &stream, progress);
+        let bytes = AnswerBytes::new(first, &mut pending_answers, &turns, half, progress);
         let keep_alive = AtomicBool::new(true);
         let service = service_fn(|_head: Request<Incoming>| {
             let mut turns = turns.lock().unwrap_or_else(PoisonError::into_inner);
             let next = turns.pop_front();
-            let (turn, keep_alive) = (&turn, &keep_alive);
+            let (turn, keep_alive, stream) = (&turn, &keep_alive, &stream);
             async move {
                 let pending = next.ok_or(AnswerError::NoRequest)?;
                 turn.send_replace(pending.number);
-                let response = await_answer(pending, progress).await?;
+                let response = await_answer(pending, stream, progress).await?;
                 let ends = response.headers().contains_key(CONNECTION);
                 keep_alive.store(!ends, Ordering::Relaxed);
                 Ok::<_, AnswerError>(response)
@@ -366,11 +374,13 @@
             .serve_connection(TokioIo::new(bytes), service);
         if let Err(error) = connection.await {
             log::debug!(event = "connection_broken", error:% = error; "a connection broke off");
-            return;
+            return stream.closing();
         }
+        stream.note_written();
         progress.state().written = true;
         keep_open = keep_alive.into_inner();
     }
+    stream.closing()
 }
 
 /// Waits for the answer to a request; on the last one, sets `connection: close`.
@@ -379,14 +389,21 @@
 /// the end of the connection would end a body without a length, broken off or not.
 async fn await_answer(
     pending: PendingAnswer,
+    stream: &AnswerStream,
     progress: &Progress,
 ) -> Result<Response<AnswerBody>, AnswerError> {
     let handled = pending.handling.await;
     let mut response = handled.map_err(|source| AnswerError::Ended { source })?;
-    *response.version_mut() = Version::HTTP_11;
+    let ends_by_close = pending.shape.ends_by_close(response.body());
+    *response.version_mut() = if ends_by_close {
+        stream.begin_unmarked();
+        Version::HTTP_10
+    } else {
+        Version::HTTP_11
+    };
     let mut state = progress.state();
     state.answered = pending.number + 1;
-    if state.is_over() {
+    if ends_by_close || state.is_over() {
         let close = HeaderValue::from_static("close");
         response.headers_mut().insert(CONNECTION, close);
     }
@@ -465,14 +482,6 @@
     }
 }
 
-/// Makes the connection end by a reset: the system would otherwise keep what the caller does not
-/// read for minutes.
-fn reset_on_close(stream: &OwnedReadHalf) {
-    if let Err(error) = sockopt::set_socket_linger(stream.as_ref(), Some(Duration::ZERO)) {
-        log::debug!(event = "linger_refused", error:% = error; "cannot set how a connection is closed");
-    }
-}
-
 /// What a caller still sends when nothing of it is handled any more.
 struct DiscardedBytes<'a> {
     stream: &'a OwnedReadHalf,
--- a/server/tests/cut_scene_support/mod.rs
+++ b/server/tests/cut_scene_support/mod.rs
@@ -22,6 +22,9 @@
 use crate::direct_support::HOST;
 use crate::direct_support::PLACE;
 
+/// Number of requests in flight.
+const WORKERS: usize = 24;
+
 const HEARTBEAT: Duration = Duration::from_millis(500);
 
 /// Enough for all requests of a table at once.
@@ -62,6 +65,7 @@
             address: self.entry.settings.listen.callers,
             host: HOST.to_owned(),
             permits_close: true,
+            workers: WORKERS,
         }
     }
 
--- a/server/tests/cut_support/backend.rs
+++ b/server/tests/cut_support/backend.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use heatherring_testutils::raw_request;
+use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
@@ -20,6 +21,9 @@
 /// Time in which the bytes before the end of a connection are read on their own.
 const PAUSE: Duration = Duration::from_millis(3);
 
+/// Length of the longest identifier.
+const ID_ROOM: usize = 36;
+
 /// How a connection ends.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum End {
@@ -29,6 +33,8 @@
     Reset,
     /// A reset after what was written has been read.
     LateReset,
+    /// Not before the other side ends it.
+    Never,
 }
 
 impl End {
@@ -68,9 +74,11 @@
 }
 
 impl Dialect {
-    /// Returns the header lines of the answer to the request with this identifier.
+    /// Returns the header lines of the answer to the request with this identifier, which take the
+    /// same room for all identifiers.
     pub fn lines_for(&self, id: &str) -> String {
-        format!("{}: {id}\r\n{}", self.id, self.lines)
+        let pad = "-".repeat(ID_ROOM.saturating_sub(id.len()));
+        format!("{}: {id}\r\nx-pad: {pad}\r\n{}", self.id, self.lines)
     }
 }
 
@@ -219,7 +227,10 @@
     }
 }
 
-async fn end(stream: TcpStream, end: End) -> Option<()> {
+async fn end(mut stream: TcpStream, end: End) -> Option<()> {
+    if end == End::Never {
+        stream.read(&mut [0]).await.ok()?;
+    }
     if end.is_late() {
         tokio::time::sleep(PAUSE).await;
     }
--- a/server/tests/cut_support/caller.rs
+++ b/server/tests/cut_support/caller.rs
@@ -73,12 +73,13 @@
         }
     }
 
-    /// Returns the bytes that arrive behind the answers until the connection ends.
-    pub async fn rest(&mut self) -> Vec<u8> {
-        while self.ended.is_none() {
+    /// Waits until a text has arrived.
+    pub async fn until(&mut self, text: &str) {
+        let is_there = |unread: &[u8]| String::from_utf8_lossy(unread).contains(text);
+        while !is_there(&self.unread) && self.ended.is_none() {
             self.read_more().await;
         }
-        std::mem::take(&mut self.unread)
+        assert!(is_there(&self.unread), "{text} did not arrive");
     }
 
     async fn read_more(&mut self) {
--- a/server/tests/cut_support/table.rs
+++ b/server/tests/cut_support/table.rs
@@ -16,9 +16,6 @@
 use super::form::Form;
 use super::form::WholeAnswer;
 
-/// Number of requests in flight.
-const WORKERS: usize = 24;
-
 /// Number of times that a request is sent that does not arrive at a backend server.
 const MAX_TRIES: usize = 400;
 
@@ -81,6 +78,8 @@
     pub host: String,
     /// Whether an answer may end with the connection of its backend server.
     pub permits_close: bool,
+    /// Number of requests in flight.
+    pub workers: usize,
 }
 
 /// A cut, and how it is asked for.
@@ -166,7 +165,7 @@
     let rows: Arc<[Row]> = rows.into();
     let next = Arc::new(AtomicUsize::new(0));
     let mut workers = JoinSet::new();
-    for _ in 0..WORKERS {
+    for _ in 0..target.workers {
         let (target, ledger) = (target.clone(), Arc::clone(ledger));
         let (rows, next) = (Arc::clone(&rows), Arc::clone(&next));
         workers.spawn(async move {
--- a/server/tests/test_cut_answers.rs
+++ b/server/tests/test_cut_answers.rs
@@ -5,14 +5,17 @@
 mod direct_support;
 
 use cut_scene_support::Scene;
+use cut_support::backend::Cut;
 use cut_support::backend::Dialect;
 use cut_support::backend::End;
+use cut_support::caller::Caller;
 use cut_support::form::Form;
 use cut_support::form::WholeAnswer;
 use cut_support::table;
 use cut_support::table::Manner;
 use cut_support::table::Result;
 use cut_support::table::Row;
+use cut_support::table::Target;
 use rstest::rstest;
 
 const OWN: Dialect = Dialect {
@@ -62,9 +65,11 @@
     assert!(result.served > 0, "{result:?}");
 }
 
-/// Guards against an answer that is cut off and looks complete to callers that get no body or no
-/// further answer.
+/// Guards against an answer that is cut off and looks complete to callers that get no chunks, no
+/// body or no further answer.
 #[rstest]
+#[case::old_version(Manner { version: "1.0", ..ACTION })]
+#[case::old_version_kept(Manner { version: "1.0", lines: "connection: keep-alive\r\n", ..ACTION })]
 #[case::last(Manner { lines: "connection: close\r\n", ..ACTION })]
 #[case::head(Manner { method: "HEAD", ..ACTION })]
 #[tokio::test(flavor = "multi_thread")]
@@ -110,3 +115,31 @@
     }
     play(&rows).await;
 }
+
+/// Guards against an answer that the end of the entry VM cuts off and that looks complete to a caller
+/// that gets no chunks.
+#[tokio::test(flavor = "multi_thread")]
+async fn test_cut_answers_at_the_end_of_the_entry_vm() {
+    let scene = Scene::start(OWN, |deployment| deployment.start_entry("entry-1")).await;
+    let form = Form::Chunks;
+    let lines = OWN.lines_for("stalled");
+    let cut = Cut {
+        form,
+        at: form.answer("stalled", &lines, false).head + 10,
+        end: End::Never,
+        times: 1,
+        is_early: false,
+    };
+    scene.ledger.cut("stalled", cut);
+    let manner = Manner {
+        version: "1.0",
+        ..ACTION
+    };
+    let Target { address, host, .. } = scene.target();
+    let mut caller = Caller::connect(address).await;
+    caller.send(&manner.request("stalled", &host, OWN.id)).await;
+    caller.until("body").await;
+    scene.entry.begin_stop();
+    let seen = caller.read(false).await;
+    assert!(!seen.is_complete && !seen.is_endless, "{seen:?}");
+}
