announcements: the decision on one is made in the library

What a control replica does with a backend server's announcement (nothing, or a commit) depends on the replicated state and on two observations. The decision was made beside the calls that commit it, where no test could run through the orders in which announcements arrive. It is now a function of the state; the replica asks presence only for the backend server that it names. No change of behaviour.

--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod admission_event;
 pub mod affinity;
 pub mod announcement;
+pub mod announcement_decision;
 pub mod answer_bound;
 pub mod answer_claim;
 pub mod answer_deadline;
--- a/server/src/fleet_control.rs
+++ b/server/src/fleet_control.rs
@@ -12,6 +12,9 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use heatherring_lib::announcement_decision;
+use heatherring_lib::announcement_decision::AnnouncementDecision;
+use heatherring_lib::announcement_decision::SenderObservation;
 use heatherring_lib::clock::Clock;
 use heatherring_lib::clock::unix_ms;
 use heatherring_lib::control_state::Response;
@@ -421,11 +424,7 @@
         self.check(&announcement)?;
         let fleet = published.fleet;
         let Announcement { backend, record } = &announcement;
-        let is_outdated = fleet.has_withdrawn(backend, record.born)
-            || fleet
-                .backend(backend)
-                .is_some_and(|known| record.born < known.born);
-        if is_outdated {
+        if announcement_decision::has_ended(&fleet, backend, record) {
             log::info!(event = "announcement_late", backend = backend.as_str(), born = record.born; "ignored an announcement from an earlier incarnation of a backend server");
             return Ok(());
         }
@@ -433,10 +432,11 @@
             .presence
             .record_backend_heartbeat(announcement.backend.clone());
         let draining = announcement.record.state == BackendState::Draining;
-        let change = self.material_change(&fleet, announcement).await;
+        let decision = self.decide(&fleet, &announcement).await;
         self.inner.work.add_since(Work::Announcements, began);
-        let Some(change) = change else {
-            return Ok(());
+        let change = match decision {
+            AnnouncementDecision::Commit(change) => change,
+            AnnouncementDecision::Unchanged => return Ok(()),
         };
         log::info!(event = "backend_changed", backend = change.backend.as_str(), service = change.record.service.as_str(), address:% = change.record.address, state:? = change.record.state, sequence = change.record.sequence; "a backend server announced a change");
         if draining {
@@ -462,38 +462,23 @@
         })
     }
 
-    /// Returns the change to commit for an announcement; `None` if it brings nothing that entry VMs
-    /// must know.
-    async fn material_change(
+    async fn decide(
         &self,
         fleet: &FleetState,
-        announcement: Announcement,
-    ) -> Option<BackendChange> {
+        announcement: &Announcement,
+    ) -> AnnouncementDecision {
         let Announcement { backend, record } = announcement;
-        let new_cold_phase = self.record_cold_phase(&backend, record.cold_for);
-        let Some(known) = fleet.backend(&backend) else {
-            return Some(BackendChange {
-                backend,
-                record,
-                reclaims: false,
-            });
+        let new_cold_phase = self.record_cold_phase(backend, record.cold_for);
+        let successor = announcement_decision::successor_at_address(fleet, backend, record);
+        let may_reclaim = match successor {
+            Some(successor) => self.may_reclaim_from(successor).await,
+            None => true,
         };
-        if record.stamp() <= known.stamp() {
-            return None;
-        }
-        let mut reclaims = false;
-        if known.state == BackendState::Superseded && record.born == known.born {
-            reclaims = self.may_reclaim(fleet, &backend, record.address).await;
-            if !reclaims {
-                return None;
-            }
-        }
-        let changed = record.differs_materially_from(known) || new_cold_phase;
-        changed.then_some(BackendChange {
-            backend,
-            record,
-            reclaims,
-        })
+        let observed = SenderObservation {
+            may_reclaim,
+            new_cold_phase,
+        };
+        announcement_decision::decide(fleet, backend, record, observed)
     }
 
     /// Records the announced end of a cold phase; returns whether the phase is a new one.
@@ -513,18 +498,9 @@
         before.is_none_or(|before| until > before + COLD_END_TOLERANCE)
     }
 
-    /// Returns whether no other holder of the address has sent a heartbeat within two intervals. A
-    /// late announcement of a process that has ended must not displace the running one.
-    async fn may_reclaim(
-        &self,
-        fleet: &FleetState,
-        backend: &BackendName,
-        address: SocketAddr,
-    ) -> bool {
-        let holder = fleet.holder(address).filter(|name| *name != backend);
-        let Some(holder) = holder else {
-            return true;
-        };
+    /// Returns whether the holder of an address has sent no heartbeat within two intervals. A late
+    /// announcement of a process that has ended must not displace the running one.
+    async fn may_reclaim_from(&self, holder: &BackendName) -> bool {
         let settings = self.inner.settings.as_ref();
         let timing = settings.map(DirectControlSettings::heartbeat_timing);
         let reclaim_after = timing.unwrap_or_default().reclaim();
