drain: a backend server that lost its address leaves for good

Backend servers may be superseded at their address by another one. When such a server announced that it is draining, control answered with success and committed nothing as long as the other one was heard from; where a replica that was behind did commit the announcement, the state passed over it. An earlier ready announcement that was delayed, or still waited for its commit, could then reclaim the address and put the server back in use after its drain had been confirmed.

Cause: "superseded" was taken for "out of use for good", but a ready announcement may end it.

The announcement is now always committed and withdraws the incarnation.

Found by reading; not seen in operation. Both tests failed before: `left: Some((0, 2, Ready)) right: None` after the delayed announcement, and `left: Unchanged right: Commit(..)` for the decision.

--- a/lib/src/announcement_decision.rs
+++ b/lib/src/announcement_decision.rs
@@ -72,6 +72,9 @@
         return AnnouncementDecision::Unchanged;
     }
     let reclaims = is_superseded(known, record);
+    if reclaims && record.state == BackendState::Draining {
+        return commit(false);
+    }
     if reclaims && !observed.may_reclaim {
         return AnnouncementDecision::Unchanged;
     }
--- a/lib/src/fleet_state.rs
+++ b/lib/src/fleet_state.rs
@@ -324,10 +324,13 @@
             return;
         }
         if let Some(known) = self.backends.get(&change.backend) {
-            let stale = change.record.stamp() <= known.stamp();
+            if change.record.stamp() <= known.stamp() {
+                return;
+            }
             let same_incarnation = change.record.born == known.born;
             let superseded = known.state == BackendState::Superseded && !change.reclaims;
-            if stale || (superseded && same_incarnation) {
+            if superseded && same_incarnation {
+                self.end_superseded(index, change);
                 return;
             }
         }
@@ -341,6 +344,19 @@
         self.mark_changed(index);
     }
 
+    /// Withdraws a superseded backend server that announces that it is draining. It leaves without
+    /// having its address back, and a delayed announcement must not reclaim that.
+    fn end_superseded(&mut self, index: Revision, change: &BackendChange) {
+        if !change.is_draining() {
+            return;
+        }
+        let incarnation = BackendIncarnation {
+            backend: change.backend.clone(),
+            born: change.record.born,
+        };
+        self.withdraw(index, &incarnation);
+    }
+
     /// Returns whether a backend server that started later has the announced address. An
     /// announcement delayed by a network partition may arrive after its sender has ended and
     /// another backend server has started at the address; it would supersede the live one until
--- a/lib/tests/test_backend_life.rs
+++ b/lib/tests/test_backend_life.rs
@@ -7,6 +7,9 @@
 use std::time::Duration;
 
 use dispatch_model::Probe;
+use heatherring_lib::announcement_decision::AnnouncementDecision;
+use heatherring_lib::announcement_decision::SenderObservation;
+use heatherring_lib::announcement_decision::decide;
 use heatherring_lib::dispatch_request::SendOutcome;
 use heatherring_lib::encoding;
 use heatherring_lib::fleet_record::BackendChange;
@@ -176,6 +179,48 @@
     }
 }
 
+/// Guards against requests to a draining backend server whose address another one had taken over,
+/// after a ready announcement of it that was delayed.
+#[rstest]
+#[case::directly(false)]
+#[case::through_a_snapshot(true)]
+fn test_draining_without_its_address_is_final(#[case] restart: bool) {
+    let mut log = Log::new();
+    log.announce("one", 0, 1, BackendState::Ready);
+    log.announce("two", 0, 1, BackendState::Ready);
+    assert_eq!(log.known("one"), Some((0, 1, BackendState::Superseded)));
+    log.announce("one", 0, 3, BackendState::Draining);
+    if restart {
+        log.restart();
+    }
+    let delayed = BackendChange {
+        reclaims: true,
+        ..change("one", record(0, 2, BackendState::Ready))
+    };
+    let index = log.next();
+    log.state.announce(index, &[delayed]);
+    assert_eq!(log.known("one"), None);
+    assert_eq!(log.known("two"), Some((0, 1, BackendState::Ready)));
+}
+
+/// Guards against requests to a draining backend server whose address another one had taken over:
+/// its announcement has to be committed, although it changes nothing for now.
+#[rstest]
+#[case::successor_alive(false)]
+#[case::successor_silent(true)]
+fn test_draining_without_its_address_is_committed(#[case] may_reclaim: bool) {
+    let mut log = Log::new();
+    log.announce("one", 0, 1, BackendState::Ready);
+    log.announce("two", 0, 1, BackendState::Ready);
+    let draining = change("one", record(0, 2, BackendState::Draining));
+    let observed = SenderObservation {
+        may_reclaim,
+        new_cold_phase: false,
+    };
+    let decision = decide(&log.state, &draining.backend, &draining.record, observed);
+    assert_eq!(decision, AnnouncementDecision::Commit(draining));
+}
+
 /// Guards against a restarted backend server that never receives requests again: announcements
 /// of the new process are numbered from 1, and a number lower than the last one of the previous
 /// process must not be mistaken for a delayed announcement.
