drain: a draining backend server that is forgotten stays out of use

Control removes backend servers that were silent for half a minute. With the record, the state lost that the server had announced that it is draining. A ready announcement from before, which a frozen replica had accepted and commits when it goes on, registered the server anew, although its drain had been confirmed.

One that was not draining may announce itself again as before.

Found by reading and by a model; not seen in operation. The test failed before: `left: Some((1000, 2, Ready)) right: None`.

--- a/lib/src/fleet_state.rs
+++ b/lib/src/fleet_state.rs
@@ -378,24 +378,33 @@
         if self.withdrawn.len() > WITHDRAWAL_CAPACITY {
             self.withdrawn.pop_front();
         }
-        self.forget_backends(index, std::slice::from_ref(incarnation));
+        self.forget_one(index, incarnation);
     }
 
     /// Removes backend servers that have not been heard from within the retention time, except
-    /// those with a later incarnation. A removed backend server may announce itself again.
+    /// those with a later incarnation. A removed backend server may announce itself again, unless
+    /// it was draining.
     pub fn forget_backends(&mut self, index: Revision, incarnations: &[BackendIncarnation]) {
-        for BackendIncarnation { backend, born } in incarnations {
-            if self
-                .backend(backend)
-                .is_some_and(|known| known.born <= *born)
-            {
-                self.backends.remove(backend);
-                self.record_removal(index, RemovedItem::Backend(backend.clone()));
-                self.mark_changed(index);
+        for incarnation in incarnations {
+            let known = self.backend(&incarnation.backend);
+            if known.is_some_and(|known| known.drains_in(incarnation)) {
+                self.withdraw(index, incarnation);
+            } else {
+                self.forget_one(index, incarnation);
             }
         }
     }
 
+    fn forget_one(&mut self, index: Revision, incarnation: &BackendIncarnation) {
+        let BackendIncarnation { backend, born } = incarnation;
+        let known = self.backend(backend);
+        if known.is_some_and(|known| known.born <= *born) {
+            self.backends.remove(backend);
+            self.record_removal(index, RemovedItem::Backend(backend.clone()));
+            self.mark_changed(index);
+        }
+    }
+
     /// Registers an entry VM, or a new incarnation of a registered one.
     pub fn enroll_entry(&mut self, index: Revision, vm: &VmName, record: &EntryRecord) {
         if self.entry(vm) == Some(record) {
--- a/lib/tests/test_backend_life.rs
+++ b/lib/tests/test_backend_life.rs
@@ -221,6 +221,26 @@
     assert_eq!(decision, AnnouncementDecision::Commit(draining));
 }
 
+/// Guards against requests to a draining backend server that was silent for so long that control
+/// forgot it: a replica that was frozen still had a ready announcement of it to commit.
+#[rstest]
+#[case::directly(false)]
+#[case::through_a_snapshot(true)]
+fn test_draining_is_final_when_forgotten(#[case] restart: bool) {
+    let mut log = Log::new();
+    log.announce("one", 1_000, 3, BackendState::Draining);
+    let index = log.next();
+    log.state
+        .forget_backends(index, &[incarnation("one", 1_000)]);
+    if restart {
+        log.restart();
+    }
+    log.announce("one", 1_000, 2, BackendState::Ready);
+    assert_eq!(log.known("one"), None);
+    log.announce("one", 2_000, 1, BackendState::Ready);
+    assert_eq!(log.known("one"), Some((2_000, 1, BackendState::Ready)));
+}
+
 /// Guards against a restarted backend server that never receives requests again: announcements
 /// of the new process are numbered from 1, and a number lower than the last one of the previous
 /// process must not be mistaken for a delayed announcement.
