drain: a draining backend server whose address is taken over stays out of use

When another backend server announced itself at the address of a draining one, the record of the draining one turned to "superseded", and the state lost that it drains. Once that record was forgotten, a ready announcement from before the drain registered the server anew. A server whose draining announcement arrived after its successor's was recorded as superseded alike.

In both cases the incarnation is now withdrawn. "Superseded" thus means a server that may return.

Once an end is confirmed, the incarnation must never be ready again.

--- a/lib/src/fleet_record.rs
+++ b/lib/src/fleet_record.rs
@@ -195,6 +195,15 @@
 }
 
 impl BackendChange {
+    /// Returns the incarnation that announces itself.
+    #[must_use]
+    pub fn incarnation(&self) -> BackendIncarnation {
+        BackendIncarnation {
+            backend: self.backend.clone(),
+            born: self.record.born,
+        }
+    }
+
     /// Returns whether the backend server announces that it is draining.
     #[must_use]
     pub fn is_draining(&self) -> bool {
--- a/lib/src/fleet_state.rs
+++ b/lib/src/fleet_state.rs
@@ -330,13 +330,22 @@
             let same_incarnation = change.record.born == known.born;
             let superseded = known.state == BackendState::Superseded && !change.reclaims;
             if superseded && same_incarnation {
-                self.end_superseded(index, change);
+                // It leaves without having its address back.
+                if change.is_draining() {
+                    self.withdraw(index, &change.incarnation());
+                }
                 return;
             }
         }
         let mut record = change.record.clone();
         if self.address_has_newer_owner(change) {
+            if change.is_draining() {
+                self.withdraw(index, &change.incarnation());
+                return;
+            }
             record.state = BackendState::Superseded;
+        } else {
+            self.end_draining_holder(index, change);
         }
         // Any other holder of the address becomes superseded: requests meant for an earlier
         // incarnation must not be sent to the one that was last announced there.
@@ -344,17 +353,20 @@
         self.mark_changed(index);
     }
 
-    /// Withdraws a superseded backend server that announces that it is draining. It leaves without
-    /// having its address back, and a delayed announcement must not reclaim that.
-    fn end_superseded(&mut self, index: Revision, change: &BackendChange) {
-        if !change.is_draining() {
-            return;
+    /// Withdraws the holder of an announced address if it is draining. A superseded backend server
+    /// may return, a draining one must not.
+    fn end_draining_holder(&mut self, index: Revision, change: &BackendChange) {
+        let holder = self.backends.holder(change.record.address);
+        let draining = holder.filter(|(name, record)| {
+            **name != change.backend && record.state == BackendState::Draining
+        });
+        let draining = draining.map(|(name, record)| BackendIncarnation {
+            backend: name.clone(),
+            born: record.born,
+        });
+        if let Some(incarnation) = draining {
+            self.withdraw(index, &incarnation);
         }
-        let incarnation = BackendIncarnation {
-            backend: change.backend.clone(),
-            born: change.record.born,
-        };
-        self.withdraw(index, &incarnation);
     }
 
     /// Returns whether a backend server that started later has the announced address. An
--- a/lib/tests/test_backend_life.rs
+++ b/lib/tests/test_backend_life.rs
@@ -221,6 +221,36 @@
     assert_eq!(decision, AnnouncementDecision::Commit(draining));
 }
 
+/// Guards against requests to a draining backend server whose address another one takes over: the
+/// state must not lose that it drains.
+#[rstest]
+#[case::successor_announced_later(1_000, 2_000, true)]
+#[case::successor_known_already(1_000, 2_000, false)]
+#[case::starts_unknown(0, 0, true)]
+fn test_draining_is_final_when_its_address_is_taken_over(
+    #[case] born: u64,
+    #[case] born_of_successor: u64,
+    #[case] drains_first: bool,
+) {
+    let mut log = Log::new();
+    if drains_first {
+        log.announce("one", born, 3, BackendState::Draining);
+        log.announce("two", born_of_successor, 1, BackendState::Ready);
+    } else {
+        log.announce("two", born_of_successor, 1, BackendState::Ready);
+        log.announce("one", born, 3, BackendState::Draining);
+    }
+    let index = log.next();
+    log.state
+        .forget_backends(index, &[incarnation("one", born)]);
+    log.announce("one", born, 2, BackendState::Ready);
+    assert_eq!(log.known("one"), None);
+    assert_eq!(
+        log.known("two"),
+        Some((born_of_successor, 1, BackendState::Ready))
+    );
+}
+
 /// Guards against requests to a draining backend server that was silent for so long that control
 /// forgot it: a replica that was frozen still had a ready announcement of it to commit.
 #[rstest]
