drain: a draining announcement without effect is not confirmed

A draining announcement that an announcement with the same or a higher number had overtaken was answered with success, while the backend server stayed in use: the replica took it for a repeated one. This happens to a server that numbers its announcements anew without naming its incarnation.

Control cannot tell such a server from the delayed announcement of an earlier process, so it does not commit it either. It now answers 503, as for any drain that is not known to be committed, and the log of the state is unchanged.

--- a/lib/src/announcement_decision.rs
+++ b/lib/src/announcement_decision.rs
@@ -25,6 +25,9 @@
     Unchanged,
     /// The change is to be committed.
     Commit(BackendChange),
+    /// It states that the backend server is draining, but a later one states the contrary, so that
+    /// a commit would have no effect.
+    Overtaken,
 }
 
 /// Returns whether the announced incarnation of a backend server has ended: it has withdrawn, or a
@@ -68,11 +71,16 @@
     let Some(known) = fleet.backend(backend) else {
         return commit(false);
     };
+    let drains = record.state == BackendState::Draining;
     if record.stamp() <= known.stamp() {
-        return AnnouncementDecision::Unchanged;
+        return if drains && known.state != BackendState::Draining {
+            AnnouncementDecision::Overtaken
+        } else {
+            AnnouncementDecision::Unchanged
+        };
     }
     let reclaims = is_superseded(known, record);
-    if reclaims && record.state == BackendState::Draining {
+    if reclaims && drains {
         return commit(false);
     }
     if reclaims && !observed.may_reclaim {
--- a/lib/tests/test_backend_life.rs
+++ b/lib/tests/test_backend_life.rs
@@ -251,6 +251,29 @@
     );
 }
 
+/// Guards against the confirmation of a draining announcement that the state passes over.
+#[rstest]
+#[case::ready_since(2, 3, BackendState::Ready, AnnouncementDecision::Overtaken)]
+#[case::same_number(3, 3, BackendState::Ready, AnnouncementDecision::Overtaken)]
+#[case::draining_since(2, 3, BackendState::Draining, AnnouncementDecision::Unchanged)]
+#[case::repeated(3, 3, BackendState::Draining, AnnouncementDecision::Unchanged)]
+fn test_draining_is_not_confirmed_when_overtaken(
+    #[case] sequence: u64,
+    #[case] known_sequence: u64,
+    #[case] known: BackendState,
+    #[case] expected: AnnouncementDecision,
+) {
+    let mut log = Log::new();
+    log.announce("one", 1_000, known_sequence, known);
+    let draining = change("one", record(1_000, sequence, BackendState::Draining));
+    let observed = SenderObservation {
+        may_reclaim: true,
+        new_cold_phase: false,
+    };
+    let decision = decide(&log.state, &draining.backend, &draining.record, observed);
+    assert_eq!(decision, expected);
+}
+
 /// Guards against requests to a draining backend server that was silent for so long that control
 /// forgot it: a replica that was frozen still had a ready announcement of it to commit.
 #[rstest]
--- a/lib/tests/test_drain_model.rs
+++ b/lib/tests/test_drain_model.rs
@@ -186,6 +186,7 @@
         match announcement_decision::decide(fleet, &backend, &record, observed) {
             AnnouncementDecision::Commit(change) if drains => self.commit(&change),
             AnnouncementDecision::Commit(change) => return self.waiting.push(change),
+            AnnouncementDecision::Overtaken => return,
             AnnouncementDecision::Unchanged => {}
         }
         if drains {
--- a/server/src/fleet_control.rs
+++ b/server/src/fleet_control.rs
@@ -120,6 +120,10 @@
         /// Reason for which the record was refused.
         source: RecordProblem,
     },
+    /// The backend server announces that it is draining, but a later announcement of it states the
+    /// contrary.
+    #[snafu(display("a later announcement states that the backend server is ready"))]
+    Overtaken,
     /// The response is of another kind than the command calls for.
     #[snafu(display("the response is of another kind than the command calls for"))]
     UnexpectedResponse,
@@ -413,8 +417,8 @@
     ///
     /// # Errors
     ///
-    /// Fails if this replica is not current, if the record is unusable, or if a drain is not known
-    /// to be committed; the backend server then turns to another replica.
+    /// Fails if this replica is not current, if the record is unusable, or if a drain is overtaken or
+    /// not known to be committed; the backend server then turns to another replica.
     pub async fn announce(&self, announcement: Announcement) -> Result<(), FleetError> {
         let published = self.inner.published.read();
         let began = self.inner.clock.now();
@@ -437,6 +441,7 @@
         let change = match decision {
             AnnouncementDecision::Commit(change) => change,
             AnnouncementDecision::Unchanged => return Ok(()),
+            AnnouncementDecision::Overtaken => return OvertakenSnafu.fail(),
         };
         log::info!(event = "backend_changed", backend = change.backend.as_str(), service = change.record.service.as_str(), address:% = change.record.address, state:? = change.record.state, sequence = change.record.sequence; "a backend server announced a change");
         if draining {
