testutils: config-soak judges the route manifest over real processes

Operators saw rule CONFIG broken on real processes, and nothing here judged that rule over real processes but for one of its faults: config-lag measures how late added routes come into force.

Everything is recorded by one clock. The judges are functions over that record without I/O: in force late; read back older or with another content; an entry VM that goes back; two confirmed changes of one version; a refused change in force; a refusal without a reason. At the end all control replicas are killed, one loses its folder, and the manifest is read back.

A process that ends by itself is started again after a pause, and printed with its last log line.

--- a/testutils/src/direct_cluster.rs
+++ b/testutils/src/direct_cluster.rs
@@ -17,6 +17,7 @@
 use crate::cluster_error::ClusterError;
 use crate::cluster_error::FileSnafu;
 use crate::cluster_plan::VmPlan;
+use crate::config_record::Vm;
 use crate::loopback::BACKEND_SERVERS_PORT;
 use crate::loopback::CALLERS_PORT;
 use crate::loopback::CONTROL_PORT;
@@ -116,8 +117,9 @@
     /// The links towards control replicas.
     pub network: Network,
     binary: PathBuf,
+    relays: Vec<SocketAddr>,
     folder: TempDir,
-    _block: LoopbackBlock,
+    block: LoopbackBlock,
 }
 
 impl DirectCluster {
@@ -155,10 +157,11 @@
             entries,
             network,
             binary: binary.to_owned(),
+            relays,
             folder,
-            _block: block,
+            block,
         };
-        cluster.write_settings(plan, &relays)?;
+        cluster.write_settings(plan, &cluster.relays, true)?;
         for number in 0..cluster.controls.len() {
             cluster.start_control(number)?;
         }
@@ -169,7 +172,21 @@
         Ok(cluster)
     }
 
-    fn write_settings(&self, plan: &DirectPlan, relays: &[SocketAddr]) -> Result<(), ClusterError> {
+    /// Writes the settings again, as those of a cluster that has been formed.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if a file can't be written.
+    pub fn write_settings_of_formed(&self, plan: &DirectPlan) -> Result<(), ClusterError> {
+        self.write_settings(plan, &self.relays, false)
+    }
+
+    fn write_settings(
+        &self,
+        plan: &DirectPlan,
+        relays: &[SocketAddr],
+        first_start: bool,
+    ) -> Result<(), ClusterError> {
         let places: serde_json::Map<String, Value> = plan
             .places()
             .into_iter()
@@ -184,7 +201,7 @@
                 "advertise": relay,
                 "data_folder": self.folder.path().join(&vm.plan.vm),
                 "security": "open_loopback",
-                "formation": {"seeds": seeds, "first_start": true},
+                "formation": {"seeds": seeds, "first_start": first_start},
                 "direct": {"listen": vm.orders(), "places": places},
             });
             write(vm, &settings)?;
@@ -279,6 +296,75 @@
         Ok(())
     }
 
+    /// Returns all VMs.
+    pub fn vms(&self) -> impl Iterator<Item = Vm> + use<> {
+        let controls = (0..self.controls.len()).map(Vm::Control);
+        controls.chain((0..self.entries.len()).map(Vm::Entry))
+    }
+
+    /// Returns a VM.
+    ///
+    /// # Panics
+    ///
+    /// Panics if there is none of this number.
+    #[must_use]
+    pub fn vm(&self, vm: Vm) -> &DirectVm {
+        match vm {
+            Vm::Control(number) => &self.controls[number],
+            Vm::Entry(number) => &self.entries[number],
+        }
+    }
+
+    /// Returns a VM's process.
+    ///
+    /// # Panics
+    ///
+    /// Panics if there is no VM of this number.
+    pub fn process(&mut self, vm: Vm) -> &mut Option<Process> {
+        match vm {
+            Vm::Control(number) => &mut self.controls[number].process,
+            Vm::Entry(number) => &mut self.entries[number].process,
+        }
+    }
+
+    /// Starts a VM's process.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the program can't be started.
+    pub fn start_vm(&mut self, vm: Vm) -> Result<(), ClusterError> {
+        match vm {
+            Vm::Control(number) => self.start_control(number),
+            Vm::Entry(number) => self.start_entry(number),
+        }
+    }
+
+    /// Deletes the data folder of a control replica that isn't running.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if it can't be deleted.
+    pub fn delete_data(&self, control: usize) -> Result<(), ClusterError> {
+        let path = self.folder.path().join(&self.controls[control].plan.vm);
+        match std::fs::remove_dir_all(&path) {
+            Err(error) if error.kind() != std::io::ErrorKind::NotFound => {
+                Err(error).context(FileSnafu { path })
+            }
+            _ => Ok(()),
+        }
+    }
+
+    /// Returns the log of a VM.
+    #[must_use]
+    pub fn log(&self, vm: Vm) -> PathBuf {
+        self.log_of(self.vm(vm))
+    }
+
+    /// Returns an address for what belongs to no VM.
+    pub fn next_address(&mut self) -> IpAddr {
+        self.block.next_vm()
+    }
+
     /// Returns where the processes write their logs.
     #[must_use]
     pub fn folder(&self) -> &Path {
--- a/testutils/src/lib.rs
+++ b/testutils/src/lib.rs
@@ -1,6 +1,7 @@
 //! Stand-ins for what surrounds heatherring: backend servers, callers, slow and cut
 //! links, a cluster of real processes, and the check of what all of them recorded.
 
+pub mod announced_backend;
 mod announcer;
 pub mod answer_fault;
 mod backend_connection;
@@ -10,8 +11,16 @@
 pub mod cluster_error;
 pub mod cluster_operator;
 pub mod cluster_plan;
+pub mod config_callers;
 pub mod config_faults;
+pub mod config_judge;
+pub mod config_operator;
 pub mod config_probe;
+pub mod config_record;
+pub mod config_recorder;
+pub mod config_routes;
+pub mod config_soak;
+pub mod config_touch;
 pub mod control_cluster;
 pub mod control_history;
 pub mod deployment;
@@ -26,6 +35,7 @@
 pub mod echo;
 mod endless_answer;
 pub mod fake_backend_server;
+pub mod http_call;
 mod late_answer;
 pub mod ledger;
 pub mod load_summary;
@@ -40,6 +50,8 @@
 pub mod relay;
 pub mod request_history;
 pub mod service_time;
+
+pub mod soak_faults;
 pub mod socket_owner;
 mod spell_plan;
 pub mod steady_load;
