control: a replica that was replaced joins anew in its process

Operators were left with control that is short of replicas for good, where nothing starts a process anew that ended with code 0: a replica that had been away for so long that the leader removed it emptied its folder and ended. Started again by hand with `first_start` still true, a founder founded with its former identity, which is no longer a member.

By reading, several end within a tenth of a second although the leader removes one every half second: replicas that start together ask in step, once a second, whether they are still members.

The command runs the replica in a runtime of its own. Once it has been replaced, that runtime ends, and with it all tasks, sockets and the lock of the folder; the replica then runs again and joins under a fresh identity, whatever `first_start` says. Requests to stop reach each run, since signals are handled outside.

--- a/cli/src/commands/control.rs
+++ b/cli/src/commands/control.rs
@@ -14,6 +14,7 @@
 use heatherring_lib::settings_text::read_control_settings;
 use heatherring_server::control_format;
 use heatherring_server::control_format::FormatError;
+use heatherring_server::control_process::ControlEnd;
 use heatherring_server::control_process::ControlError;
 use heatherring_server::control_process::run_control;
 use heatherring_server::data_folder::Identity;
@@ -142,13 +143,32 @@
     let input = read_settings_file(matches)?;
     let settings = parse_settings(&input)?;
     logging::start(settings.log.level).map_err(CliError::internal)?;
-    runtime()?.block_on(async {
-        let shutdown = Shutdown::on_signals().map_err(CliError::internal)?;
+    let signals = runtime()?;
+    let shutdown = signals.block_on(async {
         Shutdown::ignore_hangups().map_err(CliError::internal)?;
-        let interface = interfaces::control(&settings);
-        let replica = run_control(settings, Arc::new(SystemClock), shutdown, interface);
-        replica.await.map_err(|error| control_error(&input, error))
-    })
+        Shutdown::on_signals().map_err(CliError::internal)
+    })?;
+    let mut current = settings;
+    while run_once(&input, &current, &shutdown)? == ControlEnd::Replaced {
+        // The first start of the deployment is over.
+        if let Some(formation) = &mut current.formation {
+            formation.first_start = false;
+        }
+    }
+    Ok(())
+}
+
+/// Runs the replica in a runtime of its own, with which all tasks of the run end.
+fn run_once(
+    input: &Input,
+    settings: &ControlSettings,
+    shutdown: &Shutdown,
+) -> Result<ControlEnd, CliError> {
+    let interface = interfaces::control(settings);
+    let clock = Arc::new(SystemClock);
+    let replica = run_control(settings.clone(), clock, shutdown.clone(), interface);
+    let ended = runtime()?.block_on(replica);
+    ended.map_err(|error| control_error(input, error))
 }
 
 fn print_formatted(identity: &Identity) {
--- a/server/src/control_process.rs
+++ b/server/src/control_process.rs
@@ -162,7 +162,17 @@
     }
 }
 
-/// Runs a control replica until `shutdown` requests a stop.
+/// Reason for which a control replica has ended without an error.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum ControlEnd {
+    /// A stop was requested.
+    Stopped,
+    /// Another replica has taken its place, and its data folder was emptied. It can join again
+    /// under a fresh identity, once all tasks of this run have ended.
+    Replaced,
+}
+
+/// Runs a control replica until `shutdown` requests a stop, or until it has been replaced.
 ///
 /// A planned stop hands leadership over, answers pending requests and closes the connections;
 /// a second request of `shutdown` skips the remaining steps. `interface` implements the protocol
@@ -177,7 +187,7 @@
     clock: Arc<dyn Clock>,
     mut shutdown: Shutdown,
     interface: Option<Arc<dyn ControlInterface>>,
-) -> Result<(), ControlError> {
+) -> Result<ControlEnd, ControlError> {
     let security = PeerSecurity::from_settings(&settings.security).context(SecuritySnafu)?;
     let listener = TcpListener::bind(settings.listen)
         .await
@@ -189,7 +199,7 @@
         opened = open_folder(&settings, &channels) => opened?,
         () = shutdown.requested() => {
             log::info!(event = "control_ended"; "stop requested while joining");
-            return Ok(());
+            return Ok(ControlEnd::Stopped);
         }
     };
     let identity = recovered.identity;
@@ -242,8 +252,8 @@
         "control replica started"
     );
     tokio::select! {
-        result = &mut node => return node_result(result),
-        result = &mut server => return server_result(result),
+        result = &mut node => return node_result(result).map(|()| ControlEnd::Stopped),
+        result = &mut server => return server_result(result).map(|()| ControlEnd::Stopped),
         () = removed => return erase_replaced(&settings),
         () = shutdown.requested() => {}
     }
@@ -251,7 +261,7 @@
     handle.leave().await;
     tokio::select! {
         result = &mut node => node_result(result)?,
-        () = shutdown.requested_again() => return Ok(()),
+        () = shutdown.requested_again() => return Ok(ControlEnd::Stopped),
     }
     stop_listeners.cancel();
     // Sending fails only if the server has ended by itself.
@@ -268,7 +278,7 @@
         () = tokio::time::sleep(FINISH_TIMEOUT) => log::warn!(event = "control_stop_late"; "some connections did not end in time; closing them"),
     }
     log::info!(event = "control_ended"; "control replica stopped");
-    Ok(())
+    Ok(ControlEnd::Stopped)
 }
 
 /// Opens the data folder, and formats it first if needed and the settings describe how. In that
@@ -468,11 +478,11 @@
     }
 }
 
-/// Empties the data folder of a replica that was replaced, so that the process joins again at its
-/// next start.
-fn erase_replaced(settings: &ControlSettings) -> Result<(), ControlError> {
-    log::warn!(event = "replaced"; "this replica was replaced; emptying its data folder, so that it joins again at its next start");
-    formation::erase(settings).context(EraseSnafu)
+/// Empties the data folder of a replica that was replaced, so that it can join again.
+fn erase_replaced(settings: &ControlSettings) -> Result<ControlEnd, ControlError> {
+    log::warn!(event = "replaced"; "this replica was replaced; emptying its data folder, so that it joins again");
+    formation::erase(settings).context(EraseSnafu)?;
+    Ok(ControlEnd::Replaced)
 }
 
 fn node_result(
--- a/server/src/demo.rs
+++ b/server/src/demo.rs
@@ -32,6 +32,7 @@
 
 use crate::control_format;
 use crate::control_format::FormatError;
+use crate::control_process::ControlEnd;
 use crate::control_process::ControlError;
 use crate::control_process::run_control;
 use crate::demo_backend_server;
@@ -164,7 +165,7 @@
     let servers = start_backends(backends, &stop_backends);
     tokio::select! {
         result = submit() => result?,
-        ended = &mut control => return ended.context(TaskSnafu)?.context(ControlSnafu),
+        ended = &mut control => return control_result(ended),
         Some(ended) = entries.join_next() => ended.context(TaskSnafu)?.context(EntrySnafu)?,
     }
     ready(&instructions());
@@ -176,7 +177,14 @@
     servers.close();
     servers.wait().await;
     stop_control.request();
-    control.await.context(TaskSnafu)?.context(ControlSnafu)
+    control_result(control.await)
+}
+
+fn control_result(
+    ended: Result<Result<ControlEnd, ControlError>, tokio::task::JoinError>,
+) -> Result<(), DemoError> {
+    ended.context(TaskSnafu)?.context(ControlSnafu)?;
+    Ok(())
 }
 
 fn address(port: u16) -> SocketAddr {
--- a/server/tests/direct_support/mod.rs
+++ b/server/tests/direct_support/mod.rs
@@ -139,7 +139,8 @@
     pub fn start(settings: ControlSettings) -> Self {
         let interface = Some(Arc::new(OwnInterface) as _);
         let process = OwnProcess::start(|shutdown| {
-            run_control(settings.clone(), Arc::new(SystemClock), shutdown, interface)
+            let running = run_control(settings.clone(), Arc::new(SystemClock), shutdown, interface);
+            async { running.await.map(|_| ()) }
         });
         Self { settings, process }
     }
--- a/server/tests/test_control_node.rs
+++ b/server/tests/test_control_node.rs
@@ -17,6 +17,7 @@
 use heatherring_lib::view::EntryInfo;
 use heatherring_lib::view::ViewChange;
 use heatherring_lib::view::ViewChangeKind;
+use heatherring_server::control_process::ControlEnd;
 use heatherring_server::control_process::ControlError;
 use heatherring_server::control_process::run_control;
 use heatherring_server::proto::HistoryReply;
@@ -48,7 +49,7 @@
 struct Replica {
     settings: ControlSettings,
     trigger: ShutdownTrigger,
-    task: JoinHandle<Result<(), ControlError>>,
+    task: JoinHandle<Result<ControlEnd, ControlError>>,
 }
 
 impl Replica {
