announcements: a leaving that its owner did not take is not confirmed

An entry VM that does not own a backend server passes its announcements on. It answered with success even where the owner could not be reached, so that a backend server took its leaving for confirmed while the owner went on sending requests to it. The repetition on which this relied is not due any more after a confirmation.

If the owner did not take it, the answer to the announcement of a leaving is now 503 with `owner_unreachable`, and the backend server announces it again. Other announcements are answered as before.

Found by reading; not seen in operation.

--- a/server/src/announce_listener.rs
+++ b/server/src/announce_listener.rs
@@ -5,6 +5,7 @@
 
 use heatherring_lib::announcement::Announcement;
 use heatherring_lib::announcement::AnnouncementReply;
+use heatherring_lib::announcement::BackendState;
 use heatherring_lib::announcement::OwnerAddress;
 use heatherring_lib::outcome::Attempt;
 use heatherring_lib::outcome::NotRunReason;
@@ -123,10 +124,16 @@
         let Some(owner) = owner else {
             return json(StatusCode::OK, &AnnouncementReply::new(None));
         };
-        if state.lease.session() == Some(owner.id) {
-            self.cx.admission.announce(announcement).await;
+        let leaves = announcement.state == BackendState::Leaving;
+        let is_taken = if state.lease.session() == Some(owner.id) {
+            let taken = self.cx.admission.announce(announcement).await;
+            matches!(taken, Some(Ok(())))
         } else {
-            self.forward(owner, &announcement).await;
+            self.forward(owner, &announcement).await
+        };
+        // The confirmation promises that requests cease.
+        if leaves && !is_taken {
+            return self.refuse(NotRunReason::OwnerUnreachable);
         }
         let address = OwnerAddress {
             vm: owner.info.vm.clone(),
@@ -135,22 +142,26 @@
         json(StatusCode::OK, &AnnouncementReply::new(Some(address)))
     }
 
-    /// Forwards the announcement to its owner. A failure is not reported: the backend server
-    /// sends its next announcement to the owner directly, and to others when that fails.
-    async fn forward(&self, owner: &EntrySession, announcement: &Announcement) {
+    /// Forwards the announcement to its owner; returns whether that took it. A failure is reported
+    /// only if the backend server is leaving: otherwise it sends its next announcement to the owner
+    /// directly, and to others when that fails.
+    async fn forward(&self, owner: &EntrySession, announcement: &Announcement) -> bool {
         let Some(channel) = self.cx.peers.channel(owner.id).await else {
-            return;
+            return false;
         };
         let Ok(announcement_encoded) = postcard::to_stdvec(announcement) else {
-            return;
+            return false;
         };
         let mut client = PeerClient::new(channel);
         let call = client.announce(AnnounceRequest {
             announcement_encoded,
         });
-        if !matches!(tokio::time::timeout(FORWARD_TIMEOUT, call).await, Ok(Ok(_))) {
+        let reply = tokio::time::timeout(FORWARD_TIMEOUT, call).await;
+        let Ok(Ok(reply)) = reply else {
             log::warn!(event = "announcement_not_passed_on", backend = announcement.backend.as_str(), owner = owner.info.vm.as_str(); "cannot forward an announcement: its owner did not answer in time");
-        }
+            return false;
+        };
+        reply.into_inner().taken
     }
 
     fn refuse(&self, reason: NotRunReason) -> Response<AnswerBody> {
