drain-soak: servers that have requests are the ones to leave

Backend servers were placed at random, so that some regions had none and some servers no requests; their leaving showed nothing. They are now dealt to the places, and one that was sent a request within half a second leaves. At most 40 late requests are printed, and their number.

--- a/testutils/src/bin/drain-soak.rs
+++ b/testutils/src/bin/drain-soak.rs
@@ -23,6 +23,9 @@
 /// Delay of one direction between two regions.
 const BETWEEN_REGIONS: Duration = Duration::from_millis(12);
 
+/// Late requests that are printed.
+const MAX_PRINTED: usize = 40;
+
 fn command() -> Command {
     let number = |name: &'static str, default: &'static str, help: &'static str| {
         Arg::new(name)
@@ -111,13 +114,15 @@
     for line in summary_lines(soak.judge()).values() {
         println!("{line}");
     }
-    for late in &soak.judge().late {
+    let late = &soak.judge().late;
+    for late in late.iter().take(MAX_PRINTED) {
         println!("late: {late}");
     }
+    println!("{} late", late.len());
     if let Some(folder) = matches.get_one::<PathBuf>("logs") {
         copy_logs(&soak, folder);
     }
-    Ok(soak.judge().late.len())
+    Ok(late.len())
 }
 
 fn copy_logs(soak: &DrainSoak, folder: &Path) {
--- a/testutils/src/drain_soak.rs
+++ b/testutils/src/drain_soak.rs
@@ -51,6 +51,9 @@
 const CALLERS: usize = 2;
 const CALLER_PAUSE: Duration = Duration::from_millis(60);
 
+/// Time since its last request within which a backend server counts as busy.
+const BUSY: Duration = Duration::from_millis(500);
+
 /// Time for which a server that left is watched.
 const WATCHED: Duration = Duration::from_secs(12);
 
@@ -148,7 +151,7 @@
     rng: ChaCha8Rng,
     block: LoopbackBlock,
     running: Vec<Running>,
-    started: u32,
+    started: usize,
     disturbances: Disturbances,
     judge: DrainJudge,
     counts: Arc<CallerCounts>,
@@ -249,7 +252,8 @@
         // A name comes again only with an incarnation that is named.
         let kept_name = before.filter(|before| before.born > 0 && self.rng.random_bool(0.5));
         let is_named = kept_name.is_some() || self.rng.random_bool(0.5);
-        let place = self.cluster.entries.choose(&mut self.rng);
+        // Dealt, so that each region has some.
+        let place = self.cluster.entries.iter().cycle().nth(self.started);
         let identity = ServerIdentity {
             name: kept_name.map_or_else(
                 || format!("backend-{}", self.started),
@@ -300,8 +304,7 @@
         let fault = faults.choose(&mut self.rng).copied();
         let fault = fault.unwrap_or(AfterConfirmation::Nothing);
         let replica = self.rng.random_range(0..self.cluster.controls.len());
-        let leaves = self.rng.random_range(0..self.running.len());
-        let leaving = self.running.swap_remove(leaves);
+        let leaving = self.take_one();
         if fault == AfterConfirmation::WasBehind {
             self.isolate(replica);
             let behind = Duration::from_millis(self.rng.random_range(0..900));
@@ -342,6 +345,20 @@
         Ok(())
     }
 
+    /// Takes one of the backend servers that have requests, or of all if none has any.
+    fn take_one(&mut self) -> Running {
+        let now = Instant::now();
+        let is_busy = |running: &Running| {
+            let arrivals = running.server.arrivals();
+            arrivals.last().is_some_and(|last| now - last.at < BUSY)
+        };
+        let all = 0..self.running.len();
+        let busy: Vec<usize> = all.filter(|one| is_busy(&self.running[*one])).collect();
+        let one = busy.choose(&mut self.rng).copied();
+        let one = one.unwrap_or_else(|| self.rng.random_range(0..self.running.len()));
+        self.running.swap_remove(one)
+    }
+
     /// Ends a backend server that left, and starts another one at its address.
     async fn replace(&mut self, leaving: Running) -> Result<(), SoakError> {
         let before = leaving.server.identity().clone();
