config-soak: rivals differ in content

Both operators had drawn the same change of the same route's timeout, under the same number: one change sent twice, which is rightly confirmed each time. By the record, both contents were equal.

--- a/testutils/src/config_operator.rs
+++ b/testutils/src/config_operator.rs
@@ -94,13 +94,14 @@
     pub async fn run(mut self) {
         loop {
             let rivals = 1 + usize::from(self.version > 0 && self.rng.random_bool(RACES));
-            let mut contending = Vec::new();
+            let mut contending: Vec<Proposal> = Vec::new();
             for rival in 0..rivals {
                 let skipped = u64::from(rival > 0 && self.rng.random_bool(0.5));
-                let proposal = self.propose(skipped);
-                contending.push(proposal.change);
+                let proposal = self.propose(skipped, contending.last());
+                contending.push(proposal.clone());
                 self.send(proposal);
             }
+            let contending = contending.iter().map(|proposal| proposal.change).collect();
             if !self.settle(contending).await {
                 self.read_back().await;
             }
@@ -140,15 +141,15 @@
         }
     }
 
-    /// Draws a change; its number leaves out `skipped` ones.
-    fn propose(&mut self, skipped: u64) -> Proposal {
-        let mut routes = (*self.routes).clone();
-        let about = if self.version == 0 {
-            (0..FIRST_ROUTES).map(|_| self.add(&mut routes)).collect()
-        } else {
-            self.draw_change(&mut routes)
+    /// Draws a change; its number leaves out `skipped` ones. It differs from `rival`: the same
+    /// change, sent twice, would rightly be confirmed twice.
+    fn propose(&mut self, skipped: u64, rival: Option<&Proposal>) -> Proposal {
+        let (routes, about) = loop {
+            let (routes, about) = self.draw_routes();
+            if rival.is_none_or(|rival| *rival.routes != routes) {
+                break (Arc::new(routes), about);
+            }
         };
-        let routes = Arc::new(routes);
         let version = self.version + 1 + skipped;
         let form = if self.rng.random_bool(WHOLE) {
             Form::Whole
@@ -166,6 +167,17 @@
         }
     }
 
+    /// Draws the routes after a change, and the names of those concerned.
+    fn draw_routes(&mut self) -> (Routes, Vec<String>) {
+        let mut routes = (*self.routes).clone();
+        let about = if self.version == 0 {
+            (0..FIRST_ROUTES).map(|_| self.add(&mut routes)).collect()
+        } else {
+            self.draw_change(&mut routes)
+        };
+        (routes, about)
+    }
+
     /// Changes `routes`; returns the names of those concerned.
     fn draw_change(&mut self, routes: &mut Routes) -> Vec<String> {
         let crowded = routes.len() >= MOST_ROUTES;
--- a/testutils/src/config_recorder.rs
+++ b/testutils/src/config_recorder.rs
@@ -6,7 +6,6 @@
 use std::sync::PoisonError;
 use std::sync::atomic::AtomicU32;
 use std::sync::atomic::Ordering;
-use std::time::Duration;
 use std::time::Instant;
 
 use crate::config_judge::Changes;
@@ -132,6 +131,3 @@
         self.modify(|record| Changes::new(record).confirmed())
     }
 }
-
-/// Time between two questions whether something was noted.
-pub const POLL: Duration = Duration::from_millis(20);
