callers: a request for a tunnel is refused

Callers that sent CONNECT with the path of a route got a 200 with an empty body, framed as whole, for an action that had run: the request was forwarded like any other, and the HTTP library takes a success for the begin of a tunnel, whose answer has no body.

Nothing here offers tunnels, so CONNECT is now answered 400 and its connection closed, at every listener, as other requests that the library accepts and that must not be handled.

test_strict_requests failed before in both cases ("CONNECT /safe/x HTTP/1.1: HTTP/1.1 200 OK" at an entry VM that dispatches directly, 404 at one with owners, whose connection stayed open) and passes now.

--- a/server/src/http_server.rs
+++ b/server/src/http_server.rs
@@ -480,6 +480,7 @@
         HeadFraming::Plain
     };
     let checked = request_fault::check_framing(framing)
+        .and_then(|()| request_fault::check_method(req.method()))
         .and_then(|()| request_fault::check_host(req.version(), req.headers()));
     let Err(fault) = checked else {
         return handler.handle(arrival, req).await;
--- a/server/src/pipelined_connection.rs
+++ b/server/src/pipelined_connection.rs
@@ -294,6 +294,7 @@
         let progress = &self.setup.progress;
         let framing = progress.finish_head(req.body().size_hint().exact());
         request_fault::check_framing(framing)?;
+        request_fault::check_method(req.method())?;
         request_fault::check_host(req.version(), req.headers())?;
         let mut state = progress.state();
         state.head_since = None;
--- a/server/src/request_fault.rs
+++ b/server/src/request_fault.rs
@@ -3,6 +3,7 @@
 use heatherring_lib::head_scanner::HeadFraming;
 use heatherring_lib::host_value;
 use http::HeaderMap;
+use http::Method;
 use http::Version;
 use http::header::HOST;
 use snafu::OptionExt;
@@ -24,6 +25,10 @@
     /// The request has both `Content-Length` and `Transfer-Encoding`.
     #[snafu(display("a request has both Content-Length and Transfer-Encoding"))]
     LengthAndEncoding,
+    /// The request asks for a tunnel. The HTTP library takes a success for the begin of one, and drops the
+    /// answer's body.
+    #[snafu(display("a request asks for a tunnel, which is not offered here"))]
+    Tunnel,
     /// The request's head does not end where a piece of the stream ends, so its bytes are unknown.
     #[snafu(display("the bytes of a request's head are unknown"))]
     UnknownHead,
@@ -50,6 +55,16 @@
         .context(InvalidHostSnafu)
 }
 
+/// Checks that a request does not ask for a tunnel.
+///
+/// # Errors
+///
+/// Returns what is wrong.
+pub fn check_method(method: &Method) -> Result<(), RequestFault> {
+    ensure!(*method != Method::CONNECT, TunnelSnafu);
+    Ok(())
+}
+
 /// Checks that a request defines the end of its body in one way only.
 ///
 /// # Errors
--- a/server/tests/test_strict_requests.rs
+++ b/server/tests/test_strict_requests.rs
@@ -23,23 +23,24 @@
 /// Time after which a test fails; generous, and no measurement depends on it.
 const TEST_TIMEOUT: Duration = Duration::from_secs(20);
 
-/// Header fields, in some cases with a body, with one fault each.
-const FAULTS: [&str; 6] = [
-    "\r\n",
-    "host: HOST\r\nhost: other.example\r\n\r\n",
-    "host: HOST\r\nhost: HOST\r\n\r\n",
-    "host: a/b\r\n\r\n",
-    "host: HOST\r\ntransfer-encoding: chunked\r\ncontent-length: 3\r\n\r\n0\r\n\r\n",
-    "host: HOST\r\ncontent-length: 0\r\ntransfer-encoding: chunked\r\n\r\n0\r\n\r\n",
+/// Requests with one fault each, in some cases with a body.
+const FAULTS: [&str; 8] = [
+    "GET PATH HTTP/1.1\r\n\r\n",
+    "GET PATH HTTP/1.1\r\nhost: HOST\r\nhost: other.example\r\n\r\n",
+    "GET PATH HTTP/1.1\r\nhost: HOST\r\nhost: HOST\r\n\r\n",
+    "GET PATH HTTP/1.1\r\nhost: a/b\r\n\r\n",
+    "GET PATH HTTP/1.1\r\nhost: HOST\r\ntransfer-encoding: chunked\r\ncontent-length: 3\r\n\r\n0\r\n\r\n",
+    "GET PATH HTTP/1.1\r\nhost: HOST\r\ncontent-length: 0\r\ntransfer-encoding: chunked\r\n\r\n0\r\n\r\n",
+    "CONNECT PATH HTTP/1.1\r\nhost: HOST\r\n\r\n",
+    "CONNECT other.example:80 HTTP/1.1\r\nhost: HOST\r\n\r\n",
 ];
 
 /// Sends each fault followed by a valid request, and checks that the connection closes after the
 /// 400 for the fault.
 async fn check_faults(listener: SocketAddr, path: &str, host: &str) {
-    let start = format!("GET {path} HTTP/1.1\r\n");
     for fault in FAULTS {
-        let fault = fault.replace("HOST", host);
-        let sent = format!("{start}{fault}{start}host: {host}\r\n\r\n");
+        let fault = fault.replace("PATH", path).replace("HOST", host);
+        let sent = format!("{fault}GET {path} HTTP/1.1\r\nhost: {host}\r\n\r\n");
         let mut stream = TcpStream::connect(listener).await.unwrap();
         stream.write_all(sent.as_bytes()).await.unwrap();
         let mut answers = Vec::new();
@@ -52,8 +53,9 @@
     }
 }
 
-/// Guards against forwarded requests with two framings, without a host or with several: only what
-/// the HTTP library refuses by itself was refused. Each is followed by a valid request.
+/// Guards against forwarded requests with two framings, without a host or with several, or for a
+/// tunnel: only what the HTTP library refuses by itself was refused. Each is followed by a valid
+/// request.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn test_strict_requests_where_entry_vms_own_backend_servers() {
     let mut rig = Rig::start(&[PLACE], LEASE).await;
