--- a/server/tests/direct_support/mod.rs
+++ b/server/tests/direct_support/mod.rs
@@ -225,6 +225,11 @@
         self.process.freeze(time);
     }
 
+    /// Suspends the entry VM, as SIGSTOP does, until the result is dropped.
+    pub async fn freeze_until_released(&self) -> Frozen {
+        self.process.freeze_until_released().await
+    }
+
     /// Waits until the entry VM has stopped.
     pub async fn ended(self) {
         self.process.ended().await;
