direct_admission: a view is not joined with the proof of a later one

Callers may get a final 404 for a route that is in force: an entry VM decides by the date of its proof whether an unknown route is refused for good. The window is as long as a request's thread stands still between two steps. Found by reading; not seen in operation.

Cause: a request read the view first and the proof afterwards, while the follower publishes each view before its proof. A thread that was held up in between had the former view with the proof of the newer one.

Both are now read by `ProvedViewReader`, the proof first, so that a view is at least as new as the proof that comes with it.

--- a/server/src/direct_admission.rs
+++ b/server/src/direct_admission.rs
@@ -8,7 +8,6 @@
 
 use heatherring_lib::affinity::ObjectHash;
 use heatherring_lib::dispatch_request::RETRY_ELSEWHERE_AFTER;
-use heatherring_lib::fleet_update::FleetView;
 use heatherring_lib::home_regions;
 use heatherring_lib::id::RegionName;
 use heatherring_lib::id::RouteName;
@@ -39,6 +38,7 @@
 use crate::header::remove_hop_by_hop;
 use crate::http_server::Arrival;
 use crate::metric;
+use crate::proved_view::ProvedView;
 use crate::request_body;
 use crate::request_body::RequestBody;
 use crate::request_trace::RequestTrace;
@@ -98,9 +98,10 @@
         let metadata = self.interface.read_request(&head.headers);
         let metadata = metadata.map_err(|_| refuse(NotRunReason::MalformedRequest))?;
         trace.request_id.clone_from(&metadata.request_id);
-        let view = self.first_view(arrived, metadata.caller_timeout).await?;
+        let ProvedView { view, proved_at } =
+            self.first_view(arrived, metadata.caller_timeout).await?;
         trace.version = view.version.0;
-        trace.proof_age = self.proof_age();
+        trace.proof_age = self.clock.now().saturating_duration_since(proved_at);
         let host = host_of(&head.uri, &head.headers)
             .ok_or_else(|| refuse(NotRunReason::MalformedRequest))?;
         let (name, route) = view
@@ -187,22 +188,15 @@
         refuse(NotRunReason::RouteUnconfirmed).with_retry_after(RETRY_ELSEWHERE_AFTER)
     }
 
-    fn proof_age(&self) -> Duration {
-        let now = self.clock.now();
-        now.saturating_duration_since(*self.proved.borrow())
-    }
-
     /// Returns the view in force; waits up to `first_view_wait` for the first one.
     async fn first_view(
         &self,
         arrived: Instant,
         caller_timeout: Option<Duration>,
-    ) -> Result<Arc<FleetView>, NotRun> {
+    ) -> Result<ProvedView, NotRun> {
         let until = start_wait::wait_until(arrived, self.first_view_wait, caller_timeout);
-        let mut view = self.view.clone();
-        let waiting = view.wait_for(|view| view.has_manifest());
-        match tokio::time::timeout_at(until.into(), waiting).await {
-            Ok(Ok(view)) => Ok(Arc::clone(&view)),
+        match tokio::time::timeout_at(until.into(), self.proved_view.first()).await {
+            Ok(Some(proved_view)) => Ok(proved_view),
             _ => Err(refuse(NotRunReason::NoManifest).with_retry_after(NO_MANIFEST_RETRY)),
         }
     }
--- a/server/src/direct_context.rs
+++ b/server/src/direct_context.rs
@@ -17,6 +17,7 @@
 use crate::direct_send::DirectSender;
 use crate::dispatch_task::DispatchHandle;
 use crate::interface::EntryInterface;
+use crate::proved_view::ProvedViewReader;
 use crate::stop_observer::StopObserver;
 use crate::token_task::TokenHandle;
 
@@ -33,8 +34,8 @@
     pub view: watch::Receiver<Arc<FleetView>>,
     /// When control was last in contact.
     pub last_contact: watch::Receiver<Instant>,
-    /// When the view was last proved to hold everything that is committed.
-    pub proved: watch::Receiver<Instant>,
+    /// Reads the latest view together with its proof.
+    pub proved_view: ProvedViewReader,
     /// Chooses backend servers.
     pub dispatch: DispatchHandle,
     /// Grants tokens for the limits of teams.
--- a/server/src/direct_process.rs
+++ b/server/src/direct_process.rs
@@ -62,6 +62,7 @@
 use crate::peer_channel::PeerChannels;
 use crate::peer_security::PeerSecurity;
 use crate::peer_security::PeerSecurityError;
+use crate::proved_view::ProvedViewReader;
 use crate::request_body::RequestBody;
 use crate::rollout_reporter::RolloutReporter;
 use crate::shutdown::Shutdown;
@@ -184,7 +185,7 @@
     let cx = Arc::new(DirectContext {
         vm: settings.vm.clone(),
         last_contact: followed.last_contact,
-        proved: followed.proved,
+        proved_view: ProvedViewReader::new(view.clone(), followed.proved),
         clock: Arc::clone(&clock),
         interface: Arc::clone(&interface),
         view: view.clone(),
--- a/server/src/lib.rs
+++ b/server/src/lib.rs
@@ -99,6 +99,7 @@
 mod pipeline_io;
 mod pipelined_connection;
 pub mod presence_task;
+pub mod proved_view;
 pub mod published_state;
 pub mod quarantine_monitor;
 pub mod query_parameter;
