settings: in_force_within is taken from 0.1 s to 60 s

Below 1.5 s an entry VM now and then takes its own view for outdated and answers 503 for an unknown route, which is safe.

--- a/lib/src/follow_lag.rs
+++ b/lib/src/follow_lag.rs
@@ -14,11 +14,11 @@
 pub const DEFAULT_IN_FORCE_DELAY: Duration = Duration::from_millis(2_500);
 
 /// Shortest such time in the settings. An entry VM that follows control without trouble has proofs
-/// that are up to a second old, and with a shorter time would take its own view for outdated.
-pub const SHORTEST_IN_FORCE_DELAY: Duration = Duration::from_millis(1_500);
+/// that are up to 1.5 s old; with a shorter time it takes its own view for outdated now and then.
+pub const SHORTEST_IN_FORCE_DELAY: Duration = Duration::from_millis(100);
 
-/// Longest such time in the settings; what is known of manifests is kept for longer.
-pub const LONGEST_IN_FORCE_DELAY: Duration = Duration::from_secs(20);
+/// Longest such time in the settings.
+pub const LONGEST_IN_FORCE_DELAY: Duration = Duration::from_mins(1);
 
 /// Number of manifests whose times are kept.
 const MAX_KNOWN_MANIFESTS: usize = 64;
--- a/lib/src/settings_check.rs
+++ b/lib/src/settings_check.rs
@@ -124,7 +124,7 @@
         /// Interval between two heartbeats.
         heartbeat: DurationText,
     },
-    /// Entry VMs would refuse requests while all is well, or long after a manifest should be in force.
+    /// No manifest is in force so soon, or one that is so late would go unnoticed.
     #[snafu(display(
         "in_force_within is {in_force_within}; allowed is {min} to {max}",
         min = DurationText(SHORTEST_IN_FORCE_DELAY),
