control: a replica that joins anew reads its settings again

A replica that was replaced and joins anew in its process asked the replicas that its settings had named when the process started. Where those had been replaced meanwhile, nobody took it in; before, its next start read the file anew. Found by review.

The settings are read again for each run, the former ones stay where the file can't be read (`settings_unreadable`).

test_replaced_replica, whose settings change while it is away, failed before (`left: "core-east-a-0" right: "core-renamed"`) and passes now, in 20 s.

--- a/cli/src/commands/control.rs
+++ b/cli/src/commands/control.rs
@@ -150,6 +150,7 @@
     })?;
     let mut current = settings;
     while run_once(&input, &current, &shutdown)? == ControlEnd::Replaced {
+        current = reread_settings(matches, current);
         // The first start of the deployment is over.
         if let Some(formation) = &mut current.formation {
             formation.first_start = false;
@@ -158,6 +159,16 @@
     Ok(())
 }
 
+/// Returns the settings as they are now, since the replicas that they name may have been replaced as
+/// well; the `former` ones if they can't be read.
+fn reread_settings(matches: &ArgMatches, former: ControlSettings) -> ControlSettings {
+    let reread = read_settings_file(matches).and_then(|input| parse_settings(&input));
+    reread.unwrap_or_else(|error| {
+        log::warn!(event = "settings_unreadable", error:% = error; "cannot read the settings again; joining with the former ones");
+        former
+    })
+}
+
 /// Runs the replica in a runtime of its own, with which all tasks of the run end.
 fn run_once(
     input: &Input,
--- a/cli/tests/test_replaced_replica.rs
+++ b/cli/tests/test_replaced_replica.rs
@@ -9,18 +9,38 @@
 
 const CONTROLS: usize = 6;
 
-/// Returns the events that a replica has logged in all of its runs, in order.
-fn events(cluster: &DirectCluster, number: usize) -> Vec<String> {
+/// Name that the settings of a replica get while it is away.
+const NEW_NAME: &str = "core-renamed";
+
+/// Returns what a replica has logged in all of its runs, in order.
+fn lines(cluster: &DirectCluster, number: usize) -> Vec<serde_json::Value> {
     let vm = &cluster.controls[number].plan.vm;
     let log = cluster.folder().join(format!("{vm}.log"));
     let text = std::fs::read_to_string(log).unwrap_or_default();
     let lines = text.lines().map(serde_json::from_str::<serde_json::Value>);
-    let events = lines.filter_map(|line| Some(line.ok()?["kvs"]["event"].as_str()?.to_owned()));
+    lines.filter_map(Result::ok).collect()
+}
+
+/// Returns the events that a replica has logged in all of its runs, in order.
+fn events(cluster: &DirectCluster, number: usize) -> Vec<String> {
+    let lines = lines(cluster, number).into_iter();
+    let events = lines.filter_map(|line| Some(line["kvs"]["event"].as_str()?.to_owned()));
     events.collect()
 }
 
+/// Changes the name in the settings of a replica.
+fn rename(cluster: &DirectCluster, number: usize) {
+    let vm = &cluster.controls[number].plan.vm;
+    let path = cluster.folder().join(format!("{vm}.jsonc"));
+    let text = std::fs::read_to_string(&path).unwrap();
+    let mut settings: serde_json::Value = serde_json::from_str(&text).unwrap();
+    settings["vm"] = NEW_NAME.into();
+    std::fs::write(&path, settings.to_string()).unwrap();
+}
+
 /// Guards against control that is short of a replica for good, where nothing starts a process anew
-/// that ended by itself: it was away for so long that another one had taken its place.
+/// that ended by itself: it was away for so long that another one had taken its place. It joins by
+/// the settings as they are by then.
 #[tokio::test(flavor = "multi_thread")]
 async fn test_replaced_replica_joins_anew_in_its_process() {
     let plan = DirectPlan {
@@ -46,6 +66,14 @@
     .await
     .unwrap();
     cluster.start_control(0).unwrap();
+    let starts = |events: &[String]| events.iter().filter(|e| *e == "control_started").count();
+    wait_for(
+        "the replica to start with its former identity",
+        async || (starts(&events(&cluster, 0)) == 2).then_some(()),
+    )
+    .await
+    .unwrap();
+    rename(&cluster, 0);
     wait_for("the replica to join anew", async || {
         let events = events(&cluster, 0);
         let replaced = events.iter().position(|event| event == "replaced")?;
@@ -56,4 +84,8 @@
     })
     .await
     .unwrap();
+    let lines = lines(&cluster, 0);
+    let started = |line: &&serde_json::Value| line["kvs"]["event"] == "control_started";
+    let last = lines.iter().rfind(started).unwrap();
+    assert_eq!(last["kvs"]["vm"], NEW_NAME);
 }
