tests: an announcement that is too large is refused with 413

test_invalid_announcements_change_nothing asked for 400 for every fault. Each fault has its own status now, which the answer must have exactly, and the valid record has to stay in use as before.

--- a/server/tests/test_backend_life.rs
+++ b/server/tests/test_backend_life.rs
@@ -55,7 +55,7 @@
 }
 
 /// Guards against invalid announcements, as from a faulty backend server, taking effect: each is
-/// refused with 400, and the valid record under the same name stays in use.
+/// refused for good, and the valid record under the same name stays in use.
 #[tokio::test(flavor = "multi_thread")]
 async fn test_invalid_announcements_change_nothing() {
     let mut deployment = Deployment::start(3);
@@ -67,16 +67,21 @@
         .await;
     let valid = announcement(&backend, 5, "Ready");
     let faults = [
-        ("place", "moon".into()),
-        ("slots", 0.into()),
-        ("slots", "three".into()),
-        ("address", "0.0.0.0:0".into()),
-        ("state", "Tired".into()),
-        ("born", 1.5.into()),
-        ("sequence", (-1).into()),
-        ("service", "x".repeat(20_000).into()),
+        ("place", "moon".into(), StatusCode::BAD_REQUEST),
+        ("slots", 0.into(), StatusCode::BAD_REQUEST),
+        ("slots", "three".into(), StatusCode::BAD_REQUEST),
+        ("address", "0.0.0.0:0".into(), StatusCode::BAD_REQUEST),
+        ("state", "Tired".into(), StatusCode::BAD_REQUEST),
+        ("born", 1.5.into(), StatusCode::BAD_REQUEST),
+        ("sequence", (-1).into(), StatusCode::BAD_REQUEST),
+        ("service", "x".repeat(1_000).into(), StatusCode::BAD_REQUEST),
+        (
+            "service",
+            "x".repeat(20_000).into(),
+            StatusCode::PAYLOAD_TOO_LARGE,
+        ),
     ];
-    for (field, value) in faults {
+    for (field, value, refusal) in faults {
         let mut body = valid.clone();
         body["record"][field] = value;
         // 503 is possible while the leader changes; the final answer must be a refusal.
@@ -86,7 +91,7 @@
             (answer.status != StatusCode::SERVICE_UNAVAILABLE).then_some(answer)
         });
         let status = answer.await.unwrap().status;
-        assert_eq!(status, StatusCode::BAD_REQUEST, "{field}");
+        assert_eq!(status, refusal, "{field}");
     }
     until_served(&entry).await;
     tokio::time::sleep(Duration::from_millis(500)).await;
