config-soak: control VMs are replaced by empty ones at other addresses

What operators saw: control was lost for good on a deployment whose VMs are replaced one at a time. config-soak knew no such fault; a folder that is lost at an unchanged address is the easy case, since the replica that returns names its predecessor.

New kinds of fault: the leader, or drawn replicas, are killed for good and an empty VM starts 0 to 2 s later at another address, one to five in a row, with a gap from the deployment's bound upward; or the successor starts first and its predecessor ends by SIGTERM or SIGKILL. Settings name the replicas of the start or move to the present ones. No other fault overlaps these.

--- a/cli/tests/test_config_soak.rs
+++ b/cli/tests/test_config_soak.rs
@@ -10,6 +10,7 @@
 use heatherring_testutils::config_soak::SoakPlan;
 use heatherring_testutils::direct_cluster::DirectPlan;
 use heatherring_testutils::soak_faults::FaultKind;
+use heatherring_testutils::soak_faults::Replacements;
 use rstest::rstest;
 
 const FAULTS: u32 = 4;
@@ -30,10 +31,38 @@
         seed,
         faults: FAULTS,
         longest: Duration::from_secs(2),
-        kinds: FaultKind::ALL.to_vec(),
+        kinds: FaultKind::ALL
+            .into_iter()
+            .filter(|kind| !kind.is_replacement())
+            .collect(),
         read_every: Duration::from_millis(40),
         request_every: Duration::from_millis(40),
         keep_first_start: false,
+        replacements: Replacements {
+            catch_up: Duration::from_secs(4),
+            gap: None,
+            in_a_row: None,
+        },
+    }
+}
+
+/// Returns a plan in which the leader is replaced three times, as soon as a deployment tolerates.
+fn replacing_plan(seed: u64) -> SoakPlan {
+    let plan = plan(seed);
+    SoakPlan {
+        cluster: DirectPlan {
+            regions: ["east", "west", "north"].map(str::to_owned).to_vec(),
+            controls: 5,
+            ..plan.cluster
+        },
+        faults: 1,
+        kinds: vec![FaultKind::LeaderReplaced],
+        replacements: Replacements {
+            gap: Some(Duration::from_millis(6_500)),
+            in_a_row: Some(3),
+            ..plan.replacements
+        },
+        ..plan
     }
 }
 
@@ -44,9 +73,19 @@
 #[case::second(2)]
 #[tokio::test(flavor = "multi_thread")]
 async fn test_config_soak_keeps_what_is_confirmed(#[case] seed: u64) {
-    println!("seed {seed}");
+    assert_no_violation(plan(seed)).await;
+}
+
+/// Guards against the loss of control for good while its VMs are replaced one at a time.
+#[tokio::test(flavor = "multi_thread")]
+async fn test_config_soak_outlasts_replaced_leaders() {
+    assert_no_violation(replacing_plan(21)).await;
+}
+
+async fn assert_no_violation(plan: SoakPlan) {
+    println!("seed {}", plan.seed);
     let binary = Path::new(env!("CARGO_BIN_EXE_heatherring"));
-    let outcome = ConfigSoak::run(plan(seed), binary).await.unwrap();
+    let outcome = ConfigSoak::run(plan, binary).await.unwrap();
     let found = judge_untimed(&outcome.record, BOUNDS);
     let found: Vec<String> = found.iter().map(ToString::to_string).collect();
     assert!(found.is_empty(), "{}", found.join("\n"));
--- a/testutils/src/bin/config-soak.rs
+++ b/testutils/src/bin/config-soak.rs
@@ -35,6 +35,7 @@
 use heatherring_testutils::config_soak::SoakPlan;
 use heatherring_testutils::direct_cluster::DirectPlan;
 use heatherring_testutils::soak_faults::FaultKind;
+use heatherring_testutils::soak_faults::Replacements;
 use serde::Serialize;
 
 /// Violations of one kind that are printed.
@@ -90,6 +91,21 @@
             "20",
             "Time between two requests at an entry VM",
         ))
+        .arg(number(
+            "catch-up-ms",
+            "4000",
+            "Time from the start of a successor until its predecessor doesn't count as lost",
+        ))
+        .arg(number(
+            "replace-gap-ms",
+            "0",
+            "Time from the loss of one control VM that is replaced to the next; drawn if 0",
+        ))
+        .arg(number(
+            "replace-in-a-row",
+            "0",
+            "Control VMs that are replaced in a row; drawn if 0",
+        ))
         .arg(
             Arg::new("only")
                 .long("only")
@@ -151,6 +167,11 @@
         read_every: millis(matches, "read-ms"),
         request_every: millis(matches, "request-ms"),
         keep_first_start: matches.get_flag("keep-first-start"),
+        replacements: Replacements {
+            catch_up: millis(matches, "catch-up-ms"),
+            gap: Some(millis(matches, "replace-gap-ms")).filter(|gap| !gap.is_zero()),
+            in_a_row: Some(number(matches, "replace-in-a-row")).filter(|count| *count > 0),
+        },
     }
 }
 
@@ -275,10 +296,9 @@
     write_lines(&folder.join("reads.jsonl"), &record.reads)?;
     write_lines(&folder.join("requests.jsonl"), &record.requests)?;
     write_lines(&folder.join("events.jsonl"), &record.events)?;
-    let controls = (0..outcome.cluster.controls.len()).map(Vm::Control);
     let entries = (0..outcome.cluster.entries.len()).map(Vm::Entry);
-    for vm in controls.chain(entries) {
-        let log = outcome.cluster.log(vm);
+    let entries = entries.map(|vm| outcome.cluster.log(vm));
+    for log in outcome.cluster.control_logs().chain(entries) {
         if let Some(name) = log.file_name() {
             std::fs::copy(&log, folder.join(name))?;
         }
--- a/testutils/src/config_callers.rs
+++ b/testutils/src/config_callers.rs
@@ -21,6 +21,7 @@
 use crate::config_record::RequestAnswer;
 use crate::config_recorder::Recorder;
 use crate::config_routes;
+use crate::control_addresses::ControlAddresses;
 use crate::http_call::call;
 
 /// Time for which the answer to a read is awaited.
@@ -35,7 +36,7 @@
 /// Reads the manifest at a control replica without end.
 pub async fn read_on(
     replica: usize,
-    address: SocketAddr,
+    addresses: ControlAddresses,
     recorder: Arc<Recorder>,
     every: Duration,
 ) {
@@ -48,7 +49,9 @@
         while let Some(read) = waiting.try_join_next() {
             last = read.ok().flatten().or(last);
         }
-        if waiting.len() < WAITING_READS {
+        if waiting.len() < WAITING_READS
+            && let Some(address) = addresses.get(replica)
+        {
             let recorder = Arc::clone(&recorder);
             waiting.spawn(read_once(replica, address, recorder, last.clone()));
         }
--- a/testutils/src/config_operator.rs
+++ b/testutils/src/config_operator.rs
@@ -1,6 +1,5 @@
 //! Operators that change the route manifest in series and now and then race.
 
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -24,6 +23,7 @@
 use crate::config_routes;
 use crate::config_routes::Form;
 use crate::config_routes::SERVICES;
+use crate::control_addresses::ControlAddresses;
 use crate::http_call::call;
 
 /// Time between two confirmed changes, in milliseconds, from and to.
@@ -48,7 +48,7 @@
 /// Changes the manifest until its future is dropped.
 #[derive(Debug)]
 pub struct ConfigOperator {
-    replicas: Vec<SocketAddr>,
+    replicas: ControlAddresses,
     recorder: Arc<Recorder>,
     rng: ChaCha8Rng,
     /// The version in force, and its routes.
@@ -78,7 +78,7 @@
 impl ConfigOperator {
     /// Creates operators of these control replicas.
     #[must_use]
-    pub fn new(replicas: Vec<SocketAddr>, recorder: Arc<Recorder>, seed: u64) -> Self {
+    pub fn new(replicas: ControlAddresses, recorder: Arc<Recorder>, seed: u64) -> Self {
         Self {
             replicas,
             recorder,
@@ -130,8 +130,10 @@
 
     /// Goes on from what a replica says is in force.
     async fn read_back(&mut self) {
-        let replica = self.replicas.choose(&mut self.rng).copied();
-        let Some(replica) = replica else { return };
+        let drawn = self.rng.random_range(0..self.replicas.count());
+        let Some(replica) = self.replicas.get(drawn) else {
+            return;
+        };
         let call = call(replica, Method::GET, "/v1/routes", Bytes::new());
         let answer = timeout(ANSWER_TIMEOUT, call).await.ok().flatten();
         let manifest = answer.and_then(|(_, body)| config_routes::read(&body));
@@ -232,7 +234,7 @@
     fn send(&mut self, proposal: Proposal) {
         let several = self.rng.random_bool(SENT_TO_SEVERAL);
         let at_once = if several { SEVERAL } else { 1 };
-        let mut order: Vec<usize> = (0..self.replicas.len()).collect();
+        let mut order: Vec<usize> = (0..self.replicas.count()).collect();
         let first = self.rng.random_range(0..order.len());
         order.rotate_left(first);
         let sender = Sender {
@@ -247,7 +249,7 @@
 #[derive(Clone, Debug)]
 struct Sender {
     proposal: Proposal,
-    replicas: Vec<SocketAddr>,
+    replicas: ControlAddresses,
     recorder: Arc<Recorder>,
 }
 
@@ -281,10 +283,14 @@
 
     async fn order(&self, replica: usize) -> OrderAnswer {
         let sent_us = self.recorder.now_us();
-        let address = self.replicas[replica];
         let body = self.proposal.body.clone();
-        let call = call(address, Method::POST, "/v1/routes", body);
-        let status = timeout(ANSWER_TIMEOUT, call).await.ok().flatten();
+        let status = match self.replicas.get(replica) {
+            Some(address) => {
+                let call = call(address, Method::POST, "/v1/routes", body);
+                timeout(ANSWER_TIMEOUT, call).await.ok().flatten()
+            }
+            None => None,
+        };
         let answer = match status.map(|(status, _)| status) {
             Some(StatusCode::OK) => OrderAnswer::Confirmed,
             Some(StatusCode::CONFLICT) => OrderAnswer::Conflict,
--- a/testutils/src/config_soak.rs
+++ b/testutils/src/config_soak.rs
@@ -28,6 +28,7 @@
 use crate::config_record::Vm;
 use crate::config_recorder::Recorder;
 use crate::config_routes::SERVICES;
+use crate::control_addresses::ControlAddresses;
 use crate::direct_cluster::DirectCluster;
 use crate::direct_cluster::DirectPlan;
 use crate::direct_cluster::DirectVm;
@@ -35,7 +36,9 @@
 use crate::soak_faults::Action;
 use crate::soak_faults::FaultKind;
 use crate::soak_faults::FaultPlanner;
+use crate::soak_faults::Replacements;
 use crate::soak_faults::Step;
+use crate::soak_faults::Target;
 use crate::wait::wait_for;
 
 /// Backend servers of each service.
@@ -76,6 +79,8 @@
     pub request_every: Duration,
     /// Whether the settings say to the end that the deployment starts for the first time.
     pub keep_first_start: bool,
+    /// Bounds on the replacement of control VMs.
+    pub replacements: Replacements,
 }
 
 /// Says what a VM's process does.
@@ -116,6 +121,9 @@
     statuses: BTreeMap<Vm, Status>,
     cut_off: BTreeSet<Vm>,
     folder_lost_us: Option<u64>,
+    addresses: ControlAddresses,
+    /// The control replica that was lost for good last.
+    lost: Option<usize>,
     kinds: BTreeMap<FaultKind, usize>,
 }
 
@@ -165,6 +173,7 @@
             recorder.note_event(vm, Happening::Started);
         }
         let backends = start_backends(&mut cluster).await?;
+        let addresses = cluster.controls.iter().map(DirectVm::orders).collect();
         let places = cluster.controls.iter().map(|vm| &vm.plan);
         let planner = FaultPlanner {
             controls: places
@@ -172,6 +181,7 @@
                 .collect(),
             entries: cluster.entries.len(),
             longest: plan.longest,
+            replacements: plan.replacements,
             rng: ChaCha8Rng::seed_from_u64(plan.seed),
         };
         let mut soak = Self {
@@ -184,6 +194,8 @@
             statuses,
             cut_off: BTreeSet::new(),
             folder_lost_us: None,
+            addresses: ControlAddresses::new(addresses),
+            lost: None,
             kinds: BTreeMap::new(),
             cluster,
             plan,
@@ -193,10 +205,10 @@
     }
 
     fn start_tasks(&mut self) {
-        let controls: Vec<_> = self.cluster.controls.iter().map(DirectVm::orders).collect();
-        for (replica, address) in controls.iter().enumerate() {
+        for replica in 0..self.cluster.controls.len() {
             let recorder = Arc::clone(&self.recorder);
-            let reading = read_on(replica, *address, recorder, self.plan.read_every);
+            let addresses = self.addresses.clone();
+            let reading = read_on(replica, addresses, recorder, self.plan.read_every);
             self.tasks.spawn(reading);
         }
         for (entry, vm) in self.cluster.entries.iter().enumerate() {
@@ -206,7 +218,7 @@
             self.tasks.spawn(requesting);
         }
         let recorder = Arc::clone(&self.recorder);
-        let operator = ConfigOperator::new(controls, recorder, self.rng.random());
+        let operator = ConfigOperator::new(self.addresses.clone(), recorder, self.rng.random());
         self.operator.spawn(operator.run());
     }
 
@@ -225,16 +237,16 @@
         })
         .await?;
         if !self.plan.keep_first_start {
-            self.cluster.write_settings_of_formed(&self.plan.cluster)?;
+            self.cluster.write_settings_of_formed()?;
         }
         Ok(())
     }
 
     async fn play_one(&mut self) -> Result<(), ClusterError> {
-        let mut steps = self.draw_fault();
-        if self.rng.random_bool(OVERLAPS) {
+        let (kind, mut steps) = self.draw_fault();
+        if !kind.is_replacement() && self.rng.random_bool(OVERLAPS) {
             let offset = Duration::from_millis(self.rng.random_range(0..2_000));
-            let other = self.draw_fault().into_iter();
+            let other = self.draw_overlapping().into_iter();
             steps.extend(other.map(|(at, action)| (at + offset, action)));
         }
         steps.sort_by_key(|(at, _)| *at);
@@ -252,9 +264,21 @@
         self.pause(Duration::from_millis(rest_ms)).await
     }
 
-    fn draw_fault(&mut self) -> Vec<Step> {
+    fn draw_fault(&mut self) -> (FaultKind, Vec<Step>) {
         let kind = self.plan.kinds.choose(&mut self.rng);
         let kind = kind.copied().unwrap_or(FaultKind::None);
+        (kind, self.plan_fault(kind))
+    }
+
+    /// Draws a fault that may happen beside another one.
+    fn draw_overlapping(&mut self) -> Vec<Step> {
+        let kinds = self.plan.kinds.iter().copied();
+        let kinds: Vec<FaultKind> = kinds.filter(|kind| !kind.is_replacement()).collect();
+        let kind = kinds.choose(&mut self.rng).copied();
+        self.plan_fault(kind.unwrap_or(FaultKind::None))
+    }
+
+    fn plan_fault(&mut self, kind: FaultKind) -> Vec<Step> {
         *self.kinds.entry(kind).or_default() += 1;
         self.planner.draw(kind)
     }
@@ -318,10 +342,41 @@
             Action::CutOneWay { from, to, cut_off } => self.cut_one_way(from, to, cut_off),
             Action::Mend => self.mend(),
             Action::LoseLeaderAfterConfirmation(pause) => self.lose_leader(pause).await?,
+            Action::LoseForGood(target) => {
+                let number = self.resolve(target);
+                self.kill(Vm::Control(number))?;
+                self.lost = Some(number);
+            }
+            Action::StartSuccessor => {
+                if let Some(number) = self.lost.take() {
+                    self.start_successor(number).await?;
+                }
+            }
+            Action::StartSuccessorOf(target) => {
+                let number = self.resolve(target);
+                self.start_successor(number).await?;
+            }
+            Action::EndReplaced { by_sigterm } => self.cluster.end_replaced(by_sigterm)?,
+            Action::MoveSeeds => self.cluster.move_seeds()?,
         }
         Ok(())
     }
 
+    fn resolve(&self, target: Target) -> usize {
+        match target {
+            Target::Leader => self.leader().unwrap_or_default(),
+            Target::Number(number) => number,
+        }
+    }
+
+    /// Starts an empty VM in place of a control replica.
+    async fn start_successor(&mut self, number: usize) -> Result<(), ClusterError> {
+        self.cluster.replace_control(number).await?;
+        let address = self.cluster.controls[number].orders();
+        self.addresses.set(number, address);
+        self.start_vm(Vm::Control(number), Happening::Started)
+    }
+
     fn kill(&mut self, vm: Vm) -> Result<(), ClusterError> {
         if let Some(mut process) = self.cluster.process(vm).take() {
             self.note(vm, Happening::Killed);
--- a/testutils/src/direct_cluster.rs
+++ b/testutils/src/direct_cluster.rs
@@ -118,6 +118,11 @@
     pub network: Network,
     binary: PathBuf,
     relays: Vec<SocketAddr>,
+    /// Relays of the replicas that the settings name.
+    seeds: Vec<SocketAddr>,
+    plan: DirectPlan,
+    /// Control VMs that were replaced; their processes may still run.
+    replaced: Vec<DirectVm>,
     folder: TempDir,
     block: LoopbackBlock,
 }
@@ -157,18 +162,21 @@
             entries,
             network,
             binary: binary.to_owned(),
+            seeds: relays[..SEEDS.min(relays.len())].to_vec(),
             relays,
+            plan: plan.clone(),
+            replaced: Vec::new(),
             folder,
             block,
         };
-        cluster.write_settings(plan, &cluster.relays, true)?;
+        cluster.write_settings(true)?;
         for number in 0..cluster.controls.len() {
             cluster.start_control(number)?;
         }
         for number in 0..cluster.entries.len() {
             cluster.start_entry(number)?;
         }
-        cluster.set_delays(plan.between_regions);
+        cluster.set_delays();
         Ok(cluster)
     }
 
@@ -177,24 +185,83 @@
     /// # Errors
     ///
     /// Returns an error if a file can't be written.
-    pub fn write_settings_of_formed(&self, plan: &DirectPlan) -> Result<(), ClusterError> {
-        self.write_settings(plan, &self.relays, false)
+    pub fn write_settings_of_formed(&self) -> Result<(), ClusterError> {
+        self.write_settings(false)
     }
 
-    fn write_settings(
-        &self,
-        plan: &DirectPlan,
-        relays: &[SocketAddr],
-        first_start: bool,
-    ) -> Result<(), ClusterError> {
-        let places: serde_json::Map<String, Value> = plan
+    /// Makes the settings name the present replicas, instead of those at the start.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if a file can't be written.
+    pub fn move_seeds(&mut self) -> Result<(), ClusterError> {
+        self.seeds = self.relays[..SEEDS.min(self.relays.len())].to_vec();
+        self.write_settings(false)
+    }
+
+    /// Puts an empty VM with a new name and address in place of a control replica, without starting
+    /// its process. The process of the former VM goes on; see [`Self::end_replaced`].
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the relay can't be started or the settings can't be written.
+    pub async fn replace_control(&mut self, number: usize) -> Result<(), ClusterError> {
+        let former = &self.controls[number].plan;
+        let serial = self.controls.len() + self.replaced.len();
+        let name = format!("core-{}-{serial}", former.place);
+        let plan = VmPlan::new(&name, &former.place, &former.region);
+        let vm = DirectVm {
+            settings: self.folder.path().join(format!("{name}.jsonc")),
+            ip: self.block.next_vm(),
+            plan,
+            process: None,
+        };
+        let relay = self.block.next_relay();
+        let target = SocketAddr::new(vm.ip, CONTROL_PORT);
+        self.network.add_relay(relay, target, &vm.plan.vm).await?;
+        self.relays[number] = relay;
+        let former = std::mem::replace(&mut self.controls[number], vm);
+        self.replaced.push(former);
+        self.set_delays();
+        self.write_settings(false)
+    }
+
+    /// Ends the processes of all VMs that were replaced, by SIGTERM or by SIGKILL.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if a process can't be signalled.
+    pub fn end_replaced(&mut self, by_sigterm: bool) -> Result<(), ClusterError> {
+        let running = self.replaced.iter_mut().filter_map(|vm| {
+            let runs = vm.process.as_mut().is_some_and(Process::is_running);
+            vm.process.as_mut().filter(|_| runs)
+        });
+        for process in running {
+            if by_sigterm {
+                process.terminate()?;
+            } else {
+                process.kill()?;
+            }
+        }
+        Ok(())
+    }
+
+    /// Returns the logs of all control VMs, also of those that were replaced.
+    pub fn control_logs(&self) -> impl Iterator<Item = PathBuf> {
+        let vms = self.controls.iter().chain(&self.replaced);
+        vms.map(|vm| self.log_of(vm))
+    }
+
+    fn write_settings(&self, first_start: bool) -> Result<(), ClusterError> {
+        let seeds = &self.seeds;
+        let places: serde_json::Map<String, Value> = self
+            .plan
             .places()
             .into_iter()
             .map(|(place, region)| (place, region.into()))
             .collect();
-        let seeds = &relays[..SEEDS.min(relays.len())];
         let address = |ip, port| SocketAddr::new(ip, port);
-        for (vm, relay) in self.controls.iter().zip(relays) {
+        for (vm, relay) in self.controls.iter().zip(&self.relays) {
             let settings = json!({
                 "vm": vm.plan.vm, "place": vm.plan.place, "region": vm.plan.region,
                 "listen": address(vm.ip, CONTROL_PORT),
@@ -219,7 +286,8 @@
         Ok(())
     }
 
-    fn set_delays(&mut self, between_regions: Duration) {
+    fn set_delays(&mut self) {
+        let between_regions = self.plan.between_regions;
         let vms = self.controls.iter().chain(&self.entries);
         let vms: Vec<VmPlan> = vms.map(|vm| vm.plan.clone()).collect();
         for control in &self.controls {
--- a/testutils/src/lib.rs
+++ b/testutils/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod config_routes;
 pub mod config_soak;
 pub mod config_touch;
+pub mod control_addresses;
 pub mod control_cluster;
 pub mod control_history;
 pub mod deployment;
--- a/testutils/src/soak_faults.rs
+++ b/testutils/src/soak_faults.rs
@@ -40,6 +40,39 @@
     /// Wait until a change is confirmed; then cut off the replica that leads, kill it after this
     /// time, and start it after as much again.
     LoseLeaderAfterConfirmation(Duration),
+    /// Kill a control replica for good.
+    LoseForGood(Target),
+    /// Start the empty VM that replaces the lost replica.
+    StartSuccessor,
+    /// Start an empty VM that is to replace a control replica, which goes on.
+    StartSuccessorOf(Target),
+    /// End the replicas that were replaced and go on, by SIGTERM or by SIGKILL.
+    EndReplaced {
+        /// Whether by SIGTERM.
+        by_sigterm: bool,
+    },
+    /// Make the settings name the present replicas.
+    MoveSeeds,
+}
+
+/// Says which control replica is meant.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Target {
+    /// The one that leads by then.
+    Leader,
+    /// The one of this number.
+    Number(usize),
+}
+
+/// Bounds on the replacement of control VMs.
+#[derive(Clone, Copy, Debug)]
+pub struct Replacements {
+    /// Time from the start of a successor until its predecessor doesn't count as lost any more.
+    pub catch_up: Duration,
+    /// Time from one loss to the next; drawn if `None`.
+    pub gap: Option<Duration>,
+    /// Number of replicas that are replaced in a row; drawn if `None`.
+    pub in_a_row: Option<u32>,
 }
 
 /// An action, and when it is due after the begin of its fault.
@@ -78,6 +111,12 @@
     FolderLost,
     /// The leader is cut off right after a confirmation, and killed.
     LeaderLost,
+    /// The leader is replaced by an empty VM at another address, several times in a row.
+    LeaderReplaced,
+    /// Control replicas are replaced by empty VMs at other addresses, in a row.
+    ReplicasReplaced,
+    /// The same, and each successor starts before its predecessor ends.
+    ReplicasSucceeded,
     /// Entry VMs are killed.
     EntriesKilled,
     /// Entry VMs are frozen.
@@ -90,7 +129,7 @@
 
 impl FaultKind {
     /// All of them.
-    pub const ALL: [Self; 19] = [
+    pub const ALL: [Self; 22] = [
         Self::None,
         Self::GroupIsolated,
         Self::GroupCutOff,
@@ -106,6 +145,9 @@
         Self::AllKilledOneLost,
         Self::FolderLost,
         Self::LeaderLost,
+        Self::LeaderReplaced,
+        Self::ReplicasReplaced,
+        Self::ReplicasSucceeded,
         Self::EntriesKilled,
         Self::EntriesFrozen,
         Self::EntriesStopped,
@@ -122,10 +164,23 @@
     pub entries: usize,
     /// Longest time for which a fault lasts.
     pub longest: Duration,
+    /// Bounds on the replacement of control VMs.
+    pub replacements: Replacements,
     /// Where draws come from.
     pub rng: ChaCha8Rng,
 }
 
+impl FaultKind {
+    /// Returns whether it replaces VMs, which takes all of what the deployment tolerates.
+    #[must_use]
+    pub const fn is_replacement(self) -> bool {
+        matches!(
+            self,
+            Self::LeaderReplaced | Self::ReplicasReplaced | Self::ReplicasSucceeded
+        )
+    }
+}
+
 impl FaultPlanner {
     /// Draws the steps of one fault, the last of which ends it.
     pub fn draw(&mut self, kind: FaultKind) -> Vec<Step> {
@@ -167,6 +222,9 @@
                 let pause = Duration::from_millis(self.rng.random_range(20..2_000));
                 vec![(Duration::ZERO, Action::LoseLeaderAfterConfirmation(pause))]
             }
+            FaultKind::LeaderReplaced => self.draw_replacements(|_| Target::Leader),
+            FaultKind::ReplicasReplaced => self.draw_replacements(Target::Number),
+            FaultKind::ReplicasSucceeded => self.draw_successions(),
             FaultKind::EntriesKilled => killed(lasts / 2, &self.draw_entries()),
             FaultKind::EntriesFrozen => frozen(lasts, &self.draw_entries()),
             FaultKind::EntriesStopped => {
@@ -253,6 +311,65 @@
         steps
     }
 
+    /// Draws how many replicas are replaced, and which.
+    fn draw_row(&mut self) -> Vec<usize> {
+        let mut row: Vec<usize> = (0..self.controls.len()).collect();
+        row.shuffle(&mut self.rng);
+        let count = match self.replacements.in_a_row {
+            Some(count) => usize::try_from(count).unwrap_or(usize::MAX),
+            None => self.rng.random_range(1..=row.len()),
+        };
+        row.into_iter().cycle().take(count).collect()
+    }
+
+    /// Draws the time from one loss to the next, where a successor starts `offset` after the loss.
+    fn draw_gap(&mut self, offset: Duration) -> Duration {
+        self.replacements.gap.unwrap_or_else(|| {
+            let rest = Duration::from_millis(self.rng.random_range(300..6_000));
+            offset + self.replacements.catch_up + rest
+        })
+    }
+
+    fn draw_replacements(&mut self, target: impl Fn(usize) -> Target) -> Vec<Step> {
+        let moves_seeds = self.rng.random_bool(0.5);
+        let mut steps = Vec::new();
+        let mut at = Duration::ZERO;
+        for number in self.draw_row() {
+            let offset = match self.replacements.gap {
+                Some(_) => Duration::from_secs(2),
+                None => Duration::from_millis(self.rng.random_range(0..2_000)),
+            };
+            steps.push((at, Action::LoseForGood(target(number))));
+            steps.push((at + offset, Action::StartSuccessor));
+            if moves_seeds {
+                steps.push((at + offset, Action::MoveSeeds));
+            }
+            at += self.draw_gap(offset);
+        }
+        steps.push((at, Action::Mend));
+        steps
+    }
+
+    fn draw_successions(&mut self) -> Vec<Step> {
+        let mut steps = Vec::new();
+        let mut at = Duration::ZERO;
+        for number in self.draw_row() {
+            let lead = Duration::from_millis(self.rng.random_range(500..6_000));
+            let by_sigterm = self.rng.random_bool(0.5);
+            let target = if self.rng.random_bool(0.5) {
+                Target::Leader
+            } else {
+                Target::Number(number)
+            };
+            steps.push((at, Action::StartSuccessorOf(target)));
+            steps.push((at + lead, Action::MoveSeeds));
+            steps.push((at + lead, Action::EndReplaced { by_sigterm }));
+            at += lead + self.draw_gap(Duration::ZERO);
+        }
+        steps.push((at, Action::Mend));
+        steps
+    }
+
     fn draw_repeated_kills(&mut self, all: &[usize]) -> Vec<Step> {
         let mut steps = Vec::new();
         let mut at = Duration::ZERO;
--- a/testutils/tests/test_soak_faults.rs
+++ b/testutils/tests/test_soak_faults.rs
@@ -6,11 +6,13 @@
 use heatherring_testutils::soak_faults::Action;
 use heatherring_testutils::soak_faults::FaultKind;
 use heatherring_testutils::soak_faults::FaultPlanner;
+use heatherring_testutils::soak_faults::Replacements;
 use heatherring_testutils::soak_faults::Step;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 
 const SEEDS: u64 = 50;
+const CATCH_UP: Duration = Duration::from_secs(4);
 
 fn planner(seed: u64) -> FaultPlanner {
     let control = |region: &str, place: &str| (region.to_owned(), place.to_owned());
@@ -22,6 +24,11 @@
         ],
         entries: 4,
         longest: Duration::from_secs(5),
+        replacements: Replacements {
+            catch_up: CATCH_UP,
+            gap: None,
+            in_a_row: None,
+        },
         rng: ChaCha8Rng::seed_from_u64(seed),
     }
 }
@@ -85,3 +92,25 @@
         }
     }
 }
+
+/// Guards against a series of replacements that takes more than a deployment tolerates, which would
+/// show nothing.
+#[test]
+fn test_soak_faults_replace_one_replica_at_a_time() {
+    for seed in 0..SEEDS {
+        for kind in [FaultKind::LeaderReplaced, FaultKind::ReplicasReplaced] {
+            let steps = draw(kind, seed);
+            let mut successor_at = None;
+            for (at, action) in steps {
+                match action {
+                    Action::LoseForGood(_) => {
+                        let tolerated = successor_at.is_none_or(|began| at >= began + CATCH_UP);
+                        assert!(tolerated, "{kind:?}, seed {seed}, at {at:?}");
+                    }
+                    Action::StartSuccessor => successor_at = Some(at),
+                    _ => {}
+                }
+            }
+        }
+    }
+}
