control: a learner takes the seat of a silent voter

Cause: a silent voter kept its seat for 9 s, counted from when the present leader first knew it, and a learner at a new address was promoted only when there were fewer voters than the target. Each leader that was lost meanwhile left one more dead seat, and what it knew of silence went with it. At three dead seats of five nothing can be decided. The class: the repair of redundancy is slower than the losses that the deployment allows, by a constant where the deployment has a figure, and starts anew with each loss.

Fix: a silent voter becomes a learner as soon as a learner that has caught up can take its seat, which is then promoted. The silence needed is 3/8 of the new setting `formation.replacement_within` (5/8 where the learner would crowd its region, or its region is not known), never less than 5/4 of the longest election. A voter that was only paused keeps log and identity; removal comes after 9 s as a learner, as before. Each replica remembers when its last leader was heard from and since when there are too few voters, so that a new leader goes on from there. Seats that a region took over are returned once another one is back, or the loss of that region would stop control.

Ruled out: a shorter removal, since each pause would be a lost disk; a swap in one change, since majorities before and after need not intersect; promotion first, since six voters need four.

--- a/lib/src/raft.rs
+++ b/lib/src/raft.rs
@@ -66,6 +66,13 @@
     /// Whether the disk of this replica refuses records.
     pub(crate) disk_full: bool,
     pub(crate) regions: BTreeMap<ReplicaId, RegionName>,
+    /// The latest leader that sent a message here, and when. Outlives the role of a follower, so that
+    /// the next leader knows for how long a lost leader has been silent.
+    pub(crate) last_leader: Option<(ReplicaId, Instant)>,
+    /// Number of voters when [`Self::vacant_since`] was set.
+    pub(crate) voters_seen: usize,
+    /// Since when there have been fewer than `max_voters` voters.
+    pub(crate) vacant_since: Option<Instant>,
     pub(crate) now: Instant,
     rng: ChaCha8Rng,
 }
@@ -165,9 +172,13 @@
             sent_replies: SentReplies::new(first_reply_number),
             disk_full: false,
             regions: BTreeMap::new(),
+            last_leader: None,
+            voters_seen: 0,
+            vacant_since: None,
             now,
             rng,
         };
+        raft.track_vacancy();
         raft.start_first_timer();
         if raft.is_voter() && raft.membership().voters.len() == 1 {
             // A sole voter needs no other votes and can campaign at once.
@@ -197,6 +208,7 @@
             Input::StepDown => self.on_step_down(&mut fx),
         }
         self.pending.expire(self.now, &mut fx.answers);
+        self.track_vacancy();
         let after = self.role_change();
         if after != before {
             fx.role_changed = Some(after);
@@ -608,6 +620,7 @@
             return None;
         };
         let contact = leader.quorum_contact(self.log.membership(), self.now);
+        let vacant_since = self.vacant_since.unwrap_or(self.now);
         let cx = LeaderCx {
             cfg: &self.cfg,
             term: self.hard_state.term,
@@ -616,6 +629,7 @@
             now: self.now,
             contact,
             regions: &self.regions,
+            vacant_for: self.now.saturating_duration_since(vacant_since),
         };
         Some(act(leader, &cx))
     }
--- a/lib/src/raft_config.rs
+++ b/lib/src/raft_config.rs
@@ -16,6 +16,7 @@
 use crate::raft_message::Membership;
 use crate::raft_message::ReplicaInfo;
 use crate::raft_message::Snapshot;
+use crate::replica_plan::SeatTiming;
 
 /// Configures one replica.
 #[derive(Clone, Debug)]
@@ -40,10 +41,11 @@
     /// Number of voters at which learners are no longer promoted, except to replace a
     /// voter. Each commit waits for a majority of the voters.
     pub max_voters: usize,
-    /// Whether voters are to be spread over regions, as given by [`Input::Regions`].
+    /// When learners take the seats of silent voters, and of voters of a region that has too many
+    /// according to [`Input::Regions`]. `None` if operators maintain the set of voters.
     ///
     /// [`Input::Regions`]: crate::raft_effects::Input::Regions
-    pub spread_voters: bool,
+    pub seats: Option<SeatTiming>,
 }
 
 impl RaftConfig {
--- a/lib/src/raft_election.rs
+++ b/lib/src/raft_election.rs
@@ -100,7 +100,12 @@
 
     fn become_leader(&mut self, contact: std::time::Instant, fx: &mut Effects) {
         let last = self.last_index();
-        let leader = LeaderState::new(self.cfg.id, self.membership(), last, contact, self.now);
+        let mut leader = LeaderState::new(self.cfg.id, self.membership(), last, contact, self.now);
+        if let Some((former, heard)) = self.last_leader
+            && let Some(progress) = leader.peers.get_mut(&former)
+        {
+            progress.silent_since = progress.silent_since.min(heard);
+        }
         self.role = RoleState::Leader(leader);
         self.pending.leadership_won();
         self.incoming = None;
--- a/lib/src/raft_follower.rs
+++ b/lib/src/raft_follower.rs
@@ -145,6 +145,7 @@
     }
 
     fn record_leader_contact(&mut self, leader: ReplicaId, fx: &mut Effects) {
+        self.last_leader = Some((leader, self.now));
         match &mut self.role {
             RoleState::Follower(FollowerState {
                 leader: Some(known),
--- a/lib/src/raft_leader.rs
+++ b/lib/src/raft_leader.rs
@@ -4,6 +4,7 @@
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::collections::VecDeque;
+use std::time::Duration;
 use std::time::Instant;
 
 use crate::id::ReplicaId;
@@ -40,8 +41,7 @@
     pub handover: Option<Handover>,
     /// No handover starts automatically before this time.
     pub handover_paused_until: Instant,
-    /// Since when there have been fewer than `max_voters` voters.
-    pub below_max_voters_since: Option<Instant>,
+    pub elected_at: Instant,
     own_id: ReplicaId,
     round: u64,
     rounds: VecDeque<HeartbeatRound>,
@@ -94,7 +94,7 @@
             next_heartbeat: now,
             handover: None,
             handover_paused_until: now,
-            below_max_voters_since: None,
+            elected_at: now,
             own_id,
             round: NO_ROUND,
             rounds: VecDeque::new(),
@@ -315,6 +315,23 @@
         }
     }
 
+    /// Returns the time since each other voter was last heard from. Empty until live replicas have
+    /// had time to answer this leader.
+    pub fn voter_silence(
+        &self,
+        membership: &Membership,
+        cx: &LeaderCx,
+    ) -> BTreeMap<ReplicaId, Duration> {
+        if cx.now < self.elected_at + cx.cfg.election_min {
+            return BTreeMap::new();
+        }
+        let voters = self.peers.iter();
+        let voters = voters.filter(|(id, _)| membership.voters.contains_key(id));
+        voters
+            .map(|(id, progress)| (*id, progress.silence(cx.now)))
+            .collect()
+    }
+
     /// Returns how many voters of a membership are live, this replica included.
     pub fn live_voters(&self, membership: &Membership, cx: &LeaderCx) -> usize {
         let is_live = |id: &ReplicaId| match self.peers.get(id) {
--- a/lib/src/raft_membership.rs
+++ b/lib/src/raft_membership.rs
@@ -4,6 +4,8 @@
 //! replaced. Consecutive memberships differ by at most one voter, so any majority of one
 //! and any majority of the other have a replica in common.
 
+use std::time::Duration;
+
 use crate::id::ReplicaId;
 use crate::raft::Raft;
 use crate::raft::RoleState;
@@ -18,13 +20,19 @@
 use crate::raft_message::Membership;
 use crate::raft_message::ReplicaInfo;
 use crate::raft_progress::LeaderCx;
-use crate::replica_plan;
+use crate::replica_plan::SeatPlan;
 
 /// Represents a change that the leader makes automatically.
 #[derive(Clone, Copy, Debug)]
 enum DueChange {
     RemoveReplaced(ReplicaId),
     Promote(ReplicaId),
+    /// Makes a voter a learner, so that a learner can take its seat. One change that swaps the two
+    /// would not be safe: majorities of the memberships before and after need not intersect.
+    Demote {
+        id: ReplicaId,
+        silence: Duration,
+    },
 }
 
 impl Raft {
@@ -117,8 +125,9 @@
         Ok(())
     }
 
-    /// Makes the automatic change that is due, if any: the removal of a replaced replica, or
-    /// else the promotion of a learner that has caught up.
+    /// Makes the automatic change that is due, if any: the removal of a replaced replica, the
+    /// promotion of a learner that has caught up, or the demotion of a voter whose seat a learner
+    /// can take.
     pub(crate) fn drive_membership(&mut self, fx: &mut Effects) {
         if !self.may_change_membership() || self.proposal_refusal().is_some() {
             return;
@@ -133,10 +142,16 @@
             None => return,
             Some(DueChange::Promote(id)) => self.promoted(id),
             Some(DueChange::RemoveReplaced(id)) => self.without(id),
+            Some(DueChange::Demote { id, .. }) => self.demoted(id),
         };
         match membership {
             Ok(membership) => {
                 self.append_as_leader(LogPayload::Membership(membership), fx);
+                self.track_vacancy();
+                if let Some(DueChange::Demote { silence, .. }) = due {
+                    // The seat has been of no use since then.
+                    self.vacant_since = self.now.checked_sub(silence);
+                }
                 self.after_append(fx);
             }
             Err(ChangeProblem::LeaderHandsOver) => self.start_automatic_handover(fx),
@@ -154,6 +169,25 @@
         Ok(membership)
     }
 
+    fn demoted(&mut self, id: ReplicaId) -> Result<Membership, ChangeProblem> {
+        let mut membership = self.membership().clone();
+        let info = membership.voters.remove(&id);
+        let info = info.ok_or(ChangeProblem::NotMember { id })?;
+        membership.learners.insert(id, info);
+        self.check_live_majority(&membership)?;
+        Ok(membership)
+    }
+
+    /// Records since when there have been too few voters. Every replica does, so that the wait for
+    /// a learner of a better region does not start anew with each leader.
+    pub(crate) fn track_vacancy(&mut self) {
+        let voters = self.membership().voters.len();
+        if voters != self.voters_seen {
+            self.voters_seen = voters;
+            self.vacant_since = (voters < self.cfg.max_voters).then_some(self.now);
+        }
+    }
+
     fn start_automatic_handover(&mut self, fx: &mut Effects) {
         let paused = self.with_leader(|leader, cx| cx.now < leader.handover_paused_until);
         if paused == Some(false) {
@@ -202,11 +236,6 @@
     if let Some((_, old)) = replaced {
         return Some(DueChange::RemoveReplaced(*old));
     }
-    let full = membership.voters.len() >= cx.cfg.max_voters;
-    let below_max_since = *leader.below_max_voters_since.get_or_insert(cx.now);
-    if full {
-        leader.below_max_voters_since = None;
-    }
     let mut has_caught_up = |id: &&ReplicaId| {
         let progress = leader.peers.get_mut(id);
         progress.is_some_and(|progress| progress.has_caught_up(cx))
@@ -215,25 +244,25 @@
     if let Some(id) = replacing.find(&mut has_caught_up) {
         return Some(DueChange::Promote(*id));
     }
-    if full {
-        return None;
-    }
     let caught_up = membership.learners.keys().filter(&mut has_caught_up);
     let caught_up: Vec<ReplicaId> = caught_up.copied().collect();
-    let next = if cx.cfg.spread_voters {
-        let free_for = cx.now.saturating_duration_since(below_max_since);
-        replica_plan::next_voter(
-            membership,
-            cx.regions,
-            &caught_up,
-            cx.cfg.max_voters,
-            free_for,
-        )
-    } else {
-        caught_up.first().copied()
+    let is_full = membership.voters.len() >= cx.cfg.max_voters;
+    let Some(timing) = cx.cfg.seats else {
+        let next = caught_up.first().filter(|_| !is_full);
+        return next.copied().map(DueChange::Promote);
+    };
+    let plan = SeatPlan {
+        membership,
+        regions: cx.regions,
+        caught_up: &caught_up,
+        target: cx.cfg.max_voters,
+        timing,
     };
-    if next.is_some() {
-        leader.below_max_voters_since = None;
+    if !is_full {
+        return plan.next_voter(cx.vacant_for).map(DueChange::Promote);
     }
-    next.map(DueChange::Promote)
+    let silence = leader.voter_silence(membership, cx);
+    let id = plan.to_vacate(&silence)?;
+    let silence = silence.get(&id).copied().unwrap_or_default();
+    Some(DueChange::Demote { id, silence })
 }
--- a/lib/src/raft_progress.rs
+++ b/lib/src/raft_progress.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::collections::VecDeque;
 use std::sync::Arc;
+use std::time::Duration;
 use std::time::Instant;
 
 use crate::id::RegionName;
@@ -36,6 +37,8 @@
     pub contact: Instant,
     /// Regions of the replicas, as far as they are known.
     pub regions: &'a BTreeMap<ReplicaId, RegionName>,
+    /// Time for which there have been too few voters.
+    pub vacant_for: Duration,
 }
 
 impl LeaderCx<'_> {
@@ -87,6 +90,8 @@
     pub contact: Instant,
     /// When the last reply arrived from the replica in this term.
     pub last_heard: Option<Instant>,
+    /// Time from which on silence counts until the first reply arrives.
+    pub silent_since: Instant,
     /// When replication to a removed replica ends; `None` for a member. It continues for a
     /// while after the removal, so that the replica learns of it and does not campaign.
     pub served_until: Option<Instant>,
@@ -115,6 +120,7 @@
             acked_round: 0,
             contact,
             last_heard: None,
+            silent_since: contact,
             served_until: None,
             disk_full_at: None,
             next,
@@ -130,6 +136,11 @@
             .is_some_and(|heard| now < heard + cfg.election_max)
     }
 
+    /// Returns the time since the replica was last heard from.
+    pub fn silence(&self, now: Instant) -> Duration {
+        now.saturating_duration_since(self.last_heard.unwrap_or(self.silent_since))
+    }
+
     /// Returns whether the replica reported within the last `election_max` that its disk is full.
     pub fn is_disk_full(&self, now: Instant, cfg: &RaftConfig) -> bool {
         self.disk_full_at
--- a/lib/src/replica_plan.rs
+++ b/lib/src/replica_plan.rs
@@ -4,6 +4,10 @@
 //! address of its own. Both request admission. A replica that is lost for good must leave the set
 //! of voters, or the next loss stops control; but removing it gains nothing while no replacement is
 //! available.
+//!
+//! Whether a silent voter is lost or only paused can't be known. So its seat goes to a learner as
+//! soon as one has caught up, and the voter becomes a learner itself, which costs it neither its
+//! log nor its identity. Only a learner that stays silent for much longer is removed.
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -17,15 +21,45 @@
 use crate::raft_message::Membership;
 use crate::raft_message::ReplicaInfo;
 
-/// Time without contact after which a replaceable voter is removed. Longer than any restart of a VM
-/// (about 2 s) and than a short network partition, but shorter than the time in which a second loss
-/// is to be expected.
+/// Time without contact after which a learner is removed, and so is a voter beyond the target. Longer
+/// than any restart of a VM (about 2 s) and than a short network partition, since the replica loses
+/// its identity and its log.
 pub const REMOVE_SILENT_AFTER: Duration = Duration::from_secs(9);
 
-/// Time for which a vacant voter seat is reserved for a replica of a region with few voters. Longer
-/// than a replica that starts along with the others needs to be admitted, to catch up, and to
-/// report its region.
-pub const SPREAD_WAIT: Duration = Duration::from_secs(3);
+/// Shortest time within which a replacement can be asked to be a voter.
+pub const SHORTEST_REPLACEMENT: Duration = Duration::from_secs(1);
+
+/// Longest time within which a replacement can be asked to be a voter.
+pub const LONGEST_REPLACEMENT: Duration = Duration::from_mins(1);
+
+/// Silence after which a voter loses its seat to a learner that has caught up.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct SeatTiming {
+    /// Silence after which the seat goes to a learner that preserves the spread over regions.
+    pub silent_after: Duration,
+    /// Silence, or time for which a seat has been vacant, after which it goes to any learner. Until
+    /// then a learner of a better region may still be admitted, catch up and report its region.
+    pub any_region_after: Duration,
+}
+
+impl SeatTiming {
+    /// Derives the times from the time within which the replacement of a lost voter is to be a
+    /// voter, counted from the start of its process.
+    ///
+    /// Silence is counted anew when the leader changes, unless the former leader is the silent
+    /// voter. The shares leave room for one such change after the loss, which takes up to
+    /// `election_max`, and for the commits of the change.
+    #[must_use]
+    pub fn new(replacement_within: Duration, election_max: Duration) -> Self {
+        // A leader that was suspended for almost `election_max` still leads, and has heard from
+        // nobody meanwhile.
+        let shortest = election_max * 5 / 4;
+        Self {
+            silent_after: (replacement_within * 3 / 8).max(shortest),
+            any_region_after: (replacement_within * 5 / 8).max(shortest),
+        }
+    }
+}
 
 /// Answer to a replica that requests admission.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -67,9 +101,9 @@
 
 /// Returns the removal that is due, as the leader sees it.
 ///
-/// A voter that has been silent for [`REMOVE_SILENT_AFTER`] is removed if there are more voters
-/// than `target`, or if a learner is available to replace it. A learner that has been silent for
-/// that long is removed too; it requests admission again when it returns.
+/// A learner that has been silent for [`REMOVE_SILENT_AFTER`] is removed; it requests admission
+/// again when it returns. A voter that has been silent for that long is removed only if there are
+/// more voters than `target`; any other one may lose its seat by [`SeatPlan::to_vacate`].
 ///
 /// `known_since` gives the time since which this leader has known each member. The silence of a
 /// member that it has not heard from yet counts from then: a replica that was just admitted may not
@@ -87,12 +121,7 @@
         let heard = replica.last_heard.map_or(known, |heard| heard.max(known));
         now.saturating_duration_since(heard) >= REMOVE_SILENT_AFTER
     };
-    let has_replacement = progress
-        .iter()
-        .any(|replica| !replica.voter && !silent(&replica));
-    let removable = |replica: &&ReplicaProgress| {
-        !replica.voter || membership.voters.len() > target || has_replacement
-    };
+    let removable = |replica: &&ReplicaProgress| !replica.voter || membership.voters.len() > target;
     progress
         .iter()
         .filter(silent)
@@ -100,30 +129,89 @@
         .map(|replica| replica.id)
 }
 
-/// Returns the learner to be promoted to voter, among those that have `caught_up`.
+/// View of the members from which the leader decides who votes.
 ///
 /// Voters are spread over the regions, so that the loss of a region leaves a majority of `target`
-/// voters. `regions` gives the region of each replica, as far as it is known. A seat that has been
-/// vacant for [`SPREAD_WAIT`] goes to the best learner even if it does not preserve that property;
-/// `free_for` is the time for which it has been vacant.
-#[must_use]
-pub fn next_voter(
-    membership: &Membership,
-    regions: &BTreeMap<ReplicaId, RegionName>,
-    caught_up: &[ReplicaId],
-    target: usize,
-    free_for: Duration,
-) -> Option<ReplicaId> {
-    let voters_in = |region: Option<&RegionName>| {
-        let voters = membership.voters.keys();
-        voters.filter(|id| regions.get(id) == region).count()
-    };
-    let rank = |id: &&ReplicaId| {
-        let region = regions.get(id);
-        (region.is_none(), voters_in(region))
-    };
-    let best = caught_up.iter().min_by_key(rank)?;
-    let region = regions.get(best);
-    let leaves_majority = region.is_some() && voters_in(region) < target / 2;
-    (leaves_majority || free_for >= SPREAD_WAIT).then_some(*best)
+/// voters.
+#[derive(Clone, Copy, Debug)]
+pub struct SeatPlan<'a> {
+    /// The members.
+    pub membership: &'a Membership,
+    /// Region of each replica, as far as it is known.
+    pub regions: &'a BTreeMap<ReplicaId, RegionName>,
+    /// Learners that have caught up.
+    pub caught_up: &'a [ReplicaId],
+    /// Number of voters to maintain.
+    pub target: usize,
+    /// Silence after which a voter loses its seat.
+    pub timing: SeatTiming,
+}
+
+impl SeatPlan<'_> {
+    /// Returns the learner to be promoted to voter, if a seat has been vacant for `vacant_for`.
+    ///
+    /// The seat goes to the best learner even if it does not preserve the spread, once it has been
+    /// vacant for [`SeatTiming::any_region_after`].
+    #[must_use]
+    pub fn next_voter(&self, vacant_for: Duration) -> Option<ReplicaId> {
+        self.successor(None, vacant_for)
+    }
+
+    /// Returns the voter that is to become a learner so that a learner can take its seat, if all
+    /// seats are taken.
+    ///
+    /// `silence` has the time since each other voter was last heard from; it lacks the leader.
+    #[must_use]
+    pub fn to_vacate(&self, silence: &BTreeMap<ReplicaId, Duration>) -> Option<ReplicaId> {
+        if self.caught_up.is_empty() || self.membership.voters.len() != self.target {
+            return None;
+        }
+        self.silent_seat(silence)
+            .or_else(|| self.crowded_seat(silence))
+    }
+
+    /// Returns the voter that has been silent for longest and whose seat can be taken.
+    fn silent_seat(&self, silence: &BTreeMap<ReplicaId, Duration>) -> Option<ReplicaId> {
+        let silent = silence.iter().filter(|(id, lasts)| {
+            **lasts >= self.timing.silent_after && self.successor(Some(**id), **lasts).is_some()
+        });
+        silent.max_by_key(|(_, lasts)| **lasts).map(|(id, _)| *id)
+    }
+
+    /// Returns a voter of a region that has too many of them, if all voters are live and a learner
+    /// of another region can take its seat.
+    ///
+    /// Without this move, a region that stood in for another one would keep its seats, and its
+    /// loss would stop control after the other one has long returned.
+    fn crowded_seat(&self, silence: &BTreeMap<ReplicaId, Duration>) -> Option<ReplicaId> {
+        let all_live = silence
+            .values()
+            .all(|lasts| *lasts < self.timing.silent_after);
+        let crowded = |id: &&ReplicaId| {
+            let region = self.regions.get(id);
+            region.is_some() && self.voters_in(region, None) > self.target / 2
+        };
+        let movable =
+            |id: &&ReplicaId| crowded(id) && self.successor(Some(**id), Duration::ZERO).is_some();
+        silence.keys().filter(|_| all_live).find(movable).copied()
+    }
+
+    /// Returns the learner that would take a seat, provided that `without` has none.
+    fn successor(&self, without: Option<ReplicaId>, vacant_for: Duration) -> Option<ReplicaId> {
+        let rank = |id: &&ReplicaId| {
+            let region = self.regions.get(id);
+            (region.is_none(), self.voters_in(region, without))
+        };
+        let best = self.caught_up.iter().min_by_key(rank)?;
+        let region = self.regions.get(best);
+        let spread = region.is_some() && self.voters_in(region, without) < self.target / 2;
+        (spread || vacant_for >= self.timing.any_region_after).then_some(*best)
+    }
+
+    fn voters_in(&self, region: Option<&RegionName>, without: Option<ReplicaId>) -> usize {
+        let voters = self.membership.voters.keys();
+        voters
+            .filter(|id| Some(**id) != without && self.regions.get(id) == region)
+            .count()
+    }
 }
--- a/lib/src/settings.rs
+++ b/lib/src/settings.rs
@@ -94,6 +94,10 @@
     #[serde(default = "default_voters")]
     #[schemars(range(min = 1))]
     pub voters: u32,
+    /// Time from the start of a replica that replaces a lost voter until it is to be a voter itself.
+    /// Silent voters lose their seats early enough for that.
+    #[serde(default = "default_replacement_within")]
+    pub replacement_within: DurationText,
 }
 
 /// Five voters tolerate the loss of two, and a commit waits for the second fastest of the other
@@ -102,6 +106,10 @@
     5
 }
 
+const fn default_replacement_within() -> DurationText {
+    DurationText(Duration::from_secs(4))
+}
+
 impl FormationSettings {
     /// Returns the addresses at which the seeds receive messages of other replicas.
     #[must_use]
--- a/lib/src/settings_check.rs
+++ b/lib/src/settings_check.rs
@@ -16,6 +16,8 @@
 use crate::id::PlaceName;
 use crate::id::RegionName;
 use crate::manifest::Manifest;
+use crate::replica_plan::LONGEST_REPLACEMENT;
+use crate::replica_plan::SHORTEST_REPLACEMENT;
 use crate::settings::ControlSettings;
 use crate::settings::ControlTiming;
 use crate::settings::EntryListen;
@@ -134,6 +136,16 @@
         /// Time within which a confirmed manifest is to be in force.
         in_force_within: DurationText,
     },
+    /// No replacement votes so soon, or a lost voter would keep its seat for too long.
+    #[snafu(display(
+        "replacement_within is {replacement_within}; allowed is {min} to {max}",
+        min = DurationText(SHORTEST_REPLACEMENT),
+        max = DurationText(LONGEST_REPLACEMENT)
+    ))]
+    ReplacementOutOfRange {
+        /// Time within which a replacement is to be a voter.
+        replacement_within: DurationText,
+    },
     /// The manifest has the place in another region.
     #[snafu(display(
         "the manifest has {place} in region {expected}, not {region}; allowed is {expected}"
@@ -153,6 +165,13 @@
 pub fn check_control(settings: &ControlSettings) -> Vec<LocatedProblem> {
     let mut problems = check_timing(&settings.timing);
     let listen = ConfigPath::root().field("listen");
+    if let Some(formation) = &settings.formation {
+        let path = ConfigPath::root().field("formation");
+        problems.extend(check_replacement(
+            path.field("replacement_within"),
+            formation.replacement_within,
+        ));
+    }
     if let Some(direct) = &settings.direct {
         let path = ConfigPath::root().field("direct");
         problems.extend(check_heartbeat(path.field("heartbeat"), direct.heartbeat));
@@ -314,6 +333,12 @@
     (!allowed.contains(&in_force_within.0)).then(|| located(path, problem))
 }
 
+fn check_replacement(path: ConfigPath, replacement_within: DurationText) -> Option<LocatedProblem> {
+    let allowed = SHORTEST_REPLACEMENT..=LONGEST_REPLACEMENT;
+    let problem = SettingsProblem::ReplacementOutOfRange { replacement_within };
+    (!allowed.contains(&replacement_within.0)).then(|| located(path, problem))
+}
+
 const fn listeners(listen: &EntryListen) -> [(&'static str, SocketAddr); 4] {
     [
         ("callers", listen.callers),
--- /dev/null
+++ b/lib/tests/test_raft_seats.rs
@@ -0,0 +1,106 @@
+//! Tests of how learners take the seats of silent voters.
+
+mod raft_network;
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use heatherring_lib::id::ReplicaId;
+use heatherring_lib::raft_effects::Input;
+use heatherring_lib::replica_plan::SeatTiming;
+
+use self::raft_network::ELECTION_MAX;
+use self::raft_network::ELECTION_MIN;
+use self::raft_network::Network;
+use self::raft_network::id;
+
+/// Time within which a replacement is to be a voter.
+const REPLACEMENT: Duration = Duration::from_secs(1);
+
+/// Seeds of each test.
+const SEEDS: u64 = 12;
+
+/// Starts five replicas, each of which votes.
+fn five_voters(seed: u64) -> Network {
+    Network::with_seats(seed, 5, SeatTiming::new(REPLACEMENT, ELECTION_MAX))
+}
+
+fn set(numbers: impl IntoIterator<Item = u64>) -> BTreeSet<ReplicaId> {
+    numbers.into_iter().map(id).collect()
+}
+
+fn live_voters(network: &Network) -> usize {
+    let voters = network.voters();
+    let running = network.rafts().map(heatherring_lib::raft::Raft::id);
+    running.filter(|id| voters.contains(id)).count()
+}
+
+/// Guards against the loss of control while each leader in turn is replaced by an empty replica.
+#[test]
+fn test_raft_seats_leaders_are_replaced_one_after_another() {
+    for seed in 0..SEEDS {
+        let mut network = five_voters(seed);
+        for number in 6..16 {
+            let leader = network.leader().unwrap();
+            network.lose_disk(leader);
+            network.run(ELECTION_MAX + ELECTION_MIN);
+            network.join(number, None);
+            network.run(REPLACEMENT);
+            assert_eq!(live_voters(&network), 5, "seed {seed}, {number}");
+            assert!(!network.voters().contains(&leader), "seed {seed}");
+            network.commit_one();
+        }
+    }
+}
+
+/// Guards against a seat that stays dead since its silence is counted anew by each leader.
+#[test]
+fn test_raft_seats_outlast_a_change_of_leader() {
+    for seed in 0..SEEDS {
+        let mut network = five_voters(seed);
+        let lost = network.leader().unwrap();
+        network.lose_disk(lost);
+        network.join(6, None);
+        let leader = network.leader().unwrap();
+        network.step(leader, Input::StepDown);
+        network.run(REPLACEMENT);
+        assert_eq!(live_voters(&network), 5, "seed {seed}");
+        assert!(!network.voters().contains(&lost), "seed {seed}");
+    }
+}
+
+/// Guards against the loss of a log, and of an identity, by a short pause.
+#[test]
+fn test_raft_seats_a_paused_voter_stays_a_member() {
+    for seed in 0..SEEDS {
+        let mut network = five_voters(seed);
+        network.join(6, None);
+        network.run(ELECTION_MAX);
+        let leader = network.leader().unwrap();
+        let paused = (1..=5).map(id).find(|id| *id != leader).unwrap();
+        network.freeze(paused, REPLACEMENT * 2);
+        network.run(REPLACEMENT);
+        assert!(network.voters().contains(&id(6)), "seed {seed}");
+        network.run(REPLACEMENT * 2);
+        let leader = network.leader().unwrap();
+        let membership = network.raft(leader).membership().clone();
+        assert!(membership.learners.contains_key(&paused), "seed {seed}");
+        assert_eq!(membership.voters.len(), 5);
+        let last = network.commit_one();
+        network.run(ELECTION_MAX);
+        assert!(network.raft(paused).commit() >= last, "seed {seed}");
+    }
+}
+
+/// Guards against voters that lose their seats while nobody can take them.
+#[test]
+fn test_raft_seats_stay_without_a_learner() {
+    for seed in 0..SEEDS {
+        let mut network = five_voters(seed);
+        let leader = network.leader().unwrap();
+        let paused = (1..=5).map(id).find(|id| *id != leader).unwrap();
+        network.freeze(paused, REPLACEMENT * 4);
+        network.run(REPLACEMENT * 5);
+        assert_eq!(network.voters(), set(1..=5), "seed {seed}");
+    }
+}
--- a/lib/tests/test_settings.rs
+++ b/lib/tests/test_settings.rs
@@ -131,6 +131,12 @@
     test_settings_in_force_delay_too_short: read_control_settings, CONTROL,
         r#""vm""# => r#""direct": {"listen": "127.0.0.11:7405", "places": {}, "in_force_within": ^"99ms"}, "vm""#,
         r"in_force_within is 99ms; allowed is 100ms to 60000ms";
+    test_settings_replacement_too_early: read_control_settings, CONTROL,
+        r#""vm""# => r#""formation": {"seeds": ["127.0.0.11:7400"], "first_start": true, "replacement_within": ^"999ms"}, "vm""#,
+        r"replacement_within is 999ms; allowed is 1000ms to 60000ms";
+    test_settings_replacement_too_late: read_control_settings, CONTROL,
+        r#""vm""# => r#""formation": {"seeds": ["127.0.0.11:7400"], "first_start": true, "replacement_within": ^"61s"}, "vm""#,
+        r"replacement_within is 61000ms; allowed is 1000ms to 60000ms";
     test_settings_unknown_level: read_control_settings, CONTROL,
         r#""vm""# => r#""log": {"level": ^"verbose"}, "vm""#,
         r#""verbose" is not allowed here; allowed is one of "error", "warn", "info", "debug", "trace""#;
--- a/server/src/control_node.rs
+++ b/server/src/control_node.rs
@@ -31,6 +31,7 @@
 use heatherring_lib::raft_message::Snapshot;
 use heatherring_lib::raft_write_queue::Completed;
 use heatherring_lib::raft_write_queue::WriteQueue;
+use heatherring_lib::replica_plan::SeatTiming;
 use heatherring_lib::settings::ControlTiming;
 use slotmap::SlotMap;
 use snafu::ResultExt;
@@ -133,10 +134,12 @@
 pub enum VoterPolicy {
     /// Operators maintain it; every replica that they add votes.
     Operators,
-    /// The leader removes lost voters, and promotes learners in their place.
+    /// The leader promotes learners in place of lost voters.
     SelfRepair {
         /// Number of voters to maintain.
         target: usize,
+        /// Time from the start of a replacement until it is to be a voter.
+        replacement_within: Duration,
     },
 }
 
@@ -144,7 +147,16 @@
     const fn max_voters(self) -> usize {
         match self {
             Self::Operators => usize::MAX,
-            Self::SelfRepair { target } => target,
+            Self::SelfRepair { target, .. } => target,
+        }
+    }
+
+    fn seats(self, timing: &ControlTiming) -> Option<SeatTiming> {
+        match self {
+            Self::Operators => None,
+            Self::SelfRepair {
+                replacement_within, ..
+            } => Some(SeatTiming::new(replacement_within, timing.election_max())),
         }
     }
 }
@@ -205,7 +217,7 @@
             snapshot_chunk_bytes: SNAPSHOT_CHUNK_BYTES,
             seed: cfg.seed,
             max_voters: cfg.voters.max_voters(),
-            spread_voters: matches!(cfg.voters, VoterPolicy::SelfRepair { .. }),
+            seats: cfg.voters.seats(&cfg.timing),
         };
         let raft = Raft::new(raft_cfg, durable, clock.now()).context(RaftSnafu)?;
         Ok(Self {
@@ -371,7 +383,10 @@
                 // The requester may have stopped waiting.
                 let _ = reply.send(self.admit(replica, &info, question_only));
             }
-            NodeRequest::Regions(regions) => self.repair.note_regions(regions),
+            NodeRequest::Regions(regions) => {
+                self.repair.note_regions(regions);
+                self.update_regions();
+            }
             NodeRequest::Leave => self.begin_leaving(),
         }
     }
@@ -602,6 +617,8 @@
                 self.state
                     .apply_membership(index, &membership)
                     .context(StateSnafu)?;
+                log::info!(event = "membership_changed", revision = index.0, voters:? = membership.voters.keys(), learners:? = membership.learners.keys(); "membership committed");
+                self.update_regions();
                 self.links.retain_members(self.raft.membership());
                 None
             }
--- a/server/src/control_process.rs
+++ b/server/src/control_process.rs
@@ -314,6 +314,7 @@
 fn node_config(settings: &ControlSettings) -> NodeConfig {
     let self_repair = |formation: &FormationSettings| VoterPolicy::SelfRepair {
         target: formation.voters as usize,
+        replacement_within: formation.replacement_within.0,
     };
     NodeConfig {
         timing: settings.timing,
--- a/server/src/node_repair.rs
+++ b/server/src/node_repair.rs
@@ -70,7 +70,7 @@
 impl<D: Disk> ControlNode<D> {
     /// Proposes the removal of a replica that has been silent for too long, if this replica leads.
     pub(crate) fn continue_repair(&mut self) {
-        let VoterPolicy::SelfRepair { target } = self.cfg.voters else {
+        let VoterPolicy::SelfRepair { target, .. } = self.cfg.voters else {
             return;
         };
         let now = self.clock.now();
@@ -79,8 +79,6 @@
             return;
         }
         self.repair.next_check_at = Some(now + REPAIR_INTERVAL);
-        let regions = self.repair.regions_of(self.raft.membership());
-        self.step(Input::Regions(regions));
         let progress = self.raft.progress();
         let membership = self.raft.membership();
         self.repair.track_members(membership, now);
@@ -92,6 +90,12 @@
         }
     }
 
+    /// Tells Raft the regions of the members, as far as they are known.
+    pub(crate) fn update_regions(&mut self) {
+        let regions = self.repair.regions_of(self.raft.membership());
+        self.step(Input::Regions(regions));
+    }
+
     fn propose_change(&mut self, change: MembershipChange) {
         let token = token_of(self.pending.insert(Pending::Unattended));
         self.step(Input::ChangeMembership { token, change });
--- a/server/tests/direct_support/mod.rs
+++ b/server/tests/direct_support/mod.rs
@@ -316,6 +316,7 @@
                 seed_port: None,
                 first_start: true,
                 voters: 5,
+                replacement_within: DurationText(Duration::from_secs(4)),
             }),
             metrics_listen: None,
             direct: Some(DirectControlSettings {
