control: a new leader goes by what it knew of silence before

What callers would see: the time until a seat of a lost voter is taken, and until a lost learner is removed, began anew with each change of leader. Members that are gone count among the replicas of which a majority has to report before an entry VM or a backend server counts as absent; with five leaders lost in a row, each after less than 9 s, entry VMs that are gone would still be named in look-ups. By reading; found as the class of the lost voters.

Cause: replicas that follow a leader exchange no messages of Raft, so that the next leader knows nothing of the silence of the others.

A new leader still leaves live members time to answer: an election timeout before a seat is vacated, 4.5 s before a removal.

--- a/lib/src/presence.rs
+++ b/lib/src/presence.rs
@@ -7,6 +7,7 @@
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
+use std::net::SocketAddr;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -368,6 +369,12 @@
         })
     }
 
+    /// Returns the addresses of the other replicas, and when each last reported.
+    pub fn replica_contacts(&self) -> impl Iterator<Item = (SocketAddr, Instant)> {
+        let peers = self.peers.values();
+        peers.filter_map(|peer| Some((peer.endpoints.as_ref()?.address, peer.at)))
+    }
+
     /// Returns whether a backend server has sent no heartbeats for [`HeartbeatTiming::silence`]. For
     /// one that never sent any, the time counts from this replica's start.
     #[must_use]
--- a/lib/src/raft.rs
+++ b/lib/src/raft.rs
@@ -66,6 +66,8 @@
     /// Whether the disk of this replica refuses records.
     pub(crate) disk_full: bool,
     pub(crate) regions: BTreeMap<ReplicaId, RegionName>,
+    /// When other members last reported to this replica.
+    pub(crate) contacts: BTreeMap<ReplicaId, Instant>,
     /// The latest leader that sent a message here, and when. Outlives the role of a follower, so that
     /// the next leader knows for how long a lost leader has been silent.
     pub(crate) last_leader: Option<(ReplicaId, Instant)>,
@@ -172,6 +174,7 @@
             sent_replies: SentReplies::new(first_reply_number),
             disk_full: false,
             regions: BTreeMap::new(),
+            contacts: BTreeMap::new(),
             last_leader: None,
             voters_seen: 0,
             vacant_since: None,
@@ -204,6 +207,7 @@
             Input::Compact { index, data } => self.on_compact(index, data, &mut fx),
             Input::Persisted(position) => self.on_persisted(position, &mut fx),
             Input::Regions(regions) => self.regions = regions,
+            Input::Contacts(contacts) => self.contacts = contacts,
             Input::DiskFull(full) => self.disk_full = full,
             Input::StepDown => self.on_step_down(&mut fx),
         }
--- a/lib/src/raft_effects.rs
+++ b/lib/src/raft_effects.rs
@@ -54,6 +54,10 @@
     },
     /// Sets the regions of the replicas, as far as they are known.
     Regions(BTreeMap<ReplicaId, RegionName>),
+    /// Sets when other members last reported to this replica by other means than Raft. Replicas that
+    /// follow a leader exchange no messages of Raft, so that the next leader would know nothing of
+    /// their silence.
+    Contacts(BTreeMap<ReplicaId, Instant>),
     /// Provides a snapshot of the replicated state, so that the log up to it can be
     /// compacted.
     Compact {
--- a/lib/src/raft_election.rs
+++ b/lib/src/raft_election.rs
@@ -1,5 +1,7 @@
 //! Leader election: pre-votes, votes and the transition to leader.
 
+use std::time::Instant;
+
 use crate::id::ReplicaId;
 use crate::id::Revision;
 use crate::id::Term;
@@ -98,13 +100,11 @@
         }
     }
 
-    fn become_leader(&mut self, contact: std::time::Instant, fx: &mut Effects) {
+    fn become_leader(&mut self, contact: Instant, fx: &mut Effects) {
         let last = self.last_index();
         let mut leader = LeaderState::new(self.cfg.id, self.membership(), last, contact, self.now);
-        if let Some((former, heard)) = self.last_leader
-            && let Some(progress) = leader.peers.get_mut(&former)
-        {
-            progress.silent_since = progress.silent_since.min(heard);
+        for (id, progress) in &mut leader.peers {
+            progress.silent_since = self.silent_since(*id, contact);
         }
         self.role = RoleState::Leader(leader);
         self.pending.leadership_won();
@@ -114,6 +114,14 @@
         self.after_append(fx);
     }
 
+    /// Returns since when a replica is silent that has not answered this leader yet.
+    fn silent_since(&self, id: ReplicaId, candidacy: Instant) -> Instant {
+        let as_leader = self.last_leader.filter(|(leader, _)| *leader == id);
+        let heard = as_leader.map(|(_, at)| at);
+        let heard = heard.max(self.contacts.get(&id).copied());
+        heard.map_or(candidacy, |at| at.min(candidacy))
+    }
+
     pub(crate) fn on_pre_vote(
         &mut self,
         from: ReplicaId,
--- a/lib/src/replica_plan.rs
+++ b/lib/src/replica_plan.rs
@@ -129,6 +129,16 @@
         .map(|replica| replica.id)
 }
 
+/// Returns since when a new leader counts the silence of a member that last reported at `contact`.
+///
+/// The member keeps half of [`REMOVE_SILENT_AFTER`] to answer the new leader: the report may be that
+/// of a former process at its address.
+#[must_use]
+pub fn known_since(contact: Instant, now: Instant) -> Instant {
+    let earliest = now.checked_sub(REMOVE_SILENT_AFTER / 2).unwrap_or(now);
+    contact.clamp(earliest, now)
+}
+
 /// View of the members from which the leader decides who votes.
 ///
 /// Voters are spread over the regions, so that the loss of a region leaves a majority of `target`
--- a/lib/tests/test_raft_seats.rs
+++ b/lib/tests/test_raft_seats.rs
@@ -2,10 +2,12 @@
 
 mod raft_network;
 
+use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::time::Duration;
 
 use heatherring_lib::id::ReplicaId;
+use heatherring_lib::raft::Raft;
 use heatherring_lib::raft_effects::Input;
 use heatherring_lib::replica_plan::SeatTiming;
 
@@ -20,9 +22,13 @@
 /// Seeds of each test.
 const SEEDS: u64 = 12;
 
+fn timing() -> SeatTiming {
+    SeatTiming::new(REPLACEMENT, ELECTION_MAX)
+}
+
 /// Starts five replicas, each of which votes.
 fn five_voters(seed: u64) -> Network {
-    Network::with_seats(seed, 5, SeatTiming::new(REPLACEMENT, ELECTION_MAX))
+    Network::with_seats(seed, 5, timing())
 }
 
 fn set(numbers: impl IntoIterator<Item = u64>) -> BTreeSet<ReplicaId> {
@@ -31,7 +37,7 @@
 
 fn live_voters(network: &Network) -> usize {
     let voters = network.voters();
-    let running = network.rafts().map(heatherring_lib::raft::Raft::id);
+    let running = network.rafts().map(Raft::id);
     running.filter(|id| voters.contains(id)).count()
 }
 
@@ -104,3 +110,28 @@
         assert_eq!(network.voters(), set(1..=5), "seed {seed}");
     }
 }
+
+/// Guards against a seat that stays dead while leaders change faster than silence is noticed.
+#[test]
+fn test_raft_seats_new_leader_goes_by_reports_from_before() {
+    for seed in 0..SEEDS {
+        let mut network = five_voters(seed);
+        let leader = network.leader().unwrap();
+        let lost = (1..=5).map(id).find(|id| *id != leader).unwrap();
+        network.lose_disk(lost);
+        let contacts = BTreeMap::from([(lost, network.time())]);
+        for number in (1..=5).filter(|number| id(*number) != lost) {
+            network.step(id(number), Input::Contacts(contacts.clone()));
+        }
+        network.join(6, None);
+        network.run(timing().any_region_after / 2);
+        let leader = network.leader().unwrap();
+        network.step(leader, Input::StepDown);
+        network.run_until("another replica leads", |network| {
+            network.leader().is_some_and(|other| other != leader)
+        });
+        let remaining = timing().any_region_after / 2;
+        network.run(remaining + ELECTION_MIN / 2);
+        assert!(!network.voters().contains(&lost), "seed {seed}");
+    }
+}
--- a/lib/tests/test_replica_plan.rs
+++ b/lib/tests/test_replica_plan.rs
@@ -19,6 +19,7 @@
 use heatherring_lib::replica_plan::SeatTiming;
 use heatherring_lib::replica_plan::admit;
 use heatherring_lib::replica_plan::due_removal;
+use heatherring_lib::replica_plan::known_since;
 
 fn info(number: u16) -> ReplicaInfo {
     ReplicaInfo {
@@ -271,3 +272,14 @@
         }
     }
 }
+
+/// Guards against members that are gone and never removed while leaders change, and against the
+/// removal of one that has had no time to answer the new leader.
+#[test]
+fn test_replica_plan_silence_outlasts_a_change_of_leader() {
+    let now = Instant::now() + Duration::from_mins(1);
+    let ago = |ms| now.checked_sub(Duration::from_millis(ms)).unwrap();
+    assert_eq!(known_since(ago(3_000), now), ago(3_000));
+    assert_eq!(known_since(ago(60_000), now), ago(4_500));
+    assert_eq!(known_since(now + Duration::from_secs(1), now), now);
+}
--- a/server/src/control_node.rs
+++ b/server/src/control_node.rs
@@ -387,6 +387,10 @@
                 self.repair.note_regions(regions);
                 self.update_regions();
             }
+            NodeRequest::Contacts(contacts) => {
+                self.repair.note_contacts(contacts);
+                self.update_contacts();
+            }
             NodeRequest::Leave => self.begin_leaving(),
         }
     }
--- a/server/src/node_repair.rs
+++ b/server/src/node_repair.rs
@@ -35,6 +35,8 @@
 pub(crate) struct Repair {
     known_since: BTreeMap<ReplicaId, Instant>,
     regions: BTreeMap<SocketAddr, RegionName>,
+    /// When the replicas at these addresses last reported to this one.
+    contacts: BTreeMap<SocketAddr, Instant>,
     next_check_at: Option<Instant>,
 }
 
@@ -49,6 +51,22 @@
         self.regions = regions;
     }
 
+    pub(crate) fn note_contacts(&mut self, contacts: BTreeMap<SocketAddr, Instant>) {
+        self.contacts = contacts;
+    }
+
+    /// Returns when those members last reported that have an address of their own.
+    fn contacts_of(&self, membership: &Membership) -> BTreeMap<ReplicaId, Instant> {
+        let contact = |id| {
+            let address = membership.info(id)?.address;
+            let infos = membership.ids().filter_map(|id| membership.info(id));
+            let is_own = infos.filter(|info| info.address == address).count() == 1;
+            let at = self.contacts.get(&address).filter(|_| is_own)?;
+            Some((id, *at))
+        };
+        membership.ids().filter_map(contact).collect()
+    }
+
     /// Returns the regions of those members whose region is known.
     fn regions_of(&self, membership: &Membership) -> BTreeMap<ReplicaId, RegionName> {
         let region = |id| {
@@ -61,8 +79,12 @@
     /// Drops former members, and records the time at which new ones were first seen.
     fn track_members(&mut self, membership: &Membership, now: Instant) {
         self.known_since.retain(|id, _| membership.contains(*id));
+        let is_new_leader = self.known_since.is_empty();
+        let contacts = self.contacts_of(membership);
         for id in membership.ids() {
-            self.known_since.entry(id).or_insert(now);
+            let contact = contacts.get(&id).filter(|_| is_new_leader);
+            let since = contact.map_or(now, |at| replica_plan::known_since(*at, now));
+            self.known_since.entry(id).or_insert(since);
         }
     }
 }
@@ -96,6 +118,12 @@
         self.step(Input::Regions(regions));
     }
 
+    /// Tells Raft when the members last reported to this replica.
+    pub(crate) fn update_contacts(&mut self) {
+        let contacts = self.repair.contacts_of(self.raft.membership());
+        self.step(Input::Contacts(contacts));
+    }
+
     fn propose_change(&mut self, change: MembershipChange) {
         let token = token_of(self.pending.insert(Pending::Unattended));
         self.step(Input::ChangeMembership { token, change });
--- a/server/src/node_request.rs
+++ b/server/src/node_request.rs
@@ -4,6 +4,7 @@
 use std::fmt;
 use std::net::SocketAddr;
 use std::time::Duration;
+use std::time::Instant;
 
 use heatherring_lib::command::CommandKind;
 use heatherring_lib::control_state::ControlState;
@@ -265,6 +266,8 @@
     },
     /// Sets the regions of the replicas at these addresses.
     Regions(BTreeMap<SocketAddr, RegionName>),
+    /// Sets when the replicas at these addresses last reported to this one.
+    Contacts(BTreeMap<SocketAddr, Instant>),
     /// Hands leadership over, then ends the task.
     Leave,
 }
@@ -281,6 +284,7 @@
             Self::SyncBatch { .. } => "SyncBatch",
             Self::Admit { .. } => "Admit",
             Self::Regions(_) => "Regions",
+            Self::Contacts(_) => "Contacts",
             Self::Leave => "Leave",
         };
         f.write_str(name)
@@ -515,6 +519,14 @@
         let _ = self.tx.send(NodeRequest::Regions(regions)).await;
     }
 
+    /// Sets when the replicas at these addresses last reported to this one. Dropped if the queue is
+    /// full; the next report repeats it.
+    pub fn note_contacts(&self, contacts: BTreeMap<SocketAddr, Instant>) {
+        if self.tx.try_send(NodeRequest::Contacts(contacts)).is_err() {
+            log::debug!("dropped the times of reports: the queue is full or closed");
+        }
+    }
+
     /// Requests that the replica hands leadership over and stops.
     pub async fn leave(&self) {
         // A replica that has stopped already does not need the request.
--- a/server/src/presence_task.rs
+++ b/server/src/presence_task.rs
@@ -405,6 +405,8 @@
         for info in replicas.iter().filter(|info| info.address != own) {
             self.report_to(now, info.address);
         }
+        let contacts = self.presence.replica_contacts().collect();
+        self.setup.node.note_contacts(contacts);
     }
 
     fn report_to(&mut self, now: Instant, replica: SocketAddr) {
