control: a replica that stops as planned gives its seat up first

What was found: where the successor of a control VM starts first and its predecessor is then ended by SIGTERM, the successor got the seat only about 1.2 s after that end (a soak over real processes, 3.5 to 7.0 s after it had joined). In that time the seat is dead although the deployment doesn't count the removed VM as lost: a region with two others takes the majority along.

Cause: a planned stop handed over leadership only.

Fix: the replica tells its leader that it is about to stop, beside its replies to appends. The leader vacates the seat at once if a learner has caught up, and neither promotes a replica that is about to stop nor hands leadership over to it. The process ends once it doesn't vote any more, or after the longest election timeout; without a learner it doesn't wait. Log and identity stay, so that a restart returns as a learner.

Replicas of earlier builds can't read the new message, as with earlier changes of the protocol: control is upgraded together.

Open: a predecessor that is killed beside a successor that stands by.

--- a/lib/src/raft.rs
+++ b/lib/src/raft.rs
@@ -65,6 +65,8 @@
     pub(crate) sent_replies: SentReplies,
     /// Whether the disk of this replica refuses records.
     pub(crate) disk_full: bool,
+    /// Whether this replica is about to stop.
+    pub(crate) leaving: bool,
     pub(crate) regions: BTreeMap<ReplicaId, RegionName>,
     /// When other members last reported to this replica.
     pub(crate) contacts: BTreeMap<ReplicaId, Instant>,
@@ -173,6 +175,7 @@
             incoming: None,
             sent_replies: SentReplies::new(first_reply_number),
             disk_full: false,
+            leaving: false,
             regions: BTreeMap::new(),
             contacts: BTreeMap::new(),
             last_leader: None,
@@ -209,6 +212,7 @@
             Input::Regions(regions) => self.regions = regions,
             Input::Contacts(contacts) => self.contacts = contacts,
             Input::DiskFull(full) => self.disk_full = full,
+            Input::Leaving => self.leaving = true,
             Input::StepDown => self.on_step_down(&mut fx),
         }
         self.pending.expire(self.now, &mut fx.answers);
@@ -437,6 +441,10 @@
         self.with_leader(|leader, cx| leader.on_disk_full_report(from, cx));
     }
 
+    fn on_leaving_report(&mut self, from: ReplicaId) {
+        self.with_leader(|leader, cx| leader.on_leaving_report(from, cx));
+    }
+
     fn on_message(&mut self, from: ReplicaId, message: Message, fx: &mut Effects) {
         if from == self.cfg.id {
             return;
@@ -490,6 +498,7 @@
                 installed,
             } => self.on_snapshot_reply(from, index, received, installed, fx),
             MessageKind::DiskFull => self.on_disk_full_report(from),
+            MessageKind::Leaving => self.on_leaving_report(from),
             kind => self.on_leader_message(from, kind, fx),
         }
     }
--- a/lib/src/raft_effects.rs
+++ b/lib/src/raft_effects.rs
@@ -71,6 +71,9 @@
     /// Sets whether the disk of this replica is full: it refuses records, which are written once
     /// there is room again.
     DiskFull(bool),
+    /// Announces a planned stop: this replica gives its seat up if a learner can take it, and is not
+    /// promoted any more. Holds until the process ends.
+    Leaving,
     /// Announces a planned stop: a leader hands leadership over to the most up-to-date
     /// voter and refuses proposals meanwhile. To be repeated if the replica is still the
     /// leader after an election timeout.
--- a/lib/src/raft_follower.rs
+++ b/lib/src/raft_follower.rs
@@ -169,6 +169,9 @@
         if self.disk_full {
             self.send(from, MessageKind::DiskFull, fx);
         }
+        if self.leaving {
+            self.send(from, MessageKind::Leaving, fx);
+        }
         let barrier = append.barrier;
         let append = self.skip_committed(append);
         let previous = append.previous;
--- a/lib/src/raft_leader.rs
+++ b/lib/src/raft_leader.rs
@@ -19,6 +19,7 @@
 use crate::raft_message::MessageKind;
 use crate::raft_progress::LeaderCx;
 use crate::raft_progress::Progress;
+use crate::replica_plan::SeatTiming;
 
 /// Number that no round has; the first round of a term has 1.
 pub(crate) const NO_ROUND: u64 = 0;
@@ -280,6 +281,13 @@
         }
     }
 
+    /// Records that a replica is about to stop.
+    pub fn on_leaving_report(&mut self, from: ReplicaId, cx: &LeaderCx) {
+        if let Some(progress) = self.peers.get_mut(&from) {
+            progress.leaving_at = Some(cx.now);
+        }
+    }
+
     /// Returns the other replicas whose disks are full.
     pub fn full_disks(&self, now: Instant, cfg: &RaftConfig) -> BTreeSet<ReplicaId> {
         let peers = self.peers.iter();
@@ -288,12 +296,13 @@
     }
 
     /// Returns the live voter with the highest matching index, other than this replica and those
-    /// whose disks are full.
+    /// that are about to stop or whose disks are full.
     pub fn handover_target(&self, membership: &Membership, cx: &LeaderCx) -> Option<ReplicaId> {
         let candidates = self.peers.iter().filter(|(id, progress)| {
             membership.voters.contains_key(id)
                 && progress.is_live(cx.now, cx.cfg)
                 && !progress.is_disk_full(cx.now, cx.cfg)
+                && !progress.is_leaving(cx.now, cx.cfg)
         });
         candidates
             .max_by_key(|(_, progress)| progress.matched)
@@ -315,21 +324,25 @@
         }
     }
 
-    /// Returns the time since each other voter was last heard from. Empty until live replicas have
-    /// had time to answer this leader.
+    /// Returns the time since each other voter was last heard from. Until live replicas have had
+    /// time to answer this leader, it has only those that are about to stop, which count as silent for
+    /// as long as `timing` asks.
     pub fn voter_silence(
         &self,
         membership: &Membership,
+        timing: SeatTiming,
         cx: &LeaderCx,
     ) -> BTreeMap<ReplicaId, Duration> {
-        if cx.now < self.elected_at + cx.cfg.election_min {
-            return BTreeMap::new();
-        }
+        let may_have_answered = cx.now >= self.elected_at + cx.cfg.election_min;
         let voters = self.peers.iter();
         let voters = voters.filter(|(id, _)| membership.voters.contains_key(id));
-        voters
-            .map(|(id, progress)| (*id, progress.silence(cx.now)))
-            .collect()
+        let silence = voters.filter_map(|(id, progress)| {
+            if progress.is_leaving(cx.now, cx.cfg) {
+                return Some((*id, timing.any_region_after));
+            }
+            may_have_answered.then(|| (*id, progress.silence(cx.now)))
+        });
+        silence.collect()
     }
 
     /// Returns how many voters of a membership are live, this replica included.
--- a/lib/src/raft_membership.rs
+++ b/lib/src/raft_membership.rs
@@ -261,7 +261,7 @@
     if !is_full {
         return plan.next_voter(cx.vacant_for).map(DueChange::Promote);
     }
-    let silence = leader.voter_silence(membership, cx);
+    let silence = leader.voter_silence(membership, timing, cx);
     let id = plan.to_vacate(&silence)?;
     let silence = silence.get(&id).copied().unwrap_or_default();
     Some(DueChange::Demote { id, silence })
--- a/lib/src/raft_message.rs
+++ b/lib/src/raft_message.rs
@@ -268,4 +268,6 @@
     TimeoutNow,
     /// Tells the leader that the sender's disk is full. Accompanies the replies to appends.
     DiskFull,
+    /// Tells the leader that the sender is about to stop, so that it does not vote on.
+    Leaving,
 }
--- a/lib/src/raft_progress.rs
+++ b/lib/src/raft_progress.rs
@@ -97,6 +97,8 @@
     pub served_until: Option<Instant>,
     /// When the replica last reported that its disk is full.
     pub disk_full_at: Option<Instant>,
+    /// When the replica last reported that it is about to stop.
+    pub leaving_at: Option<Instant>,
     next: Revision,
     mode: Mode,
     sent_commit: Revision,
@@ -123,6 +125,7 @@
             silent_since: contact,
             served_until: None,
             disk_full_at: None,
+            leaving_at: None,
             next,
             mode: Mode::Probe { waiting: false },
             sent_commit: Revision(0),
@@ -147,6 +150,12 @@
             .is_some_and(|reported| now < reported + cfg.election_max)
     }
 
+    /// Returns whether the replica reported within the last `election_max` that it is about to stop.
+    pub fn is_leaving(&self, now: Instant, cfg: &RaftConfig) -> bool {
+        self.leaving_at
+            .is_some_and(|reported| now < reported + cfg.election_max)
+    }
+
     /// Returns whether a learner durably holds everything that was committed at some time
     /// within the last `election_min`.
     ///
@@ -154,7 +163,7 @@
     /// few entries behind. A learner that is further behind would delay commits as soon as
     /// it is needed for a majority.
     pub fn has_caught_up(&mut self, cx: &LeaderCx) -> bool {
-        if !self.is_live(cx.now, cx.cfg) {
+        if !self.is_live(cx.now, cx.cfg) || self.is_leaving(cx.now, cx.cfg) {
             return false;
         }
         let current = CatchUpTarget {
--- a/lib/tests/test_raft_seats.rs
+++ b/lib/tests/test_raft_seats.rs
@@ -135,3 +135,31 @@
         assert!(!network.voters().contains(&lost), "seed {seed}");
     }
 }
+
+/// Guards against the loss of control with a region that goes at the same time as a replica that was
+/// stopped as planned, after its successor had joined.
+#[test]
+fn test_raft_seats_a_leaving_voter_gives_its_seat_up() {
+    for seed in 0..SEEDS {
+        for leads in [false, true] {
+            let mut network = five_voters(seed);
+            network.join(6, None);
+            network.run(ELECTION_MAX);
+            let leader = network.leader().unwrap();
+            let leaving = (1..=5).map(id).find(|id| (*id == leader) == leads).unwrap();
+            network.step(leaving, Input::Leaving);
+            network.step(leaving, Input::StepDown);
+            network.run(ELECTION_MIN * 2);
+            let expected: BTreeSet<_> = (1..=6).map(id).filter(|id| *id != leaving).collect();
+            assert_eq!(network.voters(), expected, "seed {seed}");
+            network.run(REPLACEMENT);
+            assert_eq!(network.voters(), expected, "seed {seed}");
+            network.crash(leaving);
+            network.restart(leaving);
+            network.run(REPLACEMENT);
+            let leader = network.leader().unwrap();
+            let membership = network.raft(leader).membership();
+            assert!(membership.learners.contains_key(&leaving), "seed {seed}");
+        }
+    }
+}
--- a/server/src/node_leaving.rs
+++ b/server/src/node_leaving.rs
@@ -9,6 +9,7 @@
 use heatherring_lib::raft_effects::Role;
 
 use crate::control_node::ControlNode;
+use crate::control_node::VoterPolicy;
 use crate::data_folder::Disk;
 use crate::node_pending::Pending;
 
@@ -16,6 +17,8 @@
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Leaving {
     deadline: Instant,
+    /// Until when this replica waits for a learner to take its seat.
+    seat_deadline: Instant,
     retry_at: Instant,
 }
 
@@ -31,8 +34,10 @@
         let now = self.clock.now();
         self.leaving = Some(Leaving {
             deadline: now + self.leave_timeout(),
+            seat_deadline: now + self.cfg.timing.election_max(),
             retry_at: now,
         });
+        self.step(Input::Leaving);
     }
 
     fn leave_timeout(&self) -> Duration {
@@ -54,8 +59,8 @@
         }
     }
 
-    /// Returns whether the task may end: leadership is handed over and all requests are answered,
-    /// or the time for that is up. A sole voter has nobody to hand over to.
+    /// Returns whether the task may end: leadership and the seat are handed over and all requests are
+    /// answered, or the time for that is up. A sole voter has nobody to hand over to.
     pub(crate) fn has_left(&self) -> bool {
         let Some(leaving) = &self.leaving else {
             return false;
@@ -63,7 +68,18 @@
         let is_sole_voter = self.raft.membership().voters.len() <= 1;
         let handed_over = self.raft.role() != Role::Leader || is_sole_voter;
         let answered = !self.pending.values().any(Pending::is_awaited);
-        (handed_over && answered) || self.clock.now() >= leaving.deadline
+        let now = self.clock.now();
+        let seat_given_up = now >= leaving.seat_deadline || !self.may_give_seat_up();
+        (handed_over && seat_given_up && answered) || now >= leaving.deadline
+    }
+
+    /// Returns whether this replica votes and a learner may take its seat. A seat that stays with a
+    /// replica that has stopped is dead until the leader has noticed its silence.
+    fn may_give_seat_up(&self) -> bool {
+        let repairs = matches!(self.cfg.voters, VoterPolicy::SelfRepair { .. });
+        let membership = self.raft.membership();
+        let votes = membership.voters.contains_key(&self.raft.id());
+        repairs && votes && !membership.learners.is_empty() && self.raft.leader().is_some()
     }
 
     /// Refuses requests that still wait, so that their senders turn to another replica.
