formation: a replica that joins asks all seeds at the same time

Callers saw: none yet; control that stays short of a replica. Found by reading.

Cause: the rounds were a loop over the seeds, and the pause after a proposal was that after a failure.

join_plan (pure) decides whom to ask and when: all seeds, each at its own pace, 250 ms after a failure, 40 ms after a proposal and while it is being committed. The first confirmation wins, the other calls are dropped. join_requests carries it out.

test_joining (24 seeds that accept and never answer, one that refuses, one live) failed before: not joined after 60 s. It passes now, in 0.43 s with the formation of the cluster. test_join_plan has the decisions.

--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -78,6 +78,7 @@
 pub mod home_regions;
 pub mod host_value;
 pub mod id;
+pub mod join_plan;
 pub mod link_admission;
 pub mod link_budget;
 pub mod link_congestion;
--- a/server/src/control_process.rs
+++ b/server/src/control_process.rs
@@ -196,7 +196,7 @@
         })?;
     let channels = PeerChannels::new(security.clone()).leaving_from(settings.listen.ip());
     let (disk, recovered) = tokio::select! {
-        opened = open_folder(&settings, &channels) => opened?,
+        opened = open_folder(&settings, &channels, &*clock) => opened?,
         () = shutdown.requested() => {
             log::info!(event = "control_ended"; "stop requested while joining");
             return Ok(ControlEnd::Stopped);
@@ -286,13 +286,14 @@
 async fn open_folder(
     settings: &ControlSettings,
     channels: &PeerChannels,
+    clock: &dyn Clock,
 ) -> Result<(LogDisk<FolderDisk>, Recovered), ControlError> {
     let folder = &settings.data_folder;
     let Some(formation) = &settings.formation else {
         let opened = formation::open_when_room(settings).await;
         return opened.context(FolderSnafu { folder });
     };
-    let prepared = formation::prepare(settings, formation, channels).await;
+    let prepared = formation::prepare(settings, formation, channels, clock).await;
     prepared.context(FormatSnafu)?;
     match formation::open_when_room(settings).await {
         Err(DiskError::Damaged { source }) => {
@@ -302,7 +303,7 @@
                 first_start: false,
                 ..formation.clone()
             };
-            let prepared = formation::prepare(settings, &joining, channels).await;
+            let prepared = formation::prepare(settings, &joining, channels, clock).await;
             prepared.context(FormatSnafu)?;
             let opened = formation::open_when_room(settings).await;
             opened.context(FolderSnafu { folder })
--- a/server/src/formation.rs
+++ b/server/src/formation.rs
@@ -23,9 +23,6 @@
 use heatherring_lib::rendezvous;
 use heatherring_lib::settings::ControlSettings;
 use heatherring_lib::settings::FormationSettings;
-use tonic::Request;
-use tonic::Status;
-use tonic::transport::Channel;
 
 use crate::control_format;
 use crate::control_format::FormatError;
@@ -33,22 +30,19 @@
 use crate::data_folder::FolderDisk;
 use crate::data_folder::IDENTITY_FILE;
 use crate::data_folder::Identity;
+use crate::join_requests::Clients;
+use crate::join_requests::admit;
+use crate::join_requests::admit_request;
+use crate::join_requests::request_admission;
 use crate::log_disk::DiskError;
 use crate::log_disk::LogDisk;
 use crate::log_disk::Recovered;
 use crate::peer_channel::PeerChannels;
-use crate::proto::AdmitReply;
-use crate::proto::AdmitRequest;
-use crate::proto::fleet_client::FleetClient;
 use crate::published_state::StateReader;
 
-/// Pause between two rounds of requests for admission, which take one commit, and between two
-/// attempts to use a full disk.
+/// Pause between two attempts to use a full disk.
 const RETRY_INTERVAL: Duration = Duration::from_millis(250);
 
-/// Timeout of a call to one replica.
-const ANSWER_TIMEOUT: Duration = Duration::from_millis(1_500);
-
 /// Time without proof of being current after which a replica asks whether it is still a member.
 /// If it was away for too long, another one has replaced it.
 const CHECK_MEMBERSHIP_AFTER: Duration = Duration::from_secs(5);
@@ -65,6 +59,7 @@
     settings: &ControlSettings,
     formation: &FormationSettings,
     channels: &PeerChannels,
+    clock: &dyn Clock,
 ) -> Result<(), FormatError> {
     if is_formatted(settings) {
         return Ok(());
@@ -77,7 +72,7 @@
         return Ok(());
     }
     let replica = control_format::random_replica();
-    let cluster = request_admission(settings, &founders, replica, channels).await;
+    let cluster = request_admission(settings, founders, replica, channels, clock).await;
     let identity = Identity {
         format: FORMAT_VERSION,
         cluster,
@@ -180,73 +175,6 @@
     control_format::replica_id(rendezvous::leading_number(&hash))
 }
 
-/// Requests admission from one replica after another, until one confirms that this replica is a
-/// member. There is no limit on the rounds, since the process can do nothing else meanwhile.
-async fn request_admission(
-    settings: &ControlSettings,
-    replicas: &[SocketAddr],
-    replica: ReplicaId,
-    channels: &PeerChannels,
-) -> ClusterId {
-    let own = settings.advertised();
-    let others: Vec<SocketAddr> = replicas.iter().copied().filter(|a| *a != own).collect();
-    let mut clients: BTreeMap<SocketAddr, FleetClient<Channel>> = BTreeMap::new();
-    loop {
-        for address in &others {
-            let request = admit_request(settings, replica, false);
-            match admit(&mut clients, channels, *address, request).await {
-                Ok(reply) if reply.member => {
-                    if let Ok(cluster) = reply.cluster_id.try_into() {
-                        return ClusterId(cluster);
-                    }
-                    log::warn!(event = "join_unreadable", via:% = address; "answer to a request for admission has no valid cluster identity");
-                }
-                Ok(_) => break,
-                Err(status) => {
-                    log::debug!(event = "join_unanswered", via:% = address, error = status.message(); "request for admission failed or timed out");
-                }
-            }
-        }
-        tokio::time::sleep(RETRY_INTERVAL).await;
-    }
-}
-
-fn admit_request(
-    settings: &ControlSettings,
-    replica: ReplicaId,
-    question_only: bool,
-) -> AdmitRequest {
-    AdmitRequest {
-        replica: replica.0,
-        vm: settings.vm.as_str().to_owned(),
-        address: settings.advertised().to_string(),
-        question_only,
-    }
-}
-
-async fn admit(
-    clients: &mut BTreeMap<SocketAddr, FleetClient<Channel>>,
-    channels: &PeerChannels,
-    address: SocketAddr,
-    request: AdmitRequest,
-) -> Result<AdmitReply, Status> {
-    let mut client = if let Some(client) = clients.get(&address) {
-        client.clone()
-    } else {
-        let channel = channels
-            .lazy(address)
-            .map_err(|error| Status::internal(error.to_string()))?;
-        let client = FleetClient::new(channel);
-        clients.insert(address, client.clone());
-        client
-    };
-    let call = client.admit(Request::new(request));
-    match tokio::time::timeout(ANSWER_TIMEOUT, call).await {
-        Ok(reply) => reply.map(tonic::Response::into_inner),
-        Err(_) => Err(Status::deadline_exceeded("no answer in time")),
-    }
-}
-
 /// Watches whether this replica is still a member; returns once it is known not to be.
 ///
 /// A replica that was away for long may have been replaced. It would then never find a leader
@@ -260,7 +188,7 @@
     clock: Arc<dyn Clock>,
 ) {
     let started_at = clock.now();
-    let mut clients = BTreeMap::new();
+    let mut clients = Clients::new(&channels);
     loop {
         tokio::time::sleep(WATCH_INTERVAL).await;
         let now = clock.now();
@@ -280,8 +208,12 @@
         others.dedup();
         for address in others {
             let request = admit_request(&settings, identity.replica, true);
-            let reply = admit(&mut clients, &channels, address, request).await;
-            let Ok(reply) = reply else { continue };
+            let Ok(client) = clients.get(address) else {
+                continue;
+            };
+            let Ok(reply) = admit(client, request).await else {
+                continue;
+            };
             if reply.cluster_id == identity.cluster.0 && !reply.member {
                 return;
             }
--- a/server/src/lib.rs
+++ b/server/src/lib.rs
@@ -71,6 +71,7 @@
 pub mod headroom_task;
 pub mod http_server;
 pub mod interface;
+mod join_requests;
 pub mod leader_relay;
 pub mod leader_sessions;
 pub mod link_pacer;
