formation: a replica that joins reads again whom to ask

What was seen: a replica whose settings named replicas that are gone waited for good, also when the file named live ones by then. reads the settings anew only for a replica that joins again in its process.

Cause: the seeds were those of the settings as read when the process started.

A SeedSource is read every 250 ms while the replica joins, beside the questions; the former seeds stay while it can't be read (`seeds_unreadable`, once). The command reads its settings file for that; other fields than the seeds need a start, as before.

--- a/cli/src/commands/control.rs
+++ b/cli/src/commands/control.rs
@@ -11,13 +11,16 @@
 use heatherring_lib::config_path::ConfigPath;
 use heatherring_lib::id::ReplicaId;
 use heatherring_lib::settings::ControlSettings;
+use heatherring_lib::settings::FormationSettings;
 use heatherring_lib::settings_text::read_control_settings;
 use heatherring_server::control_format;
 use heatherring_server::control_format::FormatError;
 use heatherring_server::control_process::ControlEnd;
 use heatherring_server::control_process::ControlError;
-use heatherring_server::control_process::run_control;
+use heatherring_server::control_process::run_control_with_seeds;
 use heatherring_server::data_folder::Identity;
+use heatherring_server::seed_source::SeedError;
+use heatherring_server::seed_source::SeedSource;
 use heatherring_server::shutdown::Shutdown;
 use tokio::runtime::Runtime;
 
@@ -149,7 +152,7 @@
         Shutdown::on_signals().map_err(CliError::internal)
     })?;
     let mut current = settings;
-    while run_once(&input, &current, &shutdown)? == ControlEnd::Replaced {
+    while run_once(matches, &input, &current, &shutdown)? == ControlEnd::Replaced {
         current = reread_settings(matches, current);
         // The first start of the deployment is over.
         if let Some(formation) = &mut current.formation {
@@ -171,17 +174,30 @@
 
 /// Runs the replica in a runtime of its own, with which all tasks of the run end.
 fn run_once(
+    matches: &ArgMatches,
     input: &Input,
     settings: &ControlSettings,
     shutdown: &Shutdown,
 ) -> Result<ControlEnd, CliError> {
     let interface = interfaces::control(settings);
     let clock = Arc::new(SystemClock);
-    let replica = run_control(settings.clone(), clock, shutdown.clone(), interface);
+    let seeds = seed_source(matches);
+    let shutdown = shutdown.clone();
+    let replica = run_control_with_seeds(settings.clone(), clock, shutdown, interface, seeds);
     let ended = runtime()?.block_on(replica);
     ended.map_err(|error| control_error(input, error))
 }
 
+/// Returns the seeds as the settings name them whenever they are read.
+fn seed_source(matches: &ArgMatches) -> SeedSource {
+    let matches = matches.clone();
+    SeedSource::new(move || {
+        let settings = read_settings(&matches).map_err(SeedError::from)?;
+        let formation = settings.formation.as_ref();
+        Ok(formation.map_or_else(Vec::new, FormationSettings::peers))
+    })
+}
+
 fn print_formatted(identity: &Identity) {
     println!(
         "formatted: cluster {}, replica {}",
--- a/server/src/control_process.rs
+++ b/server/src/control_process.rs
@@ -62,6 +62,7 @@
 use crate::replication_service::ReplicationService;
 use crate::rollout_task;
 use crate::rollout_task::RolloutSetup;
+use crate::seed_source::SeedSource;
 use crate::session_service::SessionService;
 use crate::shutdown::Shutdown;
 use crate::statement_relay::StatementRelay;
@@ -183,10 +184,29 @@
 /// Fails if the replica cannot start, in which case nothing has been started, or if it cannot
 /// continue, for instance after a failed sync.
 pub async fn run_control(
+    settings: ControlSettings,
+    clock: Arc<dyn Clock>,
+    shutdown: Shutdown,
+    interface: Option<Arc<dyn ControlInterface>>,
+) -> Result<ControlEnd, ControlError> {
+    let formation = settings.formation.as_ref();
+    let seeds = formation.map_or_else(Vec::new, FormationSettings::peers);
+    let seeds = SeedSource::fixed(seeds);
+    run_control_with_seeds(settings, clock, shutdown, interface, seeds).await
+}
+
+/// Runs a control replica like [`run_control`]. If it joins, it asks the replicas that `seeds` names by
+/// then, instead of those of the settings.
+///
+/// # Errors
+///
+/// Fails as [`run_control`] does.
+pub async fn run_control_with_seeds(
     settings: ControlSettings,
     clock: Arc<dyn Clock>,
     mut shutdown: Shutdown,
     interface: Option<Arc<dyn ControlInterface>>,
+    seeds: SeedSource,
 ) -> Result<ControlEnd, ControlError> {
     let security = PeerSecurity::from_settings(&settings.security).context(SecuritySnafu)?;
     let listener = TcpListener::bind(settings.listen)
@@ -196,7 +216,7 @@
         })?;
     let channels = PeerChannels::new(security.clone()).leaving_from(settings.listen.ip());
     let (disk, recovered) = tokio::select! {
-        opened = open_folder(&settings, &channels, &*clock) => opened?,
+        opened = open_folder(&settings, &seeds, &channels, &*clock) => opened?,
         () = shutdown.requested() => {
             log::info!(event = "control_ended"; "stop requested while joining");
             return Ok(ControlEnd::Stopped);
@@ -285,6 +305,7 @@
 /// case, a damaged log counts as lost: the replica joins again under a fresh identity.
 async fn open_folder(
     settings: &ControlSettings,
+    seeds: &SeedSource,
     channels: &PeerChannels,
     clock: &dyn Clock,
 ) -> Result<(LogDisk<FolderDisk>, Recovered), ControlError> {
@@ -293,7 +314,7 @@
         let opened = formation::open_when_room(settings).await;
         return opened.context(FolderSnafu { folder });
     };
-    let prepared = formation::prepare(settings, formation, channels, clock).await;
+    let prepared = formation::prepare(settings, formation, seeds, channels, clock).await;
     prepared.context(FormatSnafu)?;
     match formation::open_when_room(settings).await {
         Err(DiskError::Damaged { source }) => {
@@ -303,7 +324,7 @@
                 first_start: false,
                 ..formation.clone()
             };
-            let prepared = formation::prepare(settings, &joining, channels, clock).await;
+            let prepared = formation::prepare(settings, &joining, seeds, channels, clock).await;
             prepared.context(FormatSnafu)?;
             let opened = formation::open_when_room(settings).await;
             opened.context(FolderSnafu { folder })
--- a/server/src/formation.rs
+++ b/server/src/formation.rs
@@ -39,6 +39,7 @@
 use crate::log_disk::Recovered;
 use crate::peer_channel::PeerChannels;
 use crate::published_state::StateReader;
+use crate::seed_source::SeedSource;
 
 /// Pause between two attempts to use a full disk.
 const RETRY_INTERVAL: Duration = Duration::from_millis(250);
@@ -50,7 +51,8 @@
 /// Interval at which the age of the last proof of being current is checked.
 const WATCH_INTERVAL: Duration = Duration::from_secs(1);
 
-/// Formats the data folder if it is not formatted yet, as a founder or by joining.
+/// Formats the data folder if it is not formatted yet, as a founder or by joining. `seeds` are asked for
+/// admission.
 ///
 /// # Errors
 ///
@@ -58,6 +60,7 @@
 pub async fn prepare(
     settings: &ControlSettings,
     formation: &FormationSettings,
+    seeds: &SeedSource,
     channels: &PeerChannels,
     clock: &dyn Clock,
 ) -> Result<(), FormatError> {
@@ -72,7 +75,7 @@
         return Ok(());
     }
     let replica = control_format::random_replica();
-    let cluster = request_admission(settings, founders, replica, channels, clock).await;
+    let cluster = request_admission(settings, seeds, replica, channels, clock).await;
     let identity = Identity {
         format: FORMAT_VERSION,
         cluster,
--- a/server/src/join_requests.rs
+++ b/server/src/join_requests.rs
@@ -20,10 +20,15 @@
 use crate::proto::AdmitReply;
 use crate::proto::AdmitRequest;
 use crate::proto::fleet_client::FleetClient;
+use crate::seed_source::SeedError;
+use crate::seed_source::SeedSource;
 
 /// Timeout of a call to one replica.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(1_500);
 
+/// Pause between two reads of the seeds.
+const READ_INTERVAL: Duration = Duration::from_millis(250);
+
 /// Clients of the replicas that were asked before, so that their connections are kept.
 #[derive(Debug)]
 pub(crate) struct Clients<'a> {
@@ -52,18 +57,20 @@
 }
 
 /// Requests admission from all seeds at once, until one confirms that this replica is a member. There
-/// is no limit on the time, since the process can do nothing else meanwhile.
+/// is no limit on the time, since the process can do nothing else meanwhile; the seeds are read again
+/// and again, as they may be replaced.
 pub(crate) async fn request_admission(
     settings: &ControlSettings,
-    seeds: Vec<SocketAddr>,
+    seeds: &SeedSource,
     replica: ReplicaId,
     channels: &PeerChannels,
     clock: &dyn Clock,
 ) -> ClusterId {
     let mut plan = JoinPlan::new(settings.advertised());
-    plan.set_seeds(seeds);
     let mut clients = Clients::new(channels);
     let mut open = FuturesUnordered::new();
+    let mut reading = std::pin::pin!(read_soon(seeds, Duration::ZERO));
+    let mut is_readable = true;
     loop {
         for address in plan.take_due(clock.now()) {
             let request = admit_request(settings, replica, false);
@@ -76,11 +83,39 @@
                     return cluster;
                 }
             }
+            read = reading.as_mut() => {
+                note_seeds(&mut plan, &mut is_readable, read);
+                reading.set(read_soon(seeds, READ_INTERVAL));
+            }
             () = until(clock, plan.next_due()) => {}
         }
     }
 }
 
+async fn read_soon(seeds: &SeedSource, pause: Duration) -> Result<Vec<SocketAddr>, SeedError> {
+    tokio::time::sleep(pause).await;
+    seeds.read().await
+}
+
+/// Notes the seeds as they are now; the former ones stay while they cannot be read.
+fn note_seeds(
+    plan: &mut JoinPlan,
+    is_readable: &mut bool,
+    read: Result<Vec<SocketAddr>, SeedError>,
+) {
+    match read {
+        Ok(seeds) => {
+            *is_readable = true;
+            plan.set_seeds(seeds);
+        }
+        Err(error) => {
+            if std::mem::take(is_readable) {
+                log::warn!(event = "seeds_unreadable", error:% = error; "cannot read again which replicas to ask; asking the former ones");
+            }
+        }
+    }
+}
+
 async fn ask(
     client: Result<FleetClient<Channel>, Status>,
     request: AdmitRequest,
--- a/server/src/lib.rs
+++ b/server/src/lib.rs
@@ -116,6 +116,7 @@
 mod request_trace;
 pub mod rollout_reporter;
 pub mod rollout_task;
+pub mod seed_source;
 mod session_core;
 pub mod session_relay;
 pub mod session_service;
