control: a replica answers while it joins

Callers saw: no connection to those who read the manifest, announce or look up, from the start of a replica until it had joined. Calls of operators and entry VMs over gRPC got a connection and no answer: the listener was bound, and nobody read from it.

Cause: the listeners of direct dispatch and the metrics were bound, and the services built, once the data folder was open.

All listeners are served first. Orders, announcements and look-ups are refused through the interface (`answer_unstarted`): 503, "this replica has not joined yet; nothing was done", Retry-After 1. The gRPC services have moved to control_services.

--- a/server/src/control_listeners.rs
+++ b/server/src/control_listeners.rs
@@ -12,7 +12,6 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::answer_body::AnswerBody;
-use crate::fleet_control::FleetControl;
 use crate::http_server;
 use crate::http_server::Admittance;
 use crate::http_server::Arrival;
@@ -23,8 +22,7 @@
 use crate::http_server::HttpVersions;
 use crate::http_server::LimitsSource;
 use crate::interface::ControlInterface;
-use crate::interface::LookUpInterface;
-use crate::look_up_handler::LookUpHandler;
+use crate::late_control::LateControl;
 use crate::request_body::RequestBody;
 
 /// Largest number of open connections at one listener, unless the settings tell the number of
@@ -54,13 +52,30 @@
 #[derive(Clone, Debug)]
 struct ControlHandler {
     interface: Arc<dyn ControlInterface>,
-    control: FleetControl,
+    control: LateControl,
 }
 
 impl Handler for ControlHandler {
     async fn handle(&self, _arrival: Arrival, req: Request<RequestBody>) -> Response<AnswerBody> {
-        let control = self.control.clone();
-        self.interface.answer_control(control, req).await
+        match self.control.get() {
+            Some(control) => self.interface.answer_control(control.clone(), req).await,
+            None => self.interface.answer_unstarted(),
+        }
+    }
+}
+
+#[derive(Clone, Debug)]
+struct LateLookUpHandler {
+    interface: Arc<dyn ControlInterface>,
+    control: LateControl,
+}
+
+impl Handler for LateLookUpHandler {
+    async fn handle(&self, _arrival: Arrival, req: Request<RequestBody>) -> Response<AnswerBody> {
+        match self.control.get() {
+            Some(control) => self.interface.answer_look_up(control, &req),
+            None => self.interface.answer_unstarted(),
+        }
     }
 }
 
@@ -99,11 +114,12 @@
     }
 
     /// Serves until `stop` is cancelled and all requests read by then are answered; the returned
-    /// task then ends. It does not wait for the listener of look-ups.
+    /// task then ends. It does not wait for the listener of look-ups. Requests are refused until
+    /// `control` is set.
     pub fn serve(
         self,
         interface: &Arc<dyn ControlInterface>,
-        control: &FleetControl,
+        control: &LateControl,
         clock: &Arc<dyn Clock>,
         stop: &CancellationToken,
     ) -> JoinHandle<()> {
@@ -111,9 +127,9 @@
             interface: Arc::clone(interface),
             control: control.clone(),
         };
-        let look_ups = LookUpHandler {
-            interface: Arc::clone(interface) as Arc<dyn LookUpInterface>,
-            source: Arc::new(control.clone()),
+        let look_ups = LateLookUpHandler {
+            interface: Arc::clone(interface),
+            control: control.clone(),
         };
         let bounds = || HttpBounds {
             max_connections: self.max_connections,
--- a/server/src/control_process.rs
+++ b/server/src/control_process.rs
@@ -10,7 +10,6 @@
 use heatherring_lib::heartbeat_timing::HeartbeatTiming;
 use heatherring_lib::id::PlaceName;
 use heatherring_lib::id::RegionName;
-use heatherring_lib::manifest_text::MAX_MANIFEST_BYTES;
 use heatherring_lib::presence_report::ReplicaEndpoints;
 use heatherring_lib::settings::ControlSettings;
 use heatherring_lib::settings::DirectControlSettings;
@@ -22,8 +21,6 @@
 use tokio::task::JoinError;
 use tokio::task::JoinHandle;
 use tokio_util::sync::CancellationToken;
-use tonic::transport::Server;
-use tonic::transport::server::TcpIncoming;
 
 use crate::control_format::FormatError;
 use crate::control_listeners::ControlListeners;
@@ -31,6 +28,9 @@
 use crate::control_node::ControlNodeError;
 use crate::control_node::NodeConfig;
 use crate::control_node::VoterPolicy;
+use crate::control_services::ServerResult;
+use crate::control_services::ServiceGates;
+use crate::control_services::Services;
 use crate::control_work::WorkMeter;
 use crate::data_folder::FolderDisk;
 use crate::data_folder::Identity;
@@ -38,6 +38,7 @@
 use crate::fleet_service::FleetService;
 use crate::formation;
 use crate::interface::ControlInterface;
+use crate::late_control::LateControl;
 use crate::log_disk::DiskError;
 use crate::log_disk::LogDisk;
 use crate::log_disk::Recovered;
@@ -45,17 +46,12 @@
 use crate::node_request::NodeHandle;
 use crate::operator_service::OperatorService;
 use crate::peer_channel::PeerChannels;
-use crate::peer_links::MAX_MESSAGE_BYTES;
 use crate::peer_links::PeerLinks;
 use crate::peer_security::PeerSecurity;
 use crate::peer_security::PeerSecurityError;
 use crate::presence_task;
 use crate::presence_task::PresenceHandle;
 use crate::presence_task::PresenceSetup;
-use crate::proto::fleet_server::FleetServer;
-use crate::proto::operator_server::OperatorServer;
-use crate::proto::replication_server::ReplicationServer;
-use crate::proto::session_server::SessionServer;
 use crate::published_state;
 use crate::published_state::StateReader;
 use crate::quarantine_monitor::QuarantineMonitor;
@@ -69,22 +65,6 @@
 use crate::statement_relay::StatementRelaySetup;
 use crate::token_issuer::TokenIssuer;
 
-/// Largest accepted submission, in bytes: a manifest and the name of its operator.
-const MAX_SUBMISSION_BYTES: usize = MAX_MANIFEST_BYTES + (64 << 10);
-
-/// Largest request of an entry VM, in bytes.
-const MAX_SYNC_BYTES: usize = 64 << 10;
-
-/// Idle time of a connection after which it is probed. Without probes, connections of VMs that
-/// vanished would hold their sockets for hours.
-const KEEP_ALIVE_INTERVAL: Duration = Duration::from_secs(10);
-/// Time for the answer to a probe.
-const KEEP_ALIVE_TIMEOUT: Duration = Duration::from_secs(5);
-
-/// Largest number of concurrent requests on one connection: a follower relays those of all entry
-/// VMs to the leader.
-const MAX_STREAMS: u32 = 4_096;
-
 /// Time for connections to finish once the replica has stopped.
 const FINISH_TIMEOUT: Duration = Duration::from_secs(3);
 
@@ -214,9 +194,23 @@
         .context(ListenSnafu {
             address: settings.listen,
         })?;
+    let stop_listeners = CancellationToken::new();
+    let _stop_at_return = stop_listeners.clone().drop_guard();
+    if let Some(address) = settings.metrics_listen {
+        let serving = metric::serve(address, Arc::clone(&clock), stop_listeners.clone()).await;
+        serving.context(ListenSnafu { address })?;
+    }
+    let late_control = LateControl::default();
+    let interface = interface.as_ref();
+    let direct_listeners =
+        serve_direct(&settings, interface, &late_control, &clock, &stop_listeners).await?;
+    let (stop_server, server_stopped) = oneshot::channel();
+    let builder = security.grpc_server().context(SecuritySnafu)?;
+    let (gates, mut server) = ServiceGates::serve(builder, listener, server_stopped);
     let channels = PeerChannels::new(security.clone()).leaving_from(settings.listen.ip());
     let (disk, recovered) = tokio::select! {
         opened = open_folder(&settings, &seeds, &channels, &*clock) => opened?,
+        result = &mut server => return server_result(result).map(|()| ControlEnd::Stopped),
         () = shutdown.requested() => {
             log::info!(event = "control_ended"; "stop requested while joining");
             return Ok(ControlEnd::Stopped);
@@ -247,21 +241,21 @@
         &settings, identity, &clock, &published, &handle, &channels, &work,
     );
     tokio::spawn(work.run_log());
-    let stop_listeners = CancellationToken::new();
-    if let Some(address) = settings.metrics_listen {
-        let serving = metric::serve(address, Arc::clone(&clock), stop_listeners.clone()).await;
-        serving.context(ListenSnafu { address })?;
-    }
-    let interface = interface.as_ref();
-    let direct_listeners =
-        serve_direct(&settings, interface, &fleet, &clock, &stop_listeners).await?;
-    let (stop_server, server_stopped) = oneshot::channel();
-    let builder = security.grpc_server().context(SecuritySnafu)?;
     let fleet_service = fleet_service(
         &settings, identity, &clock, &published, &fleet, &channels, &handle,
     );
-    let services = Services::new(&settings, identity, &handle, fleet, fleet_service);
-    let mut server = services.serve(builder, listener, server_stopped);
+    late_control.set(fleet.clone());
+    gates.open(Services {
+        replication: ReplicationService::new(identity, handle.clone()),
+        operators: OperatorService::new(
+            identity.cluster,
+            handle.clone(),
+            fleet,
+            fleet_service.statements().clone(),
+        ),
+        sessions: SessionService::new(identity.cluster, settings.timing, handle.clone()),
+        fleet: fleet_service,
+    });
     let removed = until_removed(&settings, identity, published, channels, clock);
     log::info!(
         event = "control_started",
@@ -470,7 +464,7 @@
 async fn serve_direct(
     settings: &ControlSettings,
     interface: Option<&Arc<dyn ControlInterface>>,
-    fleet: &FleetControl,
+    control: &LateControl,
     clock: &Arc<dyn Clock>,
     stop: &CancellationToken,
 ) -> Result<JoinHandle<()>, ControlError> {
@@ -478,7 +472,7 @@
         return Ok(tokio::spawn(std::future::ready(())));
     };
     match ControlListeners::bind(direct).await {
-        Ok(listeners) => Ok(listeners.serve(interface, fleet, clock, stop)),
+        Ok(listeners) => Ok(listeners.serve(interface, control, clock, stop)),
         Err((address, source)) => Err(ControlError::Listen { address, source }),
     }
 }
@@ -514,74 +508,6 @@
     result.context(TaskSnafu)?.context(NodeSnafu)
 }
 
-type ServerResult = Result<(), tonic::transport::Error>;
-
 fn server_result(result: Result<ServerResult, JoinError>) -> Result<(), ControlError> {
     result.context(TaskSnafu)?.context(ServerSnafu)
 }
-
-/// gRPC services on the replica's listener.
-struct Services {
-    replication: ReplicationServer<ReplicationService>,
-    operators: OperatorServer<OperatorService>,
-    sessions: SessionServer<SessionService>,
-    fleet: FleetServer<FleetService>,
-}
-
-impl Services {
-    fn new(
-        settings: &ControlSettings,
-        identity: Identity,
-        node: &NodeHandle,
-        control: FleetControl,
-        fleet: FleetService,
-    ) -> Self {
-        let replication = ReplicationService::new(identity, node.clone());
-        let operators = OperatorService::new(
-            identity.cluster,
-            node.clone(),
-            control,
-            fleet.statements().clone(),
-        );
-        let sessions = SessionService::new(identity.cluster, settings.timing, node.clone());
-        Self {
-            replication: ReplicationServer::new(replication)
-                .max_decoding_message_size(MAX_MESSAGE_BYTES)
-                .max_encoding_message_size(MAX_MESSAGE_BYTES),
-            operators: OperatorServer::new(operators)
-                .max_decoding_message_size(MAX_SUBMISSION_BYTES)
-                .max_encoding_message_size(MAX_MESSAGE_BYTES),
-            sessions: SessionServer::new(sessions)
-                .max_decoding_message_size(MAX_SYNC_BYTES)
-                .max_encoding_message_size(MAX_MESSAGE_BYTES),
-            fleet: FleetServer::new(fleet)
-                .max_decoding_message_size(MAX_MESSAGE_BYTES)
-                .max_encoding_message_size(MAX_MESSAGE_BYTES),
-        }
-    }
-
-    fn serve(
-        self,
-        builder: Server,
-        listener: TcpListener,
-        stopped: oneshot::Receiver<()>,
-    ) -> JoinHandle<ServerResult> {
-        let router = builder
-            .http2_keepalive_interval(Some(KEEP_ALIVE_INTERVAL))
-            .http2_keepalive_timeout(Some(KEEP_ALIVE_TIMEOUT))
-            .max_concurrent_streams(Some(MAX_STREAMS))
-            .add_service(self.replication)
-            .add_service(self.operators)
-            .add_service(self.sessions)
-            .add_service(self.fleet);
-        let incoming = TcpIncoming::from(listener).with_nodelay(Some(true));
-        tokio::spawn(async move {
-            router
-                .serve_with_incoming_shutdown(incoming, async {
-                    // Both a message and a dropped sender mean that the process is ending.
-                    let _ = stopped.await;
-                })
-                .await
-        })
-    }
-}
--- a/server/src/interface.rs
+++ b/server/src/interface.rs
@@ -141,4 +141,7 @@
         control: FleetControl,
         req: Request<RequestBody>,
     ) -> BoxFuture<'static, Response<AnswerBody>>;
+
+    /// Answers a call or a look-up at a replica that has not joined yet, so that nothing was done.
+    fn answer_unstarted(&self) -> Response<AnswerBody>;
 }
--- a/server/src/own_interface.rs
+++ b/server/src/own_interface.rs
@@ -224,6 +224,10 @@
     ) -> BoxFuture<'static, Response<AnswerBody>> {
         answer(control, req).boxed()
     }
+
+    fn answer_unstarted(&self) -> Response<AnswerBody> {
+        reply::unstarted()
+    }
 }
 
 impl LookUpInterface for OwnInterface {
--- a/server/src/reply.rs
+++ b/server/src/reply.rs
@@ -4,12 +4,17 @@
 use http::Response;
 use http::StatusCode;
 use http::header::CONTENT_TYPE;
+use http::header::RETRY_AFTER;
 use serde::Serialize;
 
 use crate::answer_body;
 use crate::answer_body::AnswerBody;
 use crate::fleet_control::FleetError;
 use crate::metric;
+use crate::service_gate::NOT_STARTED;
+
+/// Time in seconds after which a replica that is joining has most likely joined.
+const UNSTARTED_RETRY_AFTER_S: u32 = 1;
 
 /// Builds an answer with a status and no body.
 #[must_use]
@@ -47,6 +52,15 @@
     text(code, error.to_string())
 }
 
+/// Builds the answer to a call at a replica that has not joined yet.
+#[must_use]
+pub fn unstarted() -> Response<AnswerBody> {
+    let mut response = text(StatusCode::SERVICE_UNAVAILABLE, NOT_STARTED.to_owned());
+    let headers = response.headers_mut();
+    headers.insert(RETRY_AFTER, HeaderValue::from(UNSTARTED_RETRY_AFTER_S));
+    response
+}
+
 /// Builds the answer to an announcement that cannot be decoded. It does not identify a backend
 /// server reliably, so what is known of any stays unchanged.
 #[must_use]
