tests: a replica that joins answers while its disk is full

Formatting and opening a data folder on a full disk wait for room, without end.

test_joining_replica fills the disk of a process that waits for admission, sees 503 over the listener of orders, frees the disk and sees the replica start.

--- a/cli/tests/test_joining_replica.rs
+++ b/cli/tests/test_joining_replica.rs
@@ -5,12 +5,18 @@
 use std::path::PathBuf;
 use std::time::Duration;
 
+use heatherring_testutils::config_record::Vm;
 use heatherring_testutils::direct_cluster::DirectCluster;
 use heatherring_testutils::direct_cluster::DirectPlan;
+use heatherring_testutils::process::Process;
 use heatherring_testutils::wait::wait_for;
 use serde_json::Value;
 use serde_json::json;
+use tokio::io::AsyncBufReadExt;
+use tokio::io::AsyncWriteExt;
+use tokio::io::BufReader;
 use tokio::net::TcpListener;
+use tokio::net::TcpStream;
 
 const CONTROLS: usize = 4;
 
@@ -41,6 +47,20 @@
     .unwrap();
 }
 
+/// Starts the replica that joins so that its disk can be filled.
+fn start_fillable(cluster: &mut DirectCluster, binary: &Path) {
+    let vm = &cluster.controls[JOINING];
+    let settings = path(cluster, ".jsonc").display().to_string();
+    let arguments = ["control", "--settings", &settings];
+    let log = path(cluster, ".log");
+    let process = Process::start_fillable(&vm.plan.vm, binary, &arguments, &log).unwrap();
+    let ip = vm.orders().ip();
+    cluster
+        .network
+        .register(process.pid(), Some(ip), &vm.plan.vm);
+    *cluster.process(Vm::Control(JOINING)) = Some(process);
+}
+
 /// Starts a cluster, one replica of which loses its disk and comes back with settings that name `seed`
 /// alone. Returns its former settings.
 async fn start_joining(seed: SocketAddr) -> (DirectCluster, String) {
@@ -59,7 +79,7 @@
     let mut settings: Value = serde_json::from_str(&former).unwrap();
     settings["formation"]["seeds"] = json!([seed]);
     std::fs::write(path(&cluster, ".jsonc"), settings.to_string()).unwrap();
-    cluster.start_control(JOINING).unwrap();
+    start_fillable(&mut cluster, binary);
     (cluster, former)
 }
 
@@ -74,3 +94,32 @@
     until_counted(&cluster, "joined", 2).await;
     until_counted(&cluster, "control_started", 2).await;
 }
+
+/// Returns the first line of the answer to a read of the manifest; `None` without an answer.
+async fn read_manifest(address: SocketAddr) -> Option<String> {
+    let mut stream = TcpStream::connect(address).await.ok()?;
+    let req = b"GET /v1/routes HTTP/1.1\r\nhost: registry.example\r\n\r\n";
+    stream.write_all(req).await.ok()?;
+    let mut lines = BufReader::new(stream).lines();
+    lines.next_line().await.ok()?
+}
+
+/// Guards against operators that get no connection while the disk of a replica has no room for its
+/// data folder.
+#[tokio::test(flavor = "multi_thread")]
+async fn test_joining_replica_answers_while_its_disk_is_full() {
+    let silent = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let (mut cluster, settings) = start_joining(silent.local_addr().unwrap()).await;
+    let _asked = silent.accept().await.unwrap();
+    let joining = cluster.process(Vm::Control(JOINING)).as_ref().unwrap();
+    joining.fill_disk().unwrap();
+    std::fs::write(path(&cluster, ".jsonc"), settings).unwrap();
+    until_counted(&cluster, "disk_full", 1).await;
+    let orders = cluster.controls[JOINING].orders();
+    let answer = wait_for("an answer", async || read_manifest(orders).await);
+    assert_eq!(answer.await.unwrap(), "HTTP/1.1 503 Service Unavailable");
+    assert_eq!(count(&cluster, "control_started"), 1);
+    let joining = cluster.process(Vm::Control(JOINING)).as_ref().unwrap();
+    joining.free_disk().unwrap();
+    until_counted(&cluster, "control_started", 2).await;
+}
