raft: a replica that cannot campaign forgets a leader that stays silent

Callers of a learner got changes of the manifest without a known outcome for a minute: it passed orders and reads on to a leader that was gone. It has no election timer, so nothing made it forget the leader that it had heard last; a voter whose disk is full doesn't campaign either and kept its leader the same way.

Such a replica forgets its leader `election_max` after the last contact, and wakes for that; the change of role is logged as for a voter. It is done on the tick, after the messages that have arrived, so that a process that was suspended and finds heartbeats in its queue keeps its leader. A voter that can campaign is left as it was: its timer is never longer than `election_max`.

--- a/lib/src/raft.rs
+++ b/lib/src/raft.rs
@@ -47,7 +47,7 @@
 use crate::raft_progress::LeaderCx;
 use crate::raft_sent_replies::SentReplies;
 
-/// Time between ticks of a learner, which has no election timer.
+/// Time between ticks of a learner without a leader, which has nothing to wait for.
 const IDLE_TICK_INTERVAL: Duration = Duration::from_mins(1);
 
 /// Implements one Raft replica.
@@ -232,10 +232,8 @@
             _ if self.may_campaign() => self.election_deadline,
             _ => self.now + IDLE_TICK_INTERVAL,
         };
-        match self.pending.expires() {
-            Some(expires) => own.min(expires),
-            None => own,
-        }
+        let others = [self.pending.expires(), self.leader_forgotten_at()];
+        others.into_iter().flatten().fold(own, Instant::min)
     }
 
     /// Returns the identity from [`RaftConfig::id`].
@@ -432,9 +430,26 @@
     fn on_tick(&mut self, fx: &mut Effects) {
         if matches!(self.role, RoleState::Leader(_)) {
             self.on_leader_tick(fx);
-        } else if self.now >= self.election_deadline {
+            return;
+        }
+        if self.now >= self.election_deadline {
             self.start_pre_vote(fx);
         }
+        if self.leader_forgotten_at().is_some_and(|at| self.now >= at) {
+            let reason = Refusal::NotLeader { leader: None };
+            self.become_follower(None, &reason, fx);
+        }
+    }
+
+    /// Returns when a follower that cannot campaign forgets a leader that stays silent. Any other
+    /// does so when it campaigns.
+    fn leader_forgotten_at(&self) -> Option<Instant> {
+        let RoleState::Follower(follower) = &self.role else {
+            return None;
+        };
+        let contact = follower.leader.and(follower.last_leader_contact)?;
+        let campaigns = self.may_campaign() && !self.disk_full;
+        (!campaigns).then(|| contact + self.cfg.election_max)
     }
 
     fn on_disk_full_report(&mut self, from: ReplicaId) {
