control: what is passed on to the leader has a bound on time

Callers of a replica whose leader was gone waited longer than the 1.5 s that a call to the leader may take: the timeout of a request counts from when the channel takes it, a channel whose connection is being opened takes one request after another, and a peer that drops packets delays each attempt by a second. Five calls at once ended after up to 5.2 s, each with a failed connection of its own.

`answer_within` bounds the whole call, from the moment at which it is passed on, for orders, reads, status, admissions and renewals of sessions. A call that ends by it keeps an unknown outcome.

--- a/server/src/fleet_control.rs
+++ b/server/src/fleet_control.rs
@@ -62,6 +62,7 @@
 use crate::control_work::WorkMeter;
 use crate::interface::LookUp;
 use crate::interface::LookUpSource;
+use crate::leader_relay::answer_within;
 use crate::leader_relay::fleet_client;
 use crate::leader_relay::relayed_order;
 use crate::leader_relay::relayed_request;
@@ -732,14 +733,16 @@
         Some(stamp) => relayed_order(message, LEADER_TIMEOUT, stamp),
         None => return NotCurrentSnafu.fail(),
     };
-    let call = fleet_client(leader).propose(request).await;
+    let mut client = fleet_client(leader);
+    let call = answer_within(LEADER_TIMEOUT, client.propose(request)).await;
     let reply = call.map_err(Box::new).context(LeaderSnafu)?.into_inner();
     postcard::from_bytes(&reply.response_encoded).context(AnswerSnafu)
 }
 
 async fn rollouts_at_leader(leader: &LeaderLink) -> Result<LatestRollouts, FleetError> {
     let request = relayed_request(ReadRolloutsRequest {}, LEADER_TIMEOUT);
-    let call = fleet_client(leader).read_rollouts(request).await;
+    let mut client = fleet_client(leader);
+    let call = answer_within(LEADER_TIMEOUT, client.read_rollouts(request)).await;
     let reply = call.map_err(Box::new).context(LeaderSnafu)?.into_inner();
     Ok(LatestRollouts {
         state: postcard::from_bytes(&reply.rollouts_encoded).context(AnswerSnafu)?,
@@ -749,7 +752,8 @@
 
 async fn manifest_at_leader(leader: &LeaderLink) -> Result<FleetManifest, FleetError> {
     let request = relayed_request(ReadRoutesRequest {}, LEADER_TIMEOUT);
-    let call = fleet_client(leader).read_routes(request).await;
+    let mut client = fleet_client(leader);
+    let call = answer_within(LEADER_TIMEOUT, client.read_routes(request)).await;
     let reply = call.map_err(Box::new).context(LeaderSnafu)?.into_inner();
     postcard::from_bytes(&reply.manifest_encoded).context(AnswerSnafu)
 }
--- a/server/src/fleet_service.rs
+++ b/server/src/fleet_service.rs
@@ -33,6 +33,7 @@
 
 use crate::control_work::Work;
 use crate::fleet_control::FleetControl;
+use crate::leader_relay::answer_within;
 use crate::leader_relay::fleet_client;
 use crate::leader_relay::is_relayed;
 use crate::leader_relay::order_stamp;
@@ -473,7 +474,8 @@
             Err(error) => match error.leader().filter(|_| !passed_on) {
                 Some(leader) => {
                     let request = relayed_request(request, ADMIT_TIMEOUT);
-                    fleet_client(leader).admit(request).await
+                    let mut client = fleet_client(leader);
+                    answer_within(ADMIT_TIMEOUT, client.admit(request)).await
                 }
                 None => Err(Status::unavailable(error.to_string())),
             },
--- a/server/src/leader_relay.rs
+++ b/server/src/leader_relay.rs
@@ -5,6 +5,7 @@
 use heatherring_lib::order_stamp::OrderStamp;
 use tonic::Code;
 use tonic::Request;
+use tonic::Response;
 use tonic::Status;
 use tonic::metadata::MetadataMap;
 use tonic::metadata::MetadataValue;
@@ -83,6 +84,23 @@
         .max_encoding_message_size(MAX_MESSAGE_BYTES)
 }
 
+/// Waits for the answer to a call to the leader, for `timeout` at most.
+///
+/// The timeout of a request counts from when the channel takes it. A channel whose connection is
+/// being opened takes one after another, and a silent peer delays each.
+///
+/// # Errors
+///
+/// Returns the status with which the call failed, and that of an exceeded deadline without an answer
+/// in time.
+pub async fn answer_within<T>(
+    timeout: Duration,
+    call: impl Future<Output = Result<Response<T>, Status>>,
+) -> Result<Response<T>, Status> {
+    let answered = tokio::time::timeout(timeout, call).await;
+    answered.unwrap_or_else(|_| Err(Status::deadline_exceeded("no answer in time")))
+}
+
 /// Returns whether a failed call is proved not to have reached the leader's process, because the
 /// connection was refused.
 #[must_use]
--- a/server/src/operator_service.rs
+++ b/server/src/operator_service.rs
@@ -31,6 +31,7 @@
 
 use crate::fleet_control::FleetControl;
 use crate::leader_relay::RELAY_TIMEOUT;
+use crate::leader_relay::answer_within;
 use crate::leader_relay::is_relayed;
 use crate::leader_relay::operator_client;
 use crate::leader_relay::order_stamp;
@@ -132,7 +133,10 @@
     };
     (@ $error:expr, $metadata:expr, $method:ident, $relayed:expr) => {
         match relay_to(&$error, &$metadata).zip($relayed) {
-            Some((leader, request)) => operator_client(leader).$method(request).await,
+            Some((leader, request)) => {
+                let mut client = operator_client(leader);
+                answer_within(RELAY_TIMEOUT, client.$method(request)).await
+            }
             None => Err(unavailable(&$error)),
         }
     };
@@ -162,7 +166,8 @@
         let reply = match relay_to(&error, &metadata) {
             Some(leader) if error.is_proved_absent() => {
                 let relayed = relayed_request(request, RELAY_TIMEOUT);
-                match operator_client(leader).submit(relayed).await {
+                let mut client = operator_client(leader);
+                match answer_within(RELAY_TIMEOUT, client.submit(relayed)).await {
                     Ok(reply) => reply.into_inner(),
                     Err(status) => relay_failed_reply(version, digest, &status),
                 }
@@ -207,7 +212,8 @@
             let request = relayed_request(StatusRequest {}, RELAY_TIMEOUT);
             // If the leader does not answer, the report of this replica is returned, although it is
             // not proved to be current.
-            if let Ok(reply) = operator_client(&leader).status(request).await
+            let mut client = operator_client(&leader);
+            if let Ok(reply) = answer_within(RELAY_TIMEOUT, client.status(request)).await
                 && reply.get_ref().current
             {
                 return Ok(reply);
--- a/server/src/session_service.rs
+++ b/server/src/session_service.rs
@@ -14,6 +14,7 @@
 use tonic::Response;
 use tonic::Status;
 
+use crate::leader_relay::answer_within;
 use crate::leader_relay::is_relayed;
 use crate::leader_relay::relayed_request;
 use crate::leader_relay::session_client;
@@ -65,7 +66,8 @@
         // A leader that is silent for longer than an election takes is considered gone.
         let timeout = wait + self.timing.election_max();
         let relayed = relayed_request(request, timeout);
-        match session_client(leader).sync(relayed).await {
+        let mut client = session_client(leader);
+        match answer_within(timeout, client.sync(relayed)).await {
             Ok(reply) => reply.into_inner(),
             Err(status) => {
                 log::debug!(leader = leader.replica.0, error:% = status.message(); "the leader did not answer");
@@ -79,8 +81,10 @@
         leader: &LeaderLink,
         request: SyncBatchRequest,
     ) -> SyncBatchReply {
-        let relayed = relayed_request(request, self.timing.election_max());
-        match session_client(leader).sync_batch(relayed).await {
+        let timeout = self.timing.election_max();
+        let relayed = relayed_request(request, timeout);
+        let mut client = session_client(leader);
+        match answer_within(timeout, client.sync_batch(relayed)).await {
             Ok(reply) => reply.into_inner(),
             Err(status) => {
                 log::debug!(leader = leader.replica.0, error:% = status.message(); "the leader did not answer the renewals of a relay");
