control: an order or read without a leader is refused at once, with the proof that it is not run

A caller whose order reached a replica without a leader got 503 with "this replica is not the leader" and couldn't tell whether the order was run, nor when to come back; the log called its outcome unknown (`routes_change_open`). A leader that had lost its majority took orders into its log all the same, and another replica without a current state passed them on to the leader that it knew last.

An order at a replica that can't prove that it is current is refused before anything is done, also where it would be passed on. An order that failed says whether that is proved (`FleetError::is_not_run`): the leader marks the refusals of which it is sure (`heatherring-not-run`), a refused connection carried nothing, and anything else that was passed on stays unknown. Not run is 503 with `Retry-After: 1`, on both interfaces, as is a read that can't be answered; one second is about an election, and the least that the header can state. An unknown outcome stays 503 without the header. Reads are still passed on while a leader is known. Lines and the metric of orders tell the two apart (`.._refused`, `result="not_run"`).

--- a/server/src/fleet_control.rs
+++ b/server/src/fleet_control.rs
@@ -64,6 +64,7 @@
 use crate::interface::LookUpSource;
 use crate::leader_relay::answer_within;
 use crate::leader_relay::fleet_client;
+use crate::leader_relay::is_proved_not_run;
 use crate::leader_relay::relayed_order;
 use crate::leader_relay::relayed_request;
 use crate::metric;
@@ -130,6 +131,20 @@
     UnexpectedResponse,
 }
 
+impl FleetError {
+    /// Returns whether it is proved that an order that failed with this error changes nothing, now
+    /// or later. Otherwise its outcome is unknown.
+    #[must_use]
+    pub fn is_not_run(&self) -> bool {
+        match self {
+            Self::NotCurrent | Self::Announcement { .. } | Self::Overtaken => true,
+            Self::Node { source } => source.is_proved_absent(),
+            Self::Leader { source } => is_proved_not_run(source),
+            Self::Encoding { .. } | Self::Answer { .. } | Self::UnexpectedResponse => false,
+        }
+    }
+}
+
 /// Heartbeat by which a backend server describes itself.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Announcement {
@@ -188,8 +203,12 @@
         work: WorkMeter,
     ) -> Self {
         let announcements = AnnouncementBatch::spawn({
-            let (published, node) = (published.clone(), node.clone());
-            move |changes| commit_announcements(published.clone(), node.clone(), changes)
+            let path = CommitPath {
+                clock: Arc::clone(&clock),
+                published: published.clone(),
+                node: node.clone(),
+            };
+            move |changes| commit_announcements(path.clone(), changes)
         });
         let naming = SharedNaming::new(look_up_ttl(settings.as_ref()));
         let inner = Inner {
@@ -245,17 +264,18 @@
     ///
     /// # Errors
     ///
-    /// Fails if no leader answers. The command may still be committed, unless the error proves the
-    /// contrary.
+    /// Fails at once if this replica is not current, and later if no leader answers. The command may
+    /// still be committed unless the error [proves the contrary](FleetError::is_not_run).
     pub async fn commit(&self, command: FleetCommand) -> Result<Response, FleetError> {
-        commit(&self.inner.published, &self.inner.node, command).await
+        let inner = &self.inner;
+        commit(&*inner.clock, &inner.published, &inner.node, command).await
     }
 
     /// Commits a change of the manifest, and returns whether it was accepted.
     ///
     /// # Errors
     ///
-    /// Fails if the outcome is unknown; the same change may be sent again.
+    /// Fails if the change is not run, or if its outcome is unknown; the same one may be sent again.
     pub async fn change_manifest(&self, change: FleetChange) -> Result<RouteAnswer, FleetError> {
         let version = change.routes.version;
         let base = change.routes.base;
@@ -271,6 +291,9 @@
                     self.warn_about_missing_common_home();
                 }
             }
+            Err(error) if error.is_not_run() => {
+                log::warn!(event = "routes_change_refused", version = version.0, base = base.0, error:% = error; "a change of the route manifest was refused and is not run");
+            }
             Err(error) => {
                 log::warn!(event = "routes_change_open", version = version.0, base = base.0, error:% = error; "outcome of a change of the route manifest is unknown");
             }
@@ -330,7 +353,7 @@
     ///
     /// # Errors
     ///
-    /// Fails if the outcome is unknown; the same order may be sent again.
+    /// Fails if the order is not run, or if its outcome is unknown; the same one may be sent again.
     pub async fn order_rollout(
         &self,
         service: ServiceName,
@@ -353,6 +376,9 @@
             Ok(answer) => {
                 log::info!(event = "rollout_order", service = name.as_str(), target = version.as_str(), duration_ms = whole_ms(duration), answer:? = answer; "order to start a rollout decided");
             }
+            Err(error) if error.is_not_run() => {
+                log::warn!(event = "rollout_order_refused", service = name.as_str(), target = version.as_str(), error:% = error; "an order to start a rollout was refused and is not run");
+            }
             Err(error) => {
                 log::warn!(event = "rollout_order_open", service = name.as_str(), target = version.as_str(), error:% = error; "outcome of an order to start a rollout is unknown");
             }
@@ -393,7 +419,7 @@
     ///
     /// # Errors
     ///
-    /// Fails if the outcome is unknown; the same call may be repeated.
+    /// Fails if the call is not run, or if its outcome is unknown; the same one may be repeated.
     pub async fn set_evacuated(&self, place: PlaceName, evacuated: bool) -> Result<(), FleetError> {
         let name = place.as_str().to_owned();
         let command = FleetCommand::SetEvacuated { place, evacuated };
@@ -403,6 +429,9 @@
             Ok(()) => {
                 log::info!(event = "evacuation", place = name.as_str(), evacuated; "evacuation of a place set or ended");
             }
+            Err(error) if error.is_not_run() => {
+                log::warn!(event = "evacuation_refused", place = name.as_str(), evacuated, error:% = error; "a change of a place's evacuation was refused and is not run");
+            }
             Err(error) => {
                 log::warn!(event = "evacuation_open", place = name.as_str(), evacuated, error:% = error; "outcome of a change of a place's evacuation is unknown");
             }
@@ -666,28 +695,50 @@
 }
 
 /// Returns the metric label for the result of a change of routes.
-const fn route_result(result: &Result<RouteAnswer, FleetError>) -> &'static str {
+fn route_result(result: &Result<RouteAnswer, FleetError>) -> &'static str {
     match result {
         Ok(RouteAnswer::Accepted) => "accepted",
         Ok(RouteAnswer::Conflict { .. }) => "conflict",
         Ok(RouteAnswer::Invalid(_)) => "invalid",
-        Err(_) => "open",
+        Err(error) => failure_result(error),
     }
 }
 
 /// Returns the metric label for the result of any other call that commits a command.
-const fn commit_result(result: &Result<(), FleetError>) -> &'static str {
+fn commit_result(result: &Result<(), FleetError>) -> &'static str {
     match result {
         Ok(()) => "accepted",
-        Err(_) => "open",
+        Err(error) => failure_result(error),
     }
 }
 
+fn failure_result(error: &FleetError) -> &'static str {
+    if error.is_not_run() {
+        "not_run"
+    } else {
+        "open"
+    }
+}
+
+/// What a commit needs of a replica.
+#[derive(Clone)]
+struct CommitPath {
+    clock: Arc<dyn Clock>,
+    published: StateReader,
+    node: NodeHandle,
+}
+
 async fn commit(
+    clock: &dyn Clock,
     published: &StateReader,
     node: &NodeHandle,
     command: FleetCommand,
 ) -> Result<Response, FleetError> {
+    // Without a majority, a leader would keep the command until its outcome is unknown, and any
+    // other replica would pass it on to a leader that may be gone.
+    if !published.is_current(clock.now()) {
+        return NotCurrentSnafu.fail();
+    }
     // A stamp that becomes known while the replica is asked may be younger than the order.
     let stamp = published.order_stamp();
     match node.propose_fleet(command.clone()).await {
@@ -701,13 +752,14 @@
     }
 }
 
-async fn commit_announcements(
-    published: StateReader,
-    node: NodeHandle,
-    changes: Vec<BackendChange>,
-) -> BatchResult {
+async fn commit_announcements(path: CommitPath, changes: Vec<BackendChange>) -> BatchResult {
+    let CommitPath {
+        clock,
+        published,
+        node,
+    } = path;
     let count = changes.len();
-    match commit(&published, &node, announcing(changes)).await {
+    match commit(&*clock, &published, &node, announcing(changes)).await {
         Ok(_) => BatchResult::Committed,
         Err(error) => {
             log::warn!(event = "announcements_open", count, error:% = error; "announcements are not known to be committed; proposing them again");
--- a/server/src/fleet_service.rs
+++ b/server/src/fleet_service.rs
@@ -37,6 +37,7 @@
 use crate::leader_relay::fleet_client;
 use crate::leader_relay::is_relayed;
 use crate::leader_relay::order_stamp;
+use crate::leader_relay::refusal_status;
 use crate::leader_relay::relayed_request;
 use crate::metric;
 use crate::node_request::NodeHandle;
@@ -365,7 +366,7 @@
         let stamp = order_stamp(request.metadata());
         let command: FleetCommand = decode(&request.into_inner().command_encoded)?;
         let committed = self.node.propose_passed_on(command, stamp).await;
-        let committed = committed.map_err(|error| Status::unavailable(error.to_string()))?;
+        let committed = committed.map_err(|error| refusal_status(&error))?;
         Ok(Response::new(ProposeReply {
             committed: true,
             response_encoded: encode(&committed.response)?,
--- a/server/src/leader_relay.rs
+++ b/server/src/leader_relay.rs
@@ -11,6 +11,8 @@
 use tonic::metadata::MetadataValue;
 
 use crate::node_request::LeaderLink;
+use crate::node_request::NodeError;
+use crate::peer_channel::NOT_RUN;
 use crate::peer_channel::ORDER_STAMP;
 use crate::peer_channel::PASSED_ON;
 use crate::peer_links::MAX_MESSAGE_BYTES;
@@ -101,6 +103,25 @@
     answered.unwrap_or_else(|_| Err(Status::deadline_exceeded("no answer in time")))
 }
 
+/// Returns the status of an order that failed here, with the mark of one that is proved not to be
+/// run.
+#[must_use]
+pub fn refusal_status(error: &NodeError) -> Status {
+    let mut status = Status::unavailable(error.to_string());
+    if error.is_proved_absent() {
+        let mark = MetadataValue::from_static("1");
+        status.metadata_mut().insert(NOT_RUN, mark);
+    }
+    status
+}
+
+/// Returns whether an order whose call failed is proved not to be run: the leader says so, or never
+/// received it.
+#[must_use]
+pub fn is_proved_not_run(status: &Status) -> bool {
+    status.metadata().contains_key(NOT_RUN) || is_proved_unsent(status)
+}
+
 /// Returns whether a failed call is proved not to have reached the leader's process, because the
 /// connection was refused.
 #[must_use]
--- a/server/src/own_interface.rs
+++ b/server/src/own_interface.rs
@@ -302,7 +302,7 @@
                 teams,
                 bulk_routes,
             }),
-            Err(error) => reply::failed(&error),
+            Err(error) => reply::unread(&error),
         },
         (&Method::POST, ["v1", "rollouts"]) => match parse_json::<RolloutBody>(&body) {
             Ok(order) => {
@@ -317,7 +317,7 @@
                 Some(rollout) => reply::json(rollout),
                 None => reply::status(StatusCode::NOT_FOUND),
             },
-            Err(error) => reply::failed(&error),
+            Err(error) => reply::unread(&error),
         },
         _ => reply::status(StatusCode::NOT_FOUND),
     }
--- a/server/src/peer_channel.rs
+++ b/server/src/peer_channel.rs
@@ -23,6 +23,9 @@
 /// [`OrderStamp`]: heatherring_lib::order_stamp::OrderStamp
 pub const ORDER_STAMP: &str = "heatherring-order-stamp";
 
+/// Metadata key that marks the status of an order that is proved not to be run.
+pub const NOT_RUN: &str = "heatherring-not-run";
+
 /// Timeouts and ping interval of a channel.
 #[derive(Clone, Copy, Debug)]
 pub struct ChannelTimes {
--- a/server/src/reply.rs
+++ b/server/src/reply.rs
@@ -16,6 +16,10 @@
 /// Time in seconds after which a replica that is joining has most likely joined.
 const UNSTARTED_RETRY_AFTER_S: u32 = 1;
 
+/// Seconds after which a call is to be repeated: an election takes about one, and the header can state
+/// no less.
+const RETRY_AFTER_SECS: u16 = 1;
+
 /// Builds an answer with a status and no body.
 #[must_use]
 pub fn status(status: StatusCode) -> Response<AnswerBody> {
@@ -42,14 +46,31 @@
     })
 }
 
-/// Builds the answer to a call that control cannot carry out, now or at all.
+/// Builds the answer to an order that control cannot carry out, now or at all. One that is proved not
+/// to be run says when to come back.
 #[must_use]
 pub fn failed(error: &FleetError) -> Response<AnswerBody> {
-    let code = match error {
-        FleetError::Announcement { .. } => StatusCode::BAD_REQUEST,
-        _ => StatusCode::SERVICE_UNAVAILABLE,
-    };
-    text(code, error.to_string())
+    match error {
+        FleetError::Announcement { .. } => text(StatusCode::BAD_REQUEST, error.to_string()),
+        error if error.is_not_run() => come_back(format!("not run: {error}")),
+        error => text(
+            StatusCode::SERVICE_UNAVAILABLE,
+            format!("the outcome is unknown: {error}"),
+        ),
+    }
+}
+
+/// Builds the answer to a call that reads and changes nothing, and that control cannot answer now.
+#[must_use]
+pub fn unread(error: &FleetError) -> Response<AnswerBody> {
+    come_back(error.to_string())
+}
+
+fn come_back(reason: String) -> Response<AnswerBody> {
+    let mut response = text(StatusCode::SERVICE_UNAVAILABLE, reason);
+    let headers = response.headers_mut();
+    headers.insert(RETRY_AFTER, HeaderValue::from(RETRY_AFTER_SECS));
+    response
 }
 
 /// Builds the answer to a call at a replica that has not joined yet.
