drain: a drain is confirmed by what its commit leaves in force

A replica decides by the state that it has applied whether a draining announcement is to be committed. Where the backend server's numbers went back and a ready announcement with a higher number was committed in between, the commit passed the drain over, and it was confirmed all the same: the backend server stayed in use.

Applying an announcement now answers whether a draining one was passed over, and the replica that proposed it answers 503, as for a drain that is overtaken when it arrives.

A repeated drain is still confirmed without a commit, by a committed state in which the backend server drains; that state is at most as old as the replica's proof.

--- a/lib/src/control_state.rs
+++ b/lib/src/control_state.rs
@@ -112,6 +112,8 @@
     Routes(RouteAnswer),
     /// Result of an order to start a rollout.
     Rollout(RolloutAnswer),
+    /// A draining announcement was passed over; see [`FleetAnswer::Overtaken`].
+    Overtaken,
 }
 
 impl From<Option<FleetAnswer>> for Response {
@@ -120,6 +122,7 @@
             None => Self::Done,
             Some(FleetAnswer::Routes(answer)) => Self::Routes(answer),
             Some(FleetAnswer::Rollout(answer)) => Self::Rollout(answer),
+            Some(FleetAnswer::Overtaken) => Self::Overtaken,
         }
     }
 }
--- a/lib/src/fleet_command.rs
+++ b/lib/src/fleet_command.rs
@@ -96,6 +96,9 @@
     Routes(RouteAnswer),
     /// Result of an order to start a rollout.
     Rollout(RolloutAnswer),
+    /// A backend server announced that it is draining, and was passed over because a later
+    /// announcement of it states the contrary.
+    Overtaken,
 }
 
 impl From<FleetChange> for FleetCommand {
@@ -166,7 +169,8 @@
         }
     }
 
-    /// Applies the command at log position `index`. Only operators' orders have an answer.
+    /// Applies the command at log position `index`. Operators' orders have an answer, and others
+    /// only if they have no effect although a sender relies on it.
     pub fn apply(&self, index: Revision, state: &mut FleetState) -> Option<FleetAnswer> {
         if let Some(change) = self.manifest_change() {
             return Some(FleetAnswer::Routes(state.change(index, change)));
@@ -176,7 +180,7 @@
             Self::SetEvacuated { place, evacuated } => {
                 state.set_evacuated(index, place, *evacuated);
             }
-            Self::Announce(changes) => state.announce(index, changes),
+            Self::Announce(changes) => return announce(index, changes, state),
             Self::Withdraw(incarnation) => state.withdraw(index, incarnation),
             Self::ForgetBackends(incarnations) => state.forget_backends(index, incarnations),
             Self::EnrollEntry { vm, record } => state.enroll_entry(index, vm, record),
@@ -186,7 +190,7 @@
             Self::LiftSuspect(request) => state.lift_suspect(index, request),
             Self::AnnounceVersions(changes) => {
                 let changes: Vec<BackendChange> = changes.iter().map(Into::into).collect();
-                state.announce(index, &changes);
+                return announce(index, &changes, state);
             }
             Self::OrderRollout(order) => {
                 return Some(FleetAnswer::Rollout(state.order_rollout(index, order)));
@@ -196,3 +200,14 @@
         None
     }
 }
+
+fn announce(
+    index: Revision,
+    changes: &[BackendChange],
+    state: &mut FleetState,
+) -> Option<FleetAnswer> {
+    state.announce(index, changes);
+    let mut draining = changes.iter().filter(|change| change.is_draining());
+    let is_overtaken = draining.any(|change| state.may_use(&change.incarnation()));
+    is_overtaken.then_some(FleetAnswer::Overtaken)
+}
--- a/lib/src/fleet_state.rs
+++ b/lib/src/fleet_state.rs
@@ -147,6 +147,15 @@
         self.backends.iter().map(|(name, record)| (name, &**record))
     }
 
+    /// Returns whether this incarnation of a backend server is in use, or may be again.
+    #[must_use]
+    pub fn may_use(&self, incarnation: &BackendIncarnation) -> bool {
+        let known = self.backend(&incarnation.backend);
+        known.is_some_and(|known| {
+            known.born == incarnation.born && known.state != BackendState::Draining
+        })
+    }
+
     /// Returns the backend server that holds an address: the one there that is not superseded.
     #[must_use]
     pub fn holder(&self, address: SocketAddr) -> Option<&BackendName> {
--- a/lib/tests/test_drain_model.rs
+++ b/lib/tests/test_drain_model.rs
@@ -9,6 +9,7 @@
 use heatherring_lib::announcement_decision::AnnouncementDecision;
 use heatherring_lib::announcement_decision::SenderObservation;
 use heatherring_lib::encoding;
+use heatherring_lib::fleet_command::FleetCommand;
 use heatherring_lib::fleet_record::BackendChange;
 use heatherring_lib::fleet_record::BackendIncarnation;
 use heatherring_lib::fleet_record::BackendRecord;
@@ -38,6 +39,8 @@
     Leave { server: usize },
     /// It ends and starts again under the same name.
     Restart { server: usize },
+    /// It numbers its announcements anew, and goes on as the same incarnation.
+    Renumber { server: usize },
     /// An announcement arrives at a replica; it may arrive again later.
     Arrive {
         announcement: usize,
@@ -80,6 +83,13 @@
     ]
 }
 
+fn step_with_numbers_that_go_back() -> impl Strategy<Value = Step> {
+    prop_oneof![
+        20 => step(),
+        2 => (0..SERVERS).prop_map(|server| Step::Renumber { server }),
+    ]
+}
+
 /// A backend server as it sees itself.
 #[derive(Clone, Copy, Debug, Default)]
 struct Server {
@@ -123,6 +133,8 @@
     behind: FleetState,
     /// Latest incarnation of each backend server whose end was confirmed.
     confirmed: BTreeMap<BackendName, u64>,
+    /// Backend servers that were in use when their end was confirmed.
+    confirmed_in_use: Vec<BackendName>,
 }
 
 impl Run {
@@ -140,6 +152,7 @@
             state: FleetState::default(),
             behind: FleetState::default(),
             confirmed: BTreeMap::new(),
+            confirmed_in_use: Vec::new(),
         }
     }
 
@@ -152,14 +165,20 @@
         if is_behind { &self.behind } else { &self.state }
     }
 
-    fn confirm(&mut self, backend: &BackendName, born: u64) {
+    /// Confirms an end on the strength of the state of a replica.
+    fn confirm(&mut self, backend: &BackendName, born: u64, is_behind: bool) {
+        if is_in_use(self.replica(is_behind), backend, born) {
+            self.confirmed_in_use.push(backend.clone());
+        }
         let confirmed = self.confirmed.entry(backend.clone()).or_default();
         *confirmed = born.max(*confirmed);
     }
 
-    fn commit(&mut self, change: &BackendChange) {
+    /// Commits a change; returns whether it has taken effect.
+    fn commit(&mut self, change: BackendChange) -> bool {
         let index = self.next_index();
-        self.state.announce(index, std::slice::from_ref(change));
+        let command = FleetCommand::Announce(vec![change]);
+        command.apply(index, &mut self.state).is_none()
     }
 
     fn arrive(
@@ -174,7 +193,7 @@
         let born = record.born;
         if announcement_decision::has_ended(fleet, &backend, &record) {
             if drains {
-                self.confirm(&backend, born);
+                self.confirm(&backend, born, is_behind);
             }
             return;
         }
@@ -184,13 +203,14 @@
             new_cold_phase: false,
         };
         match announcement_decision::decide(fleet, &backend, &record, observed) {
-            AnnouncementDecision::Commit(change) if drains => self.commit(&change),
-            AnnouncementDecision::Commit(change) => return self.waiting.push(change),
-            AnnouncementDecision::Overtaken => return,
-            AnnouncementDecision::Unchanged => {}
-        }
-        if drains {
-            self.confirm(&backend, born);
+            AnnouncementDecision::Commit(change) if drains => {
+                if self.commit(change) {
+                    self.confirm(&backend, born, false);
+                }
+            }
+            AnnouncementDecision::Commit(change) => self.waiting.push(change),
+            AnnouncementDecision::Unchanged if drains => self.confirm(&backend, born, is_behind),
+            AnnouncementDecision::Unchanged | AnnouncementDecision::Overtaken => {}
         }
     }
 
@@ -201,7 +221,7 @@
         };
         let index = self.next_index();
         self.state.withdraw(index, &incarnation);
-        self.confirm(&incarnation.backend, incarnation.born);
+        self.confirm(&incarnation.backend, incarnation.born, false);
     }
 
     fn forget(&mut self, server: usize) {
@@ -237,6 +257,7 @@
                 };
             }
             Step::Restart { .. } => {}
+            Step::Renumber { server } => self.servers[server].sequence = 0,
             Step::Arrive {
                 announcement,
                 is_behind,
@@ -249,7 +270,7 @@
             }
             Step::Commit { waiting, again } => {
                 if let Some(change) = draw(&mut self.waiting, waiting, again) {
-                    self.commit(&change);
+                    self.commit(change);
                 }
             }
             Step::Withdraw { server } => self.withdraw(server),
@@ -265,17 +286,21 @@
     /// Checks that no backend server is in use whose end was confirmed.
     fn check(&self) -> Result<(), TestCaseError> {
         for (backend, born) in &self.confirmed {
-            let known = self.state.backend(backend);
-            let in_use = known.filter(|known| known.state == BackendState::Ready);
             prop_assert!(
-                in_use.is_none_or(|known| known.born > *born),
-                "{backend} is in use: {known:?}"
+                !is_in_use(&self.state, backend, *born),
+                "{backend} is in use"
             );
         }
         Ok(())
     }
 }
 
+/// Returns whether a state has this incarnation of a backend server, or an earlier one, in use.
+fn is_in_use(fleet: &FleetState, backend: &BackendName, born: u64) -> bool {
+    let known = fleet.backend(backend);
+    known.is_some_and(|known| known.state == BackendState::Ready && known.born <= born)
+}
+
 fn draw<T: Clone>(items: &mut Vec<T>, index: usize, again: bool) -> Option<T> {
     let index = index.checked_rem(items.len())?;
     if again {
@@ -301,4 +326,18 @@
             run.check()?;
         }
     }
+
+    /// Guards against the confirmation of a draining announcement that was overtaken before it was
+    /// committed, by a backend server whose numbers go back.
+    #[test]
+    fn test_drain_model_confirmation_follows_from_a_committed_state(
+        named in any::<bool>(),
+        steps in proptest::collection::vec(step_with_numbers_that_go_back(), 1..60),
+    ) {
+        let mut run = Run::new(named);
+        for step in &steps {
+            run.take(step);
+            prop_assert!(run.confirmed_in_use.is_empty(), "{:?}", run.confirmed_in_use);
+        }
+    }
 }
--- a/server/src/fleet_control.rs
+++ b/server/src/fleet_control.rs
@@ -475,8 +475,7 @@
         };
         log::info!(event = "backend_changed", backend = change.backend.as_str(), service = change.record.service.as_str(), address:% = change.record.address, state:? = change.record.state, sequence = change.record.sequence; "a backend server announced a change");
         if draining {
-            let command = announcing(vec![change]);
-            let result = self.commit(command).await.map(|_| ());
+            let result = self.commit_drain(change).await;
             metric::order("leaving", commit_result(&result));
             return result;
         }
@@ -484,6 +483,13 @@
         Ok(())
     }
 
+    async fn commit_drain(&self, change: BackendChange) -> Result<(), FleetError> {
+        match self.commit(announcing(vec![change])).await? {
+            Response::Overtaken => OvertakenSnafu.fail(),
+            _ => Ok(()),
+        }
+    }
+
     fn check(&self, announcement: &Announcement) -> Result<(), FleetError> {
         let Announcement { backend, record } = announcement;
         let is_place = |place: &PlaceName| {
--- a/server/src/leader_sessions.rs
+++ b/server/src/leader_sessions.rs
@@ -328,6 +328,7 @@
             Response::Submission(_)
             | Response::Routes(_)
             | Response::Rollout(_)
+            | Response::Overtaken
             | Response::UnknownSession => None,
         };
         match session {
