announcements: owners ignore what is numbered lower than an earlier announcement

An owner put a backend server back in use that had announced to it that it leaves: announcements to owners had no numbers, and "leaving" outweighed "ready" for 4 s only. A ready announcement that an entry VM had held for longer, because it was suspended, registered the backend server anew, or it was taken for a change of mind.

Announcements to owners may now name the start of their process (`born`) and a number within it (`sequence`), as those to control do. One that isn't numbered higher than what is known changes nothing; if it says "leaving" and the later one doesn't, it is refused with 503 instead of confirmed. The last numbers of up to 2,048 leaving servers stay known after they are forgotten. A later start is a restart, so that it is used at once. Backend servers that don't number are treated as before.

Between entry VMs the number follows the encoded announcement or release, where those of the release before ignore it; without it, an announcement counts as unnumbered and doesn't lower the number that is known.

--- a/lib/examples/steering_model/owners.rs
+++ b/lib/examples/steering_model/owners.rs
@@ -18,6 +18,7 @@
 use heatherring_lib::admission::ViewStep;
 use heatherring_lib::announcement::Announcement;
 use heatherring_lib::announcement::BackendState;
+use heatherring_lib::announcement_number::AnnouncementNumber;
 use heatherring_lib::id::BackendName;
 use heatherring_lib::id::ContentDigest;
 use heatherring_lib::id::ManifestVersion;
@@ -415,6 +416,7 @@
                     state: BackendState::Ready,
                     in_flight: backend.running,
                     load: f64::from(backend.running) / f64::from(world.slots),
+                    number: AnnouncementNumber::default(),
                 };
                 let admission = &mut self.entries[owner].admission;
                 let effects = admission.announce(at, &announcement);
--- a/lib/src/admission.rs
+++ b/lib/src/admission.rs
@@ -11,6 +11,7 @@
 use std::time::Instant;
 
 use slotmap::SlotMap;
+use snafu::ensure;
 
 use crate::admission_event::DEADLINE_GRACE;
 pub use crate::admission_event::Dispatch;
@@ -23,6 +24,8 @@
 pub use crate::admission_event::ViewStep;
 use crate::announcement::Announcement;
 use crate::announcement::AnnouncementError;
+use crate::announcement::OvertakenSnafu;
+use crate::backend_registry::Announced;
 use crate::backend_registry::BackendEndpoint;
 use crate::backend_registry::HeldSlot;
 use crate::backend_statement::ReceivedStatement;
@@ -377,8 +380,10 @@
             return Ok(Vec::new());
         };
         let slots = announcement.effective_slots(service);
-        let stopped = group.announce(announced_at, announcement, slots);
+        let announced = group.announce(announced_at, announcement, slots);
+        ensure!(announced != Announced::Overtaken, OvertakenSnafu);
         self.mark_drained();
+        let stopped = announced == Announced::Stopped;
         let disconnect_effect = stopped.then(|| Effect::Disconnect {
             backend: announcement.backend.clone(),
             address: announcement.address,
--- a/lib/src/announcement.rs
+++ b/lib/src/announcement.rs
@@ -8,6 +8,7 @@
 use snafu::Snafu;
 use snafu::ensure;
 
+use crate::announcement_number::AnnouncementNumber;
 use crate::id::BackendName;
 use crate::id::PlaceName;
 use crate::id::ServiceName;
@@ -47,6 +48,38 @@
     /// raise it.
     #[serde(default)]
     pub load: f64,
+    /// Number that tells it from earlier ones. Encoded separately, since earlier releases have no
+    /// such field.
+    #[serde(skip)]
+    pub number: AnnouncementNumber,
+}
+
+/// An announcement as a backend server posts it in JSON.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct AnnouncementBody {
+    #[serde(flatten)]
+    announcement: Announcement,
+    #[serde(flatten)]
+    number: AnnouncementNumber,
+}
+
+impl From<Announcement> for AnnouncementBody {
+    fn from(announcement: Announcement) -> Self {
+        let number = announcement.number;
+        Self {
+            announcement,
+            number,
+        }
+    }
+}
+
+impl From<AnnouncementBody> for Announcement {
+    fn from(body: AnnouncementBody) -> Self {
+        Self {
+            number: body.number,
+            ..body.announcement
+        }
+    }
 }
 
 /// Whether a backend server accepts new requests.
@@ -95,6 +128,7 @@
 
 /// Reason why an announcement is rejected.
 #[derive(Clone, Debug, Eq, PartialEq, Snafu)]
+#[snafu(visibility(pub(crate)))]
 pub enum AnnouncementError {
     /// The manifest does not define the service.
     #[snafu(display("the manifest in force has no service {service}"))]
@@ -122,6 +156,10 @@
     /// The announcement offers no slots or no connections.
     #[snafu(display("slots and max_connections must be at least 1"))]
     NoSlots,
+    /// The backend server announces that it is leaving, but a later announcement of it states the
+    /// contrary.
+    #[snafu(display("a later announcement states that the backend server isn't leaving"))]
+    Overtaken,
 }
 
 impl Announcement {
@@ -155,6 +193,34 @@
         Ok(service)
     }
 
+    /// Encodes the announcement for another entry VM. One of an earlier release reads it without its
+    /// number.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the serialization fails.
+    pub fn encode(&self) -> Result<Vec<u8>, postcard::Error> {
+        postcard::to_stdvec(&(self, self.number))
+    }
+
+    /// Decodes an announcement from another entry VM, which may be of an earlier release.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the bytes are not an announcement.
+    pub fn decode(encoded: &[u8]) -> Result<Self, postcard::Error> {
+        let (announcement, rest) = postcard::take_from_bytes::<Self>(encoded)?;
+        let number = if rest.is_empty() {
+            AnnouncementNumber::default()
+        } else {
+            postcard::from_bytes(rest)?
+        };
+        Ok(Self {
+            number,
+            ..announcement
+        })
+    }
+
     /// Returns the number of slots to use: at most what the manifest allows one backend server, and
     /// at most one per connection.
     #[must_use]
--- a/lib/src/backend_registry.rs
+++ b/lib/src/backend_registry.rs
@@ -7,6 +7,7 @@
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
+use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::time::Duration;
 use std::time::Instant;
@@ -16,6 +17,7 @@
 use crate::announcement::BackendState;
 use crate::announcement::LAPSE_MS;
 use crate::announcement::REPEAT_MS;
+use crate::announcement_number::AnnouncementNumber;
 use crate::backend_limit::BackendLimit;
 use crate::backend_limit::MIN_RATE;
 use crate::backend_limit::tolerance;
@@ -44,6 +46,9 @@
 /// have been overtaken on a different path.
 const LEAVING_HOLD: Duration = Duration::from_millis(2 * LAPSE_MS as u64);
 
+/// Number of forgotten servers that were leaving whose late announcements are still recognized.
+const LEFT_CAPACITY: usize = 2_048;
+
 /// Pause after a rejection by a backend server; it doubles with each consecutive rejection.
 const FIRST_SHED_PAUSE: Duration = Duration::from_millis(50);
 
@@ -58,6 +63,19 @@
 pub struct BackendRegistry {
     servers: BTreeMap<BackendName, BackendServer>,
     held: Vec<HeldSlot>,
+    /// Last numbers of servers that were leaving when they were forgotten, oldest first.
+    left: VecDeque<(BackendName, AnnouncementNumber)>,
+}
+
+/// What an announcement has changed.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Announced {
+    /// Nothing, or nothing that ends requests.
+    Known,
+    /// The server has just stopped accepting new work.
+    Stopped,
+    /// It states that the server is leaving, but a later one states the contrary.
+    Overtaken,
 }
 
 /// A slot counted as taken because its request may still be running although nobody here waits
@@ -75,6 +93,8 @@
 #[derive(Debug)]
 struct BackendServer {
     announcement: Announcement,
+    /// Highest number announced.
+    number: AnnouncementNumber,
     slots: u32,
     state: BackendState,
     received_at: Instant,
@@ -123,16 +143,18 @@
     }
 
     /// Applies an announcement; `slots` is the number of slots credited to the server.
-    /// `new_is_warm` means that a server not known yet has already served a previous owner.
-    ///
-    /// Returns whether the server has just stopped accepting new work.
+    /// `new_is_warm` means that a server not known yet has already served a previous owner. An
+    /// announcement that is numbered lower than an earlier one changes nothing.
     pub fn announce(
         &mut self,
         now: Instant,
         announcement: &Announcement,
         slots: u32,
         new_is_warm: bool,
-    ) -> bool {
+    ) -> Announced {
+        if self.is_late(announcement) {
+            return self.announced_late(announcement);
+        }
         let ramp = if new_is_warm && announcement.state == BackendState::Ready {
             Ramp::Warm
         } else {
@@ -143,11 +165,35 @@
             .entry(announcement.backend.clone())
             .or_insert_with(|| BackendServer::new(now, announcement, ramp));
         if now < server.received_at {
-            return false;
+            return Announced::Known;
         }
         let was_ready = server.state == BackendState::Ready;
         server.apply(now, announcement, slots);
-        was_ready && server.state == BackendState::Leaving
+        if was_ready && server.state == BackendState::Leaving {
+            Announced::Stopped
+        } else {
+            Announced::Known
+        }
+    }
+
+    fn is_late(&self, announcement: &Announcement) -> bool {
+        let Announcement {
+            backend, number, ..
+        } = announcement;
+        let known = self.servers.get(backend).map(|server| server.number);
+        let left = self.left.iter().filter(|(name, _)| name == backend);
+        let known = known.into_iter().chain(left.map(|(_, number)| *number));
+        number.is_announced() && known.max().is_some_and(|known| *number <= known)
+    }
+
+    fn announced_late(&self, announcement: &Announcement) -> Announced {
+        let known = self.servers.get(&announcement.backend);
+        let is_leaving = known.is_none_or(|known| known.state == BackendState::Leaving);
+        if announcement.state == BackendState::Leaving && !is_leaving {
+            Announced::Overtaken
+        } else {
+            Announced::Known
+        }
     }
 
     /// Marks the servers that are covered by planned drains, and unmarks all others.
@@ -319,6 +365,9 @@
         let mut forgotten = Vec::new();
         self.servers.retain(|name, server| {
             let keep = server.in_flight > 0 || server.age(now) < LEAVING_HOLD;
+            if !keep && server.state == BackendState::Leaving && server.number.is_announced() {
+                self.left.push_back((name.clone(), server.number));
+            }
             if !keep {
                 forgotten.push(BackendEndpoint {
                     backend: name.clone(),
@@ -327,6 +376,8 @@
             }
             keep
         });
+        let surplus = self.left.len().saturating_sub(LEFT_CAPACITY);
+        self.left.drain(..surplus);
         forgotten
     }
 
@@ -336,7 +387,10 @@
         self.servers
             .values()
             .map(|server| ReleasedBackend {
-                announcement: server.announcement.clone(),
+                announcement: Announcement {
+                    number: server.number,
+                    ..server.announcement.clone()
+                },
                 age_ms: u32::try_from(server.age(now).as_millis()).unwrap_or(u32::MAX),
             })
             .collect()
@@ -359,6 +413,7 @@
     fn new(now: Instant, announcement: &Announcement, ramp: Ramp) -> Self {
         Self {
             announcement: announcement.clone(),
+            number: announcement.number,
             slots: 0,
             state: announcement.state,
             received_at: now,
@@ -379,7 +434,8 @@
 
     fn apply(&mut self, now: Instant, announcement: &Announcement, slots: u32) {
         let restarted = announcement.address != self.announcement.address
-            || announcement.state == BackendState::Starting;
+            || announcement.state == BackendState::Starting
+            || (announcement.number.born > self.number.born && self.number.is_announced());
         if restarted {
             self.leaving_since = None;
             self.ramp = Ramp::Since(now);
@@ -397,6 +453,7 @@
             announcement.state
         };
         self.announcement.clone_from(announcement);
+        self.number = self.number.max(announcement.number);
         self.slots = slots;
         self.received_at = now;
         self.unattributed = announcement.in_flight.saturating_sub(self.peak);
--- a/lib/src/group_admission.rs
+++ b/lib/src/group_admission.rs
@@ -8,6 +8,7 @@
 use crate::admission_event::RequestToken;
 use crate::announcement::Announcement;
 use crate::announcement::REPEAT_MS;
+use crate::backend_registry::Announced;
 use crate::backend_registry::BackendEndpoint;
 use crate::backend_registry::BackendRegistry;
 use crate::backend_registry::HeldSlot;
@@ -194,9 +195,8 @@
         self.ownership_state.note_release(now);
     }
 
-    /// Applies an announcement, limited to `slots`; returns whether the backend server
-    /// has just stopped accepting requests.
-    pub fn announce(&mut self, now: Instant, announcement: &Announcement, slots: u32) -> bool {
+    /// Applies an announcement, limited to `slots`.
+    pub fn announce(&mut self, now: Instant, announcement: &Announcement, slots: u32) -> Announced {
         let is_new_owner = self.counts_new_as_warm(now);
         self.registry
             .announce(now, announcement, slots, is_new_owner)
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod affinity;
 pub mod announcement;
 pub mod announcement_decision;
+pub mod announcement_number;
 pub mod answer_bound;
 pub mod answer_claim;
 pub mod answer_deadline;
--- a/lib/src/ownership.rs
+++ b/lib/src/ownership.rs
@@ -13,6 +13,7 @@
 use serde::Serialize;
 
 use crate::announcement::Announcement;
+use crate::announcement_number::AnnouncementNumber;
 use crate::id::BackendName;
 use crate::id::PlaceName;
 use crate::id::Revision;
@@ -65,6 +66,38 @@
     pub complete: bool,
 }
 
+impl Release {
+    /// Encodes the release for another entry VM. One of an earlier release of the software reads it
+    /// without the numbers of announcements.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the serialization fails.
+    pub fn encode(&self) -> Result<Vec<u8>, postcard::Error> {
+        let numbers = self.backends.iter();
+        let numbers = numbers.map(|backend| backend.announcement.number);
+        postcard::to_stdvec(&(self, numbers.collect::<Vec<_>>()))
+    }
+
+    /// Decodes a release from another entry VM, which may run an earlier release of the software.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the bytes are not a release.
+    pub fn decode(encoded: &[u8]) -> Result<Self, postcard::Error> {
+        let (mut release, rest) = postcard::take_from_bytes::<Self>(encoded)?;
+        let numbers: Vec<AnnouncementNumber> = if rest.is_empty() {
+            Vec::new()
+        } else {
+            postcard::from_bytes(rest)?
+        };
+        for (backend, number) in release.backends.iter_mut().zip(numbers) {
+            backend.announcement.number = number;
+        }
+        Ok(release)
+    }
+}
+
 /// The latest announcement of a backend server, forwarded to the new owner.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct ReleasedBackend {
--- a/lib/tests/test_admission.rs
+++ b/lib/tests/test_admission.rs
@@ -22,6 +22,7 @@
 use heatherring_lib::admission::ViewStep;
 use heatherring_lib::announcement::Announcement;
 use heatherring_lib::announcement::BackendState;
+use heatherring_lib::announcement_number::AnnouncementNumber;
 use heatherring_lib::id::BackendName;
 use heatherring_lib::id::Revision;
 use heatherring_lib::id::SessionId;
@@ -144,6 +145,7 @@
         state: BackendState::Ready,
         in_flight: 0,
         load: 0.0,
+        number: AnnouncementNumber::default(),
     }
 }
 
--- a/lib/tests/test_backend_registry.rs
+++ b/lib/tests/test_backend_registry.rs
@@ -6,6 +6,7 @@
 
 use heatherring_lib::announcement::Announcement;
 use heatherring_lib::announcement::BackendState;
+use heatherring_lib::announcement_number::AnnouncementNumber;
 use heatherring_lib::backend_registry::BackendRegistry;
 use heatherring_lib::backend_statement::BackendStatement;
 use heatherring_lib::backend_statement::ReceivedStatement;
@@ -15,13 +16,14 @@
 use heatherring_lib::pushback::PushbackNotice;
 use heatherring_lib::rate_limit::LimitNotice;
 use heatherring_lib::rate_limit::RequestRate;
+use rstest::rstest;
 
 const ASKED: Duration = Duration::from_millis(1_500);
 
 const SLOTS: u32 = 4;
 
-fn announce(registry: &mut BackendRegistry, now: Instant, port: u16) {
-    let announcement = Announcement {
+fn announcement(port: u16) -> Announcement {
+    Announcement {
         backend: BackendName::new("backend-1"),
         service: ServiceName::new("registry"),
         place: PlaceName::new("place-1"),
@@ -31,8 +33,12 @@
         state: BackendState::Ready,
         in_flight: 0,
         load: 0.0,
-    };
-    registry.announce(now, &announcement, SLOTS, true);
+        number: AnnouncementNumber::default(),
+    }
+}
+
+fn announce(registry: &mut BackendRegistry, now: Instant, port: u16) {
+    registry.announce(now, &announcement(port), SLOTS, true);
 }
 
 fn pause(registry: &mut BackendRegistry, now: Instant, asked: Duration) {
@@ -112,3 +118,63 @@
     state(&mut registry, now + interval, LimitNotice::Absent, true);
     assert!(reserve(&mut registry, now + interval));
 }
+
+/// Announces a state, and returns how many slots may be used.
+fn announce_numbered(
+    registry: &mut BackendRegistry,
+    now: Instant,
+    state: BackendState,
+    number: (u64, u64),
+) -> u32 {
+    let number = AnnouncementNumber {
+        born: number.0,
+        sequence: number.1,
+    };
+    let announcement = Announcement {
+        state,
+        number,
+        ..announcement(1_000)
+    };
+    registry.announce(now, &announcement, SLOTS, true);
+    usable(registry, now)
+}
+
+/// Guards against requests to a leaving backend server, after a ready announcement of it that was
+/// delayed for longer than any time that its owner waits.
+#[rstest]
+#[case::delayed((1, 2), Duration::from_secs(5), false, 0)]
+#[case::repeated((1, 3), Duration::from_secs(5), false, 0)]
+#[case::delayed_until_it_is_forgotten((1, 2), Duration::from_secs(5), true, 0)]
+#[case::of_an_earlier_process((0, 9), Duration::from_secs(5), true, 0)]
+#[case::of_its_next_process((2, 1), Duration::from_millis(1), false, SLOTS)]
+#[case::of_its_next_process_when_forgotten((2, 1), Duration::from_secs(5), true, SLOTS)]
+#[case::withdrawn_by_itself((1, 4), Duration::from_secs(5), false, SLOTS)]
+fn test_registry_leaving_outlasts_late_announcements(
+    #[case] number: (u64, u64),
+    #[case] delay: Duration,
+    #[case] forgets: bool,
+    #[case] expected: u32,
+) {
+    let now = Instant::now();
+    let mut registry = BackendRegistry::default();
+    announce_numbered(&mut registry, now, BackendState::Ready, (1, 1));
+    announce_numbered(&mut registry, now, BackendState::Leaving, (1, 3));
+    if forgets {
+        registry.forget(now + delay);
+    }
+    let usable = announce_numbered(&mut registry, now + delay, BackendState::Ready, number);
+    assert_eq!(usable, expected);
+}
+
+/// Guards against a delayed announcement that counts after one without a number, which an entry VM of
+/// an earlier release has passed on.
+#[test]
+fn test_registry_number_outlasts_announcements_without() {
+    let now = Instant::now();
+    let mut registry = BackendRegistry::default();
+    announce_numbered(&mut registry, now, BackendState::Ready, (1, 2));
+    announce_numbered(&mut registry, now, BackendState::Leaving, (0, 0));
+    let later = now + Duration::from_secs(5);
+    let usable = announce_numbered(&mut registry, later, BackendState::Ready, (1, 1));
+    assert_eq!(usable, 0);
+}
--- a/lib/tests/test_decoders.rs
+++ b/lib/tests/test_decoders.rs
@@ -9,6 +9,7 @@
 
 use heatherring_lib::action_record::ActionKey;
 use heatherring_lib::announcement::Announcement;
+use heatherring_lib::announcement::AnnouncementBody;
 use heatherring_lib::command::Command;
 use heatherring_lib::command::CommandKind;
 use heatherring_lib::command::Submission;
@@ -27,6 +28,7 @@
 use heatherring_lib::manifest::Manifest;
 use heatherring_lib::manifest_delta::ManifestDelta;
 use heatherring_lib::manifest_text::read_manifest;
+use heatherring_lib::ownership::Release;
 use heatherring_lib::raft_message::Message;
 use heatherring_lib::settings_text::read_control_settings;
 use heatherring_lib::settings_text::read_entry_settings;
@@ -179,8 +181,9 @@
     let _ = postcard::from_bytes::<EntryInfo>(bytes);
     let _ = postcard::from_bytes::<LoadDigest>(bytes);
     let _ = postcard::from_bytes::<Message>(bytes);
-    let _ = postcard::from_bytes::<Announcement>(bytes);
-    let _ = serde_json::from_slice::<Announcement>(bytes);
+    let _ = Announcement::decode(bytes);
+    let _ = serde_json::from_slice::<AnnouncementBody>(bytes);
+    let _ = Release::decode(bytes);
     let _ = Ticket::parse(&text, &secret);
     let _ = ActionKey::parse(&text, &service, &secret);
     let _ = text.parse::<BlockPrefix>();
--- a/server/src/announce_listener.rs
+++ b/server/src/announce_listener.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use heatherring_lib::announcement::Announcement;
+use heatherring_lib::announcement::AnnouncementBody;
 use heatherring_lib::announcement::AnnouncementReply;
 use heatherring_lib::announcement::BackendState;
 use heatherring_lib::announcement::OwnerAddress;
@@ -104,8 +105,8 @@
             Ok(body) => body,
             Err(reason) => return self.refuse(reason),
         };
-        let announcement: Announcement = match serde_json::from_slice(&body) {
-            Ok(announcement) => announcement,
+        let announcement = match serde_json::from_slice::<AnnouncementBody>(&body) {
+            Ok(body) => Announcement::from(body),
             Err(error) => {
                 return json(StatusCode::BAD_REQUEST, &Problem::new(error.to_string()));
             }
@@ -149,7 +150,7 @@
         let Some(channel) = self.cx.peers.channel(owner.id).await else {
             return false;
         };
-        let Ok(announcement_encoded) = postcard::to_stdvec(announcement) else {
+        let Ok(announcement_encoded) = announcement.encode() else {
             return false;
         };
         let mut client = PeerClient::new(channel);
--- a/server/src/demo.rs
+++ b/server/src/demo.rs
@@ -9,7 +9,9 @@
 
 use heatherring_lib::announcement::Announcement;
 use heatherring_lib::announcement::BackendState;
+use heatherring_lib::announcement_number::AnnouncementNumber;
 use heatherring_lib::clock::Clock;
+use heatherring_lib::clock::unix_ms;
 use heatherring_lib::id::BackendName;
 use heatherring_lib::id::PlaceName;
 use heatherring_lib::id::RegionName;
@@ -145,7 +147,7 @@
     mut shutdown: Shutdown,
     ready: impl FnOnce(&str),
 ) -> Result<(), DemoError> {
-    let backends = bind_backends().await?;
+    let backends = bind_backends(unix_ms(clock.wall())).await?;
     let folder = tempfile::tempdir().context(FolderSnafu)?;
     let (stop_control, control_shutdown) = Shutdown::new();
     let control = control_settings(&folder);
@@ -241,7 +243,7 @@
     announcement: Announcement,
 }
 
-async fn bind_backends() -> Result<Vec<Backend>, DemoError> {
+async fn bind_backends(born: u64) -> Result<Vec<Backend>, DemoError> {
     let mut backends = Vec::new();
     let mut port = FIRST_BACKEND_PORT;
     for place in PLACES {
@@ -260,6 +262,7 @@
                 state: BackendState::Ready,
                 in_flight: 0,
                 load: 0.0,
+                number: AnnouncementNumber { born, sequence: 0 },
             };
             backends.push(Backend {
                 listener,
--- a/server/src/demo_backend_server.rs
+++ b/server/src/demo_backend_server.rs
@@ -6,6 +6,7 @@
 
 use bytes::Bytes;
 use heatherring_lib::announcement::Announcement;
+use heatherring_lib::announcement::AnnouncementBody;
 use heatherring_lib::announcement::BackendState;
 use heatherring_lib::announcement::REPEAT_MS;
 use http::HeaderValue;
@@ -128,19 +129,21 @@
 ) {
     let repeat = Duration::from_millis(REPEAT_MS.into());
     while !stop.is_cancelled() {
+        announcement.number.sequence += 1;
         announce(&announcement, &entries).await;
         tokio::select! {
             () = tokio::time::sleep(repeat) => {}
             () = stop.cancelled() => {}
         }
     }
+    announcement.number.sequence += 1;
     announcement.state = BackendState::Leaving;
     announce(&announcement, &entries).await;
 }
 
 /// Sends the announcement to the first entry VM that accepts it, which forwards it to the owner.
 async fn announce(announcement: &Announcement, entries: &[SocketAddr]) {
-    let Ok(content) = serde_json::to_vec(announcement) else {
+    let Ok(content) = serde_json::to_vec(&AnnouncementBody::from(announcement.clone())) else {
         return;
     };
     for entry in entries {
--- a/server/src/peer_client.rs
+++ b/server/src/peer_client.rs
@@ -185,7 +185,7 @@
         let Some(peer) = self.peers.get(&to) else {
             return;
         };
-        let Ok(encoded) = postcard::to_stdvec(release) else {
+        let Ok(encoded) = release.encode() else {
             return;
         };
         let request = ReleaseRequest {
--- a/server/src/peer_service.rs
+++ b/server/src/peer_service.rs
@@ -58,8 +58,8 @@
         request: Request<AnnounceRequest>,
     ) -> Result<Response<AnnounceReply>, Status> {
         let encoded = request.into_inner().announcement_encoded;
-        let announcement: Announcement =
-            postcard::from_bytes(&encoded).map_err(|error| invalid_message(&error))?;
+        let announcement =
+            Announcement::decode(&encoded).map_err(|error| invalid_message(&error))?;
         let outcome = self.cx.admission.announce(announcement).await;
         Ok(Response::new(AnnounceReply {
             taken: matches!(outcome, Some(Ok(()))),
@@ -73,8 +73,7 @@
         request: Request<ReleaseRequest>,
     ) -> Result<Response<ReleaseReply>, Status> {
         for encoded in request.into_inner().releases_encoded {
-            let release: Release =
-                postcard::from_bytes(&encoded).map_err(|error| invalid_message(&error))?;
+            let release = Release::decode(&encoded).map_err(|error| invalid_message(&error))?;
             self.cx.admission.take_release(release);
         }
         Ok(Response::new(ReleaseReply {}))
--- a/server/tests/test_leaving_at_owner.rs
+++ b/server/tests/test_leaving_at_owner.rs
@@ -62,3 +62,33 @@
     let reply = send(to, "POST", "/announce", &body.to_string()).await;
     assert_eq!(reply.unwrap().status, expected);
 }
+
+/// Guards against a confirmation that a backend server is leaving which its owner passes over, since
+/// it was announced before a later one that states the contrary.
+#[rstest]
+#[case::in_order(1, 2, StatusCode::OK)]
+#[case::repeated(2, 2, StatusCode::SERVICE_UNAVAILABLE)]
+#[case::overtaken(3, 2, StatusCode::SERVICE_UNAVAILABLE)]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn test_leaving_at_owner_is_not_confirmed_when_overtaken(
+    #[case] ready: u64,
+    #[case] leaving: u64,
+    #[case] expected: StatusCode,
+    #[values(true, false)] passed_on: bool,
+) {
+    let mut rig = start(true).await;
+    let address = SocketAddr::new(rig.block.next_vm(), SERVICE_PORT);
+    let owner = rig.owner();
+    let entry = if passed_on { 1 - owner } else { owner };
+    let to = rig.entries[entry].settings.listen.backend_servers;
+    let mut status = None;
+    for (state, sequence) in [("ready", ready), ("leaving", leaving)] {
+        let body = json!({
+            "backend": "backend-1", "service": SERVICE, "place": PLACE, "address": address,
+            "slots": 3, "max_connections": 10, "state": state, "born": 1, "sequence": sequence,
+        });
+        let reply = send(to, "POST", "/announce", &body.to_string()).await;
+        status = Some(reply.unwrap().status);
+    }
+    assert_eq!(status, Some(expected));
+}
