withdrawals: one without an incarnation ends the one that is committed

A withdrawal that names no incarnation took the one that the asked replica knew. Where that replica had not yet applied the backend server's latest start, or knew no record and the backend server's clock was ahead, the commit ended an earlier incarnation, and the present one stayed in use after its end was confirmed.

Applying a withdrawal now answers whether a later incarnation stays, and the replica that was asked withdraws that one as well if the backend server named none. A named incarnation ends alone, as before. The log's effect on the state is unchanged.

An announcement that is first committed after the withdrawal is still a new start.

`test_replica_behind_withdraws_the_incarnation_that_is_committed` failed before in both cases: the record of the present incarnation was left.

--- a/lib/src/control_state.rs
+++ b/lib/src/control_state.rs
@@ -114,6 +114,8 @@
     Rollout(RolloutAnswer),
     /// A draining announcement was passed over; see [`FleetAnswer::Overtaken`].
     Overtaken,
+    /// A withdrawn backend server has started again; see [`FleetAnswer::StartedAgain`].
+    StartedAgain(u64),
 }
 
 impl From<Option<FleetAnswer>> for Response {
@@ -123,6 +125,7 @@
             Some(FleetAnswer::Routes(answer)) => Self::Routes(answer),
             Some(FleetAnswer::Rollout(answer)) => Self::Rollout(answer),
             Some(FleetAnswer::Overtaken) => Self::Overtaken,
+            Some(FleetAnswer::StartedAgain(born)) => Self::StartedAgain(born),
         }
     }
 }
--- a/lib/src/fleet_command.rs
+++ b/lib/src/fleet_command.rs
@@ -99,6 +99,9 @@
     /// A backend server announced that it is draining, and was passed over because a later
     /// announcement of it states the contrary.
     Overtaken,
+    /// A withdrawn backend server has started again since: its later incarnation, with this start,
+    /// stays.
+    StartedAgain(u64),
 }
 
 impl From<FleetChange> for FleetCommand {
@@ -181,7 +184,11 @@
                 state.set_evacuated(index, place, *evacuated);
             }
             Self::Announce(changes) => return announce(index, changes, state),
-            Self::Withdraw(incarnation) => state.withdraw(index, incarnation),
+            Self::Withdraw(incarnation) => {
+                state.withdraw(index, incarnation);
+                let later = state.backend(&incarnation.backend);
+                return later.map(|later| FleetAnswer::StartedAgain(later.born));
+            }
             Self::ForgetBackends(incarnations) => state.forget_backends(index, incarnations),
             Self::EnrollEntry { vm, record } => state.enroll_entry(index, vm, record),
             Self::ForgetEntry { vm, life } => state.forget_entry(index, vm, *life),
--- a/server/src/fleet_control.rs
+++ b/server/src/fleet_control.rs
@@ -548,8 +548,8 @@
         self.inner.presence.silence(holder.clone()).await >= reclaim_after
     }
 
-    /// Removes a backend server that announced its end: the incarnation `born`, or the known one
-    /// if `born` is `None`.
+    /// Removes a backend server that announced its end: the incarnation `born`, or the one that is
+    /// committed if `born` is `None`.
     ///
     /// # Errors
     ///
@@ -562,14 +562,21 @@
         let fleet = self.inner.published.read().fleet;
         // Without a record, every incarnation up to now is withdrawn: an announcement of it may
         // not be committed yet.
-        let born = born
+        let mut ended = born
             .or_else(|| fleet.backend(&backend).map(|known| known.born))
             .unwrap_or_else(|| unix_ms(self.inner.clock.wall()));
-        log::info!(event = "backend_withdrawn", backend = backend.as_str(), born; "backend server announced its end");
-        let incarnation = BackendIncarnation { backend, born };
-        self.commit(FleetCommand::Withdraw(incarnation))
-            .await
-            .map(|_| ())
+        loop {
+            log::info!(event = "backend_withdrawn", backend = backend.as_str(), born = ended; "backend server announced its end");
+            let incarnation = BackendIncarnation {
+                backend: backend.clone(),
+                born: ended,
+            };
+            match self.commit(FleetCommand::Withdraw(incarnation)).await? {
+                // The known one was ended already.
+                Response::StartedAgain(later) if born.is_none() => ended = later,
+                _ => return Ok(()),
+            }
+        }
     }
 
     /// Commits observations of the entry VM `vm` on requests suspected of crashing backend servers.
--- a/server/src/leader_sessions.rs
+++ b/server/src/leader_sessions.rs
@@ -329,6 +329,7 @@
             | Response::Routes(_)
             | Response::Rollout(_)
             | Response::Overtaken
+            | Response::StartedAgain(_)
             | Response::UnknownSession => None,
         };
         match session {
--- a/server/tests/test_replica_behind.rs
+++ b/server/tests/test_replica_behind.rs
@@ -69,8 +69,9 @@
     }
 }
 
-/// Returns a reader of the state of a replica that leads as the only voter, and has applied nothing.
-fn empty_state(now: Instant) -> StateReader {
+/// Returns a reader of the state of a replica that leads as the only voter, and has applied this
+/// announcement at most.
+fn published(now: Instant, known: Option<BackendRecord>) -> StateReader {
     let info = ReplicaInfo {
         vm: VmName::new("control-1"),
         address: address(1),
@@ -105,8 +106,12 @@
     while state.revision() < raft.commit() {
         state.apply_noop(state.revision().next()).unwrap();
     }
+    let mut log = CommittedLog { state };
+    if let Some(record) = known {
+        log.announce(record);
+    }
     let (publisher, reader) = published_state::channel();
-    publisher.publish(&raft, &state);
+    publisher.publish(&raft, &log.state);
     reader
 }
 
@@ -114,11 +119,11 @@
     SocketAddr::from(([127, 0, 0, 1], port))
 }
 
-/// Starts the operations of a replica that reads an empty state.
-fn replica() -> (FleetControl, NodeRequests) {
+/// Starts the operations of a replica that knows of this announcement at most.
+fn replica_that_knows(known: Option<BackendRecord>) -> (FleetControl, NodeRequests) {
     let now = Instant::now();
     let clock: Arc<dyn Clock> = Arc::new(StoppedClock(now));
-    let published = empty_state(now);
+    let published = published(now, known);
     let (node, requests) = NodeHandle::channel();
     let channels = PeerChannels::new(PeerSecurity::open_loopback());
     let work = WorkMeter::new(Arc::clone(&clock));
@@ -163,7 +168,7 @@
     }
 }
 
-/// What is committed, which the replica doesn't read.
+/// A state and the commands that lead to it.
 #[derive(Debug, Default)]
 struct CommittedLog {
     state: ControlState,
@@ -223,7 +228,7 @@
 ) {
     let mut log = CommittedLog::default();
     log.announce(record(0, committed, BackendState::Ready));
-    let (control, requests) = replica();
+    let (control, requests) = replica_that_knows(None);
     let draining = control.announce(Announcement {
         backend: BackendName::new(BACKEND),
         record: record(0, sequence, BackendState::Draining),
@@ -234,3 +239,33 @@
     let known = log.backend().unwrap().state;
     assert_eq!(known != BackendState::Draining, is_overtaken);
 }
+
+/// Guards against a withdrawal that names no incarnation and ends an earlier one than is committed:
+/// the backend server was told that it is gone, and stays in use.
+#[rstest]
+#[case::none_known(None)]
+#[case::earlier_one_known(Some(1_000))]
+#[tokio::test]
+async fn test_replica_behind_withdraws_the_incarnation_that_is_committed(
+    #[case] known: Option<u64>,
+) {
+    let mut log = CommittedLog::default();
+    // The clock of the backend server may be ahead.
+    log.announce(record(u64::MAX - 1, 1, BackendState::Ready));
+    let known = known.map(|born| record(born, 1, BackendState::Ready));
+    let (control, requests) = replica_that_knows(known);
+    let withdrawal = control.withdraw(BackendName::new(BACKEND), None);
+    log.commit_during(requests, withdrawal).await.unwrap();
+    assert_eq!(log.backend(), None);
+}
+
+/// Guards against the end of an incarnation that started after the one that withdraws.
+#[tokio::test]
+async fn test_replica_behind_withdraws_no_later_incarnation_than_named() {
+    let mut log = CommittedLog::default();
+    log.announce(record(2_000, 1, BackendState::Ready));
+    let (control, requests) = replica_that_knows(None);
+    let withdrawal = control.withdraw(BackendName::new(BACKEND), Some(1_000));
+    log.commit_during(requests, withdrawal).await.unwrap();
+    assert_eq!(log.backend().unwrap().born, 2_000);
+}
