tests: a founder that lost its folder founds again

A founder with an empty folder whose settings still say that the deployment starts for the first time founds again under its former identity: votes that it gave can be given again, and entries that it acknowledged are unknown to it.

A fix was built and tried: the founder asks the other ones before it founds, and joins if one of them is past the founding term. It isn't landed: a founder that does not answer at all, as one without power, would hold the first start of the others up for up to 4.4 s, by reading, and the time to form wasn't measured.

--- a/server/tests/test_direct.rs
+++ b/server/tests/test_direct.rs
@@ -156,6 +156,42 @@
     assert_eq!(deployment.version().await, 2);
 }
 
+/// Guards against the loss of an acknowledged manifest: a founder that has lost its disk founds again
+/// with the identity under which it acknowledged entries that it no longer has, because its settings
+/// still describe the first start.
+#[rstest]
+#[case::all_others_run(3, 0)]
+#[case::only_a_minority_runs(3, 1)]
+#[tokio::test(flavor = "multi_thread")]
+async fn test_direct_founder_with_a_lost_disk_never_founds_again(
+    #[case] founders: usize,
+    #[case] stopped: usize,
+) {
+    let mut deployment = Deployment::start(founders);
+    deployment.submit_routes(1, 0).await;
+    let lost = deployment.replicas.remove(0).stop().await;
+    let file = lost.data_folder.join("identity");
+    let identity = fs::read(&file).unwrap();
+    fs::remove_dir_all(&lost.data_folder).unwrap();
+    let mut away = Vec::new();
+    for _ in 0..stopped {
+        away.push(deployment.replicas.remove(0).stop().await);
+    }
+    deployment.replicas.push(Replica::start(lost));
+    // Founding takes no longer than that.
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    if stopped > 0 {
+        assert!(!file.exists());
+    }
+    for settings in away {
+        deployment.replicas.push(Replica::start(settings));
+    }
+    let fresh = wait_for("a new identity", async || fs::read(&file).ok());
+    assert_ne!(fresh.await.unwrap(), identity);
+    deployment.submit_routes(2, 1).await;
+    assert_eq!(deployment.version().await, 2);
+}
+
 /// Guards against a booking that is made twice: a backend server runs a request and closes the
 /// connection before it answers, or answers with another request's ID. Only an idempotent request
 /// may be sent again; any other ends as unknown.
