--- a/server/src/control_process.rs
+++ b/server/src/control_process.rs
@@ -280,19 +280,30 @@
     stop_listeners.cancel();
     // Sending fails only if the server has ended by itself.
     let _ = stop_server.send(());
-    // Operators' calls that were relayed to the leader still get its answer. An operator whose
-    // call gets none sends it again, without knowing whether it is already in force.
+    finish_connections(direct_listeners, server, &mut shutdown).await?;
+    log::info!(event = "control_ended"; "control replica stopped");
+    Ok(ControlEnd::Stopped)
+}
+
+/// Waits until the connections have ended, for a limited time.
+///
+/// Operators' calls that were relayed to the leader still get its answer. An operator whose call gets
+/// none sends it again, without knowing whether it is already in force.
+async fn finish_connections(
+    direct_listeners: JoinHandle<()>,
+    server: JoinHandle<ServerResult>,
+    shutdown: &mut Shutdown,
+) -> Result<(), ControlError> {
     let finished = async {
         direct_listeners.await.context(TaskSnafu)?;
-        server_result((&mut server).await)
+        server_result(server.await)
     };
     tokio::select! {
         result = finished => result?,
         () = shutdown.requested_again() => {}
         () = tokio::time::sleep(FINISH_TIMEOUT) => log::warn!(event = "control_stop_late"; "some connections did not end in time; closing them"),
     }
-    log::info!(event = "control_ended"; "control replica stopped");
-    Ok(ControlEnd::Stopped)
+    Ok(())
 }
 
 /// Opens the data folder, and formats it first if needed and the settings describe how. In that
--- a/server/tests/test_replica_behind.rs
+++ b/server/tests/test_replica_behind.rs
@@ -89,7 +89,7 @@
         snapshot_chunk_bytes: 64,
         seed: 1,
         max_voters: usize::MAX,
-        spread_voters: false,
+        seats: None,
     };
     let mut raft = Raft::new(cfg, durable, now).unwrap();
     let mut writes = WriteQueue::default();
