control_format: the creation of a data folder outlasts a process that is killed before its sync

What could be seen: a replica whose process was killed, or whose sync failed, between the creation of its folder and the sync of the parent found the folder at its next start, formatted it and voted. A loss of power then lost the folder with the votes.

Cause: the parent was synced only by the call that created the folder.

folder_creation syncs the parent also of a folder that exists.

A real loss of power wasn't tried.

--- a/server/src/control_format.rs
+++ b/server/src/control_format.rs
@@ -1,10 +1,6 @@
 //! Formatting of a control replica's data folder, for `init`, `join` and `repair`.
 
-use std::fs::DirBuilder;
-use std::fs::File;
-use std::io;
 use std::net::SocketAddr;
-use std::os::unix::fs::DirBuilderExt as _;
 use std::path::Path;
 use std::time::Duration;
 
@@ -24,8 +20,9 @@
 use crate::data_folder::FORMAT_VERSION;
 use crate::data_folder::FolderDisk;
 use crate::data_folder::Identity;
+use crate::folder_creation::create_durably;
+use crate::folder_creation::sync_folder;
 use crate::log_disk::DiskError;
-use crate::log_disk::WriteSnafu;
 use crate::log_disk::ensure_empty;
 use crate::log_disk::format;
 use crate::peer_channel::PeerChannels;
@@ -36,7 +33,6 @@
 use crate::proto::ChangeMembershipRequest;
 use crate::proto::change_membership_request::Change;
 use crate::proto::operator_client::OperatorClient;
-use crate::write_failure::WriteFailure;
 
 /// Number of bits of a replica's identity: JSON parsers represent integers up to this size
 /// exactly.
@@ -45,9 +41,6 @@
 /// Timeout of a call to the cluster.
 const ANSWER_TIMEOUT: Duration = Duration::from_secs(10);
 
-/// File mode of a data folder that `init` or `join` creates: access for the owner only.
-const FOLDER_MODE: u32 = 0o700;
-
 /// Reason for which a data folder could not be formatted.
 #[derive(Debug, Snafu)]
 pub enum FormatError {
@@ -248,22 +241,9 @@
 /// Opens an empty folder for formatting; creates it if only the last component of its path is
 /// missing.
 fn open_empty(folder: &Path) -> Result<FolderDisk, DiskError> {
-    match DirBuilder::new().mode(FOLDER_MODE).create(folder) {
-        Err(source) if source.kind() != io::ErrorKind::AlreadyExists => {
-            let failure = WriteFailure::of_unsynced(source);
-            return Err(DiskError::from_write(failure, 0));
-        }
-        Ok(()) => sync_parent(folder).context(WriteSnafu)?,
-        Err(_) => {}
-    }
+    let created = create_durably(folder, sync_folder);
+    created.map_err(|failure| DiskError::from_write(failure, 0))?;
     let disk = FolderDisk::open(folder).map_err(DiskError::from_open)?;
     ensure_empty(&disk)?;
     Ok(disk)
 }
-
-/// Makes the creation of the folder itself durable. Otherwise a crash of the VM could lose the
-/// whole folder after its replica has voted.
-fn sync_parent(folder: &Path) -> io::Result<()> {
-    let parent = folder.parent().filter(|p| !p.as_os_str().is_empty());
-    File::open(parent.unwrap_or(Path::new(".")))?.sync_all()
-}
--- a/server/src/lib.rs
+++ b/server/src/lib.rs
@@ -64,6 +64,7 @@
 pub mod fleet_control;
 pub mod fleet_follower;
 pub mod fleet_service;
+pub mod folder_creation;
 mod follow_calls;
 pub mod formation;
 pub mod forward_client;
