control: who is a voter and who answers is told without a leader

Operators whose control had lost a majority for good saw pre-candidates and then nothing: no line, no metric and no status told how many voters were silent, that learners stood by, or why none of them was a voter.

A replica that has asked for votes through two election timeouts logs `quorum_missing`, every 5 s at most: the voters that answer, those that don't, votes granted, learners, and for how long there has been no leader. The leader logs `voter_silent`, `voter_answers` and `learner_waits` with its reason, once per change. Metrics have the same numbers, and the time without a leader at every replica. `status` shows for each member whether it answers and since when it is silent, also without a leader, and prefers the report that knows most. Members are named by address: a founder's VM name is made of its IP address and needn't be unique.

The decisions are pure (`raft_contact`, `replica_watch`). A replica records when it last heard each member; nothing decides by it. The line on a missing majority names no cause: with as many voters answering as are needed it shows that they refuse their votes.

--- a/cli/src/commands/status.rs
+++ b/cli/src/commands/status.rs
@@ -75,6 +75,7 @@
         // As strings, since replica identities are 64-bit numbers, which many JSON parsers round.
         "replica": reply.replica.to_string(),
         "leader": reply.leader.to_string(),
+        "leaderless_ms": reply.leaderless_ms,
         "term": reply.term,
         "revision": reply.revision,
         "settled_revision": reply.settled_revision,
@@ -107,6 +108,7 @@
         "voter": replica.voter,
         "matched_revision": replica.matched_revision,
         "last_heard_ms": replica.last_heard_ms,
+        "answers": replica.answers,
         "disk_full": replica.disk_full,
     })
 }
@@ -142,6 +144,7 @@
         "ROLE",
         "REVISION",
         "HEARD MS AGO",
+        "ANSWERS",
         "DISK",
     ];
     let entry_header = [
@@ -156,11 +159,16 @@
             reply.revision,
             reply.settled_revision
         ),
+    ];
+    if reply.leader == 0 {
+        parts.push(leaderless_line(reply));
+    }
+    parts.extend([
         String::new(),
         table(&replica_header, &replicas),
         String::new(),
         table(&entry_header, &entries),
-    ];
+    ]);
     if !reply.backend_limits.is_empty() {
         let limits = reply.backend_limits.iter().map(backend_limit_row);
         let limits: Vec<Vec<String>> = limits.collect();
@@ -207,17 +215,46 @@
         (false, false) => "learner",
     };
     let disk = if replica.disk_full { "full" } else { "" };
+    let answers = match replica.answers {
+        Some(true) => "yes",
+        Some(false) => "no",
+        None => "",
+    };
     vec![
         replica.vm.clone(),
         replica.replica.to_string(),
         replica.address.clone(),
         role.to_owned(),
         replica.matched_revision.to_string(),
-        replica.last_heard_ms.to_string(),
+        heard_text(replica),
+        answers.to_owned(),
         disk.to_owned(),
     ]
 }
 
+fn heard_text(replica: &ReplicaStatus) -> String {
+    match (replica.last_heard_ms, replica.answers) {
+        (0, Some(false)) => "never".to_owned(),
+        (0, _) => String::new(),
+        (ms, _) => ms.to_string(),
+    }
+}
+
+/// Says for how long there has been no leader, and how many voters answer the replica that reports.
+fn leaderless_line(reply: &StatusReply) -> String {
+    let voters = reply.replicas.iter().filter(|replica| replica.voter);
+    let answering = voters.clone().filter(|voter| voter.answers == Some(true));
+    let learners = reply.replicas.iter().filter(|replica| !replica.voter);
+    format!(
+        "no leader known to replica {} for {} ms: {} of {} voters are known to answer, {} learners",
+        reply.replica,
+        reply.leaderless_ms,
+        answering.count(),
+        voters.count(),
+        learners.count(),
+    )
+}
+
 fn entry_row(entry: &EntryStatus) -> Vec<String> {
     let state = if entry.leaving { "leaving" } else { "serving" };
     vec![
--- a/lib/src/raft.rs
+++ b/lib/src/raft.rs
@@ -77,6 +77,10 @@
     pub(crate) voters_seen: usize,
     /// Since when there have been fewer than `max_voters` voters.
     pub(crate) vacant_since: Option<Instant>,
+    /// When each other member was last heard.
+    pub(crate) heard: BTreeMap<ReplicaId, Instant>,
+    /// Since when no leader has been known; `None` if one is.
+    pub(crate) leaderless_since: Option<Instant>,
     pub(crate) now: Instant,
     rng: ChaCha8Rng,
 }
@@ -181,6 +185,8 @@
             last_leader: None,
             voters_seen: 0,
             vacant_since: None,
+            heard: BTreeMap::new(),
+            leaderless_since: Some(now),
             now,
             rng,
         };
@@ -221,6 +227,7 @@
         if after != before {
             fx.role_changed = Some(after);
         }
+        self.note_contact();
         fx
     }
 
@@ -464,6 +471,7 @@
         if from == self.cfg.id {
             return;
         }
+        self.note_heard(from);
         let Message { term, kind } = message;
         match kind {
             MessageKind::PreVote {
--- a/server/src/control_node.rs
+++ b/server/src/control_node.rs
@@ -63,6 +63,7 @@
 use crate::node_request::NodeError;
 use crate::node_request::NodeRequest;
 use crate::node_request::NodeRequests;
+use crate::node_watch::ContactWatch;
 use crate::peer_links::PeerLinks;
 use crate::published_state::StatePublisher;
 
@@ -144,7 +145,7 @@
 }
 
 impl VoterPolicy {
-    const fn max_voters(self) -> usize {
+    pub(crate) const fn max_voters(self) -> usize {
         match self {
             Self::Operators => usize::MAX,
             Self::SelfRepair { target, .. } => target,
@@ -187,6 +188,7 @@
     publisher: Option<StatePublisher>,
     work: WorkMeter,
     pub(crate) repair: Repair,
+    pub(crate) contact: ContactWatch,
 }
 
 impl<D: Disk> ControlNode<D> {
@@ -241,6 +243,7 @@
             leaving: None,
             publisher: None,
             repair: Repair::default(),
+            contact: ContactWatch::default(),
         })
     }
 
@@ -290,6 +293,7 @@
             self.step(Input::Tick);
             self.propose_lapsed_sessions();
             self.continue_repair();
+            self.watch_contact();
             self.continue_leaving();
             self.process_effects()?;
             self.publish();
@@ -319,6 +323,7 @@
             self.sessions.next_wake(),
             self.leaving.map(|leaving| leaving.next_wake()),
             self.next_barrier_at.filter(|_| !self.barrier_in_flight),
+            self.contact.next_wake(self.raft.leader().is_some()),
         ];
         let earliest = wakes.into_iter().flatten().min();
         earliest.unwrap_or_else(|| self.clock.now())
@@ -595,7 +600,9 @@
             leader = change.leader.map_or(0, |leader| leader.0);
             "Raft role changed"
         );
-        if change.role == Role::Leader {
+        let leads = change.role == Role::Leader;
+        self.contact.restart(leads, self.clock.now());
+        if leads {
             self.repair.restart(self.clock.now());
         } else {
             let leader = self.leader_link();
--- a/server/src/lib.rs
+++ b/server/src/lib.rs
@@ -92,6 +92,7 @@
 pub mod node_pending;
 mod node_repair;
 pub mod node_request;
+mod node_watch;
 pub mod operator_client;
 pub mod operator_service;
 pub mod own_interface;
--- a/server/src/metric.rs
+++ b/server/src/metric.rs
@@ -15,6 +15,7 @@
 use heatherring_lib::dispatch_request::PassedOver;
 use heatherring_lib::dispatch_request::SendOutcome;
 use heatherring_lib::link_load::LinkLoad;
+use heatherring_lib::replica_watch::MemberCounts;
 use heatherring_lib::token_cache::LimitDecision;
 use heatherring_lib::token_cache::TokenCounts;
 use heatherring_lib::token_shard::Draw;
@@ -257,6 +258,21 @@
     gauge!("heatherring_term").set(term as f64);
 }
 
+/// Sets the time for which this replica has known of no leader.
+pub fn leaderless(time: Duration) {
+    gauge!("heatherring_leaderless_seconds").set(time.as_secs_f64());
+}
+
+/// Sets the numbers of voters and learners that a leader sees, or a replica that is not elected.
+pub fn members(counts: MemberCounts) {
+    #[expect(clippy::cast_precision_loss, reason = "counts far below 2^52")]
+    let set = |name, state, count: usize| gauge!(name, "state" => state).set(count as f64);
+    set("heatherring_voters", "live", counts.voters_live);
+    set("heatherring_voters", "silent", counts.voters_silent);
+    set("heatherring_learners", "caught_up", counts.learners_ready);
+    set("heatherring_learners", "behind", counts.learners_behind);
+}
+
 /// Records the duration of a sync of a replica's disk.
 pub fn log_sync(took: Duration) {
     histogram!("heatherring_log_sync_seconds").record(took);
--- a/server/src/operator_client.rs
+++ b/server/src/operator_client.rs
@@ -297,12 +297,15 @@
     ///
     /// Fails if no replica gave any answer.
     pub async fn status(&self) -> Result<StatusReply, OperatorClientError> {
-        let mut unconfirmed = None;
+        let mut unconfirmed: Option<StatusReply> = None;
         let classify = |reply: StatusReply| {
             if reply.current {
                 return Outcome::Final(reply);
             }
-            unconfirmed = Some(reply);
+            let known = unconfirmed.as_ref().map(known_contacts);
+            if known.is_none_or(|known| known_contacts(&reply) >= known) {
+                unconfirmed = Some(reply);
+            }
             let reason = "not confirmed by a quorum".to_owned();
             Outcome::Retry(AttemptEnding::NotDone { reason })
         };
@@ -527,3 +530,9 @@
         _ => Outcome::Retry(AttemptEnding::AnswerLost { reason }),
     }
 }
+
+/// Returns of how many replicas a report says whether they answer.
+fn known_contacts(reply: &StatusReply) -> usize {
+    let known = reply.replicas.iter();
+    known.filter(|replica| replica.answers.is_some()).count()
+}
--- a/server/src/status_report.rs
+++ b/server/src/status_report.rs
@@ -48,6 +48,7 @@
         current,
         backend_limits: Vec::new(),
         backends_leaving: Vec::new(),
+        leaderless_ms: whole_ms(raft.leaderless_for(now)),
     }
 }
 
@@ -81,7 +82,9 @@
             let own = (*id == raft.id()).then(|| raft.last_index());
             ReplicaStatus {
                 disk_full: full_disks.contains(id),
-                ..replica(*id, info, voter, progress.get(id), own, now)
+                answers: raft.is_answering(*id, now),
+                last_heard_ms: last_heard_ms(raft, *id, now),
+                ..replica(*id, info, voter, progress.get(id), own)
             }
         })
         .collect()
@@ -93,21 +96,24 @@
     voter: bool,
     progress: Option<&ReplicaProgress>,
     own: Option<Revision>,
-    now: Instant,
 ) -> ReplicaStatus {
     let matched = own.or(progress.map(|progress| progress.matched));
-    let last_heard = progress.and_then(|progress| progress.last_heard);
     ReplicaStatus {
         replica: id.0,
         vm: info.vm.to_string(),
         address: info.address.to_string(),
         voter,
         matched_revision: matched.unwrap_or_default().0,
-        last_heard_ms: last_heard.map_or(0, |at| whole_ms(now.saturating_duration_since(at))),
-        disk_full: false,
+        ..ReplicaStatus::default()
     }
 }
 
+/// Returns the time since a member was last heard, at least one millisecond; 0 if it never was.
+fn last_heard_ms(raft: &Raft, id: ReplicaId, now: Instant) -> u64 {
+    let heard = raft.last_heard(id);
+    heard.map_or(0, |at| whole_ms(now.saturating_duration_since(at)).max(1))
+}
+
 fn entries(
     state: &ControlState,
     tracker: Option<&SessionTracker>,
