relay: a cut holds the refusal of a connection back, too

What tests saw: a killed process whose links are cut refuses connections at once, since its relay closes whatever it can't pass on. A VM that is gone, or behind a partition, is silent instead, which is the harder case for those who ask it.

A relay that can't connect now waits until the way back isn't cut, or until the other end gives up.

--- a/testutils/src/relay.rs
+++ b/testutils/src/relay.rs
@@ -387,8 +387,14 @@
     socket.connect(target).await
 }
 
-async fn relay(near: TcpStream, target: SocketAddr, path: Path) {
+async fn relay(mut near: TcpStream, target: SocketAddr, mut path: Path) {
     let Ok(far) = connect_for(&near, target).await else {
+        // A cut holds the refusal back, too.
+        let mut unread = tokio::io::sink();
+        tokio::select! {
+            _ = path.open(Direction::FromTarget) => {}
+            _ = tokio::io::copy(&mut near, &mut unread) => {}
+        }
         return;
     };
     let _ = near.set_nodelay(true);
--- a/testutils/tests/test_relay.rs
+++ b/testutils/tests/test_relay.rs
@@ -1,6 +1,7 @@
 //! Shows that a relay holds bytes back and lets them go.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use heatherring_testutils::loopback::LoopbackBlock;
 use heatherring_testutils::loopback::SERVICE_PORT;
@@ -83,3 +84,20 @@
     far.read_exact(&mut buf[..2]).await.unwrap();
     assert_eq!(&buf[..2], b"to");
 }
+
+/// Guards against a cut that tells whoever connects that nobody listens behind it.
+#[tokio::test]
+async fn test_relay_cut_holds_a_refusal_back() {
+    let mut block = LoopbackBlock::claim().unwrap();
+    let nobody = SocketAddr::new(block.next_vm(), SERVICE_PORT);
+    let relay = Relay::start(block.next_relay(), nobody, Link::default().cut());
+    let relay = relay.await.unwrap();
+    let socket = TcpSocket::new_v4().unwrap();
+    socket.bind(SocketAddr::new(block.next_vm(), 0)).unwrap();
+    let mut near = socket.connect(relay.address()).await.unwrap();
+    let mut buf = [0; 1];
+    let ended = tokio::time::timeout(Duration::from_millis(300), near.read(&mut buf)).await;
+    assert!(ended.is_err());
+    relay.set(Link::default());
+    assert_eq!(near.read(&mut buf).await.unwrap(), 0);
+}
