config-soak: changes that aren't confirmed in time are found

What operators saw: a change that nobody answers while enough of control is there. config-soak judged when a confirmed change is in force, not whether a change is confirmed at all.

A refusal is an answer; what is ordered before the first confirmation isn't judged.

--- a/cli/tests/test_config_soak.rs
+++ b/cli/tests/test_config_soak.rs
@@ -18,6 +18,8 @@
 const BOUNDS: Bounds = Bounds {
     apply_us: 2_000_000,
     stretch_us: 5_000_000,
+    ack_us: 4_000_000,
+    catch_up_us: 4_000_000,
 };
 
 fn plan(seed: u64) -> SoakPlan {
--- a/testutils/src/bin/config-soak.rs
+++ b/testutils/src/bin/config-soak.rs
@@ -24,6 +24,7 @@
 use heatherring_testutils::config_judge::Bounds;
 use heatherring_testutils::config_judge::Changes;
 use heatherring_testutils::config_judge::Violation;
+use heatherring_testutils::config_judge::judge_confirmations;
 use heatherring_testutils::config_judge::judge_in_force;
 use heatherring_testutils::config_judge::judge_untimed;
 use heatherring_testutils::config_record::Happening;
@@ -81,6 +82,11 @@
             "5000",
             "What is added to it while control isn't stable",
         ))
+        .arg(number(
+            "ack-ms",
+            "4000",
+            "Time within which a proper change has to be confirmed",
+        ))
         .arg(number(
             "read-ms",
             "40",
@@ -118,6 +124,12 @@
                 .action(ArgAction::SetTrue)
                 .help("Leaves `first_start` in the settings after the cluster was formed"),
         )
+        .arg(
+            Arg::new("keep-logs")
+                .long("keep-logs")
+                .action(ArgAction::SetTrue)
+                .help("Writes the record and the logs without a violation, too"),
+        )
         .arg(path(
             "binary",
             "The heatherring program; the one beside this one by default",
@@ -196,12 +208,15 @@
     let bounds = Bounds {
         apply_us: micros(matches, "apply-ms"),
         stretch_us: micros(matches, "stretch-ms"),
+        ack_us: micros(matches, "ack-ms"),
+        catch_up_us: micros(matches, "catch-up-ms"),
     };
     let mut found = judge_in_force(&outcome.record, bounds);
     found.extend(judge_untimed(&outcome.record, bounds));
+    found.extend(judge_confirmations(&outcome.record, bounds));
     print_counts(&outcome);
     print_violations(&found);
-    if !found.is_empty()
+    if (matches.get_flag("keep-logs") || !found.is_empty())
         && let Some(folder) = matches.get_one::<PathBuf>("logs")
         && let Err(error) = keep(&outcome, &found, folder)
     {
--- a/testutils/src/config_judge.rs
+++ b/testutils/src/config_judge.rs
@@ -4,6 +4,7 @@
 //! a change without a clear answer may be in force or not, at any time from its first order.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::fmt;
 
 use serde::Serialize;
@@ -31,6 +32,10 @@
     pub apply_us: u64,
     /// What is added while it isn't.
     pub stretch_us: u64,
+    /// Within which a proper change has to be confirmed.
+    pub ack_us: u64,
+    /// From the start of a control replica until it doesn't count as lost.
+    pub catch_up_us: u64,
 }
 
 /// Names what is violated.
@@ -56,6 +61,10 @@
     RefusedAfterConfirmation,
     /// A change of the newest version was refused although no other one was sent.
     RefusedWithoutRival,
+    /// A change had no clear answer in time although control was stable.
+    ConfirmedLate,
+    /// The same while a region or one replica was lost and nothing happened to the others.
+    ConfirmedLateBesideLoss,
 }
 
 /// Holds a violation with what proves it.
@@ -200,7 +209,7 @@
     )
 }
 
-/// Runs all judges but [`judge_in_force`].
+/// Runs all judges but [`judge_in_force`] and [`judge_confirmations`].
 #[must_use]
 pub fn judge_untimed(record: &Record, bounds: Bounds) -> Vec<Violation> {
     let mut found = judge_reads(record, bounds);
@@ -252,6 +261,73 @@
     found
 }
 
+/// Finds changes that had no clear answer in time although control could decide.
+///
+/// One that was refused was answered in time. Of the orders of a change, one that was late although
+/// control was stable counts first.
+#[must_use]
+pub fn judge_confirmations(record: &Record, bounds: Bounds) -> Vec<Violation> {
+    let touch = Touch::new(record);
+    let mut found = Vec::new();
+    let confirmed = |order: &&Order| order.answer == OrderAnswer::Confirmed;
+    let confirmed = record.orders.iter().filter(confirmed);
+    let Some(formed_us) = confirmed.map(|order| order.answered_us).min() else {
+        return found;
+    };
+    let mut by_change: BTreeMap<usize, Vec<&Order>> = BTreeMap::new();
+    for order in &record.orders {
+        by_change.entry(order.change).or_default().push(order);
+    }
+    for (index, mut orders) in by_change {
+        orders.sort_by_key(|order| order.sent_us);
+        let clear = orders.iter().filter(|order| is_clear(order));
+        let clear_us = clear.map(|order| order.answered_us).min();
+        let late = orders.iter().filter(|order| {
+            let due_us = order.sent_us + bounds.ack_us;
+            order.sent_us >= formed_us && clear_us.is_none_or(|at| at > due_us)
+        });
+        let late = late.filter_map(|order| {
+            let fault = judge_lateness(record, &touch, order, bounds)?;
+            Some((fault, order))
+        });
+        let Some((fault, order)) = late.min_by_key(|(fault, _)| *fault) else {
+            continue;
+        };
+        let version = record.changes[index].version;
+        let expected = format!(
+            "an answer to version {version} by control replica {} within {} us",
+            order.replica, bounds.ack_us
+        );
+        let proof = orders.iter().map(line).collect();
+        found.push(violation(fault, order.sent_us, expected, proof));
+    }
+    found
+}
+
+const fn is_clear(order: &Order) -> bool {
+    !matches!(order.answer, OrderAnswer::Unclear)
+}
+
+/// Returns what an order violates that had no clear answer in time.
+fn judge_lateness(record: &Record, touch: &Touch, order: &Order, bounds: Bounds) -> Option<Fault> {
+    let (from_us, to_us) = (order.sent_us, order.sent_us + bounds.ack_us);
+    let calm = touch.calm_controls(from_us, to_us, bounds.catch_up_us);
+    let is_known = to_us <= record.end_us.unwrap_or(order.answered_us);
+    if !is_known || !calm.contains(&order.replica) {
+        return None;
+    }
+    if touch.is_core_stable(from_us, to_us) {
+        return Some(Fault::ConfirmedLate);
+    }
+    let lost: Vec<usize> = (0..record.controls)
+        .filter(|control| !calm.contains(control))
+        .collect();
+    let is_majority = calm.len() * 2 > record.controls;
+    let regions: BTreeSet<_> = lost.iter().map(|lost| record.regions.get(*lost)).collect();
+    let is_one_loss = lost.len() == 1 || regions.len() == 1 && !regions.contains(&None);
+    (is_majority && is_one_loss).then_some(Fault::ConfirmedLateBesideLoss)
+}
+
 /// Finds reads that were answered with an older version, or with another content.
 #[must_use]
 pub fn judge_reads(record: &Record, bounds: Bounds) -> Vec<Violation> {
--- a/testutils/src/config_record.rs
+++ b/testutils/src/config_record.rs
@@ -156,6 +156,8 @@
     Mended,
     /// Its data folder was deleted.
     FolderLost,
+    /// The process of the VM that it had replaced was ended.
+    PredecessorEnded,
     /// Its process ended without being asked to; with the end of its log.
     EndedByItself(String),
 }
@@ -165,6 +167,8 @@
 pub struct Record {
     /// Control replicas.
     pub controls: usize,
+    /// The region of each control replica.
+    pub regions: Vec<String>,
     /// The changes, by the time of their first order.
     pub changes: Vec<Change>,
     /// The orders.
--- a/testutils/src/config_recorder.rs
+++ b/testutils/src/config_recorder.rs
@@ -34,11 +34,12 @@
 }
 
 impl Recorder {
-    /// Begins an empty record of this many VMs.
+    /// Begins an empty record of control replicas in these regions, and of this many entry VMs.
     #[must_use]
-    pub fn new(controls: usize, entries: usize) -> Self {
+    pub fn new(regions: Vec<String>, entries: usize) -> Self {
         let record = Record {
-            controls,
+            controls: regions.len(),
+            regions,
             ..Record::default()
         };
         Self {
--- a/testutils/src/config_soak.rs
+++ b/testutils/src/config_soak.rs
@@ -166,7 +166,8 @@
 
     async fn start(plan: SoakPlan, binary: &Path) -> Result<Self, ClusterError> {
         let mut cluster = DirectCluster::start(&plan.cluster, binary).await?;
-        let recorder = Recorder::new(cluster.controls.len(), cluster.entries.len());
+        let regions = cluster.controls.iter().map(|vm| vm.plan.region.clone());
+        let recorder = Recorder::new(regions.collect(), cluster.entries.len());
         let recorder = Arc::new(recorder);
         let statuses = cluster.vms().map(|vm| (vm, Status::Running)).collect();
         for vm in cluster.vms() {
--- a/testutils/src/config_touch.rs
+++ b/testutils/src/config_touch.rs
@@ -1,6 +1,7 @@
 //! Which VMs are in touch at a time, that is, which bounds on time hold for them.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 
 use crate::config_record::Event;
 use crate::config_record::Happening;
@@ -23,8 +24,12 @@
     core_events: Vec<u64>,
     /// Spans in which no more than half of the control replicas ran and were connected.
     core_lost: Vec<Span>,
-    /// Spans in which an entry VM was impaired.
-    entries: BTreeMap<usize, Vec<Span>>,
+    /// Spans in which a VM was impaired.
+    impaired: BTreeMap<Vm, Vec<Span>>,
+    /// When control replicas were started.
+    starts: Vec<(usize, u64)>,
+    /// Number of control replicas.
+    controls: usize,
 }
 
 /// Holds what is wrong with one VM at present.
@@ -56,7 +61,7 @@
             Happening::Thawed => self.frozen = false,
             Happening::Cut => self.cut = true,
             Happening::Mended => self.cut = false,
-            Happening::FolderLost => {}
+            Happening::FolderLost | Happening::PredecessorEnded => {}
             Happening::EndedByItself(_) => {
                 let since = self.last_fault_us.map(|at| event.at_us.saturating_sub(at));
                 if !self.is_impaired() && since.is_none_or(|since| since > EXCUSED_END_US) {
@@ -74,7 +79,10 @@
     /// Derives it from the events of a record.
     #[must_use]
     pub fn new(record: &Record) -> Self {
-        let mut touch = Self::default();
+        let mut touch = Self {
+            controls: record.controls,
+            ..Self::default()
+        };
         let mut conditions: BTreeMap<Vm, Condition> = BTreeMap::new();
         let mut lost_since = None;
         for event in &record.events {
@@ -83,9 +91,13 @@
                 continue;
             }
             let impaired = condition.is_impaired();
+            touch.note(event.vm, event.at_us, impaired);
             match event.vm {
-                Vm::Entry(entry) => touch.note_entry(entry, event.at_us, impaired),
-                Vm::Control(_) => {
+                Vm::Entry(_) => {}
+                Vm::Control(control) => {
+                    if matches!(event.what, Happening::Started | Happening::StartedAgain) {
+                        touch.starts.push((control, event.at_us));
+                    }
                     touch.core_events.push(event.at_us);
                     let lost = is_lost(&conditions, record.controls);
                     match lost_since {
@@ -105,8 +117,8 @@
         touch
     }
 
-    fn note_entry(&mut self, entry: usize, at_us: u64, impaired: bool) {
-        let spans = self.entries.entry(entry).or_default();
+    fn note(&mut self, vm: Vm, at_us: u64, impaired: bool) {
+        let spans = self.impaired.entry(vm).or_default();
         match spans.last_mut() {
             Some(last) if last.1 == u64::MAX => last.1 = at_us,
             _ => spans.push((at_us, at_us)),
@@ -137,7 +149,25 @@
     /// `to_us`.
     #[must_use]
     pub fn is_entry_calm(&self, entry: usize, from_us: u64, to_us: u64) -> bool {
-        let spans = self.entries.get(&entry).map_or(&[][..], Vec::as_slice);
+        self.is_calm(Vm::Entry(entry), from_us, to_us)
+    }
+
+    /// Returns the control replicas to which nothing happened in the window before `from_us` and
+    /// until `to_us`, and that weren't started since `catch_up_us` before `from_us`.
+    #[must_use]
+    pub fn calm_controls(&self, from_us: u64, to_us: u64, catch_up_us: u64) -> BTreeSet<usize> {
+        let caught_up_us = from_us.saturating_sub(catch_up_us);
+        let starts = self.starts.iter();
+        let starts = starts.filter(|(_, at_us)| (caught_up_us..=to_us).contains(at_us));
+        let started: BTreeSet<usize> = starts.map(|(control, _)| *control).collect();
+        (0..self.controls)
+            .filter(|control| !started.contains(control))
+            .filter(|control| self.is_calm(Vm::Control(*control), from_us, to_us))
+            .collect()
+    }
+
+    fn is_calm(&self, vm: Vm, from_us: u64, to_us: u64) -> bool {
+        let spans = self.impaired.get(&vm).map_or(&[][..], Vec::as_slice);
         !overlaps(spans, from_us.saturating_sub(STABILITY_US), to_us)
     }
 }
--- a/testutils/tests/test_config_judge.rs
+++ b/testutils/tests/test_config_judge.rs
@@ -5,6 +5,7 @@
 
 use heatherring_testutils::config_judge::Bounds;
 use heatherring_testutils::config_judge::Fault;
+use heatherring_testutils::config_judge::judge_confirmations;
 use heatherring_testutils::config_judge::judge_in_force;
 use heatherring_testutils::config_judge::judge_untimed;
 use heatherring_testutils::config_record::Change;
@@ -25,6 +26,8 @@
 const BOUNDS: Bounds = Bounds {
     apply_us: 2_000_000,
     stretch_us: 5_000_000,
+    ack_us: 4_000_000,
+    catch_up_us: 4_000_000,
 };
 const MS: u64 = 1_000;
 /// Time that every operation takes.
@@ -127,6 +130,7 @@
     fn faults(&self) -> Vec<Fault> {
         let mut found = judge_in_force(&self.0, BOUNDS);
         found.extend(judge_untimed(&self.0, BOUNDS));
+        found.extend(judge_confirmations(&self.0, BOUNDS));
         found.into_iter().map(|violation| violation.fault).collect()
     }
 }
@@ -327,3 +331,95 @@
     story.served("a", "third", CONFIRMED + 10 * MS);
     assert_eq!(story.faults(), expected);
 }
+
+const KILLED: Happening = Happening::Killed;
+
+/// Makes version 3, which is ordered again and again from `CONFIRMED` + 10 s on.
+fn story_with_late_change(events: &[(usize, Happening, u64)], answered_ms: Option<u64>) -> Story {
+    let mut story = Story::new();
+    story.0.controls = 5;
+    story.0.regions = ["east", "west", "north", "east", "west"]
+        .map(str::to_owned)
+        .to_vec();
+    story.0.end_us = Some(CONFIRMED + 30_000 * MS);
+    let (version, read) = if answered_ms.is_some() {
+        (3, RIVAL)
+    } else {
+        (2, NEW)
+    };
+    story.read(version, read, CONFIRMED + 31_000 * MS);
+    for (control, what, at_ms) in events {
+        story.event(Vm::Control(*control), what.clone(), CONFIRMED + at_ms * MS);
+    }
+    let sent_us = CONFIRMED + 10_000 * MS;
+    story.change(3, 2, RIVAL, sent_us + TAKES, OrderAnswer::Unclear);
+    if let Some(answered_ms) = answered_ms {
+        story.order(2, sent_us + answered_ms * MS, OrderAnswer::Confirmed);
+    }
+    story
+}
+
+#[rstest]
+#[case::never(&[], None, &[Fault::ConfirmedLate])]
+#[case::late(&[], Some(4_001), &[Fault::ConfirmedLate])]
+#[case::in_time(&[], Some(4_000), &[])]
+#[case::after_an_event(&[(1, Happening::Thawed, 6_999)], None, &[Fault::ConfirmedLate])]
+#[case::one_lost_for_long(&[(1, KILLED, 6_000)], None, &[Fault::ConfirmedLate])]
+#[case::two_lost_for_long(&[(1, KILLED, 0), (2, KILLED, 0)], None, &[Fault::ConfirmedLate])]
+#[case::majority_lost(&[(1, KILLED, 0), (2, KILLED, 0), (3, KILLED, 0)], None, &[])]
+#[case::asked_the_lost_one(&[(0, Happening::Cut, 0)], None, &[])]
+#[case::one_lost(&[(1, KILLED, 12_000)], None, &[Fault::ConfirmedLateBesideLoss])]
+#[case::region_lost(
+    &[(1, Happening::Cut, 9_000), (4, Happening::Cut, 9_000)], None,
+    &[Fault::ConfirmedLateBesideLoss]
+)]
+#[case::two_regions_lost(&[(1, KILLED, 9_000), (2, KILLED, 9_000)], None, &[])]
+#[case::successor_is_new(
+    &[(3, Happening::Started, 6_500), (1, KILLED, 9_000)], None, &[]
+)]
+#[case::successor_has_caught_up(
+    &[(3, Happening::Started, 5_999), (1, KILLED, 9_000)], None,
+    &[Fault::ConfirmedLateBesideLoss]
+)]
+#[case::predecessor_ended(
+    &[(3, Happening::PredecessorEnded, 9_000), (1, KILLED, 9_000)], None, &[]
+)]
+fn test_config_judge_confirmations(
+    #[case] events: &[(usize, Happening, u64)],
+    #[case] answered_ms: Option<u64>,
+    #[case] expected: &[Fault],
+) {
+    assert_eq!(
+        story_with_late_change(events, answered_ms).faults(),
+        expected
+    );
+}
+
+/// Guards against a judge that names the loss beside the first order, and not that control was
+/// stable by the next one.
+#[test]
+fn test_config_judge_confirmations_again_when_stable() {
+    let mut story = story_with_late_change(&[(1, KILLED, 12_000)], None);
+    story.order(2, CONFIRMED + 16_000 * MS, OrderAnswer::Unclear);
+    assert_eq!(story.faults(), [Fault::ConfirmedLate]);
+}
+
+/// Guards against a judge that counts a refusal, which is an answer, as late, or an order again
+/// after a refusal.
+#[test]
+fn test_config_judge_confirmations_refused() {
+    let mut story = story_with_late_change(&[], None);
+    story.order(2, CONFIRMED + 10_500 * MS, OrderAnswer::Conflict);
+    story.order(2, CONFIRMED + 16_000 * MS, OrderAnswer::Unclear);
+    assert_eq!(story.faults(), [Fault::RefusedWithoutRival]);
+}
+
+/// Guards against a judge that counts what is ordered before the deployment has formed.
+#[test]
+fn test_config_judge_confirmations_before_the_first() {
+    let mut story = Story::new();
+    story.0.end_us = Some(CONFIRMED);
+    story.read(2, NEW, CONFIRMED + TAKES);
+    story.0.orders[0].answered_us = 6_000 * MS;
+    assert_eq!(story.faults(), []);
+}
