config-soak: backend servers announce themselves to present control

What a soak showed: after several control VMs were replaced, requests were refused with 503 that had nothing to do with the settings under test, which hides entry VMs with an older view.

Backend servers knew the addresses of the first control VMs only. They now take them from the list that replacements change.

The two weren't run apart.

--- a/testutils/src/announced_backend.rs
+++ b/testutils/src/announced_backend.rs
@@ -23,6 +23,7 @@
 use tokio::task::JoinHandle;
 use tokio::time::timeout;
 
+use crate::control_addresses::ControlAddresses;
 use crate::http_call::call;
 use crate::loopback::SERVICE_PORT;
 
@@ -46,8 +47,10 @@
     pub place: String,
     /// Its address.
     pub ip: IpAddr,
-    /// Where control replicas take announcements; the first one is asked first.
-    pub controls: Vec<SocketAddr>,
+    /// Where control replicas take announcements.
+    pub controls: ControlAddresses,
+    /// The one that is asked first.
+    pub first_control: usize,
 }
 
 /// Holds a backend server; dropping it ends it.
@@ -108,8 +111,7 @@
 async fn announce(plan: BackendPlan, address: SocketAddr) {
     let since_epoch = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
     let born = u64::try_from(since_epoch.unwrap_or_default().as_millis()).unwrap_or_default();
-    let mut controls = plan.controls.iter().cycle();
-    let mut control = controls.next();
+    let mut control = plan.first_control;
     for sequence in 1_u64.. {
         let body = json!({
             "backend": plan.name,
@@ -119,14 +121,16 @@
                 "cold_for": {"secs": 0, "nanos": 0},
             },
         });
-        let Some(asked) = control else { return };
+        let Some(asked) = plan.controls.get(control) else {
+            return;
+        };
         let body = Bytes::from(body.to_string());
-        let call = call(*asked, Method::POST, "/v1/announcements", body);
+        let call = call(asked, Method::POST, "/v1/announcements", body);
         let answer = timeout(ANNOUNCE_TIMEOUT, call).await.ok().flatten();
         if answer.is_some_and(|(status, _)| status.is_success()) {
             tokio::time::sleep(ANNOUNCE_EVERY).await;
         } else {
-            control = controls.next();
+            control = (control + 1) % plan.controls.count();
             tokio::time::sleep(ANNOUNCE_EVERY / 5).await;
         }
     }
--- a/testutils/src/config_soak.rs
+++ b/testutils/src/config_soak.rs
@@ -173,8 +173,9 @@
         for vm in cluster.vms() {
             recorder.note_event(vm, Happening::Started);
         }
-        let backends = start_backends(&mut cluster).await?;
         let addresses = cluster.controls.iter().map(DirectVm::orders).collect();
+        let addresses = ControlAddresses::new(addresses);
+        let backends = start_backends(&mut cluster, &addresses).await?;
         let places = cluster.controls.iter().map(|vm| &vm.plan);
         let planner = FaultPlanner {
             controls: places
@@ -195,7 +196,7 @@
             statuses,
             cut_off: BTreeSet::new(),
             folder_lost_us: None,
-            addresses: ControlAddresses::new(addresses),
+            addresses,
             lost: None,
             kinds: BTreeMap::new(),
             cluster,
@@ -543,23 +544,23 @@
 
 async fn start_backends(
     cluster: &mut DirectCluster,
+    controls: &ControlAddresses,
 ) -> Result<Vec<AnnouncedBackend>, ClusterError> {
     let places: Vec<String> = cluster
         .entries
         .iter()
         .map(|vm| vm.plan.place.clone())
         .collect();
-    let mut controls: Vec<_> = cluster.controls.iter().map(DirectVm::orders).collect();
     let mut backends = Vec::new();
     for service in SERVICES {
         for number in 0..BACKENDS {
-            controls.rotate_left(1);
             let plan = BackendPlan {
                 name: format!("{service}-{number}"),
                 service: service.to_owned(),
                 place: places[number % places.len()].clone(),
                 ip: cluster.next_address(),
                 controls: controls.clone(),
+                first_control: (backends.len() + 1) % controls.count(),
             };
             let path = cluster.folder().join(&plan.name);
             let started = AnnouncedBackend::start(plan).await;
