config-soak: a replacement followed by the loss of a region

What operators saw: control that is lost, or doesn't confirm, though never more was taken than the deployment tolerates. config-soak had replacements in a row, with nothing beside them.

New kinds: ReplacedThenCut, ReplacedThenFrozen, ReplacedThenKilled.

A replacement begins only when what the fault before took doesn't count as lost any more. The address of half of the lost VMs is silent for good, that of the others refuses connections. The end of a predecessor is noted. The settings always name two live replicas: before, a VM could be started, or lose its folder at the end, that knew lost replicas and itself only, which is a fault of the rig.

The test of the planner now counts what is lost, until when, for all kinds of replacement, where it looked at pairs of losses of two kinds before; it fails when the pause after a pair is left out.

--- a/testutils/src/config_soak.rs
+++ b/testutils/src/config_soak.rs
@@ -49,6 +49,8 @@
 const RESTART_US: u64 = 1_000_000;
 /// Time within which no second data folder is lost.
 const BETWEEN_LOSSES_US: u64 = 15_000_000;
+/// Live replicas that the settings always name: whoever starts knows one beside itself.
+const LIVE_SEEDS: usize = 2;
 /// Share of faults that another one overlaps.
 const OVERLAPS: f64 = 0.35;
 /// Share of faults after which everything comes to rest.
@@ -124,6 +126,8 @@
     addresses: ControlAddresses,
     /// The control replica that was lost for good last.
     lost: Option<usize>,
+    /// The control replica whose predecessor goes on.
+    succeeded: Option<usize>,
     kinds: BTreeMap<FaultKind, usize>,
 }
 
@@ -198,6 +202,7 @@
             folder_lost_us: None,
             addresses,
             lost: None,
+            succeeded: None,
             kinds: BTreeMap::new(),
             cluster,
             plan,
@@ -245,7 +250,13 @@
     }
 
     async fn play_one(&mut self) -> Result<(), ClusterError> {
+        let is_first = self.kinds.is_empty();
         let (kind, mut steps) = self.draw_fault();
+        if kind.is_replacement() && !is_first {
+            // What the fault before took counts as lost until then.
+            self.settle()?;
+            self.pause(self.plan.replacements.catch_up).await?;
+        }
         if !kind.is_replacement() && self.rng.random_bool(OVERLAPS) {
             let offset = Duration::from_millis(self.rng.random_range(0..2_000));
             let other = self.draw_overlapping().into_iter();
@@ -344,8 +355,11 @@
             Action::CutOneWay { from, to, cut_off } => self.cut_one_way(from, to, cut_off),
             Action::Mend => self.mend(),
             Action::LoseLeaderAfterConfirmation(pause) => self.lose_leader(pause).await?,
-            Action::LoseForGood(target) => {
+            Action::LoseForGood { target, silent } => {
                 let number = self.resolve(target);
+                if silent {
+                    self.cluster.silence_control(number);
+                }
                 self.kill(Vm::Control(number))?;
                 self.lost = Some(number);
             }
@@ -357,8 +371,14 @@
             Action::StartSuccessorOf(target) => {
                 let number = self.resolve(target);
                 self.start_successor(number).await?;
+                self.succeeded = Some(number);
+            }
+            Action::EndReplaced { by_sigterm } => {
+                let ended = self.cluster.end_replaced(by_sigterm)?;
+                if let Some(number) = self.succeeded.take().filter(|_| ended) {
+                    self.note(Vm::Control(number), Happening::PredecessorEnded);
+                }
             }
-            Action::EndReplaced { by_sigterm } => self.cluster.end_replaced(by_sigterm)?,
             Action::MoveSeeds => self.cluster.move_seeds()?,
         }
         Ok(())
@@ -373,6 +393,9 @@
 
     /// Starts an empty VM in place of a control replica.
     async fn start_successor(&mut self, number: usize) -> Result<(), ClusterError> {
+        if self.cluster.other_seeds(number) < LIVE_SEEDS {
+            self.cluster.move_seeds()?;
+        }
         self.cluster.replace_control(number).await?;
         let address = self.cluster.controls[number].orders();
         self.addresses.set(number, address);
--- a/testutils/src/direct_cluster.rs
+++ b/testutils/src/direct_cluster.rs
@@ -199,6 +199,22 @@
         self.write_settings(false)
     }
 
+    /// Returns how many replicas the settings name that are still there, other than `number`.
+    #[must_use]
+    pub fn other_seeds(&self, number: usize) -> usize {
+        let others = self.relays.iter().enumerate();
+        let others = others.filter(|(other, _)| *other != number);
+        others
+            .filter(|(_, relay)| self.seeds.contains(relay))
+            .count()
+    }
+
+    /// Makes a control replica's address silent for good.
+    pub fn silence_control(&mut self, number: usize) {
+        let name = &self.controls[number].plan.vm;
+        self.network.remove(name);
+    }
+
     /// Puts an empty VM with a new name and address in place of a control replica, without starting
     /// its process. The process of the former VM goes on; see [`Self::end_replaced`].
     ///
@@ -226,24 +242,27 @@
         self.write_settings(false)
     }
 
-    /// Ends the processes of all VMs that were replaced, by SIGTERM or by SIGKILL.
+    /// Ends the processes of all VMs that were replaced, by SIGTERM or by SIGKILL; returns whether
+    /// any ran.
     ///
     /// # Errors
     ///
     /// Returns an error if a process can't be signalled.
-    pub fn end_replaced(&mut self, by_sigterm: bool) -> Result<(), ClusterError> {
+    pub fn end_replaced(&mut self, by_sigterm: bool) -> Result<bool, ClusterError> {
+        let mut any_ran = false;
         let running = self.replaced.iter_mut().filter_map(|vm| {
             let runs = vm.process.as_mut().is_some_and(Process::is_running);
             vm.process.as_mut().filter(|_| runs)
         });
         for process in running {
+            any_ran = true;
             if by_sigterm {
                 process.terminate()?;
             } else {
                 process.kill()?;
             }
         }
-        Ok(())
+        Ok(any_ran)
     }
 
     /// Returns the logs of all control VMs, also of those that were replaced.
--- a/testutils/src/network.rs
+++ b/testutils/src/network.rs
@@ -31,6 +31,8 @@
     names: watch::Sender<ProcessNames>,
     links: BTreeMap<(String, String), OneWay>,
     isolated: BTreeSet<String>,
+    /// Processes that stay isolated for good.
+    gone: BTreeSet<String>,
     /// Each with the name of the process that it leads to.
     relays: Vec<(String, Relay)>,
     /// Delay between unnamed sources and each process.
@@ -98,7 +100,13 @@
         self.update();
     }
 
-    /// Mends all cuts; what was held back arrives.
+    /// Holds back everything that flows to and from a process, for good.
+    pub fn remove(&mut self, name: &str) {
+        self.gone.insert(name.to_owned());
+        self.update();
+    }
+
+    /// Mends all cuts but those of removed processes; what was held back arrives.
     pub fn mend(&mut self) {
         self.isolated.clear();
         for link in self.links.values_mut() {
@@ -120,7 +128,7 @@
     fn link(&self, from: &str, to: &str) -> Link {
         let there = self.one_way(from, to);
         let back = self.one_way(to, from);
-        let isolated = self.isolated.contains(from) || self.isolated.contains(to);
+        let isolated = self.is_isolated(from) || self.is_isolated(to);
         Link {
             delay: there.delay,
             cut_towards_target: there.cut || isolated,
@@ -128,11 +136,15 @@
         }
     }
 
+    fn is_isolated(&self, name: &str) -> bool {
+        self.isolated.contains(name) || self.gone.contains(name)
+    }
+
     fn update(&self) {
         let names: BTreeSet<_> = self.names.borrow().by_pid.values().cloned().collect();
         for (to, relay) in &self.relays {
             let outside = Link::delayed(self.outside_delay);
-            let others = if self.isolated.contains(to) {
+            let others = if self.is_isolated(to) {
                 outside.cut()
             } else {
                 outside
--- a/testutils/src/soak_faults.rs
+++ b/testutils/src/soak_faults.rs
@@ -41,7 +41,12 @@
     /// time, and start it after as much again.
     LoseLeaderAfterConfirmation(Duration),
     /// Kill a control replica for good.
-    LoseForGood(Target),
+    LoseForGood {
+        /// Which one.
+        target: Target,
+        /// Whether its address is silent from then on, instead of refusing connections.
+        silent: bool,
+    },
     /// Start the empty VM that replaces the lost replica.
     StartSuccessor,
     /// Start an empty VM that is to replace a control replica, which goes on.
@@ -117,6 +122,13 @@
     ReplicasReplaced,
     /// The same, and each successor starts before its predecessor ends.
     ReplicasSucceeded,
+    /// One is replaced, and a region or one replica is cut off as soon as the successor
+    /// has had its time; in a row.
+    ReplacedThenCut,
+    /// The same, and they are frozen.
+    ReplacedThenFrozen,
+    /// The same, and they are killed.
+    ReplacedThenKilled,
     /// Entry VMs are killed.
     EntriesKilled,
     /// Entry VMs are frozen.
@@ -129,7 +141,7 @@
 
 impl FaultKind {
     /// All of them.
-    pub const ALL: [Self; 22] = [
+    pub const ALL: [Self; 25] = [
         Self::None,
         Self::GroupIsolated,
         Self::GroupCutOff,
@@ -148,6 +160,9 @@
         Self::LeaderReplaced,
         Self::ReplicasReplaced,
         Self::ReplicasSucceeded,
+        Self::ReplacedThenCut,
+        Self::ReplacedThenFrozen,
+        Self::ReplacedThenKilled,
         Self::EntriesKilled,
         Self::EntriesFrozen,
         Self::EntriesStopped,
@@ -176,7 +191,12 @@
     pub const fn is_replacement(self) -> bool {
         matches!(
             self,
-            Self::LeaderReplaced | Self::ReplicasReplaced | Self::ReplicasSucceeded
+            Self::LeaderReplaced
+                | Self::ReplicasReplaced
+                | Self::ReplicasSucceeded
+                | Self::ReplacedThenCut
+                | Self::ReplacedThenFrozen
+                | Self::ReplacedThenKilled
         )
     }
 }
@@ -225,6 +245,9 @@
             FaultKind::LeaderReplaced => self.draw_replacements(|_| Target::Leader),
             FaultKind::ReplicasReplaced => self.draw_replacements(Target::Number),
             FaultKind::ReplicasSucceeded => self.draw_successions(),
+            FaultKind::ReplacedThenCut
+            | FaultKind::ReplacedThenFrozen
+            | FaultKind::ReplacedThenKilled => self.draw_pairs(kind),
             FaultKind::EntriesKilled => killed(lasts / 2, &self.draw_entries()),
             FaultKind::EntriesFrozen => frozen(lasts, &self.draw_entries()),
             FaultKind::EntriesStopped => {
@@ -243,19 +266,31 @@
             Some(drawn) => drawn.clone(),
             None => return Vec::new(),
         };
-        let numbers = |is_meant: &dyn Fn(&(String, String)) -> bool| {
-            let controls = self.controls.iter().enumerate();
-            let meant = controls.filter(|(_, control)| is_meant(control));
-            meant.map(|(number, _)| number).collect::<Vec<_>>()
-        };
         match self.rng.random_range(0..4) {
-            0 => numbers(&|control| control.0 == region),
-            1 => numbers(&|control| control.1 == place),
+            0 => self.numbers(|control| control.0 == region),
+            1 => self.numbers(|control| control.1 == place),
             2 => self.draw_some(1),
             _ => self.draw_some(2),
         }
     }
 
+    /// Draws what a deployment tolerates to lose: mostly a region, else one replica.
+    fn draw_tolerated(&mut self) -> Vec<usize> {
+        let one = self.draw_some(1);
+        let region = self.controls[one[0]].0.clone();
+        if self.rng.random_bool(0.75) {
+            self.numbers(|control| control.0 == region)
+        } else {
+            one
+        }
+    }
+
+    fn numbers(&self, is_meant: impl Fn(&(String, String)) -> bool) -> Vec<usize> {
+        let controls = self.controls.iter().enumerate();
+        let meant = controls.filter(|(_, control)| is_meant(control));
+        meant.map(|(number, _)| number).collect()
+    }
+
     fn draw_some(&mut self, count: usize) -> Vec<usize> {
         let all: Vec<usize> = (0..self.controls.len()).collect();
         let some = all.choose_multiple(&mut self.rng, count);
@@ -335,32 +370,91 @@
         let mut steps = Vec::new();
         let mut at = Duration::ZERO;
         for number in self.draw_row() {
-            let offset = match self.replacements.gap {
-                Some(_) => Duration::from_secs(2),
-                None => Duration::from_millis(self.rng.random_range(0..2_000)),
-            };
-            steps.push((at, Action::LoseForGood(target(number))));
-            steps.push((at + offset, Action::StartSuccessor));
-            if moves_seeds {
-                steps.push((at + offset, Action::MoveSeeds));
-            }
-            at += self.draw_gap(offset);
+            let offset = self.draw_offset();
+            let next = at + self.draw_gap(offset);
+            steps.extend(self.replace_at(at, offset, target(number), moves_seeds));
+            at = next;
         }
         steps.push((at, Action::Mend));
         steps
     }
 
+    /// Draws the time from a loss to the start of the successor.
+    fn draw_offset(&mut self) -> Duration {
+        match self.replacements.gap {
+            Some(_) => Duration::from_secs(2),
+            None => Duration::from_millis(self.rng.random_range(0..2_000)),
+        }
+    }
+
+    fn replace_at(
+        &mut self,
+        at: Duration,
+        offset: Duration,
+        target: Target,
+        moves_seeds: bool,
+    ) -> Vec<Step> {
+        let silent = self.rng.random_bool(0.5);
+        let mut steps = vec![
+            (at, Action::LoseForGood { target, silent }),
+            (at + offset, Action::StartSuccessor),
+        ];
+        steps.extend(moves_seeds.then_some((at + offset, Action::MoveSeeds)));
+        steps
+    }
+
+    fn draw_target(&mut self, number: usize) -> Target {
+        if self.rng.random_bool(0.5) {
+            Target::Leader
+        } else {
+            Target::Number(number)
+        }
+    }
+
+    fn draw_pairs(&mut self, kind: FaultKind) -> Vec<Step> {
+        let moves_seeds = self.rng.random_bool(0.5);
+        let mut steps = Vec::new();
+        let mut at = Duration::ZERO;
+        for number in self.draw_row() {
+            let target = self.draw_target(number);
+            let offset = self.draw_offset();
+            steps.extend(self.replace_at(at, offset, target, moves_seeds));
+            let rest = Duration::from_millis(self.rng.random_range(0..300));
+            let gap = self.replacements.gap;
+            at += gap.unwrap_or(offset + self.replacements.catch_up + rest);
+            let second = self.draw_second(kind);
+            let lasts = second.last().map_or(Duration::ZERO, |(ends, _)| *ends);
+            steps.extend(second.into_iter().map(|(due, action)| (at + due, action)));
+            let rest = Duration::from_millis(self.rng.random_range(300..2_000));
+            at += lasts + self.replacements.catch_up + rest;
+        }
+        steps.push((at, Action::Mend));
+        steps
+    }
+
+    /// Draws what follows the replacement in a pair.
+    fn draw_second(&mut self, kind: FaultKind) -> Vec<Step> {
+        let group = self.draw_tolerated();
+        match kind {
+            FaultKind::ReplacedThenCut => {
+                let cuts = group.iter().copied().map(Action::Isolate);
+                during(self.longest, cuts.collect(), vec![Action::Mend])
+            }
+            FaultKind::ReplacedThenFrozen => frozen(self.longest.mul_f64(0.6), &controls(&group)),
+            _ => {
+                let lasts = self.longest.mul_f64(self.rng.random_range(0.1..1.0));
+                killed(lasts, &controls(&group))
+            }
+        }
+    }
+
     fn draw_successions(&mut self) -> Vec<Step> {
         let mut steps = Vec::new();
         let mut at = Duration::ZERO;
         for number in self.draw_row() {
             let lead = Duration::from_millis(self.rng.random_range(500..6_000));
             let by_sigterm = self.rng.random_bool(0.5);
-            let target = if self.rng.random_bool(0.5) {
-                Target::Leader
-            } else {
-                Target::Number(number)
-            };
+            let target = self.draw_target(number);
             steps.push((at, Action::StartSuccessorOf(target)));
             steps.push((at + lead, Action::MoveSeeds));
             steps.push((at + lead, Action::EndReplaced { by_sigterm }));
--- a/testutils/tests/test_soak_faults.rs
+++ b/testutils/tests/test_soak_faults.rs
@@ -93,24 +93,60 @@
     }
 }
 
-/// Guards against a series of replacements that takes more than a deployment tolerates, which would
-/// show nothing.
+/// A loss: which control replicas, from when, and until when they count as lost.
+type Loss = (Option<usize>, Duration, Duration);
+
+/// Returns what is lost in the steps of a replacement, by the number of the replica if it is known.
+fn losses(steps: &[Step]) -> Vec<Loss> {
+    let counts_until = |from: usize, is_end: &dyn Fn(&Action) -> bool| {
+        let mut later = steps[from..].iter();
+        let (ends_at, _) = later.find(|(_, action)| is_end(action)).unwrap();
+        *ends_at + CATCH_UP
+    };
+    let loss = |(index, (at, action)): (usize, &Step)| match action {
+        Action::LoseForGood { .. } => {
+            let until = counts_until(index, &|end| *end == Action::StartSuccessor);
+            Some((None, *at, until))
+        }
+        Action::StartSuccessorOf(_) => Some((None, *at, *at + CATCH_UP)),
+        Action::Isolate(control) => {
+            let until = counts_until(index, &|end| *end == Action::Mend);
+            Some((Some(*control), *at, until))
+        }
+        Action::Kill(vm @ Vm::Control(control)) => {
+            let until = counts_until(index, &|end| *end == Action::Start(*vm));
+            Some((Some(*control), *at, until))
+        }
+        Action::Freeze(vm @ Vm::Control(control)) => {
+            let until = counts_until(index, &|end| *end == Action::Thaw(*vm));
+            Some((Some(*control), *at, until))
+        }
+        _ => None,
+    };
+    steps.iter().enumerate().filter_map(loss).collect()
+}
+
+/// Guards against replacements, and pairs with other faults, that take more at a time than one
+/// replica or a region, which a deployment needn't tolerate, so that they would show nothing.
 #[test]
-fn test_soak_faults_replace_one_replica_at_a_time() {
-    for seed in 0..SEEDS {
-        for kind in [FaultKind::LeaderReplaced, FaultKind::ReplicasReplaced] {
-            let steps = draw(kind, seed);
-            let mut successor_at = None;
-            for (at, action) in steps {
-                match action {
-                    Action::LoseForGood(_) => {
-                        let tolerated = successor_at.is_none_or(|began| at >= began + CATCH_UP);
-                        assert!(tolerated, "{kind:?}, seed {seed}, at {at:?}");
-                    }
-                    Action::StartSuccessor => successor_at = Some(at),
-                    _ => {}
-                }
+fn test_soak_faults_replace_within_what_is_tolerated() {
+    let replacing = kinds_and_seeds().filter(|(kind, _)| kind.is_replacement());
+    for (kind, seed) in replacing {
+        let mut planner = planner(seed);
+        let steps = planner.draw(kind);
+        let region = |control: Option<usize>| control.map(|number| &planner.controls[number].0);
+        let losses = losses(&steps);
+        assert!(!losses.is_empty(), "{kind:?}, seed {seed}");
+        for (number, (one, from, until)) in losses.iter().enumerate() {
+            for (other, begins, ends) in &losses[number + 1..] {
+                let at_once = begins == from && ends == until;
+                let of_one_region = one.is_some() && region(*one) == region(*other);
+                let apart = begins >= until || from >= ends;
+                assert!(apart || at_once && of_one_region, "{kind:?}, seed {seed}");
             }
         }
+        let end = steps.last().unwrap().0;
+        let ended = losses.iter().all(|(_, _, until)| *until <= end);
+        assert!(ended, "{kind:?}, seed {seed}");
     }
 }
