config-soak: a replacement beside more than a deployment tolerates

What a deployment may do: beside a loss of one disk, cuts, freezes and kills of more VMs than it tolerates, after which nothing that was confirmed is lost, and control recovers. config-soak had no replacement in such a time.

New kind ReplacedBeside: one replica is killed for good, and 0 to 3 s later a group is cut off, frozen or killed, or all are killed; the next one follows when all have had their time. A lost VM whose successor hasn't started yet isn't started by the end of the other fault. A test of the planner has one disk lost at a time.

--- a/testutils/src/config_soak.rs
+++ b/testutils/src/config_soak.rs
@@ -412,6 +412,9 @@
     }
 
     fn start_again(&mut self, vm: Vm) -> Result<(), ClusterError> {
+        if self.lost.is_some_and(|lost| vm == Vm::Control(lost)) {
+            return Ok(());
+        }
         match self.statuses[&vm] {
             Status::Down => self.start_vm(vm, Happening::Started)?,
             Status::Stopping(_) => {
--- a/testutils/src/soak_faults.rs
+++ b/testutils/src/soak_faults.rs
@@ -129,6 +129,9 @@
     ReplacedThenFrozen,
     /// The same, and they are killed.
     ReplacedThenKilled,
+    /// One is replaced, and meanwhile others are cut off, frozen or killed, more than a deployment
+    /// tolerates; in a row. Only one disk is lost at a time.
+    ReplacedBeside,
     /// Entry VMs are killed.
     EntriesKilled,
     /// Entry VMs are frozen.
@@ -141,7 +144,7 @@
 
 impl FaultKind {
     /// All of them.
-    pub const ALL: [Self; 25] = [
+    pub const ALL: [Self; 26] = [
         Self::None,
         Self::GroupIsolated,
         Self::GroupCutOff,
@@ -163,6 +166,7 @@
         Self::ReplacedThenCut,
         Self::ReplacedThenFrozen,
         Self::ReplacedThenKilled,
+        Self::ReplacedBeside,
         Self::EntriesKilled,
         Self::EntriesFrozen,
         Self::EntriesStopped,
@@ -170,6 +174,18 @@
     ];
 }
 
+/// Kinds that may happen beside a replacement.
+const BESIDE: [FaultKind; 8] = [
+    FaultKind::GroupIsolated,
+    FaultKind::GroupCutOff,
+    FaultKind::CutOutward,
+    FaultKind::CutInward,
+    FaultKind::GroupFrozen,
+    FaultKind::GroupKilled,
+    FaultKind::OneStutters,
+    FaultKind::AllKilled,
+];
+
 /// Draws faults for VMs whose regions and places it knows.
 #[derive(Debug)]
 pub struct FaultPlanner {
@@ -197,6 +213,7 @@
                 | Self::ReplacedThenCut
                 | Self::ReplacedThenFrozen
                 | Self::ReplacedThenKilled
+                | Self::ReplacedBeside
         )
     }
 }
@@ -248,6 +265,7 @@
             FaultKind::ReplacedThenCut
             | FaultKind::ReplacedThenFrozen
             | FaultKind::ReplacedThenKilled => self.draw_pairs(kind),
+            FaultKind::ReplacedBeside => self.draw_beside(),
             FaultKind::EntriesKilled => killed(lasts / 2, &self.draw_entries()),
             FaultKind::EntriesFrozen => frozen(lasts, &self.draw_entries()),
             FaultKind::EntriesStopped => {
@@ -432,6 +450,27 @@
         steps
     }
 
+    fn draw_beside(&mut self) -> Vec<Step> {
+        let moves_seeds = self.rng.random_bool(0.5);
+        let mut steps = Vec::new();
+        let mut at = Duration::ZERO;
+        for number in self.draw_row() {
+            let target = self.draw_target(number);
+            let offset = self.draw_offset();
+            steps.extend(self.replace_at(at, offset, target, moves_seeds));
+            let kind = BESIDE.choose(&mut self.rng).copied();
+            let other = self.draw(kind.unwrap_or(FaultKind::None));
+            let begins = Duration::from_millis(self.rng.random_range(0..3_000));
+            let lasts = other.last().map_or(Duration::ZERO, |(ends, _)| *ends);
+            let other = other.into_iter();
+            steps.extend(other.map(|(due, action)| (at + begins + due, action)));
+            let rest = Duration::from_millis(self.rng.random_range(300..2_000));
+            at += offset.max(begins + lasts) + self.replacements.catch_up + rest;
+        }
+        steps.push((at, Action::Mend));
+        steps
+    }
+
     /// Draws what follows the replacement in a pair.
     fn draw_second(&mut self, kind: FaultKind) -> Vec<Step> {
         let group = self.draw_tolerated();
--- a/testutils/tests/test_soak_faults.rs
+++ b/testutils/tests/test_soak_faults.rs
@@ -131,6 +131,7 @@
 #[test]
 fn test_soak_faults_replace_within_what_is_tolerated() {
     let replacing = kinds_and_seeds().filter(|(kind, _)| kind.is_replacement());
+    let replacing = replacing.filter(|(kind, _)| *kind != FaultKind::ReplacedBeside);
     for (kind, seed) in replacing {
         let mut planner = planner(seed);
         let steps = planner.draw(kind);
@@ -150,3 +151,17 @@
         assert!(ended, "{kind:?}, seed {seed}");
     }
 }
+
+/// Guards against a replacement beside other faults that begins before those are over, which would
+/// take a second disk.
+#[test]
+fn test_soak_faults_replace_one_disk_at_a_time_beside_others() {
+    for seed in 0..SEEDS {
+        let losses = losses(&draw(FaultKind::ReplacedBeside, seed));
+        for (_, replaced_at, _) in losses.iter().filter(|(one, ..)| one.is_none()) {
+            let mut before = losses.iter().filter(|(_, from, _)| from < replaced_at);
+            let over = before.all(|(_, _, until)| until <= replaced_at);
+            assert!(over, "seed {seed}, at {replaced_at:?}");
+        }
+    }
+}
