config-soak: a planned replacement whose predecessor ends as a region is cut off

What callers see: for as long as the region is away, no change is confirmed. A VM that is removed doesn't count as lost once its successor has had its time, so that a region may be lost at the same moment. No kind of fault did that.

The end of a predecessor isn't taken for a loss of its successor by ConfirmedLateBesideLoss any more; it still is an event of control.

--- a/testutils/src/config_judge.rs
+++ b/testutils/src/config_judge.rs
@@ -324,7 +324,7 @@
         .collect();
     let is_majority = calm.len() * 2 > record.controls;
     let regions: BTreeSet<_> = lost.iter().map(|lost| record.regions.get(*lost)).collect();
-    let is_one_loss = lost.len() == 1 || regions.len() == 1 && !regions.contains(&None);
+    let is_one_loss = lost.len() <= 1 || regions.len() == 1 && !regions.contains(&None);
     (is_majority && is_one_loss).then_some(Fault::ConfirmedLateBesideLoss)
 }
 
--- a/testutils/src/config_touch.rs
+++ b/testutils/src/config_touch.rs
@@ -91,7 +91,10 @@
                 continue;
             }
             let impaired = condition.is_impaired();
-            touch.note(event.vm, event.at_us, impaired);
+            // Nothing happened to the successor.
+            if event.what != Happening::PredecessorEnded {
+                touch.note(event.vm, event.at_us, impaired);
+            }
             match event.vm {
                 Vm::Entry(_) => {}
                 Vm::Control(control) => {
--- a/testutils/src/soak_faults.rs
+++ b/testutils/src/soak_faults.rs
@@ -129,6 +129,9 @@
     ReplacedThenFrozen,
     /// The same, and they are killed.
     ReplacedThenKilled,
+    /// A successor starts, and once it has had its time, its predecessor ends and a region or one
+    /// replica is cut off; in a row.
+    SucceededThenCut,
     /// One is replaced, and meanwhile others are cut off, frozen or killed, more than a deployment
     /// tolerates; in a row. Only one disk is lost at a time.
     ReplacedBeside,
@@ -144,7 +147,7 @@
 
 impl FaultKind {
     /// All of them.
-    pub const ALL: [Self; 26] = [
+    pub const ALL: [Self; 27] = [
         Self::None,
         Self::GroupIsolated,
         Self::GroupCutOff,
@@ -166,6 +169,7 @@
         Self::ReplacedThenCut,
         Self::ReplacedThenFrozen,
         Self::ReplacedThenKilled,
+        Self::SucceededThenCut,
         Self::ReplacedBeside,
         Self::EntriesKilled,
         Self::EntriesFrozen,
@@ -213,6 +217,7 @@
                 | Self::ReplacedThenCut
                 | Self::ReplacedThenFrozen
                 | Self::ReplacedThenKilled
+                | Self::SucceededThenCut
                 | Self::ReplacedBeside
         )
     }
@@ -265,6 +270,7 @@
             FaultKind::ReplacedThenCut
             | FaultKind::ReplacedThenFrozen
             | FaultKind::ReplacedThenKilled => self.draw_pairs(kind),
+            FaultKind::SucceededThenCut => self.draw_successions_with_cuts(),
             FaultKind::ReplacedBeside => self.draw_beside(),
             FaultKind::EntriesKilled => killed(lasts / 2, &self.draw_entries()),
             FaultKind::EntriesFrozen => frozen(lasts, &self.draw_entries()),
@@ -450,6 +456,27 @@
         steps
     }
 
+    fn draw_successions_with_cuts(&mut self) -> Vec<Step> {
+        let mut steps = Vec::new();
+        let mut at = Duration::ZERO;
+        for number in self.draw_row() {
+            let target = self.draw_target(number);
+            let by_sigterm = self.rng.random_bool(0.5);
+            steps.push((at, Action::StartSuccessorOf(target)));
+            at += self.replacements.catch_up + Duration::from_millis(self.rng.random_range(0..500));
+            steps.push((at, Action::MoveSeeds));
+            steps.push((at, Action::EndReplaced { by_sigterm }));
+            at += Duration::from_millis(self.rng.random_range(0..300));
+            let group = self.draw_tolerated().into_iter().map(Action::Isolate);
+            let cut = during(self.longest, group.collect(), vec![Action::Mend]);
+            steps.extend(cut.into_iter().map(|(due, action)| (at + due, action)));
+            let rest = Duration::from_millis(self.rng.random_range(300..2_000));
+            at += self.longest + self.replacements.catch_up + rest;
+        }
+        steps.push((at, Action::Mend));
+        steps
+    }
+
     fn draw_beside(&mut self) -> Vec<Step> {
         let moves_seeds = self.rng.random_bool(0.5);
         let mut steps = Vec::new();
--- a/testutils/tests/test_config_judge.rs
+++ b/testutils/tests/test_config_judge.rs
@@ -382,7 +382,20 @@
     &[Fault::ConfirmedLateBesideLoss]
 )]
 #[case::predecessor_ended(
-    &[(3, Happening::PredecessorEnded, 9_000), (1, KILLED, 9_000)], None, &[]
+    &[(3, Happening::PredecessorEnded, 9_000)], None, &[Fault::ConfirmedLateBesideLoss]
+)]
+#[case::predecessor_ended_and_one_lost(
+    &[(3, Happening::PredecessorEnded, 9_000), (1, KILLED, 9_000)], None,
+    &[Fault::ConfirmedLateBesideLoss]
+)]
+#[case::predecessor_of_a_new_one_ended(
+    &[
+        (3, Happening::Started, 6_500),
+        (3, Happening::PredecessorEnded, 9_000),
+        (1, KILLED, 9_000),
+    ],
+    None,
+    &[]
 )]
 fn test_config_judge_confirmations(
     #[case] events: &[(usize, Happening, u64)],
