own_interface: orders with unknown keys are refused

A change of the manifest or a rollout with a key that isn't known was accepted and the key ignored: a misspelt optional field, such as `bulk_route`, a team's `rates` or `public` in place of `public_routes`, had no effect although the order was confirmed.

Orders of the own interface now refuse unknown keys with 400, at every level. A change is read into a body of its own, since a flattened one can't refuse them. Nothing changes in the log or between replicas, whose encoding has no keys. Backend servers' announcements may still hold more than is known.

The case of the platform wasn't run.

--- a/cli/tests/test_invalid_orders.rs
+++ b/cli/tests/test_invalid_orders.rs
@@ -330,6 +330,12 @@
             ("no services", Remove("/services")),
             ("limits without one", Remove("/limits/idle_timeout")),
             ("limit that overflows a clock", Set("/limits/idle_timeout", span(u64::MAX))),
+            ("unknown key beside the items", Set("/route", json!({}))),
+            ("unknown key of a route", Set("/routes/a/max_attempt", json!(2))),
+            ("unknown key of a target", Set("/routes/b/target/Split/0/share", json!(1))),
+            ("unknown key of a time", Set("/routes/a/timeout/millis", json!(1))),
+            ("unknown key of a service", Set("/services/s/cold_rates", json!(1))),
+            ("unknown key of the limits", Set("/limits/idle", span(1))),
         ]
     }
 
@@ -346,6 +352,10 @@
             ("no content", Remove("/content")),
             ("version twice", Replace("\"version\":", "\"version\":4000,\"version\":")),
             ("teams that are a list", Set("/teams", json!([1]))),
+            ("unknown key", Set("/bulk_route", json!(["a"]))),
+            ("unknown key of the content", Set("/content/Other", json!({}))),
+            ("unknown key of the teams", Set("/teams", json!({"teams": {}, "public": ["a"]}))),
+            ("unknown key of a team", Set("/teams", json!({"teams": {"t": {"keys": ["k"], "rates": 1}}}))),
         ]
     }
 
--- a/lib/src/route_manifest.rs
+++ b/lib/src/route_manifest.rs
@@ -19,6 +19,7 @@
 
 /// A route: the requests that it matches, their target and how they are handled.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
 pub struct Route {
     /// Host of matching requests, in lower case and without a port.
     pub host: String,
@@ -65,6 +66,7 @@
 
 /// One part of a split target.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
 pub struct WeightedService {
     /// Service that receives this part of the requests.
     pub service: ServiceName,
@@ -74,6 +76,7 @@
 
 /// Static properties of a service.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
 pub struct RouteService {
     /// Path of its health check.
     pub health_path: String,
@@ -91,6 +94,7 @@
 
 /// Limits on the size of callers' requests and on the duration of their connections.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
 pub struct CallerLimits {
     /// Maximum size of a request's head in bytes.
     pub max_header_bytes: u64,
@@ -139,6 +143,7 @@
 
 /// Content of a change of the route manifest.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
 pub enum RouteContent {
     /// Replaces the whole manifest.
     Whole {
@@ -157,6 +162,7 @@
 
 /// Items of the route manifest that a patch changes.
 #[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
 pub struct RoutePatch {
     /// Routes to add or replace.
     #[serde(deserialize_with = "unique_map::deserialize")]
--- a/lib/src/team.rs
+++ b/lib/src/team.rs
@@ -70,6 +70,7 @@
 
 /// A team as operators configure it.
 #[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
 pub struct Team {
     /// Keys of its callers.
     pub keys: Vec<TeamKey>,
--- a/lib/src/team_manifest.rs
+++ b/lib/src/team_manifest.rs
@@ -9,6 +9,7 @@
 
 use crate::home_regions;
 use crate::id::ContentDigest;
+use crate::id::ManifestVersion;
 use crate::id::RouteName;
 use crate::id::TeamName;
 use crate::route_manifest::RouteChange;
@@ -41,6 +42,7 @@
 /// Change of the teams. A change of the whole manifest lists all teams, a patch lists only those
 /// that change.
 #[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
 pub struct TeamChange {
     /// Teams to add or to replace.
     #[serde(deserialize_with = "unique_map::deserialize")]
@@ -57,18 +59,43 @@
 /// A change that an operator requests. In JSON, the teams are next to the fields of the change of
 /// routes.
 #[derive(Clone, Debug, Deserialize, PartialEq)]
+#[serde(from = "FleetChangeBody")]
 pub struct FleetChange {
     /// Change of the routes and services.
-    #[serde(flatten)]
     pub routes: RouteChange,
     /// Change of the teams; `None` if they stay as they are.
-    #[serde(default)]
     pub teams: Option<TeamChange>,
     /// Those of the changed routes whose answers are large.
-    #[serde(default)]
     pub bulk_routes: BTreeSet<RouteName>,
 }
 
+/// A change in JSON. A flattened change of routes couldn't refuse unknown fields.
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct FleetChangeBody {
+    version: ManifestVersion,
+    base: ManifestVersion,
+    content: RouteContent,
+    #[serde(default)]
+    teams: Option<TeamChange>,
+    #[serde(default)]
+    bulk_routes: BTreeSet<RouteName>,
+}
+
+impl From<FleetChangeBody> for FleetChange {
+    fn from(body: FleetChangeBody) -> Self {
+        Self {
+            routes: RouteChange {
+                version: body.version,
+                base: body.base,
+                content: body.content,
+            },
+            teams: body.teams,
+            bulk_routes: body.bulk_routes,
+        }
+    }
+}
+
 /// A borrowed change, regardless of how it is stored.
 #[derive(Clone, Copy, Debug)]
 pub struct ChangeView<'a> {
--- a/server/src/own_interface.rs
+++ b/server/src/own_interface.rs
@@ -193,6 +193,7 @@
 
 /// JSON body of an order to start a rollout.
 #[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
 struct RolloutBody {
     service: ServiceName,
     target: VersionName,
