route_check: a split without any weight is refused on the own interface

A split whose weights are all 0 was accepted and in force, although no share of the requests can be derived from it. It is now refused as invalid (422) before it is proposed.

`test_invalid_orders_change_nothing` (own interface) failed before: the order was accepted by all three replicas and in force, whole and as a patch. After, it passes, with 15 tests of test_route_check.

--- a/cli/tests/test_invalid_orders.rs
+++ b/cli/tests/test_invalid_orders.rs
@@ -336,6 +336,7 @@
             ("unknown key of a time", Set("/routes/a/timeout/millis", json!(1))),
             ("unknown key of a service", Set("/services/s/cold_rates", json!(1))),
             ("unknown key of the limits", Set("/limits/idle", span(1))),
+            ("split without any weight", Set("/routes/b/target", json!({"Split": [{"service": "s", "weight": 0}, {"service": "t", "weight": 0.0}]}))),
         ]
     }
 
--- a/lib/src/route_check.rs
+++ b/lib/src/route_check.rs
@@ -121,6 +121,12 @@
         /// Description of the duration.
         name: String,
     },
+    /// No part of a split has a weight above 0, so that none may get a request.
+    #[snafu(display("route {route} is split among services without any weight"))]
+    NoWeight {
+        /// Name of the route.
+        route: RouteName,
+    },
 }
 
 /// Checks what a change contains, apart from what it is applied to.
@@ -151,6 +157,28 @@
     limits.map_or(Ok(()), check_limits)
 }
 
+/// Checks that each split of a change has a part with a weight above 0.
+///
+/// # Errors
+///
+/// Returns the first split that has none.
+pub fn check_weights(content: &RouteContent) -> Result<(), RouteProblem> {
+    let (RouteContent::Whole { routes, .. } | RouteContent::Patch(RoutePatch { routes, .. })) =
+        content;
+    for (name, route) in routes {
+        let RouteTarget::Split(parts) = &route.target else {
+            continue;
+        };
+        ensure!(
+            parts.iter().any(|part| part.weight != 0.0),
+            NoWeightSnafu {
+                route: name.clone()
+            }
+        );
+    }
+    Ok(())
+}
+
 fn check_route_content(name: &RouteName, route: &Route) -> Result<(), RouteProblem> {
     ensure!(
         !route.host.is_empty(),
--- a/lib/tests/test_route_check.rs
+++ b/lib/tests/test_route_check.rs
@@ -14,6 +14,7 @@
 use heatherring_lib::route_manifest::RoutePatch;
 use heatherring_lib::route_manifest::RouteService;
 use heatherring_lib::route_manifest::RouteTarget;
+use heatherring_lib::route_manifest::WeightedService;
 use rstest::rstest;
 
 const TOO_LONG: Duration = MAX_DURATION.saturating_add(Duration::from_nanos(1));
@@ -108,3 +109,19 @@
         assert_eq!(route_check::check_content(&content), Ok(()));
     }
 }
+
+/// Guards against a split in force of whose parts none may get a request.
+#[rstest]
+#[case::no_weight(&[0.0, 0.0], false)]
+#[case::one_part_without_weight(&[-0.0], false)]
+#[case::one_weight(&[0.0, 0.1], true)]
+fn test_route_check_weights(#[case] weights: &[f64], #[case] is_valid: bool) {
+    let parts = weights.iter().map(|weight| WeightedService {
+        service: ServiceName::new("registry"),
+        weight: *weight,
+    });
+    let split = RouteTarget::Split(parts.collect());
+    for content in contents(with_route(|route| route.target = split.clone())) {
+        assert_eq!(route_check::check_weights(&content).is_ok(), is_valid);
+    }
+}
--- a/server/src/own_interface.rs
+++ b/server/src/own_interface.rs
@@ -27,6 +27,7 @@
 use heatherring_lib::id::VersionName;
 use heatherring_lib::outcome::OUTCOME_NOT_RUN;
 use heatherring_lib::rollout::RolloutAnswer;
+use heatherring_lib::route_check;
 use heatherring_lib::route_manifest::RouteManifest;
 use heatherring_lib::team_manifest::FleetChange;
 use heatherring_lib::team_manifest::FleetManifest;
@@ -290,7 +291,13 @@
             done(control.set_evacuated(PlaceName::new(*place), false).await)
         }
         (&Method::POST, ["v1", "routes"]) => match parse_json::<FleetChange>(&body) {
-            Ok(change) => changed(control.change_manifest(change).await),
+            Ok(change) => match route_check::check_weights(&change.routes.content) {
+                Ok(()) => changed(control.change_manifest(change).await),
+                Err(problem) => {
+                    log::info!(event = "routes_change", version = change.routes.version.0, problem:% = problem; "refused a change of the route manifest");
+                    changed(Ok(RouteAnswer::Invalid(problem)))
+                }
+            },
             Err(response) => *response,
         },
         (&Method::GET, ["v1", "routes"]) => match control.manifest().await {
