tests: model of how the voters are repaired, with the timing of production

Control was lost for good while its VMs were replaced one at a time: each lost voter kept its seat for 9 s from each change of leader, and at three dead seats of five nothing could be decided. The decision is pure, so the model draws losses, planned and not, of any replica or the leader, in any order and again and again, with handovers, a leader that is cut off and short pauses beside them, on the simulated network with its checker.

The network of the simulation gets the timeouts, message sizes and link delays as settings; the draws of its other tests are as before.

--- a/lib/tests/raft_network/faults.rs
+++ b/lib/tests/raft_network/faults.rs
@@ -125,6 +125,22 @@
         self.cuts.insert((from, to));
     }
 
+    pub fn mend(&mut self, from: ReplicaId, to: ReplicaId) {
+        self.cuts.remove(&(from, to));
+    }
+
+    /// Returns whether the process of a replica runs and is not frozen.
+    pub fn is_active(&self, replica: ReplicaId) -> bool {
+        let node = self.nodes.get(&replica);
+        node.is_some_and(|node| node.raft.is_some() && node.frozen_until <= self.now)
+    }
+
+    /// Returns whether two replicas are active and can reach each other.
+    pub fn are_in_touch(&self, one: ReplicaId, other: ReplicaId) -> bool {
+        let open = !self.cuts.contains(&(one, other)) && !self.cuts.contains(&(other, one));
+        open && self.is_active(one) && self.is_active(other)
+    }
+
     /// Cuts all links to and from a replica.
     pub fn isolate(&mut self, replica: ReplicaId) {
         let others: Vec<_> = self.nodes.keys().copied().collect();
--- a/lib/tests/raft_network/mod.rs
+++ b/lib/tests/raft_network/mod.rs
@@ -75,6 +75,27 @@
     };
 }
 
+/// Timeouts of the replicas, and sizes of their messages.
+#[derive(Clone, Copy, Debug)]
+pub struct Scale {
+    pub heartbeat: Duration,
+    pub election_min: Duration,
+    pub election_max: Duration,
+    pub max_append_bytes: usize,
+    pub snapshot_chunk_bytes: usize,
+}
+
+impl Scale {
+    /// Short timeouts, of which many fit into a run, and small messages.
+    pub const SMALL: Self = Self {
+        heartbeat: HEARTBEAT,
+        election_min: ELECTION_MIN,
+        election_max: ELECTION_MAX,
+        max_append_bytes: 512,
+        snapshot_chunk_bytes: 64,
+    };
+}
+
 #[derive(Debug)]
 struct Delivery {
     from: ReplicaId,
@@ -92,6 +113,10 @@
     /// Number of voters that replicas which start from now on maintain by themselves, and when they
     /// do.
     pub seats: Option<(usize, SeatTiming)>,
+    /// Timeouts and message sizes of replicas that start from now on.
+    pub scale: Scale,
+    /// Delay of each link, beside the delay of a message by [`NetworkConditions`].
+    pub link_delays: BTreeMap<(ReplicaId, ReplicaId), Duration>,
     pub messages: u64,
     pub steps: u64,
     base: Instant,
@@ -139,6 +164,8 @@
             conditions: NetworkConditions::GOOD,
             answers: BTreeMap::new(),
             seats: None,
+            scale: Scale::SMALL,
+            link_delays: BTreeMap::new(),
             messages: 0,
             steps: 0,
             base: Instant::now(),
@@ -188,7 +215,14 @@
     }
 
     fn config(&self, number: u64, seed: u64) -> RaftConfig {
-        let cfg = config(number, seed);
+        let cfg = RaftConfig {
+            heartbeat: self.scale.heartbeat,
+            election_min: self.scale.election_min,
+            election_max: self.scale.election_max,
+            max_append_bytes: self.scale.max_append_bytes,
+            snapshot_chunk_bytes: self.scale.snapshot_chunk_bytes,
+            ..config(number, seed)
+        };
         match self.seats {
             Some((max_voters, timing)) => RaftConfig {
                 max_voters,
@@ -401,8 +435,10 @@
         let delay = self
             .rng
             .random_range(1..=self.conditions.max_delay_ms.max(1));
+        let of_link = self.link_delays.get(&(from, to)).copied();
+        let delay = Duration::from_millis(delay) + of_link.unwrap_or_default();
         self.sequence += 1;
-        let key = (self.now + Duration::from_millis(delay), self.sequence);
+        let key = (self.now + delay, self.sequence);
         self.queue.insert(key, Delivery { from, to, message });
     }
 
