control: a leader that stops waits until its seat is taken

Found by a review, by reading: a leader that stops hands leadership over, enters the new term without a known leader, and counted its seat as given up in the same turn, so that its process ended before the new leader heard that it leaves. The seat stayed dead until its silence was noticed. A lack of a leader isn't taken for a seat that is given up any more; the wait is bounded as before.

The end of the process itself is judged by soaks only.

--- a/lib/src/raft_leader.rs
+++ b/lib/src/raft_leader.rs
@@ -326,7 +326,7 @@
 
     /// Returns the time since each other voter was last heard from. Until live replicas have had
     /// time to answer this leader, it has only those that are about to stop, which count as silent for
-    /// as long as `timing` asks.
+    /// long enough to make room for a learner that preserves the spread over regions.
     pub fn voter_silence(
         &self,
         membership: &Membership,
@@ -338,7 +338,7 @@
         let voters = voters.filter(|(id, _)| membership.voters.contains_key(id));
         let silence = voters.filter_map(|(id, progress)| {
             if progress.is_leaving(cx.now, cx.cfg) {
-                return Some((*id, timing.any_region_after));
+                return Some((*id, timing.silent_after));
             }
             may_have_answered.then(|| (*id, progress.silence(cx.now)))
         });
--- a/server/src/node_leaving.rs
+++ b/server/src/node_leaving.rs
@@ -79,7 +79,7 @@
         let repairs = matches!(self.cfg.voters, VoterPolicy::SelfRepair { .. });
         let membership = self.raft.membership();
         let votes = membership.voters.contains_key(&self.raft.id());
-        repairs && votes && !membership.learners.is_empty() && self.raft.leader().is_some()
+        repairs && votes && !membership.learners.is_empty()
     }
 
     /// Refuses requests that still wait, so that their senders turn to another replica.
