control: no voter beyond the target stays, and removal follows the settings

Found by a review. A replica that lost its disk returns at its old address and is slow to catch up; its former self loses its seat to another learner meanwhile. The replacement was then promoted whatever the number of voters: six, of which four must be live, and no silent seat was vacated any more until a removal after 9 s. A voter that loses its seat is no longer to be replaced, and with more voters than seats a silent one becomes a learner without a successor.

The time after which a learner is removed was 9 s whatever the settings: with replacement_within of 24 s and more, a voter that lost its seat would have been removed at the next check, with its log and identity. It is 9/4 of the setting now, 9 s at least.

A learner with a full disk was suspected of taking a seat, too; it lacks what its disk refused, and the trial test passed on the code as it was.

--- a/lib/src/raft_membership.rs
+++ b/lib/src/raft_membership.rs
@@ -174,6 +174,9 @@
         let info = membership.voters.remove(&id);
         let info = info.ok_or(ChangeProblem::NotMember { id })?;
         membership.learners.insert(id, info);
+        // Its replacement takes a seat like any other learner. It would be one voter too many if
+        // another learner is promoted first.
+        membership.replacements.retain(|_, old| *old != id);
         self.check_live_majority(&membership)?;
         Ok(membership)
     }
--- a/lib/src/replica_plan.rs
+++ b/lib/src/replica_plan.rs
@@ -21,9 +21,9 @@
 use crate::raft_message::Membership;
 use crate::raft_message::ReplicaInfo;
 
-/// Time without contact after which a learner is removed, and so is a voter beyond the target. Longer
-/// than any restart of a VM (about 2 s) and than a short network partition, since the replica loses
-/// its identity and its log.
+/// Shortest time without contact after which a learner is removed, and so is a voter beyond the
+/// target. Longer than any restart of a VM (about 2 s) and than a short network partition, since the
+/// replica loses its identity and its log.
 pub const REMOVE_SILENT_AFTER: Duration = Duration::from_secs(9);
 
 /// Shortest time within which a replacement can be asked to be a voter.
@@ -40,6 +40,8 @@
     /// Silence, or time for which a seat has been vacant, after which it goes to any learner. Until
     /// then a learner of a better region may still be admitted, catch up and report its region.
     pub any_region_after: Duration,
+    /// Time without contact after which a learner is removed, and so is a voter beyond the target.
+    pub remove_after: Duration,
 }
 
 impl SeatTiming {
@@ -57,6 +59,7 @@
         Self {
             silent_after: (replacement_within * 3 / 8).max(shortest),
             any_region_after: (replacement_within * 5 / 8).max(shortest),
+            remove_after: (replacement_within * 9 / 4).max(REMOVE_SILENT_AFTER),
         }
     }
 }
@@ -101,7 +104,7 @@
 
 /// Returns the removal that is due, as the leader sees it.
 ///
-/// A learner that has been silent for [`REMOVE_SILENT_AFTER`] is removed; it requests admission
+/// A learner that has been silent for [`SeatTiming::remove_after`] is removed; it requests admission
 /// again when it returns. A voter that has been silent for that long is removed only if there are
 /// more voters than `target`; any other one may lose its seat by [`SeatPlan::to_vacate`].
 ///
@@ -115,11 +118,12 @@
     known_since: &BTreeMap<ReplicaId, Instant>,
     now: Instant,
     target: usize,
+    timing: SeatTiming,
 ) -> Option<ReplicaId> {
     let silent = |replica: &&ReplicaProgress| {
         let known = known_since.get(&replica.id).copied().unwrap_or(now);
         let heard = replica.last_heard.map_or(known, |heard| heard.max(known));
-        now.saturating_duration_since(heard) >= REMOVE_SILENT_AFTER
+        now.saturating_duration_since(heard) >= timing.remove_after
     };
     let removable = |replica: &&ReplicaProgress| !replica.voter || membership.voters.len() > target;
     progress
@@ -131,11 +135,11 @@
 
 /// Returns since when a new leader counts the silence of a member that last reported at `contact`.
 ///
-/// The member keeps half of [`REMOVE_SILENT_AFTER`] to answer the new leader: the report may be that
-/// of a former process at its address.
+/// The member keeps half of [`SeatTiming::remove_after`] to answer the new leader: the report may be
+/// that of a former process at its address.
 #[must_use]
-pub fn known_since(contact: Instant, now: Instant) -> Instant {
-    let earliest = now.checked_sub(REMOVE_SILENT_AFTER / 2).unwrap_or(now);
+pub fn known_since(contact: Instant, now: Instant, timing: SeatTiming) -> Instant {
+    let earliest = now.checked_sub(timing.remove_after / 2).unwrap_or(now);
     contact.clamp(earliest, now)
 }
 
@@ -168,12 +172,16 @@
     }
 
     /// Returns the voter that is to become a learner so that a learner can take its seat, if all
-    /// seats are taken.
+    /// seats are taken, or because there are more voters than seats and it is silent.
     ///
     /// `silence` has the time since each other voter was last heard from; it lacks the leader.
     #[must_use]
     pub fn to_vacate(&self, silence: &BTreeMap<ReplicaId, Duration>) -> Option<ReplicaId> {
-        if self.caught_up.is_empty() || self.membership.voters.len() != self.target {
+        let voters = self.membership.voters.len();
+        if voters > self.target {
+            return self.longest_silent(silence, |_, _| true);
+        }
+        if self.caught_up.is_empty() || voters < self.target {
             return None;
         }
         self.silent_seat(silence)
@@ -182,9 +190,19 @@
 
     /// Returns the voter that has been silent for longest and whose seat can be taken.
     fn silent_seat(&self, silence: &BTreeMap<ReplicaId, Duration>) -> Option<ReplicaId> {
-        let silent = silence.iter().filter(|(id, lasts)| {
-            **lasts >= self.timing.silent_after && self.successor(Some(**id), **lasts).is_some()
-        });
+        self.longest_silent(silence, |id, lasts| {
+            self.successor(Some(id), lasts).is_some()
+        })
+    }
+
+    fn longest_silent(
+        &self,
+        silence: &BTreeMap<ReplicaId, Duration>,
+        is_meant: impl Fn(ReplicaId, Duration) -> bool,
+    ) -> Option<ReplicaId> {
+        let silent = silence
+            .iter()
+            .filter(|(id, lasts)| **lasts >= self.timing.silent_after && is_meant(**id, **lasts));
         silent.max_by_key(|(_, lasts)| **lasts).map(|(id, _)| *id)
     }
 
--- a/lib/tests/replacement_model/around.rs
+++ b/lib/tests/replacement_model/around.rs
@@ -57,7 +57,14 @@
     now: Instant,
 ) -> Option<ReplicaId> {
     let progress = raft.progress();
-    replica_plan::due_removal(raft.membership(), &progress, known_since, now, TARGET)
+    replica_plan::due_removal(
+        raft.membership(),
+        &progress,
+        known_since,
+        now,
+        TARGET,
+        seats(),
+    )
 }
 
 /// Returns the VM and address of a replica, which no other replica has.
--- a/lib/tests/test_raft_seats.rs
+++ b/lib/tests/test_raft_seats.rs
@@ -6,6 +6,7 @@
 use std::collections::BTreeSet;
 use std::time::Duration;
 
+use heatherring_lib::id::RegionName;
 use heatherring_lib::id::ReplicaId;
 use heatherring_lib::raft::Raft;
 use heatherring_lib::raft_effects::Input;
@@ -31,6 +32,15 @@
     Network::with_seats(seed, 5, timing())
 }
 
+/// Tells all replicas that each of them is in a region of its own.
+fn spread(network: &mut Network, count: u64) {
+    let region = |number| (id(number), RegionName::new(format!("region-{number}")));
+    let regions: BTreeMap<_, _> = (1..=count).map(region).collect();
+    for number in 1..=count {
+        network.step(id(number), Input::Regions(regions.clone()));
+    }
+}
+
 fn set(numbers: impl IntoIterator<Item = u64>) -> BTreeSet<ReplicaId> {
     numbers.into_iter().map(id).collect()
 }
@@ -147,6 +157,7 @@
             network.run(ELECTION_MAX);
             let leader = network.leader().unwrap();
             let leaving = (1..=5).map(id).find(|id| (*id == leader) == leads).unwrap();
+            spread(&mut network, 6);
             network.step(leaving, Input::Leaving);
             network.step(leaving, Input::StepDown);
             network.run(ELECTION_MIN * 2);
@@ -163,3 +174,24 @@
         }
     }
 }
+
+/// Guards against a sixth voter that stays: a voter that lost its disk lost its seat to another learner
+/// before its replacement had caught up.
+#[test]
+fn test_raft_seats_a_late_replacement_is_no_voter_too_many() {
+    for seed in 0..SEEDS {
+        let mut network = five_voters(seed);
+        network.join(6, None);
+        let leader = network.leader().unwrap();
+        let lost = (1..=5).find(|number| id(*number) != leader).unwrap();
+        network.lose_disk(id(lost));
+        network.join(7, Some(lost));
+        network.cut(id(7), leader);
+        network.run(REPLACEMENT);
+        assert!(network.voters().contains(&id(6)), "seed {seed}");
+        network.heal();
+        network.run(REPLACEMENT);
+        assert_eq!(network.voters().len(), 5, "seed {seed}");
+        assert!(!network.voters().contains(&id(lost)), "seed {seed}");
+    }
+}
--- a/lib/tests/test_replica_plan.rs
+++ b/lib/tests/test_replica_plan.rs
@@ -75,12 +75,15 @@
         now.checked_sub(REMOVE_SILENT_AFTER * 3).unwrap(),
     );
     known.insert(ReplicaId(77), now);
-    assert_eq!(due_removal(&membership, &progress, &known, now, 5), None);
+    assert_eq!(
+        due_removal(&membership, &progress, &known, now, 5, TIMING),
+        None
+    );
     let later = now + REMOVE_SILENT_AFTER;
     for replica in progress.iter_mut().filter(|replica| replica.voter) {
         replica.last_heard = Some(later);
     }
-    let removal = due_removal(&membership, &progress, &known, later, 5);
+    let removal = due_removal(&membership, &progress, &known, later, 5, TIMING);
     assert_eq!(removal, Some(ReplicaId(77)));
 }
 
@@ -128,7 +131,14 @@
     let progress: Vec<ReplicaProgress> = (2..=5)
         .map(|id| progress(id, true, if id == 2 { elected } else { now }))
         .collect();
-    let removal = due_removal(&membership, &progress, &known(&membership, elected), now, 5);
+    let removal = due_removal(
+        &membership,
+        &progress,
+        &known(&membership, elected),
+        now,
+        5,
+        TIMING,
+    );
     assert_eq!(removal, None);
 }
 
@@ -146,9 +156,23 @@
     let progress: Vec<ReplicaProgress> = (2..=6)
         .map(|id| progress(id, true, if id == 2 { elected } else { now }))
         .collect();
-    let removal = due_removal(&membership, &progress, &known(&membership, elected), now, 5);
+    let removal = due_removal(
+        &membership,
+        &progress,
+        &known(&membership, elected),
+        now,
+        5,
+        TIMING,
+    );
     assert_eq!(removal, Some(ReplicaId(2)));
-    let just_elected = due_removal(&membership, &progress, &known(&membership, now), now, 5);
+    let just_elected = due_removal(
+        &membership,
+        &progress,
+        &known(&membership, now),
+        now,
+        5,
+        TIMING,
+    );
     assert_eq!(just_elected, None);
 }
 
@@ -161,6 +185,7 @@
 const TIMING: SeatTiming = SeatTiming {
     silent_after: Duration::from_millis(1_500),
     any_region_after: Duration::from_millis(2_500),
+    remove_after: REMOVE_SILENT_AFTER,
 };
 
 fn with_plan<T>(
@@ -235,6 +260,12 @@
     assert_eq!(vacated(&voting, &[8], false, &[(5, 2_400)]), None);
     assert_eq!(vacated(&voting, &[8], false, &[(5, 2_500)]), Some(5));
     assert_eq!(vacated(&voting, &[], true, &[(5, 60_000)]), None);
+    // More voters than seats: nobody has to take the seat.
+    assert_eq!(vacated(&[1, 2, 3, 4, 5, 6], &[], true, &[(5, 1_499)]), None);
+    assert_eq!(
+        vacated(&[1, 2, 3, 4, 5, 6], &[], true, &[(5, 1_500)]),
+        Some(5)
+    );
     // A seat that is vacant already is taken first.
     assert_eq!(vacated(&[1, 2, 3, 4], &[8], true, &[(4, 60_000)]), None);
 }
@@ -265,6 +296,8 @@
         let timing = SeatTiming::new(within, election_max);
         assert!(timing.silent_after > election_max);
         assert!(timing.silent_after <= timing.any_region_after);
+        // A voter that loses its seat is removed much later.
+        assert!(timing.any_region_after * 3 <= timing.remove_after);
         // A change of leader, the longer silence and its own election fit in.
         if within_s >= 4 {
             assert!(timing.silent_after + election_max < within);
@@ -279,7 +312,7 @@
 fn test_replica_plan_silence_outlasts_a_change_of_leader() {
     let now = Instant::now() + Duration::from_mins(1);
     let ago = |ms| now.checked_sub(Duration::from_millis(ms)).unwrap();
-    assert_eq!(known_since(ago(3_000), now), ago(3_000));
-    assert_eq!(known_since(ago(60_000), now), ago(4_500));
-    assert_eq!(known_since(now + Duration::from_secs(1), now), now);
+    assert_eq!(known_since(ago(3_000), now, TIMING), ago(3_000));
+    assert_eq!(known_since(ago(60_000), now, TIMING), ago(4_500));
+    assert_eq!(known_since(now + Duration::from_secs(1), now, TIMING), now);
 }
--- a/server/src/control_node.rs
+++ b/server/src/control_node.rs
@@ -152,7 +152,7 @@
         }
     }
 
-    fn seats(self, timing: &ControlTiming) -> Option<SeatTiming> {
+    pub(crate) fn seats(self, timing: &ControlTiming) -> Option<SeatTiming> {
         match self {
             Self::Operators => None,
             Self::SelfRepair {
--- a/server/src/node_repair.rs
+++ b/server/src/node_repair.rs
@@ -15,6 +15,7 @@
 use heatherring_lib::raft_message::ReplicaInfo;
 use heatherring_lib::replica_plan;
 use heatherring_lib::replica_plan::Admission;
+use heatherring_lib::replica_plan::SeatTiming;
 
 use crate::control_node::ControlNode;
 use crate::control_node::VoterPolicy;
@@ -77,13 +78,13 @@
     }
 
     /// Drops former members, and records the time at which new ones were first seen.
-    fn track_members(&mut self, membership: &Membership, now: Instant) {
+    fn track_members(&mut self, membership: &Membership, now: Instant, timing: SeatTiming) {
         self.known_since.retain(|id, _| membership.contains(*id));
         let is_new_leader = self.known_since.is_empty();
         let contacts = self.contacts_of(membership);
         for id in membership.ids() {
             let contact = contacts.get(&id).filter(|_| is_new_leader);
-            let since = contact.map_or(now, |at| replica_plan::known_since(*at, now));
+            let since = contact.map_or(now, |at| replica_plan::known_since(*at, now, timing));
             self.known_since.entry(id).or_insert(since);
         }
     }
@@ -95,6 +96,9 @@
         let VoterPolicy::SelfRepair { target, .. } = self.cfg.voters else {
             return;
         };
+        let Some(timing) = self.cfg.voters.seats(&self.cfg.timing) else {
+            return;
+        };
         let now = self.clock.now();
         let due = self.repair.next_check_at.is_some_and(|at| now >= at);
         if !due || self.raft.role() != Role::Leader {
@@ -103,9 +107,10 @@
         self.repair.next_check_at = Some(now + REPAIR_INTERVAL);
         let progress = self.raft.progress();
         let membership = self.raft.membership();
-        self.repair.track_members(membership, now);
+        self.repair.track_members(membership, now, timing);
         let known_since = &self.repair.known_since;
-        let removal = replica_plan::due_removal(membership, &progress, known_since, now, target);
+        let removal =
+            replica_plan::due_removal(membership, &progress, known_since, now, target, timing);
         if let Some(replica) = removal {
             log::warn!(event = "replica_removed", replica = replica.0; "removing a silent replica");
             self.propose_change(MembershipChange::Remove(replica));
