tests: a standby successor waits for the silence of its predecessor

A control VM may be removed at once when its successor has had its time, and a region may be lost at the same moment. The successor has caught up, but gets the seat only once its predecessor is silent: the dead seat and the region's two are a majority. A planned stop by SIGTERM gives the seat up; a kill can't.

Not fixed: nobody knows which VM a successor is to replace.

--- a/lib/tests/test_raft_seats.rs
+++ b/lib/tests/test_raft_seats.rs
@@ -195,3 +195,32 @@
         assert!(!network.voters().contains(&id(lost)), "seed {seed}");
     }
 }
+
+/// Guards against the loss of control with a region that goes at the same time as a replica whose
+/// successor has long caught up.
+#[test]
+fn test_raft_seats_a_standby_successor_needs_no_silence() {
+    for seed in 0..SEEDS {
+        let mut network = five_voters(seed);
+        let region_of = |number| match number {
+            1 | 2 => "first",
+            3 | 4 => "second",
+            _ => "third",
+        };
+        let region = |number| (id(number), RegionName::new(region_of(number)));
+        let regions: BTreeMap<_, _> = (1..=6).map(region).collect();
+        network.join(6, None);
+        for number in 1..=6 {
+            network.step(id(number), Input::Regions(regions.clone()));
+        }
+        network.run(REPLACEMENT);
+        network.lose_disk(id(5));
+        let left: Vec<u64> = vec![3, 4, 6];
+        network.partition(&left);
+        network.run_until("the replicas that are left decide", |network| {
+            network
+                .leader()
+                .is_some_and(|leader| left.contains(&leader.0))
+        });
+    }
+}
