control: one bound on calls and one refusal with Retry-After

Two parts written side by side repeated each other: the call for admission had its own timeout beside answer_within, and the refusal of a replica that joins its own answer and constant beside that of an order that is not run. One piece serves both now. The doc comment of SeatTiming::new said that silence starts anew with each leader, which holds only where no report dates it.

--- a/lib/src/replica_plan.rs
+++ b/lib/src/replica_plan.rs
@@ -48,9 +48,8 @@
     /// Derives the times from the time within which the replacement of a lost voter is to be a
     /// voter, counted from the start of its process.
     ///
-    /// Silence is counted anew when the leader changes, unless the former leader is the silent
-    /// voter. The shares leave room for one such change after the loss, which takes up to
-    /// `election_max`, and for the commits of the change.
+    /// The shares leave room for a change of leader after the loss, which takes up to `election_max`
+    /// and after which silence may be counted anew, and for the commits of the change.
     #[must_use]
     pub fn new(replacement_within: Duration, election_max: Duration) -> Self {
         // A leader that was suspended for almost `election_max` still leads, and has heard from
--- a/server/src/join_requests.rs
+++ b/server/src/join_requests.rs
@@ -16,6 +16,7 @@
 use tonic::Status;
 use tonic::transport::Channel;
 
+use crate::leader_relay::answer_within;
 use crate::peer_channel::PeerChannels;
 use crate::proto::AdmitReply;
 use crate::proto::AdmitRequest;
@@ -176,8 +177,6 @@
     request: AdmitRequest,
 ) -> Result<AdmitReply, Status> {
     let call = client.admit(Request::new(request));
-    match tokio::time::timeout(ANSWER_TIMEOUT, call).await {
-        Ok(reply) => reply.map(tonic::Response::into_inner),
-        Err(_) => Err(Status::deadline_exceeded("no answer in time")),
-    }
+    let reply = answer_within(ANSWER_TIMEOUT, call).await;
+    reply.map(tonic::Response::into_inner)
 }
--- a/server/src/reply.rs
+++ b/server/src/reply.rs
@@ -13,11 +13,8 @@
 use crate::metric;
 use crate::service_gate::NOT_STARTED;
 
-/// Time in seconds after which a replica that is joining has most likely joined.
-const UNSTARTED_RETRY_AFTER_S: u32 = 1;
-
-/// Seconds after which a call is to be repeated: an election takes about one, and the header can state
-/// no less.
+/// Seconds after which a call is to be repeated: an election takes about one, as does joining, and the
+/// header can state no less.
 const RETRY_AFTER_SECS: u16 = 1;
 
 /// Builds an answer with a status and no body.
@@ -76,10 +73,7 @@
 /// Builds the answer to a call at a replica that has not joined yet.
 #[must_use]
 pub fn unstarted() -> Response<AnswerBody> {
-    let mut response = text(StatusCode::SERVICE_UNAVAILABLE, NOT_STARTED.to_owned());
-    let headers = response.headers_mut();
-    headers.insert(RETRY_AFTER, HeaderValue::from(UNSTARTED_RETRY_AFTER_S));
-    response
+    come_back(NOT_STARTED.to_owned())
 }
 
 /// Builds the answer to an announcement that cannot be decoded. It does not identify a backend
