answers: a head that permits more than one reading is no answer

Callers got a 200 with the chunk framing as its body where a backend server wrote `transfer-encoding: chunkd` (or an empty value, `chunked, identity`, a misspelt field name) and closed; a 200 whose head contradicted itself (a length beside an encoding, `chunked` twice, `gzip`); 600, 999 and 205 with content as answers. An unasked 101 broke the caller's connection, or left it without an answer. With the connection kept open the same answers broke off at the deadline. Heads that frame no body (204, 304, HEAD) were passed on with a length such as `26x`. A refusal with such a head counted as the proof that nothing ran.

Cause: the HTTP library decides where an answer ends, and takes a head that it does not understand for one that means something else: any encoding but a final `chunked` for a body up to the end of the connection, as if there were neither field; `chunked` before a length without a word; 101 as an upgrade; any three digits from 100 on as a status. `BackendConnection` asked whom an answer is for, never whether its head makes sense.

Now `answer_framing` (head in, verdict out, no network) decides, and `BackendConnection::send` asks it before anything acts on an answer, so that direct dispatch, owners, refusals, statements and health checks pass one gate. Such an answer ends the request as unknown (502, `answer_malformed`), at once; a request that may safely run twice may go elsewhere. By RFC 9112, 6.1 and 6.3, and RFC 9110, 15:

- an encoding that isn't `chunked` alone (no TE is sent), or one beside a length;
- a status outside 200 to 599 as that of a final answer.
Interim ones, also unknown ones, are skipped as before, and an upgrade is never asked for;
- 205 with content.
One without, by length 0 or an empty chunked body, is passed on;
- fields that are broken, also where no body depends on them: they are passed on;
- neither length nor encoding, unless the head announces the close (RFC 9112, 9.6: `connection: close`, or HTTP/1.0).
What remains: a misspelt name beside `connection: close` can't be told from a sound answer.
Owners pass on no answer that a close ends, as before.

The tables of cut answers said that an answer behind `transfer-encoding: gzip`, or without any field and unannounced, is owed to its caller. Both are refused now, and the tables check that; the announced close is a form of its own, so nothing that was checked is gone.

--- a/lib/src/explanation.rs
+++ b/lib/src/explanation.rs
@@ -221,6 +221,9 @@
         UnknownReason::RefusalUnproved => {
             "the backend server's status means \"not run\" to callers, but it did not state so"
         }
+        UnknownReason::AnswerMalformed => {
+            "the backend server's answer contradicts itself or does not tell where it ends"
+        }
         UnknownReason::AnswerMismatched => "an answer to another request arrived on the connection",
         UnknownReason::ConnectionLost | UnknownReason::OwnerLost => {
             "the connection was lost after the request may have been sent"
--- a/lib/src/outcome.rs
+++ b/lib/src/outcome.rs
@@ -185,6 +185,8 @@
         /// The backend server answered with a status that tells callers that the request was not
         /// run, without stating that it was not.
         RefusalUnproved "refusal_unproved" 502,
+        /// The backend server's answer contradicts itself or does not tell where it ends.
+        AnswerMalformed "answer_malformed" 502,
     }
 }
 
--- a/lib/src/probable_cause.rs
+++ b/lib/src/probable_cause.rs
@@ -117,6 +117,10 @@
             "an answer to another request arrived in place of the answer to this one; it may have \
              run and was not sent again: {sends}"
         ),
+        "answer_malformed" => format!(
+            "the backend server's answer contradicts itself or does not tell where it ends; the \
+             request may have run and was not sent again: {sends}"
+        ),
         "refusal_unproved" => format!(
             "the backend server answered with a status that means \"not run\" to callers, without \
              stating that the request was not run: {sends}"
--- a/server/src/backend_connection.rs
+++ b/server/src/backend_connection.rs
@@ -6,6 +6,9 @@
 use std::time::Instant;
 
 use bytes::Bytes;
+use heatherring_lib::answer_framing;
+use heatherring_lib::answer_framing::AnswerFault;
+use heatherring_lib::answer_framing::Framing;
 use heatherring_lib::answer_pairing::CarriedRequests;
 use heatherring_lib::answer_pairing::EchoMatch;
 use heatherring_lib::answer_pairing::EchoPolicy;
@@ -15,9 +18,13 @@
 use heatherring_lib::outcome::Attempt;
 use heatherring_lib::outcome::MayHaveRun;
 use heatherring_lib::outcome::Paired;
+use heatherring_lib::outcome::UnknownReason;
+use http::Method;
 use http::Request;
 use http::Response;
 use http::StatusCode;
+use http::response::Parts;
+use http_body_util::BodyExt;
 use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::client::conn::TrySendError;
@@ -31,8 +38,10 @@
 use tokio_util::task::AbortOnDropHandle;
 
 use crate::backend_pool::ConnectionPermit;
+use crate::backend_stream::AnswerTaker;
 use crate::backend_stream::BackendStream;
 use crate::backend_stream::StreamUser;
+use crate::header;
 use crate::metric;
 use crate::received_head::ReceivedHead;
 
@@ -87,6 +96,70 @@
     PoolGone,
 }
 
+/// Tells why a request got no answer that can be acted on. Except for [`Self::Unsent`], it may have
+/// run.
+#[derive(Debug, Snafu)]
+#[snafu(visibility(pub(crate)))]
+pub enum SendError {
+    /// The connection ended before a byte of the request was sent.
+    #[snafu(display("the connection ended before the request was sent"))]
+    Unsent {
+        /// The request.
+        req: Box<Request<Full<Bytes>>>,
+    },
+    /// The connection broke, or what arrived on it is no HTTP.
+    #[snafu(display("the connection broke before an answer arrived: {source}"))]
+    Lost {
+        /// The error of the HTTP library.
+        source: hyper::Error,
+    },
+    /// The answer contradicts itself or does not tell where it ends.
+    #[snafu(display("the answer is malformed ({})", fault.name()))]
+    Malformed {
+        /// Its fault.
+        fault: AnswerFault,
+    },
+}
+
+impl SendError {
+    /// Returns what is unknown about the request; it may have run unless [`Self::Unsent`] returns
+    /// it.
+    pub(crate) const fn unknown_reason(&self) -> UnknownReason {
+        match self {
+            Self::Unsent { .. } | Self::Lost { .. } => UnknownReason::ConnectionLost,
+            Self::Malformed { .. } => UnknownReason::AnswerMalformed,
+        }
+    }
+}
+
+impl From<TrySendError<Request<Full<Bytes>>>> for SendError {
+    fn from(mut error: TrySendError<Request<Full<Bytes>>>) -> Self {
+        match error.take_message() {
+            Some(req) => Self::Unsent { req: Box::new(req) },
+            None => Self::Lost {
+                source: error.into_error(),
+            },
+        }
+    }
+}
+
+impl From<AnswerFault> for SendError {
+    fn from(fault: AnswerFault) -> Self {
+        Self::Malformed { fault }
+    }
+}
+
+/// An answer that tells where it ends, with its unread body.
+#[derive(Debug)]
+pub struct FramedAnswer {
+    /// Status and headers.
+    pub head: Parts,
+    /// The body.
+    pub body: Incoming,
+    /// Where the body ends.
+    pub framing: Framing,
+}
+
 /// Options of a new connection.
 #[derive(Clone, Copy, Debug)]
 pub struct ConnectOptions {
@@ -139,13 +212,14 @@
     ///
     /// # Errors
     ///
-    /// The error returns the request if no byte of it was sent.
+    /// The error returns the request if no byte of it was sent. An answer that contradicts itself
+    /// is none; the connection is of no use then.
     pub fn send(
         &mut self,
         req: Request<Full<Bytes>>,
         id: Option<&str>,
-    ) -> impl Future<Output = Result<Response<Incoming>, TrySendError<Request<Full<Bytes>>>>> + use<>
-    {
+    ) -> impl Future<Output = Result<FramedAnswer, SendError>> + use<> {
+        let is_head = req.method() == Method::HEAD;
         self.sent = self.sent.saturating_add(1);
         if let Some(id) = id {
             self.carried.note(IdHash::of(id));
@@ -156,11 +230,9 @@
         let answering = self.sender.try_send_request(req);
         let taker = self.user.taker();
         async move {
-            let answered = answering.await;
-            if answered.is_ok() {
-                taker.note_taken();
-            }
-            answered
+            let answer = answering.await?;
+            taker.note_taken();
+            check(answer, is_head, &taker).await
         }
     }
 
@@ -239,6 +311,38 @@
     }
 }
 
+/// Returns an answer whose head has arrived if it can be acted on.
+async fn check(
+    answer: Response<Incoming>,
+    is_to_head: bool,
+    taker: &AnswerTaker,
+) -> Result<FramedAnswer, SendError> {
+    let (head, mut body) = answer.into_parts();
+    let framing = header::framing(&head, is_to_head).map_err(|fault| taker.log_fault(fault))?;
+    if answer_framing::rules_content_out(head.status.as_u16()) {
+        // The content would be passed on before its end shows that there is some.
+        let has_content = has_content(&mut body).await.context(LostSnafu)?;
+        if has_content {
+            return Err(taker.log_fault(AnswerFault::Content).into());
+        }
+    }
+    Ok(FramedAnswer {
+        head,
+        body,
+        framing,
+    })
+}
+
+/// Reads a body until there is content or its end.
+async fn has_content(body: &mut Incoming) -> Result<bool, hyper::Error> {
+    while let Some(frame) = body.frame().await {
+        if frame?.data_ref().is_some_and(|data| !data.is_empty()) {
+            return Ok(true);
+        }
+    }
+    Ok(false)
+}
+
 /// Opens a connection to the backend server of `permit`.
 pub(crate) async fn open(
     permit: ConnectionPermit,
--- a/server/src/backend_stream.rs
+++ b/server/src/backend_stream.rs
@@ -20,6 +20,7 @@
 use std::time::Instant;
 
 use heatherring_lib::answer_bound::AnswerBound;
+use heatherring_lib::answer_framing::AnswerFault;
 use rustix::net::sockopt;
 use snafu::Snafu;
 use tokio::io::AsyncRead;
@@ -28,6 +29,7 @@
 use tokio::net::TcpStream;
 
 use crate::backend_pool::ConnectionPermit;
+use crate::metric;
 use crate::unending_answer::UnendingAnswer;
 
 /// Bytes that are read for an answer before its receiver takes a part of it: an answer that is
@@ -132,7 +134,10 @@
 
     /// Returns what notes the parts of the answer that are taken.
     pub(crate) fn taker(&self) -> AnswerTaker {
-        AnswerTaker(self.exchange.clone())
+        AnswerTaker {
+            exchange: self.exchange.clone(),
+            address: self.address,
+        }
     }
 
     /// Notes that a part of the answer was taken.
@@ -166,12 +171,28 @@
 
 /// Notes that parts of an answer are taken, so that more of it may be read.
 #[derive(Debug)]
-pub(crate) struct AnswerTaker(SharedExchange);
+pub(crate) struct AnswerTaker {
+    exchange: SharedExchange,
+    address: SocketAddr,
+}
 
 impl AnswerTaker {
     /// Notes that the head or a part of the body was taken.
     pub(crate) fn note_taken(&self) {
-        self.0.lock().bound.note_taken();
+        self.exchange.lock().bound.note_taken();
+    }
+
+    /// Logs and counts the answer as one that cannot be acted on. Returns the fault.
+    pub(crate) fn log_fault(&self, fault: AnswerFault) -> AnswerFault {
+        metric::answer_malformed(fault);
+        log::info!(
+            event = "answer_malformed",
+            fault = fault.name(),
+            request_id = self.exchange.lock().request_id.as_str(),
+            backend = self.address.to_string().as_str();
+            "a backend server's answer contradicts itself or does not tell where it ends"
+        );
+        fault
     }
 }
 
--- a/server/src/cold_querier.rs
+++ b/server/src/cold_querier.rs
@@ -14,11 +14,11 @@
 use heatherring_lib::duration_text::whole_ms;
 use http::Request;
 use http_body_util::Full;
-use hyper::client::conn::TrySendError;
 use snafu::ResultExt;
 use snafu::Snafu;
 
 use crate::backend_connection::ConnectError;
+use crate::backend_connection::SendError;
 use crate::backend_pool::BackendPool;
 use crate::dispatch_task::DispatchHandle;
 use crate::interface::EntryInterface;
@@ -35,7 +35,7 @@
     #[snafu(display("invalid path of the health check: {source}"))]
     Path { source: http::Error },
     #[snafu(display("the health check failed: {source}"))]
-    Exchange { source: hyper::Error },
+    Exchange { source: SendError },
     #[snafu(display("the reply is from another backend server"))]
     WrongBackend,
     #[snafu(display("timed out waiting for the reply"))]
@@ -94,11 +94,7 @@
             .body(Full::<Bytes>::default())
             .context(PathSnafu)?;
         let answering = connection.send(req, None);
-        let (head, _) = answering
-            .await
-            .map_err(TrySendError::into_error)
-            .context(ExchangeSnafu)?
-            .into_parts();
+        let head = answering.await.context(ExchangeSnafu)?.head;
         // The answer's head is all that matters; the pool keeps no connection for such a request.
         self.pool.give_back(connection);
         let reply = self.interface.read_health(&head, &query.name);
--- a/server/src/direct_send.rs
+++ b/server/src/direct_send.rs
@@ -36,7 +36,6 @@
 use http::HeaderMap;
 use http::Method;
 use http::Request;
-use http::Response;
 use http::Uri;
 use http::response;
 use http_body_util::BodyExt;
@@ -51,6 +50,8 @@
 use crate::answer_body::OverdueBy;
 use crate::backend_connection::BackendConnection;
 use crate::backend_connection::ConnectOptions;
+use crate::backend_connection::FramedAnswer;
+use crate::backend_connection::SendError;
 use crate::backend_pool::BackendPool;
 use crate::crash_tracker::CrashTracker;
 use crate::crash_tracker::TrackedRequest;
@@ -290,23 +291,23 @@
             }
         };
         match answered {
-            Ok(Ok(response)) => {
+            Ok(Ok(answer)) => {
                 let pending = PendingAnswer {
                     choice,
                     req,
                     connection,
                     followed,
                 };
-                Exchange::Finished(Box::new(self.receive(pending, sent, response).await))
+                Exchange::Finished(Box::new(self.receive(pending, sent, answer).await))
             }
-            Ok(Err(mut error)) => {
-                if let Some(unwritten) = error.take_message() {
-                    connection.note_unsent();
-                    followed.not_run();
-                    return Exchange::Unwritten(sent.returned_unsent(&unwritten));
-                }
+            Ok(Err(SendError::Unsent { req: unwritten })) => {
+                connection.note_unsent();
+                followed.not_run();
+                Exchange::Unwritten(sent.returned_unsent(&unwritten))
+            }
+            Ok(Err(error)) => {
                 followed.broken();
-                let unknown = sent.lost(UnknownReason::ConnectionLost);
+                let unknown = sent.lost(error.unknown_reason());
                 Exchange::Finished(Box::new(Sent::new(unknown, SendOutcome::Broken)))
             }
             // Dropping the connection cancels the work at the backend server, or the request if
@@ -385,9 +386,8 @@
         &self,
         mut at: PendingAnswer<'_>,
         sent: Attempt<MayHaveRun>,
-        response: Response<Incoming>,
+        FramedAnswer { head, body, .. }: FramedAnswer,
     ) -> Sent {
-        let (head, body) = response.into_parts();
         let AnswerMetadata {
             echoed,
             meaning,
--- a/server/src/dispatcher.rs
+++ b/server/src/dispatcher.rs
@@ -9,6 +9,7 @@
 use bytes::Bytes;
 use heatherring_lib::answer_claim::AnswerMeaning;
 use heatherring_lib::answer_claim::Claim;
+use heatherring_lib::answer_framing::Framing;
 use heatherring_lib::backend_statement::ReceivedStatement;
 use heatherring_lib::duration_text::whole_ms;
 use heatherring_lib::outcome::Attempt;
@@ -26,10 +27,11 @@
 use http::header as http_header;
 use http::response::Parts;
 use http_body_util::Full;
-use hyper::body::Body;
 use hyper::body::Incoming;
 
 use crate::backend_connection::BackendConnection;
+use crate::backend_connection::FramedAnswer;
+use crate::backend_connection::SendError;
 use crate::backend_pool::BackendPool;
 use crate::header;
 use crate::own_interface;
@@ -120,9 +122,9 @@
         let sent = attempt.sending();
         let answering = connection.send(message, id);
         match tokio::time::timeout_at(deadline, answering).await {
-            Ok(Ok(response)) => {
-                let (head, body) = response.into_parts();
-                let echoed = header::echoed_id(&head, &header::REQUEST_ID);
+            Ok(Ok(answer)) => {
+                let head = &answer.head;
+                let echoed = header::echoed_id(head, &header::REQUEST_ID);
                 let received = connection.received(head.status, echoed.compare(id));
                 let policy = own_interface::ECHO_POLICY;
                 let paired = match connection.pair(sent, id, echoed, policy) {
@@ -134,24 +136,20 @@
                         return sent.lost(UnknownReason::AnswerMismatched).into();
                     }
                 };
-                let claim = Claim::new(paired, meaning(&head), head.status.as_u16());
+                let claim = Claim::new(paired, meaning(head), head.status.as_u16());
                 if matches!(claim, Claim::Unproved(_)) {
                     received.log_unproved(&req.request_id, &target.address.to_string());
                 }
                 if claim.is_from_chosen() {
                     let received = ReceivedStatement {
-                        statement: own_interface::statement(&head),
+                        statement: own_interface::statement(head),
                         at: Instant::now(),
                     };
                     observer.stated(received, !head.status.is_server_error());
                 }
-                let response = Response::from_parts(head, body);
-                return read_head(pool, claim, response, connection).await;
+                return read_head(pool, claim, answer, connection).await;
             }
-            Ok(Err(mut error)) => {
-                let Some(unwritten) = error.take_message() else {
-                    return sent.lost(UnknownReason::ConnectionLost).into();
-                };
+            Ok(Err(SendError::Unsent { req: unwritten })) => {
                 connection.note_unsent();
                 let unsent = sent.returned_unsent(&unwritten);
                 if !reused {
@@ -160,6 +158,7 @@
                 // The server closed an idle connection before the request was written.
                 attempt = unsent;
             }
+            Ok(Err(error)) => return sent.lost(error.unknown_reason()).into(),
             // Dropping the connection cancels the work at the backend server, or the request if
             // it has not arrived yet.
             Err(_) => return sent.lost(UnknownReason::DeadlinePassed).into(),
@@ -200,13 +199,13 @@
 async fn read_head(
     pool: &BackendPool,
     claim: Claim,
-    response: Response<Incoming>,
+    answer: FramedAnswer,
     connection: BackendConnection,
 ) -> Outcome<BackendAnswer> {
     let answered = match claim {
         Claim::Answer(answered) => answered,
         Claim::Refused(identified, _) => {
-            if refusal_body::read_to_end(response.into_body()).await {
+            if refusal_body::read_to_end(answer.body).await {
                 pool.give_back(connection);
             }
             let refusal = Refusal::reported_by_backend_server(NotRunReason::BackendRefused);
@@ -217,21 +216,13 @@
         }
         Claim::Foreign(answered) => return answered.lost(UnknownReason::ConnectionLost).into(),
     };
-    if !is_framed(&response) {
+    // A body that the end of the connection ends looks complete when the backend server crashes in
+    // the middle of it, so such an answer is never forwarded.
+    if answer.framing == Framing::Close {
         return answered.lost(UnknownReason::ConnectionLost).into();
     }
     answered.answered(BackendAnswer {
-        response,
+        response: Response::from_parts(answer.head, answer.body),
         connection,
     })
 }
-
-/// Returns whether the end of the body is marked. A body delimited by the close of the
-/// connection looks complete when the backend server crashes in the middle of it, so such
-/// an answer is never forwarded.
-fn is_framed(response: &Response<Incoming>) -> bool {
-    let body = response.body();
-    body.is_end_stream()
-        || body.size_hint().exact().is_some()
-        || header::ends_in_chunks(response.headers())
-}
--- a/server/src/header.rs
+++ b/server/src/header.rs
@@ -2,6 +2,9 @@
 //! remove headers.
 
 use heatherring_lib::action_record::CALLER_HEADER;
+use heatherring_lib::answer_framing::AnswerFault;
+use heatherring_lib::answer_framing::AnswerHead;
+use heatherring_lib::answer_framing::Framing;
 use heatherring_lib::answer_pairing::EchoedId;
 use heatherring_lib::backend_statement::LeavingNotice;
 use heatherring_lib::pushback::PushbackNotice;
@@ -11,6 +14,7 @@
 use http::HeaderName;
 use http::HeaderValue;
 use http::StatusCode;
+use http::Version;
 use http::header;
 use http::header::AsHeaderName;
 use http::response::Parts;
@@ -89,13 +93,22 @@
     }
 }
 
-/// Returns whether the body is sent in chunks, so that its end is marked. Behind another encoding
-/// only the close of the connection ends it.
-pub fn ends_in_chunks(headers: &HeaderMap) -> bool {
-    let mut values = headers.get_all(header::TRANSFER_ENCODING).iter();
-    let last = values.next_back().and_then(|value| value.to_str().ok());
-    let coding = last.and_then(|value| value.rsplit(',').next());
-    coding.is_some_and(|coding| coding.trim().eq_ignore_ascii_case("chunked"))
+/// Returns where the body of an answer ends; `is_to_head` tells whether it answers `HEAD`.
+///
+/// # Errors
+///
+/// Fails if the head permits no answer, or more than one reading.
+pub fn framing(head: &Parts, is_to_head: bool) -> Result<Framing, AnswerFault> {
+    let lines = |name| texts(&head.headers, name);
+    let head = AnswerHead {
+        status: head.status.as_u16(),
+        is_to_head,
+        is_http_1_0: head.version == Version::HTTP_10,
+        lengths: lines(header::CONTENT_LENGTH),
+        encodings: lines(header::TRANSFER_ENCODING),
+        connection: lines(header::CONNECTION),
+    };
+    head.framing()
 }
 
 /// Removes heatherring's own headers except [`CALLER`]. Values set by outside parties must not be
--- a/server/src/metric.rs
+++ b/server/src/metric.rs
@@ -9,6 +9,7 @@
 use std::sync::OnceLock;
 use std::time::Duration;
 
+use heatherring_lib::answer_framing::AnswerFault;
 use heatherring_lib::answer_pairing::EchoMatch;
 use heatherring_lib::answer_size::AnswerKind;
 use heatherring_lib::clock::Clock;
@@ -136,6 +137,11 @@
     counter!("heatherring_answers_mismatched_total", "echo" => echo.name()).increment(1);
 }
 
+/// Counts answers that cannot be acted on, by their fault.
+pub fn answer_malformed(fault: AnswerFault) {
+    counter!("heatherring_answers_malformed_total", "fault" => fault.name()).increment(1);
+}
+
 /// Counts refusals that do not name the request that waits for an answer.
 pub fn refusal_unproved() {
     counter!("heatherring_refusals_unproved_total").increment(1);
--- a/server/src/owner_path.rs
+++ b/server/src/owner_path.rs
@@ -136,7 +136,9 @@
         Outcome::Unknown(unknown) => {
             if matches!(
                 unknown.reason(),
-                UnknownReason::ConnectionLost | UnknownReason::AnswerMismatched
+                UnknownReason::ConnectionLost
+                    | UnknownReason::AnswerMismatched
+                    | UnknownReason::AnswerMalformed
             ) {
                 tracked.broken();
             }
--- /dev/null
+++ b/server/tests/test_broken_answers_at_owner.rs
@@ -0,0 +1,116 @@
+//! Answers of backend servers that are broken, at the entry VM that owns the backend servers and at
+//! one that forwards requests to it.
+
+mod broken_support;
+mod cut_support;
+mod entry_support;
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use heatherring_testutils::loopback::SERVICE_PORT;
+use rstest::rstest;
+
+use crate::broken_support::CHUNKS;
+use crate::broken_support::ENDED_BY_CLOSE;
+use crate::broken_support::LINES_OF_HEADS;
+use crate::broken_support::Part;
+use crate::broken_support::SOUND;
+use crate::broken_support::STATUSES;
+use crate::broken_support::UNFRAMED;
+use crate::broken_support::WITHOUT_BODY;
+use crate::broken_support::Written;
+use crate::cut_support::backend::CuttingBackend;
+use crate::cut_support::backend::Dialect;
+use crate::cut_support::backend::Ledger;
+use crate::cut_support::table::Manner;
+use crate::cut_support::table::Target;
+use crate::entry_support::PLACE;
+use crate::entry_support::rig::Rig;
+
+const LEASE: Duration = Duration::from_secs(10);
+
+/// Enough that one which fails is not missed: it is left alone for a while.
+const BACKENDS: usize = 2;
+
+const OWN: Dialect = Dialect {
+    id: "heatherring-request-id",
+    lines: "",
+    health: |_| String::new(),
+};
+
+const SAFE: Manner = Manner {
+    max_attempts: 2,
+    ..Manner::new("GET", "/svc/registry/")
+};
+
+/// An entry VM, or one that forwards to the owner, before backend servers that write what a test
+/// says.
+struct Scene {
+    target: Target,
+    ledger: Arc<Ledger>,
+    _backends: Vec<CuttingBackend>,
+    _rig: Rig,
+}
+
+impl Scene {
+    async fn start(entries: usize) -> Self {
+        let mut rig = Rig::start(&vec![PLACE; entries], LEASE).await;
+        let ledger = Arc::new(Ledger::new(OWN));
+        let mut backends = Vec::new();
+        for _ in 0..BACKENDS {
+            let address = SocketAddr::new(rig.block.next_vm(), SERVICE_PORT);
+            backends.push(CuttingBackend::start("backend", address, &ledger).await);
+            rig.announce(address).await;
+        }
+        let asked = match entries {
+            1 => 0,
+            _ => 1 - rig.owner(),
+        };
+        let target = Target {
+            address: rig.callers(asked),
+            host: "registry.example".to_owned(),
+            permits_close: false,
+            workers: 1,
+        };
+        Self {
+            target,
+            ledger,
+            _backends: backends,
+            _rig: rig,
+        }
+    }
+}
+
+/// Guards against an answer whose head is broken and that reaches its caller as one that means
+/// something else.
+#[rstest]
+#[case::unframed(1, UNFRAMED, Part::Never)]
+#[case::statuses(1, STATUSES, Part::Never)]
+#[case::lines(1, LINES_OF_HEADS, Part::Never)]
+#[case::without_body(1, WITHOUT_BODY, Part::Never)]
+#[case::ended_by_close(1, ENDED_BY_CLOSE, Part::Never)]
+#[case::chunks(1, CHUNKS, Part::BreaksOff)]
+#[case::forwarded_unframed(2, UNFRAMED, Part::Never)]
+#[case::forwarded_statuses(2, STATUSES, Part::Never)]
+#[case::forwarded_chunks(2, CHUNKS, Part::BreaksOff)]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn test_broken_answer_at_owner_is_no_answer(
+    #[case] entries: usize,
+    #[case] answers: &[Written],
+    #[case] part: Part,
+) {
+    let scene = Scene::start(entries).await;
+    broken_support::assert_refused(&scene.target, &scene.ledger, SAFE, answers, part).await;
+}
+
+/// Guards against a check that refuses answers that are merely unusual.
+#[rstest]
+#[case::direct(1)]
+#[case::forwarded(2)]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn test_sound_answer_at_owner_is_passed_on(#[case] entries: usize) {
+    let scene = Scene::start(entries).await;
+    broken_support::assert_served(&scene.target, &scene.ledger, SAFE, SOUND).await;
+}
