answers: bytes behind the end show that the length is wrong

Callers got a 200 that looked whole, with a body that was cut short, where a backend server gave a length that was too small: 0, 7, 21 or 25 for 26 bytes, with and without `connection: close`, at both planes.

Cause: the HTTP library reads as many bytes as the length says. It leaves the rest, or closes the connection on it, and tells nobody.

Now `answer_scanner` follows the bytes of an answer as the stream passes them to the library. It finds the end of the head, behind interim answers, counts the body, and keeps the first five bytes behind it. Bytes that don't begin `HTTP/` make the answer malformed (RFC 9112, 6.3: they may be part of the body of a length that is wrong). Asked when the head has arrived, which covers answers that are written at once, also refusals and health checks; with the last bytes of an answer that is read as a whole; and before the last bytes of one that is passed on, which then breaks off.

What can't be noticed: bytes that arrive after the answer has been passed on, and those behind chunks, where a wrong size breaks the framing itself. An empty line behind the body counts as a wrong length: a body cut short by its last line end looks the same.

--- a/lib/src/answer_framing.rs
+++ b/lib/src/answer_framing.rs
@@ -58,17 +58,20 @@
     NoEnd,
     /// It has content, which its status rules out (RFC 9110, 15.3.6).
     Content,
+    /// Bytes that begin no other answer follow its end, so that its length was wrong.
+    Excess,
 }
 
 impl AnswerFault {
     /// All faults.
-    pub const ALL: [Self; 6] = [
+    pub const ALL: [Self; 7] = [
         Self::Status,
         Self::Length,
         Self::Encoding,
         Self::LengthAndEncoding,
         Self::NoEnd,
         Self::Content,
+        Self::Excess,
     ];
 
     /// Returns the name of the fault in logs and metrics.
@@ -81,6 +84,7 @@
             Self::LengthAndEncoding => "length_and_encoding",
             Self::NoEnd => "no_end",
             Self::Content => "content",
+            Self::Excess => "excess",
         }
     }
 }
--- a/lib/src/head_scanner.rs
+++ b/lib/src/head_scanner.rs
@@ -7,6 +7,8 @@
 //! head, a piece ends. The bytes of each head are therefore known although only the library
 //! determines where it ends.
 
+use crate::line_start::LineStart;
+
 /// Number of leading bytes of a line that are kept: the longest field name searched for, and its
 /// colon.
 const LINE_START_LEN: usize = 18;
@@ -30,7 +32,7 @@
 pub struct HeadScanner {
     /// Remaining bytes of a body of known length.
     body_left: u64,
-    line: LineStart,
+    line: LineStart<LINE_START_LEN>,
     has_length: bool,
     has_encoding: bool,
     /// Whether the last line passed on was empty.
@@ -65,8 +67,8 @@
 
     fn end_line(&mut self) {
         let line = std::mem::take(&mut self.line);
-        self.has_length |= line.is_field(b"content-length:");
-        self.has_encoding |= line.is_field(b"transfer-encoding:");
+        self.has_length |= line.begins_with(b"content-length:");
+        self.has_encoding |= line.begins_with(b"transfer-encoding:");
         self.at_end = line.is_empty();
     }
 
@@ -84,32 +86,3 @@
         }
     }
 }
-
-/// First bytes of a line.
-#[derive(Clone, Copy, Debug, Default)]
-struct LineStart {
-    bytes: [u8; LINE_START_LEN],
-    length: usize,
-}
-
-impl LineStart {
-    fn push(&mut self, part: &[u8]) {
-        let room = &mut self.bytes[self.length..];
-        let taken = part.len().min(room.len());
-        room[..taken].copy_from_slice(&part[..taken]);
-        self.length += taken;
-    }
-
-    fn bytes(&self) -> &[u8] {
-        &self.bytes[..self.length]
-    }
-
-    fn is_empty(&self) -> bool {
-        matches!(self.bytes(), b"\n" | b"\r\n")
-    }
-
-    fn is_field(&self, name: &[u8]) -> bool {
-        let start = self.bytes().get(..name.len());
-        start.is_some_and(|start| start.eq_ignore_ascii_case(name))
-    }
-}
--- a/server/src/answer_body.rs
+++ b/server/src/answer_body.rs
@@ -46,6 +46,9 @@
         /// The error of the connection.
         source: hyper::Error,
     },
+    /// Bytes that belong to no answer follow the end, so the end is in the wrong place.
+    #[snafu(display("the answer goes on behind its end"))]
+    Excess,
     /// The deadline passed before the answer was complete.
     #[snafu(display("the deadline passed before the end of the answer"))]
     Deadline,
@@ -53,6 +56,12 @@
 
 /// Observes how an answer ended. Dropping it without a call means that the answer was abandoned.
 pub trait AnswerObserver: Send + 'static {
+    /// Returns whether the end of the answer can be believed; asked before its last bytes are passed
+    /// on.
+    fn is_whole(&self) -> bool {
+        true
+    }
+
     /// Called when the last byte of the answer has been read.
     fn completed(self: Box<Self>);
 
@@ -267,6 +276,10 @@
         }
     }
 
+    fn is_whole(&self) -> bool {
+        self.end.as_ref().is_none_or(|end| end.is_whole())
+    }
+
     fn note_completed(&mut self) {
         if let Some(end) = self.end.take() {
             end.completed();
@@ -316,6 +329,10 @@
             Some(Ok(frame)) => {
                 self.note_read(&frame);
                 if self.inner.is_end_stream() {
+                    if !self.is_whole() {
+                        self.note_broken();
+                        return Poll::Ready(Some(Err(AnswerBodyError::Excess)));
+                    }
                     self.note_completed();
                 }
                 Poll::Ready(Some(Ok(frame)))
--- a/server/src/backend_connection.rs
+++ b/server/src/backend_connection.rs
@@ -225,7 +225,7 @@
             self.carried.note(IdHash::of(id));
         }
         self.may_be_kept = false;
-        self.user.begin(id);
+        self.user.begin(id, is_head);
         self.idle = self.idle_since.elapsed();
         let answering = self.sender.try_send_request(req);
         let taker = self.user.taker();
@@ -236,6 +236,17 @@
         }
     }
 
+    /// Checks that no bytes that belong to no answer were read behind the end of the latest one.
+    /// Those that are read later go unnoticed.
+    ///
+    /// # Errors
+    ///
+    /// Returns the fault, after logging it, if there are some. The length of the answer was wrong,
+    /// and the connection is of no use.
+    pub(crate) fn check_end(&self) -> Result<(), AnswerFault> {
+        self.user.taker().check_excess()
+    }
+
     /// Pairs `attempt`, the request with the identifier `id` that was sent last, with the answer
     /// that arrived, which names `echoed`.
     ///
@@ -319,6 +330,7 @@
 ) -> Result<FramedAnswer, SendError> {
     let (head, mut body) = answer.into_parts();
     let framing = header::framing(&head, is_to_head).map_err(|fault| taker.log_fault(fault))?;
+    taker.check_excess()?;
     if answer_framing::rules_content_out(head.status.as_u16()) {
         // The content would be passed on before its end shows that there is some.
         let has_content = has_content(&mut body).await.context(LostSnafu)?;
--- a/server/src/backend_stream.rs
+++ b/server/src/backend_stream.rs
@@ -21,6 +21,7 @@
 
 use heatherring_lib::answer_bound::AnswerBound;
 use heatherring_lib::answer_framing::AnswerFault;
+use heatherring_lib::answer_scanner::AnswerScanner;
 use rustix::net::sockopt;
 use snafu::Snafu;
 use tokio::io::AsyncRead;
@@ -90,6 +91,7 @@
 struct Exchange {
     progress: Progress,
     bound: AnswerBound,
+    scanner: AnswerScanner,
     request_id: String,
     begun: Instant,
 }
@@ -102,6 +104,7 @@
         Self(Arc::new(Mutex::new(Exchange {
             progress: Progress::default(),
             bound: AnswerBound::new(MAX_BYTES_AHEAD),
+            scanner: AnswerScanner::new(false),
             request_id: String::new(),
             begun: Instant::now(),
         })))
@@ -120,13 +123,15 @@
 }
 
 impl StreamUser {
-    /// Notes that a request with the identifier `id` is sent.
-    pub(crate) fn begin(&self, id: Option<&str>) {
+    /// Notes that a request with the identifier `id` is sent; `is_head` tells whether its method is
+    /// `HEAD`.
+    pub(crate) fn begin(&self, id: Option<&str>, is_head: bool) {
         let mut exchange = self.exchange.lock();
         if matches!(exchange.progress, Progress::Ended) {
             exchange.progress = Progress::UnderWay;
         }
         exchange.bound.begin();
+        exchange.scanner = AnswerScanner::new(is_head);
         exchange.request_id.clear();
         exchange.request_id.push_str(id.unwrap_or_default());
         exchange.begun = Instant::now();
@@ -182,6 +187,18 @@
         self.exchange.lock().bound.note_taken();
     }
 
+    /// Checks that no bytes that belong to no answer were read behind the end of this one.
+    ///
+    /// # Errors
+    ///
+    /// Returns the fault, after logging it, if there are some.
+    pub(crate) fn check_excess(&self) -> Result<(), AnswerFault> {
+        if self.exchange.lock().scanner.has_excess() {
+            return Err(self.log_fault(AnswerFault::Excess));
+        }
+        Ok(())
+    }
+
     /// Logs and counts the answer as one that cannot be acted on. Returns the fault.
     pub(crate) fn log_fault(&self, fault: AnswerFault) -> AnswerFault {
         metric::answer_malformed(fault);
@@ -197,6 +214,12 @@
 }
 
 impl Exchange {
+    fn note_read(&mut self, bytes: &[u8]) {
+        let count = u64::try_from(bytes.len()).unwrap_or(u64::MAX);
+        self.bound.note_read(count);
+        self.scanner.push(bytes);
+    }
+
     fn log_unending(&self, part: &'static str, address: SocketAddr) {
         let unending = UnendingAnswer {
             part,
@@ -280,19 +303,16 @@
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
         let allowed = self.allowed()?;
-        let bytes = if buf.remaining() > allowed {
+        let before = buf.filled().len();
+        if buf.remaining() > allowed {
             let mut part = ReadBuf::new(buf.initialize_unfilled_to(allowed));
             ready!(self.stream()?.poll_read(cx, &mut part))?;
             let bytes = part.filled().len();
             buf.advance(bytes);
-            bytes
         } else {
-            let before = buf.filled().len();
             ready!(self.stream()?.poll_read(cx, buf))?;
-            buf.filled().len() - before
-        };
-        let bytes = u64::try_from(bytes).unwrap_or(u64::MAX);
-        self.exchange.lock().bound.note_read(bytes);
+        }
+        self.exchange.lock().note_read(&buf.filled()[before..]);
         Poll::Ready(Ok(()))
     }
 }
--- a/server/src/direct_send.rs
+++ b/server/src/direct_send.rs
@@ -540,6 +540,11 @@
             return Sent::answered(answered.answered(answer), verdict, plausible);
         }
         match self.in_time(req, body.collect()).await {
+            Ok(Ok(_)) if connection.check_end().is_err() => {
+                followed.broken();
+                let unknown = answered.lost(UnknownReason::AnswerMalformed);
+                Sent::new(unknown, SendOutcome::Broken)
+            }
             Ok(Ok(collected)) => {
                 self.pool.give_back_for(connection, keep);
                 followed.answered();
@@ -617,6 +622,10 @@
         }
     }
 
+    fn is_whole(&self) -> bool {
+        self.connection.check_end().is_ok()
+    }
+
     fn taken(&mut self, _bytes: u64) {
         self.connection.note_taken();
     }
--- a/server/src/owner_path.rs
+++ b/server/src/owner_path.rs
@@ -239,6 +239,10 @@
         }
     }
 
+    fn is_whole(&self) -> bool {
+        self.connection.check_end().is_ok()
+    }
+
     fn taken(&mut self, _bytes: u64) {
         self.connection.note_taken();
     }
--- a/server/tests/broken_support/mod.rs
+++ b/server/tests/broken_support/mod.rs
@@ -17,6 +17,9 @@
 
 const CHUNKED: &str = "1a\r\na body of twenty-six bytes\r\n0\r\n\r\n";
 
+/// Number of bytes that follow a length that is too small: more than a read leaves over.
+const MORE_BYTES: usize = 4_000;
+
 /// Number of times that a request is sent that does not arrive at a backend server.
 const MAX_TRIES: usize = 100;
 
@@ -104,6 +107,27 @@
     neither_although_kept: "HTTP/1.1 200 OK", "connection: keep-alive\r\n", BODY;
 };
 
+/// Answers that go on behind the end that their lengths give.
+pub const TOO_SHORT: &[Written] = written! {
+    length_of_none: "HTTP/1.1 200 OK", "content-length: 0\r\n", BODY;
+    length_too_small: "HTTP/1.1 200 OK", "content-length: 7\r\n", BODY;
+    length_one_too_small: "HTTP/1.1 200 OK", "content-length: 25\r\n", BODY;
+    length_too_small_at_the_end: "HTTP/1.1 200 OK",
+        "connection: close\r\ncontent-length: 21\r\n", BODY;
+    length_of_none_at_the_end: "HTTP/1.1 200 OK",
+        "connection: close\r\ncontent-length: 0\r\n", BODY;
+};
+
+/// Returns an answer that goes on for a while behind its length, in bytes.
+pub fn too_short(length: usize) -> Written {
+    Written {
+        name: format!("long-{length}").leak(),
+        start: "HTTP/1.1 200 OK",
+        fields: format!("content-length: {length}\r\n").leak(),
+        body: "x".repeat(length + MORE_BYTES).leak(),
+    }
+}
+
 /// Answers whose status says nothing, or contradicts their bodies.
 pub const STATUSES: &[Written] = written! {
     not_asked_for: "HTTP/1.1 101 Switching Protocols",
@@ -205,6 +229,8 @@
         "transfer-encoding: chunked\r\n", "0\r\n\r\n";
     no_content: "HTTP/1.1 204 No Content", "", "";
     not_modified: "HTTP/1.1 304 Not Modified", "content-length: 26\r\n", "";
+    another_behind: "HTTP/1.1 200 OK", "content-length: 26\r\n",
+        "a body of twenty-six bytesHTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nno";
 };
 
 /// Sound answers that the end of the connection ends.
--- a/server/tests/test_broken_answers.rs
+++ b/server/tests/test_broken_answers.rs
@@ -12,6 +12,7 @@
 use broken_support::Part;
 use broken_support::SOUND;
 use broken_support::STATUSES;
+use broken_support::TOO_SHORT;
 use broken_support::UNFRAMED;
 use broken_support::WITHOUT_BODY;
 use broken_support::Written;
@@ -44,6 +45,7 @@
 /// something else.
 #[rstest]
 #[case::unframed(UNFRAMED)]
+#[case::too_short(TOO_SHORT)]
 #[case::statuses(STATUSES)]
 #[case::lines(LINES_OF_HEADS)]
 #[tokio::test(flavor = "multi_thread")]
@@ -55,6 +57,19 @@
     scene.while_announced(asking).await;
 }
 
+/// Guards against a length that is too small and found so only with the last bytes of the body.
+#[rstest]
+#[case::read_as_a_whole(30_000, Part::Never)]
+#[case::passed_on_as_it_arrives(300_000, Part::BreaksOff)]
+#[tokio::test(flavor = "multi_thread")]
+async fn test_broken_length_of_a_long_answer(#[case] length: usize, #[case] part: Part) {
+    let scene = start().await;
+    let target = scene.target();
+    let answers = [broken_support::too_short(length)];
+    let asking = broken_support::assert_refused(&target, &scene.ledger, ACTION, &answers, part);
+    scene.while_announced(asking).await;
+}
+
 /// Guards against an answer whose chunks are broken and that looks complete.
 #[tokio::test(flavor = "multi_thread")]
 async fn test_broken_chunks_are_no_end() {
@@ -86,7 +101,8 @@
 /// Guards against a refusal whose head is broken and that proves that its request was not run.
 #[tokio::test(flavor = "multi_thread")]
 async fn test_broken_refusal_proves_nothing() {
-    let refusals: Vec<String> = UNFRAMED
+    let refusals: Vec<String> = [UNFRAMED, TOO_SHORT]
+        .concat()
         .iter()
         .map(|answer| {
             let start = "HTTP/1.1 503 Service Unavailable";
@@ -114,6 +130,7 @@
 /// Guards against a safe request that fails because one backend server breaks its answer.
 #[rstest]
 #[case::unframed(UNFRAMED)]
+#[case::too_short(TOO_SHORT)]
 #[case::statuses(STATUSES)]
 #[tokio::test(flavor = "multi_thread")]
 async fn test_broken_answer_to_a_safe_request_is_asked_for_elsewhere(#[case] answers: &[Written]) {
--- a/server/tests/test_broken_answers_at_owner.rs
+++ b/server/tests/test_broken_answers_at_owner.rs
@@ -18,6 +18,7 @@
 use crate::broken_support::Part;
 use crate::broken_support::SOUND;
 use crate::broken_support::STATUSES;
+use crate::broken_support::TOO_SHORT;
 use crate::broken_support::UNFRAMED;
 use crate::broken_support::WITHOUT_BODY;
 use crate::broken_support::Written;
@@ -87,12 +88,14 @@
 /// something else.
 #[rstest]
 #[case::unframed(1, UNFRAMED, Part::Never)]
+#[case::too_short(1, TOO_SHORT, Part::Never)]
 #[case::statuses(1, STATUSES, Part::Never)]
 #[case::lines(1, LINES_OF_HEADS, Part::Never)]
 #[case::without_body(1, WITHOUT_BODY, Part::Never)]
 #[case::ended_by_close(1, ENDED_BY_CLOSE, Part::Never)]
 #[case::chunks(1, CHUNKS, Part::BreaksOff)]
 #[case::forwarded_unframed(2, UNFRAMED, Part::Never)]
+#[case::forwarded_too_short(2, TOO_SHORT, Part::Never)]
 #[case::forwarded_statuses(2, STATUSES, Part::Never)]
 #[case::forwarded_chunks(2, CHUNKS, Part::BreaksOff)]
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
@@ -105,6 +108,18 @@
     broken_support::assert_refused(&scene.target, &scene.ledger, SAFE, answers, part).await;
 }
 
+/// Guards against a length that is too small and found so only with the last bytes of the body.
+#[rstest]
+#[case::direct(1)]
+#[case::forwarded(2)]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn test_broken_length_of_a_long_answer_at_owner(#[case] entries: usize) {
+    let scene = Scene::start(entries).await;
+    let Scene { target, ledger, .. } = &scene;
+    let answers = [30_000, 300_000].map(broken_support::too_short);
+    broken_support::assert_refused(target, ledger, SAFE, &answers, Part::BreaksOff).await;
+}
+
 /// Guards against a check that refuses answers that are merely unusual.
 #[rstest]
 #[case::direct(1)]
