answers: repeated lengths are passed on as one

A backend server's `content-length: 26, 26` reached callers as it stood. A caller that reads the field as a number can't tell where the body ends, and waits.

Cause: the HTTP library accepts lengths that agree and leaves the field alone. RFC 9112, 6.3, asks whoever relays such a message to replace them by one, or to refuse it; the answer is sound, so it is passed on.

On list_of_lengths_that_agree is red in test_broken_answers and, forwarded, in test_broken_answers_at_owner (4 of 4 ways each); now the sound answers pass in all four cases.

--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -41,7 +41,7 @@
 pub mod config_path;
 pub mod config_schema;
 pub mod config_text;
-mod content_length;
+pub mod content_length;
 pub mod control_state;
 pub mod crash_evidence;
 pub mod decayed_rate;
--- a/server/src/backend_connection.rs
+++ b/server/src/backend_connection.rs
@@ -328,8 +328,9 @@
     is_to_head: bool,
     taker: &AnswerTaker,
 ) -> Result<FramedAnswer, SendError> {
-    let (head, mut body) = answer.into_parts();
+    let (mut head, mut body) = answer.into_parts();
     let framing = header::framing(&head, is_to_head).map_err(|fault| taker.log_fault(fault))?;
+    header::unify_lengths(&mut head.headers);
     taker.check_excess()?;
     if answer_framing::rules_content_out(head.status.as_u16()) {
         // The content would be passed on before its end shows that there is some.
--- a/server/src/header.rs
+++ b/server/src/header.rs
@@ -7,6 +7,7 @@
 use heatherring_lib::answer_framing::Framing;
 use heatherring_lib::answer_pairing::EchoedId;
 use heatherring_lib::backend_statement::LeavingNotice;
+use heatherring_lib::content_length;
 use heatherring_lib::pushback::PushbackNotice;
 use heatherring_lib::rate_limit::LimitNotice;
 use heatherring_lib::spliced_head::holds_status_line;
@@ -111,6 +112,15 @@
     head.framing()
 }
 
+/// Replaces the lengths of an answer, which agree if its framing is known, by a single one: what
+/// relays a message must not pass several on (RFC 9112, 6.3).
+pub fn unify_lengths(headers: &mut HeaderMap) {
+    let first = text(headers, header::CONTENT_LENGTH).and_then(|line| line.split(',').next());
+    if let Some(length) = first.and_then(content_length::parse) {
+        headers.insert(header::CONTENT_LENGTH, length.into());
+    }
+}
+
 /// Removes heatherring's own headers except [`CALLER`]. Values set by outside parties must not be
 /// passed on; those that callers may set, such as [`DEADLINE_MS`], are read before.
 pub fn remove_own(headers: &mut HeaderMap) {
--- a/server/tests/broken_support/mod.rs
+++ b/server/tests/broken_support/mod.rs
@@ -221,6 +221,8 @@
     encoding_between_blanks: "HTTP/1.1 200 OK", "transfer-encoding:\t chunked \t\r\n", CHUNKED;
     length_between_blanks: "HTTP/1.1 200 OK", "content-length: \t26 \r\n", BODY;
     length_with_zeros: "HTTP/1.1 200 OK", "content-length: 0026\r\n", BODY;
+    lengths_that_agree: "HTTP/1.1 200 OK", "content-length: 26\r\ncontent-length: 26\r\n", BODY;
+    list_of_lengths_that_agree: "HTTP/1.1 200 OK", "content-length: 26, 26\r\n", BODY;
     last_status: "HTTP/1.1 599 Last", "content-length: 26\r\n", BODY;
     unknown_interim: "HTTP/1.1 199 Wait\r\nx-note: a\r\n\r\nHTTP/1.1 200 OK",
         "content-length: 26\r\n", BODY;
