tests: actions that come late in the grace time of a planned stop

Operators of other systems saw requests that came late in the grace time, were passed on and were cut off with no answer at its end. Here it is held already: 40 actions that come at 0.40 to 0.50 of the grace time, on connections used before the stop and on ones that were only opened, to a backend server that does not answer. No change of code.

--- a/server/tests/test_direct_stop.rs
+++ b/server/tests/test_direct_stop.rs
@@ -6,6 +6,7 @@
 
 use direct_support::Deployment;
 use direct_support::backend::Behaviour;
+use direct_support::stops::GRACE;
 use direct_support::stops::LATE_START_DELAY;
 use direct_support::stops::connect;
 use direct_support::stops::get;
@@ -17,6 +18,7 @@
 use direct_support::stops::with_announcements;
 use heatherring_testutils::wait::wait_for;
 use tokio::io::AsyncWriteExt;
+use tokio::task::JoinSet;
 
 /// Time after the entry VM accepts no more requests within which an idle connection must have been
 /// closed: a request that arrives later can't be answered before the process ends.
@@ -151,3 +153,64 @@
     assert!(answer.contains("HTTP/1.1 200"), "{answer:?}");
     assert!(answer.contains("connection: close"), "{answer:?}");
 }
+
+/// Actions of each kind that arrive about the time from which on no more are accepted.
+const LATE_ACTIONS: u32 = 20;
+
+/// What came of an action during a stop.
+#[derive(Debug, Default)]
+struct Ends {
+    /// Told that it was not run.
+    refused: u32,
+    /// Told that the outcome is unknown.
+    unknown: u32,
+    /// The connection ended without an answer.
+    unanswered: u32,
+}
+
+/// Guards against an action that is passed on late in the grace time, takes longer than what is left
+/// of it, and is cut off without an answer. The actions come between 0.40 and 0.50 of the grace time,
+/// on connections that were used before the stop and on others that were only opened.
+#[tokio::test(flavor = "multi_thread")]
+async fn test_direct_stop_answers_what_came_late_in_the_grace_time() {
+    let mut deployment = Deployment::start(3);
+    let (entry, backend) = start(&mut deployment).await;
+    let mut streams = Vec::new();
+    for number in 0..LATE_ACTIONS {
+        let mut used = connect(&entry).await;
+        used.write_all(get(&format!("/safe/{number}")).as_bytes())
+            .await
+            .unwrap();
+        read_until(&mut used, "whole").await;
+        streams.push((number, used));
+        streams.push((number, connect(&entry).await));
+    }
+    let ran = backend.runs();
+    backend.behave(Behaviour::Hang);
+    entry.begin_stop();
+    let mut acting = JoinSet::new();
+    for (index, (number, mut stream)) in streams.into_iter().enumerate() {
+        acting.spawn(async move {
+            let share = 0.4 + 0.1 * f64::from(number) / f64::from(LATE_ACTIONS);
+            tokio::time::sleep(GRACE.mul_f64(share)).await;
+            let action = post(&format!("/once/{index}"), "body");
+            // A connection that is closed by then takes nothing.
+            let _ = stream.write_all(action.as_bytes()).await;
+            read_all(&mut stream).await
+        });
+    }
+    let answers = with_announcements(&deployment, &backend, acting.join_all()).await;
+    entry.ended().await;
+    let mut ends = Ends::default();
+    for answer in &answers {
+        match answer.split(' ').nth(1) {
+            Some("503") => ends.refused += 1,
+            Some("502" | "504") => ends.unknown += 1,
+            None => ends.unanswered += 1,
+            Some(_) => panic!("{answer}"),
+        }
+    }
+    println!("{ends:?}");
+    assert!(ends.unknown > 0, "no action was passed on: {ends:?}");
+    assert_eq!(backend.runs() - ran, ends.unknown, "{ends:?}");
+}
