--- a/server/tests/cut_support/backend.rs
+++ b/server/tests/cut_support/backend.rs
@@ -16,7 +16,7 @@
 use super::form::Form;
 
 /// Path of health checks.
-pub const HEALTH_PATH: &str = "/health";
+const HEALTH_PATH: &str = "/health";
 
 /// Time in which the bytes before the end of a connection are read on their own.
 const PAUSE: Duration = Duration::from_millis(3);
@@ -135,7 +135,7 @@
         self.cuts.lock().unwrap().insert(key.to_owned(), cut);
     }
 
-    /// Answers requests with this key, or health checks with [`HEALTH_PATH`], by `reply`.
+    /// Answers requests with this key by `reply`.
     pub fn reply(&self, key: &str, reply: Reply) {
         self.replies.lock().unwrap().insert(key.to_owned(), reply);
     }
