--- a/server/tests/broken_support/mod.rs
+++ b/server/tests/broken_support/mod.rs
@@ -272,7 +272,8 @@
     panic!("{key} arrived at no backend server");
 }
 
-async fn send(target: &Target, ledger: &Ledger, manner: Manner, key: &str) -> Seen {
+/// Sends the request `key` over a new connection, and reads its answer.
+pub async fn send(target: &Target, ledger: &Ledger, manner: Manner, key: &str) -> Seen {
     let mut caller = Caller::connect(target.address).await;
     let req = manner.request(key, &target.host, ledger.dialect().id);
     caller.send(&req).await;
--- a/server/tests/test_broken_answers_at_owner.rs
+++ b/server/tests/test_broken_answers_at_owner.rs
@@ -10,6 +10,7 @@
 use std::time::Duration;
 
 use heatherring_testutils::loopback::SERVICE_PORT;
+use heatherring_testutils::wait::wait_for;
 use rstest::rstest;
 
 use crate::broken_support::CHUNKS;
@@ -28,6 +29,8 @@
 use crate::cut_support::table::Manner;
 use crate::cut_support::table::Target;
 use crate::entry_support::PLACE;
+use crate::entry_support::SERVICE;
+use crate::entry_support::caller::send;
 use crate::entry_support::rig::Rig;
 
 const LEASE: Duration = Duration::from_secs(10);
@@ -120,6 +123,43 @@
     broken_support::assert_refused(target, ledger, SAFE, &answers, Part::BreaksOff).await;
 }
 
+/// Returns the manner of an action with an idempotency key of its own.
+async fn action(scene: &Scene, name: &str) -> Manner {
+    let path = format!("/lookup/{SERVICE}");
+    let found = send(scene.target.address, "GET", &path, "").await;
+    let found = found.expect("the entry VM answers").json();
+    let ticket = found["ticket"].as_str().expect("a ticket");
+    Manner {
+        lines: format!("idempotency-key: {ticket}.{name}\r\n").leak(),
+        ..Manner::new("POST", "/svc/registry/")
+    }
+}
+
+/// Guards against a broken answer that is stored and given to whoever repeats the action.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn test_broken_answer_at_owner_is_not_stored() {
+    let scene = Scene::start(2).await;
+    let Scene { target, ledger, .. } = &scene;
+    // One of each kind: after each the backend servers are left alone for seconds.
+    let answers = [&UNFRAMED[..1], &TOO_SHORT[..1], &STATUSES[2..3]].concat();
+    for answer in &answers {
+        let key = format!("stored-{}", answer.name);
+        ledger.reply(&key, answer.reply(true));
+        let manner = wait_for("an action that arrives", async || {
+            let manner = action(&scene, &key).await;
+            let seen = broken_support::send(target, ledger, manner, &key).await;
+            // A backend server that fails is left alone for a while.
+            let is_failure = matches!(seen.status, 502 | 503) && seen.is_complete;
+            assert!(is_failure, "{key}: {seen:?}");
+            (seen.status == 502).then_some(manner)
+        });
+        let manner = manner.await.unwrap();
+        let again = broken_support::send(target, ledger, manner, &key).await;
+        assert_eq!((again.status, again.is_complete), (502, true), "{key}");
+        assert_eq!(ledger.arrived(&key).len(), 1, "{key}");
+    }
+}
+
 /// Guards against a check that refuses answers that are merely unusual.
 #[rstest]
 #[case::direct(1)]
