--- a/lib/src/answer_framing.rs
+++ b/lib/src/answer_framing.rs
@@ -56,7 +56,7 @@
     /// Nothing tells where its body ends: it has neither a length nor a transfer encoding, and does
     /// not announce that its connection is closed behind it (RFC 9112, 9.6).
     NoEnd,
-    /// It has content, which its status rules out (RFC 9110, 15.3.6).
+    /// It has content, which its status forbids (RFC 9110, 15.3.6).
     Content,
     /// Bytes that begin no other answer follow its end, so that its length was wrong.
     Excess,
@@ -118,10 +118,10 @@
     }
 }
 
-/// Returns whether an answer with this status must not have content, although its head may frame
-/// some.
+/// Returns whether an answer with this status must not have content, although its head can frame
+/// some (RFC 9110, 15.3.6).
 #[must_use]
-pub const fn rules_content_out(status: u16) -> bool {
+pub const fn forbids_content(status: u16) -> bool {
     status == RESET_CONTENT
 }
 
--- a/lib/src/answer_scanner.rs
+++ b/lib/src/answer_scanner.rs
@@ -14,7 +14,7 @@
 /// Name of the field with the length of the body.
 const LENGTH_NAME: &[u8] = b"content-length:";
 
-/// Begin of the status line of another answer.
+/// First bytes of the status line of another answer.
 const ANSWER_BEGIN: &[u8] = b"HTTP/";
 
 /// Follows the bytes of one answer.
@@ -42,9 +42,9 @@
     /// The body.
     Body { left: u64 },
     /// What follows the body.
-    Behind(LineStart<{ ANSWER_BEGIN.len() }>),
-    /// What cannot be told apart: the length of the body is not known, or there is none.
-    Unbounded,
+    After(LineStart<{ ANSWER_BEGIN.len() }>),
+    /// A body without a known length, or what follows an answer without a body. Neither is checked.
+    Untracked,
 }
 
 impl AnswerScanner {
@@ -69,15 +69,15 @@
                         .min(usize::try_from(*left).unwrap_or(usize::MAX));
                     *left -= taken as u64;
                     if *left == 0 {
-                        self.part = Part::Behind(LineStart::default());
+                        self.part = Part::After(LineStart::default());
                     }
                     taken
                 }
-                Part::Behind(begin) => {
+                Part::After(begin) => {
                     begin.push(bytes);
                     bytes.len()
                 }
-                Part::Unbounded => bytes.len(),
+                Part::Untracked => bytes.len(),
             };
             bytes = &bytes[taken..];
         }
@@ -88,7 +88,7 @@
     #[must_use]
     pub fn has_excess(&self) -> bool {
         match &self.part {
-            Part::Behind(begin) => !ANSWER_BEGIN.starts_with(begin.bytes()),
+            Part::After(begin) => !ANSWER_BEGIN.starts_with(begin.bytes()),
             _ => false,
         }
     }
@@ -108,11 +108,11 @@
     fn end_line(&mut self, line: &LineStart<KEPT_BYTES>) {
         self.part = match self.part {
             Part::Start | Part::Interim if line.is_empty() => Part::Start,
-            Part::Start => self.part_behind_status(line),
+            Part::Start => self.part_after_status(line),
             Part::Fields { has_body, length } if line.is_empty() => match length {
-                Some(0) if has_body => Part::Behind(LineStart::default()),
+                Some(0) if has_body => Part::After(LineStart::default()),
                 Some(left) if has_body => Part::Body { left },
-                _ => Part::Unbounded,
+                _ => Part::Untracked,
             },
             Part::Fields { has_body, .. } if line.begins_with(LENGTH_NAME) => Part::Fields {
                 has_body,
@@ -122,10 +122,10 @@
         };
     }
 
-    fn part_behind_status(&self, line: &LineStart<KEPT_BYTES>) -> Part {
+    fn part_after_status(&self, line: &LineStart<KEPT_BYTES>) -> Part {
         let status = line.bytes().split(|byte| *byte == b' ').nth(1);
         match status {
-            Some([b'1', b'0', b'1', ..]) | None => Part::Unbounded,
+            Some([b'1', b'0', b'1', ..]) | None => Part::Untracked,
             Some([b'1', ..]) => Part::Interim,
             Some(status) => Part::Fields {
                 has_body: !self.is_to_head
--- a/server/src/backend_connection.rs
+++ b/server/src/backend_connection.rs
@@ -332,7 +332,7 @@
     let framing = header::framing(&head, is_to_head).map_err(|fault| taker.log_fault(fault))?;
     header::unify_lengths(&mut head.headers);
     taker.check_excess()?;
-    if answer_framing::rules_content_out(head.status.as_u16()) {
+    if answer_framing::forbids_content(head.status.as_u16()) {
         // The content would be passed on before its end shows that there is some.
         let has_content = has_content(&mut body).await.context(LostSnafu)?;
         if has_content {
--- a/server/tests/cut_scene_support/mod.rs
+++ b/server/tests/cut_scene_support/mod.rs
@@ -22,6 +22,22 @@
 use crate::direct_support::HOST;
 use crate::direct_support::PLACE;
 
+/// The own interface.
+pub const OWN: Dialect = Dialect {
+    id: "heatherring-request-id",
+    lines: "",
+    health: |name| format!("heatherring-backend: {name}\r\nheatherring-cold-ms: 0\r\n"),
+};
+
+/// An action that may not run twice.
+pub const ACTION: Manner = Manner::new("POST", "/once/");
+
+/// A request that may safely run twice.
+pub const SAFE: Manner = Manner {
+    max_attempts: 2,
+    ..Manner::new("GET", "/safe/")
+};
+
 /// Number of requests in flight.
 const WORKERS: usize = 24;
 
--- a/server/tests/test_answer_memory.rs
+++ b/server/tests/test_answer_memory.rs
@@ -18,6 +18,7 @@
 use endless_support::EndlessBackend;
 use endless_support::Written;
 use heatherring_testutils::loopback::SERVICE_PORT;
+use heatherring_testutils::process_usage::peak_kb;
 use http::Method;
 use serde_json::json;
 use tokio::io::AsyncReadExt;
@@ -42,10 +43,7 @@
 
 /// Returns the largest memory of this process so far, in KiB.
 fn peak_kib() -> usize {
-    let status = std::fs::read_to_string("/proc/self/status").unwrap();
-    let line = status.lines().find_map(|line| line.strip_prefix("VmHWM:"));
-    let peak = line.unwrap().trim().trim_end_matches(" kB");
-    peak.parse().unwrap()
+    usize::try_from(peak_kb(std::process::id()).unwrap()).unwrap()
 }
 
 async fn announce(deployment: &Deployment, name: &str, address: SocketAddr, sequence: u64) {
--- a/server/tests/test_answer_memory_at_owner.rs
+++ b/server/tests/test_answer_memory_at_owner.rs
@@ -15,6 +15,7 @@
 use entry_support::SERVICE;
 use entry_support::rig::Rig;
 use heatherring_testutils::loopback::SERVICE_PORT;
+use heatherring_testutils::process_usage::peak_kb;
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
@@ -36,10 +37,7 @@
 
 /// Returns the largest memory of this process so far, in KiB.
 fn peak_kib() -> usize {
-    let status = std::fs::read_to_string("/proc/self/status").unwrap();
-    let line = status.lines().find_map(|line| line.strip_prefix("VmHWM:"));
-    let peak = line.unwrap().trim().trim_end_matches(" kB");
-    peak.parse().unwrap()
+    usize::try_from(peak_kb(std::process::id()).unwrap()).unwrap()
 }
 
 /// Asks for an answer without end, and reads it, unless `reads` only once it has
--- a/server/tests/test_broken_answers.rs
+++ b/server/tests/test_broken_answers.rs
@@ -16,25 +16,14 @@
 use broken_support::UNFRAMED;
 use broken_support::WITHOUT_BODY;
 use broken_support::Written;
+use cut_scene_support::ACTION;
+use cut_scene_support::OWN;
+use cut_scene_support::SAFE;
 use cut_scene_support::Scene;
-use cut_support::backend::Dialect;
 use cut_support::backend::Reply;
 use cut_support::table::Manner;
 use rstest::rstest;
 
-const OWN: Dialect = Dialect {
-    id: "heatherring-request-id",
-    lines: "",
-    health: |name| format!("heatherring-backend: {name}\r\nheatherring-cold-ms: 0\r\n"),
-};
-
-const ACTION: Manner = Manner::new("POST", "/once/");
-
-const SAFE: Manner = Manner {
-    max_attempts: 2,
-    ..Manner::new("GET", "/safe/")
-};
-
 const HEAD: Manner = Manner::new("HEAD", "/once/");
 
 async fn start() -> Scene {
--- a/server/tests/test_broken_answers_at_owner.rs
+++ b/server/tests/test_broken_answers_at_owner.rs
@@ -2,14 +2,10 @@
 //! one that forwards requests to it.
 
 mod broken_support;
+mod cut_owner_support;
 mod cut_support;
 mod entry_support;
 
-use std::net::SocketAddr;
-use std::sync::Arc;
-use std::time::Duration;
-
-use heatherring_testutils::loopback::SERVICE_PORT;
 use heatherring_testutils::wait::wait_for;
 use rstest::rstest;
 
@@ -23,69 +19,11 @@
 use crate::broken_support::UNFRAMED;
 use crate::broken_support::WITHOUT_BODY;
 use crate::broken_support::Written;
-use crate::cut_support::backend::CuttingBackend;
-use crate::cut_support::backend::Dialect;
-use crate::cut_support::backend::Ledger;
+use crate::cut_owner_support::SAFE;
+use crate::cut_owner_support::Scene;
 use crate::cut_support::table::Manner;
-use crate::cut_support::table::Target;
-use crate::entry_support::PLACE;
 use crate::entry_support::SERVICE;
 use crate::entry_support::caller::send;
-use crate::entry_support::rig::Rig;
-
-const LEASE: Duration = Duration::from_secs(10);
-
-/// Enough that one which fails is not missed: it is left alone for a while.
-const BACKENDS: usize = 2;
-
-const OWN: Dialect = Dialect {
-    id: "heatherring-request-id",
-    lines: "",
-    health: |_| String::new(),
-};
-
-const SAFE: Manner = Manner {
-    max_attempts: 2,
-    ..Manner::new("GET", "/svc/registry/")
-};
-
-/// An entry VM, or one that forwards to the owner, before backend servers that write what a test
-/// says.
-struct Scene {
-    target: Target,
-    ledger: Arc<Ledger>,
-    _backends: Vec<CuttingBackend>,
-    _rig: Rig,
-}
-
-impl Scene {
-    async fn start(entries: usize) -> Self {
-        let mut rig = Rig::start(&vec![PLACE; entries], LEASE).await;
-        let ledger = Arc::new(Ledger::new(OWN));
-        let mut backends = Vec::new();
-        for _ in 0..BACKENDS {
-            let address = SocketAddr::new(rig.block.next_vm(), SERVICE_PORT);
-            backends.push(CuttingBackend::start("backend", address, &ledger).await);
-            rig.announce(address).await;
-        }
-        let asked = match entries {
-            1 => 0,
-            _ => 1 - rig.owner(),
-        };
-        let target = Target {
-            address: rig.callers(asked),
-            host: "registry.example".to_owned(),
-            permits_close: false,
-            workers: 1,
-        };
-        Self {
-            target,
-            ledger,
-            _backends: backends,
-            _rig: rig,
-        }
-    }
-}
 
 /// Guards against an answer whose head is broken and that reaches its caller as one that means
 /// something else.
--- a/server/tests/test_cut_answers.rs
+++ b/server/tests/test_cut_answers.rs
@@ -4,9 +4,11 @@
 mod cut_support;
 mod direct_support;
 
+use cut_scene_support::ACTION;
+use cut_scene_support::OWN;
+use cut_scene_support::SAFE;
 use cut_scene_support::Scene;
 use cut_support::backend::Cut;
-use cut_support::backend::Dialect;
 use cut_support::backend::End;
 use cut_support::caller::Caller;
 use cut_support::form::Form;
@@ -18,19 +20,6 @@
 use cut_support::table::Target;
 use rstest::rstest;
 
-const OWN: Dialect = Dialect {
-    id: "heatherring-request-id",
-    lines: "",
-    health: |name| format!("heatherring-backend: {name}\r\nheatherring-cold-ms: 0\r\n"),
-};
-
-const ACTION: Manner = Manner::new("POST", "/once/");
-
-const SAFE: Manner = Manner {
-    max_attempts: 2,
-    ..Manner::new("GET", "/safe/")
-};
-
 /// Size of a body that backend servers do not receive as a whole before they answer.
 const LONG: usize = 1 << 18;
 
--- a/server/tests/test_request_memory.rs
+++ b/server/tests/test_request_memory.rs
@@ -4,6 +4,7 @@
 mod endless_caller_support;
 
 use heatherring_server::http_server::HttpVersions;
+use heatherring_testutils::process_usage::peak_kb;
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
@@ -21,10 +22,7 @@
 
 /// Returns the largest memory of this process so far, in KiB.
 fn peak_kib() -> usize {
-    let status = std::fs::read_to_string("/proc/self/status").unwrap();
-    let line = status.lines().find_map(|line| line.strip_prefix("VmHWM:"));
-    let peak = line.unwrap().trim().trim_end_matches(" kB");
-    peak.parse().unwrap()
+    usize::try_from(peak_kb(std::process::id()).unwrap()).unwrap()
 }
 
 /// Guards against bodies that take many times their size: each chunk was kept by itself, together
--- a/testutils/src/process_usage.rs
+++ b/testutils/src/process_usage.rs
@@ -58,14 +58,26 @@
 ///
 /// Returns an error if there is no such process.
 pub fn rss_kb(pid: u32) -> Result<u64, UsageError> {
+    status_kb(pid, "VmRSS")
+}
+
+/// Returns the largest memory that a process has had resident so far, in kilobytes.
+///
+/// # Errors
+///
+/// Returns an error if there is no such process.
+pub fn peak_kb(pid: u32) -> Result<u64, UsageError> {
+    status_kb(pid, "VmHWM")
+}
+
+fn status_kb(pid: u32, field: &'static str) -> Result<u64, UsageError> {
     let path = PathBuf::from(format!("/proc/{pid}/status"));
     let status = fs::read_to_string(&path).context(ReadSnafu { path: &path })?;
-    let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
-    line.and_then(|line| line.split_whitespace().next()?.parse().ok())
-        .context(FormSnafu {
-            path,
-            field: "VmRSS",
-        })
+    let mut lines = status.lines().filter_map(|line| line.split_once(':'));
+    let value = lines.find(|(name, _)| *name == field);
+    value
+        .and_then(|(_, value)| value.split_whitespace().next()?.parse().ok())
+        .context(FormSnafu { path, field })
 }
 
 /// Holds a line through measured points.
