--- a/lib/src/answer_framing.rs
+++ b/lib/src/answer_framing.rs
@@ -14,7 +14,7 @@
 /// `None` stands for one that is not text.
 #[derive(Clone, Debug)]
 pub struct AnswerHead<I> {
-    /// The status.
+    /// Status code, any that the HTTP library accepts.
     pub status: u16,
     /// Whether the answer is one to `HEAD`.
     pub is_to_head: bool,
--- a/lib/src/answer_scanner.rs
+++ b/lib/src/answer_scanner.rs
@@ -39,8 +39,9 @@
         has_body: bool,
         length: Option<u64>,
     },
-    /// The body.
-    Body { left: u64 },
+    Body {
+        left: u64,
+    },
     /// What follows the body.
     After(LineStart<{ ANSWER_BEGIN.len() }>),
     /// A body without a known length, or what follows an answer without a body. Neither is checked.
--- a/server/src/backend_connection.rs
+++ b/server/src/backend_connection.rs
@@ -104,7 +104,7 @@
     /// The connection ended before a byte of the request was sent.
     #[snafu(display("the connection ended before the request was sent"))]
     Unsent {
-        /// The request.
+        /// The request, to be sent again.
         req: Box<Request<Full<Bytes>>>,
     },
     /// The connection broke, or what arrived on it is no HTTP.
@@ -154,7 +154,7 @@
 pub struct FramedAnswer {
     /// Status and headers.
     pub head: Parts,
-    /// The body.
+    /// What follows the head, unread.
     pub body: Incoming,
     /// Where the body ends.
     pub framing: Framing,
--- a/server/tests/cut_owner_support/mod.rs
+++ b/server/tests/cut_owner_support/mod.rs
@@ -22,7 +22,7 @@
 /// Enough that one which fails is not missed: it is left alone for a while.
 const BACKENDS: usize = 2;
 
-/// The interface at owners.
+/// Headers between owners and backend servers.
 pub const OWN: Dialect = Dialect {
     id: "heatherring-request-id",
     lines: "",
--- a/server/tests/cut_scene_support/mod.rs
+++ b/server/tests/cut_scene_support/mod.rs
@@ -22,7 +22,7 @@
 use crate::direct_support::HOST;
 use crate::direct_support::PLACE;
 
-/// The own interface.
+/// Headers of heatherring's own interface.
 pub const OWN: Dialect = Dialect {
     id: "heatherring-request-id",
     lines: "",
--- a/server/tests/cut_support/backend.rs
+++ b/server/tests/cut_support/backend.rs
@@ -21,7 +21,7 @@
 /// Time in which the bytes before the end of a connection are read on their own.
 const PAUSE: Duration = Duration::from_millis(3);
 
-/// Stands for the header lines that an answer has to bear.
+/// Placeholder for the header lines that every answer carries.
 pub const LINES: &str = "{lines}";
 
 /// Length of the longest identifier.
@@ -68,7 +68,7 @@
 /// Bytes that are written in place of an answer.
 #[derive(Clone, Debug)]
 pub struct Reply {
-    /// The bytes; [`LINES`] stands for the header lines that an answer has to bear.
+    /// The bytes, with [`LINES`] as a placeholder.
     pub text: String,
     /// Whether the connection is closed behind them.
     pub is_last: bool,
