--- a/review/harness-2/src/upstream.rs
+++ b/review/harness-2/src/upstream.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 use std::net::TcpListener;
 use std::sync::Arc;
+use std::sync::Condvar;
 use std::sync::Mutex;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU64;
@@ -16,7 +17,10 @@
 use crate::record::Record;
 
 /// Slots of each backend server.
-pub const SLOTS: u32 = 8;
+pub const SLOTS: u32 = 9;
+
+/// Requests that wait for a slot at most; more are rejected.
+const QUEUE: u64 = 27;
 
 /// A backend server.
 #[derive(Debug)]
@@ -26,11 +30,13 @@
     pub address: SocketAddr,
     pub zone: String,
     /// Time that a request takes.
-    pub work: Duration,
+    work: Mutex<Duration>,
     /// Where check-ins go.
     pub controls: Vec<SocketAddr>,
     pub record: Arc<Record>,
-    running: AtomicU64,
+    /// Requests that run, and those that wait for a slot.
+    at_work: Mutex<(u64, u64)>,
+    slot_free: Condvar,
     sequence: AtomicU64,
     ended: AtomicBool,
     runs: Mutex<BTreeMap<String, u32>>,
@@ -53,10 +59,11 @@
             service: service.to_owned(),
             address,
             zone: zone.to_owned(),
-            work,
+            work: Mutex::new(work),
             controls: controls.to_vec(),
             record: Arc::clone(record),
-            running: AtomicU64::new(0),
+            at_work: Mutex::default(),
+            slot_free: Condvar::new(),
             sequence: AtomicU64::new(0),
             ended: AtomicBool::new(false),
             runs: Mutex::default(),
@@ -78,6 +85,11 @@
         self.runs.lock().unwrap().clone()
     }
 
+    /// Changes the time that a request takes from now on.
+    pub fn set_work(&self, work: Duration) {
+        *self.work.lock().unwrap() = work;
+    }
+
     /// Ends the announcements.
     pub fn end(&self) {
         self.ended.store(true, Ordering::Relaxed);
@@ -117,7 +129,28 @@
     }
 
     fn load(&self) -> String {
-        format!("{},0,{SLOTS}", self.running.load(Ordering::Relaxed))
+        let (running, waiting) = *self.at_work.lock().unwrap();
+        format!("{running},{waiting},{SLOTS}")
+    }
+
+    /// Waits for a slot; returns false if too many wait already.
+    fn take_slot(&self) -> bool {
+        let mut at_work = self.at_work.lock().unwrap();
+        if at_work.0 >= u64::from(SLOTS) && at_work.1 >= QUEUE {
+            return false;
+        }
+        at_work.1 += 1;
+        while at_work.0 >= u64::from(SLOTS) {
+            at_work = self.slot_free.wait(at_work).unwrap();
+        }
+        at_work.1 -= 1;
+        at_work.0 += 1;
+        true
+    }
+
+    fn leave_slot(&self) {
+        self.at_work.lock().unwrap().0 -= 1;
+        self.slot_free.notify_one();
     }
 
     fn answer(&self, req: &Message) -> Vec<u8> {
@@ -132,15 +165,15 @@
         if target.is_some_and(|target| target != self.id) {
             return answer("421 Misdirected Request", &[("Attempt-Id", id), ("Not-Executed", "1")], "");
         }
-        if self.running.fetch_add(1, Ordering::Relaxed) >= u64::from(SLOTS) {
-            self.running.fetch_sub(1, Ordering::Relaxed);
+        if !self.take_slot() {
             let headers = [("Attempt-Id", id), ("Not-Executed", "1"), ("Server-Load", &self.load())];
             return answer("503 Service Unavailable", &headers, "");
         }
         *self.runs.lock().unwrap().entry(id.to_owned()).or_default() += 1;
         self.record.note(&format!("run id={id} server={} {method} {path}", self.id));
-        std::thread::sleep(self.work);
-        self.running.fetch_sub(1, Ordering::Relaxed);
+        let work = *self.work.lock().unwrap();
+        std::thread::sleep(work);
+        self.leave_slot();
         let seal = format!("seal.{}.{id}", self.id);
         let headers = [("Attempt-Id", id), ("Server-Seal", &seal), ("Server-Load", &self.load())];
         answer("200 OK", &headers, &format!("{method} {path} {id}"))
