--- a/review/harness-2/src/bin/grown-config.rs
+++ b/review/harness-2/src/bin/grown-config.rs
@@ -29,7 +29,9 @@
 fn main() -> ExitCode {
     let folder = std::env::args().nth(1).unwrap_or_else(|| ".".to_owned());
     let trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
-    let growths = std::env::var("GROWTHS").ok().and_then(|value| value.parse().ok());
+    let growths = std::env::var("GROWTHS")
+        .ok()
+        .and_then(|value| value.parse().ok());
     match run(&folder, trouble, growths.unwrap_or(4)) {
         Ok(held) => ExitCode::from(u8::from(!held)),
         Err(error) => {
@@ -78,7 +80,10 @@
         base += 2;
         std::thread::sleep(Duration::from_secs(2));
     }
-    record.tell(&format!("confirmed: version r{base}, {} more routes", growths * ROUTES_AT_A_TIME));
+    record.tell(&format!(
+        "confirmed: version r{base}, {} more routes",
+        growths * ROUTES_AT_A_TIME
+    ));
     let before = serve(&cluster, BEFORE, "before");
     if trouble {
         record.tell("all processes are killed");
@@ -89,7 +94,10 @@
     }
     std::thread::sleep(RECOVERY);
     let ready = cluster.wait_ready(Duration::ZERO);
-    record.tell(&format!("{ready} of {} entry VMs say that they are ready", cluster.entries.len()));
+    record.tell(&format!(
+        "{ready} of {} entry VMs say that they are ready",
+        cluster.entries.len()
+    ));
     let after = serve(&cluster, AFTER, "after");
     let runs: usize = upstreams.iter().map(|upstream| upstream.runs().len()).sum();
     record.tell(&format!("requests that ran: {runs}"));
@@ -97,7 +105,11 @@
         return Err(unable("less than a quarter was served before the fault"));
     }
     let held = after >= 0.25;
-    record.tell(if held { "RECOVER held" } else { "RECOVER broken" });
+    record.tell(if held {
+        "RECOVER held"
+    } else {
+        "RECOVER broken"
+    });
     Ok(held)
 }
 
@@ -117,13 +129,20 @@
         let timeout = Duration::from_secs(2);
         let answer = http::call(entry.front(), "GET /lohu930/2f", &headers, b"", timeout);
         let status = answer.as_ref().map_or(0, http::Message::status);
-        let seal = answer.as_ref().is_ok_and(|answer| answer.header("server-seal").is_some());
-        cluster.record.note(&format!("request id={id} to {} -> {status}, seal {seal}", entry.name));
+        let seal = answer
+            .as_ref()
+            .is_ok_and(|answer| answer.header("server-seal").is_some());
+        cluster.record.note(&format!(
+            "request id={id} to {} -> {status}, seal {seal}",
+            entry.name
+        ));
         sent += 1;
         served += u32::from(status == 200 && seal);
         std::thread::sleep(due.saturating_duration_since(Instant::now()));
     }
-    cluster.record.tell(&format!("{name}: {served} of {sent} requests are served"));
+    cluster
+        .record
+        .tell(&format!("{name}: {served} of {sent} requests are served"));
     f64::from(served) / f64::from(sent.max(1))
 }
 
--- a/review/harness-2/src/bin/pipelined-callers.rs
+++ b/review/harness-2/src/bin/pipelined-callers.rs
@@ -55,7 +55,11 @@
     /// Returns the time that it waited as the first of its connection; `None` if it never was.
     fn waited(&self, observed: Duration) -> Option<Duration> {
         let begun = self.first_in_line_after?;
-        Some(self.answered_after.unwrap_or(observed).saturating_sub(begun))
+        Some(
+            self.answered_after
+                .unwrap_or(observed)
+                .saturating_sub(begun),
+        )
     }
 }
 
@@ -106,7 +110,9 @@
     }
     std::thread::sleep(Duration::from_secs(4));
     if trouble {
-        record.tell(&format!("{SLOW} of {SERVERS} backend servers of platebook turn slow"));
+        record.tell(&format!(
+            "{SLOW} of {SERVERS} backend servers of platebook turn slow"
+        ));
         for server in &proofs[..SLOW] {
             server.set_work(PROOF_WORK * SLOW_FACTOR);
         }
@@ -116,15 +122,22 @@
         let cluster = Arc::clone(&cluster);
         let requests = [vec!["proof"; PROOFS], vec!["stock"; STOCKS]].concat();
         let name = format!("crowd-{number:02}");
-        callers.push(std::thread::spawn(move || pipeline(&cluster, &name, &requests)));
+        callers.push(std::thread::spawn(move || {
+            pipeline(&cluster, &name, &requests)
+        }));
     }
     std::thread::sleep(PAIRS_AFTER);
     for number in 0..PAIRS {
         let cluster = Arc::clone(&cluster);
         let name = format!("pair-{number:02}");
-        callers.push(std::thread::spawn(move || pipeline(&cluster, &name, &["stock"; 2])));
+        callers.push(std::thread::spawn(move || {
+            pipeline(&cluster, &name, &["stock"; 2])
+        }));
     }
-    let outcomes: Vec<Outcome> = callers.into_iter().flat_map(|it| it.join().unwrap()).collect();
+    let outcomes: Vec<Outcome> = callers
+        .into_iter()
+        .flat_map(|it| it.join().unwrap())
+        .collect();
     Ok(judge(&record, &outcomes))
 }
 
@@ -144,8 +157,17 @@
             ("Attempt-Id", id.as_str()),
             ("Deadline-Ms", deadline),
         ];
-        bytes.extend(http::request(&format!("GET /{kind}/2f"), &headers, b"", front));
-        let timeout = if *kind == "proof" { PROOF_TIMEOUT } else { STOCK_TIMEOUT };
+        bytes.extend(http::request(
+            &format!("GET /{kind}/2f"),
+            &headers,
+            b"",
+            front,
+        ));
+        let timeout = if *kind == "proof" {
+            PROOF_TIMEOUT
+        } else {
+            STOCK_TIMEOUT
+        };
         outcomes.push(Outcome {
             id,
             timeout,
@@ -158,22 +180,30 @@
         return outcomes;
     };
     let begun = Instant::now();
-    cluster.record.note(&format!("{name} sends {} requests", requests.len()));
+    cluster
+        .record
+        .note(&format!("{name} sends {} requests", requests.len()));
     if conn.write(&bytes).is_err() {
         return outcomes;
     }
     for outcome in &mut outcomes {
         outcome.first_in_line_after = Some(begun.elapsed());
-        let left = PATIENCE.saturating_sub(begun.elapsed()).max(Duration::from_millis(1));
+        let left = PATIENCE
+            .saturating_sub(begun.elapsed())
+            .max(Duration::from_millis(1));
         let _ = conn.stream.set_read_timeout(Some(left));
         match conn.read() {
             Ok(answer) => {
                 outcome.answered_after = Some(begun.elapsed());
                 outcome.status = answer.status();
-                cluster.record.note(&format!("answer id={} -> {}", outcome.id, outcome.status));
+                cluster
+                    .record
+                    .note(&format!("answer id={} -> {}", outcome.id, outcome.status));
             }
             Err(error) => {
-                cluster.record.note(&format!("no answer id={}: {error}", outcome.id));
+                cluster
+                    .record
+                    .note(&format!("no answer id={}: {error}", outcome.id));
                 break;
             }
         }
@@ -188,14 +218,22 @@
     let waited = |outcome: &&Outcome| outcome.waited(PATIENCE).map(|time| (time, outcome.timeout));
     let over = |extra: Duration| {
         let times = outcomes.iter().filter_map(|outcome| waited(&outcome));
-        times.filter(|(time, timeout)| *time > *timeout + extra).count()
+        times
+            .filter(|(time, timeout)| *time > *timeout + extra)
+            .count()
     };
     let (unanswered, late) = (over(Duration::ZERO), over(LATE_AFTER));
     for outcome in outcomes.iter().filter(|it| it.id.starts_with("pair")) {
         let (id, status) = (&outcome.id, outcome.status);
-        record.note(&format!("waited id={id}: {:?}, status {status}", outcome.waited(PATIENCE)));
+        record.note(&format!(
+            "waited id={id}: {:?}, status {status}",
+            outcome.waited(PATIENCE)
+        ));
     }
-    record.tell(&format!("{} requests; unanswered at their route's timeout: {unanswered}", outcomes.len()));
+    record.tell(&format!(
+        "{} requests; unanswered at their route's timeout: {unanswered}",
+        outcomes.len()
+    ));
     record.tell(&format!("without an answer half a second later: {late}"));
     let held = late < 8 || late * 2 <= unanswered;
     record.tell(if held { "CONFIG held" } else { "CONFIG broken" });
--- a/review/harness-2/src/bin/public-route.rs
+++ b/review/harness-2/src/bin/public-route.rs
@@ -71,7 +71,9 @@
     if cluster.order("PATCH /heatherring/config", &change(trouble), within) != Some(200) {
         return Err(unable("the change was not confirmed"));
     }
-    record.tell(&format!("confirmed: version r3, route r-open is public: {trouble}"));
+    record.tell(&format!(
+        "confirmed: version r3, route r-open is public: {trouble}"
+    ));
     std::thread::sleep(APPLY + Duration::from_secs(1));
     let denied = request(&cluster, AFTER, "after");
     read_back(&cluster);
@@ -80,7 +82,9 @@
     let most = 5 + (BEFORE + AFTER) / 500;
     let held = denied <= most;
     let verdict = if held { "held" } else { "broken" };
-    record.tell(&format!("DENIED {verdict}: {denied} requests, allowed are {most}"));
+    record.tell(&format!(
+        "DENIED {verdict}: {denied} requests, allowed are {most}"
+    ));
     Ok(held)
 }
 
@@ -99,14 +103,21 @@
         let timeout = Duration::from_secs(2);
         let answer = http::call(entry.front(), "GET /lohu930/2f", &headers, b"", timeout);
         let status = answer.as_ref().map_or(0, http::Message::status);
-        let seal = answer.as_ref().is_ok_and(|answer| answer.header("server-seal").is_some());
-        cluster.record.note(&format!("request id={id} to {} -> {status}, seal {seal}", entry.name));
+        let seal = answer
+            .as_ref()
+            .is_ok_and(|answer| answer.header("server-seal").is_some());
+        cluster.record.note(&format!(
+            "request id={id} to {} -> {status}, seal {seal}",
+            entry.name
+        ));
         let is_exempt = [408, 421, 429].contains(&status);
         denied += u32::from((300..500).contains(&status) && !is_exempt && !seal);
         served += u32::from(status == 200 && seal);
         std::thread::sleep(Duration::from_millis(20));
     }
-    cluster.record.tell(&format!("{name}: of {count} requests {served} are served, {denied} denied"));
+    cluster.record.tell(&format!(
+        "{name}: of {count} requests {served} are served, {denied} denied"
+    ));
     denied
 }
 
@@ -115,7 +126,9 @@
     let timeout = Duration::from_secs(2);
     let answer = http::call(control, "GET /heatherring/config", &[], b"", timeout);
     let text = answer.map(|answer| String::from_utf8_lossy(&answer.body).into_owned());
-    cluster.record.note(&format!("read back: {}", text.unwrap_or_default()));
+    cluster
+        .record
+        .note(&format!("read back: {}", text.unwrap_or_default()));
 }
 
 const COLUMNS: &str = r#"["name","host","pathPrefix","kind","timeout","goal","priority","service","maxAttempts","public","sticky","homeRegions","trafficSplit"]"#;
@@ -127,7 +140,10 @@
 }
 
 fn first_config() -> String {
-    let (closed, open) = (route("r-ji9n73h", "/lohu930/", false), route("r-open", "/status/", false));
+    let (closed, open) = (
+        route("r-ji9n73h", "/lohu930/", false),
+        route("r-open", "/status/", false),
+    );
     format!(
         r#"{{"version":"r1","routes":{{"columns":{COLUMNS},"rows":[{closed},{open}]}},"services":{{"columns":["name","healthPath","maxConns","protocol","tls","coldStart","coldPerS"],"rows":[["huvo11a","/health",390,"h1",false,"3s",7.5]]}},"limits":{{"maxHeaderBytes":16384,"maxBodyBytes":67108864,"headerTimeout":"3000ms","idleTimeout":"15000ms"}},"baseVersion":0}}"#
     )
--- a/review/harness-2/src/bin/raised-limit.rs
+++ b/review/harness-2/src/bin/raised-limit.rs
@@ -106,7 +106,9 @@
     let second = config("r2", "\"r1\"", LARGER);
     let confirmed = cluster.order("PUT /heatherring/config", &second, within) == Some(200);
     if confirmed {
-        record.tell(&format!("confirmed: version r2, maxHeaderBytes {LARGER}, raised: {trouble}"));
+        record.tell(&format!(
+            "confirmed: version r2, maxHeaderBytes {LARGER}, raised: {trouble}"
+        ));
         std::thread::sleep(LONG_AFTER);
         *stage.lock().unwrap() = Stage::Long;
         std::thread::sleep(LONG_FOR);
@@ -126,7 +128,10 @@
     let most = 5 + all.sent / 500;
     let held = all.denied <= most;
     let verdict = if held { "held" } else { "broken" };
-    record.tell(&format!("DENIED {verdict}: {} requests, allowed are {most}", all.denied));
+    record.tell(&format!(
+        "DENIED {verdict}: {} requests, allowed are {most}",
+        all.denied
+    ));
     Ok(held)
 }
 
@@ -149,15 +154,29 @@
             ("Deadline-Ms", "2000"),
         ];
         let long = "c".repeat(FIELD);
-        let names = ["X-Trail-1", "X-Trail-2", "X-Trail-3", "X-Trail-4", "X-Trail-5", "X-Trail-6"];
+        let names = [
+            "X-Trail-1",
+            "X-Trail-2",
+            "X-Trail-3",
+            "X-Trail-4",
+            "X-Trail-5",
+            "X-Trail-6",
+        ];
         if now == Stage::Long {
-            headers.extend(names.iter().take(LONG_FIELDS / FIELD).map(|name| (*name, long.as_str())));
+            headers.extend(
+                names
+                    .iter()
+                    .take(LONG_FIELDS / FIELD)
+                    .map(|name| (*name, long.as_str())),
+            );
         }
         let bytes = http::request("GET /lohu930/2f", &headers, b"", entry.front());
         let reused = kept.is_some();
         let (status, seal) = match exchange(&mut kept, entry.front(), &bytes, timeout) {
             Ok(answer) => {
-                let close = answer.header("connection").is_some_and(|value| value == "close");
+                let close = answer
+                    .header("connection")
+                    .is_some_and(|value| value == "close");
                 if close {
                     kept = None;
                 }
@@ -193,12 +212,14 @@
     let Some(conn) = kept else {
         return Err(std::io::ErrorKind::NotConnected.into());
     };
-    let left = timeout.saturating_sub(begun.elapsed()).max(Duration::from_millis(1));
+    let left = timeout
+        .saturating_sub(begun.elapsed())
+        .max(Duration::from_millis(1));
     conn.stream.set_read_timeout(Some(left))?;
     conn.stream.set_write_timeout(Some(left))?;
     // An entry VM may answer before it has read a whole head.
     let written = conn.write(bytes);
-    conn.read().or_else(|error| Err(written.err().unwrap_or(error)))
+    conn.read().map_err(|error| written.err().unwrap_or(error))
 }
 
 fn config(version: &str, base: &str, max_header_bytes: u32) -> String {
--- a/review/harness-2/src/cluster.rs
+++ b/review/harness-2/src/cluster.rs
@@ -181,11 +181,21 @@
     pub fn start_all(&mut self) -> Result<()> {
         for number in 0..self.controls.len() {
             let settings = self.control_settings(number);
-            start(&mut self.controls[number], &settings, &self.program, &self.folder)?;
+            start(
+                &mut self.controls[number],
+                &settings,
+                &self.program,
+                &self.folder,
+            )?;
         }
         for number in 0..self.entries.len() {
             let settings = self.entry_settings(number);
-            start(&mut self.entries[number], &settings, &self.program, &self.folder)?;
+            start(
+                &mut self.entries[number],
+                &settings,
+                &self.program,
+                &self.folder,
+            )?;
         }
         self.formed = true;
         Ok(())
@@ -273,7 +283,8 @@
             let timeout = Duration::from_secs(3);
             let answer = http::call(control.control(), first, &headers, body.as_bytes(), timeout);
             let status = answer.map_or(0, |answer| answer.status());
-            self.record.note(&format!("order {first} at {} -> {status}", control.name));
+            self.record
+                .note(&format!("order {first} at {} -> {status}", control.name));
             if (200..300).contains(&status) || [400, 409, 412, 413, 422].contains(&status) {
                 return Some(status);
             }
--- a/review/harness-2/src/http.rs
+++ b/review/harness-2/src/http.rs
@@ -155,7 +155,9 @@
 ) -> Result<Message> {
     let begun = Instant::now();
     let mut conn = Conn::open(address, timeout)?;
-    let left = timeout.saturating_sub(begun.elapsed()).max(Duration::from_millis(1));
+    let left = timeout
+        .saturating_sub(begun.elapsed())
+        .max(Duration::from_millis(1));
     conn.stream.set_read_timeout(Some(left))?;
     conn.stream.set_write_timeout(Some(left))?;
     conn.write(&request(first, headers, body, address))?;
@@ -163,12 +165,7 @@
 }
 
 /// Writes a request. `Host` is the address unless `headers` name one.
-pub fn request(
-    first: &str,
-    headers: &[(&str, &str)],
-    body: &[u8],
-    address: SocketAddr,
-) -> Vec<u8> {
+pub fn request(first: &str, headers: &[(&str, &str)], body: &[u8], address: SocketAddr) -> Vec<u8> {
     let mut text = format!("{first} HTTP/1.1\r\n");
     if !headers.iter().any(|(name, _)| *name == "Host") {
         text += &format!("Host: {address}\r\n");
--- a/review/harness-2/src/upstream.rs
+++ b/review/harness-2/src/upstream.rs
@@ -156,26 +156,43 @@
     fn answer(&self, req: &Message) -> Vec<u8> {
         let (method, path) = req.target();
         if (method, path) == ("GET", "/health") {
-            return answer("200 OK", &[("Instance-Id", &self.id), ("Server-Load", &self.load())], "");
+            return answer(
+                "200 OK",
+                &[("Instance-Id", &self.id), ("Server-Load", &self.load())],
+                "",
+            );
         }
         let Some(id) = req.header("attempt-id") else {
             return answer("400 Bad Request", &[("Not-Executed", "1")], "");
         };
         let target = req.header("target-instance");
         if target.is_some_and(|target| target != self.id) {
-            return answer("421 Misdirected Request", &[("Attempt-Id", id), ("Not-Executed", "1")], "");
+            return answer(
+                "421 Misdirected Request",
+                &[("Attempt-Id", id), ("Not-Executed", "1")],
+                "",
+            );
         }
         if !self.take_slot() {
-            let headers = [("Attempt-Id", id), ("Not-Executed", "1"), ("Server-Load", &self.load())];
+            let headers = [
+                ("Attempt-Id", id),
+                ("Not-Executed", "1"),
+                ("Server-Load", &self.load()),
+            ];
             return answer("503 Service Unavailable", &headers, "");
         }
         *self.runs.lock().unwrap().entry(id.to_owned()).or_default() += 1;
-        self.record.note(&format!("run id={id} server={} {method} {path}", self.id));
+        self.record
+            .note(&format!("run id={id} server={} {method} {path}", self.id));
         let work = *self.work.lock().unwrap();
         std::thread::sleep(work);
         self.leave_slot();
         let seal = format!("seal.{}.{id}", self.id);
-        let headers = [("Attempt-Id", id), ("Server-Seal", &seal), ("Server-Load", &self.load())];
+        let headers = [
+            ("Attempt-Id", id),
+            ("Server-Seal", &seal),
+            ("Server-Load", &self.load()),
+        ];
         answer("200 OK", &headers, &format!("{method} {path} {id}"))
     }
 }
